--- /dev/null
+++ b/crates/drill/src/host.rs
@@ -0,0 +1,178 @@
+//! Many instances on one wire: events become calls on their modules, results become replies.
+
+use crate::settings::{self, Settings};
+use crate::wire::{self, Batch, Fields, Reply};
+use madderbay::decide::Decider;
+use madderbay::face::{Arrival, Gauges, Outcome};
+use madderbay::time::{At, Span};
+use std::collections::BTreeMap;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+
+struct Instance {
+    decider: Decider,
+    handlers: usize,
+    tenants: usize,
+    says_wait: bool,
+    on_cores: Option<usize>,
+    memory: Option<usize>,
+}
+
+#[derive(Default)]
+pub struct Host {
+    instances: BTreeMap<u16, Instance>,
+    reply: Reply,
+}
+
+fn outcome(code: u8) -> Result<Outcome, String> {
+    Ok(match code {
+        1 => Outcome::Done,
+        2 => Outcome::Errored,
+        3 => Outcome::Shed,
+        4 => Outcome::TimedOut,
+        5 => Outcome::Unreached,
+        6 => Outcome::CutOff,
+        7 => Outcome::Stopped,
+        8 => Outcome::Moot,
+        _ => return Err(format!("outcome {code} is unknown")),
+    })
+}
+
+impl Host {
+    /// Plays one batch and gives the frame that answers it.
+    pub fn play(&mut self, batch: &Batch) -> Result<Vec<u8>, String> {
+        let now = At::micros(batch.clock);
+        let mut fields = Fields::new(&batch.body);
+        let mut touched: Vec<u16> = vec![];
+        for n in 0..batch.count {
+            let place = |e: String| format!("record {} of {}: {e}", n + 1, batch.count);
+            let code = fields.u8().map_err(place)?;
+            let who = fields.u16().map_err(place)?;
+            touched.retain(|t| *t != who || code != wire::KILL);
+            self.event(now, code, who, &mut fields).map_err(place)?;
+            if code != wire::KILL && !touched.contains(&who) {
+                touched.push(who);
+            }
+        }
+        if fields.rest() > 0 {
+            return Err(format!("frame: {} bytes left after {} records", fields.rest(), batch.count));
+        }
+        for who in touched {
+            self.guarded(who, |i, out| i.decider.settle(now, out))?;
+        }
+        Ok(self.reply.frame())
+    }
+
+    /// Lets an instance decide; a failure inside the decision code is declared on the wire.
+    fn guarded(&mut self, who: u16, act: impl FnOnce(&mut Instance, &mut Reply)) -> Result<(), String> {
+        let instance =
+            self.instances.get_mut(&who).ok_or_else(|| format!("instance {who} was never begun"))?;
+        self.reply.who = who;
+        let reply = &mut self.reply;
+        if let Err(cause) = catch_unwind(AssertUnwindSafe(|| act(instance, reply))) {
+            let text = cause.downcast_ref::<String>().map(String::as_str);
+            self.reply
+                .fault(text.or(cause.downcast_ref::<&str>().copied()).unwrap_or("the decision code failed"));
+        }
+        Ok(())
+    }
+
+    fn event(&mut self, now: At, code: u8, who: u16, f: &mut Fields) -> Result<(), String> {
+        match code {
+            wire::BEGIN => {
+                let seed = f.u64()?;
+                let len = f.u32()? as usize;
+                let s = settings::read(f.bytes(len)?)?;
+                self.instances.insert(who, Instance::new(now, seed, &s));
+                self.guarded(who, |i, out| i.decider.begin(out))
+            }
+            wire::QUERY => {
+                let known =
+                    self.instances.get(&who).ok_or_else(|| format!("instance {who} was never begun"))?;
+                let a = arrival(f, known)?;
+                self.guarded(who, |i, out| i.decider.arrive(now, &a, out))
+            }
+            wire::ENDED => {
+                let (id, how, spent) = (f.u64()?, outcome(f.u8()?)?, f.span()?);
+                self.guarded(who, |i, out| i.decider.ended(now, id, how, spent, out))
+            }
+            wire::AWAITING => {
+                let id = f.u64()?;
+                self.guarded(who, |i, out| i.decider.at_call(now, id, out))
+            }
+            wire::DEP_REPLY => {
+                let (id, how, spent) = (f.u64()?, outcome(f.u8()?)?, f.span()?);
+                self.guarded(who, |i, out| i.decider.call_back(now, id, how, spent, out))
+            }
+            wire::WIND_DOWN => {
+                let left = f.span()?;
+                self.guarded(who, |i, out| i.decider.wind_down(now, left, out))
+            }
+            wire::ABANDONED => {
+                let id = f.u64()?;
+                self.guarded(who, |i, out| i.decider.gone(now, id, out))
+            }
+            wire::BELL => {
+                f.u64()?;
+                let n = f.u8()?;
+                let values = (0..n).map(|_| f.f32()).collect::<Result<Vec<f64>, String>>()?;
+                self.guarded(who, |i, out| {
+                    let read = |at: Option<usize>| at.and_then(|at| values.get(at)).copied();
+                    let gauges = Gauges { on_cores: read(i.on_cores), memory: read(i.memory) };
+                    i.decider.tick(now, &gauges, out);
+                })
+            }
+            wire::KILL => {
+                let was = self.instances.remove(&who);
+                was.map(|_| ()).ok_or_else(|| format!("instance {who} was never begun"))
+            }
+            _ => Err(format!("event code {code} is unknown")),
+        }
+    }
+}
+
+fn arrival(f: &mut Fields, known: &Instance) -> Result<Arrival, String> {
+    let (id, handler, tenant, subject) = (f.u64()?, f.u16()? as usize, f.u32()? as usize, f.u64()?);
+    let (wait, hint, held_kb, rank) = (f.span()?, f.span()?, f.f32()?, f.f32()?);
+    let (bits, _from, unread_for, repeats) = (f.u8()?, f.u16()?, f.span()?, f.u64()?);
+    if handler >= known.handlers {
+        return Err(format!("request {id}: class {handler} of {} classes", known.handlers));
+    }
+    if tenant >= known.tenants.max(1) {
+        return Err(format!("request {id}: tenant {tenant} of {} tenants", known.tenants));
+    }
+    if held_kb < 0.0 {
+        return Err(format!("request {id}: held_kb is under 0"));
+    }
+    if known.decider.knows(id) {
+        return Err(format!("request {id}: read a second time"));
+    }
+    let wait = if known.says_wait { wait } else { Span::ZERO };
+    let hint = (bits & 1 != 0).then_some(hint);
+    let retry = bits & 2 != 0;
+    Ok(Arrival { id, handler, tenant, subject, wait, hint, held_kb, rank, retry, unread_for, repeats })
+}
+
+impl Instance {
+    fn new(now: At, seed: u64, s: &Settings) -> Instance {
+        let decider = Decider::new(
+            now,
+            seed,
+            &s.machine,
+            &s.handlers,
+            &s.tenants,
+            &s.below,
+            &s.callers,
+            &s.place,
+            &s.rules,
+        );
+        let meter = |name: &str| s.meters.iter().position(|m| m == name);
+        Instance {
+            decider,
+            handlers: s.handlers.len(),
+            tenants: s.tenants.len(),
+            says_wait: s.rules.says_wait,
+            on_cores: meter("on_cores"),
+            memory: meter("heap_share"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/drill/src/settings.rs
@@ -0,0 +1,222 @@
+//! The settings that an instance starts with: JSON in, the module's own records out.
+
+use madderbay::face::*;
+use madderbay::time::Span;
+use serde::Deserialize;
+
+#[derive(Deserialize)]
+struct Raw {
+    classes: Vec<RawClass>,
+    #[serde(default)]
+    tenants: Vec<RawTenant>,
+    family_info: RawInfo,
+    permissions: RawPermissions,
+    rules: RawRules,
+    #[serde(default)]
+    callers: RawCallers,
+    servers: u32,
+    #[serde(default)]
+    tier: u32,
+    #[serde(default)]
+    value_by: String,
+    #[serde(default)]
+    over_share_worth: f64,
+}
+
+#[derive(Deserialize)]
+struct RawClass {
+    aim_us: u64,
+    #[serde(default)]
+    aim_stretch: f64,
+    hard_limit_us: u64,
+    importance: f64,
+    #[serde(default)]
+    late_worth: f64,
+    effect: String,
+    #[serde(default)]
+    repeat_window_us: u64,
+}
+
+#[derive(Deserialize)]
+struct RawTenant {
+    allowance_per_s: f64,
+}
+
+#[derive(Deserialize, Default)]
+struct RawCallers {
+    #[serde(default)]
+    marks_retry: bool,
+}
+
+#[derive(Deserialize)]
+struct RawPermissions {
+    #[serde(default)]
+    retry_after: bool,
+    #[serde(default)]
+    max_retry_after_us: u64,
+}
+
+#[derive(Deserialize)]
+struct RawRules {
+    tip_multiple: f64,
+    #[serde(default)]
+    drain_grace_us: u64,
+    #[serde(default)]
+    cold_from: f64,
+    #[serde(default)]
+    cold_us: u64,
+}
+
+#[derive(Deserialize)]
+struct RawInfo {
+    n_cores: u32,
+    memory_kb: f64,
+    blowup: f64,
+    #[serde(default)]
+    key_kb: f64,
+    #[serde(default)]
+    preemption: String,
+    #[serde(default)]
+    cold: bool,
+    #[serde(default)]
+    below: String,
+    #[serde(default)]
+    dep_share: f64,
+    #[serde(default)]
+    share_span_us: u64,
+    #[serde(default)]
+    linger_us: u64,
+    #[serde(default)]
+    class_calls: Vec<bool>,
+    #[serde(default)]
+    class_skip_worth: Vec<f64>,
+    #[serde(default)]
+    say: String,
+    #[serde(default)]
+    upstreams: u32,
+    #[serde(default)]
+    passes_deadline: bool,
+    #[serde(default)]
+    meters: Vec<String>,
+}
+
+/// Everything one instance is started with.
+pub struct Settings {
+    pub machine: Machine,
+    pub handlers: Vec<Handler>,
+    pub tenants: Vec<Tenant>,
+    pub below: Below,
+    pub callers: Callers,
+    pub place: Place,
+    pub rules: Rules,
+    pub meters: Vec<String>,
+}
+
+fn need(ok: bool, what: &str) -> Result<(), String> {
+    if ok { Ok(()) } else { Err(format!("settings: {what}")) }
+}
+
+fn word<T: Copy>(found: &str, known: &[(&str, T)], what: &str) -> Result<T, String> {
+    let hit = known.iter().find(|k| k.0 == found);
+    hit.map(|k| k.1).ok_or_else(|| format!("settings: {what} is '{found}', which is none of those known"))
+}
+
+/// Reads the settings; says in one line what is missing or can't be.
+pub fn read(json: &[u8]) -> Result<Settings, String> {
+    let raw: Raw = serde_json::from_slice(json).map_err(|e| format!("settings: {e}"))?;
+    let info = &raw.family_info;
+    need(!raw.classes.is_empty(), "classes is empty")?;
+    need(info.n_cores >= 1, "family_info.n_cores is 0")?;
+    need(info.memory_kb > 0.0, "family_info.memory_kb is not above 0")?;
+    need(info.blowup >= 1.0, "family_info.blowup is under 1")?;
+    need(info.key_kb >= 0.0, "family_info.key_kb is under 0")?;
+    need(info.dep_share >= 0.0, "family_info.dep_share is under 0")?;
+    need(raw.rules.tip_multiple >= 1.0, "rules.tip_multiple is under 1")?;
+    need((0.0..=1.0).contains(&raw.rules.cold_from), "rules.cold_from is not within 0 to 1")?;
+    let mut handlers = vec![];
+    for (i, c) in raw.classes.iter().enumerate() {
+        need(c.aim_us > 0, &format!("classes[{i}].aim_us is 0"))?;
+        need(c.hard_limit_us > 0, &format!("classes[{i}].hard_limit_us is 0"))?;
+        need(c.importance >= 0.0, &format!("classes[{i}].importance is under 0"))?;
+        need(c.aim_stretch >= 0.0, &format!("classes[{i}].aim_stretch is under 0"))?;
+        let effects = [
+            ("read_like", Repeats::Replayable),
+            ("idempotency_key", Repeats::Uniqued),
+            ("non_idempotent", Repeats::NonReplayable),
+        ];
+        let partial = info.class_skip_worth.get(i).copied().unwrap_or(0.0);
+        need(
+            (0.0..=1.0).contains(&partial),
+            &format!("family_info.class_skip_worth[{i}] is not within 0 to 1"),
+        )?;
+        handlers.push(Handler {
+            target: Span::micros(c.aim_us),
+            target_stretch: c.aim_stretch,
+            timeout: Span::micros(c.hard_limit_us),
+            value: c.importance,
+            late_value: c.late_worth,
+            repeats: word(&c.effect, &effects, &format!("classes[{i}].effect"))?,
+            window: Span::micros(c.repeat_window_us),
+            calls: info.class_calls.get(i).copied().unwrap_or(false),
+            partial_value: partial,
+        });
+    }
+    for (i, t) in raw.tenants.iter().enumerate() {
+        need(t.allowance_per_s >= 0.0, &format!("tenants[{i}].allowance_per_s is under 0"))?;
+    }
+    let stops = [
+        ("none", Stopping::Never),
+        ("", Stopping::Never),
+        ("discard", Stopping::Discards),
+        ("freeze", Stopping::Pauses),
+    ];
+    let belows = [
+        ("none", BelowKind::Nothing),
+        ("", BelowKind::Nothing),
+        ("one_for_all", BelowKind::Shared),
+        ("tier", BelowKind::Tier),
+    ];
+    let frees = [
+        ("none", Free::Unused),
+        ("", Free::Unused),
+        ("floor", Free::Floor),
+        ("allowance", Free::Allowance),
+        ("weight", Free::Weight),
+    ];
+    let longest = if raw.permissions.retry_after { raw.permissions.max_retry_after_us } else { 0 };
+    Ok(Settings {
+        machine: Machine {
+            cores: info.n_cores,
+            memory_kb: info.memory_kb,
+            running_factor: info.blowup,
+            key_kb: info.key_kb,
+            stopping: word(&info.preemption, &stops, "family_info.preemption")?,
+            survives_per_core: raw.rules.tip_multiple,
+            cold: info.cold,
+            cold_from: raw.rules.cold_from,
+            cold_for: Span::micros(raw.rules.cold_us),
+        },
+        handlers,
+        tenants: raw.tenants.iter().map(|t| Tenant { per_second: t.allowance_per_s }).collect(),
+        below: Below {
+            kind: word(&info.below, &belows, "family_info.below")?,
+            share: info.dep_share,
+            span: Span::micros(info.share_span_us),
+            linger: Span::micros(info.linger_us),
+        },
+        callers: Callers {
+            count: info.upstreams,
+            free: word(&info.say, &frees, "family_info.say")?,
+            come_back_max: Span::micros(longest),
+            mark_retries: raw.callers.marks_retry,
+        },
+        place: Place {
+            servers: raw.servers,
+            tier: raw.tier,
+            value_by_work: raw.value_by == "work",
+            over_share_value: raw.over_share_worth,
+        },
+        rules: Rules { drain_grace: Span::micros(raw.rules.drain_grace_us), says_wait: info.passes_deadline },
+        meters: info.meters.clone(),
+    })
+}
--- /dev/null
+++ b/src/decide.rs
@@ -0,0 +1,1104 @@
+//! Every decision of madderbay. The adapter makes one [`Decider`] a server life and calls, in the order of
+//! events: `arrive`, `ended`, `at_call`, `call_back`, `gone`, `wind_down`, `tick`; after the last event of a
+//! batch it calls `settle` once. Answers leave through [`crate::face::Results`]; settings and req facts are in
+//! `face.rs` too. A req passes the stages in the order of `CHAIN`, then start and the calls below; an outcome
+//! passes them in reverse (`ended`). Reading order: constants, parts (budget, share, hold, crew, calls, keys,
+//! tenants), then the chain.
+
+use crate::face::*;
+use crate::time::{At, Span};
+use std::collections::{BTreeSet, HashMap, VecDeque};
+
+// --- Constants ------------------------------------------------------------------------------------------
+
+/// Weight of the newest response in a handler's MRT; the paper's.
+const MRT_ALPHA: f64 = 0.05;
+/// Share of the response target that MRT is steered to: with a mean at the target half would be late.
+const SETPOINT: f64 = 0.5;
+/// Integral gain, in mean run times of budget for an error of one whole target; the paper's 1.
+const K_I: f64 = 1.0;
+/// Largest integral step, in errors: one very late completion must not empty the budget.
+const STEP_MOST: f64 = 2.0;
+/// Past points in the fit, and completions between two LQ resets; the paper's Bing settings.
+const ORDER: usize = 10;
+const REFIT_EVERY: u32 = 10;
+/// Weights of the LQ cost on the error and on the change; the paper's.
+const LQ_W: f64 = 0.5;
+const LQ_Q: f64 = 0.5;
+/// Forgetting factor of the fit: about 100 refits, so that a server's cold start fades.
+const FORGET: f64 = 0.99;
+/// Least effect of the budget on latency that the fit must show before LQ may use it (targets a floor).
+const EFFECT_LEAST: f64 = 1e-3;
+/// Weight of the newest run in the mean run times: about the last 30 runs.
+const RUN_ALPHA: f64 = 0.03;
+/// Share of the response target taken as a run's length before one has been measured.
+const RUN_GUESS: f64 = 0.1;
+/// What the largest run keeps at each completion: halved after 700, so that one odd run fades.
+const LARGEST_KEEPS: f64 = 0.999;
+/// Cut of the admitted share a second for a latency one whole target over; one bad second cuts by half.
+const SHARE_CUT: f64 = 0.5;
+/// Regain of the admitted share a second: slower than the cut, so that the two don't swing.
+const SHARE_REGAIN: f64 = 0.2;
+/// Least share admitted: the loop needs completions to see that it may recover.
+const SHARE_LEAST: f64 = 0.1;
+/// Recent arrivals whose worth ranks a new one: a few seconds of one server's traffic.
+const RECENT: usize = 64;
+/// Run queue a core under which more runs may start, and over which the worker limit falls back. Past some
+/// number a core, which no one tells, a server gets less done; 2 is the least seen in practice.
+const ROOM: f64 = 1.3;
+const CROWDED: f64 = 1.8;
+/// Change of the worker limit a tick: the whole way from the cores to twice the cores in a quarter second.
+const LIMIT_STEP: f64 = 0.25;
+/// Weight of the newest reading of the run queue: about the last 50 ms.
+const QUEUE_ALPHA: f64 = 0.2;
+/// Part of the runs a server survives that may be started: a stall can put all of them on the cores at once.
+const SURVIVE_PART: f64 = 0.85;
+/// Parts of the memory up to which runs start, and past which held reqs are shed.
+const MEMORY_START: f64 = 0.90;
+const MEMORY_HOLD: f64 = 0.96;
+/// Part of this server's share of what lies below that optional calls, and all calls, may hold.
+const OPTIONAL_PART: f64 = 0.4;
+const CALLS_PART: f64 = 0.9;
+/// Weight of the newest call in the calls' time and failures: about the last 10.
+const CALL_ALPHA: f64 = 0.1;
+/// Calls a req may repeat after outcomes that prove they did not run, and the first wait between them.
+const CALL_TRIES: u32 = 6;
+const CALL_WAIT: Span = Span::millis(40);
+/// Part of the time left to the response target that an optional call may take.
+const CALL_PATIENCE: f64 = 0.6;
+/// Share of the response target that a tier below gets of the whole.
+const TIER_PART: f64 = 0.4;
+/// Weight of the newest run in the share of failed runs, and the share from which arrivals are sent elsewhere.
+const FAIL_ALPHA: f64 = 0.08;
+const FAILING: f64 = 0.25;
+/// Period of the one timer: finer than any answer's slack, coarse enough to cost little.
+const TICK: Span = Span::millis(10);
+/// A timer later than this was held up by a pause of the whole process.
+const PAUSE: Span = Span::millis(40);
+/// Answers leave this long before they fall due: three ticks.
+const MARGIN: Span = Span::millis(30);
+/// Time without a completion after which the age of the oldest run stands for one.
+const STALLED: Span = Span::millis(300);
+/// What an idle handler's MRT keeps a tick: halved in about a third of a second.
+const IDLE_KEEPS: f64 = 0.98;
+/// Span over which tenants' rates are counted: long enough for a handful of the smallest tenant's reqs.
+const TENANT_SPAN: f64 = 3.0;
+/// A key's entry outlasts its window by this much, for the way from the machine to the module.
+const KEY_SLACK: Span = Span::millis(50);
+/// Time between two free values, and the change below which none is sent.
+const FREE_EVERY: Span = Span::millis(100);
+const FREE_CHANGE: f64 = 0.1;
+/// The free value that means "no limit" where it counts outstanding reqs.
+const FREE_OPEN: f64 = 1000.0;
+/// Room that callers of unequal traffic get over an even split of the reqs in hand.
+const FREE_SKEW: f64 = 2.0;
+/// Time between two tries to stop a run whose answer is out.
+const STOP_AGAIN: Span = Span::millis(200);
+
+// --- Reqs -----------------------------------------------------------------------------------------------
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Held,
+    Following,
+    Joined,
+    Running,
+    AtCall,
+    Calling,
+}
+
+enum Step {
+    Pass,
+    Kept,
+    Ended,
+}
+
+struct Req {
+    id: u64,
+    handler: usize,
+    tenant: usize,
+    reached: At,
+    target: At,
+    due: At,
+    hint: Option<Span>,
+    kb: f64,
+    retry: bool,
+    repeats: u64,
+    worth: f64,
+    stage: Stage,
+    started: At,
+    allowance: Span,
+    trimmed: bool,
+    answered: bool,
+    called: At,
+    tries: u32,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Answer,
+    Call,
+    Stop,
+    Lapse,
+    Forget,
+}
+
+// --- Budget: MRT, integral step, fit and LQ ---------------------------------------------------------------
+
+/// Recursive least squares over the last ORDER latencies and budgets, both as shares of their references.
+struct Fit {
+    theta: [f64; 2 * ORDER],
+    cov: [[f64; 2 * ORDER]; 2 * ORDER],
+    past: [f64; 2 * ORDER],
+}
+
+impl Fit {
+    fn new() -> Fit {
+        let mut cov = [[0.0; 2 * ORDER]; 2 * ORDER];
+        for (i, row) in cov.iter_mut().enumerate() {
+            row[i] = 100.0;
+        }
+        Fit { theta: [0.0; 2 * ORDER], cov, past: [0.0; 2 * ORDER] }
+    }
+
+    /// Learns that `y` followed, then gives the budget that minimises the LQ cost, if the fit shows an effect.
+    fn step(&mut self, y: f64, u: f64) -> Option<f64> {
+        let n = 2 * ORDER;
+        let px: Vec<f64> =
+            self.cov.iter().map(|row| row.iter().zip(&self.past).map(|(p, x)| p * x).sum()).collect();
+        let gain = FORGET + self.past.iter().zip(&px).map(|(x, p)| x * p).sum::<f64>();
+        let miss = y - self.theta.iter().zip(&self.past).map(|(t, x)| t * x).sum::<f64>();
+        for i in 0..n {
+            self.theta[i] += px[i] / gain * miss;
+            for j in 0..n {
+                self.cov[i][j] = ((self.cov[i][j] - px[i] * px[j] / gain) / FORGET).clamp(-1e6, 1e6);
+            }
+        }
+        self.past.copy_within(0..ORDER - 1, 1);
+        self.past.copy_within(ORDER..n - 1, ORDER + 1);
+        (self.past[0], self.past[ORDER]) = (y, 0.0);
+        let rest: f64 = self.theta.iter().zip(&self.past).map(|(t, x)| t * x).sum();
+        let effect = self.theta[ORDER];
+        let (w, q) = (LQ_W * LQ_W, LQ_Q * LQ_Q);
+        let best = (w * effect * (1.0 - rest) + q * u) / (w * effect * effect + q);
+        let usable = effect > EFFECT_LEAST && best.is_finite();
+        self.past[ORDER] = if usable { best } else { u };
+        usable.then_some(best)
+    }
+}
+
+/// The one budget and what steers it.
+struct Budget {
+    secs: f64,
+    cores: f64,
+    targets: Vec<f64>,
+    mrt: Vec<f64>,
+    run: Vec<f64>,
+    mean_run: f64,
+    largest: f64,
+    count: u32,
+    fit: Fit,
+    stepped: At,
+}
+
+impl Budget {
+    fn new(now: At, cores: u32, handlers: &[Handler], part: f64) -> Budget {
+        let targets: Vec<f64> = handlers.iter().map(|h| h.target.as_secs() * part * SETPOINT).collect();
+        let run: Vec<f64> = handlers.iter().map(|h| h.target.as_secs() * part * RUN_GUESS).collect();
+        let mean = run.iter().sum::<f64>() / run.len() as f64;
+        let cores = f64::from(cores);
+        let secs = 4.0 * cores * mean;
+        let mrt = run.clone();
+        Budget {
+            secs,
+            cores,
+            targets,
+            mrt,
+            run,
+            mean_run: mean,
+            largest: mean,
+            count: 0,
+            fit: Fit::new(),
+            stepped: now,
+        }
+    }
+
+    /// The worst handler's latency as a share of what it is steered to.
+    fn worst(&self) -> f64 {
+        self.mrt.iter().zip(&self.targets).map(|(m, t)| m / t).fold(0.0, f64::max)
+    }
+
+    fn floor(&self) -> f64 {
+        self.cores * self.mean_run
+    }
+
+    fn floored(&self) -> bool {
+        self.secs <= self.floor() * 1.01
+    }
+
+    fn measured(&mut self, handler: usize, run: Span) {
+        let s = run.as_secs();
+        self.run[handler] += RUN_ALPHA * (s - self.run[handler]);
+        self.mean_run += RUN_ALPHA * (s - self.mean_run);
+        self.largest = s.max(self.largest * LARGEST_KEEPS).max(self.mean_run);
+    }
+
+    /// One completion. What a pause or a stall releases together counts as one integral step: many steps on
+    /// one piece of news would leave a cut that lasts. Harm: a batch of honest completions steps once.
+    fn completed(&mut self, now: At, handler: usize, response: Span, pending: usize) {
+        self.mrt[handler] += MRT_ALPHA * (response.as_secs() - self.mrt[handler]);
+        let top = ((pending as f64 + self.cores) * self.largest).max(self.floor());
+        if now > self.stepped {
+            self.stepped = now;
+            self.secs += K_I * (1.0 - self.worst()).max(-STEP_MOST) * self.mean_run;
+        }
+        self.secs = self.secs.clamp(self.floor(), top);
+        self.count += 1;
+        if self.count.is_multiple_of(REFIT_EVERY) {
+            let unit = self.floor();
+            if let Some(u) = self.fit.step(self.worst(), self.secs / unit) {
+                self.secs = (u * unit).clamp(unit, top);
+            }
+        }
+    }
+
+    /// EqResv for the first of `held` reqs.
+    fn allowance(&self, held: usize) -> Span {
+        let len = (held as f64 / self.cores).max(1.0);
+        Span::secs((self.secs / len).max(self.secs - (len - 1.0) * self.mean_run))
+    }
+}
+
+// --- Share: the integral share of arrivals admitted -------------------------------------------------------
+
+struct Share {
+    admitted: f64,
+    recent: VecDeque<f64>,
+}
+
+impl Share {
+    fn step(&mut self, dt: Span, floored: bool, worst: f64) {
+        let over = worst - 1.0;
+        self.admitted += dt.as_secs()
+            * if floored && over > 0.0 { -SHARE_CUT * over.min(STEP_MOST) } else { SHARE_REGAIN };
+        self.admitted = self.admitted.clamp(SHARE_LEAST, 1.0);
+    }
+
+    /// Whether a req of this worth is among those admitted, ranked with the latest arrivals.
+    fn admits(&mut self, worth: f64, chance: f64) -> bool {
+        self.recent.push_back(worth);
+        if self.recent.len() > RECENT {
+            self.recent.pop_front();
+        }
+        let below = self.recent.iter().filter(|w| **w < worth).count() as f64;
+        let equal = self.recent.iter().filter(|w| **w == worth).count() as f64;
+        (below + chance * equal) / self.recent.len() as f64 >= 1.0 - self.admitted
+    }
+}
+
+// --- Hold: two lines, for short and for long work, each by latest start -----------------------------------
+
+#[derive(Default)]
+struct Hold {
+    lines: [Vec<(At, u64)>; 2],
+}
+
+impl Hold {
+    fn len(&self) -> usize {
+        self.lines[0].len() + self.lines[1].len()
+    }
+
+    fn put(&mut self, long: bool, latest: At, id: u64) {
+        let line = &mut self.lines[usize::from(long)];
+        let at = line.partition_point(|e| *e < (latest, id));
+        line.insert(at, (latest, id));
+    }
+
+    fn remove(&mut self, id: u64) {
+        for line in &mut self.lines {
+            line.retain(|e| e.1 != id);
+        }
+    }
+
+    fn first(&self) -> Option<u64> {
+        let heads = self.lines.iter().filter_map(|l| l.first());
+        heads.min().map(|e| e.1)
+    }
+
+    fn in_order(&self) -> Vec<u64> {
+        let mut all: Vec<_> = self.lines.iter().flatten().collect();
+        all.sort();
+        all.into_iter().map(|e| e.1).collect()
+    }
+}
+
+// --- Crew: the worker limit -------------------------------------------------------------------------------
+
+struct Crew {
+    limit: f64,
+    cores: f64,
+    queue: f64,
+    running: usize,
+}
+
+impl Crew {
+    /// Grows quickly while the run queue shows room and work waits; falls back to the cores when crowded.
+    fn step(&mut self, on_cores: f64, waiting: bool, ceiling: f64) {
+        self.queue += QUEUE_ALPHA * (on_cores - self.queue);
+        if waiting && self.running as f64 + 1.0 > self.limit && self.queue < ROOM * self.cores {
+            self.limit += LIMIT_STEP;
+        } else if self.queue > CROWDED * self.cores {
+            self.limit -= LIMIT_STEP;
+        }
+        self.limit = self.limit.min(ceiling).max(self.cores.min(ceiling));
+    }
+}
+
+/// The runs that a server still warming survives, as far as the rules promise.
+fn ceiling(now: At, began: At, machine: &Machine) -> f64 {
+    let warmed = (now - began).as_secs() / machine.cold_for.as_secs().max(1e-3);
+    let speed =
+        if machine.cold { (machine.cold_from + (1.0 - machine.cold_from) * warmed).min(1.0) } else { 1.0 };
+    let survived = f64::from(machine.cores) * (1.0 + (machine.survives_per_core - 1.0) * speed);
+    (survived * SURVIVE_PART).max(1.0)
+}
+
+// --- Calls below ------------------------------------------------------------------------------------------
+
+/// Calls in hand at what lies below, those given up on included until they can't linger any more.
+struct Calls {
+    out: usize,
+    lingering: VecDeque<At>,
+    time: f64,
+    failing: f64,
+    waiting: Vec<u64>,
+    used: f64,
+    seen: At,
+}
+
+impl Calls {
+    /// Whether one more call keeps this server within its share. The mean over the rule's span is bounded by
+    /// bounding the number in hand; a share under one call is kept by spacing calls out instead.
+    fn room(&self, below: &Below, part: f64) -> bool {
+        if below.kind != BelowKind::Shared {
+            return true;
+        }
+        let most = below.share * part;
+        let held = (self.out + self.lingering.len()) as f64;
+        if most >= 1.0 {
+            held + 1.0 <= most
+        } else {
+            held == 0.0 && self.used <= 0.5 * most * below.span.as_secs()
+        }
+    }
+
+    fn step(&mut self, now: At, below: &Below) {
+        while self.lingering.front().is_some_and(|t| *t <= now) {
+            self.lingering.pop_front();
+        }
+        let dt = (now - self.seen).as_secs();
+        self.seen = now;
+        let held = (self.out + self.lingering.len()) as f64;
+        self.used = (self.used + dt * (held - 0.5 * below.share.min(1.0))).max(0.0);
+    }
+
+    fn over(&mut self, outcome: Outcome, spent: Span, until: At) {
+        self.out = self.out.saturating_sub(1);
+        if matches!(outcome, Outcome::TimedOut | Outcome::Stopped) {
+            self.lingering.push_back(until);
+        }
+        if outcome != Outcome::Stopped {
+            let bad = if outcome == Outcome::Done { 0.0 } else { 1.0 };
+            self.failing += CALL_ALPHA * (bad - self.failing);
+            self.time += CALL_ALPHA * (spent.as_secs() - self.time);
+        }
+    }
+}
+
+// --- Keys and tenants -------------------------------------------------------------------------------------
+
+/// All tries of one uniqued req on this server.
+struct Key {
+    leader: u64,
+    ran: bool,
+    /// When its entry in the server's table runs out, while it has one.
+    entry: Option<At>,
+    followers: Vec<u64>,
+    members: Vec<u64>,
+}
+
+struct Tenants {
+    allowed: Vec<f64>,
+    rate: Vec<f64>,
+    seen: Vec<At>,
+    over_value: f64,
+}
+
+impl Tenants {
+    /// Counts an arrival and gives the mean value of this tenant's reqs: those past its share, which bear no
+    /// mark, are worth little.
+    fn value(&mut self, now: At, tenant: usize) -> f64 {
+        let Some(rate) = self.rate.get_mut(tenant) else { return 1.0 };
+        let gap = (now - self.seen[tenant]).as_secs();
+        self.seen[tenant] = now;
+        *rate = *rate * (-gap / TENANT_SPAN).exp() + 1.0 / TENANT_SPAN;
+        let within = (self.allowed[tenant] / *rate).min(1.0);
+        within + (1.0 - within) * self.over_value
+    }
+}
+
+// --- The module -------------------------------------------------------------------------------------------
+
+type Link = fn(&mut Decider, At, u64, &mut dyn Results) -> Step;
+
+/// The stages that an arriving req passes, in order.
+const CHAIN: [Link; 5] =
+    [Decider::repeats, Decider::draining, Decider::tenant_share, Decider::admission, Decider::hold_stage];
+
+/// The decisions of one server in one life.
+pub struct Decider {
+    chance: oorandom::Rand64,
+    began: At,
+    ticked: At,
+    completed: At,
+    machine: Machine,
+    handlers: Vec<Handler>,
+    below: Below,
+    callers: Callers,
+    rules: Rules,
+    part: f64,
+    by_work: bool,
+    reqs: HashMap<u64, Req>,
+    running: BTreeSet<u64>,
+    held_kb: f64,
+    run_kb: f64,
+    due: BTreeSet<(At, Due, u64)>,
+    budget: Budget,
+    share: Share,
+    hold: Hold,
+    crew: Crew,
+    calls: Calls,
+    keys: HashMap<u64, Key>,
+    key_of: HashMap<u64, u64>,
+    entries: usize,
+    tenants: Tenants,
+    hint_rate: f64,
+    failing: f64,
+    leaving: Option<(At, At)>,
+    free: f64,
+    free_at: At,
+}
+
+impl Decider {
+    #[allow(clippy::too_many_arguments)]
+    pub fn new(
+        now: At,
+        seed: u64,
+        machine: &Machine,
+        handlers: &[Handler],
+        tenants: &[Tenant],
+        below: &Below,
+        callers: &Callers,
+        place: &Place,
+        rules: &Rules,
+    ) -> Decider {
+        let part = if place.tier == 0 { 1.0 } else { TIER_PART };
+        let cores = f64::from(machine.cores);
+        let servers = f64::from(place.servers.max(1));
+        Decider {
+            chance: oorandom::Rand64::new(u128::from(seed)),
+            began: now,
+            ticked: now,
+            completed: now,
+            machine: machine.clone(),
+            handlers: handlers.to_vec(),
+            below: below.clone(),
+            callers: callers.clone(),
+            rules: rules.clone(),
+            part,
+            by_work: place.value_by_work,
+            reqs: HashMap::new(),
+            running: BTreeSet::new(),
+            held_kb: 0.0,
+            run_kb: 0.0,
+            due: BTreeSet::new(),
+            budget: Budget::new(now, machine.cores, handlers, part),
+            share: Share { admitted: 1.0, recent: VecDeque::new() },
+            hold: Hold::default(),
+            crew: Crew { limit: cores, cores, queue: 0.0, running: 0 },
+            calls: Calls {
+                out: 0,
+                lingering: VecDeque::new(),
+                time: 0.0,
+                failing: 0.0,
+                waiting: vec![],
+                used: 0.0,
+                seen: now,
+            },
+            keys: HashMap::new(),
+            key_of: HashMap::new(),
+            entries: 0,
+            tenants: Tenants {
+                allowed: tenants.iter().map(|t| t.per_second / servers).collect(),
+                rate: vec![0.0; tenants.len()],
+                seen: vec![now; tenants.len()],
+                over_value: place.over_share_value,
+            },
+            hint_rate: 1.0,
+            failing: 0.0,
+            leaving: None,
+            free: FREE_OPEN,
+            free_at: now,
+        }
+    }
+
+    /// Whether a req of this id is still in hand.
+    pub fn knows(&self, id: u64) -> bool {
+        self.reqs.contains_key(&id)
+    }
+
+    /// First words of a new life: checks are answered from store, since each real one costs work.
+    pub fn begin(&mut self, out: &mut dyn Results) {
+        out.health(true);
+        out.wake(TICK);
+    }
+
+    /// A req has been read.
+    pub fn arrive(&mut self, now: At, a: &Arrival, out: &mut dyn Results) {
+        let h = &self.handlers[a.handler];
+        let reached = now.before(a.unread_for);
+        let stretch = a.hint.map_or(Span::ZERO, |w| w.times(h.target_stretch));
+        let target = reached + (h.target.times(self.part) + stretch).min(h.timeout);
+        let mut due = if self.rules.says_wait { now + a.wait } else { (reached + h.timeout).max(now) };
+        if let Some((_, stop)) = self.leaving {
+            due = due.min(stop);
+        }
+        self.reqs.insert(
+            a.id,
+            Req {
+                id: a.id,
+                handler: a.handler,
+                tenant: a.tenant,
+                reached,
+                target: target.min(due.before(MARGIN)),
+                due,
+                hint: a.hint.filter(|w| *w > Span::ZERO),
+                kb: a.held_kb,
+                retry: a.retry,
+                repeats: a.repeats,
+                worth: h.value,
+                stage: Stage::Held,
+                started: now,
+                allowance: Span::ZERO,
+                trimmed: false,
+                answered: false,
+                called: now,
+                tries: 0,
+            },
+        );
+        self.held_kb += a.held_kb;
+        self.due.insert((due.before(MARGIN), Due::Answer, a.id));
+        self.pass(now, a.id, 0, out);
+    }
+
+    fn pass(&mut self, now: At, id: u64, from: usize, out: &mut dyn Results) {
+        for stage in &CHAIN[from..] {
+            match stage(self, now, id, out) {
+                Step::Pass => {}
+                Step::Kept | Step::Ended => return,
+            }
+        }
+    }
+
+    // Stage 1: a uniqued req runs once; its further tries wait for that run and share its answer.
+    fn repeats(&mut self, now: At, id: u64, out: &mut dyn Results) -> Step {
+        let req = &self.reqs[&id];
+        let (prior, reached, window) = (req.repeats, req.reached, self.handlers[req.handler].window);
+        if self.handlers[req.handler].repeats != Repeats::Uniqued {
+            return Step::Pass;
+        }
+        // Tries read in one batch may name each other before the other is known: the name alone binds them.
+        let known = [id, prior].iter().filter(|i| **i != 0).find_map(|i| self.key_of.get(i).copied());
+        let key = known.unwrap_or(id);
+        let k = self.keys.entry(key).or_insert_with(|| Key {
+            leader: id,
+            ran: false,
+            entry: None,
+            followers: vec![],
+            members: vec![],
+        });
+        for member in [id, prior] {
+            if member != 0 && self.key_of.insert(member, key).is_none() {
+                k.members.push(member);
+            }
+        }
+        if k.ran {
+            return self.join(now, id, out);
+        }
+        if k.leader != id && self.reqs.contains_key(&k.leader) {
+            k.followers.push(id);
+            self.set_stage(id, Stage::Following);
+            return Step::Kept;
+        }
+        k.leader = id;
+        // No run whose key can't be kept: a repeat could not be told from a new req.
+        if self.memory() + self.machine.key_kb > self.machine.memory_kb * MEMORY_HOLD {
+            self.shed(now, id, false, out);
+            return Step::Ended;
+        }
+        self.keep(now, key, id, (reached + window + KEY_SLACK) - now, out);
+        Step::Pass
+    }
+
+    fn keep(&mut self, now: At, key: u64, id: u64, term: Span, out: &mut dyn Results) {
+        let k = self.keys.get_mut(&key).expect("key of a held req");
+        self.entries += usize::from(k.entry.is_none());
+        k.entry = Some(now + term);
+        self.due.insert((now + term, Due::Lapse, key));
+        out.keep_key(id, term);
+    }
+
+    fn join(&mut self, _now: At, id: u64, out: &mut dyn Results) -> Step {
+        self.set_stage(id, Stage::Joined);
+        // The wire joins a try to the one it names; any other has to hear of the failure at once.
+        if self.reqs[&id].repeats == 0 {
+            self.fail(id, out);
+            return Step::Ended;
+        }
+        out.join(id);
+        Step::Kept
+    }
+
+    // Stage 2: nothing that reached the machine after the drain's grace is run.
+    fn draining(&mut self, now: At, id: u64, out: &mut dyn Results) -> Step {
+        match self.leaving {
+            Some((since, _)) if self.reqs[&id].reached > since + self.rules.drain_grace.less(MARGIN) => {
+                self.shed(now, id, false, out);
+                Step::Ended
+            }
+            _ => Step::Pass,
+        }
+    }
+
+    // Stage 3: the worth of a req: its value, less what its tenant sends past its share, for the work it takes.
+    fn tenant_share(&mut self, now: At, id: u64, _out: &mut dyn Results) -> Step {
+        let req = &self.reqs[&id];
+        let within = self.tenants.value(now, req.tenant);
+        let work = if self.by_work { 1.0 } else { self.budget.run[req.handler] / self.budget.mean_run };
+        let worth = self.handlers[req.handler].value * within / work.max(1e-3);
+        self.reqs.get_mut(&id).expect("passing").worth = worth;
+        Step::Pass
+    }
+
+    // Stage 4: the admitted share; the rest is shed early, the least worth first. A server that fails its
+    // runs fast draws traffic by being quick: it sheds as large a share as fails, whatever the cause.
+    fn admission(&mut self, now: At, id: u64, out: &mut dyn Results) -> Step {
+        let (worth, chance) = (self.reqs[&id].worth, self.chance.rand_float());
+        let failing =
+            self.failing > FAILING && self.chance.rand_float() < self.failing && self.crew.running > 0;
+        if failing || !self.share.admits(worth, chance) {
+            self.shed(now, id, self.reqs[&id].retry && !failing, out);
+            return Step::Ended;
+        }
+        Step::Pass
+    }
+
+    // Stage 5: the hold.
+    fn hold_stage(&mut self, _now: At, id: u64, _out: &mut dyn Results) -> Step {
+        let run = self.expected(id);
+        let req = &self.reqs[&id];
+        self.hold.put(run.as_secs() > self.budget.mean_run, req.target.before(run), id);
+        Step::Kept
+    }
+
+    /// The run time expected of a req: from its hint where there is one, else its handler's mean.
+    fn expected(&self, id: u64) -> Span {
+        let req = &self.reqs[&id];
+        req.hint.map_or(Span::secs(self.budget.run[req.handler]), |w| w.times(self.hint_rate))
+    }
+
+    fn memory(&self) -> f64 {
+        self.held_kb + self.run_kb * self.machine.running_factor + self.entries as f64 * self.machine.key_kb
+    }
+
+    fn set_stage(&mut self, id: u64, stage: Stage) {
+        self.reqs.get_mut(&id).expect("known req").stage = stage;
+    }
+
+    /// Final answer: not run, may be taken elsewhere. Only for reqs that never started.
+    fn shed(&mut self, now: At, id: u64, last: bool, out: &mut dyn Results) {
+        let wait = self.backlog() / self.crew.limit;
+        let come_back = Span::secs(wait * (0.5 + self.chance.rand_float())).min(self.callers.come_back_max);
+        out.shed(id, come_back, last);
+        self.drop_held(now, id, true, out);
+    }
+
+    /// Final answer: errored. Work on the cores is stopped where it can be; what stands at a call ends itself.
+    fn fail(&mut self, id: u64, out: &mut dyn Results) {
+        out.errored(id);
+        if matches!(self.reqs[&id].stage, Stage::Held | Stage::Following | Stage::Joined) {
+            self.forget(id);
+        } else {
+            self.abandon(id, out);
+        }
+    }
+
+    fn abandon(&mut self, id: u64, out: &mut dyn Results) {
+        let again = self.ticked + STOP_AGAIN;
+        let req = self.reqs.get_mut(&id).expect("known req");
+        req.answered = true;
+        if req.stage == Stage::Running && self.machine.stopping != Stopping::Never {
+            out.stop(id);
+            // A stop is lost while the cores are frozen.
+            self.due.insert((again, Due::Stop, id));
+        }
+    }
+
+    /// Takes a req that never started off the books; what waited for its run moves up, or is shed with it.
+    fn drop_held(&mut self, now: At, id: u64, shed: bool, out: &mut dyn Results) {
+        self.hold.remove(id);
+        self.forget(id);
+        let Some(key) = self.key_of.get(&id).copied() else { return };
+        let k = self.keys.get_mut(&key).expect("keys agree");
+        k.followers.retain(|f| *f != id);
+        if k.leader != id || k.ran {
+            return;
+        }
+        let followers = std::mem::take(&mut k.followers);
+        if shed || followers.is_empty() {
+            if k.entry.take().is_some() {
+                self.entries -= 1;
+                out.drop_key(id);
+            }
+            for member in self.keys.remove(&key).expect("keys agree").members {
+                self.key_of.remove(&member);
+            }
+            for f in followers {
+                self.shed(now, f, false, out);
+            }
+            return;
+        }
+        k.leader = followers[0];
+        k.followers = followers[1..].to_vec();
+        let next = k.leader;
+        let req = &self.reqs[&next];
+        let term = (req.reached + self.handlers[req.handler].window + KEY_SLACK) - now;
+        self.set_stage(next, Stage::Held);
+        self.keep(now, key, next, term, out);
+        self.pass(now, next, 1, out);
+    }
+
+    fn forget(&mut self, id: u64) {
+        let Some(req) = self.reqs.remove(&id) else { return };
+        if matches!(req.stage, Stage::Held | Stage::Following | Stage::Joined) {
+            self.held_kb -= req.kb;
+        } else {
+            self.run_kb -= req.kb;
+            self.running.remove(&id);
+            self.crew.running -= 1;
+        }
+    }
+
+    // Stage 6: start, under the worker limit, the crowd and the memory, with its EqResv allowance.
+    fn start(&mut self, now: At, out: &mut dyn Results) {
+        while let Some(id) = self.hold.first() {
+            let kb = self.reqs[&id].kb;
+            let grown = self.memory() + kb * (self.machine.running_factor - 1.0);
+            let limit = self.crew.limit.min(ceiling(now, self.began, &self.machine));
+            if (self.crew.running + 1) as f64 > limit.max(1.0)
+                || grown > self.machine.memory_kb * MEMORY_START
+            {
+                return;
+            }
+            let allowance = self.budget.allowance(self.hold.len());
+            self.hold.remove(id);
+            let req = self.reqs.get_mut(&id).expect("held req");
+            (req.stage, req.started, req.allowance) = (Stage::Running, now, allowance);
+            self.held_kb -= kb;
+            self.run_kb += kb;
+            self.running.insert(id);
+            self.crew.running += 1;
+            out.start(id);
+            if let Some(k) = self.key_of.get(&id).and_then(|key| self.keys.get_mut(key)) {
+                k.ran = true;
+                for f in std::mem::take(&mut k.followers) {
+                    self.join(now, f, out);
+                }
+            }
+        }
+    }
+
+    /// A run stands at a call below.
+    pub fn at_call(&mut self, now: At, id: u64, out: &mut dyn Results) {
+        if self.reqs.get(&id).is_some_and(|r| !r.answered) {
+            self.set_stage(id, Stage::AtCall);
+            self.call_stage(now, id, out);
+        }
+    }
+
+    // Stage 7: calls below. An optional call is skipped once the allowance is spent while a handler exceeds
+    // its target, and besides (whatever the cause) where it would make the answer late, where calls mostly
+    // fail, or where this server's part of what lies below is taken: calls that can't be skipped go first.
+    fn call_stage(&mut self, now: At, id: u64, out: &mut dyn Results) {
+        let req = &self.reqs[&id];
+        let optional = self.handlers[req.handler].partial_value > 0.0;
+        if optional {
+            let spent = now - req.started > req.allowance && self.budget.worst() > 1.0;
+            let late = now + Span::secs(self.calls.time) > req.target;
+            let failing = self.chance.rand_float() < self.calls.failing;
+            if spent || late || failing || !self.calls.room(&self.below, OPTIONAL_PART) {
+                let req = self.reqs.get_mut(&id).expect("at a call");
+                (req.stage, req.trimmed) = (Stage::Running, true);
+                out.skip(id);
+                return;
+            }
+        }
+        if !self.calls.room(&self.below, CALLS_PART) {
+            self.calls.waiting.push(id);
+            return;
+        }
+        let patience =
+            if optional { (req.target - now).times(CALL_PATIENCE) } else { req.due.before(MARGIN) - now };
+        let req = self.reqs.get_mut(&id).expect("at a call");
+        (req.stage, req.called) = (Stage::Calling, now);
+        self.calls.out += 1;
+        out.call(id, patience.max(Span::millis(1)));
+    }
+
+    /// A call came back.
+    pub fn call_back(&mut self, now: At, id: u64, outcome: Outcome, spent: Span, out: &mut dyn Results) {
+        let Some(req) = self.reqs.get_mut(&id).filter(|r| r.stage == Stage::Calling) else { return };
+        self.calls.over(outcome, spent, now + self.below.linger);
+        if outcome == Outcome::Done {
+            req.stage = Stage::Running;
+            return;
+        }
+        (req.stage, req.tries) = (Stage::AtCall, req.tries + 1);
+        if req.answered {
+            return;
+        }
+        let h = &self.handlers[req.handler];
+        let unproven = !matches!(outcome, Outcome::Shed | Outcome::Unreached);
+        let wait = CALL_WAIT.times(f64::from(1u32 << req.tries.min(6)));
+        let late = now + wait + Span::secs(self.calls.time) > req.target;
+        if h.partial_value > 0.0 && (late || req.tries > 1) {
+            (req.stage, req.trimmed) = (Stage::Running, true);
+            out.skip(id);
+        } else if (unproven && h.repeats != Repeats::Replayable) || req.tries > CALL_TRIES || late {
+            self.fail(id, out);
+        } else {
+            self.due.insert((now + wait, Due::Call, id));
+        }
+    }
+
+    /// A run ended: the outcome goes back through the chain, calls first and keys last.
+    pub fn ended(&mut self, now: At, id: u64, outcome: Outcome, spent: Span, _out: &mut dyn Results) {
+        let Some(req) = self.reqs.get(&id) else { return };
+        let (handler, response, stage) = (req.handler, now - req.reached, req.stage);
+        if stage == Stage::Calling {
+            self.calls.over(Outcome::Stopped, Span::ZERO, now + self.below.linger);
+        }
+        self.calls.waiting.retain(|w| *w != id);
+        if matches!(stage, Stage::Running | Stage::AtCall) && !req.answered && outcome != Outcome::Moot {
+            let bad = if outcome == Outcome::Done { 0.0 } else { 1.0 };
+            self.failing += FAIL_ALPHA * (bad - self.failing);
+            if outcome == Outcome::Done {
+                if !req.trimmed {
+                    if let Some(w) = req.hint {
+                        let rate = spent.as_secs() / w.as_secs();
+                        self.hint_rate += RUN_ALPHA * (rate.min(10.0 * self.hint_rate) - self.hint_rate);
+                    }
+                    self.budget.measured(handler, spent);
+                }
+                self.completed = now;
+                self.budget.completed(now, handler, response, self.hold.len() + self.crew.running);
+            }
+        }
+        self.forget(id);
+        if let Some(key) = self.key_of.get(&id).copied() {
+            let h = &self.handlers[handler];
+            self.due.insert((now + h.window + h.timeout, Due::Forget, key));
+        }
+    }
+
+    /// Nobody waits any more: held work is dropped, a run stopped unless it has an effect to finish.
+    pub fn gone(&mut self, now: At, id: u64, out: &mut dyn Results) {
+        let Some(req) = self.reqs.get(&id) else { return };
+        match req.stage {
+            Stage::Held | Stage::Following => self.drop_held(now, id, false, out),
+            Stage::Joined => self.forget(id),
+            _ => self.abandon(id, out),
+        }
+    }
+
+    /// Notice to leave: the process is stopped in `left`.
+    pub fn wind_down(&mut self, now: At, left: Span, out: &mut dyn Results) {
+        let stop = (now + left).before(MARGIN);
+        self.leaving = Some((now, stop));
+        out.health(false);
+        let mut ids: Vec<u64> = self.reqs.keys().copied().collect();
+        ids.sort_unstable();
+        for id in ids {
+            let req = self.reqs.get_mut(&id).expect("listed");
+            req.due = req.due.min(stop);
+            req.target = req.target.min(stop.before(MARGIN));
+            self.due.insert((req.due.before(MARGIN), Due::Answer, id));
+        }
+    }
+
+    /// The periodic timer.
+    pub fn tick(&mut self, now: At, gauges: &Gauges, out: &mut dyn Results) {
+        let gap = now - self.ticked;
+        self.ticked = now;
+        let ceiling = ceiling(now, self.began, &self.machine);
+        let on_cores = gauges.on_cores.unwrap_or(self.crew.running as f64);
+        self.crew.step(on_cores, self.hold.len() > 0, ceiling);
+        self.calls.step(now, &self.below);
+        if gap < PAUSE {
+            self.unfreeze(now);
+            self.share.step(gap, self.budget.floored(), self.budget.worst());
+        }
+        self.say_free(now, out);
+        out.wake(TICK);
+    }
+
+    /// The loop lives on completions. Where none come though work runs (a stall, a hang), the age of the
+    /// oldest run stands for one; a handler with nothing in hand drifts back to its bare run time, else shed
+    /// reqs would keep its latency, and so the cut, for ever. Harm: a lone run that is honestly long cuts B.
+    fn unfreeze(&mut self, now: At) {
+        if now - self.completed > STALLED {
+            let oldest =
+                self.running.iter().filter_map(|id| self.reqs.get(id)).min_by_key(|r| (r.reached, r.id));
+            if let Some((handler, age)) = oldest.map(|r| (r.handler, now - r.reached)) {
+                if age.as_secs() > self.budget.mrt[handler] {
+                    self.budget.completed(now, handler, age, self.hold.len() + self.crew.running);
+                }
+            }
+        }
+        let mut busy = vec![false; self.handlers.len()];
+        self.reqs.values().for_each(|r| busy[r.handler] = true);
+        for (h, _) in busy.iter().enumerate().filter(|(_, b)| !**b) {
+            let rest = self.budget.run[h].min(self.budget.targets[h] * 0.5);
+            self.budget.mrt[h] = rest + (self.budget.mrt[h] - rest) * IDLE_KEEPS;
+            self.budget.run[h] = self.budget.run[h].min(self.budget.targets[h] / SETPOINT);
+        }
+    }
+
+    /// The free value: open while all is well, else what this server can have in hand and answer in time.
+    fn say_free(&mut self, now: At, out: &mut dyn Results) {
+        if self.callers.free == Free::Unused || now - self.free_at < FREE_EVERY {
+            return;
+        }
+        self.free_at = now;
+        let in_time = self.budget.targets.iter().sum::<f64>() / self.budget.targets.len() as f64;
+        let in_hand = self.crew.limit * (1.0 + in_time / self.budget.mean_run);
+        let value = match self.callers.free {
+            Free::Allowance if self.share.admitted >= 1.0 && self.hold.len() == 0 => FREE_OPEN,
+            Free::Allowance => FREE_SKEW * in_hand / f64::from(self.callers.count.max(1)),
+            Free::Floor => 1.0 - self.share.admitted,
+            _ => self.share.admitted * (1.0 - self.failing),
+        };
+        if (value - self.free).abs() > FREE_CHANGE * self.free.max(FREE_CHANGE) {
+            self.free = value;
+            out.free_value(value);
+        }
+    }
+
+    /// Run time still expected of what has started and what is held, in worker seconds.
+    fn backlog(&self) -> f64 {
+        let held: f64 = self.hold.lines.iter().flatten().map(|e| self.expected(e.1).as_secs()).sum();
+        held + self.crew.running as f64 * self.budget.mean_run * 0.5
+    }
+
+    /// The batch is over: due times, memory, hopeless reqs, calls that wait, starts.
+    pub fn settle(&mut self, now: At, out: &mut dyn Results) {
+        while let Some(&(at, kind, id)) = self.due.first().filter(|d| d.0 <= now) {
+            self.due.remove(&(at, kind, id));
+            self.fall_due(now, kind, id, out);
+        }
+        self.make_room(now, out);
+        self.give_up(now, out);
+        for id in std::mem::take(&mut self.calls.waiting) {
+            if self.reqs.get(&id).is_some_and(|r| r.stage == Stage::AtCall && !r.answered) {
+                self.call_stage(now, id, out);
+            }
+        }
+        self.start(now, out);
+    }
+
+    fn fall_due(&mut self, now: At, kind: Due, id: u64, out: &mut dyn Results) {
+        match kind {
+            Due::Lapse => {
+                if let Some(k) = self.keys.get_mut(&id).filter(|k| k.entry.is_some_and(|t| t <= now)) {
+                    k.entry = None;
+                    self.entries -= 1;
+                }
+            }
+            Due::Forget => {
+                for member in self.keys.remove(&id).map_or(vec![], |k| k.members) {
+                    self.key_of.remove(&member);
+                }
+            }
+            Due::Answer => match self.reqs.get(&id).map(|r| (r.stage, r.answered)) {
+                Some((Stage::Held, _)) => self.shed(now, id, false, out),
+                Some((Stage::Following, _)) => {
+                    out.errored(id);
+                    self.drop_held(now, id, false, out);
+                }
+                Some((_, false)) => self.fail(id, out),
+                _ => {}
+            },
+            Due::Call => {
+                if self.reqs.get(&id).is_some_and(|r| r.stage == Stage::AtCall && !r.answered) {
+                    self.call_stage(now, id, out);
+                }
+            }
+            Due::Stop => {
+                if self.reqs.get(&id).is_some_and(|r| r.stage == Stage::Running && r.answered) {
+                    self.abandon(id, out);
+                }
+            }
+        }
+    }
+
+    /// Memory guard: held reqs are shed, the least worth first, before the machine needs more than it has.
+    fn make_room(&mut self, now: At, out: &mut dyn Results) {
+        while self.memory() > self.machine.memory_kb * MEMORY_HOLD {
+            let held = self.hold.in_order();
+            let Some(id) = held.into_iter().min_by(|a, b| self.reqs[a].worth.total_cmp(&self.reqs[b].worth))
+            else {
+                return;
+            };
+            self.shed(now, id, false, out);
+        }
+    }
+
+    /// A held req that can't be answered within its target any more is given up on at once; in its place the
+    /// least worth of those before it goes, so that the most value is answered (after Moore and Hodgson).
+    /// Holds for any cause of a long wait. The first req stays while nothing runs: someone has to try.
+    fn give_up(&mut self, now: At, out: &mut dyn Results) {
+        let mut ahead = self.crew.running as f64 * self.budget.mean_run * 0.5;
+        let mut taken: Vec<(u64, f64)> = vec![];
+        let mut lost: Vec<u64> = vec![];
+        for id in self.hold.in_order() {
+            let run = self.expected(id).as_secs();
+            taken.push((id, run));
+            if now + Span::secs(ahead / self.crew.limit + run) > self.reqs[&id].target {
+                let worst = (0..taken.len()).min_by(|a, b| {
+                    let (x, y) = (&taken[*a], &taken[*b]);
+                    self.reqs[&x.0].worth.total_cmp(&self.reqs[&y.0].worth).then(y.1.total_cmp(&x.1))
+                });
+                let (victim, freed) = taken.remove(worst.expect("one was pushed"));
+                lost.push(victim);
+                ahead -= freed;
+            }
+            ahead += run;
+        }
+        let spare = usize::from(self.crew.running == 0 && taken.is_empty());
+        for id in lost.into_iter().skip(spare) {
+            if self.reqs.contains_key(&id) {
+                self.shed(now, id, self.reqs[&id].retry, out);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/face.rs
@@ -0,0 +1,163 @@
+//! What the decision module is told and what it answers through. Nothing is decided here.
+
+use crate::time::{At, Span};
+
+/// What may be done with a req that comes a second time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeats {
+    Replayable,
+    Uniqued,
+    NonReplayable,
+}
+
+/// One kind of req, as the settings describe it.
+#[derive(Clone, Debug)]
+pub struct Handler {
+    pub target: Span,
+    /// The response target grows by this multiple of the req's own work.
+    pub target_stretch: f64,
+    pub timeout: Span,
+    pub value: f64,
+    pub late_value: f64,
+    pub repeats: Repeats,
+    pub window: Span,
+    pub calls: bool,
+    /// The part of the value left when a call is skipped; 0 where none may be.
+    pub partial_value: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Tenant {
+    /// Reqs a second within its share, over the whole fleet.
+    pub per_second: f64,
+}
+
+/// What a stop does to a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stopping {
+    Never,
+    Discards,
+    Pauses,
+}
+
+/// The machine and what it survives.
+#[derive(Clone, Debug)]
+pub struct Machine {
+    pub cores: u32,
+    pub memory_kb: f64,
+    pub running_factor: f64,
+    pub key_kb: f64,
+    pub stopping: Stopping,
+    pub survives_per_core: f64,
+    pub cold: bool,
+    pub cold_from: f64,
+    pub cold_for: Span,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BelowKind {
+    Nothing,
+    Shared,
+    Tier,
+}
+
+/// What lies below this server.
+#[derive(Clone, Debug)]
+pub struct Below {
+    pub kind: BelowKind,
+    pub share: f64,
+    pub span: Span,
+    pub linger: Span,
+}
+
+/// What the free value on answers means to the callers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Free {
+    Unused,
+    Floor,
+    Allowance,
+    Weight,
+}
+
+/// What callers can be told.
+#[derive(Clone, Debug)]
+pub struct Callers {
+    pub count: u32,
+    pub free: Free,
+    /// The longest advice to stay away that is heeded; nothing where none may be given.
+    pub come_back_max: Span,
+    pub mark_retries: bool,
+}
+
+/// This server's place in the fleet.
+#[derive(Clone, Debug)]
+pub struct Place {
+    pub servers: u32,
+    /// 0 is the tier that clients reach.
+    pub tier: u32,
+    pub value_by_work: bool,
+    pub over_share_value: f64,
+}
+
+/// The figures of the rules that bind answers and drains.
+#[derive(Clone, Debug)]
+pub struct Rules {
+    pub drain_grace: Span,
+    /// Whether reqs bring the time that their callers will wait.
+    pub says_wait: bool,
+}
+
+/// A req as it was read.
+#[derive(Clone, Debug, Default)]
+pub struct Arrival {
+    pub id: u64,
+    pub handler: usize,
+    pub tenant: usize,
+    pub subject: u64,
+    pub wait: Span,
+    pub hint: Option<Span>,
+    pub held_kb: f64,
+    pub rank: f64,
+    pub retry: bool,
+    pub unread_for: Span,
+    pub repeats: u64,
+}
+
+/// How a run or a call came out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Done,
+    Errored,
+    Shed,
+    TimedOut,
+    Unreached,
+    CutOff,
+    Stopped,
+    Moot,
+}
+
+/// The server's own gauges, as far as they were sent.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Gauges {
+    pub on_cores: Option<f64>,
+    pub memory: Option<f64>,
+}
+
+/// Where the module's results go; each call takes effect in the order made.
+pub trait Results {
+    fn start(&mut self, id: u64);
+    fn stop(&mut self, id: u64);
+    fn shed(&mut self, id: u64, come_back: Span, last: bool);
+    fn errored(&mut self, id: u64);
+    fn call(&mut self, id: u64, patience: Span);
+    fn skip(&mut self, id: u64);
+    fn keep_key(&mut self, id: u64, term: Span);
+    fn drop_key(&mut self, id: u64);
+    fn join(&mut self, id: u64);
+    fn health(&mut self, good: bool);
+    fn free_value(&mut self, value: f64);
+    fn wake(&mut self, after: Span);
+}
+
+/// The clock as the module reads it, handed along with every call.
+pub type Now = At;
