--- a/src/decide.rs
+++ b/src/decide.rs
@@ -6,8 +6,9 @@
 //! tenants), then the chain.
 
 use crate::face::*;
+use crate::req::{Book, Due, KeyBook, KeyNo, No, Req, Stage};
 use crate::time::{At, Span};
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, VecDeque};
 
 // --- Constants ------------------------------------------------------------------------------------------
 
@@ -95,54 +96,12 @@
 /// Time between two tries to stop a run whose answer is out.
 const STOP_AGAIN: Span = Span::millis(200);
 
-// --- Reqs -----------------------------------------------------------------------------------------------
-
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Stage {
-    Held,
-    Following,
-    Joined,
-    Running,
-    AtCall,
-    Calling,
-}
-
 enum Step {
     Pass,
     Kept,
     Ended,
 }
 
-struct Req {
-    id: u64,
-    handler: usize,
-    tenant: usize,
-    reached: At,
-    target: At,
-    due: At,
-    hint: Option<Span>,
-    kb: f64,
-    retry: bool,
-    repeats: u64,
-    worth: f64,
-    stage: Stage,
-    started: At,
-    allowance: Span,
-    trimmed: bool,
-    answered: bool,
-    called: At,
-    tries: u32,
-}
-
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Due {
-    Answer,
-    Call,
-    Stop,
-    Lapse,
-    Forget,
-}
-
 // --- Budget: MRT, integral step, fit and LQ ---------------------------------------------------------------
 
 /// Recursive least squares over the last ORDER latencies and budgets, both as shares of their references.
@@ -300,7 +259,7 @@
 
 #[derive(Default)]
 struct Hold {
-    lines: [Vec<(At, u64)>; 2],
+    lines: [Vec<(At, No)>; 2],
 }
 
 impl Hold {
@@ -308,24 +267,24 @@
         self.lines[0].len() + self.lines[1].len()
     }
 
-    fn put(&mut self, long: bool, latest: At, id: u64) {
+    fn put(&mut self, long: bool, latest: At, r: No) {
         let line = &mut self.lines[usize::from(long)];
-        let at = line.partition_point(|e| *e < (latest, id));
-        line.insert(at, (latest, id));
+        let at = line.partition_point(|e| *e < (latest, r));
+        line.insert(at, (latest, r));
     }
 
-    fn remove(&mut self, id: u64) {
+    fn remove(&mut self, r: No) {
         for line in &mut self.lines {
-            line.retain(|e| e.1 != id);
+            line.retain(|e| e.1 != r);
         }
     }
 
-    fn first(&self) -> Option<u64> {
+    fn first(&self) -> Option<No> {
         let heads = self.lines.iter().filter_map(|l| l.first());
         heads.min().map(|e| e.1)
     }
 
-    fn in_order(&self) -> Vec<u64> {
+    fn in_order(&self) -> Vec<No> {
         let mut all: Vec<_> = self.lines.iter().flatten().collect();
         all.sort();
         all.into_iter().map(|e| e.1).collect()
@@ -338,14 +297,13 @@
     limit: f64,
     cores: f64,
     queue: f64,
-    running: usize,
 }
 
 impl Crew {
     /// Grows quickly while the run queue shows room and work waits; falls back to the cores when crowded.
-    fn step(&mut self, on_cores: f64, waiting: bool, ceiling: f64) {
+    fn step(&mut self, on_cores: f64, full: bool, ceiling: f64) {
         self.queue += QUEUE_ALPHA * (on_cores - self.queue);
-        if waiting && self.running as f64 + 1.0 > self.limit && self.queue < ROOM * self.cores {
+        if full && self.queue < ROOM * self.cores {
             self.limit += LIMIT_STEP;
         } else if self.queue > CROWDED * self.cores {
             self.limit -= LIMIT_STEP;
@@ -366,12 +324,13 @@
 // --- Calls below ------------------------------------------------------------------------------------------
 
 /// Calls in hand at what lies below, those given up on included until they can't linger any more.
+#[derive(Default)]
 struct Calls {
     out: usize,
     lingering: VecDeque<At>,
     time: f64,
     failing: f64,
-    waiting: Vec<u64>,
+    waiting: Vec<No>,
     used: f64,
     seen: At,
 }
@@ -415,17 +374,7 @@
     }
 }
 
-// --- Keys and tenants -------------------------------------------------------------------------------------
-
-/// All tries of one uniqued req on this server.
-struct Key {
-    leader: u64,
-    ran: bool,
-    /// When its entry in the server's table runs out, while it has one.
-    entry: Option<At>,
-    followers: Vec<u64>,
-    members: Vec<u64>,
-}
+// --- Tenants ----------------------------------------------------------------------------------------------
 
 struct Tenants {
     allowed: Vec<f64>,
@@ -435,6 +384,13 @@
 }
 
 impl Tenants {
+    fn new(now: At, tenants: &[Tenant], place: &Place) -> Tenants {
+        let servers = f64::from(place.servers.max(1));
+        let allowed = tenants.iter().map(|t| t.per_second / servers).collect();
+        let (rate, seen) = (vec![0.0; tenants.len()], vec![now; tenants.len()]);
+        Tenants { allowed, rate, seen, over_value: place.over_share_value }
+    }
+
     /// Counts an arrival and gives the mean value of this tenant's reqs: those past its share, which bear no
     /// mark, are worth little.
     fn value(&mut self, now: At, tenant: usize) -> f64 {
@@ -449,7 +405,7 @@
 
 // --- The module -------------------------------------------------------------------------------------------
 
-type Link = fn(&mut Decider, At, u64, &mut dyn Results) -> Step;
+type Link = fn(&mut Decider, At, No, &mut dyn Results) -> Step;
 
 /// The stages that an arriving req passes, in order.
 const CHAIN: [Link; 5] =
@@ -468,19 +424,14 @@
     rules: Rules,
     part: f64,
     by_work: bool,
-    reqs: HashMap<u64, Req>,
-    running: BTreeSet<u64>,
-    held_kb: f64,
-    run_kb: f64,
-    due: BTreeSet<(At, Due, u64)>,
+    book: Book,
+    keys: KeyBook,
+    due: BTreeSet<(At, Due)>,
     budget: Budget,
     share: Share,
     hold: Hold,
     crew: Crew,
     calls: Calls,
-    keys: HashMap<u64, Key>,
-    key_of: HashMap<u64, u64>,
-    entries: usize,
     tenants: Tenants,
     hint_rate: f64,
     failing: f64,
@@ -503,8 +454,6 @@
         rules: &Rules,
     ) -> Decider {
         let part = if place.tier == 0 { 1.0 } else { TIER_PART };
-        let cores = f64::from(machine.cores);
-        let servers = f64::from(place.servers.max(1));
         Decider {
             chance: oorandom::Rand64::new(u128::from(seed)),
             began: now,
@@ -517,33 +466,15 @@
             rules: rules.clone(),
             part,
             by_work: place.value_by_work,
-            reqs: HashMap::new(),
-            running: BTreeSet::new(),
-            held_kb: 0.0,
-            run_kb: 0.0,
+            book: Book::default(),
+            keys: KeyBook::default(),
             due: BTreeSet::new(),
             budget: Budget::new(now, machine.cores, handlers, part),
             share: Share { admitted: 1.0, recent: VecDeque::new() },
             hold: Hold::default(),
-            crew: Crew { limit: cores, cores, queue: 0.0, running: 0 },
-            calls: Calls {
-                out: 0,
-                lingering: VecDeque::new(),
-                time: 0.0,
-                failing: 0.0,
-                waiting: vec![],
-                used: 0.0,
-                seen: now,
-            },
-            keys: HashMap::new(),
-            key_of: HashMap::new(),
-            entries: 0,
-            tenants: Tenants {
-                allowed: tenants.iter().map(|t| t.per_second / servers).collect(),
-                rate: vec![0.0; tenants.len()],
-                seen: vec![now; tenants.len()],
-                over_value: place.over_share_value,
-            },
+            crew: Crew { limit: f64::from(machine.cores), cores: f64::from(machine.cores), queue: 0.0 },
+            calls: Calls { seen: now, ..Calls::default() },
+            tenants: Tenants::new(now, tenants, place),
             hint_rate: 1.0,
             failing: 0.0,
             leaving: None,
@@ -554,7 +485,7 @@
 
     /// Whether a req of this id is still in hand.
     pub fn knows(&self, id: u64) -> bool {
-        self.reqs.contains_key(&id)
+        self.book.number(id).is_some()
     }
 
     /// First words of a new life: checks are answered from store, since each real one costs work.
@@ -573,37 +504,33 @@
         if let Some((_, stop)) = self.leaving {
             due = due.min(stop);
         }
-        self.reqs.insert(
-            a.id,
-            Req {
-                id: a.id,
-                handler: a.handler,
-                tenant: a.tenant,
-                reached,
-                target: target.min(due.before(MARGIN)),
-                due,
-                hint: a.hint.filter(|w| *w > Span::ZERO),
-                kb: a.held_kb,
-                retry: a.retry,
-                repeats: a.repeats,
-                worth: h.value,
-                stage: Stage::Held,
-                started: now,
-                allowance: Span::ZERO,
-                trimmed: false,
-                answered: false,
-                called: now,
-                tries: 0,
-            },
-        );
-        self.held_kb += a.held_kb;
-        self.due.insert((due.before(MARGIN), Due::Answer, a.id));
-        self.pass(now, a.id, 0, out);
+        let (id, handler, tenant, subject) = (a.id, a.handler, a.tenant, a.subject);
+        let (kb, retry, repeats, worth) = (a.held_kb, a.retry, a.repeats, h.value);
+        let hint = a.hint.filter(|w| *w > Span::ZERO);
+        let target = target.min(due.before(MARGIN));
+        let req = Req {
+            id,
+            handler,
+            tenant,
+            subject,
+            reached,
+            target,
+            due,
+            hint,
+            kb,
+            retry,
+            repeats,
+            worth,
+            ..Req::default()
+        };
+        let r = self.book.add(req);
+        self.due.insert((due.before(MARGIN), Due::Answer(r)));
+        self.pass(now, r, 0, out);
     }
 
-    fn pass(&mut self, now: At, id: u64, from: usize, out: &mut dyn Results) {
+    fn pass(&mut self, now: At, r: No, from: usize, out: &mut dyn Results) {
         for stage in &CHAIN[from..] {
-            match stage(self, now, id, out) {
+            match stage(self, now, r, out) {
                 Step::Pass => {}
                 Step::Kept | Step::Ended => return,
             }
@@ -611,69 +538,60 @@
     }
 
     // Stage 1: a uniqued req runs once; its further tries wait for that run and share its answer.
-    fn repeats(&mut self, now: At, id: u64, out: &mut dyn Results) -> Step {
-        let req = &self.reqs[&id];
-        let (prior, reached, window) = (req.repeats, req.reached, self.handlers[req.handler].window);
+    fn repeats(&mut self, now: At, r: No, out: &mut dyn Results) -> Step {
+        let req = &self.book.reqs[r];
         if self.handlers[req.handler].repeats != Repeats::Uniqued {
             return Step::Pass;
         }
         // Tries read in one batch may name each other before the other is known: the name alone binds them.
-        let known = [id, prior].iter().filter(|i| **i != 0).find_map(|i| self.key_of.get(i).copied());
-        let key = known.unwrap_or(id);
-        let k = self.keys.entry(key).or_insert_with(|| Key {
-            leader: id,
-            ran: false,
-            entry: None,
-            followers: vec![],
-            members: vec![],
-        });
-        for member in [id, prior] {
-            if member != 0 && self.key_of.insert(member, key).is_none() {
-                k.members.push(member);
-            }
-        }
+        let key =
+            if req.repeats == 0 { self.keys.bind(&[req.id]) } else { self.keys.bind(&[req.id, req.repeats]) };
+        self.book.reqs[r].key = Some(key);
+        let k = &mut self.keys.keys[key];
         if k.ran {
-            return self.join(now, id, out);
+            self.join(r, out);
+            return Step::Kept;
         }
-        if k.leader != id && self.reqs.contains_key(&k.leader) {
-            k.followers.push(id);
-            self.set_stage(id, Stage::Following);
+        if k.leader.is_some_and(|l| self.book.reqs.contains_key(l)) {
+            k.followers.push(r);
+            self.book.reqs[r].stage = Stage::Following;
             return Step::Kept;
         }
-        k.leader = id;
+        k.leader = Some(r);
         // No run whose key can't be kept: a repeat could not be told from a new req.
         if self.memory() + self.machine.key_kb > self.machine.memory_kb * MEMORY_HOLD {
-            self.shed(now, id, false, out);
+            self.shed(now, r, false, out);
             return Step::Ended;
         }
-        self.keep(now, key, id, (reached + window + KEY_SLACK) - now, out);
+        self.keep(now, key, r, out);
         Step::Pass
     }
 
-    fn keep(&mut self, now: At, key: u64, id: u64, term: Span, out: &mut dyn Results) {
-        let k = self.keys.get_mut(&key).expect("key of a held req");
-        self.entries += usize::from(k.entry.is_none());
-        k.entry = Some(now + term);
-        self.due.insert((now + term, Due::Lapse, key));
-        out.keep_key(id, term);
+    /// Enters a try in the server's table until its window, counted from its arrival, is over.
+    fn keep(&mut self, now: At, key: KeyNo, r: No, out: &mut dyn Results) {
+        let req = &self.book.reqs[r];
+        let until = req.reached + self.handlers[req.handler].window + KEY_SLACK;
+        self.keys.entries += usize::from(self.keys.keys[key].entry.replace(until).is_none());
+        self.due.insert((until, Due::Lapse(key)));
+        out.keep_key(req.id, until - now);
     }
 
-    fn join(&mut self, _now: At, id: u64, out: &mut dyn Results) -> Step {
-        self.set_stage(id, Stage::Joined);
-        // The wire joins a try to the one it names; any other has to hear of the failure at once.
-        if self.reqs[&id].repeats == 0 {
-            self.fail(id, out);
-            return Step::Ended;
+    fn join(&mut self, r: No, out: &mut dyn Results) {
+        let req = &mut self.book.reqs[r];
+        req.stage = Stage::Joined;
+        if req.repeats == 0 {
+            // The wire joins a try to the one it names; one that names none can only be told that it failed.
+            self.fail(r, out);
+        } else {
+            out.join(req.id);
         }
-        out.join(id);
-        Step::Kept
     }
 
     // Stage 2: nothing that reached the machine after the drain's grace is run.
-    fn draining(&mut self, now: At, id: u64, out: &mut dyn Results) -> Step {
+    fn draining(&mut self, now: At, r: No, out: &mut dyn Results) -> Step {
         match self.leaving {
-            Some((since, _)) if self.reqs[&id].reached > since + self.rules.drain_grace.less(MARGIN) => {
-                self.shed(now, id, false, out);
+            Some((since, _)) if self.book.reqs[r].reached > since + self.rules.drain_grace.less(MARGIN) => {
+                self.shed(now, r, false, out);
                 Step::Ended
             }
             _ => Step::Pass,
@@ -681,148 +599,122 @@
     }
 
     // Stage 3: the worth of a req: its value, less what its tenant sends past its share, for the work it takes.
-    fn tenant_share(&mut self, now: At, id: u64, _out: &mut dyn Results) -> Step {
-        let req = &self.reqs[&id];
+    fn tenant_share(&mut self, now: At, r: No, _out: &mut dyn Results) -> Step {
+        let req = &mut self.book.reqs[r];
         let within = self.tenants.value(now, req.tenant);
         let work = if self.by_work { 1.0 } else { self.budget.run[req.handler] / self.budget.mean_run };
-        let worth = self.handlers[req.handler].value * within / work.max(1e-3);
-        self.reqs.get_mut(&id).expect("passing").worth = worth;
+        req.worth = self.handlers[req.handler].value * within / work.max(1e-3);
         Step::Pass
     }
 
     // Stage 4: the admitted share; the rest is shed early, the least worth first. A server that fails its
     // runs fast draws traffic by being quick: it sheds as large a share as fails, whatever the cause.
-    fn admission(&mut self, now: At, id: u64, out: &mut dyn Results) -> Step {
-        let (worth, chance) = (self.reqs[&id].worth, self.chance.rand_float());
+    fn admission(&mut self, now: At, r: No, out: &mut dyn Results) -> Step {
+        let (worth, chance) = (self.book.reqs[r].worth, self.chance.rand_float());
         let failing =
-            self.failing > FAILING && self.chance.rand_float() < self.failing && self.crew.running > 0;
+            self.failing > FAILING && self.chance.rand_float() < self.failing && self.book.running > 0;
         if failing || !self.share.admits(worth, chance) {
-            self.shed(now, id, self.reqs[&id].retry && !failing, out);
+            self.shed(now, r, self.book.reqs[r].retry && !failing, out);
             return Step::Ended;
         }
         Step::Pass
     }
 
     // Stage 5: the hold.
-    fn hold_stage(&mut self, _now: At, id: u64, _out: &mut dyn Results) -> Step {
-        let run = self.expected(id);
-        let req = &self.reqs[&id];
-        self.hold.put(run.as_secs() > self.budget.mean_run, req.target.before(run), id);
+    fn hold_stage(&mut self, _now: At, r: No, _out: &mut dyn Results) -> Step {
+        let run = self.expected(r);
+        self.hold.put(run.as_secs() > self.budget.mean_run, self.book.reqs[r].target.before(run), r);
         Step::Kept
     }
 
     /// The run time expected of a req: from its hint where there is one, else its handler's mean.
-    fn expected(&self, id: u64) -> Span {
-        let req = &self.reqs[&id];
+    fn expected(&self, r: No) -> Span {
+        let req = &self.book.reqs[r];
         req.hint.map_or(Span::secs(self.budget.run[req.handler]), |w| w.times(self.hint_rate))
     }
 
     fn memory(&self) -> f64 {
-        self.held_kb + self.run_kb * self.machine.running_factor + self.entries as f64 * self.machine.key_kb
-    }
-
-    fn set_stage(&mut self, id: u64, stage: Stage) {
-        self.reqs.get_mut(&id).expect("known req").stage = stage;
+        let keys = self.keys.entries as f64 * self.machine.key_kb;
+        self.book.held_kb + self.book.run_kb * self.machine.running_factor + keys
     }
 
     /// Final answer: not run, may be taken elsewhere. Only for reqs that never started.
-    fn shed(&mut self, now: At, id: u64, last: bool, out: &mut dyn Results) {
+    fn shed(&mut self, now: At, r: No, last: bool, out: &mut dyn Results) {
         let wait = self.backlog() / self.crew.limit;
         let come_back = Span::secs(wait * (0.5 + self.chance.rand_float())).min(self.callers.come_back_max);
-        out.shed(id, come_back, last);
-        self.drop_held(now, id, true, out);
+        out.shed(self.book.reqs[r].id, come_back, last);
+        self.drop_held(now, r, true, out);
     }
 
     /// Final answer: errored. Work on the cores is stopped where it can be; what stands at a call ends itself.
-    fn fail(&mut self, id: u64, out: &mut dyn Results) {
-        out.errored(id);
-        if matches!(self.reqs[&id].stage, Stage::Held | Stage::Following | Stage::Joined) {
-            self.forget(id);
+    fn fail(&mut self, r: No, out: &mut dyn Results) {
+        out.errored(self.book.reqs[r].id);
+        if self.book.reqs[r].stage.started() {
+            self.abandon(r, out);
         } else {
-            self.abandon(id, out);
+            self.book.remove(r);
         }
     }
 
-    fn abandon(&mut self, id: u64, out: &mut dyn Results) {
-        let again = self.ticked + STOP_AGAIN;
-        let req = self.reqs.get_mut(&id).expect("known req");
+    fn abandon(&mut self, r: No, out: &mut dyn Results) {
+        let req = &mut self.book.reqs[r];
         req.answered = true;
         if req.stage == Stage::Running && self.machine.stopping != Stopping::Never {
-            out.stop(id);
+            out.stop(req.id);
             // A stop is lost while the cores are frozen.
-            self.due.insert((again, Due::Stop, id));
+            self.due.insert((self.ticked + STOP_AGAIN, Due::Stop(r)));
         }
     }
 
     /// Takes a req that never started off the books; what waited for its run moves up, or is shed with it.
-    fn drop_held(&mut self, now: At, id: u64, shed: bool, out: &mut dyn Results) {
-        self.hold.remove(id);
-        self.forget(id);
-        let Some(key) = self.key_of.get(&id).copied() else { return };
-        let k = self.keys.get_mut(&key).expect("keys agree");
-        k.followers.retain(|f| *f != id);
-        if k.leader != id || k.ran {
+    fn drop_held(&mut self, now: At, r: No, shed: bool, out: &mut dyn Results) {
+        self.hold.remove(r);
+        let (id, key) = (self.book.reqs[r].id, self.book.reqs[r].key);
+        self.book.remove(r);
+        let Some(key) = key else { return };
+        let k = &mut self.keys.keys[key];
+        k.followers.retain(|f| *f != r);
+        if k.leader != Some(r) || k.ran {
             return;
         }
-        let followers = std::mem::take(&mut k.followers);
+        let mut followers = std::mem::take(&mut k.followers);
         if shed || followers.is_empty() {
-            if k.entry.take().is_some() {
-                self.entries -= 1;
+            if k.entry.is_some() {
                 out.drop_key(id);
             }
-            for member in self.keys.remove(&key).expect("keys agree").members {
-                self.key_of.remove(&member);
-            }
+            self.keys.remove(key);
             for f in followers {
+                self.book.reqs[f].key = None;
                 self.shed(now, f, false, out);
             }
             return;
         }
-        k.leader = followers[0];
-        k.followers = followers[1..].to_vec();
-        let next = k.leader;
-        let req = &self.reqs[&next];
-        let term = (req.reached + self.handlers[req.handler].window + KEY_SLACK) - now;
-        self.set_stage(next, Stage::Held);
-        self.keep(now, key, next, term, out);
+        let next = followers.remove(0);
+        (k.leader, k.followers) = (Some(next), followers);
+        self.book.reqs[next].stage = Stage::Held;
+        self.keep(now, key, next, out);
         self.pass(now, next, 1, out);
     }
 
-    fn forget(&mut self, id: u64) {
-        let Some(req) = self.reqs.remove(&id) else { return };
-        if matches!(req.stage, Stage::Held | Stage::Following | Stage::Joined) {
-            self.held_kb -= req.kb;
-        } else {
-            self.run_kb -= req.kb;
-            self.running.remove(&id);
-            self.crew.running -= 1;
-        }
-    }
-
     // Stage 6: start, under the worker limit, the crowd and the memory, with its EqResv allowance.
     fn start(&mut self, now: At, out: &mut dyn Results) {
-        while let Some(id) = self.hold.first() {
-            let kb = self.reqs[&id].kb;
-            let grown = self.memory() + kb * (self.machine.running_factor - 1.0);
-            let limit = self.crew.limit.min(ceiling(now, self.began, &self.machine));
-            if (self.crew.running + 1) as f64 > limit.max(1.0)
-                || grown > self.machine.memory_kb * MEMORY_START
-            {
+        while let Some(r) = self.hold.first() {
+            let grown = self.memory() + self.book.reqs[r].kb * (self.machine.running_factor - 1.0);
+            let limit = self.crew.limit.min(ceiling(now, self.began, &self.machine)).max(1.0);
+            if (self.book.running + 1) as f64 > limit || grown > self.machine.memory_kb * MEMORY_START {
                 return;
             }
             let allowance = self.budget.allowance(self.hold.len());
-            self.hold.remove(id);
-            let req = self.reqs.get_mut(&id).expect("held req");
-            (req.stage, req.started, req.allowance) = (Stage::Running, now, allowance);
-            self.held_kb -= kb;
-            self.run_kb += kb;
-            self.running.insert(id);
-            self.crew.running += 1;
-            out.start(id);
-            if let Some(k) = self.key_of.get(&id).and_then(|key| self.keys.get_mut(key)) {
+            self.hold.remove(r);
+            self.book.start(r);
+            let req = &mut self.book.reqs[r];
+            (req.started, req.allowance) = (now, allowance);
+            out.start(req.id);
+            if let Some(key) = req.key {
+                let k = &mut self.keys.keys[key];
                 k.ran = true;
                 for f in std::mem::take(&mut k.followers) {
-                    self.join(now, f, out);
+                    self.join(f, out);
                 }
             }
         }
@@ -830,44 +722,41 @@
 
     /// A run stands at a call below.
     pub fn at_call(&mut self, now: At, id: u64, out: &mut dyn Results) {
-        if self.reqs.get(&id).is_some_and(|r| !r.answered) {
-            self.set_stage(id, Stage::AtCall);
-            self.call_stage(now, id, out);
-        }
+        let Some(r) = self.book.number(id).filter(|r| !self.book.reqs[*r].answered) else { return };
+        self.book.reqs[r].stage = Stage::AtCall;
+        self.call_stage(now, r, out);
     }
 
     // Stage 7: calls below. An optional call is skipped once the allowance is spent while a handler exceeds
     // its target, and besides (whatever the cause) where it would make the answer late, where calls mostly
     // fail, or where this server's part of what lies below is taken: calls that can't be skipped go first.
-    fn call_stage(&mut self, now: At, id: u64, out: &mut dyn Results) {
-        let req = &self.reqs[&id];
+    fn call_stage(&mut self, now: At, r: No, out: &mut dyn Results) {
+        let failing = self.chance.rand_float() < self.calls.failing;
+        let req = &mut self.book.reqs[r];
         let optional = self.handlers[req.handler].partial_value > 0.0;
-        if optional {
-            let spent = now - req.started > req.allowance && self.budget.worst() > 1.0;
-            let late = now + Span::secs(self.calls.time) > req.target;
-            let failing = self.chance.rand_float() < self.calls.failing;
-            if spent || late || failing || !self.calls.room(&self.below, OPTIONAL_PART) {
-                let req = self.reqs.get_mut(&id).expect("at a call");
-                (req.stage, req.trimmed) = (Stage::Running, true);
-                out.skip(id);
-                return;
-            }
-        }
-        if !self.calls.room(&self.below, CALLS_PART) {
-            self.calls.waiting.push(id);
-            return;
+        let spent = now - req.started > req.allowance && self.budget.worst() > 1.0;
+        let late = now + Span::secs(self.calls.time) > req.target;
+        if optional && (spent || late || failing || !self.calls.room(&self.below, OPTIONAL_PART)) {
+            (req.stage, req.trimmed) = (Stage::Running, true);
+            out.skip(req.id);
+        } else if !self.calls.room(&self.below, CALLS_PART) {
+            self.calls.waiting.push(r);
+        } else {
+            let own = (req.target - now).times(CALL_PATIENCE);
+            let patience = if optional { own } else { req.due.before(MARGIN) - now };
+            req.stage = Stage::Calling;
+            self.calls.out += 1;
+            out.call(req.id, patience.max(Span::millis(1)));
         }
-        let patience =
-            if optional { (req.target - now).times(CALL_PATIENCE) } else { req.due.before(MARGIN) - now };
-        let req = self.reqs.get_mut(&id).expect("at a call");
-        (req.stage, req.called) = (Stage::Calling, now);
-        self.calls.out += 1;
-        out.call(id, patience.max(Span::millis(1)));
     }
 
     /// A call came back.
     pub fn call_back(&mut self, now: At, id: u64, outcome: Outcome, spent: Span, out: &mut dyn Results) {
-        let Some(req) = self.reqs.get_mut(&id).filter(|r| r.stage == Stage::Calling) else { return };
+        let Some(r) = self.book.number(id) else { return };
+        let req = &mut self.book.reqs[r];
+        if req.stage != Stage::Calling {
+            return;
+        }
         self.calls.over(outcome, spent, now + self.below.linger);
         if outcome == Outcome::Done {
             req.stage = Stage::Running;
@@ -885,49 +774,54 @@
             (req.stage, req.trimmed) = (Stage::Running, true);
             out.skip(id);
         } else if (unproven && h.repeats != Repeats::Replayable) || req.tries > CALL_TRIES || late {
-            self.fail(id, out);
+            self.fail(r, out);
         } else {
-            self.due.insert((now + wait, Due::Call, id));
+            self.due.insert((now + wait, Due::Call(r)));
         }
     }
 
     /// A run ended: the outcome goes back through the chain, calls first and keys last.
     pub fn ended(&mut self, now: At, id: u64, outcome: Outcome, spent: Span, _out: &mut dyn Results) {
-        let Some(req) = self.reqs.get(&id) else { return };
-        let (handler, response, stage) = (req.handler, now - req.reached, req.stage);
-        if stage == Stage::Calling {
+        let Some(r) = self.book.number(id) else { return };
+        let req = self.book.reqs[r].clone();
+        if req.stage == Stage::Calling {
             self.calls.over(Outcome::Stopped, Span::ZERO, now + self.below.linger);
         }
-        self.calls.waiting.retain(|w| *w != id);
-        if matches!(stage, Stage::Running | Stage::AtCall) && !req.answered && outcome != Outcome::Moot {
+        self.calls.waiting.retain(|w| *w != r);
+        if req.stage.started() && !req.answered && matches!(outcome, Outcome::Done | Outcome::Errored) {
             let bad = if outcome == Outcome::Done { 0.0 } else { 1.0 };
             self.failing += FAIL_ALPHA * (bad - self.failing);
+            self.completed = now;
             if outcome == Outcome::Done {
+                if let Some(w) = req.hint.filter(|_| !req.trimmed) {
+                    let rate = (spent.as_secs() / w.as_secs()).min(10.0 * self.hint_rate);
+                    self.hint_rate += RUN_ALPHA * (rate - self.hint_rate);
+                }
                 if !req.trimmed {
-                    if let Some(w) = req.hint {
-                        let rate = spent.as_secs() / w.as_secs();
-                        self.hint_rate += RUN_ALPHA * (rate.min(10.0 * self.hint_rate) - self.hint_rate);
-                    }
-                    self.budget.measured(handler, spent);
+                    self.budget.measured(req.handler, spent);
                 }
-                self.completed = now;
-                self.budget.completed(now, handler, response, self.hold.len() + self.crew.running);
+                self.budget.completed(
+                    now,
+                    req.handler,
+                    now - req.reached,
+                    self.hold.len() + self.book.running,
+                );
             }
         }
-        self.forget(id);
-        if let Some(key) = self.key_of.get(&id).copied() {
-            let h = &self.handlers[handler];
-            self.due.insert((now + h.window + h.timeout, Due::Forget, key));
+        self.book.remove(r);
+        if let Some(key) = req.key {
+            let h = &self.handlers[req.handler];
+            self.due.insert((now + h.window + h.timeout, Due::Forget(key)));
         }
     }
 
-    /// Nobody waits any more: held work is dropped, a run stopped unless it has an effect to finish.
+    /// Nobody waits any more: held work is dropped, running work stopped.
     pub fn gone(&mut self, now: At, id: u64, out: &mut dyn Results) {
-        let Some(req) = self.reqs.get(&id) else { return };
-        match req.stage {
-            Stage::Held | Stage::Following => self.drop_held(now, id, false, out),
-            Stage::Joined => self.forget(id),
-            _ => self.abandon(id, out),
+        let Some(r) = self.book.number(id) else { return };
+        match self.book.reqs[r].stage {
+            Stage::Held | Stage::Following => self.drop_held(now, r, false, out),
+            Stage::Joined => self.book.remove(r),
+            _ => self.abandon(r, out),
         }
     }
 
@@ -936,13 +830,10 @@
         let stop = (now + left).before(MARGIN);
         self.leaving = Some((now, stop));
         out.health(false);
-        let mut ids: Vec<u64> = self.reqs.keys().copied().collect();
-        ids.sort_unstable();
-        for id in ids {
-            let req = self.reqs.get_mut(&id).expect("listed");
+        for (r, req) in &mut self.book.reqs {
             req.due = req.due.min(stop);
             req.target = req.target.min(stop.before(MARGIN));
-            self.due.insert((req.due.before(MARGIN), Due::Answer, id));
+            self.due.insert((req.due.before(MARGIN), Due::Answer(r)));
         }
     }
 
@@ -951,8 +842,8 @@
         let gap = now - self.ticked;
         self.ticked = now;
         let ceiling = ceiling(now, self.began, &self.machine);
-        let on_cores = gauges.on_cores.unwrap_or(self.crew.running as f64);
-        self.crew.step(on_cores, self.hold.len() > 0, ceiling);
+        let full = self.hold.len() > 0 && self.book.running as f64 + 1.0 > self.crew.limit;
+        self.crew.step(gauges.on_cores.unwrap_or(self.book.running as f64), full, ceiling);
         self.calls.step(now, &self.below);
         if gap < PAUSE {
             self.unfreeze(now);
@@ -966,21 +857,19 @@
     /// oldest run stands for one; a handler with nothing in hand drifts back to its bare run time, else shed
     /// reqs would keep its latency, and so the cut, for ever. Harm: a lone run that is honestly long cuts B.
     fn unfreeze(&mut self, now: At) {
-        if now - self.completed > STALLED {
-            let oldest =
-                self.running.iter().filter_map(|id| self.reqs.get(id)).min_by_key(|r| (r.reached, r.id));
-            if let Some((handler, age)) = oldest.map(|r| (r.handler, now - r.reached)) {
-                if age.as_secs() > self.budget.mrt[handler] {
-                    self.budget.completed(now, handler, age, self.hold.len() + self.crew.running);
-                }
+        let started = self.book.reqs.values().filter(|q| q.stage.started());
+        if let Some(q) = started.min_by_key(|q| q.reached).filter(|_| now - self.completed > STALLED) {
+            let age = now - q.reached;
+            if age.as_secs() > self.budget.mrt[q.handler] {
+                self.budget.completed(now, q.handler, age, self.hold.len() + self.book.running);
             }
         }
-        let mut busy = vec![false; self.handlers.len()];
-        self.reqs.values().for_each(|r| busy[r.handler] = true);
-        for (h, _) in busy.iter().enumerate().filter(|(_, b)| !**b) {
-            let rest = self.budget.run[h].min(self.budget.targets[h] * 0.5);
-            self.budget.mrt[h] = rest + (self.budget.mrt[h] - rest) * IDLE_KEEPS;
-            self.budget.run[h] = self.budget.run[h].min(self.budget.targets[h] / SETPOINT);
+        for h in 0..self.handlers.len() {
+            if self.book.reqs.values().all(|q| q.handler != h) {
+                let rest = self.budget.run[h].min(self.budget.targets[h] * 0.5);
+                self.budget.mrt[h] = rest + (self.budget.mrt[h] - rest) * IDLE_KEEPS;
+                self.budget.run[h] = self.budget.run[h].min(self.budget.targets[h] / SETPOINT);
+            }
         }
     }
 
@@ -1004,58 +893,51 @@
         }
     }
 
-    /// Run time still expected of what has started and what is held, in worker seconds.
+    /// Run time still expected of what has started, and of that and what is held, in worker seconds.
+    fn started(&self) -> f64 {
+        self.book.running as f64 * self.budget.mean_run * 0.5
+    }
+
     fn backlog(&self) -> f64 {
-        let held: f64 = self.hold.lines.iter().flatten().map(|e| self.expected(e.1).as_secs()).sum();
-        held + self.crew.running as f64 * self.budget.mean_run * 0.5
+        let held = self.hold.lines.iter().flatten().map(|e| self.expected(e.1).as_secs());
+        held.sum::<f64>() + self.started()
     }
 
     /// The batch is over: due times, memory, hopeless reqs, calls that wait, starts.
     pub fn settle(&mut self, now: At, out: &mut dyn Results) {
-        while let Some(&(at, kind, id)) = self.due.first().filter(|d| d.0 <= now) {
-            self.due.remove(&(at, kind, id));
-            self.fall_due(now, kind, id, out);
+        while let Some(&(at, what)) = self.due.first().filter(|d| d.0 <= now) {
+            self.due.remove(&(at, what));
+            self.fall_due(now, what, out);
         }
         self.make_room(now, out);
         self.give_up(now, out);
-        for id in std::mem::take(&mut self.calls.waiting) {
-            if self.reqs.get(&id).is_some_and(|r| r.stage == Stage::AtCall && !r.answered) {
-                self.call_stage(now, id, out);
-            }
+        for r in std::mem::take(&mut self.calls.waiting) {
+            self.fall_due(now, Due::Call(r), out);
         }
         self.start(now, out);
     }
 
-    fn fall_due(&mut self, now: At, kind: Due, id: u64, out: &mut dyn Results) {
-        match kind {
-            Due::Lapse => {
-                if let Some(k) = self.keys.get_mut(&id).filter(|k| k.entry.is_some_and(|t| t <= now)) {
+    fn fall_due(&mut self, now: At, what: Due, out: &mut dyn Results) {
+        match what {
+            Due::Lapse(key) => {
+                if let Some(k) = self.keys.keys.get_mut(key).filter(|k| k.entry.is_some_and(|t| t <= now)) {
                     k.entry = None;
-                    self.entries -= 1;
-                }
-            }
-            Due::Forget => {
-                for member in self.keys.remove(&id).map_or(vec![], |k| k.members) {
-                    self.key_of.remove(&member);
-                }
-            }
-            Due::Answer => match self.reqs.get(&id).map(|r| (r.stage, r.answered)) {
-                Some((Stage::Held, _)) => self.shed(now, id, false, out),
-                Some((Stage::Following, _)) => {
-                    out.errored(id);
-                    self.drop_held(now, id, false, out);
-                }
-                Some((_, false)) => self.fail(id, out),
-                _ => {}
-            },
-            Due::Call => {
-                if self.reqs.get(&id).is_some_and(|r| r.stage == Stage::AtCall && !r.answered) {
-                    self.call_stage(now, id, out);
+                    self.keys.entries -= 1;
                 }
             }
-            Due::Stop => {
-                if self.reqs.get(&id).is_some_and(|r| r.stage == Stage::Running && r.answered) {
-                    self.abandon(id, out);
+            Due::Forget(key) => self.keys.remove(key),
+            Due::Answer(r) | Due::Call(r) | Due::Stop(r) => {
+                let Some(req) = self.book.reqs.get(r) else { return };
+                match (what, req.stage, req.answered) {
+                    (Due::Answer(_), Stage::Held, _) => self.shed(now, r, false, out),
+                    (Due::Answer(_), Stage::Following, _) => {
+                        out.errored(req.id);
+                        self.drop_held(now, r, false, out);
+                    }
+                    (Due::Answer(_), _, false) => self.fail(r, out),
+                    (Due::Call(_), Stage::AtCall, false) => self.call_stage(now, r, out),
+                    (Due::Stop(_), Stage::Running, true) => self.abandon(r, out),
+                    _ => {}
                 }
             }
         }
@@ -1064,12 +946,10 @@
     /// Memory guard: held reqs are shed, the least worth first, before the machine needs more than it has.
     fn make_room(&mut self, now: At, out: &mut dyn Results) {
         while self.memory() > self.machine.memory_kb * MEMORY_HOLD {
-            let held = self.hold.in_order();
-            let Some(id) = held.into_iter().min_by(|a, b| self.reqs[a].worth.total_cmp(&self.reqs[b].worth))
-            else {
-                return;
-            };
-            self.shed(now, id, false, out);
+            let worth = |r: &No| self.book.reqs[*r].worth;
+            let least = self.hold.in_order().into_iter().min_by(|a, b| worth(a).total_cmp(&worth(b)));
+            let Some(r) = least else { return };
+            self.shed(now, r, false, out);
         }
     }
 
@@ -1077,27 +957,28 @@
     /// least worth of those before it goes, so that the most value is answered (after Moore and Hodgson).
     /// Holds for any cause of a long wait. The first req stays while nothing runs: someone has to try.
     fn give_up(&mut self, now: At, out: &mut dyn Results) {
-        let mut ahead = self.crew.running as f64 * self.budget.mean_run * 0.5;
-        let mut taken: Vec<(u64, f64)> = vec![];
-        let mut lost: Vec<u64> = vec![];
-        for id in self.hold.in_order() {
-            let run = self.expected(id).as_secs();
-            taken.push((id, run));
-            if now + Span::secs(ahead / self.crew.limit + run) > self.reqs[&id].target {
-                let worst = (0..taken.len()).min_by(|a, b| {
-                    let (x, y) = (&taken[*a], &taken[*b]);
-                    self.reqs[&x.0].worth.total_cmp(&self.reqs[&y.0].worth).then(y.1.total_cmp(&x.1))
-                });
-                let (victim, freed) = taken.remove(worst.expect("one was pushed"));
+        let mut ahead = self.started();
+        let mut taken: Vec<(No, f64)> = vec![];
+        let mut lost: Vec<No> = vec![];
+        let worth = |r: No| self.book.reqs[r].worth;
+        for r in self.hold.in_order() {
+            let run = self.expected(r).as_secs();
+            taken.push((r, run));
+            if now + Span::secs(ahead / self.crew.limit + run) > self.book.reqs[r].target {
+                let least = |a: &(usize, &(No, f64)), b: &(usize, &(No, f64))| {
+                    worth(a.1.0).total_cmp(&worth(b.1.0)).then(b.1.1.total_cmp(&a.1.1))
+                };
+                let worst = taken.iter().enumerate().min_by(least).map_or(0, |w| w.0);
+                let (victim, freed) = taken.remove(worst);
                 lost.push(victim);
                 ahead -= freed;
             }
             ahead += run;
         }
-        let spare = usize::from(self.crew.running == 0 && taken.is_empty());
-        for id in lost.into_iter().skip(spare) {
-            if self.reqs.contains_key(&id) {
-                self.shed(now, id, self.reqs[&id].retry, out);
+        let spare = usize::from(self.book.running == 0 && taken.is_empty());
+        for r in lost.into_iter().skip(spare) {
+            if self.book.reqs.contains_key(r) {
+                self.shed(now, r, self.book.reqs[r].retry, out);
             }
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,4 +5,5 @@
 
 pub mod decide;
 pub mod face;
+pub mod req;
 pub mod time;
--- /dev/null
+++ b/src/req.rs
@@ -0,0 +1,151 @@
+//! A req and a uniqued req's tries as the module keeps them, under small numbers. Nothing is decided here.
+
+use crate::time::{At, Span};
+use slotmap::{SlotMap, new_key_type};
+use std::collections::HashMap;
+
+new_key_type! {
+    /// The number of a req in hand.
+    pub struct No;
+    /// The number of a uniqued req's key.
+    pub struct KeyNo;
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Stage {
+    #[default]
+    Held,
+    /// Waits for another try of the same req to start.
+    Following,
+    /// Waits for another try's answer.
+    Joined,
+    Running,
+    /// Stands at a call that has not been made.
+    AtCall,
+    Calling,
+}
+
+impl Stage {
+    pub fn started(self) -> bool {
+        matches!(self, Stage::Running | Stage::AtCall | Stage::Calling)
+    }
+}
+
+/// What a due time is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Due {
+    Answer(No),
+    Call(No),
+    Stop(No),
+    Lapse(KeyNo),
+    Forget(KeyNo),
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Req {
+    pub id: u64,
+    pub handler: usize,
+    pub tenant: usize,
+    pub subject: u64,
+    pub reached: At,
+    pub target: At,
+    pub due: At,
+    pub hint: Option<Span>,
+    pub kb: f64,
+    pub retry: bool,
+    pub repeats: u64,
+    pub worth: f64,
+    pub stage: Stage,
+    pub started: At,
+    pub allowance: Span,
+    /// A call was skipped.
+    pub trimmed: bool,
+    pub answered: bool,
+    /// Calls made that came to nothing.
+    pub tries: u32,
+    pub key: Option<KeyNo>,
+}
+
+/// All tries of one uniqued req on this server.
+#[derive(Clone, Debug, Default)]
+pub struct Key {
+    pub leader: Option<No>,
+    pub ran: bool,
+    /// When its entry in the server's table runs out, while it has one.
+    pub entry: Option<At>,
+    pub followers: Vec<No>,
+    pub members: Vec<u64>,
+}
+
+/// The reqs in hand and the memory that they take; ids from outside become numbers here.
+#[derive(Default)]
+pub struct Book {
+    pub reqs: SlotMap<No, Req>,
+    ids: HashMap<u64, No>,
+    pub held_kb: f64,
+    pub run_kb: f64,
+    pub running: usize,
+}
+
+impl Book {
+    pub fn number(&self, id: u64) -> Option<No> {
+        self.ids.get(&id).copied()
+    }
+
+    pub fn add(&mut self, req: Req) -> No {
+        let (id, kb) = (req.id, req.kb);
+        let r = self.reqs.insert(req);
+        self.ids.insert(id, r);
+        self.held_kb += kb;
+        r
+    }
+
+    pub fn start(&mut self, r: No) {
+        let req = &mut self.reqs[r];
+        req.stage = Stage::Running;
+        self.held_kb -= req.kb;
+        self.run_kb += req.kb;
+        self.running += 1;
+    }
+
+    pub fn remove(&mut self, r: No) {
+        let Some(req) = self.reqs.remove(r) else { return };
+        self.ids.remove(&req.id);
+        if req.stage.started() {
+            self.run_kb -= req.kb;
+            self.running -= 1;
+        } else {
+            self.held_kb -= req.kb;
+        }
+    }
+}
+
+/// The keys of uniqued reqs and which ids belong to each.
+#[derive(Default)]
+pub struct KeyBook {
+    pub keys: SlotMap<KeyNo, Key>,
+    of: HashMap<u64, KeyNo>,
+    pub entries: usize,
+}
+
+impl KeyBook {
+    /// The key that any of these ids is known under, else a new one; all of them are known under it after.
+    pub fn bind(&mut self, ids: &[u64]) -> KeyNo {
+        let known = ids.iter().find_map(|i| self.of.get(i).copied());
+        let key = known.unwrap_or_else(|| self.keys.insert(Key::default()));
+        for id in ids {
+            if self.of.insert(*id, key).is_none() {
+                self.keys[key].members.push(*id);
+            }
+        }
+        key
+    }
+
+    pub fn remove(&mut self, key: KeyNo) {
+        let Some(k) = self.keys.remove(key) else { return };
+        self.entries -= usize::from(k.entry.is_some());
+        for id in k.members {
+            self.of.remove(&id);
+        }
+    }
+}
