--- a/src/decide.rs
+++ b/src/decide.rs
@@ -57,9 +57,19 @@
 /// Parts of the memory up to which runs start, and past which held reqs are shed.
 const MEMORY_START: f64 = 0.90;
 const MEMORY_HOLD: f64 = 0.96;
-/// Part of this server's share of what lies below that optional calls, and all calls, may hold.
-const OPTIONAL_PART: f64 = 0.4;
-const CALLS_PART: f64 = 0.9;
+/// Parts of this server's share of what lies below that calls may hold: at the least, at first, at the most.
+/// What lies below slows down well before the whole share is held, so the number follows the calls' time.
+const CALLS_LEAST: f64 = 0.35;
+const CALLS_FIRST: f64 = 0.9;
+const CALLS_MOST: f64 = 0.9;
+/// Part of the calls allowed that optional ones may hold: the rest is room for those that can't be skipped.
+const OPTIONAL_PART: f64 = 0.7;
+/// Calls this much slower than their best recent time shrink the number allowed, quicker ones raise it.
+const CALLS_SLOW: f64 = 4.0;
+/// Change of the number allowed a call, in parts of the share.
+const CALLS_STEP: f64 = 0.02;
+/// How far the best time drifts up with each call: twofold over some 700, so that it is learned anew.
+const CALLS_DRIFT: f64 = 1.001;
 /// Weight of the newest call in the calls' time and failures: about the last 10.
 const CALL_ALPHA: f64 = 0.1;
 /// Calls a req may repeat after outcomes that prove they did not run, and the first wait between them.
@@ -291,8 +301,9 @@
         }
     }
 
-    fn first(&self) -> Option<No> {
-        let heads = self.lines.iter().filter_map(|l| l.first());
+    /// The first to start of those that may.
+    fn first(&self, may: impl Fn(No) -> bool) -> Option<No> {
+        let heads = self.lines.iter().filter_map(|l| l.iter().find(|e| may(e.1)));
         heads.min().map(|e| e.1)
     }
 
@@ -340,7 +351,9 @@
 struct Calls {
     out: usize,
     lingering: VecDeque<At>,
+    part: f64,
     time: f64,
+    best: f64,
     failing: f64,
     waiting: Vec<No>,
     used: f64,
@@ -354,7 +367,7 @@
         if below.kind != BelowKind::Shared {
             return true;
         }
-        let most = below.share * part;
+        let most = (below.share * self.part * part).max(below.share.min(1.0) * CALLS_MOST);
         let held = (self.out + self.lingering.len()) as f64;
         if most >= 1.0 {
             held + 1.0 <= most
@@ -382,6 +395,9 @@
             let bad = if outcome == Outcome::Done { 0.0 } else { 1.0 };
             self.failing += CALL_ALPHA * (bad - self.failing);
             self.time += CALL_ALPHA * (spent.as_secs() - self.time);
+            self.best = if self.best > 0.0 { (self.best * CALLS_DRIFT).min(self.time) } else { self.time };
+            let step = if self.time > CALLS_SLOW * self.best { -CALLS_STEP } else { CALLS_STEP };
+            self.part = (self.part + step).clamp(CALLS_LEAST, CALLS_MOST);
         }
     }
 }
@@ -485,7 +501,7 @@
             share: Share { admitted: 1.0, own: vec![1.0; handlers.len()], recent: VecDeque::new() },
             hold: Hold::default(),
             crew: Crew { limit: f64::from(machine.cores), cores: f64::from(machine.cores), queue: 0.0 },
-            calls: Calls { seen: now, ..Calls::default() },
+            calls: Calls { seen: now, part: CALLS_FIRST, ..Calls::default() },
             tenants: Tenants::new(now, tenants, place),
             hint_rate: 1.0,
             failing: 0.0,
@@ -711,7 +727,10 @@
 
     // Stage 6: start, under the worker limit, the crowd and the memory, with its EqResv allowance.
     fn start(&mut self, now: At, out: &mut dyn Results) {
-        while let Some(r) = self.hold.first() {
+        // While calls wait for room below, a run that can't skip its own would only join them at its cost.
+        let bound = |h: &Handler| h.calls && h.partial_value == 0.0;
+        let may = |d: &Self, r: No| d.calls.waiting.is_empty() || !bound(&d.handlers[d.book.reqs[r].handler]);
+        while let Some(r) = self.hold.first(|r| may(self, r)) {
             let grown = self.memory() + self.book.reqs[r].kb * (self.machine.running_factor - 1.0);
             let limit = self.crew.limit.min(ceiling(now, self.began, &self.machine)).max(1.0);
             if (self.book.running + 1) as f64 > limit || grown > self.machine.memory_kb * MEMORY_START {
@@ -752,7 +771,7 @@
         if optional && (spent || late || failing || !self.calls.room(&self.below, OPTIONAL_PART)) {
             (req.stage, req.trimmed) = (Stage::Running, true);
             out.skip(req.id);
-        } else if !self.calls.room(&self.below, CALLS_PART) {
+        } else if !self.calls.room(&self.below, 1.0) {
             self.calls.waiting.push(r);
         } else {
             let own = (req.target - now).times(CALL_PATIENCE);
