--- a/src/decide.rs
+++ b/src/decide.rs
@@ -64,12 +64,10 @@
 const CALLS_MOST: f64 = 0.9;
 /// Part of the calls allowed that optional ones may hold: the rest is room for those that can't be skipped.
 const OPTIONAL_PART: f64 = 0.7;
-/// Calls this much slower than their best recent time shrink the number allowed, quicker ones raise it.
-const CALLS_SLOW: f64 = 4.0;
+/// Mean call time, in shortest response targets, over which the number allowed shrinks; under it, it grows.
+const CALLS_SLOW: f64 = 0.1;
 /// Change of the number allowed a call, in parts of the share.
 const CALLS_STEP: f64 = 0.02;
-/// How far the best time drifts up with each call: twofold over some 700, so that it is learned anew.
-const CALLS_DRIFT: f64 = 1.001;
 /// Weight of the newest call in the calls' time and failures: about the last 10.
 const CALL_ALPHA: f64 = 0.1;
 /// Calls a req may repeat after outcomes that prove they did not run, and the first wait between them.
@@ -353,7 +351,7 @@
     lingering: VecDeque<At>,
     part: f64,
     time: f64,
-    best: f64,
+    slow: f64,
     failing: f64,
     waiting: Vec<No>,
     used: f64,
@@ -395,8 +393,7 @@
             let bad = if outcome == Outcome::Done { 0.0 } else { 1.0 };
             self.failing += CALL_ALPHA * (bad - self.failing);
             self.time += CALL_ALPHA * (spent.as_secs() - self.time);
-            self.best = if self.best > 0.0 { (self.best * CALLS_DRIFT).min(self.time) } else { self.time };
-            let step = if self.time > CALLS_SLOW * self.best { -CALLS_STEP } else { CALLS_STEP };
+            let step = if self.time > self.slow { -CALLS_STEP } else { CALLS_STEP };
             self.part = (self.part + step).clamp(CALLS_LEAST, CALLS_MOST);
         }
     }
@@ -482,6 +479,7 @@
         rules: &Rules,
     ) -> Decider {
         let part = if place.tier == 0 { 1.0 } else { TIER_PART };
+        let slow = handlers.iter().map(|h| h.target.as_secs()).fold(f64::MAX, f64::min) * part * CALLS_SLOW;
         Decider {
             chance: oorandom::Rand64::new(u128::from(seed)),
             began: now,
@@ -501,7 +499,7 @@
             share: Share { admitted: 1.0, own: vec![1.0; handlers.len()], recent: VecDeque::new() },
             hold: Hold::default(),
             crew: Crew { limit: f64::from(machine.cores), cores: f64::from(machine.cores), queue: 0.0 },
-            calls: Calls { seen: now, part: CALLS_FIRST, ..Calls::default() },
+            calls: Calls { seen: now, slow, part: CALLS_FIRST, ..Calls::default() },
             tenants: Tenants::new(now, tenants, place),
             hint_rate: 1.0,
             failing: 0.0,
