--- a/src/decide.rs
+++ b/src/decide.rs
@@ -766,7 +766,10 @@
         let optional = self.handlers[req.handler].partial_value > 0.0;
         let spent = now - req.started > req.allowance && self.budget.worst() > 1.0;
         let late = now + Span::secs(self.calls.time) > req.target;
-        if optional && (spent || late || failing || !self.calls.room(&self.below, OPTIONAL_PART)) {
+        if late && !optional && self.handlers[req.handler].late_value == 0.0 && self.calls.out > 0 {
+            // Worth nothing by the time its call is back: another run has better use for the call.
+            self.fail(r, out);
+        } else if optional && (spent || late || failing || !self.calls.room(&self.below, OPTIONAL_PART)) {
             (req.stage, req.trimmed) = (Stage::Running, true);
             out.skip(req.id);
         } else if !self.calls.room(&self.below, 1.0) {
