--- a/src/decide.rs
+++ b/src/decide.rs
@@ -73,8 +73,8 @@
 /// Calls a req may repeat after outcomes that prove they did not run, and the first wait between them.
 const CALL_TRIES: u32 = 6;
 const CALL_WAIT: Span = Span::millis(40);
-/// Part of the time left to the response target that an optional call may take.
-const CALL_PATIENCE: f64 = 0.6;
+/// Mean call times after which a call counts as stuck.
+const CALL_STUCK: f64 = 8.0;
 /// Share of the response target that a tier below gets of the whole.
 const TIER_PART: f64 = 0.4;
 /// Weight of the newest run in the share of failed runs, and the share from which arrivals are sent elsewhere.
@@ -392,7 +392,8 @@
         if outcome != Outcome::Stopped {
             let bad = if outcome == Outcome::Done { 0.0 } else { 1.0 };
             self.failing += CALL_ALPHA * (bad - self.failing);
-            self.time += CALL_ALPHA * (spent.as_secs() - self.time);
+            // Only calls that came back tell the time: one that was given up on tells how long we waited.
+            self.time += CALL_ALPHA * (spent.as_secs() - self.time) * (1.0 - bad);
             let step = if self.time > self.slow { -CALLS_STEP } else { CALLS_STEP };
             self.part = (self.part + step).clamp(CALLS_LEAST, CALLS_MOST);
         }
@@ -468,15 +469,8 @@
 impl Decider {
     #[allow(clippy::too_many_arguments)]
     pub fn new(
-        now: At,
-        seed: u64,
-        machine: &Machine,
-        handlers: &[Handler],
-        tenants: &[Tenant],
-        below: &Below,
-        callers: &Callers,
-        place: &Place,
-        rules: &Rules,
+        now: At, seed: u64, machine: &Machine, handlers: &[Handler], tenants: &[Tenant], below: &Below,
+        callers: &Callers, place: &Place, rules: &Rules,
     ) -> Decider {
         let part = if place.tier == 0 { 1.0 } else { TIER_PART };
         let slow = handlers.iter().map(|h| h.target.as_secs()).fold(f64::MAX, f64::min) * part * CALLS_SLOW;
@@ -499,7 +493,7 @@
             share: Share { admitted: 1.0, own: vec![1.0; handlers.len()], recent: VecDeque::new() },
             hold: Hold::default(),
             crew: Crew { limit: f64::from(machine.cores), cores: f64::from(machine.cores), queue: 0.0 },
-            calls: Calls { seen: now, slow, part: CALLS_FIRST, ..Calls::default() },
+            calls: Calls { seen: now, slow, time: slow, part: CALLS_FIRST, ..Calls::default() },
             tenants: Tenants::new(now, tenants, place),
             hint_rate: 1.0,
             failing: 0.0,
@@ -775,8 +769,10 @@
         } else if !self.calls.room(&self.below, 1.0) {
             self.calls.waiting.push(r);
         } else {
-            let own = (req.target - now).times(CALL_PATIENCE);
-            let patience = if optional { own } else { req.due.before(MARGIN) - now };
+            // A call far past the usual time is stuck, most often at a machine gone silent; it holds a run.
+            let stuck = Span::secs(CALL_STUCK * self.calls.time) + CALL_WAIT;
+            let worthless = self.handlers[req.handler].late_value == 0.0 || optional;
+            let patience = (if worthless { req.target } else { req.due.before(MARGIN) } - now).min(stuck);
             req.stage = Stage::Calling;
             self.calls.out += 1;
             out.call(req.id, patience.max(Span::millis(1)));
