Mark sheds last by the share of arrivals that come again; advise twice the wait

Harm: where repeats come for other reasons (a silent server elsewhere), reqs are kept from servers with room.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -80,6 +80,9 @@
 /// Weight of the newest run in the share of failed runs, and the share from which arrivals are sent elsewhere.
 const FAIL_ALPHA: f64 = 0.08;
 const FAILING: f64 = 0.25;
+/// Weight of the newest arrival in the share that comes again, and sheds marked last for each such one.
+const AGAIN_ALPHA: f64 = 0.05;
+const LAST_GAIN: f64 = 4.0;
 /// Period of the one timer: finer than any answer's slack, coarse enough to cost little.
 const TICK: Span = Span::millis(10);
 /// A timer later than this was held up by a pause of the whole process.
@@ -101,6 +104,8 @@
 const FREE_OPEN: f64 = 1000.0;
 /// Room that callers of unequal traffic get over an even split of the reqs in hand.
 const FREE_SKEW: f64 = 2.0;
+/// Advice to stay away, in waits expected at the back of the hold.
+const STAY_AWAY: f64 = 2.0;
 /// Time between two tries to stop a run whose answer is out.
 const STOP_AGAIN: Span = Span::millis(200);
 
@@ -461,6 +466,7 @@
     tenants: Tenants,
     hint_rate: f64,
     failing: f64,
+    again: f64,
     leaving: Option<(At, At)>,
     free: f64,
     free_at: At,
@@ -497,6 +503,7 @@
             tenants: Tenants::new(now, tenants, place),
             hint_rate: 1.0,
             failing: 0.0,
+            again: 0.0,
             leaving: None,
             free: FREE_OPEN,
             free_at: now,
@@ -524,26 +531,9 @@
         if let Some((_, stop)) = self.leaving {
             due = due.min(stop);
         }
-        let (id, handler, tenant, subject) = (a.id, a.handler, a.tenant, a.subject);
-        let (kb, retry, repeats, worth) = (a.held_kb, a.retry, a.repeats, h.value);
-        let hint = a.hint.filter(|w| *w > Span::ZERO);
+        self.again += AGAIN_ALPHA * (f64::from(u8::from(a.retry)) - self.again);
         let target = target.min(due.before(MARGIN));
-        let req = Req {
-            id,
-            handler,
-            tenant,
-            subject,
-            reached,
-            target,
-            due,
-            hint,
-            kb,
-            retry,
-            repeats,
-            worth,
-            ..Req::default()
-        };
-        let r = self.book.add(req);
+        let r = self.book.add(Req::read(a, reached, target, due, h.value));
         self.due.insert((due.before(MARGIN), Due::Answer(r)));
         self.pass(now, r, 0, out);
     }
@@ -635,7 +625,8 @@
             self.failing > FAILING && self.chance.rand_float() < self.failing && self.book.running > 0;
         let own = self.chance.rand_float() < self.share.own[self.book.reqs[r].handler];
         if failing || !own || !self.share.admits(worth, chance) {
-            self.shed(now, r, self.book.reqs[r].retry && !failing, out);
+            let last = !failing && self.all_crowded(r);
+            self.shed(now, r, last, out);
             return Step::Ended;
         }
         Step::Pass
@@ -659,10 +650,17 @@
         self.book.held_kb + self.book.run_kb * self.machine.running_factor + keys
     }
 
+    /// Whether a shed req is better not tried elsewhere: it has been, or the share of arrivals that come again
+    /// tells that the others shed too. A server slow by itself sees few and sends its reqs on.
+    fn all_crowded(&mut self, r: No) -> bool {
+        self.book.reqs[r].retry || self.chance.rand_float() < LAST_GAIN * self.again
+    }
+
     /// Final answer: not run, may be taken elsewhere. Only for reqs that never started.
     fn shed(&mut self, now: At, r: No, last: bool, out: &mut dyn Results) {
         let wait = self.backlog() / self.crew.limit;
-        let come_back = Span::secs(wait * (0.5 + self.chance.rand_float())).min(self.callers.come_back_max);
+        let come_back =
+            Span::secs(STAY_AWAY * wait * (0.5 + self.chance.rand_float())).min(self.callers.come_back_max);
         out.shed(self.book.reqs[r].id, come_back, last);
         self.drop_held(now, r, true, out);
     }
@@ -781,11 +779,9 @@
 
     /// A call came back.
     pub fn call_back(&mut self, now: At, id: u64, outcome: Outcome, spent: Span, out: &mut dyn Results) {
-        let Some(r) = self.book.number(id) else { return };
+        let calling = |r: &No| self.book.reqs[*r].stage == Stage::Calling;
+        let Some(r) = self.book.number(id).filter(calling) else { return };
         let req = &mut self.book.reqs[r];
-        if req.stage != Stage::Calling {
-            return;
-        }
         self.calls.over(outcome, spent, now + self.below.linger);
         if outcome == Outcome::Done {
             req.stage = Stage::Running;
@@ -1008,7 +1004,8 @@
         let spare = usize::from(self.book.running == 0 && taken.is_empty());
         for r in lost.into_iter().skip(spare) {
             if self.book.reqs.contains_key(r) {
-                self.shed(now, r, self.book.reqs[r].retry, out);
+                let last = self.all_crowded(r);
+                self.shed(now, r, last, out);
             }
         }
     }
--- a/src/req.rs
+++ b/src/req.rs
@@ -1,5 +1,6 @@
 //! A req and a uniqued req's tries as the module keeps them, under small numbers. Nothing is decided here.
 
+use crate::face::Arrival;
 use crate::time::{At, Span};
 use slotmap::{SlotMap, new_key_type};
 use std::collections::HashMap;
@@ -66,6 +67,26 @@
     pub key: Option<KeyNo>,
 }
 
+impl Req {
+    pub fn read(a: &Arrival, reached: At, target: At, due: At, worth: f64) -> Req {
+        Req {
+            id: a.id,
+            handler: a.handler,
+            tenant: a.tenant,
+            subject: a.subject,
+            reached,
+            target,
+            due,
+            hint: a.hint.filter(|w| *w > Span::ZERO),
+            kb: a.held_kb,
+            retry: a.retry,
+            repeats: a.repeats,
+            worth,
+            ..Req::default()
+        }
+    }
+}
+
 /// All tries of one uniqued req on this server.
 #[derive(Clone, Debug, Default)]
 pub struct Key {
