--- a/src/decide.rs
+++ b/src/decide.rs
@@ -83,6 +83,9 @@
 /// Weight of the newest arrival in the share that comes again, and sheds marked last for each such one.
 const AGAIN_ALPHA: f64 = 0.05;
 const LAST_GAIN: f64 = 4.0;
+/// Mean run in best means over which a server is slow by itself, and that best's drift up a run.
+const SLOW_HERE: f64 = 2.0;
+const BEST_DRIFT: f64 = 1.0005;
 /// Period of the one timer: finer than any answer's slack, coarse enough to cost little.
 const TICK: Span = Span::millis(10);
 /// A timer later than this was held up by a pause of the whole process.
@@ -167,6 +170,7 @@
     mrt: Vec<f64>,
     run: Vec<f64>,
     mean_run: f64,
+    best_run: f64,
     largest: f64,
     count: u32,
     fit: Fit,
@@ -188,6 +192,7 @@
             mrt,
             run,
             mean_run: mean,
+            best_run: f64::MAX,
             largest: mean,
             count: 0,
             fit: Fit::new(),
@@ -216,6 +221,7 @@
         let s = run.as_secs();
         self.run[handler] += RUN_ALPHA * (s - self.run[handler]);
         self.mean_run += RUN_ALPHA * (s - self.mean_run);
+        self.best_run = (self.best_run * BEST_DRIFT).min(self.mean_run);
         self.largest = s.max(self.largest * LARGEST_KEEPS).max(self.mean_run);
     }
 
@@ -523,6 +529,7 @@
 
     /// A req has been read.
     pub fn arrive(&mut self, now: At, a: &Arrival, out: &mut dyn Results) {
+        self.comes_again(true, a.retry);
         let h = &self.handlers[a.handler];
         let reached = now.before(a.unread_for);
         let stretch = a.hint.map_or(Span::ZERO, |w| w.times(h.target_stretch));
@@ -531,7 +538,6 @@
         if let Some((_, stop)) = self.leaving {
             due = due.min(stop);
         }
-        self.again += AGAIN_ALPHA * (f64::from(u8::from(a.retry)) - self.again);
         let target = target.min(due.before(MARGIN));
         let r = self.book.add(Req::read(a, reached, target, due, h.value));
         self.due.insert((due.before(MARGIN), Due::Answer(r)));
@@ -625,7 +631,7 @@
             self.failing > FAILING && self.chance.rand_float() < self.failing && self.book.running > 0;
         let own = self.chance.rand_float() < self.share.own[self.book.reqs[r].handler];
         if failing || !own || !self.share.admits(worth, chance) {
-            let last = !failing && self.all_crowded(r);
+            let last = !failing && self.all_crowded(now, r);
             self.shed(now, r, last, out);
             return Step::Ended;
         }
@@ -650,10 +656,21 @@
         self.book.held_kb + self.book.run_kb * self.machine.running_factor + keys
     }
 
+    /// Counts signs of a crowded fleet: marked repeats where repeats are marked, own sheds elsewhere.
+    fn comes_again(&mut self, marked: bool, yes: bool) {
+        let step = if marked == self.callers.mark_retries { AGAIN_ALPHA } else { 0.0 };
+        self.again += step * (f64::from(u8::from(yes)) - self.again);
+    }
+
     /// Whether a shed req is better not tried elsewhere: it has been, or the share of arrivals that come again
-    /// tells that the others shed too. A server slow by itself sees few and sends its reqs on.
-    fn all_crowded(&mut self, r: No) -> bool {
-        self.book.reqs[r].retry || self.chance.rand_float() < LAST_GAIN * self.again
+    /// tells that the others shed too. Where repeats bear no mark the share shed here tells it, unless this
+    /// server is slow by itself: runs far over their own best time, or still warming. It sends its reqs on.
+    fn all_crowded(&mut self, now: At, r: No) -> bool {
+        let warming = self.machine.cold && now - self.began < self.machine.cold_for;
+        let alone = warming || self.budget.mean_run > SLOW_HERE * self.budget.best_run;
+        let told = self.callers.mark_retries;
+        let likely = self.chance.rand_float() < LAST_GAIN * self.again;
+        self.book.reqs[r].retry || (likely && (told || !alone))
     }
 
     /// Final answer: not run, may be taken elsewhere. Only for reqs that never started.
@@ -662,6 +679,7 @@
         let come_back =
             Span::secs(STAY_AWAY * wait * (0.5 + self.chance.rand_float())).min(self.callers.come_back_max);
         out.shed(self.book.reqs[r].id, come_back, last);
+        self.comes_again(false, true);
         self.drop_held(now, r, true, out);
     }
 
@@ -727,6 +745,7 @@
                 return;
             }
             let allowance = self.budget.allowance(self.hold.len());
+            self.comes_again(false, false);
             self.hold.remove(r);
             self.book.start(r);
             let req = &mut self.book.reqs[r];
@@ -1004,7 +1023,7 @@
         let spare = usize::from(self.book.running == 0 && taken.is_empty());
         for r in lost.into_iter().skip(spare) {
             if self.book.reqs.contains_key(r) {
-                let last = self.all_crowded(r);
+                let last = self.all_crowded(now, r);
                 self.shed(now, r, last, out);
             }
         }
