--- /dev/null
+++ b/crates/drill/tests/wire.rs
@@ -0,0 +1,133 @@
+//! The adapter against the wire's own byte examples, and against what is malformed.
+
+use madderbay::face::Results;
+use madderbay::time::Span;
+use madderbay_drill::{host::Host, settings, wire};
+
+const SETTINGS: &str = r#"{"classes": [{"aim_us": 2700000, "effect": "read_like", "hard_limit_us": 11000000,
+ "importance": 1.0, "name": "trip-search", "unheard_of": 3}],
+ "family_info": {"blowup": 4.0, "n_cores": 6, "memory_kb": 10890.0, "preemption": "freeze",
+ "passes_deadline": true, "meters": ["core_use", "on_cores"]},
+ "permissions": {}, "rules": {"tip_multiple": 5.0}, "servers": 12}"#;
+
+fn bytes(hex: &str) -> Vec<u8> {
+    let digits: Vec<u8> = hex.bytes().filter(u8::is_ascii_hexdigit).collect();
+    digits.chunks(2).map(|d| u8::from_str_radix(std::str::from_utf8(d).unwrap(), 16).unwrap()).collect()
+}
+
+fn batch(count: u32, body: &[u8]) -> Vec<u8> {
+    let len = body.len() as u32 + 4;
+    [&bytes("5a5c800000000000")[..], &len.to_le_bytes(), &count.to_le_bytes(), body].concat()
+}
+
+fn begin(settings: &str) -> Vec<u8> {
+    [&bytes("01 0300 6400000000000000")[..], &(settings.len() as u32).to_le_bytes(), settings.as_bytes()]
+        .concat()
+}
+
+fn query() -> Vec<u8> {
+    bytes(
+        "02 0300 c4913a5de3f90d00 0000 00000000 640ad2557c3bf091 80a90300 e02e0000 0000c441 0000203f 01 1100
+         3a070000 0000000000000000",
+    )
+}
+
+/// Plays frames one after the other; the replies, or the message of what was wrong.
+fn play(frames: &[Vec<u8>]) -> Result<Vec<Vec<u8>>, String> {
+    let (input, mut host, mut replies) = (frames.concat(), Host::default(), vec![]);
+    let mut input = input.as_slice();
+    while let Some(batch) = wire::next_batch(&mut input)? {
+        replies.push(host.play(&batch)?);
+    }
+    Ok(replies)
+}
+
+#[test]
+fn results_take_the_bytes_of_the_published_examples() {
+    let id = u64::from_le_bytes(bytes("c4913a5de3f90d00").try_into().unwrap());
+    let other = u64::from_le_bytes(bytes("192b6f0e8e790400").try_into().unwrap());
+    let mut reply = wire::Reply::default();
+    reply.who = 3;
+    reply.start(id);
+    reply.shed(other, Span::millis(250), true);
+    reply.errored(other);
+    reply.stop(id);
+    reply.call(id, Span::millis(80));
+    reply.skip(id);
+    reply.keep_key(id, Span::millis(8000));
+    reply.drop_key(other);
+    reply.join(other);
+    reply.health(false);
+    reply.free_value(0.25);
+    reply.fault("index out of range");
+    let body = bytes(
+        "01 0300 c4913a5de3f90d00  02 0300 192b6f0e8e790400 90d00300 01  03 0300 192b6f0e8e790400
+         04 0300 c4913a5de3f90d00  05 0300 c4913a5de3f90d00 80380100  06 0300 c4913a5de3f90d00
+         07 0300 c4913a5de3f90d00 00127a00  08 0300 192b6f0e8e790400  09 0300 192b6f0e8e790400
+         0a 0300 00 01  0b 0300 0000803e  0f 0300 1200 696e646578206f7574206f662072616e6765",
+    );
+    let head = [(body.len() as u32 + 4).to_le_bytes(), 12u32.to_le_bytes()].concat();
+    assert_eq!(reply.frame(), [head, body].concat());
+}
+
+#[test]
+fn an_empty_batch_has_an_empty_reply() {
+    let frame = bytes("5a5c800000000000 04000000 00000000");
+    assert_eq!(play(&[frame]).unwrap(), [bytes("04000000 00000000")]);
+}
+
+#[test]
+fn a_query_in_the_published_bytes_is_started_and_its_outcome_taken() {
+    let ended = bytes("03 0300 c4913a5de3f90d00 01 44480000");
+    let bell = bytes("08 0300 0000000000000000 02 52b81e3f 00004040");
+    let frames = [
+        batch(1, &begin(SETTINGS)),
+        batch(1, &query()),
+        batch(2, &[ended.clone(), bell].concat()),
+        batch(1, &ended),
+    ];
+    let replies = play(&frames).unwrap();
+    assert_eq!(replies[1], bytes("0f000000 01000000 01 0300 c4913a5de3f90d00"));
+    assert_eq!(replies[3], bytes("04000000 00000000"), "a late outcome is passed over");
+}
+
+#[test]
+fn an_instance_may_die_and_begin_again_in_one_batch() {
+    let again = [bytes("09 0300"), begin(SETTINGS), query()].concat();
+    let replies = play(&[batch(1, &begin(SETTINGS)), batch(1, &query()), batch(3, &again)]).unwrap();
+    assert!(replies[2].ends_with(&bytes("01 0300 c4913a5de3f90d00")));
+}
+
+#[test]
+fn malformed_input_is_told_in_one_line() {
+    let good = batch(1, &begin(SETTINGS));
+    let cases: Vec<(Vec<Vec<u8>>, &str)> = vec![
+        (vec![bytes("5a5c8000")], "into a header"),
+        (vec![good[..good.len() - 5].to_vec()], "into records"),
+        (vec![bytes("5a5c800000000000 03000000 00000000")], "no room for the count"),
+        (vec![batch(2, &begin(SETTINGS))], "record 2 of 2: record cut short"),
+        (vec![batch(0, &begin(SETTINGS))], "bytes left after 0 records"),
+        (vec![batch(1, &bytes("63 0300"))], "event code 99 is unknown"),
+        (vec![batch(1, &begin("no json"))], "settings: "),
+        (vec![batch(1, &begin(&SETTINGS.replace("\"n_cores\": 6,", "")))], "n_cores"),
+        (vec![batch(1, &begin(&SETTINGS.replace("\"n_cores\": 6", "\"n_cores\": 0")))], "n_cores is 0"),
+        (vec![batch(1, &begin(&SETTINGS.replace("read_like", "odd")))], "'odd'"),
+        (vec![batch(1, &query())], "instance 3 was never begun"),
+        (vec![good.clone(), batch(2, &[query(), query()].concat())], "read a second time"),
+        (vec![good.clone(), batch(1, &bytes("03 0300 c4913a5de3f90d00 09 00000000"))], "outcome 9"),
+    ];
+    for (frames, expected) in cases {
+        let message = play(&frames).expect_err(expected);
+        assert!(message.contains(expected) && !message.contains('\n'), "{message} for {expected}");
+    }
+}
+
+#[test]
+fn settings_of_unlike_sites_are_taken() {
+    let bare = r#"{"classes": [{"aim_us": 1, "hard_limit_us": 1, "importance": 0, "effect": "non_idempotent"}],
+        "family_info": {"n_cores": 1, "memory_kb": 1, "blowup": 1}, "permissions": {},
+        "rules": {"tip_multiple": 1}, "servers": 0}"#;
+    assert!(settings::read(bare.as_bytes()).is_ok());
+    let replies = play(&[batch(1, &begin(bare)), batch(1, &query())]).unwrap();
+    assert!(replies[1].len() > 8, "a req of no time is answered");
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -2,13 +2,14 @@
 //! events: `arrive`, `ended`, `at_call`, `call_back`, `gone`, `wind_down`, `tick`; after the last event of a
 //! batch it calls `settle` once. Answers leave through [`crate::face::Results`]; settings and req facts are in
 //! `face.rs` too. A req passes the stages in the order of `CHAIN`, then start and the calls below; an outcome
-//! passes them in reverse (`ended`). Reading order: constants, parts (budget, share, hold, crew, calls, keys,
+//! passes them in reverse (`ended`). Reading order: constants, parts (budget, share, hold, crew, calls,
 //! tenants), then the chain.
 
 use crate::face::*;
 use crate::req::{Book, Due, KeyBook, KeyNo, No, Req, Stage};
 use crate::time::{At, Span};
 use std::collections::{BTreeSet, VecDeque};
+use std::ops::ControlFlow::{self, Break, Continue};
 
 // --- Constants ------------------------------------------------------------------------------------------
 
@@ -57,10 +58,9 @@
 /// Parts of the memory up to which runs start, and past which held reqs are shed.
 const MEMORY_START: f64 = 0.90;
 const MEMORY_HOLD: f64 = 0.96;
-/// Parts of this server's share of what lies below that calls may hold: at the least, at first, at the most.
+/// Parts of this server's share of what lies below that calls may hold: at the least and at the most.
 /// What lies below slows down well before the whole share is held, so the number follows the calls' time.
 const CALLS_LEAST: f64 = 0.35;
-const CALLS_FIRST: f64 = 0.9;
 const CALLS_MOST: f64 = 0.9;
 /// Part of the calls allowed that optional ones may hold: the rest is room for those that can't be skipped.
 const OPTIONAL_PART: f64 = 0.7;
@@ -94,8 +94,8 @@
 const MARGIN: Span = Span::millis(30);
 /// Time without a completion after which the age of the oldest run stands for one.
 const STALLED: Span = Span::millis(300);
-/// What an idle handler's MRT keeps a tick: halved in about a third of a second.
-const IDLE_KEEPS: f64 = 0.98;
+/// What an idle handler's MRT keeps a tick: halved in about a second and a half.
+const IDLE_KEEPS: f64 = 0.995;
 /// Span over which tenants' rates are counted: long enough for a handful of the smallest tenant's reqs.
 const TENANT_SPAN: f64 = 3.0;
 /// A key's entry outlasts its window by this much, for the way from the machine to the module.
@@ -112,11 +112,8 @@
 /// Time between two tries to stop a run whose answer is out.
 const STOP_AGAIN: Span = Span::millis(200);
 
-enum Step {
-    Pass,
-    Kept,
-    Ended,
-}
+/// What a stage does with a req: `Continue` passes it on, `Break` keeps or ends it.
+type Step = ControlFlow<()>;
 
 // --- Budget: MRT, integral step, fit and LQ ---------------------------------------------------------------
 
@@ -474,8 +471,7 @@
     failing: f64,
     again: f64,
     leaving: Option<(At, At)>,
-    free: f64,
-    free_at: At,
+    free: (f64, At),
 }
 
 impl Decider {
@@ -505,20 +501,24 @@
             share: Share { admitted: 1.0, own: vec![1.0; handlers.len()], recent: VecDeque::new() },
             hold: Hold::default(),
             crew: Crew { limit: f64::from(machine.cores), cores: f64::from(machine.cores), queue: 0.0 },
-            calls: Calls { seen: now, slow, time: slow, part: CALLS_FIRST, ..Calls::default() },
+            calls: Calls { seen: now, slow, time: slow, part: CALLS_MOST, ..Calls::default() },
             tenants: Tenants::new(now, tenants, place),
             hint_rate: 1.0,
             failing: 0.0,
             again: 0.0,
             leaving: None,
-            free: FREE_OPEN,
-            free_at: now,
+            free: (FREE_OPEN, now),
         }
     }
 
     /// Whether a req of this id is still in hand.
     pub fn knows(&self, id: u64) -> bool {
-        self.book.number(id).is_some()
+        self.book.find(id, |_| true).is_some()
+    }
+
+    /// Budget in seconds, share admitted and worker limit, for whoever looks on.
+    pub fn vitals(&self) -> (f64, f64, f64) {
+        (self.budget.secs, self.share.admitted, self.crew.limit)
     }
 
     /// First words of a new life: checks are answered from store, since each real one costs work.
@@ -545,19 +545,14 @@
     }
 
     fn pass(&mut self, now: At, r: No, from: usize, out: &mut dyn Results) {
-        for stage in &CHAIN[from..] {
-            match stage(self, now, r, out) {
-                Step::Pass => {}
-                Step::Kept | Step::Ended => return,
-            }
-        }
+        let _ = CHAIN[from..].iter().try_for_each(|stage| stage(self, now, r, out));
     }
 
     // Stage 1: a uniqued req runs once; its further tries wait for that run and share its answer.
     fn repeats(&mut self, now: At, r: No, out: &mut dyn Results) -> Step {
         let req = &self.book.reqs[r];
         if self.handlers[req.handler].repeats != Repeats::Uniqued {
-            return Step::Pass;
+            return Continue(());
         }
         // Tries read in one batch may name each other before the other is known: the name alone binds them.
         let key =
@@ -566,21 +561,21 @@
         let k = &mut self.keys.keys[key];
         if k.ran {
             self.join(r, out);
-            return Step::Kept;
+            return Break(());
         }
         if k.leader.is_some_and(|l| self.book.reqs.contains_key(l)) {
             k.followers.push(r);
             self.book.reqs[r].stage = Stage::Following;
-            return Step::Kept;
+            return Break(());
         }
         k.leader = Some(r);
         // No run whose key can't be kept: a repeat could not be told from a new req.
         if self.memory() + self.machine.key_kb > self.machine.memory_kb * MEMORY_HOLD {
             self.shed(now, r, false, out);
-            return Step::Ended;
+            return Break(());
         }
         self.keep(now, key, r, out);
-        Step::Pass
+        Continue(())
     }
 
     /// Enters a try in the server's table until its window, counted from its arrival, is over.
@@ -608,9 +603,9 @@
         match self.leaving {
             Some((since, _)) if self.book.reqs[r].reached > since + self.rules.drain_grace.less(MARGIN) => {
                 self.shed(now, r, false, out);
-                Step::Ended
+                Break(())
             }
-            _ => Step::Pass,
+            _ => Continue(()),
         }
     }
 
@@ -620,7 +615,7 @@
         let within = self.tenants.value(now, req.tenant);
         let work = if self.by_work { 1.0 } else { self.budget.run[req.handler] / self.budget.mean_run };
         req.worth = self.handlers[req.handler].value * within / work.max(1e-3);
-        Step::Pass
+        Continue(())
     }
 
     // Stage 4: the admitted share; the rest is shed early, the least worth first. A server that fails its
@@ -633,16 +628,16 @@
         if failing || !own || !self.share.admits(worth, chance) {
             let last = !failing && self.all_crowded(now, r);
             self.shed(now, r, last, out);
-            return Step::Ended;
+            return Break(());
         }
-        Step::Pass
+        Continue(())
     }
 
     // Stage 5: the hold.
     fn hold_stage(&mut self, _now: At, r: No, _out: &mut dyn Results) -> Step {
         let run = self.expected(r);
         self.hold.put(run.as_secs() > self.budget.mean_run, self.book.reqs[r].target.before(run), r);
-        Step::Kept
+        Break(())
     }
 
     /// The run time expected of a req: from its hint where there is one, else its handler's mean.
@@ -668,17 +663,16 @@
     fn all_crowded(&mut self, now: At, r: No) -> bool {
         let warming = self.machine.cold && now - self.began < self.machine.cold_for;
         let alone = warming || self.budget.mean_run > SLOW_HERE * self.budget.best_run;
-        let told = self.callers.mark_retries;
         let likely = self.chance.rand_float() < LAST_GAIN * self.again;
-        self.book.reqs[r].retry || (likely && (told || !alone))
+        self.book.reqs[r].retry || (likely && (self.callers.mark_retries || !alone))
     }
 
     /// Final answer: not run, may be taken elsewhere. Only for reqs that never started.
     fn shed(&mut self, now: At, r: No, last: bool, out: &mut dyn Results) {
-        let wait = self.backlog() / self.crew.limit;
-        let come_back =
-            Span::secs(STAY_AWAY * wait * (0.5 + self.chance.rand_float())).min(self.callers.come_back_max);
-        out.shed(self.book.reqs[r].id, come_back, last);
+        let held = self.hold.lines.iter().flatten().map(|e| self.expected(e.1).as_secs());
+        let wait = (held.sum::<f64>() + self.started()) / self.crew.limit;
+        let away = Span::secs(STAY_AWAY * wait * (0.5 + self.chance.rand_float()));
+        out.shed(self.book.reqs[r].id, away.min(self.callers.come_back_max), last);
         self.comes_again(false, true);
         self.drop_held(now, r, true, out);
     }
@@ -763,7 +757,7 @@
 
     /// A run stands at a call below.
     pub fn at_call(&mut self, now: At, id: u64, out: &mut dyn Results) {
-        let Some(r) = self.book.number(id).filter(|r| !self.book.reqs[*r].answered) else { return };
+        let Some(r) = self.book.find(id, |q| q.stage == Stage::Running && !q.answered) else { return };
         self.book.reqs[r].stage = Stage::AtCall;
         self.call_stage(now, r, out);
     }
@@ -798,8 +792,7 @@
 
     /// A call came back.
     pub fn call_back(&mut self, now: At, id: u64, outcome: Outcome, spent: Span, out: &mut dyn Results) {
-        let calling = |r: &No| self.book.reqs[*r].stage == Stage::Calling;
-        let Some(r) = self.book.number(id).filter(calling) else { return };
+        let Some(r) = self.book.find(id, |q| q.stage == Stage::Calling) else { return };
         let req = &mut self.book.reqs[r];
         self.calls.over(outcome, spent, now + self.below.linger);
         if outcome == Outcome::Done {
@@ -826,7 +819,9 @@
 
     /// A run ended: the outcome goes back through the chain, calls first and keys last.
     pub fn ended(&mut self, now: At, id: u64, outcome: Outcome, spent: Span, _out: &mut dyn Results) {
-        let Some(r) = self.book.number(id) else { return };
+        let Some(r) = self.book.find(id, |q| q.stage != Stage::Held && q.stage != Stage::Following) else {
+            return;
+        };
         let req = self.book.reqs[r].clone();
         if req.stage == Stage::Calling {
             self.calls.over(Outcome::Stopped, Span::ZERO, now + self.below.linger);
@@ -844,12 +839,7 @@
                 if !req.trimmed {
                     self.budget.measured(req.handler, spent);
                 }
-                self.budget.completed(
-                    now,
-                    req.handler,
-                    now - req.reached,
-                    self.hold.len() + self.book.running,
-                );
+                self.budget.completed(now, req.handler, now - req.reached, self.pending());
             }
         }
         self.book.remove(r);
@@ -861,7 +851,7 @@
 
     /// Nobody waits any more: held work is dropped, running work stopped.
     pub fn gone(&mut self, now: At, id: u64, out: &mut dyn Results) {
-        let Some(r) = self.book.number(id) else { return };
+        let Some(r) = self.book.find(id, |_| true) else { return };
         match self.book.reqs[r].stage {
             Stage::Held | Stage::Following => self.drop_held(now, r, false, out),
             Stage::Joined => self.book.remove(r),
@@ -891,8 +881,8 @@
         self.calls.step(now, &self.below);
         if gap < PAUSE {
             self.unfreeze(now);
-            let busy = self.crew.queue > self.crew.cores;
-            self.share.step(gap, self.budget.floored(), busy, |h| self.budget.ratio(h) - 1.0);
+            let (floored, busy) = (self.budget.floored(), self.crew.queue > self.crew.cores);
+            self.share.step(gap, floored, busy, |h| self.budget.ratio(h) - 1.0);
         }
         self.say_free(now, out);
         out.wake(TICK);
@@ -902,11 +892,12 @@
     /// oldest run stands for one; a handler with nothing in hand drifts back to its bare run time, else shed
     /// reqs would keep its latency, and so the cut, for ever. Harm: a lone run that is honestly long cuts B.
     fn unfreeze(&mut self, now: At) {
+        let pending = self.pending();
         let started = self.book.reqs.values().filter(|q| q.stage.started());
         if let Some(q) = started.min_by_key(|q| q.reached).filter(|_| now - self.completed > STALLED) {
             let age = now - q.reached;
             if age.as_secs() > self.budget.mrt[q.handler] {
-                self.budget.completed(now, q.handler, age, self.hold.len() + self.book.running);
+                self.budget.completed(now, q.handler, age, pending);
             }
         }
         for h in 0..self.handlers.len() {
@@ -920,10 +911,10 @@
 
     /// The free value: open while all is well, else what this server can have in hand and answer in time.
     fn say_free(&mut self, now: At, out: &mut dyn Results) {
-        if self.callers.free == Free::Unused || now - self.free_at < FREE_EVERY {
+        if self.callers.free == Free::Unused || now - self.free.1 < FREE_EVERY {
             return;
         }
-        self.free_at = now;
+        self.free.1 = now;
         let in_time = self.budget.targets.iter().sum::<f64>() / self.budget.targets.len() as f64;
         let in_hand = self.crew.limit * (1.0 + in_time / self.budget.mean_run);
         let value = match self.callers.free {
@@ -932,20 +923,19 @@
             Free::Floor => 1.0 - self.share.admitted,
             _ => self.share.admitted * (1.0 - self.failing),
         };
-        if (value - self.free).abs() > FREE_CHANGE * self.free.max(FREE_CHANGE) {
-            self.free = value;
+        if (value - self.free.0).abs() > FREE_CHANGE * self.free.0.max(FREE_CHANGE) {
+            self.free.0 = value;
             out.free_value(value);
         }
     }
 
-    /// Run time still expected of what has started, and of that and what is held, in worker seconds.
-    fn started(&self) -> f64 {
-        self.book.running as f64 * self.budget.mean_run * 0.5
+    fn pending(&self) -> usize {
+        self.hold.len() + self.book.running
     }
 
-    fn backlog(&self) -> f64 {
-        let held = self.hold.lines.iter().flatten().map(|e| self.expected(e.1).as_secs());
-        held.sum::<f64>() + self.started()
+    /// Run time still expected of what has started, in worker seconds: half a mean run each.
+    fn started(&self) -> f64 {
+        self.book.running as f64 * self.budget.mean_run * 0.5
     }
 
     /// The batch is over: due times, memory, hopeless reqs, calls that wait, starts.
@@ -1013,7 +1003,7 @@
                 let least = |a: &(usize, &(No, f64)), b: &(usize, &(No, f64))| {
                     worth(a.1.0).total_cmp(&worth(b.1.0)).then(b.1.1.total_cmp(&a.1.1))
                 };
-                let worst = taken.iter().enumerate().min_by(least).map_or(0, |w| w.0);
+                let worst = taken.iter().enumerate().rev().min_by(least).map_or(0, |w| w.0);
                 let (victim, freed) = taken.remove(worst);
                 lost.push(victim);
                 ahead -= freed;
--- a/src/req.rs
+++ b/src/req.rs
@@ -109,8 +109,9 @@
 }
 
 impl Book {
-    pub fn number(&self, id: u64) -> Option<No> {
-        self.ids.get(&id).copied()
+    /// The req of this id, if it is in hand and like that.
+    pub fn find(&self, id: u64, like: impl Fn(&Req) -> bool) -> Option<No> {
+        self.ids.get(&id).copied().filter(|r| like(&self.reqs[*r]))
     }
 
     pub fn add(&mut self, req: Req) -> No {
--- /dev/null
+++ b/tests/scenarios.rs
@@ -0,0 +1,352 @@
+//! Plays every file in `tests/scenarios`. A file first sets the server up (`machine`, `handler`, `tenant`,
+//! `below`, `callers`, `place`, `rules`), then tells events and what must follow:
+//!
+//! ```text
+//! 100ms req 1 search wait=2s     an event; those of one time make one batch, the timer runs in between
+//! 1s x20/50ms req 10 search ; +90ms done 10 90ms    twenty of them, 50 ms apart, each done 90 ms later
+//! > start 1                      a result since the last event line that starts so
+//! ! shed                         none such
+//! = shed 3..5                    how many such results the whole file has seen so far
+//! ~ budget < 1.5                 the budget in seconds, the share admitted or the worker limit
+//! ```
+
+use madderbay::decide::Decider;
+use madderbay::face::*;
+use madderbay::time::{At, Span};
+
+#[derive(Default)]
+struct Heard(Vec<String>);
+
+impl Results for Heard {
+    fn start(&mut self, id: u64) {
+        self.0.push(format!("start {id} "));
+    }
+    fn stop(&mut self, id: u64) {
+        self.0.push(format!("stop {id} "));
+    }
+    fn shed(&mut self, id: u64, come_back: Span, last: bool) {
+        let word = if last { "last" } else { "elsewhere" };
+        self.0.push(format!("shed {id} {word} {}", if come_back > Span::ZERO { "away" } else { "now" }));
+    }
+    fn errored(&mut self, id: u64) {
+        self.0.push(format!("errored {id} "));
+    }
+    fn call(&mut self, id: u64, patience: Span) {
+        self.0.push(format!("call {id} {}ms", patience.as_micros() / 1000));
+    }
+    fn skip(&mut self, id: u64) {
+        self.0.push(format!("skip {id} "));
+    }
+    fn keep_key(&mut self, id: u64, term: Span) {
+        self.0.push(format!("keep {id} {}ms", term.as_micros() / 1000));
+    }
+    fn drop_key(&mut self, id: u64) {
+        self.0.push(format!("drop {id} "));
+    }
+    fn join(&mut self, id: u64) {
+        self.0.push(format!("join {id} "));
+    }
+    fn health(&mut self, good: bool) {
+        self.0.push(format!("health {good}"));
+    }
+    fn free_value(&mut self, value: f64) {
+        self.0.push(format!("free {value:.2}"));
+    }
+    fn wake(&mut self, _after: Span) {}
+}
+
+fn span(text: &str) -> Span {
+    let (number, unit) = text.split_at(text.find(|c: char| c.is_alphabetic()).expect("a unit of time"));
+    Span::secs(number.parse::<f64>().expect("a number") * if unit == "ms" { 1e-3 } else { 1.0 })
+}
+
+/// The words of a line after its first: `key=value` pairs and bare flags.
+struct Words<'a>(Vec<&'a str>);
+
+impl<'a> Words<'a> {
+    fn get(&self, key: &str) -> Option<&'a str> {
+        self.0.iter().find_map(|w| w.strip_prefix(key)?.strip_prefix('='))
+    }
+    fn num(&self, key: &str, otherwise: f64) -> f64 {
+        self.get(key).map_or(otherwise, |v| v.parse().expect("a number"))
+    }
+    fn span(&self, key: &str, otherwise: &str) -> Span {
+        span(self.get(key).unwrap_or(otherwise))
+    }
+    fn has(&self, flag: &str) -> bool {
+        self.0.contains(&flag)
+    }
+}
+
+struct Play {
+    name: String,
+    machine: Machine,
+    handlers: Vec<(String, Handler)>,
+    tenants: Vec<Tenant>,
+    below: Below,
+    callers: Callers,
+    place: Place,
+    rules: Rules,
+    decider: Option<Decider>,
+    now: At,
+    ticked: At,
+    queue: Option<f64>,
+    heard: Heard,
+    since: usize,
+    failures: Vec<String>,
+}
+
+const START: At = At::micros(1_000_000_000);
+
+impl Play {
+    fn new(name: String) -> Play {
+        let none = Words(vec![]);
+        Play {
+            name,
+            machine: machine(&none),
+            handlers: vec![],
+            tenants: vec![],
+            below: below(&none),
+            callers: callers(&none),
+            place: place(&none),
+            rules: Rules { drain_grace: Span::ZERO, says_wait: true },
+            decider: None,
+            now: START,
+            ticked: START,
+            queue: None,
+            heard: Heard::default(),
+            since: 0,
+            failures: vec![],
+        }
+    }
+
+    fn set_up(&mut self, what: &str, w: &Words) {
+        match what {
+            "machine" => self.machine = machine(w),
+            "handler" => self.handlers.push((w.0[0].to_string(), handler(w))),
+            "tenant" => self.tenants.push(Tenant { per_second: w.num("per_second", 1.0) }),
+            "below" => self.below = below(w),
+            "callers" => self.callers = callers(w),
+            "place" => self.place = place(w),
+            "rules" => self.rules = Rules { drain_grace: w.span("grace", "0s"), says_wait: !w.has("silent") },
+            _ => panic!("{}: '{what}' sets nothing up", self.name),
+        }
+    }
+
+    fn with<R>(&mut self, act: impl FnOnce(&mut Decider, At, &mut Heard) -> R) -> R {
+        if self.decider.is_none() {
+            let handlers: Vec<Handler> = self.handlers.iter().map(|h| h.1.clone()).collect();
+            let (m, t, b, c) = (&self.machine, &self.tenants, &self.below, &self.callers);
+            let mut d = Decider::new(self.now, 7, m, &handlers, t, b, c, &self.place, &self.rules);
+            d.begin(&mut self.heard);
+            self.decider = Some(d);
+        }
+        act(self.decider.as_mut().expect("just begun"), self.now, &mut self.heard)
+    }
+
+    /// Lets the clock run to `until`: the batch at hand settles, then the timer rings every 10 ms.
+    fn run_to(&mut self, until: At) {
+        if until > self.now {
+            self.with(|d, now, out| d.settle(now, out));
+        }
+        while self.ticked + Span::millis(10) < until {
+            self.ticked = self.ticked + Span::millis(10);
+            self.now = self.now.max(self.ticked);
+            let gauges = Gauges { on_cores: self.queue, memory: None };
+            self.with(|d, now, out| d.tick(now, &gauges, out));
+            self.with(|d, now, out| d.settle(now, out));
+        }
+        self.now = self.now.max(until);
+    }
+
+    fn event(&mut self, what: &str, id: u64, w: &Words) {
+        match what {
+            "req" => {
+                let a = self.arrival(id, w);
+                self.with(|d, now, out| d.arrive(now, &a, out));
+            }
+            "done" => self.with(|d, now, out| d.ended(now, id, Outcome::Done, span(w.0[1]), out)),
+            "failed" => self.with(|d, now, out| d.ended(now, id, Outcome::Errored, span(w.0[1]), out)),
+            "stopped" => self.with(|d, now, out| d.ended(now, id, Outcome::Stopped, Span::ZERO, out)),
+            "atcall" => self.with(|d, now, out| d.at_call(now, id, out)),
+            "called" => {
+                let how = match w.0[1] {
+                    "done" => Outcome::Done,
+                    "errored" => Outcome::Errored,
+                    "shed" => Outcome::Shed,
+                    "timeout" => Outcome::TimedOut,
+                    "unreached" => Outcome::Unreached,
+                    other => panic!("{}: outcome '{other}'", self.name),
+                };
+                self.with(|d, now, out| d.call_back(now, id, how, span(w.0[2]), out));
+            }
+            "gone" => self.with(|d, now, out| d.gone(now, id, out)),
+            "leave" => self.with(|d, now, out| d.wind_down(now, span(w.0[0]), out)),
+            "queue" => self.queue = w.0[0].parse().ok(),
+            // The process freezes: the timer rings late.
+            "freeze" => self.ticked = self.now + span(w.0[0]),
+            "wait" => {}
+            _ => panic!("{}: event '{what}' is unknown", self.name),
+        }
+    }
+
+    fn arrival(&self, id: u64, w: &Words) -> Arrival {
+        let handler = self.handlers.iter().position(|h| h.0 == w.0[1]).expect("a handler set up");
+        Arrival {
+            id,
+            handler,
+            tenant: w.num("tenant", 0.0) as usize,
+            wait: w.span("wait", "4s"),
+            hint: w.get("hint").map(span),
+            held_kb: w.num("kb", 1.0),
+            retry: w.has("retry"),
+            unread_for: w.span("unread", "0s"),
+            repeats: w.num("repeats", 0.0) as u64,
+            ..Arrival::default()
+        }
+    }
+
+    fn check(&self, line: &str) -> bool {
+        let (mark, rest) = line.split_once(' ').expect("a check says what");
+        let heard =
+            |from: usize, what: &str| self.heard.0[from..].iter().filter(|h| h.starts_with(what)).count();
+        match mark {
+            ">" => heard(self.since, &format!("{rest} ")) + heard(self.since, rest) > 0,
+            "!" => heard(self.since, rest) == 0,
+            "=" => {
+                let (what, range) = rest.rsplit_once(' ').expect("a range");
+                let (low, high) = range.split_once("..").unwrap_or((range, range));
+                (low.parse().unwrap()..=high.parse().unwrap()).contains(&heard(0, what))
+            }
+            _ => {
+                let w: Vec<&str> = rest.split_whitespace().collect();
+                let (budget, admitted, limit) = self.decider.as_ref().expect("begun").vitals();
+                let value = [("budget", budget), ("admitted", admitted), ("limit", limit)];
+                let found = value.iter().find(|v| v.0 == w[0]).expect("a vital").1;
+                let bound: f64 = w[2].parse().expect("a number");
+                if w[1] == "<" { found < bound } else { found > bound }
+            }
+        }
+    }
+
+    fn play(&mut self, text: &str) {
+        for (n, line) in text.lines().enumerate() {
+            let line = line.split('#').next().unwrap_or("").trim();
+            let mut words = line.split_whitespace();
+            let Some(first) = words.next() else { continue };
+            if first.starts_with(|c: char| c.is_ascii_digit()) {
+                self.since = self.heard.0.len();
+                for (at, what, id, words) in events(line) {
+                    self.run_to(at);
+                    self.event(what, id, &Words(words));
+                }
+            } else if matches!(first, ">" | "!" | "=" | "~") {
+                self.with(|d, now, out| d.settle(now, out));
+                if !self.check(line) {
+                    let (name, place, heard) = (&self.name, n + 1, self.tail());
+                    self.failures.push(format!("{name}:{place}: {line}  heard {heard:?}"));
+                }
+            } else {
+                self.set_up(first, &Words(words.collect()));
+            }
+        }
+    }
+
+    fn tail(&self) -> &[String] {
+        &self.heard.0[self.since.min(self.heard.0.len().saturating_sub(40))..]
+    }
+}
+
+type Event<'a> = (At, &'a str, u64, Vec<&'a str>);
+
+/// The events of one line in order of time.
+fn events(line: &str) -> Vec<Event<'_>> {
+    let (mut at, mut times, mut step) = (START, 1, Span::ZERO);
+    let mut all = vec![];
+    for part in line.split(';') {
+        let mut words: Vec<&str> = part.split_whitespace().collect();
+        let time = words.remove(0);
+        let first = time.strip_prefix('+').map_or(START + span(time), |after| at + span(after));
+        if all.is_empty() {
+            at = first;
+        }
+        if let Some((x, gap)) = words[0].strip_prefix('x').and_then(|r| r.split_once('/')) {
+            (times, step) = (x.parse::<u64>().expect("a count"), span(gap));
+            words.remove(0);
+        }
+        for i in 0..times {
+            let id = words.get(1).and_then(|w| w.parse::<u64>().ok()).map_or(0, |id| id + i);
+            all.push((first + step.times(i as f64), words[0], id, words[1..].to_vec()));
+        }
+    }
+    all.sort_by_key(|e| e.0);
+    all
+}
+
+fn machine(w: &Words) -> Machine {
+    Machine {
+        cores: w.num("cores", 2.0) as u32,
+        memory_kb: w.num("memory", 1000.0),
+        running_factor: w.num("factor", 4.0),
+        key_kb: w.num("key", 1.0),
+        stopping: if w.has("unstoppable") { Stopping::Never } else { Stopping::Pauses },
+        survives_per_core: w.num("survives", 5.0),
+        cold: w.has("cold"),
+        cold_from: w.num("cold_from", 0.2),
+        cold_for: w.span("cold_for", "10s"),
+    }
+}
+
+fn handler(w: &Words) -> Handler {
+    let once = if w.has("uniqued") { Repeats::Uniqued } else { Repeats::NonReplayable };
+    Handler {
+        target: w.span("target", "1s"),
+        target_stretch: 0.0,
+        timeout: w.span("timeout", "4s"),
+        value: w.num("value", 1.0),
+        late_value: w.num("late", 0.0),
+        repeats: if w.has("uniqued") || w.has("nonreplayable") { once } else { Repeats::Replayable },
+        window: w.span("window", "10s"),
+        calls: w.has("calls"),
+        partial_value: w.num("partial", 0.0),
+    }
+}
+
+fn below(w: &Words) -> Below {
+    let kind = if w.has("shared") { BelowKind::Shared } else { BelowKind::Tier };
+    let kind = if w.0.is_empty() { BelowKind::Nothing } else { kind };
+    Below { kind, share: w.num("share", 1.0), span: w.span("span", "5s"), linger: w.span("linger", "200ms") }
+}
+
+fn callers(w: &Words) -> Callers {
+    let free = if w.has("allowance") { Free::Allowance } else { Free::Unused };
+    let come_back_max = w.span("come_back", "0s");
+    Callers { count: w.num("count", 1.0) as u32, free, come_back_max, mark_retries: w.has("marks") }
+}
+
+fn place(w: &Words) -> Place {
+    Place {
+        servers: w.num("servers", 1.0) as u32,
+        tier: w.num("tier", 0.0) as u32,
+        value_by_work: false,
+        over_share_value: w.num("over", 0.05),
+    }
+}
+
+#[test]
+fn scenarios() {
+    let mut files: Vec<_> = std::fs::read_dir(concat!(env!("CARGO_MANIFEST_DIR"), "/tests/scenarios"))
+        .expect("the scenarios")
+        .map(|f| f.expect("a file").path())
+        .collect();
+    files.sort();
+    assert!(!files.is_empty());
+    let mut failures = vec![];
+    for file in files {
+        let text = std::fs::read_to_string(&file).expect("a text file");
+        let mut play = Play::new(file.file_name().expect("a name").to_string_lossy().into_owned());
+        play.play(&text);
+        failures.append(&mut play.failures);
+    }
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
