--- a/src/decide.rs
+++ b/src/decide.rs
@@ -62,8 +62,10 @@
 /// What lies below slows down well before the whole share is held, so the number follows the calls' time.
 const CALLS_LEAST: f64 = 0.35;
 const CALLS_MOST: f64 = 0.9;
-/// Part of the calls allowed that optional ones may hold: the rest is room for those that can't be skipped.
-const OPTIONAL_PART: f64 = 0.7;
+/// Parts of the calls allowed that optional ones may hold, for the least and the most worth: the rest is room
+/// for those that can't be skipped.
+const OPTIONAL_LEAST: f64 = 0.4;
+const OPTIONAL_PART: f64 = 0.9;
 /// Mean call time, in shortest response targets, over which the number allowed shrinks; under it, it grows.
 const CALLS_SLOW: f64 = 0.1;
 /// Change of the number allowed a call, in parts of the share.
@@ -97,7 +99,7 @@
 /// What an idle handler's MRT keeps a tick: halved in about a second and a half.
 const IDLE_KEEPS: f64 = 0.995;
 /// Span over which tenants' rates are counted: long enough for a handful of the smallest tenant's reqs.
-const TENANT_SPAN: f64 = 3.0;
+const TENANT_SPAN: f64 = 10.0;
 /// A key's entry outlasts its window by this much, for the way from the machine to the module.
 const KEY_SLACK: Span = Span::millis(50);
 /// Time between two free values, and the change below which none is sent.
@@ -277,9 +279,14 @@
         if self.recent.len() > RECENT {
             self.recent.pop_front();
         }
+        self.rank(worth, chance) >= 1.0 - self.admitted
+    }
+
+    /// Where a worth stands among the latest arrivals, 0 to 1.
+    fn rank(&self, worth: f64, chance: f64) -> f64 {
         let below = self.recent.iter().filter(|w| **w < worth).count() as f64;
         let equal = self.recent.iter().filter(|w| **w == worth).count() as f64;
-        (below + chance * equal) / self.recent.len() as f64 >= 1.0 - self.admitted
+        (below + chance * equal) / self.recent.len().max(1) as f64
     }
 }
 
@@ -767,6 +774,8 @@
     // fail, or where this server's part of what lies below is taken: calls that can't be skipped go first.
     fn call_stage(&mut self, now: At, r: No, out: &mut dyn Results) {
         let failing = self.chance.rand_float() < self.calls.failing;
+        let rank = self.share.rank(self.book.reqs[r].worth, 1.0);
+        let part = OPTIONAL_LEAST + (OPTIONAL_PART - OPTIONAL_LEAST) * rank;
         let req = &mut self.book.reqs[r];
         let optional = self.handlers[req.handler].partial_value > 0.0;
         let spent = now - req.started > req.allowance && self.budget.worst() > 1.0;
@@ -774,7 +783,7 @@
         if late && !optional && self.handlers[req.handler].late_value == 0.0 && self.calls.out > 0 {
             // Worth nothing by the time its call is back: another run has better use for the call.
             self.fail(r, out);
-        } else if optional && (spent || late || failing || !self.calls.room(&self.below, OPTIONAL_PART)) {
+        } else if optional && (spent || late || failing || !self.calls.room(&self.below, part)) {
             (req.stage, req.trimmed) = (Stage::Running, true);
             out.skip(req.id);
         } else if !self.calls.room(&self.below, 1.0) {
