Least share admitted 0.3, tenants' rates over 5 s

Cause: the share overshot to 0.1 and shed within-share reqs with the rest. Harm: a server that can do less than 0.3 of what comes sheds the rest from the hold.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -42,7 +42,7 @@
 /// Regain of the admitted share a second: slower than the cut, so that the two don't swing.
 const SHARE_REGAIN: f64 = 0.2;
 /// Least share admitted: the loop needs completions to see that it may recover.
-const SHARE_LEAST: f64 = 0.1;
+const SHARE_LEAST: f64 = 0.3;
 /// Recent arrivals whose worth ranks a new one: a few seconds of one server's traffic.
 const RECENT: usize = 64;
 /// Run queue a core under which more runs may start, and over which the worker limit falls back. Past some
@@ -99,7 +99,7 @@
 /// What an idle handler's MRT keeps a tick: halved in about a second and a half.
 const IDLE_KEEPS: f64 = 0.995;
 /// Span over which tenants' rates are counted: long enough for a handful of the smallest tenant's reqs.
-const TENANT_SPAN: f64 = 10.0;
+const TENANT_SPAN: f64 = 5.0;
 /// A key's entry outlasts its window by this much, for the way from the machine to the module.
 const KEY_SLACK: Span = Span::millis(50);
 /// Time between two free values, and the change below which none is sent.
