--- a/src/decide.rs
+++ b/src/decide.rs
@@ -8,6 +8,7 @@
 use crate::face::*;
 use crate::req::{Book, Due, KeyBook, KeyNo, No, Req, Stage};
 use crate::time::{At, Span};
+use std::array::from_fn;
 use std::collections::{BTreeSet, VecDeque};
 use std::ops::ControlFlow::{self, Break, Continue};
 
@@ -29,8 +30,6 @@
 const LQ_Q: f64 = 0.5;
 /// Forgetting factor of the fit: about 100 refits, so that a server's cold start fades.
 const FORGET: f64 = 0.99;
-/// Least effect of the budget on latency that the fit must show before LQ may use it (targets a floor).
-const EFFECT_LEAST: f64 = 1e-3;
 /// Weight of the newest run in the mean run times: about the last 30 runs.
 const RUN_ALPHA: f64 = 0.03;
 /// Share of the response target taken as a run's length before one has been measured.
@@ -128,10 +127,7 @@
 
 impl Fit {
     fn new() -> Fit {
-        let mut cov = [[0.0; 2 * ORDER]; 2 * ORDER];
-        for (i, row) in cov.iter_mut().enumerate() {
-            row[i] = 100.0;
-        }
+        let cov = from_fn(|i| from_fn(|j| if i == j { 100.0 } else { 0.0 }));
         Fit { theta: [0.0; 2 * ORDER], cov, past: [0.0; 2 * ORDER] }
     }
 
@@ -155,7 +151,7 @@
         let effect = self.theta[ORDER];
         let (w, q) = (LQ_W * LQ_W, LQ_Q * LQ_Q);
         let best = (w * effect * (1.0 - rest) + q * u) / (w * effect * effect + q);
-        let usable = effect > EFFECT_LEAST && best.is_finite();
+        let usable = effect > 0.0 && best.is_finite();
         self.past[ORDER] = if usable { best } else { u };
         usable.then_some(best)
     }
@@ -309,15 +305,12 @@
     }
 
     fn remove(&mut self, r: No) {
-        for line in &mut self.lines {
-            line.retain(|e| e.1 != r);
-        }
+        self.lines.iter_mut().for_each(|line| line.retain(|e| e.1 != r));
     }
 
     /// The first to start of those that may.
     fn first(&self, may: impl Fn(No) -> bool) -> Option<No> {
-        let heads = self.lines.iter().filter_map(|l| l.iter().find(|e| may(e.1)));
-        heads.min().map(|e| e.1)
+        self.lines.iter().filter_map(|l| l.iter().find(|e| may(e.1))).min().map(|e| e.1)
     }
 
     fn in_order(&self) -> Vec<No> {
