--- a/src/decide.rs
+++ b/src/decide.rs
@@ -95,6 +95,9 @@
 const MARGIN: Span = Span::millis(30);
 /// Time without a completion after which the age of the oldest run stands for one.
 const STALLED: Span = Span::millis(300);
+/// Mean age of the runs in hand, in mean runs, over which runs are expected to take longer than measured: as
+/// runs come to an end this is about 1, and a server that slows down or stalls shows it before any ends.
+const PACE_AGE: f64 = 1.5;
 /// What an idle handler's MRT keeps a tick: halved in about a second and a half.
 const IDLE_KEEPS: f64 = 0.995;
 /// Span over which tenants' rates are counted: long enough for a handful of the smallest tenant's reqs.
@@ -468,6 +471,7 @@
     calls: Calls,
     tenants: Tenants,
     hint_rate: f64,
+    pace: f64,
     failing: f64,
     again: f64,
     leaving: Option<(At, At)>,
@@ -504,6 +508,7 @@
             calls: Calls { seen: now, slow, time: slow, part: CALLS_MOST, ..Calls::default() },
             tenants: Tenants::new(now, tenants, place),
             hint_rate: 1.0,
+            pace: 1.0,
             failing: 0.0,
             again: 0.0,
             leaving: None,
@@ -643,7 +648,9 @@
     /// The run time expected of a req: from its hint where there is one, else its handler's mean.
     fn expected(&self, r: No) -> Span {
         let req = &self.book.reqs[r];
-        req.hint.map_or(Span::secs(self.budget.run[req.handler]), |w| w.times(self.hint_rate))
+        req.hint
+            .map_or(Span::secs(self.budget.run[req.handler]), |w| w.times(self.hint_rate))
+            .times(self.pace)
     }
 
     fn memory(&self) -> f64 {
@@ -894,6 +901,11 @@
     /// oldest run stands for one; a handler with nothing in hand drifts back to its bare run time, else shed
     /// reqs would keep its latency, and so the cut, for ever. Harm: a lone run that is honestly long cuts B.
     fn unfreeze(&mut self, now: At) {
+        let on_core = |q: &&Req| q.stage == Stage::Running && !q.answered;
+        let ages: Vec<f64> =
+            self.book.reqs.values().filter(on_core).map(|q| (now - q.started).as_secs()).collect();
+        let age = ages.iter().sum::<f64>() / ages.len().max(1) as f64;
+        self.pace = (age / (PACE_AGE * self.budget.mean_run)).max(1.0);
         let pending = self.pending();
         let started = self.book.reqs.values().filter(|q| q.stage.started());
         if let Some(q) = started.min_by_key(|q| q.reached).filter(|_| now - self.completed > STALLED) {
