--- a/src/decide.rs
+++ b/src/decide.rs
@@ -44,8 +44,7 @@
 const SHARE_LEAST: f64 = 0.3;
 /// Recent arrivals whose worth ranks a new one: a few seconds of one server's traffic.
 const RECENT: usize = 64;
-/// Run queue a core under which more runs may start, and over which the worker limit falls back. Past some
-/// number a core, which no one tells, a server gets less done; 2 is the least seen in practice.
+/// Run queue a core under which the worker limit grows, and over which it falls back: crowded cores do less.
 const ROOM: f64 = 1.3;
 const CROWDED: f64 = 1.8;
 /// Change of the worker limit a tick: the whole way from the cores to twice the cores in a quarter second.
@@ -57,12 +56,10 @@
 /// Parts of the memory up to which runs start, and past which held reqs are shed.
 const MEMORY_START: f64 = 0.90;
 const MEMORY_HOLD: f64 = 0.96;
-/// Parts of this server's share of what lies below that calls may hold: at the least and at the most.
-/// What lies below slows down well before the whole share is held, so the number follows the calls' time.
+/// Least and most part of this server's share below that calls may hold: it slows well before the whole.
 const CALLS_LEAST: f64 = 0.35;
 const CALLS_MOST: f64 = 0.9;
-/// Parts of the calls allowed that optional ones may hold, for the least and the most worth: the rest is room
-/// for those that can't be skipped.
+/// Parts of those that optional calls of the least and the most worth may hold; others find room in the rest.
 const OPTIONAL_LEAST: f64 = 0.4;
 const OPTIONAL_PART: f64 = 0.9;
 /// Mean call time, in shortest response targets, over which the number allowed shrinks; under it, it grows.
@@ -93,7 +90,7 @@
 const PAUSE: Span = Span::millis(40);
 /// Answers leave this long before they fall due: three ticks.
 const MARGIN: Span = Span::millis(30);
-/// Time without a completion after which the age of the oldest run stands for one.
+/// Time without a completion after which the age of the oldest run stands for one, and between two stops.
 const STALLED: Span = Span::millis(300);
 /// Mean age of the runs in hand, in mean runs, over which runs are expected to take longer than measured: as
 /// runs come to an end this is about 1, and a server that slows down or stalls shows it before any ends.
@@ -104,17 +101,13 @@
 const TENANT_SPAN: f64 = 5.0;
 /// A key's entry outlasts its window by this much, for the way from the machine to the module.
 const KEY_SLACK: Span = Span::millis(50);
-/// Time between two free values, and the change below which none is sent.
+/// Time between two free values, and the one that means no limit where it counts outstanding reqs.
 const FREE_EVERY: Span = Span::millis(100);
-const FREE_CHANGE: f64 = 0.1;
-/// The free value that means "no limit" where it counts outstanding reqs.
 const FREE_OPEN: f64 = 1000.0;
 /// Room that callers of unequal traffic get over an even split of the reqs in hand.
 const FREE_SKEW: f64 = 2.0;
 /// Advice to stay away, in waits expected at the back of the hold.
 const STAY_AWAY: f64 = 2.0;
-/// Time between two tries to stop a run whose answer is out.
-const STOP_AGAIN: Span = Span::millis(200);
 
 /// What a stage does with a req: `Continue` passes it on, `Break` keeps or ends it.
 type Step = ControlFlow<()>;
@@ -522,8 +515,8 @@
     }
 
     /// Budget in seconds, share admitted and worker limit, for whoever looks on.
-    pub fn vitals(&self) -> (f64, f64, f64) {
-        (self.budget.secs, self.share.admitted, self.crew.limit)
+    pub fn vitals(&self) -> [f64; 3] {
+        [self.budget.secs, self.share.admitted, self.crew.limit]
     }
 
     /// First words of a new life: checks are answered from store, since each real one costs work.
@@ -700,7 +693,7 @@
         if req.stage == Stage::Running && self.machine.stopping != Stopping::Never {
             out.stop(req.id);
             // A stop is lost while the cores are frozen.
-            self.due.insert((self.ticked + STOP_AGAIN, Due::Stop(r)));
+            self.due.insert((self.ticked + STALLED, Due::Stop(r)));
         }
     }
 
@@ -901,11 +894,9 @@
     /// oldest run stands for one; a handler with nothing in hand drifts back to its bare run time, else shed
     /// reqs would keep its latency, and so the cut, for ever. Harm: a lone run that is honestly long cuts B.
     fn unfreeze(&mut self, now: At) {
-        let on_core = |q: &&Req| q.stage == Stage::Running && !q.answered;
-        let ages: Vec<f64> =
-            self.book.reqs.values().filter(on_core).map(|q| (now - q.started).as_secs()).collect();
-        let age = ages.iter().sum::<f64>() / ages.len().max(1) as f64;
-        self.pace = (age / (PACE_AGE * self.budget.mean_run)).max(1.0);
+        let on_core = self.book.reqs.values().filter(|q| q.stage == Stage::Running && !q.answered);
+        let (runs, secs) = on_core.fold((0.0, 0.0), |(n, s), q| (n + 1.0, s + (now - q.started).as_secs()));
+        self.pace = (secs / (PACE_AGE * self.budget.mean_run * f64::max(runs, 1.0))).max(1.0);
         let pending = self.pending();
         let started = self.book.reqs.values().filter(|q| q.stage.started());
         if let Some(q) = started.min_by_key(|q| q.reached).filter(|_| now - self.completed > STALLED) {
@@ -928,7 +919,6 @@
         if self.callers.free == Free::Unused || now - self.free.1 < FREE_EVERY {
             return;
         }
-        self.free.1 = now;
         let in_time = self.budget.targets.iter().sum::<f64>() / self.budget.targets.len() as f64;
         let in_hand = self.crew.limit * (1.0 + in_time / self.budget.mean_run);
         let value = match self.callers.free {
@@ -937,10 +927,10 @@
             Free::Floor => 1.0 - self.share.admitted,
             _ => self.share.admitted * (1.0 - self.failing),
         };
-        if (value - self.free.0).abs() > FREE_CHANGE * self.free.0.max(FREE_CHANGE) {
-            self.free.0 = value;
+        if value != self.free.0 {
             out.free_value(value);
         }
+        self.free = (value, now);
     }
 
     fn pending(&self) -> usize {
@@ -979,10 +969,7 @@
                 let Some(req) = self.book.reqs.get(r) else { return };
                 match (what, req.stage, req.answered) {
                     (Due::Answer(_), Stage::Held, _) => self.shed(now, r, false, out),
-                    (Due::Answer(_), Stage::Following, _) => {
-                        out.errored(req.id);
-                        self.drop_held(now, r, false, out);
-                    }
+                    (Due::Answer(_), Stage::Following, _) => self.shed(now, r, true, out),
                     (Due::Answer(_), _, false) => self.fail(r, out),
                     (Due::Call(_), Stage::AtCall, false) => self.call_stage(now, r, out),
                     (Due::Stop(_), Stage::Running, true) => self.abandon(r, out),
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -220,7 +220,7 @@
             }
             _ => {
                 let w: Vec<&str> = rest.split_whitespace().collect();
-                let (budget, admitted, limit) = self.decider.as_ref().expect("begun").vitals();
+                let [budget, admitted, limit] = self.decider.as_ref().expect("begun").vitals();
                 let value = [("budget", budget), ("admitted", admitted), ("limit", limit)];
                 let found = value.iter().find(|v| v.0 == w[0]).expect("a vital").1;
                 let bound: f64 = w[2].parse().expect("a number");
