A hung server sends its reqs on, advises away and reports ill

Told from crowding by the age of the runs on the cores. Harm: where all hang, the list empties; nothing would have been served anyway.

--- a/crates/drill/src/host.rs
+++ b/crates/drill/src/host.rs
@@ -105,7 +105,7 @@
             }
             wire::WIND_DOWN => {
                 let left = f.span()?;
-                self.guarded(who, |i, out| i.decider.wind_down(now, left, out))
+                self.guarded(who, |i, _| i.decider.wind_down(now, left))
             }
             wire::ABANDONED => {
                 let id = f.u64()?;
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -95,6 +95,8 @@
 /// Mean age of the runs in hand, in mean runs, over which runs are expected to take longer than measured: as
 /// runs come to an end this is about 1, and a server that slows down or stalls shows it before any ends.
 const PACE_AGE: f64 = 1.5;
+/// That expectation, in measured means, from which the server counts as hung.
+const HUNG: f64 = 4.0;
 /// What an idle handler's MRT keeps a tick: halved in about a second and a half.
 const IDLE_KEEPS: f64 = 0.995;
 /// Span over which tenants' rates are counted: long enough for a handful of the smallest tenant's reqs.
@@ -465,6 +467,7 @@
     tenants: Tenants,
     hint_rate: f64,
     pace: f64,
+    good: bool,
     failing: f64,
     again: f64,
     leaving: Option<(At, At)>,
@@ -502,6 +505,7 @@
             tenants: Tenants::new(now, tenants, place),
             hint_rate: 1.0,
             pace: 1.0,
+            good: true,
             failing: 0.0,
             again: 0.0,
             leaving: None,
@@ -662,7 +666,7 @@
     /// server is slow by itself: runs far over their own best time, or still warming. It sends its reqs on.
     fn all_crowded(&mut self, now: At, r: No) -> bool {
         let warming = self.machine.cold && now - self.began < self.machine.cold_for;
-        let alone = warming || self.budget.mean_run > SLOW_HERE * self.budget.best_run;
+        let alone = warming || self.pace * self.budget.mean_run > SLOW_HERE * self.budget.best_run;
         let likely = self.chance.rand_float() < LAST_GAIN * self.again;
         self.book.reqs[r].retry || (likely && (self.callers.mark_retries || !alone))
     }
@@ -862,10 +866,9 @@
     }
 
     /// Notice to leave: the process is stopped in `left`.
-    pub fn wind_down(&mut self, now: At, left: Span, out: &mut dyn Results) {
+    pub fn wind_down(&mut self, now: At, left: Span) {
         let stop = (now + left).before(MARGIN);
         self.leaving = Some((now, stop));
-        out.health(false);
         for (r, req) in &mut self.book.reqs {
             req.due = req.due.min(stop);
             req.target = req.target.min(stop.before(MARGIN));
@@ -886,6 +889,12 @@
             let (floored, busy) = (self.budget.floored(), self.crew.queue > self.crew.cores);
             self.share.step(gap, floored, busy, |h| self.budget.ratio(h) - 1.0);
         }
+        // A hung server tells callers that look at its health; where all hang nothing is lost by it.
+        let good = self.leaving.is_none() && self.pace < HUNG;
+        if good != self.good {
+            out.health(good);
+        }
+        self.good = good;
         self.say_free(now, out);
         out.wake(TICK);
     }
@@ -894,7 +903,7 @@
     /// oldest run stands for one; a handler with nothing in hand drifts back to its bare run time, else shed
     /// reqs would keep its latency, and so the cut, for ever. Harm: a lone run that is honestly long cuts B.
     fn unfreeze(&mut self, now: At) {
-        let on_core = self.book.reqs.values().filter(|q| q.stage == Stage::Running && !q.answered);
+        let on_core = self.book.reqs.values().filter(|q| q.stage == Stage::Running);
         let (runs, secs) = on_core.fold((0.0, 0.0), |(n, s), q| (n + 1.0, s + (now - q.started).as_secs()));
         self.pace = (secs / (PACE_AGE * self.budget.mean_run * f64::max(runs, 1.0))).max(1.0);
         let pending = self.pending();
@@ -939,7 +948,7 @@
 
     /// Run time still expected of what has started, in worker seconds: half a mean run each.
     fn started(&self) -> f64 {
-        self.book.running as f64 * self.budget.mean_run * 0.5
+        self.book.running as f64 * self.budget.mean_run * self.pace * 0.5
     }
 
     /// The batch is over: due times, memory, hopeless reqs, calls that wait, starts.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -181,7 +181,7 @@
                 self.with(|d, now, out| d.call_back(now, id, how, span(w.0[2]), out));
             }
             "gone" => self.with(|d, now, out| d.gone(now, id, out)),
-            "leave" => self.with(|d, now, out| d.wind_down(now, span(w.0[0]), out)),
+            "leave" => self.with(|d, now, _| d.wind_down(now, span(w.0[0]))),
             "queue" => self.queue = w.0[0].parse().ok(),
             // The process freezes: the timer rings late.
             "freeze" => self.ticked = self.now + span(w.0[0]),
