--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,9 +1,7 @@
-//! Every decision of madderbay. The adapter makes one [`Decider`] a server life and calls, in the order of
-//! events: `arrive`, `ended`, `at_call`, `call_back`, `gone`, `wind_down`, `tick`; after the last event of a
-//! batch it calls `settle` once. Answers leave through [`crate::face::Results`]; settings and req facts are in
-//! `face.rs` too. A req passes the stages in the order of `CHAIN`, then start and the calls below; an outcome
-//! passes them in reverse (`ended`). Reading order: constants, parts (budget, share, hold, crew, calls,
-//! tenants), then the chain.
+//! Every decision of madderbay. The adapter makes one [`Decider`] a server life, calls it for each event and,
+//! after the last of a batch, calls `settle`. Its interface, [`crate::face`], holds settings, req facts and
+//! results. A req passes the stages of `CHAIN`, then start and the calls below; what comes back passes them
+//! in reverse (`ended`). Constants come first, the parts next, the chain last.
 
 use crate::face::*;
 use crate::req::{Book, Due, KeyBook, KeyNo, No, Req, Stage};
@@ -18,10 +16,12 @@
 const MRT_ALPHA: f64 = 0.05;
 /// Share of the response target that MRT is steered to: with a mean at the target half would be late.
 const SETPOINT: f64 = 0.5;
-/// Integral gain, in mean run times of budget for an error of one whole target; the paper's 1.
+/// Integral gain, in mean run times of budget for an error of one whole target (the paper's 1), and the most
+/// error that a step takes: one very late completion must not empty the budget.
 const K_I: f64 = 1.0;
-/// Largest integral step, in errors: one very late completion must not empty the budget.
 const STEP_MOST: f64 = 2.0;
+/// The budget at the start, in its floors.
+const FIRST: f64 = 4.0;
 /// Past points in the fit, and completions between two LQ resets; the paper's Bing settings.
 const ORDER: usize = 10;
 const REFIT_EVERY: u32 = 10;
@@ -30,15 +30,15 @@
 const LQ_Q: f64 = 0.5;
 /// Forgetting factor of the fit: about 100 refits, so that a server's cold start fades.
 const FORGET: f64 = 0.99;
-/// Weight of the newest run in the mean run times: about the last 30 runs.
+/// Weight of the newest run in the mean run times: about the last 30; the guess before any, in targets.
 const RUN_ALPHA: f64 = 0.03;
-/// Share of the response target taken as a run's length before one has been measured.
 const RUN_GUESS: f64 = 0.1;
+/// Least run time expected of a req with a small hint, in its handler's mean runs.
+const SHORTEST: f64 = 0.2;
 /// What the largest run keeps at each completion: halved after 700, so that one odd run fades.
 const LARGEST_KEEPS: f64 = 0.999;
-/// Cut of the admitted share a second for a latency one whole target over; one bad second cuts by half.
+/// Cut of the admitted share a second for a latency one target over, and its regain, slower so as not to swing.
 const SHARE_CUT: f64 = 0.5;
-/// Regain of the admitted share a second: slower than the cut, so that the two don't swing.
 const SHARE_REGAIN: f64 = 0.2;
 /// Least share admitted: the loop needs completions to see that it may recover.
 const SHARE_LEAST: f64 = 0.3;
@@ -64,9 +64,8 @@
 const OPTIONAL_PART: f64 = 0.9;
 /// Mean call time, in shortest response targets, over which the number allowed shrinks; under it, it grows.
 const CALLS_SLOW: f64 = 0.1;
-/// Change of the number allowed a call, in parts of the share.
+/// Change of the number allowed a call, in shares; weight of the newest call in the calls' time and failures.
 const CALLS_STEP: f64 = 0.02;
-/// Weight of the newest call in the calls' time and failures: about the last 10.
 const CALL_ALPHA: f64 = 0.1;
 /// Calls a req may repeat after outcomes that prove they did not run, and the first wait between them.
 const CALL_TRIES: u32 = 6;
@@ -75,7 +74,7 @@
 const CALL_STUCK: f64 = 8.0;
 /// Share of the response target that a tier below gets of the whole.
 const TIER_PART: f64 = 0.4;
-/// Weight of the newest run in the share of failed runs, and the share from which arrivals are sent elsewhere.
+/// Weight of the newest run in the share of failed ones, and the share from which arrivals go elsewhere.
 const FAIL_ALPHA: f64 = 0.08;
 const FAILING: f64 = 0.25;
 /// Weight of the newest arrival in the share that comes again, and sheds marked last for each such one.
@@ -129,7 +128,7 @@
         Fit { theta: [0.0; 2 * ORDER], cov, past: [0.0; 2 * ORDER] }
     }
 
-    /// Learns that `y` followed, then gives the budget that minimises the LQ cost, if the fit shows an effect.
+    /// Learns that `y` followed, then gives the budget of least LQ cost, if the fit shows an effect.
     fn step(&mut self, y: f64, u: f64) -> Option<f64> {
         let n = 2 * ORDER;
         let px: Vec<f64> =
@@ -162,6 +161,8 @@
     targets: Vec<f64>,
     mrt: Vec<f64>,
     run: Vec<f64>,
+    hint: Vec<f64>,
+    spread: (f64, f64),
     mean_run: f64,
     best_run: f64,
     largest: f64,
@@ -176,13 +177,13 @@
         let run: Vec<f64> = handlers.iter().map(|h| h.target.as_secs() * part * RUN_GUESS).collect();
         let mean = run.iter().sum::<f64>() / run.len() as f64;
         let cores = f64::from(cores);
-        let secs = 4.0 * cores * mean;
-        let mrt = run.clone();
         Budget {
-            secs,
+            secs: FIRST * cores * mean,
             cores,
             targets,
-            mrt,
+            mrt: run.clone(),
+            hint: run.clone(),
+            spread: (0.0, 0.0),
             run,
             mean_run: mean,
             best_run: f64::MAX,
@@ -206,12 +207,14 @@
         self.cores * self.mean_run
     }
 
-    fn floored(&self) -> bool {
-        self.secs <= self.floor() * 1.01
-    }
-
-    fn measured(&mut self, handler: usize, run: Span) {
+    fn measured(&mut self, handler: usize, hint: Option<Span>, run: Span) {
         let s = run.as_secs();
+        if let Some(w) = hint.map(|w| w.as_secs()) {
+            let (dw, ds) = (w - self.hint[handler], s - self.run[handler]);
+            self.hint[handler] += RUN_ALPHA * dw;
+            let (both, own) = self.spread;
+            self.spread = (both + RUN_ALPHA * (dw * ds - both), own + RUN_ALPHA * (dw * dw - own));
+        }
         self.run[handler] += RUN_ALPHA * (s - self.run[handler]);
         self.mean_run += RUN_ALPHA * (s - self.mean_run);
         self.best_run = (self.best_run * BEST_DRIFT).min(self.mean_run);
@@ -237,6 +240,14 @@
         }
     }
 
+    /// The run time expected of a req. Waits don't grow with the work, so a hint moves the handler's mean
+    /// along the slope seen instead of scaling it: long reqs would be taken for hopeless.
+    fn expected(&self, handler: usize, hint: Option<Span>) -> f64 {
+        let slope = self.spread.0 / self.spread.1.max(1e-9);
+        let more = hint.map_or(0.0, |w| slope * (w.as_secs() - self.hint[handler]));
+        (self.run[handler] + more).max(SHORTEST * self.run[handler])
+    }
+
     /// EqResv for the first of `held` reqs.
     fn allowance(&self, held: usize) -> Span {
         let len = (held as f64 / self.cores).max(1.0);
@@ -244,8 +255,7 @@
     }
 }
 
-// --- Share: the integral share of arrivals admitted -------------------------------------------------------
-
+/// The integral share of arrivals admitted, of all and of each handler's own.
 struct Share {
     admitted: f64,
     own: Vec<f64>,
@@ -284,8 +294,7 @@
     }
 }
 
-// --- Hold: two lines, for short and for long work, each by latest start -----------------------------------
-
+/// Two lines, for short and for long work, each by latest start.
 #[derive(Default)]
 struct Hold {
     lines: [Vec<(At, No)>; 2],
@@ -318,8 +327,7 @@
     }
 }
 
-// --- Crew: the worker limit -------------------------------------------------------------------------------
-
+/// The worker limit and the run queue that steers it.
 struct Crew {
     limit: f64,
     cores: f64,
@@ -348,8 +356,6 @@
     (survived * SURVIVE_PART).max(1.0)
 }
 
-// --- Calls below ------------------------------------------------------------------------------------------
-
 /// Calls in hand at what lies below, those given up on included until they can't linger any more.
 #[derive(Default)]
 struct Calls {
@@ -360,54 +366,45 @@
     slow: f64,
     failing: f64,
     waiting: Vec<No>,
-    used: f64,
-    seen: At,
+    rest: At,
 }
 
 impl Calls {
     /// Whether one more call keeps this server within its share. The mean over the rule's span is bounded by
     /// bounding the number in hand; a share under one call is kept by spacing calls out instead.
-    fn room(&self, below: &Below, part: f64) -> bool {
+    fn room(&self, now: At, below: &Below, part: f64) -> bool {
         if below.kind != BelowKind::Shared {
             return true;
         }
         let most = (below.share * self.part * part).max(below.share.min(1.0) * CALLS_MOST);
         let held = (self.out + self.lingering.len()) as f64;
-        if most >= 1.0 {
-            held + 1.0 <= most
-        } else {
-            held == 0.0 && self.used <= 0.5 * most * below.span.as_secs()
-        }
+        if most >= 1.0 { held + 1.0 <= most } else { held == 0.0 && now >= self.rest }
     }
 
-    fn step(&mut self, now: At, below: &Below) {
+    fn step(&mut self, now: At) {
         while self.lingering.front().is_some_and(|t| *t <= now) {
             self.lingering.pop_front();
         }
-        let dt = (now - self.seen).as_secs();
-        self.seen = now;
-        let held = (self.out + self.lingering.len()) as f64;
-        self.used = (self.used + dt * (held - 0.5 * below.share.min(1.0))).max(0.0);
     }
 
-    fn over(&mut self, outcome: Outcome, spent: Span, until: At) {
+    fn over(&mut self, now: At, outcome: Outcome, spent: Span, below: &Below) {
         self.out = self.out.saturating_sub(1);
+        let busy = spent + below.linger;
+        self.rest = now + busy.times(1.0 / (below.share * CALLS_MOST).clamp(1e-3, 1.0));
         if matches!(outcome, Outcome::TimedOut | Outcome::Stopped) {
-            self.lingering.push_back(until);
+            self.lingering.push_back(now + below.linger);
         }
         if outcome != Outcome::Stopped {
             let bad = if outcome == Outcome::Done { 0.0 } else { 1.0 };
             self.failing += CALL_ALPHA * (bad - self.failing);
             // Only calls that came back tell the time: one that was given up on tells how long we waited.
             self.time += CALL_ALPHA * (spent.as_secs() - self.time) * (1.0 - bad);
-            let step = if self.time > self.slow { -CALLS_STEP } else { CALLS_STEP };
+            let step = CALLS_STEP.copysign(self.slow - self.time);
             self.part = (self.part + step).clamp(CALLS_LEAST, CALLS_MOST);
         }
     }
 }
 
-// --- Tenants ----------------------------------------------------------------------------------------------
-
 struct Tenants {
     allowed: Vec<f64>,
     rate: Vec<f64>,
@@ -465,7 +462,6 @@
     crew: Crew,
     calls: Calls,
     tenants: Tenants,
-    hint_rate: f64,
     pace: f64,
     good: bool,
     failing: f64,
@@ -501,9 +497,8 @@
             share: Share { admitted: 1.0, own: vec![1.0; handlers.len()], recent: VecDeque::new() },
             hold: Hold::default(),
             crew: Crew { limit: f64::from(machine.cores), cores: f64::from(machine.cores), queue: 0.0 },
-            calls: Calls { seen: now, slow, time: slow, part: CALLS_MOST, ..Calls::default() },
+            calls: Calls { slow, time: slow, part: CALLS_MOST, ..Calls::default() },
             tenants: Tenants::new(now, tenants, place),
-            hint_rate: 1.0,
             pace: 1.0,
             good: true,
             failing: 0.0,
@@ -602,16 +597,15 @@
 
     // Stage 2: nothing that reached the machine after the drain's grace is run.
     fn draining(&mut self, now: At, r: No, out: &mut dyn Results) -> Step {
-        match self.leaving {
-            Some((since, _)) if self.book.reqs[r].reached > since + self.rules.drain_grace.less(MARGIN) => {
-                self.shed(now, r, false, out);
-                Break(())
-            }
-            _ => Continue(()),
+        let late = |since| self.book.reqs[r].reached > since + self.rules.drain_grace.less(MARGIN);
+        if self.leaving.is_some_and(|(since, _)| late(since)) {
+            self.shed(now, r, false, out);
+            return Break(());
         }
+        Continue(())
     }
 
-    // Stage 3: the worth of a req: its value, less what its tenant sends past its share, for the work it takes.
+    // Stage 3: the worth of a req: its value, less what its tenant sends past its share, for its work.
     fn tenant_share(&mut self, now: At, r: No, _out: &mut dyn Results) -> Step {
         let req = &mut self.book.reqs[r];
         let within = self.tenants.value(now, req.tenant);
@@ -642,12 +636,9 @@
         Break(())
     }
 
-    /// The run time expected of a req: from its hint where there is one, else its handler's mean.
     fn expected(&self, r: No) -> Span {
         let req = &self.book.reqs[r];
-        req.hint
-            .map_or(Span::secs(self.budget.run[req.handler]), |w| w.times(self.hint_rate))
-            .times(self.pace)
+        Span::secs(self.budget.expected(req.handler, req.hint) * self.pace)
     }
 
     fn memory(&self) -> f64 {
@@ -661,9 +652,9 @@
         self.again += step * (f64::from(u8::from(yes)) - self.again);
     }
 
-    /// Whether a shed req is better not tried elsewhere: it has been, or the share of arrivals that come again
-    /// tells that the others shed too. Where repeats bear no mark the share shed here tells it, unless this
-    /// server is slow by itself: runs far over their own best time, or still warming. It sends its reqs on.
+    /// Whether a shed req is better not tried elsewhere: it has been, or many arrivals that come again tell
+    /// that the others shed too. Where repeats bear no mark the share shed here tells it, unless this server
+    /// is slow by itself: runs far over their own best time, or still warming. It sends its reqs on.
     fn all_crowded(&mut self, now: At, r: No) -> bool {
         let warming = self.machine.cold && now - self.began < self.machine.cold_for;
         let alone = warming || self.pace * self.budget.mean_run > SLOW_HERE * self.budget.best_run;
@@ -681,7 +672,7 @@
         self.drop_held(now, r, true, out);
     }
 
-    /// Final answer: errored. Work on the cores is stopped where it can be; what stands at a call ends itself.
+    /// Final answer: errored. Work on the cores is stopped where it can be; a run at a call ends itself.
     fn fail(&mut self, r: No, out: &mut dyn Results) {
         out.errored(self.book.reqs[r].id);
         if self.book.reqs[r].stage.started() {
@@ -777,22 +768,22 @@
         let optional = self.handlers[req.handler].partial_value > 0.0;
         let spent = now - req.started > req.allowance && self.budget.worst() > 1.0;
         let late = now + Span::secs(self.calls.time) > req.target;
-        if late && !optional && self.handlers[req.handler].late_value == 0.0 && self.calls.out > 0 {
+        let worthless = self.handlers[req.handler].late_value == 0.0;
+        if late && !optional && worthless && self.calls.out > 0 {
             // Worth nothing by the time its call is back: another run has better use for the call.
             self.fail(r, out);
-        } else if optional && (spent || late || failing || !self.calls.room(&self.below, part)) {
+        } else if optional && (spent || late || failing || !self.calls.room(now, &self.below, part)) {
             (req.stage, req.trimmed) = (Stage::Running, true);
             out.skip(req.id);
-        } else if !self.calls.room(&self.below, 1.0) {
+        } else if !self.calls.room(now, &self.below, 1.0) {
             self.calls.waiting.push(r);
         } else {
             // A call far past the usual time is stuck, most often at a machine gone silent; it holds a run.
-            let stuck = Span::secs(CALL_STUCK * self.calls.time) + CALL_WAIT;
-            let worthless = self.handlers[req.handler].late_value == 0.0 || optional;
-            let patience = (if worthless { req.target } else { req.due.before(MARGIN) } - now).min(stuck);
+            let stuck = now + Span::secs(CALL_STUCK * self.calls.time) + CALL_WAIT;
+            let until = if optional || worthless { req.target } else { req.due.before(MARGIN) };
             req.stage = Stage::Calling;
             self.calls.out += 1;
-            out.call(req.id, patience.max(Span::millis(1)));
+            out.call(req.id, (until.min(stuck) - now).max(Span::millis(1)));
         }
     }
 
@@ -800,7 +791,7 @@
     pub fn call_back(&mut self, now: At, id: u64, outcome: Outcome, spent: Span, out: &mut dyn Results) {
         let Some(r) = self.book.find(id, |q| q.stage == Stage::Calling) else { return };
         let req = &mut self.book.reqs[r];
-        self.calls.over(outcome, spent, now + self.below.linger);
+        self.calls.over(now, outcome, spent, &self.below);
         if outcome == Outcome::Done {
             req.stage = Stage::Running;
             return;
@@ -830,7 +821,7 @@
         };
         let req = self.book.reqs[r].clone();
         if req.stage == Stage::Calling {
-            self.calls.over(Outcome::Stopped, Span::ZERO, now + self.below.linger);
+            self.calls.over(now, Outcome::Stopped, now - req.started, &self.below);
         }
         self.calls.waiting.retain(|w| *w != r);
         if req.stage.started() && !req.answered && matches!(outcome, Outcome::Done | Outcome::Errored) {
@@ -838,14 +829,11 @@
             self.failing += FAIL_ALPHA * (bad - self.failing);
             self.completed = now;
             if outcome == Outcome::Done {
-                if let Some(w) = req.hint.filter(|_| !req.trimmed) {
-                    let rate = (spent.as_secs() / w.as_secs()).min(10.0 * self.hint_rate);
-                    self.hint_rate += RUN_ALPHA * (rate - self.hint_rate);
-                }
                 if !req.trimmed {
-                    self.budget.measured(req.handler, spent);
+                    self.budget.measured(req.handler, req.hint, spent);
                 }
-                self.budget.completed(now, req.handler, now - req.reached, self.pending());
+                let pending = self.hold.len() + self.book.running;
+                self.budget.completed(now, req.handler, now - req.reached, pending);
             }
         }
         self.book.remove(r);
@@ -858,10 +846,10 @@
     /// Nobody waits any more: held work is dropped, running work stopped.
     pub fn gone(&mut self, now: At, id: u64, out: &mut dyn Results) {
         let Some(r) = self.book.find(id, |_| true) else { return };
-        match self.book.reqs[r].stage {
-            Stage::Held | Stage::Following => self.drop_held(now, r, false, out),
-            Stage::Joined => self.book.remove(r),
-            _ => self.abandon(r, out),
+        if self.book.reqs[r].stage.started() {
+            self.abandon(r, out);
+        } else {
+            self.drop_held(now, r, false, out);
         }
     }
 
@@ -883,10 +871,11 @@
         let ceiling = ceiling(now, self.began, &self.machine);
         let full = self.hold.len() > 0 && self.book.running as f64 + 1.0 > self.crew.limit;
         self.crew.step(gauges.on_cores.unwrap_or(self.book.running as f64), full, ceiling);
-        self.calls.step(now, &self.below);
+        self.calls.step(now);
         if gap < PAUSE {
             self.unfreeze(now);
-            let (floored, busy) = (self.budget.floored(), self.crew.queue > self.crew.cores);
+            let floored = self.budget.secs <= self.budget.floor();
+            let busy = self.crew.queue > self.crew.cores;
             self.share.step(gap, floored, busy, |h| self.budget.ratio(h) - 1.0);
         }
         // A hung server tells callers that look at its health; where all hang nothing is lost by it.
@@ -906,7 +895,7 @@
         let on_core = self.book.reqs.values().filter(|q| q.stage == Stage::Running);
         let (runs, secs) = on_core.fold((0.0, 0.0), |(n, s), q| (n + 1.0, s + (now - q.started).as_secs()));
         self.pace = (secs / (PACE_AGE * self.budget.mean_run * f64::max(runs, 1.0))).max(1.0);
-        let pending = self.pending();
+        let pending = self.hold.len() + self.book.running;
         let started = self.book.reqs.values().filter(|q| q.stage.started());
         if let Some(q) = started.min_by_key(|q| q.reached).filter(|_| now - self.completed > STALLED) {
             let age = now - q.reached;
@@ -942,10 +931,6 @@
         self.free = (value, now);
     }
 
-    fn pending(&self) -> usize {
-        self.hold.len() + self.book.running
-    }
-
     /// Run time still expected of what has started, in worker seconds: half a mean run each.
     fn started(&self) -> f64 {
         self.book.running as f64 * self.budget.mean_run * self.pace * 0.5
@@ -990,9 +975,10 @@
 
     /// Memory guard: held reqs are shed, the least worth first, before the machine needs more than it has.
     fn make_room(&mut self, now: At, out: &mut dyn Results) {
+        let worth = |d: &Self, r: &No| d.book.reqs[*r].worth;
         while self.memory() > self.machine.memory_kb * MEMORY_HOLD {
-            let worth = |r: &No| self.book.reqs[*r].worth;
-            let least = self.hold.in_order().into_iter().min_by(|a, b| worth(a).total_cmp(&worth(b)));
+            let least =
+                self.hold.in_order().into_iter().min_by(|a, b| worth(self, a).total_cmp(&worth(self, b)));
             let Some(r) = least else { return };
             self.shed(now, r, false, out);
         }
