--- a/src/decide.rs
+++ b/src/decide.rs
@@ -37,7 +37,7 @@
 const SHORTEST: f64 = 0.2;
 /// What the largest run keeps at each completion: halved after 700, so that one odd run fades.
 const LARGEST_KEEPS: f64 = 0.999;
-/// Cut of the admitted share a second for a latency one target over, and its regain, slower so as not to swing.
+/// Cut of the admitted share a second for a latency one target over, and its slower regain.
 const SHARE_CUT: f64 = 0.5;
 const SHARE_REGAIN: f64 = 0.2;
 /// Least share admitted: the loop needs completions to see that it may recover.
