A server is slow by itself by its runs for the crowd on its cores

Cause: in a fleet-wide surge crowded cores alone doubled the runs, so servers took themselves for slow and let their sheds walk on. Counting the budget as floored up to 1.2 floors moved nothing; taken back.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -80,8 +80,8 @@
 /// Weight of the newest arrival in the share that comes again, and sheds marked last for each such one.
 const AGAIN_ALPHA: f64 = 0.05;
 const LAST_GAIN: f64 = 4.0;
-/// Mean run in best means over which a server is slow by itself, and that best's drift up a run.
-const SLOW_HERE: f64 = 2.0;
+/// Mean run in best means, for the crowd, over which a server is slow by itself; that best's drift up a run.
+const SLOW_HERE: f64 = 1.6;
 const BEST_DRIFT: f64 = 1.0005;
 /// Period of the one timer: finer than any answer's slack, coarse enough to cost little.
 const TICK: Span = Span::millis(10);
@@ -508,7 +508,6 @@
         }
     }
 
-    /// Whether a req of this id is still in hand.
     pub fn knows(&self, id: u64) -> bool {
         self.book.find(id, |_| true).is_some()
     }
@@ -657,7 +656,8 @@
     /// is slow by itself: runs far over their own best time, or still warming. It sends its reqs on.
     fn all_crowded(&mut self, now: At, r: No) -> bool {
         let warming = self.machine.cold && now - self.began < self.machine.cold_for;
-        let alone = warming || self.pace * self.budget.mean_run > SLOW_HERE * self.budget.best_run;
+        let crowd = (self.crew.queue / self.crew.cores).max(1.0);
+        let alone = warming || self.pace * self.budget.mean_run > SLOW_HERE * crowd * self.budget.best_run;
         let likely = self.chance.rand_float() < LAST_GAIN * self.again;
         self.book.reqs[r].retry || (likely && (self.callers.mark_retries || !alone))
     }
