Worker limit grows under 1.1 and falls over 1.4 a core

Cause: reading shares the cores with runs, so crowded cores leave reqs unread for a second in overload.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -45,8 +45,8 @@
 /// Recent arrivals whose worth ranks a new one: a few seconds of one server's traffic.
 const RECENT: usize = 64;
 /// Run queue a core under which the worker limit grows, and over which it falls back: crowded cores do less.
-const ROOM: f64 = 1.3;
-const CROWDED: f64 = 1.8;
+const ROOM: f64 = 1.1;
+const CROWDED: f64 = 1.4;
 /// Change of the worker limit a tick: the whole way from the cores to twice the cores in a quarter second.
 const LIMIT_STEP: f64 = 0.25;
 /// Weight of the newest reading of the run queue: about the last 50 ms.
