--- a/src/decide.rs
+++ b/src/decide.rs
@@ -371,14 +371,15 @@
 
 impl Calls {
     /// Whether one more call keeps this server within its share. The mean over the rule's span is bounded by
-    /// bounding the number in hand; a share under one call is kept by spacing calls out instead.
+    /// bounding the number in hand; a share under one call by a rest after each, once calls are slow.
     fn room(&self, now: At, below: &Below, part: f64) -> bool {
         if below.kind != BelowKind::Shared {
             return true;
         }
         let most = (below.share * self.part * part).max(below.share.min(1.0) * CALLS_MOST);
         let held = (self.out + self.lingering.len()) as f64;
-        if most >= 1.0 { held + 1.0 <= most } else { held == 0.0 && now >= self.rest }
+        let spaced = held == 0.0 && (now >= self.rest || self.time < self.slow);
+        if most >= 1.0 { held + 1.0 <= most } else { spaced }
     }
 
     fn step(&mut self, now: At) {
@@ -389,8 +390,7 @@
 
     fn over(&mut self, now: At, outcome: Outcome, spent: Span, below: &Below) {
         self.out = self.out.saturating_sub(1);
-        let busy = spent + below.linger;
-        self.rest = now + busy.times(1.0 / (below.share * CALLS_MOST).clamp(1e-3, 1.0));
+        self.rest = now + spent.times(1.0 / (below.share * CALLS_MOST).clamp(1e-3, 1.0) - 1.0);
         if matches!(outcome, Outcome::TimedOut | Outcome::Stopped) {
             self.lingering.push_back(now + below.linger);
         }
