--- a/src/decide.rs
+++ b/src/decide.rs
@@ -74,8 +74,10 @@
 const CALL_STUCK: f64 = 8.0;
 /// Share of the response target that a tier below gets of the whole.
 const TIER_PART: f64 = 0.4;
-/// Weight of the newest run in the share of failed ones, and the share from which arrivals go elsewhere.
+/// Weight of the newest run in the share of failed ones, what it keeps a tick (halved in 7 s, so that one who
+/// can't try tries again), and the share from which arrivals go elsewhere.
 const FAIL_ALPHA: f64 = 0.08;
+const FAIL_KEEPS: f64 = 0.999;
 const FAILING: f64 = 0.25;
 /// Weight of the newest arrival in the share that comes again, and sheds marked last for each such one.
 const AGAIN_ALPHA: f64 = 0.05;
@@ -91,10 +93,9 @@
 const MARGIN: Span = Span::millis(30);
 /// Time without a completion after which the age of the oldest run stands for one, and between two stops.
 const STALLED: Span = Span::millis(300);
-/// Mean age of the runs in hand, in mean runs, over which runs are expected to take longer than measured: as
-/// runs come to an end this is about 1, and a server that slows down or stalls shows it before any ends.
+/// Mean age of the runs on the cores, in mean runs (about 1 while they end as ever), past which longer ones
+/// are expected, and that expectation, in measured means, of a hung server.
 const PACE_AGE: f64 = 1.5;
-/// That expectation, in measured means, from which the server counts as hung.
 const HUNG: f64 = 4.0;
 /// What an idle handler's MRT keeps a tick: halved in about a second and a half.
 const IDLE_KEEPS: f64 = 0.995;
@@ -102,10 +103,9 @@
 const TENANT_SPAN: f64 = 5.0;
 /// A key's entry outlasts its window by this much, for the way from the machine to the module.
 const KEY_SLACK: Span = Span::millis(50);
-/// Time between two free values, and the one that means no limit where it counts outstanding reqs.
+/// Time between two free values, the one that means no limit on reqs, and the room for unlike callers.
 const FREE_EVERY: Span = Span::millis(100);
 const FREE_OPEN: f64 = 1000.0;
-/// Room that callers of unequal traffic get over an even split of the reqs in hand.
 const FREE_SKEW: f64 = 2.0;
 /// Advice to stay away, in waits expected at the back of the hold.
 const STAY_AWAY: f64 = 2.0;
@@ -512,7 +512,7 @@
         self.book.find(id, |_| true).is_some()
     }
 
-    /// Budget in seconds, share admitted and worker limit, for whoever looks on.
+    /// Budget in seconds, share admitted, worker limit.
     pub fn vitals(&self) -> [f64; 3] {
         [self.budget.secs, self.share.admitted, self.crew.limit]
     }
@@ -530,10 +530,8 @@
         let reached = now.before(a.unread_for);
         let stretch = a.hint.map_or(Span::ZERO, |w| w.times(h.target_stretch));
         let target = reached + (h.target.times(self.part) + stretch).min(h.timeout);
-        let mut due = if self.rules.says_wait { now + a.wait } else { (reached + h.timeout).max(now) };
-        if let Some((_, stop)) = self.leaving {
-            due = due.min(stop);
-        }
+        let due = if self.rules.says_wait { now + a.wait } else { (reached + h.timeout).max(now) };
+        let due = self.leaving.map_or(due, |(_, stop)| due.min(stop));
         let target = target.min(due.before(MARGIN));
         let r = self.book.add(Req::read(a, reached, target, due, h.value));
         self.due.insert((due.before(MARGIN), Due::Answer(r)));
@@ -614,11 +612,13 @@
     }
 
     // Stage 4: the admitted share; the rest is shed early, the least worth first. A server that fails its
-    // runs fast draws traffic by being quick: it sheds as large a share as fails, whatever the cause.
+    // runs fast draws traffic by being quick: it sheds as large a share as fails, whatever the cause, and
+    // tries only with reqs that may run again elsewhere.
     fn admission(&mut self, now: At, r: No, out: &mut dyn Results) -> Step {
         let (worth, chance) = (self.book.reqs[r].worth, self.chance.rand_float());
-        let failing =
-            self.failing > FAILING && self.chance.rand_float() < self.failing && self.book.running > 0;
+        let again = self.handlers[self.book.reqs[r].handler].repeats == Repeats::Replayable;
+        let probe = again && (self.chance.rand_float() > self.failing || self.book.running == 0);
+        let failing = self.failing > FAILING && !probe;
         let own = self.chance.rand_float() < self.share.own[self.book.reqs[r].handler];
         if failing || !own || !self.share.admits(worth, chance) {
             let last = !failing && self.all_crowded(now, r);
@@ -872,6 +872,7 @@
         let full = self.hold.len() > 0 && self.book.running as f64 + 1.0 > self.crew.limit;
         self.crew.step(gauges.on_cores.unwrap_or(self.book.running as f64), full, ceiling);
         self.calls.step(now);
+        self.failing *= FAIL_KEEPS;
         if gap < PAUSE {
             self.unfreeze(now);
             let floored = self.budget.secs <= self.budget.floor();
@@ -880,10 +881,9 @@
         }
         // A hung server tells callers that look at its health; where all hang nothing is lost by it.
         let good = self.leaving.is_none() && self.pace < HUNG;
-        if good != self.good {
+        if std::mem::replace(&mut self.good, good) != good {
             out.health(good);
         }
-        self.good = good;
         self.say_free(now, out);
         out.wake(TICK);
     }
