--- a/src/decide.rs
+++ b/src/decide.rs
@@ -15,7 +15,7 @@
 /// Weight of the newest response in a handler's MRT; the paper's.
 const MRT_ALPHA: f64 = 0.05;
 /// Share of the response target that MRT is steered to: with a mean at the target half would be late.
-const SETPOINT: f64 = 0.5;
+const SETPOINT: f64 = 0.8;
 /// Integral gain, in mean run times of budget for an error of one whole target (the paper's 1), and the most
 /// error that a step takes: one very late completion must not empty the budget.
 const K_I: f64 = 1.0;
