--- a/src/decide.rs
+++ b/src/decide.rs
@@ -42,7 +42,7 @@
 const SHARE_REGAIN: f64 = 0.2;
 /// Least share admitted: the loop needs completions to see that it may recover.
 const SHARE_LEAST: f64 = 0.3;
-/// Recent arrivals whose worth ranks a new one: a few seconds of one server's traffic.
+/// Recent arrivals whose value ranks a new one: a few seconds of one server's traffic.
 const RECENT: usize = 64;
 /// Run queue a core under which the worker limit grows, and over which it falls back: crowded cores do less.
 const ROOM: f64 = 1.1;
@@ -59,12 +59,12 @@
 /// Least and most part of this server's share below that calls may hold: it slows well before the whole.
 const CALLS_LEAST: f64 = 0.35;
 const CALLS_MOST: f64 = 0.9;
-/// Parts of those that optional calls of the least and the most worth may hold; others find room in the rest.
+/// Parts of those for optional calls, of the least and the most valuable reqs; the rest is for the others.
 const OPTIONAL_LEAST: f64 = 0.4;
 const OPTIONAL_PART: f64 = 0.9;
 /// Mean call time, in shortest response targets, over which the number allowed shrinks; under it, it grows.
 const CALLS_SLOW: f64 = 0.1;
-/// Change of the number allowed a call, in shares; weight of the newest call in the calls' time and failures.
+/// Change of the number allowed a call, in shares; weight of the newest call in the calls' time and errors.
 const CALLS_STEP: f64 = 0.02;
 const CALL_ALPHA: f64 = 0.1;
 /// Calls a req may repeat after outcomes that prove they did not run, and the first wait between them.
@@ -74,11 +74,11 @@
 const CALL_STUCK: f64 = 8.0;
 /// Share of the response target that a tier below gets of the whole.
 const TIER_PART: f64 = 0.4;
-/// Weight of the newest run in the share of failed ones, what it keeps a tick (halved in 7 s, so that one who
-/// can't try tries again), and the share from which arrivals go elsewhere.
-const FAIL_ALPHA: f64 = 0.08;
-const FAIL_KEEPS: f64 = 0.999;
-const FAILING: f64 = 0.25;
+/// Weight of the newest run in the share of errored ones, what that keeps a tick (halved in 7 s, so that a
+/// server that can't try tries again), and the share from which arrivals go elsewhere.
+const ERR_ALPHA: f64 = 0.08;
+const ERR_KEEPS: f64 = 0.999;
+const ERRING: f64 = 0.25;
 /// Weight of the newest arrival in the share that comes again, and sheds marked last for each such one.
 const AGAIN_ALPHA: f64 = 0.05;
 const LAST_GAIN: f64 = 4.0;
@@ -277,19 +277,19 @@
         }
     }
 
-    /// Whether a req of this worth is among those admitted, ranked with the latest arrivals.
-    fn admits(&mut self, worth: f64, chance: f64) -> bool {
-        self.recent.push_back(worth);
+    /// Whether a req of this value is among those admitted, ranked with the latest arrivals.
+    fn admits(&mut self, value: f64, chance: f64) -> bool {
+        self.recent.push_back(value);
         if self.recent.len() > RECENT {
             self.recent.pop_front();
         }
-        self.rank(worth, chance) >= 1.0 - self.admitted
+        self.rank(value, chance) >= 1.0 - self.admitted
     }
 
-    /// Where a worth stands among the latest arrivals, 0 to 1.
-    fn rank(&self, worth: f64, chance: f64) -> f64 {
-        let below = self.recent.iter().filter(|w| **w < worth).count() as f64;
-        let equal = self.recent.iter().filter(|w| **w == worth).count() as f64;
+    /// Where a value stands among the latest arrivals, 0 to 1.
+    fn rank(&self, value: f64, chance: f64) -> f64 {
+        let below = self.recent.iter().filter(|w| **w < value).count() as f64;
+        let equal = self.recent.iter().filter(|w| **w == value).count() as f64;
         (below + chance * equal) / self.recent.len().max(1) as f64
     }
 }
@@ -364,7 +364,7 @@
     part: f64,
     time: f64,
     slow: f64,
-    failing: f64,
+    erring: f64,
     waiting: Vec<No>,
     rest: At,
 }
@@ -396,7 +396,7 @@
         }
         if outcome != Outcome::Stopped {
             let bad = if outcome == Outcome::Done { 0.0 } else { 1.0 };
-            self.failing += CALL_ALPHA * (bad - self.failing);
+            self.erring += CALL_ALPHA * (bad - self.erring);
             // Only calls that came back tell the time: one that was given up on tells how long we waited.
             self.time += CALL_ALPHA * (spent.as_secs() - self.time) * (1.0 - bad);
             let step = CALLS_STEP.copysign(self.slow - self.time);
@@ -421,7 +421,7 @@
     }
 
     /// Counts an arrival and gives the mean value of this tenant's reqs: those past its share, which bear no
-    /// mark, are worth little.
+    /// mark, count for little.
     fn value(&mut self, now: At, tenant: usize) -> f64 {
         let Some(rate) = self.rate.get_mut(tenant) else { return 1.0 };
         let gap = (now - self.seen[tenant]).as_secs();
@@ -464,7 +464,7 @@
     tenants: Tenants,
     pace: f64,
     good: bool,
-    failing: f64,
+    erring: f64,
     again: f64,
     leaving: Option<(At, At)>,
     free: (f64, At),
@@ -501,7 +501,7 @@
             tenants: Tenants::new(now, tenants, place),
             pace: 1.0,
             good: true,
-            failing: 0.0,
+            erring: 0.0,
             again: 0.0,
             leaving: None,
             free: (FREE_OPEN, now),
@@ -585,8 +585,8 @@
         let req = &mut self.book.reqs[r];
         req.stage = Stage::Joined;
         if req.repeats == 0 {
-            // The wire joins a try to the one it names; one that names none can only be told that it failed.
-            self.fail(r, out);
+            // The wire joins a try to the one it names; one that names none can only be told that it errored.
+            self.give_error(r, out);
         } else {
             out.join(req.id);
         }
@@ -602,26 +602,26 @@
         Continue(())
     }
 
-    // Stage 3: the worth of a req: its value, less what its tenant sends past its share, for its work.
+    // Stage 3: the value of a req: its value, less what its tenant sends past its share, for its work.
     fn tenant_share(&mut self, now: At, r: No, _out: &mut dyn Results) -> Step {
         let req = &mut self.book.reqs[r];
         let within = self.tenants.value(now, req.tenant);
         let work = if self.by_work { 1.0 } else { self.budget.run[req.handler] / self.budget.mean_run };
-        req.worth = self.handlers[req.handler].value * within / work.max(1e-3);
+        req.value = self.handlers[req.handler].value * within / work.max(1e-3);
         Continue(())
     }
 
-    // Stage 4: the admitted share; the rest is shed early, the least worth first. A server that fails its
-    // runs fast draws traffic by being quick: it sheds as large a share as fails, whatever the cause, and
+    // Stage 4: the admitted share; the rest is shed early, the least valuable first. A server that errors its
+    // runs fast draws traffic by being quick: it sheds as large a share as errors, whatever the cause, and
     // tries only with reqs that may run again elsewhere.
     fn admission(&mut self, now: At, r: No, out: &mut dyn Results) -> Step {
-        let (worth, chance) = (self.book.reqs[r].worth, self.chance.rand_float());
+        let (value, chance) = (self.book.reqs[r].value, self.chance.rand_float());
         let again = self.handlers[self.book.reqs[r].handler].repeats == Repeats::Replayable;
-        let probe = again && (self.chance.rand_float() > self.failing || self.book.running == 0);
-        let failing = self.failing > FAILING && !probe;
+        let probe = again && (self.chance.rand_float() > self.erring || self.book.running == 0);
+        let erring = self.erring > ERRING && !probe;
         let own = self.chance.rand_float() < self.share.own[self.book.reqs[r].handler];
-        if failing || !own || !self.share.admits(worth, chance) {
-            let last = !failing && self.all_crowded(now, r);
+        if erring || !own || !self.share.admits(value, chance) {
+            let last = !erring && self.all_crowded(now, r);
             self.shed(now, r, last, out);
             return Break(());
         }
@@ -673,7 +673,7 @@
     }
 
     /// Final answer: errored. Work on the cores is stopped where it can be; a run at a call ends itself.
-    fn fail(&mut self, r: No, out: &mut dyn Results) {
+    fn give_error(&mut self, r: No, out: &mut dyn Results) {
         out.errored(self.book.reqs[r].id);
         if self.book.reqs[r].stage.started() {
             self.abandon(r, out);
@@ -759,20 +759,20 @@
 
     // Stage 7: calls below. An optional call is skipped once the allowance is spent while a handler exceeds
     // its target, and besides (whatever the cause) where it would make the answer late, where calls mostly
-    // fail, or where this server's part of what lies below is taken: calls that can't be skipped go first.
+    // err, or where this server's part of what lies below is taken: calls that can't be skipped go first.
     fn call_stage(&mut self, now: At, r: No, out: &mut dyn Results) {
-        let failing = self.chance.rand_float() < self.calls.failing;
-        let rank = self.share.rank(self.book.reqs[r].worth, 1.0);
+        let erring = self.chance.rand_float() < self.calls.erring;
+        let rank = self.share.rank(self.book.reqs[r].value, 1.0);
         let part = OPTIONAL_LEAST + (OPTIONAL_PART - OPTIONAL_LEAST) * rank;
         let req = &mut self.book.reqs[r];
         let optional = self.handlers[req.handler].partial_value > 0.0;
         let spent = now - req.started > req.allowance && self.budget.worst() > 1.0;
         let late = now + Span::secs(self.calls.time) > req.target;
-        let worthless = self.handlers[req.handler].late_value == 0.0;
-        if late && !optional && worthless && self.calls.out > 0 {
-            // Worth nothing by the time its call is back: another run has better use for the call.
-            self.fail(r, out);
-        } else if optional && (spent || late || failing || !self.calls.room(now, &self.below, part)) {
+        let late_is_nothing = self.handlers[req.handler].late_value == 0.0;
+        if late && !optional && late_is_nothing && self.calls.out > 0 {
+            // Nothing is gained by the time its call is back: another run has better use for the call.
+            self.give_error(r, out);
+        } else if optional && (spent || late || erring || !self.calls.room(now, &self.below, part)) {
             (req.stage, req.trimmed) = (Stage::Running, true);
             out.skip(req.id);
         } else if !self.calls.room(now, &self.below, 1.0) {
@@ -780,7 +780,7 @@
         } else {
             // A call far past the usual time is stuck, most often at a machine gone silent; it holds a run.
             let stuck = now + Span::secs(CALL_STUCK * self.calls.time) + CALL_WAIT;
-            let until = if optional || worthless { req.target } else { req.due.before(MARGIN) };
+            let until = if optional || late_is_nothing { req.target } else { req.due.before(MARGIN) };
             req.stage = Stage::Calling;
             self.calls.out += 1;
             out.call(req.id, (until.min(stuck) - now).max(Span::millis(1)));
@@ -808,7 +808,7 @@
             (req.stage, req.trimmed) = (Stage::Running, true);
             out.skip(id);
         } else if (unproven && h.repeats != Repeats::Replayable) || req.tries > CALL_TRIES || late {
-            self.fail(r, out);
+            self.give_error(r, out);
         } else {
             self.due.insert((now + wait, Due::Call(r)));
         }
@@ -826,7 +826,7 @@
         self.calls.waiting.retain(|w| *w != r);
         if req.stage.started() && !req.answered && matches!(outcome, Outcome::Done | Outcome::Errored) {
             let bad = if outcome == Outcome::Done { 0.0 } else { 1.0 };
-            self.failing += FAIL_ALPHA * (bad - self.failing);
+            self.erring += ERR_ALPHA * (bad - self.erring);
             self.completed = now;
             if outcome == Outcome::Done {
                 if !req.trimmed {
@@ -872,7 +872,7 @@
         let full = self.hold.len() > 0 && self.book.running as f64 + 1.0 > self.crew.limit;
         self.crew.step(gauges.on_cores.unwrap_or(self.book.running as f64), full, ceiling);
         self.calls.step(now);
-        self.failing *= FAIL_KEEPS;
+        self.erring *= ERR_KEEPS;
         if gap < PAUSE {
             self.unfreeze(now);
             let floored = self.budget.secs <= self.budget.floor();
@@ -923,7 +923,7 @@
             Free::Allowance if self.share.admitted >= 1.0 && self.hold.len() == 0 => FREE_OPEN,
             Free::Allowance => FREE_SKEW * in_hand / f64::from(self.callers.count.max(1)),
             Free::Floor => 1.0 - self.share.admitted,
-            _ => self.share.admitted * (1.0 - self.failing),
+            _ => self.share.admitted * (1.0 - self.erring),
         };
         if value != self.free.0 {
             out.free_value(value);
@@ -964,7 +964,7 @@
                 match (what, req.stage, req.answered) {
                     (Due::Answer(_), Stage::Held, _) => self.shed(now, r, false, out),
                     (Due::Answer(_), Stage::Following, _) => self.shed(now, r, true, out),
-                    (Due::Answer(_), _, false) => self.fail(r, out),
+                    (Due::Answer(_), _, false) => self.give_error(r, out),
                     (Due::Call(_), Stage::AtCall, false) => self.call_stage(now, r, out),
                     (Due::Stop(_), Stage::Running, true) => self.abandon(r, out),
                     _ => {}
@@ -973,31 +973,31 @@
         }
     }
 
-    /// Memory guard: held reqs are shed, the least worth first, before the machine needs more than it has.
+    /// Memory guard: held reqs are shed, the least valuable first, before the machine needs more than it has.
     fn make_room(&mut self, now: At, out: &mut dyn Results) {
-        let worth = |d: &Self, r: &No| d.book.reqs[*r].worth;
+        let value = |d: &Self, r: &No| d.book.reqs[*r].value;
         while self.memory() > self.machine.memory_kb * MEMORY_HOLD {
             let least =
-                self.hold.in_order().into_iter().min_by(|a, b| worth(self, a).total_cmp(&worth(self, b)));
+                self.hold.in_order().into_iter().min_by(|a, b| value(self, a).total_cmp(&value(self, b)));
             let Some(r) = least else { return };
             self.shed(now, r, false, out);
         }
     }
 
     /// A held req that can't be answered within its target any more is given up on at once; in its place the
-    /// least worth of those before it goes, so that the most value is answered (after Moore and Hodgson).
+    /// least valuable of those before it goes, so that the most value is answered (after Moore and Hodgson).
     /// Holds for any cause of a long wait. The first req stays while nothing runs: someone has to try.
     fn give_up(&mut self, now: At, out: &mut dyn Results) {
         let mut ahead = self.started();
         let mut taken: Vec<(No, f64)> = vec![];
         let mut lost: Vec<No> = vec![];
-        let worth = |r: No| self.book.reqs[r].worth;
+        let value = |r: No| self.book.reqs[r].value;
         for r in self.hold.in_order() {
             let run = self.expected(r).as_secs();
             taken.push((r, run));
             if now + Span::secs(ahead / self.crew.limit + run) > self.book.reqs[r].target {
                 let least = |a: &(usize, &(No, f64)), b: &(usize, &(No, f64))| {
-                    worth(a.1.0).total_cmp(&worth(b.1.0)).then(b.1.1.total_cmp(&a.1.1))
+                    value(a.1.0).total_cmp(&value(b.1.0)).then(b.1.1.total_cmp(&a.1.1))
                 };
                 let worst = taken.iter().enumerate().rev().min_by(least).map_or(0, |w| w.0);
                 let (victim, freed) = taken.remove(worst);
--- a/src/req.rs
+++ b/src/req.rs
@@ -55,7 +55,7 @@
     pub kb: f64,
     pub retry: bool,
     pub repeats: u64,
-    pub worth: f64,
+    pub value: f64,
     pub stage: Stage,
     pub started: At,
     pub allowance: Span,
@@ -68,7 +68,7 @@
 }
 
 impl Req {
-    pub fn read(a: &Arrival, reached: At, target: At, due: At, worth: f64) -> Req {
+    pub fn read(a: &Arrival, reached: At, target: At, due: At, value: f64) -> Req {
         Req {
             id: a.id,
             handler: a.handler,
@@ -81,7 +81,7 @@
             kb: a.held_kb,
             retry: a.retry,
             repeats: a.repeats,
-            worth,
+            value,
             ..Req::default()
         }
     }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -166,7 +166,7 @@
                 self.with(|d, now, out| d.arrive(now, &a, out));
             }
             "done" => self.with(|d, now, out| d.ended(now, id, Outcome::Done, span(w.0[1]), out)),
-            "failed" => self.with(|d, now, out| d.ended(now, id, Outcome::Errored, span(w.0[1]), out)),
+            "erred" => self.with(|d, now, out| d.ended(now, id, Outcome::Errored, span(w.0[1]), out)),
             "stopped" => self.with(|d, now, out| d.ended(now, id, Outcome::Stopped, Span::ZERO, out)),
             "atcall" => self.with(|d, now, out| d.at_call(now, id, out)),
             "called" => {
