--- a/crates/drill/src/host.rs
+++ b/crates/drill/src/host.rs
@@ -14,7 +14,6 @@
     tenants: usize,
     says_wait: bool,
     on_cores: Option<usize>,
-    memory: Option<usize>,
 }
 
 #[derive(Default)]
@@ -117,7 +116,7 @@
                 let values = (0..n).map(|_| f.f32()).collect::<Result<Vec<f64>, String>>()?;
                 self.guarded(who, |i, out| {
                     let read = |at: Option<usize>| at.and_then(|at| values.get(at)).copied();
-                    let gauges = Gauges { on_cores: read(i.on_cores), memory: read(i.memory) };
+                    let gauges = Gauges { on_cores: read(i.on_cores) };
                     i.decider.tick(now, &gauges, out);
                 })
             }
@@ -172,7 +171,6 @@
             tenants: s.tenants.len(),
             says_wait: s.rules.says_wait,
             on_cores: meter("on_cores"),
-            memory: meter("heap_share"),
         }
     }
 }
--- a/crates/drill/src/settings.rs
+++ b/crates/drill/src/settings.rs
@@ -83,8 +83,6 @@
     #[serde(default)]
     dep_share: f64,
     #[serde(default)]
-    share_span_us: u64,
-    #[serde(default)]
     linger_us: u64,
     #[serde(default)]
     class_calls: Vec<bool>,
@@ -201,7 +199,6 @@
         below: Below {
             kind: word(&info.below, &belows, "family_info.below")?,
             share: info.dep_share,
-            span: Span::micros(info.share_span_us),
             linger: Span::micros(info.linger_us),
         },
         callers: Callers {
--- a/src/face.rs
+++ b/src/face.rs
@@ -66,7 +66,6 @@
 pub struct Below {
     pub kind: BelowKind,
     pub share: f64,
-    pub span: Span,
     pub linger: Span,
 }
 
@@ -140,7 +139,6 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Gauges {
     pub on_cores: Option<f64>,
-    pub memory: Option<f64>,
 }
 
 /// Where the module's results go; each call takes effect in the order made.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -152,7 +152,7 @@
         while self.ticked + Span::millis(10) < until {
             self.ticked = self.ticked + Span::millis(10);
             self.now = self.now.max(self.ticked);
-            let gauges = Gauges { on_cores: self.queue, memory: None };
+            let gauges = Gauges { on_cores: self.queue };
             self.with(|d, now, out| d.tick(now, &gauges, out));
             self.with(|d, now, out| d.settle(now, out));
         }
@@ -315,7 +315,7 @@
 fn below(w: &Words) -> Below {
     let kind = if w.has("shared") { BelowKind::Shared } else { BelowKind::Tier };
     let kind = if w.0.is_empty() { BelowKind::Nothing } else { kind };
-    Below { kind, share: w.num("share", 1.0), span: w.span("span", "5s"), linger: w.span("linger", "200ms") }
+    Below { kind, share: w.num("share", 1.0), linger: w.span("linger", "200ms") }
 }
 
 fn callers(w: &Words) -> Callers {
