One place skips a call; unread fields, an unused result and a type alias go

Both places that skip a call now call one; a req's subject was copied and never read, the end of a run never answers anything, and the alias for a point in time had no user.

--- a/crates/drill/src/host.rs
+++ b/crates/drill/src/host.rs
@@ -92,7 +92,7 @@
             }
             wire::ENDED => {
                 let (id, how, spent) = (f.u64()?, outcome(f.u8()?)?, f.span()?);
-                self.guarded(who, |i, out| i.decider.ended(now, id, how, spent, out))
+                self.guarded(who, |i, _| i.decider.ended(now, id, how, spent))
             }
             wire::AWAITING => {
                 let id = f.u64()?;
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -773,8 +773,7 @@
             // Nothing is gained by the time its call is back: another run has better use for the call.
             self.give_error(r, out);
         } else if optional && (spent || late || erring || !self.calls.room(now, &self.below, part)) {
-            (req.stage, req.trimmed) = (Stage::Running, true);
-            out.skip(req.id);
+            req.skip(out);
         } else if !self.calls.room(now, &self.below, 1.0) {
             self.calls.waiting.push(r);
         } else {
@@ -805,8 +804,7 @@
         let wait = CALL_WAIT.times(f64::from(1u32 << req.tries.min(6)));
         let late = now + wait + Span::secs(self.calls.time) > req.target;
         if h.partial_value > 0.0 && (late || req.tries > 1) {
-            (req.stage, req.trimmed) = (Stage::Running, true);
-            out.skip(id);
+            req.skip(out);
         } else if (unproven && h.repeats != Repeats::Replayable) || req.tries > CALL_TRIES || late {
             self.give_error(r, out);
         } else {
@@ -815,7 +813,7 @@
     }
 
     /// A run ended: the outcome goes back through the chain, calls first and keys last.
-    pub fn ended(&mut self, now: At, id: u64, outcome: Outcome, spent: Span, _out: &mut dyn Results) {
+    pub fn ended(&mut self, now: At, id: u64, outcome: Outcome, spent: Span) {
         let Some(r) = self.book.find(id, |q| q.stage != Stage::Held && q.stage != Stage::Following) else {
             return;
         };
--- a/src/face.rs
+++ b/src/face.rs
@@ -1,6 +1,6 @@
 //! What the decision module is told and what it answers through. Nothing is decided here.
 
-use crate::time::{At, Span};
+use crate::time::Span;
 
 /// What may be done with a req that comes a second time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -156,6 +156,3 @@
     fn free_value(&mut self, value: f64);
     fn wake(&mut self, after: Span);
 }
-
-/// The clock as the module reads it, handed along with every call.
-pub type Now = At;
--- a/src/req.rs
+++ b/src/req.rs
@@ -1,6 +1,6 @@
 //! A req and a uniqued req's tries as the module keeps them, under small numbers. Nothing is decided here.
 
-use crate::face::Arrival;
+use crate::face::{Arrival, Results};
 use crate::time::{At, Span};
 use slotmap::{SlotMap, new_key_type};
 use std::collections::HashMap;
@@ -47,7 +47,6 @@
     pub id: u64,
     pub handler: usize,
     pub tenant: usize,
-    pub subject: u64,
     pub reached: At,
     pub target: At,
     pub due: At,
@@ -73,7 +72,6 @@
             id: a.id,
             handler: a.handler,
             tenant: a.tenant,
-            subject: a.subject,
             reached,
             target,
             due,
@@ -85,6 +83,12 @@
             ..Req::default()
         }
     }
+
+    /// The run goes on without the call that it stands at.
+    pub fn skip(&mut self, out: &mut dyn Results) {
+        (self.stage, self.trimmed) = (Stage::Running, true);
+        out.skip(self.id);
+    }
 }
 
 /// All tries of one uniqued req on this server.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -165,9 +165,9 @@
                 let a = self.arrival(id, w);
                 self.with(|d, now, out| d.arrive(now, &a, out));
             }
-            "done" => self.with(|d, now, out| d.ended(now, id, Outcome::Done, span(w.0[1]), out)),
-            "erred" => self.with(|d, now, out| d.ended(now, id, Outcome::Errored, span(w.0[1]), out)),
-            "stopped" => self.with(|d, now, out| d.ended(now, id, Outcome::Stopped, Span::ZERO, out)),
+            "done" => self.with(|d, now, _| d.ended(now, id, Outcome::Done, span(w.0[1]))),
+            "erred" => self.with(|d, now, _| d.ended(now, id, Outcome::Errored, span(w.0[1]))),
+            "stopped" => self.with(|d, now, _| d.ended(now, id, Outcome::Stopped, Span::ZERO)),
             "atcall" => self.with(|d, now, out| d.at_call(now, id, out)),
             "called" => {
                 let how = match w.0[1] {
