--- a/crates/drill/src/settings.rs
+++ b/crates/drill/src/settings.rs
@@ -85,6 +85,8 @@
     #[serde(default)]
     linger_us: u64,
     #[serde(default)]
+    share_span_us: u64,
+    #[serde(default)]
     class_calls: Vec<bool>,
     #[serde(default)]
     class_skip_worth: Vec<f64>,
@@ -200,6 +202,7 @@
             kind: word(&info.below, &belows, "family_info.below")?,
             share: info.dep_share,
             linger: Span::micros(info.linger_us),
+            span: Span::micros(info.share_span_us),
         },
         callers: Callers {
             count: info.upstreams,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -57,13 +57,13 @@
 const MEMORY_START: f64 = 0.90;
 const MEMORY_HOLD: f64 = 0.96;
 /// Least and most part of this server's share below that calls may hold: it slows well before the whole.
-const CALLS_LEAST: f64 = 0.35;
+const CALLS_LEAST: f64 = 0.2;
 const CALLS_MOST: f64 = 0.9;
 /// Parts of those for optional calls, of the least and the most valuable reqs; the rest is for the others.
 const OPTIONAL_LEAST: f64 = 0.4;
 const OPTIONAL_PART: f64 = 0.9;
 /// Mean call time, in shortest response targets, over which the number allowed shrinks; under it, it grows.
-const CALLS_SLOW: f64 = 0.1;
+const CALLS_SLOW: f64 = 0.025;
 /// Change of the number allowed a call, in shares; weight of the newest call in the calls' time and errors.
 const CALLS_STEP: f64 = 0.02;
 const CALL_ALPHA: f64 = 0.1;
@@ -361,36 +361,42 @@
 struct Calls {
     out: usize,
     lingering: VecDeque<At>,
+    /// Seconds in hand that this server has left over from its share of late, and when they were counted.
+    credit: f64,
+    counted: At,
     part: f64,
     time: f64,
     slow: f64,
     erring: f64,
     waiting: Vec<No>,
-    rest: At,
 }
 
 impl Calls {
-    /// Whether one more call keeps this server within its share. The mean over the rule's span is bounded by
-    /// bounding the number in hand; a share under one call by a rest after each, once calls are slow.
-    fn room(&self, now: At, below: &Below, part: f64) -> bool {
-        if below.kind != BelowKind::Shared {
-            return true;
+    /// Brings the account up to now; gives the number in hand and the most that the account may hold.
+    fn count(&mut self, now: At, below: &Below) -> (f64, f64) {
+        while self.lingering.front().is_some_and(|t| *t <= now) {
+            self.lingering.pop_front();
         }
-        let most = (below.share * self.part * part).max(below.share.min(1.0) * CALLS_MOST);
         let held = (self.out + self.lingering.len()) as f64;
-        let spaced = held == 0.0 && (now >= self.rest || self.time < self.slow);
-        if most >= 1.0 { held + 1.0 <= most } else { spaced }
+        let most = below.share * (1.0 - CALLS_MOST) * below.span.as_secs();
+        self.credit += (below.share * self.part - held) * (now - self.counted).as_secs();
+        (self.credit, self.counted) = (self.credit.min(most), now);
+        (held, most)
     }
 
-    fn step(&mut self, now: At) {
-        while self.lingering.front().is_some_and(|t| *t <= now) {
-            self.lingering.pop_front();
-        }
+    /// Whether one more call keeps the mean in hand over the rule's span within this server's share: either
+    /// the number in hand does, or what earlier calls left of the share bears it. So a share under one call
+    /// lets quick calls go together, and holds back when they slow, however many servers do so at once.
+    fn room(&mut self, now: At, below: &Below, part: f64) -> bool {
+        let (held, most) = self.count(now, below);
+        below.kind != BelowKind::Shared
+            || held + 1.0 <= below.share * self.part * part
+            || self.credit - held * self.time > most * (1.0 - part)
     }
 
     fn over(&mut self, now: At, outcome: Outcome, spent: Span, below: &Below) {
+        self.count(now, below);
         self.out = self.out.saturating_sub(1);
-        self.rest = now + spent.times(1.0 / (below.share * CALLS_MOST).clamp(1e-3, 1.0) - 1.0);
         if matches!(outcome, Outcome::TimedOut | Outcome::Stopped) {
             self.lingering.push_back(now + below.linger);
         }
@@ -497,7 +503,7 @@
             share: Share { admitted: 1.0, own: vec![1.0; handlers.len()], recent: VecDeque::new() },
             hold: Hold::default(),
             crew: Crew { limit: f64::from(machine.cores), cores: f64::from(machine.cores), queue: 0.0 },
-            calls: Calls { slow, time: slow, part: CALLS_MOST, ..Calls::default() },
+            calls: Calls { counted: now, slow, time: slow, part: CALLS_MOST, ..Calls::default() },
             tenants: Tenants::new(now, tenants, place),
             pace: 1.0,
             good: true,
@@ -869,7 +875,7 @@
         let ceiling = ceiling(now, self.began, &self.machine);
         let full = self.hold.len() > 0 && self.book.running as f64 + 1.0 > self.crew.limit;
         self.crew.step(gauges.on_cores.unwrap_or(self.book.running as f64), full, ceiling);
-        self.calls.step(now);
+        self.calls.count(now, &self.below);
         self.erring *= ERR_KEEPS;
         if gap < PAUSE {
             self.unfreeze(now);
--- a/src/face.rs
+++ b/src/face.rs
@@ -67,6 +67,8 @@
     pub kind: BelowKind,
     pub share: f64,
     pub linger: Span,
+    /// The span over which the calls in hand are averaged.
+    pub span: Span,
 }
 
 /// What the free value on answers means to the callers.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -315,7 +315,7 @@
 fn below(w: &Words) -> Below {
     let kind = if w.has("shared") { BelowKind::Shared } else { BelowKind::Tier };
     let kind = if w.0.is_empty() { BelowKind::Nothing } else { kind };
-    Below { kind, share: w.num("share", 1.0), linger: w.span("linger", "200ms") }
+    Below { kind, share: w.num("share", 1.0), linger: w.span("linger", "200ms"), span: w.span("span", "5s") }
 }
 
 fn callers(w: &Words) -> Callers {
