Calls in hand shrink as they slow against their own best; the last come goes first

Cause: slowness was judged in shares of the response target and never reached, so up to four times the trip book's slots were in hand while it was slow.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -62,10 +62,9 @@
 /// Parts of those for optional calls, of the least and the most valuable reqs; the rest is for the others.
 const OPTIONAL_LEAST: f64 = 0.4;
 const OPTIONAL_PART: f64 = 0.9;
-/// Mean call time, in shortest response targets, over which the number allowed shrinks; under it, it grows.
-const CALLS_SLOW: f64 = 0.025;
-/// Change of the number allowed a call, in shares; weight of the newest call in the calls' time and errors.
-const CALLS_STEP: f64 = 0.02;
+/// Mean call time, in the calls' own best, from which the number in hand shrinks as the time grows.
+const CALLS_SLOW: f64 = 1.2;
+/// Weight of the newest call in the calls' time and errors.
 const CALL_ALPHA: f64 = 0.1;
 /// Calls a req may repeat after outcomes that prove they did not run, and the first wait between them.
 const CALL_TRIES: u32 = 6;
@@ -364,14 +363,18 @@
     /// Seconds in hand that this server has left over from its share of late, and when they were counted.
     credit: f64,
     counted: At,
-    part: f64,
     time: f64,
-    slow: f64,
+    best: f64,
     erring: f64,
     waiting: Vec<No>,
 }
 
 impl Calls {
+    /// The part of this server's share that calls may hold: it shrinks as they slow, for any cause.
+    fn part(&self) -> f64 {
+        (CALLS_MOST * CALLS_SLOW * self.best / self.time).clamp(CALLS_LEAST, CALLS_MOST)
+    }
+
     /// Brings the account up to now; gives the number in hand and the most that the account may hold.
     fn count(&mut self, now: At, below: &Below) -> (f64, f64) {
         while self.lingering.front().is_some_and(|t| *t <= now) {
@@ -379,7 +382,7 @@
         }
         let held = (self.out + self.lingering.len()) as f64;
         let most = below.share * (1.0 - CALLS_MOST) * below.span.as_secs();
-        self.credit += (below.share * self.part - held) * (now - self.counted).as_secs();
+        self.credit += (below.share * self.part() - held) * (now - self.counted).as_secs();
         (self.credit, self.counted) = (self.credit.min(most), now);
         (held, most)
     }
@@ -390,7 +393,7 @@
     fn room(&mut self, now: At, below: &Below, part: f64) -> bool {
         let (held, most) = self.count(now, below);
         below.kind != BelowKind::Shared
-            || held + 1.0 <= below.share * self.part * part
+            || held + 1.0 <= below.share * self.part() * part
             || self.credit - held * self.time > most * (1.0 - part)
     }
 
@@ -405,8 +408,7 @@
             self.erring += CALL_ALPHA * (bad - self.erring);
             // Only calls that came back tell the time: one that was given up on tells how long we waited.
             self.time += CALL_ALPHA * (spent.as_secs() - self.time) * (1.0 - bad);
-            let step = CALLS_STEP.copysign(self.slow - self.time);
-            self.part = (self.part + step).clamp(CALLS_LEAST, CALLS_MOST);
+            self.best = (self.best * BEST_DRIFT).min(self.time);
         }
     }
 }
@@ -483,7 +485,7 @@
         callers: &Callers, place: &Place, rules: &Rules,
     ) -> Decider {
         let part = if place.tier == 0 { 1.0 } else { TIER_PART };
-        let slow = handlers.iter().map(|h| h.target.as_secs()).fold(f64::MAX, f64::min) * part * CALLS_SLOW;
+        let time = handlers.iter().map(|h| h.target.as_secs()).fold(f64::MAX, f64::min) * part * RUN_GUESS;
         Decider {
             chance: oorandom::Rand64::new(u128::from(seed)),
             began: now,
@@ -503,7 +505,7 @@
             share: Share { admitted: 1.0, own: vec![1.0; handlers.len()], recent: VecDeque::new() },
             hold: Hold::default(),
             crew: Crew { limit: f64::from(machine.cores), cores: f64::from(machine.cores), queue: 0.0 },
-            calls: Calls { counted: now, slow, time: slow, part: CALLS_MOST, ..Calls::default() },
+            calls: Calls { counted: now, time, best: time, ..Calls::default() },
             tenants: Tenants::new(now, tenants, place),
             pace: 1.0,
             good: true,
@@ -948,9 +950,10 @@
         }
         self.make_room(now, out);
         self.give_up(now, out);
-        for r in std::mem::take(&mut self.calls.waiting) {
+        for r in std::mem::take(&mut self.calls.waiting).into_iter().rev() {
             self.fall_due(now, Due::Call(r), out);
         }
+        self.calls.waiting.reverse();
         self.start(now, out);
     }
 
