A shed req that nobody can answer in time any more is marked last

Cause: reqs that waited unread at a crowded server were sent on past their response target and took reading and runs elsewhere.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -667,7 +667,8 @@
         let crowd = (self.crew.queue / self.crew.cores).max(1.0);
         let alone = warming || self.pace * self.budget.mean_run > SLOW_HERE * crowd * self.budget.best_run;
         let likely = self.chance.rand_float() < LAST_GAIN * self.again;
-        self.book.reqs[r].retry || (likely && (self.callers.mark_retries || !alone))
+        let late = now + self.expected(r) > self.book.reqs[r].target;
+        late || self.book.reqs[r].retry || (likely && (self.callers.mark_retries || !alone))
     }
 
     /// Final answer: not run, may be taken elsewhere. Only for reqs that never started.
