--- a/src/decide.rs
+++ b/src/decide.rs
@@ -59,12 +59,11 @@
 /// Least and most part of this server's share below that calls may hold: it slows well before the whole.
 const CALLS_LEAST: f64 = 0.2;
 const CALLS_MOST: f64 = 0.9;
-/// Parts of those for optional calls, of the least and the most valuable reqs; the rest is for the others.
-const OPTIONAL_LEAST: f64 = 0.4;
+/// Part of those for the optional calls of the most valuable reqs, less for others, by rank.
 const OPTIONAL_PART: f64 = 0.9;
 /// Mean call time, in the calls' own best, from which the number in hand shrinks as the time grows.
 const CALLS_SLOW: f64 = 1.2;
-/// Weight of the newest call in the calls' time and errors.
+/// Weight of the newest call in the calls' time.
 const CALL_ALPHA: f64 = 0.1;
 /// Calls a req may repeat after outcomes that prove they did not run, and the first wait between them.
 const CALL_TRIES: u32 = 6;
@@ -365,7 +364,6 @@
     counted: At,
     time: f64,
     best: f64,
-    erring: f64,
     waiting: Vec<No>,
 }
 
@@ -403,11 +401,9 @@
         if matches!(outcome, Outcome::TimedOut | Outcome::Stopped) {
             self.lingering.push_back(now + below.linger);
         }
-        if outcome != Outcome::Stopped {
-            let bad = if outcome == Outcome::Done { 0.0 } else { 1.0 };
-            self.erring += CALL_ALPHA * (bad - self.erring);
-            // Only calls that came back tell the time: one that was given up on tells how long we waited.
-            self.time += CALL_ALPHA * (spent.as_secs() - self.time) * (1.0 - bad);
+        // Only calls that came back tell the time: one that was given up on tells how long we waited.
+        if outcome == Outcome::Done {
+            self.time += CALL_ALPHA * (spent.as_secs() - self.time);
             self.best = (self.best * BEST_DRIFT).min(self.time);
         }
     }
@@ -767,12 +763,11 @@
     }
 
     // Stage 7: calls below. An optional call is skipped once the allowance is spent while a handler exceeds
-    // its target, and besides (whatever the cause) where it would make the answer late, where calls mostly
-    // err, or where this server's part of what lies below is taken: calls that can't be skipped go first.
+    // its target, and besides (whatever the cause) where it would make the answer late, or
+    // where this server's part of what lies below is taken: calls that can't be skipped go first.
     fn call_stage(&mut self, now: At, r: No, out: &mut dyn Results) {
-        let erring = self.chance.rand_float() < self.calls.erring;
         let rank = self.share.rank(self.book.reqs[r].value, 1.0);
-        let part = OPTIONAL_LEAST + (OPTIONAL_PART - OPTIONAL_LEAST) * rank;
+        let part = OPTIONAL_PART * rank;
         let req = &mut self.book.reqs[r];
         let optional = self.handlers[req.handler].partial_value > 0.0;
         let spent = now - req.started > req.allowance && self.budget.worst() > 1.0;
@@ -781,7 +776,7 @@
         if late && !optional && late_is_nothing && self.calls.out > 0 {
             // Nothing is gained by the time its call is back: another run has better use for the call.
             self.give_error(r, out);
-        } else if optional && (spent || late || erring || !self.calls.room(now, &self.below, part)) {
+        } else if optional && (spent || late || !self.calls.room(now, &self.below, part)) {
             req.skip(out);
         } else if !self.calls.room(now, &self.below, 1.0) {
             self.calls.waiting.push(r);
