--- a/src/decide.rs
+++ b/src/decide.rs
@@ -194,11 +194,7 @@
 
     /// The worst handler's latency as a share of what it is steered to.
     fn worst(&self) -> f64 {
-        (0..self.mrt.len()).map(|h| self.ratio(h)).fold(0.0, f64::max)
-    }
-
-    fn ratio(&self, handler: usize) -> f64 {
-        self.mrt[handler] / self.targets[handler]
+        self.mrt.iter().zip(&self.targets).map(|(m, t)| m / t).fold(0.0, f64::max)
     }
 
     fn floor(&self) -> f64 {
@@ -253,26 +249,18 @@
     }
 }
 
-/// The integral share of arrivals admitted, of all and of each handler's own.
+/// The integral share of arrivals admitted.
 struct Share {
     admitted: f64,
-    own: Vec<f64>,
     recent: VecDeque<f64>,
 }
 
 impl Share {
-    /// One step of the integral loop. While the cores are busy all handlers compete for them and the share
-    /// of all is cut; while they have room the cause lies elsewhere (calls below, most often), and only the
-    /// handlers that exceed their own targets are cut. Harm: none yet seen; a slow disk looks the same.
-    fn step(&mut self, dt: Span, floored: bool, busy: bool, over: impl Fn(usize) -> f64) {
-        let change = |over: f64, cut: bool| {
-            dt.as_secs() * if cut && over > 0.0 { -SHARE_CUT * over.min(STEP_MOST) } else { SHARE_REGAIN }
-        };
-        let worst = (0..self.own.len()).map(&over).fold(-1.0, f64::max);
-        self.admitted = (self.admitted + change(worst, floored && busy)).clamp(SHARE_LEAST, 1.0);
-        for (h, own) in self.own.iter_mut().enumerate() {
-            *own = (*own + change(over(h), floored && !busy)).clamp(SHARE_LEAST, 1.0);
-        }
+    /// One step of the integral loop: `over` is what the worst handler exceeds its target by, `cut` whether
+    /// fewer arrivals would help.
+    fn step(&mut self, dt: Span, over: f64, cut: bool) {
+        let change = if cut && over > 0.0 { -SHARE_CUT * over.min(STEP_MOST) } else { SHARE_REGAIN };
+        self.admitted = (self.admitted + dt.as_secs() * change).clamp(SHARE_LEAST, 1.0);
     }
 
     /// Whether a req of this value is among those admitted, ranked with the latest arrivals.
@@ -498,7 +486,7 @@
             keys: KeyBook::default(),
             due: BTreeSet::new(),
             budget: Budget::new(now, machine.cores, handlers, part),
-            share: Share { admitted: 1.0, own: vec![1.0; handlers.len()], recent: VecDeque::new() },
+            share: Share { admitted: 1.0, recent: VecDeque::new() },
             hold: Hold::default(),
             crew: Crew { limit: f64::from(machine.cores), cores: f64::from(machine.cores), queue: 0.0 },
             calls: Calls { counted: now, time, best: time, ..Calls::default() },
@@ -623,8 +611,7 @@
         let again = self.handlers[self.book.reqs[r].handler].repeats == Repeats::Replayable;
         let probe = again && (self.chance.rand_float() > self.erring || self.book.running == 0);
         let erring = self.erring > ERRING && !probe;
-        let own = self.chance.rand_float() < self.share.own[self.book.reqs[r].handler];
-        if erring || !own || !self.share.admits(value, chance) {
+        if erring || !self.share.admits(value, chance) {
             let last = !erring && self.all_crowded(now, r);
             self.shed(now, r, last, out);
             return Break(());
@@ -878,8 +865,9 @@
         if gap < PAUSE {
             self.unfreeze(now);
             let floored = self.budget.secs <= self.budget.floor();
+            // While the cores have room the cause lies elsewhere, most often below: fewer arrivals don't help.
             let busy = self.crew.queue > self.crew.cores;
-            self.share.step(gap, floored, busy, |h| self.budget.ratio(h) - 1.0);
+            self.share.step(gap, self.budget.worst() - 1.0, floored && busy);
         }
         // A hung server tells callers that look at its health; where all hang nothing is lost by it.
         let good = self.leaving.is_none() && self.pace < HUNG;
