--- a/crates/drill/src/host.rs
+++ b/crates/drill/src/host.rs
@@ -132,7 +132,7 @@
 fn arrival(f: &mut Fields, known: &Instance) -> Result<Arrival, String> {
     let (id, handler, tenant, subject) = (f.u64()?, f.u16()? as usize, f.u32()? as usize, f.u64()?);
     let (wait, hint, held_kb, rank) = (f.span()?, f.span()?, f.f32()?, f.f32()?);
-    let (bits, _from, unread_for, repeats) = (f.u8()?, f.u16()?, f.span()?, f.u64()?);
+    let (bits, from, unread_for, repeats) = (f.u8()?, f.u16()?, f.span()?, f.u64()?);
     if handler >= known.handlers {
         return Err(format!("request {id}: class {handler} of {} classes", known.handlers));
     }
@@ -148,7 +148,7 @@
     let wait = if known.says_wait { wait } else { Span::ZERO };
     let hint = (bits & 1 != 0).then_some(hint);
     let retry = bits & 2 != 0;
-    Ok(Arrival { id, handler, tenant, subject, wait, hint, held_kb, rank, retry, unread_for, repeats })
+    Ok(Arrival { id, from, handler, tenant, subject, wait, hint, held_kb, rank, retry, unread_for, repeats })
 }
 
 impl Instance {
--- a/crates/drill/src/settings.rs
+++ b/crates/drill/src/settings.rs
@@ -87,6 +87,8 @@
     #[serde(default)]
     share_span_us: u64,
     #[serde(default)]
+    keepalive_max_us: u64,
+    #[serde(default)]
     class_calls: Vec<bool>,
     #[serde(default)]
     class_skip_worth: Vec<f64>,
@@ -209,6 +211,7 @@
             free: word(&info.say, &frees, "family_info.say")?,
             come_back_max: Span::micros(longest),
             mark_retries: raw.callers.marks_retry,
+            idle_max: Span::micros(info.keepalive_max_us),
         },
         place: Place {
             servers: raw.servers,
--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -167,6 +167,9 @@
     fn free_value(&mut self, value: f64) {
         self.put(11, &[&(value as f32).to_le_bytes()]);
     }
+    fn idle_limit(&mut self, limit: Span) {
+        self.put(12, &[&short(limit)]);
+    }
     fn wake(&mut self, after: Span) {
         self.put(13, &[&short(after), &0u64.to_le_bytes()]);
     }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -7,7 +7,7 @@
 use crate::req::{Book, Due, KeyBook, KeyNo, No, Req, Stage};
 use crate::time::{At, Span};
 use std::array::from_fn;
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::ops::ControlFlow::{self, Break, Continue};
 
 // --- Constants ------------------------------------------------------------------------------------------
@@ -105,6 +105,9 @@
 const FREE_EVERY: Span = Span::millis(100);
 const FREE_OPEN: f64 = 1000.0;
 const FREE_SKEW: f64 = 2.0;
+/// Time that a connection may idle for what a new one costs, and the limit where most would idle longer.
+const LINK_WORTH: Span = Span::millis(5000);
+const LINK_LEAST: Span = Span::millis(200);
 /// Advice to stay away, in waits expected at the back of the hold.
 const STAY_AWAY: f64 = 2.0;
 
@@ -397,29 +400,45 @@
     }
 }
 
+/// Who called when, and how far the same callers come again while a connection to them is worth keeping.
+struct Links {
+    last: HashMap<u16, At>,
+    soon: f64,
+    limit: Span,
+}
+
+impl Links {
+    /// Counts an arrival; gives the limit on idling when it changes. Many callers that come seldom fill a
+    /// server's table, which takes of its cores and turns others off; where few come often, closing would
+    /// only cost new connections. Harm: among the many, a caller that does come often opens new ones.
+    fn came(&mut self, now: At, from: u16, most: Span) -> Option<Span> {
+        let again = self.last.insert(from, now).is_some_and(|t| now - t < LINK_WORTH);
+        self.soon += RUN_ALPHA * (f64::from(u8::from(again)) - self.soon);
+        let limit = if self.soon > 0.5 { most } else { LINK_LEAST.min(most) };
+        (std::mem::replace(&mut self.limit, limit) != limit).then_some(limit)
+    }
+}
+
 struct Tenants {
-    allowed: Vec<f64>,
-    rate: Vec<f64>,
-    seen: Vec<At>,
+    /// The rate allowed here, the late rate, and when it was last counted.
+    each: Vec<(f64, f64, At)>,
     over_value: f64,
 }
 
 impl Tenants {
     fn new(now: At, tenants: &[Tenant], place: &Place) -> Tenants {
         let servers = f64::from(place.servers.max(1));
-        let allowed = tenants.iter().map(|t| t.per_second / servers).collect();
-        let (rate, seen) = (vec![0.0; tenants.len()], vec![now; tenants.len()]);
-        Tenants { allowed, rate, seen, over_value: place.over_share_value }
+        let each = tenants.iter().map(|t| (t.per_second / servers, 0.0, now)).collect();
+        Tenants { each, over_value: place.over_share_value }
     }
 
     /// Counts an arrival and gives the mean value of this tenant's reqs: those past its share, which bear no
     /// mark, count for little.
     fn value(&mut self, now: At, tenant: usize) -> f64 {
-        let Some(rate) = self.rate.get_mut(tenant) else { return 1.0 };
-        let gap = (now - self.seen[tenant]).as_secs();
-        self.seen[tenant] = now;
-        *rate = *rate * (-gap / TENANT_SPAN).exp() + 1.0 / TENANT_SPAN;
-        let within = (self.allowed[tenant] / *rate).min(1.0);
+        let Some((allowed, rate, seen)) = self.each.get_mut(tenant) else { return 1.0 };
+        *rate = *rate * (-(now - *seen).as_secs() / TENANT_SPAN).exp() + 1.0 / TENANT_SPAN;
+        *seen = now;
+        let within = (*allowed / *rate).min(1.0);
         within + (1.0 - within) * self.over_value
     }
 }
@@ -453,6 +472,7 @@
     hold: Hold,
     crew: Crew,
     calls: Calls,
+    links: Links,
     tenants: Tenants,
     pace: f64,
     good: bool,
@@ -490,6 +510,7 @@
             hold: Hold::default(),
             crew: Crew { limit: f64::from(machine.cores), cores: f64::from(machine.cores), queue: 0.0 },
             calls: Calls { counted: now, time, best: time, ..Calls::default() },
+            links: Links { last: HashMap::new(), soon: 0.5, limit: callers.idle_max },
             tenants: Tenants::new(now, tenants, place),
             pace: 1.0,
             good: true,
@@ -518,6 +539,9 @@
     /// A req has been read.
     pub fn arrive(&mut self, now: At, a: &Arrival, out: &mut dyn Results) {
         self.comes_again(true, a.retry);
+        if let Some(limit) = self.links.came(now, a.from, self.callers.idle_max) {
+            out.idle_limit(limit);
+        }
         let h = &self.handlers[a.handler];
         let reached = now.before(a.unread_for);
         let stretch = a.hint.map_or(Span::ZERO, |w| w.times(h.target_stretch));
@@ -557,7 +581,7 @@
         k.leader = Some(r);
         // No run whose key can't be kept: a repeat could not be told from a new req.
         if self.memory() + self.machine.key_kb > self.machine.memory_kb * MEMORY_HOLD {
-            self.shed(now, r, false, out);
+            self.shed(now, r, out);
             return Break(());
         }
         self.keep(now, key, r, out);
@@ -588,7 +612,7 @@
     fn draining(&mut self, now: At, r: No, out: &mut dyn Results) -> Step {
         let late = |since| self.book.reqs[r].reached > since + self.rules.drain_grace.less(MARGIN);
         if self.leaving.is_some_and(|(since, _)| late(since)) {
-            self.shed(now, r, false, out);
+            self.shed(now, r, out);
             return Break(());
         }
         Continue(())
@@ -612,8 +636,7 @@
         let probe = again && (self.chance.rand_float() > self.erring || self.book.running == 0);
         let erring = self.erring > ERRING && !probe;
         if erring || !self.share.admits(value, chance) {
-            let last = !erring && self.all_crowded(now, r);
-            self.shed(now, r, last, out);
+            self.shed(now, r, out);
             return Break(());
         }
         Continue(())
@@ -642,23 +665,27 @@
         self.again += step * (f64::from(u8::from(yes)) - self.again);
     }
 
-    /// Whether a shed req is better not tried elsewhere: it has been, or many arrivals that come again tell
-    /// that the others shed too. Where repeats bear no mark the share shed here tells it, unless this server
-    /// is slow by itself: runs far over their own best time, or still warming. It sends its reqs on.
+    /// Whether a shed req is better not tried elsewhere: nobody can answer it in time any more, it has been
+    /// tried, or many arrivals that come again tell that the others shed too. Where repeats bear no mark the
+    /// share shed here tells it, unless this server is slow by itself: still warming, or runs far over their
+    /// own best time. One that errors its runs or leaves sends its reqs on.
     fn all_crowded(&mut self, now: At, r: No) -> bool {
+        let req = &self.book.reqs[r];
+        let sure = req.retry || now + self.expected(r) > req.target;
         let warming = self.machine.cold && now - self.began < self.machine.cold_for;
         let crowd = (self.crew.queue / self.crew.cores).max(1.0);
         let alone = warming || self.pace * self.budget.mean_run > SLOW_HERE * crowd * self.budget.best_run;
         let likely = self.chance.rand_float() < LAST_GAIN * self.again;
-        let late = now + self.expected(r) > self.book.reqs[r].target;
-        late || self.book.reqs[r].retry || (likely && (self.callers.mark_retries || !alone))
+        let sends_on = self.erring > ERRING || self.leaving.is_some();
+        !sends_on && (sure || (likely && (self.callers.mark_retries || !alone)))
     }
 
     /// Final answer: not run, may be taken elsewhere. Only for reqs that never started.
-    fn shed(&mut self, now: At, r: No, last: bool, out: &mut dyn Results) {
+    fn shed(&mut self, now: At, r: No, out: &mut dyn Results) {
         let held = self.hold.lines.iter().flatten().map(|e| self.expected(e.1).as_secs());
         let wait = (held.sum::<f64>() + self.started()) / self.crew.limit;
         let away = Span::secs(STAY_AWAY * wait * (0.5 + self.chance.rand_float()));
+        let last = self.all_crowded(now, r);
         out.shed(self.book.reqs[r].id, away.min(self.callers.come_back_max), last);
         self.comes_again(false, true);
         self.drop_held(now, r, true, out);
@@ -703,7 +730,7 @@
             self.keys.remove(key);
             for f in followers {
                 self.book.reqs[f].key = None;
-                self.shed(now, f, false, out);
+                self.shed(now, f, out);
             }
             return;
         }
@@ -902,16 +929,14 @@
         }
     }
 
-    /// The free value: open while all is well, else what this server can have in hand and answer in time.
+    /// The free value: open while all is well, else some of its limit for each caller.
     fn say_free(&mut self, now: At, out: &mut dyn Results) {
         if self.callers.free == Free::Unused || now - self.free.1 < FREE_EVERY {
             return;
         }
-        let in_time = self.budget.targets.iter().sum::<f64>() / self.budget.targets.len() as f64;
-        let in_hand = self.crew.limit * (1.0 + in_time / self.budget.mean_run);
         let value = match self.callers.free {
             Free::Allowance if self.share.admitted >= 1.0 && self.hold.len() == 0 => FREE_OPEN,
-            Free::Allowance => FREE_SKEW * in_hand / f64::from(self.callers.count.max(1)),
+            Free::Allowance => FREE_SKEW * self.crew.limit / f64::from(self.callers.count.max(1)),
             Free::Floor => 1.0 - self.share.admitted,
             _ => self.share.admitted * (1.0 - self.erring),
         };
@@ -953,8 +978,7 @@
             Due::Answer(r) | Due::Call(r) | Due::Stop(r) => {
                 let Some(req) = self.book.reqs.get(r) else { return };
                 match (what, req.stage, req.answered) {
-                    (Due::Answer(_), Stage::Held, _) => self.shed(now, r, false, out),
-                    (Due::Answer(_), Stage::Following, _) => self.shed(now, r, true, out),
+                    (Due::Answer(_), Stage::Held | Stage::Following, _) => self.shed(now, r, out),
                     (Due::Answer(_), _, false) => self.give_error(r, out),
                     (Due::Call(_), Stage::AtCall, false) => self.call_stage(now, r, out),
                     (Due::Stop(_), Stage::Running, true) => self.abandon(r, out),
@@ -971,7 +995,7 @@
             let least =
                 self.hold.in_order().into_iter().min_by(|a, b| value(self, a).total_cmp(&value(self, b)));
             let Some(r) = least else { return };
-            self.shed(now, r, false, out);
+            self.shed(now, r, out);
         }
     }
 
@@ -1000,8 +1024,7 @@
         let spare = usize::from(self.book.running == 0 && taken.is_empty());
         for r in lost.into_iter().skip(spare) {
             if self.book.reqs.contains_key(r) {
-                let last = self.all_crowded(now, r);
-                self.shed(now, r, last, out);
+                self.shed(now, r, out);
             }
         }
     }
--- a/src/face.rs
+++ b/src/face.rs
@@ -88,6 +88,8 @@
     /// The longest advice to stay away that is heeded; nothing where none may be given.
     pub come_back_max: Span,
     pub mark_retries: bool,
+    /// After that long callers close idle connections by themselves.
+    pub idle_max: Span,
 }
 
 /// This server's place in the fleet.
@@ -112,6 +114,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Arrival {
     pub id: u64,
+    /// The caller's number.
+    pub from: u16,
     pub handler: usize,
     pub tenant: usize,
     pub subject: u64,
@@ -156,5 +160,7 @@
     fn join(&mut self, id: u64);
     fn health(&mut self, good: bool);
     fn free_value(&mut self, value: f64);
+    /// Connections that have carried nothing for that long are closed.
+    fn idle_limit(&mut self, limit: Span);
     fn wake(&mut self, after: Span);
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -52,6 +52,9 @@
     fn free_value(&mut self, value: f64) {
         self.0.push(format!("free {value:.2}"));
     }
+    fn idle_limit(&mut self, limit: Span) {
+        self.0.push(format!("idle {}ms", limit.as_micros() / 1000));
+    }
     fn wake(&mut self, _after: Span) {}
 }
 
@@ -194,6 +197,7 @@
         let handler = self.handlers.iter().position(|h| h.0 == w.0[1]).expect("a handler set up");
         Arrival {
             id,
+            from: w.num("from", 0.0) as u16,
             handler,
             tenant: w.num("tenant", 0.0) as usize,
             wait: w.span("wait", "4s"),
@@ -320,8 +324,13 @@
 
 fn callers(w: &Words) -> Callers {
     let free = if w.has("allowance") { Free::Allowance } else { Free::Unused };
-    let come_back_max = w.span("come_back", "0s");
-    Callers { count: w.num("count", 1.0) as u32, free, come_back_max, mark_retries: w.has("marks") }
+    Callers {
+        count: w.num("count", 1.0) as u32,
+        free,
+        come_back_max: w.span("come_back", "0s"),
+        mark_retries: w.has("marks"),
+        idle_max: w.span("idle", "0s"),
+    }
 }
 
 fn place(w: &Words) -> Place {
