--- a/src/decide.rs
+++ b/src/decide.rs
@@ -20,8 +20,6 @@
 /// error that a step takes: one very late completion must not empty the budget.
 const K_I: f64 = 1.0;
 const STEP_MOST: f64 = 2.0;
-/// The budget at the start, in its floors.
-const FIRST: f64 = 4.0;
 /// Past points in the fit, and completions between two LQ resets; the paper's Bing settings.
 const ORDER: usize = 10;
 const REFIT_EVERY: u32 = 10;
@@ -59,14 +57,11 @@
 /// Least and most part of this server's share below that calls may hold: it slows well before the whole.
 const CALLS_LEAST: f64 = 0.2;
 const CALLS_MOST: f64 = 0.9;
-/// Part of those for the optional calls of the most valuable reqs, less for others, by rank.
-const OPTIONAL_PART: f64 = 0.9;
 /// Mean call time, in the calls' own best, from which the number in hand shrinks as the time grows.
 const CALLS_SLOW: f64 = 1.2;
 /// Weight of the newest call in the calls' time.
 const CALL_ALPHA: f64 = 0.1;
-/// Calls a req may repeat after outcomes that prove they did not run, and the first wait between them.
-const CALL_TRIES: u32 = 6;
+/// The first wait before a call that provably did not run is repeated; it doubles each time.
 const CALL_WAIT: Span = Span::millis(40);
 /// Mean call times after which a call counts as stuck.
 const CALL_STUCK: f64 = 8.0;
@@ -179,7 +174,7 @@
         let mean = run.iter().sum::<f64>() / run.len() as f64;
         let cores = f64::from(cores);
         Budget {
-            secs: FIRST * cores * mean,
+            secs: cores * mean,
             cores,
             targets,
             mrt: run.clone(),
@@ -408,14 +403,16 @@
 }
 
 impl Links {
-    /// Counts an arrival; gives the limit on idling when it changes. Many callers that come seldom fill a
+    /// Counts an arrival; tells the limit on idling when it changes. Many callers that come seldom fill a
     /// server's table, which takes of its cores and turns others off; where few come often, closing would
     /// only cost new connections. Harm: among the many, a caller that does come often opens new ones.
-    fn came(&mut self, now: At, from: u16, most: Span) -> Option<Span> {
+    fn came(&mut self, now: At, from: u16, most: Span, out: &mut dyn Results) {
         let again = self.last.insert(from, now).is_some_and(|t| now - t < LINK_WORTH);
         self.soon += RUN_ALPHA * (f64::from(u8::from(again)) - self.soon);
         let limit = if self.soon > 0.5 { most } else { LINK_LEAST.min(most) };
-        (std::mem::replace(&mut self.limit, limit) != limit).then_some(limit)
+        if std::mem::replace(&mut self.limit, limit) != limit {
+            out.idle_limit(limit);
+        }
     }
 }
 
@@ -539,9 +536,7 @@
     /// A req has been read.
     pub fn arrive(&mut self, now: At, a: &Arrival, out: &mut dyn Results) {
         self.comes_again(true, a.retry);
-        if let Some(limit) = self.links.came(now, a.from, self.callers.idle_max) {
-            out.idle_limit(limit);
-        }
+        self.links.came(now, a.from, self.callers.idle_max, out);
         let h = &self.handlers[a.handler];
         let reached = now.before(a.unread_for);
         let stretch = a.hint.map_or(Span::ZERO, |w| w.times(h.target_stretch));
@@ -781,7 +776,6 @@
     // where this server's part of what lies below is taken: calls that can't be skipped go first.
     fn call_stage(&mut self, now: At, r: No, out: &mut dyn Results) {
         let rank = self.share.rank(self.book.reqs[r].value, 1.0);
-        let part = OPTIONAL_PART * rank;
         let req = &mut self.book.reqs[r];
         let optional = self.handlers[req.handler].partial_value > 0.0;
         let spent = now - req.started > req.allowance && self.budget.worst() > 1.0;
@@ -790,7 +784,7 @@
         if late && !optional && late_is_nothing && self.calls.out > 0 {
             // Nothing is gained by the time its call is back: another run has better use for the call.
             self.give_error(r, out);
-        } else if optional && (spent || late || !self.calls.room(now, &self.below, part)) {
+        } else if optional && (spent || late || !self.calls.room(now, &self.below, rank)) {
             req.skip(out);
         } else if !self.calls.room(now, &self.below, 1.0) {
             self.calls.waiting.push(r);
@@ -823,7 +817,7 @@
         let late = now + wait + Span::secs(self.calls.time) > req.target;
         if h.partial_value > 0.0 && (late || req.tries > 1) {
             req.skip(out);
-        } else if (unproven && h.repeats != Repeats::Replayable) || req.tries > CALL_TRIES || late {
+        } else if (unproven && h.repeats != Repeats::Replayable) || late {
             self.give_error(r, out);
         } else {
             self.due.insert((now + wait, Due::Call(r)));
