--- a/src/decide.rs
+++ b/src/decide.rs
@@ -31,8 +31,6 @@
 /// Weight of the newest run in the mean run times: about the last 30; the guess before any, in targets.
 const RUN_ALPHA: f64 = 0.03;
 const RUN_GUESS: f64 = 0.1;
-/// Least run time expected of a req with a small hint, in its handler's mean runs.
-const SHORTEST: f64 = 0.2;
 /// What the largest run keeps at each completion: halved after 700, so that one odd run fades.
 const LARGEST_KEEPS: f64 = 0.999;
 /// Cut of the admitted share a second for a latency one target over, and its slower regain.
@@ -106,9 +104,6 @@
 /// Advice to stay away, in waits expected at the back of the hold.
 const STAY_AWAY: f64 = 2.0;
 
-/// What a stage does with a req: `Continue` passes it on, `Break` keeps or ends it.
-type Step = ControlFlow<()>;
-
 // --- Budget: MRT, integral step, fit and LQ ---------------------------------------------------------------
 
 /// Recursive least squares over the last ORDER latencies and budgets, both as shares of their references.
@@ -237,7 +232,7 @@
     fn expected(&self, handler: usize, hint: Option<Span>) -> f64 {
         let slope = self.spread.0 / self.spread.1.max(1e-9);
         let more = hint.map_or(0.0, |w| slope * (w.as_secs() - self.hint[handler]));
-        (self.run[handler] + more).max(SHORTEST * self.run[handler])
+        (self.run[handler] + more).max(0.0)
     }
 
     /// EqResv for the first of `held` reqs.
@@ -314,20 +309,19 @@
 /// The worker limit and the run queue that steers it.
 struct Crew {
     limit: f64,
-    cores: f64,
     queue: f64,
 }
 
 impl Crew {
     /// Grows quickly while the run queue shows room and work waits; falls back to the cores when crowded.
-    fn step(&mut self, on_cores: f64, full: bool, ceiling: f64) {
+    fn step(&mut self, cores: f64, on_cores: f64, full: bool, ceiling: f64) {
         self.queue += QUEUE_ALPHA * (on_cores - self.queue);
-        if full && self.queue < ROOM * self.cores {
+        if full && self.queue < ROOM * cores {
             self.limit += LIMIT_STEP;
-        } else if self.queue > CROWDED * self.cores {
+        } else if self.queue > CROWDED * cores {
             self.limit -= LIMIT_STEP;
         }
-        self.limit = self.limit.min(ceiling).max(self.cores.min(ceiling));
+        self.limit = self.limit.min(ceiling).max(cores.min(ceiling));
     }
 }
 
@@ -442,7 +436,8 @@
 
 // --- The module -------------------------------------------------------------------------------------------
 
-type Link = fn(&mut Decider, At, No, &mut dyn Results) -> Step;
+/// What one does with a req: `Continue` passes it on, `Break` keeps or ends it.
+type Link = fn(&mut Decider, At, No, &mut dyn Results) -> ControlFlow<()>;
 
 /// The stages that an arriving req passes, in order.
 const CHAIN: [Link; 5] =
@@ -505,7 +500,7 @@
             budget: Budget::new(now, machine.cores, handlers, part),
             share: Share { admitted: 1.0, recent: VecDeque::new() },
             hold: Hold::default(),
-            crew: Crew { limit: f64::from(machine.cores), cores: f64::from(machine.cores), queue: 0.0 },
+            crew: Crew { limit: f64::from(machine.cores), queue: 0.0 },
             calls: Calls { counted: now, time, best: time, ..Calls::default() },
             links: Links { last: HashMap::new(), soon: 0.5, limit: callers.idle_max },
             tenants: Tenants::new(now, tenants, place),
@@ -554,7 +549,7 @@
     }
 
     // Stage 1: a uniqued req runs once; its further tries wait for that run and share its answer.
-    fn repeats(&mut self, now: At, r: No, out: &mut dyn Results) -> Step {
+    fn repeats(&mut self, now: At, r: No, out: &mut dyn Results) -> ControlFlow<()> {
         let req = &self.book.reqs[r];
         if self.handlers[req.handler].repeats != Repeats::Uniqued {
             return Continue(());
@@ -604,7 +599,7 @@
     }
 
     // Stage 2: nothing that reached the machine after the drain's grace is run.
-    fn draining(&mut self, now: At, r: No, out: &mut dyn Results) -> Step {
+    fn draining(&mut self, now: At, r: No, out: &mut dyn Results) -> ControlFlow<()> {
         let late = |since| self.book.reqs[r].reached > since + self.rules.drain_grace.less(MARGIN);
         if self.leaving.is_some_and(|(since, _)| late(since)) {
             self.shed(now, r, out);
@@ -614,7 +609,7 @@
     }
 
     // Stage 3: the value of a req: its value, less what its tenant sends past its share, for its work.
-    fn tenant_share(&mut self, now: At, r: No, _out: &mut dyn Results) -> Step {
+    fn tenant_share(&mut self, now: At, r: No, _out: &mut dyn Results) -> ControlFlow<()> {
         let req = &mut self.book.reqs[r];
         let within = self.tenants.value(now, req.tenant);
         let work = if self.by_work { 1.0 } else { self.budget.run[req.handler] / self.budget.mean_run };
@@ -625,7 +620,7 @@
     // Stage 4: the admitted share; the rest is shed early, the least valuable first. A server that errors its
     // runs fast draws traffic by being quick: it sheds as large a share as errors, whatever the cause, and
     // tries only with reqs that may run again elsewhere.
-    fn admission(&mut self, now: At, r: No, out: &mut dyn Results) -> Step {
+    fn admission(&mut self, now: At, r: No, out: &mut dyn Results) -> ControlFlow<()> {
         let (value, chance) = (self.book.reqs[r].value, self.chance.rand_float());
         let again = self.handlers[self.book.reqs[r].handler].repeats == Repeats::Replayable;
         let probe = again && (self.chance.rand_float() > self.erring || self.book.running == 0);
@@ -638,7 +633,7 @@
     }
 
     // Stage 5: the hold.
-    fn hold_stage(&mut self, _now: At, r: No, _out: &mut dyn Results) -> Step {
+    fn hold_stage(&mut self, _now: At, r: No, _out: &mut dyn Results) -> ControlFlow<()> {
         let run = self.expected(r);
         self.hold.put(run.as_secs() > self.budget.mean_run, self.book.reqs[r].target.before(run), r);
         Break(())
@@ -668,7 +663,7 @@
         let req = &self.book.reqs[r];
         let sure = req.retry || now + self.expected(r) > req.target;
         let warming = self.machine.cold && now - self.began < self.machine.cold_for;
-        let crowd = (self.crew.queue / self.crew.cores).max(1.0);
+        let crowd = (self.crew.queue / self.budget.cores).max(1.0);
         let alone = warming || self.pace * self.budget.mean_run > SLOW_HERE * crowd * self.budget.best_run;
         let likely = self.chance.rand_float() < LAST_GAIN * self.again;
         let sends_on = self.erring > ERRING || self.leaving.is_some();
@@ -880,14 +875,14 @@
         self.ticked = now;
         let ceiling = ceiling(now, self.began, &self.machine);
         let full = self.hold.len() > 0 && self.book.running as f64 + 1.0 > self.crew.limit;
-        self.crew.step(gauges.on_cores.unwrap_or(self.book.running as f64), full, ceiling);
+        self.crew.step(self.budget.cores, gauges.on_cores.unwrap_or(self.book.running as f64), full, ceiling);
         self.calls.count(now, &self.below);
         self.erring *= ERR_KEEPS;
         if gap < PAUSE {
             self.unfreeze(now);
             let floored = self.budget.secs <= self.budget.floor();
             // While the cores have room the cause lies elsewhere, most often below: fewer arrivals don't help.
-            let busy = self.crew.queue > self.crew.cores;
+            let busy = self.crew.queue > self.budget.cores;
             self.share.step(gap, self.budget.worst() - 1.0, floored && busy);
         }
         // A hung server tells callers that look at its health; where all hang nothing is lost by it.
@@ -1005,11 +1000,11 @@
             let run = self.expected(r).as_secs();
             taken.push((r, run));
             if now + Span::secs(ahead / self.crew.limit + run) > self.book.reqs[r].target {
-                let least = |a: &(usize, &(No, f64)), b: &(usize, &(No, f64))| {
-                    value(a.1.0).total_cmp(&value(b.1.0)).then(b.1.1.total_cmp(&a.1.1))
+                let by_value = |a: &(No, f64), b: &(No, f64)| value(a.0).total_cmp(&value(b.0));
+                let least = |a: &usize, b: &usize| {
+                    by_value(&taken[*a], &taken[*b]).then(taken[*b].1.total_cmp(&taken[*a].1))
                 };
-                let worst = taken.iter().enumerate().rev().min_by(least).map_or(0, |w| w.0);
-                let (victim, freed) = taken.remove(worst);
+                let (victim, freed) = taken.remove((0..taken.len()).rev().min_by(least).unwrap_or(0));
                 lost.push(victim);
                 ahead -= freed;
             }
@@ -1017,9 +1012,7 @@
         }
         let spare = usize::from(self.book.running == 0 && taken.is_empty());
         for r in lost.into_iter().skip(spare) {
-            if self.book.reqs.contains_key(r) {
-                self.shed(now, r, out);
-            }
+            self.shed(now, r, out);
         }
     }
 }
