--- a/src/decide.rs
+++ b/src/decide.rs
@@ -661,7 +661,7 @@
     /// own best time. One that errors its runs or leaves sends its reqs on.
     fn all_crowded(&mut self, now: At, r: No) -> bool {
         let req = &self.book.reqs[r];
-        let sure = req.retry || now > req.target;
+        let sure = now > req.target;
         let warming = self.machine.cold && now - self.began < self.machine.cold_for;
         let crowd = (self.crew.queue / self.budget.cores).max(1.0);
         let alone = warming || self.pace * self.budget.mean_run > SLOW_HERE * crowd * self.budget.best_run;
