--- a/src/decide.rs
+++ b/src/decide.rs
@@ -72,7 +72,8 @@
 const ERRING: f64 = 0.25;
 /// Weight of the newest arrival in the share that comes again, and sheds marked last for each such one.
 const AGAIN_ALPHA: f64 = 0.05;
-const LAST_GAIN: f64 = 4.0;
+const LAST_FROM: f64 = 0.05;
+const LAST_GAIN: f64 = 6.0;
 /// Mean run in best means, for the crowd, over which a server is slow by itself; that best's drift up a run.
 const SLOW_HERE: f64 = 1.6;
 const BEST_DRIFT: f64 = 1.0005;
@@ -665,7 +666,7 @@
         let warming = self.machine.cold && now - self.began < self.machine.cold_for;
         let crowd = (self.crew.queue / self.budget.cores).max(1.0);
         let alone = warming || self.pace * self.budget.mean_run > SLOW_HERE * crowd * self.budget.best_run;
-        let likely = self.chance.rand_float() < LAST_GAIN * self.again;
+        let likely = self.chance.rand_float() < LAST_GAIN * (self.again - LAST_FROM);
         let sends_on = self.erring > ERRING || self.leaving.is_some();
         !sends_on && (sure || (likely && (self.callers.mark_retries || !alone)))
     }
@@ -990,7 +991,7 @@
 
     /// A held req that can't be answered within its target any more is given up on at once; in its place the
     /// least valuable of those before it goes, so that the most value is answered (after Moore and Hodgson).
-    /// Holds for any cause of a long wait. The first req stays while nothing runs: someone has to try.
+    /// Holds for any cause of a long wait. The first stays while nothing runs, unless it is past its target: someone has to try.
     fn give_up(&mut self, now: At, out: &mut dyn Results) {
         let mut ahead = self.started();
         let mut taken: Vec<(No, f64)> = vec![];
@@ -1010,9 +1011,8 @@
             }
             ahead += run;
         }
-        let spare = usize::from(self.book.running == 0 && taken.is_empty());
-        for r in lost.into_iter().skip(spare) {
-            self.shed(now, r, out);
-        }
+        let idle = self.book.running == 0 && taken.is_empty();
+        let spare = usize::from(lost.first().is_some_and(|r| idle && now < self.book.reqs[*r].target));
+        lost.into_iter().skip(spare).for_each(|r| self.shed(now, r, out));
     }
 }
