A call given up on at what all share counts as having taken that long

Cause: as the trip book slows eightfold, calls were given up at eight times a mean that only returned calls moved: nearly all timed out, three of four calls made were work lost, and the mean stayed low. At a tier below only returned calls count, as before.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -382,8 +382,9 @@
         if matches!(outcome, Outcome::TimedOut | Outcome::Stopped) {
             self.lingering.push_back(now + below.linger);
         }
-        // Only calls that came back tell the time: one that was given up on tells how long we waited.
-        if outcome == Outcome::Done {
+        // One given up on tells the least that it would have taken where all share what is below; else it may
+        // have been at a machine gone silent, and tells how long we waited.
+        if outcome == Outcome::Done || (outcome == Outcome::TimedOut && below.kind == BelowKind::Shared) {
             self.time += CALL_ALPHA * (spent.as_secs() - self.time);
             self.best = (self.best * BEST_DRIFT).min(self.time);
         }
