--- a/src/decide.rs
+++ b/src/decide.rs
@@ -53,7 +53,7 @@
 const MEMORY_START: f64 = 0.90;
 const MEMORY_HOLD: f64 = 0.96;
 /// Least and most part of this server's share below that calls may hold: it slows well before the whole.
-const CALLS_LEAST: f64 = 0.2;
+const CALLS_LEAST: f64 = 0.27;
 const CALLS_MOST: f64 = 0.9;
 /// Mean call time, in the calls' own best, from which the number in hand shrinks as the time grows.
 const CALLS_SLOW: f64 = 1.2;
@@ -382,8 +382,7 @@
         if matches!(outcome, Outcome::TimedOut | Outcome::Stopped) {
             self.lingering.push_back(now + below.linger);
         }
-        // One given up on tells the least that it would have taken where all share what is below; else it may
-        // have been at a machine gone silent, and tells how long we waited.
+        // One given up on tells the least it would have taken, except at a tier, where a machine went silent.
         if outcome == Outcome::Done || (outcome == Outcome::TimedOut && below.kind == BelowKind::Shared) {
             self.time += CALL_ALPHA * (spent.as_secs() - self.time);
             self.best = (self.best * BEST_DRIFT).min(self.time);
