--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -197,7 +197,7 @@
         let handler = self.handlers.iter().position(|h| h.0 == w.0[1]).expect("a handler set up");
         Arrival {
             id,
-            from: w.num("from", 0.0) as u16,
+            from: w.num("from", id as f64) as u16,
             handler,
             tenant: w.num("tenant", 0.0) as usize,
             wait: w.span("wait", "4s"),
