--- a/src/decide.rs
+++ b/src/decide.rs
@@ -483,8 +483,11 @@
     ) -> Decider {
         let part = if place.tier == 0 { 1.0 } else { TIER_PART };
         let time = handlers.iter().map(|h| h.target.as_secs()).fold(f64::MAX, f64::min) * part * RUN_GUESS;
+        let mut chance = oorandom::Rand64::new(u128::from(seed));
+        // Servers that begin together earn their first call at unlike times, later the smaller their share.
+        let credit = -chance.rand_float() * time;
         Decider {
-            chance: oorandom::Rand64::new(u128::from(seed)),
+            chance,
             began: now,
             ticked: now,
             completed: now,
@@ -502,7 +505,7 @@
             share: Share { admitted: 1.0, recent: VecDeque::new() },
             hold: Hold::default(),
             crew: Crew { limit: f64::from(machine.cores), queue: 0.0 },
-            calls: Calls { counted: now, time, best: time, ..Calls::default() },
+            calls: Calls { credit, counted: now, time, best: time * 0.5, ..Calls::default() },
             links: Links { last: HashMap::new(), soon: 0.5, limit: callers.idle_max },
             tenants: Tenants::new(now, tenants, place),
             pace: 1.0,
@@ -661,8 +664,7 @@
     /// share shed here tells it, unless this server is slow by itself: still warming, or runs far over their
     /// own best time. One that errors its runs or leaves sends its reqs on.
     fn all_crowded(&mut self, now: At, r: No) -> bool {
-        let req = &self.book.reqs[r];
-        let sure = now > req.target;
+        let sure = now > self.book.reqs[r].target;
         let warming = self.machine.cold && now - self.began < self.machine.cold_for;
         let crowd = (self.crew.queue / self.budget.cores).max(1.0);
         let alone = warming || self.pace * self.budget.mean_run > SLOW_HERE * crowd * self.budget.best_run;
@@ -785,8 +787,11 @@
         } else if !self.calls.room(now, &self.below, 1.0) {
             self.calls.waiting.push(r);
         } else {
-            // A call far past the usual time is stuck, most often at a machine gone silent; it holds a run.
-            let stuck = now + Span::secs(CALL_STUCK * self.calls.time) + CALL_WAIT;
+            // A call far past the usual time is stuck, most often at a machine gone silent, and holds a run; and
+            // none may hold more than this server's share of a whole span, should all hang at once.
+            let usual = Span::secs(CALL_STUCK * self.calls.time) + CALL_WAIT;
+            let bears = self.below.span.times(self.below.share * CALLS_MOST);
+            let stuck = now + if self.below.kind == BelowKind::Shared { usual.min(bears) } else { usual };
             let until = if optional || late_is_nothing { req.target } else { req.due.before(MARGIN) };
             req.stage = Stage::Calling;
             self.calls.out += 1;
@@ -958,12 +963,7 @@
 
     fn fall_due(&mut self, now: At, what: Due, out: &mut dyn Results) {
         match what {
-            Due::Lapse(key) => {
-                if let Some(k) = self.keys.keys.get_mut(key).filter(|k| k.entry.is_some_and(|t| t <= now)) {
-                    k.entry = None;
-                    self.keys.entries -= 1;
-                }
-            }
+            Due::Lapse(key) => self.keys.lapse(now, key),
             Due::Forget(key) => self.keys.remove(key),
             Due::Answer(r) | Due::Call(r) | Due::Stop(r) => {
                 let Some(req) = self.book.reqs.get(r) else { return };
@@ -980,10 +980,9 @@
 
     /// Memory guard: held reqs are shed, the least valuable first, before the machine needs more than it has.
     fn make_room(&mut self, now: At, out: &mut dyn Results) {
-        let value = |d: &Self, r: &No| d.book.reqs[*r].value;
         while self.memory() > self.machine.memory_kb * MEMORY_HOLD {
-            let least =
-                self.hold.in_order().into_iter().min_by(|a, b| value(self, a).total_cmp(&value(self, b)));
+            let value = |r: &No| self.book.reqs[*r].value;
+            let least = self.hold.in_order().into_iter().min_by(|a, b| value(a).total_cmp(&value(b)));
             let Some(r) = least else { return };
             self.shed(now, r, out);
         }
--- a/src/req.rs
+++ b/src/req.rs
@@ -167,6 +167,14 @@
         key
     }
 
+    /// Takes a key's entry off the table if it has run out.
+    pub fn lapse(&mut self, now: At, key: KeyNo) {
+        if let Some(k) = self.keys.get_mut(key).filter(|k| k.entry.is_some_and(|t| t <= now)) {
+            k.entry = None;
+            self.entries -= 1;
+        }
+    }
+
     pub fn remove(&mut self, key: KeyNo) {
         let Some(k) = self.keys.remove(key) else { return };
         self.entries -= usize::from(k.entry.is_some());
