Connections kept while over 0.7 of arrivals come again: a full table turns a flood off unread

Cause: in a flood of repeats each try brought a new connection at 40 ms of work; nine reqs stood on two cores, seven of them handshakes, and runs got a fifth of the cores.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -10,8 +10,6 @@
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::ops::ControlFlow::{self, Break, Continue};
 
-// --- Constants ------------------------------------------------------------------------------------------
-
 /// Weight of the newest response in a handler's MRT; the paper's.
 const MRT_ALPHA: f64 = 0.05;
 /// Share of the response target that MRT is steered to: with a mean at the target half would be late.
@@ -99,9 +97,11 @@
 const FREE_EVERY: Span = Span::millis(100);
 const FREE_OPEN: f64 = 1000.0;
 const FREE_SKEW: f64 = 2.0;
-/// Time that a connection may idle for what a new one costs, and the limit where most would idle longer.
+/// Time that a connection may idle for what a new one costs, the limit where most would idle longer, and the
+/// share of arrivals that come again from which, down to half of it, all are kept.
 const LINK_WORTH: Span = Span::millis(5000);
 const LINK_LEAST: Span = Span::millis(200);
+const FLOOD: f64 = 0.7;
 /// Advice to stay away, in waits expected at the back of the hold.
 const STAY_AWAY: f64 = 2.0;
 
@@ -398,13 +398,14 @@
 }
 
 impl Links {
-    /// Counts an arrival; tells the limit on idling when it changes. Many callers that come seldom fill a
-    /// server's table, which takes of its cores and turns others off; where few come often, closing would
-    /// only cost new connections. Harm: among the many, a caller that does come often opens new ones.
-    fn came(&mut self, now: At, from: u16, most: Span, out: &mut dyn Results) {
-        let again = self.last.insert(from, now).is_some_and(|t| now - t < LINK_WORTH);
-        self.soon += RUN_ALPHA * (f64::from(u8::from(again)) - self.soon);
-        let limit = if self.soon > 0.5 { most } else { LINK_LEAST.min(most) };
+    /// Counts an arrival; tells the limit on idling when it changes. Many callers that come seldom fill the
+    /// table, which takes of the cores and turns others off; few that come often would only pay for new ones.
+    /// In a flood of repeats new ones take all cores, and a full table is the cheapest way to turn callers off.
+    fn came(&mut self, now: At, from: u16, again: f64, most: Span, out: &mut dyn Results) {
+        let soon = self.last.insert(from, now).is_some_and(|t| now - t < LINK_WORTH);
+        self.soon += RUN_ALPHA * (f64::from(u8::from(soon)) - self.soon);
+        let flood = if self.limit == most { FLOOD * 0.5 } else { FLOOD };
+        let limit = if self.soon > 0.5 || again > flood { most } else { LINK_LEAST.min(most) };
         if std::mem::replace(&mut self.limit, limit) != limit {
             out.idle_limit(limit);
         }
@@ -506,7 +507,7 @@
             hold: Hold::default(),
             crew: Crew { limit: f64::from(machine.cores), queue: 0.0 },
             calls: Calls { credit, counted: now, time, best: time * 0.5, ..Calls::default() },
-            links: Links { last: HashMap::new(), soon: 0.5, limit: callers.idle_max },
+            links: Links { last: HashMap::new(), soon: 0.5, limit: Span::ZERO },
             tenants: Tenants::new(now, tenants, place),
             pace: 1.0,
             good: true,
@@ -535,7 +536,7 @@
     /// A req has been read.
     pub fn arrive(&mut self, now: At, a: &Arrival, out: &mut dyn Results) {
         self.comes_again(true, a.retry);
-        self.links.came(now, a.from, self.callers.idle_max, out);
+        self.links.came(now, a.from, self.again, self.callers.idle_max, out);
         let h = &self.handlers[a.handler];
         let reached = now.before(a.unread_for);
         let stretch = a.hint.map_or(Span::ZERO, |w| w.times(h.target_stretch));
@@ -664,13 +665,12 @@
     /// share shed here tells it, unless this server is slow by itself: still warming, or runs far over their
     /// own best time. One that errors its runs or leaves sends its reqs on.
     fn all_crowded(&mut self, now: At, r: No) -> bool {
-        let sure = now > self.book.reqs[r].target;
         let warming = self.machine.cold && now - self.began < self.machine.cold_for;
         let crowd = (self.crew.queue / self.budget.cores).max(1.0);
         let alone = warming || self.pace * self.budget.mean_run > SLOW_HERE * crowd * self.budget.best_run;
         let likely = self.chance.rand_float() < LAST_GAIN * (self.again - LAST_FROM);
         let sends_on = self.erring > ERRING || self.leaving.is_some();
-        !sends_on && (sure || (likely && (self.callers.mark_retries || !alone)))
+        !sends_on && (now > self.book.reqs[r].target || (likely && (self.callers.mark_retries || !alone)))
     }
 
     /// Final answer: not run, may be taken elsewhere. Only for reqs that never started.
