--- a/src/decide.rs
+++ b/src/decide.rs
@@ -68,7 +68,7 @@
 const ERR_ALPHA: f64 = 0.08;
 const ERR_KEEPS: f64 = 0.999;
 const ERRING: f64 = 0.25;
-/// Weight of the newest arrival in the share that comes again, and sheds marked last for each such one.
+/// Weight of the newest arrival in the share that comes again; from where on and how steeply sheds are last.
 const AGAIN_ALPHA: f64 = 0.05;
 const LAST_FROM: f64 = 0.05;
 const LAST_GAIN: f64 = 6.0;
@@ -384,7 +384,7 @@
         }
         // One given up on tells the least it would have taken, except at a tier, where a machine went silent.
         if outcome == Outcome::Done || (outcome == Outcome::TimedOut && below.kind == BelowKind::Shared) {
-            self.time += CALL_ALPHA * (spent.as_secs() - self.time);
+            self.time = (self.time + CALL_ALPHA * (spent.as_secs() - self.time)).max(1e-6);
             self.best = (self.best * BEST_DRIFT).min(self.time);
         }
     }
@@ -400,7 +400,7 @@
 impl Links {
     /// Counts an arrival; tells the limit on idling when it changes. Many callers that come seldom fill the
     /// table, which takes of the cores and turns others off; few that come often would only pay for new ones.
-    /// In a flood of repeats new ones take all cores, and a full table is the cheapest way to turn callers off.
+    /// In a flood of repeats new ones take all cores, and a full table turns callers off most cheaply.
     fn came(&mut self, now: At, from: u16, again: f64, most: Span, out: &mut dyn Results) {
         let soon = self.last.insert(from, now).is_some_and(|t| now - t < LINK_WORTH);
         self.soon += RUN_ALPHA * (f64::from(u8::from(soon)) - self.soon);
@@ -438,7 +438,7 @@
 
 // --- The module -------------------------------------------------------------------------------------------
 
-/// What one does with a req: `Continue` passes it on, `Break` keeps or ends it.
+/// A stage: `Continue` passes the req on, `Break` keeps or ends it.
 type Link = fn(&mut Decider, At, No, &mut dyn Results) -> ControlFlow<()>;
 
 /// The stages that an arriving req passes, in order.
@@ -660,10 +660,10 @@
         self.again += step * (f64::from(u8::from(yes)) - self.again);
     }
 
-    /// Whether a shed req is better not tried elsewhere: nobody can answer it in time any more, it has been
-    /// tried, or many arrivals that come again tell that the others shed too. Where repeats bear no mark the
-    /// share shed here tells it, unless this server is slow by itself: still warming, or runs far over their
-    /// own best time. One that errors its runs or leaves sends its reqs on.
+    /// Whether a shed req is better not tried elsewhere: it is past its target, or many arrivals that come
+    /// again tell that the others shed too. Where repeats bear no mark the share shed here tells it, unless
+    /// this server is slow by itself: still warming, or runs far over their own best time. One that errors
+    /// its runs or leaves sends its reqs on.
     fn all_crowded(&mut self, now: At, r: No) -> bool {
         let warming = self.machine.cold && now - self.began < self.machine.cold_for;
         let crowd = (self.crew.queue / self.budget.cores).max(1.0);
@@ -770,8 +770,8 @@
     }
 
     // Stage 7: calls below. An optional call is skipped once the allowance is spent while a handler exceeds
-    // its target, and besides (whatever the cause) where it would make the answer late, or
-    // where this server's part of what lies below is taken: calls that can't be skipped go first.
+    // its target, and besides (whatever the cause) where it would make the answer late, or where this
+    // server's part of what lies below is taken: calls that can't be skipped go first.
     fn call_stage(&mut self, now: At, r: No, out: &mut dyn Results) {
         let rank = self.share.rank(self.book.reqs[r].value, 1.0);
         let req = &mut self.book.reqs[r];
@@ -787,8 +787,8 @@
         } else if !self.calls.room(now, &self.below, 1.0) {
             self.calls.waiting.push(r);
         } else {
-            // A call far past the usual time is stuck, most often at a machine gone silent, and holds a run; and
-            // none may hold more than this server's share of a whole span, should all hang at once.
+            // A call far past the usual time is stuck, most often at a machine gone silent, and holds a run;
+            // and none may hold more than this server's share of a whole span, should all hang at once.
             let usual = Span::secs(CALL_STUCK * self.calls.time) + CALL_WAIT;
             let bears = self.below.span.times(self.below.share * CALLS_MOST);
             let stuck = now + if self.below.kind == BelowKind::Shared { usual.min(bears) } else { usual };
@@ -887,7 +887,7 @@
         if gap < PAUSE {
             self.unfreeze(now);
             let floored = self.budget.secs <= self.budget.floor();
-            // While the cores have room the cause lies elsewhere, most often below: fewer arrivals don't help.
+            // While the cores have room the cause lies elsewhere, most often below; a cut doesn't help.
             let busy = self.crew.queue > self.budget.cores;
             self.share.step(gap, self.budget.worst() - 1.0, floored && busy);
         }
@@ -990,7 +990,7 @@
 
     /// A held req that can't be answered within its target any more is given up on at once; in its place the
     /// least valuable of those before it goes, so that the most value is answered (after Moore and Hodgson).
-    /// Holds for any cause of a long wait. The first stays while nothing runs, unless it is past its target: someone has to try.
+    /// The first stays while nothing runs, unless it is past its target: someone has to try.
     fn give_up(&mut self, now: At, out: &mut dyn Results) {
         let mut ahead = self.started();
         let mut taken: Vec<(No, f64)> = vec![];
