Second tries of optional calls spared while a quarter of the calls is shed

Cause: with the front enlarged and the ledger not, the ledger shed two thirds of the calls, each costing its reading, and every optional call came twice. Guards against any crowded tier; harm: a short crowd costs some partial answers.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -6,9 +6,9 @@
 use crate::face::*;
 use crate::req::{Book, Due, KeyBook, KeyNo, No, Req, Stage};
 use crate::time::{At, Span};
-use std::array::from_fn;
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::ops::ControlFlow::{self, Break, Continue};
+use std::{array::from_fn, cmp::Ordering::Equal};
 
 /// Weight of the newest response in a handler's MRT; the paper's.
 const MRT_ALPHA: f64 = 0.05;
@@ -53,14 +53,14 @@
 /// Least and most part of this server's share below that calls may hold: it slows well before the whole.
 const CALLS_LEAST: f64 = 0.27;
 const CALLS_MOST: f64 = 0.9;
-/// Mean call time, in the calls' own best, from which the number in hand shrinks as the time grows.
+/// Mean call time, in bests, from which the number in hand shrinks; weight of the newest call in such means.
 const CALLS_SLOW: f64 = 1.2;
-/// Weight of the newest call in the calls' time.
 const CALL_ALPHA: f64 = 0.1;
 /// The first wait before a call that provably did not run is repeated; it doubles each time.
 const CALL_WAIT: Span = Span::millis(40);
-/// Mean call times after which a call counts as stuck.
+/// Mean call times after which a call is stuck; share of calls shed from which second tries only crowd more.
 const CALL_STUCK: f64 = 8.0;
+const CALLS_SHED: f64 = 0.25;
 /// Share of the response target that a tier below gets of the whole.
 const TIER_PART: f64 = 0.4;
 /// Weight of the newest run in the share of errored ones, what that keeps a tick (halved in 7 s, so that a
@@ -345,6 +345,7 @@
     counted: At,
     time: f64,
     best: f64,
+    refused: f64,
     waiting: Vec<No>,
 }
 
@@ -379,6 +380,7 @@
     fn over(&mut self, now: At, outcome: Outcome, spent: Span, below: &Below) {
         self.count(now, below);
         self.out = self.out.saturating_sub(1);
+        self.refused += CALL_ALPHA * (f64::from(u8::from(outcome == Outcome::Shed)) - self.refused);
         if matches!(outcome, Outcome::TimedOut | Outcome::Stopped) {
             self.lingering.push_back(now + below.linger);
         }
@@ -816,7 +818,7 @@
         let unproven = !matches!(outcome, Outcome::Shed | Outcome::Unreached);
         let wait = CALL_WAIT.times(f64::from(1u32 << req.tries.min(6)));
         let late = now + wait + Span::secs(self.calls.time) > req.target;
-        if h.partial_value > 0.0 && (late || req.tries > 1) {
+        if h.partial_value > 0.0 && (late || req.tries > 1 || self.calls.refused > CALLS_SHED) {
             req.skip(out);
         } else if (unproven && h.repeats != Repeats::Replayable) || late {
             self.give_error(r, out);
@@ -1000,10 +1002,8 @@
             let run = self.expected(r).as_secs();
             taken.push((r, run));
             if now + Span::secs(ahead / self.crew.limit + run) > self.book.reqs[r].target {
-                let by_value = |a: &(No, f64), b: &(No, f64)| value(a.0).total_cmp(&value(b.0));
-                let least = |a: &usize, b: &usize| {
-                    by_value(&taken[*a], &taken[*b]).then(taken[*b].1.total_cmp(&taken[*a].1))
-                };
+                let rank = |i: usize| (value(taken[i].0), -taken[i].1);
+                let least = |a: &usize, b: &usize| rank(*a).partial_cmp(&rank(*b)).unwrap_or(Equal);
                 let (victim, freed) = taken.remove((0..taken.len()).rev().min_by(least).unwrap_or(0));
                 lost.push(victim);
                 ahead -= freed;
