A req's unread retry mark goes; the idle limit's bytes are tested against the wire's example

Nothing read the mark kept with a req since sheds are marked last by the share that comes again. The round trip of results lacked the new one. The order of waiting calls is said where it is made.

--- a/crates/drill/tests/wire.rs
+++ b/crates/drill/tests/wire.rs
@@ -59,14 +59,16 @@
     reply.join(other);
     reply.health(false);
     reply.free_value(0.25);
+    reply.idle_limit(Span::millis(2000));
     reply.fault("index out of range");
     let body = bytes(
         "01 0300 c4913a5de3f90d00  02 0300 192b6f0e8e790400 90d00300 01  03 0300 192b6f0e8e790400
          04 0300 c4913a5de3f90d00  05 0300 c4913a5de3f90d00 80380100  06 0300 c4913a5de3f90d00
          07 0300 c4913a5de3f90d00 00127a00  08 0300 192b6f0e8e790400  09 0300 192b6f0e8e790400
-         0a 0300 00 01  0b 0300 0000803e  0f 0300 1200 696e646578206f7574206f662072616e6765",
+         0a 0300 00 01  0b 0300 0000803e  0c 0300 80841e00
+         0f 0300 1200 696e646578206f7574206f662072616e6765",
     );
-    let head = [(body.len() as u32 + 4).to_le_bytes(), 12u32.to_le_bytes()].concat();
+    let head = [(body.len() as u32 + 4).to_le_bytes(), 13u32.to_le_bytes()].concat();
     assert_eq!(reply.frame(), [head, body].concat());
 }
 
@@ -124,7 +126,8 @@
 
 #[test]
 fn settings_of_unlike_sites_are_taken() {
-    let bare = r#"{"classes": [{"aim_us": 1, "hard_limit_us": 1, "importance": 0, "effect": "non_idempotent"}],
+    let bare = r#"{"classes": [{"aim_us": 1, "hard_limit_us": 1, "importance": 0,
+        "effect": "non_idempotent"}],
         "family_info": {"n_cores": 1, "memory_kb": 1, "blowup": 1}, "permissions": {},
         "rules": {"tip_multiple": 1}, "servers": 0}"#;
     assert!(settings::read(bare.as_bytes()).is_ok());
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -948,7 +948,7 @@
         self.book.running as f64 * self.budget.mean_run * self.pace * 0.5
     }
 
-    /// The batch is over: due times, memory, hopeless reqs, calls that wait, starts.
+    /// The batch is over: due times, memory, hopeless reqs, calls that wait, the last come first, starts.
     pub fn settle(&mut self, now: At, out: &mut dyn Results) {
         while let Some(&(at, what)) = self.due.first().filter(|d| d.0 <= now) {
             self.due.remove(&(at, what));
--- a/src/req.rs
+++ b/src/req.rs
@@ -52,7 +52,6 @@
     pub due: At,
     pub hint: Option<Span>,
     pub kb: f64,
-    pub retry: bool,
     pub repeats: u64,
     pub value: f64,
     pub stage: Stage,
@@ -77,7 +76,6 @@
             due,
             hint: a.hint.filter(|w| *w > Span::ZERO),
             kb: a.held_kb,
-            retry: a.retry,
             repeats: a.repeats,
             value,
             ..Req::default()
