--- a/crates/drill/src/host.rs
+++ b/crates/drill/src/host.rs
@@ -1,10 +1,10 @@
 //! Many instances on one wire: events become calls on their modules, results become replies.
 
-use crate::settings::{self, Settings};
 use crate::wire::{self, Batch, Fields, Reply};
 use madderbay::decide::Decider;
 use madderbay::face::{Arrival, Gauges, Outcome};
 use madderbay::time::{At, Span};
+use madderbay_settings::{self as settings, Settings};
 use std::collections::BTreeMap;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -1,5 +1,4 @@
-//! The simulator's wire before madderbay's decision module: framing, codec, settings, instances.
+//! The simulator's wire before madderbay's decision module: framing, codec, instances.
 
 pub mod host;
-pub mod settings;
 pub mod wire;
--- /dev/null
+++ b/crates/server/src/counters.rs
@@ -0,0 +1,138 @@
+//! Counts of what the server takes in, sends and answers; one line each, in a fixed order.
+
+use madderbay::face::Outcome;
+use madderbay::time::Span;
+use std::fmt::Write;
+
+/// A tick later than this is counted: the module takes one that late for a pause of the process.
+const LATE: Span = Span::millis(30);
+/// A req read later than this after it came to the machine is counted.
+const READ_LATE: Span = Span::millis(20);
+
+#[derive(Default)]
+pub struct Counters {
+    handlers: Vec<String>,
+    pub read: Vec<u64>,
+    pub ran: Vec<u64>,
+    done: u64,
+    partial: u64,
+    pub shed: u64,
+    errored: u64,
+    pub joined: u64,
+    pub gone: u64,
+    pub cut: u64,
+    pub runs: u64,
+    over: [u64; 4],
+    pub calls: u64,
+    replies: [u64; 6],
+    pub skipped: u64,
+    pub connections: u64,
+    pub bad_lines: u64,
+    pub bad_notices: u64,
+    pub bad_replies: u64,
+    pub declined: u64,
+    pub relinks: u64,
+    pub reports: u64,
+    pub reports_lost: u64,
+    ticks: u64,
+    late: u64,
+    latest: Span,
+    late_reads: u64,
+    latest_read: Span,
+}
+
+impl Counters {
+    pub fn new(handlers: &[String]) -> Counters {
+        let none = vec![0; handlers.len()];
+        Counters { handlers: handlers.to_vec(), read: none.clone(), ran: none, ..Counters::default() }
+    }
+
+    pub fn answered(&mut self, done: bool, partial: bool) {
+        match (done, partial) {
+            (true, true) => self.partial += 1,
+            (true, false) => self.done += 1,
+            _ => self.errored += 1,
+        }
+    }
+
+    pub fn run_over(&mut self, how: Outcome) {
+        let at = match how {
+            Outcome::Done => 0,
+            Outcome::Errored => 1,
+            Outcome::Stopped => 2,
+            _ => 3,
+        };
+        self.over[at] += 1;
+    }
+
+    pub fn call_over(&mut self, how: Outcome) {
+        let at = match how {
+            Outcome::Done => 0,
+            Outcome::Shed => 1,
+            Outcome::Errored => 2,
+            Outcome::TimedOut => 3,
+            Outcome::Unreached => 4,
+            _ => 5,
+        };
+        self.replies[at] += 1;
+    }
+
+    pub fn tick(&mut self, late: Span) {
+        self.ticks += 1;
+        self.late += u64::from(late > LATE);
+        self.latest = self.latest.max(late);
+    }
+
+    pub fn read_late(&mut self, unread: Span) {
+        self.late_reads += u64::from(unread > READ_LATE);
+        self.latest_read = self.latest_read.max(unread);
+    }
+
+    /// All counters; `open` reqs are owed an answer, `held` are in hand at all.
+    pub fn lines(&self, open: usize, held: usize, conns: usize, calls: usize, keys: usize) -> String {
+        let mut text = String::new();
+        let mut line = |name: &str, value: u64| {
+            let _ = writeln!(text, "counter {name} {value}");
+        };
+        for (h, name) in self.handlers.iter().enumerate() {
+            line(&format!("read.{name}"), self.read[h]);
+            line(&format!("ran.{name}"), self.ran[h]);
+        }
+        line("answered.done", self.done);
+        line("answered.partial", self.partial);
+        line("answered.shed", self.shed);
+        line("answered.errored", self.errored);
+        line("gone", self.gone);
+        line("open", open as u64);
+        line("in_hand", held as u64);
+        line("joined", self.joined);
+        line("cut", self.cut);
+        line("runs.started", self.runs);
+        for (at, name) in ["done", "errored", "stopped", "moot"].iter().enumerate() {
+            line(&format!("runs.{name}"), self.over[at]);
+        }
+        line("calls.made", self.calls);
+        for (at, name) in ["done", "shed", "errored", "timed_out", "unreached", "cut_off"].iter().enumerate()
+        {
+            line(&format!("calls.{name}"), self.replies[at]);
+        }
+        line("calls.out", calls as u64);
+        line("calls.skipped", self.skipped);
+        line("connections.accepted", self.connections);
+        line("connections.open", conns as u64);
+        line("keys.kept", keys as u64);
+        line("bad.lines", self.bad_lines);
+        line("bad.notices", self.bad_notices);
+        line("bad.replies", self.bad_replies);
+        line("engine.declined", self.declined);
+        line("engine.links_lost", self.relinks);
+        line("registry.reports", self.reports);
+        line("registry.reports_lost", self.reports_lost);
+        line("ticks", self.ticks);
+        line("ticks.late", self.late);
+        line("ticks.latest_ms", self.latest.as_micros() / 1000);
+        line("reads.late", self.late_reads);
+        line("reads.latest_ms", self.latest_read.as_micros() / 1000);
+        text
+    }
+}
--- /dev/null
+++ b/crates/server/src/door.rs
@@ -0,0 +1,200 @@
+//! The door: what an arriving req says of itself, under small numbers, and the table of uniqued reqs.
+
+use crate::json::Members;
+use madderbay::face::{Arrival, Repeats};
+use madderbay::time::{At, Span};
+use madderbay_settings::Settings;
+use std::collections::{BTreeSet, HashMap};
+
+/// An entry is known this much longer than its term: tries that reached the machine within it may be read
+/// later, while this process waits for its core.
+const READ_LATE: Span = Span::millis(2000);
+
+/// The 16 hex digits that name a try on all wires, and the 32 that name a uniqued req.
+pub type Name = [u8; 16];
+pub type Key = u128;
+
+/// What is known of the one run of a uniqued req.
+enum Run {
+    NotYet,
+    Going,
+    Done(Box<str>),
+    Errored,
+}
+
+struct Entry {
+    holder: u64,
+    until: At,
+    run: Run,
+    waiting: Vec<u64>,
+}
+
+/// What a try that joins another hears at once.
+pub enum Joined {
+    Waits,
+    Done(Box<str>),
+    Errored,
+}
+
+/// A req as it stands in its line: what decisions need, and its body as it came.
+pub struct Read<'a> {
+    pub arrival: Arrival,
+    pub name: Name,
+    pub key: Option<Key>,
+    pub body: &'a str,
+}
+
+pub struct Door {
+    handlers: HashMap<String, usize>,
+    repeats: Vec<Repeats>,
+    tenants: HashMap<String, usize>,
+    /// The handlers' names as JSON strings.
+    quoted: Vec<String>,
+    says_wait: bool,
+    ids: u64,
+    table: HashMap<Key, Entry>,
+    holders: HashMap<u64, Key>,
+    lapses: BTreeSet<(At, Key)>,
+}
+
+fn numbered(names: &[String]) -> HashMap<String, usize> {
+    names.iter().cloned().enumerate().map(|(i, n)| (n, i)).collect()
+}
+
+fn name(text: &str) -> Option<Name> {
+    let bytes: Name = text.as_bytes().try_into().ok()?;
+    bytes.iter().all(u8::is_ascii_hexdigit).then_some(bytes)
+}
+
+impl Door {
+    pub fn new(s: &Settings) -> Door {
+        Door {
+            handlers: numbered(&s.handler_names),
+            repeats: s.handlers.iter().map(|h| h.repeats).collect(),
+            tenants: numbered(&s.tenant_names),
+            quoted: s.handler_names.iter().map(|n| serde_json::Value::from(n.as_str()).to_string()).collect(),
+            says_wait: s.rules.says_wait,
+            ids: 0,
+            table: HashMap::new(),
+            holders: HashMap::new(),
+            lapses: BTreeSet::new(),
+        }
+    }
+
+    pub fn handler(&self, method: &str) -> Option<usize> {
+        self.handlers.get(method).copied()
+    }
+
+    pub fn quoted(&self, handler: usize) -> String {
+        self.quoted[handler].clone()
+    }
+
+    pub fn entries(&self) -> usize {
+        self.table.len()
+    }
+
+    /// Reads a req's own account of itself; says what is wrong with it.
+    pub fn read<'a>(
+        &mut self, now: At, handler: usize, params: &Members<'a>,
+    ) -> Result<Read<'a>, &'static str> {
+        let own = params.text("ref").as_deref().and_then(name).ok_or("ref is not 16 hex digits")?;
+        let since = params.whole("since").ok_or("since is not a time in milliseconds")?;
+        let reached = At::micros(since.saturating_mul(1000)).min(now);
+        let body = params.raw("bytes").filter(|b| b.starts_with('"')).ok_or("bytes is not a string")?;
+        let held_kb = params.number("room").filter(|kb| *kb >= 0.0).ok_or("room is not a size in KB")?;
+        let wait = match params.number("allow") {
+            Some(ms) if self.says_wait => reached + Span::secs(ms / 1e3) - now,
+            None if self.says_wait => return Err("allow is not a time in milliseconds"),
+            _ => Span::ZERO,
+        };
+        let tenant = if self.tenants.is_empty() {
+            0
+        } else {
+            let known = params.text("project").and_then(|p| self.tenants.get(&*p).copied());
+            known.ok_or("project is not among the settings' tenants")?
+        };
+        let key = if self.repeats[handler] == Repeats::Uniqued {
+            let text = params.text("replay").filter(|k| k.len() == 32);
+            Some(text.and_then(|k| Key::from_str_radix(&k, 16).ok()).ok_or("replay is not 32 hex digits")?)
+        } else {
+            None
+        };
+        let subject = params.text("lookup").and_then(|k| u64::from_str_radix(&k, 16).ok());
+        self.ids += 1;
+        let arrival = Arrival {
+            id: self.ids,
+            from: params.whole("sender").unwrap_or(0).min(u64::from(u16::MAX)) as u16,
+            handler,
+            tenant,
+            subject: subject.unwrap_or(0),
+            wait,
+            hint: params.number("effort").map(|ms| Span::secs(ms / 1e3)),
+            held_kb,
+            rank: params.number("class_rank").unwrap_or(0.0),
+            retry: params.raw("dup").is_some_and(|d| d == "true" || d == "1"),
+            unread_for: now - reached,
+            repeats: key.and_then(|k| self.table.get(&k)).map_or(0, |e| e.holder),
+        };
+        Ok(Read { arrival, name: own, key, body })
+    }
+
+    /// Enters a try, or renews its entry; a newer try takes the entry over.
+    pub fn keep(&mut self, id: u64, key: Key, until: At) {
+        let fresh = Entry { holder: id, until, run: Run::NotYet, waiting: vec![] };
+        let entry = self.table.entry(key).or_insert(fresh);
+        self.lapses.remove(&(entry.until + READ_LATE, key));
+        self.holders.remove(&entry.holder);
+        (entry.holder, entry.until) = (id, until);
+        self.holders.insert(id, key);
+        self.lapses.insert((until + READ_LATE, key));
+    }
+
+    pub fn drop(&mut self, id: u64) {
+        if let Some(key) = self.holders.remove(&id)
+            && let Some(entry) = self.table.remove(&key)
+        {
+            self.lapses.remove(&(entry.until + READ_LATE, key));
+        }
+    }
+
+    pub fn started(&mut self, key: Key) {
+        if let Some(entry) = self.table.get_mut(&key) {
+            entry.run = Run::Going;
+        }
+    }
+
+    /// The one run is over, with its result if it went well; gives those that wait for it.
+    pub fn ran(&mut self, key: Key, result: Option<&str>) -> Vec<u64> {
+        let Some(entry) = self.table.get_mut(&key) else { return vec![] };
+        entry.run = result.map_or(Run::Errored, |r| Run::Done(r.into()));
+        std::mem::take(&mut entry.waiting)
+    }
+
+    /// A try takes the result of the run of its key, now or when that is over.
+    pub fn join(&mut self, id: u64, key: Option<Key>) -> Joined {
+        let Some(entry) = key.and_then(|k| self.table.get_mut(&k)) else { return Joined::Errored };
+        match &entry.run {
+            Run::Done(result) => Joined::Done(result.clone()),
+            Run::Errored => Joined::Errored,
+            Run::NotYet | Run::Going => {
+                entry.waiting.push(id);
+                Joined::Waits
+            }
+        }
+    }
+
+    /// Takes entries off whose term is over, except while their run goes on.
+    pub fn lapse(&mut self, now: At) {
+        while let Some(&(at, key)) = self.lapses.first().filter(|l| l.0 <= now) {
+            self.lapses.remove(&(at, key));
+            let Some(entry) = self.table.get_mut(&key) else { continue };
+            if matches!(entry.run, Run::Going) {
+                entry.until = now;
+                self.lapses.insert((now + READ_LATE, key));
+            } else {
+                self.holders.remove(&entry.holder);
+                self.table.remove(&key);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/engine.rs
@@ -0,0 +1,192 @@
+//! The engine's link: commands as lines out, notices as lines in, both in order.
+
+use crate::clock::Clock;
+use crate::door::Name;
+use crate::drive::{Lines, Outbox, drive};
+use crate::json::{Members, whole};
+use crate::serve::{Serve, Shared};
+use madderbay::face::Outcome;
+use madderbay::time::{At, Span};
+use std::io::Write;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// Longer than any legal notice: a result of 4 KiB in base64, each byte escaped.
+const LINE_MOST: usize = 64 << 10;
+/// Wait before a lost link is taken up again: runs go on meanwhile.
+const AGAIN: Duration = Duration::from_millis(20);
+
+/// One command as a line. What it is about comes as it stands on the wire.
+pub fn command(msg: &str, call: &Name, rest: std::fmt::Arguments) -> Vec<u8> {
+    let mut line = Vec::with_capacity(64);
+    let call = std::str::from_utf8(call).unwrap_or_default();
+    let _ = writeln!(line, "{{\"msg\":\"{msg}\",\"call\":\"{call}\"{rest}}}");
+    line
+}
+
+/// The sending side: it knows which commands the engine has surely read, since gauges asked for later on the
+/// same link have come back.
+#[derive(Default)]
+pub struct Link {
+    pub out: Outbox,
+    /// Linked, and all notices that were missed have been read.
+    pub up: bool,
+    asked: u64,
+    heard: u64,
+    /// What was heard when the link before this one was lost.
+    proven: u64,
+}
+
+impl Link {
+    /// A fresh connection: the engine is told what was read last.
+    pub fn attach(&mut self, out: Outbox, serial: u64) {
+        out.put(|b| {
+            let _ = writeln!(b, "{{\"msg\":\"ATTACH\",\"serial\":{serial}}}");
+        });
+        (self.out, self.up, self.proven, self.heard) = (out, false, self.heard, self.asked);
+    }
+
+    /// The connection is gone: what is sent now waits for the next one.
+    pub fn lost(&mut self) {
+        self.up = false;
+    }
+
+    pub fn send(&self, line: &[u8]) {
+        if self.up {
+            self.out.put(|b| b.extend_from_slice(line));
+        }
+    }
+
+    /// Asks for the gauges, unless it still waits for the last ones.
+    pub fn ask(&mut self, again: bool) {
+        if self.heard == self.asked || again {
+            self.asked += 1;
+            let cookie = self.asked;
+            self.out.put(|b| {
+                let _ = writeln!(b, "{{\"msg\":\"STAT\",\"cookie\":\"{cookie}\"}}");
+            });
+        }
+    }
+
+    /// The gauges that will prove what is sent now as read.
+    pub fn proof(&self) -> u64 {
+        self.asked + 1
+    }
+
+    pub fn proven_before(&self) -> u64 {
+        self.proven
+    }
+
+    pub fn heard(&self) -> u64 {
+        self.heard
+    }
+
+    fn answered(&mut self, cookie: u64) {
+        self.heard = self.heard.max(cookie.min(self.asked));
+    }
+}
+
+/// The reading side. It outlives its links: the last serial read says where the next one takes up.
+pub struct Notices {
+    lines: Lines,
+    pub serial: u64,
+    /// Notices were missed for good.
+    gap: bool,
+}
+
+impl Default for Notices {
+    fn default() -> Notices {
+        Notices { lines: Lines::up_to(LINE_MOST), serial: 0, gap: false }
+    }
+}
+
+impl Notices {
+    pub fn relinked(&mut self) {
+        self.lines = Lines::up_to(LINE_MOST);
+    }
+
+    /// False when the link can't be read on.
+    pub fn fed(&mut self, now: At, bytes: &[u8], serve: &mut Serve) -> bool {
+        let mut lines = std::mem::take(&mut self.lines);
+        let whole = lines.feed(bytes, |line| {
+            if self.line(now, line, serve).is_none() {
+                serve.hands.counters.bad_notices += 1;
+                log::warn!("engine: a notice that can't be read");
+            }
+        });
+        self.lines = lines;
+        whole
+    }
+
+    fn line(&mut self, now: At, line: &[u8], serve: &mut Serve) -> Option<()> {
+        let notice = Members::read(std::str::from_utf8(line).ok()?)?;
+        let msg = notice.text("msg")?;
+        if let Some(serial) = notice.whole("serial") {
+            if serial <= self.serial {
+                return Some(());
+            }
+            self.gap |= serial > self.serial + 1;
+            self.serial = serial;
+        }
+        let call = || -> Option<Name> { notice.text("call")?.as_bytes().try_into().ok() };
+        let spent = || notice.number("duration").map_or(Span::ZERO, |ms| Span::secs(ms / 1e3));
+        match &*msg {
+            "HELLO" => serve.hello(now, &notice.text("how")?, spent()),
+            "DONE" => {
+                let how = match &*notice.text("how")? {
+                    "good" => Outcome::Done,
+                    "bad" => Outcome::Errored,
+                    "cut" => Outcome::Stopped,
+                    "gone" => Outcome::Moot,
+                    _ => return None,
+                };
+                serve.run_over(now, &call()?, how, spent(), notice.raw("blob").unwrap_or("\"\""));
+            }
+            "NEED" => serve.at_call(now, &call()?, self.serial, &notice.text("blob")?),
+            "STATS" => {
+                let raw = notice.raw("stats")?;
+                let inner = raw.strip_prefix('[')?.strip_suffix(']')?;
+                let gauges =
+                    inner.split(',').map(|g| crate::json::number(g.trim())).collect::<Option<Vec<f64>>>();
+                serve.hands.engine.answered(whole(&notice.text("cookie")?)?);
+                serve.gauges(now, &gauges?, std::mem::take(&mut self.gap));
+            }
+            "NO" => serve.declined(&notice.text("how").unwrap_or_default()),
+            "NOTE" => {}
+            _ => return None,
+        }
+        Some(())
+    }
+}
+
+/// The driver: keeps a link to the engine and takes it up again where it was lost.
+pub async fn run(address: SocketAddr, clock: Rc<Clock>, serve: Shared) {
+    let mut notices = Notices::default();
+    loop {
+        match TcpStream::connect(address).await {
+            Ok(stream) => {
+                let out = Outbox::default();
+                notices.relinked();
+                serve.borrow_mut().hands.engine.attach(out.clone(), notices.serial);
+                let end = drive(&stream, &out, |bytes| {
+                    let whole = notices.fed(clock.now(), bytes, &mut serve.borrow_mut());
+                    if bytes.is_empty() || !whole {
+                        out.close();
+                    }
+                    whole
+                });
+                let end = end.await;
+                {
+                    let hands = &mut serve.borrow_mut().hands;
+                    hands.engine.lost();
+                    hands.counters.relinks += 1;
+                }
+                log::warn!("engine: link lost after notice {}: {end:?}", notices.serial);
+            }
+            Err(e) => log::warn!("engine: can't be reached: {e}"),
+        }
+        tokio::time::sleep(AGAIN).await;
+    }
+}
--- /dev/null
+++ b/crates/server/src/main.rs
@@ -0,0 +1,122 @@
+//! Start, signals and exit of one server.
+
+use madderbay::time::{At, Span};
+use madderbay_server::clock::Clock;
+use madderbay_server::serve::{Serve, Shared};
+use madderbay_server::{calls, config, engine, listen, logger, registry};
+use std::cell::RefCell;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+
+/// A stop by hand (an interrupt) leaves as much as the configuration gives a notice to drain.
+/// The process ends this long before it would be killed.
+const BEFORE_KILL: Duration = Duration::from_millis(100);
+/// How often a drain is looked at, and how long it must have been at rest once its grace is over.
+const LOOK: Duration = Duration::from_millis(10);
+const REST: Duration = Duration::from_millis(60);
+
+fn set_up() -> Result<config::Config, String> {
+    let path =
+        std::env::var("RELAY_CONFIG").map_err(|_| "RELAY_CONFIG names no configuration".to_string())?;
+    let json = std::fs::read(&path).map_err(|e| format!("configuration {path}: {e}"))?;
+    config::read(&json, |name| std::env::var(name).ok())
+}
+
+fn main() -> ExitCode {
+    logger::start(std::env::var("MADDERBAY_LOG").ok().as_deref());
+    let served = set_up().and_then(|config| {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
+        LocalSet::new().block_on(&runtime, serve(config))
+    });
+    logger::flush();
+    match served {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(what) => {
+            eprintln!("madderbay: {what}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn serve(config: config::Config) -> Result<(), String> {
+    let room = listen::room(config.descriptors).ok_or_else(|| {
+        format!("configuration: limits.sockets {} is too small to serve", config.descriptors)
+    })?;
+    let hear = |kind| signal(kind).map_err(|e| format!("signals: {e}"));
+    let (mut term, mut int, mut usr1) =
+        (hear(SignalKind::terminate())?, hear(SignalKind::interrupt())?, hear(SignalKind::user_defined1())?);
+    let listener =
+        TcpListener::bind(config.listen).await.map_err(|e| format!("listen {}: {e}", config.listen))?;
+    let clock = Rc::new(Clock::default());
+    let grace = config.settings.rules.drain_grace;
+    let serve = Rc::new(RefCell::new(Serve::new(clock.now(), config.seed, config.settings)));
+    log::info!("{} listens on {}", config.name, config.listen);
+    spawn_local(engine::run(config.engine, clock.clone(), serve.clone()));
+    spawn_local(calls::run(config.catalogue, clock.clone(), serve.clone()));
+    spawn_local(registry::run(config.registry, config.name, serve.clone()));
+    spawn_local(beat(clock.clone(), serve.clone()));
+    let listening = spawn_local(listen::run(listener, room, clock.clone(), serve.clone()));
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = int.recv() => break,
+            _ = usr1.recv() => logger::plain(serve.borrow().counters()),
+        }
+    }
+    let began = clock.now();
+    log::info!("draining, {} ms left", config.stop_ms);
+    serve.borrow_mut().leave(began, Span::millis(config.stop_ms));
+    tokio::select! {
+        () = drain(began, grace, Duration::from_millis(config.stop_ms), &clock, &serve, || listening.abort()) => {}
+        () = async { while usr1.recv().await.is_some() { logger::plain(serve.borrow().counters()); } } => {}
+    }
+    logger::plain(serve.borrow().counters());
+    log::info!("stopped");
+    Ok(())
+}
+
+/// Waits until nothing is owed. New connections are taken for the grace, in which arrivals may still run; a
+/// req that crosses the end of a connection is sent again by its balancer.
+async fn drain(began: At, grace: Span, stop: Duration, clock: &Clock, serve: &Shared, deafen: impl Fn()) {
+    let mut resting = Duration::ZERO;
+    loop {
+        tokio::time::sleep(LOOK).await;
+        let passed = Duration::from_micros((clock.now() - began).as_micros());
+        let over = passed > Duration::from_micros(grace.as_micros());
+        if over {
+            deafen();
+        }
+        let rest = serve.borrow().at_rest();
+        resting = if rest && over { resting + LOOK } else { Duration::ZERO };
+        let alone = serve.borrow().unconnected();
+        if (resting > Duration::ZERO && alone) || resting >= REST || passed + BEFORE_KILL > stop {
+            return;
+        }
+    }
+}
+
+/// The one timer, and the settling of what came: everything that is ready is taken in before.
+async fn beat(clock: Rc<Clock>, serve: Shared) {
+    let changed = serve.borrow().hands.changed.clone();
+    loop {
+        let next = serve.borrow().next();
+        let now = clock.now();
+        let wait = next.map_or(Duration::from_secs(1), |at| Duration::from_micros((at - now).as_micros()));
+        tokio::select! {
+            biased;
+            () = changed.notified() => {}
+            () = tokio::time::sleep(wait) => {}
+        }
+        tokio::task::yield_now().await;
+        let turn = || serve.borrow_mut().turn(clock.now());
+        if catch_unwind(AssertUnwindSafe(turn)).is_err() {
+            log::error!("a turn of the decisions failed");
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/serve.rs
@@ -0,0 +1,631 @@
+//! The core: owns the decisions and the reqs in hand, carries results out. It knows no socket and no clock:
+//! what came is told by calls with the time, what goes out is put into outboxes.
+
+use crate::answer;
+use crate::calls::Desk;
+use crate::counters::Counters;
+use crate::door::{Door, Joined, Key, Name, Read};
+use crate::drive::Outbox;
+use crate::engine::{Link, command};
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD as BASE64;
+use madderbay::decide::Decider;
+use madderbay::face::{Gauges, Outcome, Results};
+use madderbay::time::{At, Span};
+use madderbay_settings::Settings;
+use std::cell::RefCell;
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::rc::Rc;
+use tokio::sync::Notify;
+
+/// Open reqs that one connection may carry.
+pub const OPEN_MOST: usize = 32;
+/// A balancer told that a connection is to end has this long to close it.
+const LEAVING: Span = Span::millis(1_000);
+
+pub type Shared = Rc<RefCell<Serve>>;
+
+/// A req that was read: what its answer and its run need.
+struct InHand {
+    name: Name,
+    conn: u64,
+    rpc: u64,
+    handler: usize,
+    key: Option<Key>,
+    /// As it came, until the run has it.
+    body: Box<str>,
+    started: bool,
+    answered: bool,
+    partial: bool,
+    /// The notice of the call that the run stands at, and that call's body.
+    need: u64,
+    wants: Vec<u8>,
+    until: Option<At>,
+    /// Commands that the engine may not have read, and the gauges that will prove that it has.
+    unproven: Vec<u8>,
+    proof: u64,
+}
+
+struct Conn {
+    out: Outbox,
+    open: HashMap<u64, u64>,
+    used: At,
+    /// The peer sends no more.
+    ended: bool,
+    leaving: bool,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Call(u64),
+    Idle(u64),
+    Tidy,
+}
+
+pub struct Serve {
+    decider: Option<Decider>,
+    settings: Settings,
+    seed: u64,
+    on_cores: Option<usize>,
+    gauges: Gauges,
+    pub hands: Hands,
+}
+
+/// All that is in hand, and the ways out.
+pub struct Hands {
+    now: At,
+    reqs: HashMap<u64, InHand>,
+    names: HashMap<Name, u64>,
+    conns: HashMap<u64, Conn>,
+    numbers: u64,
+    pub door: Door,
+    pub engine: Link,
+    pub calls: Desk,
+    due: BTreeSet<(At, Due)>,
+    wake: Option<At>,
+    free: Option<f64>,
+    good: bool,
+    idle: Option<Span>,
+    leaving: bool,
+    /// Joined reqs that were answered, for the module to hear of.
+    over: VecDeque<(u64, Outcome)>,
+    pub counters: Counters,
+    /// Something came: the decisions have to settle.
+    pub changed: Rc<Notify>,
+    /// The catalogue's desk wants a connection; what the registry says has changed.
+    pub dial: Rc<Notify>,
+    pub report: Rc<Notify>,
+}
+
+impl Serve {
+    pub fn new(now: At, seed: u64, settings: Settings) -> Serve {
+        let hands = Hands {
+            now,
+            reqs: HashMap::new(),
+            names: HashMap::new(),
+            conns: HashMap::new(),
+            numbers: 0,
+            door: Door::new(&settings),
+            engine: Link::default(),
+            calls: Desk::default(),
+            due: BTreeSet::from([(now, Due::Tidy)]),
+            wake: None,
+            free: None,
+            good: true,
+            idle: None,
+            leaving: false,
+            over: VecDeque::new(),
+            counters: Counters::new(&settings.handler_names),
+            changed: Rc::default(),
+            dial: Rc::default(),
+            report: Rc::default(),
+        };
+        let on_cores = settings.meters.iter().position(|m| m == "on_cores");
+        Serve { decider: None, settings, seed, on_cores, gauges: Gauges::default(), hands }
+    }
+
+    /// Lets the module decide; what that ends at once is told to it as well.
+    fn decide(&mut self, now: At, act: impl FnOnce(&mut Decider, &mut Hands)) {
+        self.consider(now, act);
+        self.hands.changed.notify_one();
+    }
+
+    fn consider(&mut self, now: At, act: impl FnOnce(&mut Decider, &mut Hands)) {
+        let Some(decider) = &mut self.decider else { return };
+        self.hands.now = now;
+        act(decider, &mut self.hands);
+        while let Some((id, how)) = self.hands.over.pop_front() {
+            decider.ended(now, id, how, Span::ZERO);
+        }
+    }
+
+    // --- balancers
+
+    pub fn opened(&mut self, now: At, out: Outbox) -> u64 {
+        let hands = &mut self.hands;
+        hands.numbers += 1;
+        hands.counters.connections += 1;
+        if hands.leaving {
+            out.put(answer::leaving);
+        }
+        let leaving = hands.leaving;
+        let conn = Conn { out, open: HashMap::new(), used: now, ended: false, leaving };
+        hands.conns.insert(hands.numbers, conn);
+        if let Some(limit) = hands.idle {
+            hands.due.insert((now + limit, Due::Idle(hands.numbers)));
+        }
+        hands.numbers
+    }
+
+    /// The peer sends no more, or nothing that can be read: what is open is still answered.
+    pub fn no_more(&mut self, no: u64) {
+        let Some(conn) = self.hands.conns.get_mut(&no) else { return };
+        conn.ended = true;
+        if conn.open.is_empty() {
+            conn.out.close();
+        }
+    }
+
+    /// The connection is gone, and with it everyone who waits on it.
+    pub fn closed(&mut self, now: At, no: u64) {
+        let Some(conn) = self.hands.conns.remove(&no) else { return };
+        let mut open: Vec<u64> = conn.open.into_values().collect();
+        open.sort_unstable();
+        self.hands.counters.cut += open.len() as u64;
+        open.into_iter().for_each(|id| self.gone(now, id));
+    }
+
+    pub fn handler(&self, method: &str) -> Option<usize> {
+        self.hands.door.handler(method)
+    }
+
+    pub fn out(&self, no: u64) -> Option<&Outbox> {
+        self.hands.conns.get(&no).map(|c| &c.out)
+    }
+
+    /// Whether another req by this id may be opened on a connection; else why not.
+    pub fn may_open(&self, no: u64, rpc: u64) -> Result<(), &'static str> {
+        match self.hands.conns.get(&no) {
+            Some(c) if c.open.contains_key(&rpc) => Err("id is in use"),
+            Some(c) if c.open.len() >= OPEN_MOST => Err("too many open requests"),
+            _ => Ok(()),
+        }
+    }
+
+    /// A req has been read.
+    pub fn arrived(&mut self, now: At, no: u64, rpc: u64, read: Read) -> Result<(), &'static str> {
+        let Read { arrival, name, key, body } = read;
+        if self.hands.names.contains_key(&name) {
+            return Err("ref is in use");
+        }
+        let Some(conn) = self.hands.conns.get_mut(&no) else { return Ok(()) };
+        conn.open.insert(rpc, arrival.id);
+        conn.used = now;
+        self.hands.counters.read[arrival.handler] += 1;
+        self.hands.counters.read_late(arrival.unread_for);
+        let req = InHand {
+            name,
+            conn: no,
+            rpc,
+            handler: arrival.handler,
+            key,
+            body: body.into(),
+            started: false,
+            answered: false,
+            partial: false,
+            need: 0,
+            wants: vec![],
+            until: None,
+            unproven: vec![],
+            proof: 0,
+        };
+        self.hands.names.insert(name, arrival.id);
+        self.hands.reqs.insert(arrival.id, req);
+        if self.decider.is_none() {
+            // Nothing can run before the engine is up.
+            self.hands.shed(arrival.id, Span::ZERO, false);
+        }
+        self.decide(now, |d, hands| d.arrive(now, &arrival, hands));
+        Ok(())
+    }
+
+    /// The balancer has stopped waiting for a req.
+    pub fn forget(&mut self, now: At, no: u64, rpc: Option<u64>, name: Option<Name>) {
+        let by_rpc = rpc.and_then(|rpc| self.hands.conns.get(&no)?.open.get(&rpc).copied());
+        if let Some(id) = by_rpc.or_else(|| self.hands.names.get(&name?).copied()) {
+            self.gone(now, id);
+        }
+    }
+
+    fn gone(&mut self, now: At, id: u64) {
+        let Some(req) = self.hands.reqs.get(&id).filter(|r| !r.answered) else { return };
+        log::debug!("req {id} is gone, started {}", req.started);
+        self.hands.counters.gone += 1;
+        self.decide(now, |d, hands| d.gone(now, id, hands));
+        self.hands.nobody_waits(id);
+    }
+
+    pub fn health(&self, rpc: u64, out: &mut Vec<u8>) {
+        answer::health(out, rpc, self.hands.good && !self.hands.leaving, self.hands.free);
+    }
+
+    // --- engine
+
+    /// The engine is up. The first time the module begins, counting from the engine's start.
+    pub fn hello(&mut self, now: At, how: &str, age: Span) {
+        log::info!("engine: up, {how} {} ms ago", age.as_micros() / 1000);
+        if self.decider.is_none() {
+            let s = &self.settings;
+            let mut machine = s.machine.clone();
+            machine.cold |= how == "new";
+            let began = now.before(age);
+            let mut decider = Decider::new(
+                began,
+                self.seed,
+                &machine,
+                &s.handlers,
+                &s.tenants,
+                &s.below,
+                &s.callers,
+                &s.place,
+                &s.rules,
+            );
+            self.hands.now = now;
+            decider.begin(&mut self.hands);
+            self.decider = Some(decider);
+        }
+        self.hands.engine.ask(true);
+        self.hands.changed.notify_one();
+    }
+
+    /// The gauges. After a lost link they come behind all notices that were missed: what may not have reached
+    /// the engine is sent again then, which starts nothing twice, since all that ended meanwhile is known. If
+    /// notices were lost for good any run may have ended, and none is sent again.
+    pub fn gauges(&mut self, now: At, values: &[f64], gap: bool) {
+        self.gauges.on_cores = self.on_cores.and_then(|at| values.get(at)).copied();
+        if gap {
+            log::warn!("engine: notices were lost; all runs count as errored");
+            let mut lost: Vec<_> = self.hands.reqs.values().filter(|r| r.started).map(|r| r.name).collect();
+            lost.sort_unstable();
+            lost.into_iter().for_each(|name| self.run_over(now, &name, Outcome::Errored, Span::ZERO, ""));
+        }
+        if !self.hands.engine.up {
+            self.hands.engine.up = true;
+            self.hands.resend();
+        }
+    }
+
+    /// A run stands at a call.
+    pub fn at_call(&mut self, now: At, name: &Name, serial: u64, blob: &str) {
+        let Some(&id) = self.hands.names.get(name) else { return };
+        let Some(req) = self.hands.reqs.get_mut(&id) else { return };
+        req.unproven.clear();
+        req.need = serial;
+        match BASE64.decode(blob) {
+            Ok(body) => req.wants = body,
+            Err(_) => log::warn!("engine: the body of a call is no base64"),
+        }
+        self.decide(now, |d, hands| d.at_call(now, id, hands));
+    }
+
+    /// A run is over. A req that still waits for it is answered with what came of it.
+    pub fn run_over(&mut self, now: At, name: &Name, how: Outcome, spent: Span, blob: &str) {
+        let Some(&id) = self.hands.names.get(name) else { return };
+        let Some(req) = self.hands.reqs.get(&id) else { return };
+        let (key, handler) = (req.key, req.handler);
+        log::debug!("req {id} run over {how:?}, answered {}", req.answered);
+        self.hands.now = now;
+        self.hands.counters.run_over(how);
+        let result = (how == Outcome::Done).then_some(blob);
+        self.hands.answer_run(id, result);
+        for waiting in key.map_or(vec![], |k| self.hands.door.ran(k, result)) {
+            self.hands.joined(waiting, result);
+        }
+        self.hands.counters.ran[handler] += 1;
+        self.hands.remove(id);
+        self.decide(now, |d, _| d.ended(now, id, how, spent));
+    }
+
+    pub fn declined(&mut self, what: &str) {
+        self.hands.counters.declined += 1;
+        log::warn!("engine: {what} was not carried out");
+    }
+
+    // --- catalogue
+
+    /// A call's reply came.
+    pub fn call_over(&mut self, now: At, wire: u64, name: &Name, how: Outcome, body: &[u8]) {
+        let Some((id, spent)) = self.hands.calls.replied(now, wire, name) else { return };
+        if how == Outcome::Done && self.hands.reqs.get(&id).is_some_and(|r| !r.answered) {
+            let blob = BASE64.encode(body);
+            self.hands.command(id, "FEED", format_args!(",\"blob\":\"{blob}\""));
+        }
+        self.call_ended(now, id, how, spent);
+    }
+
+    pub fn calls_lost(&mut self, now: At, wire: u64, out: &Outbox) {
+        for (id, how, spent) in self.hands.calls.ended(now, wire, out) {
+            self.call_ended(now, id, how, spent);
+        }
+    }
+
+    fn call_ended(&mut self, now: At, id: u64, how: Outcome, spent: Span) {
+        self.hands.counters.call_over(how);
+        if let Some(until) = self.hands.reqs.get_mut(&id).and_then(|r| r.until.take()) {
+            self.hands.due.remove(&(until, Due::Call(id)));
+        }
+        self.decide(now, |d, hands| d.call_back(now, id, how, spent, hands));
+    }
+
+    // --- time
+
+    /// When the next turn is due at the latest.
+    pub fn next(&self) -> Option<At> {
+        let due = self.hands.due.first().map(|d| d.0);
+        [self.hands.wake, due].into_iter().flatten().min()
+    }
+
+    /// One moment: all that was ready has been taken in; due times, the module's timer, its settling.
+    pub fn turn(&mut self, now: At) {
+        self.hands.now = now;
+        while let Some(&(at, what)) = self.hands.due.first().filter(|d| d.0 <= now) {
+            self.hands.due.remove(&(at, what));
+            match what {
+                Due::Call(id) => self.patience_over(now, id),
+                Due::Idle(no) => self.hands.idle_over(now, no),
+                Due::Tidy => {
+                    self.hands.calls.tidy(now);
+                    self.hands.door.lapse(now);
+                    self.hands.due.insert((now + LEAVING, Due::Tidy));
+                }
+            }
+        }
+        if let Some(wake) = self.hands.wake.filter(|w| *w <= now) {
+            self.hands.wake = None;
+            self.hands.counters.tick(now - wake);
+            let gauges = self.gauges;
+            self.consider(now, |d, hands| d.tick(now, &gauges, hands));
+            if self.hands.engine.up {
+                self.hands.engine.ask(false);
+            }
+        }
+        self.consider(now, |d, hands| d.settle(now, hands));
+    }
+
+    fn patience_over(&mut self, now: At, id: u64) {
+        let Some(req) = self.hands.reqs.get_mut(&id) else { return };
+        req.until = None;
+        let name = req.name;
+        if let Some((id, how, spent)) = self.hands.calls.quit(now, &name) {
+            self.call_ended(now, id, how, spent);
+        }
+    }
+
+    // --- drain
+
+    pub fn leave(&mut self, now: At, left: Span) {
+        self.hands.leaving = true;
+        self.hands.report.notify_one();
+        for conn in self.hands.conns.values_mut() {
+            if !std::mem::replace(&mut conn.leaving, true) {
+                conn.out.put(answer::leaving);
+            }
+        }
+        self.decide(now, |d, _| d.wind_down(now, left));
+    }
+
+    /// Nothing is owed and nothing waits to be written.
+    pub fn at_rest(&self) -> bool {
+        self.hands.conns.values().all(|c| c.open.is_empty() && c.out.is_empty())
+    }
+
+    pub fn unconnected(&self) -> bool {
+        self.hands.conns.is_empty()
+    }
+
+    /// What the registry is told: whether this server takes work.
+    pub fn ready(&self) -> bool {
+        !self.hands.leaving && (self.hands.good || !self.settings.lists_follow_health)
+    }
+
+    pub fn counters(&self) -> String {
+        let h = &self.hands;
+        let open = h.reqs.values().filter(|r| !r.answered).count();
+        h.counters.lines(open, h.reqs.len(), h.conns.len(), h.calls.out(), h.door.entries())
+    }
+}
+
+impl Hands {
+    /// The final answer of a req, once.
+    fn answer(&mut self, id: u64, write: impl FnOnce(&mut Vec<u8>, u64, Option<f64>)) -> bool {
+        let Some(req) = self.reqs.get_mut(&id).filter(|r| !r.answered) else { return false };
+        req.answered = true;
+        if let Some(conn) = self.conns.get_mut(&req.conn) {
+            conn.open.remove(&req.rpc);
+            conn.used = self.now;
+            conn.out.put(|out| write(out, req.rpc, self.free));
+            if conn.ended && conn.open.is_empty() {
+                conn.out.close();
+            }
+        }
+        true
+    }
+
+    /// Answers with what a run made; nothing stands for a run that made none.
+    fn answer_run(&mut self, id: u64, result: Option<&str>) {
+        let partial = self.reqs.get(&id).is_some_and(|r| r.partial);
+        let answered = self.answer(id, |out, rpc, free| match result {
+            Some(blob) => answer::done(out, rpc, blob, free),
+            None => answer::errored(out, rpc, free),
+        });
+        if answered {
+            self.counters.answered(result.is_some(), partial);
+        }
+    }
+
+    fn joined(&mut self, id: u64, result: Option<&str>) {
+        if self.reqs.contains_key(&id) {
+            self.answer_run(id, result);
+            self.counters.joined += 1;
+            self.remove(id);
+            self.over.push_back((id, if result.is_some() { Outcome::Done } else { Outcome::Errored }));
+        }
+    }
+
+    fn remove(&mut self, id: u64) {
+        let Some(req) = self.reqs.remove(&id) else { return };
+        self.names.remove(&req.name);
+        if let Some(until) = req.until {
+            self.due.remove(&(until, Due::Call(id)));
+            self.calls.quit(self.now, &req.name);
+        }
+        self.calls.forget(&req.name);
+    }
+
+    /// The req is answered or its caller gone: a call for it is given up, and unless it runs it is over.
+    fn nobody_waits(&mut self, id: u64) {
+        let Some(req) = self.reqs.get_mut(&id) else { return };
+        req.answered = true;
+        if let Some(conn) = self.conns.get_mut(&req.conn) {
+            conn.open.remove(&req.rpc);
+        }
+        if let Some(until) = req.until.take() {
+            self.due.remove(&(until, Due::Call(id)));
+            let name = req.name;
+            self.calls.quit(self.now, &name);
+        }
+        if !self.reqs[&id].started {
+            self.remove(id);
+        }
+    }
+
+    fn command(&mut self, id: u64, msg: &str, rest: std::fmt::Arguments) {
+        let Some(req) = self.reqs.get_mut(&id) else { return };
+        let line = command(msg, &req.name, rest);
+        if self.engine.heard() >= req.proof {
+            req.unproven.clear();
+        }
+        req.unproven.extend_from_slice(&line);
+        req.proof = self.engine.proof();
+        self.engine.send(&line);
+    }
+
+    fn resend(&mut self) {
+        let proven = self.engine.proven_before();
+        let mut unproven: Vec<_> =
+            self.reqs.iter_mut().filter(|(_, r)| r.proof > proven && !r.unproven.is_empty()).collect();
+        unproven.sort_by_key(|(id, _)| **id);
+        for (_, req) in unproven {
+            req.proof = self.engine.proof();
+            self.engine.send(&req.unproven);
+        }
+    }
+
+    /// A connection without open reqs is asked to end, and ended where that is not heeded.
+    fn idle_over(&mut self, now: At, no: u64) {
+        let Some(limit) = self.idle else { return };
+        let Some(conn) = self.conns.get_mut(&no) else { return };
+        let idle = conn.open.is_empty() && now - conn.used >= limit;
+        let again = match (idle, conn.leaving) {
+            (true, true) => return conn.out.close(),
+            (true, false) => {
+                conn.leaving = true;
+                conn.out.put(answer::leaving);
+                now + LEAVING
+            }
+            (false, _) => (conn.used + limit).max(now + Span::millis(1)),
+        };
+        self.due.insert((again, Due::Idle(no)));
+    }
+}
+
+impl Results for Hands {
+    fn start(&mut self, id: u64) {
+        let Some(req) = self.reqs.get_mut(&id) else { return };
+        req.started = true;
+        let body = std::mem::take(&mut req.body);
+        let (key, handler) = (req.key, req.handler);
+        if let Some(key) = key {
+            self.door.started(key);
+        }
+        self.counters.runs += 1;
+        let service = self.door.quoted(handler);
+        self.command(id, "RUN", format_args!(",\"service\":{service},\"blob\":{body}"));
+    }
+
+    fn stop(&mut self, id: u64) {
+        self.command(id, "HALT", format_args!(""));
+    }
+
+    fn shed(&mut self, id: u64, come_back: Span, last: bool) {
+        if self.answer(id, |out, rpc, free| answer::shed(out, rpc, come_back, last, free)) {
+            self.counters.shed += 1;
+        }
+        self.nobody_waits(id);
+    }
+
+    fn errored(&mut self, id: u64) {
+        if self.answer(id, answer::errored) {
+            self.counters.answered(false, false);
+        }
+        self.nobody_waits(id);
+    }
+
+    fn call(&mut self, id: u64, patience: Span) {
+        let Some(req) = self.reqs.get_mut(&id) else { return };
+        let until = self.now + patience;
+        req.until = Some(until);
+        self.due.insert((until, Due::Call(id)));
+        self.counters.calls += 1;
+        self.calls.fetch(self.now, id, &req.name, patience, &req.wants);
+        self.dial.notify_one();
+    }
+
+    fn skip(&mut self, id: u64) {
+        let Some(req) = self.reqs.get_mut(&id) else { return };
+        req.partial = true;
+        let need = req.need;
+        self.counters.skipped += 1;
+        self.command(id, "SKIP", format_args!(",\"serial\":{need}"));
+    }
+
+    fn keep_key(&mut self, id: u64, term: Span) {
+        if let Some(key) = self.reqs.get(&id).and_then(|r| r.key) {
+            self.door.keep(id, key, self.now + term);
+        }
+    }
+
+    fn drop_key(&mut self, id: u64) {
+        self.door.drop(id);
+    }
+
+    fn join(&mut self, id: u64) {
+        let Some(req) = self.reqs.get(&id) else { return };
+        match self.door.join(id, req.key) {
+            Joined::Waits => {}
+            Joined::Done(result) => self.joined(id, Some(&result)),
+            Joined::Errored => self.joined(id, None),
+        }
+    }
+
+    fn health(&mut self, good: bool) {
+        if std::mem::replace(&mut self.good, good) != good {
+            log::warn!("health: {}", if good { "good again" } else { "ill" });
+            self.report.notify_one();
+        }
+    }
+
+    fn free_value(&mut self, value: f64) {
+        self.free = Some(value);
+    }
+
+    fn idle_limit(&mut self, limit: Span) {
+        self.idle = Some(limit);
+        self.due.retain(|d| !matches!(d.1, Due::Idle(_)));
+        self.due.extend(self.conns.iter().map(|(no, c)| (c.used + limit, Due::Idle(*no))));
+    }
+
+    fn wake(&mut self, after: Span) {
+        self.wake = Some(self.now + after);
+    }
+}
--- a/crates/drill/src/settings.rs
+++ b/crates/settings/src/lib.rs
@@ -25,6 +25,8 @@
 
 #[derive(Deserialize)]
 struct RawClass {
+    #[serde(default)]
+    name: String,
     aim_us: u64,
     #[serde(default)]
     aim_stretch: f64,
@@ -39,6 +41,8 @@
 
 #[derive(Deserialize)]
 struct RawTenant {
+    #[serde(default)]
+    name: String,
     allowance_per_s: f64,
 }
 
@@ -100,6 +104,8 @@
     passes_deadline: bool,
     #[serde(default)]
     meters: Vec<String>,
+    #[serde(default)]
+    readiness: bool,
 }
 
 /// Everything one instance is started with.
@@ -112,6 +118,10 @@
     pub place: Place,
     pub rules: Rules,
     pub meters: Vec<String>,
+    pub handler_names: Vec<String>,
+    pub tenant_names: Vec<String>,
+    /// The callers' lists take a server that reports ill for one that takes no work.
+    pub lists_follow_health: bool,
 }
 
 fn need(ok: bool, what: &str) -> Result<(), String> {
@@ -221,5 +231,8 @@
         },
         rules: Rules { drain_grace: Span::micros(raw.rules.drain_grace_us), says_wait: info.passes_deadline },
         meters: info.meters.clone(),
+        handler_names: raw.classes.iter().map(|c| c.name.clone()).collect(),
+        tenant_names: raw.tenants.iter().map(|t| t.name.clone()).collect(),
+        lists_follow_health: info.readiness,
     })
 }
