--- a/crates/server/src/drive.rs
+++ b/crates/server/src/drive.rs
@@ -40,6 +40,10 @@
         self.changed.notify_one();
     }
 
+    pub fn is_closing(&self) -> bool {
+        self.closing.get()
+    }
+
     pub fn queued(&self) -> u64 {
         self.queued.get()
     }
--- a/crates/server/src/serve.rs
+++ b/crates/server/src/serve.rs
@@ -251,16 +251,18 @@
 
     // --- engine
 
-    /// The engine is up. The first time the module begins, counting from the engine's start.
+    /// The engine is up. The first time the module begins.
     pub fn hello(&mut self, now: At, how: &str, age: Span) {
         log::info!("engine: up, {how} {} ms ago", age.as_micros() / 1000);
         if self.decider.is_none() {
             let s = &self.settings;
             let mut machine = s.machine.clone();
             machine.cold |= how == "new";
-            let began = now.before(age);
+            // It begins now and not when the engine did, which may be an hour ago: its timer would count as that
+            // late, and a stop asked for before the first tick would fall due for ever. A cold engine that came
+            // up a while ago counts as colder than it is.
             let mut decider = Decider::new(
-                began,
+                now,
                 self.seed,
                 &machine,
                 &s.handlers,
