--- a/crates/server/src/engine.rs
+++ b/crates/server/src/engine.rs
@@ -15,8 +15,9 @@
 
 /// Longer than any legal notice: a result of 4 KiB in base64, each byte escaped.
 const LINE_MOST: usize = 64 << 10;
-/// Wait before a lost link is taken up again: runs go on meanwhile.
+/// Wait before a lost link is taken up again: runs go on meanwhile. Longer where nobody listens.
 const AGAIN: Duration = Duration::from_millis(20);
+const UNREACHED: Duration = Duration::from_millis(100);
 
 /// One command as a line. What it is about comes as it stands on the wire.
 pub fn command(msg: &str, call: &Name, rest: std::fmt::Arguments) -> Vec<u8> {
@@ -45,12 +46,15 @@
         out.put(|b| {
             let _ = writeln!(b, "{{\"msg\":\"ATTACH\",\"serial\":{serial}}}");
         });
-        (self.out, self.up, self.proven, self.heard) = (out, false, self.heard, self.asked);
+        (self.out, self.heard) = (out, self.asked);
     }
 
-    /// The connection is gone: what is sent now waits for the next one.
+    /// The connection is gone: what is sent now waits for the next one. What was proven stays as it was when
+    /// a link is lost before it was up, however often: else commands lost with the first would count as read.
     pub fn lost(&mut self) {
-        self.up = false;
+        if std::mem::replace(&mut self.up, false) {
+            self.proven = self.heard;
+        }
     }
 
     pub fn send(&self, line: &[u8]) {
@@ -165,6 +169,7 @@
 pub async fn run(address: SocketAddr, clock: Rc<Clock>, serve: Shared) {
     let mut notices = Notices::default();
     loop {
+        let mut wait = AGAIN;
         match TcpStream::connect(address).await {
             Ok(stream) => {
                 let out = Outbox::default();
@@ -185,8 +190,11 @@
                 }
                 log::warn!("engine: link lost after notice {}: {end:?}", notices.serial);
             }
-            Err(e) => log::warn!("engine: can't be reached: {e}"),
+            Err(e) => {
+                log::warn!("engine: can't be reached: {e}");
+                wait = UNREACHED;
+            }
         }
-        tokio::time::sleep(AGAIN).await;
+        tokio::time::sleep(wait).await;
     }
 }
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -13,13 +13,19 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
 
-/// A stop by hand (an interrupt) leaves as much as the configuration gives a notice to drain.
 /// The process ends this long before it would be killed.
 const BEFORE_KILL: Duration = Duration::from_millis(100);
 /// How often a drain is looked at, and how long it must have been at rest once its grace is over.
 const LOOK: Duration = Duration::from_millis(10);
 const REST: Duration = Duration::from_millis(60);
 
+/// The process's own limit on descriptors, where the system tells it.
+fn allowed_descriptors() -> usize {
+    let limits = std::fs::read_to_string("/proc/self/limits").unwrap_or_default();
+    let line = limits.lines().find_map(|l| l.strip_prefix("Max open files"));
+    line.and_then(|l| l.split_whitespace().next()?.parse().ok()).unwrap_or(usize::MAX)
+}
+
 fn set_up() -> Result<config::Config, String> {
     let path =
         std::env::var("RELAY_CONFIG").map_err(|_| "RELAY_CONFIG names no configuration".to_string())?;
@@ -29,6 +35,8 @@
 
 fn main() -> ExitCode {
     logger::start(std::env::var("MADDERBAY_LOG").ok().as_deref());
+    // A panic ends at its connection or turn; told by the logger, it never waits for standard error.
+    std::panic::set_hook(Box::new(|what| log::error!("panic: {what}")));
     let served = set_up().and_then(|config| {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
@@ -45,18 +53,21 @@
 }
 
 async fn serve(config: config::Config) -> Result<(), String> {
-    let room = listen::room(config.descriptors).ok_or_else(|| {
-        format!("configuration: limits.sockets {} is too small to serve", config.descriptors)
+    let descriptors = config.descriptors.min(allowed_descriptors());
+    let room = listen::room(descriptors).ok_or_else(|| {
+        let asked = config.descriptors;
+        format!("limits.sockets {asked}: {descriptors} descriptors are too few to serve")
     })?;
     let hear = |kind| signal(kind).map_err(|e| format!("signals: {e}"));
     let (mut term, mut int, mut usr1) =
         (hear(SignalKind::terminate())?, hear(SignalKind::interrupt())?, hear(SignalKind::user_defined1())?);
-    let listener =
-        TcpListener::bind(config.listen).await.map_err(|e| format!("listen {}: {e}", config.listen))?;
+    let listen = |e| format!("listen {}: {e}", config.listen);
+    let listener = TcpListener::bind(config.listen).await.map_err(listen)?;
+    let address = listener.local_addr().map_err(listen)?;
     let clock = Rc::new(Clock::default());
     let grace = config.settings.rules.drain_grace;
     let serve = Rc::new(RefCell::new(Serve::new(clock.now(), config.seed, config.settings)));
-    log::info!("{} listens on {}", config.name, config.listen);
+    log::info!("{} listens on {address}", config.name);
     spawn_local(engine::run(config.engine, clock.clone(), serve.clone()));
     spawn_local(calls::run(config.catalogue, clock.clone(), serve.clone()));
     spawn_local(registry::run(config.registry, config.name, serve.clone()));
@@ -72,8 +83,9 @@
     let began = clock.now();
     log::info!("draining, {} ms left", config.stop_ms);
     serve.borrow_mut().leave(began, Span::millis(config.stop_ms));
+    let stop = Duration::from_millis(config.stop_ms);
     tokio::select! {
-        () = drain(began, grace, Duration::from_millis(config.stop_ms), &clock, &serve, || listening.abort()) => {}
+        () = drain(began, grace, stop, &clock, &serve, || listening.abort()) => {}
         () = async { while usr1.recv().await.is_some() { logger::plain(serve.borrow().counters()); } } => {}
     }
     logger::plain(serve.borrow().counters());
--- a/crates/server/src/serve.rs
+++ b/crates/server/src/serve.rs
@@ -258,9 +258,9 @@
             let s = &self.settings;
             let mut machine = s.machine.clone();
             machine.cold |= how == "new";
-            // It begins now and not when the engine did, which may be an hour ago: its timer would count as that
-            // late, and a stop asked for before the first tick would fall due for ever. A cold engine that came
-            // up a while ago counts as colder than it is.
+            // It begins now and not when the engine did, which may be an hour ago: its timer would count as
+            // that late, and a stop asked for before the first tick would fall due for ever. A cold engine
+            // that came up a while ago counts as colder than it is.
             let mut decider = Decider::new(
                 now,
                 self.seed,
@@ -285,14 +285,18 @@
     /// notices were lost for good any run may have ended, and none is sent again.
     pub fn gauges(&mut self, now: At, values: &[f64], gap: bool) {
         self.gauges.on_cores = self.on_cores.and_then(|at| values.get(at)).copied();
+        let taken_up = !std::mem::replace(&mut self.hands.engine.up, true);
         if gap {
             log::warn!("engine: notices were lost; all runs count as errored");
-            let mut lost: Vec<_> = self.hands.reqs.values().filter(|r| r.started).map(|r| r.name).collect();
+            let mut lost: Vec<_> =
+                self.hands.reqs.iter().filter(|(_, r)| r.started).map(|(id, r)| (*id, r.name)).collect();
             lost.sort_unstable();
-            lost.into_iter().for_each(|name| self.run_over(now, &name, Outcome::Errored, Span::ZERO, ""));
+            for (id, name) in lost {
+                self.hands.stop(id);
+                self.run_over(now, &name, Outcome::Errored, Span::ZERO, "");
+            }
         }
-        if !self.hands.engine.up {
-            self.hands.engine.up = true;
+        if taken_up {
             self.hands.resend();
         }
     }
--- a/crates/server/tests/scenarios.rs
+++ b/crates/server/tests/scenarios.rs
@@ -1,6 +1,6 @@
 //! Plays every file in `tests/scenarios` twice: each feed whole, then cut at every byte. Names before the
-//! marks are peers: `a` to `d` balancers' connections, `e` the engine's link, `c1`, `c2` .. the connections to
-//! the catalogue in the order in which they were wanted.
+//! marks are peers: `a` to `d` balancers' connections, `e` the engine's link, `c1`, `c2` .. the connections
+//! to the catalogue in the order in which they were wanted.
 //!
 //! ```text
 //! @250ms                       the clock goes to 250 ms after the start; timers run on the way
@@ -275,6 +275,20 @@
                     failures.push(format!("{name} cut {cut}: {line}\n    {why}"));
                 }
             }
+            // Whatever happened: reqs read are the answers, the gone and those still open.
+            let counters = play.serve.counters();
+            let sum = |names: &[&str]| -> u64 {
+                let of = |l: &str| names.iter().any(|n| l.starts_with(&format!("counter {n}")));
+                counters
+                    .lines()
+                    .filter(|l| of(l))
+                    .filter_map(|l| l.rsplit(' ').next()?.parse::<u64>().ok())
+                    .sum()
+            };
+            let (read, ended) = (sum(&["read."]), sum(&["answered.", "gone ", "open "]));
+            if read != ended || read == 0 {
+                failures.push(format!("{name} cut {cut}: {read} reqs read, {ended} accounted for"));
+            }
         }
     }
     assert!(failures.is_empty(), "{}", failures.join("\n"));
