The timer rings a hundred times a second however late each ring; slow connects end; strays counted

Each ring was counted from the one before, late by the runtime's millisecond and the way through the loop (serve.rs, wake). Connects to catalogue and engine are bounded: on a connection not made no call ran.

--- a/crates/server/src/calls.rs
+++ b/crates/server/src/calls.rs
@@ -5,14 +5,19 @@
 use madderbay::face::Outcome;
 use madderbay::time::{At, Span};
 use std::collections::{HashMap, HashSet};
-use std::io::Write;
+use std::io::{ErrorKind, Write};
 use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 /// Connections that stand idle for 10 s are closed by the catalogue; ours go well before.
 const IDLE_MOST: Span = Span::millis(5_000);
 /// Longer than any legal reply line or body.
 const LINE_MOST: usize = 128;
 const BODY_MOST: usize = 64 << 10;
+/// A connection not made by then proves as much as a refused one: on it no call ran.
+const CONNECT: Duration = Duration::from_millis(500);
 
 /// A call that is out, and where its bytes begin in what its connection sends.
 struct Out {
@@ -182,8 +187,8 @@
             let (clock, serve) = (clock.clone(), serve.clone());
             tokio::task::spawn_local(async move {
                 let mut replies = Replies::default();
-                let end = match tokio::net::TcpStream::connect(address).await {
-                    Ok(stream) => {
+                let end = match timeout(CONNECT, TcpStream::connect(address)).await {
+                    Ok(Ok(stream)) => {
                         crate::drive::drive(&stream, &out, |bytes| {
                             let now = clock.now();
                             let mut serve = serve.borrow_mut();
@@ -201,7 +206,8 @@
                         })
                         .await
                     }
-                    Err(e) => Err(e),
+                    Ok(Err(e)) => Err(e),
+                    Err(_) => Err(ErrorKind::TimedOut.into()),
                 };
                 if let Err(e) = end {
                     log::info!("catalogue: connection lost: {e}");
--- a/crates/server/src/counters.rs
+++ b/crates/server/src/counters.rs
@@ -30,6 +30,8 @@
     pub bad_lines: u64,
     pub bad_notices: u64,
     pub bad_replies: u64,
+    /// Ends of runs and replies to calls that are not in hand any more.
+    pub strays: u64,
     pub declined: u64,
     pub relinks: u64,
     pub reports: u64,
@@ -124,6 +126,7 @@
         line("bad.lines", self.bad_lines);
         line("bad.notices", self.bad_notices);
         line("bad.replies", self.bad_replies);
+        line("strays", self.strays);
         line("engine.declined", self.declined);
         line("engine.links_lost", self.relinks);
         line("registry.reports", self.reports);
--- a/crates/server/src/engine.rs
+++ b/crates/server/src/engine.rs
@@ -7,16 +7,19 @@
 use crate::serve::{Serve, Shared};
 use madderbay::face::Outcome;
 use madderbay::time::{At, Span};
-use std::io::Write;
+use std::io::{ErrorKind, Write};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 /// Longer than any legal notice: a result of 4 KiB in base64, each byte escaped.
 const LINE_MOST: usize = 64 << 10;
-/// Wait before a lost link is taken up again: runs go on meanwhile. Longer where nobody listens.
+/// Wait before a lost link is taken up again: runs go on meanwhile. Longer where nobody listens, after the
+/// time that a connection may take.
 const AGAIN: Duration = Duration::from_millis(20);
+const CONNECT: Duration = Duration::from_millis(1_000);
 const UNREACHED: Duration = Duration::from_millis(100);
 
 /// One command as a line. What it is about comes as it stands on the wire.
@@ -170,7 +173,7 @@
     let mut notices = Notices::default();
     loop {
         let mut wait = AGAIN;
-        match TcpStream::connect(address).await {
+        match timeout(CONNECT, TcpStream::connect(address)).await.unwrap_or(Err(ErrorKind::TimedOut.into())) {
             Ok(stream) => {
                 let out = Outbox::default();
                 notices.relinked();
--- a/crates/server/src/logger.rs
+++ b/crates/server/src/logger.rs
@@ -12,7 +12,7 @@
 const WAITING: usize = 1024;
 /// Lines of one place in the code that are written a span; the rest are counted.
 const OFTEN: u64 = 5;
-const SPAN: Duration = Duration::from_secs(1);
+const SPAN: Duration = Duration::from_secs(10);
 
 enum Entry {
     Line(Level, &'static str, u32, String),
--- a/crates/server/src/serve.rs
+++ b/crates/server/src/serve.rs
@@ -83,6 +83,9 @@
     pub calls: Desk,
     due: BTreeSet<(At, Due)>,
     wake: Option<At>,
+    /// When the timer that is ringing was due: the next is counted from there, so that each ring's lateness
+    /// does not add up to fewer rings.
+    rang: At,
     free: Option<f64>,
     good: bool,
     idle: Option<Span>,
@@ -110,6 +113,7 @@
             calls: Desk::default(),
             due: BTreeSet::from([(now, Due::Tidy)]),
             wake: None,
+            rang: now,
             free: None,
             good: true,
             idle: None,
@@ -272,7 +276,7 @@
                 &s.place,
                 &s.rules,
             );
-            self.hands.now = now;
+            (self.hands.now, self.hands.rang) = (now, now);
             decider.begin(&mut self.hands);
             self.decider = Some(decider);
         }
@@ -316,7 +320,10 @@
 
     /// A run is over. A req that still waits for it is answered with what came of it.
     pub fn run_over(&mut self, now: At, name: &Name, how: Outcome, spent: Span, blob: &str) {
-        let Some(&id) = self.hands.names.get(name) else { return };
+        let Some(&id) = self.hands.names.get(name) else {
+            self.hands.counters.strays += 1;
+            return;
+        };
         let Some(req) = self.hands.reqs.get(&id) else { return };
         let (key, handler) = (req.key, req.handler);
         log::debug!("req {id} run over {how:?}, answered {}", req.answered);
@@ -341,7 +348,10 @@
 
     /// A call's reply came.
     pub fn call_over(&mut self, now: At, wire: u64, name: &Name, how: Outcome, body: &[u8]) {
-        let Some((id, spent)) = self.hands.calls.replied(now, wire, name) else { return };
+        let Some((id, spent)) = self.hands.calls.replied(now, wire, name) else {
+            self.hands.counters.strays += 1;
+            return;
+        };
         if how == Outcome::Done && self.hands.reqs.get(&id).is_some_and(|r| !r.answered) {
             let blob = BASE64.encode(body);
             self.hands.command(id, "FEED", format_args!(",\"blob\":\"{blob}\""));
@@ -388,6 +398,7 @@
         }
         if let Some(wake) = self.hands.wake.filter(|w| *w <= now) {
             self.hands.wake = None;
+            self.hands.rang = wake;
             self.hands.counters.tick(now - wake);
             let gauges = self.gauges;
             self.consider(now, |d, hands| d.tick(now, &gauges, hands));
@@ -632,6 +643,6 @@
     }
 
     fn wake(&mut self, after: Span) {
-        self.wake = Some(self.now + after);
+        self.wake = Some((self.rang + after).max(self.now + after.times(0.5)));
     }
 }
