A call given up before its bytes went out may still run: it is not called unreached

Found on reading: quit told 'unreached', which proves that nothing ran, for a call whose bytes were still queued (calls.rs, quit); the bytes went out later and a uniqued req's call could be made twice. calls-unsent.txt fails without the change. The module's making and the search for a gauge stand once, in the settings package.

--- a/crates/drill/src/host.rs
+++ b/crates/drill/src/host.rs
@@ -153,24 +153,12 @@
 
 impl Instance {
     fn new(now: At, seed: u64, s: &Settings) -> Instance {
-        let decider = Decider::new(
-            now,
-            seed,
-            &s.machine,
-            &s.handlers,
-            &s.tenants,
-            &s.below,
-            &s.callers,
-            &s.place,
-            &s.rules,
-        );
-        let meter = |name: &str| s.meters.iter().position(|m| m == name);
         Instance {
-            decider,
+            decider: s.decider(now, seed),
             handlers: s.handlers.len(),
             tenants: s.tenants.len(),
             says_wait: s.rules.says_wait,
-            on_cores: meter("on_cores"),
+            on_cores: s.meter("on_cores"),
         }
     }
 }
--- a/crates/server/src/calls.rs
+++ b/crates/server/src/calls.rs
@@ -20,16 +20,16 @@
 const CONNECT: Duration = Duration::from_millis(500);
 
 /// A call that is out, and where its bytes begin in what its connection sends.
-struct Out {
+struct Made {
     id: u64,
-    made: At,
+    at: At,
     begins: u64,
 }
 
 struct Wire {
     no: u64,
     out: Outbox,
-    calls: HashMap<Name, Out>,
+    calls: HashMap<Name, Made>,
     /// Given up on here: a reply may still cross, so no second call for the same req goes this way.
     given_up: HashSet<Name>,
     used: At,
@@ -56,7 +56,7 @@
             self.wires.len() - 1
         });
         let wire = &mut self.wires[at];
-        wire.calls.insert(*name, Out { id, made: now, begins: wire.out.queued() });
+        wire.calls.insert(*name, Made { id, at: now, begins: wire.out.queued() });
         wire.used = now;
         wire.out.put(|b| {
             let millis = (patience.as_micros() / 1000).max(1);
@@ -67,8 +67,9 @@
         });
     }
 
-    /// Gives a call up; tells how far it had come and how long it took.
-    pub fn quit(&mut self, now: At, name: &Name) -> Option<(u64, Outcome, Span)> {
+    /// Gives a call up; tells whose it was and how long it took. It may have had its effect, and may still have
+    /// it where it was not sent yet: its bytes stay queued, so that nothing is proven.
+    pub fn quit(&mut self, now: At, name: &Name) -> Option<(u64, Span)> {
         let wire = self.wires.iter_mut().find(|w| w.calls.contains_key(name))?;
         let call = wire.calls.remove(name)?;
         wire.given_up.insert(*name);
@@ -76,8 +77,7 @@
         wire.out.put(|b| {
             let _ = write!(b, "QUIT {}\r\n", std::str::from_utf8(name).unwrap_or_default());
         });
-        let sent = wire.out.written() > call.begins;
-        Some((call.id, if sent { Outcome::TimedOut } else { Outcome::Unreached }, now - call.made))
+        Some((call.id, now - call.at))
     }
 
     /// A reply on a connection; nothing if its call was given up.
@@ -85,15 +85,15 @@
         let wire = self.wires.iter_mut().find(|w| w.no == no)?;
         wire.given_up.remove(name);
         wire.used = now;
-        wire.calls.remove(name).map(|call| (call.id, now - call.made))
+        wire.calls.remove(name).map(|call| (call.id, now - call.at))
     }
 
     /// A connection is over: what was on it never ran where it was not sent, else may have run.
     pub fn ended(&mut self, now: At, no: u64, out: &Outbox) -> Vec<(u64, Outcome, Span)> {
         let Some(at) = self.wires.iter().position(|w| w.no == no) else { return vec![] };
         let wire = self.wires.remove(at);
-        let how = |c: &Out| if out.written() > c.begins { Outcome::CutOff } else { Outcome::Unreached };
-        let mut over: Vec<_> = wire.calls.values().map(|c| (c.id, how(c), now - c.made)).collect();
+        let how = |c: &Made| if out.written() > c.begins { Outcome::CutOff } else { Outcome::Unreached };
+        let mut over: Vec<_> = wire.calls.values().map(|c| (c.id, how(c), now - c.at)).collect();
         over.sort_by_key(|o| o.0);
         over
     }
--- a/crates/server/src/serve.rs
+++ b/crates/server/src/serve.rs
@@ -124,7 +124,7 @@
             dial: Rc::default(),
             report: Rc::default(),
         };
-        let on_cores = settings.meters.iter().position(|m| m == "on_cores");
+        let on_cores = settings.meter("on_cores");
         Serve { decider: None, settings, seed, on_cores, gauges: Gauges::default(), hands }
     }
 
@@ -259,23 +259,11 @@
     pub fn hello(&mut self, now: At, how: &str, age: Span) {
         log::info!("engine: up, {how} {} ms ago", age.as_micros() / 1000);
         if self.decider.is_none() {
-            let s = &self.settings;
-            let mut machine = s.machine.clone();
-            machine.cold |= how == "new";
+            self.settings.machine.cold |= how == "new";
             // It begins now and not when the engine did, which may be an hour ago: its timer would count as
             // that late, and a stop asked for before the first tick would fall due for ever. A cold engine
             // that came up a while ago counts as colder than it is.
-            let mut decider = Decider::new(
-                now,
-                self.seed,
-                &machine,
-                &s.handlers,
-                &s.tenants,
-                &s.below,
-                &s.callers,
-                &s.place,
-                &s.rules,
-            );
+            let mut decider = self.settings.decider(now, self.seed);
             (self.hands.now, self.hands.rang) = (now, now);
             decider.begin(&mut self.hands);
             self.decider = Some(decider);
@@ -413,8 +401,8 @@
         let Some(req) = self.hands.reqs.get_mut(&id) else { return };
         req.until = None;
         let name = req.name;
-        if let Some((id, how, spent)) = self.hands.calls.quit(now, &name) {
-            self.call_ended(now, id, how, spent);
+        if let Some((id, spent)) = self.hands.calls.quit(now, &name) {
+            self.call_ended(now, id, Outcome::TimedOut, spent);
         }
     }
 
--- a/crates/server/tests/scenarios.rs
+++ b/crates/server/tests/scenarios.rs
@@ -10,6 +10,7 @@
 //! a endless                    40,000 bytes of a line that does not end
 //! a lost                       the connection broke; `a end` the peer sends no more; `c1 lost` alike
 //! e lost   e link              the engine's link breaks; a new one is made
+//! c1 deaf                      nothing can be written to it any more
 //! e mute   e speak             the engine answers no question for its gauges; it does again
 //! leave 3200ms                 notice to drain
 //! late 3ms                     timers ring that late from now on
@@ -46,6 +47,8 @@
     notices: Notices,
     engine: Option<Outbox>,
     mute: bool,
+    /// Takes nothing that is sent to it.
+    deaf: Option<String>,
     /// How late due times are seen to.
     late: Span,
     wires: Vec<(u64, Outbox, Replies)>,
@@ -72,6 +75,7 @@
             notices: Notices::default(),
             engine: None,
             mute: false,
+            deaf: None,
             late: Span::ZERO,
             wires: vec![],
             sent: HashMap::new(),
@@ -133,7 +137,7 @@
         outs.extend(self.wires.iter().enumerate().map(|(i, w)| (format!("c{}", i + 1), w.1.clone())));
         outs.extend(self.engine.iter().map(|out| ("e".to_string(), out.clone())));
         let mut asked = vec![];
-        for (who, out) in outs {
+        for (who, out) in outs.into_iter().filter(|o| Some(&o.0) != self.deaf.as_ref()) {
             let text = String::from_utf8(out.take()).expect("text");
             for line in text.lines() {
                 match line.strip_prefix("{\"msg\":\"STAT\",\"cookie\":\"") {
@@ -244,6 +248,7 @@
                     self.serve.no_more(no);
                 }
                 "endless" => self.feed(first, &[b'x'; 40_000]),
+                "deaf" => self.deaf = Some(first.to_string()),
                 "link" => self.link(),
                 "mute" => self.mute = true,
                 "speak" => {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,7 +1,8 @@
 //! The settings that an instance starts with: JSON in, the module's own records out.
 
+use madderbay::decide::Decider;
 use madderbay::face::*;
-use madderbay::time::Span;
+use madderbay::time::{At, Span};
 use serde::Deserialize;
 
 #[derive(Deserialize)]
@@ -124,6 +125,19 @@
     pub lists_follow_health: bool,
 }
 
+impl Settings {
+    /// The module of one server life that begins now.
+    pub fn decider(&self, now: At, seed: u64) -> Decider {
+        let (m, h, t, b) = (&self.machine, &self.handlers, &self.tenants, &self.below);
+        Decider::new(now, seed, m, h, t, b, &self.callers, &self.place, &self.rules)
+    }
+
+    /// Where a gauge stands among those that are sent.
+    pub fn meter(&self, name: &str) -> Option<usize> {
+        self.meters.iter().position(|m| m == name)
+    }
+}
+
 fn need(ok: bool, what: &str) -> Result<(), String> {
     if ok { Ok(()) } else { Err(format!("settings: {what}")) }
 }
