A drain's last answers leave before the process ends

Found on reading, then shown by a test: the process ended 100 ms before the kill, the module's last answers come 60 ms before the stop it was told, so a run that does not end was never answered (main.rs). The module is now told the earlier time. a_drain_answers_what_does_not_end fails without it.

--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -82,8 +82,10 @@
     }
     let began = clock.now();
     log::info!("draining, {} ms left", config.stop_ms);
-    serve.borrow_mut().leave(began, Span::millis(config.stop_ms));
     let stop = Duration::from_millis(config.stop_ms);
+    // The module's last answers leave shortly before the stop that it knows of; the process outlasts them.
+    let last = stop.saturating_sub(BEFORE_KILL);
+    serve.borrow_mut().leave(began, Span::micros(last.as_micros() as u64));
     tokio::select! {
         () = drain(began, grace, stop, &clock, &serve, || listening.abort()) => {}
         () = async { while usr1.recv().await.is_some() { logger::plain(serve.borrow().counters()); } } => {}
--- a/crates/server/tests/binary.rs
+++ b/crates/server/tests/binary.rs
@@ -13,6 +13,9 @@
 /// Far longer than anything here takes: a hang fails instead of lasting.
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// Time between the notice to leave and the kill.
+const STOP_MS: u64 = 800;
+
 /// One end of a connection, line by line.
 struct Peer(BufReader<TcpStream>);
 
@@ -70,7 +73,7 @@
     let [engine, registry, catalogue] = others;
     format!(
         "{{\"name\":\"n1\",\"listen\":\"{listen}\",\"engine\":\"{engine}\",\"registry\":\"{registry}\",\
-         \"catalog\":\"{catalogue}\",\"seed\":\"8c1f30d27a5be964\",\"stop_ms\":3000,\
+         \"catalog\":\"{catalogue}\",\"seed\":\"8c1f30d27a5be964\",\"stop_ms\":{STOP_MS},\
          \"limits\":{{\"cores\":1.0,\"memory_mb\":64,\"sockets\":{sockets}}},\"settings\":{settings}}}"
     )
 }
@@ -230,6 +233,21 @@
     }
 }
 
+/// A run that does not end is answered before the process ends, which is before it would be killed.
+#[test]
+fn a_drain_answers_what_does_not_end() {
+    let server = Server::start(128);
+    let mut engine = server.link("{\"msg\":\"ATTACH\",\"serial\":0}");
+    let mut a = server.balancer();
+    a.say(&req(1, "book", 1, "5"));
+    assert!(engine.command().contains("\"RUN\""));
+    server.signal("-TERM");
+    assert!(a.line().contains("leaving"));
+    assert!(a.line().contains("\"id\":1,\"error\":{\"code\":-32001"));
+    assert_eq!(a.line(), "");
+    assert!(server.ended().contains("counter open 0\n"));
+}
+
 /// A limit on descriptors is kept by leaving connections unaccepted, and room that comes free is used.
 #[test]
 fn connections_stay_within_the_limit() {
