--- a/crates/server/src/serve.rs
+++ b/crates/server/src/serve.rs
@@ -258,7 +258,8 @@
     /// The engine is up. The first time the module begins.
     pub fn hello(&mut self, now: At, how: &str, age: Span) {
         log::info!("engine: up, {how} {} ms ago", age.as_micros() / 1000);
-        if self.decider.is_none() {
+        // One that is told to leave before its engine came up takes nothing on any more.
+        if self.decider.is_none() && !self.hands.leaving {
             self.settings.machine.cold |= how == "new";
             // It begins now and not when the engine did, which may be an hour ago: its timer would count as
             // that late, and a stop asked for before the first tick would fall due for ever. A cold engine
