--- a/crates/server/src/calls.rs
+++ b/crates/server/src/calls.rs
@@ -19,6 +19,10 @@
 /// A connection not made by then proves as much as a refused one: on it no call ran.
 const CONNECT: Duration = Duration::from_millis(500);
 
+/// Calls given up in a row without a reply between them, from which a connection takes no more: it may have
+/// gone silent without breaking, and each call on it would only run out of time.
+const UNHEARD_MOST: u32 = 4;
+
 /// A call that is out, and where its bytes begin in what its connection sends.
 struct Made {
     id: u64,
@@ -32,6 +36,7 @@
     calls: HashMap<Name, Made>,
     /// Given up on here: a reply may still cross, so no second call for the same req goes this way.
     given_up: HashSet<Name>,
+    unheard: u32,
     used: At,
 }
 
@@ -46,13 +51,13 @@
 
 impl Desk {
     pub fn fetch(&mut self, now: At, id: u64, name: &Name, patience: Span, body: &[u8]) {
-        let fit = self.wires.iter().position(|w| !w.given_up.contains(name));
+        let fit = self.wires.iter().position(|w| w.unheard < UNHEARD_MOST && !w.given_up.contains(name));
         let at = fit.unwrap_or_else(|| {
             self.numbers += 1;
             let out = Outbox::default();
             self.wanted.push((self.numbers, out.clone()));
             let (calls, given_up) = (HashMap::new(), HashSet::new());
-            self.wires.push(Wire { no: self.numbers, out, calls, given_up, used: now });
+            self.wires.push(Wire { no: self.numbers, out, calls, given_up, unheard: 0, used: now });
             self.wires.len() - 1
         });
         let wire = &mut self.wires[at];
@@ -67,12 +72,13 @@
         });
     }
 
-    /// Gives a call up; tells whose it was and how long it took. It may have had its effect, and may still have
-    /// it where it was not sent yet: its bytes stay queued, so that nothing is proven.
+    /// Gives a call up; tells whose it was and how long it took. It may have had its effect, and may still
+    /// have it where it was not sent yet: its bytes stay queued, so that nothing is proven.
     pub fn quit(&mut self, now: At, name: &Name) -> Option<(u64, Span)> {
         let wire = self.wires.iter_mut().find(|w| w.calls.contains_key(name))?;
         let call = wire.calls.remove(name)?;
         wire.given_up.insert(*name);
+        wire.unheard += 1;
         wire.used = now;
         wire.out.put(|b| {
             let _ = write!(b, "QUIT {}\r\n", std::str::from_utf8(name).unwrap_or_default());
@@ -84,6 +90,7 @@
     pub fn replied(&mut self, now: At, no: u64, name: &Name) -> Option<(u64, Span)> {
         let wire = self.wires.iter_mut().find(|w| w.no == no)?;
         wire.given_up.remove(name);
+        wire.unheard = 0;
         wire.used = now;
         wire.calls.remove(name).map(|call| (call.id, now - call.at))
     }
@@ -105,10 +112,11 @@
         });
     }
 
-    /// Closes what stands idle, before the other side does: no call is sent into a closing connection.
+    /// Closes what stands idle, before the other side does: no call is sent into a closing connection. One
+    /// that takes no more calls goes as soon as none is on it.
     pub fn tidy(&mut self, now: At) {
         self.wires.retain(|w| {
-            let keep = !w.calls.is_empty() || now - w.used < IDLE_MOST;
+            let keep = !w.calls.is_empty() || (w.unheard < UNHEARD_MOST && now - w.used < IDLE_MOST);
             if !keep {
                 w.out.close();
             }
--- a/crates/server/tests/scenarios.rs
+++ b/crates/server/tests/scenarios.rs
@@ -228,6 +228,14 @@
                 let more = next(self);
                 return more.map_or(Ok(()), |m| Err(format!("found {m:?}")));
             }
+            (_, ".") if who.starts_with('c') => {
+                let wire = who[1..].parse::<usize>().ok().and_then(|n| self.wires.get(n - 1));
+                return if wire.is_some_and(|w| w.1.is_closing()) {
+                    Ok(())
+                } else {
+                    Err("still open".into())
+                };
+            }
             (_, ".") => {
                 let closed = !self.balancer(who).reads || self.balancers[who].out.is_closing();
                 return if closed { Ok(()) } else { Err("still read and open".into()) };
--- /dev/null
+++ b/crates/server/tests/wires.rs
@@ -0,0 +1,106 @@
+//! The parsers that no scenario feeds with all they may meet, whole and cut at every byte.
+
+use madderbay::face::Outcome;
+use madderbay_server::calls::Replies;
+use madderbay_server::json::{Members, is_value, number, text, whole};
+use madderbay_server::registry::{Answers, report};
+
+/// Feeds bytes in pieces of a size; what came of them, and whether the stream may be read on.
+fn answers(bytes: &[u8], piece: usize) -> (Vec<u16>, bool) {
+    let (mut machine, mut found) = (Answers::default(), vec![]);
+    let good = bytes.chunks(piece).all(|p| machine.feed(p, |status| found.push(status)));
+    (found, good)
+}
+
+fn replies(bytes: &[u8], piece: usize) -> (Vec<(String, Outcome, Vec<u8>)>, bool) {
+    let (mut machine, mut found) = (Replies::default(), vec![]);
+    let good = bytes.chunks(piece).all(|p| {
+        machine.feed(p, |(name, how, body)| {
+            found.push((String::from_utf8_lossy(&name).into_owned(), how, body.to_vec()));
+        })
+    });
+    (found, good)
+}
+
+#[test]
+fn a_report_is_as_the_page_has_it() {
+    let sent = String::from_utf8(report("127.0.0.1:2379", "n3", true)).unwrap();
+    let want = "PUT /v1/instances/n3 HTTP/1.1\r\nHost: 127.0.0.1:2379\r\nContent-Length: 17\r\n\r\n\
+        {\"state\":\"ready\"}";
+    assert_eq!(sent, want);
+    assert!(report("h", "n3", false).ends_with(b"Content-Length: 20\r\n\r\n{\"state\":\"draining\"}"));
+}
+
+#[test]
+fn registry_answers_are_read_however_they_are_cut() {
+    let stream = b"HTTP/1.1 204 No Content\r\nServer: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n\
+        HTTP/1.1 503 Busy\r\ncontent-length: 4\r\n\r\nbusyHTTP/1.1 204 No Content\r\n\r\n";
+    for piece in [1, 7, stream.len()] {
+        assert_eq!(answers(stream, piece), (vec![204, 503, 204], true));
+    }
+    // No length, a coding not read here, no HTTP, a head without end.
+    for bad in
+        ["HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "x\r\n\r\n"]
+    {
+        assert_eq!(answers(bad.as_bytes(), 1), (vec![], false), "{bad}");
+    }
+    assert!(!answers(&[b'x'; 20_000], 512).1);
+}
+
+#[test]
+fn catalogue_replies_are_read_however_they_are_cut() {
+    let stream = b"9b1f03aa5c7e2d41 DATA 6\r\na\r\n\0b\xff\r\n9b1f03aa5c7e2d42 LATER\r\n\
+        9b1f03aa5c7e2d43 DATA 0\r\n\r\n9b1f03aa5c7e2d44 NOUSE\r\n9b1f03aa5c7e2d45 TOOSLOW\r\n";
+    let body = b"a\r\n\0b\xff".to_vec();
+    let want = [
+        ("9b1f03aa5c7e2d41", Outcome::Done, body),
+        ("9b1f03aa5c7e2d42", Outcome::Shed, vec![]),
+        ("9b1f03aa5c7e2d43", Outcome::Done, vec![]),
+        ("9b1f03aa5c7e2d44", Outcome::Unreached, vec![]),
+        ("9b1f03aa5c7e2d45", Outcome::TimedOut, vec![]),
+    ];
+    let want: Vec<_> = want.into_iter().map(|(name, how, body)| (name.to_string(), how, body)).collect();
+    for piece in [1, 7, stream.len()] {
+        assert_eq!(replies(stream, piece), (want.clone(), true));
+    }
+    // An unknown word, a short name, a length that can't be, a body that ends elsewhere, a line without end.
+    for bad in [
+        "9b1f03aa5c7e2d41 WHAT\r\n",
+        "9b1f DATA 0\r\n",
+        "9b1f03aa5c7e2d41 DATA x\r\n",
+        "9b1f03aa5c7e2d41 DATA 9999999\r\n",
+        "9b1f03aa5c7e2d41 DATA 1\r\nabc",
+    ] {
+        assert_eq!(replies(bad.as_bytes(), 1), (vec![], false), "{bad}");
+    }
+    assert!(!replies(&[b'x'; 200], 3).1);
+}
+
+#[test]
+fn json_is_read_as_it_allows() {
+    let line = r#" {"a":1.250e1, "b" :"x\"\u00e9\ud83d\ude00\/", "c":[{},[null,true],-0.5], "a":7} "#;
+    let members = Members::read(line).expect("an object");
+    assert_eq!(members.whole("a"), Some(7), "of two by one name the last counts");
+    assert_eq!(members.text("b").as_deref(), Some("x\"\u{e9}\u{1f600}/"));
+    assert_eq!(members.raw("c"), Some("[{},[null,true],-0.5]"));
+    assert_eq!((number("-1.5E-1"), whole("3e2"), whole("3.0")), (Some(-0.15), Some(300), Some(3)));
+    assert_eq!((whole("-1"), whole("1.5"), number("1e999"), number("null")), (None, None, None, None));
+    assert!(text(r#""\ud800""#).is_none() && text(r#""\ud800\u0041""#).is_none());
+    for cut in 1..line.trim_end().len() {
+        assert!(Members::read(&line[..cut]).is_none(), "{}", &line[..cut]);
+    }
+    for bad in [
+        "{\"a\":01}",
+        "{\"a\":.5}",
+        "{\"a\":1,}",
+        "{a:1}",
+        "{\"a\":tru}",
+        "{\"a\":\"\\x\"}",
+        "{} {}",
+        "{\"a\":\"\t\"}",
+    ] {
+        assert!(Members::read(bad).is_none() && !is_value(bad), "{bad}");
+    }
+    assert!(!is_value(&"[".repeat(100_000)), "nesting is bounded");
+    assert!(is_value("[1,2]") && Members::read("[1,2]").is_none());
+}
