--- a/crates/server/src/serve.rs
+++ b/crates/server/src/serve.rs
@@ -22,6 +22,9 @@
 pub const OPEN_MOST: usize = 32;
 /// A balancer told that a connection is to end has this long to close it.
 const LEAVING: Span = Span::millis(1_000);
+/// Time between two looks for catalogue connections that stand idle and table entries whose term is over:
+/// much finer than either's span.
+const TIDY: Span = Span::millis(1_000);
 
 pub type Shared = Rc<RefCell<Serve>>;
 
@@ -381,7 +384,7 @@
                 Due::Tidy => {
                     self.hands.calls.tidy(now);
                     self.hands.door.lapse(now);
-                    self.hands.due.insert((now + LEAVING, Due::Tidy));
+                    self.hands.due.insert((now + TIDY, Due::Tidy));
                 }
             }
         }
--- a/crates/server/tests/binary.rs
+++ b/crates/server/tests/binary.rs
@@ -233,6 +233,46 @@
     }
 }
 
+/// Shed while the engine is not up, errored as the run did, partial once the catalogue has shed its call twice.
+#[test]
+fn answers_shed_errored_and_partial() {
+    let server = Server::start(128);
+    let mut a = server.balancer();
+    a.say(&req(1, "quote", 1, ""));
+    assert!(a.line().contains("\"id\":1,\"error\":{\"code\":-32002"));
+    let mut engine = server.link("{\"msg\":\"ATTACH\",\"serial\":0}");
+    assert!(server.reports.recv().unwrap().contains("ready"));
+    // Gauges asked for tell that the greeting was read.
+    let asked = engine.line();
+    assert!(asked.contains("STAT"), "{asked}");
+    engine.say("{\"msg\":\"STATS\",\"cookie\":\"1\",\"stats\":[0.1,1,0.1,1]}\n");
+    a.say(&req(2, "quote", 2, ""));
+    assert!(engine.command().contains("\"RUN\",\"call\":\"0000000000000002\""));
+    engine.say(
+        "{\"msg\":\"DONE\",\"serial\":1,\"call\":\"0000000000000002\",\"how\":\"bad\",\"duration\":9}\n",
+    );
+    assert!(a.line().contains("\"id\":2,\"error\":{\"code\":-32001"));
+    a.say(&req(3, "search", 3, ""));
+    assert!(engine.command().contains("\"RUN\",\"call\":\"0000000000000003\""));
+    engine.say("{\"msg\":\"NEED\",\"serial\":2,\"call\":\"0000000000000003\",\"blob\":\"YWJj\"}\n");
+    let mut catalogue = Peer::accept(&server.catalogue);
+    for _ in 0..2 {
+        assert!(catalogue.line().starts_with("FETCH 0000000000000003 "));
+        assert_eq!(catalogue.line(), "abc");
+        catalogue.say("0000000000000003 LATER\r\n");
+    }
+    assert_eq!(engine.command(), "{\"msg\":\"SKIP\",\"call\":\"0000000000000003\",\"serial\":2}");
+    engine.say(&done(3, 3, "AA=="));
+    assert!(a.line().contains("\"id\":3,\"result\""));
+    server.signal("-TERM");
+    assert!(a.line().contains("leaving"));
+    drop(a);
+    let log = server.ended();
+    for line in ["answered.partial 1", "answered.shed 1", "answered.errored 1", "answered.done 0"] {
+        assert!(log.contains(&format!("counter {line}\n")), "{line} in {log}");
+    }
+}
+
 /// A run that does not end is answered before the process ends, which is before it would be killed.
 #[test]
 fn a_drain_answers_what_does_not_end() {
