--- a/crates/server/src/calls.rs
+++ b/crates/server/src/calls.rs
@@ -187,15 +187,24 @@
     Ok(Some(((name, how, &[]), end + 1)))
 }
 
-/// The driver: opens the connections that the desk wants and serves each until it is over.
-pub async fn run(address: std::net::SocketAddr, clock: Rc<crate::clock::Clock>, serve: crate::serve::Shared) {
+/// The driver: opens the connections that the desk wants and serves each until it is over. Without an address
+/// none can be made, and no call runs.
+pub async fn run(
+    address: Option<std::net::SocketAddr>, clock: Rc<crate::clock::Clock>, serve: crate::serve::Shared,
+) {
     loop {
         let wanted = std::mem::take(&mut serve.borrow_mut().hands.calls.wanted);
         for (no, out) in wanted {
             let (clock, serve) = (clock.clone(), serve.clone());
             tokio::task::spawn_local(async move {
                 let mut replies = Replies::default();
-                let end = match timeout(CONNECT, TcpStream::connect(address)).await {
+                let connect = async {
+                    match address {
+                        Some(address) => TcpStream::connect(address).await,
+                        None => Err(ErrorKind::AddrNotAvailable.into()),
+                    }
+                };
+                let end = match timeout(CONNECT, connect).await {
                     Ok(Ok(stream)) => {
                         crate::drive::drive(&stream, &out, |bytes| {
                             let now = clock.now();
--- a/crates/server/src/config.rs
+++ b/crates/server/src/config.rs
@@ -11,7 +11,8 @@
     listen: String,
     engine: String,
     registry: String,
-    catalog: String,
+    /// Absent where nothing lies below.
+    catalog: Option<String>,
     #[serde(default)]
     seed: String,
     stop_ms: u64,
@@ -29,7 +30,7 @@
     pub listen: SocketAddr,
     pub engine: SocketAddr,
     pub registry: SocketAddr,
-    pub catalogue: SocketAddr,
+    pub catalogue: Option<SocketAddr>,
     pub seed: u64,
     pub stop_ms: u64,
     pub descriptors: usize,
@@ -54,7 +55,7 @@
         listen: address(&variable("RELAY_LISTEN").unwrap_or(raw.listen), "configuration: listen")?,
         engine: address(&raw.engine, "configuration: engine")?,
         registry: address(&raw.registry, "configuration: registry")?,
-        catalogue: address(&raw.catalog, "configuration: catalog")?,
+        catalogue: raw.catalog.map(|c| address(&c, "configuration: catalog")).transpose()?,
         seed: seed.map_err(|_| format!("configuration: seed '{}' is not hexadecimal", raw.seed))?,
         stop_ms: raw.stop_ms,
         descriptors: raw.limits.sockets,
--- a/crates/server/tests/binary.rs
+++ b/crates/server/tests/binary.rs
@@ -356,6 +356,11 @@
     assert!(
         fails(Some(&good.replace("\"sockets\":128", "\"sockets\":8")), None).contains("limits.sockets 8")
     );
-    assert!(fails(Some(&good), None).contains(&address.to_string()));
+    // A server with nothing below it is told no catalogue: it gets as far as its address.
+    let bare = good.replace(&format!("\"catalog\":\"{address}\","), "");
+    assert_ne!(bare, good);
+    for config in [&good, &bare] {
+        assert!(fails(Some(config), None).contains(&format!("listen {address}")));
+    }
     assert!(fails(Some(&good), Some("192.0.2.1:1")).contains("192.0.2.1"));
 }
