Read again: repeated pieces of the server made one; behaviour as before

Giving up a call, the end of a link of our own (engine, catalogue, registry), the spelling of names, the head of an error answer and the ends of runs and calls each stood twice or more and stand once. Serve::handler only passed on and is gone; a class's name is no longer copied for each run. Notices feeds its lines in place: a panic in a notice left a buffer behind that took every further line for too long. Left: the listing of scenario files in the two runners, which share no package.

--- a/crates/server/src/answer.rs
+++ b/crates/server/src/answer.rs
@@ -29,11 +29,14 @@
     out.extend_from_slice(b"}}\n");
 }
 
+/// An error up to the members of its data.
+fn error(out: &mut Vec<u8>, id: u64, code: i32, message: &str) {
+    put!(out, "{{\"jsonrpc\":\"2.0\",\"id\":{id},\"error\":{{\"code\":{code},");
+    put!(out, "\"message\":\"{message}\",\"data\":{{");
+}
+
 pub fn shed(out: &mut Vec<u8>, id: u64, come_back: Span, last: bool, value: Option<f64>) {
-    put!(
-        out,
-        "{{\"jsonrpc\":\"2.0\",\"id\":{id},\"error\":{{\"code\":{SHED},\"message\":\"shed\",\"data\":{{"
-    );
+    error(out, id, SHED, "shed");
     let mut comma = "";
     let millis = come_back.as_micros() / 1000;
     if millis > 0 {
@@ -49,10 +52,7 @@
 }
 
 pub fn errored(out: &mut Vec<u8>, id: u64, value: Option<f64>) {
-    put!(
-        out,
-        "{{\"jsonrpc\":\"2.0\",\"id\":{id},\"error\":{{\"code\":{ERRORED},\"message\":\"errored\",\"data\":{{"
-    );
+    error(out, id, ERRORED, "errored");
     free(out, value, "");
     out.extend_from_slice(b"}}}\n");
 }
--- a/crates/server/src/calls.rs
+++ b/crates/server/src/calls.rs
@@ -1,6 +1,6 @@
 //! The catalogue: calls out over few connections, replies back in any order.
 
-use crate::door::Name;
+use crate::door::{Name, spelt};
 use crate::drive::Outbox;
 use madderbay::face::Outcome;
 use madderbay::time::{At, Span};
@@ -65,8 +65,7 @@
         wire.used = now;
         wire.out.put(|b| {
             let millis = (patience.as_micros() / 1000).max(1);
-            let name = std::str::from_utf8(name).unwrap_or_default();
-            let _ = write!(b, "FETCH {name} {millis} {}\r\n", body.len());
+            let _ = write!(b, "FETCH {} {millis} {}\r\n", spelt(name), body.len());
             b.extend_from_slice(body);
             b.extend_from_slice(b"\r\n");
         });
@@ -81,7 +80,7 @@
         wire.unheard += 1;
         wire.used = now;
         wire.out.put(|b| {
-            let _ = write!(b, "QUIT {}\r\n", std::str::from_utf8(name).unwrap_or_default());
+            let _ = write!(b, "QUIT {}\r\n", spelt(name));
         });
         Some((call.id, now - call.at))
     }
@@ -206,7 +205,7 @@
                 };
                 let end = match timeout(CONNECT, connect).await {
                     Ok(Ok(stream)) => {
-                        crate::drive::drive(&stream, &out, |bytes| {
+                        crate::drive::drive_link(&stream, &out, |bytes| {
                             let now = clock.now();
                             let mut serve = serve.borrow_mut();
                             let whole = replies.feed(bytes, |(name, how, body)| {
@@ -216,9 +215,6 @@
                                 serve.hands.counters.bad_replies += 1;
                                 log::warn!("catalogue: a reply that can't be read; connection closed");
                             }
-                            if bytes.is_empty() || !whole {
-                                out.close();
-                            }
                             whole
                         })
                         .await
--- a/crates/server/src/counters.rs
+++ b/crates/server/src/counters.rs
@@ -9,6 +9,27 @@
 /// A req read later than this after it came to the machine is counted.
 const READ_LATE: Span = Span::millis(20);
 
+/// How runs and calls end, and what their counters are called; what is none of these counts as the last.
+const RUNS: [(Outcome, &str); 4] = [
+    (Outcome::Done, "done"),
+    (Outcome::Errored, "errored"),
+    (Outcome::Stopped, "stopped"),
+    (Outcome::Moot, "moot"),
+];
+const CALLS: [(Outcome, &str); 6] = [
+    (Outcome::Done, "done"),
+    (Outcome::Shed, "shed"),
+    (Outcome::Errored, "errored"),
+    (Outcome::TimedOut, "timed_out"),
+    (Outcome::Unreached, "unreached"),
+    (Outcome::CutOff, "cut_off"),
+];
+
+fn count(ends: &[(Outcome, &str)], into: &mut [u64], how: Outcome) {
+    let at = ends.iter().position(|e| e.0 == how).unwrap_or(ends.len() - 1);
+    into[at] += 1;
+}
+
 #[derive(Default)]
 pub struct Counters {
     handlers: Vec<String>,
@@ -22,9 +43,9 @@
     pub gone: u64,
     pub cut: u64,
     pub runs: u64,
-    over: [u64; 4],
+    over: [u64; RUNS.len()],
     pub calls: u64,
-    replies: [u64; 6],
+    replies: [u64; CALLS.len()],
     pub skipped: u64,
     pub connections: u64,
     pub bad_lines: u64,
@@ -58,25 +79,11 @@
     }
 
     pub fn run_over(&mut self, how: Outcome) {
-        let at = match how {
-            Outcome::Done => 0,
-            Outcome::Errored => 1,
-            Outcome::Stopped => 2,
-            _ => 3,
-        };
-        self.over[at] += 1;
+        count(&RUNS, &mut self.over, how);
     }
 
     pub fn call_over(&mut self, how: Outcome) {
-        let at = match how {
-            Outcome::Done => 0,
-            Outcome::Shed => 1,
-            Outcome::Errored => 2,
-            Outcome::TimedOut => 3,
-            Outcome::Unreached => 4,
-            _ => 5,
-        };
-        self.replies[at] += 1;
+        count(&CALLS, &mut self.replies, how);
     }
 
     pub fn tick(&mut self, late: Span) {
@@ -110,13 +117,12 @@
         line("joined", self.joined);
         line("cut", self.cut);
         line("runs.started", self.runs);
-        for (at, name) in ["done", "errored", "stopped", "moot"].iter().enumerate() {
-            line(&format!("runs.{name}"), self.over[at]);
+        for ((_, name), n) in RUNS.iter().zip(self.over) {
+            line(&format!("runs.{name}"), n);
         }
         line("calls.made", self.calls);
-        for (at, name) in ["done", "shed", "errored", "timed_out", "unreached", "cut_off"].iter().enumerate()
-        {
-            line(&format!("calls.{name}"), self.replies[at]);
+        for ((_, name), n) in CALLS.iter().zip(self.replies) {
+            line(&format!("calls.{name}"), n);
         }
         line("calls.out", calls as u64);
         line("calls.skipped", self.skipped);
--- a/crates/server/src/door.rs
+++ b/crates/server/src/door.rs
@@ -5,6 +5,7 @@
 use madderbay::time::{At, Span};
 use madderbay_settings::Settings;
 use std::collections::{BTreeSet, HashMap};
+use std::rc::Rc;
 
 /// An entry is known this much longer than its term: tries that reached the machine within it may be read
 /// later, while this process waits for its core.
@@ -49,7 +50,7 @@
     repeats: Vec<Repeats>,
     tenants: HashMap<String, usize>,
     /// The handlers' names as JSON strings.
-    quoted: Vec<String>,
+    quoted: Vec<Rc<str>>,
     says_wait: bool,
     ids: u64,
     table: HashMap<Key, Entry>,
@@ -61,18 +62,27 @@
     names.iter().cloned().enumerate().map(|(i, n)| (n, i)).collect()
 }
 
-fn name(text: &str) -> Option<Name> {
+pub fn name(text: &str) -> Option<Name> {
     let bytes: Name = text.as_bytes().try_into().ok()?;
     bytes.iter().all(u8::is_ascii_hexdigit).then_some(bytes)
 }
 
+/// A name as it stands on the wires.
+pub fn spelt(name: &Name) -> &str {
+    std::str::from_utf8(name).unwrap_or_default()
+}
+
 impl Door {
     pub fn new(s: &Settings) -> Door {
         Door {
             handlers: numbered(&s.handler_names),
             repeats: s.handlers.iter().map(|h| h.repeats).collect(),
             tenants: numbered(&s.tenant_names),
-            quoted: s.handler_names.iter().map(|n| serde_json::Value::from(n.as_str()).to_string()).collect(),
+            quoted: s
+                .handler_names
+                .iter()
+                .map(|n| serde_json::Value::from(n.as_str()).to_string().into())
+                .collect(),
             says_wait: s.rules.says_wait,
             ids: 0,
             table: HashMap::new(),
@@ -85,7 +95,7 @@
         self.handlers.get(method).copied()
     }
 
-    pub fn quoted(&self, handler: usize) -> String {
+    pub fn quoted(&self, handler: usize) -> Rc<str> {
         self.quoted[handler].clone()
     }
 
--- a/crates/server/src/drive.rs
+++ b/crates/server/src/drive.rs
@@ -133,8 +133,21 @@
     }
 }
 
+/// Serves a link of our own making: it is over once the peer sends no more, or nothing that can be read.
+pub async fn drive_link(
+    stream: &TcpStream, out: &Out, mut fed: impl FnMut(&[u8]) -> bool,
+) -> std::io::Result<()> {
+    let closing = |bytes: &[u8]| {
+        let whole = fed(bytes);
+        if bytes.is_empty() || !whole {
+            out.close();
+        }
+        whole
+    };
+    drive(stream, out, closing).await
+}
+
 /// Cuts a stream of bytes into lines.
-#[derive(Default)]
 pub struct Lines {
     part: Vec<u8>,
     longest: usize,
--- a/crates/server/src/engine.rs
+++ b/crates/server/src/engine.rs
@@ -1,8 +1,8 @@
 //! The engine's link: commands as lines out, notices as lines in, both in order.
 
 use crate::clock::Clock;
-use crate::door::Name;
-use crate::drive::{Lines, Outbox, drive};
+use crate::door::{Name, spelt};
+use crate::drive::{Lines, Outbox, drive_link};
 use crate::json::{Members, whole};
 use crate::serve::{Serve, Shared};
 use madderbay::face::Outcome;
@@ -25,8 +25,7 @@
 /// One command as a line. What it is about comes as it stands on the wire.
 pub fn command(msg: &str, call: &Name, rest: std::fmt::Arguments) -> Vec<u8> {
     let mut line = Vec::with_capacity(64);
-    let call = std::str::from_utf8(call).unwrap_or_default();
-    let _ = writeln!(line, "{{\"msg\":\"{msg}\",\"call\":\"{call}\"{rest}}}");
+    let _ = writeln!(line, "{{\"msg\":\"{msg}\",\"call\":\"{}\"{rest}}}", spelt(call));
     line
 }
 
@@ -98,14 +97,20 @@
 /// The reading side. It outlives its links: the last serial read says where the next one takes up.
 pub struct Notices {
     lines: Lines,
-    pub serial: u64,
+    last: Last,
+}
+
+/// How far the notices were read.
+#[derive(Default)]
+struct Last {
+    serial: u64,
     /// Notices were missed for good.
     gap: bool,
 }
 
 impl Default for Notices {
     fn default() -> Notices {
-        Notices { lines: Lines::up_to(LINE_MOST), serial: 0, gap: false }
+        Notices { lines: Lines::up_to(LINE_MOST), last: Last::default() }
     }
 }
 
@@ -116,17 +121,22 @@
 
     /// False when the link can't be read on.
     pub fn fed(&mut self, now: At, bytes: &[u8], serve: &mut Serve) -> bool {
-        let mut lines = std::mem::take(&mut self.lines);
-        let whole = lines.feed(bytes, |line| {
-            if self.line(now, line, serve).is_none() {
+        let last = &mut self.last;
+        self.lines.feed(bytes, |line| {
+            if last.line(now, line, serve).is_none() {
                 serve.hands.counters.bad_notices += 1;
                 log::warn!("engine: a notice that can't be read");
             }
-        });
-        self.lines = lines;
-        whole
+        })
     }
 
+    /// The last notice that was read.
+    pub fn serial(&self) -> u64 {
+        self.last.serial
+    }
+}
+
+impl Last {
     fn line(&mut self, now: At, line: &[u8], serve: &mut Serve) -> Option<()> {
         let notice = Members::read(std::str::from_utf8(line).ok()?)?;
         let msg = notice.text("msg")?;
@@ -177,21 +187,15 @@
             Ok(stream) => {
                 let out = Outbox::default();
                 notices.relinked();
-                serve.borrow_mut().hands.engine.attach(out.clone(), notices.serial);
-                let end = drive(&stream, &out, |bytes| {
-                    let whole = notices.fed(clock.now(), bytes, &mut serve.borrow_mut());
-                    if bytes.is_empty() || !whole {
-                        out.close();
-                    }
-                    whole
-                });
-                let end = end.await;
+                serve.borrow_mut().hands.engine.attach(out.clone(), notices.serial());
+                let fed = |bytes: &[u8]| notices.fed(clock.now(), bytes, &mut serve.borrow_mut());
+                let end = drive_link(&stream, &out, fed).await;
                 {
                     let hands = &mut serve.borrow_mut().hands;
                     hands.engine.lost();
                     hands.counters.relinks += 1;
                 }
-                log::warn!("engine: link lost after notice {}: {end:?}", notices.serial);
+                log::warn!("engine: link lost after notice {}: {end:?}", notices.serial());
             }
             Err(e) => {
                 log::warn!("engine: can't be reached: {e}");
--- a/crates/server/src/front.rs
+++ b/crates/server/src/front.rs
@@ -1,6 +1,7 @@
 //! JSON-RPC 2.0 from one balancer connection: lines in, calls on the core. Its answers are in `answer`.
 
 use crate::answer::{self, BAD_PARAMS, NO_CALL, NO_JSON, NO_METHOD};
+use crate::door;
 use crate::drive::Lines;
 use crate::json::{Members, is_value};
 use crate::serve::Serve;
@@ -62,7 +63,7 @@
     let params = call.raw("params").map(Members::read);
     if method == "forget" {
         if let Some(Some(params)) = &params {
-            let name = params.text("ref").and_then(|r| r.as_bytes().try_into().ok());
+            let name = params.text("ref").as_deref().and_then(door::name);
             serve.forget(now, no, params.whole("id"), name);
         }
         return Ok(());
@@ -75,7 +76,7 @@
         }
         return Ok(());
     }
-    let handler = serve.handler(&method).ok_or(wrong(NO_METHOD, "no such method"))?;
+    let handler = serve.hands.door.handler(&method).ok_or(wrong(NO_METHOD, "no such method"))?;
     serve.may_open(no, id).map_err(|why| wrong(NO_CALL, why))?;
     let params = params.flatten().ok_or(wrong(BAD_PARAMS, "params is not an object"))?;
     let req = serve.hands.door.read(now, handler, &params).map_err(|why| wrong(BAD_PARAMS, why))?;
--- a/crates/server/src/registry.rs
+++ b/crates/server/src/registry.rs
@@ -1,7 +1,7 @@
 //! Reports to the registry over one kept HTTP/1.1 connection.
 
 use crate::counters::Counters;
-use crate::drive::{Outbox, drive};
+use crate::drive::{Outbox, drive_link};
 use crate::serve::Shared;
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -89,15 +89,11 @@
                 let out = Outbox::default();
                 let (answered, status) = (Notify::new(), Cell::new(0));
                 let mut answers = Answers::default();
-                let link = drive(&stream, &out, |bytes| {
-                    let whole = answers.feed(bytes, |s| {
+                let link = drive_link(&stream, &out, |bytes| {
+                    answers.feed(bytes, |s| {
                         status.set(s);
                         answered.notify_one();
-                    });
-                    if bytes.is_empty() || !whole {
-                        out.close();
-                    }
-                    whole
+                    })
                 });
                 tokio::select! {
                     end = link => log::info!("registry: connection over: {end:?}"),
--- a/crates/server/src/serve.rs
+++ b/crates/server/src/serve.rs
@@ -182,10 +182,6 @@
         open.into_iter().for_each(|id| self.gone(now, id));
     }
 
-    pub fn handler(&self, method: &str) -> Option<usize> {
-        self.hands.door.handler(method)
-    }
-
     pub fn out(&self, no: u64) -> Option<&Outbox> {
         self.hands.conns.get(&no).map(|c| &c.out)
     }
@@ -482,13 +478,18 @@
     }
 
     fn remove(&mut self, id: u64) {
+        self.give_up_call(id);
         let Some(req) = self.reqs.remove(&id) else { return };
         self.names.remove(&req.name);
-        if let Some(until) = req.until {
+        self.calls.forget(&req.name);
+    }
+
+    fn give_up_call(&mut self, id: u64) {
+        let Some(req) = self.reqs.get_mut(&id) else { return };
+        if let Some(until) = req.until.take() {
             self.due.remove(&(until, Due::Call(id)));
             self.calls.quit(self.now, &req.name);
         }
-        self.calls.forget(&req.name);
     }
 
     /// The req is answered or its caller gone: a call for it is given up, and unless it runs it is over.
@@ -498,12 +499,9 @@
         if let Some(conn) = self.conns.get_mut(&req.conn) {
             conn.open.remove(&req.rpc);
         }
-        if let Some(until) = req.until.take() {
-            self.due.remove(&(until, Due::Call(id)));
-            let name = req.name;
-            self.calls.quit(self.now, &name);
-        }
-        if !self.reqs[&id].started {
+        if req.started {
+            self.give_up_call(id);
+        } else {
             self.remove(id);
         }
     }
--- a/crates/server/tests/binary.rs
+++ b/crates/server/tests/binary.rs
@@ -39,11 +39,9 @@
     fn command(&mut self) -> String {
         loop {
             let line = self.line();
-            let Some(cookie) = line.strip_prefix("{\"msg\":\"STAT\",\"cookie\":") else { return line };
-            self.say(
-                &format!("{{\"msg\":\"STATS\",\"cookie\":{cookie},\"stats\":[0.1,1,0.1,1]}}\n")
-                    .replace("},", ","),
-            );
+            let Some(rest) = line.strip_prefix("{\"msg\":\"STAT\",\"cookie\":") else { return line };
+            let cookie = rest.trim_end_matches('}');
+            self.say(&format!("{{\"msg\":\"STATS\",\"cookie\":{cookie},\"stats\":[0.1,1,0.1,1]}}\n"));
         }
     }
 }
@@ -233,7 +231,7 @@
     }
 }
 
-/// Shed while the engine is not up, errored as the run did, partial once the catalogue has shed its call twice.
+/// Shed while the engine is not up, errored as the run did, partial once the catalogue shed its call twice.
 #[test]
 fn answers_shed_errored_and_partial() {
     let server = Server::start(128);
--- a/crates/server/tests/scenarios.rs
+++ b/crates/server/tests/scenarios.rs
@@ -60,6 +60,10 @@
     text.trim_end_matches("ms").parse().expect("milliseconds")
 }
 
+fn stats(cookie: &str) -> String {
+    format!("{{\"msg\":\"STATS\",\"cookie\":\"{cookie}\",\"stats\":[0.5,1,0.1,3.0]}}\n")
+}
+
 fn at(ms: u64) -> At {
     At::micros((START_MS + ms) * 1000)
 }
@@ -88,7 +92,7 @@
     fn link(&mut self) {
         let out = Outbox::default();
         self.notices.relinked();
-        self.serve.hands.engine.attach(out.clone(), self.notices.serial);
+        self.serve.hands.engine.attach(out.clone(), self.notices.serial());
         self.engine = Some(out);
     }
 
@@ -148,9 +152,7 @@
         }
         if !asked.is_empty() && !self.mute {
             for cookie in asked {
-                let stats =
-                    format!("{{\"msg\":\"STATS\",\"cookie\":\"{cookie}\",\"stats\":[0.5,1,0.1,3.0]}}\n");
-                self.feed("e", stats.as_bytes());
+                self.feed("e", stats(&cookie).as_bytes());
             }
             self.moment();
         }
@@ -262,9 +264,7 @@
                 "speak" => {
                     self.mute = false;
                     let heard = self.serve.hands.engine.proof() - 1;
-                    let stats =
-                        format!("{{\"msg\":\"STATS\",\"cookie\":\"{heard}\",\"stats\":[0.5,1,0.1,3]}}\n");
-                    self.feed("e", stats.as_bytes());
+                    self.feed("e", stats(&heard.to_string()).as_bytes());
                 }
                 _ => return Err("says nothing that can be played".into()),
             },
