SIGHUP moves to new addresses; each call to the catalogue has its connection to itself

Cause: main installed no handler for SIGHUP, whose default ends the process. Now the handler comes before all else; the file is read again, the engine's old link goes on until the new address has accepted, the registry is told anew, calls out may come back the old way while idle connections there are closed. A file that can't be read changes nothing; name, listen, limits and settings that differ are told as needing a restart.

A spoilt reply closed a connection that other calls were on (calls.rs, Desk::fetch put all on the first), and a reply that never came left it in use until four were given up. Now a call has its connection to itself, a call given up closes it (unsent bytes are dropped, so that it is known unreached), a req never calls twice on one, and none is used that stood idle for a second.

--- a/crates/server/src/calls.rs
+++ b/crates/server/src/calls.rs
@@ -1,46 +1,55 @@
-//! The catalogue: calls out over few connections, replies back in any order.
+//! The catalogue: calls out, each on a connection that it has to itself, and their replies back. A reply that
+//! is spoilt, or never comes, so costs no other call; and a call is given up by closing its connection.
 
 use crate::door::{Name, spelt};
 use crate::drive::Outbox;
 use madderbay::face::Outcome;
 use madderbay::time::{At, Span};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::io::{ErrorKind, Write};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::timeout;
 
-/// Connections that stand idle for 10 s are closed by the catalogue; ours go well before.
-const IDLE_MOST: Span = Span::millis(5_000);
+/// A connection idle for longer takes no more calls: the catalogue may have closed or forgotten it, and a
+/// call that meets its reset can't be told from one that ran.
+const IDLE_MOST: Span = Span::millis(1_000);
 /// Longer than any legal reply line or body.
-const LINE_MOST: usize = 128;
+const LINE_MOST: usize = 64;
 const BODY_MOST: usize = 64 << 10;
 /// A connection not made by then proves as much as a refused one: on it no call ran.
 const CONNECT: Duration = Duration::from_millis(500);
 
-/// Calls given up in a row without a reply between them, from which a connection takes no more: it may have
-/// gone silent without breaking, and each call on it would only run out of time.
-const UNHEARD_MOST: u32 = 4;
-
 /// A call that is out, and where its bytes begin in what its connection sends.
 struct Made {
     id: u64,
+    name: Name,
     at: At,
     begins: u64,
 }
 
+impl Made {
+    /// What the end of its connection says of it: it never ran where nothing of it was sent, else it may have.
+    fn end(&self, out: &Outbox, sent: Outcome) -> Outcome {
+        if out.written() > self.begins { sent } else { Outcome::Unreached }
+    }
+}
+
 struct Wire {
     no: u64,
     out: Outbox,
-    calls: HashMap<Name, Made>,
-    /// Given up on here: a reply may still cross, so no second call for the same req goes this way.
-    given_up: HashSet<Name>,
-    unheard: u32,
+    call: Option<Made>,
+    /// Reqs in hand that have called here: a second copy of a reply may still come, so they call elsewhere.
+    met: HashSet<Name>,
     used: At,
+    /// It leads to an address that has been left.
+    left: bool,
 }
 
-/// All calls in hand and the connections that they are on.
+/// All calls in hand and the connections that they are on; no more than the runs in hand.
 #[derive(Default)]
 pub struct Desk {
     wires: Vec<Wire>,
@@ -49,20 +58,26 @@
     pub wanted: Vec<(u64, Outbox)>,
 }
 
+/// Whose call is over, how and after what time.
+pub type Over = (u64, Outcome, Span);
+
 impl Desk {
     pub fn fetch(&mut self, now: At, id: u64, name: &Name, patience: Span, body: &[u8]) {
-        let fit = self.wires.iter().position(|w| w.unheard < UNHEARD_MOST && !w.given_up.contains(name));
-        let at = fit.unwrap_or_else(|| {
-            self.numbers += 1;
-            let out = Outbox::default();
-            self.wanted.push((self.numbers, out.clone()));
-            let (calls, given_up) = (HashMap::new(), HashSet::new());
-            self.wires.push(Wire { no: self.numbers, out, calls, given_up, unheard: 0, used: now });
-            self.wires.len() - 1
-        });
-        let wire = &mut self.wires[at];
-        wire.calls.insert(*name, Made { id, at: now, begins: wire.out.queued() });
-        wire.used = now;
+        // The one used last is the least likely to have been forgotten.
+        let free = |w: &&mut Wire| w.call.is_none() && now - w.used < IDLE_MOST && !w.left;
+        let fit = self.wires.iter_mut().filter(free).filter(|w| !w.met.contains(name)).max_by_key(|w| w.used);
+        let wire = match fit {
+            Some(wire) => wire,
+            None => {
+                self.numbers += 1;
+                let (no, out) = (self.numbers, Outbox::default());
+                self.wanted.push((no, out.clone()));
+                self.wires.push(Wire { no, out, call: None, met: HashSet::new(), used: now, left: false });
+                self.wires.last_mut().expect("just made")
+            }
+        };
+        wire.call = Some(Made { id, name: *name, at: now, begins: wire.out.queued() });
+        wire.met.insert(*name);
         wire.out.put(|b| {
             let millis = (patience.as_micros() / 1000).max(1);
             let _ = write!(b, "FETCH {} {millis} {}\r\n", spelt(name), body.len());
@@ -71,60 +86,58 @@
         });
     }
 
-    /// Gives a call up; tells whose it was and how long it took. It may have had its effect, and may still
-    /// have it where it was not sent yet: its bytes stay queued, so that nothing is proven.
-    pub fn quit(&mut self, now: At, name: &Name) -> Option<(u64, Span)> {
-        let wire = self.wires.iter_mut().find(|w| w.calls.contains_key(name))?;
-        let call = wire.calls.remove(name)?;
-        wire.given_up.insert(*name);
-        wire.unheard += 1;
-        wire.used = now;
-        wire.out.put(|b| {
-            let _ = write!(b, "QUIT {}\r\n", spelt(name));
-        });
-        Some((call.id, now - call.at))
+    /// Gives a call up, and its connection with it: what was not sent never will be.
+    pub fn quit(&mut self, now: At, name: &Name) -> Option<Over> {
+        let at = self.wires.iter().position(|w| w.call.as_ref().is_some_and(|c| c.name == *name))?;
+        let wire = self.wires.swap_remove(at);
+        wire.out.cut();
+        wire.call.map(|c| (c.id, c.end(&wire.out, Outcome::TimedOut), now - c.at))
     }
 
-    /// A reply on a connection; nothing if its call was given up.
+    /// A reply on a connection; nothing if it is not that of the call in hand there.
     pub fn replied(&mut self, now: At, no: u64, name: &Name) -> Option<(u64, Span)> {
         let wire = self.wires.iter_mut().find(|w| w.no == no)?;
-        wire.given_up.remove(name);
-        wire.unheard = 0;
+        let call = wire.call.take_if(|c| c.name == *name)?;
         wire.used = now;
-        wire.calls.remove(name).map(|call| (call.id, now - call.at))
+        if wire.left {
+            wire.out.cut();
+        }
+        Some((call.id, now - call.at))
     }
 
-    /// A connection is over: what was on it never ran where it was not sent, else may have run.
-    pub fn ended(&mut self, now: At, no: u64, out: &Outbox) -> Vec<(u64, Outcome, Span)> {
-        let Some(at) = self.wires.iter().position(|w| w.no == no) else { return vec![] };
-        let wire = self.wires.remove(at);
-        let how = |c: &Made| if out.written() > c.begins { Outcome::CutOff } else { Outcome::Unreached };
-        let mut over: Vec<_> = wire.calls.values().map(|c| (c.id, how(c), now - c.at)).collect();
-        over.sort_by_key(|o| o.0);
-        over
+    /// A connection is over, and with it the call on it.
+    pub fn ended(&mut self, now: At, no: u64) -> Option<Over> {
+        let at = self.wires.iter().position(|w| w.no == no)?;
+        let wire = self.wires.swap_remove(at);
+        wire.call.map(|c| (c.id, c.end(&wire.out, Outcome::CutOff), now - c.at))
     }
 
     /// The req is over: no more calls for it, so late replies can't be mistaken.
     pub fn forget(&mut self, name: &Name) {
         self.wires.iter_mut().for_each(|w| {
-            w.given_up.remove(name);
+            w.met.remove(name);
         });
     }
 
-    /// Closes what stands idle, before the other side does: no call is sent into a closing connection. One
-    /// that takes no more calls goes as soon as none is on it.
+    /// The catalogue has moved: calls in hand may still come back, new ones go to the new address.
+    pub fn moved(&mut self, now: At) {
+        self.wires.iter_mut().for_each(|w| w.left = true);
+        self.tidy(now);
+    }
+
+    /// Closes what stands idle.
     pub fn tidy(&mut self, now: At) {
         self.wires.retain(|w| {
-            let keep = !w.calls.is_empty() || (w.unheard < UNHEARD_MOST && now - w.used < IDLE_MOST);
+            let keep = w.call.is_some() || (!w.left && now - w.used < IDLE_MOST);
             if !keep {
-                w.out.close();
+                w.out.cut();
             }
             keep
         });
     }
 
     pub fn out(&self) -> usize {
-        self.wires.iter().map(|w| w.calls.len()).sum()
+        self.wires.iter().filter(|w| w.call.is_some()).count()
     }
 }
 
@@ -159,7 +172,10 @@
 
 fn reply(bytes: &[u8]) -> Result<Option<(Reply<'_>, usize)>, ()> {
     let Some(end) = bytes.iter().take(LINE_MOST).position(|b| *b == b'\n') else {
-        return if bytes.len() < LINE_MOST { Ok(None) } else { Err(()) };
+        // Noise is told before its line ends, which may be never.
+        let name = bytes.iter().take(16).all(u8::is_ascii_hexdigit);
+        let so_far = name && bytes.get(16).is_none_or(|b| *b == b' ') && bytes.len() < LINE_MOST;
+        return if so_far { Ok(None) } else { Err(()) };
     };
     let line = std::str::from_utf8(bytes[..end].strip_suffix(b"\r").ok_or(())?).map_err(|_| ())?;
     let mut words = line.split(' ');
@@ -189,46 +205,45 @@
 /// The driver: opens the connections that the desk wants and serves each until it is over. Without an address
 /// none can be made, and no call runs.
 pub async fn run(
-    address: Option<std::net::SocketAddr>, clock: Rc<crate::clock::Clock>, serve: crate::serve::Shared,
+    mut address: watch::Receiver<Option<SocketAddr>>, clock: Rc<crate::clock::Clock>,
+    serve: crate::serve::Shared,
 ) {
+    let dial = serve.borrow().hands.dial.clone();
     loop {
+        let at = *address.borrow_and_update();
         let wanted = std::mem::take(&mut serve.borrow_mut().hands.calls.wanted);
         for (no, out) in wanted {
             let (clock, serve) = (clock.clone(), serve.clone());
             tokio::task::spawn_local(async move {
-                let mut replies = Replies::default();
-                let connect = async {
-                    match address {
-                        Some(address) => TcpStream::connect(address).await,
-                        None => Err(ErrorKind::AddrNotAvailable.into()),
-                    }
-                };
-                let end = match timeout(CONNECT, connect).await {
-                    Ok(Ok(stream)) => {
-                        crate::drive::drive_link(&stream, &out, |bytes| {
-                            let now = clock.now();
-                            let mut serve = serve.borrow_mut();
-                            let whole = replies.feed(bytes, |(name, how, body)| {
-                                serve.call_over(now, no, &name, how, body);
-                            });
-                            if !whole {
-                                serve.hands.counters.bad_replies += 1;
-                                log::warn!("catalogue: a reply that can't be read; connection closed");
-                            }
-                            whole
-                        })
-                        .await
-                    }
-                    Ok(Err(e)) => Err(e),
-                    Err(_) => Err(ErrorKind::TimedOut.into()),
-                };
-                if let Err(e) = end {
+                if let Err(e) = connection(at, no, &out, &clock, &serve).await {
                     log::info!("catalogue: connection lost: {e}");
                 }
-                serve.borrow_mut().calls_lost(clock.now(), no, &out);
+                serve.borrow_mut().call_lost(clock.now(), no);
             });
         }
-        let dial = serve.borrow().hands.dial.clone();
-        dial.notified().await;
+        tokio::select! {
+            () = dial.notified() => {}
+            Ok(()) = address.changed() => serve.borrow_mut().hands.calls.moved(clock.now()),
+        }
     }
 }
+
+async fn connection(
+    address: Option<SocketAddr>, no: u64, out: &Outbox, clock: &crate::clock::Clock,
+    serve: &crate::serve::Shared,
+) -> std::io::Result<()> {
+    let address = address.ok_or(ErrorKind::AddrNotAvailable)?;
+    let stream =
+        timeout(CONNECT, TcpStream::connect(address)).await.unwrap_or(Err(ErrorKind::TimedOut.into()))?;
+    let mut replies = Replies::default();
+    let fed = |bytes: &[u8]| {
+        let (now, mut serve) = (clock.now(), serve.borrow_mut());
+        let whole = replies.feed(bytes, |(name, how, body)| serve.call_over(now, no, &name, how, body));
+        if !whole {
+            serve.hands.counters.bad_replies += 1;
+            log::debug!("catalogue: a reply that can't be read; connection closed");
+        }
+        whole
+    };
+    crate::drive::drive_link(&stream, out, fed).await
+}
--- a/crates/server/src/config.rs
+++ b/crates/server/src/config.rs
@@ -25,6 +25,7 @@
     sockets: usize,
 }
 
+/// Everything that one server is told.
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
@@ -35,6 +36,22 @@
     pub stop_ms: u64,
     pub descriptors: usize,
     pub settings: Settings,
+    /// The settings as they stood in the file, to tell whether another file's are the same.
+    text: Box<str>,
+}
+
+impl Config {
+    /// What another configuration has otherwise that only a restart can take.
+    pub fn fixed_unlike(&self, other: &Config) -> Vec<&'static str> {
+        let value = |c: &Config| serde_json::from_str::<serde_json::Value>(&c.text).ok();
+        let unlike = [
+            ("name", self.name != other.name),
+            ("listen", self.listen != other.listen),
+            ("limits", self.descriptors != other.descriptors),
+            ("settings", self.text != other.text && value(self) != value(other)),
+        ];
+        unlike.into_iter().filter(|u| u.1).map(|u| u.0).collect()
+    }
 }
 
 fn address(text: &str, what: &str) -> Result<SocketAddr, String> {
@@ -60,5 +77,6 @@
         stop_ms: raw.stop_ms,
         descriptors: raw.limits.sockets,
         settings: settings::read(raw.settings.get().as_bytes())?,
+        text: raw.settings.get().into(),
     })
 }
--- a/crates/server/src/drive.rs
+++ b/crates/server/src/drive.rs
@@ -40,6 +40,12 @@
         self.changed.notify_one();
     }
 
+    /// The connection ends now; what was not written never is.
+    pub fn cut(&self) {
+        self.bytes.borrow_mut().clear();
+        self.close();
+    }
+
     pub fn is_closing(&self) -> bool {
         self.closing.get()
     }
--- a/crates/server/src/engine.rs
+++ b/crates/server/src/engine.rs
@@ -7,11 +7,13 @@
 use crate::serve::{Serve, Shared};
 use madderbay::face::Outcome;
 use madderbay::time::{At, Span};
+use std::future::pending;
 use std::io::{ErrorKind, Write};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::timeout;
 
 /// Longer than any legal notice: a result of 4 KiB in base64, each byte escaped.
@@ -178,30 +180,65 @@
     }
 }
 
-/// The driver: keeps a link to the engine and takes it up again where it was lost.
-pub async fn run(address: SocketAddr, clock: Rc<Clock>, serve: Shared) {
+/// A connection to the address moved to, once there is one: the link before goes on until then.
+async fn moved(address: &mut watch::Receiver<SocketAddr>) -> TcpStream {
+    if address.changed().await.is_err() {
+        pending::<()>().await;
+    }
+    loop {
+        let at = *address.borrow_and_update();
+        match connect(at).await {
+            Ok(stream) => return stream,
+            Err(e) => log::warn!("engine: can't be reached at its new address: {e}"),
+        }
+        tokio::time::sleep(AGAIN).await;
+    }
+}
+
+async fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
+    timeout(CONNECT, TcpStream::connect(address)).await.unwrap_or(Err(ErrorKind::TimedOut.into()))
+}
+
+/// The driver: keeps a link to the engine and takes it up again where it was lost, or at another address.
+pub async fn run(mut address: watch::Receiver<SocketAddr>, clock: Rc<Clock>, serve: Shared) {
     let mut notices = Notices::default();
+    let mut next = None;
     loop {
-        let mut wait = AGAIN;
-        match timeout(CONNECT, TcpStream::connect(address)).await.unwrap_or(Err(ErrorKind::TimedOut.into())) {
-            Ok(stream) => {
-                let out = Outbox::default();
-                notices.relinked();
-                serve.borrow_mut().hands.engine.attach(out.clone(), notices.serial());
-                let fed = |bytes: &[u8]| notices.fed(clock.now(), bytes, &mut serve.borrow_mut());
-                let end = drive_link(&stream, &out, fed).await;
-                {
-                    let hands = &mut serve.borrow_mut().hands;
-                    hands.engine.lost();
-                    hands.counters.relinks += 1;
-                }
-                log::warn!("engine: link lost after notice {}: {end:?}", notices.serial());
-            }
+        let at = *address.borrow_and_update();
+        let stream = match next.take() {
+            Some(stream) => Ok(stream),
+            None => connect(at).await,
+        };
+        let stream = match stream {
+            Ok(stream) => stream,
             Err(e) => {
                 log::warn!("engine: can't be reached: {e}");
-                wait = UNREACHED;
+                let _ = timeout(UNREACHED, address.changed()).await;
+                continue;
+            }
+        };
+        let out = Outbox::default();
+        notices.relinked();
+        serve.borrow_mut().hands.engine.attach(out.clone(), notices.serial());
+        let fed = |bytes: &[u8]| notices.fed(clock.now(), bytes, &mut serve.borrow_mut());
+        let end = tokio::select! {
+            end = drive_link(&stream, &out, fed) => Some(end),
+            stream = moved(&mut address) => {
+                next = Some(stream);
+                None
+            }
+        };
+        {
+            let hands = &mut serve.borrow_mut().hands;
+            hands.engine.lost();
+            hands.counters.relinks += 1;
+        }
+        match end {
+            None => log::info!("engine: moved after notice {}", notices.serial()),
+            Some(end) => {
+                log::warn!("engine: link lost after notice {}: {end:?}", notices.serial());
+                tokio::time::sleep(AGAIN).await;
             }
         }
-        tokio::time::sleep(wait).await;
     }
 }
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -4,13 +4,15 @@
 use madderbay_server::clock::Clock;
 use madderbay_server::serve::{Serve, Shared};
 use madderbay_server::{calls, config, engine, listen, logger, registry};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local};
 
 /// The process ends this long before it would be killed.
@@ -52,43 +54,84 @@
     }
 }
 
+/// What a reload can change: where the drivers learn of new addresses, and the time that a drain has.
+struct Moves {
+    stop_ms: Cell<u64>,
+    engine: watch::Sender<SocketAddr>,
+    registry: watch::Sender<SocketAddr>,
+    catalogue: watch::Sender<Option<SocketAddr>>,
+}
+
+fn moves<T: PartialEq>(to: &watch::Sender<T>, address: T) {
+    to.send_if_modified(|old| std::mem::replace(old, address) != *old);
+}
+
+/// Reads the configuration again and moves to its addresses; one that can't be read changes nothing.
+fn reload(config: &config::Config, to: &Moves) {
+    let fresh = match set_up() {
+        Ok(fresh) => fresh,
+        Err(what) => return log::warn!("reload: {what}; nothing is changed"),
+    };
+    for what in config.fixed_unlike(&fresh) {
+        log::warn!("reload: {what} has changed, which only a restart can take");
+    }
+    to.stop_ms.set(fresh.stop_ms);
+    moves(&to.engine, fresh.engine);
+    moves(&to.registry, fresh.registry);
+    moves(&to.catalogue, fresh.catalogue);
+    log::info!(
+        "reload: engine {}, registry {}, catalogue {:?}",
+        fresh.engine,
+        fresh.registry,
+        fresh.catalogue
+    );
+}
+
 async fn serve(config: config::Config) -> Result<(), String> {
+    let hear = |kind| signal(kind).map_err(|e| format!("signals: {e}"));
+    let (mut hup, mut term) = (hear(SignalKind::hangup())?, hear(SignalKind::terminate())?);
+    let (mut int, mut usr1) = (hear(SignalKind::interrupt())?, hear(SignalKind::user_defined1())?);
     let descriptors = config.descriptors.min(allowed_descriptors());
     let room = listen::room(descriptors).ok_or_else(|| {
         let asked = config.descriptors;
         format!("limits.sockets {asked}: {descriptors} descriptors are too few to serve")
     })?;
-    let hear = |kind| signal(kind).map_err(|e| format!("signals: {e}"));
-    let (mut term, mut int, mut usr1) =
-        (hear(SignalKind::terminate())?, hear(SignalKind::interrupt())?, hear(SignalKind::user_defined1())?);
     let listen = |e| format!("listen {}: {e}", config.listen);
     let listener = TcpListener::bind(config.listen).await.map_err(listen)?;
     let address = listener.local_addr().map_err(listen)?;
     let clock = Rc::new(Clock::default());
     let grace = config.settings.rules.drain_grace;
-    let serve = Rc::new(RefCell::new(Serve::new(clock.now(), config.seed, config.settings)));
+    let serve = Rc::new(RefCell::new(Serve::new(clock.now(), config.seed, config.settings.clone())));
     log::info!("{} listens on {address}", config.name);
-    spawn_local(engine::run(config.engine, clock.clone(), serve.clone()));
-    spawn_local(calls::run(config.catalogue, clock.clone(), serve.clone()));
-    spawn_local(registry::run(config.registry, config.name, serve.clone()));
+    let (engine, engine_at) = watch::channel(config.engine);
+    let (registry, registry_at) = watch::channel(config.registry);
+    let (catalogue, catalogue_at) = watch::channel(config.catalogue);
+    let to = Moves { stop_ms: Cell::new(config.stop_ms), engine, registry, catalogue };
+    spawn_local(engine::run(engine_at, clock.clone(), serve.clone()));
+    spawn_local(calls::run(catalogue_at, clock.clone(), serve.clone()));
+    spawn_local(registry::run(registry_at, config.name.clone(), serve.clone()));
     spawn_local(beat(clock.clone(), serve.clone()));
     let listening = spawn_local(listen::run(listener, room, clock.clone(), serve.clone()));
-    loop {
+    let mut orders = async || loop {
         tokio::select! {
-            _ = term.recv() => break,
-            _ = int.recv() => break,
             _ = usr1.recv() => logger::plain(serve.borrow().counters()),
+            _ = hup.recv() => reload(&config, &to),
         }
+    };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+        () = orders() => {}
     }
     let began = clock.now();
-    log::info!("draining, {} ms left", config.stop_ms);
-    let stop = Duration::from_millis(config.stop_ms);
+    let stop = Duration::from_millis(to.stop_ms.get());
+    log::info!("draining, {} ms left", stop.as_millis());
     // The module's last answers leave shortly before the stop that it knows of; the process outlasts them.
     let last = stop.saturating_sub(BEFORE_KILL);
     serve.borrow_mut().leave(began, Span::micros(last.as_micros() as u64));
     tokio::select! {
         () = drain(began, grace, stop, &clock, &serve, || listening.abort()) => {}
-        () = async { while usr1.recv().await.is_some() { logger::plain(serve.borrow().counters()); } } => {}
+        () = orders() => {}
     }
     logger::plain(serve.borrow().counters());
     log::info!("stopped");
--- a/crates/server/src/registry.rs
+++ b/crates/server/src/registry.rs
@@ -8,8 +8,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
-use tokio::time::{sleep, timeout};
+use tokio::sync::{Notify, watch};
+use tokio::time::timeout;
 
 /// Time between two reports: an entry lapses 3 s after the last, so two may get lost.
 const EVERY: Duration = Duration::from_millis(800);
@@ -80,33 +80,40 @@
     if bare { Some((status, 0)) } else { Some((status, len?)) }
 }
 
-/// The driver: reports now and then, and at once when what is reported changes.
-pub async fn run(address: SocketAddr, name: String, serve: Shared) {
-    let (changed, host) = (serve.borrow().hands.report.clone(), address.to_string());
+/// The driver: reports now and then, and at once when what is reported, or to whom, changes.
+pub async fn run(mut address: watch::Receiver<SocketAddr>, name: String, serve: Shared) {
     loop {
-        match timeout(PATIENCE, TcpStream::connect(address)).await {
-            Ok(Ok(stream)) => {
-                let out = Outbox::default();
-                let (answered, status) = (Notify::new(), Cell::new(0));
-                let mut answers = Answers::default();
-                let link = drive_link(&stream, &out, |bytes| {
-                    answers.feed(bytes, |s| {
-                        status.set(s);
-                        answered.notify_one();
-                    })
-                });
-                tokio::select! {
-                    end = link => log::info!("registry: connection over: {end:?}"),
-                    why = reports(&host, &name, &out, &answered, &status, &changed, &serve) => {
-                        log::warn!("registry: {why}");
-                    }
-                }
-            }
-            Ok(Err(e)) => log::warn!("registry: can't be reached: {e}"),
-            Err(_) => log::warn!("registry: no connection in time"),
-        }
+        let at = *address.borrow_and_update();
+        let why = tokio::select! {
+            Ok(()) = address.changed() => continue,
+            why = connection(at, &name, &serve) => why,
+        };
+        log::warn!("registry: {why}");
         count(&serve, |c| c.reports_lost += 1);
-        sleep(AGAIN).await;
+        let _ = timeout(AGAIN, address.changed()).await;
+    }
+}
+
+/// Reports on one connection; why that can't go on.
+async fn connection(address: SocketAddr, name: &str, serve: &Shared) -> String {
+    let stream = match timeout(PATIENCE, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(e)) => return format!("can't be reached: {e}"),
+        Err(_) => return "no connection in time".into(),
+    };
+    let (changed, host) = (serve.borrow().hands.report.clone(), address.to_string());
+    let out = Outbox::default();
+    let (answered, status) = (Notify::new(), Cell::new(0));
+    let mut answers = Answers::default();
+    let link = drive_link(&stream, &out, |bytes| {
+        answers.feed(bytes, |s| {
+            status.set(s);
+            answered.notify_one();
+        })
+    });
+    tokio::select! {
+        end = link => format!("connection over: {end:?}"),
+        why = reports(&host, name, &out, &answered, &status, &changed, serve) => why,
     }
 }
 
--- a/crates/server/src/serve.rs
+++ b/crates/server/src/serve.rs
@@ -347,8 +347,9 @@
         self.call_ended(now, id, how, spent);
     }
 
-    pub fn calls_lost(&mut self, now: At, wire: u64, out: &Outbox) {
-        for (id, how, spent) in self.hands.calls.ended(now, wire, out) {
+    /// A connection to the catalogue is over.
+    pub fn call_lost(&mut self, now: At, wire: u64) {
+        if let Some((id, how, spent)) = self.hands.calls.ended(now, wire) {
             self.call_ended(now, id, how, spent);
         }
     }
@@ -401,8 +402,8 @@
         let Some(req) = self.hands.reqs.get_mut(&id) else { return };
         req.until = None;
         let name = req.name;
-        if let Some((id, spent)) = self.hands.calls.quit(now, &name) {
-            self.call_ended(now, id, Outcome::TimedOut, spent);
+        if let Some((id, how, spent)) = self.hands.calls.quit(now, &name) {
+            self.call_ended(now, id, how, spent);
         }
     }
 
--- a/crates/server/tests/binary.rs
+++ b/crates/server/tests/binary.rs
@@ -53,6 +53,7 @@
     engine: TcpListener,
     catalogue: TcpListener,
     reports: Receiver<String>,
+    path: PathBuf,
 }
 
 fn local() -> TcpListener {
@@ -127,8 +128,7 @@
         log.read_line(&mut line).expect("a line");
         let address = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
         let address = address.unwrap_or_else(|| panic!("no address in '{line}'"));
-        std::fs::remove_file(path).expect("removed");
-        Server { child, log, address, engine, catalogue, reports }
+        Server { child, log, address, engine, catalogue, reports, path }
     }
 
     fn link(&self, attach: &str) -> Peer {
@@ -147,6 +147,15 @@
         assert!(done.expect("kill runs").success());
     }
 
+    /// Waits for a line of the log that holds this.
+    fn log_at(&mut self, part: &str) {
+        let mut line = String::new();
+        while !line.contains(part) {
+            line.clear();
+            assert!(self.log.read_line(&mut line).expect("a line") > 0, "the log ends before '{part}'");
+        }
+    }
+
     /// The rest of the log after the server has ended by itself.
     fn ended(mut self) -> String {
         let mut log = String::new();
@@ -160,6 +169,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.path);
     }
 }
 
@@ -231,6 +241,42 @@
     }
 }
 
+/// On SIGHUP the addresses in the file are taken: runs go on over the new engine's link, calls and reports go
+/// to the new places. A file that can't be read changes nothing, and neither ends the process.
+#[test]
+fn a_reload_moves_to_new_addresses() {
+    let mut server = Server::start(128);
+    let mut engine = server.link("{\"msg\":\"ATTACH\",\"serial\":0}");
+    let mut a = server.balancer();
+    a.say(&req(1, "search", 1, ""));
+    assert!(engine.command().contains("\"RUN\""));
+    engine.say("{\"msg\":\"NEED\",\"serial\":1,\"call\":\"0000000000000001\",\"blob\":\"YWJj\"}\n");
+    let mut catalogue = Peer::accept(&server.catalogue);
+    assert!(catalogue.line().starts_with("FETCH"));
+    server.log_at("engine: up");
+    std::fs::write(&server.path, "{\"name\":\"n1\",").unwrap();
+    server.signal("-HUP");
+    server.log_at("nothing is changed");
+    let (new_engine, new_catalogue, (registry, reports)) = (local(), local(), registry());
+    let others = [new_engine.local_addr().unwrap(), registry, new_catalogue.local_addr().unwrap()];
+    std::fs::write(&server.path, configuration("127.0.0.1:0", others, 64, common::SETTINGS)).unwrap();
+    server.signal("-HUP");
+    server.log_at("reload: limits has changed, which only a restart can take");
+    server.log_at("reload: settings has changed, which only a restart can take");
+    // The old link and the old call are still good; the new link takes up where the old one was read.
+    catalogue.say("0000000000000001 DATA 3\r\nxyz\r\n");
+    let mut engine = Peer::accept(&new_engine);
+    assert_eq!(engine.line(), "{\"msg\":\"ATTACH\",\"serial\":1}");
+    engine.say("{\"msg\":\"HELLO\",\"how\":\"old\",\"duration\":3600000}\n");
+    assert!(engine.command().contains("\"FEED\""));
+    engine.say("{\"msg\":\"NEED\",\"serial\":2,\"call\":\"0000000000000001\",\"blob\":\"YWJj\"}\n");
+    let mut catalogue = Peer::accept(&new_catalogue);
+    assert!(catalogue.line().starts_with("FETCH"));
+    engine.say(&done(3, 1, "WFla"));
+    assert!(a.line().contains("\"result\""));
+    assert!(reports.recv_timeout(PATIENCE).unwrap().contains("ready"));
+}
+
 /// Shed while the engine is not up, errored as the run did, partial once the catalogue shed its call twice.
 #[test]
 fn answers_shed_errored_and_partial() {
@@ -253,8 +299,8 @@
     a.say(&req(3, "search", 3, ""));
     assert!(engine.command().contains("\"RUN\",\"call\":\"0000000000000003\""));
     engine.say("{\"msg\":\"NEED\",\"serial\":2,\"call\":\"0000000000000003\",\"blob\":\"YWJj\"}\n");
-    let mut catalogue = Peer::accept(&server.catalogue);
     for _ in 0..2 {
+        let mut catalogue = Peer::accept(&server.catalogue);
         assert!(catalogue.line().starts_with("FETCH 0000000000000003 "));
         assert_eq!(catalogue.line(), "abc");
         catalogue.say("0000000000000003 LATER\r\n");
--- a/crates/server/tests/scenarios.rs
+++ b/crates/server/tests/scenarios.rs
@@ -11,6 +11,7 @@
 //! a lost                       the connection broke; `a end` the peer sends no more; `c1 lost` alike
 //! e lost   e link              the engine's link breaks; a new one is made
 //! c1 deaf                      nothing can be written to it any more
+//! c moved                      the catalogue has another address
 //! e mute   e speak             the engine answers no question for its gauges; it does again
 //! leave 3200ms                 notice to drain
 //! late 3ms                     timers ring that late from now on
@@ -191,8 +192,8 @@
             self.engine = None;
         } else if let Some(n) = who.strip_prefix('c').and_then(|n| n.parse::<usize>().ok()) {
             self.want();
-            let (no, out) = (self.wires[n - 1].0, self.wires[n - 1].1.clone());
-            self.serve.calls_lost(self.now, no, &out);
+            let no = self.wires[n - 1].0;
+            self.serve.call_lost(self.now, no);
         } else {
             let no = self.balancer(who).no;
             self.serve.closed(self.now, no);
@@ -260,6 +261,7 @@
                 "endless" => self.feed(first, &[b'x'; 40_000]),
                 "deaf" => self.deaf = Some(first.to_string()),
                 "link" => self.link(),
+                "moved" => self.serve.hands.calls.moved(self.now),
                 "mute" => self.mute = true,
                 "speak" => {
                     self.mute = false;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -110,6 +110,7 @@
 }
 
 /// Everything one instance is started with.
+#[derive(Clone)]
 pub struct Settings {
     pub machine: Machine,
     pub handlers: Vec<Handler>,
