Bad clients refused at the door; what carries nothing gives way; unknown reqs are shed

Causes, from the log and a probe of accepts: - serve::declined only counted a RUN that the engine answers with NO: each held a worker for good (433 in 20 s on one server), until the limit on workers was full of them and the server told itself ill. Such a req is now shed, off the books, its key free. - listen took a place before accept and gave it back only at a connection's end: silent ones and those that asked once (4,200 in 24 s) filled it, and balancers waited in the backlog. Now one that was never answered ends after 1.5 s, and where the room is full the silent, then the longest idle give way; where all are busy a new one is closed unread. A probe showed that a burst of accepts ran past the room before any task's first turn, so connections count from the accept on. Own descriptors now include an eighth for calls. - door::read clamped or passed over what is out of range; it is refused now, as is a body that is no base64 (the engine closes its link on it), a key with another body, a line without id. Two reqs under one number, more than 32 open, a line too long: nothing there can be told apart, so all is errored and the connection ends. - forget by ref reached any connection's req; now only its own. A connection whose peer ended sending closes with its last req.

--- a/crates/server/src/counters.rs
+++ b/crates/server/src/counters.rs
@@ -48,6 +48,8 @@
     replies: [u64; CALLS.len()],
     pub skipped: u64,
     pub connections: u64,
+    pub connections_cut: u64,
+    pub connections_refused: u64,
     pub bad_lines: u64,
     pub bad_notices: u64,
     pub bad_replies: u64,
@@ -128,6 +130,8 @@
         line("calls.skipped", self.skipped);
         line("connections.accepted", self.connections);
         line("connections.open", conns as u64);
+        line("connections.cut", self.connections_cut);
+        line("connections.refused", self.connections_refused);
         line("keys.kept", keys as u64);
         line("bad.lines", self.bad_lines);
         line("bad.notices", self.bad_notices);
--- a/crates/server/src/door.rs
+++ b/crates/server/src/door.rs
@@ -1,15 +1,23 @@
 //! The door: what an arriving req says of itself, under small numbers, and the table of uniqued reqs.
 
-use crate::json::Members;
+use crate::json::{Members, number, text, whole};
 use madderbay::face::{Arrival, Repeats};
 use madderbay::time::{At, Span};
 use madderbay_settings::Settings;
 use std::collections::{BTreeSet, HashMap};
+use std::hash::{BuildHasher, RandomState};
 use std::rc::Rc;
 
 /// An entry is known this much longer than its term: tries that reached the machine within it may be read
 /// later, while this process waits for its core.
 const READ_LATE: Span = Span::millis(2000);
+/// A req's own figures are refused past these: a start further ahead than clocks differ, or longer ago than any
+/// pause; spans of so many client timeouts; memory that no req takes; a body over 2 KiB in base64.
+const AHEAD_MOST: Span = Span::millis(1_000);
+const AGO_MOST: Span = Span::millis(600_000);
+const TIMEOUTS_MOST: f64 = 10.0;
+const ROOM_KB: f64 = 2_000.0;
+const BODY_MOST: usize = 2_732;
 
 /// The 16 hex digits that name a try on all wires, and the 32 that name a uniqued req.
 pub type Name = [u8; 16];
@@ -25,6 +33,8 @@
 
 struct Entry {
     holder: u64,
+    /// Hash of handler and body, which all tries share.
+    print: u64,
     until: At,
     run: Run,
     waiting: Vec<u64>,
@@ -42,12 +52,17 @@
     pub arrival: Arrival,
     pub name: Name,
     pub key: Option<Key>,
+    /// Hash of handler and body.
+    pub print: u64,
     pub body: &'a str,
 }
 
 pub struct Door {
     handlers: HashMap<String, usize>,
     repeats: Vec<Repeats>,
+    /// The longest that a req of each handler may say it waits or works.
+    longest_ms: Vec<f64>,
+    prints: RandomState,
     tenants: HashMap<String, usize>,
     /// The handlers' names as JSON strings.
     quoted: Vec<Rc<str>>,
@@ -67,6 +82,17 @@
     bytes.iter().all(u8::is_ascii_hexdigit).then_some(bytes)
 }
 
+/// Whether a raw value is a string of base64, no longer than a body: the engine takes nothing else.
+fn base64(raw: &str) -> bool {
+    let Some(text) = text(raw) else { return false };
+    let digits = text.trim_end_matches('=');
+    let digit = |b: u8| b.is_ascii_alphanumeric() || b == b'+' || b == b'/';
+    text.len() <= BODY_MOST
+        && text.len().is_multiple_of(4)
+        && text.len() - digits.len() <= 2
+        && digits.bytes().all(digit)
+}
+
 /// A name as it stands on the wires.
 pub fn spelt(name: &Name) -> &str {
     std::str::from_utf8(name).unwrap_or_default()
@@ -77,6 +103,8 @@
         Door {
             handlers: numbered(&s.handler_names),
             repeats: s.handlers.iter().map(|h| h.repeats).collect(),
+            longest_ms: s.handlers.iter().map(|h| h.timeout.as_secs() * 1e3 * TIMEOUTS_MOST).collect(),
+            prints: RandomState::new(),
             tenants: numbered(&s.tenant_names),
             quoted: s
                 .handler_names
@@ -103,16 +131,29 @@
         self.table.len()
     }
 
-    /// Reads a req's own account of itself; says what is wrong with it.
+    /// Reads a req's own account of itself; says what is wrong with it. Whatever is out of range is refused
+    /// here, before the module counts it.
     pub fn read<'a>(
         &mut self, now: At, handler: usize, params: &Members<'a>,
     ) -> Result<Read<'a>, &'static str> {
+        let longest = self.longest_ms[handler];
         let own = params.text("ref").as_deref().and_then(name).ok_or("ref is not 16 hex digits")?;
         let since = params.whole("since").ok_or("since is not a time in milliseconds")?;
-        let reached = At::micros(since.saturating_mul(1000)).min(now);
-        let body = params.raw("bytes").filter(|b| b.starts_with('"')).ok_or("bytes is not a string")?;
-        let held_kb = params.number("room").filter(|kb| *kb >= 0.0).ok_or("room is not a size in KB")?;
-        let wait = match params.number("allow") {
+        let since = At::micros(since.saturating_mul(1000));
+        if since > now + AHEAD_MOST || since + AGO_MOST < now {
+            return Err("since is out of range");
+        }
+        let reached = since.min(now);
+        let body = params.raw("bytes").filter(|b| base64(b)).ok_or("bytes is not a body in base64")?;
+        let held_kb = params.number("room").filter(|kb| *kb > 0.0 && *kb < ROOM_KB);
+        let held_kb = held_kb.ok_or("room is not a size in KB")?;
+        let span = |name: &str, what| match params.raw(name) {
+            Some(raw) => number(raw).filter(|ms| *ms > 0.0 && *ms <= longest).map(Some).ok_or(what),
+            None => Ok(None),
+        };
+        let allow = span("allow", "allow is not a time in milliseconds")?;
+        let hint = span("effort", "effort is not a work in milliseconds")?;
+        let wait = match allow {
             Some(ms) if self.says_wait => reached + Span::secs(ms / 1e3) - now,
             None if self.says_wait => return Err("allow is not a time in milliseconds"),
             _ => Span::ZERO,
@@ -123,34 +164,47 @@
             let known = params.text("project").and_then(|p| self.tenants.get(&*p).copied());
             known.ok_or("project is not among the settings' tenants")?
         };
+        let hex = |text: &str| text.len() <= 32 && text.bytes().all(|b| b.is_ascii_hexdigit());
         let key = if self.repeats[handler] == Repeats::Uniqued {
-            let text = params.text("replay").filter(|k| k.len() == 32);
+            let text = params.text("replay").filter(|k| k.len() == 32 && hex(k));
             Some(text.and_then(|k| Key::from_str_radix(&k, 16).ok()).ok_or("replay is not 32 hex digits")?)
         } else {
             None
         };
-        let subject = params.text("lookup").and_then(|k| u64::from_str_radix(&k, 16).ok());
+        let from = params.raw("sender").map_or(Some(0), whole).ok_or("sender is not a number")?;
+        let rank = params.raw("class_rank").map_or(Some(0.0), number).filter(|r| (0.0..1.0).contains(r));
+        let rank = rank.ok_or("class_rank is not from 0 to under 1")?;
+        let subject = params.raw("lookup").map_or(Some(0), |raw| {
+            text(raw).filter(|k| k.len() == 16 && hex(k)).and_then(|k| u64::from_str_radix(&k, 16).ok())
+        });
+        let subject = subject.ok_or("lookup is not 16 hex digits")?;
+        let print = self.prints.hash_one((handler, body));
+        let entry = key.and_then(|k| self.table.get(&k));
+        if entry.is_some_and(|e| e.print != print) {
+            return Err("replay came with another body");
+        }
+        let repeats = entry.map_or(0, |e| e.holder);
         self.ids += 1;
         let arrival = Arrival {
             id: self.ids,
-            from: params.whole("sender").unwrap_or(0).min(u64::from(u16::MAX)) as u16,
+            from: from as u16,
             handler,
             tenant,
-            subject: subject.unwrap_or(0),
+            subject,
             wait,
-            hint: params.number("effort").map(|ms| Span::secs(ms / 1e3)),
+            hint: hint.map(|ms| Span::secs(ms / 1e3)),
             held_kb,
-            rank: params.number("class_rank").unwrap_or(0.0),
+            rank,
             retry: params.raw("dup").is_some_and(|d| d == "true" || d == "1"),
             unread_for: now - reached,
-            repeats: key.and_then(|k| self.table.get(&k)).map_or(0, |e| e.holder),
+            repeats,
         };
-        Ok(Read { arrival, name: own, key, body })
+        Ok(Read { arrival, name: own, key, print, body })
     }
 
     /// Enters a try, or renews its entry; a newer try takes the entry over.
-    pub fn keep(&mut self, id: u64, key: Key, until: At) {
-        let fresh = Entry { holder: id, until, run: Run::NotYet, waiting: vec![] };
+    pub fn keep(&mut self, id: u64, key: Key, print: u64, until: At) {
+        let fresh = Entry { holder: id, print, until, run: Run::NotYet, waiting: vec![] };
         let entry = self.table.entry(key).or_insert(fresh);
         self.lapses.remove(&(entry.until + READ_LATE, key));
         self.holders.remove(&entry.holder);
--- a/crates/server/src/engine.rs
+++ b/crates/server/src/engine.rs
@@ -172,7 +172,7 @@
                 serve.hands.engine.answered(whole(&notice.text("cookie")?)?);
                 serve.gauges(now, &gauges?, std::mem::take(&mut self.gap));
             }
-            "NO" => serve.declined(&notice.text("how").unwrap_or_default()),
+            "NO" => serve.declined(now, &notice.text("how")?, &call()?),
             "NOTE" => {}
             _ => return None,
         }
--- a/crates/server/src/front.rs
+++ b/crates/server/src/front.rs
@@ -13,52 +13,78 @@
 pub struct Front {
     no: u64,
     lines: Lines,
+    /// Nothing more is read: the peer broke the protocol.
+    over: bool,
+}
+
+/// What is wrong with a line: its id as far as known, code and message; and whether it breaks the protocol so
+/// that nothing else on the connection can be trusted.
+struct Wrong {
+    id: Option<u64>,
+    code: i32,
+    message: &'static str,
+    breach: bool,
 }
 
 impl Front {
     pub fn new(no: u64) -> Front {
-        Front { no, lines: Lines::up_to(LINE_MOST) }
+        Front { no, lines: Lines::up_to(LINE_MOST), over: false }
     }
 
-    /// Takes in what was read; an empty feed is the end. False when nothing more can be read.
+    /// Takes in what was read; an empty feed is the end. False when nothing more is read.
     pub fn fed(&mut self, now: At, bytes: &[u8], serve: &mut Serve) -> bool {
-        let no = self.no;
+        let (no, over) = (self.no, &mut self.over);
         let whole = self.lines.feed(bytes, |line| {
-            if let Err((id, code, message)) = read(now, no, line, serve) {
-                serve.hands.counters.bad_lines += 1;
-                log::warn!("a balancer's line can't be served: {message}");
-                if let Some(out) = serve.out(no) {
-                    out.put(|b| answer::wrong(b, id, code, message));
-                }
+            if *over {
+                return;
+            }
+            if let Err(wrong) = read(now, no, line, serve) {
+                *over = wrong.breach;
+                wrong.tell(now, no, serve);
             }
         });
-        if bytes.is_empty() || !whole {
+        if !whole && !*over {
+            *over = true;
+            Wrong { id: None, code: NO_JSON, message: "line too long", breach: true }.tell(now, no, serve);
+        }
+        if bytes.is_empty() {
             serve.no_more(no);
         }
-        whole
+        !*over
     }
 }
 
-/// What is wrong with a line: its id as far as known, code and message.
-type Wrong = (Option<u64>, i32, &'static str);
+impl Wrong {
+    fn tell(&self, now: At, no: u64, serve: &mut Serve) {
+        serve.hands.counters.bad_lines += 1;
+        log::debug!("connection {no}: a line can't be served: {}", self.message);
+        if let Some(out) = serve.out(no) {
+            out.put(|b| answer::wrong(b, self.id, self.code, self.message));
+        }
+        if self.breach {
+            serve.turn_off(now, no);
+        }
+    }
+}
 
 fn read(now: At, no: u64, line: &[u8], serve: &mut Serve) -> Result<(), Wrong> {
-    let text = std::str::from_utf8(line).map_err(|_| (None, NO_JSON, "not UTF-8"))?;
+    let unread = |code, message| Wrong { id: None, code, message, breach: false };
+    let text = std::str::from_utf8(line).map_err(|_| unread(NO_JSON, "not UTF-8"))?;
     let Some(call) = Members::read(text) else {
         return Err(if is_value(text) {
-            (None, NO_CALL, "not an object")
+            unread(NO_CALL, "not an object")
         } else {
-            (None, NO_JSON, "not JSON")
+            unread(NO_JSON, "not JSON")
         });
     };
     let id = call.whole("id");
-    let wrong = |code, message| (id, code, message);
+    let wrong = |code, message| Wrong { id, code, message, breach: false };
     if call.text("jsonrpc").as_deref() != Some("2.0") {
         return Err(wrong(NO_CALL, "jsonrpc is not 2.0"));
     }
     let method = call.text("method").ok_or(wrong(NO_CALL, "no method"))?;
     if call.raw("id").is_some() && id.is_none() {
-        return Err((None, NO_CALL, "id is not a whole number"));
+        return Err(unread(NO_CALL, "id is not a whole number"));
     }
     let params = call.raw("params").map(Members::read);
     if method == "forget" {
@@ -68,16 +94,14 @@
         }
         return Ok(());
     }
-    // What bears no id asks for no answer: nothing is owed and nothing is run.
-    let Some(id) = id else { return Ok(()) };
+    let id = id.ok_or(unread(NO_CALL, "no id"))?;
     if method == "isWell" {
-        if let Some(out) = serve.out(no) {
-            out.put(|b| serve.health(id, b));
-        }
+        serve.health(no, id);
         return Ok(());
     }
     let handler = serve.hands.door.handler(&method).ok_or(wrong(NO_METHOD, "no such method"))?;
-    serve.may_open(no, id).map_err(|why| wrong(NO_CALL, why))?;
+    // Of two reqs under one number no answer could be told from the other's.
+    serve.may_open(no, id).map_err(|why| Wrong { breach: true, ..wrong(NO_CALL, why) })?;
     let params = params.flatten().ok_or(wrong(BAD_PARAMS, "params is not an object"))?;
     let req = serve.hands.door.read(now, handler, &params).map_err(|why| wrong(BAD_PARAMS, why))?;
     serve.arrived(now, no, id, req).map_err(|why| wrong(BAD_PARAMS, why))
--- a/crates/server/src/listen.rs
+++ b/crates/server/src/listen.rs
@@ -6,19 +6,19 @@
 use crate::front::Front;
 use crate::serve::Shared;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
 
-/// Descriptors kept for the program's own: standard streams, runtime, listener, links, a few to spare.
-const OWN: usize = 24;
+/// Descriptors kept for the program's own: standard streams, runtime, listener, links; and the part of all that
+/// calls to the catalogue may need.
+const OWN: usize = 16;
+const CALLS_PART: usize = 8;
 /// Wait after an accept that failed, most often for want of descriptors.
 const PAUSE: Duration = Duration::from_millis(20);
 
 /// How many connections a limit on descriptors leaves room for; none where it is too small to serve.
 pub fn room(descriptors: usize) -> Option<usize> {
-    descriptors.checked_sub(OWN).filter(|n| *n > 0)
+    descriptors.checked_sub(OWN + descriptors / CALLS_PART).filter(|n| *n > 0)
 }
 
 /// Tells the core that a connection is over, however it ended.
@@ -37,9 +37,7 @@
 }
 
 pub async fn run(listener: TcpListener, room: usize, clock: Rc<Clock>, serve: Shared) {
-    let room = Arc::new(Semaphore::new(room));
     loop {
-        let Ok(place) = room.clone().acquire_owned().await else { return };
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(e) => {
@@ -48,21 +46,34 @@
                 continue;
             }
         };
-        let (clock, serve) = (clock.clone(), serve.clone());
-        tokio::task::spawn_local(async move {
-            connection(stream, clock, serve).await;
-            drop(place);
-        });
+        if find_room(room, &serve).await {
+            // It counts from here on, not from its task's first turn: many may be accepted before that.
+            let out = Outbox::default();
+            let no = serve.borrow_mut().opened(clock.now(), out.clone());
+            let ends = Ends { no, clock: clock.clone(), serve: serve.clone() };
+            tokio::task::spawn_local(connection(stream, out, ends));
+        } else {
+            // Closed unread: nothing of it has run.
+            serve.borrow_mut().hands.counters.connections_refused += 1;
+        }
+    }
+}
+
+/// Has connections end that carry nothing, until there is room for one more. False where all carry something.
+async fn find_room(room: usize, serve: &Shared) -> bool {
+    while serve.borrow().connections() >= room {
+        if !serve.borrow_mut().make_room() {
+            return false;
+        }
+        tokio::task::yield_now().await;
     }
+    true
 }
 
-async fn connection(stream: TcpStream, clock: Rc<Clock>, serve: Shared) {
-    let out = Outbox::default();
-    let no = serve.borrow_mut().opened(clock.now(), out.clone());
-    let _ends = Ends { no, clock: clock.clone(), serve: serve.clone() };
-    let mut front = Front::new(no);
-    let end = drive(&stream, &out, |bytes| front.fed(clock.now(), bytes, &mut serve.borrow_mut())).await;
-    if let Err(e) = end {
-        log::debug!("connection {no} broke: {e}");
+async fn connection(stream: TcpStream, out: Outbox, ends: Ends) {
+    let mut front = Front::new(ends.no);
+    let fed = |bytes: &[u8]| front.fed(ends.clock.now(), bytes, &mut ends.serve.borrow_mut());
+    if let Err(e) = drive(&stream, &out, fed).await {
+        log::debug!("connection {} broke: {e}", ends.no);
     }
 }
--- a/crates/server/src/serve.rs
+++ b/crates/server/src/serve.rs
@@ -22,6 +22,11 @@
 pub const OPEN_MOST: usize = 32;
 /// A balancer told that a connection is to end has this long to close it.
 const LEAVING: Span = Span::millis(1_000);
+/// A new connection that has asked nothing that could be answered ends after this, half a line or none sent:
+/// balancers open one to ask at once, and a bad client is to have its close within 3 s.
+const FIRST: Span = Span::millis(1_500);
+/// Time between two looks at a connection whose reqs are open past its limit on idling.
+const AGAIN: Span = Span::millis(100);
 /// Time between two looks for catalogue connections that stand idle and table entries whose term is over:
 /// much finer than either's span.
 const TIDY: Span = Span::millis(1_000);
@@ -35,6 +40,7 @@
     rpc: u64,
     handler: usize,
     key: Option<Key>,
+    print: u64,
     /// As it came, until the run has it.
     body: Box<str>,
     started: bool,
@@ -53,11 +59,23 @@
     out: Outbox,
     open: HashMap<u64, u64>,
     used: At,
+    /// Something that it asked was answered.
+    heard: bool,
     /// The peer sends no more.
     ended: bool,
     leaving: bool,
 }
 
+impl Conn {
+    /// One req less is open; a peer that sends no more has no other use for the connection.
+    fn settled(&mut self, rpc: u64) {
+        self.open.remove(&rpc);
+        if self.ended && self.open.is_empty() {
+            self.out.close();
+        }
+    }
+}
+
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Call(u64),
@@ -156,14 +174,44 @@
             out.put(answer::leaving);
         }
         let leaving = hands.leaving;
-        let conn = Conn { out, open: HashMap::new(), used: now, ended: false, leaving };
+        let conn = Conn { out, open: HashMap::new(), used: now, heard: false, ended: false, leaving };
         hands.conns.insert(hands.numbers, conn);
-        if let Some(limit) = hands.idle {
-            hands.due.insert((now + limit, Due::Idle(hands.numbers)));
-        }
+        hands.due.insert((now + FIRST, Due::Idle(hands.numbers)));
         hands.numbers
     }
 
+    pub fn connections(&self) -> usize {
+        self.hands.conns.len()
+    }
+
+    /// Ends a connection that carries nothing, to make room for another: first those that were never answered,
+    /// then those unused the longest. None may go that has a req open.
+    pub fn make_room(&mut self) -> bool {
+        let idle = self.hands.conns.iter().filter(|(_, c)| c.open.is_empty() && !c.out.is_closing());
+        let Some((_, conn)) = idle.min_by_key(|(no, c)| (c.heard, c.used, **no)) else { return false };
+        conn.out.cut();
+        self.hands.counters.connections_cut += 1;
+        true
+    }
+
+    /// The peer breaks the protocol, and nothing it asked can be told from what it did not: all that it has
+    /// open is errored, and the connection ends.
+    pub fn turn_off(&mut self, now: At, no: u64) {
+        let Some(conn) = self.hands.conns.get_mut(&no) else { return };
+        conn.ended = true;
+        let mut open: Vec<u64> = conn.open.values().copied().collect();
+        open.sort_unstable();
+        self.hands.now = now;
+        for id in open {
+            if self.hands.answer(id, answer::errored) {
+                self.hands.counters.answered(false, false);
+            }
+            self.decide(now, |d, hands| d.gone(now, id, hands));
+            self.hands.nobody_waits(id);
+        }
+        self.no_more(no);
+    }
+
     /// The peer sends no more, or nothing that can be read: what is open is still answered.
     pub fn no_more(&mut self, no: u64) {
         let Some(conn) = self.hands.conns.get_mut(&no) else { return };
@@ -197,7 +245,7 @@
 
     /// A req has been read.
     pub fn arrived(&mut self, now: At, no: u64, rpc: u64, read: Read) -> Result<(), &'static str> {
-        let Read { arrival, name, key, body } = read;
+        let Read { arrival, name, key, print, body } = read;
         if self.hands.names.contains_key(&name) {
             return Err("ref is in use");
         }
@@ -212,6 +260,7 @@
             rpc,
             handler: arrival.handler,
             key,
+            print,
             body: body.into(),
             started: false,
             answered: false,
@@ -235,7 +284,9 @@
     /// The balancer has stopped waiting for a req.
     pub fn forget(&mut self, now: At, no: u64, rpc: Option<u64>, name: Option<Name>) {
         let by_rpc = rpc.and_then(|rpc| self.hands.conns.get(&no)?.open.get(&rpc).copied());
-        if let Some(id) = by_rpc.or_else(|| self.hands.names.get(&name?).copied()) {
+        // One caller can't withdraw another's req.
+        let own = |id: &u64| self.hands.reqs.get(id).is_some_and(|r| r.conn == no);
+        if let Some(id) = by_rpc.or_else(|| self.hands.names.get(&name?).copied().filter(own)) {
             self.gone(now, id);
         }
     }
@@ -248,8 +299,13 @@
         self.hands.nobody_waits(id);
     }
 
-    pub fn health(&self, rpc: u64, out: &mut Vec<u8>) {
-        answer::health(out, rpc, self.hands.good && !self.hands.leaving, self.hands.free);
+    pub fn health(&mut self, no: u64, rpc: u64) {
+        let hands = &mut self.hands;
+        let (good, free) = (hands.good && !hands.leaving, hands.free);
+        if let Some(conn) = hands.conns.get_mut(&no) {
+            conn.out.put(|out| answer::health(out, rpc, good, free));
+            conn.heard = true;
+        }
     }
 
     // --- engine
@@ -312,13 +368,17 @@
             self.hands.counters.strays += 1;
             return;
         };
-        let Some(req) = self.hands.reqs.get(&id) else { return };
-        let (key, handler) = (req.key, req.handler);
-        log::debug!("req {id} run over {how:?}, answered {}", req.answered);
         self.hands.now = now;
-        self.hands.counters.run_over(how);
         let result = (how == Outcome::Done).then_some(blob);
         self.hands.answer_run(id, result);
+        self.run_out(now, id, how, spent, result);
+    }
+
+    /// A run that was answered leaves the books.
+    fn run_out(&mut self, now: At, id: u64, how: Outcome, spent: Span, result: Option<&str>) {
+        let Some(req) = self.hands.reqs.get(&id) else { return };
+        let (key, handler) = (req.key, req.handler);
+        self.hands.counters.run_over(how);
         for waiting in key.map_or(vec![], |k| self.hands.door.ran(k, result)) {
             self.hands.joined(waiting, result);
         }
@@ -327,9 +387,18 @@
         self.decide(now, |d, _| d.ended(now, id, how, spent));
     }
 
-    pub fn declined(&mut self, what: &str) {
+    /// The engine did not carry a command out. Where that is a run, it knows no such req: nothing ran, or ever
+    /// will, and a further try by its key is a new one.
+    pub fn declined(&mut self, now: At, what: &str, name: &Name) {
         self.hands.counters.declined += 1;
-        log::warn!("engine: {what} was not carried out");
+        log::debug!("engine: {what} was not carried out");
+        let Some(&id) = self.hands.names.get(name).filter(|_| what == "RUN") else { return };
+        self.hands.now = now;
+        if self.hands.answer(id, |out, rpc, free| answer::shed(out, rpc, Span::ZERO, false, free)) {
+            self.hands.counters.shed += 1;
+        }
+        self.run_out(now, id, Outcome::Moot, Span::ZERO, None);
+        self.hands.door.drop(id);
     }
 
     // --- catalogue
@@ -447,12 +516,9 @@
         let Some(req) = self.reqs.get_mut(&id).filter(|r| !r.answered) else { return false };
         req.answered = true;
         if let Some(conn) = self.conns.get_mut(&req.conn) {
-            conn.open.remove(&req.rpc);
-            conn.used = self.now;
             conn.out.put(|out| write(out, req.rpc, self.free));
-            if conn.ended && conn.open.is_empty() {
-                conn.out.close();
-            }
+            (conn.used, conn.heard) = (self.now, true);
+            conn.settled(req.rpc);
         }
         true
     }
@@ -498,7 +564,7 @@
         let Some(req) = self.reqs.get_mut(&id) else { return };
         req.answered = true;
         if let Some(conn) = self.conns.get_mut(&req.conn) {
-            conn.open.remove(&req.rpc);
+            conn.settled(req.rpc);
         }
         if req.started {
             self.give_up_call(id);
@@ -529,19 +595,20 @@
         }
     }
 
-    /// A connection without open reqs is asked to end, and ended where that is not heeded.
+    /// A connection without open reqs is asked to end, and ended where that is not heeded; one that never had
+    /// an answer is ended at once.
     fn idle_over(&mut self, now: At, no: u64) {
-        let Some(limit) = self.idle else { return };
         let Some(conn) = self.conns.get_mut(&no) else { return };
-        let idle = conn.open.is_empty() && now - conn.used >= limit;
-        let again = match (idle, conn.leaving) {
-            (true, true) => return conn.out.close(),
+        let limit = if conn.heard { self.idle } else { Some(FIRST) };
+        let idle = conn.open.is_empty() && limit.is_some_and(|l| now - conn.used >= l);
+        let again = match (idle, conn.leaving || !conn.heard) {
+            (true, true) => return conn.out.cut(),
             (true, false) => {
                 conn.leaving = true;
                 conn.out.put(answer::leaving);
                 now + LEAVING
             }
-            (false, _) => (conn.used + limit).max(now + Span::millis(1)),
+            (false, _) => (conn.used + limit.unwrap_or(FIRST)).max(now + AGAIN),
         };
         self.due.insert((again, Due::Idle(no)));
     }
@@ -598,8 +665,8 @@
     }
 
     fn keep_key(&mut self, id: u64, term: Span) {
-        if let Some(key) = self.reqs.get(&id).and_then(|r| r.key) {
-            self.door.keep(id, key, self.now + term);
+        if let Some((key, print)) = self.reqs.get(&id).and_then(|r| Some((r.key?, r.print))) {
+            self.door.keep(id, key, print, self.now + term);
         }
     }
 
@@ -630,7 +697,8 @@
     fn idle_limit(&mut self, limit: Span) {
         self.idle = Some(limit);
         self.due.retain(|d| !matches!(d.1, Due::Idle(_)));
-        self.due.extend(self.conns.iter().map(|(no, c)| (c.used + limit, Due::Idle(*no))));
+        let at = |c: &Conn| c.used + if c.heard { limit } else { FIRST };
+        self.due.extend(self.conns.iter().map(|(no, c)| (at(c), Due::Idle(*no))));
     }
 
     fn wake(&mut self, after: Span) {
