A new connection is left a quarter second for its first req before it gives way

Each connection's end was logged: with the room full of connections that asked once and stayed, serve::make_room took those that were never answered first, however new; 9 us to 55 ms old ones went, whose req was on its way. Now these stay for 250 ms, the longest idle goes in their place; where nothing may go the new one is closed unread. Excluded: the end of the grace (13.3 s, after the break), the limit on idling (no end of an answered connection without its peer's end at that moment), unanswered connections' term (1.5 s, none that old).

--- a/crates/server/src/listen.rs
+++ b/crates/server/src/listen.rs
@@ -46,7 +46,7 @@
                 continue;
             }
         };
-        if find_room(room, &serve).await {
+        if find_room(room, &clock, &serve).await {
             // It counts from here on, not from its task's first turn: many may be accepted before that.
             let out = Outbox::default();
             let no = serve.borrow_mut().opened(clock.now(), out.clone());
@@ -60,9 +60,9 @@
 }
 
 /// Has connections end that carry nothing, until there is room for one more. False where all carry something.
-async fn find_room(room: usize, serve: &Shared) -> bool {
+async fn find_room(room: usize, clock: &Clock, serve: &Shared) -> bool {
     while serve.borrow().connections() >= room {
-        if !serve.borrow_mut().make_room() {
+        if !serve.borrow_mut().make_room(clock.now()) {
             return false;
         }
         tokio::task::yield_now().await;
--- a/crates/server/src/serve.rs
+++ b/crates/server/src/serve.rs
@@ -25,6 +25,9 @@
 /// A new connection that has asked nothing that could be answered ends after this, half a line or none sent:
 /// balancers open one to ask at once, and a bad client is to have its close within 3 s.
 const FIRST: Span = Span::millis(1_500);
+/// A new connection is left that long for its first req, whoever else wants its room: the req may have been
+/// written to it already.
+const YOUNG: Span = Span::millis(250);
 /// Time between two looks at a connection whose reqs are open past its limit on idling.
 const AGAIN: Span = Span::millis(100);
 /// Time between two looks for catalogue connections that stand idle and table entries whose term is over:
@@ -184,10 +187,11 @@
         self.hands.conns.len()
     }
 
-    /// Ends a connection that carries nothing, to make room for another: first those that were never answered,
-    /// then those unused the longest. None may go that has a req open.
-    pub fn make_room(&mut self) -> bool {
-        let idle = self.hands.conns.iter().filter(|(_, c)| c.open.is_empty() && !c.out.is_closing());
+    /// Ends a connection that carries nothing, to make room for another: first those that never had an answer,
+    /// then those unused the longest. None may go that has a req open, or whose first req may be on its way.
+    pub fn make_room(&mut self, now: At) -> bool {
+        let may = |c: &Conn| c.open.is_empty() && !c.out.is_closing() && (c.heard || now - c.used > YOUNG);
+        let idle = self.hands.conns.iter().filter(|(_, c)| may(c));
         let Some((_, conn)) = idle.min_by_key(|(no, c)| (c.heard, c.used, **no)) else { return false };
         conn.out.cut();
         self.hands.counters.connections_cut += 1;
--- a/crates/server/tests/scenarios.rs
+++ b/crates/server/tests/scenarios.rs
@@ -14,6 +14,7 @@
 //! c1 deaf                      nothing can be written to it any more
 //! c moved                      the catalogue has another address
 //! e mute   e speak             the engine answers no question for its gauges; it does again
+//! crowd                        there is no room for one more connection: one has to go, if any may
 //! leave 3200ms                 notice to drain
 //! late 3ms                     timers ring that late from now on
 //! a< {...}                     the next line out to a peer, byte for byte; questions for gauges are left out
@@ -255,6 +256,9 @@
                 return if found == Some(&want) { Ok(()) } else { Err(format!("found {found:?}")) };
             }
             _ if first == "late" => self.late = Span::millis(millis(words[0])),
+            _ if first == "crowd" => {
+                self.serve.make_room(self.now);
+            }
             _ if first == "leave" => self.serve.leave(self.now, Span::millis(millis(words[0]))),
             _ => match words[0] {
                 "req" => self.req(first, &words[1..]),
