--- a/crates/server/src/config.rs
+++ b/crates/server/src/config.rs
@@ -22,6 +22,7 @@
 
 #[derive(Deserialize)]
 struct RawLimits {
+    memory_mb: usize,
     sockets: usize,
 }
 
@@ -34,6 +35,7 @@
     pub catalogue: Option<SocketAddr>,
     pub seed: u64,
     pub stop_ms: u64,
+    pub memory_mb: usize,
     pub descriptors: usize,
     pub settings: Settings,
     /// The settings as they stood in the file, to tell whether another file's are the same.
@@ -47,7 +49,7 @@
         let unlike = [
             ("name", self.name != other.name),
             ("listen", self.listen != other.listen),
-            ("limits", self.descriptors != other.descriptors),
+            ("limits", (self.memory_mb, self.descriptors) != (other.memory_mb, other.descriptors)),
             ("settings", self.text != other.text && value(self) != value(other)),
         ];
         unlike.into_iter().filter(|u| u.1).map(|u| u.0).collect()
@@ -75,6 +77,7 @@
         catalogue: raw.catalog.map(|c| address(&c, "configuration: catalog")).transpose()?,
         seed: seed.map_err(|_| format!("configuration: seed '{}' is not hexadecimal", raw.seed))?,
         stop_ms: raw.stop_ms,
+        memory_mb: raw.limits.memory_mb,
         descriptors: raw.limits.sockets,
         settings: settings::read(raw.settings.get().as_bytes())?,
         text: raw.settings.get().into(),
--- a/crates/server/src/door.rs
+++ b/crates/server/src/door.rs
@@ -71,6 +71,9 @@
     table: HashMap<Key, Entry>,
     holders: HashMap<u64, Key>,
     lapses: BTreeSet<(At, Key)>,
+    /// Bytes of results that are kept, and that may be.
+    kept: usize,
+    kept_most: usize,
 }
 
 fn numbered(names: &[String]) -> HashMap<String, usize> {
@@ -99,7 +102,7 @@
 }
 
 impl Door {
-    pub fn new(s: &Settings) -> Door {
+    pub fn new(s: &Settings, kept_most: usize) -> Door {
         Door {
             handlers: numbered(&s.handler_names),
             repeats: s.handlers.iter().map(|h| h.repeats).collect(),
@@ -116,6 +119,8 @@
             table: HashMap::new(),
             holders: HashMap::new(),
             lapses: BTreeSet::new(),
+            kept: 0,
+            kept_most,
         }
     }
 
@@ -214,23 +219,36 @@
     }
 
     pub fn drop(&mut self, id: u64) {
-        if let Some(key) = self.holders.remove(&id)
-            && let Some(entry) = self.table.remove(&key)
+        if let Some(key) = self.holders.get(&id).copied()
+            && let Some(until) = self.remove(key)
         {
-            self.lapses.remove(&(entry.until + READ_LATE, key));
+            self.lapses.remove(&(until + READ_LATE, key));
         }
     }
 
+    /// Takes an entry out; tells until when it stood.
+    fn remove(&mut self, key: Key) -> Option<At> {
+        let entry = self.table.remove(&key)?;
+        self.holders.remove(&entry.holder);
+        if let Run::Done(result) = &entry.run {
+            self.kept -= result.len();
+        }
+        Some(entry.until)
+    }
+
     pub fn started(&mut self, key: Key) {
         if let Some(entry) = self.table.get_mut(&key) {
             entry.run = Run::Going;
         }
     }
 
-    /// The one run is over, with its result if it went well; gives those that wait for it.
+    /// The one run is over, with its result if it went well; gives those that wait for it. A result past the
+    /// memory for all is not kept: its later tries are errored, and none is run again.
     pub fn ran(&mut self, key: Key, result: Option<&str>) -> Vec<u64> {
         let Some(entry) = self.table.get_mut(&key) else { return vec![] };
-        entry.run = result.map_or(Run::Errored, |r| Run::Done(r.into()));
+        let kept = result.filter(|r| self.kept + r.len() <= self.kept_most);
+        self.kept += kept.map_or(0, str::len);
+        entry.run = kept.map_or(Run::Errored, |r| Run::Done(r.into()));
         std::mem::take(&mut entry.waiting)
     }
 
@@ -256,8 +274,7 @@
                 entry.until = now;
                 self.lapses.insert((now + READ_LATE, key));
             } else {
-                self.holders.remove(&entry.holder);
-                self.table.remove(&key);
+                self.remove(key);
             }
         }
     }
--- a/crates/server/src/drive.rs
+++ b/crates/server/src/drive.rs
@@ -7,7 +7,7 @@
 use tokio::sync::Notify;
 
 /// A peer that leaves this many bytes unread is not read from.
-const UNREAD_MOST: usize = 256 << 10;
+const UNREAD_MOST: usize = 16 << 10;
 /// Bytes asked for at a time, and reads in a row before other connections have their turn.
 const READ: usize = 16 << 10;
 const READS: usize = 4;
--- a/crates/server/src/engine.rs
+++ b/crates/server/src/engine.rs
@@ -24,6 +24,10 @@
 const CONNECT: Duration = Duration::from_millis(1_000);
 const UNREACHED: Duration = Duration::from_millis(100);
 
+/// Rings of the timer without an answer to a question for the gauges, after which the link has gone silent and
+/// is made anew: two seconds. They are counted and not timed, since a pause of this process is no silence.
+const SILENT: u32 = 200;
+
 /// One command as a line. What it is about comes as it stands on the wire.
 pub fn command(msg: &str, call: &Name, rest: std::fmt::Arguments) -> Vec<u8> {
     let mut line = Vec::with_capacity(64);
@@ -42,6 +46,8 @@
     heard: u64,
     /// What was heard when the link before this one was lost.
     proven: u64,
+    /// Rings since a question that is still open was asked.
+    rings: u32,
 }
 
 impl Link {
@@ -50,7 +56,7 @@
         out.put(|b| {
             let _ = writeln!(b, "{{\"msg\":\"ATTACH\",\"serial\":{serial}}}");
         });
-        (self.out, self.heard) = (out, self.asked);
+        (self.out, self.heard, self.rings) = (out, self.asked, 0);
     }
 
     /// The connection is gone: what is sent now waits for the next one. What was proven stays as it was when
@@ -67,6 +73,17 @@
         }
     }
 
+    /// The timer rang: the gauges are asked for, and a link that answers none for long is ended.
+    pub fn rang(&mut self) {
+        self.rings = if self.heard < self.asked { self.rings + 1 } else { 0 };
+        if self.rings == SILENT {
+            self.out.cut();
+        }
+        if self.up {
+            self.ask(false);
+        }
+    }
+
     /// Asks for the gauges, unless it still waits for the last ones.
     pub fn ask(&mut self, again: bool) {
         if self.heard == self.asked || again {
--- a/crates/server/src/front.rs
+++ b/crates/server/src/front.rs
@@ -7,8 +7,8 @@
 use crate::serve::Serve;
 use madderbay::time::At;
 
-/// Longer than any legal line: a body of 2 KiB in base64, each byte escaped, and its fields.
-const LINE_MOST: usize = 32 << 10;
+/// Longer than any legal line: a body of 2 KiB in base64, its slashes escaped, and its fields.
+const LINE_MOST: usize = 8 << 10;
 
 pub struct Front {
     no: u64,
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -17,6 +17,8 @@
 
 /// The process ends this long before it would be killed.
 const BEFORE_KILL: Duration = Duration::from_millis(100);
+/// The part of the memory that the results of uniqued reqs may take.
+const RESULTS_PART: usize = 4;
 /// How often a drain is looked at, and how long it must have been at rest once its grace is over.
 const LOOK: Duration = Duration::from_millis(10);
 const REST: Duration = Duration::from_millis(60);
@@ -101,7 +103,9 @@
     let address = listener.local_addr().map_err(listen)?;
     let clock = Rc::new(Clock::default());
     let grace = config.settings.rules.drain_grace;
-    let serve = Rc::new(RefCell::new(Serve::new(clock.now(), config.seed, config.settings.clone())));
+    let results = (config.memory_mb << 20) / RESULTS_PART;
+    let serve = Serve::new(clock.now(), config.seed, config.settings.clone(), results);
+    let serve = Rc::new(RefCell::new(serve));
     log::info!("{} listens on {address}", config.name);
     let (engine, engine_at) = watch::channel(config.engine);
     let (registry, registry_at) = watch::channel(config.registry);
--- a/crates/server/src/serve.rs
+++ b/crates/server/src/serve.rs
@@ -28,6 +28,9 @@
 /// A new connection is left that long for its first req, whoever else wants its room: the req may have been
 /// written to it already.
 const YOUNG: Span = Span::millis(250);
+/// A peer that takes nothing of what waits for it for that long is gone: all pauses are shorter, and what all
+/// peers together leave unread is bounded by it.
+const STUCK: Span = Span::millis(10_000);
 /// Time between two looks at a connection whose reqs are open past its limit on idling.
 const AGAIN: Span = Span::millis(100);
 /// Time between two looks for catalogue connections that stand idle and table entries whose term is over:
@@ -62,6 +65,8 @@
     out: Outbox,
     open: HashMap<u64, u64>,
     used: At,
+    /// What its peer had taken when that was last seen to grow, or nothing waited.
+    taken: (u64, At),
     /// Something that it asked was answered.
     heard: bool,
     /// The peer sends no more.
@@ -77,6 +82,14 @@
             self.out.close();
         }
     }
+
+    fn cut_if_stuck(&mut self, now: At) {
+        if self.out.is_empty() || self.out.written() != self.taken.0 {
+            self.taken = (self.out.written(), now);
+        } else if now - self.taken.1 > STUCK {
+            self.out.cut();
+        }
+    }
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -125,14 +138,15 @@
 }
 
 impl Serve {
-    pub fn new(now: At, seed: u64, settings: Settings) -> Serve {
+    /// `results`: the bytes that kept results may take.
+    pub fn new(now: At, seed: u64, settings: Settings, results: usize) -> Serve {
         let hands = Hands {
             now,
             reqs: HashMap::new(),
             names: HashMap::new(),
             conns: HashMap::new(),
             numbers: 0,
-            door: Door::new(&settings),
+            door: Door::new(&settings, results),
             engine: Link::default(),
             calls: Desk::default(),
             due: BTreeSet::from([(now, Due::Tidy)]),
@@ -177,7 +191,8 @@
             out.put(answer::leaving);
         }
         let leaving = hands.leaving;
-        let conn = Conn { out, open: HashMap::new(), used: now, heard: false, ended: false, leaving };
+        let (open, taken) = (HashMap::new(), (0, now));
+        let conn = Conn { out, open, used: now, taken, heard: false, ended: false, leaving };
         hands.conns.insert(hands.numbers, conn);
         hands.due.insert((now + FIRST, Due::Idle(hands.numbers)));
         hands.numbers
@@ -454,6 +469,7 @@
                 Due::Tidy => {
                     self.hands.calls.tidy(now);
                     self.hands.door.lapse(now);
+                    self.hands.conns.values_mut().for_each(|c| c.cut_if_stuck(now));
                     self.hands.due.insert((now + TIDY, Due::Tidy));
                 }
             }
@@ -464,9 +480,7 @@
             self.hands.counters.tick(now - wake);
             let gauges = self.gauges;
             self.consider(now, |d, hands| d.tick(now, &gauges, hands));
-            if self.hands.engine.up {
-                self.hands.engine.ask(false);
-            }
+            self.hands.engine.rang();
         }
         self.consider(now, |d, hands| d.settle(now, hands));
     }
--- a/crates/server/tests/scenarios.rs
+++ b/crates/server/tests/scenarios.rs
@@ -33,6 +33,8 @@
 use madderbay_server::serve::Serve;
 use std::collections::{HashMap, VecDeque};
 
+/// Bytes that kept results may take: two and a half of the longest played here.
+const RESULTS: usize = 2_500;
 const START_MS: u64 = 1_764_576_000_000;
 
 struct Balancer {
@@ -75,7 +77,7 @@
     fn new(cut: usize) -> Play {
         let settings = madderbay_settings::read(common::SETTINGS.as_bytes()).expect("settings");
         let mut play = Play {
-            serve: Serve::new(at(0), 7, settings),
+            serve: Serve::new(at(0), 7, settings, RESULTS),
             now: at(0),
             cut,
             balancers: HashMap::new(),
@@ -237,6 +239,10 @@
                 let more = next(self);
                 return more.map_or(Ok(()), |m| Err(format!("found {m:?}")));
             }
+            ("e", ".") => {
+                let closed = self.engine.as_ref().is_some_and(|out| out.is_closing());
+                return if closed { Ok(()) } else { Err("still open".into()) };
+            }
             (_, ".") if who.starts_with('c') => {
                 let wire = who[1..].parse::<usize>().ok().and_then(|n| self.wires.get(n - 1));
                 return if wire.is_some_and(|w| w.1.is_closing()) {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -250,8 +250,7 @@
 }
 
 impl Share {
-    /// One step of the integral loop: `over` is what the worst handler exceeds its target by, `cut` whether
-    /// fewer arrivals would help.
+    /// One step; `over`: what the worst handler exceeds its target by; `cut`: whether fewer arrivals would help.
     fn step(&mut self, dt: Span, over: f64, cut: bool) {
         let change = if cut && over > 0.0 { -SHARE_CUT * over.min(STEP_MOST) } else { SHARE_REGAIN };
         self.admitted = (self.admitted + dt.as_secs() * change).clamp(SHARE_LEAST, 1.0);
@@ -524,9 +523,9 @@
         self.book.find(id, |_| true).is_some()
     }
 
-    /// Budget in seconds, share admitted, worker limit.
-    pub fn vitals(&self) -> [f64; 3] {
-        [self.budget.secs, self.share.admitted, self.crew.limit]
+    /// Budget in seconds, share admitted, worker limit, callers remembered.
+    pub fn vitals(&self) -> [f64; 4] {
+        [self.budget.secs, self.share.admitted, self.crew.limit, self.links.last.len() as f64]
     }
 
     /// First words of a new life: checks are answered from store, since each real one costs work.
@@ -886,6 +885,7 @@
         self.crew.step(self.budget.cores, gauges.on_cores.unwrap_or(self.book.running as f64), full, ceiling);
         self.calls.count(now, &self.below);
         self.erring *= ERR_KEEPS;
+        self.links.last.retain(|_, t| now - *t < LINK_WORTH);
         if gap < PAUSE {
             self.unfreeze(now);
             let floored = self.budget.secs <= self.budget.floor();
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -7,7 +7,8 @@
 //! > start 1                      a result since the last event line that starts so
 //! ! shed                         none such
 //! = shed 3..5                    how many such results the whole file has seen so far
-//! ~ budget < 1.5                 the budget in seconds, the share admitted or the worker limit
+//! ~ budget < 1.5                 the budget in seconds, the share admitted, the worker limit or the
+//!                                `callers` remembered
 //! ```
 
 use madderbay::decide::Decider;
@@ -224,8 +225,9 @@
             }
             _ => {
                 let w: Vec<&str> = rest.split_whitespace().collect();
-                let [budget, admitted, limit] = self.decider.as_ref().expect("begun").vitals();
-                let value = [("budget", budget), ("admitted", admitted), ("limit", limit)];
+                let [budget, admitted, limit, callers] = self.decider.as_ref().expect("begun").vitals();
+                let value =
+                    [("budget", budget), ("admitted", admitted), ("limit", limit), ("callers", callers)];
                 let found = value.iter().find(|v| v.0 == w[0]).expect("a vital").1;
                 let bound: f64 = w[2].parse().expect("a number");
                 if w[1] == "<" { found < bound } else { found > bound }
