--- a/crates/server/src/engine.rs
+++ b/crates/server/src/engine.rs
@@ -18,9 +18,9 @@
 
 /// Longer than any legal notice: a result of 4 KiB in base64, each byte escaped.
 const LINE_MOST: usize = 64 << 10;
-/// Wait before a lost link is taken up again: runs go on meanwhile. Longer where nobody listens, after the
-/// time that a connection may take.
-const AGAIN: Duration = Duration::from_millis(20);
+/// Wait before a lost link is taken up again: ends of runs, and answers with them, wait as long. Longer where
+/// nobody listens, after the time that a connection may take.
+const AGAIN: Duration = Duration::from_millis(2);
 const CONNECT: Duration = Duration::from_millis(1_000);
 const UNREACHED: Duration = Duration::from_millis(100);
 
