--- a/crates/server/src/calls.rs
+++ b/crates/server/src/calls.rs
@@ -32,7 +32,7 @@
 }
 
 impl Made {
-    /// What the end of its connection says of it: it never ran where nothing of it was sent, else it may have.
+    /// What the end of its connection says of it: not sent, it never ran; else it may have.
     fn end(&self, out: &Outbox, sent: Outcome) -> Outcome {
         if out.written() > self.begins { sent } else { Outcome::Unreached }
     }
--- a/crates/server/src/door.rs
+++ b/crates/server/src/door.rs
@@ -11,8 +11,8 @@
 /// An entry is known this much longer than its term: tries that reached the machine within it may be read
 /// later, while this process waits for its core.
 const READ_LATE: Span = Span::millis(2000);
-/// A req's own figures are refused past these: a start further ahead than clocks differ, or longer ago than any
-/// pause; spans of so many client timeouts; memory that no req takes; a body over 2 KiB in base64.
+/// A req's own figures are refused past these: a start further ahead than clocks differ, or longer ago than
+/// any pause; spans of so many client timeouts; memory that no req takes; a body over 2 KiB in base64.
 const AHEAD_MOST: Span = Span::millis(1_000);
 const AGO_MOST: Span = Span::millis(600_000);
 const TIMEOUTS_MOST: f64 = 10.0;
@@ -192,6 +192,7 @@
         self.ids += 1;
         let arrival = Arrival {
             id: self.ids,
+            // Numbers that are alike in 16 bits count as one caller.
             from: from as u16,
             handler,
             tenant,
--- a/crates/server/src/engine.rs
+++ b/crates/server/src/engine.rs
@@ -24,8 +24,8 @@
 const CONNECT: Duration = Duration::from_millis(1_000);
 const UNREACHED: Duration = Duration::from_millis(100);
 
-/// Rings of the timer without an answer to a question for the gauges, after which the link has gone silent and
-/// is made anew: two seconds. They are counted and not timed, since a pause of this process is no silence.
+/// Rings of the timer without an answer to a question for the gauges, after which the link has gone silent
+/// and is made anew: two seconds. Counted, not timed, since a pause of this process is no silence.
 const SILENT: u32 = 200;
 
 /// One command as a line. What it is about comes as it stands on the wire.
--- a/crates/server/src/front.rs
+++ b/crates/server/src/front.rs
@@ -96,7 +96,7 @@
     }
     let id = id.ok_or(unread(NO_CALL, "no id"))?;
     if method == "isWell" {
-        serve.health(no, id);
+        serve.health(now, no, id);
         return Ok(());
     }
     let handler = serve.hands.door.handler(&method).ok_or(wrong(NO_METHOD, "no such method"))?;
--- a/crates/server/src/listen.rs
+++ b/crates/server/src/listen.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 
-/// Descriptors kept for the program's own: standard streams, runtime, listener, links; and the part of all that
-/// calls to the catalogue may need.
+/// Descriptors kept for the program's own: standard streams, runtime, listener, links; and the part of all
+/// that calls to the catalogue may need.
 const OWN: usize = 16;
 const CALLS_PART: usize = 8;
 /// Wait after an accept that failed, most often for want of descriptors.
--- a/crates/server/src/serve.rs
+++ b/crates/server/src/serve.rs
@@ -96,6 +96,7 @@
 enum Due {
     Call(u64),
     Idle(u64),
+    First(u64),
     Tidy,
 }
 
@@ -194,7 +195,10 @@
         let (open, taken) = (HashMap::new(), (0, now));
         let conn = Conn { out, open, used: now, taken, heard: false, ended: false, leaving };
         hands.conns.insert(hands.numbers, conn);
-        hands.due.insert((now + FIRST, Due::Idle(hands.numbers)));
+        hands.due.insert((now + FIRST, Due::First(hands.numbers)));
+        if let Some(limit) = hands.idle {
+            hands.due.insert((now + limit, Due::Idle(hands.numbers)));
+        }
         hands.numbers
     }
 
@@ -202,10 +206,11 @@
         self.hands.conns.len()
     }
 
-    /// Ends a connection that carries nothing, to make room for another: first those that never had an answer,
-    /// then those unused the longest. None may go that has a req open, or whose first req may be on its way.
+    /// Ends a connection that carries nothing, to make room for another: those never answered first, then
+    /// those unused the longest. None may go that has a req open, or whose first may be on its way.
     pub fn make_room(&mut self, now: At) -> bool {
-        let may = |c: &Conn| c.open.is_empty() && !c.out.is_closing() && (c.heard || now - c.used > YOUNG);
+        let carries = |c: &Conn| !c.open.is_empty() || !c.out.is_empty() || c.out.is_closing();
+        let may = |c: &Conn| !carries(c) && (c.heard || now - c.used > YOUNG);
         let idle = self.hands.conns.iter().filter(|(_, c)| may(c));
         let Some((_, conn)) = idle.min_by_key(|(no, c)| (c.heard, c.used, **no)) else { return false };
         conn.out.cut();
@@ -222,11 +227,8 @@
         open.sort_unstable();
         self.hands.now = now;
         for id in open {
-            if self.hands.answer(id, answer::errored) {
-                self.hands.counters.answered(false, false);
-            }
+            self.hands.errored(id);
             self.decide(now, |d, hands| d.gone(now, id, hands));
-            self.hands.nobody_waits(id);
         }
         self.no_more(no);
     }
@@ -318,12 +320,12 @@
         self.hands.nobody_waits(id);
     }
 
-    pub fn health(&mut self, no: u64, rpc: u64) {
+    pub fn health(&mut self, now: At, no: u64, rpc: u64) {
         let hands = &mut self.hands;
         let (good, free) = (hands.good && !hands.leaving, hands.free);
         if let Some(conn) = hands.conns.get_mut(&no) {
             conn.out.put(|out| answer::health(out, rpc, good, free));
-            conn.heard = true;
+            (conn.used, conn.heard) = (now, true);
         }
     }
 
@@ -406,16 +408,14 @@
         self.decide(now, |d, _| d.ended(now, id, how, spent));
     }
 
-    /// The engine did not carry a command out. Where that is a run, it knows no such req: nothing ran, or ever
-    /// will, and a further try by its key is a new one.
+    /// The engine did not carry a command out. Where that is a run it knows no such req: nothing ran or will,
+    /// and a further try by its key is a new one.
     pub fn declined(&mut self, now: At, what: &str, name: &Name) {
         self.hands.counters.declined += 1;
         log::debug!("engine: {what} was not carried out");
         let Some(&id) = self.hands.names.get(name).filter(|_| what == "RUN") else { return };
         self.hands.now = now;
-        if self.hands.answer(id, |out, rpc, free| answer::shed(out, rpc, Span::ZERO, false, free)) {
-            self.hands.counters.shed += 1;
-        }
+        self.hands.shed(id, Span::ZERO, false);
         self.run_out(now, id, Outcome::Moot, Span::ZERO, None);
         self.hands.door.drop(id);
     }
@@ -466,6 +466,7 @@
             match what {
                 Due::Call(id) => self.patience_over(now, id),
                 Due::Idle(no) => self.hands.idle_over(now, no),
+                Due::First(no) => self.hands.first_over(now, no),
                 Due::Tidy => {
                     self.hands.calls.tidy(now);
                     self.hands.door.lapse(now);
@@ -613,23 +614,32 @@
         }
     }
 
-    /// A connection without open reqs is asked to end, and ended where that is not heeded; one that never had
-    /// an answer is ended at once.
+    /// A connection without open reqs is asked to end, and ended where that is not heeded.
     fn idle_over(&mut self, now: At, no: u64) {
+        let Some(limit) = self.idle else { return };
         let Some(conn) = self.conns.get_mut(&no) else { return };
-        let limit = if conn.heard { self.idle } else { Some(FIRST) };
-        let idle = conn.open.is_empty() && limit.is_some_and(|l| now - conn.used >= l);
-        let again = match (idle, conn.leaving || !conn.heard) {
-            (true, true) => return conn.out.cut(),
+        let idle = conn.heard && conn.open.is_empty() && now - conn.used >= limit;
+        let again = match (idle, conn.leaving) {
+            (true, true) => return conn.out.close(),
             (true, false) => {
                 conn.leaving = true;
                 conn.out.put(answer::leaving);
                 now + LEAVING
             }
-            (false, _) => (conn.used + limit.unwrap_or(FIRST)).max(now + AGAIN),
+            (false, _) => (conn.used + limit).max(now + AGAIN),
         };
         self.due.insert((again, Due::Idle(no)));
     }
+
+    /// A new connection had its time for a first req.
+    fn first_over(&mut self, now: At, no: u64) {
+        let Some(conn) = self.conns.get(&no).filter(|c| !c.heard) else { return };
+        if conn.open.is_empty() {
+            conn.out.close();
+        } else {
+            self.due.insert((now + FIRST, Due::First(no)));
+        }
+    }
 }
 
 impl Results for Hands {
@@ -715,8 +725,7 @@
     fn idle_limit(&mut self, limit: Span) {
         self.idle = Some(limit);
         self.due.retain(|d| !matches!(d.1, Due::Idle(_)));
-        let at = |c: &Conn| c.used + if c.heard { limit } else { FIRST };
-        self.due.extend(self.conns.iter().map(|(no, c)| (at(c), Due::Idle(*no))));
+        self.due.extend(self.conns.iter().map(|(no, c)| (c.used + limit, Due::Idle(*no))));
     }
 
     fn wake(&mut self, after: Span) {
--- a/crates/server/tests/binary.rs
+++ b/crates/server/tests/binary.rs
@@ -332,8 +332,8 @@
     assert!(server.ended().contains("counter open 0\n"));
 }
 
-/// A limit on descriptors is kept: connections that carry nothing give way to new ones; where all carry something
-/// a new one is closed unread.
+/// A limit on descriptors is kept: connections that carry nothing give way to new ones; where all carry
+/// something a new one is closed unread.
 #[test]
 fn connections_stay_within_the_limit() {
     let server = Server::start(30);
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -250,7 +250,7 @@
 }
 
 impl Share {
-    /// One step; `over`: what the worst handler exceeds its target by; `cut`: whether fewer arrivals would help.
+    /// One step. `over`: what the worst handler exceeds its target by; `cut`: would fewer arrivals help.
     fn step(&mut self, dt: Span, over: f64, cut: bool) {
         let change = if cut && over > 0.0 { -SHARE_CUT * over.min(STEP_MOST) } else { SHARE_REGAIN };
         self.admitted = (self.admitted + dt.as_secs() * change).clamp(SHARE_LEAST, 1.0);
