--- a/src/decide.rs
+++ b/src/decide.rs
@@ -96,7 +96,7 @@
 /// Time between two free values, the one that means no limit on reqs, and the room for unlike callers.
 const FREE_EVERY: Span = Span::millis(100);
 const FREE_OPEN: f64 = 1000.0;
-const FREE_SKEW: f64 = 2.0;
+const FREE_SKEW: f64 = 4.0;
 /// Time that a connection may idle for what a new one costs, the limit where most would idle longer, and the
 /// share of arrivals that come again from which, down to half of it, all are kept.
 const LINK_WORTH: Span = Span::millis(5000);
