Read again: repeated pieces made one; a reload during a reload's connect is seen

Two things behave otherwise: an address that came by SIGHUP while the engine's last new one was being connected to was marked as seen unmoved, so that the link stayed until the old side closed it; and an engine's new address that refuses is tried ten times a second, as elsewhere, not 500 times, since the shorter wait after a lost link had reached it too.

--- a/crates/server/src/calls.rs
+++ b/crates/server/src/calls.rs
@@ -2,7 +2,7 @@
 //! is spoilt, or never comes, so costs no other call; and a call is given up by closing its connection.
 
 use crate::door::{Name, spelt};
-use crate::drive::Outbox;
+use crate::drive::{Outbox, connect, drive_link};
 use madderbay::face::Outcome;
 use madderbay::time::{At, Span};
 use std::collections::HashSet;
@@ -10,9 +10,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::time::timeout;
 
 /// A connection idle for longer takes no more calls: the catalogue may have closed or forgotten it, and a
 /// call that meets its reset can't be told from one that ran.
@@ -31,13 +29,6 @@
     begins: u64,
 }
 
-impl Made {
-    /// What the end of its connection says of it: not sent, it never ran; else it may have.
-    fn end(&self, out: &Outbox, sent: Outcome) -> Outcome {
-        if out.written() > self.begins { sent } else { Outcome::Unreached }
-    }
-}
-
 struct Wire {
     no: u64,
     out: Outbox,
@@ -49,6 +40,13 @@
     left: bool,
 }
 
+impl Wire {
+    /// Fit for one more call, once it carries none.
+    fn fresh(&self, now: At) -> bool {
+        !self.left && now - self.used < IDLE_MOST
+    }
+}
+
 /// All calls in hand and the connections that they are on; no more than the runs in hand.
 #[derive(Default)]
 pub struct Desk {
@@ -64,7 +62,7 @@
 impl Desk {
     pub fn fetch(&mut self, now: At, id: u64, name: &Name, patience: Span, body: &[u8]) {
         // The one used last is the least likely to have been forgotten.
-        let free = |w: &&mut Wire| w.call.is_none() && now - w.used < IDLE_MOST && !w.left;
+        let free = |w: &&mut Wire| w.call.is_none() && w.fresh(now);
         let fit = self.wires.iter_mut().filter(free).filter(|w| !w.met.contains(name)).max_by_key(|w| w.used);
         let wire = match fit {
             Some(wire) => wire,
@@ -88,10 +86,7 @@
 
     /// Gives a call up, and its connection with it: what was not sent never will be.
     pub fn quit(&mut self, now: At, name: &Name) -> Option<Over> {
-        let at = self.wires.iter().position(|w| w.call.as_ref().is_some_and(|c| c.name == *name))?;
-        let wire = self.wires.swap_remove(at);
-        wire.out.cut();
-        wire.call.map(|c| (c.id, c.end(&wire.out, Outcome::TimedOut), now - c.at))
+        self.end(now, Outcome::TimedOut, |w| w.call.as_ref().is_some_and(|c| c.name == *name))
     }
 
     /// A reply on a connection; nothing if it is not that of the call in hand there.
@@ -107,9 +102,17 @@
 
     /// A connection is over, and with it the call on it.
     pub fn ended(&mut self, now: At, no: u64) -> Option<Over> {
-        let at = self.wires.iter().position(|w| w.no == no)?;
+        self.end(now, Outcome::CutOff, |w| w.no == no)
+    }
+
+    /// Takes a connection off. Of a call on it that was not sent it says that it never ran, else `sent`.
+    fn end(&mut self, now: At, sent: Outcome, which: impl FnMut(&Wire) -> bool) -> Option<Over> {
+        let at = self.wires.iter().position(which)?;
         let wire = self.wires.swap_remove(at);
-        wire.call.map(|c| (c.id, c.end(&wire.out, Outcome::CutOff), now - c.at))
+        wire.out.cut();
+        let call = wire.call?;
+        let how = if wire.out.written() > call.begins { sent } else { Outcome::Unreached };
+        Some((call.id, how, now - call.at))
     }
 
     /// The req is over: no more calls for it, so late replies can't be mistaken.
@@ -128,7 +131,7 @@
     /// Closes what stands idle.
     pub fn tidy(&mut self, now: At) {
         self.wires.retain(|w| {
-            let keep = w.call.is_some() || (!w.left && now - w.used < IDLE_MOST);
+            let keep = w.call.is_some() || w.fresh(now);
             if !keep {
                 w.out.cut();
             }
@@ -233,8 +236,7 @@
     serve: &crate::serve::Shared,
 ) -> std::io::Result<()> {
     let address = address.ok_or(ErrorKind::AddrNotAvailable)?;
-    let stream =
-        timeout(CONNECT, TcpStream::connect(address)).await.unwrap_or(Err(ErrorKind::TimedOut.into()))?;
+    let stream = connect(address, CONNECT).await?;
     let mut replies = Replies::default();
     let fed = |bytes: &[u8]| {
         let (now, mut serve) = (clock.now(), serve.borrow_mut());
@@ -245,5 +247,5 @@
         }
         whole
     };
-    crate::drive::drive_link(&stream, out, fed).await
+    drive_link(&stream, out, fed).await
 }
--- a/crates/server/src/door.rs
+++ b/crates/server/src/door.rs
@@ -33,7 +33,6 @@
 
 struct Entry {
     holder: u64,
-    /// Hash of handler and body, which all tries share.
     print: u64,
     until: At,
     run: Run,
@@ -52,7 +51,7 @@
     pub arrival: Arrival,
     pub name: Name,
     pub key: Option<Key>,
-    /// Hash of handler and body.
+    /// Hash of handler and body where there is a key, which all its tries share.
     pub print: u64,
     pub body: &'a str,
 }
@@ -169,9 +168,9 @@
             let known = params.text("project").and_then(|p| self.tenants.get(&*p).copied());
             known.ok_or("project is not among the settings' tenants")?
         };
-        let hex = |text: &str| text.len() <= 32 && text.bytes().all(|b| b.is_ascii_hexdigit());
         let key = if self.repeats[handler] == Repeats::Uniqued {
-            let text = params.text("replay").filter(|k| k.len() == 32 && hex(k));
+            let text =
+                params.text("replay").filter(|k| k.len() == 32 && k.bytes().all(|b| b.is_ascii_hexdigit()));
             Some(text.and_then(|k| Key::from_str_radix(&k, 16).ok()).ok_or("replay is not 32 hex digits")?)
         } else {
             None
@@ -179,11 +178,11 @@
         let from = params.raw("sender").map_or(Some(0), whole).ok_or("sender is not a number")?;
         let rank = params.raw("class_rank").map_or(Some(0.0), number).filter(|r| (0.0..1.0).contains(r));
         let rank = rank.ok_or("class_rank is not from 0 to under 1")?;
-        let subject = params.raw("lookup").map_or(Some(0), |raw| {
-            text(raw).filter(|k| k.len() == 16 && hex(k)).and_then(|k| u64::from_str_radix(&k, 16).ok())
-        });
+        let subject = params
+            .raw("lookup")
+            .map_or(Some(0), |raw| u64::from_str_radix(spelt(&name(&text(raw)?)?), 16).ok());
         let subject = subject.ok_or("lookup is not 16 hex digits")?;
-        let print = self.prints.hash_one((handler, body));
+        let print = key.map_or(0, |_| self.prints.hash_one((handler, body)));
         let entry = key.and_then(|k| self.table.get(&k));
         if entry.is_some_and(|e| e.print != print) {
             return Err("replay came with another body");
--- a/crates/server/src/drive.rs
+++ b/crates/server/src/drive.rs
@@ -2,9 +2,12 @@
 
 use std::cell::{Cell, RefCell};
 use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::time::timeout;
 
 /// A peer that leaves this many bytes unread is not read from.
 const UNREAD_MOST: usize = 16 << 10;
@@ -96,6 +99,11 @@
     }
 }
 
+/// A connection of our own making, if it can be made in time.
+pub async fn connect(address: SocketAddr, within: Duration) -> std::io::Result<TcpStream> {
+    timeout(within, TcpStream::connect(address)).await.unwrap_or(Err(ErrorKind::TimedOut.into()))
+}
+
 /// Reads what is ready and feeds it; an empty feed tells that the peer will send no more. `fed` says whether
 /// to read on.
 fn take_in(stream: &TcpStream, fed: &mut impl FnMut(&[u8]) -> bool) -> std::io::Result<bool> {
--- a/crates/server/src/engine.rs
+++ b/crates/server/src/engine.rs
@@ -2,13 +2,13 @@
 
 use crate::clock::Clock;
 use crate::door::{Name, spelt};
-use crate::drive::{Lines, Outbox, drive_link};
+use crate::drive::{Lines, Outbox, connect, drive_link};
 use crate::json::{Members, whole};
 use crate::serve::{Serve, Shared};
 use madderbay::face::Outcome;
 use madderbay::time::{At, Span};
 use std::future::pending;
-use std::io::{ErrorKind, Write};
+use std::io::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -204,27 +204,26 @@
     }
     loop {
         let at = *address.borrow_and_update();
-        match connect(at).await {
+        match connect(at, CONNECT).await {
             Ok(stream) => return stream,
             Err(e) => log::warn!("engine: can't be reached at its new address: {e}"),
         }
-        tokio::time::sleep(AGAIN).await;
+        tokio::time::sleep(UNREACHED).await;
     }
 }
 
-async fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
-    timeout(CONNECT, TcpStream::connect(address)).await.unwrap_or(Err(ErrorKind::TimedOut.into()))
-}
-
 /// The driver: keeps a link to the engine and takes it up again where it was lost, or at another address.
 pub async fn run(mut address: watch::Receiver<SocketAddr>, clock: Rc<Clock>, serve: Shared) {
     let mut notices = Notices::default();
     let mut next = None;
     loop {
-        let at = *address.borrow_and_update();
+        // An address that came while the last one was being connected to is left for `moved` to see.
         let stream = match next.take() {
             Some(stream) => Ok(stream),
-            None => connect(at).await,
+            None => {
+                let at = *address.borrow_and_update();
+                connect(at, CONNECT).await
+            }
         };
         let stream = match stream {
             Ok(stream) => stream,
--- a/crates/server/src/serve.rs
+++ b/crates/server/src/serve.rs
@@ -83,6 +83,18 @@
         }
     }
 
+    /// Nothing is owed and nothing waits to be written.
+    fn rests(&self) -> bool {
+        self.open.is_empty() && self.out.is_empty()
+    }
+
+    /// The reqs that are open, in the order in which they came.
+    fn in_order(&self) -> Vec<u64> {
+        let mut open: Vec<u64> = self.open.values().copied().collect();
+        open.sort_unstable();
+        open
+    }
+
     fn cut_if_stuck(&mut self, now: At) {
         if self.out.is_empty() || self.out.written() != self.taken.0 {
             self.taken = (self.out.written(), now);
@@ -209,8 +221,7 @@
     /// Ends a connection that carries nothing, to make room for another: those never answered first, then
     /// those unused the longest. None may go that has a req open, or whose first may be on its way.
     pub fn make_room(&mut self, now: At) -> bool {
-        let carries = |c: &Conn| !c.open.is_empty() || !c.out.is_empty() || c.out.is_closing();
-        let may = |c: &Conn| !carries(c) && (c.heard || now - c.used > YOUNG);
+        let may = |c: &Conn| c.rests() && !c.out.is_closing() && (c.heard || now - c.used > YOUNG);
         let idle = self.hands.conns.iter().filter(|(_, c)| may(c));
         let Some((_, conn)) = idle.min_by_key(|(no, c)| (c.heard, c.used, **no)) else { return false };
         conn.out.cut();
@@ -221,10 +232,8 @@
     /// The peer breaks the protocol, and nothing it asked can be told from what it did not: all that it has
     /// open is errored, and the connection ends.
     pub fn turn_off(&mut self, now: At, no: u64) {
-        let Some(conn) = self.hands.conns.get_mut(&no) else { return };
-        conn.ended = true;
-        let mut open: Vec<u64> = conn.open.values().copied().collect();
-        open.sort_unstable();
+        let Some(conn) = self.hands.conns.get(&no) else { return };
+        let open = conn.in_order();
         self.hands.now = now;
         for id in open {
             self.hands.errored(id);
@@ -245,8 +254,7 @@
     /// The connection is gone, and with it everyone who waits on it.
     pub fn closed(&mut self, now: At, no: u64) {
         let Some(conn) = self.hands.conns.remove(&no) else { return };
-        let mut open: Vec<u64> = conn.open.into_values().collect();
-        open.sort_unstable();
+        let open = conn.in_order();
         self.hands.counters.cut += open.len() as u64;
         open.into_iter().for_each(|id| self.gone(now, id));
     }
@@ -510,7 +518,7 @@
 
     /// Nothing is owed and nothing waits to be written.
     pub fn at_rest(&self) -> bool {
-        self.hands.conns.values().all(|c| c.open.is_empty() && c.out.is_empty())
+        self.hands.conns.values().all(Conn::rests)
     }
 
     pub fn unconnected(&self) -> bool {
