The core apart from results and connections; nothing below calls up by a type

Need: serve.rs held the decisions, the reqs in hand, the carrying out of results and the connections, and stood in a circle with engine.rs and calls.rs, which called it by its type. A second front or a second backend would have had to enter that circle.

--- a/crates/server/src/calls.rs
+++ b/crates/server/src/calls.rs
@@ -1,16 +1,18 @@
 //! The catalogue: calls out, each on a connection that it has to itself, and their replies back. A reply that
 //! is spoilt, or never comes, so costs no other call; and a call is given up by closing its connection.
 
-use crate::door::{Name, spelt};
+use crate::clock::Clock;
 use crate::drive::{Outbox, connect, drive_link};
+use crate::name::{Name, spelt};
 use madderbay::face::Outcome;
 use madderbay::time::{At, Span};
+use std::cell::RefCell;
 use std::collections::HashSet;
 use std::io::{ErrorKind, Write};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 /// A connection idle for longer takes no more calls: the catalogue may have closed or forgotten it, and a
 /// call that meets its reset can't be told from one that ran.
@@ -52,8 +54,20 @@
 pub struct Desk {
     wires: Vec<Wire>,
     numbers: u64,
-    /// Connections wanted, for the driver to open.
+    /// Connections wanted, for the driver to open, and what tells it.
     pub wanted: Vec<(u64, Outbox)>,
+    dial: Rc<Notify>,
+}
+
+/// Who hears how calls come out.
+pub trait Hears {
+    fn desk(&mut self) -> &mut Desk;
+    /// A reply on the connection `wire`.
+    fn call_over(&mut self, now: At, wire: u64, name: &Name, how: Outcome, body: &[u8]);
+    /// A connection is over.
+    fn call_lost(&mut self, now: At, wire: u64);
+    /// A reply could not be read.
+    fn unread(&mut self);
 }
 
 /// Whose call is over, how and after what time.
@@ -70,6 +84,7 @@
                 self.numbers += 1;
                 let (no, out) = (self.numbers, Outbox::default());
                 self.wanted.push((no, out.clone()));
+                self.dial.notify_one();
                 self.wires.push(Wire { no, out, call: None, met: HashSet::new(), used: now, left: false });
                 self.wires.last_mut().expect("just made")
             }
@@ -207,42 +222,40 @@
 
 /// The driver: opens the connections that the desk wants and serves each until it is over. Without an address
 /// none can be made, and no call runs.
-pub async fn run(
-    mut address: watch::Receiver<Option<SocketAddr>>, clock: Rc<crate::clock::Clock>,
-    serve: crate::serve::Shared,
+pub async fn run<C: Hears + 'static>(
+    mut address: watch::Receiver<Option<SocketAddr>>, clock: Rc<Clock>, core: Rc<RefCell<C>>,
 ) {
-    let dial = serve.borrow().hands.dial.clone();
+    let dial = core.borrow_mut().desk().dial.clone();
     loop {
         let at = *address.borrow_and_update();
-        let wanted = std::mem::take(&mut serve.borrow_mut().hands.calls.wanted);
+        let wanted = std::mem::take(&mut core.borrow_mut().desk().wanted);
         for (no, out) in wanted {
-            let (clock, serve) = (clock.clone(), serve.clone());
+            let (clock, core) = (clock.clone(), core.clone());
             tokio::task::spawn_local(async move {
-                if let Err(e) = connection(at, no, &out, &clock, &serve).await {
+                if let Err(e) = connection(at, no, &out, &clock, &core).await {
                     log::info!("catalogue: connection lost: {e}");
                 }
-                serve.borrow_mut().call_lost(clock.now(), no);
+                core.borrow_mut().call_lost(clock.now(), no);
             });
         }
         tokio::select! {
             () = dial.notified() => {}
-            Ok(()) = address.changed() => serve.borrow_mut().hands.calls.moved(clock.now()),
+            Ok(()) = address.changed() => core.borrow_mut().desk().moved(clock.now()),
         }
     }
 }
 
-async fn connection(
-    address: Option<SocketAddr>, no: u64, out: &Outbox, clock: &crate::clock::Clock,
-    serve: &crate::serve::Shared,
+async fn connection<C: Hears>(
+    address: Option<SocketAddr>, no: u64, out: &Outbox, clock: &Clock, core: &RefCell<C>,
 ) -> std::io::Result<()> {
     let address = address.ok_or(ErrorKind::AddrNotAvailable)?;
     let stream = connect(address, CONNECT).await?;
     let mut replies = Replies::default();
     let fed = |bytes: &[u8]| {
-        let (now, mut serve) = (clock.now(), serve.borrow_mut());
-        let whole = replies.feed(bytes, |(name, how, body)| serve.call_over(now, no, &name, how, body));
+        let (now, mut core) = (clock.now(), core.borrow_mut());
+        let whole = replies.feed(bytes, |(name, how, body)| core.call_over(now, no, &name, how, body));
         if !whole {
-            serve.hands.counters.bad_replies += 1;
+            core.unread();
             log::debug!("catalogue: a reply that can't be read; connection closed");
         }
         whole
--- a/crates/server/src/door.rs
+++ b/crates/server/src/door.rs
@@ -1,6 +1,7 @@
 //! The door: what an arriving req says of itself, under small numbers, and the table of uniqued reqs.
 
 use crate::json::{Members, number, text, whole};
+use crate::name::{Name, name, spelt};
 use madderbay::face::{Arrival, Repeats};
 use madderbay::time::{At, Span};
 use madderbay_settings::Settings;
@@ -19,8 +20,7 @@
 const ROOM_KB: f64 = 2_000.0;
 const BODY_MOST: usize = 2_732;
 
-/// The 16 hex digits that name a try on all wires, and the 32 that name a uniqued req.
-pub type Name = [u8; 16];
+/// The 32 hex digits that name a uniqued req.
 pub type Key = u128;
 
 /// What is known of the one run of a uniqued req.
@@ -79,11 +79,6 @@
     names.iter().cloned().enumerate().map(|(i, n)| (n, i)).collect()
 }
 
-pub fn name(text: &str) -> Option<Name> {
-    let bytes: Name = text.as_bytes().try_into().ok()?;
-    bytes.iter().all(u8::is_ascii_hexdigit).then_some(bytes)
-}
-
 /// Whether a raw value is a string of base64, no longer than a body: the engine takes nothing else.
 fn base64(raw: &str) -> bool {
     let Some(text) = text(raw) else { return false };
@@ -95,11 +90,6 @@
         && digits.bytes().all(digit)
 }
 
-/// A name as it stands on the wires.
-pub fn spelt(name: &Name) -> &str {
-    std::str::from_utf8(name).unwrap_or_default()
-}
-
 impl Door {
     pub fn new(s: &Settings, kept_most: usize) -> Door {
         Door {
--- a/crates/server/src/engine.rs
+++ b/crates/server/src/engine.rs
@@ -1,12 +1,12 @@
 //! The engine's link: commands as lines out, notices as lines in, both in order.
 
 use crate::clock::Clock;
-use crate::door::{Name, spelt};
 use crate::drive::{Lines, Outbox, connect, drive_link};
 use crate::json::{Members, whole};
-use crate::serve::{Serve, Shared};
+use crate::name::{Name, spelt};
 use madderbay::face::Outcome;
 use madderbay::time::{At, Span};
+use std::cell::RefCell;
 use std::future::pending;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -28,6 +28,23 @@
 /// and is made anew: two seconds. Counted, not timed, since a pause of this process is no silence.
 const SILENT: u32 = 200;
 
+/// Who hears what the engine says.
+pub trait Hears {
+    fn link(&mut self) -> &mut Link;
+    /// The engine is up since `age`; `how` is `new` where it came up with this server.
+    fn hello(&mut self, now: At, how: &str, age: Span);
+    /// The gauges; `gap` where notices before them were lost for good.
+    fn gauges(&mut self, now: At, values: &[f64], gap: bool);
+    fn at_call(&mut self, now: At, name: &Name, serial: u64, blob: &str);
+    fn run_over(&mut self, now: At, name: &Name, how: Outcome, spent: Span, blob: &str);
+    /// The command by the name `what` was not carried out.
+    fn declined(&mut self, now: At, what: &str, name: &Name);
+    /// A notice could not be read.
+    fn unread(&mut self);
+    /// The link is lost.
+    fn unlinked(&mut self);
+}
+
 /// One command as a line. What it is about comes as it stands on the wire.
 pub fn command(msg: &str, call: &Name, rest: std::fmt::Arguments) -> Vec<u8> {
     let mut line = Vec::with_capacity(64);
@@ -139,11 +156,11 @@
     }
 
     /// False when the link can't be read on.
-    pub fn fed(&mut self, now: At, bytes: &[u8], serve: &mut Serve) -> bool {
+    pub fn fed(&mut self, now: At, bytes: &[u8], core: &mut impl Hears) -> bool {
         let last = &mut self.last;
         self.lines.feed(bytes, |line| {
-            if last.line(now, line, serve).is_none() {
-                serve.hands.counters.bad_notices += 1;
+            if last.line(now, line, core).is_none() {
+                core.unread();
                 log::warn!("engine: a notice that can't be read");
             }
         })
@@ -156,7 +173,7 @@
 }
 
 impl Last {
-    fn line(&mut self, now: At, line: &[u8], serve: &mut Serve) -> Option<()> {
+    fn line(&mut self, now: At, line: &[u8], core: &mut impl Hears) -> Option<()> {
         let notice = Members::read(std::str::from_utf8(line).ok()?)?;
         let msg = notice.text("msg")?;
         if let Some(serial) = notice.whole("serial") {
@@ -169,7 +186,7 @@
         let call = || -> Option<Name> { notice.text("call")?.as_bytes().try_into().ok() };
         let spent = || notice.number("duration").map_or(Span::ZERO, |ms| Span::secs(ms / 1e3));
         match &*msg {
-            "HELLO" => serve.hello(now, &notice.text("how")?, spent()),
+            "HELLO" => core.hello(now, &notice.text("how")?, spent()),
             "DONE" => {
                 let how = match &*notice.text("how")? {
                     "good" => Outcome::Done,
@@ -178,18 +195,18 @@
                     "gone" => Outcome::Moot,
                     _ => return None,
                 };
-                serve.run_over(now, &call()?, how, spent(), notice.raw("blob").unwrap_or("\"\""));
+                core.run_over(now, &call()?, how, spent(), notice.raw("blob").unwrap_or("\"\""));
             }
-            "NEED" => serve.at_call(now, &call()?, self.serial, &notice.text("blob")?),
+            "NEED" => core.at_call(now, &call()?, self.serial, &notice.text("blob")?),
             "STATS" => {
                 let raw = notice.raw("stats")?;
                 let inner = raw.strip_prefix('[')?.strip_suffix(']')?;
                 let gauges =
                     inner.split(',').map(|g| crate::json::number(g.trim())).collect::<Option<Vec<f64>>>();
-                serve.hands.engine.answered(whole(&notice.text("cookie")?)?);
-                serve.gauges(now, &gauges?, std::mem::take(&mut self.gap));
+                core.link().answered(whole(&notice.text("cookie")?)?);
+                core.gauges(now, &gauges?, std::mem::take(&mut self.gap));
             }
-            "NO" => serve.declined(now, &notice.text("how")?, &call()?),
+            "NO" => core.declined(now, &notice.text("how")?, &call()?),
             "NOTE" => {}
             _ => return None,
         }
@@ -213,7 +230,7 @@
 }
 
 /// The driver: keeps a link to the engine and takes it up again where it was lost, or at another address.
-pub async fn run(mut address: watch::Receiver<SocketAddr>, clock: Rc<Clock>, serve: Shared) {
+pub async fn run<C: Hears>(mut address: watch::Receiver<SocketAddr>, clock: Rc<Clock>, core: Rc<RefCell<C>>) {
     let mut notices = Notices::default();
     let mut next = None;
     loop {
@@ -235,8 +252,8 @@
         };
         let out = Outbox::default();
         notices.relinked();
-        serve.borrow_mut().hands.engine.attach(out.clone(), notices.serial());
-        let fed = |bytes: &[u8]| notices.fed(clock.now(), bytes, &mut serve.borrow_mut());
+        core.borrow_mut().link().attach(out.clone(), notices.serial());
+        let fed = |bytes: &[u8]| notices.fed(clock.now(), bytes, &mut *core.borrow_mut());
         let end = tokio::select! {
             end = drive_link(&stream, &out, fed) => Some(end),
             stream = moved(&mut address) => {
@@ -244,11 +261,7 @@
                 None
             }
         };
-        {
-            let hands = &mut serve.borrow_mut().hands;
-            hands.engine.lost();
-            hands.counters.relinks += 1;
-        }
+        core.borrow_mut().unlinked();
         match end {
             None => log::info!("engine: moved after notice {}", notices.serial()),
             Some(end) => {
--- a/crates/server/src/front.rs
+++ b/crates/server/src/front.rs
@@ -1,9 +1,9 @@
 //! JSON-RPC 2.0 from one balancer connection: lines in, calls on the core. Its answers are in `answer`.
 
 use crate::answer::{self, BAD_PARAMS, NO_CALL, NO_JSON, NO_METHOD};
-use crate::door;
 use crate::drive::Lines;
 use crate::json::{Members, is_value};
+use crate::name::name;
 use crate::serve::Serve;
 use madderbay::time::At;
 
@@ -89,7 +89,7 @@
     let params = call.raw("params").map(Members::read);
     if method == "forget" {
         if let Some(Some(params)) = &params {
-            let name = params.text("ref").as_deref().and_then(door::name);
+            let name = params.text("ref").as_deref().and_then(name);
             serve.forget(now, no, params.whole("id"), name);
         }
         return Ok(());
--- a/crates/server/tests/scenarios.rs
+++ b/crates/server/tests/scenarios.rs
@@ -26,7 +26,7 @@
 mod common;
 
 use madderbay::time::{At, Span};
-use madderbay_server::calls::Replies;
+use madderbay_server::calls::{Hears as _, Replies};
 use madderbay_server::drive::Outbox;
 use madderbay_server::engine::Notices;
 use madderbay_server::front::Front;
