--- /dev/null
+++ b/crates/kept/src/log.rs
@@ -0,0 +1,236 @@
+//! The log: segments that are written one after the other, each dropped whole once all in it has aged out. What
+//! was written by a former life is read once, at the opening; a segment of a former life is never added to, so
+//! that a torn end stays an end.
+
+use crate::record::{self, HEAD, Head, Key, Name, Record};
+use crate::storage::Storage;
+use std::collections::{HashMap, VecDeque};
+use std::io;
+
+/// A segment is closed at this part of the disk's bound, or at this part of the longest window: so what has
+/// aged out leaves the disk soon after.
+const SEGMENT_PART: u64 = 16;
+const WINDOW_PART: u64 = 2;
+
+/// One record and until when it has to last, in Unix microseconds.
+pub type Lasting = (Record, u64);
+
+/// How a uniqued req of a former life stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum State {
+    /// Promised, and no more known: it may have run.
+    MayHaveRun,
+    Done(Box<[u8]>),
+    Errored,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Found {
+    pub print: u64,
+    pub until: u64,
+    pub name: Name,
+    pub state: State,
+}
+
+/// What a former life left.
+#[derive(Debug, Default)]
+pub struct Recovery {
+    pub found: HashMap<Key, Found>,
+    pub segments: usize,
+    pub bytes: u64,
+    pub records: u64,
+    /// Segments that end in what is no whole record, and bytes there.
+    pub torn: usize,
+    pub torn_bytes: u64,
+}
+
+struct Segment {
+    name: String,
+    bytes: u64,
+    /// When all in it has aged out.
+    until: u64,
+}
+
+pub struct Log<S: Storage> {
+    storage: S,
+    closed: VecDeque<Segment>,
+    current: Option<(Segment, u64)>,
+    next: u64,
+    /// A closed segment may be this large, and this old.
+    segment_most: u64,
+    segment_for: u64,
+}
+
+fn named(number: u64) -> String {
+    format!("kept-{number:016x}")
+}
+
+fn number(name: &str) -> Option<u64> {
+    u64::from_str_radix(name.strip_prefix("kept-").filter(|n| n.len() == 16)?, 16).ok()
+}
+
+/// Takes in one record of a former life.
+fn replay(found: &mut HashMap<Key, Found>, record: Record) {
+    match record {
+        Record::Intent { key, print, until, name } => {
+            let fresh = Found { print, until, name, state: State::MayHaveRun };
+            let entry = found.entry(key).or_insert_with(|| fresh.clone());
+            // A further intent without an end between belongs to the same run, or to none that is known to be
+            // over: what is known of it stays.
+            if entry.state == State::MayHaveRun {
+                let until = entry.until.max(until);
+                *entry = Found { until, ..fresh };
+            }
+        }
+        Record::Done { key, result } => {
+            if let Some(entry) = found.get_mut(&key) {
+                entry.state = State::Done(result);
+            }
+        }
+        Record::Errored { key } => {
+            if let Some(entry) = found.get_mut(&key) {
+                entry.state = State::Errored;
+            }
+        }
+        Record::Never { key } => {
+            if found.get(&key).is_some_and(|e| e.state == State::MayHaveRun) {
+                found.remove(&key);
+            }
+        }
+    }
+}
+
+/// Reads what is there and changes nothing; says in one line what can't be read.
+pub fn recover(storage: &impl Storage) -> Result<Recovery, String> {
+    let mut recovery = Recovery::default();
+    for name in storage.list().map_err(|e| e.to_string())? {
+        if number(&name).is_none() {
+            continue;
+        }
+        let bytes = storage.read(&name).map_err(|e| format!("{name}: {e}"))?;
+        match record::read_head(&bytes) {
+            Head::Newer(version) => {
+                return Err(format!("{name}: is of version {version}; this program knows {}", record::VERSION));
+            }
+            Head::Foreign => return Err(format!("{name}: is no segment of kept results")),
+            Head::Good | Head::Short => {}
+        }
+        recovery.segments += 1;
+        recovery.bytes += bytes.len() as u64;
+        let good = record::read_head(&bytes) == Head::Good;
+        let torn = if good {
+            record::read_all(&bytes, |r| {
+                recovery.records += 1;
+                replay(&mut recovery.found, r);
+            })
+        } else {
+            bytes.len()
+        };
+        recovery.torn += usize::from(torn > 0);
+        recovery.torn_bytes += torn as u64;
+    }
+    Ok(recovery)
+}
+
+impl<S: Storage> Log<S> {
+    /// Opens what a former life left. No time of a former life is trusted, since clocks step: what it left lasts
+    /// for one more whole window from `now`, at the least. `disk` bounds all bytes; `window` is the longest.
+    pub fn open(storage: S, now: u64, disk: u64, window: u64) -> Result<(Log<S>, Recovery), String> {
+        let mut recovery = recover(&storage)?;
+        let (mut closed, mut next) = (VecDeque::new(), 0);
+        for name in storage.list().map_err(|e| e.to_string())? {
+            let Some(at) = number(&name) else { continue };
+            next = at + 1;
+            let bytes = storage.read(&name).map_err(|e| format!("{name}: {e}"))?.len() as u64;
+            closed.push_back(Segment { name, bytes, until: now.saturating_add(window) });
+        }
+        for found in recovery.found.values_mut() {
+            found.until = now.saturating_add(window);
+        }
+        let segment_most = (disk / SEGMENT_PART).max(4 << 10);
+        let segment_for = (window / WINDOW_PART).max(1);
+        Ok((Log { storage, closed, current: None, next, segment_most, segment_for }, recovery))
+    }
+
+    /// Bytes on the disk.
+    pub fn bytes(&self) -> u64 {
+        let current = self.current.as_ref().map_or(0, |c| c.0.bytes);
+        self.closed.iter().map(|s| s.bytes).sum::<u64>() + current
+    }
+
+    /// Writes records and syncs them, all together. An error leaves open whether any of them lasts; the next go
+    /// to a new segment.
+    pub fn write(&mut self, now: u64, records: &[Lasting]) -> io::Result<()> {
+        let old = |s: &(Segment, u64)| s.0.bytes >= self.segment_most || now >= s.1 || now + self.segment_for < s.1;
+        if let Some((segment, _)) = self.current.take_if(|s| old(s)) {
+            self.closed.push_back(segment);
+        }
+        let mut bytes = vec![];
+        if self.current.is_none() {
+            let segment = Segment { name: named(self.next), bytes: 0, until: 0 };
+            self.next += 1;
+            self.current = Some((segment, now + self.segment_for));
+            record::head(&mut bytes);
+        }
+        let Some((segment, _)) = &mut self.current else { return Ok(()) };
+        for (record, until) in records {
+            record.write(&mut bytes);
+            segment.until = segment.until.max(*until);
+        }
+        segment.bytes += bytes.len() as u64;
+        let name = segment.name.clone();
+        let done = self.storage.append(&name, &bytes).and_then(|()| self.storage.sync(&name));
+        if done.is_err() {
+            // Whatever of it lasts has to be aged out as the rest.
+            self.closed.extend(self.current.take().map(|c| c.0));
+        }
+        done
+    }
+
+    /// Drops the segments that have aged out, the oldest first; one that can't be removed is tried again.
+    pub fn sweep(&mut self, now: u64) {
+        while self.closed.front().is_some_and(|s| s.until < now) {
+            let Some(segment) = self.closed.pop_front() else { return };
+            if let Err(e) = self.storage.remove(&segment.name)
+                && e.kind() != io::ErrorKind::NotFound
+            {
+                self.closed.push_front(segment);
+                return;
+            }
+        }
+    }
+
+    pub fn storage(&self) -> &S {
+        &self.storage
+    }
+
+    pub fn storage_mut(&mut self) -> &mut S {
+        &mut self.storage
+    }
+}
+
+/// One line for each thing wrong in a folder of segments: for `kept verify`.
+pub fn verify(storage: &impl Storage) -> Result<Vec<String>, String> {
+    let mut wrong = vec![];
+    for name in storage.list().map_err(|e| e.to_string())? {
+        if number(&name).is_none() {
+            wrong.push(format!("{name}: is no file of kept results"));
+            continue;
+        }
+        let bytes = storage.read(&name).map_err(|e| format!("{name}: {e}"))?;
+        match record::read_head(&bytes) {
+            Head::Good => {
+                let mut records = 0;
+                let torn = record::read_all(&bytes, |_| records += 1);
+                if torn > 0 {
+                    let at = bytes.len() - torn;
+                    wrong.push(format!("{name}: after {records} whole records {torn} bytes from {at} on are none"));
+                }
+            }
+            Head::Short => wrong.push(format!("{name}: ends within its first {HEAD} bytes")),
+            Head::Newer(version) => wrong.push(format!("{name}: is of the newer version {version}")),
+            Head::Foreign => wrong.push(format!("{name}: is no segment of kept results")),
+        }
+    }
+    Ok(wrong)
+}
--- /dev/null
+++ b/crates/kept/src/record.rs
@@ -0,0 +1,159 @@
+//! The records of the log, and a segment's head. All numbers are little-endian.
+//!
+//! ```text
+//! segment   "MBKEPT" version:u16 | record*
+//! record    length:u32 checksum:u32 | type:u8 payload      length counts type and payload, checksum is theirs
+//! intent 1  key:16 print:u64 until:u64 name:16             times are Unix microseconds
+//! done 2    key:16 result                                  the result as it came
+//! errored 3 key:16                                         it ran, and there is no result to give
+//! never 4   key:16                                         its run was never sent, or the engine knows none
+//! ```
+
+/// The name of a uniqued req, the same for all its tries; the name of one try.
+pub type Key = u128;
+pub type Name = [u8; 16];
+
+const MAGIC: &[u8; 6] = b"MBKEPT";
+/// The version that is written; older ones are read, newer ones are not.
+pub const VERSION: u16 = 1;
+pub const HEAD: usize = 8;
+/// Bytes of a record before its type, and the most that one may have: more than any result.
+const FRAME: usize = 8;
+pub const RECORD_MOST: usize = 1 << 20;
+
+/// One thing that happened to a uniqued req.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Record {
+    /// It will be run: `print` tells handler and body, `until` the end of its window, `name` the try.
+    Intent {
+        key: Key,
+        print: u64,
+        until: u64,
+        name: Name,
+    },
+    Done {
+        key: Key,
+        result: Box<[u8]>,
+    },
+    Errored {
+        key: Key,
+    },
+    /// Nothing ran, and nothing will by this promise.
+    Never {
+        key: Key,
+    },
+}
+
+impl Record {
+    pub fn key(&self) -> Key {
+        match self {
+            Record::Intent { key, .. }
+            | Record::Done { key, .. }
+            | Record::Errored { key }
+            | Record::Never { key } => *key,
+        }
+    }
+
+    pub fn write(&self, to: &mut Vec<u8>) {
+        let at = to.len();
+        to.extend_from_slice(&[0; FRAME]);
+        to.push(match self {
+            Record::Intent { .. } => 1,
+            Record::Done { .. } => 2,
+            Record::Errored { .. } => 3,
+            Record::Never { .. } => 4,
+        });
+        to.extend_from_slice(&self.key().to_le_bytes());
+        match self {
+            Record::Intent { print, until, name, .. } => {
+                to.extend_from_slice(&print.to_le_bytes());
+                to.extend_from_slice(&until.to_le_bytes());
+                to.extend_from_slice(name);
+            }
+            Record::Done { result, .. } => to.extend_from_slice(result),
+            Record::Errored { .. } | Record::Never { .. } => {}
+        }
+        let length = (to.len() - at - FRAME) as u32;
+        let sum = crc32c::crc32c(&to[at + FRAME..]);
+        to[at..at + 4].copy_from_slice(&length.to_le_bytes());
+        to[at + 4..at + 8].copy_from_slice(&sum.to_le_bytes());
+    }
+
+    /// Its length as written.
+    pub fn size(&self) -> usize {
+        let more = match self {
+            Record::Intent { .. } => 32,
+            Record::Done { result, .. } => result.len(),
+            Record::Errored { .. } | Record::Never { .. } => 0,
+        };
+        FRAME + 17 + more
+    }
+}
+
+pub fn head(to: &mut Vec<u8>) {
+    to.extend_from_slice(MAGIC);
+    to.extend_from_slice(&VERSION.to_le_bytes());
+}
+
+/// What the first bytes of a file tell.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Head {
+    Good,
+    /// Cut within its head: nothing was ever promised in it.
+    Short,
+    Newer(u16),
+    /// No segment of ours.
+    Foreign,
+}
+
+pub fn read_head(bytes: &[u8]) -> Head {
+    let known = bytes.len().min(MAGIC.len());
+    if bytes[..known] != MAGIC[..known] {
+        // A file whose head was never written whole may hold zeros.
+        return if bytes.iter().all(|b| *b == 0) { Head::Short } else { Head::Foreign };
+    }
+    match bytes.get(6..HEAD).map(|v| u16::from_le_bytes([v[0], v[1]])) {
+        None => Head::Short,
+        Some(version) if version > VERSION => Head::Newer(version),
+        Some(0) => Head::Short,
+        Some(_) => Head::Good,
+    }
+}
+
+/// Reads one record; nothing where the rest is no whole record, which ends what can be read of a segment.
+pub fn read(bytes: &[u8]) -> Option<(Record, usize)> {
+    let word = |at: usize| Some(u32::from_le_bytes(bytes.get(at..at + 4)?.try_into().ok()?));
+    let (length, sum) = (word(0)? as usize, word(4)?);
+    if !(17..=RECORD_MOST).contains(&length) {
+        return None;
+    }
+    let body = bytes.get(FRAME..FRAME + length)?;
+    if crc32c::crc32c(body) != sum {
+        return None;
+    }
+    let key = Key::from_le_bytes(body[1..17].try_into().ok()?);
+    let rest = &body[17..];
+    let record = match (body[0], rest.len()) {
+        (1, 32) => Record::Intent {
+            key,
+            print: u64::from_le_bytes(rest[..8].try_into().ok()?),
+            until: u64::from_le_bytes(rest[8..16].try_into().ok()?),
+            name: rest[16..].try_into().ok()?,
+        },
+        (2, _) => Record::Done { key, result: rest.into() },
+        (3, 0) => Record::Errored { key },
+        (4, 0) => Record::Never { key },
+        _ => return None,
+    };
+    Some((record, FRAME + length))
+}
+
+/// Reads all whole records of a segment past its head; tells how many bytes at its end are none.
+pub fn read_all(bytes: &[u8], mut each: impl FnMut(Record)) -> usize {
+    let mut at = HEAD.min(bytes.len());
+    while let Some((record, used)) = read(&bytes[at..]) {
+        each(record);
+        at += used;
+    }
+    bytes.len() - at
+}
--- /dev/null
+++ b/crates/kept/tests/crash.rs
@@ -0,0 +1,340 @@
+//! The log on a storage that crashes: cut at every byte, torn, with what was not synced lost or half there, full,
+//! failing. What was promised is found, nothing else is, and recovery always comes through.
+
+use madderbay_kept::log::{Found, Lasting, Log, State, recover, verify};
+use madderbay_kept::record::{Key, Record};
+use madderbay_kept::storage::{Crash, Files, Memory, Storage};
+use proptest::prelude::*;
+use std::collections::HashMap;
+
+const DISK: u64 = 1 << 20;
+const WINDOW: u64 = 30_000_000;
+
+fn open(storage: Memory, now: u64) -> (Log<Memory>, HashMap<Key, Found>) {
+    let (log, recovery) = Log::open(storage, now, DISK, WINDOW).expect("recovery comes through");
+    (log, recovery.found)
+}
+
+fn intent(key: Key, until: u64) -> Lasting {
+    (Record::Intent { key, print: key as u64 + 7, until, name: [b'a'; 16] }, until)
+}
+
+fn done(key: Key, result: &str, until: u64) -> Lasting {
+    (Record::Done { key, result: result.as_bytes().into() }, until)
+}
+
+/// What the log should hold, by what was written and synced before.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct Plain(HashMap<Key, State>);
+
+impl Plain {
+    fn take(&mut self, record: &Record) {
+        match record {
+            Record::Intent { key, .. } => {
+                self.0.entry(*key).or_insert(State::MayHaveRun);
+            }
+            Record::Done { key, result } => {
+                self.0.entry(*key).and_modify(|s| *s = State::Done(result.clone()));
+            }
+            Record::Errored { key } => {
+                self.0.entry(*key).and_modify(|s| *s = State::Errored);
+            }
+            Record::Never { key } => {
+                if self.0.get(key) == Some(&State::MayHaveRun) {
+                    self.0.remove(key);
+                }
+            }
+        }
+    }
+
+    fn of(found: &HashMap<Key, Found>) -> Plain {
+        Plain(found.iter().map(|(k, f)| (*k, f.state.clone())).collect())
+    }
+}
+
+/// A log of one segment, cut at every byte and with every byte torn: all whole records before the place are
+/// found, nothing after it.
+#[test]
+fn every_cut_and_every_torn_byte() {
+    let mut log = open(Memory::default(), 1).0;
+    let all: Vec<Lasting> = (0..12)
+        .flat_map(|k| [intent(k, WINDOW), done(k, &"r".repeat(k as usize * 3), WINDOW)])
+        .chain([(Record::Never { key: 77 }, 1), (Record::Errored { key: 5 }, 1)])
+        .collect();
+    log.write(2, &all).expect("written");
+    let whole = log.storage().clone();
+    let name = whole.list().expect("listed").remove(0);
+    let len = whole.read(&name).expect("read").len();
+    // How far each record reaches, and what holds up to it.
+    let mut reach = vec![(8, Plain::default())];
+    for (record, _) in &all {
+        let (at, mut plain) = reach.last().expect("one").clone();
+        plain.take(record);
+        reach.push((at + record.size(), plain));
+    }
+    assert_eq!(reach.last().expect("one").0, len);
+    let upto = |n: usize| &reach.iter().rev().find(|r| r.0 <= n).unwrap_or(&reach[0]).1;
+    for at in 0..=len {
+        let mut cut = whole.clone();
+        cut.cut(&name, at);
+        assert_eq!(&Plain::of(&open(cut.clone(), 3).1), upto(at), "cut at {at}");
+        // A second life writes on, and a third finds both.
+        let mut log = open(cut, 3).0;
+        log.write(4, &[intent(1_000, WINDOW)]).expect("written");
+        let mut both = upto(at).clone();
+        both.take(&intent(1_000, WINDOW).0);
+        assert_eq!(Plain::of(&open(log.storage().clone(), 5).1), both, "cut at {at}, then on");
+    }
+    for at in 8..len {
+        let mut bytes = whole.read(&name).expect("read");
+        bytes[at] ^= 1;
+        let mut torn = Memory::default();
+        torn.append(&name, &bytes).and_then(|()| torn.sync(&name)).expect("written");
+        assert_eq!(&Plain::of(&open(torn, 3).1), upto(at), "torn at {at}");
+    }
+}
+
+/// What was not synced, in every way that a crash may leave it: all that was synced is found, and of the rest
+/// only whole records in their order.
+#[test]
+fn what_was_not_synced_may_be_there_or_not() {
+    let mut log = open(Memory::default(), 1).0;
+    log.write(2, &[intent(1, WINDOW), done(1, "one", WINDOW), intent(2, WINDOW)]).expect("written");
+    let mut loose = vec![];
+    let late = [done(2, "two", WINDOW), intent(3, WINDOW)];
+    late.iter().for_each(|(r, _)| r.write(&mut loose));
+    let name = log.storage().list().expect("listed").remove(0);
+    log.storage_mut().append(&name, &loose).expect("appended");
+    let mut plain = Plain::default();
+    [intent(1, 0), done(1, "one", 0), intent(2, 0)].iter().for_each(|(r, _)| plain.take(r));
+    let first = late[0].0.size();
+    let mut with_first = plain.clone();
+    with_first.take(&late[0].0);
+    let mut with_both = with_first.clone();
+    with_both.take(&late[1].0);
+    let upto = |n| if n >= loose.len() { &with_both } else if n >= first { &with_first } else { &plain };
+    let found = |crash| Plain::of(&open(log.storage().crashed(|_, _| crash), 3).1);
+    assert_eq!(found(Crash::Lost), plain);
+    for n in 0..=loose.len() {
+        assert_eq!(&found(Crash::Cut(n)), upto(n), "cut at {n}");
+        // Nulls in place of the rest are no records; where the rest was nulls anyway nothing is lost.
+        let nulls = found(Crash::Nulls(n));
+        assert!([&plain, &with_first, &with_both].contains(&&nulls), "nulls from {n}");
+        assert!(n < first || nulls != plain, "nulls from {n}");
+        if n < loose.len() {
+            assert_eq!(&found(Crash::Torn(n)), upto(n), "torn at {n}");
+        }
+    }
+}
+
+/// A segment whose making was not synced may be gone or empty, or have half a head.
+#[test]
+fn a_segment_that_was_hardly_begun() {
+    let mut log = open(Memory::default(), 1).0;
+    log.write(2, &[intent(1, WINDOW)]).expect("written");
+    for half in 0..8 {
+        let mut crashed = log.storage().clone();
+        let mut head = vec![];
+        madderbay_kept::record::head(&mut head);
+        crashed.append("kept-0000000000000009", &head[..half]).expect("appended");
+        let left = crashed.crashed(|_, _| Crash::Cut(half));
+        let (mut next, found) = open(left, 3);
+        assert_eq!(found.len(), 1);
+        next.write(4, &[intent(2, WINDOW)]).expect("written");
+        assert_eq!(open(next.storage().clone(), 5).1.len(), 2);
+    }
+}
+
+/// Files that are not ours, or of a newer version, are told and left as they are.
+#[test]
+fn newer_and_foreign_files_are_told() {
+    let with = |name: &str, bytes: &[u8]| {
+        let mut memory = Memory::default();
+        memory.append(name, bytes).and_then(|()| memory.sync(name)).expect("written");
+        Log::open(memory, 1, DISK, WINDOW).map(|_| ()).unwrap_err()
+    };
+    let newer = with("kept-0000000000000000", b"MBKEPT\x02\x00");
+    assert_eq!(newer, "kept-0000000000000000: is of version 2; this program knows 1");
+    let foreign = with("kept-0000000000000000", b"#!/bin/sh\n");
+    assert_eq!(foreign, "kept-0000000000000000: is no segment of kept results");
+    // A file by another name is nobody's business but `verify`'s.
+    let mut memory = Memory::default();
+    memory.append("notes.txt", b"x").and_then(|()| memory.sync("notes.txt")).expect("written");
+    assert_eq!(verify(&memory).expect("read"), ["notes.txt: is no file of kept results"]);
+    assert!(open(memory, 1).1.is_empty());
+}
+
+/// A full disk or a failing one is an error each time, and what lasted before is found after; once there is
+/// room again writing works, in a new segment.
+#[test]
+fn no_space_and_failing_syncs() {
+    let mut log = open(Memory::default(), 1).0;
+    log.write(2, &[intent(1, WINDOW)]).expect("written");
+    for room in 0..120 {
+        log.storage_mut().room = Some(room);
+        assert!(log.write(3, &[intent(2, WINDOW), done(2, &"x".repeat(300), WINDOW)]).is_err());
+        assert!(open(log.storage().crashed(|_, _| Crash::Cut(usize::MAX)), 4).1.contains_key(&1));
+    }
+    log.storage_mut().room = None;
+    for steps in 0..2 {
+        log.storage_mut().fails_after = Some(steps);
+        assert!(log.write(5, &[intent(3, WINDOW)]).is_err());
+    }
+    log.storage_mut().fails_after = None;
+    log.write(6, &[intent(4, WINDOW)]).expect("written");
+    let found = open(log.storage().crashed(|_, _| Crash::Lost), 7).1;
+    assert!(found.contains_key(&1) && found.contains_key(&4) && !found.contains_key(&2));
+}
+
+/// Segments go once all in them has aged out, never before; the disk stays bounded by one window's records.
+#[test]
+fn segments_are_dropped_when_aged_out() {
+    let mut log = open(Memory::default(), 0).0;
+    let mut most = 0;
+    for n in 0..2_000u64 {
+        let now = n * 200_000;
+        log.write(now, &[intent(Key::from(n), now + WINDOW), done(Key::from(n), "result", now + WINDOW)])
+            .expect("written");
+        log.sweep(now);
+        most = most.max(log.bytes());
+        if n % 97 == 0 {
+            let found = recover(log.storage()).expect("read").found;
+            for k in n.saturating_sub(WINDOW / 200_000 - 1)..=n {
+                assert!(found.contains_key(&Key::from(k)), "{k} of {n} is within its window");
+            }
+        }
+    }
+    // A window holds 150 pairs; those of another window at the most wait for their segment to age out.
+    let pair = (intent(0, 0).0.size() + done(0, "result", 0).0.size()) as u64;
+    assert!(most < 320 * pair, "{most} bytes");
+}
+
+/// The clock's steps between lives forget nothing: what is found lasts a whole window from the recovery on.
+#[test]
+fn the_clock_may_step_between_lives() {
+    for now in [0, 1_000, 5_000_000_000_000] {
+        let mut log = open(Memory::default(), 1_000_000_000).0;
+        log.write(1_000_000_000, &[intent(1, 1_000_000_000 + WINDOW)]).expect("written");
+        let (mut next, found) = open(log.storage().clone(), now);
+        assert_eq!(found[&1].until, now + WINDOW);
+        next.sweep(now + WINDOW);
+        assert_eq!(recover(next.storage()).expect("read").found.len(), 1);
+        next.sweep(now + WINDOW + 1);
+        assert_eq!(recover(next.storage()).expect("read").found.len(), 0);
+    }
+}
+
+/// On the file system, too; and a folder has one owner.
+#[test]
+fn a_folder_of_files() {
+    let folder = std::env::temp_dir().join(format!("madderbay-kept-{}", std::process::id()));
+    let told = Files::open(&folder).map(|_| ()).unwrap_err();
+    assert!(told.contains("madderbay-kept-"), "{told}");
+    std::fs::create_dir(&folder).expect("made");
+    {
+        let (mut log, _) = Log::open(Files::open(&folder).expect("opened"), 1, DISK, WINDOW).expect("read");
+        log.write(2, &[intent(1, WINDOW), done(1, "one", WINDOW)]).expect("written");
+        let told = Files::open(&folder).map(|_| ()).unwrap_err();
+        assert!(told.ends_with("another process has it"), "{told}");
+    }
+    {
+        let storage = Files::open(&folder).expect("opened again");
+        assert_eq!(verify(&storage).expect("read"), Vec::<String>::new());
+        let (mut log, recovery) = Log::open(storage, 3, DISK, WINDOW).expect("read");
+        assert_eq!(recovery.found[&1].state, State::Done(b"one"[..].into()));
+        assert_eq!((recovery.segments, recovery.records, recovery.torn), (1, 2, 0));
+        log.sweep(3 + WINDOW + 1);
+        assert_eq!(log.bytes(), 0);
+    }
+    std::fs::remove_dir_all(&folder).expect("removed");
+}
+
+#[derive(Clone, Debug)]
+enum Did {
+    Write(Vec<(u8, u8)>),
+    Fail(u8),
+    /// A restart after a crash that leaves what was not synced so.
+    Crash(u8, u16),
+    Pass(u32),
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Random histories of writes, failures and restarts against a plain model: what was acknowledged within its
+    /// window is there as acknowledged; of what was not acknowledged, only what was written may show up.
+    #[test]
+    fn histories_with_restarts(did in prop::collection::vec(prop_oneof![
+        6 => prop::collection::vec((0u8..12, 0u8..4), 1..5).prop_map(Did::Write),
+        1 => (0u8..3).prop_map(Did::Fail),
+        2 => (0u8..4, any::<u16>()).prop_map(|(h, n)| Did::Crash(h, n)),
+        2 => (0u32..4_000_000).prop_map(Did::Pass),
+    ], 1..60)) {
+        let (mut log, mut now) = (open(Memory::default(), 1_000).0, 1_000u64);
+        // For each key: what was acknowledged last, and what was tried since.
+        let mut sure: HashMap<Key, (Plain, u64)> = HashMap::new();
+        let mut tried: HashMap<Key, Vec<Record>> = HashMap::new();
+        for event in did {
+            match event {
+                Did::Pass(by) => {
+                    now += u64::from(by);
+                    log.sweep(now);
+                }
+                Did::Fail(steps) => log.storage_mut().fails_after = Some(usize::from(steps)),
+                Did::Write(records) => {
+                    let until = now + WINDOW;
+                    let records: Vec<Lasting> = records
+                        .into_iter()
+                        .map(|(key, what)| match what {
+                            0 => intent(Key::from(key), until),
+                            1 => done(Key::from(key), "x", until),
+                            2 => (Record::Errored { key: Key::from(key) }, until),
+                            _ => (Record::Never { key: Key::from(key) }, until),
+                        })
+                        .collect();
+                    let lasts = log.write(now, &records).is_ok();
+                    for (record, _) in records {
+                        let key = record.key();
+                        let entry = sure.entry(key).or_default();
+                        if lasts && !tried.contains_key(&key) {
+                            entry.0.take(&record);
+                            entry.1 = until;
+                        } else {
+                            tried.entry(key).or_default().push(record);
+                        }
+                    }
+                }
+                Did::Crash(how, n) => {
+                    let crash = match how {
+                        0 => Crash::Lost,
+                        1 => Crash::Cut(usize::from(n) % 200),
+                        2 => Crash::Nulls(usize::from(n) % 200),
+                        _ => Crash::Torn(usize::from(n) % 200),
+                    };
+                    let (next, found) = open(log.storage().crashed(|_, _| crash), now);
+                    log = next;
+                    for (key, (plain, until)) in &mut sure {
+                        let state = found.get(key).map(|f| f.state.clone());
+                        let known = plain.0.get(key).cloned();
+                        if let Some(tried) = tried.remove(key) {
+                            // One of the states on the way, each made by records that were really written.
+                            let mut may = vec![known.clone()];
+                            for mask in 0u32..1 << tried.len().min(10) {
+                                let mut on = plain.clone();
+                                let some = tried.iter().enumerate().filter(|(i, _)| mask >> i.min(&31) & 1 == 1);
+                                some.for_each(|(_, r)| on.take(r));
+                                may.push(on.0.get(key).cloned());
+                            }
+                            prop_assert!(now >= *until || may.contains(&state), "{:?} of {:?}", state, may);
+                        } else if now < *until {
+                            prop_assert_eq!(&state, &known);
+                        }
+                        plain.0.clear();
+                        plain.0.extend(state.map(|s| (*key, s)));
+                        *until = now + WINDOW;
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,28 @@
+//! The operator file: what a server does beyond its platform, as INI. It is read and checked whole before
+//! anything starts; everything that is wrong is told, each in one line with file, line and key.
+//!
+//! ```
+//! let text = "[pools]\nenabled = on\n[pool seats]\nhandlers = book\nweigth = 2\n";
+//! let wrong = madderbay_operator::read("op.ini", text).unwrap_err();
+//! let known = "calls, calls_weight, handlers, runs, weight";
+//! assert_eq!(wrong, [format!("op.ini:5: [pool seats] weigth: no such key; known are {known}")]);
+//! ```
+
+mod file;
+pub mod pools;
+
+use file::File;
+pub use file::Names;
+
+/// All parts; what is off is nothing.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Operator {
+    pub pools: Option<pools::Pools>,
+}
+
+/// Reads a file's text; `name` is what the lines say it is called. Every line that is wrong is told.
+pub fn read(name: &str, text: &str) -> Result<Operator, Vec<String>> {
+    let mut file = File::read(name, text)?;
+    let pools = pools::read(&mut file);
+    file.done(Operator { pools })
+}
--- /dev/null
+++ b/crates/pools/src/lib.rs
@@ -0,0 +1,473 @@
+//! Pools of handlers: how many runs and calls each may have now, given the runs that the module allows, what
+//! lies below is bearing, the weights of the pools and the reserve. What is let in, in which order, and what
+//! is turned away is decided elsewhere, by [`madderbay::decide`], which heeds the ceilings made here.
+//!
+//! No I/O, no clock: told what becomes of each req, and asked now and then for the [`Ceiling`]s.
+//!
+//! ```
+//! use madderbay::time::At;
+//! use madderbay_pools::{Calls, Kind, Plan, Pool, Pools, Stage};
+//! let pool = |name: &str, handlers| Pool { name: name.into(), handlers, ..Pool::default() };
+//! let kind = |calls| Kind { calls };
+//! let plan = Plan { pools: vec![pool("a", vec![0]), pool("b", vec![1])], ..Plan::default() };
+//! let mut pools = Pools::new(At::micros(0), 7, plan, &[kind(Calls::Never), kind(Calls::Never)]);
+//! // Nobody wants b's places: a may have all four.
+//! pools.stage(At::micros(1), 1, 0, Stage::Held);
+//! assert_eq!(pools.ceilings(At::micros(1), 4.0)[1].runs, 4);
+//! ```
+
+pub mod limit;
+pub mod share;
+
+use limit::{Cause, End, Limit, Ticket};
+use madderbay::face::Ceiling;
+use madderbay::time::{At, Span};
+use share::Want;
+use std::collections::HashMap;
+
+/// Weight of the newest run in a handler's mean: the last ten or so.
+const RUN_ALPHA: f64 = 0.1;
+/// The cheapest handlers are told anew this often, and another takes the reserve when it is cheaper by this.
+const CHEAPEST_EVERY: Span = Span::millis(1_000);
+const CHEAPER: f64 = 0.8;
+/// What is not in the reserve may use it while its runs are no longer than this many of the reserve's own: so
+/// it is had back within about one run's time.
+const AS_SHORT: f64 = 1.5;
+/// Span over which a pool's runs are averaged: several runs, and shorter than any trouble.
+const USUAL_OVER: Span = Span::millis(300);
+/// A turn is never told longer than this: what is that slow may be over by then.
+const TURN_MOST: Span = Span::millis(2_000);
+/// A refused call counts as wanted for this long: its pool has a share in the calls meanwhile.
+const WANTED_FOR: Span = Span::millis(500);
+/// Changes of a limit kept for the log until they are fetched.
+const TOLD_MOST: usize = 64;
+/// The least ceiling on calls where this server's share of what lies below is under this: quick calls may go
+/// together, and the module's account of seconds keeps the mean within the share.
+const SHARE_SMALL: f64 = 4.0;
+
+/// Whether a handler's runs make calls, and whether they can do without.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Calls {
+    Never,
+    MaySkip,
+    Must,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Kind {
+    pub calls: Calls,
+}
+
+/// One pool as the operator set it.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    pub name: String,
+    pub handlers: Vec<usize>,
+    pub weight: f64,
+    /// Its weight among those that want calls.
+    pub calls_weight: f64,
+    /// The most runs and calls, whatever is free.
+    pub runs: Option<usize>,
+    pub calls: Option<usize>,
+}
+
+impl Default for Pool {
+    fn default() -> Pool {
+        Pool {
+            name: String::new(),
+            handlers: vec![],
+            weight: 1.0,
+            calls_weight: 1.0,
+            runs: None,
+            calls: None,
+        }
+    }
+}
+
+/// Places kept for some handlers.
+#[derive(Clone, Debug)]
+pub struct Reserve {
+    /// None named: the one that costs least.
+    pub handlers: Vec<usize>,
+    /// The part of all runs and calls.
+    pub part: f64,
+}
+
+/// All that is set. Handlers in no pool form one of their own, of weight 1.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub pools: Vec<Pool>,
+    pub reserve: Option<Reserve>,
+    /// Whether the limit on calls follows what lies below, or stays at its most.
+    pub adapts: bool,
+    /// This server's share of what lies below, in calls in hand; nothing where calls need no limit.
+    pub share: Option<f64>,
+    /// What is given up on may go on below for that long.
+    pub linger: Span,
+    pub cores: usize,
+}
+
+impl Default for Plan {
+    fn default() -> Plan {
+        Plan { pools: vec![], reserve: None, adapts: true, share: None, linger: Span::ZERO, cores: 1 }
+    }
+}
+
+/// Where a req stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    Held,
+    Running,
+    /// Its run waits for a call that was not made yet.
+    AtCall,
+    Calling,
+}
+
+struct Req {
+    handler: usize,
+    stage: Stage,
+    started: At,
+    ticket: Option<Ticket>,
+}
+
+/// What the reqs of one handler have in hand.
+#[derive(Clone, Copy, Debug, Default)]
+struct Load {
+    held: usize,
+    running: usize,
+    at_call: usize,
+    calling: usize,
+    /// Mean time from start to end; nothing before the first.
+    run: Option<f64>,
+    /// When a call of it was last refused.
+    refused: Option<At>,
+}
+
+impl Load {
+    fn of(&mut self, stage: Stage) -> &mut usize {
+        match stage {
+            Stage::Held => &mut self.held,
+            Stage::Running => &mut self.running,
+            Stage::AtCall => &mut self.at_call,
+            Stage::Calling => &mut self.calling,
+        }
+    }
+
+    fn runs(&self) -> usize {
+        self.running + self.at_call + self.calling
+    }
+}
+
+/// A change worth a line in the log.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Change {
+    pub from: f64,
+    pub to: f64,
+    pub cause: &'static str,
+}
+
+pub struct Pools {
+    plan: Plan,
+    kinds: Vec<Kind>,
+    loads: Vec<Load>,
+    reqs: HashMap<u64, Req>,
+    limit: Option<Limit>,
+    /// The runs that each pool had of late, and when that was last followed.
+    usual: Vec<f64>,
+    followed: At,
+    reserved: Vec<usize>,
+    chosen: At,
+    held_up: Option<At>,
+    ceilings: Vec<Ceiling>,
+    told: Vec<Change>,
+    untold: u64,
+    /// Times that a limit changed.
+    pub changes: u64,
+}
+
+impl Pools {
+    pub fn new(now: At, seed: u64, mut plan: Plan, kinds: &[Kind]) -> Pools {
+        let known = |h: &usize| plan.pools.iter().any(|p| p.handlers.contains(h));
+        let rest: Vec<usize> = (0..kinds.len()).filter(|h| !known(h)).collect();
+        if !rest.is_empty() {
+            plan.pools.push(Pool { name: "rest".into(), handlers: rest, ..Pool::default() });
+        }
+        let limit = plan.share.map(|s| Limit::new(now, seed, s.max(SHARE_SMALL), plan.linger));
+        let reserved = plan.reserve.as_ref().map_or(vec![], |r| r.handlers.clone());
+        let usual = vec![1.0; plan.pools.len()];
+        Pools {
+            plan,
+            usual,
+            followed: now,
+            kinds: kinds.to_vec(),
+            loads: vec![Load::default(); kinds.len()],
+            reqs: HashMap::new(),
+            limit,
+            reserved,
+            chosen: now,
+            held_up: None,
+            ceilings: vec![],
+            told: vec![],
+            untold: 0,
+            changes: 0,
+        }
+    }
+
+    /// A req stands at another stage than before; one that is new to the pools is taken in.
+    pub fn stage(&mut self, now: At, id: u64, handler: usize, stage: Stage) {
+        if handler >= self.loads.len() {
+            return;
+        }
+        let fresh = Req { handler, stage, started: now, ticket: None };
+        let known = self.reqs.contains_key(&id);
+        let req = self.reqs.entry(id).or_insert(fresh);
+        let load = &mut self.loads[req.handler];
+        if known {
+            *load.of(req.stage) -= 1;
+        }
+        *load.of(stage) += 1;
+        if known && req.stage == Stage::Held {
+            req.started = now;
+        }
+        // A call that was out and is not told of ended for reasons of this side's own.
+        if let (Some(limit), Some(ticket)) = (&mut self.limit, req.ticket.take()) {
+            limit.over(now, ticket, End::Dropped, false);
+        }
+        req.stage = stage;
+        match stage {
+            Stage::Calling => req.ticket = self.limit.as_mut().map(|l| l.made(now)),
+            Stage::AtCall => {
+                if let Some(limit) = &mut self.limit
+                    && limit.out() >= limit.allowed()
+                {
+                    limit.wanted();
+                }
+            }
+            Stage::Held | Stage::Running => {}
+        }
+    }
+
+    /// This process was held up until now: the time of calls that are out tells nothing of what lies below.
+    pub fn held_up(&mut self, now: At) {
+        self.held_up = Some(now);
+    }
+
+    /// A call of this req ended: it runs on, or stands at the call again.
+    pub fn call_over(&mut self, now: At, id: u64, end: End) {
+        let Some(req) = self.reqs.get_mut(&id).filter(|r| r.stage == Stage::Calling) else { return };
+        if let (Some(limit), Some(ticket)) = (&mut self.limit, req.ticket.take()) {
+            let held_up = self.held_up.is_some_and(|t| t >= ticket.at());
+            limit.over(now, ticket, end, held_up);
+        }
+        let stage = if end == End::Good { Stage::Running } else { Stage::AtCall };
+        let load = &mut self.loads[req.handler];
+        load.calling -= 1;
+        *load.of(stage) += 1;
+        req.stage = stage;
+    }
+
+    /// The run goes on without its call, for want of room below or of time.
+    pub fn skipped(&mut self, now: At, id: u64) {
+        let Some(req) = self.reqs.get(&id) else { return };
+        let handler = req.handler;
+        self.loads[handler].refused = Some(now);
+        self.stage(now, id, handler, Stage::Running);
+    }
+
+    /// The req is over: its run ended, or it never started and was answered, or its caller left.
+    pub fn over(&mut self, now: At, id: u64) {
+        self.call_over(now, id, End::Dropped);
+        let Some(req) = self.reqs.remove(&id) else { return };
+        let load = &mut self.loads[req.handler];
+        *load.of(req.stage) -= 1;
+        if req.stage != Stage::Held {
+            let secs = (now - req.started).as_secs();
+            let mean = load.run.unwrap_or(secs);
+            load.run = Some(mean + RUN_ALPHA * (secs - mean));
+        }
+    }
+
+    /// Reqs known here: no more than those in hand.
+    pub fn len(&self) -> usize {
+        self.reqs.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.reqs.is_empty()
+    }
+
+    /// The limit on calls and how many are in hand; nothing where calls have none.
+    pub fn calls(&self) -> Option<(f64, usize)> {
+        self.limit.as_ref().map(|l| (l.level(), l.out()))
+    }
+
+    /// Each pool's name, reqs held, runs, calls out, and its ceilings of both.
+    pub fn standing(&self) -> impl Iterator<Item = (&str, [usize; 5])> {
+        let per_pool = self.ceilings.get(1..).unwrap_or_default();
+        self.plan.pools.iter().zip(per_pool).map(|(p, c)| {
+            let sum = |what: fn(&Load) -> usize| p.handlers.iter().map(|h| what(&self.loads[*h])).sum();
+            (p.name.as_str(), [sum(|l| l.held), sum(Load::runs), sum(|l| l.calling), c.runs, c.calls])
+        })
+    }
+
+    /// The changes of limits since the last time, as far as they were kept, and how many were not.
+    pub fn told(&mut self) -> (Vec<Change>, u64) {
+        (std::mem::take(&mut self.told), std::mem::take(&mut self.untold))
+    }
+
+    /// The handlers that the reserve is kept for now.
+    pub fn reserved(&self) -> &[usize] {
+        &self.reserved
+    }
+
+    /// The ceilings as of now, where the module allows `workers` runs: that on everything first, then one a
+    /// pool, last what does not belong to the reserve.
+    pub fn ceilings(&mut self, now: At, workers: f64) -> &[Ceiling] {
+        self.follow(now);
+        self.judge(now);
+        self.choose(now);
+        let workers = (workers as usize).max(1);
+        let below = self.limit.as_ref().map_or(usize::MAX, Limit::allowed);
+        let calls = self.call_places(now, below);
+        let runs = self.run_places(workers, &calls);
+        let all: Vec<usize> = (0..self.kinds.len()).collect();
+        let mut found = vec![Ceiling { handlers: all, runs: usize::MAX, calls: below, turn: Span::ZERO }];
+        for (at, ((pool, runs), calls)) in self.plan.pools.iter().zip(runs).zip(calls).enumerate() {
+            let turn = self.turn(at, workers);
+            found.push(Ceiling { handlers: pool.handlers.clone(), runs, calls, turn });
+        }
+        found.extend(self.outside(workers, below));
+        self.ceilings = found;
+        &self.ceilings
+    }
+
+    fn judge(&mut self, now: At) {
+        let Some(limit) = &mut self.limit else { return };
+        if !self.plan.adapts {
+            return limit.pass(now);
+        }
+        if let Some((from, cause)) = limit.tick(now) {
+            self.changes += 1;
+            if self.told.len() < TOLD_MOST {
+                let to = if cause == Cause::Resting { 0.0 } else { limit.level() };
+                self.told.push(Change { from, to, cause: cause.told() });
+            } else {
+                self.untold += 1;
+            }
+        }
+    }
+
+    /// Where the reserve names no handler it goes to the one whose runs are shortest.
+    fn choose(&mut self, now: At) {
+        let named = self.plan.reserve.as_ref().is_none_or(|r| !r.handlers.is_empty());
+        if named || (now < self.chosen + CHEAPEST_EVERY && !self.reserved.is_empty()) {
+            return;
+        }
+        let cost = |h: usize| self.loads[h].run.unwrap_or(f64::MAX);
+        let Some(best) = (0..self.kinds.len()).min_by(|a, b| cost(*a).total_cmp(&cost(*b))) else { return };
+        let before = self.reserved.first().map_or(f64::INFINITY, |h| cost(*h));
+        if cost(best) < CHEAPER * before {
+            self.reserved = vec![best];
+        }
+        self.chosen = now;
+    }
+
+    fn sum(&self, handlers: &[usize], what: impl Fn(&Load) -> usize) -> usize {
+        handlers.iter().map(|h| what(&self.loads[*h])).sum()
+    }
+
+    /// The calls that each pool may have. Runs that must call will want one; of those that may skip it, a
+    /// pool whose calls were refused just now wants more than it has.
+    fn call_places(&self, now: At, below: usize) -> Vec<usize> {
+        let wants: Vec<Want> = self
+            .plan
+            .pools
+            .iter()
+            .map(|p| {
+                let late = |l: &Load| l.refused.is_some_and(|at| now < at + WANTED_FOR && now >= at);
+                let more = |h: &usize| {
+                    let l = &self.loads[*h];
+                    let soon = match self.kinds[*h].calls {
+                        Calls::Must => l.running + l.held,
+                        Calls::MaySkip if late(l) => l.running + 1,
+                        _ => 0,
+                    };
+                    l.calling + l.at_call + soon
+                };
+                let more = p.handlers.iter().map(more).sum();
+                let callers = p.handlers.iter().any(|h| self.kinds[*h].calls != Calls::Never);
+                let most = if callers { p.calls.unwrap_or(usize::MAX) } else { 0 };
+                Want { weight: p.calls_weight, wants: more, most }
+            })
+            .collect();
+        if below == usize::MAX {
+            return wants.iter().map(|w| w.most).collect();
+        }
+        share::ceilings(below, &wants)
+    }
+
+    /// The runs that each pool may have: those that stand at a call, which the calls' places bound, and its
+    /// part by weight of the rest, which the cores work on. Runs that must call are no use beyond the calls
+    /// there are and those that the cores work on meanwhile.
+    fn run_places(&self, workers: usize, calls: &[usize]) -> Vec<usize> {
+        let weights: f64 = self.plan.pools.iter().map(|p| p.weight).sum();
+        let away = |p: &Pool| self.sum(&p.handlers, |l| l.at_call + l.calling);
+        let rest = workers.saturating_sub(self.plan.pools.iter().map(away).sum()).max(1);
+        let wants: Vec<Want> = self
+            .plan
+            .pools
+            .iter()
+            .zip(calls)
+            .map(|(p, calls)| {
+                let must = p.handlers.iter().all(|h| self.kinds[*h].calls == Calls::Must);
+                let own = (self.plan.cores as f64 * p.weight / weights.max(1e-9)).ceil().max(1.0) as usize;
+                let bound = if must { calls.saturating_add(own) } else { usize::MAX };
+                let most = p.runs.unwrap_or(usize::MAX).min(bound).max(1).saturating_sub(away(p));
+                Want { weight: p.weight, wants: self.sum(&p.handlers, |l| l.held + l.running), most }
+            })
+            .collect();
+        let places = share::ceilings(rest, &wants);
+        self.plan.pools.iter().zip(places).map(|(p, n)| away(p) + n).collect()
+    }
+
+    /// The time between two starts of a pool whose reqs are held though workers are free: its places, as many
+    /// as it had of late, each held for the mean time of a run.
+    fn turn(&self, at: usize, workers: usize) -> Span {
+        let handlers = &self.plan.pools[at].handlers;
+        let all: usize = self.loads.iter().map(Load::runs).sum();
+        let runs = self.sum(handlers, Load::runs);
+        if self.sum(handlers, |l| l.held) == 0 || all + 1 > workers || runs == 0 {
+            return Span::ZERO;
+        }
+        let stay = handlers.iter().map(|h| self.loads[*h].run.unwrap_or(0.0) * self.loads[*h].runs() as f64);
+        let mean = stay.sum::<f64>() / runs as f64;
+        Span::secs(mean / self.usual[at].max(1.0)).min(TURN_MOST)
+    }
+
+    /// Follows the runs that each pool has.
+    fn follow(&mut self, now: At) {
+        let keeps = (-((now - self.followed).as_secs() / USUAL_OVER.as_secs())).exp();
+        self.followed = now;
+        for (pool, usual) in self.plan.pools.iter().zip(&mut self.usual) {
+            let runs: usize = pool.handlers.iter().map(|h| self.loads[*h].runs()).sum();
+            *usual = runs as f64 + keeps * (*usual - runs as f64);
+        }
+    }
+
+    /// What is not in the reserve leaves it free; but for handlers whose runs are as short as the reserve's,
+    /// and which never wait for a call: they give it back within one run's time.
+    fn outside(&self, workers: usize, below: usize) -> Option<Ceiling> {
+        let part = self.plan.reserve.as_ref()?.part;
+        let own = |h: &usize| self.reserved.contains(h);
+        let kept = |total: usize| ((part * total as f64).ceil() as usize).min(total.saturating_sub(1));
+        let shortest = self.reserved.iter().filter_map(|h| self.loads[*h].run).fold(f64::MAX, f64::min);
+        let short = |h: &usize| {
+            self.kinds[*h].calls == Calls::Never
+                && self.loads[*h].run.is_some_and(|r| r <= AS_SHORT * shortest)
+        };
+        let handlers: Vec<usize> = (0..self.kinds.len()).filter(|h| !own(h) && !short(h)).collect();
+        let callers = self.reserved.iter().any(|h| self.kinds[*h].calls != Calls::Never);
+        let calls = if below == usize::MAX || !callers { below } else { below - kept(below) };
+        Some(Ceiling { handlers, runs: workers - kept(workers), calls, turn: Span::ZERO })
+    }
+}
--- /dev/null
+++ b/crates/pools/src/limit.rs
@@ -0,0 +1,463 @@
+//! One limit on calls in hand, which follows what lies below is bearing.
+//!
+//! A call takes longer for one of two reasons: those below work slower, or too many calls wait there for each
+//! other. Only the second is a reason to have fewer in hand; under the first a lower limit just loses work.
+//! Latency alone can't tell them apart, so the limit is cut on trial: if calls then come back quicker, they
+//! had been waiting; if not, the slower time is what a call takes now, and the cut is taken back.
+
+use madderbay::time::{At, Span};
+use std::collections::VecDeque;
+
+/// Shortest and longest span that one judgement rests on, and the calls that it wants to have seen, as a
+/// part of the limit.
+const EPOCH_LEAST: Span = Span::millis(100);
+const EPOCH_MOST: Span = Span::millis(1_000);
+const SEEN_LEAST: f64 = 4.0;
+const SEEN_MOST: f64 = 16.0;
+const SEEN_PART: f64 = 0.6;
+/// Calls thought to wait below, as a part of the limit: under the first it grows (where it is wanted), over
+/// the second a cut is tried. A limit a third too high costs a third of a call's time, one too low loses
+/// work.
+const QUEUE_FEW: f64 = 0.12;
+const QUEUE_MANY: f64 = 0.40;
+/// The least of both, in calls: half a call in hand is no queue.
+const FEW_LEAST: f64 = 0.8;
+const MANY_LEAST: f64 = 1.6;
+/// A cut on trial goes to what is thought to be borne and this much more, within these parts of the limit:
+/// smaller cuts show nothing, larger ones lose work for nothing.
+const TRIAL_ROOM: f64 = 1.15;
+const TRIAL_DEEP: f64 = 0.6;
+const TRIAL_FLAT: f64 = 0.8;
+/// What the time of a call must have fallen by, of what it would if all were queue; and the epochs in a row
+/// that ask for a trial: one odd epoch is noise. One far over the mark counts twice.
+const TRIAL_PROOF: f64 = 0.5;
+const TRIAL_ASKS: u32 = 2;
+/// After a trial that was taken back that many times as many are asked for, up to the most, until the time of
+/// calls has shifted by a factor: so a limit that has settled does not swing by chance.
+const ASKS_MORE: u32 = 4;
+const ASKS_MOST: u32 = 32;
+const SHIFT: f64 = 2.0;
+/// A trial that few asks make comes this soon after a shift or not at all: what was borne since is borne.
+const SOON: Span = Span::millis(1_200);
+const TRIAL_PLAIN: f64 = 1.25;
+/// Time without another trial once one has shown that nothing waited; doubled each time, up to the most.
+const CALM: Span = Span::millis(2_000);
+const CALM_MOST: Span = Span::millis(32_000);
+/// Calls made with few in hand, all of the last so many over so many bases, prove that those below have
+/// become slower; and how long one counts.
+const SLOWER: f64 = 1.5;
+const SPARSE_SEEN: usize = 4;
+const SPARSE_FOR: Span = Span::millis(2_000);
+/// Weight of a quicker epoch in the base; the part of the base under which one is no chance and counts whole;
+/// and the base's drift up an epoch: a best that was luck fades.
+const BASE_ALPHA: f64 = 0.2;
+const QUICKER: f64 = 0.6;
+const BASE_DRIFT: f64 = 1.002;
+/// Growth an epoch: by a part while that was borne before, by a step past it.
+const REGROW: f64 = 1.5;
+const GROW: f64 = 0.06;
+const GROW_LEAST: f64 = 0.5;
+/// What a failing and a silent epoch leave of the limit, and the share of bad ends that makes one.
+const FAIL_KEEPS: f64 = 0.7;
+const SILENT_KEEPS: f64 = 0.5;
+const FAILING: f64 = 0.5;
+/// Rest after epochs in which nothing went well, before one call is tried; doubled each time. The most, with
+/// its spread, stays under the two seconds in which a recovery is to be found.
+const REST: Span = Span::millis(50);
+const REST_MOST: Span = Span::millis(1_000);
+const REST_SPREAD: f64 = 0.5;
+/// All calls in hand hang for that long: one more is let go, up to so many.
+const HUNG: Span = Span::millis(1_000);
+const HUNG_MORE: usize = 2;
+/// Judgements without one that it failed, after which it is taken for well again.
+const WELL_AFTER: u32 = 2;
+
+/// How a call came to its end, as far as it tells of what lies below.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    Good,
+    /// Turned away, unreached or failed: whatever it took, it tells nothing of the time that work takes.
+    Bad,
+    /// Given up on: it would have taken longer than it did.
+    GivenUp,
+    /// Ended by this side for reasons of its own: tells nothing.
+    Dropped,
+}
+
+/// Why a limit changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// Calls wait for each other below: a cut on trial.
+    Crowded,
+    /// The cut changed nothing: calls take longer now, and the limit is what it was.
+    Slower,
+    /// Wanted, and borne.
+    Wanted,
+    Failing,
+    Silent,
+    /// Nothing goes well: no calls for a while, then one.
+    Resting,
+    Tried,
+}
+
+impl Cause {
+    pub fn told(self) -> &'static str {
+        match self {
+            Cause::Crowded => "calls wait for each other below",
+            Cause::Slower => "a cut did not make calls quicker: they take longer now",
+            Cause::Wanted => "wanted, and borne",
+            Cause::Failing => "calls fail",
+            Cause::Silent => "calls do not come back",
+            Cause::Resting => "nothing goes well; rests",
+            Cause::Tried => "a call is tried after a rest",
+        }
+    }
+}
+
+/// One call in hand: when it was made, and how many were in hand then.
+#[derive(Clone, Copy, Debug)]
+pub struct Ticket {
+    at: At,
+    among: usize,
+}
+
+impl Ticket {
+    pub fn at(&self) -> At {
+        self.at
+    }
+}
+
+/// What was seen since the last judgement, of calls made since.
+#[derive(Default)]
+struct Epoch {
+    since: At,
+    good: u32,
+    secs: f64,
+    squares: f64,
+    among: f64,
+    bad: u32,
+    given_up: u32,
+    /// The limit stood in the way of a call.
+    full: bool,
+}
+
+impl Epoch {
+    fn from(since: At) -> Epoch {
+        Epoch { since, ..Epoch::default() }
+    }
+
+    fn ends(&self) -> u32 {
+        self.good + self.bad + self.given_up
+    }
+
+    /// The mean time of calls, and how far chance alone may have moved it.
+    fn time(&self) -> (f64, f64) {
+        let n = f64::from(self.good.max(1));
+        let mean = self.secs / n;
+        let spread = (self.squares / n - mean * mean).max(0.0).sqrt();
+        (mean, if self.good < 3 { mean * 0.5 } else { spread / (n - 1.0).sqrt() })
+    }
+}
+
+/// A cut on trial: the limit before it, the mean time of calls, its error and the mean number in hand before
+/// it.
+struct Trial {
+    from: f64,
+    secs: f64,
+    error: f64,
+    among: f64,
+}
+
+/// Nothing goes well: until when no call is made, and how long the next rest is.
+enum Health {
+    Well,
+    Resting { until: At, next: Span },
+    Trying { next: Span },
+}
+
+pub struct Limit {
+    most: f64,
+    now: f64,
+    /// The time of a call that waits for no other, in seconds; nothing before the first was seen.
+    base: Option<f64>,
+    /// The last calls made with few in hand: when they came back, and after how many seconds.
+    few: VecDeque<(At, f64)>,
+    epoch: Epoch,
+    trial: Option<Trial>,
+    asks: u32,
+    /// How many are asked for now, and the time of calls when that was set.
+    asked: (u32, f64),
+    shifted: At,
+    few_asks: u32,
+    calm: (At, Span),
+    /// The limit that was last borne.
+    borne: f64,
+    health: Health,
+    fails: u32,
+    silent: u32,
+    well: u32,
+    out: usize,
+    lingering: VecDeque<At>,
+    linger: Span,
+    /// When a call was last made or came back, and how many more are let go meanwhile.
+    moved: At,
+    more: usize,
+    chance: oorandom::Rand64,
+}
+
+impl Limit {
+    /// `most`: never more than that in hand; it begins there. `linger`: what is given up on may go on below
+    /// for that long.
+    pub fn new(now: At, seed: u64, most: f64, linger: Span) -> Limit {
+        let most = most.max(1.0);
+        Limit {
+            most,
+            now: most,
+            base: None,
+            few: VecDeque::new(),
+            epoch: Epoch::from(now),
+            trial: None,
+            asks: 0,
+            asked: (TRIAL_ASKS, 0.0),
+            shifted: now,
+            few_asks: 0,
+            calm: (now, CALM),
+            borne: most,
+            health: Health::Well,
+            fails: 0,
+            silent: 0,
+            well: 0,
+            out: 0,
+            lingering: VecDeque::new(),
+            linger,
+            moved: now,
+            more: 0,
+            chance: oorandom::Rand64::new(u128::from(seed)),
+        }
+    }
+
+    /// The limit itself, in calls.
+    pub fn level(&self) -> f64 {
+        self.now
+    }
+
+    /// Calls in hand.
+    pub fn out(&self) -> usize {
+        self.out
+    }
+
+    /// The time that a call takes which waits for no other.
+    pub fn base(&self) -> Option<f64> {
+        self.base
+    }
+
+    /// How many calls may be in hand now, those in hand included.
+    pub fn allowed(&self) -> usize {
+        match self.health {
+            Health::Resting { .. } => 0,
+            Health::Trying { .. } => 1 + self.more,
+            Health::Well => (self.now as usize).saturating_sub(self.lingering.len()).max(1) + self.more,
+        }
+    }
+
+    /// A call is made.
+    pub fn made(&mut self, now: At) -> Ticket {
+        self.out += 1;
+        self.moved = now;
+        Ticket { at: now, among: self.out + self.lingering.len() }
+    }
+
+    /// A call was wanted that the limit forbade.
+    pub fn wanted(&mut self) {
+        self.epoch.full = true;
+    }
+
+    /// A call ended. `held_up`: it met a pause of this process, so that its time says nothing.
+    pub fn over(&mut self, now: At, ticket: Ticket, end: End, held_up: bool) {
+        self.out = self.out.saturating_sub(1);
+        self.moved = now;
+        if matches!(end, End::GivenUp | End::Dropped) && self.linger > Span::ZERO {
+            self.lingering.push_back(now + self.linger);
+        }
+        if end == End::Good {
+            (self.more, self.silent) = (0, 0);
+            if let Health::Trying { .. } = self.health {
+                self.health = Health::Well;
+            }
+        }
+        let secs = (now - ticket.at).as_secs().max(1e-6);
+        if end == End::Good && !held_up {
+            self.sparse(now, ticket, secs);
+        }
+        if ticket.at < self.epoch.since || held_up || end == End::Dropped {
+            return;
+        }
+        let epoch = &mut self.epoch;
+        match end {
+            End::Good => {
+                epoch.good += 1;
+                epoch.secs += secs;
+                epoch.squares += secs * secs;
+                epoch.among += ticket.among as f64;
+            }
+            End::Bad => epoch.bad += 1,
+            End::GivenUp | End::Dropped => epoch.given_up += 1,
+        }
+    }
+
+    /// Few in hand that take long tell that the cause is not their number.
+    fn sparse(&mut self, now: At, ticket: Ticket, secs: f64) {
+        if ticket.among as f64 > (self.now * 0.5).max(1.0) {
+            return;
+        }
+        if self.few.len() == SPARSE_SEEN {
+            self.few.pop_front();
+        }
+        self.few.push_back((now, secs));
+        let shortest = self.few.iter().map(|f| f.1).fold(f64::MAX, f64::min);
+        let recent = self.few.front().is_some_and(|f| now - f.0 <= SPARSE_FOR);
+        if self.few.len() == SPARSE_SEEN && recent && self.base.is_some_and(|b| shortest > SLOWER * b) {
+            self.base = Some(self.few.iter().map(|f| f.1).sum::<f64>() / SPARSE_SEEN as f64);
+        }
+    }
+
+    /// Time passes, and nothing is judged: the limit stays at its most.
+    pub fn pass(&mut self, now: At) {
+        while self.lingering.front().is_some_and(|t| *t <= now) {
+            self.lingering.pop_front();
+        }
+    }
+
+    /// Time passes: judges what was seen, once that is enough. Tells from where the limit changed, and why.
+    pub fn tick(&mut self, now: At) -> Option<(f64, Cause)> {
+        self.pass(now);
+        if now < self.epoch.since {
+            // The clock stepped back: what was seen is judged by the new time.
+            self.epoch = Epoch::from(now);
+            (self.moved, self.calm.0, self.shifted) = (now, now, now);
+        }
+        if let Health::Resting { until, next } = self.health
+            && now >= until.min(now + REST_MOST.times(1.0 + REST_SPREAD))
+        {
+            self.health = Health::Trying { next };
+            self.epoch = Epoch::from(now);
+            return Some((0.0, Cause::Tried));
+        }
+        if self.out >= self.allowed() && self.out > 0 && now - self.moved >= HUNG && self.more < HUNG_MORE {
+            (self.more, self.moved) = (self.more + 1, now);
+        }
+        let passed = now - self.epoch.since;
+        let trying = matches!(self.health, Health::Trying { .. });
+        let enough = f64::from(self.epoch.ends()) >= (self.now * SEEN_PART).clamp(SEEN_LEAST, SEEN_MOST);
+        let due =
+            (enough && passed >= EPOCH_LEAST) || (self.epoch.ends() > 0 && (passed >= EPOCH_MOST || trying));
+        if !due {
+            return None;
+        }
+        let epoch = std::mem::replace(&mut self.epoch, Epoch::from(now));
+        let before = self.now;
+        let cause = self.judge(now, &epoch)?;
+        self.now = self.now.clamp(1.0, self.most);
+        let kept = matches!(cause, Cause::Resting | Cause::Slower);
+        (self.now != before || kept).then_some((before, cause))
+    }
+
+    fn judge(&mut self, now: At, e: &Epoch) -> Option<Cause> {
+        if f64::from(e.bad) > FAILING * f64::from(e.ends()) {
+            return Some(self.failing(now, e));
+        }
+        self.fails = 0;
+        if e.good == 0 {
+            self.silent += 1;
+            self.trial = None;
+            if self.silent < 2 {
+                return None;
+            }
+            self.now *= SILENT_KEEPS;
+            return Some(Cause::Silent);
+        }
+        self.silent = 0;
+        let (secs, error) = e.time();
+        let among = e.among / f64::from(e.good);
+        self.well = (self.well + 1).min(WELL_AFTER);
+        let base = match self.base {
+            None => secs,
+            Some(b) if secs + error < QUICKER * b => secs,
+            Some(b) if secs + error < b => b + BASE_ALPHA * (secs - b),
+            Some(b) => b * BASE_DRIFT,
+        };
+        self.base = Some(base);
+        if let Some(trial) = self.trial.take() {
+            return self.tried(now, &trial, (secs, error), among);
+        }
+        let base = self.base.unwrap_or(secs);
+        let queue = (among * (1.0 - base / secs)).max(0.0);
+        let surely = among * (1.0 - base / (secs - error).max(base));
+        let many = (QUEUE_MANY * self.now).max(MANY_LEAST);
+        let few = (QUEUE_FEW * self.now).max(FEW_LEAST);
+        if secs > SHIFT * self.asked.1 || secs * SHIFT < self.asked.1 {
+            (self.asked, self.shifted) = ((TRIAL_ASKS, secs), now);
+        }
+        if now - self.shifted > SOON {
+            self.asked.0 = self.asked.0.max(TRIAL_ASKS * ASKS_MORE);
+        }
+        let ask = 1 + u32::from(surely > TRIAL_PLAIN * many);
+        self.asks = if surely > many && now >= self.calm.0 { self.asks + ask } else { 0 };
+        if self.asks >= self.asked.0 && self.now > 1.0 {
+            self.asks = 0;
+            self.trial = Some(Trial { from: self.now, secs, error, among });
+            let part = (TRIAL_ROOM * base / secs).clamp(TRIAL_DEEP, TRIAL_FLAT);
+            self.now = (self.now.min(among.max(1.0)) * part).max(1.0);
+            return Some(Cause::Crowded);
+        }
+        if e.full && self.now < self.borne {
+            self.now = (self.now * REGROW).min(self.borne);
+            return Some(Cause::Wanted);
+        }
+        self.few_asks = if e.full && queue < few { self.few_asks + 1 } else { 0 };
+        if self.few_asks > 0 && self.few_asks >= self.asked.0 / ASKS_MORE {
+            self.now += (self.now * GROW).max(GROW_LEAST);
+            self.borne = self.borne.max(self.now.min(self.most));
+            return Some(Cause::Wanted);
+        }
+        None
+    }
+
+    /// What a cut on trial has shown.
+    fn tried(&mut self, now: At, trial: &Trial, (secs, error): (f64, f64), among: f64) -> Option<Cause> {
+        let if_queued = trial.secs * (among / trial.among).min(1.0);
+        let fallen = trial.secs - secs - (error * error + trial.error * trial.error).sqrt();
+        if fallen >= TRIAL_PROOF * (trial.secs - if_queued) && among < trial.among {
+            // Crowded indeed: the next cut, if there is to be one, needs no more asking than this one.
+            (self.borne, self.calm) = (self.now, (now, CALM));
+            (self.asked, self.shifted) = ((TRIAL_ASKS, secs), now);
+            return None;
+        }
+        self.asked = ((self.asked.0 * ASKS_MORE).min(ASKS_MOST), secs);
+        self.now = trial.from;
+        self.base = Some(secs);
+        self.calm = (now + self.calm.1, (self.calm.1 + self.calm.1).min(CALM_MOST));
+        Some(Cause::Slower)
+    }
+
+    fn failing(&mut self, now: At, e: &Epoch) -> Cause {
+        self.trial = None;
+        self.well = 0;
+        self.fails += 1;
+        let next = match self.health {
+            Health::Trying { next } => Some(next),
+            _ if e.good == 0 && self.fails > 1 => Some(REST),
+            _ => None,
+        };
+        if let Some(rest) = next {
+            // Spread, so that servers which saw the same failure do not come back together.
+            let spread = 1.0 - REST_SPREAD * 0.5 + REST_SPREAD * self.chance.rand_float();
+            let until = now + rest.times(spread);
+            self.health = Health::Resting { until, next: (rest + rest).min(REST_MOST) };
+            self.now = (self.now * FAIL_KEEPS).max(1.0);
+            return Cause::Resting;
+        }
+        self.now = (self.now * FAIL_KEEPS).max(1.0);
+        Cause::Failing
+    }
+}
--- /dev/null
+++ b/crates/pools/tests/limit.rs
@@ -0,0 +1,235 @@
+//! The limit on calls against what lies below in simulated time: slow, failing, silent, cold, shared, noisy.
+
+mod model;
+
+use madderbay::time::{At, Span};
+use madderbay_pools::limit::{End, Limit, Ticket};
+use model::{Mode, Seen, Way, World, at, play};
+use proptest::prelude::*;
+
+const MOST: f64 = 12.0;
+const TROUBLE: u64 = 5_000;
+const OVER: u64 = 13_000;
+
+struct Fixed(usize);
+
+impl Way for Fixed {
+    fn allowed(&self) -> usize {
+        self.0
+    }
+    fn level(&self) -> f64 {
+        self.0 as f64
+    }
+    fn made(&mut self, _: At) -> Option<Ticket> {
+        None
+    }
+    fn wanted(&mut self) {}
+    fn over(&mut self, _: At, _: Option<Ticket>, _: End, _: Span, _: usize) {}
+    fn tick(&mut self, _: At) {}
+}
+
+fn limit(most: f64) -> Limit {
+    Limit::new(at(0), 7, most, Span::millis(200))
+}
+
+fn with(mode: Mode) -> World {
+    World { script: vec![(TROUBLE, mode), (OVER, Mode::Slow(1.0))], ..World::default() }
+}
+
+/// What the limit and a fixed one at the share came to, summed over seeds.
+fn both(world: &World, most: f64, what: impl Fn(&Seen) -> f64) -> (f64, f64) {
+    let sum = |way: &dyn Fn() -> Box<dyn Way>| -> f64 {
+        (0..10).map(|seed| what(&play(&World { seed, ..world.clone() }, &mut *way()))).sum()
+    };
+    (sum(&|| Box::new(limit(most))), sum(&|| Box::new(Fixed(most as usize))))
+}
+
+/// A slow-down is no reason for fewer calls: as much is done as the slots allow.
+#[test]
+fn slower_is_not_crowded() {
+    for times in [2.0, 7.0, 20.0] {
+        for (spread, others) in [(0.3, 0), (1.0, 0), (0.3, 3)] {
+            let world = World { spread, others, ..with(Mode::Slow(times)) };
+            let (own, fixed) = both(&world, MOST, |s| f64::from(s.done(TROUBLE, OVER)));
+            assert!(own > 0.9 * fixed, "{times} times slower, spread {spread}: {own} of {fixed}");
+        }
+    }
+}
+
+/// Where crowding costs those below work, and the share allows far too many, there come to be fewer, and more
+/// is done for it.
+#[test]
+fn crowded_is_seen() {
+    let world = World { thrash: 0.5, per_second: 300.0, ..with(Mode::Slow(7.0)) };
+    let (own, fixed) = both(&world, 40.0, |s| f64::from(s.done(TROUBLE, OVER)));
+    assert!(own > 1.5 * fixed, "{own} done of {fixed} at the fixed limit");
+    let (own, fixed) = both(&world, 40.0, |s| s.peak(OVER - 2_000, OVER) as f64);
+    assert!(own < 0.7 * fixed, "{own} in hand, {fixed} at the fixed limit");
+}
+
+/// After a step back to health as much is done in the next two seconds as if there had been no limit.
+#[test]
+fn recovery_is_found_within_two_seconds() {
+    for mode in [Mode::Slow(20.0), Mode::Fails, Mode::Silent] {
+        let (own, fixed) = both(&with(mode), MOST, |s| f64::from(s.done(OVER, OVER + 2_000)));
+        assert!(own > 0.9 * fixed, "after {mode:?}: {own} of {fixed}");
+        for seed in 0..10 {
+            let seen = play(&World { seed, ..with(mode) }, &mut limit(MOST));
+            assert!(seen.done(OVER, OVER + 2_000) > 0, "after {mode:?}, seed {seed}");
+            assert!(seen.peak(OVER, OVER + 2_000) <= MOST as usize + 8, "no stampede: {mode:?}, seed {seed}");
+        }
+    }
+}
+
+/// What fails fast is not fed as if it were quick.
+#[test]
+fn fast_failures_draw_few_calls() {
+    let (own, fixed) = both(&with(Mode::Fails), MOST, |s| f64::from(s.failed(TROUBLE, OVER)));
+    assert!(own < 0.3 * fixed, "{own} failed, {fixed} without");
+}
+
+/// A cold one, slow from the start, is not taken for crowded, and its getting warm is seen.
+#[test]
+fn a_cold_one() {
+    let world = World { script: vec![(0, Mode::Slow(20.0)), (8_000, Mode::Slow(1.0))], ..World::default() };
+    let (own, fixed) = both(&world, MOST, |s| f64::from(s.done(0, 8_000)));
+    assert!(own > 0.93 * fixed, "{own} of {fixed} while cold");
+    let (own, fixed) = both(&world, MOST, |s| f64::from(s.done(8_000, 10_000)));
+    assert!(own > 0.93 * fixed, "{own} of {fixed} once warm");
+}
+
+/// From three seconds after the trouble's start and its end the limit swings by less than a fifth, but for
+/// one cut on trial in few of many worlds.
+#[test]
+fn it_settles() {
+    let (mut late, mut worlds) = (0, 0);
+    for seed in 0..24 {
+        for times in [2.0, 7.0, 20.0] {
+            for slots in [4, 8, 11] {
+                let world = World { seed, slots, ..with(Mode::Slow(times)) };
+                let seen = play(&world, &mut limit(MOST));
+                worlds += 2;
+                for swing in [seen.swing(TROUBLE + 3_000, OVER), seen.swing(OVER + 3_000, 20_000)] {
+                    late += u32::from(swing >= 0.2);
+                    assert!(swing < 1.0, "seed {seed}, {times} times slower, {slots} slots: {swing}");
+                }
+            }
+        }
+    }
+    assert!(late * 16 < worlds, "{late} of {worlds} swing late");
+}
+
+/// Its only call hangs: another is let go after a second, and a third, but no more.
+#[test]
+fn floored_at_one_with_its_only_call_hanging() {
+    let mut limit = limit(1.0);
+    let first = limit.made(at(0));
+    for ms in (10..990).step_by(10) {
+        limit.tick(at(ms));
+        assert_eq!(limit.allowed(), 1, "at {ms} ms");
+    }
+    limit.tick(at(1_000));
+    assert_eq!(limit.allowed(), 2);
+    limit.made(at(1_000));
+    for ms in (1_010..10_000).step_by(10) {
+        limit.tick(at(ms));
+        if ms == 2_500 {
+            limit.made(at(ms));
+        }
+        assert!(limit.allowed() <= 3);
+    }
+    // One that comes back well ends the exception.
+    limit.over(at(10_000), first, End::Good, false);
+    assert_eq!(limit.allowed(), 1);
+}
+
+/// Calls that met a pause of this process, or whose reqs waited for a core, tell nothing of what lies below.
+#[test]
+fn slow_here_is_not_slow_below() {
+    let mut limit = limit(8.0);
+    for n in 0..400u64 {
+        let now = n * 20;
+        let ticket = limit.made(at(now));
+        // Every call seems to take a second, since this process reads late.
+        limit.over(at(now + if n < 100 { 15 } else { 1_000 }), ticket, End::Good, n >= 100);
+        limit.wanted();
+        limit.tick(at(now + 19));
+    }
+    assert_eq!(limit.level(), 8.0);
+    assert!(limit.base().expect("seen") < 0.016);
+}
+
+#[test]
+fn time_that_stands_still_or_steps_back() {
+    let mut limit = limit(8.0);
+    for _ in 0..200 {
+        let ticket = limit.made(at(5_000));
+        limit.over(at(5_000), ticket, End::Good, false);
+        limit.tick(at(5_000));
+    }
+    assert_eq!(limit.level(), 8.0);
+    // An hour back: it goes on judging, by the new time.
+    for ms in 0..4_000u64 {
+        let ticket = limit.made(at(ms));
+        limit.over(at(ms + 1), ticket, End::Bad, false);
+        limit.tick(at(ms + 1));
+    }
+    assert!(limit.level() < 8.0);
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Make,
+    End(u8, End),
+    Pass(i64),
+    Want,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let end = prop_oneof![Just(End::Good), Just(End::Bad), Just(End::GivenUp), Just(End::Dropped)];
+    prop_oneof![
+        3 => Just(Step::Make),
+        3 => (any::<u8>(), end).prop_map(|(n, e)| Step::End(n, e)),
+        4 => (-200i64..2_000).prop_map(Step::Pass),
+        1 => Just(Step::Want),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whatever comes, in whatever time: the limit stays within its bounds, a rest ends, and no more calls
+    /// are allowed than the most, and two while calls hang.
+    #[test]
+    fn bounds_hold_whatever_comes(steps in prop::collection::vec(step(), 1..400), most in 0.2f64..50.0) {
+        let mut limit = limit(most);
+        let mut open = vec![];
+        let mut ms = 10_000i64;
+        for step in steps {
+            match step {
+                Step::Make if limit.out() < limit.allowed() => open.push(limit.made(at(ms as u64))),
+                Step::Make | Step::Want => limit.wanted(),
+                Step::End(n, end) if !open.is_empty() => {
+                    let ticket = open.swap_remove(usize::from(n) % open.len());
+                    limit.over(at(ms as u64), ticket, end, false);
+                }
+                Step::End(..) => {}
+                Step::Pass(by) => {
+                    ms = (ms + by).max(0);
+                    limit.tick(at(ms as u64));
+                }
+            }
+            prop_assert_eq!(limit.out(), open.len());
+            prop_assert!(limit.level() >= 1.0 && limit.level() <= most.max(1.0));
+            prop_assert!(limit.allowed() <= most.max(1.0) as usize + 2);
+        }
+        // Left alone, it lets a call go within two seconds.
+        for ticket in open {
+            limit.over(at(ms as u64), ticket, End::Dropped, false);
+        }
+        for more in (0..2_000).step_by(10) {
+            limit.tick(at((ms + more) as u64));
+        }
+        prop_assert!(limit.allowed() >= 1);
+    }
+}
--- /dev/null
+++ b/crates/pools/tests/pools.rs
@@ -0,0 +1,361 @@
+//! Pools: who gets what, who borrows and gives back, and what the reserve keeps.
+
+use madderbay::face::Ceiling;
+use madderbay::time::{At, Span};
+use madderbay_pools::limit::End;
+use madderbay_pools::share::{Want, ceilings, divide};
+use madderbay_pools::{Calls, Kind, Plan, Pool, Pools, Reserve, Stage};
+use proptest::prelude::*;
+
+fn at(ms: u64) -> At {
+    At::micros(50_000_000 + ms * 1_000)
+}
+
+/// `search` may skip its call, `quote` makes none, `book` must.
+const SEARCH: usize = 0;
+const QUOTE: usize = 1;
+const BOOK: usize = 2;
+
+fn kinds() -> [Kind; 3] {
+    [Calls::MaySkip, Calls::Never, Calls::Must].map(|calls| Kind { calls })
+}
+
+fn pool(name: &str, handlers: &[usize], weight: f64) -> Pool {
+    Pool { name: name.into(), handlers: handlers.to_vec(), weight, calls_weight: weight, ..Pool::default() }
+}
+
+fn pools(plan: Plan) -> Pools {
+    Pools::new(at(0), 1, Plan { share: Some(8.0), cores: 4, ..plan }, &kinds())
+}
+
+fn three(weights: [f64; 3]) -> Vec<Pool> {
+    vec![
+        pool("search", &[SEARCH], weights[0]),
+        pool("quote", &[QUOTE], weights[1]),
+        pool("book", &[BOOK], weights[2]),
+    ]
+}
+
+/// The ceiling over a pool, by its place among the pools.
+fn of(pools: &mut Pools, ms: u64, workers: f64, n: usize) -> Ceiling {
+    pools.ceilings(at(ms), workers)[1 + n].clone()
+}
+
+fn held(pools: &mut Pools, ids: std::ops::Range<u64>, handler: usize) {
+    ids.for_each(|id| pools.stage(at(1), id, handler, Stage::Held));
+}
+
+fn running(pools: &mut Pools, ms: u64, ids: std::ops::Range<u64>, handler: usize) {
+    ids.for_each(|id| pools.stage(at(ms), id, handler, Stage::Running));
+}
+
+/// Runs of so long, one after the other, so that the pools know what a run of the handler takes.
+fn measured(pools: &mut Pools, handler: usize, ms: u64) {
+    for n in 0..40 {
+        pools.stage(at(n), 900_000, handler, Stage::Running);
+        pools.over(at(n + ms), 900_000);
+    }
+}
+
+#[test]
+fn places_are_divided_by_weight() {
+    let want = |weight, wants| Want { weight, wants, most: usize::MAX };
+    assert_eq!(divide(12, &[want(1.0, 99), want(2.0, 99), want(3.0, 99)]), [2, 4, 6]);
+    // What one leaves over goes to the others, and nobody gets more than it wants or may have.
+    assert_eq!(divide(12, &[want(1.0, 99), want(2.0, 1), want(3.0, 99)]), [3, 1, 8]);
+    assert_eq!(divide(12, &[Want { most: 1, ..want(1.0, 99) }, want(1.0, 99)]), [1, 11]);
+    // One each before a second for anyone; the weightless get what is left.
+    assert_eq!(divide(3, &[want(1.0, 9), want(100.0, 9), want(0.0, 9)]), [1, 2, 0]);
+    assert_eq!(divide(3, &[want(1.0, 1), want(1.0, 1), want(0.0, 9)]), [1, 1, 1]);
+    assert_eq!(ceilings(5, &[want(1.0, 1), want(1.0, 0)]), [5, 4]);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// No place is given twice, none is left that somebody wants, and who got less than another for its
+    /// weight wanted no more, or no whole place was left to make it even.
+    #[test]
+    fn shares_are_max_min_fair(
+        total in 0usize..40,
+        pools in prop::collection::vec((0u8..4, 0usize..30, 0usize..30), 1..6),
+    ) {
+        let want = |(w, wants, most): &(u8, usize, usize)| {
+            Want { weight: f64::from(*w), wants: *wants, most: *most }
+        };
+        let pools: Vec<Want> = pools.iter().map(want).collect();
+        let given = divide(total, &pools);
+        let whole = |p: &Want| p.wants.min(p.most);
+        prop_assert_eq!(given.iter().sum::<usize>(), total.min(pools.iter().map(whole).sum()));
+        for (i, p) in pools.iter().enumerate() {
+            prop_assert!(given[i] <= whole(p));
+            if given[i] == whole(p) {
+                continue;
+            }
+            for (j, q) in pools.iter().enumerate() {
+                if p.weight > 0.0 && q.weight > 0.0 && given[j] > 1 {
+                    prop_assert!((given[i] + 1) as f64 / p.weight >= given[j] as f64 / q.weight);
+                }
+                prop_assert!(p.weight == 0.0 || q.weight > 0.0 || given[j] == 0);
+            }
+        }
+    }
+}
+
+/// What one leaves idle another borrows, and the loan ends as soon as the owner comes.
+#[test]
+fn idle_places_are_lent_and_given_back() {
+    let mut p = pools(Plan { pools: three([1.0; 3]), ..Plan::default() });
+    held(&mut p, 0..30, QUOTE);
+    assert_eq!(of(&mut p, 1, 12.0, 1).runs, 12);
+    running(&mut p, 1, 0..12, QUOTE);
+    assert_eq!(of(&mut p, 2, 12.0, 1).runs, 12);
+    held(&mut p, 100..130, SEARCH);
+    // From now on every run that ends makes room for a search until each has its half.
+    assert_eq!((of(&mut p, 3, 12.0, 0).runs, of(&mut p, 3, 12.0, 1).runs), (6, 6));
+}
+
+/// Pools that empty and fill in turn: each has all there is while it is alone, and its weight's part when
+/// not.
+#[test]
+fn pools_empty_and_fill_in_turn() {
+    let mut p = pools(Plan { pools: three([1.0, 3.0, 0.0]), ..Plan::default() });
+    for turn in 0..20u64 {
+        let (ids, more) = (turn * 1_000..turn * 1_000 + 40, turn * 1_000 + 500..turn * 1_000 + 540);
+        held(&mut p, ids.clone(), SEARCH);
+        assert_eq!(of(&mut p, turn, 16.0, 0).runs, 16);
+        held(&mut p, more.clone(), QUOTE);
+        assert_eq!((of(&mut p, turn, 16.0, 0).runs, of(&mut p, turn, 16.0, 1).runs), (4, 12));
+        ids.clone().for_each(|id| p.over(at(turn), id));
+        assert_eq!(of(&mut p, turn, 16.0, 1).runs, 16);
+        more.for_each(|id| p.over(at(turn), id));
+        assert!(p.is_empty());
+    }
+}
+
+/// Runs that stand at calls take no part in the division of the cores, and are no more than the calls allow.
+#[test]
+fn runs_at_calls_leave_the_cores_to_the_others() {
+    let mut p = pools(Plan { pools: three([1.0; 3]), ..Plan::default() });
+    held(&mut p, 0..50, BOOK);
+    held(&mut p, 100..150, QUOTE);
+    for id in 0..8 {
+        p.stage(at(1), id, BOOK, Stage::Running);
+        p.stage(at(1), id, BOOK, Stage::AtCall);
+        p.stage(at(1), id, BOOK, Stage::Calling);
+    }
+    let (book, quote) = (of(&mut p, 2, 14.0, 2), of(&mut p, 2, 14.0, 1));
+    // Eight calls and at most two on the cores, of a third of four; the rest is the quotes'.
+    assert_eq!((book.runs, book.calls, quote.runs, quote.calls), (10, 8, 4, 0));
+}
+
+/// Calls that may be left out yield to those that must be made, weight for weight.
+#[test]
+fn calls_are_divided_by_their_own_weights() {
+    let mut plan = three([1.0; 3]);
+    plan[0].calls_weight = 0.0;
+    let mut p = pools(Plan { pools: plan, ..Plan::default() });
+    running(&mut p, 1, 0..4, SEARCH);
+    assert_eq!(of(&mut p, 1, 8.0, 0).calls, 8);
+    held(&mut p, 100..104, BOOK);
+    assert_eq!(of(&mut p, 1, 8.0, 0).calls, 4);
+    held(&mut p, 104..120, BOOK);
+    assert_eq!((of(&mut p, 1, 8.0, 0).calls, of(&mut p, 1, 8.0, 2).calls), (0, 8));
+}
+
+#[test]
+fn a_handler_in_no_pool_and_a_pool_of_one() {
+    let mut p = pools(Plan { pools: vec![pool("book", &[BOOK], 1.0)], ..Plan::default() });
+    // Search and quote are in a pool of their own by the name of rest.
+    held(&mut p, 0..20, SEARCH);
+    held(&mut p, 100..120, QUOTE);
+    held(&mut p, 200..220, BOOK);
+    let rest = of(&mut p, 1, 8.0, 1);
+    assert_eq!((rest.handlers, rest.runs), (vec![SEARCH, QUOTE], 4));
+    assert_eq!(p.standing().map(|s| s.0).collect::<Vec<_>>(), ["book", "rest"]);
+    // One worker: each pool may have it, and the module's own limit tells which.
+    assert!((0..2).all(|n| of(&mut p, 1, 1.0, n).runs <= 1));
+    let mut one = pools(Plan { pools: vec![pool("all", &[SEARCH, QUOTE, BOOK], 1.0)], ..Plan::default() });
+    held(&mut one, 0..20, QUOTE);
+    assert_eq!(of(&mut one, 1, 8.0, 0).runs, 8);
+}
+
+#[test]
+fn the_operators_own_bounds_hold() {
+    let mut plan = three([1.0; 3]);
+    (plan[1].runs, plan[2].calls) = (Some(2), Some(3));
+    let mut p = pools(Plan { pools: plan, ..Plan::default() });
+    held(&mut p, 0..20, QUOTE);
+    held(&mut p, 100..120, BOOK);
+    assert_eq!((of(&mut p, 1, 12.0, 1).runs, of(&mut p, 1, 12.0, 2).calls), (2, 3));
+}
+
+/// The share of what lies below is under one call: quick calls may still go together, and the module's
+/// account keeps their mean within it.
+#[test]
+fn a_share_under_one_call() {
+    let plan = Plan { pools: three([1.0; 3]), share: Some(0.4), cores: 4, ..Plan::default() };
+    let mut p = Pools::new(at(0), 1, plan, &kinds());
+    held(&mut p, 0..20, BOOK);
+    assert_eq!(of(&mut p, 1, 12.0, 2).calls, 4);
+}
+
+/// A req that waits for a core is no sign of what lies below.
+#[test]
+fn waiting_for_a_core_does_not_shrink_the_calls() {
+    let mut p = pools(Plan { pools: three([1.0; 3]), ..Plan::default() });
+    for n in 0..200u64 {
+        let now = n * 50;
+        p.stage(at(now), n, BOOK, Stage::Running);
+        p.stage(at(now + 10), n, BOOK, Stage::AtCall);
+        p.stage(at(now + 10), n, BOOK, Stage::Calling);
+        p.call_over(at(now + 30), n, End::Good);
+        // Each run goes on for two seconds on crowded cores.
+        if n >= 40 {
+            p.over(at(now), n - 40);
+        }
+        p.ceilings(at(now + 40), 8.0);
+    }
+    assert_eq!(p.calls().map(|c| c.0), Some(8.0));
+    assert_eq!(p.changes, 0);
+}
+
+fn reserve(handlers: &[usize], part: f64) -> Option<Reserve> {
+    Some(Reserve { handlers: handlers.to_vec(), part })
+}
+
+/// What does not belong to it, by the last ceiling: who, and how many runs.
+fn outside(p: &mut Pools, ms: u64, workers: f64) -> Ceiling {
+    p.ceilings(at(ms), workers).last().expect("one over what is outside").clone()
+}
+
+#[test]
+fn the_reserve_is_kept_from_what_is_long() {
+    let mut p = pools(Plan { pools: three([1.0; 3]), reserve: reserve(&[QUOTE], 0.2), ..Plan::default() });
+    measured(&mut p, QUOTE, 30);
+    let found = outside(&mut p, 1, 10.0);
+    assert_eq!((found.handlers, found.runs), (vec![SEARCH, BOOK], 8));
+    // At least one, but never the last worker.
+    assert_eq!((outside(&mut p, 1, 2.0).runs, outside(&mut p, 1, 1.0).runs), (1, 1));
+}
+
+/// Runs as short as the reserve's own may borrow it: wanted back, it is free within one run's time, since
+/// each place that ends goes to its owner before the borrower.
+#[test]
+fn a_borrowed_reserve_is_had_back_within_a_run() {
+    let never = [Kind { calls: Calls::Never }; 2];
+    let plan = Plan {
+        pools: vec![pool("own", &[0], 1.0), pool("short", &[1], 1.0)],
+        reserve: reserve(&[0], 0.5),
+        cores: 4,
+        ..Plan::default()
+    };
+    let mut p = Pools::new(at(0), 1, plan, &never);
+    measured(&mut p, 0, 30);
+    // Unknown yet, it may not borrow; long, it may not either; as short as the own, it may.
+    assert_eq!(outside(&mut p, 100, 4.0).handlers, [1]);
+    measured(&mut p, 1, 90);
+    assert_eq!(outside(&mut p, 100, 4.0).handlers, [1]);
+    measured(&mut p, 1, 30);
+    assert_eq!(outside(&mut p, 100, 4.0).handlers, Vec::<usize>::new());
+    held(&mut p, 10..30, 1);
+    running(&mut p, 100, 10..14, 1);
+    assert_eq!(of(&mut p, 101, 4.0, 1).runs, 4);
+    // The owner comes: of four places two are its own as soon as the borrower's runs end.
+    held(&mut p, 50..60, 0);
+    assert_eq!((of(&mut p, 102, 4.0, 0).runs, of(&mut p, 102, 4.0, 1).runs), (2, 2));
+}
+
+/// None named, the one whose runs are shortest has it, and keeps it against one hardly shorter.
+#[test]
+fn the_cheapest_has_the_reserve() {
+    let mut p = pools(Plan { pools: three([1.0; 3]), reserve: reserve(&[], 0.1), ..Plan::default() });
+    assert!(p.reserved().is_empty());
+    measured(&mut p, SEARCH, 50);
+    measured(&mut p, QUOTE, 20);
+    p.ceilings(at(2_000), 8.0);
+    assert_eq!(p.reserved(), [QUOTE]);
+    measured(&mut p, SEARCH, 18);
+    p.ceilings(at(4_000), 8.0);
+    assert_eq!(p.reserved(), [QUOTE]);
+    measured(&mut p, SEARCH, 10);
+    p.ceilings(at(6_000), 8.0);
+    assert_eq!(p.reserved(), [SEARCH]);
+}
+
+/// A pool held up by its ceilings tells the time between two of its starts; one that is not tells none.
+#[test]
+fn turns_are_told_where_ceilings_hold_up() {
+    let mut p = pools(Plan { pools: three([1.0; 3]), ..Plan::default() });
+    measured(&mut p, BOOK, 800);
+    held(&mut p, 0..20, BOOK);
+    for id in 0..8 {
+        p.stage(at(1), id, BOOK, Stage::Running);
+        p.stage(at(1), id, BOOK, Stage::Calling);
+    }
+    for ms in (10..3_000).step_by(10) {
+        p.ceilings(at(ms), 12.0);
+    }
+    let turn = of(&mut p, 3_000, 12.0, 2).turn;
+    assert!(turn > Span::millis(95) && turn < Span::millis(105), "{turn:?}");
+    assert_eq!(of(&mut p, 3_000, 12.0, 1).turn, Span::ZERO);
+    // All workers busy: it is the cores that hold it up.
+    assert_eq!(of(&mut p, 3_000, 8.0, 2).turn, Span::ZERO);
+}
+
+#[derive(Clone, Debug)]
+enum Did {
+    Stage(u64, u8, u8),
+    CallOver(u64, u8),
+    Skipped(u64),
+    Over(u64),
+    Pass(i64),
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whatever is told, in whatever order and time: figures stay those of the reqs that are known, and
+    /// nothing is left once all are over.
+    #[test]
+    fn any_order_of_events(did in prop::collection::vec(prop_oneof![
+        6 => (0u64..12, 0u8..3, 0u8..4).prop_map(|(i, h, s)| Did::Stage(i, h, s)),
+        2 => (0u64..12, 0u8..4).prop_map(|(i, e)| Did::CallOver(i, e)),
+        1 => (0u64..12).prop_map(Did::Skipped),
+        3 => (0u64..12).prop_map(Did::Over),
+        3 => (-500i64..1_500).prop_map(Did::Pass),
+    ], 1..300)) {
+        let reserve = reserve(&[], 0.3);
+        let mut p = pools(Plan { pools: three([1.0, 0.0, 2.0]), reserve, ..Plan::default() });
+        let mut now = 10_000i64;
+        for event in did {
+            let time = at(now as u64);
+            match event {
+                Did::Stage(id, h, s) => {
+                    let stage = [Stage::Held, Stage::Running, Stage::AtCall, Stage::Calling][usize::from(s)];
+                    p.stage(time, id, usize::from(h), stage);
+                }
+                Did::CallOver(id, e) => {
+                    let end = [End::Good, End::Bad, End::GivenUp, End::Dropped][usize::from(e)];
+                    p.call_over(time, id, end);
+                }
+                Did::Skipped(id) => p.skipped(time, id),
+                Did::Over(id) => p.over(time, id),
+                Did::Pass(by) => now = (now + by).max(0),
+            }
+            let all = p.ceilings(at(now as u64), 8.0).to_vec();
+            for (c, (_, has)) in all[1..4].iter().zip(p.standing()) {
+                // Two more calls than the share while calls hang; a handler that makes none has none.
+                let most = if c.handlers == [QUOTE] { 0 } else { 10 };
+                prop_assert!(c.calls <= most);
+                // Beyond what it has already, no pool may start more than there are workers.
+                prop_assert!(c.runs <= has[1] + 8);
+            }
+            let counted: usize = p.standing().map(|s| s.1[0] + s.1[1]).sum();
+            prop_assert_eq!(counted, p.len());
+        }
+        (0..12).for_each(|id| p.over(at(now as u64), id));
+        prop_assert!(p.is_empty());
+        prop_assert_eq!(p.calls().map(|c| c.1), Some(0));
+    }
+}
--- a/crates/server/src/hands.rs
+++ b/crates/server/src/hands.rs
@@ -10,6 +10,8 @@
 use crate::name::Name;
 use madderbay::face::{Outcome, Results};
 use madderbay::time::{At, Span};
+use madderbay_pools::limit::End;
+use madderbay_pools::{Pools, Stage};
 use madderbay_settings::Settings;
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
@@ -55,6 +57,8 @@
     pub door: Door,
     pub engine: Link,
     pub calls: Desk,
+    /// Ceilings by pool, where the operator set any.
+    pub pools: Option<Pools>,
     pub due: BTreeSet<(At, Due)>,
     pub wake: Option<At>,
     /// When the timer that is ringing was due: the next is counted from there, so that each ring's lateness
@@ -83,6 +87,7 @@
             door: Door::new(settings, results),
             engine: Link::default(),
             calls: Desk::default(),
+            pools: None,
             due: BTreeSet::from([(now, Due::Tidy)]),
             wake: None,
             rang: now,
@@ -96,6 +101,15 @@
         }
     }
 
+    /// Tells the pools, where there are any, of a req that is in hand.
+    pub fn pooled(&mut self, id: u64, tell: impl FnOnce(&mut Pools, At, usize)) {
+        if let Some(pools) = &mut self.pools
+            && let Some(req) = self.reqs.get(&id)
+        {
+            tell(pools, self.now, req.handler);
+        }
+    }
+
     /// The final answer of a req, once.
     fn answer(&mut self, id: u64, write: impl FnOnce(&mut Vec<u8>, u64, Option<f64>)) -> bool {
         let Some(req) = self.reqs.get_mut(&id).filter(|r| !r.answered) else { return false };
@@ -129,6 +143,7 @@
 
     pub fn remove(&mut self, id: u64) {
         self.give_up_call(id);
+        self.pooled(id, |pools, now, _| pools.over(now, id));
         let Some(req) = self.reqs.remove(&id) else { return };
         self.names.remove(&req.name);
         self.calls.forget(&req.name);
@@ -139,6 +154,7 @@
         if let Some(until) = req.until.take() {
             self.due.remove(&(until, Due::Call(id)));
             self.calls.quit(self.now, &req.name);
+            self.pooled(id, |pools, now, _| pools.call_over(now, id, End::Dropped));
         }
     }
 
@@ -187,6 +203,7 @@
             self.door.started(key);
         }
         self.counters.runs += 1;
+        self.pooled(id, |pools, now, handler| pools.stage(now, id, handler, Stage::Running));
         let service = self.door.quoted(handler);
         self.command(id, "RUN", format_args!(",\"service\":{service},\"blob\":{body}"));
     }
@@ -216,6 +233,7 @@
         self.due.insert((until, Due::Call(id)));
         self.counters.calls += 1;
         self.calls.fetch(self.now, id, &req.name, patience, &req.wants);
+        self.pooled(id, |pools, now, handler| pools.stage(now, id, handler, Stage::Calling));
     }
 
     fn skip(&mut self, id: u64) {
@@ -223,6 +241,7 @@
         req.partial = true;
         let need = req.need;
         self.counters.skipped += 1;
+        self.pooled(id, |pools, now, _| pools.skipped(now, id));
         self.command(id, "SKIP", format_args!(",\"serial\":{need}"));
     }
 
@@ -237,6 +256,8 @@
     }
 
     fn join(&mut self, id: u64) {
+        // It waits for another's run and wants none of its own.
+        self.pooled(id, |pools, now, _| pools.over(now, id));
         let Some(req) = self.reqs.get(&id) else { return };
         match self.door.join(id, req.key) {
             Joined::Waits => {}
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod listen;
 pub mod logger;
 pub mod name;
+pub mod pooled;
 pub mod registry;
 pub mod serve;
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -1,12 +1,16 @@
 //! Start, signals and exit of one server.
 
+use clap::{Parser, Subcommand};
 use madderbay::time::{At, Span};
+use madderbay_operator::Operator;
+use madderbay_pools::Plan;
 use madderbay_server::clock::Clock;
 use madderbay_server::serve::{Serve, Shared};
-use madderbay_server::{calls, config, engine, listen, logger, registry};
+use madderbay_server::{calls, config, engine, listen, logger, pooled, registry};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -37,23 +41,100 @@
     config::read(&json, |name| std::env::var(name).ok())
 }
 
+/// One server before the engine that it shares a machine with, between balancers and what lies below.
+#[derive(Parser)]
+#[command(name = "madderbay", version)]
+struct Args {
+    /// The operator file: what this server does beyond its platform; without one all of that is off
+    #[arg(long, value_name = "FILE", env = "MADDERBAY_OPERATOR", global = true)]
+    operator: Option<PathBuf>,
+    #[command(subcommand)]
+    order: Option<Order>,
+}
+
+#[derive(Subcommand)]
+enum Order {
+    /// Serve, as the file that RELAY_CONFIG names tells it; also without any order
+    Run,
+    /// Tell what is wrong with an operator file, a line each; with RELAY_CONFIG set its handlers are looked
+    /// up too
+    Check { file: PathBuf },
+}
+
+/// What keeps the program from its work: a configuration that can't be served, or an operator file that is
+/// wrong.
+enum Wrong {
+    Start(String),
+    Set(Vec<String>),
+}
+
+impl From<String> for Wrong {
+    fn from(what: String) -> Wrong {
+        Wrong::Start(what)
+    }
+}
+
+/// Exit status of a wrong command line or operator file.
+const WRONGLY_SET: u8 = 2;
+
+fn operator(path: Option<&Path>) -> Result<Operator, Wrong> {
+    let Some(path) = path else { return Ok(Operator::default()) };
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|e| Wrong::Set(vec![format!("{name}: {e}")]))?;
+    madderbay_operator::read(&name, &text).map_err(Wrong::Set)
+}
+
+/// What of the operator file depends on the settings.
+fn planned(operator: &Operator, config: &config::Config) -> Result<Option<Plan>, Wrong> {
+    let plan = operator.pools.as_ref().map(|pools| pooled::plan(pools, &config.settings));
+    plan.transpose().map_err(Wrong::Set)
+}
+
+fn run(path: Option<&Path>) -> Result<(), Wrong> {
+    let operator = operator(path)?;
+    let config = set_up()?;
+    let plan = planned(&operator, &config)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
+    Ok(LocalSet::new().block_on(&runtime, serve(config, plan))?)
+}
+
+fn check(path: &Path) -> Result<(), Wrong> {
+    let operator = operator(Some(path))?;
+    if std::env::var_os("RELAY_CONFIG").is_some() {
+        planned(&operator, &set_up()?)?;
+    }
+    println!("{}: good", path.display());
+    Ok(())
+}
+
 fn main() -> ExitCode {
+    let args = match Args::try_parse() {
+        Ok(args) => args,
+        Err(e) if e.use_stderr() => {
+            eprintln!("madderbay: {}", e.to_string().lines().next().unwrap_or_default());
+            return ExitCode::from(WRONGLY_SET);
+        }
+        Err(e) => {
+            let _ = e.print();
+            return ExitCode::SUCCESS;
+        }
+    };
     logger::start(std::env::var("MADDERBAY_LOG").ok().as_deref());
     // A panic ends at its connection or turn; told by the logger, it never waits for standard error.
     std::panic::set_hook(Box::new(|what| log::error!("panic: {what}")));
-    let served = set_up().and_then(|config| {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
-        LocalSet::new().block_on(&runtime, serve(config))
-    });
+    let done = match args.order {
+        None | Some(Order::Run) => run(args.operator.as_deref()),
+        Some(Order::Check { file }) => check(&file),
+    };
     logger::flush();
-    match served {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(what) => {
-            eprintln!("madderbay: {what}");
-            ExitCode::FAILURE
-        }
-    }
+    let (lines, status) = match done {
+        Ok(()) => return ExitCode::SUCCESS,
+        Err(Wrong::Start(what)) => (vec![what], ExitCode::FAILURE),
+        Err(Wrong::Set(lines)) => (lines, ExitCode::from(WRONGLY_SET)),
+    };
+    lines.iter().for_each(|line| eprintln!("madderbay: {line}"));
+    status
 }
 
 /// What a reload can change: where the drivers learn of new addresses, and the time that a drain has.
@@ -89,7 +170,7 @@
     );
 }
 
-async fn serve(config: config::Config) -> Result<(), String> {
+async fn serve(config: config::Config, pools: Option<Plan>) -> Result<(), String> {
     let hear = |kind| signal(kind).map_err(|e| format!("signals: {e}"));
     let (mut hup, mut term) = (hear(SignalKind::hangup())?, hear(SignalKind::terminate())?);
     let (mut int, mut usr1) = (hear(SignalKind::interrupt())?, hear(SignalKind::user_defined1())?);
@@ -106,6 +187,9 @@
     let results = (config.memory_mb << 20) / RESULTS_PART;
     let serve = Serve::new(clock.now(), config.seed, config.settings.clone(), results);
     let serve = Rc::new(RefCell::new(serve));
+    if let Some(plan) = pools {
+        serve.borrow_mut().pool(clock.now(), plan);
+    }
     log::info!("{} listens on {address}", config.name);
     let (engine, engine_at) = watch::channel(config.engine);
     let (registry, registry_at) = watch::channel(config.registry);
--- /dev/null
+++ b/crates/server/src/pooled.rs
@@ -0,0 +1,76 @@
+//! Pools as the operator file sets them, over the settings' handlers; and what is told of them.
+
+use madderbay::face::{BelowKind, Outcome};
+use madderbay_operator::pools as operator;
+use madderbay_pools::limit::End;
+use madderbay_pools::{Calls, Kind, Plan, Pool, Pools, Reserve};
+use madderbay_settings::Settings;
+use std::fmt::Write;
+
+/// Names become numbers; each that is no handler is told in a line.
+pub fn plan(set: &operator::Pools, s: &Settings) -> Result<Plan, Vec<String>> {
+    let mut wrong = vec![];
+    let mut among = |names: &madderbay_operator::Names| {
+        names.among(&s.handler_names, "handler").unwrap_or_else(|what| {
+            wrong.push(what);
+            vec![]
+        })
+    };
+    let pools: Vec<Pool> = set
+        .pools
+        .iter()
+        .map(|p| Pool {
+            name: p.name.clone(),
+            handlers: among(&p.handlers),
+            weight: p.weight,
+            calls_weight: p.calls_weight,
+            runs: p.runs,
+            calls: p.calls,
+        })
+        .collect();
+    let reserve = set.reserve.as_ref().map(|r| Reserve { handlers: among(&r.handlers), part: r.part });
+    let share = (s.below.kind == BelowKind::Shared).then_some(s.below.share);
+    let cores = s.machine.cores as usize;
+    let plan = Plan { pools, reserve, adapts: set.adapts, share, linger: s.below.linger, cores };
+    if wrong.is_empty() { Ok(plan) } else { Err(wrong) }
+}
+
+/// What each handler's runs do about calls.
+pub fn kinds(s: &Settings) -> Vec<Kind> {
+    let calls = |h: &madderbay::face::Handler| match (h.calls, h.partial_value > 0.0) {
+        (false, _) => Calls::Never,
+        (true, true) => Calls::MaySkip,
+        (true, false) => Calls::Must,
+    };
+    s.handlers.iter().map(|h| Kind { calls: calls(h) }).collect()
+}
+
+/// What the end of a call tells of what lies below.
+pub fn end(how: Outcome) -> End {
+    match how {
+        Outcome::Done => End::Good,
+        Outcome::TimedOut => End::GivenUp,
+        Outcome::Shed | Outcome::Errored | Outcome::Unreached | Outcome::CutOff => End::Bad,
+        Outcome::Stopped | Outcome::Moot => End::Dropped,
+    }
+}
+
+/// What each pool has and may have, a line a figure.
+pub fn counters(pools: &Pools) -> String {
+    let mut text = String::new();
+    let mut line = |name: &str, value: usize| {
+        // No ceiling at all is told as 0.
+        let value = if value == usize::MAX { 0 } else { value };
+        let _ = writeln!(text, "counter pools.{name} {value}");
+    };
+    for (pool, figures) in pools.standing() {
+        let names = ["held", "runs", "calls", "runs_most", "calls_most"];
+        names.iter().zip(figures).for_each(|(what, value)| line(&format!("{pool}.{what}"), value));
+    }
+    if let Some((limit, out)) = pools.calls() {
+        line("calls.limit", limit as usize);
+        line("calls.out", out);
+    }
+    line("calls.limit_changes", pools.changes as usize);
+    text
+}
--- a/crates/server/src/serve.rs
+++ b/crates/server/src/serve.rs
@@ -13,10 +13,13 @@
 use madderbay::decide::Decider;
 use madderbay::face::{Gauges, Outcome, Results};
 use madderbay::time::{At, Span};
+use madderbay_pools::{Plan, Pools, Stage};
 use madderbay_settings::Settings;
 use std::cell::RefCell;
 use std::rc::Rc;
 
+/// The timer this late tells that this process was held up, and so every reply that it reads now.
+const HELD_UP: Span = Span::millis(30);
 /// Time between two looks for catalogue connections that stand idle and table entries whose term is over:
 /// much finer than either's span.
 const TIDY: Span = Span::millis(1_000);
@@ -40,6 +43,11 @@
         Serve { decider: None, settings, seed, on_cores, gauges: Gauges::default(), hands }
     }
 
+    /// Sets pools up; without, nothing binds but the module's own limits.
+    pub fn pool(&mut self, now: At, plan: Plan) {
+        self.hands.pools = Some(Pools::new(now, self.seed, plan, &crate::pooled::kinds(&self.settings)));
+    }
+
     /// Lets the module decide; what that ends at once is told to it as well.
     fn decide(&mut self, now: At, act: impl FnOnce(&mut Decider, &mut Hands)) {
         self.consider(now, act);
@@ -142,6 +150,10 @@
         };
         self.hands.names.insert(name, arrival.id);
         self.hands.reqs.insert(arrival.id, req);
+        self.hands.now = now;
+        self.hands.pooled(arrival.id, |pools, now, handler| {
+            pools.stage(now, arrival.id, handler, Stage::Held);
+        });
         if self.decider.is_none() {
             // Nothing can run before the engine is up.
             self.hands.shed(arrival.id, Span::ZERO, false);
@@ -192,6 +204,14 @@
         if let Some(until) = self.hands.reqs.get_mut(&id).and_then(|r| r.until.take()) {
             self.hands.due.remove(&(until, Due::Call(id)));
         }
+        self.hands.now = now;
+        let late = self.hands.wake.is_some_and(|due| now - due > HELD_UP);
+        self.hands.pooled(id, |pools, now, _| {
+            if late {
+                pools.held_up(now);
+            }
+            pools.call_over(now, id, crate::pooled::end(how));
+        });
         self.decide(now, |d, hands| d.call_back(now, id, how, spent, hands));
     }
 
@@ -234,9 +254,24 @@
             self.consider(now, |d, hands| d.tick(now, &gauges, hands));
             self.hands.engine.rang();
         }
+        self.ceilings(now);
         self.consider(now, |d, hands| d.settle(now, hands));
     }
 
+    /// What the pools may have now is handed to the module before it settles.
+    fn ceilings(&mut self, now: At) {
+        let (Some(decider), Some(pools)) = (&mut self.decider, &mut self.hands.pools) else { return };
+        let [_, _, workers, _] = decider.vitals();
+        decider.heed(pools.ceilings(now, workers));
+        let (told, untold) = pools.told();
+        for change in told {
+            log::info!("pools: calls {:.1} to {:.1}: {}", change.from, change.to, change.cause);
+        }
+        if untold > 0 {
+            log::info!("pools: {untold} changes more");
+        }
+    }
+
     fn patience_over(&mut self, now: At, id: u64) {
         let Some(req) = self.hands.reqs.get_mut(&id) else { return };
         req.until = None;
@@ -272,7 +307,8 @@
     pub fn counters(&self) -> String {
         let h = &self.hands;
         let open = h.reqs.values().filter(|r| !r.answered).count();
-        h.counters.lines(open, h.reqs.len(), h.conns.len(), h.calls.out(), h.door.entries())
+        let own = h.counters.lines(open, h.reqs.len(), h.conns.len(), h.calls.out(), h.door.entries());
+        own + &h.pools.as_ref().map_or(String::new(), crate::pooled::counters)
     }
 }
 
@@ -339,6 +375,8 @@
             Ok(body) => req.wants = body,
             Err(_) => log::warn!("engine: the body of a call is no base64"),
         }
+        self.hands.now = now;
+        self.hands.pooled(id, |pools, now, handler| pools.stage(now, id, handler, Stage::AtCall));
         self.decide(now, |d, hands| d.at_call(now, id, hands));
     }
 
--- a/crates/server/tests/binary.rs
+++ b/crates/server/tests/binary.rs
@@ -2,133 +2,62 @@
 
 mod common;
 
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
-use std::process::{Child, ChildStderr, Command, Output, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::mpsc::{Receiver, channel};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
-
-/// Far longer than anything here takes: a hang fails instead of lasting.
-const PATIENCE: Duration = Duration::from_secs(20);
+use madderbay_standins::peer::{Peer, local};
+use madderbay_standins::server::{self, Others, configuration, written};
+use madderbay_standins::{PATIENCE, registry, unix_ms};
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::ops::{Deref, DerefMut};
+use std::path::Path;
+use std::process::Output;
+use std::sync::mpsc::Receiver;
+use std::time::Duration;
 
 /// Time between the notice to leave and the kill.
 const STOP_MS: u64 = 800;
 
-/// One end of a connection, line by line.
-struct Peer(BufReader<TcpStream>);
-
-impl Peer {
-    fn new(stream: TcpStream) -> Peer {
-        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
-        Peer(BufReader::new(stream))
-    }
-    fn accept(listener: &TcpListener) -> Peer {
-        Peer::new(listener.accept().expect("a connection").0)
-    }
-    fn say(&mut self, text: &str) {
-        self.0.get_mut().write_all(text.as_bytes()).expect("written");
-    }
-    fn line(&mut self) -> String {
-        let mut line = String::new();
-        self.0.read_line(&mut line).expect("a line in time");
-        line.trim_end().to_string()
-    }
-    /// The next command to the engine; questions for the gauges are answered on the way.
-    fn command(&mut self) -> String {
-        loop {
-            let line = self.line();
-            let Some(rest) = line.strip_prefix("{\"msg\":\"STAT\",\"cookie\":") else { return line };
-            let cookie = rest.trim_end_matches('}');
-            self.say(&format!("{{\"msg\":\"STATS\",\"cookie\":{cookie},\"stats\":[0.1,1,0.1,1]}}\n"));
-        }
-    }
-}
-
+/// The program between an engine and a catalogue that are played by hand.
 struct Server {
-    child: Child,
-    log: BufReader<ChildStderr>,
-    address: SocketAddr,
+    program: server::Server,
     engine: TcpListener,
     catalogue: TcpListener,
     reports: Receiver<String>,
-    path: PathBuf,
-}
-
-fn local() -> TcpListener {
-    TcpListener::bind("127.0.0.1:0").expect("a free port")
 }
 
-fn written(text: &str) -> PathBuf {
-    static COUNT: AtomicU32 = AtomicU32::new(0);
-    let n = COUNT.fetch_add(1, Ordering::Relaxed);
-    let path = std::env::temp_dir().join(format!("madderbay-test-{}-{n}.json", std::process::id()));
-    std::fs::write(&path, text).expect("a file");
-    path
-}
-
-fn configuration(listen: &str, others: [SocketAddr; 3], sockets: usize, settings: &str) -> String {
-    let [engine, registry, catalogue] = others;
-    format!(
-        "{{\"name\":\"n1\",\"listen\":\"{listen}\",\"engine\":\"{engine}\",\"registry\":\"{registry}\",\
-         \"catalog\":\"{catalogue}\",\"seed\":\"8c1f30d27a5be964\",\"stop_ms\":{STOP_MS},\
-         \"limits\":{{\"cores\":1.0,\"memory_mb\":64,\"sockets\":{sockets}}},\"settings\":{settings}}}"
-    )
+impl Deref for Server {
+    type Target = server::Server;
+    fn deref(&self) -> &server::Server {
+        &self.program
+    }
 }
 
-fn binary(config: Option<&PathBuf>) -> Command {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_madderbay"));
-    command.env_remove("RELAY_CONFIG").env_remove("RELAY_NAME").env_remove("RELAY_LISTEN");
-    command.env_remove("MADDERBAY_LOG").stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
-    if let Some(path) = config {
-        command.env("RELAY_CONFIG", path);
+impl DerefMut for Server {
+    fn deref_mut(&mut self) -> &mut server::Server {
+        &mut self.program
     }
-    command
 }
 
-/// A registry that answers every report and passes its body on.
-fn registry() -> (SocketAddr, Receiver<String>) {
-    let listener = local();
-    let address = listener.local_addr().expect("an address");
-    let (to, from) = channel();
-    std::thread::spawn(move || {
-        let mut peer = Peer::accept(&listener);
-        loop {
-            let mut head = vec![];
-            while head.last().is_none_or(|l: &String| !l.is_empty()) {
-                let line = peer.line();
-                if line.is_empty() && head.is_empty() {
-                    return;
-                }
-                head.push(line);
-            }
-            let length = head.iter().find_map(|l| l.strip_prefix("Content-Length: ")).expect("a length");
-            let mut body = vec![0; length.parse().expect("a number")];
-            peer.0.read_exact(&mut body).expect("a body");
-            if to.send(format!("{} {}", head[0], String::from_utf8_lossy(&body))).is_err() {
-                return;
-            }
-            peer.say("HTTP/1.1 204 No Content\r\n\r\n");
-        }
-    });
-    (address, from)
+fn program() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_madderbay"))
 }
 
 impl Server {
     fn start(sockets: usize) -> Server {
+        Server::set(sockets, None)
+    }
+
+    fn set(sockets: usize, operator: Option<&str>) -> Server {
         let (engine, catalogue) = (local(), local());
-        let (registry, reports) = registry();
+        let (registry, reports) = registry::start();
         let settings = common::SETTINGS.replace("\"drain_grace_us\": 2000000", "\"drain_grace_us\": 50000");
-        let others = [engine.local_addr().unwrap(), registry, catalogue.local_addr().unwrap()];
-        let path = written(&configuration("127.0.0.1:0", others, sockets, &settings));
-        let mut child = binary(Some(&path)).spawn().expect("the binary starts");
-        let mut log = BufReader::new(child.stderr.take().expect("its log"));
-        let mut line = String::new();
-        log.read_line(&mut line).expect("a line");
-        let address = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
-        let address = address.unwrap_or_else(|| panic!("no address in '{line}'"));
-        Server { child, log, address, engine, catalogue, reports, path }
+        let others = Others {
+            engine: engine.local_addr().unwrap(),
+            registry,
+            catalogue: catalogue.local_addr().unwrap(),
+        };
+        let text = configuration("127.0.0.1:0", others, sockets, STOP_MS, &settings);
+        let program = server::Server::start(program(), &text, operator);
+        Server { program, engine, catalogue, reports }
     }
 
     fn link(&self, attach: &str) -> Peer {
@@ -142,39 +71,14 @@
         Peer::new(TcpStream::connect(self.address).expect("a connection"))
     }
 
-    fn signal(&self, name: &str) {
-        let done = Command::new("kill").args([name, &self.child.id().to_string()]).status();
-        assert!(done.expect("kill runs").success());
-    }
-
-    /// Waits for a line of the log that holds this.
-    fn log_at(&mut self, part: &str) {
-        let mut line = String::new();
-        while !line.contains(part) {
-            line.clear();
-            assert!(self.log.read_line(&mut line).expect("a line") > 0, "the log ends before '{part}'");
-        }
-    }
-
     /// The rest of the log after the server has ended by itself.
-    fn ended(mut self) -> String {
-        let mut log = String::new();
-        self.log.read_to_string(&mut log).expect("the log");
-        assert!(self.child.wait().expect("an end").success());
-        log
-    }
-}
-
-impl Drop for Server {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.path);
+    fn ended(self) -> String {
+        self.program.ended()
     }
 }
 
 fn req(id: u32, method: &str, own: u32, replay: &str) -> String {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("a time").as_millis();
+    let now = unix_ms();
     let key = if replay.is_empty() { String::new() } else { format!("\"replay\":\"{replay:0>32}\",") };
     format!(
         "{{\"jsonrpc\":\"2.0\",\"id\":{id},\"method\":\"{method}\",\"params\":{{\"ref\":\"{own:016x}\",\
@@ -257,9 +161,14 @@
     std::fs::write(&server.path, "{\"name\":\"n1\",").unwrap();
     server.signal("-HUP");
     server.log_at("nothing is changed");
-    let (new_engine, new_catalogue, (registry, reports)) = (local(), local(), registry());
-    let others = [new_engine.local_addr().unwrap(), registry, new_catalogue.local_addr().unwrap()];
-    std::fs::write(&server.path, configuration("127.0.0.1:0", others, 64, common::SETTINGS)).unwrap();
+    let (new_engine, new_catalogue, (registry, reports)) = (local(), local(), registry::start());
+    let others = Others {
+        engine: new_engine.local_addr().unwrap(),
+        registry,
+        catalogue: new_catalogue.local_addr().unwrap(),
+    };
+    std::fs::write(&server.path, configuration("127.0.0.1:0", others, 64, STOP_MS, common::SETTINGS))
+        .unwrap();
     server.signal("-HUP");
     server.log_at("reload: limits has changed, which only a restart can take");
     server.log_at("reload: settings has changed, which only a restart can take");
@@ -391,7 +300,7 @@
 
 fn fails(config: Option<&str>, listen: Option<&str>) -> String {
     let path = config.map(written);
-    let mut command = binary(path.as_ref());
+    let mut command = server::command(program(), path.as_deref());
     if let Some(listen) = listen {
         command.env("RELAY_LISTEN", listen);
     }
@@ -408,7 +317,8 @@
 fn bad_starts_are_told_in_a_line() {
     let taken = local();
     let address = taken.local_addr().unwrap();
-    let good = configuration(&address.to_string(), [address; 3], 128, common::SETTINGS);
+    let others = Others { engine: address, registry: address, catalogue: address };
+    let good = configuration(&address.to_string(), others, 128, STOP_MS, common::SETTINGS);
     assert!(fails(None, None).contains("RELAY_CONFIG"));
     assert!(fails(Some("{"), None).contains("configuration"));
     assert!(fails(Some(&good.replace("\"seed\":\"8c", "\"seed\":\"xx")), None).contains("seed"));
@@ -426,3 +336,84 @@
     }
     assert!(fails(Some(&good), Some("192.0.2.1:1")).contains("192.0.2.1"));
 }
+
+fn orders(args: &[&str], config: Option<&str>) -> (i32, Vec<String>) {
+    let path = config.map(written);
+    let found = server::command(program(), path.as_deref()).args(args).output().expect("it runs");
+    path.iter().for_each(|p| std::fs::remove_file(p).expect("removed"));
+    let text = String::from_utf8(found.stderr).expect("text");
+    (found.status.code().expect("a status"), text.lines().map(str::to_string).collect())
+}
+
+/// A wrong operator file is told whole, a line each, and nothing starts; with a configuration at hand its
+/// handlers are looked up, too.
+#[test]
+fn an_operator_file_is_checked_before_anything_starts() {
+    let address = local().local_addr().unwrap();
+    let others = Others { engine: address, registry: address, catalogue: address };
+    let config = configuration("127.0.0.1:0", others, 128, STOP_MS, common::SETTINGS);
+    let file =
+        written("[pools]\nenabled = on\n[pool a]\nhandlers = quote, bock\n[reserve]\nhandlers = seek\n");
+    let name = file.to_str().expect("a name");
+    assert_eq!(orders(&["check", name], None), (0, vec![]));
+    let wrong = vec![
+        format!(
+            "madderbay: {name}:4: [pool a] handlers: 'bock' is no handler; known are search, quote, book"
+        ),
+        format!(
+            "madderbay: {name}:6: [reserve] handlers: 'seek' is no handler; known are search, quote, book"
+        ),
+    ];
+    assert_eq!(orders(&["check", name], Some(&config)), (2, wrong.clone()));
+    assert_eq!(orders(&["--operator", name], Some(&config)), (2, wrong.clone()));
+    assert_eq!(orders(&["run", "--operator", name], Some(&config)), (2, wrong));
+    std::fs::write(&file, "[pools]\nenabled = maybe\n[pols]\n").expect("written");
+    let (status, lines) = orders(&["check", name], None);
+    assert_eq!((status, lines.len()), (2, 2), "{lines:?}");
+    std::fs::remove_file(&file).expect("removed");
+    let (status, lines) = orders(&["check", name], None);
+    assert!(status == 2 && lines.len() == 1 && lines[0].contains(name), "{lines:?}");
+    let (status, lines) = orders(&["chekc"], None);
+    assert!(status == 2 && lines.len() == 1 && lines[0].starts_with("madderbay: error"), "{lines:?}");
+}
+
+/// A pool's calls wait for each other within its bound, and the counters tell of each pool.
+#[test]
+fn pools_bind_calls_on_the_real_program() {
+    let operator = "[pools]\nenabled = on\n[pool seats]\nhandlers = book\ncalls = 1\n";
+    let server = Server::set(128, Some(operator));
+    let mut engine = server.link("{\"msg\":\"ATTACH\",\"serial\":0}");
+    assert!(server.reports.recv().unwrap().contains("ready"));
+    assert!(engine.line().contains("STAT"));
+    engine.say("{\"msg\":\"STATS\",\"cookie\":\"1\",\"stats\":[0.1,1,0.1,1]}\n");
+    let mut a = server.balancer();
+    for (id, key) in [(1, "5"), (2, "6")] {
+        a.say(&req(id, "book", id, key));
+        assert!(engine.command().contains("\"RUN\""));
+    }
+    for n in [1, 2] {
+        engine.say(&format!("{{\"msg\":\"NEED\",\"serial\":{n},\"call\":\"{n:016x}\",\"blob\":\"YWJj\"}}\n"));
+    }
+    let mut catalogue = Peer::accept(&server.catalogue);
+    assert!(catalogue.line().starts_with("FETCH 0000000000000001 "));
+    assert_eq!(catalogue.line(), "abc");
+    // The second call goes out only when the first is back.
+    catalogue.say("0000000000000001 DATA 3\r\nxyz\r\n");
+    assert!(engine.command().contains("\"FEED\",\"call\":\"0000000000000001\""));
+    assert!(catalogue.line().starts_with("FETCH 0000000000000002 "));
+    assert_eq!(catalogue.line(), "abc");
+    server.signal("-USR1");
+    catalogue.say("0000000000000002 DATA 3\r\nxyz\r\n");
+    assert!(engine.command().contains("\"FEED\",\"call\":\"0000000000000002\""));
+    engine.say(&done(3, 1, "AA=="));
+    engine.say(&done(4, 2, "AA=="));
+    assert!(a.line().contains("\"result\"") && a.line().contains("\"result\""));
+    server.signal("-TERM");
+    assert!(a.line().contains("leaving"));
+    drop(a);
+    let log = server.ended();
+    for line in ["pools.seats.calls_most 1", "pools.seats.runs 2", "pools.rest.held 0", "pools.calls.limit 8"]
+    {
+        assert!(log.contains(&format!("counter {line}\n")), "{line} in {log}");
+    }
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -346,12 +346,15 @@
     best: f64,
     refused: f64,
     waiting: Vec<No>,
+    /// Ceilings from outside tell a slow below from a crowded one: this account shrinks by itself no more.
+    heeding: bool,
 }
 
 impl Calls {
     /// The part of this server's share that calls may hold: it shrinks as they slow, for any cause.
     fn part(&self) -> f64 {
-        (CALLS_MOST * CALLS_SLOW * self.best / self.time).clamp(CALLS_LEAST, CALLS_MOST)
+        let least = if self.heeding { CALLS_MOST } else { CALLS_LEAST };
+        (CALLS_MOST * CALLS_SLOW * self.best / self.time).clamp(least, CALLS_MOST)
     }
 
     /// Brings the account up to now; gives the number in hand and the most that the account may hold.
@@ -469,6 +472,7 @@
     calls: Calls,
     links: Links,
     tenants: Tenants,
+    ceilings: Vec<Ceiling>,
     pace: f64,
     good: bool,
     erring: f64,
@@ -500,7 +504,7 @@
             rules: rules.clone(),
             part,
             by_work: place.value_by_work,
-            book: Book::default(),
+            book: Book::of(handlers.len()),
             keys: KeyBook::default(),
             due: BTreeSet::new(),
             budget: Budget::new(now, machine.cores, handlers, part),
@@ -510,6 +514,7 @@
             calls: Calls { credit, counted: now, time, best: time * 0.5, ..Calls::default() },
             links: Links { last: HashMap::new(), soon: 0.5, limit: Span::ZERO },
             tenants: Tenants::new(now, tenants, place),
+            ceilings: vec![],
             pace: 1.0,
             good: true,
             erring: 0.0,
@@ -528,6 +533,29 @@
         [self.budget.secs, self.share.admitted, self.crew.limit, self.links.last.len() as f64]
     }
 
+    /// How much groups of handlers may have in hand from now on. They bind starts and calls, and tell how
+    /// long a held req waits for its group; none bind nothing.
+    pub fn heed(&mut self, ceilings: &[Ceiling]) {
+        self.ceilings.clear();
+        self.ceilings.extend_from_slice(ceilings);
+        self.calls.heeding = !ceilings.is_empty();
+    }
+
+    /// Whether one more run, or one more call, of a handler is within all its ceilings.
+    fn fits(&self, handler: usize, call: bool) -> bool {
+        self.ceilings.iter().filter(|c| c.handlers.contains(&handler)).all(|c| {
+            let [runs, calls] = self.book.load(&c.handlers);
+            if call { calls < c.calls } else { runs < c.runs }
+        })
+    }
+
+    /// The longest wait that the ceilings over a handler make after so many of each group, and whose it is.
+    fn turn(&self, handler: usize, queued: &[f64]) -> (f64, Option<usize>) {
+        let over = self.ceilings.iter().enumerate().filter(|(_, c)| c.handlers.contains(&handler));
+        let waits = over.map(|(i, c)| (queued[i] * c.turn.as_secs(), Some(i)));
+        waits.fold((0.0, None), |most, w| if w.0 > most.0 { w } else { most })
+    }
+
     /// First words of a new life: checks are answered from store, since each real one costs work.
     pub fn begin(&mut self, out: &mut dyn Results) {
         out.health(true);
@@ -678,6 +706,12 @@
     fn shed(&mut self, now: At, r: No, out: &mut dyn Results) {
         let held = self.hold.lines.iter().flatten().map(|e| self.expected(e.1).as_secs());
         let wait = (held.sum::<f64>() + self.started()) / self.crew.limit;
+        let before = |c: &Ceiling| {
+            let lines = self.hold.lines.iter().flatten();
+            lines.filter(|e| c.handlers.contains(&self.book.reqs[e.1].handler)).count() as f64
+        };
+        let queued: Vec<f64> = self.ceilings.iter().map(before).collect();
+        let wait = wait.max(self.turn(self.book.reqs[r].handler, &queued).0);
         let away = Span::secs(STAY_AWAY * wait * (0.5 + self.chance.rand_float()));
         let last = self.all_crowded(now, r);
         out.shed(self.book.reqs[r].id, away.min(self.callers.come_back_max), last);
@@ -737,9 +771,14 @@
 
     // Stage 6: start, under the worker limit, the crowd and the memory, with its EqResv allowance.
     fn start(&mut self, now: At, out: &mut dyn Results) {
-        // While calls wait for room below, a run that can't skip its own would only join them at its cost.
+        // While calls wait for room below, a run that can't skip its own would only join them at its cost;
+        // ceilings allow for as many as keep the room in use.
         let bound = |h: &Handler| h.calls && h.partial_value == 0.0;
-        let may = |d: &Self, r: No| d.calls.waiting.is_empty() || !bound(&d.handlers[d.book.reqs[r].handler]);
+        let may = |d: &Self, r: No| {
+            let h = d.book.reqs[r].handler;
+            let room = d.calls.waiting.is_empty() || !d.ceilings.is_empty();
+            (room || !bound(&d.handlers[h])) && d.fits(h, false)
+        };
         while let Some(r) = self.hold.first(|r| may(self, r)) {
             let grown = self.memory() + self.book.reqs[r].kb * (self.machine.running_factor - 1.0);
             let limit = self.crew.limit.min(ceiling(now, self.began, &self.machine)).max(1.0);
@@ -775,6 +814,9 @@
     // server's part of what lies below is taken: calls that can't be skipped go first.
     fn call_stage(&mut self, now: At, r: No, out: &mut dyn Results) {
         let rank = self.share.rank(self.book.reqs[r].value, 1.0);
+        let fits = self.fits(self.book.reqs[r].handler, true);
+        // What must call goes first where places are few.
+        let after = !self.ceilings.is_empty() && !self.calls.waiting.is_empty();
         let req = &mut self.book.reqs[r];
         let optional = self.handlers[req.handler].partial_value > 0.0;
         let spent = now - req.started > req.allowance && self.budget.worst() > 1.0;
@@ -783,9 +825,9 @@
         if late && !optional && late_is_nothing && self.calls.out > 0 {
             // Nothing is gained by the time its call is back: another run has better use for the call.
             self.give_error(r, out);
-        } else if optional && (spent || late || !self.calls.room(now, &self.below, rank)) {
+        } else if optional && (spent || late || after || !fits || !self.calls.room(now, &self.below, rank)) {
             req.skip(out);
-        } else if !self.calls.room(now, &self.below, 1.0) {
+        } else if !fits || !self.calls.room(now, &self.below, 1.0) {
             self.calls.waiting.push(r);
         } else {
             // A call far past the usual time is stuck, most often at a machine gone silent, and holds a run;
@@ -794,22 +836,22 @@
             let bears = self.below.span.times(self.below.share * CALLS_MOST);
             let stuck = now + if self.below.kind == BelowKind::Shared { usual.min(bears) } else { usual };
             let until = if optional || late_is_nothing { req.target } else { req.due.before(MARGIN) };
-            req.stage = Stage::Calling;
-            self.calls.out += 1;
             out.call(req.id, (until.min(stuck) - now).max(Span::millis(1)));
+            self.calls.out += 1;
+            self.book.calling(r, Stage::Calling);
         }
     }
 
     /// A call came back.
     pub fn call_back(&mut self, now: At, id: u64, outcome: Outcome, spent: Span, out: &mut dyn Results) {
         let Some(r) = self.book.find(id, |q| q.stage == Stage::Calling) else { return };
-        let req = &mut self.book.reqs[r];
         self.calls.over(now, outcome, spent, &self.below);
+        self.book.calling(r, if outcome == Outcome::Done { Stage::Running } else { Stage::AtCall });
         if outcome == Outcome::Done {
-            req.stage = Stage::Running;
             return;
         }
-        (req.stage, req.tries) = (Stage::AtCall, req.tries + 1);
+        let req = &mut self.book.reqs[r];
+        req.tries += 1;
         if req.answered {
             return;
         }
@@ -881,7 +923,9 @@
         let gap = now - self.ticked;
         self.ticked = now;
         let ceiling = ceiling(now, self.began, &self.machine);
-        let full = self.hold.len() > 0 && self.book.running as f64 + 1.0 > self.crew.limit;
+        // Ceilings follow the limit and bind before it: where they hold a req up the limit may be the cause.
+        let full = self.book.running as f64 + 1.0 > self.crew.limit || !self.ceilings.is_empty();
+        let full = full && self.hold.len() > 0;
         self.crew.step(self.budget.cores, gauges.on_cores.unwrap_or(self.book.running as f64), full, ceiling);
         self.calls.count(now, &self.below);
         self.erring *= ERR_KEEPS;
@@ -997,14 +1041,23 @@
         let mut ahead = self.started();
         let mut taken: Vec<(No, f64)> = vec![];
         let mut lost: Vec<No> = vec![];
+        let mut queued = vec![0.0; self.ceilings.len()];
         let value = |r: No| self.book.reqs[r].value;
+        let under = |r: No, i: usize| self.ceilings[i].handlers.contains(&self.book.reqs[r].handler);
         for r in self.hold.in_order() {
             let run = self.expected(r).as_secs();
             taken.push((r, run));
-            if now + Span::secs(ahead / self.crew.limit + run) > self.book.reqs[r].target {
+            queued.iter_mut().enumerate().for_each(|(i, q)| *q += f64::from(u8::from(under(r, i))));
+            let (turn, whose) = self.turn(self.book.reqs[r].handler, &queued);
+            let wait = ahead / self.crew.limit;
+            if now + Span::secs(wait.max(turn) + run) > self.book.reqs[r].target {
                 let rank = |i: usize| (value(taken[i].0), -taken[i].1);
                 let least = |a: &usize, b: &usize| rank(*a).partial_cmp(&rank(*b)).unwrap_or(Equal);
-                let (victim, freed) = taken.remove((0..taken.len()).rev().min_by(least).unwrap_or(0));
+                // Where its group is what it waits for, only one of the group makes it wait less.
+                let same = |i: &usize| turn <= wait || whose.is_none_or(|w| under(taken[*i].0, w));
+                let place = (0..taken.len()).rev().filter(same).min_by(least).unwrap_or(0);
+                let (victim, freed) = taken.remove(place);
+                queued.iter_mut().enumerate().for_each(|(i, q)| *q -= f64::from(u8::from(under(victim, i))));
                 lost.push(victim);
                 ahead -= freed;
             }
--- a/src/face.rs
+++ b/src/face.rs
@@ -128,6 +128,16 @@
     pub repeats: u64,
 }
 
+/// How much a group of handlers may have in hand now. A handler may be in several groups; each binds it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ceiling {
+    pub handlers: Vec<usize>,
+    pub runs: usize,
+    pub calls: usize,
+    /// The time between two starts of the group, while its ceilings are what holds its reqs up.
+    pub turn: Span,
+}
+
 /// How a run or a call came out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
--- a/src/req.rs
+++ b/src/req.rs
@@ -108,9 +108,15 @@
     pub held_kb: f64,
     pub run_kb: f64,
     pub running: usize,
+    /// Runs and calls out of each handler.
+    pub loads: Vec<[usize; 2]>,
 }
 
 impl Book {
+    pub fn of(handlers: usize) -> Book {
+        Book { loads: vec![[0, 0]; handlers], ..Book::default() }
+    }
+
     /// The req of this id, if it is in hand and like that.
     pub fn find(&self, id: u64, like: impl Fn(&Req) -> bool) -> Option<No> {
         self.ids.get(&id).copied().filter(|r| like(&self.reqs[*r]))
@@ -130,6 +136,22 @@
         self.held_kb -= req.kb;
         self.run_kb += req.kb;
         self.running += 1;
+        self.loads[req.handler][0] += 1;
+    }
+
+    /// The req's call is out, or was.
+    pub fn calling(&mut self, r: No, stage: Stage) {
+        let req = &mut self.reqs[r];
+        let load = &mut self.loads[req.handler][1];
+        *load -= usize::from(req.stage == Stage::Calling);
+        *load += usize::from(stage == Stage::Calling);
+        req.stage = stage;
+    }
+
+    /// What a group of handlers has of runs and calls.
+    pub fn load(&self, handlers: &[usize]) -> [usize; 2] {
+        let sum = |i: usize| handlers.iter().filter_map(|h| self.loads.get(*h)).map(|l| l[i]).sum();
+        [sum(0), sum(1)]
     }
 
     pub fn remove(&mut self, r: No) {
@@ -138,6 +160,8 @@
         if req.stage.started() {
             self.run_kb -= req.kb;
             self.running -= 1;
+            self.loads[req.handler][0] -= 1;
+            self.loads[req.handler][1] -= usize::from(req.stage == Stage::Calling);
         } else {
             self.held_kb -= req.kb;
         }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -4,6 +4,7 @@
 //! ```text
 //! 100ms req 1 search wait=2s     an event; those of one time make one batch, the timer runs in between
 //! 1s x20/50ms req 10 search ; +90ms done 10 90ms    twenty of them, 50 ms apart, each done 90 ms later
+//! 0ms ceiling book,search runs=2 calls=1 turn=50ms    what a group of handlers may have from then on
 //! > start 1                      a result since the last event line that starts so
 //! ! shed                         none such
 //! = shed 3..5                    how many such results the whole file has seen so far
@@ -95,6 +96,7 @@
     now: At,
     ticked: At,
     queue: Option<f64>,
+    ceilings: Vec<Ceiling>,
     heard: Heard,
     since: usize,
     failures: Vec<String>,
@@ -118,6 +120,7 @@
             now: START,
             ticked: START,
             queue: None,
+            ceilings: vec![],
             heard: Heard::default(),
             since: 0,
             failures: vec![],
@@ -186,6 +189,16 @@
             }
             "gone" => self.with(|d, now, out| d.gone(now, id, out)),
             "leave" => self.with(|d, now, _| d.wind_down(now, span(w.0[0]))),
+            "ceiling" => {
+                let known = |h: &str| self.handlers.iter().position(|k| k.0 == h).expect("a handler set up");
+                let most = |key| w.num(key, f64::MAX) as usize;
+                let handlers = w.0[0].split(',').map(known).collect();
+                let (runs, calls, turn) = (most("runs"), most("calls"), w.span("turn", "0s"));
+                self.ceilings.retain(|c| c.handlers != handlers);
+                self.ceilings.push(Ceiling { handlers, runs, calls, turn });
+                let all = self.ceilings.clone();
+                self.with(|d, _, _| d.heed(&all));
+            }
             "queue" => self.queue = w.0[0].parse().ok(),
             // The process freezes: the timer rings late.
             "freeze" => self.ticked = self.now + span(w.0[0]),
