--- a/crates/kept/src/lib.rs
+++ b/crates/kept/src/lib.rs
@@ -1,9 +1,10 @@
-//! Kept results of uniqued reqs over a restart. A promise lasts before its run is sent, and a result before its
-//! answer leaves; what was promised by a former life and has no result may have run, and is never run again.
+//! Kept results of uniqued reqs over a restart. A promise lasts before its run is sent, and a result before
+//! its answer leaves; what was promised by a former life and has no result may have run, and is never run
+//! again.
 //!
-//! [`Kept`] decides: what may be promised, what a repeat hears, what waits for which write. It does no I/O: it
-//! gives batches of records to be written and is told what came of them. [`log`] writes and recovers them on a
-//! [`storage`], which is the file system or, in tests, a memory that crashes.
+//! [`Kept`] decides: what may be promised, what a repeat hears, what waits for which write. It does no I/O:
+//! it gives batches of records to be written and is told what came of them. [`log`] writes and recovers them
+//! on a [`storage`], which is the file system or, in tests, a memory that crashes.
 
 pub mod log;
 pub mod record;
@@ -17,7 +18,8 @@
 /// Numbers what was handed out to be written, in order.
 pub type Seq = u64;
 
-/// The part of the disk past which results are no more kept, only that their runs are over: intents go before.
+/// The part of the disk past which results are no more kept, only that their runs are over: intents go
+/// before.
 const RESULTS_PART: f64 = 0.75;
 /// Entries of a former life last this much past their window, for tries that are read late.
 const READ_LATE: Span = Span::millis(10_000);
@@ -99,8 +101,8 @@
         }
     }
 
-    /// Takes over what a former life left. Results past the memory are given up, those that lapse first before
-    /// the others: their repeats are errored, and never run.
+    /// Takes over what a former life left. Results past the memory are given up, those that lapse first
+    /// before the others: their repeats are errored, and never run.
     pub fn recovered(&mut self, recovery: Recovery) {
         self.disk = recovery.bytes;
         let mut found: Vec<_> = recovery.found.into_iter().collect();
--- a/crates/kept/src/log.rs
+++ b/crates/kept/src/log.rs
@@ -1,6 +1,6 @@
-//! The log: segments that are written one after the other, each dropped whole once all in it has aged out. What
-//! was written by a former life is read once, at the opening; a segment of a former life is never added to, so
-//! that a torn end stays an end.
+//! The log: segments that are written one after the other, each dropped whole once all in it has aged out.
+//! What was written by a former life is read once, at the opening; a segment of a former life is never added
+//! to, so that a torn end stays an end.
 
 use crate::record::{self, HEAD, Head, Key, Name, Record};
 use crate::storage::Storage;
@@ -110,10 +110,13 @@
         let bytes = storage.read(&name).map_err(|e| format!("{name}: {e}"))?;
         match record::read_head(&bytes) {
             Head::Newer(version) => {
-                return Err(format!("{name}: is of version {version}; this program knows {}", record::VERSION));
+                return Err(format!(
+                    "{name}: is of version {version}; this program knows {}",
+                    record::VERSION
+                ));
             }
             Head::Foreign => return Err(format!("{name}: is no segment of kept results")),
-            Head::Good | Head::Short => {}
+            Head::Good | Head::Torn => {}
         }
         recovery.segments += 1;
         recovery.bytes += bytes.len() as u64;
@@ -133,8 +136,9 @@
 }
 
 impl<S: Storage> Log<S> {
-    /// Opens what a former life left. No time of a former life is trusted, since clocks step: what it left lasts
-    /// for one more whole window from `now`, at the least. `disk` bounds all bytes; `window` is the longest.
+    /// Opens what a former life left. No time of a former life is trusted, since clocks step: what it left
+    /// lasts for one more whole window from `now`, at the least. `disk` bounds all bytes; `window` is the
+    /// longest.
     pub fn open(storage: S, now: u64, disk: u64, window: u64) -> Result<(Log<S>, Recovery), String> {
         let mut recovery = recover(&storage)?;
         let (mut closed, mut next) = (VecDeque::new(), 0);
@@ -158,10 +162,11 @@
         self.closed.iter().map(|s| s.bytes).sum::<u64>() + current
     }
 
-    /// Writes records and syncs them, all together. An error leaves open whether any of them lasts; the next go
-    /// to a new segment.
+    /// Writes records and syncs them, all together. An error leaves open whether any of them lasts; the next
+    /// go to a new segment.
     pub fn write(&mut self, now: u64, records: &[Lasting]) -> io::Result<()> {
-        let old = |s: &(Segment, u64)| s.0.bytes >= self.segment_most || now >= s.1 || now + self.segment_for < s.1;
+        let old =
+            |s: &(Segment, u64)| s.0.bytes >= self.segment_most || now >= s.1 || now + self.segment_for < s.1;
         if let Some((segment, _)) = self.current.take_if(|s| old(s)) {
             self.closed.push_back(segment);
         }
@@ -224,10 +229,12 @@
                 let torn = record::read_all(&bytes, |_| records += 1);
                 if torn > 0 {
                     let at = bytes.len() - torn;
-                    wrong.push(format!("{name}: after {records} whole records {torn} bytes from {at} on are none"));
+                    wrong.push(format!(
+                        "{name}: after {records} whole records {torn} bytes from {at} on are none"
+                    ));
                 }
             }
-            Head::Short => wrong.push(format!("{name}: ends within its first {HEAD} bytes")),
+            Head::Torn => wrong.push(format!("{name}: is torn within its first {HEAD} bytes")),
             Head::Newer(version) => wrong.push(format!("{name}: is of the newer version {version}")),
             Head::Foreign => wrong.push(format!("{name}: is no segment of kept results")),
         }
--- a/crates/kept/src/record.rs
+++ b/crates/kept/src/record.rs
@@ -1,8 +1,8 @@
 //! The records of the log, and a segment's head. All numbers are little-endian.
 //!
 //! ```text
-//! segment   "MBKEPT" version:u16 | record*
-//! record    length:u32 checksum:u32 | type:u8 payload      length counts type and payload, checksum is theirs
+//! segment   "MBKEPT" version:u16 checksum:u32 | record*
+//! record    length:u32 checksum:u32 | type:u8 payload      both of type and payload
 //! intent 1  key:16 print:u64 until:u64 name:16             times are Unix microseconds
 //! done 2    key:16 result                                  the result as it came
 //! errored 3 key:16                                         it ran, and there is no result to give
@@ -16,7 +16,9 @@
 const MAGIC: &[u8; 6] = b"MBKEPT";
 /// The version that is written; older ones are read, newer ones are not.
 pub const VERSION: u16 = 1;
-pub const HEAD: usize = 8;
+pub const HEAD: usize = 12;
+/// Bytes of a head that agree with ours, from which one that is not whole is a torn one of ours.
+const AGREE: usize = 3;
 /// Bytes of a record before its type, and the most that one may have: more than any result.
 const FRAME: usize = 8;
 pub const RECORD_MOST: usize = 1 << 20;
@@ -91,32 +93,41 @@
 }
 
 pub fn head(to: &mut Vec<u8>) {
+    head_of(VERSION, to);
+}
+
+/// The head of a segment of some version: all have the same.
+pub fn head_of(version: u16, to: &mut Vec<u8>) {
+    let at = to.len();
     to.extend_from_slice(MAGIC);
-    to.extend_from_slice(&VERSION.to_le_bytes());
+    to.extend_from_slice(&version.to_le_bytes());
+    let sum = crc32c::crc32c(&to[at..]);
+    to.extend_from_slice(&sum.to_le_bytes());
 }
 
 /// What the first bytes of a file tell.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Head {
     Good,
-    /// Cut within its head: nothing was ever promised in it.
-    Short,
+    /// Cut or torn within its head, which is synced with its first records: nothing was promised in it.
+    Torn,
     Newer(u16),
     /// No segment of ours.
     Foreign,
 }
 
 pub fn read_head(bytes: &[u8]) -> Head {
-    let known = bytes.len().min(MAGIC.len());
-    if bytes[..known] != MAGIC[..known] {
-        // A file whose head was never written whole may hold zeros.
-        return if bytes.iter().all(|b| *b == 0) { Head::Short } else { Head::Foreign };
-    }
-    match bytes.get(6..HEAD).map(|v| u16::from_le_bytes([v[0], v[1]])) {
-        None => Head::Short,
-        Some(version) if version > VERSION => Head::Newer(version),
-        Some(0) => Head::Short,
-        Some(_) => Head::Good,
+    let whole = bytes.get(..HEAD).filter(|h| crc32c::crc32c(&h[..8]).to_le_bytes() == h[8..]);
+    match whole {
+        Some(h) if h[..6] == *MAGIC => match u16::from_le_bytes([h[6], h[7]]) {
+            version if version > VERSION => Head::Newer(version),
+            _ => Head::Good,
+        },
+        _ => {
+            // Nulls stand for what a crash left unwritten.
+            let agree = bytes.iter().zip(MAGIC).filter(|(b, m)| b == m || **b == 0).count();
+            if agree >= AGREE.min(bytes.len()) { Head::Torn } else { Head::Foreign }
+        }
     }
 }
 
--- a/crates/kept/src/storage.rs
+++ b/crates/kept/src/storage.rs
@@ -24,7 +24,7 @@
     open: HashMap<String, File>,
     /// Files made since the folder itself was synced.
     fresh: bool,
-    _lock: File,
+    _lock: Option<File>,
 }
 
 const LOCK: &str = "lock";
@@ -39,7 +39,12 @@
         let lock = OpenOptions::new().create(true).truncate(false).write(true).open(folder.join(LOCK));
         let lock = lock.map_err(told)?;
         lock.try_lock().map_err(|_| format!("{}: another process has it", folder.display()))?;
-        Ok(Files { folder: folder.into(), open: HashMap::new(), fresh: false, _lock: lock })
+        Ok(Files { folder: folder.into(), open: HashMap::new(), fresh: false, _lock: Some(lock) })
+    }
+
+    /// A folder to be read only, whoever else has it.
+    pub fn look(folder: &Path) -> Files {
+        Files { folder: folder.into(), open: HashMap::new(), fresh: false, _lock: None }
     }
 }
 
--- a/crates/kept/tests/crash.rs
+++ b/crates/kept/tests/crash.rs
@@ -1,5 +1,5 @@
-//! The log on a storage that crashes: cut at every byte, torn, with what was not synced lost or half there, full,
-//! failing. What was promised is found, nothing else is, and recovery always comes through.
+//! The log on a storage that crashes: cut at every byte, torn, with what was not synced lost or half there,
+//! full, failing. What was promised is found, nothing else is, and recovery always comes through.
 
 use madderbay_kept::log::{Found, Lasting, Log, State, recover, verify};
 use madderbay_kept::record::{Key, Record};
@@ -66,7 +66,7 @@
     let name = whole.list().expect("listed").remove(0);
     let len = whole.read(&name).expect("read").len();
     // How far each record reaches, and what holds up to it.
-    let mut reach = vec![(8, Plain::default())];
+    let mut reach = vec![(12, Plain::default())];
     for (record, _) in &all {
         let (at, mut plain) = reach.last().expect("one").clone();
         plain.take(record);
@@ -85,7 +85,7 @@
         both.take(&intent(1_000, WINDOW).0);
         assert_eq!(Plain::of(&open(log.storage().clone(), 5).1), both, "cut at {at}, then on");
     }
-    for at in 8..len {
+    for at in 0..len {
         let mut bytes = whole.read(&name).expect("read");
         bytes[at] ^= 1;
         let mut torn = Memory::default();
@@ -112,7 +112,15 @@
     with_first.take(&late[0].0);
     let mut with_both = with_first.clone();
     with_both.take(&late[1].0);
-    let upto = |n| if n >= loose.len() { &with_both } else if n >= first { &with_first } else { &plain };
+    let upto = |n| {
+        if n >= loose.len() {
+            &with_both
+        } else if n >= first {
+            &with_first
+        } else {
+            &plain
+        }
+    };
     let found = |crash| Plain::of(&open(log.storage().crashed(|_, _| crash), 3).1);
     assert_eq!(found(Crash::Lost), plain);
     for n in 0..=loose.len() {
@@ -132,7 +140,7 @@
 fn a_segment_that_was_hardly_begun() {
     let mut log = open(Memory::default(), 1).0;
     log.write(2, &[intent(1, WINDOW)]).expect("written");
-    for half in 0..8 {
+    for half in 0..12 {
         let mut crashed = log.storage().clone();
         let mut head = vec![];
         madderbay_kept::record::head(&mut head);
@@ -153,7 +161,9 @@
         memory.append(name, bytes).and_then(|()| memory.sync(name)).expect("written");
         Log::open(memory, 1, DISK, WINDOW).map(|_| ()).unwrap_err()
     };
-    let newer = with("kept-0000000000000000", b"MBKEPT\x02\x00");
+    let mut newer = vec![];
+    madderbay_kept::record::head_of(2, &mut newer);
+    let newer = with("kept-0000000000000000", &newer);
     assert_eq!(newer, "kept-0000000000000000: is of version 2; this program knows 1");
     let foreign = with("kept-0000000000000000", b"#!/bin/sh\n");
     assert_eq!(foreign, "kept-0000000000000000: is no segment of kept results");
@@ -261,8 +271,8 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
 
-    /// Random histories of writes, failures and restarts against a plain model: what was acknowledged within its
-    /// window is there as acknowledged; of what was not acknowledged, only what was written may show up.
+    /// Random histories of writes, failures and restarts against a plain model: what was acknowledged within
+    /// its window is there as acknowledged; of what was not acknowledged, only what was written may show up.
     #[test]
     fn histories_with_restarts(did in prop::collection::vec(prop_oneof![
         6 => prop::collection::vec((0u8..12, 0u8..4), 1..5).prop_map(Did::Write),
@@ -321,7 +331,8 @@
                             let mut may = vec![known.clone()];
                             for mask in 0u32..1 << tried.len().min(10) {
                                 let mut on = plain.clone();
-                                let some = tried.iter().enumerate().filter(|(i, _)| mask >> i.min(&31) & 1 == 1);
+                                let was = |i: usize| mask >> i.min(31) & 1 == 1;
+                                let some = tried.iter().enumerate().filter(|(i, _)| was(*i));
                                 some.for_each(|(_, r)| on.take(r));
                                 may.push(on.0.get(key).cloned());
                             }
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -9,6 +9,7 @@
 //! ```
 
 mod file;
+pub mod kept;
 pub mod pools;
 
 use file::File;
@@ -18,11 +19,13 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Operator {
     pub pools: Option<pools::Pools>,
+    pub kept: Option<kept::KeptResults>,
 }
 
 /// Reads a file's text; `name` is what the lines say it is called. Every line that is wrong is told.
 pub fn read(name: &str, text: &str) -> Result<Operator, Vec<String>> {
     let mut file = File::read(name, text)?;
     let pools = pools::read(&mut file);
-    file.done(Operator { pools })
+    let kept = kept::read(&mut file);
+    file.done(Operator { pools, kept })
 }
--- a/crates/operator/tests/file.rs
+++ b/crates/operator/tests/file.rs
@@ -102,3 +102,20 @@
         assert!(text.lines().any(|l| l.trim_start_matches("; ").starts_with(&format!("{key} ="))), "{key}");
     }
 }
+
+#[test]
+fn kept_results() {
+    let kept =
+        read("o.ini", "[kept-results]\nenabled = on\ndirectory = var/kept\nsync = each\n").expect("read");
+    let kept = kept.kept.expect("on");
+    assert_eq!((kept.directory.to_str(), kept.memory_mb, kept.disk_mb), (Some("var/kept"), 16, 64));
+    assert!(!kept.grouped);
+    assert_eq!(read("o.ini", "[kept-results]\ndirectory = x\n").expect("read").kept, None);
+    assert_eq!(
+        wrong("[kept-results]\nenabled = on\ndisk_mb = 0\n"),
+        [
+            "o.ini:1: [kept-results] directory: has to name a folder",
+            "o.ini:3: [kept-results] disk_mb: '0' is no number from 1 to 1048576",
+        ]
+    );
+}
--- a/crates/server/src/door.rs
+++ b/crates/server/src/door.rs
@@ -5,8 +5,9 @@
 use madderbay::face::{Arrival, Repeats};
 use madderbay::time::{At, Span};
 use madderbay_settings::Settings;
+use siphasher::sip::SipHasher24;
 use std::collections::{BTreeSet, HashMap};
-use std::hash::{BuildHasher, RandomState};
+use std::hash::Hasher;
 use std::rc::Rc;
 
 /// An entry is known this much longer than its term: tries that reached the machine within it may be read
@@ -61,7 +62,6 @@
     repeats: Vec<Repeats>,
     /// The longest that a req of each handler may say it waits or works.
     longest_ms: Vec<f64>,
-    prints: RandomState,
     tenants: HashMap<String, usize>,
     /// The handlers' names as JSON strings.
     quoted: Vec<Rc<str>>,
@@ -90,13 +90,20 @@
         && digits.bytes().all(digit)
 }
 
+/// The hash of handler and body that a key's tries share: the same in every life.
+fn print(handler: &str, body: &str) -> u64 {
+    let mut hasher = SipHasher24::new();
+    hasher.write(handler.as_bytes());
+    hasher.write(body.as_bytes());
+    hasher.finish()
+}
+
 impl Door {
     pub fn new(s: &Settings, kept_most: usize) -> Door {
         Door {
             handlers: numbered(&s.handler_names),
             repeats: s.handlers.iter().map(|h| h.repeats).collect(),
             longest_ms: s.handlers.iter().map(|h| h.timeout.as_secs() * 1e3 * TIMEOUTS_MOST).collect(),
-            prints: RandomState::new(),
             tenants: numbered(&s.tenant_names),
             quoted: s
                 .handler_names
@@ -121,6 +128,16 @@
         self.quoted[handler].clone()
     }
 
+    /// Whether a uniqued req is known from this life.
+    pub fn knows(&self, key: Key) -> bool {
+        self.table.contains_key(&key)
+    }
+
+    /// The print of a uniqued req in the table and the end of its window.
+    pub fn window(&self, key: Key) -> Option<(u64, At)> {
+        self.table.get(&key).map(|e| (e.print, e.until))
+    }
+
     pub fn entries(&self) -> usize {
         self.table.len()
     }
@@ -172,7 +189,7 @@
             .raw("lookup")
             .map_or(Some(0), |raw| u64::from_str_radix(spelt(&name(&text(raw)?)?), 16).ok());
         let subject = subject.ok_or("lookup is not 16 hex digits")?;
-        let print = key.map_or(0, |_| self.prints.hash_one((handler, body)));
+        let print = key.map_or(0, |_| print(&self.quoted[handler], body));
         let entry = key.and_then(|k| self.table.get(&k));
         if entry.is_some_and(|e| e.print != print) {
             return Err("replay came with another body");
--- a/crates/server/src/hands.rs
+++ b/crates/server/src/hands.rs
@@ -7,6 +7,7 @@
 use crate::counters::Counters;
 use crate::door::{Door, Joined, Key};
 use crate::engine::{Link, command};
+use crate::keep::Keep;
 use crate::name::Name;
 use madderbay::face::{Outcome, Results};
 use madderbay::time::{At, Span};
@@ -35,6 +36,10 @@
     pub wants: Vec<u8>,
     pub until: Option<At>,
     /// Commands that the engine may not have read, and the gauges that will prove that it has.
+    /// Commands that wait for the promise of its run to last.
+    pub unsent: Option<Vec<Vec<u8>>>,
+    /// When its answer leaves at the latest.
+    pub latest: At,
     pub unproven: Vec<u8>,
     pub proof: u64,
 }
@@ -45,6 +50,8 @@
     Call(u64),
     Idle(u64),
     First(u64),
+    /// The answer of this req still waits for the disk.
+    Settle(u64),
     Tidy,
 }
 
@@ -59,6 +66,10 @@
     pub calls: Desk,
     /// Ceilings by pool, where the operator set any.
     pub pools: Option<Pools>,
+    /// Results that outlast this life, where the operator wants them.
+    pub keep: Option<Keep>,
+    /// Reqs that the module has started and whose run was never sent: nothing could be promised.
+    pub unrun: VecDeque<u64>,
     pub due: BTreeSet<(At, Due)>,
     pub wake: Option<At>,
     /// When the timer that is ringing was due: the next is counted from there, so that each ring's lateness
@@ -88,6 +99,8 @@
             engine: Link::default(),
             calls: Desk::default(),
             pools: None,
+            keep: None,
+            unrun: VecDeque::new(),
             due: BTreeSet::from([(now, Due::Tidy)]),
             wake: None,
             rang: now,
@@ -132,6 +145,67 @@
         }
     }
 
+    /// The run of a uniqued req is over. Where results are kept its answer waits until this one lasts, and
+    /// the req stays in hand for it; else, or where nothing ran, false.
+    pub fn keep_result(&mut self, id: u64, how: Outcome, result: Option<&str>) -> bool {
+        let (Some(keep), Some(req)) = (&mut self.keep, self.reqs.get(&id)) else { return false };
+        let Some(key) = req.key else { return false };
+        let until = self.door.window(key).map_or(self.now, |w| w.1);
+        if how == Outcome::Moot {
+            keep.never(key, until);
+            return false;
+        }
+        keep.settle(id, key, result, until);
+        self.due.insert((req.latest, Due::Settle(id)));
+        self.counters.run_over(how);
+        self.counters.ran[req.handler] += 1;
+        self.give_up_call(id);
+        self.pooled(id, |pools, now, _| pools.over(now, id));
+        true
+    }
+
+    /// The result of a req lasts, or can't be made to: it is answered, and so are those that joined it.
+    pub fn settled(&mut self, id: u64, result: Option<&str>) {
+        let Some(req) = self.reqs.get(&id) else { return };
+        let (key, latest) = (req.key, req.latest);
+        self.due.remove(&(latest, Due::Settle(id)));
+        self.answer_run(id, result);
+        for waiting in key.map_or(vec![], |k| self.door.ran(k, result)) {
+            self.joined(waiting, result);
+        }
+        self.remove(id);
+    }
+
+    /// The disk is too slow for the caller: its answer can't be a result that may not last.
+    pub fn unsettled(&mut self, id: u64) {
+        if self.answer(id, answer::errored) {
+            self.counters.answered(false, false);
+        }
+    }
+
+    /// A run that the module started was never sent: it is shed, and so are those that joined it; the module
+    /// hears that nothing ran, and a further try is a new one.
+    pub fn never_ran(&mut self, id: u64, come_back: Span) {
+        let Some(req) = self.reqs.get(&id) else { return };
+        let key = req.key;
+        self.counters.run_over(Outcome::Moot);
+        let joined = key.map_or(vec![], |k| self.door.ran(k, None));
+        for id in std::iter::once(id).chain(joined) {
+            if self.answer(id, |out, rpc, free| answer::shed(out, rpc, come_back, false, free)) {
+                self.counters.shed += 1;
+            }
+            self.remove(id);
+            self.over.push_back((id, Outcome::Moot));
+        }
+        if let Some(key) = key {
+            let until = self.door.window(key).map_or(self.now, |w| w.1);
+            self.door.drop(id);
+            if let Some(keep) = &mut self.keep {
+                keep.never(key, until);
+            }
+        }
+    }
+
     pub fn joined(&mut self, id: u64, result: Option<&str>) {
         if self.reqs.contains_key(&id) {
             self.answer_run(id, result);
@@ -173,12 +247,28 @@
     pub fn command(&mut self, id: u64, msg: &str, rest: std::fmt::Arguments) {
         let Some(req) = self.reqs.get_mut(&id) else { return };
         let line = command(msg, &req.name, rest);
+        match &mut req.unsent {
+            Some(unsent) => unsent.push(line),
+            None => self.send(id, &line),
+        }
+    }
+
+    /// The promise of its run lasts: the engine may have it.
+    pub fn release(&mut self, id: u64) {
+        let unsent = self.reqs.get_mut(&id).and_then(|r| r.unsent.take());
+        for line in unsent.into_iter().flatten() {
+            self.send(id, &line);
+        }
+    }
+
+    fn send(&mut self, id: u64, line: &[u8]) {
+        let Some(req) = self.reqs.get_mut(&id) else { return };
         if self.engine.heard() >= req.proof {
             req.unproven.clear();
         }
-        req.unproven.extend_from_slice(&line);
+        req.unproven.extend_from_slice(line);
         req.proof = self.engine.proof();
-        self.engine.send(&line);
+        self.engine.send(line);
     }
 
     pub fn resend(&mut self) {
@@ -198,10 +288,18 @@
         let Some(req) = self.reqs.get_mut(&id) else { return };
         req.started = true;
         let body = std::mem::take(&mut req.body);
-        let (key, handler) = (req.key, req.handler);
+        let (key, handler, name) = (req.key, req.handler, req.name);
         if let Some(key) = key {
             self.door.started(key);
         }
+        if let (Some(keep), Some(key)) = (&mut self.keep, key) {
+            let window = self.door.window(key).unwrap_or((0, self.now));
+            if keep.promise(id, key, window, name).is_err() {
+                self.unrun.push_back(id);
+                return;
+            }
+            req.unsent = Some(vec![]);
+        }
         self.counters.runs += 1;
         self.pooled(id, |pools, now, handler| pools.stage(now, id, handler, Stage::Running));
         let service = self.door.quoted(handler);
--- /dev/null
+++ b/crates/server/src/keep.rs
@@ -0,0 +1,236 @@
+//! Kept results on the running server: what waits for the disk, and the thread that writes. The core never
+//! waits for a sync: it hands records over and is told, by messages, how far they last.
+
+use crate::name::Name;
+use madderbay::time::At;
+use madderbay_kept::log::{self, Found, Lasting, Log, Recovery, State};
+use madderbay_kept::storage::Files;
+use madderbay_kept::{Kept, Refusal, Seq};
+use madderbay_operator::kept::KeptResults;
+use std::collections::VecDeque;
+use std::fmt::Write;
+use std::path::Path;
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+
+/// Between two looks for segments that have aged out, and two tries to write again.
+const TIDY: Duration = Duration::from_millis(500);
+
+/// What a write is waited for by.
+pub enum Waits {
+    /// The command to run a req.
+    Run(u64),
+    /// The answer of a req whose run is over, with its result.
+    Answer(u64, Option<Box<str>>),
+    Nobody,
+}
+
+/// What the writing thread tells.
+pub enum Told {
+    Written { seq: Seq, disk: u64 },
+    Failed { seq: Seq, why: String },
+    Works { disk: u64 },
+}
+
+pub struct Keep {
+    pub book: Kept,
+    to: Sender<(Seq, Vec<Lasting>)>,
+    waiting: VecDeque<(Seq, Waits)>,
+    /// Batches that were written, each with one sync where they are grouped.
+    pub writes: u64,
+}
+
+fn unix_micros() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64)
+}
+
+/// What stands ready once a folder was opened and read, before anything is listened on.
+pub struct Opened {
+    log: Log<Files>,
+    recovery: Recovery,
+    took: Duration,
+}
+
+/// Opens the folder and reads what a former life left; says in one line why that can't be.
+pub fn open(set: &KeptResults, window: u64) -> Result<Opened, String> {
+    let told = |e| format!("kept-results: {e}");
+    let began = Instant::now();
+    let storage = Files::open(&set.directory).map_err(told)?;
+    let (log, recovery) =
+        Log::open(storage, unix_micros(), (set.disk_mb as u64) << 20, window).map_err(told)?;
+    Ok(Opened { log, recovery, took: began.elapsed() })
+}
+
+/// Takes over what was found and starts the writing thread.
+pub fn start(opened: Opened, set: &KeptResults) -> std::io::Result<(Keep, UnboundedReceiver<Told>)> {
+    let Opened { mut log, recovery, took } = opened;
+    ::log::info!(
+        "kept: {} uniqued reqs known from {} records, {} segments, {} of them torn, read in {} ms",
+        recovery.found.len(),
+        recovery.records,
+        recovery.segments,
+        recovery.torn,
+        took.as_millis()
+    );
+    let mut book = Kept::new(set.memory_mb << 20, (set.disk_mb as u64) << 20);
+    book.recovered(recovery);
+    let (to, orders) = channel();
+    let (tell, told) = unbounded_channel();
+    let grouped = set.grouped;
+    std::thread::Builder::new()
+        .name("kept".into())
+        .stack_size(256 << 10)
+        .spawn(move || write(&mut log, &orders, &tell, grouped))?;
+    Ok((Keep::new(book, to), told))
+}
+
+fn write(
+    log: &mut Log<Files>, orders: &Receiver<(Seq, Vec<Lasting>)>, tell: &UnboundedSender<Told>, grouped: bool,
+) {
+    let (mut broken, mut tidied) = (false, Instant::now());
+    loop {
+        let order = orders.recv_timeout(TIDY);
+        let said = match order {
+            Ok((mut seq, mut records)) => {
+                // All that has come meanwhile shares the sync.
+                while grouped && let Ok((last, more)) = orders.try_recv() {
+                    seq = last;
+                    records.extend(more);
+                }
+                let batches = if grouped { records.len().max(1) } else { 1 };
+                let done = records.chunks(batches).try_for_each(|part| log.write(unix_micros(), part));
+                broken = done.is_err();
+                Some(match done {
+                    Ok(()) => Told::Written { seq, disk: log.bytes() },
+                    Err(e) => Told::Failed { seq, why: e.to_string() },
+                })
+            }
+            Err(RecvTimeoutError::Timeout) if broken => log.write(unix_micros(), &[]).ok().map(|()| {
+                broken = false;
+                Told::Works { disk: log.bytes() }
+            }),
+            Err(RecvTimeoutError::Timeout) => None,
+            Err(RecvTimeoutError::Disconnected) => return,
+        };
+        if tidied.elapsed() >= TIDY {
+            log.sweep(unix_micros());
+            tidied = Instant::now();
+        }
+        if said.is_some_and(|s| tell.send(s).is_err()) {
+            return;
+        }
+    }
+}
+
+impl Keep {
+    /// `to`: where batches of records go to be written.
+    pub fn new(book: Kept, to: Sender<(Seq, Vec<Lasting>)>) -> Keep {
+        Keep { book, to, waiting: VecDeque::new(), writes: 0 }
+    }
+
+    /// The run of a req waits from now on for its promise; or why nothing can be promised.
+    pub fn promise(&mut self, id: u64, key: u128, window: (u64, At), name: Name) -> Result<(), Refusal> {
+        self.book.may_promise()?;
+        let (print, until) = window;
+        let seq = self.book.promise(key, print, name, until);
+        self.waiting.push_back((seq, Waits::Run(id)));
+        Ok(())
+    }
+
+    /// The answer of a req waits from now on for its result.
+    pub fn settle(&mut self, id: u64, key: u128, result: Option<&str>, until: At) {
+        let seq = self.book.settle(key, result.map(str::as_bytes), until);
+        self.waiting.push_back((seq, Waits::Answer(id, result.map(Into::into))));
+    }
+
+    pub fn never(&mut self, key: u128, until: At) {
+        let seq = self.book.never(key, until);
+        self.waiting.push_back((seq, Waits::Nobody));
+    }
+
+    /// Hands over all that is to be written.
+    pub fn flush(&mut self) {
+        if let Some(batch) = self.book.take() {
+            let _ = self.to.send(batch);
+        }
+    }
+
+    /// Those that waited for no more than that.
+    pub fn upto(&mut self, seq: Seq) -> Vec<Waits> {
+        let n = self.waiting.partition_point(|w| w.0 <= seq);
+        self.waiting.drain(..n).map(|w| w.1).collect()
+    }
+
+    pub fn counters(&self) -> String {
+        let mut text = String::new();
+        let (known, disk) = self.book.standing();
+        for (name, value) in [
+            ("known", known as u64),
+            ("disk_bytes", disk),
+            ("waiting", self.waiting.len() as u64),
+            ("writes", self.writes),
+            ("promised", self.book.promised),
+            ("refused", self.book.refused),
+            ("answered", self.book.answered),
+            ("errored", self.book.errored),
+            ("failures", self.book.failures),
+        ] {
+            let _ = writeln!(text, "counter kept.{name} {value}");
+        }
+        text
+    }
+}
+
+fn looked_at(folder: &Path) -> Result<Vec<(u128, Found)>, String> {
+    let recovery = log::recover(&Files::look(folder)).map_err(|e| format!("{}: {e}", folder.display()))?;
+    let mut found: Vec<_> = recovery.found.into_iter().collect();
+    found.sort_by_key(|f| f.0);
+    Ok(found)
+}
+
+fn state(found: &Found) -> &'static str {
+    match found.state {
+        State::MayHaveRun => "may-have-run",
+        State::Done(_) => "done",
+        State::Errored => "errored",
+    }
+}
+
+/// A line for each uniqued req in a folder, and one for all.
+pub fn list(folder: &Path) -> Result<Vec<String>, String> {
+    let all = log::recover(&Files::look(folder)).map_err(|e| format!("{}: {e}", folder.display()))?;
+    let line = |(key, f): &(u128, Found)| {
+        let size = if let State::Done(result) = &f.state { result.len() } else { 0 };
+        format!("{key:032x} {} until {} ms, {size} bytes", state(f), f.until / 1000)
+    };
+    let mut lines: Vec<String> = looked_at(folder)?.iter().map(line).collect();
+    lines.push(format!(
+        "{} uniqued reqs in {} records, {} segments, {} torn bytes",
+        all.found.len(),
+        all.records,
+        all.segments,
+        all.torn_bytes
+    ));
+    Ok(lines)
+}
+
+pub fn export(folder: &Path) -> Result<Vec<String>, String> {
+    let line = |(key, f): &(u128, Found)| {
+        let result =
+            if let State::Done(result) = &f.state { Some(String::from_utf8_lossy(result)) } else { None };
+        let print = format!("{:016x}", f.print);
+        let (key, name) = (format!("{key:032x}"), String::from_utf8_lossy(&f.name));
+        let until = f.until / 1000;
+        serde_json::json!({
+            "key": key, "state": state(f), "until_ms": until, "print": print, "ref": name, "result": result,
+        })
+        .to_string()
+    };
+    Ok(looked_at(folder)?.iter().map(line).collect())
+}
+
+pub fn verify(folder: &Path) -> Result<Vec<String>, String> {
+    let wrong = log::verify(&Files::look(folder)).map_err(|e| format!("{}: {e}", folder.display()))?;
+    Ok(wrong)
+}
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod front;
 pub mod hands;
 pub mod json;
+pub mod keep;
 pub mod listen;
 pub mod logger;
 pub mod name;
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -3,10 +3,11 @@
 use clap::{Parser, Subcommand};
 use madderbay::time::{At, Span};
 use madderbay_operator::Operator;
+use madderbay_operator::kept::KeptResults;
 use madderbay_pools::Plan;
 use madderbay_server::clock::Clock;
 use madderbay_server::serve::{Serve, Shared};
-use madderbay_server::{calls, config, engine, listen, logger, pooled, registry};
+use madderbay_server::{calls, config, engine, keep, listen, logger, pooled, registry};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -59,6 +60,21 @@
     /// Tell what is wrong with an operator file, a line each; with RELAY_CONFIG set its handlers are looked
     /// up too
     Check { file: PathBuf },
+    /// Tell what a folder of kept results holds, also while a server has it
+    Kept {
+        #[command(subcommand)]
+        what: KeptOrder,
+    },
+}
+
+#[derive(Subcommand)]
+enum KeptOrder {
+    /// A line for each uniqued req: its key, how it stands, until when it is known, the size of its result
+    List { directory: PathBuf },
+    /// A line for each thing that is no whole record; the status is 1 where there is any
+    Verify { directory: PathBuf },
+    /// A line of JSON for each uniqued req, with its result
+    Export { directory: PathBuf },
 }
 
 /// What keeps the program from its work: a configuration that can't be served, or an operator file that is
@@ -66,6 +82,8 @@
 enum Wrong {
     Start(String),
     Set(Vec<String>),
+    /// What was asked for was found wrong, and is told.
+    Found,
 }
 
 impl From<String> for Wrong {
@@ -94,9 +112,27 @@
     let operator = operator(path)?;
     let config = set_up()?;
     let plan = planned(&operator, &config)?;
+    let window = config.settings.handlers.iter().map(|h| h.window).max().unwrap_or_default();
+    let opened = operator.kept.as_ref().map(|set| keep::open(set, window.as_micros())).transpose();
+    let opened = opened.map_err(|what| Wrong::Set(vec![what]))?;
+    let kept = opened.zip(operator.kept);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
-    Ok(LocalSet::new().block_on(&runtime, serve(config, plan))?)
+    Ok(LocalSet::new().block_on(&runtime, serve(config, plan, kept))?)
+}
+
+fn kept(what: &KeptOrder) -> Result<(), Wrong> {
+    let told = match what {
+        KeptOrder::List { directory } => keep::list(directory),
+        KeptOrder::Export { directory } => keep::export(directory),
+        KeptOrder::Verify { directory } => {
+            let wrong = keep::verify(directory)?;
+            wrong.iter().for_each(|line| println!("{line}"));
+            return if wrong.is_empty() { Ok(()) } else { Err(Wrong::Found) };
+        }
+    };
+    told?.iter().for_each(|line| println!("{line}"));
+    Ok(())
 }
 
 fn check(path: &Path) -> Result<(), Wrong> {
@@ -126,11 +162,13 @@
     let done = match args.order {
         None | Some(Order::Run) => run(args.operator.as_deref()),
         Some(Order::Check { file }) => check(&file),
+        Some(Order::Kept { what }) => kept(&what),
     };
     logger::flush();
     let (lines, status) = match done {
         Ok(()) => return ExitCode::SUCCESS,
         Err(Wrong::Start(what)) => (vec![what], ExitCode::FAILURE),
+        Err(Wrong::Found) => (vec![], ExitCode::FAILURE),
         Err(Wrong::Set(lines)) => (lines, ExitCode::from(WRONGLY_SET)),
     };
     lines.iter().for_each(|line| eprintln!("madderbay: {line}"));
@@ -170,7 +208,9 @@
     );
 }
 
-async fn serve(config: config::Config, pools: Option<Plan>) -> Result<(), String> {
+async fn serve(
+    config: config::Config, pools: Option<Plan>, kept: Option<(keep::Opened, KeptResults)>,
+) -> Result<(), String> {
     let hear = |kind| signal(kind).map_err(|e| format!("signals: {e}"));
     let (mut hup, mut term) = (hear(SignalKind::hangup())?, hear(SignalKind::terminate())?);
     let (mut int, mut usr1) = (hear(SignalKind::interrupt())?, hear(SignalKind::user_defined1())?);
@@ -187,6 +227,16 @@
     let results = (config.memory_mb << 20) / RESULTS_PART;
     let serve = Serve::new(clock.now(), config.seed, config.settings.clone(), results);
     let serve = Rc::new(RefCell::new(serve));
+    if let Some((opened, set)) = kept {
+        let (keep, mut told) = keep::start(opened, &set).map_err(|e| format!("kept-results: {e}"))?;
+        serve.borrow_mut().hands.keep = Some(keep);
+        let (clock, serve) = (clock.clone(), serve.clone());
+        spawn_local(async move {
+            while let Some(said) = told.recv().await {
+                serve.borrow_mut().told(clock.now(), said);
+            }
+        });
+    }
     if let Some(plan) = pools {
         serve.borrow_mut().pool(clock.now(), plan);
     }
--- a/crates/server/src/serve.rs
+++ b/crates/server/src/serve.rs
@@ -7,12 +7,14 @@
 use crate::drive::Outbox;
 use crate::engine::{self, Link};
 use crate::hands::{Due, Hands, InHand};
+use crate::keep::{Told, Waits};
 use crate::name::Name;
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD as BASE64;
 use madderbay::decide::Decider;
 use madderbay::face::{Gauges, Outcome, Results};
 use madderbay::time::{At, Span};
+use madderbay_kept::Verdict;
 use madderbay_pools::{Plan, Pools, Stage};
 use madderbay_settings::Settings;
 use std::cell::RefCell;
@@ -20,6 +22,11 @@
 
 /// The timer this late tells that this process was held up, and so every reply that it reads now.
 const HELD_UP: Span = Span::millis(30);
+/// Where nothing can be promised, uniqued reqs are told to come back after that.
+const KEEP_AWAY: Span = Span::millis(1_000);
+/// Answers leave this long before their callers stop waiting; without a waiting time, after so long.
+const MARGIN: Span = Span::millis(30);
+const WAITS: Span = Span::millis(2_000);
 /// Time between two looks for catalogue connections that stand idle and table entries whose term is over:
 /// much finer than either's span.
 const TIDY: Span = Span::millis(1_000);
@@ -58,8 +65,14 @@
         let Some(decider) = &mut self.decider else { return };
         self.hands.now = now;
         act(decider, &mut self.hands);
-        while let Some((id, how)) = self.hands.over.pop_front() {
-            decider.ended(now, id, how, Span::ZERO);
+        loop {
+            if let Some((id, how)) = self.hands.over.pop_front() {
+                decider.ended(now, id, how, Span::ZERO);
+            } else if let Some(id) = self.hands.unrun.pop_front() {
+                self.hands.never_ran(id, KEEP_AWAY.min(self.settings.callers.come_back_max));
+            } else {
+                return;
+            }
         }
     }
 
@@ -126,6 +139,11 @@
         if self.hands.names.contains_key(&name) {
             return Err("ref is in use");
         }
+        if let Some(key) = key
+            && self.former_life(now, (no, rpc), arrival.handler, key, print)?
+        {
+            return Ok(());
+        }
         if !self.hands.conns.opened_req(now, no, rpc, arrival.id) {
             return Ok(());
         }
@@ -145,6 +163,8 @@
             need: 0,
             wants: vec![],
             until: None,
+            unsent: None,
+            latest: (now + if arrival.wait > Span::ZERO { arrival.wait } else { WAITS }).before(MARGIN),
             unproven: vec![],
             proof: 0,
         };
@@ -162,6 +182,68 @@
         Ok(())
     }
 
+    /// A try of a uniqued req that a former life has promised is answered from what is known of it, and never
+    /// run. True where that, or a promise that can't be made, was its answer.
+    fn former_life(
+        &mut self, now: At, (no, rpc): (u64, u64), handler: usize, key: u128, print: u64,
+    ) -> Result<bool, &'static str> {
+        let hands = &mut self.hands;
+        let Some(keep) = hands.keep.as_mut().filter(|_| !hands.door.knows(key)) else { return Ok(false) };
+        let verdict = keep.book.judge(key, print);
+        let away = KEEP_AWAY.min(self.settings.callers.come_back_max);
+        let free = hands.free;
+        match verdict {
+            Verdict::Unlike => return Err("replay came with another body"),
+            Verdict::Unknown if keep.book.may_promise().is_ok() => return Ok(false),
+            Verdict::Unknown => {
+                hands.conns.answer(now, no, |out| answer::shed(out, rpc, away, false, free));
+                hands.counters.shed += 1;
+            }
+            Verdict::Done(result) => {
+                let blob = String::from_utf8_lossy(&result);
+                hands.conns.answer(now, no, |out| answer::done(out, rpc, &blob, free));
+                hands.counters.answered(true, false);
+            }
+            Verdict::Errored => {
+                hands.conns.answer(now, no, |out| answer::errored(out, rpc, free));
+                hands.counters.answered(false, false);
+            }
+        }
+        hands.counters.read[handler] += 1;
+        Ok(true)
+    }
+
+    /// The writing thread tells how far things last.
+    pub fn told(&mut self, now: At, told: Told) {
+        self.hands.now = now;
+        let Some(keep) = &mut self.hands.keep else { return };
+        let (waits, lasts) = match told {
+            Told::Works { disk } => {
+                log::info!("kept: writing works again");
+                return keep.book.works(disk);
+            }
+            Told::Written { seq, disk } => {
+                keep.writes += 1;
+                keep.book.written(seq, disk);
+                (keep.upto(seq), true)
+            }
+            Told::Failed { seq, why } => {
+                log::error!("kept: can't be written, no new uniqued req is run: {why}");
+                keep.book.failed(seq);
+                (keep.upto(seq), false)
+            }
+        };
+        for wait in waits {
+            match wait {
+                Waits::Run(id) if lasts => self.hands.release(id),
+                Waits::Run(id) => self.hands.unrun.push_back(id),
+                Waits::Answer(id, result) => self.hands.settled(id, result.as_deref().filter(|_| lasts)),
+                Waits::Nobody => {}
+            }
+        }
+        self.decide(now, |_, _| ());
+    }
+
     /// The balancer has stopped waiting for a req.
     pub fn forget(&mut self, now: At, no: u64, rpc: Option<u64>, name: Option<Name>) {
         let by_rpc = rpc.and_then(|rpc| self.hands.conns.req(no, rpc));
@@ -238,7 +320,11 @@
                     let again = self.hands.conns.first_over(now, no);
                     self.hands.due.extend(again.map(|at| (at, Due::First(no))));
                 }
+                Due::Settle(id) => self.hands.unsettled(id),
                 Due::Tidy => {
+                    if let Some(keep) = &mut self.hands.keep {
+                        keep.book.lapse(now);
+                    }
                     self.hands.calls.tidy(now);
                     self.hands.door.lapse(now);
                     self.hands.conns.cut_stuck(now);
@@ -256,6 +342,9 @@
         }
         self.ceilings(now);
         self.consider(now, |d, hands| d.settle(now, hands));
+        if let Some(keep) = &mut self.hands.keep {
+            keep.flush();
+        }
     }
 
     /// What the pools may have now is handed to the module before it settles.
@@ -308,7 +397,8 @@
         let h = &self.hands;
         let open = h.reqs.values().filter(|r| !r.answered).count();
         let own = h.counters.lines(open, h.reqs.len(), h.conns.len(), h.calls.out(), h.door.entries());
-        own + &h.pools.as_ref().map_or(String::new(), crate::pooled::counters)
+        let pools = h.pools.as_ref().map_or(String::new(), crate::pooled::counters);
+        own + &pools + &h.keep.as_ref().map_or(String::new(), crate::keep::Keep::counters)
     }
 }
 
@@ -383,11 +473,22 @@
     /// A run is over. A req that still waits for it is answered with what came of it.
     fn run_over(&mut self, now: At, name: &Name, how: Outcome, spent: Span, blob: &str) {
         let Some(&id) = self.hands.names.get(name) else {
-            self.hands.counters.strays += 1;
+            // It may be a run of a former life, which proves what came of it.
+            let result = (how == Outcome::Done).then_some(blob.as_bytes());
+            let ran = matches!(how, Outcome::Done | Outcome::Errored | Outcome::Stopped);
+            let keep = self.hands.keep.as_mut().filter(|_| ran);
+            if keep.is_some_and(|k| k.book.came_back(name, result)) {
+                self.hands.changed.notify_one();
+            } else {
+                self.hands.counters.strays += 1;
+            }
             return;
         };
         self.hands.now = now;
         let result = (how == Outcome::Done).then_some(blob);
+        if self.hands.keep_result(id, how, result) {
+            return self.decide(now, |d, _| d.ended(now, id, how, spent));
+        }
         self.hands.answer_run(id, result);
         self.run_out(now, id, how, spent, result);
     }
@@ -400,6 +501,7 @@
         let Some(&id) = self.hands.names.get(name).filter(|_| what == "RUN") else { return };
         self.hands.now = now;
         self.hands.shed(id, Span::ZERO, false);
+        self.hands.keep_result(id, Outcome::Moot, None);
         self.run_out(now, id, Outcome::Moot, Span::ZERO, None);
         self.hands.door.drop(id);
     }
--- a/crates/server/tests/scenarios.rs
+++ b/crates/server/tests/scenarios.rs
@@ -16,6 +16,8 @@
 //! e mute   e speak             the engine answers no question for its gauges; it does again
 //! crowd                        there is no room for one more connection: one has to go, if any may
 //! leave 3200ms                 notice to drain
+//! kept                         results are kept on a disk that is quick: what is written lasts at once
+//! disk holds   disk lasts   disk fails    it takes its time; all that waits lasts; none of it does
 //! late 3ms                     timers ring that late from now on
 //! a< {...}                     the next line out to a peer, byte for byte; questions for gauges are left out
 //! a~ shed | "id":7             the next line out holds all of this
@@ -26,12 +28,16 @@
 mod common;
 
 use madderbay::time::{At, Span};
+use madderbay_kept::log::Lasting;
+use madderbay_kept::{Kept, Seq};
 use madderbay_server::calls::{Hears as _, Replies};
 use madderbay_server::drive::Outbox;
 use madderbay_server::engine::Notices;
 use madderbay_server::front::Front;
+use madderbay_server::keep::{Keep, Told};
 use madderbay_server::serve::Serve;
 use std::collections::{HashMap, VecDeque};
+use std::sync::mpsc::{Receiver, channel};
 
 /// Bytes that kept results may take: two and a half of the longest played here.
 const RESULTS: usize = 2_500;
@@ -52,6 +58,9 @@
     notices: Notices,
     engine: Option<Outbox>,
     mute: bool,
+    /// What goes to the disk, and whether that is quick.
+    disk: Option<Receiver<(Seq, Vec<Lasting>)>>,
+    quick: bool,
     /// Takes nothing that is sent to it.
     deaf: Option<String>,
     /// How late due times are seen to.
@@ -84,6 +93,8 @@
             notices: Notices::default(),
             engine: None,
             mute: false,
+            disk: None,
+            quick: true,
             deaf: None,
             late: Span::ZERO,
             wires: vec![],
@@ -137,9 +148,22 @@
         self.wires.extend(wanted.into_iter().map(|(no, out)| (no, out, Replies::default())));
     }
 
+    /// All that waits for the disk lasts, or none of it.
+    fn disk(&mut self, lasts: bool) -> bool {
+        let batches: Vec<_> = self.disk.iter().flat_map(Receiver::try_iter).collect();
+        let Some(seq) = batches.last().map(|b| b.0) else { return false };
+        let why = "told to fail".to_string();
+        let told = if lasts { Told::Written { seq, disk: 100 } } else { Told::Failed { seq, why } };
+        self.serve.told(self.now, told);
+        true
+    }
+
     /// The moment is over: what came settles, what went out is put by, the engine tells its gauges.
     fn moment(&mut self) {
         self.serve.turn(self.now);
+        while self.quick && self.disk(true) {
+            self.serve.turn(self.now);
+        }
         self.want();
         let mut outs: Vec<(String, Outbox)> =
             self.balancers.iter().map(|(n, b)| (n.clone(), b.out.clone())).collect();
@@ -261,6 +285,17 @@
                 let found = counters.lines().find(|l| l.starts_with(&format!("counter {} ", words[0])));
                 return if found == Some(&want) { Ok(()) } else { Err(format!("found {found:?}")) };
             }
+            _ if first == "kept" => {
+                let (to, from) = channel();
+                self.disk = Some(from);
+                self.serve.hands.keep = Some(Keep::new(Kept::new(1_000, 100_000), to));
+            }
+            _ if first == "disk" => {
+                self.quick = false;
+                if words[0] != "holds" {
+                    self.disk(words[0] == "lasts");
+                }
+            }
             _ if first == "late" => self.late = Span::millis(millis(words[0])),
             _ if first == "crowd" => {
                 self.serve.make_room(self.now);
--- /dev/null
+++ b/crates/standins/examples/kept.rs
@@ -0,0 +1,251 @@
+//! Measures kept results on the real program, between stand-ins on loopback:
+//!
+//!     cargo build --release && cargo run --release -p madderbay-standins --example kept [HISTORIES]
+//!
+//! Histories: a server is killed at a random moment while it books, started again, and every try is repeated;
+//! a booking is a run in the engine. Then what it costs: times, syncs and CPU at several rates, and recovery.
+
+use madderbay_kept::log::Log;
+use madderbay_kept::record::Record;
+use madderbay_kept::storage::Files;
+use madderbay_standins::balancer::{Answer, Ask, Load, breaches, times};
+use madderbay_standins::catalogue::Catalogue;
+use madderbay_standins::engine::{Engine, Work};
+use madderbay_standins::peer::Peer;
+use madderbay_standins::server::{Others, Server, configuration, written};
+use madderbay_standins::{registry, unix_ms};
+use std::net::TcpStream;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+const SETTINGS: &str = r#"{"classes": [
+ {"name": "book", "aim_us": 3000000, "hard_limit_us": 8000000, "importance": 3.0,
+  "effect": "idempotency_key", "repeat_window_us": 30000000}],
+ "tenants": [{"name": "acme", "allowance_per_s": 5000.0}],
+ "family_info": {"n_cores": 4, "memory_kb": 1000000.0, "blowup": 4.0, "key_kb": 2.0, "preemption": "freeze",
+  "below": "one_for_all", "dep_share": 64.0, "share_span_us": 5000000, "linger_us": 200000,
+  "class_calls": [true], "class_skip_worth": [0.0], "passes_deadline": true,
+  "readiness": true, "say": "allowance", "upstreams": 2, "keepalive_max_us": 30000000,
+  "meters": ["core_use", "on_cores", "heap_share", "links"]},
+ "permissions": {"retry_after": true, "max_retry_after_us": 5000000},
+ "rules": {"tip_multiple": 5.0, "drain_grace_us": 200000}, "servers": 1}"#;
+
+struct Place {
+    binary: PathBuf,
+    folder: PathBuf,
+    operator: Option<String>,
+    config: String,
+    engine: Engine,
+}
+
+impl Place {
+    fn new(binary: &Path, sync: Option<&str>, work_ms: (f64, f64), seed: u64) -> Place {
+        let folder = written("");
+        std::fs::remove_file(&folder).expect("removed");
+        std::fs::create_dir(&folder).expect("made");
+        let engine =
+            Engine::start(4.0, vec![Work { handler: "book".into(), ms: work_ms, calls: true }], seed);
+        let catalogue = Catalogue::start(64, Duration::from_millis(5));
+        let (registry, reports) = registry::start();
+        std::thread::spawn(move || reports.iter().for_each(drop));
+        let others = Others { engine: engine.address, registry, catalogue: catalogue.address };
+        let operator = sync
+            .map(|s| format!("[kept-results]\nenabled = on\ndirectory = {}\nsync = {s}\n", folder.display()));
+        let config = configuration("127.0.0.1:0", others, 256, 3_000, SETTINGS);
+        Place { binary: binary.into(), folder, operator, config, engine }
+    }
+
+    fn live(&self) -> Server {
+        let mut server = Server::start(&self.binary, &self.config, self.operator.as_deref());
+        server.log_at("engine: up");
+        server
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn line(id: u64, name: u64, key: u64) -> String {
+    use base64::Engine as _;
+    let body = base64::engine::general_purpose::STANDARD.encode(format!("{key:016x}"));
+    format!(
+        "{{\"jsonrpc\":\"2.0\",\"id\":{id},\"method\":\"book\",\"params\":{{\"ref\":\"{name:016x}\",\
+         \"since\":{},\"sender\":4,\"project\":\"acme\",\"allow\":3000,\"replay\":\"{key:032x}\",\
+         \"room\":2.5,\"bytes\":\"{body}\"}}}}\n",
+        unix_ms()
+    )
+}
+
+/// Where each try stood when the server was killed, and what its repeat heard.
+#[derive(Default)]
+struct Tally {
+    answered: u32,
+    unanswered: u32,
+    repeats_done: u32,
+    repeats_errored: u32,
+    repeats_shed: u32,
+    broken: Vec<String>,
+}
+
+fn history(binary: &Path, seed: u64) -> Tally {
+    let place = Place::new(binary, Some("grouped"), (2.0, 12.0), seed);
+    let mut chance = oorandom::Rand64::new(u128::from(seed));
+    let mut tally = Tally::default();
+    let keys: Vec<u64> = (0..6).map(|_| chance.rand_u64()).collect();
+    let mut done = vec![false; keys.len()];
+    let mut next = 1;
+    // Two lives that are killed, and one that is not.
+    for life in 0..3 {
+        let server = place.live();
+        let mut peer = Peer::new(TcpStream::connect(server.address).expect("a connection"));
+        let first = next;
+        for key in &keys {
+            peer.say(&line(next, next + seed * 1_000, *key));
+            next += 1;
+        }
+        if life < 2 {
+            std::thread::sleep(Duration::from_micros(chance.rand_range(0..45_000)));
+            server.signal("-KILL");
+        }
+        for _ in 0..keys.len() {
+            let mut text = String::new();
+            if std::io::BufRead::read_line(&mut peer.0, &mut text).unwrap_or(0) == 0 {
+                break;
+            }
+            let said: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
+            let Some(id) = said["id"].as_u64() else { continue };
+            let at = (id - first) as usize;
+            match said["error"]["code"].as_i64() {
+                None => {
+                    tally.repeats_done += u32::from(life > 0);
+                    done[at] = true;
+                }
+                Some(-32002) => {
+                    tally.repeats_shed += u32::from(life > 0);
+                    if done[at] {
+                        tally.broken.push(format!("seed {seed}: a done key was shed"));
+                    }
+                }
+                Some(_) => {
+                    tally.repeats_errored += u32::from(life > 0);
+                    if done[at] {
+                        tally.broken.push(format!("seed {seed}: a done key was errored"));
+                    }
+                }
+            }
+            if life == 0 {
+                tally.answered += 1;
+            }
+        }
+    }
+    tally.unanswered = keys.len() as u32 - tally.answered.min(keys.len() as u32);
+    for (body, runs) in place.engine.ran().bodies {
+        if runs > 1 {
+            tally.broken.push(format!("seed {seed}: {body} was booked {runs} times"));
+        }
+    }
+    tally
+}
+
+fn cost(binary: &Path, sync: Option<&str>, rate: f64) {
+    let place = Place::new(binary, sync, (0.5, 1.0), 1);
+    let mut server = place.live();
+    let log = server.follow();
+    let ask = Ask { handler: "book".into(), part: 1.0, target: Duration::from_secs(3), keyed: true };
+    let length = Duration::from_secs(4);
+    let load =
+        Load { asks: vec![ask], rates: vec![(Duration::ZERO, rate)], length, seed: 7, allow_ms: 8_000 };
+    let (cpu, began) = (server.cpu(), Instant::now());
+    let fates = load.run(server.address, |name| place.engine.answered(name), |_| ());
+    let (cpu, took) = ((server.cpu() - cpu) * 1e3 / fates.len() as f64, began.elapsed().as_secs_f64());
+    let found = times(&fates, 0);
+    let done = fates.iter().filter(|f| matches!(f.answers[..], [(Answer::Done, _)])).count();
+    let broken = breaches(&fates, &load.asks, &place.engine.ran().bodies);
+    server.signal("-TERM");
+    let mut writes = 0.0;
+    while let Ok((_, text)) = log.recv_timeout(Duration::from_secs(5)) {
+        if let Some(n) = text.strip_prefix("counter kept.writes ") {
+            writes = n.parse().unwrap_or(0.0);
+        }
+    }
+    println!(
+        "{:8} {rate:5} a second: {done} of {} done; 50, 95, 99% within {}, {}, {} ms; {:.0} writes a second; \
+         CPU a req {cpu:.2} ms; rules broken {}",
+        sync.unwrap_or("off"),
+        fates.len(),
+        found.value_at_quantile(0.5),
+        found.value_at_quantile(0.95),
+        found.value_at_quantile(0.99),
+        writes / took,
+        broken.len()
+    );
+}
+
+fn recovery(binary: &Path, keys: u128) {
+    let place = Place::new(binary, Some("grouped"), (1.0, 2.0), 1);
+    {
+        let storage = Files::open(&place.folder).expect("opened");
+        let (mut log, _) = Log::open(storage, 1, 64 << 20, 30_000_000).expect("read");
+        let until = 30_000_001;
+        for part in 0..keys / 1_000 {
+            let records: Vec<_> = (0..1_000)
+                .flat_map(|k| {
+                    let key = part * 1_000 + k;
+                    let result = vec![b'x'; 100].into_boxed_slice();
+                    let intent = Record::Intent { key, print: 0, until, name: [b'0'; 16] };
+                    [(intent, until), (Record::Done { key, result }, until)]
+                })
+                .collect();
+            log.write(1, &records).expect("written");
+        }
+    }
+    let server = place.live();
+    println!("{}; resident {} KB", server.before.concat().trim(), server.memory_kb());
+}
+
+fn main() {
+    let histories: u64 = std::env::args().nth(1).and_then(|n| n.parse().ok()).unwrap_or(500);
+    let binary =
+        PathBuf::from(std::env::var("MADDERBAY").unwrap_or_else(|_| "target/release/madderbay".into()));
+    // First, since the stand-ins of the histories stay until the end.
+    for rate in [50.0, 200.0, 1_000.0] {
+        for sync in [None, Some("grouped"), Some("each")] {
+            cost(&binary, sync, rate);
+        }
+    }
+    [1_000, 10_000, 100_000].into_iter().for_each(|keys| recovery(&binary, keys));
+    let mut all = Tally::default();
+    let seeds: Vec<u64> = (1..=histories).collect();
+    let found: Vec<Tally> = std::thread::scope(|scope| {
+        let parts: Vec<_> = seeds
+            .chunks(seeds.len().div_ceil(4))
+            .map(|part| {
+                let binary = &binary;
+                scope.spawn(move || part.iter().map(|s| history(binary, *s)).collect::<Vec<_>>())
+            })
+            .collect();
+        parts.into_iter().flat_map(|p| p.join().expect("played")).collect()
+    });
+    for t in found {
+        all.answered += t.answered;
+        all.unanswered += t.unanswered;
+        all.repeats_done += t.repeats_done;
+        all.repeats_errored += t.repeats_errored;
+        all.repeats_shed += t.repeats_shed;
+        all.broken.extend(t.broken);
+    }
+    println!(
+        "{histories} histories of 6 keys and 2 kills: first tries answered {}, not {}; repeats done {}, \
+         errored {}, shed {}; broken: {}",
+        all.answered,
+        all.unanswered,
+        all.repeats_done,
+        all.repeats_errored,
+        all.repeats_shed,
+        all.broken.len()
+    );
+    all.broken.iter().take(10).for_each(|b| println!("  {b}"));
+}
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -238,6 +238,11 @@
         match text("msg").as_str() {
             "ATTACH" => {
                 let read = said["serial"].as_u64().unwrap_or(0);
+                if read == 0 {
+                    // A server that has just begun: notices are numbered anew, runs go on.
+                    self.serial = 0;
+                    self.notices.clear();
+                }
                 let missed: String =
                     self.notices.iter().filter(|n| n.0 > read).map(|n| n.1.as_str()).collect();
                 self.say("{\"msg\":\"HELLO\",\"how\":\"old\",\"duration\":3600000}\n");
--- a/crates/standins/src/peer.rs
+++ b/crates/standins/src/peer.rs
@@ -3,6 +3,7 @@
 use crate::PATIENCE;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::time::Instant;
 
 pub fn local() -> TcpListener {
     TcpListener::bind("127.0.0.1:0").expect("a free port")
@@ -38,10 +39,13 @@
         bytes
     }
 
-    /// The next command to an engine; questions for the gauges are answered on the way.
+    /// The next command to an engine; questions for the gauges are answered on the way, as long as patience
+    /// lasts.
     pub fn command(&mut self) -> String {
+        let began = Instant::now();
         loop {
             let line = self.line();
+            assert!(began.elapsed() < PATIENCE, "no command in time");
             let Some(rest) = line.strip_prefix("{\"msg\":\"STAT\",\"cookie\":") else { return line };
             let cookie = rest.trim_end_matches('}');
             self.say(&format!("{{\"msg\":\"STATS\",\"cookie\":{cookie},\"stats\":[0.1,1,0.1,1]}}\n"));
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -51,6 +51,8 @@
     child: Child,
     /// Nothing once it is followed.
     log: Option<BufReader<ChildStderr>>,
+    /// Lines of the log from before it listened.
+    pub before: Vec<String>,
     pub address: SocketAddr,
     /// Its configuration.
     pub path: PathBuf,
@@ -71,10 +73,14 @@
         let mut child = command.spawn().expect("the binary starts");
         let mut log = BufReader::new(child.stderr.take().expect("its log"));
         let mut line = String::new();
-        log.read_line(&mut line).expect("a line");
+        let mut before = vec![];
+        while !line.contains(" listens on ") {
+            before.extend((!line.is_empty()).then(|| std::mem::take(&mut line)));
+            assert!(log.read_line(&mut line).expect("a line") > 0, "it does not listen: {before:?}");
+        }
         let address = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
         let address = address.unwrap_or_else(|| panic!("no address in '{line}'"));
-        Server { child, log: Some(log), address, path, files }
+        Server { child, log: Some(log), before, address, path, files }
     }
 
     pub fn pid(&self) -> u32 {
@@ -87,6 +93,13 @@
         text.split_whitespace().next().and_then(|n| n.parse::<f64>().ok()).unwrap_or(0.0) / 1e9
     }
 
+    /// Memory that it has resident, in KB; 0 where the system does not tell.
+    pub fn memory_kb(&self) -> u64 {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.pid())).unwrap_or_default();
+        let line = text.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+        line.and_then(|l| l.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+    }
+
     pub fn signal(&self, name: &str) {
         let done = Command::new("kill").args([name, &self.pid().to_string()]).status();
         assert!(done.expect("kill runs").success());
