--- a/crates/server/tests/kept.rs
+++ b/crates/server/tests/kept.rs
@@ -343,3 +343,54 @@
     assert!(a.line().contains("-32001"));
     nothing_runs(&mut engine, &mut a, 99);
 }
+
+/// Killed at seeded moments while it books, started again, and every try repeated: between promise, run,
+/// result, sync and answer. The engine is one that goes on by itself, and counts.
+#[test]
+fn killed_at_any_moment() {
+    use madderbay_standins::engine::{Engine, Work};
+    let mut chance = oorandom::Rand64::new(11);
+    for history in 0..20u32 {
+        let mut place = Place::new(30_000_000, "");
+        let works = vec![Work { handler: "book".into(), ms: (1.0, 8.0), calls: false }];
+        let engine = Engine::start(4.0, works, u64::from(history));
+        let by_hand = place.engine.local_addr().unwrap().to_string();
+        place.config = place.config.replace(&by_hand, &engine.address.to_string());
+        let mut done = [false; 4];
+        for life in 0..3u32 {
+            let mut server = Server::start(program(), &place.config, Some(&place.operator));
+            server.log_at("engine: up");
+            let mut a = balancer(&server);
+            for n in 0..4u32 {
+                // Each key has a body of its own, which the engine counts by.
+                let key = format!("{}", n + 1);
+                a.say(&book(
+                    n + 1,
+                    history * 100 + life * 10 + n,
+                    &key,
+                    ["QUJD", "QUJE", "QUJF", "QUJG"][n as usize],
+                ));
+            }
+            if life < 2 {
+                std::thread::sleep(std::time::Duration::from_micros(chance.rand_range(0..20_000)));
+                server.signal("-KILL");
+            }
+            for _ in 0..4 {
+                let mut line = String::new();
+                if std::io::BufRead::read_line(&mut a.0, &mut line).unwrap_or(0) == 0 {
+                    break;
+                }
+                let said: serde_json::Value = serde_json::from_str(&line).unwrap_or_default();
+                let Some(n) = said["id"].as_u64() else { continue };
+                let now = said["result"].is_object();
+                assert!(
+                    now || !done[n as usize - 1],
+                    "history {history}: a key that was done is not: {line}"
+                );
+                done[n as usize - 1] |= now;
+            }
+        }
+        let ran = engine.ran().bodies;
+        assert!(ran.values().all(|n| *n == 1), "history {history}: {ran:?}");
+    }
+}
