Read again: repeated pieces made one, folders read once, a refused promise counted

Found on reading the change once more. Written twice: how a shed and an errored answer are told and counted (never_ran and unsettled beside shed and errored), how a promise is taken back, the Unix clock, the line of a key in the operator file, what most ways of limiting do (now the trait's defaults; Fixed stands once). Done twice: kept list and the opening of a log read every segment a second time, for its size alone. Dead: a count of judgements in the limit and is_broken. A promise's size was measured on records made for it at each req; it is a constant.

One figure changes: a run refused for want of a promise counted as ended and never as started, so that runs.started was not the sum that the on-call page says; it counts as started now. Nothing else behaves otherwise.

--- a/crates/kept/src/lib.rs
+++ b/crates/kept/src/lib.rs
@@ -21,6 +21,8 @@
 /// The part of the disk past which results are no more kept, only that their runs are over: intents go
 /// before.
 const RESULTS_PART: f64 = 0.75;
+/// Bytes of a promise, which needs room for its end as well.
+const PROMISE: u64 = (record::INTENT + record::BARE) as u64;
 /// Entries of a former life last this much past their window, for tries that are read late.
 const READ_LATE: Span = Span::millis(10_000);
 
@@ -130,10 +132,6 @@
         (self.former.len(), self.disk + self.coming)
     }
 
-    pub fn is_broken(&self) -> bool {
-        self.broken
-    }
-
     /// What a try hears, from what former lives left.
     pub fn judge(&mut self, key: Key, print: u64) -> Verdict {
         let Some(former) = self.former.get(&key) else { return Verdict::Unknown };
@@ -154,10 +152,7 @@
 
     /// Whether one more promise may be made; else why not.
     pub fn may_promise(&mut self) -> Result<(), Refusal> {
-        let intent = Record::Intent { key: 0, print: 0, until: 0, name: [0; 16] }.size();
-        // Each promise needs room for its end as well.
-        let need = (intent + Record::Errored { key: 0 }.size()) as u64;
-        let refusal = match (self.broken, self.disk + self.coming + need > self.disk_most) {
+        let refusal = match (self.broken, self.disk + self.coming + PROMISE > self.disk_most) {
             (true, _) => Refusal::Broken,
             (false, true) => Refusal::Full,
             (false, false) => return Ok(()),
@@ -199,16 +194,14 @@
     /// no such run is known.
     pub fn came_back(&mut self, name: &Name, result: Option<&[u8]>) -> bool {
         let Some(key) = self.names.remove(name) else { return false };
-        let Some(former) = self.former.get(&key) else { return false };
+        let Some(former) = self.former.get_mut(&key) else { return false };
+        former.state = State::Errored;
         let until = former.until;
         let fits = result.filter(|r| self.memory + r.len() <= self.memory_most);
         let seq = self.settle(key, fits, until);
         if let Some(result) = fits {
             self.memory += result.len();
         }
-        if let Some(former) = self.former.get_mut(&key) {
-            former.state = State::Errored;
-        }
         self.back.extend(fits.map(|r| (seq, key, r.into())));
         true
     }
--- a/crates/kept/src/log.rs
+++ b/crates/kept/src/log.rs
@@ -38,6 +38,8 @@
     pub found: HashMap<Key, Found>,
     pub segments: usize,
     pub bytes: u64,
+    /// Each segment's name and bytes, in order.
+    sizes: Vec<(String, u64)>,
     pub records: u64,
     /// Segments that end in what is no whole record, and bytes there.
     pub torn: usize,
@@ -108,7 +110,12 @@
             continue;
         }
         let bytes = storage.read(&name).map_err(|e| format!("{name}: {e}"))?;
-        match record::read_head(&bytes) {
+        let torn = match record::read_head(&bytes) {
+            Head::Good => record::read_all(&bytes, |r| {
+                recovery.records += 1;
+                replay(&mut recovery.found, r);
+            }),
+            Head::Torn => bytes.len(),
             Head::Newer(version) => {
                 return Err(format!(
                     "{name}: is of version {version}; this program knows {}",
@@ -116,19 +123,10 @@
                 ));
             }
             Head::Foreign => return Err(format!("{name}: is no segment of kept results")),
-            Head::Good | Head::Torn => {}
-        }
+        };
         recovery.segments += 1;
         recovery.bytes += bytes.len() as u64;
-        let good = record::read_head(&bytes) == Head::Good;
-        let torn = if good {
-            record::read_all(&bytes, |r| {
-                recovery.records += 1;
-                replay(&mut recovery.found, r);
-            })
-        } else {
-            bytes.len()
-        };
+        recovery.sizes.push((name, bytes.len() as u64));
         recovery.torn += usize::from(torn > 0);
         recovery.torn_bytes += torn as u64;
     }
@@ -141,15 +139,12 @@
     /// longest.
     pub fn open(storage: S, now: u64, disk: u64, window: u64) -> Result<(Log<S>, Recovery), String> {
         let mut recovery = recover(&storage)?;
-        let (mut closed, mut next) = (VecDeque::new(), 0);
-        for name in storage.list().map_err(|e| e.to_string())? {
-            let Some(at) = number(&name) else { continue };
-            next = at + 1;
-            let bytes = storage.read(&name).map_err(|e| format!("{name}: {e}"))?.len() as u64;
-            closed.push_back(Segment { name, bytes, until: now.saturating_add(window) });
-        }
+        let until = now.saturating_add(window);
+        let sizes = std::mem::take(&mut recovery.sizes);
+        let next = sizes.last().and_then(|s| number(&s.0)).map_or(0, |n| n + 1);
+        let closed = sizes.into_iter().map(|(name, bytes)| Segment { name, bytes, until }).collect();
         for found in recovery.found.values_mut() {
-            found.until = now.saturating_add(window);
+            found.until = until;
         }
         let segment_most = (disk / SEGMENT_PART).max(4 << 10);
         let segment_for = (window / WINDOW_PART).max(1);
--- a/crates/kept/src/record.rs
+++ b/crates/kept/src/record.rs
@@ -22,6 +22,9 @@
 /// Bytes of a record before its type, and the most that one may have: more than any result.
 const FRAME: usize = 8;
 pub const RECORD_MOST: usize = 1 << 20;
+/// Bytes of a record that has a key alone, and of an intent.
+pub const BARE: usize = FRAME + 17;
+pub const INTENT: usize = BARE + 32;
 
 /// One thing that happened to a uniqued req.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -83,12 +86,11 @@
 
     /// Its length as written.
     pub fn size(&self) -> usize {
-        let more = match self {
-            Record::Intent { .. } => 32,
-            Record::Done { result, .. } => result.len(),
-            Record::Errored { .. } | Record::Never { .. } => 0,
-        };
-        FRAME + 17 + more
+        match self {
+            Record::Intent { .. } => INTENT,
+            Record::Done { result, .. } => BARE + result.len(),
+            Record::Errored { .. } | Record::Never { .. } => BARE,
+        }
     }
 }
 
--- a/crates/operator/src/file.rs
+++ b/crates/operator/src/file.rs
@@ -35,7 +35,7 @@
             let title = title.unwrap_or("").trim();
             if title.is_empty() {
                 for (key, _) in keys.iter() {
-                    let line = file.find(|l| l.split('=').next().is_some_and(|k| k.trim() == key), 0);
+                    let line = file.find(|l| sets(l, key), 0);
                     file.wrong.push((line, format!("{key}: stands in no section")));
                 }
                 continue;
@@ -54,9 +54,9 @@
                 file.wrong.push((again, format!("[{title}]: stands twice")));
             }
             for (key, value) in keys.iter() {
-                let at = file.find(|l| l.split('=').next().is_some_and(|k| k.trim() == key), line);
+                let at = file.find(|l| sets(l, key), line);
                 if section.keys.iter().any(|k| k.0 == key) {
-                    let again = file.find(|l| l.split('=').next().is_some_and(|k| k.trim() == key), at);
+                    let again = file.find(|l| sets(l, key), at);
                     file.wrong.push((again, format!("[{title}] {key}: stands twice")));
                 }
                 section.keys.push((key.into(), value.trim().into(), at));
@@ -95,7 +95,7 @@
     }
 
     pub fn wrong(&mut self, section: &Section, key: &str, what: impl Into<String>) {
-        let line = section.keys.iter().find(|k| k.0 == key).map_or(section.line, |k| k.2);
+        let line = section.line_of(key);
         let key = if key.is_empty() { String::new() } else { format!(" {key}") };
         self.wrong.push((line, format!("[{}]{key}: {}", section.title, what.into())));
     }
@@ -133,7 +133,7 @@
 
     /// Names with commas between them, none twice; each with the line it stands on.
     pub fn names(&mut self, s: &Section, key: &str) -> Names {
-        let line = s.keys.iter().find(|k| k.0 == key).map_or(s.line, |k| k.2);
+        let line = s.line_of(key);
         let text = s.get(key).unwrap_or("");
         let names: Vec<String> =
             text.split(',').map(|n| n.trim().to_string()).filter(|n| !n.is_empty()).collect();
@@ -157,11 +157,20 @@
 }
 
 impl Section {
+    /// The line of a key, or the section's own where that does not stand.
+    fn line_of(&self, key: &str) -> usize {
+        self.keys.iter().find(|k| k.0 == key).map_or(self.line, |k| k.2)
+    }
+
     pub fn get(&self, key: &str) -> Option<&str> {
         self.keys.iter().find(|k| k.0 == key).map(|k| k.1.as_str())
     }
 }
 
+fn sets(line: &str, key: &str) -> bool {
+    line.split('=').next().is_some_and(|k| k.trim() == key)
+}
+
 fn heads(line: &str, title: &str) -> bool {
     line.strip_prefix('[').and_then(|l| l.split(']').next()).is_some_and(|t| t.trim() == title)
 }
--- a/crates/pools/examples/ways.rs
+++ b/crates/pools/examples/ways.rs
@@ -6,24 +6,7 @@
 
 use madderbay::time::{At, Span};
 use madderbay_pools::limit::{End, Limit, Ticket};
-use model::{Mode, Way, World, play};
-
-struct Fixed(f64);
-
-impl Way for Fixed {
-    fn allowed(&self) -> usize {
-        self.0 as usize
-    }
-    fn level(&self) -> f64 {
-        self.0
-    }
-    fn made(&mut self, _: At) -> Option<Ticket> {
-        None
-    }
-    fn wanted(&mut self) {}
-    fn over(&mut self, _: At, _: Option<Ticket>, _: End, _: Span, _: usize) {}
-    fn tick(&mut self, _: At) {}
-}
+use model::{Fixed, Mode, Way, World, play};
 
 /// Additive increase, multiplicative decrease: grows by one over the limit for each call in twice the best
 /// time, falls by a tenth for each that takes longer or comes to nothing, at most once a call's time.
@@ -35,16 +18,9 @@
 }
 
 impl Way for Aimd {
-    fn allowed(&self) -> usize {
-        self.level as usize
-    }
     fn level(&self) -> f64 {
         self.level
     }
-    fn made(&mut self, _: At) -> Option<Ticket> {
-        None
-    }
-    fn wanted(&mut self) {}
     fn over(&mut self, now: At, _: Option<Ticket>, end: End, took: Span, _: usize) {
         let secs = took.as_secs().max(1e-3);
         if end == End::Good {
@@ -57,7 +33,6 @@
             self.cut = now + took;
         }
     }
-    fn tick(&mut self, _: At) {}
 }
 
 /// Delay gradient: the limit times the ratio of the long mean time to the short one, and room for a queue of
@@ -70,16 +45,9 @@
 }
 
 impl Way for Gradient {
-    fn allowed(&self) -> usize {
-        self.level as usize
-    }
     fn level(&self) -> f64 {
         self.level
     }
-    fn made(&mut self, _: At) -> Option<Ticket> {
-        None
-    }
-    fn wanted(&mut self) {}
     fn over(&mut self, _: At, _: Option<Ticket>, end: End, took: Span, out: usize) {
         if end == End::Bad {
             return;
@@ -95,7 +63,6 @@
         let next = self.level * gradient + self.level.sqrt();
         self.level = (self.level * 0.8 + next * 0.2).clamp(1.0, self.most);
     }
-    fn tick(&mut self, _: At) {}
 }
 
 /// A queue estimate after Vegas: the calls in hand less those that the best time would explain.
@@ -107,16 +74,9 @@
 }
 
 impl Way for Vegas {
-    fn allowed(&self) -> usize {
-        self.level as usize
-    }
     fn level(&self) -> f64 {
         self.level
     }
-    fn made(&mut self, _: At) -> Option<Ticket> {
-        None
-    }
-    fn wanted(&mut self) {}
     fn over(&mut self, _: At, _: Option<Ticket>, end: End, took: Span, _: usize) {
         if end == End::Bad {
             return;
@@ -136,7 +96,6 @@
         }
         self.level = self.level.clamp(1.0, self.most);
     }
-    fn tick(&mut self, _: At) {}
 }
 
 /// The module's own account: seconds in hand earned at a part of the share that falls as calls slow.
@@ -172,7 +131,6 @@
         self.out += 1;
         None
     }
-    fn wanted(&mut self) {}
     fn over(&mut self, now: At, _: Option<Ticket>, end: End, took: Span, _: usize) {
         self.count(now);
         self.out -= 1;
--- a/crates/pools/src/lib.rs
+++ b/crates/pools/src/lib.rs
@@ -315,7 +315,7 @@
     pub fn standing(&self) -> impl Iterator<Item = (&str, [usize; 5])> {
         let per_pool = self.ceilings.get(1..).unwrap_or_default();
         self.plan.pools.iter().zip(per_pool).map(|(p, c)| {
-            let sum = |what: fn(&Load) -> usize| p.handlers.iter().map(|h| what(&self.loads[*h])).sum();
+            let sum = |what: fn(&Load) -> usize| self.sum(&p.handlers, what);
             (p.name.as_str(), [sum(|l| l.held), sum(Load::runs), sum(|l| l.calling), c.runs, c.calls])
         })
     }
--- a/crates/pools/src/limit.rs
+++ b/crates/pools/src/limit.rs
@@ -29,9 +29,10 @@
 const TRIAL_DEEP: f64 = 0.6;
 const TRIAL_FLAT: f64 = 0.8;
 /// What the time of a call must have fallen by, of what it would if all were queue; and the epochs in a row
-/// that ask for a trial: one odd epoch is noise. One far over the mark counts twice.
+/// that ask for a trial: one odd epoch is noise. One this far over the mark counts twice.
 const TRIAL_PROOF: f64 = 0.5;
 const TRIAL_ASKS: u32 = 2;
+const TRIAL_PLAIN: f64 = 1.25;
 /// After a trial that was taken back that many times as many are asked for, up to the most, until the time of
 /// calls has shifted by a factor: so a limit that has settled does not swing by chance.
 const ASKS_MORE: u32 = 4;
@@ -39,7 +40,6 @@
 const SHIFT: f64 = 2.0;
 /// A trial that few asks make comes this soon after a shift or not at all: what was borne since is borne.
 const SOON: Span = Span::millis(1_200);
-const TRIAL_PLAIN: f64 = 1.25;
 /// Time without another trial once one has shown that nothing waited; doubled each time, up to the most.
 const CALM: Span = Span::millis(2_000);
 const CALM_MOST: Span = Span::millis(32_000);
@@ -69,8 +69,6 @@
 /// All calls in hand hang for that long: one more is let go, up to so many.
 const HUNG: Span = Span::millis(1_000);
 const HUNG_MORE: usize = 2;
-/// Judgements without one that it failed, after which it is taken for well again.
-const WELL_AFTER: u32 = 2;
 
 /// How a call came to its end, as far as it tells of what lies below.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -195,7 +193,6 @@
     health: Health,
     fails: u32,
     silent: u32,
-    well: u32,
     out: usize,
     lingering: VecDeque<At>,
     linger: Span,
@@ -226,7 +223,6 @@
             health: Health::Well,
             fails: 0,
             silent: 0,
-            well: 0,
             out: 0,
             lingering: VecDeque::new(),
             linger,
@@ -379,7 +375,6 @@
         self.silent = 0;
         let (secs, error) = e.time();
         let among = e.among / f64::from(e.good);
-        self.well = (self.well + 1).min(WELL_AFTER);
         let base = match self.base {
             None => secs,
             Some(b) if secs + error < QUICKER * b => secs,
@@ -390,7 +385,6 @@
         if let Some(trial) = self.trial.take() {
             return self.tried(now, &trial, (secs, error), among);
         }
-        let base = self.base.unwrap_or(secs);
         let queue = (among * (1.0 - base / secs)).max(0.0);
         let surely = among * (1.0 - base / (secs - error).max(base));
         let many = (QUEUE_MANY * self.now).max(MANY_LEAST);
@@ -442,8 +436,8 @@
 
     fn failing(&mut self, now: At, e: &Epoch) -> Cause {
         self.trial = None;
-        self.well = 0;
         self.fails += 1;
+        self.now = (self.now * FAIL_KEEPS).max(1.0);
         let next = match self.health {
             Health::Trying { next } => Some(next),
             _ if e.good == 0 && self.fails > 1 => Some(REST),
@@ -454,10 +448,8 @@
             let spread = 1.0 - REST_SPREAD * 0.5 + REST_SPREAD * self.chance.rand_float();
             let until = now + rest.times(spread);
             self.health = Health::Resting { until, next: (rest + rest).min(REST_MOST) };
-            self.now = (self.now * FAIL_KEEPS).max(1.0);
             return Cause::Resting;
         }
-        self.now = (self.now * FAIL_KEEPS).max(1.0);
         Cause::Failing
     }
 }
--- a/crates/pools/tests/limit.rs
+++ b/crates/pools/tests/limit.rs
@@ -2,32 +2,15 @@
 
 mod model;
 
-use madderbay::time::{At, Span};
-use madderbay_pools::limit::{End, Limit, Ticket};
-use model::{Mode, Seen, Way, World, at, play};
+use madderbay::time::Span;
+use madderbay_pools::limit::{End, Limit};
+use model::{Fixed, Mode, Seen, Way, World, at, play};
 use proptest::prelude::*;
 
 const MOST: f64 = 12.0;
 const TROUBLE: u64 = 5_000;
 const OVER: u64 = 13_000;
 
-struct Fixed(usize);
-
-impl Way for Fixed {
-    fn allowed(&self) -> usize {
-        self.0
-    }
-    fn level(&self) -> f64 {
-        self.0 as f64
-    }
-    fn made(&mut self, _: At) -> Option<Ticket> {
-        None
-    }
-    fn wanted(&mut self) {}
-    fn over(&mut self, _: At, _: Option<Ticket>, _: End, _: Span, _: usize) {}
-    fn tick(&mut self, _: At) {}
-}
-
 fn limit(most: f64) -> Limit {
     Limit::new(at(0), 7, most, Span::millis(200))
 }
@@ -41,7 +24,7 @@
     let sum = |way: &dyn Fn() -> Box<dyn Way>| -> f64 {
         (0..10).map(|seed| what(&play(&World { seed, ..world.clone() }, &mut *way()))).sum()
     };
-    (sum(&|| Box::new(limit(most))), sum(&|| Box::new(Fixed(most as usize))))
+    (sum(&|| Box::new(limit(most))), sum(&|| Box::new(Fixed(most))))
 }
 
 /// A slow-down is no reason for fewer calls: as much is done as the slots allow.
--- a/crates/pools/tests/model/mod.rs
+++ b/crates/pools/tests/model/mod.rs
@@ -57,12 +57,25 @@
 
 /// A rule for how many calls may be in hand.
 pub trait Way {
-    fn allowed(&self) -> usize;
     fn level(&self) -> f64;
-    fn made(&mut self, now: At) -> Option<Ticket>;
-    fn wanted(&mut self);
-    fn over(&mut self, now: At, ticket: Option<Ticket>, end: End, took: Span, out: usize);
-    fn tick(&mut self, now: At);
+    fn allowed(&self) -> usize {
+        self.level() as usize
+    }
+    fn made(&mut self, _now: At) -> Option<Ticket> {
+        None
+    }
+    fn wanted(&mut self) {}
+    fn over(&mut self, _now: At, _ticket: Option<Ticket>, _end: End, _took: Span, _out: usize) {}
+    fn tick(&mut self, _now: At) {}
+}
+
+/// The same at all times.
+pub struct Fixed(pub f64);
+
+impl Way for Fixed {
+    fn level(&self) -> f64 {
+        self.0
+    }
 }
 
 impl Way for Limit {
--- a/crates/server/src/clock.rs
+++ b/crates/server/src/clock.rs
@@ -9,10 +9,14 @@
     latest: Cell<u64>,
 }
 
+/// The system's clock as it stands, which may go backwards.
+pub fn unix_micros() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64
+}
+
 impl Clock {
     pub fn now(&self) -> At {
-        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        self.latest.set(self.latest.get().max(since.as_micros() as u64));
+        self.latest.set(self.latest.get().max(unix_micros()));
         At::micros(self.latest.get())
     }
 }
--- a/crates/server/src/hands.rs
+++ b/crates/server/src/hands.rs
@@ -35,11 +35,11 @@
     pub need: u64,
     pub wants: Vec<u8>,
     pub until: Option<At>,
-    /// Commands that the engine may not have read, and the gauges that will prove that it has.
     /// Commands that wait for the promise of its run to last.
     pub unsent: Option<Vec<Vec<u8>>>,
     /// When its answer leaves at the latest.
     pub latest: At,
+    /// Commands that the engine may not have read, and the gauges that will prove that it has.
     pub unproven: Vec<u8>,
     pub proof: u64,
 }
@@ -150,11 +150,11 @@
     pub fn keep_result(&mut self, id: u64, how: Outcome, result: Option<&str>) -> bool {
         let (Some(keep), Some(req)) = (&mut self.keep, self.reqs.get(&id)) else { return false };
         let Some(key) = req.key else { return false };
-        let until = self.door.window(key).map_or(self.now, |w| w.1);
         if how == Outcome::Moot {
-            keep.never(key, until);
+            self.take_back(key);
             return false;
         }
+        let until = self.door.window(key).map_or(self.now, |w| w.1);
         keep.settle(id, key, result, until);
         self.due.insert((req.latest, Due::Settle(id)));
         self.counters.run_over(how);
@@ -176,10 +176,16 @@
         self.remove(id);
     }
 
-    /// The disk is too slow for the caller: its answer can't be a result that may not last.
-    pub fn unsettled(&mut self, id: u64) {
-        if self.answer(id, answer::errored) {
-            self.counters.answered(false, false);
+    /// What the engine declined, or was never sent, takes its promise back.
+    fn take_back(&mut self, key: Key) {
+        if let Some(keep) = &mut self.keep {
+            keep.never(key, self.door.window(key).map_or(self.now, |w| w.1));
+        }
+    }
+
+    fn answer_shed(&mut self, id: u64, come_back: Span, last: bool) {
+        if self.answer(id, |out, rpc, free| answer::shed(out, rpc, come_back, last, free)) {
+            self.counters.shed += 1;
         }
     }
 
@@ -191,18 +197,13 @@
         self.counters.run_over(Outcome::Moot);
         let joined = key.map_or(vec![], |k| self.door.ran(k, None));
         for id in std::iter::once(id).chain(joined) {
-            if self.answer(id, |out, rpc, free| answer::shed(out, rpc, come_back, false, free)) {
-                self.counters.shed += 1;
-            }
+            self.answer_shed(id, come_back, false);
             self.remove(id);
             self.over.push_back((id, Outcome::Moot));
         }
         if let Some(key) = key {
-            let until = self.door.window(key).map_or(self.now, |w| w.1);
+            self.take_back(key);
             self.door.drop(id);
-            if let Some(keep) = &mut self.keep {
-                keep.never(key, until);
-            }
         }
     }
 
@@ -287,6 +288,7 @@
     fn start(&mut self, id: u64) {
         let Some(req) = self.reqs.get_mut(&id) else { return };
         req.started = true;
+        self.counters.runs += 1;
         let body = std::mem::take(&mut req.body);
         let (key, handler, name) = (req.key, req.handler, req.name);
         if let Some(key) = key {
@@ -300,7 +302,6 @@
             }
             req.unsent = Some(vec![]);
         }
-        self.counters.runs += 1;
         self.pooled(id, |pools, now, handler| pools.stage(now, id, handler, Stage::Running));
         let service = self.door.quoted(handler);
         self.command(id, "RUN", format_args!(",\"service\":{service},\"blob\":{body}"));
@@ -311,16 +312,12 @@
     }
 
     fn shed(&mut self, id: u64, come_back: Span, last: bool) {
-        if self.answer(id, |out, rpc, free| answer::shed(out, rpc, come_back, last, free)) {
-            self.counters.shed += 1;
-        }
+        self.answer_shed(id, come_back, last);
         self.nobody_waits(id);
     }
 
     fn errored(&mut self, id: u64) {
-        if self.answer(id, answer::errored) {
-            self.counters.answered(false, false);
-        }
+        self.answer_run(id, None);
         self.nobody_waits(id);
     }
 
--- a/crates/server/src/keep.rs
+++ b/crates/server/src/keep.rs
@@ -1,6 +1,7 @@
 //! Kept results on the running server: what waits for the disk, and the thread that writes. The core never
 //! waits for a sync: it hands records over and is told, by messages, how far they last.
 
+use crate::clock::unix_micros;
 use crate::name::Name;
 use madderbay::time::At;
 use madderbay_kept::log::{self, Found, Lasting, Log, Recovery, State};
@@ -11,7 +12,7 @@
 use std::fmt::Write;
 use std::path::Path;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
 /// Between two looks for segments that have aged out, and two tries to write again.
@@ -41,10 +42,6 @@
     pub writes: u64,
 }
 
-fn unix_micros() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64)
-}
-
 /// What stands ready once a folder was opened and read, before anything is listened on.
 pub struct Opened {
     log: Log<Files>,
@@ -182,11 +179,14 @@
     }
 }
 
-fn looked_at(folder: &Path) -> Result<Vec<(u128, Found)>, String> {
-    let recovery = log::recover(&Files::look(folder)).map_err(|e| format!("{}: {e}", folder.display()))?;
-    let mut found: Vec<_> = recovery.found.into_iter().collect();
+/// What a folder holds: a line for each uniqued req in the order of keys, and what was read in all.
+fn looked_at(
+    folder: &Path, line: impl Fn(&u128, &Found) -> String,
+) -> Result<(Vec<String>, Recovery), String> {
+    let read = log::recover(&Files::look(folder)).map_err(|e| format!("{}: {e}", folder.display()))?;
+    let mut found: Vec<_> = read.found.iter().collect();
     found.sort_by_key(|f| f.0);
-    Ok(found)
+    Ok((found.into_iter().map(|(key, f)| line(key, f)).collect(), read))
 }
 
 fn state(found: &Found) -> &'static str {
@@ -199,12 +199,11 @@
 
 /// A line for each uniqued req in a folder, and one for all.
 pub fn list(folder: &Path) -> Result<Vec<String>, String> {
-    let all = log::recover(&Files::look(folder)).map_err(|e| format!("{}: {e}", folder.display()))?;
-    let line = |(key, f): &(u128, Found)| {
+    let line = |key: &u128, f: &Found| {
         let size = if let State::Done(result) = &f.state { result.len() } else { 0 };
         format!("{key:032x} {} until {} ms, {size} bytes", state(f), f.until / 1000)
     };
-    let mut lines: Vec<String> = looked_at(folder)?.iter().map(line).collect();
+    let (mut lines, all) = looked_at(folder, line)?;
     lines.push(format!(
         "{} uniqued reqs in {} records, {} segments, {} torn bytes",
         all.found.len(),
@@ -216,7 +215,7 @@
 }
 
 pub fn export(folder: &Path) -> Result<Vec<String>, String> {
-    let line = |(key, f): &(u128, Found)| {
+    let line = |key: &u128, f: &Found| {
         let result =
             if let State::Done(result) = &f.state { Some(String::from_utf8_lossy(result)) } else { None };
         let print = format!("{:016x}", f.print);
@@ -227,10 +226,9 @@
         })
         .to_string()
     };
-    Ok(looked_at(folder)?.iter().map(line).collect())
+    Ok(looked_at(folder, line)?.0)
 }
 
 pub fn verify(folder: &Path) -> Result<Vec<String>, String> {
-    let wrong = log::verify(&Files::look(folder)).map_err(|e| format!("{}: {e}", folder.display()))?;
-    Ok(wrong)
+    log::verify(&Files::look(folder)).map_err(|e| format!("{}: {e}", folder.display()))
 }
--- a/crates/server/src/serve.rs
+++ b/crates/server/src/serve.rs
@@ -320,7 +320,8 @@
                     let again = self.hands.conns.first_over(now, no);
                     self.hands.due.extend(again.map(|at| (at, Due::First(no))));
                 }
-                Due::Settle(id) => self.hands.unsettled(id),
+                // The disk is too slow for the caller: its answer can't be a result that may not last.
+                Due::Settle(id) => self.hands.answer_run(id, None),
                 Due::Tidy => {
                     if let Some(keep) = &mut self.hands.keep {
                         keep.book.lapse(now);
