Members in the program: UDP driver, control socket, madderbay members; a stand of real processes

Need: the view of the fleet has to be kept by the real program, off unless the operator file sets it, and shown by several processes with faults between them.

--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -11,7 +11,7 @@
 //!     zone: "north".into(),
 //!     fleet: "bookings".into(),
 //!     join: vec![([127, 0, 0, 1], 1).into()],
-//!     networks: Networks::read(["127.0.0.0/8"]).unwrap(),
+//!     networks: Networks::of(["127.0.0.0/8".parse().unwrap()]),
 //!     most: 100,
 //!     probe: Span::millis(500),
 //!     answer: Span::millis(200),
--- a/crates/operator/src/file.rs
+++ b/crates/operator/src/file.rs
@@ -1,6 +1,7 @@
 //! One operator file while it is read: its sections, which keys were asked for, and what was found wrong.
 
 use ini::{Ini, ParseOption};
+use std::net::SocketAddr;
 use std::str::FromStr;
 
 pub struct File {
@@ -127,6 +128,15 @@
         otherwise
     }
 
+    /// An address and port.
+    pub fn address(&mut self, s: &Section, key: &str, otherwise: SocketAddr) -> SocketAddr {
+        let Some(text) = s.get(key) else { return otherwise };
+        text.parse().unwrap_or_else(|_| {
+            self.wrong(s, key, format!("'{text}' is no address and port"));
+            otherwise
+        })
+    }
+
     pub fn switch(&mut self, s: &Section, key: &str, otherwise: bool) -> bool {
         self.word(s, key, &[("on", true), ("off", false)], otherwise)
     }
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod file;
 pub mod kept;
+pub mod members;
 pub mod pools;
 
 use file::File;
@@ -20,6 +21,8 @@
 pub struct Operator {
     pub pools: Option<pools::Pools>,
     pub kept: Option<kept::KeptResults>,
+    pub members: Option<members::Members>,
+    pub control: Option<members::Control>,
 }
 
 /// Reads a file's text; `name` is what the lines say it is called. Every line that is wrong is told.
@@ -27,5 +30,7 @@
     let mut file = File::read(name, text)?;
     let pools = pools::read(&mut file);
     let kept = kept::read(&mut file);
-    file.done(Operator { pools, kept })
+    let members = members::read(&mut file);
+    let control = members::control(&mut file);
+    file.done(Operator { pools, kept, members, control })
 }
--- a/crates/operator/tests/file.rs
+++ b/crates/operator/tests/file.rs
@@ -119,3 +119,44 @@
         ]
     );
 }
+
+#[test]
+fn members_and_the_control_socket() {
+    let text = "[members]\nenabled = on\nlisten = 127.0.0.1:7946\nadvertise = 127.0.0.9:7946\n\
+                join = 127.0.0.5:7946, 127.0.0.6:7946\nfleet = bookings\nnetworks = 127.0.0.0/8, 10.1.2.3\n\
+                zone = north\n[control]\nsocket = run/control.sock\n";
+    let operator = read("o.ini", text).expect("read");
+    let members = operator.members.expect("on");
+    assert_eq!(members.advertise.to_string(), "127.0.0.9:7946");
+    assert_eq!((members.join.len(), members.networks[1].to_string().as_str()), (2, "10.1.2.3/32"));
+    assert_eq!(
+        (members.most, members.probe_ms, members.suspicion_ms, members.memory_s),
+        (2_000, 500, 3_000, 60)
+    );
+    assert_eq!(operator.control.expect("set").socket.to_str(), Some("run/control.sock"));
+    let least = read("o.ini", "[members]\nenabled = on\nlisten = 10.0.0.1:7946\n").expect("read");
+    let least = least.members.expect("on");
+    assert_eq!((least.advertise, least.fleet.as_str()), (least.listen, "madderbay"));
+    assert_eq!(read("o.ini", "[members]\nenabled = off\n").expect("read").members, None);
+}
+
+#[test]
+fn mistakes_about_the_fleet_are_told() {
+    let text = "[members]\nenabled = on\nlisten = 0.0.0.0:7946\njoin = 192.0.2.1:1, here\nfleet = a b\n\
+                networks = 10.0.0.0/8, ten\nprobe_ms = 500\nsuspicion_ms = 900\n[control]\n";
+    let places = [
+        "o.ini:3: [members] listen: '0.0.0.0:7946' is nowhere that others can send to",
+        "o.ini:3: [members] listen: '0.0.0.0:7946' lies in none of the networks",
+        "o.ini:4: [members] join: '192.0.2.1:1' lies in none of the networks",
+        "o.ini:4: [members] join: 'here' is no address and port",
+        "o.ini:5: [members] fleet: 'a b' is no name of letters, digits, '-', '_' and '.', 63 at most",
+        "o.ini:6: [members] networks: 'ten' is no network, as in 10.0.0.0/8",
+        "o.ini:8: [members] suspicion_ms: a suspicion outlasts two probes, or one lost datagram takes a server down",
+        "o.ini:9: [control] socket: has to name a path of 1 to 100 bytes",
+    ];
+    assert_eq!(wrong(text), places);
+    assert_eq!(
+        wrong("[members]\nenabled = on\n"),
+        ["o.ini:1: [members] listen: has to name an address and port"]
+    );
+}
--- /dev/null
+++ b/crates/server/src/fleet/control.rs
@@ -0,0 +1,183 @@
+//! The control socket: questions to a running server, read-only. A question is a line of JSON, `{"ask":WORD}`;
+//! its answer is lines of JSON of bounded length, the last of them `{"end":true}`.
+
+use super::talk::Fleet;
+use serde::{Deserialize, Serialize};
+use std::io::ErrorKind;
+use std::os::unix::fs::{FileTypeExt, PermissionsExt};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{UnixListener, UnixStream};
+use tokio::sync::Semaphore;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+/// Who asks has this long for a question, and as long to read its answer.
+const PATIENCE: Duration = Duration::from_secs(5);
+/// Longest question, bytes; longest line of an answer, of which all names are far shorter.
+const QUESTION: u64 = 256;
+pub const LINE: usize = 4 << 10;
+/// Those who ask at a time; others wait to be taken.
+const ASKERS: usize = 4;
+
+#[derive(Deserialize)]
+struct Question {
+    ask: String,
+}
+
+/// One server in an answer.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct MemberLine {
+    pub name: String,
+    pub state: String,
+    pub zone: String,
+    pub address: String,
+    pub life: u64,
+    pub turn: u32,
+    pub heard_ms: Option<u64>,
+    pub held_up: u8,
+}
+
+/// The first line of an answer about members.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct MembersHead {
+    pub name: String,
+    pub hears: String,
+    pub since_ms: u64,
+    pub active: usize,
+    pub missing: usize,
+    pub last_ms: Option<u64>,
+    pub digest: String,
+}
+
+pub const END: &str = "{\"end\":true}";
+
+/// A listener at that path. A file that a killed server left is replaced, one that is listened at is not, nor
+/// is anything that is no socket.
+pub fn listen(path: &Path) -> Result<UnixListener, String> {
+    let told = |what: &dyn std::fmt::Display| format!("control socket {}: {what}", path.display());
+    match std::fs::symlink_metadata(path) {
+        Ok(file) if !file.file_type().is_socket() => return Err(told(&"is there, and is no socket")),
+        Ok(_) if std::os::unix::net::UnixStream::connect(path).is_ok() => {
+            return Err(told(&"another process listens there"));
+        }
+        Ok(_) => {}
+        Err(e) if e.kind() == ErrorKind::NotFound => {}
+        Err(e) => return Err(told(&e)),
+    }
+    // Made beside it and moved there, so that it never stands open to others.
+    let fresh = path.with_extension(format!("{}", std::process::id()));
+    let _ = std::fs::remove_file(&fresh);
+    let make = || -> std::io::Result<UnixListener> {
+        let listener = UnixListener::bind(&fresh)?;
+        std::fs::set_permissions(&fresh, std::fs::Permissions::from_mode(0o600))?;
+        std::fs::rename(&fresh, path)?;
+        Ok(listener)
+    };
+    make().map_err(|e| {
+        let _ = std::fs::remove_file(&fresh);
+        told(&e)
+    })
+}
+
+/// Removes its file at the end.
+pub struct Ends(pub PathBuf);
+
+impl Drop for Ends {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+/// Answers questions until the process ends.
+pub async fn run(listener: UnixListener, fleet: Option<Rc<Fleet>>) {
+    let askers = Arc::new(Semaphore::new(ASKERS));
+    loop {
+        let Ok(place) = askers.clone().acquire_owned().await else { return };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let fleet = fleet.clone();
+                spawn_local(async move {
+                    if let Err(e) = serve(stream, fleet.as_deref()).await {
+                        log::debug!("control socket: {e}");
+                    }
+                    drop(place);
+                });
+            }
+            Err(e) => {
+                log::warn!("control socket: {e}");
+                tokio::time::sleep(PATIENCE).await;
+            }
+        }
+    }
+}
+
+async fn serve(stream: UnixStream, fleet: Option<&Fleet>) -> std::io::Result<()> {
+    let (reader, mut writer) = stream.into_split();
+    let mut reader = BufReader::new(reader);
+    loop {
+        let mut line = vec![];
+        let mut bounded = (&mut reader).take(QUESTION);
+        let read = timeout(PATIENCE, bounded.read_until(b'\n', &mut line)).await;
+        let length = read.unwrap_or(Err(ErrorKind::TimedOut.into()))?;
+        if length == 0 {
+            return Ok(());
+        }
+        let whole = line.ends_with(b"\n");
+        let text =
+            if whole { answer(&line, fleet) } else { wrong("a question is a line of 255 bytes at most") };
+        let written = timeout(PATIENCE, writer.write_all(text.as_bytes())).await;
+        written.unwrap_or(Err(ErrorKind::TimedOut.into()))?;
+        if !whole {
+            return Ok(());
+        }
+    }
+}
+
+fn wrong(what: &str) -> String {
+    format!("{}\n{END}\n", serde_json::json!({ "wrong": what }))
+}
+
+/// The lines of the answer to one question.
+fn answer(line: &[u8], fleet: Option<&Fleet>) -> String {
+    let Ok(question) = serde_json::from_slice::<Question>(line) else {
+        return wrong("a question is a line as {\"ask\":\"members\"}");
+    };
+    match (question.ask.as_str(), fleet) {
+        ("members", Some(fleet)) => members(fleet),
+        ("members", None) => wrong("no [members] in the operator file"),
+        _ => wrong("members can be asked for"),
+    }
+}
+
+fn members(fleet: &Fleet) -> String {
+    let view = fleet.members.borrow().view();
+    let head = MembersHead {
+        name: view.name.to_string(),
+        hears: view.judgement.hears.to_string(),
+        since_ms: view.since_ms,
+        active: view.judgement.evidence.active,
+        missing: view.judgement.evidence.missing,
+        last_ms: view.last_ms,
+        digest: format!("{:016x}", view.digest),
+    };
+    let mut text = serde_json::to_string(&head).unwrap_or_default() + "\n";
+    for m in view.members {
+        let line = MemberLine {
+            name: m.name.to_string(),
+            state: m.state.to_string(),
+            zone: m.zone.to_string(),
+            address: m.address.to_string(),
+            life: m.life,
+            turn: m.turn,
+            heard_ms: m.heard_ms,
+            held_up: m.held_up,
+        };
+        text += &serde_json::to_string(&line).unwrap_or_default();
+        text.push('\n');
+    }
+    text + END + "\n"
+}
--- /dev/null
+++ b/crates/server/src/fleet/mod.rs
@@ -0,0 +1,5 @@
+//! The fleet: what this server hears of the others, and the questions about it. It meets the core nowhere.
+
+pub mod ask;
+pub mod control;
+pub mod talk;
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -2,23 +2,27 @@
 
 use clap::{Parser, Subcommand};
 use madderbay::time::{At, Span};
+use madderbay_members::{NAME_MOST, sound};
 use madderbay_operator::Operator;
 use madderbay_operator::kept::KeptResults;
+use madderbay_operator::members;
 use madderbay_pools::Plan;
 use madderbay_server::balancers::{listen, registry};
 use madderbay_server::below::{calls, engine};
 use madderbay_server::core::serve::{Serve, Shared};
 use madderbay_server::core::{keep, pooled};
+use madderbay_server::fleet::{ask, control, talk};
 use madderbay_server::tools::clock::Clock;
-use madderbay_server::tools::{config, logger};
+use madderbay_server::tools::{clock, config, logger};
 use std::cell::{Cell, RefCell};
+use std::io::Write;
 use std::net::SocketAddr;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, watch};
 use tokio::task::{LocalSet, spawn_local};
@@ -63,6 +67,18 @@
     /// Tell what is wrong with an operator file, a line each; with RELAY_CONFIG set its handlers are looked
     /// up too
     Check { file: PathBuf },
+    /// Tell whom a running server holds to be in its fleet
+    Members {
+        /// The control socket of the server, as its operator file names it
+        #[arg(long, value_name = "PATH")]
+        socket: PathBuf,
+        /// One line, an object
+        #[arg(long)]
+        json: bool,
+        /// Again each second, until it is ended
+        #[arg(long)]
+        watch: bool,
+    },
     /// Tell what a folder of kept results holds, also while a server has it
     Kept {
         #[command(subcommand)]
@@ -119,9 +135,10 @@
     let opened = operator.kept.as_ref().map(|set| keep::open(set, window.as_micros())).transpose();
     let opened = opened.map_err(|what| Wrong::Set(vec![what]))?;
     let kept = opened.zip(operator.kept);
+    let beside = Beside { members: operator.members, control: operator.control };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
-    Ok(LocalSet::new().block_on(&runtime, serve(config, plan, kept))?)
+    Ok(LocalSet::new().block_on(&runtime, serve(config, plan, kept, beside))?)
 }
 
 fn kept(what: &KeptOrder) -> Result<(), Wrong> {
@@ -138,6 +155,17 @@
     Ok(())
 }
 
+fn members(socket: &Path, json: bool, watch: bool) -> Result<(), Wrong> {
+    let mut out = std::io::stdout();
+    loop {
+        // A reader that has gone away wants no more.
+        if writeln!(out, "{}", ask::members(socket, json)?).is_err() || !watch {
+            return Ok(());
+        }
+        std::thread::sleep(ask::WATCH);
+    }
+}
+
 fn check(path: &Path) -> Result<(), Wrong> {
     let operator = operator(Some(path))?;
     if std::env::var_os("RELAY_CONFIG").is_some() {
@@ -166,6 +194,7 @@
         None | Some(Order::Run) => run(args.operator.as_deref()),
         Some(Order::Check { file }) => check(&file),
         Some(Order::Kept { what }) => kept(&what),
+        Some(Order::Members { socket, json, watch }) => members(&socket, json, watch),
     };
     logger::flush();
     let (lines, status) = match done {
@@ -211,8 +240,31 @@
     );
 }
 
+/// What the operator sets up beside the core.
+struct Beside {
+    members: Option<members::Members>,
+    control: Option<members::Control>,
+}
+
+/// The view of the fleet, where one is kept, with its socket.
+async fn join(
+    config: &config::Config, set: Option<members::Members>,
+) -> Result<Option<(Rc<talk::Fleet>, Rc<UdpSocket>)>, String> {
+    let Some(set) = set else { return Ok(None) };
+    let socket = UdpSocket::bind(set.listen).await.map_err(|e| format!("members: {}: {e}", set.listen))?;
+    let (socket, settings) = (Rc::new(socket), talk::settings(&set, &config.name));
+    if !sound(&config.name) {
+        return Err(format!("members: name '{}' is longer than {NAME_MOST} bytes", config.name));
+    }
+    let fleet = Rc::new(talk::Fleet::new(config.seed, clock::unix_micros() / 1_000, settings));
+    spawn_local(talk::run(socket.clone(), fleet.clone()));
+    let heard = socket.local_addr().map_err(|e| format!("members: {}: {e}", set.listen))?;
+    log::info!("members: heard at {heard}, told as {}", set.advertise);
+    Ok(Some((fleet, socket)))
+}
+
 async fn serve(
-    config: config::Config, pools: Option<Plan>, kept: Option<(keep::Opened, KeptResults)>,
+    config: config::Config, pools: Option<Plan>, kept: Option<(keep::Opened, KeptResults)>, beside: Beside,
 ) -> Result<(), String> {
     let hear = |kind| signal(kind).map_err(|e| format!("signals: {e}"));
     let (mut hup, mut term) = (hear(SignalKind::hangup())?, hear(SignalKind::terminate())?);
@@ -243,6 +295,19 @@
     if let Some(plan) = pools {
         serve.borrow_mut().pool(clock.now(), plan);
     }
+    let fleet = join(&config, beside.members).await?;
+    let _ends = match beside.control {
+        Some(set) => {
+            let listener = control::listen(&set.socket)?;
+            spawn_local(control::run(listener, fleet.as_ref().map(|f| f.0.clone())));
+            Some(control::Ends(set.socket))
+        }
+        None => None,
+    };
+    let counters = || {
+        let of_fleet = fleet.as_ref().map(|f| f.0.counters()).unwrap_or_default();
+        logger::plain(serve.borrow().counters() + &of_fleet);
+    };
     log::info!("{} listens on {address}", config.name);
     let (engine, engine_at) = watch::channel(config.engine);
     let (registry, registry_at) = watch::channel(config.registry);
@@ -256,7 +321,7 @@
     spawn_local(listen::run(listener, room, clock.clone(), serve.clone(), deaf.clone()));
     let mut orders = async || loop {
         tokio::select! {
-            _ = usr1.recv() => logger::plain(serve.borrow().counters()),
+            _ = usr1.recv() => counters(),
             _ = hup.recv() => reload(&config, &to),
         }
     };
@@ -270,12 +335,18 @@
     log::info!("draining, {} ms left", stop.as_millis());
     // The module's last answers leave shortly before the stop that it knows of; the process outlasts them.
     let last = stop.saturating_sub(BEFORE_KILL);
+    if let Some((fleet, _)) = &fleet {
+        fleet.drain();
+    }
     serve.borrow_mut().leave(began, Span::micros(last.as_micros() as u64));
     tokio::select! {
         () = drain(began, grace, stop, &clock, &serve, || deaf.notify_one()) => {}
         () = orders() => {}
     }
-    logger::plain(serve.borrow().counters());
+    if let Some((fleet, socket)) = &fleet {
+        fleet.leave(socket);
+    }
+    counters();
     log::info!("stopped");
     Ok(())
 }
--- /dev/null
+++ b/crates/server/tests/fleet.rs
@@ -0,0 +1,59 @@
+//! The scripts of faults under `tests/fleet` on real processes, whose datagrams pass through relays.
+
+mod common;
+
+use madderbay_standins::engine::Work;
+use madderbay_standins::fleet::script::{Script, play};
+use madderbay_standins::fleet::stand::Stand;
+use std::path::Path;
+
+fn program() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_madderbay"))
+}
+
+fn works() -> Vec<Work> {
+    let of = |handler: &str, calls| Work { handler: handler.into(), ms: (2.0, 6.0), calls };
+    vec![of("search", true), of("quote", false), of("book", true)]
+}
+
+/// Scripts with clocks are simulated only: the system's clock is not the test's to move.
+fn scripts() -> Vec<(String, Script)> {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../tests/fleet");
+    let only = std::env::var("FLEET_SCRIPT").unwrap_or_default();
+    let mut found = vec![];
+    for entry in std::fs::read_dir(folder).expect("scripts").flatten() {
+        let name = entry.file_name().to_string_lossy().to_string();
+        let text = std::fs::read_to_string(entry.path()).expect("text");
+        let simulated = ["clock=", "\nfor ", "\ndowns "].iter().any(|w| text.contains(w));
+        if !simulated && name.contains(&only) {
+            found.push((name.clone(), Script::read(&name, &text).expect("a script")));
+        }
+    }
+    found.sort_by(|a, b| a.0.cmp(&b.0));
+    found
+}
+
+/// All at once, some at a time, so that the machine's cores are never the fault that is tested.
+#[test]
+fn every_script_on_real_processes() {
+    let scripts = scripts();
+    let next = std::sync::atomic::AtomicUsize::new(0);
+    let failed = std::sync::Mutex::new(vec![]);
+    std::thread::scope(|scope| {
+        for _ in 0..4 {
+            scope.spawn(|| {
+                loop {
+                    let at = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                    let Some((name, script)) = scripts.get(at) else { return };
+                    let mut stand =
+                        Stand::new(script.setup.clone(), program(), common::SETTINGS, &works(), at as u64);
+                    if let Err(what) = play(script, &mut stand) {
+                        failed.lock().expect("a list").push(format!("{name}: {what}"));
+                    }
+                }
+            });
+        }
+    });
+    let failed = failed.into_inner().expect("a list");
+    assert!(failed.is_empty(), "{} scripts failed:\n{}", failed.len(), failed.join("\n"));
+}
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -130,6 +130,12 @@
         from
     }
 
+    /// Waits for it to end by itself, whose log is followed or not wanted.
+    pub fn over(mut self) {
+        self.log = None;
+        assert!(self.child.wait().expect("an end").success());
+    }
+
     /// The rest of the log after the server has ended by itself.
     pub fn ended(mut self) -> String {
         let mut log = String::new();
