--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -17,6 +17,7 @@
 //!     answer: Span::millis(200),
 //!     suspicion: Span::millis(3_000),
 //!     memory: Span::millis(60_000),
+//!     minds_itself: true,
 //! };
 //! let now = At::micros(1_000_000);
 //! let mut a = Members::new(now, 1_764_576_000_000, 1, set(1));
--- a/crates/members/src/members.rs
+++ b/crates/members/src/members.rs
@@ -51,6 +51,8 @@
     pub suspicion: Span,
     /// How long the dead are remembered.
     pub memory: Span,
+    /// Whether its own lateness counts; without, as plain SWIM, it is there to be compared with.
+    pub minds_itself: bool,
 }
 
 /// Counts since the start.
@@ -237,8 +239,8 @@
     }
 
     fn begin(&mut self, now: At) -> At {
-        let due = self.due();
-        if let Some(late) = self.awake.wake(now, Some(due)) {
+        let due = Some(self.due()).filter(|_| self.set.minds_itself);
+        if let Some(late) = self.awake.wake(now, due) {
             self.change(Change::HeldUp(late));
         }
         self.awake.now()
--- /dev/null
+++ b/crates/members/tests/nonsense.rs
@@ -0,0 +1,179 @@
+//! Whatever comes in: the view stays bounded and sound, and nothing goes out that nobody asked for.
+
+use madderbay::time::{At, Span};
+use madderbay_members::{Members, Networks, STRANGERS, Settings, State, Stranger};
+use proptest::prelude::*;
+use std::net::SocketAddr;
+
+const MOST: usize = 5;
+
+fn address(n: u16) -> SocketAddr {
+    ([127, 0, 0, 1], 1_000 + n).into()
+}
+
+fn settings(n: u16, fleet: &str) -> Settings {
+    Settings {
+        name: format!("n{n}").into(),
+        advertise: address(n),
+        zone: "north".into(),
+        fleet: fleet.into(),
+        join: vec![address(1)],
+        networks: Networks::of(["127.0.0.0/8".parse().expect("a network")]),
+        most: MOST,
+        probe: Span::millis(500),
+        answer: Span::millis(200),
+        suspicion: Span::millis(3_000),
+        memory: Span::millis(10_000),
+        minds_itself: true,
+    }
+}
+
+fn at(ms: u64) -> At {
+    At::micros(1_000_000 + ms * 1_000)
+}
+
+fn member(n: u16, fleet: &str) -> Members {
+    Members::new(at(0), 1_764_576_000_000, u64::from(n), settings(n, fleet))
+}
+
+/// Lets some speak with each other for a while; gives all that was said, with who it went to.
+fn speak(all: &mut [Members], from_ms: u64, to_ms: u64) -> Vec<(SocketAddr, Vec<u8>)> {
+    let mut said = vec![];
+    for ms in (from_ms..to_ms).step_by(10) {
+        let mut out = vec![];
+        for m in all.iter_mut() {
+            m.turn(at(ms));
+            let own = m.own().address;
+            out.extend(m.outgoing().into_iter().map(|(to, bytes)| (own, to, bytes)));
+        }
+        for (from, to, bytes) in out {
+            if let Some(m) = all.iter_mut().find(|m| m.own().address == to) {
+                m.received(at(ms), from, &bytes);
+            }
+            said.push((to, bytes));
+        }
+    }
+    said
+}
+
+fn strangers(m: &Members, why: Stranger) -> u64 {
+    m.counts.strangers[STRANGERS.iter().position(|s| s.0 == why).expect("listed")]
+}
+
+#[test]
+fn strangers_are_told_apart_and_not_heard() {
+    let mut own = member(1, "bookings");
+    let mut other = member(2, "payments");
+    other.turn(at(0));
+    let (_, foreign) = other.outgoing().remove(0);
+    own.received(at(1), address(2), &foreign);
+    assert_eq!(strangers(&own, Stranger::Fleet), 1);
+    let mut friend = member(3, "bookings");
+    friend.turn(at(0));
+    let (_, good) = friend.outgoing().remove(0);
+    own.received(at(1), ([192, 0, 2, 1], 9).into(), &good);
+    assert_eq!(strangers(&own, Stranger::Network), 1);
+    let spoilt = |at: usize| {
+        let mut bytes = good.clone();
+        bytes[at] ^= 1;
+        bytes
+    };
+    own.received(at(1), address(3), &spoilt(2));
+    assert_eq!(strangers(&own, Stranger::Version), 1);
+    own.received(at(1), address(3), &spoilt(good.len() - 1));
+    own.received(at(1), address(3), &spoilt(20));
+    assert_eq!(strangers(&own, Stranger::Checksum), 2);
+    own.received(at(1), address(3), &good[..10]);
+    own.received(at(1), address(3), &[0; 1_401]);
+    assert_eq!(strangers(&own, Stranger::Nonsense), 2);
+    assert_eq!(own.active(), 0);
+    assert!(own.outgoing().is_empty(), "nothing is said to strangers");
+    own.received(at(1), address(3), &good);
+    assert_eq!(own.active(), 1);
+}
+
+/// A table that is full takes nobody in; those who are in go on, and a place that is free is taken.
+#[test]
+fn a_view_at_its_bound() {
+    let mut all: Vec<Members> = (1..=9).map(|n| member(n, "bookings")).collect();
+    speak(&mut all, 0, 8_000);
+    for m in &all {
+        assert!(m.view().members.len() <= MOST + 1, "{} holds {}", m.own().name, m.view().members.len());
+    }
+    assert!(all.iter().filter(|m| m.active() > 0).count() > MOST, "the others go on");
+    assert!(all.iter().any(|m| strangers(m, Stranger::Full) > 0));
+    all.truncate(MOST + 1);
+    speak(&mut all, 8_000, 40_000);
+    for m in &all {
+        assert_eq!(m.active(), MOST, "{}", m.own().name);
+    }
+}
+
+/// Nobody is down by hearsay, whatever one that has been held up says.
+#[test]
+fn a_server_that_was_held_up_accuses_nobody() {
+    let mut all: Vec<Members> = (1..=4).map(|n| member(n, "bookings")).collect();
+    speak(&mut all, 0, 5_000);
+    // The first sleeps for 20 s; the others are silent towards it for a second after it wakes.
+    for ms in (5_000..25_000).step_by(10) {
+        speak(&mut all[1..], ms, ms + 10);
+    }
+    let before = all[0].counts.suspicions;
+    for ms in (25_000..25_900).step_by(10) {
+        all[0].turn(at(ms));
+        all[0].outgoing();
+    }
+    assert_eq!(all[0].counts.suspicions, before);
+    assert!(all[0].held_up());
+    speak(&mut all, 25_900, 40_000);
+    for m in &all {
+        assert_eq!((m.active(), m.state("n1")), (3, Some(State::Alive)), "{}", m.own().name);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Bytes of any kind, and true datagrams cut, spliced and changed behind a right checksum, in any order:
+    /// no panic, tables within their bounds, nothing larger than a datagram goes out, and the fleet settles.
+    #[test]
+    fn any_bytes(noise in proptest::collection::vec(
+        (any::<u16>(), 0u8..5, proptest::collection::vec(any::<u8>(), 0..80)), 1..60)) {
+        let mut all: Vec<Members> = (1..=3).map(|n| member(n, "bookings")).collect();
+        let said = speak(&mut all, 0, 3_000);
+        let mut ms = 3_000;
+        for (pick, kind, bytes) in noise {
+            let (_, true_one) = &said[usize::from(pick) % said.len()];
+            let mut datagram = match kind {
+                0 => bytes,
+                1 => true_one[..usize::from(pick) % (true_one.len() + 1)].to_vec(),
+                2 => [&true_one[..], &bytes].concat(),
+                3 => {
+                    let mut changed = true_one.clone();
+                    for (i, b) in bytes.iter().enumerate() {
+                        let len = changed.len();
+                        changed[(usize::from(pick) * 7 + i * 13) % len] ^= b;
+                    }
+                    changed
+                }
+                _ => true_one.clone(),
+            };
+            if datagram.len() >= 25 {
+                let sum = crc32c::crc32c_append(crc32c::crc32c(&datagram[..21]), &datagram[25..]);
+                datagram[21..25].copy_from_slice(&sum.to_le_bytes());
+            }
+            ms += 1;
+            all[0].received(at(ms), address(2), &datagram);
+            for (_, out) in all[0].outgoing() {
+                prop_assert!(out.len() <= madderbay_members::DATAGRAM_MOST);
+            }
+            prop_assert!(all[0].view().members.len() <= MOST + 1);
+        }
+        speak(&mut all, ms + 1, ms + 30_000);
+        let named = |m: &Members| m.view().members.iter().filter(|v| v.state == State::Alive
+            && ["n1", "n2", "n3"].contains(&v.name.as_str())).count();
+        for m in &all {
+            prop_assert_eq!(named(m), 3, "{} {:?}", m.own().name, m.view().members);
+        }
+    }
+}
--- a/crates/server/src/fleet/talk.rs
+++ b/crates/server/src/fleet/talk.rs
@@ -48,6 +48,7 @@
         answer: Span::millis(set.probe_ms).times(ANSWER_PART),
         suspicion: Span::millis(set.suspicion_ms),
         memory: Span::millis(set.memory_s * 1_000),
+        minds_itself: true,
     }
 }
 
--- a/crates/standins/src/fleet/script.rs
+++ b/crates/standins/src/fleet/script.rs
@@ -67,6 +67,8 @@
     pub probe: Span,
     pub most: usize,
     pub join: Vec<usize>,
+    /// Without, as plain SWIM: simulated only.
+    pub minds_itself: bool,
 }
 
 impl Setup {
@@ -79,6 +81,7 @@
             probe: Span::millis(500),
             most: 2_000,
             join: vec![0],
+            minds_itself: true,
         }
     }
 }
--- a/crates/standins/src/fleet/sim.rs
+++ b/crates/standins/src/fleet/sim.rs
@@ -131,6 +131,7 @@
             answer: setup.probe.times(0.4),
             suspicion: setup.suspicion,
             memory: setup.memory,
+            minds_itself: setup.minds_itself,
         };
         let seed = self.chance.rand_u64();
         let node = &mut self.nodes[who];
--- a/crates/standins/src/fleet/stand.rs
+++ b/crates/standins/src/fleet/stand.rs
@@ -31,6 +31,8 @@
     engine: Engine,
     catalogue: Catalogue,
     registry: SocketAddr,
+    /// Where its own datagrams come in, behind its relay.
+    heard: Option<SocketAddr>,
     _reports: Receiver<String>,
     socket: PathBuf,
 }
@@ -75,6 +77,7 @@
                 engine: Engine::start(2.0, works.to_vec(), seed + s as u64),
                 catalogue: Catalogue::start(8, Duration::from_millis(5)),
                 registry,
+                heard: None,
                 _reports: reports,
                 socket: folder.join(format!("{s}.sock")),
             }
@@ -104,9 +107,9 @@
         &self.nodes[server].socket
     }
 
-    /// Where its datagrams come in, past its relay.
-    pub fn hears_at(&self, server: usize) -> SocketAddr {
-        self.relays.addresses[server]
+    /// Where a server itself listens for datagrams, behind its relay.
+    pub fn heard_at(&self, server: usize) -> Option<SocketAddr> {
+        self.nodes[server].heard
     }
 
     fn start(&mut self, who: usize, named: usize) {
@@ -140,7 +143,7 @@
         self.relays.hears(who, heard);
         // Its log is read on, so that writing it never waits; nobody needs it.
         drop(server.follow());
-        (node.server, node.name, node.stopped) = (Some(server), named, false);
+        (node.server, node.name, node.stopped, node.heard) = (Some(server), named, false, Some(heard));
     }
 
     /// What a server holds; nothing where it does not answer.
