--- a/crates/members/src/members.rs
+++ b/crates/members/src/members.rs
@@ -34,6 +34,8 @@
 const TRIES: usize = 2;
 /// Those who went down this lately are told of in a roster; who holds them in suspects them then.
 const LATELY: Span = Span::millis(20_000);
+/// News passed on at a time: beyond, what comes is taken in and not passed on, and rosters carry it.
+const RUMOURS: usize = 200;
 /// Times that the word of leaving is sent to some.
 const GOODBYES: usize = 3;
 
@@ -581,6 +583,10 @@
         let words: Vec<(Id, u16, Told)> =
             packet.members.iter().map(|m| (m.id().clone(), m.incarnation(), m.state())).collect();
         let incarnation = packet.header.src_incarnation;
+        if self.swim.updates_backlog() > RUMOURS {
+            let news = std::mem::take(&mut packet.members);
+            self.with_swim(now, |swim, wants| swim.apply_many(news.into_iter(), false, wants));
+        }
         let bytes = swim::write(&packet);
         self.with_swim(now, |swim, wants| swim.handle_data(&bytes, wants));
         self.word(now, &from, incarnation, Told::Alive);
