--- a/crates/server/tests/binary.rs
+++ b/crates/server/tests/binary.rs
@@ -187,6 +187,45 @@
 }
 
 /// Shed while the engine is not up, errored as the run did, partial once the catalogue shed its call twice.
+/// An address that nobody listens at: the tests' own ports are never so low.
+fn dead() -> std::net::SocketAddr {
+    ([127, 77, 0, 1], 1).into()
+}
+
+/// All that it is to talk with is down at the start, and moves while the registry stays down: it answers checks,
+/// sheds what comes, and serves as soon as there is an engine.
+#[test]
+fn a_start_with_all_others_dead_and_a_reload_with_the_registry_down() {
+    let others = Others { engine: dead(), registry: dead(), catalogue: dead() };
+    let text = configuration("127.0.0.1:0", others, 128, STOP_MS, common::SETTINGS);
+    let mut program = server::Server::start(program(), &text, None);
+    program.log_at("engine: can't be reached");
+    let mut a = Peer::new(TcpStream::connect(program.address).expect("a connection"));
+    a.say("{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"isWell\"}\n");
+    assert!(a.line().contains("\"fit\":true"));
+    a.say(&req(2, "quote", 1, ""));
+    assert!(a.line().contains("-32002"), "shed while there is no engine");
+    let (engine, catalogue) = (local(), local());
+    let moved = Others {
+        engine: engine.local_addr().expect("an address"),
+        registry: dead(),
+        catalogue: catalogue.local_addr().expect("an address"),
+    };
+    std::fs::write(&program.path, configuration("127.0.0.1:0", moved, 128, STOP_MS, common::SETTINGS))
+        .expect("written");
+    program.signal("-HUP");
+    let mut link = Peer::accept(&engine);
+    assert_eq!(link.line(), "{\"msg\":\"ATTACH\",\"serial\":0}");
+    link.say("{\"msg\":\"HELLO\",\"how\":\"old\",\"duration\":3600000}\n");
+    program.log_at("engine: up");
+    a.say(&req(3, "quote", 2, ""));
+    assert!(link.command().contains("\"RUN\",\"call\":\"0000000000000002\""));
+    link.say(&done(1, 2, "AA=="));
+    assert!(a.line().contains("\"id\":3,\"result\""));
+    program.signal("-TERM");
+    assert_eq!(a.line(), "{\"jsonrpc\":\"2.0\",\"method\":\"leaving\"}");
+}
+
 #[test]
 fn answers_shed_errored_and_partial() {
     let server = Server::start(128);
--- a/crates/server/tests/deploy.rs
+++ b/crates/server/tests/deploy.rs
@@ -90,13 +90,16 @@
     let _ = std::fs::remove_file(path);
 }
 
-/// The operator file that `run` names is whole, and holds nothing that needs a listener, a disk or others.
+/// The operator file that `run` names is whole, turns on pools and the reserve, without which a trip book that
+/// slows down is taken for a crowded one, and holds nothing that needs a listener, a disk or others.
 #[test]
 fn run_names_an_operator_file_that_the_platform_allows() {
     let run = deployed("run");
     let named = run.split('"').nth(1).and_then(|r| r.split("--operator ").nth(1)).map(str::trim);
-    let Some(named) = named else { return };
+    let named = named.expect("an operator file");
     let operator = madderbay_operator::read(named, &text(named)).expect("a good file");
+    let pools = operator.pools.expect("pools are on");
+    assert!(pools.adapts && pools.reserve.is_some());
     assert_eq!((operator.members, operator.control, operator.kept), (None, None, None));
 }
 
--- a/crates/standins/examples/members.rs
+++ b/crates/standins/examples/members.rs
@@ -3,19 +3,22 @@
 //!     cargo run --release -p madderbay-standins --example members simulated [SEEDS [MEMBERS [LOSS]]]
 //!     cargo run --release -p madderbay-standins --example members hour
 //!     cargo build --release && cargo run --release -p madderbay-standins --example members real [SEEDS]
-//!     ... members histories [COUNT]      ... members flood
+//!     ... members histories [COUNT]      ... members flood      ... members cost
 
 use madderbay::time::Span;
 use madderbay_standins::balancer::{Ask, Load, breaches, times};
-use madderbay_standins::engine::Work;
+use madderbay_standins::engine::{Engine, Work};
 use madderbay_standins::fleet::script::{Act, Condition, Fleet, Setup};
 use madderbay_standins::fleet::sim::Sim;
 use madderbay_standins::fleet::stand::Stand;
+use madderbay_standins::registry;
+use madderbay_standins::server::{Others, Server, configuration};
 use oorandom::Rand64;
 use std::net::UdpSocket;
 use std::path::Path;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::mpsc::Receiver;
 use std::time::{Duration, Instant};
 
 /// Longer than anything that settles at all.
@@ -420,6 +423,37 @@
     }
 }
 
+/// Processor time of servers that are otherwise idle, with the view and without.
+fn cost() {
+    let used = |servers: &[&Server]| {
+        let cpu = || servers.iter().map(|s| s.cpu()).sum::<f64>();
+        let (before, began) = (cpu(), Instant::now());
+        std::thread::sleep(Duration::from_secs(20));
+        (cpu() - before) / began.elapsed().as_secs_f64() / servers.len() as f64 * 100.0
+    };
+    for n in [5, 12] {
+        let mut stand = Stand::new(Setup::of(n), binary(), SETTINGS, &works(), 1);
+        (0..n).for_each(|s| stand.act(&start(s)).expect("started"));
+        settle(&mut stand);
+        let with = used(&(0..n).filter_map(|s| stand.server(s)).collect::<Vec<_>>());
+        drop(stand);
+        let plain: Vec<(Server, Receiver<String>)> = (0..n)
+            .map(|s| {
+                let engine = Engine::start(2.0, works(), s as u64).address;
+                let (registry, reports) = registry::start();
+                let others = Others { engine, registry, catalogue: engine };
+                let text = configuration("127.0.0.1:0", others, 128, 500, SETTINGS);
+                (Server::start(binary(), &text, None), reports)
+            })
+            .collect();
+        let without = used(&plain.iter().map(|p| &p.0).collect::<Vec<_>>());
+        println!(
+            "{n} servers, % of a core each: {with:.3} with, {without:.3} without, {:.3} the view's",
+            with - without
+        );
+    }
+}
+
 fn binary() -> &'static Path {
     let binary = Path::new("target/release/madderbay");
     assert!(binary.exists(), "build the release first");
@@ -463,8 +497,9 @@
         }
         "histories" => histories(seeds),
         "flood" => flood(),
+        "cost" => cost(),
         "hour" => hour(),
         "real" => real(seeds),
-        _ => eprintln!("simulated, hour, real, histories or flood"),
+        _ => eprintln!("simulated, hour, real, histories, flood or cost"),
     }
 }
