One network for simulated and real fleets; the machine's hearing and speaking in files of their own

Change: fleet/net.rs serves both; members/hear.rs and members/speak.rs. Lines moved, behaviour as before; the draws of the simulation come from a generator of their own.

--- /dev/null
+++ b/crates/members/src/members/hear.rs
@@ -0,0 +1,282 @@
+//! What comes: who is heard, and what of it is believed.
+
+use super::*;
+
+impl Members {
+    /// A datagram came from somewhere.
+    pub fn received(&mut self, now: At, from: SocketAddr, bytes: &[u8]) {
+        let now = self.begin(now);
+        self.counts.heard += 1;
+        self.counts.bytes_in += bytes.len() as u64;
+        let heard = if self.set.networks.holds(from.ip()) {
+            wire::read(bytes, self.fleet).and_then(|(head, body)| self.hear(now, head, body))
+        } else {
+            Err(Stranger::Network)
+        };
+        if let Err(why) = heard {
+            self.stranger(why);
+        }
+        self.step_phase(now);
+        self.judge(now);
+    }
+
+    pub(super) fn stranger(&mut self, why: Stranger) {
+        let at = STRANGERS.iter().position(|s| s.0 == why).unwrap_or_default();
+        self.counts.strangers[at] += 1;
+    }
+
+    pub(super) fn hear(&mut self, now: At, head: Head, body: &[u8]) -> Result<(), Stranger> {
+        if self.own().phase == Phase::Left {
+            return Ok(());
+        }
+        let from = match head.kind {
+            Kind::Swim => self.hear_swim(now, head, body)?,
+            Kind::Notice => {
+                let notice: Notice = wire::body(body)?;
+                self.noticed(now, &notice)?;
+                notice.from
+            }
+            Kind::Ask => {
+                let ask: Ask = wire::body(body)?;
+                self.meets(now, &ask.from)?;
+                self.send_page(&ask);
+                ask.from
+            }
+            Kind::Page => {
+                let page: Page = wire::body(body)?;
+                let from = page.from.clone();
+                self.meets(now, &from)?;
+                self.read_page(now, page);
+                from
+            }
+        };
+        let Some(row) = self.rows.get_mut(&from.name).filter(|r| r.active() && r.id == from) else {
+            return Ok(());
+        };
+        row.heard = Some(now);
+        row.held_up = head.held_up;
+        self.last_heard = Some(now);
+        let suspect = (row.held == Held::Suspect).then_some(row.incarnation);
+        if let Some(incarnation) = suspect {
+            // It speaks, so it can refute what is said of it.
+            self.notice(now, from.address, Member::new(from.clone(), incarnation, Told::Suspect));
+        }
+        if head.digest == self.digest {
+            self.roster.whole = true;
+        } else if from.phase != Phase::Left {
+            let draw = self.chance.float();
+            if self.roster.differs(now, &from, self.changed, draw) {
+                self.counts.rosters += 1;
+                self.ask(&from, CompactString::default());
+            }
+        }
+        Ok(())
+    }
+
+    /// Who a datagram says that it is from: whether it is to be heard at all.
+    pub(super) fn meets(&mut self, now: At, from: &Id) -> Result<(), Stranger> {
+        if !from.is_sound() {
+            return Err(Stranger::Body);
+        }
+        if !self.set.networks.holds(from.address.ip()) {
+            return Err(Stranger::Network);
+        }
+        if from.name == self.set.name {
+            self.claimed(now, from, false);
+            if self.aside.is_none() && from.address != self.set.advertise {
+                // Whoever has the older claim gives way once it knows.
+                self.notice(now, from.address, Member::alive(self.own().clone()));
+            }
+            return Err(Stranger::Outlived);
+        }
+        match self.rows.get(&from.name) {
+            None if self.rows.len() >= self.set.most => Err(Stranger::Full),
+            None => Ok(()),
+            Some(row) => {
+                let older = (from.version(), from.address) < (row.id.version(), row.id.address);
+                let down = !row.active() && row.id == *from;
+                if !older && !down {
+                    return Ok(());
+                }
+                if from.phase != Phase::Left {
+                    let held = if row.active() { Told::Alive } else { Told::Down };
+                    let held = Member::new(row.id.clone(), row.incarnation, held);
+                    self.notice(now, from.address, held);
+                }
+                Err(Stranger::Outlived)
+            }
+        }
+    }
+
+    pub(super) fn hear_swim(&mut self, now: At, head: Head, body: &[u8]) -> Result<Id, Stranger> {
+        let mut packet = swim::read(body)?;
+        let from = packet.header.src.clone();
+        let own = self.own().clone();
+        let to = &packet.header.dst;
+        let announced = packet.header.message == Message::Announce;
+        if !(to.name == own.name || to.name.is_empty() && announced) {
+            return Err(Stranger::Misdirected);
+        }
+        if self.aside.is_some() {
+            // Only who takes this server's own word for its name is heard.
+            if *to != own || packet.header.message != Message::Feed || from.name == own.name {
+                return Err(Stranger::Misdirected);
+            }
+            self.aside = None;
+            self.change(Change::Regained);
+        }
+        packet.header.dst = own;
+        if let Message::PingReq { target: other, .. }
+        | Message::IndirectPing { origin: other, .. }
+        | Message::IndirectAck { target: other, .. }
+        | Message::ForwardedAck { origin: other, .. } = &packet.header.message
+            && !(other.is_sound() && self.set.networks.holds(other.address.ip()))
+        {
+            return Err(Stranger::Network);
+        }
+        self.meets(now, &from)?;
+        let held_up = head.held_up > 0;
+        let members = std::mem::take(&mut packet.members);
+        packet.members = members.into_iter().filter_map(|m| self.weigh(now, m, held_up)).collect();
+        if from.phase == Phase::Left {
+            packet.members.push(Member::down(from.clone()));
+        }
+        let words: Vec<(Id, u16, Told)> =
+            packet.members.iter().map(|m| (m.id().clone(), m.incarnation(), m.state())).collect();
+        let incarnation = packet.header.src_incarnation;
+        if self.swim.updates_backlog() > RUMOURS {
+            let news = std::mem::take(&mut packet.members);
+            self.with_swim(now, |swim, wants| swim.apply_many(news.into_iter(), false, wants));
+        }
+        let bytes = swim::write(&packet);
+        self.with_swim(now, |swim, wants| swim.handle_data(&bytes, wants));
+        self.word(now, &from, incarnation, Told::Alive);
+        for (id, incarnation, told) in words {
+            self.word(now, &id, incarnation, told);
+        }
+        Ok(from)
+    }
+
+    /// What another says of a third: as it may be believed, or nothing.
+    pub(super) fn weigh(&mut self, now: At, m: Member<Id>, held_up: bool) -> Option<Member<Id>> {
+        let id = m.id();
+        if !id.is_sound() || !self.set.networks.holds(id.address.ip()) {
+            self.stranger(Stranger::Network);
+            return None;
+        }
+        if id.name == self.set.name {
+            if id == self.own() && m.state() == Told::Suspect {
+                return Some(m);
+            }
+            self.claimed(now, &id.clone(), m.state() == Told::Down);
+            return None;
+        }
+        let accuses = m.state() != Told::Alive && id.phase != Phase::Left;
+        if accuses && held_up {
+            return None;
+        }
+        let suspect = |id: &Id, incarnation| Some(Member::new(id.clone(), incarnation, Told::Suspect));
+        let Some(row) = self.rows.get(&id.name) else {
+            if m.state() == Told::Down {
+                return None;
+            }
+            if self.rows.len() >= self.set.most {
+                self.stranger(Stranger::Full);
+                return None;
+            }
+            return Some(m);
+        };
+        let (version, known) = ((id.version(), id.address), (row.id.version(), row.id.address));
+        // Nobody is down by hearsay: each server lets its own suspicion run out, so that no wrong word
+        // becomes everyone's; who leaves says so itself.
+        match (version.cmp(&known), row.active(), m.state()) {
+            (std::cmp::Ordering::Less, ..) => None,
+            (std::cmp::Ordering::Greater, true, Told::Down) if accuses => suspect(id, m.incarnation()),
+            (std::cmp::Ordering::Greater, ..) => Some(m),
+            (_, true, Told::Down) if accuses => {
+                let incarnation = row.incarnation;
+                if row.held == Held::Suspect { None } else { suspect(id, incarnation) }
+            }
+            (_, false, Told::Alive | Told::Suspect) => {
+                // Others have it in: if it lives it is to know that this server holds it down.
+                let held = Member::new(id.clone(), row.incarnation, Told::Down);
+                let to = id.address;
+                if row.id.phase != Phase::Left {
+                    self.notice(now, to, held);
+                }
+                None
+            }
+            (_, false, Told::Down) => None,
+            // What is known costs nothing more: most of what rumours say was said before.
+            (std::cmp::Ordering::Equal, true, Told::Alive) => {
+                (m.incarnation() > row.incarnation).then_some(m)
+            }
+            (std::cmp::Ordering::Equal, true, Told::Suspect) => {
+                let newer = match row.held {
+                    Held::Suspect => m.incarnation() > row.incarnation,
+                    _ => m.incarnation() >= row.incarnation,
+                };
+                newer.then_some(m)
+            }
+            _ => Some(m),
+        }
+    }
+
+    /// What was believed of somebody, where it begins or ends a suspicion. Foca lets only those who tried a
+    /// member themselves wait for its refutation; here each who hears of it waits on its own clock.
+    pub(super) fn word(&mut self, now: At, id: &Id, incarnation: u16, told: Told) {
+        let Some(row) = self.rows.get_mut(&id.name).filter(|r| r.id == *id && r.active()) else { return };
+        let newer = incarnation > row.incarnation;
+        match (told, row.held) {
+            (Told::Suspect, Held::In) if incarnation >= row.incarnation => {
+                self.suspected(now, id, incarnation);
+                let (member_id, token) = (id.clone(), 0);
+                let timer = Timer::ChangeSuspectToDown { member_id, incarnation, token };
+                self.set_timer(now + self.set.suspicion, timer);
+            }
+            (Told::Alive, Held::Suspect) if newer => {
+                (row.held, row.since, row.incarnation) = (Held::In, now, incarnation);
+                let (address, to) = (row.id.address, row.state());
+                self.counts.refuted += 1;
+                self.member(&id.name, address, Some(State::Suspect), to, Why::Refuted);
+            }
+            _ => row.incarnation = row.incarnation.max(incarnation),
+        }
+    }
+
+    /// What another holds under this server's name.
+    pub(super) fn noticed(&mut self, now: At, notice: &Notice) -> Result<(), Stranger> {
+        let held = &notice.held;
+        if *held.id() == notice.from && held.state() == Told::Alive {
+            // Asked whether it lives, it does.
+            self.meets(now, &notice.from)?;
+            let word = std::iter::once(held.clone());
+            self.with_swim(now, |swim, wants| swim.apply_many(word, true, wants));
+            self.word(now, &notice.from, held.incarnation(), Told::Alive);
+            return Ok(());
+        }
+        if !notice.from.is_sound() || !held.id().is_sound() {
+            return Err(Stranger::Body);
+        }
+        if !self.set.networks.holds(notice.from.address.ip()) {
+            return Err(Stranger::Network);
+        }
+        if held.id().name != self.set.name {
+            return Err(Stranger::Misdirected);
+        }
+        if held.id() == self.own() && held.state() == Told::Suspect {
+            let held = held.clone();
+            self.with_swim(now, |swim, wants| swim.apply_many(std::iter::once(held), false, wants));
+            let word = Member::new(self.own().clone(), self.incarnation, Told::Alive);
+            self.notice(now, notice.from.address, word);
+            return Ok(());
+        }
+        let before = self.own().version();
+        self.claimed(now, held.id(), held.state() == Told::Down);
+        if self.own().version() != before && notice.from.name != self.set.name {
+            // Said at once to who held it down.
+            self.announce(now, notice.from.address);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/members/src/members/speak.rs
@@ -0,0 +1,258 @@
+//! What goes out, and what foca tells of the view on the way.
+
+use super::*;
+
+impl Members {
+    pub(super) fn with_swim(
+        &mut self, now: At, act: impl FnOnce(&mut Swim, &mut Wants) -> Result<(), foca::Error>,
+    ) {
+        let mut wants = Wants::default();
+        // What it does not take is of no use here: what can come in was read before.
+        let _ = act(&mut self.swim, &mut wants);
+        if let Some(Ok(packet)) = wants.sends.first().map(|s| swim::read(&s.1)) {
+            self.incarnation = packet.header.src_incarnation;
+        }
+        for told in wants.told {
+            self.told(now, told);
+        }
+        for (after, timer) in wants.timers {
+            if let Timer::ChangeSuspectToDown { member_id, incarnation, .. } = &timer {
+                self.suspected(now, member_id, *incarnation);
+            }
+            self.set_timer(now + after, timer);
+        }
+        for (to, body) in wants.sends {
+            if let Some((target, number)) = swim::asks_to_try(&body) {
+                self.try_again(target, number);
+            }
+            self.send(to.address, Kind::Swim, &body);
+        }
+    }
+
+    /// A member that has not answered is tried again by this server, beside those it asks: a datagram is more
+    /// often lost than a server.
+    pub(super) fn try_again(&mut self, target: Id, number: u8) {
+        if self.tried == (target.name.clone(), number) {
+            return;
+        }
+        self.tried = (target.name.clone(), number);
+        let to = target.address;
+        let body = swim::ping(self.own().clone(), self.incarnation, target, number);
+        for _ in 0..TRIES {
+            self.send(to, Kind::Swim, &body);
+        }
+    }
+
+    pub(super) fn told(&mut self, now: At, told: OwnedNotification<Id>) {
+        match told {
+            OwnedNotification::MemberUp(id) => self.up(now, id),
+            OwnedNotification::MemberDown(id) => {
+                let Some(row) = self.rows.get(&id.name) else { return };
+                let (before, heard) = (row.state(), row.heard.map(|at| now - at));
+                self.edit(&id.name, |rows, name| {
+                    if let Some(row) = rows.get_mut(name) {
+                        (row.held, row.since, row.id) = (Held::Down, now, id.clone());
+                    }
+                });
+                self.changed = now;
+                if id.phase == Phase::Left {
+                    return self.member(&id.name, id.address, Some(before), State::Left, Why::Said);
+                }
+                self.counts.downs += 1;
+                self.mend.lost(now);
+                let why = Why::Unrefuted { heard };
+                self.member(&id.name, id.address, Some(before), State::Down, why);
+            }
+            OwnedNotification::Rename(old, new) => {
+                let Some(row) = self.rows.get(&old.name) else { return };
+                let (before, active) = (row.state(), row.active());
+                self.edit(&new.name, |rows, name| {
+                    if let Some(row) = rows.get_mut(name) {
+                        (row.incarnation, row.heard) = (0, row.heard.filter(|_| row.id.life == new.life));
+                        row.id = new.clone();
+                        if row.held == Held::Suspect {
+                            row.held = Held::In;
+                        }
+                    }
+                });
+                self.changed = now;
+                let to = self.rows.get(&new.name).map_or(State::Alive, Row::state);
+                if new.life != old.life {
+                    let why = Why::NewLife { from: old.life, to: new.life };
+                    self.member(&new.name, new.address, Some(before), to, why);
+                } else if active && before != to {
+                    self.member(&new.name, new.address, Some(before), to, Why::Said);
+                }
+            }
+            // Held down by a rumour that foca has answered with another turn.
+            OwnedNotification::Rejoin(id) => {
+                self.counts.renewed += 1;
+                self.change(Change::Renewed { turn: id.turn });
+            }
+            OwnedNotification::Active => self.met = self.met.or(Some(now)),
+            _ => {}
+        }
+    }
+
+    pub(super) fn up(&mut self, now: At, id: Id) {
+        let before = self.rows.get(&id.name).map(Row::state);
+        self.edit(&id.name, |rows, name| {
+            let row = rows.entry(name.clone()).or_insert_with(|| Row {
+                id: id.clone(),
+                incarnation: 0,
+                held: Held::In,
+                since: now,
+                heard: None,
+                held_up: 0,
+            });
+            (row.id, row.held, row.since) = (id.clone(), Held::In, now);
+        });
+        self.changed = now;
+        let to = self.rows.get(&id.name).map_or(State::Alive, Row::state);
+        let why = if before.is_some() { Why::Lives } else { Why::Met };
+        if before != Some(to) {
+            self.member(&id.name, id.address, before, to, why);
+        }
+        self.set_swim();
+    }
+
+    /// News is told the more often the larger the fleet.
+    pub(super) fn set_swim(&mut self) {
+        let config = config(&self.set, self.active);
+        let told_to = config.max_transmissions.get();
+        if std::mem::replace(&mut self.told_to, told_to) != told_to {
+            let _ = self.swim.set_config(config);
+        }
+    }
+
+    pub(super) fn suspected(&mut self, now: At, id: &Id, incarnation: u16) {
+        let Some(row) = self.rows.get_mut(&id.name).filter(|r| r.id == *id && r.active()) else { return };
+        let before = row.state();
+        (row.held, row.since, row.incarnation) = (Held::Suspect, now, incarnation);
+        let heard = row.heard.map(|at| now - at);
+        self.counts.suspicions += 1;
+        for part in LAST_CALLS {
+            self.numbered += 1;
+            self.last_calls.insert((now + self.set.suspicion.times(part), self.numbered), id.name.clone());
+        }
+        if before != State::Suspect {
+            let why = Why::Unanswered { heard };
+            self.member(&id.name, id.address, Some(before), State::Suspect, why);
+        }
+    }
+
+    /// Changes a row, and all that is summed up over them with it.
+    pub(super) fn edit(
+        &mut self, name: &CompactString, act: impl FnOnce(&mut BTreeMap<CompactString, Row>, &CompactString),
+    ) {
+        let weight = |row: Option<&Row>| {
+            let missing = row.is_some_and(|r| r.state() == State::Down);
+            let active = row.is_some_and(Row::active);
+            (usize::from(active), usize::from(missing), row.map_or(0, Row::mark))
+        };
+        let before = weight(self.rows.get(name));
+        act(&mut self.rows, name);
+        let after = weight(self.rows.get(name));
+        self.active = self.active + after.0 - before.0;
+        self.missing = self.missing + after.1 - before.1;
+        self.digest ^= before.2 ^ after.2;
+    }
+
+    pub(super) fn change(&mut self, what: Change) {
+        if self.changes.len() < CHANGES_MOST {
+            self.changes.push(what);
+        } else {
+            self.counts.untold += 1;
+        }
+    }
+
+    pub(super) fn member(
+        &mut self, name: &CompactString, address: SocketAddr, from: Option<State>, to: State, why: Why,
+    ) {
+        self.change(Change::Member { name: name.clone(), address, from, to, why });
+    }
+
+    pub(super) fn send(&mut self, to: SocketAddr, kind: Kind, body: &[u8]) {
+        if to == self.set.advertise || !self.set.networks.holds(to.ip()) {
+            return;
+        }
+        let head = Head { kind, digest: self.digest, held_up: self.awake.told() };
+        let bytes = wire::write(head, self.fleet, body);
+        self.counts.sent += 1;
+        self.counts.bytes_out += bytes.len() as u64;
+        self.out.push((to, bytes));
+    }
+
+    pub(super) fn notice(&mut self, now: At, to: SocketAddr, held: Member<Id>) {
+        if now - self.notices.0 >= NOTICES_IN {
+            self.notices = (now, 0);
+        }
+        self.notices.1 += 1;
+        if self.notices.1 > NOTICES {
+            return;
+        }
+        self.counts.notices += 1;
+        if let Some(body) = wire::bytes(&Notice { from: self.own().clone(), held }) {
+            self.send(to, Kind::Notice, &body);
+        }
+    }
+
+    pub(super) fn ask(&mut self, from: &Id, after: CompactString) {
+        if let Some(body) = wire::bytes(&Ask { from: self.own().clone(), after }) {
+            self.send(from.address, Kind::Ask, &body);
+        }
+    }
+
+    /// The next of those in the view past a name, as many as a datagram holds.
+    pub(super) fn send_page(&mut self, ask: &Ask) {
+        let past = (std::ops::Bound::Excluded(&ask.after), std::ops::Bound::Unbounded);
+        let room = DATAGRAM_MOST - HEAD;
+        let mut page = Page { from: self.own().clone(), members: vec![], last: true };
+        let mut size = wire::bytes(&page).map_or(room, |b| b.len() + 2);
+        let now = self.awake.now();
+        let lately = |r: &&Row| r.active() || r.id.phase != Phase::Left && now - r.since < LATELY;
+        for row in self.rows.range::<CompactString, _>(past).map(|r| r.1).filter(lately) {
+            let told = match row.held {
+                Held::In => Told::Alive,
+                Held::Suspect => Told::Suspect,
+                Held::Down => Told::Down,
+            };
+            let member = Member::new(row.id.clone(), row.incarnation, told);
+            size += wire::bytes(&member).map_or(room, |b| b.len());
+            if size > room {
+                page.last = false;
+                break;
+            }
+            page.members.push(member);
+        }
+        if let Some(body) = wire::bytes(&page) {
+            self.send(ask.from.address, Kind::Page, &body);
+        }
+    }
+
+    pub(super) fn read_page(&mut self, now: At, page: Page) {
+        if self.roster.due(&page.from).is_none() {
+            return;
+        }
+        let last_name = page.members.last().map(|m| m.id().name.clone());
+        let weighed: Vec<Member<Id>> =
+            page.members.into_iter().filter_map(|m| self.weigh(now, m, false)).collect();
+        let words: Vec<(Id, u16, Told)> =
+            weighed.iter().map(|m| (m.id().clone(), m.incarnation(), m.state())).collect();
+        let before = self.changed;
+        let known = |id: &Id| self.rows.get(&id.name).is_some_and(|r| r.active() && r.id == *id);
+        let new = words.iter().filter(|w| !known(&w.0)).count();
+        let passed_on = new <= PASSED_ON;
+        self.with_swim(now, |swim, wants| swim.apply_many(weighed.into_iter(), passed_on, wants));
+        for (id, incarnation, told) in words {
+            self.word(now, &id, incarnation, told);
+        }
+        if !passed_on {
+            // Its own reading is no news under way.
+            self.changed = before;
+        }
+        if let Some(after) = self.roster.page(now, last_name.as_ref(), page.last, new) {
+            self.ask(&page.from, after);
+        }
+    }
+}
--- a/crates/standins/src/fleet/relay.rs
+++ b/crates/standins/src/fleet/relay.rs
@@ -2,17 +2,15 @@
 //! A datagram that reaches the relay of one server goes on to it from the relay of the sender, so that every
 //! directed pair can be meddled with and no server can tell.
 
+use super::net::Net;
 use super::script::Act;
 use madderbay::time::Span;
-use oorandom::Rand64;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::collections::{BinaryHeap, HashMap};
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::time::{Duration, Instant};
 
-/// Datagrams to each that may be sent again.
-const KEPT: usize = 200;
 /// How often the carrier looks up where nothing comes.
 const IDLE: Duration = Duration::from_millis(200);
 
@@ -73,14 +71,7 @@
     sockets: Vec<UdpSocket>,
     servers: Vec<Option<SocketAddr>>,
     by_address: HashMap<SocketAddr, usize>,
-    chance: Rand64,
-    group: Vec<usize>,
-    one_way: HashSet<(usize, usize)>,
-    loss: f64,
-    double: f64,
-    spoil: f64,
-    delay: (Span, Span),
-    kept: Vec<Vec<(usize, Vec<u8>)>>,
+    net: Net,
     late: BinaryHeap<Reverse<(Instant, u64)>>,
     waiting: HashMap<u64, (usize, usize, Vec<u8>)>,
     numbered: u64,
@@ -88,18 +79,10 @@
 
 impl Carrier {
     fn new(sockets: Vec<UdpSocket>, seed: u64) -> Carrier {
-        let n = sockets.len();
         Carrier {
-            servers: vec![None; n],
+            servers: vec![None; sockets.len()],
             by_address: HashMap::new(),
-            chance: Rand64::new(u128::from(seed)),
-            group: vec![0; n],
-            one_way: HashSet::new(),
-            loss: 0.0,
-            double: 0.0,
-            spoil: 0.0,
-            delay: (Span::ZERO, Span::ZERO),
-            kept: vec![vec![]; n],
+            net: Net::new(sockets.len(), seed, (Span::ZERO, Span::ZERO)),
             late: BinaryHeap::new(),
             waiting: HashMap::new(),
             numbered: 0,
@@ -132,26 +115,13 @@
 
     fn came(&mut self, to: usize, from: SocketAddr, bytes: &[u8]) {
         let Some(from) = self.by_address.get(&from).copied() else { return };
-        let cut = self.group[from] != self.group[to] || self.one_way.contains(&(from, to));
-        if cut || self.chance.rand_float() < self.loss {
-            return;
-        }
-        for _ in 0..1 + usize::from(self.chance.rand_float() < self.double) {
-            let mut bytes = bytes.to_vec();
-            if self.chance.rand_float() < self.spoil && !bytes.is_empty() {
-                let at = (self.chance.rand_float() * bytes.len() as f64) as usize;
-                bytes[at] ^= 1 << (self.chance.rand_u64() % 8);
-            }
-            if self.kept[to].len() < KEPT {
-                self.kept[to].push((from, bytes.clone()));
-            }
-            let spread = self.delay.1.less(self.delay.0).times(self.chance.rand_float());
-            let wait = Duration::from_micros((self.delay.0 + spread).as_micros());
-            if wait.is_zero() {
+        for (after, bytes) in self.net.carry(from, to, bytes) {
+            if after == Span::ZERO {
                 self.pass_on(from, to, &bytes);
             } else {
                 self.numbered += 1;
-                self.late.push(Reverse((Instant::now() + wait, self.numbered)));
+                let at = Instant::now() + Duration::from_micros(after.as_micros());
+                self.late.push(Reverse((at, self.numbered)));
                 self.waiting.insert(self.numbered, (from, to, bytes));
             }
         }
@@ -164,33 +134,9 @@
     }
 
     fn act(&mut self, act: &Act) {
-        match act {
-            Act::Cut(groups) => {
-                for (no, group) in (1..).zip(groups) {
-                    group.iter().for_each(|s| self.group[*s] = no);
-                }
-            }
-            Act::OneWay(from, to) => self.one_way.extend(to.iter().map(|t| (*from, *t))),
-            Act::Heal => {
-                self.group.fill(0);
-                self.one_way.clear();
-            }
-            Act::Net { loss: None, double: None, spoil: None, delay: None } => {
-                (self.loss, self.double, self.spoil) = (0.0, 0.0, 0.0);
-                self.delay = (Span::ZERO, Span::ZERO);
-            }
-            Act::Net { loss, double, spoil, delay } => {
-                self.loss = loss.unwrap_or(self.loss);
-                self.double = double.unwrap_or(self.double);
-                self.spoil = spoil.unwrap_or(self.spoil);
-                self.delay = delay.unwrap_or(self.delay);
-            }
-            Act::Replay(to) => {
-                for (from, bytes) in &self.kept[*to] {
-                    self.pass_on(*from, *to, bytes);
-                }
-            }
-            _ => {}
+        if let Act::Replay(to) = act {
+            self.net.kept(*to).iter().for_each(|(from, bytes)| self.pass_on(*from, *to, bytes));
         }
+        self.net.act(act);
     }
 }
--- a/crates/standins/src/fleet/sim.rs
+++ b/crates/standins/src/fleet/sim.rs
@@ -1,20 +1,19 @@
 //! Many servers' views in simulated time: the machines of the program over a simulated network, every fault
 //! from one seed.
 
+use super::net::Net;
 use super::script::{Act, Condition, Fleet, Setup, name};
 use madderbay::time::{At, Span};
 use madderbay_members::{Change, Members, Networks, Settings, State};
 use oorandom::Rand64;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::collections::{BinaryHeap, HashMap};
 use std::net::SocketAddr;
 
 /// Simulated time between two looks at a condition.
 const LOOK: Span = Span::millis(50);
 /// Datagrams that wait for a server that is stopped, as a socket would hold.
 const WAITING: usize = 200;
-/// Datagrams to each that may be sent again.
-const KEPT: usize = 200;
 /// Unix time at the start.
 const UNIX_MS: u64 = 1_764_576_000_000;
 
@@ -27,7 +26,6 @@
     ahead: Span,
     wakes: Option<At>,
     life: u32,
-    kept: Vec<(SocketAddr, Vec<u8>)>,
 }
 
 enum Event {
@@ -44,12 +42,7 @@
     queue: BinaryHeap<Reverse<(At, u64)>>,
     events: HashMap<u64, Event>,
     numbered: u64,
-    group: Vec<usize>,
-    one_way: HashSet<(usize, usize)>,
-    loss: f64,
-    double: f64,
-    spoil: f64,
-    delay: (Span, Span),
+    net: Net,
     /// Servers that were declared down by one that could hear them, while they ran.
     pub wrongly_down: usize,
     pub log: Option<Vec<String>>,
@@ -76,13 +69,12 @@
             ahead: Span::secs(chance.rand_float() * 1e4),
             wakes: None,
             life: 0,
-            kept: vec![],
         });
         let nodes: Vec<Node> = nodes.collect();
         Sim {
             now: At::micros(1_000_000),
             by_address: (0..setup.servers).map(|s| (address(s), s)).collect(),
-            group: vec![0; setup.servers],
+            net: Net::new(setup.servers, seed + 2, CALM),
             excused: vec![At::default(); setup.servers],
             setup,
             chance,
@@ -90,11 +82,6 @@
             queue: BinaryHeap::new(),
             events: HashMap::new(),
             numbered: 0,
-            one_way: HashSet::new(),
-            loss: 0.0,
-            double: 0.0,
-            spoil: 0.0,
-            delay: CALM,
             wrongly_down: 0,
             log: None,
         }
@@ -174,7 +161,7 @@
         let Some(of) = self.by_address.get(address).copied() else { return };
         let long = self.setup.suspicion.times(2.0) + Span::millis(2_000);
         let excused = |s: usize| self.now - self.excused[s] < long;
-        let hears = self.group[who] == self.group[of] && self.one_way.is_empty();
+        let hears = self.net.group[who] == self.net.group[of] && self.net.one_way.is_empty();
         let node = &self.nodes[of];
         if node.members.is_some() && !node.stopped && hears && !excused(of) && !excused(who) {
             self.wrongly_down += 1;
@@ -183,23 +170,8 @@
 
     fn carry(&mut self, from: usize, to: SocketAddr, bytes: Vec<u8>) {
         let Some(to) = self.by_address.get(&to).copied() else { return };
-        let cut = self.group[from] != self.group[to] || self.one_way.contains(&(from, to));
-        if cut || self.chance.rand_float() < self.loss {
-            return;
-        }
-        let copies = 1 + usize::from(self.double > 0.0 && self.chance.rand_float() < self.double);
-        for _ in 0..copies {
-            let mut bytes = bytes.clone();
-            if self.spoil > 0.0 && self.chance.rand_float() < self.spoil {
-                let at = (self.chance.rand_float() * bytes.len() as f64) as usize;
-                bytes[at] ^= 1 << (self.chance.rand_u64() % 8);
-            }
-            let spread = self.delay.1.less(self.delay.0).times(self.chance.rand_float());
-            let kept = &mut self.nodes[to].kept;
-            if kept.len() < KEPT && self.setup.servers <= 50 {
-                kept.push((address(from), bytes.clone()));
-            }
-            self.push(self.now + self.delay.0 + spread, Event::Datagram(to, address(from), bytes));
+        for (after, bytes) in self.net.carry(from, to, &bytes) {
+            self.push(self.now + after, Event::Datagram(to, address(from), bytes));
         }
     }
 
@@ -248,10 +220,10 @@
         let truth = self.truth();
         let mut digests: HashMap<usize, (usize, u64)> = HashMap::new();
         let mut sizes: HashMap<usize, usize> = HashMap::new();
-        truth.iter().for_each(|s| *sizes.entry(self.group[*s]).or_default() += 1);
+        truth.iter().for_each(|s| *sizes.entry(self.net.group[*s]).or_default() += 1);
         for &s in &truth {
             let members = self.nodes[s].members.as_ref()?;
-            let group = self.group[s];
+            let group = self.net.group[s];
             let (size, active) = (sizes[&group], members.active());
             if active + 1 != size {
                 return Some(format!("{} holds {active} others in, not {}", name(s), size - 1));
@@ -297,32 +269,14 @@
                 self.drive(*s, |members, now| members.leave(now));
                 self.nodes[*s].members = None;
             }
-            Act::Cut(groups) => {
-                for (no, group) in (1..).zip(groups) {
-                    group.iter().for_each(|s| self.group[*s] = no);
-                }
+            Act::Cut(_) | Act::Heal => {
+                self.net.act(act);
                 self.excused = vec![self.now; self.setup.servers];
             }
-            Act::OneWay(from, to) => {
-                self.one_way.extend(to.iter().map(|t| (*from, *t)));
-            }
-            Act::Heal => {
-                self.group = vec![0; self.setup.servers];
-                self.one_way.clear();
-                self.excused = vec![self.now; self.setup.servers];
-            }
-            Act::Net { loss: None, double: None, spoil: None, delay: None } => {
-                (self.loss, self.double, self.spoil, self.delay) = (0.0, 0.0, 0.0, CALM);
-            }
-            Act::Net { loss, double, spoil, delay } => {
-                self.loss = loss.unwrap_or(self.loss);
-                self.double = double.unwrap_or(self.double);
-                self.spoil = spoil.unwrap_or(self.spoil);
-                self.delay = delay.unwrap_or(self.delay);
-            }
+            Act::OneWay(..) | Act::Net { .. } => self.net.act(act),
             Act::Replay(s) => {
-                for (from, bytes) in self.nodes[*s].kept.clone() {
-                    self.push(self.now, Event::Datagram(*s, from, bytes));
+                for (from, bytes) in self.net.kept(*s) {
+                    self.push(self.now, Event::Datagram(*s, address(from), bytes));
                 }
             }
             Act::For(time) => self.run(*time),
