--- a/crates/members/src/members.rs
+++ b/crates/members/src/members.rs
@@ -1,5 +1,8 @@
 //! The machine: datagrams, time and chance in; datagrams, due times and changes out.
 
+mod hear;
+mod speak;
+
 use crate::awake::Awake;
 use crate::heard::{Evidence, Hears, Judgement};
 use crate::id::{Id, Phase};
@@ -27,6 +30,15 @@
 const PASSED_ON: usize = 16;
 /// Changes kept for the log; what is more is counted.
 const CHANGES_MOST: usize = 64;
+/// Before a suspicion runs out the suspected is asked itself, at these parts of the time that it has: a rumour
+/// that it lives may miss some.
+const LAST_CALLS: [f64; 2] = [0.35, 0.7];
+/// Tries more of a member that has not answered in time.
+const TRIES: usize = 2;
+/// Those who went down this lately are told of in a roster; who holds them in suspects them then.
+const LATELY: Span = Span::millis(20_000);
+/// News passed on at a time: beyond, what comes is taken in and not passed on, and rosters carry it.
+const RUMOURS: usize = 200;
 /// Times that the word of leaving is sent to some.
 const GOODBYES: usize = 3;
 
@@ -80,6 +92,12 @@
     swim: Swim,
     timers: BTreeMap<(At, u64), Timer<Id>>,
     numbered: u64,
+    /// Suspected servers that are to be asked themselves.
+    last_calls: BTreeMap<(At, u64), CompactString>,
+    /// Its own, as foca counts it.
+    incarnation: u16,
+    /// The probe that was tried again last.
+    tried: (CompactString, u8),
     rows: BTreeMap<CompactString, Row>,
     active: usize,
     missing: usize,
@@ -122,6 +140,9 @@
             swim: Swim::new(id, config(&set, 0), Chance::new(seed), PostcardCodec),
             timers: BTreeMap::new(),
             numbered: 0,
+            last_calls: BTreeMap::new(),
+            incarnation: 0,
+            tried: (CompactString::default(), 0),
             rows: BTreeMap::new(),
             active: 0,
             missing: 0,
@@ -229,8 +250,8 @@
     /// When it has to be told the time next.
     pub fn due(&self) -> At {
         let own = [Some(self.mend.due()), self.judgement.due(), self.joins_at()];
-        let first = self.timers.keys().next().map(|k| k.0);
-        let due = own.into_iter().flatten().chain(first).min().unwrap_or_default();
+        let first = [self.timers.keys().next(), self.last_calls.keys().next()].into_iter().flatten();
+        let due = own.into_iter().flatten().chain(first.map(|k| k.0)).min().unwrap_or_default();
         self.awake.outside(due)
     }
 
@@ -263,11 +284,23 @@
         for timer in later {
             self.set_timer(now + self.set.answer, timer);
         }
+        while let Some(entry) = self.last_calls.first_entry().filter(|e| e.key().0 <= now) {
+            let name = entry.remove();
+            self.call(now, &name);
+        }
         self.contact(now);
         self.step_phase(now);
         self.judge(now);
     }
 
+    /// Asks one that is suspected whether it lives.
+    fn call(&mut self, now: At, name: &CompactString) {
+        if let Some(row) = self.rows.get(name).filter(|r| r.held == Held::Suspect) {
+            let held = Member::new(row.id.clone(), row.incarnation, Told::Suspect);
+            self.notice(now, row.id.address, held);
+        }
+    }
+
     fn set_timer(&mut self, at: At, timer: Timer<Id>) {
         self.numbered += 1;
         self.timers.insert((at, self.numbered), timer);
@@ -409,481 +442,6 @@
             Verdict::Taken => self.aside = Some(id.address),
         }
     }
-
-    // --- what comes
-
-    /// A datagram came from somewhere.
-    pub fn received(&mut self, now: At, from: SocketAddr, bytes: &[u8]) {
-        let now = self.begin(now);
-        self.counts.heard += 1;
-        self.counts.bytes_in += bytes.len() as u64;
-        let heard = if self.set.networks.holds(from.ip()) {
-            wire::read(bytes, self.fleet).and_then(|(head, body)| self.hear(now, head, body))
-        } else {
-            Err(Stranger::Network)
-        };
-        if let Err(why) = heard {
-            self.stranger(why);
-        }
-        self.step_phase(now);
-        self.judge(now);
-    }
-
-    fn stranger(&mut self, why: Stranger) {
-        let at = STRANGERS.iter().position(|s| s.0 == why).unwrap_or_default();
-        self.counts.strangers[at] += 1;
-    }
-
-    fn hear(&mut self, now: At, head: Head, body: &[u8]) -> Result<(), Stranger> {
-        if self.own().phase == Phase::Left {
-            return Ok(());
-        }
-        let from = match head.kind {
-            Kind::Swim => self.hear_swim(now, head, body)?,
-            Kind::Notice => {
-                let notice: Notice = wire::body(body)?;
-                self.noticed(now, &notice)?;
-                notice.from
-            }
-            Kind::Ask => {
-                let ask: Ask = wire::body(body)?;
-                self.meets(now, &ask.from)?;
-                self.send_page(&ask);
-                ask.from
-            }
-            Kind::Page => {
-                let page: Page = wire::body(body)?;
-                let from = page.from.clone();
-                self.meets(now, &from)?;
-                self.read_page(now, page);
-                from
-            }
-        };
-        let Some(row) = self.rows.get_mut(&from.name).filter(|r| r.active() && r.id == from) else {
-            return Ok(());
-        };
-        row.heard = Some(now);
-        row.held_up = head.held_up;
-        self.last_heard = Some(now);
-        let suspect = (row.held == Held::Suspect).then_some(row.incarnation);
-        if let Some(incarnation) = suspect {
-            // It speaks, so it can refute what is said of it.
-            self.notice(now, from.address, Member::new(from.clone(), incarnation, Told::Suspect));
-        }
-        if head.digest != self.digest && from.phase != Phase::Left {
-            let draw = self.chance.float();
-            if self.roster.differs(now, &from, self.changed, draw) {
-                self.counts.rosters += 1;
-                self.ask(&from, CompactString::default());
-            }
-        }
-        Ok(())
-    }
-
-    /// Who a datagram says that it is from: whether it is to be heard at all.
-    fn meets(&mut self, now: At, from: &Id) -> Result<(), Stranger> {
-        if !from.is_sound() {
-            return Err(Stranger::Body);
-        }
-        if !self.set.networks.holds(from.address.ip()) {
-            return Err(Stranger::Network);
-        }
-        if from.name == self.set.name {
-            self.claimed(now, from, false);
-            if self.aside.is_none() && from.address != self.set.advertise {
-                // Whoever has the older claim gives way once it knows.
-                self.notice(now, from.address, Member::alive(self.own().clone()));
-            }
-            return Err(Stranger::Outlived);
-        }
-        match self.rows.get(&from.name) {
-            None if self.rows.len() >= self.set.most => Err(Stranger::Full),
-            None => Ok(()),
-            Some(row) => {
-                let older = (from.version(), from.address) < (row.id.version(), row.id.address);
-                let down = !row.active() && row.id == *from;
-                if !older && !down {
-                    return Ok(());
-                }
-                if from.phase != Phase::Left {
-                    let held = if row.active() { Told::Alive } else { Told::Down };
-                    let held = Member::new(row.id.clone(), row.incarnation, held);
-                    self.notice(now, from.address, held);
-                }
-                Err(Stranger::Outlived)
-            }
-        }
-    }
-
-    fn hear_swim(&mut self, now: At, head: Head, body: &[u8]) -> Result<Id, Stranger> {
-        let mut packet = swim::read(body)?;
-        let from = packet.header.src.clone();
-        let own = self.own().clone();
-        let to = &packet.header.dst;
-        let announced = packet.header.message == Message::Announce;
-        if !(to.name == own.name || to.name.is_empty() && announced) {
-            return Err(Stranger::Misdirected);
-        }
-        if self.aside.is_some() {
-            // Only who takes this server's own word for its name is heard.
-            if *to != own || packet.header.message != Message::Feed || from.name == own.name {
-                return Err(Stranger::Misdirected);
-            }
-            self.aside = None;
-            self.change(Change::Regained);
-        }
-        packet.header.dst = own;
-        if let Message::PingReq { target: other, .. }
-        | Message::IndirectPing { origin: other, .. }
-        | Message::IndirectAck { target: other, .. }
-        | Message::ForwardedAck { origin: other, .. } = &packet.header.message
-            && !(other.is_sound() && self.set.networks.holds(other.address.ip()))
-        {
-            return Err(Stranger::Network);
-        }
-        self.meets(now, &from)?;
-        let held_up = head.held_up > 0;
-        let members = std::mem::take(&mut packet.members);
-        packet.members = members.into_iter().filter_map(|m| self.weigh(now, m, held_up)).collect();
-        if from.phase == Phase::Left {
-            packet.members.push(Member::down(from.clone()));
-        }
-        let words: Vec<(Id, u16, Told)> =
-            packet.members.iter().map(|m| (m.id().clone(), m.incarnation(), m.state())).collect();
-        let incarnation = packet.header.src_incarnation;
-        let bytes = swim::write(&packet);
-        self.with_swim(now, |swim, wants| swim.handle_data(&bytes, wants));
-        self.word(now, &from, incarnation, Told::Alive);
-        for (id, incarnation, told) in words {
-            self.word(now, &id, incarnation, told);
-        }
-        Ok(from)
-    }
-
-    /// What another says of a third: as it may be believed, or nothing.
-    fn weigh(&mut self, now: At, m: Member<Id>, held_up: bool) -> Option<Member<Id>> {
-        let id = m.id();
-        if !id.is_sound() || !self.set.networks.holds(id.address.ip()) {
-            self.stranger(Stranger::Network);
-            return None;
-        }
-        if id.name == self.set.name {
-            if id == self.own() && m.state() == Told::Suspect {
-                return Some(m);
-            }
-            self.claimed(now, &id.clone(), m.state() == Told::Down);
-            return None;
-        }
-        let accuses = m.state() != Told::Alive && id.phase != Phase::Left;
-        if accuses && held_up {
-            return None;
-        }
-        let suspect = |id: &Id, incarnation| Some(Member::new(id.clone(), incarnation, Told::Suspect));
-        let Some(row) = self.rows.get(&id.name) else {
-            if m.state() == Told::Down {
-                return None;
-            }
-            if self.rows.len() >= self.set.most {
-                self.stranger(Stranger::Full);
-                return None;
-            }
-            return Some(m);
-        };
-        let (version, known) = ((id.version(), id.address), (row.id.version(), row.id.address));
-        // Nobody is down by hearsay: each server lets its own suspicion run out, so that no wrong word
-        // becomes everyone's; who leaves says so itself.
-        match (version.cmp(&known), row.active(), m.state()) {
-            (std::cmp::Ordering::Less, ..) => None,
-            (std::cmp::Ordering::Greater, true, Told::Down) if accuses => suspect(id, m.incarnation()),
-            (std::cmp::Ordering::Greater, ..) => Some(m),
-            (_, true, Told::Down) if accuses => {
-                let incarnation = row.incarnation;
-                if row.held == Held::Suspect { None } else { suspect(id, incarnation) }
-            }
-            (_, false, Told::Alive | Told::Suspect) => {
-                // Others have it in: if it lives it is to know that this server holds it down.
-                let held = Member::new(id.clone(), row.incarnation, Told::Down);
-                let to = id.address;
-                if row.id.phase != Phase::Left {
-                    self.notice(now, to, held);
-                }
-                None
-            }
-            (_, false, Told::Down) => None,
-            _ => Some(m),
-        }
-    }
-
-    /// What was believed of somebody, where it begins or ends a suspicion. Foca lets only those who tried a
-    /// member themselves wait for its refutation; here each who hears of it waits on its own clock.
-    fn word(&mut self, now: At, id: &Id, incarnation: u16, told: Told) {
-        let Some(row) = self.rows.get_mut(&id.name).filter(|r| r.id == *id && r.active()) else { return };
-        let newer = incarnation > row.incarnation;
-        match (told, row.held) {
-            (Told::Suspect, Held::In) if incarnation >= row.incarnation => {
-                self.suspected(now, id, incarnation);
-                let (member_id, token) = (id.clone(), 0);
-                let timer = Timer::ChangeSuspectToDown { member_id, incarnation, token };
-                self.set_timer(now + self.set.suspicion, timer);
-            }
-            (Told::Alive, Held::Suspect) if newer => {
-                (row.held, row.since, row.incarnation) = (Held::In, now, incarnation);
-                let (address, to) = (row.id.address, row.state());
-                self.counts.refuted += 1;
-                self.member(&id.name, address, Some(State::Suspect), to, Why::Refuted);
-            }
-            _ => row.incarnation = row.incarnation.max(incarnation),
-        }
-    }
-
-    /// What another holds under this server's name.
-    fn noticed(&mut self, now: At, notice: &Notice) -> Result<(), Stranger> {
-        let held = &notice.held;
-        if !notice.from.is_sound() || !held.id().is_sound() {
-            return Err(Stranger::Body);
-        }
-        if !self.set.networks.holds(notice.from.address.ip()) {
-            return Err(Stranger::Network);
-        }
-        if held.id().name != self.set.name {
-            return Err(Stranger::Misdirected);
-        }
-        if held.id() == self.own() && held.state() == Told::Suspect {
-            let held = held.clone();
-            self.with_swim(now, |swim, wants| swim.apply_many(std::iter::once(held), false, wants));
-            return Ok(());
-        }
-        let before = self.own().version();
-        self.claimed(now, held.id(), held.state() == Told::Down);
-        if self.own().version() != before && notice.from.name != self.set.name {
-            // Said at once to who held it down.
-            self.announce(now, notice.from.address);
-        }
-        Ok(())
-    }
-
-    // --- what goes out
-
-    fn with_swim(&mut self, now: At, act: impl FnOnce(&mut Swim, &mut Wants) -> Result<(), foca::Error>) {
-        let mut wants = Wants::default();
-        // What it does not take is of no use here: what can come in was read before.
-        let _ = act(&mut self.swim, &mut wants);
-        for told in wants.told {
-            self.told(now, told);
-        }
-        for (after, timer) in wants.timers {
-            if let Timer::ChangeSuspectToDown { member_id, incarnation, .. } = &timer {
-                self.suspected(now, member_id, *incarnation);
-            }
-            self.set_timer(now + after, timer);
-        }
-        for (to, body) in wants.sends {
-            self.send(to.address, Kind::Swim, &body);
-        }
-    }
-
-    fn told(&mut self, now: At, told: OwnedNotification<Id>) {
-        match told {
-            OwnedNotification::MemberUp(id) => self.up(now, id),
-            OwnedNotification::MemberDown(id) => {
-                let Some(row) = self.rows.get(&id.name) else { return };
-                let (before, heard) = (row.state(), row.heard.map(|at| now - at));
-                self.edit(&id.name, |rows, name| {
-                    if let Some(row) = rows.get_mut(name) {
-                        (row.held, row.since, row.id) = (Held::Down, now, id.clone());
-                    }
-                });
-                self.changed = now;
-                if id.phase == Phase::Left {
-                    return self.member(&id.name, id.address, Some(before), State::Left, Why::Said);
-                }
-                self.counts.downs += 1;
-                self.mend.lost(now);
-                let why = Why::Unrefuted { heard };
-                self.member(&id.name, id.address, Some(before), State::Down, why);
-            }
-            OwnedNotification::Rename(old, new) => {
-                let Some(row) = self.rows.get(&old.name) else { return };
-                let (before, active) = (row.state(), row.active());
-                self.edit(&new.name, |rows, name| {
-                    if let Some(row) = rows.get_mut(name) {
-                        (row.incarnation, row.heard) = (0, row.heard.filter(|_| row.id.life == new.life));
-                        row.id = new.clone();
-                        if row.held == Held::Suspect {
-                            row.held = Held::In;
-                        }
-                    }
-                });
-                self.changed = now;
-                let to = self.rows.get(&new.name).map_or(State::Alive, Row::state);
-                if new.life != old.life {
-                    let why = Why::NewLife { from: old.life, to: new.life };
-                    self.member(&new.name, new.address, Some(before), to, why);
-                } else if active && before != to {
-                    self.member(&new.name, new.address, Some(before), to, Why::Said);
-                }
-            }
-            // Held down by a rumour that foca has answered with another turn.
-            OwnedNotification::Rejoin(id) => {
-                self.counts.renewed += 1;
-                self.change(Change::Renewed { turn: id.turn });
-            }
-            OwnedNotification::Active => self.met = self.met.or(Some(now)),
-            _ => {}
-        }
-    }
-
-    fn up(&mut self, now: At, id: Id) {
-        let before = self.rows.get(&id.name).map(Row::state);
-        self.edit(&id.name, |rows, name| {
-            let row = rows.entry(name.clone()).or_insert_with(|| Row {
-                id: id.clone(),
-                incarnation: 0,
-                held: Held::In,
-                since: now,
-                heard: None,
-                held_up: 0,
-            });
-            (row.id, row.held, row.since) = (id.clone(), Held::In, now);
-        });
-        self.changed = now;
-        let to = self.rows.get(&id.name).map_or(State::Alive, Row::state);
-        let why = if before.is_some() { Why::Lives } else { Why::Met };
-        if before != Some(to) {
-            self.member(&id.name, id.address, before, to, why);
-        }
-        self.set_swim();
-    }
-
-    /// News is told the more often the larger the fleet.
-    fn set_swim(&mut self) {
-        let config = config(&self.set, self.active);
-        let told_to = config.max_transmissions.get();
-        if std::mem::replace(&mut self.told_to, told_to) != told_to {
-            let _ = self.swim.set_config(config);
-        }
-    }
-
-    fn suspected(&mut self, now: At, id: &Id, incarnation: u16) {
-        let Some(row) = self.rows.get_mut(&id.name).filter(|r| r.id == *id && r.active()) else { return };
-        let before = row.state();
-        (row.held, row.since, row.incarnation) = (Held::Suspect, now, incarnation);
-        let heard = row.heard.map(|at| now - at);
-        self.counts.suspicions += 1;
-        if before != State::Suspect {
-            let why = Why::Unanswered { heard };
-            self.member(&id.name, id.address, Some(before), State::Suspect, why);
-        }
-    }
-
-    /// Changes a row, and all that is summed up over them with it.
-    fn edit(
-        &mut self, name: &CompactString, act: impl FnOnce(&mut BTreeMap<CompactString, Row>, &CompactString),
-    ) {
-        let weight = |row: Option<&Row>| {
-            let missing = row.is_some_and(|r| r.state() == State::Down);
-            let active = row.is_some_and(Row::active);
-            (usize::from(active), usize::from(missing), row.map_or(0, Row::mark))
-        };
-        let before = weight(self.rows.get(name));
-        act(&mut self.rows, name);
-        let after = weight(self.rows.get(name));
-        self.active = self.active + after.0 - before.0;
-        self.missing = self.missing + after.1 - before.1;
-        self.digest ^= before.2 ^ after.2;
-    }
-
-    fn change(&mut self, what: Change) {
-        if self.changes.len() < CHANGES_MOST {
-            self.changes.push(what);
-        } else {
-            self.counts.untold += 1;
-        }
-    }
-
-    fn member(
-        &mut self, name: &CompactString, address: SocketAddr, from: Option<State>, to: State, why: Why,
-    ) {
-        self.change(Change::Member { name: name.clone(), address, from, to, why });
-    }
-
-    fn send(&mut self, to: SocketAddr, kind: Kind, body: &[u8]) {
-        if to == self.set.advertise || !self.set.networks.holds(to.ip()) {
-            return;
-        }
-        let head = Head { kind, digest: self.digest, held_up: self.awake.told() };
-        let bytes = wire::write(head, self.fleet, body);
-        self.counts.sent += 1;
-        self.counts.bytes_out += bytes.len() as u64;
-        self.out.push((to, bytes));
-    }
-
-    fn notice(&mut self, now: At, to: SocketAddr, held: Member<Id>) {
-        if now - self.notices.0 >= NOTICES_IN {
-            self.notices = (now, 0);
-        }
-        self.notices.1 += 1;
-        if self.notices.1 > NOTICES {
-            return;
-        }
-        self.counts.notices += 1;
-        if let Some(body) = wire::bytes(&Notice { from: self.own().clone(), held }) {
-            self.send(to, Kind::Notice, &body);
-        }
-    }
-
-    fn ask(&mut self, from: &Id, after: CompactString) {
-        if let Some(body) = wire::bytes(&Ask { from: self.own().clone(), after }) {
-            self.send(from.address, Kind::Ask, &body);
-        }
-    }
-
-    /// The next of those in the view past a name, as many as a datagram holds.
-    fn send_page(&mut self, ask: &Ask) {
-        let past = (std::ops::Bound::Excluded(&ask.after), std::ops::Bound::Unbounded);
-        let room = DATAGRAM_MOST - HEAD;
-        let mut page = Page { from: self.own().clone(), members: vec![], last: true };
-        let mut size = wire::bytes(&page).map_or(room, |b| b.len() + 2);
-        for row in self.rows.range::<CompactString, _>(past).map(|r| r.1).filter(|r| r.active()) {
-            let told = if row.held == Held::Suspect { Told::Suspect } else { Told::Alive };
-            let member = Member::new(row.id.clone(), row.incarnation, told);
-            size += wire::bytes(&member).map_or(room, |b| b.len());
-            if size > room {
-                page.last = false;
-                break;
-            }
-            page.members.push(member);
-        }
-        if let Some(body) = wire::bytes(&page) {
-            self.send(ask.from.address, Kind::Page, &body);
-        }
-    }
-
-    fn read_page(&mut self, now: At, page: Page) {
-        if self.roster.due(&page.from).is_none() {
-            return;
-        }
-        let last_name = page.members.last().map(|m| m.id().name.clone());
-        let weighed: Vec<Member<Id>> =
-            page.members.into_iter().filter_map(|m| self.weigh(now, m, false)).collect();
-        let words: Vec<(Id, u16, Told)> =
-            weighed.iter().map(|m| (m.id().clone(), m.incarnation(), m.state())).collect();
-        let before = self.changed;
-        let known = |id: &Id| self.rows.get(&id.name).is_some_and(|r| r.active() && r.id == *id);
-        let new = words.iter().filter(|w| !known(&w.0)).count();
-        let passed_on = new <= PASSED_ON;
-        self.with_swim(now, |swim, wants| swim.apply_many(weighed.into_iter(), passed_on, wants));
-        for (id, incarnation, told) in words {
-            self.word(now, &id, incarnation, told);
-        }
-        if !passed_on {
-            // Its own reading is no news under way.
-            self.changed = before;
-        }
-        if let Some(after) = self.roster.page(now, last_name.as_ref(), page.last, new) {
-            self.ask(&page.from, after);
-        }
-    }
 }
 
 fn config(set: &Settings, members: usize) -> foca::Config {
