--- a/crates/members/src/members.rs
+++ b/crates/members/src/members.rs
@@ -21,7 +21,7 @@
 
 /// Notices a tenth of a second at the most: after a long cut each server holds half of the fleet down, and
 /// tells them a few at a time.
-const NOTICES: u32 = 4;
+const NOTICES: u32 = 10;
 const NOTICES_IN: Span = Span::millis(100);
 /// A server that has met others takes itself for joined after this long, whatever it did not hear yet; one
 /// with nobody to meet at once.
@@ -286,18 +286,18 @@
         }
         while let Some(entry) = self.last_calls.first_entry().filter(|e| e.key().0 <= now) {
             let name = entry.remove();
-            self.call(now, &name);
+            self.call(&name);
         }
         self.contact(now);
         self.step_phase(now);
         self.judge(now);
     }
 
-    /// Asks one that is suspected whether it lives.
-    fn call(&mut self, now: At, name: &CompactString) {
+    /// Asks one that is suspected whether it lives; as often as there are suspicions, whatever else is told.
+    fn call(&mut self, name: &CompactString) {
         if let Some(row) = self.rows.get(name).filter(|r| r.held == Held::Suspect) {
             let held = Member::new(row.id.clone(), row.incarnation, Told::Suspect);
-            self.notice(now, row.id.address, held);
+            self.send_notice(row.id.address, held);
         }
     }
 
--- a/crates/members/src/members/hear.rs
+++ b/crates/members/src/members/hear.rs
@@ -65,7 +65,10 @@
             self.roster.whole = true;
         } else if from.phase != Phase::Left {
             let draw = self.chance.float();
-            if self.roster.differs(now, &from, self.changed, draw) {
+            // What is not passed on any more comes by rosters alone: none waits for the view to settle then.
+            let crowded = self.swim.updates_backlog() > RUMOURS;
+            let changed = if crowded { At::default() } else { self.changed };
+            if self.roster.differs(now, &from, changed, draw) {
                 self.counts.rosters += 1;
                 self.ask(&from, CompactString::default());
             }
--- a/crates/members/src/members/speak.rs
+++ b/crates/members/src/members/speak.rs
@@ -191,6 +191,10 @@
         if self.notices.1 > NOTICES {
             return;
         }
+        self.send_notice(to, held);
+    }
+
+    pub(super) fn send_notice(&mut self, to: SocketAddr, held: Member<Id>) {
         self.counts.notices += 1;
         if let Some(body) = wire::bytes(&Notice { from: self.own().clone(), held }) {
             self.send(to, Kind::Notice, &body);
