Members: who is asked whether it lives always answers, also about a turn that is over

Cause: a member that had renewed itself in the heal took the question about its former turn for an old claim and was silent, and its answers shared the bound on notices.

Change: noticed() answers each question once, with the turn that it lives in.

--- a/crates/members/src/members/hear.rs
+++ b/crates/members/src/members/hear.rs
@@ -270,16 +270,27 @@
         if held.id() == self.own() && held.state() == Told::Suspect {
             let held = held.clone();
             self.with_swim(now, |swim, wants| swim.apply_many(std::iter::once(held), false, wants));
-            let word = Member::new(self.own().clone(), self.incarnation, Told::Alive);
-            self.notice(now, notice.from.address, word);
+            self.lives(notice);
             return Ok(());
         }
         let before = self.own().version();
         self.claimed(now, held.id(), held.state() == Told::Down);
-        if self.own().version() != before && notice.from.name != self.set.name {
+        if notice.from.name == self.set.name {
+            return Ok(());
+        }
+        if self.own().version() != before {
             // Said at once to who held it down.
             self.announce(now, notice.from.address);
+        } else if held.state() != Told::Alive && self.aside.is_none() {
+            // Asked about a turn that is over: whoever asks has not heard of this one.
+            self.lives(notice);
         }
         Ok(())
     }
+
+    /// Answers who asks whether it lives: one answer a question.
+    fn lives(&mut self, asked: &Notice) {
+        let word = Member::new(self.own().clone(), self.incarnation, Told::Alive);
+        self.send_notice(asked.from.address, word);
+    }
 }
