Read again: one look at each datagram's head, one load in the tests, faults of the net by one maker

Seen on reading the change again: every call of foca decoded its first datagram whole for the own incarnation, and every datagram's head once more for whom it asks to try; a script's four faults of the net were each written out with four members; two tests made the same load.

Change: swim::header serves both looks, once a datagram; a maker for the faults; loaded() serves both tests. Behaviour as before, assertions untouched.

--- a/crates/members/src/members/speak.rs
+++ b/crates/members/src/members/speak.rs
@@ -9,9 +9,6 @@
         let mut wants = Wants::default();
         // What it does not take is of no use here: what can come in was read before.
         let _ = act(&mut self.swim, &mut wants);
-        if let Some(Ok(packet)) = wants.sends.first().map(|s| swim::read(&s.1)) {
-            self.incarnation = packet.header.src_incarnation;
-        }
         for told in wants.told {
             self.told(now, told);
         }
@@ -22,8 +19,11 @@
             self.set_timer(now + after, timer);
         }
         for (to, body) in wants.sends {
-            if let Some((target, number)) = swim::asks_to_try(&body) {
-                self.try_again(target, number);
+            if let Some(header) = swim::header(&body) {
+                self.incarnation = header.src_incarnation;
+                if let Message::PingReq { target, probe_number } = header.message {
+                    self.try_again(target, probe_number);
+                }
             }
             self.send(to.address, Kind::Swim, &body);
         }
--- a/crates/members/src/swim.rs
+++ b/crates/members/src/swim.rs
@@ -133,13 +133,9 @@
     bytes
 }
 
-/// Whom a body asks its receiver to try, and the number of the probe.
-pub fn asks_to_try(mut body: &[u8]) -> Option<(Id, u8)> {
-    let header: Header<Id> = PostcardCodec.decode_header(&mut body).ok()?;
-    match header.message {
-        Message::PingReq { target, probe_number } => Some((target, probe_number)),
-        _ => None,
-    }
+/// Only the head of a body: who says what to whom.
+pub fn header(mut body: &[u8]) -> Option<Header<Id>> {
+    PostcardCodec.decode_header(&mut body).ok()
 }
 
 /// The same probe from this server once more.
--- a/crates/server/tests/members.rs
+++ b/crates/server/tests/members.rs
@@ -4,12 +4,12 @@
 mod common;
 
 use madderbay_standins::balancer::{Ask, Load, breaches};
-use madderbay_standins::engine::Work;
+use madderbay_standins::engine::{Engine, Work};
 use madderbay_standins::fleet::script::{Act, Condition, Fleet, Script, Setup, play};
 use madderbay_standins::fleet::stand::Stand;
 use madderbay_standins::server::{self, command};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::UdpSocket;
+use std::net::{SocketAddr, UdpSocket};
 use std::os::unix::fs::PermissionsExt;
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
@@ -150,7 +150,7 @@
 }
 
 /// Sends what is no datagram of the fleet's to a server for as long as the flag is up.
-fn flood(to: std::net::SocketAddr, on: &AtomicBool) -> u64 {
+fn flood(to: SocketAddr, on: &AtomicBool) -> u64 {
     let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
     let (began, mut sent) = (Instant::now(), 0u64);
     while on.load(Ordering::Relaxed) {
@@ -173,8 +173,8 @@
     vec![ask("search", 0.4, false), ask("quote", 0.4, false), ask("book", 0.2, true)]
 }
 
-/// Load on one server while something goes on; what it broke of the rules.
-fn loaded(stand: &Stand, server: usize, secs: u64, seed: u64) -> (usize, Vec<String>) {
+/// Load on one server while something goes on: how many reqs, and what was broken of the rules.
+fn loaded(server: SocketAddr, engine: &Engine, secs: u64, seed: u64) -> (usize, Vec<String>) {
     let load = Load {
         asks: asks(),
         rates: vec![(Duration::ZERO, 60.0)],
@@ -182,9 +182,7 @@
         seed,
         allow_ms: 5_000,
     };
-    let engine = stand.engine(server).clone();
-    let address = stand.server(server).expect("it runs").address;
-    let fates = load.run(address, |name| engine.answered(name), |_| ());
+    let fates = load.run(server, |name| engine.answered(name), |_| ());
     (fates.len(), breaches(&fates, &load.asks, &engine.ran().bodies))
 }
 
@@ -196,7 +194,8 @@
     let heard_at = stand.heard_at(0).expect("it hears");
     let (sent, (reqs, broken)) = std::thread::scope(|scope| {
         let flood = scope.spawn(|| flood(heard_at, &on));
-        let found = loaded(&stand, 0, 4, 11);
+        let address = stand.server(0).expect("it runs").address;
+        let found = loaded(address, stand.engine(0), 4, 11);
         on.store(false, Ordering::Relaxed);
         (flood.join().expect("flooded"), found)
     });
@@ -232,15 +231,7 @@
             let mut rounds = vec![];
             while rounds.is_empty() || !over.load(Ordering::Relaxed) {
                 let seed = rounds.len() as u64;
-                let load_of = Load {
-                    asks: asks(),
-                    rates: vec![(Duration::ZERO, 60.0)],
-                    length: Duration::from_secs(2),
-                    seed,
-                    allow_ms: 5_000,
-                };
-                let fates = load_of.run(load, |name| engine.answered(name), |_| ());
-                rounds.push((fates.len(), breaches(&fates, &load_of.asks, &engine.ran().bodies)));
+                rounds.push(loaded(load, &engine, 2, seed));
             }
             rounds
         });
--- a/crates/standins/src/fleet/script.rs
+++ b/crates/standins/src/fleet/script.rs
@@ -154,7 +154,7 @@
             Ok(self.some(&words[1..])?.into_iter().map(|s| Step::Act(make(s))).collect())
         };
         let act = |act| Ok(vec![Step::Act(act)]);
-        let net = Act::Net { loss: None, double: None, spoil: None, delay: None };
+        let net = |loss, double, spoil, delay| Act::Net { loss, double, spoil, delay };
         match words {
             ["start", names @ .., last] if last.starts_with("clock=") => {
                 let by = &last["clock=".len()..];
@@ -178,20 +178,11 @@
             }
             ["oneway", from, ">", to @ ..] => act(Act::OneWay(self.one(from)?, self.some(to)?)),
             ["heal"] => act(Act::Heal),
-            ["loss", ..] => {
-                act(Act::Net { loss: Some(part(words.get(1))?), double: None, spoil: None, delay: None })
-            }
-            ["double", ..] => {
-                act(Act::Net { double: Some(part(words.get(1))?), loss: None, spoil: None, delay: None })
-            }
-            ["spoil", ..] => {
-                act(Act::Net { spoil: Some(part(words.get(1))?), loss: None, double: None, delay: None })
-            }
-            ["delay", least, most] => {
-                let delay = Some((span(least)?, span(most)?));
-                act(Act::Net { delay, loss: None, double: None, spoil: None })
-            }
-            ["calm"] => act(net),
+            ["loss", ..] => act(net(Some(part(words.get(1))?), None, None, None)),
+            ["double", ..] => act(net(None, Some(part(words.get(1))?), None, None)),
+            ["spoil", ..] => act(net(None, None, Some(part(words.get(1))?), None)),
+            ["delay", least, most] => act(net(None, None, None, Some((span(least)?, span(most)?)))),
+            ["calm"] => act(net(None, None, None, None)),
             ["replay", who] => act(Act::Replay(self.one(who)?)),
             ["settle", term] => Ok(vec![Step::Within(Condition::Settled, span(term)?)]),
             ["sees", who, of, state, term] => {
