A try of a uniqued req read late is known as long as its caller may wait for it

Seen in the code, line by line: an entry of the door's table was taken off 2 s after its window, whatever its handler's client timeout (READ_LATE in door.rs). A try that reached the machine within the window and was read more than 2 s late, while the process waited for its core, was a new req: run again if read within its target, else shed although its first try had run. Ruled out: the module, whose own book keeps a key for window and client timeout after the run's end, so it would have joined the try, had the door still named the first one.

Change: an entry outlasts its window by its handler's client timeout; what is read later than that is started no more.

It also holds repeats of a run that its window's end overtakes, and of one that the engine declined.

--- a/crates/server/src/balancers/door.rs
+++ b/crates/server/src/balancers/door.rs
@@ -10,9 +10,6 @@
 use std::hash::Hasher;
 use std::rc::Rc;
 
-/// An entry is known this much longer than its term: tries that reached the machine within it may be read
-/// later, while this process waits for its core.
-const READ_LATE: Span = Span::millis(2000);
 /// A req's own figures are refused past these: a start further ahead than clocks differ, or longer ago than
 /// any pause; spans of so many client timeouts; memory that no req takes; a body over 2 KiB in base64.
 const AHEAD_MOST: Span = Span::millis(1_000);
@@ -36,6 +33,9 @@
     holder: u64,
     print: u64,
     until: At,
+    /// It is known for as long past its term as a try may wait unread: one that reached the machine within the
+    /// term may be read as late as that, while this process waits for its core.
+    late: Span,
     run: Run,
     waiting: Vec<u64>,
 }
@@ -62,6 +62,8 @@
     repeats: Vec<Repeats>,
     /// The longest that a req of each handler may say it waits or works.
     longest_ms: Vec<f64>,
+    /// How long a caller waits altogether, by handler: what is read later than that is started no more.
+    late: Vec<Span>,
     tenants: HashMap<String, usize>,
     /// The handlers' names as JSON strings.
     quoted: Vec<Rc<str>>,
@@ -104,6 +106,7 @@
             handlers: numbered(&s.handler_names),
             repeats: s.handlers.iter().map(|h| h.repeats).collect(),
             longest_ms: s.handlers.iter().map(|h| h.timeout.as_secs() * 1e3 * TIMEOUTS_MOST).collect(),
+            late: s.handlers.iter().map(|h| h.timeout).collect(),
             tenants: numbered(&s.tenant_names),
             quoted: s
                 .handler_names
@@ -215,32 +218,33 @@
     }
 
     /// Enters a try, or renews its entry; a newer try takes the entry over.
-    pub fn keep(&mut self, id: u64, key: Key, print: u64, until: At) {
-        let fresh = Entry { holder: id, print, until, run: Run::NotYet, waiting: vec![] };
+    pub fn keep(&mut self, id: u64, key: Key, print: u64, handler: usize, until: At) {
+        let late = self.late[handler];
+        let fresh = Entry { holder: id, print, until, late, run: Run::NotYet, waiting: vec![] };
         let entry = self.table.entry(key).or_insert(fresh);
-        self.lapses.remove(&(entry.until + READ_LATE, key));
+        self.lapses.remove(&(entry.until + entry.late, key));
         self.holders.remove(&entry.holder);
         (entry.holder, entry.until) = (id, until);
         self.holders.insert(id, key);
-        self.lapses.insert((until + READ_LATE, key));
+        self.lapses.insert((until + entry.late, key));
     }
 
     pub fn drop(&mut self, id: u64) {
         if let Some(key) = self.holders.get(&id).copied()
-            && let Some(until) = self.remove(key)
+            && let Some(lapses) = self.remove(key)
         {
-            self.lapses.remove(&(until + READ_LATE, key));
+            self.lapses.remove(&(lapses, key));
         }
     }
 
-    /// Takes an entry out; tells until when it stood.
+    /// Takes an entry out; tells until when it would have been known.
     fn remove(&mut self, key: Key) -> Option<At> {
         let entry = self.table.remove(&key)?;
         self.holders.remove(&entry.holder);
         if let Run::Done(result) = &entry.run {
             self.kept -= result.len();
         }
-        Some(entry.until)
+        Some(entry.until + entry.late)
     }
 
     pub fn started(&mut self, key: Key) {
@@ -279,7 +283,7 @@
             let Some(entry) = self.table.get_mut(&key) else { continue };
             if matches!(entry.run, Run::Going) {
                 entry.until = now;
-                self.lapses.insert((now + READ_LATE, key));
+                self.lapses.insert((now + entry.late, key));
             } else {
                 self.remove(key);
             }
--- a/crates/server/src/core/hands.rs
+++ b/crates/server/src/core/hands.rs
@@ -384,8 +384,10 @@
     }
 
     fn keep_key(&mut self, id: u64, term: Span) {
-        if let Some((key, print)) = self.reqs.get(&id).and_then(|r| Some((r.key?, r.print))) {
-            self.door.keep(id, key, print, self.now + term);
+        if let Some((key, print, handler)) =
+            self.reqs.get(&id).and_then(|r| Some((r.key?, r.print, r.handler)))
+        {
+            self.door.keep(id, key, print, handler, self.now + term);
         }
     }
 
