A reply to a call that may have been read is not sent to the engine twice

One that left on a link which was lost before anything proved it read was sent again on the next link; where it had been read, it could meet the run's next call and feed it another's reply. Lines: Hands::resend. Ruled out: NEED and DONE, which clear what is unproven; SKIP, which carries the number of its call.

Change: of such a req the reply is not sent again. A run that may go on without its call is sent SKIP with that call's number, which does nothing where the reply was read; any other is errored and its run stopped. A reply of which nothing left on the old link is still sent on the next.

The reload test of binary.rs let the reply leave on the old link or the new one, as it happened, and took FEED on the new one for granted: the reply now comes when the new link is there, as strict as before, and what left on the old one is the scenario's.

--- a/crates/server/src/core/arrivals.rs
+++ b/crates/server/src/core/arrivals.rs
@@ -107,6 +107,7 @@
             latest: (now + if arrival.wait > Span::ZERO { arrival.wait } else { WAITS }).before(MARGIN),
             unproven: vec![],
             proof: 0,
+            fed: None,
         };
         self.hands.names.insert(name, arrival.id);
         self.hands.reqs.insert(arrival.id, req);
--- a/crates/server/src/core/hands.rs
+++ b/crates/server/src/core/hands.rs
@@ -12,6 +12,8 @@
 use crate::core::lent::Lent;
 use crate::tools::counters::Counters;
 use crate::tools::name::Name;
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD as BASE64;
 use madderbay::face::{Outcome, Repeats, Results};
 use madderbay::time::{At, Span};
 use madderbay_pools::limit::End;
@@ -51,6 +53,8 @@
     /// Commands that the engine may not have read, and the gauges that will prove that it has.
     pub unproven: Vec<u8>,
     pub proof: u64,
+    /// Where a reply to its call among them begins in what the link sends.
+    pub fed: Option<u64>,
 }
 
 /// What a due time is for.
@@ -294,21 +298,50 @@
         let Some(req) = self.reqs.get_mut(&id) else { return };
         if self.engine.heard() >= req.proof {
             req.unproven.clear();
+            req.fed = None;
         }
         req.unproven.extend_from_slice(line);
         req.proof = self.engine.proof();
         self.engine.send(line);
     }
 
-    pub fn resend(&mut self) {
+    /// The reply to the call that a run stands at.
+    pub fn feed(&mut self, id: u64, body: &[u8]) {
+        let blob = BASE64.encode(body);
+        let begins = self.engine.out.queued();
+        self.command(id, "FEED", format_args!(",\"blob\":\"{blob}\""));
+        if let Some(req) = self.reqs.get_mut(&id).filter(|_| self.engine.up) {
+            req.fed = Some(begins);
+        }
+    }
+
+    /// The link is lost: a reply of which nothing left is known not to have been read.
+    pub fn unlinked(&mut self) {
+        let written = self.engine.out.written();
+        let unsent = |r: &&mut InHand| r.fed.is_some_and(|begins| begins >= written);
+        self.reqs.values_mut().filter(unsent).for_each(|r| r.fed = None);
+        self.engine.lost();
+    }
+
+    /// Sends again what may not have reached the engine; gives the reqs whose run may have read the reply to its
+    /// call, or may still wait for it. A reply says not which call it is for: one that is sent again could meet
+    /// the run's next.
+    pub fn resend(&mut self) -> Vec<u64> {
         let proven = self.engine.proven_before();
         let mut unproven: Vec<_> =
             self.reqs.iter_mut().filter(|(_, r)| r.proof > proven && !r.unproven.is_empty()).collect();
         unproven.sort_by_key(|(id, _)| **id);
-        for (_, req) in unproven {
+        let mut doubtful = vec![];
+        for (id, req) in unproven {
+            if req.fed.take().is_some() {
+                req.unproven.clear();
+                doubtful.push(*id);
+                continue;
+            }
             req.proof = self.engine.proof();
             self.engine.send(&req.unproven);
         }
+        doubtful
     }
 }
 
--- a/crates/server/src/core/outcomes.rs
+++ b/crates/server/src/core/outcomes.rs
@@ -61,6 +61,20 @@
     }
 }
 
+impl Serve {
+    /// Nobody knows whether a run has read the reply to its call. One that may go on without is told so by the
+    /// number of that call, which does nothing where it has gone on; any other is errored and ends by itself.
+    fn doubtful(&mut self, now: At, id: u64) {
+        let Some(req) = self.hands.reqs.get(&id) else { return };
+        if self.settings.handlers[req.handler].partial_value > 0.0 {
+            self.hands.skip(id);
+        } else {
+            self.hands.errored(id);
+            self.decide(now, |d, hands| d.gone(now, id, hands));
+        }
+    }
+}
+
 impl engine::Hears for Serve {
     fn link(&mut self) -> &mut Link {
         &mut self.hands.engine
@@ -71,7 +85,7 @@
     }
 
     fn unlinked(&mut self) {
-        self.hands.engine.lost();
+        self.hands.unlinked();
         self.hands.counters.relinks += 1;
     }
 
@@ -110,7 +124,10 @@
             }
         }
         if taken_up {
-            self.hands.resend();
+            self.hands.now = now;
+            for id in self.hands.resend() {
+                self.doubtful(now, id);
+            }
         }
     }
 
@@ -119,6 +136,7 @@
         let Some(&id) = self.hands.names.get(name) else { return };
         let Some(req) = self.hands.reqs.get_mut(&id) else { return };
         req.unproven.clear();
+        req.fed = None;
         req.need = serial;
         match BASE64.decode(blob) {
             Ok(body) => req.wants = body,
@@ -183,8 +201,7 @@
         };
         if how == Outcome::Done && self.hands.reqs.get(&id).is_some_and(|r| !r.answered) {
             self.hands.goes_on(now, id, wire, how, true);
-            let blob = BASE64.encode(body);
-            self.hands.command(id, "FEED", format_args!(",\"blob\":\"{blob}\""));
+            self.hands.feed(id, body);
         } else if self.hands.goes_on(now, id, wire, how, true) {
             return;
         }
--- a/crates/server/tests/binary.rs
+++ b/crates/server/tests/binary.rs
@@ -172,10 +172,11 @@
     server.signal("-HUP");
     server.log_at("reload: limits has changed, which only a restart can take");
     server.log_at("reload: settings has changed, which only a restart can take");
-    // The old link and the old call are still good; the new link takes up where the old one was read.
-    catalogue.say("0000000000000001 DATA 3\r\nxyz\r\n");
+    // The old call is still good; the new link takes up where the old one was read, and what came while it was
+    // not up yet is sent on it. (What left on the old one may have been read: tests/scenarios/link-fed.txt.)
     let mut engine = Peer::accept(&new_engine);
     assert_eq!(engine.line(), "{\"msg\":\"ATTACH\",\"serial\":1}");
+    catalogue.say("0000000000000001 DATA 3\r\nxyz\r\n");
     engine.say("{\"msg\":\"HELLO\",\"how\":\"old\",\"duration\":3600000}\n");
     assert!(engine.command().contains("\"FEED\""));
     engine.say("{\"msg\":\"NEED\",\"serial\":2,\"call\":\"0000000000000001\",\"blob\":\"YWJj\"}\n");
