--- a/crates/server/src/balancers/conns.rs
+++ b/crates/server/src/balancers/conns.rs
@@ -16,6 +16,8 @@
 /// A new connection is left that long for its first req, whoever else wants its room: the req may have been
 /// written to it already.
 const YOUNG: Span = Span::millis(250);
+/// A line that was begun has that long to be ended before its connection may go: some callers write slowly.
+const PART: Span = Span::millis(1_000);
 /// A peer that takes nothing of what waits for it for that long is gone: all pauses are shorter, and what all
 /// peers together leave unread is bounded by it.
 const STUCK: Span = Span::millis(10_000);
@@ -30,20 +32,37 @@
     taken: (u64, At),
     /// Something that it asked was answered.
     heard: bool,
-    /// The peer sends no more.
+    /// Since when a line is half read.
+    part: Option<At>,
+    /// The peer sends no more, or this side was about to end it when one more req came: it ends once nothing
+    /// is open.
     ended: bool,
     leaving: bool,
+    /// There was no room for it: it is told so and ends.
+    beyond: bool,
 }
 
 impl Conn {
     /// One req less is open; a peer that sends no more has no other use for the connection.
     fn settled(&mut self, rpc: u64) {
         self.open.remove(&rpc);
-        if self.ended && self.open.is_empty() {
+        self.end_if_over();
+    }
+
+    fn end_if_over(&self) {
+        if !self.open.is_empty() {
+        } else if self.beyond {
+            self.out.give_way();
+        } else if self.ended {
             self.out.close();
         }
     }
 
+    /// A line was begun less than so long ago and is not ended.
+    fn amid(&self, now: At, most: Span) -> bool {
+        self.part.is_some_and(|since| now - since < most)
+    }
+
     /// Nothing is owed and nothing waits to be written.
     fn rests(&self) -> bool {
         self.open.is_empty() && self.out.is_empty()
@@ -77,14 +96,50 @@
 impl Conns {
     /// A connection was accepted: its number, and when it must have carried its first req.
     pub fn open(&mut self, now: At, out: Outbox) -> (u64, At) {
-        self.numbers += 1;
         if self.leaving {
             out.put(answer::leaving);
         }
-        let (open, taken) = (HashMap::new(), (0, now));
-        let conn = Conn { out, open, used: now, taken, heard: false, ended: false, leaving: self.leaving };
+        (self.enter(now, out, false), now + FIRST)
+    }
+
+    /// The same for one that there is no room for: it has as long as any new one is sure of.
+    pub fn open_beyond(&mut self, now: At, out: Outbox) -> (u64, At) {
+        (self.enter(now, out, true), now + YOUNG)
+    }
+
+    fn enter(&mut self, now: At, out: Outbox, beyond: bool) -> u64 {
+        self.numbers += 1;
+        let conn = Conn {
+            out,
+            open: HashMap::new(),
+            used: now,
+            taken: (0, now),
+            heard: false,
+            part: None,
+            ended: false,
+            leaving: self.leaving,
+            beyond,
+        };
         self.table.insert(self.numbers, conn);
-        (self.numbers, now + FIRST)
+        self.numbers
+    }
+
+    /// Whether a connection is one that there was no room for.
+    pub fn is_beyond(&self, no: u64) -> bool {
+        self.table.get(&no).is_some_and(|c| c.beyond)
+    }
+
+    /// How many there are that there was no room for.
+    pub fn beyond(&self) -> usize {
+        self.table.values().filter(|c| c.beyond).count()
+    }
+
+    /// A connection was read: whether a line is half read now, and whether any was ended.
+    pub fn was_read(&mut self, now: At, no: u64, part: bool, ended: bool) {
+        if let Some(conn) = self.table.get_mut(&no) {
+            let since = if ended { None } else { conn.part };
+            conn.part = part.then(|| since.unwrap_or(now));
+        }
     }
 
     pub fn len(&self) -> usize {
@@ -110,13 +165,16 @@
         self.table.iter().map(move |(no, c)| (c.used + limit, *no))
     }
 
-    /// Ends a connection that carries nothing, to make room for another: those never answered first, then
-    /// those unused the longest. None may go that has a req open, or whose first may be on its way.
+    /// Ends a connection that carries nothing, to make room for another: those that end already first, then
+    /// those never answered, those in half a line last, then those unused the longest. None may go that has a
+    /// req open, or whose first or next may be on its way.
     pub fn make_room(&mut self, now: At) -> bool {
-        let may = |c: &Conn| c.rests() && !c.out.is_closing() && (c.heard || now - c.used > YOUNG);
+        let young = |c: &Conn| if c.heard { c.amid(now, PART) } else { now - c.used <= YOUNG };
+        let may = |c: &Conn| c.rests() && !c.out.gives_way() && (c.out.is_closing() || !young(c));
         let idle = self.table.iter().filter(|(_, c)| may(c));
-        let Some((_, conn)) = idle.min_by_key(|(no, c)| (c.heard, c.used, **no)) else { return false };
-        conn.out.cut();
+        let order = |c: &Conn| (!c.out.is_closing(), c.heard, c.amid(now, PART), c.used);
+        let Some((_, conn)) = idle.min_by_key(|(no, c)| (order(c), **no)) else { return false };
+        conn.out.give_way();
         true
     }
 
@@ -124,9 +182,7 @@
     pub fn no_more(&mut self, no: u64) {
         let Some(conn) = self.table.get_mut(&no) else { return };
         conn.ended = true;
-        if conn.open.is_empty() {
-            conn.out.close();
-        }
+        conn.end_if_over();
     }
 
     /// The reqs that are open on a connection, in the order in which they came.
@@ -148,9 +204,13 @@
         }
     }
 
-    /// A req was read on a connection; false if that is gone.
+    /// A req was read on a connection; false if that is gone. One that was about to end goes on for it.
     pub fn opened_req(&mut self, now: At, no: u64, rpc: u64, id: u64) -> bool {
         let Some(conn) = self.table.get_mut(&no) else { return false };
+        if conn.out.is_closing() {
+            conn.out.go_on();
+            conn.ended = true;
+        }
         conn.open.insert(rpc, id);
         conn.used = now;
         true
@@ -166,6 +226,9 @@
         let Some(conn) = self.table.get_mut(&no) else { return };
         conn.out.put(write);
         (conn.used, conn.heard) = (now, true);
+        if conn.beyond {
+            conn.end_if_over();
+        }
     }
 
     /// A req is answered, or nobody waits for it: one less is open.
@@ -185,6 +248,14 @@
         }
     }
 
+    /// All end that owe nothing, each once what had come on it is read.
+    pub fn end(&mut self) {
+        for conn in self.table.values_mut() {
+            conn.ended = true;
+            conn.end_if_over();
+        }
+    }
+
     pub fn cut_stuck(&mut self, now: At) {
         self.table.values_mut().for_each(|c| c.cut_if_stuck(now));
     }
@@ -199,7 +270,8 @@
     pub fn idle_over(&mut self, now: At, no: u64) -> Option<At> {
         let limit = self.idle?;
         let conn = self.table.get_mut(&no)?;
-        let idle = conn.heard && conn.open.is_empty() && now - conn.used >= limit;
+        let rests = conn.heard && conn.open.is_empty() && now - conn.used >= limit;
+        let idle = rests && !conn.amid(now, STUCK);
         match (idle, conn.leaving) {
             (true, true) => {
                 conn.out.close();
@@ -217,10 +289,17 @@
     /// A new connection had its time for a first req. Gives when to look at it again.
     pub fn first_over(&mut self, now: At, no: u64) -> Option<At> {
         let conn = self.table.get(&no).filter(|c| !c.heard)?;
-        if conn.open.is_empty() {
-            conn.out.close();
-            return None;
+        if !conn.open.is_empty() {
+            return Some(now + FIRST);
+        }
+        if let Some(since) = conn.part.filter(|_| conn.amid(now, PART) && !conn.beyond) {
+            return Some(since + PART);
+        }
+        if conn.beyond {
+            conn.out.give_way()
+        } else {
+            conn.out.close()
         }
-        Some(now + FIRST)
+        None
     }
 }
--- a/crates/server/src/balancers/front.rs
+++ b/crates/server/src/balancers/front.rs
@@ -7,8 +7,8 @@
 use crate::tools::name::name;
 use madderbay::time::At;
 
-/// Longer than any legal line: a body of 2 KiB in base64, its slashes escaped, and its fields.
-const LINE_MOST: usize = 8 << 10;
+/// Longer than any legal line: a body of 2 KiB in base64, each of its characters escaped, and its fields.
+const LINE_MOST: usize = 20 << 10;
 
 pub struct Front {
     no: u64,
@@ -34,7 +34,9 @@
     /// Takes in what was read; an empty feed is the end. False when nothing more is read.
     pub fn fed(&mut self, now: At, bytes: &[u8], serve: &mut Serve) -> bool {
         let (no, over) = (self.no, &mut self.over);
+        let mut ended = false;
         let whole = self.lines.feed(bytes, |line| {
+            ended = true;
             if *over {
                 return;
             }
@@ -47,6 +49,7 @@
             *over = true;
             Wrong { id: None, code: NO_JSON, message: "line too long", breach: true }.tell(now, no, serve);
         }
+        serve.hands.conns.was_read(now, no, self.lines.amid(), ended);
         if bytes.is_empty() {
             serve.no_more(no);
         }
--- a/crates/server/src/balancers/listen.rs
+++ b/crates/server/src/balancers/listen.rs
@@ -4,7 +4,7 @@
 use crate::balancers::front::Front;
 use crate::core::serve::Shared;
 use crate::tools::clock::Clock;
-use crate::tools::drive::{Outbox, drive};
+use crate::tools::drive::{Outbox, drive_peer};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -14,6 +14,10 @@
 /// that calls to the catalogue may need.
 const OWN: usize = 16;
 const CALLS_PART: usize = 8;
+/// Connections beyond the room that are served at once, to be told so; further ones wait with the machine.
+const BEYOND: usize = 4;
+/// Wait for one of them to be over.
+const LOOK: Duration = Duration::from_millis(5);
 /// Wait after an accept that failed, most often for want of descriptors.
 const PAUSE: Duration = Duration::from_millis(20);
 
@@ -22,7 +26,7 @@
     descriptors.checked_sub(OWN + descriptors / CALLS_PART).filter(|n| *n > 0)
 }
 
-/// Tells the core that a connection is over, however it ended.
+/// Tells the core that a connection is over, however it ended; where the core is at work, once it is free.
 struct Ends {
     no: u64,
     clock: Rc<Clock>,
@@ -31,8 +35,16 @@
 
 impl Drop for Ends {
     fn drop(&mut self) {
-        if let Ok(mut serve) = self.serve.try_borrow_mut() {
-            serve.closed(self.clock.now(), self.no);
+        match self.serve.try_borrow_mut() {
+            Ok(mut serve) => serve.closed(self.clock.now(), self.no),
+            Err(_) => {
+                let (no, clock, serve) = (self.no, self.clock.clone(), self.serve.clone());
+                tokio::task::spawn_local(async move {
+                    while serve.try_borrow_mut().map(|mut s| s.closed(clock.now(), no)).is_err() {
+                        tokio::task::yield_now().await;
+                    }
+                });
+            }
         }
     }
 }
@@ -58,7 +70,7 @@
     // What the machine has accepted may carry a req already, and closing would lose it.
     let Ok(listener) = listener.into_std() else { return };
     for stream in waiting(&listener) {
-        let found = serve.borrow().connections() < room || serve.borrow_mut().make_room(clock.now());
+        let found = serve.borrow().connections() < room;
         if let Ok(stream) = TcpStream::from_std(stream) {
             take(stream, found, &clock, &serve);
         }
@@ -72,23 +84,24 @@
 }
 
 fn take(stream: TcpStream, room: bool, clock: &Rc<Clock>, serve: &Shared) {
-    if room {
-        // It counts from here on, not from its task's first turn: many may be accepted before that.
-        let out = Outbox::default();
-        let no = serve.borrow_mut().opened(clock.now(), out.clone());
-        let ends = Ends { no, clock: clock.clone(), serve: serve.clone() };
-        tokio::task::spawn_local(connection(stream, out, ends));
-    } else {
-        // Closed unread: nothing of it has run.
-        serve.borrow_mut().hands.counters.connections_refused += 1;
-    }
+    // It counts from here on, not from its task's first turn: many may be accepted before that.
+    let (out, now) = (Outbox::default(), clock.now());
+    let mut core = serve.borrow_mut();
+    // Never closed unread: the machine has accepted it, and what is written to it is owed an answer.
+    let no = if room { core.opened(now, out.clone()) } else { core.opened_beyond(now, out.clone()) };
+    let ends = Ends { no, clock: clock.clone(), serve: serve.clone() };
+    tokio::task::spawn_local(connection(stream, out, ends));
 }
 
-/// Has connections end that carry nothing, until there is room for one more. False where all carry something.
+/// Has connections end that carry nothing, until there is room for one more. False where all carry something:
+/// the next is told so, once few enough others are being told.
 async fn find_room(room: usize, clock: &Clock, serve: &Shared) -> bool {
     while serve.borrow().connections() >= room {
         if !serve.borrow_mut().make_room(clock.now()) {
-            return false;
+            if serve.borrow().beyond() < BEYOND {
+                return false;
+            }
+            tokio::time::sleep(LOOK).await;
         }
         tokio::task::yield_now().await;
     }
@@ -98,7 +111,7 @@
 async fn connection(stream: TcpStream, out: Outbox, ends: Ends) {
     let mut front = Front::new(ends.no);
     let fed = |bytes: &[u8]| front.fed(ends.clock.now(), bytes, &mut ends.serve.borrow_mut());
-    if let Err(e) = drive(&stream, &out, fed).await {
+    if let Err(e) = drive_peer(&stream, &out, fed).await {
         log::debug!("connection {} broke: {e}", ends.no);
     }
 }
--- a/crates/server/src/core/arrivals.rs
+++ b/crates/server/src/core/arrivals.rs
@@ -1,7 +1,7 @@
 //! What balancers say, told to the decisions: connections, reqs, reqs withdrawn, questions of health.
 
 use super::hands::{Due, InHand};
-use super::serve::Serve;
+use super::serve::{KEEP_AWAY, Serve};
 use crate::balancers::answer;
 use crate::balancers::door::Read;
 use crate::tools::drive::Outbox;
@@ -26,6 +26,20 @@
         no
     }
 
+    /// A connection was accepted that there is no room for.
+    pub fn opened_beyond(&mut self, now: At, out: Outbox) -> u64 {
+        let hands = &mut self.hands;
+        hands.counters.connections_refused += 1;
+        let (no, first) = hands.conns.open_beyond(now, out);
+        hands.due.insert((first, Due::First(no)));
+        no
+    }
+
+    /// How many connections are open that there is no room for.
+    pub fn beyond(&self) -> usize {
+        self.hands.conns.beyond()
+    }
+
     pub fn connections(&self) -> usize {
         self.hands.conns.len()
     }
@@ -119,6 +133,10 @@
         if self.decider.is_none() {
             // Nothing can run before the engine is up.
             self.hands.shed(arrival.id, Span::ZERO, false);
+        } else if self.hands.conns.is_beyond(no) && arrival.repeats == 0 {
+            // There is no room for its connection. A further try of a uniqued req shares what became of the first.
+            self.hands.shed(arrival.id, KEEP_AWAY.min(self.settings.callers.come_back_max), false);
+            return Ok(());
         }
         self.decide(now, |d, hands| d.arrive(now, &arrival, hands));
         Ok(())
--- a/crates/server/src/core/serve.rs
+++ b/crates/server/src/core/serve.rs
@@ -164,6 +164,11 @@
         self.decide(now, |d, _| d.wind_down(now, left));
     }
 
+    /// All connections end that owe nothing.
+    pub fn end(&mut self) {
+        self.hands.conns.end();
+    }
+
     /// Nothing is owed and nothing waits to be written.
     pub fn at_rest(&self) -> bool {
         self.hands.conns.at_rest()
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -36,6 +36,9 @@
 /// How often a drain is looked at, and how long it must have been at rest once its grace is over.
 const LOOK: Duration = Duration::from_millis(10);
 const REST: Duration = Duration::from_millis(60);
+/// Listening ends this long before the stop at the latest, and what is open then has that long for its last
+/// answers; connections at rest are waited for half as long, for their peers to see the end.
+const LAST: Duration = Duration::from_millis(500);
 
 /// The process's own limit on descriptors, where the system tells it.
 fn allowed_descriptors() -> usize {
@@ -443,21 +446,29 @@
     Ok(())
 }
 
-/// Waits until nothing is owed. New connections are taken for the grace, in which arrivals may still run; a
-/// req that crosses the end of a connection is sent again by its balancer.
+/// Waits until nothing is owed. New connections are taken for the grace, in which arrivals may still run, as far
+/// as the stop leaves time for it; then all end, each once what had come on it is read and answered. A req that
+/// crosses the end of a connection is sent again by its balancer.
 async fn drain(began: At, grace: Span, stop: Duration, clock: &Clock, serve: &Shared, deafen: impl Fn()) {
+    let listens = Duration::from_micros(grace.as_micros()).min(stop.saturating_sub(LAST));
     let mut resting = Duration::ZERO;
+    let mut ending = false;
     loop {
         tokio::time::sleep(LOOK).await;
         let passed = Duration::from_micros((clock.now() - began).as_micros());
-        let over = passed > Duration::from_micros(grace.as_micros());
+        let over = passed > listens;
         if over {
             deafen();
         }
         let rest = serve.borrow().at_rest();
         resting = if rest && over { resting + LOOK } else { Duration::ZERO };
+        if resting >= REST && !std::mem::replace(&mut ending, true) {
+            serve.borrow_mut().end();
+            resting = LOOK;
+        }
         let alone = serve.borrow().unconnected();
-        if (resting > Duration::ZERO && alone) || resting >= REST || passed + BEFORE_KILL > stop {
+        let left = ending && resting >= LAST / 2;
+        if (resting > Duration::ZERO && alone) || left || passed + BEFORE_KILL > stop {
             return;
         }
     }
--- a/crates/server/src/tools/drive.rs
+++ b/crates/server/src/tools/drive.rs
@@ -1,8 +1,9 @@
 //! The thin drivers between sockets and state machines: bytes in, bytes out, nothing understood.
 
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
-use std::io::ErrorKind;
-use std::net::SocketAddr;
+use std::io::{ErrorKind, Read};
+use std::net::{Shutdown, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -14,6 +15,25 @@
 /// Bytes asked for at a time, and reads in a row before other connections have their turn.
 const READ: usize = 16 << 10;
 const READS: usize = 4;
+/// Reads in a row of what had come before a connection's end; a peer that sends more does not hold it up.
+const LAST_READS: usize = 16;
+/// A connection that was shut is read on for that long, and so many bytes of it, for its peer to read the last
+/// answers and end it too: a close over unread bytes resets the connection, and those answers are lost with it.
+const LINGER: Duration = Duration::from_millis(1_000);
+const LINGER_BYTES: usize = 64 << 10;
+
+/// How a connection is to end.
+#[derive(Clone, Copy, Default, PartialEq, Eq)]
+enum Ending {
+    #[default]
+    Not,
+    /// Once all is written and what has come is read; its peer may end it then.
+    Gently,
+    /// The same, and its place is wanted: its peer is not waited for.
+    Swiftly,
+    /// Now.
+    Cut,
+}
 
 /// What is still to be written to one peer.
 #[derive(Default)]
@@ -22,7 +42,7 @@
     /// All bytes ever put in and all ever handed to the socket: tells how far a message had come.
     queued: Cell<u64>,
     written: Cell<u64>,
-    closing: Cell<bool>,
+    ending: Cell<Ending>,
     changed: Notify,
 }
 
@@ -37,20 +57,45 @@
         self.changed.notify_one();
     }
 
+    fn end(&self, how: Ending) {
+        self.ending.set(how);
+        self.changed.notify_one();
+    }
+
     /// The connection ends once all is written.
     pub fn close(&self) {
-        self.closing.set(true);
-        self.changed.notify_one();
+        if self.ending.get() == Ending::Not {
+            self.end(Ending::Gently);
+        }
+    }
+
+    /// The same for one whose place is wanted.
+    pub fn give_way(&self) {
+        if self.ending.get() != Ending::Cut {
+            self.end(Ending::Swiftly);
+        }
     }
 
     /// The connection ends now; what was not written never is.
     pub fn cut(&self) {
         self.bytes.borrow_mut().clear();
-        self.close();
+        self.end(Ending::Cut);
+    }
+
+    /// Something came before the end that is owed an answer: the connection goes on.
+    pub fn go_on(&self) {
+        if self.ending.get() != Ending::Cut {
+            self.ending.set(Ending::Not);
+        }
     }
 
     pub fn is_closing(&self) -> bool {
-        self.closing.get()
+        self.ending.get() != Ending::Not
+    }
+
+    /// It ends as soon as it is written, and its place is wanted.
+    pub fn gives_way(&self) -> bool {
+        matches!(self.ending.get(), Ending::Swiftly | Ending::Cut)
     }
 
     pub fn queued(&self) -> u64 {
@@ -128,18 +173,18 @@
 
 /// Serves one connection until it breaks or `out` is closed and written. After the last feed only writing
 /// goes on: whoever is fed closes `out` when nothing more is owed.
-pub async fn drive(stream: &TcpStream, out: &Out, mut fed: impl FnMut(&[u8]) -> bool) -> std::io::Result<()> {
-    let _ = stream.set_nodelay(true);
-    let mut reading = true;
+async fn served(
+    stream: &TcpStream, out: &Out, reading: &mut bool, fed: &mut impl FnMut(&[u8]) -> bool,
+) -> std::io::Result<()> {
     loop {
         out.flush(stream)?;
-        if out.closing.get() && out.is_empty() {
+        if out.is_closing() && out.is_empty() {
             return Ok(());
         }
         tokio::select! {
-            ready = stream.readable(), if reading && out.unread() < UNREAD_MOST => {
+            ready = stream.readable(), if *reading && out.unread() < UNREAD_MOST => {
                 ready?;
-                reading = take_in(stream, &mut fed)?;
+                *reading = take_in(stream, fed)?;
             }
             ready = stream.writable(), if out.unread() > 0 => ready?,
             () = out.changed.notified() => {}
@@ -147,6 +192,78 @@
     }
 }
 
+/// Serves one connection until it breaks or `out` is closed and written; what its peer sends then is nobody's.
+pub async fn drive(stream: &TcpStream, out: &Out, mut fed: impl FnMut(&[u8]) -> bool) -> std::io::Result<()> {
+    let _ = stream.set_nodelay(true);
+    served(stream, out, &mut true, &mut fed).await
+}
+
+/// The same for a peer who may send until it has seen the end. What had come before is read first, past what the
+/// runtime knows of it: this process may have been held up between its coming and the end, and a req in it is
+/// owed an answer on this connection, which goes on for it.
+pub async fn drive_peer(
+    stream: &TcpStream, out: &Out, mut fed: impl FnMut(&[u8]) -> bool,
+) -> std::io::Result<()> {
+    let _ = stream.set_nodelay(true);
+    let mut reading = true;
+    let mut left = LAST_READS;
+    let mut buffer = [0; READ];
+    loop {
+        served(stream, out, &mut reading, &mut fed).await?;
+        if out.ending.get() == Ending::Cut || left == 0 {
+            break;
+        }
+        left -= 1;
+        let came = if reading { (&*SockRef::from(stream)).read(&mut buffer) } else { Ok(0) };
+        match came {
+            Ok(n) => reading = reading && fed(&buffer[..n]) && n > 0,
+            Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+            Err(e) => return Err(e),
+        }
+        if !out.is_closing() {
+            left = LAST_READS;
+        } else if !reading && out.is_empty() {
+            break;
+        }
+    }
+    if !out.gives_way() {
+        linger(stream, out).await;
+    }
+    Ok(())
+}
+
+/// Tells the peer that nothing more is sent and reads on to its end, within bounds, or until the place of this
+/// connection is wanted. What is read crossed the end: its sender sends it again on another connection.
+async fn linger(stream: &TcpStream, out: &Out) {
+    if SockRef::from(stream).shutdown(Shutdown::Write).is_err() {
+        return;
+    }
+    let mut bytes = 0;
+    let to_the_end = async {
+        let mut buffer = [0; READ];
+        while bytes < LINGER_BYTES && stream.readable().await.is_ok() {
+            match stream.try_read(&mut buffer) {
+                Ok(0) => return,
+                Ok(n) => bytes += n,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
+    };
+    let wanted = async {
+        while !out.gives_way() {
+            out.changed.notified().await;
+        }
+    };
+    let _ = timeout(LINGER, async {
+        tokio::select! {
+            () = to_the_end => {}
+            () = wanted => {}
+        }
+    })
+    .await;
+}
+
 /// Serves a link of our own making: it is over once the peer sends no more, or nothing that can be read.
 pub async fn drive_link(
     stream: &TcpStream, out: &Out, mut fed: impl FnMut(&[u8]) -> bool,
@@ -172,6 +289,11 @@
         Lines { part: vec![], longest }
     }
 
+    /// Half a line was read.
+    pub fn amid(&self) -> bool {
+        !self.part.is_empty()
+    }
+
     /// Calls `each` for every whole line, without its end. False once a line is longer than any legal one.
     pub fn feed(&mut self, mut bytes: &[u8], mut each: impl FnMut(&[u8])) -> bool {
         while let Some(end) = bytes.iter().position(|b| *b == b'\n') {
