Calls leave the descriptors that engine, registry and listener need

Seen in the code: the room for balancers' connections leaves an eighth of the descriptors to calls, but calls had no bound of their own; each is on a connection to itself, so many calls at full room could take the program's own descriptors, and a lost link to engine or registry could not be made again. Lines: calls::run.

Change: a connection for a call is opened only while balancers' connections and calls together leave the 16; one that is not opened is a call that never ran, as a refused one.

Test: calls_leave_descriptors_to_others; seen to fail with the bound taken out.

--- a/crates/server/src/balancers/listen.rs
+++ b/crates/server/src/balancers/listen.rs
@@ -21,6 +21,11 @@
 /// Wait after an accept that failed, most often for want of descriptors.
 const PAUSE: Duration = Duration::from_millis(20);
 
+/// The descriptors that are not the program's own.
+pub fn others(descriptors: usize) -> usize {
+    descriptors.saturating_sub(OWN)
+}
+
 /// How many connections a limit on descriptors leaves room for; none where it is too small to serve.
 pub fn room(descriptors: usize) -> Option<usize> {
     descriptors.checked_sub(OWN + descriptors / CALLS_PART).filter(|n| *n > 0)
--- a/crates/server/src/below/calls.rs
+++ b/crates/server/src/below/calls.rs
@@ -64,6 +64,8 @@
 /// Who hears how calls come out.
 pub trait Hears {
     fn desk(&mut self) -> &mut Desk;
+    /// Whether one more connection may be opened beside so many.
+    fn may_dial(&self, open: usize) -> bool;
     /// A reply on the connection `wire`.
     fn call_over(&mut self, now: At, wire: u64, name: &Name, how: Outcome, body: &[u8]);
     /// A connection is over.
@@ -238,12 +240,19 @@
     mut address: watch::Receiver<Option<SocketAddr>>, clock: Rc<Clock>, core: Rc<RefCell<C>>,
 ) {
     let dial = core.borrow_mut().desk().dial.clone();
+    let open = Rc::new(());
     loop {
         let at = *address.borrow_and_update();
         let wanted = std::mem::take(&mut core.borrow_mut().desk().wanted);
         for (no, out, to) in wanted {
-            let (clock, core) = (clock.clone(), core.clone());
+            if !core.borrow().may_dial(Rc::strong_count(&open) - 1) {
+                log::debug!("catalogue: no descriptor is left for a call");
+                core.borrow_mut().call_lost(clock.now(), no);
+                continue;
+            }
+            let (clock, core, open) = (clock.clone(), core.clone(), open.clone());
             tokio::task::spawn_local(async move {
+                let _open = open;
                 if let Err(e) = connection(to.or(at), no, &out, &clock, &core).await {
                     match to {
                         Some(backend) => log::info!("backend at {backend}: connection lost: {e}"),
--- a/crates/server/src/core/outcomes.rs
+++ b/crates/server/src/core/outcomes.rs
@@ -189,6 +189,10 @@
         &mut self.hands.calls
     }
 
+    fn may_dial(&self, open: usize) -> bool {
+        open < self.descriptors.saturating_sub(self.hands.conns.len())
+    }
+
     fn unread(&mut self) {
         self.hands.counters.bad_replies += 1;
     }
--- a/crates/server/src/core/serve.rs
+++ b/crates/server/src/core/serve.rs
@@ -25,6 +25,8 @@
     pub(super) seed: u64,
     pub(super) on_cores: Option<usize>,
     pub(super) gauges: Gauges,
+    /// Descriptors that balancers' connections and calls may take together.
+    pub(super) descriptors: usize,
     pub hands: Hands,
 }
 
@@ -33,7 +35,13 @@
     pub fn new(now: At, seed: u64, settings: Settings, results: usize) -> Serve {
         let hands = Hands::new(now, &settings, results);
         let on_cores = settings.meter("on_cores");
-        Serve { decider: None, settings, seed, on_cores, gauges: Gauges::default(), hands }
+        let gauges = Gauges::default();
+        Serve { decider: None, settings, seed, on_cores, gauges, descriptors: usize::MAX, hands }
+    }
+
+    /// No more descriptors than that are taken by balancers' connections and calls together.
+    pub fn limit(&mut self, descriptors: usize) {
+        self.descriptors = descriptors;
     }
 
     /// Sets pools up; without, nothing binds but the module's own limits.
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -354,7 +354,8 @@
     let clock = Rc::new(Clock::default());
     let grace = config.settings.rules.drain_grace;
     let results = (config.memory_mb << 20) / RESULTS_PART;
-    let serve = Serve::new(clock.now(), config.seed, config.settings.clone(), results);
+    let mut serve = Serve::new(clock.now(), config.seed, config.settings.clone(), results);
+    serve.limit(listen::others(descriptors));
     let serve = Rc::new(RefCell::new(serve));
     if let Some((opened, set)) = kept {
         let (keep, mut told) = keep::start(opened, &set).map_err(|e| format!("kept-results: {e}"))?;
--- a/crates/server/tests/crossings.rs
+++ b/crates/server/tests/crossings.rs
@@ -5,6 +5,7 @@
 
 use madderbay::time::{At, Span};
 use madderbay_server::balancers::listen;
+use madderbay_server::below::calls;
 use madderbay_server::below::engine::Hears as _;
 use madderbay_server::core::serve::{Serve, Shared};
 use madderbay_server::tools::clock::Clock;
@@ -16,7 +17,7 @@
 use std::rc::Rc;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::task::{LocalSet, spawn_local, yield_now};
 use tokio::time::timeout;
 
@@ -373,6 +374,38 @@
     });
 }
 
+/// Calls leave the descriptors that the program needs: one too many is not made, and is known not to have run.
+#[test]
+fn calls_leave_descriptors_to_others() {
+    played(async {
+        let place = Place::new(8).await;
+        let catalogue = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let at = watch::channel(Some(catalogue.local_addr().expect("an address")));
+        place.serve.borrow_mut().limit(2);
+        spawn_local(calls::run(at.1, place.clock.clone(), place.serve.clone()));
+        let mut peer = place.heard().await;
+        for own in [1, 2] {
+            peer.say(&req(own, "search", own)).await;
+        }
+        until(|| place.serve.borrow().hands.reqs.len() == 2).await;
+        place.turn();
+        let now = place.clock.now();
+        let names: [[u8; 16]; 2] =
+            [1, 2].map(|own| format!("{own:016x}").into_bytes().try_into().expect("16 digits"));
+        for (serial, name) in names.iter().enumerate() {
+            place.serve.borrow_mut().at_call(now, name, serial as u64 + 1, "YWJj");
+        }
+        place.turn();
+        let (stream, _) = catalogue.accept().await.expect("one call");
+        let mut reader = BufReader::new(stream);
+        let mut line = String::new();
+        reader.read_line(&mut line).await.expect("a call");
+        assert!(line.starts_with("FETCH "), "{line}");
+        until(|| place.serve.borrow().counters().contains("counter calls.unreached 1\n")).await;
+        assert_eq!(place.serve.borrow().hands.calls.out(), 1);
+    });
+}
+
 /// Small writes are not held back: nothing is written on a socket before it is told so.
 #[test]
 fn no_socket_holds_small_writes_back() {
