A test of kept results waits by time, not by a count of questions

what_may_have_run_is_never_run_again asked 2,000 times for a result that was being written. The count says nothing of the disk: each side of it varies. It asks until the stand-ins' usual term now; what it asks for and what may be answered is unchanged.

--- a/crates/server/tests/kept.rs
+++ b/crates/server/tests/kept.rs
@@ -4,11 +4,12 @@
 
 use madderbay_standins::peer::{Peer, local};
 use madderbay_standins::server::{Others, Server, configuration, written};
-use madderbay_standins::{registry, unix_ms};
+use madderbay_standins::{PATIENCE, registry, unix_ms};
 use std::net::{TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::sync::mpsc::Receiver;
+use std::time::Instant;
 
 struct Place {
     folder: PathBuf,
@@ -149,8 +150,8 @@
     let (mut server, mut engine) = place.live();
     let mut a = balancer(&server);
     engine.say(&done(1, 1, "WFla"));
-    // It is written before it is told: asked until then.
-    let mut id = 0;
+    // It is written before it is told: asked until then, however fast the asking and slow the disk.
+    let (mut id, began) = (0, Instant::now());
     loop {
         id += 1;
         a.say(&book(id, 20 + id, "5", "QUJD"));
@@ -159,7 +160,7 @@
             assert!(answer.contains("WFla"));
             break;
         }
-        assert!(answer.contains("-32001") && id < 2_000, "{answer}");
+        assert!(answer.contains("-32001") && began.elapsed() < PATIENCE, "{id}: {answer}");
     }
     killed(server, engine);
     (server, engine) = place.live();
