A configuration that comes late or in half is waited for; starts and drains beside others that fail

Seen in the code: a start whose configuration was not there yet, or broke off, ended at once; a start is to be ready within 10 s with it late. Change: a file that is missing or ends before its JSON does is looked for again for 5 s, then told in the same one line; any other fault is told at once, as before. A reload does not wait: the old one stays in force.

--- a/crates/server/src/balancers/listen.rs
+++ b/crates/server/src/balancers/listen.rs
@@ -80,6 +80,7 @@
             take(stream, found, &clock, &serve);
         }
     }
+    log::info!("listening no more");
 }
 
 /// The connections that the machine has accepted and nobody took; none is waited for.
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -39,6 +39,9 @@
 /// Listening ends this long before the stop at the latest, and what is open then has that long for its last
 /// answers; connections at rest are waited for half as long, for their peers to see the end.
 const LAST: Duration = Duration::from_millis(500);
+/// A configuration that is not there yet, or only in part, is waited for so long, and looked for so often.
+const LATE_FILE: Duration = Duration::from_secs(5);
+const LOOK_FILE: Duration = Duration::from_millis(50);
 
 /// The process's own limit on descriptors, where the system tells it.
 fn allowed_descriptors() -> usize {
@@ -47,11 +50,27 @@
     line.and_then(|l| l.split_whitespace().next()?.parse().ok()).unwrap_or(usize::MAX)
 }
 
-fn set_up() -> Result<config::Config, String> {
-    let path =
-        std::env::var("RELAY_CONFIG").map_err(|_| "RELAY_CONFIG names no configuration".to_string())?;
-    let json = std::fs::read(&path).map_err(|e| format!("configuration {path}: {e}"))?;
-    config::read(&json, |name| std::env::var(name).ok())
+/// Why there is no configuration.
+enum Unset {
+    /// It is not there, or breaks off.
+    Unfinished(String),
+    Wrong(String),
+}
+
+impl From<Unset> for String {
+    fn from(why: Unset) -> String {
+        match why {
+            Unset::Unfinished(what) | Unset::Wrong(what) => what,
+        }
+    }
+}
+
+fn set_up() -> Result<config::Config, Unset> {
+    let path = std::env::var("RELAY_CONFIG")
+        .map_err(|_| Unset::Wrong("RELAY_CONFIG names no configuration".to_string()))?;
+    let json = std::fs::read(&path).map_err(|e| Unset::Unfinished(format!("configuration {path}: {e}")))?;
+    let found = config::read(&json, |name| std::env::var(name).ok());
+    found.map_err(|what| if config::breaks_off(&json) { Unset::Unfinished(what) } else { Unset::Wrong(what) })
 }
 
 /// One server before the engine that it shares a machine with, between balancers and what lies below.
@@ -163,9 +182,23 @@
     routing: Option<Routing>,
 }
 
+/// The configuration at the start: one that is not there, or breaks off, may still be being written.
+fn set_up_late() -> Result<config::Config, String> {
+    let began = Instant::now();
+    loop {
+        match set_up() {
+            Err(Unset::Unfinished(why)) if began.elapsed() < LATE_FILE => {
+                log::debug!("{why}; waited for");
+                std::thread::sleep(LOOK_FILE);
+            }
+            found => return found.map_err(String::from),
+        }
+    }
+}
+
 fn run(path: Option<&Path>, unix_ahead_ms: i64) -> Result<(), Wrong> {
     let operator = operator(path)?;
-    let config = set_up()?;
+    let config = set_up_late()?;
     let Planned { plan, sharing, routing } = planned(&operator, &config)?;
     let window = config.settings.handlers.iter().map(|h| h.window).max().unwrap_or_default();
     let opened = operator.kept.as_ref().map(|set| keep::open(set, window.as_micros())).transpose();
@@ -208,7 +241,7 @@
 fn check(path: &Path) -> Result<(), Wrong> {
     let operator = operator(Some(path))?;
     if std::env::var_os("RELAY_CONFIG").is_some() {
-        planned(&operator, &set_up()?)?;
+        planned(&operator, &set_up().map_err(String::from)?)?;
     }
     println!("{}: good", path.display());
     Ok(())
@@ -264,7 +297,7 @@
 fn reload(config: &config::Config, to: &Moves) {
     let fresh = match set_up() {
         Ok(fresh) => fresh,
-        Err(what) => return log::warn!("reload: {what}; nothing is changed"),
+        Err(what) => return log::warn!("reload: {}; nothing is changed", String::from(what)),
     };
     for what in config.fixed_unlike(&fresh) {
         log::warn!("reload: {what} has changed, which only a restart can take");
--- a/crates/server/src/tools/config.rs
+++ b/crates/server/src/tools/config.rs
@@ -60,6 +60,11 @@
     text.parse().map_err(|_| format!("{what}: '{text}' is no address and port"))
 }
 
+/// Whether the text ends before what it begins does.
+pub fn breaks_off(json: &[u8]) -> bool {
+    serde_json::from_slice::<serde::de::IgnoredAny>(json).is_err_and(|e| e.is_eof())
+}
+
 /// Reads the configuration; says in one line what is missing or can't be. `RELAY_NAME` and `RELAY_LISTEN`,
 /// where they are set, stand above the file.
 pub fn read(json: &[u8], variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
--- a/crates/server/tests/binary.rs
+++ b/crates/server/tests/binary.rs
@@ -5,7 +5,7 @@
 use madderbay_standins::peer::{Peer, local};
 use madderbay_standins::server::{self, Others, configuration, written};
 use madderbay_standins::{PATIENCE, registry, unix_ms};
-use std::io::{Read, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::ops::{Deref, DerefMut};
 use std::path::Path;
@@ -377,6 +377,225 @@
     assert!(fails(Some(&good), Some("192.0.2.1:1")).contains("192.0.2.1"));
 }
 
+/// A configuration that comes late, and first in half, is waited for; the server is up soon after it is whole.
+#[test]
+fn a_configuration_that_comes_late_is_waited_for() {
+    let (engine, catalogue) = (local(), local());
+    let (registry, _reports) = registry::start();
+    let others =
+        Others { engine: engine.local_addr().unwrap(), registry, catalogue: catalogue.local_addr().unwrap() };
+    let whole = configuration("127.0.0.1:0", others, 128, STOP_MS, common::SETTINGS);
+    let path = written("");
+    std::fs::remove_file(&path).expect("removed");
+    let mut command = server::command(program(), Some(&path));
+    let mut child = command.env("MADDERBAY_LOG", "debug").spawn().expect("it starts");
+    let mut log = BufReader::new(child.stderr.take().expect("its log")).lines().map_while(Result::ok);
+    let mut logged = |part: &str| log.by_ref().find(|l| l.contains(part)).expect("told in its log");
+    logged("No such file");
+    std::fs::write(&path, &whole[..whole.len() / 2]).expect("written");
+    logged("EOF while parsing");
+    std::fs::write(&path, &whole).expect("written");
+    logged(" listens on ");
+    let mut link = Peer::accept(&engine);
+    assert_eq!(link.line(), "{\"msg\":\"ATTACH\",\"serial\":0}");
+    child.kill().expect("killed");
+    child.wait().expect("over");
+    std::fs::remove_file(&path).expect("removed");
+}
+
+/// Nine in ten starts are ready soon with an engine that breaks its link off, and says nothing, before it is up,
+/// and a registry that breaks off, half answers and refuses before it takes a report.
+#[test]
+fn a_start_beside_others_that_break_off_is_ready_soon() {
+    let (engine, catalogue, registry) = (local(), local(), local());
+    let others = Others {
+        engine: engine.local_addr().unwrap(),
+        registry: registry.local_addr().unwrap(),
+        catalogue: catalogue.local_addr().unwrap(),
+    };
+    let text = configuration("127.0.0.1:0", others, 128, STOP_MS, common::SETTINGS);
+    let program = server::Server::start(program(), &text, None);
+    let began = std::time::Instant::now();
+    for broken in ["", "{\"msg\":\"HEL", "}\n"] {
+        let mut link = Peer::accept(&engine);
+        assert_eq!(link.line(), "{\"msg\":\"ATTACH\",\"serial\":0}");
+        link.say(broken);
+    }
+    for broken in ["", "HTTP/1.1 2", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", "\u{1}\r\n\r\n"] {
+        let mut peer = Peer::accept(&registry);
+        assert!(peer.line().starts_with("PUT /v1/instances/n1 "));
+        peer.say(broken);
+    }
+    let mut link = Peer::accept(&engine);
+    assert_eq!(link.line(), "{\"msg\":\"ATTACH\",\"serial\":0}");
+    link.say("{\"msg\":\"HELLO\",\"how\":\"new\",\"duration\":10}\n");
+    assert!(link.line().contains("STAT"));
+    link.say("{\"msg\":\"STATS\",\"cookie\":\"1\",\"stats\":[0.1,1,0.1,1]}\n");
+    let mut peer = Peer::accept(&registry);
+    while peer.line() != "" {}
+    assert!(peer.bytes(17).ends_with(b"\"ready\"}"), "a report of it");
+    peer.say("HTTP/1.1 204 No Content\r\n\r\n");
+    let mut a = Peer::new(TcpStream::connect(program.address).expect("a connection"));
+    a.say(&req(1, "quote", 1, ""));
+    assert!(link.command().contains("\"RUN\""));
+    assert!(began.elapsed() < Duration::from_secs(10), "ready within 10 s");
+}
+
+/// A drain where the engine never came up, with a registry that only half answers; told twice.
+#[test]
+fn a_drain_before_the_engine_is_up_ends_by_itself() {
+    let (engine, catalogue, registry) = (local(), local(), local());
+    let others = Others {
+        engine: engine.local_addr().unwrap(),
+        registry: registry.local_addr().unwrap(),
+        catalogue: catalogue.local_addr().unwrap(),
+    };
+    let text = configuration("127.0.0.1:0", others, 128, STOP_MS, common::SETTINGS);
+    let program = server::Server::start(program(), &text, None);
+    let mut link = Peer::accept(&engine);
+    assert_eq!(link.line(), "{\"msg\":\"ATTACH\",\"serial\":0}");
+    let mut peer = Peer::accept(&registry);
+    assert!(peer.line().starts_with("PUT "));
+    peer.say("HTTP/1.1 2");
+    let mut a = Peer::new(TcpStream::connect(program.address).expect("a connection"));
+    a.say("{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"isWell\"}\n");
+    assert!(a.line().contains("\"fit\":true"));
+    program.signal("-TERM");
+    assert_eq!(a.line(), "{\"jsonrpc\":\"2.0\",\"method\":\"leaving\"}");
+    program.signal("-TERM");
+    // The engine comes up now: nothing is taken on.
+    link.say("{\"msg\":\"HELLO\",\"how\":\"new\",\"duration\":10}\n");
+    a.say("{\"jsonrpc\":\"2.0\",\"id\":2,\"method\":\"isWell\"}\n");
+    assert!(a.line().contains("\"fit\":false"));
+    a.say(&req(3, "quote", 1, ""));
+    assert!(a.line().contains("\"id\":3,\"error\":{\"code\":-32002"));
+    assert_eq!(a.line(), "");
+    assert!(program.ended().contains("counter runs.started 0\n"));
+}
+
+/// A reload and then a drain, and a drain and then a reload: the run that is open is answered over the link that
+/// was moved to.
+#[test]
+fn a_drain_and_a_reload_in_either_order() {
+    for drain_first in [false, true] {
+        let mut server = Server::start(128);
+        let mut engine = server.link("{\"msg\":\"ATTACH\",\"serial\":0}");
+        let mut a = server.balancer();
+        server.log_at("engine: up");
+        a.say(&req(1, "quote", 1, ""));
+        assert!(engine.command().contains("\"RUN\""));
+        let (new_engine, new_catalogue, (registry, _reports)) = (local(), local(), registry::start());
+        let others = Others {
+            engine: new_engine.local_addr().unwrap(),
+            registry,
+            catalogue: new_catalogue.local_addr().unwrap(),
+        };
+        std::fs::write(&server.path, configuration("127.0.0.1:0", others, 128, STOP_MS, common::SETTINGS))
+            .unwrap();
+        if drain_first {
+            server.signal("-TERM");
+            server.log_at("draining");
+            server.signal("-HUP");
+        } else {
+            server.signal("-HUP");
+            server.log_at("reload: engine");
+            server.signal("-TERM");
+        }
+        let mut engine = Peer::accept(&new_engine);
+        assert_eq!(engine.line(), "{\"msg\":\"ATTACH\",\"serial\":0}");
+        engine.say("{\"msg\":\"HELLO\",\"how\":\"old\",\"duration\":3600000}\n");
+        assert_eq!(a.line(), "{\"jsonrpc\":\"2.0\",\"method\":\"leaving\"}");
+        engine.say(&done(1, 1, "WFla"));
+        assert_eq!(a.line(), "{\"jsonrpc\":\"2.0\",\"id\":1,\"result\":{\"bytes\":\"WFla\"}}");
+        assert_eq!(a.line(), "");
+        assert!(server.ended().contains("counter answered.done 1\n"));
+    }
+}
+
+/// Where the stop comes before the grace is over listening ends in time for all that was accepted to be answered.
+#[test]
+fn listening_ends_before_the_stop() {
+    let others = Others { engine: dead(), registry: dead(), catalogue: dead() };
+    let text = configuration("127.0.0.1:0", others, 128, STOP_MS, common::SETTINGS);
+    let mut program = server::Server::start(program(), &text, None);
+    // One connection stays open, so that the process outlasts its listening.
+    let mut a = Peer::new(TcpStream::connect(program.address).expect("a connection"));
+    a.say("{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"isWell\"}\n");
+    assert!(a.line().contains("\"fit\":true"));
+    program.signal("-TERM");
+    program.log_at("listening no more");
+    assert_eq!(a.line(), "{\"jsonrpc\":\"2.0\",\"method\":\"leaving\"}");
+    a.say(&req(2, "quote", 1, ""));
+    assert!(a.line().contains("\"id\":2,\"error\":{\"code\":-32002"));
+}
+
+/// Idle clients take all descriptors that are to be had while the registry is down: a balancer gets in and is
+/// served, and reports go on once the registry is back.
+#[test]
+fn idle_clients_do_not_keep_balancers_out() {
+    let (engine, catalogue) = (local(), local());
+    let others = Others {
+        engine: engine.local_addr().unwrap(),
+        registry: dead(),
+        catalogue: catalogue.local_addr().unwrap(),
+    };
+    let text = configuration("127.0.0.1:0", others, 30, STOP_MS, common::SETTINGS);
+    let program = server::Server::start(program(), &text, None);
+    let mut link = Peer::accept(&engine);
+    assert_eq!(link.line(), "{\"msg\":\"ATTACH\",\"serial\":0}");
+    link.say("{\"msg\":\"HELLO\",\"how\":\"old\",\"duration\":3600000}\n");
+    assert!(link.line().contains("STAT"));
+    link.say("{\"msg\":\"STATS\",\"cookie\":\"1\",\"stats\":[0.1,1,0.1,1]}\n");
+    let connect = || TcpStream::connect(program.address).expect("a connection");
+    let mut live = Peer::new(connect());
+    live.say(&req(1, "quote", 1, ""));
+    assert!(link.command().contains("\"RUN\""));
+    let idle: Vec<TcpStream> = (0..40).map(|_| connect()).collect();
+    // Shed while the last of them are new, as it is told, and then served.
+    let (mut own, began) = (1, std::time::Instant::now());
+    let mut balancer = loop {
+        own += 1;
+        assert!(began.elapsed() < PATIENCE, "a balancer gets in");
+        let mut peer = Peer::new(connect());
+        peer.say(&req(1, "quote", own, ""));
+        let shed = {
+            let name = format!("{own:016x}");
+            peer.0.get_ref().set_nonblocking(true).expect("set");
+            let said = loop {
+                let mut line = String::new();
+                match peer.0.read_line(&mut line) {
+                    Ok(_) => break Some(line),
+                    Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
+                    Err(e) => panic!("no end without an answer: {e}"),
+                }
+                if link.pending().contains(&name) {
+                    break None;
+                }
+            };
+            peer.0.get_ref().set_nonblocking(false).expect("set");
+            said
+        };
+        match shed {
+            None => break peer,
+            Some(line) => assert!(line.contains("-32002"), "shed, not closed unread: {line}"),
+        }
+    };
+    link.say(&done(1, 1, "AA=="));
+    link.say(&done(2, own, "AA=="));
+    assert!(live.line().contains("\"id\":1,\"result\""));
+    assert!(balancer.line().contains("\"id\":1,\"result\""));
+    let descriptors = std::fs::read_dir(format!("/proc/{}/fd", program.pid())).expect("told").count();
+    assert!(descriptors <= 30, "{descriptors} descriptors");
+    // The registry is back, at another place.
+    let (registry, reports) = registry::start();
+    let moved = Others { registry, ..others };
+    std::fs::write(&program.path, configuration("127.0.0.1:0", moved, 30, STOP_MS, common::SETTINGS))
+        .expect("written");
+    program.signal("-HUP");
+    assert!(reports.recv_timeout(PATIENCE).expect("a report").contains("ready"));
+    drop(idle);
+}
+
 fn orders(args: &[&str], config: Option<&str>) -> (i32, Vec<String>) {
     let path = config.map(written);
     let found = server::command(program(), path.as_deref()).args(args).output().expect("it runs");
--- a/crates/standins/src/peer.rs
+++ b/crates/standins/src/peer.rs
@@ -32,6 +32,33 @@
         line.trim_end().to_string()
     }
 
+    /// The commands to an engine that have come by now; questions for the gauges among them are answered.
+    pub fn pending(&mut self) -> String {
+        let mut found = String::new();
+        loop {
+            if self.0.buffer().is_empty() {
+                self.0.get_ref().set_nonblocking(true).expect("set");
+                let came = self.0.fill_buf().map(<[u8]>::len);
+                self.0.get_ref().set_nonblocking(false).expect("set");
+                if came.unwrap_or(0) == 0 {
+                    return found;
+                }
+            }
+            let line = self.line();
+            if !self.gauged(&line) {
+                found += &(line + "\n");
+            }
+        }
+    }
+
+    /// Answers a question for the gauges; false where the line is none.
+    fn gauged(&mut self, line: &str) -> bool {
+        let Some(rest) = line.strip_prefix("{\"msg\":\"STAT\",\"cookie\":") else { return false };
+        let cookie = rest.trim_end_matches('}');
+        self.say(&format!("{{\"msg\":\"STATS\",\"cookie\":{cookie},\"stats\":[0.1,1,0.1,1]}}\n"));
+        true
+    }
+
     /// So many bytes.
     pub fn bytes(&mut self, len: usize) -> Vec<u8> {
         let mut bytes = vec![0; len];
@@ -46,9 +73,9 @@
         loop {
             let line = self.line();
             assert!(began.elapsed() < PATIENCE, "no command in time");
-            let Some(rest) = line.strip_prefix("{\"msg\":\"STAT\",\"cookie\":") else { return line };
-            let cookie = rest.trim_end_matches('}');
-            self.say(&format!("{{\"msg\":\"STATS\",\"cookie\":{cookie},\"stats\":[0.1,1,0.1,1]}}\n"));
+            if !self.gauged(&line) {
+                return line;
+            }
         }
     }
 }
