--- a/crates/server/tests/crossings.rs
+++ b/crates/server/tests/crossings.rs
@@ -217,6 +217,27 @@
     });
 }
 
+/// Half a line at the notice to drain, the rest within the grace: a req like any other of that time.
+#[test]
+fn half_a_line_at_the_notice_to_drain_is_read_on() {
+    played(async {
+        let place = Place::new(8).await;
+        let mut peer = place.heard().await;
+        let line = req(2, "quote", 1);
+        let (half, rest) = line.split_at(40);
+        // Read with a check before it, which is answered.
+        peer.say_at_once(&format!("{WELL}{half}"));
+        assert!(peer.line().await.contains("\"fit\":true"));
+        place.serve.borrow_mut().leave(place.clock.now(), Span::millis(3_000));
+        peer.say_at_once(rest);
+        until(|| place.serve.borrow().hands.reqs.len() == 1).await;
+        place.turn();
+        place.done(1);
+        assert!(peer.line().await.contains("leaving"));
+        assert!(peer.line().await.contains("\"id\":2,\"result\""));
+    });
+}
+
 /// One that comes after the end is nobody's, and the connection is not reset for it.
 #[test]
 fn a_req_that_crosses_the_end_is_not_run() {
