Settings that are unknown or contradict themselves are told by their key, and end the program with 2

Not told so far, and guessed: lists by class of another length than the classes, two classes or tenants by one name (the door's table kept the last), a class that calls where nothing is below, a key with no window, advice to come back of no length. Each is one line with its key now, a wrong word too, and server and adapter end with 2, where 1 did not tell them from a port that is taken; faults of the wire still end the adapter with 1.

--- a/crates/drill/src/host.rs
+++ b/crates/drill/src/host.rs
@@ -22,6 +22,36 @@
     reply: Reply,
 }
 
+/// What can't be played: settings, or what came on the wire.
+#[derive(Debug)]
+pub enum Wrong {
+    Set(String),
+    Wire(String),
+}
+
+impl From<String> for Wrong {
+    fn from(what: String) -> Wrong {
+        Wrong::Wire(what)
+    }
+}
+
+impl From<Wrong> for String {
+    fn from(wrong: Wrong) -> String {
+        match wrong {
+            Wrong::Set(what) | Wrong::Wire(what) => what,
+        }
+    }
+}
+
+impl Wrong {
+    fn at(self, place: impl Fn(String) -> String) -> Wrong {
+        match self {
+            Wrong::Set(what) => Wrong::Set(place(what)),
+            Wrong::Wire(what) => Wrong::Wire(place(what)),
+        }
+    }
+}
+
 fn outcome(code: u8) -> Result<Outcome, String> {
     Ok(match code {
         1 => Outcome::Done,
@@ -38,7 +68,7 @@
 
 impl Host {
     /// Plays one batch and gives the frame that answers it.
-    pub fn play(&mut self, batch: &Batch) -> Result<Vec<u8>, String> {
+    pub fn play(&mut self, batch: &Batch) -> Result<Vec<u8>, Wrong> {
         let now = At::micros(batch.clock);
         let mut fields = Fields::new(&batch.body);
         let mut touched: Vec<u16> = vec![];
@@ -47,13 +77,13 @@
             let code = fields.u8().map_err(place)?;
             let who = fields.u16().map_err(place)?;
             touched.retain(|t| *t != who || code != wire::KILL);
-            self.event(now, code, who, &mut fields).map_err(place)?;
+            self.event(now, code, who, &mut fields).map_err(|e| e.at(place))?;
             if code != wire::KILL && !touched.contains(&who) {
                 touched.push(who);
             }
         }
         if fields.rest() > 0 {
-            return Err(format!("frame: {} bytes left after {} records", fields.rest(), batch.count));
+            return Err(format!("frame: {} bytes left after {} records", fields.rest(), batch.count).into());
         }
         for who in touched {
             self.guarded(who, |i, out| i.decider.settle(now, out))?;
@@ -62,7 +92,7 @@
     }
 
     /// Lets an instance decide; a failure inside the decision code is declared on the wire.
-    fn guarded(&mut self, who: u16, act: impl FnOnce(&mut Instance, &mut Reply)) -> Result<(), String> {
+    fn guarded(&mut self, who: u16, act: impl FnOnce(&mut Instance, &mut Reply)) -> Result<(), Wrong> {
         let instance =
             self.instances.get_mut(&who).ok_or_else(|| format!("instance {who} was never begun"))?;
         self.reply.who = who;
@@ -75,12 +105,12 @@
         Ok(())
     }
 
-    fn event(&mut self, now: At, code: u8, who: u16, f: &mut Fields) -> Result<(), String> {
+    fn event(&mut self, now: At, code: u8, who: u16, f: &mut Fields) -> Result<(), Wrong> {
         match code {
             wire::BEGIN => {
                 let seed = f.u64()?;
                 let len = f.u32()? as usize;
-                let s = settings::read(f.bytes(len)?)?;
+                let s = settings::read(f.bytes(len)?).map_err(Wrong::Set)?;
                 self.instances.insert(who, Instance::new(now, seed, &s));
                 self.guarded(who, |i, out| i.decider.begin(out))
             }
@@ -122,9 +152,9 @@
             }
             wire::KILL => {
                 let was = self.instances.remove(&who);
-                was.map(|_| ()).ok_or_else(|| format!("instance {who} was never begun"))
+                was.map(|_| ()).ok_or_else(|| format!("instance {who} was never begun").into())
             }
-            _ => Err(format!("event code {code} is unknown")),
+            _ => Err(format!("event code {code} is unknown").into()),
         }
     }
 }
--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -1,8 +1,12 @@
-use madderbay_drill::{host::Host, wire};
+use madderbay_drill::host::{Host, Wrong};
+use madderbay_drill::wire;
 use std::io::{BufReader, Write, stdin, stdout};
 use std::process::ExitCode;
 
-fn run() -> Result<(), String> {
+/// Exit status where settings are unknown or contradict themselves.
+const WRONGLY_SET: u8 = 2;
+
+fn run() -> Result<(), Wrong> {
     let mut input = BufReader::with_capacity(1 << 16, stdin().lock());
     let mut output = stdout().lock();
     let mut host = Host::default();
@@ -16,9 +20,13 @@
 fn main() -> ExitCode {
     match run() {
         Ok(()) => ExitCode::SUCCESS,
-        Err(what) => {
+        Err(Wrong::Wire(what)) => {
             eprintln!("madderbay-drill: {what}");
             ExitCode::FAILURE
         }
+        Err(Wrong::Set(what)) => {
+            eprintln!("madderbay-drill: {what}");
+            ExitCode::from(WRONGLY_SET)
+        }
     }
 }
--- a/crates/drill/tests/wire.rs
+++ b/crates/drill/tests/wire.rs
@@ -135,3 +135,32 @@
     let replies = play(&[batch(1, &begin(bare)), batch(1, &query())]).unwrap();
     assert!(replies[1].len() > 8, "a req of no time is answered");
 }
+
+/// Settings that are unknown or contradict themselves end the program with 2 and one line that names the key; what is
+/// wrong on the wire ends it with 1.
+#[test]
+fn wrong_settings_end_the_program_with_2() {
+    use std::io::Write;
+    use std::process::{Command, Stdio};
+    let melts = SETTINGS.replace("\"preemption\": \"freeze\"", "\"preemption\": \"melt\"");
+    let cases = [
+        (melts, 2, "family_info.preemption is 'melt'"),
+        (SETTINGS.to_string(), 1, "frame: input ends 3 bytes"),
+    ];
+    for (settings, status, told) in cases {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_madderbay-drill"))
+            .stdin(Stdio::piped())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("it starts");
+        let mut input = child.stdin.take().expect("its input");
+        // It may have ended before all is written.
+        let _ = input.write_all(&[batch(1, &begin(&settings)), bytes("5a5c80")].concat());
+        drop(input);
+        let found = child.wait_with_output().expect("an end");
+        let text = String::from_utf8(found.stderr).expect("text");
+        assert_eq!(found.status.code(), Some(status), "{text}");
+        assert!(text.contains(told) && text.lines().count() == 1, "{text}");
+    }
+}
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -131,7 +131,7 @@
     Export { directory: PathBuf },
 }
 
-/// What keeps the program from its work: a configuration that can't be served, or an operator file that is
+/// What keeps the program from its work: something that it can't have, or a configuration or an operator file that is
 /// wrong.
 enum Wrong {
     Start(String),
@@ -146,7 +146,7 @@
     }
 }
 
-/// Exit status of a wrong command line or operator file.
+/// Exit status of a wrong command line, configuration or operator file.
 const WRONGLY_SET: u8 = 2;
 
 fn operator(path: Option<&Path>) -> Result<Operator, Wrong> {
@@ -183,7 +183,7 @@
 }
 
 /// The configuration at the start: one that is not there, or breaks off, may still be being written.
-fn set_up_late() -> Result<config::Config, String> {
+fn set_up_late() -> Result<config::Config, Wrong> {
     let began = Instant::now();
     loop {
         match set_up() {
@@ -191,7 +191,7 @@
                 log::debug!("{why}; waited for");
                 std::thread::sleep(LOOK_FILE);
             }
-            found => return found.map_err(String::from),
+            found => return found.map_err(|why| Wrong::Set(vec![why.into()])),
         }
     }
 }
--- a/crates/server/tests/binary.rs
+++ b/crates/server/tests/binary.rs
@@ -338,6 +338,7 @@
     assert!(other.line().contains("\"fit\":true"));
 }
 
+/// One line of a start that fails; with 2 where the configuration is wrong.
 fn fails(config: Option<&str>, listen: Option<&str>) -> String {
     let path = config.map(written);
     let mut command = server::command(program(), path.as_deref());
@@ -346,9 +347,10 @@
     }
     let Output { status, stderr, .. } = command.output().expect("it runs");
     path.iter().for_each(|p| std::fs::remove_file(p).expect("removed"));
-    assert!(!status.success());
     let text = String::from_utf8(stderr).expect("text");
     assert_eq!(text.lines().count(), 1, "{text}");
+    let bound = ["listen ", "limits."].iter().any(|what| text.contains(&format!("madderbay: {what}")));
+    assert_eq!(status.code(), Some(if bound { 1 } else { 2 }), "{text}");
     text
 }
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -4,6 +4,7 @@
 use madderbay::face::*;
 use madderbay::time::{At, Span};
 use serde::Deserialize;
+use std::collections::HashSet;
 
 #[derive(Deserialize)]
 struct Raw {
@@ -143,6 +144,20 @@
     if ok { Ok(()) } else { Err(format!("settings: {what}")) }
 }
 
+/// A list by class is absent or has a place for each.
+fn by_class(found: usize, classes: usize, what: &str) -> Result<(), String> {
+    need(found == 0 || found == classes, &format!("{what} has {found} places for {classes} classes"))
+}
+
+/// Of two by one name neither could be told.
+fn all_unlike<'a>(names: impl Iterator<Item = &'a str>, what: &str) -> Result<(), String> {
+    let mut seen = HashSet::new();
+    for (i, name) in names.enumerate().filter(|n| !n.1.is_empty()) {
+        need(seen.insert(name), &format!("{what}[{i}].name '{name}' is that of another"))?;
+    }
+    Ok(())
+}
+
 fn word<T: Copy>(found: &str, known: &[(&str, T)], what: &str) -> Result<T, String> {
     let hit = known.iter().find(|k| k.0 == found);
     hit.map(|k| k.1).ok_or_else(|| format!("settings: {what} is '{found}', which is none of those known"))
@@ -160,6 +175,14 @@
     need(info.dep_share >= 0.0, "family_info.dep_share is under 0")?;
     need(raw.rules.tip_multiple >= 1.0, "rules.tip_multiple is under 1")?;
     need((0.0..=1.0).contains(&raw.rules.cold_from), "rules.cold_from is not within 0 to 1")?;
+    by_class(info.class_calls.len(), raw.classes.len(), "family_info.class_calls")?;
+    by_class(info.class_skip_worth.len(), raw.classes.len(), "family_info.class_skip_worth")?;
+    all_unlike(raw.classes.iter().map(|c| &*c.name), "classes")?;
+    all_unlike(raw.tenants.iter().map(|t| &*t.name), "tenants")?;
+    let below_none = info.below.is_empty() || info.below == "none";
+    if let Some(i) = info.class_calls.iter().position(|c| *c && below_none) {
+        return Err(format!("settings: family_info.class_calls[{i}] is true, but family_info.below is none"));
+    }
     let mut handlers = vec![];
     for (i, c) in raw.classes.iter().enumerate() {
         need(c.aim_us > 0, &format!("classes[{i}].aim_us is 0"))?;
@@ -171,6 +194,11 @@
             ("idempotency_key", Repeats::Uniqued),
             ("non_idempotent", Repeats::NonReplayable),
         ];
+        let keyed_for_nothing = c.effect == "idempotency_key" && c.repeat_window_us == 0;
+        need(
+            !keyed_for_nothing,
+            &format!("classes[{i}].repeat_window_us is 0, but its effect is idempotency_key"),
+        )?;
         let partial = info.class_skip_worth.get(i).copied().unwrap_or(0.0);
         need(
             (0.0..=1.0).contains(&partial),
@@ -188,6 +216,12 @@
             partial_value: partial,
         });
     }
+    if raw.permissions.retry_after {
+        need(
+            raw.permissions.max_retry_after_us > 0,
+            "permissions.max_retry_after_us is 0, but retry_after is true",
+        )?;
+    }
     for (i, t) in raw.tenants.iter().enumerate() {
         need(t.allowance_per_s >= 0.0, &format!("tenants[{i}].allowance_per_s is under 0"))?;
     }
