A connection that waits keeps no buffer of its own

Cause: both kept an array of 16 KiB over a wait, so that each connection's task had them all its life (49,864 bytes a connection by size_of_val). Ruled out: longer lines, which hold nothing unless begun.

Change: reads go through functions that end before the next wait, as all others did. Test: a_connection_that_waits_keeps_no_buffer (under 2,000 bytes); seen to fail before.

--- a/crates/server/src/tools/drive.rs
+++ b/crates/server/src/tools/drive.rs
@@ -171,6 +171,20 @@
     Ok(true)
 }
 
+/// Reads what has come, past what the runtime knows of it; nothing where none has. The buffer is nobody's for longer:
+/// one kept over a wait would be each connection's.
+fn take_last(stream: &TcpStream, mut each: impl FnMut(&[u8])) -> std::io::Result<Option<usize>> {
+    let mut buffer = [0; READ];
+    match (&*SockRef::from(stream)).read(&mut buffer) {
+        Ok(n) => {
+            each(&buffer[..n]);
+            Ok(Some(n))
+        }
+        Err(e) if e.kind() == ErrorKind::WouldBlock => Ok(None),
+        Err(e) => Err(e),
+    }
+}
+
 /// Serves one connection until it breaks or `out` is closed and written. After the last feed only writing
 /// goes on: whoever is fed closes `out` when nothing more is owed.
 async fn served(
@@ -207,18 +221,18 @@
     let _ = stream.set_nodelay(true);
     let mut reading = true;
     let mut left = LAST_READS;
-    let mut buffer = [0; READ];
     loop {
         served(stream, out, &mut reading, &mut fed).await?;
         if out.ending.get() == Ending::Cut || left == 0 {
             break;
         }
         left -= 1;
-        let came = if reading { (&*SockRef::from(stream)).read(&mut buffer) } else { Ok(0) };
-        match came {
-            Ok(n) => reading = reading && fed(&buffer[..n]) && n > 0,
-            Err(e) if e.kind() == ErrorKind::WouldBlock => break,
-            Err(e) => return Err(e),
+        if reading {
+            let mut more = true;
+            match take_last(stream, |bytes| more = fed(bytes))? {
+                Some(n) => reading = more && n > 0,
+                None => break,
+            }
         }
         if !out.is_closing() {
             left = LAST_READS;
@@ -240,13 +254,13 @@
     }
     let mut bytes = 0;
     let to_the_end = async {
-        let mut buffer = [0; READ];
         while bytes < LINGER_BYTES && stream.readable().await.is_ok() {
-            match stream.try_read(&mut buffer) {
-                Ok(0) => return,
-                Ok(n) => bytes += n,
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-                Err(_) => return,
+            match take_in(stream, &mut |read: &[u8]| {
+                bytes += read.len();
+                bytes < LINGER_BYTES
+            }) {
+                Ok(true) => {}
+                Ok(false) | Err(_) => return,
             }
         }
     };
--- a/crates/server/tests/crossings.rs
+++ b/crates/server/tests/crossings.rs
@@ -9,7 +9,7 @@
 use madderbay_server::below::engine::Hears as _;
 use madderbay_server::core::serve::{Serve, Shared};
 use madderbay_server::tools::clock::Clock;
-use madderbay_server::tools::drive::{Outbox, drive};
+use madderbay_server::tools::drive::{Outbox, drive, drive_peer};
 use madderbay_standins::{PATIENCE, unix_ms};
 use std::cell::RefCell;
 use std::io::{ErrorKind, Write};
@@ -427,6 +427,19 @@
     });
 }
 
+/// What a connection that waits takes of the memory is small: no buffer is kept over a wait.
+#[test]
+fn a_connection_that_waits_keeps_no_buffer() {
+    played(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let stream = TcpStream::connect(listener.local_addr().expect("an address")).await.expect("made");
+        let out = Outbox::default();
+        let waits = drive_peer(&stream, &out, |_| true);
+        let bytes = std::mem::size_of_val(&waits);
+        assert!(bytes < 2_000, "{bytes} bytes a connection");
+    });
+}
+
 /// Small writes are not held back: nothing is written on a socket before it is told so.
 #[test]
 fn no_socket_holds_small_writes_back() {
