A cold server's load report adds up to what it survives over all callers

Seen in the code: a server that has just been started said nothing at first, which leaves callers without limit, and later 1000 (open) as soon as nothing was held, or four times its workers over all callers. Under the sum of what many processes send a cold server falls with more than N + 2 root N + 2 at once, N being what it survives then; each of 20 or 30 callers may have taken it for open. Ruled out: the worker limit, which follows the warming already, but binds starts, not arrivals.

Change: while it warms no caller is told more than the runs that it survives now, over all callers that there may be: those of the settings, or those heard of late where these are more. It is said before the first answer.

Test: tests/ramp.rs, with 1 to 150 callers, known and not; seen to fail before (nothing was said). What it can't take it shed at once with a time to come back before, too: a test holds that.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -576,6 +576,10 @@
     pub fn begin(&mut self, out: &mut dyn Results) {
         out.health(true);
         out.wake(TICK);
+        self.free.0 = self.ramp(self.began);
+        if self.callers.free == Free::Allowance && self.free.0 < FREE_OPEN {
+            out.free_value(self.free.0);
+        }
     }
 
     /// A req has been read.
@@ -995,8 +999,12 @@
             return;
         }
         let value = match self.callers.free {
-            Free::Allowance if self.share.admitted >= 1.0 && self.hold.len() == 0 => FREE_OPEN,
-            Free::Allowance => FREE_SKEW * self.crew.limit / f64::from(self.callers.count.max(1)),
+            Free::Allowance if self.share.admitted >= 1.0 && self.hold.len() == 0 => {
+                FREE_OPEN.min(self.ramp(now))
+            }
+            Free::Allowance => {
+                (FREE_SKEW * self.crew.limit / f64::from(self.callers.count.max(1))).min(self.ramp(now))
+            }
             Free::Floor => 1.0 - self.share.admitted,
             _ => self.share.admitted * (1.0 - self.erring),
         };
@@ -1006,6 +1014,16 @@
         self.free = (value, now);
     }
 
+    /// What each caller may be told while this server warms: over all that there may be, heard from or not, it
+    /// adds up to the runs that it survives now.
+    fn ramp(&self, now: At) -> f64 {
+        if !self.machine.cold || now - self.began >= self.machine.cold_for {
+            return FREE_OPEN;
+        }
+        let callers = self.links.last.len().max(self.callers.count as usize).max(1);
+        ceiling(now, self.began, &self.machine) / callers as f64
+    }
+
     /// Run time still expected of what has started, in worker seconds: half a mean run each.
     fn started(&self) -> f64 {
         self.book.running as f64 * self.budget.mean_run * self.pace * 0.5
--- /dev/null
+++ b/tests/ramp.rs
@@ -0,0 +1,145 @@
+//! A cold server and all its callers: what it tells them adds up to what it survives, whoever has been heard.
+
+use madderbay::decide::Decider;
+use madderbay::face::*;
+use madderbay::time::{At, Span};
+
+const START: At = At::micros(1_000_000_000);
+const COLD: Span = Span::millis(10_000);
+
+#[derive(Default)]
+struct Heard {
+    /// The value that goes with an answer, once any was said.
+    value: Option<f64>,
+    started: Vec<u64>,
+    shed: Vec<(u64, Span)>,
+}
+
+impl Results for Heard {
+    fn start(&mut self, id: u64) {
+        self.started.push(id);
+    }
+    fn shed(&mut self, id: u64, come_back: Span, _last: bool) {
+        self.shed.push((id, come_back));
+    }
+    fn free_value(&mut self, value: f64) {
+        self.value = Some(value);
+    }
+    fn stop(&mut self, _id: u64) {}
+    fn errored(&mut self, _id: u64) {}
+    fn call(&mut self, _id: u64, _patience: Span) {}
+    fn skip(&mut self, _id: u64) {}
+    fn keep_key(&mut self, _id: u64, _term: Span) {}
+    fn drop_key(&mut self, _id: u64) {}
+    fn join(&mut self, _id: u64) {}
+    fn health(&mut self, _good: bool) {}
+    fn idle_limit(&mut self, _limit: Span) {}
+    fn wake(&mut self, _after: Span) {}
+}
+
+fn machine(cold: bool) -> Machine {
+    Machine {
+        cores: 4,
+        memory_kb: 1e6,
+        running_factor: 4.0,
+        key_kb: 1.0,
+        stopping: Stopping::Pauses,
+        survives_per_core: 5.0,
+        cold,
+        cold_from: 0.25,
+        cold_for: COLD,
+    }
+}
+
+/// What a server that is warm to this part survives at once.
+fn survives(m: &Machine, warmed: f64) -> f64 {
+    let speed = (m.cold_from + (1.0 - m.cold_from) * warmed).min(1.0);
+    f64::from(m.cores) * (1.0 + (m.survives_per_core - 1.0) * speed)
+}
+
+fn server(cold: bool, known: u32) -> Decider {
+    let handler = Handler {
+        target: Span::millis(2_000),
+        target_stretch: 0.0,
+        timeout: Span::millis(8_000),
+        value: 1.0,
+        late_value: 0.0,
+        repeats: Repeats::Replayable,
+        window: Span::ZERO,
+        calls: false,
+        partial_value: 0.0,
+    };
+    let below = Below { kind: BelowKind::Nothing, share: 0.0, linger: Span::ZERO, span: Span::ZERO };
+    let callers = Callers {
+        count: known,
+        free: Free::Allowance,
+        come_back_max: Span::millis(1_000),
+        mark_retries: false,
+        idle_max: Span::millis(30_000),
+    };
+    let place = Place { servers: 3, tier: 0, value_by_work: false, over_share_value: 0.05 };
+    let rules = Rules { drain_grace: Span::millis(2_000), says_wait: true };
+    Decider::new(START, 7, &machine(cold), &[handler], &[], &below, &callers, &place, &rules)
+}
+
+fn req(id: u64, from: u16) -> Arrival {
+    Arrival { id, from, wait: Span::millis(8_000), held_kb: 1.0, ..Arrival::default() }
+}
+
+/// From the first answer to the end of the cold, over all callers: those that the settings name, and those that come
+/// besides. With twenty and thirty processes of callers as with one.
+#[test]
+fn what_a_cold_server_tells_adds_up_to_what_it_survives() {
+    for (known, come) in [(1, 1), (3, 3), (20, 2), (20, 20), (30, 30), (3, 30), (0, 5), (150, 12)] {
+        let (mut d, mut out, m) = (server(true, known), Heard::default(), machine(true));
+        d.begin(&mut out);
+        let all = f64::from(known.max(1));
+        let first = out.value.expect("said before the first answer");
+        assert!(first * all <= survives(&m, 0.0), "{first} to each of {all} at first");
+        let mut id = 0;
+        for tick in 1..1_100u64 {
+            let now = START + Span::millis(10 * tick);
+            // Each comes every 600 ms and is done after 50.
+            for from in (0..come).filter(|f| (u64::from(*f) * 7 + tick).is_multiple_of(60)) {
+                id += 1;
+                d.arrive(now, &req(id, from), &mut out);
+            }
+            d.tick(now, &Gauges { on_cores: Some(1.0) }, &mut out);
+            d.settle(now, &mut out);
+            for id in std::mem::take(&mut out.started) {
+                d.ended(now, id, Outcome::Done, Span::millis(50));
+            }
+            let warmed = (now - START).as_secs() / COLD.as_secs();
+            let callers = all.max(if tick > 60 { f64::from(come) } else { 0.0 });
+            let value = out.value.expect("said");
+            if warmed < 1.0 {
+                let most = survives(&m, warmed);
+                assert!(value * callers <= most, "{value} to each of {callers} at {now:?}, over {most}");
+            }
+        }
+        assert!(out.value.expect("said") * all > survives(&m, 1.0) * 2.0, "warm, and open again");
+    }
+}
+
+/// One that is warm from the start says nothing until there is a cause.
+#[test]
+fn a_warm_server_is_open_from_the_start() {
+    let (mut d, mut out) = (server(false, 20), Heard::default());
+    d.begin(&mut out);
+    assert_eq!(out.value, None);
+}
+
+/// Many callers that have not heard it yet come at once: no more run than it survives, and what can't be done in time
+/// is shed in that moment with a time to come back.
+#[test]
+fn a_cold_server_sheds_at_once_what_it_cannot_take() {
+    let (mut d, mut out, m) = (server(true, 30), Heard::default(), machine(true));
+    d.begin(&mut out);
+    for id in 1..=300 {
+        d.arrive(START, &req(id, id as u16 % 30), &mut out);
+    }
+    d.settle(START, &mut out);
+    assert!(out.started.len() as f64 <= survives(&m, 0.0), "{} started", out.started.len());
+    assert!(out.shed.len() > 200, "{} shed", out.shed.len());
+    assert!(out.shed.iter().all(|(_, away)| *away > Span::ZERO), "each is told when to come back");
+}
