--- a/crates/kept/src/lib.rs
+++ b/crates/kept/src/lib.rs
@@ -1,4 +1,4 @@
-//! Kept results of uniqued reqs over a restart. A promise lasts before its run is sent, and a result before
+//! Kept results of keyed reqs over a restart. A promise lasts before its run is sent, and a result before
 //! its answer leaves; what was promised by a former life and has no result may have run, and is never run
 //! again.
 //!
@@ -26,7 +26,7 @@
 /// Entries of a former life last this much past their window, for tries that are read late.
 const READ_LATE: Span = Span::millis(10_000);
 
-/// What a try of a uniqued req is to hear.
+/// What a try of a keyed req is to hear.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
     /// Nothing is known of it from a former life.
@@ -127,7 +127,7 @@
         }
     }
 
-    /// Uniqued reqs known from a former life, and bytes on the disk with those on their way.
+    /// Keyed reqs known from a former life, and bytes on the disk with those on their way.
     pub fn standing(&self) -> (usize, u64) {
         (self.former.len(), self.disk + self.coming)
     }
--- a/crates/kept/src/log.rs
+++ b/crates/kept/src/log.rs
@@ -15,7 +15,7 @@
 /// One record and until when it has to last, in Unix microseconds.
 pub type Lasting = (Record, u64);
 
-/// How a uniqued req of a former life stands.
+/// How a keyed req of a former life stands.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum State {
     /// Promised, and no more known: it may have run.
--- a/crates/kept/src/record.rs
+++ b/crates/kept/src/record.rs
@@ -9,7 +9,7 @@
 //! never 4   key:16                                         its run was never sent, or the engine knows none
 //! ```
 
-/// The name of a uniqued req, the same for all its tries; the name of one try.
+/// The name of a keyed req, the same for all its tries; the name of one try.
 pub type Key = u128;
 pub type Name = [u8; 16];
 
@@ -26,7 +26,7 @@
 pub const BARE: usize = FRAME + 17;
 pub const INTENT: usize = BARE + 32;
 
-/// One thing that happened to a uniqued req.
+/// One thing that happened to a keyed req.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Record {
     /// It will be run: `print` tells handler and body, `until` the end of its window, `name` the try.
--- a/crates/lab/src/history.rs
+++ b/crates/lab/src/history.rs
@@ -81,7 +81,7 @@
 pub enum Plant {
     /// One answer in two hundred is lost (core).
     Answers,
-    /// The engine runs one req in fifty twice (what uniqued reqs rest on).
+    /// The engine runs one req in fifty twice (what keyed reqs rest on).
     Runs,
     /// Calls outlast what budgets take for the longest (shared).
     Terms,
--- a/crates/operator/src/kept.rs
+++ b/crates/operator/src/kept.rs
@@ -1,4 +1,4 @@
-//! Results of uniqued reqs that outlast a restart: `[kept-results]`.
+//! Results of keyed reqs that outlast a restart: `[kept-results]`.
 
 use crate::file::File;
 use std::path::PathBuf;
--- a/crates/server/src/balancers/door.rs
+++ b/crates/server/src/balancers/door.rs
@@ -1,4 +1,4 @@
-//! The door: what an arriving req says of itself, under small numbers, and the table of uniqued reqs.
+//! The door: what an arriving req says of itself, under small numbers, and the table of keyed reqs.
 
 use crate::tools::json::{Members, number, text, whole};
 use crate::tools::name::{Name, name, spelt};
@@ -18,10 +18,10 @@
 const ROOM_KB: f64 = 2_000.0;
 const BODY_MOST: usize = 2_732;
 
-/// The 32 hex digits that name a uniqued req.
+/// The 32 hex digits that name a keyed req.
 pub type Key = u128;
 
-/// What is known of the one run of a uniqued req.
+/// What is known of the one run of a keyed req.
 enum Run {
     NotYet,
     Going,
@@ -131,12 +131,12 @@
         self.quoted[handler].clone()
     }
 
-    /// Whether a uniqued req is known from this life.
+    /// Whether a keyed req is known from this life.
     pub fn knows(&self, key: Key) -> bool {
         self.table.contains_key(&key)
     }
 
-    /// The print of a uniqued req in the table and the end of its window.
+    /// The print of a keyed req in the table and the end of its window.
     pub fn window(&self, key: Key) -> Option<(u64, At)> {
         self.table.get(&key).map(|e| (e.print, e.until))
     }
@@ -178,7 +178,7 @@
             let known = params.text("project").and_then(|p| self.tenants.get(&*p).copied());
             known.ok_or("project is not among the settings' tenants")?
         };
-        let key = if self.repeats[handler] == Repeats::Uniqued {
+        let key = if self.repeats[handler] == Repeats::Keyed {
             let text =
                 params.text("replay").filter(|k| k.len() == 32 && k.bytes().all(|b| b.is_ascii_hexdigit()));
             Some(text.and_then(|k| Key::from_str_radix(&k, 16).ok()).ok_or("replay is not 32 hex digits")?)
--- a/crates/server/src/core/arrivals.rs
+++ b/crates/server/src/core/arrivals.rs
@@ -134,7 +134,7 @@
             // Nothing can run before the engine is up.
             self.hands.shed(arrival.id, Span::ZERO, false);
         } else if self.hands.conns.is_beyond(no) && arrival.repeats == 0 {
-            // There is no room for its connection. A further try of a uniqued req shares what became of the first.
+            // There is no room for its connection. A further try of a keyed req shares what became of the first.
             self.hands.shed(arrival.id, KEEP_AWAY.min(self.settings.callers.come_back_max), false);
             return Ok(());
         }
--- a/crates/server/src/core/hands.rs
+++ b/crates/server/src/core/hands.rs
@@ -173,7 +173,7 @@
         }
     }
 
-    /// The run of a uniqued req is over. Where results are kept its answer waits until this one lasts, and
+    /// The run of a keyed req is over. Where results are kept its answer waits until this one lasts, and
     /// the req stays in hand for it; else, or where nothing ran, false.
     pub fn keep_result(&mut self, id: u64, how: Outcome, result: Option<&str>) -> bool {
         let (Some(keep), Some(req)) = (&mut self.keep, self.reqs.get(&id)) else { return false };
--- a/crates/server/src/core/keep.rs
+++ b/crates/server/src/core/keep.rs
@@ -63,7 +63,7 @@
 pub fn start(opened: Opened, set: &KeptResults) -> std::io::Result<(Keep, UnboundedReceiver<Told>)> {
     let Opened { mut log, recovery, took } = opened;
     ::log::info!(
-        "kept: {} uniqued reqs known from {} records, {} segments, {} of them torn, read in {} ms",
+        "kept: {} keyed reqs known from {} records, {} segments, {} of them torn, read in {} ms",
         recovery.found.len(),
         recovery.records,
         recovery.segments,
@@ -179,7 +179,7 @@
     }
 }
 
-/// What a folder holds: a line for each uniqued req in the order of keys, and what was read in all.
+/// What a folder holds: a line for each keyed req in the order of keys, and what was read in all.
 fn looked_at(
     folder: &Path, line: impl Fn(&u128, &Found) -> String,
 ) -> Result<(Vec<String>, Recovery), String> {
@@ -197,7 +197,7 @@
     }
 }
 
-/// A line for each uniqued req in a folder, and one for all.
+/// A line for each keyed req in a folder, and one for all.
 pub fn list(folder: &Path) -> Result<Vec<String>, String> {
     let line = |key: &u128, f: &Found| {
         let size = if let State::Done(result) = &f.state { result.len() } else { 0 };
@@ -205,7 +205,7 @@
     };
     let (mut lines, all) = looked_at(folder, line)?;
     lines.push(format!(
-        "{} uniqued reqs in {} records, {} segments, {} torn bytes",
+        "{} keyed reqs in {} records, {} segments, {} torn bytes",
         all.found.len(),
         all.records,
         all.segments,
--- a/crates/server/src/core/lasting.rs
+++ b/crates/server/src/core/lasting.rs
@@ -8,7 +8,7 @@
 use madderbay_kept::Verdict;
 
 impl Serve {
-    /// A try of a uniqued req that a former life has promised is answered from what is known of it, and never
+    /// A try of a keyed req that a former life has promised is answered from what is known of it, and never
     /// run. True where that, or a promise that can't be made, was its answer.
     pub(super) fn former_life(
         &mut self, now: At, (no, rpc): (u64, u64), handler: usize, key: u128, print: u64,
@@ -54,7 +54,7 @@
                 (keep.upto(seq), true)
             }
             Told::Failed { seq, why } => {
-                log::error!("kept: can't be written, no new uniqued req is run: {why}");
+                log::error!("kept: can't be written, no new keyed req is run: {why}");
                 keep.book.failed(seq);
                 (keep.upto(seq), false)
             }
--- a/crates/server/src/core/serve.rs
+++ b/crates/server/src/core/serve.rs
@@ -11,7 +11,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
-/// Where nothing can be promised, uniqued reqs are told to come back after that.
+/// Where nothing can be promised, keyed reqs are told to come back after that.
 pub(super) const KEEP_AWAY: Span = Span::millis(1_000);
 /// Time between two looks for catalogue connections that stand idle and table entries whose term is over:
 /// much finer than either's span.
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -31,7 +31,7 @@
 
 /// The process ends this long before it would be killed.
 const BEFORE_KILL: Duration = Duration::from_millis(100);
-/// The part of the memory that the results of uniqued reqs may take.
+/// The part of the memory that the results of keyed reqs may take.
 const RESULTS_PART: usize = 4;
 /// How often a drain is looked at, and how long it must have been at rest once its grace is over.
 const LOOK: Duration = Duration::from_millis(10);
@@ -123,11 +123,11 @@
 
 #[derive(Subcommand)]
 enum KeptOrder {
-    /// A line for each uniqued req: its key, how it stands, until when it is known, the size of its result
+    /// A line for each keyed req: its key, how it stands, until when it is known, the size of its result
     List { directory: PathBuf },
     /// A line for each thing that is no whole record; the status is 1 where there is any
     Verify { directory: PathBuf },
-    /// A line of JSON for each uniqued req, with its result
+    /// A line of JSON for each keyed req, with its result
     Export { directory: PathBuf },
 }
 
--- a/crates/server/tests/crossings.rs
+++ b/crates/server/tests/crossings.rs
@@ -331,7 +331,7 @@
     });
 }
 
-/// A further try of a uniqued req that runs shares its result also where there is no room: it is not shed.
+/// A further try of a keyed req that runs shares its result also where there is no room: it is not shed.
 #[test]
 fn a_repeat_beyond_the_room_is_not_shed() {
     played(async {
--- a/crates/server/tests/kept.rs
+++ b/crates/server/tests/kept.rs
@@ -112,7 +112,7 @@
     booked(&mut a, &mut engine);
     killed(server, engine);
     let (server, mut engine) = place.live();
-    let known = "kept: 1 uniqued reqs known from 2 records, 1 segments, 0 of them torn";
+    let known = "kept: 1 keyed reqs known from 2 records, 1 segments, 0 of them torn";
     assert!(server.before[0].contains(known), "{:?}", server.before);
     let (mut a, mut b) = (balancer(&server), balancer(&server));
     a.say(&book(1, 2, "5", "QUJD"));
@@ -217,7 +217,7 @@
         }
     }
     let (server, _engine) = place.live();
-    let known = "kept: 100000 uniqued reqs known from 200000 records";
+    let known = "kept: 100000 keyed reqs known from 200000 records";
     assert!(server.before[0].contains(known), "{:?}", server.before);
     let mut a = balancer(&server);
     // Known, though under another print than this body's: refused, not run.
@@ -276,7 +276,7 @@
     assert_eq!((status, lines.len()), (Some(0), 3), "{lines:?}");
     assert!(lines[0].starts_with(&format!("{:032x} done ", 5)), "{lines:?}");
     assert!(lines[1].starts_with(&format!("{:032x} may-have-run ", 6)), "{lines:?}");
-    assert_eq!(lines[2], "2 uniqued reqs in 3 records, 1 segments, 0 torn bytes");
+    assert_eq!(lines[2], "2 keyed reqs in 3 records, 1 segments, 0 torn bytes");
     let (status, lines) = told("export");
     assert_eq!(status, Some(0));
     let first: serde_json::Value = serde_json::from_str(&lines[0]).expect("JSON");
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -191,7 +191,7 @@
         need(c.aim_stretch >= 0.0, &format!("classes[{i}].aim_stretch is under 0"))?;
         let effects = [
             ("read_like", Repeats::Replayable),
-            ("idempotency_key", Repeats::Uniqued),
+            ("idempotency_key", Repeats::Keyed),
             ("non_idempotent", Repeats::NonReplayable),
         ];
         let keyed_for_nothing = c.effect == "idempotency_key" && c.repeat_window_us == 0;
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -602,10 +602,10 @@
         let _ = CHAIN[from..].iter().try_for_each(|stage| stage(self, now, r, out));
     }
 
-    // Stage 1: a uniqued req runs once; its further tries wait for that run and share its answer.
+    // Stage 1: a keyed req runs once; its further tries wait for that run and share its answer.
     fn repeats(&mut self, now: At, r: No, out: &mut dyn Results) -> ControlFlow<()> {
         let req = &self.book.reqs[r];
-        if self.handlers[req.handler].repeats != Repeats::Uniqued {
+        if self.handlers[req.handler].repeats != Repeats::Keyed {
             return Continue(());
         }
         // Tries read in one batch may name each other before the other is known: the name alone binds them.
--- a/src/face.rs
+++ b/src/face.rs
@@ -6,7 +6,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Repeats {
     Replayable,
-    Uniqued,
+    Keyed,
     NonReplayable,
 }
 
--- a/src/req.rs
+++ b/src/req.rs
@@ -1,4 +1,4 @@
-//! A req and a uniqued req's tries as the module keeps them, under small numbers. Nothing is decided here.
+//! A req and a keyed req's tries as the module keeps them, under small numbers. Nothing is decided here.
 
 use crate::face::{Arrival, Results};
 use crate::time::{At, Span};
@@ -8,7 +8,7 @@
 new_key_type! {
     /// The number of a req in hand.
     pub struct No;
-    /// The number of a uniqued req's key.
+    /// The number of a keyed req's key.
     pub struct KeyNo;
 }
 
@@ -91,7 +91,7 @@
     }
 }
 
-/// All tries of one uniqued req on this server.
+/// All tries of one keyed req on this server.
 #[derive(Clone, Debug, Default)]
 pub struct Key {
     pub leader: Option<No>,
@@ -180,7 +180,7 @@
     }
 }
 
-/// The keys of uniqued reqs and which ids belong to each.
+/// The keys of keyed reqs and which ids belong to each.
 #[derive(Default)]
 pub struct KeyBook {
     pub keys: SlotMap<KeyNo, Key>,
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -317,14 +317,14 @@
 }
 
 fn handler(w: &Words) -> Handler {
-    let once = if w.has("uniqued") { Repeats::Uniqued } else { Repeats::NonReplayable };
+    let once = if w.has("keyed") { Repeats::Keyed } else { Repeats::NonReplayable };
     Handler {
         target: w.span("target", "1s"),
         target_stretch: 0.0,
         timeout: w.span("timeout", "4s"),
         value: w.num("value", 1.0),
         late_value: w.num("late", 0.0),
-        repeats: if w.has("uniqued") || w.has("nonreplayable") { once } else { Repeats::Replayable },
+        repeats: if w.has("keyed") || w.has("nonreplayable") { once } else { Repeats::Replayable },
         window: w.span("window", "10s"),
         calls: w.has("calls"),
         partial_value: w.num("partial", 0.0),
