--- a/src/decide.rs
+++ b/src/decide.rs
@@ -91,7 +91,7 @@
 const HUNG: f64 = 4.0;
 /// What an idle handler's MRT keeps a tick: halved in about a second and a half.
 const IDLE_KEEPS: f64 = 0.995;
-/// Span over which tenants' rates are counted: long enough for a handful of the smallest tenant's reqs.
+/// Span over which tenants' rates are counted: a handful of the smallest tenant's reqs.
 const TENANT_SPAN: f64 = 5.0;
 /// A key's entry outlasts its window by this much, for the way from the machine to the module.
 const KEY_SLACK: Span = Span::millis(50);
@@ -104,7 +104,7 @@
 const LINK_WORTH: Span = Span::millis(5000);
 const LINK_LEAST: Span = Span::millis(200);
 const FLOOD: f64 = 0.7;
-/// Advice to stay away, in waits expected at the back of the hold.
+/// Advice to stay away, in waits expected at the back of the queue.
 const STAY_AWAY: f64 = 2.0;
 
 // --- Budget: MRT, integral step, fit and LQ ---------------------------------------------------------------
@@ -211,8 +211,7 @@
         self.largest = s.max(self.largest * LARGEST_KEEPS).max(self.mean_run);
     }
 
-    /// One completion. What a pause or a stall releases together counts as one integral step: many steps on
-    /// one piece of news would leave a cut that lasts. Harm: a batch of honest completions steps once.
+    /// One completion. What a pause releases together is one step: more would leave a cut that lasts.
     fn completed(&mut self, now: At, handler: usize, response: Span, pending: usize) {
         self.mrt[handler] += MRT_ALPHA * (response.as_secs() - self.mrt[handler]);
         let top = ((pending as f64 + self.cores) * self.largest).max(self.floor());
@@ -277,11 +276,11 @@
 
 /// Two lines, for short and for long work, each by latest start.
 #[derive(Default)]
-struct Hold {
+struct Queue {
     lines: [Vec<(At, No)>; 2],
 }
 
-impl Hold {
+impl Queue {
     fn len(&self) -> usize {
         self.lines[0].len() + self.lines[1].len()
     }
@@ -308,19 +307,19 @@
     }
 }
 
-/// The worker limit and the run queue that steers it.
-struct Crew {
+/// The limit on concurrent runs and the run queue that steers it.
+struct ConcurrencyLimit {
     limit: f64,
-    queue: f64,
+    run_queue: f64,
 }
 
-impl Crew {
+impl ConcurrencyLimit {
     /// Grows quickly while the run queue shows room and work waits; falls back to the cores when crowded.
     fn step(&mut self, cores: f64, on_cores: f64, full: bool, ceiling: f64) {
-        self.queue += QUEUE_ALPHA * (on_cores - self.queue);
-        if full && self.queue < ROOM * cores {
+        self.run_queue += QUEUE_ALPHA * (on_cores - self.run_queue);
+        if full && self.run_queue < ROOM * cores {
             self.limit += LIMIT_STEP;
-        } else if self.queue > CROWDED * cores {
+        } else if self.run_queue > CROWDED * cores {
             self.limit -= LIMIT_STEP;
         }
         self.limit = self.limit.min(ceiling).max(cores.min(ceiling));
@@ -404,9 +403,8 @@
 }
 
 impl Links {
-    /// Counts an arrival; tells the limit on idling when it changes. Many callers that come seldom fill the
-    /// table, which takes of the cores and turns others off; few that come often would only pay for new ones.
-    /// In a flood of repeats new ones take all cores, and a full table turns callers off most cheaply.
+    /// Counts an arrival; tells the limit on idling when it changes. Many that come seldom fill the table;
+    /// few that come often would pay for new ones. In a flood of repeats a full table turns them off cheaply.
     fn came(&mut self, now: At, from: u16, again: f64, most: Span, out: &mut dyn Results) {
         let soon = self.last.insert(from, now).is_some_and(|t| now - t < LINK_WORTH);
         self.soon += RUN_ALPHA * (f64::from(u8::from(soon)) - self.soon);
@@ -449,7 +447,7 @@
 
 /// The stages that an arriving req passes, in order.
 const CHAIN: [Link; 5] =
-    [Decider::repeats, Decider::draining, Decider::tenant_share, Decider::admission, Decider::hold_stage];
+    [Decider::repeats, Decider::draining, Decider::tenant_share, Decider::admission, Decider::queue_stage];
 
 /// The decisions of one server in one life.
 pub struct Decider {
@@ -469,8 +467,8 @@
     due: BTreeSet<(At, Due)>,
     budget: Budget,
     share: Share,
-    hold: Hold,
-    crew: Crew,
+    queue: Queue,
+    concurrency: ConcurrencyLimit,
     calls: Calls,
     links: Links,
     tenants: Tenants,
@@ -511,8 +509,8 @@
             due: BTreeSet::new(),
             budget: Budget::new(now, machine.cores, handlers, part),
             share: Share { admitted: 1.0, recent: VecDeque::new() },
-            hold: Hold::default(),
-            crew: Crew { limit: f64::from(machine.cores), queue: 0.0 },
+            queue: Queue::default(),
+            concurrency: ConcurrencyLimit { limit: f64::from(machine.cores), run_queue: 0.0 },
             calls: Calls { credit, counted: now, time, best: time * 0.5, ..Calls::default() },
             links: Links { last: HashMap::new(), soon: 0.5, limit: Span::ZERO },
             tenants: Tenants::new(now, tenants, place),
@@ -530,9 +528,9 @@
         self.book.find(id, |_| true).is_some()
     }
 
-    /// Budget in seconds, share admitted, worker limit, callers remembered.
+    /// Budget in seconds, share admitted, limit on concurrent runs, callers remembered.
     pub fn vitals(&self) -> [f64; 4] {
-        [self.budget.secs, self.share.admitted, self.crew.limit, self.links.last.len() as f64]
+        [self.budget.secs, self.share.admitted, self.concurrency.limit, self.links.last.len() as f64]
     }
 
     /// How much groups of handlers may have in hand from now on. They bind starts and calls, and tell how
@@ -543,8 +541,8 @@
         self.calls.heeding = !ceilings.is_empty();
     }
 
-    /// Another share of what lies below: so many calls may be in hand from now on. The whole of it may be used,
-    /// since whoever shares it out keeps to the limit below.
+    /// Another share of what lies below: so many calls may be in hand from now on. All of it may be used:
+    /// whoever shares it out keeps to the limit below.
     pub fn share(&mut self, now: At, calls: f64) {
         self.calls.count(now, &self.below);
         self.below.share = calls / CALLS_MOST;
@@ -671,9 +669,8 @@
         Continue(())
     }
 
-    // Stage 4: the admitted share; the rest is shed early, the least valuable first. A server that errors its
-    // runs fast draws traffic by being quick: it sheds as large a share as errors, whatever the cause, and
-    // tries only with reqs that may run again elsewhere.
+    // Stage 4: the admitted share; the rest is shed early, the least valuable first. One that errors its runs
+    // draws traffic: it sheds as large a share as errors, and tries only with reqs that may run again.
     fn admission(&mut self, now: At, r: No, out: &mut dyn Results) -> ControlFlow<()> {
         let (value, chance) = (self.book.reqs[r].value, self.chance.rand_float());
         let again = self.handlers[self.book.reqs[r].handler].repeats == Repeats::Replayable;
@@ -686,10 +683,10 @@
         Continue(())
     }
 
-    // Stage 5: the hold.
-    fn hold_stage(&mut self, _now: At, r: No, _out: &mut dyn Results) -> ControlFlow<()> {
+    // Stage 5: the queue.
+    fn queue_stage(&mut self, _now: At, r: No, _out: &mut dyn Results) -> ControlFlow<()> {
         let run = self.expected(r);
-        self.hold.put(run.as_secs() > self.budget.mean_run, self.book.reqs[r].target.before(run), r);
+        self.queue.put(run.as_secs() > self.budget.mean_run, self.book.reqs[r].target.before(run), r);
         Break(())
     }
 
@@ -709,13 +706,12 @@
         self.again += step * (f64::from(u8::from(yes)) - self.again);
     }
 
-    /// Whether a shed req is better not tried elsewhere: it is past its target, or many arrivals that come
-    /// again tell that the others shed too. Where repeats bear no mark the share shed here tells it, unless
-    /// this server is slow by itself: still warming, or runs far over their own best time. One that errors
-    /// its runs or leaves sends its reqs on.
+    /// Whether a shed req is better not tried elsewhere: it is past its target, or many that come again tell
+    /// that others shed too; where repeats bear no mark the share shed here, unless this server is slow by
+    /// itself (warming, or runs far over their best). One that errors its runs or leaves sends its reqs on.
     fn all_crowded(&mut self, now: At, r: No) -> bool {
         let warming = self.machine.cold && now - self.began < self.machine.cold_for;
-        let crowd = (self.crew.queue / self.budget.cores).max(1.0);
+        let crowd = (self.concurrency.run_queue / self.budget.cores).max(1.0);
         let alone = warming || self.pace * self.budget.mean_run > SLOW_HERE * crowd * self.budget.best_run;
         let likely = self.chance.rand_float() < LAST_GAIN * (self.again - LAST_FROM);
         let sends_on = self.erring > ERRING || self.leaving.is_some();
@@ -724,10 +720,10 @@
 
     /// Final answer: not run, may be taken elsewhere. Only for reqs that never started.
     fn shed(&mut self, now: At, r: No, out: &mut dyn Results) {
-        let held = self.hold.lines.iter().flatten().map(|e| self.expected(e.1).as_secs());
-        let wait = (held.sum::<f64>() + self.started()) / self.crew.limit;
+        let held = self.queue.lines.iter().flatten().map(|e| self.expected(e.1).as_secs());
+        let wait = (held.sum::<f64>() + self.started()) / self.concurrency.limit;
         let before = |c: &Ceiling| {
-            let lines = self.hold.lines.iter().flatten();
+            let lines = self.queue.lines.iter().flatten();
             lines.filter(|e| c.handlers.contains(&self.book.reqs[e.1].handler)).count() as f64
         };
         let queued: Vec<f64> = self.ceilings.iter().map(before).collect();
@@ -764,7 +760,7 @@
 
     /// Takes a req that never started off the books; what waited for its run moves up, or is shed with it.
     fn drop_held(&mut self, now: At, r: No, shed: bool, out: &mut dyn Results) {
-        self.hold.remove(r);
+        self.queue.remove(r);
         let (id, key) = (self.book.reqs[r].id, self.book.reqs[r].key);
         self.book.remove(r);
         let Some(key) = key else { return };
@@ -802,15 +798,15 @@
             let room = d.calls.waiting.is_empty() || !d.ceilings.is_empty();
             (room || !bound(&d.handlers[h])) && d.fits(h, false)
         };
-        while let Some(r) = self.hold.first(|r| may(self, r)) {
+        while let Some(r) = self.queue.first(|r| may(self, r)) {
             let grown = self.memory() + self.book.reqs[r].kb * (self.machine.running_factor - 1.0);
-            let limit = self.crew.limit.min(ceiling(now, self.began, &self.machine)).max(1.0);
+            let limit = self.concurrency.limit.min(ceiling(now, self.began, &self.machine)).max(1.0);
             if (self.book.running + 1) as f64 > limit || grown > self.machine.memory_kb * MEMORY_START {
                 return;
             }
-            let allowance = self.budget.allowance(self.hold.len());
+            let allowance = self.budget.allowance(self.queue.len());
             self.comes_again(false, false);
-            self.hold.remove(r);
+            self.queue.remove(r);
             self.book.start(r);
             let req = &mut self.book.reqs[r];
             (req.started, req.allowance) = (now, allowance);
@@ -832,9 +828,8 @@
         self.call_stage(now, r, out);
     }
 
-    // Stage 7: calls below. An optional call is skipped once the allowance is spent while a handler exceeds
-    // its target, and besides (whatever the cause) where it would make the answer late, or where this
-    // server's part of what lies below is taken: calls that can't be skipped go first.
+    // Stage 7: calls below. An optional one is skipped once the allowance is spent while a handler exceeds
+    // its target, and where it would make the answer late or this server's part is taken: others go first.
     fn call_stage(&mut self, now: At, r: No, out: &mut dyn Results) {
         let rank = self.share.rank(self.book.reqs[r].value, 1.0);
         let fits = self.fits(self.book.reqs[r].handler, true);
@@ -909,7 +904,7 @@
                 if !req.trimmed {
                     self.budget.measured(req.handler, req.hint, spent);
                 }
-                let pending = self.hold.len() + self.book.running;
+                let pending = self.queue.len() + self.book.running;
                 self.budget.completed(now, req.handler, now - req.reached, pending);
             }
         }
@@ -947,9 +942,10 @@
         self.ticked = now;
         let ceiling = ceiling(now, self.began, &self.machine);
         // Ceilings follow the limit and bind before it: where they hold a req up the limit may be the cause.
-        let full = self.book.running as f64 + 1.0 > self.crew.limit || !self.ceilings.is_empty();
-        let full = full && self.hold.len() > 0;
-        self.crew.step(self.budget.cores, gauges.on_cores.unwrap_or(self.book.running as f64), full, ceiling);
+        let running = self.book.running as f64;
+        let full = running + 1.0 > self.concurrency.limit || !self.ceilings.is_empty();
+        let (full, on_cores) = (full && self.queue.len() > 0, gauges.on_cores.unwrap_or(running));
+        self.concurrency.step(self.budget.cores, on_cores, full, ceiling);
         self.calls.count(now, &self.below);
         self.erring *= ERR_KEEPS;
         self.links.last.retain(|_, t| now - *t < LINK_WORTH);
@@ -957,7 +953,7 @@
             self.unfreeze(now);
             let floored = self.budget.secs <= self.budget.floor();
             // While the cores have room the cause lies elsewhere, most often below; a cut doesn't help.
-            let busy = self.crew.queue > self.budget.cores;
+            let busy = self.concurrency.run_queue > self.budget.cores;
             self.share.step(gap, self.budget.worst() - 1.0, floored && busy);
         }
         // A hung server tells callers that look at its health; where all hang nothing is lost by it.
@@ -969,14 +965,13 @@
         out.wake(TICK);
     }
 
-    /// The loop lives on completions. Where none come though work runs (a stall, a hang), the age of the
-    /// oldest run stands for one; a handler with nothing in hand drifts back to its bare run time, else shed
-    /// reqs would keep its latency, and so the cut, for ever. Harm: a lone run that is honestly long cuts B.
+    /// The loop lives on completions. Where none come though work runs, the age of the oldest stands for one;
+    /// a handler with nothing in hand drifts back to its run time, else the cut lasts. Harm: a long run cuts B.
     fn unfreeze(&mut self, now: At) {
         let on_core = self.book.reqs.values().filter(|q| q.stage == Stage::Running);
         let (runs, secs) = on_core.fold((0.0, 0.0), |(n, s), q| (n + 1.0, s + (now - q.started).as_secs()));
         self.pace = (secs / (PACE_AGE * self.budget.mean_run * f64::max(runs, 1.0))).max(1.0);
-        let pending = self.hold.len() + self.book.running;
+        let pending = self.queue.len() + self.book.running;
         let started = self.book.reqs.values().filter(|q| q.stage.started());
         if let Some(q) = started.min_by_key(|q| q.reached).filter(|_| now - self.completed > STALLED) {
             let age = now - q.reached;
@@ -998,30 +993,23 @@
         if self.callers.free == Free::Unused || now - self.free.1 < FREE_EVERY {
             return;
         }
+        let callers = f64::from(self.callers.count.max(1));
         let value = match self.callers.free {
-            Free::Allowance if self.share.admitted >= 1.0 && self.hold.len() == 0 => {
-                FREE_OPEN.min(self.ramp(now))
-            }
-            Free::Allowance => {
-                (FREE_SKEW * self.crew.limit / f64::from(self.callers.count.max(1))).min(self.ramp(now))
-            }
+            Free::Allowance if self.share.admitted >= 1.0 && self.queue.len() == 0 => self.ramp(now),
+            Free::Allowance => self.ramp(now).min(FREE_SKEW * self.concurrency.limit / callers),
             Free::Floor => 1.0 - self.share.admitted,
             _ => self.share.admitted * (1.0 - self.erring),
         };
-        if value != self.free.0 {
+        if std::mem::replace(&mut self.free, (value, now)).0 != value {
             out.free_value(value);
         }
-        self.free = (value, now);
     }
 
-    /// What each caller may be told while this server warms: over all that there may be, heard from or not, it
-    /// adds up to the runs that it survives now.
+    /// What each caller may be told while this server warms: over all that there may be, what it survives.
     fn ramp(&self, now: At) -> f64 {
-        if !self.machine.cold || now - self.began >= self.machine.cold_for {
-            return FREE_OPEN;
-        }
-        let callers = self.links.last.len().max(self.callers.count as usize).max(1);
-        ceiling(now, self.began, &self.machine) / callers as f64
+        let warming = self.machine.cold && now - self.began < self.machine.cold_for;
+        let callers = self.links.last.len().max(self.callers.count as usize).max(1) as f64;
+        if warming { ceiling(now, self.began, &self.machine) / callers } else { FREE_OPEN }
     }
 
     /// Run time still expected of what has started, in worker seconds: half a mean run each.
@@ -1071,15 +1059,14 @@
     fn make_room(&mut self, now: At, out: &mut dyn Results) {
         while self.memory() > self.machine.memory_kb * MEMORY_HOLD {
             let value = |r: &No| self.book.reqs[*r].value;
-            let least = self.hold.in_order().into_iter().min_by(|a, b| value(a).total_cmp(&value(b)));
+            let least = self.queue.in_order().into_iter().min_by(|a, b| value(a).total_cmp(&value(b)));
             let Some(r) = least else { return };
             self.shed(now, r, out);
         }
     }
 
-    /// A held req that can't be answered within its target any more is given up on at once; in its place the
-    /// least valuable of those before it goes, so that the most value is answered (after Moore and Hodgson).
-    /// The first stays while nothing runs, unless it is past its target: someone has to try.
+    /// A queued req that can't make its target is given up on at once; in its place the least valuable of
+    /// those before it goes (after Moore and Hodgson). The first stays while nothing runs and it is in time.
     fn give_up(&mut self, now: At, out: &mut dyn Results) {
         let mut ahead = self.started();
         let mut taken: Vec<(No, f64)> = vec![];
@@ -1087,12 +1074,12 @@
         let mut queued = vec![0.0; self.ceilings.len()];
         let value = |r: No| self.book.reqs[r].value;
         let under = |r: No, i: usize| self.ceilings[i].handlers.contains(&self.book.reqs[r].handler);
-        for r in self.hold.in_order() {
+        for r in self.queue.in_order() {
             let run = self.expected(r).as_secs();
             taken.push((r, run));
             queued.iter_mut().enumerate().for_each(|(i, q)| *q += f64::from(u8::from(under(r, i))));
             let (turn, whose) = self.turn(self.book.reqs[r].handler, &queued);
-            let wait = ahead / self.crew.limit;
+            let wait = ahead / self.concurrency.limit;
             if now + Span::secs(wait.max(turn) + run) > self.book.reqs[r].target {
                 let rank = |i: usize| (value(taken[i].0), -taken[i].1);
                 let least = |a: &usize, b: &usize| rank(*a).partial_cmp(&rank(*b)).unwrap_or(Equal);
