--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -164,7 +164,7 @@
     fn health(&mut self, good: bool) {
         self.put(10, &[&[u8::from(good), 1]]);
     }
-    fn free_value(&mut self, value: f64) {
+    fn load_report(&mut self, value: f64) {
         self.put(11, &[&(value as f32).to_le_bytes()]);
     }
     fn idle_limit(&mut self, limit: Span) {
--- a/crates/drill/tests/wire.rs
+++ b/crates/drill/tests/wire.rs
@@ -59,7 +59,7 @@
     reply.drop_key(other);
     reply.join(other);
     reply.health(false);
-    reply.free_value(0.25);
+    reply.load_report(0.25);
     reply.idle_limit(Span::millis(2000));
     reply.fault("index out of range");
     let body = bytes(
--- a/crates/server/src/balancers/answer.rs
+++ b/crates/server/src/balancers/answer.rs
@@ -16,7 +16,7 @@
     ($out:expr, $($arg:tt)*) => { let _ = write!($out, $($arg)*); };
 }
 
-fn free(out: &mut Vec<u8>, value: Option<f64>, comma: &str) {
+fn load_report(out: &mut Vec<u8>, value: Option<f64>, comma: &str) {
     if let Some(value) = value {
         put!(out, "{comma}\"pressure\":{value}");
     }
@@ -25,7 +25,7 @@
 /// The engine's result as it came, a JSON string with its quotes.
 pub fn done(out: &mut Vec<u8>, id: u64, blob: &str, value: Option<f64>) {
     put!(out, "{{\"jsonrpc\":\"2.0\",\"id\":{id},\"result\":{{\"bytes\":{blob}");
-    free(out, value, ",");
+    load_report(out, value, ",");
     out.extend_from_slice(b"}}\n");
 }
 
@@ -47,19 +47,19 @@
         put!(out, "{comma}\"nowhere\":1");
         comma = ",";
     }
-    free(out, value, comma);
+    load_report(out, value, comma);
     out.extend_from_slice(b"}}}\n");
 }
 
 pub fn errored(out: &mut Vec<u8>, id: u64, value: Option<f64>) {
     error(out, id, ERRORED, "errored");
-    free(out, value, "");
+    load_report(out, value, "");
     out.extend_from_slice(b"}}}\n");
 }
 
 pub fn health(out: &mut Vec<u8>, id: u64, good: bool, value: Option<f64>) {
     put!(out, "{{\"jsonrpc\":\"2.0\",\"id\":{id},\"result\":{{\"fit\":{good}");
-    free(out, value, ",");
+    load_report(out, value, ",");
     out.extend_from_slice(b"}}\n");
 }
 
--- a/crates/server/src/core/arrivals.rs
+++ b/crates/server/src/core/arrivals.rs
@@ -162,7 +162,7 @@
 
     pub fn health(&mut self, now: At, no: u64, rpc: u64) {
         let hands = &mut self.hands;
-        let (good, free) = (hands.good && !hands.leaving, hands.free);
-        hands.conns.answer(now, no, |out| answer::health(out, rpc, good, free));
+        let (good, report) = (hands.good && !hands.leaving, hands.load_report);
+        hands.conns.answer(now, no, |out| answer::health(out, rpc, good, report));
     }
 }
--- a/crates/server/src/core/hands.rs
+++ b/crates/server/src/core/hands.rs
@@ -97,7 +97,7 @@
     /// When the timer that is ringing was due: the next is counted from there, so that each ring's lateness
     /// does not add up to fewer rings.
     pub rang: At,
-    pub free: Option<f64>,
+    pub load_report: Option<f64>,
     pub good: bool,
     pub leaving: bool,
     /// Joined reqs that were answered, for the module to hear of.
@@ -130,7 +130,7 @@
             due: BTreeSet::from([(now, Due::Tidy)]),
             wake: None,
             rang: now,
-            free: None,
+            load_report: None,
             good: true,
             leaving: false,
             over: VecDeque::new(),
@@ -155,8 +155,8 @@
     fn answer(&mut self, id: u64, write: impl FnOnce(&mut Vec<u8>, u64, Option<f64>)) -> bool {
         let Some(req) = self.reqs.get_mut(&id).filter(|r| !r.answered) else { return false };
         req.answered = true;
-        let free = self.free;
-        self.conns.answer(self.now, req.conn, |out| write(out, req.rpc, free));
+        let report = self.load_report;
+        self.conns.answer(self.now, req.conn, |out| write(out, req.rpc, report));
         self.conns.settled(req.conn, req.rpc);
         true
     }
@@ -164,9 +164,9 @@
     /// Answers with what a run made; nothing stands for a run that made none.
     pub fn answer_run(&mut self, id: u64, result: Option<&str>) {
         let partial = self.reqs.get(&id).is_some_and(|r| r.partial);
-        let answered = self.answer(id, |out, rpc, free| match result {
-            Some(blob) => answer::done(out, rpc, blob, free),
-            None => answer::errored(out, rpc, free),
+        let answered = self.answer(id, |out, rpc, report| match result {
+            Some(blob) => answer::done(out, rpc, blob, report),
+            None => answer::errored(out, rpc, report),
         });
         if answered {
             self.counters.answered(result.is_some(), partial);
@@ -212,7 +212,7 @@
     }
 
     fn answer_shed(&mut self, id: u64, come_back: Span, last: bool) {
-        if self.answer(id, |out, rpc, free| answer::shed(out, rpc, come_back, last, free)) {
+        if self.answer(id, |out, rpc, report| answer::shed(out, rpc, come_back, last, report)) {
             self.counters.shed += 1;
         }
     }
@@ -446,8 +446,8 @@
         }
     }
 
-    fn free_value(&mut self, value: f64) {
-        self.free = Some(value);
+    fn load_report(&mut self, value: f64) {
+        self.load_report = Some(value);
     }
 
     fn idle_limit(&mut self, limit: Span) {
--- a/crates/server/src/core/lasting.rs
+++ b/crates/server/src/core/lasting.rs
@@ -17,21 +17,21 @@
         let Some(keep) = hands.keep.as_mut().filter(|_| !hands.door.knows(key)) else { return Ok(false) };
         let verdict = keep.book.judge(key, print);
         let away = KEEP_AWAY.min(self.settings.callers.come_back_max);
-        let free = hands.free;
+        let report = hands.load_report;
         match verdict {
             Verdict::Unlike => return Err("replay came with another body"),
             Verdict::Unknown if keep.book.may_promise().is_ok() => return Ok(false),
             Verdict::Unknown => {
-                hands.conns.answer(now, no, |out| answer::shed(out, rpc, away, false, free));
+                hands.conns.answer(now, no, |out| answer::shed(out, rpc, away, false, report));
                 hands.counters.shed += 1;
             }
             Verdict::Done(result) => {
                 let blob = String::from_utf8_lossy(&result);
-                hands.conns.answer(now, no, |out| answer::done(out, rpc, &blob, free));
+                hands.conns.answer(now, no, |out| answer::done(out, rpc, &blob, report));
                 hands.counters.answered(true, false);
             }
             Verdict::Errored => {
-                hands.conns.answer(now, no, |out| answer::errored(out, rpc, free));
+                hands.conns.answer(now, no, |out| answer::errored(out, rpc, report));
                 hands.counters.answered(false, false);
             }
         }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -238,11 +238,11 @@
         ("tier", BelowKind::Tier),
     ];
     let frees = [
-        ("none", Free::Unused),
-        ("", Free::Unused),
-        ("floor", Free::Floor),
-        ("allowance", Free::Allowance),
-        ("weight", Free::Weight),
+        ("none", LoadReport::Unused),
+        ("", LoadReport::Unused),
+        ("floor", LoadReport::Floor),
+        ("allowance", LoadReport::Allowance),
+        ("weight", LoadReport::Weight),
     ];
     let longest = if raw.permissions.retry_after { raw.permissions.max_retry_after_us } else { 0 };
     Ok(Settings {
@@ -267,7 +267,7 @@
         },
         callers: Callers {
             count: info.upstreams,
-            free: word(&info.say, &frees, "family_info.say")?,
+            load_report: word(&info.say, &frees, "family_info.say")?,
             come_back_max: Span::micros(longest),
             mark_retries: raw.callers.marks_retry,
             idle_max: Span::micros(info.keepalive_max_us),
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -1,6 +1,6 @@
 //! Settings that are unlike, and what is told of those that can't be.
 
-use madderbay::face::{BelowKind, Free, Repeats, Stopping};
+use madderbay::face::{BelowKind, LoadReport, Repeats, Stopping};
 use madderbay_settings::{Settings, read};
 
 /// Two handlers, one of them keyed, before something that all share.
@@ -34,13 +34,13 @@
         assert_eq!(good(&[("freeze", word)]).machine.stopping, stop, "{word}");
     }
     let says = [
-        ("none", Free::Unused),
-        ("floor", Free::Floor),
-        ("allowance", Free::Allowance),
-        ("weight", Free::Weight),
+        ("none", LoadReport::Unused),
+        ("floor", LoadReport::Floor),
+        ("allowance", LoadReport::Allowance),
+        ("weight", LoadReport::Weight),
     ];
     for (word, free) in says {
-        assert_eq!(good(&[("\"allowance\"", &format!("\"{word}\""))]).callers.free, free, "{word}");
+        assert_eq!(good(&[("\"allowance\"", &format!("\"{word}\""))]).callers.load_report, free, "{word}");
     }
     assert_eq!(good(&[("idempotency_key", "non_idempotent")]).handlers[1].repeats, Repeats::NonReplayable);
     let bare = good(&[("one_for_all", "none"), ("[true, true]", "[false, false]")]);
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -95,10 +95,10 @@
 const TENANT_SPAN: f64 = 5.0;
 /// A key's entry outlasts its window by this much, for the way from the machine to the module.
 const KEY_SLACK: Span = Span::millis(50);
-/// Time between two free values, the one that means no limit on reqs, and the room for unlike callers.
-const FREE_EVERY: Span = Span::millis(100);
-const FREE_OPEN: f64 = 1000.0;
-const FREE_SKEW: f64 = 4.0;
+/// Time between two load reports, the one that means no limit on reqs, and the room for unlike callers.
+const REPORT_EVERY: Span = Span::millis(100);
+const REPORT_OPEN: f64 = 1000.0;
+const REPORT_SKEW: f64 = 4.0;
 /// Time that a connection may idle for what a new one costs, the limit where most would idle longer, and the
 /// share of arrivals that come again from which, down to half of it, all are kept.
 const LINK_WORTH: Span = Span::millis(5000);
@@ -478,7 +478,7 @@
     erring: f64,
     again: f64,
     leaving: Option<(At, At)>,
-    free: (f64, At),
+    reported: (f64, At),
 }
 
 impl Decider {
@@ -520,7 +520,7 @@
             erring: 0.0,
             again: 0.0,
             leaving: None,
-            free: (FREE_OPEN, now),
+            reported: (REPORT_OPEN, now),
         }
     }
 
@@ -574,9 +574,9 @@
     pub fn begin(&mut self, out: &mut dyn Results) {
         out.health(true);
         out.wake(TICK);
-        self.free.0 = self.ramp(self.began);
-        if self.callers.free == Free::Allowance && self.free.0 < FREE_OPEN {
-            out.free_value(self.free.0);
+        self.reported.0 = self.ramp(self.began);
+        if self.callers.load_report == LoadReport::Allowance && self.reported.0 < REPORT_OPEN {
+            out.load_report(self.reported.0);
         }
     }
 
@@ -961,12 +961,12 @@
         if std::mem::replace(&mut self.good, good) != good {
             out.health(good);
         }
-        self.say_free(now, out);
+        self.say_load(now, out);
         out.wake(TICK);
     }
 
     /// The loop lives on completions. Where none come though work runs, the age of the oldest stands for one;
-    /// a handler with nothing in hand drifts back to its run time, else the cut lasts. Harm: a long run cuts B.
+    /// a handler with nothing in hand drifts back to its run time, or the cut lasts. Harm: a long run cuts B.
     fn unfreeze(&mut self, now: At) {
         let on_core = self.book.reqs.values().filter(|q| q.stage == Stage::Running);
         let (runs, secs) = on_core.fold((0.0, 0.0), |(n, s), q| (n + 1.0, s + (now - q.started).as_secs()));
@@ -988,20 +988,20 @@
         }
     }
 
-    /// The free value: open while all is well, else some of its limit for each caller.
-    fn say_free(&mut self, now: At, out: &mut dyn Results) {
-        if self.callers.free == Free::Unused || now - self.free.1 < FREE_EVERY {
+    /// The load report: open while all is well, else some of its limit for each caller.
+    fn say_load(&mut self, now: At, out: &mut dyn Results) {
+        if self.callers.load_report == LoadReport::Unused || now - self.reported.1 < REPORT_EVERY {
             return;
         }
         let callers = f64::from(self.callers.count.max(1));
-        let value = match self.callers.free {
-            Free::Allowance if self.share.admitted >= 1.0 && self.queue.len() == 0 => self.ramp(now),
-            Free::Allowance => self.ramp(now).min(FREE_SKEW * self.concurrency.limit / callers),
-            Free::Floor => 1.0 - self.share.admitted,
+        let value = match self.callers.load_report {
+            LoadReport::Allowance if self.share.admitted >= 1.0 && self.queue.len() == 0 => self.ramp(now),
+            LoadReport::Allowance => self.ramp(now).min(REPORT_SKEW * self.concurrency.limit / callers),
+            LoadReport::Floor => 1.0 - self.share.admitted,
             _ => self.share.admitted * (1.0 - self.erring),
         };
-        if std::mem::replace(&mut self.free, (value, now)).0 != value {
-            out.free_value(value);
+        if std::mem::replace(&mut self.reported, (value, now)).0 != value {
+            out.load_report(value);
         }
     }
 
@@ -1009,7 +1009,7 @@
     fn ramp(&self, now: At) -> f64 {
         let warming = self.machine.cold && now - self.began < self.machine.cold_for;
         let callers = self.links.last.len().max(self.callers.count as usize).max(1) as f64;
-        if warming { ceiling(now, self.began, &self.machine) / callers } else { FREE_OPEN }
+        if warming { ceiling(now, self.began, &self.machine) / callers } else { REPORT_OPEN }
     }
 
     /// Run time still expected of what has started, in worker seconds: half a mean run each.
--- a/src/face.rs
+++ b/src/face.rs
@@ -71,9 +71,9 @@
     pub span: Span,
 }
 
-/// What the free value on answers means to the callers.
+/// What the load report on answers means to the callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Free {
+pub enum LoadReport {
     Unused,
     Floor,
     Allowance,
@@ -84,7 +84,7 @@
 #[derive(Clone, Debug)]
 pub struct Callers {
     pub count: u32,
-    pub free: Free,
+    pub load_report: LoadReport,
     /// The longest advice to stay away that is heeded; nothing where none may be given.
     pub come_back_max: Span,
     pub mark_retries: bool,
@@ -169,7 +169,7 @@
     fn drop_key(&mut self, id: u64);
     fn join(&mut self, id: u64);
     fn health(&mut self, good: bool);
-    fn free_value(&mut self, value: f64);
+    fn load_report(&mut self, value: f64);
     /// Connections that have carried nothing for that long are closed.
     fn idle_limit(&mut self, limit: Span);
     fn wake(&mut self, after: Span);
--- a/tests/ramp.rs
+++ b/tests/ramp.rs
@@ -22,7 +22,7 @@
     fn shed(&mut self, id: u64, come_back: Span, _last: bool) {
         self.shed.push((id, come_back));
     }
-    fn free_value(&mut self, value: f64) {
+    fn load_report(&mut self, value: f64) {
         self.value = Some(value);
     }
     fn stop(&mut self, _id: u64) {}
@@ -72,7 +72,7 @@
     let below = Below { kind: BelowKind::Nothing, share: 0.0, linger: Span::ZERO, span: Span::ZERO };
     let callers = Callers {
         count: known,
-        free: Free::Allowance,
+        load_report: LoadReport::Allowance,
         come_back_max: Span::millis(1_000),
         mark_retries: false,
         idle_max: Span::millis(30_000),
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -51,8 +51,8 @@
     fn health(&mut self, good: bool) {
         self.0.push(format!("health {good}"));
     }
-    fn free_value(&mut self, value: f64) {
-        self.0.push(format!("free {value:.2}"));
+    fn load_report(&mut self, value: f64) {
+        self.0.push(format!("report {value:.2}"));
     }
     fn idle_limit(&mut self, limit: Span) {
         self.0.push(format!("idle {}ms", limit.as_micros() / 1000));
@@ -338,10 +338,10 @@
 }
 
 fn callers(w: &Words) -> Callers {
-    let free = if w.has("allowance") { Free::Allowance } else { Free::Unused };
+    let load_report = if w.has("allowance") { LoadReport::Allowance } else { LoadReport::Unused };
     Callers {
         count: w.num("count", 1.0) as u32,
-        free,
+        load_report,
         come_back_max: w.span("come_back", "0s"),
         mark_retries: w.has("marks"),
         idle_max: w.span("idle", "0s"),
