--- a/crates/server/src/core/lasting.rs
+++ b/crates/server/src/core/lasting.rs
@@ -8,7 +8,7 @@
 use madderbay_kept::Verdict;
 
 impl Serve {
-    /// A try of a uniqued req that a former life has promised is answered from what is known of it, and never
+    /// A try of a keyed req that a former life has promised is answered from what is known of it, and never
     /// run. True where that, or a promise that can't be made, was its answer.
     pub(super) fn former_life(
         &mut self, now: At, (no, rpc): (u64, u64), handler: usize, key: u128, print: u64,
@@ -17,21 +17,21 @@
         let Some(keep) = hands.keep.as_mut().filter(|_| !hands.door.knows(key)) else { return Ok(false) };
         let verdict = keep.book.judge(key, print);
         let away = KEEP_AWAY.min(self.settings.callers.come_back_max);
-        let free = hands.free;
+        let report = hands.load_report;
         match verdict {
             Verdict::Unlike => return Err("replay came with another body"),
             Verdict::Unknown if keep.book.may_promise().is_ok() => return Ok(false),
             Verdict::Unknown => {
-                hands.conns.answer(now, no, |out| answer::shed(out, rpc, away, false, free));
+                hands.conns.answer(now, no, |out| answer::shed(out, rpc, away, false, report));
                 hands.counters.shed += 1;
             }
             Verdict::Done(result) => {
                 let blob = String::from_utf8_lossy(&result);
-                hands.conns.answer(now, no, |out| answer::done(out, rpc, &blob, free));
+                hands.conns.answer(now, no, |out| answer::done(out, rpc, &blob, report));
                 hands.counters.answered(true, false);
             }
             Verdict::Errored => {
-                hands.conns.answer(now, no, |out| answer::errored(out, rpc, free));
+                hands.conns.answer(now, no, |out| answer::errored(out, rpc, report));
                 hands.counters.answered(false, false);
             }
         }
@@ -54,7 +54,7 @@
                 (keep.upto(seq), true)
             }
             Told::Failed { seq, why } => {
-                log::error!("kept: can't be written, no new uniqued req is run: {why}");
+                log::error!("kept: can't be written, no new keyed req is run: {why}");
                 keep.book.failed(seq);
                 (keep.upto(seq), false)
             }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -51,8 +51,8 @@
     fn health(&mut self, good: bool) {
         self.0.push(format!("health {good}"));
     }
-    fn free_value(&mut self, value: f64) {
-        self.0.push(format!("free {value:.2}"));
+    fn load_report(&mut self, value: f64) {
+        self.0.push(format!("report {value:.2}"));
     }
     fn idle_limit(&mut self, limit: Span) {
         self.0.push(format!("idle {}ms", limit.as_micros() / 1000));
@@ -317,14 +317,14 @@
 }
 
 fn handler(w: &Words) -> Handler {
-    let once = if w.has("uniqued") { Repeats::Uniqued } else { Repeats::NonReplayable };
+    let once = if w.has("keyed") { Repeats::Keyed } else { Repeats::NonReplayable };
     Handler {
         target: w.span("target", "1s"),
         target_stretch: 0.0,
         timeout: w.span("timeout", "4s"),
         value: w.num("value", 1.0),
         late_value: w.num("late", 0.0),
-        repeats: if w.has("uniqued") || w.has("nonreplayable") { once } else { Repeats::Replayable },
+        repeats: if w.has("keyed") || w.has("nonreplayable") { once } else { Repeats::Replayable },
         window: w.span("window", "10s"),
         calls: w.has("calls"),
         partial_value: w.num("partial", 0.0),
@@ -338,10 +338,10 @@
 }
 
 fn callers(w: &Words) -> Callers {
-    let free = if w.has("allowance") { Free::Allowance } else { Free::Unused };
+    let load_report = if w.has("allowance") { LoadReport::Allowance } else { LoadReport::Unused };
     Callers {
         count: w.num("count", 1.0) as u32,
-        free,
+        load_report,
         come_back_max: w.span("come_back", "0s"),
         mark_retries: w.has("marks"),
         idle_max: w.span("idle", "0s"),
