A server is taken for slow or hung on the ages of its runs beside three usual ones

Cause: pace, the mean age of the runs on the cores, is a mean of one or two there; a run of several means (cv up to 1.2) made it past 4, "slow by itself", and such servers send their sheds on, each reading of which costs a quarter of a req. The assumption that did not carry over: that the runs on the cores are many.

Change: the judgement of the server itself (health, and whether sheds go elsewhere) counts three usual ages beside those of its runs; what is expected of a queued req goes by the ages as before.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -86,8 +86,10 @@
 /// Time in which a run at a call whose req is answered ends, if its engine ends it at all.
 const PLACE_FOR: Span = Span::millis(2_000);
 /// Mean age of the runs on the cores, in mean runs (about 1 while they end as ever), past which longer ones
-/// are expected, and that expectation, in measured means, of a hung server.
+/// are expected; that expectation, in means, of a hung server; how many usual ages count beside those seen
+/// where the server itself is judged: one long run of two says little.
 const PACE_AGE: f64 = 1.5;
+const PACE_PRIOR: f64 = 3.0;
 const HUNG: f64 = 4.0;
 /// What an idle handler's MRT keeps a tick: halved in about a second and a half.
 const IDLE_KEEPS: f64 = 0.995;
@@ -370,9 +372,8 @@
         (held, most)
     }
 
-    /// Whether one more call keeps the mean in hand over the rule's span within this server's share: either
-    /// the number in hand does, or what earlier calls left of the share bears it. So a share under one call
-    /// lets quick calls go together, and holds back when they slow, however many servers do so at once.
+    /// Whether one more call keeps the mean in hand over the rule's span within this server's share: by the
+    /// number in hand, or by what earlier calls left of it: a share under one lets quick calls go together.
     fn room(&mut self, now: At, below: &Below, part: f64) -> bool {
         let (held, most) = self.count(now, below);
         below.kind != BelowKind::Shared
@@ -429,8 +430,7 @@
         Tenants { each, over_value: place.over_share_value }
     }
 
-    /// Counts an arrival and gives the mean value of this tenant's reqs: those past its share, which bear no
-    /// mark, count for little.
+    /// Counts an arrival; the mean value of this tenant's reqs: those past its share count for little.
     fn value(&mut self, now: At, tenant: usize) -> f64 {
         let Some((allowed, rate, seen)) = self.each.get_mut(tenant) else { return 1.0 };
         *rate = *rate * (-(now - *seen).as_secs() / TENANT_SPAN).exp() + 1.0 / TENANT_SPAN;
@@ -474,6 +474,7 @@
     tenants: Tenants,
     ceilings: Vec<Ceiling>,
     pace: f64,
+    slow: f64,
     good: bool,
     erring: f64,
     again: f64,
@@ -516,6 +517,7 @@
             tenants: Tenants::new(now, tenants, place),
             ceilings: vec![],
             pace: 1.0,
+            slow: 1.0,
             good: true,
             erring: 0.0,
             again: 0.0,
@@ -712,7 +714,7 @@
     fn all_crowded(&mut self, now: At, r: No) -> bool {
         let warming = self.machine.cold && now - self.began < self.machine.cold_for;
         let crowd = (self.concurrency.run_queue / self.budget.cores).max(1.0);
-        let alone = warming || self.pace * self.budget.mean_run > SLOW_HERE * crowd * self.budget.best_run;
+        let alone = warming || self.slow * self.budget.mean_run > SLOW_HERE * crowd * self.budget.best_run;
         let likely = self.chance.rand_float() < LAST_GAIN * (self.again - LAST_FROM);
         let sends_on = self.erring > ERRING || self.leaving.is_some();
         !sends_on && (now > self.book.reqs[r].target || (likely && (self.callers.mark_retries || !alone)))
@@ -749,8 +751,7 @@
         let req = &mut self.book.reqs[r];
         req.answered = true;
         if req.stage == Stage::Running && self.machine.stopping != Stopping::Never {
-            out.stop(req.id);
-            // A stop is lost while the cores are frozen.
+            out.stop(req.id); // Lost while the cores are frozen.
             self.due.insert((self.ticked + STALLED, Due::Stop(r)));
         } else if req.stage != Stage::Running {
             // A run at a call ends itself; an engine that does not end it must not keep its places for good.
@@ -790,8 +791,7 @@
 
     // Stage 6: start, under the worker limit, the crowd and the memory, with its EqResv allowance.
     fn start(&mut self, now: At, out: &mut dyn Results) {
-        // While calls wait for room below, a run that can't skip its own would only join them at its cost;
-        // ceilings allow for as many as keep the room in use.
+        // A run that can't skip its call would only join those that wait for room; ceilings allow for them.
         let bound = |h: &Handler| h.calls && h.partial_value == 0.0;
         let may = |d: &Self, r: No| {
             let h = d.book.reqs[r].handler;
@@ -848,8 +848,7 @@
         } else if !fits || !self.calls.room(now, &self.below, 1.0) {
             self.calls.waiting.push(r);
         } else {
-            // A call far past the usual time is stuck, most often at a machine gone silent, and holds a run;
-            // and none may hold more than this server's share of a whole span, should all hang at once.
+            // A call far past the usual time is stuck and holds a run; none may hold over a span's share.
             let usual = Span::secs(CALL_STUCK * self.calls.time) + CALL_WAIT;
             let bears = self.below.span.times(self.below.share * CALLS_MOST);
             let stuck = now + if self.below.kind == BelowKind::Shared { usual.min(bears) } else { usual };
@@ -897,8 +896,7 @@
         }
         self.calls.waiting.retain(|w| *w != r);
         if req.stage.started() && !req.answered && matches!(outcome, Outcome::Done | Outcome::Errored) {
-            let bad = if outcome == Outcome::Done { 0.0 } else { 1.0 };
-            self.erring += ERR_ALPHA * (bad - self.erring);
+            self.erring += ERR_ALPHA * (f64::from(u8::from(outcome != Outcome::Done)) - self.erring);
             self.completed = now;
             if outcome == Outcome::Done {
                 if !req.trimmed {
@@ -957,7 +955,7 @@
             self.share.step(gap, self.budget.worst() - 1.0, floored && busy);
         }
         // A hung server tells callers that look at its health; where all hang nothing is lost by it.
-        let good = self.leaving.is_none() && self.pace < HUNG;
+        let good = self.leaving.is_none() && self.slow < HUNG;
         if std::mem::replace(&mut self.good, good) != good {
             out.health(good);
         }
@@ -970,7 +968,9 @@
     fn unfreeze(&mut self, now: At) {
         let on_core = self.book.reqs.values().filter(|q| q.stage == Stage::Running);
         let (runs, secs) = on_core.fold((0.0, 0.0), |(n, s), q| (n + 1.0, s + (now - q.started).as_secs()));
-        self.pace = (secs / (PACE_AGE * self.budget.mean_run * f64::max(runs, 1.0))).max(1.0);
+        let usual = PACE_AGE * self.budget.mean_run;
+        self.slow = ((secs + PACE_PRIOR * usual) / (usual * (runs + PACE_PRIOR))).max(1.0);
+        self.pace = (secs / (usual * f64::max(runs, 1.0))).max(1.0);
         let pending = self.queue.len() + self.book.running;
         let started = self.book.reqs.values().filter(|q| q.stage.started());
         if let Some(q) = started.min_by_key(|q| q.reached).filter(|_| now - self.completed > STALLED) {
