--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -7,7 +7,7 @@
 //! 0ms ceiling book,search runs=2 calls=1 turn=50ms    what a group of handlers may have from then on
 //! > start 1                      a result since the last event line that starts so
 //! ! shed                         none such
-//! = shed 3..5                    how many such results the whole file has seen so far
+//! = shed 3..5                    how many such results the whole file has seen so far; `*now` any that hold it
 //! ~ budget < 1.5                 the budget in seconds, the share admitted, the worker limit or the
 //!                                `callers` remembered
 //! ```
@@ -226,8 +226,11 @@
 
     fn check(&self, line: &str) -> bool {
         let (mark, rest) = line.split_once(' ').expect("a check says what");
-        let heard =
-            |from: usize, what: &str| self.heard.0[from..].iter().filter(|h| h.starts_with(what)).count();
+        let like = |h: &str, what: &str| match what.strip_prefix('*') {
+            Some(part) => h.contains(part),
+            None => h.starts_with(what),
+        };
+        let heard = |from: usize, what: &str| self.heard.0[from..].iter().filter(|h| like(h, what)).count();
         match mark {
             ">" => heard(self.since, &format!("{rest} ")) + heard(self.since, rest) > 0,
             "!" => heard(self.since, rest) == 0,
@@ -308,7 +311,11 @@
         memory_kb: w.num("memory", 1000.0),
         running_factor: w.num("factor", 4.0),
         key_kb: w.num("key", 1.0),
-        stopping: if w.has("unstoppable") { Stopping::Never } else { Stopping::Pauses },
+        stopping: match (w.has("unstoppable"), w.has("discards")) {
+            (true, _) => Stopping::Never,
+            (_, true) => Stopping::Discards,
+            _ => Stopping::Pauses,
+        },
         survives_per_core: w.num("survives", 5.0),
         cold: w.has("cold"),
         cold_from: w.num("cold_from", 0.2),
@@ -338,7 +345,9 @@
 }
 
 fn callers(w: &Words) -> Callers {
-    let load_report = if w.has("allowance") { LoadReport::Allowance } else { LoadReport::Unused };
+    let known =
+        [("allowance", LoadReport::Allowance), ("weight", LoadReport::Weight), ("floor", LoadReport::Floor)];
+    let load_report = known.iter().find(|k| w.has(k.0)).map_or(LoadReport::Unused, |k| k.1);
     Callers {
         count: w.num("count", 1.0) as u32,
         load_report,
