A backend that is set beside others rises by and by: it may be cold

Seen in the code: one let in again after a trial has a tenth of its weight at first and all of it after 10 s, but one that a reload sets was in at once, and all servers of the fleet turned to it in the same moment. The standing test's term: what all send to a cold server beyond a budget of N may be chance, 2 root N + 2, no more, with twenty or thirty processes.

Change: where others are in already, a backend that is set begins as rising.

--- a/crates/routes/src/backend.rs
+++ b/crates/routes/src/backend.rs
@@ -17,7 +17,8 @@
 /// Calls that go well one after the other in a trial; between two of them at the least.
 const TRIALS: u32 = 2;
 pub const TRIAL_EVERY: Span = Span::millis(200);
-/// A backend that is let in again has that part of its weight at first, and all of it after this.
+/// A backend that is let in again, or is set beside others, has that part of its weight at first, and all of it
+/// after this.
 const RISES_FROM: f64 = 0.1;
 const RISES: Span = Span::millis(10_000);
 /// A call in hand for so many times the usual, and so long at the least, counts as silent already.
@@ -133,11 +134,11 @@
 }
 
 impl Backend {
-    pub fn new(now: At, set: BackendSettings) -> Backend {
+    pub fn new(now: At, set: BackendSettings, state: State) -> Backend {
         Backend {
             mark: crate::wire::mark(&set.name),
             set,
-            state: State::In,
+            state,
             own: Evidence::default(),
             in_hand: BTreeMap::new(),
             heard: Summary::default(),
--- a/crates/routes/src/routes.rs
+++ b/crates/routes/src/routes.rs
@@ -264,7 +264,12 @@
                 }
                 None => {
                     self.changes.push(Change::Set { name: set.name.clone(), there: true });
-                    let fresh = Backend::new(now, set);
+                    // Beside others that are in already it may be cold: all servers turn to it at once.
+                    let fresh = Backend::new(
+                        now,
+                        set,
+                        if self.groups.is_empty() { State::In } else { State::Rising },
+                    );
                     // A slot of one that is gone, and that nothing is in hand at, is taken again.
                     match self.all.iter().position(|b| b.gone && b.in_hand.is_empty()) {
                         Some(free) => {
