--- a/crates/server/tests/binary.rs
+++ b/crates/server/tests/binary.rs
@@ -6,7 +6,7 @@
 use madderbay_standins::server::{self, Others, configuration, written};
 use madderbay_standins::{PATIENCE, registry, unix_ms};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::ops::{Deref, DerefMut};
 use std::path::Path;
 use std::process::Output;
@@ -41,6 +41,11 @@
     Path::new(env!("CARGO_BIN_EXE_madderbay"))
 }
 
+fn among(engine: &TcpListener, registry: SocketAddr, catalogue: &TcpListener) -> Others {
+    let at = |l: &TcpListener| l.local_addr().expect("an address");
+    Others { engine: at(engine), registry, catalogue: at(catalogue) }
+}
+
 impl Server {
     fn start(sockets: usize) -> Server {
         Server::set(sockets, None)
@@ -50,11 +55,7 @@
         let (engine, catalogue) = (local(), local());
         let (registry, reports) = registry::start();
         let settings = common::SETTINGS.replace("\"drain_grace_us\": 2000000", "\"drain_grace_us\": 50000");
-        let others = Others {
-            engine: engine.local_addr().unwrap(),
-            registry,
-            catalogue: catalogue.local_addr().unwrap(),
-        };
+        let others = among(&engine, registry, &catalogue);
         let text = configuration("127.0.0.1:0", others, sockets, STOP_MS, &settings);
         let program = server::Server::start(program(), &text, operator);
         Server { program, engine, catalogue, reports }
@@ -162,11 +163,7 @@
     server.signal("-HUP");
     server.log_at("nothing is changed");
     let (new_engine, new_catalogue, (registry, reports)) = (local(), local(), registry::start());
-    let others = Others {
-        engine: new_engine.local_addr().unwrap(),
-        registry,
-        catalogue: new_catalogue.local_addr().unwrap(),
-    };
+    let others = among(&new_engine, registry, &new_catalogue);
     std::fs::write(&server.path, configuration("127.0.0.1:0", others, 64, STOP_MS, common::SETTINGS))
         .unwrap();
     server.signal("-HUP");
@@ -410,11 +407,7 @@
 #[test]
 fn a_start_beside_others_that_break_off_is_ready_soon() {
     let (engine, catalogue, registry) = (local(), local(), local());
-    let others = Others {
-        engine: engine.local_addr().unwrap(),
-        registry: registry.local_addr().unwrap(),
-        catalogue: catalogue.local_addr().unwrap(),
-    };
+    let others = among(&engine, registry.local_addr().unwrap(), &catalogue);
     let text = configuration("127.0.0.1:0", others, 128, STOP_MS, common::SETTINGS);
     let program = server::Server::start(program(), &text, None);
     let began = std::time::Instant::now();
@@ -447,11 +440,7 @@
 #[test]
 fn a_drain_before_the_engine_is_up_ends_by_itself() {
     let (engine, catalogue, registry) = (local(), local(), local());
-    let others = Others {
-        engine: engine.local_addr().unwrap(),
-        registry: registry.local_addr().unwrap(),
-        catalogue: catalogue.local_addr().unwrap(),
-    };
+    let others = among(&engine, registry.local_addr().unwrap(), &catalogue);
     let text = configuration("127.0.0.1:0", others, 128, STOP_MS, common::SETTINGS);
     let program = server::Server::start(program(), &text, None);
     let mut link = Peer::accept(&engine);
@@ -487,11 +476,7 @@
         a.say(&req(1, "quote", 1, ""));
         assert!(engine.command().contains("\"RUN\""));
         let (new_engine, new_catalogue, (registry, _reports)) = (local(), local(), registry::start());
-        let others = Others {
-            engine: new_engine.local_addr().unwrap(),
-            registry,
-            catalogue: new_catalogue.local_addr().unwrap(),
-        };
+        let others = among(&new_engine, registry, &new_catalogue);
         std::fs::write(&server.path, configuration("127.0.0.1:0", others, 128, STOP_MS, common::SETTINGS))
             .unwrap();
         if drain_first {
--- a/crates/server/tests/crossings.rs
+++ b/crates/server/tests/crossings.rs
@@ -65,6 +65,13 @@
         self.serve.borrow_mut().run_over(self.clock.now(), &name, done, Span::millis(9), "\"WFla\"");
     }
 
+    /// The req that is to come is read, started and done.
+    async fn serves_one(&self) {
+        until(|| self.serve.borrow().hands.reqs.len() == 1).await;
+        self.turn();
+        self.done(1);
+    }
+
     async fn peer(&self) -> Peer {
         Peer(BufReader::new(TcpStream::connect(self.address).await.expect("a connection")))
     }
@@ -167,9 +174,7 @@
         let mut peer = place.heard().await;
         peer.say_at_once(&req(2, "quote", 1));
         assert!(place.serve.borrow_mut().make_room(place.clock.now()));
-        until(|| place.serve.borrow().hands.reqs.len() == 1).await;
-        place.turn();
-        place.done(1);
+        place.serves_one().await;
         assert!(peer.line().await.contains("\"id\":2,\"result\""));
         assert_eq!(peer.line().await, "", "and then it ends");
     });
@@ -190,9 +195,7 @@
         assert!(peer.line().await.contains("leaving"));
         peer.say_at_once(&req(2, "quote", 1));
         assert_eq!(place.serve.borrow_mut().hands.conns.idle_over(again, 1), None, "it ends now");
-        until(|| place.serve.borrow().hands.reqs.len() == 1).await;
-        place.turn();
-        place.done(1);
+        place.serves_one().await;
         assert!(peer.line().await.contains("\"id\":2,\"result\""));
         assert_eq!(peer.line().await, "");
     });
@@ -209,9 +212,7 @@
         assert!(place.serve.borrow().at_rest());
         peer.say_at_once(&req(2, "quote", 1));
         place.serve.borrow_mut().end();
-        until(|| place.serve.borrow().hands.reqs.len() == 1).await;
-        place.turn();
-        place.done(1);
+        place.serves_one().await;
         assert!(peer.line().await.contains("\"id\":2,\"result\""));
         assert_eq!(peer.line().await, "");
     });
@@ -230,9 +231,7 @@
         assert!(peer.line().await.contains("\"fit\":true"));
         place.serve.borrow_mut().leave(place.clock.now(), Span::millis(3_000));
         peer.say_at_once(rest);
-        until(|| place.serve.borrow().hands.reqs.len() == 1).await;
-        place.turn();
-        place.done(1);
+        place.serves_one().await;
         assert!(peer.line().await.contains("leaving"));
         assert!(peer.line().await.contains("\"id\":2,\"result\""));
     });
@@ -275,9 +274,7 @@
         .await;
         assert!(amid(place.clock.now()));
         peer.say(rest).await;
-        until(|| place.serve.borrow().hands.reqs.len() == 1).await;
-        place.turn();
-        place.done(1);
+        place.serves_one().await;
         loop {
             let line = peer.line().await;
             assert!(!line.is_empty());
