--- a/crates/server/tests/binary.rs
+++ b/crates/server/tests/binary.rs
@@ -516,6 +516,36 @@
     assert!(a.line().contains("\"id\":2,\"error\":{\"code\":-32002"));
 }
 
+/// Killed right after an accept, with a req on the connection, again and again: each next life listens at the same
+/// address at once, begins with nothing, and serves.
+#[test]
+fn kills_right_after_an_accept_leave_nothing_in_the_way() {
+    let (engine, catalogue) = (local(), local());
+    let (registry, _reports) = registry::start();
+    let others = among(&engine, registry, &catalogue);
+    // An address of its own: nobody else takes its port between two lives.
+    let mut listen = "127.77.2.1:0".to_string();
+    for life in 1..=6 {
+        let text = configuration(&listen, others, 128, STOP_MS, common::SETTINGS);
+        let mut program = server::Server::start(program(), &text, None);
+        listen = program.address.to_string();
+        let mut link = Peer::accept(&engine);
+        assert_eq!(link.line(), "{\"msg\":\"ATTACH\",\"serial\":0}");
+        link.say("{\"msg\":\"HELLO\",\"how\":\"new\",\"duration\":10}\n");
+        program.log_at("engine: up");
+        let mut a = Peer::new(TcpStream::connect(program.address).expect("a connection"));
+        a.say(&req(1, "book", life, "5"));
+        if life < 6 {
+            program.signal("-KILL");
+            continue;
+        }
+        let run = link.command();
+        assert!(run.contains("\"RUN\",\"call\":\"0000000000000006\""), "{run}");
+        link.say(&done(1, life, "WFla"));
+        assert!(a.line().contains("\"id\":1,\"result\""));
+    }
+}
+
 /// Idle clients take all descriptors that are to be had while the registry is down: a balancer gets in and is
 /// served, and reports go on once the registry is back.
 #[test]
