--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -4,7 +4,7 @@
 use crate::below::{Backend, Call, Came, Engine, Fares};
 use crate::history::{Deed, History, Ill, Plant};
 use madderbay::time::{At, Span};
-use madderbay_members::{Members, Networks, State};
+use madderbay_membership::{Members, Networks, State};
 use madderbay_pools::{Plan, Pool, Reserve};
 use madderbay_routes::{BackendSettings, Change, Routes, Settings as RoutesSet, State as Backed, Together};
 use madderbay_server::balancers::front::Front;
@@ -388,7 +388,7 @@
         });
         let unix = (self.now - At::default()).as_micros() / 1_000;
         let together = parts.members.then(|| {
-            let set = madderbay_members::Settings {
+            let set = madderbay_membership::Settings {
                 name: name(s).as_str().into(),
                 advertise: address(s),
                 zone: zone(s, zones).as_str().into(),
--- a/crates/members/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -4,7 +4,7 @@
 //!
 //! ```
 //! use madderbay::time::{At, Span};
-//! use madderbay_members::{Hears, Members, Networks, Settings};
+//! use madderbay_membership::{Hears, Members, Networks, Settings};
 //! let set = |n: u16| Settings {
 //!     name: format!("n{n}").into(),
 //!     advertise: ([127, 0, 0, 1], n).into(),
--- a/crates/members/tests/nonsense.rs
+++ b/crates/membership/tests/nonsense.rs
@@ -1,7 +1,7 @@
 //! Whatever comes in: the view stays bounded and sound, and nothing goes out that nobody asked for.
 
 use madderbay::time::{At, Span};
-use madderbay_members::{Members, Networks, STRANGERS, Settings, State, Stranger};
+use madderbay_membership::{Members, Networks, STRANGERS, Settings, State, Stranger};
 use proptest::prelude::*;
 use std::net::SocketAddr;
 
@@ -193,7 +193,7 @@
             ms += 1;
             all[0].received(at(ms), address(2), &datagram);
             for (_, out) in all[0].outgoing() {
-                prop_assert!(out.len() <= madderbay_members::DATAGRAM_MOST);
+                prop_assert!(out.len() <= madderbay_membership::DATAGRAM_MOST);
             }
             prop_assert!(all[0].view().members.len() <= MOST + 1);
         }
--- a/crates/routes/src/routes.rs
+++ b/crates/routes/src/routes.rs
@@ -8,7 +8,7 @@
 use crate::wire::{self, EIGHTH, Line, Words};
 use compact_str::CompactString;
 use madderbay::time::{At, Span};
-use madderbay_members::WORDS_MOST;
+use madderbay_membership::WORDS_MOST;
 use oorandom::Rand64;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::fmt;
--- a/crates/routes/src/together.rs
+++ b/crates/routes/src/together.rs
@@ -3,7 +3,7 @@
 
 use crate::routes::Routes;
 use madderbay::time::At;
-use madderbay_members::{Members, Part, State};
+use madderbay_membership::{Members, Part, State};
 use madderbay_shared::{Peer, Shared};
 use std::cell::RefCell;
 use std::net::SocketAddr;
--- a/crates/server/src/fleet/talk.rs
+++ b/crates/server/src/fleet/talk.rs
@@ -6,7 +6,7 @@
 use crate::tools::clock::Ticks;
 use crate::tools::counters::Lines;
 use madderbay::time::{At, Span};
-use madderbay_members::{Members, Networks, STRANGERS, Settings};
+use madderbay_membership::{Members, Networks, STRANGERS, Settings};
 use madderbay_operator::members as operator;
 use madderbay_routes::Together;
 use madderbay_shared::Shared;
@@ -26,7 +26,7 @@
 const LINES: usize = 200;
 const LINES_IN: Duration = Duration::from_secs(10);
 /// Longer than any datagram that is heard, so that a longer one shows.
-const BUFFER: usize = madderbay_members::DATAGRAM_MOST + 1;
+const BUFFER: usize = madderbay_membership::DATAGRAM_MOST + 1;
 
 /// The view, and what its driver counts.
 pub struct Fleet {
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -2,7 +2,7 @@
 
 use clap::{Parser, Subcommand};
 use madderbay::time::{At, Span};
-use madderbay_members::{NAME_MOST, sound};
+use madderbay_membership::{NAME_MOST, sound};
 use madderbay_operator::Operator;
 use madderbay_operator::kept::KeptResults;
 use madderbay_operator::members;
--- a/crates/shared/src/counts.rs
+++ b/crates/shared/src/counts.rs
@@ -271,7 +271,7 @@
         let sound = cell.heavy.len() <= TOLD
             && cell.heavy.iter().all(|h| h.1.len() <= KEPT as usize)
             && (cell.rest.is_empty() || cell.rest.len() == PLACES)
-            && madderbay_members::NAME_MOST >= cell.name.len();
+            && madderbay_membership::NAME_MOST >= cell.name.len();
         if !sound || cell.least_ms > cell.most_ms || (cell.name == *own.0 && cell.life == own.1) {
             self.refused += u64::from(!sound);
             return;
--- a/crates/shared/src/lib.rs
+++ b/crates/shared/src/lib.rs
@@ -1,5 +1,5 @@
 //! What the servers of a fleet share: budgets of calls in hand below, which the whole fleet never passes, and
-//! counts, each answer with its bound. No I/O: time, chance, the view of [`madderbay_members`] and datagrams
+//! counts, each answer with its bound. No I/O: time, chance, the view of [`madderbay_membership`] and datagrams
 //! are passed in.
 //!
 //! A budget is divided into birthrights, one for each of the most servers there may be; what lies idle is lent
--- a/crates/shared/src/shared.rs
+++ b/crates/shared/src/shared.rs
@@ -6,7 +6,7 @@
 use crate::wire::{self, Word, Words};
 use compact_str::CompactString;
 use madderbay::time::{At, Span};
-use madderbay_members::WORDS_MOST;
+use madderbay_membership::WORDS_MOST;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Between two looks at what is wanted and what is lent.
--- a/crates/standins/examples/shared.rs
+++ b/crates/standins/examples/shared.rs
@@ -7,7 +7,7 @@
 //!     ... shared histories [COUNT]      ... shared trouble
 
 use madderbay::time::Span;
-use madderbay_members::State;
+use madderbay_membership::State;
 use madderbay_shared::counts::{Counts, Settings};
 use madderbay_standins::balancer::{Ask, Fate, Load, breaches, kept};
 use madderbay_standins::catalogue::{Catalogue, Mood};
--- a/crates/standins/src/fleet/script.rs
+++ b/crates/standins/src/fleet/script.rs
@@ -30,7 +30,7 @@
 //! ```
 
 use madderbay::time::Span;
-use madderbay_members::{Hears, State};
+use madderbay_membership::{Hears, State};
 use std::path::Path;
 
 /// What is done to a fleet; servers are numbers from 0.
--- a/crates/standins/src/fleet/sim.rs
+++ b/crates/standins/src/fleet/sim.rs
@@ -4,7 +4,7 @@
 use super::net::Net;
 use super::script::{Act, Condition, Fleet, Setup, name, play, scripts};
 use madderbay::time::{At, Span};
-use madderbay_members::{Change, Members, Networks, Settings, State};
+use madderbay_membership::{Change, Members, Networks, Settings, State};
 use madderbay_routes::Together;
 use madderbay_shared::{BudgetSettings, CountSettings, Shared, Terms, Told};
 use oorandom::Rand64;
@@ -464,7 +464,7 @@
             if first.1 != members.digest() {
                 return Some(format!("{} and {} differ", name(first.0), name(s)));
             }
-            if members.own().phase == madderbay_members::Phase::Joining {
+            if members.own().phase == madderbay_membership::Phase::Joining {
                 return Some(format!("{} is joining", name(s)));
             }
         }
