--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -6,6 +6,7 @@
 use madderbay::time::{At, Span};
 use madderbay_membership::{Members, Networks, State};
 use madderbay_pools::{Plan, Pool, Reserve};
+use madderbay_quota::{BudgetSettings, Shared, Terms};
 use madderbay_routes::{BackendSettings, Change, Routes, Settings as RoutesSet, State as Backed, Together};
 use madderbay_server::balancers::front::Front;
 use madderbay_server::below::calls::{Hears as _, Replies};
@@ -17,7 +18,6 @@
 use madderbay_server::tools::clock::Ticks;
 use madderbay_server::tools::drive::Outbox;
 use madderbay_settings::Settings;
-use madderbay_shared::{BudgetSettings, Shared, Terms};
 use madderbay_standins::fleet::net::Net;
 use madderbay_standins::fleet::script::Act;
 use oorandom::Rand64;
@@ -378,7 +378,7 @@
                 terms,
             };
             let life = (s as u64 + 1) << 32 | u64::from(lives);
-            let set = madderbay_shared::Settings {
+            let set = madderbay_quota::Settings {
                 name: name(s).as_str().into(),
                 life,
                 budgets: vec![budget],
--- a/crates/shared/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -8,7 +8,7 @@
 //!
 //! ```
 //! use madderbay::time::{At, Span};
-//! use madderbay_shared::{BudgetSettings, Peer, Settings, Shared, Terms};
+//! use madderbay_quota::{BudgetSettings, Peer, Settings, Shared, Terms};
 //! let ms = Span::millis;
 //! let terms = Terms { lease: ms(1_000), longest: ms(500), guard: ms(50) };
 //! let set = |name: &str, life| Settings {
--- a/crates/shared/tests/counts.rs
+++ b/crates/quota/tests/counts.rs
@@ -2,8 +2,8 @@
 //! cuts, crashes and pauses; and counts alone: in any order, however many keys.
 
 use madderbay::time::{At, Span};
-use madderbay_shared::counts::{Counts, Settings};
-use madderbay_shared::mark;
+use madderbay_quota::counts::{Counts, Settings};
+use madderbay_quota::mark;
 use madderbay_standins::fleet::script::{Act, Condition, Fleet, Setup};
 use madderbay_standins::fleet::sim::Sim;
 
@@ -162,7 +162,7 @@
     }
     let now = at(4_200);
     let own = ("own".into(), 1);
-    let told = |words: &[madderbay_shared::Cell]| {
+    let told = |words: &[madderbay_quota::Cell]| {
         let mut counts = Counts::new(at(0), settings());
         words.iter().for_each(|w| counts.hear(now, Span::ZERO, w.clone(), (&own.0, own.1)));
         (counts.told(now, key, 0.0), counts.len())
--- a/crates/routes/src/together.rs
+++ b/crates/routes/src/together.rs
@@ -4,7 +4,7 @@
 use crate::routes::Routes;
 use madderbay::time::At;
 use madderbay_membership::{Members, Part, State};
-use madderbay_shared::{Peer, Shared};
+use madderbay_quota::{Peer, Shared};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/server/src/fleet/lender.rs
+++ b/crates/server/src/fleet/lender.rs
@@ -4,8 +4,8 @@
 use crate::core::lent::Lends;
 use crate::tools::clock::Ticks;
 use madderbay::time::Span;
+use madderbay_quota::Shared;
 use madderbay_routes::Together;
-use madderbay_shared::Shared;
 use std::cell::RefCell;
 use std::rc::Rc;
 
@@ -43,7 +43,7 @@
     pub fn new(
         handlers: &[String], tenants: &[String], per_second: Vec<f64>, servers: u32, by_tenant: Vec<bool>,
     ) -> Counted {
-        let marks = |names: &[String]| names.iter().map(|n| madderbay_shared::mark(n)).collect();
+        let marks = |names: &[String]| names.iter().map(|n| madderbay_quota::mark(n)).collect();
         Counted {
             handler_marks: marks(handlers),
             tenant_marks: marks(tenants),
--- a/crates/server/src/fleet/sharing.rs
+++ b/crates/server/src/fleet/sharing.rs
@@ -6,7 +6,7 @@
 use crate::tools::config::Config;
 use madderbay::time::Span;
 use madderbay_operator::shared as operator;
-use madderbay_shared::{BudgetSettings, CountSettings, Terms};
+use madderbay_quota::{BudgetSettings, CountSettings, Terms};
 use std::hash::{BuildHasher, RandomState};
 
 /// Ceilings are handed over now and then, and a start takes its time: so long before a lease ends no call is
@@ -15,7 +15,7 @@
 
 /// All that follows from it: for the machine, for the core, and for telling what was counted.
 pub struct Sharing {
-    pub settings: madderbay_shared::Settings,
+    pub settings: madderbay_quota::Settings,
     pub groups: Vec<Group>,
     pub counted: Counted,
 }
@@ -55,6 +55,6 @@
     let per_second = s.tenants.iter().map(|t| t.per_second).collect();
     let counted = Counted::new(&s.handler_names, &s.tenant_names, per_second, s.place.servers, by_tenant);
     let name = config.name.as_str().into();
-    let settings = madderbay_shared::Settings { name, life: life(), budgets, counts: counts.collect() };
+    let settings = madderbay_quota::Settings { name, life: life(), budgets, counts: counts.collect() };
     if wrong.is_empty() { Ok(Sharing { settings, groups, counted }) } else { Err(wrong) }
 }
--- a/crates/server/src/fleet/talk.rs
+++ b/crates/server/src/fleet/talk.rs
@@ -8,8 +8,8 @@
 use madderbay::time::{At, Span};
 use madderbay_membership::{Members, Networks, STRANGERS, Settings};
 use madderbay_operator::members as operator;
+use madderbay_quota::Shared;
 use madderbay_routes::Together;
-use madderbay_shared::Shared;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -67,7 +67,7 @@
 
 impl Fleet {
     pub fn new(
-        ticks: Ticks, seed: u64, unix_ms: u64, set: Settings, shared: Option<madderbay_shared::Settings>,
+        ticks: Ticks, seed: u64, unix_ms: u64, set: Settings, shared: Option<madderbay_quota::Settings>,
         counted: Counted, backends: Option<Rc<Backends>>,
     ) -> Fleet {
         let members = Members::new(At::default(), unix_ms, seed, set);
@@ -97,7 +97,7 @@
     }
 
     /// The operator has set sizes and weights anew.
-    pub fn reload(&self, budgets: &[madderbay_shared::BudgetSettings]) {
+    pub fn reload(&self, budgets: &[madderbay_quota::BudgetSettings]) {
         let now = self.now();
         if let Some(shared) = &mut self.together.borrow_mut().shared {
             shared.reload(now, budgets);
--- a/crates/standins/examples/shared.rs
+++ b/crates/standins/examples/shared.rs
@@ -8,7 +8,7 @@
 
 use madderbay::time::Span;
 use madderbay_membership::State;
-use madderbay_shared::counts::{Counts, Settings};
+use madderbay_quota::counts::{Counts, Settings};
 use madderbay_standins::balancer::{Ask, Fate, Load, breaches, kept};
 use madderbay_standins::catalogue::{Catalogue, Mood};
 use madderbay_standins::engine::Work;
@@ -448,7 +448,7 @@
         (0..n).for_each(|s| act(&mut sim, start(s)));
         wait(&mut sim, &Condition::Settled, 60.0);
         act(&mut sim, Act::Net { loss: Some(loss), double: None, spoil: None, delay: None });
-        let key = madderbay_shared::mark("acme");
+        let key = madderbay_quota::mark("acme");
         (0..n).for_each(|s| sim.reqs(s, key, 4.0 + s as f64 % 5.0));
         sim.run(Span::millis(20_000));
         let bytes = |s: &Sim| (0..n).filter_map(|i| Some(s.shared(i)?.totals.bytes_out)).sum::<u64>();
--- a/crates/standins/src/fleet/sim.rs
+++ b/crates/standins/src/fleet/sim.rs
@@ -5,8 +5,8 @@
 use super::script::{Act, Condition, Fleet, Setup, name, play, scripts};
 use madderbay::time::{At, Span};
 use madderbay_membership::{Change, Members, Networks, Settings, State};
+use madderbay_quota::{BudgetSettings, CountSettings, Shared, Terms, Told};
 use madderbay_routes::Together;
-use madderbay_shared::{BudgetSettings, CountSettings, Shared, Terms, Told};
 use oorandom::Rand64;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
@@ -208,7 +208,7 @@
     }
 
     /// What a server is told of budgets and counts.
-    fn shares(&self, who: usize, named: usize) -> Option<madderbay_shared::Settings> {
+    fn shares(&self, who: usize, named: usize) -> Option<madderbay_quota::Settings> {
         let setup = &self.setup;
         let budget = setup.budget.as_ref().map(|b| BudgetSettings {
             name: NAME.into(),
@@ -219,7 +219,7 @@
             terms: Terms { lease: b.lease, longest: b.longest, guard: Span::millis(20) },
         });
         let count = setup.window.map(|window| CountSettings { name: NAME.into(), window, most: READ_MOST });
-        (budget.is_some() || count.is_some()).then(|| madderbay_shared::Settings {
+        (budget.is_some() || count.is_some()).then(|| madderbay_quota::Settings {
             name: name(named).into(),
             life: (who as u64 + 1) << 32 | u64::from(self.nodes[who].lives + 1),
             budgets: budget.into_iter().collect(),
