--- a/crates/server/src/core/lead.rs
+++ b/crates/server/src/core/lead.rs
@@ -4,7 +4,7 @@
 use super::hands::{Due, Hands};
 use madderbay::face::Outcome;
 use madderbay::time::{At, Span};
-use madderbay_routes::{Again, End, Ticket};
+use madderbay_upstream::{Again, End, Ticket};
 
 /// Whoever knows the backends and how they fare. Times are its own.
 pub trait Leads {
--- a/crates/server/src/core/outcomes.rs
+++ b/crates/server/src/core/outcomes.rs
@@ -10,7 +10,7 @@
 use madderbay::face::{Outcome, Results};
 use madderbay::time::{At, Span};
 use madderbay_pools::Stage;
-use madderbay_routes::End as Tried;
+use madderbay_upstream::End as Tried;
 
 /// The timer this late tells that this process was held up, and so every reply that it reads now.
 const HELD_UP: Span = Span::millis(30);
--- a/crates/server/src/fleet/lender.rs
+++ b/crates/server/src/fleet/lender.rs
@@ -5,7 +5,7 @@
 use crate::tools::clock::Ticks;
 use madderbay::time::Span;
 use madderbay_quota::Shared;
-use madderbay_routes::Together;
+use madderbay_upstream::Together;
 use std::cell::RefCell;
 use std::rc::Rc;
 
--- a/crates/server/src/fleet/talk.rs
+++ b/crates/server/src/fleet/talk.rs
@@ -9,7 +9,7 @@
 use madderbay_membership::{Members, Networks, STRANGERS, Settings};
 use madderbay_operator::members as operator;
 use madderbay_quota::Shared;
-use madderbay_routes::Together;
+use madderbay_upstream::Together;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
--- a/crates/server/tests/routes.rs
+++ b/crates/server/tests/routes.rs
@@ -1,5 +1,5 @@
 //! Many backends below real processes: who is left out, that the fleet hears of it, that nothing runs twice, and each
-//! rule of each req meanwhile. `crates/routes/tests/fleet.rs` plays many more cases simulated.
+//! rule of each req meanwhile. `crates/upstream/tests/fleet.rs` plays many more cases simulated.
 
 mod common;
 
--- a/crates/standins/src/fleet/sim.rs
+++ b/crates/standins/src/fleet/sim.rs
@@ -6,7 +6,7 @@
 use madderbay::time::{At, Span};
 use madderbay_membership::{Change, Members, Networks, Settings, State};
 use madderbay_quota::{BudgetSettings, CountSettings, Shared, Terms, Told};
-use madderbay_routes::Together;
+use madderbay_upstream::Together;
 use oorandom::Rand64;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
--- a/crates/standins/src/routes.rs
+++ b/crates/standins/src/routes.rs
@@ -2,7 +2,7 @@
 //! plain ways beside it.
 
 use madderbay::time::{At, Span};
-use madderbay_routes::{Again, BackendSettings, Change, End, Routes, Settings, State, Ticket};
+use madderbay_upstream::{Again, BackendSettings, Change, End, Routes, Settings, State, Ticket};
 use oorandom::Rand64;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
@@ -387,14 +387,14 @@
             words.push((to - 1, bytes));
         }
         if !self.nodes[s].lies.is_empty() && self.chance.rand_float() < 0.1 {
-            let lines = self.nodes[s].lies.iter().map(|b| madderbay_routes::Line {
-                mark: madderbay_routes::mark(&format!("b{b}")),
+            let lines = self.nodes[s].lies.iter().map(|b| madderbay_upstream::Line {
+                mark: madderbay_upstream::mark(&format!("b{b}")),
                 good: 0,
                 bad: 8_000,
                 age_ms: 0,
             });
-            let lines: Vec<madderbay_routes::Line> = lines.collect();
-            let lie = madderbay_routes::Words {
+            let lines: Vec<madderbay_upstream::Line> = lines.collect();
+            let lie = madderbay_upstream::Words {
                 held_up: false,
                 seen: 1_000,
                 bad: lines.len() as u16,
--- a/crates/routes/benches/choice.rs
+++ b/crates/upstream/benches/choice.rs
@@ -1,10 +1,10 @@
 //! What one choice costs, and its end, by the number of backends.
 //!
-//!     cargo bench -p madderbay-routes
+//!     cargo bench -p madderbay-upstream
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use madderbay::time::{At, Span};
-use madderbay_routes::{BackendSettings, End, Routes, Settings};
+use madderbay_upstream::{BackendSettings, End, Routes, Settings};
 
 fn choices(c: &mut Criterion) {
     let mut group = c.benchmark_group("choice");
--- a/crates/routes/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -4,7 +4,7 @@
 //!
 //! ```
 //! use madderbay::time::{At, Span};
-//! use madderbay_routes::{BackendSettings, End, Routes, Settings, State};
+//! use madderbay_upstream::{BackendSettings, End, Routes, Settings, State};
 //! let backend = |n: u16| BackendSettings {
 //!     name: format!("book-{n}").as_str().into(),
 //!     address: ([127, 0, 0, 1], 7_700 + n).into(),
--- a/crates/routes/tests/added.rs
+++ b/crates/upstream/tests/added.rs
@@ -1,7 +1,7 @@
 //! A backend that is set beside others may be cold: what all servers together send to it has to be little at first.
 
 use madderbay::time::{At, Span};
-use madderbay_routes::{BackendSettings, End, Routes, Settings, State};
+use madderbay_upstream::{BackendSettings, End, Routes, Settings, State};
 
 fn backend(n: usize) -> BackendSettings {
     BackendSettings {
--- a/crates/routes/tests/any.rs
+++ b/crates/upstream/tests/any.rs
@@ -2,7 +2,7 @@
 //! is a backend.
 
 use madderbay::time::{At, Span};
-use madderbay_routes::{Again, BackendSettings, End, Routes, Settings, State};
+use madderbay_upstream::{Again, BackendSettings, End, Routes, Settings, State};
 use proptest::prelude::*;
 
 fn backend(n: usize) -> BackendSettings {
--- a/crates/routes/tests/fleet.rs
+++ b/crates/upstream/tests/fleet.rs
@@ -70,7 +70,7 @@
 #[test]
 fn bad_for_one_zone_is_bad_for_that_zone_alone() {
     for seed in SEEDS {
-        let settings = madderbay_routes::Settings { near_least: 1.0, out_most: 0.5, ..Default::default() };
+        let settings = madderbay_upstream::Settings { near_least: 1.0, out_most: 0.5, ..Default::default() };
         let mut world = calm(Setup { zones: 3, settings, ..Setup::of(18, 6) }, seed);
         // All of a zone's own are cut off from it, so that its calls go to the others.
         world.cuts = vec![(0, 0), (0, 3)];
