Package concurrency, formerly pools

Cause: the package holds adaptive concurrency limits. Tree checked with all targets; no behaviour changes.

--- a/crates/pools/examples/ways.rs
+++ b/crates/concurrency/examples/ways.rs
@@ -1,11 +1,11 @@
 //! The ways to limit calls that `docs/notes/pools.md` weighs, played against the same simulated world:
-//! `cargo run --release -p madderbay-pools --example ways`.
+//! `cargo run --release -p madderbay-concurrency --example ways`.
 
 #[path = "../tests/model/mod.rs"]
 mod model;
 
 use madderbay::time::{At, Span};
-use madderbay_pools::limit::{End, Limit, Ticket};
+use madderbay_concurrency::limit::{End, Limit, Ticket};
 use model::{Fixed, Mode, Way, World, play};
 
 /// Additive increase, multiplicative decrease: grows by one over the limit for each call in twice the best
--- a/crates/pools/src/lib.rs
+++ b/crates/concurrency/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! ```
 //! use madderbay::time::At;
-//! use madderbay_pools::{Calls, Kind, Plan, Pool, Pools, Stage};
+//! use madderbay_concurrency::{Calls, Kind, Plan, Pool, Pools, Stage};
 //! let pool = |name: &str, handlers| Pool { name: name.into(), handlers, ..Pool::default() };
 //! let kind = |calls| Kind { calls };
 //! let plan = Plan { pools: vec![pool("a", vec![0]), pool("b", vec![1])], ..Plan::default() };
--- a/crates/pools/tests/limit.rs
+++ b/crates/concurrency/tests/limit.rs
@@ -3,7 +3,7 @@
 mod model;
 
 use madderbay::time::Span;
-use madderbay_pools::limit::{End, Limit};
+use madderbay_concurrency::limit::{End, Limit};
 use model::{Fixed, Mode, Seen, Way, World, at, play};
 use proptest::prelude::*;
 
--- a/crates/pools/tests/model/mod.rs
+++ b/crates/concurrency/tests/model/mod.rs
@@ -2,7 +2,7 @@
 //! they came; a seed gives all chance. For the tests of the limit and for `examples/ways.rs`.
 
 use madderbay::time::{At, Span};
-use madderbay_pools::limit::{End, Limit, Ticket};
+use madderbay_concurrency::limit::{End, Limit, Ticket};
 use std::collections::VecDeque;
 
 pub const STEP_MS: u64 = 1;
--- a/crates/pools/tests/pools.rs
+++ b/crates/concurrency/tests/pools.rs
@@ -2,9 +2,9 @@
 
 use madderbay::face::Ceiling;
 use madderbay::time::{At, Span};
-use madderbay_pools::limit::End;
-use madderbay_pools::share::{Want, ceilings, divide};
-use madderbay_pools::{Calls, Kind, Plan, Pool, Pools, Reserve, Stage};
+use madderbay_concurrency::limit::End;
+use madderbay_concurrency::share::{Want, ceilings, divide};
+use madderbay_concurrency::{Calls, Kind, Plan, Pool, Pools, Reserve, Stage};
 use proptest::prelude::*;
 
 fn at(ms: u64) -> At {
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -4,8 +4,8 @@
 use crate::below::{Backend, Call, Came, Engine, Fares};
 use crate::history::{Deed, History, Ill, Plant};
 use madderbay::time::{At, Span};
+use madderbay_concurrency::{Plan, Pool, Reserve};
 use madderbay_membership::{Members, Networks, State};
-use madderbay_pools::{Plan, Pool, Reserve};
 use madderbay_quota::{BudgetSettings, Shared, Terms};
 use madderbay_server::balancers::front::Front;
 use madderbay_server::below::calls::{Hears as _, Replies};
--- a/crates/server/src/core/arrivals.rs
+++ b/crates/server/src/core/arrivals.rs
@@ -8,7 +8,7 @@
 use crate::tools::name::Name;
 use madderbay::face::Results;
 use madderbay::time::{At, Span};
-use madderbay_pools::Stage;
+use madderbay_concurrency::Stage;
 
 /// Answers leave this long before their callers stop waiting; without a waiting time, after so long.
 const MARGIN: Span = Span::millis(30);
--- a/crates/server/src/core/follow.rs
+++ b/crates/server/src/core/follow.rs
@@ -2,8 +2,8 @@
 //! fleet. They hand ceilings over; they end nothing.
 
 use madderbay::time::At;
-use madderbay_pools::limit::End;
-use madderbay_pools::{Pools, Stage};
+use madderbay_concurrency::limit::End;
+use madderbay_concurrency::{Pools, Stage};
 
 pub trait Follows {
     /// A req stands at another stage, or is new.
--- a/crates/server/src/core/lent.rs
+++ b/crates/server/src/core/lent.rs
@@ -4,8 +4,8 @@
 use crate::core::follow::Follows;
 use madderbay::face::{Below, Ceiling};
 use madderbay::time::{At, Span};
-use madderbay_pools::limit::End;
-use madderbay_pools::{Calls, Kind, Stage};
+use madderbay_concurrency::limit::End;
+use madderbay_concurrency::{Calls, Kind, Stage};
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 
--- a/crates/server/src/core/outcomes.rs
+++ b/crates/server/src/core/outcomes.rs
@@ -9,7 +9,7 @@
 use base64::engine::general_purpose::STANDARD as BASE64;
 use madderbay::face::{Outcome, Results};
 use madderbay::time::{At, Span};
-use madderbay_pools::Stage;
+use madderbay_concurrency::Stage;
 use madderbay_upstream::End as Tried;
 
 /// The timer this late tells that this process was held up, and so every reply that it reads now.
--- a/crates/server/src/core/pooled.rs
+++ b/crates/server/src/core/pooled.rs
@@ -2,9 +2,9 @@
 
 use crate::tools::counters::Lines;
 use madderbay::face::{BelowKind, Outcome};
+use madderbay_concurrency::limit::End;
+use madderbay_concurrency::{Calls, Kind, Plan, Pool, Pools, Reserve};
 use madderbay_operator::pools as operator;
-use madderbay_pools::limit::End;
-use madderbay_pools::{Calls, Kind, Plan, Pool, Pools, Reserve};
 use madderbay_settings::Settings;
 
 /// Names become numbers; each that is no handler is told in a line.
--- a/crates/server/src/core/serve.rs
+++ b/crates/server/src/core/serve.rs
@@ -6,7 +6,7 @@
 use madderbay::decide::Decider;
 use madderbay::face::{Gauges, Outcome};
 use madderbay::time::{At, Span};
-use madderbay_pools::{Plan, Pools};
+use madderbay_concurrency::{Plan, Pools};
 use madderbay_settings::Settings;
 use std::cell::RefCell;
 use std::rc::Rc;
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -2,11 +2,11 @@
 
 use clap::{Parser, Subcommand};
 use madderbay::time::{At, Span};
+use madderbay_concurrency::Plan;
 use madderbay_membership::{NAME_MOST, sound};
 use madderbay_operator::Operator;
 use madderbay_operator::kept::KeptResults;
 use madderbay_operator::members;
-use madderbay_pools::Plan;
 use madderbay_server::balancers::{listen, registry};
 use madderbay_server::below::{calls, engine};
 use madderbay_server::core::serve::{Serve, Shared};
