--- a/crates/kept/tests/crash.rs
+++ b/crates/idempotency-store/tests/crash.rs
@@ -1,9 +1,9 @@
 //! The log on a storage that crashes: cut at every byte, torn, with what was not synced lost or half there,
 //! full, failing. What was promised is found, nothing else is, and recovery always comes through.
 
-use madderbay_kept::log::{Found, Lasting, Log, State, recover, verify};
-use madderbay_kept::record::{Key, Record};
-use madderbay_kept::storage::{Crash, Files, Memory, Storage};
+use madderbay_idempotency_store::log::{Found, Lasting, Log, State, recover, verify};
+use madderbay_idempotency_store::record::{Key, Record};
+use madderbay_idempotency_store::storage::{Crash, Files, Memory, Storage};
 use proptest::prelude::*;
 use std::collections::HashMap;
 
@@ -143,7 +143,7 @@
     for half in 0..12 {
         let mut crashed = log.storage().clone();
         let mut head = vec![];
-        madderbay_kept::record::head(&mut head);
+        madderbay_idempotency_store::record::head(&mut head);
         crashed.append("kept-0000000000000009", &head[..half]).expect("appended");
         let left = crashed.crashed(|_, _| Crash::Cut(half));
         let (mut next, found) = open(left, 3);
@@ -162,7 +162,7 @@
         Log::open(memory, 1, DISK, WINDOW).map(|_| ()).unwrap_err()
     };
     let mut newer = vec![];
-    madderbay_kept::record::head_of(2, &mut newer);
+    madderbay_idempotency_store::record::head_of(2, &mut newer);
     let newer = with("kept-0000000000000000", &newer);
     assert_eq!(newer, "kept-0000000000000000: is of version 2; this program knows 1");
     let foreign = with("kept-0000000000000000", b"#!/bin/sh\n");
@@ -237,9 +237,9 @@
 /// On the file system, too; and a folder has one owner.
 #[test]
 fn a_folder_of_files() {
-    let folder = std::env::temp_dir().join(format!("madderbay-kept-{}", std::process::id()));
+    let folder = std::env::temp_dir().join(format!("madderbay-idempotency-store-{}", std::process::id()));
     let told = Files::open(&folder).map(|_| ()).unwrap_err();
-    assert!(told.contains("madderbay-kept-"), "{told}");
+    assert!(told.contains("madderbay-idempotency-store-"), "{told}");
     std::fs::create_dir(&folder).expect("made");
     {
         let (mut log, _) = Log::open(Files::open(&folder).expect("opened"), 1, DISK, WINDOW).expect("read");
--- a/crates/server/src/core/lasting.rs
+++ b/crates/server/src/core/lasting.rs
@@ -5,7 +5,7 @@
 use super::serve::{KEEP_AWAY, Serve};
 use crate::balancers::answer;
 use madderbay::time::At;
-use madderbay_kept::Verdict;
+use madderbay_idempotency_store::Verdict;
 
 impl Serve {
     /// A try of a keyed req that a former life has promised is answered from what is known of it, and never
--- a/crates/server/tests/kept.rs
+++ b/crates/server/tests/kept.rs
@@ -195,9 +195,9 @@
 /// A hundred thousand keys held at a restart: each is known, and the server listens soon.
 #[test]
 fn a_hundred_thousand_keys_at_a_restart() {
-    use madderbay_kept::log::Log;
-    use madderbay_kept::record::Record;
-    use madderbay_kept::storage::Files;
+    use madderbay_idempotency_store::log::Log;
+    use madderbay_idempotency_store::record::Record;
+    use madderbay_idempotency_store::storage::Files;
     let place = Place::new(30_000_000, "disk_mb = 64\n");
     {
         let storage = Files::open(&place.folder).expect("opened");
@@ -250,7 +250,7 @@
     assert!(refused(&place).contains("another process has it"));
     drop((server, engine));
     let mut newer = vec![];
-    madderbay_kept::record::head_of(9, &mut newer);
+    madderbay_idempotency_store::record::head_of(9, &mut newer);
     std::fs::write(place.folder.join("kept-00000000000000ff"), &newer).expect("written");
     assert!(refused(&place).contains("kept-00000000000000ff: is of version 9; this program knows 1"));
     std::fs::remove_dir_all(&place.folder).expect("removed");
@@ -283,7 +283,7 @@
     assert_eq!((first["state"].as_str(), first["result"].as_str()), (Some("done"), Some("\"WFla\"")));
     assert_eq!(told("verify"), (Some(0), vec![]));
     let mut torn = vec![];
-    madderbay_kept::record::head(&mut torn);
+    madderbay_idempotency_store::record::head(&mut torn);
     torn.extend_from_slice(b"garbage");
     std::fs::write(place.folder.join("kept-00000000000000ff"), &torn).expect("written");
     let (status, lines) = told("verify");
--- a/crates/server/tests/scenarios.rs
+++ b/crates/server/tests/scenarios.rs
@@ -28,8 +28,8 @@
 mod common;
 
 use madderbay::time::{At, Span};
-use madderbay_kept::log::Lasting;
-use madderbay_kept::{Kept, Seq};
+use madderbay_idempotency_store::log::Lasting;
+use madderbay_idempotency_store::{Kept, Seq};
 use madderbay_server::balancers::front::Front;
 use madderbay_server::below::calls::{Hears as _, Replies};
 use madderbay_server::below::engine::Notices;
--- a/crates/standins/examples/kept.rs
+++ b/crates/standins/examples/kept.rs
@@ -5,9 +5,9 @@
 //! Histories: a server is killed at a random moment while it books, started again, and every try is repeated;
 //! a booking is a run in the engine. Then what it costs: times, syncs and CPU at several rates, and recovery.
 
-use madderbay_kept::log::Log;
-use madderbay_kept::record::Record;
-use madderbay_kept::storage::Files;
+use madderbay_idempotency_store::log::Log;
+use madderbay_idempotency_store::record::Record;
+use madderbay_idempotency_store::storage::Files;
 use madderbay_standins::balancer::{Answer, Ask, Load, breaches, times};
 use madderbay_standins::catalogue::Catalogue;
 use madderbay_standins::engine::{Engine, Work};
