Package operator-config, formerly operator

Cause: the package reads the operator file. Change: directory, package, imports, deploy file and pages.

--- a/crates/operator/src/lib.rs
+++ b/crates/operator-config/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! ```
 //! let text = "[pools]\nenabled = on\n[pool seats]\nhandlers = book\nweigth = 2\n";
-//! let wrong = madderbay_operator::read("op.ini", text).unwrap_err();
+//! let wrong = madderbay_operator_config::read("op.ini", text).unwrap_err();
 //! let known = "calls, calls_weight, handlers, runs, weight";
 //! assert_eq!(wrong, [format!("op.ini:5: [pool seats] weigth: no such key; known are {known}")]);
 //! ```
--- a/crates/operator/tests/file.rs
+++ b/crates/operator-config/tests/file.rs
@@ -1,7 +1,7 @@
 //! What the operator file may say, and how what it may not say is told.
 
-use madderbay_operator::shared::By;
-use madderbay_operator::{Operator, read};
+use madderbay_operator_config::shared::By;
+use madderbay_operator_config::{Operator, read};
 
 fn wrong(text: &str) -> Vec<String> {
     read("o.ini", text).expect_err("told as wrong")
--- a/crates/server/src/core/keep.rs
+++ b/crates/server/src/core/keep.rs
@@ -8,7 +8,7 @@
 use madderbay_idempotency_store::log::{self, Found, Lasting, Log, Recovery, State};
 use madderbay_idempotency_store::storage::Files;
 use madderbay_idempotency_store::{Kept, Refusal, Seq};
-use madderbay_operator::kept::KeptResults;
+use madderbay_operator_config::kept::KeptResults;
 use std::collections::VecDeque;
 use std::path::Path;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
--- a/crates/server/src/core/pooled.rs
+++ b/crates/server/src/core/pooled.rs
@@ -4,13 +4,13 @@
 use madderbay::face::{BelowKind, Outcome};
 use madderbay_concurrency::limit::End;
 use madderbay_concurrency::{Calls, Kind, Plan, Pool, Pools, Reserve};
-use madderbay_operator::pools as operator;
+use madderbay_operator_config::pools as operator;
 use madderbay_settings::Settings;
 
 /// Names become numbers; each that is no handler is told in a line.
 pub fn plan(set: &operator::Pools, s: &Settings) -> Result<Plan, Vec<String>> {
     let mut wrong = vec![];
-    let mut among = |names: &madderbay_operator::Names| {
+    let mut among = |names: &madderbay_operator_config::Names| {
         names.among(&s.handler_names, "handler").unwrap_or_else(|what| {
             wrong.push(what);
             vec![]
--- a/crates/server/src/fleet/backends.rs
+++ b/crates/server/src/fleet/backends.rs
@@ -5,7 +5,7 @@
 use crate::tools::clock::Ticks;
 use crate::tools::counters::Lines;
 use madderbay::time::{At, Span};
-use madderbay_operator::routes as operator;
+use madderbay_operator_config::routes as operator;
 use madderbay_settings::Settings as Site;
 use madderbay_upstream::{Again, BackendSettings, End, Routes, Settings, Ticket};
 use std::cell::RefCell;
--- a/crates/server/src/fleet/sharing.rs
+++ b/crates/server/src/fleet/sharing.rs
@@ -5,7 +5,7 @@
 use crate::tools::clock::unix_micros;
 use crate::tools::config::Config;
 use madderbay::time::Span;
-use madderbay_operator::shared as operator;
+use madderbay_operator_config::shared as operator;
 use madderbay_quota::{BudgetSettings, CountSettings, Terms};
 use std::hash::{BuildHasher, RandomState};
 
--- a/crates/server/src/fleet/talk.rs
+++ b/crates/server/src/fleet/talk.rs
@@ -7,7 +7,7 @@
 use crate::tools::counters::Lines;
 use madderbay::time::{At, Span};
 use madderbay_membership::{Members, Networks, STRANGERS, Settings};
-use madderbay_operator::members as operator;
+use madderbay_operator_config::members as operator;
 use madderbay_quota::Shared;
 use madderbay_upstream::Together;
 use std::cell::{Cell, RefCell};
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -4,9 +4,9 @@
 use madderbay::time::{At, Span};
 use madderbay_concurrency::Plan;
 use madderbay_membership::{NAME_MOST, sound};
-use madderbay_operator::Operator;
-use madderbay_operator::kept::KeptResults;
-use madderbay_operator::members;
+use madderbay_operator_config::Operator;
+use madderbay_operator_config::kept::KeptResults;
+use madderbay_operator_config::members;
 use madderbay_server::balancers::{listen, registry};
 use madderbay_server::below::{calls, engine};
 use madderbay_server::core::serve::{Serve, Shared};
@@ -153,7 +153,7 @@
     let Some(path) = path else { return Ok(Operator::default()) };
     let name = path.display().to_string();
     let text = std::fs::read_to_string(path).map_err(|e| Wrong::Set(vec![format!("{name}: {e}")]))?;
-    madderbay_operator::read(&name, &text).map_err(Wrong::Set)
+    madderbay_operator_config::read(&name, &text).map_err(Wrong::Set)
 }
 
 /// What of the operator file depends on the settings.
--- a/crates/server/tests/deploy.rs
+++ b/crates/server/tests/deploy.rs
@@ -97,7 +97,7 @@
     let run = deployed("run");
     let named = run.split('"').nth(1).and_then(|r| r.split("--operator ").nth(1)).map(str::trim);
     let named = named.expect("an operator file");
-    let operator = madderbay_operator::read(named, &text(named)).expect("a good file");
+    let operator = madderbay_operator_config::read(named, &text(named)).expect("a good file");
     let pools = operator.pools.expect("pools are on");
     assert!(pools.adapts && pools.reserve.is_some());
     assert_eq!(
