Package simulator-adapter, formerly drill; the program's name stays

Cause: the package adapts the module to the simulator's wire. Change: directory, package, imports; the binary stays madderbay-drill, which the operators start.

--- a/crates/drill/src/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -1,5 +1,5 @@
-use madderbay_drill::host::{Host, Wrong};
-use madderbay_drill::wire;
+use madderbay_simulator_adapter::host::{Host, Wrong};
+use madderbay_simulator_adapter::wire;
 use std::io::{BufReader, Write, stdin, stdout};
 use std::process::ExitCode;
 
--- a/crates/drill/tests/wire.rs
+++ b/crates/simulator-adapter/tests/wire.rs
@@ -2,8 +2,8 @@
 
 use madderbay::face::Results;
 use madderbay::time::Span;
-use madderbay_drill::{host::Host, wire};
 use madderbay_settings as settings;
+use madderbay_simulator_adapter::{host::Host, wire};
 
 const SETTINGS: &str = r#"{"classes": [{"aim_us": 2700000, "effect": "read_like", "hard_limit_us": 11000000,
  "importance": 1.0, "name": "trip-search", "unheard_of": 3}],
