--- a/crates/lab/src/main.rs
+++ b/crates/simulation/src/main.rs
@@ -1,9 +1,9 @@
-//! `madderbay-lab`: plays, searches, shrinks, compares and reports histories of a simulated fleet.
+//! `madderbay-simulation`: plays, searches, shrinks, compares and reports histories of a simulated fleet.
 
 use clap::{Args, Parser, Subcommand};
-use madderbay_lab::history::{History, Parts};
-use madderbay_lab::world::{Found, HANDLERS};
-use madderbay_lab::{play, shrink};
+use madderbay_simulation::history::{History, Parts};
+use madderbay_simulation::world::{Found, HANDLERS};
+use madderbay_simulation::{play, shrink};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Mutex;
@@ -13,7 +13,7 @@
 
 /// A whole fleet in simulated time, from one seed.
 #[derive(Parser)]
-#[command(name = "madderbay-lab", version)]
+#[command(name = "madderbay-simulation", version)]
 struct Line {
     #[command(subcommand)]
     order: Order,
@@ -246,7 +246,7 @@
             if servers < 4 {
                 return Err("at least four servers are wanted".into());
             }
-            println!("{}", madderbay_lab::mixes::table(servers, beside, &only));
+            println!("{}", madderbay_simulation::mixes::table(servers, beside, &only));
             Ok(true)
         }
         Order::Compare { one, other } => compare(&one, &other),
@@ -264,7 +264,7 @@
     let line = match Line::try_parse() {
         Ok(line) => line,
         Err(e) if e.use_stderr() => {
-            eprintln!("madderbay-lab: {}", e.to_string().lines().next().unwrap_or_default());
+            eprintln!("madderbay-simulation: {}", e.to_string().lines().next().unwrap_or_default());
             return ExitCode::from(2);
         }
         Err(e) => {
@@ -276,7 +276,7 @@
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(what) => {
-            eprintln!("madderbay-lab: {what}");
+            eprintln!("madderbay-simulation: {what}");
             ExitCode::from(2)
         }
     }
--- a/crates/lab/src/report.rs
+++ b/crates/simulation/src/report.rs
@@ -1,7 +1,7 @@
 //! What a play did, for who never saw the code: a page of text, the rows, and plots over time.
 
-use madderbay_lab::history::History;
-use madderbay_lab::world::{Found, HANDLERS, Row};
+use madderbay_simulation::history::History;
+use madderbay_simulation::world::{Found, HANDLERS, Row};
 use plotters::prelude::*;
 use std::fmt::Write;
 use std::path::Path;
--- a/crates/lab/tests/lab.rs
+++ b/crates/simulation/tests/lab.rs
@@ -1,8 +1,8 @@
 //! The laboratory itself: the same seed gives the same rows, drawn histories break nothing, and known faults, one in
 //! each part, are found and shrunk.
 
-use madderbay_lab::history::{Deed, History, Ill, PLANTS, Parts, Plant};
-use madderbay_lab::{play, shrink};
+use madderbay_simulation::history::{Deed, History, Ill, PLANTS, Parts, Plant};
+use madderbay_simulation::{play, shrink};
 
 fn small() -> History {
     History { servers: 6, backends: 3, zones: 3, seconds: 36, rate: 15.0, whole: 36, ..History::default() }
