--- a/crates/concurrency/examples/ways.rs
+++ b/crates/concurrency/examples/ways.rs
@@ -4,7 +4,7 @@
 #[path = "../tests/model/mod.rs"]
 mod model;
 
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use madderbay_concurrency::limit::{End, Limit, Ticket};
 use model::{Fixed, Mode, Way, World, play};
 
@@ -14,15 +14,15 @@
     level: f64,
     most: f64,
     best: f64,
-    cut: At,
+    cut: Timestamp,
 }
 
 impl Way for Aimd {
     fn level(&self) -> f64 {
         self.level
     }
-    fn over(&mut self, now: At, _: Option<Ticket>, end: End, took: Span, _: usize) {
-        let secs = took.as_secs().max(1e-3);
+    fn over(&mut self, now: Timestamp, _: Option<Ticket>, end: End, took: Duration, _: usize) {
+        let secs = took.as_secs_f64().max(1e-3);
         if end == End::Good {
             self.best = self.best.min(secs);
         }
@@ -48,11 +48,11 @@
     fn level(&self) -> f64 {
         self.level
     }
-    fn over(&mut self, _: At, _: Option<Ticket>, end: End, took: Span, out: usize) {
+    fn over(&mut self, _: Timestamp, _: Option<Ticket>, end: End, took: Duration, out: usize) {
         if end == End::Bad {
             return;
         }
-        let secs = took.as_secs().max(1e-3);
+        let secs = took.as_secs_f64().max(1e-3);
         self.short += 0.1 * (secs - self.short);
         self.long += 0.003 * (secs - self.long);
         self.long = self.long.min(self.short * 2.0);
@@ -77,11 +77,11 @@
     fn level(&self) -> f64 {
         self.level
     }
-    fn over(&mut self, _: At, _: Option<Ticket>, end: End, took: Span, _: usize) {
+    fn over(&mut self, _: Timestamp, _: Option<Ticket>, end: End, took: Duration, _: usize) {
         if end == End::Bad {
             return;
         }
-        self.sum = (self.sum.0 + took.as_secs().max(1e-3), self.sum.1 + 1);
+        self.sum = (self.sum.0 + took.as_secs_f64().max(1e-3), self.sum.1 + 1);
         if f64::from(self.sum.1) < self.level {
             return;
         }
@@ -102,7 +102,7 @@
 struct Account {
     share: f64,
     credit: f64,
-    counted: At,
+    counted: Timestamp,
     time: f64,
     best: f64,
     out: usize,
@@ -112,8 +112,8 @@
     fn part(&self) -> f64 {
         (0.9 * 1.2 * self.best / self.time).clamp(0.27, 0.9)
     }
-    fn count(&mut self, now: At) {
-        let earned = (self.share * self.part() - self.out as f64) * (now - self.counted).as_secs();
+    fn count(&mut self, now: Timestamp) {
+        let earned = (self.share * self.part() - self.out as f64) * (now - self.counted).as_secs_f64();
         (self.credit, self.counted) = ((self.credit + earned).min(self.share * 0.5), now);
     }
 }
@@ -126,20 +126,20 @@
     fn level(&self) -> f64 {
         self.allowed() as f64
     }
-    fn made(&mut self, now: At) -> Option<Ticket> {
+    fn made(&mut self, now: Timestamp) -> Option<Ticket> {
         self.count(now);
         self.out += 1;
         None
     }
-    fn over(&mut self, now: At, _: Option<Ticket>, end: End, took: Span, _: usize) {
+    fn over(&mut self, now: Timestamp, _: Option<Ticket>, end: End, took: Duration, _: usize) {
         self.count(now);
         self.out -= 1;
         if end != End::Bad {
-            self.time += 0.1 * (took.as_secs().max(1e-3) - self.time);
+            self.time += 0.1 * (took.as_secs_f64().max(1e-3) - self.time);
             self.best = (self.best * 1.0005).min(self.time);
         }
     }
-    fn tick(&mut self, now: At) {
+    fn tick(&mut self, now: Timestamp) {
         self.count(now);
     }
 }
@@ -153,7 +153,7 @@
         ("gradient", Box::new(Gradient { level: most, most, long: 0.025, short: 0.025 })),
         ("vegas", Box::new(Vegas { level: most, most, best: 1.0, sum: (0.0, 0) })),
         ("account", Box::new(account)),
-        ("on trial", Box::new(Limit::new(start, 1, most, Span::millis(200)))),
+        ("on trial", Box::new(Limit::new(start, 1, most, Duration::from_millis(200)))),
     ]
 }
 
--- a/crates/concurrency/src/lib.rs
+++ b/crates/concurrency/src/lib.rs
@@ -21,29 +21,29 @@
 
 use limit::{Cause, End, Limit, Ticket};
 use madderbay::face::Ceiling;
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use share::Want;
 use std::collections::{HashMap, VecDeque};
 
 /// Weight of the newest run in a handler's mean: the last ten or so.
 const RUN_ALPHA: f64 = 0.1;
 /// The cheapest handlers are told anew this often, and another takes the reserve when it is cheaper by this.
-const CHEAPEST_EVERY: Span = Span::millis(1_000);
+const CHEAPEST_EVERY: Duration = Duration::from_millis(1_000);
 const CHEAPER: f64 = 0.8;
 /// What is not in the reserve may use it while its runs are no longer than this many of the reserve's own: so
 /// it is had back within about one run's time.
 const AS_SHORT: f64 = 1.5;
 /// Span over which a pool's runs are averaged: several runs, and shorter than any trouble.
-const USUAL_OVER: Span = Span::millis(300);
+const USUAL_OVER: Duration = Duration::from_millis(300);
 /// Ceilings are made anew this often though nothing has changed: much finer than any judgement.
-const MADE_FOR: Span = Span::millis(20);
+const MADE_FOR: Duration = Duration::from_millis(20);
 /// A turn is never told longer than this: what is that slow may be over by then.
-const TURN_MOST: Span = Span::millis(2_000);
+const TURN_MOST: Duration = Duration::from_millis(2_000);
 /// A refused call counts as wanted for this long: its pool has a share in the calls meanwhile.
-const WANTED_FOR: Span = Span::millis(500);
+const WANTED_FOR: Duration = Duration::from_millis(500);
 /// A run whose req is answered and that stands at a call has its place for so long: its engine ends it at once,
 /// if it ever does.
-const PLACE_FOR: Span = Span::millis(2_000);
+const PLACE_FOR: Duration = Duration::from_millis(2_000);
 /// Changes of a limit kept for the log until they are fetched.
 const TOLD_MOST: usize = 64;
 /// The least ceiling on calls where this server's share of what lies below is under this: quick calls may go
@@ -108,7 +108,7 @@
     /// This server's share of what lies below, in calls in hand; nothing where calls need no limit.
     pub share: Option<f64>,
     /// What is given up on may go on below for that long.
-    pub linger: Span,
+    pub linger: Duration,
     pub cores: usize,
     /// Where what lies below is several, by the handlers that call each: a limit for each, which begins at that
     /// part of the share. The handlers in none have one limit of their own, of the whole share.
@@ -118,7 +118,7 @@
 impl Default for Plan {
     fn default() -> Plan {
         let (pools, groups) = (vec![], vec![]);
-        Plan { pools, reserve: None, adapts: true, share: None, linger: Span::ZERO, cores: 1, groups }
+        Plan { pools, reserve: None, adapts: true, share: None, linger: Duration::ZERO, cores: 1, groups }
     }
 }
 
@@ -135,7 +135,7 @@
 struct Req {
     handler: usize,
     stage: Stage,
-    started: At,
+    started: Timestamp,
     ticket: Option<Ticket>,
     /// It was answered long ago, stands at a call, and the engine does not end it: it takes no place.
     hung: bool,
@@ -152,7 +152,7 @@
     /// Mean time from start to end; nothing before the first.
     run: Option<f64>,
     /// When a call of it was last refused.
-    refused: Option<At>,
+    refused: Option<Timestamp>,
 }
 
 impl Load {
@@ -198,19 +198,19 @@
     loads: Vec<Load>,
     reqs: HashMap<u64, Req>,
     /// Runs whose reqs are answered, with when their places are free at the latest.
-    answered: VecDeque<(At, u64)>,
+    answered: VecDeque<(Timestamp, u64)>,
     /// One for each of what lies below, by the handlers that call it; none where calls need none.
     limits: Vec<Below>,
     /// The runs that each pool had of late, and when that was last followed.
     usual: Vec<f64>,
-    followed: At,
+    followed: Timestamp,
     reserved: Vec<usize>,
-    chosen: At,
-    held_up: Option<At>,
+    chosen: Timestamp,
+    held_up: Option<Timestamp>,
     ceilings: Vec<Ceiling>,
     /// Something has changed since the ceilings were made, and when that was.
     changed: bool,
-    made: At,
+    made: Timestamp,
     told: Vec<Change>,
     untold: u64,
     /// Times that a limit changed.
@@ -218,7 +218,7 @@
 }
 
 impl Pools {
-    pub fn new(now: At, seed: u64, mut plan: Plan, kinds: &[Kind]) -> Pools {
+    pub fn new(now: Timestamp, seed: u64, mut plan: Plan, kinds: &[Kind]) -> Pools {
         let known = |h: &usize| plan.pools.iter().any(|p| p.handlers.contains(h));
         let rest: Vec<usize> = (0..kinds.len()).filter(|h| !known(h)).collect();
         if !rest.is_empty() {
@@ -263,7 +263,7 @@
     }
 
     /// A req stands at another stage than before; one that is new to the pools is taken in.
-    pub fn stage(&mut self, now: At, id: u64, handler: usize, stage: Stage) {
+    pub fn stage(&mut self, now: Timestamp, id: u64, handler: usize, stage: Stage) {
         if handler >= self.loads.len() {
             return;
         }
@@ -308,12 +308,12 @@
     }
 
     /// This process was held up until now: the time of calls that are out tells nothing of what lies below.
-    pub fn held_up(&mut self, now: At) {
+    pub fn held_up(&mut self, now: Timestamp) {
         self.held_up = Some(now);
     }
 
     /// A call of this req ended: it runs on, or stands at the call again.
-    pub fn call_over(&mut self, now: At, id: u64, end: End) {
+    pub fn call_over(&mut self, now: Timestamp, id: u64, end: End) {
         let Some(req) = self.reqs.get_mut(&id).filter(|r| r.stage == Stage::Calling) else { return };
         self.changed = true;
         if let (Some(limit), Some(ticket)) = (limit_of(&mut self.limits, req.handler), req.ticket.take()) {
@@ -328,7 +328,7 @@
     }
 
     /// The run goes on without its call, for want of room below or of time.
-    pub fn skipped(&mut self, now: At, id: u64) {
+    pub fn skipped(&mut self, now: Timestamp, id: u64) {
         let Some(req) = self.reqs.get(&id) else { return };
         let handler = req.handler;
         self.loads[handler].refused = Some(now);
@@ -336,21 +336,21 @@
     }
 
     /// The req is over: its run ended, or it never started and was answered, or its caller left.
-    pub fn over(&mut self, now: At, id: u64) {
+    pub fn over(&mut self, now: Timestamp, id: u64) {
         self.call_over(now, id, End::Dropped);
         let Some(req) = self.reqs.remove(&id) else { return };
         self.changed = true;
         let load = &mut self.loads[req.handler];
         load.count(&req, false);
         if req.stage != Stage::Held {
-            let secs = (now - req.started).as_secs();
+            let secs = (now - req.started).as_secs_f64();
             let mean = load.run.unwrap_or(secs);
             load.run = Some(mean + RUN_ALPHA * (secs - mean));
         }
     }
 
     /// The req is answered, and its run goes on: one that stands at a call is to end at once.
-    pub fn answered(&mut self, now: At, id: u64) {
+    pub fn answered(&mut self, now: Timestamp, id: u64) {
         if self.reqs.contains_key(&id) {
             self.answered.push_back((now + PLACE_FOR, id));
         }
@@ -358,7 +358,7 @@
 
     /// Runs that stand at a call long after their reqs were answered give their places up: what lies below an
     /// engine that does not end them would be shut off for good else.
-    fn free_hung(&mut self, now: At) {
+    fn free_hung(&mut self, now: Timestamp) {
         while let Some((_, id)) = self.answered.pop_front_if(|a| a.0 <= now) {
             let Some(req) = self.reqs.get_mut(&id).filter(|r| r.stage == Stage::AtCall && !r.hung) else {
                 continue;
@@ -416,13 +416,13 @@
     }
 
     /// Whether the ceilings handed out last may have changed.
-    pub fn stale(&self, now: At) -> bool {
+    pub fn stale(&self, now: Timestamp) -> bool {
         self.changed || now >= self.made + MADE_FOR || now < self.made
     }
 
     /// The ceilings as of now, where the module allows `workers` runs: that on everything first, then one a
     /// pool, last what does not belong to the reserve.
-    pub fn ceilings(&mut self, now: At, workers: f64) -> &[Ceiling] {
+    pub fn ceilings(&mut self, now: Timestamp, workers: f64) -> &[Ceiling] {
         self.free_hung(now);
         (self.changed, self.made) = (false, now);
         self.follow(now);
@@ -435,21 +435,21 @@
         let calls = self.call_places(now, &each);
         let runs = self.run_places(workers, &calls);
         let all: Vec<usize> = (0..self.kinds.len()).collect();
-        let mut found = vec![Ceiling { handlers: all, runs: usize::MAX, calls: below, turn: Span::ZERO }];
+        let mut found = vec![Ceiling { handlers: all, runs: usize::MAX, calls: below, turn: Duration::ZERO }];
         for (at, ((pool, runs), calls)) in self.plan.pools.iter().zip(runs).zip(calls).enumerate() {
             let turn = self.turn(at, workers);
             found.push(Ceiling { handlers: pool.handlers.clone(), runs, calls, turn });
         }
         found.extend(self.outside(workers, below));
         if each.len() > 1 {
-            let of = |(handlers, calls)| Ceiling { handlers, runs: usize::MAX, calls, turn: Span::ZERO };
+            let of = |(handlers, calls)| Ceiling { handlers, runs: usize::MAX, calls, turn: Duration::ZERO };
             found.extend(each.into_iter().map(of));
         }
         self.ceilings = found;
         &self.ceilings
     }
 
-    fn judge(&mut self, now: At) {
+    fn judge(&mut self, now: Timestamp) {
         for Below { limit, .. } in &mut self.limits {
             if !self.plan.adapts {
                 limit.pass(now);
@@ -466,7 +466,7 @@
     }
 
     /// Where the reserve names no handler it goes to the one whose runs are shortest.
-    fn choose(&mut self, now: At) {
+    fn choose(&mut self, now: Timestamp) {
         let named = self.plan.reserve.as_ref().is_none_or(|r| !r.handlers.is_empty());
         if named || (now < self.chosen + CHEAPEST_EVERY && !self.reserved.is_empty()) {
             return;
@@ -486,7 +486,7 @@
 
     /// The calls that each pool may have. Runs that must call will want one; of those that may skip it, a
     /// pool whose calls were refused just now wants more than it has.
-    fn call_places(&self, now: At, below: &[(Vec<usize>, usize)]) -> Vec<usize> {
+    fn call_places(&self, now: Timestamp, below: &[(Vec<usize>, usize)]) -> Vec<usize> {
         if below.is_empty() {
             return self.call_wants(now, |_| true).iter().map(|w| w.most).collect();
         }
@@ -501,7 +501,7 @@
     }
 
     /// What each pool wants of the calls of some handlers.
-    fn call_wants(&self, now: At, of: impl Fn(&usize) -> bool) -> Vec<Want> {
+    fn call_wants(&self, now: Timestamp, of: impl Fn(&usize) -> bool) -> Vec<Want> {
         self.plan
             .pools
             .iter()
@@ -551,21 +551,21 @@
 
     /// The time between two starts of a pool whose reqs are held though workers are free: its places, as many
     /// as it had of late, each held for the mean time of a run.
-    fn turn(&self, at: usize, workers: usize) -> Span {
+    fn turn(&self, at: usize, workers: usize) -> Duration {
         let handlers = &self.plan.pools[at].handlers;
         let all: usize = self.loads.iter().map(Load::runs).sum();
         let runs = self.sum(handlers, Load::runs);
         if self.sum(handlers, |l| l.held) == 0 || all + 1 > workers || runs == 0 {
-            return Span::ZERO;
+            return Duration::ZERO;
         }
         let stay = handlers.iter().map(|h| self.loads[*h].run.unwrap_or(0.0) * self.loads[*h].runs() as f64);
         let mean = stay.sum::<f64>() / runs as f64;
-        Span::secs(mean / self.usual[at].max(1.0)).min(TURN_MOST)
+        Duration::from_secs_f64(mean / self.usual[at].max(1.0)).min(TURN_MOST)
     }
 
     /// Follows the runs that each pool has.
-    fn follow(&mut self, now: At) {
-        let keeps = (-((now - self.followed).as_secs() / USUAL_OVER.as_secs())).exp();
+    fn follow(&mut self, now: Timestamp) {
+        let keeps = (-((now - self.followed).as_secs_f64() / USUAL_OVER.as_secs_f64())).exp();
         self.followed = now;
         for (pool, usual) in self.plan.pools.iter().zip(&mut self.usual) {
             let runs: usize = pool.handlers.iter().map(|h| self.loads[*h].runs()).sum();
@@ -587,7 +587,7 @@
         let handlers: Vec<usize> = (0..self.kinds.len()).filter(|h| !own(h) && !short(h)).collect();
         let callers = self.reserved.iter().any(|h| self.kinds[*h].calls != Calls::Never);
         let calls = if below == usize::MAX || !callers { below } else { below - kept(below) };
-        Some(Ceiling { handlers, runs: workers - kept(workers), calls, turn: Span::ZERO })
+        Some(Ceiling { handlers, runs: workers - kept(workers), calls, turn: Duration::ZERO })
     }
 }
 
--- a/crates/concurrency/src/limit.rs
+++ b/crates/concurrency/src/limit.rs
@@ -5,13 +5,13 @@
 //! Latency alone can't tell them apart, so the limit is cut on trial: if calls then come back quicker, they
 //! had been waiting; if not, the slower time is what a call takes now, and the cut is taken back.
 
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use std::collections::VecDeque;
 
 /// Shortest and longest span that one judgement rests on, and the calls that it wants to have seen, as a
 /// part of the limit.
-const EPOCH_LEAST: Span = Span::millis(100);
-const EPOCH_MOST: Span = Span::millis(1_000);
+const EPOCH_LEAST: Duration = Duration::from_millis(100);
+const EPOCH_MOST: Duration = Duration::from_millis(1_000);
 const SEEN_LEAST: f64 = 4.0;
 const SEEN_MOST: f64 = 16.0;
 const SEEN_PART: f64 = 0.6;
@@ -39,15 +39,15 @@
 const ASKS_MOST: u32 = 32;
 const SHIFT: f64 = 2.0;
 /// A trial that few asks make comes this soon after a shift or not at all: what was borne since is borne.
-const SOON: Span = Span::millis(1_200);
+const SOON: Duration = Duration::from_millis(1_200);
 /// Time without another trial once one has shown that nothing waited; doubled each time, up to the most.
-const CALM: Span = Span::millis(2_000);
-const CALM_MOST: Span = Span::millis(32_000);
+const CALM: Duration = Duration::from_millis(2_000);
+const CALM_MOST: Duration = Duration::from_millis(32_000);
 /// Calls made with few in hand, all of the last so many over so many bases, prove that those below have
 /// become slower; and how long one counts.
 const SLOWER: f64 = 1.5;
 const SPARSE_SEEN: usize = 4;
-const SPARSE_FOR: Span = Span::millis(2_000);
+const SPARSE_FOR: Duration = Duration::from_millis(2_000);
 /// What an epoch leaves of the most that was in hand: halved in about fourteen.
 const USUAL_KEEPS: f64 = 0.95;
 /// A limit that binds nothing stays within so many times what was in hand of late, and no lower than this: a
@@ -72,11 +72,11 @@
 const FAILING: f64 = 0.5;
 /// Rest after epochs in which nothing went well, before one call is tried; doubled each time. The most, with
 /// its spread, stays under the two seconds in which a recovery is to be found.
-const REST: Span = Span::millis(50);
-const REST_MOST: Span = Span::millis(1_000);
+const REST: Duration = Duration::from_millis(50);
+const REST_MOST: Duration = Duration::from_millis(1_000);
 const REST_SPREAD: f64 = 0.5;
 /// All calls in hand hang for that long: one more is let go, up to so many.
-const HUNG: Span = Span::millis(1_000);
+const HUNG: Duration = Duration::from_millis(1_000);
 const HUNG_MORE: usize = 2;
 
 /// How a call came to its end, as far as it tells of what lies below.
@@ -124,12 +124,12 @@
 /// One call in hand: when it was made, and how many were in hand then.
 #[derive(Clone, Copy, Debug)]
 pub struct Ticket {
-    at: At,
+    at: Timestamp,
     among: usize,
 }
 
 impl Ticket {
-    pub fn at(&self) -> At {
+    pub fn at(&self) -> Timestamp {
         self.at
     }
 }
@@ -137,7 +137,7 @@
 /// What was seen since the last judgement, of calls made since.
 #[derive(Default)]
 struct Epoch {
-    since: At,
+    since: Timestamp,
     good: u32,
     secs: f64,
     squares: f64,
@@ -149,7 +149,7 @@
 }
 
 impl Epoch {
-    fn from(since: At) -> Epoch {
+    fn from(since: Timestamp) -> Epoch {
         Epoch { since, ..Epoch::default() }
     }
 
@@ -178,8 +178,8 @@
 /// Nothing goes well: until when no call is made, and how long the next rest is.
 enum Health {
     Well,
-    Resting { until: At, next: Span },
-    Trying { next: Span },
+    Resting { until: Timestamp, next: Duration },
+    Trying { next: Duration },
 }
 
 pub struct Limit {
@@ -188,7 +188,7 @@
     /// The time of a call that waits for no other, in seconds; nothing before the first was seen.
     base: Option<f64>,
     /// The last calls made with few in hand: when they came back, and after how many seconds.
-    few: VecDeque<(At, f64)>,
+    few: VecDeque<(Timestamp, f64)>,
     epoch: Epoch,
     /// The most in hand of late, fading.
     usual: f64,
@@ -196,19 +196,19 @@
     asks: u32,
     /// How many are asked for now, and the time of calls when that was set.
     asked: (u32, f64),
-    shifted: At,
+    shifted: Timestamp,
     few_asks: u32,
-    calm: (At, Span),
+    calm: (Timestamp, Duration),
     /// The limit that was last borne.
     borne: f64,
     health: Health,
     fails: u32,
     silent: u32,
     out: usize,
-    lingering: VecDeque<At>,
-    linger: Span,
+    lingering: VecDeque<Timestamp>,
+    linger: Duration,
     /// When a call was last made or came back, and how many more are let go meanwhile.
-    moved: At,
+    moved: Timestamp,
     more: usize,
     chance: oorandom::Rand64,
 }
@@ -216,7 +216,7 @@
 impl Limit {
     /// `most`: never more than that in hand; it begins there. `linger`: what is given up on may go on below
     /// for that long.
-    pub fn new(now: At, seed: u64, most: f64, linger: Span) -> Limit {
+    pub fn new(now: Timestamp, seed: u64, most: f64, linger: Duration) -> Limit {
         let most = most.max(1.0);
         Limit {
             most,
@@ -279,7 +279,7 @@
     }
 
     /// A call is made.
-    pub fn made(&mut self, now: At) -> Ticket {
+    pub fn made(&mut self, now: Timestamp) -> Ticket {
         self.out += 1;
         self.moved = now;
         self.usual = self.usual.max(self.out as f64);
@@ -292,10 +292,10 @@
     }
 
     /// A call ended. `held_up`: it met a pause of this process, so that its time says nothing.
-    pub fn over(&mut self, now: At, ticket: Ticket, end: End, held_up: bool) {
+    pub fn over(&mut self, now: Timestamp, ticket: Ticket, end: End, held_up: bool) {
         self.out = self.out.saturating_sub(1);
         self.moved = now;
-        if matches!(end, End::GivenUp | End::Dropped) && self.linger > Span::ZERO {
+        if matches!(end, End::GivenUp | End::Dropped) && self.linger > Duration::ZERO {
             self.lingering.push_back(now + self.linger);
         }
         if end == End::Good {
@@ -304,7 +304,7 @@
                 self.health = Health::Well;
             }
         }
-        let secs = (now - ticket.at).as_secs().max(1e-6);
+        let secs = (now - ticket.at).as_secs_f64().max(1e-6);
         if end == End::Good && !held_up {
             self.sparse(now, ticket, secs);
         }
@@ -325,7 +325,7 @@
     }
 
     /// Few in hand that take long tell that the cause is not their number.
-    fn sparse(&mut self, now: At, ticket: Ticket, secs: f64) {
+    fn sparse(&mut self, now: Timestamp, ticket: Ticket, secs: f64) {
         if ticket.among as f64 > (self.now.min(self.usual) * 0.5).max(1.0) {
             return;
         }
@@ -341,14 +341,14 @@
     }
 
     /// Time passes, and nothing is judged: the limit stays at its most.
-    pub fn pass(&mut self, now: At) {
+    pub fn pass(&mut self, now: Timestamp) {
         while self.lingering.front().is_some_and(|t| *t <= now) {
             self.lingering.pop_front();
         }
     }
 
     /// Time passes: judges what was seen, once that is enough. Tells from where the limit changed, and why.
-    pub fn tick(&mut self, now: At) -> Option<(f64, Cause)> {
+    pub fn tick(&mut self, now: Timestamp) -> Option<(f64, Cause)> {
         self.pass(now);
         if now < self.epoch.since {
             // The clock stepped back: what was seen is judged by the new time.
@@ -356,7 +356,7 @@
             (self.moved, self.calm.0, self.shifted) = (now, now, now);
         }
         if let Health::Resting { until, next } = self.health
-            && now >= until.min(now + REST_MOST.times(1.0 + REST_SPREAD))
+            && now >= until.min(now + REST_MOST.mul_f64(1.0 + REST_SPREAD))
         {
             self.health = Health::Trying { next };
             self.epoch = Epoch::from(now);
@@ -387,7 +387,7 @@
         (self.now != before || kept).then_some((before, cause))
     }
 
-    fn judge(&mut self, now: At, e: &Epoch) -> Option<Cause> {
+    fn judge(&mut self, now: Timestamp, e: &Epoch) -> Option<Cause> {
         if f64::from(e.bad) > FAILING * f64::from(e.ends()) {
             return Some(self.failing(now, e));
         }
@@ -449,7 +449,9 @@
     }
 
     /// What a cut on trial has shown.
-    fn tried(&mut self, now: At, trial: &Trial, (secs, error): (f64, f64), among: f64) -> Option<Cause> {
+    fn tried(
+        &mut self, now: Timestamp, trial: &Trial, (secs, error): (f64, f64), among: f64,
+    ) -> Option<Cause> {
         let if_queued = trial.secs * (among / trial.among).min(1.0);
         let fallen = trial.secs - secs - (error * error + trial.error * trial.error).sqrt();
         if fallen >= TRIAL_PROOF * (trial.secs - if_queued) && among < trial.among {
@@ -465,7 +467,7 @@
         Some(Cause::Slower)
     }
 
-    fn failing(&mut self, now: At, e: &Epoch) -> Cause {
+    fn failing(&mut self, now: Timestamp, e: &Epoch) -> Cause {
         self.trial = None;
         self.fails += 1;
         self.now = (self.now * FAIL_KEEPS).max(1.0);
@@ -477,7 +479,7 @@
         if let Some(rest) = next {
             // Spread, so that servers which saw the same failure do not come back together.
             let spread = 1.0 - REST_SPREAD * 0.5 + REST_SPREAD * self.chance.rand_float();
-            let until = now + rest.times(spread);
+            let until = now + rest.mul_f64(spread);
             self.health = Health::Resting { until, next: (rest + rest).min(REST_MOST) };
             return Cause::Resting;
         }
--- a/crates/concurrency/tests/limit.rs
+++ b/crates/concurrency/tests/limit.rs
@@ -2,7 +2,7 @@
 
 mod model;
 
-use madderbay::time::Span;
+use madderbay::time::Duration;
 use madderbay_concurrency::limit::{End, Limit};
 use model::{Fixed, Mode, Seen, Way, World, at, play};
 use proptest::prelude::*;
@@ -12,7 +12,7 @@
 const OVER: u64 = 13_000;
 
 fn limit(most: f64) -> Limit {
-    Limit::new(at(0), 7, most, Span::millis(200))
+    Limit::new(at(0), 7, most, Duration::from_millis(200))
 }
 
 fn with(mode: Mode) -> World {
--- a/crates/concurrency/tests/model/mod.rs
+++ b/crates/concurrency/tests/model/mod.rs
@@ -1,7 +1,7 @@
 //! What lies below, in simulated time, and those who call it: calls wait for a slot in the order in which
 //! they came; a seed gives all chance. For the tests of the limit and for `examples/ways.rs`.
 
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use madderbay_concurrency::limit::{End, Limit, Ticket};
 use std::collections::VecDeque;
 
@@ -64,12 +64,12 @@
     fn allowed(&self) -> usize {
         self.level() as usize
     }
-    fn made(&mut self, _now: At) -> Option<Ticket> {
+    fn made(&mut self, _now: Timestamp) -> Option<Ticket> {
         None
     }
     fn wanted(&mut self) {}
-    fn over(&mut self, _now: At, _ticket: Option<Ticket>, _end: End, _took: Span, _out: usize) {}
-    fn tick(&mut self, _now: At) {}
+    fn over(&mut self, _now: Timestamp, _ticket: Option<Ticket>, _end: End, _took: Duration, _out: usize) {}
+    fn tick(&mut self, _now: Timestamp) {}
 }
 
 /// The same at all times.
@@ -88,16 +88,16 @@
     fn level(&self) -> f64 {
         Limit::level(self)
     }
-    fn made(&mut self, now: At) -> Option<Ticket> {
+    fn made(&mut self, now: Timestamp) -> Option<Ticket> {
         Some(Limit::made(self, now))
     }
     fn wanted(&mut self) {
         Limit::wanted(self);
     }
-    fn over(&mut self, now: At, ticket: Option<Ticket>, end: End, _took: Span, _out: usize) {
+    fn over(&mut self, now: Timestamp, ticket: Option<Ticket>, end: End, _took: Duration, _out: usize) {
         Limit::over(self, now, ticket.expect("made here"), end, false);
     }
-    fn tick(&mut self, now: At) {
+    fn tick(&mut self, now: Timestamp) {
         Limit::tick(self, now);
     }
 }
@@ -141,8 +141,8 @@
     fails: bool,
 }
 
-pub fn at(ms: u64) -> At {
-    At::micros(1_000_000_000 + ms * 1_000)
+pub fn at(ms: u64) -> Timestamp {
+    Timestamp::from_micros(1_000_000_000 + ms * 1_000)
 }
 
 pub fn play(world: &World, way: &mut dyn Way) -> Seen {
@@ -195,7 +195,7 @@
             }
             done += u32::from(end == End::Good);
             failed += u32::from(end != End::Good);
-            way.over(at(ms), ticket, end, Span::millis(took), out + 1);
+            way.over(at(ms), ticket, end, Duration::from_millis(took), out + 1);
         }
         // Those who call.
         if chance.rand_float() < world.per_second * STEP_MS as f64 / 1e3 {
--- a/crates/concurrency/tests/pools.rs
+++ b/crates/concurrency/tests/pools.rs
@@ -1,14 +1,14 @@
 //! Pools: who gets what, who borrows and gives back, and what the reserve keeps.
 
 use madderbay::face::Ceiling;
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use madderbay_concurrency::limit::End;
 use madderbay_concurrency::share::{Want, ceilings, divide};
 use madderbay_concurrency::{Calls, Kind, Plan, Pool, Pools, Reserve, Stage};
 use proptest::prelude::*;
 
-fn at(ms: u64) -> At {
-    At::micros(50_000_000 + ms * 1_000)
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_micros(50_000_000 + ms * 1_000)
 }
 
 /// `search` may skip its call, `quote` makes none, `book` must.
@@ -319,10 +319,10 @@
         p.ceilings(at(ms), 12.0);
     }
     let turn = of(&mut p, 3_000, 12.0, 2).turn;
-    assert!(turn > Span::millis(95) && turn < Span::millis(105), "{turn:?}");
-    assert_eq!(of(&mut p, 3_000, 12.0, 1).turn, Span::ZERO);
+    assert!(turn > Duration::from_millis(95) && turn < Duration::from_millis(105), "{turn:?}");
+    assert_eq!(of(&mut p, 3_000, 12.0, 1).turn, Duration::ZERO);
     // All workers busy: it is the cores that hold it up.
-    assert_eq!(of(&mut p, 3_000, 8.0, 2).turn, Span::ZERO);
+    assert_eq!(of(&mut p, 3_000, 8.0, 2).turn, Duration::ZERO);
 }
 
 #[derive(Clone, Debug)]
--- a/crates/idempotency-store/src/lib.rs
+++ b/crates/idempotency-store/src/lib.rs
@@ -12,7 +12,7 @@
 
 use crate::log::{Lasting, Recovery, State};
 use crate::record::{Key, Name, Record};
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
 /// Numbers what was handed out to be written, in order.
@@ -24,7 +24,7 @@
 /// Bytes of a promise, which needs room for its end as well.
 const PROMISE: u64 = (record::INTENT + record::BARE) as u64;
 /// Entries of a former life last this much past their window, for tries that are read late.
-const READ_LATE: Span = Span::millis(10_000);
+const READ_LATE: Duration = Duration::from_millis(10_000);
 
 /// What a try of a keyed req is to hear.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -49,7 +49,7 @@
 
 struct Former {
     print: u64,
-    until: At,
+    until: Timestamp,
     name: Name,
     state: State,
 }
@@ -58,7 +58,7 @@
 pub struct Kept {
     former: HashMap<Key, Former>,
     names: HashMap<Name, Key>,
-    lapses: BTreeSet<(At, Key)>,
+    lapses: BTreeSet<(Timestamp, Key)>,
     /// Results that came from the engine after the restart, which last once so much is written.
     back: VecDeque<(Seq, Key, Box<[u8]>)>,
     out: Vec<Lasting>,
@@ -110,7 +110,7 @@
         let mut found: Vec<_> = recovery.found.into_iter().collect();
         found.sort_by_key(|(key, f)| (std::cmp::Reverse(f.until), *key));
         for (key, f) in found {
-            let until = At::micros(f.until) + READ_LATE;
+            let until = Timestamp::from_micros(f.until) + READ_LATE;
             let state = match f.state {
                 State::Done(result) if self.memory + result.len() <= self.memory_most => {
                     self.memory += result.len();
@@ -161,7 +161,7 @@
         Err(refusal)
     }
 
-    fn hand(&mut self, record: Record, until: At) -> Seq {
+    fn hand(&mut self, record: Record, until: Timestamp) -> Seq {
         self.coming += record.size() as u64;
         self.out.push((record, until_micros(until)));
         self.handed += 1;
@@ -169,13 +169,13 @@
     }
 
     /// Its run is to be sent once this is written.
-    pub fn promise(&mut self, key: Key, print: u64, name: Name, until: At) -> Seq {
+    pub fn promise(&mut self, key: Key, print: u64, name: Name, until: Timestamp) -> Seq {
         self.promised += 1;
         self.hand(Record::Intent { key, print, until: until_micros(until), name }, until)
     }
 
     /// Its run is over; its answer may leave once this is written.
-    pub fn settle(&mut self, key: Key, result: Option<&[u8]>, until: At) -> Seq {
+    pub fn settle(&mut self, key: Key, result: Option<&[u8]>, until: Timestamp) -> Seq {
         let room = (self.disk_most as f64 * RESULTS_PART) as u64;
         let kept = result.filter(|r| self.disk + self.coming + r.len() as u64 <= room);
         let record = match kept {
@@ -186,7 +186,7 @@
     }
 
     /// What was promised was never sent, or the engine knows none of it: a further try is a new one.
-    pub fn never(&mut self, key: Key, until: At) -> Seq {
+    pub fn never(&mut self, key: Key, until: Timestamp) -> Seq {
         self.hand(Record::Never { key }, until)
     }
 
@@ -242,7 +242,7 @@
     }
 
     /// Takes off what is past its window.
-    pub fn lapse(&mut self, now: At) {
+    pub fn lapse(&mut self, now: Timestamp) {
         while let Some(&(at, key)) = self.lapses.first().filter(|l| l.0 <= now) {
             self.lapses.remove(&(at, key));
             if let Some(former) = self.former.remove(&key) {
@@ -256,6 +256,6 @@
 }
 
 /// A time as it is stored.
-fn until_micros(at: At) -> u64 {
-    (at - At::micros(0)).as_micros()
+fn until_micros(at: Timestamp) -> u64 {
+    (at - Timestamp::from_micros(0)).as_micros()
 }
--- a/crates/membership/src/awake.rs
+++ b/crates/membership/src/awake.rs
@@ -2,49 +2,49 @@
 //! nothing fall due that the server had no chance to hear against; and how far it was held up of late, which
 //! it tells others.
 
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 
 /// A timer this late was not late by chance: the process was paused or starved.
-const HELD_UP: Span = Span::millis(100);
+const HELD_UP: Duration = Duration::from_millis(100);
 /// After being held up it accuses nobody for so long: what waits in its socket is heard first.
-const RECOVERS: Span = Span::millis(1_000);
+const RECOVERS: Duration = Duration::from_millis(1_000);
 /// Each of the steps told to others stands for so much lost, and fades in as much time.
-const STEP: Span = Span::millis(500);
+const STEP: Duration = Duration::from_millis(500);
 const STEPS: u64 = 8;
 
 #[derive(Clone, Debug, Default)]
 pub struct Awake {
     /// All time lost so far.
-    lost: Span,
-    latest: At,
+    lost: Duration,
+    latest: Timestamp,
     /// Until when it is taken for held up.
-    until: At,
+    until: Timestamp,
     pub pauses: u64,
 }
 
 impl Awake {
     /// Tells the time; `due` is when the process had meant to be woken. What it was late by, if that was too
     /// much to be chance.
-    pub fn wake(&mut self, now: At, due: Option<At>) -> Option<Span> {
+    pub fn wake(&mut self, now: Timestamp, due: Option<Timestamp>) -> Option<Duration> {
         self.latest = self.latest.max(now);
-        let late = due.map_or(Span::ZERO, |due| self.latest - due);
+        let late = due.map_or(Duration::ZERO, |due| self.latest - due);
         if late <= HELD_UP {
             return None;
         }
         self.lost = self.lost + late;
-        let fades = late.less(RECOVERS).min(Span::micros(STEP.as_micros() * STEPS));
+        let fades = late.saturating_sub(RECOVERS).min(Duration::from_micros(STEP.as_micros() * STEPS));
         self.until = self.until.max(self.latest + RECOVERS + fades);
         self.pauses += 1;
         Some(late)
     }
 
     /// The point on its own clock.
-    pub fn now(&self) -> At {
-        self.latest.before(self.lost)
+    pub fn now(&self) -> Timestamp {
+        self.latest.saturating_sub(self.lost)
     }
 
     /// The point on the machine's clock at which its own reaches this one, unless it is held up again.
-    pub fn outside(&self, own: At) -> At {
+    pub fn outside(&self, own: Timestamp) -> Timestamp {
         own + self.lost
     }
 
--- a/crates/membership/src/heard.rs
+++ b/crates/membership/src/heard.rs
@@ -1,11 +1,11 @@
 //! How much of the fleet is heard: whole, part or alone, with its evidence and since when. Later parts lean on
 //! it; a rule never does.
 
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use std::fmt;
 
 /// A server that had no word of any other for so long is alone: four rounds in which all others were due.
-const SILENCE: Span = Span::millis(2_000);
+const SILENCE: Duration = Duration::from_millis(2_000);
 /// Of those expected so many may be missing, and one in any case: single servers fail, a part is cut off.
 const MISSING_PART: f64 = 0.1;
 
@@ -34,7 +34,7 @@
     /// Others held down that have not said that they leave, as far as they are remembered.
     pub missing: usize,
     /// When any other was heard last.
-    pub last: Option<At>,
+    pub last: Option<Timestamp>,
     /// Whether any other is to be expected: one was met, or others stand in the operator file.
     pub others: bool,
     /// Its name is another's.
@@ -44,17 +44,17 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Judgement {
     pub hears: Hears,
-    pub since: At,
+    pub since: Timestamp,
     pub evidence: Evidence,
 }
 
 impl Judgement {
-    pub fn new(now: At) -> Judgement {
+    pub fn new(now: Timestamp) -> Judgement {
         Judgement { hears: Hears::Alone, since: now, evidence: Evidence::default() }
     }
 
     /// Judges anew; true where that changed it.
-    pub fn judge(&mut self, now: At, evidence: Evidence) -> bool {
+    pub fn judge(&mut self, now: Timestamp, evidence: Evidence) -> bool {
         self.evidence = evidence;
         let silent = evidence.last.is_none_or(|last| now - last > SILENCE);
         let expected = evidence.active + evidence.missing;
@@ -74,8 +74,11 @@
     }
 
     /// When silence alone would change it.
-    pub fn due(&self) -> Option<At> {
-        self.evidence.last.filter(|_| self.hears != Hears::Alone).map(|last| last + SILENCE + Span::millis(1))
+    pub fn due(&self) -> Option<Timestamp> {
+        self.evidence
+            .last
+            .filter(|_| self.hears != Hears::Alone)
+            .map(|last| last + SILENCE + Duration::from_millis(1))
     }
 }
 
--- a/crates/membership/src/heard/tests.rs
+++ b/crates/membership/src/heard/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
-fn at(ms: u64) -> At {
-    At::micros(ms * 1_000)
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_micros(ms * 1_000)
 }
 
 #[test]
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -17,17 +17,17 @@
 };
 use compact_str::CompactString;
 use foca::{Member, Message, OwnedNotification, PostcardCodec, State as Told, Timer};
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 /// Notices a tenth of a second at the most: after a long cut each server holds half of the fleet down, and
 /// tells them a few at a time.
 const NOTICES: u32 = 10;
-const NOTICES_IN: Span = Span::millis(100);
+const NOTICES_IN: Duration = Duration::from_millis(100);
 /// A server that has met others takes itself for joined after this long, whatever it did not hear yet; one
 /// with nobody to meet at once.
-const JOINS: Span = Span::millis(3_000);
+const JOINS: Duration = Duration::from_millis(3_000);
 /// News of more members than this is not passed on: who else lacks it asks for the roster as well.
 const PASSED_ON: usize = 16;
 /// Changes kept for the log; what is more is counted.
@@ -43,10 +43,11 @@
 /// One that is held down here and is in elsewhere is told so that many times more, so far apart, until it is heard:
 /// a word of this and its answer are both to arrive. So many are under way at a time; after a long cut all others
 /// are told once, and again by the next roster.
-const CALLS_AGAIN: [Span; 3] = [Span::millis(120), Span::millis(300), Span::millis(600)];
+const CALLS_AGAIN: [Duration; 3] =
+    [Duration::from_millis(120), Duration::from_millis(300), Duration::from_millis(600)];
 const AGAIN_MOST: usize = 64;
 /// Those who went down this lately are told of in a roster; who holds them in suspects them then.
-const LATELY: Span = Span::millis(20_000);
+const LATELY: Duration = Duration::from_millis(20_000);
 /// News passed on at a time: beyond, what comes is taken in and not passed on, and rosters carry it.
 const RUMOURS: usize = 200;
 /// Words of other parts kept until they are fetched: a turn's datagrams.
@@ -72,11 +73,11 @@
     pub most: usize,
     /// Between two tries of members, until others are asked to try one, and until one that is suspected and
     /// does not refute it is down.
-    pub probe: Span,
-    pub answer: Span,
-    pub suspicion: Span,
+    pub probe: Duration,
+    pub answer: Duration,
+    pub suspicion: Duration,
     /// How long the dead are remembered.
-    pub memory: Span,
+    pub memory: Duration,
     /// Whether its own lateness counts; without, as plain SWIM, it is there to be compared with.
     pub minds_itself: bool,
 }
@@ -102,7 +103,7 @@
 struct Tried {
     target: Id,
     number: u8,
-    next: At,
+    next: Timestamp,
     left: usize,
 }
 
@@ -112,10 +113,10 @@
     awake: Awake,
     chance: Chance,
     swim: Swim,
-    timers: BTreeMap<(At, u64), Timer<Id>>,
+    timers: BTreeMap<(Timestamp, u64), Timer<Id>>,
     numbered: u64,
     /// Suspected servers that are to be asked themselves.
-    last_calls: BTreeMap<(At, u64), CompactString>,
+    last_calls: BTreeMap<(Timestamp, u64), CompactString>,
     /// Its own, as foca counts it.
     incarnation: u16,
     /// The probe that is being tried again, or was last.
@@ -127,16 +128,16 @@
     missing: usize,
     marks: Marks,
     /// When the own view changed last.
-    changed: At,
-    last_heard: Option<At>,
+    changed: Timestamp,
+    last_heard: Option<Timestamp>,
     judgement: Judgement,
     mend: Mend,
     roster: Roster,
     /// When others were first met.
-    met: Option<At>,
+    met: Option<Timestamp>,
     /// Who has this server's name, if another has.
     aside: Option<SocketAddr>,
-    notices: (At, u32),
+    notices: (Timestamp, u32),
     told_to: u8,
     out: Vec<(SocketAddr, Vec<u8>)>,
     beside: Vec<(CompactString, Part, Vec<u8>)>,
@@ -146,7 +147,7 @@
 
 impl Members {
     /// `now` is the own monotonic clock's; `unix_ms` only tells this life from others.
-    pub fn new(now: At, unix_ms: u64, seed: u64, set: Settings) -> Members {
+    pub fn new(now: Timestamp, unix_ms: u64, seed: u64, set: Settings) -> Members {
         let id = Id {
             name: set.name.clone(),
             address: set.advertise,
@@ -253,9 +254,9 @@
     /// All that it holds, by name.
     pub fn view(&self) -> View {
         let now = self.awake.now();
-        let ms = |at: At| (now - at).as_micros() / 1_000;
+        let ms = |at: Timestamp| (now - at).as_micros() / 1_000;
         let own = self.own();
-        let of = |id: &Id, state, heard: Option<At>, held_up| MemberView {
+        let of = |id: &Id, state, heard: Option<Timestamp>, held_up| MemberView {
             name: id.name.clone(),
             state,
             zone: id.zone.clone(),
@@ -309,7 +310,7 @@
     // --- time
 
     /// When it has to be told the time next.
-    pub fn due(&self) -> At {
+    pub fn due(&self) -> Timestamp {
         let tries = self.tried.as_ref().filter(|t| t.left > 0).map(|t| t.next);
         let own = [Some(self.mend.due()), self.judgement.due(), self.joins_at(), tries];
         let first = [self.timers.keys().next(), self.last_calls.keys().next()].into_iter().flatten();
@@ -317,11 +318,11 @@
         self.awake.outside(due)
     }
 
-    fn joins_at(&self) -> Option<At> {
+    fn joins_at(&self) -> Option<Timestamp> {
         self.met.filter(|_| self.own().phase == Phase::Joining).map(|at| at + JOINS)
     }
 
-    fn begin(&mut self, now: At) -> At {
+    fn begin(&mut self, now: Timestamp) -> Timestamp {
         let due = Some(self.due()).filter(|_| self.set.minds_itself);
         if let Some(late) = self.awake.wake(now, due) {
             self.change(Change::HeldUp(late));
@@ -330,7 +331,7 @@
     }
 
     /// The time has come for what was due.
-    pub fn turn(&mut self, now: At) {
+    pub fn turn(&mut self, now: Timestamp) {
         let now = self.begin(now);
         let mut later = vec![];
         while let Some(entry) = self.timers.first_entry().filter(|e| e.key().0 <= now) {
@@ -369,7 +370,7 @@
         self.send_notice(row.id.address, held);
     }
 
-    fn calls_again(&mut self, now: At, name: CompactString) {
+    fn calls_again(&mut self, now: Timestamp, name: CompactString) {
         if self.last_calls.len() + CALLS_AGAIN.len() > AGAIN_MOST {
             return;
         }
@@ -379,12 +380,12 @@
         }
     }
 
-    fn set_timer(&mut self, at: At, timer: Timer<Id>) {
+    fn set_timer(&mut self, at: Timestamp, timer: Timer<Id>) {
         self.numbered += 1;
         self.timers.insert((at, self.numbered), timer);
     }
 
-    fn rings(&mut self, now: At, timer: Timer<Id>) {
+    fn rings(&mut self, now: Timestamp, timer: Timer<Id>) {
         let again = timer.clone();
         self.with_swim(now, |swim, wants| swim.handle_timer(timer, wants));
         match again {
@@ -411,7 +412,7 @@
     }
 
     /// Speaks to somebody who is not in.
-    fn contact(&mut self, now: At) {
+    fn contact(&mut self, now: Timestamp) {
         if now < self.mend.due() || self.own().phase == Phase::Left {
             return;
         }
@@ -429,11 +430,11 @@
         }
     }
 
-    fn announce(&mut self, now: At, to: SocketAddr) {
+    fn announce(&mut self, now: Timestamp, to: SocketAddr) {
         self.with_swim(now, |swim, wants| swim.announce(Id::whoever(to), wants));
     }
 
-    fn step_phase(&mut self, now: At) {
+    fn step_phase(&mut self, now: Timestamp) {
         if self.own().phase != Phase::Joining || self.aside.is_some() {
             return;
         }
@@ -444,7 +445,7 @@
         }
     }
 
-    fn judge(&mut self, now: At) {
+    fn judge(&mut self, now: Timestamp) {
         let evidence = Evidence {
             active: self.active,
             missing: self.missing,
@@ -460,7 +461,7 @@
     // --- the own life
 
     /// Takes no new work from here on.
-    pub fn drain(&mut self, now: At) {
+    pub fn drain(&mut self, now: Timestamp) {
         let now = self.begin(now);
         if self.own().phase < Phase::Draining {
             self.become_id(now, self.own().next(Phase::Draining));
@@ -468,7 +469,7 @@
     }
 
     /// Goes, and says so to some.
-    pub fn leave(&mut self, now: At) {
+    pub fn leave(&mut self, now: Timestamp) {
         let now = self.begin(now);
         self.become_id(now, self.own().next(Phase::Left));
         self.with_swim(now, |swim, wants| swim.leave_cluster(wants));
@@ -477,7 +478,7 @@
         }
     }
 
-    fn become_id(&mut self, now: At, id: Id) {
+    fn become_id(&mut self, now: Timestamp, id: Id) {
         self.marks.flip(&id.name, mark(self.own()) ^ mark(&id));
         self.changed = now;
         self.with_swim(now, |swim, wants| {
@@ -488,7 +489,7 @@
     }
 
     /// Another claim to this server's name: the claimant's own word, or what a third says of one.
-    fn claimed(&mut self, now: At, id: &Id, down: bool, itself: bool) {
+    fn claimed(&mut self, now: Timestamp, id: &Id, down: bool, itself: bool) {
         match lives::judge(self.own(), id, down) {
             Verdict::Older => {}
             Verdict::HeldDown => {
--- a/crates/membership/src/members/hear.rs
+++ b/crates/membership/src/members/hear.rs
@@ -4,7 +4,7 @@
 
 impl Members {
     /// A datagram came from somewhere.
-    pub fn received(&mut self, now: At, from: SocketAddr, bytes: &[u8]) {
+    pub fn received(&mut self, now: Timestamp, from: SocketAddr, bytes: &[u8]) {
         let now = self.begin(now);
         self.counts.heard += 1;
         self.counts.bytes_in += bytes.len() as u64;
@@ -25,7 +25,7 @@
         self.counts.strangers[at] += 1;
     }
 
-    pub(super) fn hear(&mut self, now: At, head: Head, body: &[u8]) -> Result<(), Stranger> {
+    pub(super) fn hear(&mut self, now: Timestamp, head: Head, body: &[u8]) -> Result<(), Stranger> {
         if self.own().phase == Phase::Left {
             return Ok(());
         }
@@ -84,7 +84,7 @@
             let draw = self.chance.float();
             // What is not passed on any more comes by rosters alone: none waits for the view to settle then.
             let crowded = self.swim.updates_backlog() > RUMOURS;
-            let changed = if crowded { At::default() } else { self.changed };
+            let changed = if crowded { Timestamp::default() } else { self.changed };
             if let Some(after) = self.roster.differs(now, &from, changed, draw) {
                 self.counts.rosters += 1;
                 self.ask(&from, after);
@@ -94,7 +94,7 @@
     }
 
     /// Who a datagram says that it is from: whether it is to be heard at all.
-    pub(super) fn meets(&mut self, now: At, from: &Id) -> Result<(), Stranger> {
+    pub(super) fn meets(&mut self, now: Timestamp, from: &Id) -> Result<(), Stranger> {
         if !from.is_sound() {
             return Err(Stranger::Body);
         }
@@ -128,7 +128,7 @@
         }
     }
 
-    pub(super) fn hear_swim(&mut self, now: At, head: Head, body: &[u8]) -> Result<Id, Stranger> {
+    pub(super) fn hear_swim(&mut self, now: Timestamp, head: Head, body: &[u8]) -> Result<Id, Stranger> {
         let mut packet = swim::read(body)?;
         let from = packet.header.src.clone();
         let own = self.own().clone();
@@ -181,7 +181,7 @@
     }
 
     /// What another says of a third: as it may be believed, or nothing.
-    pub(super) fn weigh(&mut self, now: At, m: Member<Id>, held_up: bool) -> Option<Member<Id>> {
+    pub(super) fn weigh(&mut self, now: Timestamp, m: Member<Id>, held_up: bool) -> Option<Member<Id>> {
         let id = m.id();
         if !id.is_sound() || !self.set.networks.holds(id.address.ip()) {
             self.stranger(Stranger::Network);
@@ -247,7 +247,7 @@
 
     /// What was believed of somebody, where it begins or ends a suspicion. Foca lets only those who tried a
     /// member themselves wait for its refutation; here each who hears of it waits on its own clock.
-    pub(super) fn word(&mut self, now: At, id: &Id, incarnation: u16, told: Told) {
+    pub(super) fn word(&mut self, now: Timestamp, id: &Id, incarnation: u16, told: Told) {
         let Some(row) = self.rows.get_mut(&id.name).filter(|r| r.id == *id && r.active()) else { return };
         let newer = incarnation > row.incarnation;
         match (told, row.held) {
@@ -268,7 +268,7 @@
     }
 
     /// What another holds under this server's name.
-    pub(super) fn noticed(&mut self, now: At, notice: &Notice) -> Result<(), Stranger> {
+    pub(super) fn noticed(&mut self, now: Timestamp, notice: &Notice) -> Result<(), Stranger> {
         let held = &notice.held;
         if *held.id() == notice.from && held.state() == Told::Alive {
             // Asked whether it lives, it does.
--- a/crates/membership/src/members/speak.rs
+++ b/crates/membership/src/members/speak.rs
@@ -4,7 +4,7 @@
 
 impl Members {
     pub(super) fn with_swim(
-        &mut self, now: At, act: impl FnOnce(&mut Swim, &mut Wants) -> Result<(), foca::Error>,
+        &mut self, now: Timestamp, act: impl FnOnce(&mut Swim, &mut Wants) -> Result<(), foca::Error>,
     ) {
         let mut wants = Wants::default();
         // What it does not take is of no use here: what can come in was read before.
@@ -31,18 +31,19 @@
 
     /// A member that has not answered is tried again by this server, beside those it asks: a datagram is more
     /// often lost than a server.
-    fn tries(&mut self, now: At, target: Id, number: u8) {
+    fn tries(&mut self, now: Timestamp, target: Id, number: u8) {
         let known = |t: &Tried| t.target.name == target.name && t.number == number;
         if !self.tried.as_ref().is_some_and(known) {
             self.tried = Some(Tried { target, number, next: now, left: TRIES });
         }
     }
 
-    pub(super) fn try_again(&mut self, now: At) {
+    pub(super) fn try_again(&mut self, now: Timestamp) {
         let Some(tried) = self.tried.as_mut().filter(|t| t.left > 0 && t.next <= now) else { return };
         tried.left -= 1;
-        tried.next =
-            now + Span::micros(self.set.probe.as_micros() - self.set.answer.as_micros()).times(TRY_PART);
+        tried.next = now
+            + Duration::from_micros(self.set.probe.as_micros() - self.set.answer.as_micros())
+                .mul_f64(TRY_PART);
         let (target, number) = (tried.target.clone(), tried.number);
         let to = target.address;
         let body = swim::ping(self.own().clone(), self.incarnation, target, number);
@@ -57,7 +58,7 @@
         }
     }
 
-    pub(super) fn told(&mut self, now: At, told: OwnedNotification<Id>) {
+    pub(super) fn told(&mut self, now: Timestamp, told: OwnedNotification<Id>) {
         match told {
             OwnedNotification::MemberUp(id) => self.up(now, id),
             OwnedNotification::MemberDown(id) => {
@@ -108,7 +109,7 @@
         }
     }
 
-    pub(super) fn up(&mut self, now: At, id: Id) {
+    pub(super) fn up(&mut self, now: Timestamp, id: Id) {
         let before = self.rows.get(&id.name).map(Row::state);
         self.edit(&id.name, |rows, name| {
             let row = rows.entry(name.clone()).or_insert_with(|| Row {
@@ -139,7 +140,7 @@
         }
     }
 
-    pub(super) fn suspected(&mut self, now: At, id: &Id, incarnation: u16) {
+    pub(super) fn suspected(&mut self, now: Timestamp, id: &Id, incarnation: u16) {
         let Some(row) = self.rows.get_mut(&id.name).filter(|r| r.id == *id && r.active()) else { return };
         let before = row.state();
         (row.held, row.since, row.incarnation) = (Held::Suspect, now, incarnation);
@@ -147,7 +148,7 @@
         self.counts.suspicions += 1;
         for part in LAST_CALLS {
             self.numbered += 1;
-            self.last_calls.insert((now + self.set.suspicion.times(part), self.numbered), id.name.clone());
+            self.last_calls.insert((now + self.set.suspicion.mul_f64(part), self.numbered), id.name.clone());
         }
         if before != State::Suspect {
             let why = Why::Unanswered { heard };
@@ -200,7 +201,7 @@
         self.out.push((to, bytes));
     }
 
-    pub(super) fn notice(&mut self, now: At, to: SocketAddr, held: Member<Id>) {
+    pub(super) fn notice(&mut self, now: Timestamp, to: SocketAddr, held: Member<Id>) {
         if now - self.notices.0 >= NOTICES_IN {
             self.notices = (now, 0);
         }
@@ -256,7 +257,7 @@
         }
     }
 
-    pub(super) fn read_page(&mut self, now: At, page: Page) {
+    pub(super) fn read_page(&mut self, now: Timestamp, page: Page) {
         if self.roster.due(&page.from).is_none() {
             return;
         }
--- a/crates/membership/src/mend.rs
+++ b/crates/membership/src/mend.rs
@@ -1,32 +1,32 @@
 //! Whom to speak to that the view does not hold: the addresses of the operator file and those who went down.
 //! A cut that outlasts every memory of the dead heals by it, since some address of the other side is tried.
 
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
 /// Between two tries while anything is amiss, and while all is well; each is drawn from half to once and a
 /// half of it, so that servers that lost each other at one moment don't try at one.
-const AMISS: Span = Span::millis(500);
-const WELL: Span = Span::millis(5_000);
+const AMISS: Duration = Duration::from_millis(500);
+const WELL: Duration = Duration::from_millis(5_000);
 /// How long after a loss tries are made often: beyond that one is made in ten times as long.
-const FRESH: Span = Span::millis(120_000);
+const FRESH: Duration = Duration::from_millis(120_000);
 /// Addresses of the dead that outlast the view's memory of them, the latest, and for how long.
 const OLD_MOST: usize = 64;
-const OLD_FOR: Span = Span::millis(3_600_000);
+const OLD_FOR: Duration = Duration::from_millis(3_600_000);
 
 pub struct Mend {
     join: Vec<SocketAddr>,
     /// Forgotten by the view, the earliest first.
-    old: VecDeque<(At, SocketAddr)>,
-    next: At,
+    old: VecDeque<(Timestamp, SocketAddr)>,
+    next: Timestamp,
     /// The latest loss.
-    lost: At,
+    lost: Timestamp,
 }
 
 impl Mend {
     /// `own` is not tried, even where the operator names it.
-    pub fn new(now: At, join: &[SocketAddr], own: SocketAddr) -> Mend {
+    pub fn new(now: Timestamp, join: &[SocketAddr], own: SocketAddr) -> Mend {
         let join: Vec<SocketAddr> = join.iter().copied().filter(|a| *a != own).collect();
         Mend { join, old: VecDeque::new(), next: now, lost: now }
     }
@@ -36,13 +36,13 @@
     }
 
     /// Somebody went down: tries are made often for a while.
-    pub fn lost(&mut self, now: At) {
+    pub fn lost(&mut self, now: Timestamp) {
         self.lost = now;
         self.next = self.next.min(now + AMISS);
     }
 
     /// The view has forgotten somebody who was down.
-    pub fn forgotten(&mut self, now: At, address: SocketAddr) {
+    pub fn forgotten(&mut self, now: Timestamp, address: SocketAddr) {
         self.old.retain(|o| o.1 != address);
         self.old.push_back((now, address));
         if self.old.len() > OLD_MOST {
@@ -50,14 +50,14 @@
         }
     }
 
-    pub fn due(&self) -> At {
+    pub fn due(&self) -> Timestamp {
         self.next
     }
 
     /// The one to try now, if the time has come and there is any. `is_in` tells of an address that somebody
     /// in the view has it, `down` has those that the view holds down, `draw` is chance from 0 to 1.
     pub fn pick(
-        &mut self, now: At, alone: bool, is_in: impl Fn(SocketAddr) -> bool, down: &[SocketAddr],
+        &mut self, now: Timestamp, alone: bool, is_in: impl Fn(SocketAddr) -> bool, down: &[SocketAddr],
         mut draw: impl FnMut() -> f64,
     ) -> Option<SocketAddr> {
         if now < self.next {
@@ -71,7 +71,7 @@
         let some: Vec<SocketAddr> =
             self.join.iter().copied().filter(|a| !is_in(*a)).chain(down.iter().copied()).chain(old).collect();
         let amiss = alone || (!some.is_empty() && now - self.lost < FRESH);
-        self.next = now + if amiss { AMISS } else { WELL }.times(0.5 + draw());
+        self.next = now + if amiss { AMISS } else { WELL }.mul_f64(0.5 + draw());
         let at = (draw() * some.len() as f64) as usize;
         some.get(at).copied()
     }
--- a/crates/membership/src/mend/tests.rs
+++ b/crates/membership/src/mend/tests.rs
@@ -4,8 +4,8 @@
     ([127, 0, 0, 1], port).into()
 }
 
-fn at(ms: u64) -> At {
-    At::micros(ms * 1_000)
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_micros(ms * 1_000)
 }
 
 #[test]
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -3,37 +3,39 @@
 
 use crate::id::Id;
 use compact_str::CompactString;
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 
 /// A page that does not come in this time never will.
-const PAGE: Span = Span::millis(250);
+const PAGE: Duration = Duration::from_millis(250);
 /// Views that changed this lately differ only because news is under way.
-const SETTLES: Span = Span::millis(1_000);
+const SETTLES: Duration = Duration::from_millis(1_000);
 /// Between two rosters at the least, and at the most where they bring nothing new; and after one that did bring
 /// something, since there is more where that came from.
-const LEAST: Span = Span::millis(1_000);
-const BROUGHT: Span = Span::millis(400);
-const MOST: Span = Span::millis(2_000);
+const LEAST: Duration = Duration::from_millis(1_000);
+const BROUGHT: Duration = Duration::from_millis(400);
+const MOST: Duration = Duration::from_millis(2_000);
 
 pub struct Roster {
     /// Who is asked, past which name, and since when.
-    asked: Option<(Id, CompactString, At)>,
-    next: At,
-    gap: Span,
+    asked: Option<(Id, CompactString, Timestamp)>,
+    next: Timestamp,
+    gap: Duration,
     brought: usize,
     /// Whether one was read to its end.
     pub whole: bool,
 }
 
 impl Roster {
-    pub fn new(now: At) -> Roster {
+    pub fn new(now: Timestamp) -> Roster {
         Roster { asked: None, next: now, gap: LEAST, brought: 0, whole: false }
     }
 
     /// A member's digest differs from the own: the name past which to ask it now, if it is to be asked. One of
     /// which a page was lost goes on from there, with whoever is heard next. `changed`: when the own view last
     /// did.
-    pub fn differs(&mut self, now: At, from: &Id, changed: At, draw: f64) -> Option<CompactString> {
+    pub fn differs(
+        &mut self, now: Timestamp, from: &Id, changed: Timestamp, draw: f64,
+    ) -> Option<CompactString> {
         let waits = self.asked.as_ref().is_some_and(|a| now - a.2 < PAGE);
         // A view that goes on changing, a little at a time, is not waited for for ever.
         // Nor is one waited for whose last roster told of what no rumour had brought.
@@ -45,7 +47,7 @@
         }
         let after = self.asked.take().map_or(CompactString::default(), |a| a.1);
         self.asked = Some((from.clone(), after.clone(), now));
-        self.next = now + self.gap.times(0.5 + draw);
+        self.next = now + self.gap.mul_f64(0.5 + draw);
         self.brought = if lost { self.brought } else { 0 };
         Some(after)
     }
@@ -57,7 +59,7 @@
 
     /// A page came, with so many that were new; the name past which to ask on, where there is more.
     pub fn page(
-        &mut self, now: At, names: Option<&CompactString>, last: bool, new: usize,
+        &mut self, now: Timestamp, names: Option<&CompactString>, last: bool, new: usize,
     ) -> Option<CompactString> {
         let asked = self.asked.as_mut()?;
         self.brought += new;
--- a/crates/membership/src/roster/tests.rs
+++ b/crates/membership/src/roster/tests.rs
@@ -3,7 +3,7 @@
 
 #[test]
 fn one_roster_at_a_time_and_seldomer_where_it_brings_nothing() {
-    let at = |ms: u64| At::micros(ms * 1_000);
+    let at = |ms: u64| Timestamp::from_micros(ms * 1_000);
     let address = ([127, 0, 0, 1], 1).into();
     let id = Id { name: "b".into(), address, zone: "".into(), life: 1, turn: 0, phase: Phase::In };
     let mut roster = Roster::new(at(0));
--- a/crates/membership/src/swim.rs
+++ b/crates/membership/src/swim.rs
@@ -7,16 +7,16 @@
     Codec, Config, Foca, Header, Member, Message, NoCustomBroadcast, Notification, OwnedNotification,
     PeriodicParams, PostcardCodec, Runtime, Timer,
 };
-use madderbay::time::Span;
+use madderbay::time::Duration;
 use std::convert::Infallible;
 use std::num::{NonZeroU8, NonZeroUsize};
-use std::time::Duration;
+use std::time::Duration as StdDuration;
 
 /// Others asked to try a member that does not answer: six, so that with one datagram in ten lost three probes in
 /// ten thousand accuse the living.
 const ASKED: NonZeroUsize = NonZeroUsize::new(6).unwrap();
 /// How often news is passed on, and to how many: a thousand servers have it in half a second.
-const GOSSIP_EVERY: Duration = Duration::from_millis(100);
+const GOSSIP_EVERY: StdDuration = StdDuration::from_millis(100);
 const GOSSIP_TO: NonZeroUsize = NonZeroUsize::new(3).unwrap();
 /// Times that news is passed on by each, beyond the natural logarithm of the fleet: where a third of what is
 /// said is lost, one server in a thousand misses what a thousand pass on.
@@ -58,7 +58,7 @@
 #[derive(Default)]
 pub struct Wants {
     pub sends: Vec<(Id, Vec<u8>)>,
-    pub timers: Vec<(Span, Timer<Id>)>,
+    pub timers: Vec<(Duration, Timer<Id>)>,
     pub told: Vec<OwnedNotification<Id>>,
 }
 
@@ -71,8 +71,8 @@
         self.sends.push((to, data.to_vec()));
     }
 
-    fn submit_after(&mut self, event: Timer<Id>, after: Duration) {
-        self.timers.push((Span::micros(after.as_micros() as u64), event));
+    fn submit_after(&mut self, event: Timer<Id>, after: StdDuration) {
+        self.timers.push((Duration::from_micros(after.as_micros() as u64), event));
     }
 }
 
@@ -80,9 +80,9 @@
 
 /// How foca is set for a fleet of that size.
 pub fn config(
-    members: usize, probe: Span, answer: Span, suspicion: Span, memory: Span, most: usize,
+    members: usize, probe: Duration, answer: Duration, suspicion: Duration, memory: Duration, most: usize,
 ) -> Config {
-    let lasts = |s: Span| Duration::from_micros(s.as_micros());
+    let lasts = |s: Duration| StdDuration::from_micros(s.as_micros());
     let told = (((members + 1) as f64).ln() + TOLD_MORE).ceil().min(255.0) as u8;
     Config {
         probe_period: lasts(probe),
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -3,7 +3,7 @@
 use crate::heard::Judgement;
 use crate::id::{Id, Phase};
 use compact_str::CompactString;
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use std::fmt;
 use std::net::SocketAddr;
 
@@ -44,9 +44,9 @@
     pub id: Id,
     pub incarnation: u16,
     pub held: Held,
-    pub since: At,
+    pub since: Timestamp,
     /// When it was itself heard last, if ever.
-    pub heard: Option<At>,
+    pub heard: Option<Timestamp>,
     /// How far it says that it was held up of late.
     pub held_up: u8,
 }
@@ -112,9 +112,9 @@
     /// It spoke, or was spoken of.
     Met,
     /// Neither it nor those asked for it answered, here or elsewhere.
-    Unanswered { heard: Option<Span> },
+    Unanswered { heard: Option<Duration> },
     /// The suspicion was not refuted in its time.
-    Unrefuted { heard: Option<Span> },
+    Unrefuted { heard: Option<Duration> },
     /// It said so itself.
     Said,
     /// It refuted the suspicion.
@@ -125,7 +125,7 @@
     NewLife { from: u64, to: u64 },
 }
 
-fn ago(f: &mut fmt::Formatter, heard: Option<Span>) -> fmt::Result {
+fn ago(f: &mut fmt::Formatter, heard: Option<Duration>) -> fmt::Result {
     match heard {
         Some(span) => write!(f, "heard itself {} ms ago", span.as_micros() / 1_000),
         None => f.write_str("never heard itself"),
@@ -162,9 +162,9 @@
         to: State,
         why: Why,
     },
-    Hears(Judgement, At),
+    Hears(Judgement, Timestamp),
     /// The own process was held up for so long.
-    HeldUp(Span),
+    HeldUp(Duration),
     /// An earlier life of this server, or one under its name that is over, stands ahead of its clock.
     Past {
         life: u64,
--- a/crates/membership/tests/fleet.rs
+++ b/crates/membership/tests/fleet.rs
@@ -1,7 +1,7 @@
 //! Every script of faults under `tests/fleet`, simulated over many seeds; `crates/server/tests/fleet.rs` plays
 //! the same on real processes.
 
-use madderbay::time::Span;
+use madderbay::time::Duration;
 use madderbay_testkit::fleet::script::{Act, Condition, Fleet, Setup};
 use madderbay_testkit::fleet::sim::{Sim, play_all};
 use std::path::Path;
@@ -20,16 +20,16 @@
 /// suspicions that one more try would have spared does not fill the network.
 #[test]
 fn a_large_fleet_on_bad_links_agrees_and_stays_quiet() {
-    let (n, span) = (150, Span::millis(20_000));
+    let (n, span) = (150, Duration::from_millis(20_000));
     let mut sim = Sim::new(Setup::of(n), 7);
     let net = Act::Net { loss: Some(0.3), double: None, spoil: None, delay: None };
     sim.act(&net).expect("set");
     for who in 0..n {
-        sim.act(&Act::Start { who, name: who, clock: Span::ZERO, back: false }).expect("started");
+        sim.act(&Act::Start { who, name: who, clock: Duration::ZERO, back: false }).expect("started");
     }
     let began = sim.at();
     while let Some(amiss) = sim.amiss(&Condition::Settled) {
-        assert!(sim.at().less(began) < Span::millis(25_000), "{amiss}");
+        assert!(sim.at().saturating_sub(began) < Duration::from_millis(25_000), "{amiss}");
         sim.pass();
     }
     let sums = |sim: &Sim| {
@@ -39,7 +39,7 @@
     let before = sums(&sim);
     sim.run(span);
     let after = sums(&sim);
-    let bytes = (after.0 - before.0) as f64 / span.as_secs() / n as f64;
+    let bytes = (after.0 - before.0) as f64 / span.as_secs_f64() / n as f64;
     assert!(bytes < 4_000.0, "{bytes:.0} bytes a second a member");
     // One of a hundred members a minute is suspected wrongly, and told of to all: not one each second.
     let suspected = (after.1 - before.1) / n as u64;
--- a/crates/membership/tests/nonsense.rs
+++ b/crates/membership/tests/nonsense.rs
@@ -1,6 +1,6 @@
 //! Whatever comes in: the view stays bounded and sound, and nothing goes out that nobody asked for.
 
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use madderbay_membership::{Members, Networks, STRANGERS, Settings, State, Stranger};
 use proptest::prelude::*;
 use std::net::SocketAddr;
@@ -20,16 +20,16 @@
         join: vec![address(1)],
         networks: Networks::of(["127.0.0.0/8".parse().expect("a network")]),
         most: MOST,
-        probe: Span::millis(500),
-        answer: Span::millis(200),
-        suspicion: Span::millis(3_000),
-        memory: Span::millis(10_000),
+        probe: Duration::from_millis(500),
+        answer: Duration::from_millis(200),
+        suspicion: Duration::from_millis(3_000),
+        memory: Duration::from_millis(10_000),
         minds_itself: true,
     }
 }
 
-fn at(ms: u64) -> At {
-    At::micros(1_000_000 + ms * 1_000)
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_micros(1_000_000 + ms * 1_000)
 }
 
 fn member(n: u16, fleet: &str) -> Members {
--- a/crates/quota/src/budget.rs
+++ b/crates/quota/src/budget.rs
@@ -5,7 +5,7 @@
 use crate::ledger::{Ledger, Terms, Who};
 use crate::wire::Word;
 use compact_str::CompactString;
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use std::collections::BTreeMap;
 
 /// Room beyond the work there is, as a part of it: a call more that comes finds its place.
@@ -13,9 +13,9 @@
 /// Less than this part of a call, of what there was, is forgotten: it fades for ever.
 const FADED: f64 = 0.15;
 /// A server with any work in this span lends all of its own but one.
-const BUSY_FOR: Span = Span::millis(10_000);
+const BUSY_FOR: Duration = Duration::from_millis(10_000);
 /// Units idle for this long, beyond the room, are given back.
-const IDLE: Span = Span::millis(300);
+const IDLE: Duration = Duration::from_millis(300);
 /// Servers asked at a time, beside those of whom something is borrowed: so many at first, more with each that
 /// lends, up to the most, and fewer with each that does not: where all want more, questions only cost.
 const ASKED: f64 = 4.0;
@@ -24,20 +24,20 @@
 const ASKED_MOST: f64 = 64.0;
 /// One who had nothing to lend is asked again after this, doubled each time up to the most, which is the longer
 /// the more others there are to be asked meanwhile.
-const AGAIN: Span = Span::millis(100);
-const AGAIN_EACH: Span = Span::millis(10);
-const AGAIN_MOST: Span = Span::millis(3_200);
+const AGAIN: Duration = Duration::from_millis(100);
+const AGAIN_EACH: Duration = Duration::from_millis(10);
+const AGAIN_MOST: Duration = Duration::from_millis(3_200);
 /// A question that is not answered in this time never will be.
-const ANSWER: Span = Span::millis(150);
+const ANSWER: Duration = Duration::from_millis(150);
 /// A loan is renewed once so much of its lease is over.
 const RENEWS: f64 = 0.45;
 /// Recalls are said again no sooner: the borrower may be waiting for calls to end.
-const RECALLS: Span = Span::millis(50);
+const RECALLS: Duration = Duration::from_millis(50);
 /// Who asked and had too few is told of idle units no oftener: several that come free together go together.
-const OFFERS: Span = Span::millis(30);
+const OFFERS: Duration = Duration::from_millis(30);
 /// Beside what it needs now a server wants what it needed in the mean of late, over about so long. Peaks beyond
 /// call back what is lent, which takes a word and a call's end: room kept for them would lie idle.
-const MEAN_OVER: Span = Span::millis(1_000);
+const MEAN_OVER: Duration = Duration::from_millis(1_000);
 
 /// How an operator set it, and what follows from it for this server.
 #[derive(Clone, Debug, PartialEq)]
@@ -68,16 +68,16 @@
 /// One who asks, as it said last.
 struct Asker {
     wish: Wish,
-    at: At,
-    recalled: Option<At>,
-    offered: Option<At>,
+    at: Timestamp,
+    recalled: Option<Timestamp>,
+    offered: Option<Timestamp>,
 }
 
 /// One who may lend, as it answered last.
 struct Lender {
     spare: u32,
-    next: At,
-    pause: Span,
+    next: Timestamp,
+    pause: Duration,
 }
 
 /// Why what may be used has changed.
@@ -115,26 +115,26 @@
     /// Calls in hand and waiting as of `followed`, and their mean of late.
     level: f64,
     mean: f64,
-    followed: At,
+    followed: Timestamp,
     /// Something is to be said sooner than at the next look: another waits for it.
     pub hurries: bool,
-    busy: Option<At>,
+    busy: Option<Timestamp>,
     /// Since when more may be used than there is work for.
-    idle: Option<At>,
+    idle: Option<Timestamp>,
     askers: BTreeMap<Who, Asker>,
     lenders: BTreeMap<Who, Lender>,
     /// How many are asked at a time.
     asks: f64,
     /// Where to go on among those who could be asked.
     turn: usize,
-    pub heard: Option<At>,
+    pub heard: Option<Timestamp>,
     /// What was told last of what may be used, and why that changed since.
     told: u32,
     cause: Cause,
 }
 
 impl Budget {
-    pub fn new(now: At, from: At, set: Settings) -> Budget {
+    pub fn new(now: Timestamp, from: Timestamp, set: Settings) -> Budget {
         let ledger = Ledger::new(set.terms, set.birthright(), from);
         Budget {
             mark: crate::wire::mark(&set.name),
@@ -157,12 +157,12 @@
         }
     }
 
-    pub fn started(&mut self, now: At) {
+    pub fn started(&mut self, now: Timestamp) {
         self.ledger.started();
         self.follow(now);
     }
 
-    pub fn ended(&mut self, now: At) {
+    pub fn ended(&mut self, now: Timestamp) {
         self.ledger.ended();
         self.follow(now);
         // Whoever called something back waits for this.
@@ -173,22 +173,22 @@
     }
 
     /// Calls that stand in wait of a place, or surely will.
-    pub fn wait(&mut self, now: At, calls: u32) {
+    pub fn wait(&mut self, now: Timestamp, calls: u32) {
         let more = calls > self.waiting;
         self.waiting = calls;
         self.follow(now);
         self.hurries |= more && self.short(now) && self.ledger.lent(now) > 0;
     }
 
-    pub fn set_own(&mut self, own: u32, from: Option<At>) {
+    pub fn set_own(&mut self, own: u32, from: Option<Timestamp>) {
         self.ledger.set_own(own, from);
         self.cause = Cause::Set;
     }
 
-    fn follow(&mut self, now: At) {
+    fn follow(&mut self, now: Timestamp) {
         let level = f64::from(self.ledger.in_use() + self.waiting);
-        let passed = (now - self.followed).as_secs();
-        self.mean = self.level + (self.mean - self.level) * (-passed / MEAN_OVER.as_secs()).exp();
+        let passed = (now - self.followed).as_secs_f64();
+        self.mean = self.level + (self.mean - self.level) * (-passed / MEAN_OVER.as_secs_f64()).exp();
         (self.level, self.followed) = (level, now);
         if level > 0.0 {
             self.busy = Some(now);
@@ -202,14 +202,14 @@
     }
 
     /// What it could lend to others altogether: its own, less what it has work for itself now and had of late.
-    fn lendable(&self, now: At) -> u32 {
+    fn lendable(&self, now: Timestamp) -> u32 {
         let busy = u32::from(self.busy.is_some_and(|at| now - at < BUSY_FOR));
         let works = (self.ledger.in_use() + self.waiting).max(self.mean.round() as u32);
         self.ledger.own(now).saturating_sub(works.max(busy))
     }
 
     /// All that is in hand, and what it says to others. `peers` are those who are in.
-    pub fn step(&mut self, now: At, peers: &[Who], say: &mut Vec<(Who, Word)>) {
+    pub fn step(&mut self, now: Timestamp, peers: &[Who], say: &mut Vec<(Who, Word)>) {
         self.hurry(now, say);
         let lease = self.set.terms.lease;
         self.askers.retain(|_, a| now - a.at < lease);
@@ -229,7 +229,7 @@
     }
 
     /// What another waits for: units called back, and such as were called back here.
-    pub fn hurry(&mut self, now: At, say: &mut Vec<(Who, Word)>) {
+    pub fn hurry(&mut self, now: Timestamp, say: &mut Vec<(Who, Word)>) {
         self.hurries = false;
         self.follow(now);
         self.recall(now, say);
@@ -240,7 +240,7 @@
     }
 
     /// Gives so many back, the smallest loans first: fewer lenders then have to be asked.
-    fn spare(&mut self, now: At, mut units: u32) {
+    fn spare(&mut self, now: Timestamp, mut units: u32) {
         let mut loans: Vec<(u32, Who)> = self.ledger.loans(now).map(|l| (l.1, l.0)).collect();
         loans.sort_unstable();
         for (has, who) in loans {
@@ -254,20 +254,20 @@
         }
     }
 
-    fn ask(&mut self, now: At, who: Who, units: u32, say: &mut Vec<(Who, Word)>) {
+    fn ask(&mut self, now: Timestamp, who: Who, units: u32, say: &mut Vec<(Who, Word)>) {
         let number = self.ledger.ask(now, who);
         let base = self.ledger.usable(now) - self.ledger.borrowed_of(now, who);
         let (wants, weight) = (self.wants(), self.set.weight as f32);
         say.push((who, Word::Ask { budget: self.mark, number, units, base, wants, weight }));
     }
 
-    fn open(&self, now: At, who: Who) -> bool {
+    fn open(&self, now: Timestamp, who: Who) -> bool {
         self.ledger.asked(who).is_some_and(|at| now - at < ANSWER)
     }
 
-    fn renew(&mut self, now: At, say: &mut Vec<(Who, Word)>) {
+    fn renew(&mut self, now: Timestamp, say: &mut Vec<(Who, Word)>) {
         let lease = self.set.terms.lease;
-        let due = |left: Span| left < lease.times(1.0 - RENEWS);
+        let due = |left: Duration| left < lease.mul_f64(1.0 - RENEWS);
         let old: Vec<(Who, u32)> = self.ledger.loans(now).filter(|l| due(l.2)).map(|l| (l.0, l.1)).collect();
         for (who, units) in old {
             if !self.open(now, who) {
@@ -277,7 +277,7 @@
     }
 
     /// Asks some for what is missing: first those who said that they could lend, then others in turn.
-    fn borrow(&mut self, now: At, missing: u32, peers: &[Who], say: &mut Vec<(Who, Word)>) {
+    fn borrow(&mut self, now: Timestamp, missing: u32, peers: &[Who], say: &mut Vec<(Who, Word)>) {
         let most = self.asks.ceil() as usize;
         let mut left = missing;
         let mut asked = 0;
@@ -320,11 +320,11 @@
 
     /// What is lent goes where it is due: whoever has too much of it is told so, and whoever has too little and
     /// has asked.
-    fn recall(&mut self, now: At, say: &mut Vec<(Who, Word)>) {
+    fn recall(&mut self, now: Timestamp, say: &mut Vec<(Who, Word)>) {
         let mut idle = self.lendable(now).saturating_sub(self.ledger.lent(now));
         for (who, due) in self.targets(now) {
             let Some(asker) = self.askers.get_mut(&who) else { continue };
-            let lately = |at: Option<At>, least| at.is_some_and(|at| now - at < least);
+            let lately = |at: Option<Timestamp>, least| at.is_some_and(|at| now - at < least);
             if due < asker.wish.has && !lately(asker.recalled, RECALLS) {
                 asker.recalled = Some(now);
                 say.push((who, Word::Recall { budget: self.mark, keep: due }));
@@ -339,12 +339,12 @@
 
     /// Whether this server's next call would find no room: only then is what it has lent called back. Work that
     /// comes and goes would else move the same units to and fro.
-    fn short(&self, now: At) -> bool {
+    fn short(&self, now: Timestamp) -> bool {
         self.ledger.in_use() + self.waiting >= self.ledger.usable(now)
     }
 
     /// What each who asks is to have of this server.
-    fn targets(&mut self, now: At) -> Vec<(Who, u32)> {
+    fn targets(&mut self, now: Timestamp) -> Vec<(Who, u32)> {
         // Recorded here and used by those who do not ask any more until it is over.
         let ledger = &self.ledger;
         self.askers.iter_mut().for_each(|(who, a)| a.wish.has = ledger.lent_to(now, *who));
@@ -357,7 +357,7 @@
     }
 
     /// A word from one who is in.
-    pub fn hear(&mut self, now: At, from: Who, word: &Word, say: &mut Vec<(Who, Word)>) {
+    pub fn hear(&mut self, now: Timestamp, from: Who, word: &Word, say: &mut Vec<(Who, Word)>) {
         self.follow(now);
         self.heard = Some(now);
         match *word {
@@ -393,10 +393,10 @@
                 } else if had == 0 {
                     self.asks = (self.asks * ASKED_LESS).max(1.0);
                 }
-                let most = AGAIN_EACH.times(self.lenders.len() as f64).max(AGAIN).min(AGAIN_MOST);
+                let most = AGAIN_EACH.mul_f64(self.lenders.len() as f64).max(AGAIN).min(AGAIN_MOST);
                 let pause = match self.lenders.get(&from) {
-                    _ if units > had || spare > 0 => Span::ZERO,
-                    Some(l) if l.pause > Span::ZERO => (l.pause + l.pause).min(most),
+                    _ if units > had || spare > 0 => Duration::ZERO,
+                    Some(l) if l.pause > Duration::ZERO => (l.pause + l.pause).min(most),
                     _ => AGAIN,
                 };
                 self.lenders.insert(from, Lender { spare, next: now + pause, pause });
@@ -417,7 +417,7 @@
             Word::Spare { units, .. } => {
                 let missing = self.wants().saturating_sub(self.ledger.usable(now));
                 let spare = units.min(self.set.whole);
-                self.lenders.insert(from, Lender { spare, next: now, pause: Span::ZERO });
+                self.lenders.insert(from, Lender { spare, next: now, pause: Duration::ZERO });
                 if missing > 0 && spare > 0 && !self.open(now, from) {
                     let units = self.ledger.borrowed_of(now, from) + spare.min(missing);
                     self.ask(now, from, units, say);
@@ -428,14 +428,14 @@
     }
 
     /// Lets go of those who are gone.
-    pub fn tidy(&mut self, now: At, gone: impl Fn(Who) -> bool) {
+    pub fn tidy(&mut self, now: Timestamp, gone: impl Fn(Who) -> bool) {
         self.askers.retain(|who, _| !gone(*who));
         self.lenders.retain(|who, _| !gone(*who));
         self.ledger.tidy(now, gone);
     }
 
     /// What may be used has changed since it was told last: from, to, and why.
-    pub fn changed(&mut self, now: At) -> Option<(u32, u32, Cause)> {
+    pub fn changed(&mut self, now: Timestamp) -> Option<(u32, u32, Cause)> {
         let usable = self.ledger.usable(now);
         let cause = std::mem::replace(&mut self.cause, Cause::Expired);
         if usable == self.told {
@@ -446,8 +446,12 @@
     }
 
     /// When a place may come free at the latest, where there is none now.
-    pub fn until_room(&self, now: At) -> Span {
+    pub fn until_room(&self, now: Timestamp) -> Duration {
         let from = self.ledger.usable_from() - now;
-        if from > Span::ZERO && self.ledger.usable(now) == 0 { from } else { self.set.terms.lease.times(0.5) }
+        if from > Duration::ZERO && self.ledger.usable(now) == 0 {
+            from
+        } else {
+            self.set.terms.lease.mul_f64(0.5)
+        }
     }
 }
--- a/crates/quota/src/counts.rs
+++ b/crates/quota/src/counts.rs
@@ -9,7 +9,7 @@
 
 use crate::wire::{Cell, mark};
 use compact_str::CompactString;
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 /// Slots of a window, and those that pass before it is told of: time for words to reach all.
@@ -33,7 +33,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     pub name: CompactString,
-    pub window: Span,
+    pub window: Duration,
     /// A server is taken to count no more of one key a second: what bounds the unheard.
     pub most: f64,
 }
@@ -83,17 +83,17 @@
 struct Heard {
     cell: Cell,
     /// When that was, and how long the slot had been over then: at least, at most.
-    at: At,
-    over: (Span, Span),
+    at: Timestamp,
+    over: (Duration, Duration),
     /// It counts no more since: it left, or a later life of it was heard.
-    closed: Option<At>,
+    closed: Option<Timestamp>,
 }
 
 impl Heard {
     /// How long ago its latest slot was over by now: at least, at most.
-    fn age(&self, now: At) -> (Span, Span) {
+    fn age(&self, now: Timestamp) -> (Duration, Duration) {
         let passed = now - self.at;
-        (self.over.0 + passed.times(1.0 - DRIFT), self.over.1 + passed.times(1.0 + DRIFT))
+        (self.over.0 + passed.mul_f64(1.0 - DRIFT), self.over.1 + passed.mul_f64(1.0 + DRIFT))
     }
 }
 
@@ -118,22 +118,22 @@
 pub struct Counts {
     pub set: Settings,
     pub mark: u32,
-    slot: Span,
-    began: At,
+    slot: Duration,
+    began: Timestamp,
     /// By number, the latest last.
     own: VecDeque<(u64, Slot)>,
     heard: BTreeMap<(CompactString, u64), Heard>,
     /// Servers in the view of which nothing was heard yet, and since when they are there.
-    unmet: BTreeMap<CompactString, At>,
+    unmet: BTreeMap<CompactString, Timestamp>,
     made: Option<Cell>,
     pub refused: u64,
 }
 
 impl Counts {
-    pub fn new(now: At, set: Settings) -> Counts {
+    pub fn new(now: Timestamp, set: Settings) -> Counts {
         Counts {
             mark: mark(&set.name),
-            slot: set.window.times(1.0 / SLOTS as f64).max(Span::millis(10)),
+            slot: set.window.mul_f64(1.0 / SLOTS as f64).max(Duration::from_millis(10)),
             began: now,
             own: VecDeque::new(),
             heard: BTreeMap::new(),
@@ -144,16 +144,16 @@
         }
     }
 
-    fn number(&self, now: At) -> u64 {
+    fn number(&self, now: Timestamp) -> u64 {
         (now - self.began).as_micros() / self.slot.as_micros()
     }
 
     /// When the slot that is filling is over.
-    pub fn next(&self, now: At) -> At {
-        self.began + Span::micros((self.number(now) + 1) * self.slot.as_micros())
+    pub fn next(&self, now: Timestamp) -> Timestamp {
+        self.began + Duration::from_micros((self.number(now) + 1) * self.slot.as_micros())
     }
 
-    pub fn add(&mut self, now: At, key: u32, n: u32) {
+    pub fn add(&mut self, now: Timestamp, key: u32, n: u32) {
         let number = self.number(now);
         if self.own.back().is_none_or(|s| s.0 < number) {
             self.own.push_back((number, Slot::default()));
@@ -172,7 +172,7 @@
     }
 
     /// What this server counted itself in the window.
-    pub fn own(&self, now: At, key: u32) -> Told {
+    pub fn own(&self, now: Timestamp, key: u32) -> Told {
         let newest = self.number(now);
         let (mut low, mut high) = (0u32, 0u32);
         // The slot before the filling one is over; the window begins LAG slots before the end of that.
@@ -198,9 +198,9 @@
     }
 
     /// What this server says of itself.
-    fn cell(&mut self, now: At, name: &CompactString, life: u64) -> Option<Cell> {
+    fn cell(&mut self, now: Timestamp, name: &CompactString, life: u64) -> Option<Cell> {
         let latest = self.number(now).checked_sub(1)?;
-        let over = now - (self.began + Span::micros((latest + 1) * self.slot.as_micros()));
+        let over = now - (self.began + Duration::from_micros((latest + 1) * self.slot.as_micros()));
         let ms = (over.as_micros() / 1_000) as u32;
         if let Some(made) = self.made.as_mut().filter(|m| m.slot == latest && m.life == life) {
             (made.least_ms, made.most_ms) = (ms, ms + 1);
@@ -253,21 +253,23 @@
     }
 
     /// What is known, its own first, then so many others from a drawn one on.
-    pub fn cells(&mut self, now: At, name: &CompactString, life: u64, draw: f64, most: usize) -> Vec<Cell> {
+    pub fn cells(
+        &mut self, now: Timestamp, name: &CompactString, life: u64, draw: f64, most: usize,
+    ) -> Vec<Cell> {
         let mut cells: Vec<Cell> = self.cell(now, name, life).into_iter().collect();
         let open: Vec<&Heard> = self.heard.values().filter(|h| h.cell.name != *name).collect();
         let first = (draw * open.len() as f64) as usize;
         for step in 0..open.len().min(most) {
             let heard = open[(first + step) % open.len()];
             let (least, most) = heard.age(now);
-            let ms = |s: Span| (s.as_micros() / 1_000).min(u64::from(u32::MAX) - 1) as u32;
+            let ms = |s: Duration| (s.as_micros() / 1_000).min(u64::from(u32::MAX) - 1) as u32;
             cells.push(Cell { least_ms: ms(least), most_ms: ms(most) + 1, ..heard.cell.clone() });
         }
         cells
     }
 
     /// What another said, in answer to a question of `asked` ago: of itself or of others.
-    pub fn hear(&mut self, now: At, asked: Span, cell: Cell, own: (&CompactString, u64)) {
+    pub fn hear(&mut self, now: Timestamp, asked: Duration, cell: Cell, own: (&CompactString, u64)) {
         let sound = cell.heavy.len() <= TOLD
             && cell.heavy.iter().all(|h| h.1.len() <= KEPT as usize)
             && (cell.rest.is_empty() || cell.rest.len() == PLACES)
@@ -286,19 +288,19 @@
             return;
         }
         let over = (
-            Span::millis(u64::from(cell.least_ms)).times(1.0 - DRIFT),
-            Span::millis(u64::from(cell.most_ms)) + asked.times(1.0 + DRIFT),
+            Duration::from_millis(u64::from(cell.least_ms)).mul_f64(1.0 - DRIFT),
+            Duration::from_millis(u64::from(cell.most_ms)) + asked.mul_f64(1.0 + DRIFT),
         );
         let fresh = Heard { cell, at: now, over, closed: None };
         // The same slot again: whichever tells its age more closely.
         let narrow = |h: &Heard| {
             let (least, most) = h.age(now);
-            most.less(least)
+            most.saturating_sub(least)
         };
         if known.is_some_and(|h| h.cell.slot == fresh.cell.slot && narrow(h) <= narrow(&fresh)) {
             return;
         }
-        if fresh.age(now).1 > self.slot.times((2 * KEPT) as f64) && known.is_none() {
+        if fresh.age(now).1 > self.slot.mul_f64((2 * KEPT) as f64) && known.is_none() {
             return;
         }
         let (name, life) = key.clone();
@@ -312,7 +314,7 @@
     }
 
     /// The view holds this server: it may count on, unheard, also while it is lost and remembered.
-    pub fn there(&mut self, now: At, name: &CompactString) {
+    pub fn there(&mut self, now: Timestamp, name: &CompactString) {
         let first = (name.clone(), 0);
         if self.heard.range(first..).next().is_none_or(|h| h.0.0 != *name) {
             self.unmet.entry(name.clone()).or_insert(now);
@@ -320,7 +322,7 @@
     }
 
     /// Who has left, or was forgotten, counts no more.
-    pub fn gone(&mut self, now: At, name: &CompactString) {
+    pub fn gone(&mut self, now: Timestamp, name: &CompactString) {
         let first = (name.clone(), 0);
         for (_, heard) in self.heard.range_mut(first..).take_while(|h| h.0.0 == *name) {
             heard.closed = heard.closed.or(Some(now));
@@ -329,23 +331,23 @@
     }
 
     /// Lets go of what no window holds any more.
-    pub fn tidy(&mut self, now: At) {
-        let keep = self.slot.times((2 * KEPT) as f64);
+    pub fn tidy(&mut self, now: Timestamp) {
+        let keep = self.slot.mul_f64((2 * KEPT) as f64);
         self.heard.retain(|_, h| h.closed.is_none_or(|at| now - at < keep));
     }
 
     /// How often a key came over the fleet in the window that ended `LAG` slots ago. `fair` is what a server
     /// that is not heard is taken to count of it a second, in the long run.
-    pub fn told(&self, now: At, key: u32, fair: f64) -> Told {
+    pub fn told(&self, now: Timestamp, key: u32, fair: f64) -> Told {
         let mut told = self.own(now, key);
-        let (slot, from) = (self.slot.as_secs(), self.slot.times(LAG as f64));
-        let to = self.slot.times(KEPT as f64);
+        let (slot, from) = (self.slot.as_secs_f64(), self.slot.mul_f64(LAG as f64));
+        let to = self.slot.mul_f64(KEPT as f64);
         for heard in self.heard.values() {
             let (least, most) = heard.age(now);
             let listed = heard.cell.heavy.iter().find(|h| h.0 == key).map(|h| &h.1);
             let (mut low, mut high) = (0.0, 0.0);
             for (back, n) in (0u64..).zip(listed.into_iter().flatten()) {
-                let past = self.slot.times(back as f64);
+                let past = self.slot.mul_f64(back as f64);
                 let n = f64::from(*n);
                 if least + past >= from && most + past < to {
                     low += n;
@@ -361,16 +363,19 @@
                 high += f64::from(if listed.is_some() { cell.hidden } else { rest });
             }
             // Slots since that may lie in the window, and were not told of.
-            let end = heard.closed.map_or(Span::ZERO, |at| (now - at).times(1.0 - DRIFT).less(self.slot));
-            let slots = |s: Span| s.as_micros() / self.slot.as_micros();
+            let end = heard
+                .closed
+                .map_or(Duration::ZERO, |at| (now - at).mul_f64(1.0 - DRIFT).saturating_sub(self.slot));
+            let slots = |s: Duration| s.as_micros() / self.slot.as_micros();
             // Those that are over for longer than the window reaches back are none of it.
-            let unknown =
-                slots(most.less(from.max(end))).saturating_sub(slots(least.less(to))).min(SLOTS) as f64;
+            let unknown = slots(most.saturating_sub(from.max(end)))
+                .saturating_sub(slots(least.saturating_sub(to)))
+                .min(SLOTS) as f64;
             let mut value = (low + high) / 2.0;
             if unknown > 0.0 {
                 let rate =
                     listed.map_or(0.0, |l| l.iter().map(|n| f64::from(*n)).sum()) / (KEPT as f64 * slot);
-                let keeps = (-(least.as_secs() / self.set.window.as_secs()) / FADES).exp();
+                let keeps = (-(least.as_secs_f64() / self.set.window.as_secs_f64()) / FADES).exp();
                 value += unknown * slot * (rate * keeps + fair * (1.0 - keeps));
                 high += unknown * slot * self.set.most;
                 told.unheard += 1;
@@ -380,8 +385,8 @@
             told.value += value.clamp(low, high);
         }
         for _ in self.unmet.values() {
-            told.high += self.set.window.as_secs() * self.set.most;
-            told.value += self.set.window.as_secs() * fair.min(self.set.most);
+            told.high += self.set.window.as_secs_f64() * self.set.most;
+            told.value += self.set.window.as_secs_f64() * fair.min(self.set.most);
             told.unheard += 1;
         }
         told
--- a/crates/quota/src/ledger.rs
+++ b/crates/quota/src/ledger.rs
@@ -3,7 +3,7 @@
 //! [`crate::budget`], and whatever is decided there, the sum of calls in hand over the fleet stays within the
 //! sum of all birthrights. `docs/notes/shared.md` has the invariant and its proof.
 
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use std::collections::BTreeMap;
 
 /// Clocks of two servers gain on each other by no more than this part.
@@ -18,17 +18,17 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Terms {
     /// How long a borrower may start calls on a grant, counted from when it asked for it.
-    pub lease: Span,
+    pub lease: Duration,
     /// The longest that a call, and whatever it leaves behind, is in hand below.
-    pub longest: Span,
+    pub longest: Duration,
     /// So long before a lease ends no call is started on it any more: a start takes time to get below.
-    pub guard: Span,
+    pub guard: Duration,
 }
 
 impl Terms {
     /// How long a lender holds back what it has granted, unless it is given back before.
-    pub fn held(&self) -> Span {
-        (self.lease + self.longest).times(1.0 + DRIFT)
+    pub fn held(&self) -> Duration {
+        (self.lease + self.longest).mul_f64(1.0 + DRIFT)
     }
 }
 
@@ -37,7 +37,7 @@
 struct Layer {
     number: u32,
     units: u32,
-    until: At,
+    until: Timestamp,
 }
 
 /// What was granted to one borrower. A later grant stands in place of an earlier one, of which calls may still
@@ -50,7 +50,7 @@
 }
 
 impl Given {
-    fn units(&self, now: At) -> u32 {
+    fn units(&self, now: Timestamp) -> u32 {
         self.layers.iter().filter(|l| now < l.until).map(|l| l.units).max().unwrap_or(0)
     }
 }
@@ -60,9 +60,9 @@
 struct Taken {
     number: u32,
     units: u32,
-    end: At,
+    end: Timestamp,
     /// The question that is out, and when it was asked.
-    asked: Option<(u32, At)>,
+    asked: Option<(u32, Timestamp)>,
     /// Times that the lender is still to be told that some is given back.
     owed: u8,
 }
@@ -83,7 +83,7 @@
     terms: Terms,
     own: u32,
     /// From when on the birthright may be used: what a former life of this server lent is over by then.
-    from: At,
+    from: Timestamp,
     in_use: u32,
     /// Questions asked in this life: a number is never used again, also not after a lender was let go of.
     numbered: u32,
@@ -93,7 +93,7 @@
 
 impl Ledger {
     /// `own` is this server's birthright, which it may use, and lend, from `from` on.
-    pub fn new(terms: Terms, own: u32, from: At) -> Ledger {
+    pub fn new(terms: Terms, own: u32, from: Timestamp) -> Ledger {
         let (given, taken) = (BTreeMap::new(), BTreeMap::new());
         Ledger { terms, own, from, in_use: 0, numbered: 0, given, taken }
     }
@@ -103,47 +103,47 @@
     }
 
     /// The birthright as of now.
-    pub fn own(&self, now: At) -> u32 {
+    pub fn own(&self, now: Timestamp) -> u32 {
         if now >= self.from { self.own } else { 0 }
     }
 
     /// Another birthright from here on; with `from` one that waits until then.
-    pub fn set_own(&mut self, own: u32, from: Option<At>) {
+    pub fn set_own(&mut self, own: u32, from: Option<Timestamp>) {
         self.own = own;
         self.from = from.unwrap_or(self.from);
     }
 
     /// When the birthright may be used.
-    pub fn usable_from(&self) -> At {
+    pub fn usable_from(&self) -> Timestamp {
         self.from
     }
 
     /// Units granted to others that may still be in use there.
-    pub fn lent(&self, now: At) -> u32 {
+    pub fn lent(&self, now: Timestamp) -> u32 {
         self.given.values().map(|g| g.units(now)).sum()
     }
 
-    pub fn lent_to(&self, now: At, who: Who) -> u32 {
+    pub fn lent_to(&self, now: Timestamp, who: Who) -> u32 {
         self.given.get(&who).map_or(0, |g| g.units(now))
     }
 
     /// Units of others that calls may be started on.
-    pub fn borrowed(&self, now: At) -> u32 {
+    pub fn borrowed(&self, now: Timestamp) -> u32 {
         self.taken.values().filter(|t| now < t.end).map(|t| t.units).sum()
     }
 
-    pub fn borrowed_of(&self, now: At, who: Who) -> u32 {
+    pub fn borrowed_of(&self, now: Timestamp, who: Who) -> u32 {
         self.taken.get(&who).filter(|t| now < t.end).map_or(0, |t| t.units)
     }
 
     /// Those of whom something is borrowed, how much, and how long it may still be used.
-    pub fn loans(&self, now: At) -> impl Iterator<Item = (Who, u32, Span)> {
+    pub fn loans(&self, now: Timestamp) -> impl Iterator<Item = (Who, u32, Duration)> {
         let open = self.taken.iter().filter(move |t| now < t.1.end && t.1.units > 0);
         open.map(move |(who, t)| (*who, t.units, t.end - now))
     }
 
     /// Calls that may be in hand as far as starts go.
-    pub fn usable(&self, now: At) -> u32 {
+    pub fn usable(&self, now: Timestamp) -> u32 {
         self.own(now).saturating_sub(self.lent(now)) + self.borrowed(now)
     }
 
@@ -152,7 +152,7 @@
         self.in_use
     }
 
-    pub fn may_start(&self, now: At) -> bool {
+    pub fn may_start(&self, now: Timestamp) -> bool {
         self.in_use < self.usable(now)
     }
 
@@ -168,7 +168,7 @@
     // --- as a lender
 
     /// The most that one who asks may be granted in all, what it has among it.
-    pub fn could_grant(&self, now: At, to: Who) -> u32 {
+    pub fn could_grant(&self, now: Timestamp, to: Who) -> u32 {
         let (own, lent, has) = (self.own(now), self.lent(now), self.lent_to(now, to));
         match own.checked_sub(lent) {
             // What is to be lent anew must lie idle.
@@ -179,7 +179,7 @@
 
     /// Answers question `number` of a borrower with that many units in all, or fewer; nothing where a later
     /// one was answered before, and the same again where this one was.
-    pub fn grant(&mut self, now: At, to: Who, number: u32, units: u32) -> Option<u32> {
+    pub fn grant(&mut self, now: Timestamp, to: Who, number: u32, units: u32) -> Option<u32> {
         let most = self.could_grant(now, to);
         let until = now + self.terms.held();
         let given = self.given.entry(to).or_default();
@@ -211,22 +211,22 @@
     // --- as a borrower
 
     /// A question to a lender: its number.
-    pub fn ask(&mut self, now: At, lender: Who) -> u32 {
+    pub fn ask(&mut self, now: Timestamp, lender: Who) -> u32 {
         self.numbered += 1;
         self.taken.entry(lender).or_default().asked = Some((self.numbered, now));
         self.numbered
     }
 
     /// Whether a question is out and when it was asked.
-    pub fn asked(&self, lender: Who) -> Option<At> {
+    pub fn asked(&self, lender: Who) -> Option<Timestamp> {
         self.taken.get(&lender)?.asked.map(|a| a.1)
     }
 
     /// The answer to a question. One that nobody waits for, or that comes when its lease is over, is nothing.
-    pub fn granted(&mut self, now: At, lender: Who, number: u32, units: u32) -> bool {
+    pub fn granted(&mut self, now: Timestamp, lender: Who, number: u32, units: u32) -> bool {
         let Some(taken) = self.taken.get_mut(&lender) else { return false };
         let Some((_, at)) = taken.asked.take_if(|a| a.0 == number) else { return false };
-        let end = at + self.terms.lease.less(self.terms.guard);
+        let end = at + self.terms.lease.saturating_sub(self.terms.guard);
         if now >= end {
             return false;
         }
@@ -243,12 +243,12 @@
     }
 
     /// Whether a lender is still to be told that some is given back, and no call in hand needs it any more.
-    pub fn owes(&self, now: At) -> bool {
+    pub fn owes(&self, now: Timestamp) -> bool {
         self.in_use <= self.usable(now) && self.taken.values().any(|t| t.owed > 0)
     }
 
     /// What is to be said to lenders: grants that no call in hand needs as they were.
-    pub fn backs(&mut self, now: At) -> Vec<Back> {
+    pub fn backs(&mut self, now: Timestamp) -> Vec<Back> {
         if self.in_use > self.usable(now) {
             return vec![];
         }
@@ -261,7 +261,7 @@
     }
 
     /// Lets go of those with whom nothing is open any more.
-    pub fn tidy(&mut self, now: At, gone: impl Fn(Who) -> bool) {
+    pub fn tidy(&mut self, now: Timestamp, gone: impl Fn(Who) -> bool) {
         self.given.retain(|who, g| !gone(*who) || g.units(now) > 0);
         self.taken.retain(|who, t| !gone(*who) || now < t.end);
     }
--- a/crates/quota/src/ledger/model.rs
+++ b/crates/quota/src/ledger/model.rs
@@ -9,7 +9,8 @@
 /// Birthrights: one server has all, so that every call of another is on a loan.
 const OWN: [u32; SERVERS] = [2, 0, 0];
 const WHOLE: usize = 2;
-const TERMS: Terms = Terms { lease: Span::micros(2), longest: Span::micros(1), guard: Span::ZERO };
+const TERMS: Terms =
+    Terms { lease: Duration::from_micros(2), longest: Duration::from_micros(1), guard: Duration::ZERO };
 /// Ticks played, messages under way at a time, and what is done at the most in one history.
 const TICKS: u64 = 5;
 const UNDER_WAY: usize = 2;
@@ -91,8 +92,8 @@
 }
 
 impl World {
-    fn at(&self) -> At {
-        At::micros(self.now)
+    fn at(&self) -> Timestamp {
+        Timestamp::from_micros(self.now)
     }
 
     fn send(&mut self, from: usize, to: (usize, u8), word: Word) {
@@ -154,7 +155,7 @@
 
     fn init_states(&self) -> Vec<World> {
         let server = |s: usize| {
-            let ledger = Ledger::new(TERMS, OWN[s], At::micros(0));
+            let ledger = Ledger::new(TERMS, OWN[s], Timestamp::from_micros(0));
             Server { ledger, life: 0, stopped: false, unheard: 0 }
         };
         let servers = (0..SERVERS).map(server).collect();
@@ -262,7 +263,7 @@
             Deed::Crash(s) => {
                 w.trouble[1] -= 1;
                 // Its calls go on below; it is back at once, knowing nothing.
-                let wait = if self.fault == Fault::NoWait { Span::ZERO } else { TERMS.held() };
+                let wait = if self.fault == Fault::NoWait { Duration::ZERO } else { TERMS.held() };
                 let ledger = Ledger::new(TERMS, OWN[s], now + wait);
                 w.servers[s] = Server { ledger, life: w.servers[s].life + 1, stopped: false, unheard: 0 };
             }
--- a/crates/quota/src/ledger/tests.rs
+++ b/crates/quota/src/ledger/tests.rs
@@ -1,10 +1,13 @@
 use super::*;
 
-const TERMS: Terms =
-    Terms { lease: Span::millis(1_000), longest: Span::millis(2_000), guard: Span::millis(50) };
+const TERMS: Terms = Terms {
+    lease: Duration::from_millis(1_000),
+    longest: Duration::from_millis(2_000),
+    guard: Duration::from_millis(50),
+};
 
-fn at(ms: u64) -> At {
-    At::micros(ms * 1_000)
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_micros(ms * 1_000)
 }
 
 fn ledger(own: u32) -> Ledger {
@@ -22,7 +25,7 @@
     assert!(!b.granted(at(701), 1, number, 3), "once");
     assert_eq!((b.usable(at(949)), b.usable(at(950))), (5, 2));
     let over = at(400) + TERMS.held();
-    assert_eq!((a.usable(over.before(Span::micros(1))), a.usable(over)), (1, 4));
+    assert_eq!((a.usable(over.saturating_sub(Duration::from_micros(1))), a.usable(over)), (1, 4));
     assert!(at(949) + TERMS.longest < over);
 }
 
--- a/crates/quota/src/shared.rs
+++ b/crates/quota/src/shared.rs
@@ -5,24 +5,24 @@
 use crate::ledger::Who;
 use crate::wire::{self, Word, Words};
 use compact_str::CompactString;
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use madderbay_membership::WORDS_MOST;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Between two looks at what is wanted and what is lent.
-const TURN: Span = Span::millis(100);
+const TURN: Duration = Duration::from_millis(100);
 /// The same where another waits for what is to be said.
-const HURRY: Span = Span::millis(10);
+const HURRY: Duration = Duration::from_millis(10);
 /// Between two questions for counts; more of them a second the larger the fleet, up to the most.
-const PULL: Span = Span::millis(250);
-const PULL_LEAST: Span = Span::millis(100);
+const PULL: Duration = Duration::from_millis(250);
+const PULL_LEAST: Duration = Duration::from_millis(100);
 const PULL_OF: usize = 24;
 /// A question for counts that is not answered by then is no use.
-const PULL_WAITS: Span = Span::millis(2_000);
+const PULL_WAITS: Duration = Duration::from_millis(2_000);
 /// Cells of others in one answer, as far as they fit.
 const CELLS: usize = 10;
 /// A view needs this long to settle: so long a server without a seat hears who else there is.
-const SETTLES: Span = Span::millis(2_000);
+const SETTLES: Duration = Duration::from_millis(2_000);
 /// Changes kept for the log.
 const CHANGES_MOST: usize = 64;
 /// Lives of others known at the most; beyond, words are not heard.
@@ -84,9 +84,9 @@
     pub in_use: u32,
     pub wants: u32,
     /// Since any other was heard of it.
-    pub heard: Option<Span>,
+    pub heard: Option<Duration>,
     /// Until the birthright may be used.
-    pub waits: Span,
+    pub waits: Duration,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -107,7 +107,7 @@
     peers: BTreeMap<CompactString, Peer>,
     /// Those of the peers that may be spoken to, and when one that is gone was last among them.
     active: Vec<CompactString>,
-    lost: BTreeMap<CompactString, (u64, At)>,
+    lost: BTreeMap<CompactString, (u64, Timestamp)>,
     known: HashMap<CompactString, Known>,
     names: Vec<CompactString>,
     /// Numbers of lives that are over, and of those with which nothing is open any more.
@@ -118,10 +118,10 @@
     surplus: bool,
     /// The view has changed since ranks were looked at.
     ranks: bool,
-    looked: At,
-    next: At,
-    pull: At,
-    stamps: Vec<(u32, At)>,
+    looked: Timestamp,
+    next: Timestamp,
+    pull: Timestamp,
+    stamps: Vec<(u32, Timestamp)>,
     stamped: u32,
     say: BTreeMap<CompactString, Vec<Word>>,
     changes: Vec<Change>,
@@ -129,9 +129,9 @@
 }
 
 impl Shared {
-    pub fn new(now: At, seed: u64, set: Settings) -> Shared {
+    pub fn new(now: Timestamp, seed: u64, set: Settings) -> Shared {
         let budgets = set.budgets.iter().map(|b| {
-            let settles = if b.seat.is_some() { Span::ZERO } else { SETTLES };
+            let settles = if b.seat.is_some() { Duration::ZERO } else { SETTLES };
             Budget::new(now, now + b.terms.held() + settles, b.clone())
         });
         let counts = set.counts.iter().map(|c| Counts::new(now, c.clone()));
@@ -149,7 +149,7 @@
             counts: counts.collect(),
             surplus: false,
             ranks: true,
-            looked: At::default(),
+            looked: Timestamp::default(),
             next: now,
             pull: now,
             stamps: vec![],
@@ -162,7 +162,7 @@
     }
 
     /// The view as of now, this server not among it, and its own life there.
-    pub fn view(&mut self, now: At, life: u64, peers: Vec<Peer>) {
+    pub fn view(&mut self, now: Timestamp, life: u64, peers: Vec<Peer>) {
         self.lives(now, life);
         let there: BTreeSet<&CompactString> = peers.iter().map(|p| &p.name).collect();
         let gone: Vec<CompactString> = self.peers.keys().filter(|n| !there.contains(n)).cloned().collect();
@@ -171,14 +171,14 @@
     }
 
     /// The own life, as the view tells it.
-    pub fn lives(&mut self, now: At, life: u64) {
+    pub fn lives(&mut self, now: Timestamp, life: u64) {
         if std::mem::replace(&mut self.ranked.0, life) != life {
             self.rank(now);
         }
     }
 
     /// One that the view holds, or holds otherwise than before.
-    pub fn there(&mut self, now: At, peer: Peer) {
+    pub fn there(&mut self, now: Timestamp, peer: Peer) {
         self.counts.iter_mut().for_each(|c| c.there(now, &peer.name));
         let active = peer.active;
         let name = peer.name.clone();
@@ -197,7 +197,7 @@
     }
 
     /// One that the view no longer holds, or that has left.
-    pub fn gone(&mut self, now: At, name: &CompactString) {
+    pub fn gone(&mut self, now: Timestamp, name: &CompactString) {
         self.counts.iter_mut().for_each(|c| c.gone(now, name));
         if let Some(peer) = self.peers.remove(name) {
             self.active.retain(|n| n != name);
@@ -213,7 +213,7 @@
     }
 
     /// Those who were lost so long ago that nothing they had can still be in hand.
-    fn forget_lost(&mut self, now: At) {
+    fn forget_lost(&mut self, now: Timestamp) {
         let longest = self.budgets.iter().map(|b| b.set.terms.held()).max().unwrap_or_default() + SETTLES;
         self.lost.retain(|_, l| now - l.1 < longest);
     }
@@ -221,7 +221,7 @@
     /// A server without a seat has no birthright while as many as there may be stand before it: those that
     /// began earlier, the lost among them until all that they had is over. One whose seat another has, that
     /// stands before it, has none either.
-    fn rank(&mut self, now: At) {
+    fn rank(&mut self, now: Timestamp) {
         let before = |name: &CompactString, life: u64| (life, name) < (self.ranked.0, &self.ranked.1);
         let there = self.peers.values().filter(|p| before(&p.name, p.life)).count();
         let gone = self.lost.iter().filter(|l| !self.peers.contains_key(l.0) && before(l.0, l.1.0)).count();
@@ -238,7 +238,7 @@
         self.surplus = self.budgets.iter().any(over);
         for b in &mut self.budgets {
             let own = if over(b) { 0 } else { b.set.birthright() };
-            let has = b.ledger.own(At::micros(u64::MAX));
+            let has = b.ledger.own(Timestamp::from_micros(u64::MAX));
             if own > has && has == 0 {
                 // Whoever had it may still have lent it, or have calls on it.
                 let from = (now + b.set.terms.held()).max(b.ledger.usable_from());
@@ -255,7 +255,7 @@
     }
 
     /// The operator has set sizes and weights anew; budgets that are new, or gone, take a restart.
-    pub fn reload(&mut self, now: At, budgets: &[budget::Settings]) {
+    pub fn reload(&mut self, now: Timestamp, budgets: &[budget::Settings]) {
         for b in &mut self.budgets {
             if let Some(fresh) = budgets.iter().find(|f| f.name == b.set.name) {
                 b.set = budget::Settings { terms: b.set.terms, seat: b.set.seat, ..fresh.clone() };
@@ -286,7 +286,7 @@
     }
 
     /// Words of another, which the view holds to be in.
-    pub fn received(&mut self, now: At, from: &CompactString, bytes: &[u8]) {
+    pub fn received(&mut self, now: Timestamp, from: &CompactString, bytes: &[u8]) {
         self.totals.heard += 1;
         let Some(words) = wire::read(bytes) else {
             self.totals.unread += 1;
@@ -328,7 +328,7 @@
     }
 
     /// Tells what was counted, as much as a datagram holds.
-    fn tell(&mut self, now: At, to: &CompactString, stamp: u32) {
+    fn tell(&mut self, now: Timestamp, to: &CompactString, stamp: u32) {
         let (draw, life) = (self.chance.rand_float(), self.ranked.0);
         let name = self.set.name.clone();
         let mut fit = vec![];
@@ -356,7 +356,7 @@
         }
     }
 
-    pub fn due(&self) -> At {
+    pub fn due(&self) -> Timestamp {
         let hurry = self.hurries().then(|| self.looked + HURRY);
         let due = if self.counts.is_empty() { self.next } else { self.next.min(self.pull) };
         hurry.map_or(due, |h| due.min(h))
@@ -368,7 +368,7 @@
     }
 
     /// The time has come for what was due.
-    pub fn turn(&mut self, now: At) {
+    pub fn turn(&mut self, now: Timestamp) {
         if now >= self.next {
             (self.next, self.looked) = (now + TURN, now);
             self.look(now);
@@ -379,8 +379,9 @@
             self.put(say);
         }
         if now >= self.pull && !self.counts.is_empty() {
-            let each = PULL.times((PULL_OF as f64 / (self.active.len() + 1) as f64).min(1.0)).max(PULL_LEAST);
-            self.pull = now + each.times(0.75 + 0.5 * self.chance.rand_float());
+            let each =
+                PULL.mul_f64((PULL_OF as f64 / (self.active.len() + 1) as f64).min(1.0)).max(PULL_LEAST);
+            self.pull = now + each.mul_f64(0.75 + 0.5 * self.chance.rand_float());
             self.stamps.retain(|s| now - s.1 < PULL_WAITS);
             if !self.active.is_empty() {
                 let at = self.chance.rand_range(0..self.active.len() as u64) as usize;
@@ -392,7 +393,7 @@
         }
     }
 
-    fn look(&mut self, now: At) {
+    fn look(&mut self, now: Timestamp) {
         if std::mem::take(&mut self.ranks) || self.surplus || !self.lost.is_empty() {
             self.forget_lost(now);
             self.rank(now);
@@ -428,7 +429,7 @@
     }
 
     /// Lives that are over, or no longer in the view, are let go of once nothing is open with them.
-    fn let_go(&mut self, now: At) {
+    fn let_go(&mut self, now: Timestamp) {
         let peers = &self.peers;
         let gone: Vec<CompactString> =
             self.known.keys().filter(|n| !peers.contains_key(*n)).cloned().collect();
@@ -465,7 +466,7 @@
         std::mem::take(&mut self.changes)
     }
 
-    pub fn budget_views(&self, now: At) -> Vec<BudgetView> {
+    pub fn budget_views(&self, now: Timestamp) -> Vec<BudgetView> {
         self.budgets
             .iter()
             .map(|b| BudgetView {
@@ -485,9 +486,9 @@
 
     /// The part of an allowance over the whole fleet, in reqs a second, that this server may take as its own:
     /// where all together stay within it, all that the others leave; else its part of what comes.
-    pub fn allowance(&self, now: At, count: usize, key: u32, per_second: f64, servers: u32) -> f64 {
+    pub fn allowance(&self, now: Timestamp, count: usize, key: u32, per_second: f64, servers: u32) -> f64 {
         let counts = &self.counts[count];
-        let window = counts.set.window.as_secs();
+        let window = counts.set.window.as_secs_f64();
         let fair = per_second / f64::from(servers.max(1));
         let own = counts.own(now, key).value / window;
         let all = counts.told(now, key, fair).value / window;
@@ -496,7 +497,7 @@
         (per_second - others).max(part).max(0.0)
     }
 
-    pub fn told(&self, now: At, count: usize, key: u32, fair: f64) -> Told {
+    pub fn told(&self, now: Timestamp, count: usize, key: u32, fair: f64) -> Told {
         self.counts[count].told(now, key, fair)
     }
 }
--- a/crates/quota/tests/counts.rs
+++ b/crates/quota/tests/counts.rs
@@ -1,25 +1,25 @@
 //! Counts over a simulated fleet, against what was truly counted: always within the bound told, through loss,
 //! cuts, crashes and pauses; and counts alone: in any order, however many keys.
 
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use madderbay_quota::counts::{Counts, Settings};
 use madderbay_quota::mark;
 use madderbay_testkit::fleet::script::{Act, Condition, Fleet, Setup};
 use madderbay_testkit::fleet::sim::Sim;
 
-const WINDOW: Span = Span::millis(5_000);
+const WINDOW: Duration = Duration::from_millis(5_000);
 
 fn start(who: usize) -> Act {
-    Act::Start { who, name: who, clock: Span::ZERO, back: false }
+    Act::Start { who, name: who, clock: Duration::ZERO, back: false }
 }
 
 fn fleet(n: usize, seed: u64) -> Sim {
-    let setup = Setup { window: Some(WINDOW), memory: Span::millis(30_000), ..Setup::of(n) };
+    let setup = Setup { window: Some(WINDOW), memory: Duration::from_millis(30_000), ..Setup::of(n) };
     let mut sim = Sim::new(setup, seed);
     sim.log = Some(vec![]);
     (0..n).for_each(|s| sim.act(&start(s)).expect("started"));
     while let Some(amiss) = sim.amiss(&Condition::Settled) {
-        assert!(sim.at() < Span::millis(40_000), "{amiss}");
+        assert!(sim.at() < Duration::from_millis(40_000), "{amiss}");
         sim.pass();
     }
     sim
@@ -28,7 +28,7 @@
 /// Lets time pass and looks at every server now and then, at all keys.
 fn look(sim: &mut Sim, keys: &[u32], ms: u64) {
     for _ in 0..ms / 250 {
-        sim.run(Span::millis(250));
+        sim.run(Duration::from_millis(250));
         let running: Vec<usize> = sim.running().map(|m| m.0).collect();
         for who in running {
             for key in keys {
@@ -86,9 +86,9 @@
     let value = |sim: &mut Sim| sim.told(0, acme, fair).expect("counts").value;
     assert!((900.0..1_100.0).contains(&value(&mut sim)));
     sim.act(&Act::Cut(vec![vec![0], vec![1, 2, 3]])).expect("cut");
-    sim.run(Span::millis(8_000));
+    sim.run(Duration::from_millis(8_000));
     let soon = value(&mut sim);
-    sim.run(Span::millis(17_000));
+    sim.run(Duration::from_millis(17_000));
     let late = value(&mut sim);
     // Its own 250, and of three others 50 each, of their fair 10 a second.
     assert!(soon > late && (395.0..460.0).contains(&late), "{soon} and {late}");
@@ -115,8 +115,8 @@
     Settings { name: "tenants".into(), window: WINDOW, most: 1_000.0 }
 }
 
-fn at(ms: u64) -> At {
-    At::micros(1_000_000 + ms * 1_000)
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_micros(1_000_000 + ms * 1_000)
 }
 
 /// A hundred thousand tenants: what is kept is bounded, the heavy are exact to the error told.
@@ -164,7 +164,7 @@
     let own = ("own".into(), 1);
     let told = |words: &[madderbay_quota::Cell]| {
         let mut counts = Counts::new(at(0), settings());
-        words.iter().for_each(|w| counts.hear(now, Span::ZERO, w.clone(), (&own.0, own.1)));
+        words.iter().for_each(|w| counts.hear(now, Duration::ZERO, w.clone(), (&own.0, own.1)));
         (counts.told(now, key, 0.0), counts.len())
     };
     let first = told(&words);
--- a/crates/quota/tests/fleet.rs
+++ b/crates/quota/tests/fleet.rs
@@ -1,7 +1,7 @@
 //! Every script under `tests/shared`, simulated over many seeds on clocks that run unlike; and drawn histories.
 //! `crates/server/tests/shared.rs` plays the same scripts on real processes.
 
-use madderbay::time::Span;
+use madderbay::time::Duration;
 use madderbay_testkit::fleet::draw::Draw;
 use madderbay_testkit::fleet::script::{Act, Budgeted, Condition, Fleet, Setup};
 use madderbay_testkit::fleet::sim::{Sim, play_all};
@@ -22,11 +22,11 @@
 }
 
 fn start(who: usize) -> Act {
-    Act::Start { who, name: who, clock: Span::ZERO, back: false }
+    Act::Start { who, name: who, clock: Duration::ZERO, back: false }
 }
 
 fn budgeted(n: usize, whole: u32, call_ms: u64) -> Setup {
-    let ms = Span::millis;
+    let ms = Duration::from_millis;
     let (lease, longest, call) = (ms(1_000), ms(500), ms(call_ms));
     let handlers = "book";
     let budget = Budgeted { whole, servers: n as u32, seats: false, lease, longest, call, handlers };
@@ -42,15 +42,15 @@
         act(&mut sim, start(who));
         act(&mut sim, Act::Demand(who, 10));
         if who % 15 == 14 {
-            sim.run(Span::millis(330));
+            sim.run(Duration::from_millis(330));
         }
     }
     let used = Condition::Uses { who: (0..n).collect(), least: whole * 9 / 10 };
     while let Some(amiss) = sim.amiss(&used) {
-        assert!(sim.at() < Span::millis(30_000), "{amiss}");
+        assert!(sim.at() < Duration::from_millis(30_000), "{amiss}");
         sim.pass();
     }
-    sim.run(Span::millis(2_000));
+    sim.run(Duration::from_millis(2_000));
     assert!(sim.peak <= whole, "{} in hand", sim.peak);
 }
 
@@ -62,11 +62,11 @@
         let (n, whole) = (4, 20);
         let mut sim = Sim::new(budgeted(n, whole, 200), seed);
         (0..n).for_each(|s| act(&mut sim, start(s)));
-        sim.run(Span::millis(4_000));
+        sim.run(Duration::from_millis(4_000));
         let mut draw = Draw::new(seed + 500, n, whole * 3 / 2);
         for _ in 0..25 {
             act(&mut sim, draw.act());
-            sim.run(Span::secs(draw.secs(0.8)));
+            sim.run(Duration::from_secs_f64(draw.secs(0.8)));
         }
         assert!(sim.peak <= whole, "seed {seed}: {} in hand", sim.peak);
     }
--- a/crates/server/src/balancers/answer.rs
+++ b/crates/server/src/balancers/answer.rs
@@ -1,6 +1,6 @@
 //! What goes back to a balancer: JSON-RPC answers, notices and errors, one a line.
 
-use madderbay::time::Span;
+use madderbay::time::Duration;
 use std::io::Write;
 
 /// Codes of answers that tell of a req; the standard's own tell of messages that can't be understood.
@@ -35,7 +35,7 @@
     put!(out, "\"message\":\"{message}\",\"data\":{{");
 }
 
-pub fn shed(out: &mut Vec<u8>, id: u64, come_back: Span, last: bool, value: Option<f64>) {
+pub fn shed(out: &mut Vec<u8>, id: u64, come_back: Duration, last: bool, value: Option<f64>) {
     error(out, id, SHED, "shed");
     let mut comma = "";
     let millis = come_back.as_micros() / 1000;
--- a/crates/server/src/balancers/conns.rs
+++ b/crates/server/src/balancers/conns.rs
@@ -3,37 +3,37 @@
 
 use crate::balancers::answer;
 use crate::tools::drive::Outbox;
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use std::collections::HashMap;
 
 /// Open reqs that one connection may carry.
 pub const OPEN_MOST: usize = 32;
 /// A balancer told that a connection is to end has this long to close it.
-const LEAVING: Span = Span::millis(1_000);
+const LEAVING: Duration = Duration::from_millis(1_000);
 /// A new connection that has asked nothing that could be answered ends after this, half a line or none sent:
 /// balancers open one to ask at once, and a bad client is to have its close within 3 s.
-const FIRST: Span = Span::millis(1_500);
+const FIRST: Duration = Duration::from_millis(1_500);
 /// A new connection is left that long for its first req, whoever else wants its room: the req may have been
 /// written to it already.
-const YOUNG: Span = Span::millis(250);
+const YOUNG: Duration = Duration::from_millis(250);
 /// A line that was begun has that long to be ended before its connection may go: some callers write slowly.
-const PART: Span = Span::millis(1_000);
+const PART: Duration = Duration::from_millis(1_000);
 /// A peer that takes nothing of what waits for it for that long is gone: all pauses are shorter, and what all
 /// peers together leave unread is bounded by it.
-const STUCK: Span = Span::millis(10_000);
+const STUCK: Duration = Duration::from_millis(10_000);
 /// Time between two looks at a connection whose reqs are open past its limit on idling.
-const AGAIN: Span = Span::millis(100);
+const AGAIN: Duration = Duration::from_millis(100);
 
 struct Conn {
     out: Outbox,
     open: HashMap<u64, u64>,
-    used: At,
+    used: Timestamp,
     /// What its peer had taken when that was last seen to grow, or nothing waited.
-    taken: (u64, At),
+    taken: (u64, Timestamp),
     /// Something that it asked was answered.
     heard: bool,
     /// Since when a line is half read.
-    part: Option<At>,
+    part: Option<Timestamp>,
     /// The peer sends no more, or this side was about to end it when one more req came: it ends once nothing
     /// is open.
     ended: bool,
@@ -59,7 +59,7 @@
     }
 
     /// A line was begun less than so long ago and is not ended.
-    fn amid(&self, now: At, most: Span) -> bool {
+    fn amid(&self, now: Timestamp, most: Duration) -> bool {
         self.part.is_some_and(|since| now - since < most)
     }
 
@@ -75,7 +75,7 @@
         open
     }
 
-    fn cut_if_stuck(&mut self, now: At) {
+    fn cut_if_stuck(&mut self, now: Timestamp) {
         if self.out.is_empty() || self.out.written() != self.taken.0 {
             self.taken = (self.out.written(), now);
         } else if now - self.taken.1 > STUCK {
@@ -89,13 +89,13 @@
 pub struct Conns {
     table: HashMap<u64, Conn>,
     numbers: u64,
-    idle: Option<Span>,
+    idle: Option<Duration>,
     leaving: bool,
 }
 
 impl Conns {
     /// A connection was accepted: its number, and when it must have carried its first req.
-    pub fn open(&mut self, now: At, out: Outbox) -> (u64, At) {
+    pub fn open(&mut self, now: Timestamp, out: Outbox) -> (u64, Timestamp) {
         if self.leaving {
             out.put(answer::leaving);
         }
@@ -103,11 +103,11 @@
     }
 
     /// The same for one that there is no room for: it has as long as any new one is sure of.
-    pub fn open_beyond(&mut self, now: At, out: Outbox) -> (u64, At) {
+    pub fn open_beyond(&mut self, now: Timestamp, out: Outbox) -> (u64, Timestamp) {
         (self.enter(now, out, true), now + YOUNG)
     }
 
-    fn enter(&mut self, now: At, out: Outbox, beyond: bool) -> u64 {
+    fn enter(&mut self, now: Timestamp, out: Outbox, beyond: bool) -> u64 {
         self.numbers += 1;
         let conn = Conn {
             out,
@@ -135,7 +135,7 @@
     }
 
     /// A connection was read: whether a line is half read now, and whether any was ended.
-    pub fn was_read(&mut self, now: At, no: u64, part: bool, ended: bool) {
+    pub fn was_read(&mut self, now: Timestamp, no: u64, part: bool, ended: bool) {
         if let Some(conn) = self.table.get_mut(&no) {
             let since = if ended { None } else { conn.part };
             conn.part = part.then(|| since.unwrap_or(now));
@@ -155,12 +155,12 @@
     }
 
     /// The limit on idling, once one was set.
-    pub fn idle_limit(&self) -> Option<Span> {
+    pub fn idle_limit(&self) -> Option<Duration> {
         self.idle
     }
 
     /// Sets the limit on idling; gives when each connection is to be looked at.
-    pub fn limit_idling(&mut self, limit: Span) -> impl Iterator<Item = (At, u64)> {
+    pub fn limit_idling(&mut self, limit: Duration) -> impl Iterator<Item = (Timestamp, u64)> {
         self.idle = Some(limit);
         self.table.iter().map(move |(no, c)| (c.used + limit, *no))
     }
@@ -168,7 +168,7 @@
     /// Ends a connection that carries nothing, to make room for another: those that end already first, then
     /// those never answered, those in half a line last, then those unused the longest. None may go that has a
     /// req open, or whose first or next may be on its way.
-    pub fn make_room(&mut self, now: At) -> bool {
+    pub fn make_room(&mut self, now: Timestamp) -> bool {
         let young = |c: &Conn| if c.heard { c.amid(now, PART) } else { now - c.used <= YOUNG };
         let may = |c: &Conn| c.rests() && !c.out.gives_way() && (c.out.is_closing() || !young(c));
         let idle = self.table.iter().filter(|(_, c)| may(c));
@@ -205,7 +205,7 @@
     }
 
     /// A req was read on a connection; false if that is gone. One that was about to end goes on for it.
-    pub fn opened_req(&mut self, now: At, no: u64, rpc: u64, id: u64) -> bool {
+    pub fn opened_req(&mut self, now: Timestamp, no: u64, rpc: u64, id: u64) -> bool {
         let Some(conn) = self.table.get_mut(&no) else { return false };
         if conn.out.is_closing() {
             conn.out.go_on();
@@ -222,7 +222,7 @@
     }
 
     /// Writes an answer, if the connection is still there.
-    pub fn answer(&mut self, now: At, no: u64, write: impl FnOnce(&mut Vec<u8>)) {
+    pub fn answer(&mut self, now: Timestamp, no: u64, write: impl FnOnce(&mut Vec<u8>)) {
         let Some(conn) = self.table.get_mut(&no) else { return };
         conn.out.put(write);
         (conn.used, conn.heard) = (now, true);
@@ -256,7 +256,7 @@
         }
     }
 
-    pub fn cut_stuck(&mut self, now: At) {
+    pub fn cut_stuck(&mut self, now: Timestamp) {
         self.table.values_mut().for_each(|c| c.cut_if_stuck(now));
     }
 
@@ -267,7 +267,7 @@
 
     /// A connection without open reqs is asked to end, and ended where that is not heeded. Gives when to look
     /// at it again.
-    pub fn idle_over(&mut self, now: At, no: u64) -> Option<At> {
+    pub fn idle_over(&mut self, now: Timestamp, no: u64) -> Option<Timestamp> {
         let limit = self.idle?;
         let conn = self.table.get_mut(&no)?;
         let rests = conn.heard && conn.open.is_empty() && now - conn.used >= limit;
@@ -287,7 +287,7 @@
     }
 
     /// A new connection had its time for a first req. Gives when to look at it again.
-    pub fn first_over(&mut self, now: At, no: u64) -> Option<At> {
+    pub fn first_over(&mut self, now: Timestamp, no: u64) -> Option<Timestamp> {
         let conn = self.table.get(&no).filter(|c| !c.heard)?;
         if !conn.open.is_empty() {
             return Some(now + FIRST);
--- a/crates/server/src/balancers/door.rs
+++ b/crates/server/src/balancers/door.rs
@@ -3,7 +3,7 @@
 use crate::tools::json::{Members, number, text, whole};
 use crate::tools::name::{Name, name, spelt};
 use madderbay::face::{Arrival, Repeats};
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use madderbay_settings::Settings;
 use siphasher::sip::SipHasher24;
 use std::collections::{BTreeSet, HashMap};
@@ -12,8 +12,8 @@
 
 /// A req's own figures are refused past these: a start further ahead than clocks differ, or longer ago than
 /// any pause; spans of so many client timeouts; memory that no req takes; a body over 2 KiB in base64.
-const AHEAD_MOST: Span = Span::millis(1_000);
-const AGO_MOST: Span = Span::millis(600_000);
+const AHEAD_MOST: Duration = Duration::from_millis(1_000);
+const AGO_MOST: Duration = Duration::from_millis(600_000);
 const TIMEOUTS_MOST: f64 = 10.0;
 const ROOM_KB: f64 = 2_000.0;
 const BODY_MOST: usize = 2_732;
@@ -32,10 +32,10 @@
 struct Entry {
     holder: u64,
     print: u64,
-    until: At,
+    until: Timestamp,
     /// It is known for as long past its term as a try may wait unread: one that reached the machine within the
     /// term may be read as late as that, while this process waits for its core.
-    late: Span,
+    late: Duration,
     run: Run,
     waiting: Vec<u64>,
 }
@@ -63,7 +63,7 @@
     /// The longest that a req of each handler may say it waits or works.
     longest_ms: Vec<f64>,
     /// How long a caller waits altogether, by handler: what is read later than that is started no more.
-    late: Vec<Span>,
+    late: Vec<Duration>,
     tenants: HashMap<String, usize>,
     /// The handlers' names as JSON strings.
     quoted: Vec<Rc<str>>,
@@ -71,7 +71,7 @@
     ids: u64,
     table: HashMap<Key, Entry>,
     holders: HashMap<u64, Key>,
-    lapses: BTreeSet<(At, Key)>,
+    lapses: BTreeSet<(Timestamp, Key)>,
     /// Bytes of results that are kept, and that may be.
     kept: usize,
     kept_most: usize,
@@ -105,7 +105,7 @@
         Door {
             handlers: numbered(&s.handler_names),
             repeats: s.handlers.iter().map(|h| h.repeats).collect(),
-            longest_ms: s.handlers.iter().map(|h| h.timeout.as_secs() * 1e3 * TIMEOUTS_MOST).collect(),
+            longest_ms: s.handlers.iter().map(|h| h.timeout.as_secs_f64() * 1e3 * TIMEOUTS_MOST).collect(),
             late: s.handlers.iter().map(|h| h.timeout).collect(),
             tenants: numbered(&s.tenant_names),
             quoted: s
@@ -137,7 +137,7 @@
     }
 
     /// The print of a keyed req in the table and the end of its window.
-    pub fn window(&self, key: Key) -> Option<(u64, At)> {
+    pub fn window(&self, key: Key) -> Option<(u64, Timestamp)> {
         self.table.get(&key).map(|e| (e.print, e.until))
     }
 
@@ -148,12 +148,12 @@
     /// Reads a req's own account of itself; says what is wrong with it. Whatever is out of range is refused
     /// here, before the module counts it.
     pub fn read<'a>(
-        &mut self, now: At, handler: usize, params: &Members<'a>,
+        &mut self, now: Timestamp, handler: usize, params: &Members<'a>,
     ) -> Result<Read<'a>, &'static str> {
         let longest = self.longest_ms[handler];
         let own = params.text("ref").as_deref().and_then(name).ok_or("ref is not 16 hex digits")?;
         let since = params.whole("since").ok_or("since is not a time in milliseconds")?;
-        let since = At::micros(since.saturating_mul(1000));
+        let since = Timestamp::from_micros(since.saturating_mul(1000));
         if since > now + AHEAD_MOST || since + AGO_MOST < now {
             return Err("since is out of range");
         }
@@ -168,9 +168,9 @@
         let allow = span("allow", "allow is not a time in milliseconds")?;
         let hint = span("effort", "effort is not a work in milliseconds")?;
         let wait = match allow {
-            Some(ms) if self.says_wait => reached + Span::secs(ms / 1e3) - now,
+            Some(ms) if self.says_wait => reached + Duration::from_secs_f64(ms / 1e3) - now,
             None if self.says_wait => return Err("allow is not a time in milliseconds"),
-            _ => Span::ZERO,
+            _ => Duration::ZERO,
         };
         let tenant = if self.tenants.is_empty() {
             0
@@ -207,7 +207,7 @@
             tenant,
             subject,
             wait,
-            hint: hint.map(|ms| Span::secs(ms / 1e3)),
+            hint: hint.map(|ms| Duration::from_secs_f64(ms / 1e3)),
             held_kb,
             rank,
             retry: params.raw("dup").is_some_and(|d| d == "true" || d == "1"),
@@ -218,7 +218,7 @@
     }
 
     /// Enters a try, or renews its entry; a newer try takes the entry over.
-    pub fn keep(&mut self, id: u64, key: Key, print: u64, handler: usize, until: At) {
+    pub fn keep(&mut self, id: u64, key: Key, print: u64, handler: usize, until: Timestamp) {
         let late = self.late[handler];
         let fresh = Entry { holder: id, print, until, late, run: Run::NotYet, waiting: vec![] };
         let entry = self.table.entry(key).or_insert(fresh);
@@ -238,7 +238,7 @@
     }
 
     /// Takes an entry out; tells until when it would have been known.
-    fn remove(&mut self, key: Key) -> Option<At> {
+    fn remove(&mut self, key: Key) -> Option<Timestamp> {
         let entry = self.table.remove(&key)?;
         self.holders.remove(&entry.holder);
         if let Run::Done(result) = &entry.run {
@@ -277,7 +277,7 @@
     }
 
     /// Takes entries off whose term is over, except while their run goes on.
-    pub fn lapse(&mut self, now: At) {
+    pub fn lapse(&mut self, now: Timestamp) {
         while let Some(&(at, key)) = self.lapses.first().filter(|l| l.0 <= now) {
             self.lapses.remove(&(at, key));
             let Some(entry) = self.table.get_mut(&key) else { continue };
--- a/crates/server/src/balancers/front.rs
+++ b/crates/server/src/balancers/front.rs
@@ -5,7 +5,7 @@
 use crate::tools::drive::Lines;
 use crate::tools::json::{Members, is_value};
 use crate::tools::name::name;
-use madderbay::time::At;
+use madderbay::time::Timestamp;
 
 /// Longer than any legal line: a body of 2 KiB in base64, each of its characters escaped, and its fields.
 const LINE_MOST: usize = 20 << 10;
@@ -32,7 +32,7 @@
     }
 
     /// Takes in what was read; an empty feed is the end. False when nothing more is read.
-    pub fn fed(&mut self, now: At, bytes: &[u8], serve: &mut Serve) -> bool {
+    pub fn fed(&mut self, now: Timestamp, bytes: &[u8], serve: &mut Serve) -> bool {
         let (no, over) = (self.no, &mut self.over);
         let mut ended = false;
         let whole = self.lines.feed(bytes, |line| {
@@ -58,7 +58,7 @@
 }
 
 impl Wrong {
-    fn tell(&self, now: At, no: u64, serve: &mut Serve) {
+    fn tell(&self, now: Timestamp, no: u64, serve: &mut Serve) {
         serve.hands.counters.bad_lines += 1;
         log::debug!("connection {no}: a line can't be served: {}", self.message);
         if let Some(out) = serve.out(no) {
@@ -70,7 +70,7 @@
     }
 }
 
-fn read(now: At, no: u64, line: &[u8], serve: &mut Serve) -> Result<(), Wrong> {
+fn read(now: Timestamp, no: u64, line: &[u8], serve: &mut Serve) -> Result<(), Wrong> {
     let unread = |code, message| Wrong { id: None, code, message, breach: false };
     let text = std::str::from_utf8(line).map_err(|_| unread(NO_JSON, "not UTF-8"))?;
     let Some(call) = Members::read(text) else {
--- a/crates/server/src/below/calls.rs
+++ b/crates/server/src/below/calls.rs
@@ -5,29 +5,29 @@
 use crate::tools::drive::{Outbox, connect, drive_link};
 use crate::tools::name::{Name, spelt};
 use madderbay::face::Outcome;
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use std::cell::RefCell;
 use std::collections::HashSet;
 use std::io::{ErrorKind, Write};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::Duration as StdDuration;
 use tokio::sync::{Notify, watch};
 
 /// A connection idle for longer takes no more calls: the catalogue may have closed or forgotten it, and a
 /// call that meets its reset can't be told from one that ran.
-const IDLE_MOST: Span = Span::millis(1_000);
+const IDLE_MOST: Duration = Duration::from_millis(1_000);
 /// Longer than any legal reply line or body.
 const LINE_MOST: usize = 64;
 const BODY_MOST: usize = 64 << 10;
 /// A connection not made by then proves as much as a refused one: on it no call ran.
-const CONNECT: Duration = Duration::from_millis(500);
+const CONNECT: StdDuration = StdDuration::from_millis(500);
 
 /// A call that is out, and where its bytes begin in what its connection sends.
 struct Made {
     id: u64,
     name: Name,
-    at: At,
+    at: Timestamp,
     begins: u64,
 }
 
@@ -39,14 +39,14 @@
     call: Option<Made>,
     /// Reqs in hand that have called here: a second copy of a reply may still come, so they call elsewhere.
     met: HashSet<Name>,
-    used: At,
+    used: Timestamp,
     /// It leads to an address that has been left.
     left: bool,
 }
 
 impl Wire {
     /// Fit for one more call, once it carries none.
-    fn fresh(&self, now: At) -> bool {
+    fn fresh(&self, now: Timestamp) -> bool {
         !self.left && now - self.used < IDLE_MOST
     }
 }
@@ -67,20 +67,21 @@
     /// Whether one more connection may be opened beside so many.
     fn may_dial(&self, open: usize) -> bool;
     /// A reply on the connection `wire`.
-    fn call_over(&mut self, now: At, wire: u64, name: &Name, how: Outcome, body: &[u8]);
+    fn call_over(&mut self, now: Timestamp, wire: u64, name: &Name, how: Outcome, body: &[u8]);
     /// A connection is over.
-    fn call_lost(&mut self, now: At, wire: u64);
+    fn call_lost(&mut self, now: Timestamp, wire: u64);
     /// A reply could not be read.
     fn unread(&mut self);
 }
 
 /// Whose call is over, how and after what time.
-pub type Over = (u64, Outcome, Span);
+pub type Over = (u64, Outcome, Duration);
 
 impl Desk {
     /// Sends a call to the catalogue, or to a backend; gives the number of the connection that it is on.
     pub fn fetch(
-        &mut self, now: At, id: u64, name: &Name, patience: Span, body: &[u8], to: Option<SocketAddr>,
+        &mut self, now: Timestamp, id: u64, name: &Name, patience: Duration, body: &[u8],
+        to: Option<SocketAddr>,
     ) -> u64 {
         // The one used last is the least likely to have been forgotten.
         let free = |w: &&mut Wire| w.to == to && w.call.is_none() && w.fresh(now);
@@ -109,17 +110,17 @@
     }
 
     /// Gives a call up, and its connection with it: what was not sent never will be.
-    pub fn quit(&mut self, now: At, name: &Name) -> Option<Over> {
+    pub fn quit(&mut self, now: Timestamp, name: &Name) -> Option<Over> {
         self.end(now, Outcome::TimedOut, |w| w.call.as_ref().is_some_and(|c| c.name == *name))
     }
 
     /// The same for the call on one connection.
-    pub fn quit_wire(&mut self, now: At, no: u64) -> Option<Over> {
+    pub fn quit_wire(&mut self, now: Timestamp, no: u64) -> Option<Over> {
         self.end(now, Outcome::TimedOut, |w| w.no == no && w.call.is_some())
     }
 
     /// A reply on a connection; nothing if it is not that of the call in hand there.
-    pub fn replied(&mut self, now: At, no: u64, name: &Name) -> Option<(u64, Span)> {
+    pub fn replied(&mut self, now: Timestamp, no: u64, name: &Name) -> Option<(u64, Duration)> {
         let wire = self.wires.iter_mut().find(|w| w.no == no)?;
         let call = wire.call.take_if(|c| c.name == *name)?;
         wire.used = now;
@@ -130,12 +131,12 @@
     }
 
     /// A connection is over, and with it the call on it.
-    pub fn ended(&mut self, now: At, no: u64) -> Option<Over> {
+    pub fn ended(&mut self, now: Timestamp, no: u64) -> Option<Over> {
         self.end(now, Outcome::CutOff, |w| w.no == no)
     }
 
     /// Takes a connection off. Of a call on it that was not sent it says that it never ran, else `sent`.
-    fn end(&mut self, now: At, sent: Outcome, which: impl FnMut(&Wire) -> bool) -> Option<Over> {
+    fn end(&mut self, now: Timestamp, sent: Outcome, which: impl FnMut(&Wire) -> bool) -> Option<Over> {
         let at = self.wires.iter().position(which)?;
         let wire = self.wires.swap_remove(at);
         wire.out.cut();
@@ -152,13 +153,13 @@
     }
 
     /// The catalogue has moved: calls in hand may still come back, new ones go to the new address.
-    pub fn moved(&mut self, now: At) {
+    pub fn moved(&mut self, now: Timestamp) {
         self.wires.iter_mut().filter(|w| w.to.is_none()).for_each(|w| w.left = true);
         self.tidy(now);
     }
 
     /// Closes what stands idle.
-    pub fn tidy(&mut self, now: At) {
+    pub fn tidy(&mut self, now: Timestamp) {
         self.wires.retain(|w| {
             let keep = w.call.is_some() || w.fresh(now);
             if !keep {
--- a/crates/server/src/below/engine.rs
+++ b/crates/server/src/below/engine.rs
@@ -5,13 +5,13 @@
 use crate::tools::json::{Members, whole};
 use crate::tools::name::{Name, spelt};
 use madderbay::face::Outcome;
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use std::cell::RefCell;
 use std::future::pending;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::Duration as StdDuration;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::timeout;
@@ -20,9 +20,9 @@
 const LINE_MOST: usize = 64 << 10;
 /// Wait before a lost link is taken up again: ends of runs, and answers with them, wait as long. Longer where
 /// nobody listens, after the time that a connection may take.
-const AGAIN: Duration = Duration::from_millis(2);
-const CONNECT: Duration = Duration::from_millis(1_000);
-const UNREACHED: Duration = Duration::from_millis(100);
+const AGAIN: StdDuration = StdDuration::from_millis(2);
+const CONNECT: StdDuration = StdDuration::from_millis(1_000);
+const UNREACHED: StdDuration = StdDuration::from_millis(100);
 
 /// Rings of the timer without an answer to a question for the gauges, after which the link has gone silent
 /// and is made anew: two seconds. Counted, not timed, since a pause of this process is no silence.
@@ -32,13 +32,13 @@
 pub trait Hears {
     fn link(&mut self) -> &mut Link;
     /// The engine is up since `age`; `how` is `new` where it came up with this server.
-    fn hello(&mut self, now: At, how: &str, age: Span);
+    fn hello(&mut self, now: Timestamp, how: &str, age: Duration);
     /// The gauges; `gap` where notices before them were lost for good.
-    fn gauges(&mut self, now: At, values: &[f64], gap: bool);
-    fn at_call(&mut self, now: At, name: &Name, serial: u64, blob: &str);
-    fn run_over(&mut self, now: At, name: &Name, how: Outcome, spent: Span, blob: &str);
+    fn gauges(&mut self, now: Timestamp, values: &[f64], gap: bool);
+    fn at_call(&mut self, now: Timestamp, name: &Name, serial: u64, blob: &str);
+    fn run_over(&mut self, now: Timestamp, name: &Name, how: Outcome, spent: Duration, blob: &str);
     /// The command by the name `what` was not carried out.
-    fn declined(&mut self, now: At, what: &str, name: &Name);
+    fn declined(&mut self, now: Timestamp, what: &str, name: &Name);
     /// A notice could not be read.
     fn unread(&mut self);
     /// The link is lost.
@@ -156,7 +156,7 @@
     }
 
     /// False when the link can't be read on.
-    pub fn fed(&mut self, now: At, bytes: &[u8], core: &mut impl Hears) -> bool {
+    pub fn fed(&mut self, now: Timestamp, bytes: &[u8], core: &mut impl Hears) -> bool {
         let last = &mut self.last;
         self.lines.feed(bytes, |line| {
             if last.line(now, line, core).is_none() {
@@ -173,7 +173,7 @@
 }
 
 impl Last {
-    fn line(&mut self, now: At, line: &[u8], core: &mut impl Hears) -> Option<()> {
+    fn line(&mut self, now: Timestamp, line: &[u8], core: &mut impl Hears) -> Option<()> {
         let notice = Members::read(std::str::from_utf8(line).ok()?)?;
         let msg = notice.text("msg")?;
         if let Some(serial) = notice.whole("serial") {
@@ -184,7 +184,8 @@
             self.serial = serial;
         }
         let call = || -> Option<Name> { notice.text("call")?.as_bytes().try_into().ok() };
-        let spent = || notice.number("duration").map_or(Span::ZERO, |ms| Span::secs(ms / 1e3));
+        let spent =
+            || notice.number("duration").map_or(Duration::ZERO, |ms| Duration::from_secs_f64(ms / 1e3));
         match &*msg {
             "HELLO" => core.hello(now, &notice.text("how")?, spent()),
             "DONE" => {
--- a/crates/server/src/core/arrivals.rs
+++ b/crates/server/src/core/arrivals.rs
@@ -7,15 +7,15 @@
 use crate::tools::drive::Outbox;
 use crate::tools::name::Name;
 use madderbay::face::Results;
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use madderbay_concurrency::Stage;
 
 /// Answers leave this long before their callers stop waiting; without a waiting time, after so long.
-const MARGIN: Span = Span::millis(30);
-const WAITS: Span = Span::millis(2_000);
+const MARGIN: Duration = Duration::from_millis(30);
+const WAITS: Duration = Duration::from_millis(2_000);
 
 impl Serve {
-    pub fn opened(&mut self, now: At, out: Outbox) -> u64 {
+    pub fn opened(&mut self, now: Timestamp, out: Outbox) -> u64 {
         let hands = &mut self.hands;
         hands.counters.connections += 1;
         let (no, first) = hands.conns.open(now, out);
@@ -27,7 +27,7 @@
     }
 
     /// A connection was accepted that there is no room for.
-    pub fn opened_beyond(&mut self, now: At, out: Outbox) -> u64 {
+    pub fn opened_beyond(&mut self, now: Timestamp, out: Outbox) -> u64 {
         let hands = &mut self.hands;
         hands.counters.connections_refused += 1;
         let (no, first) = hands.conns.open_beyond(now, out);
@@ -45,7 +45,7 @@
     }
 
     /// Ends a connection that carries nothing, to make room for another; false where all carry something.
-    pub fn make_room(&mut self, now: At) -> bool {
+    pub fn make_room(&mut self, now: Timestamp) -> bool {
         let made = self.hands.conns.make_room(now);
         self.hands.counters.connections_cut += u64::from(made);
         made
@@ -53,7 +53,7 @@
 
     /// The peer breaks the protocol, and nothing it asked can be told from what it did not: all that it has
     /// open is errored, and the connection ends.
-    pub fn turn_off(&mut self, now: At, no: u64) {
+    pub fn turn_off(&mut self, now: Timestamp, no: u64) {
         let Some(open) = self.hands.conns.open_on(no) else { return };
         self.hands.now = now;
         for id in open {
@@ -69,7 +69,7 @@
     }
 
     /// The connection is gone, and with it everyone who waits on it.
-    pub fn closed(&mut self, now: At, no: u64) {
+    pub fn closed(&mut self, now: Timestamp, no: u64) {
         let Some(open) = self.hands.conns.close(no) else { return };
         self.hands.counters.cut += open.len() as u64;
         open.into_iter().for_each(|id| self.gone(now, id));
@@ -85,7 +85,7 @@
     }
 
     /// A req has been read.
-    pub fn arrived(&mut self, now: At, no: u64, rpc: u64, read: Read) -> Result<(), &'static str> {
+    pub fn arrived(&mut self, now: Timestamp, no: u64, rpc: u64, read: Read) -> Result<(), &'static str> {
         let Read { arrival, name, key, print, body } = read;
         if self.hands.names.contains_key(&name) {
             return Err("ref is in use");
@@ -118,7 +118,8 @@
             hedge: None,
             called: None,
             unsent: None,
-            latest: (now + if arrival.wait > Span::ZERO { arrival.wait } else { WAITS }).before(MARGIN),
+            latest: (now + if arrival.wait > Duration::ZERO { arrival.wait } else { WAITS })
+                .saturating_sub(MARGIN),
             unproven: vec![],
             proof: 0,
             fed: None,
@@ -132,7 +133,7 @@
         }
         if self.decider.is_none() {
             // Nothing can run before the engine is up.
-            self.hands.shed(arrival.id, Span::ZERO, false);
+            self.hands.shed(arrival.id, Duration::ZERO, false);
         } else if self.hands.conns.is_beyond(no) && arrival.repeats == 0 {
             // There is no room for its connection. A further try of a keyed req shares what became of the first.
             self.hands.shed(arrival.id, KEEP_AWAY.min(self.settings.callers.come_back_max), false);
@@ -143,7 +144,7 @@
     }
 
     /// The balancer has stopped waiting for a req.
-    pub fn forget(&mut self, now: At, no: u64, rpc: Option<u64>, name: Option<Name>) {
+    pub fn forget(&mut self, now: Timestamp, no: u64, rpc: Option<u64>, name: Option<Name>) {
         let by_rpc = rpc.and_then(|rpc| self.hands.conns.req(no, rpc));
         // One caller can't withdraw another's req.
         let own = |id: &u64| self.hands.reqs.get(id).is_some_and(|r| r.conn == no);
@@ -152,7 +153,7 @@
         }
     }
 
-    pub(super) fn gone(&mut self, now: At, id: u64) {
+    pub(super) fn gone(&mut self, now: Timestamp, id: u64) {
         let Some(req) = self.hands.reqs.get(&id).filter(|r| !r.answered) else { return };
         log::debug!("req {id} is gone, started {}", req.started);
         self.hands.counters.gone += 1;
@@ -160,7 +161,7 @@
         self.hands.nobody_waits(id);
     }
 
-    pub fn health(&mut self, now: At, no: u64, rpc: u64) {
+    pub fn health(&mut self, now: Timestamp, no: u64, rpc: u64) {
         let hands = &mut self.hands;
         let (good, report) = (hands.good && !hands.leaving, hands.load_report);
         hands.conns.answer(now, no, |out| answer::health(out, rpc, good, report));
--- a/crates/server/src/core/hands.rs
+++ b/crates/server/src/core/hands.rs
@@ -15,7 +15,7 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD as BASE64;
 use madderbay::face::{Outcome, Repeats, Results};
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use madderbay_concurrency::limit::End;
 use madderbay_concurrency::{Pools, Stage};
 use madderbay_settings::Settings;
@@ -40,16 +40,16 @@
     /// The notice of the call that the run stands at, and that call's body.
     pub need: u64,
     pub wants: Vec<u8>,
-    pub until: Option<At>,
+    pub until: Option<Timestamp>,
     /// Attempts of its call at backends, and when one that is out has another beside it.
     pub tries: Vec<Try>,
-    pub hedge: Option<At>,
+    pub hedge: Option<Timestamp>,
     /// The notice for which a backend was called last, and that attempt.
     pub called: Option<(u64, Ticket)>,
     /// Commands that wait for the promise of its run to last.
     pub unsent: Option<Vec<Vec<u8>>>,
     /// When its answer leaves at the latest.
-    pub latest: At,
+    pub latest: Timestamp,
     /// Commands that the engine may not have read, and the gauges that will prove that it has.
     pub unproven: Vec<u8>,
     pub proof: u64,
@@ -72,7 +72,7 @@
 
 /// All that is in hand, and the ways out.
 pub struct Hands {
-    pub now: At,
+    pub now: Timestamp,
     pub reqs: HashMap<u64, InHand>,
     pub names: HashMap<Name, u64>,
     pub conns: Conns,
@@ -92,11 +92,11 @@
     pub unrun: VecDeque<u64>,
     /// Calls that the module has made and whose budget had no room any more: they never leave.
     pub unmade: VecDeque<u64>,
-    pub due: BTreeSet<(At, Due)>,
-    pub wake: Option<At>,
+    pub due: BTreeSet<(Timestamp, Due)>,
+    pub wake: Option<Timestamp>,
     /// When the timer that is ringing was due: the next is counted from there, so that each ring's lateness
     /// does not add up to fewer rings.
-    pub rang: At,
+    pub rang: Timestamp,
     pub load_report: Option<f64>,
     pub good: bool,
     pub leaving: bool,
@@ -111,7 +111,7 @@
 
 impl Hands {
     /// `results`: the bytes that kept results may take.
-    pub fn new(now: At, settings: &Settings, results: usize) -> Hands {
+    pub fn new(now: Timestamp, settings: &Settings, results: usize) -> Hands {
         Hands {
             now,
             reqs: HashMap::new(),
@@ -141,7 +141,7 @@
     }
 
     /// Tells pools and budgets, where there are any, of a req that is in hand.
-    pub fn followed(&mut self, id: u64, tell: impl Fn(&mut dyn Follows, At, usize)) {
+    pub fn followed(&mut self, id: u64, tell: impl Fn(&mut dyn Follows, Timestamp, usize)) {
         let Some(req) = self.reqs.get(&id) else { return };
         if let Some(pools) = &mut self.pools {
             tell(pools, self.now, req.handler);
@@ -211,7 +211,7 @@
         }
     }
 
-    fn answer_shed(&mut self, id: u64, come_back: Span, last: bool) {
+    fn answer_shed(&mut self, id: u64, come_back: Duration, last: bool) {
         if self.answer(id, |out, rpc, report| answer::shed(out, rpc, come_back, last, report)) {
             self.counters.shed += 1;
         }
@@ -219,7 +219,7 @@
 
     /// A run that the module started was never sent: it is shed, and so are those that joined it; the module
     /// hears that nothing ran, and a further try is a new one.
-    pub fn never_ran(&mut self, id: u64, come_back: Span) {
+    pub fn never_ran(&mut self, id: u64, come_back: Duration) {
         let Some(req) = self.reqs.get(&id) else { return };
         let key = req.key;
         self.counters.run_over(Outcome::Moot);
@@ -372,7 +372,7 @@
         self.command(id, "HALT", format_args!(""));
     }
 
-    fn shed(&mut self, id: u64, come_back: Span, last: bool) {
+    fn shed(&mut self, id: u64, come_back: Duration, last: bool) {
         self.answer_shed(id, come_back, last);
         self.nobody_waits(id);
     }
@@ -382,7 +382,7 @@
         self.nobody_waits(id);
     }
 
-    fn call(&mut self, id: u64, patience: Span) {
+    fn call(&mut self, id: u64, patience: Duration) {
         let Ok(to) = self.lead(id) else {
             self.unmade.push_back(id);
             return;
@@ -416,7 +416,7 @@
         self.command(id, "SKIP", format_args!(",\"serial\":{need}"));
     }
 
-    fn keep_key(&mut self, id: u64, term: Span) {
+    fn keep_key(&mut self, id: u64, term: Duration) {
         if let Some((key, print, handler)) =
             self.reqs.get(&id).and_then(|r| Some((r.key?, r.print, r.handler)))
         {
@@ -450,12 +450,12 @@
         self.load_report = Some(value);
     }
 
-    fn idle_limit(&mut self, limit: Span) {
+    fn idle_limit(&mut self, limit: Duration) {
         self.due.retain(|d| !matches!(d.1, Due::Idle(_)));
         self.due.extend(self.conns.limit_idling(limit).map(|(at, no)| (at, Due::Idle(no))));
     }
 
-    fn wake(&mut self, after: Span) {
-        self.wake = Some((self.rang + after).max(self.now + after.times(0.5)));
+    fn wake(&mut self, after: Duration) {
+        self.wake = Some((self.rang + after).max(self.now + after.mul_f64(0.5)));
     }
 }
--- a/crates/server/src/core/keep.rs
+++ b/crates/server/src/core/keep.rs
@@ -4,7 +4,7 @@
 use crate::tools::clock::unix_micros;
 use crate::tools::counters::Lines;
 use crate::tools::name::Name;
-use madderbay::time::At;
+use madderbay::time::Timestamp;
 use madderbay_idempotency_store::log::{self, Found, Lasting, Log, Recovery, State};
 use madderbay_idempotency_store::storage::Files;
 use madderbay_idempotency_store::{Kept, Refusal, Seq};
@@ -127,7 +127,9 @@
     }
 
     /// The run of a req waits from now on for its promise; or why nothing can be promised.
-    pub fn promise(&mut self, id: u64, key: u128, window: (u64, At), name: Name) -> Result<(), Refusal> {
+    pub fn promise(
+        &mut self, id: u64, key: u128, window: (u64, Timestamp), name: Name,
+    ) -> Result<(), Refusal> {
         self.book.may_promise()?;
         let (print, until) = window;
         let seq = self.book.promise(key, print, name, until);
@@ -136,12 +138,12 @@
     }
 
     /// The answer of a req waits from now on for its result.
-    pub fn settle(&mut self, id: u64, key: u128, result: Option<&str>, until: At) {
+    pub fn settle(&mut self, id: u64, key: u128, result: Option<&str>, until: Timestamp) {
         let seq = self.book.settle(key, result.map(str::as_bytes), until);
         self.waiting.push_back((seq, Waits::Answer(id, result.map(Into::into))));
     }
 
-    pub fn never(&mut self, key: u128, until: At) {
+    pub fn never(&mut self, key: u128, until: Timestamp) {
         let seq = self.book.never(key, until);
         self.waiting.push_back((seq, Waits::Nobody));
     }
--- a/crates/server/src/core/lasting.rs
+++ b/crates/server/src/core/lasting.rs
@@ -4,14 +4,14 @@
 use super::keep::{Told, Waits};
 use super::serve::{KEEP_AWAY, Serve};
 use crate::balancers::answer;
-use madderbay::time::At;
+use madderbay::time::Timestamp;
 use madderbay_idempotency_store::Verdict;
 
 impl Serve {
     /// A try of a keyed req that a former life has promised is answered from what is known of it, and never
     /// run. True where that, or a promise that can't be made, was its answer.
     pub(super) fn former_life(
-        &mut self, now: At, (no, rpc): (u64, u64), handler: usize, key: u128, print: u64,
+        &mut self, now: Timestamp, (no, rpc): (u64, u64), handler: usize, key: u128, print: u64,
     ) -> Result<bool, &'static str> {
         let hands = &mut self.hands;
         let Some(keep) = hands.keep.as_mut().filter(|_| !hands.door.knows(key)) else { return Ok(false) };
@@ -40,7 +40,7 @@
     }
 
     /// The writing thread tells how far things last.
-    pub fn told(&mut self, now: At, told: Told) {
+    pub fn told(&mut self, now: Timestamp, told: Told) {
         self.hands.now = now;
         let Some(keep) = &mut self.hands.keep else { return };
         let (waits, lasts) = match told {
--- a/crates/server/src/core/lead.rs
+++ b/crates/server/src/core/lead.rs
@@ -3,7 +3,7 @@
 
 use super::hands::{Due, Hands};
 use madderbay::face::Outcome;
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use madderbay_upstream::{Again, End, Ticket};
 
 /// Whoever knows the backends and how they fare. Times are its own.
@@ -14,9 +14,9 @@
     fn again(&self, before: &Ticket, how: Again) -> Option<Ticket>;
     fn over(&self, ticket: &Ticket, end: End);
     /// After what time a second attempt beside this one is worth its price.
-    fn hedge_after(&self, ticket: &Ticket) -> Option<Span>;
+    fn hedge_after(&self, ticket: &Ticket) -> Option<Duration>;
     /// The least time that an attempt needs.
-    fn least(&self, ticket: &Ticket) -> Span;
+    fn least(&self, ticket: &Ticket) -> Duration;
     fn counters(&self) -> String;
 }
 
@@ -24,7 +24,7 @@
 pub struct Try {
     pub wire: u64,
     pub ticket: Ticket,
-    pub since: At,
+    pub since: Timestamp,
 }
 
 /// What an outcome tells of a backend; `replied` where the backend said so itself.
@@ -56,7 +56,7 @@
     }
 
     /// Sends the call of a req off.
-    pub(super) fn send_call(&mut self, id: u64, patience: Span, to: Option<Ticket>) {
+    pub(super) fn send_call(&mut self, id: u64, patience: Duration, to: Option<Ticket>) {
         let Some(req) = self.reqs.get(&id) else { return };
         match to {
             None => {
@@ -77,7 +77,7 @@
         }
     }
 
-    fn attempt(&mut self, id: u64, ticket: Ticket, patience: Span) {
+    fn attempt(&mut self, id: u64, ticket: Ticket, patience: Duration) {
         let Some(req) = self.reqs.get_mut(&id) else { return };
         req.called = Some((req.need, ticket.clone()));
         let wire = self.calls.fetch(self.now, id, &req.name, patience, &req.wants, Some(ticket.address));
@@ -86,7 +86,9 @@
 
     /// An attempt of a call came to its end. True where the call goes on: another attempt of it is out, or is
     /// made now. Made again is only what is proven not to have run, or may run twice; only where it finds time.
-    pub(super) fn goes_on(&mut self, now: At, id: u64, wire: u64, how: Outcome, replied: bool) -> bool {
+    pub(super) fn goes_on(
+        &mut self, now: Timestamp, id: u64, wire: u64, how: Outcome, replied: bool,
+    ) -> bool {
         self.now = now;
         let Some(req) = self.reqs.get_mut(&id) else { return false };
         let Some(at) = req.tries.iter().position(|t| t.wire == wire) else { return false };
@@ -110,9 +112,9 @@
         if self.reqs.get(&id).is_some_and(|r| !r.tries.is_empty()) {
             return true;
         }
-        let left = until.map_or(Span::ZERO, |at| at - now);
+        let left = until.map_or(Duration::ZERO, |at| at - now);
         let may = end.never_ran() || self.replayable[handler];
-        if !may || left <= leads.least(&done.ticket) || left == Span::ZERO {
+        if !may || left <= leads.least(&done.ticket) || left == Duration::ZERO {
             return false;
         }
         match leads.again(&done.ticket, Again::Elsewhere) {
@@ -125,7 +127,7 @@
     }
 
     /// A call that is out for longer than nearly all others has a second attempt beside it.
-    pub(super) fn hedge(&mut self, now: At, id: u64) {
+    pub(super) fn hedge(&mut self, now: Timestamp, id: u64) {
         self.now = now;
         let Some(req) = self.reqs.get_mut(&id) else { return };
         req.hedge = None;
--- a/crates/server/src/core/lent.rs
+++ b/crates/server/src/core/lent.rs
@@ -3,7 +3,7 @@
 
 use crate::core::follow::Follows;
 use madderbay::face::{Below, Ceiling};
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use madderbay_concurrency::limit::End;
 use madderbay_concurrency::{Calls, Kind, Stage};
 use std::collections::{HashMap, VecDeque};
@@ -12,13 +12,13 @@
 /// Weight of the newest call in the mean time of one.
 const CALL_ALPHA: f64 = 0.1;
 /// Calls left out for want of room are wanted for about so long.
-const SKIPS_FADE: Span = Span::millis(500);
+const SKIPS_FADE: Duration = Duration::from_millis(500);
 /// Runs beyond the calls there are, where all must call: those that are on their way to a call.
 const RUNS_MORE: usize = 2;
 /// A turn is never told longer than this: what is short now may be had by then.
-const TURN_MOST: Span = Span::millis(5_000);
+const TURN_MOST: Duration = Duration::from_millis(5_000);
 /// Between two looks at the parts of tenants' allowances.
-const ALLOWANCES: Span = Span::millis(1_000);
+const ALLOWANCES: Duration = Duration::from_millis(1_000);
 
 /// Whoever knows what this server may use of what the fleet shares. Times are its own.
 pub trait Lends {
@@ -30,7 +30,7 @@
     /// Calls that wait for a place, or surely will.
     fn waits(&self, budget: usize, calls: usize);
     /// How long there may be no room yet, where there is none.
-    fn until_room(&self, budget: usize) -> Span;
+    fn until_room(&self, budget: usize) -> Duration;
     /// A req of a tenant has been read.
     fn counted(&self, handler: usize, tenant: usize);
     /// The reqs a second that this server may take of tenants' allowances, as far as they are counted.
@@ -42,7 +42,7 @@
 pub struct Group {
     pub handlers: Vec<usize>,
     /// No call under it is waited for any longer.
-    pub longest: Span,
+    pub longest: Duration,
 }
 
 #[derive(Default)]
@@ -53,7 +53,7 @@
     calling: usize,
     /// Calls left out of late, fading.
     skips: f64,
-    skipped: At,
+    skipped: Timestamp,
     call: f64,
     told: usize,
 }
@@ -65,12 +65,12 @@
     of: Vec<Option<usize>>,
     must: Vec<bool>,
     loads: Vec<Load>,
-    reqs: HashMap<u64, (usize, Stage, At)>,
+    reqs: HashMap<u64, (usize, Stage, Timestamp)>,
     /// Calls given up on may go on below for that long.
-    linger: Span,
-    lingering: VecDeque<(At, usize)>,
+    linger: Duration,
+    lingering: VecDeque<(Timestamp, usize)>,
     usable: Vec<usize>,
-    looked: At,
+    looked: Timestamp,
     /// The share of calls that are under no budget: what the settings give this server, if there are any.
     rest: f64,
 }
@@ -91,13 +91,13 @@
             reqs: HashMap::new(),
             linger: below.linger,
             lingering: VecDeque::new(),
-            looked: At::default(),
+            looked: Timestamp::default(),
             rest,
         }
     }
 
     /// The longest that a call of a handler may be waited for.
-    pub fn patience(&self, handler: usize, patience: Span) -> Span {
+    pub fn patience(&self, handler: usize, patience: Duration) -> Duration {
         self.of[handler].map_or(patience, |b| patience.min(self.groups[b].longest))
     }
 
@@ -111,15 +111,15 @@
     }
 
     /// Time passes: what lingered is over, what waits is told. Whether the ceilings are other ones now.
-    pub fn look(&mut self, now: At) -> bool {
+    pub fn look(&mut self, now: Timestamp) -> bool {
         while let Some((_, budget)) = self.lingering.pop_front_if(|l| l.0 <= now) {
             self.to.ended(budget);
         }
         let mut changed = false;
         for (b, load) in self.loads.iter_mut().enumerate() {
-            load.skips *= (-(now - load.skipped).as_secs() / SKIPS_FADE.as_secs()).exp();
+            load.skips *= (-(now - load.skipped).as_secs_f64() / SKIPS_FADE.as_secs_f64()).exp();
             load.skipped = now;
-            let left_out = load.skips / SKIPS_FADE.as_secs() * load.call;
+            let left_out = load.skips / SKIPS_FADE.as_secs_f64() * load.call;
             let waits = load.held + load.running + load.at_call + left_out.round() as usize;
             if load.told != waits {
                 load.told = waits;
@@ -144,15 +144,15 @@
             let short = load.held > 0 && load.running + load.at_call + load.calling >= runs;
             let turn = match usable {
                 0 => self.to.until_room(b),
-                _ if short => Span::secs(load.call / usable as f64),
-                _ => Span::ZERO,
+                _ if short => Duration::from_secs_f64(load.call / usable as f64),
+                _ => Duration::ZERO,
             };
             Ceiling { handlers: group.handlers.clone(), runs, calls: usable, turn: turn.min(TURN_MOST) }
         })
     }
 
     /// Parts of tenants' allowances, now and then.
-    pub fn allowances(&mut self, now: At) -> Vec<(usize, f64)> {
+    pub fn allowances(&mut self, now: Timestamp) -> Vec<(usize, f64)> {
         if now - self.looked < ALLOWANCES && now >= self.looked {
             return vec![];
         }
@@ -175,8 +175,8 @@
     }
 
     /// A call is no longer waited for; whether it may go on below.
-    fn call_ends(&mut self, now: At, budget: usize, lingers: bool) {
-        if lingers && self.linger > Span::ZERO {
+    fn call_ends(&mut self, now: Timestamp, budget: usize, lingers: bool) {
+        if lingers && self.linger > Duration::ZERO {
             self.lingering.push_back((now + self.linger, budget));
         } else {
             self.to.ended(budget);
@@ -185,7 +185,7 @@
 }
 
 impl Follows for Lent {
-    fn stage(&mut self, now: At, id: u64, handler: usize, stage: Stage) {
+    fn stage(&mut self, now: Timestamp, id: u64, handler: usize, stage: Stage) {
         let Some(budget) = self.of.get(handler).copied().flatten() else { return };
         if let Some((_, before, _)) = self.reqs.insert(id, (handler, stage, now)) {
             self.shift(budget, handler, before, -1);
@@ -196,11 +196,11 @@
         self.shift(budget, handler, stage, 1);
     }
 
-    fn call_over(&mut self, now: At, id: u64, end: End) {
+    fn call_over(&mut self, now: Timestamp, id: u64, end: End) {
         let Some((handler, stage, since)) = self.reqs.get_mut(&id).filter(|r| r.1 == Stage::Calling) else {
             return;
         };
-        let (handler, took) = (*handler, (now - *since).as_secs());
+        let (handler, took) = (*handler, (now - *since).as_secs_f64());
         *stage = if end == End::Good { Stage::Running } else { Stage::AtCall };
         let (stage, Some(budget)) = (*stage, self.of[handler]) else { return };
         self.shift(budget, handler, Stage::Calling, -1);
@@ -212,7 +212,7 @@
         self.call_ends(now, budget, matches!(end, End::GivenUp | End::Dropped));
     }
 
-    fn skipped(&mut self, now: At, id: u64) {
+    fn skipped(&mut self, now: Timestamp, id: u64) {
         let Some((handler, ..)) = self.reqs.get(&id).copied() else { return };
         if let Some(budget) = self.of[handler] {
             self.loads[budget].skips += 1.0;
@@ -220,12 +220,12 @@
         self.stage(now, id, handler, Stage::Running);
     }
 
-    fn answered(&mut self, now: At, id: u64) {
+    fn answered(&mut self, now: Timestamp, id: u64) {
         // It wants no call any more.
         self.over(now, id);
     }
 
-    fn over(&mut self, now: At, id: u64) {
+    fn over(&mut self, now: Timestamp, id: u64) {
         self.call_over(now, id, End::Dropped);
         if let Some((handler, stage, _)) = self.reqs.remove(&id)
             && let Some(budget) = self.of[handler]
--- a/crates/server/src/core/outcomes.rs
+++ b/crates/server/src/core/outcomes.rs
@@ -8,16 +8,18 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD as BASE64;
 use madderbay::face::{Outcome, Results};
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use madderbay_concurrency::Stage;
 use madderbay_upstream::End as Tried;
 
 /// The timer this late tells that this process was held up, and so every reply that it reads now.
-const HELD_UP: Span = Span::millis(30);
+const HELD_UP: Duration = Duration::from_millis(30);
 
 impl Serve {
     /// A run that was answered leaves the books.
-    pub(super) fn run_out(&mut self, now: At, id: u64, how: Outcome, spent: Span, result: Option<&str>) {
+    pub(super) fn run_out(
+        &mut self, now: Timestamp, id: u64, how: Outcome, spent: Duration, result: Option<&str>,
+    ) {
         let Some(req) = self.hands.reqs.get(&id) else { return };
         let (key, handler) = (req.key, req.handler);
         self.hands.counters.run_over(how);
@@ -29,7 +31,7 @@
         self.decide(now, |d, _| d.ended(now, id, how, spent));
     }
 
-    pub(super) fn call_ended(&mut self, now: At, id: u64, how: Outcome, spent: Span) {
+    pub(super) fn call_ended(&mut self, now: Timestamp, id: u64, how: Outcome, spent: Duration) {
         self.hands.counters.call_over(how);
         if let Some(until) = self.hands.reqs.get_mut(&id).and_then(|r| r.until.take()) {
             self.hands.due.remove(&(until, Due::Call(id)));
@@ -46,13 +48,13 @@
         self.decide(now, |d, hands| d.call_back(now, id, how, spent, hands));
     }
 
-    pub(super) fn patience_over(&mut self, now: At, id: u64) {
+    pub(super) fn patience_over(&mut self, now: Timestamp, id: u64) {
         let Some(req) = self.hands.reqs.get_mut(&id) else { return };
         req.until = None;
         let name = req.name;
         if !req.tries.is_empty() {
             self.hands.now = now;
-            let spent = req.tries.iter().map(|t| t.since).min().map_or(Span::ZERO, |at| now - at);
+            let spent = req.tries.iter().map(|t| t.since).min().map_or(Duration::ZERO, |at| now - at);
             self.hands.drop_tries(id, Tried::Silent);
             self.call_ended(now, id, Outcome::TimedOut, spent);
         } else if let Some((id, how, spent)) = self.hands.calls.quit(now, &name) {
@@ -64,7 +66,7 @@
 impl Serve {
     /// Nobody knows whether a run has read the reply to its call. One that may go on without is told so by the
     /// number of that call, which does nothing where it has gone on; any other is errored and ends by itself.
-    fn doubtful(&mut self, now: At, id: u64) {
+    fn doubtful(&mut self, now: Timestamp, id: u64) {
         let Some(req) = self.hands.reqs.get(&id) else { return };
         if self.settings.handlers[req.handler].partial_value > 0.0 {
             self.hands.skip(id);
@@ -90,7 +92,7 @@
     }
 
     /// The engine is up. The first time the module begins.
-    fn hello(&mut self, now: At, how: &str, age: Span) {
+    fn hello(&mut self, now: Timestamp, how: &str, age: Duration) {
         log::info!("engine: up, {how} {} ms ago", age.as_micros() / 1000);
         // One that is told to leave before its engine came up takes nothing on any more.
         if self.decider.is_none() && !self.hands.leaving {
@@ -110,7 +112,7 @@
     /// The gauges. After a lost link they come behind all notices that were missed: what may not have reached
     /// the engine is sent again then, which starts nothing twice, since all that ended meanwhile is known. If
     /// notices were lost for good any run may have ended, and none is sent again.
-    fn gauges(&mut self, now: At, values: &[f64], gap: bool) {
+    fn gauges(&mut self, now: Timestamp, values: &[f64], gap: bool) {
         self.gauges.on_cores = self.on_cores.and_then(|at| values.get(at)).copied();
         let taken_up = !std::mem::replace(&mut self.hands.engine.up, true);
         if gap {
@@ -120,7 +122,7 @@
             lost.sort_unstable();
             for (id, name) in lost {
                 self.hands.stop(id);
-                self.run_over(now, &name, Outcome::Errored, Span::ZERO, "");
+                self.run_over(now, &name, Outcome::Errored, Duration::ZERO, "");
             }
         }
         if taken_up {
@@ -132,7 +134,7 @@
     }
 
     /// A run stands at a call.
-    fn at_call(&mut self, now: At, name: &Name, serial: u64, blob: &str) {
+    fn at_call(&mut self, now: Timestamp, name: &Name, serial: u64, blob: &str) {
         let Some(&id) = self.hands.names.get(name) else { return };
         let Some(req) = self.hands.reqs.get_mut(&id) else { return };
         req.unproven.clear();
@@ -148,7 +150,7 @@
     }
 
     /// A run is over. A req that still waits for it is answered with what came of it.
-    fn run_over(&mut self, now: At, name: &Name, how: Outcome, spent: Span, blob: &str) {
+    fn run_over(&mut self, now: Timestamp, name: &Name, how: Outcome, spent: Duration, blob: &str) {
         let Some(&id) = self.hands.names.get(name) else {
             // It may be a run of a former life, which proves what came of it.
             let result = (how == Outcome::Done).then_some(blob.as_bytes());
@@ -172,14 +174,14 @@
 
     /// The engine did not carry a command out. Where that is a run it knows no such req: nothing ran or will,
     /// and a further try by its key is a new one.
-    fn declined(&mut self, now: At, what: &str, name: &Name) {
+    fn declined(&mut self, now: Timestamp, what: &str, name: &Name) {
         self.hands.counters.declined += 1;
         log::debug!("engine: {what} was not carried out");
         let Some(&id) = self.hands.names.get(name).filter(|_| what == "RUN") else { return };
         self.hands.now = now;
-        self.hands.shed(id, Span::ZERO, false);
+        self.hands.shed(id, Duration::ZERO, false);
         self.hands.keep_result(id, Outcome::Moot, None);
-        self.run_out(now, id, Outcome::Moot, Span::ZERO, None);
+        self.run_out(now, id, Outcome::Moot, Duration::ZERO, None);
         self.hands.door.drop(id);
     }
 }
@@ -198,7 +200,7 @@
     }
 
     /// A call's reply came.
-    fn call_over(&mut self, now: At, wire: u64, name: &Name, how: Outcome, body: &[u8]) {
+    fn call_over(&mut self, now: Timestamp, wire: u64, name: &Name, how: Outcome, body: &[u8]) {
         let Some((id, spent)) = self.hands.calls.replied(now, wire, name) else {
             self.hands.counters.strays += 1;
             return;
@@ -213,7 +215,7 @@
     }
 
     /// A connection to the catalogue is over.
-    fn call_lost(&mut self, now: At, wire: u64) {
+    fn call_lost(&mut self, now: Timestamp, wire: u64) {
         if let Some((id, how, spent)) = self.hands.calls.ended(now, wire)
             && !self.hands.goes_on(now, id, wire, how, false)
         {
--- a/crates/server/src/core/serve.rs
+++ b/crates/server/src/core/serve.rs
@@ -5,17 +5,17 @@
 use crate::core::lent::{Group, Lends, Lent};
 use madderbay::decide::Decider;
 use madderbay::face::{Gauges, Outcome};
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use madderbay_concurrency::{Plan, Pools};
 use madderbay_settings::Settings;
 use std::cell::RefCell;
 use std::rc::Rc;
 
 /// Where nothing can be promised, keyed reqs are told to come back after that.
-pub(super) const KEEP_AWAY: Span = Span::millis(1_000);
+pub(super) const KEEP_AWAY: Duration = Duration::from_millis(1_000);
 /// Time between two looks for catalogue connections that stand idle and table entries whose term is over:
 /// much finer than either's span.
-const TIDY: Span = Span::millis(1_000);
+const TIDY: Duration = Duration::from_millis(1_000);
 
 pub type Shared = Rc<RefCell<Serve>>;
 
@@ -32,7 +32,7 @@
 
 impl Serve {
     /// `results`: the bytes that kept results may take.
-    pub fn new(now: At, seed: u64, settings: Settings, results: usize) -> Serve {
+    pub fn new(now: Timestamp, seed: u64, settings: Settings, results: usize) -> Serve {
         let hands = Hands::new(now, &settings, results);
         let on_cores = settings.meter("on_cores");
         let gauges = Gauges::default();
@@ -45,7 +45,7 @@
     }
 
     /// Sets pools up; without, nothing binds but the module's own limits.
-    pub fn pool(&mut self, now: At, plan: Plan) {
+    pub fn pool(&mut self, now: Timestamp, plan: Plan) {
         self.hands.pools =
             Some(Pools::new(now, self.seed, plan, &crate::core::pooled::kinds(&self.settings)));
     }
@@ -62,20 +62,20 @@
     }
 
     /// Lets the module decide; what that ends at once is told to it as well.
-    pub(super) fn decide(&mut self, now: At, act: impl FnOnce(&mut Decider, &mut Hands)) {
+    pub(super) fn decide(&mut self, now: Timestamp, act: impl FnOnce(&mut Decider, &mut Hands)) {
         self.consider(now, act);
         self.hands.changed.notify_one();
     }
 
-    pub(super) fn consider(&mut self, now: At, act: impl FnOnce(&mut Decider, &mut Hands)) {
+    pub(super) fn consider(&mut self, now: Timestamp, act: impl FnOnce(&mut Decider, &mut Hands)) {
         let Some(decider) = &mut self.decider else { return };
         self.hands.now = now;
         act(decider, &mut self.hands);
         loop {
             if let Some((id, how)) = self.hands.over.pop_front() {
-                decider.ended(now, id, how, Span::ZERO);
+                decider.ended(now, id, how, Duration::ZERO);
             } else if let Some(id) = self.hands.unmade.pop_front() {
-                decider.call_back(now, id, Outcome::Unreached, Span::ZERO, &mut self.hands);
+                decider.call_back(now, id, Outcome::Unreached, Duration::ZERO, &mut self.hands);
             } else if let Some(id) = self.hands.unrun.pop_front() {
                 self.hands.never_ran(id, KEEP_AWAY.min(self.settings.callers.come_back_max));
             } else {
@@ -85,13 +85,13 @@
     }
 
     /// When the next turn is due at the latest.
-    pub fn next(&self) -> Option<At> {
+    pub fn next(&self) -> Option<Timestamp> {
         let due = self.hands.due.first().map(|d| d.0);
         [self.hands.wake, due].into_iter().flatten().min()
     }
 
     /// One moment: all that was ready has been taken in; due times, the module's timer, its settling.
-    pub fn turn(&mut self, now: At) {
+    pub fn turn(&mut self, now: Timestamp) {
         self.hands.now = now;
         while let Some(&(at, what)) = self.hands.due.first().filter(|d| d.0 <= now) {
             self.hands.due.remove(&(at, what));
@@ -135,7 +135,7 @@
     }
 
     /// What pools and budgets may have now is handed to the module before it settles.
-    pub(super) fn ceilings(&mut self, now: At) {
+    pub(super) fn ceilings(&mut self, now: Timestamp) {
         let Some(decider) = &mut self.decider else { return };
         let (pools, lent) = (&mut self.hands.pools, &mut self.hands.lent);
         let mut changed = false;
@@ -165,7 +165,7 @@
         }
     }
 
-    pub fn leave(&mut self, now: At, left: Span) {
+    pub fn leave(&mut self, now: Timestamp, left: Duration) {
         self.hands.leaving = true;
         self.hands.report.notify_one();
         self.hands.conns.leave();
--- a/crates/server/src/fleet/backends.rs
+++ b/crates/server/src/fleet/backends.rs
@@ -4,13 +4,13 @@
 use crate::core::lead::Leads;
 use crate::tools::clock::Ticks;
 use crate::tools::counters::Lines;
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use madderbay_operator_config::routes as operator;
 use madderbay_settings::Settings as Site;
 use madderbay_upstream::{Again, BackendSettings, End, Routes, Settings, Ticket};
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::Duration as StdDuration;
 
 /// All that follows from the file.
 #[derive(Clone)]
@@ -81,7 +81,7 @@
         Backends { routes, ticks }
     }
 
-    pub fn now(&self) -> At {
+    pub fn now(&self) -> Timestamp {
         (self.ticks)()
     }
 
@@ -102,7 +102,7 @@
     pub async fn run(self: Rc<Self>) {
         loop {
             let due = self.routes.borrow().due() - self.now();
-            tokio::time::sleep(Duration::from_micros(due.as_micros())).await;
+            tokio::time::sleep(StdDuration::from_micros(due.as_micros())).await;
             let now = self.now();
             self.routes.borrow_mut().turn(now);
             self.tell();
@@ -123,11 +123,11 @@
         self.routes.borrow_mut().over(self.now(), ticket, end);
     }
 
-    fn hedge_after(&self, ticket: &Ticket) -> Option<Span> {
+    fn hedge_after(&self, ticket: &Ticket) -> Option<Duration> {
         self.routes.borrow_mut().hedge_after(self.now(), ticket)
     }
 
-    fn least(&self, ticket: &Ticket) -> Span {
+    fn least(&self, ticket: &Ticket) -> Duration {
         self.routes.borrow().least(ticket)
     }
 
--- a/crates/server/src/fleet/control.rs
+++ b/crates/server/src/fleet/control.rs
@@ -9,7 +9,7 @@
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::Duration as StdDuration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::Semaphore;
@@ -17,7 +17,7 @@
 use tokio::time::timeout;
 
 /// Who asks has this long for a question, and as long to read its answer.
-const PATIENCE: Duration = Duration::from_secs(5);
+const PATIENCE: StdDuration = StdDuration::from_secs(5);
 /// Longest question, bytes; longest line of an answer, of which all names are far shorter.
 const QUESTION: u64 = 256;
 pub const LINE: usize = 4 << 10;
@@ -255,7 +255,7 @@
             zone: b.zone.to_string(),
             address: b.address.to_string(),
             in_hand: b.in_hand,
-            pace_ms: b.pace.map(|p| hundredths(p.as_secs() * 1e3)),
+            pace_ms: b.pace.map(|p| hundredths(p.as_secs_f64() * 1e3)),
         };
         text += &serde_json::to_string(&line).unwrap_or_default();
         text.push('\n');
@@ -266,7 +266,7 @@
 fn shared(fleet: &Fleet) -> Option<String> {
     let (now, together) = (fleet.now(), fleet.together.borrow());
     let shared = together.shared.as_ref()?;
-    let ms = |s: madderbay::time::Span| s.as_micros() / 1_000;
+    let ms = |s: madderbay::time::Duration| s.as_micros() / 1_000;
     let mut lines = vec![];
     for b in shared.budget_views(now) {
         lines.push(SharedLine::Budget {
--- a/crates/server/src/fleet/lender.rs
+++ b/crates/server/src/fleet/lender.rs
@@ -3,7 +3,7 @@
 
 use crate::core::lent::Lends;
 use crate::tools::clock::Ticks;
-use madderbay::time::Span;
+use madderbay::time::Duration;
 use madderbay_quota::Shared;
 use madderbay_upstream::Together;
 use std::cell::RefCell;
@@ -104,9 +104,9 @@
         }
     }
 
-    fn until_room(&self, budget: usize) -> Span {
+    fn until_room(&self, budget: usize) -> Duration {
         let together = self.together.borrow();
-        together.shared.as_ref().map_or(Span::ZERO, |s| s.budgets[budget].until_room((self.ticks)()))
+        together.shared.as_ref().map_or(Duration::ZERO, |s| s.budgets[budget].until_room((self.ticks)()))
     }
 
     fn counted(&self, handler: usize, tenant: usize) {
--- a/crates/server/src/fleet/sharing.rs
+++ b/crates/server/src/fleet/sharing.rs
@@ -4,14 +4,14 @@
 use crate::fleet::lender::Counted;
 use crate::tools::clock::unix_micros;
 use crate::tools::config::Config;
-use madderbay::time::Span;
+use madderbay::time::Duration;
 use madderbay_operator_config::shared as operator;
 use madderbay_quota::{BudgetSettings, CountSettings, Terms};
 use std::hash::{BuildHasher, RandomState};
 
 /// Ceilings are handed over now and then, and a start takes its time: so long before a lease ends no call is
 /// started on it any more.
-const GUARD: Span = Span::millis(50);
+const GUARD: Duration = Duration::from_millis(50);
 
 /// All that follows from it: for the machine, for the core, and for telling what was counted.
 pub struct Sharing {
@@ -34,7 +34,7 @@
             wrong.push(what);
             vec![]
         });
-        let longest = Span::millis(b.longest_ms);
+        let longest = Duration::from_millis(b.longest_ms);
         groups.push(Group { handlers, longest });
         budgets.push(BudgetSettings {
             name: b.name.as_str().into(),
@@ -43,12 +43,16 @@
             seat: set.seat,
             weight: set.weight,
             // What is given up on goes on below for a while.
-            terms: Terms { lease: Span::millis(b.lease_ms), longest: longest + s.below.linger, guard: GUARD },
+            terms: Terms {
+                lease: Duration::from_millis(b.lease_ms),
+                longest: longest + s.below.linger,
+                guard: GUARD,
+            },
         });
     }
     let counts = set.counts.iter().map(|c| CountSettings {
         name: c.name.as_str().into(),
-        window: Span::millis(c.window_s * 1_000),
+        window: Duration::from_millis(c.window_s * 1_000),
         most: c.most,
     });
     let by_tenant = set.counts.iter().map(|c| c.by == operator::By::Tenant).collect();
--- a/crates/server/src/fleet/talk.rs
+++ b/crates/server/src/fleet/talk.rs
@@ -5,14 +5,14 @@
 use super::lender::{Counted, Lender};
 use crate::tools::clock::Ticks;
 use crate::tools::counters::Lines;
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use madderbay_membership::{Members, Networks, STRANGERS, Settings};
 use madderbay_operator_config::members as operator;
 use madderbay_quota::Shared;
 use madderbay_upstream::Together;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration as StdDuration, Instant};
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
@@ -24,7 +24,7 @@
 const HEARD_AT_ONCE: f64 = 1_000.0;
 /// Lines about changes in ten seconds; what is more is counted.
 const LINES: usize = 200;
-const LINES_IN: Duration = Duration::from_secs(10);
+const LINES_IN: StdDuration = StdDuration::from_secs(10);
 /// Longer than any datagram that is heard, so that a longer one shows.
 const BUFFER: usize = madderbay_membership::DATAGRAM_MOST + 1;
 
@@ -54,10 +54,10 @@
         join: set.join.clone(),
         networks: Networks::of(set.networks.iter().copied()),
         most: set.most,
-        probe: Span::millis(set.probe_ms),
-        answer: Span::millis(set.probe_ms).times(ANSWER_PART),
-        suspicion: Span::millis(set.suspicion_ms),
-        memory: Span::millis(set.memory_s * 1_000),
+        probe: Duration::from_millis(set.probe_ms),
+        answer: Duration::from_millis(set.probe_ms).mul_f64(ANSWER_PART),
+        suspicion: Duration::from_millis(set.suspicion_ms),
+        memory: Duration::from_millis(set.memory_s * 1_000),
         minds_itself: true,
     }
 }
@@ -70,8 +70,8 @@
         ticks: Ticks, seed: u64, unix_ms: u64, set: Settings, shared: Option<madderbay_quota::Settings>,
         counted: Counted, backends: Option<Rc<Backends>>,
     ) -> Fleet {
-        let members = Members::new(At::default(), unix_ms, seed, set);
-        let shared = shared.map(|set| Shared::new(At::default(), seed, set));
+        let members = Members::new(Timestamp::default(), unix_ms, seed, set);
+        let shared = shared.map(|set| Shared::new(Timestamp::default(), seed, set));
         let mut together = Together::new(members, shared);
         together.routes = backends.as_ref().map(|b| b.routes.clone());
         let (together, changed) = (Rc::new(RefCell::new(together)), Rc::new(Notify::new()));
@@ -92,7 +92,7 @@
     }
 
     /// Its own clock, which never steps.
-    pub fn now(&self) -> At {
+    pub fn now(&self) -> Timestamp {
         (self.ticks)()
     }
 
@@ -172,7 +172,7 @@
 }
 
 /// What is shared, a line a figure.
-fn shared(s: &Shared, now: At) -> String {
+fn shared(s: &Shared, now: Timestamp) -> String {
     let mut lines = Lines::of("shared");
     let mut line = |name: &str, value: u64| lines.add(name, value);
     for b in s.budget_views(now) {
@@ -225,7 +225,7 @@
         let due = fleet.together.borrow().due() - fleet.now();
         tokio::select! {
             _ = socket.readable() => {}
-            () = tokio::time::sleep(Duration::from_micros(due.as_micros())) => {}
+            () = tokio::time::sleep(StdDuration::from_micros(due.as_micros())) => {}
             () = fleet.changed.notified() => {}
         }
         for _ in 0..TURN {
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -1,7 +1,7 @@
 //! Start, signals and exit of one server.
 
 use clap::{Parser, Subcommand};
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use madderbay_concurrency::Plan;
 use madderbay_membership::{NAME_MOST, sound};
 use madderbay_operator_config::Operator;
@@ -23,25 +23,25 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration as StdDuration, Instant};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, watch};
 use tokio::task::{LocalSet, spawn_local};
 
 /// The process ends this long before it would be killed.
-const BEFORE_KILL: Duration = Duration::from_millis(100);
+const BEFORE_KILL: StdDuration = StdDuration::from_millis(100);
 /// The part of the memory that the results of keyed reqs may take.
 const RESULTS_PART: usize = 4;
 /// How often a drain is looked at, and how long it must have been at rest once its grace is over.
-const LOOK: Duration = Duration::from_millis(10);
-const REST: Duration = Duration::from_millis(60);
+const LOOK: StdDuration = StdDuration::from_millis(10);
+const REST: StdDuration = StdDuration::from_millis(60);
 /// Listening ends this long before the stop at the latest, and what is open then has that long for its last
 /// answers; connections at rest are waited for half as long, for their peers to see the end.
-const LAST: Duration = Duration::from_millis(500);
+const LAST: StdDuration = StdDuration::from_millis(500);
 /// A configuration that is not there yet, or only in part, is waited for so long, and looked for so often.
-const LATE_FILE: Duration = Duration::from_secs(5);
-const LOOK_FILE: Duration = Duration::from_millis(50);
+const LATE_FILE: StdDuration = StdDuration::from_secs(5);
+const LOOK_FILE: StdDuration = StdDuration::from_millis(50);
 
 /// The process's own limit on descriptors, where the system tells it.
 fn allowed_descriptors() -> usize {
@@ -460,14 +460,14 @@
         () = orders() => {}
     }
     let began = clock.now();
-    let stop = Duration::from_millis(to.stop_ms.get());
+    let stop = StdDuration::from_millis(to.stop_ms.get());
     log::info!("draining, {} ms left", stop.as_millis());
     // The module's last answers leave shortly before the stop that it knows of; the process outlasts them.
     let last = stop.saturating_sub(BEFORE_KILL);
     if let Some((fleet, _)) = &fleet {
         fleet.drain();
     }
-    serve.borrow_mut().leave(began, Span::micros(last.as_micros() as u64));
+    serve.borrow_mut().leave(began, Duration::from_micros(last.as_micros() as u64));
     tokio::select! {
         () = drain(began, grace, stop, &clock, &serve, || deaf.notify_one()) => {}
         () = orders() => {}
@@ -483,26 +483,28 @@
 /// Waits until nothing is owed. New connections are taken for the grace, in which arrivals may still run, as far
 /// as the stop leaves time for it; then all end, each once what had come on it is read and answered. A req that
 /// crosses the end of a connection is sent again by its balancer.
-async fn drain(began: At, grace: Span, stop: Duration, clock: &Clock, serve: &Shared, deafen: impl Fn()) {
-    let listens = Duration::from_micros(grace.as_micros()).min(stop.saturating_sub(LAST));
-    let mut resting = Duration::ZERO;
+async fn drain(
+    began: Timestamp, grace: Duration, stop: StdDuration, clock: &Clock, serve: &Shared, deafen: impl Fn(),
+) {
+    let listens = StdDuration::from_micros(grace.as_micros()).min(stop.saturating_sub(LAST));
+    let mut resting = StdDuration::ZERO;
     let mut ending = false;
     loop {
         tokio::time::sleep(LOOK).await;
-        let passed = Duration::from_micros((clock.now() - began).as_micros());
+        let passed = StdDuration::from_micros((clock.now() - began).as_micros());
         let over = passed > listens;
         if over {
             deafen();
         }
         let rest = serve.borrow().at_rest();
-        resting = if rest && over { resting + LOOK } else { Duration::ZERO };
+        resting = if rest && over { resting + LOOK } else { StdDuration::ZERO };
         if resting >= REST && !std::mem::replace(&mut ending, true) {
             serve.borrow_mut().end();
             resting = LOOK;
         }
         let alone = serve.borrow().unconnected();
         let left = ending && resting >= LAST / 2;
-        if (resting > Duration::ZERO && alone) || left || passed + BEFORE_KILL > stop {
+        if (resting > StdDuration::ZERO && alone) || left || passed + BEFORE_KILL > stop {
             return;
         }
     }
@@ -514,7 +516,8 @@
     loop {
         let next = serve.borrow().next();
         let now = clock.now();
-        let wait = next.map_or(Duration::from_secs(1), |at| Duration::from_micros((at - now).as_micros()));
+        let wait =
+            next.map_or(StdDuration::from_secs(1), |at| StdDuration::from_micros((at - now).as_micros()));
         tokio::select! {
             biased;
             () = changed.notified() => {}
--- a/crates/server/src/tools/clock.rs
+++ b/crates/server/src/tools/clock.rs
@@ -1,6 +1,6 @@
 //! The system's Unix clock, made to never go backwards.
 
-use madderbay::time::At;
+use madderbay::time::Timestamp;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
@@ -16,16 +16,16 @@
 }
 
 impl Clock {
-    pub fn now(&self) -> At {
+    pub fn now(&self) -> Timestamp {
         self.latest.set(self.latest.get().max(unix_micros()));
-        At::micros(self.latest.get())
+        Timestamp::from_micros(self.latest.get())
     }
 }
 
 /// A monotonic clock that never steps: the process's own, or a simulated one.
-pub type Ticks = Rc<dyn Fn() -> At>;
+pub type Ticks = Rc<dyn Fn() -> Timestamp>;
 
 /// The time since then.
 pub fn ticks(began: Instant) -> Ticks {
-    Rc::new(move || At::micros(began.elapsed().as_micros() as u64))
+    Rc::new(move || Timestamp::from_micros(began.elapsed().as_micros() as u64))
 }
