--- a/crates/server/src/tools/counters.rs
+++ b/crates/server/src/tools/counters.rs
@@ -1,13 +1,13 @@
 //! Counts of what the server takes in, sends and answers; one line each, in a fixed order.
 
 use madderbay::face::Outcome;
-use madderbay::time::Span;
+use madderbay::time::Duration;
 use std::fmt::Write;
 
 /// A tick later than this is counted: the module takes one that late for a pause of the process.
-const LATE: Span = Span::millis(30);
+const LATE: Duration = Duration::from_millis(30);
 /// A req read later than this after it came to the machine is counted.
-const READ_LATE: Span = Span::millis(20);
+const READ_LATE: Duration = Duration::from_millis(20);
 
 /// How runs and calls end, and what their counters are called; what is none of these counts as the last.
 const RUNS: [(Outcome, &str); 4] = [
@@ -61,9 +61,9 @@
     pub reports_lost: u64,
     ticks: u64,
     late: u64,
-    latest: Span,
+    latest: Duration,
     late_reads: u64,
-    latest_read: Span,
+    latest_read: Duration,
 }
 
 impl Counters {
@@ -88,13 +88,13 @@
         count(&CALLS, &mut self.replies, how);
     }
 
-    pub fn tick(&mut self, late: Span) {
+    pub fn tick(&mut self, late: Duration) {
         self.ticks += 1;
         self.late += u64::from(late > LATE);
         self.latest = self.latest.max(late);
     }
 
-    pub fn read_late(&mut self, unread: Span) {
+    pub fn read_late(&mut self, unread: Duration) {
         self.late_reads += u64::from(unread > READ_LATE);
         self.latest_read = self.latest_read.max(unread);
     }
--- a/crates/server/tests/crossings.rs
+++ b/crates/server/tests/crossings.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use madderbay_server::balancers::listen;
 use madderbay_server::below::calls;
 use madderbay_server::below::engine::Hears as _;
@@ -46,7 +46,7 @@
         let mut serve = Serve::new(clock.now(), 7, settings, 1_000);
         let engine = Outbox::default();
         serve.link().attach(engine.clone(), 0);
-        serve.hello(clock.now(), "old", Span::millis(3_600_000));
+        serve.hello(clock.now(), "old", Duration::from_millis(3_600_000));
         serve.gauges(clock.now(), &[0.1, 1.0, 0.1, 1.0], false);
         let serve = Rc::new(RefCell::new(serve));
         let stop = Rc::new(Notify::new());
@@ -62,7 +62,7 @@
     fn done(&self, own: u64) {
         let name = format!("{own:016x}").into_bytes().try_into().expect("16 digits");
         let done = madderbay::face::Outcome::Done;
-        self.serve.borrow_mut().run_over(self.clock.now(), &name, done, Span::millis(9), "\"WFla\"");
+        self.serve.borrow_mut().run_over(self.clock.now(), &name, done, Duration::from_millis(9), "\"WFla\"");
     }
 
     /// The req that is to come is read, started and done.
@@ -189,8 +189,8 @@
         let now = place.clock.now();
         let again = {
             let mut serve = place.serve.borrow_mut();
-            let _ = serve.hands.conns.limit_idling(Span::millis(200)).count();
-            serve.hands.conns.idle_over(now + Span::millis(300), 1).expect("told first")
+            let _ = serve.hands.conns.limit_idling(Duration::from_millis(200)).count();
+            serve.hands.conns.idle_over(now + Duration::from_millis(300), 1).expect("told first")
         };
         assert!(peer.line().await.contains("leaving"));
         peer.say_at_once(&req(2, "quote", 1));
@@ -207,7 +207,7 @@
     played(async {
         let place = Place::new(8).await;
         let mut peer = place.heard().await;
-        place.serve.borrow_mut().leave(place.clock.now(), Span::millis(3_000));
+        place.serve.borrow_mut().leave(place.clock.now(), Duration::from_millis(3_000));
         assert!(peer.line().await.contains("leaving"));
         assert!(place.serve.borrow().at_rest());
         peer.say_at_once(&req(2, "quote", 1));
@@ -229,7 +229,7 @@
         // Read with a check before it, which is answered.
         peer.say_at_once(&format!("{WELL}{half}"));
         assert!(peer.line().await.contains("\"fit\":true"));
-        place.serve.borrow_mut().leave(place.clock.now(), Span::millis(3_000));
+        place.serve.borrow_mut().leave(place.clock.now(), Duration::from_millis(3_000));
         peer.say_at_once(rest);
         place.serves_one().await;
         assert!(peer.line().await.contains("leaving"));
@@ -263,13 +263,13 @@
         let line = req(2, "quote", 1);
         let (half, rest) = line.split_at(40);
         peer.say(half).await;
-        let amid = |now: At| !place.serve.borrow_mut().make_room(now);
+        let amid = |now: Timestamp| !place.serve.borrow_mut().make_room(now);
         // Read once it may not go; until then it was not asked to.
         until(|| {
             let mut serve = place.serve.borrow_mut();
-            let _ = serve.hands.conns.limit_idling(Span::millis(200)).count();
-            let late = place.clock.now() + Span::millis(300);
-            serve.hands.conns.idle_over(late, 1) != Some(late + Span::millis(1_000))
+            let _ = serve.hands.conns.limit_idling(Duration::from_millis(200)).count();
+            let late = place.clock.now() + Duration::from_millis(300);
+            serve.hands.conns.idle_over(late, 1) != Some(late + Duration::from_millis(1_000))
         })
         .await;
         assert!(amid(place.clock.now()));
@@ -284,7 +284,7 @@
         }
         // One that does not go on is not waited for.
         peer.say(half).await;
-        until(|| !amid(place.clock.now() + Span::millis(60_000))).await;
+        until(|| !amid(place.clock.now() + Duration::from_millis(60_000))).await;
     });
 }
 
--- a/crates/server/tests/members.rs
+++ b/crates/server/tests/members.rs
@@ -15,7 +15,7 @@
 use std::path::{Path, PathBuf};
 use std::process::Output;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, Instant};
+use std::time::{Duration as StdDuration, Instant};
 
 fn program() -> &'static Path {
     Path::new(env!("CARGO_BIN_EXE_madderbay"))
@@ -158,7 +158,7 @@
             let _ = socket.send_to(&[sent as u8; 200], to);
             sent += 1;
         }
-        std::thread::sleep(Duration::from_micros(500));
+        std::thread::sleep(StdDuration::from_micros(500));
     }
     sent
 }
@@ -167,7 +167,7 @@
     let ask = |handler: &str, part, keyed| Ask {
         handler: handler.into(),
         part,
-        target: Duration::from_secs(2),
+        target: StdDuration::from_secs(2),
         keyed,
         project: "acme",
     };
@@ -178,8 +178,8 @@
 fn loaded(server: SocketAddr, engine: &Engine, secs: u64, seed: u64) -> (usize, Vec<String>) {
     let load = Load {
         asks: asks(),
-        rates: vec![(Duration::ZERO, 60.0)],
-        length: Duration::from_secs(secs),
+        rates: vec![(StdDuration::ZERO, 60.0)],
+        length: StdDuration::from_secs(secs),
         seed,
         allow_ms: 5_000,
     };
@@ -206,7 +206,7 @@
 }
 
 fn settle(secs: u64) -> madderbay_testkit::fleet::script::Step {
-    let term = madderbay::time::Span::millis(secs * 1_000);
+    let term = madderbay::time::Duration::from_millis(secs * 1_000);
     madderbay_testkit::fleet::script::Step::Within(Condition::Settled, term)
 }
 
--- a/crates/server/tests/routes.rs
+++ b/crates/server/tests/routes.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use madderbay::time::Span;
+use madderbay::time::Duration;
 use madderbay_testkit::balancer::{Ask, Fate, Load, breaches};
 use madderbay_testkit::catalogue::{Catalogue, Mood};
 use madderbay_testkit::engine::Work;
@@ -15,13 +15,13 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
-use std::time::{Duration, Instant};
+use std::time::{Duration as StdDuration, Instant};
 
 const SERVERS: usize = 3;
 const BACKENDS: usize = 5;
 /// Longer than the longest time that one is left out; and the load, which ends when all was seen, lasts longer.
-const TERM: Duration = Duration::from_secs(100);
-const LOAD: Duration = Duration::from_secs(240);
+const TERM: StdDuration = StdDuration::from_secs(100);
+const LOAD: StdDuration = StdDuration::from_secs(240);
 /// Reqs a second of each server: three calls a second to each backend.
 const RATE: f64 = 20.0;
 
@@ -37,7 +37,7 @@
 }
 
 fn asks() -> Vec<Ask> {
-    let target = Duration::from_secs(2);
+    let target = StdDuration::from_secs(2);
     let ask =
         |handler: &str, part, keyed| Ask { handler: handler.into(), part, target, keyed, project: "acme" };
     vec![ask("search", 3.0, false), ask("book", 1.0, true)]
@@ -59,7 +59,7 @@
 impl Play {
     fn new(seed: u64) -> Play {
         let backends: Vec<Catalogue> =
-            (0..BACKENDS).map(|_| Catalogue::start(100, Duration::from_millis(20))).collect();
+            (0..BACKENDS).map(|_| Catalogue::start(100, StdDuration::from_millis(20))).collect();
         let gates: Vec<Gate> = backends.iter().map(|b| Gate::to(b.address)).collect();
         let work = |handler: &str| Work { handler: handler.into(), ms: (1.0, 2.0), calls: true };
         let works = [work("search"), work("book")];
@@ -70,7 +70,7 @@
             stand.each[s] = format!("[routes]\nenabled = on\n{sections}");
         }
         for who in 0..SERVERS {
-            stand.act(&Act::Start { who, name: who, clock: Span::ZERO, back: false }).expect("started");
+            stand.act(&Act::Start { who, name: who, clock: Duration::ZERO, back: false }).expect("started");
         }
         let mut play = Play { stand, backends, gates, on: Arc::new(AtomicBool::new(true)), loads: vec![] };
         play.waits("a view", |p| p.stand.amiss(&Condition::Settled));
@@ -86,7 +86,7 @@
         let engine = self.stand.engine(server).clone();
         let address = self.stand.server(server).expect("runs").address;
         let on = self.on.clone();
-        let rates = vec![(Duration::ZERO, RATE)];
+        let rates = vec![(StdDuration::ZERO, RATE)];
         let load = Load { asks: asks(), rates, length: LOAD, seed: server as u64, allow_ms: 3_000 };
         self.loads.push(std::thread::spawn(move || {
             let on = || on.load(Ordering::Relaxed);
@@ -97,7 +97,7 @@
     }
 
     /// Waits until nothing is amiss, for the term at the most.
-    fn waits(&mut self, what: &str, amiss: impl Fn(&mut Play) -> Option<String>) -> Duration {
+    fn waits(&mut self, what: &str, amiss: impl Fn(&mut Play) -> Option<String>) -> StdDuration {
         let began = Instant::now();
         while let Some(amiss) = amiss(self) {
             assert!(began.elapsed() < TERM, "waits for {what}: {amiss}");
@@ -107,7 +107,7 @@
     }
 
     /// All servers but some leave a backend out, or have it in.
-    fn is(&mut self, backend: usize, out: bool, but: &[usize]) -> Duration {
+    fn is(&mut self, backend: usize, out: bool, but: &[usize]) -> StdDuration {
         let name = format!("b{backend}");
         self.waits(&format!("{name} to be {}", if out { "out" } else { "in" }), |p| {
             (0..SERVERS).filter(|s| !but.contains(s)).find_map(|s| {
@@ -141,7 +141,7 @@
         assert!(twice.is_empty(), "called twice: {twice:?}");
         let part = |handler| {
             let of: Vec<&Fate> = all.iter().filter(|f| f.handler == handler).collect();
-            of.iter().filter(|f| f.kept(Duration::from_secs(2))).count() as f64 / of.len().max(1) as f64
+            of.iter().filter(|f| f.kept(StdDuration::from_secs(2))).count() as f64 / of.len().max(1) as f64
         };
         (vec![part(0), part(1)], all.len())
     }
@@ -230,7 +230,7 @@
 #[test]
 fn a_list_that_changes_under_load() {
     let mut play = Play::new(7);
-    let fresh = Catalogue::start(100, Duration::from_millis(20));
+    let fresh = Catalogue::start(100, StdDuration::from_millis(20));
     let added = section(9, fresh.address);
     let without = |text: &str| {
         let parts: Vec<&str> = text.split("[backend ").collect();
--- a/crates/server/tests/scenarios.rs
+++ b/crates/server/tests/scenarios.rs
@@ -27,7 +27,7 @@
 
 mod common;
 
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use madderbay_idempotency_store::log::Lasting;
 use madderbay_idempotency_store::{Kept, Seq};
 use madderbay_server::balancers::front::Front;
@@ -52,7 +52,7 @@
 
 struct Play {
     serve: Serve,
-    now: At,
+    now: Timestamp,
     cut: usize,
     balancers: HashMap<String, Balancer>,
     notices: Notices,
@@ -64,7 +64,7 @@
     /// Takes nothing that is sent to it.
     deaf: Option<String>,
     /// How late due times are seen to.
-    late: Span,
+    late: Duration,
     wires: Vec<(u64, Outbox, Replies)>,
     /// What has gone out to each peer and was not looked at yet.
     sent: HashMap<String, VecDeque<String>>,
@@ -78,8 +78,8 @@
     format!("{{\"msg\":\"STATS\",\"cookie\":\"{cookie}\",\"stats\":[0.5,1,0.1,3.0]}}\n")
 }
 
-fn at(ms: u64) -> At {
-    At::micros((START_MS + ms) * 1000)
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_micros((START_MS + ms) * 1000)
 }
 
 impl Play {
@@ -96,7 +96,7 @@
             disk: None,
             quick: true,
             deaf: None,
-            late: Span::ZERO,
+            late: Duration::ZERO,
             wires: vec![],
             sent: HashMap::new(),
         };
@@ -187,7 +187,7 @@
         }
     }
 
-    fn run_to(&mut self, until: At) {
+    fn run_to(&mut self, until: Timestamp) {
         while let Some(next) = self.serve.next().filter(|n| *n + self.late < until) {
             self.now = self.now.max(next + self.late);
             self.moment();
@@ -296,11 +296,11 @@
                     self.disk(words[0] == "lasts");
                 }
             }
-            _ if first == "late" => self.late = Span::millis(millis(words[0])),
+            _ if first == "late" => self.late = Duration::from_millis(millis(words[0])),
             _ if first == "crowd" => {
                 self.serve.make_room(self.now);
             }
-            _ if first == "leave" => self.serve.leave(self.now, Span::millis(millis(words[0]))),
+            _ if first == "leave" => self.serve.leave(self.now, Duration::from_millis(millis(words[0]))),
             _ => match words[0] {
                 "req" => self.req(first, &words[1..]),
                 "lost" => self.lost(first),
--- a/crates/server/tests/shared.rs
+++ b/crates/server/tests/shared.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use madderbay::time::Span;
+use madderbay::time::Duration;
 use madderbay_testkit::balancer::{Answer, Ask, Fate, Load, breaches};
 use madderbay_testkit::engine::{Engine, Work};
 use madderbay_testkit::fleet::script::{Act, Budgeted, Condition, Fleet, Setup, play, scripts};
@@ -12,7 +12,7 @@
 use std::path::Path;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::Duration as StdDuration;
 
 fn program() -> &'static Path {
     Path::new(env!("CARGO_BIN_EXE_madderbay"))
@@ -53,7 +53,7 @@
 
 fn start(stand: &mut Stand, n: usize) {
     (0..n).for_each(|s| {
-        stand.act(&Act::Start { who: s, name: s, clock: Span::ZERO, back: false }).expect("started");
+        stand.act(&Act::Start { who: s, name: s, clock: Duration::ZERO, back: false }).expect("started");
     });
     waits(stand, &Condition::Settled);
 }
@@ -61,13 +61,13 @@
 fn waits(stand: &mut Stand, what: &Condition) {
     let began = stand.at();
     while let Some(amiss) = stand.amiss(what) {
-        assert!(stand.at().less(began) < Span::millis(20_000), "{amiss}");
+        assert!(stand.at().saturating_sub(began) < Duration::from_millis(20_000), "{amiss}");
         stand.pass();
     }
 }
 
 fn ask(handler: &str, part: f64, keyed: bool, project: &'static str) -> Ask {
-    Ask { handler: handler.into(), part, target: Duration::from_secs(3), keyed, project }
+    Ask { handler: handler.into(), part, target: StdDuration::from_secs(3), keyed, project }
 }
 
 /// A server's own engine, and where it listens.
@@ -78,7 +78,7 @@
 /// Sends a server reqs; what became of them, and that no rule was broken.
 fn send(to: (Engine, SocketAddr), asks: &[Ask], rate: f64, secs: u64, allow_ms: u64) -> Vec<Fate> {
     let (engine, address) = to;
-    let (rates, length) = (vec![(Duration::ZERO, rate)], Duration::from_secs(secs));
+    let (rates, length) = (vec![(StdDuration::ZERO, rate)], StdDuration::from_secs(secs));
     let load = Load { asks: asks.to_vec(), rates, length, seed: rate as u64, allow_ms };
     let fates = load.run(address, |name| engine.answered(name), |_| ());
     let broken = breaches(&fates, asks, &engine.ran().bodies);
@@ -90,7 +90,7 @@
 /// time to come back; the budget is never passed.
 #[test]
 fn a_req_shed_for_want_of_a_budget_is_told_when_to_come_back() {
-    let ms = Span::millis;
+    let ms = Duration::from_millis;
     let budget = Budgeted {
         whole: 1,
         servers: 1,
@@ -139,13 +139,13 @@
         if all.iter().all(|t| *t == (sent as f64, 0.0)) {
             break;
         }
-        assert!(stand.at().less(began) < Span::millis(14_000), "{all:?} told of {sent}");
+        assert!(stand.at().saturating_sub(began) < Duration::from_millis(14_000), "{all:?} told of {sent}");
         stand.pass();
     }
     stand.act(&Act::Cut(vec![vec![0, 1], vec![2]])).expect("cut");
     let began = stand.at();
     while told(&stand).iter().any(|t| t.1 == 0.0) {
-        assert!(stand.at().less(began) < Span::millis(14_000), "{:?}", told(&stand));
+        assert!(stand.at().saturating_sub(began) < Duration::from_millis(14_000), "{:?}", told(&stand));
         stand.pass();
     }
 }
@@ -175,7 +175,7 @@
         });
         // From the fourth second on: a window has passed by then, and all is told.
         let of = |handler: usize| {
-            let late = |f: &&Fate| f.handler == handler && f.sent > Duration::from_secs(4);
+            let late = |f: &&Fate| f.handler == handler && f.sent > StdDuration::from_secs(4);
             let all: Vec<&Fate> = fates.iter().filter(late).collect();
             let done = all.iter().filter(|f| matches!(f.answers[..], [(Answer::Done, _)])).count();
             (all.len(), done as f64 / all.len() as f64)
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,7 +2,7 @@
 
 use madderbay::decide::Decider;
 use madderbay::face::*;
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use serde::Deserialize;
 use std::collections::HashSet;
 
@@ -129,7 +129,7 @@
 
 impl Settings {
     /// The module of one server life that begins now.
-    pub fn decider(&self, now: At, seed: u64) -> Decider {
+    pub fn decider(&self, now: Timestamp, seed: u64) -> Decider {
         let (m, h, t, b) = (&self.machine, &self.handlers, &self.tenants, &self.below);
         Decider::new(now, seed, m, h, t, b, &self.callers, &self.place, &self.rules)
     }
@@ -205,13 +205,13 @@
             &format!("family_info.class_skip_worth[{i}] is not within 0 to 1"),
         )?;
         handlers.push(Handler {
-            target: Span::micros(c.aim_us),
+            target: Duration::from_micros(c.aim_us),
             target_stretch: c.aim_stretch,
-            timeout: Span::micros(c.hard_limit_us),
+            timeout: Duration::from_micros(c.hard_limit_us),
             value: c.importance,
             late_value: c.late_worth,
             repeats: word(&c.effect, &effects, &format!("classes[{i}].effect"))?,
-            window: Span::micros(c.repeat_window_us),
+            window: Duration::from_micros(c.repeat_window_us),
             calls: info.class_calls.get(i).copied().unwrap_or(false),
             partial_value: partial,
         });
@@ -255,22 +255,22 @@
             survives_per_core: raw.rules.tip_multiple,
             cold: info.cold,
             cold_from: raw.rules.cold_from,
-            cold_for: Span::micros(raw.rules.cold_us),
+            cold_for: Duration::from_micros(raw.rules.cold_us),
         },
         handlers,
         tenants: raw.tenants.iter().map(|t| Tenant { per_second: t.allowance_per_s }).collect(),
         below: Below {
             kind: word(&info.below, &belows, "family_info.below")?,
             share: info.dep_share,
-            linger: Span::micros(info.linger_us),
-            span: Span::micros(info.share_span_us),
+            linger: Duration::from_micros(info.linger_us),
+            span: Duration::from_micros(info.share_span_us),
         },
         callers: Callers {
             count: info.upstreams,
             load_report: word(&info.say, &frees, "family_info.say")?,
-            come_back_max: Span::micros(longest),
+            come_back_max: Duration::from_micros(longest),
             mark_retries: raw.callers.marks_retry,
-            idle_max: Span::micros(info.keepalive_max_us),
+            idle_max: Duration::from_micros(info.keepalive_max_us),
         },
         place: Place {
             servers: raw.servers,
@@ -278,7 +278,10 @@
             value_by_work: raw.value_by == "work",
             over_share_value: raw.over_share_worth,
         },
-        rules: Rules { drain_grace: Span::micros(raw.rules.drain_grace_us), says_wait: info.passes_deadline },
+        rules: Rules {
+            drain_grace: Duration::from_micros(raw.rules.drain_grace_us),
+            says_wait: info.passes_deadline,
+        },
         meters: info.meters.clone(),
         handler_names: raw.classes.iter().map(|c| c.name.clone()).collect(),
         tenant_names: raw.tenants.iter().map(|t| t.name.clone()).collect(),
--- a/crates/simulation/src/below.rs
+++ b/crates/simulation/src/below.rs
@@ -1,7 +1,7 @@
 //! What a simulated server stands before: its engine, whose cores its runs share, and the backends of all.
 
 use crate::history::Ill;
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use oorandom::Rand64;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -10,14 +10,14 @@
     left: f64,
     call_at: Option<f64>,
     on_core: bool,
-    began: At,
+    began: Timestamp,
     pub need: u64,
 }
 
 /// What came of a run at some moment.
 pub enum Came {
     Call(String),
-    Over(String, Span),
+    Over(String, Duration),
 }
 
 /// Cores shared evenly by the runs on them.
@@ -25,12 +25,12 @@
     cores: f64,
     pub slower: f64,
     pub runs: BTreeMap<String, Run>,
-    worked: At,
+    worked: Timestamp,
     pub serial: u64,
 }
 
 impl Engine {
-    pub fn new(now: At, cores: f64) -> Engine {
+    pub fn new(now: Timestamp, cores: f64) -> Engine {
         Engine { cores, slower: 1.0, runs: BTreeMap::new(), worked: now, serial: 0 }
     }
 
@@ -44,8 +44,8 @@
     }
 
     /// Works up to now; what came to a call or to its end, in the order of their names.
-    pub fn work(&mut self, now: At) -> Vec<Came> {
-        let done = (now - self.worked).as_secs() * self.each();
+    pub fn work(&mut self, now: Timestamp) -> Vec<Came> {
+        let done = (now - self.worked).as_secs_f64() * self.each();
         self.worked = now;
         let mut came = vec![];
         let mut over = vec![];
@@ -66,14 +66,14 @@
     }
 
     /// When the next comes to a call or to its end.
-    pub fn next(&self) -> Option<At> {
+    pub fn next(&self) -> Option<Timestamp> {
         let each = self.each();
         let left = self.runs.values().filter(|r| r.on_core).map(|r| r.left - r.call_at.unwrap_or(0.0));
         let least = left.min_by(f64::total_cmp)?;
-        Some(self.worked + Span::secs(least.max(0.0) / each) + Span::micros(2))
+        Some(self.worked + Duration::from_secs_f64(least.max(0.0) / each) + Duration::from_micros(2))
     }
 
-    pub fn run(&mut self, now: At, name: &str, secs: f64, calls: bool) {
+    pub fn run(&mut self, now: Timestamp, name: &str, secs: f64, calls: bool) {
         let call_at = calls.then_some(secs * 0.5);
         let run = Run { left: secs, call_at, on_core: true, began: now, need: 0 };
         self.runs.entry(name.into()).or_insert(run);
@@ -85,7 +85,7 @@
         }
     }
 
-    pub fn began(&self, name: &str) -> Option<At> {
+    pub fn began(&self, name: &str) -> Option<Timestamp> {
         self.runs.get(name).map(|r| r.began)
     }
 }
@@ -116,17 +116,17 @@
 /// What becomes of a call that came.
 pub enum Fares {
     /// It is worked on for so long.
-    Works(Span),
+    Works(Duration),
     Waits,
     Fails,
 }
 
 impl Backend {
-    pub fn new(slots: usize, call: Span) -> Backend {
+    pub fn new(slots: usize, call: Duration) -> Backend {
         Backend {
             ill: None,
             slots,
-            call: call.as_secs(),
+            call: call.as_secs_f64(),
             busy: 0,
             waiting: VecDeque::new(),
             calls: BTreeMap::new(),
@@ -135,9 +135,9 @@
         }
     }
 
-    fn time(&self, chance: &mut Rand64) -> Span {
+    fn time(&self, chance: &mut Rand64) -> Duration {
         let times = if let Some(Ill::Slow(times)) = self.ill { times } else { 1.0 };
-        Span::secs(self.call * times * (0.5 - 0.5 * (1.0 - chance.rand_float()).ln()))
+        Duration::from_secs_f64(self.call * times * (0.5 - 0.5 * (1.0 - chance.rand_float()).ln()))
     }
 
     pub fn came(&mut self, no: u64, call: Call, chance: &mut Rand64) -> Fares {
@@ -161,7 +161,7 @@
     }
 
     /// A call was worked on to its end; whose it was, and who is next and for how long.
-    pub fn worked(&mut self, no: u64, chance: &mut Rand64) -> (Option<Call>, Option<(u64, Span)>) {
+    pub fn worked(&mut self, no: u64, chance: &mut Rand64) -> (Option<Call>, Option<(u64, Duration)>) {
         self.busy = self.busy.saturating_sub(1);
         let call = self.calls.remove(&no);
         if let Some(call) = call.as_ref().filter(|c| c.keyed) {
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -3,7 +3,7 @@
 
 use crate::below::{Backend, Call, Came, Engine, Fares};
 use crate::history::{Deed, History, Ill, Plant};
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use madderbay_concurrency::{Plan, Pool, Reserve};
 use madderbay_membership::{Members, Networks, State};
 use madderbay_quota::{BudgetSettings, Shared, Terms};
@@ -30,27 +30,27 @@
 
 const START_MS: u64 = 1_764_576_000_000;
 /// Ways on the own machine, and to what lies below.
-const NEAR: Span = Span::micros(100);
-const WAY: Span = Span::millis(1);
+const NEAR: Duration = Duration::from_micros(100);
+const WAY: Duration = Duration::from_millis(1);
 /// Datagrams take this long where no fault says otherwise.
-const CALM: (Span, Span) = (Span::micros(200), Span::millis(2));
+const CALM: (Duration, Duration) = (Duration::from_micros(200), Duration::from_millis(2));
 /// Clocks of servers run apart by so much at the most, each from the true one.
 const DRIFT: f64 = 0.005;
 /// What waits in the socket of a server that is stopped.
 const WAITING: usize = 500;
 /// Callers wait so long; an answer may be that much later before it counts as none.
-const ALLOW: Span = Span::millis(3_000);
-const SLACK: Span = Span::millis(50);
+const ALLOW: Duration = Duration::from_millis(3_000);
+const SLACK: Duration = Duration::from_millis(50);
 /// How many of one kind within this span count as unison.
-const UNISON: Span = Span::millis(100);
+const UNISON: Duration = Duration::from_millis(100);
 /// Repeats for each first try, with what is saved at the start.
 const REPEATS: f64 = 0.12;
 /// After the last deed all that run hold one view within this.
-const SETTLES: Span = Span::millis(14_000);
+const SETTLES: Duration = Duration::from_millis(14_000);
 const CORES: f64 = 2.0;
 const SLOTS: usize = 40;
-const CALL: Span = Span::millis(25);
-const LONGEST: Span = Span::millis(1_500);
+const CALL: Duration = Duration::from_millis(25);
+const LONGEST: Duration = Duration::from_millis(1_500);
 
 /// `search` may run again and skip its call, `quote` calls nothing, `book` runs once.
 const SETTINGS: &str = r#"{"classes": [
@@ -93,10 +93,10 @@
     lender: Option<Rc<Lender>>,
     backends: Option<Rc<Backends>>,
     /// What its monotonic clock shows now, how far that is ahead, and how fast it runs.
-    mono: Rc<Cell<At>>,
-    ahead: Span,
+    mono: Rc<Cell<Timestamp>>,
+    ahead: Duration,
     rate: f64,
-    wakes: At,
+    wakes: Timestamp,
     waiting: Vec<Event>,
     load: f64,
     rpc: u64,
@@ -109,7 +109,7 @@
 struct Asked {
     handler: usize,
     name: String,
-    began: At,
+    began: Timestamp,
     started: bool,
 }
 
@@ -169,12 +169,12 @@
 
 pub struct World {
     of: History,
-    now: At,
+    now: Timestamp,
     chance: Rand64,
     nodes: Vec<Node>,
     below: Vec<Backend>,
     numbered: u64,
-    queue: BinaryHeap<Reverse<(At, u64)>>,
+    queue: BinaryHeap<Reverse<(Timestamp, u64)>>,
     events: HashMap<u64, Event>,
     net: Net,
     settings: Settings,
@@ -182,17 +182,17 @@
     rows: Vec<Row>,
     row: Row,
     breaches: Vec<Breach>,
-    settled: Option<At>,
-    last_deed: At,
-    did: BTreeMap<String, Vec<At>>,
+    settled: Option<Timestamp>,
+    last_deed: Timestamp,
+    did: BTreeMap<String, Vec<Timestamp>>,
     firsts: u64,
     again: u64,
     /// Runs of each req, by name, at any engine.
     ran: BTreeMap<String, u32>,
 }
 
-fn at(ms: u64) -> At {
-    At::micros((START_MS + ms) * 1_000)
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_micros((START_MS + ms) * 1_000)
 }
 
 fn name(s: usize) -> String {
@@ -236,7 +236,7 @@
         let now = at(0);
         let mut nodes = vec![];
         for _ in 0..of.servers {
-            let ahead = Span::secs(chance.rand_float() * 1e4);
+            let ahead = Duration::from_secs_f64(chance.rand_float() * 1e4);
             let rate = 1.0 + DRIFT * (2.0 * chance.rand_float() - 1.0);
             nodes.push(Node {
                 up: false,
@@ -253,10 +253,10 @@
                 together: None,
                 lender: None,
                 backends: None,
-                mono: Rc::new(Cell::new(At::default())),
+                mono: Rc::new(Cell::new(Timestamp::default())),
                 ahead,
                 rate,
-                wakes: At::micros(u64::MAX),
+                wakes: Timestamp::from_micros(u64::MAX),
                 waiting: vec![],
                 load: 1.0,
                 rpc: 0,
@@ -297,7 +297,7 @@
         world
     }
 
-    fn push(&mut self, when: At, event: Event) {
+    fn push(&mut self, when: Timestamp, event: Event) {
         self.numbered += 1;
         self.queue.push(Reverse((when, self.numbered)));
         self.events.insert(self.numbered, event);
@@ -311,9 +311,9 @@
     }
 
     /// What a server's monotonic clock shows.
-    fn tick(&mut self, s: usize) -> At {
+    fn tick(&mut self, s: usize) -> Timestamp {
         let node = &mut self.nodes[s];
-        let mono = At::default() + node.ahead + (self.now - at(0)).times(node.rate);
+        let mono = Timestamp::default() + node.ahead + (self.now - at(0)).mul_f64(node.rate);
         node.mono.set(mono);
         mono
     }
@@ -367,8 +367,10 @@
         node.lives += 1;
         let lives = node.lives;
         let shared = parts.shared.then(|| {
-            let longest = if self.of.plant == Some(Plant::Terms) { Span::millis(20) } else { LONGEST };
-            let terms = Terms { lease: Span::millis(1_000), longest, guard: Span::millis(50) };
+            let longest =
+                if self.of.plant == Some(Plant::Terms) { Duration::from_millis(20) } else { LONGEST };
+            let terms =
+                Terms { lease: Duration::from_millis(1_000), longest, guard: Duration::from_millis(50) };
             let budget = BudgetSettings {
                 name: "below".into(),
                 whole,
@@ -386,7 +388,7 @@
             };
             Shared::new(mono, seed, set)
         });
-        let unix = (self.now - At::default()).as_micros() / 1_000;
+        let unix = (self.now - Timestamp::default()).as_micros() / 1_000;
         let together = parts.members.then(|| {
             let set = madderbay_membership::Settings {
                 name: name(s).as_str().into(),
@@ -396,14 +398,14 @@
                 join: vec![address(0), address(1)],
                 networks: Networks::of(["127.0.0.0/8".parse().expect("a network")]),
                 most: 2_000,
-                probe: Span::millis(500),
-                answer: Span::millis(200),
-                suspicion: Span::millis(if self.of.plant == Some(Plant::Suspicion) {
+                probe: Duration::from_millis(500),
+                answer: Duration::from_millis(200),
+                suspicion: Duration::from_millis(if self.of.plant == Some(Plant::Suspicion) {
                     3_000_000
                 } else {
                     3_000
                 }),
-                memory: Span::millis(60_000),
+                memory: Duration::from_millis(60_000),
                 minds_itself: true,
             };
             let mut together = Together::new(Members::new(mono, unix, seed, set), shared);
@@ -433,15 +435,15 @@
         node.answered.clear();
         node.waiting.clear();
         (node.together, node.lender, node.backends) = (together, lender, routes);
-        (node.up, node.stopped, node.rpc, node.wakes) = (true, false, 0, At::micros(u64::MAX));
+        (node.up, node.stopped, node.rpc, node.wakes) = (true, false, 0, Timestamp::from_micros(u64::MAX));
         let first = self.gap(s);
         self.push(self.now + first, Event::Arrival(s, lives));
         self.moment(s);
     }
 
-    fn gap(&mut self, s: usize) -> Span {
+    fn gap(&mut self, s: usize) -> Duration {
         let rate = (self.of.rate * self.nodes[s].load).max(0.05);
-        Span::secs(-(1.0 - self.chance.rand_float()).ln() / rate)
+        Duration::from_secs_f64(-(1.0 - self.chance.rand_float()).ln() / rate)
     }
 
     /// First tries and repeats of a life are added up.
@@ -479,11 +481,14 @@
             }
         }
         let unison = self.did.iter().map(|(what, times)| (what.clone(), together(times))).collect();
-        let settles = self.settled.map(|when| (when - self.last_deed).as_secs());
+        let settles = self.settled.map(|when| (when - self.last_deed).as_secs_f64());
         if settles.is_none() && self.of.parts.members {
             let least = at(self.of.seconds * 1_000) - self.last_deed;
             if least > SETTLES {
-                self.breach("settles", format!("views differ {:.1} s after the last deed", least.as_secs()));
+                self.breach(
+                    "settles",
+                    format!("views differ {:.1} s after the last deed", least.as_secs_f64()),
+                );
             }
         }
         let mut twice: BTreeMap<&String, u32> = BTreeMap::new();
@@ -538,7 +543,7 @@
                 let node = &mut self.nodes[s];
                 // One that was put off, or came sooner, is another's.
                 if node.up && node.lives == life && !node.stopped && node.wakes <= self.now {
-                    node.wakes = At::micros(u64::MAX);
+                    node.wakes = Timestamp::from_micros(u64::MAX);
                     self.moment(s);
                 }
             }
@@ -605,7 +610,7 @@
         });
         let handler = handler.unwrap_or(2);
         let own = format!("{:016x}", self.chance.rand_u64());
-        let now_ms = (self.now - At::default()).as_micros() / 1_000;
+        let now_ms = (self.now - Timestamp::default()).as_micros() / 1_000;
         let node = &mut self.nodes[s];
         node.rpc += 1;
         let rpc = node.rpc;
@@ -639,7 +644,7 @@
         node.answered.remove(&rpc);
         // A server that was stopped meanwhile answers late, and its callers know why.
         if let Some(asked) = node.open.remove(&rpc).filter(|_| !node.stopped)
-            && self.now - asked.began <= ALLOW + SLACK + Span::millis(5)
+            && self.now - asked.began <= ALLOW + SLACK + Duration::from_millis(5)
             && !self.excused(s, asked.began)
         {
             let what = format!("{}: {} {} got no answer", name(s), HANDLERS[asked.handler], asked.name);
@@ -648,7 +653,7 @@
     }
 
     /// Whether a server was stopped at some time since.
-    fn excused(&self, s: usize, since: At) -> bool {
+    fn excused(&self, s: usize, since: Timestamp) -> bool {
         let stops = |d: &(u64, Deed)| matches!(d.1, Deed::Stop(x) | Deed::Continue(x) if x == s);
         let before = self.of.deeds.iter().filter(|d| stops(d) && at(d.0) <= self.now);
         let mut stopped = false;
@@ -698,14 +703,18 @@
     fn wake(&mut self, s: usize) {
         let now = self.now;
         let node = &self.nodes[s];
-        let outside = |own: At| {
-            let passed = (own - At::default()).less(node.ahead).times(1.0 / node.rate);
-            at(0) + passed + Span::micros(2)
+        let outside = |own: Timestamp| {
+            let passed = (own - Timestamp::default()).saturating_sub(node.ahead).mul_f64(1.0 / node.rate);
+            at(0) + passed + Duration::from_micros(2)
         };
         let together = node.together.as_ref().map(|t| outside(t.borrow().due()));
         let next = [node.serve.next(), node.engine.next(), together];
-        let next =
-            next.into_iter().flatten().min().unwrap_or(now + Span::secs(1.0)).max(now + Span::micros(20));
+        let next = next
+            .into_iter()
+            .flatten()
+            .min()
+            .unwrap_or(now + Duration::from_secs_f64(1.0))
+            .max(now + Duration::from_micros(20));
         if next < node.wakes || node.wakes <= now {
             let life = node.lives;
             self.nodes[s].wakes = next;
@@ -945,7 +954,7 @@
             }
             Deed::Heal => self.net.act(&Act::Heal),
             Deed::Net { loss, double, spoil, delay_ms } => {
-                let delay = Some((Span::millis(1), Span::millis(delay_ms + 2)));
+                let delay = Some((Duration::from_millis(1), Duration::from_millis(delay_ms + 2)));
                 let act = Act::Net { loss: Some(loss), double: Some(double), spoil: Some(spoil), delay };
                 self.net.act(&act);
             }
@@ -999,12 +1008,12 @@
         let second = self.rows.len() as u64 + 1;
         let row = std::mem::take(&mut self.row);
         self.rows.push(Row { second, ..row });
-        self.push(self.now + Span::secs(1.0), Event::Row);
+        self.push(self.now + Duration::from_secs_f64(1.0), Event::Row);
     }
 }
 
 /// The most of those moments that lie within a tenth of a second.
-fn together(times: &[At]) -> u32 {
+fn together(times: &[Timestamp]) -> u32 {
     let within = |i: usize| times[i..].iter().take_while(|t| **t - times[i] <= UNISON).count();
     (0..times.len()).map(within).max().unwrap_or(0) as u32
 }
--- a/crates/simulator-adapter/src/host.rs
+++ b/crates/simulator-adapter/src/host.rs
@@ -3,7 +3,7 @@
 use crate::wire::{self, Batch, Fields, Reply};
 use madderbay::decide::Decider;
 use madderbay::face::{Arrival, Gauges, Outcome};
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use madderbay_settings::{self as settings, Settings};
 use std::collections::BTreeMap;
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -69,7 +69,7 @@
 impl Host {
     /// Plays one batch and gives the frame that answers it.
     pub fn play(&mut self, batch: &Batch) -> Result<Vec<u8>, Wrong> {
-        let now = At::micros(batch.clock);
+        let now = Timestamp::from_micros(batch.clock);
         let mut fields = Fields::new(&batch.body);
         let mut touched: Vec<u16> = vec![];
         for n in 0..batch.count {
@@ -105,7 +105,7 @@
         Ok(())
     }
 
-    fn event(&mut self, now: At, code: u8, who: u16, f: &mut Fields) -> Result<(), Wrong> {
+    fn event(&mut self, now: Timestamp, code: u8, who: u16, f: &mut Fields) -> Result<(), Wrong> {
         match code {
             wire::BEGIN => {
                 let seed = f.u64()?;
@@ -175,14 +175,14 @@
     if known.decider.knows(id) {
         return Err(format!("request {id}: read a second time"));
     }
-    let wait = if known.says_wait { wait } else { Span::ZERO };
+    let wait = if known.says_wait { wait } else { Duration::ZERO };
     let hint = (bits & 1 != 0).then_some(hint);
     let retry = bits & 2 != 0;
     Ok(Arrival { id, from, handler, tenant, subject, wait, hint, held_kb, rank, retry, unread_for, repeats })
 }
 
 impl Instance {
-    fn new(now: At, seed: u64, s: &Settings) -> Instance {
+    fn new(now: Timestamp, seed: u64, s: &Settings) -> Instance {
         Instance {
             decider: s.decider(now, seed),
             handlers: s.handlers.len(),
--- a/crates/simulator-adapter/src/wire.rs
+++ b/crates/simulator-adapter/src/wire.rs
@@ -1,7 +1,7 @@
 //! Frames and records: bytes in, bytes out. Every code and layout of the wire stands here.
 
 use madderbay::face::Results;
-use madderbay::time::Span;
+use madderbay::time::Duration;
 use std::io::Read;
 
 pub const BEGIN: u8 = 1;
@@ -91,8 +91,8 @@
             Err(format!("number before byte {} is not finite", self.at))
         }
     }
-    pub fn span(&mut self) -> Result<Span, String> {
-        Ok(Span::micros(u64::from(self.u32()?)))
+    pub fn span(&mut self) -> Result<Duration, String> {
+        Ok(Duration::from_micros(u64::from(self.u32()?)))
     }
 }
 
@@ -104,7 +104,7 @@
     body: Vec<u8>,
 }
 
-fn short(span: Span) -> [u8; 4] {
+fn short(span: Duration) -> [u8; 4] {
     u32::try_from(span.as_micros()).unwrap_or(u32::MAX).to_le_bytes()
 }
 
@@ -137,7 +137,7 @@
     fn start(&mut self, id: u64) {
         self.put(1, &[&id.to_le_bytes()]);
     }
-    fn shed(&mut self, id: u64, come_back: Span, last: bool) {
+    fn shed(&mut self, id: u64, come_back: Duration, last: bool) {
         self.put(2, &[&id.to_le_bytes(), &short(come_back), &[u8::from(last)]]);
     }
     fn errored(&mut self, id: u64) {
@@ -146,13 +146,13 @@
     fn stop(&mut self, id: u64) {
         self.put(4, &[&id.to_le_bytes()]);
     }
-    fn call(&mut self, id: u64, patience: Span) {
+    fn call(&mut self, id: u64, patience: Duration) {
         self.put(5, &[&id.to_le_bytes(), &short(patience)]);
     }
     fn skip(&mut self, id: u64) {
         self.put(6, &[&id.to_le_bytes()]);
     }
-    fn keep_key(&mut self, id: u64, term: Span) {
+    fn keep_key(&mut self, id: u64, term: Duration) {
         self.put(7, &[&id.to_le_bytes(), &short(term)]);
     }
     fn drop_key(&mut self, id: u64) {
@@ -167,10 +167,10 @@
     fn load_report(&mut self, value: f64) {
         self.put(11, &[&(value as f32).to_le_bytes()]);
     }
-    fn idle_limit(&mut self, limit: Span) {
+    fn idle_limit(&mut self, limit: Duration) {
         self.put(12, &[&short(limit)]);
     }
-    fn wake(&mut self, after: Span) {
+    fn wake(&mut self, after: Duration) {
         self.put(13, &[&short(after), &0u64.to_le_bytes()]);
     }
 }
--- a/crates/testkit/examples/members.rs
+++ b/crates/testkit/examples/members.rs
@@ -5,7 +5,7 @@
 //!     cargo build --release && cargo run --release -p madderbay-testkit --example members real [SEEDS]
 //!     ... members histories [COUNT]      ... members flood      ... members cost
 
-use madderbay::time::Span;
+use madderbay::time::Duration;
 use madderbay_testkit::balancer::{Ask, Load, breaches, times};
 use madderbay_testkit::engine::{Engine, Work};
 use madderbay_testkit::fleet::script::{Act, Condition, Fleet, Setup};
@@ -19,12 +19,12 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::Receiver;
-use std::time::{Duration, Instant};
+use std::time::{Duration as StdDuration, Instant};
 
 /// Longer than anything that settles at all.
-const TERM: Span = Span::millis(120_000);
+const TERM: Duration = Duration::from_millis(120_000);
 /// Calm over which bytes and processor time are counted.
-const CALM: Span = Span::millis(20_000);
+const CALM: Duration = Duration::from_millis(20_000);
 
 /// Plays at a time, and seeds at a thousand members.
 const SIDE_BY_SIDE: usize = 5;
@@ -75,16 +75,16 @@
 fn settle(fleet: &mut impl Fleet) -> f64 {
     let began = fleet.at();
     while fleet.amiss(&Condition::Settled).is_some() {
-        if fleet.at().less(began) > TERM {
+        if fleet.at().saturating_sub(began) > TERM {
             return f64::INFINITY;
         }
         fleet.pass();
     }
-    fleet.at().less(began).as_secs()
+    fleet.at().saturating_sub(began).as_secs_f64()
 }
 
 fn start(who: usize) -> Act {
-    Act::Start { who, name: who, clock: Span::ZERO, back: false }
+    Act::Start { who, name: who, clock: Duration::ZERO, back: false }
 }
 
 /// All but the last settle; it joins, one crashes, a third is cut off, the cut heals. `calm` counts what a
@@ -107,7 +107,7 @@
 }
 
 fn net(loss: f64) -> Act {
-    let delay = Some((Span::micros(200), Span::millis(5)));
+    let delay = Some((Duration::from_micros(200), Duration::from_millis(5)));
     Act::Net { loss: Some(loss), double: None, spoil: None, delay }
 }
 
@@ -129,7 +129,7 @@
                         let sent = |sim: &Sim| sim.running().map(|m| m.1.counts.bytes_out).sum::<u64>();
                         let (before, began) = (sent(sim), Instant::now());
                         sim.run(CALM);
-                        let each = CALM.as_secs() * (n - 1) as f64;
+                        let each = CALM.as_secs_f64() * (n - 1) as f64;
                         row.bytes.push((sent(sim) - before) as f64 / each);
                         row.cpu.push(began.elapsed().as_secs_f64() / each * 100.0);
                     });
@@ -280,9 +280,9 @@
         for _ in 0..minutes {
             let paused: Vec<usize> = (0..n).filter(|_| chance.rand_float() < 0.05).collect();
             paused.iter().for_each(|s| sim.act(&Act::Stop(*s)).expect("stopped"));
-            sim.run(Span::millis(2_000));
+            sim.run(Duration::from_millis(2_000));
             paused.iter().for_each(|s| sim.act(&Act::Continue(*s)).expect("continued"));
-            sim.run(Span::millis(58_000));
+            sim.run(Duration::from_millis(58_000));
         }
         for (_, m) in sim.running() {
             downs += m.counts.downs;
@@ -323,13 +323,13 @@
 
 fn load(seed: u64, secs: u64, rate: f64) -> Load {
     let ask = |handler: &str, part, keyed| {
-        let target = Duration::from_secs(2);
+        let target = StdDuration::from_secs(2);
         Ask { handler: handler.into(), part, target, keyed, project: "acme" }
     };
     Load {
         asks: vec![ask("search", 0.4, false), ask("quote", 0.4, false), ask("book", 0.2, true)],
-        rates: vec![(Duration::ZERO, rate)],
-        length: Duration::from_secs(secs),
+        rates: vec![(StdDuration::ZERO, rate)],
+        length: StdDuration::from_secs(secs),
         seed,
         allow_ms: 5_000,
     }
@@ -349,7 +349,7 @@
                         return;
                     }
                     let mut chance = Rand64::new(u128::from(seed) + 77);
-                    let setup = Setup { memory: Span::millis(2_000), ..Setup::of(5) };
+                    let setup = Setup { memory: Duration::from_millis(2_000), ..Setup::of(5) };
                     let mut stand = Stand::new(setup, binary(), SETTINGS, &works(), seed);
                     (0..5).for_each(|s| stand.act(&start(s)).expect("started"));
                     let began = settle(&mut stand);
@@ -384,7 +384,7 @@
                             };
                             stand.act(&act).expect("done");
                             faults.fetch_add(1, Ordering::Relaxed);
-                            let pause = Duration::from_secs_f64(chance.rand_float() * 0.5);
+                            let pause = StdDuration::from_secs_f64(chance.rand_float() * 0.5);
                             std::thread::sleep(pause);
                         }
                         stand.act(&Act::Heal).expect("healed");
@@ -440,7 +440,7 @@
                         let _ = socket.send_to(&[sent as u8; 200], heard);
                         sent += 1;
                     }
-                    std::thread::sleep(Duration::from_millis(1));
+                    std::thread::sleep(StdDuration::from_millis(1));
                 }
             });
             let fates = load.run(server.address, |name| engine.answered(name), |_| ());
@@ -461,7 +461,7 @@
     let used = |servers: &[&Server]| {
         let cpu = || servers.iter().map(|s| s.cpu()).sum::<f64>();
         let (before, began) = (cpu(), Instant::now());
-        std::thread::sleep(Duration::from_secs(20));
+        std::thread::sleep(StdDuration::from_secs(20));
         (cpu() - before) / began.elapsed().as_secs_f64() / servers.len() as f64 * 100.0
     };
     for n in [5, 12] {
@@ -509,7 +509,7 @@
                 play(&mut stand, n, &mut row, |stand, row| {
                     let cpu = |s: &Stand| (0..n - 1).filter_map(|i| Some(s.server(i)?.cpu())).sum::<f64>();
                     let (before, began) = (cpu(stand), Instant::now());
-                    std::thread::sleep(Duration::from_secs(5));
+                    std::thread::sleep(StdDuration::from_secs(5));
                     let each = began.elapsed().as_secs_f64() * (n - 1) as f64;
                     row.cpu.push((cpu(stand) - before) / each * 100.0);
                 });
--- a/crates/testkit/examples/routes.rs
+++ b/crates/testkit/examples/routes.rs
@@ -4,7 +4,7 @@
 //!     cargo build --release && cargo run --release -p madderbay-testkit --example routes real
 //!     ... routes look MODE [SEED]       one case, second by second, with what was left out and why
 
-use madderbay::time::Span;
+use madderbay::time::Duration;
 use madderbay_testkit::balancer::{Ask, Fate, Load, breaches};
 use madderbay_testkit::catalogue::{Catalogue, Mood};
 use madderbay_testkit::engine::Work;
@@ -12,7 +12,7 @@
 use madderbay_testkit::fleet::stand::Stand;
 use madderbay_testkit::routes::{Mode, Setup, Way, World};
 use std::path::Path;
-use std::time::{Duration, Instant};
+use std::time::{Duration as StdDuration, Instant};
 
 const WAYS: [(Way, &str); 4] = [
     (Way::Shared, "shared"),
@@ -26,8 +26,8 @@
 const OVER: u64 = 15_000;
 const END: u64 = 40_000;
 
-fn ms(ms: u64) -> Span {
-    Span::millis(ms)
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
 }
 
 /// What is done to a world at the beginning of the trouble, and at its end.
@@ -182,13 +182,13 @@
         .replace("\"tip_multiple\": 5.0", "\"tip_multiple\": 40.0")
         .replace("\"memory_kb\": 4000.0", "\"memory_kb\": 400000.0")
         .replace("\"dep_share\": 8.0", "\"dep_share\": 60.0");
-    let target = Duration::from_secs(2);
+    let target = StdDuration::from_secs(2);
     let ask =
         |handler: &str, part, keyed| Ask { handler: handler.into(), part, target, keyed, project: "acme" };
     let asks = [ask("search", 3.0, false), ask("book", 1.0, true)];
     let work = |handler: &str| Work { handler: handler.into(), ms: (1.0, 2.0), calls: true };
     let backends: Vec<Catalogue> =
-        (0..10).map(|_| Catalogue::start(100, Duration::from_millis(20))).collect();
+        (0..10).map(|_| Catalogue::start(100, StdDuration::from_millis(20))).collect();
     let mut stand = Stand::new(Servers::of(n), binary, &settings, &[work("search"), work("book")], 1);
     let section = |b: (usize, &Catalogue)| {
         format!("[backend b{}]\naddress = {}\nhandlers = search, book\n", b.0, b.1.address)
@@ -196,7 +196,7 @@
     let sections: String = backends.iter().enumerate().map(section).collect();
     stand.operator = format!("[routes]\nenabled = on\n{keys}{sections}");
     for who in 0..n {
-        stand.act(&Act::Start { who, name: who, clock: Span::ZERO, back: false }).expect("started");
+        stand.act(&Act::Start { who, name: who, clock: Duration::ZERO, back: false }).expect("started");
     }
     while stand.amiss(&Condition::Settled).is_some() {
         stand.pass();
@@ -215,8 +215,8 @@
             .map(|(s, (engine, address))| {
                 let asks = &asks;
                 scope.spawn(move || {
-                    let rates = vec![(Duration::ZERO, rate)];
-                    let length = Duration::from_millis(end);
+                    let rates = vec![(StdDuration::ZERO, rate)];
+                    let length = StdDuration::from_millis(end);
                     let load = Load { asks: asks.to_vec(), rates, length, seed: s as u64, allow_ms: 3_000 };
                     let fates = load.run(address, |name| engine.answered(name), |_| ());
                     let broken = breaches(&fates, asks, &engine.ran().bodies).len();
@@ -226,20 +226,23 @@
             .collect();
         let mut came: Vec<u32> = vec![];
         let mut ill = false;
-        while began.elapsed() < Duration::from_millis(end) {
+        while began.elapsed() < StdDuration::from_millis(end) {
             let now = began.elapsed().as_millis() as u64;
             if (calm..over).contains(&now) != ill {
                 ill = !ill;
                 backends[1].mood(if ill { mood } else { Mood::Slow(1.0) });
             }
             came.push(backends[1].seen().came);
-            std::thread::sleep(Duration::from_millis(100).saturating_sub(Duration::from_millis(now % 100)));
+            std::thread::sleep(
+                StdDuration::from_millis(100).saturating_sub(StdDuration::from_millis(now % 100)),
+            );
         }
         let all: Vec<(Vec<Fate>, usize)> = loads.into_iter().map(|l| l.join().expect("loaded")).collect();
         let broken: usize = all.iter().map(|a| a.1).sum();
         (all.into_iter().flat_map(|a| a.0).collect::<Vec<Fate>>(), broken, came)
     });
-    let during = |f: &&Fate| f.sent >= Duration::from_millis(calm) && f.sent < Duration::from_millis(over);
+    let during =
+        |f: &&Fate| f.sent >= StdDuration::from_millis(calm) && f.sent < StdDuration::from_millis(over);
     let kept = |handler: usize| {
         let of: Vec<&Fate> = fates.iter().filter(during).filter(|f| f.handler == handler).collect();
         of.iter().filter(|f| f.kept(target)).count() as f64 / of.len().max(1) as f64
--- a/crates/testkit/examples/shared.rs
+++ b/crates/testkit/examples/shared.rs
@@ -6,7 +6,7 @@
 //!     cargo build --release && cargo run --release -p madderbay-testkit --example shared real
 //!     ... shared histories [COUNT]      ... shared trouble
 
-use madderbay::time::Span;
+use madderbay::time::Duration;
 use madderbay_membership::State;
 use madderbay_quota::counts::{Counts, Settings};
 use madderbay_testkit::balancer::{Ask, Fate, Load, breaches, kept};
@@ -20,14 +20,14 @@
 use std::path::Path;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, Instant};
+use std::time::{Duration as StdDuration, Instant};
 
 /// Calls that each server has of its own.
 const EACH: u32 = 6;
 const SIDE_BY_SIDE: usize = 6;
 
 fn setup(n: usize, whole: u32, call_ms: u64) -> Setup {
-    let ms = Span::millis;
+    let ms = Duration::from_millis;
     let budget = Budgeted {
         whole,
         servers: n as u32,
@@ -41,7 +41,7 @@
 }
 
 fn start(who: usize) -> Act {
-    Act::Start { who, name: who, clock: Span::ZERO, back: false }
+    Act::Start { who, name: who, clock: Duration::ZERO, back: false }
 }
 
 fn act(fleet: &mut impl Fleet, act: Act) {
@@ -51,12 +51,12 @@
 fn wait(fleet: &mut impl Fleet, what: &Condition, secs: f64) -> f64 {
     let began = fleet.at();
     while fleet.amiss(what).is_some() {
-        if fleet.at().less(began) > Span::secs(secs) {
+        if fleet.at().saturating_sub(began) > Duration::from_secs_f64(secs) {
             return f64::INFINITY;
         }
         fleet.pass();
     }
-    fleet.at().less(began).as_secs()
+    fleet.at().saturating_sub(began).as_secs_f64()
 }
 
 fn begun(fleet: &mut impl Fleet, n: usize) {
@@ -136,15 +136,15 @@
 /// Five seconds of a demand, once it has settled; how long it took, and the peak of all.
 fn played(sim: &mut Sim, n: usize, whole: u32, want: &[u32]) -> Row {
     (0..n).for_each(|s| act(sim, Act::Demand(s, 0)));
-    sim.run(Span::millis(3_000));
+    sim.run(Duration::from_millis(3_000));
     sim.peak = 0;
     want.iter().enumerate().for_each(|(s, d)| act(sim, Act::Demand(s, *d)));
     let least = whole.min(want.iter().sum()) * 8 / 10;
     let follow = wait(sim, &Condition::Uses { who: (0..n).collect(), least }, 20.0);
-    sim.run(Span::millis(2_000));
+    sim.run(Duration::from_millis(2_000));
     let bytes = |s: &Sim| (0..n).filter_map(|i| Some(s.shared(i)?.totals.bytes_out)).sum::<u64>();
     let (before, sent) = (sim.used(), bytes(sim));
-    sim.run(Span::millis(5_000));
+    sim.run(Duration::from_millis(5_000));
     let used = (sim.used() - before) / 5.0 / f64::from(whole);
     Row { used, follow, peak: sim.peak, bytes: (bytes(sim) - sent) as f64 / 5.0 / n as f64 }
 }
@@ -154,7 +154,7 @@
     let apart = |a: usize, b: usize| cut && (a < n / 2) != (b < n / 2);
     let steps = (secs / GIVER_STEP) as usize;
     for _ in 0..steps {
-        sim.run(Span::secs(GIVER_STEP));
+        sim.run(Duration::from_secs_f64(GIVER_STEP));
         giver.step(sim, want, apart);
     }
     (giver.used / secs / f64::from(whole), giver.peak)
@@ -227,11 +227,11 @@
                     let whole = n as u32 * EACH;
                     let mut sim = Sim::new(setup(n, whole, 200), seed);
                     (0..n).for_each(|s| act(&mut sim, start(s)));
-                    sim.run(Span::millis(4_500));
+                    sim.run(Duration::from_millis(4_500));
                     let mut draw = Draw::new(seed + 31, n, whole * 13 / 10);
                     for _ in 0..25 {
                         act(&mut sim, draw.act());
-                        sim.run(Span::secs(draw.secs(0.8)));
+                        sim.run(Duration::from_secs_f64(draw.secs(0.8)));
                     }
                     let mut worst = worst.lock().expect("a figure");
                     worst.0 = worst.0.max(f64::from(sim.peak) / f64::from(whole));
@@ -266,7 +266,7 @@
                     let mut draw = Draw::new(seed + 77, n, whole * 2 / 3);
                     for _ in 0..10 {
                         act(&mut stand, draw.act());
-                        std::thread::sleep(Duration::from_secs_f64(draw.secs(0.6)));
+                        std::thread::sleep(StdDuration::from_secs_f64(draw.secs(0.6)));
                     }
                     let peak = stand.catalogue(0).peak();
                     draw.stopped().into_iter().for_each(|s| act(&mut stand, Act::Continue(s)));
@@ -298,14 +298,14 @@
 const TRIPS: &str = include_str!("settings-trips.json");
 const SLOTS: usize = 8;
 const SHARE: u32 = 12;
-const CALM: Duration = Duration::from_secs(5);
-const OVER: Duration = Duration::from_secs(13);
+const CALM: StdDuration = StdDuration::from_secs(5);
+const OVER: StdDuration = StdDuration::from_secs(13);
 
 /// The trouble of `docs/measured/pools.md` over five servers and one trip book, three in five reqs at one of
 /// them: pools on, with a fixed part each and with a budget of the same whole.
 fn trouble() {
     let ask = |handler: &str, part, ms, keyed| {
-        let target = Duration::from_millis(ms);
+        let target = StdDuration::from_millis(ms);
         Ask { handler: handler.into(), part, target, keyed, project: "acme" }
     };
     let asks = [
@@ -326,14 +326,14 @@
     for way in ["fixed parts", "shared"] {
         let mut setup = setup(n, SHARE, 25);
         let budget = setup.budget.as_mut().expect("set");
-        (budget.handlers, budget.longest) = ("trip-search, seat-book", Span::millis(4_000));
+        (budget.handlers, budget.longest) = ("trip-search, seat-book", Duration::from_millis(4_000));
         if way == "fixed parts" {
             setup.budget = None;
         }
         let each = format!("\"dep_share\": {:.1}", f64::from(SHARE) / n as f64);
         let settings =
             TRIPS.replace("\"dep_share\": 12.0", &each).replace("\"servers\": 1", "\"servers\": 5");
-        let below = Catalogue::start(SLOTS, Duration::from_millis(25));
+        let below = Catalogue::start(SLOTS, StdDuration::from_millis(25));
         let mut stand = Stand::over(Some(below.clone()), setup, binary(), &settings, &works, 1);
         stand.operator = pools.into();
         (0..n).for_each(|s| act(&mut stand, start(s)));
@@ -355,10 +355,13 @@
                 .enumerate()
                 .map(|(s, (engine, server))| {
                     scope.spawn(move || {
-                        let rates =
-                            [(Duration::ZERO, 90.0), (CALM, 144.0), (CALM + Duration::from_secs(5), 90.0)];
+                        let rates = [
+                            (StdDuration::ZERO, 90.0),
+                            (CALM, 144.0),
+                            (CALM + StdDuration::from_secs(5), 90.0),
+                        ];
                         let rates = rates.map(|r| (r.0, r.1 * parts[s])).to_vec();
-                        let length = Duration::from_secs(20);
+                        let length = StdDuration::from_secs(20);
                         let load =
                             Load { asks: asks.to_vec(), rates, length, seed: s as u64 + 1, allow_ms: 8_000 };
                         let mut mood = 1.0;
@@ -383,7 +386,7 @@
         let fates: Vec<Fate> = all.into_iter().flat_map(|a| a.0).collect();
         let part = |h, from, to| format!("{:.2}", kept(&fates, &asks, h, from, to).1);
         let during = [0, 1, 2].map(|h| part(h, CALM, OVER)).join(", ");
-        let after = [0, 1, 2].map(|h| part(h, OVER, Duration::from_secs(20))).join(", ");
+        let after = [0, 1, 2].map(|h| part(h, OVER, StdDuration::from_secs(20))).join(", ");
         let each = (cpu(&stand) - before) * 1e3 / fates.len() as f64;
         println!("| {way} | {during} | {after} | {} | {broken} | {each:.2} |", below.peak());
     }
@@ -411,18 +414,18 @@
             let want = demand(case, n, whole);
             stand.catalogue(0).peak();
             (0..n).for_each(|s| act(&mut stand, Act::Demand(s, 0)));
-            std::thread::sleep(Duration::from_secs(3));
+            std::thread::sleep(StdDuration::from_secs(3));
             want.iter().enumerate().for_each(|(s, d)| act(&mut stand, Act::Demand(s, *d)));
             let least = whole.min(want.iter().sum()) * 8 / 10;
             let follow = wait(&mut stand, &Condition::Uses { who: (0..n).collect(), least }, 20.0);
-            std::thread::sleep(Duration::from_secs(2));
+            std::thread::sleep(StdDuration::from_secs(2));
             let cpu = |s: &Stand| (0..n).filter_map(|i| Some(s.server(i)?.cpu())).sum::<f64>();
             let (done, before, began) = (stand.catalogue(0).seen().done, cpu(&stand), Instant::now());
             let (mut sum, mut looks) = (0.0, 0.0);
-            while began.elapsed() < Duration::from_secs(5) {
+            while began.elapsed() < StdDuration::from_secs(5) {
                 let all = (0..n).filter_map(|s| Some(stand.lent(s)?.in_use)).sum::<u32>();
                 (sum, looks) = (sum + f64::from(all), looks + 1.0);
-                std::thread::sleep(Duration::from_millis(50));
+                std::thread::sleep(StdDuration::from_millis(50));
             }
             let reqs = f64::from(stand.catalogue(0).seen().done - done).max(1.0);
             let peak = stand.catalogue(0).peak() as f64 / f64::from(whole);
@@ -444,18 +447,18 @@
     );
     println!("| --- | --- | --- | --- | --- |");
     for (n, loss) in [(5, 0.0), (5, 0.1), (12, 0.0), (12, 0.1), (100, 0.0)] {
-        let mut sim = Sim::new(Setup { window: Some(Span::millis(10_000)), ..Setup::of(n) }, 1);
+        let mut sim = Sim::new(Setup { window: Some(Duration::from_millis(10_000)), ..Setup::of(n) }, 1);
         (0..n).for_each(|s| act(&mut sim, start(s)));
         wait(&mut sim, &Condition::Settled, 60.0);
         act(&mut sim, Act::Net { loss: Some(loss), double: None, spoil: None, delay: None });
         let key = madderbay_quota::mark("acme");
         (0..n).for_each(|s| sim.reqs(s, key, 4.0 + s as f64 % 5.0));
-        sim.run(Span::millis(20_000));
+        sim.run(Duration::from_millis(20_000));
         let bytes = |s: &Sim| (0..n).filter_map(|i| Some(s.shared(i)?.totals.bytes_out)).sum::<u64>();
         let before = bytes(&sim);
         let mut looks: Vec<(f64, f64, u32, usize)> = vec![];
         for _ in 0..40 {
-            sim.run(Span::millis(500));
+            sim.run(Duration::from_millis(500));
             let truth = sim.truth(key);
             for who in 0..n.min(12) {
                 let told = sim.told(who, key, 2.0).expect("counts");
@@ -471,12 +474,16 @@
         );
     }
     let mut counts = Counts::new(
-        madderbay::time::At::micros(1),
-        Settings { name: "tenants".into(), window: Span::millis(10_000), most: 1_000.0 },
+        madderbay::time::Timestamp::from_micros(1),
+        Settings { name: "tenants".into(), window: Duration::from_millis(10_000), most: 1_000.0 },
     );
     let (before, mut chance, began) = (memory_kb(), Rand64::new(3), Instant::now());
     for n in 0..1_000_000u64 {
-        counts.add(madderbay::time::At::micros(1 + n * 20), chance.rand_range(0..100_000) as u32, 1);
+        counts.add(
+            madderbay::time::Timestamp::from_micros(1 + n * 20),
+            chance.rand_range(0..100_000) as u32,
+            1,
+        );
     }
     println!(
         "a million reqs of 100,000 tenants counted in {:.1} s, {} KB more memory",
--- a/crates/testkit/src/fleet/draw.rs
+++ b/crates/testkit/src/fleet/draw.rs
@@ -1,7 +1,7 @@
 //! Faults and shifts of work, drawn one after the other from a seed: each one that the fleet can take as it is.
 
 use super::script::Act;
-use madderbay::time::Span;
+use madderbay::time::Duration;
 use oorandom::Rand64;
 
 pub struct Draw {
@@ -39,7 +39,8 @@
         let n = self.up.len();
         let who = (self.chance.rand_float() * n as f64) as usize;
         let part = self.chance.rand_float() * 0.4;
-        let delay = Some((Span::millis(1), Span::secs(0.01 + self.chance.rand_float())));
+        let delay =
+            Some((Duration::from_millis(1), Duration::from_secs_f64(0.01 + self.chance.rand_float())));
         match (self.chance.rand_float() * 12.0) as usize {
             0 if self.up[who] && !self.stopped[who] => {
                 self.up[who] = false;
@@ -61,7 +62,7 @@
             8 => Act::Replay(who),
             _ if !self.up[who] => {
                 self.up[who] = true;
-                Act::Start { who, name: who, clock: Span::ZERO, back: false }
+                Act::Start { who, name: who, clock: Duration::ZERO, back: false }
             }
             _ if self.stopped[who] => {
                 self.stopped[who] = false;
--- a/crates/testkit/src/fleet/net.rs
+++ b/crates/testkit/src/fleet/net.rs
@@ -1,7 +1,7 @@
 //! What the network between the servers of a fleet does to their datagrams, the same simulated and on relays.
 
 use super::script::Act;
-use madderbay::time::Span;
+use madderbay::time::Duration;
 use oorandom::Rand64;
 use std::collections::HashSet;
 
@@ -15,14 +15,14 @@
     loss: f64,
     double: f64,
     spoil: f64,
-    delay: (Span, Span),
+    delay: (Duration, Duration),
     /// What a datagram takes where no script says otherwise.
-    calm: (Span, Span),
+    calm: (Duration, Duration),
     kept: Vec<Vec<(usize, Vec<u8>)>>,
 }
 
 impl Net {
-    pub fn new(servers: usize, seed: u64, calm: (Span, Span)) -> Net {
+    pub fn new(servers: usize, seed: u64, calm: (Duration, Duration)) -> Net {
         Net {
             chance: Rand64::new(u128::from(seed)),
             group: vec![0; servers],
@@ -67,7 +67,7 @@
     }
 
     /// What arrives of a datagram, and after what time.
-    pub fn carry(&mut self, from: usize, to: usize, bytes: &[u8]) -> Vec<(Span, Vec<u8>)> {
+    pub fn carry(&mut self, from: usize, to: usize, bytes: &[u8]) -> Vec<(Duration, Vec<u8>)> {
         let cut = self.group[from] != self.group[to] || self.one_way.contains(&(from, to));
         if cut || self.draws(self.loss) {
             return vec![];
@@ -83,7 +83,7 @@
             if self.kept[to].len() < KEPT && self.kept.len() <= SMALL {
                 self.kept[to].push((from, bytes.clone()));
             }
-            let spread = self.delay.1.less(self.delay.0).times(self.chance.rand_float());
+            let spread = self.delay.1.saturating_sub(self.delay.0).mul_f64(self.chance.rand_float());
             arrive.push((self.delay.0 + spread, bytes));
         }
         arrive
--- a/crates/testkit/src/fleet/relay.rs
+++ b/crates/testkit/src/fleet/relay.rs
@@ -4,15 +4,15 @@
 
 use super::net::Net;
 use super::script::Act;
-use madderbay::time::Span;
+use madderbay::time::Duration;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
-use std::time::{Duration, Instant};
+use std::time::{Duration as StdDuration, Instant};
 
 /// How often the carrier looks up where nothing comes.
-const IDLE: Duration = Duration::from_millis(200);
+const IDLE: StdDuration = StdDuration::from_millis(200);
 
 enum Event {
     Came {
@@ -82,7 +82,7 @@
         Carrier {
             servers: vec![None; sockets.len()],
             by_address: HashMap::new(),
-            net: Net::new(sockets.len(), seed, (Span::ZERO, Span::ZERO)),
+            net: Net::new(sockets.len(), seed, (Duration::ZERO, Duration::ZERO)),
             late: BinaryHeap::new(),
             waiting: HashMap::new(),
             numbered: 0,
@@ -116,11 +116,11 @@
     fn came(&mut self, to: usize, from: SocketAddr, bytes: &[u8]) {
         let Some(from) = self.by_address.get(&from).copied() else { return };
         for (after, bytes) in self.net.carry(from, to, bytes) {
-            if after == Span::ZERO {
+            if after == Duration::ZERO {
                 self.pass_on(from, to, &bytes);
             } else {
                 self.numbered += 1;
-                let at = Instant::now() + Duration::from_micros(after.as_micros());
+                let at = Instant::now() + StdDuration::from_micros(after.as_micros());
                 self.late.push(Reverse((at, self.numbered)));
                 self.waiting.insert(self.numbered, (from, to, bytes));
             }
--- a/crates/testkit/src/fleet/script.rs
+++ b/crates/testkit/src/fleet/script.rs
@@ -29,14 +29,14 @@
 //! peak 64                      never had all together more than 64 in hand since the last such line
 //! ```
 
-use madderbay::time::Span;
+use madderbay::time::Duration;
 use madderbay_membership::{Hears, State};
 use std::path::Path;
 
 /// What is done to a fleet; servers are numbers from 0.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Act {
-    Start { who: usize, name: usize, clock: Span, back: bool },
+    Start { who: usize, name: usize, clock: Duration, back: bool },
     Kill(usize),
     Stop(usize),
     Continue(usize),
@@ -44,12 +44,12 @@
     Cut(Vec<Vec<usize>>),
     OneWay(usize, Vec<usize>),
     Heal,
-    Net { loss: Option<f64>, double: Option<f64>, spoil: Option<f64>, delay: Option<(Span, Span)> },
+    Net { loss: Option<f64>, double: Option<f64>, spoil: Option<f64>, delay: Option<(Duration, Duration)> },
     Replay(usize),
     Demand(usize, u32),
     Budget(usize, u32),
     Peak(u32),
-    For(Span),
+    For(Duration),
     Downs(usize),
 }
 
@@ -82,7 +82,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Step {
     Act(Act),
-    Within(Condition, Span),
+    Within(Condition, Duration),
 }
 
 /// A budget over the whole fleet, and the calls made under it.
@@ -92,9 +92,9 @@
     pub servers: u32,
     /// Each server has a seat of its own.
     pub seats: bool,
-    pub lease: Span,
-    pub longest: Span,
-    pub call: Span,
+    pub lease: Duration,
+    pub longest: Duration,
+    pub call: Duration,
     /// Of the real program: whose calls.
     pub handlers: &'static str,
 }
@@ -105,16 +105,16 @@
     pub servers: usize,
     /// By server.
     pub zones: Vec<String>,
-    pub memory: Span,
-    pub suspicion: Span,
-    pub probe: Span,
+    pub memory: Duration,
+    pub suspicion: Duration,
+    pub probe: Duration,
     pub most: usize,
     pub join: Vec<usize>,
     /// Without, as plain SWIM: simulated only.
     pub minds_itself: bool,
     pub budget: Option<Budgeted>,
     /// Reqs are counted over windows of this length.
-    pub window: Option<Span>,
+    pub window: Option<Duration>,
 }
 
 impl Setup {
@@ -122,9 +122,9 @@
         Setup {
             servers,
             zones: vec!["north".into(); servers],
-            memory: Span::millis(60_000),
-            suspicion: Span::millis(3_000),
-            probe: Span::millis(500),
+            memory: Duration::from_millis(60_000),
+            suspicion: Duration::from_millis(3_000),
+            probe: Duration::from_millis(500),
             most: 2_000,
             join: vec![0],
             minds_itself: true,
@@ -144,13 +144,13 @@
     format!("n{}", server + 1)
 }
 
-fn span(text: &str) -> Result<Span, String> {
+fn span(text: &str) -> Result<Duration, String> {
     let (number, unit) = match text.strip_suffix("ms") {
         Some(n) => (n, 0.001),
         None => (text.strip_suffix('s').unwrap_or("none"), 1.0),
     };
     let n: f64 = number.parse().map_err(|_| format!("'{text}' is no time, as in 8s or 40ms"))?;
-    Ok(Span::secs(n * unit))
+    Ok(Duration::from_secs_f64(n * unit))
 }
 
 fn number(text: &str) -> Result<u32, String> {
@@ -203,9 +203,9 @@
                     whole,
                     servers: self.servers as u32,
                     seats: false,
-                    lease: Span::millis(1_000),
-                    longest: Span::millis(500),
-                    call: Span::millis(20),
+                    lease: Duration::from_millis(1_000),
+                    longest: Duration::from_millis(500),
+                    call: Duration::from_millis(20),
                     handlers: "book",
                 });
             }
@@ -238,10 +238,10 @@
                 let who = self.some(names)?;
                 Ok(who.into_iter().map(|who| Step::Act(Act::Start { who, name: who, clock, back })).collect())
             }
-            ["start", ..] => each(|who| Act::Start { who, name: who, clock: Span::ZERO, back: false }),
+            ["start", ..] => each(|who| Act::Start { who, name: who, clock: Duration::ZERO, back: false }),
             ["namesake", who, of] => {
                 let (who, name) = (self.one(who)?, self.one(of)?);
-                act(Act::Start { who, name, clock: Span::ZERO, back: false })
+                act(Act::Start { who, name, clock: Duration::ZERO, back: false })
             }
             ["kill", ..] => each(Act::Kill),
             ["stop", ..] => each(Act::Stop),
@@ -352,11 +352,11 @@
     /// Lets a little time pass.
     fn pass(&mut self);
     /// Time since the fleet was made.
-    fn at(&self) -> Span;
+    fn at(&self) -> Duration;
 }
 
 /// Plays a script; gives how long each condition took, by line, or the first that did not come in its term.
-pub fn play(script: &Script, fleet: &mut impl Fleet) -> Result<Vec<(usize, Span)>, String> {
+pub fn play(script: &Script, fleet: &mut impl Fleet) -> Result<Vec<(usize, Duration)>, String> {
     let mut took = vec![];
     for (line, step) in &script.steps {
         match step {
@@ -364,12 +364,12 @@
             Step::Within(condition, term) => {
                 let began = fleet.at();
                 while let Some(amiss) = fleet.amiss(condition) {
-                    if fleet.at().less(began) > *term {
-                        return Err(format!("line {line}: not within {} s: {amiss}", term.as_secs()));
+                    if fleet.at().saturating_sub(began) > *term {
+                        return Err(format!("line {line}: not within {} s: {amiss}", term.as_secs_f64()));
                     }
                     fleet.pass();
                 }
-                took.push((*line, fleet.at().less(began)));
+                took.push((*line, fleet.at().saturating_sub(began)));
             }
         }
     }
--- a/crates/testkit/src/fleet/sim.rs
+++ b/crates/testkit/src/fleet/sim.rs
@@ -3,7 +3,7 @@
 
 use super::net::Net;
 use super::script::{Act, Condition, Fleet, Setup, name, play, scripts};
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use madderbay_membership::{Change, Members, Networks, Settings, State};
 use madderbay_quota::{BudgetSettings, CountSettings, Shared, Terms, Told};
 use madderbay_upstream::Together;
@@ -14,7 +14,7 @@
 use std::path::Path;
 
 /// Simulated time between two looks at a condition.
-const LOOK: Span = Span::millis(50);
+const LOOK: Duration = Duration::from_millis(50);
 /// Datagrams that wait for a server that is stopped, as a socket would hold.
 const WAITING: usize = 200;
 /// Unix time at the start.
@@ -35,7 +35,7 @@
 /// What was truly counted by one life of a server: when its clock began, and by key and slot.
 struct Truth {
     who: usize,
-    began: At,
+    began: Timestamp,
     counted: HashMap<(u32, u64), u32>,
 }
 
@@ -45,21 +45,22 @@
     stopped: bool,
     waiting: Vec<(SocketAddr, Vec<u8>)>,
     /// Its monotonic clock is ahead of the world's by this, and runs so much faster.
-    ahead: Span,
+    ahead: Duration,
     rate: f64,
-    wakes: Option<At>,
+    wakes: Option<Timestamp>,
     lives: u32,
     work: Work,
 }
 
 impl Node {
-    fn clock(&self, now: At) -> At {
-        At::default() + self.ahead + (now - At::default()).times(self.rate)
+    fn clock(&self, now: Timestamp) -> Timestamp {
+        Timestamp::default() + self.ahead + (now - Timestamp::default()).mul_f64(self.rate)
     }
 
     /// The point in the world's time at which its clock shows this.
-    fn outside(&self, own: At) -> At {
-        At::micros(1) + (own.before(self.ahead) - At::default()).times(1.0 / self.rate)
+    fn outside(&self, own: Timestamp) -> Timestamp {
+        Timestamp::from_micros(1)
+            + (own.saturating_sub(self.ahead) - Timestamp::default()).mul_f64(1.0 / self.rate)
     }
 }
 
@@ -74,11 +75,11 @@
 
 pub struct Sim {
     setup: Setup,
-    now: At,
+    now: Timestamp,
     chance: Rand64,
     nodes: Vec<Node>,
     by_address: HashMap<SocketAddr, usize>,
-    queue: BinaryHeap<Reverse<(At, u64)>>,
+    queue: BinaryHeap<Reverse<(Timestamp, u64)>>,
     events: HashMap<u64, Event>,
     numbered: u64,
     net: Net,
@@ -86,18 +87,18 @@
     pub wrongly_down: usize,
     pub log: Option<Vec<String>>,
     /// When a cut, a stop or a crash last could have made a down right.
-    excused: Vec<At>,
+    excused: Vec<Timestamp>,
     /// Calls in hand below, of all, the most there were, and the sum over time.
     pub in_hand: u32,
     pub peak: u32,
-    used: (f64, At),
+    used: (f64, Timestamp),
     truths: Vec<Truth>,
     /// Counts that were told outside of their bounds, and those looked at.
     pub out_of_bounds: (u64, u64),
 }
 
 /// Between two arrivals of counted reqs, all servers at once.
-const REQS: Span = Span::millis(20);
+const REQS: Duration = Duration::from_millis(20);
 /// The budget's and the count's name.
 const NAME: &str = "below";
 /// A server is taken to read no more reqs of a key a second.
@@ -106,7 +107,7 @@
 const DRIFT: f64 = 0.005;
 
 /// Without faults datagrams take this long.
-const CALM: (Span, Span) = (Span::micros(200), Span::micros(2_000));
+const CALM: (Duration, Duration) = (Duration::from_micros(200), Duration::from_micros(2_000));
 
 fn address(server: usize) -> SocketAddr {
     let (a, b) = (server / 250, server % 250);
@@ -121,7 +122,7 @@
             name: s,
             stopped: false,
             waiting: vec![],
-            ahead: Span::secs(chance.rand_float() * 1e4),
+            ahead: Duration::from_secs_f64(chance.rand_float() * 1e4),
             rate: 1.0 + DRIFT * (2.0 * chance.rand_float() - 1.0),
             wakes: None,
             lives: 0,
@@ -129,10 +130,10 @@
         });
         let nodes: Vec<Node> = nodes.collect();
         Sim {
-            now: At::micros(1_000_000),
+            now: Timestamp::from_micros(1_000_000),
             by_address: (0..setup.servers).map(|s| (address(s), s)).collect(),
             net: Net::new(setup.servers, seed + 2, CALM),
-            excused: vec![At::default(); setup.servers],
+            excused: vec![Timestamp::default(); setup.servers],
             setup,
             chance,
             nodes,
@@ -143,7 +144,7 @@
             log: None,
             in_hand: 0,
             peak: 0,
-            used: (0.0, At::micros(1_000_000)),
+            used: (0.0, Timestamp::from_micros(1_000_000)),
             truths: vec![],
             out_of_bounds: (0, 0),
         }
@@ -159,21 +160,21 @@
 
     /// Calls in hand, summed over time, in seconds.
     pub fn used(&self) -> f64 {
-        self.used.0 + f64::from(self.in_hand) * (self.now - self.used.1).as_secs()
+        self.used.0 + f64::from(self.in_hand) * (self.now - self.used.1).as_secs_f64()
     }
 
     pub fn running(&self) -> impl Iterator<Item = (usize, &Members)> {
         self.nodes.iter().enumerate().filter_map(|(s, n)| Some((s, &n.life.as_ref()?.members)))
     }
 
-    fn push(&mut self, at: At, event: Event) {
+    fn push(&mut self, at: Timestamp, event: Event) {
         self.numbered += 1;
         self.queue.push(Reverse((at, self.numbered)));
         self.events.insert(self.numbered, event);
     }
 
-    fn start(&mut self, who: usize, named: usize, clock: Span, back: bool) {
-        let unix = UNIX_MS + (self.now - At::default()).as_micros() / 1_000;
+    fn start(&mut self, who: usize, named: usize, clock: Duration, back: bool) {
+        let unix = UNIX_MS + (self.now - Timestamp::default()).as_micros() / 1_000;
         let clock = clock.as_micros() / 1_000;
         let unix = if back { unix - clock } else { unix + clock };
         let setup = &self.setup;
@@ -186,7 +187,7 @@
             networks: Networks::of(["127.0.0.0/8".parse().expect("a network")]),
             most: setup.most,
             probe: setup.probe,
-            answer: setup.probe.times(0.4),
+            answer: setup.probe.mul_f64(0.4),
             suspicion: setup.suspicion,
             memory: setup.memory,
             minds_itself: setup.minds_itself,
@@ -216,7 +217,7 @@
             servers: b.servers,
             seat: b.seats.then_some(named as u32 + 1),
             weight: 1.0,
-            terms: Terms { lease: b.lease, longest: b.longest, guard: Span::millis(20) },
+            terms: Terms { lease: b.lease, longest: b.longest, guard: Duration::from_millis(20) },
         });
         let count = setup.window.map(|window| CountSettings { name: NAME.into(), window, most: READ_MOST });
         (budget.is_some() || count.is_some()).then(|| madderbay_quota::Settings {
@@ -246,14 +247,14 @@
             }
             budget.started(now);
             let life = node.lives;
-            let took = call.times(0.5 + self.chance.rand_float()).min(longest);
+            let took = call.mul_f64(0.5 + self.chance.rand_float()).min(longest);
             self.push(self.now + took, Event::Over(who, life));
             self.count_use(1);
         }
     }
 
     fn count_use(&mut self, more: i64) {
-        self.used.0 += f64::from(self.in_hand) * (self.now - self.used.1).as_secs();
+        self.used.0 += f64::from(self.in_hand) * (self.now - self.used.1).as_secs_f64();
         self.used.1 = self.now;
         self.in_hand = (i64::from(self.in_hand) + more) as u32;
         self.peak = self.peak.max(self.in_hand);
@@ -293,10 +294,10 @@
             let Some(together) = node.life.as_mut().filter(|_| !node.stopped) else { continue };
             let Some(count) = together.shared.as_mut().and_then(|s| s.counts.first_mut()) else { continue };
             let truth = self.truths.iter_mut().rev().find(|t| t.who == who).expect("begun");
-            let slot = count.set.window.times(0.1);
+            let slot = count.set.window.mul_f64(0.1);
             let number = (now - truth.began).as_micros() / slot.as_micros();
             for (key, rate, due) in &mut node.work.rates {
-                *due += *rate * REQS.as_secs() * 2.0 * self.chance.rand_float();
+                *due += *rate * REQS.as_secs_f64() * 2.0 * self.chance.rand_float();
                 let n = *due as u32;
                 if n > 0 {
                     *due -= f64::from(n);
@@ -315,13 +316,13 @@
 
     fn truth_at(&self, key: u32, of: impl Fn(&Truth) -> bool) -> u32 {
         let Some(window) = self.setup.window else { return 0 };
-        let slot = window.times(0.1);
-        let (from, to) = (slot.times(3.0), slot.times(13.0));
+        let slot = window.mul_f64(0.1);
+        let (from, to) = (slot.mul_f64(3.0), slot.mul_f64(13.0));
         let mut sum = 0;
         for truth in self.truths.iter().filter(|t| of(t)) {
             let now = self.nodes[truth.who].clock(self.now);
             for ((_, number), n) in truth.counted.iter().filter(|c| c.0.0 == key) {
-                let over = truth.began + Span::micros((number + 1) * slot.as_micros());
+                let over = truth.began + Duration::from_micros((number + 1) * slot.as_micros());
                 let age = now - over;
                 if now >= over && age >= from && age < to {
                     sum += n;
@@ -347,7 +348,7 @@
         self.out_of_bounds.1 += 1;
         let out = truth < told.low || least > told.high;
         if let Some(log) = self.log.as_mut().filter(|_| out) {
-            let now = (self.now - At::default()).as_secs();
+            let now = (self.now - Timestamp::default()).as_secs_f64();
             log.push(format!("{now:9.3} {} tells {told:?} of {truth}", name(who)));
         }
         self.out_of_bounds.0 += u64::from(out);
@@ -355,7 +356,7 @@
     }
 
     /// Lets a server do something, and takes what comes of it.
-    fn drive(&mut self, who: usize, act: impl FnOnce(&mut Together, At)) {
+    fn drive(&mut self, who: usize, act: impl FnOnce(&mut Together, Timestamp)) {
         let node = &mut self.nodes[who];
         let own = node.clock(self.now);
         let Some(together) = node.life.as_mut().filter(|_| !node.stopped) else { return };
@@ -371,7 +372,7 @@
             self.push(due, Event::Wake(who, life));
         }
         if let Some(log) = &mut self.log {
-            let now = (self.now - At::default()).as_secs();
+            let now = (self.now - Timestamp::default()).as_secs_f64();
             log.extend(lent.iter().map(|change| format!("{now:9.3} {}: {change}", name(who))));
         }
         self.work(who);
@@ -385,11 +386,15 @@
 
     fn changed(&mut self, who: usize, change: &Change) {
         if let Some(log) = &mut self.log {
-            log.push(format!("{:9.3} {}: {change}", (self.now - At::default()).as_secs(), name(who)));
+            log.push(format!(
+                "{:9.3} {}: {change}",
+                (self.now - Timestamp::default()).as_secs_f64(),
+                name(who)
+            ));
         }
         let Change::Member { address, to: State::Down, .. } = change else { return };
         let Some(of) = self.by_address.get(address).copied() else { return };
-        let long = self.setup.suspicion.times(2.0) + Span::millis(2_000);
+        let long = self.setup.suspicion.mul_f64(2.0) + Duration::from_millis(2_000);
         let excused = |s: usize| self.now - self.excused[s] < long;
         let hears = self.net.group[who] == self.net.group[of] && self.net.one_way.is_empty();
         let node = &self.nodes[of];
@@ -406,7 +411,7 @@
     }
 
     /// Plays on for so long.
-    pub fn run(&mut self, time: Span) {
+    pub fn run(&mut self, time: Duration) {
         let until = self.now + time;
         while let Some(Reverse((at, no))) = self.queue.peek().copied().filter(|e| e.0.0 <= until) {
             self.queue.pop();
@@ -539,7 +544,7 @@
             }
             Act::Drain(s) => {
                 self.drive(*s, |t, now| t.members.drain(now));
-                self.run(Span::millis(1_000));
+                self.run(Duration::from_millis(1_000));
                 self.drive(*s, |t, now| t.members.leave(now));
                 self.nodes[*s].life = None;
             }
@@ -595,7 +600,7 @@
         self.run(LOOK);
     }
 
-    fn at(&self) -> Span {
-        self.now - At::default()
+    fn at(&self) -> Duration {
+        self.now - Timestamp::default()
     }
 }
--- a/crates/testkit/src/fleet/stand.rs
+++ b/crates/testkit/src/fleet/stand.rs
@@ -8,7 +8,7 @@
 use crate::engine::{Engine, Work};
 use crate::registry;
 use crate::server::{Others, Server, configuration};
-use madderbay::time::Span;
+use madderbay::time::Duration;
 use serde_json::Value;
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Write};
@@ -19,12 +19,12 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::Receiver;
 use std::thread::JoinHandle;
-use std::time::{Duration, Instant};
+use std::time::{Duration as StdDuration, Instant};
 
 /// Between two looks at a condition, so that looking costs the servers little.
-const LOOK: Duration = Duration::from_millis(50);
+const LOOK: StdDuration = StdDuration::from_millis(50);
 /// What one look may take; a server that is stopped answers nothing.
-const ANSWER: Duration = Duration::from_secs(5);
+const ANSWER: StdDuration = StdDuration::from_secs(5);
 /// From the notice to leave to the kill, milliseconds.
 const STOP_MS: u64 = 2_000;
 
@@ -37,7 +37,7 @@
 }
 
 /// Under a budget a call takes this long at the least, so that many in hand need few reqs.
-const CALL_LEAST: Duration = Duration::from_millis(300);
+const CALL_LEAST: StdDuration = StdDuration::from_millis(300);
 /// What callers wait, and what they would like.
 const ALLOW_MS: u64 = 4_000;
 
@@ -94,7 +94,8 @@
     /// `works` is what the engines know to run; `settings` the servers' own.
     pub fn new(setup: Setup, binary: &Path, settings: &str, works: &[Work], seed: u64) -> Stand {
         // Under a budget what lies below is one for all.
-        let took = setup.budget.as_ref().map(|b| Duration::from_micros(b.call.as_micros()).max(CALL_LEAST));
+        let took =
+            setup.budget.as_ref().map(|b| StdDuration::from_micros(b.call.as_micros()).max(CALL_LEAST));
         let below = took.map(|took| Catalogue::start(NO_QUEUE, took));
         Stand::over(below, setup, binary, settings, works, seed)
     }
@@ -115,7 +116,7 @@
                 name: s,
                 stopped: false,
                 engine: Engine::start(2.0, works.to_vec(), seed + s as u64),
-                catalogue: below.clone().unwrap_or_else(|| Catalogue::start(8, Duration::from_millis(5))),
+                catalogue: below.clone().unwrap_or_else(|| Catalogue::start(8, StdDuration::from_millis(5))),
                 registry,
                 demand: 0,
                 whole: setup.budget.as_ref().map_or(0, |b| b.whole),
@@ -161,7 +162,7 @@
         self.nodes[server].heard
     }
 
-    fn start(&mut self, who: usize, named: usize, clock: Span, back: bool) {
+    fn start(&mut self, who: usize, named: usize, clock: Duration, back: bool) {
         let node = &mut self.nodes[who];
         let others = Others {
             engine: node.engine.address,
@@ -172,7 +173,7 @@
         let text = text.replace("\"name\":\"n1\"", &format!("\"name\":\"{}\"", name(named)));
         let setup = &self.setup;
         let join: Vec<String> = setup.join.iter().map(|j| self.relays.addresses[*j].to_string()).collect();
-        let ms = |s: Span| s.as_micros() / 1_000;
+        let ms = |s: Duration| s.as_micros() / 1_000;
         let mut operator = format!(
             "[members]\nenabled = on\nlisten = 127.0.0.1:0\nadvertise = {}\njoin = {}\nzone = {}\n\
              members = {}\nprobe_ms = {}\nsuspicion_ms = {}\nmemory_s = {}\n[control]\nsocket = {}\n{}",
@@ -207,10 +208,11 @@
         if node.demand == 0 {
             return;
         }
-        let took = Duration::from_micros(b.call.as_micros()).max(CALL_LEAST).as_secs_f64();
-        let rates = vec![(Duration::ZERO, f64::from(node.demand) / took)];
+        let took = StdDuration::from_micros(b.call.as_micros()).max(CALL_LEAST).as_secs_f64();
+        let rates = vec![(StdDuration::ZERO, f64::from(node.demand) / took)];
         let seed = self.began.elapsed().as_nanos() as u64;
-        let load = Load { asks: asks(), rates, length: Duration::from_secs(600), seed, allow_ms: ALLOW_MS };
+        let load =
+            Load { asks: asks(), rates, length: StdDuration::from_secs(600), seed, allow_ms: ALLOW_MS };
         let (address, engine) = (server.address, node.engine.clone());
         let on = Arc::new(AtomicBool::new(true));
         let flag = on.clone();
@@ -367,7 +369,7 @@
 fn budget(setup: &Setup, named: usize, whole: u32) -> String {
     let Some(b) = &setup.budget else { return String::new() };
     let seat = if b.seats { format!("seat = {}\n", named + 1) } else { String::new() };
-    let ms = |s: Span| s.as_micros() / 1_000;
+    let ms = |s: Duration| s.as_micros() / 1_000;
     format!(
         "[shared]\nenabled = on\n{seat}[budget below]\nhandlers = {}\ncalls = {whole}\nservers = {}\n\
          lease_ms = {}\nlongest_ms = {}\n",
@@ -379,7 +381,7 @@
 }
 
 fn asks() -> Vec<Ask> {
-    let target = Duration::from_secs(2);
+    let target = StdDuration::from_secs(2);
     vec![Ask { handler: "book".into(), part: 1.0, target, keyed: true, project: "acme" }]
 }
 
@@ -498,7 +500,7 @@
         std::thread::sleep(LOOK);
     }
 
-    fn at(&self) -> Span {
-        Span::micros(self.began.elapsed().as_micros() as u64)
+    fn at(&self) -> Duration {
+        Duration::from_micros(self.began.elapsed().as_micros() as u64)
     }
 }
--- a/crates/testkit/src/routes.rs
+++ b/crates/testkit/src/routes.rs
@@ -1,18 +1,18 @@
 //! Many servers before many backends in simulated time, every fault from one seed: the machine of the program, and
 //! plain ways beside it.
 
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use madderbay_upstream::{Again, BackendSettings, Change, End, Routes, Settings, State, Ticket};
 use oorandom::Rand64;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 
 /// The way between a server and a backend, each way; and between two servers.
-const WAY: Span = Span::millis(1);
-const WORD: Span = Span::millis(2);
+const WAY: Duration = Duration::from_millis(1);
+const WORD: Duration = Duration::from_millis(2);
 /// Time between two turns of a server's machine, and between two rows of what is seen.
-const TURN: Span = Span::millis(20);
-pub const ROW: Span = Span::millis(100);
+const TURN: Duration = Duration::from_millis(20);
+pub const ROW: Duration = Duration::from_millis(100);
 
 /// How a backend fares.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -46,10 +46,10 @@
     pub zones: usize,
     /// Calls a second of each server, and the mean time of one.
     pub rate: f64,
-    pub call: Span,
+    pub call: Duration,
     /// Calls that a backend works on at a time; others wait there.
     pub slots: usize,
-    pub patience: Span,
+    pub patience: Duration,
     /// Whether a call may run twice.
     pub replayable: bool,
     pub way: Way,
@@ -63,9 +63,9 @@
             backends,
             zones: 1,
             rate: 20.0,
-            call: Span::millis(20),
+            call: Duration::from_millis(20),
             slots: 1_000,
-            patience: Span::millis(1_000),
+            patience: Duration::from_millis(1_000),
             replayable: true,
             way: Way::Shared,
             settings: Settings::default(),
@@ -111,7 +111,7 @@
 
 struct Call {
     server: usize,
-    began: At,
+    began: Timestamp,
     out: Vec<u64>,
     again: u32,
 }
@@ -142,13 +142,13 @@
 
 pub struct World {
     pub setup: Setup,
-    now: At,
+    now: Timestamp,
     chance: Rand64,
     nodes: Vec<Node>,
     backends: Vec<Backend>,
     attempts: HashMap<u64, Attempt>,
     calls: HashMap<u64, Call>,
-    queue: BinaryHeap<Reverse<(At, u64)>>,
+    queue: BinaryHeap<Reverse<(Timestamp, u64)>>,
     events: HashMap<u64, Event>,
     numbered: u64,
     /// Zones that do not reach a backend.
@@ -191,7 +191,7 @@
 
 impl World {
     pub fn new(setup: Setup, seed: u64) -> World {
-        let now = At::micros(10_000_000);
+        let now = Timestamp::from_micros(10_000_000);
         let mut chance = Rand64::new(u128::from(seed) + 1);
         let nodes = (0..setup.servers).map(|s| {
             let zone = s % setup.zones;
@@ -230,9 +230,9 @@
         for s in 0..world.setup.servers {
             world.meet(s);
             let first = world.draw(1.0 / world.setup.rate);
-            world.push(now + Span::secs(first), Event::Arrival(s));
+            world.push(now + Duration::from_secs_f64(first), Event::Arrival(s));
             let turn = world.chance.rand_float();
-            world.push(now + TURN.times(turn), Event::Turn(s));
+            world.push(now + TURN.mul_f64(turn), Event::Turn(s));
         }
         world.row();
         world
@@ -250,7 +250,7 @@
         -(1.0 - self.chance.rand_float()).ln() * mean
     }
 
-    fn push(&mut self, at: At, event: Event) -> u64 {
+    fn push(&mut self, at: Timestamp, event: Event) -> u64 {
         self.numbered += 1;
         self.queue.push(Reverse((at, self.numbered)));
         self.events.insert(self.numbered, event);
@@ -321,7 +321,7 @@
     }
 
     /// Simulated time passes.
-    pub fn run(&mut self, span: Span) {
+    pub fn run(&mut self, span: Duration) {
         let end = self.now + span;
         while let Some(&Reverse((at, n))) = self.queue.peek() {
             if at > end {
@@ -329,7 +329,7 @@
             }
             self.queue.pop();
             self.now = at;
-            while self.now >= At::micros(10_000_000) + ROW.times(self.rows.len() as f64) {
+            while self.now >= Timestamp::from_micros(10_000_000) + ROW.mul_f64(self.rows.len() as f64) {
                 self.row();
             }
             if let Some(event) = self.events.remove(&n) {
@@ -339,15 +339,15 @@
         self.now = end;
     }
 
-    pub fn at(&self) -> Span {
-        self.now - At::micros(10_000_000)
+    pub fn at(&self) -> Duration {
+        self.now - Timestamp::from_micros(10_000_000)
     }
 
     fn event(&mut self, event: Event) {
         match event {
             Event::Arrival(s) => {
                 let next = self.draw(1.0 / self.setup.rate);
-                self.push(self.now + Span::secs(next), Event::Arrival(s));
+                self.push(self.now + Duration::from_secs_f64(next), Event::Arrival(s));
                 self.arrival(s);
             }
             Event::Reaches(a) => self.reaches(a),
@@ -376,7 +376,7 @@
         for change in changes {
             self.ejections += u64::from(matches!(change, Change::Ejected { .. }));
             if self.log.len() < 10_000 {
-                self.log.push(format!("{:8.2} {}: {change}", self.at().as_secs(), named(s)));
+                self.log.push(format!("{:8.2} {}: {change}", self.at().as_secs_f64(), named(s)));
             }
         }
         let middle = self.setup.servers / 2;
@@ -490,10 +490,10 @@
     }
 
     fn work(&mut self, id: u64, times: f64) {
-        let mean = self.setup.call.as_secs() * times;
+        let mean = self.setup.call.as_secs_f64() * times;
         let took = mean * 0.5 + self.draw(mean * 0.5);
         if let Some(backend) = self.attempts.get(&id).map(|a| a.backend) {
-            self.push(self.now + Span::secs(took), Event::Worked(id, backend));
+            self.push(self.now + Duration::from_secs_f64(took), Event::Worked(id, backend));
         }
     }
 
@@ -540,7 +540,7 @@
             let took = self.now - began;
             let row = self.row_of(began);
             self.rows[row].good += 1;
-            self.times.push(took.as_secs() * 1e3);
+            self.times.push(took.as_secs_f64() * 1e3);
             // Those that began before it were outrun.
             let slower: Vec<u64> = call.out.iter().copied().filter(|o| *o < id).collect();
             for other in slower {
@@ -553,7 +553,7 @@
         }
         let left = (began + self.setup.patience) - self.now;
         let may = end.never_ran() || self.setup.replayable;
-        if !may || left == Span::ZERO {
+        if !may || left == Duration::ZERO {
             return self.done(a.call);
         }
         let next = match (self.setup.way, &a.ticket) {
@@ -597,8 +597,8 @@
         self.done(call);
     }
 
-    fn row_of(&self, at: At) -> usize {
-        let passed = (at - At::micros(10_000_000)).as_micros() / ROW.as_micros();
+    fn row_of(&self, at: Timestamp) -> usize {
+        let passed = (at - Timestamp::from_micros(10_000_000)).as_micros() / ROW.as_micros();
         (passed as usize).min(self.rows.len() - 1)
     }
 
@@ -654,7 +654,7 @@
 
     /// Seconds, summed over servers, in which a backend was left out.
     pub fn out(&self, backend: usize, from: u64, to: u64) -> f64 {
-        self.between(from, to).iter().map(|r| f64::from(r.out[backend])).sum::<f64>() * ROW.as_secs()
+        self.between(from, to).iter().map(|r| f64::from(r.out[backend])).sum::<f64>() * ROW.as_secs_f64()
     }
 
     /// The time, in milliseconds, within which 99 of 100 calls went well.
--- a/crates/upstream/benches/choice.rs
+++ b/crates/upstream/benches/choice.rs
@@ -3,7 +3,7 @@
 //!     cargo bench -p madderbay-upstream
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use madderbay_upstream::{BackendSettings, End, Routes, Settings};
 
 fn choices(c: &mut Criterion) {
@@ -17,11 +17,11 @@
             handlers: vec![0],
         };
         let set = Settings { zone: "north".into(), ..Settings::default() };
-        let mut now = At::micros(1_000_000);
+        let mut now = Timestamp::from_micros(1_000_000);
         let mut routes = Routes::new(now, 1, set, (0..n).map(backend).collect());
         group.bench_with_input(BenchmarkId::from_parameter(n), &n, |b, _| {
             b.iter(|| {
-                now = now + Span::micros(100);
+                now = now + Duration::from_micros(100);
                 let ticket = routes.pick(now, 0).expect("there are some");
                 routes.over(now, &ticket, End::Good);
             });
--- a/crates/upstream/src/backend.rs
+++ b/crates/upstream/src/backend.rs
@@ -4,26 +4,26 @@
 use crate::evidence::{End, Evidence};
 use crate::heard::Summary;
 use crate::routes::BackendSettings;
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use std::collections::BTreeMap;
 use std::fmt;
 
 /// The first time left out, doubled with each that follows, up to the most; drawn from three quarters to five
 /// quarters, so that servers that left together do not return together.
-const TERM: Span = Span::millis(2_000);
-const TERM_MOST: Span = Span::millis(60_000);
+const TERM: Duration = Duration::from_millis(2_000);
+const TERM_MOST: Duration = Duration::from_millis(60_000);
 /// A backend that was in for so long is forgiven one time that it was left out.
-const FORGIVES: Span = Span::millis(30_000);
+const FORGIVES: Duration = Duration::from_millis(30_000);
 /// Calls that go well one after the other in a trial; between two of them at the least.
 const TRIALS: u32 = 2;
-pub const TRIAL_EVERY: Span = Span::millis(200);
+pub const TRIAL_EVERY: Duration = Duration::from_millis(200);
 /// A backend that is let in again, or is set beside others, has that part of its weight at first, and all of it
 /// after this.
 const RISES_FROM: f64 = 0.1;
-const RISES: Span = Span::millis(10_000);
+const RISES: Duration = Duration::from_millis(10_000);
 /// A call in hand for so many times the usual, and so long at the least, counts as silent already.
 const SILENT_TIMES: f64 = 8.0;
-const SILENT_LEAST: Span = Span::millis(250);
+const SILENT_LEAST: Duration = Duration::from_millis(250);
 /// Times the group's pace that tell a slow backend, and by how many bad calls its slowness counts.
 const SLOW_TIMES: f64 = 4.0;
 const SLOW_COUNTS: f64 = 3.0;
@@ -118,14 +118,14 @@
     pub state: State,
     pub own: Evidence,
     /// Attempts in hand, by number: when each began.
-    pub in_hand: BTreeMap<u64, At>,
+    pub in_hand: BTreeMap<u64, Timestamp>,
     pub heard: Summary,
     times: u32,
     /// Chance drawn when it was left out: its place in the return.
     pub drawn: f64,
     /// When the state began, and when the next thing is due in it.
-    pub since: At,
-    pub next: At,
+    pub since: Timestamp,
+    pub next: Timestamp,
     trials: u32,
     /// What was seen of it as of the last judgement, good and bad.
     pub told: (f64, f64),
@@ -134,7 +134,7 @@
 }
 
 impl Backend {
-    pub fn new(now: At, set: BackendSettings, state: State) -> Backend {
+    pub fn new(now: Timestamp, set: BackendSettings, state: State) -> Backend {
         Backend {
             mark: crate::wire::mark(&set.name),
             set,
@@ -153,11 +153,11 @@
     }
 
     /// Its weight as of now: what the operator set, less while it rises and while it is doubted by others.
-    pub fn weight(&self, now: At) -> f64 {
+    pub fn weight(&self, now: Timestamp) -> f64 {
         let rises = match self.state {
             State::In => 1.0,
             State::Rising => {
-                let part = (now - self.since).as_secs() / RISES.as_secs();
+                let part = (now - self.since).as_secs_f64() / RISES.as_secs_f64();
                 RISES_FROM + (1.0 - RISES_FROM) * part.min(1.0)
             }
             State::Ejected | State::Trial => return 0.0,
@@ -166,7 +166,7 @@
     }
 
     /// What it is judged by now; `usual` is the group's pace.
-    pub fn grounds(&mut self, now: At, usual: Option<f64>) -> Grounds {
+    pub fn grounds(&mut self, now: Timestamp, usual: Option<f64>) -> Grounds {
         self.own.fade(now);
         let patience = patience(usual);
         let silent = self.in_hand.values().take_while(|at| now - **at > patience).count();
@@ -195,23 +195,23 @@
     }
 
     /// Left out from now on, longer each time.
-    pub fn eject(&mut self, now: At, draw: f64) {
+    pub fn eject(&mut self, now: Timestamp, draw: f64) {
         self.times = (self.times + 1).min(16);
-        let term = TERM.times(f64::from(1u32 << (self.times - 1))).min(TERM_MOST);
+        let term = TERM.mul_f64(f64::from(1u32 << (self.times - 1))).min(TERM_MOST);
         (self.state, self.since, self.drawn) = (State::Ejected, now, draw);
-        self.next = now + term.times(0.75 + 0.5 * draw);
+        self.next = now + term.mul_f64(0.75 + 0.5 * draw);
         self.trials = 0;
     }
 
     /// Others have seen it do well since: it is tried no later than that.
-    pub fn try_by(&mut self, at: At) {
+    pub fn try_by(&mut self, at: Timestamp) {
         if self.state == State::Ejected {
             self.next = self.next.min(at);
         }
     }
 
     /// Time passes; true where the state is another one now.
-    pub fn pass(&mut self, now: At) -> bool {
+    pub fn pass(&mut self, now: Timestamp) -> bool {
         match self.state {
             State::Ejected if now >= self.next => {
                 (self.state, self.since, self.next, self.trials) = (State::Trial, now, now, 0);
@@ -231,13 +231,13 @@
     }
 
     /// Whether a call may go to it on trial now.
-    pub fn open_for_trial(&self, now: At) -> bool {
+    pub fn open_for_trial(&self, now: Timestamp) -> bool {
         self.state == State::Trial && self.in_hand.is_empty() && now >= self.next
     }
 
     /// A call on trial came to its end; `slow` where it took far longer than the others' do. True where it is
     /// let in again, or left out again.
-    pub fn tried(&mut self, now: At, end: End, slow: bool, draw: f64) -> bool {
+    pub fn tried(&mut self, now: Timestamp, end: End, slow: bool, draw: f64) -> bool {
         self.next = now + TRIAL_EVERY;
         match end {
             End::Good if !slow => {
@@ -258,11 +258,11 @@
 }
 
 /// How long a call is out until it counts as silent.
-pub fn patience(usual: Option<f64>) -> Span {
-    usual.map_or(SILENT_LEAST, |s| Span::secs(s * SILENT_TIMES).max(SILENT_LEAST))
+pub fn patience(usual: Option<f64>) -> Duration {
+    usual.map_or(SILENT_LEAST, |s| Duration::from_secs_f64(s * SILENT_TIMES).max(SILENT_LEAST))
 }
 
 /// Whether a call's time is far beyond the others'.
-pub fn slow(took: Span, usual: Option<f64>) -> bool {
-    usual.is_some_and(|usual| took.as_secs() > SLOW_TIMES * usual)
+pub fn slow(took: Duration, usual: Option<f64>) -> bool {
+    usual.is_some_and(|usual| took.as_secs_f64() > SLOW_TIMES * usual)
 }
--- a/crates/upstream/src/evidence.rs
+++ b/crates/upstream/src/evidence.rs
@@ -1,11 +1,11 @@
 //! What one server has seen of one backend, by how far each attempt came; it fades.
 
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 
 /// Bad calls are worth a third of themselves after this: long enough that one a second adds up, short enough that
 /// what was mended is forgiven. Good ones fade sooner: what was well a while ago says little of now.
-const BAD_FADES: Span = Span::millis(5_000);
-const GOOD_FADES: Span = Span::millis(2_000);
+const BAD_FADES: Duration = Duration::from_millis(5_000);
+const GOOD_FADES: Duration = Duration::from_millis(2_000);
 /// What each bad call in a row leaves of the good ones before it; no more of them count.
 const RUN_KEEPS: f64 = 0.6;
 const RUN_MOST: i32 = 6;
@@ -16,7 +16,7 @@
 const PACE_ALPHA: f64 = 0.3;
 /// A pace rests on that many calls at the least, and on none older than this.
 const PACE_SEEN: f64 = 2.5;
-const PACE_FOR: Span = Span::millis(10_000);
+const PACE_FOR: Duration = Duration::from_millis(10_000);
 /// What an attempt of that kind counts against a backend. One that was never heard may be the way's fault as
 /// well as the backend's, and one that its own caller gave up on is no proof.
 const REFUSED: f64 = 1.0;
@@ -68,18 +68,18 @@
     pub bad: f64,
     /// Bad calls since the last good one.
     run: i32,
-    at: At,
+    at: Timestamp,
     /// Mean time of the last good calls, in seconds, on how many it rests, and when the last came.
     pace: f64,
     paced: f64,
-    pace_at: At,
+    pace_at: Timestamp,
 }
 
 impl Evidence {
-    pub fn fade(&mut self, now: At) {
-        let passed = (now - self.at).as_secs();
-        self.good *= (-passed / GOOD_FADES.as_secs()).exp();
-        self.bad *= (-passed / BAD_FADES.as_secs()).exp();
+    pub fn fade(&mut self, now: Timestamp) {
+        let passed = (now - self.at).as_secs_f64();
+        self.good *= (-passed / GOOD_FADES.as_secs_f64()).exp();
+        self.bad *= (-passed / BAD_FADES.as_secs_f64()).exp();
         self.at = self.at.max(now);
     }
 
@@ -94,7 +94,7 @@
     }
 
     /// `late`: it went well, and took far longer than others do.
-    pub fn add(&mut self, now: At, end: End, took: Span, late: bool) {
+    pub fn add(&mut self, now: Timestamp, end: End, took: Duration, late: bool) {
         self.fade(now);
         self.bad += end.harm();
         self.run += i32::from(end.harm() > 0.0);
@@ -111,12 +111,12 @@
             self.paced = 0.0;
         }
         let alpha = if self.paced == 0.0 { 1.0 } else { PACE_ALPHA };
-        self.pace += alpha * (took.as_secs() - self.pace);
+        self.pace += alpha * (took.as_secs_f64() - self.pace);
         (self.paced, self.pace_at) = (self.paced + 1.0, now);
     }
 
     /// The time that a good call takes of late, in seconds, where enough came.
-    pub fn pace(&self, now: At) -> Option<f64> {
+    pub fn pace(&self, now: Timestamp) -> Option<f64> {
         (self.paced > PACE_SEEN && now - self.pace_at <= PACE_FOR).then_some(self.pace)
     }
 
--- a/crates/upstream/src/group.rs
+++ b/crates/upstream/src/group.rs
@@ -6,7 +6,7 @@
 use crate::heard::Heard;
 use crate::repeats::Repeats;
 use crate::routes::{Change, Settings};
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use oorandom::Rand64;
 
 /// Where more than this part of a group looks bad the cause is none of theirs, or there is nothing better: nobody
@@ -20,10 +20,10 @@
 const UNKNOWN: f64 = 0.02;
 /// The return of a backend that others were seen to do well with is spread over so much for each of them, and no
 /// more than this: those who left together do not come back together.
-const SPREAD_EACH: Span = Span::millis(10);
-const SPREAD_MOST: Span = Span::millis(5_000);
+const SPREAD_EACH: Duration = Duration::from_millis(10);
+const SPREAD_MOST: Duration = Duration::from_millis(5_000);
 /// The times of calls are looked at anew this often.
-const TIMES_EVERY: Span = Span::millis(500);
+const TIMES_EVERY: Duration = Duration::from_millis(500);
 
 /// What a judgement of a group leans on beside the backends themselves.
 pub struct Light<'a> {
@@ -45,11 +45,11 @@
     pub usual: Option<f64>,
     trials: Vec<usize>,
     pub repeats: Repeats,
-    timed: At,
+    timed: Timestamp,
 }
 
 impl Group {
-    pub fn new(now: At, handlers: Vec<usize>, backends: Vec<usize>, repeats: f64) -> Group {
+    pub fn new(now: Timestamp, handlers: Vec<usize>, backends: Vec<usize>, repeats: f64) -> Group {
         Group {
             handlers,
             backends,
@@ -72,7 +72,7 @@
 
     /// Judges all anew, and makes anew what calls are drawn from.
     pub fn look(
-        &mut self, now: At, all: &mut [Backend], light: &Light, chance: &mut Rand64,
+        &mut self, now: Timestamp, all: &mut [Backend], light: &Light, chance: &mut Rand64,
         changes: &mut Vec<Change>,
     ) {
         let Light { set, heard, peers } = *light;
@@ -86,7 +86,7 @@
         // The middle one, the quicker of two: one that is slow does not make itself the measure.
         self.usual = paces.get(paces.len().saturating_sub(1) / 2).copied();
         let usual = self.usual.filter(|_| paces.len() > 1);
-        let spread = SPREAD_EACH.times(peers as f64).min(SPREAD_MOST);
+        let spread = SPREAD_EACH.mul_f64(peers as f64).min(SPREAD_MOST);
         let mut grounds: Vec<(usize, Grounds)> = vec![];
         let (mut out, mut bad) = (0, 0);
         for i in &self.backends {
@@ -97,7 +97,7 @@
             }
             b.heard = heard.summary(now, b.mark);
             if let Some(well) = b.heard.well.filter(|at| *at > b.since) {
-                b.try_by(well + spread.times(b.drawn));
+                b.try_by(well + spread.mul_f64(b.drawn));
             }
             if matches!(b.state, State::Ejected | State::Trial) {
                 out += 1;
@@ -133,7 +133,7 @@
         }
     }
 
-    fn tables(&mut self, now: At, all: &[Backend], set: &Settings, grounds: &[(usize, Grounds)]) {
+    fn tables(&mut self, now: Timestamp, all: &[Backend], set: &Settings, grounds: &[(usize, Grounds)]) {
         let near = |i: &usize| set.zone.is_empty() || all[*i].set.zone == set.zone;
         let mut left = vec![1.0; all.len()];
         if grounds.iter().any(|g| g.1.bad >= SPOTLESS) {
@@ -154,7 +154,7 @@
 
     /// Whom the next call goes to.
     pub fn pick(
-        &mut self, now: At, all: &[Backend], avoid: Option<usize>, chance: &mut Rand64,
+        &mut self, now: Timestamp, all: &[Backend], avoid: Option<usize>, chance: &mut Rand64,
     ) -> Option<usize> {
         // One that is to be tried has one call, wherever it stands.
         if avoid.is_none()
--- a/crates/upstream/src/heard.rs
+++ b/crates/upstream/src/heard.rs
@@ -3,11 +3,11 @@
 //! little more than one, since they may stand behind one cut; and words fade.
 
 use compact_str::CompactString;
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use std::collections::{BTreeMap, HashMap};
 
 /// A word is worth nothing after this, and less and less before.
-pub const WORD_FOR: Span = Span::millis(5_000);
+pub const WORD_FOR: Duration = Duration::from_millis(5_000);
 /// Witnesses kept of one backend: the latest.
 const WITNESSES_MOST: usize = 64;
 /// A zone's word, in bad calls: that of one witness, and of any number of them.
@@ -32,13 +32,13 @@
     good: f64,
     bad: f64,
     /// When it was so, as far as is known.
-    at: At,
+    at: Timestamp,
     credible: bool,
 }
 
 impl Word {
-    fn fresh(&self, now: At) -> f64 {
-        1.0 - ((now - self.at).as_secs() / WORD_FOR.as_secs()).min(1.0)
+    fn fresh(&self, now: Timestamp) -> f64 {
+        1.0 - ((now - self.at).as_secs_f64() / WORD_FOR.as_secs_f64()).min(1.0)
     }
 }
 
@@ -51,7 +51,7 @@
     pub zones: usize,
     pub witnesses: usize,
     /// When somebody last saw it do well, and nothing else.
-    pub well: Option<At>,
+    pub well: Option<Timestamp>,
 }
 
 impl Summary {
@@ -73,15 +73,16 @@
     pub mark: u32,
     pub good: f64,
     pub bad: f64,
-    pub age: Span,
+    pub age: Duration,
 }
 
 impl Heard {
     pub fn hear(
-        &mut self, now: At, from: &CompactString, zone: &CompactString, life: u64, credible: bool, said: Said,
+        &mut self, now: Timestamp, from: &CompactString, zone: &CompactString, life: u64, credible: bool,
+        said: Said,
     ) {
         let words = self.words.entry(said.mark).or_default();
-        let at = now.before(said.age);
+        let at = now.saturating_sub(said.age);
         if words.len() >= WITNESSES_MOST && !words.contains_key(from) {
             let oldest = words.iter().min_by_key(|w| w.1.at).map(|w| (w.0.clone(), w.1.at));
             match oldest {
@@ -107,14 +108,14 @@
     }
 
     /// Lets go of what is too old, and of backends that are not known.
-    pub fn tidy(&mut self, now: At, known: impl Fn(u32) -> bool) {
+    pub fn tidy(&mut self, now: Timestamp, known: impl Fn(u32) -> bool) {
         self.words.retain(|mark, words| {
             words.retain(|_, w| now - w.at < WORD_FOR);
             !words.is_empty() && known(*mark)
         });
     }
 
-    pub fn summary(&self, now: At, mark: u32) -> Summary {
+    pub fn summary(&self, now: Timestamp, mark: u32) -> Summary {
         let Some(words) = self.words.get(&mark) else { return Summary::default() };
         let mut zones: BTreeMap<&CompactString, (f64, f64)> = BTreeMap::new();
         let mut found = Summary::default();
--- a/crates/upstream/src/heard/tests.rs
+++ b/crates/upstream/src/heard/tests.rs
@@ -1,13 +1,13 @@
 use super::*;
 
-fn at(ms: u64) -> At {
-    At::micros(10_000_000 + ms * 1_000)
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_micros(10_000_000 + ms * 1_000)
 }
 
 fn heard(words: &[(&str, &str, f64, f64)]) -> Heard {
     let mut heard = Heard::default();
     for (from, zone, good, bad) in words {
-        let said = Said { mark: 1, good: *good, bad: *bad, age: Span::ZERO };
+        let said = Said { mark: 1, good: *good, bad: *bad, age: Duration::ZERO };
         heard.hear(at(0), &(*from).into(), &(*zone).into(), 1, true, said);
     }
     heard
@@ -44,7 +44,7 @@
     heard.gone(&"a".into(), Some(2));
     assert_eq!(heard.len(), 0);
     for n in 0..500 {
-        let said = Said { mark: 1, good: 0.0, bad: 1.0, age: Span::ZERO };
+        let said = Said { mark: 1, good: 0.0, bad: 1.0, age: Duration::ZERO };
         heard.hear(at(n), &format!("n{n}").as_str().into(), &"z".into(), 1, true, said);
     }
     assert_eq!(heard.len(), WITNESSES_MOST);
--- a/crates/upstream/src/repeats.rs
+++ b/crates/upstream/src/repeats.rs
@@ -2,20 +2,20 @@
 //! not buried under repeats; and after what time a second try beside the first is worth one of them.
 
 use hdrhistogram::Histogram;
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 
 /// Repeats that can be saved up: a crash of one backend among many meets a few calls in hand.
 const SAVED_MOST: f64 = 10.0;
 /// First tries and repeats are counted over about this long.
-const COUNTED: Span = Span::millis(10_000);
+const COUNTED: Duration = Duration::from_millis(10_000);
 /// The fleet's part of repeats, in parts of what a server may make, from which on each makes half as many.
 const FLEET_PART: f64 = 0.7;
 /// Times of calls are looked at over this long, twice; the part of them that a second try waits for, how many
 /// have to have come, and the least that is waited.
-const TIMES_FOR: Span = Span::millis(10_000);
+const TIMES_FOR: Duration = Duration::from_millis(10_000);
 const HEDGE_AT: f64 = 95.0;
 const HEDGE_SEEN: u64 = 30;
-const HEDGE_LEAST: Span = Span::millis(5);
+const HEDGE_LEAST: Duration = Duration::from_millis(5);
 /// The longest time that is told apart.
 const TIME_MOST_MS: u64 = 60_000;
 
@@ -25,16 +25,16 @@
     saved: f64,
     firsts: f64,
     again: f64,
-    counted: At,
+    counted: Timestamp,
     /// The fleet's first tries and repeats of late, the own among them; nothing where nobody is heard.
     fleet: Option<(f64, f64)>,
     times: [Histogram<u64>; 2],
-    turned: At,
-    hedge: Option<Span>,
+    turned: Timestamp,
+    hedge: Option<Duration>,
 }
 
 impl Repeats {
-    pub fn new(now: At, part: f64) -> Repeats {
+    pub fn new(now: Timestamp, part: f64) -> Repeats {
         let times = || Histogram::new_with_bounds(1, TIME_MOST_MS * 10, 2).expect("bounds that fit");
         Repeats {
             part,
@@ -53,13 +53,13 @@
         self.part = part;
     }
 
-    fn count(&mut self, now: At) {
-        let keeps = (-(now - self.counted).as_secs() / COUNTED.as_secs()).exp();
+    fn count(&mut self, now: Timestamp) {
+        let keeps = (-(now - self.counted).as_secs_f64() / COUNTED.as_secs_f64()).exp();
         (self.firsts, self.again) = (self.firsts * keeps, self.again * keeps);
         self.counted = self.counted.max(now);
     }
 
-    pub fn first(&mut self, now: At) {
+    pub fn first(&mut self, now: Timestamp) {
         self.count(now);
         self.firsts += 1.0;
         let crowded = self.fleet.is_some_and(|(firsts, again)| again > FLEET_PART * self.part * firsts);
@@ -68,7 +68,7 @@
     }
 
     /// Whether one more may be made; if so it counts.
-    pub fn take(&mut self, now: At) -> bool {
+    pub fn take(&mut self, now: Timestamp) -> bool {
         if self.saved < 1.0 {
             return false;
         }
@@ -79,7 +79,7 @@
     }
 
     /// First tries and repeats of late, for others.
-    pub fn told(&mut self, now: At) -> (f64, f64) {
+    pub fn told(&mut self, now: Timestamp) -> (f64, f64) {
         self.count(now);
         (self.firsts, self.again)
     }
@@ -89,12 +89,12 @@
         self.fleet = fleet;
     }
 
-    pub fn took(&mut self, took: Span) {
+    pub fn took(&mut self, took: Duration) {
         let _ = self.times[0].record((took.as_micros() / 100).clamp(1, TIME_MOST_MS * 10));
     }
 
     /// When a call that is still out is worth a second try, since its start.
-    pub fn hedge_after(&mut self, now: At) -> Option<Span> {
+    pub fn hedge_after(&mut self, now: Timestamp) -> Option<Duration> {
         if now - self.turned >= TIMES_FOR {
             self.turned = now;
             self.times.swap(0, 1);
@@ -107,7 +107,7 @@
     pub fn look(&mut self) {
         let mut all = self.times[0].clone();
         let _ = all.add(&self.times[1]);
-        let long = Span::micros(all.value_at_percentile(HEDGE_AT) * 100).max(HEDGE_LEAST);
+        let long = Duration::from_micros(all.value_at_percentile(HEDGE_AT) * 100).max(HEDGE_LEAST);
         self.hedge = (all.len() >= HEDGE_SEEN).then_some(long);
     }
 }
--- a/crates/upstream/src/repeats/tests.rs
+++ b/crates/upstream/src/repeats/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
-fn at(ms: u64) -> At {
-    At::micros(1_000_000 + ms * 1_000)
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_micros(1_000_000 + ms * 1_000)
 }
 
 /// All calls fail for a minute: no more than a tenth are made again, from the first moment on.
@@ -34,11 +34,11 @@
 #[test]
 fn a_second_try_waits_for_nearly_all_calls() {
     let mut repeats = Repeats::new(at(0), 0.1);
-    (0..29).for_each(|_| repeats.took(Span::millis(20)));
+    (0..29).for_each(|_| repeats.took(Duration::from_millis(20)));
     repeats.look();
     assert_eq!(repeats.hedge_after(at(1)), None);
-    (0..2).for_each(|_| repeats.took(Span::millis(300)));
+    (0..2).for_each(|_| repeats.took(Duration::from_millis(300)));
     repeats.look();
     let after = repeats.hedge_after(at(1)).expect("enough came");
-    assert!((Span::millis(200)..Span::millis(310)).contains(&after), "{after:?}");
+    assert!((Duration::from_millis(200)..Duration::from_millis(310)).contains(&after), "{after:?}");
 }
--- a/crates/upstream/src/routes.rs
+++ b/crates/upstream/src/routes.rs
@@ -7,7 +7,7 @@
 use crate::heard::{Heard, Said};
 use crate::wire::{self, EIGHTH, Line, Words};
 use compact_str::CompactString;
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use madderbay_membership::WORDS_MOST;
 use oorandom::Rand64;
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -15,20 +15,20 @@
 use std::net::SocketAddr;
 
 /// Between two judgements of all, and after a call that went wrong.
-const LOOK: Span = Span::millis(100);
-const LOOK_SOON: Span = Span::millis(10);
+const LOOK: Duration = Duration::from_millis(100);
+const LOOK_SOON: Duration = Duration::from_millis(10);
 /// Between two words to others, drawn from three quarters to five quarters of it; to so many at a time.
-const SAY: Span = Span::millis(250);
+const SAY: Duration = Duration::from_millis(250);
 const SAY_TO: usize = 8;
 /// A call that went wrong is told of sooner: after this, and so long after the last word at the least.
-const SAY_SOON: Span = Span::millis(20);
-const SAY_LEAST: Span = Span::millis(100);
+const SAY_SOON: Duration = Duration::from_millis(20);
+const SAY_LEAST: Duration = Duration::from_millis(100);
 /// Own evidence under this is not spoken of.
 const WORTH_SAYING: f64 = 0.3;
 /// Lines in one datagram: they fit.
 const LINES_MOST: usize = 80;
 /// What others say of their repeats counts for so long.
-const REPEATS_FOR: Span = Span::millis(5_000);
+const REPEATS_FOR: Duration = Duration::from_millis(5_000);
 /// A witness that finds more than this part of what it saw bad speaks of itself, from so many backends on.
 const ITS_OWN: f64 = 0.5;
 const ITS_OWN_SEEN: u16 = 3;
@@ -96,7 +96,7 @@
     pub address: SocketAddr,
     handler: usize,
     number: u64,
-    pub at: At,
+    pub at: Timestamp,
 }
 
 /// A change worth a line in the log.
@@ -105,7 +105,7 @@
     Ejected {
         name: CompactString,
         grounds: Grounds,
-        until: Span,
+        until: Duration,
     },
     State {
         name: CompactString,
@@ -129,7 +129,7 @@
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         match self {
             Change::Ejected { name, grounds, until } => {
-                write!(f, "{name}: ejected for {:.1} s: {grounds}", until.as_secs())
+                write!(f, "{name}: ejected for {:.1} s: {grounds}", until.as_secs_f64())
             }
             Change::State { name, from, to } => write!(f, "{name}: {from} to {to}"),
             Change::Panic { name, on: true, bad, of } => {
@@ -157,7 +157,7 @@
     pub seen: f64,
     pub bad: f64,
     pub in_hand: usize,
-    pub pace: Option<Span>,
+    pub pace: Option<Duration>,
     pub heard_from: usize,
     pub heard: f64,
 }
@@ -183,15 +183,15 @@
     zone: CompactString,
     active: bool,
     /// Its first tries and repeats, and when it said so.
-    repeats: Option<(f64, f64, At)>,
+    repeats: Option<(f64, f64, Timestamp)>,
 }
 
 /// What an end tells, by how long it was waited for: one that was given up early on says nothing, one given up
 /// late says that nothing came.
-fn told(end: End, took: Span, usual: Option<f64>) -> End {
+fn told(end: End, took: Duration, usual: Option<f64>) -> End {
     let patience = patience(usual);
     match end {
-        End::Silent if took < patience.times(SILENT_EARLY) => End::Dropped,
+        End::Silent if took < patience.mul_f64(SILENT_EARLY) => End::Dropped,
         End::Dropped if took > patience => End::Silent,
         end => end,
     }
@@ -210,9 +210,9 @@
     active: Vec<CompactString>,
     heard: Heard,
     numbered: u64,
-    next: At,
-    says: At,
-    said: At,
+    next: Timestamp,
+    says: Timestamp,
+    said: Timestamp,
     held_up: bool,
     say: Vec<(CompactString, Vec<u8>)>,
     changes: Vec<Change>,
@@ -220,7 +220,7 @@
 }
 
 impl Routes {
-    pub fn new(now: At, seed: u64, set: Settings, backends: Vec<BackendSettings>) -> Routes {
+    pub fn new(now: Timestamp, seed: u64, set: Settings, backends: Vec<BackendSettings>) -> Routes {
         let mut routes = Routes {
             set,
             chance: Rand64::new(u128::from(seed)),
@@ -234,7 +234,7 @@
             numbered: 0,
             next: now,
             says: now,
-            said: At::default(),
+            said: Timestamp::default(),
             held_up: false,
             say: vec![],
             changes: vec![],
@@ -246,7 +246,7 @@
     }
 
     /// Puts the backends in groups; those there were before go on as they stand.
-    fn group(&mut self, now: At, backends: Vec<BackendSettings>) {
+    fn group(&mut self, now: Timestamp, backends: Vec<BackendSettings>) {
         let mut groups: Vec<(Vec<usize>, Vec<usize>)> = vec![];
         for b in &mut self.all {
             if !b.gone && !backends.iter().any(|f| f.name == b.set.name && f.address == b.set.address) {
@@ -302,7 +302,7 @@
     }
 
     /// The operator has set backends and bounds anew; calls in hand go on.
-    pub fn reload(&mut self, now: At, set: Settings, backends: Vec<BackendSettings>) {
+    pub fn reload(&mut self, now: Timestamp, set: Settings, backends: Vec<BackendSettings>) {
         self.set = set;
         let part = self.set.repeats;
         self.groups.iter_mut().for_each(|g| g.repeats.set_part(part));
@@ -318,7 +318,7 @@
         self.groups.iter().map(|g| (g.handlers.as_slice(), g.backends.len()))
     }
 
-    fn ticket(&mut self, now: At, handler: usize, backend: usize) -> Ticket {
+    fn ticket(&mut self, now: Timestamp, handler: usize, backend: usize) -> Ticket {
         self.numbered += 1;
         let b = &mut self.all[backend];
         if b.in_hand.len() < IN_HAND_MOST {
@@ -328,7 +328,7 @@
     }
 
     /// Where the call of a handler goes; nothing where it has no backends.
-    pub fn pick(&mut self, now: At, handler: usize) -> Option<Ticket> {
+    pub fn pick(&mut self, now: Timestamp, handler: usize) -> Option<Ticket> {
         let at = self.group_of(handler)?;
         // A judgement that is due is made before the choice, whoever drives it.
         if now >= self.next {
@@ -342,7 +342,7 @@
     }
 
     /// One more attempt of a call, where the budget of repeats has room.
-    pub fn again(&mut self, now: At, before: &Ticket, how: Again) -> Option<Ticket> {
+    pub fn again(&mut self, now: Timestamp, before: &Ticket, how: Again) -> Option<Ticket> {
         let at = self.group_of(before.handler)?;
         let group = &mut self.groups[at];
         let alone = group.backends.len() < 2;
@@ -364,20 +364,20 @@
     }
 
     /// How long after its start a call that may be made twice is worth a second try beside it.
-    pub fn hedge_after(&mut self, now: At, ticket: &Ticket) -> Option<Span> {
+    pub fn hedge_after(&mut self, now: Timestamp, ticket: &Ticket) -> Option<Duration> {
         let at = self.group_of(ticket.handler).filter(|_| self.set.hedges)?;
         let group = &mut self.groups[at];
         if group.backends.len() < 2 { None } else { group.repeats.hedge_after(now) }
     }
 
     /// The least time that a repeat is worth beginning with: a call of the group needs about as long.
-    pub fn least(&self, ticket: &Ticket) -> Span {
+    pub fn least(&self, ticket: &Ticket) -> Duration {
         let usual = self.group_of(ticket.handler).and_then(|g| self.groups[g].usual);
-        usual.map_or(Span::ZERO, Span::secs)
+        usual.map_or(Duration::ZERO, Duration::from_secs_f64)
     }
 
     /// An attempt came to its end.
-    pub fn over(&mut self, now: At, ticket: &Ticket, end: End) {
+    pub fn over(&mut self, now: Timestamp, ticket: &Ticket, end: End) {
         let Some(b) = self.all.get_mut(ticket.backend) else { return };
         if b.in_hand.remove(&ticket.number).is_none() {
             return;
@@ -417,17 +417,17 @@
 
     // --- time
 
-    pub fn due(&self) -> At {
+    pub fn due(&self) -> Timestamp {
         if self.set.shares && !self.active.is_empty() { self.next.min(self.says) } else { self.next }
     }
 
     /// The time has come for what was due.
-    pub fn turn(&mut self, now: At) {
+    pub fn turn(&mut self, now: Timestamp) {
         if now >= self.next {
             self.look(now);
         }
         if now >= self.says {
-            self.says = now + SAY.times(0.75 + 0.5 * self.chance.rand_float());
+            self.says = now + SAY.mul_f64(0.75 + 0.5 * self.chance.rand_float());
             self.said = now;
             if self.set.shares && !self.active.is_empty() {
                 self.tell(now);
@@ -435,7 +435,7 @@
         }
     }
 
-    fn look(&mut self, now: At) {
+    fn look(&mut self, now: Timestamp) {
         self.next = now + LOOK;
         self.heard.tidy(now, |mark| self.marks.contains(&mark));
         let fleet = self.fleet(now);
@@ -452,7 +452,7 @@
     }
 
     /// First tries and repeats of the whole fleet, as far as it is heard.
-    fn fleet(&mut self, now: At) -> Option<(f64, f64)> {
+    fn fleet(&mut self, now: Timestamp) -> Option<(f64, f64)> {
         let fresh = self.peers.values().filter_map(|p| p.repeats).filter(|r| now - r.2 < REPEATS_FOR);
         let (mut firsts, mut again, mut any) = (0.0, 0.0, false);
         for (f, a, _) in fresh {
@@ -463,7 +463,7 @@
     }
 
     /// Those of this server, all groups together.
-    fn repeats(&mut self, now: At) -> (f64, f64) {
+    fn repeats(&mut self, now: Timestamp) -> (f64, f64) {
         let told = self.groups.iter_mut().map(|g| g.repeats.told(now));
         told.fold((0.0, 0.0), |sum, t| (sum.0 + t.0, sum.1 + t.1))
     }
@@ -500,7 +500,7 @@
     }
 
     /// Words of one that is in.
-    pub fn received(&mut self, now: At, from: &CompactString, bytes: &[u8]) {
+    pub fn received(&mut self, now: Timestamp, from: &CompactString, bytes: &[u8]) {
         self.totals.heard += 1;
         let (Some(words), Some(peer)) = (wire::read(bytes), self.peers.get_mut(from)) else {
             self.totals.unread += 1;
@@ -518,7 +518,7 @@
                 mark: line.mark,
                 good: f64::from(line.good) / EIGHTH,
                 bad: f64::from(line.bad) / EIGHTH,
-                age: Span::millis(u64::from(line.age_ms)),
+                age: Duration::from_millis(u64::from(line.age_ms)),
             };
             if self.marks.contains(&line.mark) {
                 self.heard.hear(now, from, &zone, life, credible, said);
@@ -527,7 +527,7 @@
     }
 
     /// Tells some what was seen here: of backends that look bad here or to others.
-    fn tell(&mut self, now: At) {
+    fn tell(&mut self, now: Timestamp) {
         let (mut seen, mut bad) = (0, 0);
         let mut lines = vec![];
         for b in self.all.iter_mut().filter(|b| !b.gone) {
@@ -589,7 +589,7 @@
         self.groups.iter().flat_map(|g| &g.backends).map(|i| self.all[*i].state)
     }
 
-    pub fn views(&self, now: At) -> Vec<BackendView> {
+    pub fn views(&self, now: Timestamp) -> Vec<BackendView> {
         let of = |b: &Backend| {
             let mut own = b.own.clone();
             own.fade(now);
@@ -602,7 +602,7 @@
                 seen: own.good() + own.bad,
                 bad: own.bad,
                 in_hand: b.in_hand.len(),
-                pace: b.own.rough_pace().map(Span::secs),
+                pace: b.own.rough_pace().map(Duration::from_secs_f64),
                 heard_from: b.heard.witnesses,
                 heard: b.heard.units,
             }
--- a/crates/upstream/src/together.rs
+++ b/crates/upstream/src/together.rs
@@ -2,7 +2,7 @@
 //! changes out. The program and the simulations drive the very same.
 
 use crate::routes::Routes;
-use madderbay::time::At;
+use madderbay::time::Timestamp;
 use madderbay_membership::{Members, Part, State};
 use madderbay_quota::{Peer, Shared};
 use std::cell::RefCell;
@@ -21,18 +21,18 @@
         Together { members, shared, routes: None }
     }
 
-    pub fn received(&mut self, now: At, from: SocketAddr, bytes: &[u8]) {
+    pub fn received(&mut self, now: Timestamp, from: SocketAddr, bytes: &[u8]) {
         self.members.received(now, from, bytes);
         self.meet(now);
     }
 
     /// The time has come for what was due, of any part.
-    pub fn turn(&mut self, now: At) {
+    pub fn turn(&mut self, now: Timestamp) {
         self.members.turn(now);
         self.meet(now);
     }
 
-    fn meet(&mut self, now: At) {
+    fn meet(&mut self, now: Timestamp) {
         if let Some(shared) = &mut self.shared {
             shared.lives(now, self.members.own().life);
         }
@@ -78,10 +78,10 @@
     }
 
     /// When it has to be told the time next.
-    pub fn due(&self) -> At {
+    pub fn due(&self) -> Timestamp {
         let shared = self.shared.as_ref().map(Shared::due);
         let routes = self.routes.as_ref().map(|r| r.borrow().due());
-        [shared, routes].into_iter().flatten().fold(self.members.due(), At::min)
+        [shared, routes].into_iter().flatten().fold(self.members.due(), Timestamp::min)
     }
 
     pub fn outgoing(&mut self) -> Vec<(SocketAddr, Vec<u8>)> {
--- a/crates/upstream/tests/added.rs
+++ b/crates/upstream/tests/added.rs
@@ -1,6 +1,6 @@
 //! A backend that is set beside others may be cold: what all servers together send to it has to be little at first.
 
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use madderbay_upstream::{BackendSettings, End, Routes, Settings, State};
 
 fn backend(n: usize) -> BackendSettings {
@@ -14,15 +14,15 @@
 }
 
 /// Calls that the backend at this port gets of so many from each server within a tenth of a second.
-fn to(port: u16, servers: &mut [Routes], now: At, each: usize) -> usize {
+fn to(port: u16, servers: &mut [Routes], now: Timestamp, each: usize) -> usize {
     let mut found = 0;
     for n in 0..each {
-        let now = now + Span::millis(100).times(n as f64 / each as f64);
+        let now = now + Duration::from_millis(100).mul_f64(n as f64 / each as f64);
         for routes in servers.iter_mut() {
             let ticket = routes.pick(now, 0).expect("a backend");
             found += usize::from(ticket.address.port() == port);
             // Unlike times, as real ones are: of two paces alike to a hair one would always be the better.
-            let took = Span::millis(3 + (n as u64 * 7 + found as u64) % 5);
+            let took = Duration::from_millis(3 + (n as u64 * 7 + found as u64) % 5);
             routes.over(now + took, &ticket, End::Good);
         }
     }
@@ -34,7 +34,7 @@
 #[test]
 fn what_all_send_to_one_that_is_added_is_little_at_first() {
     for count in [20, 30] {
-        let start = At::micros(5_000_000);
+        let start = Timestamp::from_micros(5_000_000);
         let set = Settings { zone: "north".into(), ..Settings::default() };
         let four: Vec<BackendSettings> = (0..4).map(backend).collect();
         let mut servers: Vec<Routes> =
@@ -47,9 +47,9 @@
         let most = budget + 2.0 * budget.sqrt() + 2.0;
         let first = to(7_004, &mut servers, start, 50) as f64;
         assert!(first <= most, "{first} calls of {count} servers, {most} at the most");
-        let late = start + Span::millis(11_000);
+        let late = start + Duration::from_millis(11_000);
         for routes in &mut servers {
-            (1..110).for_each(|tenth| routes.turn(start + Span::millis(100 * tenth)));
+            (1..110).for_each(|tenth| routes.turn(start + Duration::from_millis(100 * tenth)));
             routes.turn(late);
             assert!(routes.views(late).iter().all(|v| v.state == State::In));
         }
--- a/crates/upstream/tests/any.rs
+++ b/crates/upstream/tests/any.rs
@@ -1,7 +1,7 @@
 //! Whatever is said, chosen and ended, in any order: no panic, tables within their bounds, and a choice wherever there
 //! is a backend.
 
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 use madderbay_upstream::{Again, BackendSettings, End, Routes, Settings, State};
 use proptest::prelude::*;
 
@@ -32,13 +32,13 @@
     #[test]
     fn any_order(deeds in proptest::collection::vec((0u8..9, any::<u16>(),
         proptest::collection::vec(any::<u8>(), 0..60)), 1..400)) {
-        let mut now = At::micros(5_000_000);
+        let mut now = Timestamp::from_micros(5_000_000);
         let set = Settings { zone: "north".into(), ..Settings::default() };
         let mut routes = Routes::new(now, 3, set.clone(), (0..6).map(backend).collect());
         let mut out = vec![];
         for (deed, n, bytes) in deeds {
             let n = usize::from(n);
-            now = now + Span::micros(n as u64 * 7);
+            now = now + Duration::from_micros(n as u64 * 7);
             match deed {
                 0..3 => {
                     let ticket = routes.pick(now, n % 3);
--- a/crates/upstream/tests/fleet.rs
+++ b/crates/upstream/tests/fleet.rs
@@ -1,13 +1,13 @@
 //! Fleets before backends, simulated, each case over a few seeds: who is left out, how soon, and who is not.
 //! `crates/server/tests/routes.rs` plays cases on real processes.
 
-use madderbay::time::Span;
+use madderbay::time::Duration;
 use madderbay_testkit::routes::{Mode, Setup, Way, World};
 
 const SEEDS: std::ops::Range<u64> = 0..4;
 
-fn ms(ms: u64) -> Span {
-    Span::millis(ms)
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
 }
 
 /// A world that has been calm for five seconds.
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -5,7 +5,7 @@
 
 use crate::face::*;
 use crate::req::{Book, Due, KeyBook, KeyNo, No, Req, Stage};
-use crate::time::{At, Span};
+use crate::time::{Duration, Timestamp};
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::ops::ControlFlow::{self, Break, Continue};
 use std::{array::from_fn, cmp::Ordering::Equal};
@@ -57,7 +57,7 @@
 const CALLS_SLOW: f64 = 1.2;
 const CALL_ALPHA: f64 = 0.1;
 /// The first wait before a call that provably did not run is repeated; it doubles each time.
-const CALL_WAIT: Span = Span::millis(40);
+const CALL_WAIT: Duration = Duration::from_millis(40);
 /// Mean call times after which a call is stuck; share of calls shed from which second tries only crowd more.
 const CALL_STUCK: f64 = 8.0;
 const CALLS_SHED: f64 = 0.25;
@@ -76,15 +76,15 @@
 const SLOW_HERE: f64 = 1.6;
 const BEST_DRIFT: f64 = 1.0005;
 /// Period of the one timer: finer than any answer's slack, coarse enough to cost little.
-const TICK: Span = Span::millis(10);
+const TICK: Duration = Duration::from_millis(10);
 /// A timer later than this was held up by a pause of the whole process.
-const PAUSE: Span = Span::millis(40);
+const PAUSE: Duration = Duration::from_millis(40);
 /// Answers leave this long before they fall due: three ticks.
-const MARGIN: Span = Span::millis(30);
+const MARGIN: Duration = Duration::from_millis(30);
 /// Time without a completion after which the age of the oldest run stands for one, and between two stops.
-const STALLED: Span = Span::millis(300);
+const STALLED: Duration = Duration::from_millis(300);
 /// Time in which a run at a call whose req is answered ends, if its engine ends it at all.
-const PLACE_FOR: Span = Span::millis(2_000);
+const PLACE_FOR: Duration = Duration::from_millis(2_000);
 /// Mean age of the runs on the cores, in mean runs (about 1 while they end as ever), past which longer ones
 /// are expected; that expectation, in means, of a hung server; how many usual ages count beside those seen
 /// where the server itself is judged: one long run of two says little.
@@ -96,15 +96,15 @@
 /// Span over which tenants' rates are counted: a handful of the smallest tenant's reqs.
 const TENANT_SPAN: f64 = 5.0;
 /// A key's entry outlasts its window by this much, for the way from the machine to the module.
-const KEY_SLACK: Span = Span::millis(50);
+const KEY_SLACK: Duration = Duration::from_millis(50);
 /// Time between two load reports, the one that means no limit on reqs, and the room for unlike callers.
-const REPORT_EVERY: Span = Span::millis(100);
+const REPORT_EVERY: Duration = Duration::from_millis(100);
 const REPORT_OPEN: f64 = 1000.0;
 const REPORT_SKEW: f64 = 4.0;
 /// Time that a connection may idle for what a new one costs, the limit where most would idle longer, and the
 /// share of arrivals that come again from which, down to half of it, all are kept.
-const LINK_WORTH: Span = Span::millis(5000);
-const LINK_LEAST: Span = Span::millis(200);
+const LINK_WORTH: Duration = Duration::from_millis(5000);
+const LINK_LEAST: Duration = Duration::from_millis(200);
 const FLOOD: f64 = 0.7;
 /// Advice to stay away, in waits expected at the back of the queue.
 const STAY_AWAY: f64 = 2.0;
@@ -164,13 +164,13 @@
     largest: f64,
     count: u32,
     fit: Fit,
-    stepped: At,
+    stepped: Timestamp,
 }
 
 impl Budget {
-    fn new(now: At, cores: u32, handlers: &[Handler], part: f64) -> Budget {
-        let targets: Vec<f64> = handlers.iter().map(|h| h.target.as_secs() * part * SETPOINT).collect();
-        let run: Vec<f64> = handlers.iter().map(|h| h.target.as_secs() * part * RUN_GUESS).collect();
+    fn new(now: Timestamp, cores: u32, handlers: &[Handler], part: f64) -> Budget {
+        let targets: Vec<f64> = handlers.iter().map(|h| h.target.as_secs_f64() * part * SETPOINT).collect();
+        let run: Vec<f64> = handlers.iter().map(|h| h.target.as_secs_f64() * part * RUN_GUESS).collect();
         let mean = run.iter().sum::<f64>() / run.len() as f64;
         let cores = f64::from(cores);
         Budget {
@@ -199,9 +199,9 @@
         self.cores * self.mean_run
     }
 
-    fn measured(&mut self, handler: usize, hint: Option<Span>, run: Span) {
-        let s = run.as_secs();
-        if let Some(w) = hint.map(|w| w.as_secs()) {
+    fn measured(&mut self, handler: usize, hint: Option<Duration>, run: Duration) {
+        let s = run.as_secs_f64();
+        if let Some(w) = hint.map(|w| w.as_secs_f64()) {
             let (dw, ds) = (w - self.hint[handler], s - self.run[handler]);
             self.hint[handler] += RUN_ALPHA * dw;
             let (both, own) = self.spread;
@@ -214,8 +214,8 @@
     }
 
     /// One completion. What a pause releases together is one step: more would leave a cut that lasts.
-    fn completed(&mut self, now: At, handler: usize, response: Span, pending: usize) {
-        self.mrt[handler] += MRT_ALPHA * (response.as_secs() - self.mrt[handler]);
+    fn completed(&mut self, now: Timestamp, handler: usize, response: Duration, pending: usize) {
+        self.mrt[handler] += MRT_ALPHA * (response.as_secs_f64() - self.mrt[handler]);
         let top = ((pending as f64 + self.cores) * self.largest).max(self.floor());
         if now > self.stepped {
             self.stepped = now;
@@ -233,16 +233,16 @@
 
     /// The run time expected of a req. Waits don't grow with the work, so a hint moves the handler's mean
     /// along the slope seen instead of scaling it: long reqs would be taken for hopeless.
-    fn expected(&self, handler: usize, hint: Option<Span>) -> f64 {
+    fn expected(&self, handler: usize, hint: Option<Duration>) -> f64 {
         let slope = self.spread.0 / self.spread.1.max(1e-9);
-        let more = hint.map_or(0.0, |w| slope * (w.as_secs() - self.hint[handler]));
+        let more = hint.map_or(0.0, |w| slope * (w.as_secs_f64() - self.hint[handler]));
         (self.run[handler] + more).max(0.0)
     }
 
     /// EqResv for the first of `held` reqs.
-    fn allowance(&self, held: usize) -> Span {
+    fn allowance(&self, held: usize) -> Duration {
         let len = (held as f64 / self.cores).max(1.0);
-        Span::secs((self.secs / len).max(self.secs - (len - 1.0) * self.mean_run))
+        Duration::from_secs_f64((self.secs / len).max(self.secs - (len - 1.0) * self.mean_run))
     }
 }
 
@@ -254,9 +254,9 @@
 
 impl Share {
     /// One step. `over`: what the worst handler exceeds its target by; `cut`: would fewer arrivals help.
-    fn step(&mut self, dt: Span, over: f64, cut: bool) {
+    fn step(&mut self, dt: Duration, over: f64, cut: bool) {
         let change = if cut && over > 0.0 { -SHARE_CUT * over.min(STEP_MOST) } else { SHARE_REGAIN };
-        self.admitted = (self.admitted + dt.as_secs() * change).clamp(SHARE_LEAST, 1.0);
+        self.admitted = (self.admitted + dt.as_secs_f64() * change).clamp(SHARE_LEAST, 1.0);
     }
 
     /// Whether a req of this value is among those admitted, ranked with the latest arrivals.
@@ -279,7 +279,7 @@
 /// Two lines, for short and for long work, each by latest start.
 #[derive(Default)]
 struct Queue {
-    lines: [Vec<(At, No)>; 2],
+    lines: [Vec<(Timestamp, No)>; 2],
 }
 
 impl Queue {
@@ -287,7 +287,7 @@
         self.lines[0].len() + self.lines[1].len()
     }
 
-    fn put(&mut self, long: bool, latest: At, r: No) {
+    fn put(&mut self, long: bool, latest: Timestamp, r: No) {
         let line = &mut self.lines[usize::from(long)];
         let at = line.partition_point(|e| *e < (latest, r));
         line.insert(at, (latest, r));
@@ -329,8 +329,8 @@
 }
 
 /// The runs that a server still warming survives, as far as the rules promise.
-fn ceiling(now: At, began: At, machine: &Machine) -> f64 {
-    let warmed = (now - began).as_secs() / machine.cold_for.as_secs().max(1e-3);
+fn ceiling(now: Timestamp, began: Timestamp, machine: &Machine) -> f64 {
+    let warmed = (now - began).as_secs_f64() / machine.cold_for.as_secs_f64().max(1e-3);
     let speed =
         if machine.cold { (machine.cold_from + (1.0 - machine.cold_from) * warmed).min(1.0) } else { 1.0 };
     let survived = f64::from(machine.cores) * (1.0 + (machine.survives_per_core - 1.0) * speed);
@@ -341,10 +341,10 @@
 #[derive(Default)]
 struct Calls {
     out: usize,
-    lingering: VecDeque<At>,
+    lingering: VecDeque<Timestamp>,
     /// Seconds in hand that this server has left over from its share of late, and when they were counted.
     credit: f64,
-    counted: At,
+    counted: Timestamp,
     time: f64,
     best: f64,
     refused: f64,
@@ -361,27 +361,27 @@
     }
 
     /// Brings the account up to now; gives the number in hand and the most that the account may hold.
-    fn count(&mut self, now: At, below: &Below) -> (f64, f64) {
+    fn count(&mut self, now: Timestamp, below: &Below) -> (f64, f64) {
         while self.lingering.front().is_some_and(|t| *t <= now) {
             self.lingering.pop_front();
         }
         let held = (self.out + self.lingering.len()) as f64;
-        let most = below.share * (1.0 - CALLS_MOST) * below.span.as_secs();
-        self.credit += (below.share * self.part() - held) * (now - self.counted).as_secs();
+        let most = below.share * (1.0 - CALLS_MOST) * below.span.as_secs_f64();
+        self.credit += (below.share * self.part() - held) * (now - self.counted).as_secs_f64();
         (self.credit, self.counted) = (self.credit.min(most), now);
         (held, most)
     }
 
     /// Whether one more call keeps the mean in hand over the rule's span within this server's share: by the
     /// number in hand, or by what earlier calls left of it: a share under one lets quick calls go together.
-    fn room(&mut self, now: At, below: &Below, part: f64) -> bool {
+    fn room(&mut self, now: Timestamp, below: &Below, part: f64) -> bool {
         let (held, most) = self.count(now, below);
         below.kind != BelowKind::Shared
             || held + 1.0 <= below.share * self.part() * part
             || self.credit - held * self.time > most * (1.0 - part)
     }
 
-    fn over(&mut self, now: At, outcome: Outcome, spent: Span, below: &Below) {
+    fn over(&mut self, now: Timestamp, outcome: Outcome, spent: Duration, below: &Below) {
         self.count(now, below);
         self.out = self.out.saturating_sub(1);
         self.refused += CALL_ALPHA * (f64::from(u8::from(outcome == Outcome::Shed)) - self.refused);
@@ -390,7 +390,7 @@
         }
         // One given up on tells the least it would have taken, except at a tier, where a machine went silent.
         if outcome == Outcome::Done || (outcome == Outcome::TimedOut && below.kind == BelowKind::Shared) {
-            self.time = (self.time + CALL_ALPHA * (spent.as_secs() - self.time)).max(1e-6);
+            self.time = (self.time + CALL_ALPHA * (spent.as_secs_f64() - self.time)).max(1e-6);
             self.best = (self.best * BEST_DRIFT).min(self.time);
         }
     }
@@ -398,15 +398,15 @@
 
 /// Who called when, and how far the same callers come again while a connection to them is worth keeping.
 struct Links {
-    last: HashMap<u16, At>,
+    last: HashMap<u16, Timestamp>,
     soon: f64,
-    limit: Span,
+    limit: Duration,
 }
 
 impl Links {
     /// Counts an arrival; tells the limit on idling when it changes. Many that come seldom fill the table;
     /// few that come often would pay for new ones. In a flood of repeats a full table turns them off cheaply.
-    fn came(&mut self, now: At, from: u16, again: f64, most: Span, out: &mut dyn Results) {
+    fn came(&mut self, now: Timestamp, from: u16, again: f64, most: Duration, out: &mut dyn Results) {
         let soon = self.last.insert(from, now).is_some_and(|t| now - t < LINK_WORTH);
         self.soon += RUN_ALPHA * (f64::from(u8::from(soon)) - self.soon);
         let flood = if self.limit == most { FLOOD * 0.5 } else { FLOOD };
@@ -419,21 +419,21 @@
 
 struct Tenants {
     /// The rate allowed here, the late rate, and when it was last counted.
-    each: Vec<(f64, f64, At)>,
+    each: Vec<(f64, f64, Timestamp)>,
     over_value: f64,
 }
 
 impl Tenants {
-    fn new(now: At, tenants: &[Tenant], place: &Place) -> Tenants {
+    fn new(now: Timestamp, tenants: &[Tenant], place: &Place) -> Tenants {
         let servers = f64::from(place.servers.max(1));
         let each = tenants.iter().map(|t| (t.per_second / servers, 0.0, now)).collect();
         Tenants { each, over_value: place.over_share_value }
     }
 
     /// Counts an arrival; the mean value of this tenant's reqs: those past its share count for little.
-    fn value(&mut self, now: At, tenant: usize) -> f64 {
+    fn value(&mut self, now: Timestamp, tenant: usize) -> f64 {
         let Some((allowed, rate, seen)) = self.each.get_mut(tenant) else { return 1.0 };
-        *rate = *rate * (-(now - *seen).as_secs() / TENANT_SPAN).exp() + 1.0 / TENANT_SPAN;
+        *rate = *rate * (-(now - *seen).as_secs_f64() / TENANT_SPAN).exp() + 1.0 / TENANT_SPAN;
         *seen = now;
         let within = (*allowed / *rate).min(1.0);
         within + (1.0 - within) * self.over_value
@@ -443,7 +443,7 @@
 // --- The module -------------------------------------------------------------------------------------------
 
 /// A stage: `Continue` passes the req on, `Break` keeps or ends it.
-type Link = fn(&mut Decider, At, No, &mut dyn Results) -> ControlFlow<()>;
+type Link = fn(&mut Decider, Timestamp, No, &mut dyn Results) -> ControlFlow<()>;
 
 /// The stages that an arriving req passes, in order.
 const CHAIN: [Link; 5] =
@@ -452,9 +452,9 @@
 /// The decisions of one server in one life.
 pub struct Decider {
     chance: oorandom::Rand64,
-    began: At,
-    ticked: At,
-    completed: At,
+    began: Timestamp,
+    ticked: Timestamp,
+    completed: Timestamp,
     machine: Machine,
     handlers: Vec<Handler>,
     below: Below,
@@ -464,7 +464,7 @@
     by_work: bool,
     book: Book,
     keys: KeyBook,
-    due: BTreeSet<(At, Due)>,
+    due: BTreeSet<(Timestamp, Due)>,
     budget: Budget,
     share: Share,
     queue: Queue,
@@ -478,18 +478,19 @@
     good: bool,
     erring: f64,
     again: f64,
-    leaving: Option<(At, At)>,
-    reported: (f64, At),
+    leaving: Option<(Timestamp, Timestamp)>,
+    reported: (f64, Timestamp),
 }
 
 impl Decider {
     #[allow(clippy::too_many_arguments)]
     pub fn new(
-        now: At, seed: u64, machine: &Machine, handlers: &[Handler], tenants: &[Tenant], below: &Below,
-        callers: &Callers, place: &Place, rules: &Rules,
+        now: Timestamp, seed: u64, machine: &Machine, handlers: &[Handler], tenants: &[Tenant],
+        below: &Below, callers: &Callers, place: &Place, rules: &Rules,
     ) -> Decider {
         let part = if place.tier == 0 { 1.0 } else { TIER_PART };
-        let time = handlers.iter().map(|h| h.target.as_secs()).fold(f64::MAX, f64::min) * part * RUN_GUESS;
+        let time =
+            handlers.iter().map(|h| h.target.as_secs_f64()).fold(f64::MAX, f64::min) * part * RUN_GUESS;
         let mut chance = oorandom::Rand64::new(u128::from(seed));
         // Servers that begin together earn their first call at unlike times, later the smaller their share.
         let credit = -chance.rand_float() * time;
@@ -513,7 +514,7 @@
             queue: Queue::default(),
             concurrency: ConcurrencyLimit { limit: f64::from(machine.cores), run_queue: 0.0 },
             calls: Calls { credit, counted: now, time, best: time * 0.5, ..Calls::default() },
-            links: Links { last: HashMap::new(), soon: 0.5, limit: Span::ZERO },
+            links: Links { last: HashMap::new(), soon: 0.5, limit: Duration::ZERO },
             tenants: Tenants::new(now, tenants, place),
             ceilings: vec![],
             pace: 1.0,
@@ -545,7 +546,7 @@
 
     /// Another share of what lies below: so many calls may be in hand from now on. All of it may be used:
     /// whoever shares it out keeps to the limit below.
-    pub fn share(&mut self, now: At, calls: f64) {
+    pub fn share(&mut self, now: Timestamp, calls: f64) {
         self.calls.count(now, &self.below);
         self.below.share = calls / CALLS_MOST;
     }
@@ -568,7 +569,7 @@
     /// The longest wait that the ceilings over a handler make after so many of each group, and whose it is.
     fn turn(&self, handler: usize, queued: &[f64]) -> (f64, Option<usize>) {
         let over = self.ceilings.iter().enumerate().filter(|(_, c)| c.handlers.contains(&handler));
-        let waits = over.map(|(i, c)| (queued[i] * c.turn.as_secs(), Some(i)));
+        let waits = over.map(|(i, c)| (queued[i] * c.turn.as_secs_f64(), Some(i)));
         waits.fold((0.0, None), |most, w| if w.0 > most.0 { w } else { most })
     }
 
@@ -583,27 +584,27 @@
     }
 
     /// A req has been read.
-    pub fn arrive(&mut self, now: At, a: &Arrival, out: &mut dyn Results) {
+    pub fn arrive(&mut self, now: Timestamp, a: &Arrival, out: &mut dyn Results) {
         self.comes_again(true, a.retry);
         self.links.came(now, a.from, self.again, self.callers.idle_max, out);
         let h = &self.handlers[a.handler];
-        let reached = now.before(a.unread_for);
-        let stretch = a.hint.map_or(Span::ZERO, |w| w.times(h.target_stretch));
-        let target = reached + (h.target.times(self.part) + stretch).min(h.timeout);
+        let reached = now.saturating_sub(a.unread_for);
+        let stretch = a.hint.map_or(Duration::ZERO, |w| w.mul_f64(h.target_stretch));
+        let target = reached + (h.target.mul_f64(self.part) + stretch).min(h.timeout);
         let due = if self.rules.says_wait { now + a.wait } else { (reached + h.timeout).max(now) };
         let due = self.leaving.map_or(due, |(_, stop)| due.min(stop));
-        let target = target.min(due.before(MARGIN));
+        let target = target.min(due.saturating_sub(MARGIN));
         let r = self.book.add(Req::read(a, reached, target, due, h.value));
-        self.due.insert((due.before(MARGIN), Due::Answer(r)));
+        self.due.insert((due.saturating_sub(MARGIN), Due::Answer(r)));
         self.pass(now, r, 0, out);
     }
 
-    fn pass(&mut self, now: At, r: No, from: usize, out: &mut dyn Results) {
+    fn pass(&mut self, now: Timestamp, r: No, from: usize, out: &mut dyn Results) {
         let _ = CHAIN[from..].iter().try_for_each(|stage| stage(self, now, r, out));
     }
 
     // Stage 1: a keyed req runs once; its further tries wait for that run and share its answer.
-    fn repeats(&mut self, now: At, r: No, out: &mut dyn Results) -> ControlFlow<()> {
+    fn repeats(&mut self, now: Timestamp, r: No, out: &mut dyn Results) -> ControlFlow<()> {
         let req = &self.book.reqs[r];
         if self.handlers[req.handler].repeats != Repeats::Keyed {
             return Continue(());
@@ -633,7 +634,7 @@
     }
 
     /// Enters a try in the server's table until its window, counted from its arrival, is over.
-    fn keep(&mut self, now: At, key: KeyNo, r: No, out: &mut dyn Results) {
+    fn keep(&mut self, now: Timestamp, key: KeyNo, r: No, out: &mut dyn Results) {
         let req = &self.book.reqs[r];
         let until = req.reached + self.handlers[req.handler].window + KEY_SLACK;
         self.keys.entries += usize::from(self.keys.keys[key].entry.replace(until).is_none());
@@ -653,8 +654,8 @@
     }
 
     // Stage 2: nothing that reached the machine after the drain's grace is run.
-    fn draining(&mut self, now: At, r: No, out: &mut dyn Results) -> ControlFlow<()> {
-        let late = |since| self.book.reqs[r].reached > since + self.rules.drain_grace.less(MARGIN);
+    fn draining(&mut self, now: Timestamp, r: No, out: &mut dyn Results) -> ControlFlow<()> {
+        let late = |since| self.book.reqs[r].reached > since + self.rules.drain_grace.saturating_sub(MARGIN);
         if self.leaving.is_some_and(|(since, _)| late(since)) {
             self.shed(now, r, out);
             return Break(());
@@ -663,7 +664,7 @@
     }
 
     // Stage 3: the value of a req: its value, less what its tenant sends past its share, for its work.
-    fn tenant_share(&mut self, now: At, r: No, _out: &mut dyn Results) -> ControlFlow<()> {
+    fn tenant_share(&mut self, now: Timestamp, r: No, _out: &mut dyn Results) -> ControlFlow<()> {
         let req = &mut self.book.reqs[r];
         let within = self.tenants.value(now, req.tenant);
         let work = if self.by_work { 1.0 } else { self.budget.run[req.handler] / self.budget.mean_run };
@@ -673,7 +674,7 @@
 
     // Stage 4: the admitted share; the rest is shed early, the least valuable first. One that errors its runs
     // draws traffic: it sheds as large a share as errors, and tries only with reqs that may run again.
-    fn admission(&mut self, now: At, r: No, out: &mut dyn Results) -> ControlFlow<()> {
+    fn admission(&mut self, now: Timestamp, r: No, out: &mut dyn Results) -> ControlFlow<()> {
         let (value, chance) = (self.book.reqs[r].value, self.chance.rand_float());
         let again = self.handlers[self.book.reqs[r].handler].repeats == Repeats::Replayable;
         let probe = again && (self.chance.rand_float() > self.erring || self.book.running == 0);
@@ -686,15 +687,19 @@
     }
 
     // Stage 5: the queue.
-    fn queue_stage(&mut self, _now: At, r: No, _out: &mut dyn Results) -> ControlFlow<()> {
+    fn queue_stage(&mut self, _now: Timestamp, r: No, _out: &mut dyn Results) -> ControlFlow<()> {
         let run = self.expected(r);
-        self.queue.put(run.as_secs() > self.budget.mean_run, self.book.reqs[r].target.before(run), r);
+        self.queue.put(
+            run.as_secs_f64() > self.budget.mean_run,
+            self.book.reqs[r].target.saturating_sub(run),
+            r,
+        );
         Break(())
     }
 
-    fn expected(&self, r: No) -> Span {
+    fn expected(&self, r: No) -> Duration {
         let req = &self.book.reqs[r];
-        Span::secs(self.budget.expected(req.handler, req.hint) * self.pace)
+        Duration::from_secs_f64(self.budget.expected(req.handler, req.hint) * self.pace)
     }
 
     fn memory(&self) -> f64 {
@@ -711,7 +716,7 @@
     /// Whether a shed req is better not tried elsewhere: it is past its target, or many that come again tell
     /// that others shed too; where repeats bear no mark the share shed here, unless this server is slow by
     /// itself (warming, or runs far over their best). One that errors its runs or leaves sends its reqs on.
-    fn all_crowded(&mut self, now: At, r: No) -> bool {
+    fn all_crowded(&mut self, now: Timestamp, r: No) -> bool {
         let warming = self.machine.cold && now - self.began < self.machine.cold_for;
         let crowd = (self.concurrency.run_queue / self.budget.cores).max(1.0);
         let alone = warming || self.slow * self.budget.mean_run > SLOW_HERE * crowd * self.budget.best_run;
@@ -721,8 +726,8 @@
     }
 
     /// Final answer: not run, may be taken elsewhere. Only for reqs that never started.
-    fn shed(&mut self, now: At, r: No, out: &mut dyn Results) {
-        let held = self.queue.lines.iter().flatten().map(|e| self.expected(e.1).as_secs());
+    fn shed(&mut self, now: Timestamp, r: No, out: &mut dyn Results) {
+        let held = self.queue.lines.iter().flatten().map(|e| self.expected(e.1).as_secs_f64());
         let wait = (held.sum::<f64>() + self.started()) / self.concurrency.limit;
         let before = |c: &Ceiling| {
             let lines = self.queue.lines.iter().flatten();
@@ -730,7 +735,7 @@
         };
         let queued: Vec<f64> = self.ceilings.iter().map(before).collect();
         let wait = wait.max(self.turn(self.book.reqs[r].handler, &queued).0);
-        let away = Span::secs(STAY_AWAY * wait * (0.5 + self.chance.rand_float()));
+        let away = Duration::from_secs_f64(STAY_AWAY * wait * (0.5 + self.chance.rand_float()));
         let last = self.all_crowded(now, r);
         out.shed(self.book.reqs[r].id, away.min(self.callers.come_back_max), last);
         self.comes_again(false, true);
@@ -760,7 +765,7 @@
     }
 
     /// Takes a req that never started off the books; what waited for its run moves up, or is shed with it.
-    fn drop_held(&mut self, now: At, r: No, shed: bool, out: &mut dyn Results) {
+    fn drop_held(&mut self, now: Timestamp, r: No, shed: bool, out: &mut dyn Results) {
         self.queue.remove(r);
         let (id, key) = (self.book.reqs[r].id, self.book.reqs[r].key);
         self.book.remove(r);
@@ -790,7 +795,7 @@
     }
 
     // Stage 6: start, under the worker limit, the crowd and the memory, with its EqResv allowance.
-    fn start(&mut self, now: At, out: &mut dyn Results) {
+    fn start(&mut self, now: Timestamp, out: &mut dyn Results) {
         // A run that can't skip its call would only join those that wait for room; ceilings allow for them.
         let bound = |h: &Handler| h.calls && h.partial_value == 0.0;
         let may = |d: &Self, r: No| {
@@ -822,7 +827,7 @@
     }
 
     /// A run stands at a call below.
-    pub fn at_call(&mut self, now: At, id: u64, out: &mut dyn Results) {
+    pub fn at_call(&mut self, now: Timestamp, id: u64, out: &mut dyn Results) {
         let Some(r) = self.book.find(id, |q| q.stage == Stage::Running && !q.answered) else { return };
         self.book.reqs[r].stage = Stage::AtCall;
         self.call_stage(now, r, out);
@@ -830,7 +835,7 @@
 
     // Stage 7: calls below. An optional one is skipped once the allowance is spent while a handler exceeds
     // its target, and where it would make the answer late or this server's part is taken: others go first.
-    fn call_stage(&mut self, now: At, r: No, out: &mut dyn Results) {
+    fn call_stage(&mut self, now: Timestamp, r: No, out: &mut dyn Results) {
         let rank = self.share.rank(self.book.reqs[r].value, 1.0);
         let fits = self.fits(self.book.reqs[r].handler, true);
         // What must call goes first where places are few.
@@ -838,7 +843,7 @@
         let req = &mut self.book.reqs[r];
         let optional = self.handlers[req.handler].partial_value > 0.0;
         let spent = now - req.started > req.allowance && self.budget.worst() > 1.0;
-        let late = now + Span::secs(self.calls.time) > req.target;
+        let late = now + Duration::from_secs_f64(self.calls.time) > req.target;
         let late_is_nothing = self.handlers[req.handler].late_value == 0.0;
         if late && !optional && late_is_nothing && self.calls.out > 0 {
             // Nothing is gained by the time its call is back: another run has better use for the call.
@@ -849,18 +854,20 @@
             self.calls.waiting.push(r);
         } else {
             // A call far past the usual time is stuck and holds a run; none may hold over a span's share.
-            let usual = Span::secs(CALL_STUCK * self.calls.time) + CALL_WAIT;
-            let bears = self.below.span.times(self.below.share * CALLS_MOST);
+            let usual = Duration::from_secs_f64(CALL_STUCK * self.calls.time) + CALL_WAIT;
+            let bears = self.below.span.mul_f64(self.below.share * CALLS_MOST);
             let stuck = now + if self.below.kind == BelowKind::Shared { usual.min(bears) } else { usual };
-            let until = if optional || late_is_nothing { req.target } else { req.due.before(MARGIN) };
-            out.call(req.id, (until.min(stuck) - now).max(Span::millis(1)));
+            let until = if optional || late_is_nothing { req.target } else { req.due.saturating_sub(MARGIN) };
+            out.call(req.id, (until.min(stuck) - now).max(Duration::from_millis(1)));
             self.calls.out += 1;
             self.book.calling(r, Stage::Calling);
         }
     }
 
     /// A call came back.
-    pub fn call_back(&mut self, now: At, id: u64, outcome: Outcome, spent: Span, out: &mut dyn Results) {
+    pub fn call_back(
+        &mut self, now: Timestamp, id: u64, outcome: Outcome, spent: Duration, out: &mut dyn Results,
+    ) {
         let Some(r) = self.book.find(id, |q| q.stage == Stage::Calling) else { return };
         self.calls.over(now, outcome, spent, &self.below);
         self.book.calling(r, if outcome == Outcome::Done { Stage::Running } else { Stage::AtCall });
@@ -874,8 +881,8 @@
         }
         let h = &self.handlers[req.handler];
         let unproven = !matches!(outcome, Outcome::Shed | Outcome::Unreached);
-        let wait = CALL_WAIT.times(f64::from(1u32 << req.tries.min(6)));
-        let late = now + wait + Span::secs(self.calls.time) > req.target;
+        let wait = CALL_WAIT.mul_f64(f64::from(1u32 << req.tries.min(6)));
+        let late = now + wait + Duration::from_secs_f64(self.calls.time) > req.target;
         if h.partial_value > 0.0 && (late || req.tries > 1 || self.calls.refused > CALLS_SHED) {
             req.skip(out);
         } else if (unproven && h.repeats != Repeats::Replayable) || late {
@@ -886,7 +893,7 @@
     }
 
     /// A run ended: the outcome goes back through the chain, calls first and keys last.
-    pub fn ended(&mut self, now: At, id: u64, outcome: Outcome, spent: Span) {
+    pub fn ended(&mut self, now: Timestamp, id: u64, outcome: Outcome, spent: Duration) {
         let Some(r) = self.book.find(id, |q| q.stage != Stage::Held && q.stage != Stage::Following) else {
             return;
         };
@@ -914,7 +921,7 @@
     }
 
     /// Nobody waits any more: held work is dropped, running work stopped.
-    pub fn gone(&mut self, now: At, id: u64, out: &mut dyn Results) {
+    pub fn gone(&mut self, now: Timestamp, id: u64, out: &mut dyn Results) {
         let Some(r) = self.book.find(id, |_| true) else { return };
         if self.book.reqs[r].stage.started() {
             self.abandon(r, out);
@@ -924,18 +931,18 @@
     }
 
     /// Notice to leave: the process is stopped in `left`.
-    pub fn wind_down(&mut self, now: At, left: Span) {
-        let stop = (now + left).before(MARGIN);
+    pub fn wind_down(&mut self, now: Timestamp, left: Duration) {
+        let stop = (now + left).saturating_sub(MARGIN);
         self.leaving = Some((now, stop));
         for (r, req) in &mut self.book.reqs {
             req.due = req.due.min(stop);
-            req.target = req.target.min(stop.before(MARGIN));
-            self.due.insert((req.due.before(MARGIN), Due::Answer(r)));
+            req.target = req.target.min(stop.saturating_sub(MARGIN));
+            self.due.insert((req.due.saturating_sub(MARGIN), Due::Answer(r)));
         }
     }
 
     /// The periodic timer.
-    pub fn tick(&mut self, now: At, gauges: &Gauges, out: &mut dyn Results) {
+    pub fn tick(&mut self, now: Timestamp, gauges: &Gauges, out: &mut dyn Results) {
         let gap = now - self.ticked;
         self.ticked = now;
         let ceiling = ceiling(now, self.began, &self.machine);
@@ -965,9 +972,10 @@
 
     /// The loop lives on completions. Where none come though work runs, the age of the oldest stands for one;
     /// a handler with nothing in hand drifts back to its run time, or the cut lasts. Harm: a long run cuts B.
-    fn unfreeze(&mut self, now: At) {
+    fn unfreeze(&mut self, now: Timestamp) {
         let on_core = self.book.reqs.values().filter(|q| q.stage == Stage::Running);
-        let (runs, secs) = on_core.fold((0.0, 0.0), |(n, s), q| (n + 1.0, s + (now - q.started).as_secs()));
+        let (runs, secs) =
+            on_core.fold((0.0, 0.0), |(n, s), q| (n + 1.0, s + (now - q.started).as_secs_f64()));
         let usual = PACE_AGE * self.budget.mean_run;
         self.slow = ((secs + PACE_PRIOR * usual) / (usual * (runs + PACE_PRIOR))).max(1.0);
         self.pace = (secs / (usual * f64::max(runs, 1.0))).max(1.0);
@@ -975,7 +983,7 @@
         let started = self.book.reqs.values().filter(|q| q.stage.started());
         if let Some(q) = started.min_by_key(|q| q.reached).filter(|_| now - self.completed > STALLED) {
             let age = now - q.reached;
-            if age.as_secs() > self.budget.mrt[q.handler] {
+            if age.as_secs_f64() > self.budget.mrt[q.handler] {
                 self.budget.completed(now, q.handler, age, pending);
             }
         }
@@ -989,7 +997,7 @@
     }
 
     /// The load report: open while all is well, else some of its limit for each caller.
-    fn say_load(&mut self, now: At, out: &mut dyn Results) {
+    fn say_load(&mut self, now: Timestamp, out: &mut dyn Results) {
         if self.callers.load_report == LoadReport::Unused || now - self.reported.1 < REPORT_EVERY {
             return;
         }
@@ -1006,7 +1014,7 @@
     }
 
     /// What each caller may be told while this server warms: over all that there may be, what it survives.
-    fn ramp(&self, now: At) -> f64 {
+    fn ramp(&self, now: Timestamp) -> f64 {
         let warming = self.machine.cold && now - self.began < self.machine.cold_for;
         let callers = self.links.last.len().max(self.callers.count as usize).max(1) as f64;
         if warming { ceiling(now, self.began, &self.machine) / callers } else { REPORT_OPEN }
@@ -1018,7 +1026,7 @@
     }
 
     /// The batch is over: due times, memory, hopeless reqs, calls that wait, the last come first, starts.
-    pub fn settle(&mut self, now: At, out: &mut dyn Results) {
+    pub fn settle(&mut self, now: Timestamp, out: &mut dyn Results) {
         while let Some(&(at, what)) = self.due.first().filter(|d| d.0 <= now) {
             self.due.remove(&(at, what));
             self.fall_due(now, what, out);
@@ -1032,7 +1040,7 @@
         self.start(now, out);
     }
 
-    fn fall_due(&mut self, now: At, what: Due, out: &mut dyn Results) {
+    fn fall_due(&mut self, now: Timestamp, what: Due, out: &mut dyn Results) {
         match what {
             Due::Lapse(key) => self.keys.lapse(now, key),
             Due::Forget(key) => self.keys.remove(key),
@@ -1056,7 +1064,7 @@
     }
 
     /// Memory guard: held reqs are shed, the least valuable first, before the machine needs more than it has.
-    fn make_room(&mut self, now: At, out: &mut dyn Results) {
+    fn make_room(&mut self, now: Timestamp, out: &mut dyn Results) {
         while self.memory() > self.machine.memory_kb * MEMORY_HOLD {
             let value = |r: &No| self.book.reqs[*r].value;
             let least = self.queue.in_order().into_iter().min_by(|a, b| value(a).total_cmp(&value(b)));
@@ -1067,7 +1075,7 @@
 
     /// A queued req that can't make its target is given up on at once; in its place the least valuable of
     /// those before it goes (after Moore and Hodgson). The first stays while nothing runs and it is in time.
-    fn give_up(&mut self, now: At, out: &mut dyn Results) {
+    fn give_up(&mut self, now: Timestamp, out: &mut dyn Results) {
         let mut ahead = self.started();
         let mut taken: Vec<(No, f64)> = vec![];
         let mut lost: Vec<No> = vec![];
@@ -1075,12 +1083,12 @@
         let value = |r: No| self.book.reqs[r].value;
         let under = |r: No, i: usize| self.ceilings[i].handlers.contains(&self.book.reqs[r].handler);
         for r in self.queue.in_order() {
-            let run = self.expected(r).as_secs();
+            let run = self.expected(r).as_secs_f64();
             taken.push((r, run));
             queued.iter_mut().enumerate().for_each(|(i, q)| *q += f64::from(u8::from(under(r, i))));
             let (turn, whose) = self.turn(self.book.reqs[r].handler, &queued);
             let wait = ahead / self.concurrency.limit;
-            if now + Span::secs(wait.max(turn) + run) > self.book.reqs[r].target {
+            if now + Duration::from_secs_f64(wait.max(turn) + run) > self.book.reqs[r].target {
                 let rank = |i: usize| (value(taken[i].0), -taken[i].1);
                 let least = |a: &usize, b: &usize| rank(*a).partial_cmp(&rank(*b)).unwrap_or(Equal);
                 // Where its group is what it waits for, only one of the group makes it wait less.
--- a/src/face.rs
+++ b/src/face.rs
@@ -1,6 +1,6 @@
 //! What the decision module is told and what it answers through. Nothing is decided here.
 
-use crate::time::Span;
+use crate::time::Duration;
 
 /// What may be done with a req that comes a second time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -13,14 +13,14 @@
 /// One kind of req, as the settings describe it.
 #[derive(Clone, Debug)]
 pub struct Handler {
-    pub target: Span,
+    pub target: Duration,
     /// The response target grows by this multiple of the req's own work.
     pub target_stretch: f64,
-    pub timeout: Span,
+    pub timeout: Duration,
     pub value: f64,
     pub late_value: f64,
     pub repeats: Repeats,
-    pub window: Span,
+    pub window: Duration,
     pub calls: bool,
     /// The part of the value left when a call is skipped; 0 where none may be.
     pub partial_value: f64,
@@ -51,7 +51,7 @@
     pub survives_per_core: f64,
     pub cold: bool,
     pub cold_from: f64,
-    pub cold_for: Span,
+    pub cold_for: Duration,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -66,9 +66,9 @@
 pub struct Below {
     pub kind: BelowKind,
     pub share: f64,
-    pub linger: Span,
+    pub linger: Duration,
     /// The span over which the calls in hand are averaged.
-    pub span: Span,
+    pub span: Duration,
 }
 
 /// What the load report on answers means to the callers.
@@ -86,10 +86,10 @@
     pub count: u32,
     pub load_report: LoadReport,
     /// The longest advice to stay away that is heeded; nothing where none may be given.
-    pub come_back_max: Span,
+    pub come_back_max: Duration,
     pub mark_retries: bool,
     /// After that long callers close idle connections by themselves.
-    pub idle_max: Span,
+    pub idle_max: Duration,
 }
 
 /// This server's place in the fleet.
@@ -105,7 +105,7 @@
 /// The figures of the rules that bind answers and drains.
 #[derive(Clone, Debug)]
 pub struct Rules {
-    pub drain_grace: Span,
+    pub drain_grace: Duration,
     /// Whether reqs bring the time that their callers will wait.
     pub says_wait: bool,
 }
@@ -119,12 +119,12 @@
     pub handler: usize,
     pub tenant: usize,
     pub subject: u64,
-    pub wait: Span,
-    pub hint: Option<Span>,
+    pub wait: Duration,
+    pub hint: Option<Duration>,
     pub held_kb: f64,
     pub rank: f64,
     pub retry: bool,
-    pub unread_for: Span,
+    pub unread_for: Duration,
     pub repeats: u64,
 }
 
@@ -135,7 +135,7 @@
     pub runs: usize,
     pub calls: usize,
     /// The time between two starts of the group, while its ceilings are what holds its reqs up.
-    pub turn: Span,
+    pub turn: Duration,
 }
 
 /// How a run or a call came out.
@@ -161,16 +161,16 @@
 pub trait Results {
     fn start(&mut self, id: u64);
     fn stop(&mut self, id: u64);
-    fn shed(&mut self, id: u64, come_back: Span, last: bool);
+    fn shed(&mut self, id: u64, come_back: Duration, last: bool);
     fn errored(&mut self, id: u64);
-    fn call(&mut self, id: u64, patience: Span);
+    fn call(&mut self, id: u64, patience: Duration);
     fn skip(&mut self, id: u64);
-    fn keep_key(&mut self, id: u64, term: Span);
+    fn keep_key(&mut self, id: u64, term: Duration);
     fn drop_key(&mut self, id: u64);
     fn join(&mut self, id: u64);
     fn health(&mut self, good: bool);
     fn load_report(&mut self, value: f64);
     /// Connections that have carried nothing for that long are closed.
-    fn idle_limit(&mut self, limit: Span);
-    fn wake(&mut self, after: Span);
+    fn idle_limit(&mut self, limit: Duration);
+    fn wake(&mut self, after: Duration);
 }
--- a/src/req.rs
+++ b/src/req.rs
@@ -1,7 +1,7 @@
 //! A req and a keyed req's tries as the module keeps them, under small numbers. Nothing is decided here.
 
 use crate::face::{Arrival, Results};
-use crate::time::{At, Span};
+use crate::time::{Duration, Timestamp};
 use slotmap::{SlotMap, new_key_type};
 use std::collections::HashMap;
 
@@ -47,16 +47,16 @@
     pub id: u64,
     pub handler: usize,
     pub tenant: usize,
-    pub reached: At,
-    pub target: At,
-    pub due: At,
-    pub hint: Option<Span>,
+    pub reached: Timestamp,
+    pub target: Timestamp,
+    pub due: Timestamp,
+    pub hint: Option<Duration>,
     pub kb: f64,
     pub repeats: u64,
     pub value: f64,
     pub stage: Stage,
-    pub started: At,
-    pub allowance: Span,
+    pub started: Timestamp,
+    pub allowance: Duration,
     /// A call was skipped.
     pub trimmed: bool,
     pub answered: bool,
@@ -68,7 +68,7 @@
 }
 
 impl Req {
-    pub fn read(a: &Arrival, reached: At, target: At, due: At, value: f64) -> Req {
+    pub fn read(a: &Arrival, reached: Timestamp, target: Timestamp, due: Timestamp, value: f64) -> Req {
         Req {
             id: a.id,
             handler: a.handler,
@@ -76,7 +76,7 @@
             reached,
             target,
             due,
-            hint: a.hint.filter(|w| *w > Span::ZERO),
+            hint: a.hint.filter(|w| *w > Duration::ZERO),
             kb: a.held_kb,
             repeats: a.repeats,
             value,
@@ -97,7 +97,7 @@
     pub leader: Option<No>,
     pub ran: bool,
     /// When its entry in the server's table runs out, while it has one.
-    pub entry: Option<At>,
+    pub entry: Option<Timestamp>,
     pub followers: Vec<No>,
     pub members: Vec<u64>,
 }
@@ -202,7 +202,7 @@
     }
 
     /// Takes a key's entry off the table if it has run out.
-    pub fn lapse(&mut self, now: At, key: KeyNo) {
+    pub fn lapse(&mut self, now: Timestamp, key: KeyNo) {
         if let Some(k) = self.keys.get_mut(key).filter(|k| k.entry.is_some_and(|t| t <= now)) {
             k.entry = None;
             self.entries -= 1;
--- a/tests/ramp.rs
+++ b/tests/ramp.rs
@@ -2,24 +2,24 @@
 
 use madderbay::decide::Decider;
 use madderbay::face::*;
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 
-const START: At = At::micros(1_000_000_000);
-const COLD: Span = Span::millis(10_000);
+const START: Timestamp = Timestamp::from_micros(1_000_000_000);
+const COLD: Duration = Duration::from_millis(10_000);
 
 #[derive(Default)]
 struct Heard {
     /// The value that goes with an answer, once any was said.
     value: Option<f64>,
     started: Vec<u64>,
-    shed: Vec<(u64, Span)>,
+    shed: Vec<(u64, Duration)>,
 }
 
 impl Results for Heard {
     fn start(&mut self, id: u64) {
         self.started.push(id);
     }
-    fn shed(&mut self, id: u64, come_back: Span, _last: bool) {
+    fn shed(&mut self, id: u64, come_back: Duration, _last: bool) {
         self.shed.push((id, come_back));
     }
     fn load_report(&mut self, value: f64) {
@@ -27,14 +27,14 @@
     }
     fn stop(&mut self, _id: u64) {}
     fn errored(&mut self, _id: u64) {}
-    fn call(&mut self, _id: u64, _patience: Span) {}
+    fn call(&mut self, _id: u64, _patience: Duration) {}
     fn skip(&mut self, _id: u64) {}
-    fn keep_key(&mut self, _id: u64, _term: Span) {}
+    fn keep_key(&mut self, _id: u64, _term: Duration) {}
     fn drop_key(&mut self, _id: u64) {}
     fn join(&mut self, _id: u64) {}
     fn health(&mut self, _good: bool) {}
-    fn idle_limit(&mut self, _limit: Span) {}
-    fn wake(&mut self, _after: Span) {}
+    fn idle_limit(&mut self, _limit: Duration) {}
+    fn wake(&mut self, _after: Duration) {}
 }
 
 fn machine(cold: bool) -> Machine {
@@ -59,31 +59,31 @@
 
 fn server(cold: bool, known: u32) -> Decider {
     let handler = Handler {
-        target: Span::millis(2_000),
+        target: Duration::from_millis(2_000),
         target_stretch: 0.0,
-        timeout: Span::millis(8_000),
+        timeout: Duration::from_millis(8_000),
         value: 1.0,
         late_value: 0.0,
         repeats: Repeats::Replayable,
-        window: Span::ZERO,
+        window: Duration::ZERO,
         calls: false,
         partial_value: 0.0,
     };
-    let below = Below { kind: BelowKind::Nothing, share: 0.0, linger: Span::ZERO, span: Span::ZERO };
+    let below = Below { kind: BelowKind::Nothing, share: 0.0, linger: Duration::ZERO, span: Duration::ZERO };
     let callers = Callers {
         count: known,
         load_report: LoadReport::Allowance,
-        come_back_max: Span::millis(1_000),
+        come_back_max: Duration::from_millis(1_000),
         mark_retries: false,
-        idle_max: Span::millis(30_000),
+        idle_max: Duration::from_millis(30_000),
     };
     let place = Place { servers: 3, tier: 0, value_by_work: false, over_share_value: 0.05 };
-    let rules = Rules { drain_grace: Span::millis(2_000), says_wait: true };
+    let rules = Rules { drain_grace: Duration::from_millis(2_000), says_wait: true };
     Decider::new(START, 7, &machine(cold), &[handler], &[], &below, &callers, &place, &rules)
 }
 
 fn req(id: u64, from: u16) -> Arrival {
-    Arrival { id, from, wait: Span::millis(8_000), held_kb: 1.0, ..Arrival::default() }
+    Arrival { id, from, wait: Duration::from_millis(8_000), held_kb: 1.0, ..Arrival::default() }
 }
 
 /// From the first answer to the end of the cold, over all callers: those that the settings name, and those that come
@@ -98,7 +98,7 @@
         assert!(first * all <= survives(&m, 0.0), "{first} to each of {all} at first");
         let mut id = 0;
         for tick in 1..1_100u64 {
-            let now = START + Span::millis(10 * tick);
+            let now = START + Duration::from_millis(10 * tick);
             // Each comes every 600 ms and is done after 50.
             for from in (0..come).filter(|f| (u64::from(*f) * 7 + tick).is_multiple_of(60)) {
                 id += 1;
@@ -107,9 +107,9 @@
             d.tick(now, &Gauges { on_cores: Some(1.0) }, &mut out);
             d.settle(now, &mut out);
             for id in std::mem::take(&mut out.started) {
-                d.ended(now, id, Outcome::Done, Span::millis(50));
+                d.ended(now, id, Outcome::Done, Duration::from_millis(50));
             }
-            let warmed = (now - START).as_secs() / COLD.as_secs();
+            let warmed = (now - START).as_secs_f64() / COLD.as_secs_f64();
             let callers = all.max(if tick > 60 { f64::from(come) } else { 0.0 });
             let value = out.value.expect("said");
             if warmed < 1.0 {
@@ -141,5 +141,5 @@
     d.settle(START, &mut out);
     assert!(out.started.len() as f64 <= survives(&m, 0.0), "{} started", out.started.len());
     assert!(out.shed.len() > 200, "{} shed", out.shed.len());
-    assert!(out.shed.iter().all(|(_, away)| *away > Span::ZERO), "each is told when to come back");
+    assert!(out.shed.iter().all(|(_, away)| *away > Duration::ZERO), "each is told when to come back");
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -14,7 +14,7 @@
 
 use madderbay::decide::Decider;
 use madderbay::face::*;
-use madderbay::time::{At, Span};
+use madderbay::time::{Duration, Timestamp};
 
 #[derive(Default)]
 struct Heard(Vec<String>);
@@ -26,20 +26,20 @@
     fn stop(&mut self, id: u64) {
         self.0.push(format!("stop {id} "));
     }
-    fn shed(&mut self, id: u64, come_back: Span, last: bool) {
+    fn shed(&mut self, id: u64, come_back: Duration, last: bool) {
         let word = if last { "last" } else { "elsewhere" };
-        self.0.push(format!("shed {id} {word} {}", if come_back > Span::ZERO { "away" } else { "now" }));
+        self.0.push(format!("shed {id} {word} {}", if come_back > Duration::ZERO { "away" } else { "now" }));
     }
     fn errored(&mut self, id: u64) {
         self.0.push(format!("errored {id} "));
     }
-    fn call(&mut self, id: u64, patience: Span) {
+    fn call(&mut self, id: u64, patience: Duration) {
         self.0.push(format!("call {id} {}ms", patience.as_micros() / 1000));
     }
     fn skip(&mut self, id: u64) {
         self.0.push(format!("skip {id} "));
     }
-    fn keep_key(&mut self, id: u64, term: Span) {
+    fn keep_key(&mut self, id: u64, term: Duration) {
         self.0.push(format!("keep {id} {}ms", term.as_micros() / 1000));
     }
     fn drop_key(&mut self, id: u64) {
@@ -54,15 +54,15 @@
     fn load_report(&mut self, value: f64) {
         self.0.push(format!("report {value:.2}"));
     }
-    fn idle_limit(&mut self, limit: Span) {
+    fn idle_limit(&mut self, limit: Duration) {
         self.0.push(format!("idle {}ms", limit.as_micros() / 1000));
     }
-    fn wake(&mut self, _after: Span) {}
+    fn wake(&mut self, _after: Duration) {}
 }
 
-fn span(text: &str) -> Span {
+fn span(text: &str) -> Duration {
     let (number, unit) = text.split_at(text.find(|c: char| c.is_alphabetic()).expect("a unit of time"));
-    Span::secs(number.parse::<f64>().expect("a number") * if unit == "ms" { 1e-3 } else { 1.0 })
+    Duration::from_secs_f64(number.parse::<f64>().expect("a number") * if unit == "ms" { 1e-3 } else { 1.0 })
 }
 
 /// The words of a line after its first: `key=value` pairs and bare flags.
@@ -75,7 +75,7 @@
     fn num(&self, key: &str, otherwise: f64) -> f64 {
         self.get(key).map_or(otherwise, |v| v.parse().expect("a number"))
     }
-    fn span(&self, key: &str, otherwise: &str) -> Span {
+    fn span(&self, key: &str, otherwise: &str) -> Duration {
         span(self.get(key).unwrap_or(otherwise))
     }
     fn has(&self, flag: &str) -> bool {
@@ -93,8 +93,8 @@
     place: Place,
     rules: Rules,
     decider: Option<Decider>,
-    now: At,
-    ticked: At,
+    now: Timestamp,
+    ticked: Timestamp,
     queue: Option<f64>,
     ceilings: Vec<Ceiling>,
     heard: Heard,
@@ -102,7 +102,7 @@
     failures: Vec<String>,
 }
 
-const START: At = At::micros(1_000_000_000);
+const START: Timestamp = Timestamp::from_micros(1_000_000_000);
 
 impl Play {
     fn new(name: String) -> Play {
@@ -115,7 +115,7 @@
             below: below(&none),
             callers: callers(&none),
             place: place(&none),
-            rules: Rules { drain_grace: Span::ZERO, says_wait: true },
+            rules: Rules { drain_grace: Duration::ZERO, says_wait: true },
             decider: None,
             now: START,
             ticked: START,
@@ -140,7 +140,7 @@
         }
     }
 
-    fn with<R>(&mut self, act: impl FnOnce(&mut Decider, At, &mut Heard) -> R) -> R {
+    fn with<R>(&mut self, act: impl FnOnce(&mut Decider, Timestamp, &mut Heard) -> R) -> R {
         if self.decider.is_none() {
             let handlers: Vec<Handler> = self.handlers.iter().map(|h| h.1.clone()).collect();
             let (m, t, b, c) = (&self.machine, &self.tenants, &self.below, &self.callers);
@@ -152,12 +152,12 @@
     }
 
     /// Lets the clock run to `until`: the batch at hand settles, then the timer rings every 10 ms.
-    fn run_to(&mut self, until: At) {
+    fn run_to(&mut self, until: Timestamp) {
         if until > self.now {
             self.with(|d, now, out| d.settle(now, out));
         }
-        while self.ticked + Span::millis(10) < until {
-            self.ticked = self.ticked + Span::millis(10);
+        while self.ticked + Duration::from_millis(10) < until {
+            self.ticked = self.ticked + Duration::from_millis(10);
             self.now = self.now.max(self.ticked);
             let gauges = Gauges { on_cores: self.queue };
             self.with(|d, now, out| d.tick(now, &gauges, out));
@@ -174,7 +174,7 @@
             }
             "done" => self.with(|d, now, _| d.ended(now, id, Outcome::Done, span(w.0[1]))),
             "erred" => self.with(|d, now, _| d.ended(now, id, Outcome::Errored, span(w.0[1]))),
-            "stopped" => self.with(|d, now, _| d.ended(now, id, Outcome::Stopped, Span::ZERO)),
+            "stopped" => self.with(|d, now, _| d.ended(now, id, Outcome::Stopped, Duration::ZERO)),
             "atcall" => self.with(|d, now, out| d.at_call(now, id, out)),
             "called" => {
                 let how = match w.0[1] {
@@ -279,11 +279,11 @@
     }
 }
 
-type Event<'a> = (At, &'a str, u64, Vec<&'a str>);
+type Event<'a> = (Timestamp, &'a str, u64, Vec<&'a str>);
 
 /// The events of one line in order of time.
 fn events(line: &str) -> Vec<Event<'_>> {
-    let (mut at, mut times, mut step) = (START, 1, Span::ZERO);
+    let (mut at, mut times, mut step) = (START, 1, Duration::ZERO);
     let mut all = vec![];
     for part in line.split(';') {
         let mut words: Vec<&str> = part.split_whitespace().collect();
@@ -298,7 +298,7 @@
         }
         for i in 0..times {
             let id = words.get(1).and_then(|w| w.parse::<u64>().ok()).map_or(0, |id| id + i);
-            all.push((first + step.times(i as f64), words[0], id, words[1..].to_vec()));
+            all.push((first + step.mul_f64(i as f64), words[0], id, words[1..].to_vec()));
         }
     }
     all.sort_by_key(|e| e.0);
