--- a/src/time.rs
+++ b/src/time.rs
@@ -1,17 +1,17 @@
 //! Points in time and durations, kept apart by the compiler.
 //!
 //! ```
-//! use madderbay::time::{Timestamp, Duration};
-//! let read = Timestamp::micros(5_000);
-//! assert_eq!(read + Duration::millis(2) - read, Duration::micros(2_000));
-//! assert_eq!(read - Timestamp::micros(9_000), Duration::ZERO);
+//! use madderbay::time::{Duration, Timestamp};
+//! let read = Timestamp::from_micros(5_000);
+//! assert_eq!(read + Duration::from_millis(2) - read, Duration::from_micros(2_000));
+//! assert_eq!(read - Timestamp::from_micros(9_000), Duration::ZERO);
 //! ```
 //!
 //! Two points can't be added:
 //!
 //! ```compile_fail
 //! use madderbay::time::Timestamp;
-//! let _ = Timestamp::micros(1) + Timestamp::micros(2);
+//! let _ = Timestamp::from_micros(1) + Timestamp::from_micros(2);
 //! ```
 
 use std::ops::{Add, Sub};
