--- a/crates/concurrency/examples/ways.rs
+++ b/crates/concurrency/examples/ways.rs
@@ -113,7 +113,8 @@
         (0.9 * 1.2 * self.best / self.time).clamp(0.27, 0.9)
     }
     fn count(&mut self, now: Timestamp) {
-        let earned = (self.share * self.part() - self.out as f64) * (now - self.counted).as_secs_f64();
+        let earned =
+            (self.share * self.part() - self.out as f64) * (now - self.counted).as_secs_f64();
         (self.credit, self.counted) = ((self.credit + earned).min(self.share * 0.5), now);
     }
 }
@@ -146,34 +147,126 @@
 
 fn ways(most: f64) -> Vec<(&'static str, Box<dyn Way>)> {
     let start = model::at(0);
-    let account = Account { share: most, credit: 0.0, counted: start, time: 0.025, best: 0.025, out: 0 };
+    let account = Account {
+        share: most,
+        credit: 0.0,
+        counted: start,
+        time: 0.025,
+        best: 0.025,
+        out: 0,
+    };
     vec![
         ("fixed", Box::new(Fixed(most))),
-        ("aimd", Box::new(Aimd { level: most, most, best: 1.0, cut: start })),
-        ("gradient", Box::new(Gradient { level: most, most, long: 0.025, short: 0.025 })),
-        ("vegas", Box::new(Vegas { level: most, most, best: 1.0, sum: (0.0, 0) })),
+        (
+            "aimd",
+            Box::new(Aimd {
+                level: most,
+                most,
+                best: 1.0,
+                cut: start,
+            }),
+        ),
+        (
+            "gradient",
+            Box::new(Gradient {
+                level: most,
+                most,
+                long: 0.025,
+                short: 0.025,
+            }),
+        ),
+        (
+            "vegas",
+            Box::new(Vegas {
+                level: most,
+                most,
+                best: 1.0,
+                sum: (0.0, 0),
+            }),
+        ),
         ("account", Box::new(account)),
-        ("on trial", Box::new(Limit::new(start, 1, most, Duration::from_millis(200)))),
+        (
+            "on trial",
+            Box::new(Limit::new(start, 1, most, Duration::from_millis(200))),
+        ),
     ]
 }
 
 /// A name, the share of what lies below in calls, and the world.
 fn worlds() -> Vec<(&'static str, f64, World)> {
     let slow = |times| vec![(5_000, Mode::Slow(times)), (13_000, Mode::Slow(1.0))];
-    let with = |script| World { script, ..World::default() };
+    let with = |script| World {
+        script,
+        ..World::default()
+    };
     vec![
         ("calm", 12.0, World::default()),
-        ("slow x2, busy", 12.0, World { per_second: 250.0, ..with(slow(2.0)) }),
+        (
+            "slow x2, busy",
+            12.0,
+            World {
+                per_second: 250.0,
+                ..with(slow(2.0))
+            },
+        ),
         ("slow x7", 12.0, with(slow(7.0))),
         ("slow x20", 12.0, with(slow(20.0))),
-        ("slow x20, thrash", 12.0, World { thrash: 0.5, ..with(slow(20.0)) }),
-        ("slow x20, noise", 12.0, World { spread: 1.0, ..with(slow(20.0)) }),
-        ("slow x20, others", 12.0, World { others: 3, ..with(slow(20.0)) }),
-        ("fails fast", 12.0, with(vec![(5_000, Mode::Fails), (13_000, Mode::Slow(1.0))])),
-        ("wide share", 40.0, World { per_second: 300.0, ..with(slow(7.0)) }),
-        ("wide share, thrash", 40.0, World { per_second: 300.0, thrash: 0.5, ..with(slow(7.0)) }),
-        ("silent", 12.0, with(vec![(5_000, Mode::Silent), (13_000, Mode::Slow(1.0))])),
-        ("cold", 12.0, with(vec![(0, Mode::Slow(20.0)), (8_000, Mode::Slow(1.0))])),
+        (
+            "slow x20, thrash",
+            12.0,
+            World {
+                thrash: 0.5,
+                ..with(slow(20.0))
+            },
+        ),
+        (
+            "slow x20, noise",
+            12.0,
+            World {
+                spread: 1.0,
+                ..with(slow(20.0))
+            },
+        ),
+        (
+            "slow x20, others",
+            12.0,
+            World {
+                others: 3,
+                ..with(slow(20.0))
+            },
+        ),
+        (
+            "fails fast",
+            12.0,
+            with(vec![(5_000, Mode::Fails), (13_000, Mode::Slow(1.0))]),
+        ),
+        (
+            "wide share",
+            40.0,
+            World {
+                per_second: 300.0,
+                ..with(slow(7.0))
+            },
+        ),
+        (
+            "wide share, thrash",
+            40.0,
+            World {
+                per_second: 300.0,
+                thrash: 0.5,
+                ..with(slow(7.0))
+            },
+        ),
+        (
+            "silent",
+            12.0,
+            with(vec![(5_000, Mode::Silent), (13_000, Mode::Slow(1.0))]),
+        ),
+        (
+            "cold",
+            12.0,
+            with(vec![(0, Mode::Slow(20.0)), (8_000, Mode::Slow(1.0))]),
+        ),
     ]
 }
 
@@ -186,10 +279,21 @@
             let (mut sums, mut worst) = ([0.0f64; 5], 0.0f64);
             const SEEDS: u64 = 10;
             for seed in 0..SEEDS {
-                let world = World { seed, ..world.clone() };
-                let mut way = ways(most).into_iter().find(|w| w.0 == way).expect("known").1;
+                let world = World {
+                    seed,
+                    ..world.clone()
+                };
+                let mut way = ways(most)
+                    .into_iter()
+                    .find(|w| w.0 == way)
+                    .expect("known")
+                    .1;
                 let seen = play(&world, &mut *way);
-                let (from, to) = if name == "cold" { (0, 8_000) } else { (5_000, 13_000) };
+                let (from, to) = if name == "cold" {
+                    (0, 8_000)
+                } else {
+                    (5_000, 13_000)
+                };
                 let found = [
                     f64::from(seen.done(from, to)),
                     f64::from(seen.done(to, to + 2_000)),
@@ -198,7 +302,9 @@
                     seen.swing(from + 3_000, to),
                 ];
                 worst = worst.max(found[4]);
-                sums.iter_mut().zip(found).for_each(|(s, f)| *s += f / SEEDS as f64);
+                sums.iter_mut()
+                    .zip(found)
+                    .for_each(|(s, f)| *s += f / SEEDS as f64);
             }
             let [done, after, failed, peak, swing] = sums;
             println!(
--- a/crates/concurrency/src/lib.rs
+++ b/crates/concurrency/src/lib.rs
@@ -118,7 +118,15 @@
 impl Default for Plan {
     fn default() -> Plan {
         let (pools, groups) = (vec![], vec![]);
-        Plan { pools, reserve: None, adapts: true, share: None, linger: Duration::ZERO, cores: 1, groups }
+        Plan {
+            pools,
+            reserve: None,
+            adapts: true,
+            share: None,
+            linger: Duration::ZERO,
+            cores: 1,
+            groups,
+        }
     }
 }
 
@@ -171,8 +179,16 @@
 
     /// A run takes a place, or no longer does.
     fn count(&mut self, req: &Req, more: bool) {
-        let slot = if req.hung { &mut self.hung } else { self.of(req.stage) };
-        *slot = if more { *slot + 1 } else { slot.saturating_sub(1) };
+        let slot = if req.hung {
+            &mut self.hung
+        } else {
+            self.of(req.stage)
+        };
+        *slot = if more {
+            *slot + 1
+        } else {
+            slot.saturating_sub(1)
+        };
     }
 }
 
@@ -222,7 +238,11 @@
         let known = |h: &usize| plan.pools.iter().any(|p| p.handlers.contains(h));
         let rest: Vec<usize> = (0..kinds.len()).filter(|h| !known(h)).collect();
         if !rest.is_empty() {
-            plan.pools.push(Pool { name: "rest".into(), handlers: rest, ..Pool::default() });
+            plan.pools.push(Pool {
+                name: "rest".into(),
+                handlers: rest,
+                ..Pool::default()
+            });
         }
         let mut groups = plan.groups.clone();
         let grouped = |h: &usize| plan.groups.iter().any(|g| g.0.contains(h));
@@ -233,7 +253,11 @@
         let of = |(at, (handlers, part)): (usize, (Vec<usize>, f64))| {
             let most = (plan.share.unwrap_or(0.0) * part).max(SHARE_SMALL);
             let limit = Limit::new(now, seed + at as u64, most, plan.linger);
-            Below { handlers, part, limit }
+            Below {
+                handlers,
+                part,
+                limit,
+            }
         };
         let limits = match plan.share {
             Some(_) => groups.into_iter().enumerate().map(of).collect(),
@@ -267,7 +291,13 @@
         if handler >= self.loads.len() {
             return;
         }
-        let fresh = Req { handler, stage, started: now, ticket: None, hung: false };
+        let fresh = Req {
+            handler,
+            stage,
+            started: now,
+            ticket: None,
+            hung: false,
+        };
         self.changed = true;
         let known = self.reqs.contains_key(&id);
         let req = self.reqs.entry(id).or_insert(fresh);
@@ -314,13 +344,21 @@
 
     /// A call of this req ended: it runs on, or stands at the call again.
     pub fn call_over(&mut self, now: Timestamp, id: u64, end: End) {
-        let Some(req) = self.reqs.get_mut(&id).filter(|r| r.stage == Stage::Calling) else { return };
+        let Some(req) = self.reqs.get_mut(&id).filter(|r| r.stage == Stage::Calling) else {
+            return;
+        };
         self.changed = true;
-        if let (Some(limit), Some(ticket)) = (limit_of(&mut self.limits, req.handler), req.ticket.take()) {
+        if let (Some(limit), Some(ticket)) =
+            (limit_of(&mut self.limits, req.handler), req.ticket.take())
+        {
             let held_up = self.held_up.is_some_and(|t| t >= ticket.at());
             limit.over(now, ticket, end, held_up);
         }
-        let stage = if end == End::Good { Stage::Running } else { Stage::AtCall };
+        let stage = if end == End::Good {
+            Stage::Running
+        } else {
+            Stage::AtCall
+        };
         let load = &mut self.loads[req.handler];
         load.calling -= 1;
         *load.of(stage) += 1;
@@ -329,7 +367,9 @@
 
     /// The run goes on without its call, for want of room below or of time.
     pub fn skipped(&mut self, now: Timestamp, id: u64) {
-        let Some(req) = self.reqs.get(&id) else { return };
+        let Some(req) = self.reqs.get(&id) else {
+            return;
+        };
         let handler = req.handler;
         self.loads[handler].refused = Some(now);
         self.stage(now, id, handler, Stage::Running);
@@ -338,7 +378,9 @@
     /// The req is over: its run ended, or it never started and was answered, or its caller left.
     pub fn over(&mut self, now: Timestamp, id: u64) {
         self.call_over(now, id, End::Dropped);
-        let Some(req) = self.reqs.remove(&id) else { return };
+        let Some(req) = self.reqs.remove(&id) else {
+            return;
+        };
         self.changed = true;
         let load = &mut self.loads[req.handler];
         load.count(&req, false);
@@ -360,7 +402,11 @@
     /// engine that does not end them would be shut off for good else.
     fn free_hung(&mut self, now: Timestamp) {
         while let Some((_, id)) = self.answered.pop_front_if(|a| a.0 <= now) {
-            let Some(req) = self.reqs.get_mut(&id).filter(|r| r.stage == Stage::AtCall && !r.hung) else {
+            let Some(req) = self
+                .reqs
+                .get_mut(&id)
+                .filter(|r| r.stage == Stage::AtCall && !r.hung)
+            else {
                 continue;
             };
             let load = &mut self.loads[req.handler];
@@ -393,7 +439,9 @@
 
     /// The same for each of what lies below, with the handlers that call it.
     pub fn limits(&self) -> impl Iterator<Item = (&[usize], f64, usize)> {
-        self.limits.iter().map(|b| (b.handlers.as_slice(), b.limit.level(), b.limit.out()))
+        self.limits
+            .iter()
+            .map(|b| (b.handlers.as_slice(), b.limit.level(), b.limit.out()))
     }
 
     /// Each pool's name, reqs held, runs, calls out, and its ceilings of both.
@@ -401,13 +449,25 @@
         let per_pool = self.ceilings.get(1..).unwrap_or_default();
         self.plan.pools.iter().zip(per_pool).map(|(p, c)| {
             let sum = |what: fn(&Load) -> usize| self.sum(&p.handlers, what);
-            (p.name.as_str(), [sum(|l| l.held), sum(Load::runs), sum(|l| l.calling), c.runs, c.calls])
+            (
+                p.name.as_str(),
+                [
+                    sum(|l| l.held),
+                    sum(Load::runs),
+                    sum(|l| l.calling),
+                    c.runs,
+                    c.calls,
+                ],
+            )
         })
     }
 
     /// The changes of limits since the last time, as far as they were kept, and how many were not.
     pub fn told(&mut self) -> (Vec<Change>, u64) {
-        (std::mem::take(&mut self.told), std::mem::take(&mut self.untold))
+        (
+            std::mem::take(&mut self.told),
+            std::mem::take(&mut self.untold),
+        )
     }
 
     /// The handlers that the reserve is kept for now.
@@ -429,20 +489,42 @@
         self.judge(now);
         self.choose(now);
         let workers = (workers as usize).max(1);
-        let each: Vec<(Vec<usize>, usize)> =
-            self.limits.iter().map(|b| (b.handlers.clone(), b.limit.allowed())).collect();
-        let below = each.iter().map(|b| b.1).reduce(|a, b| a + b).unwrap_or(usize::MAX);
+        let each: Vec<(Vec<usize>, usize)> = self
+            .limits
+            .iter()
+            .map(|b| (b.handlers.clone(), b.limit.allowed()))
+            .collect();
+        let below = each
+            .iter()
+            .map(|b| b.1)
+            .reduce(|a, b| a + b)
+            .unwrap_or(usize::MAX);
         let calls = self.call_places(now, &each);
         let runs = self.run_places(workers, &calls);
         let all: Vec<usize> = (0..self.kinds.len()).collect();
-        let mut found = vec![Ceiling { handlers: all, runs: usize::MAX, calls: below, turn: Duration::ZERO }];
+        let mut found = vec![Ceiling {
+            handlers: all,
+            runs: usize::MAX,
+            calls: below,
+            turn: Duration::ZERO,
+        }];
         for (at, ((pool, runs), calls)) in self.plan.pools.iter().zip(runs).zip(calls).enumerate() {
             let turn = self.turn(at, workers);
-            found.push(Ceiling { handlers: pool.handlers.clone(), runs, calls, turn });
+            found.push(Ceiling {
+                handlers: pool.handlers.clone(),
+                runs,
+                calls,
+                turn,
+            });
         }
         found.extend(self.outside(workers, below));
         if each.len() > 1 {
-            let of = |(handlers, calls)| Ceiling { handlers, runs: usize::MAX, calls, turn: Duration::ZERO };
+            let of = |(handlers, calls)| Ceiling {
+                handlers,
+                runs: usize::MAX,
+                calls,
+                turn: Duration::ZERO,
+            };
             found.extend(each.into_iter().map(of));
         }
         self.ceilings = found;
@@ -456,8 +538,16 @@
             } else if let Some((from, cause)) = limit.tick(now) {
                 self.changes += 1;
                 if self.told.len() < TOLD_MOST {
-                    let to = if cause == Cause::Resting { 0.0 } else { limit.level() };
-                    self.told.push(Change { from, to, cause: cause.told() });
+                    let to = if cause == Cause::Resting {
+                        0.0
+                    } else {
+                        limit.level()
+                    };
+                    self.told.push(Change {
+                        from,
+                        to,
+                        cause: cause.told(),
+                    });
                 } else {
                     self.untold += 1;
                 }
@@ -467,12 +557,18 @@
 
     /// Where the reserve names no handler it goes to the one whose runs are shortest.
     fn choose(&mut self, now: Timestamp) {
-        let named = self.plan.reserve.as_ref().is_none_or(|r| !r.handlers.is_empty());
+        let named = self
+            .plan
+            .reserve
+            .as_ref()
+            .is_none_or(|r| !r.handlers.is_empty());
         if named || (now < self.chosen + CHEAPEST_EVERY && !self.reserved.is_empty()) {
             return;
         }
         let cost = |h: usize| self.loads[h].run.unwrap_or(f64::MAX);
-        let Some(best) = (0..self.kinds.len()).min_by(|a, b| cost(*a).total_cmp(&cost(*b))) else { return };
+        let Some(best) = (0..self.kinds.len()).min_by(|a, b| cost(*a).total_cmp(&cost(*b))) else {
+            return;
+        };
         let before = self.reserved.first().map_or(f64::INFINITY, |h| cost(*h));
         if cost(best) < CHEAPER * before {
             self.reserved = vec![best];
@@ -488,16 +584,31 @@
     /// pool whose calls were refused just now wants more than it has.
     fn call_places(&self, now: Timestamp, below: &[(Vec<usize>, usize)]) -> Vec<usize> {
         if below.is_empty() {
-            return self.call_wants(now, |_| true).iter().map(|w| w.most).collect();
+            return self
+                .call_wants(now, |_| true)
+                .iter()
+                .map(|w| w.most)
+                .collect();
         }
         let mut places = vec![0usize; self.plan.pools.len()];
         for (handlers, allowed) in below {
             let wants = self.call_wants(now, |h| handlers.contains(h));
             let found = share::ceilings(*allowed, &wants);
-            places.iter_mut().zip(found).for_each(|(sum, n)| *sum = sum.saturating_add(n));
+            places
+                .iter_mut()
+                .zip(found)
+                .for_each(|(sum, n)| *sum = sum.saturating_add(n));
         }
-        let most = self.plan.pools.iter().map(|p| p.calls.unwrap_or(usize::MAX));
-        places.into_iter().zip(most).map(|(n, most)| n.min(most)).collect()
+        let most = self
+            .plan
+            .pools
+            .iter()
+            .map(|p| p.calls.unwrap_or(usize::MAX));
+        places
+            .into_iter()
+            .zip(most)
+            .map(|(n, most)| n.min(most))
+            .collect()
     }
 
     /// What each pool wants of the calls of some handlers.
@@ -506,7 +617,10 @@
             .pools
             .iter()
             .map(|p| {
-                let late = |l: &Load| l.refused.is_some_and(|at| now < at + WANTED_FOR && now >= at);
+                let late = |l: &Load| {
+                    l.refused
+                        .is_some_and(|at| now < at + WANTED_FOR && now >= at)
+                };
                 let more = |h: &usize| {
                     let l = &self.loads[*h];
                     let soon = match self.kinds[*h].calls {
@@ -519,8 +633,16 @@
                 let more = p.handlers.iter().filter(|h| of(h)).map(more).sum();
                 let calls = |h: &usize| of(h) && self.kinds[*h].calls != Calls::Never;
                 let callers = p.handlers.iter().any(calls);
-                let most = if callers { p.calls.unwrap_or(usize::MAX) } else { 0 };
-                Want { weight: p.calls_weight, wants: more, most }
+                let most = if callers {
+                    p.calls.unwrap_or(usize::MAX)
+                } else {
+                    0
+                };
+                Want {
+                    weight: p.calls_weight,
+                    wants: more,
+                    most,
+                }
             })
             .collect()
     }
@@ -531,22 +653,47 @@
     fn run_places(&self, workers: usize, calls: &[usize]) -> Vec<usize> {
         let weights: f64 = self.plan.pools.iter().map(|p| p.weight).sum();
         let away = |p: &Pool| self.sum(&p.handlers, |l| l.at_call + l.calling);
-        let rest = workers.saturating_sub(self.plan.pools.iter().map(away).sum()).max(1);
+        let rest = workers
+            .saturating_sub(self.plan.pools.iter().map(away).sum())
+            .max(1);
         let wants: Vec<Want> = self
             .plan
             .pools
             .iter()
             .zip(calls)
             .map(|(p, calls)| {
-                let must = p.handlers.iter().all(|h| self.kinds[*h].calls == Calls::Must);
-                let own = (self.plan.cores as f64 * p.weight / weights.max(1e-9)).ceil().max(1.0) as usize;
-                let bound = if must { calls.saturating_add(own) } else { usize::MAX };
-                let most = p.runs.unwrap_or(usize::MAX).min(bound).max(1).saturating_sub(away(p));
-                Want { weight: p.weight, wants: self.sum(&p.handlers, |l| l.held + l.running), most }
+                let must = p
+                    .handlers
+                    .iter()
+                    .all(|h| self.kinds[*h].calls == Calls::Must);
+                let own = (self.plan.cores as f64 * p.weight / weights.max(1e-9))
+                    .ceil()
+                    .max(1.0) as usize;
+                let bound = if must {
+                    calls.saturating_add(own)
+                } else {
+                    usize::MAX
+                };
+                let most = p
+                    .runs
+                    .unwrap_or(usize::MAX)
+                    .min(bound)
+                    .max(1)
+                    .saturating_sub(away(p));
+                Want {
+                    weight: p.weight,
+                    wants: self.sum(&p.handlers, |l| l.held + l.running),
+                    most,
+                }
             })
             .collect();
         let places = share::ceilings(rest, &wants);
-        self.plan.pools.iter().zip(places).map(|(p, n)| away(p) + n).collect()
+        self.plan
+            .pools
+            .iter()
+            .zip(places)
+            .map(|(p, n)| away(p) + n)
+            .collect()
     }
 
     /// The time between two starts of a pool whose reqs are held though workers are free: its places, as many
@@ -558,7 +705,9 @@
         if self.sum(handlers, |l| l.held) == 0 || all + 1 > workers || runs == 0 {
             return Duration::ZERO;
         }
-        let stay = handlers.iter().map(|h| self.loads[*h].run.unwrap_or(0.0) * self.loads[*h].runs() as f64);
+        let stay = handlers
+            .iter()
+            .map(|h| self.loads[*h].run.unwrap_or(0.0) * self.loads[*h].runs() as f64);
         let mean = stay.sum::<f64>() / runs as f64;
         Duration::from_secs_f64(mean / self.usual[at].max(1.0)).min(TURN_MOST)
     }
@@ -578,20 +727,42 @@
     fn outside(&self, workers: usize, below: usize) -> Option<Ceiling> {
         let part = self.plan.reserve.as_ref()?.part;
         let own = |h: &usize| self.reserved.contains(h);
-        let kept = |total: usize| ((part * total as f64).ceil() as usize).min(total.saturating_sub(1));
-        let shortest = self.reserved.iter().filter_map(|h| self.loads[*h].run).fold(f64::MAX, f64::min);
+        let kept =
+            |total: usize| ((part * total as f64).ceil() as usize).min(total.saturating_sub(1));
+        let shortest = self
+            .reserved
+            .iter()
+            .filter_map(|h| self.loads[*h].run)
+            .fold(f64::MAX, f64::min);
         let short = |h: &usize| {
             self.kinds[*h].calls == Calls::Never
                 && self.loads[*h].run.is_some_and(|r| r <= AS_SHORT * shortest)
         };
-        let handlers: Vec<usize> = (0..self.kinds.len()).filter(|h| !own(h) && !short(h)).collect();
-        let callers = self.reserved.iter().any(|h| self.kinds[*h].calls != Calls::Never);
-        let calls = if below == usize::MAX || !callers { below } else { below - kept(below) };
-        Some(Ceiling { handlers, runs: workers - kept(workers), calls, turn: Duration::ZERO })
+        let handlers: Vec<usize> = (0..self.kinds.len())
+            .filter(|h| !own(h) && !short(h))
+            .collect();
+        let callers = self
+            .reserved
+            .iter()
+            .any(|h| self.kinds[*h].calls != Calls::Never);
+        let calls = if below == usize::MAX || !callers {
+            below
+        } else {
+            below - kept(below)
+        };
+        Some(Ceiling {
+            handlers,
+            runs: workers - kept(workers),
+            calls,
+            turn: Duration::ZERO,
+        })
     }
 }
 
 /// The limit that a handler's calls are under.
 fn limit_of(limits: &mut [Below], handler: usize) -> Option<&mut Limit> {
-    limits.iter_mut().find(|b| b.handlers.contains(&handler)).map(|b| &mut b.limit)
+    limits
+        .iter_mut()
+        .find(|b| b.handlers.contains(&handler))
+        .map(|b| &mut b.limit)
 }
--- a/crates/concurrency/src/limit.rs
+++ b/crates/concurrency/src/limit.rs
@@ -150,7 +150,10 @@
 
 impl Epoch {
     fn from(since: Timestamp) -> Epoch {
-        Epoch { since, ..Epoch::default() }
+        Epoch {
+            since,
+            ..Epoch::default()
+        }
     }
 
     fn ends(&self) -> u32 {
@@ -162,7 +165,14 @@
         let n = f64::from(self.good.max(1));
         let mean = self.secs / n;
         let spread = (self.squares / n - mean * mean).max(0.0).sqrt();
-        (mean, if self.good < 3 { mean * 0.5 } else { spread / (n - 1.0).sqrt() })
+        (
+            mean,
+            if self.good < 3 {
+                mean * 0.5
+            } else {
+                spread / (n - 1.0).sqrt()
+            },
+        )
     }
 }
 
@@ -274,7 +284,12 @@
         match self.health {
             Health::Resting { .. } => 0,
             Health::Trying { .. } => 1 + self.more,
-            Health::Well => (self.now as usize).saturating_sub(self.lingering.len()).max(1) + self.more,
+            Health::Well => {
+                (self.now as usize)
+                    .saturating_sub(self.lingering.len())
+                    .max(1)
+                    + self.more
+            }
         }
     }
 
@@ -283,7 +298,10 @@
         self.out += 1;
         self.moved = now;
         self.usual = self.usual.max(self.out as f64);
-        Ticket { at: now, among: self.out + self.lingering.len() }
+        Ticket {
+            at: now,
+            among: self.out + self.lingering.len(),
+        }
     }
 
     /// A call was wanted that the limit forbade.
@@ -335,7 +353,10 @@
         self.few.push_back((now, secs));
         let shortest = self.few.iter().map(|f| f.1).fold(f64::MAX, f64::min);
         let recent = self.few.front().is_some_and(|f| now - f.0 <= SPARSE_FOR);
-        if self.few.len() == SPARSE_SEEN && recent && self.base.is_some_and(|b| shortest > SLOWER * b) {
+        if self.few.len() == SPARSE_SEEN
+            && recent
+            && self.base.is_some_and(|b| shortest > SLOWER * b)
+        {
             self.base = Some(self.few.iter().map(|f| f.1).sum::<f64>() / SPARSE_SEEN as f64);
         }
     }
@@ -362,14 +383,19 @@
             self.epoch = Epoch::from(now);
             return Some((0.0, Cause::Tried));
         }
-        if self.out >= self.allowed() && self.out > 0 && now - self.moved >= HUNG && self.more < HUNG_MORE {
+        if self.out >= self.allowed()
+            && self.out > 0
+            && now - self.moved >= HUNG
+            && self.more < HUNG_MORE
+        {
             (self.more, self.moved) = (self.more + 1, now);
         }
         let passed = now - self.epoch.since;
         let trying = matches!(self.health, Health::Trying { .. });
-        let enough = f64::from(self.epoch.ends()) >= (self.now * SEEN_PART).clamp(SEEN_LEAST, SEEN_MOST);
-        let due =
-            (enough && passed >= EPOCH_LEAST) || (self.epoch.ends() > 0 && (passed >= EPOCH_MOST || trying));
+        let enough =
+            f64::from(self.epoch.ends()) >= (self.now * SEEN_PART).clamp(SEEN_LEAST, SEEN_MOST);
+        let due = (enough && passed >= EPOCH_LEAST)
+            || (self.epoch.ends() > 0 && (passed >= EPOCH_MOST || trying));
         if !due {
             return None;
         }
@@ -425,10 +451,19 @@
             self.asked.0 = self.asked.0.max(TRIAL_ASKS * ASKS_MORE);
         }
         let ask = 1 + u32::from(surely > TRIAL_PLAIN * many);
-        self.asks = if surely > many && now >= self.calm.0 { self.asks + ask } else { 0 };
+        self.asks = if surely > many && now >= self.calm.0 {
+            self.asks + ask
+        } else {
+            0
+        };
         if self.asks >= self.asked.0 && self.now > 1.0 {
             self.asks = 0;
-            self.trial = Some(Trial { from: self.now, secs, error, among });
+            self.trial = Some(Trial {
+                from: self.now,
+                secs,
+                error,
+                among,
+            });
             let part = (TRIAL_ROOM * base / secs).clamp(TRIAL_DEEP, TRIAL_FLAT);
             self.now = (self.now.min(among.max(1.0)) * part).max(1.0);
             return Some(Cause::Crowded);
@@ -437,10 +472,18 @@
             self.now = (self.now * REGROW).min(self.borne);
             return Some(Cause::Wanted);
         }
-        self.few_asks = if e.full && queue < few { self.few_asks + 1 } else { 0 };
+        self.few_asks = if e.full && queue < few {
+            self.few_asks + 1
+        } else {
+            0
+        };
         if self.few_asks > 0 && self.few_asks >= self.asked.0 / ASKS_MORE {
             // Where calls take no longer than alone there is more room than that.
-            let part = if secs < UNCROWDED * base { GROW_FREE } else { GROW };
+            let part = if secs < UNCROWDED * base {
+                GROW_FREE
+            } else {
+                GROW
+            };
             self.now += (self.now * part).max(GROW_LEAST);
             self.borne = self.borne.max(self.now.min(self.most));
             return Some(Cause::Wanted);
@@ -450,7 +493,11 @@
 
     /// What a cut on trial has shown.
     fn tried(
-        &mut self, now: Timestamp, trial: &Trial, (secs, error): (f64, f64), among: f64,
+        &mut self,
+        now: Timestamp,
+        trial: &Trial,
+        (secs, error): (f64, f64),
+        among: f64,
     ) -> Option<Cause> {
         let if_queued = trial.secs * (among / trial.among).min(1.0);
         let fallen = trial.secs - secs - (error * error + trial.error * trial.error).sqrt();
@@ -463,7 +510,10 @@
         self.asked = ((self.asked.0 * ASKS_MORE).min(ASKS_MOST), secs);
         self.now = trial.from;
         self.base = Some(secs);
-        self.calm = (now + self.calm.1, (self.calm.1 + self.calm.1).min(CALM_MOST));
+        self.calm = (
+            now + self.calm.1,
+            (self.calm.1 + self.calm.1).min(CALM_MOST),
+        );
         Some(Cause::Slower)
     }
 
@@ -480,7 +530,10 @@
             // Spread, so that servers which saw the same failure do not come back together.
             let spread = 1.0 - REST_SPREAD * 0.5 + REST_SPREAD * self.chance.rand_float();
             let until = now + rest.mul_f64(spread);
-            self.health = Health::Resting { until, next: (rest + rest).min(REST_MOST) };
+            self.health = Health::Resting {
+                until,
+                next: (rest + rest).min(REST_MOST),
+            };
             return Cause::Resting;
         }
         Cause::Failing
--- a/crates/concurrency/src/share.rs
+++ b/crates/concurrency/src/share.rs
@@ -44,5 +44,9 @@
 pub fn ceilings(total: usize, pools: &[Want]) -> Vec<usize> {
     let given = divide(total, pools);
     let idle = total - given.iter().sum::<usize>();
-    pools.iter().zip(given).map(|(p, g)| (g + idle).min(p.most)).collect()
+    pools
+        .iter()
+        .zip(given)
+        .map(|(p, g)| (g + idle).min(p.most))
+        .collect()
 }
--- a/crates/concurrency/tests/limit.rs
+++ b/crates/concurrency/tests/limit.rs
@@ -16,15 +16,31 @@
 }
 
 fn with(mode: Mode) -> World {
-    World { script: vec![(TROUBLE, mode), (OVER, Mode::Slow(1.0))], ..World::default() }
+    World {
+        script: vec![(TROUBLE, mode), (OVER, Mode::Slow(1.0))],
+        ..World::default()
+    }
 }
 
 /// What the limit and a fixed one at the share came to, summed over seeds.
 fn both(world: &World, most: f64, what: impl Fn(&Seen) -> f64) -> (f64, f64) {
     let sum = |way: &dyn Fn() -> Box<dyn Way>| -> f64 {
-        (0..10).map(|seed| what(&play(&World { seed, ..world.clone() }, &mut *way()))).sum()
+        (0..10)
+            .map(|seed| {
+                what(&play(
+                    &World {
+                        seed,
+                        ..world.clone()
+                    },
+                    &mut *way(),
+                ))
+            })
+            .sum()
     };
-    (sum(&|| Box::new(limit(most))), sum(&|| Box::new(Fixed(most))))
+    (
+        sum(&|| Box::new(limit(most))),
+        sum(&|| Box::new(Fixed(most))),
+    )
 }
 
 /// A slow-down is no reason for fewer calls: as much is done as the slots allow.
@@ -32,9 +48,16 @@
 fn slower_is_not_crowded() {
     for times in [2.0, 7.0, 20.0] {
         for (spread, others) in [(0.3, 0), (1.0, 0), (0.3, 3)] {
-            let world = World { spread, others, ..with(Mode::Slow(times)) };
+            let world = World {
+                spread,
+                others,
+                ..with(Mode::Slow(times))
+            };
             let (own, fixed) = both(&world, MOST, |s| f64::from(s.done(TROUBLE, OVER)));
-            assert!(own > 0.9 * fixed, "{times} times slower, spread {spread}: {own} of {fixed}");
+            assert!(
+                own > 0.9 * fixed,
+                "{times} times slower, spread {spread}: {own} of {fixed}"
+            );
         }
     }
 }
@@ -43,11 +66,21 @@
 /// is done for it.
 #[test]
 fn crowded_is_seen() {
-    let world = World { thrash: 0.5, per_second: 300.0, ..with(Mode::Slow(7.0)) };
+    let world = World {
+        thrash: 0.5,
+        per_second: 300.0,
+        ..with(Mode::Slow(7.0))
+    };
     let (own, fixed) = both(&world, 40.0, |s| f64::from(s.done(TROUBLE, OVER)));
-    assert!(own > 1.5 * fixed, "{own} done of {fixed} at the fixed limit");
+    assert!(
+        own > 1.5 * fixed,
+        "{own} done of {fixed} at the fixed limit"
+    );
     let (own, fixed) = both(&world, 40.0, |s| s.peak(OVER - 2_000, OVER) as f64);
-    assert!(own < 0.7 * fixed, "{own} in hand, {fixed} at the fixed limit");
+    assert!(
+        own < 0.7 * fixed,
+        "{own} in hand, {fixed} at the fixed limit"
+    );
 }
 
 /// Whatever the share, from too small to ten times too large: once calls are slow the limit comes to what the
@@ -58,14 +91,32 @@
         let (mut level, mut done, mut fixed) = (0.0, 0.0, 0.0);
         for seed in 0..10 {
             let script = vec![(TROUBLE, Mode::Slow(20.0)), (OVER, Mode::Slow(1.0))];
-            let world = World { seed, per_second: 90.0, hands: 15, script, ..World::default() };
+            let world = World {
+                seed,
+                per_second: 90.0,
+                hands: 15,
+                script,
+                ..World::default()
+            };
             let seen = play(&world, &mut limit(most));
-            level += seen.between(TROUBLE + 3_000, OVER).iter().map(|r| r.0).sum::<f64>() / 500.0 / 10.0;
+            level += seen
+                .between(TROUBLE + 3_000, OVER)
+                .iter()
+                .map(|r| r.0)
+                .sum::<f64>()
+                / 500.0
+                / 10.0;
             done += f64::from(seen.done(TROUBLE, OVER));
             fixed += f64::from(play(&world, &mut Fixed(most.min(8.0))).done(TROUBLE, OVER));
         }
-        assert!(level <= 14.0 && level >= 0.8 * most.min(5.0), "share {most}: {level:.1}");
-        assert!(done > 0.85 * fixed, "share {most}: {done} done, {fixed} by as many as there are slots");
+        assert!(
+            level <= 14.0 && level >= 0.8 * most.min(5.0),
+            "share {most}: {level:.1}"
+        );
+        assert!(
+            done > 0.85 * fixed,
+            "share {most}: {done} done, {fixed} by as many as there are slots"
+        );
     }
 }
 
@@ -77,8 +128,14 @@
         assert!(own > 0.9 * fixed, "after {mode:?}: {own} of {fixed}");
         for seed in 0..10 {
             let seen = play(&World { seed, ..with(mode) }, &mut limit(MOST));
-            assert!(seen.done(OVER, OVER + 2_000) > 0, "after {mode:?}, seed {seed}");
-            assert!(seen.peak(OVER, OVER + 2_000) <= MOST as usize + 8, "no stampede: {mode:?}, seed {seed}");
+            assert!(
+                seen.done(OVER, OVER + 2_000) > 0,
+                "after {mode:?}, seed {seed}"
+            );
+            assert!(
+                seen.peak(OVER, OVER + 2_000) <= MOST as usize + 8,
+                "no stampede: {mode:?}, seed {seed}"
+            );
         }
     }
 }
@@ -86,14 +143,19 @@
 /// What fails fast is not fed as if it were quick.
 #[test]
 fn fast_failures_draw_few_calls() {
-    let (own, fixed) = both(&with(Mode::Fails), MOST, |s| f64::from(s.failed(TROUBLE, OVER)));
+    let (own, fixed) = both(&with(Mode::Fails), MOST, |s| {
+        f64::from(s.failed(TROUBLE, OVER))
+    });
     assert!(own < 0.3 * fixed, "{own} failed, {fixed} without");
 }
 
 /// A cold one, slow from the start, is not taken for crowded, and its getting warm is seen.
 #[test]
 fn a_cold_one() {
-    let world = World { script: vec![(0, Mode::Slow(20.0)), (8_000, Mode::Slow(1.0))], ..World::default() };
+    let world = World {
+        script: vec![(0, Mode::Slow(20.0)), (8_000, Mode::Slow(1.0))],
+        ..World::default()
+    };
     let (own, fixed) = both(&world, MOST, |s| f64::from(s.done(0, 8_000)));
     assert!(own > 0.93 * fixed, "{own} of {fixed} while cold");
     let (own, fixed) = both(&world, MOST, |s| f64::from(s.done(8_000, 10_000)));
@@ -108,12 +170,22 @@
     for seed in 0..24 {
         for times in [2.0, 7.0, 20.0] {
             for slots in [4, 8, 11] {
-                let world = World { seed, slots, ..with(Mode::Slow(times)) };
+                let world = World {
+                    seed,
+                    slots,
+                    ..with(Mode::Slow(times))
+                };
                 let seen = play(&world, &mut limit(MOST));
                 worlds += 2;
-                for swing in [seen.swing(TROUBLE + 3_000, OVER), seen.swing(OVER + 3_000, 20_000)] {
+                for swing in [
+                    seen.swing(TROUBLE + 3_000, OVER),
+                    seen.swing(OVER + 3_000, 20_000),
+                ] {
                     late += u32::from(swing >= 0.2);
-                    assert!(swing < 1.0, "seed {seed}, {times} times slower, {slots} slots: {swing}");
+                    assert!(
+                        swing < 1.0,
+                        "seed {seed}, {times} times slower, {slots} slots: {swing}"
+                    );
                 }
             }
         }
@@ -153,7 +225,12 @@
         let now = n * 20;
         let ticket = limit.made(at(now));
         // Every call seems to take a second, since this process reads late.
-        limit.over(at(now + if n < 100 { 15 } else { 1_000 }), ticket, End::Good, n >= 100);
+        limit.over(
+            at(now + if n < 100 { 15 } else { 1_000 }),
+            ticket,
+            End::Good,
+            n >= 100,
+        );
         limit.wanted();
         limit.tick(at(now + 19));
     }
@@ -188,7 +265,12 @@
 }
 
 fn step() -> impl Strategy<Value = Step> {
-    let end = prop_oneof![Just(End::Good), Just(End::Bad), Just(End::GivenUp), Just(End::Dropped)];
+    let end = prop_oneof![
+        Just(End::Good),
+        Just(End::Bad),
+        Just(End::GivenUp),
+        Just(End::Dropped)
+    ];
     prop_oneof![
         3 => Just(Step::Make),
         3 => (any::<u8>(), end).prop_map(|(n, e)| Step::End(n, e)),
@@ -200,7 +282,12 @@
 /// The same cases each time.
 fn seeded(cases: u32) -> ProptestConfig {
     let rng_seed = proptest::test_runner::RngSeed::Fixed(7);
-    ProptestConfig { cases, rng_seed, failure_persistence: None, ..ProptestConfig::default() }
+    ProptestConfig {
+        cases,
+        rng_seed,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
 }
 
 proptest! {
--- a/crates/concurrency/tests/model/mod.rs
+++ b/crates/concurrency/tests/model/mod.rs
@@ -68,7 +68,15 @@
         None
     }
     fn wanted(&mut self) {}
-    fn over(&mut self, _now: Timestamp, _ticket: Option<Ticket>, _end: End, _took: Duration, _out: usize) {}
+    fn over(
+        &mut self,
+        _now: Timestamp,
+        _ticket: Option<Ticket>,
+        _end: End,
+        _took: Duration,
+        _out: usize,
+    ) {
+    }
     fn tick(&mut self, _now: Timestamp) {}
 }
 
@@ -94,7 +102,14 @@
     fn wanted(&mut self) {
         Limit::wanted(self);
     }
-    fn over(&mut self, now: Timestamp, ticket: Option<Ticket>, end: End, _took: Duration, _out: usize) {
+    fn over(
+        &mut self,
+        now: Timestamp,
+        ticket: Option<Ticket>,
+        end: End,
+        _took: Duration,
+        _out: usize,
+    ) {
         Limit::over(self, now, ticket.expect("made here"), end, false);
     }
     fn tick(&mut self, now: Timestamp) {
@@ -122,12 +137,18 @@
         rows.last().map_or(0, |r| r.3) - rows.first().map_or(0, |r| r.3)
     }
     pub fn peak(&self, from_ms: u64, to_ms: u64) -> usize {
-        self.between(from_ms, to_ms).iter().map(|r| r.1).max().unwrap_or(0)
+        self.between(from_ms, to_ms)
+            .iter()
+            .map(|r| r.1)
+            .max()
+            .unwrap_or(0)
     }
     /// The widest swing of the level, as a part of its mean.
     pub fn swing(&self, from_ms: u64, to_ms: u64) -> f64 {
         let levels: Vec<f64> = self.between(from_ms, to_ms).iter().map(|r| r.0).collect();
-        let (low, high) = levels.iter().fold((f64::MAX, 0.0f64), |(l, h), v| (l.min(*v), h.max(*v)));
+        let (low, high) = levels
+            .iter()
+            .fold((f64::MAX, 0.0f64), |(l, h), v| (l.min(*v), h.max(*v)));
         (high - low) / (levels.iter().sum::<f64>() / levels.len() as f64)
     }
 }
@@ -211,7 +232,13 @@
             out += 1;
             let odd = -(1.0 - chance.rand_float()).ln();
             let left = world.call_ms * (1.0 - world.spread + world.spread * odd);
-            calls.push_back(Call { ticket: way.made(at(ms)), at: ms, left, given_up: None, fails: false });
+            calls.push_back(Call {
+                ticket: way.made(at(ms)),
+                at: ms,
+                left,
+                given_up: None,
+                fails: false,
+            });
         }
         if !waiting.is_empty() && out < world.hands {
             way.wanted();
--- a/crates/concurrency/tests/pools.rs
+++ b/crates/concurrency/tests/pools.rs
@@ -21,11 +21,26 @@
 }
 
 fn pool(name: &str, handlers: &[usize], weight: f64) -> Pool {
-    Pool { name: name.into(), handlers: handlers.to_vec(), weight, calls_weight: weight, ..Pool::default() }
+    Pool {
+        name: name.into(),
+        handlers: handlers.to_vec(),
+        weight,
+        calls_weight: weight,
+        ..Pool::default()
+    }
 }
 
 fn pools(plan: Plan) -> Pools {
-    Pools::new(at(0), 1, Plan { share: Some(8.0), cores: 4, ..plan }, &kinds())
+    Pools::new(
+        at(0),
+        1,
+        Plan {
+            share: Some(8.0),
+            cores: 4,
+            ..plan
+        },
+        &kinds(),
+    )
 }
 
 fn three(weights: [f64; 3]) -> Vec<Pool> {
@@ -60,14 +75,20 @@
 /// An engine that never ends a run at a call, whose req is long answered, keeps no place of a pool for good.
 #[test]
 fn a_place_has_a_term() {
-    let mut pools = pools(Plan { pools: three([1.0; 3]), ..Plan::default() });
+    let mut pools = pools(Plan {
+        pools: three([1.0; 3]),
+        ..Plan::default()
+    });
     running(&mut pools, 0, 1..11, BOOK);
     (1..11).for_each(|id| pools.stage(at(10), id, BOOK, Stage::AtCall));
     held(&mut pools, 20..60, SEARCH);
     assert_eq!(of(&mut pools, 20, 12.0, 0).runs, 2);
     (1..11).for_each(|id| pools.answered(at(1_000), id));
     assert_eq!(of(&mut pools, 2_999, 12.0, 0).runs, 2);
-    assert_eq!((of(&mut pools, 3_000, 12.0, 0).runs, pools.hung()), (12, 10));
+    assert_eq!(
+        (of(&mut pools, 3_000, 12.0, 0).runs, pools.hung()),
+        (12, 10)
+    );
     // Those that end after all were counted before.
     (1..11).for_each(|id| pools.over(at(4_000), id));
     assert_eq!((of(&mut pools, 4_000, 12.0, 0).runs, pools.hung()), (12, 0));
@@ -75,21 +96,54 @@
 
 #[test]
 fn places_are_divided_by_weight() {
-    let want = |weight, wants| Want { weight, wants, most: usize::MAX };
-    assert_eq!(divide(12, &[want(1.0, 99), want(2.0, 99), want(3.0, 99)]), [2, 4, 6]);
+    let want = |weight, wants| Want {
+        weight,
+        wants,
+        most: usize::MAX,
+    };
+    assert_eq!(
+        divide(12, &[want(1.0, 99), want(2.0, 99), want(3.0, 99)]),
+        [2, 4, 6]
+    );
     // What one leaves over goes to the others, and nobody gets more than it wants or may have.
-    assert_eq!(divide(12, &[want(1.0, 99), want(2.0, 1), want(3.0, 99)]), [3, 1, 8]);
-    assert_eq!(divide(12, &[Want { most: 1, ..want(1.0, 99) }, want(1.0, 99)]), [1, 11]);
+    assert_eq!(
+        divide(12, &[want(1.0, 99), want(2.0, 1), want(3.0, 99)]),
+        [3, 1, 8]
+    );
+    assert_eq!(
+        divide(
+            12,
+            &[
+                Want {
+                    most: 1,
+                    ..want(1.0, 99)
+                },
+                want(1.0, 99)
+            ]
+        ),
+        [1, 11]
+    );
     // One each before a second for anyone; the weightless get what is left.
-    assert_eq!(divide(3, &[want(1.0, 9), want(100.0, 9), want(0.0, 9)]), [1, 2, 0]);
-    assert_eq!(divide(3, &[want(1.0, 1), want(1.0, 1), want(0.0, 9)]), [1, 1, 1]);
+    assert_eq!(
+        divide(3, &[want(1.0, 9), want(100.0, 9), want(0.0, 9)]),
+        [1, 2, 0]
+    );
+    assert_eq!(
+        divide(3, &[want(1.0, 1), want(1.0, 1), want(0.0, 9)]),
+        [1, 1, 1]
+    );
     assert_eq!(ceilings(5, &[want(1.0, 1), want(1.0, 0)]), [5, 4]);
 }
 
 /// The same cases each time.
 fn seeded(cases: u32) -> ProptestConfig {
     let rng_seed = proptest::test_runner::RngSeed::Fixed(7);
-    ProptestConfig { cases, rng_seed, failure_persistence: None, ..ProptestConfig::default() }
+    ProptestConfig {
+        cases,
+        rng_seed,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
 }
 
 proptest! {
@@ -127,27 +181,45 @@
 /// What one leaves idle another borrows, and the loan ends as soon as the owner comes.
 #[test]
 fn idle_places_are_lent_and_given_back() {
-    let mut p = pools(Plan { pools: three([1.0; 3]), ..Plan::default() });
+    let mut p = pools(Plan {
+        pools: three([1.0; 3]),
+        ..Plan::default()
+    });
     held(&mut p, 0..30, QUOTE);
     assert_eq!(of(&mut p, 1, 12.0, 1).runs, 12);
     running(&mut p, 1, 0..12, QUOTE);
     assert_eq!(of(&mut p, 2, 12.0, 1).runs, 12);
     held(&mut p, 100..130, SEARCH);
     // From now on every run that ends makes room for a search until each has its half.
-    assert_eq!((of(&mut p, 3, 12.0, 0).runs, of(&mut p, 3, 12.0, 1).runs), (6, 6));
+    assert_eq!(
+        (of(&mut p, 3, 12.0, 0).runs, of(&mut p, 3, 12.0, 1).runs),
+        (6, 6)
+    );
 }
 
 /// Pools that empty and fill in turn: each has all there is while it is alone, and its weight's part when
 /// not.
 #[test]
 fn pools_empty_and_fill_in_turn() {
-    let mut p = pools(Plan { pools: three([1.0, 3.0, 0.0]), ..Plan::default() });
+    let mut p = pools(Plan {
+        pools: three([1.0, 3.0, 0.0]),
+        ..Plan::default()
+    });
     for turn in 0..20u64 {
-        let (ids, more) = (turn * 1_000..turn * 1_000 + 40, turn * 1_000 + 500..turn * 1_000 + 540);
+        let (ids, more) = (
+            turn * 1_000..turn * 1_000 + 40,
+            turn * 1_000 + 500..turn * 1_000 + 540,
+        );
         held(&mut p, ids.clone(), SEARCH);
         assert_eq!(of(&mut p, turn, 16.0, 0).runs, 16);
         held(&mut p, more.clone(), QUOTE);
-        assert_eq!((of(&mut p, turn, 16.0, 0).runs, of(&mut p, turn, 16.0, 1).runs), (4, 12));
+        assert_eq!(
+            (
+                of(&mut p, turn, 16.0, 0).runs,
+                of(&mut p, turn, 16.0, 1).runs
+            ),
+            (4, 12)
+        );
         ids.clone().for_each(|id| p.over(at(turn), id));
         assert_eq!(of(&mut p, turn, 16.0, 1).runs, 16);
         more.for_each(|id| p.over(at(turn), id));
@@ -158,7 +230,10 @@
 /// Runs that stand at calls take no part in the division of the cores, and are no more than the calls allow.
 #[test]
 fn runs_at_calls_leave_the_cores_to_the_others() {
-    let mut p = pools(Plan { pools: three([1.0; 3]), ..Plan::default() });
+    let mut p = pools(Plan {
+        pools: three([1.0; 3]),
+        ..Plan::default()
+    });
     held(&mut p, 0..50, BOOK);
     held(&mut p, 100..150, QUOTE);
     for id in 0..8 {
@@ -168,7 +243,10 @@
     }
     let (book, quote) = (of(&mut p, 2, 14.0, 2), of(&mut p, 2, 14.0, 1));
     // Eight calls and at most two on the cores, of a third of four; the rest is the quotes'.
-    assert_eq!((book.runs, book.calls, quote.runs, quote.calls), (10, 8, 4, 0));
+    assert_eq!(
+        (book.runs, book.calls, quote.runs, quote.calls),
+        (10, 8, 4, 0)
+    );
 }
 
 /// Calls that may be left out yield to those that must be made, weight for weight.
@@ -176,28 +254,43 @@
 fn calls_are_divided_by_their_own_weights() {
     let mut plan = three([1.0; 3]);
     plan[0].calls_weight = 0.0;
-    let mut p = pools(Plan { pools: plan, ..Plan::default() });
+    let mut p = pools(Plan {
+        pools: plan,
+        ..Plan::default()
+    });
     running(&mut p, 1, 0..4, SEARCH);
     assert_eq!(of(&mut p, 1, 8.0, 0).calls, 8);
     held(&mut p, 100..104, BOOK);
     assert_eq!(of(&mut p, 1, 8.0, 0).calls, 4);
     held(&mut p, 104..120, BOOK);
-    assert_eq!((of(&mut p, 1, 8.0, 0).calls, of(&mut p, 1, 8.0, 2).calls), (0, 8));
+    assert_eq!(
+        (of(&mut p, 1, 8.0, 0).calls, of(&mut p, 1, 8.0, 2).calls),
+        (0, 8)
+    );
 }
 
 #[test]
 fn a_handler_in_no_pool_and_a_pool_of_one() {
-    let mut p = pools(Plan { pools: vec![pool("book", &[BOOK], 1.0)], ..Plan::default() });
+    let mut p = pools(Plan {
+        pools: vec![pool("book", &[BOOK], 1.0)],
+        ..Plan::default()
+    });
     // Search and quote are in a pool of their own by the name of rest.
     held(&mut p, 0..20, SEARCH);
     held(&mut p, 100..120, QUOTE);
     held(&mut p, 200..220, BOOK);
     let rest = of(&mut p, 1, 8.0, 1);
     assert_eq!((rest.handlers, rest.runs), (vec![SEARCH, QUOTE], 4));
-    assert_eq!(p.standing().map(|s| s.0).collect::<Vec<_>>(), ["book", "rest"]);
+    assert_eq!(
+        p.standing().map(|s| s.0).collect::<Vec<_>>(),
+        ["book", "rest"]
+    );
     // One worker: each pool may have it, and the module's own limit tells which.
     assert!((0..2).all(|n| of(&mut p, 1, 1.0, n).runs <= 1));
-    let mut one = pools(Plan { pools: vec![pool("all", &[SEARCH, QUOTE, BOOK], 1.0)], ..Plan::default() });
+    let mut one = pools(Plan {
+        pools: vec![pool("all", &[SEARCH, QUOTE, BOOK], 1.0)],
+        ..Plan::default()
+    });
     held(&mut one, 0..20, QUOTE);
     assert_eq!(of(&mut one, 1, 8.0, 0).runs, 8);
 }
@@ -206,17 +299,28 @@
 fn the_operators_own_bounds_hold() {
     let mut plan = three([1.0; 3]);
     (plan[1].runs, plan[2].calls) = (Some(2), Some(3));
-    let mut p = pools(Plan { pools: plan, ..Plan::default() });
+    let mut p = pools(Plan {
+        pools: plan,
+        ..Plan::default()
+    });
     held(&mut p, 0..20, QUOTE);
     held(&mut p, 100..120, BOOK);
-    assert_eq!((of(&mut p, 1, 12.0, 1).runs, of(&mut p, 1, 12.0, 2).calls), (2, 3));
+    assert_eq!(
+        (of(&mut p, 1, 12.0, 1).runs, of(&mut p, 1, 12.0, 2).calls),
+        (2, 3)
+    );
 }
 
 /// The share of what lies below is under one call: quick calls may still go together, and the module's
 /// account keeps their mean within it.
 #[test]
 fn a_share_under_one_call() {
-    let plan = Plan { pools: three([1.0; 3]), share: Some(0.4), cores: 4, ..Plan::default() };
+    let plan = Plan {
+        pools: three([1.0; 3]),
+        share: Some(0.4),
+        cores: 4,
+        ..Plan::default()
+    };
     let mut p = Pools::new(at(0), 1, plan, &kinds());
     held(&mut p, 0..20, BOOK);
     assert_eq!(of(&mut p, 1, 12.0, 2).calls, 4);
@@ -225,7 +329,10 @@
 /// A req that waits for a core is no sign of what lies below.
 #[test]
 fn waiting_for_a_core_does_not_shrink_the_calls() {
-    let mut p = pools(Plan { pools: three([1.0; 3]), ..Plan::default() });
+    let mut p = pools(Plan {
+        pools: three([1.0; 3]),
+        ..Plan::default()
+    });
     for n in 0..200u64 {
         let now = n * 50;
         p.stage(at(now), n, BOOK, Stage::Running);
@@ -243,29 +350,44 @@
 }
 
 fn reserve(handlers: &[usize], part: f64) -> Option<Reserve> {
-    Some(Reserve { handlers: handlers.to_vec(), part })
+    Some(Reserve {
+        handlers: handlers.to_vec(),
+        part,
+    })
 }
 
 /// What does not belong to it, by the last ceiling: who, and how many runs.
 fn outside(p: &mut Pools, ms: u64, workers: f64) -> Ceiling {
-    p.ceilings(at(ms), workers).last().expect("one over what is outside").clone()
+    p.ceilings(at(ms), workers)
+        .last()
+        .expect("one over what is outside")
+        .clone()
 }
 
 #[test]
 fn the_reserve_is_kept_from_what_is_long() {
-    let mut p = pools(Plan { pools: three([1.0; 3]), reserve: reserve(&[QUOTE], 0.2), ..Plan::default() });
+    let mut p = pools(Plan {
+        pools: three([1.0; 3]),
+        reserve: reserve(&[QUOTE], 0.2),
+        ..Plan::default()
+    });
     measured(&mut p, QUOTE, 30);
     let found = outside(&mut p, 1, 10.0);
     assert_eq!((found.handlers, found.runs), (vec![SEARCH, BOOK], 8));
     // At least one, but never the last worker.
-    assert_eq!((outside(&mut p, 1, 2.0).runs, outside(&mut p, 1, 1.0).runs), (1, 1));
+    assert_eq!(
+        (outside(&mut p, 1, 2.0).runs, outside(&mut p, 1, 1.0).runs),
+        (1, 1)
+    );
 }
 
 /// Runs as short as the reserve's own may borrow it: wanted back, it is free within one run's time, since
 /// each place that ends goes to its owner before the borrower.
 #[test]
 fn a_borrowed_reserve_is_had_back_within_a_run() {
-    let never = [Kind { calls: Calls::Never }; 2];
+    let never = [Kind {
+        calls: Calls::Never,
+    }; 2];
     let plan = Plan {
         pools: vec![pool("own", &[0], 1.0), pool("short", &[1], 1.0)],
         reserve: reserve(&[0], 0.5),
@@ -285,13 +407,20 @@
     assert_eq!(of(&mut p, 101, 4.0, 1).runs, 4);
     // The owner comes: of four places two are its own as soon as the borrower's runs end.
     held(&mut p, 50..60, 0);
-    assert_eq!((of(&mut p, 102, 4.0, 0).runs, of(&mut p, 102, 4.0, 1).runs), (2, 2));
+    assert_eq!(
+        (of(&mut p, 102, 4.0, 0).runs, of(&mut p, 102, 4.0, 1).runs),
+        (2, 2)
+    );
 }
 
 /// None named, the one whose runs are shortest has it, and keeps it against one hardly shorter.
 #[test]
 fn the_cheapest_has_the_reserve() {
-    let mut p = pools(Plan { pools: three([1.0; 3]), reserve: reserve(&[], 0.1), ..Plan::default() });
+    let mut p = pools(Plan {
+        pools: three([1.0; 3]),
+        reserve: reserve(&[], 0.1),
+        ..Plan::default()
+    });
     assert!(p.reserved().is_empty());
     measured(&mut p, SEARCH, 50);
     measured(&mut p, QUOTE, 20);
@@ -308,7 +437,10 @@
 /// A pool held up by its ceilings tells the time between two of its starts; one that is not tells none.
 #[test]
 fn turns_are_told_where_ceilings_hold_up() {
-    let mut p = pools(Plan { pools: three([1.0; 3]), ..Plan::default() });
+    let mut p = pools(Plan {
+        pools: three([1.0; 3]),
+        ..Plan::default()
+    });
     measured(&mut p, BOOK, 800);
     held(&mut p, 0..20, BOOK);
     for id in 0..8 {
@@ -319,7 +451,10 @@
         p.ceilings(at(ms), 12.0);
     }
     let turn = of(&mut p, 3_000, 12.0, 2).turn;
-    assert!(turn > Duration::from_millis(95) && turn < Duration::from_millis(105), "{turn:?}");
+    assert!(
+        turn > Duration::from_millis(95) && turn < Duration::from_millis(105),
+        "{turn:?}"
+    );
     assert_eq!(of(&mut p, 3_000, 12.0, 1).turn, Duration::ZERO);
     // All workers busy: it is the cores that hold it up.
     assert_eq!(of(&mut p, 3_000, 8.0, 2).turn, Duration::ZERO);
@@ -386,8 +521,15 @@
 #[test]
 fn a_limit_for_each_of_what_lies_below() {
     let groups = vec![(vec![0], 0.5), (vec![2], 0.5)];
-    let mut p = pools(Plan { pools: three([1.0; 3]), groups, ..Plan::default() });
-    assert_eq!(p.limits().map(|l| (l.0.to_vec(), l.1)).collect::<Vec<_>>(), [(vec![0], 4.0), (vec![2], 4.0)]);
+    let mut p = pools(Plan {
+        pools: three([1.0; 3]),
+        groups,
+        ..Plan::default()
+    });
+    assert_eq!(
+        p.limits().map(|l| (l.0.to_vec(), l.1)).collect::<Vec<_>>(),
+        [(vec![0], 4.0), (vec![2], 4.0)]
+    );
     // All calls of the first hang, and are given up on.
     let mut id = 0;
     for ms in (0..6_000u64).step_by(50) {
@@ -397,7 +539,11 @@
             p.stage(at(ms), id, handler, Stage::Running);
             p.stage(at(ms), id, handler, Stage::AtCall);
             p.stage(at(ms), id, handler, Stage::Calling);
-            let end = if handler == 0 { End::GivenUp } else { End::Good };
+            let end = if handler == 0 {
+                End::GivenUp
+            } else {
+                End::Good
+            };
             p.call_over(at(ms + 20), id, end);
             p.over(at(ms + 21), id);
         }
@@ -407,7 +553,10 @@
     assert!(levels[0] < 2.0 && levels[1] > 3.0, "{levels:?}");
     let ceilings = p.ceilings(at(6_100), 20.0).to_vec();
     let of = |handler| {
-        let over = ceilings.iter().filter(|c| c.handlers.contains(&handler)).map(|c| c.calls);
+        let over = ceilings
+            .iter()
+            .filter(|c| c.handlers.contains(&handler))
+            .map(|c| c.calls);
         over.min().unwrap_or(usize::MAX)
     };
     assert!(of(0) < of(2) && of(2) >= 4, "{} and {}", of(0), of(2));
--- a/crates/idempotency-store/src/lib.rs
+++ b/crates/idempotency-store/src/lib.rs
@@ -123,7 +123,15 @@
                 self.names.insert(f.name, key);
             }
             self.lapses.insert((until, key));
-            self.former.insert(key, Former { print: f.print, until, name: f.name, state });
+            self.former.insert(
+                key,
+                Former {
+                    print: f.print,
+                    until,
+                    name: f.name,
+                    state,
+                },
+            );
         }
     }
 
@@ -134,7 +142,9 @@
 
     /// What a try hears, from what former lives left.
     pub fn judge(&mut self, key: Key, print: u64) -> Verdict {
-        let Some(former) = self.former.get(&key) else { return Verdict::Unknown };
+        let Some(former) = self.former.get(&key) else {
+            return Verdict::Unknown;
+        };
         if former.print != print {
             return Verdict::Unlike;
         }
@@ -152,7 +162,10 @@
 
     /// Whether one more promise may be made; else why not.
     pub fn may_promise(&mut self) -> Result<(), Refusal> {
-        let refusal = match (self.broken, self.disk + self.coming + PROMISE > self.disk_most) {
+        let refusal = match (
+            self.broken,
+            self.disk + self.coming + PROMISE > self.disk_most,
+        ) {
             (true, _) => Refusal::Broken,
             (false, true) => Refusal::Full,
             (false, false) => return Ok(()),
@@ -171,7 +184,15 @@
     /// Its run is to be sent once this is written.
     pub fn promise(&mut self, key: Key, print: u64, name: Name, until: Timestamp) -> Seq {
         self.promised += 1;
-        self.hand(Record::Intent { key, print, until: until_micros(until), name }, until)
+        self.hand(
+            Record::Intent {
+                key,
+                print,
+                until: until_micros(until),
+                name,
+            },
+            until,
+        )
     }
 
     /// Its run is over; its answer may leave once this is written.
@@ -179,7 +200,10 @@
         let room = (self.disk_most as f64 * RESULTS_PART) as u64;
         let kept = result.filter(|r| self.disk + self.coming + r.len() as u64 <= room);
         let record = match kept {
-            Some(result) => Record::Done { key, result: result.into() },
+            Some(result) => Record::Done {
+                key,
+                result: result.into(),
+            },
             None => Record::Errored { key },
         };
         self.hand(record, until)
@@ -193,8 +217,12 @@
     /// The engine tells of a run of a former life: once written its repeats are answered from it. False where
     /// no such run is known.
     pub fn came_back(&mut self, name: &Name, result: Option<&[u8]>) -> bool {
-        let Some(key) = self.names.remove(name) else { return false };
-        let Some(former) = self.former.get_mut(&key) else { return false };
+        let Some(key) = self.names.remove(name) else {
+            return false;
+        };
+        let Some(former) = self.former.get_mut(&key) else {
+            return false;
+        };
         former.state = State::Errored;
         let until = former.until;
         let fits = result.filter(|r| self.memory + r.len() <= self.memory_most);
--- a/crates/idempotency-store/src/log.rs
+++ b/crates/idempotency-store/src/log.rs
@@ -74,8 +74,18 @@
 /// Takes in one record of a former life.
 fn replay(found: &mut HashMap<Key, Found>, record: Record) {
     match record {
-        Record::Intent { key, print, until, name } => {
-            let fresh = Found { print, until, name, state: State::MayHaveRun };
+        Record::Intent {
+            key,
+            print,
+            until,
+            name,
+        } => {
+            let fresh = Found {
+                print,
+                until,
+                name,
+                state: State::MayHaveRun,
+            };
             let entry = found.entry(key).or_insert_with(|| fresh.clone());
             // A further intent without an end between belongs to the same run, or to none that is known to be
             // over: what is known of it stays.
@@ -95,7 +105,10 @@
             }
         }
         Record::Never { key } => {
-            if found.get(&key).is_some_and(|e| e.state == State::MayHaveRun) {
+            if found
+                .get(&key)
+                .is_some_and(|e| e.state == State::MayHaveRun)
+            {
                 found.remove(&key);
             }
         }
@@ -137,18 +150,36 @@
     /// Opens what a former life left. No time of a former life is trusted, since clocks step: what it left
     /// lasts for one more whole window from `now`, at the least. `disk` bounds all bytes; `window` is the
     /// longest.
-    pub fn open(storage: S, now: u64, disk: u64, window: u64) -> Result<(Log<S>, Recovery), String> {
+    pub fn open(
+        storage: S,
+        now: u64,
+        disk: u64,
+        window: u64,
+    ) -> Result<(Log<S>, Recovery), String> {
         let mut recovery = recover(&storage)?;
         let until = now.saturating_add(window);
         let sizes = std::mem::take(&mut recovery.sizes);
         let next = sizes.last().and_then(|s| number(&s.0)).map_or(0, |n| n + 1);
-        let closed = sizes.into_iter().map(|(name, bytes)| Segment { name, bytes, until }).collect();
+        let closed = sizes
+            .into_iter()
+            .map(|(name, bytes)| Segment { name, bytes, until })
+            .collect();
         for found in recovery.found.values_mut() {
             found.until = until;
         }
         let segment_most = (disk / SEGMENT_PART).max(4 << 10);
         let segment_for = (window / WINDOW_PART).max(1);
-        Ok((Log { storage, closed, current: None, next, segment_most, segment_for }, recovery))
+        Ok((
+            Log {
+                storage,
+                closed,
+                current: None,
+                next,
+                segment_most,
+                segment_for,
+            },
+            recovery,
+        ))
     }
 
     /// Bytes on the disk.
@@ -160,26 +191,36 @@
     /// Writes records and syncs them, all together. An error leaves open whether any of them lasts; the next
     /// go to a new segment.
     pub fn write(&mut self, now: u64, records: &[Lasting]) -> io::Result<()> {
-        let old =
-            |s: &(Segment, u64)| s.0.bytes >= self.segment_most || now >= s.1 || now + self.segment_for < s.1;
+        let old = |s: &(Segment, u64)| {
+            s.0.bytes >= self.segment_most || now >= s.1 || now + self.segment_for < s.1
+        };
         if let Some((segment, _)) = self.current.take_if(|s| old(s)) {
             self.closed.push_back(segment);
         }
         let mut bytes = vec![];
         if self.current.is_none() {
-            let segment = Segment { name: named(self.next), bytes: 0, until: 0 };
+            let segment = Segment {
+                name: named(self.next),
+                bytes: 0,
+                until: 0,
+            };
             self.next += 1;
             self.current = Some((segment, now + self.segment_for));
             record::head(&mut bytes);
         }
-        let Some((segment, _)) = &mut self.current else { return Ok(()) };
+        let Some((segment, _)) = &mut self.current else {
+            return Ok(());
+        };
         for (record, until) in records {
             record.write(&mut bytes);
             segment.until = segment.until.max(*until);
         }
         segment.bytes += bytes.len() as u64;
         let name = segment.name.clone();
-        let done = self.storage.append(&name, &bytes).and_then(|()| self.storage.sync(&name));
+        let done = self
+            .storage
+            .append(&name, &bytes)
+            .and_then(|()| self.storage.sync(&name));
         if done.is_err() {
             // Whatever of it lasts has to be aged out as the rest.
             self.closed.extend(self.current.take().map(|c| c.0));
@@ -190,7 +231,9 @@
     /// Drops the segments that have aged out, the oldest first; one that can't be removed is tried again.
     pub fn sweep(&mut self, now: u64) {
         while self.closed.front().is_some_and(|s| s.until < now) {
-            let Some(segment) = self.closed.pop_front() else { return };
+            let Some(segment) = self.closed.pop_front() else {
+                return;
+            };
             if let Err(e) = self.storage.remove(&segment.name)
                 && e.kind() != io::ErrorKind::NotFound
             {
@@ -230,7 +273,9 @@
                 }
             }
             Head::Torn => wrong.push(format!("{name}: is torn within its first {HEAD} bytes")),
-            Head::Newer(version) => wrong.push(format!("{name}: is of the newer version {version}")),
+            Head::Newer(version) => {
+                wrong.push(format!("{name}: is of the newer version {version}"))
+            }
             Head::Foreign => wrong.push(format!("{name}: is no segment of kept results")),
         }
     }
--- a/crates/idempotency-store/src/record.rs
+++ b/crates/idempotency-store/src/record.rs
@@ -70,7 +70,9 @@
         });
         to.extend_from_slice(&self.key().to_le_bytes());
         match self {
-            Record::Intent { print, until, name, .. } => {
+            Record::Intent {
+                print, until, name, ..
+            } => {
                 to.extend_from_slice(&print.to_le_bytes());
                 to.extend_from_slice(&until.to_le_bytes());
                 to.extend_from_slice(name);
@@ -119,7 +121,9 @@
 }
 
 pub fn read_head(bytes: &[u8]) -> Head {
-    let whole = bytes.get(..HEAD).filter(|h| crc32c::crc32c(&h[..8]).to_le_bytes() == h[8..]);
+    let whole = bytes
+        .get(..HEAD)
+        .filter(|h| crc32c::crc32c(&h[..8]).to_le_bytes() == h[8..]);
     match whole {
         Some(h) if h[..6] == *MAGIC => match u16::from_le_bytes([h[6], h[7]]) {
             version if version > VERSION => Head::Newer(version),
@@ -127,8 +131,16 @@
         },
         _ => {
             // Nulls stand for what a crash left unwritten.
-            let agree = bytes.iter().zip(MAGIC).filter(|(b, m)| b == m || **b == 0).count();
-            if agree >= AGREE.min(bytes.len()) { Head::Torn } else { Head::Foreign }
+            let agree = bytes
+                .iter()
+                .zip(MAGIC)
+                .filter(|(b, m)| b == m || **b == 0)
+                .count();
+            if agree >= AGREE.min(bytes.len()) {
+                Head::Torn
+            } else {
+                Head::Foreign
+            }
         }
     }
 }
@@ -153,7 +165,10 @@
             until: u64::from_le_bytes(rest[8..16].try_into().ok()?),
             name: rest[16..].try_into().ok()?,
         },
-        (2, _) => Record::Done { key, result: rest.into() },
+        (2, _) => Record::Done {
+            key,
+            result: rest.into(),
+        },
         (3, 0) => Record::Errored { key },
         (4, 0) => Record::Never { key },
         _ => return None,
--- a/crates/idempotency-store/src/storage.rs
+++ b/crates/idempotency-store/src/storage.rs
@@ -36,15 +36,30 @@
         if !folder.metadata().map_err(told)?.is_dir() {
             return Err(format!("{}: is no folder", folder.display()));
         }
-        let lock = OpenOptions::new().create(true).truncate(false).write(true).open(folder.join(LOCK));
+        let lock = OpenOptions::new()
+            .create(true)
+            .truncate(false)
+            .write(true)
+            .open(folder.join(LOCK));
         let lock = lock.map_err(told)?;
-        lock.try_lock().map_err(|_| format!("{}: another process has it", folder.display()))?;
-        Ok(Files { folder: folder.into(), open: HashMap::new(), fresh: false, _lock: Some(lock) })
+        lock.try_lock()
+            .map_err(|_| format!("{}: another process has it", folder.display()))?;
+        Ok(Files {
+            folder: folder.into(),
+            open: HashMap::new(),
+            fresh: false,
+            _lock: Some(lock),
+        })
     }
 
     /// A folder to be read only, whoever else has it.
     pub fn look(folder: &Path) -> Files {
-        Files { folder: folder.into(), open: HashMap::new(), fresh: false, _lock: None }
+        Files {
+            folder: folder.into(),
+            open: HashMap::new(),
+            fresh: false,
+            _lock: None,
+        }
     }
 }
 
@@ -68,15 +83,24 @@
 
     fn append(&mut self, name: &str, bytes: &[u8]) -> Result<()> {
         if !self.open.contains_key(name) {
-            let file = OpenOptions::new().create(true).append(true).open(self.folder.join(name))?;
+            let file = OpenOptions::new()
+                .create(true)
+                .append(true)
+                .open(self.folder.join(name))?;
             self.open.insert(name.into(), file);
             self.fresh = true;
         }
-        self.open.get_mut(name).ok_or(ErrorKind::NotFound)?.write_all(bytes)
+        self.open
+            .get_mut(name)
+            .ok_or(ErrorKind::NotFound)?
+            .write_all(bytes)
     }
 
     fn sync(&mut self, name: &str) -> Result<()> {
-        self.open.get(name).ok_or(ErrorKind::NotFound)?.sync_data()?;
+        self.open
+            .get(name)
+            .ok_or(ErrorKind::NotFound)?
+            .sync_data()?;
         if self.fresh {
             File::open(&self.folder)?.sync_all()?;
             self.fresh = false;
@@ -152,7 +176,14 @@
                     }
                 }
             }
-            left.files.insert(name.clone(), Kept { lasting: bytes, loose: vec![], known: true });
+            left.files.insert(
+                name.clone(),
+                Kept {
+                    lasting: bytes,
+                    loose: vec![],
+                    known: true,
+                },
+            );
         }
         left
     }
@@ -188,12 +219,21 @@
 
     fn append(&mut self, name: &str, bytes: &[u8]) -> Result<()> {
         self.step()?;
-        let used: usize = self.files.values().map(|f| f.lasting.len() + f.loose.len()).sum();
+        let used: usize = self
+            .files
+            .values()
+            .map(|f| f.lasting.len() + f.loose.len())
+            .sum();
         let room = self.room.map_or(usize::MAX, |r| r.saturating_sub(used));
         let file = self.files.entry(name.into()).or_default();
         // What fits is written before the disk is found full.
-        file.loose.extend_from_slice(&bytes[..bytes.len().min(room)]);
-        if bytes.len() > room { Err(ErrorKind::StorageFull.into()) } else { Ok(()) }
+        file.loose
+            .extend_from_slice(&bytes[..bytes.len().min(room)]);
+        if bytes.len() > room {
+            Err(ErrorKind::StorageFull.into())
+        } else {
+            Ok(())
+        }
     }
 
     fn sync(&mut self, name: &str) -> Result<()> {
@@ -215,6 +255,9 @@
 
     fn remove(&mut self, name: &str) -> Result<()> {
         self.step()?;
-        self.files.remove(name).map(|_| ()).ok_or_else(|| ErrorKind::NotFound.into())
+        self.files
+            .remove(name)
+            .map(|_| ())
+            .ok_or_else(|| ErrorKind::NotFound.into())
     }
 }
--- a/crates/idempotency-store/tests/crash.rs
+++ b/crates/idempotency-store/tests/crash.rs
@@ -16,11 +16,25 @@
 }
 
 fn intent(key: Key, until: u64) -> Lasting {
-    (Record::Intent { key, print: key as u64 + 7, until, name: [b'a'; 16] }, until)
+    (
+        Record::Intent {
+            key,
+            print: key as u64 + 7,
+            until,
+            name: [b'a'; 16],
+        },
+        until,
+    )
 }
 
 fn done(key: Key, result: &str, until: u64) -> Lasting {
-    (Record::Done { key, result: result.as_bytes().into() }, until)
+    (
+        Record::Done {
+            key,
+            result: result.as_bytes().into(),
+        },
+        until,
+    )
 }
 
 /// What the log should hold, by what was written and synced before.
@@ -34,7 +48,9 @@
                 self.0.entry(*key).or_insert(State::MayHaveRun);
             }
             Record::Done { key, result } => {
-                self.0.entry(*key).and_modify(|s| *s = State::Done(result.clone()));
+                self.0
+                    .entry(*key)
+                    .and_modify(|s| *s = State::Done(result.clone()));
             }
             Record::Errored { key } => {
                 self.0.entry(*key).and_modify(|s| *s = State::Errored);
@@ -58,8 +74,16 @@
 fn every_cut_and_every_torn_byte() {
     let mut log = open(Memory::default(), 1).0;
     let all: Vec<Lasting> = (0..12)
-        .flat_map(|k| [intent(k, WINDOW), done(k, &"r".repeat(k as usize * 3), WINDOW)])
-        .chain([(Record::Never { key: 77 }, 1), (Record::Errored { key: 5 }, 1)])
+        .flat_map(|k| {
+            [
+                intent(k, WINDOW),
+                done(k, &"r".repeat(k as usize * 3), WINDOW),
+            ]
+        })
+        .chain([
+            (Record::Never { key: 77 }, 1),
+            (Record::Errored { key: 5 }, 1),
+        ])
         .collect();
     log.write(2, &all).expect("written");
     let whole = log.storage().clone();
@@ -83,13 +107,19 @@
         log.write(4, &[intent(1_000, WINDOW)]).expect("written");
         let mut both = upto(at).clone();
         both.take(&intent(1_000, WINDOW).0);
-        assert_eq!(Plain::of(&open(log.storage().clone(), 5).1), both, "cut at {at}, then on");
+        assert_eq!(
+            Plain::of(&open(log.storage().clone(), 5).1),
+            both,
+            "cut at {at}, then on"
+        );
     }
     for at in 0..len {
         let mut bytes = whole.read(&name).expect("read");
         bytes[at] ^= 1;
         let mut torn = Memory::default();
-        torn.append(&name, &bytes).and_then(|()| torn.sync(&name)).expect("written");
+        torn.append(&name, &bytes)
+            .and_then(|()| torn.sync(&name))
+            .expect("written");
         assert_eq!(&Plain::of(&open(torn, 3).1), upto(at), "torn at {at}");
     }
 }
@@ -99,14 +129,20 @@
 #[test]
 fn what_was_not_synced_may_be_there_or_not() {
     let mut log = open(Memory::default(), 1).0;
-    log.write(2, &[intent(1, WINDOW), done(1, "one", WINDOW), intent(2, WINDOW)]).expect("written");
+    log.write(
+        2,
+        &[intent(1, WINDOW), done(1, "one", WINDOW), intent(2, WINDOW)],
+    )
+    .expect("written");
     let mut loose = vec![];
     let late = [done(2, "two", WINDOW), intent(3, WINDOW)];
     late.iter().for_each(|(r, _)| r.write(&mut loose));
     let name = log.storage().list().expect("listed").remove(0);
     log.storage_mut().append(&name, &loose).expect("appended");
     let mut plain = Plain::default();
-    [intent(1, 0), done(1, "one", 0), intent(2, 0)].iter().for_each(|(r, _)| plain.take(r));
+    [intent(1, 0), done(1, "one", 0), intent(2, 0)]
+        .iter()
+        .for_each(|(r, _)| plain.take(r));
     let first = late[0].0.size();
     let mut with_first = plain.clone();
     with_first.take(&late[0].0);
@@ -127,7 +163,10 @@
         assert_eq!(&found(Crash::Cut(n)), upto(n), "cut at {n}");
         // Nulls in place of the rest are no records; where the rest was nulls anyway nothing is lost.
         let nulls = found(Crash::Nulls(n));
-        assert!([&plain, &with_first, &with_both].contains(&&nulls), "nulls from {n}");
+        assert!(
+            [&plain, &with_first, &with_both].contains(&&nulls),
+            "nulls from {n}"
+        );
         assert!(n < first || nulls != plain, "nulls from {n}");
         if n < loose.len() {
             assert_eq!(&found(Crash::Torn(n)), upto(n), "torn at {n}");
@@ -144,7 +183,9 @@
         let mut crashed = log.storage().clone();
         let mut head = vec![];
         madderbay_idempotency_store::record::head(&mut head);
-        crashed.append("kept-0000000000000009", &head[..half]).expect("appended");
+        crashed
+            .append("kept-0000000000000009", &head[..half])
+            .expect("appended");
         let left = crashed.crashed(|_, _| Crash::Cut(half));
         let (mut next, found) = open(left, 3);
         assert_eq!(found.len(), 1);
@@ -158,19 +199,34 @@
 fn newer_and_foreign_files_are_told() {
     let with = |name: &str, bytes: &[u8]| {
         let mut memory = Memory::default();
-        memory.append(name, bytes).and_then(|()| memory.sync(name)).expect("written");
+        memory
+            .append(name, bytes)
+            .and_then(|()| memory.sync(name))
+            .expect("written");
         Log::open(memory, 1, DISK, WINDOW).map(|_| ()).unwrap_err()
     };
     let mut newer = vec![];
     madderbay_idempotency_store::record::head_of(2, &mut newer);
     let newer = with("kept-0000000000000000", &newer);
-    assert_eq!(newer, "kept-0000000000000000: is of version 2; this program knows 1");
+    assert_eq!(
+        newer,
+        "kept-0000000000000000: is of version 2; this program knows 1"
+    );
     let foreign = with("kept-0000000000000000", b"#!/bin/sh\n");
-    assert_eq!(foreign, "kept-0000000000000000: is no segment of kept results");
+    assert_eq!(
+        foreign,
+        "kept-0000000000000000: is no segment of kept results"
+    );
     // A file by another name is nobody's business but `verify`'s.
     let mut memory = Memory::default();
-    memory.append("notes.txt", b"x").and_then(|()| memory.sync("notes.txt")).expect("written");
-    assert_eq!(verify(&memory).expect("read"), ["notes.txt: is no file of kept results"]);
+    memory
+        .append("notes.txt", b"x")
+        .and_then(|()| memory.sync("notes.txt"))
+        .expect("written");
+    assert_eq!(
+        verify(&memory).expect("read"),
+        ["notes.txt: is no file of kept results"]
+    );
     assert!(open(memory, 1).1.is_empty());
 }
 
@@ -182,8 +238,15 @@
     log.write(2, &[intent(1, WINDOW)]).expect("written");
     for room in 0..120 {
         log.storage_mut().room = Some(room);
-        assert!(log.write(3, &[intent(2, WINDOW), done(2, &"x".repeat(300), WINDOW)]).is_err());
-        assert!(open(log.storage().crashed(|_, _| Crash::Cut(usize::MAX)), 4).1.contains_key(&1));
+        assert!(
+            log.write(3, &[intent(2, WINDOW), done(2, &"x".repeat(300), WINDOW)])
+                .is_err()
+        );
+        assert!(
+            open(log.storage().crashed(|_, _| Crash::Cut(usize::MAX)), 4)
+                .1
+                .contains_key(&1)
+        );
     }
     log.storage_mut().room = None;
     for steps in 0..2 {
@@ -203,14 +266,23 @@
     let mut most = 0;
     for n in 0..2_000u64 {
         let now = n * 200_000;
-        log.write(now, &[intent(Key::from(n), now + WINDOW), done(Key::from(n), "result", now + WINDOW)])
-            .expect("written");
+        log.write(
+            now,
+            &[
+                intent(Key::from(n), now + WINDOW),
+                done(Key::from(n), "result", now + WINDOW),
+            ],
+        )
+        .expect("written");
         log.sweep(now);
         most = most.max(log.bytes());
         if n % 97 == 0 {
             let found = recover(log.storage()).expect("read").found;
             for k in n.saturating_sub(WINDOW / 200_000 - 1)..=n {
-                assert!(found.contains_key(&Key::from(k)), "{k} of {n} is within its window");
+                assert!(
+                    found.contains_key(&Key::from(k)),
+                    "{k} of {n} is within its window"
+                );
             }
         }
     }
@@ -224,7 +296,8 @@
 fn the_clock_may_step_between_lives() {
     for now in [0, 1_000, 5_000_000_000_000] {
         let mut log = open(Memory::default(), 1_000_000_000).0;
-        log.write(1_000_000_000, &[intent(1, 1_000_000_000 + WINDOW)]).expect("written");
+        log.write(1_000_000_000, &[intent(1, 1_000_000_000 + WINDOW)])
+            .expect("written");
         let (mut next, found) = open(log.storage().clone(), now);
         assert_eq!(found[&1].until, now + WINDOW);
         next.sweep(now + WINDOW);
@@ -237,13 +310,18 @@
 /// On the file system, too; and a folder has one owner.
 #[test]
 fn a_folder_of_files() {
-    let folder = std::env::temp_dir().join(format!("madderbay-idempotency-store-{}", std::process::id()));
+    let folder = std::env::temp_dir().join(format!(
+        "madderbay-idempotency-store-{}",
+        std::process::id()
+    ));
     let told = Files::open(&folder).map(|_| ()).unwrap_err();
     assert!(told.contains("madderbay-idempotency-store-"), "{told}");
     std::fs::create_dir(&folder).expect("made");
     {
-        let (mut log, _) = Log::open(Files::open(&folder).expect("opened"), 1, DISK, WINDOW).expect("read");
-        log.write(2, &[intent(1, WINDOW), done(1, "one", WINDOW)]).expect("written");
+        let (mut log, _) =
+            Log::open(Files::open(&folder).expect("opened"), 1, DISK, WINDOW).expect("read");
+        log.write(2, &[intent(1, WINDOW), done(1, "one", WINDOW)])
+            .expect("written");
         let told = Files::open(&folder).map(|_| ()).unwrap_err();
         assert!(told.ends_with("another process has it"), "{told}");
     }
@@ -252,7 +330,10 @@
         assert_eq!(verify(&storage).expect("read"), Vec::<String>::new());
         let (mut log, recovery) = Log::open(storage, 3, DISK, WINDOW).expect("read");
         assert_eq!(recovery.found[&1].state, State::Done(b"one"[..].into()));
-        assert_eq!((recovery.segments, recovery.records, recovery.torn), (1, 2, 0));
+        assert_eq!(
+            (recovery.segments, recovery.records, recovery.torn),
+            (1, 2, 0)
+        );
         log.sweep(3 + WINDOW + 1);
         assert_eq!(log.bytes(), 0);
     }
@@ -271,7 +352,12 @@
 /// The same cases each time.
 fn seeded(cases: u32) -> ProptestConfig {
     let rng_seed = proptest::test_runner::RngSeed::Fixed(7);
-    ProptestConfig { cases, rng_seed, failure_persistence: None, ..ProptestConfig::default() }
+    ProptestConfig {
+        cases,
+        rng_seed,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
 }
 
 proptest! {
--- a/crates/membership/src/awake.rs
+++ b/crates/membership/src/awake.rs
@@ -32,7 +32,9 @@
             return None;
         }
         self.lost = self.lost + late;
-        let fades = late.saturating_sub(RECOVERS).min(Duration::from_micros(STEP.as_micros() * STEPS));
+        let fades = late
+            .saturating_sub(RECOVERS)
+            .min(Duration::from_micros(STEP.as_micros() * STEPS));
         self.until = self.until.max(self.latest + RECOVERS + fades);
         self.pauses += 1;
         Some(late)
--- a/crates/membership/src/heard.rs
+++ b/crates/membership/src/heard.rs
@@ -50,7 +50,11 @@
 
 impl Judgement {
     pub fn new(now: Timestamp) -> Judgement {
-        Judgement { hears: Hears::Alone, since: now, evidence: Evidence::default() }
+        Judgement {
+            hears: Hears::Alone,
+            since: now,
+            evidence: Evidence::default(),
+        }
     }
 
     /// Judges anew; true where that changed it.
--- a/crates/membership/src/id.rs
+++ b/crates/membership/src/id.rs
@@ -45,7 +45,14 @@
     /// Whoever listens at an address: what is sent to nobody by name.
     pub(crate) fn whoever(address: SocketAddr) -> Id {
         let (name, zone) = (CompactString::default(), CompactString::default());
-        Id { name, address, zone, life: 0, turn: 0, phase: Phase::In }
+        Id {
+            name,
+            address,
+            zone,
+            life: 0,
+            turn: 0,
+            phase: Phase::In,
+        }
     }
 
     pub fn version(&self) -> (u64, u32) {
@@ -54,7 +61,11 @@
 
     /// The same life, with something newer to say of itself.
     pub(crate) fn next(&self, phase: Phase) -> Id {
-        Id { turn: self.turn.saturating_add(1), phase, ..self.clone() }
+        Id {
+            turn: self.turn.saturating_add(1),
+            phase,
+            ..self.clone()
+        }
     }
 
     pub(crate) fn is_sound(&self) -> bool {
--- a/crates/membership/src/lives.rs
+++ b/crates/membership/src/lives.rs
@@ -19,7 +19,11 @@
 /// `down`: whoever claims the name is held down by who tells of it.
 pub fn judge(own: &Id, claims: &Id, down: bool) -> Verdict {
     if claims.version() == own.version() && claims.address == own.address {
-        return if down { Verdict::HeldDown } else { Verdict::Older };
+        return if down {
+            Verdict::HeldDown
+        } else {
+            Verdict::Older
+        };
     }
     let older = (claims.version(), claims.address) < (own.version(), own.address);
     match (older, claims.address == own.address || down) {
--- a/crates/membership/src/lives/tests.rs
+++ b/crates/membership/src/lives/tests.rs
@@ -3,7 +3,14 @@
 
 fn id(port: u16, life: u64, turn: u32) -> Id {
     let address = ([127, 0, 0, 1], port).into();
-    Id { name: "a".into(), address, zone: "z".into(), life, turn, phase: Phase::In }
+    Id {
+        name: "a".into(),
+        address,
+        zone: "z".into(),
+        life,
+        turn,
+        phase: Phase::In,
+    }
 }
 
 #[test]
@@ -22,8 +29,16 @@
 /// Of two that meet exactly one gives way, whatever their clocks say.
 #[test]
 fn one_of_two_gives_way() {
-    for (a, b) in [(id(1, 5, 0), id(2, 5, 0)), (id(1, 5, 1), id(2, 5, 0)), (id(1, 4, 9), id(2, 5, 0))] {
+    for (a, b) in [
+        (id(1, 5, 0), id(2, 5, 0)),
+        (id(1, 5, 1), id(2, 5, 0)),
+        (id(1, 4, 9), id(2, 5, 0)),
+    ] {
         let gives = [judge(&a, &b, false), judge(&b, &a, false)];
-        assert_eq!(gives.iter().filter(|v| **v == Verdict::Taken).count(), 1, "{gives:?}");
+        assert_eq!(
+            gives.iter().filter(|v| **v == Verdict::Taken).count(),
+            1,
+            "{gives:?}"
+        );
     }
 }
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -43,8 +43,11 @@
 /// One that is held down here and is in elsewhere is told so that many times more, so far apart, until it is heard:
 /// a word of this and its answer are both to arrive. So many are under way at a time; after a long cut all others
 /// are told once, and again by the next roster.
-const CALLS_AGAIN: [Duration; 3] =
-    [Duration::from_millis(120), Duration::from_millis(300), Duration::from_millis(600)];
+const CALLS_AGAIN: [Duration; 3] = [
+    Duration::from_millis(120),
+    Duration::from_millis(300),
+    Duration::from_millis(600),
+];
 const AGAIN_MOST: usize = 64;
 /// Those who went down this lately are told of in a roster; who holds them in suspects them then.
 const LATELY: Duration = Duration::from_millis(20_000);
@@ -266,8 +269,11 @@
             heard_ms: heard.map(ms),
             held_up,
         };
-        let mut members: Vec<MemberView> =
-            self.rows.values().map(|r| of(&r.id, r.state(), r.heard, r.held_up)).collect();
+        let mut members: Vec<MemberView> = self
+            .rows
+            .values()
+            .map(|r| of(&r.id, r.state(), r.heard, r.held_up))
+            .collect();
         members.push(of(own, self.own_state(), None, self.awake.told()));
         members.sort_by(|a, b| a.name.cmp(&b.name));
         View {
@@ -292,7 +298,14 @@
 
     /// Says something of another part to one that is in; as lost as any datagram.
     pub fn say(&mut self, to: &str, part: Part, words: &[u8]) {
-        let Some(address) = self.rows.get(to).filter(|r| r.active()).map(|r| r.id.address) else { return };
+        let Some(address) = self
+            .rows
+            .get(to)
+            .filter(|r| r.active())
+            .map(|r| r.id.address)
+        else {
+            return;
+        };
         let from = self.own().clone();
         if from.phase != Phase::Left
             && words.len() <= WORDS_MOST
@@ -312,14 +325,28 @@
     /// When it has to be told the time next.
     pub fn due(&self) -> Timestamp {
         let tries = self.tried.as_ref().filter(|t| t.left > 0).map(|t| t.next);
-        let own = [Some(self.mend.due()), self.judgement.due(), self.joins_at(), tries];
-        let first = [self.timers.keys().next(), self.last_calls.keys().next()].into_iter().flatten();
-        let due = own.into_iter().flatten().chain(first.map(|k| k.0)).min().unwrap_or_default();
+        let own = [
+            Some(self.mend.due()),
+            self.judgement.due(),
+            self.joins_at(),
+            tries,
+        ];
+        let first = [self.timers.keys().next(), self.last_calls.keys().next()]
+            .into_iter()
+            .flatten();
+        let due = own
+            .into_iter()
+            .flatten()
+            .chain(first.map(|k| k.0))
+            .min()
+            .unwrap_or_default();
         self.awake.outside(due)
     }
 
     fn joins_at(&self) -> Option<Timestamp> {
-        self.met.filter(|_| self.own().phase == Phase::Joining).map(|at| at + JOINS)
+        self.met
+            .filter(|_| self.own().phase == Phase::Joining)
+            .map(|at| at + JOINS)
     }
 
     fn begin(&mut self, now: Timestamp) -> Timestamp {
@@ -336,7 +363,10 @@
         let mut later = vec![];
         while let Some(entry) = self.timers.first_entry().filter(|e| e.key().0 <= now) {
             let timer = entry.remove();
-            let accuses = matches!(timer, Timer::ProbeRandomMember(_) | Timer::ChangeSuspectToDown { .. });
+            let accuses = matches!(
+                timer,
+                Timer::ProbeRandomMember(_) | Timer::ChangeSuspectToDown { .. }
+            );
             if accuses && self.awake.held_up() {
                 later.push(timer);
             } else {
@@ -360,7 +390,9 @@
     /// Asks one that is suspected whether it lives, as often as there are suspicions, whatever else is told; or
     /// tells one that is in elsewhere that it is held down here.
     fn call(&mut self, name: &CompactString) {
-        let Some(row) = self.rows.get(name) else { return };
+        let Some(row) = self.rows.get(name) else {
+            return;
+        };
         let told = match row.held {
             Held::Suspect => Told::Suspect,
             Held::Down if row.id.phase != Phase::Left => Told::Down,
@@ -376,7 +408,8 @@
         }
         for after in CALLS_AGAIN {
             self.numbered += 1;
-            self.last_calls.insert((now + after, self.numbered), name.clone());
+            self.last_calls
+                .insert((now + after, self.numbered), name.clone());
         }
     }
 
@@ -390,16 +423,27 @@
         self.with_swim(now, |swim, wants| swim.handle_timer(timer, wants));
         match again {
             // Foca lets go of suspicions when its own identity changes; the suspected would stay so for ever.
-            Timer::ChangeSuspectToDown { member_id, incarnation, .. } => {
+            Timer::ChangeSuspectToDown {
+                member_id,
+                incarnation,
+                ..
+            } => {
                 let row = self.rows.get(&member_id.name);
                 if row.is_some_and(|r| {
                     r.held == Held::Suspect && r.id == member_id && r.incarnation == incarnation
                 }) {
                     let down = Member::new(member_id, incarnation, Told::Down);
-                    self.with_swim(now, |swim, wants| swim.apply_many(std::iter::once(down), true, wants));
+                    self.with_swim(now, |swim, wants| {
+                        swim.apply_many(std::iter::once(down), true, wants)
+                    });
                 }
             }
-            Timer::RemoveDown(id) if self.rows.get(&id.name).is_some_and(|r| !r.active() && r.id == id) => {
+            Timer::RemoveDown(id)
+                if self
+                    .rows
+                    .get(&id.name)
+                    .is_some_and(|r| !r.active() && r.id == id) =>
+            {
                 if id.phase != Phase::Left {
                     self.mend.forgotten(now, id.address);
                 }
@@ -439,7 +483,9 @@
             return;
         }
         let alone = !self.mend.expects_others() && self.rows.is_empty();
-        let met = self.met.is_some_and(|at| self.roster.whole || now - at >= JOINS);
+        let met = self
+            .met
+            .is_some_and(|at| self.roster.whole || now - at >= JOINS);
         if alone || met {
             self.become_id(now, self.own().next(Phase::In));
         }
@@ -504,7 +550,11 @@
                 }
                 self.change(Change::Past { life });
                 let own = self.own();
-                let past = Id { life: life + 1, turn: 0, ..own.clone() };
+                let past = Id {
+                    life: life + 1,
+                    turn: 0,
+                    ..own.clone()
+                };
                 self.become_id(now, past);
             }
             // A wrong word of a third silences nobody: whoever has the name says so itself, once it is asked.
@@ -536,7 +586,14 @@
 }
 
 fn config(set: &Settings, members: usize) -> foca::Config {
-    swim::config(members, set.probe, set.answer, set.suspicion, set.memory, DATAGRAM_MOST - HEAD)
+    swim::config(
+        members,
+        set.probe,
+        set.answer,
+        set.suspicion,
+        set.memory,
+        DATAGRAM_MOST - HEAD,
+    )
 }
 
 /// The kind of a datagram and who it is from, where it is one of that fleet's.
--- a/crates/membership/src/members/hear.rs
+++ b/crates/membership/src/members/hear.rs
@@ -21,7 +21,10 @@
     }
 
     pub(super) fn stranger(&mut self, why: Stranger) {
-        let at = STRANGERS.iter().position(|s| s.0 == why).unwrap_or_default();
+        let at = STRANGERS
+            .iter()
+            .position(|s| s.0 == why)
+            .unwrap_or_default();
         self.counts.strangers[at] += 1;
     }
 
@@ -67,7 +70,11 @@
                 from
             }
         };
-        let Some(row) = self.rows.get_mut(&from.name).filter(|r| r.active() && r.id == from) else {
+        let Some(row) = self
+            .rows
+            .get_mut(&from.name)
+            .filter(|r| r.active() && r.id == from)
+        else {
             return Ok(());
         };
         row.heard = Some(now);
@@ -76,7 +83,11 @@
         let suspect = (row.held == Held::Suspect).then_some(row.incarnation);
         if let Some(incarnation) = suspect {
             // It speaks, so it can refute what is said of it.
-            self.notice(now, from.address, Member::new(from.clone(), incarnation, Told::Suspect));
+            self.notice(
+                now,
+                from.address,
+                Member::new(from.clone(), incarnation, Told::Suspect),
+            );
         }
         if head.digest == self.marks.all {
             self.roster.whole = true;
@@ -84,7 +95,11 @@
             let draw = self.chance.float();
             // What is not passed on any more comes by rosters alone: none waits for the view to settle then.
             let crowded = self.swim.updates_backlog() > RUMOURS;
-            let changed = if crowded { Timestamp::default() } else { self.changed };
+            let changed = if crowded {
+                Timestamp::default()
+            } else {
+                self.changed
+            };
             if let Some(after) = self.roster.differs(now, &from, changed, draw) {
                 self.counts.rosters += 1;
                 self.ask(&from, after);
@@ -119,7 +134,11 @@
                     return Ok(());
                 }
                 if from.phase != Phase::Left {
-                    let held = if row.active() { Told::Alive } else { Told::Down };
+                    let held = if row.active() {
+                        Told::Alive
+                    } else {
+                        Told::Down
+                    };
                     let held = Member::new(row.id.clone(), row.incarnation, held);
                     self.notice(now, from.address, held);
                 }
@@ -128,7 +147,12 @@
         }
     }
 
-    pub(super) fn hear_swim(&mut self, now: Timestamp, head: Head, body: &[u8]) -> Result<Id, Stranger> {
+    pub(super) fn hear_swim(
+        &mut self,
+        now: Timestamp,
+        head: Head,
+        body: &[u8],
+    ) -> Result<Id, Stranger> {
         let mut packet = swim::read(body)?;
         let from = packet.header.src.clone();
         let own = self.own().clone();
@@ -157,16 +181,24 @@
         self.meets(now, &from)?;
         let held_up = head.held_up > 0;
         let members = std::mem::take(&mut packet.members);
-        packet.members = members.into_iter().filter_map(|m| self.weigh(now, m, held_up)).collect();
+        packet.members = members
+            .into_iter()
+            .filter_map(|m| self.weigh(now, m, held_up))
+            .collect();
         if from.phase == Phase::Left {
             packet.members.push(Member::down(from.clone()));
         }
-        let words: Vec<(Id, u16, Told)> =
-            packet.members.iter().map(|m| (m.id().clone(), m.incarnation(), m.state())).collect();
+        let words: Vec<(Id, u16, Told)> = packet
+            .members
+            .iter()
+            .map(|m| (m.id().clone(), m.incarnation(), m.state()))
+            .collect();
         let incarnation = packet.header.src_incarnation;
         if self.swim.updates_backlog() > RUMOURS {
             let news = std::mem::take(&mut packet.members);
-            self.with_swim(now, |swim, wants| swim.apply_many(news.into_iter(), false, wants));
+            self.with_swim(now, |swim, wants| {
+                swim.apply_many(news.into_iter(), false, wants)
+            });
         }
         if let Message::Ack(number) = packet.header.message {
             self.answered(&from, number);
@@ -181,7 +213,12 @@
     }
 
     /// What another says of a third: as it may be believed, or nothing.
-    pub(super) fn weigh(&mut self, now: Timestamp, m: Member<Id>, held_up: bool) -> Option<Member<Id>> {
+    pub(super) fn weigh(
+        &mut self,
+        now: Timestamp,
+        m: Member<Id>,
+        held_up: bool,
+    ) -> Option<Member<Id>> {
         let id = m.id();
         if !id.is_sound() || !self.set.networks.holds(id.address.ip()) {
             self.stranger(Stranger::Network);
@@ -198,7 +235,8 @@
         if accuses && held_up {
             return None;
         }
-        let suspect = |id: &Id, incarnation| Some(Member::new(id.clone(), incarnation, Told::Suspect));
+        let suspect =
+            |id: &Id, incarnation| Some(Member::new(id.clone(), incarnation, Told::Suspect));
         let Some(row) = self.rows.get(&id.name) else {
             if m.state() == Told::Down {
                 return None;
@@ -209,16 +247,25 @@
             }
             return Some(m);
         };
-        let (version, known) = ((id.version(), id.address), (row.id.version(), row.id.address));
+        let (version, known) = (
+            (id.version(), id.address),
+            (row.id.version(), row.id.address),
+        );
         // Nobody is down by hearsay: each server lets its own suspicion run out, so that no wrong word
         // becomes everyone's; who leaves says so itself.
         match (version.cmp(&known), row.active(), m.state()) {
             (std::cmp::Ordering::Less, ..) => None,
-            (std::cmp::Ordering::Greater, true, Told::Down) if accuses => suspect(id, m.incarnation()),
+            (std::cmp::Ordering::Greater, true, Told::Down) if accuses => {
+                suspect(id, m.incarnation())
+            }
             (std::cmp::Ordering::Greater, ..) => Some(m),
             (_, true, Told::Down) if accuses => {
                 let incarnation = row.incarnation;
-                if row.held == Held::Suspect { None } else { suspect(id, incarnation) }
+                if row.held == Held::Suspect {
+                    None
+                } else {
+                    suspect(id, incarnation)
+                }
             }
             (_, false, Told::Alive | Told::Suspect) => {
                 // Others have it in: if it lives it is to know that this server holds it down.
@@ -248,13 +295,23 @@
     /// What was believed of somebody, where it begins or ends a suspicion. Foca lets only those who tried a
     /// member themselves wait for its refutation; here each who hears of it waits on its own clock.
     pub(super) fn word(&mut self, now: Timestamp, id: &Id, incarnation: u16, told: Told) {
-        let Some(row) = self.rows.get_mut(&id.name).filter(|r| r.id == *id && r.active()) else { return };
+        let Some(row) = self
+            .rows
+            .get_mut(&id.name)
+            .filter(|r| r.id == *id && r.active())
+        else {
+            return;
+        };
         let newer = incarnation > row.incarnation;
         match (told, row.held) {
             (Told::Suspect, Held::In) if incarnation >= row.incarnation => {
                 self.suspected(now, id, incarnation);
                 let (member_id, token) = (id.clone(), 0);
-                let timer = Timer::ChangeSuspectToDown { member_id, incarnation, token };
+                let timer = Timer::ChangeSuspectToDown {
+                    member_id,
+                    incarnation,
+                    token,
+                };
                 self.set_timer(now + self.set.suspicion, timer);
             }
             (Told::Alive, Held::Suspect) if newer => {
@@ -289,12 +346,19 @@
         }
         if held.id() == self.own() && held.state() == Told::Suspect {
             let held = held.clone();
-            self.with_swim(now, |swim, wants| swim.apply_many(std::iter::once(held), false, wants));
+            self.with_swim(now, |swim, wants| {
+                swim.apply_many(std::iter::once(held), false, wants)
+            });
             self.lives(notice);
             return Ok(());
         }
         let before = self.own().version();
-        self.claimed(now, held.id(), held.state() == Told::Down, *held.id() == notice.from);
+        self.claimed(
+            now,
+            held.id(),
+            held.state() == Told::Down,
+            *held.id() == notice.from,
+        );
         if notice.from.name == self.set.name {
             return Ok(());
         }
--- a/crates/membership/src/members/speak.rs
+++ b/crates/membership/src/members/speak.rs
@@ -4,7 +4,9 @@
 
 impl Members {
     pub(super) fn with_swim(
-        &mut self, now: Timestamp, act: impl FnOnce(&mut Swim, &mut Wants) -> Result<(), foca::Error>,
+        &mut self,
+        now: Timestamp,
+        act: impl FnOnce(&mut Swim, &mut Wants) -> Result<(), foca::Error>,
     ) {
         let mut wants = Wants::default();
         // What it does not take is of no use here: what can come in was read before.
@@ -13,7 +15,12 @@
             self.told(now, told);
         }
         for (after, timer) in wants.timers {
-            if let Timer::ChangeSuspectToDown { member_id, incarnation, .. } = &timer {
+            if let Timer::ChangeSuspectToDown {
+                member_id,
+                incarnation,
+                ..
+            } = &timer
+            {
                 self.suspected(now, member_id, *incarnation);
             }
             self.set_timer(now + after, timer);
@@ -21,7 +28,11 @@
         for (to, body) in wants.sends {
             if let Some(header) = swim::header(&body) {
                 self.incarnation = header.src_incarnation;
-                if let Message::PingReq { target, probe_number } = header.message {
+                if let Message::PingReq {
+                    target,
+                    probe_number,
+                } = header.message
+                {
                     self.tries(now, target, probe_number);
                 }
             }
@@ -34,12 +45,19 @@
     fn tries(&mut self, now: Timestamp, target: Id, number: u8) {
         let known = |t: &Tried| t.target.name == target.name && t.number == number;
         if !self.tried.as_ref().is_some_and(known) {
-            self.tried = Some(Tried { target, number, next: now, left: TRIES });
+            self.tried = Some(Tried {
+                target,
+                number,
+                next: now,
+                left: TRIES,
+            });
         }
     }
 
     pub(super) fn try_again(&mut self, now: Timestamp) {
-        let Some(tried) = self.tried.as_mut().filter(|t| t.left > 0 && t.next <= now) else { return };
+        let Some(tried) = self.tried.as_mut().filter(|t| t.left > 0 && t.next <= now) else {
+            return;
+        };
         tried.left -= 1;
         tried.next = now
             + Duration::from_micros(self.set.probe.as_micros() - self.set.answer.as_micros())
@@ -62,7 +80,9 @@
         match told {
             OwnedNotification::MemberUp(id) => self.up(now, id),
             OwnedNotification::MemberDown(id) => {
-                let Some(row) = self.rows.get(&id.name) else { return };
+                let Some(row) = self.rows.get(&id.name) else {
+                    return;
+                };
                 let (before, heard) = (row.state(), row.heard.map(|at| now - at));
                 self.edit(&id.name, |rows, name| {
                     if let Some(row) = rows.get_mut(name) {
@@ -79,11 +99,14 @@
                 self.member(&id.name, id.address, Some(before), State::Down, why);
             }
             OwnedNotification::Rename(old, new) => {
-                let Some(row) = self.rows.get(&old.name) else { return };
+                let Some(row) = self.rows.get(&old.name) else {
+                    return;
+                };
                 let (before, active) = (row.state(), row.active());
                 self.edit(&new.name, |rows, name| {
                     if let Some(row) = rows.get_mut(name) {
-                        (row.incarnation, row.heard) = (0, row.heard.filter(|_| row.id.life == new.life));
+                        (row.incarnation, row.heard) =
+                            (0, row.heard.filter(|_| row.id.life == new.life));
                         row.id = new.clone();
                         if row.held == Held::Suspect {
                             row.held = Held::In;
@@ -93,7 +116,10 @@
                 self.changed = now;
                 let to = self.rows.get(&new.name).map_or(State::Alive, Row::state);
                 if new.life != old.life {
-                    let why = Why::NewLife { from: old.life, to: new.life };
+                    let why = Why::NewLife {
+                        from: old.life,
+                        to: new.life,
+                    };
                     self.member(&new.name, new.address, Some(before), to, why);
                 } else if active && before != to {
                     self.member(&new.name, new.address, Some(before), to, Why::Said);
@@ -124,7 +150,11 @@
         });
         self.changed = now;
         let to = self.rows.get(&id.name).map_or(State::Alive, Row::state);
-        let why = if before.is_some() { Why::Lives } else { Why::Met };
+        let why = if before.is_some() {
+            Why::Lives
+        } else {
+            Why::Met
+        };
         if before != Some(to) {
             self.member(&id.name, id.address, before, to, why);
         }
@@ -141,14 +171,23 @@
     }
 
     pub(super) fn suspected(&mut self, now: Timestamp, id: &Id, incarnation: u16) {
-        let Some(row) = self.rows.get_mut(&id.name).filter(|r| r.id == *id && r.active()) else { return };
+        let Some(row) = self
+            .rows
+            .get_mut(&id.name)
+            .filter(|r| r.id == *id && r.active())
+        else {
+            return;
+        };
         let before = row.state();
         (row.held, row.since, row.incarnation) = (Held::Suspect, now, incarnation);
         let heard = row.heard.map(|at| now - at);
         self.counts.suspicions += 1;
         for part in LAST_CALLS {
             self.numbered += 1;
-            self.last_calls.insert((now + self.set.suspicion.mul_f64(part), self.numbered), id.name.clone());
+            self.last_calls.insert(
+                (now + self.set.suspicion.mul_f64(part), self.numbered),
+                id.name.clone(),
+            );
         }
         if before != State::Suspect {
             let why = Why::Unanswered { heard };
@@ -158,17 +197,24 @@
 
     /// Changes a row, and all that is summed up over them with it.
     pub(super) fn edit(
-        &mut self, name: &CompactString, act: impl FnOnce(&mut BTreeMap<CompactString, Row>, &CompactString),
+        &mut self,
+        name: &CompactString,
+        act: impl FnOnce(&mut BTreeMap<CompactString, Row>, &CompactString),
     ) {
         let weight = |row: Option<&Row>| {
             let missing = row.is_some_and(|r| r.state() == State::Down);
             let active = row.is_some_and(Row::active);
-            (usize::from(active), usize::from(missing), row.map_or(0, Row::mark))
+            (
+                usize::from(active),
+                usize::from(missing),
+                row.map_or(0, Row::mark),
+            )
         };
         let before = weight(self.rows.get(name));
         act(&mut self.rows, name);
         let after = weight(self.rows.get(name));
-        if self.touched.len() < self.set.most + self.rows.len() && (before != after || after.2 == 0) {
+        if self.touched.len() < self.set.most + self.rows.len() && (before != after || after.2 == 0)
+        {
             self.touched.insert(name.clone());
         }
         self.active = self.active + after.0 - before.0;
@@ -185,16 +231,31 @@
     }
 
     pub(super) fn member(
-        &mut self, name: &CompactString, address: SocketAddr, from: Option<State>, to: State, why: Why,
+        &mut self,
+        name: &CompactString,
+        address: SocketAddr,
+        from: Option<State>,
+        to: State,
+        why: Why,
     ) {
-        self.change(Change::Member { name: name.clone(), address, from, to, why });
+        self.change(Change::Member {
+            name: name.clone(),
+            address,
+            from,
+            to,
+            why,
+        });
     }
 
     pub(super) fn send(&mut self, to: SocketAddr, kind: Kind, body: &[u8]) {
         if to == self.set.advertise || !self.set.networks.holds(to.ip()) {
             return;
         }
-        let head = Head { kind, digest: self.marks.all, held_up: self.awake.told() };
+        let head = Head {
+            kind,
+            digest: self.marks.all,
+            held_up: self.awake.told(),
+        };
         let bytes = wire::write(head, self.fleet, body);
         self.counts.sent += 1;
         self.counts.bytes_out += bytes.len() as u64;
@@ -214,15 +275,20 @@
 
     pub(super) fn send_notice(&mut self, to: SocketAddr, held: Member<Id>) {
         self.counts.notices += 1;
-        if let Some(body) = wire::bytes(&Notice { from: self.own().clone(), held }) {
+        if let Some(body) = wire::bytes(&Notice {
+            from: self.own().clone(),
+            held,
+        }) {
             self.send(to, Kind::Notice, &body);
         }
     }
 
     pub(super) fn ask(&mut self, from: &Id, after: CompactString) {
-        if let Some(body) =
-            wire::bytes(&Ask { from: self.own().clone(), after, parts: self.marks.parts.to_vec() })
-        {
+        if let Some(body) = wire::bytes(&Ask {
+            from: self.own().clone(),
+            after,
+            parts: self.marks.parts.to_vec(),
+        }) {
             self.send(from.address, Kind::Ask, &body);
         }
     }
@@ -230,15 +296,29 @@
     /// The next of those in the view past a name, in parts that are not as the asker's, as many as a datagram
     /// holds.
     pub(super) fn send_page(&mut self, ask: &Ask) {
-        let past = (std::ops::Bound::Excluded(&ask.after), std::ops::Bound::Unbounded);
+        let past = (
+            std::ops::Bound::Excluded(&ask.after),
+            std::ops::Bound::Unbounded,
+        );
         let room = DATAGRAM_MOST - HEAD;
-        let mut page = Page { from: self.own().clone(), members: vec![], last: true };
+        let mut page = Page {
+            from: self.own().clone(),
+            members: vec![],
+            last: true,
+        };
         let mut size = wire::bytes(&page).map_or(room, |b| b.len() + 2);
         let now = self.awake.now();
         let lately = |r: &&Row| r.active() || r.id.phase != Phase::Left && now - r.since < LATELY;
-        let unlike: [bool; PARTS] = std::array::from_fn(|p| ask.parts.get(p) != Some(&self.marks.parts[p]));
+        let unlike: [bool; PARTS] =
+            std::array::from_fn(|p| ask.parts.get(p) != Some(&self.marks.parts[p]));
         let differs = |r: &&Row| unlike[Marks::part(&r.id.name)];
-        for row in self.rows.range::<CompactString, _>(past).map(|r| r.1).filter(lately).filter(differs) {
+        for row in self
+            .rows
+            .range::<CompactString, _>(past)
+            .map(|r| r.1)
+            .filter(lately)
+            .filter(differs)
+        {
             let told = match row.held {
                 Held::In => Told::Alive,
                 Held::Suspect => Told::Suspect,
@@ -266,18 +346,33 @@
             .members
             .iter()
             .filter(|m| m.state() != Told::Down && m.id().phase != Phase::Left)
-            .filter(|m| self.rows.get(&m.id().name).is_some_and(|r| !r.active() && r.id.phase != Phase::Left))
+            .filter(|m| {
+                self.rows
+                    .get(&m.id().name)
+                    .is_some_and(|r| !r.active() && r.id.phase != Phase::Left)
+            })
             .map(|m| m.id().name.clone())
             .collect();
-        let weighed: Vec<Member<Id>> =
-            page.members.into_iter().filter_map(|m| self.weigh(now, m, false)).collect();
-        let words: Vec<(Id, u16, Told)> =
-            weighed.iter().map(|m| (m.id().clone(), m.incarnation(), m.state())).collect();
+        let weighed: Vec<Member<Id>> = page
+            .members
+            .into_iter()
+            .filter_map(|m| self.weigh(now, m, false))
+            .collect();
+        let words: Vec<(Id, u16, Told)> = weighed
+            .iter()
+            .map(|m| (m.id().clone(), m.incarnation(), m.state()))
+            .collect();
         let before = self.changed;
-        let known = |id: &Id| self.rows.get(&id.name).is_some_and(|r| r.active() && r.id == *id);
+        let known = |id: &Id| {
+            self.rows
+                .get(&id.name)
+                .is_some_and(|r| r.active() && r.id == *id)
+        };
         let new = words.iter().filter(|w| !known(&w.0)).count();
         let passed_on = new <= PASSED_ON;
-        self.with_swim(now, |swim, wants| swim.apply_many(weighed.into_iter(), passed_on, wants));
+        self.with_swim(now, |swim, wants| {
+            swim.apply_many(weighed.into_iter(), passed_on, wants)
+        });
         for (id, incarnation, told) in words {
             self.word(now, &id, incarnation, told);
         }
@@ -289,7 +384,10 @@
         for name in contested {
             self.calls_again(now, name);
         }
-        if let Some(after) = self.roster.page(now, last_name.as_ref(), page.last, brought) {
+        if let Some(after) = self
+            .roster
+            .page(now, last_name.as_ref(), page.last, brought)
+        {
             self.ask(&page.from, after);
         }
     }
--- a/crates/membership/src/mend.rs
+++ b/crates/membership/src/mend.rs
@@ -28,7 +28,12 @@
     /// `own` is not tried, even where the operator names it.
     pub fn new(now: Timestamp, join: &[SocketAddr], own: SocketAddr) -> Mend {
         let join: Vec<SocketAddr> = join.iter().copied().filter(|a| *a != own).collect();
-        Mend { join, old: VecDeque::new(), next: now, lost: now }
+        Mend {
+            join,
+            old: VecDeque::new(),
+            next: now,
+            lost: now,
+        }
     }
 
     pub fn expects_others(&self) -> bool {
@@ -57,7 +62,11 @@
     /// The one to try now, if the time has come and there is any. `is_in` tells of an address that somebody
     /// in the view has it, `down` has those that the view holds down, `draw` is chance from 0 to 1.
     pub fn pick(
-        &mut self, now: Timestamp, alone: bool, is_in: impl Fn(SocketAddr) -> bool, down: &[SocketAddr],
+        &mut self,
+        now: Timestamp,
+        alone: bool,
+        is_in: impl Fn(SocketAddr) -> bool,
+        down: &[SocketAddr],
         mut draw: impl FnMut() -> f64,
     ) -> Option<SocketAddr> {
         if now < self.next {
@@ -68,8 +77,14 @@
         }
         self.old.retain(|o| !is_in(o.1));
         let old = self.old.iter().map(|o| o.1);
-        let some: Vec<SocketAddr> =
-            self.join.iter().copied().filter(|a| !is_in(*a)).chain(down.iter().copied()).chain(old).collect();
+        let some: Vec<SocketAddr> = self
+            .join
+            .iter()
+            .copied()
+            .filter(|a| !is_in(*a))
+            .chain(down.iter().copied())
+            .chain(old)
+            .collect();
         let amiss = alone || (!some.is_empty() && now - self.lost < FRESH);
         self.next = now + if amiss { AMISS } else { WELL }.mul_f64(0.5 + draw());
         let at = (draw() * some.len() as f64) as usize;
--- a/crates/membership/src/networks.rs
+++ b/crates/membership/src/networks.rs
@@ -12,7 +12,10 @@
 
 impl Networks {
     pub fn of(nets: impl IntoIterator<Item = IpNet>) -> Networks {
-        let mut networks = Networks { v4: IpRange::new(), v6: IpRange::new() };
+        let mut networks = Networks {
+            v4: IpRange::new(),
+            v6: IpRange::new(),
+        };
         for net in nets {
             match net {
                 IpNet::V4(net) => {
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -27,14 +27,24 @@
 
 impl Roster {
     pub fn new(now: Timestamp) -> Roster {
-        Roster { asked: None, next: now, gap: LEAST, brought: 0, whole: false }
+        Roster {
+            asked: None,
+            next: now,
+            gap: LEAST,
+            brought: 0,
+            whole: false,
+        }
     }
 
     /// A member's digest differs from the own: the name past which to ask it now, if it is to be asked. One of
     /// which a page was lost goes on from there, with whoever is heard next. `changed`: when the own view last
     /// did.
     pub fn differs(
-        &mut self, now: Timestamp, from: &Id, changed: Timestamp, draw: f64,
+        &mut self,
+        now: Timestamp,
+        from: &Id,
+        changed: Timestamp,
+        draw: f64,
     ) -> Option<CompactString> {
         let waits = self.asked.as_ref().is_some_and(|a| now - a.2 < PAGE);
         // A view that goes on changing, a little at a time, is not waited for for ever.
@@ -54,12 +64,19 @@
 
     /// Past which name a page that came goes; nothing where it was not asked for.
     pub fn due(&self, from: &Id) -> Option<&CompactString> {
-        self.asked.as_ref().filter(|a| a.0.name == from.name).map(|a| &a.1)
+        self.asked
+            .as_ref()
+            .filter(|a| a.0.name == from.name)
+            .map(|a| &a.1)
     }
 
     /// A page came, with so many that were new; the name past which to ask on, where there is more.
     pub fn page(
-        &mut self, now: Timestamp, names: Option<&CompactString>, last: bool, new: usize,
+        &mut self,
+        now: Timestamp,
+        names: Option<&CompactString>,
+        last: bool,
+        new: usize,
     ) -> Option<CompactString> {
         let asked = self.asked.as_mut()?;
         self.brought += new;
--- a/crates/membership/src/swim.rs
+++ b/crates/membership/src/swim.rs
@@ -4,8 +4,8 @@
 use crate::id::Id;
 use crate::wire::Stranger;
 use foca::{
-    Codec, Config, Foca, Header, Member, Message, NoCustomBroadcast, Notification, OwnedNotification,
-    PeriodicParams, PostcardCodec, Runtime, Timer,
+    Codec, Config, Foca, Header, Member, Message, NoCustomBroadcast, Notification,
+    OwnedNotification, PeriodicParams, PostcardCodec, Runtime, Timer,
 };
 use madderbay::time::Duration;
 use std::convert::Infallible;
@@ -72,7 +72,8 @@
     }
 
     fn submit_after(&mut self, event: Timer<Id>, after: StdDuration) {
-        self.timers.push((Duration::from_micros(after.as_micros() as u64), event));
+        self.timers
+            .push((Duration::from_micros(after.as_micros() as u64), event));
     }
 }
 
@@ -80,7 +81,12 @@
 
 /// How foca is set for a fleet of that size.
 pub fn config(
-    members: usize, probe: Duration, answer: Duration, suspicion: Duration, memory: Duration, most: usize,
+    members: usize,
+    probe: Duration,
+    answer: Duration,
+    suspicion: Duration,
+    memory: Duration,
+    most: usize,
 ) -> Config {
     let lasts = |s: Duration| StdDuration::from_micros(s.as_micros());
     let told = (((members + 1) as f64).ln() + TOLD_MORE).ceil().min(255.0) as u8;
@@ -96,7 +102,10 @@
         notify_down_members: false,
         periodic_announce: None,
         periodic_announce_to_down_members: None,
-        periodic_gossip: Some(PeriodicParams { frequency: GOSSIP_EVERY, num_members: GOSSIP_TO }),
+        periodic_gossip: Some(PeriodicParams {
+            frequency: GOSSIP_EVERY,
+            num_members: GOSSIP_TO,
+        }),
     }
 }
 
@@ -116,7 +125,11 @@
             members.push(PostcardCodec.decode_member(&mut bytes).map_err(bad)?);
         }
     }
-    if bytes.is_empty() { Ok(Packet { header, members }) } else { Err(Stranger::Body) }
+    if bytes.is_empty() {
+        Ok(Packet { header, members })
+    } else {
+        Err(Stranger::Body)
+    }
 }
 
 /// The same put together again.
@@ -140,6 +153,14 @@
 
 /// The same probe from this server once more.
 pub fn ping(src: Id, src_incarnation: u16, dst: Id, number: u8) -> Vec<u8> {
-    let header = Header { src, src_incarnation, dst, message: Message::Ping(number) };
-    write(&Packet { header, members: vec![] })
+    let header = Header {
+        src,
+        src_incarnation,
+        dst,
+        message: Message::Ping(number),
+    };
+    write(&Packet {
+        header,
+        members: vec![],
+    })
 }
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -90,7 +90,10 @@
 
 impl Default for Marks {
     fn default() -> Marks {
-        Marks { all: 0, parts: [0; PARTS] }
+        Marks {
+            all: 0,
+            parts: [0; PARTS],
+        }
     }
 }
 
@@ -183,24 +186,43 @@
 impl fmt::Display for Change {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         match self {
-            Change::Member { name, address, from, to, why } => {
+            Change::Member {
+                name,
+                address,
+                from,
+                to,
+                why,
+            } => {
                 let from = from.map_or("unknown".into(), |s| s.to_string());
                 write!(f, "{name} at {address}: {from} to {to}: {why}")
             }
             Change::Hears(j, now) => {
                 let e = &j.evidence;
-                write!(f, "hears {}: {} in, {} missing, last word ", j.hears, e.active, e.missing)?;
+                write!(
+                    f,
+                    "hears {}: {} in, {} missing, last word ",
+                    j.hears, e.active, e.missing
+                )?;
                 match e.last {
                     Some(last) => write!(f, "{} ms ago", (*now - last).as_micros() / 1_000),
                     None => f.write_str("never"),
                 }
             }
             Change::HeldUp(span) => {
-                write!(f, "held up for {} ms; accuses nobody for a while", span.as_micros() / 1_000)
+                write!(
+                    f,
+                    "held up for {} ms; accuses nobody for a while",
+                    span.as_micros() / 1_000
+                )
             }
-            Change::Past { life } => write!(f, "life {life} stands under this name; this one begins past it"),
+            Change::Past { life } => write!(
+                f,
+                "life {life} stands under this name; this one begins past it"
+            ),
             Change::Renewed { turn } => write!(f, "held down by others; goes on as turn {turn}"),
-            Change::Taken { by } => write!(f, "this name is taken by {by}; silent while that lives"),
+            Change::Taken { by } => {
+                write!(f, "this name is taken by {by}; silent while that lives")
+            }
             Change::Regained => f.write_str("this name is free again"),
         }
     }
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -31,7 +31,13 @@
     Beside,
 }
 
-const KINDS: [Kind; 5] = [Kind::Swim, Kind::Notice, Kind::Ask, Kind::Page, Kind::Beside];
+const KINDS: [Kind; 5] = [
+    Kind::Swim,
+    Kind::Notice,
+    Kind::Ask,
+    Kind::Page,
+    Kind::Beside,
+];
 
 /// The sender tells a server what it holds under that server's name.
 #[derive(Debug, Serialize, Deserialize)]
@@ -124,7 +130,12 @@
     let mut bytes = Vec::with_capacity(HEAD + body.len());
     bytes.extend(MAGIC);
     bytes.push(VERSION);
-    bytes.push(KINDS.iter().position(|k| *k == head.kind).unwrap_or_default() as u8);
+    bytes.push(
+        KINDS
+            .iter()
+            .position(|k| *k == head.kind)
+            .unwrap_or_default() as u8,
+    );
     bytes.extend(fleet.to_le_bytes());
     bytes.extend(head.digest.to_le_bytes());
     bytes.push(head.held_up);
@@ -151,7 +162,14 @@
         return Err(Stranger::Fleet);
     }
     let kind = *KINDS.get(usize::from(head[3])).ok_or(Stranger::Nonsense)?;
-    Ok((Head { kind, digest: eight(12), held_up: head[20].min(8) }, body))
+    Ok((
+        Head {
+            kind,
+            digest: eight(12),
+            held_up: head[20].min(8),
+        },
+        body,
+    ))
 }
 
 pub fn body<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T, Stranger> {
@@ -160,5 +178,7 @@
 
 /// A body as bytes; none where it would not fit a datagram.
 pub fn bytes<T: Serialize>(what: &T) -> Option<Vec<u8>> {
-    postcard::to_stdvec(what).ok().filter(|b| b.len() <= DATAGRAM_MOST - HEAD)
+    postcard::to_stdvec(what)
+        .ok()
+        .filter(|b| b.len() <= DATAGRAM_MOST - HEAD)
 }
--- a/crates/membership/tests/fleet.rs
+++ b/crates/membership/tests/fleet.rs
@@ -12,8 +12,16 @@
 fn every_script_over_many_seeds() {
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../tests/fleet");
     let (scripts, failed) = play_all(&folder, SEEDS);
-    assert!(scripts >= 10 || std::env::var("FLEET_SCRIPT").is_ok(), "scripts are found");
-    assert!(failed.is_empty(), "{} plays failed:\n{}", failed.len(), failed.join("\n"));
+    assert!(
+        scripts >= 10 || std::env::var("FLEET_SCRIPT").is_ok(),
+        "scripts are found"
+    );
+    assert!(
+        failed.is_empty(),
+        "{} plays failed:\n{}",
+        failed.len(),
+        failed.join("\n")
+    );
 }
 
 /// Three in ten lost, 150 that know only the first: rosters of many pages get to their end, and what is said of
@@ -22,18 +30,34 @@
 fn a_large_fleet_on_bad_links_agrees_and_stays_quiet() {
     let (n, span) = (150, Duration::from_millis(20_000));
     let mut sim = Sim::new(Setup::of(n), 7);
-    let net = Act::Net { loss: Some(0.3), double: None, spoil: None, delay: None };
+    let net = Act::Net {
+        loss: Some(0.3),
+        double: None,
+        spoil: None,
+        delay: None,
+    };
     sim.act(&net).expect("set");
     for who in 0..n {
-        sim.act(&Act::Start { who, name: who, clock: Duration::ZERO, back: false }).expect("started");
+        sim.act(&Act::Start {
+            who,
+            name: who,
+            clock: Duration::ZERO,
+            back: false,
+        })
+        .expect("started");
     }
     let began = sim.at();
     while let Some(amiss) = sim.amiss(&Condition::Settled) {
-        assert!(sim.at().saturating_sub(began) < Duration::from_millis(25_000), "{amiss}");
+        assert!(
+            sim.at().saturating_sub(began) < Duration::from_millis(25_000),
+            "{amiss}"
+        );
         sim.pass();
     }
     let sums = |sim: &Sim| {
-        let all = sim.running().map(|m| (m.1.counts.bytes_out, m.1.counts.suspicions));
+        let all = sim
+            .running()
+            .map(|m| (m.1.counts.bytes_out, m.1.counts.suspicions));
         all.fold((0, 0), |sum, m| (sum.0 + m.0, sum.1 + m.1))
     };
     let before = sums(&sim);
--- a/crates/membership/tests/nonsense.rs
+++ b/crates/membership/tests/nonsense.rs
@@ -98,9 +98,17 @@
     let mut all: Vec<Members> = (1..=9).map(|n| member(n, "bookings")).collect();
     speak(&mut all, 0, 8_000);
     for m in &all {
-        assert!(m.view().members.len() <= MOST + 1, "{} holds {}", m.own().name, m.view().members.len());
+        assert!(
+            m.view().members.len() <= MOST + 1,
+            "{} holds {}",
+            m.own().name,
+            m.view().members.len()
+        );
     }
-    assert!(all.iter().filter(|m| m.active() > 0).count() > MOST, "the others go on");
+    assert!(
+        all.iter().filter(|m| m.active() > 0).count() > MOST,
+        "the others go on"
+    );
     assert!(all.iter().any(|m| strangers(m, Stranger::Full) > 0));
     all.truncate(MOST + 1);
     speak(&mut all, 8_000, 40_000);
@@ -127,7 +135,12 @@
     assert!(all[0].held_up());
     speak(&mut all, 25_900, 40_000);
     for m in &all {
-        assert_eq!((m.active(), m.state("n1")), (3, Some(State::Alive)), "{}", m.own().name);
+        assert_eq!(
+            (m.active(), m.state("n1")),
+            (3, Some(State::Alive)),
+            "{}",
+            m.own().name
+        );
     }
 }
 
@@ -155,7 +168,12 @@
     assert_eq!(all[0].state("n1"), Some(State::Alive));
     speak(&mut all, 4_000, 20_000);
     for m in &all {
-        assert_eq!((m.active(), m.state("n1")), (2, Some(State::Alive)), "{}", m.own().name);
+        assert_eq!(
+            (m.active(), m.state("n1")),
+            (2, Some(State::Alive)),
+            "{}",
+            m.own().name
+        );
     }
 }
 
--- a/crates/operator-config/src/file.rs
+++ b/crates/operator-config/src/file.rs
@@ -28,16 +28,25 @@
 
 impl File {
     pub fn read(name: &str, text: &str) -> Result<File, Vec<String>> {
-        let how = ParseOption { enabled_escape: false, ..ParseOption::default() };
+        let how = ParseOption {
+            enabled_escape: false,
+            ..ParseOption::default()
+        };
         let ini = Ini::load_from_str_opt(text, how)
             .map_err(|e| vec![format!("{name}:{}: {}", e.line + 1, e.msg)])?;
-        let mut file = File { name: name.into(), text: text.into(), sections: vec![], wrong: vec![] };
+        let mut file = File {
+            name: name.into(),
+            text: text.into(),
+            sections: vec![],
+            wrong: vec![],
+        };
         for (title, keys) in ini.iter() {
             let title = title.unwrap_or("").trim();
             if title.is_empty() {
                 for (key, _) in keys.iter() {
                     let line = file.find(|l| sets(l, key), 0);
-                    file.wrong.push((line, format!("{key}: stands in no section")));
+                    file.wrong
+                        .push((line, format!("{key}: stands in no section")));
                 }
                 continue;
             }
@@ -58,7 +67,8 @@
                 let at = file.find(|l| sets(l, key), line);
                 if section.keys.iter().any(|k| k.0 == key) {
                     let again = file.find(|l| sets(l, key), at);
-                    file.wrong.push((again, format!("[{title}] {key}: stands twice")));
+                    file.wrong
+                        .push((again, format!("[{title}] {key}: stands twice")));
                 }
                 section.keys.push((key.into(), value.trim().into(), at));
             }
@@ -69,18 +79,27 @@
 
     /// The first line past another that is like that.
     fn find(&self, like: impl Fn(&str) -> bool, past: usize) -> usize {
-        lines(&self.text).find(|(n, l)| *n > past && like(l)).map_or(past.max(1), |l| l.0)
+        lines(&self.text)
+            .find(|(n, l)| *n > past && like(l))
+            .map_or(past.max(1), |l| l.0)
     }
 
     /// Takes all sections of a kind out, in order; only those keys may stand in them.
     pub fn take(&mut self, kind: &str, known: &[&str]) -> Vec<Section> {
-        let (found, rest) = std::mem::take(&mut self.sections).into_iter().partition(|s| s.kind == kind);
+        let (found, rest) = std::mem::take(&mut self.sections)
+            .into_iter()
+            .partition(|s| s.kind == kind);
         self.sections = rest;
         let found: Vec<Section> = found;
         for section in &found {
-            for (key, _, line) in section.keys.iter().filter(|k| !known.contains(&k.0.as_str())) {
+            for (key, _, line) in section
+                .keys
+                .iter()
+                .filter(|k| !known.contains(&k.0.as_str()))
+            {
                 let what = format!("no such key; known are {}", known.join(", "));
-                self.wrong.push((*line, format!("[{}] {key}: {what}", section.title)));
+                self.wrong
+                    .push((*line, format!("[{}] {key}: {what}", section.title)));
             }
         }
         found
@@ -90,27 +109,51 @@
     pub fn take_one(&mut self, kind: &str, known: &[&str]) -> Option<Section> {
         let mut found = self.take(kind, known);
         for named in found.iter().filter(|s| !s.name.is_empty()) {
-            self.wrong.push((named.line, format!("[{}]: has no name of its own", named.title)));
+            self.wrong.push((
+                named.line,
+                format!("[{}]: has no name of its own", named.title),
+            ));
+        }
+        if found.is_empty() {
+            None
+        } else {
+            Some(found.remove(0))
         }
-        if found.is_empty() { None } else { Some(found.remove(0)) }
     }
 
     pub fn wrong(&mut self, section: &Section, key: &str, what: impl Into<String>) {
         let line = section.line_of(key);
-        let key = if key.is_empty() { String::new() } else { format!(" {key}") };
-        self.wrong.push((line, format!("[{}]{key}: {}", section.title, what.into())));
+        let key = if key.is_empty() {
+            String::new()
+        } else {
+            format!(" {key}")
+        };
+        self.wrong
+            .push((line, format!("[{}]{key}: {}", section.title, what.into())));
     }
 
     /// A number within its range; where the key does not stand, or is wrong, what there is otherwise.
-    pub fn number<T>(&mut self, s: &Section, key: &str, range: std::ops::RangeInclusive<T>, otherwise: T) -> T
+    pub fn number<T>(
+        &mut self,
+        s: &Section,
+        key: &str,
+        range: std::ops::RangeInclusive<T>,
+        otherwise: T,
+    ) -> T
     where
         T: FromStr + PartialOrd + std::fmt::Display + Copy,
     {
-        let Some(text) = s.get(key) else { return otherwise };
+        let Some(text) = s.get(key) else {
+            return otherwise;
+        };
         match text.parse::<T>() {
             Ok(n) if range.contains(&n) => n,
             _ => {
-                let what = format!("'{text}' is no number from {} to {}", range.start(), range.end());
+                let what = format!(
+                    "'{text}' is no number from {} to {}",
+                    range.start(),
+                    range.end()
+                );
                 self.wrong(s, key, what);
                 otherwise
             }
@@ -118,8 +161,16 @@
     }
 
     /// One of a few words.
-    pub fn word<T: Copy>(&mut self, s: &Section, key: &str, known: &[(&str, T)], otherwise: T) -> T {
-        let Some(text) = s.get(key) else { return otherwise };
+    pub fn word<T: Copy>(
+        &mut self,
+        s: &Section,
+        key: &str,
+        known: &[(&str, T)],
+        otherwise: T,
+    ) -> T {
+        let Some(text) = s.get(key) else {
+            return otherwise;
+        };
         if let Some(hit) = known.iter().find(|k| k.0 == text) {
             return hit.1;
         }
@@ -130,7 +181,9 @@
 
     /// An address and port.
     pub fn address(&mut self, s: &Section, key: &str, otherwise: SocketAddr) -> SocketAddr {
-        let Some(text) = s.get(key) else { return otherwise };
+        let Some(text) = s.get(key) else {
+            return otherwise;
+        };
         text.parse().unwrap_or_else(|_| {
             self.wrong(s, key, format!("'{text}' is no address and port"));
             otherwise
@@ -144,7 +197,11 @@
     /// A section's own name goes into lines of the log and of JSON as it is.
     pub fn named(&mut self, s: &Section) {
         if s.name.is_empty() || !is_name(&s.name) {
-            self.wrong(s, "", "has a name of letters, digits, '-', '_' and '.', 63 at most");
+            self.wrong(
+                s,
+                "",
+                "has a name of letters, digits, '-', '_' and '.', 63 at most",
+            );
         }
     }
 
@@ -152,31 +209,49 @@
     pub fn names(&mut self, s: &Section, key: &str) -> Names {
         let line = s.line_of(key);
         let text = s.get(key).unwrap_or("");
-        let names: Vec<String> =
-            text.split(',').map(|n| n.trim().to_string()).filter(|n| !n.is_empty()).collect();
-        if let Some(twice) = names.iter().enumerate().find(|(i, n)| names[..*i].contains(n)) {
+        let names: Vec<String> = text
+            .split(',')
+            .map(|n| n.trim().to_string())
+            .filter(|n| !n.is_empty())
+            .collect();
+        if let Some(twice) = names
+            .iter()
+            .enumerate()
+            .find(|(i, n)| names[..*i].contains(n))
+        {
             self.wrong(s, key, format!("'{}' stands twice", twice.1));
         }
-        Names { names, place: format!("{}:{line}: [{}] {key}", self.name, s.title) }
+        Names {
+            names,
+            place: format!("{}:{line}: [{}] {key}", self.name, s.title),
+        }
     }
 
     /// What nobody asked for is wrong too.
     pub fn done<T>(mut self, read: T) -> Result<T, Vec<String>> {
         for s in &self.sections {
-            self.wrong.push((s.line, format!("[{}]: no such section", s.title)));
+            self.wrong
+                .push((s.line, format!("[{}]: no such section", s.title)));
         }
         if self.wrong.is_empty() {
             return Ok(read);
         }
         self.wrong.sort();
-        Err(self.wrong.into_iter().map(|(line, what)| format!("{}:{line}: {what}", self.name)).collect())
+        Err(self
+            .wrong
+            .into_iter()
+            .map(|(line, what)| format!("{}:{line}: {what}", self.name))
+            .collect())
     }
 }
 
 impl Section {
     /// The line of a key, or the section's own where that does not stand.
     fn line_of(&self, key: &str) -> usize {
-        self.keys.iter().find(|k| k.0 == key).map_or(self.line, |k| k.2)
+        self.keys
+            .iter()
+            .find(|k| k.0 == key)
+            .map_or(self.line, |k| k.2)
     }
 
     pub fn get(&self, key: &str) -> Option<&str> {
@@ -189,7 +264,9 @@
 }
 
 fn heads(line: &str, title: &str) -> bool {
-    line.strip_prefix('[').and_then(|l| l.split(']').next()).is_some_and(|t| t.trim() == title)
+    line.strip_prefix('[')
+        .and_then(|l| l.split(']').next())
+        .is_some_and(|t| t.trim() == title)
 }
 
 /// Names from one key, and its place for what is found wrong with them later, once it is known what they
@@ -205,7 +282,13 @@
     pub fn among(&self, known: &[String], what: &str) -> Result<Vec<usize>, String> {
         let index = |n: &String| {
             let at = known.iter().position(|k| k == n);
-            at.ok_or_else(|| format!("{}: '{n}' is no {what}; known are {}", self.place, known.join(", ")))
+            at.ok_or_else(|| {
+                format!(
+                    "{}: '{n}' is no {what}; known are {}",
+                    self.place,
+                    known.join(", ")
+                )
+            })
         };
         self.names.iter().map(index).collect()
     }
--- a/crates/operator-config/src/lib.rs
+++ b/crates/operator-config/src/lib.rs
@@ -38,5 +38,12 @@
     let control = members::control(&mut file);
     let shared = shared::read(&mut file, members.is_some());
     let routes = routes::read(&mut file, members.as_ref().map(|m| m.zone.as_str()));
-    file.done(Operator { pools, kept, members, control, shared, routes })
+    file.done(Operator {
+        pools,
+        kept,
+        members,
+        control,
+        shared,
+        routes,
+    })
 }
--- a/crates/operator-config/src/members.rs
+++ b/crates/operator-config/src/members.rs
@@ -21,7 +21,13 @@
 const CONTROL: [&str; 1] = ["socket"];
 const FLEET: &str = "madderbay";
 /// What is never routed between sites.
-const NETWORKS: [&str; 5] = ["127.0.0.0/8", "10.0.0.0/8", "172.16.0.0/12", "192.168.0.0/16", "fd00::/8"];
+const NETWORKS: [&str; 5] = [
+    "127.0.0.0/8",
+    "10.0.0.0/8",
+    "172.16.0.0/12",
+    "192.168.0.0/16",
+    "fd00::/8",
+];
 const MEMBERS_MOST: usize = 10_000;
 /// The longest path that a socket of this kind takes.
 const PATH_MOST: usize = 100;
@@ -45,13 +51,19 @@
 pub(crate) fn word(file: &mut File, s: &Section, key: &str, otherwise: &str) -> String {
     let text = s.get(key).unwrap_or(otherwise).to_string();
     if !is_name(&text) {
-        file.wrong(s, key, format!("'{text}' is no name of letters, digits, '-', '_' and '.', 63 at most"));
+        file.wrong(
+            s,
+            key,
+            format!("'{text}' is no name of letters, digits, '-', '_' and '.', 63 at most"),
+        );
     }
     text
 }
 
 fn network(text: &str) -> Option<IpNet> {
-    text.parse::<IpNet>().ok().or_else(|| text.parse::<IpAddr>().ok().map(IpNet::from))
+    text.parse::<IpNet>()
+        .ok()
+        .or_else(|| text.parse::<IpAddr>().ok().map(IpNet::from))
 }
 
 pub(crate) fn read(file: &mut File) -> Option<Members> {
@@ -63,28 +75,60 @@
     }
     let listen = file.address(&s, "listen", unset);
     let advertise = file.address(&s, "advertise", listen);
-    if enabled && s.get("listen").is_some() && (advertise.ip().is_unspecified() || advertise.port() == 0) {
+    if enabled
+        && s.get("listen").is_some()
+        && (advertise.ip().is_unspecified() || advertise.port() == 0)
+    {
         let what = format!("'{advertise}' is nowhere that others can send to");
-        file.wrong(&s, if s.get("advertise").is_some() { "advertise" } else { "listen" }, what);
+        file.wrong(
+            &s,
+            if s.get("advertise").is_some() {
+                "advertise"
+            } else {
+                "listen"
+            },
+            what,
+        );
     }
     let mut networks = vec![];
-    for text in s.get("networks").map_or(NETWORKS.to_vec(), |t| t.split(',').map(str::trim).collect()) {
+    for text in s
+        .get("networks")
+        .map_or(NETWORKS.to_vec(), |t| t.split(',').map(str::trim).collect())
+    {
         match network(text) {
             Some(net) => networks.push(net),
-            None => file.wrong(&s, "networks", format!("'{text}' is no network, as in 10.0.0.0/8")),
+            None => file.wrong(
+                &s,
+                "networks",
+                format!("'{text}' is no network, as in 10.0.0.0/8"),
+            ),
         }
     }
     let mut join = vec![];
-    for text in s.get("join").unwrap_or("").split(',').map(str::trim).filter(|t| !t.is_empty()) {
+    for text in s
+        .get("join")
+        .unwrap_or("")
+        .split(',')
+        .map(str::trim)
+        .filter(|t| !t.is_empty())
+    {
         match text.parse::<SocketAddr>() {
             Ok(address) => join.push(address),
             Err(_) => file.wrong(&s, "join", format!("'{text}' is no address and port")),
         }
     }
     let outside = |a: &&SocketAddr| !networks.iter().any(|n| n.contains(&a.ip()));
-    let strays: Vec<(&str, SocketAddr)> = join.iter().filter(outside).map(|a| ("join", *a)).collect();
-    let own = if s.get("advertise").is_some() { "advertise" } else { "listen" };
-    let own = Some(&advertise).filter(|a| a.port() != 0).filter(outside).map(|a| (own, *a));
+    let strays: Vec<(&str, SocketAddr)> =
+        join.iter().filter(outside).map(|a| ("join", *a)).collect();
+    let own = if s.get("advertise").is_some() {
+        "advertise"
+    } else {
+        "listen"
+    };
+    let own = Some(&advertise)
+        .filter(|a| a.port() != 0)
+        .filter(outside)
+        .map(|a| (own, *a));
     for (key, address) in strays.into_iter().chain(own) {
         file.wrong(&s, key, format!("'{address}' lies in none of the networks"));
     }
@@ -119,5 +163,7 @@
     if socket.is_empty() || socket.len() > PATH_MOST {
         file.wrong(&s, "socket", "has to name a path of 1 to 100 bytes");
     }
-    Some(Control { socket: socket.into() })
+    Some(Control {
+        socket: socket.into(),
+    })
 }
--- a/crates/operator-config/src/pools.rs
+++ b/crates/operator-config/src/pools.rs
@@ -45,7 +45,10 @@
     let (enabled, adapts) = match &head {
         Some(s) => {
             let limits = [("adaptive", true), ("fixed", false)];
-            (file.switch(s, "enabled", false), file.word(s, "limits", &limits, true))
+            (
+                file.switch(s, "enabled", false),
+                file.word(s, "limits", &limits, true),
+            )
         }
         None => (false, true),
     };
@@ -66,23 +69,38 @@
             file.wrong(s, "handlers", "a pool has at least one handler");
         }
         let twice = handlers.names.iter().find_map(|h| {
-            let other = pools.iter().find(|p: &&Pool| p.handlers.names.contains(h))?;
+            let other = pools
+                .iter()
+                .find(|p: &&Pool| p.handlers.names.contains(h))?;
             Some(format!("'{h}' is in pool {} already", other.name))
         });
         if let Some(what) = twice {
             file.wrong(s, "handlers", what);
         }
         let places = |file: &mut File, key| {
-            s.get(key).is_some().then(|| file.number(s, key, 1..=PLACES_MOST, PLACES_MOST))
+            s.get(key)
+                .is_some()
+                .then(|| file.number(s, key, 1..=PLACES_MOST, PLACES_MOST))
         };
         let (runs, calls) = (places(file, "runs"), places(file, "calls"));
         let weight = file.number(s, "weight", 0.0..=WEIGHT_MOST, 1.0);
         let calls_weight = file.number(s, "calls_weight", 0.0..=WEIGHT_MOST, weight);
-        pools.push(Pool { name: s.name.clone(), handlers, weight, calls_weight, runs, calls });
+        pools.push(Pool {
+            name: s.name.clone(),
+            handlers,
+            weight,
+            calls_weight,
+            runs,
+            calls,
+        });
     }
     let reserve = reserve.map(|s| Reserve {
         handlers: file.names(&s, "handlers"),
         part: file.number(&s, "part", 0.0..=PART_MOST, PART),
     });
-    enabled.then_some(Pools { adapts, pools, reserve })
+    enabled.then_some(Pools {
+        adapts,
+        pools,
+        reserve,
+    })
 }
--- a/crates/operator-config/src/routes.rs
+++ b/crates/operator-config/src/routes.rs
@@ -4,7 +4,15 @@
 use crate::members::word;
 use std::net::SocketAddr;
 
-const ROUTES: [&str; 7] = ["enabled", "hedges", "near_least", "out_most", "repeats", "shares", "zone"];
+const ROUTES: [&str; 7] = [
+    "enabled",
+    "hedges",
+    "near_least",
+    "out_most",
+    "repeats",
+    "shares",
+    "zone",
+];
 const BACKEND: [&str; 4] = ["address", "handlers", "weight", "zone"];
 /// One of more weight would leave the others nothing.
 const WEIGHTS: std::ops::RangeInclusive<f64> = 0.01..=100.0;
@@ -44,7 +52,11 @@
     let unset = SocketAddr::from(([127, 0, 0, 1], 1));
     let address = file.address(s, "address", unset);
     if address.ip().is_unspecified() || address.port() == 0 {
-        file.wrong(s, "address", format!("'{address}' is nowhere that calls can go to"));
+        file.wrong(
+            s,
+            "address",
+            format!("'{address}' is nowhere that calls can go to"),
+        );
     }
     Backend {
         name: s.name.clone(),
@@ -74,10 +86,17 @@
             names
         };
         let overlaps = |b: &&Backend| {
-            sorted(b) != sorted(&fresh) && b.handlers.names.iter().any(|h| fresh.handlers.names.contains(h))
+            sorted(b) != sorted(&fresh)
+                && b.handlers
+                    .names
+                    .iter()
+                    .any(|h| fresh.handlers.names.contains(h))
         };
         if let Some(other) = backends.iter().find(overlaps) {
-            let what = format!("shares some handlers with backend {}, and not all", other.name);
+            let what = format!(
+                "shares some handlers with backend {}, and not all",
+                other.name
+            );
             file.wrong(s, "handlers", what);
         }
         if let Some(other) = backends.iter().find(|b| b.address == fresh.address) {
--- a/crates/operator-config/src/shared.rs
+++ b/crates/operator-config/src/shared.rs
@@ -57,9 +57,16 @@
     };
     let enabled = file.switch(&head, "enabled", false);
     if enabled && !members {
-        file.wrong(&head, "enabled", "goes with [members], by which servers hear each other");
+        file.wrong(
+            &head,
+            "enabled",
+            "goes with [members], by which servers hear each other",
+        );
     }
-    let seat = head.get("seat").is_some().then(|| file.number(&head, "seat", 1..=SERVERS_MOST, 1));
+    let seat = head
+        .get("seat")
+        .is_some()
+        .then(|| file.number(&head, "seat", 1..=SERVERS_MOST, 1));
     let weight = file.number(&head, "weight", WEIGHTS, 1.0);
     let mut found: Vec<Budget> = vec![];
     for s in &budgets {
@@ -112,7 +119,16 @@
     });
     let counts: Vec<Count> = counts.collect();
     if counts.iter().filter(|c| c.by == By::Tenant).count() > 1 {
-        file.wrong(&head, "", "one count by tenant is enough: it is what allowances go by");
+        file.wrong(
+            &head,
+            "",
+            "one count by tenant is enough: it is what allowances go by",
+        );
     }
-    enabled.then_some(Shared { seat, weight, budgets: found, counts })
+    enabled.then_some(Shared {
+        seat,
+        weight,
+        budgets: found,
+        counts,
+    })
 }
--- a/crates/operator-config/tests/file.rs
+++ b/crates/operator-config/tests/file.rs
@@ -9,8 +9,14 @@
 
 #[test]
 fn nothing_set_is_all_off() {
-    assert_eq!(read("o.ini", "").expect("an empty file"), Operator::default());
-    assert_eq!(read("o.ini", "; only\n# comments\n").expect("read"), Operator::default());
+    assert_eq!(
+        read("o.ini", "").expect("an empty file"),
+        Operator::default()
+    );
+    assert_eq!(
+        read("o.ini", "; only\n# comments\n").expect("read"),
+        Operator::default()
+    );
     let off = read("o.ini", "[pools]\nenabled = off\n[pool a]\nhandlers = x\n").expect("read");
     assert_eq!(off.pools, None);
 }
@@ -30,7 +36,11 @@
     );
     let reserve = pools.reserve.expect("a reserve");
     assert_eq!(reserve.part, 0.2);
-    let known = ["fare-quote".to_string(), "seat-hold".into(), "seat-book".into()];
+    let known = [
+        "fare-quote".to_string(),
+        "seat-hold".into(),
+        "seat-book".into(),
+    ];
     assert_eq!(pool.handlers.among(&known, "handler"), Ok(vec![2, 1]));
     assert_eq!(
         reserve.handlers.among(&known[1..], "handler"),
@@ -62,10 +72,22 @@
 
 #[test]
 fn parts_that_do_not_go_together() {
-    assert_eq!(wrong("[reserve]\npart = 0.1\n"), ["o.ini:1: [reserve]: goes with a section [pools]"]);
-    assert_eq!(wrong("[pools]\nenabled = on\nenabled = off\n"), ["o.ini:3: [pools] enabled: stands twice"]);
-    assert_eq!(wrong("[pools]\n[pool a]\nhandlers = x\n[pool a]\nhandlers = y\n").len(), 1);
-    assert_eq!(wrong("[pools x]\n"), ["o.ini:1: [pools x]: has no name of its own"]);
+    assert_eq!(
+        wrong("[reserve]\npart = 0.1\n"),
+        ["o.ini:1: [reserve]: goes with a section [pools]"]
+    );
+    assert_eq!(
+        wrong("[pools]\nenabled = on\nenabled = off\n"),
+        ["o.ini:3: [pools] enabled: stands twice"]
+    );
+    assert_eq!(
+        wrong("[pools]\n[pool a]\nhandlers = x\n[pool a]\nhandlers = y\n").len(),
+        1
+    );
+    assert_eq!(
+        wrong("[pools x]\n"),
+        ["o.ini:1: [pools x]: has no name of its own"]
+    );
     assert_eq!(
         wrong("[pools]\n[pool rest]\nhandlers = x\n"),
         ["o.ini:2: [pool rest]: 'rest' is the pool of what is in no other"]
@@ -76,14 +98,21 @@
 #[test]
 fn any_text_is_read_or_told() {
     assert_eq!(wrong("[pools\nenabled = on\n").len(), 1);
-    let text =
-        std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/operator-full.ini"));
+    let text = std::fs::read_to_string(concat!(
+        env!("CARGO_MANIFEST_DIR"),
+        "/../../deploy/operator-full.ini"
+    ));
     let text = text.expect("the full file");
     for cut in 0..text.len() {
         if text.is_char_boundary(cut)
             && let Err(lines) = read("o.ini", &text[..cut])
         {
-            assert!(lines.iter().all(|l| l.starts_with("o.ini:") && !l.contains('\n')), "{lines:?}");
+            assert!(
+                lines
+                    .iter()
+                    .all(|l| l.starts_with("o.ini:") && !l.contains('\n')),
+                "{lines:?}"
+            );
         }
     }
 }
@@ -92,26 +121,56 @@
 /// same as with none of its keys.
 #[test]
 fn the_full_file_shows_the_defaults() {
-    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/operator-full.ini");
+    let path = concat!(
+        env!("CARGO_MANIFEST_DIR"),
+        "/../../deploy/operator-full.ini"
+    );
     let text = std::fs::read_to_string(path).expect("the full file");
     let full = read("full", &text).expect("it reads").pools.expect("on");
     let bare = "[pools]\nenabled = on\n[pool seats]\nhandlers = seat-book\n[reserve]\n";
     let bare = read("bare", bare).expect("it reads").pools.expect("on");
-    assert_eq!((full.adapts, full.pools[0].weight), (bare.adapts, bare.pools[0].weight));
+    assert_eq!(
+        (full.adapts, full.pools[0].weight),
+        (bare.adapts, bare.pools[0].weight)
+    );
     assert_eq!(full.reserve.map(|r| r.part), bare.reserve.map(|r| r.part));
-    for key in ["enabled", "limits", "handlers", "weight", "calls_weight", "runs", "calls", "part"] {
-        assert!(text.lines().any(|l| l.trim_start_matches("; ").starts_with(&format!("{key} ="))), "{key}");
+    for key in [
+        "enabled",
+        "limits",
+        "handlers",
+        "weight",
+        "calls_weight",
+        "runs",
+        "calls",
+        "part",
+    ] {
+        assert!(
+            text.lines()
+                .any(|l| l.trim_start_matches("; ").starts_with(&format!("{key} ="))),
+            "{key}"
+        );
     }
 }
 
 #[test]
 fn kept_results() {
-    let kept =
-        read("o.ini", "[kept-results]\nenabled = on\ndirectory = var/kept\nsync = each\n").expect("read");
+    let kept = read(
+        "o.ini",
+        "[kept-results]\nenabled = on\ndirectory = var/kept\nsync = each\n",
+    )
+    .expect("read");
     let kept = kept.kept.expect("on");
-    assert_eq!((kept.directory.to_str(), kept.memory_mb, kept.disk_mb), (Some("var/kept"), 16, 64));
+    assert_eq!(
+        (kept.directory.to_str(), kept.memory_mb, kept.disk_mb),
+        (Some("var/kept"), 16, 64)
+    );
     assert!(!kept.grouped);
-    assert_eq!(read("o.ini", "[kept-results]\ndirectory = x\n").expect("read").kept, None);
+    assert_eq!(
+        read("o.ini", "[kept-results]\ndirectory = x\n")
+            .expect("read")
+            .kept,
+        None
+    );
     assert_eq!(
         wrong("[kept-results]\nenabled = on\ndisk_mb = 0\n"),
         [
@@ -129,16 +188,35 @@
     let operator = read("o.ini", text).expect("read");
     let members = operator.members.expect("on");
     assert_eq!(members.advertise.to_string(), "127.0.0.9:7946");
-    assert_eq!((members.join.len(), members.networks[1].to_string().as_str()), (2, "10.1.2.3/32"));
     assert_eq!(
-        (members.most, members.probe_ms, members.suspicion_ms, members.memory_s),
+        (members.join.len(), members.networks[1].to_string().as_str()),
+        (2, "10.1.2.3/32")
+    );
+    assert_eq!(
+        (
+            members.most,
+            members.probe_ms,
+            members.suspicion_ms,
+            members.memory_s
+        ),
         (2_000, 500, 3_000, 60)
     );
-    assert_eq!(operator.control.expect("set").socket.to_str(), Some("run/control.sock"));
+    assert_eq!(
+        operator.control.expect("set").socket.to_str(),
+        Some("run/control.sock")
+    );
     let least = read("o.ini", "[members]\nenabled = on\nlisten = 10.0.0.1:7946\n").expect("read");
     let least = least.members.expect("on");
-    assert_eq!((least.advertise, least.fleet.as_str()), (least.listen, "madderbay"));
-    assert_eq!(read("o.ini", "[members]\nenabled = off\n").expect("read").members, None);
+    assert_eq!(
+        (least.advertise, least.fleet.as_str()),
+        (least.listen, "madderbay")
+    );
+    assert_eq!(
+        read("o.ini", "[members]\nenabled = off\n")
+            .expect("read")
+            .members,
+        None
+    );
 }
 
 const FLEET: &str = "[members]\nenabled = on\nlisten = 127.0.0.1:7946\n";
@@ -147,15 +225,38 @@
 fn what_the_fleet_shares() {
     let text = "[shared]\nenabled = on\n[budget trip-book]\nhandlers = seat-book\ncalls = 64\nservers = 12\n\
                 [count tenants]\nby = tenant\n";
-    let shared = read("o.ini", &format!("{FLEET}{text}")).expect("read").shared.expect("on");
+    let shared = read("o.ini", &format!("{FLEET}{text}"))
+        .expect("read")
+        .shared
+        .expect("on");
     let budget = &shared.budgets[0];
-    assert_eq!((budget.name.as_str(), budget.calls, budget.servers), ("trip-book", 64, 12));
-    assert_eq!((budget.lease_ms, budget.longest_ms, shared.seat, shared.weight), (1_000, 2_000, None, 1.0));
     assert_eq!(
-        (shared.counts[0].by, shared.counts[0].window_s, shared.counts[0].most),
+        (budget.name.as_str(), budget.calls, budget.servers),
+        ("trip-book", 64, 12)
+    );
+    assert_eq!(
+        (
+            budget.lease_ms,
+            budget.longest_ms,
+            shared.seat,
+            shared.weight
+        ),
+        (1_000, 2_000, None, 1.0)
+    );
+    assert_eq!(
+        (
+            shared.counts[0].by,
+            shared.counts[0].window_s,
+            shared.counts[0].most
+        ),
         (By::Tenant, 10, 1_000.0)
     );
-    assert_eq!(read("o.ini", "[shared]\nenabled = off\n").expect("read").shared, None);
+    assert_eq!(
+        read("o.ini", "[shared]\nenabled = off\n")
+            .expect("read")
+            .shared,
+        None
+    );
     assert_eq!(
         wrong("[shared]\nenabled = on\n"),
         ["o.ini:2: [shared] enabled: goes with [members], by which servers hear each other"]
@@ -175,8 +276,15 @@
         ]
     );
     let seated = few.replace("enabled = on", "enabled = on\nseat = 2");
-    assert!(!wrong(&format!("{FLEET}{seated}")).iter().any(|w| w.contains("calls give none")));
-    assert_eq!(wrong("[budget a]\ncalls = 1\n"), ["o.ini:1: [budget a]: goes with a section [shared]"]);
+    assert!(
+        !wrong(&format!("{FLEET}{seated}"))
+            .iter()
+            .any(|w| w.contains("calls give none"))
+    );
+    assert_eq!(
+        wrong("[budget a]\ncalls = 1\n"),
+        ["o.ini:1: [budget a]: goes with a section [shared]"]
+    );
 }
 
 #[test]
@@ -205,14 +313,35 @@
     let text = "[routes]\nenabled = on\nrepeats = 0.2\n[backend a]\naddress = 127.0.0.1:7700\nhandlers = x, y\n\
                 [backend b]\naddress = 127.0.0.1:7701\nzone = south\nweight = 2\nhandlers = y, x\n";
     let routes = read("o.ini", text).expect("read").routes.expect("on");
-    let named: Vec<(&str, &str, f64)> =
-        routes.backends.iter().map(|b| (b.name.as_str(), b.zone.as_str(), b.weight)).collect();
+    let named: Vec<(&str, &str, f64)> = routes
+        .backends
+        .iter()
+        .map(|b| (b.name.as_str(), b.zone.as_str(), b.weight))
+        .collect();
     assert_eq!(named, [("a", "", 1.0), ("b", "south", 2.0)]);
-    assert_eq!((routes.repeats, routes.out_most, routes.near_least), (0.2, 0.3, 0.7));
-    assert_eq!((routes.hedges, routes.shares, routes.zone.as_str()), (true, true, ""));
-    assert_eq!(read("o.ini", "[routes]\nenabled = off\n").expect("read").routes, None);
+    assert_eq!(
+        (routes.repeats, routes.out_most, routes.near_least),
+        (0.2, 0.3, 0.7)
+    );
+    assert_eq!(
+        (routes.hedges, routes.shares, routes.zone.as_str()),
+        (true, true, "")
+    );
+    assert_eq!(
+        read("o.ini", "[routes]\nenabled = off\n")
+            .expect("read")
+            .routes,
+        None
+    );
     let zoned = format!("{FLEET}zone = north\n{text}");
-    assert_eq!(read("o.ini", &zoned).expect("read").routes.expect("on").zone, "north");
+    assert_eq!(
+        read("o.ini", &zoned)
+            .expect("read")
+            .routes
+            .expect("on")
+            .zone,
+        "north"
+    );
     assert_eq!(
         wrong("[routes]\nenabled = on\n"),
         ["o.ini:2: [routes] enabled: goes with sections [backend NAME]"]
--- a/crates/quota/src/budget.rs
+++ b/crates/quota/src/budget.rs
@@ -168,7 +168,10 @@
         // Whoever called something back waits for this.
         let owes = self.ledger.owes(now);
         // Others have asked for more than they had.
-        let wanted = self.askers.values().any(|a| a.wish.base + a.wish.has < a.wish.wants);
+        let wanted = self
+            .askers
+            .values()
+            .any(|a| a.wish.base + a.wish.has < a.wish.wants);
         self.hurries |= owes || wanted && self.lendable(now) > self.ledger.lent(now);
     }
 
@@ -188,7 +191,8 @@
     fn follow(&mut self, now: Timestamp) {
         let level = f64::from(self.ledger.in_use() + self.waiting);
         let passed = (now - self.followed).as_secs_f64();
-        self.mean = self.level + (self.mean - self.level) * (-passed / MEAN_OVER.as_secs_f64()).exp();
+        self.mean =
+            self.level + (self.mean - self.level) * (-passed / MEAN_OVER.as_secs_f64()).exp();
         (self.level, self.followed) = (level, now);
         if level > 0.0 {
             self.busy = Some(now);
@@ -234,7 +238,11 @@
         self.follow(now);
         self.recall(now, say);
         for back in self.ledger.backs(now) {
-            let word = Word::Back { budget: self.mark, number: back.number, keep: back.keep };
+            let word = Word::Back {
+                budget: self.mark,
+                number: back.number,
+                keep: back.keep,
+            };
             say.push((back.lender, word));
         }
     }
@@ -258,7 +266,17 @@
         let number = self.ledger.ask(now, who);
         let base = self.ledger.usable(now) - self.ledger.borrowed_of(now, who);
         let (wants, weight) = (self.wants(), self.set.weight as f32);
-        say.push((who, Word::Ask { budget: self.mark, number, units, base, wants, weight }));
+        say.push((
+            who,
+            Word::Ask {
+                budget: self.mark,
+                number,
+                units,
+                base,
+                wants,
+                weight,
+            },
+        ));
     }
 
     fn open(&self, now: Timestamp, who: Who) -> bool {
@@ -268,7 +286,12 @@
     fn renew(&mut self, now: Timestamp, say: &mut Vec<(Who, Word)>) {
         let lease = self.set.terms.lease;
         let due = |left: Duration| left < lease.mul_f64(1.0 - RENEWS);
-        let old: Vec<(Who, u32)> = self.ledger.loans(now).filter(|l| due(l.2)).map(|l| (l.0, l.1)).collect();
+        let old: Vec<(Who, u32)> = self
+            .ledger
+            .loans(now)
+            .filter(|l| due(l.2))
+            .map(|l| (l.0, l.1))
+            .collect();
         for (who, units) in old {
             if !self.open(now, who) {
                 self.ask(now, who, units, say);
@@ -308,7 +331,10 @@
                 break;
             }
             let who = peers[(self.turn + step) % peers.len()];
-            let ready = self.lenders.get(&who).is_none_or(|l| l.next <= now && l.spare == 0);
+            let ready = self
+                .lenders
+                .get(&who)
+                .is_none_or(|l| l.next <= now && l.spare == 0);
             if ready && !self.open(now, who) {
                 let units = self.ledger.borrowed_of(now, who) + each;
                 self.ask(now, who, units, say);
@@ -323,16 +349,30 @@
     fn recall(&mut self, now: Timestamp, say: &mut Vec<(Who, Word)>) {
         let mut idle = self.lendable(now).saturating_sub(self.ledger.lent(now));
         for (who, due) in self.targets(now) {
-            let Some(asker) = self.askers.get_mut(&who) else { continue };
+            let Some(asker) = self.askers.get_mut(&who) else {
+                continue;
+            };
             let lately = |at: Option<Timestamp>, least| at.is_some_and(|at| now - at < least);
             if due < asker.wish.has && !lately(asker.recalled, RECALLS) {
                 asker.recalled = Some(now);
-                say.push((who, Word::Recall { budget: self.mark, keep: due }));
+                say.push((
+                    who,
+                    Word::Recall {
+                        budget: self.mark,
+                        keep: due,
+                    },
+                ));
             } else if due > asker.wish.has && idle > 0 && !lately(asker.offered, OFFERS) {
                 asker.offered = Some(now);
                 let units = idle.min(due - asker.wish.has);
                 idle -= units;
-                say.push((who, Word::Spare { budget: self.mark, units }));
+                say.push((
+                    who,
+                    Word::Spare {
+                        budget: self.mark,
+                        units,
+                    },
+                ));
             }
         }
     }
@@ -347,12 +387,21 @@
     fn targets(&mut self, now: Timestamp) -> Vec<(Who, u32)> {
         // Recorded here and used by those who do not ask any more until it is over.
         let ledger = &self.ledger;
-        self.askers.iter_mut().for_each(|(who, a)| a.wish.has = ledger.lent_to(now, *who));
+        self.askers
+            .iter_mut()
+            .for_each(|(who, a)| a.wish.has = ledger.lent_to(now, *who));
         let silent = self.ledger.lent(now) - self.askers.values().map(|a| a.wish.has).sum::<u32>();
         let wishes: Vec<Wish> = self.askers.values().map(|a| a.wish).collect();
         let spare = self.lendable(now).saturating_sub(silent);
         let lent: u32 = wishes.iter().map(|w| w.has).sum();
-        let kept = step(if self.short(now) { spare } else { spare.max(lent) }, &wishes);
+        let kept = step(
+            if self.short(now) {
+                spare
+            } else {
+                spare.max(lent)
+            },
+            &wishes,
+        );
         self.askers.keys().copied().zip(kept).collect()
     }
 
@@ -361,27 +410,67 @@
         self.follow(now);
         self.heard = Some(now);
         match *word {
-            Word::Ask { number, units, base, wants, weight, .. } => {
+            Word::Ask {
+                number,
+                units,
+                base,
+                wants,
+                weight,
+                ..
+            } => {
                 let weight = f64::from(weight);
-                let weight = if weight.is_finite() { weight.clamp(0.01, 100.0) } else { 1.0 };
+                let weight = if weight.is_finite() {
+                    weight.clamp(0.01, 100.0)
+                } else {
+                    1.0
+                };
                 let most = self.set.whole;
                 let (base, wants) = (base.min(most), wants.min(most));
-                let wish = Wish { base, wants, weight, has: 0 };
-                let (recalled, offered) =
-                    self.askers.get(&from).map_or((None, None), |a| (a.recalled, a.offered));
-                self.askers.insert(from, Asker { wish, at: now, recalled, offered });
+                let wish = Wish {
+                    base,
+                    wants,
+                    weight,
+                    has: 0,
+                };
+                let (recalled, offered) = self
+                    .askers
+                    .get(&from)
+                    .map_or((None, None), |a| (a.recalled, a.offered));
+                self.askers.insert(
+                    from,
+                    Asker {
+                        wish,
+                        at: now,
+                        recalled,
+                        offered,
+                    },
+                );
                 let targets = self.targets(now);
                 let due = targets.iter().find(|t| t.0 == from).map_or(0, |t| t.1);
                 if let Some(granted) = self.ledger.grant(now, from, number, units.min(due)) {
                     let left = self.lendable(now).saturating_sub(self.ledger.lent(now));
-                    let spare = left.min(self.ledger.could_grant(now, from).saturating_sub(granted));
-                    say.push((from, Word::Grant { budget: self.mark, number, units: granted, spare }));
+                    let spare =
+                        left.min(self.ledger.could_grant(now, from).saturating_sub(granted));
+                    say.push((
+                        from,
+                        Word::Grant {
+                            budget: self.mark,
+                            number,
+                            units: granted,
+                            spare,
+                        },
+                    ));
                     if granted > 0 {
                         self.cause = Cause::Lent;
                     }
                 }
             }
-            Word::Grant { number, units, spare, .. } => {
+            Word::Grant {
+                number,
+                units,
+                spare,
+                ..
+            } => {
                 let units = units.min(self.set.whole);
                 let had = self.ledger.borrowed_of(now, from);
                 if !self.ledger.granted(now, from, number, units) {
@@ -393,13 +482,23 @@
                 } else if had == 0 {
                     self.asks = (self.asks * ASKED_LESS).max(1.0);
                 }
-                let most = AGAIN_EACH.mul_f64(self.lenders.len() as f64).max(AGAIN).min(AGAIN_MOST);
+                let most = AGAIN_EACH
+                    .mul_f64(self.lenders.len() as f64)
+                    .max(AGAIN)
+                    .min(AGAIN_MOST);
                 let pause = match self.lenders.get(&from) {
                     _ if units > had || spare > 0 => Duration::ZERO,
                     Some(l) if l.pause > Duration::ZERO => (l.pause + l.pause).min(most),
                     _ => AGAIN,
                 };
-                self.lenders.insert(from, Lender { spare, next: now + pause, pause });
+                self.lenders.insert(
+                    from,
+                    Lender {
+                        spare,
+                        next: now + pause,
+                        pause,
+                    },
+                );
             }
             Word::Back { number, keep, .. } => {
                 let lent = self.ledger.lent(now);
@@ -412,12 +511,26 @@
                 self.ledger.give_back(from, keep);
                 self.hurries |= self.ledger.owes(now);
                 // It wants them itself: others are asked.
-                self.lenders.insert(from, Lender { spare: 0, next: now + AGAIN, pause: AGAIN });
+                self.lenders.insert(
+                    from,
+                    Lender {
+                        spare: 0,
+                        next: now + AGAIN,
+                        pause: AGAIN,
+                    },
+                );
             }
             Word::Spare { units, .. } => {
                 let missing = self.wants().saturating_sub(self.ledger.usable(now));
                 let spare = units.min(self.set.whole);
-                self.lenders.insert(from, Lender { spare, next: now, pause: Duration::ZERO });
+                self.lenders.insert(
+                    from,
+                    Lender {
+                        spare,
+                        next: now,
+                        pause: Duration::ZERO,
+                    },
+                );
                 if missing > 0 && spare > 0 && !self.open(now, from) {
                     let units = self.ledger.borrowed_of(now, from) + spare.min(missing);
                     self.ask(now, from, units, say);
--- a/crates/quota/src/counts.rs
+++ b/crates/quota/src/counts.rs
@@ -57,10 +57,18 @@
             return;
         }
         if self.heavy.len() >= KEYS_MOST {
-            let least = self.heavy.iter().min_by_key(|h| (h.1, h.0)).map(|h| (*h.0, *h.1));
+            let least = self
+                .heavy
+                .iter()
+                .min_by_key(|h| (h.1, h.0))
+                .map(|h| (*h.0, *h.1));
             let Some((rarest, count)) = least else { return };
             // A key that comes for the first time gives way to those that came more often.
-            let (out, count) = if count <= n { (rarest, count) } else { (key, n) };
+            let (out, count) = if count <= n {
+                (rarest, count)
+            } else {
+                (key, n)
+            };
             let sum = self.rest.entry(place(out, OWN_PLACES) as u16).or_default();
             *sum = sum.saturating_add(count);
             if out == key {
@@ -74,7 +82,11 @@
     /// At least, and at most.
     fn count(&self, key: u32) -> (u32, u32) {
         let sure = self.heavy.get(&key).copied().unwrap_or(0);
-        let more = self.rest.get(&(place(key, OWN_PLACES) as u16)).copied().unwrap_or(0);
+        let more = self
+            .rest
+            .get(&(place(key, OWN_PLACES) as u16))
+            .copied()
+            .unwrap_or(0);
         (sure, sure.saturating_add(more))
     }
 }
@@ -93,7 +105,10 @@
     /// How long ago its latest slot was over by now: at least, at most.
     fn age(&self, now: Timestamp) -> (Duration, Duration) {
         let passed = now - self.at;
-        (self.over.0 + passed.mul_f64(1.0 - DRIFT), self.over.1 + passed.mul_f64(1.0 + DRIFT))
+        (
+            self.over.0 + passed.mul_f64(1.0 - DRIFT),
+            self.over.1 + passed.mul_f64(1.0 + DRIFT),
+        )
     }
 }
 
@@ -133,7 +148,10 @@
     pub fn new(now: Timestamp, set: Settings) -> Counts {
         Counts {
             mark: mark(&set.name),
-            slot: set.window.mul_f64(1.0 / SLOTS as f64).max(Duration::from_millis(10)),
+            slot: set
+                .window
+                .mul_f64(1.0 / SLOTS as f64)
+                .max(Duration::from_millis(10)),
             began: now,
             own: VecDeque::new(),
             heard: BTreeMap::new(),
@@ -177,19 +195,28 @@
         let (mut low, mut high) = (0u32, 0u32);
         // The slot before the filling one is over; the window begins LAG slots before the end of that.
         for back in LAG + 1..=LAG + SLOTS {
-            let Some(slot) = newest.checked_sub(back).and_then(|n| self.own_slot(n)) else { continue };
+            let Some(slot) = newest.checked_sub(back).and_then(|n| self.own_slot(n)) else {
+                continue;
+            };
             let (sure, most) = slot.count(key);
             (low, high) = (low.saturating_add(sure), high.saturating_add(most));
         }
         let (low, high) = (f64::from(low), f64::from(high));
-        Told { value: (low + high) / 2.0, low, high, unheard: 0 }
+        Told {
+            value: (low + high) / 2.0,
+            low,
+            high,
+            unheard: 0,
+        }
     }
 
     /// Keys that came here of late, the heaviest first.
     pub fn active(&self, most: usize) -> Vec<u32> {
         let mut sums: HashMap<u32, u32> = HashMap::new();
         for (_, slot) in &self.own {
-            slot.heavy.iter().for_each(|(key, n)| *sums.entry(*key).or_default() += n);
+            slot.heavy
+                .iter()
+                .for_each(|(key, n)| *sums.entry(*key).or_default() += n);
         }
         let mut sums: Vec<(u32, u32)> = sums.into_iter().map(|(key, n)| (n, key)).collect();
         sums.sort_unstable_by(|a, b| b.cmp(a));
@@ -202,34 +229,53 @@
         let latest = self.number(now).checked_sub(1)?;
         let over = now - (self.began + Duration::from_micros((latest + 1) * self.slot.as_micros()));
         let ms = (over.as_micros() / 1_000) as u32;
-        if let Some(made) = self.made.as_mut().filter(|m| m.slot == latest && m.life == life) {
+        if let Some(made) = self
+            .made
+            .as_mut()
+            .filter(|m| m.slot == latest && m.life == life)
+        {
             (made.least_ms, made.most_ms) = (ms, ms + 1);
             return Some(made.clone());
         }
-        let numbers: Vec<u64> = (0..KEPT).filter_map(|back| latest.checked_sub(back)).collect();
+        let numbers: Vec<u64> = (0..KEPT)
+            .filter_map(|back| latest.checked_sub(back))
+            .collect();
         let slots: Vec<Option<&Slot>> = numbers.iter().map(|n| self.own_slot(*n)).collect();
         let mut sums: HashMap<u32, u32> = HashMap::new();
         let mut own_rest: HashMap<u16, u32> = HashMap::new();
         for slot in slots.iter().flatten() {
-            slot.heavy.iter().for_each(|(key, n)| *sums.entry(*key).or_default() += n);
-            slot.rest.iter().for_each(|(at, n)| *own_rest.entry(*at).or_default() += n);
+            slot.heavy
+                .iter()
+                .for_each(|(key, n)| *sums.entry(*key).or_default() += n);
+            slot.rest
+                .iter()
+                .for_each(|(at, n)| *own_rest.entry(*at).or_default() += n);
         }
         let mut sums: Vec<(u32, u32)> = sums.into_iter().map(|(key, n)| (n, key)).collect();
         sums.sort_unstable_by(|a, b| b.cmp(a));
         let by_slot = |key: u32| {
-            let counts = slots.iter().map(|s| s.and_then(|s| s.heavy.get(&key)).copied().unwrap_or(0));
+            let counts = slots
+                .iter()
+                .map(|s| s.and_then(|s| s.heavy.get(&key)).copied().unwrap_or(0));
             let mut counts: Vec<u32> = counts.collect();
             while counts.last() == Some(&0) {
                 counts.pop();
             }
             counts
         };
-        let heavy = sums.iter().take(TOLD).map(|(_, key)| (*key, by_slot(*key))).collect();
+        let heavy = sums
+            .iter()
+            .take(TOLD)
+            .map(|(_, key)| (*key, by_slot(*key)))
+            .collect();
         let mut rest = vec![0u32; PLACES];
         let mut rest_most = own_rest.values().copied().max().unwrap_or(0);
         for (n, key) in sums.iter().skip(TOLD) {
             rest[place(*key, PLACES)] += n;
-            let more = own_rest.get(&(place(*key, OWN_PLACES) as u16)).copied().unwrap_or(0);
+            let more = own_rest
+                .get(&(place(*key, OWN_PLACES) as u16))
+                .copied()
+                .unwrap_or(0);
             rest_most = rest_most.max(n + more);
         }
         let hidden = own_rest.values().copied().max().unwrap_or(0);
@@ -254,22 +300,41 @@
 
     /// What is known, its own first, then so many others from a drawn one on.
     pub fn cells(
-        &mut self, now: Timestamp, name: &CompactString, life: u64, draw: f64, most: usize,
+        &mut self,
+        now: Timestamp,
+        name: &CompactString,
+        life: u64,
+        draw: f64,
+        most: usize,
     ) -> Vec<Cell> {
         let mut cells: Vec<Cell> = self.cell(now, name, life).into_iter().collect();
-        let open: Vec<&Heard> = self.heard.values().filter(|h| h.cell.name != *name).collect();
+        let open: Vec<&Heard> = self
+            .heard
+            .values()
+            .filter(|h| h.cell.name != *name)
+            .collect();
         let first = (draw * open.len() as f64) as usize;
         for step in 0..open.len().min(most) {
             let heard = open[(first + step) % open.len()];
             let (least, most) = heard.age(now);
             let ms = |s: Duration| (s.as_micros() / 1_000).min(u64::from(u32::MAX) - 1) as u32;
-            cells.push(Cell { least_ms: ms(least), most_ms: ms(most) + 1, ..heard.cell.clone() });
+            cells.push(Cell {
+                least_ms: ms(least),
+                most_ms: ms(most) + 1,
+                ..heard.cell.clone()
+            });
         }
         cells
     }
 
     /// What another said, in answer to a question of `asked` ago: of itself or of others.
-    pub fn hear(&mut self, now: Timestamp, asked: Duration, cell: Cell, own: (&CompactString, u64)) {
+    pub fn hear(
+        &mut self,
+        now: Timestamp,
+        asked: Duration,
+        cell: Cell,
+        own: (&CompactString, u64),
+    ) {
         let sound = cell.heavy.len() <= TOLD
             && cell.heavy.iter().all(|h| h.1.len() <= KEPT as usize)
             && (cell.rest.is_empty() || cell.rest.len() == PLACES)
@@ -291,7 +356,12 @@
             Duration::from_millis(u64::from(cell.least_ms)).mul_f64(1.0 - DRIFT),
             Duration::from_millis(u64::from(cell.most_ms)) + asked.mul_f64(1.0 + DRIFT),
         );
-        let fresh = Heard { cell, at: now, over, closed: None };
+        let fresh = Heard {
+            cell,
+            at: now,
+            over,
+            closed: None,
+        };
         // The same slot again: whichever tells its age more closely.
         let narrow = |h: &Heard| {
             let (least, most) = h.age(now);
@@ -305,7 +375,11 @@
         }
         let (name, life) = key.clone();
         self.unmet.remove(&name);
-        let later = self.heard.range((name.clone(), life + 1)..).next().is_some_and(|h| h.0.0 == name);
+        let later = self
+            .heard
+            .range((name.clone(), life + 1)..)
+            .next()
+            .is_some_and(|h| h.0.0 == name);
         let closed = later.then_some(now);
         self.heard.insert(key, Heard { closed, ..fresh });
         for (_, former) in self.heard.range_mut((name.clone(), 0)..(name, life)) {
@@ -316,7 +390,12 @@
     /// The view holds this server: it may count on, unheard, also while it is lost and remembered.
     pub fn there(&mut self, now: Timestamp, name: &CompactString) {
         let first = (name.clone(), 0);
-        if self.heard.range(first..).next().is_none_or(|h| h.0.0 != *name) {
+        if self
+            .heard
+            .range(first..)
+            .next()
+            .is_none_or(|h| h.0.0 != *name)
+        {
             self.unmet.entry(name.clone()).or_insert(now);
         }
     }
@@ -333,7 +412,8 @@
     /// Lets go of what no window holds any more.
     pub fn tidy(&mut self, now: Timestamp) {
         let keep = self.slot.mul_f64((2 * KEPT) as f64);
-        self.heard.retain(|_, h| h.closed.is_none_or(|at| now - at < keep));
+        self.heard
+            .retain(|_, h| h.closed.is_none_or(|at| now - at < keep));
     }
 
     /// How often a key came over the fleet in the window that ended `LAG` slots ago. `fair` is what a server
@@ -363,9 +443,9 @@
                 high += f64::from(if listed.is_some() { cell.hidden } else { rest });
             }
             // Slots since that may lie in the window, and were not told of.
-            let end = heard
-                .closed
-                .map_or(Duration::ZERO, |at| (now - at).mul_f64(1.0 - DRIFT).saturating_sub(self.slot));
+            let end = heard.closed.map_or(Duration::ZERO, |at| {
+                (now - at).mul_f64(1.0 - DRIFT).saturating_sub(self.slot)
+            });
             let slots = |s: Duration| s.as_micros() / self.slot.as_micros();
             // Those that are over for longer than the window reaches back are none of it.
             let unknown = slots(most.saturating_sub(from.max(end)))
@@ -373,8 +453,8 @@
                 .min(SLOTS) as f64;
             let mut value = (low + high) / 2.0;
             if unknown > 0.0 {
-                let rate =
-                    listed.map_or(0.0, |l| l.iter().map(|n| f64::from(*n)).sum()) / (KEPT as f64 * slot);
+                let rate = listed.map_or(0.0, |l| l.iter().map(|n| f64::from(*n)).sum())
+                    / (KEPT as f64 * slot);
                 let keeps = (-(least.as_secs_f64() / self.set.window.as_secs_f64()) / FADES).exp();
                 value += unknown * slot * (rate * keeps + fair * (1.0 - keeps));
                 high += unknown * slot * self.set.most;
--- a/crates/quota/src/ledger.rs
+++ b/crates/quota/src/ledger.rs
@@ -51,7 +51,12 @@
 
 impl Given {
     fn units(&self, now: Timestamp) -> u32 {
-        self.layers.iter().filter(|l| now < l.until).map(|l| l.units).max().unwrap_or(0)
+        self.layers
+            .iter()
+            .filter(|l| now < l.until)
+            .map(|l| l.units)
+            .max()
+            .unwrap_or(0)
     }
 }
 
@@ -95,7 +100,15 @@
     /// `own` is this server's birthright, which it may use, and lend, from `from` on.
     pub fn new(terms: Terms, own: u32, from: Timestamp) -> Ledger {
         let (given, taken) = (BTreeMap::new(), BTreeMap::new());
-        Ledger { terms, own, from, in_use: 0, numbered: 0, given, taken }
+        Ledger {
+            terms,
+            own,
+            from,
+            in_use: 0,
+            numbered: 0,
+            given,
+            taken,
+        }
     }
 
     pub fn terms(&self) -> Terms {
@@ -129,16 +142,26 @@
 
     /// Units of others that calls may be started on.
     pub fn borrowed(&self, now: Timestamp) -> u32 {
-        self.taken.values().filter(|t| now < t.end).map(|t| t.units).sum()
+        self.taken
+            .values()
+            .filter(|t| now < t.end)
+            .map(|t| t.units)
+            .sum()
     }
 
     pub fn borrowed_of(&self, now: Timestamp, who: Who) -> u32 {
-        self.taken.get(&who).filter(|t| now < t.end).map_or(0, |t| t.units)
+        self.taken
+            .get(&who)
+            .filter(|t| now < t.end)
+            .map_or(0, |t| t.units)
     }
 
     /// Those of whom something is borrowed, how much, and how long it may still be used.
     pub fn loans(&self, now: Timestamp) -> impl Iterator<Item = (Who, u32, Duration)> {
-        let open = self.taken.iter().filter(move |t| now < t.1.end && t.1.units > 0);
+        let open = self
+            .taken
+            .iter()
+            .filter(move |t| now < t.1.end && t.1.units > 0);
         open.map(move |(who, t)| (*who, t.units, t.end - now))
     }
 
@@ -196,15 +219,25 @@
         }
         (given.answered, given.answer) = (number, units);
         if units > 0 {
-            given.layers.push(Layer { number, units, until });
+            given.layers.push(Layer {
+                number,
+                units,
+                until,
+            });
         }
         Some(units)
     }
 
     /// A borrower gives its grant `number`, and with it all earlier ones, back down to `keep` units.
     pub fn returned(&mut self, from: Who, number: u32, keep: u32) {
-        let Some(given) = self.given.get_mut(&from) else { return };
-        given.layers.iter_mut().filter(|l| l.number <= number).for_each(|l| l.units = l.units.min(keep));
+        let Some(given) = self.given.get_mut(&from) else {
+            return;
+        };
+        given
+            .layers
+            .iter_mut()
+            .filter(|l| l.number <= number)
+            .for_each(|l| l.units = l.units.min(keep));
         given.layers.retain(|l| l.units > 0);
     }
 
@@ -224,8 +257,12 @@
 
     /// The answer to a question. One that nobody waits for, or that comes when its lease is over, is nothing.
     pub fn granted(&mut self, now: Timestamp, lender: Who, number: u32, units: u32) -> bool {
-        let Some(taken) = self.taken.get_mut(&lender) else { return false };
-        let Some((_, at)) = taken.asked.take_if(|a| a.0 == number) else { return false };
+        let Some(taken) = self.taken.get_mut(&lender) else {
+            return false;
+        };
+        let Some((_, at)) = taken.asked.take_if(|a| a.0 == number) else {
+            return false;
+        };
         let end = at + self.terms.lease.saturating_sub(self.terms.guard);
         if now >= end {
             return false;
@@ -255,7 +292,11 @@
         let owed = self.taken.iter_mut().filter(|t| t.1.owed > 0);
         owed.map(|(lender, t)| {
             t.owed -= 1;
-            Back { lender: *lender, number: t.number, keep: if now < t.end { t.units } else { 0 } }
+            Back {
+                lender: *lender,
+                number: t.number,
+                keep: if now < t.end { t.units } else { 0 },
+            }
         })
         .collect()
     }
--- a/crates/quota/src/ledger/model.rs
+++ b/crates/quota/src/ledger/model.rs
@@ -9,8 +9,11 @@
 /// Birthrights: one server has all, so that every call of another is on a loan.
 const OWN: [u32; SERVERS] = [2, 0, 0];
 const WHOLE: usize = 2;
-const TERMS: Terms =
-    Terms { lease: Duration::from_micros(2), longest: Duration::from_micros(1), guard: Duration::ZERO };
+const TERMS: Terms = Terms {
+    lease: Duration::from_micros(2),
+    longest: Duration::from_micros(1),
+    guard: Duration::ZERO,
+};
 /// Ticks played, messages under way at a time, and what is done at the most in one history.
 const TICKS: u64 = 5;
 const UNDER_WAY: usize = 2;
@@ -132,7 +135,11 @@
             }
             Word::Grant { number, units } => {
                 if fault == Fault::FromReceipt
-                    && let Some(asked) = server.ledger.taken.get_mut(&from).and_then(|t| t.asked.as_mut())
+                    && let Some(asked) = server
+                        .ledger
+                        .taken
+                        .get_mut(&from)
+                        .and_then(|t| t.asked.as_mut())
                 {
                     asked.1 = now;
                 }
@@ -156,11 +163,24 @@
     fn init_states(&self) -> Vec<World> {
         let server = |s: usize| {
             let ledger = Ledger::new(TERMS, OWN[s], Timestamp::from_micros(0));
-            Server { ledger, life: 0, stopped: false, unheard: 0 }
+            Server {
+                ledger,
+                life: 0,
+                stopped: false,
+                unheard: 0,
+            }
         };
         let servers = (0..SERVERS).map(server).collect();
         let (calls, letters) = (vec![], vec![]);
-        vec![World { now: 0, servers, calls, letters, asks: 0, backs: 0, trouble: self.trouble }]
+        vec![World {
+            now: 0,
+            servers,
+            calls,
+            letters,
+            asks: 0,
+            backs: 0,
+            trouble: self.trouble,
+        }]
     }
 
     fn actions(&self, w: &World, deeds: &mut Vec<Deed>) {
@@ -187,7 +207,11 @@
             }
             // The one that has all never needs to ask.
             if s > 0 && w.asks < ASKS && w.letters.len() < UNDER_WAY {
-                deeds.extend((1..=2).map(|units| Deed::Ask { from: s, to: 0, units }));
+                deeds.extend((1..=2).map(|units| Deed::Ask {
+                    from: s,
+                    to: 0,
+                    units,
+                }));
             }
             let has = server.ledger.borrowed(now);
             if has > 0 && w.backs < BACKS && w.letters.len() < UNDER_WAY {
@@ -219,7 +243,10 @@
                 w.calls.sort_unstable();
             }
             Deed::End(s) => {
-                let at = w.calls.iter().position(|c| (c.0, c.1) == (s, w.servers[s].life))?;
+                let at = w
+                    .calls
+                    .iter()
+                    .position(|c| (c.0, c.1) == (s, w.servers[s].life))?;
                 w.over(at);
             }
             Deed::Ask { from, to, units } => {
@@ -236,7 +263,11 @@
                 let back = ledger.backs(now).pop()?;
                 w.backs += 1;
                 let to = (lender as usize / 10, (lender % 10) as u8);
-                let word = Word::Back { number: back.number, keep: back.keep, less: had - back.keep };
+                let word = Word::Back {
+                    number: back.number,
+                    keep: back.keep,
+                    less: had - back.keep,
+                };
                 w.send(from, to, word);
             }
             Deed::Arrives(at) => {
@@ -263,9 +294,18 @@
             Deed::Crash(s) => {
                 w.trouble[1] -= 1;
                 // Its calls go on below; it is back at once, knowing nothing.
-                let wait = if self.fault == Fault::NoWait { Duration::ZERO } else { TERMS.held() };
+                let wait = if self.fault == Fault::NoWait {
+                    Duration::ZERO
+                } else {
+                    TERMS.held()
+                };
                 let ledger = Ledger::new(TERMS, OWN[s], now + wait);
-                w.servers[s] = Server { ledger, life: w.servers[s].life + 1, stopped: false, unheard: 0 };
+                w.servers[s] = Server {
+                    ledger,
+                    life: w.servers[s].life + 1,
+                    stopped: false,
+                    unheard: 0,
+                };
             }
         }
         Some(w)
@@ -273,7 +313,9 @@
 
     fn properties(&self) -> Vec<Property<Ways>> {
         vec![
-            Property::always("never more than the whole", |_, w: &World| w.calls.len() <= WHOLE),
+            Property::always("never more than the whole", |_, w: &World| {
+                w.calls.len() <= WHOLE
+            }),
             Property::sometimes("idle units reach who wants them", |_, w: &World| {
                 w.calls.iter().filter(|c| c.0 == 1).count() == WHOLE
             }),
@@ -285,12 +327,21 @@
 }
 
 fn explored(fault: Fault, trouble: [u8; 3]) -> (usize, Vec<&'static str>) {
-    let checker = Ways { fault, trouble }.checker().threads(4).spawn_bfs().join();
-    (checker.unique_state_count(), checker.discoveries().into_keys().collect())
+    let checker = Ways { fault, trouble }
+        .checker()
+        .threads(4)
+        .spawn_bfs()
+        .join();
+    (
+        checker.unique_state_count(),
+        checker.discoveries().into_keys().collect(),
+    )
 }
 
 fn found(fault: Fault, trouble: [u8; 3]) -> bool {
-    explored(fault, trouble).1.contains(&"never more than the whole")
+    explored(fault, trouble)
+        .1
+        .contains(&"never more than the whole")
 }
 
 #[test]
@@ -298,7 +349,11 @@
     for trouble in [[1, 0, 0], [0, 1, 0], [0, 0, 1]] {
         let (states, mut seen) = explored(Fault::Sound, trouble);
         seen.sort_unstable();
-        assert_eq!(seen, ["and come back", "idle units reach who wants them"], "{trouble:?}");
+        assert_eq!(
+            seen,
+            ["and come back", "idle units reach who wants them"],
+            "{trouble:?}"
+        );
         assert!(states > 10_000, "{states} states are no exploration");
         println!("{trouble:?}: {states} states");
     }
