--- a/crates/quota/src/ledger/tests.rs
+++ b/crates/quota/src/ledger/tests.rs
@@ -25,7 +25,13 @@
     assert!(!b.granted(at(701), 1, number, 3), "once");
     assert_eq!((b.usable(at(949)), b.usable(at(950))), (5, 2));
     let over = at(400) + TERMS.held();
-    assert_eq!((a.usable(over.saturating_sub(Duration::from_micros(1))), a.usable(over)), (1, 4));
+    assert_eq!(
+        (
+            a.usable(over.saturating_sub(Duration::from_micros(1))),
+            a.usable(over)
+        ),
+        (1, 4)
+    );
     assert!(at(949) + TERMS.longest < over);
 }
 
@@ -36,7 +42,11 @@
     assert_eq!(a.grant(at(10), 2, 1, 3), Some(3));
     assert_eq!(a.lent(at(10)), 3);
     assert_eq!(a.grant(at(20), 2, 2, 2), Some(2));
-    assert_eq!(a.lent(at(20)), 3, "calls on the former grant may be in hand");
+    assert_eq!(
+        a.lent(at(20)),
+        3,
+        "calls on the former grant may be in hand"
+    );
     assert_eq!(a.grant(at(30), 2, 1, 3), None);
     assert_eq!(a.grant(at(40), 3, 1, 4), Some(1), "no more than there is");
 }
@@ -47,11 +57,23 @@
 fn many_questions_within_a_lease_are_answered() {
     let mut a = ledger(40);
     for n in 1..=40u32 {
-        assert_eq!(a.grant(at(u64::from(n)), 2, n, n), Some(n), "more each time");
+        assert_eq!(
+            a.grant(at(u64::from(n)), 2, n, n),
+            Some(n),
+            "more each time"
+        );
     }
     for n in 1..=40u32 {
-        assert_eq!(a.grant(at(40 + u64::from(n)), 2, 40 + n, 40 - n), Some(40 - n), "less each time");
-        assert_eq!(a.lent(at(40 + u64::from(n))), 40, "calls on the largest may be in hand");
+        assert_eq!(
+            a.grant(at(40 + u64::from(n)), 2, 40 + n, 40 - n),
+            Some(40 - n),
+            "less each time"
+        );
+        assert_eq!(
+            a.lent(at(40 + u64::from(n))),
+            40,
+            "calls on the largest may be in hand"
+        );
     }
     assert_eq!(a.lent(at(80) + TERMS.held()), 0);
     a.returned(2, 40, 0);
@@ -82,10 +104,21 @@
     assert!(b.granted(at(1), 1, first, units));
     (0..3).for_each(|_| b.started());
     b.give_back(1, 1);
-    assert_eq!((b.usable(at(2)), b.backs(at(2))), (1, vec![]), "two calls too many are in hand");
+    assert_eq!(
+        (b.usable(at(2)), b.backs(at(2))),
+        (1, vec![]),
+        "two calls too many are in hand"
+    );
     (0..2).for_each(|_| b.ended());
     let back = b.backs(at(3));
-    assert_eq!(back, vec![Back { lender: 1, number: first, keep: 1 }]);
+    assert_eq!(
+        back,
+        vec![Back {
+            lender: 1,
+            number: first,
+            keep: 1
+        }]
+    );
     a.returned(2, first, 1);
     assert_eq!(a.usable(at(4)), 3);
     // A later grant is larger; the return of the former, which comes again, takes nothing of it.
--- a/crates/quota/src/shared.rs
+++ b/crates/quota/src/shared.rs
@@ -67,8 +67,19 @@
 
 impl std::fmt::Display for Change {
     fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
-        let Change { budget, from, to, cause, lent, borrowed } = self;
-        write!(f, "{budget}: {from} to {to} calls, {lent} lent, {borrowed} borrowed: {}", cause.told())
+        let Change {
+            budget,
+            from,
+            to,
+            cause,
+            lent,
+            borrowed,
+        } = self;
+        write!(
+            f,
+            "{budget}: {from} to {to} calls, {lent} lent, {borrowed} borrowed: {}",
+            cause.told()
+        )
     }
 }
 
@@ -131,7 +142,11 @@
 impl Shared {
     pub fn new(now: Timestamp, seed: u64, set: Settings) -> Shared {
         let budgets = set.budgets.iter().map(|b| {
-            let settles = if b.seat.is_some() { Duration::ZERO } else { SETTLES };
+            let settles = if b.seat.is_some() {
+                Duration::ZERO
+            } else {
+                SETTLES
+            };
             Budget::new(now, now + b.terms.held() + settles, b.clone())
         });
         let counts = set.counts.iter().map(|c| Counts::new(now, c.clone()));
@@ -165,7 +180,12 @@
     pub fn view(&mut self, now: Timestamp, life: u64, peers: Vec<Peer>) {
         self.lives(now, life);
         let there: BTreeSet<&CompactString> = peers.iter().map(|p| &p.name).collect();
-        let gone: Vec<CompactString> = self.peers.keys().filter(|n| !there.contains(n)).cloned().collect();
+        let gone: Vec<CompactString> = self
+            .peers
+            .keys()
+            .filter(|n| !there.contains(n))
+            .cloned()
+            .collect();
         gone.iter().for_each(|name| self.gone(now, name));
         peers.into_iter().for_each(|p| self.there(now, p));
     }
@@ -179,7 +199,9 @@
 
     /// One that the view holds, or holds otherwise than before.
     pub fn there(&mut self, now: Timestamp, peer: Peer) {
-        self.counts.iter_mut().for_each(|c| c.there(now, &peer.name));
+        self.counts
+            .iter_mut()
+            .for_each(|c| c.there(now, &peer.name));
         let active = peer.active;
         let name = peer.name.clone();
         let before = self.peers.insert(name.clone(), peer);
@@ -214,7 +236,13 @@
 
     /// Those who were lost so long ago that nothing they had can still be in hand.
     fn forget_lost(&mut self, now: Timestamp) {
-        let longest = self.budgets.iter().map(|b| b.set.terms.held()).max().unwrap_or_default() + SETTLES;
+        let longest = self
+            .budgets
+            .iter()
+            .map(|b| b.set.terms.held())
+            .max()
+            .unwrap_or_default()
+            + SETTLES;
         self.lost.retain(|_, l| now - l.1 < longest);
     }
 
@@ -222,9 +250,18 @@
     /// began earlier, the lost among them until all that they had is over. One whose seat another has, that
     /// stands before it, has none either.
     fn rank(&mut self, now: Timestamp) {
-        let before = |name: &CompactString, life: u64| (life, name) < (self.ranked.0, &self.ranked.1);
-        let there = self.peers.values().filter(|p| before(&p.name, p.life)).count();
-        let gone = self.lost.iter().filter(|l| !self.peers.contains_key(l.0) && before(l.0, l.1.0)).count();
+        let before =
+            |name: &CompactString, life: u64| (life, name) < (self.ranked.0, &self.ranked.1);
+        let there = self
+            .peers
+            .values()
+            .filter(|p| before(&p.name, p.life))
+            .count();
+        let gone = self
+            .lost
+            .iter()
+            .filter(|l| !self.peers.contains_key(l.0) && before(l.0, l.1.0))
+            .count();
         let seat = self.set.budgets.iter().find_map(|b| b.seat);
         let taken = self.peers.values().any(|p| {
             let known = self.known.get(&p.name);
@@ -258,7 +295,11 @@
     pub fn reload(&mut self, now: Timestamp, budgets: &[budget::Settings]) {
         for b in &mut self.budgets {
             if let Some(fresh) = budgets.iter().find(|f| f.name == b.set.name) {
-                b.set = budget::Settings { terms: b.set.terms, seat: b.set.seat, ..fresh.clone() };
+                b.set = budget::Settings {
+                    terms: b.set.terms,
+                    seat: b.set.seat,
+                    ..fresh.clone()
+                };
             }
         }
         self.rank(now);
@@ -268,7 +309,11 @@
 
     /// The small number of a life. One that was asked before it was heard (life 0) is known by its answer.
     fn who(&mut self, name: &CompactString, life: u64, seat: u32) -> Option<Who> {
-        if let Some(known) = self.known.get_mut(name).filter(|k| k.life == life || k.life == 0) {
+        if let Some(known) = self
+            .known
+            .get_mut(name)
+            .filter(|k| k.life == life || k.life == 0)
+        {
             (known.life, known.seat) = (life, seat);
             return Some(known.who);
         }
@@ -281,7 +326,11 @@
             None => return None,
         };
         self.names[who as usize] = name.clone();
-        self.retired.extend(self.known.insert(name.clone(), Known { who, life, seat }).map(|k| k.who));
+        self.retired.extend(
+            self.known
+                .insert(name.clone(), Known { who, life, seat })
+                .map(|k| k.who),
+        );
         Some(who)
     }
 
@@ -301,7 +350,9 @@
             match word {
                 Word::Pull { stamp } => self.tell(now, from, stamp),
                 Word::Cells { stamp, cells } => {
-                    let Some(at) = self.stamps.iter().find(|s| s.0 == stamp).map(|s| s.1) else { continue };
+                    let Some(at) = self.stamps.iter().find(|s| s.0 == stamp).map(|s| s.1) else {
+                        continue;
+                    };
                     for cell in cells {
                         let own = (&self.set.name, self.ranked.0);
                         if let Some(count) = self.counts.iter_mut().find(|c| c.mark == cell.count) {
@@ -314,8 +365,8 @@
                 | Word::Back { budget, .. }
                 | Word::Recall { budget, .. }
                 | Word::Spare { budget, .. } => {
-                    let meant =
-                        words.to == self.set.life || words.to == 0 && matches!(word, Word::Ask { .. });
+                    let meant = words.to == self.set.life
+                        || words.to == 0 && matches!(word, Word::Ask { .. });
                     if !meant {
                         self.totals.misdirected += 1;
                     } else if let Some(b) = self.budgets.iter_mut().find(|b| b.mark == budget) {
@@ -342,7 +393,10 @@
                 }
             }
         }
-        self.say.entry(to.clone()).or_default().push(Word::Cells { stamp, cells: fit });
+        self.say
+            .entry(to.clone())
+            .or_default()
+            .push(Word::Cells { stamp, cells: fit });
     }
 
     fn put(&mut self, say: Vec<(Who, Word)>) {
@@ -358,7 +412,11 @@
 
     pub fn due(&self) -> Timestamp {
         let hurry = self.hurries().then(|| self.looked + HURRY);
-        let due = if self.counts.is_empty() { self.next } else { self.next.min(self.pull) };
+        let due = if self.counts.is_empty() {
+            self.next
+        } else {
+            self.next.min(self.pull)
+        };
         hurry.map_or(due, |h| due.min(h))
     }
 
@@ -379,16 +437,22 @@
             self.put(say);
         }
         if now >= self.pull && !self.counts.is_empty() {
-            let each =
-                PULL.mul_f64((PULL_OF as f64 / (self.active.len() + 1) as f64).min(1.0)).max(PULL_LEAST);
+            let each = PULL
+                .mul_f64((PULL_OF as f64 / (self.active.len() + 1) as f64).min(1.0))
+                .max(PULL_LEAST);
             self.pull = now + each.mul_f64(0.75 + 0.5 * self.chance.rand_float());
             self.stamps.retain(|s| now - s.1 < PULL_WAITS);
             if !self.active.is_empty() {
                 let at = self.chance.rand_range(0..self.active.len() as u64) as usize;
                 self.stamped = self.stamped.wrapping_add(1);
                 self.stamps.push((self.stamped, now));
-                let word = Word::Pull { stamp: self.stamped };
-                self.say.entry(self.active[at].clone()).or_default().push(word);
+                let word = Word::Pull {
+                    stamp: self.stamped,
+                };
+                self.say
+                    .entry(self.active[at].clone())
+                    .or_default()
+                    .push(word);
             }
         }
     }
@@ -418,7 +482,14 @@
             if let Some((from, to, cause)) = b.changed(now) {
                 let (lent, borrowed) = (b.ledger.lent(now), b.ledger.borrowed(now));
                 let budget = b.set.name.clone();
-                let change = Change { budget, from, to, cause, lent, borrowed };
+                let change = Change {
+                    budget,
+                    from,
+                    to,
+                    cause,
+                    lent,
+                    borrowed,
+                };
                 if self.changes.len() < CHANGES_MOST {
                     self.changes.push(change);
                 } else {
@@ -431,14 +502,24 @@
     /// Lives that are over, or no longer in the view, are let go of once nothing is open with them.
     fn let_go(&mut self, now: Timestamp) {
         let peers = &self.peers;
-        let gone: Vec<CompactString> =
-            self.known.keys().filter(|n| !peers.contains_key(*n)).cloned().collect();
-        self.retired.extend(gone.iter().filter_map(|name| self.known.remove(name)).map(|k| k.who));
+        let gone: Vec<CompactString> = self
+            .known
+            .keys()
+            .filter(|n| !peers.contains_key(*n))
+            .cloned()
+            .collect();
+        self.retired.extend(
+            gone.iter()
+                .filter_map(|name| self.known.remove(name))
+                .map(|k| k.who),
+        );
         if self.retired.is_empty() {
             return;
         }
         let retired: BTreeSet<Who> = self.retired.iter().copied().collect();
-        self.budgets.iter_mut().for_each(|b| b.tidy(now, |who| retired.contains(&who)));
+        self.budgets
+            .iter_mut()
+            .for_each(|b| b.tidy(now, |who| retired.contains(&who)));
         let open = |who: &Who| self.budgets.iter().any(|b| b.ledger.knows(*who));
         let (kept, free): (Vec<Who>, Vec<Who>) = self.retired.iter().partition(|who| open(who));
         self.retired = kept;
@@ -451,7 +532,12 @@
         let mut out = vec![];
         for (name, words) in std::mem::take(&mut self.say) {
             let to = self.known.get(&name).map_or(0, |k| k.life);
-            let bytes = wire::write(&Words { life: self.set.life, to, seat, words });
+            let bytes = wire::write(&Words {
+                life: self.set.life,
+                to,
+                seat,
+                words,
+            });
             if bytes.len() <= WORDS_MOST {
                 self.totals.sent += 1;
                 self.totals.bytes_out += bytes.len() as u64;
@@ -486,14 +572,25 @@
 
     /// The part of an allowance over the whole fleet, in reqs a second, that this server may take as its own:
     /// where all together stay within it, all that the others leave; else its part of what comes.
-    pub fn allowance(&self, now: Timestamp, count: usize, key: u32, per_second: f64, servers: u32) -> f64 {
+    pub fn allowance(
+        &self,
+        now: Timestamp,
+        count: usize,
+        key: u32,
+        per_second: f64,
+        servers: u32,
+    ) -> f64 {
         let counts = &self.counts[count];
         let window = counts.set.window.as_secs_f64();
         let fair = per_second / f64::from(servers.max(1));
         let own = counts.own(now, key).value / window;
         let all = counts.told(now, key, fair).value / window;
         let others = (all - own).max(0.0);
-        let part = if all > 0.0 { per_second * own / all } else { 0.0 };
+        let part = if all > 0.0 {
+            per_second * own / all
+        } else {
+            0.0
+        };
         (per_second - others).max(part).max(0.0)
     }
 
--- a/crates/quota/tests/counts.rs
+++ b/crates/quota/tests/counts.rs
@@ -10,11 +10,20 @@
 const WINDOW: Duration = Duration::from_millis(5_000);
 
 fn start(who: usize) -> Act {
-    Act::Start { who, name: who, clock: Duration::ZERO, back: false }
+    Act::Start {
+        who,
+        name: who,
+        clock: Duration::ZERO,
+        back: false,
+    }
 }
 
 fn fleet(n: usize, seed: u64) -> Sim {
-    let setup = Setup { window: Some(WINDOW), memory: Duration::from_millis(30_000), ..Setup::of(n) };
+    let setup = Setup {
+        window: Some(WINDOW),
+        memory: Duration::from_millis(30_000),
+        ..Setup::of(n)
+    };
     let mut sim = Sim::new(setup, seed);
     sim.log = Some(vec![]);
     (0..n).for_each(|s| sim.act(&start(s)).expect("started"));
@@ -36,8 +45,17 @@
             }
         }
     }
-    let told: Vec<&String> = sim.log.iter().flatten().filter(|l| l.contains(" tells ")).collect();
-    assert_eq!(sim.out_of_bounds.0, 0, "of {}: {told:?}", sim.out_of_bounds.1);
+    let told: Vec<&String> = sim
+        .log
+        .iter()
+        .flatten()
+        .filter(|l| l.contains(" tells "))
+        .collect();
+    assert_eq!(
+        sim.out_of_bounds.0, 0,
+        "of {}: {told:?}",
+        sim.out_of_bounds.1
+    );
 }
 
 #[test]
@@ -54,12 +72,21 @@
         look(&mut sim, &keys, 12_000);
         // In calm it is exact, and half of it by each is the whole.
         let (told, truth) = (sim.told(0, acme, 1.0).expect("counts"), sim.truth(acme));
-        assert_eq!((told.unheard, told.low, told.high), (0, f64::from(truth), f64::from(truth)));
+        assert_eq!(
+            (told.unheard, told.low, told.high),
+            (0, f64::from(truth), f64::from(truth))
+        );
         assert!(truth > 600, "{truth}");
-        let net = |loss| Act::Net { loss: Some(loss), double: Some(0.1), spoil: Some(0.05), delay: None };
+        let net = |loss| Act::Net {
+            loss: Some(loss),
+            double: Some(0.1),
+            spoil: Some(0.05),
+            delay: None,
+        };
         sim.act(&net(0.2)).expect("set");
         look(&mut sim, &keys, 6_000);
-        sim.act(&Act::Cut(vec![vec![0, 1, 2], vec![3, 4, 5, 6]])).expect("cut");
+        sim.act(&Act::Cut(vec![vec![0, 1, 2], vec![3, 4, 5, 6]]))
+            .expect("cut");
         sim.reqs(5, acme, 110.0);
         look(&mut sim, &keys, 10_000);
         sim.act(&Act::Kill(1)).expect("killed");
@@ -85,13 +112,17 @@
     let fair = 10.0;
     let value = |sim: &mut Sim| sim.told(0, acme, fair).expect("counts").value;
     assert!((900.0..1_100.0).contains(&value(&mut sim)));
-    sim.act(&Act::Cut(vec![vec![0], vec![1, 2, 3]])).expect("cut");
+    sim.act(&Act::Cut(vec![vec![0], vec![1, 2, 3]]))
+        .expect("cut");
     sim.run(Duration::from_millis(8_000));
     let soon = value(&mut sim);
     sim.run(Duration::from_millis(17_000));
     let late = value(&mut sim);
     // Its own 250, and of three others 50 each, of their fair 10 a second.
-    assert!(soon > late && (395.0..460.0).contains(&late), "{soon} and {late}");
+    assert!(
+        soon > late && (395.0..460.0).contains(&late),
+        "{soon} and {late}"
+    );
 }
 
 /// One req of a tenant on each of many servers is as many as there are servers.
@@ -112,7 +143,11 @@
 }
 
 fn settings() -> Settings {
-    Settings { name: "tenants".into(), window: WINDOW, most: 1_000.0 }
+    Settings {
+        name: "tenants".into(),
+        window: WINDOW,
+        most: 1_000.0,
+    }
 }
 
 fn at(ms: u64) -> Timestamp {
@@ -137,7 +172,10 @@
         }
     }
     let told = counts.own(at(8_000), heavy);
-    assert!(told.low <= f64::from(sure) && f64::from(sure) <= told.high, "{told:?}, {sure}");
+    assert!(
+        told.low <= f64::from(sure) && f64::from(sure) <= told.high,
+        "{told:?}, {sure}"
+    );
     assert!(told.bound() < 100.0 && told.value > 450.0, "{told:?}");
     let name = "n1".into();
     let cells = counts.cells(at(8_000), &name, 1, 0.0, 10);
@@ -164,7 +202,9 @@
     let own = ("own".into(), 1);
     let told = |words: &[madderbay_quota::Cell]| {
         let mut counts = Counts::new(at(0), settings());
-        words.iter().for_each(|w| counts.hear(now, Duration::ZERO, w.clone(), (&own.0, own.1)));
+        words
+            .iter()
+            .for_each(|w| counts.hear(now, Duration::ZERO, w.clone(), (&own.0, own.1)));
         (counts.told(now, key, 0.0), counts.len())
     };
     let first = told(&words);
--- a/crates/quota/tests/fleet.rs
+++ b/crates/quota/tests/fleet.rs
@@ -13,8 +13,16 @@
 fn every_script_over_many_seeds() {
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../tests/shared");
     let (scripts, failed) = play_all(&folder, SEEDS);
-    assert!(scripts >= 10 || std::env::var("FLEET_SCRIPT").is_ok(), "scripts are found");
-    assert!(failed.is_empty(), "{} plays failed:\n{}", failed.len(), failed.join("\n"));
+    assert!(
+        scripts >= 10 || std::env::var("FLEET_SCRIPT").is_ok(),
+        "scripts are found"
+    );
+    assert!(
+        failed.is_empty(),
+        "{} plays failed:\n{}",
+        failed.len(),
+        failed.join("\n")
+    );
 }
 
 fn act(sim: &mut Sim, act: Act) {
@@ -22,15 +30,31 @@
 }
 
 fn start(who: usize) -> Act {
-    Act::Start { who, name: who, clock: Duration::ZERO, back: false }
+    Act::Start {
+        who,
+        name: who,
+        clock: Duration::ZERO,
+        back: false,
+    }
 }
 
 fn budgeted(n: usize, whole: u32, call_ms: u64) -> Setup {
     let ms = Duration::from_millis;
     let (lease, longest, call) = (ms(1_000), ms(500), ms(call_ms));
     let handlers = "book";
-    let budget = Budgeted { whole, servers: n as u32, seats: false, lease, longest, call, handlers };
-    Setup { budget: Some(budget), ..Setup::of(n) }
+    let budget = Budgeted {
+        whole,
+        servers: n as u32,
+        seats: false,
+        lease,
+        longest,
+        call,
+        handlers,
+    };
+    Setup {
+        budget: Some(budget),
+        ..Setup::of(n)
+    }
 }
 
 /// Three hundred servers join within 7 s, each with work for all there is: never more than the whole.
@@ -45,7 +69,10 @@
             sim.run(Duration::from_millis(330));
         }
     }
-    let used = Condition::Uses { who: (0..n).collect(), least: whole * 9 / 10 };
+    let used = Condition::Uses {
+        who: (0..n).collect(),
+        least: whole * 9 / 10,
+    };
     while let Some(amiss) = sim.amiss(&used) {
         assert!(sim.at() < Duration::from_millis(30_000), "{amiss}");
         sim.pass();
--- a/crates/server/src/balancers/answer.rs
+++ b/crates/server/src/balancers/answer.rs
@@ -24,14 +24,20 @@
 
 /// The engine's result as it came, a JSON string with its quotes.
 pub fn done(out: &mut Vec<u8>, id: u64, blob: &str, value: Option<f64>) {
-    put!(out, "{{\"jsonrpc\":\"2.0\",\"id\":{id},\"result\":{{\"bytes\":{blob}");
+    put!(
+        out,
+        "{{\"jsonrpc\":\"2.0\",\"id\":{id},\"result\":{{\"bytes\":{blob}"
+    );
     load_report(out, value, ",");
     out.extend_from_slice(b"}}\n");
 }
 
 /// An error up to the members of its data.
 fn error(out: &mut Vec<u8>, id: u64, code: i32, message: &str) {
-    put!(out, "{{\"jsonrpc\":\"2.0\",\"id\":{id},\"error\":{{\"code\":{code},");
+    put!(
+        out,
+        "{{\"jsonrpc\":\"2.0\",\"id\":{id},\"error\":{{\"code\":{code},"
+    );
     put!(out, "\"message\":\"{message}\",\"data\":{{");
 }
 
@@ -58,7 +64,10 @@
 }
 
 pub fn health(out: &mut Vec<u8>, id: u64, good: bool, value: Option<f64>) {
-    put!(out, "{{\"jsonrpc\":\"2.0\",\"id\":{id},\"result\":{{\"fit\":{good}");
+    put!(
+        out,
+        "{{\"jsonrpc\":\"2.0\",\"id\":{id},\"result\":{{\"fit\":{good}"
+    );
     load_report(out, value, ",");
     out.extend_from_slice(b"}}\n");
 }
--- a/crates/server/src/balancers/conns.rs
+++ b/crates/server/src/balancers/conns.rs
@@ -169,18 +169,28 @@
     /// those never answered, those in half a line last, then those unused the longest. None may go that has a
     /// req open, or whose first or next may be on its way.
     pub fn make_room(&mut self, now: Timestamp) -> bool {
-        let young = |c: &Conn| if c.heard { c.amid(now, PART) } else { now - c.used <= YOUNG };
+        let young = |c: &Conn| {
+            if c.heard {
+                c.amid(now, PART)
+            } else {
+                now - c.used <= YOUNG
+            }
+        };
         let may = |c: &Conn| c.rests() && !c.out.gives_way() && (c.out.is_closing() || !young(c));
         let idle = self.table.iter().filter(|(_, c)| may(c));
         let order = |c: &Conn| (!c.out.is_closing(), c.heard, c.amid(now, PART), c.used);
-        let Some((_, conn)) = idle.min_by_key(|(no, c)| (order(c), **no)) else { return false };
+        let Some((_, conn)) = idle.min_by_key(|(no, c)| (order(c), **no)) else {
+            return false;
+        };
         conn.out.give_way();
         true
     }
 
     /// The peer sends no more, or nothing that can be read: what is open is still answered.
     pub fn no_more(&mut self, no: u64) {
-        let Some(conn) = self.table.get_mut(&no) else { return };
+        let Some(conn) = self.table.get_mut(&no) else {
+            return;
+        };
         conn.ended = true;
         conn.end_if_over();
     }
@@ -206,7 +216,9 @@
 
     /// A req was read on a connection; false if that is gone. One that was about to end goes on for it.
     pub fn opened_req(&mut self, now: Timestamp, no: u64, rpc: u64, id: u64) -> bool {
-        let Some(conn) = self.table.get_mut(&no) else { return false };
+        let Some(conn) = self.table.get_mut(&no) else {
+            return false;
+        };
         if conn.out.is_closing() {
             conn.out.go_on();
             conn.ended = true;
@@ -223,7 +235,9 @@
 
     /// Writes an answer, if the connection is still there.
     pub fn answer(&mut self, now: Timestamp, no: u64, write: impl FnOnce(&mut Vec<u8>)) {
-        let Some(conn) = self.table.get_mut(&no) else { return };
+        let Some(conn) = self.table.get_mut(&no) else {
+            return;
+        };
         conn.out.put(write);
         (conn.used, conn.heard) = (now, true);
         if conn.beyond {
--- a/crates/server/src/balancers/door.rs
+++ b/crates/server/src/balancers/door.rs
@@ -78,7 +78,12 @@
 }
 
 fn numbered(names: &[String]) -> HashMap<String, usize> {
-    names.iter().cloned().enumerate().map(|(i, n)| (n, i)).collect()
+    names
+        .iter()
+        .cloned()
+        .enumerate()
+        .map(|(i, n)| (n, i))
+        .collect()
 }
 
 /// Whether a raw value is a string of base64, no longer than a body: the engine takes nothing else.
@@ -105,7 +110,11 @@
         Door {
             handlers: numbered(&s.handler_names),
             repeats: s.handlers.iter().map(|h| h.repeats).collect(),
-            longest_ms: s.handlers.iter().map(|h| h.timeout.as_secs_f64() * 1e3 * TIMEOUTS_MOST).collect(),
+            longest_ms: s
+                .handlers
+                .iter()
+                .map(|h| h.timeout.as_secs_f64() * 1e3 * TIMEOUTS_MOST)
+                .collect(),
             late: s.handlers.iter().map(|h| h.timeout).collect(),
             tenants: numbered(&s.tenant_names),
             quoted: s
@@ -148,21 +157,38 @@
     /// Reads a req's own account of itself; says what is wrong with it. Whatever is out of range is refused
     /// here, before the module counts it.
     pub fn read<'a>(
-        &mut self, now: Timestamp, handler: usize, params: &Members<'a>,
+        &mut self,
+        now: Timestamp,
+        handler: usize,
+        params: &Members<'a>,
     ) -> Result<Read<'a>, &'static str> {
         let longest = self.longest_ms[handler];
-        let own = params.text("ref").as_deref().and_then(name).ok_or("ref is not 16 hex digits")?;
-        let since = params.whole("since").ok_or("since is not a time in milliseconds")?;
+        let own = params
+            .text("ref")
+            .as_deref()
+            .and_then(name)
+            .ok_or("ref is not 16 hex digits")?;
+        let since = params
+            .whole("since")
+            .ok_or("since is not a time in milliseconds")?;
         let since = Timestamp::from_micros(since.saturating_mul(1000));
         if since > now + AHEAD_MOST || since + AGO_MOST < now {
             return Err("since is out of range");
         }
         let reached = since.min(now);
-        let body = params.raw("bytes").filter(|b| base64(b)).ok_or("bytes is not a body in base64")?;
-        let held_kb = params.number("room").filter(|kb| *kb > 0.0 && *kb < ROOM_KB);
+        let body = params
+            .raw("bytes")
+            .filter(|b| base64(b))
+            .ok_or("bytes is not a body in base64")?;
+        let held_kb = params
+            .number("room")
+            .filter(|kb| *kb > 0.0 && *kb < ROOM_KB);
         let held_kb = held_kb.ok_or("room is not a size in KB")?;
         let span = |name: &str, what| match params.raw(name) {
-            Some(raw) => number(raw).filter(|ms| *ms > 0.0 && *ms <= longest).map(Some).ok_or(what),
+            Some(raw) => number(raw)
+                .filter(|ms| *ms > 0.0 && *ms <= longest)
+                .map(Some)
+                .ok_or(what),
             None => Ok(None),
         };
         let allow = span("allow", "allow is not a time in milliseconds")?;
@@ -175,22 +201,34 @@
         let tenant = if self.tenants.is_empty() {
             0
         } else {
-            let known = params.text("project").and_then(|p| self.tenants.get(&*p).copied());
+            let known = params
+                .text("project")
+                .and_then(|p| self.tenants.get(&*p).copied());
             known.ok_or("project is not among the settings' tenants")?
         };
         let key = if self.repeats[handler] == Repeats::Keyed {
-            let text =
-                params.text("replay").filter(|k| k.len() == 32 && k.bytes().all(|b| b.is_ascii_hexdigit()));
-            Some(text.and_then(|k| Key::from_str_radix(&k, 16).ok()).ok_or("replay is not 32 hex digits")?)
+            let text = params
+                .text("replay")
+                .filter(|k| k.len() == 32 && k.bytes().all(|b| b.is_ascii_hexdigit()));
+            Some(
+                text.and_then(|k| Key::from_str_radix(&k, 16).ok())
+                    .ok_or("replay is not 32 hex digits")?,
+            )
         } else {
             None
         };
-        let from = params.raw("sender").map_or(Some(0), whole).ok_or("sender is not a number")?;
-        let rank = params.raw("class_rank").map_or(Some(0.0), number).filter(|r| (0.0..1.0).contains(r));
+        let from = params
+            .raw("sender")
+            .map_or(Some(0), whole)
+            .ok_or("sender is not a number")?;
+        let rank = params
+            .raw("class_rank")
+            .map_or(Some(0.0), number)
+            .filter(|r| (0.0..1.0).contains(r));
         let rank = rank.ok_or("class_rank is not from 0 to under 1")?;
-        let subject = params
-            .raw("lookup")
-            .map_or(Some(0), |raw| u64::from_str_radix(spelt(&name(&text(raw)?)?), 16).ok());
+        let subject = params.raw("lookup").map_or(Some(0), |raw| {
+            u64::from_str_radix(spelt(&name(&text(raw)?)?), 16).ok()
+        });
         let subject = subject.ok_or("lookup is not 16 hex digits")?;
         let print = key.map_or(0, |_| print(&self.quoted[handler], body));
         let entry = key.and_then(|k| self.table.get(&k));
@@ -214,13 +252,26 @@
             unread_for: now - reached,
             repeats,
         };
-        Ok(Read { arrival, name: own, key, print, body })
+        Ok(Read {
+            arrival,
+            name: own,
+            key,
+            print,
+            body,
+        })
     }
 
     /// Enters a try, or renews its entry; a newer try takes the entry over.
     pub fn keep(&mut self, id: u64, key: Key, print: u64, handler: usize, until: Timestamp) {
         let late = self.late[handler];
-        let fresh = Entry { holder: id, print, until, late, run: Run::NotYet, waiting: vec![] };
+        let fresh = Entry {
+            holder: id,
+            print,
+            until,
+            late,
+            run: Run::NotYet,
+            waiting: vec![],
+        };
         let entry = self.table.entry(key).or_insert(fresh);
         self.lapses.remove(&(entry.until + entry.late, key));
         self.holders.remove(&entry.holder);
@@ -256,7 +307,9 @@
     /// The one run is over, with its result if it went well; gives those that wait for it. A result past the
     /// memory for all is not kept: its later tries are errored, and none is run again.
     pub fn ran(&mut self, key: Key, result: Option<&str>) -> Vec<u64> {
-        let Some(entry) = self.table.get_mut(&key) else { return vec![] };
+        let Some(entry) = self.table.get_mut(&key) else {
+            return vec![];
+        };
         let kept = result.filter(|r| self.kept + r.len() <= self.kept_most);
         self.kept += kept.map_or(0, str::len);
         entry.run = kept.map_or(Run::Errored, |r| Run::Done(r.into()));
@@ -265,7 +318,9 @@
 
     /// A try takes the result of the run of its key, now or when that is over.
     pub fn join(&mut self, id: u64, key: Option<Key>) -> Joined {
-        let Some(entry) = key.and_then(|k| self.table.get_mut(&k)) else { return Joined::Errored };
+        let Some(entry) = key.and_then(|k| self.table.get_mut(&k)) else {
+            return Joined::Errored;
+        };
         match &entry.run {
             Run::Done(result) => Joined::Done(result.clone()),
             Run::Errored => Joined::Errored,
@@ -280,7 +335,9 @@
     pub fn lapse(&mut self, now: Timestamp) {
         while let Some(&(at, key)) = self.lapses.first().filter(|l| l.0 <= now) {
             self.lapses.remove(&(at, key));
-            let Some(entry) = self.table.get_mut(&key) else { continue };
+            let Some(entry) = self.table.get_mut(&key) else {
+                continue;
+            };
             if matches!(entry.run, Run::Going) {
                 entry.until = now;
                 self.lapses.insert((now + entry.late, key));
--- a/crates/server/src/balancers/front.rs
+++ b/crates/server/src/balancers/front.rs
@@ -28,7 +28,11 @@
 
 impl Front {
     pub fn new(no: u64) -> Front {
-        Front { no, lines: Lines::up_to(LINE_MOST), over: false }
+        Front {
+            no,
+            lines: Lines::up_to(LINE_MOST),
+            over: false,
+        }
     }
 
     /// Takes in what was read; an empty feed is the end. False when nothing more is read.
@@ -47,9 +51,18 @@
         });
         if !whole && !*over {
             *over = true;
-            Wrong { id: None, code: NO_JSON, message: "line too long", breach: true }.tell(now, no, serve);
+            Wrong {
+                id: None,
+                code: NO_JSON,
+                message: "line too long",
+                breach: true,
+            }
+            .tell(now, no, serve);
         }
-        serve.hands.conns.was_read(now, no, self.lines.amid(), ended);
+        serve
+            .hands
+            .conns
+            .was_read(now, no, self.lines.amid(), ended);
         if bytes.is_empty() {
             serve.no_more(no);
         }
@@ -71,7 +84,12 @@
 }
 
 fn read(now: Timestamp, no: u64, line: &[u8], serve: &mut Serve) -> Result<(), Wrong> {
-    let unread = |code, message| Wrong { id: None, code, message, breach: false };
+    let unread = |code, message| Wrong {
+        id: None,
+        code,
+        message,
+        breach: false,
+    };
     let text = std::str::from_utf8(line).map_err(|_| unread(NO_JSON, "not UTF-8"))?;
     let Some(call) = Members::read(text) else {
         return Err(if is_value(text) {
@@ -81,7 +99,12 @@
         });
     };
     let id = call.whole("id");
-    let wrong = |code, message| Wrong { id, code, message, breach: false };
+    let wrong = |code, message| Wrong {
+        id,
+        code,
+        message,
+        breach: false,
+    };
     if call.text("jsonrpc").as_deref() != Some("2.0") {
         return Err(wrong(NO_CALL, "jsonrpc is not 2.0"));
     }
@@ -102,10 +125,25 @@
         serve.health(now, no, id);
         return Ok(());
     }
-    let handler = serve.hands.door.handler(&method).ok_or(wrong(NO_METHOD, "no such method"))?;
+    let handler = serve
+        .hands
+        .door
+        .handler(&method)
+        .ok_or(wrong(NO_METHOD, "no such method"))?;
     // Of two reqs under one number no answer could be told from the other's.
-    serve.may_open(no, id).map_err(|why| Wrong { breach: true, ..wrong(NO_CALL, why) })?;
-    let params = params.flatten().ok_or(wrong(BAD_PARAMS, "params is not an object"))?;
-    let req = serve.hands.door.read(now, handler, &params).map_err(|why| wrong(BAD_PARAMS, why))?;
-    serve.arrived(now, no, id, req).map_err(|why| wrong(BAD_PARAMS, why))
+    serve.may_open(no, id).map_err(|why| Wrong {
+        breach: true,
+        ..wrong(NO_CALL, why)
+    })?;
+    let params = params
+        .flatten()
+        .ok_or(wrong(BAD_PARAMS, "params is not an object"))?;
+    let req = serve
+        .hands
+        .door
+        .read(now, handler, &params)
+        .map_err(|why| wrong(BAD_PARAMS, why))?;
+    serve
+        .arrived(now, no, id, req)
+        .map_err(|why| wrong(BAD_PARAMS, why))
 }
--- a/crates/server/src/balancers/listen.rs
+++ b/crates/server/src/balancers/listen.rs
@@ -28,7 +28,9 @@
 
 /// How many connections a limit on descriptors leaves room for; none where it is too small to serve.
 pub fn room(descriptors: usize) -> Option<usize> {
-    descriptors.checked_sub(OWN + descriptors / CALLS_PART).filter(|n| *n > 0)
+    descriptors
+        .checked_sub(OWN + descriptors / CALLS_PART)
+        .filter(|n| *n > 0)
 }
 
 /// Tells the core that a connection is over, however it ended; where the core is at work, once it is free.
@@ -45,7 +47,11 @@
             Err(_) => {
                 let (no, clock, serve) = (self.no, self.clock.clone(), self.serve.clone());
                 tokio::task::spawn_local(async move {
-                    while serve.try_borrow_mut().map(|mut s| s.closed(clock.now(), no)).is_err() {
+                    while serve
+                        .try_borrow_mut()
+                        .map(|mut s| s.closed(clock.now(), no))
+                        .is_err()
+                    {
                         tokio::task::yield_now().await;
                     }
                 });
@@ -55,7 +61,13 @@
 }
 
 /// Takes connections until it is told to stop.
-pub async fn run(listener: TcpListener, room: usize, clock: Rc<Clock>, serve: Shared, stop: Rc<Notify>) {
+pub async fn run(
+    listener: TcpListener,
+    room: usize,
+    clock: Rc<Clock>,
+    serve: Shared,
+    stop: Rc<Notify>,
+) {
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -73,7 +85,9 @@
         }
     }
     // What the machine has accepted may carry a req already, and closing would lose it.
-    let Ok(listener) = listener.into_std() else { return };
+    let Ok(listener) = listener.into_std() else {
+        return;
+    };
     for stream in waiting(&listener) {
         let found = serve.borrow().connections() < room;
         if let Ok(stream) = TcpStream::from_std(stream) {
@@ -85,7 +99,13 @@
 
 /// The connections that the machine has accepted and nobody took; none is waited for.
 pub fn waiting(listener: &std::net::TcpListener) -> impl Iterator<Item = std::net::TcpStream> {
-    let next = || listener.accept().ok().filter(|(s, _)| s.set_nonblocking(true).is_ok()).map(|(s, _)| s);
+    let next = || {
+        listener
+            .accept()
+            .ok()
+            .filter(|(s, _)| s.set_nonblocking(true).is_ok())
+            .map(|(s, _)| s)
+    };
     std::iter::from_fn(next)
 }
 
@@ -94,8 +114,16 @@
     let (out, now) = (Outbox::default(), clock.now());
     let mut core = serve.borrow_mut();
     // Never closed unread: the machine has accepted it, and what is written to it is owed an answer.
-    let no = if room { core.opened(now, out.clone()) } else { core.opened_beyond(now, out.clone()) };
-    let ends = Ends { no, clock: clock.clone(), serve: serve.clone() };
+    let no = if room {
+        core.opened(now, out.clone())
+    } else {
+        core.opened_beyond(now, out.clone())
+    };
+    let ends = Ends {
+        no,
+        clock: clock.clone(),
+        serve: serve.clone(),
+    };
     tokio::task::spawn_local(connection(stream, out, ends));
 }
 
--- a/crates/server/src/balancers/registry.rs
+++ b/crates/server/src/balancers/registry.rs
@@ -22,10 +22,15 @@
 
 /// One report, as the registry reads it.
 pub fn report(host: &str, name: &str, ready: bool) -> Vec<u8> {
-    let body = format!("{{\"state\":\"{}\"}}", if ready { "ready" } else { "draining" });
+    let body = format!(
+        "{{\"state\":\"{}\"}}",
+        if ready { "ready" } else { "draining" }
+    );
     let len = body.len();
-    format!("PUT /v1/instances/{name} HTTP/1.1\r\nHost: {host}\r\nContent-Length: {len}\r\n\r\n{body}")
-        .into_bytes()
+    format!(
+        "PUT /v1/instances/{name} HTTP/1.1\r\nHost: {host}\r\nContent-Length: {len}\r\n\r\n{body}"
+    )
+    .into_bytes()
 }
 
 /// Reads the answers of one connection.
@@ -42,7 +47,8 @@
             let Some(end) = self.part.windows(4).position(|w| w == b"\r\n\r\n") else {
                 return self.part.len() < HEAD_MOST;
             };
-            let Some((status, len)) = std::str::from_utf8(&self.part[..end]).ok().and_then(head) else {
+            let Some((status, len)) = std::str::from_utf8(&self.part[..end]).ok().and_then(head)
+            else {
                 return false;
             };
             let whole = end + 4 + len;
@@ -77,7 +83,11 @@
         }
     }
     let bare = status < 200 || status == 204 || status == 304;
-    if bare { Some((status, 0)) } else { Some((status, len?)) }
+    if bare {
+        Some((status, 0))
+    } else {
+        Some((status, len?))
+    }
 }
 
 /// The driver: reports now and then, and at once when what is reported, or to whom, changes.
@@ -122,7 +132,12 @@
 }
 
 async fn reports(
-    host: &str, name: &str, out: &Outbox, answered: &Notify, status: &Cell<u16>, changed: &Rc<Notify>,
+    host: &str,
+    name: &str,
+    out: &Outbox,
+    answered: &Notify,
+    status: &Cell<u16>,
+    changed: &Rc<Notify>,
     serve: &Shared,
 ) -> String {
     loop {
--- a/crates/server/src/below/calls.rs
+++ b/crates/server/src/below/calls.rs
@@ -80,12 +80,22 @@
 impl Desk {
     /// Sends a call to the catalogue, or to a backend; gives the number of the connection that it is on.
     pub fn fetch(
-        &mut self, now: Timestamp, id: u64, name: &Name, patience: Duration, body: &[u8],
+        &mut self,
+        now: Timestamp,
+        id: u64,
+        name: &Name,
+        patience: Duration,
+        body: &[u8],
         to: Option<SocketAddr>,
     ) -> u64 {
         // The one used last is the least likely to have been forgotten.
         let free = |w: &&mut Wire| w.to == to && w.call.is_none() && w.fresh(now);
-        let fit = self.wires.iter_mut().filter(free).filter(|w| !w.met.contains(name)).max_by_key(|w| w.used);
+        let fit = self
+            .wires
+            .iter_mut()
+            .filter(free)
+            .filter(|w| !w.met.contains(name))
+            .max_by_key(|w| w.used);
         let wire = match fit {
             Some(wire) => wire,
             None => {
@@ -94,11 +104,24 @@
                 self.wanted.push((no, out.clone(), to));
                 self.dial.notify_one();
                 let met = HashSet::new();
-                self.wires.push(Wire { no, to, out, call: None, met, used: now, left: false });
+                self.wires.push(Wire {
+                    no,
+                    to,
+                    out,
+                    call: None,
+                    met,
+                    used: now,
+                    left: false,
+                });
                 self.wires.last_mut().expect("just made")
             }
         };
-        wire.call = Some(Made { id, name: *name, at: now, begins: wire.out.queued() });
+        wire.call = Some(Made {
+            id,
+            name: *name,
+            at: now,
+            begins: wire.out.queued(),
+        });
         wire.met.insert(*name);
         wire.out.put(|b| {
             let millis = (patience.as_micros() / 1000).max(1);
@@ -111,7 +134,9 @@
 
     /// Gives a call up, and its connection with it: what was not sent never will be.
     pub fn quit(&mut self, now: Timestamp, name: &Name) -> Option<Over> {
-        self.end(now, Outcome::TimedOut, |w| w.call.as_ref().is_some_and(|c| c.name == *name))
+        self.end(now, Outcome::TimedOut, |w| {
+            w.call.as_ref().is_some_and(|c| c.name == *name)
+        })
     }
 
     /// The same for the call on one connection.
@@ -136,12 +161,21 @@
     }
 
     /// Takes a connection off. Of a call on it that was not sent it says that it never ran, else `sent`.
-    fn end(&mut self, now: Timestamp, sent: Outcome, which: impl FnMut(&Wire) -> bool) -> Option<Over> {
+    fn end(
+        &mut self,
+        now: Timestamp,
+        sent: Outcome,
+        which: impl FnMut(&Wire) -> bool,
+    ) -> Option<Over> {
         let at = self.wires.iter().position(which)?;
         let wire = self.wires.swap_remove(at);
         wire.out.cut();
         let call = wire.call?;
-        let how = if wire.out.written() > call.begins { sent } else { Outcome::Unreached };
+        let how = if wire.out.written() > call.begins {
+            sent
+        } else {
+            Outcome::Unreached
+        };
         Some((call.id, how, now - call.at))
     }
 
@@ -154,7 +188,10 @@
 
     /// The catalogue has moved: calls in hand may still come back, new ones go to the new address.
     pub fn moved(&mut self, now: Timestamp) {
-        self.wires.iter_mut().filter(|w| w.to.is_none()).for_each(|w| w.left = true);
+        self.wires
+            .iter_mut()
+            .filter(|w| w.to.is_none())
+            .for_each(|w| w.left = true);
         self.tidy(now);
     }
 
@@ -216,12 +253,20 @@
     let name: Name = name.as_bytes().try_into().map_err(|_| ())?;
     let how = match word {
         "DATA" => {
-            let len: usize =
-                words.next().and_then(|n| n.parse().ok()).filter(|n| *n <= BODY_MOST).ok_or(())?;
+            let len: usize = words
+                .next()
+                .and_then(|n| n.parse().ok())
+                .filter(|n| *n <= BODY_MOST)
+                .ok_or(())?;
             let body = end + 1..end + 1 + len;
-            let Some(close) = bytes.get(body.end..body.end + 2) else { return Ok(None) };
+            let Some(close) = bytes.get(body.end..body.end + 2) else {
+                return Ok(None);
+            };
             return if close == b"\r\n" {
-                Ok(Some(((name, Outcome::Done, &bytes[body.clone()]), body.end + 2)))
+                Ok(Some((
+                    (name, Outcome::Done, &bytes[body.clone()]),
+                    body.end + 2,
+                )))
             } else {
                 Err(())
             };
@@ -238,7 +283,9 @@
 /// The driver: opens the connections that the desk wants and serves each until it is over. Without an address
 /// none can be made, and no call runs.
 pub async fn run<C: Hears + 'static>(
-    mut address: watch::Receiver<Option<SocketAddr>>, clock: Rc<Clock>, core: Rc<RefCell<C>>,
+    mut address: watch::Receiver<Option<SocketAddr>>,
+    clock: Rc<Clock>,
+    core: Rc<RefCell<C>>,
 ) {
     let dial = core.borrow_mut().desk().dial.clone();
     let open = Rc::new(());
@@ -271,14 +318,20 @@
 }
 
 async fn connection<C: Hears>(
-    address: Option<SocketAddr>, no: u64, out: &Outbox, clock: &Clock, core: &RefCell<C>,
+    address: Option<SocketAddr>,
+    no: u64,
+    out: &Outbox,
+    clock: &Clock,
+    core: &RefCell<C>,
 ) -> std::io::Result<()> {
     let address = address.ok_or(ErrorKind::AddrNotAvailable)?;
     let stream = connect(address, CONNECT).await?;
     let mut replies = Replies::default();
     let fed = |bytes: &[u8]| {
         let (now, mut core) = (clock.now(), core.borrow_mut());
-        let whole = replies.feed(bytes, |(name, how, body)| core.call_over(now, no, &name, how, body));
+        let whole = replies.feed(bytes, |(name, how, body)| {
+            core.call_over(now, no, &name, how, body)
+        });
         if !whole {
             core.unread();
             log::debug!("catalogue: a reply that can't be read; connection closed");
--- a/crates/server/src/below/engine.rs
+++ b/crates/server/src/below/engine.rs
@@ -48,7 +48,11 @@
 /// One command as a line. What it is about comes as it stands on the wire.
 pub fn command(msg: &str, call: &Name, rest: std::fmt::Arguments) -> Vec<u8> {
     let mut line = Vec::with_capacity(64);
-    let _ = writeln!(line, "{{\"msg\":\"{msg}\",\"call\":\"{}\"{rest}}}", spelt(call));
+    let _ = writeln!(
+        line,
+        "{{\"msg\":\"{msg}\",\"call\":\"{}\"{rest}}}",
+        spelt(call)
+    );
     line
 }
 
@@ -92,7 +96,11 @@
 
     /// The timer rang: the gauges are asked for, and a link that answers none for long is ended.
     pub fn rang(&mut self) {
-        self.rings = if self.heard < self.asked { self.rings + 1 } else { 0 };
+        self.rings = if self.heard < self.asked {
+            self.rings + 1
+        } else {
+            0
+        };
         if self.rings == SILENT {
             self.out.cut();
         }
@@ -146,7 +154,10 @@
 
 impl Default for Notices {
     fn default() -> Notices {
-        Notices { lines: Lines::up_to(LINE_MOST), last: Last::default() }
+        Notices {
+            lines: Lines::up_to(LINE_MOST),
+            last: Last::default(),
+        }
     }
 }
 
@@ -184,8 +195,11 @@
             self.serial = serial;
         }
         let call = || -> Option<Name> { notice.text("call")?.as_bytes().try_into().ok() };
-        let spent =
-            || notice.number("duration").map_or(Duration::ZERO, |ms| Duration::from_secs_f64(ms / 1e3));
+        let spent = || {
+            notice
+                .number("duration")
+                .map_or(Duration::ZERO, |ms| Duration::from_secs_f64(ms / 1e3))
+        };
         match &*msg {
             "HELLO" => core.hello(now, &notice.text("how")?, spent()),
             "DONE" => {
@@ -196,7 +210,13 @@
                     "gone" => Outcome::Moot,
                     _ => return None,
                 };
-                core.run_over(now, &call()?, how, spent(), notice.raw("blob").unwrap_or("\"\""));
+                core.run_over(
+                    now,
+                    &call()?,
+                    how,
+                    spent(),
+                    notice.raw("blob").unwrap_or("\"\""),
+                );
             }
             "NEED" => core.at_call(now, &call()?, self.serial, &notice.text("blob")?),
             "STATS" => {
@@ -233,7 +253,11 @@
 }
 
 /// The driver: keeps a link to the engine and takes it up again where it was lost, or at another address.
-pub async fn run<C: Hears>(mut address: watch::Receiver<SocketAddr>, clock: Rc<Clock>, core: Rc<RefCell<C>>) {
+pub async fn run<C: Hears>(
+    mut address: watch::Receiver<SocketAddr>,
+    clock: Rc<Clock>,
+    core: Rc<RefCell<C>>,
+) {
     let mut notices = Notices::default();
     let mut next = None;
     loop {
@@ -255,7 +279,9 @@
         };
         let out = Outbox::default();
         notices.relinked();
-        core.borrow_mut().link().attach(out.clone(), notices.serial());
+        core.borrow_mut()
+            .link()
+            .attach(out.clone(), notices.serial());
         let fed = |bytes: &[u8]| notices.fed(clock.now(), bytes, &mut *core.borrow_mut());
         let end = tokio::select! {
             end = drive_link(&stream, &out, fed) => Some(end),
@@ -268,7 +294,10 @@
         match end {
             None => log::info!("engine: moved after notice {}", notices.serial()),
             Some(end) => {
-                log::warn!("engine: link lost after notice {}: {end:?}", notices.serial());
+                log::warn!(
+                    "engine: link lost after notice {}: {end:?}",
+                    notices.serial()
+                );
                 tokio::time::sleep(AGAIN).await;
             }
         }
--- a/crates/server/src/core/arrivals.rs
+++ b/crates/server/src/core/arrivals.rs
@@ -54,7 +54,9 @@
     /// The peer breaks the protocol, and nothing it asked can be told from what it did not: all that it has
     /// open is errored, and the connection ends.
     pub fn turn_off(&mut self, now: Timestamp, no: u64) {
-        let Some(open) = self.hands.conns.open_on(no) else { return };
+        let Some(open) = self.hands.conns.open_on(no) else {
+            return;
+        };
         self.hands.now = now;
         for id in open {
             self.hands.errored(id);
@@ -70,7 +72,9 @@
 
     /// The connection is gone, and with it everyone who waits on it.
     pub fn closed(&mut self, now: Timestamp, no: u64) {
-        let Some(open) = self.hands.conns.close(no) else { return };
+        let Some(open) = self.hands.conns.close(no) else {
+            return;
+        };
         self.hands.counters.cut += open.len() as u64;
         open.into_iter().for_each(|id| self.gone(now, id));
     }
@@ -85,8 +89,20 @@
     }
 
     /// A req has been read.
-    pub fn arrived(&mut self, now: Timestamp, no: u64, rpc: u64, read: Read) -> Result<(), &'static str> {
-        let Read { arrival, name, key, print, body } = read;
+    pub fn arrived(
+        &mut self,
+        now: Timestamp,
+        no: u64,
+        rpc: u64,
+        read: Read,
+    ) -> Result<(), &'static str> {
+        let Read {
+            arrival,
+            name,
+            key,
+            print,
+            body,
+        } = read;
         if self.hands.names.contains_key(&name) {
             return Err("ref is in use");
         }
@@ -118,8 +134,13 @@
             hedge: None,
             called: None,
             unsent: None,
-            latest: (now + if arrival.wait > Duration::ZERO { arrival.wait } else { WAITS })
-                .saturating_sub(MARGIN),
+            latest: (now
+                + if arrival.wait > Duration::ZERO {
+                    arrival.wait
+                } else {
+                    WAITS
+                })
+            .saturating_sub(MARGIN),
             unproven: vec![],
             proof: 0,
             fed: None,
@@ -127,7 +148,9 @@
         self.hands.names.insert(name, arrival.id);
         self.hands.reqs.insert(arrival.id, req);
         self.hands.now = now;
-        self.hands.followed(arrival.id, |f, now, handler| f.stage(now, arrival.id, handler, Stage::Held));
+        self.hands.followed(arrival.id, |f, now, handler| {
+            f.stage(now, arrival.id, handler, Stage::Held)
+        });
         if let Some(lent) = &self.hands.lent {
             lent.counted(arrival.handler, arrival.tenant);
         }
@@ -136,7 +159,11 @@
             self.hands.shed(arrival.id, Duration::ZERO, false);
         } else if self.hands.conns.is_beyond(no) && arrival.repeats == 0 {
             // There is no room for its connection. A further try of a keyed req shares what became of the first.
-            self.hands.shed(arrival.id, KEEP_AWAY.min(self.settings.callers.come_back_max), false);
+            self.hands.shed(
+                arrival.id,
+                KEEP_AWAY.min(self.settings.callers.come_back_max),
+                false,
+            );
             return Ok(());
         }
         self.decide(now, |d, hands| d.arrive(now, &arrival, hands));
@@ -154,7 +181,9 @@
     }
 
     pub(super) fn gone(&mut self, now: Timestamp, id: u64) {
-        let Some(req) = self.hands.reqs.get(&id).filter(|r| !r.answered) else { return };
+        let Some(req) = self.hands.reqs.get(&id).filter(|r| !r.answered) else {
+            return;
+        };
         log::debug!("req {id} is gone, started {}", req.started);
         self.hands.counters.gone += 1;
         self.decide(now, |d, hands| d.gone(now, id, hands));
@@ -164,6 +193,8 @@
     pub fn health(&mut self, now: Timestamp, no: u64, rpc: u64) {
         let hands = &mut self.hands;
         let (good, report) = (hands.good && !hands.leaving, hands.load_report);
-        hands.conns.answer(now, no, |out| answer::health(out, rpc, good, report));
+        hands
+            .conns
+            .answer(now, no, |out| answer::health(out, rpc, good, report));
     }
 }
--- a/crates/server/src/core/hands.rs
+++ b/crates/server/src/core/hands.rs
@@ -123,7 +123,11 @@
             pools: None,
             lent: None,
             leads: None,
-            replayable: settings.handlers.iter().map(|h| h.repeats == Repeats::Replayable).collect(),
+            replayable: settings
+                .handlers
+                .iter()
+                .map(|h| h.repeats == Repeats::Replayable)
+                .collect(),
             keep: None,
             unrun: VecDeque::new(),
             unmade: VecDeque::new(),
@@ -142,7 +146,9 @@
 
     /// Tells pools and budgets, where there are any, of a req that is in hand.
     pub fn followed(&mut self, id: u64, tell: impl Fn(&mut dyn Follows, Timestamp, usize)) {
-        let Some(req) = self.reqs.get(&id) else { return };
+        let Some(req) = self.reqs.get(&id) else {
+            return;
+        };
         if let Some(pools) = &mut self.pools {
             tell(pools, self.now, req.handler);
         }
@@ -153,10 +159,13 @@
 
     /// The final answer of a req, once.
     fn answer(&mut self, id: u64, write: impl FnOnce(&mut Vec<u8>, u64, Option<f64>)) -> bool {
-        let Some(req) = self.reqs.get_mut(&id).filter(|r| !r.answered) else { return false };
+        let Some(req) = self.reqs.get_mut(&id).filter(|r| !r.answered) else {
+            return false;
+        };
         req.answered = true;
         let report = self.load_report;
-        self.conns.answer(self.now, req.conn, |out| write(out, req.rpc, report));
+        self.conns
+            .answer(self.now, req.conn, |out| write(out, req.rpc, report));
         self.conns.settled(req.conn, req.rpc);
         true
     }
@@ -176,7 +185,9 @@
     /// The run of a keyed req is over. Where results are kept its answer waits until this one lasts, and
     /// the req stays in hand for it; else, or where nothing ran, false.
     pub fn keep_result(&mut self, id: u64, how: Outcome, result: Option<&str>) -> bool {
-        let (Some(keep), Some(req)) = (&mut self.keep, self.reqs.get(&id)) else { return false };
+        let (Some(keep), Some(req)) = (&mut self.keep, self.reqs.get(&id)) else {
+            return false;
+        };
         let Some(key) = req.key else { return false };
         if how == Outcome::Moot {
             self.take_back(key);
@@ -194,7 +205,9 @@
 
     /// The result of a req lasts, or can't be made to: it is answered, and so are those that joined it.
     pub fn settled(&mut self, id: u64, result: Option<&str>) {
-        let Some(req) = self.reqs.get(&id) else { return };
+        let Some(req) = self.reqs.get(&id) else {
+            return;
+        };
         let (key, latest) = (req.key, req.latest);
         self.due.remove(&(latest, Due::Settle(id)));
         self.answer_run(id, result);
@@ -212,7 +225,9 @@
     }
 
     fn answer_shed(&mut self, id: u64, come_back: Duration, last: bool) {
-        if self.answer(id, |out, rpc, report| answer::shed(out, rpc, come_back, last, report)) {
+        if self.answer(id, |out, rpc, report| {
+            answer::shed(out, rpc, come_back, last, report)
+        }) {
             self.counters.shed += 1;
         }
     }
@@ -220,7 +235,9 @@
     /// A run that the module started was never sent: it is shed, and so are those that joined it; the module
     /// hears that nothing ran, and a further try is a new one.
     pub fn never_ran(&mut self, id: u64, come_back: Duration) {
-        let Some(req) = self.reqs.get(&id) else { return };
+        let Some(req) = self.reqs.get(&id) else {
+            return;
+        };
         let key = req.key;
         self.counters.run_over(Outcome::Moot);
         let joined = key.map_or(vec![], |k| self.door.ran(k, None));
@@ -240,20 +257,31 @@
             self.answer_run(id, result);
             self.counters.joined += 1;
             self.remove(id);
-            self.over.push_back((id, if result.is_some() { Outcome::Done } else { Outcome::Errored }));
+            self.over.push_back((
+                id,
+                if result.is_some() {
+                    Outcome::Done
+                } else {
+                    Outcome::Errored
+                },
+            ));
         }
     }
 
     pub fn remove(&mut self, id: u64) {
         self.give_up_call(id);
         self.followed(id, |f, now, _| f.over(now, id));
-        let Some(req) = self.reqs.remove(&id) else { return };
+        let Some(req) = self.reqs.remove(&id) else {
+            return;
+        };
         self.names.remove(&req.name);
         self.calls.forget(&req.name);
     }
 
     fn give_up_call(&mut self, id: u64) {
-        let Some(req) = self.reqs.get_mut(&id) else { return };
+        let Some(req) = self.reqs.get_mut(&id) else {
+            return;
+        };
         if let Some(until) = req.until.take() {
             self.due.remove(&(until, Due::Call(id)));
             if req.tries.is_empty() {
@@ -266,7 +294,9 @@
 
     /// The req is answered or its caller gone: a call for it is given up, and unless it runs it is over.
     pub fn nobody_waits(&mut self, id: u64) {
-        let Some(req) = self.reqs.get_mut(&id) else { return };
+        let Some(req) = self.reqs.get_mut(&id) else {
+            return;
+        };
         req.answered = true;
         self.conns.settled(req.conn, req.rpc);
         if req.started {
@@ -278,7 +308,9 @@
     }
 
     pub fn command(&mut self, id: u64, msg: &str, rest: std::fmt::Arguments) {
-        let Some(req) = self.reqs.get_mut(&id) else { return };
+        let Some(req) = self.reqs.get_mut(&id) else {
+            return;
+        };
         let line = command(msg, &req.name, rest);
         match &mut req.unsent {
             Some(unsent) => unsent.push(line),
@@ -295,7 +327,9 @@
     }
 
     fn send(&mut self, id: u64, line: &[u8]) {
-        let Some(req) = self.reqs.get_mut(&id) else { return };
+        let Some(req) = self.reqs.get_mut(&id) else {
+            return;
+        };
         if self.engine.heard() >= req.proof {
             req.unproven.clear();
             req.fed = None;
@@ -319,7 +353,10 @@
     pub fn unlinked(&mut self) {
         let written = self.engine.out.written();
         let unsent = |r: &&mut InHand| r.fed.is_some_and(|begins| begins >= written);
-        self.reqs.values_mut().filter(unsent).for_each(|r| r.fed = None);
+        self.reqs
+            .values_mut()
+            .filter(unsent)
+            .for_each(|r| r.fed = None);
         self.engine.lost();
     }
 
@@ -328,8 +365,11 @@
     /// the run's next.
     pub fn resend(&mut self) -> Vec<u64> {
         let proven = self.engine.proven_before();
-        let mut unproven: Vec<_> =
-            self.reqs.iter_mut().filter(|(_, r)| r.proof > proven && !r.unproven.is_empty()).collect();
+        let mut unproven: Vec<_> = self
+            .reqs
+            .iter_mut()
+            .filter(|(_, r)| r.proof > proven && !r.unproven.is_empty())
+            .collect();
         unproven.sort_by_key(|(id, _)| **id);
         let mut doubtful = vec![];
         for (id, req) in unproven {
@@ -347,7 +387,9 @@
 
 impl Results for Hands {
     fn start(&mut self, id: u64) {
-        let Some(req) = self.reqs.get_mut(&id) else { return };
+        let Some(req) = self.reqs.get_mut(&id) else {
+            return;
+        };
         req.started = true;
         self.counters.runs += 1;
         let body = std::mem::take(&mut req.body);
@@ -363,9 +405,15 @@
             }
             req.unsent = Some(vec![]);
         }
-        self.followed(id, |f, now, handler| f.stage(now, id, handler, Stage::Running));
+        self.followed(id, |f, now, handler| {
+            f.stage(now, id, handler, Stage::Running)
+        });
         let service = self.door.quoted(handler);
-        self.command(id, "RUN", format_args!(",\"service\":{service},\"blob\":{body}"));
+        self.command(
+            id,
+            "RUN",
+            format_args!(",\"service\":{service},\"blob\":{body}"),
+        );
     }
 
     fn stop(&mut self, id: u64) {
@@ -387,7 +435,9 @@
             self.unmade.push_back(id);
             return;
         };
-        let Some(req) = self.reqs.get_mut(&id) else { return };
+        let Some(req) = self.reqs.get_mut(&id) else {
+            return;
+        };
         let mut patience = patience;
         if let Some(lent) = &mut self.lent {
             if !lent.may_call(req.handler) {
@@ -404,11 +454,15 @@
         self.due.insert((until, Due::Call(id)));
         self.counters.calls += 1;
         self.send_call(id, patience, to);
-        self.followed(id, |f, now, handler| f.stage(now, id, handler, Stage::Calling));
+        self.followed(id, |f, now, handler| {
+            f.stage(now, id, handler, Stage::Calling)
+        });
     }
 
     fn skip(&mut self, id: u64) {
-        let Some(req) = self.reqs.get_mut(&id) else { return };
+        let Some(req) = self.reqs.get_mut(&id) else {
+            return;
+        };
         req.partial = true;
         let need = req.need;
         self.counters.skipped += 1;
@@ -417,8 +471,10 @@
     }
 
     fn keep_key(&mut self, id: u64, term: Duration) {
-        if let Some((key, print, handler)) =
-            self.reqs.get(&id).and_then(|r| Some((r.key?, r.print, r.handler)))
+        if let Some((key, print, handler)) = self
+            .reqs
+            .get(&id)
+            .and_then(|r| Some((r.key?, r.print, r.handler)))
         {
             self.door.keep(id, key, print, handler, self.now + term);
         }
@@ -431,7 +487,9 @@
     fn join(&mut self, id: u64) {
         // It waits for another's run and wants none of its own.
         self.followed(id, |f, now, _| f.over(now, id));
-        let Some(req) = self.reqs.get(&id) else { return };
+        let Some(req) = self.reqs.get(&id) else {
+            return;
+        };
         match self.door.join(id, req.key) {
             Joined::Waits => {}
             Joined::Done(result) => self.joined(id, Some(&result)),
@@ -452,7 +510,11 @@
 
     fn idle_limit(&mut self, limit: Duration) {
         self.due.retain(|d| !matches!(d.1, Due::Idle(_)));
-        self.due.extend(self.conns.limit_idling(limit).map(|(at, no)| (at, Due::Idle(no))));
+        self.due.extend(
+            self.conns
+                .limit_idling(limit)
+                .map(|(at, no)| (at, Due::Idle(no))),
+        );
     }
 
     fn wake(&mut self, after: Duration) {
--- a/crates/server/src/core/keep.rs
+++ b/crates/server/src/core/keep.rs
@@ -56,12 +56,23 @@
     let storage = Files::open(&set.directory).map_err(told)?;
     let (log, recovery) =
         Log::open(storage, unix_micros(), (set.disk_mb as u64) << 20, window).map_err(told)?;
-    Ok(Opened { log, recovery, took: began.elapsed() })
+    Ok(Opened {
+        log,
+        recovery,
+        took: began.elapsed(),
+    })
 }
 
 /// Takes over what was found and starts the writing thread.
-pub fn start(opened: Opened, set: &KeptResults) -> std::io::Result<(Keep, UnboundedReceiver<Told>)> {
-    let Opened { mut log, recovery, took } = opened;
+pub fn start(
+    opened: Opened,
+    set: &KeptResults,
+) -> std::io::Result<(Keep, UnboundedReceiver<Told>)> {
+    let Opened {
+        mut log,
+        recovery,
+        took,
+    } = opened;
     ::log::info!(
         "kept: {} keyed reqs known from {} records, {} segments, {} of them torn, read in {} ms",
         recovery.found.len(),
@@ -83,7 +94,10 @@
 }
 
 fn write(
-    log: &mut Log<Files>, orders: &Receiver<(Seq, Vec<Lasting>)>, tell: &UnboundedSender<Told>, grouped: bool,
+    log: &mut Log<Files>,
+    orders: &Receiver<(Seq, Vec<Lasting>)>,
+    tell: &UnboundedSender<Told>,
+    grouped: bool,
 ) {
     let (mut broken, mut tidied) = (false, Instant::now());
     loop {
@@ -96,17 +110,27 @@
                     records.extend(more);
                 }
                 let batches = if grouped { records.len().max(1) } else { 1 };
-                let done = records.chunks(batches).try_for_each(|part| log.write(unix_micros(), part));
+                let done = records
+                    .chunks(batches)
+                    .try_for_each(|part| log.write(unix_micros(), part));
                 broken = done.is_err();
                 Some(match done {
-                    Ok(()) => Told::Written { seq, disk: log.bytes() },
-                    Err(e) => Told::Failed { seq, why: e.to_string() },
+                    Ok(()) => Told::Written {
+                        seq,
+                        disk: log.bytes(),
+                    },
+                    Err(e) => Told::Failed {
+                        seq,
+                        why: e.to_string(),
+                    },
+                })
+            }
+            Err(RecvTimeoutError::Timeout) if broken => {
+                log.write(unix_micros(), &[]).ok().map(|()| {
+                    broken = false;
+                    Told::Works { disk: log.bytes() }
                 })
             }
-            Err(RecvTimeoutError::Timeout) if broken => log.write(unix_micros(), &[]).ok().map(|()| {
-                broken = false;
-                Told::Works { disk: log.bytes() }
-            }),
             Err(RecvTimeoutError::Timeout) => None,
             Err(RecvTimeoutError::Disconnected) => return,
         };
@@ -123,12 +147,21 @@
 impl Keep {
     /// `to`: where batches of records go to be written.
     pub fn new(book: Kept, to: Sender<(Seq, Vec<Lasting>)>) -> Keep {
-        Keep { book, to, waiting: VecDeque::new(), writes: 0 }
+        Keep {
+            book,
+            to,
+            waiting: VecDeque::new(),
+            writes: 0,
+        }
     }
 
     /// The run of a req waits from now on for its promise; or why nothing can be promised.
     pub fn promise(
-        &mut self, id: u64, key: u128, window: (u64, Timestamp), name: Name,
+        &mut self,
+        id: u64,
+        key: u128,
+        window: (u64, Timestamp),
+        name: Name,
     ) -> Result<(), Refusal> {
         self.book.may_promise()?;
         let (print, until) = window;
@@ -140,7 +173,8 @@
     /// The answer of a req waits from now on for its result.
     pub fn settle(&mut self, id: u64, key: u128, result: Option<&str>, until: Timestamp) {
         let seq = self.book.settle(key, result.map(str::as_bytes), until);
-        self.waiting.push_back((seq, Waits::Answer(id, result.map(Into::into))));
+        self.waiting
+            .push_back((seq, Waits::Answer(id, result.map(Into::into))));
     }
 
     pub fn never(&mut self, key: u128, until: Timestamp) {
@@ -183,12 +217,17 @@
 
 /// What a folder holds: a line for each keyed req in the order of keys, and what was read in all.
 fn looked_at(
-    folder: &Path, line: impl Fn(&u128, &Found) -> String,
+    folder: &Path,
+    line: impl Fn(&u128, &Found) -> String,
 ) -> Result<(Vec<String>, Recovery), String> {
-    let read = log::recover(&Files::look(folder)).map_err(|e| format!("{}: {e}", folder.display()))?;
+    let read =
+        log::recover(&Files::look(folder)).map_err(|e| format!("{}: {e}", folder.display()))?;
     let mut found: Vec<_> = read.found.iter().collect();
     found.sort_by_key(|f| f.0);
-    Ok((found.into_iter().map(|(key, f)| line(key, f)).collect(), read))
+    Ok((
+        found.into_iter().map(|(key, f)| line(key, f)).collect(),
+        read,
+    ))
 }
 
 fn state(found: &Found) -> &'static str {
@@ -202,8 +241,16 @@
 /// A line for each keyed req in a folder, and one for all.
 pub fn list(folder: &Path) -> Result<Vec<String>, String> {
     let line = |key: &u128, f: &Found| {
-        let size = if let State::Done(result) = &f.state { result.len() } else { 0 };
-        format!("{key:032x} {} until {} ms, {size} bytes", state(f), f.until / 1000)
+        let size = if let State::Done(result) = &f.state {
+            result.len()
+        } else {
+            0
+        };
+        format!(
+            "{key:032x} {} until {} ms, {size} bytes",
+            state(f),
+            f.until / 1000
+        )
     };
     let (mut lines, all) = looked_at(folder, line)?;
     lines.push(format!(
@@ -218,8 +265,11 @@
 
 pub fn export(folder: &Path) -> Result<Vec<String>, String> {
     let line = |key: &u128, f: &Found| {
-        let result =
-            if let State::Done(result) = &f.state { Some(String::from_utf8_lossy(result)) } else { None };
+        let result = if let State::Done(result) = &f.state {
+            Some(String::from_utf8_lossy(result))
+        } else {
+            None
+        };
         let print = format!("{:016x}", f.print);
         let (key, name) = (format!("{key:032x}"), String::from_utf8_lossy(&f.name));
         let until = f.until / 1000;
--- a/crates/server/src/core/lasting.rs
+++ b/crates/server/src/core/lasting.rs
@@ -11,10 +11,17 @@
     /// A try of a keyed req that a former life has promised is answered from what is known of it, and never
     /// run. True where that, or a promise that can't be made, was its answer.
     pub(super) fn former_life(
-        &mut self, now: Timestamp, (no, rpc): (u64, u64), handler: usize, key: u128, print: u64,
+        &mut self,
+        now: Timestamp,
+        (no, rpc): (u64, u64),
+        handler: usize,
+        key: u128,
+        print: u64,
     ) -> Result<bool, &'static str> {
         let hands = &mut self.hands;
-        let Some(keep) = hands.keep.as_mut().filter(|_| !hands.door.knows(key)) else { return Ok(false) };
+        let Some(keep) = hands.keep.as_mut().filter(|_| !hands.door.knows(key)) else {
+            return Ok(false);
+        };
         let verdict = keep.book.judge(key, print);
         let away = KEEP_AWAY.min(self.settings.callers.come_back_max);
         let report = hands.load_report;
@@ -22,16 +29,22 @@
             Verdict::Unlike => return Err("replay came with another body"),
             Verdict::Unknown if keep.book.may_promise().is_ok() => return Ok(false),
             Verdict::Unknown => {
-                hands.conns.answer(now, no, |out| answer::shed(out, rpc, away, false, report));
+                hands
+                    .conns
+                    .answer(now, no, |out| answer::shed(out, rpc, away, false, report));
                 hands.counters.shed += 1;
             }
             Verdict::Done(result) => {
                 let blob = String::from_utf8_lossy(&result);
-                hands.conns.answer(now, no, |out| answer::done(out, rpc, &blob, report));
+                hands
+                    .conns
+                    .answer(now, no, |out| answer::done(out, rpc, &blob, report));
                 hands.counters.answered(true, false);
             }
             Verdict::Errored => {
-                hands.conns.answer(now, no, |out| answer::errored(out, rpc, report));
+                hands
+                    .conns
+                    .answer(now, no, |out| answer::errored(out, rpc, report));
                 hands.counters.answered(false, false);
             }
         }
@@ -42,7 +55,9 @@
     /// The writing thread tells how far things last.
     pub fn told(&mut self, now: Timestamp, told: Told) {
         self.hands.now = now;
-        let Some(keep) = &mut self.hands.keep else { return };
+        let Some(keep) = &mut self.hands.keep else {
+            return;
+        };
         let (waits, lasts) = match told {
             Told::Works { disk } => {
                 log::info!("kept: writing works again");
@@ -63,7 +78,9 @@
             match wait {
                 Waits::Run(id) if lasts => self.hands.release(id),
                 Waits::Run(id) => self.hands.unrun.push_back(id),
-                Waits::Answer(id, result) => self.hands.settled(id, result.as_deref().filter(|_| lasts)),
+                Waits::Answer(id, result) => {
+                    self.hands.settled(id, result.as_deref().filter(|_| lasts))
+                }
                 Waits::Nobody => {}
             }
         }
--- a/crates/server/src/core/lead.rs
+++ b/crates/server/src/core/lead.rs
@@ -46,7 +46,9 @@
     /// Where the next call of a req goes: to a backend where its handler has any, else, with nothing, to the
     /// catalogue. An error where it was made before, and the budget of repeats has no room for one more.
     pub(super) fn lead(&self, id: u64) -> Result<Option<Ticket>, ()> {
-        let (Some(leads), Some(req)) = (&self.leads, self.reqs.get(&id)) else { return Ok(None) };
+        let (Some(leads), Some(req)) = (&self.leads, self.reqs.get(&id)) else {
+            return Ok(None);
+        };
         match &req.called {
             Some((need, before)) if *need == req.need => {
                 leads.again(before, Again::Later).map(Some).ok_or(())
@@ -57,16 +59,22 @@
 
     /// Sends the call of a req off.
     pub(super) fn send_call(&mut self, id: u64, patience: Duration, to: Option<Ticket>) {
-        let Some(req) = self.reqs.get(&id) else { return };
+        let Some(req) = self.reqs.get(&id) else {
+            return;
+        };
         match to {
             None => {
                 let (name, wants) = (req.name, &req.wants);
                 self.calls.fetch(self.now, id, &name, patience, wants, None);
             }
             Some(ticket) => {
-                let hedge =
-                    self.leads.as_ref().filter(|_| self.lent.is_none() && self.replayable[req.handler]);
-                let hedge = hedge.and_then(|l| l.hedge_after(&ticket)).filter(|after| *after < patience);
+                let hedge = self
+                    .leads
+                    .as_ref()
+                    .filter(|_| self.lent.is_none() && self.replayable[req.handler]);
+                let hedge = hedge
+                    .and_then(|l| l.hedge_after(&ticket))
+                    .filter(|after| *after < patience);
                 self.attempt(id, ticket, patience);
                 if let (Some(after), Some(req)) = (hedge, self.reqs.get_mut(&id)) {
                     let at = self.now + after;
@@ -78,23 +86,47 @@
     }
 
     fn attempt(&mut self, id: u64, ticket: Ticket, patience: Duration) {
-        let Some(req) = self.reqs.get_mut(&id) else { return };
+        let Some(req) = self.reqs.get_mut(&id) else {
+            return;
+        };
         req.called = Some((req.need, ticket.clone()));
-        let wire = self.calls.fetch(self.now, id, &req.name, patience, &req.wants, Some(ticket.address));
-        req.tries.push(Try { wire, ticket, since: self.now });
+        let wire = self.calls.fetch(
+            self.now,
+            id,
+            &req.name,
+            patience,
+            &req.wants,
+            Some(ticket.address),
+        );
+        req.tries.push(Try {
+            wire,
+            ticket,
+            since: self.now,
+        });
     }
 
     /// An attempt of a call came to its end. True where the call goes on: another attempt of it is out, or is
     /// made now. Made again is only what is proven not to have run, or may run twice; only where it finds time.
     pub(super) fn goes_on(
-        &mut self, now: Timestamp, id: u64, wire: u64, how: Outcome, replied: bool,
+        &mut self,
+        now: Timestamp,
+        id: u64,
+        wire: u64,
+        how: Outcome,
+        replied: bool,
     ) -> bool {
         self.now = now;
-        let Some(req) = self.reqs.get_mut(&id) else { return false };
-        let Some(at) = req.tries.iter().position(|t| t.wire == wire) else { return false };
+        let Some(req) = self.reqs.get_mut(&id) else {
+            return false;
+        };
+        let Some(at) = req.tries.iter().position(|t| t.wire == wire) else {
+            return false;
+        };
         let done = req.tries.swap_remove(at);
         let (handler, until) = (req.handler, req.until);
-        let Some(leads) = self.leads.clone() else { return false };
+        let Some(leads) = self.leads.clone() else {
+            return false;
+        };
         let end = end(how, replied);
         leads.over(&done.ticket, end);
         if how == Outcome::Done {
@@ -129,9 +161,12 @@
     /// A call that is out for longer than nearly all others has a second attempt beside it.
     pub(super) fn hedge(&mut self, now: Timestamp, id: u64) {
         self.now = now;
-        let Some(req) = self.reqs.get_mut(&id) else { return };
+        let Some(req) = self.reqs.get_mut(&id) else {
+            return;
+        };
         req.hedge = None;
-        let (Some(leads), [only], Some(until)) = (self.leads.clone(), &req.tries[..], req.until) else {
+        let (Some(leads), [only], Some(until)) = (self.leads.clone(), &req.tries[..], req.until)
+        else {
             return;
         };
         let left = until - now;
@@ -144,7 +179,9 @@
 
     /// All attempts of a call that are out end here.
     pub(super) fn drop_tries(&mut self, id: u64, end: End) {
-        let Some(req) = self.reqs.get_mut(&id) else { return };
+        let Some(req) = self.reqs.get_mut(&id) else {
+            return;
+        };
         if let Some(at) = req.hedge.take() {
             self.due.remove(&(at, Due::Hedge(id)));
         }
--- a/crates/server/src/core/lent.rs
+++ b/crates/server/src/core/lent.rs
@@ -77,9 +77,13 @@
 
 impl Lent {
     pub fn new(to: Rc<dyn Lends>, groups: Vec<Group>, kinds: &[Kind], below: &Below) -> Lent {
-        let of: Vec<Option<usize>> =
-            (0..kinds.len()).map(|h| groups.iter().position(|g| g.handlers.contains(&h))).collect();
-        let covers = kinds.iter().zip(&of).all(|(k, of)| k.calls == Calls::Never || of.is_some());
+        let of: Vec<Option<usize>> = (0..kinds.len())
+            .map(|h| groups.iter().position(|g| g.handlers.contains(&h)))
+            .collect();
+        let covers = kinds
+            .iter()
+            .zip(&of)
+            .all(|(k, of)| k.calls == Calls::Never || of.is_some());
         let rest = if covers { 0.0 } else { below.share };
         Lent {
             to,
@@ -140,14 +144,23 @@
         self.groups.iter().enumerate().map(|(b, group)| {
             let (usable, load) = (self.usable[b], &self.loads[b]);
             let must = group.handlers.iter().all(|h| self.must[*h]);
-            let runs = if must { usable.saturating_add(RUNS_MORE) } else { usize::MAX };
+            let runs = if must {
+                usable.saturating_add(RUNS_MORE)
+            } else {
+                usize::MAX
+            };
             let short = load.held > 0 && load.running + load.at_call + load.calling >= runs;
             let turn = match usable {
                 0 => self.to.until_room(b),
                 _ if short => Duration::from_secs_f64(load.call / usable as f64),
                 _ => Duration::ZERO,
             };
-            Ceiling { handlers: group.handlers.clone(), runs, calls: usable, turn: turn.min(TURN_MOST) }
+            Ceiling {
+                handlers: group.handlers.clone(),
+                runs,
+                calls: usable,
+                turn: turn.min(TURN_MOST),
+            }
         })
     }
 
@@ -186,7 +199,9 @@
 
 impl Follows for Lent {
     fn stage(&mut self, now: Timestamp, id: u64, handler: usize, stage: Stage) {
-        let Some(budget) = self.of.get(handler).copied().flatten() else { return };
+        let Some(budget) = self.of.get(handler).copied().flatten() else {
+            return;
+        };
         if let Some((_, before, _)) = self.reqs.insert(id, (handler, stage, now)) {
             self.shift(budget, handler, before, -1);
             if before == Stage::Calling {
@@ -197,23 +212,37 @@
     }
 
     fn call_over(&mut self, now: Timestamp, id: u64, end: End) {
-        let Some((handler, stage, since)) = self.reqs.get_mut(&id).filter(|r| r.1 == Stage::Calling) else {
+        let Some((handler, stage, since)) =
+            self.reqs.get_mut(&id).filter(|r| r.1 == Stage::Calling)
+        else {
             return;
         };
         let (handler, took) = (*handler, (now - *since).as_secs_f64());
-        *stage = if end == End::Good { Stage::Running } else { Stage::AtCall };
-        let (stage, Some(budget)) = (*stage, self.of[handler]) else { return };
+        *stage = if end == End::Good {
+            Stage::Running
+        } else {
+            Stage::AtCall
+        };
+        let (stage, Some(budget)) = (*stage, self.of[handler]) else {
+            return;
+        };
         self.shift(budget, handler, Stage::Calling, -1);
         self.shift(budget, handler, stage, 1);
         let load = &mut self.loads[budget];
         if end == End::Good {
-            load.call += if load.call == 0.0 { took } else { CALL_ALPHA * (took - load.call) };
+            load.call += if load.call == 0.0 {
+                took
+            } else {
+                CALL_ALPHA * (took - load.call)
+            };
         }
         self.call_ends(now, budget, matches!(end, End::GivenUp | End::Dropped));
     }
 
     fn skipped(&mut self, now: Timestamp, id: u64) {
-        let Some((handler, ..)) = self.reqs.get(&id).copied() else { return };
+        let Some((handler, ..)) = self.reqs.get(&id).copied() else {
+            return;
+        };
         if let Some(budget) = self.of[handler] {
             self.loads[budget].skips += 1.0;
         }
--- a/crates/server/src/core/outcomes.rs
+++ b/crates/server/src/core/outcomes.rs
@@ -18,9 +18,16 @@
 impl Serve {
     /// A run that was answered leaves the books.
     pub(super) fn run_out(
-        &mut self, now: Timestamp, id: u64, how: Outcome, spent: Duration, result: Option<&str>,
+        &mut self,
+        now: Timestamp,
+        id: u64,
+        how: Outcome,
+        spent: Duration,
+        result: Option<&str>,
     ) {
-        let Some(req) = self.hands.reqs.get(&id) else { return };
+        let Some(req) = self.hands.reqs.get(&id) else {
+            return;
+        };
         let (key, handler) = (req.key, req.handler);
         self.hands.counters.run_over(how);
         for waiting in key.map_or(vec![], |k| self.hands.door.ran(k, result)) {
@@ -49,12 +56,19 @@
     }
 
     pub(super) fn patience_over(&mut self, now: Timestamp, id: u64) {
-        let Some(req) = self.hands.reqs.get_mut(&id) else { return };
+        let Some(req) = self.hands.reqs.get_mut(&id) else {
+            return;
+        };
         req.until = None;
         let name = req.name;
         if !req.tries.is_empty() {
             self.hands.now = now;
-            let spent = req.tries.iter().map(|t| t.since).min().map_or(Duration::ZERO, |at| now - at);
+            let spent = req
+                .tries
+                .iter()
+                .map(|t| t.since)
+                .min()
+                .map_or(Duration::ZERO, |at| now - at);
             self.hands.drop_tries(id, Tried::Silent);
             self.call_ended(now, id, Outcome::TimedOut, spent);
         } else if let Some((id, how, spent)) = self.hands.calls.quit(now, &name) {
@@ -67,7 +81,9 @@
     /// Nobody knows whether a run has read the reply to its call. One that may go on without is told so by the
     /// number of that call, which does nothing where it has gone on; any other is errored and ends by itself.
     fn doubtful(&mut self, now: Timestamp, id: u64) {
-        let Some(req) = self.hands.reqs.get(&id) else { return };
+        let Some(req) = self.hands.reqs.get(&id) else {
+            return;
+        };
         if self.settings.handlers[req.handler].partial_value > 0.0 {
             self.hands.skip(id);
         } else {
@@ -117,8 +133,13 @@
         let taken_up = !std::mem::replace(&mut self.hands.engine.up, true);
         if gap {
             log::warn!("engine: notices were lost; all runs count as errored");
-            let mut lost: Vec<_> =
-                self.hands.reqs.iter().filter(|(_, r)| r.started).map(|(id, r)| (*id, r.name)).collect();
+            let mut lost: Vec<_> = self
+                .hands
+                .reqs
+                .iter()
+                .filter(|(_, r)| r.started)
+                .map(|(id, r)| (*id, r.name))
+                .collect();
             lost.sort_unstable();
             for (id, name) in lost {
                 self.hands.stop(id);
@@ -135,8 +156,12 @@
 
     /// A run stands at a call.
     fn at_call(&mut self, now: Timestamp, name: &Name, serial: u64, blob: &str) {
-        let Some(&id) = self.hands.names.get(name) else { return };
-        let Some(req) = self.hands.reqs.get_mut(&id) else { return };
+        let Some(&id) = self.hands.names.get(name) else {
+            return;
+        };
+        let Some(req) = self.hands.reqs.get_mut(&id) else {
+            return;
+        };
         req.unproven.clear();
         req.fed = None;
         req.need = serial;
@@ -145,7 +170,9 @@
             Err(_) => log::warn!("engine: the body of a call is no base64"),
         }
         self.hands.now = now;
-        self.hands.followed(id, |f, now, handler| f.stage(now, id, handler, Stage::AtCall));
+        self.hands.followed(id, |f, now, handler| {
+            f.stage(now, id, handler, Stage::AtCall)
+        });
         self.decide(now, |d, hands| d.at_call(now, id, hands));
     }
 
@@ -177,7 +204,9 @@
     fn declined(&mut self, now: Timestamp, what: &str, name: &Name) {
         self.hands.counters.declined += 1;
         log::debug!("engine: {what} was not carried out");
-        let Some(&id) = self.hands.names.get(name).filter(|_| what == "RUN") else { return };
+        let Some(&id) = self.hands.names.get(name).filter(|_| what == "RUN") else {
+            return;
+        };
         self.hands.now = now;
         self.hands.shed(id, Duration::ZERO, false);
         self.hands.keep_result(id, Outcome::Moot, None);
--- a/crates/server/src/core/pooled.rs
+++ b/crates/server/src/core/pooled.rs
@@ -11,10 +11,12 @@
 pub fn plan(set: &operator::Pools, s: &Settings) -> Result<Plan, Vec<String>> {
     let mut wrong = vec![];
     let mut among = |names: &madderbay_operator_config::Names| {
-        names.among(&s.handler_names, "handler").unwrap_or_else(|what| {
-            wrong.push(what);
-            vec![]
-        })
+        names
+            .among(&s.handler_names, "handler")
+            .unwrap_or_else(|what| {
+                wrong.push(what);
+                vec![]
+            })
     };
     let pools: Vec<Pool> = set
         .pools
@@ -28,12 +30,27 @@
             calls: p.calls,
         })
         .collect();
-    let reserve = set.reserve.as_ref().map(|r| Reserve { handlers: among(&r.handlers), part: r.part });
+    let reserve = set.reserve.as_ref().map(|r| Reserve {
+        handlers: among(&r.handlers),
+        part: r.part,
+    });
     let share = (s.below.kind == BelowKind::Shared).then_some(s.below.share);
     let cores = s.machine.cores as usize;
     let groups = vec![];
-    let plan = Plan { pools, reserve, adapts: set.adapts, share, linger: s.below.linger, cores, groups };
-    if wrong.is_empty() { Ok(plan) } else { Err(wrong) }
+    let plan = Plan {
+        pools,
+        reserve,
+        adapts: set.adapts,
+        share,
+        linger: s.below.linger,
+        cores,
+        groups,
+    };
+    if wrong.is_empty() {
+        Ok(plan)
+    } else {
+        Err(wrong)
+    }
 }
 
 /// What each handler's runs do about calls.
@@ -43,7 +60,10 @@
         (true, true) => Calls::MaySkip,
         (true, false) => Calls::Must,
     };
-    s.handlers.iter().map(|h| Kind { calls: calls(h) }).collect()
+    s.handlers
+        .iter()
+        .map(|h| Kind { calls: calls(h) })
+        .collect()
 }
 
 /// What the end of a call tells of what lies below.
@@ -65,7 +85,10 @@
     };
     for (pool, figures) in pools.standing() {
         let names = ["held", "runs", "calls", "runs_most", "calls_most"];
-        names.iter().zip(figures).for_each(|(what, value)| line(&format!("{pool}.{what}"), value));
+        names
+            .iter()
+            .zip(figures)
+            .for_each(|(what, value)| line(&format!("{pool}.{what}"), value));
     }
     if let Some((limit, out)) = pools.calls() {
         line("calls.limit", limit as usize);
--- a/crates/server/src/core/serve.rs
+++ b/crates/server/src/core/serve.rs
@@ -36,7 +36,15 @@
         let hands = Hands::new(now, &settings, results);
         let on_cores = settings.meter("on_cores");
         let gauges = Gauges::default();
-        Serve { decider: None, settings, seed, on_cores, gauges, descriptors: usize::MAX, hands }
+        Serve {
+            decider: None,
+            settings,
+            seed,
+            on_cores,
+            gauges,
+            descriptors: usize::MAX,
+            hands,
+        }
     }
 
     /// No more descriptors than that are taken by balancers' connections and calls together.
@@ -46,8 +54,12 @@
 
     /// Sets pools up; without, nothing binds but the module's own limits.
     pub fn pool(&mut self, now: Timestamp, plan: Plan) {
-        self.hands.pools =
-            Some(Pools::new(now, self.seed, plan, &crate::core::pooled::kinds(&self.settings)));
+        self.hands.pools = Some(Pools::new(
+            now,
+            self.seed,
+            plan,
+            &crate::core::pooled::kinds(&self.settings),
+        ));
     }
 
     /// Sets budgets of the fleet up: what may be used of them is asked of `to`.
@@ -68,7 +80,9 @@
     }
 
     pub(super) fn consider(&mut self, now: Timestamp, act: impl FnOnce(&mut Decider, &mut Hands)) {
-        let Some(decider) = &mut self.decider else { return };
+        let Some(decider) = &mut self.decider else {
+            return;
+        };
         self.hands.now = now;
         act(decider, &mut self.hands);
         loop {
@@ -77,7 +91,8 @@
             } else if let Some(id) = self.hands.unmade.pop_front() {
                 decider.call_back(now, id, Outcome::Unreached, Duration::ZERO, &mut self.hands);
             } else if let Some(id) = self.hands.unrun.pop_front() {
-                self.hands.never_ran(id, KEEP_AWAY.min(self.settings.callers.come_back_max));
+                self.hands
+                    .never_ran(id, KEEP_AWAY.min(self.settings.callers.come_back_max));
             } else {
                 return;
             }
@@ -136,7 +151,9 @@
 
     /// What pools and budgets may have now is handed to the module before it settles.
     pub(super) fn ceilings(&mut self, now: Timestamp) {
-        let Some(decider) = &mut self.decider else { return };
+        let Some(decider) = &mut self.decider else {
+            return;
+        };
         let (pools, lent) = (&mut self.hands.pools, &mut self.hands.lent);
         let mut changed = false;
         if let Some(lent) = lent {
@@ -146,19 +163,28 @@
                 pools.iter_mut().for_each(|p| p.share(lent.share()));
             }
             let parts = lent.allowances(now);
-            parts.into_iter().for_each(|(tenant, per_second)| decider.allow(tenant, per_second));
+            parts
+                .into_iter()
+                .for_each(|(tenant, per_second)| decider.allow(tenant, per_second));
         }
         if !changed && !pools.as_ref().is_some_and(|p| p.stale(now)) {
             return;
         }
         let [_, _, workers, _] = decider.vitals();
-        let mut all = pools.as_mut().map_or(vec![], |p| p.ceilings(now, workers).to_vec());
+        let mut all = pools
+            .as_mut()
+            .map_or(vec![], |p| p.ceilings(now, workers).to_vec());
         all.extend(lent.iter().flat_map(Lent::ceilings));
         decider.heed(&all);
         let Some(pools) = pools else { return };
         let (told, untold) = pools.told();
         for change in told {
-            log::info!("pools: calls {:.1} to {:.1}: {}", change.from, change.to, change.cause);
+            log::info!(
+                "pools: calls {:.1} to {:.1}: {}",
+                change.from,
+                change.to,
+                change.cause
+            );
         }
         if untold > 0 {
             log::info!("pools: {untold} changes more");
@@ -194,9 +220,22 @@
     pub fn counters(&self) -> String {
         let h = &self.hands;
         let open = h.reqs.values().filter(|r| !r.answered).count();
-        let own = h.counters.lines(open, h.reqs.len(), h.conns.len(), h.calls.out(), h.door.entries());
-        let pools = h.pools.as_ref().map_or(String::new(), crate::core::pooled::counters);
+        let own = h.counters.lines(
+            open,
+            h.reqs.len(),
+            h.conns.len(),
+            h.calls.out(),
+            h.door.entries(),
+        );
+        let pools = h
+            .pools
+            .as_ref()
+            .map_or(String::new(), crate::core::pooled::counters);
         let routes = h.leads.as_ref().map_or(String::new(), |l| l.counters());
-        own + &pools + &routes + &h.keep.as_ref().map_or(String::new(), crate::core::keep::Keep::counters)
+        own + &pools
+            + &routes
+            + &h.keep
+                .as_ref()
+                .map_or(String::new(), crate::core::keep::Keep::counters)
     }
 }
--- a/crates/server/src/fleet/ask.rs
+++ b/crates/server/src/fleet/ask.rs
@@ -31,7 +31,10 @@
         }
     };
     let lines = ask().map_err(|e| told(&e))?;
-    let first: Value = lines.first().and_then(|l| serde_json::from_str(l).ok()).unwrap_or_default();
+    let first: Value = lines
+        .first()
+        .and_then(|l| serde_json::from_str(l).ok())
+        .unwrap_or_default();
     match first["wrong"].as_str() {
         Some(what) => Err(told(&what)),
         None => Ok(lines),
@@ -44,7 +47,8 @@
     let unread = |e| format!("{}: an answer that can't be read: {e}", path.display());
     if json {
         let mut whole: Value = serde_json::from_str(&lines[0]).map_err(unread)?;
-        let members: Result<Vec<Value>, _> = lines[1..].iter().map(|l| serde_json::from_str(l)).collect();
+        let members: Result<Vec<Value>, _> =
+            lines[1..].iter().map(|l| serde_json::from_str(l)).collect();
         whole["members"] = Value::Array(members.map_err(unread)?);
         return Ok(whole.to_string());
     }
@@ -60,9 +64,14 @@
     );
     for line in &lines[1..] {
         let m: MemberLine = serde_json::from_str(line).map_err(unread)?;
-        let heard = m.heard_ms.map_or("-".into(), |ms| format!("{:.1} s ago", ms as f64 / 1e3));
+        let heard = m
+            .heard_ms
+            .map_or("-".into(), |ms| format!("{:.1} s ago", ms as f64 / 1e3));
         let held_up = if m.held_up > 0 { ", held up" } else { "" };
-        text += &format!("{:<20} {:<9} {:<10} {:<22} {heard}{held_up}\n", m.name, m.state, m.zone, m.address);
+        text += &format!(
+            "{:<20} {:<9} {:<10} {:<22} {heard}{held_up}\n",
+            m.name, m.state, m.zone, m.address
+        );
     }
     text.truncate(text.trim_end().len());
     Ok(text)
@@ -73,7 +82,8 @@
     let lines = lines(path, "routes")?;
     let unread = |e| format!("{}: an answer that can't be read: {e}", path.display());
     if json {
-        let backends: Result<Vec<Value>, _> = lines[1..].iter().map(|l| serde_json::from_str(l)).collect();
+        let backends: Result<Vec<Value>, _> =
+            lines[1..].iter().map(|l| serde_json::from_str(l)).collect();
         return Ok(json!({ "backends": backends.map_err(unread)? }).to_string());
     }
     let mut text = String::new();
@@ -82,7 +92,16 @@
         let pace = b.pace_ms.map_or("-".into(), |ms| format!("{ms:.0} ms"));
         text += &format!(
             "{:<20} {:<8} weight {:.2} {:<10} {:<22} {pace:>7}, {} in hand, {} seen, {} bad; heard {:.1} from {}\n",
-            b.name, b.state, b.weight, b.zone, b.address, b.in_hand, b.seen, b.bad, b.heard, b.heard_from
+            b.name,
+            b.state,
+            b.weight,
+            b.zone,
+            b.address,
+            b.in_hand,
+            b.seen,
+            b.bad,
+            b.heard,
+            b.heard_from
         );
     }
     text.truncate(text.trim_end().len());
@@ -97,7 +116,11 @@
     let mut text = String::new();
     for line in &lines[1..] {
         let value: Value = serde_json::from_str(line).map_err(unread)?;
-        let list = if value["of"].is_null() { "budgets" } else { "counts" };
+        let list = if value["of"].is_null() {
+            "budgets"
+        } else {
+            "counts"
+        };
         if let Some(list) = whole[list].as_array_mut() {
             list.push(value);
         }
@@ -114,7 +137,8 @@
                 heard_ms,
                 waits_ms,
             } => {
-                let heard = heard_ms.map_or("never".into(), |ms| format!("{:.1} s ago", ms as f64 / 1e3));
+                let heard =
+                    heard_ms.map_or("never".into(), |ms| format!("{:.1} s ago", ms as f64 / 1e3));
                 text += &format!(
                     "budget {name}: {in_use} of {usable} calls in hand ({whole} in all; {own} own, {lent} lent, \
                      {borrowed} borrowed), work for {wants}; heard {heard}"
@@ -123,7 +147,13 @@
                     text += &format!("; its own in {:.1} s", waits_ms as f64 / 1e3);
                 }
             }
-            SharedLine::Count { name, of, value, bound, unheard } => {
+            SharedLine::Count {
+                name,
+                of,
+                value,
+                bound,
+                unheard,
+            } => {
                 text += &format!("count {name}: {of} {value:.0}, at most {bound:.0} off");
                 if unheard > 0 {
                     text += &format!(", {unheard} not heard");
@@ -136,5 +166,9 @@
         return Ok(whole.to_string());
     }
     text.truncate(text.trim_end().len());
-    Ok(if text.is_empty() { "nothing is shared".into() } else { text })
+    Ok(if text.is_empty() {
+        "nothing is shared".into()
+    } else {
+        text
+    })
 }
--- a/crates/server/src/fleet/backends.rs
+++ b/crates/server/src/fleet/backends.rs
@@ -24,10 +24,13 @@
     let mut wrong = vec![];
     let mut backends = vec![];
     for b in &set.backends {
-        let mut handlers = b.handlers.among(&site.handler_names, "handler").unwrap_or_else(|what| {
-            wrong.push(what);
-            vec![]
-        });
+        let mut handlers = b
+            .handlers
+            .among(&site.handler_names, "handler")
+            .unwrap_or_else(|what| {
+                wrong.push(what);
+                vec![]
+            });
         handlers.sort_unstable();
         backends.push(BackendSettings {
             name: b.name.as_str().into(),
@@ -45,7 +48,11 @@
         hedges: set.hedges,
         shares: set.shares,
     };
-    if wrong.is_empty() { Ok(Routing { settings, backends }) } else { Err(wrong) }
+    if wrong.is_empty() {
+        Ok(Routing { settings, backends })
+    } else {
+        Err(wrong)
+    }
 }
 
 impl Routing {
@@ -87,7 +94,9 @@
 
     /// The operator has set backends anew.
     pub fn reload(&self, set: Routing) {
-        self.routes.borrow_mut().reload(self.now(), set.settings, set.backends);
+        self.routes
+            .borrow_mut()
+            .reload(self.now(), set.settings, set.backends);
         self.tell();
     }
 
@@ -148,7 +157,9 @@
             ("words", routes.words() as u64),
             ("untold", t.untold),
         ];
-        figures.iter().for_each(|(name, value)| lines.add(name, *value));
+        figures
+            .iter()
+            .for_each(|(name, value)| lines.add(name, *value));
         lines.text
     }
 }
--- a/crates/server/src/fleet/control.rs
+++ b/crates/server/src/fleet/control.rs
@@ -112,7 +112,9 @@
 pub fn listen(path: &Path) -> Result<UnixListener, String> {
     let told = |what: &dyn std::fmt::Display| format!("control socket {}: {what}", path.display());
     match std::fs::symlink_metadata(path) {
-        Ok(file) if !file.file_type().is_socket() => return Err(told(&"is there, and is no socket")),
+        Ok(file) if !file.file_type().is_socket() => {
+            return Err(told(&"is there, and is no socket"));
+        }
         Ok(_) if std::os::unix::net::UnixStream::connect(path).is_ok() => {
             return Err(told(&"another process listens there"));
         }
@@ -148,7 +150,9 @@
 pub async fn run(listener: UnixListener, told: Told) {
     let askers = Arc::new(Semaphore::new(ASKERS));
     loop {
-        let Ok(place) = askers.clone().acquire_owned().await else { return };
+        let Ok(place) = askers.clone().acquire_owned().await else {
+            return;
+        };
         match listener.accept().await {
             Ok((stream, _)) => {
                 let told = told.clone();
@@ -179,8 +183,11 @@
             return Ok(());
         }
         let whole = line.ends_with(b"\n");
-        let text =
-            if whole { answer(&line, told) } else { wrong("a question is a line of 255 bytes at most") };
+        let text = if whole {
+            answer(&line, told)
+        } else {
+            wrong("a question is a line of 255 bytes at most")
+        };
         let written = timeout(PATIENCE, writer.write_all(text.as_bytes())).await;
         written.unwrap_or(Err(ErrorKind::TimedOut.into()))?;
         if !whole {
@@ -205,7 +212,9 @@
         }
         ("members", Some(fleet)) => members(fleet),
         ("members", None) => wrong("no [members] in the operator file"),
-        ("shared", Some(fleet)) => shared(fleet).unwrap_or_else(|| wrong("no [shared] in the operator file")),
+        ("shared", Some(fleet)) => {
+            shared(fleet).unwrap_or_else(|| wrong("no [shared] in the operator file"))
+        }
         ("shared", None) => wrong("no [shared] in the operator file"),
         _ => wrong("members, shared and routes can be asked for"),
     }
@@ -284,11 +293,22 @@
     }
     for (at, count) in shared.counts.iter().enumerate() {
         let active = count.active(KEYS_TOLD);
-        for (_, of, mark, fair) in fleet.lender.counted.keys(at).filter(|k| active.contains(&k.2)) {
+        for (_, of, mark, fair) in fleet
+            .lender
+            .counted
+            .keys(at)
+            .filter(|k| active.contains(&k.2))
+        {
             let told = count.told(now, mark, fair);
             let (name, of) = (count.set.name.to_string(), of.to_string());
             let (value, bound) = (told.value, told.bound());
-            lines.push(SharedLine::Count { name, of, value, bound, unheard: told.unheard });
+            lines.push(SharedLine::Count {
+                name,
+                of,
+                value,
+                bound,
+                unheard: told.unheard,
+            });
         }
     }
     let name = together.members.own().name.to_string();
--- a/crates/server/src/fleet/lender.rs
+++ b/crates/server/src/fleet/lender.rs
@@ -41,7 +41,11 @@
 
 impl Counted {
     pub fn new(
-        handlers: &[String], tenants: &[String], per_second: Vec<f64>, servers: u32, by_tenant: Vec<bool>,
+        handlers: &[String],
+        tenants: &[String],
+        per_second: Vec<f64>,
+        servers: u32,
+        by_tenant: Vec<bool>,
     ) -> Counted {
         let marks = |names: &[String]| names.iter().map(|n| madderbay_quota::mark(n)).collect();
         Counted {
@@ -58,13 +62,24 @@
     /// The names that a count is by, with their marks and what a server is taken to count in the long run.
     pub fn keys(&self, count: usize) -> impl Iterator<Item = (usize, &str, u32, f64)> {
         let tenants = self.by_tenant[count];
-        let (names, marks) =
-            if tenants { (&self.tenants, &self.tenant_marks) } else { (&self.handlers, &self.handler_marks) };
+        let (names, marks) = if tenants {
+            (&self.tenants, &self.tenant_marks)
+        } else {
+            (&self.handlers, &self.handler_marks)
+        };
         let fair = move |at: usize| {
-            let all = if tenants { self.per_second.get(at).copied().unwrap_or(0.0) } else { 0.0 };
+            let all = if tenants {
+                self.per_second.get(at).copied().unwrap_or(0.0)
+            } else {
+                0.0
+            };
             all / f64::from(self.servers.max(1))
         };
-        names.iter().zip(marks).enumerate().map(move |(at, (n, m))| (at, n.as_str(), *m, fair(at)))
+        names
+            .iter()
+            .zip(marks)
+            .enumerate()
+            .map(move |(at, (n, m))| (at, n.as_str(), *m, fair(at)))
     }
 }
 
@@ -74,13 +89,18 @@
 impl Lends for Lender {
     fn usable(&self, budget: usize) -> usize {
         let together = self.together.borrow();
-        let usable = together.shared.as_ref().map_or(0, |s| s.budgets[budget].ledger.usable((self.ticks)()));
+        let usable = together
+            .shared
+            .as_ref()
+            .map_or(0, |s| s.budgets[budget].ledger.usable((self.ticks)()));
         usable as usize
     }
 
     fn start(&self, budget: usize) -> bool {
         let (now, mut together) = ((self.ticks)(), self.together.borrow_mut());
-        let Some(budget) = together.shared.as_mut().map(|s| &mut s.budgets[budget]) else { return false };
+        let Some(budget) = together.shared.as_mut().map(|s| &mut s.budgets[budget]) else {
+            return false;
+        };
         let may = budget.ledger.may_start(now);
         if may {
             budget.started(now);
@@ -106,14 +126,22 @@
 
     fn until_room(&self, budget: usize) -> Duration {
         let together = self.together.borrow();
-        together.shared.as_ref().map_or(Duration::ZERO, |s| s.budgets[budget].until_room((self.ticks)()))
+        together.shared.as_ref().map_or(Duration::ZERO, |s| {
+            s.budgets[budget].until_room((self.ticks)())
+        })
     }
 
     fn counted(&self, handler: usize, tenant: usize) {
         let (now, c) = ((self.ticks)(), &self.counted);
-        let Some(shared) = &mut self.together.borrow_mut().shared else { return };
+        let Some(shared) = &mut self.together.borrow_mut().shared else {
+            return;
+        };
         for (count, by_tenant) in shared.counts.iter_mut().zip(&c.by_tenant) {
-            let mark = if *by_tenant { c.tenant_marks.get(tenant) } else { c.handler_marks.get(handler) };
+            let mark = if *by_tenant {
+                c.tenant_marks.get(tenant)
+            } else {
+                c.handler_marks.get(handler)
+            };
             mark.into_iter().for_each(|m| count.add(now, *m, 1));
         }
     }
@@ -121,10 +149,18 @@
     fn allowances(&self) -> Vec<(usize, f64)> {
         let (now, c) = ((self.ticks)(), &self.counted);
         let together = self.together.borrow();
-        let Some(shared) = &together.shared else { return vec![] };
-        let Some(count) = c.by_tenant.iter().position(|t| *t) else { return vec![] };
+        let Some(shared) = &together.shared else {
+            return vec![];
+        };
+        let Some(count) = c.by_tenant.iter().position(|t| *t) else {
+            return vec![];
+        };
         let active = shared.counts[count].active(TENANTS_MOST);
-        let part = |at: usize, mark: u32| shared.allowance(now, count, mark, c.per_second[at], c.servers);
-        c.keys(count).filter(|k| active.contains(&k.2)).map(|k| (k.0, part(k.0, k.2))).collect()
+        let part =
+            |at: usize, mark: u32| shared.allowance(now, count, mark, c.per_second[at], c.servers);
+        c.keys(count)
+            .filter(|k| active.contains(&k.2))
+            .map(|k| (k.0, part(k.0, k.2)))
+            .collect()
     }
 }
--- a/crates/server/src/fleet/sharing.rs
+++ b/crates/server/src/fleet/sharing.rs
@@ -30,10 +30,13 @@
     let s = &config.settings;
     let (mut wrong, mut groups, mut budgets) = (vec![], vec![], vec![]);
     for b in &set.budgets {
-        let handlers = b.handlers.among(&s.handler_names, "handler").unwrap_or_else(|what| {
-            wrong.push(what);
-            vec![]
-        });
+        let handlers = b
+            .handlers
+            .among(&s.handler_names, "handler")
+            .unwrap_or_else(|what| {
+                wrong.push(what);
+                vec![]
+            });
         let longest = Duration::from_millis(b.longest_ms);
         groups.push(Group { handlers, longest });
         budgets.push(BudgetSettings {
@@ -55,10 +58,33 @@
         window: Duration::from_millis(c.window_s * 1_000),
         most: c.most,
     });
-    let by_tenant = set.counts.iter().map(|c| c.by == operator::By::Tenant).collect();
+    let by_tenant = set
+        .counts
+        .iter()
+        .map(|c| c.by == operator::By::Tenant)
+        .collect();
     let per_second = s.tenants.iter().map(|t| t.per_second).collect();
-    let counted = Counted::new(&s.handler_names, &s.tenant_names, per_second, s.place.servers, by_tenant);
+    let counted = Counted::new(
+        &s.handler_names,
+        &s.tenant_names,
+        per_second,
+        s.place.servers,
+        by_tenant,
+    );
     let name = config.name.as_str().into();
-    let settings = madderbay_quota::Settings { name, life: life(), budgets, counts: counts.collect() };
-    if wrong.is_empty() { Ok(Sharing { settings, groups, counted }) } else { Err(wrong) }
+    let settings = madderbay_quota::Settings {
+        name,
+        life: life(),
+        budgets,
+        counts: counts.collect(),
+    };
+    if wrong.is_empty() {
+        Ok(Sharing {
+            settings,
+            groups,
+            counted,
+        })
+    } else {
+        Err(wrong)
+    }
 }
--- a/crates/server/src/fleet/talk.rs
+++ b/crates/server/src/fleet/talk.rs
@@ -67,8 +67,13 @@
 
 impl Fleet {
     pub fn new(
-        ticks: Ticks, seed: u64, unix_ms: u64, set: Settings, shared: Option<madderbay_quota::Settings>,
-        counted: Counted, backends: Option<Rc<Backends>>,
+        ticks: Ticks,
+        seed: u64,
+        unix_ms: u64,
+        set: Settings,
+        shared: Option<madderbay_quota::Settings>,
+        counted: Counted,
+        backends: Option<Rc<Backends>>,
     ) -> Fleet {
         let members = Members::new(Timestamp::default(), unix_ms, seed, set);
         let shared = shared.map(|set| Shared::new(Timestamp::default(), seed, set));
@@ -77,7 +82,12 @@
         let (together, changed) = (Rc::new(RefCell::new(together)), Rc::new(Notify::new()));
         let hurry = changed.clone();
         let hurry = Box::new(move || hurry.notify_one());
-        let lender = Lender { together: together.clone(), counted, ticks: ticks.clone(), hurry };
+        let lender = Lender {
+            together: together.clone(),
+            counted,
+            ticks: ticks.clone(),
+            hurry,
+        };
         Fleet {
             together,
             lender: Rc::new(lender),
@@ -123,8 +133,12 @@
                 self.unsent.set(self.unsent.get() + 1);
             }
         }
-        let mut changes: Vec<String> =
-            together.members.changes().iter().map(|c| format!("members: {c}")).collect();
+        let mut changes: Vec<String> = together
+            .members
+            .changes()
+            .iter()
+            .map(|c| format!("members: {c}"))
+            .collect();
         let shared = together.shared.as_mut().map_or(vec![], Shared::changes);
         changes.extend(shared.iter().map(|c| format!("shared: {c}")));
         drop(together);
@@ -140,7 +154,11 @@
             crate::tools::logger::plain(format!("INFO {change}\n"));
         }
         self.untold.set(self.untold.get() + changes.len() - told);
-        self.lines.set(if fresh { (Instant::now(), told) } else { (since, lines + told) });
+        self.lines.set(if fresh {
+            (Instant::now(), told)
+        } else {
+            (since, lines + told)
+        });
     }
 
     pub fn counters(&self) -> String {
@@ -167,7 +185,11 @@
         line("rosters", counts.rosters);
         line("held_up", members.pauses());
         line("untold", counts.untold + self.untold.get() as u64);
-        lines.text + &together.shared.as_ref().map_or(String::new(), |s| shared(s, self.now()))
+        lines.text
+            + &together
+                .shared
+                .as_ref()
+                .map_or(String::new(), |s| shared(s, self.now()))
     }
 }
 
@@ -185,7 +207,9 @@
             ("in_use", b.in_use),
             ("wants", b.wants),
         ];
-        figures.iter().for_each(|(what, value)| line(&format!("{}.{what}", b.name), u64::from(*value)));
+        figures
+            .iter()
+            .for_each(|(what, value)| line(&format!("{}.{what}", b.name), u64::from(*value)));
     }
     for c in &s.counts {
         line(&format!("{}.lives", c.set.name), c.len() as u64);
@@ -210,7 +234,8 @@
     fn take(&mut self) -> bool {
         if self.left < 1.0 {
             let passed = std::mem::replace(&mut self.at, Instant::now());
-            self.left = (self.left + passed.elapsed().as_secs_f64() * HEARD_A_SECOND).min(HEARD_AT_ONCE);
+            self.left =
+                (self.left + passed.elapsed().as_secs_f64() * HEARD_A_SECOND).min(HEARD_AT_ONCE);
         }
         self.left -= f64::from(u8::from(self.left >= 1.0));
         self.left >= 1.0
@@ -219,7 +244,10 @@
 
 /// Hears and speaks until the process ends.
 pub async fn run(socket: Rc<UdpSocket>, fleet: Rc<Fleet>) {
-    let mut allowance = Allowance { left: HEARD_AT_ONCE, at: Instant::now() };
+    let mut allowance = Allowance {
+        left: HEARD_AT_ONCE,
+        at: Instant::now(),
+    };
     let mut buffer = [0; BUFFER];
     loop {
         let due = fleet.together.borrow().due() - fleet.now();
@@ -230,9 +258,14 @@
         }
         for _ in 0..TURN {
             // An error here is another's, told back for something that was sent: there is nothing to do.
-            let Ok((length, from)) = socket.try_recv_from(&mut buffer) else { break };
+            let Ok((length, from)) = socket.try_recv_from(&mut buffer) else {
+                break;
+            };
             if allowance.take() {
-                fleet.together.borrow_mut().received(fleet.now(), from, &buffer[..length]);
+                fleet
+                    .together
+                    .borrow_mut()
+                    .received(fleet.now(), from, &buffer[..length]);
             } else {
                 fleet.over.set(fleet.over.get() + 1);
             }
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -46,8 +46,11 @@
 /// The process's own limit on descriptors, where the system tells it.
 fn allowed_descriptors() -> usize {
     let limits = std::fs::read_to_string("/proc/self/limits").unwrap_or_default();
-    let line = limits.lines().find_map(|l| l.strip_prefix("Max open files"));
-    line.and_then(|l| l.split_whitespace().next()?.parse().ok()).unwrap_or(usize::MAX)
+    let line = limits
+        .lines()
+        .find_map(|l| l.strip_prefix("Max open files"));
+    line.and_then(|l| l.split_whitespace().next()?.parse().ok())
+        .unwrap_or(usize::MAX)
 }
 
 /// Why there is no configuration.
@@ -68,9 +71,16 @@
 fn set_up() -> Result<config::Config, Unset> {
     let path = std::env::var("RELAY_CONFIG")
         .map_err(|_| Unset::Wrong("RELAY_CONFIG names no configuration".to_string()))?;
-    let json = std::fs::read(&path).map_err(|e| Unset::Unfinished(format!("configuration {path}: {e}")))?;
+    let json = std::fs::read(&path)
+        .map_err(|e| Unset::Unfinished(format!("configuration {path}: {e}")))?;
     let found = config::read(&json, |name| std::env::var(name).ok());
-    found.map_err(|what| if config::breaks_off(&json) { Unset::Unfinished(what) } else { Unset::Wrong(what) })
+    found.map_err(|what| {
+        if config::breaks_off(&json) {
+            Unset::Unfinished(what)
+        } else {
+            Unset::Wrong(what)
+        }
+    })
 }
 
 /// One server before the engine that it shares a machine with, between balancers and what lies below.
@@ -81,7 +91,13 @@
     #[arg(long, value_name = "FILE", env = "MADDERBAY_OPERATOR", global = true)]
     operator: Option<PathBuf>,
     /// For tests of lives on unlike clocks: what the Unix clock is taken to be ahead by, for telling lives apart
-    #[arg(long, hide = true, value_name = "MS", default_value_t = 0, allow_hyphen_values = true)]
+    #[arg(
+        long,
+        hide = true,
+        value_name = "MS",
+        default_value_t = 0,
+        allow_hyphen_values = true
+    )]
     unix_ahead_ms: i64,
     #[command(subcommand)]
     order: Option<Order>,
@@ -150,24 +166,42 @@
 const WRONGLY_SET: u8 = 2;
 
 fn operator(path: Option<&Path>) -> Result<Operator, Wrong> {
-    let Some(path) = path else { return Ok(Operator::default()) };
+    let Some(path) = path else {
+        return Ok(Operator::default());
+    };
     let name = path.display().to_string();
-    let text = std::fs::read_to_string(path).map_err(|e| Wrong::Set(vec![format!("{name}: {e}")]))?;
+    let text =
+        std::fs::read_to_string(path).map_err(|e| Wrong::Set(vec![format!("{name}: {e}")]))?;
     madderbay_operator_config::read(&name, &text).map_err(Wrong::Set)
 }
 
 /// What of the operator file depends on the settings.
 fn planned(operator: &Operator, config: &config::Config) -> Result<Planned, Wrong> {
-    let routing = operator.routes.as_ref().map(|set| backends::of(set, &config.settings)).transpose();
-    let plan = operator.pools.as_ref().map(|pools| pooled::plan(pools, &config.settings));
+    let routing = operator
+        .routes
+        .as_ref()
+        .map(|set| backends::of(set, &config.settings))
+        .transpose();
+    let plan = operator
+        .pools
+        .as_ref()
+        .map(|pools| pooled::plan(pools, &config.settings));
     let plan = plan.transpose();
-    let sharing = operator.shared.as_ref().map(|set| sharing::of(set, config)).transpose();
+    let sharing = operator
+        .shared
+        .as_ref()
+        .map(|set| sharing::of(set, config))
+        .transpose();
     match (plan, sharing, routing) {
         (Ok(mut plan), Ok(sharing), Ok(routing)) => {
             if let (Some(plan), Some(routing)) = (&mut plan, &routing) {
                 plan.groups = routing.groups();
             }
-            Ok(Planned { plan, sharing, routing })
+            Ok(Planned {
+                plan,
+                sharing,
+                routing,
+            })
         }
         (plan, sharing, routing) => {
             let wrong = [plan.err(), sharing.err(), routing.err()];
@@ -199,15 +233,38 @@
 fn run(path: Option<&Path>, unix_ahead_ms: i64) -> Result<(), Wrong> {
     let operator = operator(path)?;
     let config = set_up_late()?;
-    let Planned { plan, sharing, routing } = planned(&operator, &config)?;
-    let window = config.settings.handlers.iter().map(|h| h.window).max().unwrap_or_default();
-    let opened = operator.kept.as_ref().map(|set| keep::open(set, window.as_micros())).transpose();
+    let Planned {
+        plan,
+        sharing,
+        routing,
+    } = planned(&operator, &config)?;
+    let window = config
+        .settings
+        .handlers
+        .iter()
+        .map(|h| h.window)
+        .max()
+        .unwrap_or_default();
+    let opened = operator
+        .kept
+        .as_ref()
+        .map(|set| keep::open(set, window.as_micros()))
+        .transpose();
     let opened = opened.map_err(|what| Wrong::Set(vec![what]))?;
     let kept = opened.zip(operator.kept);
     let path = path.map(Path::to_path_buf);
     let (members, control) = (operator.members, operator.control);
-    let beside = Beside { members, control, sharing, routing, path, unix_ahead_ms };
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let beside = Beside {
+        members,
+        control,
+        sharing,
+        routing,
+        path,
+        unix_ahead_ms,
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
     Ok(LocalSet::new().block_on(&runtime, serve(config, plan, kept, beside))?)
 }
@@ -219,7 +276,11 @@
         KeptOrder::Verify { directory } => {
             let wrong = keep::verify(directory)?;
             wrong.iter().for_each(|line| println!("{line}"));
-            return if wrong.is_empty() { Ok(()) } else { Err(Wrong::Found) };
+            return if wrong.is_empty() {
+                Ok(())
+            } else {
+                Err(Wrong::Found)
+            };
         }
     };
     told?.iter().for_each(|line| println!("{line}"));
@@ -251,7 +312,10 @@
     let args = match Args::try_parse() {
         Ok(args) => args,
         Err(e) if e.use_stderr() => {
-            eprintln!("madderbay: {}", e.to_string().lines().next().unwrap_or_default());
+            eprintln!(
+                "madderbay: {}",
+                e.to_string().lines().next().unwrap_or_default()
+            );
             return ExitCode::from(WRONGLY_SET);
         }
         Err(e) => {
@@ -317,7 +381,10 @@
 /// Reads the operator file again for the sizes and weights of budgets, and for backends; one that is wrong
 /// changes nothing.
 fn reload_operator(
-    config: &config::Config, path: Option<&Path>, fleet: Option<&talk::Fleet>, backends: Option<&Backends>,
+    config: &config::Config,
+    path: Option<&Path>,
+    fleet: Option<&talk::Fleet>,
+    backends: Option<&Backends>,
 ) {
     match operator(path).and_then(|o| planned(&o, config)) {
         Ok(fresh) => {
@@ -330,9 +397,9 @@
                 _ => log::warn!("reload: [routes] goes on or off at a restart only"),
             }
         }
-        Err(Wrong::Set(lines)) => {
-            lines.iter().for_each(|l| log::warn!("reload: {l}; budgets and backends stay as they are"))
-        }
+        Err(Wrong::Set(lines)) => lines
+            .iter()
+            .for_each(|l| log::warn!("reload: {l}; budgets and backends stay as they are")),
         Err(_) => {}
     }
 }
@@ -350,32 +417,58 @@
 
 /// The view of the fleet, where one is kept, with its socket.
 async fn join(
-    config: &config::Config, set: Option<members::Members>, sharing: Option<Sharing>, ahead_ms: i64,
-    ticks: Ticks, backends: Option<Rc<Backends>>,
+    config: &config::Config,
+    set: Option<members::Members>,
+    sharing: Option<Sharing>,
+    ahead_ms: i64,
+    ticks: Ticks,
+    backends: Option<Rc<Backends>>,
 ) -> Result<Option<(Rc<talk::Fleet>, Rc<UdpSocket>)>, String> {
     let Some(set) = set else { return Ok(None) };
-    let socket = UdpSocket::bind(set.listen).await.map_err(|e| format!("members: {}: {e}", set.listen))?;
+    let socket = UdpSocket::bind(set.listen)
+        .await
+        .map_err(|e| format!("members: {}: {e}", set.listen))?;
     let (socket, settings) = (Rc::new(socket), talk::settings(&set, &config.name));
     if !sound(&config.name) {
-        return Err(format!("members: name '{}' is longer than {NAME_MOST} bytes", config.name));
+        return Err(format!(
+            "members: name '{}' is longer than {NAME_MOST} bytes",
+            config.name
+        ));
     }
     let life = (clock::unix_micros() / 1_000).saturating_add_signed(ahead_ms);
-    let (shared, counted) =
-        sharing.map_or((None, lender::Counted::default()), |s| (Some(s.settings), s.counted));
-    let fleet = talk::Fleet::new(ticks, config.seed, life, settings, shared, counted, backends);
+    let (shared, counted) = sharing.map_or((None, lender::Counted::default()), |s| {
+        (Some(s.settings), s.counted)
+    });
+    let fleet = talk::Fleet::new(
+        ticks,
+        config.seed,
+        life,
+        settings,
+        shared,
+        counted,
+        backends,
+    );
     let fleet = Rc::new(fleet);
     spawn_local(talk::run(socket.clone(), fleet.clone()));
-    let heard = socket.local_addr().map_err(|e| format!("members: {}: {e}", set.listen))?;
+    let heard = socket
+        .local_addr()
+        .map_err(|e| format!("members: {}: {e}", set.listen))?;
     log::info!("members: heard at {heard}, told as {}", set.advertise);
     Ok(Some((fleet, socket)))
 }
 
 async fn serve(
-    config: config::Config, pools: Option<Plan>, kept: Option<(keep::Opened, KeptResults)>, beside: Beside,
+    config: config::Config,
+    pools: Option<Plan>,
+    kept: Option<(keep::Opened, KeptResults)>,
+    beside: Beside,
 ) -> Result<(), String> {
     let hear = |kind| signal(kind).map_err(|e| format!("signals: {e}"));
     let (mut hup, mut term) = (hear(SignalKind::hangup())?, hear(SignalKind::terminate())?);
-    let (mut int, mut usr1) = (hear(SignalKind::interrupt())?, hear(SignalKind::user_defined1())?);
+    let (mut int, mut usr1) = (
+        hear(SignalKind::interrupt())?,
+        hear(SignalKind::user_defined1())?,
+    );
     let descriptors = config.descriptors.min(allowed_descriptors());
     let room = listen::room(descriptors).ok_or_else(|| {
         let asked = config.descriptors;
@@ -391,7 +484,8 @@
     serve.limit(listen::others(descriptors));
     let serve = Rc::new(RefCell::new(serve));
     if let Some((opened, set)) = kept {
-        let (keep, mut told) = keep::start(opened, &set).map_err(|e| format!("kept-results: {e}"))?;
+        let (keep, mut told) =
+            keep::start(opened, &set).map_err(|e| format!("kept-results: {e}"))?;
         serve.borrow_mut().hands.keep = Some(keep);
         let (clock, serve) = (clock.clone(), serve.clone());
         spawn_local(async move {
@@ -405,7 +499,9 @@
     }
     let groups = beside.sharing.as_ref().map(|s| s.groups.clone());
     let ticks = clock::ticks(Instant::now());
-    let backends = beside.routing.map(|set| Rc::new(Backends::new(config.seed, ticks.clone(), set)));
+    let backends = beside
+        .routing
+        .map(|set| Rc::new(Backends::new(config.seed, ticks.clone(), set)));
     if let Some(backends) = &backends {
         serve.borrow_mut().lead(backends.clone());
     }
@@ -420,8 +516,10 @@
     let _ends = match beside.control {
         Some(set) => {
             let listener = control::listen(&set.socket)?;
-            let told =
-                control::Told { fleet: fleet.as_ref().map(|f| f.0.clone()), backends: backends.clone() };
+            let told = control::Told {
+                fleet: fleet.as_ref().map(|f| f.0.clone()),
+                backends: backends.clone(),
+            };
             spawn_local(control::run(listener, told));
             Some(control::Ends(set.socket))
         }
@@ -435,13 +533,28 @@
     let (engine, engine_at) = watch::channel(config.engine);
     let (registry, registry_at) = watch::channel(config.registry);
     let (catalogue, catalogue_at) = watch::channel(config.catalogue);
-    let to = Moves { stop_ms: Cell::new(config.stop_ms), engine, registry, catalogue };
+    let to = Moves {
+        stop_ms: Cell::new(config.stop_ms),
+        engine,
+        registry,
+        catalogue,
+    };
     spawn_local(engine::run(engine_at, clock.clone(), serve.clone()));
     spawn_local(calls::run(catalogue_at, clock.clone(), serve.clone()));
-    spawn_local(registry::run(registry_at, config.name.clone(), serve.clone()));
+    spawn_local(registry::run(
+        registry_at,
+        config.name.clone(),
+        serve.clone(),
+    ));
     spawn_local(beat(clock.clone(), serve.clone()));
     let deaf = Rc::new(Notify::new());
-    spawn_local(listen::run(listener, room, clock.clone(), serve.clone(), deaf.clone()));
+    spawn_local(listen::run(
+        listener,
+        room,
+        clock.clone(),
+        serve.clone(),
+        deaf.clone(),
+    ));
     let mut orders = async || loop {
         tokio::select! {
             _ = usr1.recv() => counters(),
@@ -467,7 +580,9 @@
     if let Some((fleet, _)) = &fleet {
         fleet.drain();
     }
-    serve.borrow_mut().leave(began, Duration::from_micros(last.as_micros() as u64));
+    serve
+        .borrow_mut()
+        .leave(began, Duration::from_micros(last.as_micros() as u64));
     tokio::select! {
         () = drain(began, grace, stop, &clock, &serve, || deaf.notify_one()) => {}
         () = orders() => {}
@@ -484,7 +599,12 @@
 /// as the stop leaves time for it; then all end, each once what had come on it is read and answered. A req that
 /// crosses the end of a connection is sent again by its balancer.
 async fn drain(
-    began: Timestamp, grace: Duration, stop: StdDuration, clock: &Clock, serve: &Shared, deafen: impl Fn(),
+    began: Timestamp,
+    grace: Duration,
+    stop: StdDuration,
+    clock: &Clock,
+    serve: &Shared,
+    deafen: impl Fn(),
 ) {
     let listens = StdDuration::from_micros(grace.as_micros()).min(stop.saturating_sub(LAST));
     let mut resting = StdDuration::ZERO;
@@ -497,7 +617,11 @@
             deafen();
         }
         let rest = serve.borrow().at_rest();
-        resting = if rest && over { resting + LOOK } else { StdDuration::ZERO };
+        resting = if rest && over {
+            resting + LOOK
+        } else {
+            StdDuration::ZERO
+        };
         if resting >= REST && !std::mem::replace(&mut ending, true) {
             serve.borrow_mut().end();
             resting = LOOK;
@@ -516,8 +640,9 @@
     loop {
         let next = serve.borrow().next();
         let now = clock.now();
-        let wait =
-            next.map_or(StdDuration::from_secs(1), |at| StdDuration::from_micros((at - now).as_micros()));
+        let wait = next.map_or(StdDuration::from_secs(1), |at| {
+            StdDuration::from_micros((at - now).as_micros())
+        });
         tokio::select! {
             biased;
             () = changed.notified() => {}
--- a/crates/server/src/tools/clock.rs
+++ b/crates/server/src/tools/clock.rs
@@ -12,7 +12,10 @@
 
 /// The system's clock as it stands, which may go backwards.
 pub fn unix_micros() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_micros() as u64
 }
 
 impl Clock {
--- a/crates/server/src/tools/config.rs
+++ b/crates/server/src/tools/config.rs
@@ -49,15 +49,22 @@
         let unlike = [
             ("name", self.name != other.name),
             ("listen", self.listen != other.listen),
-            ("limits", (self.memory_mb, self.descriptors) != (other.memory_mb, other.descriptors)),
-            ("settings", self.text != other.text && value(self) != value(other)),
+            (
+                "limits",
+                (self.memory_mb, self.descriptors) != (other.memory_mb, other.descriptors),
+            ),
+            (
+                "settings",
+                self.text != other.text && value(self) != value(other),
+            ),
         ];
         unlike.into_iter().filter(|u| u.1).map(|u| u.0).collect()
     }
 }
 
 fn address(text: &str, what: &str) -> Result<SocketAddr, String> {
-    text.parse().map_err(|_| format!("{what}: '{text}' is no address and port"))
+    text.parse()
+        .map_err(|_| format!("{what}: '{text}' is no address and port"))
 }
 
 /// Whether the text ends before what it begins does.
@@ -71,15 +78,27 @@
     let raw: Raw = serde_json::from_slice(json).map_err(|e| format!("configuration: {e}"))?;
     let seed = u64::from_str_radix(raw.seed.trim_start_matches("0x"), 16);
     let name = variable("RELAY_NAME").unwrap_or(raw.name);
-    if name.is_empty() || !name.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b)) {
-        return Err(format!("configuration: name '{name}' can't stand in a path"));
+    if name.is_empty()
+        || !name
+            .bytes()
+            .all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b))
+    {
+        return Err(format!(
+            "configuration: name '{name}' can't stand in a path"
+        ));
     }
     Ok(Config {
         name,
-        listen: address(&variable("RELAY_LISTEN").unwrap_or(raw.listen), "configuration: listen")?,
+        listen: address(
+            &variable("RELAY_LISTEN").unwrap_or(raw.listen),
+            "configuration: listen",
+        )?,
         engine: address(&raw.engine, "configuration: engine")?,
         registry: address(&raw.registry, "configuration: registry")?,
-        catalogue: raw.catalog.map(|c| address(&c, "configuration: catalog")).transpose()?,
+        catalogue: raw
+            .catalog
+            .map(|c| address(&c, "configuration: catalog"))
+            .transpose()?,
         seed: seed.map_err(|_| format!("configuration: seed '{}' is not hexadecimal", raw.seed))?,
         stop_ms: raw.stop_ms,
         memory_mb: raw.limits.memory_mb,
--- a/crates/server/src/tools/counters.rs
+++ b/crates/server/src/tools/counters.rs
@@ -26,7 +26,10 @@
 ];
 
 fn count(ends: &[(Outcome, &str)], into: &mut [u64], how: Outcome) {
-    let at = ends.iter().position(|e| e.0 == how).unwrap_or(ends.len() - 1);
+    let at = ends
+        .iter()
+        .position(|e| e.0 == how)
+        .unwrap_or(ends.len() - 1);
     into[at] += 1;
 }
 
@@ -69,7 +72,12 @@
 impl Counters {
     pub fn new(handlers: &[String]) -> Counters {
         let none = vec![0; handlers.len()];
-        Counters { handlers: handlers.to_vec(), read: none.clone(), ran: none, ..Counters::default() }
+        Counters {
+            handlers: handlers.to_vec(),
+            read: none.clone(),
+            ran: none,
+            ..Counters::default()
+        }
     }
 
     pub fn answered(&mut self, done: bool, partial: bool) {
@@ -100,7 +108,14 @@
     }
 
     /// All counters; `open` reqs are owed an answer, `held` are in hand at all.
-    pub fn lines(&self, open: usize, held: usize, conns: usize, calls: usize, keys: usize) -> String {
+    pub fn lines(
+        &self,
+        open: usize,
+        held: usize,
+        conns: usize,
+        calls: usize,
+        keys: usize,
+    ) -> String {
         let mut lines = Lines::of("");
         let mut line = |name: &str, value: u64| lines.add(name, value);
         for (h, name) in self.handlers.iter().enumerate() {
@@ -156,7 +171,10 @@
 
 impl Lines {
     pub fn of(part: &'static str) -> Lines {
-        Lines { part, text: String::new() }
+        Lines {
+            part,
+            text: String::new(),
+        }
     }
 
     pub fn add(&mut self, name: &str, value: u64) {
--- a/crates/server/src/tools/drive.rs
+++ b/crates/server/src/tools/drive.rs
@@ -53,7 +53,8 @@
         let mut bytes = self.bytes.borrow_mut();
         let before = bytes.len();
         write(&mut bytes);
-        self.queued.set(self.queued.get() + (bytes.len() - before) as u64);
+        self.queued
+            .set(self.queued.get() + (bytes.len() - before) as u64);
         self.changed.notify_one();
     }
 
@@ -146,7 +147,9 @@
 
 /// A connection of our own making, if it can be made in time.
 pub async fn connect(address: SocketAddr, within: Duration) -> std::io::Result<TcpStream> {
-    timeout(within, TcpStream::connect(address)).await.unwrap_or(Err(ErrorKind::TimedOut.into()))
+    timeout(within, TcpStream::connect(address))
+        .await
+        .unwrap_or(Err(ErrorKind::TimedOut.into()))
 }
 
 /// Reads what is ready and feeds it; an empty feed tells that the peer will send no more. `fed` says whether
@@ -188,7 +191,10 @@
 /// Serves one connection until it breaks or `out` is closed and written. After the last feed only writing
 /// goes on: whoever is fed closes `out` when nothing more is owed.
 async fn served(
-    stream: &TcpStream, out: &Out, reading: &mut bool, fed: &mut impl FnMut(&[u8]) -> bool,
+    stream: &TcpStream,
+    out: &Out,
+    reading: &mut bool,
+    fed: &mut impl FnMut(&[u8]) -> bool,
 ) -> std::io::Result<()> {
     loop {
         out.flush(stream)?;
@@ -207,7 +213,11 @@
 }
 
 /// Serves one connection until it breaks or `out` is closed and written; what its peer sends then is nobody's.
-pub async fn drive(stream: &TcpStream, out: &Out, mut fed: impl FnMut(&[u8]) -> bool) -> std::io::Result<()> {
+pub async fn drive(
+    stream: &TcpStream,
+    out: &Out,
+    mut fed: impl FnMut(&[u8]) -> bool,
+) -> std::io::Result<()> {
     let _ = stream.set_nodelay(true);
     served(stream, out, &mut true, &mut fed).await
 }
@@ -216,7 +226,9 @@
 /// runtime knows of it: this process may have been held up between its coming and the end, and a req in it is
 /// owed an answer on this connection, which goes on for it.
 pub async fn drive_peer(
-    stream: &TcpStream, out: &Out, mut fed: impl FnMut(&[u8]) -> bool,
+    stream: &TcpStream,
+    out: &Out,
+    mut fed: impl FnMut(&[u8]) -> bool,
 ) -> std::io::Result<()> {
     let _ = stream.set_nodelay(true);
     let mut reading = true;
@@ -280,7 +292,9 @@
 
 /// Serves a link of our own making: it is over once the peer sends no more, or nothing that can be read.
 pub async fn drive_link(
-    stream: &TcpStream, out: &Out, mut fed: impl FnMut(&[u8]) -> bool,
+    stream: &TcpStream,
+    out: &Out,
+    mut fed: impl FnMut(&[u8]) -> bool,
 ) -> std::io::Result<()> {
     let closing = |bytes: &[u8]| {
         let whole = fed(bytes);
@@ -300,7 +314,10 @@
 
 impl Lines {
     pub fn up_to(longest: usize) -> Lines {
-        Lines { part: vec![], longest }
+        Lines {
+            part: vec![],
+            longest,
+        }
     }
 
     /// Half a line was read.
--- a/crates/server/src/tools/json.rs
+++ b/crates/server/src/tools/json.rs
@@ -21,7 +21,11 @@
 
     /// The value of a member as it was written; of several by one name the last.
     pub fn raw(&self, name: &str) -> Option<&'a str> {
-        self.0.iter().rev().find(|m| text(m.0).is_some_and(|n| n == name)).map(|m| m.1)
+        self.0
+            .iter()
+            .rev()
+            .find(|m| text(m.0).is_some_and(|n| n == name))
+            .map(|m| m.1)
     }
 
     pub fn text(&self, name: &str) -> Option<Cow<'a, str>> {
@@ -64,7 +68,9 @@
 /// The text of a string value, its escapes resolved; a lone half of a surrogate pair is no text.
 pub fn text(raw: &str) -> Option<Cow<'_, str>> {
     let inner = raw.strip_prefix('"')?.strip_suffix('"')?;
-    let Some(first) = inner.find('\\') else { return Some(Cow::Borrowed(inner)) };
+    let Some(first) = inner.find('\\') else {
+        return Some(Cow::Borrowed(inner));
+    };
     let mut found = String::with_capacity(inner.len());
     found.push_str(&inner[..first]);
     let mut rest = &inner[first..];
@@ -164,8 +170,9 @@
             b'"' => return self.string(),
             b'-' | b'0'..=b'9' => self.digits()?,
             _ => {
-                let word =
-                    ["true", "false", "null"].into_iter().find(|w| self.text[self.at..].starts_with(w));
+                let word = ["true", "false", "null"]
+                    .into_iter()
+                    .find(|w| self.text[self.at..].starts_with(w));
                 self.at += word?.len();
             }
         }
@@ -186,7 +193,12 @@
                     let hex = |b: &[u8]| b.iter().all(u8::is_ascii_hexdigit);
                     match code {
                         b'"' | b'\\' | b'/' | b'b' | b'f' | b'n' | b'r' | b't' => self.at += 2,
-                        b'u' if self.text.as_bytes().get(self.at + 2..self.at + 6).is_some_and(hex) => {
+                        b'u' if self
+                            .text
+                            .as_bytes()
+                            .get(self.at + 2..self.at + 6)
+                            .is_some_and(hex) =>
+                        {
                             self.at += 6
                         }
                         _ => return None,
--- a/crates/server/src/tools/logger.rs
+++ b/crates/server/src/tools/logger.rs
@@ -25,7 +25,10 @@
     dropped: AtomicU64,
 }
 
-static LOGGER: Logger = Logger { to: OnceLock::new(), dropped: AtomicU64::new(0) };
+static LOGGER: Logger = Logger {
+    to: OnceLock::new(),
+    dropped: AtomicU64::new(0),
+};
 
 impl Logger {
     fn send(&self, entry: Entry) {
@@ -42,8 +45,16 @@
 
     fn log(&self, record: &Record) {
         if self.enabled(record.metadata()) {
-            let (file, line) = (record.module_path_static().unwrap_or(""), record.line().unwrap_or(0));
-            self.send(Entry::Line(record.level(), file, line, record.args().to_string()));
+            let (file, line) = (
+                record.module_path_static().unwrap_or(""),
+                record.line().unwrap_or(0),
+            );
+            self.send(Entry::Line(
+                record.level(),
+                file,
+                line,
+                record.args().to_string(),
+            ));
         }
     }
 
@@ -58,10 +69,19 @@
 pub fn start(level: Option<&str>) {
     let (to, from) = sync_channel(WAITING);
     let _ = LOGGER.to.set(to);
-    let _ = std::thread::Builder::new().name("log".into()).stack_size(64 << 10).spawn(move || write(from));
+    let _ = std::thread::Builder::new()
+        .name("log".into())
+        .stack_size(64 << 10)
+        .spawn(move || write(from));
     let _ = log::set_logger(&LOGGER);
     let known = level.map(|l| l.parse::<LevelFilter>());
-    log::set_max_level(known.as_ref().and_then(|k| k.as_ref().ok()).copied().unwrap_or(LevelFilter::Info));
+    log::set_max_level(
+        known
+            .as_ref()
+            .and_then(|k| k.as_ref().ok())
+            .copied()
+            .unwrap_or(LevelFilter::Info),
+    );
     if let (Some(Err(_)), Some(level)) = (known, level) {
         log::warn!("log level '{level}' is unknown; info is taken");
     }
--- a/crates/server/tests/binary.rs
+++ b/crates/server/tests/binary.rs
@@ -43,7 +43,11 @@
 
 fn among(engine: &TcpListener, registry: SocketAddr, catalogue: &TcpListener) -> Others {
     let at = |l: &TcpListener| l.local_addr().expect("an address");
-    Others { engine: at(engine), registry, catalogue: at(catalogue) }
+    Others {
+        engine: at(engine),
+        registry,
+        catalogue: at(catalogue),
+    }
 }
 
 impl Server {
@@ -54,11 +58,17 @@
     fn set(sockets: usize, operator: Option<&str>) -> Server {
         let (engine, catalogue) = (local(), local());
         let (registry, reports) = registry::start();
-        let settings = common::SETTINGS.replace("\"drain_grace_us\": 2000000", "\"drain_grace_us\": 50000");
+        let settings =
+            common::SETTINGS.replace("\"drain_grace_us\": 2000000", "\"drain_grace_us\": 50000");
         let others = among(&engine, registry, &catalogue);
         let text = configuration("127.0.0.1:0", others, sockets, STOP_MS, &settings);
         let program = server::Server::start(program(), &text, operator);
-        Server { program, engine, catalogue, reports }
+        Server {
+            program,
+            engine,
+            catalogue,
+            reports,
+        }
     }
 
     fn link(&self, attach: &str) -> Peer {
@@ -80,7 +90,11 @@
 
 fn req(id: u32, method: &str, own: u32, replay: &str) -> String {
     let now = unix_ms();
-    let key = if replay.is_empty() { String::new() } else { format!("\"replay\":\"{replay:0>32}\",") };
+    let key = if replay.is_empty() {
+        String::new()
+    } else {
+        format!("\"replay\":\"{replay:0>32}\",")
+    };
     format!(
         "{{\"jsonrpc\":\"2.0\",\"id\":{id},\"method\":\"{method}\",\"params\":{{\"ref\":\"{own:016x}\",\
          \"since\":{now},\"sender\":4,\"project\":\"acme\",\"allow\":8000,{key}\"room\":24.5,\
@@ -97,7 +111,10 @@
 fn serves_through_a_lost_link_and_drains() {
     let server = Server::start(128);
     let mut engine = server.link("{\"msg\":\"ATTACH\",\"serial\":0}");
-    assert_eq!(server.reports.recv().unwrap(), "PUT /v1/instances/n1 HTTP/1.1 {\"state\":\"ready\"}");
+    assert_eq!(
+        server.reports.recv().unwrap(),
+        "PUT /v1/instances/n1 HTTP/1.1 {\"state\":\"ready\"}"
+    );
     let mut a = server.balancer();
     // Done, with a call on the way.
     a.say(&req(1, "search", 1, ""));
@@ -108,15 +125,28 @@
     engine.say("{\"msg\":\"NEED\",\"serial\":1,\"call\":\"0000000000000001\",\"blob\":\"YWJj\"}\n");
     let mut catalogue = Peer::accept(&server.catalogue);
     let fetch = catalogue.line();
-    assert!(fetch.starts_with("FETCH 0000000000000001 ") && fetch.ends_with(" 3"), "{fetch}");
+    assert!(
+        fetch.starts_with("FETCH 0000000000000001 ") && fetch.ends_with(" 3"),
+        "{fetch}"
+    );
     assert_eq!(catalogue.line(), "abc");
     catalogue.say("0000000000000001 DATA 3\r\nxyz\r\n");
-    assert_eq!(engine.command(), "{\"msg\":\"FEED\",\"call\":\"0000000000000001\",\"blob\":\"eHl6\"}");
+    assert_eq!(
+        engine.command(),
+        "{\"msg\":\"FEED\",\"call\":\"0000000000000001\",\"blob\":\"eHl6\"}"
+    );
     engine.say(&done(2, 1, "WFla"));
-    assert_eq!(a.line(), "{\"jsonrpc\":\"2.0\",\"id\":1,\"result\":{\"bytes\":\"WFla\"}}");
+    assert_eq!(
+        a.line(),
+        "{\"jsonrpc\":\"2.0\",\"id\":1,\"result\":{\"bytes\":\"WFla\"}}"
+    );
     // The link is lost in a run, and a second try joins it meanwhile.
     a.say(&req(2, "book", 2, "5"));
-    assert!(engine.command().contains("\"RUN\",\"call\":\"0000000000000002\""));
+    assert!(
+        engine
+            .command()
+            .contains("\"RUN\",\"call\":\"0000000000000002\"")
+    );
     drop(engine);
     let mut engine = server.link("{\"msg\":\"ATTACH\",\"serial\":2}");
     a.say(&req(3, "book", 3, "5"));
@@ -129,20 +159,38 @@
     }
     // Notice to leave: told to all, what is open is answered, then the process ends.
     a.say(&req(4, "quote", 4, ""));
-    assert!(engine.command().contains("\"RUN\",\"call\":\"0000000000000004\""));
+    assert!(
+        engine
+            .command()
+            .contains("\"RUN\",\"call\":\"0000000000000004\"")
+    );
     server.signal("-USR1");
     server.signal("-TERM");
     assert_eq!(a.line(), "{\"jsonrpc\":\"2.0\",\"method\":\"leaving\"}");
     while !server.reports.recv().unwrap().contains("draining") {}
     engine.say(&done(4, 4, "AA=="));
-    assert!(a.line().starts_with("{\"jsonrpc\":\"2.0\",\"id\":4,\"result\""));
+    assert!(
+        a.line()
+            .starts_with("{\"jsonrpc\":\"2.0\",\"id\":4,\"result\"")
+    );
     drop(a);
     let log = server.ended();
-    assert!(log.contains("counter open 1\n"), "counters on request: {log}");
-    for line in
-        ["answered.done 4", "joined 1", "open 0", "runs.started 3", "calls.done 1", "engine.links_lost 1"]
-    {
-        assert!(log.contains(&format!("counter {line}\n")), "{line} in {log}");
+    assert!(
+        log.contains("counter open 1\n"),
+        "counters on request: {log}"
+    );
+    for line in [
+        "answered.done 4",
+        "joined 1",
+        "open 0",
+        "runs.started 3",
+        "calls.done 1",
+        "engine.links_lost 1",
+    ] {
+        assert!(
+            log.contains(&format!("counter {line}\n")),
+            "{line} in {log}"
+        );
     }
 }
 
@@ -164,8 +212,11 @@
     server.log_at("nothing is changed");
     let (new_engine, new_catalogue, (registry, reports)) = (local(), local(), registry::start());
     let others = among(&new_engine, registry, &new_catalogue);
-    std::fs::write(&server.path, configuration("127.0.0.1:0", others, 64, STOP_MS, common::SETTINGS))
-        .unwrap();
+    std::fs::write(
+        &server.path,
+        configuration("127.0.0.1:0", others, 64, STOP_MS, common::SETTINGS),
+    )
+    .unwrap();
     server.signal("-HUP");
     server.log_at("reload: limits has changed, which only a restart can take");
     server.log_at("reload: settings has changed, which only a restart can take");
@@ -194,7 +245,11 @@
 /// sheds what comes, and serves as soon as there is an engine.
 #[test]
 fn a_start_with_all_others_dead_and_a_reload_with_the_registry_down() {
-    let others = Others { engine: dead(), registry: dead(), catalogue: dead() };
+    let others = Others {
+        engine: dead(),
+        registry: dead(),
+        catalogue: dead(),
+    };
     let text = configuration("127.0.0.1:0", others, 128, STOP_MS, common::SETTINGS);
     let mut program = server::Server::start(program(), &text, None);
     program.log_at("engine: can't be reached");
@@ -209,15 +264,21 @@
         registry: dead(),
         catalogue: catalogue.local_addr().expect("an address"),
     };
-    std::fs::write(&program.path, configuration("127.0.0.1:0", moved, 128, STOP_MS, common::SETTINGS))
-        .expect("written");
+    std::fs::write(
+        &program.path,
+        configuration("127.0.0.1:0", moved, 128, STOP_MS, common::SETTINGS),
+    )
+    .expect("written");
     program.signal("-HUP");
     let mut link = Peer::accept(&engine);
     assert_eq!(link.line(), "{\"msg\":\"ATTACH\",\"serial\":0}");
     link.say("{\"msg\":\"HELLO\",\"how\":\"old\",\"duration\":3600000}\n");
     program.log_at("engine: up");
     a.say(&req(3, "quote", 2, ""));
-    assert!(link.command().contains("\"RUN\",\"call\":\"0000000000000002\""));
+    assert!(
+        link.command()
+            .contains("\"RUN\",\"call\":\"0000000000000002\"")
+    );
     link.say(&done(1, 2, "AA=="));
     assert!(a.line().contains("\"id\":3,\"result\""));
     program.signal("-TERM");
@@ -237,13 +298,21 @@
     assert!(asked.contains("STAT"), "{asked}");
     engine.say("{\"msg\":\"STATS\",\"cookie\":\"1\",\"stats\":[0.1,1,0.1,1]}\n");
     a.say(&req(2, "quote", 2, ""));
-    assert!(engine.command().contains("\"RUN\",\"call\":\"0000000000000002\""));
+    assert!(
+        engine
+            .command()
+            .contains("\"RUN\",\"call\":\"0000000000000002\"")
+    );
     engine.say(
         "{\"msg\":\"DONE\",\"serial\":1,\"call\":\"0000000000000002\",\"how\":\"bad\",\"duration\":9}\n",
     );
     assert!(a.line().contains("\"id\":2,\"error\":{\"code\":-32001"));
     a.say(&req(3, "search", 3, ""));
-    assert!(engine.command().contains("\"RUN\",\"call\":\"0000000000000003\""));
+    assert!(
+        engine
+            .command()
+            .contains("\"RUN\",\"call\":\"0000000000000003\"")
+    );
     engine.say("{\"msg\":\"NEED\",\"serial\":2,\"call\":\"0000000000000003\",\"blob\":\"YWJj\"}\n");
     for _ in 0..2 {
         let mut catalogue = Peer::accept(&server.catalogue);
@@ -251,15 +320,26 @@
         assert_eq!(catalogue.line(), "abc");
         catalogue.say("0000000000000003 LATER\r\n");
     }
-    assert_eq!(engine.command(), "{\"msg\":\"SKIP\",\"call\":\"0000000000000003\",\"serial\":2}");
+    assert_eq!(
+        engine.command(),
+        "{\"msg\":\"SKIP\",\"call\":\"0000000000000003\",\"serial\":2}"
+    );
     engine.say(&done(3, 3, "AA=="));
     assert!(a.line().contains("\"id\":3,\"result\""));
     server.signal("-TERM");
     assert!(a.line().contains("leaving"));
     drop(a);
     let log = server.ended();
-    for line in ["answered.partial 1", "answered.shed 1", "answered.errored 1", "answered.done 0"] {
-        assert!(log.contains(&format!("counter {line}\n")), "{line} in {log}");
+    for line in [
+        "answered.partial 1",
+        "answered.shed 1",
+        "answered.errored 1",
+        "answered.done 0",
+    ] {
+        assert!(
+            log.contains(&format!("counter {line}\n")),
+            "{line} in {log}"
+        );
     }
 }
 
@@ -307,13 +387,19 @@
     }
     let mut refused = server.balancer();
     let _ = refused.0.get_mut().write_all(b"x");
-    assert!(matches!(refused.0.read(&mut [0]), Ok(0) | Err(_)), "closed unread");
+    assert!(
+        matches!(refused.0.read(&mut [0]), Ok(0) | Err(_)),
+        "closed unread"
+    );
     server.signal("-USR1");
     server.signal("-TERM");
     drop((busy, engine));
     let log = server.ended();
     for line in ["connections.open 11", "connections.refused 1"] {
-        assert!(log.contains(&format!("counter {line}\n")), "{line} in {log}");
+        assert!(
+            log.contains(&format!("counter {line}\n")),
+            "{line} in {log}"
+        );
     }
 }
 
@@ -323,12 +409,17 @@
     let server = Server::start(128);
     let mut deaf = server.balancer();
     let stream = deaf.0.get_mut();
-    stream.set_write_timeout(Some(Duration::from_millis(300))).unwrap();
+    stream
+        .set_write_timeout(Some(Duration::from_millis(300)))
+        .unwrap();
     let line = "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"isWell\"}\n".repeat(1000);
     let mut taken = 0;
     while stream.write_all(line.as_bytes()).is_ok() {
         taken += line.len();
-        assert!(taken < 64 << 20, "all is read from a peer that reads nothing");
+        assert!(
+            taken < 64 << 20,
+            "all is read from a peer that reads nothing"
+        );
     }
     let mut other = server.balancer();
     other.say("{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"isWell\"}\n");
@@ -343,10 +434,13 @@
         command.env("RELAY_LISTEN", listen);
     }
     let Output { status, stderr, .. } = command.output().expect("it runs");
-    path.iter().for_each(|p| std::fs::remove_file(p).expect("removed"));
+    path.iter()
+        .for_each(|p| std::fs::remove_file(p).expect("removed"));
     let text = String::from_utf8(stderr).expect("text");
     assert_eq!(text.lines().count(), 1, "{text}");
-    let bound = ["listen ", "limits."].iter().any(|what| text.contains(&format!("madderbay: {what}")));
+    let bound = ["listen ", "limits."]
+        .iter()
+        .any(|what| text.contains(&format!("madderbay: {what}")));
     assert_eq!(status.code(), Some(if bound { 1 } else { 2 }), "{text}");
     text
 }
@@ -356,16 +450,30 @@
 fn bad_starts_are_told_in_a_line() {
     let taken = local();
     let address = taken.local_addr().unwrap();
-    let others = Others { engine: address, registry: address, catalogue: address };
+    let others = Others {
+        engine: address,
+        registry: address,
+        catalogue: address,
+    };
     let good = configuration(&address.to_string(), others, 128, STOP_MS, common::SETTINGS);
     assert!(fails(None, None).contains("RELAY_CONFIG"));
     assert!(fails(Some("{"), None).contains("configuration"));
     assert!(fails(Some(&good.replace("\"seed\":\"8c", "\"seed\":\"xx")), None).contains("seed"));
     assert!(fails(Some(&good.replace("\"n1\"", "\"n/1\"")), None).contains("name"));
     assert!(fails(Some(&good.replace("\"engine\":\"", "\"engine\":\"x")), None).contains("engine"));
-    assert!(fails(Some(&good.replace("\"n_cores\": 4", "\"n_cores\": 0")), None).contains("n_cores is 0"));
     assert!(
-        fails(Some(&good.replace("\"sockets\":128", "\"sockets\":8")), None).contains("limits.sockets 8")
+        fails(
+            Some(&good.replace("\"n_cores\": 4", "\"n_cores\": 0")),
+            None
+        )
+        .contains("n_cores is 0")
+    );
+    assert!(
+        fails(
+            Some(&good.replace("\"sockets\":128", "\"sockets\":8")),
+            None
+        )
+        .contains("limits.sockets 8")
     );
     // A server with nothing below it is told no catalogue: it gets as far as its address.
     let bare = good.replace(&format!("\"catalog\":\"{address}\","), "");
@@ -381,15 +489,27 @@
 fn a_configuration_that_comes_late_is_waited_for() {
     let (engine, catalogue) = (local(), local());
     let (registry, _reports) = registry::start();
-    let others =
-        Others { engine: engine.local_addr().unwrap(), registry, catalogue: catalogue.local_addr().unwrap() };
+    let others = Others {
+        engine: engine.local_addr().unwrap(),
+        registry,
+        catalogue: catalogue.local_addr().unwrap(),
+    };
     let whole = configuration("127.0.0.1:0", others, 128, STOP_MS, common::SETTINGS);
     let path = written("");
     std::fs::remove_file(&path).expect("removed");
     let mut command = server::command(program(), Some(&path));
-    let mut child = command.env("MADDERBAY_LOG", "debug").spawn().expect("it starts");
-    let mut log = BufReader::new(child.stderr.take().expect("its log")).lines().map_while(Result::ok);
-    let mut logged = |part: &str| log.by_ref().find(|l| l.contains(part)).expect("told in its log");
+    let mut child = command
+        .env("MADDERBAY_LOG", "debug")
+        .spawn()
+        .expect("it starts");
+    let mut log = BufReader::new(child.stderr.take().expect("its log"))
+        .lines()
+        .map_while(Result::ok);
+    let mut logged = |part: &str| {
+        log.by_ref()
+            .find(|l| l.contains(part))
+            .expect("told in its log")
+    };
     logged("No such file");
     std::fs::write(&path, &whole[..whole.len() / 2]).expect("written");
     logged("EOF while parsing");
@@ -416,7 +536,12 @@
         assert_eq!(link.line(), "{\"msg\":\"ATTACH\",\"serial\":0}");
         link.say(broken);
     }
-    for broken in ["", "HTTP/1.1 2", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", "\u{1}\r\n\r\n"] {
+    for broken in [
+        "",
+        "HTTP/1.1 2",
+        "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n",
+        "\u{1}\r\n\r\n",
+    ] {
         let mut peer = Peer::accept(&registry);
         assert!(peer.line().starts_with("PUT /v1/instances/n1 "));
         peer.say(broken);
@@ -433,7 +558,10 @@
     let mut a = Peer::new(TcpStream::connect(program.address).expect("a connection"));
     a.say(&req(1, "quote", 1, ""));
     assert!(link.command().contains("\"RUN\""));
-    assert!(began.elapsed() < Duration::from_secs(10), "ready within 10 s");
+    assert!(
+        began.elapsed() < Duration::from_secs(10),
+        "ready within 10 s"
+    );
 }
 
 /// A drain where the engine never came up, with a registry that only half answers; told twice.
@@ -475,10 +603,14 @@
         server.log_at("engine: up");
         a.say(&req(1, "quote", 1, ""));
         assert!(engine.command().contains("\"RUN\""));
-        let (new_engine, new_catalogue, (registry, _reports)) = (local(), local(), registry::start());
+        let (new_engine, new_catalogue, (registry, _reports)) =
+            (local(), local(), registry::start());
         let others = among(&new_engine, registry, &new_catalogue);
-        std::fs::write(&server.path, configuration("127.0.0.1:0", others, 128, STOP_MS, common::SETTINGS))
-            .unwrap();
+        std::fs::write(
+            &server.path,
+            configuration("127.0.0.1:0", others, 128, STOP_MS, common::SETTINGS),
+        )
+        .unwrap();
         if drain_first {
             server.signal("-TERM");
             server.log_at("draining");
@@ -493,7 +625,10 @@
         engine.say("{\"msg\":\"HELLO\",\"how\":\"old\",\"duration\":3600000}\n");
         assert_eq!(a.line(), "{\"jsonrpc\":\"2.0\",\"method\":\"leaving\"}");
         engine.say(&done(1, 1, "WFla"));
-        assert_eq!(a.line(), "{\"jsonrpc\":\"2.0\",\"id\":1,\"result\":{\"bytes\":\"WFla\"}}");
+        assert_eq!(
+            a.line(),
+            "{\"jsonrpc\":\"2.0\",\"id\":1,\"result\":{\"bytes\":\"WFla\"}}"
+        );
         assert_eq!(a.line(), "");
         assert!(server.ended().contains("counter answered.done 1\n"));
     }
@@ -502,7 +637,11 @@
 /// Where the stop comes before the grace is over listening ends in time for all that was accepted to be answered.
 #[test]
 fn listening_ends_before_the_stop() {
-    let others = Others { engine: dead(), registry: dead(), catalogue: dead() };
+    let others = Others {
+        engine: dead(),
+        registry: dead(),
+        catalogue: dead(),
+    };
     let text = configuration("127.0.0.1:0", others, 128, STOP_MS, common::SETTINGS);
     let mut program = server::Server::start(program(), &text, None);
     // One connection stays open, so that the process outlasts its listening.
@@ -540,7 +679,10 @@
             continue;
         }
         let run = link.command();
-        assert!(run.contains("\"RUN\",\"call\":\"0000000000000006\""), "{run}");
+        assert!(
+            run.contains("\"RUN\",\"call\":\"0000000000000006\""),
+            "{run}"
+        );
         link.say(&done(1, life, "WFla"));
         assert!(a.line().contains("\"id\":1,\"result\""));
     }
@@ -601,24 +743,41 @@
     link.say(&done(2, own, "AA=="));
     assert!(live.line().contains("\"id\":1,\"result\""));
     assert!(balancer.line().contains("\"id\":1,\"result\""));
-    let descriptors = std::fs::read_dir(format!("/proc/{}/fd", program.pid())).expect("told").count();
+    let descriptors = std::fs::read_dir(format!("/proc/{}/fd", program.pid()))
+        .expect("told")
+        .count();
     assert!(descriptors <= 30, "{descriptors} descriptors");
     // The registry is back, at another place.
     let (registry, reports) = registry::start();
     let moved = Others { registry, ..others };
-    std::fs::write(&program.path, configuration("127.0.0.1:0", moved, 30, STOP_MS, common::SETTINGS))
-        .expect("written");
+    std::fs::write(
+        &program.path,
+        configuration("127.0.0.1:0", moved, 30, STOP_MS, common::SETTINGS),
+    )
+    .expect("written");
     program.signal("-HUP");
-    assert!(reports.recv_timeout(PATIENCE).expect("a report").contains("ready"));
+    assert!(
+        reports
+            .recv_timeout(PATIENCE)
+            .expect("a report")
+            .contains("ready")
+    );
     drop(idle);
 }
 
 fn orders(args: &[&str], config: Option<&str>) -> (i32, Vec<String>) {
     let path = config.map(written);
-    let found = server::command(program(), path.as_deref()).args(args).output().expect("it runs");
-    path.iter().for_each(|p| std::fs::remove_file(p).expect("removed"));
+    let found = server::command(program(), path.as_deref())
+        .args(args)
+        .output()
+        .expect("it runs");
+    path.iter()
+        .for_each(|p| std::fs::remove_file(p).expect("removed"));
     let text = String::from_utf8(found.stderr).expect("text");
-    (found.status.code().expect("a status"), text.lines().map(str::to_string).collect())
+    (
+        found.status.code().expect("a status"),
+        text.lines().map(str::to_string).collect(),
+    )
 }
 
 /// A wrong operator file is told whole, a line each, and nothing starts; with a configuration at hand its
@@ -626,10 +785,15 @@
 #[test]
 fn an_operator_file_is_checked_before_anything_starts() {
     let address = local().local_addr().unwrap();
-    let others = Others { engine: address, registry: address, catalogue: address };
+    let others = Others {
+        engine: address,
+        registry: address,
+        catalogue: address,
+    };
     let config = configuration("127.0.0.1:0", others, 128, STOP_MS, common::SETTINGS);
-    let file =
-        written("[pools]\nenabled = on\n[pool a]\nhandlers = quote, bock\n[reserve]\nhandlers = seek\n");
+    let file = written(
+        "[pools]\nenabled = on\n[pool a]\nhandlers = quote, bock\n[reserve]\nhandlers = seek\n",
+    );
     let name = file.to_str().expect("a name");
     assert_eq!(orders(&["check", name], None), (0, vec![]));
     let wrong = vec![
@@ -641,16 +805,28 @@
         ),
     ];
     assert_eq!(orders(&["check", name], Some(&config)), (2, wrong.clone()));
-    assert_eq!(orders(&["--operator", name], Some(&config)), (2, wrong.clone()));
-    assert_eq!(orders(&["run", "--operator", name], Some(&config)), (2, wrong));
+    assert_eq!(
+        orders(&["--operator", name], Some(&config)),
+        (2, wrong.clone())
+    );
+    assert_eq!(
+        orders(&["run", "--operator", name], Some(&config)),
+        (2, wrong)
+    );
     std::fs::write(&file, "[pools]\nenabled = maybe\n[pols]\n").expect("written");
     let (status, lines) = orders(&["check", name], None);
     assert_eq!((status, lines.len()), (2, 2), "{lines:?}");
     std::fs::remove_file(&file).expect("removed");
     let (status, lines) = orders(&["check", name], None);
-    assert!(status == 2 && lines.len() == 1 && lines[0].contains(name), "{lines:?}");
+    assert!(
+        status == 2 && lines.len() == 1 && lines[0].contains(name),
+        "{lines:?}"
+    );
     let (status, lines) = orders(&["chekc"], None);
-    assert!(status == 2 && lines.len() == 1 && lines[0].starts_with("madderbay: error"), "{lines:?}");
+    assert!(
+        status == 2 && lines.len() == 1 && lines[0].starts_with("madderbay: error"),
+        "{lines:?}"
+    );
 }
 
 /// A pool's calls wait for each other within its bound, and the counters tell of each pool.
@@ -668,19 +844,29 @@
         assert!(engine.command().contains("\"RUN\""));
     }
     for n in [1, 2] {
-        engine.say(&format!("{{\"msg\":\"NEED\",\"serial\":{n},\"call\":\"{n:016x}\",\"blob\":\"YWJj\"}}\n"));
+        engine.say(&format!(
+            "{{\"msg\":\"NEED\",\"serial\":{n},\"call\":\"{n:016x}\",\"blob\":\"YWJj\"}}\n"
+        ));
     }
     let mut catalogue = Peer::accept(&server.catalogue);
     assert!(catalogue.line().starts_with("FETCH 0000000000000001 "));
     assert_eq!(catalogue.line(), "abc");
     // The second call goes out only when the first is back.
     catalogue.say("0000000000000001 DATA 3\r\nxyz\r\n");
-    assert!(engine.command().contains("\"FEED\",\"call\":\"0000000000000001\""));
+    assert!(
+        engine
+            .command()
+            .contains("\"FEED\",\"call\":\"0000000000000001\"")
+    );
     assert!(catalogue.line().starts_with("FETCH 0000000000000002 "));
     assert_eq!(catalogue.line(), "abc");
     server.signal("-USR1");
     catalogue.say("0000000000000002 DATA 3\r\nxyz\r\n");
-    assert!(engine.command().contains("\"FEED\",\"call\":\"0000000000000002\""));
+    assert!(
+        engine
+            .command()
+            .contains("\"FEED\",\"call\":\"0000000000000002\"")
+    );
     engine.say(&done(3, 1, "AA=="));
     engine.say(&done(4, 2, "AA=="));
     assert!(a.line().contains("\"result\"") && a.line().contains("\"result\""));
@@ -688,8 +874,15 @@
     assert!(a.line().contains("leaving"));
     drop(a);
     let log = server.ended();
-    for line in ["pools.seats.calls_most 1", "pools.seats.runs 2", "pools.rest.held 0", "pools.calls.limit 8"]
-    {
-        assert!(log.contains(&format!("counter {line}\n")), "{line} in {log}");
+    for line in [
+        "pools.seats.calls_most 1",
+        "pools.seats.runs 2",
+        "pools.rest.held 0",
+        "pools.calls.limit 8",
+    ] {
+        assert!(
+            log.contains(&format!("counter {line}\n")),
+            "{line} in {log}"
+        );
     }
 }
--- a/crates/server/tests/crossings.rs
+++ b/crates/server/tests/crossings.rs
@@ -24,8 +24,13 @@
 const WELL: &str = "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"isWell\"}\n";
 
 fn played(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    LocalSet::new().block_on(&runtime, async { timeout(PATIENCE, test).await.expect("over in time") });
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        timeout(PATIENCE, test).await.expect("over in time")
+    });
 }
 
 /// A server's core behind a listener, with an engine that is up and runs nothing to its end.
@@ -50,8 +55,20 @@
         serve.gauges(clock.now(), &[0.1, 1.0, 0.1, 1.0], false);
         let serve = Rc::new(RefCell::new(serve));
         let stop = Rc::new(Notify::new());
-        spawn_local(listen::run(listener, room, clock.clone(), serve.clone(), stop.clone()));
-        Place { serve, clock, address, engine, stop }
+        spawn_local(listen::run(
+            listener,
+            room,
+            clock.clone(),
+            serve.clone(),
+            stop.clone(),
+        ));
+        Place {
+            serve,
+            clock,
+            address,
+            engine,
+            stop,
+        }
     }
 
     fn turn(&self) {
@@ -60,9 +77,18 @@
 
     /// All that was started is done.
     fn done(&self, own: u64) {
-        let name = format!("{own:016x}").into_bytes().try_into().expect("16 digits");
+        let name = format!("{own:016x}")
+            .into_bytes()
+            .try_into()
+            .expect("16 digits");
         let done = madderbay::face::Outcome::Done;
-        self.serve.borrow_mut().run_over(self.clock.now(), &name, done, Duration::from_millis(9), "\"WFla\"");
+        self.serve.borrow_mut().run_over(
+            self.clock.now(),
+            &name,
+            done,
+            Duration::from_millis(9),
+            "\"WFla\"",
+        );
     }
 
     /// The req that is to come is read, started and done.
@@ -73,7 +99,11 @@
     }
 
     async fn peer(&self) -> Peer {
-        Peer(BufReader::new(TcpStream::connect(self.address).await.expect("a connection")))
+        Peer(BufReader::new(
+            TcpStream::connect(self.address)
+                .await
+                .expect("a connection"),
+        ))
     }
 
     /// A connection on which a check was answered.
@@ -89,12 +119,22 @@
 
 impl Peer {
     async fn say(&mut self, text: &str) {
-        self.0.get_mut().write_all(text.as_bytes()).await.expect("written");
+        self.0
+            .get_mut()
+            .write_all(text.as_bytes())
+            .await
+            .expect("written");
     }
 
     /// Written without one turn of the runtime: whatever is ready has not run when it is there.
     fn say_at_once(&mut self, text: &str) {
-        assert_eq!(self.0.get_mut().try_write(text.as_bytes()).expect("written"), text.len());
+        assert_eq!(
+            self.0
+                .get_mut()
+                .try_write(text.as_bytes())
+                .expect("written"),
+            text.len()
+        );
     }
 
     /// The next line; nothing at the end. A reset is no end.
@@ -138,7 +178,10 @@
         let flood = "x".repeat(60_000);
         peer.say_at_once(&(req(2, "quote", 1) + &flood));
         let said = peer.rest().await.expect("an end, no reset");
-        assert!(said.contains("\"id\":2,\"error\":{\"code\":-32001"), "{said}");
+        assert!(
+            said.contains("\"id\":2,\"error\":{\"code\":-32001"),
+            "{said}"
+        );
         assert!(said.contains("line too long"), "{said}");
     });
 }
@@ -189,12 +232,24 @@
         let now = place.clock.now();
         let again = {
             let mut serve = place.serve.borrow_mut();
-            let _ = serve.hands.conns.limit_idling(Duration::from_millis(200)).count();
-            serve.hands.conns.idle_over(now + Duration::from_millis(300), 1).expect("told first")
+            let _ = serve
+                .hands
+                .conns
+                .limit_idling(Duration::from_millis(200))
+                .count();
+            serve
+                .hands
+                .conns
+                .idle_over(now + Duration::from_millis(300), 1)
+                .expect("told first")
         };
         assert!(peer.line().await.contains("leaving"));
         peer.say_at_once(&req(2, "quote", 1));
-        assert_eq!(place.serve.borrow_mut().hands.conns.idle_over(again, 1), None, "it ends now");
+        assert_eq!(
+            place.serve.borrow_mut().hands.conns.idle_over(again, 1),
+            None,
+            "it ends now"
+        );
         place.serves_one().await;
         assert!(peer.line().await.contains("\"id\":2,\"result\""));
         assert_eq!(peer.line().await, "");
@@ -207,7 +262,10 @@
     played(async {
         let place = Place::new(8).await;
         let mut peer = place.heard().await;
-        place.serve.borrow_mut().leave(place.clock.now(), Duration::from_millis(3_000));
+        place
+            .serve
+            .borrow_mut()
+            .leave(place.clock.now(), Duration::from_millis(3_000));
         assert!(peer.line().await.contains("leaving"));
         assert!(place.serve.borrow().at_rest());
         peer.say_at_once(&req(2, "quote", 1));
@@ -229,7 +287,10 @@
         // Read with a check before it, which is answered.
         peer.say_at_once(&format!("{WELL}{half}"));
         assert!(peer.line().await.contains("\"fit\":true"));
-        place.serve.borrow_mut().leave(place.clock.now(), Duration::from_millis(3_000));
+        place
+            .serve
+            .borrow_mut()
+            .leave(place.clock.now(), Duration::from_millis(3_000));
         peer.say_at_once(rest);
         place.serves_one().await;
         assert!(peer.line().await.contains("leaving"));
@@ -267,7 +328,11 @@
         // Read once it may not go; until then it was not asked to.
         until(|| {
             let mut serve = place.serve.borrow_mut();
-            let _ = serve.hands.conns.limit_idling(Duration::from_millis(200)).count();
+            let _ = serve
+                .hands
+                .conns
+                .limit_idling(Duration::from_millis(200))
+                .count();
             let late = place.clock.now() + Duration::from_millis(300);
             serve.hands.conns.idle_over(late, 1) != Some(late + Duration::from_millis(1_000))
         })
@@ -335,7 +400,10 @@
         let place = Place::new(1).await;
         let keyed = |id, own| {
             let plain = req(id, "book", own);
-            plain.replace("\"room\"", "\"replay\":\"00000000000000000000000000000005\",\"room\"")
+            plain.replace(
+                "\"room\"",
+                "\"replay\":\"00000000000000000000000000000005\",\"room\"",
+            )
         };
         let mut busy = place.heard().await;
         busy.say(&keyed(2, 1)).await;
@@ -347,7 +415,11 @@
         place.turn();
         place.done(1);
         for (peer, id) in [(&mut busy, 2), (&mut peer, 1)] {
-            assert!(peer.line().await.contains(&format!("\"id\":{id},\"result\":{{\"bytes\":\"WFla\"")));
+            assert!(
+                peer.line()
+                    .await
+                    .contains(&format!("\"id\":{id},\"result\":{{\"bytes\":\"WFla\""))
+            );
         }
         assert_eq!(place.serve.borrow().hands.counters.runs, 1);
     });
@@ -363,7 +435,9 @@
         let at_work = place.serve.borrow_mut();
         // A reset: the connection's task ends without a word to the core.
         let stream = peer.0.into_inner().into_std().expect("a stream");
-        socket2::SockRef::from(&stream).set_linger(Some(std::time::Duration::ZERO)).expect("set");
+        socket2::SockRef::from(&stream)
+            .set_linger(Some(std::time::Duration::ZERO))
+            .expect("set");
         drop(stream);
         // Its task has its turn within a few of the runtime's: each sleep is one at least.
         for _ in 0..20 {
@@ -386,7 +460,10 @@
         until(|| place.serve.borrow().hands.reqs.len() == 1).await;
         place.turn();
         let sent = String::from_utf8(place.engine.take()).expect("text");
-        assert!(sent.contains(&format!("\"blob\":{bytes}")), "the body goes on as it came");
+        assert!(
+            sent.contains(&format!("\"blob\":{bytes}")),
+            "the body goes on as it came"
+        );
         place.done(1);
         assert!(peer.line().await.contains("\"id\":2,\"result\""));
     });
@@ -408,10 +485,17 @@
         until(|| place.serve.borrow().hands.reqs.len() == 2).await;
         place.turn();
         let now = place.clock.now();
-        let names: [[u8; 16]; 2] =
-            [1, 2].map(|own| format!("{own:016x}").into_bytes().try_into().expect("16 digits"));
+        let names: [[u8; 16]; 2] = [1, 2].map(|own| {
+            format!("{own:016x}")
+                .into_bytes()
+                .try_into()
+                .expect("16 digits")
+        });
         for (serial, name) in names.iter().enumerate() {
-            place.serve.borrow_mut().at_call(now, name, serial as u64 + 1, "YWJj");
+            place
+                .serve
+                .borrow_mut()
+                .at_call(now, name, serial as u64 + 1, "YWJj");
         }
         place.turn();
         let (stream, _) = catalogue.accept().await.expect("one call");
@@ -419,7 +503,14 @@
         let mut line = String::new();
         reader.read_line(&mut line).await.expect("a call");
         assert!(line.starts_with("FETCH "), "{line}");
-        until(|| place.serve.borrow().counters().contains("counter calls.unreached 1\n")).await;
+        until(|| {
+            place
+                .serve
+                .borrow()
+                .counters()
+                .contains("counter calls.unreached 1\n")
+        })
+        .await;
         assert_eq!(place.serve.borrow().hands.calls.out(), 1);
     });
 }
@@ -429,7 +520,9 @@
 fn a_connection_that_waits_keeps_no_buffer() {
     played(async {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let stream = TcpStream::connect(listener.local_addr().expect("an address")).await.expect("made");
+        let stream = TcpStream::connect(listener.local_addr().expect("an address"))
+            .await
+            .expect("made");
         let out = Outbox::default();
         let waits = drive_peer(&stream, &out, |_| true);
         let bytes = std::mem::size_of_val(&waits);
@@ -442,7 +535,9 @@
 fn no_socket_holds_small_writes_back() {
     played(async {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let made = TcpStream::connect(listener.local_addr().expect("an address")).await.expect("made");
+        let made = TcpStream::connect(listener.local_addr().expect("an address"))
+            .await
+            .expect("made");
         let (accepted, _) = listener.accept().await.expect("accepted");
         for stream in [made, accepted] {
             assert!(!stream.nodelay().expect("told"));
@@ -467,13 +562,21 @@
         let mut peers = vec![];
         for own in 2..12 {
             let mut stream = std::net::TcpStream::connect(place.address).expect("a connection");
-            stream.write_all(req(1, "quote", own).as_bytes()).expect("written");
+            stream
+                .write_all(req(1, "quote", own).as_bytes())
+                .expect("written");
             stream.set_nonblocking(true).expect("set");
-            peers.push(Peer(BufReader::new(TcpStream::from_std(stream).expect("a stream"))));
+            peers.push(Peer(BufReader::new(
+                TcpStream::from_std(stream).expect("a stream"),
+            )));
         }
         place.stop.notify_one();
         for mut peer in peers {
-            assert!(peer.line().await.contains("\"id\":1,\"error\":{\"code\":-32002"));
+            assert!(
+                peer.line()
+                    .await
+                    .contains("\"id\":1,\"error\":{\"code\":-32002")
+            );
             assert_eq!(peer.line().await, "");
         }
     });
--- a/crates/server/tests/deploy.rs
+++ b/crates/server/tests/deploy.rs
@@ -21,7 +21,9 @@
 /// What stands behind a key of the deploy file.
 fn deployed(key: &str) -> String {
     let file = text("deploy/balancer.toml");
-    let line = file.lines().find_map(|l| l.strip_prefix(&format!("{key} = ")));
+    let line = file
+        .lines()
+        .find_map(|l| l.strip_prefix(&format!("{key} = ")));
     line.unwrap_or_else(|| panic!("no {key}")).to_string()
 }
 
@@ -30,7 +32,10 @@
     let manifest = std::fs::read_to_string(package.join("Cargo.toml")).expect("a manifest");
     let dependencies = manifest.split("[dependencies]").nth(1).unwrap_or("");
     let dependencies = dependencies.split("\n[").next().unwrap_or("");
-    for path in dependencies.lines().filter_map(|l| l.split("path = \"").nth(1)?.split('"').next()) {
+    for path in dependencies
+        .lines()
+        .filter_map(|l| l.split("path = \"").nth(1)?.split('"').next())
+    {
         let other = package.join(path).canonicalize().expect("a package");
         if found.insert(other.clone()) {
             needs(&other, found);
@@ -49,9 +54,18 @@
     let (node, policy) = (deployed("node"), deployed("policy"));
     for package in &found {
         let folder = package.strip_prefix(&root).expect("inside").join("src");
-        assert!(node.contains(&format!("\"{}\"", folder.display())), "{} is not in node", folder.display());
+        assert!(
+            node.contains(&format!("\"{}\"", folder.display())),
+            "{} is not in node",
+            folder.display()
+        );
     }
-    for named in node.split('"').skip(1).step_by(2).chain(policy.split('"').skip(1).step_by(2)) {
+    for named in node
+        .split('"')
+        .skip(1)
+        .step_by(2)
+        .chain(policy.split('"').skip(1).step_by(2))
+    {
         assert!(root.join(named).exists(), "{named} is named and not there");
     }
 }
@@ -66,18 +80,38 @@
     let program = Path::new(env!("CARGO_BIN_EXE_madderbay"));
     let image = std::fs::read(program).expect("the program");
     let loader = b"/ld-linux";
-    assert!(image.windows(loader.len()).any(|w| w == loader), "no loader is named in the program");
+    assert!(
+        image.windows(loader.len()).any(|w| w == loader),
+        "no loader is named in the program"
+    );
     // Started by a shell as the platform does it, what runs is the shell's own process.
     let engine = Engine::start(1.0, vec![], 1);
     let (registry, _reports) = registry::start();
-    let others = Others { engine: engine.address, registry, catalogue: engine.address };
-    let path = written(&configuration("127.0.0.1:0", others, 128, 800, common::SETTINGS));
+    let others = Others {
+        engine: engine.address,
+        registry,
+        catalogue: engine.address,
+    };
+    let path = written(&configuration(
+        "127.0.0.1:0",
+        others,
+        128,
+        800,
+        common::SETTINGS,
+    ));
     let mut shell = command(Path::new("/bin/sh"), Some(&path));
-    let mut child = shell.arg("-c").arg(format!("exec {}", program.display())).spawn().expect("a shell");
+    let mut child = shell
+        .arg("-c")
+        .arg(format!("exec {}", program.display()))
+        .spawn()
+        .expect("a shell");
     let began = Instant::now();
     let proc = PathBuf::from(format!("/proc/{}", child.id()));
     while std::fs::read_link(proc.join("exe")).ok().as_deref() != Some(program) {
-        assert!(began.elapsed() < PATIENCE, "the shell does not become the program");
+        assert!(
+            began.elapsed() < PATIENCE,
+            "the shell does not become the program"
+        );
         std::thread::yield_now();
     }
     let threads = std::fs::read_dir(proc.join("task")).expect("its threads");
@@ -95,13 +129,22 @@
 #[test]
 fn run_names_an_operator_file_that_the_platform_allows() {
     let run = deployed("run");
-    let named = run.split('"').nth(1).and_then(|r| r.split("--operator ").nth(1)).map(str::trim);
+    let named = run
+        .split('"')
+        .nth(1)
+        .and_then(|r| r.split("--operator ").nth(1))
+        .map(str::trim);
     let named = named.expect("an operator file");
     let operator = madderbay_operator_config::read(named, &text(named)).expect("a good file");
     let pools = operator.pools.expect("pools are on");
     assert!(pools.adapts && pools.reserve.is_some());
     assert_eq!(
-        (operator.members, operator.control, operator.kept, operator.shared),
+        (
+            operator.members,
+            operator.control,
+            operator.kept,
+            operator.shared
+        ),
         (None, None, None, None)
     );
 }
@@ -111,12 +154,26 @@
 fn no_refused_call_is_wanted_of_the_c_library() {
     let image = std::fs::read(env!("CARGO_BIN_EXE_madderbay")).expect("the program");
     let file = object::File::parse(image.as_slice()).expect("an object file");
-    let symbols: BTreeSet<&str> = file.dynamic_symbols().filter_map(|s| s.name().ok()).collect();
+    let symbols: BTreeSet<&str> = file
+        .dynamic_symbols()
+        .filter_map(|s| s.name().ok())
+        .collect();
     let wants = |symbol: &str| symbols.contains(symbol);
     assert!(wants("epoll_wait"), "symbols are found as they should");
-    let refused =
-        ["fork", "vfork", "posix_spawn", "posix_spawnp", "execve", "splice", "sendfile", "sendfile64"];
-    for symbol in refused.into_iter().chain(["io_uring_setup", "io_uring_enter"]) {
+    let refused = [
+        "fork",
+        "vfork",
+        "posix_spawn",
+        "posix_spawnp",
+        "execve",
+        "splice",
+        "sendfile",
+        "sendfile64",
+    ];
+    for symbol in refused
+        .into_iter()
+        .chain(["io_uring_setup", "io_uring_enter"])
+    {
         assert!(!wants(symbol), "{symbol} is wanted");
     }
 }
--- a/crates/server/tests/fleet.rs
+++ b/crates/server/tests/fleet.rs
@@ -12,7 +12,11 @@
 }
 
 fn works() -> Vec<Work> {
-    let of = |handler: &str, calls| Work { handler: handler.into(), ms: (2.0, 6.0), calls };
+    let of = |handler: &str, calls| Work {
+        handler: handler.into(),
+        ms: (2.0, 6.0),
+        calls,
+    };
     vec![of("search", true), of("quote", false), of("book", true)]
 }
 
@@ -20,9 +24,14 @@
 fn real_scripts() -> Vec<(String, Script)> {
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../tests/fleet");
     let real = |s: &Script| {
-        s.steps.iter().all(|s| !matches!(s.1, Step::Act(Act::For(_)) | Step::Act(Act::Downs(_))))
+        s.steps
+            .iter()
+            .all(|s| !matches!(s.1, Step::Act(Act::For(_)) | Step::Act(Act::Downs(_))))
     };
-    scripts(&folder).into_iter().filter(|s| real(&s.1)).collect()
+    scripts(&folder)
+        .into_iter()
+        .filter(|s| real(&s.1))
+        .collect()
 }
 
 /// All at once, some at a time, so that the machine's cores are never the fault that is tested.
@@ -36,16 +45,31 @@
             scope.spawn(|| {
                 loop {
                     let at = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-                    let Some((name, script)) = scripts.get(at) else { return };
-                    let mut stand =
-                        Stand::new(script.setup.clone(), program(), common::SETTINGS, &works(), at as u64);
+                    let Some((name, script)) = scripts.get(at) else {
+                        return;
+                    };
+                    let mut stand = Stand::new(
+                        script.setup.clone(),
+                        program(),
+                        common::SETTINGS,
+                        &works(),
+                        at as u64,
+                    );
                     if let Err(what) = play(script, &mut stand) {
-                        failed.lock().expect("a list").push(format!("{name}: {what}"));
+                        failed
+                            .lock()
+                            .expect("a list")
+                            .push(format!("{name}: {what}"));
                     }
                 }
             });
         }
     });
     let failed = failed.into_inner().expect("a list");
-    assert!(failed.is_empty(), "{} scripts failed:\n{}", failed.len(), failed.join("\n"));
+    assert!(
+        failed.is_empty(),
+        "{} scripts failed:\n{}",
+        failed.len(),
+        failed.join("\n")
+    );
 }
