--- a/crates/server/tests/kept.rs
+++ b/crates/server/tests/kept.rs
@@ -31,12 +31,27 @@
         let engine = local();
         let (registry, reports) = registry::start();
         let catalogue = local().local_addr().unwrap();
-        let others = Others { engine: engine.local_addr().unwrap(), registry, catalogue };
-        let settings = common::SETTINGS
-            .replace("\"repeat_window_us\": 10000000", &format!("\"repeat_window_us\": {window_us}"));
-        let operator = format!("[kept-results]\nenabled = on\ndirectory = {}\n{more}", folder.display());
+        let others = Others {
+            engine: engine.local_addr().unwrap(),
+            registry,
+            catalogue,
+        };
+        let settings = common::SETTINGS.replace(
+            "\"repeat_window_us\": 10000000",
+            &format!("\"repeat_window_us\": {window_us}"),
+        );
+        let operator = format!(
+            "[kept-results]\nenabled = on\ndirectory = {}\n{more}",
+            folder.display()
+        );
         let config = configuration("127.0.0.1:0", others, 128, 800, &settings);
-        Place { folder, operator, config, engine, _reports: reports }
+        Place {
+            folder,
+            operator,
+            config,
+            engine,
+            _reports: reports,
+        }
     }
 
     /// One more life, its engine linked and its gauges told once.
@@ -81,7 +96,11 @@
 /// The first try of key 5 is run and done.
 fn booked(asker: &mut Peer, engine: &mut Peer) {
     asker.say(&book(1, 1, "5", "QUJD"));
-    assert!(engine.command().contains("\"RUN\",\"call\":\"0000000000000001\""));
+    assert!(
+        engine
+            .command()
+            .contains("\"RUN\",\"call\":\"0000000000000001\"")
+    );
     engine.say(&done(1, 1, "WFla"));
     assert!(asker.line().contains("WFla"));
 }
@@ -100,7 +119,10 @@
         unix_ms()
     ));
     let next = engine.command();
-    assert!(next.contains("\"RUN\"") && next.contains(&format!("{id:016x}")), "{next}");
+    assert!(
+        next.contains("\"RUN\"") && next.contains(&format!("{id:016x}")),
+        "{next}"
+    );
 }
 
 /// Killed after the answer: repeats over two connections at once have the result; another body is refused.
@@ -117,7 +139,10 @@
     let (mut a, mut b) = (balancer(&server), balancer(&server));
     a.say(&book(1, 2, "5", "QUJD"));
     b.say(&book(7, 3, "5", "QUJD"));
-    assert_eq!(a.line(), "{\"jsonrpc\":\"2.0\",\"id\":1,\"result\":{\"bytes\":\"WFla\"}}");
+    assert_eq!(
+        a.line(),
+        "{\"jsonrpc\":\"2.0\",\"id\":1,\"result\":{\"bytes\":\"WFla\"}}"
+    );
     assert!(b.line().contains("\"id\":7,\"result\":{\"bytes\":\"WFla\""));
     b.say(&book(8, 4, "5", "QUJE"));
     assert!(b.line().contains("replay came with another body"));
@@ -160,7 +185,10 @@
             assert!(answer.contains("WFla"));
             break;
         }
-        assert!(answer.contains("-32001") && began.elapsed() < PATIENCE, "{id}: {answer}");
+        assert!(
+            answer.contains("-32001") && began.elapsed() < PATIENCE,
+            "{id}: {answer}"
+        );
     }
     killed(server, engine);
     (server, engine) = place.live();
@@ -189,7 +217,11 @@
     let (server, mut engine) = place.live();
     let mut a = balancer(&server);
     a.say(&book(1, 3, "5", "QUJD"));
-    assert!(engine.command().contains("\"RUN\",\"call\":\"0000000000000003\""));
+    assert!(
+        engine
+            .command()
+            .contains("\"RUN\",\"call\":\"0000000000000003\"")
+    );
 }
 
 /// A hundred thousand keys held at a restart: each is known, and the server listens soon.
@@ -208,7 +240,15 @@
                     let key = part * 1_000 + k;
                     let result = b"\"WFla\""[..].into();
                     [
-                        (Record::Intent { key, print: 0, until: 30_000_001, name: [b'0'; 16] }, 30_000_001),
+                        (
+                            Record::Intent {
+                                key,
+                                print: 0,
+                                until: 30_000_001,
+                                name: [b'0'; 16],
+                            },
+                            30_000_001,
+                        ),
                         (Record::Done { key, result }, 30_000_001),
                     ]
                 })
@@ -235,7 +275,9 @@
         .arg(&operator)
         .output()
         .expect("it runs");
-    [config, operator].iter().for_each(|f| std::fs::remove_file(f).expect("removed"));
+    [config, operator]
+        .iter()
+        .for_each(|f| std::fs::remove_file(f).expect("removed"));
     assert_eq!(found.status.code(), Some(2));
     let text = String::from_utf8(found.stderr).expect("text");
     assert_eq!(text.lines().count(), 1, "{text}");
@@ -252,7 +294,9 @@
     let mut newer = vec![];
     madderbay_idempotency_store::record::head_of(9, &mut newer);
     std::fs::write(place.folder.join("kept-00000000000000ff"), &newer).expect("written");
-    assert!(refused(&place).contains("kept-00000000000000ff: is of version 9; this program knows 1"));
+    assert!(
+        refused(&place).contains("kept-00000000000000ff: is of version 9; this program knows 1")
+    );
     std::fs::remove_dir_all(&place.folder).expect("removed");
     assert!(refused(&place).contains("No such file"));
 }
@@ -267,20 +311,38 @@
     a.say(&book(2, 2, "6", "QUJD"));
     assert!(engine.command().contains("\"RUN\""));
     let told = |order: &str| {
-        let found =
-            Command::new(program()).args(["kept", order]).arg(&place.folder).output().expect("it runs");
+        let found = Command::new(program())
+            .args(["kept", order])
+            .arg(&place.folder)
+            .output()
+            .expect("it runs");
         let text = String::from_utf8([found.stdout, found.stderr].concat()).expect("text");
-        (found.status.code(), text.lines().map(str::to_string).collect::<Vec<_>>())
+        (
+            found.status.code(),
+            text.lines().map(str::to_string).collect::<Vec<_>>(),
+        )
     };
     let (status, lines) = told("list");
     assert_eq!((status, lines.len()), (Some(0), 3), "{lines:?}");
-    assert!(lines[0].starts_with(&format!("{:032x} done ", 5)), "{lines:?}");
-    assert!(lines[1].starts_with(&format!("{:032x} may-have-run ", 6)), "{lines:?}");
-    assert_eq!(lines[2], "2 keyed reqs in 3 records, 1 segments, 0 torn bytes");
+    assert!(
+        lines[0].starts_with(&format!("{:032x} done ", 5)),
+        "{lines:?}"
+    );
+    assert!(
+        lines[1].starts_with(&format!("{:032x} may-have-run ", 6)),
+        "{lines:?}"
+    );
+    assert_eq!(
+        lines[2],
+        "2 keyed reqs in 3 records, 1 segments, 0 torn bytes"
+    );
     let (status, lines) = told("export");
     assert_eq!(status, Some(0));
     let first: serde_json::Value = serde_json::from_str(&lines[0]).expect("JSON");
-    assert_eq!((first["state"].as_str(), first["result"].as_str()), (Some("done"), Some("\"WFla\"")));
+    assert_eq!(
+        (first["state"].as_str(), first["result"].as_str()),
+        (Some("done"), Some("\"WFla\""))
+    );
     assert_eq!(told("verify"), (Some(0), vec![]));
     let mut torn = vec![];
     madderbay_idempotency_store::record::head(&mut torn);
@@ -288,7 +350,10 @@
     std::fs::write(place.folder.join("kept-00000000000000ff"), &torn).expect("written");
     let (status, lines) = told("verify");
     assert_eq!((status, lines.len()), (Some(1), 1), "{lines:?}");
-    assert!(lines[0].contains("after 0 whole records 7 bytes from 12 on are none"), "{lines:?}");
+    assert!(
+        lines[0].contains("after 0 whole records 7 bytes from 12 on are none"),
+        "{lines:?}"
+    );
 }
 
 /// A window that ends while the server is down: no time of a former life is trusted, so its result is still
@@ -331,7 +396,9 @@
         std::thread::sleep(std::time::Duration::from_micros(n * 500));
         life.kill().and_then(|()| life.wait()).expect("killed");
     }
-    [config, operator].iter().for_each(|f| std::fs::remove_file(f).expect("removed"));
+    [config, operator]
+        .iter()
+        .for_each(|f| std::fs::remove_file(f).expect("removed"));
     // Some came as far as the engine: those links are dead.
     place.engine.set_nonblocking(true).expect("set");
     while place.engine.accept().is_ok() {}
@@ -353,7 +420,11 @@
     let mut chance = oorandom::Rand64::new(11);
     for history in 0..20u32 {
         let mut place = Place::new(30_000_000, "");
-        let works = vec![Work { handler: "book".into(), ms: (1.0, 8.0), calls: false }];
+        let works = vec![Work {
+            handler: "book".into(),
+            ms: (1.0, 8.0),
+            calls: false,
+        }];
         let engine = Engine::start(4.0, works, u64::from(history));
         let by_hand = place.engine.local_addr().unwrap().to_string();
         place.config = place.config.replace(&by_hand, &engine.address.to_string());
@@ -373,7 +444,9 @@
                 ));
             }
             if life < 2 {
-                std::thread::sleep(std::time::Duration::from_micros(chance.rand_range(0..20_000)));
+                std::thread::sleep(std::time::Duration::from_micros(
+                    chance.rand_range(0..20_000),
+                ));
                 server.signal("-KILL");
             }
             for _ in 0..4 {
@@ -382,7 +455,9 @@
                     break;
                 }
                 let said: serde_json::Value = serde_json::from_str(&line).unwrap_or_default();
-                let Some(n) = said["id"].as_u64() else { continue };
+                let Some(n) = said["id"].as_u64() else {
+                    continue;
+                };
                 let now = said["result"].is_object();
                 assert!(
                     now || !done[n as usize - 1],
--- a/crates/server/tests/listen.rs
+++ b/crates/server/tests/listen.rs
@@ -15,7 +15,10 @@
 /// Connections that the machine has accepted are taken before the listener closes: a req may be on them.
 #[test]
 fn what_the_machine_accepted_is_taken_before_the_end() {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
     LocalSet::new().block_on(&runtime, async {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("an address");
@@ -36,6 +39,9 @@
         stop.notify_one();
         listen::run(listener, 100, clock, serve.clone(), stop).await;
         assert_eq!(serve.borrow().connections(), peers.len());
-        assert!(std::net::TcpStream::connect(address).is_err(), "closed after");
+        assert!(
+            std::net::TcpStream::connect(address).is_err(),
+            "closed after"
+        );
     });
 }
--- a/crates/server/tests/members.rs
+++ b/crates/server/tests/members.rs
@@ -22,13 +22,23 @@
 }
 
 fn works() -> Vec<Work> {
-    let of = |handler: &str, calls| Work { handler: handler.into(), ms: (2.0, 6.0), calls };
+    let of = |handler: &str, calls| Work {
+        handler: handler.into(),
+        ms: (2.0, 6.0),
+        calls,
+    };
     vec![of("search", true), of("quote", false), of("book", true)]
 }
 
 fn stand(script: &str) -> (Script, Stand) {
     let script = Script::read("test", script).expect("a script");
-    let stand = Stand::new(script.setup.clone(), program(), common::SETTINGS, &works(), 7);
+    let stand = Stand::new(
+        script.setup.clone(),
+        program(),
+        common::SETTINGS,
+        &works(),
+        7,
+    );
     (script, stand)
 }
 
@@ -51,18 +61,35 @@
     let text = String::from_utf8(told.stdout).expect("text");
     assert_eq!(text.lines().count(), 1);
     let whole: serde_json::Value = serde_json::from_str(&text).expect("an object");
-    assert_eq!((&whole["name"], &whole["hears"]), (&"n2".into(), &"whole".into()));
+    assert_eq!(
+        (&whole["name"], &whole["hears"]),
+        (&"n2".into(), &"whole".into())
+    );
     let members = whole["members"].as_array().expect("members");
     let named = |m: &serde_json::Value| m["name"].as_str().unwrap_or_default().to_string();
-    assert_eq!(members.iter().map(named).collect::<Vec<_>>(), ["n1", "n2", "n3"]);
-    assert!(members.iter().all(|m| m["state"] == "alive" && m["zone"] == "north"), "{text}");
+    assert_eq!(
+        members.iter().map(named).collect::<Vec<_>>(),
+        ["n1", "n2", "n3"]
+    );
+    assert!(
+        members
+            .iter()
+            .all(|m| m["state"] == "alive" && m["zone"] == "north"),
+        "{text}"
+    );
     let text = String::from_utf8(ask(stand.socket(1), &[]).stdout).expect("text");
-    assert!(text.starts_with("n2 hears whole since ") && text.lines().count() == 4, "{text}");
+    assert!(
+        text.starts_with("n2 hears whole since ") && text.lines().count() == 4,
+        "{text}"
+    );
     // Nobody there.
     let missing = ask(Path::new("/nonexistent.sock"), &[]);
     assert_eq!(missing.status.code(), Some(1));
     let why = String::from_utf8(missing.stderr).expect("text");
-    assert!(why.starts_with("madderbay: /nonexistent.sock: ") && why.lines().count() == 1, "{why}");
+    assert!(
+        why.starts_with("madderbay: /nonexistent.sock: ") && why.lines().count() == 1,
+        "{why}"
+    );
 }
 
 fn folder(name: &str) -> PathBuf {
@@ -75,9 +102,17 @@
 fn with_socket(path: &Path) -> server::Server {
     let (registry, reports) = madderbay_testkit::registry::start();
     std::mem::forget(reports);
-    let others = server::Others { engine: registry, registry, catalogue: registry };
+    let others = server::Others {
+        engine: registry,
+        registry,
+        catalogue: registry,
+    };
     let text = server::configuration("127.0.0.1:0", others, 128, 300, common::SETTINGS);
-    server::Server::start(program(), &text, Some(&format!("[control]\nsocket = {}\n", path.display())))
+    server::Server::start(
+        program(),
+        &text,
+        Some(&format!("[control]\nsocket = {}\n", path.display())),
+    )
 }
 
 #[test]
@@ -88,7 +123,10 @@
     drop(UnixListener::bind(&path).expect("bound"));
     assert!(path.exists());
     let first = with_socket(&path);
-    let mode = std::fs::metadata(&path).expect("a file").permissions().mode();
+    let mode = std::fs::metadata(&path)
+        .expect("a file")
+        .permissions()
+        .mode();
     assert_eq!(mode & 0o777, 0o600);
     let wrong = ask(&path, &[]);
     let why = String::from_utf8(wrong.stderr).expect("text");
@@ -97,8 +135,11 @@
     let config = std::fs::read_to_string(&first.path).expect("its configuration");
     let config = server::written(&config);
     let operator = server::written(&format!("[control]\nsocket = {}\n", path.display()));
-    let second =
-        command(program(), Some(&config)).arg("--operator").arg(&operator).output().expect("it runs");
+    let second = command(program(), Some(&config))
+        .arg("--operator")
+        .arg(&operator)
+        .output()
+        .expect("it runs");
     assert_eq!(second.status.code(), Some(1));
     let why = String::from_utf8_lossy(&second.stderr).to_string();
     assert!(why.contains("another process listens there"), "{why}");
@@ -108,9 +149,16 @@
     assert!(!path.exists(), "removed at the end");
     // A file that is no socket is nobody's to replace.
     std::fs::write(&path, "precious").expect("written");
-    let third = command(program(), Some(&config)).arg("--operator").arg(&operator).output().expect("it runs");
+    let third = command(program(), Some(&config))
+        .arg("--operator")
+        .arg(&operator)
+        .output()
+        .expect("it runs");
     assert!(String::from_utf8_lossy(&third.stderr).contains("is no socket"));
-    assert_eq!(std::fs::read_to_string(&path).expect("still there"), "precious");
+    assert_eq!(
+        std::fs::read_to_string(&path).expect("still there"),
+        "precious"
+    );
     for file in [config, operator] {
         let _ = std::fs::remove_file(file);
     }
@@ -126,11 +174,20 @@
         let mut stream = UnixStream::connect(&path).expect("connected");
         stream.write_all(question).expect("asked");
         let mut lines = BufReader::new(stream).lines();
-        (lines.next().expect("a line").expect("text"), lines.next().expect("a line").expect("text"))
+        (
+            lines.next().expect("a line").expect("text"),
+            lines.next().expect("a line").expect("text"),
+        )
     };
     for (question, wrong) in [
-        (&b"{\"ask\":\"secrets\"}\n"[..], "members, shared and routes can be asked for"),
-        (b"what?\n", "a question is a line as {\\\"ask\\\":\\\"members\\\"}"),
+        (
+            &b"{\"ask\":\"secrets\"}\n"[..],
+            "members, shared and routes can be asked for",
+        ),
+        (
+            b"what?\n",
+            "a question is a line as {\\\"ask\\\":\\\"members\\\"}",
+        ),
         (&[b'x'; 400], "a question is a line of 255 bytes at most"),
     ] {
         let (line, end) = asked(question);
@@ -138,11 +195,15 @@
         assert_eq!(end, "{\"end\":true}");
     }
     // Three that say nothing leave a place for one that does.
-    let mut hung: Vec<UnixStream> = (0..3).map(|_| UnixStream::connect(&path).expect("connected")).collect();
+    let mut hung: Vec<UnixStream> = (0..3)
+        .map(|_| UnixStream::connect(&path).expect("connected"))
+        .collect();
     assert!(asked(b"{\"ask\":\"members\"}\n").0.contains("no [members]"));
     // Each of them is let go in its term.
     let mut rest = vec![];
-    hung[0].set_read_timeout(Some(madderbay_testkit::PATIENCE)).expect("a time-out");
+    hung[0]
+        .set_read_timeout(Some(madderbay_testkit::PATIENCE))
+        .expect("a time-out");
     hung[0].read_to_end(&mut rest).expect("closed");
     assert!(rest.is_empty());
     drop(server);
@@ -171,7 +232,11 @@
         keyed,
         project: "acme",
     };
-    vec![ask("search", 0.4, false), ask("quote", 0.4, false), ask("book", 0.2, true)]
+    vec![
+        ask("search", 0.4, false),
+        ask("quote", 0.4, false),
+        ask("book", 0.2, true),
+    ]
 }
 
 /// Load on one server while something goes on: how many reqs, and what was broken of the rules.
@@ -184,7 +249,10 @@
         allow_ms: 5_000,
     };
     let fates = load.run(server, |name| engine.answered(name), |_| ());
-    (fates.len(), breaches(&fates, &load.asks, &engine.ran().bodies))
+    (
+        fates.len(),
+        breaches(&fates, &load.asks, &engine.ran().bodies),
+    )
 }
 
 #[test]
@@ -200,9 +268,19 @@
         on.store(false, Ordering::Relaxed);
         (flood.join().expect("flooded"), found)
     });
-    assert!(sent > 10_000 && reqs > 100, "{sent} datagrams beside {reqs} reqs");
+    assert!(
+        sent > 10_000 && reqs > 100,
+        "{sent} datagrams beside {reqs} reqs"
+    );
     assert!(broken.is_empty(), "{broken:?}");
-    play(&Script { setup: Setup::of(3), steps: vec![(0, settle(10))] }, &mut stand).expect("settled");
+    play(
+        &Script {
+            setup: Setup::of(3),
+            steps: vec![(0, settle(10))],
+        },
+        &mut stand,
+    )
+    .expect("settled");
 }
 
 fn settle(secs: u64) -> madderbay_testkit::fleet::script::Step {
@@ -250,21 +328,38 @@
 #[test]
 fn off_means_no_socket() {
     let (registry, _reports) = madderbay_testkit::registry::start();
-    let others = server::Others { engine: registry, registry, catalogue: registry };
+    let others = server::Others {
+        engine: registry,
+        registry,
+        catalogue: registry,
+    };
     let text = server::configuration("127.0.0.1:0", others, 128, 300, common::SETTINGS);
     let heard = "[members]\nenabled = off\nlisten = 127.0.0.1:0\nadvertise = 127.0.0.1:1\n";
     for operator in [None, Some(heard)] {
         let server = server::Server::start(program(), &text, operator);
         let own = |kind: &str| {
-            let table =
-                std::fs::read_to_string(format!("/proc/{}/net/{kind}", server.pid())).expect("a table");
-            let held = std::fs::read_dir(format!("/proc/{}/fd", server.pid())).expect("descriptors");
+            let table = std::fs::read_to_string(format!("/proc/{}/net/{kind}", server.pid()))
+                .expect("a table");
+            let held =
+                std::fs::read_dir(format!("/proc/{}/fd", server.pid())).expect("descriptors");
             let held: Vec<String> = held
                 .flatten()
-                .filter_map(|f| Some(std::fs::read_link(f.path()).ok()?.to_string_lossy().to_string()))
+                .filter_map(|f| {
+                    Some(
+                        std::fs::read_link(f.path())
+                            .ok()?
+                            .to_string_lossy()
+                            .to_string(),
+                    )
+                })
                 .collect();
             let inode = |l: &str| l.split_whitespace().nth(9).map(|i| format!("socket:[{i}]"));
-            table.lines().skip(1).filter_map(inode).filter(|i| held.contains(i)).count()
+            table
+                .lines()
+                .skip(1)
+                .filter_map(inode)
+                .filter(|i| held.contains(i))
+                .count()
         };
         assert_eq!(own("udp") + own("udp6"), 0);
         assert!(own("tcp") > 0, "its sockets are found");
--- a/crates/server/tests/routes.rs
+++ b/crates/server/tests/routes.rs
@@ -38,8 +38,13 @@
 
 fn asks() -> Vec<Ask> {
     let target = StdDuration::from_secs(2);
-    let ask =
-        |handler: &str, part, keyed| Ask { handler: handler.into(), part, target, keyed, project: "acme" };
+    let ask = |handler: &str, part, keyed| Ask {
+        handler: handler.into(),
+        part,
+        target,
+        keyed,
+        project: "acme",
+    };
     vec![ask("search", 3.0, false), ask("book", 1.0, true)]
 }
 
@@ -58,21 +63,45 @@
 
 impl Play {
     fn new(seed: u64) -> Play {
-        let backends: Vec<Catalogue> =
-            (0..BACKENDS).map(|_| Catalogue::start(100, StdDuration::from_millis(20))).collect();
+        let backends: Vec<Catalogue> = (0..BACKENDS)
+            .map(|_| Catalogue::start(100, StdDuration::from_millis(20)))
+            .collect();
         let gates: Vec<Gate> = backends.iter().map(|b| Gate::to(b.address)).collect();
-        let work = |handler: &str| Work { handler: handler.into(), ms: (1.0, 2.0), calls: true };
+        let work = |handler: &str| Work {
+            handler: handler.into(),
+            ms: (1.0, 2.0),
+            calls: true,
+        };
         let works = [work("search"), work("book")];
         let mut stand = Stand::new(Setup::of(SERVERS), program(), &settings(), &works, seed);
         for s in 0..SERVERS {
-            let address = |n: usize| if s == 0 { gates[n].address } else { backends[n].address };
+            let address = |n: usize| {
+                if s == 0 {
+                    gates[n].address
+                } else {
+                    backends[n].address
+                }
+            };
             let sections: String = (0..BACKENDS).map(|n| section(n, address(n))).collect();
             stand.each[s] = format!("[routes]\nenabled = on\n{sections}");
         }
         for who in 0..SERVERS {
-            stand.act(&Act::Start { who, name: who, clock: Duration::ZERO, back: false }).expect("started");
+            stand
+                .act(&Act::Start {
+                    who,
+                    name: who,
+                    clock: Duration::ZERO,
+                    back: false,
+                })
+                .expect("started");
         }
-        let mut play = Play { stand, backends, gates, on: Arc::new(AtomicBool::new(true)), loads: vec![] };
+        let mut play = Play {
+            stand,
+            backends,
+            gates,
+            on: Arc::new(AtomicBool::new(true)),
+            loads: vec![],
+        };
         play.waits("a view", |p| p.stand.amiss(&Condition::Settled));
         (0..SERVERS).for_each(|s| play.load(s));
         play.waits("all to be used", |p| {
@@ -87,7 +116,13 @@
         let address = self.stand.server(server).expect("runs").address;
         let on = self.on.clone();
         let rates = vec![(StdDuration::ZERO, RATE)];
-        let load = Load { asks: asks(), rates, length: LOAD, seed: server as u64, allow_ms: 3_000 };
+        let load = Load {
+            asks: asks(),
+            rates,
+            length: LOAD,
+            seed: server as u64,
+            allow_ms: 3_000,
+        };
         self.loads.push(std::thread::spawn(move || {
             let on = || on.load(Ordering::Relaxed);
             let fates = load.run_while(address, |name| engine.answered(name), |_| (), on);
@@ -109,14 +144,18 @@
     /// All servers but some leave a backend out, or have it in.
     fn is(&mut self, backend: usize, out: bool, but: &[usize]) -> StdDuration {
         let name = format!("b{backend}");
-        self.waits(&format!("{name} to be {}", if out { "out" } else { "in" }), |p| {
-            (0..SERVERS).filter(|s| !but.contains(s)).find_map(|s| {
-                let routes = p.stand.routes(s)?;
-                let (state, weight, _) = routes.get(&name)?;
-                let is_out = state == "ejected" || state == "trial" || *weight < 0.2 && state == "in";
-                (is_out != out).then(|| format!("n{}: {routes:?}", s + 1))
-            })
-        })
+        self.waits(
+            &format!("{name} to be {}", if out { "out" } else { "in" }),
+            |p| {
+                (0..SERVERS).filter(|s| !but.contains(s)).find_map(|s| {
+                    let routes = p.stand.routes(s)?;
+                    let (state, weight, _) = routes.get(&name)?;
+                    let is_out =
+                        state == "ejected" || state == "trial" || *weight < 0.2 && state == "in";
+                    (is_out != out).then(|| format!("n{}: {routes:?}", s + 1))
+                })
+            },
+        )
     }
 
     /// The end of the load: the part of the reqs of each handler that was done, and what broke a rule.
@@ -136,12 +175,17 @@
             }
         }
         let booked = all.iter().filter(|f| f.handler == 1);
-        let twice: Vec<&str> =
-            booked.map(|f| f.name.as_str()).filter(|n| calls.get(*n).copied().unwrap_or(0) > 1).collect();
+        let twice: Vec<&str> = booked
+            .map(|f| f.name.as_str())
+            .filter(|n| calls.get(*n).copied().unwrap_or(0) > 1)
+            .collect();
         assert!(twice.is_empty(), "called twice: {twice:?}");
         let part = |handler| {
             let of: Vec<&Fate> = all.iter().filter(|f| f.handler == handler).collect();
-            of.iter().filter(|f| f.kept(StdDuration::from_secs(2))).count() as f64 / of.len().max(1) as f64
+            of.iter()
+                .filter(|f| f.kept(StdDuration::from_secs(2)))
+                .count() as f64
+                / of.len().max(1) as f64
         };
         (vec![part(0), part(1)], all.len())
     }
@@ -156,7 +200,10 @@
     play.is(2, false, &[]);
     let (kept, reqs) = play.over();
     // What may run twice hardly suffers; a booking that may have run is errored, and not made again.
-    assert!(kept[0] > 0.97 && kept[1] > 0.85, "{mood:?}: {kept:?} of {reqs}");
+    assert!(
+        kept[0] > 0.97 && kept[1] > 0.85,
+        "{mood:?}: {kept:?} of {reqs}"
+    );
 }
 
 #[test]
@@ -187,14 +234,18 @@
     play.backends.iter().for_each(|b| b.mood(Mood::Fails));
     let before = came(&play);
     let began = Instant::now();
-    play.waits("four hundred calls", |p| (came(p) - before < 400).then(|| "fewer".into()));
+    play.waits("four hundred calls", |p| {
+        (came(p) - before < 400).then(|| "fewer".into())
+    });
     let calls = f64::from(came(&play) - before);
     let most = RATE * SERVERS as f64 * (began.elapsed().as_secs_f64() + 0.3) * 1.1 * 1.25;
     assert!(calls <= most, "{calls} calls, {most:.0} at the most");
     play.backends.iter().for_each(|b| b.mood(Mood::Slow(1.0)));
     let done = |p: &Play| p.backends.iter().map(|b| b.seen().done).sum::<u32>();
     let before = done(&play);
-    play.waits("calls to go well again", |p| (done(p) - before < 100).then(|| "few went well".into()));
+    play.waits("calls to go well again", |p| {
+        (done(p) - before < 100).then(|| "few went well".into())
+    });
     play.over();
 }
 
@@ -213,14 +264,21 @@
     play.waits("the others to go on", |p| {
         for s in 1..SERVERS {
             let routes = p.stand.routes(s).unwrap_or_default();
-            assert!(routes.values().all(|b| b.0 == "in"), "n{}: {routes:?}", s + 1);
+            assert!(
+                routes.values().all(|b| b.0 == "in"),
+                "n{}: {routes:?}",
+                s + 1
+            );
         }
         (done(p) - before < 100).then(|| "few calls".into())
     });
     play.gates.iter().for_each(|g| g.cut(false));
     play.waits("the first to have all in", |p| {
         let routes = p.stand.routes(0)?;
-        routes.values().any(|b| b.0 != "in" && b.0 != "rising").then(|| format!("{routes:?}"))
+        routes
+            .values()
+            .any(|b| b.0 != "in" && b.0 != "rising")
+            .then(|| format!("{routes:?}"))
     });
     let (kept, reqs) = play.over();
     assert!(kept[0] > 0.5, "{kept:?} of {reqs}");
@@ -235,15 +293,29 @@
     let without = |text: &str| {
         let parts: Vec<&str> = text.split("[backend ").collect();
         let kept = parts.iter().enumerate().filter(|p| !p.1.starts_with("b1]"));
-        let kept = kept.map(|(i, p)| if i == 0 { p.to_string() } else { format!("[backend {p}") });
+        let kept = kept.map(|(i, p)| {
+            if i == 0 {
+                p.to_string()
+            } else {
+                format!("[backend {p}")
+            }
+        });
         kept.collect::<String>() + &added
     };
     (0..SERVERS).for_each(|s| play.stand.rewrite(s, without));
-    play.waits("the new one to be used", |_| (fresh.seen().done < 30).then(|| "few calls".into()));
+    play.waits("the new one to be used", |_| {
+        (fresh.seen().done < 30).then(|| "few calls".into())
+    });
     let before = play.backends[1].seen().came;
     let others = play.backends[0].seen().came;
-    play.waits("calls to the others", |p| (p.backends[0].seen().came < others + 30).then(|| "few".into()));
-    assert_eq!(play.backends[1].seen().came, before, "one that is gone has no calls");
+    play.waits("calls to the others", |p| {
+        (p.backends[0].seen().came < others + 30).then(|| "few".into())
+    });
+    assert_eq!(
+        play.backends[1].seen().came,
+        before,
+        "one that is gone has no calls"
+    );
     let (kept, reqs) = play.over();
     assert!(kept.iter().all(|k| *k > 0.995), "{kept:?} of {reqs}");
 }
@@ -255,7 +327,9 @@
     let mut play = Play::new(8);
     play.backends[3].mood(Mood::Fails);
     play.is(3, true, &[]);
-    play.stand.act(&Act::Cut(vec![vec![0], vec![1, 2]])).expect("cut");
+    play.stand
+        .act(&Act::Cut(vec![vec![0], vec![1, 2]]))
+        .expect("cut");
     play.backends[3].mood(Mood::Slow(1.0));
     play.is(3, false, &[]);
     play.stand.act(&Act::Heal).expect("healed");
@@ -264,14 +338,21 @@
         .arg(play.stand.socket(1))
         .output()
         .expect("it runs");
-    let told: serde_json::Value = serde_json::from_slice(&told.stdout).expect("one line, an object");
+    let told: serde_json::Value =
+        serde_json::from_slice(&told.stdout).expect("one line, an object");
     let all = told["backends"].as_array().expect("backends");
     assert_eq!(all.len(), BACKENDS);
     for b in all {
         assert!(
-            b["name"].is_string() && b["weight"].is_f64() && b["seen"].is_u64() && b["heard_from"].is_u64()
+            b["name"].is_string()
+                && b["weight"].is_f64()
+                && b["seen"].is_u64()
+                && b["heard_from"].is_u64()
+        );
+        assert!(
+            ["in", "rising", "ejected", "trial"].contains(&b["state"].as_str().expect("a state")),
+            "{b}"
         );
-        assert!(["in", "rising", "ejected", "trial"].contains(&b["state"].as_str().expect("a state")), "{b}");
     }
     play.over();
 }
@@ -303,7 +384,9 @@
     let calls = |p: &mut Play, n: u32| {
         let sum = |p: &Play| p.backends.iter().map(|b| b.seen().came).sum::<u32>();
         let before = sum(p);
-        p.waits("some calls", |p| (sum(p) < before + n).then(|| "too few".into()));
+        p.waits("some calls", |p| {
+            (sum(p) < before + n).then(|| "too few".into())
+        });
     };
     for _ in 0..5 {
         play.backends[1].mood(Mood::Fails);
--- a/crates/server/tests/scenarios.rs
+++ b/crates/server/tests/scenarios.rs
@@ -108,7 +108,10 @@
     fn link(&mut self) {
         let out = Outbox::default();
         self.notices.relinked();
-        self.serve.hands.engine.attach(out.clone(), self.notices.serial());
+        self.serve
+            .hands
+            .engine
+            .attach(out.clone(), self.notices.serial());
         self.engine = Some(out);
     }
 
@@ -116,7 +119,12 @@
         if !self.balancers.contains_key(who) {
             let out = Outbox::default();
             let no = self.serve.opened(self.now, out.clone());
-            let fresh = Balancer { no, out, front: Front::new(no), reads: true };
+            let fresh = Balancer {
+                no,
+                out,
+                front: Front::new(no),
+                reads: true,
+            };
             self.balancers.insert(who.to_string(), fresh);
         }
         self.balancers.get_mut(who).expect("just made")
@@ -126,13 +134,18 @@
         let (now, cut) = (self.now, self.cut);
         for piece in bytes.chunks(cut) {
             if who == "e" {
-                assert!(self.notices.fed(now, piece, &mut self.serve), "the engine's link is read on");
+                assert!(
+                    self.notices.fed(now, piece, &mut self.serve),
+                    "the engine's link is read on"
+                );
             } else if let Some(n) = who.strip_prefix('c').and_then(|n| n.parse::<usize>().ok()) {
                 self.want();
                 let serve = &mut self.serve;
                 let (no, out, replies) = &mut self.wires[n - 1];
                 let no = *no;
-                if !replies.feed(piece, |(name, how, body)| serve.call_over(now, no, &name, how, body)) {
+                if !replies.feed(piece, |(name, how, body)| {
+                    serve.call_over(now, no, &name, how, body)
+                }) {
                     out.close();
                 }
             } else {
@@ -145,15 +158,25 @@
 
     fn want(&mut self) {
         let wanted = std::mem::take(&mut self.serve.hands.calls.wanted);
-        self.wires.extend(wanted.into_iter().map(|(no, out, _)| (no, out, Replies::default())));
+        self.wires.extend(
+            wanted
+                .into_iter()
+                .map(|(no, out, _)| (no, out, Replies::default())),
+        );
     }
 
     /// All that waits for the disk lasts, or none of it.
     fn disk(&mut self, lasts: bool) -> bool {
         let batches: Vec<_> = self.disk.iter().flat_map(Receiver::try_iter).collect();
-        let Some(seq) = batches.last().map(|b| b.0) else { return false };
+        let Some(seq) = batches.last().map(|b| b.0) else {
+            return false;
+        };
         let why = "told to fail".to_string();
-        let told = if lasts { Told::Written { seq, disk: 100 } } else { Told::Failed { seq, why } };
+        let told = if lasts {
+            Told::Written { seq, disk: 100 }
+        } else {
+            Told::Failed { seq, why }
+        };
         self.serve.told(self.now, told);
         true
     }
@@ -165,17 +188,32 @@
             self.serve.turn(self.now);
         }
         self.want();
-        let mut outs: Vec<(String, Outbox)> =
-            self.balancers.iter().map(|(n, b)| (n.clone(), b.out.clone())).collect();
-        outs.extend(self.wires.iter().enumerate().map(|(i, w)| (format!("c{}", i + 1), w.1.clone())));
+        let mut outs: Vec<(String, Outbox)> = self
+            .balancers
+            .iter()
+            .map(|(n, b)| (n.clone(), b.out.clone()))
+            .collect();
+        outs.extend(
+            self.wires
+                .iter()
+                .enumerate()
+                .map(|(i, w)| (format!("c{}", i + 1), w.1.clone())),
+        );
         outs.extend(self.engine.iter().map(|out| ("e".to_string(), out.clone())));
         let mut asked = vec![];
-        for (who, out) in outs.into_iter().filter(|o| Some(&o.0) != self.deaf.as_ref()) {
+        for (who, out) in outs
+            .into_iter()
+            .filter(|o| Some(&o.0) != self.deaf.as_ref())
+        {
             let text = String::from_utf8(out.take()).expect("text");
             for line in text.lines() {
                 match line.strip_prefix("{\"msg\":\"STAT\",\"cookie\":\"") {
                     Some(cookie) => asked.push(cookie.trim_end_matches("\"}").to_string()),
-                    None => self.sent.entry(who.clone()).or_default().push_back(line.to_string()),
+                    None => self
+                        .sent
+                        .entry(who.clone())
+                        .or_default()
+                        .push_back(line.to_string()),
                 }
             }
         }
@@ -197,7 +235,11 @@
     }
 
     fn req(&mut self, who: &str, words: &[&str]) {
-        let get = |key: &str| words.iter().find_map(|w| w.strip_prefix(key)?.strip_prefix('='));
+        let get = |key: &str| {
+            words
+                .iter()
+                .find_map(|w| w.strip_prefix(key)?.strip_prefix('='))
+        };
         let now = (self.now - at(0)).as_micros() / 1000;
         let since = START_MS + get("since").map_or(now, millis);
         let (id, method) = (words[0], words[1]);
@@ -252,12 +294,20 @@
             }
             (_, "<") => {
                 let found = next(self);
-                return if found.as_deref() == Some(rest) { Ok(()) } else { Err(format!("found {found:?}")) };
+                return if found.as_deref() == Some(rest) {
+                    Ok(())
+                } else {
+                    Err(format!("found {found:?}"))
+                };
             }
             (_, "~") => {
                 let found = next(self).unwrap_or_default();
                 let all = rest.split(" | ").all(|part| found.contains(part));
-                return if all { Ok(()) } else { Err(format!("found {found:?}")) };
+                return if all {
+                    Ok(())
+                } else {
+                    Err(format!("found {found:?}"))
+                };
             }
             (_, "!") => {
                 let more = next(self);
@@ -265,10 +315,17 @@
             }
             ("e", ".") => {
                 let closed = self.engine.as_ref().is_some_and(|out| out.is_closing());
-                return if closed { Ok(()) } else { Err("still open".into()) };
+                return if closed {
+                    Ok(())
+                } else {
+                    Err("still open".into())
+                };
             }
             (_, ".") if who.starts_with('c') => {
-                let wire = who[1..].parse::<usize>().ok().and_then(|n| self.wires.get(n - 1));
+                let wire = who[1..]
+                    .parse::<usize>()
+                    .ok()
+                    .and_then(|n| self.wires.get(n - 1));
                 return if wire.is_some_and(|w| w.1.is_closing()) {
                     Ok(())
                 } else {
@@ -277,13 +334,23 @@
             }
             (_, ".") => {
                 let closed = !self.balancer(who).reads || self.balancers[who].out.is_closing();
-                return if closed { Ok(()) } else { Err("still read and open".into()) };
+                return if closed {
+                    Ok(())
+                } else {
+                    Err("still read and open".into())
+                };
             }
             ("", "=") => {
                 let counters = self.serve.counters();
                 let want = format!("counter {} {}", words[0], words[1]);
-                let found = counters.lines().find(|l| l.starts_with(&format!("counter {} ", words[0])));
-                return if found == Some(&want) { Ok(()) } else { Err(format!("found {found:?}")) };
+                let found = counters
+                    .lines()
+                    .find(|l| l.starts_with(&format!("counter {} ", words[0])));
+                return if found == Some(&want) {
+                    Ok(())
+                } else {
+                    Err(format!("found {found:?}"))
+                };
             }
             _ if first == "kept" => {
                 let (to, from) = channel();
@@ -300,7 +367,9 @@
             _ if first == "crowd" => {
                 self.serve.make_room(self.now);
             }
-            _ if first == "leave" => self.serve.leave(self.now, Duration::from_millis(millis(words[0]))),
+            _ if first == "leave" => self
+                .serve
+                .leave(self.now, Duration::from_millis(millis(words[0]))),
             _ => match words[0] {
                 "req" => self.req(first, &words[1..]),
                 "lost" => self.lost(first),
@@ -328,19 +397,30 @@
 
 #[test]
 fn scenarios() {
-    let mut files: Vec<_> = std::fs::read_dir(concat!(env!("CARGO_MANIFEST_DIR"), "/tests/scenarios"))
-        .expect("the scenarios")
-        .map(|f| f.expect("a file").path())
-        .collect();
+    let mut files: Vec<_> =
+        std::fs::read_dir(concat!(env!("CARGO_MANIFEST_DIR"), "/tests/scenarios"))
+            .expect("the scenarios")
+            .map(|f| f.expect("a file").path())
+            .collect();
     files.sort();
     assert!(!files.is_empty());
     let mut failures = vec![];
     for file in files {
-        let text = std::fs::read_to_string(&file).expect("a text file").replace("\\\n", "");
-        let name = file.file_name().expect("a name").to_string_lossy().into_owned();
+        let text = std::fs::read_to_string(&file)
+            .expect("a text file")
+            .replace("\\\n", "");
+        let name = file
+            .file_name()
+            .expect("a name")
+            .to_string_lossy()
+            .into_owned();
         for cut in [usize::MAX, 1] {
             let mut play = Play::new(cut);
-            for line in text.lines().map(str::trim).filter(|l| !l.is_empty() && !l.starts_with('#')) {
+            for line in text
+                .lines()
+                .map(str::trim)
+                .filter(|l| !l.is_empty() && !l.starts_with('#'))
+            {
                 if let Err(why) = play.line(line) {
                     failures.push(format!("{name} cut {cut}: {line}\n    {why}"));
                 }
@@ -357,7 +437,9 @@
             };
             let (read, ended) = (sum(&["read."]), sum(&["answered.", "gone ", "open "]));
             if read != ended {
-                failures.push(format!("{name} cut {cut}: {read} reqs read, {ended} accounted for"));
+                failures.push(format!(
+                    "{name} cut {cut}: {read} reqs read, {ended} accounted for"
+                ));
             }
         }
     }
--- a/crates/server/tests/wires.rs
+++ b/crates/server/tests/wires.rs
@@ -8,7 +8,9 @@
 /// Feeds bytes in pieces of a size; what came of them, and whether the stream may be read on.
 fn answers(bytes: &[u8], piece: usize) -> (Vec<u16>, bool) {
     let (mut machine, mut found) = (Answers::default(), vec![]);
-    let good = bytes.chunks(piece).all(|p| machine.feed(p, |status| found.push(status)));
+    let good = bytes
+        .chunks(piece)
+        .all(|p| machine.feed(p, |status| found.push(status)));
     (found, good)
 }
 
@@ -16,7 +18,11 @@
     let (mut machine, mut found) = (Replies::default(), vec![]);
     let good = bytes.chunks(piece).all(|p| {
         machine.feed(p, |(name, how, body)| {
-            found.push((String::from_utf8_lossy(&name).into_owned(), how, body.to_vec()));
+            found.push((
+                String::from_utf8_lossy(&name).into_owned(),
+                how,
+                body.to_vec(),
+            ));
         })
     });
     (found, good)
@@ -28,7 +34,9 @@
     let want = "PUT /v1/instances/n3 HTTP/1.1\r\nHost: 127.0.0.1:2379\r\nContent-Length: 17\r\n\r\n\
         {\"state\":\"ready\"}";
     assert_eq!(sent, want);
-    assert!(report("h", "n3", false).ends_with(b"Content-Length: 20\r\n\r\n{\"state\":\"draining\"}"));
+    assert!(
+        report("h", "n3", false).ends_with(b"Content-Length: 20\r\n\r\n{\"state\":\"draining\"}")
+    );
 }
 
 #[test]
@@ -39,9 +47,11 @@
         assert_eq!(answers(stream, piece), (vec![204, 503, 204], true));
     }
     // No length, a coding not read here, no HTTP, a head without end.
-    for bad in
-        ["HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "x\r\n\r\n"]
-    {
+    for bad in [
+        "HTTP/1.1 200 OK\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "x\r\n\r\n",
+    ] {
         assert_eq!(answers(bad.as_bytes(), 1), (vec![], false), "{bad}");
     }
     assert!(!answers(&[b'x'; 20_000], 512).1);
@@ -59,7 +69,10 @@
         ("9b1f03aa5c7e2d44", Outcome::Unreached, vec![]),
         ("9b1f03aa5c7e2d45", Outcome::TimedOut, vec![]),
     ];
-    let want: Vec<_> = want.into_iter().map(|(name, how, body)| (name.to_string(), how, body)).collect();
+    let want: Vec<_> = want
+        .into_iter()
+        .map(|(name, how, body)| (name.to_string(), how, body))
+        .collect();
     for piece in [1, 7, stream.len()] {
         assert_eq!(replies(stream, piece), (want.clone(), true));
     }
@@ -78,13 +91,24 @@
 
 #[test]
 fn json_is_read_as_it_allows() {
-    let line = r#" {"a":1.250e1, "b" :"x\"\u00e9\ud83d\ude00\/", "c":[{},[null,true],-0.5], "a":7} "#;
+    let line =
+        r#" {"a":1.250e1, "b" :"x\"\u00e9\ud83d\ude00\/", "c":[{},[null,true],-0.5], "a":7} "#;
     let members = Members::read(line).expect("an object");
-    assert_eq!(members.whole("a"), Some(7), "of two by one name the last counts");
+    assert_eq!(
+        members.whole("a"),
+        Some(7),
+        "of two by one name the last counts"
+    );
     assert_eq!(members.text("b").as_deref(), Some("x\"\u{e9}\u{1f600}/"));
     assert_eq!(members.raw("c"), Some("[{},[null,true],-0.5]"));
-    assert_eq!((number("-1.5E-1"), whole("3e2"), whole("3.0")), (Some(-0.15), Some(300), Some(3)));
-    assert_eq!((whole("-1"), whole("1.5"), number("1e999"), number("null")), (None, None, None, None));
+    assert_eq!(
+        (number("-1.5E-1"), whole("3e2"), whole("3.0")),
+        (Some(-0.15), Some(300), Some(3))
+    );
+    assert_eq!(
+        (whole("-1"), whole("1.5"), number("1e999"), number("null")),
+        (None, None, None, None)
+    );
     assert!(text(r#""\ud800""#).is_none() && text(r#""\ud800\u0041""#).is_none());
     for cut in 1..line.trim_end().len() {
         assert!(Members::read(&line[..cut]).is_none(), "{}", &line[..cut]);
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -131,7 +131,17 @@
     /// The module of one server life that begins now.
     pub fn decider(&self, now: Timestamp, seed: u64) -> Decider {
         let (m, h, t, b) = (&self.machine, &self.handlers, &self.tenants, &self.below);
-        Decider::new(now, seed, m, h, t, b, &self.callers, &self.place, &self.rules)
+        Decider::new(
+            now,
+            seed,
+            m,
+            h,
+            t,
+            b,
+            &self.callers,
+            &self.place,
+            &self.rules,
+        )
     }
 
     /// Where a gauge stands among those that are sent.
@@ -141,26 +151,37 @@
 }
 
 fn need(ok: bool, what: &str) -> Result<(), String> {
-    if ok { Ok(()) } else { Err(format!("settings: {what}")) }
+    if ok {
+        Ok(())
+    } else {
+        Err(format!("settings: {what}"))
+    }
 }
 
 /// A list by class is absent or has a place for each.
 fn by_class(found: usize, classes: usize, what: &str) -> Result<(), String> {
-    need(found == 0 || found == classes, &format!("{what} has {found} places for {classes} classes"))
+    need(
+        found == 0 || found == classes,
+        &format!("{what} has {found} places for {classes} classes"),
+    )
 }
 
 /// Of two by one name neither could be told.
 fn all_unlike<'a>(names: impl Iterator<Item = &'a str>, what: &str) -> Result<(), String> {
     let mut seen = HashSet::new();
     for (i, name) in names.enumerate().filter(|n| !n.1.is_empty()) {
-        need(seen.insert(name), &format!("{what}[{i}].name '{name}' is that of another"))?;
+        need(
+            seen.insert(name),
+            &format!("{what}[{i}].name '{name}' is that of another"),
+        )?;
     }
     Ok(())
 }
 
 fn word<T: Copy>(found: &str, known: &[(&str, T)], what: &str) -> Result<T, String> {
     let hit = known.iter().find(|k| k.0 == found);
-    hit.map(|k| k.1).ok_or_else(|| format!("settings: {what} is '{found}', which is none of those known"))
+    hit.map(|k| k.1)
+        .ok_or_else(|| format!("settings: {what} is '{found}', which is none of those known"))
 }
 
 /// Reads the settings; says in one line what is missing or can't be.
@@ -173,22 +194,47 @@
     need(info.blowup >= 1.0, "family_info.blowup is under 1")?;
     need(info.key_kb >= 0.0, "family_info.key_kb is under 0")?;
     need(info.dep_share >= 0.0, "family_info.dep_share is under 0")?;
-    need(raw.rules.tip_multiple >= 1.0, "rules.tip_multiple is under 1")?;
-    need((0.0..=1.0).contains(&raw.rules.cold_from), "rules.cold_from is not within 0 to 1")?;
-    by_class(info.class_calls.len(), raw.classes.len(), "family_info.class_calls")?;
-    by_class(info.class_skip_worth.len(), raw.classes.len(), "family_info.class_skip_worth")?;
+    need(
+        raw.rules.tip_multiple >= 1.0,
+        "rules.tip_multiple is under 1",
+    )?;
+    need(
+        (0.0..=1.0).contains(&raw.rules.cold_from),
+        "rules.cold_from is not within 0 to 1",
+    )?;
+    by_class(
+        info.class_calls.len(),
+        raw.classes.len(),
+        "family_info.class_calls",
+    )?;
+    by_class(
+        info.class_skip_worth.len(),
+        raw.classes.len(),
+        "family_info.class_skip_worth",
+    )?;
     all_unlike(raw.classes.iter().map(|c| &*c.name), "classes")?;
     all_unlike(raw.tenants.iter().map(|t| &*t.name), "tenants")?;
     let below_none = info.below.is_empty() || info.below == "none";
     if let Some(i) = info.class_calls.iter().position(|c| *c && below_none) {
-        return Err(format!("settings: family_info.class_calls[{i}] is true, but family_info.below is none"));
+        return Err(format!(
+            "settings: family_info.class_calls[{i}] is true, but family_info.below is none"
+        ));
     }
     let mut handlers = vec![];
     for (i, c) in raw.classes.iter().enumerate() {
         need(c.aim_us > 0, &format!("classes[{i}].aim_us is 0"))?;
-        need(c.hard_limit_us > 0, &format!("classes[{i}].hard_limit_us is 0"))?;
-        need(c.importance >= 0.0, &format!("classes[{i}].importance is under 0"))?;
-        need(c.aim_stretch >= 0.0, &format!("classes[{i}].aim_stretch is under 0"))?;
+        need(
+            c.hard_limit_us > 0,
+            &format!("classes[{i}].hard_limit_us is 0"),
+        )?;
+        need(
+            c.importance >= 0.0,
+            &format!("classes[{i}].importance is under 0"),
+        )?;
+        need(
+            c.aim_stretch >= 0.0,
+            &format!("classes[{i}].aim_stretch is under 0"),
+        )?;
         let effects = [
             ("read_like", Repeats::Replayable),
             ("idempotency_key", Repeats::Keyed),
@@ -223,7 +269,10 @@
         )?;
     }
     for (i, t) in raw.tenants.iter().enumerate() {
-        need(t.allowance_per_s >= 0.0, &format!("tenants[{i}].allowance_per_s is under 0"))?;
+        need(
+            t.allowance_per_s >= 0.0,
+            &format!("tenants[{i}].allowance_per_s is under 0"),
+        )?;
     }
     let stops = [
         ("none", Stopping::Never),
@@ -244,7 +293,11 @@
         ("allowance", LoadReport::Allowance),
         ("weight", LoadReport::Weight),
     ];
-    let longest = if raw.permissions.retry_after { raw.permissions.max_retry_after_us } else { 0 };
+    let longest = if raw.permissions.retry_after {
+        raw.permissions.max_retry_after_us
+    } else {
+        0
+    };
     Ok(Settings {
         machine: Machine {
             cores: info.n_cores,
@@ -258,7 +311,13 @@
             cold_for: Duration::from_micros(raw.rules.cold_us),
         },
         handlers,
-        tenants: raw.tenants.iter().map(|t| Tenant { per_second: t.allowance_per_s }).collect(),
+        tenants: raw
+            .tenants
+            .iter()
+            .map(|t| Tenant {
+                per_second: t.allowance_per_s,
+            })
+            .collect(),
         below: Below {
             kind: word(&info.below, &belows, "family_info.below")?,
             share: info.dep_share,
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -29,7 +29,11 @@
 
 #[test]
 fn what_stops_do_and_what_callers_are_told_is_as_the_settings_say() {
-    let stops = [("none", Stopping::Never), ("discard", Stopping::Discards), ("freeze", Stopping::Pauses)];
+    let stops = [
+        ("none", Stopping::Never),
+        ("discard", Stopping::Discards),
+        ("freeze", Stopping::Pauses),
+    ];
     for (word, stop) in stops {
         assert_eq!(good(&[("freeze", word)]).machine.stopping, stop, "{word}");
     }
@@ -40,18 +44,31 @@
         ("weight", LoadReport::Weight),
     ];
     for (word, free) in says {
-        assert_eq!(good(&[("\"allowance\"", &format!("\"{word}\""))]).callers.load_report, free, "{word}");
+        assert_eq!(
+            good(&[("\"allowance\"", &format!("\"{word}\""))])
+                .callers
+                .load_report,
+            free,
+            "{word}"
+        );
     }
-    assert_eq!(good(&[("idempotency_key", "non_idempotent")]).handlers[1].repeats, Repeats::NonReplayable);
+    assert_eq!(
+        good(&[("idempotency_key", "non_idempotent")]).handlers[1].repeats,
+        Repeats::NonReplayable
+    );
     let bare = good(&[("one_for_all", "none"), ("[true, true]", "[false, false]")]);
     assert_eq!(bare.below.kind, BelowKind::Nothing);
 }
 
 #[test]
 fn a_site_may_have_no_tenants_and_no_word_of_callers_that_went() {
-    let tenants = r#"[{"name": "a", "allowance_per_s": 5.0}, {"name": "b", "allowance_per_s": 5.0}]"#;
+    let tenants =
+        r#"[{"name": "a", "allowance_per_s": 5.0}, {"name": "b", "allowance_per_s": 5.0}]"#;
     assert!(good(&[(tenants, "[]")]).tenants.is_empty());
-    let s = good(&[("\"upstreams\": 3", "\"upstreams\": 3, \"tells_gone\": false, \"new_key\": [1, {}]")]);
+    let s = good(&[(
+        "\"upstreams\": 3",
+        "\"upstreams\": 3, \"tells_gone\": false, \"new_key\": [1, {}]",
+    )]);
     assert!(!s.rules.says_wait);
 }
 
@@ -63,14 +80,46 @@
             "\"melt\"",
             "settings: family_info.preemption is 'melt', which is none of those known",
         ),
-        ("\"allowance\"", "\"sing\"", "settings: family_info.say is 'sing', which is none of those known"),
-        ("one_for_all", "two", "settings: family_info.below is 'two', which is none of those known"),
-        ("read_like", "odd", "settings: classes[0].effect is 'odd', which is none of those known"),
-        ("[true, true]", "[true]", "settings: family_info.class_calls has 1 places for 2 classes"),
-        ("[0.3, 0.0]", "[0.3, 0, 0]", "settings: family_info.class_skip_worth has 3 places for 2 classes"),
-        ("[0.3, 0.0]", "[1.3, 0]", "settings: family_info.class_skip_worth[0] is not within 0 to 1"),
-        ("\"sell\"", "\"look\"", "settings: classes[1].name 'look' is that of another"),
-        ("\"b\"", "\"a\"", "settings: tenants[1].name 'a' is that of another"),
+        (
+            "\"allowance\"",
+            "\"sing\"",
+            "settings: family_info.say is 'sing', which is none of those known",
+        ),
+        (
+            "one_for_all",
+            "two",
+            "settings: family_info.below is 'two', which is none of those known",
+        ),
+        (
+            "read_like",
+            "odd",
+            "settings: classes[0].effect is 'odd', which is none of those known",
+        ),
+        (
+            "[true, true]",
+            "[true]",
+            "settings: family_info.class_calls has 1 places for 2 classes",
+        ),
+        (
+            "[0.3, 0.0]",
+            "[0.3, 0, 0]",
+            "settings: family_info.class_skip_worth has 3 places for 2 classes",
+        ),
+        (
+            "[0.3, 0.0]",
+            "[1.3, 0]",
+            "settings: family_info.class_skip_worth[0] is not within 0 to 1",
+        ),
+        (
+            "\"sell\"",
+            "\"look\"",
+            "settings: classes[1].name 'look' is that of another",
+        ),
+        (
+            "\"b\"",
+            "\"a\"",
+            "settings: tenants[1].name 'a' is that of another",
+        ),
         (
             "one_for_all",
             "none",
--- a/crates/simulation/src/below.rs
+++ b/crates/simulation/src/below.rs
@@ -31,7 +31,13 @@
 
 impl Engine {
     pub fn new(now: Timestamp, cores: f64) -> Engine {
-        Engine { cores, slower: 1.0, runs: BTreeMap::new(), worked: now, serial: 0 }
+        Engine {
+            cores,
+            slower: 1.0,
+            runs: BTreeMap::new(),
+            worked: now,
+            serial: 0,
+        }
     }
 
     fn each(&self) -> f64 {
@@ -68,14 +74,26 @@
     /// When the next comes to a call or to its end.
     pub fn next(&self) -> Option<Timestamp> {
         let each = self.each();
-        let left = self.runs.values().filter(|r| r.on_core).map(|r| r.left - r.call_at.unwrap_or(0.0));
+        let left = self
+            .runs
+            .values()
+            .filter(|r| r.on_core)
+            .map(|r| r.left - r.call_at.unwrap_or(0.0));
         let least = left.min_by(f64::total_cmp)?;
-        Some(self.worked + Duration::from_secs_f64(least.max(0.0) / each) + Duration::from_micros(2))
+        Some(
+            self.worked + Duration::from_secs_f64(least.max(0.0) / each) + Duration::from_micros(2),
+        )
     }
 
     pub fn run(&mut self, now: Timestamp, name: &str, secs: f64, calls: bool) {
         let call_at = calls.then_some(secs * 0.5);
-        let run = Run { left: secs, call_at, on_core: true, began: now, need: 0 };
+        let run = Run {
+            left: secs,
+            call_at,
+            on_core: true,
+            began: now,
+            need: 0,
+        };
         self.runs.entry(name.into()).or_insert(run);
     }
 
@@ -136,7 +154,11 @@
     }
 
     fn time(&self, chance: &mut Rand64) -> Duration {
-        let times = if let Some(Ill::Slow(times)) = self.ill { times } else { 1.0 };
+        let times = if let Some(Ill::Slow(times)) = self.ill {
+            times
+        } else {
+            1.0
+        };
         Duration::from_secs_f64(self.call * times * (0.5 - 0.5 * (1.0 - chance.rand_float()).ln()))
     }
 
@@ -161,7 +183,11 @@
     }
 
     /// A call was worked on to its end; whose it was, and who is next and for how long.
-    pub fn worked(&mut self, no: u64, chance: &mut Rand64) -> (Option<Call>, Option<(u64, Duration)>) {
+    pub fn worked(
+        &mut self,
+        no: u64,
+        chance: &mut Rand64,
+    ) -> (Option<Call>, Option<(u64, Duration)>) {
         self.busy = self.busy.saturating_sub(1);
         let call = self.calls.remove(&no);
         if let Some(call) = call.as_ref().filter(|c| c.keyed) {
--- a/crates/simulation/src/history.rs
+++ b/crates/simulation/src/history.rs
@@ -62,7 +62,12 @@
             Deed::Alone(s) => write!(f, "alone n{}", s + 1),
             Deed::OneWay(s) => write!(f, "oneway n{}", s + 1),
             Deed::Heal => f.write_str("heal"),
-            Deed::Net { loss, double, spoil, delay_ms } => {
+            Deed::Net {
+                loss,
+                double,
+                spoil,
+                delay_ms,
+            } => {
                 write!(f, "net {loss} {double} {spoil} {delay_ms}")
             }
             Deed::Calm => f.write_str("calm"),
@@ -109,7 +114,12 @@
 }
 
 impl Parts {
-    pub const ALL: Parts = Parts { members: true, shared: true, routes: true, pools: true };
+    pub const ALL: Parts = Parts {
+        members: true,
+        shared: true,
+        routes: true,
+        pools: true,
+    };
 }
 
 impl fmt::Display for Parts {
@@ -121,7 +131,11 @@
             (self.pools, "pools"),
         ];
         let on: Vec<&str> = all.iter().filter(|p| p.0).map(|p| p.1).collect();
-        f.write_str(&if on.is_empty() { "none".into() } else { on.join(" ") })
+        f.write_str(&if on.is_empty() {
+            "none".into()
+        } else {
+            on.join(" ")
+        })
     }
 }
 
@@ -157,7 +171,11 @@
 
 impl fmt::Display for History {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        writeln!(f, "servers {}\nbackends {}\nzones {}", self.servers, self.backends, self.zones)?;
+        writeln!(
+            f,
+            "servers {}\nbackends {}\nzones {}",
+            self.servers, self.backends, self.zones
+        )?;
         writeln!(
             f,
             "seconds {}\nrate {}\nwhole {}\nparts {}",
@@ -166,7 +184,9 @@
         if let Some((name, _)) = PLANTS.iter().find(|p| Some(p.1) == self.plant) {
             writeln!(f, "plant {name}")?;
         }
-        self.deeds.iter().try_for_each(|(at, deed)| writeln!(f, "@{at} {deed}"))
+        self.deeds
+            .iter()
+            .try_for_each(|(at, deed)| writeln!(f, "@{at} {deed}"))
     }
 }
 
@@ -182,17 +202,26 @@
         for (no, line) in (1..).zip(text.lines()) {
             let line = line.split('#').next().unwrap_or_default();
             let words: Vec<&str> = line.split_whitespace().collect();
-            found.line(&words).map_err(|what| format!("{name}:{no}: {what}"))?;
+            found
+                .line(&words)
+                .map_err(|what| format!("{name}:{no}: {what}"))?;
         }
         found.deeds.sort_by_key(|d| d.0);
-        let Some(beyond) = found.deeds.iter().find(|d| !found.holds(d.1)) else { return Ok(found) };
-        Err(format!("{name}: '{}' names a server or a backend that there is not", beyond.1))
+        let Some(beyond) = found.deeds.iter().find(|d| !found.holds(d.1)) else {
+            return Ok(found);
+        };
+        Err(format!(
+            "{name}: '{}' names a server or a backend that there is not",
+            beyond.1
+        ))
     }
 
     fn holds(&self, deed: Deed) -> bool {
         match deed {
             Deed::Kill(s) | Deed::Start(s) | Deed::Stop(s) | Deed::Continue(s) => s < self.servers,
-            Deed::Slow(s, _) | Deed::Alone(s) | Deed::OneWay(s) | Deed::Load(s, _) => s < self.servers,
+            Deed::Slow(s, _) | Deed::Alone(s) | Deed::OneWay(s) | Deed::Load(s, _) => {
+                s < self.servers
+            }
             Deed::Backend(b, _) => b < self.backends,
             _ => true,
         }
@@ -236,7 +265,10 @@
     fn deed(words: &[&str]) -> Result<Deed, String> {
         let who = || -> Result<usize, String> {
             let name = words.get(1).ok_or("a server is wanted")?;
-            let n = name.strip_prefix('n').and_then(|n| n.parse::<usize>().ok()).filter(|n| *n > 0);
+            let n = name
+                .strip_prefix('n')
+                .and_then(|n| n.parse::<usize>().ok())
+                .filter(|n| *n > 0);
             n.map(|n| n - 1).ok_or(format!("no such server {name}"))
         };
         Ok(match words.first().copied().unwrap_or_default() {
@@ -280,11 +312,15 @@
         let mut up = vec![true; of.servers];
         let mut stopped = vec![false; of.servers];
         let (from, to) = (4_000.0, (of.seconds as f64 - 16.0).max(5.0) * 1e3);
-        let mut times: Vec<u64> =
-            (0..faults).map(|_| (from + chance.rand_float() * (to - from)) as u64).collect();
+        let mut times: Vec<u64> = (0..faults)
+            .map(|_| (from + chance.rand_float() * (to - from)) as u64)
+            .collect();
         times.sort_unstable();
         for at in times {
-            let (s, b) = ((chance.rand_float() * n) as usize, (chance.rand_float() * backends) as usize);
+            let (s, b) = (
+                (chance.rand_float() * n) as usize,
+                (chance.rand_float() * backends) as usize,
+            );
             let part = chance.rand_float() * 0.3;
             let deed = match (chance.rand_float() * 16.0) as usize {
                 0 | 1 if !up[s] => {
@@ -311,12 +347,20 @@
                 9 => {
                     let cut = |x: f64| (x * 100.0).round() / 100.0;
                     let delay_ms = (chance.rand_float() * 1_500.0) as u64;
-                    Deed::Net { loss: cut(part), double: cut(part), spoil: cut(part * 0.3), delay_ms }
+                    Deed::Net {
+                        loss: cut(part),
+                        double: cut(part),
+                        spoil: cut(part * 0.3),
+                        delay_ms,
+                    }
                 }
                 10 => Deed::Calm,
                 11 => Deed::Backend(b, Some(Ill::Silent)),
                 12 => Deed::Backend(b, Some(Ill::Fails)),
-                13 => Deed::Backend(b, Some(Ill::Slow(2.0 + (chance.rand_float() * 18.0).round()))),
+                13 => Deed::Backend(
+                    b,
+                    Some(Ill::Slow(2.0 + (chance.rand_float() * 18.0).round())),
+                ),
                 14 => Deed::Backend(b, None),
                 _ => Deed::Load(s, (chance.rand_float() * 30.0).round() / 10.0),
             };
@@ -324,11 +368,14 @@
         }
         let end = to as u64;
         of.deeds.extend([(end, Deed::Heal), (end, Deed::Calm)]);
-        of.deeds.extend((0..of.backends).map(|b| (end, Deed::Backend(b, None))));
+        of.deeds
+            .extend((0..of.backends).map(|b| (end, Deed::Backend(b, None))));
         for s in 0..of.servers {
             of.deeds.extend((!up[s]).then_some((end, Deed::Start(s))));
-            of.deeds.extend(stopped[s].then_some((end, Deed::Continue(s))));
-            of.deeds.extend([(end, Deed::Slow(s, 1.0)), (end, Deed::Load(s, 1.0))]);
+            of.deeds
+                .extend(stopped[s].then_some((end, Deed::Continue(s))));
+            of.deeds
+                .extend([(end, Deed::Slow(s, 1.0)), (end, Deed::Load(s, 1.0))]);
         }
         of
     }
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -24,7 +24,9 @@
         let mut from = 0;
         while from < small.deeds.len() {
             let mut fewer = small.clone();
-            fewer.deeds.drain(from..(from + size).min(small.deeds.len()));
+            fewer
+                .deeds
+                .drain(from..(from + size).min(small.deeds.len()));
             if breaks(&fewer) {
                 small = fewer;
             } else {
--- a/crates/simulation/src/main.rs
+++ b/crates/simulation/src/main.rs
@@ -132,8 +132,9 @@
 /// The figures of a play, a line each.
 fn told(found: &Found) -> Result<String, String> {
     let rows = found.rows.iter().map(serde_json::to_string);
-    let lines: Result<Vec<String>, _> =
-        rows.chain(found.breaches.iter().map(serde_json::to_string)).collect();
+    let lines: Result<Vec<String>, _> = rows
+        .chain(found.breaches.iter().map(serde_json::to_string))
+        .collect();
     let mut lines = lines.map_err(|e| e.to_string())?;
     lines.push(
         serde_json::json!({
@@ -166,7 +167,8 @@
                         *worst = (kept, seed);
                     }
                     if let Some(b) = found.breaches.first() {
-                        let what = format!("{}: {} ({} in all)", b.rule, b.what, found.breaches.len());
+                        let what =
+                            format!("{}: {} ({} in all)", b.rule, b.what, found.breaches.len());
                         broken.lock().expect("a list").push((seed, what));
                     }
                 }
@@ -214,11 +216,23 @@
     println!("{:<24} {:>12} {:>12}", "", one.display(), other.display());
     for (h, handler) in HANDLERS.iter().enumerate() {
         let part = |s: &[f64; 8]| s[h] / s[3 + h].max(1.0);
-        println!("{:<24} {:>12.4} {:>12.4}", format!("kept of {handler}"), part(&x), part(&y));
+        println!(
+            "{:<24} {:>12.4} {:>12.4}",
+            format!("kept of {handler}"),
+            part(&x),
+            part(&y)
+        );
     }
     println!("{:<24} {:>12} {:>12}", "most in hand below", x[6], y[6]);
     println!("{:<24} {:>12} {:>12}", "bytes between servers", x[7], y[7]);
-    println!("{}", if a == b { "the same to the byte" } else { "not the same" });
+    println!(
+        "{}",
+        if a == b {
+            "the same to the byte"
+        } else {
+            "not the same"
+        }
+    );
     Ok(true)
 }
 
@@ -233,20 +247,36 @@
             print!("{}", of.draw(seed)?);
             Ok(true)
         }
-        Order::Search { count, seed, to, beside, of } => search(count, seed, &to, beside, &of),
+        Order::Search {
+            count,
+            seed,
+            to,
+            beside,
+            of,
+        } => search(count, seed, &to, beside, &of),
         Order::Shrink { file, seed } => {
             let history = history(&file)?;
             let Some(rule) = play(&history, seed).breaches.first().map(|b| b.rule) else {
-                return Err(format!("{}: breaks nothing under seed {seed}", file.display()));
+                return Err(format!(
+                    "{}: breaks nothing under seed {seed}",
+                    file.display()
+                ));
             };
             print!("# seed {seed}: {rule}\n{}", shrink(&history, seed, rule));
             Ok(true)
         }
-        Order::Table { servers, beside, only } => {
+        Order::Table {
+            servers,
+            beside,
+            only,
+        } => {
             if servers < 4 {
                 return Err("at least four servers are wanted".into());
             }
-            println!("{}", madderbay_simulation::mixes::table(servers, beside, &only));
+            println!(
+                "{}",
+                madderbay_simulation::mixes::table(servers, beside, &only)
+            );
             Ok(true)
         }
         Order::Compare { one, other } => compare(&one, &other),
@@ -264,7 +294,10 @@
     let line = match Line::try_parse() {
         Ok(line) => line,
         Err(e) if e.use_stderr() => {
-            eprintln!("madderbay-simulation: {}", e.to_string().lines().next().unwrap_or_default());
+            eprintln!(
+                "madderbay-simulation: {}",
+                e.to_string().lines().next().unwrap_or_default()
+            );
             return ExitCode::from(2);
         }
         Err(e) => {
--- a/crates/simulation/src/mixes.rs
+++ b/crates/simulation/src/mixes.rs
@@ -15,12 +15,21 @@
 type Deeds = Vec<(u64, Deed)>;
 
 fn each(step: usize, n: usize, deeds: impl Fn(usize, u64) -> Deeds) -> Deeds {
-    (0..n).step_by(step).enumerate().flat_map(|(i, s)| deeds(s, i as u64)).collect()
+    (0..n)
+        .step_by(step)
+        .enumerate()
+        .flat_map(|(i, s)| deeds(s, i as u64))
+        .collect()
 }
 
 /// Calm, and eight mixes.
 pub fn mixes(n: usize, backends: usize) -> Vec<(&'static str, Deeds)> {
-    let loss = |loss, delay_ms| Deed::Net { loss, double: 0.05, spoil: 0.02, delay_ms };
+    let loss = |loss, delay_ms| Deed::Net {
+        loss,
+        double: 0.05,
+        spoil: 0.02,
+        delay_ms,
+    };
     let flaps = (0..6).flat_map(|i| {
         let at = FROM + i * 2_000;
         [(at, Deed::Halves), (at + 1_000, Deed::Heal)]
@@ -29,7 +38,10 @@
     let spread = |i: u64| FROM + i * (TO - FROM) / (n as u64 / 4 + 1);
     vec![
         ("calm", vec![]),
-        ("a cut that flaps, a backend silent", flaps.chain(ill(1, Ill::Silent)).collect()),
+        (
+            "a cut that flaps, a backend silent",
+            flaps.chain(ill(1, Ill::Silent)).collect(),
+        ),
         (
             "one-way loss, three tenths lost",
             each(5, n, |s, _| vec![(FROM, Deed::OneWay(s))])
@@ -39,17 +51,27 @@
         ),
         (
             "seconds of delay, work shifts",
-            each(2, n, |s, _| vec![(FROM, Deed::Load(s, 2.0)), (FROM, Deed::Load((s + 1) % n, 0.2))])
-                .into_iter()
-                .chain([(FROM, loss(0.0, 2_000))])
-                .collect(),
+            each(2, n, |s, _| {
+                vec![
+                    (FROM, Deed::Load(s, 2.0)),
+                    (FROM, Deed::Load((s + 1) % n, 0.2)),
+                ]
+            })
+            .into_iter()
+            .chain([(FROM, loss(0.0, 2_000))])
+            .collect(),
         ),
         (
             "pauses of processes, a backend slow",
-            each(4, n, |s, i| vec![(spread(i), Deed::Stop(s)), (spread(i) + 3_000, Deed::Continue(s))])
-                .into_iter()
-                .chain(ill(0, Ill::Slow(10.0)))
-                .collect(),
+            each(4, n, |s, i| {
+                vec![
+                    (spread(i), Deed::Stop(s)),
+                    (spread(i) + 3_000, Deed::Continue(s)),
+                ]
+            })
+            .into_iter()
+            .chain(ill(0, Ill::Slow(10.0)))
+            .collect(),
         ),
         (
             "slow engines, one backend fails",
@@ -60,10 +82,15 @@
         ),
         (
             "a storm of crashes, a tenth lost",
-            each(4, n, |s, i| vec![(spread(i), Deed::Kill(s)), (spread(i) + 2_000, Deed::Start(s))])
-                .into_iter()
-                .chain([(FROM, loss(0.1, 20))])
-                .collect(),
+            each(4, n, |s, i| {
+                vec![
+                    (spread(i), Deed::Kill(s)),
+                    (spread(i) + 2_000, Deed::Start(s)),
+                ]
+            })
+            .into_iter()
+            .chain([(FROM, loss(0.1, 20))])
+            .collect(),
         ),
         (
             "a release over a cut",
@@ -81,7 +108,10 @@
                 .flat_map(|b| {
                     let at = FROM + b as u64 * 3_000 % (TO - FROM);
                     let kind = [Ill::Silent, Ill::Fails, Ill::Slow(20.0)][b % 3];
-                    [(at, Deed::Backend(b, Some(kind))), (at + 5_000, Deed::Backend(b, None))]
+                    [
+                        (at, Deed::Backend(b, Some(kind))),
+                        (at + 5_000, Deed::Backend(b, None)),
+                    ]
                 })
                 .collect(),
         ),
@@ -89,12 +119,37 @@
 }
 
 pub const WAYS: [(&str, Parts); 6] = {
-    let off = Parts { members: false, shared: false, routes: false, pools: false };
+    let off = Parts {
+        members: false,
+        shared: false,
+        routes: false,
+        pools: false,
+    };
     [
         ("off", off),
-        ("members", Parts { members: true, ..off }),
-        ("shared", Parts { members: true, shared: true, ..off }),
-        ("routes", Parts { members: true, routes: true, ..off }),
+        (
+            "members",
+            Parts {
+                members: true,
+                ..off
+            },
+        ),
+        (
+            "shared",
+            Parts {
+                members: true,
+                shared: true,
+                ..off
+            },
+        ),
+        (
+            "routes",
+            Parts {
+                members: true,
+                routes: true,
+                ..off
+            },
+        ),
         ("pools", Parts { pools: true, ..off }),
         ("all", Parts::ALL),
     ]
@@ -109,19 +164,35 @@
     }
     deeds.sort_by_key(|d| d.0);
     let (zones, whole) = (backends.min(3), n as u32 * 4);
-    History { servers: n, backends, zones, seconds: SECONDS, rate: 20.0, whole, parts, plant: None, deeds }
+    History {
+        servers: n,
+        backends,
+        zones,
+        seconds: SECONDS,
+        rate: 20.0,
+        whole,
+        parts,
+        plant: None,
+        deeds,
+    }
 }
 
 /// The table for fleets of one size, a row a mix and a way.
 pub fn table(n: usize, beside: usize, only: &str) -> String {
     let backends = (n / 10).clamp(3, 30);
     let mut jobs = vec![];
-    for (name, deeds) in mixes(n, backends).into_iter().filter(|m| m.0.contains(only)) {
+    for (name, deeds) in mixes(n, backends)
+        .into_iter()
+        .filter(|m| m.0.contains(only))
+    {
         for (way, parts) in WAYS {
             jobs.push((name, way, history(n, backends, parts, deeds.clone())));
         }
     }
-    let (next, rows) = (AtomicUsize::new(0), Mutex::new(vec![String::new(); jobs.len()]));
+    let (next, rows) = (
+        AtomicUsize::new(0),
+        Mutex::new(vec![String::new(); jobs.len()]),
+    );
     std::thread::scope(|scope| {
         for _ in 0..beside.max(1) {
             scope.spawn(|| {
--- a/crates/simulation/src/report.rs
+++ b/crates/simulation/src/report.rs
@@ -9,7 +9,8 @@
 /// The part of each handler's reqs that was kept.
 pub fn kept(found: &Found) -> [f64; 3] {
     std::array::from_fn(|h| {
-        let sum = |of: fn(&Row) -> [u32; 3]| f64::from(found.rows.iter().map(|r| of(r)[h]).sum::<u32>());
+        let sum =
+            |of: fn(&Row) -> [u32; 3]| f64::from(found.rows.iter().map(|r| of(r)[h]).sum::<u32>());
         sum(|r| r.kept) / sum(|r| r.asked).max(1.0)
     })
 }
@@ -17,7 +18,12 @@
 type Curve<'a> = (&'a str, Vec<(f64, f64)>);
 
 fn plot(path: &Path, title: &str, seconds: f64, curves: &[Curve]) -> Result<(), String> {
-    let most = curves.iter().flat_map(|c| &c.1).map(|p| p.1).fold(1.0, f64::max) * 1.05;
+    let most = curves
+        .iter()
+        .flat_map(|c| &c.1)
+        .map(|p| p.1)
+        .fold(1.0, f64::max)
+        * 1.05;
     let told = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
     let area = SVGBackend::new(path, (800, 320)).into_drawing_area();
     area.fill(&WHITE).map_err(|e| told(&e))?;
@@ -28,21 +34,38 @@
         .y_label_area_size(44)
         .build_cartesian_2d(0.0..seconds, 0.0..most)
         .map_err(|e| told(&e))?;
-    chart.configure_mesh().x_desc("seconds").draw().map_err(|e| told(&e))?;
+    chart
+        .configure_mesh()
+        .x_desc("seconds")
+        .draw()
+        .map_err(|e| told(&e))?;
     for (i, (name, points)) in curves.iter().enumerate() {
         let colour = Palette99::pick(i).to_rgba();
         chart
-            .draw_series(LineSeries::new(points.iter().copied(), colour.stroke_width(2)))
+            .draw_series(LineSeries::new(
+                points.iter().copied(),
+                colour.stroke_width(2),
+            ))
             .map_err(|e| told(&e))?
             .label(*name)
             .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 16, y)], colour));
     }
-    chart.configure_series_labels().border_style(BLACK).draw().map_err(|e| told(&e))?;
+    chart
+        .configure_series_labels()
+        .border_style(BLACK)
+        .draw()
+        .map_err(|e| told(&e))?;
     area.present().map_err(|e| told(&e))
 }
 
 /// Writes the folder: `report.txt`, `history.txt`, `rows.jsonl` and four plots.
-pub fn write(to: &Path, history: &History, seed: u64, found: &Found, rows: &str) -> Result<(), String> {
+pub fn write(
+    to: &Path,
+    history: &History,
+    seed: u64,
+    found: &Found,
+    rows: &str,
+) -> Result<(), String> {
     std::fs::create_dir_all(to).map_err(|e| format!("{}: {e}", to.display()))?;
     let put = |name: &str, text: &str| {
         let path = to.join(name);
@@ -53,38 +76,91 @@
         history.servers, history.backends, history.seconds, history.parts
     );
     for (handler, part) in HANDLERS.iter().zip(kept(found)) {
-        let _ = writeln!(text, "{handler:<8} {:.1} of 100 reqs done in time", part * 100.0);
+        let _ = writeln!(
+            text,
+            "{handler:<8} {:.1} of 100 reqs done in time",
+            part * 100.0
+        );
     }
     let peak = found.rows.iter().map(|r| r.peak).max().unwrap_or(0);
-    let _ = writeln!(text, "\nmost calls in hand below: {peak} of {}", history.whole);
-    let settles = found.settles.map_or("never".into(), |s| format!("{s:.1} s after the last deed"));
-    let _ = writeln!(text, "all that run hold one view, nobody is doubted: {settles}");
+    let _ = writeln!(
+        text,
+        "\nmost calls in hand below: {peak} of {}",
+        history.whole
+    );
+    let settles = found
+        .settles
+        .map_or("never".into(), |s| format!("{s:.1} s after the last deed"));
+    let _ = writeln!(
+        text,
+        "all that run hold one view, nobody is doubted: {settles}"
+    );
     for (what, n) in &found.unison {
-        let _ = writeln!(text, "most servers that {what} within a tenth of a second: {n}");
+        let _ = writeln!(
+            text,
+            "most servers that {what} within a tenth of a second: {n}"
+        );
     }
     let _ = writeln!(text, "\nrules broken: {}", found.breaches.len());
     for b in &found.breaches {
-        let _ = writeln!(text, "{:8.3} s {}: {}", b.at_ms as f64 / 1e3, b.rule, b.what);
+        let _ = writeln!(
+            text,
+            "{:8.3} s {}: {}",
+            b.at_ms as f64 / 1e3,
+            b.rule,
+            b.what
+        );
     }
     put("report.txt", &text)?;
     put("history.txt", &history.to_string())?;
     put("rows.jsonl", rows)?;
-    let curve = |of: &dyn Fn(&Row) -> f64| found.rows.iter().map(|r| (r.second as f64, of(r))).collect();
+    let curve = |of: &dyn Fn(&Row) -> f64| {
+        found
+            .rows
+            .iter()
+            .map(|r| (r.second as f64, of(r)))
+            .collect()
+    };
     let seconds = history.seconds as f64;
     let by: Vec<Curve> = HANDLERS
         .iter()
         .enumerate()
-        .map(|(h, name)| (*name, curve(&|r| f64::from(r.kept[h]) / f64::from(r.asked[h].max(1)))))
+        .map(|(h, name)| {
+            (
+                *name,
+                curve(&|r| f64::from(r.kept[h]) / f64::from(r.asked[h].max(1))),
+            )
+        })
+        .collect();
+    plot(
+        &to.join("kept.svg"),
+        "part of reqs done in time",
+        seconds,
+        &by,
+    )?;
+    let whole = found
+        .rows
+        .iter()
+        .map(|r| (r.second as f64, f64::from(history.whole)))
         .collect();
-    plot(&to.join("kept.svg"), "part of reqs done in time", seconds, &by)?;
-    let whole = found.rows.iter().map(|r| (r.second as f64, f64::from(history.whole))).collect();
-    let below = [("most in hand", curve(&|r| f64::from(r.peak))), ("budget", whole)];
-    plot(&to.join("below.svg"), "calls in hand below", seconds, &below)?;
+    let below = [
+        ("most in hand", curve(&|r| f64::from(r.peak))),
+        ("budget", whole),
+    ];
+    plot(
+        &to.join("below.svg"),
+        "calls in hand below",
+        seconds,
+        &below,
+    )?;
     let views = [
         ("running", curve(&|r| f64::from(r.running))),
         ("with another view", curve(&|r| f64::from(r.apart))),
     ];
     plot(&to.join("views.svg"), "servers", seconds, &views)?;
-    let out = [("left out, over all servers", curve(&|r| f64::from(r.left_out)))];
+    let out = [(
+        "left out, over all servers",
+        curve(&|r| f64::from(r.left_out)),
+    )];
     plot(&to.join("backends.svg"), "backends left out", seconds, &out)
 }
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -19,7 +19,9 @@
 use madderbay_settings::Settings;
 use madderbay_testkit::fleet::net::Net;
 use madderbay_testkit::fleet::script::Act;
-use madderbay_upstream::{BackendSettings, Change, Routes, Settings as RoutesSet, State as Backed, Together};
+use madderbay_upstream::{
+    BackendSettings, Change, Routes, Settings as RoutesSet, State as Backed, Together,
+};
 use oorandom::Rand64;
 use serde::Serialize;
 use std::cell::{Cell, RefCell};
@@ -223,7 +225,9 @@
 
 fn which_below(a: SocketAddr) -> usize {
     match a.ip() {
-        std::net::IpAddr::V4(ip) => usize::from(ip.octets()[2]) * 250 + usize::from(ip.octets()[3]) - 1,
+        std::net::IpAddr::V4(ip) => {
+            usize::from(ip.octets()[2]) * 250 + usize::from(ip.octets()[3]) - 1
+        }
         std::net::IpAddr::V6(_) => 0,
     }
 }
@@ -266,7 +270,9 @@
         }
         let mut world = World {
             net: Net::new(of.servers, seed + 2, CALM),
-            below: (0..of.backends).map(|_| Backend::new(SLOTS, CALL)).collect(),
+            below: (0..of.backends)
+                .map(|_| Backend::new(SLOTS, CALL))
+                .collect(),
             now,
             chance,
             nodes,
@@ -333,10 +339,17 @@
                 calls_weight,
                 ..Pool::default()
             };
-            let groups = if parts.routes { vec![(vec![0, 2], 1.0)] } else { vec![] };
+            let groups = if parts.routes {
+                vec![(vec![0, 2], 1.0)]
+            } else {
+                vec![]
+            };
             let plan = Plan {
                 pools: vec![pool("books", 2, 1.0), pool("searches", 0, 0.0)],
-                reserve: Some(Reserve { handlers: vec![], part: 0.1 }),
+                reserve: Some(Reserve {
+                    handlers: vec![],
+                    part: 0.1,
+                }),
                 share: Some(self.settings.below.share),
                 linger: self.settings.below.linger,
                 cores: CORES as usize,
@@ -353,11 +366,19 @@
                 weight: 1.0,
                 handlers: vec![0, 2],
             };
-            let mut set = RoutesSet { zone: zone(s, zones).as_str().into(), ..RoutesSet::default() };
+            let mut set = RoutesSet {
+                zone: zone(s, zones).as_str().into(),
+                ..RoutesSet::default()
+            };
             if self.of.plant == Some(Plant::Repeats) {
                 set.repeats = 1.0;
             }
-            let routes = Routes::new(mono, seed, set, (0..self.of.backends).map(backend).collect());
+            let routes = Routes::new(
+                mono,
+                seed,
+                set,
+                (0..self.of.backends).map(backend).collect(),
+            );
             Rc::new(Backends::on(Rc::new(RefCell::new(routes)), ticks.clone()))
         });
         if let Some(backends) = &routes {
@@ -367,10 +388,16 @@
         node.lives += 1;
         let lives = node.lives;
         let shared = parts.shared.then(|| {
-            let longest =
-                if self.of.plant == Some(Plant::Terms) { Duration::from_millis(20) } else { LONGEST };
-            let terms =
-                Terms { lease: Duration::from_millis(1_000), longest, guard: Duration::from_millis(50) };
+            let longest = if self.of.plant == Some(Plant::Terms) {
+                Duration::from_millis(20)
+            } else {
+                LONGEST
+            };
+            let terms = Terms {
+                lease: Duration::from_millis(1_000),
+                longest,
+                guard: Duration::from_millis(50),
+            };
             let budget = BudgetSettings {
                 name: "below".into(),
                 whole,
@@ -414,11 +441,19 @@
         });
         let lender = together.as_ref().filter(|_| parts.shared).map(|together| {
             let counted = Counted::default();
-            let lender = Lender { together: together.clone(), counted, ticks, hurry: Box::new(|| {}) };
+            let lender = Lender {
+                together: together.clone(),
+                counted,
+                ticks,
+                hurry: Box::new(|| {}),
+            };
             Rc::new(lender)
         });
         if let Some(lender) = &lender {
-            let groups = vec![Group { handlers: vec![0, 2], longest: LONGEST }];
+            let groups = vec![Group {
+                handlers: vec![0, 2],
+                longest: LONGEST,
+            }];
             serve.share(lender.clone(), groups);
         }
         node.serve = serve;
@@ -426,7 +461,10 @@
         node.notices.relinked();
         node.engine = Engine::new(self.now, CORES);
         node.link = Outbox::default();
-        node.serve.hands.engine.attach(node.link.clone(), node.notices.serial());
+        node.serve
+            .hands
+            .engine
+            .attach(node.link.clone(), node.notices.serial());
         node.out = Outbox::default();
         node.conn = node.serve.opened(self.now, node.out.clone());
         node.front = Front::new(node.conn);
@@ -435,7 +473,8 @@
         node.answered.clear();
         node.waiting.clear();
         (node.together, node.lender, node.backends) = (together, lender, routes);
-        (node.up, node.stopped, node.rpc, node.wakes) = (true, false, 0, Timestamp::from_micros(u64::MAX));
+        (node.up, node.stopped, node.rpc, node.wakes) =
+            (true, false, 0, Timestamp::from_micros(u64::MAX));
         let first = self.gap(s);
         self.push(self.now + first, Event::Arrival(s, lives));
         self.moment(s);
@@ -480,24 +519,40 @@
                 self.event(event);
             }
         }
-        let unison = self.did.iter().map(|(what, times)| (what.clone(), together(times))).collect();
-        let settles = self.settled.map(|when| (when - self.last_deed).as_secs_f64());
+        let unison = self
+            .did
+            .iter()
+            .map(|(what, times)| (what.clone(), together(times)))
+            .collect();
+        let settles = self
+            .settled
+            .map(|when| (when - self.last_deed).as_secs_f64());
         if settles.is_none() && self.of.parts.members {
             let least = at(self.of.seconds * 1_000) - self.last_deed;
             if least > SETTLES {
                 self.breach(
                     "settles",
-                    format!("views differ {:.1} s after the last deed", least.as_secs_f64()),
+                    format!(
+                        "views differ {:.1} s after the last deed",
+                        least.as_secs_f64()
+                    ),
                 );
             }
         }
         let mut twice: BTreeMap<&String, u32> = BTreeMap::new();
         for b in &self.below {
-            b.done.iter().for_each(|(name, n)| *twice.entry(name).or_default() += n);
+            b.done
+                .iter()
+                .for_each(|(name, n)| *twice.entry(name).or_default() += n);
         }
-        let twice: Vec<String> =
-            twice.iter().filter(|t| *t.1 > 1).map(|(name, n)| format!("{name} called {n} times")).collect();
-        twice.into_iter().for_each(|what| self.breach("no effect twice", what));
+        let twice: Vec<String> = twice
+            .iter()
+            .filter(|t| *t.1 > 1)
+            .map(|(name, n)| format!("{name} called {n} times"))
+            .collect();
+        twice
+            .into_iter()
+            .for_each(|what| self.breach("no effect twice", what));
         (0..self.of.servers)
             .filter(|s| self.nodes[*s].up)
             .collect::<Vec<_>>()
@@ -505,9 +560,18 @@
             .for_each(|s| self.count(s));
         let load_below = 1.0 + self.again as f64 / self.firsts.max(1) as f64;
         if load_below > 1.0 + REPEATS && self.firsts > 500 {
-            self.breach("repeats within a tenth", format!("{load_below:.3} calls for each first try"));
+            self.breach(
+                "repeats within a tenth",
+                format!("{load_below:.3} calls for each first try"),
+            );
+        }
+        Found {
+            breaches: self.breaches,
+            rows: self.rows,
+            settles,
+            unison,
+            load_below,
         }
-        Found { breaches: self.breaches, rows: self.rows, settles, unison, load_below }
     }
 
     /// Whether a server can be reached in that life; what comes to one that is stopped waits.
@@ -614,7 +678,11 @@
         let node = &mut self.nodes[s];
         node.rpc += 1;
         let rpc = node.rpc;
-        let key = if handler == 2 { format!("\"replay\":\"{own}{own}\",") } else { String::new() };
+        let key = if handler == 2 {
+            format!("\"replay\":\"{own}{own}\",")
+        } else {
+            String::new()
+        };
         let line = format!(
             "{{\"jsonrpc\":\"2.0\",\"id\":{rpc},\"method\":\"{}\",\"params\":{{\"ref\":\"{own}\",\"since\":{now_ms},\
              \"sender\":4,\"project\":\"acme\",\"allow\":{},{key}\"room\":2.5,\"bytes\":\"QUJD\"}}}}\n",
@@ -625,7 +693,15 @@
         if node.open.len() >= 30 {
             return;
         }
-        node.open.insert(rpc, Asked { handler, name: own, began: self.now, started: false });
+        node.open.insert(
+            rpc,
+            Asked {
+                handler,
+                name: own,
+                began: self.now,
+                started: false,
+            },
+        );
         let life = node.lives;
         self.row.asked[handler] += 1;
         let now = self.now;
@@ -647,7 +723,12 @@
             && self.now - asked.began <= ALLOW + SLACK + Duration::from_millis(5)
             && !self.excused(s, asked.began)
         {
-            let what = format!("{}: {} {} got no answer", name(s), HANDLERS[asked.handler], asked.name);
+            let what = format!(
+                "{}: {} {} got no answer",
+                name(s),
+                HANDLERS[asked.handler],
+                asked.name
+            );
             self.breach("one answer each", what);
         }
     }
@@ -655,7 +736,11 @@
     /// Whether a server was stopped at some time since.
     fn excused(&self, s: usize, since: Timestamp) -> bool {
         let stops = |d: &(u64, Deed)| matches!(d.1, Deed::Stop(x) | Deed::Continue(x) if x == s);
-        let before = self.of.deeds.iter().filter(|d| stops(d) && at(d.0) <= self.now);
+        let before = self
+            .of
+            .deeds
+            .iter()
+            .filter(|d| stops(d) && at(d.0) <= self.now);
         let mut stopped = false;
         for (when, deed) in before {
             stopped = matches!(deed, Deed::Stop(_));
@@ -704,7 +789,9 @@
         let now = self.now;
         let node = &self.nodes[s];
         let outside = |own: Timestamp| {
-            let passed = (own - Timestamp::default()).saturating_sub(node.ahead).mul_f64(1.0 / node.rate);
+            let passed = (own - Timestamp::default())
+                .saturating_sub(node.ahead)
+                .mul_f64(1.0 / node.rate);
             at(0) + passed + Duration::from_micros(2)
         };
         let together = node.together.as_ref().map(|t| outside(t.borrow().due()));
@@ -727,7 +814,14 @@
         let now = self.now;
         let wanted = std::mem::take(&mut self.nodes[s].serve.hands.calls.wanted);
         for (no, out, to) in wanted {
-            self.nodes[s].wires.insert(no, Wire { out, to, replies: Replies::default() });
+            self.nodes[s].wires.insert(
+                no,
+                Wire {
+                    out,
+                    to,
+                    replies: Replies::default(),
+                },
+            );
         }
         self.answers(s);
         let node = &mut self.nodes[s];
@@ -749,7 +843,9 @@
             drop(t);
             for (to, bytes) in out {
                 self.row.bytes += bytes.len() as u64;
-                let Some(to) = which(to).filter(|o| *o < self.of.servers) else { continue };
+                let Some(to) = which(to).filter(|o| *o < self.of.servers) else {
+                    continue;
+                };
                 for (after, bytes) in self.net.carry(s, to, &bytes) {
                     self.push(now + after, Event::Datagram(to, address(s), bytes));
                 }
@@ -760,7 +856,9 @@
             for change in changes {
                 let what = match change {
                     Change::Ejected { .. } => "leave a backend out",
-                    Change::State { to: Backed::Rising, .. } => "let one in again",
+                    Change::State {
+                        to: Backed::Rising, ..
+                    } => "let one in again",
                     _ => continue,
                 };
                 self.did.entry(what.into()).or_default().push(now);
@@ -773,13 +871,16 @@
         let text = String::from_utf8(self.nodes[s].out.take()).unwrap_or_default();
         for line in text.lines() {
             let said: serde_json::Value = serde_json::from_str(line).unwrap_or_default();
-            let Some(rpc) = said["id"].as_u64() else { continue };
+            let Some(rpc) = said["id"].as_u64() else {
+                continue;
+            };
             if self.of.plant == Some(Plant::Answers) && rpc % 200 == 0 {
                 continue;
             }
             let Some(asked) = self.nodes[s].open.remove(&rpc) else {
                 if rpc > self.nodes[s].rpc || self.nodes[s].answered.contains(&rpc) {
-                    let what = format!("{}: an answer to nothing, or a second one: {line}", name(s));
+                    let what =
+                        format!("{}: an answer to nothing, or a second one: {line}", name(s));
                     self.breach("one answer each", what);
                 }
                 continue;
@@ -810,19 +911,24 @@
         let now = self.now;
         match said["msg"].as_str().unwrap_or_default() {
             "ATTACH" => {
-                let hello = "{\"msg\":\"HELLO\",\"how\":\"old\",\"duration\":3600000}\n".to_string();
+                let hello =
+                    "{\"msg\":\"HELLO\",\"how\":\"old\",\"duration\":3600000}\n".to_string();
                 self.push(now + NEAR, Event::Notice(s, life, hello));
             }
             "STAT" => {
                 let on = self.nodes[s].engine.on_cores();
                 let cookie = said["cookie"].as_str().unwrap_or_default();
                 let used = (on as f64 / CORES).min(1.0);
-                let line =
-                    format!("{{\"msg\":\"STATS\",\"cookie\":\"{cookie}\",\"stats\":[{used},{on},0.1,1]}}\n");
+                let line = format!(
+                    "{{\"msg\":\"STATS\",\"cookie\":\"{cookie}\",\"stats\":[{used},{on},0.1,1]}}\n"
+                );
                 self.push(now + NEAR, Event::Notice(s, life, line));
             }
             "RUN" => {
-                let handler = HANDLERS.iter().position(|h| Some(*h) == said["service"].as_str()).unwrap_or(0);
+                let handler = HANDLERS
+                    .iter()
+                    .position(|h| Some(*h) == said["service"].as_str())
+                    .unwrap_or(0);
                 let secs = WORK_MS[handler] / 1e3 * (0.5 + self.chance.rand_float());
                 let ran = self.ran.entry(call.clone()).or_default();
                 *ran += 1 + u32::from(self.of.plant == Some(Plant::Runs) && call.ends_with('7'));
@@ -855,24 +961,38 @@
 
     /// What goes out on one connection to what lies below.
     fn calls_out(&mut self, s: usize, life: u32, no: u64) {
-        let Some(wire) = self.nodes[s].wires.get(&no) else { return };
+        let Some(wire) = self.nodes[s].wires.get(&no) else {
+            return;
+        };
         let (closing, to) = (wire.out.is_closing(), wire.to);
         let text = String::from_utf8(wire.out.take()).unwrap_or_default();
         // Without routes all calls go to the first backend there is.
         let b = to.map_or(0, which_below);
         for line in text.lines() {
             let words: Vec<&str> = line.split_whitespace().collect();
-            let ["FETCH", called, ..] = words[..] else { continue };
+            let ["FETCH", called, ..] = words[..] else {
+                continue;
+            };
             let node = &self.nodes[s];
-            let keyed = node.open.values().any(|a| a.name == called && a.handler == 2);
-            let call = Call { server: s, life, wire: no, name: called.into(), keyed };
+            let keyed = node
+                .open
+                .values()
+                .any(|a| a.name == called && a.handler == 2);
+            let call = Call {
+                server: s,
+                life,
+                wire: no,
+                name: called.into(),
+                keyed,
+            };
             self.row.calls += 1;
             self.push(self.now + WAY, Event::Reaches(b, call));
         }
         if closing {
             self.nodes[s].wires.remove(&no);
             for below in &mut self.below {
-                self.in_hand -= below.quit(|c| c.server == s && c.life == life && c.wire == no) as u32;
+                self.in_hand -=
+                    below.quit(|c| c.server == s && c.life == life && c.wire == no) as u32;
             }
             self.nodes[s].serve.call_lost(self.now, no);
         }
@@ -880,8 +1000,9 @@
 
     fn reaches(&mut self, b: usize, call: Call) {
         let (s, life, wire) = (call.server, call.life, call.wire);
-        let alive =
-            self.nodes[s].up && self.nodes[s].lives == life && self.nodes[s].wires.contains_key(&wire);
+        let alive = self.nodes[s].up
+            && self.nodes[s].lives == life
+            && self.nodes[s].wires.contains_key(&wire);
         if !alive {
             return;
         }
@@ -893,7 +1014,10 @@
         let called = call.name.clone();
         match self.below[b].came(no, call, &mut self.chance) {
             Fares::Fails => {
-                self.push(self.now + WAY, Event::Reply(s, life, wire, format!("{called} FAULT\r\n")));
+                self.push(
+                    self.now + WAY,
+                    Event::Reply(s, life, wire, format!("{called} FAULT\r\n")),
+                );
                 return;
             }
             Fares::Works(span) => self.push(self.now + span, Event::Worked(b, no)),
@@ -915,7 +1039,10 @@
         if let Some(call) = call {
             self.in_hand -= 1;
             let text = format!("{} DATA 2\r\nok\r\n", call.name);
-            self.push(self.now + WAY, Event::Reply(call.server, call.life, call.wire, text));
+            self.push(
+                self.now + WAY,
+                Event::Reply(call.server, call.life, call.wire, text),
+            );
         }
     }
 
@@ -953,12 +1080,30 @@
                 self.net.act(&Act::OneWay(s, others));
             }
             Deed::Heal => self.net.act(&Act::Heal),
-            Deed::Net { loss, double, spoil, delay_ms } => {
-                let delay = Some((Duration::from_millis(1), Duration::from_millis(delay_ms + 2)));
-                let act = Act::Net { loss: Some(loss), double: Some(double), spoil: Some(spoil), delay };
+            Deed::Net {
+                loss,
+                double,
+                spoil,
+                delay_ms,
+            } => {
+                let delay = Some((
+                    Duration::from_millis(1),
+                    Duration::from_millis(delay_ms + 2),
+                ));
+                let act = Act::Net {
+                    loss: Some(loss),
+                    double: Some(double),
+                    spoil: Some(spoil),
+                    delay,
+                };
                 self.net.act(&act);
             }
-            Deed::Calm => self.net.act(&Act::Net { loss: None, double: None, spoil: None, delay: None }),
+            Deed::Calm => self.net.act(&Act::Net {
+                loss: None,
+                double: None,
+                spoil: None,
+                delay: None,
+            }),
             Deed::Backend(b, ill) => {
                 self.below[b].ill = ill;
                 if ill.is_none() || ill == Some(Ill::Down) {
@@ -984,7 +1129,11 @@
                 let t = t.borrow();
                 *digests.entry(t.members.digest()).or_default() += 1;
                 let view = t.members.view();
-                doubts += view.members.iter().filter(|m| matches!(m.state, State::Suspect)).count();
+                doubts += view
+                    .members
+                    .iter()
+                    .filter(|m| matches!(m.state, State::Suspect))
+                    .count();
                 let tables = view.members.len();
                 if tables > self.of.servers + 1 {
                     over.push(format!("{} holds {tables} members", name(*s)));
@@ -996,9 +1145,11 @@
                 self.row.left_out += routes.states().filter(is_out).count() as u32;
             }
         }
-        over.into_iter().for_each(|what| self.breach("tables are bounded", what));
+        over.into_iter()
+            .for_each(|what| self.breach("tables are bounded", what));
         self.row.running = running.len() as u32;
-        self.row.apart = digests.values().sum::<u32>() - digests.values().max().copied().unwrap_or(0);
+        self.row.apart =
+            digests.values().sum::<u32>() - digests.values().max().copied().unwrap_or(0);
         let quiet = self.row.apart == 0 && doubts == 0 && digests.len() <= 1;
         if quiet && self.settled.is_none() {
             self.settled = Some(self.now);
@@ -1014,6 +1165,11 @@
 
 /// The most of those moments that lie within a tenth of a second.
 fn together(times: &[Timestamp]) -> u32 {
-    let within = |i: usize| times[i..].iter().take_while(|t| **t - times[i] <= UNISON).count();
+    let within = |i: usize| {
+        times[i..]
+            .iter()
+            .take_while(|t| **t - times[i] <= UNISON)
+            .count()
+    };
     (0..times.len()).map(within).max().unwrap_or(0) as u32
 }
--- a/crates/simulator-adapter/src/host.rs
+++ b/crates/simulator-adapter/src/host.rs
@@ -77,13 +77,19 @@
             let code = fields.u8().map_err(place)?;
             let who = fields.u16().map_err(place)?;
             touched.retain(|t| *t != who || code != wire::KILL);
-            self.event(now, code, who, &mut fields).map_err(|e| e.at(place))?;
+            self.event(now, code, who, &mut fields)
+                .map_err(|e| e.at(place))?;
             if code != wire::KILL && !touched.contains(&who) {
                 touched.push(who);
             }
         }
         if fields.rest() > 0 {
-            return Err(format!("frame: {} bytes left after {} records", fields.rest(), batch.count).into());
+            return Err(format!(
+                "frame: {} bytes left after {} records",
+                fields.rest(),
+                batch.count
+            )
+            .into());
         }
         for who in touched {
             self.guarded(who, |i, out| i.decider.settle(now, out))?;
@@ -92,15 +98,23 @@
     }
 
     /// Lets an instance decide; a failure inside the decision code is declared on the wire.
-    fn guarded(&mut self, who: u16, act: impl FnOnce(&mut Instance, &mut Reply)) -> Result<(), Wrong> {
-        let instance =
-            self.instances.get_mut(&who).ok_or_else(|| format!("instance {who} was never begun"))?;
+    fn guarded(
+        &mut self,
+        who: u16,
+        act: impl FnOnce(&mut Instance, &mut Reply),
+    ) -> Result<(), Wrong> {
+        let instance = self
+            .instances
+            .get_mut(&who)
+            .ok_or_else(|| format!("instance {who} was never begun"))?;
         self.reply.who = who;
         let reply = &mut self.reply;
         if let Err(cause) = catch_unwind(AssertUnwindSafe(|| act(instance, reply))) {
             let text = cause.downcast_ref::<String>().map(String::as_str);
-            self.reply
-                .fault(text.or(cause.downcast_ref::<&str>().copied()).unwrap_or("the decision code failed"));
+            self.reply.fault(
+                text.or(cause.downcast_ref::<&str>().copied())
+                    .unwrap_or("the decision code failed"),
+            );
         }
         Ok(())
     }
@@ -115,8 +129,10 @@
                 self.guarded(who, |i, out| i.decider.begin(out))
             }
             wire::QUERY => {
-                let known =
-                    self.instances.get(&who).ok_or_else(|| format!("instance {who} was never begun"))?;
+                let known = self
+                    .instances
+                    .get(&who)
+                    .ok_or_else(|| format!("instance {who} was never begun"))?;
                 let a = arrival(f, known)?;
                 self.guarded(who, |i, out| i.decider.arrive(now, &a, out))
             }
@@ -143,16 +159,21 @@
             wire::BELL => {
                 f.u64()?;
                 let n = f.u8()?;
-                let values = (0..n).map(|_| f.f32()).collect::<Result<Vec<f64>, String>>()?;
+                let values = (0..n)
+                    .map(|_| f.f32())
+                    .collect::<Result<Vec<f64>, String>>()?;
                 self.guarded(who, |i, out| {
                     let read = |at: Option<usize>| at.and_then(|at| values.get(at)).copied();
-                    let gauges = Gauges { on_cores: read(i.on_cores) };
+                    let gauges = Gauges {
+                        on_cores: read(i.on_cores),
+                    };
                     i.decider.tick(now, &gauges, out);
                 })
             }
             wire::KILL => {
                 let was = self.instances.remove(&who);
-                was.map(|_| ()).ok_or_else(|| format!("instance {who} was never begun").into())
+                was.map(|_| ())
+                    .ok_or_else(|| format!("instance {who} was never begun").into())
             }
             _ => Err(format!("event code {code} is unknown").into()),
         }
@@ -164,10 +185,16 @@
     let (wait, hint, held_kb, rank) = (f.span()?, f.span()?, f.f32()?, f.f32()?);
     let (bits, from, unread_for, repeats) = (f.u8()?, f.u16()?, f.span()?, f.u64()?);
     if handler >= known.handlers {
-        return Err(format!("request {id}: class {handler} of {} classes", known.handlers));
+        return Err(format!(
+            "request {id}: class {handler} of {} classes",
+            known.handlers
+        ));
     }
     if tenant >= known.tenants.max(1) {
-        return Err(format!("request {id}: tenant {tenant} of {} tenants", known.tenants));
+        return Err(format!(
+            "request {id}: tenant {tenant} of {} tenants",
+            known.tenants
+        ));
     }
     if held_kb < 0.0 {
         return Err(format!("request {id}: held_kb is under 0"));
@@ -175,10 +202,27 @@
     if known.decider.knows(id) {
         return Err(format!("request {id}: read a second time"));
     }
-    let wait = if known.says_wait { wait } else { Duration::ZERO };
+    let wait = if known.says_wait {
+        wait
+    } else {
+        Duration::ZERO
+    };
     let hint = (bits & 1 != 0).then_some(hint);
     let retry = bits & 2 != 0;
-    Ok(Arrival { id, from, handler, tenant, subject, wait, hint, held_kb, rank, retry, unread_for, repeats })
+    Ok(Arrival {
+        id,
+        from,
+        handler,
+        tenant,
+        subject,
+        wait,
+        hint,
+        held_kb,
+        rank,
+        retry,
+        unread_for,
+        repeats,
+    })
 }
 
 impl Instance {
--- a/crates/simulator-adapter/src/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -12,7 +12,10 @@
     let mut host = Host::default();
     while let Some(batch) = wire::next_batch(&mut input)? {
         let frame = host.play(&batch)?;
-        output.write_all(&frame).and_then(|()| output.flush()).map_err(|e| format!("output: {e}"))?;
+        output
+            .write_all(&frame)
+            .and_then(|()| output.flush())
+            .map_err(|e| format!("output: {e}"))?;
     }
     Ok(())
 }
--- a/crates/simulator-adapter/src/wire.rs
+++ b/crates/simulator-adapter/src/wire.rs
@@ -24,7 +24,11 @@
 /// The next batch, or nothing at the end of input.
 pub fn next_batch(input: &mut impl Read) -> Result<Option<Batch>, String> {
     let mut head = Vec::with_capacity(16);
-    let got = input.by_ref().take(16).read_to_end(&mut head).map_err(|e| format!("input: {e}"))?;
+    let got = input
+        .by_ref()
+        .take(16)
+        .read_to_end(&mut head)
+        .map_err(|e| format!("input: {e}"))?;
     if got == 0 {
         return Ok(None);
     }
@@ -34,13 +38,21 @@
     let mut fields = Fields::new(&head);
     let (clock, len, count) = (fields.u64()?, fields.u32()?, fields.u32()?);
     if len < 4 {
-        return Err(format!("frame: length {len} has no room for the count of records"));
+        return Err(format!(
+            "frame: length {len} has no room for the count of records"
+        ));
     }
     let want = u64::from(len) - 4;
     let mut body = vec![];
-    let got = input.by_ref().take(want).read_to_end(&mut body).map_err(|e| format!("input: {e}"))? as u64;
+    let got = input
+        .by_ref()
+        .take(want)
+        .read_to_end(&mut body)
+        .map_err(|e| format!("input: {e}"))? as u64;
     if got < want {
-        return Err(format!("frame: input ends {got} bytes into records of {want}"));
+        return Err(format!(
+            "frame: input ends {got} bytes into records of {want}"
+        ));
     }
     Ok(Some(Batch { clock, count, body }))
 }
@@ -62,7 +74,11 @@
         let all = self.bytes;
         let end = self.at.checked_add(n).filter(|e| *e <= all.len());
         let end = end.ok_or_else(|| {
-            format!("record cut short at byte {}: {n} wanted, {} left", self.at, self.rest())
+            format!(
+                "record cut short at byte {}: {n} wanted, {} left",
+                self.at,
+                self.rest()
+            )
         })?;
         let found = &all[self.at..end];
         self.at = end;
@@ -105,7 +121,9 @@
 }
 
 fn short(span: Duration) -> [u8; 4] {
-    u32::try_from(span.as_micros()).unwrap_or(u32::MAX).to_le_bytes()
+    u32::try_from(span.as_micros())
+        .unwrap_or(u32::MAX)
+        .to_le_bytes()
 }
 
 impl Reply {
@@ -138,7 +156,10 @@
         self.put(1, &[&id.to_le_bytes()]);
     }
     fn shed(&mut self, id: u64, come_back: Duration, last: bool) {
-        self.put(2, &[&id.to_le_bytes(), &short(come_back), &[u8::from(last)]]);
+        self.put(
+            2,
+            &[&id.to_le_bytes(), &short(come_back), &[u8::from(last)]],
+        );
     }
     fn errored(&mut self, id: u64) {
         self.put(3, &[&id.to_le_bytes()]);
--- a/crates/simulator-adapter/tests/wire.rs
+++ b/crates/simulator-adapter/tests/wire.rs
@@ -13,17 +13,30 @@
 
 fn bytes(hex: &str) -> Vec<u8> {
     let digits: Vec<u8> = hex.bytes().filter(u8::is_ascii_hexdigit).collect();
-    digits.chunks(2).map(|d| u8::from_str_radix(std::str::from_utf8(d).unwrap(), 16).unwrap()).collect()
+    digits
+        .chunks(2)
+        .map(|d| u8::from_str_radix(std::str::from_utf8(d).unwrap(), 16).unwrap())
+        .collect()
 }
 
 fn batch(count: u32, body: &[u8]) -> Vec<u8> {
     let len = body.len() as u32 + 4;
-    [&bytes("5a5c800000000000")[..], &len.to_le_bytes(), &count.to_le_bytes(), body].concat()
+    [
+        &bytes("5a5c800000000000")[..],
+        &len.to_le_bytes(),
+        &count.to_le_bytes(),
+        body,
+    ]
+    .concat()
 }
 
 fn begin(settings: &str) -> Vec<u8> {
-    [&bytes("01 0300 6400000000000000")[..], &(settings.len() as u32).to_le_bytes(), settings.as_bytes()]
-        .concat()
+    [
+        &bytes("01 0300 6400000000000000")[..],
+        &(settings.len() as u32).to_le_bytes(),
+        settings.as_bytes(),
+    ]
+    .concat()
 }
 
 fn query() -> Vec<u8> {
@@ -90,14 +103,26 @@
         batch(1, &ended),
     ];
     let replies = play(&frames).unwrap();
-    assert_eq!(replies[1], bytes("0f000000 01000000 01 0300 c4913a5de3f90d00"));
-    assert_eq!(replies[3], bytes("04000000 00000000"), "a late outcome is passed over");
+    assert_eq!(
+        replies[1],
+        bytes("0f000000 01000000 01 0300 c4913a5de3f90d00")
+    );
+    assert_eq!(
+        replies[3],
+        bytes("04000000 00000000"),
+        "a late outcome is passed over"
+    );
 }
 
 #[test]
 fn an_instance_may_die_and_begin_again_in_one_batch() {
     let again = [bytes("09 0300"), begin(SETTINGS), query()].concat();
-    let replies = play(&[batch(1, &begin(SETTINGS)), batch(1, &query()), batch(3, &again)]).unwrap();
+    let replies = play(&[
+        batch(1, &begin(SETTINGS)),
+        batch(1, &query()),
+        batch(3, &again),
+    ])
+    .unwrap();
     assert!(replies[2].ends_with(&bytes("01 0300 c4913a5de3f90d00")));
 }
 
@@ -107,21 +132,57 @@
     let cases: Vec<(Vec<Vec<u8>>, &str)> = vec![
         (vec![bytes("5a5c8000")], "into a header"),
         (vec![good[..good.len() - 5].to_vec()], "into records"),
-        (vec![bytes("5a5c800000000000 03000000 00000000")], "no room for the count"),
-        (vec![batch(2, &begin(SETTINGS))], "record 2 of 2: record cut short"),
-        (vec![batch(0, &begin(SETTINGS))], "bytes left after 0 records"),
-        (vec![batch(1, &bytes("63 0300"))], "event code 99 is unknown"),
+        (
+            vec![bytes("5a5c800000000000 03000000 00000000")],
+            "no room for the count",
+        ),
+        (
+            vec![batch(2, &begin(SETTINGS))],
+            "record 2 of 2: record cut short",
+        ),
+        (
+            vec![batch(0, &begin(SETTINGS))],
+            "bytes left after 0 records",
+        ),
+        (
+            vec![batch(1, &bytes("63 0300"))],
+            "event code 99 is unknown",
+        ),
         (vec![batch(1, &begin("no json"))], "settings: "),
-        (vec![batch(1, &begin(&SETTINGS.replace("\"n_cores\": 6,", "")))], "n_cores"),
-        (vec![batch(1, &begin(&SETTINGS.replace("\"n_cores\": 6", "\"n_cores\": 0")))], "n_cores is 0"),
-        (vec![batch(1, &begin(&SETTINGS.replace("read_like", "odd")))], "'odd'"),
+        (
+            vec![batch(1, &begin(&SETTINGS.replace("\"n_cores\": 6,", "")))],
+            "n_cores",
+        ),
+        (
+            vec![batch(
+                1,
+                &begin(&SETTINGS.replace("\"n_cores\": 6", "\"n_cores\": 0")),
+            )],
+            "n_cores is 0",
+        ),
+        (
+            vec![batch(1, &begin(&SETTINGS.replace("read_like", "odd")))],
+            "'odd'",
+        ),
         (vec![batch(1, &query())], "instance 3 was never begun"),
-        (vec![good.clone(), batch(2, &[query(), query()].concat())], "read a second time"),
-        (vec![good.clone(), batch(1, &bytes("03 0300 c4913a5de3f90d00 09 00000000"))], "outcome 9"),
+        (
+            vec![good.clone(), batch(2, &[query(), query()].concat())],
+            "read a second time",
+        ),
+        (
+            vec![
+                good.clone(),
+                batch(1, &bytes("03 0300 c4913a5de3f90d00 09 00000000")),
+            ],
+            "outcome 9",
+        ),
     ];
     for (frames, expected) in cases {
         let message = play(&frames).expect_err(expected);
-        assert!(message.contains(expected) && !message.contains('\n'), "{message} for {expected}");
+        assert!(
+            message.contains(expected) && !message.contains('\n'),
+            "{message} for {expected}"
+        );
     }
 }
 
--- a/crates/testkit/examples/kept.rs
+++ b/crates/testkit/examples/kept.rs
@@ -43,16 +43,37 @@
         let folder = written("");
         std::fs::remove_file(&folder).expect("removed");
         std::fs::create_dir(&folder).expect("made");
-        let engine =
-            Engine::start(4.0, vec![Work { handler: "book".into(), ms: work_ms, calls: true }], seed);
+        let engine = Engine::start(
+            4.0,
+            vec![Work {
+                handler: "book".into(),
+                ms: work_ms,
+                calls: true,
+            }],
+            seed,
+        );
         let catalogue = Catalogue::start(64, Duration::from_millis(5));
         let (registry, reports) = registry::start();
         std::thread::spawn(move || reports.iter().for_each(drop));
-        let others = Others { engine: engine.address, registry, catalogue: catalogue.address };
-        let operator = sync
-            .map(|s| format!("[kept-results]\nenabled = on\ndirectory = {}\nsync = {s}\n", folder.display()));
+        let others = Others {
+            engine: engine.address,
+            registry,
+            catalogue: catalogue.address,
+        };
+        let operator = sync.map(|s| {
+            format!(
+                "[kept-results]\nenabled = on\ndirectory = {}\nsync = {s}\n",
+                folder.display()
+            )
+        });
         let config = configuration("127.0.0.1:0", others, 256, 3_000, SETTINGS);
-        Place { binary: binary.into(), folder, operator, config, engine }
+        Place {
+            binary: binary.into(),
+            folder,
+            operator,
+            config,
+            engine,
+        }
     }
 
     fn live(&self) -> Server {
@@ -116,7 +137,9 @@
                 break;
             }
             let said: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
-            let Some(id) = said["id"].as_u64() else { continue };
+            let Some(id) = said["id"].as_u64() else {
+                continue;
+            };
             let at = (id - first) as usize;
             match said["error"]["code"].as_i64() {
                 None => {
@@ -126,13 +149,17 @@
                 Some(-32002) => {
                     tally.repeats_shed += u32::from(life > 0);
                     if done[at] {
-                        tally.broken.push(format!("seed {seed}: a done key was shed"));
+                        tally
+                            .broken
+                            .push(format!("seed {seed}: a done key was shed"));
                     }
                 }
                 Some(_) => {
                     tally.repeats_errored += u32::from(life > 0);
                     if done[at] {
-                        tally.broken.push(format!("seed {seed}: a done key was errored"));
+                        tally
+                            .broken
+                            .push(format!("seed {seed}: a done key was errored"));
                     }
                 }
             }
@@ -144,7 +171,9 @@
     tally.unanswered = keys.len() as u32 - tally.answered.min(keys.len() as u32);
     for (body, runs) in place.engine.ran().bodies {
         if runs > 1 {
-            tally.broken.push(format!("seed {seed}: {body} was booked {runs} times"));
+            tally
+                .broken
+                .push(format!("seed {seed}: {body} was booked {runs} times"));
         }
     }
     tally
@@ -162,13 +191,24 @@
         project: "acme",
     };
     let length = Duration::from_secs(4);
-    let load =
-        Load { asks: vec![ask], rates: vec![(Duration::ZERO, rate)], length, seed: 7, allow_ms: 8_000 };
+    let load = Load {
+        asks: vec![ask],
+        rates: vec![(Duration::ZERO, rate)],
+        length,
+        seed: 7,
+        allow_ms: 8_000,
+    };
     let (cpu, began) = (server.cpu(), Instant::now());
     let fates = load.run(server.address, |name| place.engine.answered(name), |_| ());
-    let (cpu, took) = ((server.cpu() - cpu) * 1e3 / fates.len() as f64, began.elapsed().as_secs_f64());
+    let (cpu, took) = (
+        (server.cpu() - cpu) * 1e3 / fates.len() as f64,
+        began.elapsed().as_secs_f64(),
+    );
     let found = times(&fates, 0);
-    let done = fates.iter().filter(|f| matches!(f.answers[..], [(Answer::Done, _)])).count();
+    let done = fates
+        .iter()
+        .filter(|f| matches!(f.answers[..], [(Answer::Done, _)]))
+        .count();
     let broken = breaches(&fates, &load.asks, &place.engine.ran().bodies);
     server.signal("-TERM");
     let mut writes = 0.0;
@@ -201,7 +241,12 @@
                 .flat_map(|k| {
                     let key = part * 1_000 + k;
                     let result = vec![b'x'; 100].into_boxed_slice();
-                    let intent = Record::Intent { key, print: 0, until, name: [b'0'; 16] };
+                    let intent = Record::Intent {
+                        key,
+                        print: 0,
+                        until,
+                        name: [b'0'; 16],
+                    };
                     [(intent, until), (Record::Done { key, result }, until)]
                 })
                 .collect();
@@ -209,20 +254,30 @@
         }
     }
     let server = place.live();
-    println!("{}; resident {} KB", server.before.concat().trim(), server.memory_kb());
+    println!(
+        "{}; resident {} KB",
+        server.before.concat().trim(),
+        server.memory_kb()
+    );
 }
 
 fn main() {
-    let histories: u64 = std::env::args().nth(1).and_then(|n| n.parse().ok()).unwrap_or(500);
-    let binary =
-        PathBuf::from(std::env::var("MADDERBAY").unwrap_or_else(|_| "target/release/madderbay".into()));
+    let histories: u64 = std::env::args()
+        .nth(1)
+        .and_then(|n| n.parse().ok())
+        .unwrap_or(500);
+    let binary = PathBuf::from(
+        std::env::var("MADDERBAY").unwrap_or_else(|_| "target/release/madderbay".into()),
+    );
     // First, since the stand-ins of the histories stay until the end.
     for rate in [50.0, 200.0, 1_000.0] {
         for sync in [None, Some("grouped"), Some("each")] {
             cost(&binary, sync, rate);
         }
     }
-    [1_000, 10_000, 100_000].into_iter().for_each(|keys| recovery(&binary, keys));
+    [1_000, 10_000, 100_000]
+        .into_iter()
+        .for_each(|keys| recovery(&binary, keys));
     let mut all = Tally::default();
     let seeds: Vec<u64> = (1..=histories).collect();
     let found: Vec<Tally> = std::thread::scope(|scope| {
@@ -233,7 +288,10 @@
                 scope.spawn(move || part.iter().map(|s| history(binary, *s)).collect::<Vec<_>>())
             })
             .collect();
-        parts.into_iter().flat_map(|p| p.join().expect("played")).collect()
+        parts
+            .into_iter()
+            .flat_map(|p| p.join().expect("played"))
+            .collect()
     });
     for t in found {
         all.answered += t.answered;
--- a/crates/testkit/examples/members.rs
+++ b/crates/testkit/examples/members.rs
@@ -49,7 +49,11 @@
     values.sort_by(f64::total_cmp);
     match values {
         [] => "-".into(),
-        _ => format!("{:.digits$} ({:.digits$})", values[values.len() / 2], values[values.len() - 1]),
+        _ => format!(
+            "{:.digits$} ({:.digits$})",
+            values[values.len() / 2],
+            values[values.len() - 1]
+        ),
     }
 }
 
@@ -67,8 +71,15 @@
     fn print(&mut self, head: &str) {
         let cpu = told(&mut self.cpu, 3);
         let (join, crash) = (told(&mut self.join, 1), told(&mut self.crash, 1));
-        let (cut, heal, bytes) = (told(&mut self.cut, 1), told(&mut self.heal, 1), told(&mut self.bytes, 0));
-        println!("| {head} | {join} | {crash} | {cut} | {heal} | {bytes} | {cpu} | {} |", self.wrong);
+        let (cut, heal, bytes) = (
+            told(&mut self.cut, 1),
+            told(&mut self.heal, 1),
+            told(&mut self.bytes, 0),
+        );
+        println!(
+            "| {head} | {join} | {crash} | {cut} | {heal} | {bytes} | {cpu} | {} |",
+            self.wrong
+        );
     }
 }
 
@@ -84,7 +95,12 @@
 }
 
 fn start(who: usize) -> Act {
-    Act::Start { who, name: who, clock: Duration::ZERO, back: false }
+    Act::Start {
+        who,
+        name: who,
+        clock: Duration::ZERO,
+        back: false,
+    }
 }
 
 /// All but the last settle; it joins, one crashes, a third is cut off, the cut heals. `calm` counts what a
@@ -100,7 +116,10 @@
     row.join.push(settle(fleet));
     act(fleet, Act::Kill(n / 2));
     row.crash.push(settle(fleet));
-    act(fleet, Act::Cut(vec![(0..n / 3).collect(), (n / 3..n).collect()]));
+    act(
+        fleet,
+        Act::Cut(vec![(0..n / 3).collect(), (n / 3..n).collect()]),
+    );
     row.cut.push(settle(fleet));
     act(fleet, Act::Heal);
     row.heal.push(settle(fleet));
@@ -108,7 +127,12 @@
 
 fn net(loss: f64) -> Act {
     let delay = Some((Duration::from_micros(200), Duration::from_millis(5)));
-    Act::Net { loss: Some(loss), double: None, spoil: None, delay }
+    Act::Net {
+        loss: Some(loss),
+        double: None,
+        spoil: None,
+        delay,
+    }
 }
 
 /// The faults of a row, ours and without own health: each way is played over the same seeds, several at a time.
@@ -123,10 +147,17 @@
                         return;
                     }
                     let mut row = Row::default();
-                    let mut sim = Sim::new(Setup { minds_itself, ..Setup::of(n) }, seed);
+                    let mut sim = Sim::new(
+                        Setup {
+                            minds_itself,
+                            ..Setup::of(n)
+                        },
+                        seed,
+                    );
                     sim.act(&net(loss)).expect("set");
                     play(&mut sim, n, &mut row, |sim, row| {
-                        let sent = |sim: &Sim| sim.running().map(|m| m.1.counts.bytes_out).sum::<u64>();
+                        let sent =
+                            |sim: &Sim| sim.running().map(|m| m.1.counts.bytes_out).sum::<u64>();
                         let (before, began) = (sent(sim), Instant::now());
                         sim.run(CALM);
                         let each = CALM.as_secs_f64() * (n - 1) as f64;
@@ -144,9 +175,19 @@
 
 fn simulated(seeds: u64, only: Option<usize>, only_loss: Option<f64>) {
     println!("{HEAD}");
-    for n in [10, 100, 1_000].into_iter().filter(|n| only.is_none_or(|o| o == *n)) {
-        for loss in [0.0, 0.1, 0.3].into_iter().filter(|l| only_loss.is_none_or(|o| o == *l)) {
-            let seeds = if n > 100 { seeds.min(SEEDS_OF_MANY) } else { seeds };
+    for n in [10, 100, 1_000]
+        .into_iter()
+        .filter(|n| only.is_none_or(|o| o == *n))
+    {
+        for loss in [0.0, 0.1, 0.3]
+            .into_iter()
+            .filter(|l| only_loss.is_none_or(|o| o == *l))
+        {
+            let seeds = if n > 100 {
+                seeds.min(SEEDS_OF_MANY)
+            } else {
+                seeds
+            };
             let mut row = ours(n, loss, seeds, true);
             row.print(&format!("ours, {n}, {loss}"));
             ours(n, loss, seeds, false).print(&format!("no own health, {n}, {loss}"));
@@ -163,7 +204,8 @@
 fn memory_kb() -> u64 {
     let text = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
     let line = text.lines().find_map(|l| l.strip_prefix("VmHWM:"));
-    line.and_then(|l| l.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+    line.and_then(|l| l.split_whitespace().next()?.parse().ok())
+        .unwrap_or(0)
 }
 
 /// All-to-all heartbeats: each sends a word of 60 bytes to each other every half second, and holds down whom it
@@ -214,7 +256,10 @@
             self.phase[i] = BEAT;
             for j in (0..self.n).filter(|j| *j != i) {
                 self.sent += 60;
-                if self.up[j] && self.group[i] == self.group[j] && self.chance.rand_float() >= self.loss {
+                if self.up[j]
+                    && self.group[i] == self.group[j]
+                    && self.chance.rand_float() >= self.loss
+                {
                     self.heard[j * self.n + i] = self.now;
                 }
             }
@@ -255,7 +300,8 @@
     while beats.now - at < 5.0 {
         beats.step();
     }
-    row.bytes.push((beats.sent - before) as f64 / 5.0 / n as f64);
+    row.bytes
+        .push((beats.sent - before) as f64 / 5.0 / n as f64);
     let _ = began;
     beats.up[n - 1] = true;
     row.join.push(beats.settle());
@@ -271,7 +317,13 @@
 fn hour() {
     let (n, loss, minutes) = (100, 0.1, 60);
     for (way, minds_itself) in [("ours", true), ("no own health", false)] {
-        let mut sim = Sim::new(Setup { minds_itself, ..Setup::of(n) }, 1);
+        let mut sim = Sim::new(
+            Setup {
+                minds_itself,
+                ..Setup::of(n)
+            },
+            1,
+        );
         sim.act(&net(loss)).expect("set");
         (0..n).for_each(|s| sim.act(&start(s)).expect("started"));
         settle(&mut sim);
@@ -279,9 +331,13 @@
         let (mut downs, mut suspicions) = (0, 0);
         for _ in 0..minutes {
             let paused: Vec<usize> = (0..n).filter(|_| chance.rand_float() < 0.05).collect();
-            paused.iter().for_each(|s| sim.act(&Act::Stop(*s)).expect("stopped"));
+            paused
+                .iter()
+                .for_each(|s| sim.act(&Act::Stop(*s)).expect("stopped"));
             sim.run(Duration::from_millis(2_000));
-            paused.iter().for_each(|s| sim.act(&Act::Continue(*s)).expect("continued"));
+            paused
+                .iter()
+                .for_each(|s| sim.act(&Act::Continue(*s)).expect("continued"));
             sim.run(Duration::from_millis(58_000));
         }
         for (_, m) in sim.running() {
@@ -317,17 +373,31 @@
 const SETTINGS: &str = include_str!("settings.json");
 
 fn works() -> Vec<Work> {
-    let of = |handler: &str, calls| Work { handler: handler.into(), ms: (2.0, 6.0), calls };
+    let of = |handler: &str, calls| Work {
+        handler: handler.into(),
+        ms: (2.0, 6.0),
+        calls,
+    };
     vec![of("search", true), of("quote", false), of("book", true)]
 }
 
 fn load(seed: u64, secs: u64, rate: f64) -> Load {
     let ask = |handler: &str, part, keyed| {
         let target = StdDuration::from_secs(2);
-        Ask { handler: handler.into(), part, target, keyed, project: "acme" }
+        Ask {
+            handler: handler.into(),
+            part,
+            target,
+            keyed,
+            project: "acme",
+        }
     };
     Load {
-        asks: vec![ask("search", 0.4, false), ask("quote", 0.4, false), ask("book", 0.2, true)],
+        asks: vec![
+            ask("search", 0.4, false),
+            ask("quote", 0.4, false),
+            ask("book", 0.2, true),
+        ],
         rates: vec![(StdDuration::ZERO, rate)],
         length: StdDuration::from_secs(secs),
         seed,
@@ -349,14 +419,21 @@
                         return;
                     }
                     let mut chance = Rand64::new(u128::from(seed) + 77);
-                    let setup = Setup { memory: Duration::from_millis(2_000), ..Setup::of(5) };
+                    let setup = Setup {
+                        memory: Duration::from_millis(2_000),
+                        ..Setup::of(5)
+                    };
                     let mut stand = Stand::new(setup, binary(), SETTINGS, &works(), seed);
                     (0..5).for_each(|s| stand.act(&start(s)).expect("started"));
                     let began = settle(&mut stand);
-                    let (engine, server) = (stand.engine(0).clone(), stand.server(0).expect("runs").address);
+                    let (engine, server) = (
+                        stand.engine(0).clone(),
+                        stand.server(0).expect("runs").address,
+                    );
                     let load = load(seed, 3, 60.0);
                     let (fates, healed) = std::thread::scope(|scope| {
-                        let loading = scope.spawn(|| load.run(server, |name| engine.answered(name), |_| ()));
+                        let loading =
+                            scope.spawn(|| load.run(server, |name| engine.answered(name), |_| ()));
                         let mut up = [true; 5];
                         for _ in 0..8 {
                             let who = 1 + (chance.rand_float() * 4.0) as usize;
@@ -364,7 +441,10 @@
                             let act = match (chance.rand_float() * 8.0) as usize {
                                 0 if up[who] => Act::Kill(who),
                                 1 if up[who] => Act::Drain(who),
-                                2 => Act::Cut(vec![vec![0, who], (1..5).filter(|s| *s != who).collect()]),
+                                2 => Act::Cut(vec![
+                                    vec![0, who],
+                                    (1..5).filter(|s| *s != who).collect(),
+                                ]),
                                 3 => Act::OneWay(who, vec![0, 1, 2]),
                                 4 => Act::Heal,
                                 5 => net(part),
@@ -389,7 +469,12 @@
                         }
                         stand.act(&Act::Heal).expect("healed");
                         stand
-                            .act(&Act::Net { loss: None, double: None, spoil: None, delay: None })
+                            .act(&Act::Net {
+                                loss: None,
+                                double: None,
+                                spoil: None,
+                                delay: None,
+                            })
                             .expect("calm");
                         let healed = settle(&mut stand);
                         (loading.join().expect("loaded"), healed)
@@ -397,7 +482,10 @@
                     reqs.fetch_add(fates.len() as u64, Ordering::Relaxed);
                     let mut wrong = breaches(&fates, &load.asks, &engine.ran().bodies);
                     if began.is_infinite() || healed.is_infinite() {
-                        wrong.push(format!("not settled: {:?}", stand.amiss(&Condition::Settled)));
+                        wrong.push(format!(
+                            "not settled: {:?}",
+                            stand.amiss(&Condition::Settled)
+                        ));
                     }
                     let mut most = slowest.lock().expect("a figure");
                     *most = most.max(healed);
@@ -452,7 +540,10 @@
         (1..3).for_each(|h| all.add(times(&fates, h)).expect("added"));
         let (half, most) = (all.value_at_quantile(0.5), all.value_at_quantile(0.99));
         let each = cpu * 1e3 / fates.len() as f64;
-        println!("| {strays} | {half}, {most} | {each:.2} | {:.1} |", cpu * 10.0);
+        println!(
+            "| {strays} | {half}, {most} | {each:.2} | {:.1} |",
+            cpu * 10.0
+        );
     }
 }
 
@@ -474,7 +565,11 @@
             .map(|s| {
                 let engine = Engine::start(2.0, works(), s as u64).address;
                 let (registry, reports) = registry::start();
-                let others = Others { engine, registry, catalogue: engine };
+                let others = Others {
+                    engine,
+                    registry,
+                    catalogue: engine,
+                };
                 let text = configuration("127.0.0.1:0", others, 128, 500, SETTINGS);
                 (Server::start(binary(), &text, None), reports)
             })
@@ -504,10 +599,19 @@
             let mut row = Row::default();
             for seed in 0..seeds {
                 let mut stand = Stand::new(Setup::of(n), binary(), SETTINGS, &[], seed);
-                let quiet = Act::Net { loss: Some(loss), double: None, spoil: None, delay: None };
+                let quiet = Act::Net {
+                    loss: Some(loss),
+                    double: None,
+                    spoil: None,
+                    delay: None,
+                };
                 stand.act(&quiet).expect("set");
                 play(&mut stand, n, &mut row, |stand, row| {
-                    let cpu = |s: &Stand| (0..n - 1).filter_map(|i| Some(s.server(i)?.cpu())).sum::<f64>();
+                    let cpu = |s: &Stand| {
+                        (0..n - 1)
+                            .filter_map(|i| Some(s.server(i)?.cpu()))
+                            .sum::<f64>()
+                    };
                     let (before, began) = (cpu(stand), Instant::now());
                     std::thread::sleep(StdDuration::from_secs(5));
                     let each = began.elapsed().as_secs_f64() * (n - 1) as f64;
--- a/crates/testkit/examples/pools.rs
+++ b/crates/testkit/examples/pools.rs
@@ -79,15 +79,29 @@
 }
 
 fn play(binary: &Path, operator: Option<&str>, trouble: bool, seed: u64) -> Found {
-    let work = |handler: &str, calls| Work { handler: handler.into(), ms: (20.0, 40.0), calls };
-    let works = vec![work("trip-search", true), work("fare-quote", false), work("seat-book", true)];
+    let work = |handler: &str, calls| Work {
+        handler: handler.into(),
+        ms: (20.0, 40.0),
+        calls,
+    };
+    let works = vec![
+        work("trip-search", true),
+        work("fare-quote", false),
+        work("seat-book", true),
+    ];
     let engine = Engine::start(4.0, works, seed);
     let catalogue = Catalogue::start(SLOTS, Duration::from_millis(25));
     let (registry, reports) = registry::start();
-    let others = Others { engine: engine.address, registry, catalogue: catalogue.address };
+    let others = Others {
+        engine: engine.address,
+        registry,
+        catalogue: catalogue.address,
+    };
     let text = configuration("127.0.0.1:0", others, 256, 3_000, SETTINGS);
     let mut server = Server::start(binary, &text, operator);
-    reports.recv_timeout(Duration::from_secs(10)).expect("a report");
+    reports
+        .recv_timeout(Duration::from_secs(10))
+        .expect("a report");
     server.log_at("engine: up");
     let log = server.follow();
     let rates: Rates = if trouble {
@@ -96,7 +110,13 @@
     } else {
         vec![(Duration::ZERO, 90.0)]
     };
-    let load = Load { asks: asks(), rates, length: LENGTH, seed, allow_ms: 8_000 };
+    let load = Load {
+        asks: asks(),
+        rates,
+        length: LENGTH,
+        seed,
+        allow_ms: 8_000,
+    };
     let (began, from) = (Instant::now(), catalogue.seen().in_hand.len());
     let cpu = server.cpu();
     let mut mood = 1.0;
@@ -104,7 +124,11 @@
         server.address,
         |name| engine.answered(name),
         |now| {
-            let wanted = if trouble && now >= CALM && now < OVER { 20.0 } else { 1.0 };
+            let wanted = if trouble && now >= CALM && now < OVER {
+                20.0
+            } else {
+                1.0
+            };
             if std::mem::replace(&mut mood, wanted) != wanted {
                 catalogue.mood(Mood::Slow(wanted));
             }
@@ -116,25 +140,49 @@
     let mut levels = vec![];
     while let Ok((at, line)) = log.recv_timeout(Duration::from_secs(10)) {
         if let Some(rest) = line.strip_prefix("INFO pools: calls ") {
-            let to = rest.split(" to ").nth(1).and_then(|t| t.split(':').next()?.parse().ok());
+            let to = rest
+                .split(" to ")
+                .nth(1)
+                .and_then(|t| t.split(':').next()?.parse().ok());
             levels.push((at.saturating_duration_since(began), to.unwrap_or(0.0)));
         }
     }
     let in_hand = catalogue.seen().in_hand.split_off(from);
-    Found { fates, in_hand, levels, broken, cpu_ms }
+    Found {
+        fates,
+        in_hand,
+        levels,
+        broken,
+        cpu_ms,
+    }
 }
 
 fn peak(found: &Found, from: Duration, to: Duration) -> usize {
     let row = |at: Duration| (at.as_millis() as usize / 10).min(found.in_hand.len());
-    found.in_hand[row(from)..row(to)].iter().copied().max().unwrap_or(0)
+    found.in_hand[row(from)..row(to)]
+        .iter()
+        .copied()
+        .max()
+        .unwrap_or(0)
 }
 
 /// The widest swing of the limit within a time, as a part of its mean there.
 fn swing(found: &Found, from: Duration, to: Duration) -> f64 {
-    let before = found.levels.iter().rev().find(|l| l.0 < from).map_or(SHARE as f64, |l| l.1);
-    let within = found.levels.iter().filter(|l| l.0 >= from && l.0 < to).map(|l| l.1);
+    let before = found
+        .levels
+        .iter()
+        .rev()
+        .find(|l| l.0 < from)
+        .map_or(SHARE as f64, |l| l.1);
+    let within = found
+        .levels
+        .iter()
+        .filter(|l| l.0 >= from && l.0 < to)
+        .map(|l| l.1);
     let all: Vec<f64> = std::iter::once(before).chain(within).collect();
-    let (low, high) = all.iter().fold((f64::MAX, 0.0f64), |(l, h), v| (l.min(*v), h.max(*v)));
+    let (low, high) = all
+        .iter()
+        .fold((f64::MAX, 0.0f64), |(l, h), v| (l.min(*v), h.max(*v)));
     (high - low) / (all.iter().sum::<f64>() / all.len() as f64).max(1e-9)
 }
 
@@ -146,16 +194,26 @@
 }
 
 fn main() {
-    let seeds: u64 = std::env::args().nth(1).and_then(|n| n.parse().ok()).unwrap_or(5);
+    let seeds: u64 = std::env::args()
+        .nth(1)
+        .and_then(|n| n.parse().ok())
+        .unwrap_or(5);
     let binary = std::env::var("MADDERBAY").unwrap_or_else(|_| "target/release/madderbay".into());
     let binary = PathBuf::from(binary);
     let fixed = POOLS.replace("adaptive", "fixed");
     let only = std::env::args().nth(2);
-    let ways = [("off", None), ("fixed", Some(fixed.as_str())), ("adaptive", Some(POOLS))];
+    let ways = [
+        ("off", None),
+        ("fixed", Some(fixed.as_str())),
+        ("adaptive", Some(POOLS)),
+    ];
     let asks = asks();
     println!("{seeds} seeds; median (least to most)");
     let mut broken = vec![];
-    for (way, operator) in ways.into_iter().filter(|w| only.as_ref().is_none_or(|o| o == w.0)) {
+    for (way, operator) in ways
+        .into_iter()
+        .filter(|w| only.as_ref().is_none_or(|o| o == w.0))
+    {
         let found: Vec<Found> = std::thread::scope(|scope| {
             let run = |seed| {
                 scope.spawn({
@@ -169,7 +227,9 @@
                 .chunks(2)
                 .flat_map(|pair| {
                     let runs: Vec<_> = pair.iter().map(|s| run(*s)).collect();
-                    runs.into_iter().map(|r| r.join().expect("played")).collect::<Vec<_>>()
+                    runs.into_iter()
+                        .map(|r| r.join().expect("played"))
+                        .collect::<Vec<_>>()
                 })
                 .collect()
         });
@@ -186,8 +246,12 @@
                 each(&|f| part(f, OVER, LENGTH)),
             );
             let ends = |f: &Found, is: &dyn Fn(&Answer) -> bool| {
-                let of = f.fates.iter().filter(|x| x.handler == h && x.sent >= CALM && x.sent < OVER);
-                of.filter(|x| x.answers.first().is_some_and(|a| is(&a.0))).count() as f64
+                let of = f
+                    .fates
+                    .iter()
+                    .filter(|x| x.handler == h && x.sent >= CALM && x.sent < OVER);
+                of.filter(|x| x.answers.first().is_some_and(|a| is(&a.0)))
+                    .count() as f64
             };
             println!(
                 "{:12} in the trouble done {}, shed {}, errored {}",
@@ -215,9 +279,15 @@
         );
         println!("CPU a req in all {} ms", each(&|f| f.cpu_ms));
         broken.extend(found.into_iter().flat_map(|f| f.broken));
-        let calm: Vec<Found> = (1..=2).map(|seed| play(&binary, operator, false, seed)).collect();
+        let calm: Vec<Found> = (1..=2)
+            .map(|seed| play(&binary, operator, false, seed))
+            .collect();
         let value = |f: &Found| {
-            let kept = f.fates.iter().filter(|x| x.kept(asks[x.handler].target)).count();
+            let kept = f
+                .fates
+                .iter()
+                .filter(|x| x.kept(asks[x.handler].target))
+                .count();
             kept as f64 / f.fates.len() as f64
         };
         println!(
--- a/crates/testkit/examples/routes.rs
+++ b/crates/testkit/examples/routes.rs
@@ -46,17 +46,29 @@
     ("one fails at once", |w, on| one(Mode::Fails)(w, on)),
     ("one never answers", |w, on| one(Mode::Silent)(w, on)),
     ("one refuses", |w, on| one(Mode::Down)(w, on)),
-    ("cut between a zone and one", |w, on| w.cuts = if on { vec![(1, 1)] } else { vec![] }),
+    ("cut between a zone and one", |w, on| {
+        w.cuts = if on { vec![(1, 1)] } else { vec![] }
+    }),
     ("one server finds all bad", |w, on| w.cut_off(0, on)),
-    ("one lies of three", |w, on| w.lies(0, if on { vec![1, 4, 7] } else { vec![] })),
-    ("all 10 times slower", |w, on| all(w, Mode::Slow(if on { 10.0 } else { 1.0 }))),
-    ("all fail", |w, on| all(w, if on { Mode::Fails } else { Mode::Slow(1.0) })),
-    ("all never answer", |w, on| all(w, if on { Mode::Silent } else { Mode::Slow(1.0) })),
+    ("one lies of three", |w, on| {
+        w.lies(0, if on { vec![1, 4, 7] } else { vec![] })
+    }),
+    ("all 10 times slower", |w, on| {
+        all(w, Mode::Slow(if on { 10.0 } else { 1.0 }))
+    }),
+    ("all fail", |w, on| {
+        all(w, if on { Mode::Fails } else { Mode::Slow(1.0) })
+    }),
+    ("all never answer", |w, on| {
+        all(w, if on { Mode::Silent } else { Mode::Slow(1.0) })
+    }),
 ];
 
 fn simulated(servers: usize, backends: usize, only: &str, seeds: u64) {
     let each = rate(servers, backends) / backends as f64;
-    println!("\n{servers} servers, {backends} backends, {each:.2} calls a second of each to each\n");
+    println!(
+        "\n{servers} servers, {backends} backends, {each:.2} calls a second of each to each\n"
+    );
     let heads = [
         "case",
         "way",
@@ -68,7 +80,11 @@
         "left out wrongly, server-seconds",
         "most on the one that returns, of its part",
     ];
-    println!("| {} |\n|{}", heads.join(" | "), " --- |".repeat(heads.len()));
+    println!(
+        "| {} |\n|{}",
+        heads.join(" | "),
+        " --- |".repeat(heads.len())
+    );
     for (case, deed) in CASES.into_iter().filter(|c| c.0.contains(only)) {
         for (way, name) in WAYS {
             let rows: Vec<[f64; 7]> = std::thread::scope(|scope| {
@@ -81,14 +97,25 @@
                 of.sort_by(f64::total_cmp);
                 of[of.len() / 2]
             };
-            let secs = |i: usize| if mid(i).is_finite() { format!("{:.1}", mid(i)) } else { "never".into() };
-            let single = case.starts_with("one ") && !case.contains("server") && !case.contains("lies");
+            let secs = |i: usize| {
+                if mid(i).is_finite() {
+                    format!("{:.1}", mid(i))
+                } else {
+                    "never".into()
+                }
+            };
+            let single =
+                case.starts_with("one ") && !case.contains("server") && !case.contains("lies");
             let (off, back, most) = if single {
                 (secs(2), secs(3), format!("{:.1}", mid(6)))
             } else {
                 ("-".into(), "-".into(), "-".into())
             };
-            let slowest = if mid(1).is_nan() { "-".into() } else { format!("{:.0}", mid(1)) };
+            let slowest = if mid(1).is_nan() {
+                "-".into()
+            } else {
+                format!("{:.0}", mid(1))
+            };
             println!(
                 "| {case} | {name} | {:.3} | {slowest} | {off} | {back} | {:.2} | {:.0} | {most} |",
                 mid(0),
@@ -109,8 +136,15 @@
 
 fn row(servers: usize, backends: usize, way: Way, deed: Deed, seed: u64) -> [f64; 7] {
     let zones = if servers >= 3 { 3 } else { 1 };
-    let mut world =
-        World::new(Setup { way, zones, rate: rate(servers, backends), ..Setup::of(servers, backends) }, seed);
+    let mut world = World::new(
+        Setup {
+            way,
+            zones,
+            rate: rate(servers, backends),
+            ..Setup::of(servers, backends)
+        },
+        seed,
+    );
     world.run(ms(CALM));
     world.times.clear();
     deed(&mut world, true);
@@ -123,14 +157,30 @@
     let secs = |t: Option<u64>| t.map_or(f64::INFINITY, |t| t as f64 / 1e3);
     let off = secs(world.until(1, CALM, true, fair * 0.25));
     let back = secs(world.until(1, OVER, false, fair * 0.5));
-    let wrongly: f64 = (0..backends).filter(|b| *b != 1).map(|b| world.out(b, CALM, OVER)).sum();
-    let most =
-        (OVER..END - 1_000).step_by(100).map(|ms| world.part(1, ms, ms + 1_000) / fair).fold(0.0, f64::max);
-    [world.kept(CALM, OVER), slowest, off, back, world.load(CALM + 1_000, OVER), wrongly, most]
+    let wrongly: f64 = (0..backends)
+        .filter(|b| *b != 1)
+        .map(|b| world.out(b, CALM, OVER))
+        .sum();
+    let most = (OVER..END - 1_000)
+        .step_by(100)
+        .map(|ms| world.part(1, ms, ms + 1_000) / fair)
+        .fold(0.0, f64::max);
+    [
+        world.kept(CALM, OVER),
+        slowest,
+        off,
+        back,
+        world.load(CALM + 1_000, OVER),
+        wrongly,
+        most,
+    ]
 }
 
 fn look(case: &str, seed: u64) {
-    let (case, deed) = CASES.into_iter().find(|c| c.0.contains(case)).unwrap_or(CASES[0]);
+    let (case, deed) = CASES
+        .into_iter()
+        .find(|c| c.0.contains(case))
+        .unwrap_or(CASES[0]);
     let mut world = World::new(Setup::of(12, 10), seed);
     world.run(ms(CALM));
     deed(&mut world, true);
@@ -139,7 +189,10 @@
     world.run(ms(END - OVER));
     println!("{case}");
     for from in (0..END).step_by(1_000) {
-        let (kept, part) = (world.kept(from, from + 1_000), world.part(1, from, from + 1_000));
+        let (kept, part) = (
+            world.kept(from, from + 1_000),
+            world.part(1, from, from + 1_000),
+        );
         let out = world.out(1, from, from + 1_000);
         println!(
             "{:3} s: kept {kept:.3}, part of it {part:.3}, left out by {out:.1}, load {:.2}",
@@ -166,7 +219,10 @@
             for (way, keys) in [
                 ("shared", ""),
                 ("own alone", "shares = off\n"),
-                ("nobody left out, no repeats", "shares = off\nout_most = 0\nrepeats = 0\nhedges = off\n"),
+                (
+                    "nobody left out, no repeats",
+                    "shares = off\nout_most = 0\nrepeats = 0\nhedges = off\n",
+                ),
             ] {
                 let row = real_row(n, mood, keys);
                 println!("| {n}, {trouble} | {way} | {row} |");
@@ -183,20 +239,46 @@
         .replace("\"memory_kb\": 4000.0", "\"memory_kb\": 400000.0")
         .replace("\"dep_share\": 8.0", "\"dep_share\": 60.0");
     let target = StdDuration::from_secs(2);
-    let ask =
-        |handler: &str, part, keyed| Ask { handler: handler.into(), part, target, keyed, project: "acme" };
+    let ask = |handler: &str, part, keyed| Ask {
+        handler: handler.into(),
+        part,
+        target,
+        keyed,
+        project: "acme",
+    };
     let asks = [ask("search", 3.0, false), ask("book", 1.0, true)];
-    let work = |handler: &str| Work { handler: handler.into(), ms: (1.0, 2.0), calls: true };
-    let backends: Vec<Catalogue> =
-        (0..10).map(|_| Catalogue::start(100, StdDuration::from_millis(20))).collect();
-    let mut stand = Stand::new(Servers::of(n), binary, &settings, &[work("search"), work("book")], 1);
+    let work = |handler: &str| Work {
+        handler: handler.into(),
+        ms: (1.0, 2.0),
+        calls: true,
+    };
+    let backends: Vec<Catalogue> = (0..10)
+        .map(|_| Catalogue::start(100, StdDuration::from_millis(20)))
+        .collect();
+    let mut stand = Stand::new(
+        Servers::of(n),
+        binary,
+        &settings,
+        &[work("search"), work("book")],
+        1,
+    );
     let section = |b: (usize, &Catalogue)| {
-        format!("[backend b{}]\naddress = {}\nhandlers = search, book\n", b.0, b.1.address)
+        format!(
+            "[backend b{}]\naddress = {}\nhandlers = search, book\n",
+            b.0, b.1.address
+        )
     };
     let sections: String = backends.iter().enumerate().map(section).collect();
     stand.operator = format!("[routes]\nenabled = on\n{keys}{sections}");
     for who in 0..n {
-        stand.act(&Act::Start { who, name: who, clock: Duration::ZERO, back: false }).expect("started");
+        stand
+            .act(&Act::Start {
+                who,
+                name: who,
+                clock: Duration::ZERO,
+                back: false,
+            })
+            .expect("started");
     }
     while stand.amiss(&Condition::Settled).is_some() {
         stand.pass();
@@ -204,9 +286,19 @@
     // Calls that came to the second backend, by tenth of a second.
     let (rate, calm, over, end) = (10.0, 5_000, 13_000, 25_000);
     let began = Instant::now();
-    let ends: Vec<_> =
-        (0..n).map(|s| (stand.engine(s).clone(), stand.server(s).expect("runs").address)).collect();
-    let cpu = |stand: &Stand| (0..n).filter_map(|s| Some(stand.server(s)?.cpu())).sum::<f64>();
+    let ends: Vec<_> = (0..n)
+        .map(|s| {
+            (
+                stand.engine(s).clone(),
+                stand.server(s).expect("runs").address,
+            )
+        })
+        .collect();
+    let cpu = |stand: &Stand| {
+        (0..n)
+            .filter_map(|s| Some(stand.server(s)?.cpu()))
+            .sum::<f64>()
+    };
     let before = cpu(&stand);
     let (fates, broken, came) = std::thread::scope(|scope| {
         let loads: Vec<_> = ends
@@ -217,7 +309,13 @@
                 scope.spawn(move || {
                     let rates = vec![(StdDuration::ZERO, rate)];
                     let length = StdDuration::from_millis(end);
-                    let load = Load { asks: asks.to_vec(), rates, length, seed: s as u64, allow_ms: 3_000 };
+                    let load = Load {
+                        asks: asks.to_vec(),
+                        rates,
+                        length,
+                        seed: s as u64,
+                        allow_ms: 3_000,
+                    };
                     let fates = load.run(address, |name| engine.answered(name), |_| ());
                     let broken = breaches(&fates, asks, &engine.ran().bodies).len();
                     (fates, broken)
@@ -237,25 +335,54 @@
                 StdDuration::from_millis(100).saturating_sub(StdDuration::from_millis(now % 100)),
             );
         }
-        let all: Vec<(Vec<Fate>, usize)> = loads.into_iter().map(|l| l.join().expect("loaded")).collect();
+        let all: Vec<(Vec<Fate>, usize)> = loads
+            .into_iter()
+            .map(|l| l.join().expect("loaded"))
+            .collect();
         let broken: usize = all.iter().map(|a| a.1).sum();
-        (all.into_iter().flat_map(|a| a.0).collect::<Vec<Fate>>(), broken, came)
+        (
+            all.into_iter().flat_map(|a| a.0).collect::<Vec<Fate>>(),
+            broken,
+            came,
+        )
     });
-    let during =
-        |f: &&Fate| f.sent >= StdDuration::from_millis(calm) && f.sent < StdDuration::from_millis(over);
+    let during = |f: &&Fate| {
+        f.sent >= StdDuration::from_millis(calm) && f.sent < StdDuration::from_millis(over)
+    };
     let kept = |handler: usize| {
-        let of: Vec<&Fate> = fates.iter().filter(during).filter(|f| f.handler == handler).collect();
+        let of: Vec<&Fate> = fates
+            .iter()
+            .filter(during)
+            .filter(|f| f.handler == handler)
+            .collect();
         of.iter().filter(|f| f.kept(target)).count() as f64 / of.len().max(1) as f64
     };
-    let searches: Vec<Fate> = fates.iter().filter(during).filter(|f| f.handler == 0).cloned().collect();
+    let searches: Vec<Fate> = fates
+        .iter()
+        .filter(during)
+        .filter(|f| f.handler == 0)
+        .cloned()
+        .collect();
     let slowest = madderbay_testkit::balancer::times(&searches, 0).value_at_quantile(0.99);
     let fair = f64::from(came[calm as usize / 100 - 1] - came[10]) / (calm as f64 / 1e3 - 1.0);
-    let at = |ms: u64| came.get(ms as usize / 100).or(came.last()).copied().unwrap_or(0);
+    let at = |ms: u64| {
+        came.get(ms as usize / 100)
+            .or(came.last())
+            .copied()
+            .unwrap_or(0)
+    };
     let second = |from: u64| f64::from(at(from + 1_000) - at(from));
-    let off = (calm..over - 1_000).step_by(100).find(|ms| second(*ms) < 0.4 * fair);
-    let back = (over..end - 1_500).step_by(100).find(|ms| second(*ms) > 0.5 * fair);
-    let secs =
-        |t: Option<u64>, from| t.map_or("never".into(), |t: u64| format!("{:.1}", (t - from) as f64 / 1e3));
+    let off = (calm..over - 1_000)
+        .step_by(100)
+        .find(|ms| second(*ms) < 0.4 * fair);
+    let back = (over..end - 1_500)
+        .step_by(100)
+        .find(|ms| second(*ms) > 0.5 * fair);
+    let secs = |t: Option<u64>, from| {
+        t.map_or("never".into(), |t: u64| {
+            format!("{:.1}", (t - from) as f64 / 1e3)
+        })
+    };
     let each = (cpu(&stand) - before) * 1e3 / fates.len() as f64;
     format!(
         "{:.3}, {:.3} | {slowest} | {} | {} | {each:.2} | {broken}",
@@ -275,14 +402,23 @@
         "simulated" => match (number(0), number(1)) {
             (Some(servers), Some(backends)) => {
                 let only = rest.get(2).map_or("", String::as_str);
-                simulated(servers, backends, only, number(3).map_or(SEEDS, |n| n as u64));
+                simulated(
+                    servers,
+                    backends,
+                    only,
+                    number(3).map_or(SEEDS, |n| n as u64),
+                );
             }
             _ => {
                 let all = [(5, 10), (12, 100), (300, 10), (300, 100)];
-                all.into_iter().for_each(|(s, b)| simulated(s, b, "", SEEDS));
+                all.into_iter()
+                    .for_each(|(s, b)| simulated(s, b, "", SEEDS));
             }
         },
-        "look" => look(rest.first().map_or("", String::as_str), number(1).unwrap_or(0) as u64),
+        "look" => look(
+            rest.first().map_or("", String::as_str),
+            number(1).unwrap_or(0) as u64,
+        ),
         "real" => real(),
         _ => eprintln!("simulated, real or look"),
     }
--- a/crates/testkit/examples/shared.rs
+++ b/crates/testkit/examples/shared.rs
@@ -37,11 +37,19 @@
         call: ms(call_ms),
         handlers: "book",
     };
-    Setup { budget: Some(budget), ..Setup::of(n) }
+    Setup {
+        budget: Some(budget),
+        ..Setup::of(n)
+    }
 }
 
 fn start(who: usize) -> Act {
-    Act::Start { who, name: who, clock: Duration::ZERO, back: false }
+    Act::Start {
+        who,
+        name: who,
+        clock: Duration::ZERO,
+        back: false,
+    }
 }
 
 fn act(fleet: &mut impl Fleet, act: Act) {
@@ -61,8 +69,15 @@
 
 fn begun(fleet: &mut impl Fleet, n: usize) {
     (0..n).for_each(|s| act(fleet, start(s)));
-    assert!(wait(fleet, &Condition::Settled, 60.0).is_finite(), "settled");
-    let all = Condition::Has { who: (0..n).collect(), least: EACH, most: u32::MAX };
+    assert!(
+        wait(fleet, &Condition::Settled, 60.0).is_finite(),
+        "settled"
+    );
+    let all = Condition::Has {
+        who: (0..n).collect(),
+        least: EACH,
+        most: u32::MAX,
+    };
     assert!(wait(fleet, &all, 30.0).is_finite(), "each has its own");
 }
 
@@ -71,8 +86,18 @@
     match case {
         "even" => vec![whole * 13 / 10 / n as u32; n],
         // A third of the servers have nearly all of it.
-        "skewed" => (0..n).map(|s| if s % 3 == 0 { whole * 36 / 10 / n as u32 } else { 1 }).collect(),
-        _ => (0..n).map(|s| if s == n / 2 { whole * 13 / 10 } else { 0 }).collect(),
+        "skewed" => (0..n)
+            .map(|s| {
+                if s % 3 == 0 {
+                    whole * 36 / 10 / n as u32
+                } else {
+                    1
+                }
+            })
+            .collect(),
+        _ => (0..n)
+            .map(|s| if s == n / 2 { whole * 13 / 10 } else { 0 })
+            .collect(),
     }
 }
 
@@ -93,16 +118,28 @@
 
 impl Giver {
     fn new(n: usize, whole: u32) -> Giver {
-        Giver { whole, books: vec![vec![]; n], has: vec![(0, 0.0); n], now: 0.0, peak: 0, used: 0.0 }
+        Giver {
+            whole,
+            books: vec![vec![]; n],
+            has: vec![(0, 0.0); n],
+            now: 0.0,
+            peak: 0,
+            used: 0.0,
+        }
     }
 
     fn step(&mut self, sim: &Sim, want: &[u32], apart: impl Fn(usize, usize) -> bool) {
         self.now += GIVER_STEP;
         let mut used = 0;
         for who in 0..want.len() {
-            let Some(members) = sim.members(who) else { continue };
+            let Some(members) = sim.members(who) else {
+                continue;
+            };
             let first = (0..want.len()).find(|s| {
-                *s == who || members.state(&name(*s)).is_some_and(|s| !matches!(s, State::Down | State::Left))
+                *s == who
+                    || members
+                        .state(&name(*s))
+                        .is_some_and(|s| !matches!(s, State::Down | State::Left))
             });
             let giver = first.unwrap_or(who);
             if !apart(who, giver) && sim.members(giver).is_some() {
@@ -119,7 +156,11 @@
                 self.has[who] = (units, now + GIVER_LEASE);
             }
             let (units, until) = self.has[who];
-            used += if until > self.now { units.min(want[who]) } else { 0 };
+            used += if until > self.now {
+                units.min(want[who])
+            } else {
+                0
+            };
         }
         self.peak = self.peak.max(used);
         self.used += f64::from(used) * GIVER_STEP;
@@ -138,15 +179,33 @@
     (0..n).for_each(|s| act(sim, Act::Demand(s, 0)));
     sim.run(Duration::from_millis(3_000));
     sim.peak = 0;
-    want.iter().enumerate().for_each(|(s, d)| act(sim, Act::Demand(s, *d)));
+    want.iter()
+        .enumerate()
+        .for_each(|(s, d)| act(sim, Act::Demand(s, *d)));
     let least = whole.min(want.iter().sum()) * 8 / 10;
-    let follow = wait(sim, &Condition::Uses { who: (0..n).collect(), least }, 20.0);
+    let follow = wait(
+        sim,
+        &Condition::Uses {
+            who: (0..n).collect(),
+            least,
+        },
+        20.0,
+    );
     sim.run(Duration::from_millis(2_000));
-    let bytes = |s: &Sim| (0..n).filter_map(|i| Some(s.shared(i)?.totals.bytes_out)).sum::<u64>();
+    let bytes = |s: &Sim| {
+        (0..n)
+            .filter_map(|i| Some(s.shared(i)?.totals.bytes_out))
+            .sum::<u64>()
+    };
     let (before, sent) = (sim.used(), bytes(sim));
     sim.run(Duration::from_millis(5_000));
     let used = (sim.used() - before) / 5.0 / f64::from(whole);
-    Row { used, follow, peak: sim.peak, bytes: (bytes(sim) - sent) as f64 / 5.0 / n as f64 }
+    Row {
+        used,
+        follow,
+        peak: sim.peak,
+        bytes: (bytes(sim) - sent) as f64 / 5.0 / n as f64,
+    }
 }
 
 fn given(sim: &mut Sim, n: usize, whole: u32, want: &[u32], cut: bool, secs: f64) -> (f64, u32) {
@@ -165,7 +224,10 @@
         "| servers, demand | way | use of the whole | follows within, s | peak of the whole | bytes a second |"
     );
     println!("| --- | --- | --- | --- | --- | --- |");
-    for n in [10, 100, 1_000].into_iter().filter(|n| only.is_none_or(|o| o == *n)) {
+    for n in [10, 100, 1_000]
+        .into_iter()
+        .filter(|n| only.is_none_or(|o| o == *n))
+    {
         let whole = n as u32 * EACH;
         let mut sim = Sim::new(setup(n, whole, 50), 1);
         begun(&mut sim, n);
@@ -180,7 +242,10 @@
                 row.bytes
             );
             let fixed: u32 = want.iter().map(|w| (*w).min(EACH)).sum();
-            println!("| | fixed parts | {:.2} | - | 1.00 at most | 0 |", f64::from(fixed) / f64::from(whole));
+            println!(
+                "| | fixed parts | {:.2} | - | 1.00 at most | 0 |",
+                f64::from(fixed) / f64::from(whole)
+            );
             if n <= 100 {
                 let (used, peak) = given(&mut sim, n, whole, &want, false, 5.0);
                 let peak = f64::from(peak) / f64::from(whole);
@@ -199,9 +264,20 @@
                 row.used, row.follow, row.bytes
             );
             let (used, peak) = given(&mut sim, n, whole, &want, true, 15.0);
-            println!("| | one giver | {used:.2} | - | {:.2} | - |", f64::from(peak) / f64::from(whole));
+            println!(
+                "| | one giver | {used:.2} | - | {:.2} | - |",
+                f64::from(peak) / f64::from(whole)
+            );
             act(&mut sim, Act::Heal);
-            act(&mut sim, Act::Net { loss: Some(1.0), double: None, spoil: None, delay: None });
+            act(
+                &mut sim,
+                Act::Net {
+                    loss: Some(1.0),
+                    double: None,
+                    spoil: None,
+                    delay: None,
+                },
+            );
             let row = played(&mut sim, n, whole, &want);
             let peak = f64::from(row.peak) / f64::from(whole);
             println!(
@@ -249,7 +325,10 @@
 
 /// The same on real processes, with load and each rule of each req.
 fn histories_real(count: u64) {
-    let (next, found) = (AtomicU64::new(0), Mutex::new((0usize, 0usize, 0u64, vec![])));
+    let (next, found) = (
+        AtomicU64::new(0),
+        Mutex::new((0usize, 0usize, 0u64, vec![])),
+    );
     std::thread::scope(|scope| {
         for _ in 0..2 * SIDE_BY_SIDE {
             scope.spawn(|| {
@@ -260,7 +339,8 @@
                     }
                     let n = 4;
                     let whole = n as u32 * EACH;
-                    let mut stand = Stand::new(setup(n, whole, 300), binary(), &settings(), &works(), seed);
+                    let mut stand =
+                        Stand::new(setup(n, whole, 300), binary(), &settings(), &works(), seed);
                     begun(&mut stand, n);
                     (0..n).for_each(|s| act(&mut stand, Act::Demand(s, 2 * EACH)));
                     let mut draw = Draw::new(seed + 77, n, whole * 2 / 3);
@@ -269,13 +349,17 @@
                         std::thread::sleep(StdDuration::from_secs_f64(draw.secs(0.6)));
                     }
                     let peak = stand.catalogue(0).peak();
-                    draw.stopped().into_iter().for_each(|s| act(&mut stand, Act::Continue(s)));
+                    draw.stopped()
+                        .into_iter()
+                        .for_each(|s| act(&mut stand, Act::Continue(s)));
                     let (reqs, broken) = stand.judged();
                     let mut found = found.lock().expect("figures");
                     found.0 = found.0.max(peak);
                     found.1 += reqs;
                     found.2 += u64::from(peak > whole as usize);
-                    found.3.extend(broken.into_iter().map(|b| format!("seed {seed}: {b}")));
+                    found
+                        .3
+                        .extend(broken.into_iter().map(|b| format!("seed {seed}: {b}")));
                 }
             });
         }
@@ -306,16 +390,29 @@
 fn trouble() {
     let ask = |handler: &str, part, ms, keyed| {
         let target = StdDuration::from_millis(ms);
-        Ask { handler: handler.into(), part, target, keyed, project: "acme" }
+        Ask {
+            handler: handler.into(),
+            part,
+            target,
+            keyed,
+            project: "acme",
+        }
     };
     let asks = [
         ask("trip-search", 30.0, 2_000, false),
         ask("fare-quote", 40.0, 1_500, false),
         ask("seat-book", 20.0, 3_000, true),
     ];
-    let work = |handler: &str, ms: f64, calls| Work { handler: handler.into(), ms: (ms, ms), calls };
-    let works =
-        [work("trip-search", 40.0, true), work("fare-quote", 20.0, false), work("seat-book", 40.0, true)];
+    let work = |handler: &str, ms: f64, calls| Work {
+        handler: handler.into(),
+        ms: (ms, ms),
+        calls,
+    };
+    let works = [
+        work("trip-search", 40.0, true),
+        work("fare-quote", 20.0, false),
+        work("seat-book", 40.0, true),
+    ];
     let pools = "[pools]\nenabled = on\n[pool seats]\nhandlers = seat-book\n[pool searches]\n\
                  handlers = trip-search\ncalls_weight = 0\n[reserve]\nhandlers = fare-quote\npart = 0.1\n";
     println!(
@@ -326,20 +423,26 @@
     for way in ["fixed parts", "shared"] {
         let mut setup = setup(n, SHARE, 25);
         let budget = setup.budget.as_mut().expect("set");
-        (budget.handlers, budget.longest) = ("trip-search, seat-book", Duration::from_millis(4_000));
+        (budget.handlers, budget.longest) =
+            ("trip-search, seat-book", Duration::from_millis(4_000));
         if way == "fixed parts" {
             setup.budget = None;
         }
         let each = format!("\"dep_share\": {:.1}", f64::from(SHARE) / n as f64);
-        let settings =
-            TRIPS.replace("\"dep_share\": 12.0", &each).replace("\"servers\": 1", "\"servers\": 5");
+        let settings = TRIPS
+            .replace("\"dep_share\": 12.0", &each)
+            .replace("\"servers\": 1", "\"servers\": 5");
         let below = Catalogue::start(SLOTS, StdDuration::from_millis(25));
         let mut stand = Stand::over(Some(below.clone()), setup, binary(), &settings, &works, 1);
         stand.operator = pools.into();
         (0..n).for_each(|s| act(&mut stand, start(s)));
         wait(&mut stand, &Condition::Settled, 30.0);
         if way == "shared" {
-            let own = Condition::Has { who: (0..n).collect(), least: SHARE / n as u32, most: u32::MAX };
+            let own = Condition::Has {
+                who: (0..n).collect(),
+                least: SHARE / n as u32,
+                most: u32::MAX,
+            };
             wait(&mut stand, &own, 30.0);
         }
         below.peak();
@@ -348,7 +451,12 @@
         let before = cpu(&stand);
         let all: Vec<(Vec<Fate>, usize)> = std::thread::scope(|scope| {
             let (asks, below) = (&asks, &below);
-            let of = |s| (stand.engine(s).clone(), stand.server(s).expect("runs").address);
+            let of = |s| {
+                (
+                    stand.engine(s).clone(),
+                    stand.server(s).expect("runs").address,
+                )
+            };
             let ends: Vec<_> = (0..n).map(of).collect();
             let loads: Vec<_> = ends
                 .into_iter()
@@ -362,8 +470,13 @@
                         ];
                         let rates = rates.map(|r| (r.0, r.1 * parts[s])).to_vec();
                         let length = StdDuration::from_secs(20);
-                        let load =
-                            Load { asks: asks.to_vec(), rates, length, seed: s as u64 + 1, allow_ms: 8_000 };
+                        let load = Load {
+                            asks: asks.to_vec(),
+                            rates,
+                            length,
+                            seed: s as u64 + 1,
+                            allow_ms: 8_000,
+                        };
                         let mut mood = 1.0;
                         let fates = load.run(
                             server,
@@ -380,25 +493,38 @@
                     })
                 })
                 .collect();
-            loads.into_iter().map(|l| l.join().expect("loaded")).collect()
+            loads
+                .into_iter()
+                .map(|l| l.join().expect("loaded"))
+                .collect()
         });
         let broken: usize = all.iter().map(|a| a.1).sum();
         let fates: Vec<Fate> = all.into_iter().flat_map(|a| a.0).collect();
         let part = |h, from, to| format!("{:.2}", kept(&fates, &asks, h, from, to).1);
         let during = [0, 1, 2].map(|h| part(h, CALM, OVER)).join(", ");
-        let after = [0, 1, 2].map(|h| part(h, OVER, StdDuration::from_secs(20))).join(", ");
+        let after = [0, 1, 2]
+            .map(|h| part(h, OVER, StdDuration::from_secs(20)))
+            .join(", ");
         let each = (cpu(&stand) - before) * 1e3 / fates.len() as f64;
-        println!("| {way} | {during} | {after} | {} | {broken} | {each:.2} |", below.peak());
+        println!(
+            "| {way} | {during} | {after} | {} | {broken} | {each:.2} |",
+            below.peak()
+        );
     }
 }
 
 fn settings() -> String {
-    let text = include_str!("settings.json").replace("\"tip_multiple\": 5.0", "\"tip_multiple\": 40.0");
+    let text =
+        include_str!("settings.json").replace("\"tip_multiple\": 5.0", "\"tip_multiple\": 40.0");
     text.replace("\"memory_kb\": 4000.0", "\"memory_kb\": 400000.0")
 }
 
 fn works() -> Vec<Work> {
-    vec![Work { handler: "book".into(), ms: (1.0, 3.0), calls: true }]
+    vec![Work {
+        handler: "book".into(),
+        ms: (1.0, 3.0),
+        calls: true,
+    }]
 }
 
 fn real() {
@@ -415,15 +541,27 @@
             stand.catalogue(0).peak();
             (0..n).for_each(|s| act(&mut stand, Act::Demand(s, 0)));
             std::thread::sleep(StdDuration::from_secs(3));
-            want.iter().enumerate().for_each(|(s, d)| act(&mut stand, Act::Demand(s, *d)));
+            want.iter()
+                .enumerate()
+                .for_each(|(s, d)| act(&mut stand, Act::Demand(s, *d)));
             let least = whole.min(want.iter().sum()) * 8 / 10;
-            let follow = wait(&mut stand, &Condition::Uses { who: (0..n).collect(), least }, 20.0);
+            let follow = wait(
+                &mut stand,
+                &Condition::Uses {
+                    who: (0..n).collect(),
+                    least,
+                },
+                20.0,
+            );
             std::thread::sleep(StdDuration::from_secs(2));
             let cpu = |s: &Stand| (0..n).filter_map(|i| Some(s.server(i)?.cpu())).sum::<f64>();
-            let (done, before, began) = (stand.catalogue(0).seen().done, cpu(&stand), Instant::now());
+            let (done, before, began) =
+                (stand.catalogue(0).seen().done, cpu(&stand), Instant::now());
             let (mut sum, mut looks) = (0.0, 0.0);
             while began.elapsed() < StdDuration::from_secs(5) {
-                let all = (0..n).filter_map(|s| Some(stand.lent(s)?.in_use)).sum::<u32>();
+                let all = (0..n)
+                    .filter_map(|s| Some(stand.lent(s)?.in_use))
+                    .sum::<u32>();
                 (sum, looks) = (sum + f64::from(all), looks + 1.0);
                 std::thread::sleep(StdDuration::from_millis(50));
             }
@@ -447,14 +585,32 @@
     );
     println!("| --- | --- | --- | --- | --- |");
     for (n, loss) in [(5, 0.0), (5, 0.1), (12, 0.0), (12, 0.1), (100, 0.0)] {
-        let mut sim = Sim::new(Setup { window: Some(Duration::from_millis(10_000)), ..Setup::of(n) }, 1);
+        let mut sim = Sim::new(
+            Setup {
+                window: Some(Duration::from_millis(10_000)),
+                ..Setup::of(n)
+            },
+            1,
+        );
         (0..n).for_each(|s| act(&mut sim, start(s)));
         wait(&mut sim, &Condition::Settled, 60.0);
-        act(&mut sim, Act::Net { loss: Some(loss), double: None, spoil: None, delay: None });
+        act(
+            &mut sim,
+            Act::Net {
+                loss: Some(loss),
+                double: None,
+                spoil: None,
+                delay: None,
+            },
+        );
         let key = madderbay_quota::mark("acme");
         (0..n).for_each(|s| sim.reqs(s, key, 4.0 + s as f64 % 5.0));
         sim.run(Duration::from_millis(20_000));
-        let bytes = |s: &Sim| (0..n).filter_map(|i| Some(s.shared(i)?.totals.bytes_out)).sum::<u64>();
+        let bytes = |s: &Sim| {
+            (0..n)
+                .filter_map(|i| Some(s.shared(i)?.totals.bytes_out))
+                .sum::<u64>()
+        };
         let before = bytes(&sim);
         let mut looks: Vec<(f64, f64, u32, usize)> = vec![];
         for _ in 0..40 {
@@ -475,7 +631,11 @@
     }
     let mut counts = Counts::new(
         madderbay::time::Timestamp::from_micros(1),
-        Settings { name: "tenants".into(), window: Duration::from_millis(10_000), most: 1_000.0 },
+        Settings {
+            name: "tenants".into(),
+            window: Duration::from_millis(10_000),
+            most: 1_000.0,
+        },
     );
     let (before, mut chance, began) = (memory_kb(), Rand64::new(3), Instant::now());
     for n in 0..1_000_000u64 {
@@ -495,7 +655,8 @@
 fn memory_kb() -> u64 {
     let text = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
     let line = text.lines().find_map(|l| l.strip_prefix("VmRSS:"));
-    line.and_then(|l| l.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+    line.and_then(|l| l.split_whitespace().next()?.parse().ok())
+        .unwrap_or(0)
 }
 
 fn main() {
--- a/crates/testkit/examples/shares.rs
+++ b/crates/testkit/examples/shares.rs
@@ -28,7 +28,13 @@
 fn asks() -> Vec<Ask> {
     let ask = |handler: &str, part, ms, keyed| {
         let target = Duration::from_millis(ms);
-        Ask { handler: handler.into(), part, target, keyed, project: "acme" }
+        Ask {
+            handler: handler.into(),
+            part,
+            target,
+            keyed,
+            project: "acme",
+        }
     };
     vec![
         ask("trip-search", 30.0, 2_000, false),
@@ -46,21 +52,44 @@
 }
 
 fn play(operator: Option<&str>, share: f64, seed: u64) -> Found {
-    let work = |handler: &str, ms: f64, calls| Work { handler: handler.into(), ms: (ms, ms), calls };
-    let works =
-        vec![work("trip-search", 40.0, true), work("fare-quote", 20.0, false), work("seat-book", 40.0, true)];
+    let work = |handler: &str, ms: f64, calls| Work {
+        handler: handler.into(),
+        ms: (ms, ms),
+        calls,
+    };
+    let works = vec![
+        work("trip-search", 40.0, true),
+        work("fare-quote", 20.0, false),
+        work("seat-book", 40.0, true),
+    ];
     let engine = Engine::start(4.0, works, seed);
     let catalogue = Catalogue::start(SLOTS, Duration::from_millis(25));
     let (registry, reports) = registry::start();
-    let others = Others { engine: engine.address, registry, catalogue: catalogue.address };
+    let others = Others {
+        engine: engine.address,
+        registry,
+        catalogue: catalogue.address,
+    };
     let settings = SETTINGS.replace("\"dep_share\": 12.0", &format!("\"dep_share\": {share:.1}"));
     let text = configuration("127.0.0.1:0", others, 256, 3_000, &settings);
     let mut server = Server::start(Path::new("target/release/madderbay"), &text, operator);
-    reports.recv_timeout(Duration::from_secs(10)).expect("a report");
+    reports
+        .recv_timeout(Duration::from_secs(10))
+        .expect("a report");
     server.log_at("engine: up");
     let log = server.follow();
-    let rates = vec![(Duration::ZERO, 90.0), (CALM, 144.0), (CALM + Duration::from_secs(5), 90.0)];
-    let load = Load { asks: asks(), rates, length: LENGTH, seed, allow_ms: 8_000 };
+    let rates = vec![
+        (Duration::ZERO, 90.0),
+        (CALM, 144.0),
+        (CALM + Duration::from_secs(5), 90.0),
+    ];
+    let load = Load {
+        asks: asks(),
+        rates,
+        length: LENGTH,
+        seed,
+        allow_ms: 8_000,
+    };
     let (began, from) = (Instant::now(), catalogue.seen().in_hand.len());
     let mut mood = 1.0;
     let fates = load.run(
@@ -85,8 +114,18 @@
     let part = |from, to| [0, 1, 2].map(|h| kept(&fates, &asks, h, from, to).1);
     let seen = catalogue.seen().in_hand.split_off(from);
     let row = |at: Duration| (at.as_millis() as usize / 10).min(seen.len());
-    let most = seen[row(CALM)..row(OVER)].iter().copied().max().unwrap_or(0);
-    Found { kept: part(CALM, OVER), after: part(OVER, LENGTH), most, levels, broken }
+    let most = seen[row(CALM)..row(OVER)]
+        .iter()
+        .copied()
+        .max()
+        .unwrap_or(0);
+    Found {
+        kept: part(CALM, OVER),
+        after: part(OVER, LENGTH),
+        most,
+        levels,
+        broken,
+    }
 }
 
 fn main() {
@@ -99,21 +138,34 @@
     for share in SHARES.into_iter().filter(|s| only.is_none_or(|o| o == *s)) {
         for (way, operator) in [("off", None), ("adaptive", Some(POOLS))] {
             let found: Vec<Found> = std::thread::scope(|scope| {
-                let runs: Vec<_> =
-                    (1..=seeds).map(|seed| scope.spawn(move || play(operator, share, seed))).collect();
-                runs.into_iter().map(|r| r.join().expect("played")).collect()
+                let runs: Vec<_> = (1..=seeds)
+                    .map(|seed| scope.spawn(move || play(operator, share, seed)))
+                    .collect();
+                runs.into_iter()
+                    .map(|r| r.join().expect("played"))
+                    .collect()
             });
             let median = |what: &dyn Fn(&Found) -> f64| {
                 let mut all: Vec<f64> = found.iter().map(what).collect();
                 all.sort_by(f64::total_cmp);
                 all[all.len() / 2]
             };
-            let kept = [0, 1, 2].map(|h| format!("{:.2}", median(&|f| f.kept[h]))).join(", ");
-            let after = [0, 1, 2].map(|h| format!("{:.2}", median(&|f| f.after[h]))).join(", ");
+            let kept = [0, 1, 2]
+                .map(|h| format!("{:.2}", median(&|f| f.kept[h])))
+                .join(", ");
+            let after = [0, 1, 2]
+                .map(|h| format!("{:.2}", median(&|f| f.after[h])))
+                .join(", ");
             let broken: usize = found.iter().map(|f| f.broken).sum();
-            println!("| {share} | {way} | {kept} | {} | {after} | {broken} |", median(&|f| f.most as f64));
+            println!(
+                "| {share} | {way} | {kept} | {} | {after} | {broken} |",
+                median(&|f| f.most as f64)
+            );
             if only.is_some() {
-                found[0].levels.iter().for_each(|l| println!("  {:6.2} {}", l.0, l.1));
+                found[0]
+                    .levels
+                    .iter()
+                    .for_each(|l| println!("  {:6.2} {}", l.0, l.1));
             }
         }
     }
--- a/crates/testkit/examples/sites.rs
+++ b/crates/testkit/examples/sites.rs
@@ -17,7 +17,9 @@
 
 /// The item that holds the last part of a path, and that part.
 fn holder<'a, 'b>(site: &'a mut DocumentMut, path: &'b str) -> Option<(&'a mut Item, &'b str)> {
-    let (way, last) = path.rsplit_once('.').map_or(("", path), |(way, last)| (way, last));
+    let (way, last) = path
+        .rsplit_once('.')
+        .map_or(("", path), |(way, last)| (way, last));
     let mut at = site.as_item_mut();
     for part in way.split('.').filter(|p| !p.is_empty()) {
         at = match part.parse::<usize>() {
@@ -31,12 +33,18 @@
 fn change(site: &mut DocumentMut, line: &str) -> Result<(), String> {
     if let Some(path) = line.strip_prefix("- ") {
         let found = holder(site, path).and_then(|(at, last)| at.as_table_like_mut()?.remove(last));
-        return found.map(|_| ()).ok_or_else(|| format!("'{path}' is not in the site"));
+        return found
+            .map(|_| ())
+            .ok_or_else(|| format!("'{path}' is not in the site"));
     }
     let (path, value) = line.split_once(" = ").ok_or("is not PATH = VALUE")?;
-    let value: Value = value.parse().map_err(|_| format!("'{value}' is no TOML value"))?;
+    let value: Value = value
+        .parse()
+        .map_err(|_| format!("'{value}' is no TOML value"))?;
     let (at, last) = holder(site, path).ok_or_else(|| format!("'{path}' is not in the site"))?;
-    let table = at.as_table_like_mut().ok_or_else(|| format!("'{path}' is in no table"))?;
+    let table = at
+        .as_table_like_mut()
+        .ok_or_else(|| format!("'{path}' is in no table"))?;
     table.insert(last, Item::Value(value));
     Ok(())
 }
@@ -44,32 +52,47 @@
 fn make(kit: &Path, description: &Path) -> Result<(), String> {
     let name = description.display();
     let said = text(description)?;
-    let mut lines =
-        said.lines().map(str::trim).zip(1..).filter(|(l, _)| !l.is_empty() && !l.starts_with('#'));
+    let mut lines = said
+        .lines()
+        .map(str::trim)
+        .zip(1..)
+        .filter(|(l, _)| !l.is_empty() && !l.starts_with('#'));
     let from = lines.next().and_then(|(l, _)| l.strip_prefix("from = "));
-    let from = kit.join(from.ok_or_else(|| format!("{name}: the first line is not 'from = FILE'"))?);
-    let mut site: DocumentMut = text(&from)?.parse().map_err(|e| format!("{}: {e}", from.display()))?;
+    let from =
+        kit.join(from.ok_or_else(|| format!("{name}: the first line is not 'from = FILE'"))?);
+    let mut site: DocumentMut = text(&from)?
+        .parse()
+        .map_err(|e| format!("{}: {e}", from.display()))?;
     for (line, n) in lines {
         change(&mut site, line).map_err(|what| format!("{name}:{n}: {what}"))?;
     }
     let place = Path::new(PLACE);
-    let to = place.join(description.file_stem().unwrap_or_default()).with_extension("toml");
+    let to = place
+        .join(description.file_stem().unwrap_or_default())
+        .with_extension("toml");
     let beside = from.parent().unwrap_or(kit);
-    let write =
-        |to: &Path, text: String| std::fs::write(to, text).map_err(|e| format!("{}: {e}", to.display()));
+    let write = |to: &Path, text: String| {
+        std::fs::write(to, text).map_err(|e| format!("{}: {e}", to.display()))
+    };
     write(&to, site.to_string())?;
-    BESIDE.iter().try_for_each(|file| write(&place.join(file), text(&beside.join(file))?))?;
+    BESIDE
+        .iter()
+        .try_for_each(|file| write(&place.join(file), text(&beside.join(file))?))?;
     println!("{}", to.display());
     Ok(())
 }
 
 fn all(kit: &Path) -> Result<(), String> {
     let list = |e| format!("{PLACE}: {e}");
-    let mut found: Vec<_> =
-        std::fs::read_dir(PLACE).map_err(list)?.filter_map(|f| Some(f.ok()?.path())).collect();
+    let mut found: Vec<_> = std::fs::read_dir(PLACE)
+        .map_err(list)?
+        .filter_map(|f| Some(f.ok()?.path()))
+        .collect();
     found.retain(|f| f.extension().is_some_and(|e| e == "txt") && !f.ends_with("unlock.txt"));
     found.sort();
-    found.iter().try_for_each(|description| make(kit, description))
+    found
+        .iter()
+        .try_for_each(|description| make(kit, description))
 }
 
 fn main() -> ExitCode {
--- a/crates/testkit/src/balancer.rs
+++ b/crates/testkit/src/balancer.rs
@@ -81,13 +81,21 @@
 impl Load {
     /// Sends it all and waits for the answers; `answered` hears the name of each req that got one. `at` hears
     /// the time that has passed, a few hundred times a second.
-    pub fn run(&self, server: SocketAddr, answered: impl FnMut(&str), at: impl FnMut(Duration)) -> Vec<Fate> {
+    pub fn run(
+        &self,
+        server: SocketAddr,
+        answered: impl FnMut(&str),
+        at: impl FnMut(Duration),
+    ) -> Vec<Fate> {
         self.run_while(server, answered, at, || true)
     }
 
     /// The same, and nothing more is sent once it is no longer on.
     pub fn run_while(
-        &self, server: SocketAddr, mut answered: impl FnMut(&str), mut at: impl FnMut(Duration),
+        &self,
+        server: SocketAddr,
+        mut answered: impl FnMut(&str),
+        mut at: impl FnMut(Duration),
         on: impl Fn() -> bool,
     ) -> Vec<Fate> {
         let mut chance = oorandom::Rand64::new(u128::from(self.seed));
@@ -106,7 +114,12 @@
             }
             let end = length + Duration::from_millis(self.allow_ms);
             while next <= now && next < length {
-                let rate = self.rates.iter().rev().find(|r| r.0 <= next).map_or(1.0, |r| r.1);
+                let rate = self
+                    .rates
+                    .iter()
+                    .rev()
+                    .find(|r| r.0 <= next)
+                    .map_or(1.0, |r| r.1);
                 let Some((conn, id)) = send_on(&mut conns, server, &to) else {
                     // The server is gone: what could not be sent is nobody's.
                     next = now + RETRY;
@@ -123,16 +136,25 @@
                 let line = self.line(id, handler, &name, &body);
                 let _ = conns[conn].stream.write_all(line.as_bytes());
                 open.insert((conn, id), fates.len());
-                fates.push(Fate { handler, name, body, sent: began.elapsed(), answers: vec![] });
+                fates.push(Fate {
+                    handler,
+                    name,
+                    body,
+                    sent: began.elapsed(),
+                    answers: vec![],
+                });
                 next += Duration::from_secs_f64(-(1.0 - chance.rand_float()).ln() / rate);
             }
             hear(&from, &mut conns, |conn, id, answer, heard| {
-                let Some(fate) = open.get(&(conn, id)).map(|f| &mut fates[*f]) else { return false };
+                let Some(fate) = open.get(&(conn, id)).map(|f| &mut fates[*f]) else {
+                    return false;
+                };
                 let first = fate.answers.is_empty();
                 if first {
                     answered(&fate.name);
                 }
-                fate.answers.push((answer, heard.saturating_duration_since(began)));
+                fate.answers
+                    .push((answer, heard.saturating_duration_since(began)));
                 first
             });
             let owed = fates.iter().rev().any(|f| f.answers.is_empty());
@@ -144,7 +166,11 @@
 
     fn line(&self, id: u64, handler: usize, name: &str, body: &str) -> String {
         let ask = &self.asks[handler];
-        let key = if ask.keyed { format!("\"replay\":\"{name}{name}\",") } else { String::new() };
+        let key = if ask.keyed {
+            format!("\"replay\":\"{name}{name}\",")
+        } else {
+            String::new()
+        };
         format!(
             "{{\"jsonrpc\":\"2.0\",\"id\":{id},\"method\":\"{}\",\"params\":{{\"ref\":\"{name}\",\
              \"since\":{},\"sender\":4,\"project\":\"{}\",\"allow\":{},{key}\"room\":2.5,\
@@ -165,7 +191,11 @@
     } else {
         let stream = TcpStream::connect(server).ok()?;
         let _ = stream.set_nodelay(true);
-        let (no, reader, to) = (conns.len(), stream.try_clone().expect("a second handle"), to.clone());
+        let (no, reader, to) = (
+            conns.len(),
+            stream.try_clone().expect("a second handle"),
+            to.clone(),
+        );
         std::thread::spawn(move || {
             for line in BufReader::new(reader).lines().map_while(Result::ok) {
                 if to.send(Heard::Line(no, line, Instant::now())).is_err() {
@@ -174,7 +204,12 @@
             }
             let _ = to.send(Heard::Lost);
         });
-        conns.push(Conn { stream, open: 0, id: 0, leaving: false });
+        conns.push(Conn {
+            stream,
+            open: 0,
+            id: 0,
+            leaving: false,
+        });
         no
     };
     conns[at].open += 1;
@@ -184,17 +219,25 @@
 
 /// Takes in what the server said, for a millisecond at least.
 fn hear(
-    from: &Receiver<Heard>, conns: &mut [Conn], mut each: impl FnMut(usize, u64, Answer, Instant) -> bool,
+    from: &Receiver<Heard>,
+    conns: &mut [Conn],
+    mut each: impl FnMut(usize, u64, Answer, Instant) -> bool,
 ) {
     let mut wait = Duration::from_millis(1);
     while let Ok(heard) = from.recv_timeout(wait) {
         wait = Duration::ZERO;
-        let Heard::Line(conn, line, at) = heard else { continue };
-        let Ok(said) = serde_json::from_str::<Value>(&line) else { continue };
+        let Heard::Line(conn, line, at) = heard else {
+            continue;
+        };
+        let Ok(said) = serde_json::from_str::<Value>(&line) else {
+            continue;
+        };
         if said["method"] == "leaving" {
             conns[conn].leaving = true;
         }
-        let Some(id) = said["id"].as_u64() else { continue };
+        let Some(id) = said["id"].as_u64() else {
+            continue;
+        };
         let answer = match said["error"]["code"].as_i64() {
             None => Answer::Done,
             Some(-32002) => Answer::Shed(said["error"]["data"]["cooldown"].as_u64().unwrap_or(0)),
@@ -207,9 +250,17 @@
 }
 
 /// Of the reqs of a handler sent from one time to another: how many, and the part that was kept.
-pub fn kept(fates: &[Fate], asks: &[Ask], handler: usize, from: Duration, to: Duration) -> (usize, f64) {
-    let of: Vec<&Fate> =
-        fates.iter().filter(|f| f.handler == handler && f.sent >= from && f.sent < to).collect();
+pub fn kept(
+    fates: &[Fate],
+    asks: &[Ask],
+    handler: usize,
+    from: Duration,
+    to: Duration,
+) -> (usize, f64) {
+    let of: Vec<&Fate> = fates
+        .iter()
+        .filter(|f| f.handler == handler && f.sent >= from && f.sent < to)
+        .collect();
     let kept = of.iter().filter(|f| f.kept(asks[handler].target)).count();
     (of.len(), kept as f64 / of.len().max(1) as f64)
 }
@@ -238,7 +289,10 @@
         if runs > 1 && asks[fate.handler].keyed {
             found.push(format!("{name} ran {runs} times"));
         }
-        if runs > 0 && asks[fate.handler].keyed && matches!(fate.answers[..], [(Answer::Shed(_), _)]) {
+        if runs > 0
+            && asks[fate.handler].keyed
+            && matches!(fate.answers[..], [(Answer::Shed(_), _)])
+        {
             found.push(format!("{name} was shed although it ran"));
         }
     }
