--- a/crates/testkit/src/catalogue.rs
+++ b/crates/testkit/src/catalogue.rs
@@ -107,7 +107,13 @@
         if let ["FETCH", name, _, len] = words[..] {
             let mut body = vec![0; len.parse::<usize>().unwrap_or(0) + 2];
             from.read_exact(&mut body)?;
-            if to.send(Event::Call { conn, name: name.into() }).is_err() {
+            if to
+                .send(Event::Call {
+                    conn,
+                    name: name.into(),
+                })
+                .is_err()
+            {
                 return Ok(());
             }
         }
@@ -132,7 +138,14 @@
 impl Slots {
     fn new(slots: usize, call: Duration) -> Slots {
         let (calls, conns) = (VecDeque::new(), HashMap::new());
-        Slots { slots, call, mood: Mood::Slow(1.0), calls, conns, seen: Seen::default() }
+        Slots {
+            slots,
+            call,
+            mood: Mood::Slow(1.0),
+            calls,
+            conns,
+            seen: Seen::default(),
+        }
     }
 
     fn run(mut self, from: &Receiver<Event>) {
@@ -176,9 +189,13 @@
             }
         };
         let part = secs / (self.call.as_secs_f64() * times);
-        self.calls.iter_mut().take(self.slots).for_each(|c| c.left -= part);
-        let (over, stay): (Vec<Call>, Vec<Call>) =
-            std::mem::take(&mut self.calls).into_iter().partition(|c| c.left <= 0.0);
+        self.calls
+            .iter_mut()
+            .take(self.slots)
+            .for_each(|c| c.left -= part);
+        let (over, stay): (Vec<Call>, Vec<Call>) = std::mem::take(&mut self.calls)
+            .into_iter()
+            .partition(|c| c.left <= 0.0);
         self.calls = stay.into();
         for call in over {
             self.seen.done += 1;
@@ -188,8 +205,14 @@
     }
 
     fn say(&mut self, conn: u64, text: &str) {
-        let Some(stream) = self.conns.get_mut(&conn) else { return };
-        let piece = if self.mood == Mood::Dribbles { 1 } else { text.len() };
+        let Some(stream) = self.conns.get_mut(&conn) else {
+            return;
+        };
+        let piece = if self.mood == Mood::Dribbles {
+            1
+        } else {
+            text.len()
+        };
         for bytes in text.as_bytes().chunks(piece) {
             let _ = stream.write_all(bytes);
         }
@@ -198,7 +221,11 @@
     fn event(&mut self, event: Event) {
         match event {
             Event::Call { conn, name } => {
-                self.calls.push_back(Call { conn, name, left: 1.0 });
+                self.calls.push_back(Call {
+                    conn,
+                    name,
+                    left: 1.0,
+                });
                 self.seen.came += 1;
                 self.seen.peak = self.seen.peak.max(self.calls.len());
             }
--- a/crates/testkit/src/engine.rs
+++ b/crates/testkit/src/engine.rs
@@ -141,7 +141,11 @@
 
     /// All that is on the cores gets its even part of them, at most one each.
     fn work(&mut self, ms: f64) {
-        let on = self.runs.values().filter(|r| matches!(r.at, At::Core)).count();
+        let on = self
+            .runs
+            .values()
+            .filter(|r| matches!(r.at, At::Core))
+            .count();
         let each = ms * (self.cores / on.max(1) as f64).min(1.0);
         let (mut over, mut calls) = (vec![], vec![]);
         for (name, run) in self.runs.iter_mut().filter(|r| matches!(r.1.at, At::Core)) {
@@ -163,18 +167,23 @@
             } else {
                 let blob = BASE64.encode(&name);
                 self.notice(|n| {
-                    format!("\"msg\":\"NEED\",\"serial\":{n},\"call\":\"{name}\",\"blob\":\"{blob}\"")
+                    format!(
+                        "\"msg\":\"NEED\",\"serial\":{n},\"call\":\"{name}\",\"blob\":\"{blob}\""
+                    )
                 });
             }
         }
     }
 
     fn end(&mut self, name: &str, how: &str) {
-        let Some(run) = self.runs.remove(name) else { return };
+        let Some(run) = self.runs.remove(name) else {
+            return;
+        };
         let ms = run.began.elapsed().as_millis();
         let blob = BASE64.encode(name);
         self.notice(|n| {
-            let head = format!("\"msg\":\"DONE\",\"serial\":{n},\"call\":\"{name}\",\"how\":\"{how}\"");
+            let head =
+                format!("\"msg\":\"DONE\",\"serial\":{n},\"call\":\"{name}\",\"how\":\"{how}\"");
             format!("{head},\"duration\":{ms},\"blob\":\"{blob}\"")
         });
     }
@@ -190,7 +199,11 @@
     }
 
     fn say(&mut self, line: &str) {
-        if self.link.as_mut().is_some_and(|l| l.write_all(line.as_bytes()).is_err()) {
+        if self
+            .link
+            .as_mut()
+            .is_some_and(|l| l.write_all(line.as_bytes()).is_err())
+        {
             self.link = None;
         }
     }
@@ -214,7 +227,9 @@
             Event::Line(link, line) if link == self.links => self.command(&line),
             Event::Line(..) => {}
             Event::Answered(name) => {
-                let Some(run) = self.runs.get_mut(&name) else { return };
+                let Some(run) = self.runs.get_mut(&name) else {
+                    return;
+                };
                 run.answered = true;
                 if matches!(run.at, At::Call) {
                     self.end(&name, "cut");
@@ -232,7 +247,9 @@
     }
 
     fn command(&mut self, line: &str) {
-        let Ok(said) = serde_json::from_str::<Value>(line) else { return };
+        let Ok(said) = serde_json::from_str::<Value>(line) else {
+            return;
+        };
         let text = |key: &str| said[key].as_str().unwrap_or_default().to_string();
         let name = text("call");
         match text("msg").as_str() {
@@ -243,13 +260,21 @@
                     self.serial = 0;
                     self.notices.clear();
                 }
-                let missed: String =
-                    self.notices.iter().filter(|n| n.0 > read).map(|n| n.1.as_str()).collect();
+                let missed: String = self
+                    .notices
+                    .iter()
+                    .filter(|n| n.0 > read)
+                    .map(|n| n.1.as_str())
+                    .collect();
                 self.say("{\"msg\":\"HELLO\",\"how\":\"old\",\"duration\":3600000}\n");
                 self.say(&missed);
             }
             "STAT" => {
-                let on = self.runs.values().filter(|r| matches!(r.at, At::Core)).count() as f64;
+                let on = self
+                    .runs
+                    .values()
+                    .filter(|r| matches!(r.at, At::Core))
+                    .count() as f64;
                 let used = (on / self.cores).min(1.0);
                 let cookie = text("cookie");
                 self.say(&format!(
@@ -259,12 +284,20 @@
             "RUN" if !self.runs.contains_key(&name) => {
                 let service = text("service");
                 let Some(work) = self.works.iter().find(|w| w.handler == service).cloned() else {
-                    return self.say(&format!("{{\"msg\":\"NO\",\"how\":\"RUN\",\"call\":\"{name}\"}}\n"));
+                    return self.say(&format!(
+                        "{{\"msg\":\"NO\",\"how\":\"RUN\",\"call\":\"{name}\"}}\n"
+                    ));
                 };
                 *self.ran.bodies.entry(text("blob")).or_default() += 1;
                 let left_ms = work.ms.0 + (work.ms.1 - work.ms.0) * self.chance.rand_float();
                 let call_at = work.calls.then_some(left_ms * 0.5);
-                let run = Run { left_ms, call_at, at: At::Core, began: Instant::now(), answered: false };
+                let run = Run {
+                    left_ms,
+                    call_at,
+                    at: At::Core,
+                    began: Instant::now(),
+                    answered: false,
+                };
                 self.runs.insert(name, run);
                 self.ran.most_at_once = self.ran.most_at_once.max(self.runs.len());
             }
--- a/crates/testkit/src/fleet/draw.rs
+++ b/crates/testkit/src/fleet/draw.rs
@@ -30,7 +30,9 @@
 
     /// Servers that are stopped now.
     pub fn stopped(&self) -> Vec<usize> {
-        (0..self.stopped.len()).filter(|s| self.stopped[*s]).collect()
+        (0..self.stopped.len())
+            .filter(|s| self.stopped[*s])
+            .collect()
     }
 
     /// The next: crashes, pauses, cuts of both kinds, loss, doubling, spoiling, delays of up to a second, old
@@ -39,8 +41,10 @@
         let n = self.up.len();
         let who = (self.chance.rand_float() * n as f64) as usize;
         let part = self.chance.rand_float() * 0.4;
-        let delay =
-            Some((Duration::from_millis(1), Duration::from_secs_f64(0.01 + self.chance.rand_float())));
+        let delay = Some((
+            Duration::from_millis(1),
+            Duration::from_secs_f64(0.01 + self.chance.rand_float()),
+        ));
         match (self.chance.rand_float() * 12.0) as usize {
             0 if self.up[who] && !self.stopped[who] => {
                 self.up[who] = false;
@@ -57,12 +61,27 @@
             3 => Act::Cut(vec![vec![who], (0..n).filter(|s| *s != who).collect()]),
             4 => Act::OneWay(who, (0..n).filter(|s| *s != who).collect()),
             5 => Act::Heal,
-            6 => Act::Net { loss: Some(part), double: Some(part), spoil: Some(part * 0.3), delay },
-            7 => Act::Net { loss: None, double: None, spoil: None, delay: None },
+            6 => Act::Net {
+                loss: Some(part),
+                double: Some(part),
+                spoil: Some(part * 0.3),
+                delay,
+            },
+            7 => Act::Net {
+                loss: None,
+                double: None,
+                spoil: None,
+                delay: None,
+            },
             8 => Act::Replay(who),
             _ if !self.up[who] => {
                 self.up[who] = true;
-                Act::Start { who, name: who, clock: Duration::ZERO, back: false }
+                Act::Start {
+                    who,
+                    name: who,
+                    clock: Duration::ZERO,
+                    back: false,
+                }
             }
             _ if self.stopped[who] => {
                 self.stopped[who] = false;
--- a/crates/testkit/src/fleet/net.rs
+++ b/crates/testkit/src/fleet/net.rs
@@ -49,10 +49,20 @@
                 self.group.fill(0);
                 self.one_way.clear();
             }
-            Act::Net { loss: None, double: None, spoil: None, delay: None } => {
+            Act::Net {
+                loss: None,
+                double: None,
+                spoil: None,
+                delay: None,
+            } => {
                 (self.loss, self.double, self.spoil, self.delay) = (0.0, 0.0, 0.0, self.calm);
             }
-            Act::Net { loss, double, spoil, delay } => {
+            Act::Net {
+                loss,
+                double,
+                spoil,
+                delay,
+            } => {
                 self.loss = loss.unwrap_or(self.loss);
                 self.double = double.unwrap_or(self.double);
                 self.spoil = spoil.unwrap_or(self.spoil);
@@ -83,7 +93,11 @@
             if self.kept[to].len() < KEPT && self.kept.len() <= SMALL {
                 self.kept[to].push((from, bytes.clone()));
             }
-            let spread = self.delay.1.saturating_sub(self.delay.0).mul_f64(self.chance.rand_float());
+            let spread = self
+                .delay
+                .1
+                .saturating_sub(self.delay.0)
+                .mul_f64(self.chance.rand_float());
             arrive.push((self.delay.0 + spread, bytes));
         }
         arrive
--- a/crates/testkit/src/fleet/relay.rs
+++ b/crates/testkit/src/fleet/relay.rs
@@ -43,15 +43,27 @@
                 let mut buffer = [0; 2_048];
                 loop {
                     // An error is told for something sent to one that is gone.
-                    let Ok((length, from)) = hears.recv_from(&mut buffer) else { continue };
-                    if to.send(Event::Came { at, from, bytes: buffer[..length].to_vec() }).is_err() {
+                    let Ok((length, from)) = hears.recv_from(&mut buffer) else {
+                        continue;
+                    };
+                    if to
+                        .send(Event::Came {
+                            at,
+                            from,
+                            bytes: buffer[..length].to_vec(),
+                        })
+                        .is_err()
+                    {
                         return;
                     }
                 }
             });
             sockets.push(socket);
         }
-        let addresses = sockets.iter().map(|s| s.local_addr().expect("an address")).collect();
+        let addresses = sockets
+            .iter()
+            .map(|s| s.local_addr().expect("an address"))
+            .collect();
         std::thread::spawn(move || Carrier::new(sockets, seed).run(&from));
         Relays { to, addresses }
     }
@@ -92,7 +104,10 @@
 
     fn run(mut self, from: &Receiver<Event>) {
         loop {
-            let due = self.late.peek().map_or(IDLE, |l| l.0.0.saturating_duration_since(Instant::now()));
+            let due = self
+                .late
+                .peek()
+                .map_or(IDLE, |l| l.0.0.saturating_duration_since(Instant::now()));
             match from.recv_timeout(due.min(IDLE)) {
                 Ok(Event::Came { at, from, bytes }) => self.came(at, from, &bytes),
                 Ok(Event::Hears(server, at)) => {
@@ -104,7 +119,12 @@
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
-            while let Some(Reverse((_, no))) = self.late.peek().copied().filter(|l| l.0.0 <= Instant::now()) {
+            while let Some(Reverse((_, no))) = self
+                .late
+                .peek()
+                .copied()
+                .filter(|l| l.0.0 <= Instant::now())
+            {
                 self.late.pop();
                 if let Some((from, to, bytes)) = self.waiting.remove(&no) {
                     self.pass_on(from, to, &bytes);
@@ -114,7 +134,9 @@
     }
 
     fn came(&mut self, to: usize, from: SocketAddr, bytes: &[u8]) {
-        let Some(from) = self.by_address.get(&from).copied() else { return };
+        let Some(from) = self.by_address.get(&from).copied() else {
+            return;
+        };
         for (after, bytes) in self.net.carry(from, to, bytes) {
             if after == Duration::ZERO {
                 self.pass_on(from, to, &bytes);
@@ -135,7 +157,10 @@
 
     fn act(&mut self, act: &Act) {
         if let Act::Replay(to) = act {
-            self.net.kept(*to).iter().for_each(|(from, bytes)| self.pass_on(*from, *to, bytes));
+            self.net
+                .kept(*to)
+                .iter()
+                .for_each(|(from, bytes)| self.pass_on(*from, *to, bytes));
         }
         self.net.act(act);
     }
--- a/crates/testkit/src/fleet/script.rs
+++ b/crates/testkit/src/fleet/script.rs
@@ -36,7 +36,12 @@
 /// What is done to a fleet; servers are numbers from 0.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Act {
-    Start { who: usize, name: usize, clock: Duration, back: bool },
+    Start {
+        who: usize,
+        name: usize,
+        clock: Duration,
+        back: bool,
+    },
     Kill(usize),
     Stop(usize),
     Continue(usize),
@@ -44,7 +49,12 @@
     Cut(Vec<Vec<usize>>),
     OneWay(usize, Vec<usize>),
     Heal,
-    Net { loss: Option<f64>, double: Option<f64>, spoil: Option<f64>, delay: Option<(Duration, Duration)> },
+    Net {
+        loss: Option<f64>,
+        double: Option<f64>,
+        spoil: Option<f64>,
+        delay: Option<(Duration, Duration)>,
+    },
     Replay(usize),
     Demand(usize, u32),
     Budget(usize, u32),
@@ -149,7 +159,9 @@
         Some(n) => (n, 0.001),
         None => (text.strip_suffix('s').unwrap_or("none"), 1.0),
     };
-    let n: f64 = number.parse().map_err(|_| format!("'{text}' is no time, as in 8s or 40ms"))?;
+    let n: f64 = number
+        .parse()
+        .map_err(|_| format!("'{text}' is no time, as in 8s or 40ms"))?;
     Ok(Duration::from_secs_f64(n * unit))
 }
 
@@ -158,19 +170,28 @@
 }
 
 fn part(text: Option<&&str>) -> Result<f64, String> {
-    let n = text.and_then(|t| t.parse::<f64>().ok()).filter(|n| (0.0..=1.0).contains(n));
+    let n = text
+        .and_then(|t| t.parse::<f64>().ok())
+        .filter(|n| (0.0..=1.0).contains(n));
     n.ok_or_else(|| "a part from 0 to 1 is wanted".into())
 }
 
-const STATES: [State; 6] =
-    [State::Joining, State::Alive, State::Suspect, State::Draining, State::Down, State::Left];
+const STATES: [State; 6] = [
+    State::Joining,
+    State::Alive,
+    State::Suspect,
+    State::Draining,
+    State::Down,
+    State::Left,
+];
 const HEARD: [Hears; 3] = [Hears::Whole, Hears::Part, Hears::Alone];
 
 impl Setup {
     fn one(&self, word: &str) -> Result<usize, String> {
         let n = word.strip_prefix('n').and_then(|n| n.parse::<usize>().ok());
         let n = n.filter(|n| (1..=self.servers).contains(n));
-        n.map(|n| n - 1).ok_or_else(|| format!("'{word}' is no server"))
+        n.map(|n| n - 1)
+            .ok_or_else(|| format!("'{word}' is no server"))
     }
 
     /// Servers by their names, their zones, or all.
@@ -195,7 +216,12 @@
             "suspicion" => self.suspicion = span(value)?,
             "probe" => self.probe = span(value)?,
             "most" => self.most = value.parse().map_err(|_| "most= is a number")?,
-            "join" => self.join = value.split(',').map(|w| self.one(w)).collect::<Result<_, _>>()?,
+            "join" => {
+                self.join = value
+                    .split(',')
+                    .map(|w| self.one(w))
+                    .collect::<Result<_, _>>()?
+            }
             "window" => self.window = Some(span(value)?),
             "budget" => {
                 let whole = value.parse().map_err(|_| "budget= is a number")?;
@@ -210,9 +236,14 @@
                 });
             }
             _ => {
-                let budget = self.budget.as_mut().ok_or_else(|| format!("no such key {key}"))?;
+                let budget = self
+                    .budget
+                    .as_mut()
+                    .ok_or_else(|| format!("no such key {key}"))?;
                 match key {
-                    "servers" => budget.servers = value.parse().map_err(|_| "servers= is a number")?,
+                    "servers" => {
+                        budget.servers = value.parse().map_err(|_| "servers= is a number")?
+                    }
                     "seats" => budget.seats = value == "on",
                     "lease" => budget.lease = span(value)?,
                     "longest" => budget.longest = span(value)?,
@@ -226,29 +257,61 @@
 
     fn steps(&self, words: &[&str]) -> Result<Vec<Step>, String> {
         let each = |make: fn(usize) -> Act| -> Result<Vec<Step>, String> {
-            Ok(self.some(&words[1..])?.into_iter().map(|s| Step::Act(make(s))).collect())
+            Ok(self
+                .some(&words[1..])?
+                .into_iter()
+                .map(|s| Step::Act(make(s)))
+                .collect())
         };
         let act = |act| Ok(vec![Step::Act(act)]);
-        let net = |loss, double, spoil, delay| Act::Net { loss, double, spoil, delay };
+        let net = |loss, double, spoil, delay| Act::Net {
+            loss,
+            double,
+            spoil,
+            delay,
+        };
         match words {
             ["start", names @ .., last] if last.starts_with("clock=") => {
                 let by = &last["clock=".len()..];
                 let back = by.starts_with('-');
                 let clock = span(by.trim_start_matches('-'))?;
                 let who = self.some(names)?;
-                Ok(who.into_iter().map(|who| Step::Act(Act::Start { who, name: who, clock, back })).collect())
+                Ok(who
+                    .into_iter()
+                    .map(|who| {
+                        Step::Act(Act::Start {
+                            who,
+                            name: who,
+                            clock,
+                            back,
+                        })
+                    })
+                    .collect())
             }
-            ["start", ..] => each(|who| Act::Start { who, name: who, clock: Duration::ZERO, back: false }),
+            ["start", ..] => each(|who| Act::Start {
+                who,
+                name: who,
+                clock: Duration::ZERO,
+                back: false,
+            }),
             ["namesake", who, of] => {
                 let (who, name) = (self.one(who)?, self.one(of)?);
-                act(Act::Start { who, name, clock: Duration::ZERO, back: false })
+                act(Act::Start {
+                    who,
+                    name,
+                    clock: Duration::ZERO,
+                    back: false,
+                })
             }
             ["kill", ..] => each(Act::Kill),
             ["stop", ..] => each(Act::Stop),
             ["continue", ..] => each(Act::Continue),
             ["drain", ..] => each(Act::Drain),
             ["cut", groups @ ..] => {
-                let groups = groups.split(|w| *w == "|").map(|g| self.some(g)).collect::<Result<_, _>>()?;
+                let groups = groups
+                    .split(|w| *w == "|")
+                    .map(|g| self.some(g))
+                    .collect::<Result<_, _>>()?;
                 act(Act::Cut(groups))
             }
             ["oneway", from, ">", to @ ..] => act(Act::OneWay(self.one(from)?, self.some(to)?)),
@@ -263,33 +326,65 @@
             ["sees", who, of, state, term] => {
                 let state = match *state {
                     "unknown" => None,
-                    word => Some(STATES.into_iter().find(|s| s.to_string() == word).ok_or("no such state")?),
+                    word => Some(
+                        STATES
+                            .into_iter()
+                            .find(|s| s.to_string() == word)
+                            .ok_or("no such state")?,
+                    ),
                 };
                 let (who, of) = (self.some(&[who])?, self.one(of)?);
-                Ok(vec![Step::Within(Condition::Sees { who, of, state }, span(term)?)])
+                Ok(vec![Step::Within(
+                    Condition::Sees { who, of, state },
+                    span(term)?,
+                )])
             }
             ["hears", who, hears, term] => {
-                let hears = HEARD.into_iter().find(|h| h.to_string() == *hears).ok_or("no such hearing")?;
+                let hears = HEARD
+                    .into_iter()
+                    .find(|h| h.to_string() == *hears)
+                    .ok_or("no such hearing")?;
                 let who = self.some(&[who])?;
-                Ok(vec![Step::Within(Condition::Hears { who, hears }, span(term)?)])
+                Ok(vec![Step::Within(
+                    Condition::Hears { who, hears },
+                    span(term)?,
+                )])
             }
             ["demand", names @ .., n] => {
                 let n = number(n)?;
-                Ok(self.some(names)?.into_iter().map(|s| Step::Act(Act::Demand(s, n))).collect())
+                Ok(self
+                    .some(names)?
+                    .into_iter()
+                    .map(|s| Step::Act(Act::Demand(s, n)))
+                    .collect())
             }
             ["budget", names @ .., n] => {
                 let n = number(n)?;
-                Ok(self.some(names)?.into_iter().map(|s| Step::Act(Act::Budget(s, n))).collect())
+                Ok(self
+                    .some(names)?
+                    .into_iter()
+                    .map(|s| Step::Act(Act::Budget(s, n)))
+                    .collect())
             }
             ["peak", n] => act(Act::Peak(number(n)?)),
             [word @ ("has" | "spares"), who, n, term] => {
                 let (who, n) = (self.some(&[who])?, number(n)?);
-                let (least, most) = if *word == "has" { (n, u32::MAX) } else { (0, n) };
-                Ok(vec![Step::Within(Condition::Has { who, least, most }, span(term)?)])
+                let (least, most) = if *word == "has" {
+                    (n, u32::MAX)
+                } else {
+                    (0, n)
+                };
+                Ok(vec![Step::Within(
+                    Condition::Has { who, least, most },
+                    span(term)?,
+                )])
             }
             ["uses", names @ .., n, term] => {
                 let (who, least) = (self.some(names)?, number(n)?);
-                Ok(vec![Step::Within(Condition::Uses { who, least }, span(term)?)])
+                Ok(vec![Step::Within(
+                    Condition::Uses { who, least },
+                    span(term)?,
+                )])
             }
             ["for", time] => act(Act::For(span(time)?)),
             ["downs", n] => act(Act::Downs(n.parse().map_err(|_| "a number is wanted")?)),
@@ -310,8 +405,14 @@
             match words[..] {
                 [] => {}
                 ["servers", n] => {
-                    let n = n.parse().map_err(|_| wrong("a number of servers is wanted".into()))?;
-                    setup = Setup { servers: n, zones: vec!["north".into(); n], ..setup };
+                    let n = n
+                        .parse()
+                        .map_err(|_| wrong("a number of servers is wanted".into()))?;
+                    setup = Setup {
+                        servers: n,
+                        zones: vec!["north".into(); n],
+                        ..setup
+                    };
                 }
                 ["zone", zone, ref names @ ..] => {
                     for s in setup.some(names).map_err(wrong)? {
@@ -321,7 +422,13 @@
                 ["set", ref words @ ..] => {
                     words.iter().try_for_each(|w| setup.set(w)).map_err(wrong)?;
                 }
-                _ => steps.extend(setup.steps(&words).map_err(wrong)?.into_iter().map(|s| (no, s))),
+                _ => steps.extend(
+                    setup
+                        .steps(&words)
+                        .map_err(wrong)?
+                        .into_iter()
+                        .map(|s| (no, s)),
+                ),
             }
         }
         Ok(Script { setup, steps })
@@ -333,7 +440,10 @@
 pub fn scripts(folder: &Path) -> Vec<(String, Script)> {
     let only = std::env::var("FLEET_SCRIPT").unwrap_or_default();
     let mut found = vec![];
-    for entry in std::fs::read_dir(folder).expect("a folder of scripts").flatten() {
+    for entry in std::fs::read_dir(folder)
+        .expect("a folder of scripts")
+        .flatten()
+    {
         let name = entry.file_name().to_string_lossy().to_string();
         if name.contains(&only) {
             let text = std::fs::read_to_string(entry.path()).expect("text");
@@ -360,12 +470,17 @@
     let mut took = vec![];
     for (line, step) in &script.steps {
         match step {
-            Step::Act(act) => fleet.act(act).map_err(|what| format!("line {line}: {what}"))?,
+            Step::Act(act) => fleet
+                .act(act)
+                .map_err(|what| format!("line {line}: {what}"))?,
             Step::Within(condition, term) => {
                 let began = fleet.at();
                 while let Some(amiss) = fleet.amiss(condition) {
                     if fleet.at().saturating_sub(began) > *term {
-                        return Err(format!("line {line}: not within {} s: {amiss}", term.as_secs_f64()));
+                        return Err(format!(
+                            "line {line}: not within {} s: {amiss}",
+                            term.as_secs_f64()
+                        ));
                     }
                     fleet.pass();
                 }
--- a/crates/testkit/src/fleet/sim.rs
+++ b/crates/testkit/src/fleet/sim.rs
@@ -164,7 +164,10 @@
     }
 
     pub fn running(&self) -> impl Iterator<Item = (usize, &Members)> {
-        self.nodes.iter().enumerate().filter_map(|(s, n)| Some((s, &n.life.as_ref()?.members)))
+        self.nodes
+            .iter()
+            .enumerate()
+            .filter_map(|(s, n)| Some((s, &n.life.as_ref()?.members)))
     }
 
     fn push(&mut self, at: Timestamp, event: Event) {
@@ -194,12 +197,21 @@
         };
         let seed = self.chance.rand_u64();
         let now = self.nodes[who].clock(self.now);
-        let shared = self.shares(who, named).map(|set| Shared::new(now, seed, set));
+        let shared = self
+            .shares(who, named)
+            .map(|set| Shared::new(now, seed, set));
         let node = &mut self.nodes[who];
         if shared.as_ref().is_some_and(|s| !s.counts.is_empty()) {
-            self.truths.push(Truth { who, began: now, counted: HashMap::new() });
+            self.truths.push(Truth {
+                who,
+                began: now,
+                counted: HashMap::new(),
+            });
         }
-        node.life = Some(Together::new(Members::new(now, unix, seed, settings), shared));
+        node.life = Some(Together::new(
+            Members::new(now, unix, seed, settings),
+            shared,
+        ));
         (node.name, node.stopped, node.wakes) = (named, false, None);
         node.work.unheard = 0;
         node.lives += 1;
@@ -217,9 +229,17 @@
             servers: b.servers,
             seat: b.seats.then_some(named as u32 + 1),
             weight: 1.0,
-            terms: Terms { lease: b.lease, longest: b.longest, guard: Duration::from_millis(20) },
+            terms: Terms {
+                lease: b.lease,
+                longest: b.longest,
+                guard: Duration::from_millis(20),
+            },
+        });
+        let count = setup.window.map(|window| CountSettings {
+            name: NAME.into(),
+            window,
+            most: READ_MOST,
         });
-        let count = setup.window.map(|window| CountSettings { name: NAME.into(), window, most: READ_MOST });
         (budget.is_some() || count.is_some()).then(|| madderbay_quota::Settings {
             name: name(named).into(),
             life: (who as u64 + 1) << 32 | u64::from(self.nodes[who].lives + 1),
@@ -236,7 +256,11 @@
             let node = &mut self.nodes[who];
             let now = node.clock(self.now);
             let demand = node.work.demand;
-            let Some(shared) = node.life.as_mut().filter(|_| !node.stopped).and_then(|t| t.shared.as_mut())
+            let Some(shared) = node
+                .life
+                .as_mut()
+                .filter(|_| !node.stopped)
+                .and_then(|t| t.shared.as_mut())
             else {
                 return;
             };
@@ -291,9 +315,18 @@
         for who in 0..self.nodes.len() {
             let node = &mut self.nodes[who];
             let now = node.clock(self.now);
-            let Some(together) = node.life.as_mut().filter(|_| !node.stopped) else { continue };
-            let Some(count) = together.shared.as_mut().and_then(|s| s.counts.first_mut()) else { continue };
-            let truth = self.truths.iter_mut().rev().find(|t| t.who == who).expect("begun");
+            let Some(together) = node.life.as_mut().filter(|_| !node.stopped) else {
+                continue;
+            };
+            let Some(count) = together.shared.as_mut().and_then(|s| s.counts.first_mut()) else {
+                continue;
+            };
+            let truth = self
+                .truths
+                .iter_mut()
+                .rev()
+                .find(|t| t.who == who)
+                .expect("begun");
             let slot = count.set.window.mul_f64(0.1);
             let number = (now - truth.began).as_micros() / slot.as_micros();
             for (key, rate, due) in &mut node.work.rates {
@@ -315,7 +348,9 @@
     }
 
     fn truth_at(&self, key: u32, of: impl Fn(&Truth) -> bool) -> u32 {
-        let Some(window) = self.setup.window else { return 0 };
+        let Some(window) = self.setup.window else {
+            return 0;
+        };
         let slot = window.mul_f64(0.1);
         let (from, to) = (slot.mul_f64(3.0), slot.mul_f64(13.0));
         let mut sum = 0;
@@ -344,7 +379,10 @@
             let own = t.who == who && t.began == began;
             own || t.who != who && view.other(&name(self.nodes[t.who].name)).is_some()
         };
-        let (truth, least) = (f64::from(self.truth(key)), f64::from(self.truth_at(key, known)));
+        let (truth, least) = (
+            f64::from(self.truth(key)),
+            f64::from(self.truth_at(key, known)),
+        );
         self.out_of_bounds.1 += 1;
         let out = truth < told.low || least > told.high;
         if let Some(log) = self.log.as_mut().filter(|_| out) {
@@ -359,7 +397,9 @@
     fn drive(&mut self, who: usize, act: impl FnOnce(&mut Together, Timestamp)) {
         let node = &mut self.nodes[who];
         let own = node.clock(self.now);
-        let Some(together) = node.life.as_mut().filter(|_| !node.stopped) else { return };
+        let Some(together) = node.life.as_mut().filter(|_| !node.stopped) else {
+            return;
+        };
         act(together, own);
         let (out, changes) = (together.outgoing(), together.members.changes());
         let due = together.due().max(own);
@@ -373,7 +413,10 @@
         }
         if let Some(log) = &mut self.log {
             let now = (self.now - Timestamp::default()).as_secs_f64();
-            log.extend(lent.iter().map(|change| format!("{now:9.3} {}: {change}", name(who))));
+            log.extend(
+                lent.iter()
+                    .map(|change| format!("{now:9.3} {}: {change}", name(who))),
+            );
         }
         self.work(who);
         for (to, bytes) in out {
@@ -392,8 +435,17 @@
                 name(who)
             ));
         }
-        let Change::Member { address, to: State::Down, .. } = change else { return };
-        let Some(of) = self.by_address.get(address).copied() else { return };
+        let Change::Member {
+            address,
+            to: State::Down,
+            ..
+        } = change
+        else {
+            return;
+        };
+        let Some(of) = self.by_address.get(address).copied() else {
+            return;
+        };
         let long = self.setup.suspicion.mul_f64(2.0) + Duration::from_millis(2_000);
         let excused = |s: usize| self.now - self.excused[s] < long;
         let hears = self.net.group[who] == self.net.group[of] && self.net.one_way.is_empty();
@@ -404,7 +456,9 @@
     }
 
     fn carry(&mut self, from: usize, to: SocketAddr, bytes: Vec<u8>) {
-        let Some(to) = self.by_address.get(&to).copied() else { return };
+        let Some(to) = self.by_address.get(&to).copied() else {
+            return;
+        };
         for (after, bytes) in self.net.carry(from, to, &bytes) {
             self.push(self.now + after, Event::Datagram(to, address(from), bytes));
         }
@@ -457,13 +511,19 @@
         let truth = self.present();
         let mut digests: HashMap<usize, (usize, u64)> = HashMap::new();
         let mut sizes: HashMap<usize, usize> = HashMap::new();
-        truth.iter().for_each(|s| *sizes.entry(self.net.group[*s]).or_default() += 1);
+        truth
+            .iter()
+            .for_each(|s| *sizes.entry(self.net.group[*s]).or_default() += 1);
         for &s in &truth {
             let members = self.members(s)?;
             let group = self.net.group[s];
             let (size, active) = (sizes[&group], members.active());
             if active + 1 != size {
-                return Some(format!("{} holds {active} others in, not {}", name(s), size - 1));
+                return Some(format!(
+                    "{} holds {active} others in, not {}",
+                    name(s),
+                    size - 1
+                ));
             }
             let first = *digests.entry(group).or_insert((s, members.digest()));
             if first.1 != members.digest() {
@@ -476,7 +536,10 @@
         // Equal digests of as many as run tell that each holds the right ones; suspects are looked for in one.
         let doubtful = digests.values().find_map(|(s, _)| {
             let view = self.members(*s)?.view();
-            view.members.iter().find(|m| m.state == State::Suspect).map(|m| m.name.clone())
+            view.members
+                .iter()
+                .find(|m| m.state == State::Suspect)
+                .map(|m| m.name.clone())
         });
         doubtful.map(|who| format!("{who} is suspect"))
     }
@@ -505,7 +568,12 @@
 impl Fleet for Sim {
     fn act(&mut self, act: &Act) -> Result<(), String> {
         match act {
-            Act::Start { who, name, clock, back } => self.start(*who, *name, *clock, *back),
+            Act::Start {
+                who,
+                name,
+                clock,
+                back,
+            } => self.start(*who, *name, *clock, *back),
             Act::Kill(s) => self.nodes[*s].life = None,
             Act::Stop(s) => self.nodes[*s].stopped = true,
             Act::Continue(s) => {
@@ -534,7 +602,9 @@
                 self.nodes[*s].work.whole = Some(*whole);
                 let named = self.nodes[*s].name;
                 let set = self.shares(*s, named).map_or(vec![], |s| s.budgets);
-                self.drive(*s, |t, now| t.shared.iter_mut().for_each(|s| s.reload(now, &set)));
+                self.drive(*s, |t, now| {
+                    t.shared.iter_mut().for_each(|s| s.reload(now, &set))
+                });
             }
             Act::Peak(most) => {
                 let peak = std::mem::replace(&mut self.peak, self.in_hand);
@@ -560,7 +630,10 @@
             }
             Act::For(time) => self.run(*time),
             Act::Downs(most) if self.wrongly_down > *most => {
-                return Err(format!("{} were declared down while they lived", self.wrongly_down));
+                return Err(format!(
+                    "{} were declared down while they lived",
+                    self.wrongly_down
+                ));
             }
             Act::Downs(_) => {}
         }
@@ -570,13 +643,14 @@
     fn amiss(&mut self, what: &Condition) -> Option<String> {
         match what {
             Condition::Settled => self.unsettled(),
-            Condition::Sees { who, of, state } => {
-                who.iter().filter(|w| who.len() == 1 || *w != of).find_map(|w| {
+            Condition::Sees { who, of, state } => who
+                .iter()
+                .filter(|w| who.len() == 1 || *w != of)
+                .find_map(|w| {
                     let members = self.members(*w).filter(|_| !self.nodes[*w].stopped)?;
                     let seen = members.state(&name(*of));
                     (seen != *state).then(|| format!("{} sees {} {seen:?}", name(*w), name(*of)))
-                })
-            }
+                }),
             Condition::Hears { who, hears } => who.iter().find_map(|w| {
                 let members = self.members(*w).filter(|_| !self.nodes[*w].stopped)?;
                 let heard = members.hears();
--- a/crates/testkit/src/fleet/stand.rs
+++ b/crates/testkit/src/fleet/stand.rs
@@ -94,20 +94,28 @@
     /// `works` is what the engines know to run; `settings` the servers' own.
     pub fn new(setup: Setup, binary: &Path, settings: &str, works: &[Work], seed: u64) -> Stand {
         // Under a budget what lies below is one for all.
-        let took =
-            setup.budget.as_ref().map(|b| StdDuration::from_micros(b.call.as_micros()).max(CALL_LEAST));
+        let took = setup
+            .budget
+            .as_ref()
+            .map(|b| StdDuration::from_micros(b.call.as_micros()).max(CALL_LEAST));
         let below = took.map(|took| Catalogue::start(NO_QUEUE, took));
         Stand::over(below, setup, binary, settings, works, seed)
     }
 
     /// The same over one catalogue, if there is one, in place of one for each.
     pub fn over(
-        below: Option<Catalogue>, setup: Setup, binary: &Path, settings: &str, works: &[Work], seed: u64,
+        below: Option<Catalogue>,
+        setup: Setup,
+        binary: &Path,
+        settings: &str,
+        works: &[Work],
+        seed: u64,
     ) -> Stand {
         use std::sync::atomic::{AtomicU32, Ordering};
         static COUNT: AtomicU32 = AtomicU32::new(0);
         let n = COUNT.fetch_add(1, Ordering::Relaxed);
-        let folder = std::env::temp_dir().join(format!("madderbay-stand-{}-{n}", std::process::id()));
+        let folder =
+            std::env::temp_dir().join(format!("madderbay-stand-{}-{n}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
         let nodes = (0..setup.servers).map(|s| {
             let (registry, reports) = registry::start();
@@ -116,7 +124,9 @@
                 name: s,
                 stopped: false,
                 engine: Engine::start(2.0, works.to_vec(), seed + s as u64),
-                catalogue: below.clone().unwrap_or_else(|| Catalogue::start(8, StdDuration::from_millis(5))),
+                catalogue: below
+                    .clone()
+                    .unwrap_or_else(|| Catalogue::start(8, StdDuration::from_millis(5))),
                 registry,
                 demand: 0,
                 whole: setup.budget.as_ref().map_or(0, |b| b.whole),
@@ -172,7 +182,11 @@
         let text = configuration("127.0.0.1:0", others, 128, STOP_MS, &self.settings);
         let text = text.replace("\"name\":\"n1\"", &format!("\"name\":\"{}\"", name(named)));
         let setup = &self.setup;
-        let join: Vec<String> = setup.join.iter().map(|j| self.relays.addresses[*j].to_string()).collect();
+        let join: Vec<String> = setup
+            .join
+            .iter()
+            .map(|j| self.relays.addresses[*j].to_string())
+            .collect();
         let ms = |s: Duration| s.as_micros() / 1_000;
         let mut operator = format!(
             "[members]\nenabled = on\nlisten = 127.0.0.1:0\nadvertise = {}\njoin = {}\nzone = {}\n\
@@ -191,28 +205,45 @@
         operator += &budget(setup, named, node.whole);
         let clock = format!("{}{}", if back { "-" } else { "" }, ms(clock));
         let mut server = Server::start_ahead(&self.binary, &text, Some(&operator), &clock);
-        let heard = server.before.iter().find_map(|l| l.split("members: heard at ").nth(1));
-        let heard = heard.and_then(|l| l.split(',').next()?.parse().ok()).expect("where it hears");
+        let heard = server
+            .before
+            .iter()
+            .find_map(|l| l.split("members: heard at ").nth(1));
+        let heard = heard
+            .and_then(|l| l.split(',').next()?.parse().ok())
+            .expect("where it hears");
         self.relays.hears(who, heard);
         // Its log is read on, so that writing it never waits; nobody needs it.
         drop(server.follow());
-        (node.server, node.name, node.stopped, node.heard) = (Some(server), named, false, Some(heard));
+        (node.server, node.name, node.stopped, node.heard) =
+            (Some(server), named, false, Some(heard));
         self.load(who);
     }
 
     /// Sends a server reqs for as many calls at a time as it is to have work for.
     fn load(&mut self, who: usize) {
         let node = &mut self.nodes[who];
-        node.loads.iter().for_each(|l| l.on.store(false, Ordering::Relaxed));
-        let (Some(server), Some(b)) = (&node.server, &self.setup.budget) else { return };
+        node.loads
+            .iter()
+            .for_each(|l| l.on.store(false, Ordering::Relaxed));
+        let (Some(server), Some(b)) = (&node.server, &self.setup.budget) else {
+            return;
+        };
         if node.demand == 0 {
             return;
         }
-        let took = StdDuration::from_micros(b.call.as_micros()).max(CALL_LEAST).as_secs_f64();
+        let took = StdDuration::from_micros(b.call.as_micros())
+            .max(CALL_LEAST)
+            .as_secs_f64();
         let rates = vec![(StdDuration::ZERO, f64::from(node.demand) / took)];
         let seed = self.began.elapsed().as_nanos() as u64;
-        let load =
-            Load { asks: asks(), rates, length: StdDuration::from_secs(600), seed, allow_ms: ALLOW_MS };
+        let load = Load {
+            asks: asks(),
+            rates,
+            length: StdDuration::from_secs(600),
+            seed,
+            allow_ms: ALLOW_MS,
+        };
         let (address, engine) = (server.address, node.engine.clone());
         let on = Arc::new(AtomicBool::new(true));
         let flag = on.clone();
@@ -220,7 +251,11 @@
             let on = || flag.load(Ordering::Relaxed);
             load.run_while(address, |name| engine.answered(name), |_| (), on)
         });
-        node.loads.push(Loading { on, fates, disturbed: false });
+        node.loads.push(Loading {
+            on,
+            fates,
+            disturbed: false,
+        });
     }
 
     /// The server is killed or stopped: its callers can't expect anything.
@@ -235,7 +270,10 @@
     pub fn judged(&mut self) -> (usize, Vec<String>) {
         let (mut reqs, mut broken) = (0, vec![]);
         for s in 0..self.nodes.len() {
-            self.nodes[s].loads.iter().for_each(|l| l.on.store(false, Ordering::Relaxed));
+            self.nodes[s]
+                .loads
+                .iter()
+                .for_each(|l| l.on.store(false, Ordering::Relaxed));
         }
         for node in &mut self.nodes {
             for load in std::mem::take(&mut node.loads) {
@@ -244,7 +282,10 @@
                 let found = breaches(&fates, &asks(), &node.engine.ran().bodies);
                 let answers = |w: &String| load.disturbed && w.contains(" answers");
                 broken.extend(
-                    found.into_iter().filter(|w| !answers(w)).map(|w| format!("{}: {w}", name(node.name))),
+                    found
+                        .into_iter()
+                        .filter(|w| !answers(w))
+                        .map(|w| format!("{}: {w}", name(node.name))),
                 );
             }
         }
@@ -256,7 +297,12 @@
         let lines = self.asked(server, "shared")?;
         let budget = lines.iter().find(|l| l["whole"].is_u64())?;
         let of = |key: &str| budget[key].as_u64().map(|n| n as u32);
-        Some(Lent { usable: of("usable")?, in_use: of("in_use")?, own: of("own")?, wants: of("wants")? })
+        Some(Lent {
+            usable: of("usable")?,
+            in_use: of("in_use")?,
+            own: of("own")?,
+            wants: of("wants")?,
+        })
     }
 
     /// What a server tells of a count by the name of its key, and how far off that may be.
@@ -270,7 +316,10 @@
     pub fn routes(&self, server: usize) -> Option<HashMap<String, (String, f64, u64)>> {
         let lines = self.asked(server, "routes")?;
         let of = |l: &Value| {
-            let (name, state) = (l["name"].as_str()?.to_string(), l["state"].as_str()?.to_string());
+            let (name, state) = (
+                l["name"].as_str()?.to_string(),
+                l["state"].as_str()?.to_string(),
+            );
             Some((name, (state, l["weight"].as_f64()?, l["bad"].as_u64()?)))
         };
         lines.iter().skip(1).map(of).collect()
@@ -288,7 +337,8 @@
     /// How all stand: calls in hand, those that may be, and work there is.
     fn all_lent(&self) -> String {
         let all = (0..self.nodes.len()).filter_map(|s| Some((name(s), self.lent(s)?)));
-        let told = all.map(|(n, l)| format!("{n} {} of {}, work for {}", l.in_use, l.usable, l.wants));
+        let told =
+            all.map(|(n, l)| format!("{n} {} of {}, work for {}", l.in_use, l.usable, l.wants));
         told.collect::<Vec<String>>().join("; ")
     }
 
@@ -300,7 +350,9 @@
         }
         let mut stream = UnixStream::connect(&node.socket).ok()?;
         stream.set_read_timeout(Some(ANSWER)).ok()?;
-        stream.write_all(format!("{{\"ask\":\"{what}\"}}\n").as_bytes()).ok()?;
+        stream
+            .write_all(format!("{{\"ask\":\"{what}\"}}\n").as_bytes())
+            .ok()?;
         let mut found = vec![];
         for line in BufReader::new(stream).lines().map_while(Result::ok) {
             let line: Value = serde_json::from_str(&line).ok()?;
@@ -317,9 +369,17 @@
         let lines = self.asked(server, "members")?;
         let head = lines.first()?;
         let text = |v: &Value| v.as_str().unwrap_or_default().to_string();
-        let states = lines[1..].iter().map(|m| (text(&m["name"]), text(&m["state"]))).collect();
+        let states = lines[1..]
+            .iter()
+            .map(|m| (text(&m["name"]), text(&m["state"])))
+            .collect();
         let active = head["active"].as_u64()? as usize;
-        Some(Told { hears: text(&head["hears"]), digest: text(&head["digest"]), active, states })
+        Some(Told {
+            hears: text(&head["hears"]),
+            digest: text(&head["digest"]),
+            active,
+            states,
+        })
     }
 
     fn unsettled(&self) -> Option<String> {
@@ -328,32 +388,50 @@
             if node.server.is_none() || node.stopped {
                 continue;
             }
-            let Some(told) = self.told(s) else { return Some(format!("{} does not answer", name(s))) };
+            let Some(told) = self.told(s) else {
+                return Some(format!("{} does not answer", name(s)));
+            };
             // One whose name another has stands aside.
-            if told.states.get(&name(node.name)).is_none_or(|own| own != "down") {
+            if told
+                .states
+                .get(&name(node.name))
+                .is_none_or(|own| own != "down")
+            {
                 views.push((s, told));
             }
         }
         let names = |g: usize| -> Vec<String> {
-            let of = views.iter().filter(|v| self.group[v.0] == g).map(|v| name(self.nodes[v.0].name));
+            let of = views
+                .iter()
+                .filter(|v| self.group[v.0] == g)
+                .map(|v| name(self.nodes[v.0].name));
             let mut of: Vec<String> = of.collect();
             of.sort();
             of
         };
         for (s, told) in &views {
             let out = ["down", "left"];
-            let mut held: Vec<String> =
-                told.states.iter().filter(|m| !out.contains(&m.1.as_str())).map(|m| m.0.clone()).collect();
+            let mut held: Vec<String> = told
+                .states
+                .iter()
+                .filter(|m| !out.contains(&m.1.as_str()))
+                .map(|m| m.0.clone())
+                .collect();
             held.sort();
             let truth = names(self.group[*s]);
             if held != truth {
                 return Some(format!("{} holds {held:?} in, not {truth:?}", name(*s)));
             }
-            let doubt = told.states.iter().find(|m| m.1 == "suspect" || m.1 == "joining");
+            let doubt = told
+                .states
+                .iter()
+                .find(|m| m.1 == "suspect" || m.1 == "joining");
             if let Some((who, state)) = doubt {
                 return Some(format!("{} holds {who} {state}", name(*s)));
             }
-            let other = views.iter().find(|v| self.group[v.0] == self.group[*s] && v.1.digest != told.digest);
+            let other = views
+                .iter()
+                .find(|v| self.group[v.0] == self.group[*s] && v.1.digest != told.digest);
             if let Some((other, _)) = other {
                 return Some(format!("{} and {} differ", name(*s), name(*other)));
             }
@@ -367,8 +445,14 @@
 
 /// What the operator file says of a budget, if there is one.
 fn budget(setup: &Setup, named: usize, whole: u32) -> String {
-    let Some(b) = &setup.budget else { return String::new() };
-    let seat = if b.seats { format!("seat = {}\n", named + 1) } else { String::new() };
+    let Some(b) = &setup.budget else {
+        return String::new();
+    };
+    let seat = if b.seats {
+        format!("seat = {}\n", named + 1)
+    } else {
+        String::new()
+    };
     let ms = |s: Duration| s.as_micros() / 1_000;
     format!(
         "[shared]\nenabled = on\n{seat}[budget below]\nhandlers = {}\ncalls = {whole}\nservers = {}\n\
@@ -382,7 +466,13 @@
 
 fn asks() -> Vec<Ask> {
     let target = StdDuration::from_secs(2);
-    vec![Ask { handler: "book".into(), part: 1.0, target, keyed: true, project: "acme" }]
+    vec![Ask {
+        handler: "book".into(),
+        part: 1.0,
+        target,
+        keyed: true,
+        project: "acme",
+    }]
 }
 
 impl Drop for Stand {
@@ -395,7 +485,12 @@
 impl Fleet for Stand {
     fn act(&mut self, act: &Act) -> Result<(), String> {
         match act {
-            Act::Start { who, name, clock, back } => self.start(*who, *name, *clock, *back),
+            Act::Start {
+                who,
+                name,
+                clock,
+                back,
+            } => self.start(*who, *name, *clock, *back),
             Act::Kill(s) => {
                 self.disturb(*s);
                 self.nodes[*s].server = None;
@@ -425,7 +520,10 @@
                 let stop = matches!(act, Act::Stop(_));
                 self.disturb(*s);
                 let node = &mut self.nodes[*s];
-                node.server.as_ref().ok_or("it does not run")?.signal(if stop { "-STOP" } else { "-CONT" });
+                node.server
+                    .as_ref()
+                    .ok_or("it does not run")?
+                    .signal(if stop { "-STOP" } else { "-CONT" });
                 node.stopped = stop;
                 if !stop {
                     self.load(*s);
@@ -455,12 +553,12 @@
 
     fn amiss(&mut self, what: &Condition) -> Option<String> {
         let each = |who: &[usize], wrong: &dyn Fn(usize, &Told) -> Option<String>| {
-            who.iter().filter(|w| !self.nodes[**w].stopped && self.nodes[**w].server.is_some()).find_map(
-                |w| match self.told(*w) {
+            who.iter()
+                .filter(|w| !self.nodes[**w].stopped && self.nodes[**w].server.is_some())
+                .find_map(|w| match self.told(*w) {
                     Some(told) => wrong(*w, &told),
                     None => Some(format!("{} does not answer", name(*w))),
-                },
-            )
+                })
         };
         match what {
             Condition::Settled => self.unsettled(),
@@ -473,7 +571,8 @@
                 };
                 each(&others, &|w, told| {
                     let seen = told.states.get(&name(*of));
-                    (seen != wanted.as_ref()).then(|| format!("{} sees {} {seen:?}", name(w), name(*of)))
+                    (seen != wanted.as_ref())
+                        .then(|| format!("{} sees {} {seen:?}", name(w), name(*of)))
                 })
             }
             Condition::Has { who, least, most } => who
@@ -484,14 +583,17 @@
                         return Some(format!("{} does not answer", name(*w)));
                     };
                     let wrong = lent.usable < *least || lent.usable > *most;
-                    wrong.then(|| format!("{} may use {}; {}", name(*w), lent.usable, self.all_lent()))
+                    wrong.then(|| {
+                        format!("{} may use {}; {}", name(*w), lent.usable, self.all_lent())
+                    })
                 }),
             Condition::Uses { who, least } => {
                 let used: u32 = who.iter().filter_map(|w| Some(self.lent(*w)?.in_use)).sum();
                 (used < *least).then(|| format!("{used} calls are in hand, not {least}"))
             }
             Condition::Hears { who, hears } => each(who, &|w, told| {
-                (told.hears != hears.to_string()).then(|| format!("{} hears {}", name(w), told.hears))
+                (told.hears != hears.to_string())
+                    .then(|| format!("{} hears {}", name(w), told.hears))
             }),
         }
     }
--- a/crates/testkit/src/gate.rs
+++ b/crates/testkit/src/gate.rs
@@ -19,13 +19,20 @@
     /// Leads to an address.
     pub fn to(address: SocketAddr) -> Gate {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let gate = Gate { address: listener.local_addr().expect("an address"), cut: Arc::default() };
+        let gate = Gate {
+            address: listener.local_addr().expect("an address"),
+            cut: Arc::default(),
+        };
         let cut = gate.cut.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
-                let Ok(other) = TcpStream::connect(address) else { continue };
+                let Ok(other) = TcpStream::connect(address) else {
+                    continue;
+                };
                 let (back, forth) = (stream.try_clone(), other.try_clone());
-                let (Ok(back), Ok(forth)) = (back, forth) else { continue };
+                let (Ok(back), Ok(forth)) = (back, forth) else {
+                    continue;
+                };
                 let (one, two) = (cut.clone(), cut.clone());
                 std::thread::spawn(move || carry(stream, other, &one));
                 std::thread::spawn(move || carry(forth, back, &two));
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -21,5 +21,7 @@
 
 /// Unix milliseconds, as reqs say when they came.
 pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |d| d.as_millis() as u64)
 }
--- a/crates/testkit/src/peer.rs
+++ b/crates/testkit/src/peer.rs
@@ -22,7 +22,10 @@
     }
 
     pub fn say(&mut self, text: &str) {
-        self.0.get_mut().write_all(text.as_bytes()).expect("written");
+        self.0
+            .get_mut()
+            .write_all(text.as_bytes())
+            .expect("written");
     }
 
     /// The next line, or nothing at the end.
@@ -53,9 +56,13 @@
 
     /// Answers a question for the gauges; false where the line is none.
     fn gauged(&mut self, line: &str) -> bool {
-        let Some(rest) = line.strip_prefix("{\"msg\":\"STAT\",\"cookie\":") else { return false };
+        let Some(rest) = line.strip_prefix("{\"msg\":\"STAT\",\"cookie\":") else {
+            return false;
+        };
         let cookie = rest.trim_end_matches('}');
-        self.say(&format!("{{\"msg\":\"STATS\",\"cookie\":{cookie},\"stats\":[0.1,1,0.1,1]}}\n"));
+        self.say(&format!(
+            "{{\"msg\":\"STATS\",\"cookie\":{cookie},\"stats\":[0.1,1,0.1,1]}}\n"
+        ));
         true
     }
 
--- a/crates/testkit/src/registry.rs
+++ b/crates/testkit/src/registry.rs
@@ -16,7 +16,10 @@
                 if to.send(report).is_err() {
                     return;
                 }
-                let _ = peer.0.get_mut().write_all(b"HTTP/1.1 204 No Content\r\n\r\n");
+                let _ = peer
+                    .0
+                    .get_mut()
+                    .write_all(b"HTTP/1.1 204 No Content\r\n\r\n");
             }
         }
     });
@@ -33,7 +36,9 @@
         }
         head.push(line.trim_end().into());
     }
-    let length = head.iter().find_map(|l| l.strip_prefix("Content-Length: "))?;
+    let length = head
+        .iter()
+        .find_map(|l| l.strip_prefix("Content-Length: "))?;
     let mut body = vec![0; length.parse().ok()?];
     peer.0.read_exact(&mut body).ok()?;
     Some(format!("{} {}", head[0], String::from_utf8_lossy(&body)))
--- a/crates/testkit/src/routes.rs
+++ b/crates/testkit/src/routes.rs
@@ -74,8 +74,16 @@
 
     /// What a server of a zone is set to.
     fn own(&self, of: usize) -> Settings {
-        let zone = if self.zones > 1 { zone(of) } else { Default::default() };
-        Settings { zone, shares: self.way == Way::Shared, ..self.settings.clone() }
+        let zone = if self.zones > 1 {
+            zone(of)
+        } else {
+            Default::default()
+        };
+        Settings {
+            zone,
+            shares: self.way == Way::Shared,
+            ..self.settings.clone()
+        }
     }
 
     fn all(&self) -> Vec<BackendSettings> {
@@ -206,8 +214,11 @@
             }
         });
         let nodes: Vec<Node> = nodes.collect();
-        let modes =
-            (0..setup.backends).map(|_| Backend { mode: Mode::Slow(1.0), queue: VecDeque::new(), busy: 0 });
+        let modes = (0..setup.backends).map(|_| Backend {
+            mode: Mode::Slow(1.0),
+            queue: VecDeque::new(),
+            busy: 0,
+        });
         let mut world = World {
             now,
             nodes,
@@ -261,8 +272,12 @@
         self.backends[backend].mode = mode;
         if matches!(mode, Mode::Down | Mode::Fails) {
             // What is in hand there is lost.
-            let lost: Vec<u64> =
-                self.attempts.iter().filter(|a| a.1.backend == backend).map(|a| *a.0).collect();
+            let lost: Vec<u64> = self
+                .attempts
+                .iter()
+                .filter(|a| a.1.backend == backend)
+                .map(|a| *a.0)
+                .collect();
             let mut lost = lost;
             lost.sort_unstable();
             for attempt in lost {
@@ -310,7 +325,10 @@
     }
 
     fn row(&mut self) {
-        let mut row = Row { at: vec![0; self.setup.backends], ..Row::default() };
+        let mut row = Row {
+            at: vec![0; self.setup.backends],
+            ..Row::default()
+        };
         row.out = vec![0; self.setup.backends];
         for node in &self.nodes {
             for (out, state) in row.out.iter_mut().zip(node.routes.states()) {
@@ -329,7 +347,9 @@
             }
             self.queue.pop();
             self.now = at;
-            while self.now >= Timestamp::from_micros(10_000_000) + ROW.mul_f64(self.rows.len() as f64) {
+            while self.now
+                >= Timestamp::from_micros(10_000_000) + ROW.mul_f64(self.rows.len() as f64)
+            {
                 self.row();
             }
             if let Some(event) = self.events.remove(&n) {
@@ -361,7 +381,9 @@
             }
             Event::Word(from, to, life, words) => {
                 if self.nodes[from].life == life {
-                    self.nodes[to].routes.received(self.now, &named(from), &words);
+                    self.nodes[to]
+                        .routes
+                        .received(self.now, &named(from), &words);
                 }
             }
         }
@@ -376,7 +398,11 @@
         for change in changes {
             self.ejections += u64::from(matches!(change, Change::Ejected { .. }));
             if self.log.len() < 10_000 {
-                self.log.push(format!("{:8.2} {}: {change}", self.at().as_secs_f64(), named(s)));
+                self.log.push(format!(
+                    "{:8.2} {}: {change}",
+                    self.at().as_secs_f64(),
+                    named(s)
+                ));
             }
         }
         let middle = self.setup.servers / 2;
@@ -403,7 +429,11 @@
                 lines,
             };
             let bytes = lie.bytes();
-            words.extend((0..self.nodes.len()).filter(|to| *to != s).map(|to| (to, bytes.clone())));
+            words.extend(
+                (0..self.nodes.len())
+                    .filter(|to| *to != s)
+                    .map(|to| (to, bytes.clone())),
+            );
         }
         for (to, bytes) in words {
             let cut = self.deaf || self.split && half(s) != half(to);
@@ -420,14 +450,25 @@
     fn arrival(&mut self, s: usize) {
         self.numbered += 1;
         let (id, now) = (self.numbered, self.now);
-        self.calls.insert(id, Call { server: s, began: now, out: vec![], again: 0 });
+        self.calls.insert(
+            id,
+            Call {
+                server: s,
+                began: now,
+                out: vec![],
+                again: 0,
+            },
+        );
         self.last_row().firsts += 1;
         self.push(now + self.setup.patience, Event::Patience(id));
         match self.setup.way {
             Way::Shared | Way::Alone => {
                 let node = &mut self.nodes[s];
                 let ticket = node.routes.pick(now, 0).expect("there are backends");
-                let hedge = node.routes.hedge_after(now, &ticket).filter(|_| self.setup.replayable);
+                let hedge = node
+                    .routes
+                    .hedge_after(now, &ticket)
+                    .filter(|_| self.setup.replayable);
                 self.attempt(id, ticket.backend, Some(ticket));
                 if let Some(after) = hedge.filter(|a| *a < self.setup.patience) {
                     self.push(now + after, Event::Hedge(id));
@@ -449,7 +490,9 @@
             return node.turn;
         }
         let start = (self.chance.rand_float() * n as f64) as usize;
-        let round = (0..n).map(|i| (start + i) % n).filter(|b| Some(*b) != avoid);
+        let round = (0..n)
+            .map(|i| (start + i) % n)
+            .filter(|b| Some(*b) != avoid);
         round.min_by_key(|b| node.in_hand[*b]).unwrap_or(0)
     }
 
@@ -458,14 +501,21 @@
         let (id, server) = (self.numbered, self.calls[&call].server);
         let backend = ticket.as_ref().map_or(backend, |t| at_address(t.address));
         self.nodes[server].in_hand[backend] += 1;
-        let attempt = Attempt { call, server, backend, ticket };
+        let attempt = Attempt {
+            call,
+            server,
+            backend,
+            ticket,
+        };
         self.attempts.insert(id, attempt);
         self.calls.get_mut(&call).expect("in hand").out.push(id);
         self.push(self.now + WAY, Event::Reaches(id));
     }
 
     fn reaches(&mut self, id: u64) {
-        let Some(a) = self.attempts.get(&id) else { return };
+        let Some(a) = self.attempts.get(&id) else {
+            return;
+        };
         let (backend, server) = (a.backend, a.server);
         let own = &self.nodes[server];
         if own.cut_off || self.cuts.contains(&(own.zone, backend)) {
@@ -493,12 +543,17 @@
         let mean = self.setup.call.as_secs_f64() * times;
         let took = mean * 0.5 + self.draw(mean * 0.5);
         if let Some(backend) = self.attempts.get(&id).map(|a| a.backend) {
-            self.push(self.now + Duration::from_secs_f64(took), Event::Worked(id, backend));
+            self.push(
+                self.now + Duration::from_secs_f64(took),
+                Event::Worked(id, backend),
+            );
         }
     }
 
     fn worked(&mut self, id: u64, backend: usize) {
-        let Mode::Slow(times) = self.backends[backend].mode else { return };
+        let Mode::Slow(times) = self.backends[backend].mode else {
+            return;
+        };
         if self.attempts.contains_key(&id) {
             self.push(self.now + WAY, Event::Replied(id, End::Good));
         }
@@ -534,7 +589,9 @@
     /// A call that was given up goes on taking its slot below until it is worked off.
     fn replied(&mut self, id: u64, end: End) {
         let Some(a) = self.ends(id, end) else { return };
-        let Some(call) = self.calls.get(&a.call) else { return };
+        let Some(call) = self.calls.get(&a.call) else {
+            return;
+        };
         let (began, again) = (call.began, call.again);
         if end == End::Good {
             let took = self.now - began;
@@ -566,7 +623,9 @@
                 };
                 ticket.map(|t| (t.backend, Some(t)))
             }
-            (Way::LeastInHand, _) if again < 2 => Some((self.plain(a.server, Some(a.backend)), None)),
+            (Way::LeastInHand, _) if again < 2 => {
+                Some((self.plain(a.server, Some(a.backend)), None))
+            }
             _ => None,
         };
         match next {
@@ -580,17 +639,26 @@
     }
 
     fn hedge(&mut self, call: u64) {
-        let Some(c) = self.calls.get(&call).filter(|c| c.out.len() == 1) else { return };
+        let Some(c) = self.calls.get(&call).filter(|c| c.out.len() == 1) else {
+            return;
+        };
         let (server, id) = (c.server, c.out[0]);
-        let Some(ticket) = self.attempts.get(&id).and_then(|a| a.ticket.clone()) else { return };
-        if let Some(second) = self.nodes[server].routes.again(self.now, &ticket, Again::Beside) {
+        let Some(ticket) = self.attempts.get(&id).and_then(|a| a.ticket.clone()) else {
+            return;
+        };
+        if let Some(second) = self.nodes[server]
+            .routes
+            .again(self.now, &ticket, Again::Beside)
+        {
             self.last_row().again += 1;
             self.attempt(call, second.backend, Some(second));
         }
     }
 
     fn patience(&mut self, call: u64) {
-        let Some(c) = self.calls.get(&call) else { return };
+        let Some(c) = self.calls.get(&call) else {
+            return;
+        };
         for id in c.out.clone() {
             self.ends(id, End::Silent);
         }
@@ -604,7 +672,9 @@
 
     /// A call counts where it began.
     fn done(&mut self, call: u64) {
-        let Some(c) = self.calls.remove(&call) else { return };
+        let Some(c) = self.calls.remove(&call) else {
+            return;
+        };
         let row = self.row_of(c.began);
         self.rows[row].calls += 1;
         for id in c.out {
@@ -646,21 +716,30 @@
     /// a bound for that second.
     pub fn until(&self, backend: usize, from: u64, under: bool, bound: f64) -> Option<u64> {
         let last = self.rows.len() as u64 * 100;
-        (from..last.saturating_sub(900)).step_by(100).find_map(|ms| {
-            let part = self.part(backend, ms, ms + 1_000);
-            ((part < bound) == under).then_some(ms - from)
-        })
+        (from..last.saturating_sub(900))
+            .step_by(100)
+            .find_map(|ms| {
+                let part = self.part(backend, ms, ms + 1_000);
+                ((part < bound) == under).then_some(ms - from)
+            })
     }
 
     /// Seconds, summed over servers, in which a backend was left out.
     pub fn out(&self, backend: usize, from: u64, to: u64) -> f64 {
-        self.between(from, to).iter().map(|r| f64::from(r.out[backend])).sum::<f64>() * ROW.as_secs_f64()
+        self.between(from, to)
+            .iter()
+            .map(|r| f64::from(r.out[backend]))
+            .sum::<f64>()
+            * ROW.as_secs_f64()
     }
 
     /// The time, in milliseconds, within which 99 of 100 calls went well.
     pub fn slowest(&mut self) -> f64 {
         self.times.sort_by(f64::total_cmp);
         let at = (self.times.len() as f64 * 0.99) as usize;
-        self.times.get(at.min(self.times.len().saturating_sub(1))).copied().unwrap_or(f64::NAN)
+        self.times
+            .get(at.min(self.times.len().saturating_sub(1)))
+            .copied()
+            .unwrap_or(f64::NAN)
     }
 }
--- a/crates/testkit/src/server.rs
+++ b/crates/testkit/src/server.rs
@@ -25,8 +25,18 @@
     path
 }
 
-pub fn configuration(listen: &str, others: Others, sockets: usize, stop_ms: u64, settings: &str) -> String {
-    let Others { engine, registry, catalogue } = others;
+pub fn configuration(
+    listen: &str,
+    others: Others,
+    sockets: usize,
+    stop_ms: u64,
+    settings: &str,
+) -> String {
+    let Others {
+        engine,
+        registry,
+        catalogue,
+    } = others;
     format!(
         "{{\"name\":\"n1\",\"listen\":\"{listen}\",\"engine\":\"{engine}\",\"registry\":\"{registry}\",\
          \"catalog\":\"{catalogue}\",\"seed\":\"8c1f30d27a5be964\",\"stop_ms\":{stop_ms},\
@@ -37,10 +47,19 @@
 /// The program with nothing in its environment that is not told here.
 pub fn command(binary: &Path, config: Option<&Path>) -> Command {
     let mut command = Command::new(binary);
-    for name in ["RELAY_CONFIG", "RELAY_NAME", "RELAY_LISTEN", "MADDERBAY_LOG", "MADDERBAY_OPERATOR"] {
+    for name in [
+        "RELAY_CONFIG",
+        "RELAY_NAME",
+        "RELAY_LISTEN",
+        "MADDERBAY_LOG",
+        "MADDERBAY_OPERATOR",
+    ] {
         command.env_remove(name);
     }
-    command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+    command
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped());
     if let Some(path) = config {
         command.env("RELAY_CONFIG", path);
     }
@@ -68,7 +87,12 @@
     }
 
     /// The same on a Unix clock that is ahead by so many milliseconds.
-    pub fn start_ahead(binary: &Path, configuration: &str, operator: Option<&str>, ahead_ms: &str) -> Server {
+    pub fn start_ahead(
+        binary: &Path,
+        configuration: &str,
+        operator: Option<&str>,
+        ahead_ms: &str,
+    ) -> Server {
         let path = written(configuration);
         let mut files = vec![path.clone()];
         let mut command = command(binary, Some(&path));
@@ -86,11 +110,22 @@
         let mut before = vec![];
         while !line.contains(" listens on ") {
             before.extend((!line.is_empty()).then(|| std::mem::take(&mut line)));
-            assert!(log.read_line(&mut line).expect("a line") > 0, "it does not listen: {before:?}");
+            assert!(
+                log.read_line(&mut line).expect("a line") > 0,
+                "it does not listen: {before:?}"
+            );
         }
         let address = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
         let address = address.unwrap_or_else(|| panic!("no address in '{line}'"));
-        Server { child, log: Some(log), before, address, path, operator, files }
+        Server {
+            child,
+            log: Some(log),
+            before,
+            address,
+            path,
+            operator,
+            files,
+        }
     }
 
     pub fn pid(&self) -> u32 {
@@ -99,19 +134,28 @@
 
     /// Processor time that it has used, in seconds; 0 where the system does not tell.
     pub fn cpu(&self) -> f64 {
-        let text = std::fs::read_to_string(format!("/proc/{}/schedstat", self.pid())).unwrap_or_default();
-        text.split_whitespace().next().and_then(|n| n.parse::<f64>().ok()).unwrap_or(0.0) / 1e9
+        let text =
+            std::fs::read_to_string(format!("/proc/{}/schedstat", self.pid())).unwrap_or_default();
+        text.split_whitespace()
+            .next()
+            .and_then(|n| n.parse::<f64>().ok())
+            .unwrap_or(0.0)
+            / 1e9
     }
 
     /// Memory that it has resident, in KB; 0 where the system does not tell.
     pub fn memory_kb(&self) -> u64 {
-        let text = std::fs::read_to_string(format!("/proc/{}/status", self.pid())).unwrap_or_default();
+        let text =
+            std::fs::read_to_string(format!("/proc/{}/status", self.pid())).unwrap_or_default();
         let line = text.lines().find_map(|l| l.strip_prefix("VmRSS:"));
-        line.and_then(|l| l.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+        line.and_then(|l| l.split_whitespace().next()?.parse().ok())
+            .unwrap_or(0)
     }
 
     pub fn signal(&self, name: &str) {
-        let done = Command::new("kill").args([name, &self.pid().to_string()]).status();
+        let done = Command::new("kill")
+            .args([name, &self.pid().to_string()])
+            .status();
         assert!(done.expect("kill runs").success());
     }
 
@@ -121,7 +165,10 @@
         while !line.contains(part) {
             line.clear();
             let log = self.log.as_mut().expect("not followed");
-            assert!(log.read_line(&mut line).expect("a line") > 0, "the log ends before '{part}'");
+            assert!(
+                log.read_line(&mut line).expect("a line") > 0,
+                "the log ends before '{part}'"
+            );
         }
         line
     }
@@ -149,7 +196,11 @@
     /// The rest of the log after the server has ended by itself.
     pub fn ended(mut self) -> String {
         let mut log = String::new();
-        self.log.take().expect("not followed").read_to_string(&mut log).expect("the log");
+        self.log
+            .take()
+            .expect("not followed")
+            .read_to_string(&mut log)
+            .expect("the log");
         assert!(self.child.wait().expect("an end").success());
         log
     }
--- a/crates/upstream/benches/choice.rs
+++ b/crates/upstream/benches/choice.rs
@@ -12,11 +12,19 @@
         let backend = |i: u16| BackendSettings {
             name: format!("b{i}").as_str().into(),
             address: ([127, 0, 0, 1], 1_000 + i).into(),
-            zone: if i.is_multiple_of(2) { "north" } else { "south" }.into(),
+            zone: if i.is_multiple_of(2) {
+                "north"
+            } else {
+                "south"
+            }
+            .into(),
             weight: 1.0,
             handlers: vec![0],
         };
-        let set = Settings { zone: "north".into(), ..Settings::default() };
+        let set = Settings {
+            zone: "north".into(),
+            ..Settings::default()
+        };
         let mut now = Timestamp::from_micros(1_000_000);
         let mut routes = Routes::new(now, 1, set, (0..n).map(backend).collect());
         group.bench_with_input(BenchmarkId::from_parameter(n), &n, |b, _| {
--- a/crates/upstream/src/backend.rs
+++ b/crates/upstream/src/backend.rs
@@ -107,7 +107,11 @@
         }
         match self.witnesses {
             0 => f.write_str("; nothing heard"),
-            n => write!(f, "; heard {:.1} from {n} of {} zones", self.heard, self.zones),
+            n => write!(
+                f,
+                "; heard {:.1} from {n} of {} zones",
+                self.heard, self.zones
+            ),
         }
     }
 }
@@ -169,7 +173,11 @@
     pub fn grounds(&mut self, now: Timestamp, usual: Option<f64>) -> Grounds {
         self.own.fade(now);
         let patience = patience(usual);
-        let silent = self.in_hand.values().take_while(|at| now - **at > patience).count();
+        let silent = self
+            .in_hand
+            .values()
+            .take_while(|at| now - **at > patience)
+            .count();
         let slow = match (self.own.pace(now), usual) {
             (Some(own), Some(usual)) if own > SLOW_TIMES * usual => Some(own / usual),
             _ => None,
@@ -179,7 +187,14 @@
             // Its good calls are no good ones.
             (good, bad) = (0.0, bad.max(SLOW_COUNTS));
         }
-        self.told = (if self.own.failing() { good * OUTDATED } else { good }, bad);
+        self.told = (
+            if self.own.failing() {
+                good * OUTDATED
+            } else {
+                good
+            },
+            bad,
+        );
         let heard = &self.heard;
         // Fresh good calls of one's own overrule all that is heard.
         let deaf = slow.is_none() && good >= 2.0 && bad < 0.5;
@@ -197,7 +212,9 @@
     /// Left out from now on, longer each time.
     pub fn eject(&mut self, now: Timestamp, draw: f64) {
         self.times = (self.times + 1).min(16);
-        let term = TERM.mul_f64(f64::from(1u32 << (self.times - 1))).min(TERM_MOST);
+        let term = TERM
+            .mul_f64(f64::from(1u32 << (self.times - 1)))
+            .min(TERM_MOST);
         (self.state, self.since, self.drawn) = (State::Ejected, now, draw);
         self.next = now + term.mul_f64(0.75 + 0.5 * draw);
         self.trials = 0;
@@ -259,7 +276,9 @@
 
 /// How long a call is out until it counts as silent.
 pub fn patience(usual: Option<f64>) -> Duration {
-    usual.map_or(SILENT_LEAST, |s| Duration::from_secs_f64(s * SILENT_TIMES).max(SILENT_LEAST))
+    usual.map_or(SILENT_LEAST, |s| {
+        Duration::from_secs_f64(s * SILENT_TIMES).max(SILENT_LEAST)
+    })
 }
 
 /// Whether a call's time is far beyond the others'.
--- a/crates/upstream/src/choice.rs
+++ b/crates/upstream/src/choice.rs
@@ -16,7 +16,9 @@
             sum += weight;
             (sum, who)
         });
-        Drawn { sums: sums.collect() }
+        Drawn {
+            sums: sums.collect(),
+        }
     }
 
     pub fn sum(&self) -> f64 {
@@ -34,14 +36,20 @@
     /// The one at a place from 0 to 1 of all weights.
     pub fn at(&self, place: f64) -> Option<usize> {
         let want = place * self.sum();
-        let found = self.sums.partition_point(|s| s.0 <= want).min(self.sums.len().checked_sub(1)?);
+        let found = self
+            .sums
+            .partition_point(|s| s.0 <= want)
+            .min(self.sums.len().checked_sub(1)?);
         Some(self.sums[found].1)
     }
 
     /// Two drawn by weight, the better of them; `avoid` only where there is nobody else. `cost` tells what a
     /// call would wait for there.
     pub fn better(
-        &self, avoid: Option<usize>, mut draw: impl FnMut() -> f64, cost: impl Fn(usize) -> f64,
+        &self,
+        avoid: Option<usize>,
+        mut draw: impl FnMut() -> f64,
+        cost: impl Fn(usize) -> f64,
     ) -> Option<usize> {
         let mut one = || {
             let first = self.at(draw())?;
@@ -66,7 +74,10 @@
     let score = |i: usize| xxhash_rust::xxh3::xxh3_64_with_seed(&subject.to_le_bytes(), i as u64);
     let mut way: Vec<usize> = (0..n).collect();
     way.sort_by_key(|i| std::cmp::Reverse(score(*i)));
-    way.iter().copied().find(|i| in_hand(*i) < most).or(way.first().copied())
+    way.iter()
+        .copied()
+        .find(|i| in_hand(*i) < most)
+        .or(way.first().copied())
 }
 
 #[cfg(test)]
--- a/crates/upstream/src/evidence/tests.rs
+++ b/crates/upstream/src/evidence/tests.rs
@@ -17,10 +17,18 @@
     let mut e = Evidence::default();
     (0..8).for_each(|_| e.add(at(0), End::Good, Duration::from_millis(20), false));
     (0..3).for_each(|_| e.add(at(1), End::Silent, Duration::from_millis(20), false));
-    assert!(e.good() < 3.0, "{}: what was well before three that were not", e.good());
+    assert!(
+        e.good() < 3.0,
+        "{}: what was well before three that were not",
+        e.good()
+    );
     let mut late = Evidence::default();
     late.add(at(0), End::Good, Duration::from_millis(900), true);
     assert_eq!((late.good(), late.bad), (0.0, LATE));
-    let e = Evidence { paced: 3.0, pace_at: at(3), ..Evidence::default() };
+    let e = Evidence {
+        paced: 3.0,
+        pace_at: at(3),
+        ..Evidence::default()
+    };
     assert_eq!(e.pace(at(10_004)), None, "too old");
 }
--- a/crates/upstream/src/group.rs
+++ b/crates/upstream/src/group.rs
@@ -72,7 +72,11 @@
 
     /// Judges all anew, and makes anew what calls are drawn from.
     pub fn look(
-        &mut self, now: Timestamp, all: &mut [Backend], light: &Light, chance: &mut Rand64,
+        &mut self,
+        now: Timestamp,
+        all: &mut [Backend],
+        light: &Light,
+        chance: &mut Rand64,
         changes: &mut Vec<Change>,
     ) {
         let Light { set, heard, peers } = *light;
@@ -93,7 +97,11 @@
             let b = &mut all[*i];
             let before = b.state;
             if b.pass(now) {
-                changes.push(Change::State { name: b.set.name.clone(), from: before, to: b.state });
+                changes.push(Change::State {
+                    name: b.set.name.clone(),
+                    from: before,
+                    to: b.state,
+                });
             }
             b.heard = heard.summary(now, b.mark);
             if let Some(well) = b.heard.well.filter(|at| *at > b.since) {
@@ -118,7 +126,11 @@
                 out += 1;
                 all[*i].eject(now, chance.rand_float());
                 let (name, grounds) = (all[*i].set.name.clone(), found.clone());
-                changes.push(Change::Ejected { name, grounds, until: all[*i].next - now });
+                changes.push(Change::Ejected {
+                    name,
+                    grounds,
+                    until: all[*i].next - now,
+                });
             }
         }
         self.tables(now, all, set, &grounds);
@@ -129,32 +141,65 @@
         let panic = n > 1 && bad as f64 > PANIC_PART * n as f64;
         if std::mem::replace(&mut self.panic, panic) != panic {
             let name = all[self.backends[0]].set.name.clone();
-            changes.push(Change::Panic { name, on: panic, bad, of: n });
+            changes.push(Change::Panic {
+                name,
+                on: panic,
+                bad,
+                of: n,
+            });
         }
     }
 
-    fn tables(&mut self, now: Timestamp, all: &[Backend], set: &Settings, grounds: &[(usize, Grounds)]) {
+    fn tables(
+        &mut self,
+        now: Timestamp,
+        all: &[Backend],
+        set: &Settings,
+        grounds: &[(usize, Grounds)],
+    ) {
         let near = |i: &usize| set.zone.is_empty() || all[*i].set.zone == set.zone;
         let mut left = vec![1.0; all.len()];
         if grounds.iter().any(|g| g.1.bad >= SPOTLESS) {
-            grounds.iter().for_each(|(i, g)| left[*i] = 1.0 - (1.0 - DOUBTED) * own_doubt(g));
+            grounds
+                .iter()
+                .for_each(|(i, g)| left[*i] = 1.0 - (1.0 - DOUBTED) * own_doubt(g));
         }
-        let weight = |i: usize| if self.panic { all[i].set.weight } else { all[i].weight(now) * left[i] };
+        let weight = |i: usize| {
+            if self.panic {
+                all[i].set.weight
+            } else {
+                all[i].weight(now) * left[i]
+            }
+        };
         let weights: Vec<(usize, f64)> = self.backends.iter().map(|i| (*i, weight(*i))).collect();
         self.near = Drawn::of(weights.iter().filter(|w| near(&w.0)).copied());
         self.far = Drawn::of(weights.iter().filter(|w| !near(&w.0)).copied());
-        let whole: f64 = self.backends.iter().filter(|i| near(i)).map(|i| all[*i].set.weight).sum();
+        let whole: f64 = self
+            .backends
+            .iter()
+            .filter(|i| near(i))
+            .map(|i| all[*i].set.weight)
+            .sum();
         self.stays = match (self.near.is_empty(), self.far.is_empty()) {
             (true, _) => 0.0,
             (false, true) => 1.0,
             _ => (self.near.sum() / whole / set.near_least).min(1.0),
         };
-        self.trials = self.backends.iter().copied().filter(|i| all[*i].state == State::Trial).collect();
+        self.trials = self
+            .backends
+            .iter()
+            .copied()
+            .filter(|i| all[*i].state == State::Trial)
+            .collect();
     }
 
     /// Whom the next call goes to.
     pub fn pick(
-        &mut self, now: Timestamp, all: &[Backend], avoid: Option<usize>, chance: &mut Rand64,
+        &mut self,
+        now: Timestamp,
+        all: &[Backend],
+        avoid: Option<usize>,
+        chance: &mut Rand64,
     ) -> Option<usize> {
         // One that is to be tried has one call, wherever it stands.
         if avoid.is_none()
@@ -162,19 +207,32 @@
         {
             return Some(self.trials.remove(at));
         }
-        let from = if chance.rand_float() < self.stays { &self.near } else { &self.far };
-        let from = if from.is_empty() || avoid.is_some() && from.len() < 2 { self.other(from) } else { from };
+        let from = if chance.rand_float() < self.stays {
+            &self.near
+        } else {
+            &self.far
+        };
+        let from = if from.is_empty() || avoid.is_some() && from.len() < 2 {
+            self.other(from)
+        } else {
+            from
+        };
         let usual = self.usual.unwrap_or(UNKNOWN);
         let cost = |i: usize| {
             let b = &all[i];
             (b.in_hand.len() + 1) as f64 * b.own.rough_pace().unwrap_or(usual) / b.set.weight
         };
-        from.better(avoid, || chance.rand_float(), cost).or_else(|| self.backends.first().copied())
+        from.better(avoid, || chance.rand_float(), cost)
+            .or_else(|| self.backends.first().copied())
     }
 
     /// The other of the two that calls are drawn from, where it has anyone.
     fn other<'a>(&'a self, from: &'a Drawn) -> &'a Drawn {
-        let other = if std::ptr::eq(from, &self.near) { &self.far } else { &self.near };
+        let other = if std::ptr::eq(from, &self.near) {
+            &self.far
+        } else {
+            &self.near
+        };
         if other.is_empty() { from } else { other }
     }
 }
--- a/crates/upstream/src/heard.rs
+++ b/crates/upstream/src/heard.rs
@@ -78,21 +78,38 @@
 
 impl Heard {
     pub fn hear(
-        &mut self, now: Timestamp, from: &CompactString, zone: &CompactString, life: u64, credible: bool,
+        &mut self,
+        now: Timestamp,
+        from: &CompactString,
+        zone: &CompactString,
+        life: u64,
+        credible: bool,
         said: Said,
     ) {
         let words = self.words.entry(said.mark).or_default();
         let at = now.saturating_sub(said.age);
         if words.len() >= WITNESSES_MOST && !words.contains_key(from) {
-            let oldest = words.iter().min_by_key(|w| w.1.at).map(|w| (w.0.clone(), w.1.at));
+            let oldest = words
+                .iter()
+                .min_by_key(|w| w.1.at)
+                .map(|w| (w.0.clone(), w.1.at));
             match oldest {
                 Some((name, old)) if old < at => words.remove(&name),
                 _ => return,
             };
         }
-        let word = Word { zone: zone.clone(), life, good: said.good, bad: said.bad, at, credible };
+        let word = Word {
+            zone: zone.clone(),
+            life,
+            good: said.good,
+            bad: said.bad,
+            at,
+            credible,
+        };
         // An older word that comes late says nothing more.
-        let known = words.get(from).is_some_and(|w| w.life > life || w.life == life && w.at > at);
+        let known = words
+            .get(from)
+            .is_some_and(|w| w.life > life || w.life == life && w.at > at);
         if !known {
             words.insert(from.clone(), word);
         }
@@ -116,10 +133,15 @@
     }
 
     pub fn summary(&self, now: Timestamp, mark: u32) -> Summary {
-        let Some(words) = self.words.get(&mark) else { return Summary::default() };
+        let Some(words) = self.words.get(&mark) else {
+            return Summary::default();
+        };
         let mut zones: BTreeMap<&CompactString, (f64, f64)> = BTreeMap::new();
         let mut found = Summary::default();
-        for word in words.values().filter(|w| w.credible && now - w.at < WORD_FOR) {
+        for word in words
+            .values()
+            .filter(|w| w.credible && now - w.at < WORD_FOR)
+        {
             let worth = word.fresh(now);
             let against = word.bad / (word.good + word.bad + GRANTED);
             let zone = zones.entry(&word.zone).or_default();
--- a/crates/upstream/src/heard/tests.rs
+++ b/crates/upstream/src/heard/tests.rs
@@ -7,7 +7,12 @@
 fn heard(words: &[(&str, &str, f64, f64)]) -> Heard {
     let mut heard = Heard::default();
     for (from, zone, good, bad) in words {
-        let said = Said { mark: 1, good: *good, bad: *bad, age: Duration::ZERO };
+        let said = Said {
+            mark: 1,
+            good: *good,
+            bad: *bad,
+            age: Duration::ZERO,
+        };
         heard.hear(at(0), &(*from).into(), &(*zone).into(), 1, true, said);
     }
     heard
@@ -17,9 +22,15 @@
 fn a_crowd_behind_one_cut_is_little_more_than_one() {
     let one = heard(&[("a", "north", 0.0, 5.0)]).summary(at(0), 1);
     let many: Vec<String> = (0..30).map(|n| format!("n{n}")).collect();
-    let crowd: Vec<(&str, &str, f64, f64)> = many.iter().map(|n| (n.as_str(), "north", 0.0, 5.0)).collect();
+    let crowd: Vec<(&str, &str, f64, f64)> = many
+        .iter()
+        .map(|n| (n.as_str(), "north", 0.0, 5.0))
+        .collect();
     let crowd = heard(&crowd).summary(at(0), 1);
-    assert!(one.units < 1.0 && crowd.units <= ZONE_MOST && crowd.zones == 1, "{one:?} {crowd:?}");
+    assert!(
+        one.units < 1.0 && crowd.units <= ZONE_MOST && crowd.zones == 1,
+        "{one:?} {crowd:?}"
+    );
     let two = heard(&[
         ("a", "north", 0.0, 5.0),
         ("b", "north", 0.0, 5.0),
@@ -29,9 +40,16 @@
     let two = two.summary(at(0), 1);
     assert!(two.zones == 2 && two.units > one.units, "{two:?}");
     // In a zone that sees both, the good speaks against the bad.
-    let split = heard(&[("a", "north", 0.0, 5.0), ("b", "north", 5.0, 0.0), ("c", "north", 9.0, 0.0)]);
+    let split = heard(&[
+        ("a", "north", 0.0, 5.0),
+        ("b", "north", 5.0, 0.0),
+        ("c", "north", 9.0, 0.0),
+    ]);
     let split = split.summary(at(0), 1);
-    assert!(split.units < 0.4 && split.zones == 0 && split.well == Some(at(0)), "{split:?}");
+    assert!(
+        split.units < 0.4 && split.zones == 0 && split.well == Some(at(0)),
+        "{split:?}"
+    );
 }
 
 #[test]
@@ -44,8 +62,20 @@
     heard.gone(&"a".into(), Some(2));
     assert_eq!(heard.len(), 0);
     for n in 0..500 {
-        let said = Said { mark: 1, good: 0.0, bad: 1.0, age: Duration::ZERO };
-        heard.hear(at(n), &format!("n{n}").as_str().into(), &"z".into(), 1, true, said);
+        let said = Said {
+            mark: 1,
+            good: 0.0,
+            bad: 1.0,
+            age: Duration::ZERO,
+        };
+        heard.hear(
+            at(n),
+            &format!("n{n}").as_str().into(),
+            &"z".into(),
+            1,
+            true,
+            said,
+        );
     }
     assert_eq!(heard.len(), WITNESSES_MOST);
     heard.tidy(at(10_000), |_| true);
--- a/crates/upstream/src/repeats.rs
+++ b/crates/upstream/src/repeats.rs
@@ -35,7 +35,8 @@
 
 impl Repeats {
     pub fn new(now: Timestamp, part: f64) -> Repeats {
-        let times = || Histogram::new_with_bounds(1, TIME_MOST_MS * 10, 2).expect("bounds that fit");
+        let times =
+            || Histogram::new_with_bounds(1, TIME_MOST_MS * 10, 2).expect("bounds that fit");
         Repeats {
             part,
             saved: 0.0,
@@ -62,7 +63,9 @@
     pub fn first(&mut self, now: Timestamp) {
         self.count(now);
         self.firsts += 1.0;
-        let crowded = self.fleet.is_some_and(|(firsts, again)| again > FLEET_PART * self.part * firsts);
+        let crowded = self
+            .fleet
+            .is_some_and(|(firsts, again)| again > FLEET_PART * self.part * firsts);
         let part = if crowded { self.part * 0.5 } else { self.part };
         self.saved = (self.saved + part).min(SAVED_MOST);
     }
--- a/crates/upstream/src/repeats/tests.rs
+++ b/crates/upstream/src/repeats/tests.rs
@@ -40,5 +40,8 @@
     (0..2).for_each(|_| repeats.took(Duration::from_millis(300)));
     repeats.look();
     let after = repeats.hedge_after(at(1)).expect("enough came");
-    assert!((Duration::from_millis(200)..Duration::from_millis(310)).contains(&after), "{after:?}");
+    assert!(
+        (Duration::from_millis(200)..Duration::from_millis(310)).contains(&after),
+        "{after:?}"
+    );
 }
--- a/crates/upstream/src/routes.rs
+++ b/crates/upstream/src/routes.rs
@@ -128,15 +128,34 @@
 impl fmt::Display for Change {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         match self {
-            Change::Ejected { name, grounds, until } => {
-                write!(f, "{name}: ejected for {:.1} s: {grounds}", until.as_secs_f64())
+            Change::Ejected {
+                name,
+                grounds,
+                until,
+            } => {
+                write!(
+                    f,
+                    "{name}: ejected for {:.1} s: {grounds}",
+                    until.as_secs_f64()
+                )
             }
             Change::State { name, from, to } => write!(f, "{name}: {from} to {to}"),
-            Change::Panic { name, on: true, bad, of } => {
-                write!(f, "group of {name}: {bad} of {of} look bad; nobody is left out")
+            Change::Panic {
+                name,
+                on: true,
+                bad,
+                of,
+            } => {
+                write!(
+                    f,
+                    "group of {name}: {bad} of {of} look bad; nobody is left out"
+                )
             }
             Change::Panic { name, bad, of, .. } => {
-                write!(f, "group of {name}: {bad} of {of} look bad; the worst are left out again")
+                write!(
+                    f,
+                    "group of {name}: {bad} of {of} look bad; the worst are left out again"
+                )
             }
             Change::Set { name, there: true } => write!(f, "{name}: set"),
             Change::Set { name, .. } => write!(f, "{name}: no longer set"),
@@ -249,13 +268,21 @@
     fn group(&mut self, now: Timestamp, backends: Vec<BackendSettings>) {
         let mut groups: Vec<(Vec<usize>, Vec<usize>)> = vec![];
         for b in &mut self.all {
-            if !b.gone && !backends.iter().any(|f| f.name == b.set.name && f.address == b.set.address) {
+            if !b.gone
+                && !backends
+                    .iter()
+                    .any(|f| f.name == b.set.name && f.address == b.set.address)
+            {
                 b.gone = true;
-                self.changes.push(Change::Set { name: b.set.name.clone(), there: false });
+                self.changes.push(Change::Set {
+                    name: b.set.name.clone(),
+                    there: false,
+                });
             }
         }
         for set in backends {
-            let same = |b: &Backend| !b.gone && b.set.name == set.name && b.set.address == set.address;
+            let same =
+                |b: &Backend| !b.gone && b.set.name == set.name && b.set.address == set.address;
             let handlers = set.handlers.clone();
             let at = match self.all.iter().position(same) {
                 Some(at) => {
@@ -263,12 +290,19 @@
                     at
                 }
                 None => {
-                    self.changes.push(Change::Set { name: set.name.clone(), there: true });
+                    self.changes.push(Change::Set {
+                        name: set.name.clone(),
+                        there: true,
+                    });
                     // Beside others that are in already it may be cold: all servers turn to it at once.
                     let fresh = Backend::new(
                         now,
                         set,
-                        if self.groups.is_empty() { State::In } else { State::Rising },
+                        if self.groups.is_empty() {
+                            State::In
+                        } else {
+                            State::Rising
+                        },
                     );
                     // A slot of one that is gone, and that nothing is in hand at, is taken again.
                     match self.all.iter().position(|b| b.gone && b.in_hand.is_empty()) {
@@ -290,14 +324,27 @@
         }
         let mut before = std::mem::take(&mut self.groups);
         for (handlers, backends) in groups {
-            let kept = before.iter().position(|g| g.handlers == handlers).map(|i| before.swap_remove(i));
-            let mut group = kept.unwrap_or_else(|| Group::new(now, handlers, vec![], self.set.repeats));
+            let kept = before
+                .iter()
+                .position(|g| g.handlers == handlers)
+                .map(|i| before.swap_remove(i));
+            let mut group =
+                kept.unwrap_or_else(|| Group::new(now, handlers, vec![], self.set.repeats));
             group.backends = backends;
             self.groups.push(group);
         }
-        let of = self.groups.iter().enumerate().flat_map(|(at, g)| g.handlers.iter().map(move |h| (*h, at)));
+        let of = self
+            .groups
+            .iter()
+            .enumerate()
+            .flat_map(|(at, g)| g.handlers.iter().map(move |h| (*h, at)));
         self.of = of.collect();
-        self.marks = self.all.iter().filter(|b| !b.gone).map(|b| b.mark).collect();
+        self.marks = self
+            .all
+            .iter()
+            .filter(|b| !b.gone)
+            .map(|b| b.mark)
+            .collect();
         self.look(now);
     }
 
@@ -305,7 +352,9 @@
     pub fn reload(&mut self, now: Timestamp, set: Settings, backends: Vec<BackendSettings>) {
         self.set = set;
         let part = self.set.repeats;
-        self.groups.iter_mut().for_each(|g| g.repeats.set_part(part));
+        self.groups
+            .iter_mut()
+            .for_each(|g| g.repeats.set_part(part));
         self.group(now, backends);
     }
 
@@ -315,7 +364,9 @@
     }
 
     pub fn groups(&self) -> impl Iterator<Item = (&[usize], usize)> {
-        self.groups.iter().map(|g| (g.handlers.as_slice(), g.backends.len()))
+        self.groups
+            .iter()
+            .map(|g| (g.handlers.as_slice(), g.backends.len()))
     }
 
     fn ticket(&mut self, now: Timestamp, handler: usize, backend: usize) -> Ticket {
@@ -324,7 +375,13 @@
         if b.in_hand.len() < IN_HAND_MOST {
             b.in_hand.insert(self.numbered, now);
         }
-        Ticket { backend, address: b.set.address, handler, number: self.numbered, at: now }
+        Ticket {
+            backend,
+            address: b.set.address,
+            handler,
+            number: self.numbered,
+            at: now,
+        }
     }
 
     /// Where the call of a handler goes; nothing where it has no backends.
@@ -367,23 +424,33 @@
     pub fn hedge_after(&mut self, now: Timestamp, ticket: &Ticket) -> Option<Duration> {
         let at = self.group_of(ticket.handler).filter(|_| self.set.hedges)?;
         let group = &mut self.groups[at];
-        if group.backends.len() < 2 { None } else { group.repeats.hedge_after(now) }
+        if group.backends.len() < 2 {
+            None
+        } else {
+            group.repeats.hedge_after(now)
+        }
     }
 
     /// The least time that a repeat is worth beginning with: a call of the group needs about as long.
     pub fn least(&self, ticket: &Ticket) -> Duration {
-        let usual = self.group_of(ticket.handler).and_then(|g| self.groups[g].usual);
+        let usual = self
+            .group_of(ticket.handler)
+            .and_then(|g| self.groups[g].usual);
         usual.map_or(Duration::ZERO, Duration::from_secs_f64)
     }
 
     /// An attempt came to its end.
     pub fn over(&mut self, now: Timestamp, ticket: &Ticket, end: End) {
-        let Some(b) = self.all.get_mut(ticket.backend) else { return };
+        let Some(b) = self.all.get_mut(ticket.backend) else {
+            return;
+        };
         if b.in_hand.remove(&ticket.number).is_none() {
             return;
         }
         let took = now - ticket.at;
-        let Some(group) = self.of.get(&ticket.handler).map(|g| &mut self.groups[*g]) else { return };
+        let Some(group) = self.of.get(&ticket.handler).map(|g| &mut self.groups[*g]) else {
+            return;
+        };
         let end = told(end, took, group.usual);
         if end == End::Good {
             group.repeats.took(took);
@@ -397,11 +464,18 @@
         if b.state == State::Trial {
             let before = b.state;
             if b.tried(now, end, late, self.chance.rand_float()) {
-                let change = Change::State { name: b.set.name.clone(), from: before, to: b.state };
+                let change = Change::State {
+                    name: b.set.name.clone(),
+                    from: before,
+                    to: b.state,
+                };
                 self.change(change);
             }
             self.next = self.next.min(now + LOOK_SOON);
-        } else if !matches!(end, End::Good | End::TurnedAway | End::Outrun | End::Dropped) {
+        } else if !matches!(
+            end,
+            End::Good | End::TurnedAway | End::Outrun | End::Dropped
+        ) {
             self.next = self.next.min(now + LOOK_SOON);
             self.says = self.says.min((now + SAY_SOON).max(self.said + SAY_LEAST));
         }
@@ -418,7 +492,11 @@
     // --- time
 
     pub fn due(&self) -> Timestamp {
-        if self.set.shares && !self.active.is_empty() { self.next.min(self.says) } else { self.next }
+        if self.set.shares && !self.active.is_empty() {
+            self.next.min(self.says)
+        } else {
+            self.next
+        }
     }
 
     /// The time has come for what was due.
@@ -443,17 +521,27 @@
         let peers = self.active.len();
         for group in &mut self.groups {
             group.repeats.heard(fleet);
-            let light = Light { set: &self.set, heard: &self.heard, peers };
+            let light = Light {
+                set: &self.set,
+                heard: &self.heard,
+                peers,
+            };
             group.look(now, &mut self.all, &light, &mut self.chance, &mut changes);
         }
-        self.totals.ejections +=
-            changes.iter().filter(|c| matches!(c, Change::Ejected { .. })).count() as u64;
+        self.totals.ejections += changes
+            .iter()
+            .filter(|c| matches!(c, Change::Ejected { .. }))
+            .count() as u64;
         changes.into_iter().for_each(|c| self.change(c));
     }
 
     /// First tries and repeats of the whole fleet, as far as it is heard.
     fn fleet(&mut self, now: Timestamp) -> Option<(f64, f64)> {
-        let fresh = self.peers.values().filter_map(|p| p.repeats).filter(|r| now - r.2 < REPEATS_FOR);
+        let fresh = self
+            .peers
+            .values()
+            .filter_map(|p| p.repeats)
+            .filter(|r| now - r.2 < REPEATS_FOR);
         let (mut firsts, mut again, mut any) = (0.0, 0.0, false);
         for (f, a, _) in fresh {
             (firsts, again, any) = (firsts + f, again + a, true);
@@ -478,7 +566,12 @@
     /// One that the view holds, or holds otherwise than before.
     pub fn there(&mut self, name: &CompactString, life: u64, zone: &CompactString, active: bool) {
         self.heard.gone(name, Some(life));
-        let fresh = || Peer { life, zone: zone.clone(), active: false, repeats: None };
+        let fresh = || Peer {
+            life,
+            zone: zone.clone(),
+            active: false,
+            repeats: None,
+        };
         let peer = self.peers.entry(name.clone()).or_insert_with(fresh);
         let was = std::mem::replace(&mut peer.active, active);
         if peer.life != life || !active {
@@ -510,7 +603,8 @@
             return;
         }
         peer.repeats = Some((f64::from(words.firsts), f64::from(words.again), now));
-        let its_own = words.seen >= ITS_OWN_SEEN && f64::from(words.bad) > ITS_OWN * f64::from(words.seen);
+        let its_own =
+            words.seen >= ITS_OWN_SEEN && f64::from(words.bad) > ITS_OWN * f64::from(words.seen);
         let credible = !its_own && !words.held_up;
         let (life, zone) = (peer.life, peer.zone.clone());
         for line in words.lines.iter().take(LINES_MOST) {
@@ -539,12 +633,19 @@
                 b.told
             };
             seen += u16::from(own_good + own_bad > WORTH_SAYING || b.state == State::Ejected);
-            bad += u16::from(b.state == State::Ejected || own_bad > own_good && own_bad > WORTH_SAYING);
+            bad += u16::from(
+                b.state == State::Ejected || own_bad > own_good && own_bad > WORTH_SAYING,
+            );
             let notable = own_bad > WORTH_SAYING || b.heard.units > 0.1 && own_good > WORTH_SAYING;
             let returned = b.state == State::Rising && own_good > WORTH_SAYING;
             if notable || returned {
                 let (good, bad) = (wire::count(own_good), wire::count(own_bad));
-                lines.push(Line { mark: b.mark, good, bad, age_ms: 0 });
+                lines.push(Line {
+                    mark: b.mark,
+                    good,
+                    bad,
+                    age_ms: 0,
+                });
             }
         }
         let (firsts, again) = self.repeats(now);
@@ -557,7 +658,15 @@
             lines.truncate(LINES_MOST);
         }
         let (firsts, again) = (firsts as u32, again as u32);
-        let bytes = Words { held_up: self.held_up, seen, bad, firsts, again, lines }.bytes();
+        let bytes = Words {
+            held_up: self.held_up,
+            seen,
+            bad,
+            firsts,
+            again,
+            lines,
+        }
+        .bytes();
         if bytes.len() > WORDS_MOST {
             return;
         }
@@ -586,7 +695,10 @@
 
     /// The state of each backend, in the order of the views.
     pub fn states(&self) -> impl Iterator<Item = State> {
-        self.groups.iter().flat_map(|g| &g.backends).map(|i| self.all[*i].state)
+        self.groups
+            .iter()
+            .flat_map(|g| &g.backends)
+            .map(|i| self.all[*i].state)
     }
 
     pub fn views(&self, now: Timestamp) -> Vec<BackendView> {
--- a/crates/upstream/src/together.rs
+++ b/crates/upstream/src/together.rs
@@ -18,7 +18,11 @@
 
 impl Together {
     pub fn new(members: Members, shared: Option<Shared>) -> Together {
-        Together { members, shared, routes: None }
+        Together {
+            members,
+            shared,
+            routes: None,
+        }
     }
 
     pub fn received(&mut self, now: Timestamp, from: SocketAddr, bytes: &[u8]) {
@@ -42,14 +46,25 @@
             if let Some(routes) = &self.routes {
                 let mut routes = routes.borrow_mut();
                 match found {
-                    Some((id, state)) => routes.there(&name, id.life, &id.zone, state != State::Down),
+                    Some((id, state)) => {
+                        routes.there(&name, id.life, &id.zone, state != State::Down)
+                    }
                     None => routes.gone(&name),
                 }
             }
-            let Some(shared) = &mut self.shared else { continue };
+            let Some(shared) = &mut self.shared else {
+                continue;
+            };
             match found {
                 Some((id, state)) => {
-                    shared.there(now, Peer { name, life: id.life, active: state != State::Down });
+                    shared.there(
+                        now,
+                        Peer {
+                            name,
+                            life: id.life,
+                            active: state != State::Down,
+                        },
+                    );
                 }
                 None => shared.gone(now, &name),
             }
@@ -81,7 +96,10 @@
     pub fn due(&self) -> Timestamp {
         let shared = self.shared.as_ref().map(Shared::due);
         let routes = self.routes.as_ref().map(|r| r.borrow().due());
-        [shared, routes].into_iter().flatten().fold(self.members.due(), Timestamp::min)
+        [shared, routes]
+            .into_iter()
+            .flatten()
+            .fold(self.members.due(), Timestamp::min)
     }
 
     pub fn outgoing(&mut self) -> Vec<(SocketAddr, Vec<u8>)> {
--- a/crates/upstream/tests/added.rs
+++ b/crates/upstream/tests/added.rs
@@ -35,10 +35,14 @@
 fn what_all_send_to_one_that_is_added_is_little_at_first() {
     for count in [20, 30] {
         let start = Timestamp::from_micros(5_000_000);
-        let set = Settings { zone: "north".into(), ..Settings::default() };
+        let set = Settings {
+            zone: "north".into(),
+            ..Settings::default()
+        };
         let four: Vec<BackendSettings> = (0..4).map(backend).collect();
-        let mut servers: Vec<Routes> =
-            (0..count).map(|seed| Routes::new(start, seed, set.clone(), four.clone())).collect();
+        let mut servers: Vec<Routes> = (0..count)
+            .map(|seed| Routes::new(start, seed, set.clone(), four.clone()))
+            .collect();
         for routes in &mut servers {
             routes.reload(start, set.clone(), (0..5).map(backend).collect());
         }
@@ -46,7 +50,10 @@
         let budget = even / 4.0;
         let most = budget + 2.0 * budget.sqrt() + 2.0;
         let first = to(7_004, &mut servers, start, 50) as f64;
-        assert!(first <= most, "{first} calls of {count} servers, {most} at the most");
+        assert!(
+            first <= most,
+            "{first} calls of {count} servers, {most} at the most"
+        );
         let late = start + Duration::from_millis(11_000);
         for routes in &mut servers {
             (1..110).for_each(|tenth| routes.turn(start + Duration::from_millis(100 * tenth)));
@@ -54,6 +61,9 @@
             assert!(routes.views(late).iter().all(|v| v.state == State::In));
         }
         let whole = to(7_004, &mut servers, late, 50) as f64;
-        assert!((whole - even).abs() < 4.0 * even.sqrt(), "{whole} of {even}");
+        assert!(
+            (whole - even).abs() < 4.0 * even.sqrt(),
+            "{whole} of {even}"
+        );
     }
 }
--- a/crates/upstream/tests/any.rs
+++ b/crates/upstream/tests/any.rs
@@ -9,7 +9,12 @@
     BackendSettings {
         name: format!("b{n}").as_str().into(),
         address: ([127, 0, 0, 1], 7_000 + n as u16).into(),
-        zone: if n.is_multiple_of(2) { "north" } else { "south" }.into(),
+        zone: if n.is_multiple_of(2) {
+            "north"
+        } else {
+            "south"
+        }
+        .into(),
         weight: 1.0 + n as f64,
         handlers: vec![n % 2],
     }
--- a/tests/ramp.rs
+++ b/tests/ramp.rs
@@ -69,7 +69,12 @@
         calls: false,
         partial_value: 0.0,
     };
-    let below = Below { kind: BelowKind::Nothing, share: 0.0, linger: Duration::ZERO, span: Duration::ZERO };
+    let below = Below {
+        kind: BelowKind::Nothing,
+        share: 0.0,
+        linger: Duration::ZERO,
+        span: Duration::ZERO,
+    };
     let callers = Callers {
         count: known,
         load_report: LoadReport::Allowance,
@@ -77,25 +82,61 @@
         mark_retries: false,
         idle_max: Duration::from_millis(30_000),
     };
-    let place = Place { servers: 3, tier: 0, value_by_work: false, over_share_value: 0.05 };
-    let rules = Rules { drain_grace: Duration::from_millis(2_000), says_wait: true };
-    Decider::new(START, 7, &machine(cold), &[handler], &[], &below, &callers, &place, &rules)
+    let place = Place {
+        servers: 3,
+        tier: 0,
+        value_by_work: false,
+        over_share_value: 0.05,
+    };
+    let rules = Rules {
+        drain_grace: Duration::from_millis(2_000),
+        says_wait: true,
+    };
+    Decider::new(
+        START,
+        7,
+        &machine(cold),
+        &[handler],
+        &[],
+        &below,
+        &callers,
+        &place,
+        &rules,
+    )
 }
 
 fn req(id: u64, from: u16) -> Arrival {
-    Arrival { id, from, wait: Duration::from_millis(8_000), held_kb: 1.0, ..Arrival::default() }
+    Arrival {
+        id,
+        from,
+        wait: Duration::from_millis(8_000),
+        held_kb: 1.0,
+        ..Arrival::default()
+    }
 }
 
 /// From the first answer to the end of the cold, over all callers: those that the settings name, and those that come
 /// besides. With twenty and thirty processes of callers as with one.
 #[test]
 fn what_a_cold_server_tells_adds_up_to_what_it_survives() {
-    for (known, come) in [(1, 1), (3, 3), (20, 2), (20, 20), (30, 30), (3, 30), (0, 5), (150, 12)] {
+    for (known, come) in [
+        (1, 1),
+        (3, 3),
+        (20, 2),
+        (20, 20),
+        (30, 30),
+        (3, 30),
+        (0, 5),
+        (150, 12),
+    ] {
         let (mut d, mut out, m) = (server(true, known), Heard::default(), machine(true));
         d.begin(&mut out);
         let all = f64::from(known.max(1));
         let first = out.value.expect("said before the first answer");
-        assert!(first * all <= survives(&m, 0.0), "{first} to each of {all} at first");
+        assert!(
+            first * all <= survives(&m, 0.0),
+            "{first} to each of {all} at first"
+        );
         let mut id = 0;
         for tick in 1..1_100u64 {
             let now = START + Duration::from_millis(10 * tick);
@@ -104,7 +145,13 @@
                 id += 1;
                 d.arrive(now, &req(id, from), &mut out);
             }
-            d.tick(now, &Gauges { on_cores: Some(1.0) }, &mut out);
+            d.tick(
+                now,
+                &Gauges {
+                    on_cores: Some(1.0),
+                },
+                &mut out,
+            );
             d.settle(now, &mut out);
             for id in std::mem::take(&mut out.started) {
                 d.ended(now, id, Outcome::Done, Duration::from_millis(50));
@@ -114,10 +161,16 @@
             let value = out.value.expect("said");
             if warmed < 1.0 {
                 let most = survives(&m, warmed);
-                assert!(value * callers <= most, "{value} to each of {callers} at {now:?}, over {most}");
+                assert!(
+                    value * callers <= most,
+                    "{value} to each of {callers} at {now:?}, over {most}"
+                );
             }
         }
-        assert!(out.value.expect("said") * all > survives(&m, 1.0) * 2.0, "warm, and open again");
+        assert!(
+            out.value.expect("said") * all > survives(&m, 1.0) * 2.0,
+            "warm, and open again"
+        );
     }
 }
 
@@ -139,7 +192,14 @@
         d.arrive(START, &req(id, id as u16 % 30), &mut out);
     }
     d.settle(START, &mut out);
-    assert!(out.started.len() as f64 <= survives(&m, 0.0), "{} started", out.started.len());
+    assert!(
+        out.started.len() as f64 <= survives(&m, 0.0),
+        "{} started",
+        out.started.len()
+    );
     assert!(out.shed.len() > 200, "{} shed", out.shed.len());
-    assert!(out.shed.iter().all(|(_, away)| *away > Duration::ZERO), "each is told when to come back");
+    assert!(
+        out.shed.iter().all(|(_, away)| *away > Duration::ZERO),
+        "each is told when to come back"
+    );
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -28,19 +28,28 @@
     }
     fn shed(&mut self, id: u64, come_back: Duration, last: bool) {
         let word = if last { "last" } else { "elsewhere" };
-        self.0.push(format!("shed {id} {word} {}", if come_back > Duration::ZERO { "away" } else { "now" }));
+        self.0.push(format!(
+            "shed {id} {word} {}",
+            if come_back > Duration::ZERO {
+                "away"
+            } else {
+                "now"
+            }
+        ));
     }
     fn errored(&mut self, id: u64) {
         self.0.push(format!("errored {id} "));
     }
     fn call(&mut self, id: u64, patience: Duration) {
-        self.0.push(format!("call {id} {}ms", patience.as_micros() / 1000));
+        self.0
+            .push(format!("call {id} {}ms", patience.as_micros() / 1000));
     }
     fn skip(&mut self, id: u64) {
         self.0.push(format!("skip {id} "));
     }
     fn keep_key(&mut self, id: u64, term: Duration) {
-        self.0.push(format!("keep {id} {}ms", term.as_micros() / 1000));
+        self.0
+            .push(format!("keep {id} {}ms", term.as_micros() / 1000));
     }
     fn drop_key(&mut self, id: u64) {
         self.0.push(format!("drop {id} "));
@@ -61,8 +70,13 @@
 }
 
 fn span(text: &str) -> Duration {
-    let (number, unit) = text.split_at(text.find(|c: char| c.is_alphabetic()).expect("a unit of time"));
-    Duration::from_secs_f64(number.parse::<f64>().expect("a number") * if unit == "ms" { 1e-3 } else { 1.0 })
+    let (number, unit) = text.split_at(
+        text.find(|c: char| c.is_alphabetic())
+            .expect("a unit of time"),
+    );
+    Duration::from_secs_f64(
+        number.parse::<f64>().expect("a number") * if unit == "ms" { 1e-3 } else { 1.0 },
+    )
 }
 
 /// The words of a line after its first: `key=value` pairs and bare flags.
@@ -70,10 +84,13 @@
 
 impl<'a> Words<'a> {
     fn get(&self, key: &str) -> Option<&'a str> {
-        self.0.iter().find_map(|w| w.strip_prefix(key)?.strip_prefix('='))
+        self.0
+            .iter()
+            .find_map(|w| w.strip_prefix(key)?.strip_prefix('='))
     }
     fn num(&self, key: &str, otherwise: f64) -> f64 {
-        self.get(key).map_or(otherwise, |v| v.parse().expect("a number"))
+        self.get(key)
+            .map_or(otherwise, |v| v.parse().expect("a number"))
     }
     fn span(&self, key: &str, otherwise: &str) -> Duration {
         span(self.get(key).unwrap_or(otherwise))
@@ -115,7 +132,10 @@
             below: below(&none),
             callers: callers(&none),
             place: place(&none),
-            rules: Rules { drain_grace: Duration::ZERO, says_wait: true },
+            rules: Rules {
+                drain_grace: Duration::ZERO,
+                says_wait: true,
+            },
             decider: None,
             now: START,
             ticked: START,
@@ -131,11 +151,18 @@
         match what {
             "machine" => self.machine = machine(w),
             "handler" => self.handlers.push((w.0[0].to_string(), handler(w))),
-            "tenant" => self.tenants.push(Tenant { per_second: w.num("per_second", 1.0) }),
+            "tenant" => self.tenants.push(Tenant {
+                per_second: w.num("per_second", 1.0),
+            }),
             "below" => self.below = below(w),
             "callers" => self.callers = callers(w),
             "place" => self.place = place(w),
-            "rules" => self.rules = Rules { drain_grace: w.span("grace", "0s"), says_wait: !w.has("silent") },
+            "rules" => {
+                self.rules = Rules {
+                    drain_grace: w.span("grace", "0s"),
+                    says_wait: !w.has("silent"),
+                }
+            }
             _ => panic!("{}: '{what}' sets nothing up", self.name),
         }
     }
@@ -148,7 +175,11 @@
             d.begin(&mut self.heard);
             self.decider = Some(d);
         }
-        act(self.decider.as_mut().expect("just begun"), self.now, &mut self.heard)
+        act(
+            self.decider.as_mut().expect("just begun"),
+            self.now,
+            &mut self.heard,
+        )
     }
 
     /// Lets the clock run to `until`: the batch at hand settles, then the timer rings every 10 ms.
@@ -159,7 +190,9 @@
         while self.ticked + Duration::from_millis(10) < until {
             self.ticked = self.ticked + Duration::from_millis(10);
             self.now = self.now.max(self.ticked);
-            let gauges = Gauges { on_cores: self.queue };
+            let gauges = Gauges {
+                on_cores: self.queue,
+            };
             self.with(|d, now, out| d.tick(now, &gauges, out));
             self.with(|d, now, out| d.settle(now, out));
         }
@@ -190,12 +223,22 @@
             "gone" => self.with(|d, now, out| d.gone(now, id, out)),
             "leave" => self.with(|d, now, _| d.wind_down(now, span(w.0[0]))),
             "ceiling" => {
-                let known = |h: &str| self.handlers.iter().position(|k| k.0 == h).expect("a handler set up");
+                let known = |h: &str| {
+                    self.handlers
+                        .iter()
+                        .position(|k| k.0 == h)
+                        .expect("a handler set up")
+                };
                 let most = |key| w.num(key, f64::MAX) as usize;
                 let handlers = w.0[0].split(',').map(known).collect();
                 let (runs, calls, turn) = (most("runs"), most("calls"), w.span("turn", "0s"));
                 self.ceilings.retain(|c| c.handlers != handlers);
-                self.ceilings.push(Ceiling { handlers, runs, calls, turn });
+                self.ceilings.push(Ceiling {
+                    handlers,
+                    runs,
+                    calls,
+                    turn,
+                });
                 let all = self.ceilings.clone();
                 self.with(|d, _, _| d.heed(&all));
             }
@@ -208,7 +251,11 @@
     }
 
     fn arrival(&self, id: u64, w: &Words) -> Arrival {
-        let handler = self.handlers.iter().position(|h| h.0 == w.0[1]).expect("a handler set up");
+        let handler = self
+            .handlers
+            .iter()
+            .position(|h| h.0 == w.0[1])
+            .expect("a handler set up");
         Arrival {
             id,
             from: w.num("from", id as f64) as u16,
@@ -230,7 +277,12 @@
             Some(part) => h.contains(part),
             None => h.starts_with(what),
         };
-        let heard = |from: usize, what: &str| self.heard.0[from..].iter().filter(|h| like(h, what)).count();
+        let heard = |from: usize, what: &str| {
+            self.heard.0[from..]
+                .iter()
+                .filter(|h| like(h, what))
+                .count()
+        };
         match mark {
             ">" => heard(self.since, &format!("{rest} ")) + heard(self.since, rest) > 0,
             "!" => heard(self.since, rest) == 0,
@@ -241,12 +293,21 @@
             }
             _ => {
                 let w: Vec<&str> = rest.split_whitespace().collect();
-                let [budget, admitted, limit, callers] = self.decider.as_ref().expect("begun").vitals();
-                let value =
-                    [("budget", budget), ("admitted", admitted), ("limit", limit), ("callers", callers)];
+                let [budget, admitted, limit, callers] =
+                    self.decider.as_ref().expect("begun").vitals();
+                let value = [
+                    ("budget", budget),
+                    ("admitted", admitted),
+                    ("limit", limit),
+                    ("callers", callers),
+                ];
                 let found = value.iter().find(|v| v.0 == w[0]).expect("a vital").1;
                 let bound: f64 = w[2].parse().expect("a number");
-                if w[1] == "<" { found < bound } else { found > bound }
+                if w[1] == "<" {
+                    found < bound
+                } else {
+                    found > bound
+                }
             }
         }
     }
@@ -266,7 +327,8 @@
                 self.with(|d, now, out| d.settle(now, out));
                 if !self.check(line) {
                     let (name, place, heard) = (&self.name, n + 1, self.tail());
-                    self.failures.push(format!("{name}:{place}: {line}  heard {heard:?}"));
+                    self.failures
+                        .push(format!("{name}:{place}: {line}  heard {heard:?}"));
                 }
             } else {
                 self.set_up(first, &Words(words.collect()));
@@ -288,7 +350,9 @@
     for part in line.split(';') {
         let mut words: Vec<&str> = part.split_whitespace().collect();
         let time = words.remove(0);
-        let first = time.strip_prefix('+').map_or(START + span(time), |after| at + span(after));
+        let first = time
+            .strip_prefix('+')
+            .map_or(START + span(time), |after| at + span(after));
         if all.is_empty() {
             at = first;
         }
@@ -297,8 +361,16 @@
             words.remove(0);
         }
         for i in 0..times {
-            let id = words.get(1).and_then(|w| w.parse::<u64>().ok()).map_or(0, |id| id + i);
-            all.push((first + step.mul_f64(i as f64), words[0], id, words[1..].to_vec()));
+            let id = words
+                .get(1)
+                .and_then(|w| w.parse::<u64>().ok())
+                .map_or(0, |id| id + i);
+            all.push((
+                first + step.mul_f64(i as f64),
+                words[0],
+                id,
+                words[1..].to_vec(),
+            ));
         }
     }
     all.sort_by_key(|e| e.0);
@@ -324,14 +396,22 @@
 }
 
 fn handler(w: &Words) -> Handler {
-    let once = if w.has("keyed") { Repeats::Keyed } else { Repeats::NonReplayable };
+    let once = if w.has("keyed") {
+        Repeats::Keyed
+    } else {
+        Repeats::NonReplayable
+    };
     Handler {
         target: w.span("target", "1s"),
         target_stretch: 0.0,
         timeout: w.span("timeout", "4s"),
         value: w.num("value", 1.0),
         late_value: w.num("late", 0.0),
-        repeats: if w.has("keyed") || w.has("nonreplayable") { once } else { Repeats::Replayable },
+        repeats: if w.has("keyed") || w.has("nonreplayable") {
+            once
+        } else {
+            Repeats::Replayable
+        },
         window: w.span("window", "10s"),
         calls: w.has("calls"),
         partial_value: w.num("partial", 0.0),
@@ -339,15 +419,34 @@
 }
 
 fn below(w: &Words) -> Below {
-    let kind = if w.has("shared") { BelowKind::Shared } else { BelowKind::Tier };
-    let kind = if w.0.is_empty() { BelowKind::Nothing } else { kind };
-    Below { kind, share: w.num("share", 1.0), linger: w.span("linger", "200ms"), span: w.span("span", "5s") }
+    let kind = if w.has("shared") {
+        BelowKind::Shared
+    } else {
+        BelowKind::Tier
+    };
+    let kind = if w.0.is_empty() {
+        BelowKind::Nothing
+    } else {
+        kind
+    };
+    Below {
+        kind,
+        share: w.num("share", 1.0),
+        linger: w.span("linger", "200ms"),
+        span: w.span("span", "5s"),
+    }
 }
 
 fn callers(w: &Words) -> Callers {
-    let known =
-        [("allowance", LoadReport::Allowance), ("weight", LoadReport::Weight), ("floor", LoadReport::Floor)];
-    let load_report = known.iter().find(|k| w.has(k.0)).map_or(LoadReport::Unused, |k| k.1);
+    let known = [
+        ("allowance", LoadReport::Allowance),
+        ("weight", LoadReport::Weight),
+        ("floor", LoadReport::Floor),
+    ];
+    let load_report = known
+        .iter()
+        .find(|k| w.has(k.0))
+        .map_or(LoadReport::Unused, |k| k.1);
     Callers {
         count: w.num("count", 1.0) as u32,
         load_report,
@@ -368,16 +467,22 @@
 
 #[test]
 fn scenarios() {
-    let mut files: Vec<_> = std::fs::read_dir(concat!(env!("CARGO_MANIFEST_DIR"), "/tests/scenarios"))
-        .expect("the scenarios")
-        .map(|f| f.expect("a file").path())
-        .collect();
+    let mut files: Vec<_> =
+        std::fs::read_dir(concat!(env!("CARGO_MANIFEST_DIR"), "/tests/scenarios"))
+            .expect("the scenarios")
+            .map(|f| f.expect("a file").path())
+            .collect();
     files.sort();
     assert!(!files.is_empty());
     let mut failures = vec![];
     for file in files {
         let text = std::fs::read_to_string(&file).expect("a text file");
-        let mut play = Play::new(file.file_name().expect("a name").to_string_lossy().into_owned());
+        let mut play = Play::new(
+            file.file_name()
+                .expect("a name")
+                .to_string_lossy()
+                .into_owned(),
+        );
         play.play(&text);
         failures.append(&mut play.failures);
     }
