--- a/crates/concurrency/src/lib.rs
+++ b/crates/concurrency/src/lib.rs
@@ -5,15 +5,15 @@
 //! No I/O, no clock: told what becomes of each req, and asked now and then for the [`Ceiling`]s.
 //!
 //! ```
-//! use madderbay::time::At;
+//! use madderbay::time::Timestamp;
 //! use madderbay_concurrency::{Calls, Kind, Plan, Pool, Pools, Stage};
 //! let pool = |name: &str, handlers| Pool { name: name.into(), handlers, ..Pool::default() };
 //! let kind = |calls| Kind { calls };
 //! let plan = Plan { pools: vec![pool("a", vec![0]), pool("b", vec![1])], ..Plan::default() };
-//! let mut pools = Pools::new(At::micros(0), 7, plan, &[kind(Calls::Never), kind(Calls::Never)]);
+//! let mut pools = Pools::new(Timestamp::from_micros(0), 7, plan, &[kind(Calls::Never), kind(Calls::Never)]);
 //! // Nobody wants b's places: a may have all four.
-//! pools.stage(At::micros(1), 1, 0, Stage::Held);
-//! assert_eq!(pools.ceilings(At::micros(1), 4.0)[1].runs, 4);
+//! pools.stage(Timestamp::from_micros(1), 1, 0, Stage::Held);
+//! assert_eq!(pools.ceilings(Timestamp::from_micros(1), 4.0)[1].runs, 4);
 //! ```
 
 pub mod limit;
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -3,7 +3,7 @@
 //! datagrams are passed in.
 //!
 //! ```
-//! use madderbay::time::{At, Span};
+//! use madderbay::time::{Duration, Timestamp};
 //! use madderbay_membership::{Hears, Members, Networks, Settings};
 //! let set = |n: u16| Settings {
 //!     name: format!("n{n}").into(),
@@ -13,13 +13,13 @@
 //!     join: vec![([127, 0, 0, 1], 1).into()],
 //!     networks: Networks::of(["127.0.0.0/8".parse().unwrap()]),
 //!     most: 100,
-//!     probe: Span::millis(500),
-//!     answer: Span::millis(200),
-//!     suspicion: Span::millis(3_000),
-//!     memory: Span::millis(60_000),
+//!     probe: Duration::from_millis(500),
+//!     answer: Duration::from_millis(200),
+//!     suspicion: Duration::from_millis(3_000),
+//!     memory: Duration::from_millis(60_000),
 //!     minds_itself: true,
 //! };
-//! let now = At::micros(1_000_000);
+//! let now = Timestamp::from_micros(1_000_000);
 //! let mut a = Members::new(now, 1_764_576_000_000, 1, set(1));
 //! let mut b = Members::new(now, 1_764_576_000_000, 2, set(2));
 //! b.turn(now);
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -7,9 +7,9 @@
 //! than the whole are in hand: see [`ledger`].
 //!
 //! ```
-//! use madderbay::time::{At, Span};
+//! use madderbay::time::{Duration, Timestamp};
 //! use madderbay_quota::{BudgetSettings, Peer, Settings, Shared, Terms};
-//! let ms = Span::millis;
+//! let ms = Duration::from_millis;
 //! let terms = Terms { lease: ms(1_000), longest: ms(500), guard: ms(50) };
 //! let set = |name: &str, life| Settings {
 //!     name: name.into(),
@@ -24,7 +24,7 @@
 //!     }],
 //!     counts: vec![],
 //! };
-//! let at = |ms: u64| At::micros(ms * 1_000);
+//! let at = |ms: u64| Timestamp::from_micros(ms * 1_000);
 //! let (mut a, mut b) = (Shared::new(at(0), 1, set("a", 1)), Shared::new(at(0), 2, set("b", 2)));
 //! let peer = |name: &str| vec![Peer { name: name.into(), life: 1, active: true }];
 //! a.view(at(0), 1, peer("b"));
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -3,7 +3,7 @@
 //! look sooner, and no more. No I/O: time, chance and datagrams are passed in.
 //!
 //! ```
-//! use madderbay::time::{At, Span};
+//! use madderbay::time::{Duration, Timestamp};
 //! use madderbay_upstream::{BackendSettings, End, Routes, Settings, State};
 //! let backend = |n: u16| BackendSettings {
 //!     name: format!("book-{n}").as_str().into(),
@@ -13,7 +13,7 @@
 //!     handlers: vec![0],
 //! };
 //! let set = Settings { zone: "north".into(), ..Settings::default() };
-//! let at = |ms: u64| At::micros(1_000_000 + ms * 1_000);
+//! let at = |ms: u64| Timestamp::from_micros(1_000_000 + ms * 1_000);
 //! let mut routes = Routes::new(at(0), 7, set, (1..=4).map(backend).collect());
 //! // One of four fails whatever it is asked: it is left out, and the others have its calls.
 //! for step in 0..200 {
@@ -21,7 +21,7 @@
 //!     routes.turn(now);
 //!     let ticket = routes.pick(now, 0).unwrap();
 //!     let end = if ticket.backend == 2 { End::Failed } else { End::Good };
-//!     routes.over(now + Span::millis(5), &ticket, end);
+//!     routes.over(now + Duration::from_millis(5), &ticket, end);
 //! }
 //! let states: Vec<State> = routes.views(at(2_000)).iter().map(|v| v.state).collect();
 //! assert_eq!(states, [State::In, State::In, State::Ejected, State::In]);
