Idempotency store: public names in the field's words

Cause: Kept, Found, Lasting, judge and promise are this project's own words. Change: DurableResults, WriteAheadLog, RecoveredRun, lookup, record_intent and the like, at every use.

--- a/crates/idempotency-store/src/record.rs
+++ b/crates/idempotency-store/src/record.rs
@@ -32,19 +32,19 @@
     /// It will be run: `print` tells handler and body, `until` the end of its window, `name` the try.
     Intent {
         key: Key,
-        print: u64,
-        until: u64,
-        name: Name,
+        request_hash: u64,
+        expires_at_micros: u64,
+        attempt_id: Name,
     },
-    Done {
+    Completed {
         key: Key,
         result: Box<[u8]>,
     },
-    Errored {
+    NoResult {
         key: Key,
     },
     /// Nothing ran, and nothing will by this promise.
-    Never {
+    NotRun {
         key: Key,
     },
 }
@@ -53,9 +53,9 @@
     pub fn key(&self) -> Key {
         match self {
             Record::Intent { key, .. }
-            | Record::Done { key, .. }
-            | Record::Errored { key }
-            | Record::Never { key } => *key,
+            | Record::Completed { key, .. }
+            | Record::NoResult { key }
+            | Record::NotRun { key } => *key,
         }
     }
 
@@ -64,21 +64,24 @@
         to.extend_from_slice(&[0; FRAME]);
         to.push(match self {
             Record::Intent { .. } => 1,
-            Record::Done { .. } => 2,
-            Record::Errored { .. } => 3,
-            Record::Never { .. } => 4,
+            Record::Completed { .. } => 2,
+            Record::NoResult { .. } => 3,
+            Record::NotRun { .. } => 4,
         });
         to.extend_from_slice(&self.key().to_le_bytes());
         match self {
             Record::Intent {
-                print, until, name, ..
+                request_hash: print,
+                expires_at_micros: until,
+                attempt_id: name,
+                ..
             } => {
                 to.extend_from_slice(&print.to_le_bytes());
                 to.extend_from_slice(&until.to_le_bytes());
                 to.extend_from_slice(name);
             }
-            Record::Done { result, .. } => to.extend_from_slice(result),
-            Record::Errored { .. } | Record::Never { .. } => {}
+            Record::Completed { result, .. } => to.extend_from_slice(result),
+            Record::NoResult { .. } | Record::NotRun { .. } => {}
         }
         let length = (to.len() - at - FRAME) as u32;
         let sum = crc32c::crc32c(&to[at + FRAME..]);
@@ -90,18 +93,18 @@
     pub fn size(&self) -> usize {
         match self {
             Record::Intent { .. } => INTENT,
-            Record::Done { result, .. } => BARE + result.len(),
-            Record::Errored { .. } | Record::Never { .. } => BARE,
+            Record::Completed { result, .. } => BARE + result.len(),
+            Record::NoResult { .. } | Record::NotRun { .. } => BARE,
         }
     }
 }
 
-pub fn head(to: &mut Vec<u8>) {
-    head_of(VERSION, to);
+pub fn write_segment_header(to: &mut Vec<u8>) {
+    write_segment_header_of_version(VERSION, to);
 }
 
 /// The head of a segment of some version: all have the same.
-pub fn head_of(version: u16, to: &mut Vec<u8>) {
+pub fn write_segment_header_of_version(version: u16, to: &mut Vec<u8>) {
     let at = to.len();
     to.extend_from_slice(MAGIC);
     to.extend_from_slice(&version.to_le_bytes());
@@ -161,16 +164,16 @@
     let record = match (body[0], rest.len()) {
         (1, 32) => Record::Intent {
             key,
-            print: u64::from_le_bytes(rest[..8].try_into().ok()?),
-            until: u64::from_le_bytes(rest[8..16].try_into().ok()?),
-            name: rest[16..].try_into().ok()?,
+            request_hash: u64::from_le_bytes(rest[..8].try_into().ok()?),
+            expires_at_micros: u64::from_le_bytes(rest[8..16].try_into().ok()?),
+            attempt_id: rest[16..].try_into().ok()?,
         },
-        (2, _) => Record::Done {
+        (2, _) => Record::Completed {
             key,
             result: rest.into(),
         },
-        (3, 0) => Record::Errored { key },
-        (4, 0) => Record::Never { key },
+        (3, 0) => Record::NoResult { key },
+        (4, 0) => Record::NotRun { key },
         _ => return None,
     };
     Some((record, FRAME + length))
--- a/crates/idempotency-store/src/storage.rs
+++ b/crates/idempotency-store/src/storage.rs
@@ -19,19 +19,19 @@
 }
 
 /// A folder on the file system, locked for this process.
-pub struct Files {
+pub struct DirectoryStorage {
     folder: PathBuf,
     open: HashMap<String, File>,
-    /// Files made since the folder itself was synced.
+    /// DirectoryStorage made since the folder itself was synced.
     fresh: bool,
     _lock: Option<File>,
 }
 
 const LOCK: &str = "lock";
 
-impl Files {
+impl DirectoryStorage {
     /// Opens a folder that is there; says in one line why it can't be.
-    pub fn open(folder: &Path) -> std::result::Result<Files, String> {
+    pub fn open(folder: &Path) -> std::result::Result<DirectoryStorage, String> {
         let told = |e: Error| format!("{}: {e}", folder.display());
         if !folder.metadata().map_err(told)?.is_dir() {
             return Err(format!("{}: is no folder", folder.display()));
@@ -44,7 +44,7 @@
         let lock = lock.map_err(told)?;
         lock.try_lock()
             .map_err(|_| format!("{}: another process has it", folder.display()))?;
-        Ok(Files {
+        Ok(DirectoryStorage {
             folder: folder.into(),
             open: HashMap::new(),
             fresh: false,
@@ -53,8 +53,8 @@
     }
 
     /// A folder to be read only, whoever else has it.
-    pub fn look(folder: &Path) -> Files {
-        Files {
+    pub fn open_read_only(folder: &Path) -> DirectoryStorage {
+        DirectoryStorage {
             folder: folder.into(),
             open: HashMap::new(),
             fresh: false,
@@ -63,7 +63,7 @@
     }
 }
 
-impl Storage for Files {
+impl Storage for DirectoryStorage {
     fn list(&self) -> Result<Vec<String>> {
         let mut names = vec![];
         for entry in std::fs::read_dir(&self.folder)? {
--- a/crates/idempotency-store/src/log.rs
+++ b/crates/idempotency-store/src/write_ahead_log.rs
@@ -13,36 +13,36 @@
 const WINDOW_PART: u64 = 2;
 
 /// One record and until when it has to last, in Unix microseconds.
-pub type Lasting = (Record, u64);
+pub type LogEntry = (Record, u64);
 
 /// How a keyed req of a former life stands.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum State {
+pub enum RunState {
     /// Promised, and no more known: it may have run.
     MayHaveRun,
-    Done(Box<[u8]>),
-    Errored,
+    Completed(Box<[u8]>),
+    NoResult,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Found {
-    pub print: u64,
-    pub until: u64,
-    pub name: Name,
-    pub state: State,
+pub struct RecoveredRun {
+    pub request_hash: u64,
+    pub expires_at_micros: u64,
+    pub attempt_id: Name,
+    pub state: RunState,
 }
 
 /// What a former life left.
 #[derive(Debug, Default)]
 pub struct Recovery {
-    pub found: HashMap<Key, Found>,
+    pub runs: HashMap<Key, RecoveredRun>,
     pub segments: usize,
     pub bytes: u64,
     /// Each segment's name and bytes, in order.
     sizes: Vec<(String, u64)>,
     pub records: u64,
     /// Segments that end in what is no whole record, and bytes there.
-    pub torn: usize,
+    pub torn_segments: usize,
     pub torn_bytes: u64,
 }
 
@@ -53,7 +53,7 @@
     until: u64,
 }
 
-pub struct Log<S: Storage> {
+pub struct WriteAheadLog<S: Storage> {
     storage: S,
     closed: VecDeque<Segment>,
     current: Option<(Segment, u64)>,
@@ -72,42 +72,45 @@
 }
 
 /// Takes in one record of a former life.
-fn replay(found: &mut HashMap<Key, Found>, record: Record) {
+fn replay(found: &mut HashMap<Key, RecoveredRun>, record: Record) {
     match record {
         Record::Intent {
             key,
-            print,
-            until,
-            name,
+            request_hash: print,
+            expires_at_micros: until,
+            attempt_id: name,
         } => {
-            let fresh = Found {
-                print,
-                until,
-                name,
-                state: State::MayHaveRun,
+            let fresh = RecoveredRun {
+                request_hash: print,
+                expires_at_micros: until,
+                attempt_id: name,
+                state: RunState::MayHaveRun,
             };
             let entry = found.entry(key).or_insert_with(|| fresh.clone());
             // A further intent without an end between belongs to the same run, or to none that is known to be
             // over: what is known of it stays.
-            if entry.state == State::MayHaveRun {
-                let until = entry.until.max(until);
-                *entry = Found { until, ..fresh };
+            if entry.state == RunState::MayHaveRun {
+                let until = entry.expires_at_micros.max(until);
+                *entry = RecoveredRun {
+                    expires_at_micros: until,
+                    ..fresh
+                };
             }
         }
-        Record::Done { key, result } => {
+        Record::Completed { key, result } => {
             if let Some(entry) = found.get_mut(&key) {
-                entry.state = State::Done(result);
+                entry.state = RunState::Completed(result);
             }
         }
-        Record::Errored { key } => {
+        Record::NoResult { key } => {
             if let Some(entry) = found.get_mut(&key) {
-                entry.state = State::Errored;
+                entry.state = RunState::NoResult;
             }
         }
-        Record::Never { key } => {
+        Record::NotRun { key } => {
             if found
                 .get(&key)
-                .is_some_and(|e| e.state == State::MayHaveRun)
+                .is_some_and(|e| e.state == RunState::MayHaveRun)
             {
                 found.remove(&key);
             }
@@ -126,7 +129,7 @@
         let torn = match record::read_head(&bytes) {
             Head::Good => record::read_all(&bytes, |r| {
                 recovery.records += 1;
-                replay(&mut recovery.found, r);
+                replay(&mut recovery.runs, r);
             }),
             Head::Torn => bytes.len(),
             Head::Newer(version) => {
@@ -140,13 +143,13 @@
         recovery.segments += 1;
         recovery.bytes += bytes.len() as u64;
         recovery.sizes.push((name, bytes.len() as u64));
-        recovery.torn += usize::from(torn > 0);
+        recovery.torn_segments += usize::from(torn > 0);
         recovery.torn_bytes += torn as u64;
     }
     Ok(recovery)
 }
 
-impl<S: Storage> Log<S> {
+impl<S: Storage> WriteAheadLog<S> {
     /// Opens what a former life left. No time of a former life is trusted, since clocks step: what it left
     /// lasts for one more whole window from `now`, at the least. `disk` bounds all bytes; `window` is the
     /// longest.
@@ -155,7 +158,7 @@
         now: u64,
         disk: u64,
         window: u64,
-    ) -> Result<(Log<S>, Recovery), String> {
+    ) -> Result<(WriteAheadLog<S>, Recovery), String> {
         let mut recovery = recover(&storage)?;
         let until = now.saturating_add(window);
         let sizes = std::mem::take(&mut recovery.sizes);
@@ -164,13 +167,13 @@
             .into_iter()
             .map(|(name, bytes)| Segment { name, bytes, until })
             .collect();
-        for found in recovery.found.values_mut() {
-            found.until = until;
+        for found in recovery.runs.values_mut() {
+            found.expires_at_micros = until;
         }
         let segment_most = (disk / SEGMENT_PART).max(4 << 10);
         let segment_for = (window / WINDOW_PART).max(1);
         Ok((
-            Log {
+            WriteAheadLog {
                 storage,
                 closed,
                 current: None,
@@ -183,14 +186,14 @@
     }
 
     /// Bytes on the disk.
-    pub fn bytes(&self) -> u64 {
+    pub fn size_bytes(&self) -> u64 {
         let current = self.current.as_ref().map_or(0, |c| c.0.bytes);
         self.closed.iter().map(|s| s.bytes).sum::<u64>() + current
     }
 
     /// Writes records and syncs them, all together. An error leaves open whether any of them lasts; the next
     /// go to a new segment.
-    pub fn write(&mut self, now: u64, records: &[Lasting]) -> io::Result<()> {
+    pub fn commit(&mut self, now: u64, records: &[LogEntry]) -> io::Result<()> {
         let old = |s: &(Segment, u64)| {
             s.0.bytes >= self.segment_most || now >= s.1 || now + self.segment_for < s.1
         };
@@ -206,7 +209,7 @@
             };
             self.next += 1;
             self.current = Some((segment, now + self.segment_for));
-            record::head(&mut bytes);
+            record::write_segment_header(&mut bytes);
         }
         let Some((segment, _)) = &mut self.current else {
             return Ok(());
@@ -229,7 +232,7 @@
     }
 
     /// Drops the segments that have aged out, the oldest first; one that can't be removed is tried again.
-    pub fn sweep(&mut self, now: u64) {
+    pub fn remove_expired_segments(&mut self, now: u64) {
         while self.closed.front().is_some_and(|s| s.until < now) {
             let Some(segment) = self.closed.pop_front() else {
                 return;
--- a/crates/idempotency-store/tests/crash.rs
+++ b/crates/idempotency-store/tests/crash.rs
@@ -1,35 +1,38 @@
 //! The log on a storage that crashes: cut at every byte, torn, with what was not synced lost or half there,
 //! full, failing. What was promised is found, nothing else is, and recovery always comes through.
 
-use madderbay_idempotency_store::log::{Found, Lasting, Log, State, recover, verify};
 use madderbay_idempotency_store::record::{Key, Record};
-use madderbay_idempotency_store::storage::{Crash, Files, Memory, Storage};
+use madderbay_idempotency_store::storage::{Crash, DirectoryStorage, Memory, Storage};
+use madderbay_idempotency_store::write_ahead_log::{
+    LogEntry, RecoveredRun, RunState, WriteAheadLog, recover, verify,
+};
 use proptest::prelude::*;
 use std::collections::HashMap;
 
 const DISK: u64 = 1 << 20;
 const WINDOW: u64 = 30_000_000;
 
-fn open(storage: Memory, now: u64) -> (Log<Memory>, HashMap<Key, Found>) {
-    let (log, recovery) = Log::open(storage, now, DISK, WINDOW).expect("recovery comes through");
-    (log, recovery.found)
+fn open(storage: Memory, now: u64) -> (WriteAheadLog<Memory>, HashMap<Key, RecoveredRun>) {
+    let (log, recovery) =
+        WriteAheadLog::open(storage, now, DISK, WINDOW).expect("recovery comes through");
+    (log, recovery.runs)
 }
 
-fn intent(key: Key, until: u64) -> Lasting {
+fn intent(key: Key, until: u64) -> LogEntry {
     (
         Record::Intent {
             key,
-            print: key as u64 + 7,
-            until,
-            name: [b'a'; 16],
+            request_hash: key as u64 + 7,
+            expires_at_micros: until,
+            attempt_id: [b'a'; 16],
         },
         until,
     )
 }
 
-fn done(key: Key, result: &str, until: u64) -> Lasting {
+fn done(key: Key, result: &str, until: u64) -> LogEntry {
     (
-        Record::Done {
+        Record::Completed {
             key,
             result: result.as_bytes().into(),
         },
@@ -39,31 +42,31 @@
 
 /// What the log should hold, by what was written and synced before.
 #[derive(Clone, Debug, Default, PartialEq)]
-struct Plain(HashMap<Key, State>);
+struct Plain(HashMap<Key, RunState>);
 
 impl Plain {
     fn take(&mut self, record: &Record) {
         match record {
             Record::Intent { key, .. } => {
-                self.0.entry(*key).or_insert(State::MayHaveRun);
+                self.0.entry(*key).or_insert(RunState::MayHaveRun);
             }
-            Record::Done { key, result } => {
+            Record::Completed { key, result } => {
                 self.0
                     .entry(*key)
-                    .and_modify(|s| *s = State::Done(result.clone()));
+                    .and_modify(|s| *s = RunState::Completed(result.clone()));
             }
-            Record::Errored { key } => {
-                self.0.entry(*key).and_modify(|s| *s = State::Errored);
+            Record::NoResult { key } => {
+                self.0.entry(*key).and_modify(|s| *s = RunState::NoResult);
             }
-            Record::Never { key } => {
-                if self.0.get(key) == Some(&State::MayHaveRun) {
+            Record::NotRun { key } => {
+                if self.0.get(key) == Some(&RunState::MayHaveRun) {
                     self.0.remove(key);
                 }
             }
         }
     }
 
-    fn of(found: &HashMap<Key, Found>) -> Plain {
+    fn of(found: &HashMap<Key, RecoveredRun>) -> Plain {
         Plain(found.iter().map(|(k, f)| (*k, f.state.clone())).collect())
     }
 }
@@ -73,7 +76,7 @@
 #[test]
 fn every_cut_and_every_torn_byte() {
     let mut log = open(Memory::default(), 1).0;
-    let all: Vec<Lasting> = (0..12)
+    let all: Vec<LogEntry> = (0..12)
         .flat_map(|k| {
             [
                 intent(k, WINDOW),
@@ -81,11 +84,11 @@
             ]
         })
         .chain([
-            (Record::Never { key: 77 }, 1),
-            (Record::Errored { key: 5 }, 1),
+            (Record::NotRun { key: 77 }, 1),
+            (Record::NoResult { key: 5 }, 1),
         ])
         .collect();
-    log.write(2, &all).expect("written");
+    log.commit(2, &all).expect("written");
     let whole = log.storage().clone();
     let name = whole.list().expect("listed").remove(0);
     let len = whole.read(&name).expect("read").len();
@@ -104,7 +107,7 @@
         assert_eq!(&Plain::of(&open(cut.clone(), 3).1), upto(at), "cut at {at}");
         // A second life writes on, and a third finds both.
         let mut log = open(cut, 3).0;
-        log.write(4, &[intent(1_000, WINDOW)]).expect("written");
+        log.commit(4, &[intent(1_000, WINDOW)]).expect("written");
         let mut both = upto(at).clone();
         both.take(&intent(1_000, WINDOW).0);
         assert_eq!(
@@ -129,7 +132,7 @@
 #[test]
 fn what_was_not_synced_may_be_there_or_not() {
     let mut log = open(Memory::default(), 1).0;
-    log.write(
+    log.commit(
         2,
         &[intent(1, WINDOW), done(1, "one", WINDOW), intent(2, WINDOW)],
     )
@@ -178,18 +181,18 @@
 #[test]
 fn a_segment_that_was_hardly_begun() {
     let mut log = open(Memory::default(), 1).0;
-    log.write(2, &[intent(1, WINDOW)]).expect("written");
+    log.commit(2, &[intent(1, WINDOW)]).expect("written");
     for half in 0..12 {
         let mut crashed = log.storage().clone();
         let mut head = vec![];
-        madderbay_idempotency_store::record::head(&mut head);
+        madderbay_idempotency_store::record::write_segment_header(&mut head);
         crashed
             .append("kept-0000000000000009", &head[..half])
             .expect("appended");
         let left = crashed.crashed(|_, _| Crash::Cut(half));
         let (mut next, found) = open(left, 3);
         assert_eq!(found.len(), 1);
-        next.write(4, &[intent(2, WINDOW)]).expect("written");
+        next.commit(4, &[intent(2, WINDOW)]).expect("written");
         assert_eq!(open(next.storage().clone(), 5).1.len(), 2);
     }
 }
@@ -203,10 +206,12 @@
             .append(name, bytes)
             .and_then(|()| memory.sync(name))
             .expect("written");
-        Log::open(memory, 1, DISK, WINDOW).map(|_| ()).unwrap_err()
+        WriteAheadLog::open(memory, 1, DISK, WINDOW)
+            .map(|_| ())
+            .unwrap_err()
     };
     let mut newer = vec![];
-    madderbay_idempotency_store::record::head_of(2, &mut newer);
+    madderbay_idempotency_store::record::write_segment_header_of_version(2, &mut newer);
     let newer = with("kept-0000000000000000", &newer);
     assert_eq!(
         newer,
@@ -235,11 +240,11 @@
 #[test]
 fn no_space_and_failing_syncs() {
     let mut log = open(Memory::default(), 1).0;
-    log.write(2, &[intent(1, WINDOW)]).expect("written");
+    log.commit(2, &[intent(1, WINDOW)]).expect("written");
     for room in 0..120 {
         log.storage_mut().room = Some(room);
         assert!(
-            log.write(3, &[intent(2, WINDOW), done(2, &"x".repeat(300), WINDOW)])
+            log.commit(3, &[intent(2, WINDOW), done(2, &"x".repeat(300), WINDOW)])
                 .is_err()
         );
         assert!(
@@ -251,10 +256,10 @@
     log.storage_mut().room = None;
     for steps in 0..2 {
         log.storage_mut().fails_after = Some(steps);
-        assert!(log.write(5, &[intent(3, WINDOW)]).is_err());
+        assert!(log.commit(5, &[intent(3, WINDOW)]).is_err());
     }
     log.storage_mut().fails_after = None;
-    log.write(6, &[intent(4, WINDOW)]).expect("written");
+    log.commit(6, &[intent(4, WINDOW)]).expect("written");
     let found = open(log.storage().crashed(|_, _| Crash::Lost), 7).1;
     assert!(found.contains_key(&1) && found.contains_key(&4) && !found.contains_key(&2));
 }
@@ -266,7 +271,7 @@
     let mut most = 0;
     for n in 0..2_000u64 {
         let now = n * 200_000;
-        log.write(
+        log.commit(
             now,
             &[
                 intent(Key::from(n), now + WINDOW),
@@ -274,10 +279,10 @@
             ],
         )
         .expect("written");
-        log.sweep(now);
-        most = most.max(log.bytes());
+        log.remove_expired_segments(now);
+        most = most.max(log.size_bytes());
         if n % 97 == 0 {
-            let found = recover(log.storage()).expect("read").found;
+            let found = recover(log.storage()).expect("read").runs;
             for k in n.saturating_sub(WINDOW / 200_000 - 1)..=n {
                 assert!(
                     found.contains_key(&Key::from(k)),
@@ -296,14 +301,14 @@
 fn the_clock_may_step_between_lives() {
     for now in [0, 1_000, 5_000_000_000_000] {
         let mut log = open(Memory::default(), 1_000_000_000).0;
-        log.write(1_000_000_000, &[intent(1, 1_000_000_000 + WINDOW)])
+        log.commit(1_000_000_000, &[intent(1, 1_000_000_000 + WINDOW)])
             .expect("written");
         let (mut next, found) = open(log.storage().clone(), now);
-        assert_eq!(found[&1].until, now + WINDOW);
-        next.sweep(now + WINDOW);
-        assert_eq!(recover(next.storage()).expect("read").found.len(), 1);
-        next.sweep(now + WINDOW + 1);
-        assert_eq!(recover(next.storage()).expect("read").found.len(), 0);
+        assert_eq!(found[&1].expires_at_micros, now + WINDOW);
+        next.remove_expired_segments(now + WINDOW);
+        assert_eq!(recover(next.storage()).expect("read").runs.len(), 1);
+        next.remove_expired_segments(now + WINDOW + 1);
+        assert_eq!(recover(next.storage()).expect("read").runs.len(), 0);
     }
 }
 
@@ -314,28 +319,36 @@
         "madderbay-idempotency-store-{}",
         std::process::id()
     ));
-    let told = Files::open(&folder).map(|_| ()).unwrap_err();
+    let told = DirectoryStorage::open(&folder).map(|_| ()).unwrap_err();
     assert!(told.contains("madderbay-idempotency-store-"), "{told}");
     std::fs::create_dir(&folder).expect("made");
     {
-        let (mut log, _) =
-            Log::open(Files::open(&folder).expect("opened"), 1, DISK, WINDOW).expect("read");
-        log.write(2, &[intent(1, WINDOW), done(1, "one", WINDOW)])
+        let (mut log, _) = WriteAheadLog::open(
+            DirectoryStorage::open(&folder).expect("opened"),
+            1,
+            DISK,
+            WINDOW,
+        )
+        .expect("read");
+        log.commit(2, &[intent(1, WINDOW), done(1, "one", WINDOW)])
             .expect("written");
-        let told = Files::open(&folder).map(|_| ()).unwrap_err();
+        let told = DirectoryStorage::open(&folder).map(|_| ()).unwrap_err();
         assert!(told.ends_with("another process has it"), "{told}");
     }
     {
-        let storage = Files::open(&folder).expect("opened again");
+        let storage = DirectoryStorage::open(&folder).expect("opened again");
         assert_eq!(verify(&storage).expect("read"), Vec::<String>::new());
-        let (mut log, recovery) = Log::open(storage, 3, DISK, WINDOW).expect("read");
-        assert_eq!(recovery.found[&1].state, State::Done(b"one"[..].into()));
+        let (mut log, recovery) = WriteAheadLog::open(storage, 3, DISK, WINDOW).expect("read");
+        assert_eq!(
+            recovery.runs[&1].state,
+            RunState::Completed(b"one"[..].into())
+        );
         assert_eq!(
-            (recovery.segments, recovery.records, recovery.torn),
+            (recovery.segments, recovery.records, recovery.torn_segments),
             (1, 2, 0)
         );
-        log.sweep(3 + WINDOW + 1);
-        assert_eq!(log.bytes(), 0);
+        log.remove_expired_segments(3 + WINDOW + 1);
+        assert_eq!(log.size_bytes(), 0);
     }
     std::fs::remove_dir_all(&folder).expect("removed");
 }
@@ -380,21 +393,21 @@
             match event {
                 Did::Pass(by) => {
                     now += u64::from(by);
-                    log.sweep(now);
+                    log.remove_expired_segments(now);
                 }
                 Did::Fail(steps) => log.storage_mut().fails_after = Some(usize::from(steps)),
                 Did::Write(records) => {
                     let until = now + WINDOW;
-                    let records: Vec<Lasting> = records
+                    let records: Vec<LogEntry> = records
                         .into_iter()
                         .map(|(key, what)| match what {
                             0 => intent(Key::from(key), until),
                             1 => done(Key::from(key), "x", until),
-                            2 => (Record::Errored { key: Key::from(key) }, until),
-                            _ => (Record::Never { key: Key::from(key) }, until),
+                            2 => (Record::NoResult { key: Key::from(key) }, until),
+                            _ => (Record::NotRun { key: Key::from(key) }, until),
                         })
                         .collect();
-                    let lasts = log.write(now, &records).is_ok();
+                    let lasts = log.commit(now, &records).is_ok();
                     for (record, _) in records {
                         let key = record.key();
                         let entry = sure.entry(key).or_default();
--- a/crates/server/src/core/keep.rs
+++ b/crates/server/src/core/keep.rs
@@ -5,9 +5,11 @@
 use crate::tools::counters::Lines;
 use crate::tools::name::Name;
 use madderbay::time::Timestamp;
-use madderbay_idempotency_store::log::{self, Found, Lasting, Log, Recovery, State};
-use madderbay_idempotency_store::storage::Files;
-use madderbay_idempotency_store::{Kept, Refusal, Seq};
+use madderbay_idempotency_store::storage::DirectoryStorage;
+use madderbay_idempotency_store::write_ahead_log::{
+    self, LogEntry, RecoveredRun, Recovery, RunState, WriteAheadLog,
+};
+use madderbay_idempotency_store::{DurableResults, IntentError, SequenceNumber};
 use madderbay_operator_config::kept::KeptResults;
 use std::collections::VecDeque;
 use std::path::Path;
@@ -29,22 +31,22 @@
 
 /// What the writing thread tells.
 pub enum Told {
-    Written { seq: Seq, disk: u64 },
-    Failed { seq: Seq, why: String },
+    Written { seq: SequenceNumber, disk: u64 },
+    Failed { seq: SequenceNumber, why: String },
     Works { disk: u64 },
 }
 
 pub struct Keep {
-    pub book: Kept,
-    to: Sender<(Seq, Vec<Lasting>)>,
-    waiting: VecDeque<(Seq, Waits)>,
+    pub book: DurableResults,
+    to: Sender<(SequenceNumber, Vec<LogEntry>)>,
+    waiting: VecDeque<(SequenceNumber, Waits)>,
     /// Batches that were written, each with one sync where they are grouped.
     pub writes: u64,
 }
 
 /// What stands ready once a folder was opened and read, before anything is listened on.
 pub struct Opened {
-    log: Log<Files>,
+    log: WriteAheadLog<DirectoryStorage>,
     recovery: Recovery,
     took: Duration,
 }
@@ -53,9 +55,10 @@
 pub fn open(set: &KeptResults, window: u64) -> Result<Opened, String> {
     let told = |e| format!("kept-results: {e}");
     let began = Instant::now();
-    let storage = Files::open(&set.directory).map_err(told)?;
+    let storage = DirectoryStorage::open(&set.directory).map_err(told)?;
     let (log, recovery) =
-        Log::open(storage, unix_micros(), (set.disk_mb as u64) << 20, window).map_err(told)?;
+        WriteAheadLog::open(storage, unix_micros(), (set.disk_mb as u64) << 20, window)
+            .map_err(told)?;
     Ok(Opened {
         log,
         recovery,
@@ -75,14 +78,14 @@
     } = opened;
     ::log::info!(
         "kept: {} keyed reqs known from {} records, {} segments, {} of them torn, read in {} ms",
-        recovery.found.len(),
+        recovery.runs.len(),
         recovery.records,
         recovery.segments,
-        recovery.torn,
+        recovery.torn_segments,
         took.as_millis()
     );
-    let mut book = Kept::new(set.memory_mb << 20, (set.disk_mb as u64) << 20);
-    book.recovered(recovery);
+    let mut book = DurableResults::new(set.memory_mb << 20, (set.disk_mb as u64) << 20);
+    book.load_recovery(recovery);
     let (to, orders) = channel();
     let (tell, told) = unbounded_channel();
     let grouped = set.grouped;
@@ -94,8 +97,8 @@
 }
 
 fn write(
-    log: &mut Log<Files>,
-    orders: &Receiver<(Seq, Vec<Lasting>)>,
+    log: &mut WriteAheadLog<DirectoryStorage>,
+    orders: &Receiver<(SequenceNumber, Vec<LogEntry>)>,
     tell: &UnboundedSender<Told>,
     grouped: bool,
 ) {
@@ -112,12 +115,12 @@
                 let batches = if grouped { records.len().max(1) } else { 1 };
                 let done = records
                     .chunks(batches)
-                    .try_for_each(|part| log.write(unix_micros(), part));
+                    .try_for_each(|part| log.commit(unix_micros(), part));
                 broken = done.is_err();
                 Some(match done {
                     Ok(()) => Told::Written {
                         seq,
-                        disk: log.bytes(),
+                        disk: log.size_bytes(),
                     },
                     Err(e) => Told::Failed {
                         seq,
@@ -126,16 +129,18 @@
                 })
             }
             Err(RecvTimeoutError::Timeout) if broken => {
-                log.write(unix_micros(), &[]).ok().map(|()| {
+                log.commit(unix_micros(), &[]).ok().map(|()| {
                     broken = false;
-                    Told::Works { disk: log.bytes() }
+                    Told::Works {
+                        disk: log.size_bytes(),
+                    }
                 })
             }
             Err(RecvTimeoutError::Timeout) => None,
             Err(RecvTimeoutError::Disconnected) => return,
         };
         if tidied.elapsed() >= TIDY {
-            log.sweep(unix_micros());
+            log.remove_expired_segments(unix_micros());
             tidied = Instant::now();
         }
         if said.is_some_and(|s| tell.send(s).is_err()) {
@@ -146,7 +151,7 @@
 
 impl Keep {
     /// `to`: where batches of records go to be written.
-    pub fn new(book: Kept, to: Sender<(Seq, Vec<Lasting>)>) -> Keep {
+    pub fn new(book: DurableResults, to: Sender<(SequenceNumber, Vec<LogEntry>)>) -> Keep {
         Keep {
             book,
             to,
@@ -162,42 +167,44 @@
         key: u128,
         window: (u64, Timestamp),
         name: Name,
-    ) -> Result<(), Refusal> {
-        self.book.may_promise()?;
+    ) -> Result<(), IntentError> {
+        self.book.admit_intent()?;
         let (print, until) = window;
-        let seq = self.book.promise(key, print, name, until);
+        let seq = self.book.record_intent(key, print, name, until);
         self.waiting.push_back((seq, Waits::Run(id)));
         Ok(())
     }
 
     /// The answer of a req waits from now on for its result.
     pub fn settle(&mut self, id: u64, key: u128, result: Option<&str>, until: Timestamp) {
-        let seq = self.book.settle(key, result.map(str::as_bytes), until);
+        let seq = self
+            .book
+            .record_result(key, result.map(str::as_bytes), until);
         self.waiting
             .push_back((seq, Waits::Answer(id, result.map(Into::into))));
     }
 
     pub fn never(&mut self, key: u128, until: Timestamp) {
-        let seq = self.book.never(key, until);
+        let seq = self.book.record_not_run(key, until);
         self.waiting.push_back((seq, Waits::Nobody));
     }
 
     /// Hands over all that is to be written.
     pub fn flush(&mut self) {
-        if let Some(batch) = self.book.take() {
+        if let Some(batch) = self.book.take_batch() {
             let _ = self.to.send(batch);
         }
     }
 
     /// Those that waited for no more than that.
-    pub fn upto(&mut self, seq: Seq) -> Vec<Waits> {
+    pub fn upto(&mut self, seq: SequenceNumber) -> Vec<Waits> {
         let n = self.waiting.partition_point(|w| w.0 <= seq);
         self.waiting.drain(..n).map(|w| w.1).collect()
     }
 
     pub fn counters(&self) -> String {
         let mut lines = Lines::of("kept");
-        let (known, disk) = self.book.standing();
+        let (known, disk) = self.book.usage();
         for (name, value) in [
             ("known", known as u64),
             ("disk_bytes", disk),
@@ -218,11 +225,11 @@
 /// What a folder holds: a line for each keyed req in the order of keys, and what was read in all.
 fn looked_at(
     folder: &Path,
-    line: impl Fn(&u128, &Found) -> String,
+    line: impl Fn(&u128, &RecoveredRun) -> String,
 ) -> Result<(Vec<String>, Recovery), String> {
-    let read =
-        log::recover(&Files::look(folder)).map_err(|e| format!("{}: {e}", folder.display()))?;
-    let mut found: Vec<_> = read.found.iter().collect();
+    let read = write_ahead_log::recover(&DirectoryStorage::open_read_only(folder))
+        .map_err(|e| format!("{}: {e}", folder.display()))?;
+    let mut found: Vec<_> = read.runs.iter().collect();
     found.sort_by_key(|f| f.0);
     Ok((
         found.into_iter().map(|(key, f)| line(key, f)).collect(),
@@ -230,18 +237,18 @@
     ))
 }
 
-fn state(found: &Found) -> &'static str {
+fn state(found: &RecoveredRun) -> &'static str {
     match found.state {
-        State::MayHaveRun => "may-have-run",
-        State::Done(_) => "done",
-        State::Errored => "errored",
+        RunState::MayHaveRun => "may-have-run",
+        RunState::Completed(_) => "done",
+        RunState::NoResult => "errored",
     }
 }
 
 /// A line for each keyed req in a folder, and one for all.
 pub fn list(folder: &Path) -> Result<Vec<String>, String> {
-    let line = |key: &u128, f: &Found| {
-        let size = if let State::Done(result) = &f.state {
+    let line = |key: &u128, f: &RecoveredRun| {
+        let size = if let RunState::Completed(result) = &f.state {
             result.len()
         } else {
             0
@@ -249,13 +256,13 @@
         format!(
             "{key:032x} {} until {} ms, {size} bytes",
             state(f),
-            f.until / 1000
+            f.expires_at_micros / 1000
         )
     };
     let (mut lines, all) = looked_at(folder, line)?;
     lines.push(format!(
         "{} keyed reqs in {} records, {} segments, {} torn bytes",
-        all.found.len(),
+        all.runs.len(),
         all.records,
         all.segments,
         all.torn_bytes
@@ -264,15 +271,18 @@
 }
 
 pub fn export(folder: &Path) -> Result<Vec<String>, String> {
-    let line = |key: &u128, f: &Found| {
-        let result = if let State::Done(result) = &f.state {
+    let line = |key: &u128, f: &RecoveredRun| {
+        let result = if let RunState::Completed(result) = &f.state {
             Some(String::from_utf8_lossy(result))
         } else {
             None
         };
-        let print = format!("{:016x}", f.print);
-        let (key, name) = (format!("{key:032x}"), String::from_utf8_lossy(&f.name));
-        let until = f.until / 1000;
+        let print = format!("{:016x}", f.request_hash);
+        let (key, name) = (
+            format!("{key:032x}"),
+            String::from_utf8_lossy(&f.attempt_id),
+        );
+        let until = f.expires_at_micros / 1000;
         serde_json::json!({
             "key": key, "state": state(f), "until_ms": until, "print": print, "ref": name, "result": result,
         })
@@ -282,5 +292,6 @@
 }
 
 pub fn verify(folder: &Path) -> Result<Vec<String>, String> {
-    log::verify(&Files::look(folder)).map_err(|e| format!("{}: {e}", folder.display()))
+    write_ahead_log::verify(&DirectoryStorage::open_read_only(folder))
+        .map_err(|e| format!("{}: {e}", folder.display()))
 }
--- a/crates/server/src/core/lasting.rs
+++ b/crates/server/src/core/lasting.rs
@@ -5,7 +5,7 @@
 use super::serve::{KEEP_AWAY, Serve};
 use crate::balancers::answer;
 use madderbay::time::Timestamp;
-use madderbay_idempotency_store::Verdict;
+use madderbay_idempotency_store::Lookup;
 
 impl Serve {
     /// A try of a keyed req that a former life has promised is answered from what is known of it, and never
@@ -22,26 +22,26 @@
         let Some(keep) = hands.keep.as_mut().filter(|_| !hands.door.knows(key)) else {
             return Ok(false);
         };
-        let verdict = keep.book.judge(key, print);
+        let verdict = keep.book.lookup(key, print);
         let away = KEEP_AWAY.min(self.settings.callers.come_back_max);
         let report = hands.load_report;
         match verdict {
-            Verdict::Unlike => return Err("replay came with another body"),
-            Verdict::Unknown if keep.book.may_promise().is_ok() => return Ok(false),
-            Verdict::Unknown => {
+            Lookup::Mismatch => return Err("replay came with another body"),
+            Lookup::NotFound if keep.book.admit_intent().is_ok() => return Ok(false),
+            Lookup::NotFound => {
                 hands
                     .conns
                     .answer(now, no, |out| answer::shed(out, rpc, away, false, report));
                 hands.counters.shed += 1;
             }
-            Verdict::Done(result) => {
+            Lookup::Completed(result) => {
                 let blob = String::from_utf8_lossy(&result);
                 hands
                     .conns
                     .answer(now, no, |out| answer::done(out, rpc, &blob, report));
                 hands.counters.answered(true, false);
             }
-            Verdict::Errored => {
+            Lookup::NoResult => {
                 hands
                     .conns
                     .answer(now, no, |out| answer::errored(out, rpc, report));
@@ -61,16 +61,16 @@
         let (waits, lasts) = match told {
             Told::Works { disk } => {
                 log::info!("kept: writing works again");
-                return keep.book.works(disk);
+                return keep.book.on_storage_recovered(disk);
             }
             Told::Written { seq, disk } => {
                 keep.writes += 1;
-                keep.book.written(seq, disk);
+                keep.book.on_committed(seq, disk);
                 (keep.upto(seq), true)
             }
             Told::Failed { seq, why } => {
                 log::error!("kept: can't be written, no new keyed req is run: {why}");
-                keep.book.failed(seq);
+                keep.book.on_commit_failed(seq);
                 (keep.upto(seq), false)
             }
         };
--- a/crates/server/src/core/outcomes.rs
+++ b/crates/server/src/core/outcomes.rs
@@ -183,7 +183,7 @@
             let result = (how == Outcome::Done).then_some(blob.as_bytes());
             let ran = matches!(how, Outcome::Done | Outcome::Errored | Outcome::Stopped);
             let keep = self.hands.keep.as_mut().filter(|_| ran);
-            if keep.is_some_and(|k| k.book.came_back(name, result)) {
+            if keep.is_some_and(|k| k.book.complete_recovered_run(name, result)) {
                 self.hands.changed.notify_one();
             } else {
                 self.hands.counters.strays += 1;
--- a/crates/server/src/core/serve.rs
+++ b/crates/server/src/core/serve.rs
@@ -125,7 +125,7 @@
                 Due::Settle(id) => self.hands.answer_run(id, None),
                 Due::Tidy => {
                     if let Some(keep) = &mut self.hands.keep {
-                        keep.book.lapse(now);
+                        keep.book.expire(now);
                     }
                     self.hands.calls.tidy(now);
                     self.hands.door.lapse(now);
--- a/crates/server/tests/kept.rs
+++ b/crates/server/tests/kept.rs
@@ -227,13 +227,13 @@
 /// A hundred thousand keys held at a restart: each is known, and the server listens soon.
 #[test]
 fn a_hundred_thousand_keys_at_a_restart() {
-    use madderbay_idempotency_store::log::Log;
     use madderbay_idempotency_store::record::Record;
-    use madderbay_idempotency_store::storage::Files;
+    use madderbay_idempotency_store::storage::DirectoryStorage;
+    use madderbay_idempotency_store::write_ahead_log::WriteAheadLog;
     let place = Place::new(30_000_000, "disk_mb = 64\n");
     {
-        let storage = Files::open(&place.folder).expect("opened");
-        let (mut log, _) = Log::open(storage, 1, 64 << 20, 30_000_000).expect("read");
+        let storage = DirectoryStorage::open(&place.folder).expect("opened");
+        let (mut log, _) = WriteAheadLog::open(storage, 1, 64 << 20, 30_000_000).expect("read");
         for part in 0..100u128 {
             let records: Vec<_> = (0..1_000u128)
                 .flat_map(|k| {
@@ -243,17 +243,17 @@
                         (
                             Record::Intent {
                                 key,
-                                print: 0,
-                                until: 30_000_001,
-                                name: [b'0'; 16],
+                                request_hash: 0,
+                                expires_at_micros: 30_000_001,
+                                attempt_id: [b'0'; 16],
                             },
                             30_000_001,
                         ),
-                        (Record::Done { key, result }, 30_000_001),
+                        (Record::Completed { key, result }, 30_000_001),
                     ]
                 })
                 .collect();
-            log.write(1, &records).expect("written");
+            log.commit(1, &records).expect("written");
         }
     }
     let (server, _engine) = place.live();
@@ -292,7 +292,7 @@
     assert!(refused(&place).contains("another process has it"));
     drop((server, engine));
     let mut newer = vec![];
-    madderbay_idempotency_store::record::head_of(9, &mut newer);
+    madderbay_idempotency_store::record::write_segment_header_of_version(9, &mut newer);
     std::fs::write(place.folder.join("kept-00000000000000ff"), &newer).expect("written");
     assert!(
         refused(&place).contains("kept-00000000000000ff: is of version 9; this program knows 1")
@@ -345,7 +345,7 @@
     );
     assert_eq!(told("verify"), (Some(0), vec![]));
     let mut torn = vec![];
-    madderbay_idempotency_store::record::head(&mut torn);
+    madderbay_idempotency_store::record::write_segment_header(&mut torn);
     torn.extend_from_slice(b"garbage");
     std::fs::write(place.folder.join("kept-00000000000000ff"), &torn).expect("written");
     let (status, lines) = told("verify");
--- a/crates/server/tests/scenarios.rs
+++ b/crates/server/tests/scenarios.rs
@@ -28,8 +28,8 @@
 mod common;
 
 use madderbay::time::{Duration, Timestamp};
-use madderbay_idempotency_store::log::Lasting;
-use madderbay_idempotency_store::{Kept, Seq};
+use madderbay_idempotency_store::write_ahead_log::LogEntry;
+use madderbay_idempotency_store::{DurableResults, SequenceNumber};
 use madderbay_server::balancers::front::Front;
 use madderbay_server::below::calls::{Hears as _, Replies};
 use madderbay_server::below::engine::Notices;
@@ -59,7 +59,7 @@
     engine: Option<Outbox>,
     mute: bool,
     /// What goes to the disk, and whether that is quick.
-    disk: Option<Receiver<(Seq, Vec<Lasting>)>>,
+    disk: Option<Receiver<(SequenceNumber, Vec<LogEntry>)>>,
     quick: bool,
     /// Takes nothing that is sent to it.
     deaf: Option<String>,
@@ -355,7 +355,7 @@
             _ if first == "kept" => {
                 let (to, from) = channel();
                 self.disk = Some(from);
-                self.serve.hands.keep = Some(Keep::new(Kept::new(1_000, 100_000), to));
+                self.serve.hands.keep = Some(Keep::new(DurableResults::new(1_000, 100_000), to));
             }
             _ if first == "disk" => {
                 self.quick = false;
--- a/crates/testkit/examples/kept.rs
+++ b/crates/testkit/examples/kept.rs
@@ -5,9 +5,9 @@
 //! Histories: a server is killed at a random moment while it books, started again, and every try is repeated;
 //! a booking is a run in the engine. Then what it costs: times, syncs and CPU at several rates, and recovery.
 
-use madderbay_idempotency_store::log::Log;
 use madderbay_idempotency_store::record::Record;
-use madderbay_idempotency_store::storage::Files;
+use madderbay_idempotency_store::storage::DirectoryStorage;
+use madderbay_idempotency_store::write_ahead_log::WriteAheadLog;
 use madderbay_testkit::balancer::{Answer, Ask, Load, breaches, times};
 use madderbay_testkit::catalogue::Catalogue;
 use madderbay_testkit::engine::{Engine, Work};
@@ -233,8 +233,8 @@
 fn recovery(binary: &Path, keys: u128) {
     let place = Place::new(binary, Some("grouped"), (1.0, 2.0), 1);
     {
-        let storage = Files::open(&place.folder).expect("opened");
-        let (mut log, _) = Log::open(storage, 1, 64 << 20, 30_000_000).expect("read");
+        let storage = DirectoryStorage::open(&place.folder).expect("opened");
+        let (mut log, _) = WriteAheadLog::open(storage, 1, 64 << 20, 30_000_000).expect("read");
         let until = 30_000_001;
         for part in 0..keys / 1_000 {
             let records: Vec<_> = (0..1_000)
@@ -243,14 +243,14 @@
                     let result = vec![b'x'; 100].into_boxed_slice();
                     let intent = Record::Intent {
                         key,
-                        print: 0,
-                        until,
-                        name: [b'0'; 16],
+                        request_hash: 0,
+                        expires_at_micros: until,
+                        attempt_id: [b'0'; 16],
                     };
-                    [(intent, until), (Record::Done { key, result }, until)]
+                    [(intent, until), (Record::Completed { key, result }, until)]
                 })
                 .collect();
-            log.write(1, &records).expect("written");
+            log.commit(1, &records).expect("written");
         }
     }
     let server = place.live();
