--- a/crates/concurrency/examples/ways.rs
+++ b/crates/concurrency/examples/ways.rs
@@ -5,7 +5,7 @@
 mod model;
 
 use madderbay::time::{Duration, Timestamp};
-use madderbay_concurrency::limit::{End, Limit, Ticket};
+use madderbay_concurrency::limit::{Completion, Limit, Ticket};
 use model::{Fixed, Mode, Way, World, play};
 
 /// Additive increase, multiplicative decrease: grows by one over the limit for each call in twice the best
@@ -21,12 +21,19 @@
     fn level(&self) -> f64 {
         self.level
     }
-    fn over(&mut self, now: Timestamp, _: Option<Ticket>, end: End, took: Duration, _: usize) {
+    fn over(
+        &mut self,
+        now: Timestamp,
+        _: Option<Ticket>,
+        end: Completion,
+        took: Duration,
+        _: usize,
+    ) {
         let secs = took.as_secs_f64().max(1e-3);
-        if end == End::Good {
+        if end == Completion::Success {
             self.best = self.best.min(secs);
         }
-        if end == End::Good && secs < 2.0 * self.best {
+        if end == Completion::Success && secs < 2.0 * self.best {
             self.level = (self.level + 1.0 / self.level).min(self.most);
         } else if now >= self.cut {
             self.level = (self.level * 0.9).max(1.0);
@@ -48,8 +55,15 @@
     fn level(&self) -> f64 {
         self.level
     }
-    fn over(&mut self, _: Timestamp, _: Option<Ticket>, end: End, took: Duration, out: usize) {
-        if end == End::Bad {
+    fn over(
+        &mut self,
+        _: Timestamp,
+        _: Option<Ticket>,
+        end: Completion,
+        took: Duration,
+        out: usize,
+    ) {
+        if end == Completion::Failure {
             return;
         }
         let secs = took.as_secs_f64().max(1e-3);
@@ -77,8 +91,8 @@
     fn level(&self) -> f64 {
         self.level
     }
-    fn over(&mut self, _: Timestamp, _: Option<Ticket>, end: End, took: Duration, _: usize) {
-        if end == End::Bad {
+    fn over(&mut self, _: Timestamp, _: Option<Ticket>, end: Completion, took: Duration, _: usize) {
+        if end == Completion::Failure {
             return;
         }
         self.sum = (self.sum.0 + took.as_secs_f64().max(1e-3), self.sum.1 + 1);
@@ -132,10 +146,17 @@
         self.out += 1;
         None
     }
-    fn over(&mut self, now: Timestamp, _: Option<Ticket>, end: End, took: Duration, _: usize) {
+    fn over(
+        &mut self,
+        now: Timestamp,
+        _: Option<Ticket>,
+        end: Completion,
+        took: Duration,
+        _: usize,
+    ) {
         self.count(now);
         self.out -= 1;
-        if end != End::Bad {
+        if end != Completion::Failure {
             self.time += 0.1 * (took.as_secs_f64().max(1e-3) - self.time);
             self.best = (self.best * 1.0005).min(self.time);
         }
--- a/crates/concurrency/src/lib.rs
+++ b/crates/concurrency/src/lib.rs
@@ -1,4 +1,4 @@
-//! Pools of handlers: how many runs and calls each may have now, given the runs that the module allows, what
+//! ConcurrencyLimiter of handlers: how many runs and calls each may have now, given the runs that the module allows, what
 //! lies below is bearing, the weights of the pools and the reserve. What is let in, in which order, and what
 //! is turned away is decided elsewhere, by [`madderbay::decide`], which heeds the ceilings made here.
 //!
@@ -6,20 +6,20 @@
 //!
 //! ```
 //! use madderbay::time::Timestamp;
-//! use madderbay_concurrency::{Calls, Kind, Plan, Pool, Pools, Stage};
-//! let pool = |name: &str, handlers| Pool { name: name.into(), handlers, ..Pool::default() };
-//! let kind = |calls| Kind { calls };
-//! let plan = Plan { pools: vec![pool("a", vec![0]), pool("b", vec![1])], ..Plan::default() };
-//! let mut pools = Pools::new(Timestamp::from_micros(0), 7, plan, &[kind(Calls::Never), kind(Calls::Never)]);
+//! use madderbay_concurrency::{CallRequirement, HandlerProfile, ConcurrencyConfig, PoolConfig, ConcurrencyLimiter, RequestStage};
+//! let pool = |name: &str, handlers| PoolConfig { name: name.into(), handlers, ..PoolConfig::default() };
+//! let kind = |calls| HandlerProfile { calls };
+//! let plan = ConcurrencyConfig { pools: vec![pool("a", vec![0]), pool("b", vec![1])], ..ConcurrencyConfig::default() };
+//! let mut pools = ConcurrencyLimiter::new(Timestamp::from_micros(0), 7, plan, &[kind(CallRequirement::Never), kind(CallRequirement::Never)]);
 //! // Nobody wants b's places: a may have all four.
-//! pools.stage(Timestamp::from_micros(1), 1, 0, Stage::Held);
+//! pools.stage(Timestamp::from_micros(1), 1, 0, RequestStage::Held);
 //! assert_eq!(pools.ceilings(Timestamp::from_micros(1), 4.0)[1].runs, 4);
 //! ```
 
 pub mod limit;
 pub mod share;
 
-use limit::{Cause, End, Limit, Ticket};
+use limit::{Cause, Completion, Limit, Ticket};
 use madderbay::face::Ceiling;
 use madderbay::time::{Duration, Timestamp};
 use share::Want;
@@ -52,39 +52,39 @@
 
 /// Whether a handler's runs make calls, and whether they can do without.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Calls {
+pub enum CallRequirement {
     Never,
-    MaySkip,
-    Must,
+    Optional,
+    Required,
 }
 
 #[derive(Clone, Copy, Debug)]
-pub struct Kind {
-    pub calls: Calls,
+pub struct HandlerProfile {
+    pub calls: CallRequirement,
 }
 
 /// One pool as the operator set it.
 #[derive(Clone, Debug)]
-pub struct Pool {
+pub struct PoolConfig {
     pub name: String,
     pub handlers: Vec<usize>,
     pub weight: f64,
     /// Its weight among those that want calls.
-    pub calls_weight: f64,
+    pub call_weight: f64,
     /// The most runs and calls, whatever is free.
-    pub runs: Option<usize>,
-    pub calls: Option<usize>,
+    pub max_runs: Option<usize>,
+    pub max_calls: Option<usize>,
 }
 
-impl Default for Pool {
-    fn default() -> Pool {
-        Pool {
+impl Default for PoolConfig {
+    fn default() -> PoolConfig {
+        PoolConfig {
             name: String::new(),
             handlers: vec![],
             weight: 1.0,
-            calls_weight: 1.0,
-            runs: None,
-            calls: None,
+            call_weight: 1.0,
+            max_runs: None,
+            max_calls: None,
         }
     }
 }
@@ -95,54 +95,54 @@
     /// None named: the one that costs least.
     pub handlers: Vec<usize>,
     /// The part of all runs and calls.
-    pub part: f64,
+    pub fraction: f64,
 }
 
 /// All that is set. Handlers in no pool form one of their own, of weight 1.
 #[derive(Clone, Debug)]
-pub struct Plan {
-    pub pools: Vec<Pool>,
+pub struct ConcurrencyConfig {
+    pub pools: Vec<PoolConfig>,
     pub reserve: Option<Reserve>,
     /// Whether the limit on calls follows what lies below, or stays at its most.
-    pub adapts: bool,
+    pub adaptive: bool,
     /// This server's share of what lies below, in calls in hand; nothing where calls need no limit.
-    pub share: Option<f64>,
+    pub call_quota: Option<f64>,
     /// What is given up on may go on below for that long.
-    pub linger: Duration,
+    pub abandoned_call_lifetime: Duration,
     pub cores: usize,
     /// Where what lies below is several, by the handlers that call each: a limit for each, which begins at that
     /// part of the share. The handlers in none have one limit of their own, of the whole share.
-    pub groups: Vec<(Vec<usize>, f64)>,
+    pub upstream_groups: Vec<(Vec<usize>, f64)>,
 }
 
-impl Default for Plan {
-    fn default() -> Plan {
+impl Default for ConcurrencyConfig {
+    fn default() -> ConcurrencyConfig {
         let (pools, groups) = (vec![], vec![]);
-        Plan {
+        ConcurrencyConfig {
             pools,
             reserve: None,
-            adapts: true,
-            share: None,
-            linger: Duration::ZERO,
+            adaptive: true,
+            call_quota: None,
+            abandoned_call_lifetime: Duration::ZERO,
             cores: 1,
-            groups,
+            upstream_groups: groups,
         }
     }
 }
 
 /// Where a req stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Stage {
-    Held,
+pub enum RequestStage {
+    Queued,
     Running,
     /// Its run waits for a call that was not made yet.
-    AtCall,
+    AwaitingCall,
     Calling,
 }
 
 struct Req {
     handler: usize,
-    stage: Stage,
+    stage: RequestStage,
     started: Timestamp,
     ticket: Option<Ticket>,
     /// It was answered long ago, stands at a call, and the engine does not end it: it takes no place.
@@ -164,12 +164,12 @@
 }
 
 impl Load {
-    fn of(&mut self, stage: Stage) -> &mut usize {
+    fn of(&mut self, stage: RequestStage) -> &mut usize {
         match stage {
-            Stage::Held => &mut self.held,
-            Stage::Running => &mut self.running,
-            Stage::AtCall => &mut self.at_call,
-            Stage::Calling => &mut self.calling,
+            RequestStage::Queued => &mut self.held,
+            RequestStage::Running => &mut self.running,
+            RequestStage::AwaitingCall => &mut self.at_call,
+            RequestStage::Calling => &mut self.calling,
         }
     }
 
@@ -194,7 +194,7 @@
 
 /// A change worth a line in the log.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Change {
+pub struct LimitChange {
     pub from: f64,
     pub to: f64,
     pub cause: &'static str,
@@ -208,9 +208,9 @@
     limit: Limit,
 }
 
-pub struct Pools {
-    plan: Plan,
-    kinds: Vec<Kind>,
+pub struct ConcurrencyLimiter {
+    plan: ConcurrencyConfig,
+    kinds: Vec<HandlerProfile>,
     loads: Vec<Load>,
     reqs: HashMap<u64, Req>,
     /// Runs whose reqs are answered, with when their places are free at the latest.
@@ -227,45 +227,54 @@
     /// Something has changed since the ceilings were made, and when that was.
     changed: bool,
     made: Timestamp,
-    told: Vec<Change>,
+    told: Vec<LimitChange>,
     untold: u64,
     /// Times that a limit changed.
     pub changes: u64,
 }
 
-impl Pools {
-    pub fn new(now: Timestamp, seed: u64, mut plan: Plan, kinds: &[Kind]) -> Pools {
+impl ConcurrencyLimiter {
+    pub fn new(
+        now: Timestamp,
+        seed: u64,
+        mut plan: ConcurrencyConfig,
+        kinds: &[HandlerProfile],
+    ) -> ConcurrencyLimiter {
         let known = |h: &usize| plan.pools.iter().any(|p| p.handlers.contains(h));
         let rest: Vec<usize> = (0..kinds.len()).filter(|h| !known(h)).collect();
         if !rest.is_empty() {
-            plan.pools.push(Pool {
+            plan.pools.push(PoolConfig {
                 name: "rest".into(),
                 handlers: rest,
-                ..Pool::default()
+                ..PoolConfig::default()
             });
         }
-        let mut groups = plan.groups.clone();
-        let grouped = |h: &usize| plan.groups.iter().any(|g| g.0.contains(h));
+        let mut groups = plan.upstream_groups.clone();
+        let grouped = |h: &usize| plan.upstream_groups.iter().any(|g| g.0.contains(h));
         let others: Vec<usize> = (0..kinds.len()).filter(|h| !grouped(h)).collect();
-        if groups.is_empty() || others.iter().any(|h| kinds[*h].calls != Calls::Never) {
+        if groups.is_empty()
+            || others
+                .iter()
+                .any(|h| kinds[*h].calls != CallRequirement::Never)
+        {
             groups.push((others, 1.0));
         }
         let of = |(at, (handlers, part)): (usize, (Vec<usize>, f64))| {
-            let most = (plan.share.unwrap_or(0.0) * part).max(SHARE_SMALL);
-            let limit = Limit::new(now, seed + at as u64, most, plan.linger);
+            let most = (plan.call_quota.unwrap_or(0.0) * part).max(SHARE_SMALL);
+            let limit = Limit::new(now, seed + at as u64, most, plan.abandoned_call_lifetime);
             Below {
                 handlers,
                 part,
                 limit,
             }
         };
-        let limits = match plan.share {
+        let limits = match plan.call_quota {
             Some(_) => groups.into_iter().enumerate().map(of).collect(),
             None => vec![],
         };
         let reserved = plan.reserve.as_ref().map_or(vec![], |r| r.handlers.clone());
         let usual = vec![1.0; plan.pools.len()];
-        Pools {
+        ConcurrencyLimiter {
             plan,
             usual,
             followed: now,
@@ -287,7 +296,7 @@
     }
 
     /// A req stands at another stage than before; one that is new to the pools is taken in.
-    pub fn stage(&mut self, now: Timestamp, id: u64, handler: usize, stage: Stage) {
+    pub fn set_stage(&mut self, now: Timestamp, id: u64, handler: usize, stage: RequestStage) {
         if handler >= self.loads.len() {
             return;
         }
@@ -307,30 +316,30 @@
         }
         req.hung = false;
         *load.of(stage) += 1;
-        if known && req.stage == Stage::Held {
+        if known && req.stage == RequestStage::Queued {
             req.started = now;
         }
         // A call that was out and is not told of ended for reasons of this side's own.
         let mut limit = limit_of(&mut self.limits, req.handler);
         if let (Some(limit), Some(ticket)) = (&mut limit, req.ticket.take()) {
-            limit.over(now, ticket, End::Dropped, false);
+            limit.over(now, ticket, Completion::Cancelled, false);
         }
         req.stage = stage;
         match stage {
-            Stage::Calling => req.ticket = limit.map(|l| l.made(now)),
-            Stage::AtCall => {
+            RequestStage::Calling => req.ticket = limit.map(|l| l.made(now)),
+            RequestStage::AwaitingCall => {
                 if let Some(limit) = limit
                     && limit.out() >= limit.allowed()
                 {
                     limit.wanted();
                 }
             }
-            Stage::Held | Stage::Running => {}
+            RequestStage::Queued | RequestStage::Running => {}
         }
     }
 
     /// Another share of what lies below, in calls in hand.
-    pub fn share(&mut self, share: f64) {
+    pub fn set_call_quota(&mut self, share: f64) {
         for below in &mut self.limits {
             below.limit.set_most((share * below.part).max(SHARE_SMALL));
             self.changed = true;
@@ -338,13 +347,17 @@
     }
 
     /// This process was held up until now: the time of calls that are out tells nothing of what lies below.
-    pub fn held_up(&mut self, now: Timestamp) {
+    pub fn process_stalled(&mut self, now: Timestamp) {
         self.held_up = Some(now);
     }
 
     /// A call of this req ended: it runs on, or stands at the call again.
-    pub fn call_over(&mut self, now: Timestamp, id: u64, end: End) {
-        let Some(req) = self.reqs.get_mut(&id).filter(|r| r.stage == Stage::Calling) else {
+    pub fn call_finished(&mut self, now: Timestamp, id: u64, end: Completion) {
+        let Some(req) = self
+            .reqs
+            .get_mut(&id)
+            .filter(|r| r.stage == RequestStage::Calling)
+        else {
             return;
         };
         self.changed = true;
@@ -354,10 +367,10 @@
             let held_up = self.held_up.is_some_and(|t| t >= ticket.at());
             limit.over(now, ticket, end, held_up);
         }
-        let stage = if end == End::Good {
-            Stage::Running
+        let stage = if end == Completion::Success {
+            RequestStage::Running
         } else {
-            Stage::AtCall
+            RequestStage::AwaitingCall
         };
         let load = &mut self.loads[req.handler];
         load.calling -= 1;
@@ -366,25 +379,25 @@
     }
 
     /// The run goes on without its call, for want of room below or of time.
-    pub fn skipped(&mut self, now: Timestamp, id: u64) {
+    pub fn call_skipped(&mut self, now: Timestamp, id: u64) {
         let Some(req) = self.reqs.get(&id) else {
             return;
         };
         let handler = req.handler;
         self.loads[handler].refused = Some(now);
-        self.stage(now, id, handler, Stage::Running);
+        self.set_stage(now, id, handler, RequestStage::Running);
     }
 
     /// The req is over: its run ended, or it never started and was answered, or its caller left.
-    pub fn over(&mut self, now: Timestamp, id: u64) {
-        self.call_over(now, id, End::Dropped);
+    pub fn request_finished(&mut self, now: Timestamp, id: u64) {
+        self.call_finished(now, id, Completion::Cancelled);
         let Some(req) = self.reqs.remove(&id) else {
             return;
         };
         self.changed = true;
         let load = &mut self.loads[req.handler];
         load.count(&req, false);
-        if req.stage != Stage::Held {
+        if req.stage != RequestStage::Queued {
             let secs = (now - req.started).as_secs_f64();
             let mean = load.run.unwrap_or(secs);
             load.run = Some(mean + RUN_ALPHA * (secs - mean));
@@ -392,7 +405,7 @@
     }
 
     /// The req is answered, and its run goes on: one that stands at a call is to end at once.
-    pub fn answered(&mut self, now: Timestamp, id: u64) {
+    pub fn request_answered(&mut self, now: Timestamp, id: u64) {
         if self.reqs.contains_key(&id) {
             self.answered.push_back((now + PLACE_FOR, id));
         }
@@ -405,7 +418,7 @@
             let Some(req) = self
                 .reqs
                 .get_mut(&id)
-                .filter(|r| r.stage == Stage::AtCall && !r.hung)
+                .filter(|r| r.stage == RequestStage::AwaitingCall && !r.hung)
             else {
                 continue;
             };
@@ -463,7 +476,7 @@
     }
 
     /// The changes of limits since the last time, as far as they were kept, and how many were not.
-    pub fn told(&mut self) -> (Vec<Change>, u64) {
+    pub fn take_limit_changes(&mut self) -> (Vec<LimitChange>, u64) {
         (
             std::mem::take(&mut self.told),
             std::mem::take(&mut self.untold),
@@ -476,7 +489,7 @@
     }
 
     /// Whether the ceilings handed out last may have changed.
-    pub fn stale(&self, now: Timestamp) -> bool {
+    pub fn is_stale(&self, now: Timestamp) -> bool {
         self.changed || now >= self.made + MADE_FOR || now < self.made
     }
 
@@ -533,7 +546,7 @@
 
     fn judge(&mut self, now: Timestamp) {
         for Below { limit, .. } in &mut self.limits {
-            if !self.plan.adapts {
+            if !self.plan.adaptive {
                 limit.pass(now);
             } else if let Some((from, cause)) = limit.tick(now) {
                 self.changes += 1;
@@ -543,7 +556,7 @@
                     } else {
                         limit.level()
                     };
-                    self.told.push(Change {
+                    self.told.push(LimitChange {
                         from,
                         to,
                         cause: cause.told(),
@@ -603,7 +616,7 @@
             .plan
             .pools
             .iter()
-            .map(|p| p.calls.unwrap_or(usize::MAX));
+            .map(|p| p.max_calls.unwrap_or(usize::MAX));
         places
             .into_iter()
             .zip(most)
@@ -624,22 +637,22 @@
                 let more = |h: &usize| {
                     let l = &self.loads[*h];
                     let soon = match self.kinds[*h].calls {
-                        Calls::Must => l.running + l.held,
-                        Calls::MaySkip if late(l) => l.running + 1,
+                        CallRequirement::Required => l.running + l.held,
+                        CallRequirement::Optional if late(l) => l.running + 1,
                         _ => 0,
                     };
                     l.calling + l.at_call + soon
                 };
                 let more = p.handlers.iter().filter(|h| of(h)).map(more).sum();
-                let calls = |h: &usize| of(h) && self.kinds[*h].calls != Calls::Never;
+                let calls = |h: &usize| of(h) && self.kinds[*h].calls != CallRequirement::Never;
                 let callers = p.handlers.iter().any(calls);
                 let most = if callers {
-                    p.calls.unwrap_or(usize::MAX)
+                    p.max_calls.unwrap_or(usize::MAX)
                 } else {
                     0
                 };
                 Want {
-                    weight: p.calls_weight,
+                    weight: p.call_weight,
                     wants: more,
                     most,
                 }
@@ -652,7 +665,7 @@
     /// there are and those that the cores work on meanwhile.
     fn run_places(&self, workers: usize, calls: &[usize]) -> Vec<usize> {
         let weights: f64 = self.plan.pools.iter().map(|p| p.weight).sum();
-        let away = |p: &Pool| self.sum(&p.handlers, |l| l.at_call + l.calling);
+        let away = |p: &PoolConfig| self.sum(&p.handlers, |l| l.at_call + l.calling);
         let rest = workers
             .saturating_sub(self.plan.pools.iter().map(away).sum())
             .max(1);
@@ -665,7 +678,7 @@
                 let must = p
                     .handlers
                     .iter()
-                    .all(|h| self.kinds[*h].calls == Calls::Must);
+                    .all(|h| self.kinds[*h].calls == CallRequirement::Required);
                 let own = (self.plan.cores as f64 * p.weight / weights.max(1e-9))
                     .ceil()
                     .max(1.0) as usize;
@@ -675,7 +688,7 @@
                     usize::MAX
                 };
                 let most = p
-                    .runs
+                    .max_runs
                     .unwrap_or(usize::MAX)
                     .min(bound)
                     .max(1)
@@ -725,7 +738,7 @@
     /// What is not in the reserve leaves it free; but for handlers whose runs are as short as the reserve's,
     /// and which never wait for a call: they give it back within one run's time.
     fn outside(&self, workers: usize, below: usize) -> Option<Ceiling> {
-        let part = self.plan.reserve.as_ref()?.part;
+        let part = self.plan.reserve.as_ref()?.fraction;
         let own = |h: &usize| self.reserved.contains(h);
         let kept =
             |total: usize| ((part * total as f64).ceil() as usize).min(total.saturating_sub(1));
@@ -735,7 +748,7 @@
             .filter_map(|h| self.loads[*h].run)
             .fold(f64::MAX, f64::min);
         let short = |h: &usize| {
-            self.kinds[*h].calls == Calls::Never
+            self.kinds[*h].calls == CallRequirement::Never
                 && self.loads[*h].run.is_some_and(|r| r <= AS_SHORT * shortest)
         };
         let handlers: Vec<usize> = (0..self.kinds.len())
@@ -744,7 +757,7 @@
         let callers = self
             .reserved
             .iter()
-            .any(|h| self.kinds[*h].calls != Calls::Never);
+            .any(|h| self.kinds[*h].calls != CallRequirement::Never);
         let calls = if below == usize::MAX || !callers {
             below
         } else {
--- a/crates/concurrency/src/limit.rs
+++ b/crates/concurrency/src/limit.rs
@@ -81,14 +81,14 @@
 
 /// How a call came to its end, as far as it tells of what lies below.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum End {
-    Good,
+pub enum Completion {
+    Success,
     /// Turned away, unreached or failed: whatever it took, it tells nothing of the time that work takes.
-    Bad,
+    Failure,
     /// Given up on: it would have taken longer than it did.
-    GivenUp,
+    TimedOut,
     /// Ended by this side for reasons of its own: tells nothing.
-    Dropped,
+    Cancelled,
 }
 
 /// Why a limit changed.
@@ -310,35 +310,37 @@
     }
 
     /// A call ended. `held_up`: it met a pause of this process, so that its time says nothing.
-    pub fn over(&mut self, now: Timestamp, ticket: Ticket, end: End, held_up: bool) {
+    pub fn over(&mut self, now: Timestamp, ticket: Ticket, end: Completion, held_up: bool) {
         self.out = self.out.saturating_sub(1);
         self.moved = now;
-        if matches!(end, End::GivenUp | End::Dropped) && self.linger > Duration::ZERO {
+        if matches!(end, Completion::TimedOut | Completion::Cancelled)
+            && self.linger > Duration::ZERO
+        {
             self.lingering.push_back(now + self.linger);
         }
-        if end == End::Good {
+        if end == Completion::Success {
             (self.more, self.silent) = (0, 0);
             if let Health::Trying { .. } = self.health {
                 self.health = Health::Well;
             }
         }
         let secs = (now - ticket.at).as_secs_f64().max(1e-6);
-        if end == End::Good && !held_up {
+        if end == Completion::Success && !held_up {
             self.sparse(now, ticket, secs);
         }
-        if ticket.at < self.epoch.since || held_up || end == End::Dropped {
+        if ticket.at < self.epoch.since || held_up || end == Completion::Cancelled {
             return;
         }
         let epoch = &mut self.epoch;
         match end {
-            End::Good => {
+            Completion::Success => {
                 epoch.good += 1;
                 epoch.secs += secs;
                 epoch.squares += secs * secs;
                 epoch.among += ticket.among as f64;
             }
-            End::Bad => epoch.bad += 1,
-            End::GivenUp | End::Dropped => epoch.given_up += 1,
+            Completion::Failure => epoch.bad += 1,
+            Completion::TimedOut | Completion::Cancelled => epoch.given_up += 1,
         }
     }
 
--- a/crates/concurrency/tests/limit.rs
+++ b/crates/concurrency/tests/limit.rs
@@ -3,7 +3,7 @@
 mod model;
 
 use madderbay::time::Duration;
-use madderbay_concurrency::limit::{End, Limit};
+use madderbay_concurrency::limit::{Completion, Limit};
 use model::{Fixed, Mode, Seen, Way, World, at, play};
 use proptest::prelude::*;
 
@@ -213,7 +213,7 @@
         assert!(limit.allowed() <= 3);
     }
     // One that comes back well ends the exception.
-    limit.over(at(10_000), first, End::Good, false);
+    limit.over(at(10_000), first, Completion::Success, false);
     assert_eq!(limit.allowed(), 1);
 }
 
@@ -228,7 +228,7 @@
         limit.over(
             at(now + if n < 100 { 15 } else { 1_000 }),
             ticket,
-            End::Good,
+            Completion::Success,
             n >= 100,
         );
         limit.wanted();
@@ -243,14 +243,14 @@
     let mut limit = limit(8.0);
     for _ in 0..200 {
         let ticket = limit.made(at(5_000));
-        limit.over(at(5_000), ticket, End::Good, false);
+        limit.over(at(5_000), ticket, Completion::Success, false);
         limit.tick(at(5_000));
     }
     assert_eq!(limit.level(), 8.0);
     // An hour back: it goes on judging, by the new time.
     for ms in 0..4_000u64 {
         let ticket = limit.made(at(ms));
-        limit.over(at(ms + 1), ticket, End::Bad, false);
+        limit.over(at(ms + 1), ticket, Completion::Failure, false);
         limit.tick(at(ms + 1));
     }
     assert!(limit.level() < 8.0);
@@ -259,17 +259,17 @@
 #[derive(Clone, Debug)]
 enum Step {
     Make,
-    End(u8, End),
+    End(u8, Completion),
     Pass(i64),
     Want,
 }
 
 fn step() -> impl Strategy<Value = Step> {
     let end = prop_oneof![
-        Just(End::Good),
-        Just(End::Bad),
-        Just(End::GivenUp),
-        Just(End::Dropped)
+        Just(Completion::Success),
+        Just(Completion::Failure),
+        Just(Completion::TimedOut),
+        Just(Completion::Cancelled)
     ];
     prop_oneof![
         3 => Just(Step::Make),
@@ -320,7 +320,7 @@
         }
         // Left alone, it lets a call go within two seconds.
         for ticket in open {
-            limit.over(at(ms as u64), ticket, End::Dropped, false);
+            limit.over(at(ms as u64), ticket, Completion::Cancelled, false);
         }
         for more in (0..2_000).step_by(10) {
             limit.tick(at((ms + more) as u64));
--- a/crates/concurrency/tests/model/mod.rs
+++ b/crates/concurrency/tests/model/mod.rs
@@ -2,7 +2,7 @@
 //! they came; a seed gives all chance. For the tests of the limit and for `examples/ways.rs`.
 
 use madderbay::time::{Duration, Timestamp};
-use madderbay_concurrency::limit::{End, Limit, Ticket};
+use madderbay_concurrency::limit::{Completion, Limit, Ticket};
 use std::collections::VecDeque;
 
 pub const STEP_MS: u64 = 1;
@@ -72,7 +72,7 @@
         &mut self,
         _now: Timestamp,
         _ticket: Option<Ticket>,
-        _end: End,
+        _end: Completion,
         _took: Duration,
         _out: usize,
     ) {
@@ -106,7 +106,7 @@
         &mut self,
         now: Timestamp,
         ticket: Option<Ticket>,
-        end: End,
+        end: Completion,
         _took: Duration,
         _out: usize,
     ) {
@@ -195,12 +195,16 @@
         for mut call in calls.drain(..) {
             let over = call.left <= 0.0 || call.fails;
             if over && call.given_up.is_none() {
-                let end = if call.fails { End::Bad } else { End::Good };
+                let end = if call.fails {
+                    Completion::Failure
+                } else {
+                    Completion::Success
+                };
                 ends.push((call.ticket, end, ms - call.at));
             } else if !over {
                 if call.given_up.is_none() && ms - call.at > stuck {
                     call.given_up = Some(ms);
-                    ends.push((call.ticket, End::GivenUp, ms - call.at));
+                    ends.push((call.ticket, Completion::TimedOut, ms - call.at));
                 }
                 // What was given up on goes on below for a while.
                 if call.given_up.is_none_or(|at| ms < at + 200) {
@@ -211,11 +215,11 @@
         calls = stay;
         for (ticket, end, took) in ends {
             out -= 1;
-            if end != End::Bad {
+            if end != Completion::Failure {
                 mean += 0.1 * (took as f64 - mean);
             }
-            done += u32::from(end == End::Good);
-            failed += u32::from(end != End::Good);
+            done += u32::from(end == Completion::Success);
+            failed += u32::from(end != Completion::Success);
             way.over(at(ms), ticket, end, Duration::from_millis(took), out + 1);
         }
         // Those who call.
--- a/crates/concurrency/tests/pools.rs
+++ b/crates/concurrency/tests/pools.rs
@@ -2,9 +2,12 @@
 
 use madderbay::face::Ceiling;
 use madderbay::time::{Duration, Timestamp};
-use madderbay_concurrency::limit::End;
+use madderbay_concurrency::limit::Completion;
 use madderbay_concurrency::share::{Want, ceilings, divide};
-use madderbay_concurrency::{Calls, Kind, Plan, Pool, Pools, Reserve, Stage};
+use madderbay_concurrency::{
+    CallRequirement, ConcurrencyConfig, ConcurrencyLimiter, HandlerProfile, PoolConfig,
+    RequestStage, Reserve,
+};
 use proptest::prelude::*;
 
 fn at(ms: u64) -> Timestamp {
@@ -16,26 +19,31 @@
 const QUOTE: usize = 1;
 const BOOK: usize = 2;
 
-fn kinds() -> [Kind; 3] {
-    [Calls::MaySkip, Calls::Never, Calls::Must].map(|calls| Kind { calls })
+fn kinds() -> [HandlerProfile; 3] {
+    [
+        CallRequirement::Optional,
+        CallRequirement::Never,
+        CallRequirement::Required,
+    ]
+    .map(|calls| HandlerProfile { calls })
 }
 
-fn pool(name: &str, handlers: &[usize], weight: f64) -> Pool {
-    Pool {
+fn pool(name: &str, handlers: &[usize], weight: f64) -> PoolConfig {
+    PoolConfig {
         name: name.into(),
         handlers: handlers.to_vec(),
         weight,
-        calls_weight: weight,
-        ..Pool::default()
+        call_weight: weight,
+        ..PoolConfig::default()
     }
 }
 
-fn pools(plan: Plan) -> Pools {
-    Pools::new(
+fn pools(plan: ConcurrencyConfig) -> ConcurrencyLimiter {
+    ConcurrencyLimiter::new(
         at(0),
         1,
-        Plan {
-            share: Some(8.0),
+        ConcurrencyConfig {
+            call_quota: Some(8.0),
             cores: 4,
             ..plan
         },
@@ -43,7 +51,7 @@
     )
 }
 
-fn three(weights: [f64; 3]) -> Vec<Pool> {
+fn three(weights: [f64; 3]) -> Vec<PoolConfig> {
     vec![
         pool("search", &[SEARCH], weights[0]),
         pool("quote", &[QUOTE], weights[1]),
@@ -52,45 +60,45 @@
 }
 
 /// The ceiling over a pool, by its place among the pools.
-fn of(pools: &mut Pools, ms: u64, workers: f64, n: usize) -> Ceiling {
+fn of(pools: &mut ConcurrencyLimiter, ms: u64, workers: f64, n: usize) -> Ceiling {
     pools.ceilings(at(ms), workers)[1 + n].clone()
 }
 
-fn held(pools: &mut Pools, ids: std::ops::Range<u64>, handler: usize) {
-    ids.for_each(|id| pools.stage(at(1), id, handler, Stage::Held));
+fn held(pools: &mut ConcurrencyLimiter, ids: std::ops::Range<u64>, handler: usize) {
+    ids.for_each(|id| pools.set_stage(at(1), id, handler, RequestStage::Queued));
 }
 
-fn running(pools: &mut Pools, ms: u64, ids: std::ops::Range<u64>, handler: usize) {
-    ids.for_each(|id| pools.stage(at(ms), id, handler, Stage::Running));
+fn running(pools: &mut ConcurrencyLimiter, ms: u64, ids: std::ops::Range<u64>, handler: usize) {
+    ids.for_each(|id| pools.set_stage(at(ms), id, handler, RequestStage::Running));
 }
 
 /// Runs of so long, one after the other, so that the pools know what a run of the handler takes.
-fn measured(pools: &mut Pools, handler: usize, ms: u64) {
+fn measured(pools: &mut ConcurrencyLimiter, handler: usize, ms: u64) {
     for n in 0..40 {
-        pools.stage(at(n), 900_000, handler, Stage::Running);
-        pools.over(at(n + ms), 900_000);
+        pools.set_stage(at(n), 900_000, handler, RequestStage::Running);
+        pools.request_finished(at(n + ms), 900_000);
     }
 }
 
 /// An engine that never ends a run at a call, whose req is long answered, keeps no place of a pool for good.
 #[test]
 fn a_place_has_a_term() {
-    let mut pools = pools(Plan {
+    let mut pools = pools(ConcurrencyConfig {
         pools: three([1.0; 3]),
-        ..Plan::default()
+        ..ConcurrencyConfig::default()
     });
     running(&mut pools, 0, 1..11, BOOK);
-    (1..11).for_each(|id| pools.stage(at(10), id, BOOK, Stage::AtCall));
+    (1..11).for_each(|id| pools.set_stage(at(10), id, BOOK, RequestStage::AwaitingCall));
     held(&mut pools, 20..60, SEARCH);
     assert_eq!(of(&mut pools, 20, 12.0, 0).runs, 2);
-    (1..11).for_each(|id| pools.answered(at(1_000), id));
+    (1..11).for_each(|id| pools.request_answered(at(1_000), id));
     assert_eq!(of(&mut pools, 2_999, 12.0, 0).runs, 2);
     assert_eq!(
         (of(&mut pools, 3_000, 12.0, 0).runs, pools.hung()),
         (12, 10)
     );
     // Those that end after all were counted before.
-    (1..11).for_each(|id| pools.over(at(4_000), id));
+    (1..11).for_each(|id| pools.request_finished(at(4_000), id));
     assert_eq!((of(&mut pools, 4_000, 12.0, 0).runs, pools.hung()), (12, 0));
 }
 
@@ -181,9 +189,9 @@
 /// What one leaves idle another borrows, and the loan ends as soon as the owner comes.
 #[test]
 fn idle_places_are_lent_and_given_back() {
-    let mut p = pools(Plan {
+    let mut p = pools(ConcurrencyConfig {
         pools: three([1.0; 3]),
-        ..Plan::default()
+        ..ConcurrencyConfig::default()
     });
     held(&mut p, 0..30, QUOTE);
     assert_eq!(of(&mut p, 1, 12.0, 1).runs, 12);
@@ -201,9 +209,9 @@
 /// not.
 #[test]
 fn pools_empty_and_fill_in_turn() {
-    let mut p = pools(Plan {
+    let mut p = pools(ConcurrencyConfig {
         pools: three([1.0, 3.0, 0.0]),
-        ..Plan::default()
+        ..ConcurrencyConfig::default()
     });
     for turn in 0..20u64 {
         let (ids, more) = (
@@ -220,9 +228,9 @@
             ),
             (4, 12)
         );
-        ids.clone().for_each(|id| p.over(at(turn), id));
+        ids.clone().for_each(|id| p.request_finished(at(turn), id));
         assert_eq!(of(&mut p, turn, 16.0, 1).runs, 16);
-        more.for_each(|id| p.over(at(turn), id));
+        more.for_each(|id| p.request_finished(at(turn), id));
         assert!(p.is_empty());
     }
 }
@@ -230,16 +238,16 @@
 /// Runs that stand at calls take no part in the division of the cores, and are no more than the calls allow.
 #[test]
 fn runs_at_calls_leave_the_cores_to_the_others() {
-    let mut p = pools(Plan {
+    let mut p = pools(ConcurrencyConfig {
         pools: three([1.0; 3]),
-        ..Plan::default()
+        ..ConcurrencyConfig::default()
     });
     held(&mut p, 0..50, BOOK);
     held(&mut p, 100..150, QUOTE);
     for id in 0..8 {
-        p.stage(at(1), id, BOOK, Stage::Running);
-        p.stage(at(1), id, BOOK, Stage::AtCall);
-        p.stage(at(1), id, BOOK, Stage::Calling);
+        p.set_stage(at(1), id, BOOK, RequestStage::Running);
+        p.set_stage(at(1), id, BOOK, RequestStage::AwaitingCall);
+        p.set_stage(at(1), id, BOOK, RequestStage::Calling);
     }
     let (book, quote) = (of(&mut p, 2, 14.0, 2), of(&mut p, 2, 14.0, 1));
     // Eight calls and at most two on the cores, of a third of four; the rest is the quotes'.
@@ -253,10 +261,10 @@
 #[test]
 fn calls_are_divided_by_their_own_weights() {
     let mut plan = three([1.0; 3]);
-    plan[0].calls_weight = 0.0;
-    let mut p = pools(Plan {
+    plan[0].call_weight = 0.0;
+    let mut p = pools(ConcurrencyConfig {
         pools: plan,
-        ..Plan::default()
+        ..ConcurrencyConfig::default()
     });
     running(&mut p, 1, 0..4, SEARCH);
     assert_eq!(of(&mut p, 1, 8.0, 0).calls, 8);
@@ -271,9 +279,9 @@
 
 #[test]
 fn a_handler_in_no_pool_and_a_pool_of_one() {
-    let mut p = pools(Plan {
+    let mut p = pools(ConcurrencyConfig {
         pools: vec![pool("book", &[BOOK], 1.0)],
-        ..Plan::default()
+        ..ConcurrencyConfig::default()
     });
     // Search and quote are in a pool of their own by the name of rest.
     held(&mut p, 0..20, SEARCH);
@@ -287,9 +295,9 @@
     );
     // One worker: each pool may have it, and the module's own limit tells which.
     assert!((0..2).all(|n| of(&mut p, 1, 1.0, n).runs <= 1));
-    let mut one = pools(Plan {
+    let mut one = pools(ConcurrencyConfig {
         pools: vec![pool("all", &[SEARCH, QUOTE, BOOK], 1.0)],
-        ..Plan::default()
+        ..ConcurrencyConfig::default()
     });
     held(&mut one, 0..20, QUOTE);
     assert_eq!(of(&mut one, 1, 8.0, 0).runs, 8);
@@ -298,10 +306,10 @@
 #[test]
 fn the_operators_own_bounds_hold() {
     let mut plan = three([1.0; 3]);
-    (plan[1].runs, plan[2].calls) = (Some(2), Some(3));
-    let mut p = pools(Plan {
+    (plan[1].max_runs, plan[2].max_calls) = (Some(2), Some(3));
+    let mut p = pools(ConcurrencyConfig {
         pools: plan,
-        ..Plan::default()
+        ..ConcurrencyConfig::default()
     });
     held(&mut p, 0..20, QUOTE);
     held(&mut p, 100..120, BOOK);
@@ -315,13 +323,13 @@
 /// account keeps their mean within it.
 #[test]
 fn a_share_under_one_call() {
-    let plan = Plan {
+    let plan = ConcurrencyConfig {
         pools: three([1.0; 3]),
-        share: Some(0.4),
+        call_quota: Some(0.4),
         cores: 4,
-        ..Plan::default()
+        ..ConcurrencyConfig::default()
     };
-    let mut p = Pools::new(at(0), 1, plan, &kinds());
+    let mut p = ConcurrencyLimiter::new(at(0), 1, plan, &kinds());
     held(&mut p, 0..20, BOOK);
     assert_eq!(of(&mut p, 1, 12.0, 2).calls, 4);
 }
@@ -329,19 +337,19 @@
 /// A req that waits for a core is no sign of what lies below.
 #[test]
 fn waiting_for_a_core_does_not_shrink_the_calls() {
-    let mut p = pools(Plan {
+    let mut p = pools(ConcurrencyConfig {
         pools: three([1.0; 3]),
-        ..Plan::default()
+        ..ConcurrencyConfig::default()
     });
     for n in 0..200u64 {
         let now = n * 50;
-        p.stage(at(now), n, BOOK, Stage::Running);
-        p.stage(at(now + 10), n, BOOK, Stage::AtCall);
-        p.stage(at(now + 10), n, BOOK, Stage::Calling);
-        p.call_over(at(now + 30), n, End::Good);
+        p.set_stage(at(now), n, BOOK, RequestStage::Running);
+        p.set_stage(at(now + 10), n, BOOK, RequestStage::AwaitingCall);
+        p.set_stage(at(now + 10), n, BOOK, RequestStage::Calling);
+        p.call_finished(at(now + 30), n, Completion::Success);
         // Each run goes on for two seconds on crowded cores.
         if n >= 40 {
-            p.over(at(now), n - 40);
+            p.request_finished(at(now), n - 40);
         }
         p.ceilings(at(now + 40), 8.0);
     }
@@ -352,12 +360,12 @@
 fn reserve(handlers: &[usize], part: f64) -> Option<Reserve> {
     Some(Reserve {
         handlers: handlers.to_vec(),
-        part,
+        fraction: part,
     })
 }
 
 /// What does not belong to it, by the last ceiling: who, and how many runs.
-fn outside(p: &mut Pools, ms: u64, workers: f64) -> Ceiling {
+fn outside(p: &mut ConcurrencyLimiter, ms: u64, workers: f64) -> Ceiling {
     p.ceilings(at(ms), workers)
         .last()
         .expect("one over what is outside")
@@ -366,10 +374,10 @@
 
 #[test]
 fn the_reserve_is_kept_from_what_is_long() {
-    let mut p = pools(Plan {
+    let mut p = pools(ConcurrencyConfig {
         pools: three([1.0; 3]),
         reserve: reserve(&[QUOTE], 0.2),
-        ..Plan::default()
+        ..ConcurrencyConfig::default()
     });
     measured(&mut p, QUOTE, 30);
     let found = outside(&mut p, 1, 10.0);
@@ -385,16 +393,16 @@
 /// each place that ends goes to its owner before the borrower.
 #[test]
 fn a_borrowed_reserve_is_had_back_within_a_run() {
-    let never = [Kind {
-        calls: Calls::Never,
+    let never = [HandlerProfile {
+        calls: CallRequirement::Never,
     }; 2];
-    let plan = Plan {
+    let plan = ConcurrencyConfig {
         pools: vec![pool("own", &[0], 1.0), pool("short", &[1], 1.0)],
         reserve: reserve(&[0], 0.5),
         cores: 4,
-        ..Plan::default()
+        ..ConcurrencyConfig::default()
     };
-    let mut p = Pools::new(at(0), 1, plan, &never);
+    let mut p = ConcurrencyLimiter::new(at(0), 1, plan, &never);
     measured(&mut p, 0, 30);
     // Unknown yet, it may not borrow; long, it may not either; as short as the own, it may.
     assert_eq!(outside(&mut p, 100, 4.0).handlers, [1]);
@@ -416,10 +424,10 @@
 /// None named, the one whose runs are shortest has it, and keeps it against one hardly shorter.
 #[test]
 fn the_cheapest_has_the_reserve() {
-    let mut p = pools(Plan {
+    let mut p = pools(ConcurrencyConfig {
         pools: three([1.0; 3]),
         reserve: reserve(&[], 0.1),
-        ..Plan::default()
+        ..ConcurrencyConfig::default()
     });
     assert!(p.reserved().is_empty());
     measured(&mut p, SEARCH, 50);
@@ -437,15 +445,15 @@
 /// A pool held up by its ceilings tells the time between two of its starts; one that is not tells none.
 #[test]
 fn turns_are_told_where_ceilings_hold_up() {
-    let mut p = pools(Plan {
+    let mut p = pools(ConcurrencyConfig {
         pools: three([1.0; 3]),
-        ..Plan::default()
+        ..ConcurrencyConfig::default()
     });
     measured(&mut p, BOOK, 800);
     held(&mut p, 0..20, BOOK);
     for id in 0..8 {
-        p.stage(at(1), id, BOOK, Stage::Running);
-        p.stage(at(1), id, BOOK, Stage::Calling);
+        p.set_stage(at(1), id, BOOK, RequestStage::Running);
+        p.set_stage(at(1), id, BOOK, RequestStage::Calling);
     }
     for ms in (10..3_000).step_by(10) {
         p.ceilings(at(ms), 12.0);
@@ -483,21 +491,21 @@
         3 => (-500i64..1_500).prop_map(Did::Pass),
     ], 1..300)) {
         let reserve = reserve(&[], 0.3);
-        let mut p = pools(Plan { pools: three([1.0, 0.0, 2.0]), reserve, ..Plan::default() });
+        let mut p = pools(ConcurrencyConfig { pools: three([1.0, 0.0, 2.0]), reserve, ..ConcurrencyConfig::default() });
         let mut now = 10_000i64;
         for event in did {
             let time = at(now as u64);
             match event {
                 Did::Stage(id, h, s) => {
-                    let stage = [Stage::Held, Stage::Running, Stage::AtCall, Stage::Calling][usize::from(s)];
-                    p.stage(time, id, usize::from(h), stage);
+                    let stage = [RequestStage::Queued, RequestStage::Running, RequestStage::AwaitingCall, RequestStage::Calling][usize::from(s)];
+                    p.set_stage(time, id, usize::from(h), stage);
                 }
                 Did::CallOver(id, e) => {
-                    let end = [End::Good, End::Bad, End::GivenUp, End::Dropped][usize::from(e)];
-                    p.call_over(time, id, end);
+                    let end = [Completion::Success, Completion::Failure, Completion::TimedOut, Completion::Cancelled][usize::from(e)];
+                    p.call_finished(time, id, end);
                 }
-                Did::Skipped(id) => p.skipped(time, id),
-                Did::Over(id) => p.over(time, id),
+                Did::Skipped(id) => p.call_skipped(time, id),
+                Did::Over(id) => p.request_finished(time, id),
                 Did::Pass(by) => now = (now + by).max(0),
             }
             let all = p.ceilings(at(now as u64), 8.0).to_vec();
@@ -511,7 +519,7 @@
             let counted: usize = p.standing().map(|s| s.1[0] + s.1[1]).sum();
             prop_assert_eq!(counted, p.len());
         }
-        (0..12).for_each(|id| p.over(at(now as u64), id));
+        (0..12).for_each(|id| p.request_finished(at(now as u64), id));
         prop_assert!(p.is_empty());
         prop_assert_eq!(p.calls().map(|c| c.1), Some(0));
     }
@@ -521,10 +529,10 @@
 #[test]
 fn a_limit_for_each_of_what_lies_below() {
     let groups = vec![(vec![0], 0.5), (vec![2], 0.5)];
-    let mut p = pools(Plan {
+    let mut p = pools(ConcurrencyConfig {
         pools: three([1.0; 3]),
-        groups,
-        ..Plan::default()
+        upstream_groups: groups,
+        ..ConcurrencyConfig::default()
     });
     assert_eq!(
         p.limits().map(|l| (l.0.to_vec(), l.1)).collect::<Vec<_>>(),
@@ -535,17 +543,17 @@
     for ms in (0..6_000u64).step_by(50) {
         for handler in [0, 2] {
             id += 1;
-            p.stage(at(ms), id, handler, Stage::Held);
-            p.stage(at(ms), id, handler, Stage::Running);
-            p.stage(at(ms), id, handler, Stage::AtCall);
-            p.stage(at(ms), id, handler, Stage::Calling);
+            p.set_stage(at(ms), id, handler, RequestStage::Queued);
+            p.set_stage(at(ms), id, handler, RequestStage::Running);
+            p.set_stage(at(ms), id, handler, RequestStage::AwaitingCall);
+            p.set_stage(at(ms), id, handler, RequestStage::Calling);
             let end = if handler == 0 {
-                End::GivenUp
+                Completion::TimedOut
             } else {
-                End::Good
+                Completion::Success
             };
-            p.call_over(at(ms + 20), id, end);
-            p.over(at(ms + 21), id);
+            p.call_finished(at(ms + 20), id, end);
+            p.request_finished(at(ms + 21), id);
         }
         p.ceilings(at(ms + 25), 20.0);
     }
--- a/crates/server/src/core/arrivals.rs
+++ b/crates/server/src/core/arrivals.rs
@@ -8,7 +8,7 @@
 use crate::tools::name::Name;
 use madderbay::face::Results;
 use madderbay::time::{Duration, Timestamp};
-use madderbay_concurrency::Stage;
+use madderbay_concurrency::RequestStage;
 
 /// Answers leave this long before their callers stop waiting; without a waiting time, after so long.
 const MARGIN: Duration = Duration::from_millis(30);
@@ -149,7 +149,7 @@
         self.hands.reqs.insert(arrival.id, req);
         self.hands.now = now;
         self.hands.followed(arrival.id, |f, now, handler| {
-            f.stage(now, arrival.id, handler, Stage::Held)
+            f.set_stage(now, arrival.id, handler, RequestStage::Queued)
         });
         if let Some(lent) = &self.hands.lent {
             lent.counted(arrival.handler, arrival.tenant);
--- a/crates/server/src/core/follow.rs
+++ b/crates/server/src/core/follow.rs
@@ -2,46 +2,46 @@
 //! fleet. They hand ceilings over; they end nothing.
 
 use madderbay::time::Timestamp;
-use madderbay_concurrency::limit::End;
-use madderbay_concurrency::{Pools, Stage};
+use madderbay_concurrency::limit::Completion;
+use madderbay_concurrency::{ConcurrencyLimiter, RequestStage};
 
 pub trait Follows {
     /// A req stands at another stage, or is new.
-    fn stage(&mut self, now: Timestamp, id: u64, handler: usize, stage: Stage);
+    fn set_stage(&mut self, now: Timestamp, id: u64, handler: usize, stage: RequestStage);
     /// This process was held up until now.
-    fn held_up(&mut self, _now: Timestamp) {}
+    fn process_stalled(&mut self, _now: Timestamp) {}
     /// Its call ended.
-    fn call_over(&mut self, now: Timestamp, id: u64, end: End);
+    fn call_finished(&mut self, now: Timestamp, id: u64, end: Completion);
     /// It goes on without its call.
-    fn skipped(&mut self, now: Timestamp, id: u64);
+    fn call_skipped(&mut self, now: Timestamp, id: u64);
     /// It is answered, and its run goes on.
-    fn answered(&mut self, now: Timestamp, id: u64);
+    fn request_answered(&mut self, now: Timestamp, id: u64);
     /// It is over.
-    fn over(&mut self, now: Timestamp, id: u64);
+    fn request_finished(&mut self, now: Timestamp, id: u64);
 }
 
-impl Follows for Pools {
-    fn stage(&mut self, now: Timestamp, id: u64, handler: usize, stage: Stage) {
-        Pools::stage(self, now, id, handler, stage);
+impl Follows for ConcurrencyLimiter {
+    fn set_stage(&mut self, now: Timestamp, id: u64, handler: usize, stage: RequestStage) {
+        ConcurrencyLimiter::set_stage(self, now, id, handler, stage);
     }
 
-    fn held_up(&mut self, now: Timestamp) {
-        Pools::held_up(self, now);
+    fn process_stalled(&mut self, now: Timestamp) {
+        ConcurrencyLimiter::process_stalled(self, now);
     }
 
-    fn call_over(&mut self, now: Timestamp, id: u64, end: End) {
-        Pools::call_over(self, now, id, end);
+    fn call_finished(&mut self, now: Timestamp, id: u64, end: Completion) {
+        ConcurrencyLimiter::call_finished(self, now, id, end);
     }
 
-    fn skipped(&mut self, now: Timestamp, id: u64) {
-        Pools::skipped(self, now, id);
+    fn call_skipped(&mut self, now: Timestamp, id: u64) {
+        ConcurrencyLimiter::call_skipped(self, now, id);
     }
 
-    fn answered(&mut self, now: Timestamp, id: u64) {
-        Pools::answered(self, now, id);
+    fn request_answered(&mut self, now: Timestamp, id: u64) {
+        ConcurrencyLimiter::request_answered(self, now, id);
     }
 
-    fn over(&mut self, now: Timestamp, id: u64) {
-        Pools::over(self, now, id);
+    fn request_finished(&mut self, now: Timestamp, id: u64) {
+        ConcurrencyLimiter::request_finished(self, now, id);
     }
 }
--- a/crates/server/src/core/hands.rs
+++ b/crates/server/src/core/hands.rs
@@ -16,8 +16,8 @@
 use base64::engine::general_purpose::STANDARD as BASE64;
 use madderbay::face::{Outcome, Repeats, Results};
 use madderbay::time::{Duration, Timestamp};
-use madderbay_concurrency::limit::End;
-use madderbay_concurrency::{Pools, Stage};
+use madderbay_concurrency::limit::Completion;
+use madderbay_concurrency::{ConcurrencyLimiter, RequestStage};
 use madderbay_settings::Settings;
 use madderbay_upstream::{End as Tried, Ticket};
 use std::collections::{BTreeSet, HashMap, VecDeque};
@@ -80,7 +80,7 @@
     pub engine: Link,
     pub calls: Desk,
     /// Ceilings by pool, where the operator set any.
-    pub pools: Option<Pools>,
+    pub pools: Option<ConcurrencyLimiter>,
     /// Budgets of the whole fleet, where the operator set any.
     pub lent: Option<Lent>,
     /// Backends below, where the operator set any, and the handlers whose calls may be made twice.
@@ -199,7 +199,7 @@
         self.counters.run_over(how);
         self.counters.ran[req.handler] += 1;
         self.give_up_call(id);
-        self.followed(id, |f, now, _| f.over(now, id));
+        self.followed(id, |f, now, _| f.request_finished(now, id));
         true
     }
 
@@ -270,7 +270,7 @@
 
     pub fn remove(&mut self, id: u64) {
         self.give_up_call(id);
-        self.followed(id, |f, now, _| f.over(now, id));
+        self.followed(id, |f, now, _| f.request_finished(now, id));
         let Some(req) = self.reqs.remove(&id) else {
             return;
         };
@@ -288,7 +288,9 @@
                 self.calls.quit(self.now, &req.name);
             }
             self.drop_tries(id, Tried::Dropped);
-            self.followed(id, |f, now, _| f.call_over(now, id, End::Dropped));
+            self.followed(id, |f, now, _| {
+                f.call_finished(now, id, Completion::Cancelled)
+            });
         }
     }
 
@@ -301,7 +303,7 @@
         self.conns.settled(req.conn, req.rpc);
         if req.started {
             self.give_up_call(id);
-            self.followed(id, |f, now, _| f.answered(now, id));
+            self.followed(id, |f, now, _| f.request_answered(now, id));
         } else {
             self.remove(id);
         }
@@ -406,7 +408,7 @@
             req.unsent = Some(vec![]);
         }
         self.followed(id, |f, now, handler| {
-            f.stage(now, id, handler, Stage::Running)
+            f.set_stage(now, id, handler, RequestStage::Running)
         });
         let service = self.door.quoted(handler);
         self.command(
@@ -455,7 +457,7 @@
         self.counters.calls += 1;
         self.send_call(id, patience, to);
         self.followed(id, |f, now, handler| {
-            f.stage(now, id, handler, Stage::Calling)
+            f.set_stage(now, id, handler, RequestStage::Calling)
         });
     }
 
@@ -466,7 +468,7 @@
         req.partial = true;
         let need = req.need;
         self.counters.skipped += 1;
-        self.followed(id, |f, now, _| f.skipped(now, id));
+        self.followed(id, |f, now, _| f.call_skipped(now, id));
         self.command(id, "SKIP", format_args!(",\"serial\":{need}"));
     }
 
@@ -486,7 +488,7 @@
 
     fn join(&mut self, id: u64) {
         // It waits for another's run and wants none of its own.
-        self.followed(id, |f, now, _| f.over(now, id));
+        self.followed(id, |f, now, _| f.request_finished(now, id));
         let Some(req) = self.reqs.get(&id) else {
             return;
         };
--- a/crates/server/src/core/lent.rs
+++ b/crates/server/src/core/lent.rs
@@ -4,8 +4,8 @@
 use crate::core::follow::Follows;
 use madderbay::face::{Below, Ceiling};
 use madderbay::time::{Duration, Timestamp};
-use madderbay_concurrency::limit::End;
-use madderbay_concurrency::{Calls, Kind, Stage};
+use madderbay_concurrency::limit::Completion;
+use madderbay_concurrency::{CallRequirement, HandlerProfile, RequestStage};
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 
@@ -65,7 +65,7 @@
     of: Vec<Option<usize>>,
     must: Vec<bool>,
     loads: Vec<Load>,
-    reqs: HashMap<u64, (usize, Stage, Timestamp)>,
+    reqs: HashMap<u64, (usize, RequestStage, Timestamp)>,
     /// Calls given up on may go on below for that long.
     linger: Duration,
     lingering: VecDeque<(Timestamp, usize)>,
@@ -76,19 +76,27 @@
 }
 
 impl Lent {
-    pub fn new(to: Rc<dyn Lends>, groups: Vec<Group>, kinds: &[Kind], below: &Below) -> Lent {
+    pub fn new(
+        to: Rc<dyn Lends>,
+        groups: Vec<Group>,
+        kinds: &[HandlerProfile],
+        below: &Below,
+    ) -> Lent {
         let of: Vec<Option<usize>> = (0..kinds.len())
             .map(|h| groups.iter().position(|g| g.handlers.contains(&h)))
             .collect();
         let covers = kinds
             .iter()
             .zip(&of)
-            .all(|(k, of)| k.calls == Calls::Never || of.is_some());
+            .all(|(k, of)| k.calls == CallRequirement::Never || of.is_some());
         let rest = if covers { 0.0 } else { below.share };
         Lent {
             to,
             of,
-            must: kinds.iter().map(|k| k.calls == Calls::Must).collect(),
+            must: kinds
+                .iter()
+                .map(|k| k.calls == CallRequirement::Required)
+                .collect(),
             loads: groups.iter().map(|_| Load::default()).collect(),
             usable: vec![usize::MAX; groups.len()],
             groups,
@@ -173,16 +181,16 @@
         self.to.allowances()
     }
 
-    fn shift(&mut self, budget: usize, handler: usize, stage: Stage, by: isize) {
+    fn shift(&mut self, budget: usize, handler: usize, stage: RequestStage, by: isize) {
         let must = self.must[handler];
         let load = &mut self.loads[budget];
         let slot = match stage {
             // Runs that may go without a call are no demand before they stand at one.
-            Stage::Held if must => &mut load.held,
-            Stage::Running if must => &mut load.running,
-            Stage::Held | Stage::Running => return,
-            Stage::AtCall => &mut load.at_call,
-            Stage::Calling => &mut load.calling,
+            RequestStage::Queued if must => &mut load.held,
+            RequestStage::Running if must => &mut load.running,
+            RequestStage::Queued | RequestStage::Running => return,
+            RequestStage::AwaitingCall => &mut load.at_call,
+            RequestStage::Calling => &mut load.calling,
         };
         *slot = slot.saturating_add_signed(by);
     }
@@ -198,64 +206,70 @@
 }
 
 impl Follows for Lent {
-    fn stage(&mut self, now: Timestamp, id: u64, handler: usize, stage: Stage) {
+    fn set_stage(&mut self, now: Timestamp, id: u64, handler: usize, stage: RequestStage) {
         let Some(budget) = self.of.get(handler).copied().flatten() else {
             return;
         };
         if let Some((_, before, _)) = self.reqs.insert(id, (handler, stage, now)) {
             self.shift(budget, handler, before, -1);
-            if before == Stage::Calling {
+            if before == RequestStage::Calling {
                 self.call_ends(now, budget, true);
             }
         }
         self.shift(budget, handler, stage, 1);
     }
 
-    fn call_over(&mut self, now: Timestamp, id: u64, end: End) {
-        let Some((handler, stage, since)) =
-            self.reqs.get_mut(&id).filter(|r| r.1 == Stage::Calling)
+    fn call_finished(&mut self, now: Timestamp, id: u64, end: Completion) {
+        let Some((handler, stage, since)) = self
+            .reqs
+            .get_mut(&id)
+            .filter(|r| r.1 == RequestStage::Calling)
         else {
             return;
         };
         let (handler, took) = (*handler, (now - *since).as_secs_f64());
-        *stage = if end == End::Good {
-            Stage::Running
+        *stage = if end == Completion::Success {
+            RequestStage::Running
         } else {
-            Stage::AtCall
+            RequestStage::AwaitingCall
         };
         let (stage, Some(budget)) = (*stage, self.of[handler]) else {
             return;
         };
-        self.shift(budget, handler, Stage::Calling, -1);
+        self.shift(budget, handler, RequestStage::Calling, -1);
         self.shift(budget, handler, stage, 1);
         let load = &mut self.loads[budget];
-        if end == End::Good {
+        if end == Completion::Success {
             load.call += if load.call == 0.0 {
                 took
             } else {
                 CALL_ALPHA * (took - load.call)
             };
         }
-        self.call_ends(now, budget, matches!(end, End::GivenUp | End::Dropped));
+        self.call_ends(
+            now,
+            budget,
+            matches!(end, Completion::TimedOut | Completion::Cancelled),
+        );
     }
 
-    fn skipped(&mut self, now: Timestamp, id: u64) {
+    fn call_skipped(&mut self, now: Timestamp, id: u64) {
         let Some((handler, ..)) = self.reqs.get(&id).copied() else {
             return;
         };
         if let Some(budget) = self.of[handler] {
             self.loads[budget].skips += 1.0;
         }
-        self.stage(now, id, handler, Stage::Running);
+        self.set_stage(now, id, handler, RequestStage::Running);
     }
 
-    fn answered(&mut self, now: Timestamp, id: u64) {
+    fn request_answered(&mut self, now: Timestamp, id: u64) {
         // It wants no call any more.
-        self.over(now, id);
+        self.request_finished(now, id);
     }
 
-    fn over(&mut self, now: Timestamp, id: u64) {
-        self.call_over(now, id, End::Dropped);
+    fn request_finished(&mut self, now: Timestamp, id: u64) {
+        self.call_finished(now, id, Completion::Cancelled);
         if let Some((handler, stage, _)) = self.reqs.remove(&id)
             && let Some(budget) = self.of[handler]
         {
--- a/crates/server/src/core/outcomes.rs
+++ b/crates/server/src/core/outcomes.rs
@@ -9,7 +9,7 @@
 use base64::engine::general_purpose::STANDARD as BASE64;
 use madderbay::face::{Outcome, Results};
 use madderbay::time::{Duration, Timestamp};
-use madderbay_concurrency::Stage;
+use madderbay_concurrency::RequestStage;
 use madderbay_upstream::End as Tried;
 
 /// The timer this late tells that this process was held up, and so every reply that it reads now.
@@ -48,9 +48,9 @@
         let late = self.hands.wake.is_some_and(|due| now - due > HELD_UP);
         self.hands.followed(id, |f, now, _| {
             if late {
-                f.held_up(now);
+                f.process_stalled(now);
             }
-            f.call_over(now, id, crate::core::pooled::end(how));
+            f.call_finished(now, id, crate::core::pooled::end(how));
         });
         self.decide(now, |d, hands| d.call_back(now, id, how, spent, hands));
     }
@@ -171,7 +171,7 @@
         }
         self.hands.now = now;
         self.hands.followed(id, |f, now, handler| {
-            f.stage(now, id, handler, Stage::AtCall)
+            f.set_stage(now, id, handler, RequestStage::AwaitingCall)
         });
         self.decide(now, |d, hands| d.at_call(now, id, hands));
     }
--- a/crates/server/src/core/pooled.rs
+++ b/crates/server/src/core/pooled.rs
@@ -2,13 +2,15 @@
 
 use crate::tools::counters::Lines;
 use madderbay::face::{BelowKind, Outcome};
-use madderbay_concurrency::limit::End;
-use madderbay_concurrency::{Calls, Kind, Plan, Pool, Pools, Reserve};
+use madderbay_concurrency::limit::Completion;
+use madderbay_concurrency::{
+    CallRequirement, ConcurrencyConfig, ConcurrencyLimiter, HandlerProfile, PoolConfig, Reserve,
+};
 use madderbay_operator_config::pools as operator;
 use madderbay_settings::Settings;
 
 /// Names become numbers; each that is no handler is told in a line.
-pub fn plan(set: &operator::Pools, s: &Settings) -> Result<Plan, Vec<String>> {
+pub fn plan(set: &operator::Pools, s: &Settings) -> Result<ConcurrencyConfig, Vec<String>> {
     let mut wrong = vec![];
     let mut among = |names: &madderbay_operator_config::Names| {
         names
@@ -18,33 +20,33 @@
                 vec![]
             })
     };
-    let pools: Vec<Pool> = set
+    let pools: Vec<PoolConfig> = set
         .pools
         .iter()
-        .map(|p| Pool {
+        .map(|p| PoolConfig {
             name: p.name.clone(),
             handlers: among(&p.handlers),
             weight: p.weight,
-            calls_weight: p.calls_weight,
-            runs: p.runs,
-            calls: p.calls,
+            call_weight: p.calls_weight,
+            max_runs: p.runs,
+            max_calls: p.calls,
         })
         .collect();
     let reserve = set.reserve.as_ref().map(|r| Reserve {
         handlers: among(&r.handlers),
-        part: r.part,
+        fraction: r.part,
     });
     let share = (s.below.kind == BelowKind::Shared).then_some(s.below.share);
     let cores = s.machine.cores as usize;
     let groups = vec![];
-    let plan = Plan {
+    let plan = ConcurrencyConfig {
         pools,
         reserve,
-        adapts: set.adapts,
-        share,
-        linger: s.below.linger,
+        adaptive: set.adapts,
+        call_quota: share,
+        abandoned_call_lifetime: s.below.linger,
         cores,
-        groups,
+        upstream_groups: groups,
     };
     if wrong.is_empty() {
         Ok(plan)
@@ -54,30 +56,32 @@
 }
 
 /// What each handler's runs do about calls.
-pub fn kinds(s: &Settings) -> Vec<Kind> {
+pub fn kinds(s: &Settings) -> Vec<HandlerProfile> {
     let calls = |h: &madderbay::face::Handler| match (h.calls, h.partial_value > 0.0) {
-        (false, _) => Calls::Never,
-        (true, true) => Calls::MaySkip,
-        (true, false) => Calls::Must,
+        (false, _) => CallRequirement::Never,
+        (true, true) => CallRequirement::Optional,
+        (true, false) => CallRequirement::Required,
     };
     s.handlers
         .iter()
-        .map(|h| Kind { calls: calls(h) })
+        .map(|h| HandlerProfile { calls: calls(h) })
         .collect()
 }
 
 /// What the end of a call tells of what lies below.
-pub fn end(how: Outcome) -> End {
+pub fn end(how: Outcome) -> Completion {
     match how {
-        Outcome::Done => End::Good,
-        Outcome::TimedOut => End::GivenUp,
-        Outcome::Shed | Outcome::Errored | Outcome::Unreached | Outcome::CutOff => End::Bad,
-        Outcome::Stopped | Outcome::Moot => End::Dropped,
+        Outcome::Done => Completion::Success,
+        Outcome::TimedOut => Completion::TimedOut,
+        Outcome::Shed | Outcome::Errored | Outcome::Unreached | Outcome::CutOff => {
+            Completion::Failure
+        }
+        Outcome::Stopped | Outcome::Moot => Completion::Cancelled,
     }
 }
 
 /// What each pool has and may have, a line a figure.
-pub fn counters(pools: &Pools) -> String {
+pub fn counters(pools: &ConcurrencyLimiter) -> String {
     let mut lines = Lines::of("pools");
     // No ceiling at all is told as 0.
     let mut line = |name: &str, value: usize| {
--- a/crates/server/src/core/serve.rs
+++ b/crates/server/src/core/serve.rs
@@ -6,7 +6,7 @@
 use madderbay::decide::Decider;
 use madderbay::face::{Gauges, Outcome};
 use madderbay::time::{Duration, Timestamp};
-use madderbay_concurrency::{Plan, Pools};
+use madderbay_concurrency::{ConcurrencyConfig, ConcurrencyLimiter};
 use madderbay_settings::Settings;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -53,8 +53,8 @@
     }
 
     /// Sets pools up; without, nothing binds but the module's own limits.
-    pub fn pool(&mut self, now: Timestamp, plan: Plan) {
-        self.hands.pools = Some(Pools::new(
+    pub fn pool(&mut self, now: Timestamp, plan: ConcurrencyConfig) {
+        self.hands.pools = Some(ConcurrencyLimiter::new(
             now,
             self.seed,
             plan,
@@ -160,14 +160,16 @@
             changed = lent.look(now);
             if changed {
                 decider.share(now, lent.share());
-                pools.iter_mut().for_each(|p| p.share(lent.share()));
+                pools
+                    .iter_mut()
+                    .for_each(|p| p.set_call_quota(lent.share()));
             }
             let parts = lent.allowances(now);
             parts
                 .into_iter()
                 .for_each(|(tenant, per_second)| decider.allow(tenant, per_second));
         }
-        if !changed && !pools.as_ref().is_some_and(|p| p.stale(now)) {
+        if !changed && !pools.as_ref().is_some_and(|p| p.is_stale(now)) {
             return;
         }
         let [_, _, workers, _] = decider.vitals();
@@ -177,7 +179,7 @@
         all.extend(lent.iter().flat_map(Lent::ceilings));
         decider.heed(&all);
         let Some(pools) = pools else { return };
-        let (told, untold) = pools.told();
+        let (told, untold) = pools.take_limit_changes();
         for change in told {
             log::info!(
                 "pools: calls {:.1} to {:.1}: {}",
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -2,7 +2,7 @@
 
 use clap::{Parser, Subcommand};
 use madderbay::time::{Duration, Timestamp};
-use madderbay_concurrency::Plan;
+use madderbay_concurrency::ConcurrencyConfig;
 use madderbay_membership::{NAME_MOST, sound};
 use madderbay_operator_config::Operator;
 use madderbay_operator_config::kept::KeptResults;
@@ -195,7 +195,7 @@
     match (plan, sharing, routing) {
         (Ok(mut plan), Ok(sharing), Ok(routing)) => {
             if let (Some(plan), Some(routing)) = (&mut plan, &routing) {
-                plan.groups = routing.groups();
+                plan.upstream_groups = routing.groups();
             }
             Ok(Planned {
                 plan,
@@ -211,7 +211,7 @@
 }
 
 struct Planned {
-    plan: Option<Plan>,
+    plan: Option<ConcurrencyConfig>,
     sharing: Option<Sharing>,
     routing: Option<Routing>,
 }
@@ -459,7 +459,7 @@
 
 async fn serve(
     config: config::Config,
-    pools: Option<Plan>,
+    pools: Option<ConcurrencyConfig>,
     kept: Option<(keep::Opened, KeptResults)>,
     beside: Beside,
 ) -> Result<(), String> {
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -4,7 +4,7 @@
 use crate::below::{Backend, Call, Came, Engine, Fares};
 use crate::history::{Deed, History, Ill, Plant};
 use madderbay::time::{Duration, Timestamp};
-use madderbay_concurrency::{Plan, Pool, Reserve};
+use madderbay_concurrency::{ConcurrencyConfig, PoolConfig, Reserve};
 use madderbay_membership::{Members, Networks, State};
 use madderbay_quota::{BudgetSettings, Shared, Terms};
 use madderbay_server::balancers::front::Front;
@@ -333,28 +333,28 @@
         let clock = self.nodes[s].mono.clone();
         let ticks: Ticks = Rc::new(move || clock.get());
         if parts.pools {
-            let pool = |name: &str, handler, calls_weight| Pool {
+            let pool = |name: &str, handler, calls_weight| PoolConfig {
                 name: name.into(),
                 handlers: vec![handler],
-                calls_weight,
-                ..Pool::default()
+                call_weight: calls_weight,
+                ..PoolConfig::default()
             };
             let groups = if parts.routes {
                 vec![(vec![0, 2], 1.0)]
             } else {
                 vec![]
             };
-            let plan = Plan {
+            let plan = ConcurrencyConfig {
                 pools: vec![pool("books", 2, 1.0), pool("searches", 0, 0.0)],
                 reserve: Some(Reserve {
                     handlers: vec![],
-                    part: 0.1,
+                    fraction: 0.1,
                 }),
-                share: Some(self.settings.below.share),
-                linger: self.settings.below.linger,
+                call_quota: Some(self.settings.below.share),
+                abandoned_call_lifetime: self.settings.below.linger,
                 cores: CORES as usize,
-                groups,
-                ..Plan::default()
+                upstream_groups: groups,
+                ..ConcurrencyConfig::default()
             };
             serve.pool(self.now, plan);
         }
