--- a/crates/concurrency/src/lib.rs
+++ b/crates/concurrency/src/lib.rs
@@ -20,7 +20,7 @@
 pub mod share;
 
 use limit::{Cause, Completion, Limit, Ticket};
-use madderbay::face::Ceiling;
+use madderbay::interface::Ceiling;
 use madderbay::time::{Duration, Timestamp};
 use share::Want;
 use std::collections::{HashMap, VecDeque};
@@ -519,7 +519,7 @@
             handlers: all,
             runs: usize::MAX,
             calls: below,
-            turn: Duration::ZERO,
+            start_interval: Duration::ZERO,
         }];
         for (at, ((pool, runs), calls)) in self.plan.pools.iter().zip(runs).zip(calls).enumerate() {
             let turn = self.turn(at, workers);
@@ -527,7 +527,7 @@
                 handlers: pool.handlers.clone(),
                 runs,
                 calls,
-                turn,
+                start_interval: turn,
             });
         }
         found.extend(self.outside(workers, below));
@@ -536,7 +536,7 @@
                 handlers,
                 runs: usize::MAX,
                 calls,
-                turn: Duration::ZERO,
+                start_interval: Duration::ZERO,
             };
             found.extend(each.into_iter().map(of));
         }
@@ -767,7 +767,7 @@
             handlers,
             runs: workers - kept(workers),
             calls,
-            turn: Duration::ZERO,
+            start_interval: Duration::ZERO,
         })
     }
 }
--- a/crates/concurrency/tests/pools.rs
+++ b/crates/concurrency/tests/pools.rs
@@ -1,6 +1,6 @@
 //! Pools: who gets what, who borrows and gives back, and what the reserve keeps.
 
-use madderbay::face::Ceiling;
+use madderbay::interface::Ceiling;
 use madderbay::time::{Duration, Timestamp};
 use madderbay_concurrency::limit::Completion;
 use madderbay_concurrency::share::{Want, ceilings, divide};
@@ -458,14 +458,14 @@
     for ms in (10..3_000).step_by(10) {
         p.ceilings(at(ms), 12.0);
     }
-    let turn = of(&mut p, 3_000, 12.0, 2).turn;
+    let turn = of(&mut p, 3_000, 12.0, 2).start_interval;
     assert!(
         turn > Duration::from_millis(95) && turn < Duration::from_millis(105),
         "{turn:?}"
     );
-    assert_eq!(of(&mut p, 3_000, 12.0, 1).turn, Duration::ZERO);
+    assert_eq!(of(&mut p, 3_000, 12.0, 1).start_interval, Duration::ZERO);
     // All workers busy: it is the cores that hold it up.
-    assert_eq!(of(&mut p, 3_000, 8.0, 2).turn, Duration::ZERO);
+    assert_eq!(of(&mut p, 3_000, 8.0, 2).start_interval, Duration::ZERO);
 }
 
 #[derive(Clone, Debug)]
--- a/crates/server/src/balancers/door.rs
+++ b/crates/server/src/balancers/door.rs
@@ -2,7 +2,7 @@
 
 use crate::tools::json::{Members, number, text, whole};
 use crate::tools::name::{Name, name, spelt};
-use madderbay::face::{Arrival, Repeats};
+use madderbay::interface::{Arrival, RetrySafety};
 use madderbay::time::{Duration, Timestamp};
 use madderbay_settings::Settings;
 use siphasher::sip::SipHasher24;
@@ -59,7 +59,7 @@
 
 pub struct Door {
     handlers: HashMap<String, usize>,
-    repeats: Vec<Repeats>,
+    repeats: Vec<RetrySafety>,
     /// The longest that a req of each handler may say it waits or works.
     longest_ms: Vec<f64>,
     /// How long a caller waits altogether, by handler: what is read later than that is started no more.
@@ -109,7 +109,7 @@
     pub fn new(s: &Settings, kept_most: usize) -> Door {
         Door {
             handlers: numbered(&s.handler_names),
-            repeats: s.handlers.iter().map(|h| h.repeats).collect(),
+            repeats: s.handlers.iter().map(|h| h.retry_safety).collect(),
             longest_ms: s
                 .handlers
                 .iter()
@@ -122,7 +122,7 @@
                 .iter()
                 .map(|n| serde_json::Value::from(n.as_str()).to_string().into())
                 .collect(),
-            says_wait: s.rules.says_wait,
+            says_wait: s.rules.requests_carry_timeout,
             ids: 0,
             table: HashMap::new(),
             holders: HashMap::new(),
@@ -206,7 +206,7 @@
                 .and_then(|p| self.tenants.get(&*p).copied());
             known.ok_or("project is not among the settings' tenants")?
         };
-        let key = if self.repeats[handler] == Repeats::Keyed {
+        let key = if self.repeats[handler] == RetrySafety::Keyed {
             let text = params
                 .text("replay")
                 .filter(|k| k.len() == 32 && k.bytes().all(|b| b.is_ascii_hexdigit()));
@@ -240,17 +240,17 @@
         let arrival = Arrival {
             id: self.ids,
             // Numbers that are alike in 16 bits count as one caller.
-            from: from as u16,
+            client: from as u16,
             handler,
             tenant,
             subject,
-            wait,
-            hint: hint.map(|ms| Duration::from_secs_f64(ms / 1e3)),
-            held_kb,
+            timeout: wait,
+            work_hint: hint.map(|ms| Duration::from_secs_f64(ms / 1e3)),
+            memory_kb: held_kb,
             rank,
-            retry: params.raw("dup").is_some_and(|d| d == "true" || d == "1"),
-            unread_for: now - reached,
-            repeats,
+            is_retry: params.raw("dup").is_some_and(|d| d == "true" || d == "1"),
+            read_delay: now - reached,
+            retry_of: repeats,
         };
         Ok(Read {
             arrival,
--- a/crates/server/src/below/calls.rs
+++ b/crates/server/src/below/calls.rs
@@ -4,7 +4,7 @@
 use crate::tools::clock::Clock;
 use crate::tools::drive::{Outbox, connect, drive_link};
 use crate::tools::name::{Name, spelt};
-use madderbay::face::Outcome;
+use madderbay::interface::Outcome;
 use madderbay::time::{Duration, Timestamp};
 use std::cell::RefCell;
 use std::collections::HashSet;
@@ -157,7 +157,7 @@
 
     /// A connection is over, and with it the call on it.
     pub fn ended(&mut self, now: Timestamp, no: u64) -> Option<Over> {
-        self.end(now, Outcome::CutOff, |w| w.no == no)
+        self.end(now, Outcome::Disconnected, |w| w.no == no)
     }
 
     /// Takes a connection off. Of a call on it that was not sent it says that it never ran, else `sent`.
@@ -174,7 +174,7 @@
         let how = if wire.out.written() > call.begins {
             sent
         } else {
-            Outcome::Unreached
+            Outcome::Unreachable
         };
         Some((call.id, how, now - call.at))
     }
@@ -264,17 +264,17 @@
             };
             return if close == b"\r\n" {
                 Ok(Some((
-                    (name, Outcome::Done, &bytes[body.clone()]),
+                    (name, Outcome::Completed, &bytes[body.clone()]),
                     body.end + 2,
                 )))
             } else {
                 Err(())
             };
         }
-        "LATER" => Outcome::Shed,
-        "FAULT" => Outcome::Errored,
+        "LATER" => Outcome::Rejected,
+        "FAULT" => Outcome::Failed,
         "TOOSLOW" => Outcome::TimedOut,
-        "NOUSE" => Outcome::Unreached,
+        "NOUSE" => Outcome::Unreachable,
         _ => return Err(()),
     };
     Ok(Some(((name, how, &[]), end + 1)))
--- a/crates/server/src/below/engine.rs
+++ b/crates/server/src/below/engine.rs
@@ -4,7 +4,7 @@
 use crate::tools::drive::{Lines, Outbox, connect, drive_link};
 use crate::tools::json::{Members, whole};
 use crate::tools::name::{Name, spelt};
-use madderbay::face::Outcome;
+use madderbay::interface::Outcome;
 use madderbay::time::{Duration, Timestamp};
 use std::cell::RefCell;
 use std::future::pending;
@@ -204,10 +204,10 @@
             "HELLO" => core.hello(now, &notice.text("how")?, spent()),
             "DONE" => {
                 let how = match &*notice.text("how")? {
-                    "good" => Outcome::Done,
-                    "bad" => Outcome::Errored,
-                    "cut" => Outcome::Stopped,
-                    "gone" => Outcome::Moot,
+                    "good" => Outcome::Completed,
+                    "bad" => Outcome::Failed,
+                    "cut" => Outcome::Cancelled,
+                    "gone" => Outcome::AlreadyEnded,
                     _ => return None,
                 };
                 core.run_over(
--- a/crates/server/src/core/arrivals.rs
+++ b/crates/server/src/core/arrivals.rs
@@ -6,7 +6,7 @@
 use crate::balancers::door::Read;
 use crate::tools::drive::Outbox;
 use crate::tools::name::Name;
-use madderbay::face::Results;
+use madderbay::interface::Actions;
 use madderbay::time::{Duration, Timestamp};
 use madderbay_concurrency::RequestStage;
 
@@ -59,8 +59,8 @@
         };
         self.hands.now = now;
         for id in open {
-            self.hands.errored(id);
-            self.decide(now, |d, hands| d.gone(now, id, hands));
+            self.hands.fail(id);
+            self.decide(now, |d, hands| d.on_client_gone(now, id, hands));
         }
         self.no_more(no);
     }
@@ -115,7 +115,7 @@
             return Ok(());
         }
         self.hands.counters.read[arrival.handler] += 1;
-        self.hands.counters.read_late(arrival.unread_for);
+        self.hands.counters.read_late(arrival.read_delay);
         let req = InHand {
             name,
             conn: no,
@@ -135,8 +135,8 @@
             called: None,
             unsent: None,
             latest: (now
-                + if arrival.wait > Duration::ZERO {
-                    arrival.wait
+                + if arrival.timeout > Duration::ZERO {
+                    arrival.timeout
                 } else {
                     WAITS
                 })
@@ -156,17 +156,17 @@
         }
         if self.decider.is_none() {
             // Nothing can run before the engine is up.
-            self.hands.shed(arrival.id, Duration::ZERO, false);
-        } else if self.hands.conns.is_beyond(no) && arrival.repeats == 0 {
+            self.hands.reject(arrival.id, Duration::ZERO, false);
+        } else if self.hands.conns.is_beyond(no) && arrival.retry_of == 0 {
             // There is no room for its connection. A further try of a keyed req shares what became of the first.
-            self.hands.shed(
+            self.hands.reject(
                 arrival.id,
-                KEEP_AWAY.min(self.settings.callers.come_back_max),
+                KEEP_AWAY.min(self.settings.callers.max_retry_after),
                 false,
             );
             return Ok(());
         }
-        self.decide(now, |d, hands| d.arrive(now, &arrival, hands));
+        self.decide(now, |d, hands| d.on_arrival(now, &arrival, hands));
         Ok(())
     }
 
@@ -186,7 +186,7 @@
         };
         log::debug!("req {id} is gone, started {}", req.started);
         self.hands.counters.gone += 1;
-        self.decide(now, |d, hands| d.gone(now, id, hands));
+        self.decide(now, |d, hands| d.on_client_gone(now, id, hands));
         self.hands.nobody_waits(id);
     }
 
--- a/crates/server/src/core/hands.rs
+++ b/crates/server/src/core/hands.rs
@@ -14,7 +14,7 @@
 use crate::tools::name::Name;
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD as BASE64;
-use madderbay::face::{Outcome, Repeats, Results};
+use madderbay::interface::{Actions, Outcome, RetrySafety};
 use madderbay::time::{Duration, Timestamp};
 use madderbay_concurrency::limit::Completion;
 use madderbay_concurrency::{ConcurrencyLimiter, RequestStage};
@@ -126,7 +126,7 @@
             replayable: settings
                 .handlers
                 .iter()
-                .map(|h| h.repeats == Repeats::Replayable)
+                .map(|h| h.retry_safety == RetrySafety::Idempotent)
                 .collect(),
             keep: None,
             unrun: VecDeque::new(),
@@ -189,7 +189,7 @@
             return false;
         };
         let Some(key) = req.key else { return false };
-        if how == Outcome::Moot {
+        if how == Outcome::AlreadyEnded {
             self.take_back(key);
             return false;
         }
@@ -239,12 +239,12 @@
             return;
         };
         let key = req.key;
-        self.counters.run_over(Outcome::Moot);
+        self.counters.run_over(Outcome::AlreadyEnded);
         let joined = key.map_or(vec![], |k| self.door.ran(k, None));
         for id in std::iter::once(id).chain(joined) {
             self.answer_shed(id, come_back, false);
             self.remove(id);
-            self.over.push_back((id, Outcome::Moot));
+            self.over.push_back((id, Outcome::AlreadyEnded));
         }
         if let Some(key) = key {
             self.take_back(key);
@@ -260,9 +260,9 @@
             self.over.push_back((
                 id,
                 if result.is_some() {
-                    Outcome::Done
+                    Outcome::Completed
                 } else {
-                    Outcome::Errored
+                    Outcome::Failed
                 },
             ));
         }
@@ -387,7 +387,7 @@
     }
 }
 
-impl Results for Hands {
+impl Actions for Hands {
     fn start(&mut self, id: u64) {
         let Some(req) = self.reqs.get_mut(&id) else {
             return;
@@ -418,16 +418,16 @@
         );
     }
 
-    fn stop(&mut self, id: u64) {
+    fn cancel(&mut self, id: u64) {
         self.command(id, "HALT", format_args!(""));
     }
 
-    fn shed(&mut self, id: u64, come_back: Duration, last: bool) {
+    fn reject(&mut self, id: u64, come_back: Duration, last: bool) {
         self.answer_shed(id, come_back, last);
         self.nobody_waits(id);
     }
 
-    fn errored(&mut self, id: u64) {
+    fn fail(&mut self, id: u64) {
         self.answer_run(id, None);
         self.nobody_waits(id);
     }
@@ -461,7 +461,7 @@
         });
     }
 
-    fn skip(&mut self, id: u64) {
+    fn skip_call(&mut self, id: u64) {
         let Some(req) = self.reqs.get_mut(&id) else {
             return;
         };
@@ -472,7 +472,7 @@
         self.command(id, "SKIP", format_args!(",\"serial\":{need}"));
     }
 
-    fn keep_key(&mut self, id: u64, term: Duration) {
+    fn store_key(&mut self, id: u64, term: Duration) {
         if let Some((key, print, handler)) = self
             .reqs
             .get(&id)
@@ -482,11 +482,11 @@
         }
     }
 
-    fn drop_key(&mut self, id: u64) {
+    fn remove_key(&mut self, id: u64) {
         self.door.drop(id);
     }
 
-    fn join(&mut self, id: u64) {
+    fn join_attempt(&mut self, id: u64) {
         // It waits for another's run and wants none of its own.
         self.followed(id, |f, now, _| f.request_finished(now, id));
         let Some(req) = self.reqs.get(&id) else {
@@ -499,18 +499,18 @@
         }
     }
 
-    fn health(&mut self, good: bool) {
+    fn set_health(&mut self, good: bool) {
         if std::mem::replace(&mut self.good, good) != good {
             log::warn!("health: {}", if good { "good again" } else { "ill" });
             self.report.notify_one();
         }
     }
 
-    fn load_report(&mut self, value: f64) {
+    fn set_load_report(&mut self, value: f64) {
         self.load_report = Some(value);
     }
 
-    fn idle_limit(&mut self, limit: Duration) {
+    fn set_idle_limit(&mut self, limit: Duration) {
         self.due.retain(|d| !matches!(d.1, Due::Idle(_)));
         self.due.extend(
             self.conns
@@ -519,7 +519,7 @@
         );
     }
 
-    fn wake(&mut self, after: Duration) {
+    fn set_timer(&mut self, after: Duration) {
         self.wake = Some((self.rang + after).max(self.now + after.mul_f64(0.5)));
     }
 }
--- a/crates/server/src/core/lasting.rs
+++ b/crates/server/src/core/lasting.rs
@@ -23,7 +23,7 @@
             return Ok(false);
         };
         let verdict = keep.book.lookup(key, print);
-        let away = KEEP_AWAY.min(self.settings.callers.come_back_max);
+        let away = KEEP_AWAY.min(self.settings.callers.max_retry_after);
         let report = hands.load_report;
         match verdict {
             Lookup::Mismatch => return Err("replay came with another body"),
--- a/crates/server/src/core/lead.rs
+++ b/crates/server/src/core/lead.rs
@@ -2,7 +2,7 @@
 //! another. Who is chosen, and what may be made again, is asked of whoever [`Leads`].
 
 use super::hands::{Due, Hands};
-use madderbay::face::Outcome;
+use madderbay::interface::Outcome;
 use madderbay::time::{Duration, Timestamp};
 use madderbay_upstream::{Again, End, Ticket};
 
@@ -30,15 +30,15 @@
 /// What an outcome tells of a backend; `replied` where the backend said so itself.
 fn end(how: Outcome, replied: bool) -> End {
     match how {
-        Outcome::Done => End::Good,
-        Outcome::Shed => End::TurnedAway,
-        Outcome::Errored => End::Failed,
+        Outcome::Completed => End::Good,
+        Outcome::Rejected => End::TurnedAway,
+        Outcome::Failed => End::Failed,
         Outcome::TimedOut => End::Silent,
         // No run waited for it, or it was not reached.
-        Outcome::Unreached if replied => End::Dropped,
-        Outcome::Unreached => End::Refused,
-        Outcome::CutOff => End::Broken,
-        Outcome::Stopped | Outcome::Moot => End::Dropped,
+        Outcome::Unreachable if replied => End::Dropped,
+        Outcome::Unreachable => End::Refused,
+        Outcome::Disconnected => End::Broken,
+        Outcome::Cancelled | Outcome::AlreadyEnded => End::Dropped,
     }
 }
 
@@ -129,7 +129,7 @@
         };
         let end = end(how, replied);
         leads.over(&done.ticket, end);
-        if how == Outcome::Done {
+        if how == Outcome::Completed {
             // Those that were out for longer were outrun.
             if let Some(req) = self.reqs.get_mut(&id) {
                 let later = |t: &Try| t.since >= done.since;
--- a/crates/server/src/core/lent.rs
+++ b/crates/server/src/core/lent.rs
@@ -2,7 +2,7 @@
 //! want one, and the ceilings that come of it. What may be used is asked of whoever [`Lends`].
 
 use crate::core::follow::Follows;
-use madderbay::face::{Below, Ceiling};
+use madderbay::interface::{Ceiling, Upstream};
 use madderbay::time::{Duration, Timestamp};
 use madderbay_concurrency::limit::Completion;
 use madderbay_concurrency::{CallRequirement, HandlerProfile, RequestStage};
@@ -80,7 +80,7 @@
         to: Rc<dyn Lends>,
         groups: Vec<Group>,
         kinds: &[HandlerProfile],
-        below: &Below,
+        below: &Upstream,
     ) -> Lent {
         let of: Vec<Option<usize>> = (0..kinds.len())
             .map(|h| groups.iter().position(|g| g.handlers.contains(&h)))
@@ -89,7 +89,7 @@
             .iter()
             .zip(&of)
             .all(|(k, of)| k.calls == CallRequirement::Never || of.is_some());
-        let rest = if covers { 0.0 } else { below.share };
+        let rest = if covers { 0.0 } else { below.quota };
         Lent {
             to,
             of,
@@ -101,7 +101,7 @@
             usable: vec![usize::MAX; groups.len()],
             groups,
             reqs: HashMap::new(),
-            linger: below.linger,
+            linger: below.abandoned_call_lifetime,
             lingering: VecDeque::new(),
             looked: Timestamp::default(),
             rest,
@@ -167,7 +167,7 @@
                 handlers: group.handlers.clone(),
                 runs,
                 calls: usable,
-                turn: turn.min(TURN_MOST),
+                start_interval: turn.min(TURN_MOST),
             }
         })
     }
--- a/crates/server/src/core/outcomes.rs
+++ b/crates/server/src/core/outcomes.rs
@@ -7,7 +7,7 @@
 use crate::tools::name::Name;
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD as BASE64;
-use madderbay::face::{Outcome, Results};
+use madderbay::interface::{Actions, Outcome};
 use madderbay::time::{Duration, Timestamp};
 use madderbay_concurrency::RequestStage;
 use madderbay_upstream::End as Tried;
@@ -35,7 +35,7 @@
         }
         self.hands.counters.ran[handler] += 1;
         self.hands.remove(id);
-        self.decide(now, |d, _| d.ended(now, id, how, spent));
+        self.decide(now, |d, _| d.on_run_ended(now, id, how, spent));
     }
 
     pub(super) fn call_ended(&mut self, now: Timestamp, id: u64, how: Outcome, spent: Duration) {
@@ -52,7 +52,9 @@
             }
             f.call_finished(now, id, crate::core::pooled::end(how));
         });
-        self.decide(now, |d, hands| d.call_back(now, id, how, spent, hands));
+        self.decide(now, |d, hands| {
+            d.on_call_finished(now, id, how, spent, hands)
+        });
     }
 
     pub(super) fn patience_over(&mut self, now: Timestamp, id: u64) {
@@ -84,11 +86,11 @@
         let Some(req) = self.hands.reqs.get(&id) else {
             return;
         };
-        if self.settings.handlers[req.handler].partial_value > 0.0 {
-            self.hands.skip(id);
+        if self.settings.handlers[req.handler].partial_weight > 0.0 {
+            self.hands.skip_call(id);
         } else {
-            self.hands.errored(id);
-            self.decide(now, |d, hands| d.gone(now, id, hands));
+            self.hands.fail(id);
+            self.decide(now, |d, hands| d.on_client_gone(now, id, hands));
         }
     }
 }
@@ -112,13 +114,13 @@
         log::info!("engine: up, {how} {} ms ago", age.as_micros() / 1000);
         // One that is told to leave before its engine came up takes nothing on any more.
         if self.decider.is_none() && !self.hands.leaving {
-            self.settings.machine.cold |= how == "new";
+            self.settings.machine.starts_cold |= how == "new";
             // It begins now and not when the engine did, which may be an hour ago: its timer would count as
             // that late, and a stop asked for before the first tick would fall due for ever. A cold engine
             // that came up a while ago counts as colder than it is.
             let mut decider = self.settings.decider(now, self.seed);
             (self.hands.now, self.hands.rang) = (now, now);
-            decider.begin(&mut self.hands);
+            decider.on_start(&mut self.hands);
             self.decider = Some(decider);
         }
         self.hands.engine.ask(true);
@@ -129,7 +131,7 @@
     /// the engine is sent again then, which starts nothing twice, since all that ended meanwhile is known. If
     /// notices were lost for good any run may have ended, and none is sent again.
     fn gauges(&mut self, now: Timestamp, values: &[f64], gap: bool) {
-        self.gauges.on_cores = self.on_cores.and_then(|at| values.get(at)).copied();
+        self.gauges.run_queue = self.on_cores.and_then(|at| values.get(at)).copied();
         let taken_up = !std::mem::replace(&mut self.hands.engine.up, true);
         if gap {
             log::warn!("engine: notices were lost; all runs count as errored");
@@ -142,8 +144,8 @@
                 .collect();
             lost.sort_unstable();
             for (id, name) in lost {
-                self.hands.stop(id);
-                self.run_over(now, &name, Outcome::Errored, Duration::ZERO, "");
+                self.hands.cancel(id);
+                self.run_over(now, &name, Outcome::Failed, Duration::ZERO, "");
             }
         }
         if taken_up {
@@ -173,15 +175,18 @@
         self.hands.followed(id, |f, now, handler| {
             f.set_stage(now, id, handler, RequestStage::AwaitingCall)
         });
-        self.decide(now, |d, hands| d.at_call(now, id, hands));
+        self.decide(now, |d, hands| d.on_call_needed(now, id, hands));
     }
 
     /// A run is over. A req that still waits for it is answered with what came of it.
     fn run_over(&mut self, now: Timestamp, name: &Name, how: Outcome, spent: Duration, blob: &str) {
         let Some(&id) = self.hands.names.get(name) else {
             // It may be a run of a former life, which proves what came of it.
-            let result = (how == Outcome::Done).then_some(blob.as_bytes());
-            let ran = matches!(how, Outcome::Done | Outcome::Errored | Outcome::Stopped);
+            let result = (how == Outcome::Completed).then_some(blob.as_bytes());
+            let ran = matches!(
+                how,
+                Outcome::Completed | Outcome::Failed | Outcome::Cancelled
+            );
             let keep = self.hands.keep.as_mut().filter(|_| ran);
             if keep.is_some_and(|k| k.book.complete_recovered_run(name, result)) {
                 self.hands.changed.notify_one();
@@ -191,9 +196,9 @@
             return;
         };
         self.hands.now = now;
-        let result = (how == Outcome::Done).then_some(blob);
+        let result = (how == Outcome::Completed).then_some(blob);
         if self.hands.keep_result(id, how, result) {
-            return self.decide(now, |d, _| d.ended(now, id, how, spent));
+            return self.decide(now, |d, _| d.on_run_ended(now, id, how, spent));
         }
         self.hands.answer_run(id, result);
         self.run_out(now, id, how, spent, result);
@@ -208,9 +213,9 @@
             return;
         };
         self.hands.now = now;
-        self.hands.shed(id, Duration::ZERO, false);
-        self.hands.keep_result(id, Outcome::Moot, None);
-        self.run_out(now, id, Outcome::Moot, Duration::ZERO, None);
+        self.hands.reject(id, Duration::ZERO, false);
+        self.hands.keep_result(id, Outcome::AlreadyEnded, None);
+        self.run_out(now, id, Outcome::AlreadyEnded, Duration::ZERO, None);
         self.hands.door.drop(id);
     }
 }
@@ -234,7 +239,7 @@
             self.hands.counters.strays += 1;
             return;
         };
-        if how == Outcome::Done && self.hands.reqs.get(&id).is_some_and(|r| !r.answered) {
+        if how == Outcome::Completed && self.hands.reqs.get(&id).is_some_and(|r| !r.answered) {
             self.hands.goes_on(now, id, wire, how, true);
             self.hands.feed(id, body);
         } else if self.hands.goes_on(now, id, wire, how, true) {
--- a/crates/server/src/core/pooled.rs
+++ b/crates/server/src/core/pooled.rs
@@ -1,7 +1,7 @@
 //! Pools as the operator file sets them, over the settings' handlers; and what is told of them.
 
 use crate::tools::counters::Lines;
-use madderbay::face::{BelowKind, Outcome};
+use madderbay::interface::{Outcome, UpstreamKind};
 use madderbay_concurrency::limit::Completion;
 use madderbay_concurrency::{
     CallRequirement, ConcurrencyConfig, ConcurrencyLimiter, HandlerProfile, PoolConfig, Reserve,
@@ -36,7 +36,7 @@
         handlers: among(&r.handlers),
         fraction: r.part,
     });
-    let share = (s.below.kind == BelowKind::Shared).then_some(s.below.share);
+    let share = (s.below.kind == UpstreamKind::Shared).then_some(s.below.quota);
     let cores = s.machine.cores as usize;
     let groups = vec![];
     let plan = ConcurrencyConfig {
@@ -44,7 +44,7 @@
         reserve,
         adaptive: set.adapts,
         call_quota: share,
-        abandoned_call_lifetime: s.below.linger,
+        abandoned_call_lifetime: s.below.abandoned_call_lifetime,
         cores,
         upstream_groups: groups,
     };
@@ -57,7 +57,7 @@
 
 /// What each handler's runs do about calls.
 pub fn kinds(s: &Settings) -> Vec<HandlerProfile> {
-    let calls = |h: &madderbay::face::Handler| match (h.calls, h.partial_value > 0.0) {
+    let calls = |h: &madderbay::interface::Handler| match (h.makes_calls, h.partial_weight > 0.0) {
         (false, _) => CallRequirement::Never,
         (true, true) => CallRequirement::Optional,
         (true, false) => CallRequirement::Required,
@@ -71,12 +71,12 @@
 /// What the end of a call tells of what lies below.
 pub fn end(how: Outcome) -> Completion {
     match how {
-        Outcome::Done => Completion::Success,
+        Outcome::Completed => Completion::Success,
         Outcome::TimedOut => Completion::TimedOut,
-        Outcome::Shed | Outcome::Errored | Outcome::Unreached | Outcome::CutOff => {
+        Outcome::Rejected | Outcome::Failed | Outcome::Unreachable | Outcome::Disconnected => {
             Completion::Failure
         }
-        Outcome::Stopped | Outcome::Moot => Completion::Cancelled,
+        Outcome::Cancelled | Outcome::AlreadyEnded => Completion::Cancelled,
     }
 }
 
--- a/crates/server/src/core/serve.rs
+++ b/crates/server/src/core/serve.rs
@@ -4,7 +4,7 @@
 use crate::core::hands::{Due, Hands};
 use crate::core::lent::{Group, Lends, Lent};
 use madderbay::decide::Decider;
-use madderbay::face::{Gauges, Outcome};
+use madderbay::interface::{Gauges, Outcome};
 use madderbay::time::{Duration, Timestamp};
 use madderbay_concurrency::{ConcurrencyConfig, ConcurrencyLimiter};
 use madderbay_settings::Settings;
@@ -87,12 +87,18 @@
         act(decider, &mut self.hands);
         loop {
             if let Some((id, how)) = self.hands.over.pop_front() {
-                decider.ended(now, id, how, Duration::ZERO);
+                decider.on_run_ended(now, id, how, Duration::ZERO);
             } else if let Some(id) = self.hands.unmade.pop_front() {
-                decider.call_back(now, id, Outcome::Unreached, Duration::ZERO, &mut self.hands);
+                decider.on_call_finished(
+                    now,
+                    id,
+                    Outcome::Unreachable,
+                    Duration::ZERO,
+                    &mut self.hands,
+                );
             } else if let Some(id) = self.hands.unrun.pop_front() {
                 self.hands
-                    .never_ran(id, KEEP_AWAY.min(self.settings.callers.come_back_max));
+                    .never_ran(id, KEEP_AWAY.min(self.settings.callers.max_retry_after));
             } else {
                 return;
             }
@@ -139,7 +145,7 @@
             self.hands.rang = wake;
             self.hands.counters.tick(now - wake);
             let gauges = self.gauges;
-            self.consider(now, |d, hands| d.tick(now, &gauges, hands));
+            self.consider(now, |d, hands| d.on_tick(now, &gauges, hands));
             self.hands.engine.rang();
         }
         self.ceilings(now);
@@ -159,7 +165,7 @@
         if let Some(lent) = lent {
             changed = lent.look(now);
             if changed {
-                decider.share(now, lent.share());
+                decider.set_upstream_quota(now, lent.share());
                 pools
                     .iter_mut()
                     .for_each(|p| p.set_call_quota(lent.share()));
@@ -167,7 +173,7 @@
             let parts = lent.allowances(now);
             parts
                 .into_iter()
-                .for_each(|(tenant, per_second)| decider.allow(tenant, per_second));
+                .for_each(|(tenant, per_second)| decider.set_tenant_rate(tenant, per_second));
         }
         if !changed && !pools.as_ref().is_some_and(|p| p.is_stale(now)) {
             return;
@@ -177,7 +183,7 @@
             .as_mut()
             .map_or(vec![], |p| p.ceilings(now, workers).to_vec());
         all.extend(lent.iter().flat_map(Lent::ceilings));
-        decider.heed(&all);
+        decider.set_ceilings(&all);
         let Some(pools) = pools else { return };
         let (told, untold) = pools.take_limit_changes();
         for change in told {
@@ -197,7 +203,7 @@
         self.hands.leaving = true;
         self.hands.report.notify_one();
         self.hands.conns.leave();
-        self.decide(now, |d, _| d.wind_down(now, left));
+        self.decide(now, |d, _| d.drain(now, left));
     }
 
     /// All connections end that owe nothing.
--- a/crates/server/src/fleet/sharing.rs
+++ b/crates/server/src/fleet/sharing.rs
@@ -48,7 +48,7 @@
             // What is given up on goes on below for a while.
             terms: Terms {
                 lease: Duration::from_millis(b.lease_ms),
-                longest: longest + s.below.linger,
+                longest: longest + s.below.abandoned_call_lifetime,
                 guard: GUARD,
             },
         });
@@ -63,7 +63,7 @@
         .iter()
         .map(|c| c.by == operator::By::Tenant)
         .collect();
-    let per_second = s.tenants.iter().map(|t| t.per_second).collect();
+    let per_second = s.tenants.iter().map(|t| t.requests_per_second).collect();
     let counted = Counted::new(
         &s.handler_names,
         &s.tenant_names,
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -242,7 +242,7 @@
         .settings
         .handlers
         .iter()
-        .map(|h| h.window)
+        .map(|h| h.idempotency_window)
         .max()
         .unwrap_or_default();
     let opened = operator
--- a/crates/server/src/tools/counters.rs
+++ b/crates/server/src/tools/counters.rs
@@ -1,6 +1,6 @@
 //! Counts of what the server takes in, sends and answers; one line each, in a fixed order.
 
-use madderbay::face::Outcome;
+use madderbay::interface::Outcome;
 use madderbay::time::Duration;
 use std::fmt::Write;
 
@@ -11,18 +11,18 @@
 
 /// How runs and calls end, and what their counters are called; what is none of these counts as the last.
 const RUNS: [(Outcome, &str); 4] = [
-    (Outcome::Done, "done"),
-    (Outcome::Errored, "errored"),
-    (Outcome::Stopped, "stopped"),
-    (Outcome::Moot, "moot"),
+    (Outcome::Completed, "done"),
+    (Outcome::Failed, "errored"),
+    (Outcome::Cancelled, "stopped"),
+    (Outcome::AlreadyEnded, "moot"),
 ];
 const CALLS: [(Outcome, &str); 6] = [
-    (Outcome::Done, "done"),
-    (Outcome::Shed, "shed"),
-    (Outcome::Errored, "errored"),
+    (Outcome::Completed, "done"),
+    (Outcome::Rejected, "shed"),
+    (Outcome::Failed, "errored"),
     (Outcome::TimedOut, "timed_out"),
-    (Outcome::Unreached, "unreached"),
-    (Outcome::CutOff, "cut_off"),
+    (Outcome::Unreachable, "unreached"),
+    (Outcome::Disconnected, "cut_off"),
 ];
 
 fn count(ends: &[(Outcome, &str)], into: &mut [u64], how: Outcome) {
--- a/crates/server/tests/crossings.rs
+++ b/crates/server/tests/crossings.rs
@@ -81,7 +81,7 @@
             .into_bytes()
             .try_into()
             .expect("16 digits");
-        let done = madderbay::face::Outcome::Done;
+        let done = madderbay::interface::Outcome::Completed;
         self.serve.borrow_mut().run_over(
             self.clock.now(),
             &name,
--- a/crates/server/tests/wires.rs
+++ b/crates/server/tests/wires.rs
@@ -1,6 +1,6 @@
 //! The parsers that no scenario feeds with all they may meet, whole and cut at every byte.
 
-use madderbay::face::Outcome;
+use madderbay::interface::Outcome;
 use madderbay_server::balancers::registry::{Answers, report};
 use madderbay_server::below::calls::Replies;
 use madderbay_server::tools::json::{Members, is_value, number, text, whole};
@@ -63,10 +63,10 @@
         9b1f03aa5c7e2d43 DATA 0\r\n\r\n9b1f03aa5c7e2d44 NOUSE\r\n9b1f03aa5c7e2d45 TOOSLOW\r\n";
     let body = b"a\r\n\0b\xff".to_vec();
     let want = [
-        ("9b1f03aa5c7e2d41", Outcome::Done, body),
-        ("9b1f03aa5c7e2d42", Outcome::Shed, vec![]),
-        ("9b1f03aa5c7e2d43", Outcome::Done, vec![]),
-        ("9b1f03aa5c7e2d44", Outcome::Unreached, vec![]),
+        ("9b1f03aa5c7e2d41", Outcome::Completed, body),
+        ("9b1f03aa5c7e2d42", Outcome::Rejected, vec![]),
+        ("9b1f03aa5c7e2d43", Outcome::Completed, vec![]),
+        ("9b1f03aa5c7e2d44", Outcome::Unreachable, vec![]),
         ("9b1f03aa5c7e2d45", Outcome::TimedOut, vec![]),
     ];
     let want: Vec<_> = want
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,7 +1,7 @@
 //! The settings that an instance starts with: JSON in, the module's own records out.
 
 use madderbay::decide::Decider;
-use madderbay::face::*;
+use madderbay::interface::*;
 use madderbay::time::{Duration, Timestamp};
 use serde::Deserialize;
 use std::collections::HashSet;
@@ -116,9 +116,9 @@
     pub machine: Machine,
     pub handlers: Vec<Handler>,
     pub tenants: Vec<Tenant>,
-    pub below: Below,
-    pub callers: Callers,
-    pub place: Place,
+    pub below: Upstream,
+    pub callers: Downstream,
+    pub place: FleetPosition,
     pub rules: Rules,
     pub meters: Vec<String>,
     pub handler_names: Vec<String>,
@@ -236,9 +236,9 @@
             &format!("classes[{i}].aim_stretch is under 0"),
         )?;
         let effects = [
-            ("read_like", Repeats::Replayable),
-            ("idempotency_key", Repeats::Keyed),
-            ("non_idempotent", Repeats::NonReplayable),
+            ("read_like", RetrySafety::Idempotent),
+            ("idempotency_key", RetrySafety::Keyed),
+            ("non_idempotent", RetrySafety::NonIdempotent),
         ];
         let keyed_for_nothing = c.effect == "idempotency_key" && c.repeat_window_us == 0;
         need(
@@ -251,15 +251,15 @@
             &format!("family_info.class_skip_worth[{i}] is not within 0 to 1"),
         )?;
         handlers.push(Handler {
-            target: Duration::from_micros(c.aim_us),
-            target_stretch: c.aim_stretch,
+            latency_objective: Duration::from_micros(c.aim_us),
+            objective_stretch: c.aim_stretch,
             timeout: Duration::from_micros(c.hard_limit_us),
-            value: c.importance,
-            late_value: c.late_worth,
-            repeats: word(&c.effect, &effects, &format!("classes[{i}].effect"))?,
-            window: Duration::from_micros(c.repeat_window_us),
-            calls: info.class_calls.get(i).copied().unwrap_or(false),
-            partial_value: partial,
+            weight: c.importance,
+            late_weight: c.late_worth,
+            retry_safety: word(&c.effect, &effects, &format!("classes[{i}].effect"))?,
+            idempotency_window: Duration::from_micros(c.repeat_window_us),
+            makes_calls: info.class_calls.get(i).copied().unwrap_or(false),
+            partial_weight: partial,
         });
     }
     if raw.permissions.retry_after {
@@ -275,16 +275,16 @@
         )?;
     }
     let stops = [
-        ("none", Stopping::Never),
-        ("", Stopping::Never),
-        ("discard", Stopping::Discards),
-        ("freeze", Stopping::Pauses),
+        ("none", Cancellation::Unsupported),
+        ("", Cancellation::Unsupported),
+        ("discard", Cancellation::Discards),
+        ("freeze", Cancellation::Pauses),
     ];
     let belows = [
-        ("none", BelowKind::Nothing),
-        ("", BelowKind::Nothing),
-        ("one_for_all", BelowKind::Shared),
-        ("tier", BelowKind::Tier),
+        ("none", UpstreamKind::None),
+        ("", UpstreamKind::None),
+        ("one_for_all", UpstreamKind::Shared),
+        ("tier", UpstreamKind::Tier),
     ];
     let frees = [
         ("none", LoadReport::Unused),
@@ -302,44 +302,44 @@
         machine: Machine {
             cores: info.n_cores,
             memory_kb: info.memory_kb,
-            running_factor: info.blowup,
-            key_kb: info.key_kb,
-            stopping: word(&info.preemption, &stops, "family_info.preemption")?,
-            survives_per_core: raw.rules.tip_multiple,
-            cold: info.cold,
-            cold_from: raw.rules.cold_from,
-            cold_for: Duration::from_micros(raw.rules.cold_us),
+            running_memory_factor: info.blowup,
+            key_memory_kb: info.key_kb,
+            cancellation: word(&info.preemption, &stops, "family_info.preemption")?,
+            max_concurrency_per_core: raw.rules.tip_multiple,
+            starts_cold: info.cold,
+            cold_speed: raw.rules.cold_from,
+            warm_up: Duration::from_micros(raw.rules.cold_us),
         },
         handlers,
         tenants: raw
             .tenants
             .iter()
             .map(|t| Tenant {
-                per_second: t.allowance_per_s,
+                requests_per_second: t.allowance_per_s,
             })
             .collect(),
-        below: Below {
+        below: Upstream {
             kind: word(&info.below, &belows, "family_info.below")?,
-            share: info.dep_share,
-            linger: Duration::from_micros(info.linger_us),
-            span: Duration::from_micros(info.share_span_us),
+            quota: info.dep_share,
+            abandoned_call_lifetime: Duration::from_micros(info.linger_us),
+            averaging_window: Duration::from_micros(info.share_span_us),
         },
-        callers: Callers {
-            count: info.upstreams,
+        callers: Downstream {
+            clients: info.upstreams,
             load_report: word(&info.say, &frees, "family_info.say")?,
-            come_back_max: Duration::from_micros(longest),
-            mark_retries: raw.callers.marks_retry,
-            idle_max: Duration::from_micros(info.keepalive_max_us),
+            max_retry_after: Duration::from_micros(longest),
+            marks_retries: raw.callers.marks_retry,
+            max_idle: Duration::from_micros(info.keepalive_max_us),
         },
-        place: Place {
+        place: FleetPosition {
             servers: raw.servers,
             tier: raw.tier,
-            value_by_work: raw.value_by == "work",
-            over_share_value: raw.over_share_worth,
+            weight_by_work: raw.value_by == "work",
+            over_quota_weight: raw.over_share_worth,
         },
         rules: Rules {
             drain_grace: Duration::from_micros(raw.rules.drain_grace_us),
-            says_wait: info.passes_deadline,
+            requests_carry_timeout: info.passes_deadline,
         },
         meters: info.meters.clone(),
         handler_names: raw.classes.iter().map(|c| c.name.clone()).collect(),
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -1,6 +1,6 @@
 //! Settings that are unlike, and what is told of those that can't be.
 
-use madderbay::face::{BelowKind, LoadReport, Repeats, Stopping};
+use madderbay::interface::{Cancellation, LoadReport, RetrySafety, UpstreamKind};
 use madderbay_settings::{Settings, read};
 
 /// Two handlers, one of them keyed, before something that all share.
@@ -30,12 +30,16 @@
 #[test]
 fn what_stops_do_and_what_callers_are_told_is_as_the_settings_say() {
     let stops = [
-        ("none", Stopping::Never),
-        ("discard", Stopping::Discards),
-        ("freeze", Stopping::Pauses),
+        ("none", Cancellation::Unsupported),
+        ("discard", Cancellation::Discards),
+        ("freeze", Cancellation::Pauses),
     ];
     for (word, stop) in stops {
-        assert_eq!(good(&[("freeze", word)]).machine.stopping, stop, "{word}");
+        assert_eq!(
+            good(&[("freeze", word)]).machine.cancellation,
+            stop,
+            "{word}"
+        );
     }
     let says = [
         ("none", LoadReport::Unused),
@@ -53,11 +57,11 @@
         );
     }
     assert_eq!(
-        good(&[("idempotency_key", "non_idempotent")]).handlers[1].repeats,
-        Repeats::NonReplayable
+        good(&[("idempotency_key", "non_idempotent")]).handlers[1].retry_safety,
+        RetrySafety::NonIdempotent
     );
     let bare = good(&[("one_for_all", "none"), ("[true, true]", "[false, false]")]);
-    assert_eq!(bare.below.kind, BelowKind::Nothing);
+    assert_eq!(bare.below.kind, UpstreamKind::None);
 }
 
 #[test]
@@ -69,7 +73,7 @@
         "\"upstreams\": 3",
         "\"upstreams\": 3, \"tells_gone\": false, \"new_key\": [1, {}]",
     )]);
-    assert!(!s.rules.says_wait);
+    assert!(!s.rules.requests_carry_timeout);
 }
 
 #[test]
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -350,8 +350,8 @@
                     handlers: vec![],
                     fraction: 0.1,
                 }),
-                call_quota: Some(self.settings.below.share),
-                abandoned_call_lifetime: self.settings.below.linger,
+                call_quota: Some(self.settings.below.quota),
+                abandoned_call_lifetime: self.settings.below.abandoned_call_lifetime,
                 cores: CORES as usize,
                 upstream_groups: groups,
                 ..ConcurrencyConfig::default()
@@ -888,7 +888,7 @@
             self.nodes[s].answered.insert(rpc);
             let took = now - asked.began;
             match said["error"]["code"].as_i64() {
-                None if took <= self.settings.handlers[asked.handler].target => {
+                None if took <= self.settings.handlers[asked.handler].latency_objective => {
                     self.row.kept[asked.handler] += 1;
                 }
                 None => {}
--- a/crates/simulator-adapter/src/host.rs
+++ b/crates/simulator-adapter/src/host.rs
@@ -2,7 +2,7 @@
 
 use crate::wire::{self, Batch, Fields, Reply};
 use madderbay::decide::Decider;
-use madderbay::face::{Arrival, Gauges, Outcome};
+use madderbay::interface::{Arrival, Gauges, Outcome};
 use madderbay::time::{Duration, Timestamp};
 use madderbay_settings::{self as settings, Settings};
 use std::collections::BTreeMap;
@@ -54,14 +54,14 @@
 
 fn outcome(code: u8) -> Result<Outcome, String> {
     Ok(match code {
-        1 => Outcome::Done,
-        2 => Outcome::Errored,
-        3 => Outcome::Shed,
+        1 => Outcome::Completed,
+        2 => Outcome::Failed,
+        3 => Outcome::Rejected,
         4 => Outcome::TimedOut,
-        5 => Outcome::Unreached,
-        6 => Outcome::CutOff,
-        7 => Outcome::Stopped,
-        8 => Outcome::Moot,
+        5 => Outcome::Unreachable,
+        6 => Outcome::Disconnected,
+        7 => Outcome::Cancelled,
+        8 => Outcome::AlreadyEnded,
         _ => return Err(format!("outcome {code} is unknown")),
     })
 }
@@ -126,7 +126,7 @@
                 let len = f.u32()? as usize;
                 let s = settings::read(f.bytes(len)?).map_err(Wrong::Set)?;
                 self.instances.insert(who, Instance::new(now, seed, &s));
-                self.guarded(who, |i, out| i.decider.begin(out))
+                self.guarded(who, |i, out| i.decider.on_start(out))
             }
             wire::QUERY => {
                 let known = self
@@ -134,27 +134,29 @@
                     .get(&who)
                     .ok_or_else(|| format!("instance {who} was never begun"))?;
                 let a = arrival(f, known)?;
-                self.guarded(who, |i, out| i.decider.arrive(now, &a, out))
+                self.guarded(who, |i, out| i.decider.on_arrival(now, &a, out))
             }
             wire::ENDED => {
                 let (id, how, spent) = (f.u64()?, outcome(f.u8()?)?, f.span()?);
-                self.guarded(who, |i, _| i.decider.ended(now, id, how, spent))
+                self.guarded(who, |i, _| i.decider.on_run_ended(now, id, how, spent))
             }
             wire::AWAITING => {
                 let id = f.u64()?;
-                self.guarded(who, |i, out| i.decider.at_call(now, id, out))
+                self.guarded(who, |i, out| i.decider.on_call_needed(now, id, out))
             }
             wire::DEP_REPLY => {
                 let (id, how, spent) = (f.u64()?, outcome(f.u8()?)?, f.span()?);
-                self.guarded(who, |i, out| i.decider.call_back(now, id, how, spent, out))
+                self.guarded(who, |i, out| {
+                    i.decider.on_call_finished(now, id, how, spent, out)
+                })
             }
             wire::WIND_DOWN => {
                 let left = f.span()?;
-                self.guarded(who, |i, _| i.decider.wind_down(now, left))
+                self.guarded(who, |i, _| i.decider.drain(now, left))
             }
             wire::ABANDONED => {
                 let id = f.u64()?;
-                self.guarded(who, |i, out| i.decider.gone(now, id, out))
+                self.guarded(who, |i, out| i.decider.on_client_gone(now, id, out))
             }
             wire::BELL => {
                 f.u64()?;
@@ -165,9 +167,9 @@
                 self.guarded(who, |i, out| {
                     let read = |at: Option<usize>| at.and_then(|at| values.get(at)).copied();
                     let gauges = Gauges {
-                        on_cores: read(i.on_cores),
+                        run_queue: read(i.on_cores),
                     };
-                    i.decider.tick(now, &gauges, out);
+                    i.decider.on_tick(now, &gauges, out);
                 })
             }
             wire::KILL => {
@@ -199,7 +201,7 @@
     if held_kb < 0.0 {
         return Err(format!("request {id}: held_kb is under 0"));
     }
-    if known.decider.knows(id) {
+    if known.decider.contains(id) {
         return Err(format!("request {id}: read a second time"));
     }
     let wait = if known.says_wait {
@@ -211,17 +213,17 @@
     let retry = bits & 2 != 0;
     Ok(Arrival {
         id,
-        from,
+        client: from,
         handler,
         tenant,
         subject,
-        wait,
-        hint,
-        held_kb,
+        timeout: wait,
+        work_hint: hint,
+        memory_kb: held_kb,
         rank,
-        retry,
-        unread_for,
-        repeats,
+        is_retry: retry,
+        read_delay: unread_for,
+        retry_of: repeats,
     })
 }
 
@@ -231,7 +233,7 @@
             decider: s.decider(now, seed),
             handlers: s.handlers.len(),
             tenants: s.tenants.len(),
-            says_wait: s.rules.says_wait,
+            says_wait: s.rules.requests_carry_timeout,
             on_cores: s.meter("on_cores"),
         }
     }
--- a/crates/simulator-adapter/src/wire.rs
+++ b/crates/simulator-adapter/src/wire.rs
@@ -1,6 +1,6 @@
 //! Frames and records: bytes in, bytes out. Every code and layout of the wire stands here.
 
-use madderbay::face::Results;
+use madderbay::interface::Actions;
 use madderbay::time::Duration;
 use std::io::Read;
 
@@ -151,47 +151,47 @@
     }
 }
 
-impl Results for Reply {
+impl Actions for Reply {
     fn start(&mut self, id: u64) {
         self.put(1, &[&id.to_le_bytes()]);
     }
-    fn shed(&mut self, id: u64, come_back: Duration, last: bool) {
+    fn reject(&mut self, id: u64, come_back: Duration, last: bool) {
         self.put(
             2,
             &[&id.to_le_bytes(), &short(come_back), &[u8::from(last)]],
         );
     }
-    fn errored(&mut self, id: u64) {
+    fn fail(&mut self, id: u64) {
         self.put(3, &[&id.to_le_bytes()]);
     }
-    fn stop(&mut self, id: u64) {
+    fn cancel(&mut self, id: u64) {
         self.put(4, &[&id.to_le_bytes()]);
     }
     fn call(&mut self, id: u64, patience: Duration) {
         self.put(5, &[&id.to_le_bytes(), &short(patience)]);
     }
-    fn skip(&mut self, id: u64) {
+    fn skip_call(&mut self, id: u64) {
         self.put(6, &[&id.to_le_bytes()]);
     }
-    fn keep_key(&mut self, id: u64, term: Duration) {
+    fn store_key(&mut self, id: u64, term: Duration) {
         self.put(7, &[&id.to_le_bytes(), &short(term)]);
     }
-    fn drop_key(&mut self, id: u64) {
+    fn remove_key(&mut self, id: u64) {
         self.put(8, &[&id.to_le_bytes()]);
     }
-    fn join(&mut self, id: u64) {
+    fn join_attempt(&mut self, id: u64) {
         self.put(9, &[&id.to_le_bytes()]);
     }
-    fn health(&mut self, good: bool) {
+    fn set_health(&mut self, good: bool) {
         self.put(10, &[&[u8::from(good), 1]]);
     }
-    fn load_report(&mut self, value: f64) {
+    fn set_load_report(&mut self, value: f64) {
         self.put(11, &[&(value as f32).to_le_bytes()]);
     }
-    fn idle_limit(&mut self, limit: Duration) {
+    fn set_idle_limit(&mut self, limit: Duration) {
         self.put(12, &[&short(limit)]);
     }
-    fn wake(&mut self, after: Duration) {
+    fn set_timer(&mut self, after: Duration) {
         self.put(13, &[&short(after), &0u64.to_le_bytes()]);
     }
 }
--- a/crates/simulator-adapter/tests/wire.rs
+++ b/crates/simulator-adapter/tests/wire.rs
@@ -1,6 +1,6 @@
 //! The adapter against the wire's own byte examples, and against what is malformed.
 
-use madderbay::face::Results;
+use madderbay::interface::Actions;
 use madderbay::time::Duration;
 use madderbay_settings as settings;
 use madderbay_simulator_adapter::{host::Host, wire};
@@ -63,17 +63,17 @@
     let mut reply = wire::Reply::default();
     reply.who = 3;
     reply.start(id);
-    reply.shed(other, Duration::from_millis(250), true);
-    reply.errored(other);
-    reply.stop(id);
+    reply.reject(other, Duration::from_millis(250), true);
+    reply.fail(other);
+    reply.cancel(id);
     reply.call(id, Duration::from_millis(80));
-    reply.skip(id);
-    reply.keep_key(id, Duration::from_millis(8000));
-    reply.drop_key(other);
-    reply.join(other);
-    reply.health(false);
-    reply.load_report(0.25);
-    reply.idle_limit(Duration::from_millis(2000));
+    reply.skip_call(id);
+    reply.store_key(id, Duration::from_millis(8000));
+    reply.remove_key(other);
+    reply.join_attempt(other);
+    reply.set_health(false);
+    reply.set_load_report(0.25);
+    reply.set_idle_limit(Duration::from_millis(2000));
     reply.fault("index out of range");
     let body = bytes(
         "01 0300 c4913a5de3f90d00  02 0300 192b6f0e8e790400 90d00300 01  03 0300 192b6f0e8e790400
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,10 +1,10 @@
 //! Every decision of madderbay. The adapter makes one [`Decider`] a server life, calls it for each event and,
-//! after the last of a batch, calls `settle`. Its interface, [`crate::face`], holds settings, req facts and
+//! after the last of a batch, calls `settle`. Its interface, [`crate::interface`], holds settings, req facts and
 //! results. A req passes the stages of `CHAIN`, then start and the calls below; what comes back passes them
 //! in reverse (`ended`). Constants come first, the parts next, the chain last.
 
-use crate::face::*;
-use crate::req::{Book, Due, KeyBook, KeyNo, No, Req, Stage};
+use crate::interface::*;
+use crate::request::{Book, Due, KeyBook, KeyNo, No, Req, Stage};
 use crate::time::{Duration, Timestamp};
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::ops::ControlFlow::{self, Break, Continue};
@@ -169,8 +169,10 @@
 
 impl Budget {
     fn new(now: Timestamp, cores: u32, handlers: &[Handler], part: f64) -> Budget {
-        let targets: Vec<f64> = handlers.iter().map(|h| h.target.as_secs_f64() * part * SETPOINT).collect();
-        let run: Vec<f64> = handlers.iter().map(|h| h.target.as_secs_f64() * part * RUN_GUESS).collect();
+        let targets: Vec<f64> =
+            handlers.iter().map(|h| h.latency_objective.as_secs_f64() * part * SETPOINT).collect();
+        let run: Vec<f64> =
+            handlers.iter().map(|h| h.latency_objective.as_secs_f64() * part * RUN_GUESS).collect();
         let mean = run.iter().sum::<f64>() / run.len() as f64;
         let cores = f64::from(cores);
         Budget {
@@ -330,10 +332,13 @@
 
 /// The runs that a server still warming survives, as far as the rules promise.
 fn ceiling(now: Timestamp, began: Timestamp, machine: &Machine) -> f64 {
-    let warmed = (now - began).as_secs_f64() / machine.cold_for.as_secs_f64().max(1e-3);
-    let speed =
-        if machine.cold { (machine.cold_from + (1.0 - machine.cold_from) * warmed).min(1.0) } else { 1.0 };
-    let survived = f64::from(machine.cores) * (1.0 + (machine.survives_per_core - 1.0) * speed);
+    let warmed = (now - began).as_secs_f64() / machine.warm_up.as_secs_f64().max(1e-3);
+    let speed = if machine.starts_cold {
+        (machine.cold_speed + (1.0 - machine.cold_speed) * warmed).min(1.0)
+    } else {
+        1.0
+    };
+    let survived = f64::from(machine.cores) * (1.0 + (machine.max_concurrency_per_core - 1.0) * speed);
     (survived * SURVIVE_PART).max(1.0)
 }
 
@@ -361,35 +366,37 @@
     }
 
     /// Brings the account up to now; gives the number in hand and the most that the account may hold.
-    fn count(&mut self, now: Timestamp, below: &Below) -> (f64, f64) {
+    fn count(&mut self, now: Timestamp, below: &Upstream) -> (f64, f64) {
         while self.lingering.front().is_some_and(|t| *t <= now) {
             self.lingering.pop_front();
         }
         let held = (self.out + self.lingering.len()) as f64;
-        let most = below.share * (1.0 - CALLS_MOST) * below.span.as_secs_f64();
-        self.credit += (below.share * self.part() - held) * (now - self.counted).as_secs_f64();
+        let most = below.quota * (1.0 - CALLS_MOST) * below.averaging_window.as_secs_f64();
+        self.credit += (below.quota * self.part() - held) * (now - self.counted).as_secs_f64();
         (self.credit, self.counted) = (self.credit.min(most), now);
         (held, most)
     }
 
     /// Whether one more call keeps the mean in hand over the rule's span within this server's share: by the
     /// number in hand, or by what earlier calls left of it: a share under one lets quick calls go together.
-    fn room(&mut self, now: Timestamp, below: &Below, part: f64) -> bool {
+    fn room(&mut self, now: Timestamp, below: &Upstream, part: f64) -> bool {
         let (held, most) = self.count(now, below);
-        below.kind != BelowKind::Shared
-            || held + 1.0 <= below.share * self.part() * part
+        below.kind != UpstreamKind::Shared
+            || held + 1.0 <= below.quota * self.part() * part
             || self.credit - held * self.time > most * (1.0 - part)
     }
 
-    fn over(&mut self, now: Timestamp, outcome: Outcome, spent: Duration, below: &Below) {
+    fn over(&mut self, now: Timestamp, outcome: Outcome, spent: Duration, below: &Upstream) {
         self.count(now, below);
         self.out = self.out.saturating_sub(1);
-        self.refused += CALL_ALPHA * (f64::from(u8::from(outcome == Outcome::Shed)) - self.refused);
-        if matches!(outcome, Outcome::TimedOut | Outcome::Stopped) {
-            self.lingering.push_back(now + below.linger);
+        self.refused += CALL_ALPHA * (f64::from(u8::from(outcome == Outcome::Rejected)) - self.refused);
+        if matches!(outcome, Outcome::TimedOut | Outcome::Cancelled) {
+            self.lingering.push_back(now + below.abandoned_call_lifetime);
         }
         // One given up on tells the least it would have taken, except at a tier, where a machine went silent.
-        if outcome == Outcome::Done || (outcome == Outcome::TimedOut && below.kind == BelowKind::Shared) {
+        if outcome == Outcome::Completed
+            || (outcome == Outcome::TimedOut && below.kind == UpstreamKind::Shared)
+        {
             self.time = (self.time + CALL_ALPHA * (spent.as_secs_f64() - self.time)).max(1e-6);
             self.best = (self.best * BEST_DRIFT).min(self.time);
         }
@@ -406,13 +413,13 @@
 impl Links {
     /// Counts an arrival; tells the limit on idling when it changes. Many that come seldom fill the table;
     /// few that come often would pay for new ones. In a flood of repeats a full table turns them off cheaply.
-    fn came(&mut self, now: Timestamp, from: u16, again: f64, most: Duration, out: &mut dyn Results) {
+    fn came(&mut self, now: Timestamp, from: u16, again: f64, most: Duration, out: &mut dyn Actions) {
         let soon = self.last.insert(from, now).is_some_and(|t| now - t < LINK_WORTH);
         self.soon += RUN_ALPHA * (f64::from(u8::from(soon)) - self.soon);
         let flood = if self.limit == most { FLOOD * 0.5 } else { FLOOD };
         let limit = if self.soon > 0.5 || again > flood { most } else { LINK_LEAST.min(most) };
         if std::mem::replace(&mut self.limit, limit) != limit {
-            out.idle_limit(limit);
+            out.set_idle_limit(limit);
         }
     }
 }
@@ -424,10 +431,10 @@
 }
 
 impl Tenants {
-    fn new(now: Timestamp, tenants: &[Tenant], place: &Place) -> Tenants {
+    fn new(now: Timestamp, tenants: &[Tenant], place: &FleetPosition) -> Tenants {
         let servers = f64::from(place.servers.max(1));
-        let each = tenants.iter().map(|t| (t.per_second / servers, 0.0, now)).collect();
-        Tenants { each, over_value: place.over_share_value }
+        let each = tenants.iter().map(|t| (t.requests_per_second / servers, 0.0, now)).collect();
+        Tenants { each, over_value: place.over_quota_weight }
     }
 
     /// Counts an arrival; the mean value of this tenant's reqs: those past its share count for little.
@@ -443,7 +450,7 @@
 // --- The module -------------------------------------------------------------------------------------------
 
 /// A stage: `Continue` passes the req on, `Break` keeps or ends it.
-type Link = fn(&mut Decider, Timestamp, No, &mut dyn Results) -> ControlFlow<()>;
+type Link = fn(&mut Decider, Timestamp, No, &mut dyn Actions) -> ControlFlow<()>;
 
 /// The stages that an arriving req passes, in order.
 const CHAIN: [Link; 5] =
@@ -457,8 +464,8 @@
     completed: Timestamp,
     machine: Machine,
     handlers: Vec<Handler>,
-    below: Below,
-    callers: Callers,
+    below: Upstream,
+    callers: Downstream,
     rules: Rules,
     part: f64,
     by_work: bool,
@@ -486,11 +493,12 @@
     #[allow(clippy::too_many_arguments)]
     pub fn new(
         now: Timestamp, seed: u64, machine: &Machine, handlers: &[Handler], tenants: &[Tenant],
-        below: &Below, callers: &Callers, place: &Place, rules: &Rules,
+        below: &Upstream, callers: &Downstream, place: &FleetPosition, rules: &Rules,
     ) -> Decider {
         let part = if place.tier == 0 { 1.0 } else { TIER_PART };
-        let time =
-            handlers.iter().map(|h| h.target.as_secs_f64()).fold(f64::MAX, f64::min) * part * RUN_GUESS;
+        let time = handlers.iter().map(|h| h.latency_objective.as_secs_f64()).fold(f64::MAX, f64::min)
+            * part
+            * RUN_GUESS;
         let mut chance = oorandom::Rand64::new(u128::from(seed));
         // Servers that begin together earn their first call at unlike times, later the smaller their share.
         let credit = -chance.rand_float() * time;
@@ -505,7 +513,7 @@
             callers: callers.clone(),
             rules: rules.clone(),
             part,
-            by_work: place.value_by_work,
+            by_work: place.weight_by_work,
             book: Book::of(handlers.len()),
             keys: KeyBook::default(),
             due: BTreeSet::new(),
@@ -527,7 +535,7 @@
         }
     }
 
-    pub fn knows(&self, id: u64) -> bool {
+    pub fn contains(&self, id: u64) -> bool {
         self.book.find(id, |_| true).is_some()
     }
 
@@ -538,7 +546,7 @@
 
     /// How much groups of handlers may have in hand from now on. They bind starts and calls, and tell how
     /// long a held req waits for its group; none bind nothing.
-    pub fn heed(&mut self, ceilings: &[Ceiling]) {
+    pub fn set_ceilings(&mut self, ceilings: &[Ceiling]) {
         self.ceilings.clear();
         self.ceilings.extend_from_slice(ceilings);
         self.calls.heeding = !ceilings.is_empty();
@@ -546,13 +554,13 @@
 
     /// Another share of what lies below: so many calls may be in hand from now on. All of it may be used:
     /// whoever shares it out keeps to the limit below.
-    pub fn share(&mut self, now: Timestamp, calls: f64) {
+    pub fn set_upstream_quota(&mut self, now: Timestamp, calls: f64) {
         self.calls.count(now, &self.below);
-        self.below.share = calls / CALLS_MOST;
+        self.below.quota = calls / CALLS_MOST;
     }
 
     /// The reqs a second that this server may take of a tenant's allowance over the fleet.
-    pub fn allow(&mut self, tenant: usize, per_second: f64) {
+    pub fn set_tenant_rate(&mut self, tenant: usize, per_second: f64) {
         if let Some(t) = self.tenants.each.get_mut(tenant) {
             t.0 = per_second;
         }
@@ -569,44 +577,45 @@
     /// The longest wait that the ceilings over a handler make after so many of each group, and whose it is.
     fn turn(&self, handler: usize, queued: &[f64]) -> (f64, Option<usize>) {
         let over = self.ceilings.iter().enumerate().filter(|(_, c)| c.handlers.contains(&handler));
-        let waits = over.map(|(i, c)| (queued[i] * c.turn.as_secs_f64(), Some(i)));
+        let waits = over.map(|(i, c)| (queued[i] * c.start_interval.as_secs_f64(), Some(i)));
         waits.fold((0.0, None), |most, w| if w.0 > most.0 { w } else { most })
     }
 
     /// First words of a new life: checks are answered from store, since each real one costs work.
-    pub fn begin(&mut self, out: &mut dyn Results) {
-        out.health(true);
-        out.wake(TICK);
+    pub fn on_start(&mut self, out: &mut dyn Actions) {
+        out.set_health(true);
+        out.set_timer(TICK);
         self.reported.0 = self.ramp(self.began);
         if self.callers.load_report == LoadReport::Allowance && self.reported.0 < REPORT_OPEN {
-            out.load_report(self.reported.0);
+            out.set_load_report(self.reported.0);
         }
     }
 
     /// A req has been read.
-    pub fn arrive(&mut self, now: Timestamp, a: &Arrival, out: &mut dyn Results) {
-        self.comes_again(true, a.retry);
-        self.links.came(now, a.from, self.again, self.callers.idle_max, out);
+    pub fn on_arrival(&mut self, now: Timestamp, a: &Arrival, out: &mut dyn Actions) {
+        self.comes_again(true, a.is_retry);
+        self.links.came(now, a.client, self.again, self.callers.max_idle, out);
         let h = &self.handlers[a.handler];
-        let reached = now.saturating_sub(a.unread_for);
-        let stretch = a.hint.map_or(Duration::ZERO, |w| w.mul_f64(h.target_stretch));
-        let target = reached + (h.target.mul_f64(self.part) + stretch).min(h.timeout);
-        let due = if self.rules.says_wait { now + a.wait } else { (reached + h.timeout).max(now) };
+        let reached = now.saturating_sub(a.read_delay);
+        let stretch = a.work_hint.map_or(Duration::ZERO, |w| w.mul_f64(h.objective_stretch));
+        let target = reached + (h.latency_objective.mul_f64(self.part) + stretch).min(h.timeout);
+        let due =
+            if self.rules.requests_carry_timeout { now + a.timeout } else { (reached + h.timeout).max(now) };
         let due = self.leaving.map_or(due, |(_, stop)| due.min(stop));
         let target = target.min(due.saturating_sub(MARGIN));
-        let r = self.book.add(Req::read(a, reached, target, due, h.value));
+        let r = self.book.add(Req::read(a, reached, target, due, h.weight));
         self.due.insert((due.saturating_sub(MARGIN), Due::Answer(r)));
         self.pass(now, r, 0, out);
     }
 
-    fn pass(&mut self, now: Timestamp, r: No, from: usize, out: &mut dyn Results) {
+    fn pass(&mut self, now: Timestamp, r: No, from: usize, out: &mut dyn Actions) {
         let _ = CHAIN[from..].iter().try_for_each(|stage| stage(self, now, r, out));
     }
 
     // Stage 1: a keyed req runs once; its further tries wait for that run and share its answer.
-    fn repeats(&mut self, now: Timestamp, r: No, out: &mut dyn Results) -> ControlFlow<()> {
+    fn repeats(&mut self, now: Timestamp, r: No, out: &mut dyn Actions) -> ControlFlow<()> {
         let req = &self.book.reqs[r];
-        if self.handlers[req.handler].repeats != Repeats::Keyed {
+        if self.handlers[req.handler].retry_safety != RetrySafety::Keyed {
             return Continue(());
         }
         // Tries read in one batch may name each other before the other is known: the name alone binds them.
@@ -625,7 +634,7 @@
         }
         k.leader = Some(r);
         // No run whose key can't be kept: a repeat could not be told from a new req.
-        if self.memory() + self.machine.key_kb > self.machine.memory_kb * MEMORY_HOLD {
+        if self.memory() + self.machine.key_memory_kb > self.machine.memory_kb * MEMORY_HOLD {
             self.shed(now, r, out);
             return Break(());
         }
@@ -634,27 +643,27 @@
     }
 
     /// Enters a try in the server's table until its window, counted from its arrival, is over.
-    fn keep(&mut self, now: Timestamp, key: KeyNo, r: No, out: &mut dyn Results) {
+    fn keep(&mut self, now: Timestamp, key: KeyNo, r: No, out: &mut dyn Actions) {
         let req = &self.book.reqs[r];
-        let until = req.reached + self.handlers[req.handler].window + KEY_SLACK;
+        let until = req.reached + self.handlers[req.handler].idempotency_window + KEY_SLACK;
         self.keys.entries += usize::from(self.keys.keys[key].entry.replace(until).is_none());
         self.due.insert((until, Due::Lapse(key)));
-        out.keep_key(req.id, until - now);
+        out.store_key(req.id, until - now);
     }
 
-    fn join(&mut self, r: No, out: &mut dyn Results) {
+    fn join(&mut self, r: No, out: &mut dyn Actions) {
         let req = &mut self.book.reqs[r];
         req.stage = Stage::Joined;
         if req.repeats == 0 {
             // The wire joins a try to the one it names; one that names none can only be told that it errored.
             self.give_error(r, out);
         } else {
-            out.join(req.id);
+            out.join_attempt(req.id);
         }
     }
 
     // Stage 2: nothing that reached the machine after the drain's grace is run.
-    fn draining(&mut self, now: Timestamp, r: No, out: &mut dyn Results) -> ControlFlow<()> {
+    fn draining(&mut self, now: Timestamp, r: No, out: &mut dyn Actions) -> ControlFlow<()> {
         let late = |since| self.book.reqs[r].reached > since + self.rules.drain_grace.saturating_sub(MARGIN);
         if self.leaving.is_some_and(|(since, _)| late(since)) {
             self.shed(now, r, out);
@@ -664,19 +673,19 @@
     }
 
     // Stage 3: the value of a req: its value, less what its tenant sends past its share, for its work.
-    fn tenant_share(&mut self, now: Timestamp, r: No, _out: &mut dyn Results) -> ControlFlow<()> {
+    fn tenant_share(&mut self, now: Timestamp, r: No, _out: &mut dyn Actions) -> ControlFlow<()> {
         let req = &mut self.book.reqs[r];
         let within = self.tenants.value(now, req.tenant);
         let work = if self.by_work { 1.0 } else { self.budget.run[req.handler] / self.budget.mean_run };
-        req.value = self.handlers[req.handler].value * within / work.max(1e-3);
+        req.value = self.handlers[req.handler].weight * within / work.max(1e-3);
         Continue(())
     }
 
     // Stage 4: the admitted share; the rest is shed early, the least valuable first. One that errors its runs
     // draws traffic: it sheds as large a share as errors, and tries only with reqs that may run again.
-    fn admission(&mut self, now: Timestamp, r: No, out: &mut dyn Results) -> ControlFlow<()> {
+    fn admission(&mut self, now: Timestamp, r: No, out: &mut dyn Actions) -> ControlFlow<()> {
         let (value, chance) = (self.book.reqs[r].value, self.chance.rand_float());
-        let again = self.handlers[self.book.reqs[r].handler].repeats == Repeats::Replayable;
+        let again = self.handlers[self.book.reqs[r].handler].retry_safety == RetrySafety::Idempotent;
         let probe = again && (self.chance.rand_float() > self.erring || self.book.running == 0);
         let erring = self.erring > ERRING && !probe;
         if erring || !self.share.admits(value, chance) {
@@ -687,7 +696,7 @@
     }
 
     // Stage 5: the queue.
-    fn queue_stage(&mut self, _now: Timestamp, r: No, _out: &mut dyn Results) -> ControlFlow<()> {
+    fn queue_stage(&mut self, _now: Timestamp, r: No, _out: &mut dyn Actions) -> ControlFlow<()> {
         let run = self.expected(r);
         self.queue.put(
             run.as_secs_f64() > self.budget.mean_run,
@@ -703,13 +712,13 @@
     }
 
     fn memory(&self) -> f64 {
-        let keys = self.keys.entries as f64 * self.machine.key_kb;
-        self.book.held_kb + self.book.run_kb * self.machine.running_factor + keys
+        let keys = self.keys.entries as f64 * self.machine.key_memory_kb;
+        self.book.held_kb + self.book.run_kb * self.machine.running_memory_factor + keys
     }
 
     /// Counts signs of a crowded fleet: marked repeats where repeats are marked, own sheds elsewhere.
     fn comes_again(&mut self, marked: bool, yes: bool) {
-        let step = if marked == self.callers.mark_retries { AGAIN_ALPHA } else { 0.0 };
+        let step = if marked == self.callers.marks_retries { AGAIN_ALPHA } else { 0.0 };
         self.again += step * (f64::from(u8::from(yes)) - self.again);
     }
 
@@ -717,16 +726,16 @@
     /// that others shed too; where repeats bear no mark the share shed here, unless this server is slow by
     /// itself (warming, or runs far over their best). One that errors its runs or leaves sends its reqs on.
     fn all_crowded(&mut self, now: Timestamp, r: No) -> bool {
-        let warming = self.machine.cold && now - self.began < self.machine.cold_for;
+        let warming = self.machine.starts_cold && now - self.began < self.machine.warm_up;
         let crowd = (self.concurrency.run_queue / self.budget.cores).max(1.0);
         let alone = warming || self.slow * self.budget.mean_run > SLOW_HERE * crowd * self.budget.best_run;
         let likely = self.chance.rand_float() < LAST_GAIN * (self.again - LAST_FROM);
         let sends_on = self.erring > ERRING || self.leaving.is_some();
-        !sends_on && (now > self.book.reqs[r].target || (likely && (self.callers.mark_retries || !alone)))
+        !sends_on && (now > self.book.reqs[r].target || (likely && (self.callers.marks_retries || !alone)))
     }
 
     /// Final answer: not run, may be taken elsewhere. Only for reqs that never started.
-    fn shed(&mut self, now: Timestamp, r: No, out: &mut dyn Results) {
+    fn shed(&mut self, now: Timestamp, r: No, out: &mut dyn Actions) {
         let held = self.queue.lines.iter().flatten().map(|e| self.expected(e.1).as_secs_f64());
         let wait = (held.sum::<f64>() + self.started()) / self.concurrency.limit;
         let before = |c: &Ceiling| {
@@ -737,14 +746,14 @@
         let wait = wait.max(self.turn(self.book.reqs[r].handler, &queued).0);
         let away = Duration::from_secs_f64(STAY_AWAY * wait * (0.5 + self.chance.rand_float()));
         let last = self.all_crowded(now, r);
-        out.shed(self.book.reqs[r].id, away.min(self.callers.come_back_max), last);
+        out.reject(self.book.reqs[r].id, away.min(self.callers.max_retry_after), last);
         self.comes_again(false, true);
         self.drop_held(now, r, true, out);
     }
 
     /// Final answer: errored. Work on the cores is stopped where it can be; a run at a call ends itself.
-    fn give_error(&mut self, r: No, out: &mut dyn Results) {
-        out.errored(self.book.reqs[r].id);
+    fn give_error(&mut self, r: No, out: &mut dyn Actions) {
+        out.fail(self.book.reqs[r].id);
         if self.book.reqs[r].stage.started() {
             self.abandon(r, out);
         } else {
@@ -752,11 +761,11 @@
         }
     }
 
-    fn abandon(&mut self, r: No, out: &mut dyn Results) {
+    fn abandon(&mut self, r: No, out: &mut dyn Actions) {
         let req = &mut self.book.reqs[r];
         req.answered = true;
-        if req.stage == Stage::Running && self.machine.stopping != Stopping::Never {
-            out.stop(req.id); // Lost while the cores are frozen.
+        if req.stage == Stage::Running && self.machine.cancellation != Cancellation::Unsupported {
+            out.cancel(req.id); // Lost while the cores are frozen.
             self.due.insert((self.ticked + STALLED, Due::Stop(r)));
         } else if req.stage != Stage::Running {
             // A run at a call ends itself; an engine that does not end it must not keep its places for good.
@@ -765,7 +774,7 @@
     }
 
     /// Takes a req that never started off the books; what waited for its run moves up, or is shed with it.
-    fn drop_held(&mut self, now: Timestamp, r: No, shed: bool, out: &mut dyn Results) {
+    fn drop_held(&mut self, now: Timestamp, r: No, shed: bool, out: &mut dyn Actions) {
         self.queue.remove(r);
         let (id, key) = (self.book.reqs[r].id, self.book.reqs[r].key);
         self.book.remove(r);
@@ -778,7 +787,7 @@
         let mut followers = std::mem::take(&mut k.followers);
         if shed || followers.is_empty() {
             if k.entry.is_some() {
-                out.drop_key(id);
+                out.remove_key(id);
             }
             self.keys.remove(key);
             for f in followers {
@@ -795,16 +804,16 @@
     }
 
     // Stage 6: start, under the worker limit, the crowd and the memory, with its EqResv allowance.
-    fn start(&mut self, now: Timestamp, out: &mut dyn Results) {
+    fn start(&mut self, now: Timestamp, out: &mut dyn Actions) {
         // A run that can't skip its call would only join those that wait for room; ceilings allow for them.
-        let bound = |h: &Handler| h.calls && h.partial_value == 0.0;
+        let bound = |h: &Handler| h.makes_calls && h.partial_weight == 0.0;
         let may = |d: &Self, r: No| {
             let h = d.book.reqs[r].handler;
             let room = d.calls.waiting.is_empty() || !d.ceilings.is_empty();
             (room || !bound(&d.handlers[h])) && d.fits(h, false)
         };
         while let Some(r) = self.queue.first(|r| may(self, r)) {
-            let grown = self.memory() + self.book.reqs[r].kb * (self.machine.running_factor - 1.0);
+            let grown = self.memory() + self.book.reqs[r].kb * (self.machine.running_memory_factor - 1.0);
             let limit = self.concurrency.limit.min(ceiling(now, self.began, &self.machine)).max(1.0);
             if (self.book.running + 1) as f64 > limit || grown > self.machine.memory_kb * MEMORY_START {
                 return;
@@ -827,7 +836,7 @@
     }
 
     /// A run stands at a call below.
-    pub fn at_call(&mut self, now: Timestamp, id: u64, out: &mut dyn Results) {
+    pub fn on_call_needed(&mut self, now: Timestamp, id: u64, out: &mut dyn Actions) {
         let Some(r) = self.book.find(id, |q| q.stage == Stage::Running && !q.answered) else { return };
         self.book.reqs[r].stage = Stage::AtCall;
         self.call_stage(now, r, out);
@@ -835,16 +844,16 @@
 
     // Stage 7: calls below. An optional one is skipped once the allowance is spent while a handler exceeds
     // its target, and where it would make the answer late or this server's part is taken: others go first.
-    fn call_stage(&mut self, now: Timestamp, r: No, out: &mut dyn Results) {
+    fn call_stage(&mut self, now: Timestamp, r: No, out: &mut dyn Actions) {
         let rank = self.share.rank(self.book.reqs[r].value, 1.0);
         let fits = self.fits(self.book.reqs[r].handler, true);
         // What must call goes first where places are few.
         let after = !self.ceilings.is_empty() && !self.calls.waiting.is_empty();
         let req = &mut self.book.reqs[r];
-        let optional = self.handlers[req.handler].partial_value > 0.0;
+        let optional = self.handlers[req.handler].partial_weight > 0.0;
         let spent = now - req.started > req.allowance && self.budget.worst() > 1.0;
         let late = now + Duration::from_secs_f64(self.calls.time) > req.target;
-        let late_is_nothing = self.handlers[req.handler].late_value == 0.0;
+        let late_is_nothing = self.handlers[req.handler].late_weight == 0.0;
         if late && !optional && late_is_nothing && self.calls.out > 0 {
             // Nothing is gained by the time its call is back: another run has better use for the call.
             self.give_error(r, out);
@@ -855,8 +864,8 @@
         } else {
             // A call far past the usual time is stuck and holds a run; none may hold over a span's share.
             let usual = Duration::from_secs_f64(CALL_STUCK * self.calls.time) + CALL_WAIT;
-            let bears = self.below.span.mul_f64(self.below.share * CALLS_MOST);
-            let stuck = now + if self.below.kind == BelowKind::Shared { usual.min(bears) } else { usual };
+            let bears = self.below.averaging_window.mul_f64(self.below.quota * CALLS_MOST);
+            let stuck = now + if self.below.kind == UpstreamKind::Shared { usual.min(bears) } else { usual };
             let until = if optional || late_is_nothing { req.target } else { req.due.saturating_sub(MARGIN) };
             out.call(req.id, (until.min(stuck) - now).max(Duration::from_millis(1)));
             self.calls.out += 1;
@@ -865,13 +874,13 @@
     }
 
     /// A call came back.
-    pub fn call_back(
-        &mut self, now: Timestamp, id: u64, outcome: Outcome, spent: Duration, out: &mut dyn Results,
+    pub fn on_call_finished(
+        &mut self, now: Timestamp, id: u64, outcome: Outcome, spent: Duration, out: &mut dyn Actions,
     ) {
         let Some(r) = self.book.find(id, |q| q.stage == Stage::Calling) else { return };
         self.calls.over(now, outcome, spent, &self.below);
-        self.book.calling(r, if outcome == Outcome::Done { Stage::Running } else { Stage::AtCall });
-        if outcome == Outcome::Done {
+        self.book.calling(r, if outcome == Outcome::Completed { Stage::Running } else { Stage::AtCall });
+        if outcome == Outcome::Completed {
             return;
         }
         let req = &mut self.book.reqs[r];
@@ -880,12 +889,12 @@
             return;
         }
         let h = &self.handlers[req.handler];
-        let unproven = !matches!(outcome, Outcome::Shed | Outcome::Unreached);
+        let unproven = !matches!(outcome, Outcome::Rejected | Outcome::Unreachable);
         let wait = CALL_WAIT.mul_f64(f64::from(1u32 << req.tries.min(6)));
         let late = now + wait + Duration::from_secs_f64(self.calls.time) > req.target;
-        if h.partial_value > 0.0 && (late || req.tries > 1 || self.calls.refused > CALLS_SHED) {
+        if h.partial_weight > 0.0 && (late || req.tries > 1 || self.calls.refused > CALLS_SHED) {
             req.skip(out);
-        } else if (unproven && h.repeats != Repeats::Replayable) || late {
+        } else if (unproven && h.retry_safety != RetrySafety::Idempotent) || late {
             self.give_error(r, out);
         } else {
             self.due.insert((now + wait, Due::Call(r)));
@@ -893,19 +902,19 @@
     }
 
     /// A run ended: the outcome goes back through the chain, calls first and keys last.
-    pub fn ended(&mut self, now: Timestamp, id: u64, outcome: Outcome, spent: Duration) {
+    pub fn on_run_ended(&mut self, now: Timestamp, id: u64, outcome: Outcome, spent: Duration) {
         let Some(r) = self.book.find(id, |q| q.stage != Stage::Held && q.stage != Stage::Following) else {
             return;
         };
         let req = self.book.reqs[r].clone();
         if req.stage == Stage::Calling {
-            self.calls.over(now, Outcome::Stopped, now - req.started, &self.below);
+            self.calls.over(now, Outcome::Cancelled, now - req.started, &self.below);
         }
         self.calls.waiting.retain(|w| *w != r);
-        if req.stage.started() && !req.answered && matches!(outcome, Outcome::Done | Outcome::Errored) {
-            self.erring += ERR_ALPHA * (f64::from(u8::from(outcome != Outcome::Done)) - self.erring);
+        if req.stage.started() && !req.answered && matches!(outcome, Outcome::Completed | Outcome::Failed) {
+            self.erring += ERR_ALPHA * (f64::from(u8::from(outcome != Outcome::Completed)) - self.erring);
             self.completed = now;
-            if outcome == Outcome::Done {
+            if outcome == Outcome::Completed {
                 if !req.trimmed {
                     self.budget.measured(req.handler, req.hint, spent);
                 }
@@ -916,12 +925,12 @@
         self.book.remove(r);
         if let Some(key) = req.key {
             let h = &self.handlers[req.handler];
-            self.due.insert((now + h.window + h.timeout, Due::Forget(key)));
+            self.due.insert((now + h.idempotency_window + h.timeout, Due::Forget(key)));
         }
     }
 
     /// Nobody waits any more: held work is dropped, running work stopped.
-    pub fn gone(&mut self, now: Timestamp, id: u64, out: &mut dyn Results) {
+    pub fn on_client_gone(&mut self, now: Timestamp, id: u64, out: &mut dyn Actions) {
         let Some(r) = self.book.find(id, |_| true) else { return };
         if self.book.reqs[r].stage.started() {
             self.abandon(r, out);
@@ -931,7 +940,7 @@
     }
 
     /// Notice to leave: the process is stopped in `left`.
-    pub fn wind_down(&mut self, now: Timestamp, left: Duration) {
+    pub fn drain(&mut self, now: Timestamp, left: Duration) {
         let stop = (now + left).saturating_sub(MARGIN);
         self.leaving = Some((now, stop));
         for (r, req) in &mut self.book.reqs {
@@ -942,14 +951,14 @@
     }
 
     /// The periodic timer.
-    pub fn tick(&mut self, now: Timestamp, gauges: &Gauges, out: &mut dyn Results) {
+    pub fn on_tick(&mut self, now: Timestamp, gauges: &Gauges, out: &mut dyn Actions) {
         let gap = now - self.ticked;
         self.ticked = now;
         let ceiling = ceiling(now, self.began, &self.machine);
         // Ceilings follow the limit and bind before it: where they hold a req up the limit may be the cause.
         let running = self.book.running as f64;
         let full = running + 1.0 > self.concurrency.limit || !self.ceilings.is_empty();
-        let (full, on_cores) = (full && self.queue.len() > 0, gauges.on_cores.unwrap_or(running));
+        let (full, on_cores) = (full && self.queue.len() > 0, gauges.run_queue.unwrap_or(running));
         self.concurrency.step(self.budget.cores, on_cores, full, ceiling);
         self.calls.count(now, &self.below);
         self.erring *= ERR_KEEPS;
@@ -964,10 +973,10 @@
         // A hung server tells callers that look at its health; where all hang nothing is lost by it.
         let good = self.leaving.is_none() && self.slow < HUNG;
         if std::mem::replace(&mut self.good, good) != good {
-            out.health(good);
+            out.set_health(good);
         }
         self.say_load(now, out);
-        out.wake(TICK);
+        out.set_timer(TICK);
     }
 
     /// The loop lives on completions. Where none come though work runs, the age of the oldest stands for one;
@@ -997,11 +1006,11 @@
     }
 
     /// The load report: open while all is well, else some of its limit for each caller.
-    fn say_load(&mut self, now: Timestamp, out: &mut dyn Results) {
+    fn say_load(&mut self, now: Timestamp, out: &mut dyn Actions) {
         if self.callers.load_report == LoadReport::Unused || now - self.reported.1 < REPORT_EVERY {
             return;
         }
-        let callers = f64::from(self.callers.count.max(1));
+        let callers = f64::from(self.callers.clients.max(1));
         let value = match self.callers.load_report {
             LoadReport::Allowance if self.share.admitted >= 1.0 && self.queue.len() == 0 => self.ramp(now),
             LoadReport::Allowance => self.ramp(now).min(REPORT_SKEW * self.concurrency.limit / callers),
@@ -1009,14 +1018,14 @@
             _ => self.share.admitted * (1.0 - self.erring),
         };
         if std::mem::replace(&mut self.reported, (value, now)).0 != value {
-            out.load_report(value);
+            out.set_load_report(value);
         }
     }
 
     /// What each caller may be told while this server warms: over all that there may be, what it survives.
     fn ramp(&self, now: Timestamp) -> f64 {
-        let warming = self.machine.cold && now - self.began < self.machine.cold_for;
-        let callers = self.links.last.len().max(self.callers.count as usize).max(1) as f64;
+        let warming = self.machine.starts_cold && now - self.began < self.machine.warm_up;
+        let callers = self.links.last.len().max(self.callers.clients as usize).max(1) as f64;
         if warming { ceiling(now, self.began, &self.machine) / callers } else { REPORT_OPEN }
     }
 
@@ -1026,7 +1035,7 @@
     }
 
     /// The batch is over: due times, memory, hopeless reqs, calls that wait, the last come first, starts.
-    pub fn settle(&mut self, now: Timestamp, out: &mut dyn Results) {
+    pub fn settle(&mut self, now: Timestamp, out: &mut dyn Actions) {
         while let Some(&(at, what)) = self.due.first().filter(|d| d.0 <= now) {
             self.due.remove(&(at, what));
             self.fall_due(now, what, out);
@@ -1040,7 +1049,7 @@
         self.start(now, out);
     }
 
-    fn fall_due(&mut self, now: Timestamp, what: Due, out: &mut dyn Results) {
+    fn fall_due(&mut self, now: Timestamp, what: Due, out: &mut dyn Actions) {
         match what {
             Due::Lapse(key) => self.keys.lapse(now, key),
             Due::Forget(key) => self.keys.remove(key),
@@ -1053,7 +1062,7 @@
                     (Due::Stop(_), Stage::Running, true) => self.abandon(r, out),
                     (Due::Stop(_), Stage::AtCall | Stage::Calling, true) => {
                         if req.stage == Stage::Calling {
-                            self.calls.over(now, Outcome::Stopped, now - req.started, &self.below);
+                            self.calls.over(now, Outcome::Cancelled, now - req.started, &self.below);
                         }
                         self.book.hang(r);
                     }
@@ -1064,7 +1073,7 @@
     }
 
     /// Memory guard: held reqs are shed, the least valuable first, before the machine needs more than it has.
-    fn make_room(&mut self, now: Timestamp, out: &mut dyn Results) {
+    fn make_room(&mut self, now: Timestamp, out: &mut dyn Actions) {
         while self.memory() > self.machine.memory_kb * MEMORY_HOLD {
             let value = |r: &No| self.book.reqs[*r].value;
             let least = self.queue.in_order().into_iter().min_by(|a, b| value(a).total_cmp(&value(b)));
@@ -1075,7 +1084,7 @@
 
     /// A queued req that can't make its target is given up on at once; in its place the least valuable of
     /// those before it goes (after Moore and Hodgson). The first stays while nothing runs and it is in time.
-    fn give_up(&mut self, now: Timestamp, out: &mut dyn Results) {
+    fn give_up(&mut self, now: Timestamp, out: &mut dyn Actions) {
         let mut ahead = self.started();
         let mut taken: Vec<(No, f64)> = vec![];
         let mut lost: Vec<No> = vec![];
--- a/src/face.rs
+++ b/src/interface.rs
@@ -4,38 +4,38 @@
 
 /// What may be done with a req that comes a second time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Repeats {
-    Replayable,
+pub enum RetrySafety {
+    Idempotent,
     Keyed,
-    NonReplayable,
+    NonIdempotent,
 }
 
 /// One kind of req, as the settings describe it.
 #[derive(Clone, Debug)]
 pub struct Handler {
-    pub target: Duration,
+    pub latency_objective: Duration,
     /// The response target grows by this multiple of the req's own work.
-    pub target_stretch: f64,
+    pub objective_stretch: f64,
     pub timeout: Duration,
-    pub value: f64,
-    pub late_value: f64,
-    pub repeats: Repeats,
-    pub window: Duration,
-    pub calls: bool,
+    pub weight: f64,
+    pub late_weight: f64,
+    pub retry_safety: RetrySafety,
+    pub idempotency_window: Duration,
+    pub makes_calls: bool,
     /// The part of the value left when a call is skipped; 0 where none may be.
-    pub partial_value: f64,
+    pub partial_weight: f64,
 }
 
 #[derive(Clone, Debug)]
 pub struct Tenant {
     /// Reqs a second within its share, over the whole fleet.
-    pub per_second: f64,
+    pub requests_per_second: f64,
 }
 
 /// What a stop does to a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Stopping {
-    Never,
+pub enum Cancellation {
+    Unsupported,
     Discards,
     Pauses,
 }
@@ -45,30 +45,30 @@
 pub struct Machine {
     pub cores: u32,
     pub memory_kb: f64,
-    pub running_factor: f64,
-    pub key_kb: f64,
-    pub stopping: Stopping,
-    pub survives_per_core: f64,
-    pub cold: bool,
-    pub cold_from: f64,
-    pub cold_for: Duration,
+    pub running_memory_factor: f64,
+    pub key_memory_kb: f64,
+    pub cancellation: Cancellation,
+    pub max_concurrency_per_core: f64,
+    pub starts_cold: bool,
+    pub cold_speed: f64,
+    pub warm_up: Duration,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum BelowKind {
-    Nothing,
+pub enum UpstreamKind {
+    None,
     Shared,
     Tier,
 }
 
 /// What lies below this server.
 #[derive(Clone, Debug)]
-pub struct Below {
-    pub kind: BelowKind,
-    pub share: f64,
-    pub linger: Duration,
+pub struct Upstream {
+    pub kind: UpstreamKind,
+    pub quota: f64,
+    pub abandoned_call_lifetime: Duration,
     /// The span over which the calls in hand are averaged.
-    pub span: Duration,
+    pub averaging_window: Duration,
 }
 
 /// What the load report on answers means to the callers.
@@ -82,24 +82,24 @@
 
 /// What callers can be told.
 #[derive(Clone, Debug)]
-pub struct Callers {
-    pub count: u32,
+pub struct Downstream {
+    pub clients: u32,
     pub load_report: LoadReport,
     /// The longest advice to stay away that is heeded; nothing where none may be given.
-    pub come_back_max: Duration,
-    pub mark_retries: bool,
+    pub max_retry_after: Duration,
+    pub marks_retries: bool,
     /// After that long callers close idle connections by themselves.
-    pub idle_max: Duration,
+    pub max_idle: Duration,
 }
 
 /// This server's place in the fleet.
 #[derive(Clone, Debug)]
-pub struct Place {
+pub struct FleetPosition {
     pub servers: u32,
     /// 0 is the tier that clients reach.
     pub tier: u32,
-    pub value_by_work: bool,
-    pub over_share_value: f64,
+    pub weight_by_work: bool,
+    pub over_quota_weight: f64,
 }
 
 /// The figures of the rules that bind answers and drains.
@@ -107,7 +107,7 @@
 pub struct Rules {
     pub drain_grace: Duration,
     /// Whether reqs bring the time that their callers will wait.
-    pub says_wait: bool,
+    pub requests_carry_timeout: bool,
 }
 
 /// A req as it was read.
@@ -115,17 +115,17 @@
 pub struct Arrival {
     pub id: u64,
     /// The caller's number.
-    pub from: u16,
+    pub client: u16,
     pub handler: usize,
     pub tenant: usize,
     pub subject: u64,
-    pub wait: Duration,
-    pub hint: Option<Duration>,
-    pub held_kb: f64,
+    pub timeout: Duration,
+    pub work_hint: Option<Duration>,
+    pub memory_kb: f64,
     pub rank: f64,
-    pub retry: bool,
-    pub unread_for: Duration,
-    pub repeats: u64,
+    pub is_retry: bool,
+    pub read_delay: Duration,
+    pub retry_of: u64,
 }
 
 /// How much a group of handlers may have in hand now. A handler may be in several groups; each binds it.
@@ -135,42 +135,42 @@
     pub runs: usize,
     pub calls: usize,
     /// The time between two starts of the group, while its ceilings are what holds its reqs up.
-    pub turn: Duration,
+    pub start_interval: Duration,
 }
 
 /// How a run or a call came out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
-    Done,
-    Errored,
-    Shed,
+    Completed,
+    Failed,
+    Rejected,
     TimedOut,
-    Unreached,
-    CutOff,
-    Stopped,
-    Moot,
+    Unreachable,
+    Disconnected,
+    Cancelled,
+    AlreadyEnded,
 }
 
 /// The server's own gauges, as far as they were sent.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Gauges {
-    pub on_cores: Option<f64>,
+    pub run_queue: Option<f64>,
 }
 
 /// Where the module's results go; each call takes effect in the order made.
-pub trait Results {
+pub trait Actions {
     fn start(&mut self, id: u64);
-    fn stop(&mut self, id: u64);
-    fn shed(&mut self, id: u64, come_back: Duration, last: bool);
-    fn errored(&mut self, id: u64);
+    fn cancel(&mut self, id: u64);
+    fn reject(&mut self, id: u64, come_back: Duration, last: bool);
+    fn fail(&mut self, id: u64);
     fn call(&mut self, id: u64, patience: Duration);
-    fn skip(&mut self, id: u64);
-    fn keep_key(&mut self, id: u64, term: Duration);
-    fn drop_key(&mut self, id: u64);
-    fn join(&mut self, id: u64);
-    fn health(&mut self, good: bool);
-    fn load_report(&mut self, value: f64);
+    fn skip_call(&mut self, id: u64);
+    fn store_key(&mut self, id: u64, term: Duration);
+    fn remove_key(&mut self, id: u64);
+    fn join_attempt(&mut self, id: u64);
+    fn set_health(&mut self, good: bool);
+    fn set_load_report(&mut self, value: f64);
     /// Connections that have carried nothing for that long are closed.
-    fn idle_limit(&mut self, limit: Duration);
-    fn wake(&mut self, after: Duration);
+    fn set_idle_limit(&mut self, limit: Duration);
+    fn set_timer(&mut self, after: Duration);
 }
--- a/src/req.rs
+++ b/src/request.rs
@@ -1,6 +1,6 @@
 //! A req and a keyed req's tries as the module keeps them, under small numbers. Nothing is decided here.
 
-use crate::face::{Arrival, Results};
+use crate::interface::{Actions, Arrival};
 use crate::time::{Duration, Timestamp};
 use slotmap::{SlotMap, new_key_type};
 use std::collections::HashMap;
@@ -76,18 +76,18 @@
             reached,
             target,
             due,
-            hint: a.hint.filter(|w| *w > Duration::ZERO),
-            kb: a.held_kb,
-            repeats: a.repeats,
+            hint: a.work_hint.filter(|w| *w > Duration::ZERO),
+            kb: a.memory_kb,
+            repeats: a.retry_of,
             value,
             ..Req::default()
         }
     }
 
     /// The run goes on without the call that it stands at.
-    pub fn skip(&mut self, out: &mut dyn Results) {
+    pub fn skip(&mut self, out: &mut dyn Actions) {
         (self.stage, self.trimmed) = (Stage::Running, true);
-        out.skip(self.id);
+        out.skip_call(self.id);
     }
 }
 
--- a/tests/ramp.rs
+++ b/tests/ramp.rs
@@ -1,7 +1,7 @@
 //! A cold server and all its callers: what it tells them adds up to what it survives, whoever has been heard.
 
 use madderbay::decide::Decider;
-use madderbay::face::*;
+use madderbay::interface::*;
 use madderbay::time::{Duration, Timestamp};
 
 const START: Timestamp = Timestamp::from_micros(1_000_000_000);
@@ -15,82 +15,82 @@
     shed: Vec<(u64, Duration)>,
 }
 
-impl Results for Heard {
+impl Actions for Heard {
     fn start(&mut self, id: u64) {
         self.started.push(id);
     }
-    fn shed(&mut self, id: u64, come_back: Duration, _last: bool) {
+    fn reject(&mut self, id: u64, come_back: Duration, _last: bool) {
         self.shed.push((id, come_back));
     }
-    fn load_report(&mut self, value: f64) {
+    fn set_load_report(&mut self, value: f64) {
         self.value = Some(value);
     }
-    fn stop(&mut self, _id: u64) {}
-    fn errored(&mut self, _id: u64) {}
+    fn cancel(&mut self, _id: u64) {}
+    fn fail(&mut self, _id: u64) {}
     fn call(&mut self, _id: u64, _patience: Duration) {}
-    fn skip(&mut self, _id: u64) {}
-    fn keep_key(&mut self, _id: u64, _term: Duration) {}
-    fn drop_key(&mut self, _id: u64) {}
-    fn join(&mut self, _id: u64) {}
-    fn health(&mut self, _good: bool) {}
-    fn idle_limit(&mut self, _limit: Duration) {}
-    fn wake(&mut self, _after: Duration) {}
+    fn skip_call(&mut self, _id: u64) {}
+    fn store_key(&mut self, _id: u64, _term: Duration) {}
+    fn remove_key(&mut self, _id: u64) {}
+    fn join_attempt(&mut self, _id: u64) {}
+    fn set_health(&mut self, _good: bool) {}
+    fn set_idle_limit(&mut self, _limit: Duration) {}
+    fn set_timer(&mut self, _after: Duration) {}
 }
 
 fn machine(cold: bool) -> Machine {
     Machine {
         cores: 4,
         memory_kb: 1e6,
-        running_factor: 4.0,
-        key_kb: 1.0,
-        stopping: Stopping::Pauses,
-        survives_per_core: 5.0,
-        cold,
-        cold_from: 0.25,
-        cold_for: COLD,
+        running_memory_factor: 4.0,
+        key_memory_kb: 1.0,
+        cancellation: Cancellation::Pauses,
+        max_concurrency_per_core: 5.0,
+        starts_cold: cold,
+        cold_speed: 0.25,
+        warm_up: COLD,
     }
 }
 
 /// What a server that is warm to this part survives at once.
 fn survives(m: &Machine, warmed: f64) -> f64 {
-    let speed = (m.cold_from + (1.0 - m.cold_from) * warmed).min(1.0);
-    f64::from(m.cores) * (1.0 + (m.survives_per_core - 1.0) * speed)
+    let speed = (m.cold_speed + (1.0 - m.cold_speed) * warmed).min(1.0);
+    f64::from(m.cores) * (1.0 + (m.max_concurrency_per_core - 1.0) * speed)
 }
 
 fn server(cold: bool, known: u32) -> Decider {
     let handler = Handler {
-        target: Duration::from_millis(2_000),
-        target_stretch: 0.0,
+        latency_objective: Duration::from_millis(2_000),
+        objective_stretch: 0.0,
         timeout: Duration::from_millis(8_000),
-        value: 1.0,
-        late_value: 0.0,
-        repeats: Repeats::Replayable,
-        window: Duration::ZERO,
-        calls: false,
-        partial_value: 0.0,
+        weight: 1.0,
+        late_weight: 0.0,
+        retry_safety: RetrySafety::Idempotent,
+        idempotency_window: Duration::ZERO,
+        makes_calls: false,
+        partial_weight: 0.0,
     };
-    let below = Below {
-        kind: BelowKind::Nothing,
-        share: 0.0,
-        linger: Duration::ZERO,
-        span: Duration::ZERO,
+    let below = Upstream {
+        kind: UpstreamKind::None,
+        quota: 0.0,
+        abandoned_call_lifetime: Duration::ZERO,
+        averaging_window: Duration::ZERO,
     };
-    let callers = Callers {
-        count: known,
+    let callers = Downstream {
+        clients: known,
         load_report: LoadReport::Allowance,
-        come_back_max: Duration::from_millis(1_000),
-        mark_retries: false,
-        idle_max: Duration::from_millis(30_000),
+        max_retry_after: Duration::from_millis(1_000),
+        marks_retries: false,
+        max_idle: Duration::from_millis(30_000),
     };
-    let place = Place {
+    let place = FleetPosition {
         servers: 3,
         tier: 0,
-        value_by_work: false,
-        over_share_value: 0.05,
+        weight_by_work: false,
+        over_quota_weight: 0.05,
     };
     let rules = Rules {
         drain_grace: Duration::from_millis(2_000),
-        says_wait: true,
+        requests_carry_timeout: true,
     };
     Decider::new(
         START,
@@ -108,9 +108,9 @@
 fn req(id: u64, from: u16) -> Arrival {
     Arrival {
         id,
-        from,
-        wait: Duration::from_millis(8_000),
-        held_kb: 1.0,
+        client: from,
+        timeout: Duration::from_millis(8_000),
+        memory_kb: 1.0,
         ..Arrival::default()
     }
 }
@@ -130,7 +130,7 @@
         (150, 12),
     ] {
         let (mut d, mut out, m) = (server(true, known), Heard::default(), machine(true));
-        d.begin(&mut out);
+        d.on_start(&mut out);
         let all = f64::from(known.max(1));
         let first = out.value.expect("said before the first answer");
         assert!(
@@ -143,18 +143,18 @@
             // Each comes every 600 ms and is done after 50.
             for from in (0..come).filter(|f| (u64::from(*f) * 7 + tick).is_multiple_of(60)) {
                 id += 1;
-                d.arrive(now, &req(id, from), &mut out);
+                d.on_arrival(now, &req(id, from), &mut out);
             }
-            d.tick(
+            d.on_tick(
                 now,
                 &Gauges {
-                    on_cores: Some(1.0),
+                    run_queue: Some(1.0),
                 },
                 &mut out,
             );
             d.settle(now, &mut out);
             for id in std::mem::take(&mut out.started) {
-                d.ended(now, id, Outcome::Done, Duration::from_millis(50));
+                d.on_run_ended(now, id, Outcome::Completed, Duration::from_millis(50));
             }
             let warmed = (now - START).as_secs_f64() / COLD.as_secs_f64();
             let callers = all.max(if tick > 60 { f64::from(come) } else { 0.0 });
@@ -178,7 +178,7 @@
 #[test]
 fn a_warm_server_is_open_from_the_start() {
     let (mut d, mut out) = (server(false, 20), Heard::default());
-    d.begin(&mut out);
+    d.on_start(&mut out);
     assert_eq!(out.value, None);
 }
 
@@ -187,9 +187,9 @@
 #[test]
 fn a_cold_server_sheds_at_once_what_it_cannot_take() {
     let (mut d, mut out, m) = (server(true, 30), Heard::default(), machine(true));
-    d.begin(&mut out);
+    d.on_start(&mut out);
     for id in 1..=300 {
-        d.arrive(START, &req(id, id as u16 % 30), &mut out);
+        d.on_arrival(START, &req(id, id as u16 % 30), &mut out);
     }
     d.settle(START, &mut out);
     assert!(
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -13,20 +13,20 @@
 //! ```
 
 use madderbay::decide::Decider;
-use madderbay::face::*;
+use madderbay::interface::*;
 use madderbay::time::{Duration, Timestamp};
 
 #[derive(Default)]
 struct Heard(Vec<String>);
 
-impl Results for Heard {
+impl Actions for Heard {
     fn start(&mut self, id: u64) {
         self.0.push(format!("start {id} "));
     }
-    fn stop(&mut self, id: u64) {
+    fn cancel(&mut self, id: u64) {
         self.0.push(format!("stop {id} "));
     }
-    fn shed(&mut self, id: u64, come_back: Duration, last: bool) {
+    fn reject(&mut self, id: u64, come_back: Duration, last: bool) {
         let word = if last { "last" } else { "elsewhere" };
         self.0.push(format!(
             "shed {id} {word} {}",
@@ -37,36 +37,36 @@
             }
         ));
     }
-    fn errored(&mut self, id: u64) {
+    fn fail(&mut self, id: u64) {
         self.0.push(format!("errored {id} "));
     }
     fn call(&mut self, id: u64, patience: Duration) {
         self.0
             .push(format!("call {id} {}ms", patience.as_micros() / 1000));
     }
-    fn skip(&mut self, id: u64) {
+    fn skip_call(&mut self, id: u64) {
         self.0.push(format!("skip {id} "));
     }
-    fn keep_key(&mut self, id: u64, term: Duration) {
+    fn store_key(&mut self, id: u64, term: Duration) {
         self.0
             .push(format!("keep {id} {}ms", term.as_micros() / 1000));
     }
-    fn drop_key(&mut self, id: u64) {
+    fn remove_key(&mut self, id: u64) {
         self.0.push(format!("drop {id} "));
     }
-    fn join(&mut self, id: u64) {
+    fn join_attempt(&mut self, id: u64) {
         self.0.push(format!("join {id} "));
     }
-    fn health(&mut self, good: bool) {
+    fn set_health(&mut self, good: bool) {
         self.0.push(format!("health {good}"));
     }
-    fn load_report(&mut self, value: f64) {
+    fn set_load_report(&mut self, value: f64) {
         self.0.push(format!("report {value:.2}"));
     }
-    fn idle_limit(&mut self, limit: Duration) {
+    fn set_idle_limit(&mut self, limit: Duration) {
         self.0.push(format!("idle {}ms", limit.as_micros() / 1000));
     }
-    fn wake(&mut self, _after: Duration) {}
+    fn set_timer(&mut self, _after: Duration) {}
 }
 
 fn span(text: &str) -> Duration {
@@ -105,9 +105,9 @@
     machine: Machine,
     handlers: Vec<(String, Handler)>,
     tenants: Vec<Tenant>,
-    below: Below,
-    callers: Callers,
-    place: Place,
+    below: Upstream,
+    callers: Downstream,
+    place: FleetPosition,
     rules: Rules,
     decider: Option<Decider>,
     now: Timestamp,
@@ -134,7 +134,7 @@
             place: place(&none),
             rules: Rules {
                 drain_grace: Duration::ZERO,
-                says_wait: true,
+                requests_carry_timeout: true,
             },
             decider: None,
             now: START,
@@ -152,7 +152,7 @@
             "machine" => self.machine = machine(w),
             "handler" => self.handlers.push((w.0[0].to_string(), handler(w))),
             "tenant" => self.tenants.push(Tenant {
-                per_second: w.num("per_second", 1.0),
+                requests_per_second: w.num("per_second", 1.0),
             }),
             "below" => self.below = below(w),
             "callers" => self.callers = callers(w),
@@ -160,7 +160,7 @@
             "rules" => {
                 self.rules = Rules {
                     drain_grace: w.span("grace", "0s"),
-                    says_wait: !w.has("silent"),
+                    requests_carry_timeout: !w.has("silent"),
                 }
             }
             _ => panic!("{}: '{what}' sets nothing up", self.name),
@@ -172,7 +172,7 @@
             let handlers: Vec<Handler> = self.handlers.iter().map(|h| h.1.clone()).collect();
             let (m, t, b, c) = (&self.machine, &self.tenants, &self.below, &self.callers);
             let mut d = Decider::new(self.now, 7, m, &handlers, t, b, c, &self.place, &self.rules);
-            d.begin(&mut self.heard);
+            d.on_start(&mut self.heard);
             self.decider = Some(d);
         }
         act(
@@ -191,9 +191,9 @@
             self.ticked = self.ticked + Duration::from_millis(10);
             self.now = self.now.max(self.ticked);
             let gauges = Gauges {
-                on_cores: self.queue,
+                run_queue: self.queue,
             };
-            self.with(|d, now, out| d.tick(now, &gauges, out));
+            self.with(|d, now, out| d.on_tick(now, &gauges, out));
             self.with(|d, now, out| d.settle(now, out));
         }
         self.now = self.now.max(until);
@@ -203,25 +203,31 @@
         match what {
             "req" => {
                 let a = self.arrival(id, w);
-                self.with(|d, now, out| d.arrive(now, &a, out));
+                self.with(|d, now, out| d.on_arrival(now, &a, out));
             }
-            "done" => self.with(|d, now, _| d.ended(now, id, Outcome::Done, span(w.0[1]))),
-            "erred" => self.with(|d, now, _| d.ended(now, id, Outcome::Errored, span(w.0[1]))),
-            "stopped" => self.with(|d, now, _| d.ended(now, id, Outcome::Stopped, Duration::ZERO)),
-            "atcall" => self.with(|d, now, out| d.at_call(now, id, out)),
+            "done" => {
+                self.with(|d, now, _| d.on_run_ended(now, id, Outcome::Completed, span(w.0[1])))
+            }
+            "erred" => {
+                self.with(|d, now, _| d.on_run_ended(now, id, Outcome::Failed, span(w.0[1])))
+            }
+            "stopped" => {
+                self.with(|d, now, _| d.on_run_ended(now, id, Outcome::Cancelled, Duration::ZERO))
+            }
+            "atcall" => self.with(|d, now, out| d.on_call_needed(now, id, out)),
             "called" => {
                 let how = match w.0[1] {
-                    "done" => Outcome::Done,
-                    "errored" => Outcome::Errored,
-                    "shed" => Outcome::Shed,
+                    "done" => Outcome::Completed,
+                    "errored" => Outcome::Failed,
+                    "shed" => Outcome::Rejected,
                     "timeout" => Outcome::TimedOut,
-                    "unreached" => Outcome::Unreached,
+                    "unreached" => Outcome::Unreachable,
                     other => panic!("{}: outcome '{other}'", self.name),
                 };
-                self.with(|d, now, out| d.call_back(now, id, how, span(w.0[2]), out));
+                self.with(|d, now, out| d.on_call_finished(now, id, how, span(w.0[2]), out));
             }
-            "gone" => self.with(|d, now, out| d.gone(now, id, out)),
-            "leave" => self.with(|d, now, _| d.wind_down(now, span(w.0[0]))),
+            "gone" => self.with(|d, now, out| d.on_client_gone(now, id, out)),
+            "leave" => self.with(|d, now, _| d.drain(now, span(w.0[0]))),
             "ceiling" => {
                 let known = |h: &str| {
                     self.handlers
@@ -237,10 +243,10 @@
                     handlers,
                     runs,
                     calls,
-                    turn,
+                    start_interval: turn,
                 });
                 let all = self.ceilings.clone();
-                self.with(|d, _, _| d.heed(&all));
+                self.with(|d, _, _| d.set_ceilings(&all));
             }
             "queue" => self.queue = w.0[0].parse().ok(),
             // The process freezes: the timer rings late.
@@ -258,15 +264,15 @@
             .expect("a handler set up");
         Arrival {
             id,
-            from: w.num("from", id as f64) as u16,
+            client: w.num("from", id as f64) as u16,
             handler,
             tenant: w.num("tenant", 0.0) as usize,
-            wait: w.span("wait", "4s"),
-            hint: w.get("hint").map(span),
-            held_kb: w.num("kb", 1.0),
-            retry: w.has("retry"),
-            unread_for: w.span("unread", "0s"),
-            repeats: w.num("repeats", 0.0) as u64,
+            timeout: w.span("wait", "4s"),
+            work_hint: w.get("hint").map(span),
+            memory_kb: w.num("kb", 1.0),
+            is_retry: w.has("retry"),
+            read_delay: w.span("unread", "0s"),
+            retry_of: w.num("repeats", 0.0) as u64,
             ..Arrival::default()
         }
     }
@@ -381,63 +387,63 @@
     Machine {
         cores: w.num("cores", 2.0) as u32,
         memory_kb: w.num("memory", 1000.0),
-        running_factor: w.num("factor", 4.0),
-        key_kb: w.num("key", 1.0),
-        stopping: match (w.has("unstoppable"), w.has("discards")) {
-            (true, _) => Stopping::Never,
-            (_, true) => Stopping::Discards,
-            _ => Stopping::Pauses,
+        running_memory_factor: w.num("factor", 4.0),
+        key_memory_kb: w.num("key", 1.0),
+        cancellation: match (w.has("unstoppable"), w.has("discards")) {
+            (true, _) => Cancellation::Unsupported,
+            (_, true) => Cancellation::Discards,
+            _ => Cancellation::Pauses,
         },
-        survives_per_core: w.num("survives", 5.0),
-        cold: w.has("cold"),
-        cold_from: w.num("cold_from", 0.2),
-        cold_for: w.span("cold_for", "10s"),
+        max_concurrency_per_core: w.num("survives", 5.0),
+        starts_cold: w.has("cold"),
+        cold_speed: w.num("cold_from", 0.2),
+        warm_up: w.span("cold_for", "10s"),
     }
 }
 
 fn handler(w: &Words) -> Handler {
     let once = if w.has("keyed") {
-        Repeats::Keyed
+        RetrySafety::Keyed
     } else {
-        Repeats::NonReplayable
+        RetrySafety::NonIdempotent
     };
     Handler {
-        target: w.span("target", "1s"),
-        target_stretch: 0.0,
+        latency_objective: w.span("target", "1s"),
+        objective_stretch: 0.0,
         timeout: w.span("timeout", "4s"),
-        value: w.num("value", 1.0),
-        late_value: w.num("late", 0.0),
-        repeats: if w.has("keyed") || w.has("nonreplayable") {
+        weight: w.num("value", 1.0),
+        late_weight: w.num("late", 0.0),
+        retry_safety: if w.has("keyed") || w.has("nonreplayable") {
             once
         } else {
-            Repeats::Replayable
+            RetrySafety::Idempotent
         },
-        window: w.span("window", "10s"),
-        calls: w.has("calls"),
-        partial_value: w.num("partial", 0.0),
+        idempotency_window: w.span("window", "10s"),
+        makes_calls: w.has("calls"),
+        partial_weight: w.num("partial", 0.0),
     }
 }
 
-fn below(w: &Words) -> Below {
+fn below(w: &Words) -> Upstream {
     let kind = if w.has("shared") {
-        BelowKind::Shared
+        UpstreamKind::Shared
     } else {
-        BelowKind::Tier
+        UpstreamKind::Tier
     };
     let kind = if w.0.is_empty() {
-        BelowKind::Nothing
+        UpstreamKind::None
     } else {
         kind
     };
-    Below {
+    Upstream {
         kind,
-        share: w.num("share", 1.0),
-        linger: w.span("linger", "200ms"),
-        span: w.span("span", "5s"),
+        quota: w.num("share", 1.0),
+        abandoned_call_lifetime: w.span("linger", "200ms"),
+        averaging_window: w.span("span", "5s"),
     }
 }
 
-fn callers(w: &Words) -> Callers {
+fn callers(w: &Words) -> Downstream {
     let known = [
         ("allowance", LoadReport::Allowance),
         ("weight", LoadReport::Weight),
@@ -447,21 +453,21 @@
         .iter()
         .find(|k| w.has(k.0))
         .map_or(LoadReport::Unused, |k| k.1);
-    Callers {
-        count: w.num("count", 1.0) as u32,
+    Downstream {
+        clients: w.num("count", 1.0) as u32,
         load_report,
-        come_back_max: w.span("come_back", "0s"),
-        mark_retries: w.has("marks"),
-        idle_max: w.span("idle", "0s"),
+        max_retry_after: w.span("come_back", "0s"),
+        marks_retries: w.has("marks"),
+        max_idle: w.span("idle", "0s"),
     }
 }
 
-fn place(w: &Words) -> Place {
-    Place {
+fn place(w: &Words) -> FleetPosition {
+    FleetPosition {
         servers: w.num("servers", 1.0) as u32,
         tier: w.num("tier", 0.0) as u32,
-        value_by_work: false,
-        over_share_value: w.num("over", 0.05),
+        weight_by_work: false,
+        over_quota_weight: w.num("over", 0.05),
     }
 }
 
