--- a/crates/membership/src/heard.rs
+++ b/crates/membership/src/heard.rs
@@ -10,25 +10,25 @@
 const MISSING_PART: f64 = 0.1;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Hears {
-    Whole,
-    Part,
-    Alone,
+pub enum Connectivity {
+    Complete,
+    Partial,
+    Isolated,
 }
 
-impl fmt::Display for Hears {
+impl fmt::Display for Connectivity {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         f.write_str(match self {
-            Hears::Whole => "whole",
-            Hears::Part => "part",
-            Hears::Alone => "alone",
+            Connectivity::Complete => "whole",
+            Connectivity::Partial => "part",
+            Connectivity::Isolated => "alone",
         })
     }
 }
 
 /// What it is judged by.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Evidence {
+pub struct ConnectivityEvidence {
     /// Others held to be in.
     pub active: usize,
     /// Others held down that have not said that they leave, as far as they are remembered.
@@ -42,38 +42,38 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-pub struct Judgement {
-    pub hears: Hears,
+pub struct ConnectivityStatus {
+    pub level: Connectivity,
     pub since: Timestamp,
-    pub evidence: Evidence,
+    pub evidence: ConnectivityEvidence,
 }
 
-impl Judgement {
-    pub fn new(now: Timestamp) -> Judgement {
-        Judgement {
-            hears: Hears::Alone,
+impl ConnectivityStatus {
+    pub fn new(now: Timestamp) -> ConnectivityStatus {
+        ConnectivityStatus {
+            level: Connectivity::Isolated,
             since: now,
-            evidence: Evidence::default(),
+            evidence: ConnectivityEvidence::default(),
         }
     }
 
     /// Judges anew; true where that changed it.
-    pub fn judge(&mut self, now: Timestamp, evidence: Evidence) -> bool {
+    pub fn judge(&mut self, now: Timestamp, evidence: ConnectivityEvidence) -> bool {
         self.evidence = evidence;
         let silent = evidence.last.is_none_or(|last| now - last > SILENCE);
         let expected = evidence.active + evidence.missing;
         let spared = ((expected as f64 * MISSING_PART) as usize).max(1);
         let hears = match evidence {
-            Evidence { aside: true, .. } => Hears::Alone,
-            Evidence { others: false, .. } => Hears::Whole,
-            _ if silent => Hears::Alone,
-            _ if evidence.missing > spared || evidence.active == 0 => Hears::Part,
-            _ => Hears::Whole,
+            ConnectivityEvidence { aside: true, .. } => Connectivity::Isolated,
+            ConnectivityEvidence { others: false, .. } => Connectivity::Complete,
+            _ if silent => Connectivity::Isolated,
+            _ if evidence.missing > spared || evidence.active == 0 => Connectivity::Partial,
+            _ => Connectivity::Complete,
         };
-        if hears == self.hears {
+        if hears == self.level {
             return false;
         }
-        (self.hears, self.since) = (hears, now);
+        (self.level, self.since) = (hears, now);
         true
     }
 
@@ -81,7 +81,7 @@
     pub fn due(&self) -> Option<Timestamp> {
         self.evidence
             .last
-            .filter(|_| self.hears != Hears::Alone)
+            .filter(|_| self.level != Connectivity::Isolated)
             .map(|last| last + SILENCE + Duration::from_millis(1))
     }
 }
--- a/crates/membership/src/heard/tests.rs
+++ b/crates/membership/src/heard/tests.rs
@@ -6,8 +6,8 @@
 
 #[test]
 fn what_is_heard_is_judged_by_who_is_missing_and_by_silence() {
-    let mut j = Judgement::new(at(0));
-    let e = Evidence {
+    let mut j = ConnectivityStatus::new(at(0));
+    let e = ConnectivityEvidence {
         active: 9,
         missing: 1,
         last: Some(at(100)),
@@ -15,36 +15,39 @@
         aside: false,
     };
     assert!(j.judge(at(200), e));
-    assert_eq!((j.hears, j.since), (Hears::Whole, at(200)));
+    assert_eq!((j.level, j.since), (Connectivity::Complete, at(200)));
     assert!(j.judge(
         at(300),
-        Evidence {
+        ConnectivityEvidence {
             active: 7,
             missing: 3,
             ..e
         }
     ));
-    assert_eq!(j.hears, Hears::Part);
+    assert_eq!(j.level, Connectivity::Partial);
     assert!(!j.judge(
         at(400),
-        Evidence {
+        ConnectivityEvidence {
             active: 8,
             missing: 2,
             ..e
         }
     ));
     assert!(j.judge(at(2_101), e), "silence");
-    assert_eq!(j.hears, Hears::Alone);
+    assert_eq!(j.level, Connectivity::Isolated);
     assert!(j.judge(
         at(2_200),
-        Evidence {
+        ConnectivityEvidence {
             last: Some(at(2_150)),
             ..e
         }
     ));
-    assert_eq!((j.hears, j.due()), (Hears::Whole, Some(at(4_151))));
+    assert_eq!(
+        (j.level, j.due()),
+        (Connectivity::Complete, Some(at(4_151)))
+    );
     // A hundred may miss ten; a fleet of one misses nobody.
-    let many = Evidence {
+    let many = ConnectivityEvidence {
         active: 90,
         missing: 10,
         last: Some(at(2_150)),
@@ -52,6 +55,6 @@
         aside: false,
     };
     assert!(!j.judge(at(2_200), many));
-    assert!(!j.judge(at(9_000), Evidence::default()));
-    assert_eq!(j.hears, Hears::Whole);
+    assert!(!j.judge(at(9_000), ConnectivityEvidence::default()));
+    assert_eq!(j.level, Connectivity::Complete);
 }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -49,9 +49,9 @@
 mod view;
 mod wire;
 
-pub use heard::{Evidence, Hears, Judgement};
-pub use id::{Id, NAME_MOST, Phase, sound};
-pub use members::{Counts, Members, Settings, WORDS_MOST, glance};
-pub use networks::Networks;
-pub use view::{Change, MemberView, State, View, Why};
-pub use wire::{DATAGRAM_MOST, Kind, Part, STRANGERS, Stranger};
+pub use heard::{Connectivity, ConnectivityEvidence, ConnectivityStatus};
+pub use id::{MAX_NAME_BYTES, MemberIdentity, Phase, is_valid_name};
+pub use members::{Counters, MAX_SUBSYSTEM_PAYLOAD_BYTES, Membership, Settings, glance};
+pub use networks::AllowedNetworks;
+pub use view::{MemberState, MemberView, MembershipEvent, View, Why};
+pub use wire::{Kind, MAX_DATAGRAM_BYTES, STRANGERS, Stranger, Subsystem};
--- a/crates/membership/src/lives.rs
+++ b/crates/membership/src/lives.rs
@@ -1,7 +1,7 @@
 //! Lives of one name. A newer life wins; a clock that stepped back between two lives of a server is refuted by
 //! whoever remembers the former one; of two servers under one name the newer life keeps it.
 
-use crate::id::Id;
+use crate::id::MemberIdentity;
 
 /// What a server makes of a claim to its own name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -17,7 +17,7 @@
 }
 
 /// `down`: whoever claims the name is held down by who tells of it.
-pub fn judge(own: &Id, claims: &Id, down: bool) -> Verdict {
+pub fn judge(own: &MemberIdentity, claims: &MemberIdentity, down: bool) -> Verdict {
     if claims.version() == own.version() && claims.address == own.address {
         return if down {
             Verdict::HeldDown
@@ -28,7 +28,7 @@
     let older = (claims.version(), claims.address) < (own.version(), own.address);
     match (older, claims.address == own.address || down) {
         (true, _) => Verdict::Older,
-        (false, true) => Verdict::Past(claims.life),
+        (false, true) => Verdict::Past(claims.incarnation),
         (false, false) => Verdict::Taken,
     }
 }
--- a/crates/membership/src/lives/tests.rs
+++ b/crates/membership/src/lives/tests.rs
@@ -1,13 +1,13 @@
 use super::*;
 use crate::id::Phase;
 
-fn id(port: u16, life: u64, turn: u32) -> Id {
+fn id(port: u16, life: u64, turn: u32) -> MemberIdentity {
     let address = ([127, 0, 0, 1], port).into();
-    Id {
+    MemberIdentity {
         name: "a".into(),
         address,
         zone: "z".into(),
-        life,
+        incarnation: life,
         turn,
         phase: Phase::In,
     }
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -4,16 +4,19 @@
 mod speak;
 
 use crate::awake::Awake;
-use crate::heard::{Evidence, Hears, Judgement};
-use crate::id::{Id, Phase};
+use crate::heard::{Connectivity, ConnectivityEvidence, ConnectivityStatus};
+use crate::id::{MemberIdentity, Phase};
 use crate::lives::{self, Verdict};
 use crate::mend::Mend;
-use crate::networks::Networks;
+use crate::networks::AllowedNetworks;
 use crate::roster::Roster;
 use crate::swim::{self, Chance, Packet, Swim, Wants};
-use crate::view::{Change, Held, Marks, MemberView, PARTS, Row, State, View, Why, mark};
+use crate::view::{
+    Held, Marks, MemberState, MemberView, MembershipEvent, PARTS, Row, View, Why, mark,
+};
 use crate::wire::{
-    self, Ask, Beside, DATAGRAM_MOST, HEAD, Head, Kind, Notice, Page, Part, STRANGERS, Stranger,
+    self, Ask, Beside, HEAD, Head, Kind, MAX_DATAGRAM_BYTES, Notice, Page, STRANGERS, Stranger,
+    Subsystem,
 };
 use compact_str::CompactString;
 use foca::{Member, Message, OwnedNotification, PostcardCodec, State as Told, Timer};
@@ -56,7 +59,7 @@
 /// Words of other parts kept until they are fetched: a turn's datagrams.
 const BESIDE_MOST: usize = 64;
 /// Longest words of another part: they and who says them fit a datagram.
-pub const WORDS_MOST: usize = 1_150;
+pub const MAX_SUBSYSTEM_PAYLOAD_BYTES: usize = 1_150;
 /// Times that the word of leaving is sent to some.
 const GOODBYES: usize = 3;
 
@@ -71,52 +74,52 @@
     pub fleet: String,
     /// Addresses to begin with, and to go on trying.
     pub join: Vec<SocketAddr>,
-    pub networks: Networks,
+    pub allowed_networks: AllowedNetworks,
     /// Others in the view at the most.
-    pub most: usize,
+    pub max_members: usize,
     /// Between two tries of members, until others are asked to try one, and until one that is suspected and
     /// does not refute it is down.
-    pub probe: Duration,
-    pub answer: Duration,
-    pub suspicion: Duration,
+    pub probe_interval: Duration,
+    pub probe_timeout: Duration,
+    pub suspicion_timeout: Duration,
     /// How long the dead are remembered.
-    pub memory: Duration,
+    pub down_retention: Duration,
     /// Whether its own lateness counts; without, as plain SWIM, it is there to be compared with.
-    pub minds_itself: bool,
+    pub local_health_aware: bool,
 }
 
-/// Counts since the start.
+/// Counters since the start.
 #[derive(Clone, Debug, Default)]
-pub struct Counts {
-    pub heard: u64,
+pub struct Counters {
+    pub received: u64,
     pub sent: u64,
     pub bytes_in: u64,
     pub bytes_out: u64,
     pub strangers: [u64; STRANGERS.len()],
-    pub downs: u64,
+    pub down_declarations: u64,
     pub suspicions: u64,
-    pub refuted: u64,
-    pub renewed: u64,
+    pub refutations: u64,
+    pub identity_renewals: u64,
     pub notices: u64,
-    pub rosters: u64,
-    pub untold: u64,
+    pub roster_requests: u64,
+    pub dropped_events: u64,
 }
 
 /// A member that did not answer a probe: its number, when it is tried next, and how often still.
 struct Tried {
-    target: Id,
+    target: MemberIdentity,
     number: u8,
     next: Timestamp,
     left: usize,
 }
 
-pub struct Members {
+pub struct Membership {
     set: Settings,
     fleet: u64,
     awake: Awake,
     chance: Chance,
     swim: Swim,
-    timers: BTreeMap<(Timestamp, u64), Timer<Id>>,
+    timers: BTreeMap<(Timestamp, u64), Timer<MemberIdentity>>,
     numbered: u64,
     /// Suspected servers that are to be asked themselves.
     last_calls: BTreeMap<(Timestamp, u64), CompactString>,
@@ -133,7 +136,7 @@
     /// When the own view changed last.
     changed: Timestamp,
     last_heard: Option<Timestamp>,
-    judgement: Judgement,
+    judgement: ConnectivityStatus,
     mend: Mend,
     roster: Roster,
     /// When others were first met.
@@ -143,19 +146,19 @@
     notices: (Timestamp, u32),
     told_to: u8,
     out: Vec<(SocketAddr, Vec<u8>)>,
-    beside: Vec<(CompactString, Part, Vec<u8>)>,
-    changes: Vec<Change>,
-    pub counts: Counts,
+    beside: Vec<(CompactString, Subsystem, Vec<u8>)>,
+    changes: Vec<MembershipEvent>,
+    pub counters: Counters,
 }
 
-impl Members {
+impl Membership {
     /// `now` is the own monotonic clock's; `unix_ms` only tells this life from others.
-    pub fn new(now: Timestamp, unix_ms: u64, seed: u64, set: Settings) -> Members {
-        let id = Id {
+    pub fn new(now: Timestamp, unix_ms: u64, seed: u64, set: Settings) -> Membership {
+        let id = MemberIdentity {
             name: set.name.clone(),
             address: set.advertise,
             zone: set.zone.clone(),
-            life: unix_ms,
+            incarnation: unix_ms,
             turn: 0,
             phase: Phase::Joining,
         };
@@ -163,7 +166,7 @@
         awake.wake(now, None);
         let mut marks = Marks::default();
         marks.flip(&id.name, mark(&id));
-        Members {
+        Membership {
             fleet: wire::fleet(&set.fleet),
             awake,
             chance: Chance::new(seed ^ 1),
@@ -180,7 +183,7 @@
             missing: 0,
             changed: now,
             last_heard: None,
-            judgement: Judgement::new(now),
+            judgement: ConnectivityStatus::new(now),
             mend: Mend::new(now, &set.join, set.advertise),
             roster: Roster::new(now),
             met: None,
@@ -190,18 +193,18 @@
             out: vec![],
             beside: vec![],
             changes: vec![],
-            counts: Counts::default(),
+            counters: Counters::default(),
             set,
         }
     }
 
     /// This server, as it tells of itself.
-    pub fn own(&self) -> &Id {
+    pub fn local_identity(&self) -> &MemberIdentity {
         self.swim.identity()
     }
 
-    pub fn hears(&self) -> Hears {
-        self.judgement.hears
+    pub fn connectivity(&self) -> Connectivity {
+        self.judgement.level
     }
 
     pub fn digest(&self) -> u64 {
@@ -209,7 +212,7 @@
     }
 
     /// Others that are in.
-    pub fn active(&self) -> usize {
+    pub fn active_count(&self) -> usize {
         self.active
     }
 
@@ -218,39 +221,39 @@
         self.missing
     }
 
-    pub fn held_up(&self) -> bool {
+    pub fn is_degraded(&self) -> bool {
         self.awake.held_up()
     }
 
-    pub fn pauses(&self) -> u64 {
+    pub fn pause_count(&self) -> u64 {
         self.awake.pauses
     }
 
     /// The state of one, by name.
-    pub fn state(&self, name: &str) -> Option<State> {
+    pub fn member_state(&self, name: &str) -> Option<MemberState> {
         if name == self.set.name {
             return Some(self.own_state());
         }
         self.rows.get(name).map(Row::state)
     }
 
-    fn own_state(&self) -> State {
-        match self.own().phase {
-            _ if self.aside.is_some() => State::Down,
-            Phase::Joining => State::Joining,
-            Phase::In => State::Alive,
-            Phase::Draining => State::Draining,
-            Phase::Left => State::Left,
+    fn own_state(&self) -> MemberState {
+        match self.local_identity().phase {
+            _ if self.aside.is_some() => MemberState::Down,
+            Phase::Joining => MemberState::Joining,
+            Phase::In => MemberState::Alive,
+            Phase::Draining => MemberState::Draining,
+            Phase::Left => MemberState::Left,
         }
     }
 
     /// One other that it holds, and how.
-    pub fn other(&self, name: &str) -> Option<(&Id, State)> {
+    pub fn member(&self, name: &str) -> Option<(&MemberIdentity, MemberState)> {
         self.rows.get(name).map(|r| (&r.id, r.state()))
     }
 
     /// Those whose place in the view may be another than when this was asked last.
-    pub fn touched(&mut self) -> BTreeSet<CompactString> {
+    pub fn take_changed_members(&mut self) -> BTreeSet<CompactString> {
         std::mem::take(&mut self.touched)
     }
 
@@ -258,16 +261,16 @@
     pub fn view(&self) -> View {
         let now = self.awake.now();
         let ms = |at: Timestamp| (now - at).as_micros() / 1_000;
-        let own = self.own();
-        let of = |id: &Id, state, heard: Option<Timestamp>, held_up| MemberView {
+        let own = self.local_identity();
+        let of = |id: &MemberIdentity, state, heard: Option<Timestamp>, held_up| MemberView {
             name: id.name.clone(),
             state,
             zone: id.zone.clone(),
             address: id.address,
-            life: id.life,
-            turn: id.turn,
-            heard_ms: heard.map(ms),
-            held_up,
+            incarnation: id.incarnation,
+            revision: id.turn,
+            last_received_ms: heard.map(ms),
+            health_score: held_up,
         };
         let mut members: Vec<MemberView> = self
             .rows
@@ -278,26 +281,26 @@
         members.sort_by(|a, b| a.name.cmp(&b.name));
         View {
             name: own.name.clone(),
-            judgement: self.judgement,
+            connectivity: self.judgement,
             since_ms: ms(self.judgement.since),
-            last_ms: self.last_heard.map(ms),
+            last_received_ms: self.last_heard.map(ms),
             digest: self.marks.all,
             members,
         }
     }
 
     /// What is to be sent, and where to.
-    pub fn outgoing(&mut self) -> Vec<(SocketAddr, Vec<u8>)> {
+    pub fn take_outgoing(&mut self) -> Vec<(SocketAddr, Vec<u8>)> {
         std::mem::take(&mut self.out)
     }
 
     /// What other parts of those in the view have said to the same parts of this server, with who did.
-    pub fn beside(&mut self) -> Vec<(CompactString, Part, Vec<u8>)> {
+    pub fn take_subsystem_messages(&mut self) -> Vec<(CompactString, Subsystem, Vec<u8>)> {
         std::mem::take(&mut self.beside)
     }
 
     /// Says something of another part to one that is in; as lost as any datagram.
-    pub fn say(&mut self, to: &str, part: Part, words: &[u8]) {
+    pub fn send_subsystem_message(&mut self, to: &str, part: Subsystem, words: &[u8]) {
         let Some(address) = self
             .rows
             .get(to)
@@ -306,9 +309,9 @@
         else {
             return;
         };
-        let from = self.own().clone();
+        let from = self.local_identity().clone();
         if from.phase != Phase::Left
-            && words.len() <= WORDS_MOST
+            && words.len() <= MAX_SUBSYSTEM_PAYLOAD_BYTES
             && let Some(body) = wire::bytes(&Beside { from, part, words })
         {
             self.send(address, Kind::Beside, &body);
@@ -316,14 +319,14 @@
     }
 
     /// What has changed since it was asked last; how many more there were is among the counts.
-    pub fn changes(&mut self) -> Vec<Change> {
+    pub fn take_events(&mut self) -> Vec<MembershipEvent> {
         std::mem::take(&mut self.changes)
     }
 
     // --- time
 
     /// When it has to be told the time next.
-    pub fn due(&self) -> Timestamp {
+    pub fn next_timeout(&self) -> Timestamp {
         let tries = self.tried.as_ref().filter(|t| t.left > 0).map(|t| t.next);
         let own = [
             Some(self.mend.due()),
@@ -345,20 +348,20 @@
 
     fn joins_at(&self) -> Option<Timestamp> {
         self.met
-            .filter(|_| self.own().phase == Phase::Joining)
+            .filter(|_| self.local_identity().phase == Phase::Joining)
             .map(|at| at + JOINS)
     }
 
     fn begin(&mut self, now: Timestamp) -> Timestamp {
-        let due = Some(self.due()).filter(|_| self.set.minds_itself);
+        let due = Some(self.next_timeout()).filter(|_| self.set.local_health_aware);
         if let Some(late) = self.awake.wake(now, due) {
-            self.change(Change::HeldUp(late));
+            self.change(MembershipEvent::HeldUp(late));
         }
         self.awake.now()
     }
 
     /// The time has come for what was due.
-    pub fn turn(&mut self, now: Timestamp) {
+    pub fn handle_timeout(&mut self, now: Timestamp) {
         let now = self.begin(now);
         let mut later = vec![];
         while let Some(entry) = self.timers.first_entry().filter(|e| e.key().0 <= now) {
@@ -375,7 +378,7 @@
         }
         // What it would conclude from silence waits until it has heard what came while it was held up.
         for timer in later {
-            self.set_timer(now + self.set.answer, timer);
+            self.set_timer(now + self.set.probe_timeout, timer);
         }
         while let Some(entry) = self.last_calls.first_entry().filter(|e| e.key().0 <= now) {
             let name = entry.remove();
@@ -413,12 +416,12 @@
         }
     }
 
-    fn set_timer(&mut self, at: Timestamp, timer: Timer<Id>) {
+    fn set_timer(&mut self, at: Timestamp, timer: Timer<MemberIdentity>) {
         self.numbered += 1;
         self.timers.insert((at, self.numbered), timer);
     }
 
-    fn rings(&mut self, now: Timestamp, timer: Timer<Id>) {
+    fn rings(&mut self, now: Timestamp, timer: Timer<MemberIdentity>) {
         let again = timer.clone();
         self.with_swim(now, |swim, wants| swim.handle_timer(timer, wants));
         match again {
@@ -457,10 +460,10 @@
 
     /// Speaks to somebody who is not in.
     fn contact(&mut self, now: Timestamp) {
-        if now < self.mend.due() || self.own().phase == Phase::Left {
+        if now < self.mend.due() || self.local_identity().phase == Phase::Left {
             return;
         }
-        let alone = self.judgement.hears != Hears::Whole;
+        let alone = self.judgement.level != Connectivity::Complete;
         let down: Vec<SocketAddr> = self
             .rows
             .values()
@@ -475,11 +478,13 @@
     }
 
     fn announce(&mut self, now: Timestamp, to: SocketAddr) {
-        self.with_swim(now, |swim, wants| swim.announce(Id::whoever(to), wants));
+        self.with_swim(now, |swim, wants| {
+            swim.announce(MemberIdentity::whoever(to), wants)
+        });
     }
 
     fn step_phase(&mut self, now: Timestamp) {
-        if self.own().phase != Phase::Joining || self.aside.is_some() {
+        if self.local_identity().phase != Phase::Joining || self.aside.is_some() {
             return;
         }
         let alone = !self.mend.expects_others() && self.rows.is_empty();
@@ -487,12 +492,12 @@
             .met
             .is_some_and(|at| self.roster.whole || now - at >= JOINS);
         if alone || met {
-            self.become_id(now, self.own().next(Phase::In));
+            self.become_id(now, self.local_identity().next(Phase::In));
         }
     }
 
     fn judge(&mut self, now: Timestamp) {
-        let evidence = Evidence {
+        let evidence = ConnectivityEvidence {
             active: self.active,
             missing: self.missing,
             last: self.last_heard,
@@ -500,7 +505,7 @@
             aside: self.aside.is_some(),
         };
         if self.judgement.judge(now, evidence) {
-            self.change(Change::Hears(self.judgement, now));
+            self.change(MembershipEvent::Hears(self.judgement, now));
         }
     }
 
@@ -509,23 +514,24 @@
     /// Takes no new work from here on.
     pub fn drain(&mut self, now: Timestamp) {
         let now = self.begin(now);
-        if self.own().phase < Phase::Draining {
-            self.become_id(now, self.own().next(Phase::Draining));
+        if self.local_identity().phase < Phase::Draining {
+            self.become_id(now, self.local_identity().next(Phase::Draining));
         }
     }
 
     /// Goes, and says so to some.
     pub fn leave(&mut self, now: Timestamp) {
         let now = self.begin(now);
-        self.become_id(now, self.own().next(Phase::Left));
+        self.become_id(now, self.local_identity().next(Phase::Left));
         self.with_swim(now, |swim, wants| swim.leave_cluster(wants));
         for _ in 1..GOODBYES {
             self.with_swim(now, |swim, wants| swim.gossip(wants));
         }
     }
 
-    fn become_id(&mut self, now: Timestamp, id: Id) {
-        self.marks.flip(&id.name, mark(self.own()) ^ mark(&id));
+    fn become_id(&mut self, now: Timestamp, id: MemberIdentity) {
+        self.marks
+            .flip(&id.name, mark(self.local_identity()) ^ mark(&id));
         self.changed = now;
         self.with_swim(now, |swim, wants| {
             swim.change_identity(id, &mut *wants)?;
@@ -535,23 +541,23 @@
     }
 
     /// Another claim to this server's name: the claimant's own word, or what a third says of one.
-    fn claimed(&mut self, now: Timestamp, id: &Id, down: bool, itself: bool) {
-        match lives::judge(self.own(), id, down) {
+    fn claimed(&mut self, now: Timestamp, id: &MemberIdentity, down: bool, itself: bool) {
+        match lives::judge(self.local_identity(), id, down) {
             Verdict::Older => {}
             Verdict::HeldDown => {
-                self.counts.renewed += 1;
-                let next = self.own().next(self.own().phase);
-                self.change(Change::Renewed { turn: next.turn });
+                self.counters.identity_renewals += 1;
+                let next = self.local_identity().next(self.local_identity().phase);
+                self.change(MembershipEvent::Renewed { turn: next.turn });
                 self.become_id(now, next);
             }
             Verdict::Past(life) => {
                 if self.aside.take().is_some() {
-                    self.change(Change::Regained);
+                    self.change(MembershipEvent::Regained);
                 }
-                self.change(Change::Past { life });
-                let own = self.own();
-                let past = Id {
-                    life: life + 1,
+                self.change(MembershipEvent::Past { life });
+                let own = self.local_identity();
+                let past = MemberIdentity {
+                    incarnation: life + 1,
                     turn: 0,
                     ..own.clone()
                 };
@@ -560,14 +566,18 @@
             // A wrong word of a third silences nobody: whoever has the name says so itself, once it is asked.
             Verdict::Taken if !itself => {
                 if self.aside.is_none() {
-                    self.notice(now, id.address, Member::alive(self.own().clone()));
+                    self.notice(
+                        now,
+                        id.address,
+                        Member::alive(self.local_identity().clone()),
+                    );
                 }
             }
             Verdict::Taken if self.aside.is_none() => {
-                self.change(Change::Taken { by: id.address });
+                self.change(MembershipEvent::Taken { by: id.address });
                 self.aside = Some(id.address);
                 let seed = (self.chance.float() * (1u64 << 53) as f64) as u64;
-                let own = self.own().clone();
+                let own = self.local_identity().clone();
                 self.swim = Swim::new(own, config(&self.set, 0), Chance::new(seed), PostcardCodec);
                 self.timers.clear();
                 // They are asked, now and then, whether the name is free.
@@ -576,7 +586,7 @@
                     self.touched.insert(name);
                 }
                 (self.active, self.missing, self.marks) = (0, 0, Marks::default());
-                let own = self.own().clone();
+                let own = self.local_identity().clone();
                 self.marks.flip(&own.name, mark(&own));
                 self.mend.lost(now);
             }
@@ -588,16 +598,16 @@
 fn config(set: &Settings, members: usize) -> foca::Config {
     swim::config(
         members,
-        set.probe,
-        set.answer,
-        set.suspicion,
-        set.memory,
-        DATAGRAM_MOST - HEAD,
+        set.probe_interval,
+        set.probe_timeout,
+        set.suspicion_timeout,
+        set.down_retention,
+        MAX_DATAGRAM_BYTES - HEAD,
     )
 }
 
 /// The kind of a datagram and who it is from, where it is one of that fleet's.
-pub fn glance(bytes: &[u8], fleet: &str) -> Option<(Kind, Id)> {
+pub fn glance(bytes: &[u8], fleet: &str) -> Option<(Kind, MemberIdentity)> {
     let (head, body) = wire::read(bytes, wire::fleet(fleet)).ok()?;
     let from = match head.kind {
         Kind::Swim => {
--- a/crates/membership/src/members/hear.rs
+++ b/crates/membership/src/members/hear.rs
@@ -2,13 +2,13 @@
 
 use super::*;
 
-impl Members {
+impl Membership {
     /// A datagram came from somewhere.
     pub fn received(&mut self, now: Timestamp, from: SocketAddr, bytes: &[u8]) {
         let now = self.begin(now);
-        self.counts.heard += 1;
-        self.counts.bytes_in += bytes.len() as u64;
-        let heard = if self.set.networks.holds(from.ip()) {
+        self.counters.received += 1;
+        self.counters.bytes_in += bytes.len() as u64;
+        let heard = if self.set.allowed_networks.holds(from.ip()) {
             wire::read(bytes, self.fleet).and_then(|(head, body)| self.hear(now, head, body))
         } else {
             Err(Stranger::Network)
@@ -25,11 +25,11 @@
             .iter()
             .position(|s| s.0 == why)
             .unwrap_or_default();
-        self.counts.strangers[at] += 1;
+        self.counters.strangers[at] += 1;
     }
 
     pub(super) fn hear(&mut self, now: Timestamp, head: Head, body: &[u8]) -> Result<(), Stranger> {
-        if self.own().phase == Phase::Left {
+        if self.local_identity().phase == Phase::Left {
             return Ok(());
         }
         let from = match head.kind {
@@ -58,12 +58,12 @@
             Kind::Beside => {
                 let Beside { from, part, words } = wire::body(body)?;
                 self.meets(now, &from)?;
-                let known = |r: &&Row| r.active() && r.id.life == from.life;
+                let known = |r: &&Row| r.active() && r.id.incarnation == from.incarnation;
                 if self.rows.get(&from.name).filter(known).is_none() {
                     return Err(Stranger::Outlived);
                 }
                 if self.beside.len() >= BESIDE_MOST {
-                    self.counts.untold += 1;
+                    self.counters.dropped_events += 1;
                 } else {
                     self.beside.push((from.name.clone(), part, words.to_vec()));
                 }
@@ -101,7 +101,7 @@
                 self.changed
             };
             if let Some(after) = self.roster.differs(now, &from, changed, draw) {
-                self.counts.rosters += 1;
+                self.counters.roster_requests += 1;
                 self.ask(&from, after);
             }
         }
@@ -109,23 +109,27 @@
     }
 
     /// Who a datagram says that it is from: whether it is to be heard at all.
-    pub(super) fn meets(&mut self, now: Timestamp, from: &Id) -> Result<(), Stranger> {
+    pub(super) fn meets(&mut self, now: Timestamp, from: &MemberIdentity) -> Result<(), Stranger> {
         if !from.is_sound() {
             return Err(Stranger::Body);
         }
-        if !self.set.networks.holds(from.address.ip()) {
+        if !self.set.allowed_networks.holds(from.address.ip()) {
             return Err(Stranger::Network);
         }
         if from.name == self.set.name {
             self.claimed(now, from, false, true);
             if self.aside.is_none() && from.address != self.set.advertise {
                 // Whoever has the older claim gives way once it knows.
-                self.notice(now, from.address, Member::alive(self.own().clone()));
+                self.notice(
+                    now,
+                    from.address,
+                    Member::alive(self.local_identity().clone()),
+                );
             }
             return Err(Stranger::Outlived);
         }
         match self.rows.get(&from.name) {
-            None if self.rows.len() >= self.set.most => Err(Stranger::Full),
+            None if self.rows.len() >= self.set.max_members => Err(Stranger::Full),
             None => Ok(()),
             Some(row) => {
                 let older = (from.version(), from.address) < (row.id.version(), row.id.address);
@@ -152,10 +156,10 @@
         now: Timestamp,
         head: Head,
         body: &[u8],
-    ) -> Result<Id, Stranger> {
+    ) -> Result<MemberIdentity, Stranger> {
         let mut packet = swim::read(body)?;
         let from = packet.header.src.clone();
-        let own = self.own().clone();
+        let own = self.local_identity().clone();
         let to = &packet.header.dst;
         let announced = packet.header.message == Message::Announce;
         if !(to.name == own.name || to.name.is_empty() && announced) {
@@ -167,14 +171,14 @@
                 return Err(Stranger::Misdirected);
             }
             self.aside = None;
-            self.change(Change::Regained);
+            self.change(MembershipEvent::Regained);
         }
         packet.header.dst = own;
         if let Message::PingReq { target: other, .. }
         | Message::IndirectPing { origin: other, .. }
         | Message::IndirectAck { target: other, .. }
         | Message::ForwardedAck { origin: other, .. } = &packet.header.message
-            && !(other.is_sound() && self.set.networks.holds(other.address.ip()))
+            && !(other.is_sound() && self.set.allowed_networks.holds(other.address.ip()))
         {
             return Err(Stranger::Network);
         }
@@ -188,7 +192,7 @@
         if from.phase == Phase::Left {
             packet.members.push(Member::down(from.clone()));
         }
-        let words: Vec<(Id, u16, Told)> = packet
+        let words: Vec<(MemberIdentity, u16, Told)> = packet
             .members
             .iter()
             .map(|m| (m.id().clone(), m.incarnation(), m.state()))
@@ -216,16 +220,16 @@
     pub(super) fn weigh(
         &mut self,
         now: Timestamp,
-        m: Member<Id>,
+        m: Member<MemberIdentity>,
         held_up: bool,
-    ) -> Option<Member<Id>> {
+    ) -> Option<Member<MemberIdentity>> {
         let id = m.id();
-        if !id.is_sound() || !self.set.networks.holds(id.address.ip()) {
+        if !id.is_sound() || !self.set.allowed_networks.holds(id.address.ip()) {
             self.stranger(Stranger::Network);
             return None;
         }
         if id.name == self.set.name {
-            if id == self.own() && m.state() == Told::Suspect {
+            if id == self.local_identity() && m.state() == Told::Suspect {
                 return Some(m);
             }
             self.claimed(now, &id.clone(), m.state() == Told::Down, false);
@@ -235,13 +239,14 @@
         if accuses && held_up {
             return None;
         }
-        let suspect =
-            |id: &Id, incarnation| Some(Member::new(id.clone(), incarnation, Told::Suspect));
+        let suspect = |id: &MemberIdentity, incarnation| {
+            Some(Member::new(id.clone(), incarnation, Told::Suspect))
+        };
         let Some(row) = self.rows.get(&id.name) else {
             if m.state() == Told::Down {
                 return None;
             }
-            if self.rows.len() >= self.set.most {
+            if self.rows.len() >= self.set.max_members {
                 self.stranger(Stranger::Full);
                 return None;
             }
@@ -294,7 +299,13 @@
 
     /// What was believed of somebody, where it begins or ends a suspicion. Foca lets only those who tried a
     /// member themselves wait for its refutation; here each who hears of it waits on its own clock.
-    pub(super) fn word(&mut self, now: Timestamp, id: &Id, incarnation: u16, told: Told) {
+    pub(super) fn word(
+        &mut self,
+        now: Timestamp,
+        id: &MemberIdentity,
+        incarnation: u16,
+        told: Told,
+    ) {
         let Some(row) = self
             .rows
             .get_mut(&id.name)
@@ -312,13 +323,19 @@
                     incarnation,
                     token,
                 };
-                self.set_timer(now + self.set.suspicion, timer);
+                self.set_timer(now + self.set.suspicion_timeout, timer);
             }
             (Told::Alive, Held::Suspect) if newer => {
                 (row.held, row.since, row.incarnation) = (Held::In, now, incarnation);
                 let (address, to) = (row.id.address, row.state());
-                self.counts.refuted += 1;
-                self.member(&id.name, address, Some(State::Suspect), to, Why::Refuted);
+                self.counters.refutations += 1;
+                self.report_change(
+                    &id.name,
+                    address,
+                    Some(MemberState::Suspect),
+                    to,
+                    Why::Refuted,
+                );
             }
             _ => row.incarnation = row.incarnation.max(incarnation),
         }
@@ -338,13 +355,13 @@
         if !notice.from.is_sound() || !held.id().is_sound() {
             return Err(Stranger::Body);
         }
-        if !self.set.networks.holds(notice.from.address.ip()) {
+        if !self.set.allowed_networks.holds(notice.from.address.ip()) {
             return Err(Stranger::Network);
         }
         if held.id().name != self.set.name {
             return Err(Stranger::Misdirected);
         }
-        if held.id() == self.own() && held.state() == Told::Suspect {
+        if held.id() == self.local_identity() && held.state() == Told::Suspect {
             let held = held.clone();
             self.with_swim(now, |swim, wants| {
                 swim.apply_many(std::iter::once(held), false, wants)
@@ -352,7 +369,7 @@
             self.lives(notice);
             return Ok(());
         }
-        let before = self.own().version();
+        let before = self.local_identity().version();
         self.claimed(
             now,
             held.id(),
@@ -362,7 +379,7 @@
         if notice.from.name == self.set.name {
             return Ok(());
         }
-        if self.own().version() != before {
+        if self.local_identity().version() != before {
             // Said at once to who held it down.
             self.announce(now, notice.from.address);
         } else if held.state() != Told::Alive && self.aside.is_none() {
@@ -374,7 +391,7 @@
 
     /// Answers who asks whether it lives: one answer a question.
     fn lives(&mut self, asked: &Notice) {
-        let word = Member::new(self.own().clone(), self.incarnation, Told::Alive);
+        let word = Member::new(self.local_identity().clone(), self.incarnation, Told::Alive);
         self.send_notice(asked.from.address, word);
     }
 }
--- a/crates/membership/src/members/speak.rs
+++ b/crates/membership/src/members/speak.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-impl Members {
+impl Membership {
     pub(super) fn with_swim(
         &mut self,
         now: Timestamp,
@@ -42,7 +42,7 @@
 
     /// A member that has not answered is tried again by this server, beside those it asks: a datagram is more
     /// often lost than a server.
-    fn tries(&mut self, now: Timestamp, target: Id, number: u8) {
+    fn tries(&mut self, now: Timestamp, target: MemberIdentity, number: u8) {
         let known = |t: &Tried| t.target.name == target.name && t.number == number;
         if !self.tried.as_ref().is_some_and(known) {
             self.tried = Some(Tried {
@@ -60,23 +60,30 @@
         };
         tried.left -= 1;
         tried.next = now
-            + Duration::from_micros(self.set.probe.as_micros() - self.set.answer.as_micros())
-                .mul_f64(TRY_PART);
+            + Duration::from_micros(
+                self.set.probe_interval.as_micros() - self.set.probe_timeout.as_micros(),
+            )
+            .mul_f64(TRY_PART);
         let (target, number) = (tried.target.clone(), tried.number);
         let to = target.address;
-        let body = swim::ping(self.own().clone(), self.incarnation, target, number);
+        let body = swim::ping(
+            self.local_identity().clone(),
+            self.incarnation,
+            target,
+            number,
+        );
         self.send(to, Kind::Swim, &body);
     }
 
     /// Who answered a probe is not tried again.
-    pub(super) fn answered(&mut self, from: &Id, number: u8) {
+    pub(super) fn answered(&mut self, from: &MemberIdentity, number: u8) {
         let of = |t: &&mut Tried| t.target.name == from.name && t.number == number;
         if let Some(tried) = self.tried.as_mut().filter(of) {
             tried.left = 0;
         }
     }
 
-    pub(super) fn told(&mut self, now: Timestamp, told: OwnedNotification<Id>) {
+    pub(super) fn told(&mut self, now: Timestamp, told: OwnedNotification<MemberIdentity>) {
         match told {
             OwnedNotification::MemberUp(id) => self.up(now, id),
             OwnedNotification::MemberDown(id) => {
@@ -91,12 +98,18 @@
                 });
                 self.changed = now;
                 if id.phase == Phase::Left {
-                    return self.member(&id.name, id.address, Some(before), State::Left, Why::Said);
+                    return self.report_change(
+                        &id.name,
+                        id.address,
+                        Some(before),
+                        MemberState::Left,
+                        Why::Said,
+                    );
                 }
-                self.counts.downs += 1;
+                self.counters.down_declarations += 1;
                 self.mend.lost(now);
                 let why = Why::Unrefuted { heard };
-                self.member(&id.name, id.address, Some(before), State::Down, why);
+                self.report_change(&id.name, id.address, Some(before), MemberState::Down, why);
             }
             OwnedNotification::Rename(old, new) => {
                 let Some(row) = self.rows.get(&old.name) else {
@@ -105,8 +118,10 @@
                 let (before, active) = (row.state(), row.active());
                 self.edit(&new.name, |rows, name| {
                     if let Some(row) = rows.get_mut(name) {
-                        (row.incarnation, row.heard) =
-                            (0, row.heard.filter(|_| row.id.life == new.life));
+                        (row.incarnation, row.heard) = (
+                            0,
+                            row.heard.filter(|_| row.id.incarnation == new.incarnation),
+                        );
                         row.id = new.clone();
                         if row.held == Held::Suspect {
                             row.held = Held::In;
@@ -114,28 +129,31 @@
                     }
                 });
                 self.changed = now;
-                let to = self.rows.get(&new.name).map_or(State::Alive, Row::state);
-                if new.life != old.life {
+                let to = self
+                    .rows
+                    .get(&new.name)
+                    .map_or(MemberState::Alive, Row::state);
+                if new.incarnation != old.incarnation {
                     let why = Why::NewLife {
-                        from: old.life,
-                        to: new.life,
+                        from: old.incarnation,
+                        to: new.incarnation,
                     };
-                    self.member(&new.name, new.address, Some(before), to, why);
+                    self.report_change(&new.name, new.address, Some(before), to, why);
                 } else if active && before != to {
-                    self.member(&new.name, new.address, Some(before), to, Why::Said);
+                    self.report_change(&new.name, new.address, Some(before), to, Why::Said);
                 }
             }
             // Held down by a rumour that foca has answered with another turn.
             OwnedNotification::Rejoin(id) => {
-                self.counts.renewed += 1;
-                self.change(Change::Renewed { turn: id.turn });
+                self.counters.identity_renewals += 1;
+                self.change(MembershipEvent::Renewed { turn: id.turn });
             }
             OwnedNotification::Active => self.met = self.met.or(Some(now)),
             _ => {}
         }
     }
 
-    pub(super) fn up(&mut self, now: Timestamp, id: Id) {
+    pub(super) fn up(&mut self, now: Timestamp, id: MemberIdentity) {
         let before = self.rows.get(&id.name).map(Row::state);
         self.edit(&id.name, |rows, name| {
             let row = rows.entry(name.clone()).or_insert_with(|| Row {
@@ -149,14 +167,17 @@
             (row.id, row.held, row.since) = (id.clone(), Held::In, now);
         });
         self.changed = now;
-        let to = self.rows.get(&id.name).map_or(State::Alive, Row::state);
+        let to = self
+            .rows
+            .get(&id.name)
+            .map_or(MemberState::Alive, Row::state);
         let why = if before.is_some() {
             Why::Lives
         } else {
             Why::Met
         };
         if before != Some(to) {
-            self.member(&id.name, id.address, before, to, why);
+            self.report_change(&id.name, id.address, before, to, why);
         }
         self.set_swim();
     }
@@ -170,7 +191,7 @@
         }
     }
 
-    pub(super) fn suspected(&mut self, now: Timestamp, id: &Id, incarnation: u16) {
+    pub(super) fn suspected(&mut self, now: Timestamp, id: &MemberIdentity, incarnation: u16) {
         let Some(row) = self
             .rows
             .get_mut(&id.name)
@@ -181,17 +202,26 @@
         let before = row.state();
         (row.held, row.since, row.incarnation) = (Held::Suspect, now, incarnation);
         let heard = row.heard.map(|at| now - at);
-        self.counts.suspicions += 1;
+        self.counters.suspicions += 1;
         for part in LAST_CALLS {
             self.numbered += 1;
             self.last_calls.insert(
-                (now + self.set.suspicion.mul_f64(part), self.numbered),
+                (
+                    now + self.set.suspicion_timeout.mul_f64(part),
+                    self.numbered,
+                ),
                 id.name.clone(),
             );
         }
-        if before != State::Suspect {
+        if before != MemberState::Suspect {
             let why = Why::Unanswered { heard };
-            self.member(&id.name, id.address, Some(before), State::Suspect, why);
+            self.report_change(
+                &id.name,
+                id.address,
+                Some(before),
+                MemberState::Suspect,
+                why,
+            );
         }
     }
 
@@ -202,7 +232,7 @@
         act: impl FnOnce(&mut BTreeMap<CompactString, Row>, &CompactString),
     ) {
         let weight = |row: Option<&Row>| {
-            let missing = row.is_some_and(|r| r.state() == State::Down);
+            let missing = row.is_some_and(|r| r.state() == MemberState::Down);
             let active = row.is_some_and(Row::active);
             (
                 usize::from(active),
@@ -213,7 +243,8 @@
         let before = weight(self.rows.get(name));
         act(&mut self.rows, name);
         let after = weight(self.rows.get(name));
-        if self.touched.len() < self.set.most + self.rows.len() && (before != after || after.2 == 0)
+        if self.touched.len() < self.set.max_members + self.rows.len()
+            && (before != after || after.2 == 0)
         {
             self.touched.insert(name.clone());
         }
@@ -222,23 +253,23 @@
         self.marks.flip(name, before.2 ^ after.2);
     }
 
-    pub(super) fn change(&mut self, what: Change) {
+    pub(super) fn change(&mut self, what: MembershipEvent) {
         if self.changes.len() < CHANGES_MOST {
             self.changes.push(what);
         } else {
-            self.counts.untold += 1;
+            self.counters.dropped_events += 1;
         }
     }
 
-    pub(super) fn member(
+    pub(super) fn report_change(
         &mut self,
         name: &CompactString,
         address: SocketAddr,
-        from: Option<State>,
-        to: State,
+        from: Option<MemberState>,
+        to: MemberState,
         why: Why,
     ) {
-        self.change(Change::Member {
+        self.change(MembershipEvent::StateChanged {
             name: name.clone(),
             address,
             from,
@@ -248,7 +279,7 @@
     }
 
     pub(super) fn send(&mut self, to: SocketAddr, kind: Kind, body: &[u8]) {
-        if to == self.set.advertise || !self.set.networks.holds(to.ip()) {
+        if to == self.set.advertise || !self.set.allowed_networks.holds(to.ip()) {
             return;
         }
         let head = Head {
@@ -257,12 +288,12 @@
             held_up: self.awake.told(),
         };
         let bytes = wire::write(head, self.fleet, body);
-        self.counts.sent += 1;
-        self.counts.bytes_out += bytes.len() as u64;
+        self.counters.sent += 1;
+        self.counters.bytes_out += bytes.len() as u64;
         self.out.push((to, bytes));
     }
 
-    pub(super) fn notice(&mut self, now: Timestamp, to: SocketAddr, held: Member<Id>) {
+    pub(super) fn notice(&mut self, now: Timestamp, to: SocketAddr, held: Member<MemberIdentity>) {
         if now - self.notices.0 >= NOTICES_IN {
             self.notices = (now, 0);
         }
@@ -273,19 +304,19 @@
         self.send_notice(to, held);
     }
 
-    pub(super) fn send_notice(&mut self, to: SocketAddr, held: Member<Id>) {
-        self.counts.notices += 1;
+    pub(super) fn send_notice(&mut self, to: SocketAddr, held: Member<MemberIdentity>) {
+        self.counters.notices += 1;
         if let Some(body) = wire::bytes(&Notice {
-            from: self.own().clone(),
+            from: self.local_identity().clone(),
             held,
         }) {
             self.send(to, Kind::Notice, &body);
         }
     }
 
-    pub(super) fn ask(&mut self, from: &Id, after: CompactString) {
+    pub(super) fn ask(&mut self, from: &MemberIdentity, after: CompactString) {
         if let Some(body) = wire::bytes(&Ask {
-            from: self.own().clone(),
+            from: self.local_identity().clone(),
             after,
             parts: self.marks.parts.to_vec(),
         }) {
@@ -300,9 +331,9 @@
             std::ops::Bound::Excluded(&ask.after),
             std::ops::Bound::Unbounded,
         );
-        let room = DATAGRAM_MOST - HEAD;
+        let room = MAX_DATAGRAM_BYTES - HEAD;
         let mut page = Page {
-            from: self.own().clone(),
+            from: self.local_identity().clone(),
             members: vec![],
             last: true,
         };
@@ -353,17 +384,17 @@
             })
             .map(|m| m.id().name.clone())
             .collect();
-        let weighed: Vec<Member<Id>> = page
+        let weighed: Vec<Member<MemberIdentity>> = page
             .members
             .into_iter()
             .filter_map(|m| self.weigh(now, m, false))
             .collect();
-        let words: Vec<(Id, u16, Told)> = weighed
+        let words: Vec<(MemberIdentity, u16, Told)> = weighed
             .iter()
             .map(|m| (m.id().clone(), m.incarnation(), m.state()))
             .collect();
         let before = self.changed;
-        let known = |id: &Id| {
+        let known = |id: &MemberIdentity| {
             self.rows
                 .get(&id.name)
                 .is_some_and(|r| r.active() && r.id == *id)
--- a/crates/membership/src/networks.rs
+++ b/crates/membership/src/networks.rs
@@ -5,14 +5,14 @@
 use std::net::IpAddr;
 
 #[derive(Clone, Debug)]
-pub struct Networks {
+pub struct AllowedNetworks {
     v4: IpRange<Ipv4Net>,
     v6: IpRange<Ipv6Net>,
 }
 
-impl Networks {
-    pub fn of(nets: impl IntoIterator<Item = IpNet>) -> Networks {
-        let mut networks = Networks {
+impl AllowedNetworks {
+    pub fn new(nets: impl IntoIterator<Item = IpNet>) -> AllowedNetworks {
+        let mut networks = AllowedNetworks {
             v4: IpRange::new(),
             v6: IpRange::new(),
         };
--- a/crates/membership/src/networks/tests.rs
+++ b/crates/membership/src/networks/tests.rs
@@ -3,7 +3,7 @@
 #[test]
 fn networks_hold_their_addresses_in_either_spelling() {
     let nets = ["10.0.0.0/9", "10.128.0.0/9", "192.0.2.7/32", "fd00::/8"];
-    let set = Networks::of(nets.map(|n| n.parse().expect("a network")));
+    let set = AllowedNetworks::new(nets.map(|n| n.parse().expect("a network")));
     for (ip, held) in [
         ("10.200.1.1", true),
         ("11.0.0.1", false),
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -1,7 +1,7 @@
 //! Two views made one: who sees that another's digest differs asks for its whole roster, page by page, one
 //! roster at a time and the seldomer the less it brings.
 
-use crate::id::Id;
+use crate::id::MemberIdentity;
 use compact_str::CompactString;
 use madderbay::time::{Duration, Timestamp};
 
@@ -17,7 +17,7 @@
 
 pub struct Roster {
     /// Who is asked, past which name, and since when.
-    asked: Option<(Id, CompactString, Timestamp)>,
+    asked: Option<(MemberIdentity, CompactString, Timestamp)>,
     next: Timestamp,
     gap: Duration,
     brought: usize,
@@ -42,7 +42,7 @@
     pub fn differs(
         &mut self,
         now: Timestamp,
-        from: &Id,
+        from: &MemberIdentity,
         changed: Timestamp,
         draw: f64,
     ) -> Option<CompactString> {
@@ -63,7 +63,7 @@
     }
 
     /// Past which name a page that came goes; nothing where it was not asked for.
-    pub fn due(&self, from: &Id) -> Option<&CompactString> {
+    pub fn due(&self, from: &MemberIdentity) -> Option<&CompactString> {
         self.asked
             .as_ref()
             .filter(|a| a.0.name == from.name)
--- a/crates/membership/src/roster/tests.rs
+++ b/crates/membership/src/roster/tests.rs
@@ -5,11 +5,11 @@
 fn one_roster_at_a_time_and_seldomer_where_it_brings_nothing() {
     let at = |ms: u64| Timestamp::from_micros(ms * 1_000);
     let address = ([127, 0, 0, 1], 1).into();
-    let id = Id {
+    let id = MemberIdentity {
         name: "b".into(),
         address,
         zone: "".into(),
-        life: 1,
+        incarnation: 1,
         turn: 0,
         phase: Phase::In,
     };
@@ -26,7 +26,7 @@
     );
     assert_eq!(roster.due(&id), Some(&"m".into()));
     // The page past it is lost: the roster goes on from there, with another.
-    let other = Id {
+    let other = MemberIdentity {
         name: "c".into(),
         ..id.clone()
     };
--- a/crates/membership/src/swim.rs
+++ b/crates/membership/src/swim.rs
@@ -1,7 +1,7 @@
 //! SWIM as foca plays it: what goes into it and what comes out, with its chance and its timers. Nothing is
 //! decided here.
 
-use crate::id::Id;
+use crate::id::MemberIdentity;
 use crate::wire::Stranger;
 use foca::{
     Codec, Config, Foca, Header, Member, Message, NoCustomBroadcast, Notification,
@@ -57,27 +57,27 @@
 /// What foca wants done.
 #[derive(Default)]
 pub struct Wants {
-    pub sends: Vec<(Id, Vec<u8>)>,
-    pub timers: Vec<(Duration, Timer<Id>)>,
-    pub told: Vec<OwnedNotification<Id>>,
+    pub sends: Vec<(MemberIdentity, Vec<u8>)>,
+    pub timers: Vec<(Duration, Timer<MemberIdentity>)>,
+    pub told: Vec<OwnedNotification<MemberIdentity>>,
 }
 
-impl Runtime<Id> for Wants {
-    fn notify(&mut self, what: Notification<'_, Id>) {
+impl Runtime<MemberIdentity> for Wants {
+    fn notify(&mut self, what: Notification<'_, MemberIdentity>) {
         self.told.push(what.to_owned());
     }
 
-    fn send_to(&mut self, to: Id, data: &[u8]) {
+    fn send_to(&mut self, to: MemberIdentity, data: &[u8]) {
         self.sends.push((to, data.to_vec()));
     }
 
-    fn submit_after(&mut self, event: Timer<Id>, after: StdDuration) {
+    fn submit_after(&mut self, event: Timer<MemberIdentity>, after: StdDuration) {
         self.timers
             .push((Duration::from_micros(after.as_micros() as u64), event));
     }
 }
 
-pub type Swim = Foca<Id, PostcardCodec, Chance, NoCustomBroadcast>;
+pub type Swim = Foca<MemberIdentity, PostcardCodec, Chance, NoCustomBroadcast>;
 
 /// How foca is set for a fleet of that size.
 pub fn config(
@@ -111,8 +111,8 @@
 
 /// A SWIM datagram's body, taken apart.
 pub struct Packet {
-    pub header: Header<Id>,
-    pub members: Vec<Member<Id>>,
+    pub header: Header<MemberIdentity>,
+    pub members: Vec<Member<MemberIdentity>>,
 }
 
 pub fn read(mut bytes: &[u8]) -> Result<Packet, Stranger> {
@@ -147,12 +147,12 @@
 }
 
 /// Only the head of a body: who says what to whom.
-pub fn header(mut body: &[u8]) -> Option<Header<Id>> {
+pub fn header(mut body: &[u8]) -> Option<Header<MemberIdentity>> {
     PostcardCodec.decode_header(&mut body).ok()
 }
 
 /// The same probe from this server once more.
-pub fn ping(src: Id, src_incarnation: u16, dst: Id, number: u8) -> Vec<u8> {
+pub fn ping(src: MemberIdentity, src_incarnation: u16, dst: MemberIdentity, number: u8) -> Vec<u8> {
     let header = Header {
         src,
         src_incarnation,
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -1,14 +1,14 @@
 //! What a view says: states, changes with their evidence, and the whole of it for who asks.
 
-use crate::heard::Judgement;
-use crate::id::{Id, Phase};
+use crate::heard::ConnectivityStatus;
+use crate::id::{MemberIdentity, Phase};
 use compact_str::CompactString;
 use madderbay::time::{Duration, Timestamp};
 use std::fmt;
 use std::net::SocketAddr;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub enum State {
+pub enum MemberState {
     Joining,
     Alive,
     Suspect,
@@ -17,15 +17,15 @@
     Left,
 }
 
-impl fmt::Display for State {
+impl fmt::Display for MemberState {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         f.write_str(match self {
-            State::Joining => "joining",
-            State::Alive => "alive",
-            State::Suspect => "suspect",
-            State::Draining => "draining",
-            State::Down => "down",
-            State::Left => "left",
+            MemberState::Joining => "joining",
+            MemberState::Alive => "alive",
+            MemberState::Suspect => "suspect",
+            MemberState::Draining => "draining",
+            MemberState::Down => "down",
+            MemberState::Left => "left",
         })
     }
 }
@@ -41,7 +41,7 @@
 /// One other server, as this one sees it. All times are the own clock's.
 #[derive(Clone, Debug)]
 pub(crate) struct Row {
-    pub id: Id,
+    pub id: MemberIdentity,
     pub incarnation: u16,
     pub held: Held,
     pub since: Timestamp,
@@ -56,14 +56,14 @@
         self.held != Held::Down
     }
 
-    pub fn state(&self) -> State {
+    pub fn state(&self) -> MemberState {
         match (self.held, self.id.phase) {
-            (Held::Down, Phase::Left) => State::Left,
-            (Held::Down, _) => State::Down,
-            (Held::Suspect, _) => State::Suspect,
-            (Held::In, Phase::Joining) => State::Joining,
-            (Held::In, Phase::Draining) => State::Draining,
-            (Held::In, _) => State::Alive,
+            (Held::Down, Phase::Left) => MemberState::Left,
+            (Held::Down, _) => MemberState::Down,
+            (Held::Suspect, _) => MemberState::Suspect,
+            (Held::In, Phase::Joining) => MemberState::Joining,
+            (Held::In, Phase::Draining) => MemberState::Draining,
+            (Held::In, _) => MemberState::Alive,
         }
     }
 
@@ -73,8 +73,8 @@
     }
 }
 
-pub(crate) fn mark(id: &Id) -> u64 {
-    let seed = id.life.wrapping_mul(4).wrapping_add(id.phase as u64);
+pub(crate) fn mark(id: &MemberIdentity) -> u64 {
+    let seed = id.incarnation.wrapping_mul(4).wrapping_add(id.phase as u64);
     xxhash_rust::xxh3::xxh3_64_with_seed(id.name.as_bytes(), seed)
 }
 
@@ -157,15 +157,15 @@
 
 /// A change of the view, for the log.
 #[derive(Clone, Debug)]
-pub enum Change {
-    Member {
+pub enum MembershipEvent {
+    StateChanged {
         name: CompactString,
         address: SocketAddr,
-        from: Option<State>,
-        to: State,
+        from: Option<MemberState>,
+        to: MemberState,
         why: Why,
     },
-    Hears(Judgement, Timestamp),
+    Hears(ConnectivityStatus, Timestamp),
     /// The own process was held up for so long.
     HeldUp(Duration),
     /// An earlier life of this server, or one under its name that is over, stands ahead of its clock.
@@ -183,10 +183,10 @@
     Regained,
 }
 
-impl fmt::Display for Change {
+impl fmt::Display for MembershipEvent {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         match self {
-            Change::Member {
+            MembershipEvent::StateChanged {
                 name,
                 address,
                 from,
@@ -196,34 +196,36 @@
                 let from = from.map_or("unknown".into(), |s| s.to_string());
                 write!(f, "{name} at {address}: {from} to {to}: {why}")
             }
-            Change::Hears(j, now) => {
+            MembershipEvent::Hears(j, now) => {
                 let e = &j.evidence;
                 write!(
                     f,
                     "hears {}: {} in, {} missing, last word ",
-                    j.hears, e.active, e.missing
+                    j.level, e.active, e.missing
                 )?;
                 match e.last {
                     Some(last) => write!(f, "{} ms ago", (*now - last).as_micros() / 1_000),
                     None => f.write_str("never"),
                 }
             }
-            Change::HeldUp(span) => {
+            MembershipEvent::HeldUp(span) => {
                 write!(
                     f,
                     "held up for {} ms; accuses nobody for a while",
                     span.as_micros() / 1_000
                 )
             }
-            Change::Past { life } => write!(
+            MembershipEvent::Past { life } => write!(
                 f,
                 "life {life} stands under this name; this one begins past it"
             ),
-            Change::Renewed { turn } => write!(f, "held down by others; goes on as turn {turn}"),
-            Change::Taken { by } => {
+            MembershipEvent::Renewed { turn } => {
+                write!(f, "held down by others; goes on as turn {turn}")
+            }
+            MembershipEvent::Taken { by } => {
                 write!(f, "this name is taken by {by}; silent while that lives")
             }
-            Change::Regained => f.write_str("this name is free again"),
+            MembershipEvent::Regained => f.write_str("this name is free again"),
         }
     }
 }
@@ -232,23 +234,23 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MemberView {
     pub name: CompactString,
-    pub state: State,
+    pub state: MemberState,
     pub zone: CompactString,
     pub address: SocketAddr,
-    pub life: u64,
-    pub turn: u32,
+    pub incarnation: u64,
+    pub revision: u32,
     /// Since it was itself heard; nothing where it never was, or is this server.
-    pub heard_ms: Option<u64>,
-    pub held_up: u8,
+    pub last_received_ms: Option<u64>,
+    pub health_score: u8,
 }
 
 /// The whole of it, this server among them, by name.
 #[derive(Clone, Debug)]
 pub struct View {
     pub name: CompactString,
-    pub judgement: Judgement,
+    pub connectivity: ConnectivityStatus,
     pub since_ms: u64,
-    pub last_ms: Option<u64>,
+    pub last_received_ms: Option<u64>,
     pub digest: u64,
     pub members: Vec<MemberView>,
 }
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -10,13 +10,13 @@
 //! | 20 | how far the sender was held up of late, 0 to 8 |
 //! | 21..25 | crc32c of all other bytes |
 
-use crate::id::Id;
+use crate::id::MemberIdentity;
 use compact_str::CompactString;
 use foca::Member;
 use serde::{Deserialize, Serialize};
 
 /// Longest datagram, bytes: what passes any path without being cut.
-pub const DATAGRAM_MOST: usize = 1_400;
+pub const MAX_DATAGRAM_BYTES: usize = 1_400;
 pub const HEAD: usize = 25;
 const MAGIC: [u8; 2] = *b"MB";
 const VERSION: u8 = 3;
@@ -42,14 +42,14 @@
 /// The sender tells a server what it holds under that server's name.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct Notice {
-    pub from: Id,
-    pub held: Member<Id>,
+    pub from: MemberIdentity,
+    pub held: Member<MemberIdentity>,
 }
 
 /// The next page of the receiver's roster, past a name: of those parts that are not as the sender's are.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct Ask {
-    pub from: Id,
+    pub from: MemberIdentity,
     pub after: CompactString,
     pub parts: Vec<u32>,
 }
@@ -57,23 +57,23 @@
 /// Those in the sender's view, in the order of their names.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct Page {
-    pub from: Id,
-    pub members: Vec<Member<Id>>,
+    pub from: MemberIdentity,
+    pub members: Vec<Member<MemberIdentity>>,
     pub last: bool,
 }
 
 /// Parts of the server that speak through the view.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Part {
-    Shared,
-    Routes,
+pub enum Subsystem {
+    Quota,
+    Upstream,
 }
 
 /// What another part of the server says to the same part of another: the view only brings it.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct Beside<'a> {
-    pub from: Id,
-    pub part: Part,
+    pub from: MemberIdentity,
+    pub part: Subsystem,
     #[serde(borrow)]
     pub words: &'a [u8],
 }
@@ -147,7 +147,7 @@
 
 /// The head and the body, or why it is not heard.
 pub fn read(bytes: &[u8], own: u64) -> Result<(Head, &[u8]), Stranger> {
-    if bytes.len() < HEAD || bytes.len() > DATAGRAM_MOST || bytes[..2] != MAGIC {
+    if bytes.len() < HEAD || bytes.len() > MAX_DATAGRAM_BYTES || bytes[..2] != MAGIC {
         return Err(Stranger::Nonsense);
     }
     if bytes[2] != VERSION {
@@ -180,5 +180,5 @@
 pub fn bytes<T: Serialize>(what: &T) -> Option<Vec<u8>> {
     postcard::to_stdvec(what)
         .ok()
-        .filter(|b| b.len() <= DATAGRAM_MOST - HEAD)
+        .filter(|b| b.len() <= MAX_DATAGRAM_BYTES - HEAD)
 }
--- a/crates/quota/src/counts.rs
+++ b/crates/quota/src/counts.rs
@@ -338,7 +338,7 @@
         let sound = cell.heavy.len() <= TOLD
             && cell.heavy.iter().all(|h| h.1.len() <= KEPT as usize)
             && (cell.rest.is_empty() || cell.rest.len() == PLACES)
-            && madderbay_membership::NAME_MOST >= cell.name.len();
+            && madderbay_membership::MAX_NAME_BYTES >= cell.name.len();
         if !sound || cell.least_ms > cell.most_ms || (cell.name == *own.0 && cell.life == own.1) {
             self.refused += u64::from(!sound);
             return;
--- a/crates/quota/src/shared.rs
+++ b/crates/quota/src/shared.rs
@@ -6,7 +6,7 @@
 use crate::wire::{self, Word, Words};
 use compact_str::CompactString;
 use madderbay::time::{Duration, Timestamp};
-use madderbay_membership::WORDS_MOST;
+use madderbay_membership::MAX_SUBSYSTEM_PAYLOAD_BYTES;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Between two looks at what is wanted and what is lent.
@@ -386,8 +386,9 @@
         let mut size = 0;
         for count in &mut self.counts {
             for cell in count.cells(now, &name, life, draw, CELLS) {
-                let more = postcard::to_stdvec(&cell).map_or(WORDS_MOST, |b| b.len());
-                if size + more + 40 <= WORDS_MOST {
+                let more =
+                    postcard::to_stdvec(&cell).map_or(MAX_SUBSYSTEM_PAYLOAD_BYTES, |b| b.len());
+                if size + more + 40 <= MAX_SUBSYSTEM_PAYLOAD_BYTES {
                     size += more;
                     fit.push(cell);
                 }
@@ -538,7 +539,7 @@
                 seat,
                 words,
             });
-            if bytes.len() <= WORDS_MOST {
+            if bytes.len() <= MAX_SUBSYSTEM_PAYLOAD_BYTES {
                 self.totals.sent += 1;
                 self.totals.bytes_out += bytes.len() as u64;
                 out.push((name, bytes));
--- a/crates/server/src/fleet/control.rs
+++ b/crates/server/src/fleet/control.rs
@@ -224,11 +224,11 @@
     let view = fleet.together.borrow().members.view();
     let head = MembersHead {
         name: view.name.to_string(),
-        hears: view.judgement.hears.to_string(),
+        hears: view.connectivity.level.to_string(),
         since_ms: view.since_ms,
-        active: view.judgement.evidence.active,
-        missing: view.judgement.evidence.missing,
-        last_ms: view.last_ms,
+        active: view.connectivity.evidence.active,
+        missing: view.connectivity.evidence.missing,
+        last_ms: view.last_received_ms,
         digest: format!("{:016x}", view.digest),
     };
     let mut text = serde_json::to_string(&head).unwrap_or_default() + "\n";
@@ -238,10 +238,10 @@
             state: m.state.to_string(),
             zone: m.zone.to_string(),
             address: m.address.to_string(),
-            life: m.life,
-            turn: m.turn,
-            heard_ms: m.heard_ms,
-            held_up: m.held_up,
+            life: m.incarnation,
+            turn: m.revision,
+            heard_ms: m.last_received_ms,
+            held_up: m.health_score,
         };
         text += &serde_json::to_string(&line).unwrap_or_default();
         text.push('\n');
@@ -311,7 +311,7 @@
             });
         }
     }
-    let name = together.members.own().name.to_string();
+    let name = together.members.local_identity().name.to_string();
     let mut text = format!("{}\n", serde_json::json!({ "name": name }));
     for line in &lines {
         text += &serde_json::to_string(line).unwrap_or_default();
--- a/crates/server/src/fleet/talk.rs
+++ b/crates/server/src/fleet/talk.rs
@@ -6,7 +6,7 @@
 use crate::tools::clock::Ticks;
 use crate::tools::counters::Lines;
 use madderbay::time::{Duration, Timestamp};
-use madderbay_membership::{Members, Networks, STRANGERS, Settings};
+use madderbay_membership::{AllowedNetworks, Membership, STRANGERS, Settings};
 use madderbay_operator_config::members as operator;
 use madderbay_quota::Shared;
 use madderbay_upstream::Together;
@@ -26,7 +26,7 @@
 const LINES: usize = 200;
 const LINES_IN: StdDuration = StdDuration::from_secs(10);
 /// Longer than any datagram that is heard, so that a longer one shows.
-const BUFFER: usize = madderbay_membership::DATAGRAM_MOST + 1;
+const BUFFER: usize = madderbay_membership::MAX_DATAGRAM_BYTES + 1;
 
 /// The view, and what its driver counts.
 pub struct Fleet {
@@ -52,13 +52,13 @@
         zone: set.zone.as_str().into(),
         fleet: set.fleet.clone(),
         join: set.join.clone(),
-        networks: Networks::of(set.networks.iter().copied()),
-        most: set.most,
-        probe: Duration::from_millis(set.probe_ms),
-        answer: Duration::from_millis(set.probe_ms).mul_f64(ANSWER_PART),
-        suspicion: Duration::from_millis(set.suspicion_ms),
-        memory: Duration::from_millis(set.memory_s * 1_000),
-        minds_itself: true,
+        allowed_networks: AllowedNetworks::new(set.networks.iter().copied()),
+        max_members: set.most,
+        probe_interval: Duration::from_millis(set.probe_ms),
+        probe_timeout: Duration::from_millis(set.probe_ms).mul_f64(ANSWER_PART),
+        suspicion_timeout: Duration::from_millis(set.suspicion_ms),
+        down_retention: Duration::from_millis(set.memory_s * 1_000),
+        local_health_aware: true,
     }
 }
 
@@ -75,7 +75,7 @@
         counted: Counted,
         backends: Option<Rc<Backends>>,
     ) -> Fleet {
-        let members = Members::new(Timestamp::default(), unix_ms, seed, set);
+        let members = Membership::new(Timestamp::default(), unix_ms, seed, set);
         let shared = shared.map(|set| Shared::new(Timestamp::default(), seed, set));
         let mut together = Together::new(members, shared);
         together.routes = backends.as_ref().map(|b| b.routes.clone());
@@ -135,7 +135,7 @@
         }
         let mut changes: Vec<String> = together
             .members
-            .changes()
+            .take_events()
             .iter()
             .map(|c| format!("members: {c}"))
             .collect();
@@ -164,11 +164,11 @@
     pub fn counters(&self) -> String {
         let together = self.together.borrow();
         let members = &together.members;
-        let counts = &members.counts;
+        let counts = &members.counters;
         let mut lines = Lines::of("members");
         let mut line = |name: &str, value: u64| lines.add(name, value);
-        line("active", members.active() as u64 + 1);
-        line("heard", counts.heard);
+        line("active", members.active_count() as u64 + 1);
+        line("heard", counts.received);
         line("sent", counts.sent);
         line("bytes_in", counts.bytes_in);
         line("bytes_out", counts.bytes_out);
@@ -178,13 +178,13 @@
         line("over", self.over.get());
         line("unsent", self.unsent.get());
         line("suspicions", counts.suspicions);
-        line("refuted", counts.refuted);
-        line("downs", counts.downs);
-        line("renewed", counts.renewed);
+        line("refuted", counts.refutations);
+        line("downs", counts.down_declarations);
+        line("renewed", counts.identity_renewals);
         line("notices", counts.notices);
-        line("rosters", counts.rosters);
-        line("held_up", members.pauses());
-        line("untold", counts.untold + self.untold.get() as u64);
+        line("rosters", counts.roster_requests);
+        line("held_up", members.pause_count());
+        line("untold", counts.dropped_events + self.untold.get() as u64);
         lines.text
             + &together
                 .shared
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -3,7 +3,7 @@
 use clap::{Parser, Subcommand};
 use madderbay::time::{Duration, Timestamp};
 use madderbay_concurrency::ConcurrencyConfig;
-use madderbay_membership::{NAME_MOST, sound};
+use madderbay_membership::{MAX_NAME_BYTES, is_valid_name};
 use madderbay_operator_config::Operator;
 use madderbay_operator_config::kept::KeptResults;
 use madderbay_operator_config::members;
@@ -429,9 +429,9 @@
         .await
         .map_err(|e| format!("members: {}: {e}", set.listen))?;
     let (socket, settings) = (Rc::new(socket), talk::settings(&set, &config.name));
-    if !sound(&config.name) {
+    if !is_valid_name(&config.name) {
         return Err(format!(
-            "members: name '{}' is longer than {NAME_MOST} bytes",
+            "members: name '{}' is longer than {MAX_NAME_BYTES} bytes",
             config.name
         ));
     }
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -5,7 +5,7 @@
 use crate::history::{Deed, History, Ill, Plant};
 use madderbay::time::{Duration, Timestamp};
 use madderbay_concurrency::{ConcurrencyConfig, PoolConfig, Reserve};
-use madderbay_membership::{Members, Networks, State};
+use madderbay_membership::{AllowedNetworks, MemberState, Membership};
 use madderbay_quota::{BudgetSettings, Shared, Terms};
 use madderbay_server::balancers::front::Front;
 use madderbay_server::below::calls::{Hears as _, Replies};
@@ -423,19 +423,21 @@
                 zone: zone(s, zones).as_str().into(),
                 fleet: "lab".into(),
                 join: vec![address(0), address(1)],
-                networks: Networks::of(["127.0.0.0/8".parse().expect("a network")]),
-                most: 2_000,
-                probe: Duration::from_millis(500),
-                answer: Duration::from_millis(200),
-                suspicion: Duration::from_millis(if self.of.plant == Some(Plant::Suspicion) {
-                    3_000_000
-                } else {
-                    3_000
-                }),
-                memory: Duration::from_millis(60_000),
-                minds_itself: true,
+                allowed_networks: AllowedNetworks::new(["127.0.0.0/8".parse().expect("a network")]),
+                max_members: 2_000,
+                probe_interval: Duration::from_millis(500),
+                probe_timeout: Duration::from_millis(200),
+                suspicion_timeout: Duration::from_millis(
+                    if self.of.plant == Some(Plant::Suspicion) {
+                        3_000_000
+                    } else {
+                        3_000
+                    },
+                ),
+                down_retention: Duration::from_millis(60_000),
+                local_health_aware: true,
             };
-            let mut together = Together::new(Members::new(mono, unix, seed, set), shared);
+            let mut together = Together::new(Membership::new(mono, unix, seed, set), shared);
             together.routes = routes.as_ref().map(|b| b.routes.clone());
             Rc::new(RefCell::new(together))
         });
@@ -838,7 +840,7 @@
             let mut t = t.borrow_mut();
             let out = t.outgoing();
             // Nobody reads the log here.
-            t.members.changes();
+            t.members.take_events();
             t.shared.as_mut().map(Shared::changes);
             drop(t);
             for (to, bytes) in out {
@@ -1132,7 +1134,7 @@
                 doubts += view
                     .members
                     .iter()
-                    .filter(|m| matches!(m.state, State::Suspect))
+                    .filter(|m| matches!(m.state, MemberState::Suspect))
                     .count();
                 let tables = view.members.len();
                 if tables > self.of.servers + 1 {
--- a/crates/testkit/examples/shared.rs
+++ b/crates/testkit/examples/shared.rs
@@ -7,7 +7,7 @@
 //!     ... shared histories [COUNT]      ... shared trouble
 
 use madderbay::time::Duration;
-use madderbay_membership::State;
+use madderbay_membership::MemberState;
 use madderbay_quota::counts::{Counts, Settings};
 use madderbay_testkit::balancer::{Ask, Fate, Load, breaches, kept};
 use madderbay_testkit::catalogue::{Catalogue, Mood};
@@ -138,8 +138,8 @@
             let first = (0..want.len()).find(|s| {
                 *s == who
                     || members
-                        .state(&name(*s))
-                        .is_some_and(|s| !matches!(s, State::Down | State::Left))
+                        .member_state(&name(*s))
+                        .is_some_and(|s| !matches!(s, MemberState::Down | MemberState::Left))
             });
             let giver = first.unwrap_or(who);
             if !apart(who, giver) && sim.members(giver).is_some() {
--- a/crates/testkit/src/fleet/script.rs
+++ b/crates/testkit/src/fleet/script.rs
@@ -30,7 +30,7 @@
 //! ```
 
 use madderbay::time::Duration;
-use madderbay_membership::{Hears, State};
+use madderbay_membership::{Connectivity, MemberState};
 use std::path::Path;
 
 /// What is done to a fleet; servers are numbers from 0.
@@ -70,11 +70,11 @@
     Sees {
         who: Vec<usize>,
         of: usize,
-        state: Option<State>,
+        state: Option<MemberState>,
     },
     Hears {
         who: Vec<usize>,
-        hears: Hears,
+        hears: Connectivity,
     },
     /// May use at least, and at most, so many.
     Has {
@@ -176,15 +176,19 @@
     n.ok_or_else(|| "a part from 0 to 1 is wanted".into())
 }
 
-const STATES: [State; 6] = [
-    State::Joining,
-    State::Alive,
-    State::Suspect,
-    State::Draining,
-    State::Down,
-    State::Left,
+const STATES: [MemberState; 6] = [
+    MemberState::Joining,
+    MemberState::Alive,
+    MemberState::Suspect,
+    MemberState::Draining,
+    MemberState::Down,
+    MemberState::Left,
+];
+const HEARD: [Connectivity; 3] = [
+    Connectivity::Complete,
+    Connectivity::Partial,
+    Connectivity::Isolated,
 ];
-const HEARD: [Hears; 3] = [Hears::Whole, Hears::Part, Hears::Alone];
 
 impl Setup {
     fn one(&self, word: &str) -> Result<usize, String> {
--- a/crates/testkit/src/fleet/sim.rs
+++ b/crates/testkit/src/fleet/sim.rs
@@ -4,7 +4,7 @@
 use super::net::Net;
 use super::script::{Act, Condition, Fleet, Setup, name, play, scripts};
 use madderbay::time::{Duration, Timestamp};
-use madderbay_membership::{Change, Members, Networks, Settings, State};
+use madderbay_membership::{AllowedNetworks, MemberState, Membership, MembershipEvent, Settings};
 use madderbay_quota::{BudgetSettings, CountSettings, Shared, Terms, Told};
 use madderbay_upstream::Together;
 use oorandom::Rand64;
@@ -150,7 +150,7 @@
         }
     }
 
-    pub fn members(&self, server: usize) -> Option<&Members> {
+    pub fn members(&self, server: usize) -> Option<&Membership> {
         self.nodes[server].life.as_ref().map(|t| &t.members)
     }
 
@@ -163,7 +163,7 @@
         self.used.0 + f64::from(self.in_hand) * (self.now - self.used.1).as_secs_f64()
     }
 
-    pub fn running(&self) -> impl Iterator<Item = (usize, &Members)> {
+    pub fn running(&self) -> impl Iterator<Item = (usize, &Membership)> {
         self.nodes
             .iter()
             .enumerate()
@@ -187,13 +187,13 @@
             zone: setup.zones[who].as_str().into(),
             fleet: "fleet".into(),
             join: setup.join.iter().map(|j| address(*j)).collect(),
-            networks: Networks::of(["127.0.0.0/8".parse().expect("a network")]),
-            most: setup.most,
-            probe: setup.probe,
-            answer: setup.probe.mul_f64(0.4),
-            suspicion: setup.suspicion,
-            memory: setup.memory,
-            minds_itself: setup.minds_itself,
+            allowed_networks: AllowedNetworks::new(["127.0.0.0/8".parse().expect("a network")]),
+            max_members: setup.most,
+            probe_interval: setup.probe,
+            probe_timeout: setup.probe.mul_f64(0.4),
+            suspicion_timeout: setup.suspicion,
+            down_retention: setup.memory,
+            local_health_aware: setup.minds_itself,
         };
         let seed = self.chance.rand_u64();
         let now = self.nodes[who].clock(self.now);
@@ -209,7 +209,7 @@
             });
         }
         node.life = Some(Together::new(
-            Members::new(now, unix, seed, settings),
+            Membership::new(now, unix, seed, settings),
             shared,
         ));
         (node.name, node.stopped, node.wakes) = (named, false, None);
@@ -377,7 +377,7 @@
         let began = self.truths.iter().rev().find(|t| t.who == who)?.began;
         let known = |t: &Truth| {
             let own = t.who == who && t.began == began;
-            own || t.who != who && view.other(&name(self.nodes[t.who].name)).is_some()
+            own || t.who != who && view.member(&name(self.nodes[t.who].name)).is_some()
         };
         let (truth, least) = (
             f64::from(self.truth(key)),
@@ -401,7 +401,7 @@
             return;
         };
         act(together, own);
-        let (out, changes) = (together.outgoing(), together.members.changes());
+        let (out, changes) = (together.outgoing(), together.members.take_events());
         let due = together.due().max(own);
         let lent = together.shared.as_mut().map_or(vec![], Shared::changes);
         let due = node.outside(due).max(self.now);
@@ -427,7 +427,7 @@
         }
     }
 
-    fn changed(&mut self, who: usize, change: &Change) {
+    fn changed(&mut self, who: usize, change: &MembershipEvent) {
         if let Some(log) = &mut self.log {
             log.push(format!(
                 "{:9.3} {}: {change}",
@@ -435,9 +435,9 @@
                 name(who)
             ));
         }
-        let Change::Member {
+        let MembershipEvent::StateChanged {
             address,
-            to: State::Down,
+            to: MemberState::Down,
             ..
         } = change
         else {
@@ -498,7 +498,8 @@
 
     /// Those that run and are heard under their own names.
     fn present(&self) -> Vec<usize> {
-        let own = |m: &Members| m.state(&m.own().name) != Some(State::Down);
+        let own =
+            |m: &Membership| m.member_state(&m.local_identity().name) != Some(MemberState::Down);
         self.nodes
             .iter()
             .enumerate()
@@ -517,7 +518,7 @@
         for &s in &truth {
             let members = self.members(s)?;
             let group = self.net.group[s];
-            let (size, active) = (sizes[&group], members.active());
+            let (size, active) = (sizes[&group], members.active_count());
             if active + 1 != size {
                 return Some(format!(
                     "{} holds {active} others in, not {}",
@@ -529,7 +530,7 @@
             if first.1 != members.digest() {
                 return Some(format!("{} and {} differ", name(first.0), name(s)));
             }
-            if members.own().phase == madderbay_membership::Phase::Joining {
+            if members.local_identity().phase == madderbay_membership::Phase::Joining {
                 return Some(format!("{} is joining", name(s)));
             }
         }
@@ -538,7 +539,7 @@
             let view = self.members(*s)?.view();
             view.members
                 .iter()
-                .find(|m| m.state == State::Suspect)
+                .find(|m| m.state == MemberState::Suspect)
                 .map(|m| m.name.clone())
         });
         doubtful.map(|who| format!("{who} is suspect"))
@@ -648,12 +649,12 @@
                 .filter(|w| who.len() == 1 || *w != of)
                 .find_map(|w| {
                     let members = self.members(*w).filter(|_| !self.nodes[*w].stopped)?;
-                    let seen = members.state(&name(*of));
+                    let seen = members.member_state(&name(*of));
                     (seen != *state).then(|| format!("{} sees {} {seen:?}", name(*w), name(*of)))
                 }),
             Condition::Hears { who, hears } => who.iter().find_map(|w| {
                 let members = self.members(*w).filter(|_| !self.nodes[*w].stopped)?;
-                let heard = members.hears();
+                let heard = members.connectivity();
                 (heard != *hears).then(|| format!("{} hears {heard}", name(*w)))
             }),
             Condition::Has { who, least, most } => who.iter().find_map(|w| {
--- a/crates/upstream/src/routes.rs
+++ b/crates/upstream/src/routes.rs
@@ -8,7 +8,7 @@
 use crate::wire::{self, EIGHTH, Line, Words};
 use compact_str::CompactString;
 use madderbay::time::{Duration, Timestamp};
-use madderbay_membership::WORDS_MOST;
+use madderbay_membership::MAX_SUBSYSTEM_PAYLOAD_BYTES;
 use oorandom::Rand64;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::fmt;
@@ -667,7 +667,7 @@
             lines,
         }
         .bytes();
-        if bytes.len() > WORDS_MOST {
+        if bytes.len() > MAX_SUBSYSTEM_PAYLOAD_BYTES {
             return;
         }
         for at in 0..SAY_TO.min(self.active.len()) {
--- a/crates/upstream/src/together.rs
+++ b/crates/upstream/src/together.rs
@@ -3,21 +3,21 @@
 
 use crate::routes::Routes;
 use madderbay::time::Timestamp;
-use madderbay_membership::{Members, Part, State};
+use madderbay_membership::{MemberState, Membership, Subsystem};
 use madderbay_quota::{Peer, Shared};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 pub struct Together {
-    pub members: Members,
+    pub members: Membership,
     pub shared: Option<Shared>,
     /// The calls' side asks it too, at any moment.
     pub routes: Option<Rc<RefCell<Routes>>>,
 }
 
 impl Together {
-    pub fn new(members: Members, shared: Option<Shared>) -> Together {
+    pub fn new(members: Membership, shared: Option<Shared>) -> Together {
         Together {
             members,
             shared,
@@ -32,22 +32,25 @@
 
     /// The time has come for what was due, of any part.
     pub fn turn(&mut self, now: Timestamp) {
-        self.members.turn(now);
+        self.members.handle_timeout(now);
         self.meet(now);
     }
 
     fn meet(&mut self, now: Timestamp) {
         if let Some(shared) = &mut self.shared {
-            shared.lives(now, self.members.own().life);
+            shared.lives(now, self.members.local_identity().incarnation);
         }
         // Only what has changed: in a storm of news the whole view would be read anew for each.
-        for name in self.members.touched() {
-            let found = self.members.other(&name).filter(|f| f.1 != State::Left);
+        for name in self.members.take_changed_members() {
+            let found = self
+                .members
+                .member(&name)
+                .filter(|f| f.1 != MemberState::Left);
             if let Some(routes) = &self.routes {
                 let mut routes = routes.borrow_mut();
                 match found {
                     Some((id, state)) => {
-                        routes.there(&name, id.life, &id.zone, state != State::Down)
+                        routes.there(&name, id.incarnation, &id.zone, state != MemberState::Down)
                     }
                     None => routes.gone(&name),
                 }
@@ -61,33 +64,37 @@
                         now,
                         Peer {
                             name,
-                            life: id.life,
-                            active: state != State::Down,
+                            life: id.incarnation,
+                            active: state != MemberState::Down,
                         },
                     );
                 }
                 None => shared.gone(now, &name),
             }
         }
-        for (from, part, words) in self.members.beside() {
+        for (from, part, words) in self.members.take_subsystem_messages() {
             match (part, &mut self.shared, &self.routes) {
-                (Part::Shared, Some(shared), _) => shared.received(now, &from, &words),
-                (Part::Routes, _, Some(routes)) => routes.borrow_mut().received(now, &from, &words),
+                (Subsystem::Quota, Some(shared), _) => shared.received(now, &from, &words),
+                (Subsystem::Upstream, _, Some(routes)) => {
+                    routes.borrow_mut().received(now, &from, &words)
+                }
                 _ => {}
             }
         }
         if let Some(shared) = &mut self.shared {
             shared.turn(now);
             for (to, words) in shared.outgoing() {
-                self.members.say(&to, Part::Shared, &words);
+                self.members
+                    .send_subsystem_message(&to, Subsystem::Quota, &words);
             }
         }
         if let Some(routes) = &self.routes {
             let mut routes = routes.borrow_mut();
-            routes.held_up(self.members.held_up());
+            routes.held_up(self.members.is_degraded());
             routes.turn(now);
             for (to, words) in routes.outgoing() {
-                self.members.say(&to, Part::Routes, &words);
+                self.members
+                    .send_subsystem_message(&to, Subsystem::Upstream, &words);
             }
         }
     }
@@ -99,10 +106,10 @@
         [shared, routes]
             .into_iter()
             .flatten()
-            .fold(self.members.due(), Timestamp::min)
+            .fold(self.members.next_timeout(), Timestamp::min)
     }
 
     pub fn outgoing(&mut self) -> Vec<(SocketAddr, Vec<u8>)> {
-        self.members.outgoing()
+        self.members.take_outgoing()
     }
 }
--- a/crates/upstream/tests/any.rs
+++ b/crates/upstream/tests/any.rs
@@ -74,7 +74,7 @@
                 }
                 _ => routes.turn(now),
             }
-            prop_assert!(routes.outgoing().iter().all(|o| o.1.len() <= madderbay_membership::WORDS_MOST));
+            prop_assert!(routes.outgoing().iter().all(|o| o.1.len() <= madderbay_membership::MAX_SUBSYSTEM_PAYLOAD_BYTES));
             prop_assert!(routes.changes().len() <= 64);
             let views = routes.views(now);
             for (handlers, n) in routes.groups() {
