--- a/crates/quota/src/budget.rs
+++ b/crates/quota/src/budget.rs
@@ -2,7 +2,7 @@
 //! give back. Wishes only: what may be used is the [`Ledger`]'s.
 
 use crate::fair::{Wish, step};
-use crate::ledger::{Ledger, Terms, Who};
+use crate::ledger::{LeaseTerms, Ledger, Who};
 use crate::wire::Word;
 use compact_str::CompactString;
 use madderbay::time::{Duration, Timestamp};
@@ -44,22 +44,22 @@
 pub struct Settings {
     pub name: CompactString,
     /// Calls in hand that the whole fleet may have, and the most servers there may be.
-    pub whole: u32,
-    pub servers: u32,
+    pub capacity: u32,
+    pub max_servers: u32,
     /// 1 to `servers`, where this server has one of its own: what does not divide evenly goes to the first.
-    pub seat: Option<u32>,
+    pub slot: Option<u32>,
     /// This server's weight among those who want more than there is.
     pub weight: f64,
-    pub terms: Terms,
+    pub terms: LeaseTerms,
 }
 
 impl Settings {
     pub fn birthright(&self) -> u32 {
-        let each = self.whole / self.servers.max(1);
-        let over = self.whole % self.servers.max(1);
-        match self.seat {
+        let each = self.capacity / self.max_servers.max(1);
+        let over = self.capacity % self.max_servers.max(1);
+        match self.slot {
             None => each,
-            Some(seat) if seat > self.servers => 0,
+            Some(seat) if seat > self.max_servers => 0,
             Some(seat) => each + u32::from(seat <= over),
         }
     }
@@ -137,7 +137,7 @@
     pub fn new(now: Timestamp, from: Timestamp, set: Settings) -> Budget {
         let ledger = Ledger::new(set.terms, set.birthright(), from);
         Budget {
-            mark: crate::wire::mark(&set.name),
+            mark: crate::wire::name_hash(&set.name),
             ledger,
             waiting: 0,
             level: 0.0,
@@ -157,12 +157,12 @@
         }
     }
 
-    pub fn started(&mut self, now: Timestamp) {
+    pub fn call_started(&mut self, now: Timestamp) {
         self.ledger.started();
         self.follow(now);
     }
 
-    pub fn ended(&mut self, now: Timestamp) {
+    pub fn call_ended(&mut self, now: Timestamp) {
         self.ledger.ended();
         self.follow(now);
         // Whoever called something back waits for this.
@@ -176,7 +176,7 @@
     }
 
     /// Calls that stand in wait of a place, or surely will.
-    pub fn wait(&mut self, now: Timestamp, calls: u32) {
+    pub fn set_waiting(&mut self, now: Timestamp, calls: u32) {
         let more = calls > self.waiting;
         self.waiting = calls;
         self.follow(now);
@@ -202,7 +202,7 @@
     /// Calls that this server has work for, with some room.
     pub fn wants(&self) -> u32 {
         let demand = self.level.max(self.mean);
-        ((demand - FADED).ceil() as u32 + (demand * ROOM_PART) as u32).min(self.set.whole)
+        ((demand - FADED).ceil() as u32 + (demand * ROOM_PART) as u32).min(self.set.capacity)
     }
 
     /// What it could lend to others altogether: its own, less what it has work for itself now and had of late.
@@ -424,7 +424,7 @@
                 } else {
                     1.0
                 };
-                let most = self.set.whole;
+                let most = self.set.capacity;
                 let (base, wants) = (base.min(most), wants.min(most));
                 let wish = Wish {
                     base,
@@ -471,7 +471,7 @@
                 spare,
                 ..
             } => {
-                let units = units.min(self.set.whole);
+                let units = units.min(self.set.capacity);
                 let had = self.ledger.borrowed_of(now, from);
                 if !self.ledger.granted(now, from, number, units) {
                     return;
@@ -522,7 +522,7 @@
             }
             Word::Spare { units, .. } => {
                 let missing = self.wants().saturating_sub(self.ledger.usable(now));
-                let spare = units.min(self.set.whole);
+                let spare = units.min(self.set.capacity);
                 self.lenders.insert(
                     from,
                     Lender {
@@ -559,7 +559,7 @@
     }
 
     /// When a place may come free at the latest, where there is none now.
-    pub fn until_room(&self, now: Timestamp) -> Duration {
+    pub fn until_capacity(&self, now: Timestamp) -> Duration {
         let from = self.ledger.usable_from() - now;
         if from > Duration::ZERO && self.ledger.usable(now) == 0 {
             from
--- a/crates/quota/src/counts.rs
+++ b/crates/quota/src/counter.rs
@@ -7,7 +7,7 @@
 //! long ago one was over is known within bounds, by own clocks alone, since every answer brings the stamp of
 //! its question back.
 
-use crate::wire::{Cell, mark};
+use crate::wire::{Cell, name_hash};
 use compact_str::CompactString;
 use madderbay::time::{Duration, Timestamp};
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -31,11 +31,11 @@
 const FADES: f64 = 1.0;
 
 #[derive(Clone, Debug, PartialEq)]
-pub struct Settings {
+pub struct CounterSettings {
     pub name: CompactString,
     pub window: Duration,
     /// A server is taken to count no more of one key a second: what bounds the unheard.
-    pub most: f64,
+    pub max_per_second: f64,
 }
 
 /// What this server counted in one slot.
@@ -114,24 +114,24 @@
 
 /// How often a key came in the window, over the fleet.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Told {
+pub struct CountEstimate {
     pub value: f64,
     /// The truth lies between these.
     pub low: f64,
     pub high: f64,
     /// Servers of which the end of the window was not heard.
-    pub unheard: usize,
+    pub stale_servers: usize,
 }
 
-impl Told {
+impl CountEstimate {
     /// How far the value may be off.
     pub fn bound(&self) -> f64 {
         (self.high - self.value).max(self.value - self.low)
     }
 }
 
-pub struct Counts {
-    pub set: Settings,
+pub struct ReplicatedCounter {
+    pub settings: CounterSettings,
     pub mark: u32,
     slot: Duration,
     began: Timestamp,
@@ -141,13 +141,13 @@
     /// Servers in the view of which nothing was heard yet, and since when they are there.
     unmet: BTreeMap<CompactString, Timestamp>,
     made: Option<Cell>,
-    pub refused: u64,
+    pub rejected: u64,
 }
 
-impl Counts {
-    pub fn new(now: Timestamp, set: Settings) -> Counts {
-        Counts {
-            mark: mark(&set.name),
+impl ReplicatedCounter {
+    pub fn new(now: Timestamp, set: CounterSettings) -> ReplicatedCounter {
+        ReplicatedCounter {
+            mark: name_hash(&set.name),
             slot: set
                 .window
                 .mul_f64(1.0 / SLOTS as f64)
@@ -157,8 +157,8 @@
             heard: BTreeMap::new(),
             unmet: BTreeMap::new(),
             made: None,
-            refused: 0,
-            set,
+            rejected: 0,
+            settings: set,
         }
     }
 
@@ -190,7 +190,7 @@
     }
 
     /// What this server counted itself in the window.
-    pub fn own(&self, now: Timestamp, key: u32) -> Told {
+    pub fn own(&self, now: Timestamp, key: u32) -> CountEstimate {
         let newest = self.number(now);
         let (mut low, mut high) = (0u32, 0u32);
         // The slot before the filling one is over; the window begins LAG slots before the end of that.
@@ -202,16 +202,16 @@
             (low, high) = (low.saturating_add(sure), high.saturating_add(most));
         }
         let (low, high) = (f64::from(low), f64::from(high));
-        Told {
+        CountEstimate {
             value: (low + high) / 2.0,
             low,
             high,
-            unheard: 0,
+            stale_servers: 0,
         }
     }
 
     /// Keys that came here of late, the heaviest first.
-    pub fn active(&self, most: usize) -> Vec<u32> {
+    pub fn heaviest_keys(&self, most: usize) -> Vec<u32> {
         let mut sums: HashMap<u32, u32> = HashMap::new();
         for (_, slot) in &self.own {
             slot.heavy
@@ -340,7 +340,7 @@
             && (cell.rest.is_empty() || cell.rest.len() == PLACES)
             && madderbay_membership::MAX_NAME_BYTES >= cell.name.len();
         if !sound || cell.least_ms > cell.most_ms || (cell.name == *own.0 && cell.life == own.1) {
-            self.refused += u64::from(!sound);
+            self.rejected += u64::from(!sound);
             return;
         }
         let key = (cell.name.clone(), cell.life);
@@ -349,7 +349,7 @@
             return;
         }
         if known.is_none() && self.heard.len() >= LIVES_MOST {
-            self.refused += 1;
+            self.rejected += 1;
             return;
         }
         let over = (
@@ -418,7 +418,7 @@
 
     /// How often a key came over the fleet in the window that ended `LAG` slots ago. `fair` is what a server
     /// that is not heard is taken to count of it a second, in the long run.
-    pub fn told(&self, now: Timestamp, key: u32, fair: f64) -> Told {
+    pub fn estimate(&self, now: Timestamp, key: u32, fair: f64) -> CountEstimate {
         let mut told = self.own(now, key);
         let (slot, from) = (self.slot.as_secs_f64(), self.slot.mul_f64(LAG as f64));
         let to = self.slot.mul_f64(KEPT as f64);
@@ -455,25 +455,27 @@
             if unknown > 0.0 {
                 let rate = listed.map_or(0.0, |l| l.iter().map(|n| f64::from(*n)).sum())
                     / (KEPT as f64 * slot);
-                let keeps = (-(least.as_secs_f64() / self.set.window.as_secs_f64()) / FADES).exp();
+                let keeps =
+                    (-(least.as_secs_f64() / self.settings.window.as_secs_f64()) / FADES).exp();
                 value += unknown * slot * (rate * keeps + fair * (1.0 - keeps));
-                high += unknown * slot * self.set.most;
-                told.unheard += 1;
+                high += unknown * slot * self.settings.max_per_second;
+                told.stale_servers += 1;
             }
             told.low += low;
             told.high += high;
             told.value += value.clamp(low, high);
         }
         for _ in self.unmet.values() {
-            told.high += self.set.window.as_secs_f64() * self.set.most;
-            told.value += self.set.window.as_secs_f64() * fair.min(self.set.most);
-            told.unheard += 1;
+            told.high += self.settings.window.as_secs_f64() * self.settings.max_per_second;
+            told.value +=
+                self.settings.window.as_secs_f64() * fair.min(self.settings.max_per_second);
+            told.stale_servers += 1;
         }
         told
     }
 
     /// Lives of others of which anything is kept.
-    pub fn len(&self) -> usize {
+    pub fn tracked_incarnations(&self) -> usize {
         self.heard.len()
     }
 
--- a/crates/quota/src/ledger.rs
+++ b/crates/quota/src/ledger.rs
@@ -16,19 +16,19 @@
 
 /// What binds a loan.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Terms {
+pub struct LeaseTerms {
     /// How long a borrower may start calls on a grant, counted from when it asked for it.
     pub lease: Duration,
     /// The longest that a call, and whatever it leaves behind, is in hand below.
-    pub longest: Duration,
+    pub max_call: Duration,
     /// So long before a lease ends no call is started on it any more: a start takes time to get below.
     pub guard: Duration,
 }
 
-impl Terms {
+impl LeaseTerms {
     /// How long a lender holds back what it has granted, unless it is given back before.
     pub fn held(&self) -> Duration {
-        (self.lease + self.longest).mul_f64(1.0 + DRIFT)
+        (self.lease + self.max_call).mul_f64(1.0 + DRIFT)
     }
 }
 
@@ -85,7 +85,7 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Ledger {
-    terms: Terms,
+    terms: LeaseTerms,
     own: u32,
     /// From when on the birthright may be used: what a former life of this server lent is over by then.
     from: Timestamp,
@@ -98,7 +98,7 @@
 
 impl Ledger {
     /// `own` is this server's birthright, which it may use, and lend, from `from` on.
-    pub fn new(terms: Terms, own: u32, from: Timestamp) -> Ledger {
+    pub fn new(terms: LeaseTerms, own: u32, from: Timestamp) -> Ledger {
         let (given, taken) = (BTreeMap::new(), BTreeMap::new());
         Ledger {
             terms,
@@ -111,7 +111,7 @@
         }
     }
 
-    pub fn terms(&self) -> Terms {
+    pub fn terms(&self) -> LeaseTerms {
         self.terms
     }
 
--- a/crates/quota/src/ledger/model.rs
+++ b/crates/quota/src/ledger/model.rs
@@ -9,9 +9,9 @@
 /// Birthrights: one server has all, so that every call of another is on a loan.
 const OWN: [u32; SERVERS] = [2, 0, 0];
 const WHOLE: usize = 2;
-const TERMS: Terms = Terms {
+const TERMS: LeaseTerms = LeaseTerms {
     lease: Duration::from_micros(2),
-    longest: Duration::from_micros(1),
+    max_call: Duration::from_micros(1),
     guard: Duration::ZERO,
 };
 /// Ticks played, messages under way at a time, and what is done at the most in one history.
@@ -238,7 +238,7 @@
             }
             Deed::Start(s) => {
                 w.servers[s].ledger.started();
-                let until = w.now + TERMS.longest.as_micros();
+                let until = w.now + TERMS.max_call.as_micros();
                 w.calls.push((s, w.servers[s].life, until));
                 w.calls.sort_unstable();
             }
--- a/crates/quota/src/ledger/tests.rs
+++ b/crates/quota/src/ledger/tests.rs
@@ -1,8 +1,8 @@
 use super::*;
 
-const TERMS: Terms = Terms {
+const TERMS: LeaseTerms = LeaseTerms {
     lease: Duration::from_millis(1_000),
-    longest: Duration::from_millis(2_000),
+    max_call: Duration::from_millis(2_000),
     guard: Duration::from_millis(50),
 };
 
@@ -32,7 +32,7 @@
         ),
         (1, 4)
     );
-    assert!(at(949) + TERMS.longest < over);
+    assert!(at(949) + TERMS.max_call < over);
 }
 
 #[test]
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -47,14 +47,14 @@
 //! ```
 
 pub mod budget;
-pub mod counts;
+pub mod counter;
 mod fair;
 pub mod ledger;
 mod shared;
 mod wire;
 
 pub use budget::{Cause, Settings as BudgetSettings};
-pub use counts::{Settings as CountSettings, Told};
-pub use ledger::Terms;
-pub use shared::{BudgetView, Change, Peer, Settings, Shared, Totals};
-pub use wire::{Cell, mark};
+pub use counter::{CountEstimate, CounterSettings};
+pub use ledger::LeaseTerms;
+pub use shared::{BudgetView, Change, FleetQuotas, Peer, Settings, Totals};
+pub use wire::{Cell, name_hash};
--- a/crates/quota/src/shared.rs
+++ b/crates/quota/src/shared.rs
@@ -1,7 +1,7 @@
 //! The machine: the view, datagrams, time and chance in; datagrams, due times and changes out.
 
 use crate::budget::{self, Budget, Cause};
-use crate::counts::{self, Counts, Told};
+use crate::counter::{self, CountEstimate, ReplicatedCounter};
 use crate::ledger::Who;
 use crate::wire::{self, Word, Words};
 use compact_str::CompactString;
@@ -33,7 +33,7 @@
 pub struct Peer {
     pub name: CompactString,
     /// Its life, as the view tells lives apart.
-    pub life: u64,
+    pub incarnation: u64,
     /// In, and to be spoken to; else it was lost and is still remembered.
     pub active: bool,
 }
@@ -42,9 +42,9 @@
 pub struct Settings {
     pub name: CompactString,
     /// A number that no other life of any server has.
-    pub life: u64,
+    pub incarnation: u64,
     pub budgets: Vec<budget::Settings>,
-    pub counts: Vec<counts::Settings>,
+    pub counters: Vec<counter::CounterSettings>,
 }
 
 /// What is known of another beside the view.
@@ -87,30 +87,30 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct BudgetView {
     pub name: CompactString,
-    pub whole: u32,
-    pub own: u32,
-    pub lent: u32,
-    pub borrowed: u32,
+    pub capacity: u32,
+    pub base_quota: u32,
+    pub granted: u32,
+    pub leased: u32,
     pub usable: u32,
     pub in_use: u32,
-    pub wants: u32,
+    pub demand: u32,
     /// Since any other was heard of it.
-    pub heard: Option<Duration>,
+    pub since_contact: Option<Duration>,
     /// Until the birthright may be used.
-    pub waits: Duration,
+    pub until_usable: Duration,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Totals {
-    pub heard: u64,
-    pub unread: u64,
+    pub datagrams_received: u64,
+    pub datagrams_rejected: u64,
     pub misdirected: u64,
-    pub sent: u64,
-    pub bytes_out: u64,
+    pub datagrams_sent: u64,
+    pub bytes_sent: u64,
     pub untold: u64,
 }
 
-pub struct Shared {
+pub struct FleetQuotas {
     set: Settings,
     chance: oorandom::Rand64,
     /// The own life as the view tells it, by which servers without seats are ranked.
@@ -125,7 +125,7 @@
     retired: Vec<Who>,
     free: Vec<Who>,
     pub budgets: Vec<Budget>,
-    pub counts: Vec<Counts>,
+    pub counters: Vec<ReplicatedCounter>,
     surplus: bool,
     /// The view has changed since ranks were looked at.
     ranks: bool,
@@ -139,18 +139,21 @@
     pub totals: Totals,
 }
 
-impl Shared {
-    pub fn new(now: Timestamp, seed: u64, set: Settings) -> Shared {
+impl FleetQuotas {
+    pub fn new(now: Timestamp, seed: u64, set: Settings) -> FleetQuotas {
         let budgets = set.budgets.iter().map(|b| {
-            let settles = if b.seat.is_some() {
+            let settles = if b.slot.is_some() {
                 Duration::ZERO
             } else {
                 SETTLES
             };
             Budget::new(now, now + b.terms.held() + settles, b.clone())
         });
-        let counts = set.counts.iter().map(|c| Counts::new(now, c.clone()));
-        Shared {
+        let counts = set
+            .counters
+            .iter()
+            .map(|c| ReplicatedCounter::new(now, c.clone()));
+        FleetQuotas {
             chance: oorandom::Rand64::new(u128::from(seed)),
             ranked: (0, set.name.clone()),
             peers: BTreeMap::new(),
@@ -161,7 +164,7 @@
             retired: vec![],
             free: vec![],
             budgets: budgets.collect(),
-            counts: counts.collect(),
+            counters: counts.collect(),
             surplus: false,
             ranks: true,
             looked: Timestamp::default(),
@@ -178,7 +181,7 @@
 
     /// The view as of now, this server not among it, and its own life there.
     pub fn view(&mut self, now: Timestamp, life: u64, peers: Vec<Peer>) {
-        self.lives(now, life);
+        self.set_incarnation(now, life);
         let there: BTreeSet<&CompactString> = peers.iter().map(|p| &p.name).collect();
         let gone: Vec<CompactString> = self
             .peers
@@ -186,20 +189,20 @@
             .filter(|n| !there.contains(n))
             .cloned()
             .collect();
-        gone.iter().for_each(|name| self.gone(now, name));
-        peers.into_iter().for_each(|p| self.there(now, p));
+        gone.iter().for_each(|name| self.remove_peer(now, name));
+        peers.into_iter().for_each(|p| self.update_peer(now, p));
     }
 
     /// The own life, as the view tells it.
-    pub fn lives(&mut self, now: Timestamp, life: u64) {
+    pub fn set_incarnation(&mut self, now: Timestamp, life: u64) {
         if std::mem::replace(&mut self.ranked.0, life) != life {
             self.rank(now);
         }
     }
 
     /// One that the view holds, or holds otherwise than before.
-    pub fn there(&mut self, now: Timestamp, peer: Peer) {
-        self.counts
+    pub fn update_peer(&mut self, now: Timestamp, peer: Peer) {
+        self.counters
             .iter_mut()
             .for_each(|c| c.there(now, &peer.name));
         let active = peer.active;
@@ -219,11 +222,11 @@
     }
 
     /// One that the view no longer holds, or that has left.
-    pub fn gone(&mut self, now: Timestamp, name: &CompactString) {
-        self.counts.iter_mut().for_each(|c| c.gone(now, name));
+    pub fn remove_peer(&mut self, now: Timestamp, name: &CompactString) {
+        self.counters.iter_mut().for_each(|c| c.gone(now, name));
         if let Some(peer) = self.peers.remove(name) {
             self.active.retain(|n| n != name);
-            self.lost.insert(name.clone(), (peer.life, now));
+            self.lost.insert(name.clone(), (peer.incarnation, now));
             self.look_soon();
         }
     }
@@ -255,22 +258,23 @@
         let there = self
             .peers
             .values()
-            .filter(|p| before(&p.name, p.life))
+            .filter(|p| before(&p.name, p.incarnation))
             .count();
         let gone = self
             .lost
             .iter()
             .filter(|l| !self.peers.contains_key(l.0) && before(l.0, l.1.0))
             .count();
-        let seat = self.set.budgets.iter().find_map(|b| b.seat);
+        let seat = self.set.budgets.iter().find_map(|b| b.slot);
         let taken = self.peers.values().any(|p| {
             let known = self.known.get(&p.name);
-            p.active && known.is_some_and(|k| Some(k.seat) == seat && before(&p.name, p.life))
+            p.active
+                && known.is_some_and(|k| Some(k.seat) == seat && before(&p.name, p.incarnation))
         });
         let ranked = there + gone;
-        let over = |b: &Budget| match b.set.seat {
+        let over = |b: &Budget| match b.set.slot {
             Some(_) => taken,
-            None => ranked >= b.set.servers as usize,
+            None => ranked >= b.set.max_servers as usize,
         };
         self.surplus = self.budgets.iter().any(over);
         for b in &mut self.budgets {
@@ -287,7 +291,7 @@
     }
 
     /// More servers than there may be stand before this one, or one that has its seat.
-    pub fn surplus(&self) -> bool {
+    pub fn is_surplus(&self) -> bool {
         self.surplus
     }
 
@@ -297,7 +301,7 @@
             if let Some(fresh) = budgets.iter().find(|f| f.name == b.set.name) {
                 b.set = budget::Settings {
                     terms: b.set.terms,
-                    seat: b.set.seat,
+                    slot: b.set.slot,
                     ..fresh.clone()
                 };
             }
@@ -335,10 +339,10 @@
     }
 
     /// Words of another, which the view holds to be in.
-    pub fn received(&mut self, now: Timestamp, from: &CompactString, bytes: &[u8]) {
-        self.totals.heard += 1;
+    pub fn handle_datagram(&mut self, now: Timestamp, from: &CompactString, bytes: &[u8]) {
+        self.totals.datagrams_received += 1;
         let Some(words) = wire::read(bytes) else {
-            self.totals.unread += 1;
+            self.totals.datagrams_rejected += 1;
             return;
         };
         let Some(who) = self.who(from, words.life, words.seat) else {
@@ -355,7 +359,8 @@
                     };
                     for cell in cells {
                         let own = (&self.set.name, self.ranked.0);
-                        if let Some(count) = self.counts.iter_mut().find(|c| c.mark == cell.count) {
+                        if let Some(count) = self.counters.iter_mut().find(|c| c.mark == cell.count)
+                        {
                             count.hear(now, now - at, cell, own);
                         }
                     }
@@ -365,7 +370,7 @@
                 | Word::Back { budget, .. }
                 | Word::Recall { budget, .. }
                 | Word::Spare { budget, .. } => {
-                    let meant = words.to == self.set.life
+                    let meant = words.to == self.set.incarnation
                         || words.to == 0 && matches!(word, Word::Ask { .. });
                     if !meant {
                         self.totals.misdirected += 1;
@@ -384,7 +389,7 @@
         let name = self.set.name.clone();
         let mut fit = vec![];
         let mut size = 0;
-        for count in &mut self.counts {
+        for count in &mut self.counters {
             for cell in count.cells(now, &name, life, draw, CELLS) {
                 let more =
                     postcard::to_stdvec(&cell).map_or(MAX_SUBSYSTEM_PAYLOAD_BYTES, |b| b.len());
@@ -411,9 +416,9 @@
         }
     }
 
-    pub fn due(&self) -> Timestamp {
-        let hurry = self.hurries().then(|| self.looked + HURRY);
-        let due = if self.counts.is_empty() {
+    pub fn next_timeout(&self) -> Timestamp {
+        let hurry = self.is_urgent().then(|| self.looked + HURRY);
+        let due = if self.counters.is_empty() {
             self.next
         } else {
             self.next.min(self.pull)
@@ -422,22 +427,22 @@
     }
 
     /// Something is to be said sooner than was due.
-    pub fn hurries(&self) -> bool {
+    pub fn is_urgent(&self) -> bool {
         self.budgets.iter().any(|b| b.hurries)
     }
 
     /// The time has come for what was due.
-    pub fn turn(&mut self, now: Timestamp) {
+    pub fn handle_timeout(&mut self, now: Timestamp) {
         if now >= self.next {
             (self.next, self.looked) = (now + TURN, now);
             self.look(now);
-        } else if self.hurries() && now >= self.looked + HURRY {
+        } else if self.is_urgent() && now >= self.looked + HURRY {
             self.looked = now;
             let mut say = vec![];
             self.budgets.iter_mut().for_each(|b| b.hurry(now, &mut say));
             self.put(say);
         }
-        if now >= self.pull && !self.counts.is_empty() {
+        if now >= self.pull && !self.counters.is_empty() {
             let each = PULL
                 .mul_f64((PULL_OF as f64 / (self.active.len() + 1) as f64).min(1.0))
                 .max(PULL_LEAST);
@@ -463,7 +468,7 @@
             self.forget_lost(now);
             self.rank(now);
         }
-        self.counts.iter_mut().for_each(|c| c.tidy(now));
+        self.counters.iter_mut().for_each(|c| c.tidy(now));
         let mut peers = Vec::with_capacity(self.active.len());
         for at in 0..self.active.len() {
             // Whoever was never heard is asked too: the answer tells its life.
@@ -528,20 +533,20 @@
     }
 
     /// What is to be said, and to whom.
-    pub fn outgoing(&mut self) -> Vec<(CompactString, Vec<u8>)> {
-        let seat = self.set.budgets.iter().find_map(|b| b.seat).unwrap_or(0);
+    pub fn take_datagrams(&mut self) -> Vec<(CompactString, Vec<u8>)> {
+        let seat = self.set.budgets.iter().find_map(|b| b.slot).unwrap_or(0);
         let mut out = vec![];
         for (name, words) in std::mem::take(&mut self.say) {
             let to = self.known.get(&name).map_or(0, |k| k.life);
             let bytes = wire::write(&Words {
-                life: self.set.life,
+                life: self.set.incarnation,
                 to,
                 seat,
                 words,
             });
             if bytes.len() <= MAX_SUBSYSTEM_PAYLOAD_BYTES {
-                self.totals.sent += 1;
-                self.totals.bytes_out += bytes.len() as u64;
+                self.totals.datagrams_sent += 1;
+                self.totals.bytes_sent += bytes.len() as u64;
                 out.push((name, bytes));
             }
         }
@@ -549,7 +554,7 @@
     }
 
     /// What has changed since it was asked last.
-    pub fn changes(&mut self) -> Vec<Change> {
+    pub fn take_events(&mut self) -> Vec<Change> {
         std::mem::take(&mut self.changes)
     }
 
@@ -558,15 +563,15 @@
             .iter()
             .map(|b| BudgetView {
                 name: b.set.name.clone(),
-                whole: b.set.whole,
-                own: b.ledger.own(now),
-                lent: b.ledger.lent(now),
-                borrowed: b.ledger.borrowed(now),
+                capacity: b.set.capacity,
+                base_quota: b.ledger.own(now),
+                granted: b.ledger.lent(now),
+                leased: b.ledger.borrowed(now),
                 usable: b.ledger.usable(now),
                 in_use: b.ledger.in_use(),
-                wants: b.wants(),
-                heard: b.heard.map(|at| now - at),
-                waits: b.ledger.usable_from() - now,
+                demand: b.wants(),
+                since_contact: b.heard.map(|at| now - at),
+                until_usable: b.ledger.usable_from() - now,
             })
             .collect()
     }
@@ -581,11 +586,11 @@
         per_second: f64,
         servers: u32,
     ) -> f64 {
-        let counts = &self.counts[count];
-        let window = counts.set.window.as_secs_f64();
+        let counts = &self.counters[count];
+        let window = counts.settings.window.as_secs_f64();
         let fair = per_second / f64::from(servers.max(1));
         let own = counts.own(now, key).value / window;
-        let all = counts.told(now, key, fair).value / window;
+        let all = counts.estimate(now, key, fair).value / window;
         let others = (all - own).max(0.0);
         let part = if all > 0.0 {
             per_second * own / all
@@ -595,7 +600,7 @@
         (per_second - others).max(part).max(0.0)
     }
 
-    pub fn told(&self, now: Timestamp, count: usize, key: u32, fair: f64) -> Told {
-        self.counts[count].told(now, key, fair)
+    pub fn estimate(&self, now: Timestamp, count: usize, key: u32, fair: f64) -> CountEstimate {
+        self.counters[count].estimate(now, key, fair)
     }
 }
--- a/crates/quota/src/wire.rs
+++ b/crates/quota/src/wire.rs
@@ -89,6 +89,6 @@
 }
 
 /// A name as it goes over the wire.
-pub fn mark(name: &str) -> u32 {
+pub fn name_hash(name: &str) -> u32 {
     xxhash_rust::xxh3::xxh3_64(name.as_bytes()) as u32
 }
--- a/crates/quota/tests/counts.rs
+++ b/crates/quota/tests/counts.rs
@@ -2,8 +2,8 @@
 //! cuts, crashes and pauses; and counts alone: in any order, however many keys.
 
 use madderbay::time::{Duration, Timestamp};
-use madderbay_quota::counts::{Counts, Settings};
-use madderbay_quota::mark;
+use madderbay_quota::counter::{CounterSettings, ReplicatedCounter};
+use madderbay_quota::name_hash;
 use madderbay_testkit::fleet::script::{Act, Condition, Fleet, Setup};
 use madderbay_testkit::fleet::sim::Sim;
 
@@ -63,17 +63,17 @@
     for seed in 0..6 {
         let n = 7;
         let mut sim = fleet(n, seed);
-        let (acme, zenith) = (mark("acme"), mark("zenith"));
+        let (acme, zenith) = (name_hash("acme"), name_hash("zenith"));
         for who in 0..n {
             sim.reqs(who, acme, 20.0 + 3.0 * who as f64);
         }
         sim.reqs(2, zenith, 4.0);
-        let keys = [acme, zenith, mark("nobody")];
+        let keys = [acme, zenith, name_hash("nobody")];
         look(&mut sim, &keys, 12_000);
         // In calm it is exact, and half of it by each is the whole.
         let (told, truth) = (sim.told(0, acme, 1.0).expect("counts"), sim.truth(acme));
         assert_eq!(
-            (told.unheard, told.low, told.high),
+            (told.stale_servers, told.low, told.high),
             (0, f64::from(truth), f64::from(truth))
         );
         assert!(truth > 600, "{truth}");
@@ -106,7 +106,7 @@
 fn the_unheard_fade_to_their_fair_share() {
     let n = 4;
     let mut sim = fleet(n, 3);
-    let acme = mark("acme");
+    let acme = name_hash("acme");
     (0..n).for_each(|who| sim.reqs(who, acme, 50.0));
     look(&mut sim, &[acme], 12_000);
     let fair = 10.0;
@@ -130,7 +130,7 @@
 fn one_on_each_of_many() {
     let n = 60;
     let mut sim = fleet(n, 5);
-    let rare = mark("rare");
+    let rare = name_hash("rare");
     for who in 0..n {
         (0..20).for_each(|key| sim.reqs(who, 1_000 + key, 2.0));
         sim.reqs(who, rare, 0.2);
@@ -142,11 +142,11 @@
     assert!(truth >= told.low && truth <= told.high);
 }
 
-fn settings() -> Settings {
-    Settings {
+fn settings() -> CounterSettings {
+    CounterSettings {
         name: "tenants".into(),
         window: WINDOW,
-        most: 1_000.0,
+        max_per_second: 1_000.0,
     }
 }
 
@@ -157,9 +157,9 @@
 /// A hundred thousand tenants: what is kept is bounded, the heavy are exact to the error told.
 #[test]
 fn however_many_tenants() {
-    let mut counts = Counts::new(at(0), settings());
+    let mut counts = ReplicatedCounter::new(at(0), settings());
     let mut chance = oorandom::Rand64::new(9);
-    let heavy = mark("heavy");
+    let heavy = name_hash("heavy");
     let mut sure = 0;
     for ms in 0..8_000u64 {
         for _ in 0..12 {
@@ -180,17 +180,17 @@
     let name = "n1".into();
     let cells = counts.cells(at(8_000), &name, 1, 0.0, 10);
     assert_eq!(cells.len(), 1);
-    assert!(counts.active(1_000).len() <= 256 * 14);
+    assert!(counts.heaviest_keys(1_000).len() <= 256 * 14);
 }
 
 /// The same words in any order, doubled, lead to the same answers.
 #[test]
 fn words_merge_in_any_order() {
-    let key = mark("acme");
+    let key = name_hash("acme");
     let mut words = vec![];
     for server in 0..5u64 {
         for life in 0..2u64 {
-            let mut counts = Counts::new(at(0), settings());
+            let mut counts = ReplicatedCounter::new(at(0), settings());
             (0..200).for_each(|n| counts.add(at(n * 20), key, 1 + server as u32));
             for ms in [2_000, 3_000, 4_000] {
                 let name = format!("n{server}").as_str().into();
@@ -201,11 +201,14 @@
     let now = at(4_200);
     let own = ("own".into(), 1);
     let told = |words: &[madderbay_quota::Cell]| {
-        let mut counts = Counts::new(at(0), settings());
+        let mut counts = ReplicatedCounter::new(at(0), settings());
         words
             .iter()
             .for_each(|w| counts.hear(now, Duration::ZERO, w.clone(), (&own.0, own.1)));
-        (counts.told(now, key, 0.0), counts.len())
+        (
+            counts.estimate(now, key, 0.0),
+            counts.tracked_incarnations(),
+        )
     };
     let first = told(&words);
     assert_eq!(first.1, 10);
--- a/crates/server/src/fleet/control.rs
+++ b/crates/server/src/fleet/control.rs
@@ -280,34 +280,34 @@
     for b in shared.budget_views(now) {
         lines.push(SharedLine::Budget {
             name: b.name.to_string(),
-            whole: b.whole,
-            own: b.own,
-            lent: b.lent,
-            borrowed: b.borrowed,
+            whole: b.capacity,
+            own: b.base_quota,
+            lent: b.granted,
+            borrowed: b.leased,
             usable: b.usable,
             in_use: b.in_use,
-            wants: b.wants,
-            heard_ms: b.heard.map(ms),
-            waits_ms: ms(b.waits),
+            wants: b.demand,
+            heard_ms: b.since_contact.map(ms),
+            waits_ms: ms(b.until_usable),
         });
     }
-    for (at, count) in shared.counts.iter().enumerate() {
-        let active = count.active(KEYS_TOLD);
+    for (at, count) in shared.counters.iter().enumerate() {
+        let active = count.heaviest_keys(KEYS_TOLD);
         for (_, of, mark, fair) in fleet
             .lender
             .counted
             .keys(at)
             .filter(|k| active.contains(&k.2))
         {
-            let told = count.told(now, mark, fair);
-            let (name, of) = (count.set.name.to_string(), of.to_string());
+            let told = count.estimate(now, mark, fair);
+            let (name, of) = (count.settings.name.to_string(), of.to_string());
             let (value, bound) = (told.value, told.bound());
             lines.push(SharedLine::Count {
                 name,
                 of,
                 value,
                 bound,
-                unheard: told.unheard,
+                unheard: told.stale_servers,
             });
         }
     }
--- a/crates/server/src/fleet/lender.rs
+++ b/crates/server/src/fleet/lender.rs
@@ -4,7 +4,7 @@
 use crate::core::lent::Lends;
 use crate::tools::clock::Ticks;
 use madderbay::time::Duration;
-use madderbay_quota::Shared;
+use madderbay_quota::FleetQuotas;
 use madderbay_upstream::Together;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -19,8 +19,8 @@
 }
 
 impl Lender {
-    fn hurries(&self, shared: &Shared) {
-        if shared.hurries() {
+    fn hurries(&self, shared: &FleetQuotas) {
+        if shared.is_urgent() {
             (self.hurry)();
         }
     }
@@ -47,7 +47,12 @@
         servers: u32,
         by_tenant: Vec<bool>,
     ) -> Counted {
-        let marks = |names: &[String]| names.iter().map(|n| madderbay_quota::mark(n)).collect();
+        let marks = |names: &[String]| {
+            names
+                .iter()
+                .map(|n| madderbay_quota::name_hash(n))
+                .collect()
+        };
         Counted {
             handler_marks: marks(handlers),
             tenant_marks: marks(tenants),
@@ -103,7 +108,7 @@
         };
         let may = budget.ledger.may_start(now);
         if may {
-            budget.started(now);
+            budget.call_started(now);
         }
         may
     }
@@ -111,7 +116,7 @@
     fn ended(&self, budget: usize) {
         let now = (self.ticks)();
         if let Some(shared) = &mut self.together.borrow_mut().shared {
-            shared.budgets[budget].ended(now);
+            shared.budgets[budget].call_ended(now);
             self.hurries(shared);
         }
     }
@@ -119,7 +124,7 @@
     fn waits(&self, budget: usize, calls: usize) {
         let now = (self.ticks)();
         if let Some(shared) = &mut self.together.borrow_mut().shared {
-            shared.budgets[budget].wait(now, calls.min(u32::MAX as usize) as u32);
+            shared.budgets[budget].set_waiting(now, calls.min(u32::MAX as usize) as u32);
             self.hurries(shared);
         }
     }
@@ -127,7 +132,7 @@
     fn until_room(&self, budget: usize) -> Duration {
         let together = self.together.borrow();
         together.shared.as_ref().map_or(Duration::ZERO, |s| {
-            s.budgets[budget].until_room((self.ticks)())
+            s.budgets[budget].until_capacity((self.ticks)())
         })
     }
 
@@ -136,7 +141,7 @@
         let Some(shared) = &mut self.together.borrow_mut().shared else {
             return;
         };
-        for (count, by_tenant) in shared.counts.iter_mut().zip(&c.by_tenant) {
+        for (count, by_tenant) in shared.counters.iter_mut().zip(&c.by_tenant) {
             let mark = if *by_tenant {
                 c.tenant_marks.get(tenant)
             } else {
@@ -155,7 +160,7 @@
         let Some(count) = c.by_tenant.iter().position(|t| *t) else {
             return vec![];
         };
-        let active = shared.counts[count].active(TENANTS_MOST);
+        let active = shared.counters[count].heaviest_keys(TENANTS_MOST);
         let part =
             |at: usize, mark: u32| shared.allowance(now, count, mark, c.per_second[at], c.servers);
         c.keys(count)
--- a/crates/server/src/fleet/sharing.rs
+++ b/crates/server/src/fleet/sharing.rs
@@ -6,7 +6,7 @@
 use crate::tools::config::Config;
 use madderbay::time::Duration;
 use madderbay_operator_config::shared as operator;
-use madderbay_quota::{BudgetSettings, CountSettings, Terms};
+use madderbay_quota::{BudgetSettings, CounterSettings, LeaseTerms};
 use std::hash::{BuildHasher, RandomState};
 
 /// Ceilings are handed over now and then, and a start takes its time: so long before a lease ends no call is
@@ -41,22 +41,22 @@
         groups.push(Group { handlers, longest });
         budgets.push(BudgetSettings {
             name: b.name.as_str().into(),
-            whole: b.calls,
-            servers: b.servers,
-            seat: set.seat,
+            capacity: b.calls,
+            max_servers: b.servers,
+            slot: set.seat,
             weight: set.weight,
             // What is given up on goes on below for a while.
-            terms: Terms {
+            terms: LeaseTerms {
                 lease: Duration::from_millis(b.lease_ms),
-                longest: longest + s.below.abandoned_call_lifetime,
+                max_call: longest + s.below.abandoned_call_lifetime,
                 guard: GUARD,
             },
         });
     }
-    let counts = set.counts.iter().map(|c| CountSettings {
+    let counts = set.counts.iter().map(|c| CounterSettings {
         name: c.name.as_str().into(),
         window: Duration::from_millis(c.window_s * 1_000),
-        most: c.most,
+        max_per_second: c.most,
     });
     let by_tenant = set
         .counts
@@ -74,9 +74,9 @@
     let name = config.name.as_str().into();
     let settings = madderbay_quota::Settings {
         name,
-        life: life(),
+        incarnation: life(),
         budgets,
-        counts: counts.collect(),
+        counters: counts.collect(),
     };
     if wrong.is_empty() {
         Ok(Sharing {
--- a/crates/server/src/fleet/talk.rs
+++ b/crates/server/src/fleet/talk.rs
@@ -8,7 +8,7 @@
 use madderbay::time::{Duration, Timestamp};
 use madderbay_membership::{AllowedNetworks, Membership, STRANGERS, Settings};
 use madderbay_operator_config::members as operator;
-use madderbay_quota::Shared;
+use madderbay_quota::FleetQuotas;
 use madderbay_upstream::Together;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -76,7 +76,7 @@
         backends: Option<Rc<Backends>>,
     ) -> Fleet {
         let members = Membership::new(Timestamp::default(), unix_ms, seed, set);
-        let shared = shared.map(|set| Shared::new(Timestamp::default(), seed, set));
+        let shared = shared.map(|set| FleetQuotas::new(Timestamp::default(), seed, set));
         let mut together = Together::new(members, shared);
         together.routes = backends.as_ref().map(|b| b.routes.clone());
         let (together, changed) = (Rc::new(RefCell::new(together)), Rc::new(Notify::new()));
@@ -139,7 +139,10 @@
             .iter()
             .map(|c| format!("members: {c}"))
             .collect();
-        let shared = together.shared.as_mut().map_or(vec![], Shared::changes);
+        let shared = together
+            .shared
+            .as_mut()
+            .map_or(vec![], FleetQuotas::take_events);
         changes.extend(shared.iter().map(|c| format!("shared: {c}")));
         drop(together);
         self.backends.iter().for_each(|b| b.tell());
@@ -194,33 +197,36 @@
 }
 
 /// What is shared, a line a figure.
-fn shared(s: &Shared, now: Timestamp) -> String {
+fn shared(s: &FleetQuotas, now: Timestamp) -> String {
     let mut lines = Lines::of("shared");
     let mut line = |name: &str, value: u64| lines.add(name, value);
     for b in s.budget_views(now) {
         let figures = [
-            ("whole", b.whole),
-            ("own", b.own),
-            ("lent", b.lent),
-            ("borrowed", b.borrowed),
+            ("whole", b.capacity),
+            ("own", b.base_quota),
+            ("lent", b.granted),
+            ("borrowed", b.leased),
             ("usable", b.usable),
             ("in_use", b.in_use),
-            ("wants", b.wants),
+            ("wants", b.demand),
         ];
         figures
             .iter()
             .for_each(|(what, value)| line(&format!("{}.{what}", b.name), u64::from(*value)));
     }
-    for c in &s.counts {
-        line(&format!("{}.lives", c.set.name), c.len() as u64);
-        line(&format!("{}.refused", c.set.name), c.refused);
+    for c in &s.counters {
+        line(
+            &format!("{}.lives", c.settings.name),
+            c.tracked_incarnations() as u64,
+        );
+        line(&format!("{}.refused", c.settings.name), c.rejected);
     }
-    line("surplus", u64::from(s.surplus()));
-    line("heard", s.totals.heard);
-    line("unread", s.totals.unread);
+    line("surplus", u64::from(s.is_surplus()));
+    line("heard", s.totals.datagrams_received);
+    line("unread", s.totals.datagrams_rejected);
     line("misdirected", s.totals.misdirected);
-    line("sent", s.totals.sent);
-    line("bytes_out", s.totals.bytes_out);
+    line("sent", s.totals.datagrams_sent);
+    line("bytes_out", s.totals.bytes_sent);
     lines.text
 }
 
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -6,7 +6,7 @@
 use madderbay::time::{Duration, Timestamp};
 use madderbay_concurrency::{ConcurrencyConfig, PoolConfig, Reserve};
 use madderbay_membership::{AllowedNetworks, MemberState, Membership};
-use madderbay_quota::{BudgetSettings, Shared, Terms};
+use madderbay_quota::{BudgetSettings, FleetQuotas, LeaseTerms};
 use madderbay_server::balancers::front::Front;
 use madderbay_server::below::calls::{Hears as _, Replies};
 use madderbay_server::below::engine::Notices;
@@ -393,27 +393,27 @@
             } else {
                 LONGEST
             };
-            let terms = Terms {
+            let terms = LeaseTerms {
                 lease: Duration::from_millis(1_000),
-                longest,
+                max_call: longest,
                 guard: Duration::from_millis(50),
             };
             let budget = BudgetSettings {
                 name: "below".into(),
-                whole,
-                servers: servers as u32,
-                seat: Some(s as u32 + 1),
+                capacity: whole,
+                max_servers: servers as u32,
+                slot: Some(s as u32 + 1),
                 weight: 1.0,
                 terms,
             };
             let life = (s as u64 + 1) << 32 | u64::from(lives);
             let set = madderbay_quota::Settings {
                 name: name(s).as_str().into(),
-                life,
+                incarnation: life,
                 budgets: vec![budget],
-                counts: vec![],
+                counters: vec![],
             };
-            Shared::new(mono, seed, set)
+            FleetQuotas::new(mono, seed, set)
         });
         let unix = (self.now - Timestamp::default()).as_micros() / 1_000;
         let together = parts.members.then(|| {
@@ -841,7 +841,7 @@
             let out = t.outgoing();
             // Nobody reads the log here.
             t.members.take_events();
-            t.shared.as_mut().map(Shared::changes);
+            t.shared.as_mut().map(FleetQuotas::take_events);
             drop(t);
             for (to, bytes) in out {
                 self.row.bytes += bytes.len() as u64;
--- a/crates/testkit/examples/shared.rs
+++ b/crates/testkit/examples/shared.rs
@@ -8,7 +8,7 @@
 
 use madderbay::time::Duration;
 use madderbay_membership::MemberState;
-use madderbay_quota::counts::{Counts, Settings};
+use madderbay_quota::counter::{CounterSettings, ReplicatedCounter};
 use madderbay_testkit::balancer::{Ask, Fate, Load, breaches, kept};
 use madderbay_testkit::catalogue::{Catalogue, Mood};
 use madderbay_testkit::engine::Work;
@@ -194,7 +194,7 @@
     sim.run(Duration::from_millis(2_000));
     let bytes = |s: &Sim| {
         (0..n)
-            .filter_map(|i| Some(s.shared(i)?.totals.bytes_out))
+            .filter_map(|i| Some(s.shared(i)?.totals.bytes_sent))
             .sum::<u64>()
     };
     let (before, sent) = (sim.used(), bytes(sim));
@@ -603,12 +603,12 @@
                 delay: None,
             },
         );
-        let key = madderbay_quota::mark("acme");
+        let key = madderbay_quota::name_hash("acme");
         (0..n).for_each(|s| sim.reqs(s, key, 4.0 + s as f64 % 5.0));
         sim.run(Duration::from_millis(20_000));
         let bytes = |s: &Sim| {
             (0..n)
-                .filter_map(|i| Some(s.shared(i)?.totals.bytes_out))
+                .filter_map(|i| Some(s.shared(i)?.totals.bytes_sent))
                 .sum::<u64>()
         };
         let before = bytes(&sim);
@@ -618,7 +618,7 @@
             let truth = sim.truth(key);
             for who in 0..n.min(12) {
                 let told = sim.told(who, key, 2.0).expect("counts");
-                looks.push((told.bound(), told.value, truth, told.unheard));
+                looks.push((told.bound(), told.value, truth, told.stale_servers));
             }
         }
         looks.sort_by(|a, b| a.0.total_cmp(&b.0));
@@ -629,12 +629,12 @@
             "| {n}, {loss} | {value:.0}, {truth}, {bound:.0} | {unheard} | {out} of {all} | {each:.0} |"
         );
     }
-    let mut counts = Counts::new(
+    let mut counts = ReplicatedCounter::new(
         madderbay::time::Timestamp::from_micros(1),
-        Settings {
+        CounterSettings {
             name: "tenants".into(),
             window: Duration::from_millis(10_000),
-            most: 1_000.0,
+            max_per_second: 1_000.0,
         },
     );
     let (before, mut chance, began) = (memory_kb(), Rand64::new(3), Instant::now());
--- a/crates/testkit/src/fleet/sim.rs
+++ b/crates/testkit/src/fleet/sim.rs
@@ -5,7 +5,7 @@
 use super::script::{Act, Condition, Fleet, Setup, name, play, scripts};
 use madderbay::time::{Duration, Timestamp};
 use madderbay_membership::{AllowedNetworks, MemberState, Membership, MembershipEvent, Settings};
-use madderbay_quota::{BudgetSettings, CountSettings, Shared, Terms, Told};
+use madderbay_quota::{BudgetSettings, CountEstimate, CounterSettings, FleetQuotas, LeaseTerms};
 use madderbay_upstream::Together;
 use oorandom::Rand64;
 use std::cmp::Reverse;
@@ -154,7 +154,7 @@
         self.nodes[server].life.as_ref().map(|t| &t.members)
     }
 
-    pub fn shared(&self, server: usize) -> Option<&Shared> {
+    pub fn shared(&self, server: usize) -> Option<&FleetQuotas> {
         self.nodes[server].life.as_ref()?.shared.as_ref()
     }
 
@@ -199,9 +199,9 @@
         let now = self.nodes[who].clock(self.now);
         let shared = self
             .shares(who, named)
-            .map(|set| Shared::new(now, seed, set));
+            .map(|set| FleetQuotas::new(now, seed, set));
         let node = &mut self.nodes[who];
-        if shared.as_ref().is_some_and(|s| !s.counts.is_empty()) {
+        if shared.as_ref().is_some_and(|s| !s.counters.is_empty()) {
             self.truths.push(Truth {
                 who,
                 began: now,
@@ -225,26 +225,26 @@
         let setup = &self.setup;
         let budget = setup.budget.as_ref().map(|b| BudgetSettings {
             name: NAME.into(),
-            whole: self.nodes[who].work.whole.unwrap_or(b.whole),
-            servers: b.servers,
-            seat: b.seats.then_some(named as u32 + 1),
+            capacity: self.nodes[who].work.whole.unwrap_or(b.whole),
+            max_servers: b.servers,
+            slot: b.seats.then_some(named as u32 + 1),
             weight: 1.0,
-            terms: Terms {
+            terms: LeaseTerms {
                 lease: b.lease,
-                longest: b.longest,
+                max_call: b.longest,
                 guard: Duration::from_millis(20),
             },
         });
-        let count = setup.window.map(|window| CountSettings {
+        let count = setup.window.map(|window| CounterSettings {
             name: NAME.into(),
             window,
-            most: READ_MOST,
+            max_per_second: READ_MOST,
         });
         (budget.is_some() || count.is_some()).then(|| madderbay_quota::Settings {
             name: name(named).into(),
-            life: (who as u64 + 1) << 32 | u64::from(self.nodes[who].lives + 1),
+            incarnation: (who as u64 + 1) << 32 | u64::from(self.nodes[who].lives + 1),
             budgets: budget.into_iter().collect(),
-            counts: count.into_iter().collect(),
+            counters: count.into_iter().collect(),
         })
     }
 
@@ -267,9 +267,9 @@
             let budget = &mut shared.budgets[0];
             let (in_use, open) = (budget.ledger.in_use(), budget.ledger.may_start(now));
             if in_use >= demand || !open {
-                return budget.wait(now, demand.saturating_sub(in_use));
+                return budget.set_waiting(now, demand.saturating_sub(in_use));
             }
-            budget.started(now);
+            budget.call_started(now);
             let life = node.lives;
             let took = call.mul_f64(0.5 + self.chance.rand_float()).min(longest);
             self.push(self.now + took, Event::Over(who, life));
@@ -296,7 +296,7 @@
         }
         let now = node.clock(self.now);
         if let Some(shared) = node.life.as_mut().and_then(|t| t.shared.as_mut()) {
-            shared.budgets[0].ended(now);
+            shared.budgets[0].call_ended(now);
         }
         self.work(who);
     }
@@ -318,7 +318,11 @@
             let Some(together) = node.life.as_mut().filter(|_| !node.stopped) else {
                 continue;
             };
-            let Some(count) = together.shared.as_mut().and_then(|s| s.counts.first_mut()) else {
+            let Some(count) = together
+                .shared
+                .as_mut()
+                .and_then(|s| s.counters.first_mut())
+            else {
                 continue;
             };
             let truth = self
@@ -327,7 +331,7 @@
                 .rev()
                 .find(|t| t.who == who)
                 .expect("begun");
-            let slot = count.set.window.mul_f64(0.1);
+            let slot = count.settings.window.mul_f64(0.1);
             let number = (now - truth.began).as_micros() / slot.as_micros();
             for (key, rate, due) in &mut node.work.rates {
                 *due += *rate * REQS.as_secs_f64() * 2.0 * self.chance.rand_float();
@@ -368,9 +372,9 @@
     }
 
     /// What a server tells of a key, looked at against the truth.
-    pub fn told(&mut self, who: usize, key: u32, fair: f64) -> Option<Told> {
+    pub fn told(&mut self, who: usize, key: u32, fair: f64) -> Option<CountEstimate> {
         let now = self.nodes[who].clock(self.now);
-        let told = self.shared(who)?.told(now, 0, key, fair);
+        let told = self.shared(who)?.estimate(now, 0, key, fair);
         // A bound is about the servers in the view and this life: one that has just begun on one side of a cut
         // knows neither the others nor what its former life had counted and nobody heard.
         let view = self.members(who)?;
@@ -403,7 +407,10 @@
         act(together, own);
         let (out, changes) = (together.outgoing(), together.members.take_events());
         let due = together.due().max(own);
-        let lent = together.shared.as_mut().map_or(vec![], Shared::changes);
+        let lent = together
+            .shared
+            .as_mut()
+            .map_or(vec![], FleetQuotas::take_events);
         let due = node.outside(due).max(self.now);
         let wake = node.wakes.is_none_or(|w| due < w || w < self.now);
         if wake {
@@ -585,7 +592,7 @@
                 let now = self.nodes[*s].clock(now);
                 let shared = self.nodes[*s].life.as_mut().and_then(|t| t.shared.as_mut());
                 if let Some(budget) = shared.and_then(|s| s.budgets.first_mut()) {
-                    (0..unheard).for_each(|_| budget.ended(now));
+                    (0..unheard).for_each(|_| budget.call_ended(now));
                 }
                 if self.chance.rand_float() < 0.5 {
                     self.drive(*s, |t, now| t.turn(now));
--- a/crates/upstream/src/together.rs
+++ b/crates/upstream/src/together.rs
@@ -4,20 +4,20 @@
 use crate::routes::Routes;
 use madderbay::time::Timestamp;
 use madderbay_membership::{MemberState, Membership, Subsystem};
-use madderbay_quota::{Peer, Shared};
+use madderbay_quota::{FleetQuotas, Peer};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 pub struct Together {
     pub members: Membership,
-    pub shared: Option<Shared>,
+    pub shared: Option<FleetQuotas>,
     /// The calls' side asks it too, at any moment.
     pub routes: Option<Rc<RefCell<Routes>>>,
 }
 
 impl Together {
-    pub fn new(members: Membership, shared: Option<Shared>) -> Together {
+    pub fn new(members: Membership, shared: Option<FleetQuotas>) -> Together {
         Together {
             members,
             shared,
@@ -38,7 +38,7 @@
 
     fn meet(&mut self, now: Timestamp) {
         if let Some(shared) = &mut self.shared {
-            shared.lives(now, self.members.local_identity().incarnation);
+            shared.set_incarnation(now, self.members.local_identity().incarnation);
         }
         // Only what has changed: in a storm of news the whole view would be read anew for each.
         for name in self.members.take_changed_members() {
@@ -60,21 +60,21 @@
             };
             match found {
                 Some((id, state)) => {
-                    shared.there(
+                    shared.update_peer(
                         now,
                         Peer {
                             name,
-                            life: id.incarnation,
+                            incarnation: id.incarnation,
                             active: state != MemberState::Down,
                         },
                     );
                 }
-                None => shared.gone(now, &name),
+                None => shared.remove_peer(now, &name),
             }
         }
         for (from, part, words) in self.members.take_subsystem_messages() {
             match (part, &mut self.shared, &self.routes) {
-                (Subsystem::Quota, Some(shared), _) => shared.received(now, &from, &words),
+                (Subsystem::Quota, Some(shared), _) => shared.handle_datagram(now, &from, &words),
                 (Subsystem::Upstream, _, Some(routes)) => {
                     routes.borrow_mut().received(now, &from, &words)
                 }
@@ -82,8 +82,8 @@
             }
         }
         if let Some(shared) = &mut self.shared {
-            shared.turn(now);
-            for (to, words) in shared.outgoing() {
+            shared.handle_timeout(now);
+            for (to, words) in shared.take_datagrams() {
                 self.members
                     .send_subsystem_message(&to, Subsystem::Quota, &words);
             }
@@ -101,7 +101,7 @@
 
     /// When it has to be told the time next.
     pub fn due(&self) -> Timestamp {
-        let shared = self.shared.as_ref().map(Shared::due);
+        let shared = self.shared.as_ref().map(FleetQuotas::next_timeout);
         let routes = self.routes.as_ref().map(|r| r.borrow().due());
         [shared, routes]
             .into_iter()
