--- a/crates/server/src/core/hands.rs
+++ b/crates/server/src/core/hands.rs
@@ -19,7 +19,7 @@
 use madderbay_concurrency::limit::Completion;
 use madderbay_concurrency::{ConcurrencyLimiter, RequestStage};
 use madderbay_settings::Settings;
-use madderbay_upstream::{End as Tried, Ticket};
+use madderbay_upstream::{AttemptOutcome as Tried, UpstreamAttempt};
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 use tokio::sync::Notify;
@@ -45,7 +45,7 @@
     pub tries: Vec<Try>,
     pub hedge: Option<Timestamp>,
     /// The notice for which a backend was called last, and that attempt.
-    pub called: Option<(u64, Ticket)>,
+    pub called: Option<(u64, UpstreamAttempt)>,
     /// Commands that wait for the promise of its run to last.
     pub unsent: Option<Vec<Vec<u8>>>,
     /// When its answer leaves at the latest.
@@ -287,7 +287,7 @@
             if req.tries.is_empty() {
                 self.calls.quit(self.now, &req.name);
             }
-            self.drop_tries(id, Tried::Dropped);
+            self.drop_tries(id, Tried::Cancelled);
             self.followed(id, |f, now, _| {
                 f.call_finished(now, id, Completion::Cancelled)
             });
@@ -444,7 +444,7 @@
         if let Some(lent) = &mut self.lent {
             if !lent.may_call(req.handler) {
                 if let (Some(ticket), Some(leads)) = (&to, &self.leads) {
-                    leads.over(ticket, Tried::Dropped);
+                    leads.over(ticket, Tried::Cancelled);
                 }
                 self.unmade.push_back(id);
                 return;
--- a/crates/server/src/core/lead.rs
+++ b/crates/server/src/core/lead.rs
@@ -4,61 +4,62 @@
 use super::hands::{Due, Hands};
 use madderbay::interface::Outcome;
 use madderbay::time::{Duration, Timestamp};
-use madderbay_upstream::{Again, End, Ticket};
+use madderbay_upstream::{AttemptOutcome, RetryKind, UpstreamAttempt};
 
 /// Whoever knows the backends and how they fare. Times are its own.
 pub trait Leads {
     /// Where the call of a handler goes; nothing where it goes to the catalogue.
-    fn pick(&self, handler: usize) -> Option<Ticket>;
+    fn pick(&self, handler: usize) -> Option<UpstreamAttempt>;
     /// One more attempt, within the budget of repeats.
-    fn again(&self, before: &Ticket, how: Again) -> Option<Ticket>;
-    fn over(&self, ticket: &Ticket, end: End);
+    fn again(&self, before: &UpstreamAttempt, how: RetryKind) -> Option<UpstreamAttempt>;
+    fn over(&self, ticket: &UpstreamAttempt, end: AttemptOutcome);
     /// After what time a second attempt beside this one is worth its price.
-    fn hedge_after(&self, ticket: &Ticket) -> Option<Duration>;
+    fn hedge_after(&self, ticket: &UpstreamAttempt) -> Option<Duration>;
     /// The least time that an attempt needs.
-    fn least(&self, ticket: &Ticket) -> Duration;
+    fn least(&self, ticket: &UpstreamAttempt) -> Duration;
     fn counters(&self) -> String;
 }
 
 /// One attempt of a call that is out: on which connection, and at which backend.
 pub struct Try {
     pub wire: u64,
-    pub ticket: Ticket,
+    pub ticket: UpstreamAttempt,
     pub since: Timestamp,
 }
 
 /// What an outcome tells of a backend; `replied` where the backend said so itself.
-fn end(how: Outcome, replied: bool) -> End {
+fn end(how: Outcome, replied: bool) -> AttemptOutcome {
     match how {
-        Outcome::Completed => End::Good,
-        Outcome::Rejected => End::TurnedAway,
-        Outcome::Failed => End::Failed,
-        Outcome::TimedOut => End::Silent,
+        Outcome::Completed => AttemptOutcome::Success,
+        Outcome::Rejected => AttemptOutcome::Rejected,
+        Outcome::Failed => AttemptOutcome::Failed,
+        Outcome::TimedOut => AttemptOutcome::TimedOut,
         // No run waited for it, or it was not reached.
-        Outcome::Unreachable if replied => End::Dropped,
-        Outcome::Unreachable => End::Refused,
-        Outcome::Disconnected => End::Broken,
-        Outcome::Cancelled | Outcome::AlreadyEnded => End::Dropped,
+        Outcome::Unreachable if replied => AttemptOutcome::Cancelled,
+        Outcome::Unreachable => AttemptOutcome::NotConnected,
+        Outcome::Disconnected => AttemptOutcome::Disconnected,
+        Outcome::Cancelled | Outcome::AlreadyEnded => AttemptOutcome::Cancelled,
     }
 }
 
 impl Hands {
     /// Where the next call of a req goes: to a backend where its handler has any, else, with nothing, to the
     /// catalogue. An error where it was made before, and the budget of repeats has no room for one more.
-    pub(super) fn lead(&self, id: u64) -> Result<Option<Ticket>, ()> {
+    pub(super) fn lead(&self, id: u64) -> Result<Option<UpstreamAttempt>, ()> {
         let (Some(leads), Some(req)) = (&self.leads, self.reqs.get(&id)) else {
             return Ok(None);
         };
         match &req.called {
-            Some((need, before)) if *need == req.need => {
-                leads.again(before, Again::Later).map(Some).ok_or(())
-            }
+            Some((need, before)) if *need == req.need => leads
+                .again(before, RetryKind::AfterBackoff)
+                .map(Some)
+                .ok_or(()),
             _ => Ok(leads.pick(req.handler)),
         }
     }
 
     /// Sends the call of a req off.
-    pub(super) fn send_call(&mut self, id: u64, patience: Duration, to: Option<Ticket>) {
+    pub(super) fn send_call(&mut self, id: u64, patience: Duration, to: Option<UpstreamAttempt>) {
         let Some(req) = self.reqs.get(&id) else {
             return;
         };
@@ -85,7 +86,7 @@
         }
     }
 
-    fn attempt(&mut self, id: u64, ticket: Ticket, patience: Duration) {
+    fn attempt(&mut self, id: u64, ticket: UpstreamAttempt, patience: Duration) {
         let Some(req) = self.reqs.get_mut(&id) else {
             return;
         };
@@ -134,9 +135,9 @@
             if let Some(req) = self.reqs.get_mut(&id) {
                 let later = |t: &Try| t.since >= done.since;
                 if req.tries.iter().all(later) {
-                    self.drop_tries(id, End::Dropped);
+                    self.drop_tries(id, AttemptOutcome::Cancelled);
                 } else {
-                    self.drop_tries(id, End::Outrun);
+                    self.drop_tries(id, AttemptOutcome::LostToHedge);
                 }
             }
             return false;
@@ -145,11 +146,11 @@
             return true;
         }
         let left = until.map_or(Duration::ZERO, |at| at - now);
-        let may = end.never_ran() || self.replayable[handler];
+        let may = end.never_executed() || self.replayable[handler];
         if !may || left <= leads.least(&done.ticket) || left == Duration::ZERO {
             return false;
         }
-        match leads.again(&done.ticket, Again::Elsewhere) {
+        match leads.again(&done.ticket, RetryKind::OtherBackend) {
             Some(ticket) => {
                 self.attempt(id, ticket, left);
                 true
@@ -171,14 +172,14 @@
         };
         let left = until - now;
         if left > leads.least(&only.ticket)
-            && let Some(ticket) = leads.again(&only.ticket, Again::Beside)
+            && let Some(ticket) = leads.again(&only.ticket, RetryKind::Hedge)
         {
             self.attempt(id, ticket, left);
         }
     }
 
     /// All attempts of a call that are out end here.
-    pub(super) fn drop_tries(&mut self, id: u64, end: End) {
+    pub(super) fn drop_tries(&mut self, id: u64, end: AttemptOutcome) {
         let Some(req) = self.reqs.get_mut(&id) else {
             return;
         };
--- a/crates/server/src/core/outcomes.rs
+++ b/crates/server/src/core/outcomes.rs
@@ -10,7 +10,7 @@
 use madderbay::interface::{Actions, Outcome};
 use madderbay::time::{Duration, Timestamp};
 use madderbay_concurrency::RequestStage;
-use madderbay_upstream::End as Tried;
+use madderbay_upstream::AttemptOutcome as Tried;
 
 /// The timer this late tells that this process was held up, and so every reply that it reads now.
 const HELD_UP: Duration = Duration::from_millis(30);
@@ -44,7 +44,7 @@
             self.hands.due.remove(&(until, Due::Call(id)));
         }
         self.hands.now = now;
-        self.hands.drop_tries(id, Tried::Dropped);
+        self.hands.drop_tries(id, Tried::Cancelled);
         let late = self.hands.wake.is_some_and(|due| now - due > HELD_UP);
         self.hands.followed(id, |f, now, _| {
             if late {
@@ -71,7 +71,7 @@
                 .map(|t| t.since)
                 .min()
                 .map_or(Duration::ZERO, |at| now - at);
-            self.hands.drop_tries(id, Tried::Silent);
+            self.hands.drop_tries(id, Tried::TimedOut);
             self.call_ended(now, id, Outcome::TimedOut, spent);
         } else if let Some((id, how, spent)) = self.hands.calls.quit(now, &name) {
             self.call_ended(now, id, how, spent);
--- a/crates/server/src/fleet/backends.rs
+++ b/crates/server/src/fleet/backends.rs
@@ -7,7 +7,9 @@
 use madderbay::time::{Duration, Timestamp};
 use madderbay_operator_config::routes as operator;
 use madderbay_settings::Settings as Site;
-use madderbay_upstream::{Again, BackendSettings, End, Routes, Settings, Ticket};
+use madderbay_upstream::{
+    AttemptOutcome, BackendSettings, RetryKind, Settings, UpstreamAttempt, UpstreamManager,
+};
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration as StdDuration;
@@ -42,11 +44,11 @@
     }
     let settings = Settings {
         zone: set.zone.as_str().into(),
-        out_most: set.out_most,
-        near_least: set.near_least,
-        repeats: set.repeats,
-        hedges: set.hedges,
-        shares: set.shares,
+        max_ejected_fraction: set.out_most,
+        min_local_fraction: set.near_least,
+        retry_ratio: set.repeats,
+        hedging: set.hedges,
+        gossip: set.shares,
     };
     if wrong.is_empty() {
         Ok(Routing { settings, backends })
@@ -73,18 +75,18 @@
 
 /// The machine, on a clock that the fleet's driver shares.
 pub struct Backends {
-    pub routes: Rc<RefCell<Routes>>,
+    pub routes: Rc<RefCell<UpstreamManager>>,
     ticks: Ticks,
 }
 
 impl Backends {
     pub fn new(seed: u64, ticks: Ticks, set: Routing) -> Backends {
-        let routes = Routes::new(ticks(), seed, set.settings, set.backends);
+        let routes = UpstreamManager::new(ticks(), seed, set.settings, set.backends);
         Backends::on(Rc::new(RefCell::new(routes)), ticks)
     }
 
     /// The same over a machine that there is.
-    pub fn on(routes: Rc<RefCell<Routes>>, ticks: Ticks) -> Backends {
+    pub fn on(routes: Rc<RefCell<UpstreamManager>>, ticks: Ticks) -> Backends {
         Backends { routes, ticks }
     }
 
@@ -102,7 +104,7 @@
 
     /// Changes go to the log.
     pub fn tell(&self) {
-        for change in self.routes.borrow_mut().changes() {
+        for change in self.routes.borrow_mut().take_events() {
             crate::tools::logger::plain(format!("INFO routes: {change}\n"));
         }
     }
@@ -110,34 +112,34 @@
     /// Judges and tells until the process ends, where no fleet's driver does.
     pub async fn run(self: Rc<Self>) {
         loop {
-            let due = self.routes.borrow().due() - self.now();
+            let due = self.routes.borrow().next_timeout() - self.now();
             tokio::time::sleep(StdDuration::from_micros(due.as_micros())).await;
             let now = self.now();
-            self.routes.borrow_mut().turn(now);
+            self.routes.borrow_mut().handle_timeout(now);
             self.tell();
         }
     }
 }
 
 impl Leads for Backends {
-    fn pick(&self, handler: usize) -> Option<Ticket> {
+    fn pick(&self, handler: usize) -> Option<UpstreamAttempt> {
         self.routes.borrow_mut().pick(self.now(), handler)
     }
 
-    fn again(&self, before: &Ticket, how: Again) -> Option<Ticket> {
-        self.routes.borrow_mut().again(self.now(), before, how)
+    fn again(&self, before: &UpstreamAttempt, how: RetryKind) -> Option<UpstreamAttempt> {
+        self.routes.borrow_mut().retry(self.now(), before, how)
     }
 
-    fn over(&self, ticket: &Ticket, end: End) {
-        self.routes.borrow_mut().over(self.now(), ticket, end);
+    fn over(&self, ticket: &UpstreamAttempt, end: AttemptOutcome) {
+        self.routes.borrow_mut().finish(self.now(), ticket, end);
     }
 
-    fn hedge_after(&self, ticket: &Ticket) -> Option<Duration> {
-        self.routes.borrow_mut().hedge_after(self.now(), ticket)
+    fn hedge_after(&self, ticket: &UpstreamAttempt) -> Option<Duration> {
+        self.routes.borrow_mut().hedge_delay(self.now(), ticket)
     }
 
-    fn least(&self, ticket: &Ticket) -> Duration {
-        self.routes.borrow().least(ticket)
+    fn least(&self, ticket: &UpstreamAttempt) -> Duration {
+        self.routes.borrow().typical_latency(ticket)
     }
 
     fn counters(&self) -> String {
@@ -145,17 +147,17 @@
         let t = &routes.totals;
         let mut lines = Lines::of("routes");
         let figures = [
-            ("firsts", t.firsts),
-            ("again", t.again),
-            ("refused", t.refused),
+            ("firsts", t.first_attempts),
+            ("again", t.retries),
+            ("refused", t.retries_over_budget),
             ("hedges", t.hedges),
             ("ejections", t.ejections),
-            ("heard", t.heard),
-            ("unread", t.unread),
-            ("sent", t.sent),
-            ("bytes_out", t.bytes_out),
-            ("words", routes.words() as u64),
-            ("untold", t.untold),
+            ("heard", t.datagrams_received),
+            ("unread", t.datagrams_rejected),
+            ("sent", t.datagrams_sent),
+            ("bytes_out", t.bytes_sent),
+            ("words", routes.gossip_entries() as u64),
+            ("untold", t.events_dropped),
         ];
         figures
             .iter()
--- a/crates/server/src/fleet/control.rs
+++ b/crates/server/src/fleet/control.rs
@@ -252,19 +252,19 @@
 fn routes(backends: &Backends) -> String {
     let mut text = format!("{}\n", serde_json::json!({ "backends": true }));
     let hundredths = |n: f64| (n * 100.0).round() / 100.0;
-    for b in backends.routes.borrow().views(backends.now()) {
+    for b in backends.routes.borrow().backend_statuses(backends.now()) {
         let line = RouteLine {
             name: b.name.to_string(),
             state: b.state.to_string(),
             weight: hundredths(b.weight),
-            seen: b.seen.round() as u64,
-            bad: b.bad.round() as u64,
-            heard_from: b.heard_from,
-            heard: hundredths(b.heard),
+            seen: b.observed.round() as u64,
+            bad: b.failures.round() as u64,
+            heard_from: b.witnesses,
+            heard: hundredths(b.gossip_failures),
             zone: b.zone.to_string(),
             address: b.address.to_string(),
-            in_hand: b.in_hand,
-            pace_ms: b.pace.map(|p| hundredths(p.as_secs_f64() * 1e3)),
+            in_hand: b.in_flight,
+            pace_ms: b.typical_latency.map(|p| hundredths(p.as_secs_f64() * 1e3)),
         };
         text += &serde_json::to_string(&line).unwrap_or_default();
         text.push('\n');
--- a/crates/server/src/fleet/lender.rs
+++ b/crates/server/src/fleet/lender.rs
@@ -5,12 +5,12 @@
 use crate::tools::clock::Ticks;
 use madderbay::time::Duration;
 use madderbay_quota::FleetQuotas;
-use madderbay_upstream::Together;
+use madderbay_upstream::FleetStack;
 use std::cell::RefCell;
 use std::rc::Rc;
 
 pub struct Lender {
-    pub together: Rc<RefCell<Together>>,
+    pub together: Rc<RefCell<FleetStack>>,
     /// How what is counted is named, and which of the counts go by tenants.
     pub counted: Counted,
     pub ticks: Ticks,
--- a/crates/server/src/fleet/talk.rs
+++ b/crates/server/src/fleet/talk.rs
@@ -9,7 +9,7 @@
 use madderbay_membership::{AllowedNetworks, Membership, STRANGERS, Settings};
 use madderbay_operator_config::members as operator;
 use madderbay_quota::FleetQuotas;
-use madderbay_upstream::Together;
+use madderbay_upstream::FleetStack;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration as StdDuration, Instant};
@@ -30,7 +30,7 @@
 
 /// The view, and what its driver counts.
 pub struct Fleet {
-    pub together: Rc<RefCell<Together>>,
+    pub together: Rc<RefCell<FleetStack>>,
     /// What the core asks of what is shared.
     pub lender: Rc<Lender>,
     /// The backends below, where there are any, which this drives too.
@@ -77,7 +77,7 @@
     ) -> Fleet {
         let members = Membership::new(Timestamp::default(), unix_ms, seed, set);
         let shared = shared.map(|set| FleetQuotas::new(Timestamp::default(), seed, set));
-        let mut together = Together::new(members, shared);
+        let mut together = FleetStack::new(members, shared);
         together.routes = backends.as_ref().map(|b| b.routes.clone());
         let (together, changed) = (Rc::new(RefCell::new(together)), Rc::new(Notify::new()));
         let hurry = changed.clone();
@@ -128,7 +128,7 @@
 
     fn carry_out(&self, socket: &UdpSocket) {
         let mut together = self.together.borrow_mut();
-        for (to, bytes) in together.outgoing() {
+        for (to, bytes) in together.take_datagrams() {
             if socket.try_send_to(&bytes, to).is_err() {
                 self.unsent.set(self.unsent.get() + 1);
             }
@@ -256,7 +256,7 @@
     };
     let mut buffer = [0; BUFFER];
     loop {
-        let due = fleet.together.borrow().due() - fleet.now();
+        let due = fleet.together.borrow().next_timeout() - fleet.now();
         tokio::select! {
             _ = socket.readable() => {}
             () = tokio::time::sleep(StdDuration::from_micros(due.as_micros())) => {}
@@ -271,12 +271,12 @@
                 fleet
                     .together
                     .borrow_mut()
-                    .received(fleet.now(), from, &buffer[..length]);
+                    .handle_datagram(fleet.now(), from, &buffer[..length]);
             } else {
                 fleet.over.set(fleet.over.get() + 1);
             }
         }
-        fleet.together.borrow_mut().turn(fleet.now());
+        fleet.together.borrow_mut().handle_timeout(fleet.now());
         fleet.carry_out(&socket);
         // Reqs that are ready go first.
         tokio::task::yield_now().await;
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -20,7 +20,8 @@
 use madderbay_testkit::fleet::net::Net;
 use madderbay_testkit::fleet::script::Act;
 use madderbay_upstream::{
-    BackendSettings, Change, Routes, Settings as RoutesSet, State as Backed, Together,
+    BackendEvent, BackendSettings, FleetStack, Settings as RoutesSet, State as Backed,
+    UpstreamManager,
 };
 use oorandom::Rand64;
 use serde::Serialize;
@@ -91,7 +92,7 @@
     link: Outbox,
     engine: Engine,
     wires: BTreeMap<u64, Wire>,
-    together: Option<Rc<RefCell<Together>>>,
+    together: Option<Rc<RefCell<FleetStack>>>,
     lender: Option<Rc<Lender>>,
     backends: Option<Rc<Backends>>,
     /// What its monotonic clock shows now, how far that is ahead, and how fast it runs.
@@ -371,9 +372,9 @@
                 ..RoutesSet::default()
             };
             if self.of.plant == Some(Plant::Repeats) {
-                set.repeats = 1.0;
+                set.retry_ratio = 1.0;
             }
-            let routes = Routes::new(
+            let routes = UpstreamManager::new(
                 mono,
                 seed,
                 set,
@@ -437,7 +438,7 @@
                 down_retention: Duration::from_millis(60_000),
                 local_health_aware: true,
             };
-            let mut together = Together::new(Membership::new(mono, unix, seed, set), shared);
+            let mut together = FleetStack::new(Membership::new(mono, unix, seed, set), shared);
             together.routes = routes.as_ref().map(|b| b.routes.clone());
             Rc::new(RefCell::new(together))
         });
@@ -491,7 +492,10 @@
     fn count(&mut self, s: usize) {
         if let Some(b) = &self.nodes[s].backends {
             let totals = b.routes.borrow().totals;
-            (self.firsts, self.again) = (self.firsts + totals.firsts, self.again + totals.again);
+            (self.firsts, self.again) = (
+                self.firsts + totals.first_attempts,
+                self.again + totals.retries,
+            );
         }
     }
 
@@ -626,7 +630,7 @@
                 if self.open(s, life, &event) {
                     let mono = self.tick(s);
                     if let Some(t) = self.nodes[s].together.clone() {
-                        t.borrow_mut().received(mono, *from, bytes);
+                        t.borrow_mut().handle_datagram(mono, *from, bytes);
                     }
                     self.moment(s);
                 }
@@ -776,8 +780,12 @@
                 ),
             });
         }
-        if let Some(t) = node.together.clone().filter(|t| t.borrow().due() <= mono) {
-            t.borrow_mut().turn(mono);
+        if let Some(t) = node
+            .together
+            .clone()
+            .filter(|t| t.borrow().next_timeout() <= mono)
+        {
+            t.borrow_mut().handle_timeout(mono);
         }
         node.serve.turn(now);
         for line in notices {
@@ -796,7 +804,10 @@
                 .mul_f64(1.0 / node.rate);
             at(0) + passed + Duration::from_micros(2)
         };
-        let together = node.together.as_ref().map(|t| outside(t.borrow().due()));
+        let together = node
+            .together
+            .as_ref()
+            .map(|t| outside(t.borrow().next_timeout()));
         let next = [node.serve.next(), node.engine.next(), together];
         let next = next
             .into_iter()
@@ -838,7 +849,7 @@
         }
         if let Some(t) = self.nodes[s].together.clone() {
             let mut t = t.borrow_mut();
-            let out = t.outgoing();
+            let out = t.take_datagrams();
             // Nobody reads the log here.
             t.members.take_events();
             t.shared.as_mut().map(FleetQuotas::take_events);
@@ -854,12 +865,13 @@
             }
         }
         if let Some(b) = self.nodes[s].backends.clone() {
-            let changes = b.routes.borrow_mut().changes();
+            let changes = b.routes.borrow_mut().take_events();
             for change in changes {
                 let what = match change {
-                    Change::Ejected { .. } => "leave a backend out",
-                    Change::State {
-                        to: Backed::Rising, ..
+                    BackendEvent::Ejected { .. } => "leave a backend out",
+                    BackendEvent::StateChanged {
+                        to: Backed::SlowStart,
+                        ..
                     } => "let one in again",
                     _ => continue,
                 };
@@ -1143,8 +1155,8 @@
             }
             if let Some(b) = &self.nodes[*s].backends {
                 let routes = b.routes.borrow();
-                let is_out = |s: &Backed| matches!(s, Backed::Ejected | Backed::Trial);
-                self.row.left_out += routes.states().filter(is_out).count() as u32;
+                let is_out = |s: &Backed| matches!(s, Backed::Ejected | Backed::Probing);
+                self.row.left_out += routes.backend_states().filter(is_out).count() as u32;
             }
         }
         over.into_iter()
--- a/crates/testkit/src/fleet/sim.rs
+++ b/crates/testkit/src/fleet/sim.rs
@@ -6,7 +6,7 @@
 use madderbay::time::{Duration, Timestamp};
 use madderbay_membership::{AllowedNetworks, MemberState, Membership, MembershipEvent, Settings};
 use madderbay_quota::{BudgetSettings, CountEstimate, CounterSettings, FleetQuotas, LeaseTerms};
-use madderbay_upstream::Together;
+use madderbay_upstream::FleetStack;
 use oorandom::Rand64;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
@@ -40,7 +40,7 @@
 }
 
 struct Node {
-    life: Option<Together>,
+    life: Option<FleetStack>,
     name: usize,
     stopped: bool,
     waiting: Vec<(SocketAddr, Vec<u8>)>,
@@ -208,7 +208,7 @@
                 counted: HashMap::new(),
             });
         }
-        node.life = Some(Together::new(
+        node.life = Some(FleetStack::new(
             Membership::new(now, unix, seed, settings),
             shared,
         ));
@@ -217,7 +217,7 @@
         node.lives += 1;
         node.waiting.clear();
         self.excused[who] = self.now;
-        self.drive(who, |t, now| t.turn(now));
+        self.drive(who, |t, now| t.handle_timeout(now));
     }
 
     /// What a server is told of budgets and counts.
@@ -398,15 +398,15 @@
     }
 
     /// Lets a server do something, and takes what comes of it.
-    fn drive(&mut self, who: usize, act: impl FnOnce(&mut Together, Timestamp)) {
+    fn drive(&mut self, who: usize, act: impl FnOnce(&mut FleetStack, Timestamp)) {
         let node = &mut self.nodes[who];
         let own = node.clock(self.now);
         let Some(together) = node.life.as_mut().filter(|_| !node.stopped) else {
             return;
         };
         act(together, own);
-        let (out, changes) = (together.outgoing(), together.members.take_events());
-        let due = together.due().max(own);
+        let (out, changes) = (together.take_datagrams(), together.members.take_events());
+        let due = together.next_timeout().max(own);
         let lent = together
             .shared
             .as_mut()
@@ -483,7 +483,7 @@
                         && self.nodes[who].wakes.is_some_and(|w| w <= self.now) =>
                 {
                     self.nodes[who].wakes = None;
-                    self.drive(who, |t, now| t.turn(now));
+                    self.drive(who, |t, now| t.handle_timeout(now));
                 }
                 Some(Event::Over(who, life)) => self.over(who, life),
                 Some(Event::Reqs) => self.reqs_come(),
@@ -494,7 +494,7 @@
                             node.waiting.push((from, bytes));
                         }
                     } else {
-                        self.drive(to, |t, now| t.received(now, from, &bytes));
+                        self.drive(to, |t, now| t.handle_datagram(now, from, &bytes));
                     }
                 }
                 _ => {}
@@ -595,12 +595,12 @@
                     (0..unheard).for_each(|_| budget.call_ended(now));
                 }
                 if self.chance.rand_float() < 0.5 {
-                    self.drive(*s, |t, now| t.turn(now));
+                    self.drive(*s, |t, now| t.handle_timeout(now));
                 }
                 for (from, bytes) in std::mem::take(&mut self.nodes[*s].waiting) {
-                    self.drive(*s, |t, now| t.received(now, from, &bytes));
+                    self.drive(*s, |t, now| t.handle_datagram(now, from, &bytes));
                 }
-                self.drive(*s, |t, now| t.turn(now));
+                self.drive(*s, |t, now| t.handle_timeout(now));
             }
             Act::Demand(s, n) => {
                 self.nodes[*s].work.demand = *n;
--- a/crates/testkit/src/routes.rs
+++ b/crates/testkit/src/routes.rs
@@ -2,7 +2,10 @@
 //! plain ways beside it.
 
 use madderbay::time::{Duration, Timestamp};
-use madderbay_upstream::{Again, BackendSettings, Change, End, Routes, Settings, State, Ticket};
+use madderbay_upstream::{
+    AttemptOutcome, BackendEvent, BackendSettings, RetryKind, Settings, State, UpstreamAttempt,
+    UpstreamManager,
+};
 use oorandom::Rand64;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
@@ -81,7 +84,7 @@
         };
         Settings {
             zone,
-            shares: self.way == Way::Shared,
+            gossip: self.way == Way::Shared,
             ..self.settings.clone()
         }
     }
@@ -93,7 +96,7 @@
 
 struct Node {
     zone: usize,
-    routes: Routes,
+    routes: UpstreamManager,
     /// Of the plain ways: calls in hand by backend, and whose turn it is.
     in_hand: Vec<u32>,
     turn: usize,
@@ -114,7 +117,7 @@
     call: u64,
     server: usize,
     backend: usize,
-    ticket: Option<Ticket>,
+    ticket: Option<UpstreamAttempt>,
 }
 
 struct Call {
@@ -128,7 +131,7 @@
     Arrival(usize),
     Reaches(u64),
     Worked(u64, usize),
-    Replied(u64, End),
+    Replied(u64, AttemptOutcome),
     Patience(u64),
     Hedge(u64),
     Turn(usize),
@@ -205,7 +208,7 @@
             let zone = s % setup.zones;
             Node {
                 zone,
-                routes: Routes::new(now, chance.rand_u64(), setup.own(zone), setup.all()),
+                routes: UpstreamManager::new(now, chance.rand_u64(), setup.own(zone), setup.all()),
                 in_hand: vec![0; setup.backends],
                 turn: s,
                 cut_off: false,
@@ -253,7 +256,7 @@
     fn meet(&mut self, who: usize) {
         let (life, its) = (self.nodes[who].life, zone(self.nodes[who].zone));
         for (_, node) in self.nodes.iter_mut().enumerate().filter(|n| n.0 != who) {
-            node.routes.there(&named(who), life, &its, true);
+            node.routes.update_peer(&named(who), life, &its, true);
         }
     }
 
@@ -281,7 +284,10 @@
             let mut lost = lost;
             lost.sort_unstable();
             for attempt in lost {
-                self.push(self.now + WAY, Event::Replied(attempt, End::Broken));
+                self.push(
+                    self.now + WAY,
+                    Event::Replied(attempt, AttemptOutcome::Disconnected),
+                );
             }
             self.backends[backend].queue.clear();
             self.backends[backend].busy = 0;
@@ -301,11 +307,13 @@
         let seed = self.chance.rand_u64();
         let (life, now) = (self.nodes[who].life + 1, self.now);
         let settings = self.setup.own(self.nodes[who].zone);
-        self.nodes[who].routes = Routes::new(now, seed, settings, self.setup.all());
+        self.nodes[who].routes = UpstreamManager::new(now, seed, settings, self.setup.all());
         self.nodes[who].life = life;
         for s in (0..self.nodes.len()).filter(|s| *s != who) {
             let (life, its) = (self.nodes[s].life, zone(self.nodes[s].zone));
-            self.nodes[who].routes.there(&named(s), life, &its, true);
+            self.nodes[who]
+                .routes
+                .update_peer(&named(s), life, &its, true);
         }
         self.meet(who);
     }
@@ -331,8 +339,8 @@
         };
         row.out = vec![0; self.setup.backends];
         for node in &self.nodes {
-            for (out, state) in row.out.iter_mut().zip(node.routes.states()) {
-                *out += u32::from(matches!(state, State::Ejected | State::Trial));
+            for (out, state) in row.out.iter_mut().zip(node.routes.backend_states()) {
+                *out += u32::from(matches!(state, State::Ejected | State::Probing));
             }
         }
         self.rows.push(row);
@@ -383,7 +391,7 @@
                 if self.nodes[from].life == life {
                     self.nodes[to]
                         .routes
-                        .received(self.now, &named(from), &words);
+                        .handle_datagram(self.now, &named(from), &words);
                 }
             }
         }
@@ -392,11 +400,11 @@
     fn turn(&mut self, s: usize) {
         let now = self.now;
         let node = &mut self.nodes[s];
-        node.routes.turn(now);
-        let (out, life) = (node.routes.outgoing(), node.life);
-        let changes = node.routes.changes();
+        node.routes.handle_timeout(now);
+        let (out, life) = (node.routes.take_datagrams(), node.life);
+        let changes = node.routes.take_events();
         for change in changes {
-            self.ejections += u64::from(matches!(change, Change::Ejected { .. }));
+            self.ejections += u64::from(matches!(change, BackendEvent::Ejected { .. }));
             if self.log.len() < 10_000 {
                 self.log.push(format!(
                     "{:8.2} {}: {change}",
@@ -413,22 +421,25 @@
             words.push((to - 1, bytes));
         }
         if !self.nodes[s].lies.is_empty() && self.chance.rand_float() < 0.1 {
-            let lines = self.nodes[s].lies.iter().map(|b| madderbay_upstream::Line {
-                mark: madderbay_upstream::mark(&format!("b{b}")),
-                good: 0,
-                bad: 8_000,
-                age_ms: 0,
-            });
-            let lines: Vec<madderbay_upstream::Line> = lines.collect();
-            let lie = madderbay_upstream::Words {
-                held_up: false,
-                seen: 1_000,
-                bad: lines.len() as u16,
-                firsts: 1,
-                again: 0,
-                lines,
+            let lines = self.nodes[s]
+                .lies
+                .iter()
+                .map(|b| madderbay_upstream::BackendReport {
+                    name_hash: madderbay_upstream::name_hash(&format!("b{b}")),
+                    successes: 0,
+                    failures: 8_000,
+                    age_ms: 0,
+                });
+            let lines: Vec<madderbay_upstream::BackendReport> = lines.collect();
+            let lie = madderbay_upstream::GossipMessage {
+                stalled: false,
+                backends_seen: 1_000,
+                backends_failing: lines.len() as u16,
+                first_attempts: 1,
+                retries: 0,
+                reports: lines,
             };
-            let bytes = lie.bytes();
+            let bytes = lie.encode();
             words.extend(
                 (0..self.nodes.len())
                     .filter(|to| *to != s)
@@ -467,7 +478,7 @@
                 let ticket = node.routes.pick(now, 0).expect("there are backends");
                 let hedge = node
                     .routes
-                    .hedge_after(now, &ticket)
+                    .hedge_delay(now, &ticket)
                     .filter(|_| self.setup.replayable);
                 self.attempt(id, ticket.backend, Some(ticket));
                 if let Some(after) = hedge.filter(|a| *a < self.setup.patience) {
@@ -496,7 +507,7 @@
         round.min_by_key(|b| node.in_hand[*b]).unwrap_or(0)
     }
 
-    fn attempt(&mut self, call: u64, backend: usize, ticket: Option<Ticket>) {
+    fn attempt(&mut self, call: u64, backend: usize, ticket: Option<UpstreamAttempt>) {
         self.numbered += 1;
         let (id, server) = (self.numbered, self.calls[&call].server);
         let backend = ticket.as_ref().map_or(backend, |t| at_address(t.address));
@@ -526,10 +537,13 @@
         match b.mode {
             Mode::Silent => {}
             Mode::Down => {
-                self.push(self.now + WAY, Event::Replied(id, End::Refused));
+                self.push(
+                    self.now + WAY,
+                    Event::Replied(id, AttemptOutcome::NotConnected),
+                );
             }
             Mode::Fails => {
-                self.push(self.now + WAY, Event::Replied(id, End::Failed));
+                self.push(self.now + WAY, Event::Replied(id, AttemptOutcome::Failed));
             }
             Mode::Slow(_) if b.busy >= self.setup.slots => b.queue.push_back(id),
             Mode::Slow(times) => {
@@ -555,7 +569,7 @@
             return;
         };
         if self.attempts.contains_key(&id) {
-            self.push(self.now + WAY, Event::Replied(id, End::Good));
+            self.push(self.now + WAY, Event::Replied(id, AttemptOutcome::Success));
         }
         self.next_in_line(backend, times);
     }
@@ -573,12 +587,12 @@
     }
 
     /// The server lets go of an attempt; what the machine hears of it.
-    fn ends(&mut self, id: u64, end: End) -> Option<Attempt> {
+    fn ends(&mut self, id: u64, end: AttemptOutcome) -> Option<Attempt> {
         let a = self.attempts.remove(&id)?;
         let node = &mut self.nodes[a.server];
         node.in_hand[a.backend] = node.in_hand[a.backend].saturating_sub(1);
         if let Some(ticket) = &a.ticket {
-            node.routes.over(self.now, ticket, end);
+            node.routes.finish(self.now, ticket, end);
         }
         if let Some(call) = self.calls.get_mut(&a.call) {
             call.out.retain(|o| *o != id);
@@ -587,13 +601,13 @@
     }
 
     /// A call that was given up goes on taking its slot below until it is worked off.
-    fn replied(&mut self, id: u64, end: End) {
+    fn replied(&mut self, id: u64, end: AttemptOutcome) {
         let Some(a) = self.ends(id, end) else { return };
         let Some(call) = self.calls.get(&a.call) else {
             return;
         };
         let (began, again) = (call.began, call.again);
-        if end == End::Good {
+        if end == AttemptOutcome::Success {
             let took = self.now - began;
             let row = self.row_of(began);
             self.rows[row].good += 1;
@@ -601,7 +615,7 @@
             // Those that began before it were outrun.
             let slower: Vec<u64> = call.out.iter().copied().filter(|o| *o < id).collect();
             for other in slower {
-                self.ends(other, End::Outrun);
+                self.ends(other, AttemptOutcome::LostToHedge);
             }
             return self.done(a.call);
         }
@@ -609,15 +623,15 @@
             return;
         }
         let left = (began + self.setup.patience) - self.now;
-        let may = end.never_ran() || self.setup.replayable;
+        let may = end.never_executed() || self.setup.replayable;
         if !may || left == Duration::ZERO {
             return self.done(a.call);
         }
         let next = match (self.setup.way, &a.ticket) {
             (Way::Shared | Way::Alone, Some(ticket)) => {
                 let routes = &mut self.nodes[a.server].routes;
-                let ticket = if left > routes.least(ticket) {
-                    routes.again(self.now, ticket, Again::Elsewhere)
+                let ticket = if left > routes.typical_latency(ticket) {
+                    routes.retry(self.now, ticket, RetryKind::OtherBackend)
                 } else {
                     None
                 };
@@ -648,7 +662,7 @@
         };
         if let Some(second) = self.nodes[server]
             .routes
-            .again(self.now, &ticket, Again::Beside)
+            .retry(self.now, &ticket, RetryKind::Hedge)
         {
             self.last_row().again += 1;
             self.attempt(call, second.backend, Some(second));
@@ -660,7 +674,7 @@
             return;
         };
         for id in c.out.clone() {
-            self.ends(id, End::Silent);
+            self.ends(id, AttemptOutcome::TimedOut);
         }
         self.done(call);
     }
@@ -678,7 +692,7 @@
         let row = self.row_of(c.began);
         self.rows[row].calls += 1;
         for id in c.out {
-            self.ends(id, End::Dropped);
+            self.ends(id, AttemptOutcome::Cancelled);
         }
     }
 
--- a/crates/upstream/benches/choice.rs
+++ b/crates/upstream/benches/choice.rs
@@ -4,7 +4,7 @@
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use madderbay::time::{Duration, Timestamp};
-use madderbay_upstream::{BackendSettings, End, Routes, Settings};
+use madderbay_upstream::{AttemptOutcome, BackendSettings, Settings, UpstreamManager};
 
 fn choices(c: &mut Criterion) {
     let mut group = c.benchmark_group("choice");
@@ -26,12 +26,12 @@
             ..Settings::default()
         };
         let mut now = Timestamp::from_micros(1_000_000);
-        let mut routes = Routes::new(now, 1, set, (0..n).map(backend).collect());
+        let mut routes = UpstreamManager::new(now, 1, set, (0..n).map(backend).collect());
         group.bench_with_input(BenchmarkId::from_parameter(n), &n, |b, _| {
             b.iter(|| {
                 now = now + Duration::from_micros(100);
                 let ticket = routes.pick(now, 0).expect("there are some");
-                routes.over(now, &ticket, End::Good);
+                routes.finish(now, &ticket, AttemptOutcome::Success);
             });
         });
     }
--- a/crates/upstream/src/backend.rs
+++ b/crates/upstream/src/backend.rs
@@ -1,7 +1,7 @@
 //! The life of one backend as one server sees it: in, left out for a while, tried again by single calls, let in
 //! by and by.
 
-use crate::evidence::{End, Evidence};
+use crate::evidence::{AttemptOutcome, Evidence};
 use crate::heard::Summary;
 use crate::routes::BackendSettings;
 use madderbay::time::{Duration, Timestamp};
@@ -44,21 +44,21 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum State {
-    In,
+    Active,
     Ejected,
     /// Tried by single calls.
-    Trial,
+    Probing,
     /// Let in again, by and by.
-    Rising,
+    SlowStart,
 }
 
 impl fmt::Display for State {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         f.write_str(match self {
-            State::In => "in",
+            State::Active => "in",
             State::Ejected => "ejected",
-            State::Trial => "trial",
-            State::Rising => "rising",
+            State::Probing => "trial",
+            State::SlowStart => "rising",
         })
     }
 }
@@ -140,7 +140,7 @@
 impl Backend {
     pub fn new(now: Timestamp, set: BackendSettings, state: State) -> Backend {
         Backend {
-            mark: crate::wire::mark(&set.name),
+            mark: crate::wire::name_hash(&set.name),
             set,
             state,
             own: Evidence::default(),
@@ -159,12 +159,12 @@
     /// Its weight as of now: what the operator set, less while it rises and while it is doubted by others.
     pub fn weight(&self, now: Timestamp) -> f64 {
         let rises = match self.state {
-            State::In => 1.0,
-            State::Rising => {
+            State::Active => 1.0,
+            State::SlowStart => {
                 let part = (now - self.since).as_secs_f64() / RISES.as_secs_f64();
                 RISES_FROM + (1.0 - RISES_FROM) * part.min(1.0)
             }
-            State::Ejected | State::Trial => return 0.0,
+            State::Ejected | State::Probing => return 0.0,
         };
         self.set.weight * rises * self.heard.weight()
     }
@@ -231,15 +231,15 @@
     pub fn pass(&mut self, now: Timestamp) -> bool {
         match self.state {
             State::Ejected if now >= self.next => {
-                (self.state, self.since, self.next, self.trials) = (State::Trial, now, now, 0);
+                (self.state, self.since, self.next, self.trials) = (State::Probing, now, now, 0);
                 self.own.forget();
                 true
             }
-            State::Rising if now - self.since >= RISES => {
-                (self.state, self.since) = (State::In, now);
+            State::SlowStart if now - self.since >= RISES => {
+                (self.state, self.since) = (State::Active, now);
                 true
             }
-            State::In if self.times > 0 && now - self.since >= FORGIVES => {
+            State::Active if self.times > 0 && now - self.since >= FORGIVES => {
                 (self.times, self.since) = (self.times - 1, now);
                 false
             }
@@ -249,23 +249,23 @@
 
     /// Whether a call may go to it on trial now.
     pub fn open_for_trial(&self, now: Timestamp) -> bool {
-        self.state == State::Trial && self.in_hand.is_empty() && now >= self.next
+        self.state == State::Probing && self.in_hand.is_empty() && now >= self.next
     }
 
     /// A call on trial came to its end; `slow` where it took far longer than the others' do. True where it is
     /// let in again, or left out again.
-    pub fn tried(&mut self, now: Timestamp, end: End, slow: bool, draw: f64) -> bool {
+    pub fn tried(&mut self, now: Timestamp, end: AttemptOutcome, slow: bool, draw: f64) -> bool {
         self.next = now + TRIAL_EVERY;
         match end {
-            End::Good if !slow => {
+            AttemptOutcome::Success if !slow => {
                 self.trials += 1;
                 if self.trials >= TRIALS {
-                    (self.state, self.since) = (State::Rising, now);
+                    (self.state, self.since) = (State::SlowStart, now);
                     return true;
                 }
                 false
             }
-            End::TurnedAway | End::Dropped => false,
+            AttemptOutcome::Rejected | AttemptOutcome::Cancelled => false,
             _ => {
                 self.eject(now, draw);
                 true
--- a/crates/upstream/src/evidence.rs
+++ b/crates/upstream/src/evidence.rs
@@ -26,38 +26,41 @@
 
 /// How an attempt ended, by how far it came.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum End {
-    Good,
+pub enum AttemptOutcome {
+    Success,
     /// Turned away for want of room: it never ran, and tells of load, not of harm.
-    TurnedAway,
+    Rejected,
     /// No connection, or nothing was sent: it never ran.
-    Refused,
+    NotConnected,
     /// It ran, or may have, and failed.
     Failed,
     /// The connection ended before the reply.
-    Broken,
+    Disconnected,
     /// Nothing came in the time that there was.
-    Silent,
+    TimedOut,
     /// A second attempt that began later came back first.
-    Outrun,
+    LostToHedge,
     /// Given up by this side for reasons of its own: tells nothing.
-    Dropped,
+    Cancelled,
 }
 
-impl End {
+impl AttemptOutcome {
     /// Whether it is proven that nothing ran.
-    pub fn never_ran(self) -> bool {
-        matches!(self, End::TurnedAway | End::Refused)
+    pub fn never_executed(self) -> bool {
+        matches!(
+            self,
+            AttemptOutcome::Rejected | AttemptOutcome::NotConnected
+        )
     }
 
     fn harm(self) -> f64 {
         match self {
-            End::Refused => REFUSED,
-            End::Failed => FAILED,
-            End::Broken => BROKEN,
-            End::Silent => SILENT,
-            End::Outrun => LATE,
-            End::Good | End::TurnedAway | End::Dropped => 0.0,
+            AttemptOutcome::NotConnected => REFUSED,
+            AttemptOutcome::Failed => FAILED,
+            AttemptOutcome::Disconnected => BROKEN,
+            AttemptOutcome::TimedOut => SILENT,
+            AttemptOutcome::LostToHedge => LATE,
+            AttemptOutcome::Success | AttemptOutcome::Rejected | AttemptOutcome::Cancelled => 0.0,
         }
     }
 }
@@ -94,11 +97,11 @@
     }
 
     /// `late`: it went well, and took far longer than others do.
-    pub fn add(&mut self, now: Timestamp, end: End, took: Duration, late: bool) {
+    pub fn add(&mut self, now: Timestamp, end: AttemptOutcome, took: Duration, late: bool) {
         self.fade(now);
         self.bad += end.harm();
         self.run += i32::from(end.harm() > 0.0);
-        if end != End::Good {
+        if end != AttemptOutcome::Success {
             return;
         }
         if late {
--- a/crates/upstream/src/group.rs
+++ b/crates/upstream/src/group.rs
@@ -5,7 +5,7 @@
 use crate::choice::Drawn;
 use crate::heard::Heard;
 use crate::repeats::Repeats;
-use crate::routes::{Change, Settings};
+use crate::routes::{BackendEvent, Settings};
 use madderbay::time::{Duration, Timestamp};
 use oorandom::Rand64;
 
@@ -77,7 +77,7 @@
         all: &mut [Backend],
         light: &Light,
         chance: &mut Rand64,
-        changes: &mut Vec<Change>,
+        changes: &mut Vec<BackendEvent>,
     ) {
         let Light { set, heard, peers } = *light;
         if now - self.timed >= TIMES_EVERY {
@@ -97,7 +97,7 @@
             let b = &mut all[*i];
             let before = b.state;
             if b.pass(now) {
-                changes.push(Change::State {
+                changes.push(BackendEvent::StateChanged {
                     name: b.set.name.clone(),
                     from: before,
                     to: b.state,
@@ -107,7 +107,7 @@
             if let Some(well) = b.heard.well.filter(|at| *at > b.since) {
                 b.try_by(well + spread.mul_f64(b.drawn));
             }
-            if matches!(b.state, State::Ejected | State::Trial) {
+            if matches!(b.state, State::Ejected | State::Probing) {
                 out += 1;
                 bad += 1;
             } else {
@@ -120,13 +120,13 @@
         if !self.panic {
             grounds.sort_by(|a, b| b.1.doubt().total_cmp(&a.1.doubt()));
             for (i, found) in grounds.iter().filter(|g| g.1.condemn()) {
-                if out >= self.out_most(set.out_most) {
+                if out >= self.out_most(set.max_ejected_fraction) {
                     break;
                 }
                 out += 1;
                 all[*i].eject(now, chance.rand_float());
                 let (name, grounds) = (all[*i].set.name.clone(), found.clone());
-                changes.push(Change::Ejected {
+                changes.push(BackendEvent::Ejected {
                     name,
                     grounds,
                     until: all[*i].next - now,
@@ -136,12 +136,12 @@
         self.tables(now, all, set, &grounds);
     }
 
-    fn settle(&mut self, all: &[Backend], bad: usize, changes: &mut Vec<Change>) {
+    fn settle(&mut self, all: &[Backend], bad: usize, changes: &mut Vec<BackendEvent>) {
         let n = self.backends.len();
         let panic = n > 1 && bad as f64 > PANIC_PART * n as f64;
         if std::mem::replace(&mut self.panic, panic) != panic {
             let name = all[self.backends[0]].set.name.clone();
-            changes.push(Change::Panic {
+            changes.push(BackendEvent::PanicModeChanged {
                 name,
                 on: panic,
                 bad,
@@ -183,13 +183,13 @@
         self.stays = match (self.near.is_empty(), self.far.is_empty()) {
             (true, _) => 0.0,
             (false, true) => 1.0,
-            _ => (self.near.sum() / whole / set.near_least).min(1.0),
+            _ => (self.near.sum() / whole / set.min_local_fraction).min(1.0),
         };
         self.trials = self
             .backends
             .iter()
             .copied()
-            .filter(|i| all[*i].state == State::Trial)
+            .filter(|i| all[*i].state == State::Probing)
             .collect();
     }
 
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -38,7 +38,10 @@
 mod wire;
 
 pub use backend::{Grounds, State};
-pub use evidence::End;
-pub use routes::{Again, BackendSettings, BackendView, Change, Routes, Settings, Ticket, Totals};
-pub use together::Together;
-pub use wire::{Line, Words, mark};
+pub use evidence::AttemptOutcome;
+pub use routes::{
+    BackendEvent, BackendSettings, BackendStatus, RetryKind, Settings, Totals, UpstreamAttempt,
+    UpstreamManager,
+};
+pub use together::FleetStack;
+pub use wire::{BackendReport, GossipMessage, name_hash};
--- a/crates/upstream/src/routes.rs
+++ b/crates/upstream/src/routes.rs
@@ -2,10 +2,10 @@
 //! and changes out.
 
 use crate::backend::{Backend, Grounds, State, patience, slow};
-use crate::evidence::End;
+use crate::evidence::AttemptOutcome;
 use crate::group::{Group, Light};
 use crate::heard::{Heard, Said};
-use crate::wire::{self, EIGHTH, Line, Words};
+use crate::wire::{self, BackendReport, EIGHTH, GossipMessage};
 use compact_str::CompactString;
 use madderbay::time::{Duration, Timestamp};
 use madderbay_membership::MAX_SUBSYSTEM_PAYLOAD_BYTES;
@@ -55,80 +55,80 @@
     /// This server's own; empty where all are as near.
     pub zone: CompactString,
     /// The part of a group that may be left out.
-    pub out_most: f64,
+    pub max_ejected_fraction: f64,
     /// The part of the near ones that has to be in for all calls to stay near.
-    pub near_least: f64,
+    pub min_local_fraction: f64,
     /// Repeats, second tries among them, for each first try.
-    pub repeats: f64,
-    pub hedges: bool,
+    pub retry_ratio: f64,
+    pub hedging: bool,
     /// Whether others are told and heard.
-    pub shares: bool,
+    pub gossip: bool,
 }
 
 impl Default for Settings {
     fn default() -> Settings {
         Settings {
             zone: CompactString::default(),
-            out_most: 0.3,
-            near_least: 0.7,
-            repeats: 0.1,
-            hedges: true,
-            shares: true,
+            max_ejected_fraction: 0.3,
+            min_local_fraction: 0.7,
+            retry_ratio: 0.1,
+            hedging: true,
+            gossip: true,
         }
     }
 }
 
 /// Why a call has one more attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Again {
+pub enum RetryKind {
     /// At once, elsewhere.
-    Elsewhere,
+    OtherBackend,
     /// Beside one that is still out.
-    Beside,
+    Hedge,
     /// After a while, elsewhere if there is anywhere else.
-    Later,
+    AfterBackoff,
 }
 
 /// One attempt: where it went, and since when.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Ticket {
+pub struct UpstreamAttempt {
     pub backend: usize,
     pub address: SocketAddr,
     handler: usize,
     number: u64,
-    pub at: Timestamp,
+    pub started_at: Timestamp,
 }
 
 /// A change worth a line in the log.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Change {
+pub enum BackendEvent {
     Ejected {
         name: CompactString,
         grounds: Grounds,
         until: Duration,
     },
-    State {
+    StateChanged {
         name: CompactString,
         from: State,
         to: State,
     },
     /// Most of a group looks bad, or no longer does; named after its first backend.
-    Panic {
+    PanicModeChanged {
         name: CompactString,
         on: bool,
         bad: usize,
         of: usize,
     },
-    Set {
+    ConfigurationChanged {
         name: CompactString,
         there: bool,
     },
 }
 
-impl fmt::Display for Change {
+impl fmt::Display for BackendEvent {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         match self {
-            Change::Ejected {
+            BackendEvent::Ejected {
                 name,
                 grounds,
                 until,
@@ -139,8 +139,8 @@
                     until.as_secs_f64()
                 )
             }
-            Change::State { name, from, to } => write!(f, "{name}: {from} to {to}"),
-            Change::Panic {
+            BackendEvent::StateChanged { name, from, to } => write!(f, "{name}: {from} to {to}"),
+            BackendEvent::PanicModeChanged {
                 name,
                 on: true,
                 bad,
@@ -151,21 +151,21 @@
                     "group of {name}: {bad} of {of} look bad; nobody is left out"
                 )
             }
-            Change::Panic { name, bad, of, .. } => {
+            BackendEvent::PanicModeChanged { name, bad, of, .. } => {
                 write!(
                     f,
                     "group of {name}: {bad} of {of} look bad; the worst are left out again"
                 )
             }
-            Change::Set { name, there: true } => write!(f, "{name}: set"),
-            Change::Set { name, .. } => write!(f, "{name}: no longer set"),
+            BackendEvent::ConfigurationChanged { name, there: true } => write!(f, "{name}: set"),
+            BackendEvent::ConfigurationChanged { name, .. } => write!(f, "{name}: no longer set"),
         }
     }
 }
 
 /// One backend as it stands, for who asks.
 #[derive(Clone, Debug, PartialEq)]
-pub struct BackendView {
+pub struct BackendStatus {
     pub name: CompactString,
     pub address: SocketAddr,
     pub zone: CompactString,
@@ -173,27 +173,27 @@
     /// Its part of what it would have by the operator's word.
     pub weight: f64,
     /// Calls of late, good and bad.
-    pub seen: f64,
-    pub bad: f64,
-    pub in_hand: usize,
-    pub pace: Option<Duration>,
-    pub heard_from: usize,
-    pub heard: f64,
+    pub observed: f64,
+    pub failures: f64,
+    pub in_flight: usize,
+    pub typical_latency: Option<Duration>,
+    pub witnesses: usize,
+    pub gossip_failures: f64,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Totals {
-    pub firsts: u64,
-    pub again: u64,
+    pub first_attempts: u64,
+    pub retries: u64,
     /// Repeats that were wanted and not within the budget.
-    pub refused: u64,
+    pub retries_over_budget: u64,
     pub hedges: u64,
     pub ejections: u64,
-    pub heard: u64,
-    pub unread: u64,
-    pub sent: u64,
-    pub bytes_out: u64,
-    pub untold: u64,
+    pub datagrams_received: u64,
+    pub datagrams_rejected: u64,
+    pub datagrams_sent: u64,
+    pub bytes_sent: u64,
+    pub events_dropped: u64,
 }
 
 /// Another server of the fleet.
@@ -207,16 +207,18 @@
 
 /// What an end tells, by how long it was waited for: one that was given up early on says nothing, one given up
 /// late says that nothing came.
-fn told(end: End, took: Duration, usual: Option<f64>) -> End {
+fn told(end: AttemptOutcome, took: Duration, usual: Option<f64>) -> AttemptOutcome {
     let patience = patience(usual);
     match end {
-        End::Silent if took < patience.mul_f64(SILENT_EARLY) => End::Dropped,
-        End::Dropped if took > patience => End::Silent,
+        AttemptOutcome::TimedOut if took < patience.mul_f64(SILENT_EARLY) => {
+            AttemptOutcome::Cancelled
+        }
+        AttemptOutcome::Cancelled if took > patience => AttemptOutcome::TimedOut,
         end => end,
     }
 }
 
-pub struct Routes {
+pub struct UpstreamManager {
     set: Settings,
     chance: Rand64,
     all: Vec<Backend>,
@@ -234,13 +236,18 @@
     said: Timestamp,
     held_up: bool,
     say: Vec<(CompactString, Vec<u8>)>,
-    changes: Vec<Change>,
+    changes: Vec<BackendEvent>,
     pub totals: Totals,
 }
 
-impl Routes {
-    pub fn new(now: Timestamp, seed: u64, set: Settings, backends: Vec<BackendSettings>) -> Routes {
-        let mut routes = Routes {
+impl UpstreamManager {
+    pub fn new(
+        now: Timestamp,
+        seed: u64,
+        set: Settings,
+        backends: Vec<BackendSettings>,
+    ) -> UpstreamManager {
+        let mut routes = UpstreamManager {
             set,
             chance: Rand64::new(u128::from(seed)),
             all: vec![],
@@ -274,7 +281,7 @@
                     .any(|f| f.name == b.set.name && f.address == b.set.address)
             {
                 b.gone = true;
-                self.changes.push(Change::Set {
+                self.changes.push(BackendEvent::ConfigurationChanged {
                     name: b.set.name.clone(),
                     there: false,
                 });
@@ -290,7 +297,7 @@
                     at
                 }
                 None => {
-                    self.changes.push(Change::Set {
+                    self.changes.push(BackendEvent::ConfigurationChanged {
                         name: set.name.clone(),
                         there: true,
                     });
@@ -299,9 +306,9 @@
                         now,
                         set,
                         if self.groups.is_empty() {
-                            State::In
+                            State::Active
                         } else {
-                            State::Rising
+                            State::SlowStart
                         },
                     );
                     // A slot of one that is gone, and that nothing is in hand at, is taken again.
@@ -329,7 +336,7 @@
                 .position(|g| g.handlers == handlers)
                 .map(|i| before.swap_remove(i));
             let mut group =
-                kept.unwrap_or_else(|| Group::new(now, handlers, vec![], self.set.repeats));
+                kept.unwrap_or_else(|| Group::new(now, handlers, vec![], self.set.retry_ratio));
             group.backends = backends;
             self.groups.push(group);
         }
@@ -351,7 +358,7 @@
     /// The operator has set backends and bounds anew; calls in hand go on.
     pub fn reload(&mut self, now: Timestamp, set: Settings, backends: Vec<BackendSettings>) {
         self.set = set;
-        let part = self.set.repeats;
+        let part = self.set.retry_ratio;
         self.groups
             .iter_mut()
             .for_each(|g| g.repeats.set_part(part));
@@ -369,23 +376,23 @@
             .map(|g| (g.handlers.as_slice(), g.backends.len()))
     }
 
-    fn ticket(&mut self, now: Timestamp, handler: usize, backend: usize) -> Ticket {
+    fn ticket(&mut self, now: Timestamp, handler: usize, backend: usize) -> UpstreamAttempt {
         self.numbered += 1;
         let b = &mut self.all[backend];
         if b.in_hand.len() < IN_HAND_MOST {
             b.in_hand.insert(self.numbered, now);
         }
-        Ticket {
+        UpstreamAttempt {
             backend,
             address: b.set.address,
             handler,
             number: self.numbered,
-            at: now,
+            started_at: now,
         }
     }
 
     /// Where the call of a handler goes; nothing where it has no backends.
-    pub fn pick(&mut self, now: Timestamp, handler: usize) -> Option<Ticket> {
+    pub fn pick(&mut self, now: Timestamp, handler: usize) -> Option<UpstreamAttempt> {
         let at = self.group_of(handler)?;
         // A judgement that is due is made before the choice, whoever drives it.
         if now >= self.next {
@@ -394,35 +401,40 @@
         let group = &mut self.groups[at];
         let backend = group.pick(now, &self.all, None, &mut self.chance)?;
         group.repeats.first(now);
-        self.totals.firsts += 1;
+        self.totals.first_attempts += 1;
         Some(self.ticket(now, handler, backend))
     }
 
     /// One more attempt of a call, where the budget of repeats has room.
-    pub fn again(&mut self, now: Timestamp, before: &Ticket, how: Again) -> Option<Ticket> {
+    pub fn retry(
+        &mut self,
+        now: Timestamp,
+        before: &UpstreamAttempt,
+        how: RetryKind,
+    ) -> Option<UpstreamAttempt> {
         let at = self.group_of(before.handler)?;
         let group = &mut self.groups[at];
         let alone = group.backends.len() < 2;
-        if alone && how != Again::Later || how == Again::Beside && !self.set.hedges {
+        if alone && how != RetryKind::AfterBackoff || how == RetryKind::Hedge && !self.set.hedging {
             return None;
         }
         let backend = group.pick(now, &self.all, Some(before.backend), &mut self.chance)?;
         // All others may be left out.
-        if backend == before.backend && how != Again::Later {
+        if backend == before.backend && how != RetryKind::AfterBackoff {
             return None;
         }
         if !group.repeats.take(now) {
-            self.totals.refused += 1;
+            self.totals.retries_over_budget += 1;
             return None;
         }
-        self.totals.again += 1;
-        self.totals.hedges += u64::from(how == Again::Beside);
+        self.totals.retries += 1;
+        self.totals.hedges += u64::from(how == RetryKind::Hedge);
         Some(self.ticket(now, before.handler, backend))
     }
 
     /// How long after its start a call that may be made twice is worth a second try beside it.
-    pub fn hedge_after(&mut self, now: Timestamp, ticket: &Ticket) -> Option<Duration> {
-        let at = self.group_of(ticket.handler).filter(|_| self.set.hedges)?;
+    pub fn hedge_delay(&mut self, now: Timestamp, ticket: &UpstreamAttempt) -> Option<Duration> {
+        let at = self.group_of(ticket.handler).filter(|_| self.set.hedging)?;
         let group = &mut self.groups[at];
         if group.backends.len() < 2 {
             None
@@ -432,7 +444,7 @@
     }
 
     /// The least time that a repeat is worth beginning with: a call of the group needs about as long.
-    pub fn least(&self, ticket: &Ticket) -> Duration {
+    pub fn typical_latency(&self, ticket: &UpstreamAttempt) -> Duration {
         let usual = self
             .group_of(ticket.handler)
             .and_then(|g| self.groups[g].usual);
@@ -440,31 +452,31 @@
     }
 
     /// An attempt came to its end.
-    pub fn over(&mut self, now: Timestamp, ticket: &Ticket, end: End) {
+    pub fn finish(&mut self, now: Timestamp, ticket: &UpstreamAttempt, end: AttemptOutcome) {
         let Some(b) = self.all.get_mut(ticket.backend) else {
             return;
         };
         if b.in_hand.remove(&ticket.number).is_none() {
             return;
         }
-        let took = now - ticket.at;
+        let took = now - ticket.started_at;
         let Some(group) = self.of.get(&ticket.handler).map(|g| &mut self.groups[*g]) else {
             return;
         };
         let end = told(end, took, group.usual);
-        if end == End::Good {
+        if end == AttemptOutcome::Success {
             group.repeats.took(took);
         }
         // What began before it was left out tells nothing of how it is now.
-        if b.state == State::Ejected || b.state == State::Trial && ticket.at < b.since {
+        if b.state == State::Ejected || b.state == State::Probing && ticket.started_at < b.since {
             return;
         }
         let late = slow(took, group.usual);
         b.own.add(now, end, took, late);
-        if b.state == State::Trial {
+        if b.state == State::Probing {
             let before = b.state;
             if b.tried(now, end, late, self.chance.rand_float()) {
-                let change = Change::State {
+                let change = BackendEvent::StateChanged {
                     name: b.set.name.clone(),
                     from: before,
                     to: b.state,
@@ -474,25 +486,28 @@
             self.next = self.next.min(now + LOOK_SOON);
         } else if !matches!(
             end,
-            End::Good | End::TurnedAway | End::Outrun | End::Dropped
+            AttemptOutcome::Success
+                | AttemptOutcome::Rejected
+                | AttemptOutcome::LostToHedge
+                | AttemptOutcome::Cancelled
         ) {
             self.next = self.next.min(now + LOOK_SOON);
             self.says = self.says.min((now + SAY_SOON).max(self.said + SAY_LEAST));
         }
     }
 
-    fn change(&mut self, change: Change) {
+    fn change(&mut self, change: BackendEvent) {
         if self.changes.len() < CHANGES_MOST {
             self.changes.push(change);
         } else {
-            self.totals.untold += 1;
+            self.totals.events_dropped += 1;
         }
     }
 
     // --- time
 
-    pub fn due(&self) -> Timestamp {
-        if self.set.shares && !self.active.is_empty() {
+    pub fn next_timeout(&self) -> Timestamp {
+        if self.set.gossip && !self.active.is_empty() {
             self.next.min(self.says)
         } else {
             self.next
@@ -500,14 +515,14 @@
     }
 
     /// The time has come for what was due.
-    pub fn turn(&mut self, now: Timestamp) {
+    pub fn handle_timeout(&mut self, now: Timestamp) {
         if now >= self.next {
             self.look(now);
         }
         if now >= self.says {
             self.says = now + SAY.mul_f64(0.75 + 0.5 * self.chance.rand_float());
             self.said = now;
-            if self.set.shares && !self.active.is_empty() {
+            if self.set.gossip && !self.active.is_empty() {
                 self.tell(now);
             }
         }
@@ -530,7 +545,7 @@
         }
         self.totals.ejections += changes
             .iter()
-            .filter(|c| matches!(c, Change::Ejected { .. }))
+            .filter(|c| matches!(c, BackendEvent::Ejected { .. }))
             .count() as u64;
         changes.into_iter().for_each(|c| self.change(c));
     }
@@ -559,12 +574,18 @@
     // --- others
 
     /// The own process was held up of late: its silence may be its own.
-    pub fn held_up(&mut self, held_up: bool) {
+    pub fn set_stalled(&mut self, held_up: bool) {
         self.held_up = held_up;
     }
 
     /// One that the view holds, or holds otherwise than before.
-    pub fn there(&mut self, name: &CompactString, life: u64, zone: &CompactString, active: bool) {
+    pub fn update_peer(
+        &mut self,
+        name: &CompactString,
+        life: u64,
+        zone: &CompactString,
+        active: bool,
+    ) {
         self.heard.gone(name, Some(life));
         let fresh = || Peer {
             life,
@@ -586,35 +607,39 @@
     }
 
     /// One that the view no longer holds: its life is over, and its word with it.
-    pub fn gone(&mut self, name: &CompactString) {
+    pub fn remove_peer(&mut self, name: &CompactString) {
         self.heard.gone(name, None);
         self.peers.remove(name);
         self.active.retain(|n| n != name);
     }
 
     /// Words of one that is in.
-    pub fn received(&mut self, now: Timestamp, from: &CompactString, bytes: &[u8]) {
-        self.totals.heard += 1;
+    pub fn handle_datagram(&mut self, now: Timestamp, from: &CompactString, bytes: &[u8]) {
+        self.totals.datagrams_received += 1;
         let (Some(words), Some(peer)) = (wire::read(bytes), self.peers.get_mut(from)) else {
-            self.totals.unread += 1;
+            self.totals.datagrams_rejected += 1;
             return;
         };
-        if !self.set.shares {
+        if !self.set.gossip {
             return;
         }
-        peer.repeats = Some((f64::from(words.firsts), f64::from(words.again), now));
-        let its_own =
-            words.seen >= ITS_OWN_SEEN && f64::from(words.bad) > ITS_OWN * f64::from(words.seen);
-        let credible = !its_own && !words.held_up;
+        peer.repeats = Some((
+            f64::from(words.first_attempts),
+            f64::from(words.retries),
+            now,
+        ));
+        let its_own = words.backends_seen >= ITS_OWN_SEEN
+            && f64::from(words.backends_failing) > ITS_OWN * f64::from(words.backends_seen);
+        let credible = !its_own && !words.stalled;
         let (life, zone) = (peer.life, peer.zone.clone());
-        for line in words.lines.iter().take(LINES_MOST) {
+        for line in words.reports.iter().take(LINES_MOST) {
             let said = Said {
-                mark: line.mark,
-                good: f64::from(line.good) / EIGHTH,
-                bad: f64::from(line.bad) / EIGHTH,
+                mark: line.name_hash,
+                good: f64::from(line.successes) / EIGHTH,
+                bad: f64::from(line.failures) / EIGHTH,
                 age: Duration::from_millis(u64::from(line.age_ms)),
             };
-            if self.marks.contains(&line.mark) {
+            if self.marks.contains(&line.name_hash) {
                 self.heard.hear(now, from, &zone, life, credible, said);
             }
         }
@@ -637,13 +662,13 @@
                 b.state == State::Ejected || own_bad > own_good && own_bad > WORTH_SAYING,
             );
             let notable = own_bad > WORTH_SAYING || b.heard.units > 0.1 && own_good > WORTH_SAYING;
-            let returned = b.state == State::Rising && own_good > WORTH_SAYING;
+            let returned = b.state == State::SlowStart && own_good > WORTH_SAYING;
             if notable || returned {
                 let (good, bad) = (wire::count(own_good), wire::count(own_bad));
-                lines.push(Line {
-                    mark: b.mark,
-                    good,
-                    bad,
+                lines.push(BackendReport {
+                    name_hash: b.mark,
+                    successes: good,
+                    failures: bad,
                     age_ms: 0,
                 });
             }
@@ -654,69 +679,69 @@
         }
         if lines.len() > LINES_MOST {
             // The worst, and a few of the others each time.
-            lines.sort_by_key(|l| std::cmp::Reverse(l.bad));
+            lines.sort_by_key(|l| std::cmp::Reverse(l.failures));
             lines.truncate(LINES_MOST);
         }
         let (firsts, again) = (firsts as u32, again as u32);
-        let bytes = Words {
-            held_up: self.held_up,
-            seen,
-            bad,
-            firsts,
-            again,
-            lines,
-        }
-        .bytes();
+        let bytes = GossipMessage {
+            stalled: self.held_up,
+            backends_seen: seen,
+            backends_failing: bad,
+            first_attempts: firsts,
+            retries: again,
+            reports: lines,
+        }
+        .encode();
         if bytes.len() > MAX_SUBSYSTEM_PAYLOAD_BYTES {
             return;
         }
         for at in 0..SAY_TO.min(self.active.len()) {
             let to = at + self.chance.rand_range(0..(self.active.len() - at) as u64) as usize;
             self.active.swap(at, to);
-            self.totals.sent += 1;
-            self.totals.bytes_out += bytes.len() as u64;
+            self.totals.datagrams_sent += 1;
+            self.totals.bytes_sent += bytes.len() as u64;
             self.say.push((self.active[at].clone(), bytes.clone()));
         }
     }
 
     /// What is to be said, and to whom.
-    pub fn outgoing(&mut self) -> Vec<(CompactString, Vec<u8>)> {
+    pub fn take_datagrams(&mut self) -> Vec<(CompactString, Vec<u8>)> {
         std::mem::take(&mut self.say)
     }
 
-    pub fn changes(&mut self) -> Vec<Change> {
+    pub fn take_events(&mut self) -> Vec<BackendEvent> {
         std::mem::take(&mut self.changes)
     }
 
     /// Words of others that are kept.
-    pub fn words(&self) -> usize {
+    pub fn gossip_entries(&self) -> usize {
         self.heard.len()
     }
 
     /// The state of each backend, in the order of the views.
-    pub fn states(&self) -> impl Iterator<Item = State> {
+    pub fn backend_states(&self) -> impl Iterator<Item = State> {
         self.groups
             .iter()
             .flat_map(|g| &g.backends)
             .map(|i| self.all[*i].state)
     }
 
-    pub fn views(&self, now: Timestamp) -> Vec<BackendView> {
+    pub fn backend_statuses(&self, now: Timestamp) -> Vec<BackendStatus> {
         let of = |b: &Backend| {
             let mut own = b.own.clone();
             own.fade(now);
-            BackendView {
+            BackendStatus {
                 name: b.set.name.clone(),
                 address: b.set.address,
                 zone: b.set.zone.clone(),
                 state: b.state,
                 weight: b.weight(now) / b.set.weight,
-                seen: own.good() + own.bad,
-                bad: own.bad,
-                in_hand: b.in_hand.len(),
-                pace: b.own.rough_pace().map(Duration::from_secs_f64),
-                heard_from: b.heard.witnesses,
-                heard: b.heard.units,
+                observed: own.good() + own.bad,
+                failures: own.bad,
+                in_flight: b.in_hand.len(),
+                typical_latency: b.own.rough_pace().map(Duration::from_secs_f64),
+                witnesses: b.heard.witnesses,
+                gossip_failures: b.heard.units,
             }
         };
         let there = self.groups.iter().flat_map(|g| &g.backends);
--- a/crates/upstream/src/together.rs
+++ b/crates/upstream/src/together.rs
@@ -1,7 +1,7 @@
 //! The view and what rests on it, driven as one: datagrams, time and chance in; datagrams, due times and
 //! changes out. The program and the simulations drive the very same.
 
-use crate::routes::Routes;
+use crate::routes::UpstreamManager;
 use madderbay::time::Timestamp;
 use madderbay_membership::{MemberState, Membership, Subsystem};
 use madderbay_quota::{FleetQuotas, Peer};
@@ -9,29 +9,29 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-pub struct Together {
+pub struct FleetStack {
     pub members: Membership,
     pub shared: Option<FleetQuotas>,
     /// The calls' side asks it too, at any moment.
-    pub routes: Option<Rc<RefCell<Routes>>>,
+    pub routes: Option<Rc<RefCell<UpstreamManager>>>,
 }
 
-impl Together {
-    pub fn new(members: Membership, shared: Option<FleetQuotas>) -> Together {
-        Together {
+impl FleetStack {
+    pub fn new(members: Membership, shared: Option<FleetQuotas>) -> FleetStack {
+        FleetStack {
             members,
             shared,
             routes: None,
         }
     }
 
-    pub fn received(&mut self, now: Timestamp, from: SocketAddr, bytes: &[u8]) {
+    pub fn handle_datagram(&mut self, now: Timestamp, from: SocketAddr, bytes: &[u8]) {
         self.members.received(now, from, bytes);
         self.meet(now);
     }
 
     /// The time has come for what was due, of any part.
-    pub fn turn(&mut self, now: Timestamp) {
+    pub fn handle_timeout(&mut self, now: Timestamp) {
         self.members.handle_timeout(now);
         self.meet(now);
     }
@@ -49,10 +49,13 @@
             if let Some(routes) = &self.routes {
                 let mut routes = routes.borrow_mut();
                 match found {
-                    Some((id, state)) => {
-                        routes.there(&name, id.incarnation, &id.zone, state != MemberState::Down)
-                    }
-                    None => routes.gone(&name),
+                    Some((id, state)) => routes.update_peer(
+                        &name,
+                        id.incarnation,
+                        &id.zone,
+                        state != MemberState::Down,
+                    ),
+                    None => routes.remove_peer(&name),
                 }
             }
             let Some(shared) = &mut self.shared else {
@@ -76,7 +79,7 @@
             match (part, &mut self.shared, &self.routes) {
                 (Subsystem::Quota, Some(shared), _) => shared.handle_datagram(now, &from, &words),
                 (Subsystem::Upstream, _, Some(routes)) => {
-                    routes.borrow_mut().received(now, &from, &words)
+                    routes.borrow_mut().handle_datagram(now, &from, &words)
                 }
                 _ => {}
             }
@@ -90,9 +93,9 @@
         }
         if let Some(routes) = &self.routes {
             let mut routes = routes.borrow_mut();
-            routes.held_up(self.members.is_degraded());
-            routes.turn(now);
-            for (to, words) in routes.outgoing() {
+            routes.set_stalled(self.members.is_degraded());
+            routes.handle_timeout(now);
+            for (to, words) in routes.take_datagrams() {
                 self.members
                     .send_subsystem_message(&to, Subsystem::Upstream, &words);
             }
@@ -100,16 +103,16 @@
     }
 
     /// When it has to be told the time next.
-    pub fn due(&self) -> Timestamp {
+    pub fn next_timeout(&self) -> Timestamp {
         let shared = self.shared.as_ref().map(FleetQuotas::next_timeout);
-        let routes = self.routes.as_ref().map(|r| r.borrow().due());
+        let routes = self.routes.as_ref().map(|r| r.borrow().next_timeout());
         [shared, routes]
             .into_iter()
             .flatten()
             .fold(self.members.next_timeout(), Timestamp::min)
     }
 
-    pub fn outgoing(&mut self) -> Vec<(SocketAddr, Vec<u8>)> {
+    pub fn take_datagrams(&mut self) -> Vec<(SocketAddr, Vec<u8>)> {
         self.members.take_outgoing()
     }
 }
--- a/crates/upstream/src/wire.rs
+++ b/crates/upstream/src/wire.rs
@@ -5,20 +5,20 @@
 
 /// One datagram: what its sender saw, of its own alone.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Words {
+pub struct GossipMessage {
     /// It was held up of late: its silence may be its own.
-    pub held_up: bool,
+    pub stalled: bool,
     /// Backends that it has seen any call of, and those of them that look bad to it.
-    pub seen: u16,
-    pub bad: u16,
+    pub backends_seen: u16,
+    pub backends_failing: u16,
     /// Its first tries and repeats of late, all groups together.
-    pub firsts: u32,
-    pub again: u32,
-    pub lines: Vec<Line>,
+    pub first_attempts: u32,
+    pub retries: u32,
+    pub reports: Vec<BackendReport>,
 }
 
-impl Words {
-    pub fn bytes(&self) -> Vec<u8> {
+impl GossipMessage {
+    pub fn encode(&self) -> Vec<u8> {
         // Writing to memory fails for nothing that stands here.
         postcard::to_stdvec(self).unwrap_or_default()
     }
@@ -26,10 +26,10 @@
 
 /// Of one backend, by its name's hash.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Line {
-    pub mark: u32,
-    pub good: u16,
-    pub bad: u16,
+pub struct BackendReport {
+    pub name_hash: u32,
+    pub successes: u16,
+    pub failures: u16,
     pub age_ms: u16,
 }
 
@@ -39,11 +39,11 @@
     (n * EIGHTH).round().clamp(0.0, f64::from(u16::MAX)) as u16
 }
 
-pub fn read(bytes: &[u8]) -> Option<Words> {
+pub fn read(bytes: &[u8]) -> Option<GossipMessage> {
     postcard::from_bytes(bytes).ok()
 }
 
 /// A backend's name as it goes over the wire.
-pub fn mark(name: &str) -> u32 {
+pub fn name_hash(name: &str) -> u32 {
     xxhash_rust::xxh3::xxh3_64(name.as_bytes()) as u32
 }
--- a/crates/upstream/tests/added.rs
+++ b/crates/upstream/tests/added.rs
@@ -1,7 +1,7 @@
 //! A backend that is set beside others may be cold: what all servers together send to it has to be little at first.
 
 use madderbay::time::{Duration, Timestamp};
-use madderbay_upstream::{BackendSettings, End, Routes, Settings, State};
+use madderbay_upstream::{AttemptOutcome, BackendSettings, Settings, State, UpstreamManager};
 
 fn backend(n: usize) -> BackendSettings {
     BackendSettings {
@@ -14,7 +14,7 @@
 }
 
 /// Calls that the backend at this port gets of so many from each server within a tenth of a second.
-fn to(port: u16, servers: &mut [Routes], now: Timestamp, each: usize) -> usize {
+fn to(port: u16, servers: &mut [UpstreamManager], now: Timestamp, each: usize) -> usize {
     let mut found = 0;
     for n in 0..each {
         let now = now + Duration::from_millis(100).mul_f64(n as f64 / each as f64);
@@ -23,7 +23,7 @@
             found += usize::from(ticket.address.port() == port);
             // Unlike times, as real ones are: of two paces alike to a hair one would always be the better.
             let took = Duration::from_millis(3 + (n as u64 * 7 + found as u64) % 5);
-            routes.over(now + took, &ticket, End::Good);
+            routes.finish(now + took, &ticket, AttemptOutcome::Success);
         }
     }
     found
@@ -40,8 +40,8 @@
             ..Settings::default()
         };
         let four: Vec<BackendSettings> = (0..4).map(backend).collect();
-        let mut servers: Vec<Routes> = (0..count)
-            .map(|seed| Routes::new(start, seed, set.clone(), four.clone()))
+        let mut servers: Vec<UpstreamManager> = (0..count)
+            .map(|seed| UpstreamManager::new(start, seed, set.clone(), four.clone()))
             .collect();
         for routes in &mut servers {
             routes.reload(start, set.clone(), (0..5).map(backend).collect());
@@ -56,9 +56,16 @@
         );
         let late = start + Duration::from_millis(11_000);
         for routes in &mut servers {
-            (1..110).for_each(|tenth| routes.turn(start + Duration::from_millis(100 * tenth)));
-            routes.turn(late);
-            assert!(routes.views(late).iter().all(|v| v.state == State::In));
+            (1..110).for_each(|tenth| {
+                routes.handle_timeout(start + Duration::from_millis(100 * tenth))
+            });
+            routes.handle_timeout(late);
+            assert!(
+                routes
+                    .backend_statuses(late)
+                    .iter()
+                    .all(|v| v.state == State::Active)
+            );
         }
         let whole = to(7_004, &mut servers, late, 50) as f64;
         assert!(
--- a/crates/upstream/tests/any.rs
+++ b/crates/upstream/tests/any.rs
@@ -2,7 +2,9 @@
 //! is a backend.
 
 use madderbay::time::{Duration, Timestamp};
-use madderbay_upstream::{Again, BackendSettings, End, Routes, Settings, State};
+use madderbay_upstream::{
+    AttemptOutcome, BackendSettings, RetryKind, Settings, State, UpstreamManager,
+};
 use proptest::prelude::*;
 
 fn backend(n: usize) -> BackendSettings {
@@ -20,15 +22,15 @@
     }
 }
 
-const ENDS: [End; 8] = [
-    End::Good,
-    End::TurnedAway,
-    End::Refused,
-    End::Failed,
-    End::Broken,
-    End::Silent,
-    End::Outrun,
-    End::Dropped,
+const ENDS: [AttemptOutcome; 8] = [
+    AttemptOutcome::Success,
+    AttemptOutcome::Rejected,
+    AttemptOutcome::NotConnected,
+    AttemptOutcome::Failed,
+    AttemptOutcome::Disconnected,
+    AttemptOutcome::TimedOut,
+    AttemptOutcome::LostToHedge,
+    AttemptOutcome::Cancelled,
 ];
 
 proptest! {
@@ -39,7 +41,7 @@
         proptest::collection::vec(any::<u8>(), 0..60)), 1..400)) {
         let mut now = Timestamp::from_micros(5_000_000);
         let set = Settings { zone: "north".into(), ..Settings::default() };
-        let mut routes = Routes::new(now, 3, set.clone(), (0..6).map(backend).collect());
+        let mut routes = UpstreamManager::new(now, 3, set.clone(), (0..6).map(backend).collect());
         let mut out = vec![];
         for (deed, n, bytes) in deeds {
             let n = usize::from(n);
@@ -52,35 +54,35 @@
                 }
                 3 if !out.is_empty() => {
                     let before = out[n % out.len()].clone();
-                    let how = [Again::Elsewhere, Again::Beside, Again::Later][n % 3];
-                    if let Some(ticket) = routes.again(now, &before, how) {
-                        prop_assert!(how == Again::Later || ticket.backend != before.backend);
+                    let how = [RetryKind::OtherBackend, RetryKind::Hedge, RetryKind::AfterBackoff][n % 3];
+                    if let Some(ticket) = routes.retry(now, &before, how) {
+                        prop_assert!(how == RetryKind::AfterBackoff || ticket.backend != before.backend);
                         out.push(ticket);
                     }
                 }
                 4 if !out.is_empty() => {
                     let ticket = out.swap_remove(n % out.len());
-                    routes.over(now, &ticket, ENDS[n % ENDS.len()]);
+                    routes.finish(now, &ticket, ENDS[n % ENDS.len()]);
                 }
-                5 => routes.received(now, &format!("n{}", n % 5).as_str().into(), &bytes),
+                5 => routes.handle_datagram(now, &format!("n{}", n % 5).as_str().into(), &bytes),
                 6 => {
                     let zone = if n.is_multiple_of(2) { "north" } else { "south" }.into();
-                    routes.there(&format!("n{}", n % 200).as_str().into(), n as u64 % 3, &zone, n.is_multiple_of(3));
+                    routes.update_peer(&format!("n{}", n % 200).as_str().into(), n as u64 % 3, &zone, n.is_multiple_of(3));
                 }
-                7 => routes.gone(&format!("n{}", n % 200).as_str().into()),
+                7 => routes.remove_peer(&format!("n{}", n % 200).as_str().into()),
                 8 if n.is_multiple_of(5) => {
                     let some = (0..10).filter(|b| n >> b & 1 == 1).map(backend).collect();
                     routes.reload(now, set.clone(), some);
                 }
-                _ => routes.turn(now),
+                _ => routes.handle_timeout(now),
             }
-            prop_assert!(routes.outgoing().iter().all(|o| o.1.len() <= madderbay_membership::MAX_SUBSYSTEM_PAYLOAD_BYTES));
-            prop_assert!(routes.changes().len() <= 64);
-            let views = routes.views(now);
+            prop_assert!(routes.take_datagrams().iter().all(|o| o.1.len() <= madderbay_membership::MAX_SUBSYSTEM_PAYLOAD_BYTES));
+            prop_assert!(routes.take_events().len() <= 64);
+            let views = routes.backend_statuses(now);
             for (handlers, n) in routes.groups() {
                 let of = views.iter().filter(|v| {
                     let at: usize = v.name[1..].parse().unwrap_or(0);
-                    handlers.contains(&(at % 2)) && matches!(v.state, State::Ejected | State::Trial)
+                    handlers.contains(&(at % 2)) && matches!(v.state, State::Ejected | State::Probing)
                 });
                 prop_assert!(n < 2 || of.count() < n, "all are left out: {views:?}");
             }
--- a/crates/upstream/tests/fleet.rs
+++ b/crates/upstream/tests/fleet.rs
@@ -91,8 +91,8 @@
 fn bad_for_one_zone_is_bad_for_that_zone_alone() {
     for seed in SEEDS {
         let settings = madderbay_upstream::Settings {
-            near_least: 1.0,
-            out_most: 0.5,
+            min_local_fraction: 1.0,
+            max_ejected_fraction: 0.5,
             ..Default::default()
         };
         let mut world = calm(
