Server: folders downstream, upstream and support; their files by standard names

Cause: balancers, below, tools, door, front and conns do not say what they hold. Change: files moved and imports follow; nothing else.

--- a/crates/server/src/core/arrivals.rs
+++ b/crates/server/src/core/arrivals.rs
@@ -2,10 +2,10 @@
 
 use super::hands::{Due, InHand};
 use super::serve::{KEEP_AWAY, Serve};
-use crate::balancers::answer;
-use crate::balancers::door::Read;
-use crate::tools::drive::Outbox;
-use crate::tools::name::Name;
+use crate::downstream::request_validation::Read;
+use crate::downstream::response;
+use crate::support::io::Outbox;
+use crate::support::name::Name;
 use madderbay::interface::Actions;
 use madderbay::time::{Duration, Timestamp};
 use madderbay_concurrency::RequestStage;
@@ -195,6 +195,6 @@
         let (good, report) = (hands.good && !hands.leaving, hands.load_report);
         hands
             .conns
-            .answer(now, no, |out| answer::health(out, rpc, good, report));
+            .answer(now, no, |out| response::health(out, rpc, good, report));
     }
 }
--- a/crates/server/src/core/hands.rs
+++ b/crates/server/src/core/hands.rs
@@ -1,17 +1,17 @@
 //! The reqs in hand: what each still needs for its run, its call and its answer. Carries out what the module
 //! decides; decides nothing.
 
-use crate::balancers::answer;
-use crate::balancers::conns::Conns;
-use crate::balancers::door::{Door, Joined, Key};
-use crate::below::calls::Desk;
-use crate::below::engine::{Link, command};
 use crate::core::follow::Follows;
 use crate::core::keep::Keep;
 use crate::core::lead::{Leads, Try};
 use crate::core::lent::Lent;
-use crate::tools::counters::Counters;
-use crate::tools::name::Name;
+use crate::downstream::connections::Conns;
+use crate::downstream::request_validation::{Door, Joined, Key};
+use crate::downstream::response;
+use crate::support::metrics::Counters;
+use crate::support::name::Name;
+use crate::upstream::calls::Desk;
+use crate::upstream::engine::{Link, command};
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD as BASE64;
 use madderbay::interface::{Actions, Outcome, RetrySafety};
@@ -174,8 +174,8 @@
     pub fn answer_run(&mut self, id: u64, result: Option<&str>) {
         let partial = self.reqs.get(&id).is_some_and(|r| r.partial);
         let answered = self.answer(id, |out, rpc, report| match result {
-            Some(blob) => answer::done(out, rpc, blob, report),
-            None => answer::errored(out, rpc, report),
+            Some(blob) => response::done(out, rpc, blob, report),
+            None => response::errored(out, rpc, report),
         });
         if answered {
             self.counters.answered(result.is_some(), partial);
@@ -226,7 +226,7 @@
 
     fn answer_shed(&mut self, id: u64, come_back: Duration, last: bool) {
         if self.answer(id, |out, rpc, report| {
-            answer::shed(out, rpc, come_back, last, report)
+            response::shed(out, rpc, come_back, last, report)
         }) {
             self.counters.shed += 1;
         }
--- a/crates/server/src/core/keep.rs
+++ b/crates/server/src/core/keep.rs
@@ -1,9 +1,9 @@
 //! Kept results on the running server: what waits for the disk, and the thread that writes. The core never
 //! waits for a sync: it hands records over and is told, by messages, how far they last.
 
-use crate::tools::clock::unix_micros;
-use crate::tools::counters::Lines;
-use crate::tools::name::Name;
+use crate::support::clock::unix_micros;
+use crate::support::metrics::Lines;
+use crate::support::name::Name;
 use madderbay::time::Timestamp;
 use madderbay_idempotency_store::storage::DirectoryStorage;
 use madderbay_idempotency_store::write_ahead_log::{
--- a/crates/server/src/core/lasting.rs
+++ b/crates/server/src/core/lasting.rs
@@ -3,7 +3,7 @@
 
 use super::keep::{Told, Waits};
 use super::serve::{KEEP_AWAY, Serve};
-use crate::balancers::answer;
+use crate::downstream::response;
 use madderbay::time::Timestamp;
 use madderbay_idempotency_store::Lookup;
 
@@ -31,20 +31,20 @@
             Lookup::NotFound => {
                 hands
                     .conns
-                    .answer(now, no, |out| answer::shed(out, rpc, away, false, report));
+                    .answer(now, no, |out| response::shed(out, rpc, away, false, report));
                 hands.counters.shed += 1;
             }
             Lookup::Completed(result) => {
                 let blob = String::from_utf8_lossy(&result);
                 hands
                     .conns
-                    .answer(now, no, |out| answer::done(out, rpc, &blob, report));
+                    .answer(now, no, |out| response::done(out, rpc, &blob, report));
                 hands.counters.answered(true, false);
             }
             Lookup::NoResult => {
                 hands
                     .conns
-                    .answer(now, no, |out| answer::errored(out, rpc, report));
+                    .answer(now, no, |out| response::errored(out, rpc, report));
                 hands.counters.answered(false, false);
             }
         }
--- a/crates/server/src/core/outcomes.rs
+++ b/crates/server/src/core/outcomes.rs
@@ -2,9 +2,9 @@
 
 use super::hands::Due;
 use super::serve::Serve;
-use crate::below::calls::{self, Desk};
-use crate::below::engine::{self, Link};
-use crate::tools::name::Name;
+use crate::support::name::Name;
+use crate::upstream::calls::{self, Desk};
+use crate::upstream::engine::{self, Link};
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD as BASE64;
 use madderbay::interface::{Actions, Outcome};
--- a/crates/server/src/core/pooled.rs
+++ b/crates/server/src/core/pooled.rs
@@ -1,6 +1,6 @@
 //! Pools as the operator file sets them, over the settings' handlers; and what is told of them.
 
-use crate::tools::counters::Lines;
+use crate::support::metrics::Lines;
 use madderbay::interface::{Outcome, UpstreamKind};
 use madderbay_concurrency::limit::Completion;
 use madderbay_concurrency::{
--- a/crates/server/src/balancers/conns.rs
+++ b/crates/server/src/downstream/connections.rs
@@ -1,8 +1,8 @@
 //! The balancers' connections: which are open, what each is owed, when one has to end. What is asked on them
 //! and what is answered is known elsewhere; due times are given back, for the one ordered structure of them.
 
-use crate::balancers::answer;
-use crate::tools::drive::Outbox;
+use crate::downstream::response;
+use crate::support::io::Outbox;
 use madderbay::time::{Duration, Timestamp};
 use std::collections::HashMap;
 
@@ -97,7 +97,7 @@
     /// A connection was accepted: its number, and when it must have carried its first req.
     pub fn open(&mut self, now: Timestamp, out: Outbox) -> (u64, Timestamp) {
         if self.leaving {
-            out.put(answer::leaving);
+            out.put(response::leaving);
         }
         (self.enter(now, out, false), now + FIRST)
     }
@@ -257,7 +257,7 @@
         self.leaving = true;
         for conn in self.table.values_mut() {
             if !std::mem::replace(&mut conn.leaving, true) {
-                conn.out.put(answer::leaving);
+                conn.out.put(response::leaving);
             }
         }
     }
@@ -293,7 +293,7 @@
             }
             (true, false) => {
                 conn.leaving = true;
-                conn.out.put(answer::leaving);
+                conn.out.put(response::leaving);
                 Some(now + LEAVING)
             }
             (false, _) => Some((conn.used + limit).max(now + AGAIN)),
--- a/crates/server/src/balancers/front.rs
+++ b/crates/server/src/downstream/json_rpc.rs
@@ -1,10 +1,10 @@
 //! JSON-RPC 2.0 from one balancer connection: lines in, calls on the core. Its answers are in `answer`.
 
-use crate::balancers::answer::{self, BAD_PARAMS, NO_CALL, NO_JSON, NO_METHOD};
 use crate::core::serve::Serve;
-use crate::tools::drive::Lines;
-use crate::tools::json::{Members, is_value};
-use crate::tools::name::name;
+use crate::downstream::response::{self, BAD_PARAMS, NO_CALL, NO_JSON, NO_METHOD};
+use crate::support::io::Lines;
+use crate::support::json::{Members, is_value};
+use crate::support::name::name;
 use madderbay::time::Timestamp;
 
 /// Longer than any legal line: a body of 2 KiB in base64, each of its characters escaped, and its fields.
@@ -75,7 +75,7 @@
         serve.hands.counters.bad_lines += 1;
         log::debug!("connection {no}: a line can't be served: {}", self.message);
         if let Some(out) = serve.out(no) {
-            out.put(|b| answer::wrong(b, self.id, self.code, self.message));
+            out.put(|b| response::wrong(b, self.id, self.code, self.message));
         }
         if self.breach {
             serve.turn_off(now, no);
--- a/crates/server/src/balancers/listen.rs
+++ b/crates/server/src/downstream/listener.rs
@@ -1,10 +1,10 @@
 //! Takes the balancers' connections, as many as the limit on descriptors leaves, and serves each in a task of
 //! its own: a bad peer or a panic ends there.
 
-use crate::balancers::front::Front;
 use crate::core::serve::Shared;
-use crate::tools::clock::Clock;
-use crate::tools::drive::{Outbox, drive_peer};
+use crate::downstream::json_rpc::Front;
+use crate::support::clock::Clock;
+use crate::support::io::{Outbox, drive_peer};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
--- a/crates/server/src/balancers/registry.rs
+++ b/crates/server/src/downstream/registration.rs
@@ -1,8 +1,8 @@
 //! Reports to the registry over one kept HTTP/1.1 connection.
 
 use crate::core::serve::Shared;
-use crate::tools::counters::Counters;
-use crate::tools::drive::{Outbox, drive_link};
+use crate::support::io::{Outbox, drive_link};
+use crate::support::metrics::Counters;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/server/src/balancers/door.rs
+++ b/crates/server/src/downstream/request_validation.rs
@@ -1,7 +1,7 @@
 //! The door: what an arriving req says of itself, under small numbers, and the table of keyed reqs.
 
-use crate::tools::json::{Members, number, text, whole};
-use crate::tools::name::{Name, name, spelt};
+use crate::support::json::{Members, number, text, whole};
+use crate::support::name::{Name, name, spelt};
 use madderbay::interface::{Arrival, RetrySafety};
 use madderbay::time::{Duration, Timestamp};
 use madderbay_settings::Settings;
--- a/crates/server/src/fleet/backends.rs
+++ b/crates/server/src/fleet/backends.rs
@@ -2,8 +2,8 @@
 //! them, alone or with what the fleet's driver hears.
 
 use crate::core::lead::Leads;
-use crate::tools::clock::Ticks;
-use crate::tools::counters::Lines;
+use crate::support::clock::Ticks;
+use crate::support::metrics::Lines;
 use madderbay::time::{Duration, Timestamp};
 use madderbay_operator_config::routes as operator;
 use madderbay_settings::Settings as Site;
@@ -105,7 +105,7 @@
     /// Changes go to the log.
     pub fn tell(&self) {
         for change in self.routes.borrow_mut().take_events() {
-            crate::tools::logger::plain(format!("INFO routes: {change}\n"));
+            crate::support::logging::plain(format!("INFO routes: {change}\n"));
         }
     }
 
--- a/crates/server/src/fleet/lender.rs
+++ b/crates/server/src/fleet/lender.rs
@@ -2,7 +2,7 @@
 //! has the very same.
 
 use crate::core::lent::Lends;
-use crate::tools::clock::Ticks;
+use crate::support::clock::Ticks;
 use madderbay::time::Duration;
 use madderbay_quota::FleetQuotas;
 use madderbay_upstream::FleetStack;
--- a/crates/server/src/fleet/sharing.rs
+++ b/crates/server/src/fleet/sharing.rs
@@ -2,8 +2,8 @@
 
 use crate::core::lent::Group;
 use crate::fleet::lender::Counted;
-use crate::tools::clock::unix_micros;
-use crate::tools::config::Config;
+use crate::support::clock::unix_micros;
+use crate::support::config::Config;
 use madderbay::time::Duration;
 use madderbay_operator_config::shared as operator;
 use madderbay_quota::{BudgetSettings, CounterSettings, LeaseTerms};
--- a/crates/server/src/fleet/talk.rs
+++ b/crates/server/src/fleet/talk.rs
@@ -3,8 +3,8 @@
 
 use super::backends::Backends;
 use super::lender::{Counted, Lender};
-use crate::tools::clock::Ticks;
-use crate::tools::counters::Lines;
+use crate::support::clock::Ticks;
+use crate::support::metrics::Lines;
 use madderbay::time::{Duration, Timestamp};
 use madderbay_membership::{AllowedNetworks, Membership, STRANGERS, Settings};
 use madderbay_operator_config::members as operator;
@@ -154,7 +154,7 @@
         }
         let told = changes.len().min(room);
         for change in &changes[..told] {
-            crate::tools::logger::plain(format!("INFO {change}\n"));
+            crate::support::logging::plain(format!("INFO {change}\n"));
         }
         self.untold.set(self.untold.get() + changes.len() - told);
         self.lines.set(if fresh {
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -1,12 +1,14 @@
 //! madderbay as a server: sockets, JSON-RPC, engine, catalogue and registry around the decision module.
 //!
-//! Folders are by concern, files by stage of a req. In [`balancers`], `listen` takes connections, `front`
-//! reads JSON-RPC, `door` knows reqs by their keys, `answer` writes what goes back, `conns` knows where to. In
-//! [`core`], `serve` owns the decisions and `hands` carries them out. In [`below`], `engine` runs and `calls`
-//! fetches. [`fleet`] speaks with other servers, where the operator file says so. Each protocol is a state machine fed with bytes; `drive` in [`tools`] moves them.
+//! Folders are by concern. [`downstream`] faces the load balancers: `listener` takes connections, `json_rpc`
+//! reads and `response` writes lines, `request_validation` checks requests, `connections` knows where a
+//! response goes, `registration` reports to the registry. In [`core`], `serve` owns the decisions and `hands`
+//! carries them out. In [`upstream`], `engine` runs requests and `calls` makes their calls. [`fleet`] talks
+//! with other servers, where the operator file says so. Each protocol is a state machine fed with bytes; `io`
+//! in [`support`] moves them.
 
-pub mod balancers;
-pub mod below;
 pub mod core;
+pub mod downstream;
 pub mod fleet;
-pub mod tools;
+pub mod support;
+pub mod upstream;
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -7,15 +7,15 @@
 use madderbay_operator_config::Operator;
 use madderbay_operator_config::kept::KeptResults;
 use madderbay_operator_config::members;
-use madderbay_server::balancers::{listen, registry};
-use madderbay_server::below::{calls, engine};
 use madderbay_server::core::serve::{Serve, Shared};
 use madderbay_server::core::{keep, pooled};
+use madderbay_server::downstream::{listener, registration};
 use madderbay_server::fleet::backends::{self, Backends, Routing};
 use madderbay_server::fleet::sharing::{self, Sharing};
 use madderbay_server::fleet::{ask, control, lender, talk};
-use madderbay_server::tools::clock::{Clock, Ticks};
-use madderbay_server::tools::{clock, config, logger};
+use madderbay_server::support::clock::{Clock, Ticks};
+use madderbay_server::support::{clock, config, logging};
+use madderbay_server::upstream::{calls, engine};
 use std::cell::{Cell, RefCell};
 use std::io::Write;
 use std::net::SocketAddr;
@@ -323,7 +323,7 @@
             return ExitCode::SUCCESS;
         }
     };
-    logger::start(std::env::var("MADDERBAY_LOG").ok().as_deref());
+    logging::start(std::env::var("MADDERBAY_LOG").ok().as_deref());
     // A panic ends at its connection or turn; told by the logger, it never waits for standard error.
     std::panic::set_hook(Box::new(|what| log::error!("panic: {what}")));
     let done = match args.order {
@@ -334,7 +334,7 @@
         Some(Order::Shared(of)) => asked(ask::shared, &of),
         Some(Order::Routes(of)) => asked(ask::routes, &of),
     };
-    logger::flush();
+    logging::flush();
     let (lines, status) = match done {
         Ok(()) => return ExitCode::SUCCESS,
         Err(Wrong::Start(what)) => (vec![what], ExitCode::FAILURE),
@@ -470,7 +470,7 @@
         hear(SignalKind::user_defined1())?,
     );
     let descriptors = config.descriptors.min(allowed_descriptors());
-    let room = listen::room(descriptors).ok_or_else(|| {
+    let room = listener::room(descriptors).ok_or_else(|| {
         let asked = config.descriptors;
         format!("limits.sockets {asked}: {descriptors} descriptors are too few to serve")
     })?;
@@ -481,7 +481,7 @@
     let grace = config.settings.rules.drain_grace;
     let results = (config.memory_mb << 20) / RESULTS_PART;
     let mut serve = Serve::new(clock.now(), config.seed, config.settings.clone(), results);
-    serve.limit(listen::others(descriptors));
+    serve.limit(listener::others(descriptors));
     let serve = Rc::new(RefCell::new(serve));
     if let Some((opened, set)) = kept {
         let (keep, mut told) =
@@ -527,7 +527,7 @@
     };
     let counters = || {
         let of_fleet = fleet.as_ref().map(|f| f.0.counters()).unwrap_or_default();
-        logger::plain(serve.borrow().counters() + &of_fleet);
+        logging::plain(serve.borrow().counters() + &of_fleet);
     };
     log::info!("{} listens on {address}", config.name);
     let (engine, engine_at) = watch::channel(config.engine);
@@ -541,14 +541,14 @@
     };
     spawn_local(engine::run(engine_at, clock.clone(), serve.clone()));
     spawn_local(calls::run(catalogue_at, clock.clone(), serve.clone()));
-    spawn_local(registry::run(
+    spawn_local(registration::run(
         registry_at,
         config.name.clone(),
         serve.clone(),
     ));
     spawn_local(beat(clock.clone(), serve.clone()));
     let deaf = Rc::new(Notify::new());
-    spawn_local(listen::run(
+    spawn_local(listener::run(
         listener,
         room,
         clock.clone(),
--- a/crates/server/src/tools/mod.rs
+++ b/crates/server/src/support/mod.rs
@@ -3,8 +3,8 @@
 
 pub mod clock;
 pub mod config;
-pub mod counters;
-pub mod drive;
+pub mod io;
 pub mod json;
-pub mod logger;
+pub mod logging;
+pub mod metrics;
 pub mod name;
--- a/crates/server/src/below/calls.rs
+++ b/crates/server/src/upstream/calls.rs
@@ -1,9 +1,9 @@
 //! The catalogue, and backends that speak as it does: calls out, each on a connection that it has to itself, and their replies back. A reply that
 //! is spoilt, or never comes, so costs no other call; and a call is given up by closing its connection.
 
-use crate::tools::clock::Clock;
-use crate::tools::drive::{Outbox, connect, drive_link};
-use crate::tools::name::{Name, spelt};
+use crate::support::clock::Clock;
+use crate::support::io::{Outbox, connect, drive_link};
+use crate::support::name::{Name, spelt};
 use madderbay::interface::Outcome;
 use madderbay::time::{Duration, Timestamp};
 use std::cell::RefCell;
--- a/crates/server/src/below/engine.rs
+++ b/crates/server/src/upstream/engine.rs
@@ -1,9 +1,9 @@
 //! The engine's link: commands as lines out, notices as lines in, both in order.
 
-use crate::tools::clock::Clock;
-use crate::tools::drive::{Lines, Outbox, connect, drive_link};
-use crate::tools::json::{Members, whole};
-use crate::tools::name::{Name, spelt};
+use crate::support::clock::Clock;
+use crate::support::io::{Lines, Outbox, connect, drive_link};
+use crate::support::json::{Members, whole};
+use crate::support::name::{Name, spelt};
 use madderbay::interface::Outcome;
 use madderbay::time::{Duration, Timestamp};
 use std::cell::RefCell;
@@ -224,7 +224,7 @@
                 let inner = raw.strip_prefix('[')?.strip_suffix(']')?;
                 let gauges = inner
                     .split(',')
-                    .map(|g| crate::tools::json::number(g.trim()))
+                    .map(|g| crate::support::json::number(g.trim()))
                     .collect::<Option<Vec<f64>>>();
                 core.link().answered(whole(&notice.text("cookie")?)?);
                 core.gauges(now, &gauges?, std::mem::take(&mut self.gap));
--- a/crates/server/tests/crossings.rs
+++ b/crates/server/tests/crossings.rs
@@ -4,12 +4,12 @@
 mod common;
 
 use madderbay::time::{Duration, Timestamp};
-use madderbay_server::balancers::listen;
-use madderbay_server::below::calls;
-use madderbay_server::below::engine::Hears as _;
 use madderbay_server::core::serve::{Serve, Shared};
-use madderbay_server::tools::clock::Clock;
-use madderbay_server::tools::drive::{Outbox, drive, drive_peer};
+use madderbay_server::downstream::listener;
+use madderbay_server::support::clock::Clock;
+use madderbay_server::support::io::{Outbox, drive, drive_peer};
+use madderbay_server::upstream::calls;
+use madderbay_server::upstream::engine::Hears as _;
 use madderbay_testkit::{PATIENCE, unix_ms};
 use std::cell::RefCell;
 use std::io::{ErrorKind, Write};
@@ -55,7 +55,7 @@
         serve.gauges(clock.now(), &[0.1, 1.0, 0.1, 1.0], false);
         let serve = Rc::new(RefCell::new(serve));
         let stop = Rc::new(Notify::new());
-        spawn_local(listen::run(
+        spawn_local(listener::run(
             listener,
             room,
             clock.clone(),
--- a/crates/server/tests/listen.rs
+++ b/crates/server/tests/listen.rs
@@ -1,8 +1,8 @@
 //! The end of listening.
 
-use madderbay_server::balancers::listen;
 use madderbay_server::core::serve::Serve;
-use madderbay_server::tools::clock::Clock;
+use madderbay_server::downstream::listener;
+use madderbay_server::support::clock::Clock;
 use std::cell::RefCell;
 use std::io::Write;
 use std::rc::Rc;
@@ -37,7 +37,7 @@
             .collect();
         let stop = Rc::new(Notify::new());
         stop.notify_one();
-        listen::run(listener, 100, clock, serve.clone(), stop).await;
+        listener::run(listener, 100, clock, serve.clone(), stop).await;
         assert_eq!(serve.borrow().connections(), peers.len());
         assert!(
             std::net::TcpStream::connect(address).is_err(),
--- a/crates/server/tests/scenarios.rs
+++ b/crates/server/tests/scenarios.rs
@@ -30,12 +30,12 @@
 use madderbay::time::{Duration, Timestamp};
 use madderbay_idempotency_store::write_ahead_log::LogEntry;
 use madderbay_idempotency_store::{DurableResults, SequenceNumber};
-use madderbay_server::balancers::front::Front;
-use madderbay_server::below::calls::{Hears as _, Replies};
-use madderbay_server::below::engine::Notices;
 use madderbay_server::core::keep::{Keep, Told};
 use madderbay_server::core::serve::Serve;
-use madderbay_server::tools::drive::Outbox;
+use madderbay_server::downstream::json_rpc::Front;
+use madderbay_server::support::io::Outbox;
+use madderbay_server::upstream::calls::{Hears as _, Replies};
+use madderbay_server::upstream::engine::Notices;
 use std::collections::{HashMap, VecDeque};
 use std::sync::mpsc::{Receiver, channel};
 
--- a/crates/server/tests/wires.rs
+++ b/crates/server/tests/wires.rs
@@ -1,9 +1,9 @@
 //! The parsers that no scenario feeds with all they may meet, whole and cut at every byte.
 
 use madderbay::interface::Outcome;
-use madderbay_server::balancers::registry::{Answers, report};
-use madderbay_server::below::calls::Replies;
-use madderbay_server::tools::json::{Members, is_value, number, text, whole};
+use madderbay_server::downstream::registration::{Answers, report};
+use madderbay_server::support::json::{Members, is_value, number, text, whole};
+use madderbay_server::upstream::calls::Replies;
 
 /// Feeds bytes in pieces of a size; what came of them, and whether the stream may be read on.
 fn answers(bytes: &[u8], piece: usize) -> (Vec<u16>, bool) {
