Tests of the real program by behaviour, in crates/server/tests/process

Change: a file a concern, named for the behaviour, one support module; the long loop of the idle clients is two functions. Every assertion stays.

--- /dev/null
+++ b/crates/server/tests/process/connections.rs
@@ -0,0 +1,152 @@
+//! The limit on descriptors, peers that do not read, idle clients.
+
+use crate::support::{
+    ATTACH_FROM_START, GAUGES, HEALTH_CHECK, HELLO_RUNNING, TestServer, assert_counters, completed,
+    connect_to, move_to, others, request, start_program, unreachable_address,
+};
+use madderbay_testkit::peer::{Peer, local};
+use madderbay_testkit::server::{Others, Server as Program};
+use madderbay_testkit::{PATIENCE, registry};
+use std::io::{BufRead, ErrorKind, Read, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+/// Idle connections give way to new ones; where all carry a request, a new one is closed unread.
+#[test]
+fn connections_stay_within_the_descriptor_limit() {
+    let server = TestServer::start(30);
+    let mut engine = server.accept_engine_link(ATTACH_FROM_START);
+    // The question for the gauges shows that the greeting was read.
+    assert!(engine.line().contains("STAT"));
+    let check_health = |peer: &mut Peer| {
+        peer.say(HEALTH_CHECK);
+        assert!(peer.line().contains("\"fit\":true"));
+    };
+    // Eleven are open, as many as the limit allows.
+    let connect_with_request = |n| {
+        let mut peer = server.connect();
+        check_health(&mut peer);
+        if n > 0 {
+            peer.say(&request(n, "quote", n, ""));
+            check_health(&mut peer);
+        }
+        peer
+    };
+    let idle: Vec<Peer> = (0..11).map(|_| connect_with_request(0)).collect();
+    let busy: Vec<Peer> = (1..12).map(connect_with_request).collect();
+    for mut peer in idle {
+        while !peer.line().is_empty() {}
+    }
+    let mut refused = server.connect();
+    let _ = refused.0.get_mut().write_all(b"x");
+    assert!(
+        matches!(refused.0.read(&mut [0]), Ok(0) | Err(_)),
+        "closed unread"
+    );
+    server.signal("-USR1");
+    server.signal("-TERM");
+    drop((busy, engine));
+    let log = server.ended();
+    assert_counters(&log, &["connections.open 11", "connections.refused 1"]);
+}
+
+/// The program stops reading from a peer that does not read, and serves the others.
+#[test]
+fn peer_that_does_not_read_is_bounded() {
+    let server = TestServer::start(128);
+    let mut unread = server.connect();
+    let stream = unread.0.get_mut();
+    stream
+        .set_write_timeout(Some(Duration::from_millis(300)))
+        .unwrap();
+    let line = HEALTH_CHECK.repeat(1000);
+    let mut accepted_bytes = 0;
+    while stream.write_all(line.as_bytes()).is_ok() {
+        accepted_bytes += line.len();
+        assert!(
+            accepted_bytes < 64 << 20,
+            "all is read from a peer that reads nothing"
+        );
+    }
+    let mut other = server.connect();
+    other.say(HEALTH_CHECK);
+    assert!(other.line().contains("\"fit\":true"));
+}
+
+/// Sends a request on new connections until one is run: rejected while the idle ones are new, as a rejection says,
+/// but never closed unread. Returns the connection and its attempt.
+fn connect_until_admitted(program: &Program, engine: &mut Peer) -> (Peer, u32) {
+    let began = Instant::now();
+    for attempt in 2.. {
+        assert!(began.elapsed() < PATIENCE, "a load balancer gets in");
+        let mut peer = connect_to(program);
+        peer.say(&request(1, "quote", attempt, ""));
+        match rejection(&mut peer, attempt, engine) {
+            None => return (peer, attempt),
+            Some(line) => assert!(
+                line.contains("-32002"),
+                "rejected, not closed unread: {line}"
+            ),
+        }
+    }
+    unreachable!("the loop ends by its time")
+}
+
+/// The line that answers an attempt, or nothing once the engine was told to run it.
+fn rejection(peer: &mut Peer, attempt: u32, engine: &mut Peer) -> Option<String> {
+    let name = format!("{attempt:016x}");
+    peer.0.get_ref().set_nonblocking(true).expect("set");
+    let answer = loop {
+        let mut line = String::new();
+        match peer.0.read_line(&mut line) {
+            Ok(_) => break Some(line),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+            Err(e) => panic!("no end without an answer: {e}"),
+        }
+        if engine.pending().contains(&name) {
+            break None;
+        }
+    };
+    peer.0.get_ref().set_nonblocking(false).expect("set");
+    answer
+}
+
+/// Idle clients take all available descriptors while the registry is down: a load balancer is still served, and
+/// reports resume once the registry is back.
+#[test]
+fn idle_clients_do_not_exclude_a_load_balancer() {
+    let (engine, catalogue) = (local(), local());
+    let others = others(&engine, unreachable_address(), &catalogue);
+    let program = start_program(others, 30);
+    let mut link = Peer::accept(&engine);
+    assert_eq!(link.line(), ATTACH_FROM_START);
+    link.say(HELLO_RUNNING);
+    assert!(link.line().contains("STAT"));
+    link.say(GAUGES);
+    let connect = || TcpStream::connect(program.address).expect("a connection");
+    let mut live = Peer::new(connect());
+    live.say(&request(1, "quote", 1, ""));
+    assert!(link.command().contains("\"RUN\""));
+    let idle: Vec<TcpStream> = (0..40).map(|_| connect()).collect();
+    let (mut admitted, attempt) = connect_until_admitted(&program, &mut link);
+    link.say(&completed(1, 1, "AA=="));
+    link.say(&completed(2, attempt, "AA=="));
+    assert!(live.line().contains("\"id\":1,\"result\""));
+    assert!(admitted.line().contains("\"id\":1,\"result\""));
+    let descriptors = std::fs::read_dir(format!("/proc/{}/fd", program.pid()))
+        .expect("its descriptors")
+        .count();
+    assert!(descriptors <= 30, "{descriptors} descriptors");
+    // The registry is back at another address.
+    let (registry, reports) = registry::start();
+    let moved = Others { registry, ..others };
+    move_to(&program, moved, 30);
+    program.signal("-HUP");
+    assert!(
+        reports
+            .recv_timeout(PATIENCE)
+            .expect("a report")
+            .contains("ready")
+    );
+    drop(idle);
+}
--- /dev/null
+++ b/crates/server/tests/process/main.rs
@@ -0,0 +1,11 @@
+//! The real program on loopback, between an engine, a catalogue, a registry and load balancers that the tests play.
+
+#[path = "../common/mod.rs"]
+mod common;
+mod connections;
+mod operator_file;
+mod reload;
+mod serving;
+mod shutdown;
+mod startup;
+mod support;
--- /dev/null
+++ b/crates/server/tests/process/operator_file.rs
@@ -0,0 +1,70 @@
+//! The operator file is checked as a whole before anything starts.
+
+use crate::common::SETTINGS;
+use crate::support::{STOP_MS, all_at, program};
+use madderbay_testkit::peer::local;
+use madderbay_testkit::server::{command, configuration, written};
+
+/// Exit status of the program with these arguments, and the lines of its standard error.
+fn run_command(args: &[&str], config: Option<&str>) -> (i32, Vec<String>) {
+    let path = config.map(written);
+    let found = command(program(), path.as_deref())
+        .args(args)
+        .output()
+        .expect("it runs");
+    path.iter()
+        .for_each(|p| std::fs::remove_file(p).expect("removed"));
+    let text = String::from_utf8(found.stderr).expect("text");
+    (
+        found.status.code().expect("a status"),
+        text.lines().map(str::to_string).collect(),
+    )
+}
+
+/// Every fault of an operator file is reported, one a line, and nothing starts; with a configuration at hand its
+/// handlers are looked up too.
+#[test]
+fn operator_file_is_checked_before_start() {
+    let address = local().local_addr().unwrap();
+    let others = all_at(address);
+    let config = configuration("127.0.0.1:0", others, 128, STOP_MS, SETTINGS);
+    let file = written(
+        "[pools]\nenabled = on\n[pool a]\nhandlers = quote, bock\n[reserve]\nhandlers = seek\n",
+    );
+    let name = file.to_str().expect("a name");
+    assert_eq!(run_command(&["check", name], None), (0, vec![]));
+    let wrong = vec![
+        format!(
+            "madderbay: {name}:4: [pool a] handlers: 'bock' is no handler; known are search, quote, book"
+        ),
+        format!(
+            "madderbay: {name}:6: [reserve] handlers: 'seek' is no handler; known are search, quote, book"
+        ),
+    ];
+    assert_eq!(
+        run_command(&["check", name], Some(&config)),
+        (2, wrong.clone())
+    );
+    assert_eq!(
+        run_command(&["--operator", name], Some(&config)),
+        (2, wrong.clone())
+    );
+    assert_eq!(
+        run_command(&["run", "--operator", name], Some(&config)),
+        (2, wrong)
+    );
+    std::fs::write(&file, "[pools]\nenabled = maybe\n[pols]\n").expect("written");
+    let (status, lines) = run_command(&["check", name], None);
+    assert_eq!((status, lines.len()), (2, 2), "{lines:?}");
+    std::fs::remove_file(&file).expect("removed");
+    let (status, lines) = run_command(&["check", name], None);
+    assert!(
+        status == 2 && lines.len() == 1 && lines[0].contains(name),
+        "{lines:?}"
+    );
+    let (status, lines) = run_command(&["chekc"], None);
+    assert!(
+        status == 2 && lines.len() == 1 && lines[0].starts_with("madderbay: error"),
+        "{lines:?}"
+    );
+}
--- /dev/null
+++ b/crates/server/tests/process/reload.rs
@@ -0,0 +1,82 @@
+//! SIGHUP: the program moves to the addresses of the new configuration.
+
+use crate::support::{
+    ATTACH_FROM_START, HELLO_RUNNING, LEAVING, TestServer, call_needed, completed, move_to, others,
+    request,
+};
+use madderbay_testkit::peer::{Peer, local};
+use madderbay_testkit::{PATIENCE, registry};
+
+/// On SIGHUP the program takes the addresses in the file: runs go on over the link to the new engine, calls and
+/// reports go to the new addresses. A file that cannot be read changes nothing. Neither ends the process.
+#[test]
+fn reload_moves_to_new_addresses() {
+    let mut server = TestServer::start(128);
+    let mut engine = server.accept_engine_link(ATTACH_FROM_START);
+    let mut a = server.connect();
+    a.say(&request(1, "search", 1, ""));
+    assert!(engine.command().contains("\"RUN\""));
+    engine.say(&call_needed(1, 1));
+    let mut catalogue = Peer::accept(&server.catalogue);
+    assert!(catalogue.line().starts_with("FETCH"));
+    server.log_at("engine: up");
+    std::fs::write(&server.path, "{\"name\":\"n1\",").unwrap();
+    server.signal("-HUP");
+    server.log_at("nothing is changed");
+    let (new_engine, new_catalogue, (registry, reports)) = (local(), local(), registry::start());
+    let others = others(&new_engine, registry, &new_catalogue);
+    move_to(&server, others, 64);
+    server.signal("-HUP");
+    server.log_at("reload: limits has changed, which only a restart can take");
+    server.log_at("reload: settings has changed, which only a restart can take");
+    // The open call stays valid. The new link resumes after the last notice read on the old one and carries what was
+    // queued while it was not up. (What left on the old one may have been read: tests/scenarios/link-fed.txt.)
+    let mut engine = Peer::accept(&new_engine);
+    assert_eq!(engine.line(), "{\"msg\":\"ATTACH\",\"serial\":1}");
+    catalogue.say("0000000000000001 DATA 3\r\nxyz\r\n");
+    engine.say(HELLO_RUNNING);
+    assert!(engine.command().contains("\"FEED\""));
+    engine.say(&call_needed(2, 1));
+    let mut catalogue = Peer::accept(&new_catalogue);
+    assert!(catalogue.line().starts_with("FETCH"));
+    engine.say(&completed(3, 1, "WFla"));
+    assert!(a.line().contains("\"result\""));
+    assert!(reports.recv_timeout(PATIENCE).unwrap().contains("ready"));
+}
+
+/// A reload and then a drain, and a drain and then a reload: the open run is answered over the new link.
+#[test]
+fn drain_and_reload_in_either_order() {
+    for drain_first in [false, true] {
+        let mut server = TestServer::start(128);
+        let mut engine = server.accept_engine_link(ATTACH_FROM_START);
+        let mut a = server.connect();
+        server.log_at("engine: up");
+        a.say(&request(1, "quote", 1, ""));
+        assert!(engine.command().contains("\"RUN\""));
+        let (new_engine, new_catalogue, (registry, _reports)) =
+            (local(), local(), registry::start());
+        let others = others(&new_engine, registry, &new_catalogue);
+        move_to(&server, others, 128);
+        if drain_first {
+            server.signal("-TERM");
+            server.log_at("draining");
+            server.signal("-HUP");
+        } else {
+            server.signal("-HUP");
+            server.log_at("reload: engine");
+            server.signal("-TERM");
+        }
+        let mut engine = Peer::accept(&new_engine);
+        assert_eq!(engine.line(), ATTACH_FROM_START);
+        engine.say(HELLO_RUNNING);
+        assert_eq!(a.line(), LEAVING);
+        engine.say(&completed(1, 1, "WFla"));
+        assert_eq!(
+            a.line(),
+            "{\"jsonrpc\":\"2.0\",\"id\":1,\"result\":{\"bytes\":\"WFla\"}}"
+        );
+        assert_eq!(a.line(), "");
+        assert!(server.ended().contains("counter answered.done 1\n"));
+    }
+}
--- /dev/null
+++ b/crates/server/tests/process/serving.rs
@@ -0,0 +1,202 @@
+//! What the running program answers: results, rejections, failures, partial answers, pooled calls.
+
+use crate::support::{
+    ATTACH_FROM_START, GAUGES, LEAVING, TestServer, assert_counters, call_needed, completed,
+    request,
+};
+use madderbay_testkit::peer::Peer;
+
+#[test]
+fn serves_across_a_lost_engine_link_and_drains() {
+    let server = TestServer::start(128);
+    let mut engine = server.accept_engine_link(ATTACH_FROM_START);
+    assert_eq!(
+        server.reports.recv().unwrap(),
+        "PUT /v1/instances/n1 HTTP/1.1 {\"state\":\"ready\"}"
+    );
+    let mut a = server.connect();
+    // Completed, with a call on the way.
+    a.say(&request(1, "search", 1, ""));
+    assert_eq!(
+        engine.command(),
+        "{\"msg\":\"RUN\",\"call\":\"0000000000000001\",\"service\":\"search\",\"blob\":\"QUJD\"}"
+    );
+    engine.say(&call_needed(1, 1));
+    let mut catalogue = Peer::accept(&server.catalogue);
+    let fetch = catalogue.line();
+    assert!(
+        fetch.starts_with("FETCH 0000000000000001 ") && fetch.ends_with(" 3"),
+        "{fetch}"
+    );
+    assert_eq!(catalogue.line(), "abc");
+    catalogue.say("0000000000000001 DATA 3\r\nxyz\r\n");
+    assert_eq!(
+        engine.command(),
+        "{\"msg\":\"FEED\",\"call\":\"0000000000000001\",\"blob\":\"eHl6\"}"
+    );
+    engine.say(&completed(2, 1, "WFla"));
+    assert_eq!(
+        a.line(),
+        "{\"jsonrpc\":\"2.0\",\"id\":1,\"result\":{\"bytes\":\"WFla\"}}"
+    );
+    // The link is lost during a run; meanwhile a second attempt joins it.
+    a.say(&request(2, "book", 2, "5"));
+    assert!(
+        engine
+            .command()
+            .contains("\"RUN\",\"call\":\"0000000000000002\"")
+    );
+    drop(engine);
+    let mut engine = server.accept_engine_link("{\"msg\":\"ATTACH\",\"serial\":2}");
+    a.say(&request(3, "book", 3, "5"));
+    engine.say(&completed(3, 2, "AA=="));
+    for id in [2, 3] {
+        assert_eq!(
+            a.line(),
+            format!("{{\"jsonrpc\":\"2.0\",\"id\":{id},\"result\":{{\"bytes\":\"AA==\"}}}}")
+        );
+    }
+    // SIGTERM: every connection is notified, what is open is answered, then the process ends.
+    a.say(&request(4, "quote", 4, ""));
+    assert!(
+        engine
+            .command()
+            .contains("\"RUN\",\"call\":\"0000000000000004\"")
+    );
+    server.signal("-USR1");
+    server.signal("-TERM");
+    assert_eq!(a.line(), LEAVING);
+    while !server.reports.recv().unwrap().contains("draining") {}
+    engine.say(&completed(4, 4, "AA=="));
+    assert!(
+        a.line()
+            .starts_with("{\"jsonrpc\":\"2.0\",\"id\":4,\"result\"")
+    );
+    drop(a);
+    let log = server.ended();
+    assert!(
+        log.contains("counter open 1\n"),
+        "counters on request: {log}"
+    );
+    assert_counters(
+        &log,
+        &[
+            "answered.done 4",
+            "joined 1",
+            "open 0",
+            "runs.started 3",
+            "calls.done 1",
+            "engine.links_lost 1",
+        ],
+    );
+}
+
+#[test]
+fn answers_rejected_failed_and_partial() {
+    let server = TestServer::start(128);
+    let mut a = server.connect();
+    a.say(&request(1, "quote", 1, ""));
+    assert!(a.line().contains("\"id\":1,\"error\":{\"code\":-32002"));
+    let mut engine = server.accept_engine_link(ATTACH_FROM_START);
+    assert!(server.reports.recv().unwrap().contains("ready"));
+    // The question for the gauges shows that the greeting was read.
+    let asked = engine.line();
+    assert!(asked.contains("STAT"), "{asked}");
+    engine.say(GAUGES);
+    a.say(&request(2, "quote", 2, ""));
+    assert!(
+        engine
+            .command()
+            .contains("\"RUN\",\"call\":\"0000000000000002\"")
+    );
+    engine.say(
+        "{\"msg\":\"DONE\",\"serial\":1,\"call\":\"0000000000000002\",\"how\":\"bad\",\"duration\":9}\n",
+    );
+    assert!(a.line().contains("\"id\":2,\"error\":{\"code\":-32001"));
+    a.say(&request(3, "search", 3, ""));
+    assert!(
+        engine
+            .command()
+            .contains("\"RUN\",\"call\":\"0000000000000003\"")
+    );
+    engine.say(&call_needed(2, 3));
+    for _ in 0..2 {
+        let mut catalogue = Peer::accept(&server.catalogue);
+        assert!(catalogue.line().starts_with("FETCH 0000000000000003 "));
+        assert_eq!(catalogue.line(), "abc");
+        catalogue.say("0000000000000003 LATER\r\n");
+    }
+    assert_eq!(
+        engine.command(),
+        "{\"msg\":\"SKIP\",\"call\":\"0000000000000003\",\"serial\":2}"
+    );
+    engine.say(&completed(3, 3, "AA=="));
+    assert!(a.line().contains("\"id\":3,\"result\""));
+    server.signal("-TERM");
+    assert!(a.line().contains("leaving"));
+    drop(a);
+    let log = server.ended();
+    assert_counters(
+        &log,
+        &[
+            "answered.partial 1",
+            "answered.shed 1",
+            "answered.errored 1",
+            "answered.done 0",
+        ],
+    );
+}
+
+/// A pool's calls wait for each other within its limit, and the counters report each pool.
+#[test]
+fn pool_limits_concurrent_calls() {
+    let operator = "[pools]\nenabled = on\n[pool seats]\nhandlers = book\ncalls = 1\n";
+    let server = TestServer::start_with_operator_file(128, operator);
+    let mut engine = server.accept_engine_link(ATTACH_FROM_START);
+    assert!(server.reports.recv().unwrap().contains("ready"));
+    assert!(engine.line().contains("STAT"));
+    engine.say(GAUGES);
+    let mut a = server.connect();
+    for (id, key) in [(1, "5"), (2, "6")] {
+        a.say(&request(id, "book", id, key));
+        assert!(engine.command().contains("\"RUN\""));
+    }
+    for n in [1, 2] {
+        engine.say(&call_needed(n, n));
+    }
+    let mut catalogue = Peer::accept(&server.catalogue);
+    assert!(catalogue.line().starts_with("FETCH 0000000000000001 "));
+    assert_eq!(catalogue.line(), "abc");
+    // The second call leaves only when the first has returned.
+    catalogue.say("0000000000000001 DATA 3\r\nxyz\r\n");
+    assert!(
+        engine
+            .command()
+            .contains("\"FEED\",\"call\":\"0000000000000001\"")
+    );
+    assert!(catalogue.line().starts_with("FETCH 0000000000000002 "));
+    assert_eq!(catalogue.line(), "abc");
+    server.signal("-USR1");
+    catalogue.say("0000000000000002 DATA 3\r\nxyz\r\n");
+    assert!(
+        engine
+            .command()
+            .contains("\"FEED\",\"call\":\"0000000000000002\"")
+    );
+    engine.say(&completed(3, 1, "AA=="));
+    engine.say(&completed(4, 2, "AA=="));
+    assert!(a.line().contains("\"result\"") && a.line().contains("\"result\""));
+    server.signal("-TERM");
+    assert!(a.line().contains("leaving"));
+    drop(a);
+    let log = server.ended();
+    assert_counters(
+        &log,
+        &[
+            "pools.seats.calls_most 1",
+            "pools.seats.runs 2",
+            "pools.rest.held 0",
+            "pools.calls.limit 8",
+        ],
+    );
+}
--- /dev/null
+++ b/crates/server/tests/process/shutdown.rs
@@ -0,0 +1,64 @@
+//! SIGTERM: the program answers what is open and ends before it is killed.
+
+use crate::support::{
+    ATTACH_FROM_START, HEALTH_CHECK, HELLO_STARTED, LEAVING, TestServer, connect_to, others,
+    request, start_program, unreachable_others,
+};
+use madderbay_testkit::peer::{Peer, local};
+
+/// A run that does not end is answered before the process ends, and the process ends before it would be killed.
+#[test]
+fn drain_answers_a_run_that_does_not_end() {
+    let server = TestServer::start(128);
+    let mut engine = server.accept_engine_link(ATTACH_FROM_START);
+    let mut a = server.connect();
+    a.say(&request(1, "book", 1, "5"));
+    assert!(engine.command().contains("\"RUN\""));
+    server.signal("-TERM");
+    assert!(a.line().contains("leaving"));
+    assert!(a.line().contains("\"id\":1,\"error\":{\"code\":-32001"));
+    assert_eq!(a.line(), "");
+    assert!(server.ended().contains("counter open 0\n"));
+}
+
+/// SIGTERM arrives twice while the engine has not come up and the registry has answered in part.
+#[test]
+fn drain_ends_while_the_engine_is_not_up() {
+    let (engine, catalogue, registry) = (local(), local(), local());
+    let others = others(&engine, registry.local_addr().unwrap(), &catalogue);
+    let program = start_program(others, 128);
+    let mut link = Peer::accept(&engine);
+    assert_eq!(link.line(), ATTACH_FROM_START);
+    let mut peer = Peer::accept(&registry);
+    assert!(peer.line().starts_with("PUT "));
+    peer.say("HTTP/1.1 2");
+    let mut a = connect_to(&program);
+    a.say(HEALTH_CHECK);
+    assert!(a.line().contains("\"fit\":true"));
+    program.signal("-TERM");
+    assert_eq!(a.line(), LEAVING);
+    program.signal("-TERM");
+    // The engine comes up now; the program takes no request on.
+    link.say(HELLO_STARTED);
+    a.say("{\"jsonrpc\":\"2.0\",\"id\":2,\"method\":\"isWell\"}\n");
+    assert!(a.line().contains("\"fit\":false"));
+    a.say(&request(3, "quote", 1, ""));
+    assert!(a.line().contains("\"id\":3,\"error\":{\"code\":-32002"));
+    assert_eq!(a.line(), "");
+    assert!(program.ended().contains("counter runs.started 0\n"));
+}
+
+/// Where the kill comes before the drain's grace is over, listening ends in time to answer all that was accepted.
+#[test]
+fn stops_listening_before_the_kill() {
+    let mut program = start_program(unreachable_others(), 128);
+    // One connection stays open, so that the process outlasts its listening.
+    let mut a = connect_to(&program);
+    a.say(HEALTH_CHECK);
+    assert!(a.line().contains("\"fit\":true"));
+    program.signal("-TERM");
+    program.log_at("listening no more");
+    assert_eq!(a.line(), LEAVING);
+    a.say(&request(2, "quote", 1, ""));
+    assert!(a.line().contains("\"id\":2,\"error\":{\"code\":-32002"));
+}
--- /dev/null
+++ b/crates/server/tests/process/startup.rs
@@ -0,0 +1,217 @@
+//! How the program starts: peers that are down or break off, late and wrong configurations, restarts.
+
+use crate::common::SETTINGS;
+use crate::support::{
+    ATTACH_FROM_START, GAUGES, HEALTH_CHECK, HELLO_RUNNING, HELLO_STARTED, LEAVING, STOP_MS,
+    all_at, completed, connect_to, move_to, others, program, request, start_program,
+    unreachable_address, unreachable_others,
+};
+use madderbay_testkit::peer::{Peer, local};
+use madderbay_testkit::registry;
+use madderbay_testkit::server::{Server as Program, command, configuration, written};
+use std::io::{BufRead, BufReader};
+use std::process::Output;
+use std::time::{Duration, Instant};
+
+/// All peers are down at the start, and engine and catalogue move while the registry stays down: the program answers
+/// health checks, rejects requests, and serves as soon as there is an engine.
+#[test]
+fn starts_with_all_peers_down_and_reloads_with_registry_down() {
+    let mut program = start_program(unreachable_others(), 128);
+    program.log_at("engine: can't be reached");
+    let mut a = connect_to(&program);
+    a.say(HEALTH_CHECK);
+    assert!(a.line().contains("\"fit\":true"));
+    a.say(&request(2, "quote", 1, ""));
+    assert!(
+        a.line().contains("-32002"),
+        "rejected while there is no engine"
+    );
+    let (engine, catalogue) = (local(), local());
+    let moved = others(&engine, unreachable_address(), &catalogue);
+    move_to(&program, moved, 128);
+    program.signal("-HUP");
+    let mut link = Peer::accept(&engine);
+    assert_eq!(link.line(), ATTACH_FROM_START);
+    link.say(HELLO_RUNNING);
+    program.log_at("engine: up");
+    a.say(&request(3, "quote", 2, ""));
+    assert!(
+        link.command()
+            .contains("\"RUN\",\"call\":\"0000000000000002\"")
+    );
+    link.say(&completed(1, 2, "AA=="));
+    assert!(a.line().contains("\"id\":3,\"result\""));
+    program.signal("-TERM");
+    assert_eq!(a.line(), LEAVING);
+}
+
+/// The one line that a failed start prints. Its exit status is 2 where the configuration is wrong, else 1.
+fn failed_start(config: Option<&str>, listen: Option<&str>) -> String {
+    let path = config.map(written);
+    let mut command = command(program(), path.as_deref());
+    if let Some(listen) = listen {
+        command.env("RELAY_LISTEN", listen);
+    }
+    let Output { status, stderr, .. } = command.output().expect("it runs");
+    path.iter()
+        .for_each(|p| std::fs::remove_file(p).expect("removed"));
+    let text = String::from_utf8(stderr).expect("text");
+    assert_eq!(text.lines().count(), 1, "{text}");
+    let bound = ["listen ", "limits."]
+        .iter()
+        .any(|what| text.contains(&format!("madderbay: {what}")));
+    assert_eq!(status.code(), Some(if bound { 1 } else { 2 }), "{text}");
+    text
+}
+
+/// The line names what is wrong.
+#[test]
+fn failed_start_prints_one_line() {
+    let taken = local();
+    let address = taken.local_addr().unwrap();
+    let others = all_at(address);
+    let good = configuration(&address.to_string(), others, 128, STOP_MS, SETTINGS);
+    assert!(failed_start(None, None).contains("RELAY_CONFIG"));
+    assert!(failed_start(Some("{"), None).contains("configuration"));
+    assert!(
+        failed_start(Some(&good.replace("\"seed\":\"8c", "\"seed\":\"xx")), None).contains("seed")
+    );
+    assert!(failed_start(Some(&good.replace("\"n1\"", "\"n/1\"")), None).contains("name"));
+    assert!(
+        failed_start(Some(&good.replace("\"engine\":\"", "\"engine\":\"x")), None)
+            .contains("engine")
+    );
+    assert!(
+        failed_start(
+            Some(&good.replace("\"n_cores\": 4", "\"n_cores\": 0")),
+            None
+        )
+        .contains("n_cores is 0")
+    );
+    assert!(
+        failed_start(
+            Some(&good.replace("\"sockets\":128", "\"sockets\":8")),
+            None
+        )
+        .contains("limits.sockets 8")
+    );
+    // A server without upstream has no catalogue in its configuration: it gets as far as its own address.
+    let bare = good.replace(&format!("\"catalog\":\"{address}\","), "");
+    assert_ne!(bare, good);
+    for config in [&good, &bare] {
+        assert!(failed_start(Some(config), None).contains(&format!("listen {address}")));
+    }
+    assert!(failed_start(Some(&good), Some("192.0.2.1:1")).contains("192.0.2.1"));
+}
+
+/// The program waits for a configuration that is not there, and then cut short; it is up soon after it is complete.
+#[test]
+fn waits_for_a_late_configuration() {
+    let (engine, catalogue) = (local(), local());
+    let (registry, _reports) = registry::start();
+    let others = others(&engine, registry, &catalogue);
+    let complete = configuration("127.0.0.1:0", others, 128, STOP_MS, SETTINGS);
+    let path = written("");
+    std::fs::remove_file(&path).expect("removed");
+    let mut command = command(program(), Some(&path));
+    let mut child = command
+        .env("MADDERBAY_LOG", "debug")
+        .spawn()
+        .expect("it starts");
+    let mut log = BufReader::new(child.stderr.take().expect("its log"))
+        .lines()
+        .map_while(Result::ok);
+    let mut logged = |part: &str| {
+        log.by_ref()
+            .find(|l| l.contains(part))
+            .expect("a line in its log")
+    };
+    logged("No such file");
+    std::fs::write(&path, &complete[..complete.len() / 2]).expect("written");
+    logged("EOF while parsing");
+    std::fs::write(&path, &complete).expect("written");
+    logged(" listens on ");
+    let mut link = Peer::accept(&engine);
+    assert_eq!(link.line(), ATTACH_FROM_START);
+    child.kill().expect("killed");
+    child.wait().expect("over");
+    std::fs::remove_file(&path).expect("removed");
+}
+
+/// The engine breaks its link off, or says nothing, before it is up; the registry breaks off, answers in part and
+/// refuses before it takes a report. The program is ready soon all the same.
+#[test]
+fn ready_soon_while_peers_break_off() {
+    let (engine, catalogue, registry) = (local(), local(), local());
+    let others = others(&engine, registry.local_addr().unwrap(), &catalogue);
+    let program = start_program(others, 128);
+    let began = Instant::now();
+    for broken in ["", "{\"msg\":\"HEL", "}\n"] {
+        let mut link = Peer::accept(&engine);
+        assert_eq!(link.line(), ATTACH_FROM_START);
+        link.say(broken);
+    }
+    for broken in [
+        "",
+        "HTTP/1.1 2",
+        "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n",
+        "\u{1}\r\n\r\n",
+    ] {
+        let mut peer = Peer::accept(&registry);
+        assert!(peer.line().starts_with("PUT /v1/instances/n1 "));
+        peer.say(broken);
+    }
+    let mut link = Peer::accept(&engine);
+    assert_eq!(link.line(), ATTACH_FROM_START);
+    link.say(HELLO_STARTED);
+    assert!(link.line().contains("STAT"));
+    link.say(GAUGES);
+    let mut peer = Peer::accept(&registry);
+    while peer.line() != "" {}
+    assert!(
+        peer.bytes(17).ends_with(b"\"ready\"}"),
+        "a report that it is ready"
+    );
+    peer.say("HTTP/1.1 204 No Content\r\n\r\n");
+    let mut a = connect_to(&program);
+    a.say(&request(1, "quote", 1, ""));
+    assert!(link.command().contains("\"RUN\""));
+    assert!(
+        began.elapsed() < Duration::from_secs(10),
+        "ready within 10 s"
+    );
+}
+
+/// The program is killed right after it has accepted a connection with a request on it, several times. Each next
+/// incarnation listens at the same address at once, starts with no state, and serves.
+#[test]
+fn restarts_after_kills_right_after_an_accept() {
+    let (engine, catalogue) = (local(), local());
+    let (registry, _reports) = registry::start();
+    let others = others(&engine, registry, &catalogue);
+    // An address of its own: no other test takes its port between two incarnations.
+    let mut listen = "127.77.2.1:0".to_string();
+    for incarnation in 1..=6 {
+        let text = configuration(&listen, others, 128, STOP_MS, SETTINGS);
+        let mut program = Program::start(program(), &text, None);
+        listen = program.address.to_string();
+        let mut link = Peer::accept(&engine);
+        assert_eq!(link.line(), ATTACH_FROM_START);
+        link.say(HELLO_STARTED);
+        program.log_at("engine: up");
+        let mut a = connect_to(&program);
+        a.say(&request(1, "book", incarnation, "5"));
+        if incarnation < 6 {
+            program.signal("-KILL");
+            continue;
+        }
+        let run = link.command();
+        assert!(
+            run.contains("\"RUN\",\"call\":\"0000000000000006\""),
+            "{run}"
+        );
+        link.say(&completed(1, incarnation, "WFla"));
+        assert!(a.line().contains("\"id\":1,\"result\""));
+    }
+}
--- /dev/null
+++ b/crates/server/tests/process/support.rs
@@ -0,0 +1,179 @@
+//! What the tests of the program share: the program between hand-played peers, and the lines that they exchange.
+
+use crate::common::SETTINGS;
+use madderbay_testkit::peer::{Peer, local};
+use madderbay_testkit::server::{Others, Server as Program, configuration};
+use madderbay_testkit::{registry, unix_ms};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::ops::{Deref, DerefMut};
+use std::path::Path;
+use std::sync::mpsc::Receiver;
+
+/// Milliseconds from SIGTERM to SIGKILL, as the configuration states them.
+pub const STOP_MS: u64 = 800;
+/// First line on an engine link of a program that has read no notice yet.
+pub const ATTACH_FROM_START: &str = "{\"msg\":\"ATTACH\",\"serial\":0}";
+/// Greeting of an engine that has been up for an hour.
+pub const HELLO_RUNNING: &str = "{\"msg\":\"HELLO\",\"how\":\"old\",\"duration\":3600000}\n";
+/// Greeting of an engine that has just started.
+pub const HELLO_STARTED: &str = "{\"msg\":\"HELLO\",\"how\":\"new\",\"duration\":10}\n";
+/// Answer to the first question for the gauges.
+pub const GAUGES: &str = "{\"msg\":\"STATS\",\"cookie\":\"1\",\"stats\":[0.1,1,0.1,1]}\n";
+/// A load balancer's health check.
+pub const HEALTH_CHECK: &str = "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"isWell\"}\n";
+/// What every connection is sent when the program drains.
+pub const LEAVING: &str = "{\"jsonrpc\":\"2.0\",\"method\":\"leaving\"}";
+
+/// The program between an engine and a catalogue that are played by hand.
+pub struct TestServer {
+    program: Program,
+    engine: TcpListener,
+    pub catalogue: TcpListener,
+    pub reports: Receiver<String>,
+}
+
+impl Deref for TestServer {
+    type Target = Program;
+    fn deref(&self) -> &Program {
+        &self.program
+    }
+}
+
+impl DerefMut for TestServer {
+    fn deref_mut(&mut self) -> &mut Program {
+        &mut self.program
+    }
+}
+
+impl TestServer {
+    /// Starts the program with this limit on descriptors and no operator file.
+    pub fn start(descriptors: usize) -> TestServer {
+        TestServer::start_program(descriptors, None)
+    }
+
+    /// Starts the program with an operator file of this text.
+    pub fn start_with_operator_file(descriptors: usize, operator: &str) -> TestServer {
+        TestServer::start_program(descriptors, Some(operator))
+    }
+
+    fn start_program(descriptors: usize, operator: Option<&str>) -> TestServer {
+        let (engine, catalogue) = (local(), local());
+        let (registry, reports) = registry::start();
+        let settings = SETTINGS.replace("\"drain_grace_us\": 2000000", "\"drain_grace_us\": 50000");
+        let others = others(&engine, registry, &catalogue);
+        let text = configuration("127.0.0.1:0", others, descriptors, STOP_MS, &settings);
+        TestServer {
+            program: Program::start(program(), &text, operator),
+            engine,
+            catalogue,
+            reports,
+        }
+    }
+
+    /// Accepts the engine link, whose first line has to be `attach`, and greets it.
+    pub fn accept_engine_link(&self, attach: &str) -> Peer {
+        let mut engine = Peer::accept(&self.engine);
+        assert_eq!(engine.line(), attach);
+        engine.say(HELLO_RUNNING);
+        engine
+    }
+
+    /// A new connection of a load balancer.
+    pub fn connect(&self) -> Peer {
+        connect_to(&self.program)
+    }
+
+    /// The rest of the log after the program has ended by itself.
+    pub fn ended(self) -> String {
+        self.program.ended()
+    }
+}
+
+/// The program under test.
+pub fn program() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_madderbay"))
+}
+
+/// A new connection of a load balancer to a program that was started by itself.
+pub fn connect_to(program: &Program) -> Peer {
+    Peer::new(TcpStream::connect(program.address).expect("a connection"))
+}
+
+/// The addresses of the program's peers.
+pub fn others(engine: &TcpListener, registry: SocketAddr, catalogue: &TcpListener) -> Others {
+    let address = |l: &TcpListener| l.local_addr().expect("an address");
+    Others {
+        engine: address(engine),
+        registry,
+        catalogue: address(catalogue),
+    }
+}
+
+/// An address that nobody listens at: the tests' own ports are never so low.
+pub fn unreachable_address() -> SocketAddr {
+    ([127, 77, 0, 1], 1).into()
+}
+
+/// Peers none of which can be reached.
+pub fn unreachable_others() -> Others {
+    all_at(unreachable_address())
+}
+
+/// All peers at one address.
+pub fn all_at(address: SocketAddr) -> Others {
+    Others {
+        engine: address,
+        registry: address,
+        catalogue: address,
+    }
+}
+
+/// Starts the program between these peers, with this limit on descriptors.
+pub fn start_program(others: Others, descriptors: usize) -> Program {
+    let text = configuration("127.0.0.1:0", others, descriptors, STOP_MS, SETTINGS);
+    Program::start(program(), &text, None)
+}
+
+/// Writes a configuration with other peers over the one that the program was started with.
+pub fn move_to(program: &Program, others: Others, descriptors: usize) {
+    let text = configuration("127.0.0.1:0", others, descriptors, STOP_MS, SETTINGS);
+    std::fs::write(&program.path, text).expect("written");
+}
+
+/// A request's line; `key` is its idempotency key, if it is not empty.
+pub fn request(id: u32, method: &str, attempt: u32, key: &str) -> String {
+    let now = unix_ms();
+    let key = if key.is_empty() {
+        String::new()
+    } else {
+        format!("\"replay\":\"{key:0>32}\",")
+    };
+    format!(
+        "{{\"jsonrpc\":\"2.0\",\"id\":{id},\"method\":\"{method}\",\"params\":{{\"ref\":\"{attempt:016x}\",\
+         \"since\":{now},\"sender\":4,\"project\":\"acme\",\"allow\":8000,{key}\"room\":24.5,\
+         \"bytes\":\"QUJD\"}}}}\n"
+    )
+}
+
+/// The engine's notice that a run has completed with a result.
+pub fn completed(serial: u32, attempt: u32, blob: &str) -> String {
+    let about = format!("\"serial\":{serial},\"call\":\"{attempt:016x}\",\"how\":\"good\"");
+    format!("{{\"msg\":\"DONE\",{about},\"duration\":9,\"blob\":\"{blob}\"}}\n")
+}
+
+/// The engine's notice that a run waits for a call with the body `abc`.
+pub fn call_needed(serial: u32, attempt: u32) -> String {
+    format!(
+        "{{\"msg\":\"NEED\",\"serial\":{serial},\"call\":\"{attempt:016x}\",\"blob\":\"YWJj\"}}\n"
+    )
+}
+
+/// Asserts that a log has each of these counters with its value.
+pub fn assert_counters(log: &str, counters: &[&str]) {
+    for counter in counters {
+        assert!(
+            log.contains(&format!("counter {counter}\n")),
+            "{counter} in {log}"
+        );
+    }
+}
