Idempotency store: storage split into the trait, the directory and the simulated one

Cause: one file held three jobs, and the simulation's state was open to every caller. Change: storage/directory.rs and storage/memory.rs; MemoryStorage and CrashEffect, formerly Memory and Crash, are set up by methods; each item documented.

--- a/crates/idempotency-store/tests/crash.rs
+++ b/crates/idempotency-store/tests/crash.rs
@@ -2,7 +2,7 @@
 //! full, failing. What was promised is found, nothing else is, and recovery always comes through.
 
 use madderbay_idempotency_store::record::{Key, Record};
-use madderbay_idempotency_store::storage::{Crash, DirectoryStorage, Memory, Storage};
+use madderbay_idempotency_store::storage::{CrashEffect, DirectoryStorage, MemoryStorage, Storage};
 use madderbay_idempotency_store::write_ahead_log::{
     LogEntry, RecoveredRun, RunState, WriteAheadLog, recover, verify,
 };
@@ -12,7 +12,10 @@
 const DISK: u64 = 1 << 20;
 const WINDOW: u64 = 30_000_000;
 
-fn open(storage: Memory, now: u64) -> (WriteAheadLog<Memory>, HashMap<Key, RecoveredRun>) {
+fn open(
+    storage: MemoryStorage,
+    now: u64,
+) -> (WriteAheadLog<MemoryStorage>, HashMap<Key, RecoveredRun>) {
     let (log, recovery) =
         WriteAheadLog::open(storage, now, DISK, WINDOW).expect("recovery comes through");
     (log, recovery.runs)
@@ -75,7 +78,7 @@
 /// found, nothing after it.
 #[test]
 fn every_cut_and_every_torn_byte() {
-    let mut log = open(Memory::default(), 1).0;
+    let mut log = open(MemoryStorage::default(), 1).0;
     let all: Vec<LogEntry> = (0..12)
         .flat_map(|k| {
             [
@@ -103,7 +106,7 @@
     let upto = |n: usize| &reach.iter().rev().find(|r| r.0 <= n).unwrap_or(&reach[0]).1;
     for at in 0..=len {
         let mut cut = whole.clone();
-        cut.cut(&name, at);
+        cut.truncate(&name, at);
         assert_eq!(&Plain::of(&open(cut.clone(), 3).1), upto(at), "cut at {at}");
         // A second life writes on, and a third finds both.
         let mut log = open(cut, 3).0;
@@ -119,7 +122,7 @@
     for at in 0..len {
         let mut bytes = whole.read(&name).expect("read");
         bytes[at] ^= 1;
-        let mut torn = Memory::default();
+        let mut torn = MemoryStorage::default();
         torn.append(&name, &bytes)
             .and_then(|()| torn.sync(&name))
             .expect("written");
@@ -131,7 +134,7 @@
 /// only whole records in their order.
 #[test]
 fn what_was_not_synced_may_be_there_or_not() {
-    let mut log = open(Memory::default(), 1).0;
+    let mut log = open(MemoryStorage::default(), 1).0;
     log.commit(
         2,
         &[intent(1, WINDOW), done(1, "one", WINDOW), intent(2, WINDOW)],
@@ -160,19 +163,19 @@
             &plain
         }
     };
-    let found = |crash| Plain::of(&open(log.storage().crashed(|_, _| crash), 3).1);
-    assert_eq!(found(Crash::Lost), plain);
+    let found = |crash| Plain::of(&open(log.storage().after_crash(|_, _| crash), 3).1);
+    assert_eq!(found(CrashEffect::Lost), plain);
     for n in 0..=loose.len() {
-        assert_eq!(&found(Crash::Cut(n)), upto(n), "cut at {n}");
+        assert_eq!(&found(CrashEffect::Truncated(n)), upto(n), "cut at {n}");
         // Nulls in place of the rest are no records; where the rest was nulls anyway nothing is lost.
-        let nulls = found(Crash::Nulls(n));
+        let nulls = found(CrashEffect::Zeroed(n));
         assert!(
             [&plain, &with_first, &with_both].contains(&&nulls),
             "nulls from {n}"
         );
         assert!(n < first || nulls != plain, "nulls from {n}");
         if n < loose.len() {
-            assert_eq!(&found(Crash::Torn(n)), upto(n), "torn at {n}");
+            assert_eq!(&found(CrashEffect::Corrupted(n)), upto(n), "torn at {n}");
         }
     }
 }
@@ -180,7 +183,7 @@
 /// A segment whose making was not synced may be gone or empty, or have half a head.
 #[test]
 fn a_segment_that_was_hardly_begun() {
-    let mut log = open(Memory::default(), 1).0;
+    let mut log = open(MemoryStorage::default(), 1).0;
     log.commit(2, &[intent(1, WINDOW)]).expect("written");
     for half in 0..12 {
         let mut crashed = log.storage().clone();
@@ -189,7 +192,7 @@
         crashed
             .append("kept-0000000000000009", &head[..half])
             .expect("appended");
-        let left = crashed.crashed(|_, _| Crash::Cut(half));
+        let left = crashed.after_crash(|_, _| CrashEffect::Truncated(half));
         let (mut next, found) = open(left, 3);
         assert_eq!(found.len(), 1);
         next.commit(4, &[intent(2, WINDOW)]).expect("written");
@@ -201,7 +204,7 @@
 #[test]
 fn newer_and_foreign_files_are_told() {
     let with = |name: &str, bytes: &[u8]| {
-        let mut memory = Memory::default();
+        let mut memory = MemoryStorage::default();
         memory
             .append(name, bytes)
             .and_then(|()| memory.sync(name))
@@ -223,7 +226,7 @@
         "kept-0000000000000000: is no segment of kept results"
     );
     // A file by another name is nobody's business but `verify`'s.
-    let mut memory = Memory::default();
+    let mut memory = MemoryStorage::default();
     memory
         .append("notes.txt", b"x")
         .and_then(|()| memory.sync("notes.txt"))
@@ -239,35 +242,39 @@
 /// room again writing works, in a new segment.
 #[test]
 fn no_space_and_failing_syncs() {
-    let mut log = open(Memory::default(), 1).0;
+    let mut log = open(MemoryStorage::default(), 1).0;
     log.commit(2, &[intent(1, WINDOW)]).expect("written");
     for room in 0..120 {
-        log.storage_mut().room = Some(room);
+        log.storage_mut().set_capacity(Some(room));
         assert!(
             log.commit(3, &[intent(2, WINDOW), done(2, &"x".repeat(300), WINDOW)])
                 .is_err()
         );
         assert!(
-            open(log.storage().crashed(|_, _| Crash::Cut(usize::MAX)), 4)
-                .1
-                .contains_key(&1)
+            open(
+                log.storage()
+                    .after_crash(|_, _| CrashEffect::Truncated(usize::MAX)),
+                4
+            )
+            .1
+            .contains_key(&1)
         );
     }
-    log.storage_mut().room = None;
+    log.storage_mut().set_capacity(None);
     for steps in 0..2 {
-        log.storage_mut().fails_after = Some(steps);
+        log.storage_mut().fail_after(Some(steps));
         assert!(log.commit(5, &[intent(3, WINDOW)]).is_err());
     }
-    log.storage_mut().fails_after = None;
+    log.storage_mut().fail_after(None);
     log.commit(6, &[intent(4, WINDOW)]).expect("written");
-    let found = open(log.storage().crashed(|_, _| Crash::Lost), 7).1;
+    let found = open(log.storage().after_crash(|_, _| CrashEffect::Lost), 7).1;
     assert!(found.contains_key(&1) && found.contains_key(&4) && !found.contains_key(&2));
 }
 
 /// Segments go once all in them has aged out, never before; the disk stays bounded by one window's records.
 #[test]
 fn segments_are_dropped_when_aged_out() {
-    let mut log = open(Memory::default(), 0).0;
+    let mut log = open(MemoryStorage::default(), 0).0;
     let mut most = 0;
     for n in 0..2_000u64 {
         let now = n * 200_000;
@@ -300,7 +307,7 @@
 #[test]
 fn the_clock_may_step_between_lives() {
     for now in [0, 1_000, 5_000_000_000_000] {
-        let mut log = open(Memory::default(), 1_000_000_000).0;
+        let mut log = open(MemoryStorage::default(), 1_000_000_000).0;
         log.commit(1_000_000_000, &[intent(1, 1_000_000_000 + WINDOW)])
             .expect("written");
         let (mut next, found) = open(log.storage().clone(), now);
@@ -385,7 +392,7 @@
         2 => (0u8..4, any::<u16>()).prop_map(|(h, n)| Did::Crash(h, n)),
         2 => (0u32..4_000_000).prop_map(Did::Pass),
     ], 1..60)) {
-        let (mut log, mut now) = (open(Memory::default(), 1_000).0, 1_000u64);
+        let (mut log, mut now) = (open(MemoryStorage::default(), 1_000).0, 1_000u64);
         // For each key: what was acknowledged last, and what was tried since.
         let mut sure: HashMap<Key, (Plain, u64)> = HashMap::new();
         let mut tried: HashMap<Key, Vec<Record>> = HashMap::new();
@@ -395,7 +402,7 @@
                     now += u64::from(by);
                     log.remove_expired_segments(now);
                 }
-                Did::Fail(steps) => log.storage_mut().fails_after = Some(usize::from(steps)),
+                Did::Fail(steps) => log.storage_mut().fail_after(Some(usize::from(steps))),
                 Did::Write(records) => {
                     let until = now + WINDOW;
                     let records: Vec<LogEntry> = records
@@ -421,12 +428,12 @@
                 }
                 Did::Crash(how, n) => {
                     let crash = match how {
-                        0 => Crash::Lost,
-                        1 => Crash::Cut(usize::from(n) % 200),
-                        2 => Crash::Nulls(usize::from(n) % 200),
-                        _ => Crash::Torn(usize::from(n) % 200),
+                        0 => CrashEffect::Lost,
+                        1 => CrashEffect::Truncated(usize::from(n) % 200),
+                        2 => CrashEffect::Zeroed(usize::from(n) % 200),
+                        _ => CrashEffect::Corrupted(usize::from(n) % 200),
                     };
-                    let (next, found) = open(log.storage().crashed(|_, _| crash), now);
+                    let (next, found) = open(log.storage().after_crash(|_, _| crash), now);
                     log = next;
                     for (key, (plain, until)) in &mut sure {
                         let state = found.get(key).map(|f| f.state.clone());
--- a/crates/idempotency-store/tests/stored_data.rs
+++ b/crates/idempotency-store/tests/stored_data.rs
@@ -7,7 +7,7 @@
 use madderbay_idempotency_store::record::{
     HEAD as HEADER_BYTES, Key as IdempotencyKey, Record, read, write_segment_header,
 };
-use madderbay_idempotency_store::storage::{DirectoryStorage, Memory, Storage};
+use madderbay_idempotency_store::storage::{DirectoryStorage, MemoryStorage, Storage};
 use madderbay_idempotency_store::write_ahead_log::{
     LogEntry, RecoveredRun, Recovery, RunState, WriteAheadLog, recover, verify,
 };
@@ -231,7 +231,7 @@
 
 #[test]
 fn writes_the_same_records_to_the_same_bytes() {
-    let storage = Memory::default();
+    let storage = MemoryStorage::default();
     let (mut log, _) =
         WriteAheadLog::open(storage, START_MICROS, DISK_BYTES, RETENTION_MICROS).expect("opened");
     for commit in first_segment_commits()
