Idempotency store: record codec and segment layout in files of their own

Cause: one file held the encoding of records and the layout of segments, decoding returned nothing for each failure, and offsets were bare numbers. Change: record.rs with DecodeError and named kinds and sizes, segment.rs with file names, header and the iterator over records; IdempotencyKey and AttemptId, formerly Key and Name. The bytes stay.

--- a/crates/idempotency-store/src/lib.rs
+++ b/crates/idempotency-store/src/lib.rs
@@ -7,10 +7,11 @@
 //! on a [`storage`], which is the file system or, in tests, a memory that crashes.
 
 pub mod record;
+pub mod segment;
 pub mod storage;
 pub mod write_ahead_log;
 
-use crate::record::{Key, Name, Record};
+use crate::record::{AttemptId, IdempotencyKey, Record};
 use crate::write_ahead_log::{LogEntry, Recovery, RunState};
 use madderbay::time::{Duration, Timestamp};
 use std::collections::{BTreeSet, HashMap, VecDeque};
@@ -22,7 +23,7 @@
 /// before.
 const RESULTS_PART: f64 = 0.75;
 /// Bytes of a promise, which needs room for its end as well.
-const PROMISE: u64 = (record::INTENT + record::BARE) as u64;
+const PROMISE: u64 = (record::INTENT_BYTES + record::KEY_RECORD_BYTES) as u64;
 /// Entries of a former life last this much past their window, for tries that are read late.
 const READ_LATE: Duration = Duration::from_millis(10_000);
 
@@ -50,17 +51,17 @@
 struct Former {
     print: u64,
     until: Timestamp,
-    name: Name,
+    name: AttemptId,
     state: RunState,
 }
 
 /// The decisions and books of one life.
 pub struct DurableResults {
-    former: HashMap<Key, Former>,
-    names: HashMap<Name, Key>,
-    lapses: BTreeSet<(Timestamp, Key)>,
+    former: HashMap<IdempotencyKey, Former>,
+    names: HashMap<AttemptId, IdempotencyKey>,
+    lapses: BTreeSet<(Timestamp, IdempotencyKey)>,
     /// Results that came from the engine after the restart, which last once so much is written.
-    back: VecDeque<(SequenceNumber, Key, Box<[u8]>)>,
+    back: VecDeque<(SequenceNumber, IdempotencyKey, Box<[u8]>)>,
     out: Vec<LogEntry>,
     handed: SequenceNumber,
     /// Bytes on the disk as last told, those on their way, and the most.
@@ -141,7 +142,7 @@
     }
 
     /// What a try hears, from what former lives left.
-    pub fn lookup(&mut self, key: Key, print: u64) -> Lookup {
+    pub fn lookup(&mut self, key: IdempotencyKey, print: u64) -> Lookup {
         let Some(former) = self.former.get(&key) else {
             return Lookup::NotFound;
         };
@@ -175,7 +176,7 @@
     }
 
     fn hand(&mut self, record: Record, until: Timestamp) -> SequenceNumber {
-        self.coming += record.size() as u64;
+        self.coming += record.size_bytes() as u64;
         self.out.push((record, until_micros(until)));
         self.handed += 1;
         self.handed
@@ -184,9 +185,9 @@
     /// Its run is to be sent once this is written.
     pub fn record_intent(
         &mut self,
-        key: Key,
+        key: IdempotencyKey,
         print: u64,
-        name: Name,
+        name: AttemptId,
         until: Timestamp,
     ) -> SequenceNumber {
         self.promised += 1;
@@ -204,7 +205,7 @@
     /// Its run is over; its answer may leave once this is written.
     pub fn record_result(
         &mut self,
-        key: Key,
+        key: IdempotencyKey,
         result: Option<&[u8]>,
         until: Timestamp,
     ) -> SequenceNumber {
@@ -221,13 +222,13 @@
     }
 
     /// What was promised was never sent, or the engine knows none of it: a further try is a new one.
-    pub fn record_not_run(&mut self, key: Key, until: Timestamp) -> SequenceNumber {
+    pub fn record_not_run(&mut self, key: IdempotencyKey, until: Timestamp) -> SequenceNumber {
         self.hand(Record::NotRun { key }, until)
     }
 
     /// The engine tells of a run of a former life: once written its repeats are answered from it. False where
     /// no such run is known.
-    pub fn complete_recovered_run(&mut self, name: &Name, result: Option<&[u8]>) -> bool {
+    pub fn complete_recovered_run(&mut self, name: &AttemptId, result: Option<&[u8]>) -> bool {
         let Some(key) = self.names.remove(name) else {
             return false;
         };
@@ -256,7 +257,7 @@
     /// All up to a number lasts; the disk has so many bytes now.
     pub fn on_committed(&mut self, seq: SequenceNumber, disk: u64) {
         self.disk = disk;
-        self.coming = self.out.iter().map(|(r, _)| r.size() as u64).sum();
+        self.coming = self.out.iter().map(|(r, _)| r.size_bytes() as u64).sum();
         self.broken = false;
         while let Some((_, key, result)) = self.back.pop_front_if(|b| b.0 <= seq) {
             match self.former.get_mut(&key) {
--- a/crates/idempotency-store/src/record.rs
+++ b/crates/idempotency-store/src/record.rs
@@ -1,56 +1,107 @@
-//! The records of the log, and a segment's head. All numbers are little-endian.
+//! The records of the log and their encoding. All numbers are little-endian.
 //!
 //! ```text
-//! segment   "MBKEPT" version:u16 checksum:u32 | record*
-//! record    length:u32 checksum:u32 | type:u8 payload      both of type and payload
-//! intent 1  key:16 print:u64 until:u64 name:16             times are Unix microseconds
-//! done 2    key:16 result                                  the result as it came
-//! errored 3 key:16                                         it ran, and there is no result to give
-//! never 4   key:16                                         its run was never sent, or the engine knows none
+//! record       length:u32 checksum:u32 | kind:u8 payload   both of kind and payload; CRC-32C
+//! intent 1     key:16 request_hash:u64 expires_at:u64 attempt_id:16   Unix microseconds
+//! completed 2  key:16 result                               the result as the run returned it
+//! no result 3  key:16                                      the run ended, its result is unavailable
+//! not run 4    key:16                                      the run was never sent or never started
 //! ```
+//!
+//! This module owns the encoding of one record. It does no I/O.
+
+/// Identifies an idempotent request; the same for all its attempts.
+pub type IdempotencyKey = u128;
 
-/// The name of a keyed req, the same for all its tries; the name of one try.
-pub type Key = u128;
-pub type Name = [u8; 16];
+/// Identifies one attempt of a request.
+pub type AttemptId = [u8; 16];
 
-const MAGIC: &[u8; 6] = b"MBKEPT";
-/// The version that is written; older ones are read, newer ones are not.
-pub const VERSION: u16 = 1;
-pub const HEAD: usize = 12;
-/// Bytes of a head that agree with ours, from which one that is not whole is a torn one of ours.
-const AGREE: usize = 3;
-/// Bytes of a record before its type, and the most that one may have: more than any result.
-const FRAME: usize = 8;
-pub const RECORD_MOST: usize = 1 << 20;
-/// Bytes of a record that has a key alone, and of an intent.
-pub const BARE: usize = FRAME + 17;
-pub const INTENT: usize = BARE + 32;
+/// Bytes of a record before its kind: its length and its checksum.
+const FRAME_BYTES: usize = 8;
+/// Bytes of a kind and a key, which every record has.
+const KIND_AND_KEY_BYTES: usize = 17;
+/// Bytes of an intent's payload after its key.
+const INTENT_FIELDS_BYTES: usize = 32;
+/// Upper bound on the kind and payload of a record, in bytes. It exceeds any result.
+pub const MAX_BODY_BYTES: usize = 1 << 20;
+/// Encoded size in bytes of a record that has only a key.
+pub const KEY_RECORD_BYTES: usize = FRAME_BYTES + KIND_AND_KEY_BYTES;
+/// Encoded size in bytes of an intent.
+pub const INTENT_BYTES: usize = KEY_RECORD_BYTES + INTENT_FIELDS_BYTES;
 
-/// One thing that happened to a keyed req.
+const KIND_INTENT: u8 = 1;
+const KIND_COMPLETED: u8 = 2;
+const KIND_NO_RESULT: u8 = 3;
+const KIND_NOT_RUN: u8 = 4;
+
+/// One step of an idempotent request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Record {
-    /// It will be run: `print` tells handler and body, `until` the end of its window, `name` the try.
+    /// A run is about to be sent.
     Intent {
-        key: Key,
+        /// Key of the request.
+        key: IdempotencyKey,
+        /// Hash of the handler and the body.
         request_hash: u64,
+        /// End of the time in which the key may be repeated, in Unix microseconds.
         expires_at_micros: u64,
-        attempt_id: Name,
+        /// The attempt that starts the run.
+        attempt_id: AttemptId,
     },
+    /// The run returned a result.
     Completed {
-        key: Key,
+        /// Key of the request.
+        key: IdempotencyKey,
+        /// The result as the run returned it.
         result: Box<[u8]>,
     },
+    /// The run ended and no result is available.
     NoResult {
-        key: Key,
+        /// Key of the request.
+        key: IdempotencyKey,
     },
-    /// Nothing ran, and nothing will by this promise.
+    /// The run of the intent did not start and will not.
     NotRun {
-        key: Key,
+        /// Key of the request.
+        key: IdempotencyKey,
+    },
+}
+
+/// A record with its encoded size.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DecodedRecord {
+    /// The record.
+    pub record: Record,
+    /// Bytes from which it was decoded.
+    pub size_bytes: usize,
+}
+
+/// Why bytes do not begin with a complete record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum DecodeError {
+    /// The bytes end before the record does.
+    #[error("the record is truncated")]
+    Truncated,
+    /// The length is out of range.
+    #[error("the record has an invalid length of {length_bytes} bytes")]
+    InvalidLength {
+        /// The length as stored.
+        length_bytes: usize,
+    },
+    /// The checksum does not match the kind and the payload.
+    #[error("the checksum of the record does not match")]
+    ChecksumMismatch,
+    /// The kind is unknown or its payload has another length.
+    #[error("the record of kind {kind} has an invalid payload")]
+    InvalidPayload {
+        /// The kind as stored.
+        kind: u8,
     },
 }
 
 impl Record {
-    pub fn key(&self) -> Key {
+    /// Key of the request that the record belongs to.
+    pub fn key(&self) -> IdempotencyKey {
         match self {
             Record::Intent { key, .. }
             | Record::Completed { key, .. }
@@ -59,132 +110,97 @@
         }
     }
 
-    pub fn write(&self, to: &mut Vec<u8>) {
-        let at = to.len();
-        to.extend_from_slice(&[0; FRAME]);
-        to.push(match self {
-            Record::Intent { .. } => 1,
-            Record::Completed { .. } => 2,
-            Record::NoResult { .. } => 3,
-            Record::NotRun { .. } => 4,
-        });
-        to.extend_from_slice(&self.key().to_le_bytes());
+    /// Encoded size in bytes.
+    pub fn size_bytes(&self) -> usize {
+        match self {
+            Record::Intent { .. } => INTENT_BYTES,
+            Record::Completed { result, .. } => KEY_RECORD_BYTES + result.len(),
+            Record::NoResult { .. } | Record::NotRun { .. } => KEY_RECORD_BYTES,
+        }
+    }
+
+    /// Appends the encoded record to a buffer.
+    pub fn encode(&self, buffer: &mut Vec<u8>) {
+        let start = buffer.len();
+        buffer.extend_from_slice(&[0; FRAME_BYTES]);
+        buffer.push(self.kind());
+        buffer.extend_from_slice(&self.key().to_le_bytes());
         match self {
             Record::Intent {
-                request_hash: print,
-                expires_at_micros: until,
-                attempt_id: name,
+                request_hash,
+                expires_at_micros,
+                attempt_id,
                 ..
             } => {
-                to.extend_from_slice(&print.to_le_bytes());
-                to.extend_from_slice(&until.to_le_bytes());
-                to.extend_from_slice(name);
+                buffer.extend_from_slice(&request_hash.to_le_bytes());
+                buffer.extend_from_slice(&expires_at_micros.to_le_bytes());
+                buffer.extend_from_slice(attempt_id);
             }
-            Record::Completed { result, .. } => to.extend_from_slice(result),
+            Record::Completed { result, .. } => buffer.extend_from_slice(result),
             Record::NoResult { .. } | Record::NotRun { .. } => {}
         }
-        let length = (to.len() - at - FRAME) as u32;
-        let sum = crc32c::crc32c(&to[at + FRAME..]);
-        to[at..at + 4].copy_from_slice(&length.to_le_bytes());
-        to[at + 4..at + 8].copy_from_slice(&sum.to_le_bytes());
+        let (frame, body) = buffer[start..].split_at_mut(FRAME_BYTES);
+        frame[..4].copy_from_slice(&(body.len() as u32).to_le_bytes());
+        frame[4..].copy_from_slice(&crc32c::crc32c(body).to_le_bytes());
     }
 
-    /// Its length as written.
-    pub fn size(&self) -> usize {
-        match self {
-            Record::Intent { .. } => INTENT,
-            Record::Completed { result, .. } => BARE + result.len(),
-            Record::NoResult { .. } | Record::NotRun { .. } => BARE,
+    /// Decodes the record at the start of the bytes.
+    ///
+    /// # Errors
+    ///
+    /// A [`DecodeError`] if the bytes do not begin with a complete record.
+    pub fn decode(bytes: &[u8]) -> Result<DecodedRecord, DecodeError> {
+        let (length, rest) = bytes.split_first_chunk().ok_or(DecodeError::Truncated)?;
+        let (checksum, rest) = rest.split_first_chunk().ok_or(DecodeError::Truncated)?;
+        let length_bytes = u32::from_le_bytes(*length) as usize;
+        if !(KIND_AND_KEY_BYTES..=MAX_BODY_BYTES).contains(&length_bytes) {
+            return Err(DecodeError::InvalidLength { length_bytes });
         }
+        let body = rest.get(..length_bytes).ok_or(DecodeError::Truncated)?;
+        if crc32c::crc32c(body) != u32::from_le_bytes(*checksum) {
+            return Err(DecodeError::ChecksumMismatch);
+        }
+        Ok(DecodedRecord {
+            record: decode_body(body)?,
+            size_bytes: FRAME_BYTES + length_bytes,
+        })
     }
-}
-
-pub fn write_segment_header(to: &mut Vec<u8>) {
-    write_segment_header_of_version(VERSION, to);
-}
-
-/// The head of a segment of some version: all have the same.
-pub fn write_segment_header_of_version(version: u16, to: &mut Vec<u8>) {
-    let at = to.len();
-    to.extend_from_slice(MAGIC);
-    to.extend_from_slice(&version.to_le_bytes());
-    let sum = crc32c::crc32c(&to[at..]);
-    to.extend_from_slice(&sum.to_le_bytes());
-}
-
-/// What the first bytes of a file tell.
-#[derive(Debug, PartialEq, Eq)]
-pub enum Head {
-    Good,
-    /// Cut or torn within its head, which is synced with its first records: nothing was promised in it.
-    Torn,
-    Newer(u16),
-    /// No segment of ours.
-    Foreign,
-}
 
-pub fn read_head(bytes: &[u8]) -> Head {
-    let whole = bytes
-        .get(..HEAD)
-        .filter(|h| crc32c::crc32c(&h[..8]).to_le_bytes() == h[8..]);
-    match whole {
-        Some(h) if h[..6] == *MAGIC => match u16::from_le_bytes([h[6], h[7]]) {
-            version if version > VERSION => Head::Newer(version),
-            _ => Head::Good,
-        },
-        _ => {
-            // Nulls stand for what a crash left unwritten.
-            let agree = bytes
-                .iter()
-                .zip(MAGIC)
-                .filter(|(b, m)| b == m || **b == 0)
-                .count();
-            if agree >= AGREE.min(bytes.len()) {
-                Head::Torn
-            } else {
-                Head::Foreign
-            }
+    fn kind(&self) -> u8 {
+        match self {
+            Record::Intent { .. } => KIND_INTENT,
+            Record::Completed { .. } => KIND_COMPLETED,
+            Record::NoResult { .. } => KIND_NO_RESULT,
+            Record::NotRun { .. } => KIND_NOT_RUN,
         }
     }
 }
 
-/// Reads one record; nothing where the rest is no whole record, which ends what can be read of a segment.
-pub fn read(bytes: &[u8]) -> Option<(Record, usize)> {
-    let word = |at: usize| Some(u32::from_le_bytes(bytes.get(at..at + 4)?.try_into().ok()?));
-    let (length, sum) = (word(0)? as usize, word(4)?);
-    if !(17..=RECORD_MOST).contains(&length) {
-        return None;
-    }
-    let body = bytes.get(FRAME..FRAME + length)?;
-    if crc32c::crc32c(body) != sum {
-        return None;
-    }
-    let key = Key::from_le_bytes(body[1..17].try_into().ok()?);
-    let rest = &body[17..];
-    let record = match (body[0], rest.len()) {
-        (1, 32) => Record::Intent {
+/// Decodes kind and payload, whose checksum matches.
+fn decode_body(body: &[u8]) -> Result<Record, DecodeError> {
+    let (kind, payload) = body.split_first().ok_or(DecodeError::Truncated)?;
+    let (key, fields) = payload.split_first_chunk().ok_or(DecodeError::Truncated)?;
+    let key = IdempotencyKey::from_le_bytes(*key);
+    match (*kind, fields.len()) {
+        (KIND_INTENT, INTENT_FIELDS_BYTES) => decode_intent(key, fields),
+        (KIND_COMPLETED, _) => Ok(Record::Completed {
             key,
-            request_hash: u64::from_le_bytes(rest[..8].try_into().ok()?),
-            expires_at_micros: u64::from_le_bytes(rest[8..16].try_into().ok()?),
-            attempt_id: rest[16..].try_into().ok()?,
-        },
-        (2, _) => Record::Completed {
-            key,
-            result: rest.into(),
-        },
-        (3, 0) => Record::NoResult { key },
-        (4, 0) => Record::NotRun { key },
-        _ => return None,
-    };
-    Some((record, FRAME + length))
+            result: fields.into(),
+        }),
+        (KIND_NO_RESULT, 0) => Ok(Record::NoResult { key }),
+        (KIND_NOT_RUN, 0) => Ok(Record::NotRun { key }),
+        (kind, _) => Err(DecodeError::InvalidPayload { kind }),
+    }
 }
 
-/// Reads all whole records of a segment past its head; tells how many bytes at its end are none.
-pub fn read_all(bytes: &[u8], mut each: impl FnMut(Record)) -> usize {
-    let mut at = HEAD.min(bytes.len());
-    while let Some((record, used)) = read(&bytes[at..]) {
-        each(record);
-        at += used;
-    }
-    bytes.len() - at
+fn decode_intent(key: IdempotencyKey, fields: &[u8]) -> Result<Record, DecodeError> {
+    let (request_hash, fields) = fields.split_first_chunk().ok_or(DecodeError::Truncated)?;
+    let (expires_at, fields) = fields.split_first_chunk().ok_or(DecodeError::Truncated)?;
+    let attempt_id = fields.try_into().map_err(|_| DecodeError::Truncated)?;
+    Ok(Record::Intent {
+        key,
+        request_hash: u64::from_le_bytes(*request_hash),
+        expires_at_micros: u64::from_le_bytes(*expires_at),
+        attempt_id,
+    })
 }
--- a/crates/idempotency-store/src/write_ahead_log.rs
+++ b/crates/idempotency-store/src/write_ahead_log.rs
@@ -2,7 +2,8 @@
 //! What was written by a former life is read once, at the opening; a segment of a former life is never added
 //! to, so that a torn end stays an end.
 
-use crate::record::{self, HEAD, Head, Key, Name, Record};
+use crate::record::{AttemptId, IdempotencyKey, Record};
+use crate::segment::{self, FORMAT_VERSION, HEADER_BYTES, Header, Records};
 use crate::storage::Storage;
 use std::collections::{HashMap, VecDeque};
 use std::io;
@@ -28,14 +29,14 @@
 pub struct RecoveredRun {
     pub request_hash: u64,
     pub expires_at_micros: u64,
-    pub attempt_id: Name,
+    pub attempt_id: AttemptId,
     pub state: RunState,
 }
 
 /// What a former life left.
 #[derive(Debug, Default)]
 pub struct Recovery {
-    pub runs: HashMap<Key, RecoveredRun>,
+    pub runs: HashMap<IdempotencyKey, RecoveredRun>,
     pub segments: usize,
     pub bytes: u64,
     /// Each segment's name and bytes, in order.
@@ -63,16 +64,8 @@
     segment_for: u64,
 }
 
-fn named(number: u64) -> String {
-    format!("kept-{number:016x}")
-}
-
-fn number(name: &str) -> Option<u64> {
-    u64::from_str_radix(name.strip_prefix("kept-").filter(|n| n.len() == 16)?, 16).ok()
-}
-
 /// Takes in one record of a former life.
-fn replay(found: &mut HashMap<Key, RecoveredRun>, record: Record) {
+fn replay(found: &mut HashMap<IdempotencyKey, RecoveredRun>, record: Record) {
     match record {
         Record::Intent {
             key,
@@ -122,23 +115,27 @@
 pub fn recover(storage: &impl Storage) -> Result<Recovery, String> {
     let mut recovery = Recovery::default();
     for name in storage.list().map_err(|e| e.to_string())? {
-        if number(&name).is_none() {
+        if segment::parse_file_name(&name).is_none() {
             continue;
         }
         let bytes = storage.read(&name).map_err(|e| format!("{name}: {e}"))?;
-        let torn = match record::read_head(&bytes) {
-            Head::Good => record::read_all(&bytes, |r| {
-                recovery.records += 1;
-                replay(&mut recovery.runs, r);
-            }),
-            Head::Torn => bytes.len(),
-            Head::Newer(version) => {
+        let torn = match Header::read(&bytes) {
+            Header::Valid => {
+                let mut records = Records::of_segment(&bytes);
+                for record in records.by_ref() {
+                    recovery.records += 1;
+                    replay(&mut recovery.runs, record);
+                }
+                records.remaining_bytes()
+            }
+            Header::Torn => bytes.len(),
+            Header::Newer(version) => {
                 return Err(format!(
                     "{name}: is of version {version}; this program knows {}",
-                    record::VERSION
+                    FORMAT_VERSION
                 ));
             }
-            Head::Foreign => return Err(format!("{name}: is no segment of kept results")),
+            Header::Foreign => return Err(format!("{name}: is no segment of kept results")),
         };
         recovery.segments += 1;
         recovery.bytes += bytes.len() as u64;
@@ -162,7 +159,10 @@
         let mut recovery = recover(&storage)?;
         let until = now.saturating_add(window);
         let sizes = std::mem::take(&mut recovery.sizes);
-        let next = sizes.last().and_then(|s| number(&s.0)).map_or(0, |n| n + 1);
+        let next = sizes
+            .last()
+            .and_then(|s| segment::parse_file_name(&s.0))
+            .map_or(0, |n| n + 1);
         let closed = sizes
             .into_iter()
             .map(|(name, bytes)| Segment { name, bytes, until })
@@ -203,19 +203,19 @@
         let mut bytes = vec![];
         if self.current.is_none() {
             let segment = Segment {
-                name: named(self.next),
+                name: segment::file_name(self.next),
                 bytes: 0,
                 until: 0,
             };
             self.next += 1;
             self.current = Some((segment, now + self.segment_for));
-            record::write_segment_header(&mut bytes);
+            segment::write_segment_header(&mut bytes);
         }
         let Some((segment, _)) = &mut self.current else {
             return Ok(());
         };
         for (record, until) in records {
-            record.write(&mut bytes);
+            record.encode(&mut bytes);
             segment.until = segment.until.max(*until);
         }
         segment.bytes += bytes.len() as u64;
@@ -259,15 +259,16 @@
 pub fn verify(storage: &impl Storage) -> Result<Vec<String>, String> {
     let mut wrong = vec![];
     for name in storage.list().map_err(|e| e.to_string())? {
-        if number(&name).is_none() {
+        if segment::parse_file_name(&name).is_none() {
             wrong.push(format!("{name}: is no file of kept results"));
             continue;
         }
         let bytes = storage.read(&name).map_err(|e| format!("{name}: {e}"))?;
-        match record::read_head(&bytes) {
-            Head::Good => {
-                let mut records = 0;
-                let torn = record::read_all(&bytes, |_| records += 1);
+        match Header::read(&bytes) {
+            Header::Valid => {
+                let mut reader = Records::of_segment(&bytes);
+                let records = reader.by_ref().count();
+                let torn = reader.remaining_bytes();
                 if torn > 0 {
                     let at = bytes.len() - torn;
                     wrong.push(format!(
@@ -275,11 +276,13 @@
                     ));
                 }
             }
-            Head::Torn => wrong.push(format!("{name}: is torn within its first {HEAD} bytes")),
-            Head::Newer(version) => {
+            Header::Torn => wrong.push(format!(
+                "{name}: is torn within its first {HEADER_BYTES} bytes"
+            )),
+            Header::Newer(version) => {
                 wrong.push(format!("{name}: is of the newer version {version}"))
             }
-            Head::Foreign => wrong.push(format!("{name}: is no segment of kept results")),
+            Header::Foreign => wrong.push(format!("{name}: is no segment of kept results")),
         }
     }
     Ok(wrong)
--- a/crates/idempotency-store/tests/crash.rs
+++ b/crates/idempotency-store/tests/crash.rs
@@ -1,7 +1,7 @@
 //! The log on a storage that crashes: cut at every byte, torn, with what was not synced lost or half there,
 //! full, failing. What was promised is found, nothing else is, and recovery always comes through.
 
-use madderbay_idempotency_store::record::{Key, Record};
+use madderbay_idempotency_store::record::{IdempotencyKey, Record};
 use madderbay_idempotency_store::storage::{CrashEffect, DirectoryStorage, MemoryStorage, Storage};
 use madderbay_idempotency_store::write_ahead_log::{
     LogEntry, RecoveredRun, RunState, WriteAheadLog, recover, verify,
@@ -15,13 +15,16 @@
 fn open(
     storage: MemoryStorage,
     now: u64,
-) -> (WriteAheadLog<MemoryStorage>, HashMap<Key, RecoveredRun>) {
+) -> (
+    WriteAheadLog<MemoryStorage>,
+    HashMap<IdempotencyKey, RecoveredRun>,
+) {
     let (log, recovery) =
         WriteAheadLog::open(storage, now, DISK, WINDOW).expect("recovery comes through");
     (log, recovery.runs)
 }
 
-fn intent(key: Key, until: u64) -> LogEntry {
+fn intent(key: IdempotencyKey, until: u64) -> LogEntry {
     (
         Record::Intent {
             key,
@@ -33,7 +36,7 @@
     )
 }
 
-fn done(key: Key, result: &str, until: u64) -> LogEntry {
+fn done(key: IdempotencyKey, result: &str, until: u64) -> LogEntry {
     (
         Record::Completed {
             key,
@@ -45,7 +48,7 @@
 
 /// What the log should hold, by what was written and synced before.
 #[derive(Clone, Debug, Default, PartialEq)]
-struct Plain(HashMap<Key, RunState>);
+struct Plain(HashMap<IdempotencyKey, RunState>);
 
 impl Plain {
     fn take(&mut self, record: &Record) {
@@ -69,7 +72,7 @@
         }
     }
 
-    fn of(found: &HashMap<Key, RecoveredRun>) -> Plain {
+    fn of(found: &HashMap<IdempotencyKey, RecoveredRun>) -> Plain {
         Plain(found.iter().map(|(k, f)| (*k, f.state.clone())).collect())
     }
 }
@@ -100,7 +103,7 @@
     for (record, _) in &all {
         let (at, mut plain) = reach.last().expect("one").clone();
         plain.take(record);
-        reach.push((at + record.size(), plain));
+        reach.push((at + record.size_bytes(), plain));
     }
     assert_eq!(reach.last().expect("one").0, len);
     let upto = |n: usize| &reach.iter().rev().find(|r| r.0 <= n).unwrap_or(&reach[0]).1;
@@ -142,14 +145,14 @@
     .expect("written");
     let mut loose = vec![];
     let late = [done(2, "two", WINDOW), intent(3, WINDOW)];
-    late.iter().for_each(|(r, _)| r.write(&mut loose));
+    late.iter().for_each(|(r, _)| r.encode(&mut loose));
     let name = log.storage().list().expect("listed").remove(0);
     log.storage_mut().append(&name, &loose).expect("appended");
     let mut plain = Plain::default();
     [intent(1, 0), done(1, "one", 0), intent(2, 0)]
         .iter()
         .for_each(|(r, _)| plain.take(r));
-    let first = late[0].0.size();
+    let first = late[0].0.size_bytes();
     let mut with_first = plain.clone();
     with_first.take(&late[0].0);
     let mut with_both = with_first.clone();
@@ -188,7 +191,7 @@
     for half in 0..12 {
         let mut crashed = log.storage().clone();
         let mut head = vec![];
-        madderbay_idempotency_store::record::write_segment_header(&mut head);
+        madderbay_idempotency_store::segment::write_segment_header(&mut head);
         crashed
             .append("kept-0000000000000009", &head[..half])
             .expect("appended");
@@ -214,7 +217,7 @@
             .unwrap_err()
     };
     let mut newer = vec![];
-    madderbay_idempotency_store::record::write_segment_header_of_version(2, &mut newer);
+    madderbay_idempotency_store::segment::write_segment_header_of_version(2, &mut newer);
     let newer = with("kept-0000000000000000", &newer);
     assert_eq!(
         newer,
@@ -281,8 +284,8 @@
         log.commit(
             now,
             &[
-                intent(Key::from(n), now + WINDOW),
-                done(Key::from(n), "result", now + WINDOW),
+                intent(IdempotencyKey::from(n), now + WINDOW),
+                done(IdempotencyKey::from(n), "result", now + WINDOW),
             ],
         )
         .expect("written");
@@ -292,14 +295,14 @@
             let found = recover(log.storage()).expect("read").runs;
             for k in n.saturating_sub(WINDOW / 200_000 - 1)..=n {
                 assert!(
-                    found.contains_key(&Key::from(k)),
+                    found.contains_key(&IdempotencyKey::from(k)),
                     "{k} of {n} is within its window"
                 );
             }
         }
     }
     // A window holds 150 pairs; those of another window at the most wait for their segment to age out.
-    let pair = (intent(0, 0).0.size() + done(0, "result", 0).0.size()) as u64;
+    let pair = (intent(0, 0).0.size_bytes() + done(0, "result", 0).0.size_bytes()) as u64;
     assert!(most < 320 * pair, "{most} bytes");
 }
 
@@ -394,8 +397,8 @@
     ], 1..60)) {
         let (mut log, mut now) = (open(MemoryStorage::default(), 1_000).0, 1_000u64);
         // For each key: what was acknowledged last, and what was tried since.
-        let mut sure: HashMap<Key, (Plain, u64)> = HashMap::new();
-        let mut tried: HashMap<Key, Vec<Record>> = HashMap::new();
+        let mut sure: HashMap<IdempotencyKey, (Plain, u64)> = HashMap::new();
+        let mut tried: HashMap<IdempotencyKey, Vec<Record>> = HashMap::new();
         for event in did {
             match event {
                 Did::Pass(by) => {
@@ -408,10 +411,10 @@
                     let records: Vec<LogEntry> = records
                         .into_iter()
                         .map(|(key, what)| match what {
-                            0 => intent(Key::from(key), until),
-                            1 => done(Key::from(key), "x", until),
-                            2 => (Record::NoResult { key: Key::from(key) }, until),
-                            _ => (Record::NotRun { key: Key::from(key) }, until),
+                            0 => intent(IdempotencyKey::from(key), until),
+                            1 => done(IdempotencyKey::from(key), "x", until),
+                            2 => (Record::NoResult { key: IdempotencyKey::from(key) }, until),
+                            _ => (Record::NotRun { key: IdempotencyKey::from(key) }, until),
                         })
                         .collect();
                     let lasts = log.commit(now, &records).is_ok();
--- a/crates/idempotency-store/tests/stored_data.rs
+++ b/crates/idempotency-store/tests/stored_data.rs
@@ -4,9 +4,8 @@
 //! within a record, one that ends in zeros and one that ends within its header. The lines that
 //! `kept verify` printed for each are beside them.
 
-use madderbay_idempotency_store::record::{
-    HEAD as HEADER_BYTES, Key as IdempotencyKey, Record, read, write_segment_header,
-};
+use madderbay_idempotency_store::record::{IdempotencyKey, Record};
+use madderbay_idempotency_store::segment::{HEADER_BYTES, write_segment_header};
 use madderbay_idempotency_store::storage::{DirectoryStorage, MemoryStorage, Storage};
 use madderbay_idempotency_store::write_ahead_log::{
     LogEntry, RecoveredRun, Recovery, RunState, WriteAheadLog, recover, verify,
@@ -265,9 +264,9 @@
         let mut encoded = vec![];
         write_segment_header(&mut encoded);
         let mut rest = &bytes[HEADER_BYTES..];
-        while let Some((record, size_bytes)) = read(rest) {
-            record.write(&mut encoded);
-            rest = &rest[size_bytes..];
+        while let Ok(decoded) = Record::decode(rest) {
+            decoded.record.encode(&mut encoded);
+            rest = &rest[decoded.size_bytes..];
         }
         assert_eq!(rest.len(), torn_bytes, "{directory}/{name}");
         assert_eq!(
--- a/crates/server/tests/kept.rs
+++ b/crates/server/tests/kept.rs
@@ -292,7 +292,7 @@
     assert!(refused(&place).contains("another process has it"));
     drop((server, engine));
     let mut newer = vec![];
-    madderbay_idempotency_store::record::write_segment_header_of_version(9, &mut newer);
+    madderbay_idempotency_store::segment::write_segment_header_of_version(9, &mut newer);
     std::fs::write(place.folder.join("kept-00000000000000ff"), &newer).expect("written");
     assert!(
         refused(&place).contains("kept-00000000000000ff: is of version 9; this program knows 1")
@@ -345,7 +345,7 @@
     );
     assert_eq!(told("verify"), (Some(0), vec![]));
     let mut torn = vec![];
-    madderbay_idempotency_store::record::write_segment_header(&mut torn);
+    madderbay_idempotency_store::segment::write_segment_header(&mut torn);
     torn.extend_from_slice(b"garbage");
     std::fs::write(place.folder.join("kept-00000000000000ff"), &torn).expect("written");
     let (status, lines) = told("verify");
