Idempotency store: log, recovery and verification apart, with typed errors

Change: write_ahead_log.rs, recovery.rs and verify.rs; StoreError and Defect (thiserror) display the same lines as before; LogEntry and LogLimits are structs. Tests are in tests/store by concern, named for the behaviour, with their shared steps once; the random histories draw the same cases. Tests split into stricter ones: truncation and corruption apart, newer and foreign segments apart and also verified, an open error on a file; new ones for the codec and for one sync a commit.

--- a/crates/idempotency-store/src/lib.rs
+++ b/crates/idempotency-store/src/lib.rs
@@ -6,13 +6,18 @@
 //! it gives batches of records to be written and is told what came of them. [`log`] writes and recovers them
 //! on a [`storage`], which is the file system or, in tests, a memory that crashes.
 
+pub mod error;
 pub mod record;
+pub mod recovery;
 pub mod segment;
 pub mod storage;
+pub mod verify;
 pub mod write_ahead_log;
 
 use crate::record::{AttemptId, IdempotencyKey, Record};
-use crate::write_ahead_log::{LogEntry, Recovery, RunState};
+use crate::recovery::{Recovery, RunState};
+use crate::write_ahead_log::LogEntry;
+pub use error::StoreError;
 use madderbay::time::{Duration, Timestamp};
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
@@ -107,7 +112,7 @@
     /// Takes over what a former life left. Results past the memory are given up, those that lapse first
     /// before the others: their repeats are errored, and never run.
     pub fn load_recovery(&mut self, recovery: Recovery) {
-        self.disk = recovery.bytes;
+        self.disk = recovery.size_bytes;
         let mut found: Vec<_> = recovery.runs.into_iter().collect();
         found.sort_by_key(|(key, f)| (std::cmp::Reverse(f.expires_at_micros), *key));
         for (key, f) in found {
@@ -177,7 +182,10 @@
 
     fn hand(&mut self, record: Record, until: Timestamp) -> SequenceNumber {
         self.coming += record.size_bytes() as u64;
-        self.out.push((record, until_micros(until)));
+        self.out.push(LogEntry {
+            record,
+            expires_at_micros: until_micros(until),
+        });
         self.handed += 1;
         self.handed
     }
@@ -257,7 +265,11 @@
     /// All up to a number lasts; the disk has so many bytes now.
     pub fn on_committed(&mut self, seq: SequenceNumber, disk: u64) {
         self.disk = disk;
-        self.coming = self.out.iter().map(|(r, _)| r.size_bytes() as u64).sum();
+        self.coming = self
+            .out
+            .iter()
+            .map(|entry| entry.record.size_bytes() as u64)
+            .sum();
         self.broken = false;
         while let Some((_, key, result)) = self.back.pop_front_if(|b| b.0 <= seq) {
             match self.former.get_mut(&key) {
--- a/crates/idempotency-store/src/storage/directory.rs
+++ b/crates/idempotency-store/src/storage/directory.rs
@@ -1,6 +1,7 @@
 //! Storage in a directory of the file system.
 
 use super::Storage;
+use crate::error::StoreError;
 use std::collections::HashMap;
 use std::fs::{File, OpenOptions};
 use std::io::{self, ErrorKind, Write};
@@ -21,10 +22,21 @@
 
 impl DirectoryStorage {
     /// Opens an existing directory for writing and locks it.
-    pub fn open(directory: &Path) -> Result<DirectoryStorage, String> {
-        let open_error = |error: io::Error| format!("{}: {error}", directory.display());
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::OpenDirectory`] if the directory or its lock file cannot be opened,
+    /// [`StoreError::NotADirectory`] if the path is another kind of file, and
+    /// [`StoreError::Locked`] if the lock cannot be taken.
+    pub fn open(directory: &Path) -> Result<DirectoryStorage, StoreError> {
+        let open_error = |source| StoreError::OpenDirectory {
+            directory: directory.into(),
+            source,
+        };
         if !directory.metadata().map_err(open_error)?.is_dir() {
-            return Err(format!("{}: is no folder", directory.display()));
+            return Err(StoreError::NotADirectory {
+                directory: directory.into(),
+            });
         }
         let lock = OpenOptions::new()
             .create(true)
@@ -32,8 +44,9 @@
             .write(true)
             .open(directory.join(LOCK_FILE_NAME))
             .map_err(open_error)?;
-        lock.try_lock()
-            .map_err(|_| format!("{}: another process has it", directory.display()))?;
+        lock.try_lock().map_err(|_| StoreError::Locked {
+            directory: directory.into(),
+        })?;
         Ok(DirectoryStorage::with_lock(directory, Some(lock)))
     }
 
--- a/crates/idempotency-store/src/write_ahead_log.rs
+++ b/crates/idempotency-store/src/write_ahead_log.rs
@@ -1,289 +1,218 @@
-//! The log: segments that are written one after the other, each dropped whole once all in it has aged out.
-//! What was written by a former life is read once, at the opening; a segment of a former life is never added
-//! to, so that a torn end stays an end.
-
-use crate::record::{AttemptId, IdempotencyKey, Record};
-use crate::segment::{self, FORMAT_VERSION, HEADER_BYTES, Header, Records};
+//! The write-ahead log: segments written one after the other, each removed as a unit once all its
+//! records have expired.
+//!
+//! [`WriteAheadLog`] owns the storage and decides when a segment is closed and when it is removed.
+//! It never appends to a segment of an earlier incarnation, so a torn end is always at the end of a
+//! segment. It never reads a clock: the current time is given.
+
+use crate::error::StoreError;
+use crate::record::Record;
+use crate::recovery::{Recovery, SegmentFile, recover};
+use crate::segment;
 use crate::storage::Storage;
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 use std::io;
 
-/// A segment is closed at this part of the disk's bound, or at this part of the longest window: so what has
-/// aged out leaves the disk soon after.
-const SEGMENT_PART: u64 = 16;
-const WINDOW_PART: u64 = 2;
-
-/// One record and until when it has to last, in Unix microseconds.
-pub type LogEntry = (Record, u64);
-
-/// How a keyed req of a former life stands.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum RunState {
-    /// Promised, and no more known: it may have run.
-    MayHaveRun,
-    Completed(Box<[u8]>),
-    NoResult,
-}
+/// A segment is closed at this part of the disk limit, so that expired records leave the disk soon.
+const SEGMENTS_PER_DISK_LIMIT: u64 = 16;
+/// A segment is closed at this part of the retention, for the same reason.
+const SEGMENTS_PER_RETENTION: u64 = 2;
+/// Lower bound on the size at which a segment is closed, in bytes.
+const MIN_SEGMENT_SIZE_BYTES: u64 = 4 << 10;
+/// Lower bound on the age at which a segment is closed, in microseconds.
+const MIN_SEGMENT_AGE_MICROS: u64 = 1;
 
+/// A record to be written and how long it must be stored.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RecoveredRun {
-    pub request_hash: u64,
+pub struct LogEntry {
+    /// The record.
+    pub record: Record,
+    /// Until when the record must be stored, in Unix microseconds.
     pub expires_at_micros: u64,
-    pub attempt_id: AttemptId,
-    pub state: RunState,
 }
 
-/// What a former life left.
-#[derive(Debug, Default)]
-pub struct Recovery {
-    pub runs: HashMap<IdempotencyKey, RecoveredRun>,
-    pub segments: usize,
-    pub bytes: u64,
-    /// Each segment's name and bytes, in order.
-    sizes: Vec<(String, u64)>,
-    pub records: u64,
-    /// Segments that end in what is no whole record, and bytes there.
-    pub torn_segments: usize,
-    pub torn_bytes: u64,
+/// Limits of a log.
+#[derive(Clone, Copy, Debug)]
+pub struct LogLimits {
+    /// Upper bound on the bytes of all segments. The log only derives the size of its segments from
+    /// it; [`DurableResults`](crate::DurableResults) enforces it.
+    pub disk_bytes: u64,
+    /// Longest time in which a key may be repeated, in microseconds.
+    pub retention_micros: u64,
 }
 
 struct Segment {
     name: String,
-    bytes: u64,
-    /// When all in it has aged out.
-    until: u64,
+    size_bytes: u64,
+    /// When all its records have expired, in Unix microseconds.
+    expires_at_micros: u64,
+}
+
+/// The segment that is written to.
+struct ActiveSegment {
+    segment: Segment,
+    /// When it is closed at the latest, in Unix microseconds.
+    close_at_micros: u64,
 }
 
+/// A write-ahead log on a storage.
 pub struct WriteAheadLog<S: Storage> {
     storage: S,
+    /// Oldest first.
     closed: VecDeque<Segment>,
-    current: Option<(Segment, u64)>,
-    next: u64,
-    /// A closed segment may be this large, and this old.
-    segment_most: u64,
-    segment_for: u64,
-}
-
-/// Takes in one record of a former life.
-fn replay(found: &mut HashMap<IdempotencyKey, RecoveredRun>, record: Record) {
-    match record {
-        Record::Intent {
-            key,
-            request_hash: print,
-            expires_at_micros: until,
-            attempt_id: name,
-        } => {
-            let fresh = RecoveredRun {
-                request_hash: print,
-                expires_at_micros: until,
-                attempt_id: name,
-                state: RunState::MayHaveRun,
-            };
-            let entry = found.entry(key).or_insert_with(|| fresh.clone());
-            // A further intent without an end between belongs to the same run, or to none that is known to be
-            // over: what is known of it stays.
-            if entry.state == RunState::MayHaveRun {
-                let until = entry.expires_at_micros.max(until);
-                *entry = RecoveredRun {
-                    expires_at_micros: until,
-                    ..fresh
-                };
-            }
-        }
-        Record::Completed { key, result } => {
-            if let Some(entry) = found.get_mut(&key) {
-                entry.state = RunState::Completed(result);
-            }
-        }
-        Record::NoResult { key } => {
-            if let Some(entry) = found.get_mut(&key) {
-                entry.state = RunState::NoResult;
-            }
-        }
-        Record::NotRun { key } => {
-            if found
-                .get(&key)
-                .is_some_and(|e| e.state == RunState::MayHaveRun)
-            {
-                found.remove(&key);
-            }
-        }
-    }
-}
-
-/// Reads what is there and changes nothing; says in one line what can't be read.
-pub fn recover(storage: &impl Storage) -> Result<Recovery, String> {
-    let mut recovery = Recovery::default();
-    for name in storage.list().map_err(|e| e.to_string())? {
-        if segment::parse_file_name(&name).is_none() {
-            continue;
-        }
-        let bytes = storage.read(&name).map_err(|e| format!("{name}: {e}"))?;
-        let torn = match Header::read(&bytes) {
-            Header::Valid => {
-                let mut records = Records::of_segment(&bytes);
-                for record in records.by_ref() {
-                    recovery.records += 1;
-                    replay(&mut recovery.runs, record);
-                }
-                records.remaining_bytes()
-            }
-            Header::Torn => bytes.len(),
-            Header::Newer(version) => {
-                return Err(format!(
-                    "{name}: is of version {version}; this program knows {}",
-                    FORMAT_VERSION
-                ));
-            }
-            Header::Foreign => return Err(format!("{name}: is no segment of kept results")),
-        };
-        recovery.segments += 1;
-        recovery.bytes += bytes.len() as u64;
-        recovery.sizes.push((name, bytes.len() as u64));
-        recovery.torn_segments += usize::from(torn > 0);
-        recovery.torn_bytes += torn as u64;
-    }
-    Ok(recovery)
+    active: Option<ActiveSegment>,
+    next_segment_number: u64,
+    segment_size_limit_bytes: u64,
+    segment_age_limit_micros: u64,
 }
 
 impl<S: Storage> WriteAheadLog<S> {
-    /// Opens what a former life left. No time of a former life is trusted, since clocks step: what it left
-    /// lasts for one more whole window from `now`, at the least. `disk` bounds all bytes; `window` is the
-    /// longest.
+    /// Opens the log of earlier incarnations and returns it with what they left.
+    ///
+    /// No stored time is trusted, because clocks step between incarnations: every recovered run
+    /// expires one full retention after `now_micros`, in Unix microseconds.
+    ///
+    /// # Errors
+    ///
+    /// The errors of [`recover`].
     pub fn open(
         storage: S,
-        now: u64,
-        disk: u64,
-        window: u64,
-    ) -> Result<(WriteAheadLog<S>, Recovery), String> {
+        now_micros: u64,
+        limits: LogLimits,
+    ) -> Result<(WriteAheadLog<S>, Recovery), StoreError> {
         let mut recovery = recover(&storage)?;
-        let until = now.saturating_add(window);
-        let sizes = std::mem::take(&mut recovery.sizes);
-        let next = sizes
-            .last()
-            .and_then(|s| segment::parse_file_name(&s.0))
-            .map_or(0, |n| n + 1);
-        let closed = sizes
-            .into_iter()
-            .map(|(name, bytes)| Segment { name, bytes, until })
-            .collect();
-        for found in recovery.runs.values_mut() {
-            found.expires_at_micros = until;
+        let expires_at_micros = now_micros.saturating_add(limits.retention_micros);
+        for run in recovery.runs.values_mut() {
+            run.expires_at_micros = expires_at_micros;
         }
-        let segment_most = (disk / SEGMENT_PART).max(4 << 10);
-        let segment_for = (window / WINDOW_PART).max(1);
-        Ok((
-            WriteAheadLog {
-                storage,
-                closed,
-                current: None,
-                next,
-                segment_most,
-                segment_for,
-            },
-            recovery,
-        ))
+        let files = std::mem::take(&mut recovery.segment_files);
+        let size_limit = limits.disk_bytes / SEGMENTS_PER_DISK_LIMIT;
+        let age_limit = limits.retention_micros / SEGMENTS_PER_RETENTION;
+        let log = WriteAheadLog {
+            storage,
+            next_segment_number: number_after(files.last()),
+            closed: files
+                .into_iter()
+                .map(|file| file.into_segment(expires_at_micros))
+                .collect(),
+            active: None,
+            segment_size_limit_bytes: size_limit.max(MIN_SEGMENT_SIZE_BYTES),
+            segment_age_limit_micros: age_limit.max(MIN_SEGMENT_AGE_MICROS),
+        };
+        Ok((log, recovery))
     }
 
-    /// Bytes on the disk.
+    /// Bytes of all segments.
     pub fn size_bytes(&self) -> u64 {
-        let current = self.current.as_ref().map_or(0, |c| c.0.bytes);
-        self.closed.iter().map(|s| s.bytes).sum::<u64>() + current
+        let closed: u64 = self.closed.iter().map(|segment| segment.size_bytes).sum();
+        closed
+            + self
+                .active
+                .as_ref()
+                .map_or(0, |active| active.segment.size_bytes)
     }
 
-    /// Writes records and syncs them, all together. An error leaves open whether any of them lasts; the next
-    /// go to a new segment.
-    pub fn commit(&mut self, now: u64, records: &[LogEntry]) -> io::Result<()> {
-        let old = |s: &(Segment, u64)| {
-            s.0.bytes >= self.segment_most || now >= s.1 || now + self.segment_for < s.1
-        };
-        if let Some((segment, _)) = self.current.take_if(|s| old(s)) {
-            self.closed.push_back(segment);
-        }
+    /// Appends entries and syncs them with one sync (group commit). `now_micros` is in Unix
+    /// microseconds.
+    ///
+    /// # Errors
+    ///
+    /// The I/O error of the storage. It is then unknown which of the entries are durable, and the
+    /// next commit begins a new segment.
+    pub fn commit(&mut self, now_micros: u64, entries: &[LogEntry]) -> io::Result<()> {
+        self.close_full_or_old_segment(now_micros);
         let mut bytes = vec![];
-        if self.current.is_none() {
-            let segment = Segment {
-                name: segment::file_name(self.next),
-                bytes: 0,
-                until: 0,
-            };
-            self.next += 1;
-            self.current = Some((segment, now + self.segment_for));
-            segment::write_segment_header(&mut bytes);
-        }
-        let Some((segment, _)) = &mut self.current else {
-            return Ok(());
+        let mut active = match self.active.take() {
+            Some(active) => active,
+            None => self.begin_segment(now_micros, &mut bytes),
         };
-        for (record, until) in records {
-            record.encode(&mut bytes);
-            segment.until = segment.until.max(*until);
+        let segment = &mut active.segment;
+        for entry in entries {
+            entry.record.encode(&mut bytes);
+            segment.expires_at_micros = segment.expires_at_micros.max(entry.expires_at_micros);
         }
-        segment.bytes += bytes.len() as u64;
-        let name = segment.name.clone();
-        let done = self
-            .storage
-            .append(&name, &bytes)
-            .and_then(|()| self.storage.sync(&name));
-        if done.is_err() {
-            // Whatever of it lasts has to be aged out as the rest.
-            self.closed.extend(self.current.take().map(|c| c.0));
+        segment.size_bytes += bytes.len() as u64;
+        let committed = self.append_and_sync(&segment.name, &bytes);
+        if committed.is_ok() {
+            self.active = Some(active);
+        } else {
+            // Some of its records may be durable, so the segment has to expire like the others.
+            self.closed.push_back(active.segment);
         }
-        done
+        committed
     }
 
-    /// Drops the segments that have aged out, the oldest first; one that can't be removed is tried again.
-    pub fn remove_expired_segments(&mut self, now: u64) {
-        while self.closed.front().is_some_and(|s| s.until < now) {
-            let Some(segment) = self.closed.pop_front() else {
-                return;
-            };
-            if let Err(e) = self.storage.remove(&segment.name)
-                && e.kind() != io::ErrorKind::NotFound
+    /// Removes the segments whose records have all expired, oldest first. `now_micros` is in Unix
+    /// microseconds. A segment that cannot be removed stays and is retried by the next call.
+    pub fn remove_expired_segments(&mut self, now_micros: u64) {
+        while let Some(segment) = self.closed.front()
+            && segment.expires_at_micros < now_micros
+        {
+            if let Err(error) = self.storage.remove(&segment.name)
+                && error.kind() != io::ErrorKind::NotFound
             {
-                self.closed.push_front(segment);
                 return;
             }
+            self.closed.pop_front();
         }
     }
 
+    /// The storage of the log.
     pub fn storage(&self) -> &S {
         &self.storage
     }
 
+    /// The storage of the log, to inject failures in tests.
     pub fn storage_mut(&mut self) -> &mut S {
         &mut self.storage
     }
-}
 
-/// One line for each thing wrong in a folder of segments: for `kept verify`.
-pub fn verify(storage: &impl Storage) -> Result<Vec<String>, String> {
-    let mut wrong = vec![];
-    for name in storage.list().map_err(|e| e.to_string())? {
-        if segment::parse_file_name(&name).is_none() {
-            wrong.push(format!("{name}: is no file of kept results"));
-            continue;
+    /// A segment is also closed if the clock has stepped back to before its beginning.
+    fn close_full_or_old_segment(&mut self, now_micros: u64) {
+        let (size_limit, age_limit) =
+            (self.segment_size_limit_bytes, self.segment_age_limit_micros);
+        let closes = |active: &mut ActiveSegment| {
+            active.segment.size_bytes >= size_limit
+                || now_micros >= active.close_at_micros
+                || now_micros + age_limit < active.close_at_micros
+        };
+        if let Some(active) = self.active.take_if(closes) {
+            self.closed.push_back(active.segment);
         }
-        let bytes = storage.read(&name).map_err(|e| format!("{name}: {e}"))?;
-        match Header::read(&bytes) {
-            Header::Valid => {
-                let mut reader = Records::of_segment(&bytes);
-                let records = reader.by_ref().count();
-                let torn = reader.remaining_bytes();
-                if torn > 0 {
-                    let at = bytes.len() - torn;
-                    wrong.push(format!(
-                        "{name}: after {records} whole records {torn} bytes from {at} on are none"
-                    ));
-                }
-            }
-            Header::Torn => wrong.push(format!(
-                "{name}: is torn within its first {HEADER_BYTES} bytes"
-            )),
-            Header::Newer(version) => {
-                wrong.push(format!("{name}: is of the newer version {version}"))
-            }
-            Header::Foreign => wrong.push(format!("{name}: is no segment of kept results")),
+    }
+
+    /// Begins a segment whose header is appended to the buffer.
+    fn begin_segment(&mut self, now_micros: u64, buffer: &mut Vec<u8>) -> ActiveSegment {
+        let name = segment::file_name(self.next_segment_number);
+        self.next_segment_number += 1;
+        segment::write_segment_header(buffer);
+        ActiveSegment {
+            segment: Segment {
+                name,
+                size_bytes: 0,
+                expires_at_micros: 0,
+            },
+            close_at_micros: now_micros + self.segment_age_limit_micros,
         }
     }
-    Ok(wrong)
+
+    fn append_and_sync(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.storage.append(name, bytes)?;
+        self.storage.sync(name)
+    }
+}
+
+impl SegmentFile {
+    fn into_segment(self, expires_at_micros: u64) -> Segment {
+        Segment {
+            name: self.name,
+            size_bytes: self.size_bytes,
+            expires_at_micros,
+        }
+    }
+}
+
+fn number_after(last: Option<&SegmentFile>) -> u64 {
+    let number = last.and_then(|file| segment::parse_file_name(&file.name));
+    number.map_or(0, |number| number + 1)
 }
--- /dev/null
+++ b/crates/idempotency-store/tests/store/main.rs
@@ -0,0 +1,11 @@
+//! Tests of the store as a whole, on a storage that crashes and on the file system.
+
+mod commit_failures;
+mod crash_recovery;
+mod directory_storage;
+mod foreign_files;
+mod record_codec;
+mod restart_histories;
+mod segment_expiry;
+mod stored_data;
+mod support;
--- a/crates/idempotency-store/tests/stored_data.rs
+++ b/crates/idempotency-store/tests/store/stored_data.rs
@@ -4,17 +4,17 @@
 //! within a record, one that ends in zeros and one that ends within its header. The lines that
 //! `kept verify` printed for each are beside them.
 
+use crate::support::{LIMITS, completed, entry};
 use madderbay_idempotency_store::record::{IdempotencyKey, Record};
+use madderbay_idempotency_store::recovery::{RecoveredRun, Recovery, RunState, recover};
 use madderbay_idempotency_store::segment::{HEADER_BYTES, write_segment_header};
 use madderbay_idempotency_store::storage::{DirectoryStorage, MemoryStorage, Storage};
-use madderbay_idempotency_store::write_ahead_log::{
-    LogEntry, RecoveredRun, Recovery, RunState, WriteAheadLog, recover, verify,
-};
+use madderbay_idempotency_store::verify::verify;
+use madderbay_idempotency_store::write_ahead_log::{LogEntry, WriteAheadLog};
 use std::path::Path;
 
-const DISK_BYTES: u64 = 1 << 20;
 const START_MICROS: u64 = 1_764_576_000_000_000;
-const RETENTION_MICROS: u64 = 30_000_000;
+const RETENTION_MICROS: u64 = LIMITS.retention_micros;
 const LARGE_KEY: IdempotencyKey = 0x1234_5678_9abc_def0_0fed_cba9_8765_4321;
 const NON_UTF8_RESULT: &[u8] = &[0x22, 0x00, 0xff, 0xfe, 0x0a, 0x5c, 0x22];
 const UTF8_RESULT: &str = "{\"line\": \"gr\u{fc}\u{df}e\"}";
@@ -40,18 +40,6 @@
     entry(record, expires_at_micros)
 }
 
-fn entry(record: Record, expires_at_micros: u64) -> LogEntry {
-    (record, expires_at_micros)
-}
-
-fn completed(key: IdempotencyKey, result: &str, expires_at_micros: u64) -> LogEntry {
-    let record = Record::Completed {
-        key,
-        result: result.as_bytes().into(),
-    };
-    entry(record, expires_at_micros)
-}
-
 fn run(request_hash: u64, attempt_id: &[u8; 16], expires_at: u64, state: RunState) -> RecoveredRun {
     RecoveredRun {
         request_hash,
@@ -78,7 +66,7 @@
     let recovery = recover(&stored("complete")).expect("read");
     assert_eq!((recovery.segments, recovery.records), (2, 16));
     assert_eq!((recovery.torn_segments, recovery.torn_bytes), (0, 0));
-    assert_eq!(recovery.bytes, 428 + 316);
+    assert_eq!(recovery.size_bytes, 428 + 316);
     let expected = vec![
         (
             5,
@@ -151,9 +139,9 @@
     };
     assert_eq!(
         lines("complete"),
-        include_str!("data/complete.verify.stdout")
+        include_str!("../data/complete.verify.stdout")
     );
-    assert_eq!(lines("torn"), include_str!("data/torn.verify.stdout"));
+    assert_eq!(lines("torn"), include_str!("../data/torn.verify.stdout"));
 }
 
 /// Entries of one commit and when it was made.
@@ -231,8 +219,7 @@
 #[test]
 fn writes_the_same_records_to_the_same_bytes() {
     let storage = MemoryStorage::default();
-    let (mut log, _) =
-        WriteAheadLog::open(storage, START_MICROS, DISK_BYTES, RETENTION_MICROS).expect("opened");
+    let (mut log, _) = WriteAheadLog::open(storage, START_MICROS, LIMITS).expect("opened");
     for commit in first_segment_commits()
         .into_iter()
         .chain(second_segment_commits())
--- a/crates/server/src/core/keep.rs
+++ b/crates/server/src/core/keep.rs
@@ -5,11 +5,12 @@
 use crate::tools::counters::Lines;
 use crate::tools::name::Name;
 use madderbay::time::Timestamp;
+use madderbay_idempotency_store::recovery::{RecoveredRun, Recovery, RunState, recover};
 use madderbay_idempotency_store::storage::DirectoryStorage;
-use madderbay_idempotency_store::write_ahead_log::{
-    self, LogEntry, RecoveredRun, Recovery, RunState, WriteAheadLog,
+use madderbay_idempotency_store::write_ahead_log::{LogEntry, LogLimits, WriteAheadLog};
+use madderbay_idempotency_store::{
+    DurableResults, IntentError, SequenceNumber, StoreError, verify,
 };
-use madderbay_idempotency_store::{DurableResults, IntentError, SequenceNumber};
 use madderbay_operator_config::kept::KeptResults;
 use std::collections::VecDeque;
 use std::path::Path;
@@ -53,12 +54,14 @@
 
 /// Opens the folder and reads what a former life left; says in one line why that can't be.
 pub fn open(set: &KeptResults, window: u64) -> Result<Opened, String> {
-    let told = |e| format!("kept-results: {e}");
+    let told = |e: StoreError| format!("kept-results: {e}");
     let began = Instant::now();
     let storage = DirectoryStorage::open(&set.directory).map_err(told)?;
-    let (log, recovery) =
-        WriteAheadLog::open(storage, unix_micros(), (set.disk_mb as u64) << 20, window)
-            .map_err(told)?;
+    let limits = LogLimits {
+        disk_bytes: (set.disk_mb as u64) << 20,
+        retention_micros: window,
+    };
+    let (log, recovery) = WriteAheadLog::open(storage, unix_micros(), limits).map_err(told)?;
     Ok(Opened {
         log,
         recovery,
@@ -227,7 +230,7 @@
     folder: &Path,
     line: impl Fn(&u128, &RecoveredRun) -> String,
 ) -> Result<(Vec<String>, Recovery), String> {
-    let read = write_ahead_log::recover(&DirectoryStorage::open_read_only(folder))
+    let read = recover(&DirectoryStorage::open_read_only(folder))
         .map_err(|e| format!("{}: {e}", folder.display()))?;
     let mut found: Vec<_> = read.runs.iter().collect();
     found.sort_by_key(|f| f.0);
@@ -292,6 +295,7 @@
 }
 
 pub fn verify(folder: &Path) -> Result<Vec<String>, String> {
-    write_ahead_log::verify(&DirectoryStorage::open_read_only(folder))
-        .map_err(|e| format!("{}: {e}", folder.display()))
+    let defects = verify::verify(&DirectoryStorage::open_read_only(folder))
+        .map_err(|e| format!("{}: {e}", folder.display()))?;
+    Ok(defects.iter().map(ToString::to_string).collect())
 }
--- a/crates/server/tests/kept.rs
+++ b/crates/server/tests/kept.rs
@@ -229,31 +229,35 @@
 fn a_hundred_thousand_keys_at_a_restart() {
     use madderbay_idempotency_store::record::Record;
     use madderbay_idempotency_store::storage::DirectoryStorage;
-    use madderbay_idempotency_store::write_ahead_log::WriteAheadLog;
+    use madderbay_idempotency_store::write_ahead_log::{LogEntry, LogLimits, WriteAheadLog};
     let place = Place::new(30_000_000, "disk_mb = 64\n");
     {
         let storage = DirectoryStorage::open(&place.folder).expect("opened");
-        let (mut log, _) = WriteAheadLog::open(storage, 1, 64 << 20, 30_000_000).expect("read");
+        let limits = LogLimits {
+            disk_bytes: 64 << 20,
+            retention_micros: 30_000_000,
+        };
+        let (mut log, _) = WriteAheadLog::open(storage, 1, limits).expect("read");
+        let expires_at_micros = 30_000_001;
         for part in 0..100u128 {
-            let records: Vec<_> = (0..1_000u128)
+            let entries: Vec<_> = (0..1_000u128)
                 .flat_map(|k| {
                     let key = part * 1_000 + k;
+                    let intent = Record::Intent {
+                        key,
+                        request_hash: 0,
+                        expires_at_micros,
+                        attempt_id: [b'0'; 16],
+                    };
                     let result = b"\"WFla\""[..].into();
-                    [
-                        (
-                            Record::Intent {
-                                key,
-                                request_hash: 0,
-                                expires_at_micros: 30_000_001,
-                                attempt_id: [b'0'; 16],
-                            },
-                            30_000_001,
-                        ),
-                        (Record::Completed { key, result }, 30_000_001),
-                    ]
+                    [intent, Record::Completed { key, result }]
+                })
+                .map(|record| LogEntry {
+                    record,
+                    expires_at_micros,
                 })
                 .collect();
-            log.commit(1, &records).expect("written");
+            log.commit(1, &entries).expect("written");
         }
     }
     let (server, _engine) = place.live();
--- a/crates/testkit/examples/kept.rs
+++ b/crates/testkit/examples/kept.rs
@@ -7,7 +7,7 @@
 
 use madderbay_idempotency_store::record::Record;
 use madderbay_idempotency_store::storage::DirectoryStorage;
-use madderbay_idempotency_store::write_ahead_log::WriteAheadLog;
+use madderbay_idempotency_store::write_ahead_log::{LogEntry, LogLimits, WriteAheadLog};
 use madderbay_testkit::balancer::{Answer, Ask, Load, breaches, times};
 use madderbay_testkit::catalogue::Catalogue;
 use madderbay_testkit::engine::{Engine, Work};
@@ -234,23 +234,31 @@
     let place = Place::new(binary, Some("grouped"), (1.0, 2.0), 1);
     {
         let storage = DirectoryStorage::open(&place.folder).expect("opened");
-        let (mut log, _) = WriteAheadLog::open(storage, 1, 64 << 20, 30_000_000).expect("read");
-        let until = 30_000_001;
+        let limits = LogLimits {
+            disk_bytes: 64 << 20,
+            retention_micros: 30_000_000,
+        };
+        let (mut log, _) = WriteAheadLog::open(storage, 1, limits).expect("read");
+        let expires_at_micros = 30_000_001;
         for part in 0..keys / 1_000 {
-            let records: Vec<_> = (0..1_000)
+            let entries: Vec<_> = (0..1_000)
                 .flat_map(|k| {
                     let key = part * 1_000 + k;
-                    let result = vec![b'x'; 100].into_boxed_slice();
                     let intent = Record::Intent {
                         key,
                         request_hash: 0,
-                        expires_at_micros: until,
+                        expires_at_micros,
                         attempt_id: [b'0'; 16],
                     };
-                    [(intent, until), (Record::Completed { key, result }, until)]
+                    let result = vec![b'x'; 100].into_boxed_slice();
+                    [intent, Record::Completed { key, result }]
+                })
+                .map(|record| LogEntry {
+                    record,
+                    expires_at_micros,
                 })
                 .collect();
-            log.commit(1, &records).expect("written");
+            log.commit(1, &entries).expect("written");
         }
     }
     let server = place.live();
