Idempotency store: the table of durable results and its limits in files of their own

Cause: the crate's root held the table, its sums of bytes and open counters; batches, pending results and sizes were tuples. Change: table.rs owns the table, limits.rs the sums for disk and memory; Batch, Usage, Counters and PendingResult have named fields; IntentError is a thiserror enum; counters are read by a method. The table has tests of its own: it had none in this package.

--- a/crates/idempotency-store/src/error.rs
+++ b/crates/idempotency-store/src/error.rs
@@ -53,3 +53,14 @@
         segment: String,
     },
 }
+
+/// Why no intent can be recorded now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum IntentError {
+    /// The disk limit is reached by records that have not expired.
+    #[error("the disk limit of durable results is reached")]
+    DiskLimitReached,
+    /// The last commit failed.
+    #[error("durable results cannot be written")]
+    StorageUnavailable,
+}
--- /dev/null
+++ b/crates/idempotency-store/tests/store/durable_results.rs
@@ -0,0 +1,148 @@
+//! The table: what is admitted, what attempts are answered, and what waits for a commit.
+
+use crate::support::{LIMITS, RETENTION_MICROS, completed, entry, intent, log_with};
+use madderbay::time::{Duration, Timestamp};
+use madderbay_idempotency_store::record::{INTENT_BYTES, KEY_RECORD_BYTES, Record};
+use madderbay_idempotency_store::write_ahead_log::{LogEntry, WriteAheadLog};
+use madderbay_idempotency_store::{Counters, DurableResults, IntentError, Lookup};
+
+const DISK_LIMIT_BYTES: u64 = 10_000;
+const MEMORY_LIMIT_BYTES: usize = 10;
+const ATTEMPT: &[u8; 16] = &[b'a'; 16];
+/// The hash that [`intent`] gives to a key.
+const HASH_OF_KEY_1: u64 = 8;
+
+/// Returns the table after a restart, with these entries in the log.
+fn recovered(entries: &[LogEntry]) -> DurableResults {
+    let storage = log_with(entries).storage().clone();
+    let (_, recovery) = WriteAheadLog::open(storage, 3, LIMITS).expect("read");
+    let mut results = DurableResults::new(MEMORY_LIMIT_BYTES, DISK_LIMIT_BYTES);
+    results.load_recovery(recovery);
+    results
+}
+
+fn committed(results: &mut DurableResults) {
+    let batch = results.take_batch().expect("records to commit");
+    results.on_committed(batch.last, 0);
+}
+
+fn completed_lookup(result: &str) -> Lookup {
+    Lookup::Completed(result.as_bytes().into())
+}
+
+#[test]
+fn answers_attempts_from_earlier_incarnation() {
+    let mut results = recovered(&[
+        intent(1, RETENTION_MICROS),
+        completed(1, "one", RETENTION_MICROS),
+        intent(2, RETENTION_MICROS),
+        intent(3, RETENTION_MICROS),
+        entry(Record::NoResult { key: 3 }, RETENTION_MICROS),
+    ]);
+    assert_eq!(results.lookup(1, HASH_OF_KEY_1), completed_lookup("one"));
+    assert_eq!(results.lookup(1, HASH_OF_KEY_1 + 1), Lookup::Mismatch);
+    assert_eq!(results.lookup(2, HASH_OF_KEY_1 + 1), Lookup::NoResult);
+    assert_eq!(results.lookup(3, HASH_OF_KEY_1 + 2), Lookup::NoResult);
+    assert_eq!(results.lookup(4, 0), Lookup::NotFound);
+    let expected = Counters {
+        results_returned: 1,
+        results_unavailable: 2,
+        ..Counters::default()
+    };
+    assert_eq!(results.counters(), expected);
+}
+
+#[test]
+fn forgets_recovered_runs_after_retention_and_grace() {
+    let mut results = recovered(&[
+        intent(1, RETENTION_MICROS),
+        completed(1, "one", RETENTION_MICROS),
+    ]);
+    let expiry = Timestamp::from_micros(3 + RETENTION_MICROS) + Duration::from_millis(10_000);
+    results.expire(expiry.saturating_sub(Duration::from_micros(1)));
+    assert_eq!(results.usage().recovered_runs, 1);
+    results.expire(expiry);
+    assert_eq!(results.usage().recovered_runs, 0);
+    assert_eq!(results.lookup(1, HASH_OF_KEY_1), Lookup::NotFound);
+}
+
+#[test]
+fn drops_results_that_do_not_fit_in_memory() {
+    let mut results = recovered(&[
+        intent(1, RETENTION_MICROS),
+        completed(1, "123456", RETENTION_MICROS),
+        intent(2, RETENTION_MICROS),
+        completed(2, "123456", RETENTION_MICROS),
+    ]);
+    assert_eq!(results.lookup(1, HASH_OF_KEY_1), completed_lookup("123456"));
+    assert_eq!(results.lookup(2, HASH_OF_KEY_1 + 1), Lookup::NoResult);
+}
+
+#[test]
+fn returns_result_of_recovered_run_only_once_durable() {
+    let mut results = recovered(&[intent(1, RETENTION_MICROS)]);
+    assert!(!results.complete_recovered_run(&[b'b'; 16], Some(b"one")));
+    assert!(results.complete_recovered_run(ATTEMPT, Some(b"one")));
+    assert!(!results.complete_recovered_run(ATTEMPT, Some(b"one")));
+    assert_eq!(results.lookup(1, HASH_OF_KEY_1), Lookup::NoResult);
+    committed(&mut results);
+    assert_eq!(results.lookup(1, HASH_OF_KEY_1), completed_lookup("one"));
+}
+
+#[test]
+fn drops_result_of_recovered_run_if_its_commit_fails() {
+    let mut results = recovered(&[intent(1, RETENTION_MICROS)]);
+    assert!(results.complete_recovered_run(ATTEMPT, Some(b"one")));
+    let batch = results.take_batch().expect("records to commit");
+    results.on_commit_failed(batch.last);
+    results.on_committed(batch.last + 1, 0);
+    assert_eq!(results.lookup(1, HASH_OF_KEY_1), Lookup::NoResult);
+    assert_eq!(results.counters().commit_failures, 1);
+}
+
+#[test]
+fn rejects_intents_while_storage_fails() {
+    let mut results = recovered(&[]);
+    let last = results.record_intent(1, 1, *ATTEMPT, Timestamp::from_micros(1));
+    results.on_commit_failed(last);
+    assert_eq!(results.admit_intent(), Err(IntentError::StorageUnavailable));
+    results.on_storage_recovered(0);
+    assert_eq!(results.admit_intent(), Ok(()));
+    assert_eq!(results.counters().intents_rejected, 1);
+}
+
+#[test]
+fn rejects_intents_at_disk_limit() {
+    let mut results = DurableResults::new(MEMORY_LIMIT_BYTES, DISK_LIMIT_BYTES);
+    let reservation_bytes = (INTENT_BYTES + KEY_RECORD_BYTES) as u64;
+    results.on_storage_recovered(DISK_LIMIT_BYTES - reservation_bytes);
+    assert_eq!(results.admit_intent(), Ok(()));
+    results.on_storage_recovered(DISK_LIMIT_BYTES - reservation_bytes + 1);
+    assert_eq!(results.admit_intent(), Err(IntentError::DiskLimitReached));
+}
+
+#[test]
+fn drops_results_past_their_part_of_the_disk() {
+    let mut results = DurableResults::new(MEMORY_LIMIT_BYTES, DISK_LIMIT_BYTES);
+    let expires_at = Timestamp::from_micros(1);
+    results.on_storage_recovered(DISK_LIMIT_BYTES / 4 * 3 - 3);
+    results.record_result(1, Some(b"one"), expires_at);
+    let batch = results.take_batch().expect("records to commit");
+    assert_eq!(batch.entries, [completed(1, "one", 1)]);
+    results.on_committed(batch.last, DISK_LIMIT_BYTES / 4 * 3 - 2);
+    results.record_result(2, Some(b"two"), expires_at);
+    let batch = results.take_batch().expect("records to commit");
+    assert_eq!(batch.entries, [entry(Record::NoResult { key: 2 }, 1)]);
+}
+
+#[test]
+fn numbers_records_across_batches() {
+    let mut results = DurableResults::new(MEMORY_LIMIT_BYTES, DISK_LIMIT_BYTES);
+    assert!(results.take_batch().is_none());
+    results.record_intent(1, 1, *ATTEMPT, Timestamp::from_micros(1));
+    results.record_not_run(1, Timestamp::from_micros(1));
+    assert_eq!(results.take_batch().map(|batch| batch.last), Some(2));
+    results.record_intent(1, 1, *ATTEMPT, Timestamp::from_micros(1));
+    let batch = results.take_batch().expect("records to commit");
+    assert_eq!((batch.last, batch.entries.len()), (3, 1));
+}
--- a/crates/idempotency-store/tests/store/main.rs
+++ b/crates/idempotency-store/tests/store/main.rs
@@ -3,6 +3,7 @@
 mod commit_failures;
 mod crash_recovery;
 mod directory_storage;
+mod durable_results;
 mod foreign_files;
 mod record_codec;
 mod restart_histories;
--- a/crates/server/src/core/keep.rs
+++ b/crates/server/src/core/keep.rs
@@ -195,7 +195,7 @@
     /// Hands over all that is to be written.
     pub fn flush(&mut self) {
         if let Some(batch) = self.book.take_batch() {
-            let _ = self.to.send(batch);
+            let _ = self.to.send((batch.last, batch.entries));
         }
     }
 
@@ -207,17 +207,17 @@
 
     pub fn counters(&self) -> String {
         let mut lines = Lines::of("kept");
-        let (known, disk) = self.book.usage();
+        let (usage, counters) = (self.book.usage(), self.book.counters());
         for (name, value) in [
-            ("known", known as u64),
-            ("disk_bytes", disk),
+            ("known", usage.recovered_runs as u64),
+            ("disk_bytes", usage.disk_bytes),
             ("waiting", self.waiting.len() as u64),
             ("writes", self.writes),
-            ("promised", self.book.promised),
-            ("refused", self.book.refused),
-            ("answered", self.book.answered),
-            ("errored", self.book.errored),
-            ("failures", self.book.failures),
+            ("promised", counters.intents_recorded),
+            ("refused", counters.intents_rejected),
+            ("answered", counters.results_returned),
+            ("errored", counters.results_unavailable),
+            ("failures", counters.commit_failures),
         ] {
             lines.add(name, value);
         }
