--- a/crates/idempotency-store/src/lib.rs
+++ b/crates/idempotency-store/src/lib.rs
@@ -9,21 +9,21 @@
 //! commits batches of records to segment files of a [`Storage`](storage::Storage), removes expired
 //! segments, and recovers what earlier incarnations left.
 
-/// Errors of the store.
+/// Why a store cannot be opened and why an intent is rejected.
 pub mod error;
 mod limits;
-/// The records of the log and their encoding.
+/// One step of a request, as it is stored.
 pub mod record;
-/// What the segments of earlier incarnations say about each request.
+/// Reads what earlier incarnations left.
 pub mod recovery;
-/// Names, headers and layout of segment files.
+/// Layout of a segment file.
 pub mod segment;
-/// The storage trait, the file system and a simulated storage.
+/// The storage trait and its implementations.
 pub mod storage;
 mod table;
-/// Integrity check of stored segments.
+/// Reports the defects of stored segments.
 pub mod verify;
-/// The write-ahead log.
+/// Commits records and removes expired ones.
 pub mod write_ahead_log;
 
 pub use error::{IntentError, StoreError};
--- a/crates/idempotency-store/src/storage.rs
+++ b/crates/idempotency-store/src/storage.rs
@@ -1,6 +1,7 @@
 //! What the write-ahead log is stored on: a flat set of named files that only grow at their ends.
 //!
-//! [`DirectoryStorage`] is the file system. [`MemoryStorage`] simulates crashes and failures in tests.
+//! `DirectoryStorage` is the file system. `MemoryStorage` simulates crashes and failures in tests.
+//! A storage is given names and bytes. It never looks into them.
 
 mod directory;
 mod memory;
--- a/crates/idempotency-store/src/write_ahead_log.rs
+++ b/crates/idempotency-store/src/write_ahead_log.rs
@@ -1,9 +1,9 @@
 //! The write-ahead log: segments written one after the other, each removed as a unit once all its
 //! records have expired.
 //!
-//! [`WriteAheadLog`] owns the storage and decides when a segment is closed and when it is removed.
-//! It never appends to a segment of an earlier incarnation, so a torn end is always at the end of a
-//! segment. It never reads a clock: the current time is given.
+//! This module owns the storage and decides when a segment is closed and when it is removed. It is
+//! given the entries of each commit and the current time. It never appends to a segment of an
+//! earlier incarnation, so a torn end is always at the end of a segment, and never reads a clock.
 
 use crate::error::StoreError;
 use crate::record::Record;
--- a/crates/idempotency-store/tests/store/stored_data.rs
+++ b/crates/idempotency-store/tests/store/stored_data.rs
@@ -4,9 +4,9 @@
 //! within a record, one that ends in zeros and one that ends within its header. The lines that
 //! `kept verify` printed for each are beside them.
 
-use crate::support::{LIMITS, completed, entry};
-use madderbay_idempotency_store::record::{IdempotencyKey, Record};
-use madderbay_idempotency_store::recovery::{RecoveredRun, Recovery, RunState, recover};
+use crate::support::{LIMITS, Runs, completed, entry};
+use madderbay_idempotency_store::record::{AttemptId, IdempotencyKey, Record};
+use madderbay_idempotency_store::recovery::{RecoveredRun, RunState, recover};
 use madderbay_idempotency_store::segment::{HEADER_BYTES, write_segment_header};
 use madderbay_idempotency_store::storage::{DirectoryStorage, MemoryStorage, Storage};
 use madderbay_idempotency_store::verify::verify;
@@ -15,6 +15,9 @@
 
 const START_MICROS: u64 = 1_764_576_000_000_000;
 const RETENTION_MICROS: u64 = LIMITS.retention_micros;
+const HASH_OF_5: u64 = 0x0123_4567_89ab_cdef;
+const HASH_OF_6: u64 = 0xfedc_ba98_7654_3210;
+const LARGE_ATTEMPT: u64 = 0xa1b2_c3d4_e5f6_0718;
 const LARGE_KEY: IdempotencyKey = 0x1234_5678_9abc_def0_0fed_cba9_8765_4321;
 const NON_UTF8_RESULT: &[u8] = &[0x22, 0x00, 0xff, 0xfe, 0x0a, 0x5c, 0x22];
 const UTF8_RESULT: &str = "{\"line\": \"gr\u{fc}\u{df}e\"}";
@@ -25,26 +28,27 @@
     DirectoryStorage::open_read_only(&data.join(name))
 }
 
-fn intent(
-    key: IdempotencyKey,
-    request_hash: u64,
-    attempt_id: &[u8; 16],
-    expires_at_micros: u64,
-) -> LogEntry {
+/// The attempt IDs in the data are 16 hexadecimal digits.
+fn attempt_id(number: u64) -> AttemptId {
+    let digits = format!("{number:016x}");
+    digits.as_bytes().try_into().expect("16 digits")
+}
+
+fn intent(key: IdempotencyKey, request_hash: u64, attempt: u64, expires_at: u64) -> LogEntry {
     let record = Record::Intent {
         key,
         request_hash,
-        expires_at_micros,
-        attempt_id: *attempt_id,
+        expires_at_micros: expires_at,
+        attempt_id: attempt_id(attempt),
     };
-    entry(record, expires_at_micros)
+    entry(record, expires_at)
 }
 
-fn run(request_hash: u64, attempt_id: &[u8; 16], expires_at: u64, state: RunState) -> RecoveredRun {
+fn run(request_hash: u64, attempt: u64, expires_at: u64, state: RunState) -> RecoveredRun {
     RecoveredRun {
         request_hash,
         expires_at_micros: expires_at,
-        attempt_id: *attempt_id,
+        attempt_id: attempt_id(attempt),
         state,
     }
 }
@@ -53,82 +57,46 @@
     RunState::Completed(bytes.into())
 }
 
-fn assert_recovers(recovery: Recovery, expected: Vec<(IdempotencyKey, RecoveredRun)>) {
-    let mut runs: Vec<_> = recovery.runs.into_iter().collect();
-    runs.sort_by_key(|(key, _)| *key);
-    assert_eq!(runs, expected);
-}
-
 #[test]
 fn recovers_stored_directory() {
-    let first = START_MICROS + 1_000 + RETENTION_MICROS;
-    let second = START_MICROS + 16_000_000 + RETENTION_MICROS;
     let recovery = recover(&stored("complete")).expect("read");
     assert_eq!((recovery.segments, recovery.records), (2, 16));
     assert_eq!((recovery.torn_segments, recovery.torn_bytes), (0, 0));
     assert_eq!(recovery.size_bytes, 428 + 316);
-    let expected = vec![
-        (
-            5,
-            run(
-                0x0123_4567_89ab_cdef,
-                b"0000000000000001",
-                first,
-                result(b"\"WFla\""),
-            ),
-        ),
-        (
-            6,
-            run(
-                0xfedc_ba98_7654_3210,
-                b"0000000000000002",
-                first,
-                RunState::NoResult,
-            ),
-        ),
-        (
-            7,
-            run(77, b"0000000000000006", second, RunState::MayHaveRun),
-        ),
-        (8, run(8, b"0000000000000005", second, RunState::MayHaveRun)),
-        (
-            9,
-            run(9, b"0000000000000007", second, result(NON_UTF8_RESULT)),
-        ),
-        (
-            LARGE_KEY,
-            run(
-                10,
-                b"a1b2c3d4e5f60718",
-                second,
-                result(UTF8_RESULT.as_bytes()),
-            ),
-        ),
-        (
-            u128::MAX,
-            run(u64::MAX, b"ffffffffffffffff", first, result(b"")),
-        ),
-    ];
-    assert_recovers(recovery, expected);
+
+    let first = START_MICROS + 1_000 + RETENTION_MICROS;
+    let second = START_MICROS + 16_000_000 + RETENTION_MICROS;
+    let mut expected = Runs::new();
+    let mut expect = |key, run| expected.insert(key, run);
+    expect(5, run(HASH_OF_5, 1, first, result(b"\"WFla\"")));
+    expect(6, run(HASH_OF_6, 2, first, RunState::NoResult));
+    expect(7, run(77, 6, second, RunState::MayHaveRun));
+    expect(8, run(8, 5, second, RunState::MayHaveRun));
+    expect(9, run(9, 7, second, result(NON_UTF8_RESULT)));
+    expect(
+        LARGE_KEY,
+        run(10, LARGE_ATTEMPT, second, result(UTF8_RESULT.as_bytes())),
+    );
+    expect(u128::MAX, run(u64::MAX, u64::MAX, first, result(b"")));
+    assert_eq!(recovery.runs, expected);
 }
 
 #[test]
 fn recovers_stored_directory_with_torn_ends() {
-    let first = START_MICROS + RETENTION_MICROS;
-    let second = START_MICROS + 5_000_000 + RETENTION_MICROS;
     let recovery = recover(&stored("torn")).expect("read");
     assert_eq!((recovery.segments, recovery.records), (3, 6));
     assert_eq!((recovery.torn_segments, recovery.torn_bytes), (3, 75));
-    let expected = vec![
-        (1, run(11, b"0000000000000011", first, result(b"\"b25l\""))),
-        (2, run(12, b"0000000000000012", first, RunState::MayHaveRun)),
-        (3, run(13, b"0000000000000013", second, RunState::NoResult)),
-        (
-            4,
-            run(14, b"0000000000000014", second, RunState::MayHaveRun),
-        ),
-    ];
-    assert_recovers(recovery, expected);
+    assert_eq!(recovery.size_bytes, 185 + 191 + 7);
+
+    let first = START_MICROS + RETENTION_MICROS;
+    let second = START_MICROS + 5_000_000 + RETENTION_MICROS;
+    let mut expected = Runs::new();
+    let mut expect = |key, run| expected.insert(key, run);
+    expect(1, run(11, 0x11, first, result(b"\"b25l\"")));
+    expect(2, run(12, 0x12, first, RunState::MayHaveRun));
+    expect(3, run(13, 0x13, second, RunState::NoResult));
+    expect(4, run(14, 0x14, second, RunState::MayHaveRun));
+    assert_eq!(recovery.runs, expected);
 }
 
 #[test]
@@ -155,15 +123,15 @@
     let at_micros = START_MICROS + 1_000;
     let expires_at = at_micros + RETENTION_MICROS;
     let intents = vec![
-        intent(5, 0x0123_4567_89ab_cdef, b"0000000000000001", expires_at),
-        intent(6, 0xfedc_ba98_7654_3210, b"0000000000000002", expires_at),
-        intent(u128::MAX, u64::MAX, b"ffffffffffffffff", expires_at),
+        intent(5, HASH_OF_5, 1, expires_at),
+        intent(6, HASH_OF_6, 2, expires_at),
+        intent(u128::MAX, u64::MAX, u64::MAX, expires_at),
     ];
     let results_and_intents = vec![
         completed(5, "\"WFla\"", expires_at),
         entry(Record::NoResult { key: 6 }, expires_at),
-        intent(7, 7, b"0000000000000003", expires_at + 20_000),
-        intent(8, 8, b"0000000000000004", expires_at + 20_000),
+        intent(7, 7, 3, expires_at + 20_000),
+        intent(8, 8, 4, expires_at + 20_000),
     ];
     let results = vec![
         entry(Record::NotRun { key: 7 }, expires_at),
@@ -195,10 +163,10 @@
         result: NON_UTF8_RESULT.into(),
     };
     let intents = vec![
-        intent(8, 8, b"0000000000000005", expires_at),
-        intent(7, 77, b"0000000000000006", expires_at),
-        intent(9, 9, b"0000000000000007", expires_at),
-        intent(LARGE_KEY, 10, b"a1b2c3d4e5f60718", expires_at),
+        intent(8, 8, 5, expires_at),
+        intent(7, 77, 6, expires_at),
+        intent(9, 9, 7, expires_at),
+        intent(LARGE_KEY, 10, LARGE_ATTEMPT, expires_at),
     ];
     let results = vec![
         entry(non_utf8, expires_at),
