Testkit: the example of durable results in steps of their own

Change: History with one method a step, Tally adds another one up, report_histories; the random draws and the printed lines stay.

--- a/crates/testkit/examples/kept.rs
+++ b/crates/testkit/examples/kept.rs
@@ -1,9 +1,10 @@
-//! Measures kept results on the real program, between stand-ins on loopback:
+//! Measures durable results on the real program, between fakes on loopback:
 //!
 //!     cargo build --release && cargo run --release -p madderbay-testkit --example kept [HISTORIES]
 //!
-//! Histories: a server is killed at a random moment while it books, started again, and every try is repeated;
-//! a booking is a run in the engine. Then what it costs: times, syncs and CPU at several rates, and recovery.
+//! First the cost: response times, commits and CPU at several rates, and the time of a recovery. Then
+//! histories: a server is killed at a random moment while it books, restarted, and sent each request
+//! again. A booking is a run in the engine, and no request may be booked twice.
 
 use madderbay_idempotency_store::record::Record;
 use madderbay_idempotency_store::storage::DirectoryStorage;
@@ -30,6 +31,9 @@
  "permissions": {"retry_after": true, "max_retry_after_us": 5000000},
  "rules": {"tip_multiple": 5.0, "drain_grace_us": 200000}, "servers": 1}"#;
 
+/// Error code of a request that was rejected and never ran.
+const REJECTED: i64 = -32002;
+
 struct Place {
     binary: PathBuf,
     folder: PathBuf,
@@ -100,83 +104,117 @@
     )
 }
 
-/// Where each try stood when the server was killed, and what its repeat heard.
+/// What the attempts of one or more histories were answered.
 #[derive(Default)]
 struct Tally {
-    answered: u32,
-    unanswered: u32,
-    repeats_done: u32,
-    repeats_errored: u32,
-    repeats_shed: u32,
-    broken: Vec<String>,
+    first_answered: u32,
+    first_unanswered: u32,
+    retries_completed: u32,
+    retries_failed: u32,
+    retries_rejected: u32,
+    /// One line for each violated guarantee.
+    violations: Vec<String>,
 }
 
-fn history(binary: &Path, seed: u64) -> Tally {
-    let place = Place::new(binary, Some("grouped"), (2.0, 12.0), seed);
-    let mut chance = oorandom::Rand64::new(u128::from(seed));
-    let mut tally = Tally::default();
-    let keys: Vec<u64> = (0..6).map(|_| chance.rand_u64()).collect();
-    let mut done = vec![false; keys.len()];
-    let mut next = 1;
-    // Two lives that are killed, and one that is not.
-    for life in 0..3 {
-        let server = place.live();
+impl Tally {
+    fn add(&mut self, other: Tally) {
+        self.first_answered += other.first_answered;
+        self.first_unanswered += other.first_unanswered;
+        self.retries_completed += other.retries_completed;
+        self.retries_failed += other.retries_failed;
+        self.retries_rejected += other.retries_rejected;
+        self.violations.extend(other.violations);
+    }
+}
+
+/// A server that is killed while it books, restarted, and sent each request again.
+struct History {
+    place: Place,
+    seed: u64,
+    random: oorandom::Rand64,
+    keys: Vec<u64>,
+    /// Whether the request of each key has had a result.
+    completed: Vec<bool>,
+    next_id: u64,
+    tally: Tally,
+}
+
+impl History {
+    fn new(binary: &Path, seed: u64) -> History {
+        let mut random = oorandom::Rand64::new(u128::from(seed));
+        let keys: Vec<u64> = (0..6).map(|_| random.rand_u64()).collect();
+        History {
+            place: Place::new(binary, Some("grouped"), (2.0, 12.0), seed),
+            seed,
+            random,
+            completed: vec![false; keys.len()],
+            keys,
+            next_id: 1,
+            tally: Tally::default(),
+        }
+    }
+
+    /// Plays two incarnations that are killed, and one that is not.
+    fn play(mut self) -> Tally {
+        for incarnation in 0..3 {
+            self.play_incarnation(incarnation);
+        }
+        let keys = self.keys.len() as u32;
+        self.tally.first_unanswered = keys - self.tally.first_answered.min(keys);
+        for (body, runs) in self.place.engine.ran().bodies {
+            if runs > 1 {
+                let violation = format!("seed {}: {body} was booked {runs} times", self.seed);
+                self.tally.violations.push(violation);
+            }
+        }
+        self.tally
+    }
+
+    fn play_incarnation(&mut self, incarnation: u32) {
+        let server = self.place.live();
         let mut peer = Peer::new(TcpStream::connect(server.address).expect("a connection"));
-        let first = next;
-        for key in &keys {
-            peer.say(&line(next, next + seed * 1_000, *key));
-            next += 1;
+        let first_id = self.next_id;
+        for key in &self.keys {
+            peer.say(&line(self.next_id, self.next_id + self.seed * 1_000, *key));
+            self.next_id += 1;
         }
-        if life < 2 {
-            std::thread::sleep(Duration::from_micros(chance.rand_range(0..45_000)));
+        if incarnation < 2 {
+            let delay_micros = self.random.rand_range(0..45_000);
+            std::thread::sleep(Duration::from_micros(delay_micros));
             server.signal("-KILL");
         }
-        for _ in 0..keys.len() {
+        for _ in 0..self.keys.len() {
             let mut text = String::new();
             if std::io::BufRead::read_line(&mut peer.0, &mut text).unwrap_or(0) == 0 {
                 break;
             }
-            let said: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
-            let Some(id) = said["id"].as_u64() else {
-                continue;
-            };
-            let at = (id - first) as usize;
-            match said["error"]["code"].as_i64() {
-                None => {
-                    tally.repeats_done += u32::from(life > 0);
-                    done[at] = true;
-                }
-                Some(-32002) => {
-                    tally.repeats_shed += u32::from(life > 0);
-                    if done[at] {
-                        tally
-                            .broken
-                            .push(format!("seed {seed}: a done key was shed"));
-                    }
-                }
-                Some(_) => {
-                    tally.repeats_errored += u32::from(life > 0);
-                    if done[at] {
-                        tally
-                            .broken
-                            .push(format!("seed {seed}: a done key was errored"));
-                    }
-                }
-            }
-            if life == 0 {
-                tally.answered += 1;
+            let answer: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
+            if let Some(id) = answer["id"].as_u64() {
+                let error = answer["error"]["code"].as_i64();
+                self.count_answer((id - first_id) as usize, error, incarnation > 0);
             }
         }
     }
-    tally.unanswered = keys.len() as u32 - tally.answered.min(keys.len() as u32);
-    for (body, runs) in place.engine.ran().bodies {
-        if runs > 1 {
-            tally
-                .broken
-                .push(format!("seed {seed}: {body} was booked {runs} times"));
+
+    /// Counts one answer; `error` is its error code if it has no result.
+    fn count_answer(&mut self, key_index: usize, error: Option<i64>, is_retry: bool) {
+        let count = match error {
+            None => &mut self.tally.retries_completed,
+            Some(REJECTED) => &mut self.tally.retries_rejected,
+            Some(_) => &mut self.tally.retries_failed,
+        };
+        *count += u32::from(is_retry);
+        self.tally.first_answered += u32::from(!is_retry);
+        match error {
+            None => self.completed[key_index] = true,
+            Some(_) if !self.completed[key_index] => {}
+            Some(code) => {
+                let outcome = if code == REJECTED { "shed" } else { "errored" };
+                let violation = format!("seed {}: a done key was {outcome}", self.seed);
+                self.tally.violations.push(violation);
+            }
         }
     }
-    tally
 }
 
 fn cost(binary: &Path, sync: Option<&str>, rate: f64) {
@@ -277,7 +315,7 @@
     let binary = PathBuf::from(
         std::env::var("MADDERBAY").unwrap_or_else(|_| "target/release/madderbay".into()),
     );
-    // First, since the stand-ins of the histories stay until the end.
+    // The cost comes first, because the fakes of the histories stay until the end.
     for rate in [50.0, 200.0, 1_000.0] {
         for sync in [None, Some("grouped"), Some("each")] {
             cost(&binary, sync, rate);
@@ -286,38 +324,41 @@
     [1_000, 10_000, 100_000]
         .into_iter()
         .for_each(|keys| recovery(&binary, keys));
-    let mut all = Tally::default();
+    report_histories(&binary, histories);
+}
+
+/// Plays histories in four threads and prints what came of all of them.
+fn report_histories(binary: &Path, histories: u64) {
     let seeds: Vec<u64> = (1..=histories).collect();
-    let found: Vec<Tally> = std::thread::scope(|scope| {
-        let parts: Vec<_> = seeds
+    let mut all = Tally::default();
+    std::thread::scope(|scope| {
+        let threads: Vec<_> = seeds
             .chunks(seeds.len().div_ceil(4))
-            .map(|part| {
-                let binary = &binary;
-                scope.spawn(move || part.iter().map(|s| history(binary, *s)).collect::<Vec<_>>())
-            })
+            .map(|seeds| scope.spawn(move || play_histories(binary, seeds)))
             .collect();
-        parts
-            .into_iter()
-            .flat_map(|p| p.join().expect("played"))
-            .collect()
+        for thread in threads {
+            all.add(thread.join().expect("played"));
+        }
     });
-    for t in found {
-        all.answered += t.answered;
-        all.unanswered += t.unanswered;
-        all.repeats_done += t.repeats_done;
-        all.repeats_errored += t.repeats_errored;
-        all.repeats_shed += t.repeats_shed;
-        all.broken.extend(t.broken);
-    }
     println!(
         "{histories} histories of 6 keys and 2 kills: first tries answered {}, not {}; repeats done {}, \
          errored {}, shed {}; broken: {}",
-        all.answered,
-        all.unanswered,
-        all.repeats_done,
-        all.repeats_errored,
-        all.repeats_shed,
-        all.broken.len()
+        all.first_answered,
+        all.first_unanswered,
+        all.retries_completed,
+        all.retries_failed,
+        all.retries_rejected,
+        all.violations.len()
     );
-    all.broken.iter().take(10).for_each(|b| println!("  {b}"));
+    for violation in all.violations.iter().take(10) {
+        println!("  {violation}");
+    }
+}
+
+fn play_histories(binary: &Path, seeds: &[u64]) -> Tally {
+    let mut tally = Tally::default();
+    for seed in seeds {
+        tally.add(History::new(binary, *seed).play());
+    }
+    tally
 }
