--- a/crates/idempotency-store/src/record.rs
+++ b/crates/idempotency-store/src/record.rs
@@ -1,13 +1,16 @@
 //! The records of the log and their encoding. All numbers are little-endian.
 //!
 //! ```text
-//! record       length:u32 checksum:u32 | kind:u8 payload   both of kind and payload; CRC-32C
-//! intent 1     key:16 request_hash:u64 expires_at:u64 attempt_id:16   Unix microseconds
-//! completed 2  key:16 result                               the result as the run returned it
-//! no result 3  key:16                                      the run ended, its result is unavailable
-//! not run 4    key:16                                      the run was never sent or never started
+//! record       length:u32 checksum:u32 | kind:u8 payload
+//! intent 1     key:16 request_hash:u64 expires_at:u64 attempt_id:16
+//! completed 2  key:16 result
+//! no result 3  key:16
+//! not run 4    key:16
 //! ```
 //!
+//! Length and checksum (CRC-32C) are those of kind and payload together. Times are in Unix
+//! microseconds. A result is stored as the run returned it.
+//!
 //! This module owns the encoding of one record. It does no I/O.
 
 /// Identifies an idempotent request; the same for all its attempts.
--- a/crates/idempotency-store/src/segment.rs
+++ b/crates/idempotency-store/src/segment.rs
@@ -1,9 +1,11 @@
 //! The files of the log: their names, their headers and the records after the header.
 //!
 //! ```text
-//! segment   "MBKEPT" version:u16 checksum:u32 | record*    checksum: CRC-32C of the bytes before it
+//! segment   "MBKEPT" version:u16 checksum:u32 | record*
 //! ```
 //!
+//! The checksum is the CRC-32C of the bytes before it. All numbers are little-endian.
+//!
 //! This module owns the layout of a segment. It is given bytes and does no I/O.
 
 use crate::record::Record;
