--- a/crates/idempotency-store/tests/store/commit_failures.rs
+++ b/crates/idempotency-store/tests/store/commit_failures.rs
@@ -1,7 +1,7 @@
 //! Commits on a full or failing storage.
 
 use crate::support::{RETENTION_MICROS, completed, intent, log_with, open};
-use madderbay_idempotency_store::storage::CrashEffect;
+use madderbay_idempotency_store::storage::{CrashEffect, Storage};
 
 #[test]
 fn commits_a_batch_with_one_sync() {
@@ -35,3 +35,19 @@
     let runs = open(log.storage().after_crash(|_, _| CrashEffect::Lost), 7).1;
     assert!(runs.contains_key(&1) && runs.contains_key(&4) && !runs.contains_key(&2));
 }
+
+#[test]
+fn removes_segment_of_failed_commit_once_expired() {
+    let mut log = log_with(&[]);
+    let empty_segments = log.storage().list().expect("listed");
+    log.storage_mut().fail_after(Some(1));
+    assert!(log.commit(3, &[intent(1, RETENTION_MICROS)]).is_err());
+    log.storage_mut().fail_after(None);
+    assert!(log.size_bytes() > 0);
+
+    log.remove_expired_segments(RETENTION_MICROS);
+    assert_eq!(log.storage().list().expect("listed"), empty_segments);
+    log.remove_expired_segments(RETENTION_MICROS + 1);
+    assert!(log.storage().list().expect("listed").is_empty());
+    assert_eq!(log.size_bytes(), 0);
+}
--- a/crates/idempotency-store/tests/store/durable_results.rs
+++ b/crates/idempotency-store/tests/store/durable_results.rs
@@ -89,6 +89,29 @@
     assert_eq!(results.lookup(1, HASH_OF_KEY_1), completed_lookup("one"));
 }
 
+#[test]
+fn returns_results_up_to_the_committed_number_only() {
+    let other_attempt = [b'b'; 16];
+    let other = Record::Intent {
+        key: 2,
+        request_hash: 2,
+        expires_at_micros: RETENTION_MICROS,
+        attempt_id: other_attempt,
+    };
+    let entries = [intent(1, RETENTION_MICROS), entry(other, RETENTION_MICROS)];
+    let mut results = recovered(&entries);
+    assert!(results.complete_recovered_run(ATTEMPT, Some(b"one")));
+    let first = results.take_batch().expect("records to commit");
+    assert!(results.complete_recovered_run(&other_attempt, Some(b"two")));
+    let second = results.take_batch().expect("records to commit");
+
+    results.on_committed(first.last, 0);
+    assert_eq!(results.lookup(1, HASH_OF_KEY_1), completed_lookup("one"));
+    assert_eq!(results.lookup(2, 2), Lookup::NoResult);
+    results.on_committed(second.last, 0);
+    assert_eq!(results.lookup(2, 2), completed_lookup("two"));
+}
+
 #[test]
 fn drops_result_of_recovered_run_if_its_commit_fails() {
     let mut results = recovered(&[intent(1, RETENTION_MICROS)]);
