Concurrency: the example in the crate's documentation uses the new names

The renames of public names left the doc test with names that are gone, so it did not compile. It names the stage and the method as they are called now.

--- a/crates/concurrency/src/lib.rs
+++ b/crates/concurrency/src/lib.rs
@@ -12,7 +12,7 @@
 //! let plan = ConcurrencyConfig { pools: vec![pool("a", vec![0]), pool("b", vec![1])], ..ConcurrencyConfig::default() };
 //! let mut pools = ConcurrencyLimiter::new(Timestamp::from_micros(0), 7, plan, &[kind(CallRequirement::Never), kind(CallRequirement::Never)]);
 //! // Nobody wants b's places: a may have all four.
-//! pools.stage(Timestamp::from_micros(1), 1, 0, RequestStage::Held);
+//! pools.set_stage(Timestamp::from_micros(1), 1, 0, RequestStage::Queued);
 //! assert_eq!(pools.ceilings(Timestamp::from_micros(1), 4.0)[1].runs, 4);
 //! ```
 
