--- a/crates/concurrency/examples/ways.rs
+++ b/crates/concurrency/examples/ways.rs
@@ -1,7 +1,7 @@
 //! The ways to limit calls that `docs/notes/pools.md` weighs, played against the same simulated world:
 //! `cargo run --release -p madderbay-concurrency --example ways`.
 
-#[path = "../tests/model/mod.rs"]
+#[path = "../tests/concurrency/model/mod.rs"]
 mod model;
 
 use madderbay::time::{Duration, Timestamp};
--- a/crates/concurrency/tests/limit.rs
+++ b/crates/concurrency/tests/concurrency/limit.rs
@@ -1,10 +1,8 @@
 //! The limit on calls against what lies below in simulated time: slow, failing, silent, cold, shared, noisy.
 
-mod model;
-
+use crate::model::{Fixed, Mode, Seen, Way, World, at, play};
 use madderbay::time::Duration;
 use madderbay_concurrency::limit::{Completion, Limit};
-use model::{Fixed, Mode, Seen, Way, World, at, play};
 use proptest::prelude::*;
 
 const MOST: f64 = 12.0;
--- /dev/null
+++ b/crates/concurrency/tests/concurrency/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the concurrency limiter.
+
+mod limit;
+mod model;
+mod pools;
