--- a/crates/concurrency/tests/concurrency/main.rs
+++ b/crates/concurrency/tests/concurrency/main.rs
@@ -3,3 +3,4 @@
 mod limit;
 mod model;
 mod pools;
+mod reference_run;
