Concurrency: the adaptive limit's public names in the field's words

Limit becomes AdaptiveLimit, Ticket becomes Permit, Cause becomes AdjustmentCause; acquire and release, in flight, minimum latency, saturation.

--- a/crates/concurrency/examples/ways.rs
+++ b/crates/concurrency/examples/ways.rs
@@ -5,7 +5,7 @@
 mod model;
 
 use madderbay::time::{Duration, Timestamp};
-use madderbay_concurrency::limit::{Completion, Limit, Ticket};
+use madderbay_concurrency::limit::{AdaptiveLimit, Completion, Permit};
 use model::{Fixed, Mode, Way, World, play};
 
 /// Additive increase, multiplicative decrease: grows by one over the limit for each call in twice the best
@@ -24,7 +24,7 @@
     fn over(
         &mut self,
         now: Timestamp,
-        _: Option<Ticket>,
+        _: Option<Permit>,
         end: Completion,
         took: Duration,
         _: usize,
@@ -58,7 +58,7 @@
     fn over(
         &mut self,
         _: Timestamp,
-        _: Option<Ticket>,
+        _: Option<Permit>,
         end: Completion,
         took: Duration,
         out: usize,
@@ -91,7 +91,7 @@
     fn level(&self) -> f64 {
         self.level
     }
-    fn over(&mut self, _: Timestamp, _: Option<Ticket>, end: Completion, took: Duration, _: usize) {
+    fn over(&mut self, _: Timestamp, _: Option<Permit>, end: Completion, took: Duration, _: usize) {
         if end == Completion::Failure {
             return;
         }
@@ -141,7 +141,7 @@
     fn level(&self) -> f64 {
         self.allowed() as f64
     }
-    fn made(&mut self, now: Timestamp) -> Option<Ticket> {
+    fn made(&mut self, now: Timestamp) -> Option<Permit> {
         self.count(now);
         self.out += 1;
         None
@@ -149,7 +149,7 @@
     fn over(
         &mut self,
         now: Timestamp,
-        _: Option<Ticket>,
+        _: Option<Permit>,
         end: Completion,
         took: Duration,
         _: usize,
@@ -208,7 +208,12 @@
         ("account", Box::new(account)),
         (
             "on trial",
-            Box::new(Limit::new(start, 1, most, Duration::from_millis(200))),
+            Box::new(AdaptiveLimit::new(
+                start,
+                1,
+                most,
+                Duration::from_millis(200),
+            )),
         ),
     ]
 }
--- a/crates/concurrency/src/lib.rs
+++ b/crates/concurrency/src/lib.rs
@@ -19,7 +19,7 @@
 pub mod limit;
 pub mod share;
 
-use limit::{Cause, Completion, Limit, Ticket};
+use limit::{AdaptiveLimit, AdjustmentCause, Completion, Permit};
 use madderbay::interface::Ceiling;
 use madderbay::time::{Duration, Timestamp};
 use share::Want;
@@ -144,7 +144,7 @@
     handler: usize,
     stage: RequestStage,
     started: Timestamp,
-    ticket: Option<Ticket>,
+    ticket: Option<Permit>,
     /// It was answered long ago, stands at a call, and the engine does not end it: it takes no place.
     hung: bool,
 }
@@ -205,7 +205,7 @@
     handlers: Vec<usize>,
     /// Of the share of all.
     part: f64,
-    limit: Limit,
+    limit: AdaptiveLimit,
 }
 
 pub struct ConcurrencyLimiter {
@@ -261,7 +261,8 @@
         }
         let of = |(at, (handlers, part)): (usize, (Vec<usize>, f64))| {
             let most = (plan.call_quota.unwrap_or(0.0) * part).max(SHARE_SMALL);
-            let limit = Limit::new(now, seed + at as u64, most, plan.abandoned_call_lifetime);
+            let limit =
+                AdaptiveLimit::new(now, seed + at as u64, most, plan.abandoned_call_lifetime);
             Below {
                 handlers,
                 part,
@@ -322,16 +323,16 @@
         // A call that was out and is not told of ended for reasons of this side's own.
         let mut limit = limit_of(&mut self.limits, req.handler);
         if let (Some(limit), Some(ticket)) = (&mut limit, req.ticket.take()) {
-            limit.over(now, ticket, Completion::Cancelled, false);
+            limit.release(now, ticket, Completion::Cancelled, false);
         }
         req.stage = stage;
         match stage {
-            RequestStage::Calling => req.ticket = limit.map(|l| l.made(now)),
+            RequestStage::Calling => req.ticket = limit.map(|l| l.acquire(now)),
             RequestStage::AwaitingCall => {
                 if let Some(limit) = limit
-                    && limit.out() >= limit.allowed()
+                    && limit.in_flight() >= limit.allowed_in_flight()
                 {
-                    limit.wanted();
+                    limit.record_saturation();
                 }
             }
             RequestStage::Queued | RequestStage::Running => {}
@@ -341,7 +342,7 @@
     /// Another share of what lies below, in calls in hand.
     pub fn set_call_quota(&mut self, share: f64) {
         for below in &mut self.limits {
-            below.limit.set_most((share * below.part).max(SHARE_SMALL));
+            below.limit.set_max((share * below.part).max(SHARE_SMALL));
             self.changed = true;
         }
     }
@@ -364,8 +365,8 @@
         if let (Some(limit), Some(ticket)) =
             (limit_of(&mut self.limits, req.handler), req.ticket.take())
         {
-            let held_up = self.held_up.is_some_and(|t| t >= ticket.at());
-            limit.over(now, ticket, end, held_up);
+            let held_up = self.held_up.is_some_and(|t| t >= ticket.started_at());
+            limit.release(now, ticket, end, held_up);
         }
         let stage = if end == Completion::Success {
             RequestStage::Running
@@ -446,7 +447,10 @@
 
     /// The limit on calls and how many are in hand; nothing where calls have none.
     pub fn calls(&self) -> Option<(f64, usize)> {
-        let each = self.limits.iter().map(|b| (b.limit.level(), b.limit.out()));
+        let each = self
+            .limits
+            .iter()
+            .map(|b| (b.limit.limit(), b.limit.in_flight()));
         each.reduce(|sum, l| (sum.0 + l.0, sum.1 + l.1))
     }
 
@@ -454,7 +458,7 @@
     pub fn limits(&self) -> impl Iterator<Item = (&[usize], f64, usize)> {
         self.limits
             .iter()
-            .map(|b| (b.handlers.as_slice(), b.limit.level(), b.limit.out()))
+            .map(|b| (b.handlers.as_slice(), b.limit.limit(), b.limit.in_flight()))
     }
 
     /// Each pool's name, reqs held, runs, calls out, and its ceilings of both.
@@ -505,7 +509,7 @@
         let each: Vec<(Vec<usize>, usize)> = self
             .limits
             .iter()
-            .map(|b| (b.handlers.clone(), b.limit.allowed()))
+            .map(|b| (b.handlers.clone(), b.limit.allowed_in_flight()))
             .collect();
         let below = each
             .iter()
@@ -547,14 +551,14 @@
     fn judge(&mut self, now: Timestamp) {
         for Below { limit, .. } in &mut self.limits {
             if !self.plan.adaptive {
-                limit.pass(now);
+                limit.expire_abandoned_calls(now);
             } else if let Some((from, cause)) = limit.tick(now) {
                 self.changes += 1;
                 if self.told.len() < TOLD_MOST {
-                    let to = if cause == Cause::Resting {
+                    let to = if cause == AdjustmentCause::CircuitOpened {
                         0.0
                     } else {
-                        limit.level()
+                        limit.limit()
                     };
                     self.told.push(LimitChange {
                         from,
@@ -773,7 +777,7 @@
 }
 
 /// The limit that a handler's calls are under.
-fn limit_of(limits: &mut [Below], handler: usize) -> Option<&mut Limit> {
+fn limit_of(limits: &mut [Below], handler: usize) -> Option<&mut AdaptiveLimit> {
     limits
         .iter_mut()
         .find(|b| b.handlers.contains(&handler))
--- a/crates/concurrency/src/limit.rs
+++ b/crates/concurrency/src/limit.rs
@@ -93,43 +93,45 @@
 
 /// Why a limit changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Cause {
+pub enum AdjustmentCause {
     /// Calls wait for each other below: a cut on trial.
-    Crowded,
+    Queueing,
     /// The cut changed nothing: calls take longer now, and the limit is what it was.
-    Slower,
+    ProbeReverted,
     /// Wanted, and borne.
-    Wanted,
-    Failing,
-    Silent,
+    Demand,
+    Failures,
+    Silence,
     /// Nothing goes well: no calls for a while, then one.
-    Resting,
-    Tried,
+    CircuitOpened,
+    CircuitHalfOpen,
 }
 
-impl Cause {
+impl AdjustmentCause {
     pub fn told(self) -> &'static str {
         match self {
-            Cause::Crowded => "calls wait for each other below",
-            Cause::Slower => "a cut did not make calls quicker: they take longer now",
-            Cause::Wanted => "wanted, and borne",
-            Cause::Failing => "calls fail",
-            Cause::Silent => "calls do not come back",
-            Cause::Resting => "nothing goes well; rests",
-            Cause::Tried => "a call is tried after a rest",
+            AdjustmentCause::Queueing => "calls wait for each other below",
+            AdjustmentCause::ProbeReverted => {
+                "a cut did not make calls quicker: they take longer now"
+            }
+            AdjustmentCause::Demand => "wanted, and borne",
+            AdjustmentCause::Failures => "calls fail",
+            AdjustmentCause::Silence => "calls do not come back",
+            AdjustmentCause::CircuitOpened => "nothing goes well; rests",
+            AdjustmentCause::CircuitHalfOpen => "a call is tried after a rest",
         }
     }
 }
 
 /// One call in hand: when it was made, and how many were in hand then.
 #[derive(Clone, Copy, Debug)]
-pub struct Ticket {
+pub struct Permit {
     at: Timestamp,
     among: usize,
 }
 
-impl Ticket {
-    pub fn at(&self) -> Timestamp {
+impl Permit {
+    pub fn started_at(&self) -> Timestamp {
         self.at
     }
 }
@@ -192,7 +194,7 @@
     Trying { next: Duration },
 }
 
-pub struct Limit {
+pub struct AdaptiveLimit {
     most: f64,
     now: f64,
     /// The time of a call that waits for no other, in seconds; nothing before the first was seen.
@@ -223,12 +225,12 @@
     chance: oorandom::Rand64,
 }
 
-impl Limit {
+impl AdaptiveLimit {
     /// `most`: never more than that in hand; it begins there. `linger`: what is given up on may go on below
     /// for that long.
-    pub fn new(now: Timestamp, seed: u64, most: f64, linger: Duration) -> Limit {
+    pub fn new(now: Timestamp, seed: u64, most: f64, linger: Duration) -> AdaptiveLimit {
         let most = most.max(1.0);
-        Limit {
+        AdaptiveLimit {
             most,
             now: most,
             base: None,
@@ -255,7 +257,7 @@
     }
 
     /// Another most. One that stood at its most stays there; nothing was learnt against it.
-    pub fn set_most(&mut self, most: f64) {
+    pub fn set_max(&mut self, most: f64) {
         let most = most.max(1.0);
         if self.now >= self.most {
             (self.now, self.borne) = (most, most);
@@ -265,22 +267,22 @@
     }
 
     /// The limit itself, in calls.
-    pub fn level(&self) -> f64 {
+    pub fn limit(&self) -> f64 {
         self.now
     }
 
     /// Calls in hand.
-    pub fn out(&self) -> usize {
+    pub fn in_flight(&self) -> usize {
         self.out
     }
 
     /// The time that a call takes which waits for no other.
-    pub fn base(&self) -> Option<f64> {
+    pub fn minimum_latency_secs(&self) -> Option<f64> {
         self.base
     }
 
     /// How many calls may be in hand now, those in hand included.
-    pub fn allowed(&self) -> usize {
+    pub fn allowed_in_flight(&self) -> usize {
         match self.health {
             Health::Resting { .. } => 0,
             Health::Trying { .. } => 1 + self.more,
@@ -294,23 +296,23 @@
     }
 
     /// A call is made.
-    pub fn made(&mut self, now: Timestamp) -> Ticket {
+    pub fn acquire(&mut self, now: Timestamp) -> Permit {
         self.out += 1;
         self.moved = now;
         self.usual = self.usual.max(self.out as f64);
-        Ticket {
+        Permit {
             at: now,
             among: self.out + self.lingering.len(),
         }
     }
 
     /// A call was wanted that the limit forbade.
-    pub fn wanted(&mut self) {
+    pub fn record_saturation(&mut self) {
         self.epoch.full = true;
     }
 
     /// A call ended. `held_up`: it met a pause of this process, so that its time says nothing.
-    pub fn over(&mut self, now: Timestamp, ticket: Ticket, end: Completion, held_up: bool) {
+    pub fn release(&mut self, now: Timestamp, ticket: Permit, end: Completion, held_up: bool) {
         self.out = self.out.saturating_sub(1);
         self.moved = now;
         if matches!(end, Completion::TimedOut | Completion::Cancelled)
@@ -345,7 +347,7 @@
     }
 
     /// Few in hand that take long tell that the cause is not their number.
-    fn sparse(&mut self, now: Timestamp, ticket: Ticket, secs: f64) {
+    fn sparse(&mut self, now: Timestamp, ticket: Permit, secs: f64) {
         if ticket.among as f64 > (self.now.min(self.usual) * 0.5).max(1.0) {
             return;
         }
@@ -364,15 +366,15 @@
     }
 
     /// Time passes, and nothing is judged: the limit stays at its most.
-    pub fn pass(&mut self, now: Timestamp) {
+    pub fn expire_abandoned_calls(&mut self, now: Timestamp) {
         while self.lingering.front().is_some_and(|t| *t <= now) {
             self.lingering.pop_front();
         }
     }
 
     /// Time passes: judges what was seen, once that is enough. Tells from where the limit changed, and why.
-    pub fn tick(&mut self, now: Timestamp) -> Option<(f64, Cause)> {
-        self.pass(now);
+    pub fn tick(&mut self, now: Timestamp) -> Option<(f64, AdjustmentCause)> {
+        self.expire_abandoned_calls(now);
         if now < self.epoch.since {
             // The clock stepped back: what was seen is judged by the new time.
             self.epoch = Epoch::from(now);
@@ -383,9 +385,9 @@
         {
             self.health = Health::Trying { next };
             self.epoch = Epoch::from(now);
-            return Some((0.0, Cause::Tried));
+            return Some((0.0, AdjustmentCause::CircuitHalfOpen));
         }
-        if self.out >= self.allowed()
+        if self.out >= self.allowed_in_flight()
             && self.out > 0
             && now - self.moved >= HUNG
             && self.more < HUNG_MORE
@@ -411,11 +413,14 @@
         let before = self.now;
         let cause = self.judge(now, &epoch)?;
         self.now = self.now.clamp(1.0, self.most);
-        let kept = matches!(cause, Cause::Resting | Cause::Slower);
+        let kept = matches!(
+            cause,
+            AdjustmentCause::CircuitOpened | AdjustmentCause::ProbeReverted
+        );
         (self.now != before || kept).then_some((before, cause))
     }
 
-    fn judge(&mut self, now: Timestamp, e: &Epoch) -> Option<Cause> {
+    fn judge(&mut self, now: Timestamp, e: &Epoch) -> Option<AdjustmentCause> {
         if f64::from(e.bad) > FAILING * f64::from(e.ends()) {
             return Some(self.failing(now, e));
         }
@@ -427,7 +432,7 @@
                 return None;
             }
             self.now *= SILENT_KEEPS;
-            return Some(Cause::Silent);
+            return Some(AdjustmentCause::Silence);
         }
         self.silent = 0;
         let (secs, error) = e.time();
@@ -468,11 +473,11 @@
             });
             let part = (TRIAL_ROOM * base / secs).clamp(TRIAL_DEEP, TRIAL_FLAT);
             self.now = (self.now.min(among.max(1.0)) * part).max(1.0);
-            return Some(Cause::Crowded);
+            return Some(AdjustmentCause::Queueing);
         }
         if e.full && self.now < self.borne {
             self.now = (self.now * REGROW).min(self.borne);
-            return Some(Cause::Wanted);
+            return Some(AdjustmentCause::Demand);
         }
         self.few_asks = if e.full && queue < few {
             self.few_asks + 1
@@ -488,7 +493,7 @@
             };
             self.now += (self.now * part).max(GROW_LEAST);
             self.borne = self.borne.max(self.now.min(self.most));
-            return Some(Cause::Wanted);
+            return Some(AdjustmentCause::Demand);
         }
         None
     }
@@ -500,7 +505,7 @@
         trial: &Trial,
         (secs, error): (f64, f64),
         among: f64,
-    ) -> Option<Cause> {
+    ) -> Option<AdjustmentCause> {
         let if_queued = trial.secs * (among / trial.among).min(1.0);
         let fallen = trial.secs - secs - (error * error + trial.error * trial.error).sqrt();
         if fallen >= TRIAL_PROOF * (trial.secs - if_queued) && among < trial.among {
@@ -516,10 +521,10 @@
             now + self.calm.1,
             (self.calm.1 + self.calm.1).min(CALM_MOST),
         );
-        Some(Cause::Slower)
+        Some(AdjustmentCause::ProbeReverted)
     }
 
-    fn failing(&mut self, now: Timestamp, e: &Epoch) -> Cause {
+    fn failing(&mut self, now: Timestamp, e: &Epoch) -> AdjustmentCause {
         self.trial = None;
         self.fails += 1;
         self.now = (self.now * FAIL_KEEPS).max(1.0);
@@ -536,8 +541,8 @@
                 until,
                 next: (rest + rest).min(REST_MOST),
             };
-            return Cause::Resting;
+            return AdjustmentCause::CircuitOpened;
         }
-        Cause::Failing
+        AdjustmentCause::Failures
     }
 }
--- a/crates/concurrency/tests/concurrency/limit.rs
+++ b/crates/concurrency/tests/concurrency/limit.rs
@@ -2,15 +2,15 @@
 
 use crate::model::{Fixed, Mode, Seen, Way, World, at, play};
 use madderbay::time::Duration;
-use madderbay_concurrency::limit::{Completion, Limit};
+use madderbay_concurrency::limit::{AdaptiveLimit, Completion};
 use proptest::prelude::*;
 
 const MOST: f64 = 12.0;
 const TROUBLE: u64 = 5_000;
 const OVER: u64 = 13_000;
 
-fn limit(most: f64) -> Limit {
-    Limit::new(at(0), 7, most, Duration::from_millis(200))
+fn limit(most: f64) -> AdaptiveLimit {
+    AdaptiveLimit::new(at(0), 7, most, Duration::from_millis(200))
 }
 
 fn with(mode: Mode) -> World {
@@ -195,24 +195,24 @@
 #[test]
 fn floored_at_one_with_its_only_call_hanging() {
     let mut limit = limit(1.0);
-    let first = limit.made(at(0));
+    let first = limit.acquire(at(0));
     for ms in (10..990).step_by(10) {
         limit.tick(at(ms));
-        assert_eq!(limit.allowed(), 1, "at {ms} ms");
+        assert_eq!(limit.allowed_in_flight(), 1, "at {ms} ms");
     }
     limit.tick(at(1_000));
-    assert_eq!(limit.allowed(), 2);
-    limit.made(at(1_000));
+    assert_eq!(limit.allowed_in_flight(), 2);
+    limit.acquire(at(1_000));
     for ms in (1_010..10_000).step_by(10) {
         limit.tick(at(ms));
         if ms == 2_500 {
-            limit.made(at(ms));
+            limit.acquire(at(ms));
         }
-        assert!(limit.allowed() <= 3);
+        assert!(limit.allowed_in_flight() <= 3);
     }
     // One that comes back well ends the exception.
-    limit.over(at(10_000), first, Completion::Success, false);
-    assert_eq!(limit.allowed(), 1);
+    limit.release(at(10_000), first, Completion::Success, false);
+    assert_eq!(limit.allowed_in_flight(), 1);
 }
 
 /// Calls that met a pause of this process, or whose reqs waited for a core, tell nothing of what lies below.
@@ -221,37 +221,37 @@
     let mut limit = limit(8.0);
     for n in 0..400u64 {
         let now = n * 20;
-        let ticket = limit.made(at(now));
+        let ticket = limit.acquire(at(now));
         // Every call seems to take a second, since this process reads late.
-        limit.over(
+        limit.release(
             at(now + if n < 100 { 15 } else { 1_000 }),
             ticket,
             Completion::Success,
             n >= 100,
         );
-        limit.wanted();
+        limit.record_saturation();
         limit.tick(at(now + 19));
     }
-    assert_eq!(limit.level(), 8.0);
-    assert!(limit.base().expect("seen") < 0.016);
+    assert_eq!(limit.limit(), 8.0);
+    assert!(limit.minimum_latency_secs().expect("seen") < 0.016);
 }
 
 #[test]
 fn time_that_stands_still_or_steps_back() {
     let mut limit = limit(8.0);
     for _ in 0..200 {
-        let ticket = limit.made(at(5_000));
-        limit.over(at(5_000), ticket, Completion::Success, false);
+        let ticket = limit.acquire(at(5_000));
+        limit.release(at(5_000), ticket, Completion::Success, false);
         limit.tick(at(5_000));
     }
-    assert_eq!(limit.level(), 8.0);
+    assert_eq!(limit.limit(), 8.0);
     // An hour back: it goes on judging, by the new time.
     for ms in 0..4_000u64 {
-        let ticket = limit.made(at(ms));
-        limit.over(at(ms + 1), ticket, Completion::Failure, false);
+        let ticket = limit.acquire(at(ms));
+        limit.release(at(ms + 1), ticket, Completion::Failure, false);
         limit.tick(at(ms + 1));
     }
-    assert!(limit.level() < 8.0);
+    assert!(limit.limit() < 8.0);
 }
 
 #[derive(Clone, Debug)]
@@ -300,11 +300,11 @@
         let mut ms = 10_000i64;
         for step in steps {
             match step {
-                Step::Make if limit.out() < limit.allowed() => open.push(limit.made(at(ms as u64))),
-                Step::Make | Step::Want => limit.wanted(),
+                Step::Make if limit.in_flight() < limit.allowed_in_flight() => open.push(limit.acquire(at(ms as u64))),
+                Step::Make | Step::Want => limit.record_saturation(),
                 Step::End(n, end) if !open.is_empty() => {
                     let ticket = open.swap_remove(usize::from(n) % open.len());
-                    limit.over(at(ms as u64), ticket, end, false);
+                    limit.release(at(ms as u64), ticket, end, false);
                 }
                 Step::End(..) => {}
                 Step::Pass(by) => {
@@ -312,17 +312,17 @@
                     limit.tick(at(ms as u64));
                 }
             }
-            prop_assert_eq!(limit.out(), open.len());
-            prop_assert!(limit.level() >= 1.0 && limit.level() <= most.max(1.0));
-            prop_assert!(limit.allowed() <= most.max(1.0) as usize + 2);
+            prop_assert_eq!(limit.in_flight(), open.len());
+            prop_assert!(limit.limit() >= 1.0 && limit.limit() <= most.max(1.0));
+            prop_assert!(limit.allowed_in_flight() <= most.max(1.0) as usize + 2);
         }
         // Left alone, it lets a call go within two seconds.
         for ticket in open {
-            limit.over(at(ms as u64), ticket, Completion::Cancelled, false);
+            limit.release(at(ms as u64), ticket, Completion::Cancelled, false);
         }
         for more in (0..2_000).step_by(10) {
             limit.tick(at((ms + more) as u64));
         }
-        prop_assert!(limit.allowed() >= 1);
+        prop_assert!(limit.allowed_in_flight() >= 1);
     }
 }
--- a/crates/concurrency/tests/concurrency/model/mod.rs
+++ b/crates/concurrency/tests/concurrency/model/mod.rs
@@ -2,7 +2,7 @@
 //! they came; a seed gives all chance. For the tests of the limit and for `examples/ways.rs`.
 
 use madderbay::time::{Duration, Timestamp};
-use madderbay_concurrency::limit::{Completion, Limit, Ticket};
+use madderbay_concurrency::limit::{AdaptiveLimit, Completion, Permit};
 use std::collections::VecDeque;
 
 pub const STEP_MS: u64 = 1;
@@ -64,14 +64,14 @@
     fn allowed(&self) -> usize {
         self.level() as usize
     }
-    fn made(&mut self, _now: Timestamp) -> Option<Ticket> {
+    fn made(&mut self, _now: Timestamp) -> Option<Permit> {
         None
     }
     fn wanted(&mut self) {}
     fn over(
         &mut self,
         _now: Timestamp,
-        _ticket: Option<Ticket>,
+        _ticket: Option<Permit>,
         _end: Completion,
         _took: Duration,
         _out: usize,
@@ -89,31 +89,31 @@
     }
 }
 
-impl Way for Limit {
+impl Way for AdaptiveLimit {
     fn allowed(&self) -> usize {
-        Limit::allowed(self)
+        AdaptiveLimit::allowed_in_flight(self)
     }
     fn level(&self) -> f64 {
-        Limit::level(self)
+        AdaptiveLimit::limit(self)
     }
-    fn made(&mut self, now: Timestamp) -> Option<Ticket> {
-        Some(Limit::made(self, now))
+    fn made(&mut self, now: Timestamp) -> Option<Permit> {
+        Some(AdaptiveLimit::acquire(self, now))
     }
     fn wanted(&mut self) {
-        Limit::wanted(self);
+        AdaptiveLimit::record_saturation(self);
     }
     fn over(
         &mut self,
         now: Timestamp,
-        ticket: Option<Ticket>,
+        ticket: Option<Permit>,
         end: Completion,
         _took: Duration,
         _out: usize,
     ) {
-        Limit::over(self, now, ticket.expect("made here"), end, false);
+        AdaptiveLimit::release(self, now, ticket.expect("made here"), end, false);
     }
     fn tick(&mut self, now: Timestamp) {
-        Limit::tick(self, now);
+        AdaptiveLimit::tick(self, now);
     }
 }
 
@@ -154,7 +154,7 @@
 }
 
 struct Call {
-    ticket: Option<Ticket>,
+    ticket: Option<Permit>,
     at: u64,
     /// Work left, in ms at the usual speed; nothing once it is done.
     left: f64,
--- a/crates/concurrency/tests/concurrency/reference_run/mod.rs
+++ b/crates/concurrency/tests/concurrency/reference_run/mod.rs
@@ -5,7 +5,7 @@
 
 use crate::model::{Mode, World, at, play};
 use madderbay::time::{Duration, Timestamp};
-use madderbay_concurrency::limit::{Cause, Completion, Limit, Ticket};
+use madderbay_concurrency::limit::{AdaptiveLimit, AdjustmentCause, Completion, Permit};
 use madderbay_concurrency::{
     CallRequirement, ConcurrencyConfig, ConcurrencyLimiter, HandlerProfile, PoolConfig,
     RequestStage, Reserve,
@@ -25,27 +25,27 @@
     }
 }
 
-fn code(cause: Cause) -> &'static str {
+fn code(cause: AdjustmentCause) -> &'static str {
     match cause {
-        Cause::Crowded => "crowded",
-        Cause::Slower => "slower",
-        Cause::Wanted => "wanted",
-        Cause::Failing => "failing",
-        Cause::Silent => "silent",
-        Cause::Resting => "resting",
-        Cause::Tried => "tried",
+        AdjustmentCause::Queueing => "crowded",
+        AdjustmentCause::ProbeReverted => "slower",
+        AdjustmentCause::Demand => "wanted",
+        AdjustmentCause::Failures => "failing",
+        AdjustmentCause::Silence => "silent",
+        AdjustmentCause::CircuitOpened => "resting",
+        AdjustmentCause::CircuitHalfOpen => "tried",
     }
 }
 
 fn code_of(told: &str) -> &'static str {
     let all = [
-        Cause::Crowded,
-        Cause::Slower,
-        Cause::Wanted,
-        Cause::Failing,
-        Cause::Silent,
-        Cause::Resting,
-        Cause::Tried,
+        AdjustmentCause::Queueing,
+        AdjustmentCause::ProbeReverted,
+        AdjustmentCause::Demand,
+        AdjustmentCause::Failures,
+        AdjustmentCause::Silence,
+        AdjustmentCause::CircuitOpened,
+        AdjustmentCause::CircuitHalfOpen,
     ];
     code(all.into_iter().find(|c| c.told() == told).expect("known"))
 }
@@ -131,7 +131,7 @@
     let mut text = String::new();
     for (name, most, world) in worlds() {
         for seed in [3, 4] {
-            let mut limit = Limit::new(at(0), 7, most, Duration::from_millis(200));
+            let mut limit = AdaptiveLimit::new(at(0), 7, most, Duration::from_millis(200));
             let seen = play(
                 &World {
                     seed,
@@ -170,18 +170,18 @@
         let most = [1.0, 4.0, 8.0, 12.5, 40.0, 80.0][seed as usize];
         let linger = Duration::from_millis([0, 200, 50, 0, 400, 200][seed as usize]);
         let mut chance = oorandom::Rand64::new(u128::from(100 + seed));
-        let mut limit = Limit::new(at(0), seed, most, linger);
-        let mut open: Vec<Ticket> = vec![];
+        let mut limit = AdaptiveLimit::new(at(0), seed, most, linger);
+        let mut open: Vec<Permit> = vec![];
         let (mut ms, mut digest) = (20_000u64, Digest::new());
         writeln!(text, "limit {seed} of {most:?}").expect("a string takes every line");
         for n in 0..6_000u64 {
             let phase = (n / 750) % 4;
             let draw = chance.rand_float();
             if draw < 0.4 {
-                if limit.out() < limit.allowed() {
-                    open.push(limit.made(at(ms)));
+                if limit.in_flight() < limit.allowed_in_flight() {
+                    open.push(limit.acquire(at(ms)));
                 } else {
-                    limit.wanted();
+                    limit.record_saturation();
                 }
             } else if draw < 0.75 {
                 if !open.is_empty() {
@@ -195,10 +195,10 @@
                         _ if odd < 0.06 => Completion::Cancelled,
                         _ => Completion::Success,
                     };
-                    limit.over(at(ms), ticket, end, chance.rand_float() < 0.03);
+                    limit.release(at(ms), ticket, end, chance.rand_float() < 0.03);
                 }
             } else if draw < 0.752 {
-                limit.set_most(most * (0.5 + chance.rand_float()));
+                limit.set_max(most * (0.5 + chance.rand_float()));
             } else if draw < 0.7525 {
                 ms = ms.saturating_sub(chance.rand_range(0..1_500));
             } else {
@@ -208,16 +208,16 @@
                 writeln!(
                     text,
                     "{n} {from:?} {:?} {} {}",
-                    limit.level(),
+                    limit.limit(),
                     code(cause),
-                    limit.allowed()
+                    limit.allowed_in_flight()
                 )
                 .expect("a string takes every line");
             }
-            digest.add(limit.level().to_bits());
-            digest.add(limit.base().map_or(0, f64::to_bits));
-            digest.add(limit.allowed() as u64);
-            digest.add(limit.out() as u64);
+            digest.add(limit.limit().to_bits());
+            digest.add(limit.minimum_latency_secs().map_or(0, f64::to_bits));
+            digest.add(limit.allowed_in_flight() as u64);
+            digest.add(limit.in_flight() as u64);
         }
         writeln!(text, "end {:016x}", digest.0).expect("a string takes every line");
     }
