Concurrency: the adaptive limit split by concern

One file of 660 lines held the limit, its latency windows, the probes, the backoff and the count of calls, and judged all of them in one function of 60 lines. Each has a file and an owner of its own now: limit/window, limit/latency, limit/probe, limit/circuit_breaker, limit/in_flight; limit/change holds what goes in and out. Tuples became structs (LimitChange, LatencySummary, QueueEstimate), and the order of all arithmetic is as before. AdjustmentCause implements Display with the same texts.

--- a/crates/concurrency/src/lib.rs
+++ b/crates/concurrency/src/lib.rs
@@ -19,7 +19,9 @@
 pub mod limit;
 pub mod share;
 
-use limit::{AdaptiveLimit, AdjustmentCause, Completion, Permit};
+pub use limit::{AdjustmentCause, Completion, LimitChange};
+
+use limit::{AdaptiveLimit, Permit};
 use madderbay::interface::Ceiling;
 use madderbay::time::{Duration, Timestamp};
 use share::Want;
@@ -192,14 +194,6 @@
     }
 }
 
-/// A change worth a line in the log.
-#[derive(Clone, Debug, PartialEq)]
-pub struct LimitChange {
-    pub from: f64,
-    pub to: f64,
-    pub cause: &'static str,
-}
-
 /// The limit on the calls of some handlers.
 struct Below {
     handlers: Vec<usize>,
@@ -552,19 +546,10 @@
         for Below { limit, .. } in &mut self.limits {
             if !self.plan.adaptive {
                 limit.expire_abandoned_calls(now);
-            } else if let Some((from, cause)) = limit.tick(now) {
+            } else if let Some(change) = limit.tick(now) {
                 self.changes += 1;
                 if self.told.len() < TOLD_MOST {
-                    let to = if cause == AdjustmentCause::CircuitOpened {
-                        0.0
-                    } else {
-                        limit.limit()
-                    };
-                    self.told.push(LimitChange {
-                        from,
-                        to,
-                        cause: cause.told(),
-                    });
+                    self.told.push(change);
                 } else {
                     self.untold += 1;
                 }
--- /dev/null
+++ b/crates/concurrency/src/limit/change.rs
@@ -0,0 +1,62 @@
+//! What a limit is given and what it reports: how calls complete, and how the limit changes.
+
+use std::fmt;
+
+/// How a call completed, as far as it is evidence about the upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Completion {
+    /// The upstream answered; the latency of the call is a sample.
+    Success,
+    /// The upstream rejected the call, could not be reached or failed. The latency is not a sample.
+    Failure,
+    /// The caller stopped waiting; the call would have taken longer.
+    TimedOut,
+    /// The caller ended the call for reasons of its own; no evidence.
+    Cancelled,
+}
+
+/// Why a limit changed. `Display` gives the text of the log line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AdjustmentCause {
+    /// Calls seem to queue at the upstream: a probe lowers the limit.
+    Queueing,
+    /// The probe did not lower latency: the upstream is slower, and the limit is restored.
+    ProbeReverted,
+    /// Demand reached the limit, and the upstream sustains more.
+    Demand,
+    /// Most calls of a window failed.
+    Failures,
+    /// No call of the last windows was answered.
+    Silence,
+    /// The circuit breaker opened: no calls until its backoff ends.
+    CircuitOpened,
+    /// The backoff ended: one trial call is allowed.
+    CircuitHalfOpen,
+}
+
+impl fmt::Display for AdjustmentCause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            AdjustmentCause::Queueing => "calls wait for each other below",
+            AdjustmentCause::ProbeReverted => {
+                "a cut did not make calls quicker: they take longer now"
+            }
+            AdjustmentCause::Demand => "wanted, and borne",
+            AdjustmentCause::Failures => "calls fail",
+            AdjustmentCause::Silence => "calls do not come back",
+            AdjustmentCause::CircuitOpened => "nothing goes well; rests",
+            AdjustmentCause::CircuitHalfOpen => "a call is tried after a rest",
+        })
+    }
+}
+
+/// One change of a limit, for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LimitChange {
+    /// The limit before, in calls; 0 while the circuit breaker was open.
+    pub from: f64,
+    /// The limit after, in calls; 0 while the circuit breaker is open.
+    pub to: f64,
+    /// Why it changed.
+    pub cause: AdjustmentCause,
+}
--- /dev/null
+++ b/crates/concurrency/src/limit/in_flight.rs
@@ -0,0 +1,111 @@
+//! The calls of one limit that are in flight, and those abandoned by the caller that the upstream still executes.
+//!
+//! Owns the counts and the time of the last start or end. Given the start and end of each call; never decides the
+//! limit, except for a few extra permits while every call in flight hangs.
+
+use super::Completion;
+use madderbay::time::{Duration, Timestamp};
+use std::collections::VecDeque;
+
+/// Time without a start or an end after which calls at the limit count as hanging, and one extra call is allowed.
+const HANG_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Maximum number of extra permits while calls hang.
+const MAX_EXTRA_PERMITS: usize = 2;
+
+/// One call in flight.
+#[derive(Clone, Copy, Debug)]
+pub struct Permit {
+    started_at: Timestamp,
+    in_flight: usize,
+}
+
+impl Permit {
+    /// When the call started.
+    pub fn started_at(&self) -> Timestamp {
+        self.started_at
+    }
+
+    /// Calls that occupied the upstream when this one started, itself included.
+    pub(super) fn in_flight(&self) -> usize {
+        self.in_flight
+    }
+}
+
+pub(super) struct InFlightCalls {
+    count: usize,
+    /// When each abandoned call stops occupying the upstream.
+    abandoned_until: VecDeque<Timestamp>,
+    abandoned_call_lifetime: Duration,
+    last_activity: Timestamp,
+    extra_permits: usize,
+}
+
+impl InFlightCalls {
+    pub(super) fn new(now: Timestamp, abandoned_call_lifetime: Duration) -> InFlightCalls {
+        InFlightCalls {
+            count: 0,
+            abandoned_until: VecDeque::new(),
+            abandoned_call_lifetime,
+            last_activity: now,
+            extra_permits: 0,
+        }
+    }
+
+    pub(super) fn count(&self) -> usize {
+        self.count
+    }
+
+    pub(super) fn abandoned(&self) -> usize {
+        self.abandoned_until.len()
+    }
+
+    pub(super) fn extra_permits(&self) -> usize {
+        self.extra_permits
+    }
+
+    pub(super) fn start(&mut self, now: Timestamp) -> Permit {
+        self.count += 1;
+        self.last_activity = now;
+        Permit {
+            started_at: now,
+            in_flight: self.count + self.abandoned(),
+        }
+    }
+
+    pub(super) fn finish(&mut self, now: Timestamp, completion: Completion) {
+        self.count = self.count.saturating_sub(1);
+        self.last_activity = now;
+        let abandoned = matches!(completion, Completion::TimedOut | Completion::Cancelled);
+        if abandoned && self.abandoned_call_lifetime > Duration::ZERO {
+            self.abandoned_until
+                .push_back(now + self.abandoned_call_lifetime);
+        }
+        if completion == Completion::Success {
+            self.extra_permits = 0;
+        }
+    }
+
+    pub(super) fn expire_abandoned(&mut self, now: Timestamp) {
+        while self
+            .abandoned_until
+            .front()
+            .is_some_and(|until| *until <= now)
+        {
+            self.abandoned_until.pop_front();
+        }
+    }
+
+    pub(super) fn reset_last_activity(&mut self, now: Timestamp) {
+        self.last_activity = now;
+    }
+
+    /// Allows one more call while all calls in flight hang, so that a recovery is noticed.
+    pub(super) fn grant_extra_permit_if_stuck(&mut self, now: Timestamp, allowed: usize) {
+        let at_limit = self.count >= allowed && self.count > 0;
+        let hanging = now - self.last_activity >= HANG_TIMEOUT;
+        if at_limit && hanging && self.extra_permits < MAX_EXTRA_PERMITS {
+            self.extra_permits += 1;
+            self.last_activity = now;
+        }
+    }
+}
--- /dev/null
+++ b/crates/concurrency/src/limit/latency.rs
@@ -0,0 +1,91 @@
+//! The minimum latency: the estimated time of a call that waits for no other.
+//!
+//! Owns the estimate and the last calls made at low concurrency. Given the summary of each window; never adjusts the
+//! limit.
+
+use super::window::LatencySummary;
+use madderbay::time::{Duration, Timestamp};
+use std::collections::VecDeque;
+
+/// Number of consecutive low-concurrency calls that prove a slower upstream.
+const LOW_CONCURRENCY_SAMPLES: usize = 4;
+/// Maximum age of the oldest of these calls.
+const MAX_LOW_CONCURRENCY_AGE: Duration = Duration::from_millis(2_000);
+/// Latency of the fastest of these calls, as a multiple of the estimate, above which the upstream is slower.
+const SLOWER_FACTOR: f64 = 1.5;
+/// Weight of a faster window in the estimate.
+const FASTER_WINDOW_WEIGHT: f64 = 0.2;
+/// Fraction of the estimate below which a faster window replaces it: chance does not explain such a difference.
+const REPLACE_FRACTION: f64 = 0.6;
+/// Growth of the estimate per window without a faster one, so that a lucky minimum fades.
+const DRIFT_PER_WINDOW: f64 = 1.002;
+
+struct LowConcurrencySample {
+    completed_at: Timestamp,
+    latency_secs: f64,
+}
+
+#[derive(Default)]
+pub(super) struct MinimumLatency {
+    estimate_secs: Option<f64>,
+    low_concurrency: VecDeque<LowConcurrencySample>,
+}
+
+impl MinimumLatency {
+    pub(super) fn secs(&self) -> Option<f64> {
+        self.estimate_secs
+    }
+
+    pub(super) fn set(&mut self, secs: f64) {
+        self.estimate_secs = Some(secs);
+    }
+
+    /// Adds a call made at low concurrency. Raises the estimate once several such calls in a row were slow.
+    pub(super) fn record_low_concurrency(&mut self, now: Timestamp, latency_secs: f64) {
+        if self.low_concurrency.len() == LOW_CONCURRENCY_SAMPLES {
+            self.low_concurrency.pop_front();
+        }
+        self.low_concurrency.push_back(LowConcurrencySample {
+            completed_at: now,
+            latency_secs,
+        });
+        if self.low_concurrency.len() == LOW_CONCURRENCY_SAMPLES && self.samples_are_slow(now) {
+            let sum = self
+                .low_concurrency
+                .iter()
+                .map(|s| s.latency_secs)
+                .sum::<f64>();
+            self.estimate_secs = Some(sum / LOW_CONCURRENCY_SAMPLES as f64);
+        }
+    }
+
+    fn samples_are_slow(&self, now: Timestamp) -> bool {
+        let samples = &self.low_concurrency;
+        let oldest = samples.front();
+        let recent = oldest.is_some_and(|s| now - s.completed_at <= MAX_LOW_CONCURRENCY_AGE);
+        let fastest_secs = samples
+            .iter()
+            .map(|s| s.latency_secs)
+            .fold(f64::MAX, f64::min);
+        recent
+            && self
+                .estimate_secs
+                .is_some_and(|estimate| fastest_secs > SLOWER_FACTOR * estimate)
+    }
+
+    /// Updates the estimate, in seconds, by the latency of a window, and returns it.
+    pub(super) fn update(&mut self, sample: &LatencySummary) -> f64 {
+        let mean = sample.mean_secs;
+        let upper_bound = mean + sample.error_secs;
+        let updated = match self.estimate_secs {
+            None => mean,
+            Some(estimate) if upper_bound < REPLACE_FRACTION * estimate => mean,
+            Some(estimate) if upper_bound < estimate => {
+                estimate + FASTER_WINDOW_WEIGHT * (mean - estimate)
+            }
+            Some(estimate) => estimate * DRIFT_PER_WINDOW,
+        };
+        self.estimate_secs = Some(updated);
+        updated
+    }
+}
--- a/crates/concurrency/tests/concurrency/reference_run/mod.rs
+++ b/crates/concurrency/tests/concurrency/reference_run/mod.rs
@@ -5,7 +5,9 @@
 
 use crate::model::{Mode, World, at, play};
 use madderbay::time::{Duration, Timestamp};
-use madderbay_concurrency::limit::{AdaptiveLimit, AdjustmentCause, Completion, Permit};
+use madderbay_concurrency::limit::{
+    AdaptiveLimit, AdjustmentCause, Completion, LimitChange, Permit,
+};
 use madderbay_concurrency::{
     CallRequirement, ConcurrencyConfig, ConcurrencyLimiter, HandlerProfile, PoolConfig,
     RequestStage, Reserve,
@@ -37,19 +39,6 @@
     }
 }
 
-fn code_of(told: &str) -> &'static str {
-    let all = [
-        AdjustmentCause::Queueing,
-        AdjustmentCause::ProbeReverted,
-        AdjustmentCause::Demand,
-        AdjustmentCause::Failures,
-        AdjustmentCause::Silence,
-        AdjustmentCause::CircuitOpened,
-        AdjustmentCause::CircuitHalfOpen,
-    ];
-    code(all.into_iter().find(|c| c.told() == told).expect("known"))
-}
-
 fn worlds() -> Vec<(&'static str, f64, World)> {
     let slow = |times| vec![(5_000, Mode::Slow(times)), (13_000, Mode::Slow(1.0))];
     let with = |script| World {
@@ -204,7 +193,7 @@
             } else {
                 ms += chance.rand_range(0..if phase == 1 { 60 } else { 15 });
             }
-            if let Some((from, cause)) = limit.tick(at(ms)) {
+            if let Some(LimitChange { from, cause, .. }) = limit.tick(at(ms)) {
                 writeln!(
                     text,
                     "{n} {from:?} {:?} {} {}",
@@ -427,7 +416,7 @@
                     "{n} {:?} {:?} {}",
                     change.from,
                     change.to,
-                    code_of(change.cause)
+                    code(change.cause)
                 )
                 .expect("a string takes every line");
             }
