Concurrency: the limiter split by concern, each state with one owner

lib.rs held the settings, the requests in flight, the counters of the handlers, the pools, the limits by upstream, the reserve, the ceilings and the log of changes, and every function reached every field. Now requests and their counters are owned by RequestTable, the limits by UpstreamLimits, the owners of the reserve by ReserveState; ceilings are computed by CeilingInputs, which only borrows. Handlers and pools are indexed by HandlerId and PoolId inside the crate. Usage is reported by structs with named fields (PoolUsage, CallUsage, UpstreamUsage); the server's counters keep their names.

--- /dev/null
+++ b/crates/concurrency/src/ceilings.rs
@@ -0,0 +1,200 @@
+//! Computation of the ceilings that the decision module obeys.
+//!
+//! Owns nothing: [`CeilingInputs`] borrows the state of the limiter at one moment. Divides calls and runs among pools;
+//! never changes a limit or a counter.
+
+use crate::UNLIMITED;
+use crate::config::CallRequirement;
+use crate::fair_share::{self, Demand};
+use crate::handlers::{HandlerLoad, HandlerTable};
+use crate::ids::{HandlerId, PoolId, handler_indices};
+use crate::pool::Pool;
+use crate::reserve::ReserveState;
+use crate::upstream::UpstreamLimits;
+use madderbay::interface::Ceiling;
+use madderbay::time::{Duration, Timestamp};
+
+/// Time for which a skipped call counts as demand: its pool has a share of the calls meanwhile.
+const SKIPPED_CALL_DEMAND_PERIOD: Duration = Duration::from_millis(500);
+/// Maximum reported interval between two starts of a pool: a bottleneck that slow may be over by then.
+const MAX_START_INTERVAL: Duration = Duration::from_millis(2_000);
+/// Lower bound on the sum of weights; avoids a division by zero.
+const MIN_WEIGHT_SUM: f64 = 1e-9;
+
+/// The allowed calls of one upstream.
+struct UpstreamCapacity<'a> {
+    handlers: &'a [HandlerId],
+    allowed: usize,
+}
+
+/// State of the limiter from which ceilings are computed.
+pub(crate) struct CeilingInputs<'a> {
+    pub(crate) now: Timestamp,
+    /// Concurrent runs that the decision module allows; at least 1.
+    pub(crate) workers: usize,
+    pub(crate) cores: usize,
+    pub(crate) handlers: &'a HandlerTable,
+    pub(crate) pools: &'a [Pool],
+    pub(crate) upstreams: &'a UpstreamLimits,
+    pub(crate) reserve: Option<&'a ReserveState>,
+}
+
+impl CeilingInputs<'_> {
+    /// The ceiling of all handlers, then one for each pool, that of the handlers outside the reserve, and one for each
+    /// upstream if there are several.
+    pub(crate) fn compute(&self) -> Vec<Ceiling> {
+        let upstreams = self.upstream_capacities();
+        let total_calls = upstreams.iter().map(|u| u.allowed).reduce(|a, b| a + b);
+        let total_calls = total_calls.unwrap_or(UNLIMITED);
+        let all: Vec<HandlerId> = self.handlers.ids().collect();
+        let mut ceilings = vec![calls_only(&all, total_calls)];
+        ceilings.extend(self.pool_ceilings(&upstreams));
+        if let Some(reserve) = self.reserve {
+            ceilings.push(reserve.ceiling_of_others(self.handlers, self.workers, total_calls));
+        }
+        if upstreams.len() > 1 {
+            let each = upstreams.iter();
+            ceilings.extend(each.map(|u| calls_only(u.handlers, u.allowed)));
+        }
+        ceilings
+    }
+
+    fn upstream_capacities(&self) -> Vec<UpstreamCapacity<'_>> {
+        let capacity = |upstream| {
+            let upstream: &crate::upstream::UpstreamLimit = upstream;
+            UpstreamCapacity {
+                handlers: upstream.handlers(),
+                allowed: upstream.limit().allowed_in_flight(),
+            }
+        };
+        self.upstreams.iter().map(capacity).collect()
+    }
+
+    fn pool_ceilings(&self, upstreams: &[UpstreamCapacity<'_>]) -> Vec<Ceiling> {
+        let calls = self.call_ceilings(upstreams);
+        let runs = self.run_ceilings(&calls);
+        let ceiling = |(index, pool): (usize, &Pool)| Ceiling {
+            handlers: handler_indices(&pool.handlers),
+            runs: runs[index],
+            calls: calls[index],
+            start_interval: self.start_interval(PoolId(index)),
+        };
+        self.pools.iter().enumerate().map(ceiling).collect()
+    }
+
+    /// The calls that each pool may have in flight, summed over the upstreams.
+    fn call_ceilings(&self, upstreams: &[UpstreamCapacity<'_>]) -> Vec<usize> {
+        if upstreams.is_empty() {
+            let demand = |pool| self.call_demand(pool, |_| true).max;
+            return self.pools.iter().map(demand).collect();
+        }
+        let mut ceilings = vec![0usize; self.pools.len()];
+        for upstream in upstreams {
+            let demand = |pool| self.call_demand(pool, |h| upstream.handlers.contains(h));
+            let demands: Vec<Demand> = self.pools.iter().map(demand).collect();
+            let found = fair_share::ceilings(upstream.allowed, &demands);
+            for (sum, calls) in ceilings.iter_mut().zip(found) {
+                *sum = sum.saturating_add(calls);
+            }
+        }
+        for (calls, pool) in ceilings.iter_mut().zip(self.pools) {
+            *calls = (*calls).min(pool.max_calls.unwrap_or(UNLIMITED));
+        }
+        ceilings
+    }
+
+    /// What a pool demands of the calls of some handlers.
+    fn call_demand(&self, pool: &Pool, includes: impl Fn(&HandlerId) -> bool) -> Demand {
+        let included = || pool.handlers.iter().filter(|h| includes(h));
+        let wanted = included().map(|h| self.wanted_calls(self.handlers.get(*h)));
+        let makes_calls = included().any(|h| self.handlers.get(*h).makes_calls());
+        Demand {
+            weight: pool.call_weight,
+            wanted: wanted.sum(),
+            max: if makes_calls {
+                pool.max_calls.unwrap_or(UNLIMITED)
+            } else {
+                0
+            },
+        }
+    }
+
+    /// Calls in flight, and those that follow. A run that requires a call will want one; of runs that can do without,
+    /// one more is wanted if one just skipped its call.
+    fn wanted_calls(&self, load: &HandlerLoad) -> usize {
+        let just_skipped = load
+            .call_skipped_at
+            .is_some_and(|at| self.now < at + SKIPPED_CALL_DEMAND_PERIOD && self.now >= at);
+        let following = match load.calls {
+            CallRequirement::Required => load.running + load.queued,
+            CallRequirement::Optional if just_skipped => load.running + 1,
+            CallRequirement::Optional | CallRequirement::Never => 0,
+        };
+        load.calling + load.awaiting_call + following
+    }
+
+    /// The runs that each pool may have: those that wait for a call, which the calls' ceilings bound, and by weight its
+    /// part of the remaining workers, which the cores execute.
+    fn run_ceilings(&self, calls: &[usize]) -> Vec<usize> {
+        let weight_sum: f64 = self.pools.iter().map(|p| p.weight).sum();
+        let at_calls: Vec<usize> = self.pools.iter().map(|p| self.runs_at_call(p)).collect();
+        let remaining = self.workers.saturating_sub(at_calls.iter().sum()).max(1);
+        let demand = |(pool, calls): (&Pool, &usize)| self.run_demand(pool, *calls, weight_sum);
+        let demands: Vec<Demand> = self.pools.iter().zip(calls).map(demand).collect();
+        let found = fair_share::ceilings(remaining, &demands);
+        at_calls
+            .iter()
+            .zip(found)
+            .map(|(at_call, runs)| at_call + runs)
+            .collect()
+    }
+
+    /// What a pool demands of the workers that the cores execute. Runs that require a call are of no use beyond the
+    /// calls that there are and the runs that the cores execute meanwhile.
+    fn run_demand(&self, pool: &Pool, calls: usize, weight_sum: f64) -> Demand {
+        let required = |h: &HandlerId| self.handlers.get(*h).calls == CallRequirement::Required;
+        let bound = if pool.handlers.iter().all(required) {
+            let weight_sum = weight_sum.max(MIN_WEIGHT_SUM);
+            let cores = (self.cores as f64 * pool.weight / weight_sum).ceil();
+            calls.saturating_add(cores.max(1.0) as usize)
+        } else {
+            UNLIMITED
+        };
+        let max_runs = pool.max_runs.unwrap_or(UNLIMITED).min(bound).max(1);
+        Demand {
+            weight: pool.weight,
+            wanted: self.handlers.sum(&pool.handlers, |l| l.queued + l.running),
+            max: max_runs.saturating_sub(self.runs_at_call(pool)),
+        }
+    }
+
+    fn runs_at_call(&self, pool: &Pool) -> usize {
+        self.handlers.sum(&pool.handlers, HandlerLoad::runs_at_call)
+    }
+
+    /// Expected interval between two starts of a pool whose requests are queued although workers are free: its recent
+    /// runs each end after the mean duration of a run. Zero where the ceilings are not what delays it.
+    fn start_interval(&self, pool: PoolId) -> Duration {
+        let pool = &self.pools[pool.0];
+        let runs = self.handlers.sum(&pool.handlers, HandlerLoad::runs);
+        let queued = self.handlers.sum(&pool.handlers, |l| l.queued);
+        let workers_are_busy = self.handlers.total(HandlerLoad::runs) + 1 > self.workers;
+        if queued == 0 || workers_are_busy || runs == 0 {
+            return Duration::ZERO;
+        }
+        let loads = pool.handlers.iter().map(|h| self.handlers.get(*h));
+        let run_secs = loads.map(|l| l.mean_run_secs.unwrap_or(0.0) * l.runs() as f64);
+        let mean_secs = run_secs.sum::<f64>() / runs as f64;
+        Duration::from_secs_f64(mean_secs / pool.recent_runs().max(1.0)).min(MAX_START_INTERVAL)
+    }
+}
+
+/// A ceiling on calls that leaves runs unlimited.
+fn calls_only(handlers: &[HandlerId], calls: usize) -> Ceiling {
+    Ceiling {
+        handlers: handler_indices(handlers),
+        runs: UNLIMITED,
+        calls,
+        start_interval: Duration::ZERO,
+    }
+}
--- /dev/null
+++ b/crates/concurrency/src/config.rs
@@ -0,0 +1,96 @@
+//! Settings of the concurrency limiter: pools, the reserve and the upstreams.
+//!
+//! Plain data, given by the operator file and the site's settings. Handlers are given by their index in the settings.
+
+use madderbay::time::Duration;
+
+/// Whether the runs of a handler make an upstream call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallRequirement {
+    /// Runs make no call.
+    Never,
+    /// Runs make a call, but can complete without it.
+    Optional,
+    /// Runs cannot complete without a call.
+    Required,
+}
+
+/// What the limiter knows about a handler.
+#[derive(Clone, Copy, Debug)]
+pub struct HandlerProfile {
+    /// Whether its runs make calls.
+    pub calls: CallRequirement,
+}
+
+/// One pool of handlers (a bulkhead).
+#[derive(Clone, Debug)]
+pub struct PoolConfig {
+    /// Name in counters; no effect on limits.
+    pub name: String,
+    /// Handlers of the pool; each handler belongs to at most one pool.
+    pub handlers: Vec<usize>,
+    /// Relative weight among pools that want runs.
+    pub weight: f64,
+    /// Relative weight among pools that want calls.
+    pub call_weight: f64,
+    /// Upper bound on concurrent runs, if any.
+    pub max_runs: Option<usize>,
+    /// Upper bound on concurrent calls, if any.
+    pub max_calls: Option<usize>,
+}
+
+impl Default for PoolConfig {
+    fn default() -> PoolConfig {
+        PoolConfig {
+            name: String::new(),
+            handlers: vec![],
+            weight: 1.0,
+            call_weight: 1.0,
+            max_runs: None,
+            max_calls: None,
+        }
+    }
+}
+
+/// Capacity reserved for some handlers.
+#[derive(Clone, Debug)]
+pub struct Reserve {
+    /// The handlers that own the reserve; if empty, the handler with the shortest runs.
+    pub handlers: Vec<usize>,
+    /// Reserved fraction of all runs and calls, from 0 to 1.
+    pub fraction: f64,
+}
+
+/// Settings of a [`ConcurrencyLimiter`](crate::ConcurrencyLimiter).
+#[derive(Clone, Debug)]
+pub struct ConcurrencyConfig {
+    /// The pools. Handlers in none form one more pool, named `rest`, of weight 1.
+    pub pools: Vec<PoolConfig>,
+    /// Reserved capacity, if any.
+    pub reserve: Option<Reserve>,
+    /// Whether the limits on calls adapt to the upstreams. Otherwise they stay at this server's quota.
+    pub adaptive: bool,
+    /// This server's quota of concurrent calls; `None` where calls need no limit.
+    pub call_quota: Option<f64>,
+    /// How long a call that was abandoned may still run upstream.
+    pub abandoned_call_lifetime: Duration,
+    /// Number of cores that execute runs.
+    pub cores: usize,
+    /// Where there are several upstreams: the handlers that call each, and the fraction of the quota at which its limit
+    /// starts. Handlers in none of them share one more limit, with the full quota.
+    pub upstream_groups: Vec<(Vec<usize>, f64)>,
+}
+
+impl Default for ConcurrencyConfig {
+    fn default() -> ConcurrencyConfig {
+        ConcurrencyConfig {
+            pools: vec![],
+            reserve: None,
+            adaptive: true,
+            call_quota: None,
+            abandoned_call_lifetime: Duration::ZERO,
+            cores: 1,
+            upstream_groups: vec![],
+        }
+    }
+}
--- /dev/null
+++ b/crates/concurrency/src/handlers.rs
@@ -0,0 +1,115 @@
+//! What the requests of each handler have in flight.
+//!
+//! Owns the counters per handler and the mean duration of its runs. Given each change of a request by
+//! [`requests`](crate::requests), which keeps the counters consistent with the requests.
+
+use crate::config::{CallRequirement, HandlerProfile};
+use crate::ids::HandlerId;
+use crate::requests::RequestStage;
+use madderbay::time::Timestamp;
+
+/// Weight of the newest run in the mean duration: averages about ten runs.
+const RUN_DURATION_WEIGHT: f64 = 0.1;
+
+/// Counters of one handler.
+#[derive(Clone, Debug)]
+pub(crate) struct HandlerLoad {
+    pub(crate) calls: CallRequirement,
+    pub(crate) queued: usize,
+    pub(crate) running: usize,
+    pub(crate) awaiting_call: usize,
+    pub(crate) calling: usize,
+    /// Runs that the engine does not end and that occupy no permit any more.
+    pub(crate) hung: usize,
+    /// Mean duration of a run; `None` before the first run ended.
+    pub(crate) mean_run_secs: Option<f64>,
+    /// When a run last went on without its call.
+    pub(crate) call_skipped_at: Option<Timestamp>,
+}
+
+impl HandlerLoad {
+    fn new(profile: &HandlerProfile) -> HandlerLoad {
+        HandlerLoad {
+            calls: profile.calls,
+            queued: 0,
+            running: 0,
+            awaiting_call: 0,
+            calling: 0,
+            hung: 0,
+            mean_run_secs: None,
+            call_skipped_at: None,
+        }
+    }
+
+    /// Counter of a stage.
+    pub(crate) fn at_stage(&mut self, stage: RequestStage) -> &mut usize {
+        match stage {
+            RequestStage::Queued => &mut self.queued,
+            RequestStage::Running => &mut self.running,
+            RequestStage::AwaitingCall => &mut self.awaiting_call,
+            RequestStage::Calling => &mut self.calling,
+        }
+    }
+
+    pub(crate) fn runs(&self) -> usize {
+        self.running + self.awaiting_call + self.calling
+    }
+
+    /// Runs that use no core, because they wait for a call or its reply.
+    pub(crate) fn runs_at_call(&self) -> usize {
+        self.awaiting_call + self.calling
+    }
+
+    pub(crate) fn makes_calls(&self) -> bool {
+        self.calls != CallRequirement::Never
+    }
+
+    pub(crate) fn record_run(&mut self, duration_secs: f64) {
+        let mean = self.mean_run_secs.unwrap_or(duration_secs);
+        self.mean_run_secs = Some(mean + RUN_DURATION_WEIGHT * (duration_secs - mean));
+    }
+}
+
+/// The counters of all handlers.
+pub(crate) struct HandlerTable {
+    loads: Vec<HandlerLoad>,
+}
+
+impl HandlerTable {
+    pub(crate) fn new(profiles: &[HandlerProfile]) -> HandlerTable {
+        HandlerTable {
+            loads: profiles.iter().map(HandlerLoad::new).collect(),
+        }
+    }
+
+    /// The handler of an index; `None` for one that is not in the settings.
+    pub(crate) fn id(&self, index: usize) -> Option<HandlerId> {
+        (index < self.loads.len()).then_some(HandlerId(index))
+    }
+
+    pub(crate) fn ids(&self) -> impl Iterator<Item = HandlerId> + use<> {
+        (0..self.loads.len()).map(HandlerId)
+    }
+
+    pub(crate) fn get(&self, handler: HandlerId) -> &HandlerLoad {
+        &self.loads[handler.0]
+    }
+
+    pub(crate) fn get_mut(&mut self, handler: HandlerId) -> &mut HandlerLoad {
+        &mut self.loads[handler.0]
+    }
+
+    /// Sum of a counter over some handlers.
+    pub(crate) fn sum(
+        &self,
+        handlers: &[HandlerId],
+        counter: impl Fn(&HandlerLoad) -> usize,
+    ) -> usize {
+        handlers.iter().map(|h| counter(self.get(*h))).sum()
+    }
+
+    /// Sum of a counter over all handlers.
+    pub(crate) fn total(&self, counter: impl Fn(&HandlerLoad) -> usize) -> usize {
+        self.loads.iter().map(counter).sum()
+    }
+}
--- /dev/null
+++ b/crates/concurrency/src/reserve.rs
@@ -0,0 +1,96 @@
+//! Reserved capacity: who owns it, and the ceiling of all other handlers.
+//!
+//! Owns the choice of the owners. Given the counters of the handlers; never enforces the reserve itself.
+
+use crate::UNLIMITED;
+use crate::config::Reserve;
+use crate::handlers::HandlerTable;
+use crate::ids::{HandlerId, handler_ids, handler_indices};
+use madderbay::interface::Ceiling;
+use madderbay::time::{Duration, Timestamp};
+
+/// How often the cheapest handler is determined.
+const CHEAPEST_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Mean run of a handler, as a fraction of the owner's, below which it takes over the reserve.
+const TAKEOVER_FRACTION: f64 = 0.8;
+/// Mean run of a handler, as a multiple of the owners' shortest, up to which it may borrow the reserve: the owners get
+/// it back within about one run.
+const MAX_BORROWER_RUN_FACTOR: f64 = 1.5;
+
+pub(crate) struct ReserveState {
+    fraction: f64,
+    /// Owned by the handler with the shortest runs, not by configured ones.
+    owner_is_cheapest: bool,
+    owners: Vec<HandlerId>,
+    chosen_at: Timestamp,
+}
+
+impl ReserveState {
+    pub(crate) fn new(now: Timestamp, config: &Reserve) -> ReserveState {
+        ReserveState {
+            fraction: config.fraction,
+            owner_is_cheapest: config.handlers.is_empty(),
+            owners: handler_ids(&config.handlers),
+            chosen_at: now,
+        }
+    }
+
+    pub(crate) fn owners(&self) -> &[HandlerId] {
+        &self.owners
+    }
+
+    /// Determines the owner where it is the handler with the shortest runs.
+    pub(crate) fn choose_owner(&mut self, now: Timestamp, handlers: &HandlerTable) {
+        let is_recent = now < self.chosen_at + CHEAPEST_INTERVAL && !self.owners.is_empty();
+        if !self.owner_is_cheapest || is_recent {
+            return;
+        }
+        let cost = |handler: HandlerId| handlers.get(handler).mean_run_secs.unwrap_or(f64::MAX);
+        let cheapest = handlers.ids().min_by(|a, b| cost(*a).total_cmp(&cost(*b)));
+        let Some(cheapest) = cheapest else { return };
+        let owner_cost = self.owners.first().map_or(f64::INFINITY, |h| cost(*h));
+        if cost(cheapest) < TAKEOVER_FRACTION * owner_cost {
+            self.owners = vec![cheapest];
+        }
+        self.chosen_at = now;
+    }
+
+    /// The ceiling that keeps the reserve free of other handlers, except of those that return it within one run.
+    pub(crate) fn ceiling_of_others(
+        &self,
+        handlers: &HandlerTable,
+        workers: usize,
+        calls: usize,
+    ) -> Ceiling {
+        let is_bound = |h: &HandlerId| !self.owners.contains(h) && !self.may_borrow(handlers, *h);
+        let bound: Vec<HandlerId> = handlers.ids().filter(is_bound).collect();
+        let owners_call = self.owners.iter().any(|h| handlers.get(*h).makes_calls());
+        let calls = if calls == UNLIMITED || !owners_call {
+            calls
+        } else {
+            calls - self.reserved_of(calls)
+        };
+        Ceiling {
+            handlers: handler_indices(&bound),
+            runs: workers - self.reserved_of(workers),
+            calls,
+            start_interval: Duration::ZERO,
+        }
+    }
+
+    /// Reserved part of a total: rounded up, but never all of it.
+    fn reserved_of(&self, total: usize) -> usize {
+        let reserved = (self.fraction * total as f64).ceil() as usize;
+        reserved.min(total.saturating_sub(1))
+    }
+
+    /// A handler whose runs never wait for a call and are as short as the owners' may use the reserve.
+    fn may_borrow(&self, handlers: &HandlerTable, handler: HandlerId) -> bool {
+        let owners = self.owners.iter();
+        let owner_runs = owners.filter_map(|h| handlers.get(*h).mean_run_secs);
+        let shortest = owner_runs.fold(f64::MAX, f64::min);
+        let load = handlers.get(handler);
+        let is_short = |secs: f64| secs <= MAX_BORROWER_RUN_FACTOR * shortest;
+        !load.makes_calls() && load.mean_run_secs.is_some_and(is_short)
+    }
+}
--- /dev/null
+++ b/crates/concurrency/src/upstream.rs
@@ -0,0 +1,165 @@
+//! The limits on calls, one for each upstream.
+//!
+//! Owns the limits, which handlers each applies to, and the log of their changes. Given this server's quota and the time
+//! of process stalls; never divides a limit among pools.
+
+use crate::config::{CallRequirement, ConcurrencyConfig, HandlerProfile};
+use crate::ids::{HandlerId, handler_ids};
+use crate::limit::{AdaptiveLimit, Completion, LimitChange, Permit};
+use madderbay::time::Timestamp;
+
+/// Lower bound on a limit, in calls, whatever the quota. Short calls may then overlap; the decision module accounts for
+/// call time and keeps the mean within the quota.
+const MIN_CALL_LIMIT: f64 = 4.0;
+/// Maximum number of changes of limits kept for the log until they are fetched.
+const MAX_PENDING_CHANGES: usize = 64;
+
+/// The limit on the calls of some handlers.
+pub(crate) struct UpstreamLimit {
+    handlers: Vec<HandlerId>,
+    /// Its fraction of the quota.
+    quota_fraction: f64,
+    limit: AdaptiveLimit,
+}
+
+impl UpstreamLimit {
+    pub(crate) fn handlers(&self) -> &[HandlerId] {
+        &self.handlers
+    }
+
+    pub(crate) fn applies_to(&self, handler: HandlerId) -> bool {
+        self.handlers.contains(&handler)
+    }
+
+    pub(crate) fn limit(&self) -> &AdaptiveLimit {
+        &self.limit
+    }
+}
+
+/// All limits on calls; empty where calls need none.
+pub(crate) struct UpstreamLimits {
+    limits: Vec<UpstreamLimit>,
+    adaptive: bool,
+    process_stalled_at: Option<Timestamp>,
+    pending_changes: Vec<LimitChange>,
+    dropped_changes: u64,
+    change_count: u64,
+}
+
+impl UpstreamLimits {
+    pub(crate) fn new(
+        now: Timestamp,
+        seed: u64,
+        config: &ConcurrencyConfig,
+        profiles: &[HandlerProfile],
+    ) -> UpstreamLimits {
+        let limit_at = |(index, (handlers, fraction)): (usize, (Vec<usize>, f64))| {
+            let quota = config.call_quota.unwrap_or(0.0);
+            let max = (quota * fraction).max(MIN_CALL_LIMIT);
+            let seed = seed + index as u64;
+            UpstreamLimit {
+                handlers: handler_ids(&handlers),
+                quota_fraction: fraction,
+                limit: AdaptiveLimit::new(now, seed, max, config.abandoned_call_lifetime),
+            }
+        };
+        let limits = match config.call_quota {
+            Some(_) => {
+                let groups = complete_groups(config, profiles).into_iter();
+                groups.enumerate().map(limit_at).collect()
+            }
+            None => vec![],
+        };
+        UpstreamLimits {
+            limits,
+            adaptive: config.adaptive,
+            process_stalled_at: None,
+            pending_changes: vec![],
+            dropped_changes: 0,
+            change_count: 0,
+        }
+    }
+
+    pub(crate) fn iter(&self) -> std::slice::Iter<'_, UpstreamLimit> {
+        self.limits.iter()
+    }
+
+    /// Sets this server's quota of concurrent calls; returns whether there is a limit that follows it.
+    pub(crate) fn set_quota(&mut self, quota: f64) -> bool {
+        for upstream in &mut self.limits {
+            let max = (quota * upstream.quota_fraction).max(MIN_CALL_LIMIT);
+            upstream.limit.set_max(max);
+        }
+        !self.limits.is_empty()
+    }
+
+    /// The limit that applies to the calls of a handler.
+    pub(crate) fn limit_of(&mut self, handler: HandlerId) -> Option<&mut AdaptiveLimit> {
+        let upstream = self.limits.iter_mut().find(|u| u.applies_to(handler));
+        upstream.map(|u| &mut u.limit)
+    }
+
+    /// Registers that this process was stalled until now.
+    pub(crate) fn record_stall(&mut self, now: Timestamp) {
+        self.process_stalled_at = Some(now);
+    }
+
+    /// Ends a call of a handler.
+    pub(crate) fn release(
+        &mut self,
+        now: Timestamp,
+        handler: HandlerId,
+        permit: Permit,
+        completion: Completion,
+    ) {
+        let stalled_at = self.process_stalled_at;
+        let stalled = stalled_at.is_some_and(|at| at >= permit.started_at());
+        if let Some(limit) = self.limit_of(handler) {
+            limit.release(now, permit, completion, stalled);
+        }
+    }
+
+    /// Advances the time, and adjusts the limits if they are adaptive.
+    pub(crate) fn tick(&mut self, now: Timestamp) {
+        for upstream in &mut self.limits {
+            if !self.adaptive {
+                upstream.limit.expire_abandoned_calls(now);
+                continue;
+            }
+            let Some(change) = upstream.limit.tick(now) else {
+                continue;
+            };
+            self.change_count += 1;
+            if self.pending_changes.len() < MAX_PENDING_CHANGES {
+                self.pending_changes.push(change);
+            } else {
+                self.dropped_changes += 1;
+            }
+        }
+    }
+
+    pub(crate) fn change_count(&self) -> u64 {
+        self.change_count
+    }
+
+    /// Takes the changes since the last time, and the number of those not kept.
+    pub(crate) fn take_changes(&mut self) -> (Vec<LimitChange>, u64) {
+        let changes = std::mem::take(&mut self.pending_changes);
+        (changes, std::mem::take(&mut self.dropped_changes))
+    }
+}
+
+/// The configured groups and, where a handler in none of them makes calls, one more with the full quota.
+fn complete_groups(
+    config: &ConcurrencyConfig,
+    profiles: &[HandlerProfile],
+) -> Vec<(Vec<usize>, f64)> {
+    let mut groups = config.upstream_groups.clone();
+    let is_grouped = |handler: &usize| groups.iter().any(|g| g.0.contains(handler));
+    let others: Vec<usize> = (0..profiles.len()).filter(|h| !is_grouped(h)).collect();
+    let makes_calls = |handler: &usize| profiles[*handler].calls != CallRequirement::Never;
+    if groups.is_empty() || others.iter().any(makes_calls) {
+        groups.push((others, 1.0));
+    }
+    groups
+}
--- /dev/null
+++ b/crates/concurrency/src/usage.rs
@@ -0,0 +1,36 @@
+//! What the limiter reports for counters.
+
+/// Use of one pool. `usize::MAX` in a ceiling means that there is none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PoolUsage<'a> {
+    /// Name of the pool.
+    pub name: &'a str,
+    /// Requests that are not started.
+    pub queued: usize,
+    /// Runs in flight.
+    pub runs: usize,
+    /// Calls in flight.
+    pub calls: usize,
+    /// Ceiling on runs.
+    pub max_runs: usize,
+    /// Ceiling on calls.
+    pub max_calls: usize,
+}
+
+/// Use of the limits on calls, summed over the upstreams.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CallUsage {
+    /// Limit in calls, as a fraction.
+    pub limit: f64,
+    /// Calls in flight.
+    pub in_flight: usize,
+}
+
+/// Use of the limit of one upstream.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UpstreamUsage {
+    /// Handlers that call it.
+    pub handlers: Vec<usize>,
+    /// Limit and calls in flight.
+    pub calls: CallUsage,
+}
--- a/crates/concurrency/tests/concurrency/pools.rs
+++ b/crates/concurrency/tests/concurrency/pools.rs
@@ -216,7 +216,7 @@
     let rest = of(&mut p, 1, 8.0, 1);
     assert_eq!((rest.handlers, rest.runs), (vec![SEARCH, QUOTE], 4));
     assert_eq!(
-        p.standing().map(|s| s.0).collect::<Vec<_>>(),
+        p.pool_usage().map(|u| u.name).collect::<Vec<_>>(),
         ["book", "rest"]
     );
     // One worker: each pool may have it, and the module's own limit tells which.
@@ -279,8 +279,8 @@
         }
         p.ceilings(at(now + 40), 8.0);
     }
-    assert_eq!(p.calls().map(|c| c.0), Some(8.0));
-    assert_eq!(p.changes, 0);
+    assert_eq!(p.call_usage().map(|c| c.limit), Some(8.0));
+    assert_eq!(p.change_count(), 0);
 }
 
 fn reserve(handlers: &[usize], part: f64) -> Option<Reserve> {
@@ -435,19 +435,19 @@
                 Did::Pass(by) => now = (now + by).max(0),
             }
             let all = p.ceilings(at(now as u64), 8.0).to_vec();
-            for (c, (_, has)) in all[1..4].iter().zip(p.standing()) {
+            for (c, has) in all[1..4].iter().zip(p.pool_usage()) {
                 // Two more calls than the share while calls hang; a handler that makes none has none.
                 let most = if c.handlers == [QUOTE] { 0 } else { 10 };
                 prop_assert!(c.calls <= most);
                 // Beyond what it has already, no pool may start more than there are workers.
-                prop_assert!(c.runs <= has[1] + 8);
+                prop_assert!(c.runs <= has.runs + 8);
             }
-            let counted: usize = p.standing().map(|s| s.1[0] + s.1[1]).sum();
+            let counted: usize = p.pool_usage().map(|u| u.queued + u.runs).sum();
             prop_assert_eq!(counted, p.len());
         }
         (0..12).for_each(|id| p.request_finished(at(now as u64), id));
         prop_assert!(p.is_empty());
-        prop_assert_eq!(p.calls().map(|c| c.1), Some(0));
+        prop_assert_eq!(p.call_usage().map(|c| c.in_flight), Some(0));
     }
 }
 
@@ -461,7 +461,9 @@
         ..ConcurrencyConfig::default()
     });
     assert_eq!(
-        p.limits().map(|l| (l.0.to_vec(), l.1)).collect::<Vec<_>>(),
+        p.upstream_usage()
+            .map(|u| (u.handlers, u.calls.limit))
+            .collect::<Vec<_>>(),
         [(vec![0], 4.0), (vec![2], 4.0)]
     );
     // All calls of the first hang, and are given up on.
@@ -483,7 +485,7 @@
         }
         p.ceilings(at(ms + 25), 20.0);
     }
-    let levels: Vec<f64> = p.limits().map(|l| l.1).collect();
+    let levels: Vec<f64> = p.upstream_usage().map(|u| u.calls.limit).collect();
     assert!(levels[0] < 2.0 && levels[1] > 3.0, "{levels:?}");
     let ceilings = p.ceilings(at(6_100), 20.0).to_vec();
     let of = |handler| {
--- a/crates/concurrency/tests/concurrency/reference_run/mod.rs
+++ b/crates/concurrency/tests/concurrency/reference_run/mod.rs
@@ -370,7 +370,9 @@
                         open[i].2 = 4;
                     }
                     2 => {
-                        let (most, out) = pools.calls().unwrap_or((100.0, 0));
+                        let (most, out) = pools
+                            .call_usage()
+                            .map_or((100.0, 0), |c| (c.limit, c.in_flight));
                         if (out as f64) < most {
                             pools.set_stage(at(ms), id, handler, RequestStage::Calling);
                             open[i].2 = 3;
@@ -425,11 +427,12 @@
                 .reserved()
                 .iter()
                 .for_each(|h| digest.add(100 + *h as u64));
-            for limit in pools.limits() {
-                digest.add(limit.1.to_bits());
-                digest.add(limit.2 as u64);
+            for upstream in pools.upstream_usage() {
+                digest.add(upstream.calls.limit.to_bits());
+                digest.add(upstream.calls.in_flight as u64);
             }
-            for (_, counters) in pools.standing() {
+            for u in pools.pool_usage() {
+                let counters = [u.queued, u.runs, u.calls, u.max_runs, u.max_calls];
                 counters.iter().for_each(|v| digest.add(*v as u64));
             }
             digest.add(pools.hung() as u64);
@@ -437,7 +440,7 @@
         writeln!(
             text,
             "end {} {} {:016x}",
-            pools.changes,
+            pools.change_count(),
             pools.len(),
             digest.0
         )
--- a/crates/server/src/core/pooled.rs
+++ b/crates/server/src/core/pooled.rs
@@ -87,18 +87,23 @@
     let mut line = |name: &str, value: usize| {
         lines.add(name, if value == usize::MAX { 0 } else { value as u64 });
     };
-    for (pool, figures) in pools.standing() {
-        let names = ["held", "runs", "calls", "runs_most", "calls_most"];
-        names
-            .iter()
-            .zip(figures)
-            .for_each(|(what, value)| line(&format!("{pool}.{what}"), value));
+    for pool in pools.pool_usage() {
+        let counters = [
+            ("held", pool.queued),
+            ("runs", pool.runs),
+            ("calls", pool.calls),
+            ("runs_most", pool.max_runs),
+            ("calls_most", pool.max_calls),
+        ];
+        for (name, value) in counters {
+            line(&format!("{}.{name}", pool.name), value);
+        }
     }
-    if let Some((limit, out)) = pools.calls() {
-        line("calls.limit", limit as usize);
-        line("calls.out", out);
+    if let Some(calls) = pools.call_usage() {
+        line("calls.limit", calls.limit as usize);
+        line("calls.out", calls.in_flight);
     }
-    line("calls.limit_changes", pools.changes as usize);
+    line("calls.limit_changes", pools.change_count() as usize);
     line("hung", pools.hung());
     lines.text
 }
