--- a/crates/concurrency/examples/ways/policies.rs
+++ b/crates/concurrency/examples/ways/policies.rs
@@ -11,8 +11,9 @@
     latency.as_secs_f64().max(MIN_LATENCY_SECS)
 }
 
-/// Additive increase, multiplicative decrease: grows by one over the limit for each call within twice the best latency, and
-/// falls by a tenth for each that is slower or does not succeed, at most once per latency.
+/// Additive increase, multiplicative decrease: grows by one over the limit for each call within
+/// twice the best latency, and falls by a tenth for each that is slower or does not succeed, at
+/// most once per latency.
 struct Aimd {
     limit: f64,
     max: f64,
@@ -56,8 +57,8 @@
     }
 }
 
-/// Latency gradient: the limit times the ratio of the long-term to the short-term mean latency, with capacity for a queue of
-/// the square root of the limit.
+/// Latency gradient: the limit times the ratio of the long-term to the short-term mean latency,
+/// with capacity for a queue of the square root of the limit.
 struct Gradient {
     limit: f64,
     max: f64,
@@ -159,7 +160,8 @@
     }
 }
 
-/// The decision module's account: call seconds accrue at a fraction of the quota, which falls as calls slow down.
+/// The decision module's account: call seconds accrue at a fraction of the quota, which falls as
+/// calls slow down.
 struct CallTimeAccount {
     quota: f64,
     credit_secs: f64,
--- a/crates/concurrency/src/ceilings.rs
+++ b/crates/concurrency/src/ceilings.rs
@@ -1,7 +1,7 @@
 //! Computation of the ceilings that the decision module obeys.
 //!
-//! Owns nothing: [`CeilingInputs`] borrows the state of the limiter at one moment. Divides calls and runs among pools;
-//! never changes a limit or a counter.
+//! Owns nothing: [`CeilingInputs`] borrows the state of the limiter at one moment. Divides calls
+//! and runs among pools; never changes a limit or a counter.
 
 use crate::UNLIMITED;
 use crate::config::CallRequirement;
@@ -16,7 +16,8 @@
 
 /// Time for which a skipped call counts as demand: its pool has a share of the calls meanwhile.
 const SKIPPED_CALL_DEMAND_PERIOD: Duration = Duration::from_millis(500);
-/// Maximum reported interval between two starts of a pool: a bottleneck that slow may be over by then.
+/// Maximum reported interval between two starts of a pool: a bottleneck that slow may be over by
+/// then.
 const MAX_START_INTERVAL: Duration = Duration::from_millis(2_000);
 /// Lower bound on the sum of weights; avoids a division by zero.
 const MIN_WEIGHT_SUM: f64 = 1e-9;
@@ -40,8 +41,8 @@
 }
 
 impl CeilingInputs<'_> {
-    /// The ceiling of all handlers, then one for each pool, that of the handlers outside the reserve, and one for each
-    /// upstream if there are several.
+    /// The ceiling of all handlers, then one for each pool, that of the handlers outside the
+    /// reserve, and one for each upstream if there are several.
     pub(crate) fn compute(&self) -> Vec<Ceiling> {
         let upstreams = self.upstream_capacities();
         let total_calls = upstreams.iter().map(|u| u.allowed).reduce(|a, b| a + b);
@@ -60,14 +61,12 @@
     }
 
     fn upstream_capacities(&self) -> Vec<UpstreamCapacity<'_>> {
-        let capacity = |upstream| {
-            let upstream: &crate::upstream::UpstreamLimit = upstream;
-            UpstreamCapacity {
-                handlers: upstream.handlers(),
-                allowed: upstream.limit().allowed_in_flight(),
-            }
-        };
-        self.upstreams.iter().map(capacity).collect()
+        let upstreams = self.upstreams.iter();
+        let capacities = upstreams.map(|upstream| UpstreamCapacity {
+            handlers: upstream.handlers(),
+            allowed: upstream.limit().allowed_in_flight(),
+        });
+        capacities.collect()
     }
 
     fn pool_ceilings(&self, upstreams: &[UpstreamCapacity<'_>]) -> Vec<Ceiling> {
@@ -119,8 +118,8 @@
         }
     }
 
-    /// Calls in flight, and those that follow. A run that requires a call will want one; of runs that can do without,
-    /// one more is wanted if one just skipped its call.
+    /// Calls in flight, and those that follow. A run that requires a call will want one; of runs
+    /// that can do without, one more is wanted if one just skipped its call.
     fn wanted_calls(&self, load: &HandlerLoad) -> usize {
         let just_skipped = load
             .call_skipped_at
@@ -133,8 +132,8 @@
         load.calling + load.awaiting_call + following
     }
 
-    /// The runs that each pool may have: those that wait for a call, which the calls' ceilings bound, and by weight its
-    /// part of the remaining workers, which the cores execute.
+    /// The runs that each pool may have: those that wait for a call, which the calls' ceilings
+    /// bound, and by weight its part of the remaining workers, which the cores execute.
     fn run_ceilings(&self, calls: &[usize]) -> Vec<usize> {
         let weight_sum: f64 = self.pools.iter().map(|p| p.weight).sum();
         let at_calls: Vec<usize> = self.pools.iter().map(|p| self.runs_at_call(p)).collect();
@@ -149,8 +148,8 @@
             .collect()
     }
 
-    /// What a pool demands of the workers that the cores execute. Runs that require a call are of no use beyond the
-    /// calls that there are and the runs that the cores execute meanwhile.
+    /// What a pool demands of the workers that the cores execute. Runs that require a call are of
+    /// no use beyond the calls that there are and the runs that the cores execute meanwhile.
     fn run_demand(&self, pool: &Pool, calls: usize, weight_sum: f64) -> Demand {
         let required = |h: &HandlerId| self.handlers.get(*h).calls == CallRequirement::Required;
         let bound = if pool.handlers.iter().all(required) {
@@ -172,8 +171,9 @@
         self.handlers.sum(&pool.handlers, HandlerLoad::runs_at_call)
     }
 
-    /// Expected interval between two starts of a pool whose requests are queued although workers are free: its recent
-    /// runs each end after the mean duration of a run. Zero where the ceilings are not what delays it.
+    /// Expected interval between two starts of a pool whose requests are queued although workers
+    /// are free: its recent runs each end after the mean duration of a run. Zero where the ceilings
+    /// are not what delays it.
     fn start_interval(&self, pool: PoolId) -> Duration {
         let pool = &self.pools[pool.0];
         let runs = self.handlers.sum(&pool.handlers, HandlerLoad::runs);
--- a/crates/concurrency/src/config.rs
+++ b/crates/concurrency/src/config.rs
@@ -1,6 +1,7 @@
 //! Settings of the concurrency limiter: pools, the reserve and the upstreams.
 //!
-//! Plain data, given by the operator file and the site's settings. Handlers are given by their index in the settings.
+//! Plain data, given by the operator file and the site's settings. Handlers are given by their
+//! index in the settings.
 
 use madderbay::time::Duration;
 
@@ -68,7 +69,8 @@
     pub pools: Vec<PoolConfig>,
     /// Reserved capacity, if any.
     pub reserve: Option<Reserve>,
-    /// Whether the limits on calls adapt to the upstreams. Otherwise they stay at this server's quota.
+    /// Whether the limits on calls adapt to the upstreams. Otherwise they stay at this server's
+    /// quota.
     pub adaptive: bool,
     /// This server's quota of concurrent calls; `None` where calls need no limit.
     pub call_quota: Option<f64>,
@@ -76,8 +78,9 @@
     pub abandoned_call_lifetime: Duration,
     /// Number of cores that execute runs.
     pub cores: usize,
-    /// Where there are several upstreams: the handlers that call each, and the fraction of the quota at which its limit
-    /// starts. Handlers in none of them share one more limit, with the full quota.
+    /// Where there are several upstreams: the handlers that call each, and the fraction of the
+    /// quota at which its limit starts. Handlers in none of them share one more limit, with the
+    /// full quota.
     pub upstream_groups: Vec<(Vec<usize>, f64)>,
 }
 
--- a/crates/concurrency/src/fair_share.rs
+++ b/crates/concurrency/src/fair_share.rs
@@ -1,6 +1,7 @@
 //! Weighted max-min fair division of a number of permits among pools.
 //!
-//! Pure functions: they own nothing and know nothing about time. Permits that no pool demands are offered to every pool.
+//! Pure functions: they own nothing and know nothing about time. Permits that no pool demands are
+//! offered to every pool.
 
 /// What one pool demands, and its bounds.
 #[derive(Clone, Copy, Debug)]
@@ -19,8 +20,8 @@
     }
 }
 
-/// Allocates up to `total` permits by weighted max-min fairness. A pool of positive weight that wants a permit gets one
-/// before another pool gets its second, as far as there are enough.
+/// Allocates up to `total` permits by weighted max-min fairness. A pool of positive weight that
+/// wants a permit gets one before another pool gets its second, as far as there are enough.
 pub fn allocate(total: usize, demands: &[Demand]) -> Vec<usize> {
     let mut allocated = vec![0; demands.len()];
     let mut left = total;
@@ -36,8 +37,8 @@
     allocated
 }
 
-/// The pool whose allocation relative to its weight is the lowest after one more permit; pools without weight count
-/// alike.
+/// The pool whose allocation relative to its weight is the lowest after one more permit; pools
+/// without weight count alike.
 fn next_recipient(demands: &[Demand], allocated: &[usize], weighted: bool) -> Option<usize> {
     let is_open = |pool: &usize| {
         let demand = &demands[*pool];
@@ -53,8 +54,8 @@
     })
 }
 
-/// What each pool may use now: its allocation and every permit that no pool wants. The owners get borrowed permits back
-/// as the borrowers' runs end.
+/// What each pool may use now: its allocation and every permit that no pool wants. The owners get
+/// borrowed permits back as the borrowers' runs end.
 pub fn ceilings(total: usize, demands: &[Demand]) -> Vec<usize> {
     let allocated = allocate(total, demands);
     let idle = total - allocated.iter().sum::<usize>();
--- a/crates/concurrency/src/handlers.rs
+++ b/crates/concurrency/src/handlers.rs
@@ -1,7 +1,7 @@
 //! What the requests of each handler have in flight.
 //!
-//! Owns the counters per handler and the mean duration of its runs. Given each change of a request by
-//! [`requests`](crate::requests), which keeps the counters consistent with the requests.
+//! Owns the counters per handler and the mean duration of its runs. Given each change of a request
+//! by [`requests`](crate::requests), which keeps the counters consistent with the requests.
 
 use crate::config::{CallRequirement, HandlerProfile};
 use crate::ids::HandlerId;
--- a/crates/concurrency/src/lib.rs
+++ b/crates/concurrency/src/lib.rs
@@ -1,16 +1,22 @@
 //! Concurrency limits by pool of handlers (bulkheads) and by upstream, with reserved capacity.
 //!
-//! [`ConcurrencyLimiter`] owns the stage of each request in flight, an adaptive limit on calls for each upstream
-//! ([`limit`]), the division of runs and calls among pools ([`fair_share`]) and the reserve. It is given each event of a
-//! request, and hands out [`Ceiling`](madderbay::interface::Ceiling)s. It performs no I/O and reads no clock. It never
+//! [`ConcurrencyLimiter`] owns the stage of each request in flight, an adaptive limit on calls for
+//! each upstream ([`limit`]), the division of runs and calls among pools ([`fair_share`]) and the
+//! reserve. It is given each event of a request, and hands out
+//! [`Ceiling`](madderbay::interface::Ceiling)s. It performs no I/O and reads no clock. It never
 //! admits, orders or rejects requests: [`madderbay::decide`] does, within the ceilings.
 //!
 //! ```
 //! use madderbay::time::Timestamp;
 //! use madderbay_concurrency::{
-//!     CallRequirement, ConcurrencyConfig, ConcurrencyLimiter, HandlerProfile, PoolConfig, RequestStage,
+//!     CallRequirement, ConcurrencyConfig, ConcurrencyLimiter, HandlerProfile, PoolConfig,
+//!     RequestStage,
+//! };
+//! let pool = |name: &str, handlers| PoolConfig {
+//!     name: name.into(),
+//!     handlers,
+//!     ..PoolConfig::default()
 //! };
-//! let pool = |name: &str, handlers| PoolConfig { name: name.into(), handlers, ..PoolConfig::default() };
 //! let config = ConcurrencyConfig {
 //!     pools: vec![pool("a", vec![0]), pool("b", vec![1])],
 //!     ..ConcurrencyConfig::default()
--- a/crates/concurrency/src/limit.rs
+++ b/crates/concurrency/src/limit.rs
@@ -1,15 +1,17 @@
 //! An adaptive limit on the calls in flight to one upstream.
 //!
-//! A call takes longer for one of two reasons: the upstream executes each call more slowly, or too many calls queue
-//! there. Only queueing is a reason to lower the limit; under plain slowness a lower limit only loses throughput.
-//! Latency alone does not tell the two apart, so the limit is lowered as a probe. If latency falls with the
-//! concurrency, calls were queueing and the lower limit stays. Otherwise the limit is restored, and the observed
-//! latency becomes the new minimum latency.
+//! A call takes longer for one of two reasons: the upstream executes each call more slowly, or too
+//! many calls queue there. Only queueing is a reason to lower the limit; under plain slowness a
+//! lower limit only loses throughput. Latency alone does not tell the two apart, so the limit is
+//! lowered as a probe. If latency falls with the concurrency, calls were queueing and the lower
+//! limit stays. Otherwise the limit is restored, and the observed latency becomes the new minimum
+//! latency.
 //!
-//! [`AdaptiveLimit`] owns the limit, the count of calls in flight, the current sample window, the minimum latency, the
-//! probe in progress and the circuit breaker. It is given the start and the end of each call and the current time. It
-//! never reads a clock, performs no I/O, and never blocks or rejects a call: callers compare
-//! [`AdaptiveLimit::in_flight`] with [`AdaptiveLimit::allowed_in_flight`].
+//! [`AdaptiveLimit`](crate::limit::AdaptiveLimit) owns the limit, the count of calls in flight, the
+//! current sample window, the minimum latency, the probe in progress and the circuit breaker. It is
+//! given the start and the end of each call and the current time. It never reads a clock, performs
+//! no I/O, and never blocks or rejects a call: callers compare the calls in flight with those
+//! allowed.
 
 mod change;
 mod circuit_breaker;
@@ -32,9 +34,11 @@
 const RECENT_PEAK_DECAY: f64 = 0.95;
 /// Bound on a limit that no call reached, as a multiple of the recent peak of calls in flight.
 const MAX_UNUSED_LIMIT_FACTOR: f64 = 2.0;
-/// Lower bound on that reduction, in calls: one probe corrects an excess of a dozen calls, not one of many dozens.
+/// Lower bound on that reduction, in calls: one probe corrects an excess of a dozen calls, not one
+/// of many dozens.
 const MIN_UNUSED_LIMIT: f64 = 12.0;
-/// Concurrency, as a fraction of the limit or of the recent peak, up to which a call counts as unaffected by others.
+/// Concurrency, as a fraction of the limit or of the recent peak, up to which a call counts as
+/// unaffected by others.
 const LOW_CONCURRENCY_FRACTION: f64 = 0.5;
 
 /// Factor of growth per window up to a limit that was sustained before.
@@ -79,8 +83,8 @@
 impl AdaptiveLimit {
     /// Creates a limit that starts at `max` calls, at least 1, and never exceeds it.
     ///
-    /// A call that timed out or was cancelled occupies the upstream for `abandoned_call_lifetime` more. `seed`
-    /// determines the jitter of the circuit breaker's backoff.
+    /// A call that timed out or was cancelled occupies the upstream for `abandoned_call_lifetime`
+    /// more. `seed` determines the jitter of the circuit breaker's backoff.
     pub fn new(
         now: Timestamp,
         seed: u64,
@@ -103,7 +107,8 @@
         }
     }
 
-    /// Replaces the maximum, in calls. A limit at its maximum follows it, since no evidence lowered it.
+    /// Replaces the maximum, in calls. A limit at its maximum follows it, since no evidence lowered
+    /// it.
     pub fn set_max(&mut self, max: f64) {
         let max = max.max(1.0);
         if self.current >= self.max {
@@ -115,7 +120,8 @@
         self.sustained = self.sustained.min(max);
     }
 
-    /// The current limit in calls, as a fraction; at least 1, also while the circuit breaker is open.
+    /// The current limit in calls, as a fraction; at least 1, also while the circuit breaker is
+    /// open.
     pub fn limit(&self) -> f64 {
         self.current
     }
@@ -125,7 +131,8 @@
         self.in_flight.count()
     }
 
-    /// Estimated latency in seconds of a call that waits for no other; `None` before the first sample window ends.
+    /// Estimated latency in seconds of a call that waits for no other; `None` before the first
+    /// sample window ends.
     pub fn minimum_latency_secs(&self) -> Option<f64> {
         self.minimum_latency.secs()
     }
@@ -155,8 +162,8 @@
         self.window.record_saturation();
     }
 
-    /// Registers the end of a call. `process_stalled`: this process paused during the call, so that its latency
-    /// is no evidence.
+    /// Registers the end of a call. `process_stalled`: this process paused during the call, so that
+    /// its latency is no evidence.
     pub fn release(
         &mut self,
         now: Timestamp,
@@ -187,8 +194,8 @@
         self.in_flight.expire_abandoned(now);
     }
 
-    /// Advances the time, and adjusts the limit when the current sample window is complete. Returns the change, if
-    /// any.
+    /// Advances the time, and adjusts the limit when the current sample window is complete. Returns
+    /// the change, if any.
     pub fn tick(&mut self, now: Timestamp) -> Option<LimitChange> {
         self.in_flight.expire_abandoned(now);
         self.handle_clock_step_back(now);
@@ -238,7 +245,8 @@
         }
     }
 
-    /// A concurrency that was never reached was never sustained: keeps the limit near the recent peak.
+    /// A concurrency that was never reached was never sustained: keeps the limit near the recent
+    /// peak.
     fn reduce_unused_limit(&mut self) {
         let bound = (MAX_UNUSED_LIMIT_FACTOR * self.recent_peak).max(MIN_UNUSED_LIMIT);
         self.current = self.current.min(bound);
@@ -251,7 +259,8 @@
         permit.in_flight() as f64 <= (reference * LOW_CONCURRENCY_FRACTION).max(1.0)
     }
 
-    /// Adjusts the limit to the samples of a complete window. Returns the cause of a possible change.
+    /// Adjusts the limit to the samples of a complete window. Returns the cause of a possible
+    /// change.
     fn evaluate(&mut self, now: Timestamp, window: &SampleWindow) -> Option<AdjustmentCause> {
         if window.mostly_failed() {
             return Some(self.decrease_for_failures(now, window));
--- a/crates/concurrency/src/limit/circuit_breaker.rs
+++ b/crates/concurrency/src/limit/circuit_breaker.rs
@@ -1,13 +1,15 @@
-//! The circuit breaker of a limit: no calls while every call fails, then one trial call after a backoff.
+//! The circuit breaker of a limit: no calls while every call fails, then one trial call after a
+//! backoff.
 //!
-//! Owns its state, the count of failing windows and the random numbers of the jitter. Given the windows that mostly
-//! failed and each success; never changes the limit itself.
+//! Owns its state, the count of failing windows and the random numbers of the jitter. Given the
+//! windows that mostly failed and each success; never changes the limit itself.
 
 use madderbay::time::{Duration, Timestamp};
 
 /// First backoff; each further one is twice as long.
 const MIN_BACKOFF: Duration = Duration::from_millis(50);
-/// Maximum backoff. With its jitter it stays below two seconds, within which a recovery has to be noticed.
+/// Maximum backoff. With its jitter it stays below two seconds, within which a recovery has to be
+/// noticed.
 const MAX_BACKOFF: Duration = Duration::from_millis(1_000);
 /// Width of the jitter, as a fraction of the backoff.
 const BACKOFF_JITTER: f64 = 0.5;
--- a/crates/concurrency/src/limit/in_flight.rs
+++ b/crates/concurrency/src/limit/in_flight.rs
@@ -1,13 +1,15 @@
-//! The calls of one limit that are in flight, and those abandoned by the caller that the upstream still executes.
+//! The calls of one limit that are in flight, and those abandoned by the caller that the upstream
+//! still executes.
 //!
-//! Owns the counts and the time of the last start or end. Given the start and end of each call; never decides the
-//! limit, except for a few extra permits while every call in flight hangs.
+//! Owns the counts and the time of the last start or end. Given the start and end of each call;
+//! never decides the limit, except for a few extra permits while every call in flight hangs.
 
 use super::Completion;
 use madderbay::time::{Duration, Timestamp};
 use std::collections::VecDeque;
 
-/// Time without a start or an end after which calls at the limit count as hanging, and one extra call is allowed.
+/// Time without a start or an end after which calls at the limit count as hanging, and one extra
+/// call is allowed.
 const HANG_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Maximum number of extra permits while calls hang.
 const MAX_EXTRA_PERMITS: usize = 2;
--- a/crates/concurrency/src/limit/latency.rs
+++ b/crates/concurrency/src/limit/latency.rs
@@ -1,7 +1,7 @@
 //! The minimum latency: the estimated time of a call that waits for no other.
 //!
-//! Owns the estimate and the last calls made at low concurrency. Given the summary of each window; never adjusts the
-//! limit.
+//! Owns the estimate and the last calls made at low concurrency. Given the summary of each window;
+//! never adjusts the limit.
 
 use super::window::LatencySummary;
 use madderbay::time::{Duration, Timestamp};
@@ -11,11 +11,13 @@
 const LOW_CONCURRENCY_SAMPLES: usize = 4;
 /// Maximum age of the oldest of these calls.
 const MAX_LOW_CONCURRENCY_AGE: Duration = Duration::from_millis(2_000);
-/// Latency of the fastest of these calls, as a multiple of the estimate, above which the upstream is slower.
+/// Latency of the fastest of these calls, as a multiple of the estimate, above which the upstream
+/// is slower.
 const SLOWER_FACTOR: f64 = 1.5;
 /// Weight of a faster window in the estimate.
 const FASTER_WINDOW_WEIGHT: f64 = 0.2;
-/// Fraction of the estimate below which a faster window replaces it: chance does not explain such a difference.
+/// Fraction of the estimate below which a faster window replaces it: chance does not explain such a
+/// difference.
 const REPLACE_FRACTION: f64 = 0.6;
 /// Growth of the estimate per window without a faster one, so that a lucky minimum fades.
 const DRIFT_PER_WINDOW: f64 = 1.002;
@@ -40,7 +42,8 @@
         self.estimate_secs = Some(secs);
     }
 
-    /// Adds a call made at low concurrency. Raises the estimate once several such calls in a row were slow.
+    /// Adds a call made at low concurrency. Raises the estimate once several such calls in a row
+    /// were slow.
     pub(super) fn record_low_concurrency(&mut self, now: Timestamp, latency_secs: f64) {
         if self.low_concurrency.len() == LOW_CONCURRENCY_SAMPLES {
             self.low_concurrency.pop_front();
--- a/crates/concurrency/src/limit/probe.rs
+++ b/crates/concurrency/src/limit/probe.rs
@@ -1,15 +1,15 @@
 //! Probes: reductions of the limit that test whether calls queue at the upstream.
 //!
-//! Owns the probe in progress, the evidence collected for the next one and the pause between probes. Given the latency
-//! of each window; never owns the limit, but returns the one to set.
+//! Owns the probe in progress, the evidence collected for the next one and the pause between
+//! probes. Given the latency of each window; never owns the limit, but returns the one to set.
 
 use super::window::LatencySummary;
 use madderbay::time::{Duration, Timestamp};
 
 /// Queued calls, as a fraction of the limit, below which the limit may grow.
 const SHORT_QUEUE_FRACTION: f64 = 0.12;
-/// Queued calls, as a fraction of the limit, above which a probe is considered. A limit that is a third too high costs a
-/// third of the latency; one that is too low costs throughput.
+/// Queued calls, as a fraction of the limit, above which a probe is considered. A limit that is a
+/// third too high costs a third of the latency; one that is too low costs throughput.
 const LONG_QUEUE_FRACTION: f64 = 0.40;
 /// Lower bounds on both thresholds, in calls: half a call is no queue.
 const MIN_SHORT_QUEUE: f64 = 0.8;
@@ -17,24 +17,27 @@
 
 /// Target of a probe, as a multiple of the concurrency that the upstream seems to sustain.
 const PROBE_HEADROOM: f64 = 1.15;
-/// Bounds on a probe, as fractions of the limit: a smaller reduction shows nothing, a larger one costs throughput.
+/// Bounds on a probe, as fractions of the limit: a smaller reduction shows nothing, a larger one
+/// costs throughput.
 const MIN_PROBE_FRACTION: f64 = 0.6;
 const MAX_PROBE_FRACTION: f64 = 0.8;
-/// Fall of the latency that confirms a queue, as a fraction of the fall expected if all the added latency were queueing.
+/// Fall of the latency that confirms a queue, as a fraction of the fall expected if all the added
+/// latency were queueing.
 const CONFIRMING_FRACTION: f64 = 0.5;
 
 /// Evidence that starts a probe; a single window is noise.
 const MIN_REQUIRED_EVIDENCE: u32 = 2;
 /// Multiple of the queue threshold above which a window counts twice.
 const STRONG_EVIDENCE_FACTOR: f64 = 1.25;
-/// Growth of the required evidence after a reverted probe, so that a settled limit does not oscillate.
+/// Growth of the required evidence after a reverted probe, so that a settled limit does not
+/// oscillate. Growth of the limit requires the evidence divided by this factor.
 const REQUIRED_EVIDENCE_FACTOR: u32 = 4;
 /// Maximum of the required evidence.
 const MAX_REQUIRED_EVIDENCE: u32 = 32;
 /// Change of the latency, as a factor, that resets the required evidence.
 const LATENCY_SHIFT_FACTOR: f64 = 2.0;
-/// Time after a shift of the latency during which little evidence starts a probe; later, what was sustained since is
-/// evidence against a queue.
+/// Time after a shift of the latency during which little evidence starts a probe; later, what was
+/// sustained since is evidence against a queue.
 const PROMPT_PROBE_PERIOD: Duration = Duration::from_millis(1_200);
 /// Pause after a reverted probe; each further one is twice as long.
 const MIN_PROBE_PAUSE: Duration = Duration::from_millis(2_000);
--- a/crates/concurrency/src/limit/window.rs
+++ b/crates/concurrency/src/limit/window.rs
@@ -1,6 +1,7 @@
 //! The sample window: what the calls that started in it tell about the upstream.
 //!
-//! Owns the sums over one window. Given each completed call; never keeps single samples and never adjusts the limit.
+//! Owns the sums over one window. Given each completed call; never keeps single samples and never
+//! adjusts the limit.
 
 use super::{Completion, Permit};
 use madderbay::time::{Duration, Timestamp};
@@ -95,8 +96,8 @@
         self.successes + self.failures + self.timeouts
     }
 
-    /// Whether the window holds enough evidence at this limit. The trial call of a half-open circuit breaker is
-    /// enough by itself.
+    /// Whether the window holds enough evidence at this limit. The trial call of a half-open
+    /// circuit breaker is enough by itself.
     pub(super) fn is_complete(&self, now: Timestamp, limit: f64, half_open: bool) -> bool {
         let elapsed = now - self.started_at;
         let required =
--- a/crates/concurrency/src/limiter.rs
+++ b/crates/concurrency/src/limiter.rs
@@ -18,8 +18,8 @@
 
 /// Concurrency limits by pool of handlers and by upstream.
 ///
-/// Given each event of each request. Hands out [`Ceiling`]s, which the caller passes to the decision module; never
-/// starts, rejects or ends a request itself.
+/// Given each event of each request. Hands out [`Ceiling`]s, which the caller passes to the
+/// decision module; never starts, rejects or ends a request itself.
 pub struct ConcurrencyLimiter {
     cores: usize,
     requests: RequestTable,
@@ -34,7 +34,8 @@
 }
 
 impl ConcurrencyLimiter {
-    /// Creates a limiter for the handlers that `profiles` describes. `seed` determines the jitter of backoffs.
+    /// Creates a limiter for the handlers that `profiles` describes. `seed` determines the jitter
+    /// of backoffs.
     ///
     /// # Panics
     ///
@@ -58,7 +59,8 @@
         }
     }
 
-    /// Moves a request to another stage; a new one is added. Ignored for a handler that is not in the settings.
+    /// Moves a request to another stage; a new one is added. Ignored for a handler that is not in
+    /// the settings.
     pub fn set_stage(&mut self, now: Timestamp, id: u64, handler: usize, stage: RequestStage) {
         let Some(handler) = self.requests.handlers().id(handler) else {
             return;
@@ -86,13 +88,14 @@
         self.changed |= self.upstreams.set_quota(quota);
     }
 
-    /// Registers that this process was stalled until now: the latency of calls in flight is no evidence.
+    /// Registers that this process was stalled until now: the latency of calls in flight is no
+    /// evidence.
     pub fn process_stalled(&mut self, now: Timestamp) {
         self.upstreams.record_stall(now);
     }
 
-    /// Registers the end of a request's call. After a success its run goes on, otherwise it waits for a call again.
-    /// Ignored for a request without a call in flight.
+    /// Registers the end of a request's call. After a success its run goes on, otherwise it waits
+    /// for a call again. Ignored for a request without a call in flight.
     pub fn call_finished(&mut self, now: Timestamp, id: u64, completion: Completion) {
         let next = if completion == Completion::Success {
             RequestStage::Running
@@ -125,7 +128,8 @@
         self.changed |= self.requests.remove(now, id);
     }
 
-    /// Registers that a request was answered while its run goes on. A run that waits for a call is expected to end.
+    /// Registers that a request was answered while its run goes on. A run that waits for a call is
+    /// expected to end.
     pub fn request_answered(&mut self, now: Timestamp, id: u64) {
         self.requests.record_answered(now, id);
     }
@@ -145,7 +149,8 @@
         self.requests.len() == 0
     }
 
-    /// The limit on calls and the calls in flight, summed over the upstreams; `None` where calls have no limit.
+    /// The limit on calls and the calls in flight, summed over the upstreams; `None` where calls
+    /// have no limit.
     pub fn call_usage(&self) -> Option<CallUsage> {
         let each = self.upstreams.iter().map(call_usage_of);
         each.reduce(|sum, next| CallUsage {
@@ -182,7 +187,8 @@
         self.upstreams.change_count()
     }
 
-    /// Takes the changes of limits since the last time, and the number of further changes that were not kept.
+    /// Takes the changes of limits since the last time, and the number of further changes that were
+    /// not kept.
     pub fn take_limit_changes(&mut self) -> (Vec<LimitChange>, u64) {
         self.upstreams.take_changes()
     }
@@ -199,9 +205,9 @@
         self.changed || now >= expires_at || now < self.ceilings_computed_at
     }
 
-    /// Computes the current ceilings, where the decision module allows `workers` concurrent runs: that of all handlers,
-    /// one for each pool, that of the handlers outside the reserve (if there is one), and one for each upstream (if
-    /// there are several).
+    /// Computes the current ceilings, where the decision module allows `workers` concurrent runs:
+    /// that of all handlers, one for each pool, that of the handlers outside the reserve (if there
+    /// is one), and one for each upstream (if there are several).
     pub fn ceilings(&mut self, now: Timestamp, workers: f64) -> &[Ceiling] {
         self.requests.release_hung_runs(now);
         self.changed = false;
--- a/crates/concurrency/src/pool.rs
+++ b/crates/concurrency/src/pool.rs
@@ -8,7 +8,8 @@
 
 /// Name of the pool of all handlers that belong to no configured pool.
 const REMAINING_POOL_NAME: &str = "rest";
-/// Time constant of the moving average of a pool's runs: longer than several runs, shorter than any outage.
+/// Time constant of the moving average of a pool's runs: longer than several runs, shorter than any
+/// outage.
 const RECENT_RUNS_TIME_CONSTANT: Duration = Duration::from_millis(300);
 
 /// A pool as configured, with its moving average.
--- a/crates/concurrency/src/requests.rs
+++ b/crates/concurrency/src/requests.rs
@@ -1,7 +1,7 @@
 //! The requests in flight: the stage of each, and the counters of their handlers.
 //!
-//! Owns the requests and, through [`HandlerTable`], the counters, which always agree. Given each event of a request;
-//! never decides a limit.
+//! Owns the requests and, through [`HandlerTable`], the counters, which always agree. Given each
+//! event of a request; never decides a limit.
 
 use crate::config::HandlerProfile;
 use crate::handlers::HandlerTable;
@@ -10,8 +10,8 @@
 use madderbay::time::{Duration, Timestamp};
 use std::collections::{HashMap, VecDeque};
 
-/// Time after its answer during which a run that waits for a call keeps its permit. The engine ends such a run at once,
-/// if ever.
+/// Time after its answer during which a run that waits for a call keeps its permit. The engine ends
+/// such a run at once, if ever.
 const ANSWERED_RUN_TIMEOUT: Duration = Duration::from_millis(2_000);
 
 /// Progress of a request.
@@ -113,7 +113,8 @@
         request
     }
 
-    /// Ends the call of a request, whose run goes on or waits for another call. `None` if it makes no call now.
+    /// Ends the call of a request, whose run goes on or waits for another call. `None` if it makes
+    /// no call now.
     pub(crate) fn end_call(&mut self, id: u64, next: RequestStage) -> Option<&mut Request> {
         let request = self.requests.get_mut(&id)?;
         if request.stage != RequestStage::Calling {
@@ -154,8 +155,8 @@
         }
     }
 
-    /// Frees the permits of runs that still wait for a call long after their answers. Otherwise an engine that never
-    /// ends them would block their pool for ever. Returns whether any was freed.
+    /// Frees the permits of runs that still wait for a call long after their answers. Otherwise an
+    /// engine that never ends them would block their pool for ever. Returns whether any was freed.
     pub(crate) fn release_hung_runs(&mut self, now: Timestamp) -> bool {
         let mut released = false;
         while let Some(answered) = self.answered.pop_front_if(|a| a.hung_at <= now) {
--- a/crates/concurrency/src/reserve.rs
+++ b/crates/concurrency/src/reserve.rs
@@ -1,6 +1,7 @@
 //! Reserved capacity: who owns it, and the ceiling of all other handlers.
 //!
-//! Owns the choice of the owners. Given the counters of the handlers; never enforces the reserve itself.
+//! Owns the choice of the owners. Given the counters of the handlers; never enforces the reserve
+//! itself.
 
 use crate::UNLIMITED;
 use crate::config::Reserve;
@@ -13,8 +14,8 @@
 const CHEAPEST_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Mean run of a handler, as a fraction of the owner's, below which it takes over the reserve.
 const TAKEOVER_FRACTION: f64 = 0.8;
-/// Mean run of a handler, as a multiple of the owners' shortest, up to which it may borrow the reserve: the owners get
-/// it back within about one run.
+/// Mean run of a handler, as a multiple of the owners' shortest, up to which it may borrow the
+/// reserve: the owners get it back within about one run.
 const MAX_BORROWER_RUN_FACTOR: f64 = 1.5;
 
 pub(crate) struct ReserveState {
@@ -55,7 +56,8 @@
         self.chosen_at = now;
     }
 
-    /// The ceiling that keeps the reserve free of other handlers, except of those that return it within one run.
+    /// The ceiling that keeps the reserve free of other handlers, except of those that return it
+    /// within one run.
     pub(crate) fn ceiling_of_others(
         &self,
         handlers: &HandlerTable,
@@ -84,7 +86,8 @@
         reserved.min(total.saturating_sub(1))
     }
 
-    /// A handler whose runs never wait for a call and are as short as the owners' may use the reserve.
+    /// A handler whose runs never wait for a call and are as short as the owners' may use the
+    /// reserve.
     fn may_borrow(&self, handlers: &HandlerTable, handler: HandlerId) -> bool {
         let owners = self.owners.iter();
         let owner_runs = owners.filter_map(|h| handlers.get(*h).mean_run_secs);
--- a/crates/concurrency/src/upstream.rs
+++ b/crates/concurrency/src/upstream.rs
@@ -1,15 +1,15 @@
 //! The limits on calls, one for each upstream.
 //!
-//! Owns the limits, which handlers each applies to, and the log of their changes. Given this server's quota and the time
-//! of process stalls; never divides a limit among pools.
+//! Owns the limits, which handlers each applies to, and the log of their changes. Given this
+//! server's quota and the time of process stalls; never divides a limit among pools.
 
 use crate::config::{CallRequirement, ConcurrencyConfig, HandlerProfile};
 use crate::ids::{HandlerId, handler_ids};
 use crate::limit::{AdaptiveLimit, Completion, LimitChange, Permit};
 use madderbay::time::Timestamp;
 
-/// Lower bound on a limit, in calls, whatever the quota. Short calls may then overlap; the decision module accounts for
-/// call time and keeps the mean within the quota.
+/// Lower bound on a limit, in calls, whatever the quota. Short calls may then overlap; the decision
+/// module accounts for call time and keeps the mean within the quota.
 const MIN_CALL_LIMIT: f64 = 4.0;
 /// Maximum number of changes of limits kept for the log until they are fetched.
 const MAX_PENDING_CHANGES: usize = 64;
@@ -84,7 +84,8 @@
         self.limits.iter()
     }
 
-    /// Sets this server's quota of concurrent calls; returns whether there is a limit that follows it.
+    /// Sets this server's quota of concurrent calls; returns whether there is a limit that follows
+    /// it.
     pub(crate) fn set_quota(&mut self, quota: f64) -> bool {
         for upstream in &mut self.limits {
             let max = (quota * upstream.quota_fraction).max(MIN_CALL_LIMIT);
@@ -149,7 +150,8 @@
     }
 }
 
-/// The configured groups and, where a handler in none of them makes calls, one more with the full quota.
+/// The configured groups and, where a handler in none of them makes calls, one more with the full
+/// quota.
 fn complete_groups(
     config: &ConcurrencyConfig,
     profiles: &[HandlerProfile],
--- a/crates/concurrency/tests/concurrency/adaptive_limit.rs
+++ b/crates/concurrency/tests/concurrency/adaptive_limit.rs
@@ -56,7 +56,8 @@
     }
 }
 
-/// Where concurrency costs the upstream throughput and the maximum is far too high, the limit falls and throughput rises.
+/// Where concurrency costs the upstream throughput and the maximum is far too high, the limit falls
+/// and throughput rises.
 #[test]
 fn reduces_concurrency_when_upstream_is_overloaded() {
     let scenario = Scenario {
@@ -82,8 +83,9 @@
     );
 }
 
-/// Whatever the maximum, from too low to ten times too high: once calls are slow the limit approaches what the slots
-/// sustain, though the callers never have so many calls in flight, and no throughput is lost.
+/// Whatever the maximum, from too low to ten times too high: once calls are slow the limit
+/// approaches what the slots sustain, though the callers never have so many calls in flight, and no
+/// throughput is lost.
 #[test]
 fn reduces_far_too_high_maximum_to_sustained_concurrency() {
     for max in [2.0, 6.0, 12.0, 40.0, 80.0] {
@@ -114,7 +116,8 @@
     }
 }
 
-/// After a recovery throughput within two seconds is what it would be without a limit, without a stampede.
+/// After a recovery throughput within two seconds is what it would be without a limit, without a
+/// stampede.
 #[test]
 fn notices_recovery_within_two_seconds() {
     for behavior in [Behavior::Slow(20.0), Behavior::Failing, Behavior::Silent] {
@@ -175,8 +178,8 @@
     assert!(adaptive > 0.93 * fixed, "{adaptive} of {fixed} once warm");
 }
 
-/// From three seconds after the start and the end of a fault the limit swings by less than a fifth, except for one probe in
-/// few of many scenarios.
+/// From three seconds after the start and the end of a fault the limit swings by less than a fifth,
+/// except for one probe in few of many scenarios.
 #[test]
 fn settles_within_three_seconds() {
     let (mut late, mut periods) = (0, 0);
--- a/crates/concurrency/tests/concurrency/arbitrary_events.rs
+++ b/crates/concurrency/tests/concurrency/arbitrary_events.rs
@@ -73,8 +73,8 @@
 proptest! {
     #![proptest_config(fixed_seed(256))]
 
-    /// Whatever happens, in whatever order and time: counters stay those of the known requests, and nothing is left once
-    /// all requests finished.
+    /// Whatever happens, in whatever order and time: counters stay those of the known requests, and
+    /// nothing is left once all requests finished.
     #[test]
     fn counters_agree_with_requests(events in prop::collection::vec(event(), 1..300)) {
         let mut limiter = limiter(ConcurrencyConfig {
@@ -87,7 +87,8 @@
             ms = apply(&mut limiter, ms, event);
             let all = limiter.ceilings(at(ms as u64), WORKERS as f64).to_vec();
             for (ceiling, usage) in all[1..4].iter().zip(limiter.pool_usage()) {
-                // Two more calls than the quota while calls hang; none for a handler that makes none.
+                // Two more calls than the quota while calls hang; none for a handler that makes
+                // none.
                 let max_calls = if ceiling.handlers == [QUOTE] { 0 } else { 10 };
                 prop_assert!(ceiling.calls <= max_calls);
                 // Beyond its runs, no pool may start more than there are workers.
--- a/crates/concurrency/tests/concurrency/fair_share.rs
+++ b/crates/concurrency/tests/concurrency/fair_share.rs
@@ -48,8 +48,8 @@
 proptest! {
     #![proptest_config(fixed_seed(256))]
 
-    /// No permit is allocated twice, none is left that a pool wants, and a pool that got less than another for its weight
-    /// wanted no more, or no permit was left to even it out.
+    /// No permit is allocated twice, none is left that a pool wants, and a pool that got less than
+    /// another for its weight wanted no more, or no permit was left to even it out.
     #[test]
     fn allocation_is_max_min_fair(
         total in 0usize..40,
--- a/crates/concurrency/tests/concurrency/limit_edge_cases.rs
+++ b/crates/concurrency/tests/concurrency/limit_edge_cases.rs
@@ -1,4 +1,5 @@
-//! The adaptive limit, call by call: hanging calls, stalls of the process, the clock, and arbitrary events.
+//! The adaptive limit, call by call: hanging calls, stalls of the process, the clock, and arbitrary
+//! events.
 
 use crate::support::fixed_seed;
 use madderbay::time::{Duration, Timestamp};
@@ -103,8 +104,9 @@
 proptest! {
     #![proptest_config(fixed_seed(200))]
 
-    /// Whatever happens, and whatever the clock does: the limit stays within its bounds, the circuit breaker half-opens,
-    /// and no more calls are allowed than the maximum and two while calls hang.
+    /// Whatever happens, and whatever the clock does: the limit stays within its bounds, the
+    /// circuit breaker half-opens, and no more calls are allowed than the maximum and two while
+    /// calls hang.
     #[test]
     fn stays_within_bounds_after_arbitrary_events(
         steps in prop::collection::vec(step(), 1..400),
--- a/crates/concurrency/tests/concurrency/pools.rs
+++ b/crates/concurrency/tests/concurrency/pools.rs
@@ -7,7 +7,8 @@
 use madderbay::time::Duration;
 use madderbay_concurrency::{ConcurrencyConfig, RequestStage};
 
-/// An engine that never ends a run at a call, whose request was answered long ago, does not occupy its pool for ever.
+/// An engine that never ends a run at a call, whose request was answered long ago, does not occupy
+/// its pool for ever.
 #[test]
 fn frees_permits_of_hung_runs_after_two_seconds() {
     let mut limiter = limiter_of_equal_pools();
--- a/crates/concurrency/tests/concurrency/reference_run/mod.rs
+++ b/crates/concurrency/tests/concurrency/reference_run/mod.rs
@@ -1,8 +1,9 @@
 //! Replays fixed seeds and compares limits and ceilings, bit for bit, with recorded ones.
 //!
-//! The recordings in `data` were written before the crate was restructured. They list each change of a limit, and end
-//! with a hash of the state after every step, so that any difference in arithmetic, in random draws or in their order
-//! fails here. A deliberate change of the algorithm replaces them.
+//! The recordings in `data` were written before the crate was restructured. They list each change
+//! of a limit, and end with a hash of the state after every step, so that any difference in
+//! arithmetic, in random draws or in their order fails here. A deliberate change of the algorithm
+//! replaces them.
 
 mod configs;
 mod random_calls;
--- a/crates/concurrency/tests/concurrency/reserve.rs
+++ b/crates/concurrency/tests/concurrency/reserve.rs
@@ -28,8 +28,8 @@
     assert_eq!(ceiling_outside_reserve(&mut limiter, 1, 1.0).runs, 1);
 }
 
-/// Handlers whose runs are as short as the owner's may borrow the reserve. The owner gets it back within one run, since
-/// each permit that is released goes to the owner first.
+/// Handlers whose runs are as short as the owner's may borrow the reserve. The owner gets it back
+/// within one run, since each permit that is released goes to the owner first.
 #[test]
 fn returns_borrowed_reserve_within_one_run() {
     let (owner, borrower) = (0, 1);
@@ -69,8 +69,8 @@
     assert_eq!(pool_ceiling(&mut limiter, 102, 4.0, borrower).runs, 2);
 }
 
-/// Without configured owners the handler of the shortest runs owns the reserve, and keeps it against one that is hardly
-/// faster.
+/// Without configured owners the handler of the shortest runs owns the reserve, and keeps it
+/// against one that is hardly faster.
 #[test]
 fn cheapest_handler_owns_reserve_without_configured_owner() {
     let mut limiter = limiter_with(reserve(&[], 0.1));
--- a/crates/concurrency/tests/concurrency/simulation/mod.rs
+++ b/crates/concurrency/tests/concurrency/simulation/mod.rs
@@ -1,5 +1,6 @@
-//! A simulated upstream and its callers, in simulated time: calls wait for a slot in the order of their start. A seed
-//! determines all random numbers. Shared by the tests of the limit and by `examples/ways`.
+//! A simulated upstream and its callers, in simulated time: calls wait for a slot in the order of
+//! their start. A seed determines all random numbers. Shared by the tests of the limit and by
+//! `examples/ways`.
 
 mod policy;
 mod scenario;
@@ -139,7 +140,8 @@
         }
     }
 
-    /// Removes the calls that are over, and those that were abandoned long ago. Callers abandon calls that are stuck.
+    /// Removes the calls that are over, and those that were abandoned long ago. Callers abandon
+    /// calls that are stuck.
     fn remove_ended_calls(&mut self, ms: u64) -> Vec<EndedCall> {
         let timeout_ms = (TIMEOUT_FACTOR * self.mean_latency_ms + MIN_TIMEOUT_MS) as u64;
         let mut ended = vec![];
--- a/crates/concurrency/tests/concurrency/simulation/scenario.rs
+++ b/crates/concurrency/tests/concurrency/simulation/scenario.rs
@@ -34,7 +34,8 @@
     pub(crate) call_ms: f64,
     /// Spread of a call's time: 0 is constant, 1 is exponential.
     pub(crate) spread: f64,
-    /// Growth of a call's time, as a fraction, for each further multiple of the slots that is requested.
+    /// Growth of a call's time, as a fraction, for each further multiple of the slots that is
+    /// requested.
     pub(crate) thrash: f64,
     /// Calls wanted per second.
     pub(crate) per_second: f64,
--- a/crates/concurrency/tests/concurrency/support.rs
+++ b/crates/concurrency/tests/concurrency/support.rs
@@ -1,4 +1,5 @@
-//! Shared steps of the tests of the limiter: three handlers, three pools, and events of many requests.
+//! Shared steps of the tests of the limiter: three handlers, three pools, and events of many
+//! requests.
 
 use madderbay::interface::Ceiling;
 use madderbay::time::Timestamp;
--- a/crates/concurrency/tests/concurrency/upstreams.rs
+++ b/crates/concurrency/tests/concurrency/upstreams.rs
@@ -6,7 +6,8 @@
 use madderbay_concurrency::limit::Completion;
 use madderbay_concurrency::{ConcurrencyConfig, ConcurrencyLimiter, RequestStage};
 
-/// Quota below one call: short calls may overlap, and the decision module keeps their mean within the quota.
+/// Quota below one call: short calls may overlap, and the decision module keeps their mean within
+/// the quota.
 #[test]
 fn allows_four_calls_for_quota_below_one() {
     let config = ConcurrencyConfig {
