--- a/src/time.rs
+++ b/src/time.rs
@@ -1,4 +1,5 @@
-//! Points in time and durations, kept apart by the compiler.
+//! Points in time and lengths of time, kept apart by the compiler. Both count whole microseconds, and saturate
+//! at zero and at the largest number; no clock is read here.
 //!
 //! ```
 //! use madderbay::time::{Duration, Timestamp};
@@ -7,7 +8,7 @@
 //! assert_eq!(read - Timestamp::from_micros(9_000), Duration::ZERO);
 //! ```
 //!
-//! Two points can't be added:
+//! Two points cannot be added:
 //!
 //! ```compile_fail
 //! use madderbay::time::Timestamp;
@@ -25,36 +26,52 @@
 pub struct Duration(u64);
 
 impl Timestamp {
-    pub const fn from_micros(us: u64) -> Timestamp {
-        Timestamp(us)
+    /// The point that many microseconds after the clock's start.
+    pub const fn from_micros(micros: u64) -> Timestamp {
+        Timestamp(micros)
     }
-    /// The point `span` earlier; the clock's start if there is none.
-    pub fn saturating_sub(self, span: Duration) -> Timestamp {
-        Timestamp(self.0.saturating_sub(span.0))
+
+    /// The point `duration` earlier; the clock's start if there is none.
+    pub fn saturating_sub(self, duration: Duration) -> Timestamp {
+        Timestamp(self.0.saturating_sub(duration.0))
     }
 }
 
 impl Duration {
+    /// No time.
     pub const ZERO: Duration = Duration(0);
-    pub const fn from_micros(us: u64) -> Duration {
-        Duration(us)
+
+    /// That many microseconds.
+    pub const fn from_micros(micros: u64) -> Duration {
+        Duration(micros)
     }
-    pub const fn from_millis(ms: u64) -> Duration {
-        Duration(ms * 1_000)
+
+    /// That many milliseconds.
+    pub const fn from_millis(millis: u64) -> Duration {
+        Duration(millis * 1_000)
     }
-    /// Negative and undefined numbers count as nothing.
-    pub fn from_secs_f64(s: f64) -> Duration {
-        Duration((s * 1e6) as u64)
+
+    /// That many seconds, rounded down to microseconds; zero for a negative or undefined number.
+    pub fn from_secs_f64(seconds: f64) -> Duration {
+        Duration((seconds * 1e6) as u64)
     }
+
+    /// The length in seconds.
     pub fn as_secs_f64(self) -> f64 {
         self.0 as f64 / 1e6
     }
+
+    /// The length in microseconds.
     pub const fn as_micros(self) -> u64 {
         self.0
     }
-    pub fn mul_f64(self, k: f64) -> Duration {
-        Duration((self.0 as f64 * k) as u64)
+
+    /// The multiple by a factor, rounded down to microseconds; zero for a negative or undefined factor.
+    pub fn mul_f64(self, factor: f64) -> Duration {
+        Duration((self.0 as f64 * factor) as u64)
     }
+
+    /// The length less another; zero where the other is longer.
     pub fn saturating_sub(self, other: Duration) -> Duration {
         Duration(self.0.saturating_sub(other.0))
     }
@@ -62,14 +79,16 @@
 
 impl Add<Duration> for Timestamp {
     type Output = Timestamp;
-    fn add(self, span: Duration) -> Timestamp {
-        Timestamp(self.0.saturating_add(span.0))
+
+    fn add(self, duration: Duration) -> Timestamp {
+        Timestamp(self.0.saturating_add(duration.0))
     }
 }
 
 impl Sub for Timestamp {
     type Output = Duration;
-    /// Nothing, where the other point is the later one.
+
+    /// The time since the other point; zero where that is the later one.
     fn sub(self, other: Timestamp) -> Duration {
         Duration(self.0.saturating_sub(other.0))
     }
@@ -77,6 +96,7 @@
 
 impl Add for Duration {
     type Output = Duration;
+
     fn add(self, other: Duration) -> Duration {
         Duration(self.0.saturating_add(other.0))
     }
