Decision module: one file for each part, a builder, named stages and structs

decide.rs held fifteen jobs in 1,100 lines under short names of our own, Decider::new took nine records, and tuples and pairs of numbers stood for reports, drains, tenants and vitals.

Arithmetic and tables that decide nothing stand outside policy: estimators (averages, rates, ranks, least squares), ceilings, timers, idempotency keys, and the request table, whose counters move by its methods only. Constants stand in one block a file with unit, reason and source. Draws, float order, timers and their ties are as before. settings builds the Decider by the builder, the server reads Status.concurrency_limit instead of the third of four numbers.

--- a/crates/server/src/core/serve.rs
+++ b/crates/server/src/core/serve.rs
@@ -178,7 +178,7 @@
         if !changed && !pools.as_ref().is_some_and(|p| p.is_stale(now)) {
             return;
         }
-        let [_, _, workers, _] = decider.vitals();
+        let workers = decider.status().concurrency_limit;
         let mut all = pools
             .as_mut()
             .map_or(vec![], |p| p.ceilings(now, workers).to_vec());
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -130,18 +130,18 @@
 impl Settings {
     /// The module of one server life that begins now.
     pub fn decider(&self, now: Timestamp, seed: u64) -> Decider {
-        let (m, h, t, b) = (&self.machine, &self.handlers, &self.tenants, &self.below);
-        Decider::new(
+        Decider::builder(
             now,
             seed,
-            m,
-            h,
-            t,
-            b,
-            &self.callers,
+            &self.machine,
+            &self.handlers,
             &self.place,
             &self.rules,
         )
+        .tenants(&self.tenants, &self.place)
+        .upstream(&self.below)
+        .downstream(&self.callers)
+        .build()
     }
 
     /// Where a gauge stands among those that are sent.
--- /dev/null
+++ b/src/estimators.rs
@@ -0,0 +1,198 @@
+//! Estimators and counters: averages, rates, ranks, regressions, recent clients, expiring counts. Each owns what
+//! it measured. This is arithmetic only: what is measured, and what follows from it, is the caller's decision.
+
+use crate::time::{Duration, Timestamp};
+use std::array::from_fn;
+use std::collections::{HashMap, VecDeque};
+
+/// Largest absolute value of an entry of the covariance, so that it cannot overflow.
+const MAX_COVARIANCE: f64 = 1e6;
+/// Least variance of a regression's input, so that no slope is infinite.
+const MIN_VARIANCE: f64 = 1e-9;
+
+/// Average of samples from zero on; the newest counts by its weight.
+#[derive(Debug)]
+pub(crate) struct Average {
+    value: f64,
+    weight: f64,
+}
+
+impl Average {
+    pub(crate) fn new(weight: f64) -> Average {
+        Average { value: 0.0, weight }
+    }
+
+    pub(crate) fn value(&self) -> f64 {
+        self.value
+    }
+
+    pub(crate) fn record(&mut self, sample: f64) {
+        self.value += self.weight * (sample - self.value);
+    }
+
+    /// Lets the average keep that fraction of its value.
+    pub(crate) fn decay(&mut self, fraction: f64) {
+        self.value *= fraction;
+    }
+}
+
+/// Rate of events, decaying exponentially between them.
+#[derive(Debug)]
+pub(crate) struct EventRate {
+    rate: f64,
+    updated: Timestamp,
+}
+
+impl EventRate {
+    pub(crate) fn new(now: Timestamp) -> EventRate {
+        EventRate { rate: 0.0, updated: now }
+    }
+
+    /// Counts an event; returns the rate per second over that many seconds.
+    pub(crate) fn record(&mut self, now: Timestamp, window_seconds: f64) -> f64 {
+        let elapsed = (now - self.updated).as_secs_f64();
+        self.rate = self.rate * (-elapsed / window_seconds).exp() + 1.0 / window_seconds;
+        self.updated = now;
+        self.rate
+    }
+}
+
+/// The clients seen within a window.
+#[derive(Debug)]
+pub(crate) struct RecentClients {
+    last_seen: HashMap<u16, Timestamp>,
+    window: Duration,
+}
+
+impl RecentClients {
+    pub(crate) fn new(window: Duration) -> RecentClients {
+        RecentClients { last_seen: HashMap::new(), window }
+    }
+
+    /// Records a client; returns whether it was seen within the window before.
+    pub(crate) fn record(&mut self, now: Timestamp, client: u16) -> bool {
+        let previous = self.last_seen.insert(client, now);
+        previous.is_some_and(|seen| now - seen < self.window)
+    }
+
+    /// Forgets the clients not seen within the window.
+    pub(crate) fn expire(&mut self, now: Timestamp) {
+        self.last_seen.retain(|_, seen| now - *seen < self.window);
+    }
+
+    /// Clients not forgotten.
+    pub(crate) fn count(&self) -> usize {
+        self.last_seen.len()
+    }
+}
+
+/// A count of things that each end at a known time, added in the order of these times.
+#[derive(Debug, Default)]
+pub(crate) struct ExpiringCount(VecDeque<Timestamp>);
+
+impl ExpiringCount {
+    /// Counts one more, which ends then.
+    pub(crate) fn add(&mut self, end: Timestamp) {
+        self.0.push_back(end);
+    }
+
+    /// Drops what has ended; returns the count of the rest.
+    pub(crate) fn count(&mut self, now: Timestamp) -> usize {
+        while self.0.front().is_some_and(|end| *end <= now) {
+            self.0.pop_front();
+        }
+        self.0.len()
+    }
+}
+
+/// The latest values, among which a value is ranked.
+#[derive(Debug)]
+pub(crate) struct Ranking {
+    values: VecDeque<f64>,
+    capacity: usize,
+}
+
+impl Ranking {
+    pub(crate) fn new(capacity: usize) -> Ranking {
+        Ranking { values: VecDeque::new(), capacity }
+    }
+
+    pub(crate) fn push(&mut self, value: f64) {
+        self.values.push_back(value);
+        if self.values.len() > self.capacity {
+            self.values.pop_front();
+        }
+    }
+
+    /// Rank of a value among the latest, 0 to 1; `chance`, 0 to 1, places it among equal ones.
+    pub(crate) fn rank(&self, value: f64, chance: f64) -> f64 {
+        let lower = self.values.iter().filter(|v| **v < value).count() as f64;
+        let equal = self.values.iter().filter(|v| **v == value).count() as f64;
+        (lower + chance * equal) / self.values.len().max(1) as f64
+    }
+}
+
+/// Slope of a value over an input, by averages that decay with each sample.
+#[derive(Debug, Default)]
+pub(crate) struct Slope {
+    covariance: f64,
+    variance: f64,
+}
+
+impl Slope {
+    /// Learns from a sample's deviations from the means; `weight` is that of the newest sample.
+    pub(crate) fn record(&mut self, input_deviation: f64, value_deviation: f64, weight: f64) {
+        self.covariance += weight * (input_deviation * value_deviation - self.covariance);
+        self.variance += weight * (input_deviation * input_deviation - self.variance);
+    }
+
+    /// The change of the value per unit of the input.
+    pub(crate) fn value(&self) -> f64 {
+        self.covariance / self.variance.max(MIN_VARIANCE)
+    }
+}
+
+/// Recursive least squares fit of a linear function of `N` inputs.
+#[derive(Debug)]
+pub(crate) struct LeastSquares<const N: usize> {
+    coefficients: [f64; N],
+    covariance: [[f64; N]; N],
+    /// The inputs of the next observation.
+    pub(crate) inputs: [f64; N],
+}
+
+impl<const N: usize> LeastSquares<N> {
+    /// Begins with coefficients of zero and that variance of each.
+    pub(crate) fn new(variance: f64) -> LeastSquares<N> {
+        let covariance = from_fn(|i| from_fn(|j| if i == j { variance } else { 0.0 }));
+        LeastSquares { coefficients: [0.0; N], covariance, inputs: [0.0; N] }
+    }
+
+    /// The fitted effect of an input.
+    pub(crate) fn coefficient(&self, input: usize) -> f64 {
+        self.coefficients[input]
+    }
+
+    /// The value that the fit expects of the inputs.
+    pub(crate) fn predict(&self) -> f64 {
+        dot(&self.coefficients, &self.inputs)
+    }
+
+    /// Learns the value observed with the inputs; older observations lose weight by the forgetting factor.
+    pub(crate) fn learn(&mut self, observed: f64, forgetting: f64) {
+        let projected: [f64; N] = from_fn(|i| dot(&self.covariance[i], &self.inputs));
+        let gain = forgetting + dot(&self.inputs, &projected);
+        let error = observed - self.predict();
+        for (i, row) in self.covariance.iter_mut().enumerate() {
+            self.coefficients[i] += projected[i] / gain * error;
+            for (entry, other) in row.iter_mut().zip(&projected) {
+                let updated = (*entry - projected[i] * other / gain) / forgetting;
+                *entry = updated.clamp(-MAX_COVARIANCE, MAX_COVARIANCE);
+            }
+        }
+    }
+}
+
+fn dot<const N: usize>(a: &[f64; N], b: &[f64; N]) -> f64 {
+    a.iter().zip(b).map(|(x, y)| x * y).sum::<f64>()
+}
--- /dev/null
+++ b/src/idempotency.rs
@@ -0,0 +1,145 @@
+//! The table of idempotency keys: which attempts belong to one request, and which of them runs. Owns the entries
+//! and their memory; is given slots of requests and decides nothing.
+
+use crate::request::RequestSlot;
+use crate::time::Timestamp;
+use slotmap::{SlotMap, new_key_type};
+use std::collections::HashMap;
+
+new_key_type! {
+    /// Slot of an idempotency key in the table.
+    pub(crate) struct KeySlot;
+}
+
+/// What an attempt is to its key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Role {
+    /// Another attempt's run has started; this one shares its answer.
+    Joiner,
+    /// Another attempt is to run; this one waits for its start.
+    Follower,
+    /// This attempt is to run.
+    Leader,
+}
+
+/// All attempts of one keyed request on this server.
+#[derive(Clone, Debug, Default)]
+struct Entry {
+    leader: Option<RequestSlot>,
+    has_run: bool,
+    /// When the stored entry expires, while there is one.
+    stored_until: Option<Timestamp>,
+    followers: Vec<RequestSlot>,
+    attempt_ids: Vec<u64>,
+}
+
+/// The keys of keyed requests and the attempts bound to each.
+#[derive(Debug, Default)]
+pub(crate) struct IdempotencyTable {
+    entries: SlotMap<KeySlot, Entry>,
+    key_of: HashMap<u64, KeySlot>,
+    stored_entries: usize,
+    entry_kb: f64,
+}
+
+impl IdempotencyTable {
+    /// A stored entry takes `entry_kb` of memory.
+    pub(crate) fn new(entry_kb: f64) -> IdempotencyTable {
+        IdempotencyTable { entry_kb, ..IdempotencyTable::default() }
+    }
+
+    /// The key that the attempt or the one that it retries belongs to, else a new one; both belong to it after.
+    /// `retry_of` is 0 for none. Attempts of one batch may name each other before the other is known: the name
+    /// alone binds them.
+    pub(crate) fn bind(&mut self, attempt_id: u64, retry_of: u64) -> KeySlot {
+        let ids = if retry_of == 0 { &[attempt_id][..] } else { &[attempt_id, retry_of] };
+        let known = ids.iter().find_map(|id| self.key_of.get(id).copied());
+        let key = known.unwrap_or_else(|| self.entries.insert(Entry::default()));
+        for id in ids {
+            if self.key_of.insert(*id, key).is_none() {
+                self.entries[key].attempt_ids.push(*id);
+            }
+        }
+        key
+    }
+
+    /// Memory of the stored entries, in kB.
+    pub(crate) fn memory_kb(&self) -> f64 {
+        self.stored_entries as f64 * self.entry_kb
+    }
+
+    /// Memory of one stored entry, in kB.
+    pub(crate) fn entry_kb(&self) -> f64 {
+        self.entry_kb
+    }
+
+    /// Enters an attempt under its key; `in_flight` tells of another one whether it has not ended.
+    pub(crate) fn enter(
+        &mut self, key: KeySlot, attempt: RequestSlot, in_flight: impl Fn(RequestSlot) -> bool,
+    ) -> Role {
+        let entry = &mut self.entries[key];
+        if entry.has_run {
+            return Role::Joiner;
+        }
+        if entry.leader.is_some_and(in_flight) {
+            entry.followers.push(attempt);
+            return Role::Follower;
+        }
+        entry.leader = Some(attempt);
+        Role::Leader
+    }
+
+    /// Makes the first of the attempts the one to run, and the others wait for it.
+    pub(crate) fn promote(&mut self, key: KeySlot, attempts: &[RequestSlot]) -> Option<RequestSlot> {
+        let (first, others) = attempts.split_first()?;
+        let entry = &mut self.entries[key];
+        (entry.leader, entry.followers) = (Some(*first), others.to_vec());
+        entry.leader
+    }
+
+    /// Records that the leader started; returns the attempts that wait for it, which are bound no more.
+    pub(crate) fn start_run(&mut self, key: KeySlot) -> Vec<RequestSlot> {
+        let entry = &mut self.entries[key];
+        entry.has_run = true;
+        std::mem::take(&mut entry.followers)
+    }
+
+    /// Takes out an attempt that never started. If it was to run, returns those that waited for it.
+    pub(crate) fn withdraw(&mut self, key: KeySlot, attempt: RequestSlot) -> Option<Vec<RequestSlot>> {
+        let entry = &mut self.entries[key];
+        entry.followers.retain(|f| *f != attempt);
+        let was_to_run = entry.leader == Some(attempt) && !entry.has_run;
+        was_to_run.then(|| std::mem::take(&mut entry.followers))
+    }
+
+    /// Records that the key is stored until then.
+    pub(crate) fn store(&mut self, key: KeySlot, until: Timestamp) {
+        let is_new = self.entries[key].stored_until.replace(until).is_none();
+        self.stored_entries += usize::from(is_new);
+    }
+
+    /// Removes a key's stored entry if it has expired; a later one stays.
+    pub(crate) fn expire(&mut self, now: Timestamp, key: KeySlot) {
+        let Some(entry) = self.entries.get_mut(key) else { return };
+        if entry.stored_until.is_some_and(|until| until <= now) {
+            entry.stored_until = None;
+            self.stored_entries -= 1;
+        }
+    }
+
+    /// Forgets a key and its attempts.
+    pub(crate) fn forget(&mut self, key: KeySlot) {
+        self.remove(key);
+    }
+
+    /// Forgets a key and its attempts; returns whether the key was stored.
+    pub(crate) fn remove(&mut self, key: KeySlot) -> bool {
+        let Some(entry) = self.entries.remove(key) else { return false };
+        let was_stored = entry.stored_until.is_some();
+        self.stored_entries -= usize::from(was_stored);
+        for id in entry.attempt_ids {
+            self.key_of.remove(&id);
+        }
+        was_stored
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,4 +1,4 @@
-//! What the decision module is given, and the [`Actions`] through which it answers. Plain data, no decisions.
+//! What the decision module is given, and the `Actions` through which it answers. Plain data, no decisions.
 
 use crate::time::Duration;
 
--- a/src/request.rs
+++ b/src/request.rs
@@ -1,219 +1,268 @@
-//! A req and a keyed req's tries as the module keeps them, under small numbers. Nothing is decided here.
+//! The table of requests, queued or in flight, under small slots. Owns each request's stage, and the memory and
+//! load that follow from it; is given identifiers from outside and decides nothing.
 
+use crate::idempotency::KeySlot;
 use crate::interface::{Actions, Arrival};
 use crate::time::{Duration, Timestamp};
 use slotmap::{SlotMap, new_key_type};
 use std::collections::HashMap;
+use std::ops::{Index, IndexMut};
 
 new_key_type! {
-    /// The number of a req in hand.
-    pub struct No;
-    /// The number of a keyed req's key.
-    pub struct KeyNo;
+    /// Slot of a request in the table.
+    pub(crate) struct RequestSlot;
 }
 
+/// How far a request has come.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Stage {
+pub(crate) enum Stage {
     #[default]
-    Held,
-    /// Waits for another try of the same req to start.
+    Queued,
+    /// Waits for another attempt of the same request to start.
     Following,
-    /// Waits for another try's answer.
+    /// Waits for another attempt's answer.
     Joined,
     Running,
-    /// Stands at a call that has not been made.
+    /// Waits at a call that is not in flight.
     AtCall,
     Calling,
 }
 
 impl Stage {
-    pub fn started(self) -> bool {
+    fn has_started(self) -> bool {
         matches!(self, Stage::Running | Stage::AtCall | Stage::Calling)
     }
 }
 
-/// What a due time is for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Due {
-    Answer(No),
-    Call(No),
-    Stop(No),
-    Lapse(KeyNo),
-    Forget(KeyNo),
-}
-
+/// One request. Its stage and memory change by the table's methods only.
 #[derive(Clone, Debug, Default)]
-pub struct Req {
-    pub id: u64,
-    pub handler: usize,
-    pub tenant: usize,
-    pub reached: Timestamp,
-    pub target: Timestamp,
-    pub due: Timestamp,
-    pub hint: Option<Duration>,
-    pub kb: f64,
-    pub repeats: u64,
-    pub value: f64,
-    pub stage: Stage,
-    pub started: Timestamp,
-    pub allowance: Duration,
-    /// A call was skipped.
-    pub trimmed: bool,
-    pub answered: bool,
-    /// It was to end long ago, and takes no worker any more.
-    pub hung: bool,
-    /// Calls made that came to nothing.
-    pub tries: u32,
-    pub key: Option<KeyNo>,
+pub(crate) struct Request {
+    pub(crate) id: u64,
+    pub(crate) handler: usize,
+    pub(crate) tenant: usize,
+    /// When it reached the machine, read or not.
+    pub(crate) reached: Timestamp,
+    /// The latency objective as an instant.
+    pub(crate) objective: Timestamp,
+    /// When the client stops waiting.
+    pub(crate) deadline: Timestamp,
+    pub(crate) work_hint: Option<Duration>,
+    /// Identifier of the attempt that this one names; 0 for none.
+    pub(crate) retry_of: u64,
+    /// Priority weight, set by the arrival stage that weighs it.
+    pub(crate) weight: f64,
+    pub(crate) started: Timestamp,
+    /// EqResv allowance for its run.
+    pub(crate) allowance: Duration,
+    pub(crate) call_skipped: bool,
+    pub(crate) answered: bool,
+    pub(crate) failed_calls: u32,
+    pub(crate) key: Option<KeySlot>,
+    memory_kb: f64,
+    stage: Stage,
+    /// It should have ended long ago, and counts as a run no more.
+    slot_released: bool,
 }
 
-impl Req {
-    pub fn read(a: &Arrival, reached: Timestamp, target: Timestamp, due: Timestamp, value: f64) -> Req {
-        Req {
-            id: a.id,
-            handler: a.handler,
-            tenant: a.tenant,
+impl Request {
+    pub(crate) fn new(
+        arrival: &Arrival, reached: Timestamp, objective: Timestamp, deadline: Timestamp,
+    ) -> Request {
+        Request {
+            id: arrival.id,
+            handler: arrival.handler,
+            tenant: arrival.tenant,
             reached,
-            target,
-            due,
-            hint: a.work_hint.filter(|w| *w > Duration::ZERO),
-            kb: a.memory_kb,
-            repeats: a.retry_of,
-            value,
-            ..Req::default()
+            objective,
+            deadline,
+            work_hint: arrival.work_hint.filter(|hint| *hint > Duration::ZERO),
+            memory_kb: arrival.memory_kb,
+            retry_of: arrival.retry_of,
+            ..Request::default()
         }
     }
 
-    /// The run goes on without the call that it stands at.
-    pub fn skip(&mut self, out: &mut dyn Actions) {
-        (self.stage, self.trimmed) = (Stage::Running, true);
-        out.skip_call(self.id);
+    pub(crate) fn stage(&self) -> Stage {
+        self.stage
+    }
+
+    /// Whether its run has begun and has not ended.
+    pub(crate) fn has_started(&self) -> bool {
+        self.stage.has_started()
     }
 }
 
-/// All tries of one keyed req on this server.
-#[derive(Clone, Debug, Default)]
-pub struct Key {
-    pub leader: Option<No>,
-    pub ran: bool,
-    /// When its entry in the server's table runs out, while it has one.
-    pub entry: Option<Timestamp>,
-    pub followers: Vec<No>,
-    pub members: Vec<u64>,
+/// Runs and calls in flight.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Load {
+    pub(crate) runs: usize,
+    pub(crate) calls: usize,
 }
 
-/// The reqs in hand and the memory that they take; ids from outside become numbers here.
-#[derive(Default)]
-pub struct Book {
-    pub reqs: SlotMap<No, Req>,
-    ids: HashMap<u64, No>,
-    pub held_kb: f64,
-    pub run_kb: f64,
-    pub running: usize,
-    /// Runs and calls out of each handler.
-    pub loads: Vec<[usize; 2]>,
+/// Runs that hold a core.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct RunAges {
+    pub(crate) runs: f64,
+    /// Sum of their ages.
+    pub(crate) seconds: f64,
 }
 
-impl Book {
-    pub fn of(handlers: usize) -> Book {
-        Book { loads: vec![[0, 0]; handlers], ..Book::default() }
+/// All requests of this server that have not ended.
+#[derive(Debug, Default)]
+pub(crate) struct RequestTable {
+    requests: SlotMap<RequestSlot, Request>,
+    slot_of: HashMap<u64, RequestSlot>,
+    queued_kb: f64,
+    running_kb: f64,
+    /// Memory of a run as a multiple of the request's memory while queued.
+    running_factor: f64,
+    running: usize,
+    handler_loads: Vec<Load>,
+}
+
+impl Index<RequestSlot> for RequestTable {
+    type Output = Request;
+
+    fn index(&self, r: RequestSlot) -> &Request {
+        &self.requests[r]
     }
+}
 
-    /// The req of this id, if it is in hand and like that.
-    pub fn find(&self, id: u64, like: impl Fn(&Req) -> bool) -> Option<No> {
-        self.ids.get(&id).copied().filter(|r| like(&self.reqs[*r]))
+impl IndexMut<RequestSlot> for RequestTable {
+    fn index_mut(&mut self, r: RequestSlot) -> &mut Request {
+        &mut self.requests[r]
     }
+}
 
-    pub fn add(&mut self, req: Req) -> No {
-        let (id, kb) = (req.id, req.kb);
-        let r = self.reqs.insert(req);
-        self.ids.insert(id, r);
-        self.held_kb += kb;
-        r
+impl RequestTable {
+    /// A run takes `running_factor` times the request's memory while queued.
+    pub(crate) fn new(handlers: usize, running_factor: f64) -> RequestTable {
+        let handler_loads = vec![Load::default(); handlers];
+        RequestTable { handler_loads, running_factor, ..RequestTable::default() }
     }
 
-    pub fn start(&mut self, r: No) {
-        let req = &mut self.reqs[r];
-        req.stage = Stage::Running;
-        self.held_kb -= req.kb;
-        self.run_kb += req.kb;
-        self.running += 1;
-        self.loads[req.handler][0] += 1;
+    pub(crate) fn get(&self, r: RequestSlot) -> Option<&Request> {
+        self.requests.get(r)
     }
 
-    /// The req's call is out, or was.
-    pub fn calling(&mut self, r: No, stage: Stage) {
-        let req = &mut self.reqs[r];
-        let load = &mut self.loads[req.handler][1];
-        *load -= usize::from(req.stage == Stage::Calling);
-        *load += usize::from(stage == Stage::Calling);
-        req.stage = stage;
+    /// The request of this identifier, if there is one and the condition holds for it.
+    pub(crate) fn find(&self, id: u64, condition: impl Fn(&Request) -> bool) -> Option<RequestSlot> {
+        self.slot_of.get(&id).copied().filter(|r| condition(&self.requests[*r]))
     }
 
-    /// A run at a call that was to end long ago gives its places up; its memory stays taken.
-    pub fn hang(&mut self, r: No) {
-        self.calling(r, Stage::AtCall);
-        let req = &mut self.reqs[r];
-        if !std::mem::replace(&mut req.hung, true) {
-            self.running -= 1;
-            self.loads[req.handler][0] -= 1;
-        }
+    /// Runs that hold a core, and the sum of their ages in seconds.
+    pub(crate) fn ages_on_cores(&self, now: Timestamp) -> RunAges {
+        let on_cores = self.requests.values().filter(|r| r.stage == Stage::Running);
+        on_cores.fold(RunAges::default(), |sum, r| RunAges {
+            runs: sum.runs + 1.0,
+            seconds: sum.seconds + (now - r.started).as_secs_f64(),
+        })
     }
 
-    /// What a group of handlers has of runs and calls.
-    pub fn load(&self, handlers: &[usize]) -> [usize; 2] {
-        let sum = |i: usize| handlers.iter().filter_map(|h| self.loads.get(*h)).map(|l| l[i]).sum();
-        [sum(0), sum(1)]
+    /// The started request that reached the machine first.
+    pub(crate) fn oldest_started(&self) -> Option<&Request> {
+        self.requests.values().filter(|r| r.has_started()).min_by_key(|r| r.reached)
     }
 
-    pub fn remove(&mut self, r: No) {
-        let Some(req) = self.reqs.remove(r) else { return };
-        self.ids.remove(&req.id);
-        if req.stage.started() {
-            self.run_kb -= req.kb;
-            self.running -= usize::from(!req.hung);
-            self.loads[req.handler][0] -= usize::from(!req.hung);
-            self.loads[req.handler][1] -= usize::from(req.stage == Stage::Calling);
-        } else {
-            self.held_kb -= req.kb;
-        }
+    /// Whether no request of the handler is queued or in flight.
+    pub(crate) fn is_idle(&self, handler: usize) -> bool {
+        self.requests.values().all(|r| r.handler != handler)
     }
-}
 
-/// The keys of keyed reqs and which ids belong to each.
-#[derive(Default)]
-pub struct KeyBook {
-    pub keys: SlotMap<KeyNo, Key>,
-    of: HashMap<u64, KeyNo>,
-    pub entries: usize,
-}
+    /// All requests and their slots, in the order of the slots.
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = (RequestSlot, &mut Request)> {
+        self.requests.iter_mut()
+    }
 
-impl KeyBook {
-    /// The key that any of these ids is known under, else a new one; all of them are known under it after.
-    pub fn bind(&mut self, ids: &[u64]) -> KeyNo {
-        let known = ids.iter().find_map(|i| self.of.get(i).copied());
-        let key = known.unwrap_or_else(|| self.keys.insert(Key::default()));
-        for id in ids {
-            if self.of.insert(*id, key).is_none() {
-                self.keys[key].members.push(*id);
-            }
-        }
-        key
+    /// Runs in flight.
+    pub(crate) fn running(&self) -> usize {
+        self.running
+    }
+
+    /// Memory of all requests, in kB.
+    pub(crate) fn memory_kb(&self) -> f64 {
+        self.queued_kb + self.running_kb * self.running_factor
+    }
+
+    /// Memory that a queued request takes more once it runs, in kB.
+    pub(crate) fn growth_kb(&self, r: RequestSlot) -> f64 {
+        self.requests[r].memory_kb * (self.running_factor - 1.0)
+    }
+
+    /// The load of a group of handlers.
+    pub(crate) fn load(&self, handlers: &[usize]) -> Load {
+        let loads = handlers.iter().filter_map(|h| self.handler_loads.get(*h));
+        loads.fold(Load::default(), |sum, l| Load { runs: sum.runs + l.runs, calls: sum.calls + l.calls })
+    }
+
+    /// Adds a queued request.
+    pub(crate) fn add(&mut self, request: Request) -> RequestSlot {
+        let (id, memory_kb) = (request.id, request.memory_kb);
+        let r = self.requests.insert(request);
+        self.slot_of.insert(id, r);
+        self.queued_kb += memory_kb;
+        r
+    }
+
+    /// Moves a request that has not started to another waiting stage.
+    pub(crate) fn wait(&mut self, r: RequestSlot, stage: Stage) {
+        debug_assert!(!stage.has_started() && !self.requests[r].stage.has_started());
+        self.requests[r].stage = stage;
     }
 
-    /// Takes a key's entry off the table if it has run out.
-    pub fn lapse(&mut self, now: Timestamp, key: KeyNo) {
-        if let Some(k) = self.keys.get_mut(key).filter(|k| k.entry.is_some_and(|t| t <= now)) {
-            k.entry = None;
-            self.entries -= 1;
+    pub(crate) fn start(&mut self, r: RequestSlot, now: Timestamp, allowance: Duration) {
+        let request = &mut self.requests[r];
+        (request.stage, request.started, request.allowance) = (Stage::Running, now, allowance);
+        self.queued_kb -= request.memory_kb;
+        self.running_kb += request.memory_kb;
+        self.running += 1;
+        self.handler_loads[request.handler].runs += 1;
+    }
+
+    /// Moves a started request to another started stage.
+    pub(crate) fn set_run_stage(&mut self, r: RequestSlot, stage: Stage) {
+        debug_assert!(stage.has_started() && self.requests[r].stage.has_started());
+        let request = &mut self.requests[r];
+        let calls = &mut self.handler_loads[request.handler].calls;
+        *calls -= usize::from(request.stage == Stage::Calling);
+        *calls += usize::from(stage == Stage::Calling);
+        request.stage = stage;
+    }
+
+    /// The request's call came back: its run goes on, or waits at the call that failed.
+    pub(crate) fn finish_call(&mut self, r: RequestSlot, completed: bool) {
+        self.set_run_stage(r, if completed { Stage::Running } else { Stage::AtCall });
+        self.requests[r].failed_calls += u32::from(!completed);
+    }
+
+    /// The run goes on without the call that it waits at.
+    pub(crate) fn skip_call(&mut self, r: RequestSlot, out: &mut dyn Actions) {
+        self.set_run_stage(r, Stage::Running);
+        self.requests[r].call_skipped = true;
+        out.skip_call(self.requests[r].id);
+    }
+
+    /// A run at a call that should have ended long ago counts no more, but its memory stays taken.
+    pub(crate) fn release_run(&mut self, r: RequestSlot) {
+        self.set_run_stage(r, Stage::AtCall);
+        let request = &mut self.requests[r];
+        if !std::mem::replace(&mut request.slot_released, true) {
+            self.running -= 1;
+            self.handler_loads[request.handler].runs -= 1;
         }
     }
 
-    pub fn remove(&mut self, key: KeyNo) {
-        let Some(k) = self.keys.remove(key) else { return };
-        self.entries -= usize::from(k.entry.is_some());
-        for id in k.members {
-            self.of.remove(&id);
+    pub(crate) fn remove(&mut self, r: RequestSlot) {
+        let Some(request) = self.requests.remove(r) else { return };
+        self.slot_of.remove(&request.id);
+        if !request.stage.has_started() {
+            self.queued_kb -= request.memory_kb;
+            return;
         }
+        self.running_kb -= request.memory_kb;
+        self.running -= usize::from(!request.slot_released);
+        let load = &mut self.handler_loads[request.handler];
+        load.runs -= usize::from(!request.slot_released);
+        load.calls -= usize::from(request.stage == Stage::Calling);
     }
 }
--- a/tests/ramp.rs
+++ b/tests/ramp.rs
@@ -92,17 +92,10 @@
         drain_grace: Duration::from_millis(2_000),
         requests_carry_timeout: true,
     };
-    Decider::new(
-        START,
-        7,
-        &machine(cold),
-        &[handler],
-        &[],
-        &below,
-        &callers,
-        &place,
-        &rules,
-    )
+    Decider::builder(START, 7, &machine(cold), &[handler], &place, &rules)
+        .upstream(&below)
+        .downstream(&callers)
+        .build()
 }
 
 fn req(id: u64, from: u16) -> Arrival {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -171,7 +171,11 @@
         if self.decider.is_none() {
             let handlers: Vec<Handler> = self.handlers.iter().map(|h| h.1.clone()).collect();
             let (m, t, b, c) = (&self.machine, &self.tenants, &self.below, &self.callers);
-            let mut d = Decider::new(self.now, 7, m, &handlers, t, b, c, &self.place, &self.rules);
+            let mut d = Decider::builder(self.now, 7, m, &handlers, &self.place, &self.rules)
+                .tenants(t, &self.place)
+                .upstream(b)
+                .downstream(c)
+                .build();
             d.on_start(&mut self.heard);
             self.decider = Some(d);
         }
@@ -299,8 +303,13 @@
             }
             _ => {
                 let w: Vec<&str> = rest.split_whitespace().collect();
-                let [budget, admitted, limit, callers] =
-                    self.decider.as_ref().expect("begun").vitals();
+                let s = self.decider.as_ref().expect("begun").status();
+                let (budget, admitted, limit, callers) = (
+                    s.budget_seconds,
+                    s.admitted_fraction,
+                    s.concurrency_limit,
+                    s.clients as f64,
+                );
                 let value = [
                     ("budget", budget),
                     ("admitted", admitted),
