--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -37,10 +37,10 @@
 //! assert_eq!(a.digest(), b.digest());
 //! ```
 
-mod awake;
 mod heard;
 mod id;
 mod lives;
+mod local_health;
 mod members;
 mod mend;
 mod networks;
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -3,10 +3,10 @@
 mod hear;
 mod speak;
 
-use crate::awake::Awake;
 use crate::heard::{Connectivity, ConnectivityEvidence, ConnectivityStatus};
 use crate::id::{MemberIdentity, Phase};
 use crate::lives::{self, Verdict};
+use crate::local_health::LocalHealth;
 use crate::mend::Mend;
 use crate::networks::AllowedNetworks;
 use crate::roster::Roster;
@@ -116,7 +116,7 @@
 pub struct Membership {
     set: Settings,
     fleet: u64,
-    awake: Awake,
+    health: LocalHealth,
     chance: Chance,
     swim: Swim,
     timers: BTreeMap<(Timestamp, u64), Timer<MemberIdentity>>,
@@ -162,13 +162,13 @@
             turn: 0,
             phase: Phase::Joining,
         };
-        let mut awake = Awake::default();
-        awake.wake(now, None);
+        let mut health = LocalHealth::default();
+        health.observe(now, None);
         let mut marks = Marks::default();
         marks.flip(&id.name, mark(&id));
         Membership {
             fleet: wire::fleet(&set.fleet),
-            awake,
+            health,
             chance: Chance::new(seed ^ 1),
             marks,
             swim: Swim::new(id, config(&set, 0), Chance::new(seed), PostcardCodec),
@@ -222,11 +222,11 @@
     }
 
     pub fn is_degraded(&self) -> bool {
-        self.awake.held_up()
+        self.health.is_degraded()
     }
 
     pub fn pause_count(&self) -> u64 {
-        self.awake.pauses
+        self.health.pause_count()
     }
 
     /// The state of one, by name.
@@ -259,7 +259,7 @@
 
     /// All that it holds, by name.
     pub fn view(&self) -> View {
-        let now = self.awake.now();
+        let now = self.health.now();
         let ms = |at: Timestamp| (now - at).as_micros() / 1_000;
         let own = self.local_identity();
         let of = |id: &MemberIdentity, state, heard: Option<Timestamp>, held_up| MemberView {
@@ -277,7 +277,7 @@
             .values()
             .map(|r| of(&r.id, r.state(), r.heard, r.held_up))
             .collect();
-        members.push(of(own, self.own_state(), None, self.awake.told()));
+        members.push(of(own, self.own_state(), None, self.health.score()));
         members.sort_by(|a, b| a.name.cmp(&b.name));
         View {
             name: own.name.clone(),
@@ -343,7 +343,7 @@
             .chain(first.map(|k| k.0))
             .min()
             .unwrap_or_default();
-        self.awake.outside(due)
+        self.health.to_machine_clock(due)
     }
 
     fn joins_at(&self) -> Option<Timestamp> {
@@ -354,10 +354,10 @@
 
     fn begin(&mut self, now: Timestamp) -> Timestamp {
         let due = Some(self.next_timeout()).filter(|_| self.set.local_health_aware);
-        if let Some(late) = self.awake.wake(now, due) {
+        if let Some(late) = self.health.observe(now, due) {
             self.change(MembershipEvent::HeldUp(late));
         }
-        self.awake.now()
+        self.health.now()
     }
 
     /// The time has come for what was due.
@@ -370,7 +370,7 @@
                 timer,
                 Timer::ProbeRandomMember(_) | Timer::ChangeSuspectToDown { .. }
             );
-            if accuses && self.awake.held_up() {
+            if accuses && self.health.is_degraded() {
                 later.push(timer);
             } else {
                 self.rings(now, timer);
--- a/crates/membership/src/members/hear.rs
+++ b/crates/membership/src/members/hear.rs
@@ -8,7 +8,7 @@
         let now = self.begin(now);
         self.counters.received += 1;
         self.counters.bytes_in += bytes.len() as u64;
-        let heard = if self.set.allowed_networks.holds(from.ip()) {
+        let heard = if self.set.allowed_networks.contains(from.ip()) {
             wire::read(bytes, self.fleet).and_then(|(head, body)| self.hear(now, head, body))
         } else {
             Err(Stranger::Network)
@@ -113,7 +113,7 @@
         if !from.is_sound() {
             return Err(Stranger::Body);
         }
-        if !self.set.allowed_networks.holds(from.address.ip()) {
+        if !self.set.allowed_networks.contains(from.address.ip()) {
             return Err(Stranger::Network);
         }
         if from.name == self.set.name {
@@ -178,7 +178,7 @@
         | Message::IndirectPing { origin: other, .. }
         | Message::IndirectAck { target: other, .. }
         | Message::ForwardedAck { origin: other, .. } = &packet.header.message
-            && !(other.is_sound() && self.set.allowed_networks.holds(other.address.ip()))
+            && !(other.is_sound() && self.set.allowed_networks.contains(other.address.ip()))
         {
             return Err(Stranger::Network);
         }
@@ -224,7 +224,7 @@
         held_up: bool,
     ) -> Option<Member<MemberIdentity>> {
         let id = m.id();
-        if !id.is_sound() || !self.set.allowed_networks.holds(id.address.ip()) {
+        if !id.is_sound() || !self.set.allowed_networks.contains(id.address.ip()) {
             self.stranger(Stranger::Network);
             return None;
         }
@@ -355,7 +355,7 @@
         if !notice.from.is_sound() || !held.id().is_sound() {
             return Err(Stranger::Body);
         }
-        if !self.set.allowed_networks.holds(notice.from.address.ip()) {
+        if !self.set.allowed_networks.contains(notice.from.address.ip()) {
             return Err(Stranger::Network);
         }
         if held.id().name != self.set.name {
--- a/crates/membership/src/members/speak.rs
+++ b/crates/membership/src/members/speak.rs
@@ -279,13 +279,13 @@
     }
 
     pub(super) fn send(&mut self, to: SocketAddr, kind: Kind, body: &[u8]) {
-        if to == self.set.advertise || !self.set.allowed_networks.holds(to.ip()) {
+        if to == self.set.advertise || !self.set.allowed_networks.contains(to.ip()) {
             return;
         }
         let head = Head {
             kind,
             digest: self.marks.all,
-            held_up: self.awake.told(),
+            held_up: self.health.score(),
         };
         let bytes = wire::write(head, self.fleet, body);
         self.counters.sent += 1;
@@ -338,7 +338,7 @@
             last: true,
         };
         let mut size = wire::bytes(&page).map_or(room, |b| b.len() + 2);
-        let now = self.awake.now();
+        let now = self.health.now();
         let lately = |r: &&Row| r.active() || r.id.phase != Phase::Left && now - r.since < LATELY;
         let unlike: [bool; PARTS] =
             std::array::from_fn(|p| ask.parts.get(p) != Some(&self.marks.parts[p]));
--- a/crates/membership/src/networks.rs
+++ b/crates/membership/src/networks.rs
@@ -1,9 +1,10 @@
-//! The networks that a server speaks with.
+//! The networks whose addresses this server exchanges datagrams with.
 
 use ipnet::{IpNet, Ipv4Net, Ipv6Net};
 use iprange::IpRange;
 use std::net::IpAddr;
 
+/// A set of networks. Datagrams from and to other addresses are dropped.
 #[derive(Clone, Debug)]
 pub struct AllowedNetworks {
     v4: IpRange<Ipv4Net>,
@@ -11,27 +12,29 @@
 }
 
 impl AllowedNetworks {
-    pub fn new(nets: impl IntoIterator<Item = IpNet>) -> AllowedNetworks {
-        let mut networks = AllowedNetworks {
+    /// Builds the set from its networks, which may overlap.
+    pub fn new(networks: impl IntoIterator<Item = IpNet>) -> AllowedNetworks {
+        let mut allowed = AllowedNetworks {
             v4: IpRange::new(),
             v6: IpRange::new(),
         };
-        for net in nets {
-            match net {
-                IpNet::V4(net) => {
-                    networks.v4.add(net);
+        for network in networks {
+            match network {
+                IpNet::V4(network) => {
+                    allowed.v4.add(network);
                 }
-                IpNet::V6(net) => {
-                    networks.v6.add(net);
+                IpNet::V6(network) => {
+                    allowed.v6.add(network);
                 }
             }
         }
-        networks.v4.simplify();
-        networks.v6.simplify();
-        networks
+        allowed.v4.simplify();
+        allowed.v6.simplify();
+        allowed
     }
 
-    pub fn holds(&self, ip: IpAddr) -> bool {
+    /// Whether an address belongs to one of the networks. IPv4-mapped IPv6 addresses count as IPv4.
+    pub fn contains(&self, ip: IpAddr) -> bool {
         match ip.to_canonical() {
             IpAddr::V4(ip) => self.v4.contains(&ip),
             IpAddr::V6(ip) => self.v6.contains(&ip),
