--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -38,11 +38,11 @@
 //! ```
 
 mod heard;
-mod id;
-mod lives;
+mod identity;
 mod local_health;
 mod members;
 mod mend;
+mod name_claim;
 mod networks;
 mod roster;
 mod swim;
@@ -50,7 +50,7 @@
 mod wire;
 
 pub use heard::{Connectivity, ConnectivityEvidence, ConnectivityStatus};
-pub use id::{MAX_NAME_BYTES, MemberIdentity, Phase, is_valid_name};
+pub use identity::{MAX_NAME_BYTES, MemberIdentity, Phase, is_valid_name};
 pub use members::{Counters, MAX_SUBSYSTEM_PAYLOAD_BYTES, Membership, Settings, glance};
 pub use networks::AllowedNetworks;
 pub use view::{MemberState, MemberView, MembershipEvent, View, Why};
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -4,10 +4,10 @@
 mod speak;
 
 use crate::heard::{Connectivity, ConnectivityEvidence, ConnectivityStatus};
-use crate::id::{MemberIdentity, Phase};
-use crate::lives::{self, Verdict};
+use crate::identity::{MemberIdentity, Phase};
 use crate::local_health::LocalHealth;
 use crate::mend::Mend;
+use crate::name_claim::{ClaimVerdict, judge_claim};
 use crate::networks::AllowedNetworks;
 use crate::roster::Roster;
 use crate::swim::{self, Chance, Packet, Swim, Wants};
@@ -159,7 +159,7 @@
             address: set.advertise,
             zone: set.zone.clone(),
             incarnation: unix_ms,
-            turn: 0,
+            revision: 0,
             phase: Phase::Joining,
         };
         let mut health = LocalHealth::default();
@@ -241,7 +241,7 @@
         match self.local_identity().phase {
             _ if self.aside.is_some() => MemberState::Down,
             Phase::Joining => MemberState::Joining,
-            Phase::In => MemberState::Alive,
+            Phase::Joined => MemberState::Alive,
             Phase::Draining => MemberState::Draining,
             Phase::Left => MemberState::Left,
         }
@@ -268,7 +268,7 @@
             zone: id.zone.clone(),
             address: id.address,
             incarnation: id.incarnation,
-            revision: id.turn,
+            revision: id.revision,
             last_received_ms: heard.map(ms),
             health_score: held_up,
         };
@@ -479,7 +479,7 @@
 
     fn announce(&mut self, now: Timestamp, to: SocketAddr) {
         self.with_swim(now, |swim, wants| {
-            swim.announce(MemberIdentity::whoever(to), wants)
+            swim.announce(MemberIdentity::unknown(to), wants)
         });
     }
 
@@ -492,7 +492,7 @@
             .met
             .is_some_and(|at| self.roster.whole || now - at >= JOINS);
         if alone || met {
-            self.become_id(now, self.local_identity().next(Phase::In));
+            self.become_id(now, self.local_identity().next_revision(Phase::Joined));
         }
     }
 
@@ -515,14 +515,14 @@
     pub fn drain(&mut self, now: Timestamp) {
         let now = self.begin(now);
         if self.local_identity().phase < Phase::Draining {
-            self.become_id(now, self.local_identity().next(Phase::Draining));
+            self.become_id(now, self.local_identity().next_revision(Phase::Draining));
         }
     }
 
     /// Goes, and says so to some.
     pub fn leave(&mut self, now: Timestamp) {
         let now = self.begin(now);
-        self.become_id(now, self.local_identity().next(Phase::Left));
+        self.become_id(now, self.local_identity().next_revision(Phase::Left));
         self.with_swim(now, |swim, wants| swim.leave_cluster(wants));
         for _ in 1..GOODBYES {
             self.with_swim(now, |swim, wants| swim.gossip(wants));
@@ -542,15 +542,19 @@
 
     /// Another claim to this server's name: the claimant's own word, or what a third says of one.
     fn claimed(&mut self, now: Timestamp, id: &MemberIdentity, down: bool, itself: bool) {
-        match lives::judge(self.local_identity(), id, down) {
-            Verdict::Older => {}
-            Verdict::HeldDown => {
+        match judge_claim(self.local_identity(), id, down) {
+            ClaimVerdict::Stale => {}
+            ClaimVerdict::DeclaredDown => {
                 self.counters.identity_renewals += 1;
-                let next = self.local_identity().next(self.local_identity().phase);
-                self.change(MembershipEvent::Renewed { turn: next.turn });
+                let next = self
+                    .local_identity()
+                    .next_revision(self.local_identity().phase);
+                self.change(MembershipEvent::Renewed {
+                    turn: next.revision,
+                });
                 self.become_id(now, next);
             }
-            Verdict::Past(life) => {
+            ClaimVerdict::FormerIncarnation { incarnation: life } => {
                 if self.aside.take().is_some() {
                     self.change(MembershipEvent::Regained);
                 }
@@ -558,13 +562,13 @@
                 let own = self.local_identity();
                 let past = MemberIdentity {
                     incarnation: life + 1,
-                    turn: 0,
+                    revision: 0,
                     ..own.clone()
                 };
                 self.become_id(now, past);
             }
             // A wrong word of a third silences nobody: whoever has the name says so itself, once it is asked.
-            Verdict::Taken if !itself => {
+            ClaimVerdict::NameConflict if !itself => {
                 if self.aside.is_none() {
                     self.notice(
                         now,
@@ -573,7 +577,7 @@
                     );
                 }
             }
-            Verdict::Taken if self.aside.is_none() => {
+            ClaimVerdict::NameConflict if self.aside.is_none() => {
                 self.change(MembershipEvent::Taken { by: id.address });
                 self.aside = Some(id.address);
                 let seed = (self.chance.float() * (1u64 << 53) as f64) as u64;
@@ -590,7 +594,7 @@
                 self.marks.flip(&own.name, mark(&own));
                 self.mend.lost(now);
             }
-            Verdict::Taken => self.aside = Some(id.address),
+            ClaimVerdict::NameConflict => self.aside = Some(id.address),
         }
     }
 }
--- a/crates/membership/src/members/hear.rs
+++ b/crates/membership/src/members/hear.rs
@@ -110,7 +110,7 @@
 
     /// Who a datagram says that it is from: whether it is to be heard at all.
     pub(super) fn meets(&mut self, now: Timestamp, from: &MemberIdentity) -> Result<(), Stranger> {
-        if !from.is_sound() {
+        if !from.is_valid() {
             return Err(Stranger::Body);
         }
         if !self.set.allowed_networks.contains(from.address.ip()) {
@@ -178,7 +178,7 @@
         | Message::IndirectPing { origin: other, .. }
         | Message::IndirectAck { target: other, .. }
         | Message::ForwardedAck { origin: other, .. } = &packet.header.message
-            && !(other.is_sound() && self.set.allowed_networks.contains(other.address.ip()))
+            && !(other.is_valid() && self.set.allowed_networks.contains(other.address.ip()))
         {
             return Err(Stranger::Network);
         }
@@ -224,7 +224,7 @@
         held_up: bool,
     ) -> Option<Member<MemberIdentity>> {
         let id = m.id();
-        if !id.is_sound() || !self.set.allowed_networks.contains(id.address.ip()) {
+        if !id.is_valid() || !self.set.allowed_networks.contains(id.address.ip()) {
             self.stranger(Stranger::Network);
             return None;
         }
@@ -352,7 +352,7 @@
             self.word(now, &notice.from, held.incarnation(), Told::Alive);
             return Ok(());
         }
-        if !notice.from.is_sound() || !held.id().is_sound() {
+        if !notice.from.is_valid() || !held.id().is_valid() {
             return Err(Stranger::Body);
         }
         if !self.set.allowed_networks.contains(notice.from.address.ip()) {
--- a/crates/membership/src/members/speak.rs
+++ b/crates/membership/src/members/speak.rs
@@ -146,7 +146,7 @@
             // Held down by a rumour that foca has answered with another turn.
             OwnedNotification::Rejoin(id) => {
                 self.counters.identity_renewals += 1;
-                self.change(MembershipEvent::Renewed { turn: id.turn });
+                self.change(MembershipEvent::Renewed { turn: id.revision });
             }
             OwnedNotification::Active => self.met = self.met.or(Some(now)),
             _ => {}
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -1,7 +1,7 @@
 //! Two views made one: who sees that another's digest differs asks for its whole roster, page by page, one
 //! roster at a time and the seldomer the less it brings.
 
-use crate::id::MemberIdentity;
+use crate::identity::MemberIdentity;
 use compact_str::CompactString;
 use madderbay::time::{Duration, Timestamp};
 
--- a/crates/membership/src/roster/tests.rs
+++ b/crates/membership/src/roster/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::id::Phase;
+use crate::identity::Phase;
 
 #[test]
 fn one_roster_at_a_time_and_seldomer_where_it_brings_nothing() {
@@ -10,8 +10,8 @@
         address,
         zone: "".into(),
         incarnation: 1,
-        turn: 0,
-        phase: Phase::In,
+        revision: 0,
+        phase: Phase::Joined,
     };
     let mut roster = Roster::new(at(0));
     assert_eq!(roster.differs(at(0), &id, at(0), 0.5), Some("".into()));
--- a/crates/membership/src/swim.rs
+++ b/crates/membership/src/swim.rs
@@ -1,7 +1,7 @@
 //! SWIM as foca plays it: what goes into it and what comes out, with its chance and its timers. Nothing is
 //! decided here.
 
-use crate::id::MemberIdentity;
+use crate::identity::MemberIdentity;
 use crate::wire::Stranger;
 use foca::{
     Codec, Config, Foca, Header, Member, Message, NoCustomBroadcast, Notification,
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -1,7 +1,7 @@
 //! What a view says: states, changes with their evidence, and the whole of it for who asks.
 
 use crate::heard::ConnectivityStatus;
-use crate::id::{MemberIdentity, Phase};
+use crate::identity::{MemberIdentity, Phase};
 use compact_str::CompactString;
 use madderbay::time::{Duration, Timestamp};
 use std::fmt;
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -10,7 +10,7 @@
 //! | 20 | how far the sender was held up of late, 0 to 8 |
 //! | 21..25 | crc32c of all other bytes |
 
-use crate::id::MemberIdentity;
+use crate::identity::MemberIdentity;
 use compact_str::CompactString;
 use foca::Member;
 use serde::{Deserialize, Serialize};
