Membership: connectivity, reconnection and anti-entropy in the field's words

Cause: heard, mend and roster held their state in tuples and under words of this project. Change: connectivity (levels complete, partial, isolated; displayed words stay), reconnect (Reconnector), anti_entropy (RosterSync); pending pages and forgotten addresses are named structs, state is private. Order of random draws unchanged.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -37,19 +37,19 @@
 //! assert_eq!(a.digest(), b.digest());
 //! ```
 
-mod heard;
+mod anti_entropy;
+mod connectivity;
 mod identity;
 mod local_health;
 mod members;
-mod mend;
 mod name_claim;
 mod networks;
-mod roster;
+mod reconnect;
 mod swim;
 mod view;
 mod wire;
 
-pub use heard::{Connectivity, ConnectivityEvidence, ConnectivityStatus};
+pub use connectivity::{Connectivity, ConnectivityEvidence, ConnectivityStatus};
 pub use identity::{MAX_NAME_BYTES, MemberIdentity, Phase, is_valid_name};
 pub use members::{Counters, MAX_SUBSYSTEM_PAYLOAD_BYTES, Membership, Settings, glance};
 pub use networks::AllowedNetworks;
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -3,13 +3,13 @@
 mod hear;
 mod speak;
 
-use crate::heard::{Connectivity, ConnectivityEvidence, ConnectivityStatus};
+use crate::anti_entropy::RosterSync;
+use crate::connectivity::{Connectivity, ConnectivityEvidence, ConnectivityStatus};
 use crate::identity::{MemberIdentity, Phase};
 use crate::local_health::LocalHealth;
-use crate::mend::Mend;
 use crate::name_claim::{ClaimVerdict, judge_claim};
 use crate::networks::AllowedNetworks;
-use crate::roster::Roster;
+use crate::reconnect::Reconnector;
 use crate::swim::{self, Chance, Packet, Swim, Wants};
 use crate::view::{
     Held, Marks, MemberState, MemberView, MembershipEvent, PARTS, Row, View, Why, mark,
@@ -137,8 +137,8 @@
     changed: Timestamp,
     last_heard: Option<Timestamp>,
     judgement: ConnectivityStatus,
-    mend: Mend,
-    roster: Roster,
+    reconnector: Reconnector,
+    roster: RosterSync,
     /// When others were first met.
     met: Option<Timestamp>,
     /// Who has this server's name, if another has.
@@ -184,8 +184,8 @@
             changed: now,
             last_heard: None,
             judgement: ConnectivityStatus::new(now),
-            mend: Mend::new(now, &set.join, set.advertise),
-            roster: Roster::new(now),
+            reconnector: Reconnector::new(now, &set.join, set.advertise),
+            roster: RosterSync::new(now),
             met: None,
             aside: None,
             notices: (now, 0),
@@ -329,8 +329,8 @@
     pub fn next_timeout(&self) -> Timestamp {
         let tries = self.tried.as_ref().filter(|t| t.left > 0).map(|t| t.next);
         let own = [
-            Some(self.mend.due()),
-            self.judgement.due(),
+            Some(self.reconnector.next_timeout()),
+            self.judgement.next_timeout(),
             self.joins_at(),
             tries,
         ];
@@ -448,7 +448,7 @@
                     .is_some_and(|r| !r.active() && r.id == id) =>
             {
                 if id.phase != Phase::Left {
-                    self.mend.forgotten(now, id.address);
+                    self.reconnector.record_forgotten(now, id.address);
                 }
                 self.edit(&id.name, |rows, name| {
                     rows.remove(name);
@@ -460,7 +460,7 @@
 
     /// Speaks to somebody who is not in.
     fn contact(&mut self, now: Timestamp) {
-        if now < self.mend.due() || self.local_identity().phase == Phase::Left {
+        if now < self.reconnector.next_timeout() || self.local_identity().phase == Phase::Left {
             return;
         }
         let alone = self.judgement.level != Connectivity::Complete;
@@ -472,7 +472,10 @@
             .collect();
         let (rows, chance) = (&self.rows, &mut self.chance);
         let is_in = |a| rows.values().any(|r| r.active() && r.id.address == a);
-        if let Some(to) = self.mend.pick(now, alone, is_in, &down, || chance.float()) {
+        if let Some(to) = self
+            .reconnector
+            .pick(now, alone, is_in, &down, || chance.float())
+        {
             self.announce(now, to);
         }
     }
@@ -487,10 +490,10 @@
         if self.local_identity().phase != Phase::Joining || self.aside.is_some() {
             return;
         }
-        let alone = !self.mend.expects_others() && self.rows.is_empty();
+        let alone = !self.reconnector.expects_peers() && self.rows.is_empty();
         let met = self
             .met
-            .is_some_and(|at| self.roster.whole || now - at >= JOINS);
+            .is_some_and(|at| self.roster.is_complete() || now - at >= JOINS);
         if alone || met {
             self.become_id(now, self.local_identity().next_revision(Phase::Joined));
         }
@@ -500,11 +503,11 @@
         let evidence = ConnectivityEvidence {
             active: self.active,
             missing: self.missing,
-            last: self.last_heard,
-            others: self.mend.expects_others() || !self.rows.is_empty(),
-            aside: self.aside.is_some(),
+            last_received: self.last_heard,
+            expects_peers: self.reconnector.expects_peers() || !self.rows.is_empty(),
+            name_conflict: self.aside.is_some(),
         };
-        if self.judgement.judge(now, evidence) {
+        if self.judgement.update(now, evidence) {
             self.change(MembershipEvent::Hears(self.judgement, now));
         }
     }
@@ -586,13 +589,13 @@
                 self.timers.clear();
                 // They are asked, now and then, whether the name is free.
                 for (name, row) in std::mem::take(&mut self.rows) {
-                    self.mend.forgotten(now, row.id.address);
+                    self.reconnector.record_forgotten(now, row.id.address);
                     self.touched.insert(name);
                 }
                 (self.active, self.missing, self.marks) = (0, 0, Marks::default());
                 let own = self.local_identity().clone();
                 self.marks.flip(&own.name, mark(&own));
-                self.mend.lost(now);
+                self.reconnector.record_loss(now);
             }
             ClaimVerdict::NameConflict => self.aside = Some(id.address),
         }
--- a/crates/membership/src/members/hear.rs
+++ b/crates/membership/src/members/hear.rs
@@ -90,7 +90,7 @@
             );
         }
         if head.digest == self.marks.all {
-            self.roster.whole = true;
+            self.roster.set_complete();
         } else if from.phase != Phase::Left {
             let draw = self.chance.float();
             // What is not passed on any more comes by rosters alone: none waits for the view to settle then.
@@ -100,7 +100,7 @@
             } else {
                 self.changed
             };
-            if let Some(after) = self.roster.differs(now, &from, changed, draw) {
+            if let Some(after) = self.roster.digest_differs(now, &from, changed, draw) {
                 self.counters.roster_requests += 1;
                 self.ask(&from, after);
             }
--- a/crates/membership/src/members/speak.rs
+++ b/crates/membership/src/members/speak.rs
@@ -107,7 +107,7 @@
                     );
                 }
                 self.counters.down_declarations += 1;
-                self.mend.lost(now);
+                self.reconnector.record_loss(now);
                 let why = Why::Unrefuted { heard };
                 self.report_change(&id.name, id.address, Some(before), MemberState::Down, why);
             }
@@ -369,7 +369,7 @@
     }
 
     pub(super) fn read_page(&mut self, now: Timestamp, page: Page) {
-        if self.roster.due(&page.from).is_none() {
+        if self.roster.pending_page(&page.from).is_none() {
             return;
         }
         let last_name = page.members.last().map(|m| m.id().name.clone());
@@ -417,7 +417,7 @@
         }
         if let Some(after) = self
             .roster
-            .page(now, last_name.as_ref(), page.last, brought)
+            .page_received(now, last_name.as_ref(), page.last, brought)
         {
             self.ask(&page.from, after);
         }
--- /dev/null
+++ b/crates/membership/src/reconnect.rs
@@ -0,0 +1,130 @@
+//! Reconnection to servers that are not active members: configured addresses and members that went
+//! down.
+//!
+//! A partition that lasts longer than the view remembers its dead members heals by these attempts.
+//! Owns the candidate addresses and the time of the next attempt. It is given the view's addresses
+//! and random numbers; it never sends.
+
+use madderbay::time::{Duration, Timestamp};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+/// Mean interval between attempts while members are missing. Each interval is drawn from half to
+/// one and a half of the mean, so that servers that lost each other at one time do not retry at one
+/// time.
+const IMPAIRED_INTERVAL: Duration = Duration::from_millis(500);
+/// Mean interval between attempts otherwise.
+const HEALTHY_INTERVAL: Duration = Duration::from_millis(5_000);
+/// Time after a loss during which attempts use the short interval.
+const RECENT_LOSS: Duration = Duration::from_millis(120_000);
+/// Number of addresses retained after the view has forgotten their members; the latest are
+/// retained.
+const MAX_FORGOTTEN: usize = 64;
+/// How long such an address is retained.
+const FORGOTTEN_RETENTION: Duration = Duration::from_millis(3_600_000);
+
+/// Address of a member that the view no longer contains.
+struct ForgottenAddress {
+    since: Timestamp,
+    address: SocketAddr,
+}
+
+/// Selects the addresses to reconnect to.
+pub(crate) struct Reconnector {
+    join: Vec<SocketAddr>,
+    /// The earliest first.
+    forgotten: VecDeque<ForgottenAddress>,
+    next_attempt: Timestamp,
+    last_loss: Timestamp,
+}
+
+impl Reconnector {
+    /// `join` holds the configured addresses; `own` is never a candidate.
+    pub(crate) fn new(now: Timestamp, join: &[SocketAddr], own: SocketAddr) -> Reconnector {
+        let join = join
+            .iter()
+            .copied()
+            .filter(|address| *address != own)
+            .collect();
+        Reconnector {
+            join,
+            forgotten: VecDeque::new(),
+            next_attempt: now,
+            last_loss: now,
+        }
+    }
+
+    /// Whether the operator configured other servers.
+    pub(crate) fn expects_peers(&self) -> bool {
+        !self.join.is_empty()
+    }
+
+    /// A member went down: attempts use the short interval for some time.
+    pub(crate) fn record_loss(&mut self, now: Timestamp) {
+        self.last_loss = now;
+        self.next_attempt = self.next_attempt.min(now + IMPAIRED_INTERVAL);
+    }
+
+    /// The view removed a member that was down.
+    pub(crate) fn record_forgotten(&mut self, now: Timestamp, address: SocketAddr) {
+        self.forgotten.retain(|f| f.address != address);
+        self.forgotten.push_back(ForgottenAddress {
+            since: now,
+            address,
+        });
+        if self.forgotten.len() > MAX_FORGOTTEN {
+            self.forgotten.pop_front();
+        }
+    }
+
+    /// When the next attempt is due.
+    pub(crate) fn next_timeout(&self) -> Timestamp {
+        self.next_attempt
+    }
+
+    /// The address to contact now, if an attempt is due and a candidate exists. `is_active` says
+    /// whether an active member has an address, `down` holds the addresses of members that are
+    /// down, and `draw` returns a random number from 0 to 1.
+    pub(crate) fn pick(
+        &mut self,
+        now: Timestamp,
+        impaired: bool,
+        is_active: impl Fn(SocketAddr) -> bool,
+        down: &[SocketAddr],
+        mut draw: impl FnMut() -> f64,
+    ) -> Option<SocketAddr> {
+        if now < self.next_attempt {
+            return None;
+        }
+        while self
+            .forgotten
+            .front()
+            .is_some_and(|f| now - f.since > FORGOTTEN_RETENTION)
+        {
+            self.forgotten.pop_front();
+        }
+        self.forgotten.retain(|f| !is_active(f.address));
+        let configured = self
+            .join
+            .iter()
+            .copied()
+            .filter(|address| !is_active(*address));
+        let forgotten = self.forgotten.iter().map(|f| f.address);
+        let candidates: Vec<SocketAddr> = configured
+            .chain(down.iter().copied())
+            .chain(forgotten)
+            .collect();
+        let recent_loss = !candidates.is_empty() && now - self.last_loss < RECENT_LOSS;
+        let mean = if impaired || recent_loss {
+            IMPAIRED_INTERVAL
+        } else {
+            HEALTHY_INTERVAL
+        };
+        self.next_attempt = now + mean.mul_f64(0.5 + draw());
+        let index = (draw() * candidates.len() as f64) as usize;
+        candidates.get(index).copied()
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -1,6 +1,6 @@
 //! What a view says: states, changes with their evidence, and the whole of it for who asks.
 
-use crate::heard::ConnectivityStatus;
+use crate::connectivity::ConnectivityStatus;
 use crate::identity::{MemberIdentity, Phase};
 use compact_str::CompactString;
 use madderbay::time::{Duration, Timestamp};
@@ -203,7 +203,7 @@
                     "hears {}: {} in, {} missing, last word ",
                     j.level, e.active, e.missing
                 )?;
-                match e.last {
+                match e.last_received {
                     Some(last) => write!(f, "{} ms ago", (*now - last).as_micros() / 1_000),
                     None => f.write_str("never"),
                 }
