Membership: datagram codec, typed errors, counters and settings in modules of their own

Cause: the codec, the reasons of rejection (an index into a list of texts) and foca's adapter lay under names such as wire, stranger, ask, beside. Change: datagram (header offsets named, kinds, bodies), error (DatagramError and EncodeError by thiserror; counter keys stay), counters (RejectionCounters instead of an array beside a table), settings, swim with a packet codec; the server's counters read the new type. The former method received stays as an alias until its last caller, in the upstream package, uses handle_datagram.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,6 +1,6 @@
-//! The view that each server keeps of its fleet: who is in, since which life, and how much is heard. SWIM by
-//! foca; above it lives, phases, own lateness, healing, rosters and a judgement. No I/O: time, chance and
-//! datagrams are passed in.
+//! The view that each server keeps of its fleet: who is in, since which life, and how much is
+//! heard. SWIM by foca; above it lives, phases, own lateness, healing, rosters and a judgement. No
+//! I/O: time, chance and datagrams are passed in.
 //!
 //! ```
 //! use madderbay::time::{Duration, Timestamp};
@@ -26,9 +26,9 @@
 //! // What each sends reaches the other, until nothing is left to say.
 //! loop {
 //!     let to_a = b.outgoing();
-//!     to_a.iter().for_each(|d| a.received(now, ([127, 0, 0, 1], 2).into(), &d.1));
+//!     to_a.iter().for_each(|d| a.handle_datagram(now, ([127, 0, 0, 1], 2).into(), &d.1));
 //!     let to_b = a.outgoing();
-//!     to_b.iter().for_each(|d| b.received(now, ([127, 0, 0, 1], 1).into(), &d.1));
+//!     to_b.iter().for_each(|d| b.handle_datagram(now, ([127, 0, 0, 1], 1).into(), &d.1));
 //!     if to_a.is_empty() && to_b.is_empty() {
 //!         break;
 //!     }
@@ -39,19 +39,25 @@
 
 mod anti_entropy;
 mod connectivity;
+mod counters;
+mod datagram;
+mod error;
 mod identity;
 mod local_health;
 mod members;
 mod name_claim;
 mod networks;
 mod reconnect;
+mod settings;
 mod swim;
 mod view;
-mod wire;
 
 pub use connectivity::{Connectivity, ConnectivityEvidence, ConnectivityStatus};
-pub use identity::{MAX_NAME_BYTES, MemberIdentity, Phase, is_valid_name};
-pub use members::{Counters, MAX_SUBSYSTEM_PAYLOAD_BYTES, Membership, Settings, glance};
+pub use counters::{Counters, RejectionCounters};
+pub use datagram::{DatagramKind, MAX_DATAGRAM_BYTES, Subsystem, inspect_datagram};
+pub use error::DatagramError;
+pub use identity::{IdentityVersion, MAX_NAME_BYTES, MemberIdentity, Phase, is_valid_name};
+pub use members::{MAX_SUBSYSTEM_PAYLOAD_BYTES, Membership};
 pub use networks::AllowedNetworks;
+pub use settings::Settings;
 pub use view::{MemberState, MemberView, MembershipEvent, View, Why};
-pub use wire::{Kind, MAX_DATAGRAM_BYTES, STRANGERS, Stranger, Subsystem};
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -5,47 +5,50 @@
 
 use crate::anti_entropy::RosterSync;
 use crate::connectivity::{Connectivity, ConnectivityEvidence, ConnectivityStatus};
+use crate::counters::Counters;
+use crate::datagram::{
+    self, DatagramKind, Header, MAX_BODY_BYTES, Notice, RosterPage, RosterRequest, Subsystem,
+    SubsystemMessage, decode_body, encode_body,
+};
+use crate::error::DatagramError;
 use crate::identity::{MemberIdentity, Phase};
 use crate::local_health::LocalHealth;
 use crate::name_claim::{ClaimVerdict, judge_claim};
-use crate::networks::AllowedNetworks;
 use crate::reconnect::Reconnector;
-use crate::swim::{self, Chance, Packet, Swim, Wants};
+use crate::settings::Settings;
+use crate::swim::{self, Swim, SwimEffects, SwimPacket, SwimRng, new_swim};
 use crate::view::{
     Held, Marks, MemberState, MemberView, MembershipEvent, PARTS, Row, View, Why, mark,
 };
-use crate::wire::{
-    self, Ask, Beside, HEAD, Head, Kind, MAX_DATAGRAM_BYTES, Notice, Page, STRANGERS, Stranger,
-    Subsystem,
-};
 use compact_str::CompactString;
-use foca::{Member, Message, OwnedNotification, PostcardCodec, State as Told, Timer};
+use foca::{Member, Message, OwnedNotification, State as Told, Timer};
 use madderbay::time::{Duration, Timestamp};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-/// Notices a tenth of a second at the most: after a long cut each server holds half of the fleet down, and
-/// tells them a few at a time.
+/// Notices a tenth of a second at the most: after a long cut each server holds half of the fleet
+/// down, and tells them a few at a time.
 const NOTICES: u32 = 10;
 const NOTICES_IN: Duration = Duration::from_millis(100);
-/// A server that has met others takes itself for joined after this long, whatever it did not hear yet; one
-/// with nobody to meet at once.
+/// A server that has met others takes itself for joined after this long, whatever it did not hear
+/// yet; one with nobody to meet at once.
 const JOINS: Duration = Duration::from_millis(3_000);
 /// News of more members than this is not passed on: who else lacks it asks for the roster as well.
 const PASSED_ON: usize = 16;
 /// Changes kept for the log; what is more is counted.
 const CHANGES_MOST: usize = 64;
-/// Before a suspicion runs out the suspected is asked itself, at these parts of the time that it has: a rumour
-/// that it lives may miss some.
+/// Before a suspicion runs out the suspected is asked itself, at these parts of the time that it
+/// has: a rumour that it lives may miss some.
 const LAST_CALLS: [f64; 2] = [0.35, 0.7];
-/// Tries more of a member that has not answered in time, until it does, in equal parts of the time that it has
-/// left; the last leaves room for its answer. With three in ten datagrams lost eleven tries all fail for one
-/// living member in two thousand, and what is said of suspicions stays little in a large fleet.
+/// Tries more of a member that has not answered in time, until it does, in equal parts of the time
+/// that it has left; the last leaves room for its answer. With three in ten datagrams lost eleven
+/// tries all fail for one living member in two thousand, and what is said of suspicions stays
+/// little in a large fleet.
 const TRIES: usize = 10;
 const TRY_PART: f64 = 0.075;
-/// One that is held down here and is in elsewhere is told so that many times more, so far apart, until it is heard:
-/// a word of this and its answer are both to arrive. So many are under way at a time; after a long cut all others
-/// are told once, and again by the next roster.
+/// One that is held down here and is in elsewhere is told so that many times more, so far apart,
+/// until it is heard: a word of this and its answer are both to arrive. So many are under way at a
+/// time; after a long cut all others are told once, and again by the next roster.
 const CALLS_AGAIN: [Duration; 3] = [
     Duration::from_millis(120),
     Duration::from_millis(300),
@@ -54,7 +57,8 @@
 const AGAIN_MOST: usize = 64;
 /// Those who went down this lately are told of in a roster; who holds them in suspects them then.
 const LATELY: Duration = Duration::from_millis(20_000);
-/// News passed on at a time: beyond, what comes is taken in and not passed on, and rosters carry it.
+/// News passed on at a time: beyond, what comes is taken in and not passed on, and rosters carry
+/// it.
 const RUMOURS: usize = 200;
 /// Words of other parts kept until they are fetched: a turn's datagrams.
 const BESIDE_MOST: usize = 64;
@@ -63,48 +67,6 @@
 /// Times that the word of leaving is sent to some.
 const GOODBYES: usize = 3;
 
-/// Who this server is, and with whom it speaks.
-#[derive(Clone, Debug)]
-pub struct Settings {
-    pub name: CompactString,
-    /// Where others send to.
-    pub advertise: SocketAddr,
-    pub zone: CompactString,
-    /// The fleet's name: others are not heard.
-    pub fleet: String,
-    /// Addresses to begin with, and to go on trying.
-    pub join: Vec<SocketAddr>,
-    pub allowed_networks: AllowedNetworks,
-    /// Others in the view at the most.
-    pub max_members: usize,
-    /// Between two tries of members, until others are asked to try one, and until one that is suspected and
-    /// does not refute it is down.
-    pub probe_interval: Duration,
-    pub probe_timeout: Duration,
-    pub suspicion_timeout: Duration,
-    /// How long the dead are remembered.
-    pub down_retention: Duration,
-    /// Whether its own lateness counts; without, as plain SWIM, it is there to be compared with.
-    pub local_health_aware: bool,
-}
-
-/// Counters since the start.
-#[derive(Clone, Debug, Default)]
-pub struct Counters {
-    pub received: u64,
-    pub sent: u64,
-    pub bytes_in: u64,
-    pub bytes_out: u64,
-    pub strangers: [u64; STRANGERS.len()],
-    pub down_declarations: u64,
-    pub suspicions: u64,
-    pub refutations: u64,
-    pub identity_renewals: u64,
-    pub notices: u64,
-    pub roster_requests: u64,
-    pub dropped_events: u64,
-}
-
 /// A member that did not answer a probe: its number, when it is tried next, and how often still.
 struct Tried {
     target: MemberIdentity,
@@ -117,7 +79,7 @@
     set: Settings,
     fleet: u64,
     health: LocalHealth,
-    chance: Chance,
+    rng: SwimRng,
     swim: Swim,
     timers: BTreeMap<(Timestamp, u64), Timer<MemberIdentity>>,
     numbered: u64,
@@ -128,7 +90,8 @@
     /// The probe that is being tried again, or was last.
     tried: Option<Tried>,
     rows: BTreeMap<CompactString, Row>,
-    /// Names of rows that changed, for whoever leans on the view: no more than there are, and were of late.
+    /// Names of rows that changed, for whoever leans on the view: no more than there are, and were
+    /// of late.
     touched: BTreeSet<CompactString>,
     active: usize,
     missing: usize,
@@ -167,11 +130,11 @@
         let mut marks = Marks::default();
         marks.flip(&id.name, mark(&id));
         Membership {
-            fleet: wire::fleet(&set.fleet),
+            fleet: datagram::fleet_hash(&set.fleet),
             health,
-            chance: Chance::new(seed ^ 1),
+            rng: SwimRng::new(seed ^ 1),
             marks,
-            swim: Swim::new(id, config(&set, 0), Chance::new(seed), PostcardCodec),
+            swim: new_swim(id, &set, seed),
             timers: BTreeMap::new(),
             numbered: 0,
             last_calls: BTreeMap::new(),
@@ -294,7 +257,8 @@
         std::mem::take(&mut self.out)
     }
 
-    /// What other parts of those in the view have said to the same parts of this server, with who did.
+    /// What other parts of those in the view have said to the same parts of this server, with who
+    /// did.
     pub fn take_subsystem_messages(&mut self) -> Vec<(CompactString, Subsystem, Vec<u8>)> {
         std::mem::take(&mut self.beside)
     }
@@ -312,9 +276,13 @@
         let from = self.local_identity().clone();
         if from.phase != Phase::Left
             && words.len() <= MAX_SUBSYSTEM_PAYLOAD_BYTES
-            && let Some(body) = wire::bytes(&Beside { from, part, words })
+            && let Ok(body) = encode_body(&SubsystemMessage {
+                from,
+                subsystem: part,
+                payload: words,
+            })
         {
-            self.send(address, Kind::Beside, &body);
+            self.send(address, DatagramKind::SubsystemMessage, &body);
         }
     }
 
@@ -376,7 +344,8 @@
                 self.rings(now, timer);
             }
         }
-        // What it would conclude from silence waits until it has heard what came while it was held up.
+        // What it would conclude from silence waits until it has heard what came while it was held
+        // up.
         for timer in later {
             self.set_timer(now + self.set.probe_timeout, timer);
         }
@@ -390,8 +359,8 @@
         self.judge(now);
     }
 
-    /// Asks one that is suspected whether it lives, as often as there are suspicions, whatever else is told; or
-    /// tells one that is in elsewhere that it is held down here.
+    /// Asks one that is suspected whether it lives, as often as there are suspicions, whatever else
+    /// is told; or tells one that is in elsewhere that it is held down here.
     fn call(&mut self, name: &CompactString) {
         let Some(row) = self.rows.get(name) else {
             return;
@@ -425,7 +394,8 @@
         let again = timer.clone();
         self.with_swim(now, |swim, wants| swim.handle_timer(timer, wants));
         match again {
-            // Foca lets go of suspicions when its own identity changes; the suspected would stay so for ever.
+            // Foca lets go of suspicions when its own identity changes; the suspected would stay so
+            // for ever.
             Timer::ChangeSuspectToDown {
                 member_id,
                 incarnation,
@@ -470,7 +440,7 @@
             .filter(|r| !r.active() && r.id.phase != Phase::Left)
             .map(|r| r.id.address)
             .collect();
-        let (rows, chance) = (&self.rows, &mut self.chance);
+        let (rows, chance) = (&self.rows, &mut self.rng);
         let is_in = |a| rows.values().any(|r| r.active() && r.id.address == a);
         if let Some(to) = self
             .reconnector
@@ -570,7 +540,8 @@
                 };
                 self.become_id(now, past);
             }
-            // A wrong word of a third silences nobody: whoever has the name says so itself, once it is asked.
+            // A wrong word of a third silences nobody: whoever has the name says so itself, once it
+            // is asked.
             ClaimVerdict::NameConflict if !itself => {
                 if self.aside.is_none() {
                     self.notice(
@@ -583,9 +554,9 @@
             ClaimVerdict::NameConflict if self.aside.is_none() => {
                 self.change(MembershipEvent::Taken { by: id.address });
                 self.aside = Some(id.address);
-                let seed = (self.chance.float() * (1u64 << 53) as f64) as u64;
+                let seed = (self.rng.float() * (1u64 << 53) as f64) as u64;
                 let own = self.local_identity().clone();
-                self.swim = Swim::new(own, config(&self.set, 0), Chance::new(seed), PostcardCodec);
+                self.swim = new_swim(own, &self.set, seed);
                 self.timers.clear();
                 // They are asked, now and then, whether the name is free.
                 for (name, row) in std::mem::take(&mut self.rows) {
@@ -601,30 +572,3 @@
         }
     }
 }
-
-fn config(set: &Settings, members: usize) -> foca::Config {
-    swim::config(
-        members,
-        set.probe_interval,
-        set.probe_timeout,
-        set.suspicion_timeout,
-        set.down_retention,
-        MAX_DATAGRAM_BYTES - HEAD,
-    )
-}
-
-/// The kind of a datagram and who it is from, where it is one of that fleet's.
-pub fn glance(bytes: &[u8], fleet: &str) -> Option<(Kind, MemberIdentity)> {
-    let (head, body) = wire::read(bytes, wire::fleet(fleet)).ok()?;
-    let from = match head.kind {
-        Kind::Swim => {
-            let Packet { header, .. } = swim::read(body).ok()?;
-            header.src
-        }
-        Kind::Notice => wire::body::<Notice>(body).ok()?.from,
-        Kind::Ask => wire::body::<Ask>(body).ok()?.from,
-        Kind::Page => wire::body::<Page>(body).ok()?.from,
-        Kind::Beside => wire::body::<Beside>(body).ok()?.from,
-    };
-    Some((head.kind, from))
-}
--- a/crates/membership/src/members/hear.rs
+++ b/crates/membership/src/members/hear.rs
@@ -3,15 +3,21 @@
 use super::*;
 
 impl Membership {
-    /// A datagram came from somewhere.
+    /// Former name of [`Membership::handle_datagram`], until its last caller uses the new one.
+    #[doc(hidden)]
     pub fn received(&mut self, now: Timestamp, from: SocketAddr, bytes: &[u8]) {
+        self.handle_datagram(now, from, bytes);
+    }
+
+    /// A datagram came from somewhere.
+    pub fn handle_datagram(&mut self, now: Timestamp, from: SocketAddr, bytes: &[u8]) {
         let now = self.begin(now);
         self.counters.received += 1;
         self.counters.bytes_in += bytes.len() as u64;
         let heard = if self.set.allowed_networks.contains(from.ip()) {
-            wire::read(bytes, self.fleet).and_then(|(head, body)| self.hear(now, head, body))
+            datagram::decode(bytes, self.fleet).and_then(|(head, body)| self.hear(now, head, body))
         } else {
-            Err(Stranger::Network)
+            Err(DatagramError::NetworkNotAllowed)
         };
         if let Err(why) = heard {
             self.stranger(why);
@@ -20,47 +26,52 @@
         self.judge(now);
     }
 
-    pub(super) fn stranger(&mut self, why: Stranger) {
-        let at = STRANGERS
-            .iter()
-            .position(|s| s.0 == why)
-            .unwrap_or_default();
-        self.counters.strangers[at] += 1;
+    pub(super) fn stranger(&mut self, why: DatagramError) {
+        self.counters.rejected.increment(why);
     }
 
-    pub(super) fn hear(&mut self, now: Timestamp, head: Head, body: &[u8]) -> Result<(), Stranger> {
+    pub(super) fn hear(
+        &mut self,
+        now: Timestamp,
+        head: Header,
+        body: &[u8],
+    ) -> Result<(), DatagramError> {
         if self.local_identity().phase == Phase::Left {
             return Ok(());
         }
         let from = match head.kind {
-            Kind::Swim => self.hear_swim(now, head, body)?,
-            Kind::Notice => {
-                let notice: Notice = wire::body(body)?;
+            DatagramKind::Swim => self.hear_swim(now, head, body)?,
+            DatagramKind::Notice => {
+                let notice: Notice = decode_body(body)?;
                 self.noticed(now, &notice)?;
                 notice.from
             }
-            Kind::Ask => {
-                let ask: Ask = wire::body(body)?;
-                if ask.parts.len() != PARTS {
-                    return Err(Stranger::Body);
+            DatagramKind::RosterRequest => {
+                let ask: RosterRequest = decode_body(body)?;
+                if ask.buckets.len() != PARTS {
+                    return Err(DatagramError::InvalidBody);
                 }
                 self.meets(now, &ask.from)?;
                 self.send_page(&ask);
                 ask.from
             }
-            Kind::Page => {
-                let page: Page = wire::body(body)?;
+            DatagramKind::RosterPage => {
+                let page: RosterPage = decode_body(body)?;
                 let from = page.from.clone();
                 self.meets(now, &from)?;
                 self.read_page(now, page);
                 from
             }
-            Kind::Beside => {
-                let Beside { from, part, words } = wire::body(body)?;
+            DatagramKind::SubsystemMessage => {
+                let SubsystemMessage {
+                    from,
+                    subsystem: part,
+                    payload: words,
+                } = decode_body(body)?;
                 self.meets(now, &from)?;
                 let known = |r: &&Row| r.active() && r.id.incarnation == from.incarnation;
                 if self.rows.get(&from.name).filter(known).is_none() {
-                    return Err(Stranger::Outlived);
+                    return Err(DatagramError::FormerIncarnation);
                 }
                 if self.beside.len() >= BESIDE_MOST {
                     self.counters.dropped_events += 1;
@@ -78,7 +89,7 @@
             return Ok(());
         };
         row.heard = Some(now);
-        row.held_up = head.held_up;
+        row.held_up = head.health_score;
         self.last_heard = Some(now);
         let suspect = (row.held == Held::Suspect).then_some(row.incarnation);
         if let Some(incarnation) = suspect {
@@ -92,8 +103,9 @@
         if head.digest == self.marks.all {
             self.roster.set_complete();
         } else if from.phase != Phase::Left {
-            let draw = self.chance.float();
-            // What is not passed on any more comes by rosters alone: none waits for the view to settle then.
+            let draw = self.rng.float();
+            // What is not passed on any more comes by rosters alone: none waits for the view to
+            // settle then.
             let crowded = self.swim.updates_backlog() > RUMOURS;
             let changed = if crowded {
                 Timestamp::default()
@@ -109,12 +121,16 @@
     }
 
     /// Who a datagram says that it is from: whether it is to be heard at all.
-    pub(super) fn meets(&mut self, now: Timestamp, from: &MemberIdentity) -> Result<(), Stranger> {
+    pub(super) fn meets(
+        &mut self,
+        now: Timestamp,
+        from: &MemberIdentity,
+    ) -> Result<(), DatagramError> {
         if !from.is_valid() {
-            return Err(Stranger::Body);
+            return Err(DatagramError::InvalidBody);
         }
         if !self.set.allowed_networks.contains(from.address.ip()) {
-            return Err(Stranger::Network);
+            return Err(DatagramError::NetworkNotAllowed);
         }
         if from.name == self.set.name {
             self.claimed(now, from, false, true);
@@ -126,10 +142,10 @@
                     Member::alive(self.local_identity().clone()),
                 );
             }
-            return Err(Stranger::Outlived);
+            return Err(DatagramError::FormerIncarnation);
         }
         match self.rows.get(&from.name) {
-            None if self.rows.len() >= self.set.max_members => Err(Stranger::Full),
+            None if self.rows.len() >= self.set.max_members => Err(DatagramError::TableFull),
             None => Ok(()),
             Some(row) => {
                 let older = (from.version(), from.address) < (row.id.version(), row.id.address);
@@ -146,7 +162,7 @@
                     let held = Member::new(row.id.clone(), row.incarnation, held);
                     self.notice(now, from.address, held);
                 }
-                Err(Stranger::Outlived)
+                Err(DatagramError::FormerIncarnation)
             }
         }
     }
@@ -154,21 +170,21 @@
     pub(super) fn hear_swim(
         &mut self,
         now: Timestamp,
-        head: Head,
+        head: Header,
         body: &[u8],
-    ) -> Result<MemberIdentity, Stranger> {
-        let mut packet = swim::read(body)?;
+    ) -> Result<MemberIdentity, DatagramError> {
+        let mut packet = SwimPacket::decode(body)?;
         let from = packet.header.src.clone();
         let own = self.local_identity().clone();
         let to = &packet.header.dst;
         let announced = packet.header.message == Message::Announce;
         if !(to.name == own.name || to.name.is_empty() && announced) {
-            return Err(Stranger::Misdirected);
+            return Err(DatagramError::Misdirected);
         }
         if self.aside.is_some() {
             // Only who takes this server's own word for its name is heard.
             if *to != own || packet.header.message != Message::Feed || from.name == own.name {
-                return Err(Stranger::Misdirected);
+                return Err(DatagramError::Misdirected);
             }
             self.aside = None;
             self.change(MembershipEvent::Regained);
@@ -180,26 +196,26 @@
         | Message::ForwardedAck { origin: other, .. } = &packet.header.message
             && !(other.is_valid() && self.set.allowed_networks.contains(other.address.ip()))
         {
-            return Err(Stranger::Network);
+            return Err(DatagramError::NetworkNotAllowed);
         }
         self.meets(now, &from)?;
-        let held_up = head.held_up > 0;
-        let members = std::mem::take(&mut packet.members);
-        packet.members = members
+        let held_up = head.health_score > 0;
+        let members = std::mem::take(&mut packet.updates);
+        packet.updates = members
             .into_iter()
             .filter_map(|m| self.weigh(now, m, held_up))
             .collect();
         if from.phase == Phase::Left {
-            packet.members.push(Member::down(from.clone()));
+            packet.updates.push(Member::down(from.clone()));
         }
         let words: Vec<(MemberIdentity, u16, Told)> = packet
-            .members
+            .updates
             .iter()
             .map(|m| (m.id().clone(), m.incarnation(), m.state()))
             .collect();
         let incarnation = packet.header.src_incarnation;
         if self.swim.updates_backlog() > RUMOURS {
-            let news = std::mem::take(&mut packet.members);
+            let news = std::mem::take(&mut packet.updates);
             self.with_swim(now, |swim, wants| {
                 swim.apply_many(news.into_iter(), false, wants)
             });
@@ -207,7 +223,7 @@
         if let Message::Ack(number) = packet.header.message {
             self.answered(&from, number);
         }
-        let bytes = swim::write(&packet);
+        let bytes = packet.encode();
         self.with_swim(now, |swim, wants| swim.handle_data(&bytes, wants));
         self.word(now, &from, incarnation, Told::Alive);
         for (id, incarnation, told) in words {
@@ -225,7 +241,7 @@
     ) -> Option<Member<MemberIdentity>> {
         let id = m.id();
         if !id.is_valid() || !self.set.allowed_networks.contains(id.address.ip()) {
-            self.stranger(Stranger::Network);
+            self.stranger(DatagramError::NetworkNotAllowed);
             return None;
         }
         if id.name == self.set.name {
@@ -247,7 +263,7 @@
                 return None;
             }
             if self.rows.len() >= self.set.max_members {
-                self.stranger(Stranger::Full);
+                self.stranger(DatagramError::TableFull);
                 return None;
             }
             return Some(m);
@@ -256,8 +272,8 @@
             (id.version(), id.address),
             (row.id.version(), row.id.address),
         );
-        // Nobody is down by hearsay: each server lets its own suspicion run out, so that no wrong word
-        // becomes everyone's; who leaves says so itself.
+        // Nobody is down by hearsay: each server lets its own suspicion run out, so that no wrong
+        // word becomes everyone's; who leaves says so itself.
         match (version.cmp(&known), row.active(), m.state()) {
             (std::cmp::Ordering::Less, ..) => None,
             (std::cmp::Ordering::Greater, true, Told::Down) if accuses => {
@@ -297,8 +313,9 @@
         }
     }
 
-    /// What was believed of somebody, where it begins or ends a suspicion. Foca lets only those who tried a
-    /// member themselves wait for its refutation; here each who hears of it waits on its own clock.
+    /// What was believed of somebody, where it begins or ends a suspicion. Foca lets only those who
+    /// tried a member themselves wait for its refutation; here each who hears of it waits on its
+    /// own clock.
     pub(super) fn word(
         &mut self,
         now: Timestamp,
@@ -342,8 +359,8 @@
     }
 
     /// What another holds under this server's name.
-    pub(super) fn noticed(&mut self, now: Timestamp, notice: &Notice) -> Result<(), Stranger> {
-        let held = &notice.held;
+    pub(super) fn noticed(&mut self, now: Timestamp, notice: &Notice) -> Result<(), DatagramError> {
+        let held = &notice.member;
         if *held.id() == notice.from && held.state() == Told::Alive {
             // Asked whether it lives, it does.
             self.meets(now, &notice.from)?;
@@ -353,13 +370,13 @@
             return Ok(());
         }
         if !notice.from.is_valid() || !held.id().is_valid() {
-            return Err(Stranger::Body);
+            return Err(DatagramError::InvalidBody);
         }
         if !self.set.allowed_networks.contains(notice.from.address.ip()) {
-            return Err(Stranger::Network);
+            return Err(DatagramError::NetworkNotAllowed);
         }
         if held.id().name != self.set.name {
-            return Err(Stranger::Misdirected);
+            return Err(DatagramError::Misdirected);
         }
         if held.id() == self.local_identity() && held.state() == Told::Suspect {
             let held = held.clone();
--- a/crates/membership/src/members/speak.rs
+++ b/crates/membership/src/members/speak.rs
@@ -6,15 +6,15 @@
     pub(super) fn with_swim(
         &mut self,
         now: Timestamp,
-        act: impl FnOnce(&mut Swim, &mut Wants) -> Result<(), foca::Error>,
+        act: impl FnOnce(&mut Swim, &mut SwimEffects) -> Result<(), foca::Error>,
     ) {
-        let mut wants = Wants::default();
+        let mut wants = SwimEffects::default();
         // What it does not take is of no use here: what can come in was read before.
         let _ = act(&mut self.swim, &mut wants);
-        for told in wants.told {
+        for told in wants.notifications {
             self.told(now, told);
         }
-        for (after, timer) in wants.timers {
+        for swim::RequestedTimer { after, timer } in wants.timers {
             if let Timer::ChangeSuspectToDown {
                 member_id,
                 incarnation,
@@ -25,8 +25,8 @@
             }
             self.set_timer(now + after, timer);
         }
-        for (to, body) in wants.sends {
-            if let Some(header) = swim::header(&body) {
+        for swim::OutgoingMessage { to, body } in wants.messages {
+            if let Ok(header) = swim::decode_header(&body) {
                 self.incarnation = header.src_incarnation;
                 if let Message::PingReq {
                     target,
@@ -36,12 +36,12 @@
                     self.tries(now, target, probe_number);
                 }
             }
-            self.send(to.address, Kind::Swim, &body);
+            self.send(to.address, DatagramKind::Swim, &body);
         }
     }
 
-    /// A member that has not answered is tried again by this server, beside those it asks: a datagram is more
-    /// often lost than a server.
+    /// A member that has not answered is tried again by this server, beside those it asks: a
+    /// datagram is more often lost than a server.
     fn tries(&mut self, now: Timestamp, target: MemberIdentity, number: u8) {
         let known = |t: &Tried| t.target.name == target.name && t.number == number;
         if !self.tried.as_ref().is_some_and(known) {
@@ -66,13 +66,13 @@
             .mul_f64(TRY_PART);
         let (target, number) = (tried.target.clone(), tried.number);
         let to = target.address;
-        let body = swim::ping(
+        let body = swim::encode_ping(
             self.local_identity().clone(),
             self.incarnation,
             target,
             number,
         );
-        self.send(to, Kind::Swim, &body);
+        self.send(to, DatagramKind::Swim, &body);
     }
 
     /// Who answered a probe is not tried again.
@@ -184,7 +184,7 @@
 
     /// News is told the more often the larger the fleet.
     pub(super) fn set_swim(&mut self) {
-        let config = config(&self.set, self.active);
+        let config = swim::config(&self.set, self.active);
         let told_to = config.max_transmissions.get();
         if std::mem::replace(&mut self.told_to, told_to) != told_to {
             let _ = self.swim.set_config(config);
@@ -278,16 +278,16 @@
         });
     }
 
-    pub(super) fn send(&mut self, to: SocketAddr, kind: Kind, body: &[u8]) {
+    pub(super) fn send(&mut self, to: SocketAddr, kind: DatagramKind, body: &[u8]) {
         if to == self.set.advertise || !self.set.allowed_networks.contains(to.ip()) {
             return;
         }
-        let head = Head {
+        let head = Header {
             kind,
             digest: self.marks.all,
-            held_up: self.health.score(),
+            health_score: self.health.score(),
         };
-        let bytes = wire::write(head, self.fleet, body);
+        let bytes = datagram::encode(head, self.fleet, body);
         self.counters.sent += 1;
         self.counters.bytes_out += bytes.len() as u64;
         self.out.push((to, bytes));
@@ -306,42 +306,42 @@
 
     pub(super) fn send_notice(&mut self, to: SocketAddr, held: Member<MemberIdentity>) {
         self.counters.notices += 1;
-        if let Some(body) = wire::bytes(&Notice {
+        if let Ok(body) = encode_body(&Notice {
             from: self.local_identity().clone(),
-            held,
+            member: held,
         }) {
-            self.send(to, Kind::Notice, &body);
+            self.send(to, DatagramKind::Notice, &body);
         }
     }
 
     pub(super) fn ask(&mut self, from: &MemberIdentity, after: CompactString) {
-        if let Some(body) = wire::bytes(&Ask {
+        if let Ok(body) = encode_body(&RosterRequest {
             from: self.local_identity().clone(),
             after,
-            parts: self.marks.parts.to_vec(),
+            buckets: self.marks.parts.to_vec(),
         }) {
-            self.send(from.address, Kind::Ask, &body);
+            self.send(from.address, DatagramKind::RosterRequest, &body);
         }
     }
 
-    /// The next of those in the view past a name, in parts that are not as the asker's, as many as a datagram
-    /// holds.
-    pub(super) fn send_page(&mut self, ask: &Ask) {
+    /// The next of those in the view past a name, in parts that are not as the asker's, as many as
+    /// a datagram holds.
+    pub(super) fn send_page(&mut self, ask: &RosterRequest) {
         let past = (
             std::ops::Bound::Excluded(&ask.after),
             std::ops::Bound::Unbounded,
         );
-        let room = MAX_DATAGRAM_BYTES - HEAD;
-        let mut page = Page {
+        let room = MAX_BODY_BYTES;
+        let mut page = RosterPage {
             from: self.local_identity().clone(),
             members: vec![],
             last: true,
         };
-        let mut size = wire::bytes(&page).map_or(room, |b| b.len() + 2);
+        let mut size = encode_body(&page).map_or(room, |b| b.len() + 2);
         let now = self.health.now();
         let lately = |r: &&Row| r.active() || r.id.phase != Phase::Left && now - r.since < LATELY;
         let unlike: [bool; PARTS] =
-            std::array::from_fn(|p| ask.parts.get(p) != Some(&self.marks.parts[p]));
+            std::array::from_fn(|p| ask.buckets.get(p) != Some(&self.marks.parts[p]));
         let differs = |r: &&Row| unlike[Marks::part(&r.id.name)];
         for row in self
             .rows
@@ -356,19 +356,19 @@
                 Held::Down => Told::Down,
             };
             let member = Member::new(row.id.clone(), row.incarnation, told);
-            size += wire::bytes(&member).map_or(room, |b| b.len());
+            size += encode_body(&member).map_or(room, |b| b.len());
             if size > room {
                 page.last = false;
                 break;
             }
             page.members.push(member);
         }
-        if let Some(body) = wire::bytes(&page) {
-            self.send(ask.from.address, Kind::Page, &body);
+        if let Ok(body) = encode_body(&page) {
+            self.send(ask.from.address, DatagramKind::RosterPage, &body);
         }
     }
 
-    pub(super) fn read_page(&mut self, now: Timestamp, page: Page) {
+    pub(super) fn read_page(&mut self, now: Timestamp, page: RosterPage) {
         if self.roster.pending_page(&page.from).is_none() {
             return;
         }
--- a/crates/membership/src/swim.rs
+++ b/crates/membership/src/swim.rs
@@ -1,41 +1,51 @@
-//! SWIM as foca plays it: what goes into it and what comes out, with its chance and its timers. Nothing is
-//! decided here.
+//! Adapter to foca, the SWIM implementation: its configuration, its randomness and what it asks to
+//! be done.
+//!
+//! Nothing is decided here, and nothing is sent.
 
+mod packet;
+
+pub(crate) use packet::{SwimPacket, decode_header, encode_ping};
+
+use crate::datagram::MAX_BODY_BYTES;
 use crate::identity::MemberIdentity;
-use crate::wire::Stranger;
+use crate::settings::Settings;
 use foca::{
-    Codec, Config, Foca, Header, Member, Message, NoCustomBroadcast, Notification,
-    OwnedNotification, PeriodicParams, PostcardCodec, Runtime, Timer,
+    Config, Foca, NoCustomBroadcast, Notification, OwnedNotification, PeriodicParams,
+    PostcardCodec, Runtime, Timer,
 };
 use madderbay::time::Duration;
 use std::convert::Infallible;
 use std::num::{NonZeroU8, NonZeroUsize};
 use std::time::Duration as StdDuration;
 
-/// Others asked to try a member that does not answer: six, so that with one datagram in ten lost three probes in
-/// ten thousand accuse the living.
-const ASKED: NonZeroUsize = NonZeroUsize::new(6).unwrap();
-/// How often news is passed on, and to how many: a thousand servers have it in half a second.
-const GOSSIP_EVERY: StdDuration = StdDuration::from_millis(100);
-const GOSSIP_TO: NonZeroUsize = NonZeroUsize::new(3).unwrap();
-/// Times that news is passed on by each, beyond the natural logarithm of the fleet: where a third of what is
-/// said is lost, one server in a thousand misses what a thousand pass on.
-const TOLD_MORE: f64 = 10.0;
-
-/// The chance that foca draws from.
-pub struct Chance(oorandom::Rand64);
-
-impl Chance {
-    pub fn new(seed: u64) -> Chance {
-        Chance(oorandom::Rand64::new(u128::from(seed)))
+/// Number of members asked to probe a member that does not answer. With one datagram in ten lost,
+/// three probes in ten thousand suspect a running member.
+const INDIRECT_PROBES: NonZeroUsize = NonZeroUsize::new(6).unwrap();
+/// Interval between rounds of gossip, and members addressed by a round: updates reach a thousand
+/// servers within half a second.
+const GOSSIP_INTERVAL: StdDuration = StdDuration::from_millis(100);
+const GOSSIP_FANOUT: NonZeroUsize = NonZeroUsize::new(3).unwrap();
+/// Transmissions of an update by each member beyond the natural logarithm of the fleet's size. With
+/// a third of the datagrams lost, one server in a thousand misses an update that a thousand servers
+/// transmit.
+const EXTRA_TRANSMISSIONS: f64 = 10.0;
+
+/// The random numbers that foca draws, from one seed.
+pub(crate) struct SwimRng(oorandom::Rand64);
+
+impl SwimRng {
+    pub(crate) fn new(seed: u64) -> SwimRng {
+        SwimRng(oorandom::Rand64::new(u128::from(seed)))
     }
 
-    pub fn float(&mut self) -> f64 {
+    /// A random number from 0 to 1.
+    pub(crate) fn float(&mut self) -> f64 {
         self.0.rand_float()
     }
 }
 
-impl rand_core::TryRng for Chance {
+impl rand_core::TryRng for SwimRng {
     type Error = Infallible;
 
     fn try_next_u32(&mut self) -> Result<u32, Infallible> {
@@ -46,121 +56,89 @@
         Ok(self.0.rand_u64())
     }
 
-    fn try_fill_bytes(&mut self, to: &mut [u8]) -> Result<(), Infallible> {
-        for piece in to.chunks_mut(8) {
-            piece.copy_from_slice(&self.0.rand_u64().to_le_bytes()[..piece.len()]);
+    fn try_fill_bytes(&mut self, buffer: &mut [u8]) -> Result<(), Infallible> {
+        for chunk in buffer.chunks_mut(8) {
+            chunk.copy_from_slice(&self.0.rand_u64().to_le_bytes()[..chunk.len()]);
         }
         Ok(())
     }
 }
 
-/// What foca wants done.
+/// A SWIM message that foca wants to send.
+pub(crate) struct OutgoingMessage {
+    pub(crate) to: MemberIdentity,
+    pub(crate) body: Vec<u8>,
+}
+
+/// A timer that foca wants to set.
+pub(crate) struct RequestedTimer {
+    pub(crate) after: Duration,
+    pub(crate) timer: Timer<MemberIdentity>,
+}
+
+/// What one call of foca asks to be done, each kind in its order.
 #[derive(Default)]
-pub struct Wants {
-    pub sends: Vec<(MemberIdentity, Vec<u8>)>,
-    pub timers: Vec<(Duration, Timer<MemberIdentity>)>,
-    pub told: Vec<OwnedNotification<MemberIdentity>>,
+pub(crate) struct SwimEffects {
+    pub(crate) messages: Vec<OutgoingMessage>,
+    pub(crate) timers: Vec<RequestedTimer>,
+    pub(crate) notifications: Vec<OwnedNotification<MemberIdentity>>,
 }
 
-impl Runtime<MemberIdentity> for Wants {
-    fn notify(&mut self, what: Notification<'_, MemberIdentity>) {
-        self.told.push(what.to_owned());
+impl Runtime<MemberIdentity> for SwimEffects {
+    fn notify(&mut self, notification: Notification<'_, MemberIdentity>) {
+        self.notifications.push(notification.to_owned());
     }
 
     fn send_to(&mut self, to: MemberIdentity, data: &[u8]) {
-        self.sends.push((to, data.to_vec()));
+        self.messages.push(OutgoingMessage {
+            to,
+            body: data.to_vec(),
+        });
     }
 
-    fn submit_after(&mut self, event: Timer<MemberIdentity>, after: StdDuration) {
-        self.timers
-            .push((Duration::from_micros(after.as_micros() as u64), event));
+    fn submit_after(&mut self, timer: Timer<MemberIdentity>, after: StdDuration) {
+        let after = Duration::from_micros(after.as_micros() as u64);
+        self.timers.push(RequestedTimer { after, timer });
     }
 }
 
-pub type Swim = Foca<MemberIdentity, PostcardCodec, Chance, NoCustomBroadcast>;
-
-/// How foca is set for a fleet of that size.
-pub fn config(
-    members: usize,
-    probe: Duration,
-    answer: Duration,
-    suspicion: Duration,
-    memory: Duration,
-    most: usize,
-) -> Config {
-    let lasts = |s: Duration| StdDuration::from_micros(s.as_micros());
-    let told = (((members + 1) as f64).ln() + TOLD_MORE).ceil().min(255.0) as u8;
+/// The SWIM state machine.
+pub(crate) type Swim = Foca<MemberIdentity, PostcardCodec, SwimRng, NoCustomBroadcast>;
+
+/// A SWIM state machine without members.
+pub(crate) fn new_swim(identity: MemberIdentity, settings: &Settings, seed: u64) -> Swim {
+    Swim::new(
+        identity,
+        config(settings, 0),
+        SwimRng::new(seed),
+        PostcardCodec,
+    )
+}
+
+/// How often each member transmits an update, with so many other members.
+pub(crate) fn max_transmissions(active: usize) -> NonZeroU8 {
+    let transmissions = ((active + 1) as f64).ln() + EXTRA_TRANSMISSIONS;
+    NonZeroU8::new(transmissions.ceil().min(255.0) as u8).unwrap_or(NonZeroU8::MIN)
+}
+
+/// Foca's configuration with so many other members.
+pub(crate) fn config(settings: &Settings, active: usize) -> Config {
+    let std_duration = |d: Duration| StdDuration::from_micros(d.as_micros());
     Config {
-        probe_period: lasts(probe),
-        probe_rtt: lasts(answer),
-        num_indirect_probes: ASKED,
-        max_transmissions: NonZeroU8::new(told).unwrap_or(NonZeroU8::MIN),
-        suspect_to_down_after: lasts(suspicion),
-        remove_down_after: Some(lasts(memory)),
-        max_packet_size: NonZeroUsize::new(most).unwrap_or(NonZeroUsize::MIN),
-        // Who is held down is told so by a notice that says by whom and as what.
+        probe_period: std_duration(settings.probe_interval),
+        probe_rtt: std_duration(settings.probe_timeout),
+        num_indirect_probes: INDIRECT_PROBES,
+        max_transmissions: max_transmissions(active),
+        suspect_to_down_after: std_duration(settings.suspicion_timeout),
+        remove_down_after: Some(std_duration(settings.down_retention)),
+        max_packet_size: NonZeroUsize::new(MAX_BODY_BYTES).unwrap_or(NonZeroUsize::MIN),
+        // Notices inform members that are down, and say who declared them down.
         notify_down_members: false,
         periodic_announce: None,
         periodic_announce_to_down_members: None,
         periodic_gossip: Some(PeriodicParams {
-            frequency: GOSSIP_EVERY,
-            num_members: GOSSIP_TO,
+            frequency: GOSSIP_INTERVAL,
+            num_members: GOSSIP_FANOUT,
         }),
     }
 }
-
-/// A SWIM datagram's body, taken apart.
-pub struct Packet {
-    pub header: Header<MemberIdentity>,
-    pub members: Vec<Member<MemberIdentity>>,
-}
-
-pub fn read(mut bytes: &[u8]) -> Result<Packet, Stranger> {
-    let bad = |_| Stranger::Body;
-    let header = PostcardCodec.decode_header(&mut bytes).map_err(bad)?;
-    let mut members = vec![];
-    if let Some((count, rest)) = bytes.split_first_chunk::<2>() {
-        bytes = rest;
-        for _ in 0..u16::from_be_bytes(*count) {
-            members.push(PostcardCodec.decode_member(&mut bytes).map_err(bad)?);
-        }
-    }
-    if bytes.is_empty() {
-        Ok(Packet { header, members })
-    } else {
-        Err(Stranger::Body)
-    }
-}
-
-/// The same put together again.
-pub fn write(packet: &Packet) -> Vec<u8> {
-    let mut bytes = vec![];
-    // Nothing can fail in writing to memory.
-    let _ = PostcardCodec.encode_header(&packet.header, &mut bytes);
-    if !packet.members.is_empty() {
-        bytes.extend((packet.members.len() as u16).to_be_bytes());
-        for member in &packet.members {
-            let _ = PostcardCodec.encode_member(member, &mut bytes);
-        }
-    }
-    bytes
-}
-
-/// Only the head of a body: who says what to whom.
-pub fn header(mut body: &[u8]) -> Option<Header<MemberIdentity>> {
-    PostcardCodec.decode_header(&mut body).ok()
-}
-
-/// The same probe from this server once more.
-pub fn ping(src: MemberIdentity, src_incarnation: u16, dst: MemberIdentity, number: u8) -> Vec<u8> {
-    let header = Header {
-        src,
-        src_incarnation,
-        dst,
-        message: Message::Ping(number),
-    };
-    write(&Packet {
-        header,
-        members: vec![],
-    })
-}
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -81,7 +81,8 @@
 /// Parts of a digest: of a thousand members a part holds sixteen, which a datagram carries.
 pub(crate) const PARTS: usize = 64;
 
-/// The digest of a view, of all of it and by parts: what differs between two views is in the parts that do.
+/// The digest of a view, of all of it and by parts: what differs between two views is in the parts
+/// that do.
 #[derive(Clone)]
 pub(crate) struct Marks {
     pub all: u64,
@@ -168,7 +169,8 @@
     Hears(ConnectivityStatus, Timestamp),
     /// The own process was held up for so long.
     HeldUp(Duration),
-    /// An earlier life of this server, or one under its name that is over, stands ahead of its clock.
+    /// An earlier life of this server, or one under its name that is over, stands ahead of its
+    /// clock.
     Past {
         life: u64,
     },
--- a/crates/membership/tests/fleet.rs
+++ b/crates/membership/tests/fleet.rs
@@ -1,5 +1,5 @@
-//! Every script of faults under `tests/fleet`, simulated over many seeds; `crates/server/tests/fleet.rs` plays
-//! the same on real processes.
+//! Every script of faults under `tests/fleet`, simulated over many seeds;
+//! `crates/server/tests/fleet.rs` plays the same on real processes.
 
 use madderbay::time::Duration;
 use madderbay_testkit::fleet::script::{Act, Condition, Fleet, Setup};
@@ -24,8 +24,8 @@
     );
 }
 
-/// Three in ten lost, 150 that know only the first: rosters of many pages get to their end, and what is said of
-/// suspicions that one more try would have spared does not fill the network.
+/// Three in ten lost, 150 that know only the first: rosters of many pages get to their end, and
+/// what is said of suspicions that one more try would have spared does not fill the network.
 #[test]
 fn a_large_fleet_on_bad_links_agrees_and_stays_quiet() {
     let (n, span) = (150, Duration::from_millis(20_000));
@@ -65,7 +65,8 @@
     let after = sums(&sim);
     let bytes = (after.0 - before.0) as f64 / span.as_secs_f64() / n as f64;
     assert!(bytes < 4_000.0, "{bytes:.0} bytes a second a member");
-    // One of a hundred members a minute is suspected wrongly, and told of to all: not one each second.
+    // One of a hundred members a minute is suspected wrongly, and told of to all: not one each
+    // second.
     let suspected = (after.1 - before.1) / n as u64;
     assert!(suspected <= 10, "{suspected} were suspected in 20 s");
 }
--- a/crates/server/src/fleet/talk.rs
+++ b/crates/server/src/fleet/talk.rs
@@ -6,7 +6,7 @@
 use crate::tools::clock::Ticks;
 use crate::tools::counters::Lines;
 use madderbay::time::{Duration, Timestamp};
-use madderbay_membership::{AllowedNetworks, Membership, STRANGERS, Settings};
+use madderbay_membership::{AllowedNetworks, Membership, Settings};
 use madderbay_operator_config::members as operator;
 use madderbay_quota::FleetQuotas;
 use madderbay_upstream::FleetStack;
@@ -175,8 +175,8 @@
         line("sent", counts.sent);
         line("bytes_in", counts.bytes_in);
         line("bytes_out", counts.bytes_out);
-        for ((_, name), n) in STRANGERS.iter().zip(counts.strangers) {
-            line(&format!("strangers.{name}"), n);
+        for (reason, n) in counts.rejected.iter() {
+            line(&format!("strangers.{}", reason.counter_key()), n);
         }
         line("over", self.over.get());
         line("unsent", self.unsent.get());
