--- /dev/null
+++ b/crates/membership/tests/recorded_datagrams.rs
@@ -0,0 +1,121 @@
+//! Datagrams that a former release recorded, given to a server: it accepts them and answers as that
+//! release did.
+
+mod support;
+
+use madderbay_membership::{DatagramKind, Membership, inspect_datagram};
+use std::path::Path;
+use support::{address, at, run, server};
+
+fn recorded(name: &str) -> Vec<u8> {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/data");
+    std::fs::read(folder.join(name).with_extension("bin")).expect("a recorded datagram")
+}
+
+/// The n-th of four servers whose views are complete, as in the recording.
+fn settled_server(n: usize) -> Membership {
+    let mut servers: Vec<Membership> = (1..=4).map(server).collect();
+    run(&mut servers, 0, 5_000);
+    let mut settled = servers.remove(n - 1);
+    settled.take_outgoing();
+    settled
+}
+
+fn kind(bytes: &[u8]) -> DatagramKind {
+    inspect_datagram(bytes, "bookings")
+        .expect("a valid datagram")
+        .0
+}
+
+/// Kinds of a settled server's answers to a recorded datagram, which it has to accept.
+fn answers(name: &str, from: u16, to: u16) -> Vec<DatagramKind> {
+    let mut receiver = settled_server(usize::from(to));
+    receiver.handle_datagram(at(5_000), address(from), &recorded(name));
+    let rejected: u64 = receiver
+        .counters
+        .rejected
+        .iter()
+        .map(|(_, count)| count)
+        .sum();
+    assert_eq!(rejected, 0, "{name}");
+    assert_eq!(receiver.active_count(), 3, "{name}");
+    receiver
+        .take_outgoing()
+        .iter()
+        .map(|(_, bytes)| kind(bytes))
+        .collect()
+}
+
+#[test]
+fn accepts_recorded_swim_messages() {
+    let swim = [DatagramKind::Swim];
+    assert_eq!(answers("swim-ping", 1, 3), swim);
+    assert_eq!(answers("swim-ping-repeated", 1, 4), swim);
+    assert_eq!(answers("swim-ping-request", 1, 3), swim);
+    assert_eq!(answers("swim-indirect-ping", 2, 4), swim);
+    assert_eq!(answers("swim-indirect-ack", 4, 2), swim);
+    assert_eq!(answers("swim-gossip", 4, 3), []);
+    assert_eq!(answers("swim-ack", 3, 1), []);
+}
+
+#[test]
+fn answers_recorded_announcement_with_its_members() {
+    let mut first = server(1);
+    first.handle_timeout(at(0));
+    first.handle_datagram(at(1), address(2), &recorded("swim-announce"));
+    let sent = first.take_outgoing();
+    assert!(
+        sent.iter()
+            .any(|(to, bytes)| *to == address(2) && kind(bytes) == DatagramKind::Swim)
+    );
+    assert_eq!(first.active_count(), 1);
+    assert!(first.member("n2").is_some());
+}
+
+#[test]
+fn learns_members_from_recorded_feed() {
+    let mut fourth = server(4);
+    fourth.handle_timeout(at(0));
+    fourth.handle_datagram(at(1), address(1), &recorded("swim-feed"));
+    assert_eq!(fourth.active_count(), 3);
+}
+
+#[test]
+fn answers_recorded_roster_request_with_a_page() {
+    let sent = answers("roster-request", 3, 1);
+    assert_eq!(sent, [DatagramKind::RosterPage]);
+}
+
+#[test]
+fn ignores_recorded_page_that_it_did_not_request() {
+    assert_eq!(answers("roster-page", 1, 2), []);
+}
+
+#[test]
+fn answers_recorded_suspicion_that_it_is_alive() {
+    // It gossips the refutation to three members and answers the sender.
+    let gossip = DatagramKind::Swim;
+    let expected = [gossip, gossip, gossip, DatagramKind::Notice];
+    assert_eq!(answers("notice-suspect", 1, 3), expected);
+}
+
+#[test]
+fn renews_identity_after_recorded_notice_that_it_is_down() {
+    let mut third = settled_server(3);
+    let before = third.local_identity().revision;
+    third.handle_datagram(at(5_000), address(2), &recorded("notice-down"));
+    assert_eq!(third.local_identity().revision, before + 1);
+    assert_eq!(third.counters.identity_renewals, 1);
+}
+
+#[test]
+fn hands_out_recorded_subsystem_message() {
+    let mut second = settled_server(2);
+    second.handle_datagram(at(5_000), address(1), &recorded("subsystem-message-quota"));
+    let messages = second.take_subsystem_messages();
+    assert_eq!(messages.len(), 1);
+    assert_eq!(
+        (messages[0].0.as_str(), messages[0].2.as_slice()),
+        ("n1", b"quota".as_slice())
+    );
+}
