Membership: the state machine split by concern, each state with one owner

Cause: members.rs held 555 lines and its parts reached into one record of state; functions of up to 67 lines; tuples and parallel values. Change: member_table owns the records and what is derived from them, timer_queue, probe_retry and notice_limit own theirs, digest, event and view are modules; the machine is split into timers, receive, swim_receive, updates, suspicion, notice, name_conflict, roster, lifecycle, swim_driver and send; events have named fields, displayed lines stay.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,39 +1,44 @@
-//! The view that each server keeps of its fleet: who is in, since which life, and how much is
-//! heard. SWIM by foca; above it lives, phases, own lateness, healing, rosters and a judgement. No
-//! I/O: time, chance and datagrams are passed in.
+//! Fleet membership: the view that each server keeps of the other servers.
+//!
+//! [`Membership`] owns one server's view. SWIM, by foca, detects failures and spreads updates. This
+//! crate adds identities that survive restarts, lifecycle phases, local health awareness,
+//! anti-entropy by rosters, reconnection after partitions and a level of connectivity.
+//!
+//! It performs no I/O: time, a seed and datagrams are passed in; datagrams, deadlines and events
+//! are taken out.
 //!
 //! ```
 //! use madderbay::time::{Duration, Timestamp};
-//! use madderbay_membership::{Hears, Members, Networks, Settings};
-//! let set = |n: u16| Settings {
+//! use madderbay_membership::{AllowedNetworks, Connectivity, Membership, Settings};
+//! let settings = |n: u16| Settings {
 //!     name: format!("n{n}").into(),
 //!     advertise: ([127, 0, 0, 1], n).into(),
 //!     zone: "north".into(),
 //!     fleet: "bookings".into(),
 //!     join: vec![([127, 0, 0, 1], 1).into()],
-//!     networks: Networks::of(["127.0.0.0/8".parse().unwrap()]),
-//!     most: 100,
-//!     probe: Duration::from_millis(500),
-//!     answer: Duration::from_millis(200),
-//!     suspicion: Duration::from_millis(3_000),
-//!     memory: Duration::from_millis(60_000),
-//!     minds_itself: true,
+//!     allowed_networks: AllowedNetworks::new(["127.0.0.0/8".parse().unwrap()]),
+//!     max_members: 100,
+//!     probe_interval: Duration::from_millis(500),
+//!     probe_timeout: Duration::from_millis(200),
+//!     suspicion_timeout: Duration::from_millis(3_000),
+//!     down_retention: Duration::from_millis(60_000),
+//!     local_health_aware: true,
 //! };
 //! let now = Timestamp::from_micros(1_000_000);
-//! let mut a = Members::new(now, 1_764_576_000_000, 1, set(1));
-//! let mut b = Members::new(now, 1_764_576_000_000, 2, set(2));
-//! b.turn(now);
-//! // What each sends reaches the other, until nothing is left to say.
+//! let mut a = Membership::new(now, 1_764_576_000_000, 1, settings(1));
+//! let mut b = Membership::new(now, 1_764_576_000_000, 2, settings(2));
+//! b.handle_timeout(now);
+//! // Deliver all datagrams until neither server sends any more.
 //! loop {
-//!     let to_a = b.outgoing();
-//!     to_a.iter().for_each(|d| a.handle_datagram(now, ([127, 0, 0, 1], 2).into(), &d.1));
-//!     let to_b = a.outgoing();
-//!     to_b.iter().for_each(|d| b.handle_datagram(now, ([127, 0, 0, 1], 1).into(), &d.1));
+//!     let to_a = b.take_outgoing();
+//!     to_a.iter().for_each(|(_, bytes)| a.handle_datagram(now, ([127, 0, 0, 1], 2).into(), bytes));
+//!     let to_b = a.take_outgoing();
+//!     to_b.iter().for_each(|(_, bytes)| b.handle_datagram(now, ([127, 0, 0, 1], 1).into(), bytes));
 //!     if to_a.is_empty() && to_b.is_empty() {
 //!         break;
 //!     }
 //! }
-//! assert_eq!((a.hears(), b.hears()), (Hears::Whole, Hears::Whole));
+//! assert_eq!((a.connectivity(), b.connectivity()), (Connectivity::Complete, Connectivity::Complete));
 //! assert_eq!(a.digest(), b.digest());
 //! ```
 
@@ -41,23 +46,30 @@
 mod connectivity;
 mod counters;
 mod datagram;
+mod digest;
 mod error;
+mod event;
 mod identity;
 mod local_health;
-mod members;
+mod member_table;
+mod membership;
 mod name_claim;
 mod networks;
+mod notice_limit;
+mod probe_retry;
 mod reconnect;
 mod settings;
 mod swim;
+mod timer_queue;
 mod view;
 
 pub use connectivity::{Connectivity, ConnectivityEvidence, ConnectivityStatus};
 pub use counters::{Counters, RejectionCounters};
 pub use datagram::{DatagramKind, MAX_DATAGRAM_BYTES, Subsystem, inspect_datagram};
 pub use error::DatagramError;
+pub use event::{ChangeReason, MembershipEvent};
 pub use identity::{IdentityVersion, MAX_NAME_BYTES, MemberIdentity, Phase, is_valid_name};
-pub use members::{MAX_SUBSYSTEM_PAYLOAD_BYTES, Membership};
+pub use membership::{MAX_SUBSYSTEM_PAYLOAD_BYTES, Membership};
 pub use networks::AllowedNetworks;
 pub use settings::Settings;
-pub use view::{MemberState, MemberView, MembershipEvent, View, Why};
+pub use view::{MemberState, MemberView, View};
--- /dev/null
+++ b/crates/membership/src/membership.rs
@@ -0,0 +1,257 @@
+//! The membership state machine: datagrams, time and random numbers in; datagrams, deadlines and
+//! events out.
+//!
+//! Owns the view of the fleet. Callers pass in what arrives and the time, and take what is to be
+//! sent and what changed. It performs no I/O and reads no clock.
+
+mod lifecycle;
+mod name_conflict;
+mod notice;
+mod receive;
+mod roster;
+mod send;
+mod suspicion;
+mod swim_driver;
+mod swim_receive;
+mod timers;
+mod updates;
+
+pub use send::MAX_SUBSYSTEM_PAYLOAD_BYTES;
+
+use crate::anti_entropy::RosterSync;
+use crate::connectivity::{Connectivity, ConnectivityEvidence, ConnectivityStatus};
+use crate::counters::Counters;
+use crate::datagram::{self, Subsystem};
+use crate::event::MembershipEvent;
+use crate::identity::{MemberIdentity, Phase};
+use crate::local_health::LocalHealth;
+use crate::member_table::{MemberRecord, MemberTable};
+use crate::notice_limit::NoticeLimit;
+use crate::probe_retry::ProbeRetry;
+use crate::reconnect::Reconnector;
+use crate::settings::Settings;
+use crate::swim::{Swim, SwimRng, new_swim};
+use crate::timer_queue::TimerQueue;
+use crate::view::{MemberState, MemberView, View};
+use compact_str::CompactString;
+use foca::Timer;
+use madderbay::time::Timestamp;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+/// A message of a subsystem that waits to be taken.
+struct ReceivedMessage {
+    from: CompactString,
+    subsystem: Subsystem,
+    payload: Vec<u8>,
+}
+
+/// One server's part in the fleet's membership. See the crate's documentation for an example.
+pub struct Membership {
+    settings: Settings,
+    fleet_hash: u64,
+    health: LocalHealth,
+    rng: SwimRng,
+    swim: Swim,
+    /// The number of transmissions with which `swim` was configured last.
+    max_transmissions: u8,
+    /// This server's own SWIM incarnation number.
+    swim_incarnation: u16,
+    swim_timers: TimerQueue<Timer<MemberIdentity>>,
+    /// Members to which a notice is due.
+    scheduled_notices: TimerQueue<CompactString>,
+    notice_limit: NoticeLimit,
+    probe_retry: ProbeRetry,
+    members: MemberTable,
+    last_received: Option<Timestamp>,
+    connectivity: ConnectivityStatus,
+    reconnector: Reconnector,
+    roster_sync: RosterSync,
+    first_contact: Option<Timestamp>,
+    /// Address of the server that owns this server's name, if another does.
+    name_owner: Option<SocketAddr>,
+    outgoing: Vec<(SocketAddr, Vec<u8>)>,
+    received_messages: Vec<ReceivedMessage>,
+    events: Vec<MembershipEvent>,
+    /// Counters since the start.
+    pub counters: Counters,
+}
+
+impl Membership {
+    /// Starts an incarnation. `now` is of the caller's monotonic clock; `unix_ms` becomes the
+    /// incarnation, in milliseconds; `seed` determines all random numbers.
+    pub fn new(now: Timestamp, unix_ms: u64, seed: u64, settings: Settings) -> Membership {
+        let identity = MemberIdentity {
+            name: settings.name.clone(),
+            address: settings.advertise,
+            zone: settings.zone.clone(),
+            incarnation: unix_ms,
+            revision: 0,
+            phase: Phase::Joining,
+        };
+        let mut health = LocalHealth::default();
+        health.observe(now, None);
+        Membership {
+            fleet_hash: datagram::fleet_hash(&settings.fleet),
+            health,
+            rng: SwimRng::new(seed ^ 1),
+            members: MemberTable::new(now, &identity, settings.max_members),
+            swim: new_swim(identity, &settings, seed),
+            max_transmissions: 0,
+            swim_incarnation: 0,
+            swim_timers: TimerQueue::new(),
+            scheduled_notices: TimerQueue::new(),
+            notice_limit: NoticeLimit::new(now),
+            probe_retry: ProbeRetry::new(settings.probe_interval, settings.probe_timeout),
+            last_received: None,
+            connectivity: ConnectivityStatus::new(now),
+            reconnector: Reconnector::new(now, &settings.join, settings.advertise),
+            roster_sync: RosterSync::new(now),
+            first_contact: None,
+            name_owner: None,
+            outgoing: vec![],
+            received_messages: vec![],
+            events: vec![],
+            counters: Counters::default(),
+            settings,
+        }
+    }
+
+    /// This server's own identity.
+    pub fn local_identity(&self) -> &MemberIdentity {
+        self.swim.identity()
+    }
+
+    /// How much of the fleet this server reaches.
+    pub fn connectivity(&self) -> Connectivity {
+        self.connectivity.level
+    }
+
+    /// Digest of the view; equal digests mean equal views.
+    pub fn digest(&self) -> u64 {
+        self.members.digest().total()
+    }
+
+    /// Number of other members that are not down.
+    pub fn active_count(&self) -> usize {
+        self.members.active_count()
+    }
+
+    /// Number of other members that are down without having left.
+    pub fn missing_count(&self) -> usize {
+        self.members.missing_count()
+    }
+
+    /// Whether this process was paused recently, so that it suspects nobody.
+    pub fn is_degraded(&self) -> bool {
+        self.health.is_degraded()
+    }
+
+    /// Number of pauses of this process.
+    pub fn pause_count(&self) -> u64 {
+        self.health.pause_count()
+    }
+
+    /// State of one member, or of this server, by name.
+    pub fn member_state(&self, name: &str) -> Option<MemberState> {
+        if name == self.settings.name {
+            return Some(self.local_state());
+        }
+        self.members.get(name).map(MemberRecord::state)
+    }
+
+    fn local_state(&self) -> MemberState {
+        if self.name_owner.is_some() {
+            return MemberState::Down;
+        }
+        match self.local_identity().phase {
+            Phase::Joining => MemberState::Joining,
+            Phase::Joined => MemberState::Alive,
+            Phase::Draining => MemberState::Draining,
+            Phase::Left => MemberState::Left,
+        }
+    }
+
+    /// Identity and state of one other member, by name.
+    pub fn member(&self, name: &str) -> Option<(&MemberIdentity, MemberState)> {
+        self.members
+            .get(name)
+            .map(|record| (record.identity(), record.state()))
+    }
+
+    /// Takes the names of the members that changed since the last call. Their number is bounded.
+    pub fn take_changed_members(&mut self) -> BTreeSet<CompactString> {
+        self.members.take_changed_names()
+    }
+
+    /// A snapshot of the view.
+    pub fn view(&self) -> View {
+        let now = self.health.now();
+        let ms_since = |time: Timestamp| (now - time).as_micros() / 1_000;
+        let mut members: Vec<MemberView> =
+            self.members.iter().map(|r| member_view(now, r)).collect();
+        members.push(self.local_view());
+        members.sort_by(|a, b| a.name.cmp(&b.name));
+        View {
+            name: self.local_identity().name.clone(),
+            connectivity: self.connectivity,
+            since_ms: ms_since(self.connectivity.since),
+            last_received_ms: self.last_received.map(ms_since),
+            digest: self.digest(),
+            members,
+        }
+    }
+
+    fn local_view(&self) -> MemberView {
+        let identity = self.local_identity();
+        MemberView {
+            name: identity.name.clone(),
+            state: self.local_state(),
+            zone: identity.zone.clone(),
+            address: identity.address,
+            incarnation: identity.incarnation,
+            revision: identity.revision,
+            last_received_ms: None,
+            health_score: self.health.score(),
+        }
+    }
+
+    /// Takes the datagrams to send, with their destinations.
+    pub fn take_outgoing(&mut self) -> Vec<(SocketAddr, Vec<u8>)> {
+        std::mem::take(&mut self.outgoing)
+    }
+
+    /// Takes the events since the last call. Events beyond a bound are dropped and counted.
+    pub fn take_events(&mut self) -> Vec<MembershipEvent> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// Derives the level of connectivity from the current view.
+    fn update_connectivity(&mut self, now: Timestamp) {
+        let evidence = ConnectivityEvidence {
+            active: self.members.active_count(),
+            missing: self.members.missing_count(),
+            last_received: self.last_received,
+            expects_peers: self.reconnector.expects_peers() || !self.members.is_empty(),
+            name_conflict: self.name_owner.is_some(),
+        };
+        if self.connectivity.update(now, evidence) {
+            let status = self.connectivity;
+            self.push_event(MembershipEvent::ConnectivityChanged { status, at: now });
+        }
+    }
+}
+
+fn member_view(now: Timestamp, record: &MemberRecord) -> MemberView {
+    let identity = record.identity();
+    MemberView {
+        name: identity.name.clone(),
+        state: record.state(),
+        zone: identity.zone.clone(),
+        address: identity.address,
+        incarnation: identity.incarnation,
+        revision: identity.revision,
+        last_received_ms: record.since_received(now).map(|d| d.as_micros() / 1_000),
+        health_score: record.health_score(),
+    }
+}
--- /dev/null
+++ b/crates/membership/src/membership/send.rs
@@ -0,0 +1,69 @@
+//! What leaves this server: datagrams, subsystem messages and events.
+
+use super::Membership;
+use crate::datagram::{self, DatagramKind, Header, Subsystem, SubsystemMessage, encode_body};
+use crate::event::MembershipEvent;
+use compact_str::CompactString;
+use std::net::SocketAddr;
+
+/// Longest payload of a subsystem message, in bytes: it and its sender's identity fit a datagram.
+pub const MAX_SUBSYSTEM_PAYLOAD_BYTES: usize = 1_150;
+/// Upper bound on the number of events that wait to be taken; further ones are counted.
+const MAX_PENDING_EVENTS: usize = 64;
+
+impl Membership {
+    /// Sends a message of a subsystem to an active member. Like any datagram it may be lost. A
+    /// payload longer than [`MAX_SUBSYSTEM_PAYLOAD_BYTES`] is dropped.
+    pub fn send_subsystem_message(&mut self, to: &str, subsystem: Subsystem, payload: &[u8]) {
+        let Some(record) = self.members.get(to).filter(|r| r.is_active()) else {
+            return;
+        };
+        let address = record.identity().address;
+        if self.has_left() || payload.len() > MAX_SUBSYSTEM_PAYLOAD_BYTES {
+            return;
+        }
+        let message = SubsystemMessage {
+            from: self.local_identity().clone(),
+            subsystem,
+            payload,
+        };
+        if let Ok(body) = encode_body(&message) {
+            self.send(address, DatagramKind::SubsystemMessage, &body);
+        }
+    }
+
+    /// Takes the subsystem messages of active members: the sender's name, the subsystem and the
+    /// payload.
+    pub fn take_subsystem_messages(&mut self) -> Vec<(CompactString, Subsystem, Vec<u8>)> {
+        let messages = std::mem::take(&mut self.received_messages);
+        messages
+            .into_iter()
+            .map(|m| (m.from, m.subsystem, m.payload))
+            .collect()
+    }
+
+    /// Queues a datagram. One to this server itself, or outside the allowed networks, is dropped.
+    pub(super) fn send(&mut self, to: SocketAddr, kind: DatagramKind, body: &[u8]) {
+        if to == self.settings.advertise || !self.settings.allowed_networks.contains(to.ip()) {
+            return;
+        }
+        let header = Header {
+            kind,
+            digest: self.members.digest().total(),
+            health_score: self.health.score(),
+        };
+        let bytes = datagram::encode(header, self.fleet_hash, body);
+        self.counters.sent += 1;
+        self.counters.bytes_out += bytes.len() as u64;
+        self.outgoing.push((to, bytes));
+    }
+
+    /// Queues an event.
+    pub(super) fn push_event(&mut self, event: MembershipEvent) {
+        if self.events.len() < MAX_PENDING_EVENTS {
+            self.events.push(event);
+        } else {
+            self.counters.dropped_events += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/src/membership/suspicion.rs
@@ -0,0 +1,84 @@
+//! Suspicion of members, and what lets a running member refute it in time.
+
+use super::Membership;
+use crate::datagram::DatagramKind;
+use crate::event::ChangeReason;
+use crate::identity::MemberIdentity;
+use crate::swim::encode_ping;
+use crate::view::MemberState;
+use compact_str::CompactString;
+use madderbay::time::{Duration, Timestamp};
+
+/// When a suspected member receives a notice, as fractions of the suspicion timeout. Gossip alone
+/// may not reach it.
+const SUSPICION_NOTICE_FRACTIONS: [f64; 2] = [0.35, 0.7];
+/// When a member that is down here but active elsewhere receives a notice, until it is received
+/// again. Both the notice and its answer may be lost.
+const DOWN_NOTICE_DELAYS: [Duration; 3] = [
+    Duration::from_millis(120),
+    Duration::from_millis(300),
+    Duration::from_millis(600),
+];
+/// Upper bound on the number of scheduled notices. After a long partition, members beyond it
+/// receive a notice with a later roster.
+const MAX_SCHEDULED_NOTICES: usize = 64;
+
+impl Membership {
+    /// Starts a suspicion of an active member: it did not answer a probe, here or at another
+    /// server.
+    pub(super) fn member_suspected(
+        &mut self,
+        now: Timestamp,
+        identity: &MemberIdentity,
+        swim_incarnation: u16,
+    ) {
+        let Some(record) = self.members.get_active_mut(identity) else {
+            return;
+        };
+        let former = record.state();
+        record.set_suspect(now, swim_incarnation);
+        let since_received = record.since_received(now);
+        self.counters.suspicions += 1;
+        for fraction in SUSPICION_NOTICE_FRACTIONS {
+            let at = now + self.settings.suspicion_timeout.mul_f64(fraction);
+            self.scheduled_notices.set(at, identity.name.clone());
+        }
+        if former != MemberState::Suspect {
+            let reason = ChangeReason::ProbeFailed { since_received };
+            self.push_state_change(identity, Some(former), MemberState::Suspect, reason);
+        }
+    }
+
+    /// Schedules notices to a member that is down here but active elsewhere.
+    pub(super) fn schedule_down_notices(&mut self, now: Timestamp, name: &CompactString) {
+        if self.scheduled_notices.len() + DOWN_NOTICE_DELAYS.len() > MAX_SCHEDULED_NOTICES {
+            return;
+        }
+        for delay in DOWN_NOTICE_DELAYS {
+            self.scheduled_notices.set(now + delay, name.clone());
+        }
+    }
+
+    /// Sends a scheduled notice, if the member is still suspected or down. The rate limit does not
+    /// apply, as the number of these notices is bounded otherwise.
+    pub(super) fn send_scheduled_notice(&mut self, name: &CompactString) {
+        let Some(record) = self.members.get(name) else {
+            return;
+        };
+        if record.is_suspect() || record.is_missing() {
+            let (to, member) = (record.identity().address, record.to_swim_member());
+            self.send_notice(to, member);
+        }
+    }
+
+    /// Sends the next ping of a probe that was not answered in time, if one is due.
+    pub(super) fn repeat_probe(&mut self, now: Timestamp) {
+        let Some(probe) = self.probe_retry.take_due(now) else {
+            return;
+        };
+        let to = probe.target.address;
+        let own = self.local_identity().clone();
+        let body = encode_ping(own, self.swim_incarnation, probe.target, probe.number);
+        self.send(to, DatagramKind::Swim, &body);
+    }
+}
--- /dev/null
+++ b/crates/membership/src/membership/updates.rs
@@ -0,0 +1,179 @@
+//! Updates about members that others sent: which are believed, and what they change.
+//!
+//! No member is declared down because another server says so. Each server lets its own suspicion
+//! expire, so that one wrong report does not spread; only a departure is taken from the member's
+//! own announcement.
+
+use super::Membership;
+use super::name_conflict::ClaimSource;
+use crate::error::DatagramError;
+use crate::event::ChangeReason;
+use crate::identity::{MemberIdentity, Phase};
+use crate::member_table::{Liveness, MemberRecord};
+use crate::view::MemberState;
+use foca::{Member, State as SwimState, Timer};
+use madderbay::time::Timestamp;
+use std::cmp::Ordering;
+
+impl Membership {
+    /// The part of an update that is believed, or nothing. `sender_degraded` says whether the
+    /// sender was paused recently: its suspicions are ignored.
+    pub(super) fn filter_update(
+        &mut self,
+        now: Timestamp,
+        update: Member<MemberIdentity>,
+        sender_degraded: bool,
+    ) -> Option<Member<MemberIdentity>> {
+        let identity = update.id();
+        if !identity.is_valid()
+            || !self
+                .settings
+                .allowed_networks
+                .contains(identity.address.ip())
+        {
+            self.counters
+                .rejected
+                .increment(DatagramError::NetworkNotAllowed);
+            return None;
+        }
+        if identity.name == self.settings.name {
+            return self.filter_own_update(now, update);
+        }
+        if is_accusation(&update) && sender_degraded {
+            return None;
+        }
+        let Some(record) = self.members.get(&identity.name) else {
+            return self.filter_unknown_update(update);
+        };
+        match identity.compare_precedence(record.identity()) {
+            Ordering::Less => None,
+            Ordering::Greater => Some(newer_identity_update(record, update)),
+            Ordering::Equal if record.is_active() => active_member_update(record, update),
+            Ordering::Equal => {
+                self.contradict_update(now, &update);
+                None
+            }
+        }
+    }
+
+    /// An update under this server's name. Foca refutes a suspicion of the current identity; all
+    /// else is a claim to the name.
+    fn filter_own_update(
+        &mut self,
+        now: Timestamp,
+        update: Member<MemberIdentity>,
+    ) -> Option<Member<MemberIdentity>> {
+        if update.id() == self.local_identity() && update.state() == SwimState::Suspect {
+            return Some(update);
+        }
+        let is_down = update.state() == SwimState::Down;
+        self.handle_claim(now, update.id(), is_down, ClaimSource::ThirdParty);
+        None
+    }
+
+    /// An update about a server that the view does not contain.
+    fn filter_unknown_update(
+        &mut self,
+        update: Member<MemberIdentity>,
+    ) -> Option<Member<MemberIdentity>> {
+        if update.state() == SwimState::Down {
+            return None;
+        }
+        if self.members.is_full() {
+            self.counters.rejected.increment(DatagramError::TableFull);
+            return None;
+        }
+        Some(update)
+    }
+
+    /// Another server considers a member active that is down here. If the member runs, a notice
+    /// lets it refute this.
+    fn contradict_update(&mut self, now: Timestamp, update: &Member<MemberIdentity>) {
+        let identity = update.id();
+        let Some(record) = self.members.get(&identity.name) else {
+            return;
+        };
+        if update.state() == SwimState::Down || record.has_left() {
+            return;
+        }
+        let down = Member::new(identity.clone(), record.swim_incarnation(), SwimState::Down);
+        self.send_limited_notice(now, identity.address, down);
+    }
+
+    /// Applies a believed update where it starts or ends a suspicion. In foca only the server that
+    /// probed a member waits for its refutation; here each server that learns of a suspicion waits
+    /// by its own clock.
+    pub(super) fn apply_update(
+        &mut self,
+        now: Timestamp,
+        identity: &MemberIdentity,
+        swim_incarnation: u16,
+        state: SwimState,
+    ) {
+        let Some(record) = self.members.get_active_mut(identity) else {
+            return;
+        };
+        let known = record.swim_incarnation();
+        match (state, record.liveness()) {
+            (SwimState::Suspect, Liveness::Alive) if swim_incarnation >= known => {
+                self.member_suspected(now, identity, swim_incarnation);
+                let timer = Timer::ChangeSuspectToDown {
+                    member_id: identity.clone(),
+                    incarnation: swim_incarnation,
+                    token: 0,
+                };
+                self.swim_timers
+                    .set(now + self.settings.suspicion_timeout, timer);
+            }
+            (SwimState::Alive, Liveness::Suspect) if swim_incarnation > known => {
+                record.refute(now, swim_incarnation);
+                let state = record.state();
+                self.counters.refutations += 1;
+                self.push_state_change(
+                    identity,
+                    Some(MemberState::Suspect),
+                    state,
+                    ChangeReason::Refuted,
+                );
+            }
+            _ => record.raise_swim_incarnation(swim_incarnation),
+        }
+    }
+}
+
+/// Whether an update says that a member failed, not that it left.
+fn is_accusation(update: &Member<MemberIdentity>) -> bool {
+    update.state() != SwimState::Alive && update.id().phase != Phase::Left
+}
+
+/// An update about a newer identity than the known one.
+fn newer_identity_update(
+    record: &MemberRecord,
+    update: Member<MemberIdentity>,
+) -> Member<MemberIdentity> {
+    if record.is_active() && update.state() == SwimState::Down && is_accusation(&update) {
+        return Member::new(
+            update.id().clone(),
+            update.incarnation(),
+            SwimState::Suspect,
+        );
+    }
+    update
+}
+
+/// An update about the known identity of an active member. Without news it is dropped, as most
+/// updates repeat what is known.
+fn active_member_update(
+    record: &MemberRecord,
+    update: Member<MemberIdentity>,
+) -> Option<Member<MemberIdentity>> {
+    let (known, received) = (record.swim_incarnation(), update.incarnation());
+    match update.state() {
+        SwimState::Alive => (received > known).then_some(update),
+        SwimState::Suspect if record.is_suspect() => (received > known).then_some(update),
+        SwimState::Suspect => (received >= known).then_some(update),
+        SwimState::Down if !is_accusation(&update) => Some(update),
+        SwimState::Down if record.is_suspect() => None,
+        SwimState::Down => Some(Member::new(update.id().clone(), known, SwimState::Suspect)),
+    }
+}
--- /dev/null
+++ b/crates/membership/src/notice_limit.rs
@@ -0,0 +1,34 @@
+//! Rate limit on notices: after a long partition each server considers half of the fleet down, and
+//! informs these members a few at a time.
+
+use madderbay::time::{Duration, Timestamp};
+
+/// Notices in one window.
+const MAX_NOTICES: u32 = 10;
+/// Length of a window.
+const NOTICE_WINDOW: Duration = Duration::from_millis(100);
+
+/// Counts the notices of the current window.
+pub(crate) struct NoticeLimit {
+    window_start: Timestamp,
+    count: u32,
+}
+
+impl NoticeLimit {
+    pub(crate) fn new(now: Timestamp) -> NoticeLimit {
+        NoticeLimit {
+            window_start: now,
+            count: 0,
+        }
+    }
+
+    /// Whether one more notice may be sent now.
+    pub(crate) fn try_acquire(&mut self, now: Timestamp) -> bool {
+        if now - self.window_start >= NOTICE_WINDOW {
+            self.window_start = now;
+            self.count = 0;
+        }
+        self.count += 1;
+        self.count <= MAX_NOTICES
+    }
+}
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -1,19 +1,24 @@
-//! What a view says: states, changes with their evidence, and the whole of it for who asks.
+//! Snapshot of a view, for operators.
 
 use crate::connectivity::ConnectivityStatus;
-use crate::identity::{MemberIdentity, Phase};
 use compact_str::CompactString;
-use madderbay::time::{Duration, Timestamp};
 use std::fmt;
 use std::net::SocketAddr;
 
+/// State of a member. The displayed words are those of the operators' interface.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum MemberState {
+    /// Has not received the complete view yet.
     Joining,
+    /// Takes part in the fleet.
     Alive,
+    /// Did not answer probes and has not refuted the suspicion yet.
     Suspect,
+    /// Accepts no new work.
     Draining,
+    /// Did not refute the suspicion in time.
     Down,
+    /// Has announced its departure.
     Left,
 }
 
@@ -30,229 +35,41 @@
     }
 }
 
-/// How one server is held, beside what it says of itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Held {
-    In,
-    Suspect,
-    Down,
-}
-
-/// One other server, as this one sees it. All times are the own clock's.
-#[derive(Clone, Debug)]
-pub(crate) struct Row {
-    pub id: MemberIdentity,
-    pub incarnation: u16,
-    pub held: Held,
-    pub since: Timestamp,
-    /// When it was itself heard last, if ever.
-    pub heard: Option<Timestamp>,
-    /// How far it says that it was held up of late.
-    pub held_up: u8,
-}
-
-impl Row {
-    pub fn active(&self) -> bool {
-        self.held != Held::Down
-    }
-
-    pub fn state(&self) -> MemberState {
-        match (self.held, self.id.phase) {
-            (Held::Down, Phase::Left) => MemberState::Left,
-            (Held::Down, _) => MemberState::Down,
-            (Held::Suspect, _) => MemberState::Suspect,
-            (Held::In, Phase::Joining) => MemberState::Joining,
-            (Held::In, Phase::Draining) => MemberState::Draining,
-            (Held::In, _) => MemberState::Alive,
-        }
-    }
-
-    /// Its part of the digest: who is in, since which life, and how far.
-    pub fn mark(&self) -> u64 {
-        if self.active() { mark(&self.id) } else { 0 }
-    }
-}
-
-pub(crate) fn mark(id: &MemberIdentity) -> u64 {
-    let seed = id.incarnation.wrapping_mul(4).wrapping_add(id.phase as u64);
-    xxhash_rust::xxh3::xxh3_64_with_seed(id.name.as_bytes(), seed)
-}
-
-/// Parts of a digest: of a thousand members a part holds sixteen, which a datagram carries.
-pub(crate) const PARTS: usize = 64;
-
-/// The digest of a view, of all of it and by parts: what differs between two views is in the parts
-/// that do.
-#[derive(Clone)]
-pub(crate) struct Marks {
-    pub all: u64,
-    pub parts: [u32; PARTS],
-}
-
-impl Default for Marks {
-    fn default() -> Marks {
-        Marks {
-            all: 0,
-            parts: [0; PARTS],
-        }
-    }
-}
-
-impl Marks {
-    pub fn part(name: &str) -> usize {
-        xxhash_rust::xxh3::xxh3_64(name.as_bytes()) as usize % PARTS
-    }
-
-    /// Puts a member's mark in, or takes it out again.
-    pub fn flip(&mut self, name: &str, mark: u64) {
-        self.all ^= mark;
-        self.parts[Marks::part(name)] ^= (mark >> 32) as u32;
-    }
-}
-
-/// Why something changed.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Why {
-    /// It spoke, or was spoken of.
-    Met,
-    /// Neither it nor those asked for it answered, here or elsewhere.
-    Unanswered { heard: Option<Duration> },
-    /// The suspicion was not refuted in its time.
-    Unrefuted { heard: Option<Duration> },
-    /// It said so itself.
-    Said,
-    /// It refuted the suspicion.
-    Refuted,
-    /// It was held down, and lives.
-    Lives,
-    /// It came back under its name.
-    NewLife { from: u64, to: u64 },
-}
-
-fn ago(f: &mut fmt::Formatter, heard: Option<Duration>) -> fmt::Result {
-    match heard {
-        Some(span) => write!(f, "heard itself {} ms ago", span.as_micros() / 1_000),
-        None => f.write_str("never heard itself"),
-    }
-}
-
-impl fmt::Display for Why {
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        match self {
-            Why::Met => f.write_str("met"),
-            Why::Unanswered { heard } => {
-                f.write_str("does not answer, ")?;
-                ago(f, *heard)
-            }
-            Why::Unrefuted { heard } => {
-                f.write_str("did not refute it, ")?;
-                ago(f, *heard)
-            }
-            Why::Said => f.write_str("says so"),
-            Why::Refuted => f.write_str("refuted it"),
-            Why::Lives => f.write_str("was held down and lives"),
-            Why::NewLife { from, to } => write!(f, "life {to} after {from}"),
-        }
-    }
-}
-
-/// A change of the view, for the log.
-#[derive(Clone, Debug)]
-pub enum MembershipEvent {
-    StateChanged {
-        name: CompactString,
-        address: SocketAddr,
-        from: Option<MemberState>,
-        to: MemberState,
-        why: Why,
-    },
-    Hears(ConnectivityStatus, Timestamp),
-    /// The own process was held up for so long.
-    HeldUp(Duration),
-    /// An earlier life of this server, or one under its name that is over, stands ahead of its
-    /// clock.
-    Past {
-        life: u64,
-    },
-    /// Others held this server down; it goes on as another turn of its life.
-    Renewed {
-        turn: u32,
-    },
-    /// Another server lives under this one's name; this one keeps silent while that lives.
-    Taken {
-        by: SocketAddr,
-    },
-    Regained,
-}
-
-impl fmt::Display for MembershipEvent {
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        match self {
-            MembershipEvent::StateChanged {
-                name,
-                address,
-                from,
-                to,
-                why,
-            } => {
-                let from = from.map_or("unknown".into(), |s| s.to_string());
-                write!(f, "{name} at {address}: {from} to {to}: {why}")
-            }
-            MembershipEvent::Hears(j, now) => {
-                let e = &j.evidence;
-                write!(
-                    f,
-                    "hears {}: {} in, {} missing, last word ",
-                    j.level, e.active, e.missing
-                )?;
-                match e.last_received {
-                    Some(last) => write!(f, "{} ms ago", (*now - last).as_micros() / 1_000),
-                    None => f.write_str("never"),
-                }
-            }
-            MembershipEvent::HeldUp(span) => {
-                write!(
-                    f,
-                    "held up for {} ms; accuses nobody for a while",
-                    span.as_micros() / 1_000
-                )
-            }
-            MembershipEvent::Past { life } => write!(
-                f,
-                "life {life} stands under this name; this one begins past it"
-            ),
-            MembershipEvent::Renewed { turn } => {
-                write!(f, "held down by others; goes on as turn {turn}")
-            }
-            MembershipEvent::Taken { by } => {
-                write!(f, "this name is taken by {by}; silent while that lives")
-            }
-            MembershipEvent::Regained => f.write_str("this name is free again"),
-        }
-    }
-}
-
-/// One server in a view. Spans are in milliseconds.
+/// One member of a view.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MemberView {
+    /// Unique name in the fleet.
     pub name: CompactString,
+    /// State in this server's view.
     pub state: MemberState,
+    /// Availability zone; may be empty.
     pub zone: CompactString,
+    /// Address to which peers send datagrams.
     pub address: SocketAddr,
+    /// Unix milliseconds at the start of the process, or more if an earlier incarnation had a
+    /// higher value.
     pub incarnation: u64,
+    /// Number of changes of the identity within its incarnation.
     pub revision: u32,
-    /// Since it was itself heard; nothing where it never was, or is this server.
+    /// Milliseconds since its last datagram; nothing if none arrived, and for this server.
     pub last_received_ms: Option<u64>,
+    /// Health score that it reports: 0 if healthy, at most 8.
     pub health_score: u8,
 }
 
-/// The whole of it, this server among them, by name.
+/// All members, this server included, ordered by name.
 #[derive(Clone, Debug)]
 pub struct View {
+    /// Name of this server.
     pub name: CompactString,
+    /// How much of the fleet this server reaches.
     pub connectivity: ConnectivityStatus,
+    /// Milliseconds since the level of connectivity changed.
     pub since_ms: u64,
+    /// Milliseconds since the last datagram of any member; nothing if none arrived.
     pub last_received_ms: Option<u64>,
+    /// Digest of the view; equal digests mean equal views.
     pub digest: u64,
+    /// All members, ordered by name.
     pub members: Vec<MemberView>,
 }
