Membership: tests by behaviour, tests of the new modules, workspace lints

Cause: two unit tests checked several behaviours each and the modules split off had none of their own.

--- a/crates/membership/src/anti_entropy/tests.rs
+++ b/crates/membership/src/anti_entropy/tests.rs
@@ -16,62 +16,95 @@
     }
 }
 
+/// The name after which member `name` is asked for its roster now, if it is asked.
+fn request(sync: &mut RosterSync, name: &str, now_ms: u64) -> Option<CompactString> {
+    sync.digest_differs(at(now_ms), &identity(name), at(0), 0.5)
+}
+
 fn requests(sync: &mut RosterSync, now_ms: u64, changed_ms: u64) -> bool {
     sync.digest_differs(at(now_ms), &identity("b"), at(changed_ms), 0.5)
         .is_some()
 }
 
-#[test]
-fn reads_one_roster_at_a_time_and_backs_off_while_nothing_is_new() {
-    let (first, second) = (identity("b"), identity("c"));
+/// The first page of a roster has arrived at 10 ms, with three new members.
+fn with_first_page() -> RosterSync {
     let mut sync = RosterSync::new(at(0));
-    assert_eq!(
-        sync.digest_differs(at(0), &first, at(0), 0.5),
-        Some("".into())
-    );
-    assert_eq!(
-        sync.digest_differs(at(200), &first, at(0), 0.5),
-        None,
-        "a page is pending"
-    );
+    assert_eq!(request(&mut sync, "b", 0), Some("".into()));
     assert_eq!(
         sync.page_received(at(10), Some(&"m".into()), false, 3),
         Some("m".into())
     );
-    assert_eq!(sync.pending_page(&first), Some(&"m".into()));
-    // The next page is lost: the roster continues there, with another member.
-    assert_eq!(sync.digest_differs(at(250), &second, at(0), 0.5), None);
+    sync
+}
+
+/// The second page was lost and requested again at 260 ms.
+fn with_lost_page() -> RosterSync {
+    let mut sync = with_first_page();
+    assert_eq!(request(&mut sync, "c", 260), Some("m".into()));
+    sync
+}
+
+/// A roster with new members has ended at 530 ms.
+fn with_productive_roster() -> RosterSync {
+    let mut sync = with_lost_page();
     assert_eq!(
-        sync.digest_differs(at(260), &second, at(0), 0.5),
-        Some("m".into())
+        sync.page_received(at(530), Some(&"k".into()), false, 0),
+        None
     );
+    sync
+}
+
+#[test]
+fn requests_nothing_while_a_page_is_pending() {
+    let mut sync = RosterSync::new(at(0));
+    assert_eq!(request(&mut sync, "b", 0), Some("".into()));
+    assert_eq!(request(&mut sync, "b", 200), None);
     assert_eq!(
-        (sync.pending_page(&first), sync.pending_page(&second)),
-        (None, Some(&"m".into()))
+        sync.page_received(at(10), Some(&"m".into()), false, 3),
+        Some("m".into())
     );
-    // A page that does not advance ends the roster.
+    assert_eq!(sync.pending_page(&identity("b")), Some(&"m".into()));
+}
+
+#[test]
+fn continues_at_a_lost_page_with_another_member() {
+    let mut sync = with_first_page();
+    assert_eq!(request(&mut sync, "c", 250), None);
+    assert_eq!(request(&mut sync, "c", 260), Some("m".into()));
+    assert_eq!(sync.pending_page(&identity("b")), None);
+    assert_eq!(sync.pending_page(&identity("c")), Some(&"m".into()));
+}
+
+#[test]
+fn page_that_does_not_advance_ends_the_roster() {
+    let mut sync = with_lost_page();
+    assert!(!sync.is_complete());
     assert_eq!(
         sync.page_received(at(530), Some(&"k".into()), false, 0),
         None
     );
     assert!(sync.is_complete());
-    assert!(
-        !requests(&mut sync, 929, 0) && requests(&mut sync, 930, 0),
-        "soon, as there was something new"
-    );
+}
+
+#[test]
+fn requests_again_soon_after_a_roster_with_new_members() {
+    let mut sync = with_productive_roster();
+    assert!(!requests(&mut sync, 929, 0));
+    assert!(requests(&mut sync, 930, 0));
+}
+
+#[test]
+fn backs_off_while_rosters_contain_nothing_new() {
+    let mut sync = with_productive_roster();
+    assert!(requests(&mut sync, 930, 0));
     sync.page_received(at(940), None, true, 0);
     assert!(
         !requests(&mut sync, 1_329, 0) && requests(&mut sync, 1_330, 0),
         "drawn before"
     );
     sync.page_received(at(1_340), None, true, 0);
-    assert!(
-        !requests(&mut sync, 2_129, 0),
-        "a longer interval, as there was nothing new"
-    );
+    assert!(!requests(&mut sync, 2_129, 0), "a longer interval");
     assert!(!requests(&mut sync, 2_130, 2_000), "gossip is spreading");
-    assert!(
-        !requests(&mut sync, 3_129, 3_000) && requests(&mut sync, 3_130, 3_000),
-        "a bounded wait"
-    );
+    let bounded = !requests(&mut sync, 3_129, 3_000) && requests(&mut sync, 3_130, 3_000);
+    assert!(bounded, "the wait for gossip is bounded");
 }
--- a/crates/membership/src/connectivity/tests.rs
+++ b/crates/membership/src/connectivity/tests.rs
@@ -1,30 +1,37 @@
 use super::*;
 
+const EVIDENCE: ConnectivityEvidence = ConnectivityEvidence {
+    active: 9,
+    missing: 1,
+    last_received: Some(Timestamp::from_micros(100_000)),
+    expects_peers: true,
+    name_conflict: false,
+};
+
 fn at(ms: u64) -> Timestamp {
     Timestamp::from_micros(ms * 1_000)
 }
 
-#[test]
-fn level_follows_missing_members_and_silence() {
+/// A status that became complete at 200 ms.
+fn complete() -> ConnectivityStatus {
     let mut status = ConnectivityStatus::new(at(0));
-    let evidence = ConnectivityEvidence {
-        active: 9,
-        missing: 1,
-        last_received: Some(at(100)),
-        expects_peers: true,
-        name_conflict: false,
-    };
-    assert!(status.update(at(200), evidence));
+    assert!(status.update(at(200), EVIDENCE));
     assert_eq!(
         (status.level, status.since),
         (Connectivity::Complete, at(200))
     );
+    status
+}
+
+#[test]
+fn more_missing_members_than_tolerated_mean_a_partition() {
+    let mut status = complete();
     assert!(status.update(
         at(300),
         ConnectivityEvidence {
             active: 7,
             missing: 3,
-            ..evidence
+            ..EVIDENCE
         }
     ));
     assert_eq!(status.level, Connectivity::Partial);
@@ -33,30 +40,69 @@
         ConnectivityEvidence {
             active: 8,
             missing: 2,
-            ..evidence
+            ..EVIDENCE
         }
     ));
-    assert!(
-        status.update(at(2_101), evidence),
-        "no datagram for the isolation timeout"
+    assert_eq!(
+        (status.level, status.since),
+        (Connectivity::Partial, at(300))
     );
-    assert_eq!(status.level, Connectivity::Isolated);
-    let received = ConnectivityEvidence {
-        last_received: Some(at(2_150)),
-        ..evidence
-    };
-    assert!(status.update(at(2_200), received));
+}
+
+#[test]
+fn silence_isolates_until_a_datagram_arrives() {
+    let mut status = complete();
+    assert!(status.update(at(2_101), EVIDENCE));
     assert_eq!(
         (status.level, status.next_timeout()),
-        (Connectivity::Complete, Some(at(4_151)))
+        (Connectivity::Isolated, None)
     );
-    // Ten of a hundred may be missing; a fleet of one misses nobody.
-    let large = ConnectivityEvidence {
-        active: 90,
-        missing: 10,
-        ..received
+    let received = ConnectivityEvidence {
+        last_received: Some(at(2_150)),
+        ..EVIDENCE
     };
-    assert!(!status.update(at(2_200), large));
+    assert!(status.update(at(2_200), received));
+    assert_eq!(status.level, Connectivity::Complete);
+    assert_eq!(status.next_timeout(), Some(at(4_151)));
+}
+
+#[test]
+fn tolerates_a_tenth_of_the_fleet_missing() {
+    let mut status = complete();
+    assert!(!status.update(
+        at(200),
+        ConnectivityEvidence {
+            active: 90,
+            missing: 10,
+            ..EVIDENCE
+        }
+    ));
+    assert!(status.update(
+        at(200),
+        ConnectivityEvidence {
+            active: 89,
+            missing: 11,
+            ..EVIDENCE
+        }
+    ));
+}
+
+#[test]
+fn server_without_peers_misses_nobody() {
+    let mut status = complete();
     assert!(!status.update(at(9_000), ConnectivityEvidence::default()));
     assert_eq!(status.level, Connectivity::Complete);
 }
+
+#[test]
+fn name_conflict_isolates() {
+    let mut status = complete();
+    assert!(status.update(
+        at(300),
+        ConnectivityEvidence {
+            name_conflict: true,
+            ..EVIDENCE
+        }
+    ));
+    assert_eq!(status.level, Connectivity::Isolated);
+}
--- a/crates/membership/src/digest.rs
+++ b/crates/membership/src/digest.rs
@@ -56,3 +56,6 @@
         .wrapping_add(identity.phase as u64);
     xxh3_64_with_seed(identity.name.as_bytes(), seed)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/membership/src/event.rs
+++ b/crates/membership/src/event.rs
@@ -168,3 +168,6 @@
         None => f.write_str("never"),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/membership/src/notice_limit.rs
+++ b/crates/membership/src/notice_limit.rs
@@ -32,3 +32,6 @@
         self.count <= MAX_NOTICES
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/membership/src/probe_retry.rs
+++ b/crates/membership/src/probe_retry.rs
@@ -91,3 +91,6 @@
             .map(|c| c.next_ping)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/membership/src/probe_retry/tests.rs
@@ -0,0 +1,60 @@
+use super::*;
+use crate::identity::Phase;
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_micros(ms * 1_000)
+}
+
+fn probe(name: &str, number: u8) -> Probe {
+    let target = MemberIdentity {
+        name: name.into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: "".into(),
+        incarnation: 1,
+        revision: 0,
+        phase: Phase::Joined,
+    };
+    Probe { target, number }
+}
+
+/// Repeats a probe from 1,000 ms; a ping is due every 22.5 ms.
+fn repeating() -> ProbeRetry {
+    let mut retry = ProbeRetry::new(Duration::from_millis(500), Duration::from_millis(200));
+    assert_eq!(retry.next_timeout(), None);
+    retry.start(at(1_000), probe("a", 7));
+    retry
+}
+
+#[test]
+fn repeats_unanswered_probe_ten_times() {
+    let mut retry = repeating();
+    let mut pings = 0;
+    while let Some(due) = retry.next_timeout() {
+        assert_eq!(due, at(1_000) + Duration::from_micros(22_500 * pings));
+        assert!(retry.take_due(due).is_some_and(|p| p.number == 7));
+        assert!(retry.take_due(due).is_none(), "one ping at a time");
+        pings += 1;
+    }
+    assert_eq!(pings, 10);
+    retry.start(at(2_000), probe("a", 7));
+    assert_eq!(
+        retry.next_timeout(),
+        None,
+        "the same probe is not repeated again"
+    );
+}
+
+#[test]
+fn stops_when_the_probe_is_answered() {
+    let mut retry = repeating();
+    retry.answered(&probe("b", 7).target, 7);
+    retry.answered(&probe("a", 7).target, 6);
+    assert!(
+        retry.next_timeout().is_some(),
+        "answers to other probes do not count"
+    );
+    retry.answered(&probe("a", 7).target, 7);
+    assert_eq!(retry.next_timeout(), None);
+    retry.start(at(2_000), probe("a", 8));
+    assert_eq!(retry.next_timeout(), Some(at(2_000)));
+}
--- a/crates/membership/src/timer_queue.rs
+++ b/crates/membership/src/timer_queue.rs
@@ -53,3 +53,6 @@
         self.timers.clear();
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/membership/tests/fleet.rs
+++ b/crates/membership/tests/fleet.rs
@@ -1,5 +1,5 @@
-//! Every script of faults under `tests/fleet`, simulated over many seeds;
-//! `crates/server/tests/fleet.rs` plays the same on real processes.
+//! Every fault script in the repository's `tests/fleet`, in the simulated fleet over many seeds.
+//! `crates/server/tests/fleet.rs` runs the same scripts on real processes.
 
 use madderbay::time::Duration;
 use madderbay_testkit::fleet::script::{Act, Condition, Fleet, Setup};
@@ -9,25 +9,25 @@
 const SEEDS: u64 = 20;
 
 #[test]
-fn every_script_over_many_seeds() {
+fn all_fault_scripts_pass_over_many_seeds() {
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../tests/fleet");
     let (scripts, failed) = play_all(&folder, SEEDS);
     assert!(
         scripts >= 10 || std::env::var("FLEET_SCRIPT").is_ok(),
-        "scripts are found"
+        "found {scripts} scripts"
     );
     assert!(
         failed.is_empty(),
-        "{} plays failed:\n{}",
+        "{} runs failed:\n{}",
         failed.len(),
         failed.join("\n")
     );
 }
 
-/// Three in ten lost, 150 that know only the first: rosters of many pages get to their end, and
-/// what is said of suspicions that one more try would have spared does not fill the network.
+/// 150 servers that know only the first one, with three datagrams in ten lost: rosters of many
+/// pages complete, and suspicions that one more ping would have prevented do not fill the network.
 #[test]
-fn a_large_fleet_on_bad_links_agrees_and_stays_quiet() {
+fn large_fleet_on_lossy_links_agrees_and_stays_quiet() {
     let (n, span) = (150, Duration::from_millis(20_000));
     let mut sim = Sim::new(Setup::of(n), 7);
     let net = Act::Net {
@@ -64,7 +64,7 @@
     sim.run(span);
     let after = sums(&sim);
     let bytes = (after.0 - before.0) as f64 / span.as_secs_f64() / n as f64;
-    assert!(bytes < 4_000.0, "{bytes:.0} bytes a second a member");
+    assert!(bytes < 4_000.0, "{bytes:.0} bytes per second and member");
     // One of a hundred members a minute is suspected wrongly, and told of to all: not one each
     // second.
     let suspected = (after.1 - before.1) / n as u64;
--- a/crates/membership/tests/support/mod.rs
+++ b/crates/membership/tests/support/mod.rs
@@ -5,20 +5,20 @@
 use std::net::SocketAddr;
 
 /// Upper bound on the number of other members in a server's view.
-pub const MAX_MEMBERS: usize = 5;
+pub(crate) const MAX_MEMBERS: usize = 5;
 
 /// A datagram with its destination.
-pub struct Sent {
-    pub to: SocketAddr,
-    pub bytes: Vec<u8>,
+pub(crate) struct Sent {
+    pub(crate) to: SocketAddr,
+    pub(crate) bytes: Vec<u8>,
 }
 
 /// Address of the n-th server.
-pub fn address(n: u16) -> SocketAddr {
+pub(crate) fn address(n: u16) -> SocketAddr {
     ([127, 0, 0, 1], 1_000 + n).into()
 }
 
-pub fn at(ms: u64) -> Timestamp {
+pub(crate) fn at(ms: u64) -> Timestamp {
     Timestamp::from_micros(1_000_000 + ms * 1_000)
 }
 
@@ -40,18 +40,18 @@
 }
 
 /// The n-th server of a fleet.
-pub fn server_of(n: u16, fleet: &str) -> Membership {
+pub(crate) fn server_of(n: u16, fleet: &str) -> Membership {
     Membership::new(at(0), 1_764_576_000_000, u64::from(n), settings(n, fleet))
 }
 
 /// The n-th server of the fleet that the tests use.
-pub fn server(n: u16) -> Membership {
+pub(crate) fn server(n: u16) -> Membership {
     server_of(n, "bookings")
 }
 
 /// Runs servers and delivers their datagrams from one time to another. Returns all datagrams in
 /// order.
-pub fn run(servers: &mut [Membership], from_ms: u64, to_ms: u64) -> Vec<Sent> {
+pub(crate) fn run(servers: &mut [Membership], from_ms: u64, to_ms: u64) -> Vec<Sent> {
     let mut all = vec![];
     for ms in (from_ms..to_ms).step_by(10) {
         let mut sent = vec![];
