Upstream: payloads of the version before the renames are test data

Servers of two versions gossip with each other, so the payload has to stay the same. Decoding is public and returns a typed error. The doc example uses the new names.

--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -4,7 +4,7 @@
 //!
 //! ```
 //! use madderbay::time::{Duration, Timestamp};
-//! use madderbay_upstream::{BackendSettings, End, Routes, Settings, State};
+//! use madderbay_upstream::{AttemptOutcome, BackendSettings, Settings, State, UpstreamManager};
 //! let backend = |n: u16| BackendSettings {
 //!     name: format!("book-{n}").as_str().into(),
 //!     address: ([127, 0, 0, 1], 7_700 + n).into(),
@@ -14,17 +14,18 @@
 //! };
 //! let set = Settings { zone: "north".into(), ..Settings::default() };
 //! let at = |ms: u64| Timestamp::from_micros(1_000_000 + ms * 1_000);
-//! let mut routes = Routes::new(at(0), 7, set, (1..=4).map(backend).collect());
+//! let mut upstream = UpstreamManager::new(at(0), 7, set, (1..=4).map(backend).collect());
 //! // One of four fails whatever it is asked: it is left out, and the others have its calls.
 //! for step in 0..200 {
 //!     let now = at(step * 10);
-//!     routes.turn(now);
-//!     let ticket = routes.pick(now, 0).unwrap();
-//!     let end = if ticket.backend == 2 { End::Failed } else { End::Good };
-//!     routes.over(now + Duration::from_millis(5), &ticket, end);
+//!     upstream.handle_timeout(now);
+//!     let attempt = upstream.pick(now, 0).unwrap();
+//!     let failed = attempt.backend == 2;
+//!     let outcome = if failed { AttemptOutcome::Failed } else { AttemptOutcome::Success };
+//!     upstream.finish(now + Duration::from_millis(5), &attempt, outcome);
 //! }
-//! let states: Vec<State> = routes.views(at(2_000)).iter().map(|v| v.state).collect();
-//! assert_eq!(states, [State::In, State::In, State::Ejected, State::In]);
+//! let states: Vec<State> = upstream.backend_statuses(at(2_000)).iter().map(|v| v.state).collect();
+//! assert_eq!(states, [State::Active, State::Active, State::Ejected, State::Active]);
 //! ```
 
 mod backend;
@@ -44,4 +45,4 @@
     UpstreamManager,
 };
 pub use together::FleetStack;
-pub use wire::{BackendReport, GossipMessage, name_hash};
+pub use wire::{BackendReport, GossipDecodeError, GossipMessage, name_hash};
--- a/crates/upstream/src/routes.rs
+++ b/crates/upstream/src/routes.rs
@@ -616,7 +616,8 @@
     /// Words of one that is in.
     pub fn handle_datagram(&mut self, now: Timestamp, from: &CompactString, bytes: &[u8]) {
         self.totals.datagrams_received += 1;
-        let (Some(words), Some(peer)) = (wire::read(bytes), self.peers.get_mut(from)) else {
+        let (Ok(words), Some(peer)) = (GossipMessage::decode(bytes), self.peers.get_mut(from))
+        else {
             self.totals.datagrams_rejected += 1;
             return;
         };
--- a/crates/upstream/src/wire.rs
+++ b/crates/upstream/src/wire.rs
@@ -3,6 +3,11 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Why a payload of gossip could not be read.
+#[derive(Debug, thiserror::Error)]
+#[error("malformed gossip payload: {0}")]
+pub struct GossipDecodeError(#[from] postcard::Error);
+
 /// One datagram: what its sender saw, of its own alone.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct GossipMessage {
@@ -22,6 +27,15 @@
         // Writing to memory fails for nothing that stands here.
         postcard::to_stdvec(self).unwrap_or_default()
     }
+
+    /// Reads a payload.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the bytes are no message of this form.
+    pub fn decode(bytes: &[u8]) -> Result<GossipMessage, GossipDecodeError> {
+        Ok(postcard::from_bytes(bytes)?)
+    }
 }
 
 /// Of one backend, by its name's hash.
@@ -39,10 +53,6 @@
     (n * EIGHTH).round().clamp(0.0, f64::from(u16::MAX)) as u16
 }
 
-pub fn read(bytes: &[u8]) -> Option<GossipMessage> {
-    postcard::from_bytes(bytes).ok()
-}
-
 /// A backend's name as it goes over the wire.
 pub fn name_hash(name: &str) -> u32 {
     xxhash_rust::xxh3::xxh3_64(name.as_bytes()) as u32
--- /dev/null
+++ b/crates/upstream/tests/gossip_compatibility.rs
@@ -0,0 +1,165 @@
+//! Gossip payloads written by the version before the public names changed (`tests/data/*.bin`): they are read,
+//! written again to the same bytes, and sent again by a manager that is driven through the same events.
+
+use madderbay::time::{Duration, Timestamp};
+use madderbay_upstream::{
+    AttemptOutcome, BackendReport, BackendSettings, GossipMessage, RetryKind, Settings,
+    UpstreamManager, name_hash,
+};
+
+const FAILING_BACKEND: &[u8] = include_bytes!("data/failing_backend.bin");
+const EJECTED_BACKEND: &[u8] = include_bytes!("data/ejected_backend.bin");
+const STALLED_SENDER: &[u8] = include_bytes!("data/stalled_sender.bin");
+const RECOVERING_BACKEND: &[u8] = include_bytes!("data/recovering_backend.bin");
+const RETRIES_ONLY: &[u8] = include_bytes!("data/retries_only.bin");
+const MOST_REPORTS: &[u8] = include_bytes!("data/most_reports.bin");
+const ALL_FIELDS: &[u8] = include_bytes!("data/all_fields.bin");
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_micros(1_000_000 + ms * 1_000)
+}
+
+fn backend(n: u16) -> BackendSettings {
+    BackendSettings {
+        name: format!("book-{n}").as_str().into(),
+        address: ([127, 0, 0, 1], 7_700 + n).into(),
+        zone: "north".into(),
+        weight: 1.0,
+        handlers: vec![0],
+    }
+}
+
+/// A manager of so many backends, with two active peers.
+fn manager(backends: u16) -> UpstreamManager {
+    let settings = Settings {
+        zone: "north".into(),
+        ..Settings::default()
+    };
+    let backends = (0..backends).map(backend).collect();
+    let mut upstream = UpstreamManager::new(at(0), 7, settings, backends);
+    upstream.update_peer(&"n2".into(), 3, &"north".into(), true);
+    upstream.update_peer(&"n3".into(), 5, &"south".into(), true);
+    upstream
+}
+
+/// Makes a call each 10 ms that takes 5 ms and ends as `outcome` says of its backend and time in milliseconds.
+/// Returns the last payload that was sent within `millis`.
+fn last_payload(
+    upstream: &mut UpstreamManager,
+    millis: u64,
+    outcome: impl Fn(usize, u64) -> AttemptOutcome,
+) -> Vec<u8> {
+    let mut last = vec![];
+    for ms in (0..millis).step_by(10) {
+        upstream.handle_timeout(at(ms));
+        if let Some((_, payload)) = upstream.take_datagrams().pop() {
+            last = payload;
+        }
+        let attempt = upstream.pick(at(ms), 0).expect("a backend");
+        let outcome = outcome(attempt.backend, ms);
+        let ended = at(ms) + Duration::from_millis(5);
+        upstream.finish(ended, &attempt, outcome);
+        if outcome == AttemptOutcome::Rejected
+            && let Some(retry) = upstream.retry(ended, &attempt, RetryKind::OtherBackend)
+        {
+            let ended = at(ms) + Duration::from_millis(9);
+            upstream.finish(ended, &retry, AttemptOutcome::Success);
+        }
+    }
+    last
+}
+
+/// The outcomes of a fleet in which one backend gives `wrong` until a time in milliseconds.
+fn one_backend_until(wrong: AttemptOutcome, until: u64) -> impl Fn(usize, u64) -> AttemptOutcome {
+    move |backend, ms| {
+        if backend == 2 && ms < until {
+            wrong
+        } else {
+            AttemptOutcome::Success
+        }
+    }
+}
+
+#[test]
+fn encodes_old_payloads_to_the_same_bytes() {
+    let payloads = [
+        FAILING_BACKEND,
+        EJECTED_BACKEND,
+        STALLED_SENDER,
+        RECOVERING_BACKEND,
+        RETRIES_ONLY,
+        MOST_REPORTS,
+        ALL_FIELDS,
+    ];
+    for old in payloads {
+        let message = GossipMessage::decode(old).expect("an old payload");
+        assert_eq!(message.encode(), old, "{message:?}");
+    }
+}
+
+#[test]
+fn reads_each_field_of_an_old_payload() {
+    let reports = vec![
+        BackendReport {
+            name_hash: name_hash("book-2"),
+            successes: 0,
+            failures: u16::MAX,
+            age_ms: 1_500,
+        },
+        BackendReport {
+            name_hash: name_hash("book-3"),
+            successes: 40,
+            failures: 0,
+            age_ms: 0,
+        },
+    ];
+    let expected = GossipMessage {
+        stalled: true,
+        backends_seen: 300,
+        backends_failing: 2,
+        first_attempts: 70_000,
+        retries: 200,
+        reports,
+    };
+    assert_eq!(
+        GossipMessage::decode(ALL_FIELDS).expect("an old payload"),
+        expected
+    );
+    assert_eq!(expected.encode(), ALL_FIELDS);
+}
+
+#[test]
+fn sends_the_same_payloads_in_the_same_situations() {
+    let failing = |until| one_backend_until(AttemptOutcome::Failed, until);
+    let sent = last_payload(&mut manager(4), 600, failing(120));
+    assert_eq!(sent, FAILING_BACKEND);
+    let sent = last_payload(&mut manager(4), 2_000, failing(u64::MAX));
+    assert_eq!(sent, EJECTED_BACKEND);
+    let mut stalled = manager(4);
+    stalled.set_stalled(true);
+    let sent = last_payload(&mut stalled, 1_000, failing(u64::MAX));
+    assert_eq!(sent, STALLED_SENDER);
+    let sent = last_payload(&mut manager(4), 6_000, failing(1_000));
+    assert_eq!(sent, RECOVERING_BACKEND);
+    let rejecting = one_backend_until(AttemptOutcome::Rejected, u64::MAX);
+    assert_eq!(
+        last_payload(&mut manager(4), 3_000, rejecting),
+        RETRIES_ONLY
+    );
+    let sent = last_payload(&mut manager(100), 3_000, |_, _| AttemptOutcome::Failed);
+    assert_eq!(sent, MOST_REPORTS);
+}
+
+#[test]
+fn judges_by_old_payloads_unless_their_sender_is_stalled() {
+    let failures_after = |payload: &[u8]| {
+        let mut upstream = manager(4);
+        upstream.handle_datagram(at(1), &"n2".into(), payload);
+        assert_eq!(upstream.totals.datagrams_rejected, 0);
+        upstream.handle_timeout(at(100));
+        upstream.backend_statuses(at(100))[2].gossip_failures
+    };
+    assert!(failures_after(EJECTED_BACKEND) > 0.5);
+    assert_eq!(failures_after(STALLED_SENDER), 0.0);
+    assert_eq!(failures_after(RECOVERING_BACKEND), 0.0);
+}
