Upstream: files moved to the names of their concerns

The files were named in this project's words. They move to gossip, outlier detection, selection, retry budget, backend group, manager and fleet stack; only paths change.

--- a/crates/upstream/src/backend.rs
+++ b/crates/upstream/src/backend.rs
@@ -1,9 +1,9 @@
 //! The life of one backend as one server sees it: in, left out for a while, tried again by single calls, let in
 //! by and by.
 
-use crate::evidence::{AttemptOutcome, Evidence};
-use crate::heard::Summary;
-use crate::routes::BackendSettings;
+use crate::gossip::reports::Summary;
+use crate::manager::BackendSettings;
+use crate::outlier::call_history::{AttemptOutcome, Evidence};
 use madderbay::time::{Duration, Timestamp};
 use std::collections::BTreeMap;
 use std::fmt;
@@ -140,7 +140,7 @@
 impl Backend {
     pub fn new(now: Timestamp, set: BackendSettings, state: State) -> Backend {
         Backend {
-            mark: crate::wire::name_hash(&set.name),
+            mark: crate::gossip::codec::name_hash(&set.name),
             set,
             state,
             own: Evidence::default(),
--- a/crates/upstream/src/group.rs
+++ b/crates/upstream/src/backend_group.rs
@@ -2,10 +2,10 @@
 //! beside the others; and whom a call goes to.
 
 use crate::backend::{Backend, Grounds, State};
-use crate::choice::Drawn;
-use crate::heard::Heard;
-use crate::repeats::Repeats;
-use crate::routes::{BackendEvent, Settings};
+use crate::gossip::reports::Heard;
+use crate::manager::{BackendEvent, Settings};
+use crate::retry_budget::Repeats;
+use crate::selection::weighted::Drawn;
 use madderbay::time::{Duration, Timestamp};
 use oorandom::Rand64;
 
--- a/crates/upstream/src/together.rs
+++ b/crates/upstream/src/fleet_stack.rs
@@ -1,7 +1,7 @@
 //! The view and what rests on it, driven as one: datagrams, time and chance in; datagrams, due times and
 //! changes out. The program and the simulations drive the very same.
 
-use crate::routes::UpstreamManager;
+use crate::manager::UpstreamManager;
 use madderbay::time::Timestamp;
 use madderbay_membership::{MemberState, Membership, Subsystem};
 use madderbay_quota::{FleetQuotas, Peer};
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -29,20 +29,19 @@
 //! ```
 
 mod backend;
-pub mod choice;
-mod evidence;
-mod group;
-mod heard;
-pub mod repeats;
-mod routes;
-mod together;
-mod wire;
+mod backend_group;
+mod fleet_stack;
+mod gossip;
+mod manager;
+mod outlier;
+pub mod retry_budget;
+pub mod selection;
 
 pub use backend::{Grounds, State};
-pub use evidence::AttemptOutcome;
-pub use routes::{
+pub use fleet_stack::FleetStack;
+pub use gossip::codec::{BackendReport, GossipDecodeError, GossipMessage, name_hash};
+pub use manager::{
     BackendEvent, BackendSettings, BackendStatus, RetryKind, Settings, Totals, UpstreamAttempt,
     UpstreamManager,
 };
-pub use together::FleetStack;
-pub use wire::{BackendReport, GossipDecodeError, GossipMessage, name_hash};
+pub use outlier::call_history::AttemptOutcome;
--- a/crates/upstream/src/routes.rs
+++ b/crates/upstream/src/manager.rs
@@ -2,10 +2,10 @@
 //! and changes out.
 
 use crate::backend::{Backend, Grounds, State, patience, slow};
-use crate::evidence::AttemptOutcome;
-use crate::group::{Group, Light};
-use crate::heard::{Heard, Said};
-use crate::wire::{self, BackendReport, EIGHTH, GossipMessage};
+use crate::backend_group::{Group, Light};
+use crate::gossip::codec::{self as wire, BackendReport, EIGHTH, GossipMessage};
+use crate::gossip::reports::{Heard, Said};
+use crate::outlier::call_history::AttemptOutcome;
 use compact_str::CompactString;
 use madderbay::time::{Duration, Timestamp};
 use madderbay_membership::MAX_SUBSYSTEM_PAYLOAD_BYTES;
--- /dev/null
+++ b/crates/upstream/src/outlier.rs
@@ -0,0 +1,3 @@
+//! Outlier detection.
+
+pub mod call_history;
--- /dev/null
+++ b/crates/upstream/src/selection.rs
@@ -0,0 +1,3 @@
+//! Selection of a backend.
+
+pub mod weighted;
