--- a/crates/upstream/src/backend.rs
+++ b/crates/upstream/src/backend.rs
@@ -1,287 +1,340 @@
-//! The life of one backend as one server sees it: in, left out for a while, tried again by single calls, let in
-//! by and by.
+//! One backend as this server sees it: its state, its results and its attempts in flight.
+//!
+//! [`Backend`] owns the transitions between the states; when to eject it is decided by its group.
 
-use crate::gossip::reports::Summary;
-use crate::manager::BackendSettings;
-use crate::outlier::call_history::{AttemptOutcome, Evidence};
+use crate::attempt::AttemptOutcome;
+use crate::backend_state::State;
+use crate::events::BackendEvent;
+use crate::gossip::LocalObservation;
+use crate::gossip::codec::name_hash;
+use crate::gossip::reports::ReportSummary;
+use crate::outlier::{self, CallCounts, CallHistory, OutlierEvidence};
+use crate::settings::BackendSettings;
+use crate::slow_start;
+use crate::status::BackendStatus;
+use compact_str::CompactString;
 use madderbay::time::{Duration, Timestamp};
 use std::collections::BTreeMap;
-use std::fmt;
-
-/// The first time left out, doubled with each that follows, up to the most; drawn from three quarters to five
-/// quarters, so that servers that left together do not return together.
-const TERM: Duration = Duration::from_millis(2_000);
-const TERM_MOST: Duration = Duration::from_millis(60_000);
-/// A backend that was in for so long is forgiven one time that it was left out.
-const FORGIVES: Duration = Duration::from_millis(30_000);
-/// Calls that go well one after the other in a trial; between two of them at the least.
-const TRIALS: u32 = 2;
-pub const TRIAL_EVERY: Duration = Duration::from_millis(200);
-/// A backend that is let in again, or is set beside others, has that part of its weight at first, and all of it
-/// after this.
-const RISES_FROM: f64 = 0.1;
-const RISES: Duration = Duration::from_millis(10_000);
-/// A call in hand for so many times the usual, and so long at the least, counts as silent already.
-const SILENT_TIMES: f64 = 8.0;
-const SILENT_LEAST: Duration = Duration::from_millis(250);
-/// Times the group's pace that tell a slow backend, and by how many bad calls its slowness counts.
-const SLOW_TIMES: f64 = 4.0;
-const SLOW_COUNTS: f64 = 3.0;
-/// The part of what was seen that is bad from which on a backend is doubted enough to be left out, where there
-/// were so many bad calls of its own: without a word of others; with some; with enough independent ones. The
-/// one that is taken for granted keeps a single call from deciding.
-const DOUBT: f64 = 0.6;
-const GRANTED: f64 = 0.5;
-const OWN_ALONE: f64 = 2.5;
-const OWN_AND_HEARD: f64 = 0.7;
-/// What is told to others of the good calls before a bad one that came last: they say little of now.
-const OUTDATED: f64 = 0.3;
-/// What is heard from which on one's own first bad call is enough; and that decides where nothing was seen.
-const HEARD_SOME: f64 = 0.9;
-const HEARD_ALONE: f64 = 3.0;
-/// Zones that have to agree for that.
-const ZONES_ALONE: usize = 2;
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum State {
-    Active,
-    Ejected,
-    /// Tried by single calls.
-    Probing,
-    /// Let in again, by and by.
-    SlowStart,
-}
+use std::net::SocketAddr;
 
-impl fmt::Display for State {
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        f.write_str(match self {
-            State::Active => "in",
-            State::Ejected => "ejected",
-            State::Probing => "trial",
-            State::SlowStart => "rising",
-        })
-    }
+/// The first ejection takes this long, each further one twice as long as the one before, up to the maximum. Each is
+/// drawn from three to five quarters of that, so that servers that ejected together do not return together.
+const BASE_EJECTION_TIME: Duration = Duration::from_millis(2_000);
+const MAX_EJECTION_TIME: Duration = Duration::from_millis(60_000);
+/// Bound on the ejections that count, so that doubling cannot overflow.
+const MAX_COUNTED_EJECTIONS: u32 = 16;
+/// One ejection is forgotten for each such time without another.
+const EJECTION_FORGIVENESS: Duration = Duration::from_millis(30_000);
+/// Successful probes in a row that end the ejection, and the time between two probes.
+const PROBES_TO_RETURN: u32 = 2;
+const PROBE_INTERVAL: Duration = Duration::from_millis(200);
+/// Attempts in flight that are followed at one backend; a server runs fewer calls.
+const MAX_FOLLOWED_ATTEMPTS: usize = 100_000;
+
+/// What the end of an attempt changed.
+pub(crate) enum Recorded {
+    /// The attempt shows nothing of the present state.
+    Ignored,
+    /// The outcome was counted.
+    Counted,
+    /// A probe ended, perhaps with a change of state.
+    Probed(Option<BackendEvent>),
 }
 
-/// What a judgement rests on.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Grounds {
-    pub good: f64,
-    pub bad: f64,
-    /// Of the bad, calls in hand that are silent, and whether it is slow.
-    pub silent: usize,
-    pub slow: Option<f64>,
-    pub heard: f64,
-    pub zones: usize,
-    pub witnesses: usize,
+/// A backend.
+pub(crate) struct Backend {
+    settings: BackendSettings,
+    name_hash: u32,
+    state: State,
+    /// When the state began, or when an ejection was last forgotten in it.
+    state_since: Timestamp,
+    /// When the ejection ends, or the next probe may be made.
+    next_transition: Timestamp,
+    /// Ejections that are not forgotten.
+    ejections: u32,
+    /// Random number drawn at the last ejection: the backend's place in a staggered return.
+    return_position: f64,
+    successful_probes: u32,
+    history: CallHistory,
+    /// When each attempt in flight was made, by its id.
+    in_flight: BTreeMap<u64, Timestamp>,
+    reports: ReportSummary,
+    /// Results to report to others, as of the last evaluation.
+    reported_results: CallCounts,
+    /// No longer configured; its slot is free once nothing is in flight.
+    removed: bool,
 }
 
-impl Grounds {
-    /// How far a backend is doubted, 0 to 1.
-    pub fn doubt(&self) -> f64 {
-        let bad = self.bad + self.heard;
-        bad / (self.good + bad + GRANTED)
+impl Backend {
+    /// A backend without any results.
+    pub(crate) fn new(now: Timestamp, settings: BackendSettings, state: State) -> Backend {
+        Backend {
+            name_hash: name_hash(&settings.name),
+            settings,
+            state,
+            state_since: now,
+            next_transition: now,
+            ejections: 0,
+            return_position: 0.0,
+            successful_probes: 0,
+            history: CallHistory::default(),
+            in_flight: BTreeMap::new(),
+            reports: ReportSummary::default(),
+            reported_results: CallCounts::default(),
+            removed: false,
+        }
     }
 
-    /// The one rule of evidence.
-    pub fn condemn(&self) -> bool {
-        let own = if self.heard >= HEARD_ALONE && self.zones >= ZONES_ALONE {
-            0.0
-        } else if self.heard >= HEARD_SOME {
-            OWN_AND_HEARD
-        } else {
-            OWN_ALONE
-        };
-        self.doubt() >= DOUBT && self.bad >= own
+    // --- configuration
+
+    pub(crate) fn settings(&self) -> &BackendSettings {
+        &self.settings
     }
-}
 
-impl fmt::Display for Grounds {
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        write!(f, "own {:.1} bad, {:.1} good", self.bad, self.good)?;
-        if self.silent > 0 {
-            write!(f, " ({} silent)", self.silent)?;
-        }
-        if let Some(times) = self.slow {
-            write!(f, " ({times:.0} times as slow as the others)")?;
-        }
-        match self.witnesses {
-            0 => f.write_str("; nothing heard"),
-            n => write!(
-                f,
-                "; heard {:.1} from {n} of {} zones",
-                self.heard, self.zones
-            ),
-        }
+    pub(crate) fn set_settings(&mut self, settings: BackendSettings) {
+        self.settings = settings;
     }
-}
 
-pub struct Backend {
-    pub set: BackendSettings,
-    pub mark: u32,
-    pub state: State,
-    pub own: Evidence,
-    /// Attempts in hand, by number: when each began.
-    pub in_hand: BTreeMap<u64, Timestamp>,
-    pub heard: Summary,
-    times: u32,
-    /// Chance drawn when it was left out: its place in the return.
-    pub drawn: f64,
-    /// When the state began, and when the next thing is due in it.
-    pub since: Timestamp,
-    pub next: Timestamp,
-    trials: u32,
-    /// What was seen of it as of the last judgement, good and bad.
-    pub told: (f64, f64),
-    /// No longer set: gone once nothing is in hand.
-    pub gone: bool,
-}
+    pub(crate) fn name(&self) -> CompactString {
+        self.settings.name.clone()
+    }
 
-impl Backend {
-    pub fn new(now: Timestamp, set: BackendSettings, state: State) -> Backend {
-        Backend {
-            mark: crate::gossip::codec::name_hash(&set.name),
-            set,
-            state,
-            own: Evidence::default(),
-            in_hand: BTreeMap::new(),
-            heard: Summary::default(),
-            times: 0,
-            drawn: 0.0,
-            since: now,
-            next: now,
-            trials: 0,
-            told: (0.0, 0.0),
-            gone: false,
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.settings.address
+    }
+
+    pub(crate) fn name_hash(&self) -> u32 {
+        self.name_hash
+    }
+
+    pub(crate) fn is_removed(&self) -> bool {
+        self.removed
+    }
+
+    /// Marks it as no longer configured. Its attempts in flight go on.
+    pub(crate) fn remove(&mut self) {
+        self.removed = true;
+    }
+
+    /// Whether another backend may take its slot.
+    pub(crate) fn is_replaceable(&self) -> bool {
+        self.removed && self.in_flight.is_empty()
+    }
+
+    // --- attempts
+
+    /// Follows an attempt that is made now.
+    pub(crate) fn begin_attempt(&mut self, now: Timestamp, id: u64) {
+        if self.in_flight.len() < MAX_FOLLOWED_ATTEMPTS {
+            self.in_flight.insert(id, now);
         }
     }
 
-    /// Its weight as of now: what the operator set, less while it rises and while it is doubted by others.
-    pub fn weight(&self, now: Timestamp) -> f64 {
-        let rises = match self.state {
-            State::Active => 1.0,
-            State::SlowStart => {
-                let part = (now - self.since).as_secs_f64() / RISES.as_secs_f64();
-                RISES_FROM + (1.0 - RISES_FROM) * part.min(1.0)
-            }
-            State::Ejected | State::Probing => return 0.0,
-        };
-        self.set.weight * rises * self.heard.weight()
+    /// Ends an attempt. False where it is not followed, or ended before.
+    pub(crate) fn end_attempt(&mut self, id: u64) -> bool {
+        self.in_flight.remove(&id).is_some()
     }
 
-    /// What it is judged by now; `usual` is the group's pace.
-    pub fn grounds(&mut self, now: Timestamp, usual: Option<f64>) -> Grounds {
-        self.own.fade(now);
-        let patience = patience(usual);
-        let silent = self
-            .in_hand
-            .values()
-            .take_while(|at| now - **at > patience)
-            .count();
-        let slow = match (self.own.pace(now), usual) {
-            (Some(own), Some(usual)) if own > SLOW_TIMES * usual => Some(own / usual),
-            _ => None,
-        };
-        let (mut good, mut bad) = (self.own.good(), self.own.bad + silent as f64);
-        if slow.is_some() {
-            // Its good calls are no good ones.
-            (good, bad) = (0.0, bad.max(SLOW_COUNTS));
+    /// Counts the outcome of an attempt; `slow` where it took far longer than is typical. `random` draws a number from
+    /// 0 to 1; it is called for a probe only.
+    pub(crate) fn record(
+        &mut self,
+        now: Timestamp,
+        started_at: Timestamp,
+        outcome: AttemptOutcome,
+        slow: bool,
+        random: impl FnOnce() -> f64,
+    ) -> Recorded {
+        // What began before the ejection shows nothing of the present.
+        let is_outdated = self.state == State::Probing && started_at < self.state_since;
+        if self.state == State::Ejected || is_outdated {
+            return Recorded::Ignored;
         }
-        self.told = (
-            if self.own.failing() {
-                good * OUTDATED
-            } else {
-                good
-            },
-            bad,
-        );
-        let heard = &self.heard;
-        // Fresh good calls of one's own overrule all that is heard.
-        let deaf = slow.is_none() && good >= 2.0 && bad < 0.5;
-        Grounds {
-            good,
-            bad,
-            silent,
-            slow,
-            heard: if deaf { 0.0 } else { heard.units },
-            zones: heard.zones,
-            witnesses: heard.witnesses,
+        self.history.record(now, outcome, now - started_at, slow);
+        if self.state != State::Probing {
+            return Recorded::Counted;
         }
+        self.record_probe(now, outcome, slow, random());
+        Recorded::Probed(self.state_change_from(State::Probing))
     }
 
-    /// Left out from now on, longer each time.
-    pub fn eject(&mut self, now: Timestamp, draw: f64) {
-        self.times = (self.times + 1).min(16);
-        let term = TERM
-            .mul_f64(f64::from(1u32 << (self.times - 1)))
-            .min(TERM_MOST);
-        (self.state, self.since, self.drawn) = (State::Ejected, now, draw);
-        self.next = now + term.mul_f64(0.75 + 0.5 * draw);
-        self.trials = 0;
+    fn record_probe(&mut self, now: Timestamp, outcome: AttemptOutcome, slow: bool, random: f64) {
+        self.next_transition = now + PROBE_INTERVAL;
+        match outcome {
+            AttemptOutcome::Success if !slow => {
+                self.successful_probes += 1;
+                if self.successful_probes >= PROBES_TO_RETURN {
+                    self.enter(State::SlowStart, now);
+                }
+            }
+            AttemptOutcome::Rejected | AttemptOutcome::Cancelled => {}
+            _ => self.eject(now, random),
+        }
     }
 
-    /// Others have seen it do well since: it is tried no later than that.
-    pub fn try_by(&mut self, at: Timestamp) {
-        if self.state == State::Ejected {
-            self.next = self.next.min(at);
-        }
+    // --- state
+
+    pub(crate) fn state(&self) -> State {
+        self.state
     }
 
-    /// Time passes; true where the state is another one now.
-    pub fn pass(&mut self, now: Timestamp) -> bool {
+    fn enter(&mut self, state: State, now: Timestamp) {
+        self.state = state;
+        self.state_since = now;
+    }
+
+    /// The event of a change from a former state, where it is another one now.
+    fn state_change_from(&self, from: State) -> Option<BackendEvent> {
+        (self.state != from).then(|| BackendEvent::StateChanged {
+            name: self.name(),
+            from,
+            to: self.state,
+        })
+    }
+
+    /// Makes the transitions that time brings. Returns an event where the state is another one now.
+    pub(crate) fn advance(&mut self, now: Timestamp) -> Option<BackendEvent> {
+        let before = self.state;
+        let elapsed = now - self.state_since;
         match self.state {
-            State::Ejected if now >= self.next => {
-                (self.state, self.since, self.next, self.trials) = (State::Probing, now, now, 0);
-                self.own.forget();
-                true
+            State::Ejected if now >= self.next_transition => {
+                self.enter(State::Probing, now);
+                self.next_transition = now;
+                self.successful_probes = 0;
+                self.history.clear();
             }
-            State::SlowStart if now - self.since >= RISES => {
-                (self.state, self.since) = (State::Active, now);
-                true
+            State::SlowStart if elapsed >= slow_start::SLOW_START_WINDOW => {
+                self.enter(State::Active, now);
             }
-            State::Active if self.times > 0 && now - self.since >= FORGIVES => {
-                (self.times, self.since) = (self.times - 1, now);
-                false
+            State::Active if self.ejections > 0 && elapsed >= EJECTION_FORGIVENESS => {
+                self.ejections -= 1;
+                self.state_since = now;
             }
-            _ => false,
+            _ => {}
         }
+        self.state_change_from(before)
     }
 
-    /// Whether a call may go to it on trial now.
-    pub fn open_for_trial(&self, now: Timestamp) -> bool {
-        self.state == State::Probing && self.in_hand.is_empty() && now >= self.next
+    /// Ejects it, for longer each time; `random` is from 0 to 1.
+    pub(crate) fn eject(&mut self, now: Timestamp, random: f64) {
+        self.ejections = (self.ejections + 1).min(MAX_COUNTED_EJECTIONS);
+        let factor = f64::from(1u32 << (self.ejections - 1));
+        let time = BASE_EJECTION_TIME.mul_f64(factor).min(MAX_EJECTION_TIME);
+        self.enter(State::Ejected, now);
+        self.return_position = random;
+        self.next_transition = now + time.mul_f64(0.75 + 0.5 * random);
+        self.successful_probes = 0;
     }
 
-    /// A call on trial came to its end; `slow` where it took far longer than the others' do. True where it is
-    /// let in again, or left out again.
-    pub fn tried(&mut self, now: Timestamp, end: AttemptOutcome, slow: bool, draw: f64) -> bool {
-        self.next = now + TRIAL_EVERY;
-        match end {
-            AttemptOutcome::Success if !slow => {
-                self.trials += 1;
-                if self.trials >= TRIALS {
-                    (self.state, self.since) = (State::SlowStart, now);
-                    return true;
-                }
-                false
-            }
-            AttemptOutcome::Rejected | AttemptOutcome::Cancelled => false,
-            _ => {
-                self.eject(now, draw);
-                true
-            }
+    /// How long the ejection still takes.
+    pub(crate) fn remaining_ejection(&self, now: Timestamp) -> Duration {
+        self.next_transition - now
+    }
+
+    /// Whether a probe may be sent now.
+    pub(crate) fn accepts_probe(&self, now: Timestamp) -> bool {
+        self.state == State::Probing && self.in_flight.is_empty() && now >= self.next_transition
+    }
+
+    // --- judgement
+
+    /// Sets what others report. Where they saw an ejected backend healthy since its ejection, it is probed sooner, at a
+    /// time within `return_spread` of their observation.
+    pub(crate) fn set_reports(&mut self, reports: ReportSummary, return_spread: Duration) {
+        self.reports = reports;
+        let seen_healthy = self
+            .reports
+            .seen_healthy_at
+            .filter(|at| *at > self.state_since);
+        if let (State::Ejected, Some(at)) = (self.state, seen_healthy) {
+            let probe_at = at + return_spread.mul_f64(self.return_position);
+            self.next_transition = self.next_transition.min(probe_at);
         }
     }
-}
 
-/// How long a call is out until it counts as silent.
-pub fn patience(usual: Option<f64>) -> Duration {
-    usual.map_or(SILENT_LEAST, |s| {
-        Duration::from_secs_f64(s * SILENT_TIMES).max(SILENT_LEAST)
-    })
-}
+    /// The evidence for and against it now; the typical latency of the group is in seconds.
+    pub(crate) fn assess(
+        &mut self,
+        now: Timestamp,
+        typical_latency: Option<f64>,
+    ) -> OutlierEvidence {
+        self.history.decay(now);
+        let limit = outlier::overdue_time(typical_latency);
+        // Ids rise with time, so that the oldest attempts come first.
+        let overdue = self
+            .in_flight
+            .values()
+            .take_while(|began| now - **began > limit)
+            .count();
+        let slowdown = outlier::slowdown(self.history.latency(now), typical_latency);
+        let results = self.history.counts();
+        let evidence = OutlierEvidence::new(results, overdue, slowdown, &self.reports);
+        self.reported_results = evidence.reported_results(self.history.last_call_failed());
+        evidence
+    }
+
+    /// Recent mean latency in seconds, where enough calls succeeded.
+    pub(crate) fn latency(&self, now: Timestamp) -> Option<f64> {
+        self.history.latency(now)
+    }
+
+    // --- selection
+
+    /// Its present weight: what the operator set, reduced in slow start and by reports against it.
+    pub(crate) fn weight(&self, now: Timestamp) -> f64 {
+        let fraction = match self.state {
+            State::Active => 1.0,
+            State::SlowStart => slow_start::weight_fraction(now - self.state_since),
+            State::Ejected | State::Probing => return 0.0,
+        };
+        self.settings.weight * fraction * self.reports.weight_fraction()
+    }
+
+    /// What one more call would wait for, in seconds for each unit of weight. `default_latency` in seconds is taken
+    /// where no call succeeded recently.
+    pub(crate) fn cost(&self, default_latency: f64) -> f64 {
+        let latency = self.history.latency_estimate().unwrap_or(default_latency);
+        (self.in_flight.len() + 1) as f64 * latency / self.settings.weight
+    }
+
+    // --- what others see
+
+    /// What this server reports of it. An ejected backend is reported by its last failures, while these are recent.
+    pub(crate) fn observation(&mut self, now: Timestamp) -> LocalObservation {
+        let calls = if self.state == State::Ejected {
+            self.history.decay(now);
+            CallCounts {
+                successes: 0.0,
+                failures: self.history.counts().failures,
+            }
+        } else {
+            self.reported_results
+        };
+        LocalObservation {
+            name_hash: self.name_hash,
+            state: self.state,
+            calls,
+            reported_failures: self.reports.failures,
+        }
+    }
 
-/// Whether a call's time is far beyond the others'.
-pub fn slow(took: Duration, usual: Option<f64>) -> bool {
-    usual.is_some_and(|usual| took.as_secs_f64() > SLOW_TIMES * usual)
+    /// It as it stands.
+    pub(crate) fn status(&self, now: Timestamp) -> BackendStatus {
+        let mut history = self.history.clone();
+        history.decay(now);
+        let results = history.counts();
+        BackendStatus {
+            name: self.name(),
+            address: self.settings.address,
+            zone: self.settings.zone.clone(),
+            state: self.state,
+            weight: self.weight(now) / self.settings.weight,
+            observed: results.successes + results.failures,
+            failures: results.failures,
+            in_flight: self.in_flight.len(),
+            typical_latency: self.history.latency_estimate().map(Duration::from_secs_f64),
+            witnesses: self.reports.witnesses,
+            gossip_failures: self.reports.failures,
+        }
+    }
 }
--- a/crates/upstream/src/backend_group.rs
+++ b/crates/upstream/src/backend_group.rs
@@ -1,243 +1,322 @@
-//! Backends that serve the same handlers: who of them is in, judged together, since what is slow or failing is so
-//! beside the others; and whom a call goes to.
-
-use crate::backend::{Backend, Grounds, State};
-use crate::gossip::reports::Heard;
-use crate::manager::{BackendEvent, Settings};
-use crate::retry_budget::Repeats;
-use crate::selection::weighted::Drawn;
+//! Backends that serve the same handlers. They are judged together, since a slow or failing backend is one that is so
+//! beside the others.
+//!
+//! [`BackendGroup`] owns the selector, the retry budget and the hedge timer of its backends, and decides which of them
+//! are ejected. The backends themselves are in the registry's table, which each method is given.
+
+use crate::backend::Backend;
+use crate::backend_id::BackendId;
+use crate::backend_state::State;
+use crate::events::BackendEvent;
+use crate::gossip::reports::ReceivedReports;
+use crate::hedging::HedgeTimer;
+use crate::outlier::OutlierEvidence;
+use crate::retry_budget::RetryBudget;
+use crate::selection::{Candidate, ZoneAwareSelector};
+use crate::settings::Settings;
 use madderbay::time::{Duration, Timestamp};
 use oorandom::Rand64;
 
-/// Where more than this part of a group looks bad the cause is none of theirs, or there is nothing better: nobody
-/// is left out.
-const PANIC_PART: f64 = 0.5;
-/// What is left of the weight of one that is wholly doubted and could not be left out.
-const DOUBTED: f64 = 0.1;
-/// Bad calls under which a backend is as good as new.
-const SPOTLESS: f64 = 0.05;
-/// A call that nothing is known of is taken to last so long, in seconds.
-const UNKNOWN: f64 = 0.02;
-/// The return of a backend that others were seen to do well with is spread over so much for each of them, and no
-/// more than this: those who left together do not come back together.
-const SPREAD_EACH: Duration = Duration::from_millis(10);
-const SPREAD_MOST: Duration = Duration::from_millis(5_000);
-/// The times of calls are looked at anew this often.
-const TIMES_EVERY: Duration = Duration::from_millis(500);
-
-/// What a judgement of a group leans on beside the backends themselves.
-pub struct Light<'a> {
-    pub set: &'a Settings,
-    pub heard: &'a Heard,
-    /// Other servers that are in.
-    pub peers: usize,
+/// A group panics where more than this fraction of it looks faulty: the cause lies elsewhere, or there is no better
+/// backend, so that nobody is ejected.
+const PANIC_FRACTION: f64 = 0.5;
+/// The fraction of its weight that a fully suspected backend keeps while it cannot be ejected.
+const SUSPECTED_WEIGHT_FRACTION: f64 = 0.1;
+/// Failures under which all backends of a group count as faultless.
+const FAULTLESS_FAILURES: f64 = 0.05;
+/// Latency assumed where no call of the group succeeded, in seconds.
+const DEFAULT_LATENCY: f64 = 0.02;
+/// A backend that others saw healthy is probed within a time that grows with the number of servers, up to the maximum:
+/// servers that ejected together do not return together.
+const RETURN_SPREAD_PER_PEER: Duration = Duration::from_millis(10);
+const MAX_RETURN_SPREAD: Duration = Duration::from_millis(5_000);
+
+/// What an evaluation is given beside the backends.
+pub(crate) struct EvaluationContext<'a> {
+    pub(crate) settings: &'a Settings,
+    pub(crate) reports: &'a ReceivedReports,
+    pub(crate) active_peers: usize,
+}
+
+/// The evidence on one backend.
+struct Assessment {
+    backend: BackendId,
+    evidence: OutlierEvidence,
 }
 
-pub struct Group {
-    pub handlers: Vec<usize>,
-    pub backends: Vec<usize>,
-    near: Drawn,
-    far: Drawn,
-    /// The part of the calls that stays near.
-    stays: f64,
+/// The evidence on a group.
+struct GroupAssessment {
+    /// The backends that are in selection.
+    selectable: Vec<Assessment>,
+    /// How many backends are out of selection.
+    out_of_selection: usize,
+    /// How many backends look faulty; those out of selection count.
+    outliers: usize,
+}
+
+/// A group of backends.
+pub(crate) struct BackendGroup {
+    handlers: Vec<usize>,
+    backends: Vec<BackendId>,
+    selector: ZoneAwareSelector,
+    /// Backends that get single calls until they have proved healthy.
+    probing: Vec<BackendId>,
     panic: bool,
-    /// The pace of a good backend.
-    pub usual: Option<f64>,
-    trials: Vec<usize>,
-    pub repeats: Repeats,
-    timed: Timestamp,
+    /// Latency of a typical backend, in seconds.
+    typical_latency: Option<f64>,
+    retry_budget: RetryBudget,
+    hedge_timer: HedgeTimer,
 }
 
-impl Group {
-    pub fn new(now: Timestamp, handlers: Vec<usize>, backends: Vec<usize>, repeats: f64) -> Group {
-        Group {
+impl BackendGroup {
+    /// A group without backends; `retry_ratio` is the number of retries for each first attempt.
+    pub(crate) fn new(now: Timestamp, handlers: Vec<usize>, retry_ratio: f64) -> BackendGroup {
+        BackendGroup {
             handlers,
-            backends,
-            near: Drawn::default(),
-            far: Drawn::default(),
-            stays: 1.0,
+            backends: vec![],
+            selector: ZoneAwareSelector::empty(),
+            probing: vec![],
             panic: false,
-            usual: None,
-            trials: vec![],
-            repeats: Repeats::new(now, repeats),
-            timed: now,
+            typical_latency: None,
+            retry_budget: RetryBudget::new(now, retry_ratio),
+            hedge_timer: HedgeTimer::new(now),
         }
     }
 
-    /// The most that may be left out: a part of them, one of two in any case, and never all.
-    pub fn out_most(&self, part: f64) -> usize {
-        let n = self.backends.len();
-        ((n as f64 * part) as usize).max(1).min(n.saturating_sub(1))
+    pub(crate) fn handlers(&self) -> &[usize] {
+        &self.handlers
+    }
+
+    pub(crate) fn backends(&self) -> &[BackendId] {
+        &self.backends
+    }
+
+    /// Sets its backends; they are selected from the next evaluation on.
+    pub(crate) fn set_backends(&mut self, backends: Vec<BackendId>) {
+        self.backends = backends;
+    }
+
+    /// Whether there is a second backend for a retry.
+    pub(crate) fn has_alternatives(&self) -> bool {
+        self.backends.len() > 1
+    }
+
+    /// Latency of a typical backend, in seconds.
+    pub(crate) fn typical_latency(&self) -> Option<f64> {
+        self.typical_latency
     }
 
-    /// Judges all anew, and makes anew what calls are drawn from.
-    pub fn look(
+    pub(crate) fn retry_budget_mut(&mut self) -> &mut RetryBudget {
+        &mut self.retry_budget
+    }
+
+    pub(crate) fn hedge_timer_mut(&mut self) -> &mut HedgeTimer {
+        &mut self.hedge_timer
+    }
+
+    /// Judges all backends anew: ejects outliers and rebuilds the selector. `all` is the table of backends.
+    pub(crate) fn evaluate(
         &mut self,
         now: Timestamp,
         all: &mut [Backend],
-        light: &Light,
-        chance: &mut Rand64,
-        changes: &mut Vec<BackendEvent>,
+        context: &EvaluationContext,
+        rng: &mut Rand64,
+        events: &mut Vec<BackendEvent>,
     ) {
-        let Light { set, heard, peers } = *light;
-        if now - self.timed >= TIMES_EVERY {
-            self.timed = now;
-            self.repeats.look();
+        self.hedge_timer.evaluate_if_due(now);
+        let baseline = self.measure_latency(now, all);
+        let mut assessed = self.assess(now, all, context, baseline, events);
+        self.update_panic(all, assessed.outliers, events);
+        if !self.panic {
+            let limit = self.max_out_of_selection(context.settings.max_ejected_fraction);
+            eject_outliers(now, all, &mut assessed, limit, rng, events);
         }
-        let paces = self.backends.iter().filter_map(|b| all[*b].own.pace(now));
-        let mut paces: Vec<f64> = paces.collect();
-        paces.sort_by(f64::total_cmp);
-        // The middle one, the quicker of two: one that is slow does not make itself the measure.
-        self.usual = paces.get(paces.len().saturating_sub(1) / 2).copied();
-        let usual = self.usual.filter(|_| paces.len() > 1);
-        let spread = SPREAD_EACH.mul_f64(peers as f64).min(SPREAD_MOST);
-        let mut grounds: Vec<(usize, Grounds)> = vec![];
-        let (mut out, mut bad) = (0, 0);
-        for i in &self.backends {
-            let b = &mut all[*i];
-            let before = b.state;
-            if b.pass(now) {
-                changes.push(BackendEvent::StateChanged {
-                    name: b.set.name.clone(),
-                    from: before,
-                    to: b.state,
-                });
-            }
-            b.heard = heard.summary(now, b.mark);
-            if let Some(well) = b.heard.well.filter(|at| *at > b.since) {
-                b.try_by(well + spread.mul_f64(b.drawn));
-            }
-            if matches!(b.state, State::Ejected | State::Probing) {
-                out += 1;
-                bad += 1;
+        self.rebuild_selector(now, all, context.settings, &assessed.selectable);
+    }
+
+    /// The most backends that may be out of selection: a fraction, one of two in any case, and never all.
+    fn max_out_of_selection(&self, fraction: f64) -> usize {
+        let backends = self.backends.len();
+        ((backends as f64 * fraction) as usize)
+            .max(1)
+            .min(backends.saturating_sub(1))
+    }
+
+    /// Takes the median latency of the backends as the typical one. Returns it, in seconds, where it rests on more than
+    /// one backend and so can be a baseline for them.
+    fn measure_latency(&mut self, now: Timestamp, all: &[Backend]) -> Option<f64> {
+        let known = self
+            .backends
+            .iter()
+            .filter_map(|id| all[id.index()].latency(now));
+        let mut latencies: Vec<f64> = known.collect();
+        latencies.sort_by(f64::total_cmp);
+        // Of an even number the quicker one in the middle, so that one slow of two is not the baseline.
+        let median = latencies.len().saturating_sub(1) / 2;
+        self.typical_latency = latencies.get(median).copied();
+        self.typical_latency.filter(|_| latencies.len() > 1)
+    }
+
+    /// Brings all backends up to date and collects the evidence on those in selection.
+    fn assess(
+        &self,
+        now: Timestamp,
+        all: &mut [Backend],
+        context: &EvaluationContext,
+        baseline: Option<f64>,
+        events: &mut Vec<BackendEvent>,
+    ) -> GroupAssessment {
+        let return_spread = RETURN_SPREAD_PER_PEER
+            .mul_f64(context.active_peers as f64)
+            .min(MAX_RETURN_SPREAD);
+        let mut assessed = GroupAssessment {
+            selectable: vec![],
+            out_of_selection: 0,
+            outliers: 0,
+        };
+        for id in &self.backends {
+            let backend = &mut all[id.index()];
+            events.extend(backend.advance(now));
+            let reports = context.reports.summary(now, backend.name_hash());
+            backend.set_reports(reports, return_spread);
+            if backend.state().is_out_of_selection() {
+                assessed.out_of_selection += 1;
+                assessed.outliers += 1;
             } else {
-                let found = b.grounds(now, usual);
-                bad += usize::from(found.condemn());
-                grounds.push((*i, found));
-            }
-        }
-        self.settle(all, bad, changes);
-        if !self.panic {
-            grounds.sort_by(|a, b| b.1.doubt().total_cmp(&a.1.doubt()));
-            for (i, found) in grounds.iter().filter(|g| g.1.condemn()) {
-                if out >= self.out_most(set.max_ejected_fraction) {
-                    break;
-                }
-                out += 1;
-                all[*i].eject(now, chance.rand_float());
-                let (name, grounds) = (all[*i].set.name.clone(), found.clone());
-                changes.push(BackendEvent::Ejected {
-                    name,
-                    grounds,
-                    until: all[*i].next - now,
+                let evidence = backend.assess(now, baseline);
+                assessed.outliers += usize::from(evidence.is_outlier());
+                assessed.selectable.push(Assessment {
+                    backend: *id,
+                    evidence,
                 });
             }
         }
-        self.tables(now, all, set, &grounds);
+        assessed
     }
 
-    fn settle(&mut self, all: &[Backend], bad: usize, changes: &mut Vec<BackendEvent>) {
-        let n = self.backends.len();
-        let panic = n > 1 && bad as f64 > PANIC_PART * n as f64;
+    fn update_panic(&mut self, all: &[Backend], outliers: usize, events: &mut Vec<BackendEvent>) {
+        let backends = self.backends.len();
+        let panic = backends > 1 && outliers as f64 > PANIC_FRACTION * backends as f64;
         if std::mem::replace(&mut self.panic, panic) != panic {
-            let name = all[self.backends[0]].set.name.clone();
-            changes.push(BackendEvent::PanicModeChanged {
+            let name = all[self.backends[0].index()].name();
+            events.push(BackendEvent::PanicModeChanged {
                 name,
-                on: panic,
-                bad,
-                of: n,
+                active: panic,
+                outliers,
+                backends,
             });
         }
     }
 
-    fn tables(
+    fn rebuild_selector(
         &mut self,
         now: Timestamp,
         all: &[Backend],
-        set: &Settings,
-        grounds: &[(usize, Grounds)],
+        settings: &Settings,
+        assessed: &[Assessment],
     ) {
-        let near = |i: &usize| set.zone.is_empty() || all[*i].set.zone == set.zone;
-        let mut left = vec![1.0; all.len()];
-        if grounds.iter().any(|g| g.1.bad >= SPOTLESS) {
-            grounds
-                .iter()
-                .for_each(|(i, g)| left[*i] = 1.0 - (1.0 - DOUBTED) * own_doubt(g));
-        }
-        let weight = |i: usize| {
-            if self.panic {
-                all[i].set.weight
+        let trust = trust_by_backend(all.len(), assessed);
+        let candidate = |id: &BackendId| {
+            let backend = &all[id.index()];
+            let weight = if self.panic {
+                backend.settings().weight
             } else {
-                all[i].weight(now) * left[i]
+                backend.weight(now) * trust[id.index()]
+            };
+            Candidate {
+                backend: *id,
+                weight,
+                is_local: is_local(backend, settings),
             }
         };
-        let weights: Vec<(usize, f64)> = self.backends.iter().map(|i| (*i, weight(*i))).collect();
-        self.near = Drawn::of(weights.iter().filter(|w| near(&w.0)).copied());
-        self.far = Drawn::of(weights.iter().filter(|w| !near(&w.0)).copied());
-        let whole: f64 = self
-            .backends
-            .iter()
-            .filter(|i| near(i))
-            .map(|i| all[*i].set.weight)
+        let candidates: Vec<Candidate> = self.backends.iter().map(candidate).collect();
+        let local = candidates.iter().filter(|candidate| candidate.is_local);
+        let configured_local_weight: f64 = local
+            .map(|candidate| all[candidate.backend.index()].settings().weight)
             .sum();
-        self.stays = match (self.near.is_empty(), self.far.is_empty()) {
-            (true, _) => 0.0,
-            (false, true) => 1.0,
-            _ => (self.near.sum() / whole / set.min_local_fraction).min(1.0),
-        };
-        self.trials = self
-            .backends
-            .iter()
-            .copied()
-            .filter(|i| all[*i].state == State::Probing)
-            .collect();
+        let min_local_fraction = settings.min_local_fraction;
+        self.selector =
+            ZoneAwareSelector::new(&candidates, configured_local_weight, min_local_fraction);
+        let is_probing = |id: &BackendId| all[id.index()].state() == State::Probing;
+        self.probing = self.backends.iter().copied().filter(is_probing).collect();
     }
 
-    /// Whom the next call goes to.
-    pub fn pick(
+    /// The backend that the next attempt goes to. The one to `avoid`, if any, is chosen only where there is no other.
+    pub(crate) fn pick(
         &mut self,
         now: Timestamp,
         all: &[Backend],
-        avoid: Option<usize>,
-        chance: &mut Rand64,
-    ) -> Option<usize> {
-        // One that is to be tried has one call, wherever it stands.
+        avoid: Option<BackendId>,
+        rng: &mut Rand64,
+    ) -> Option<BackendId> {
         if avoid.is_none()
-            && let Some(at) = self.trials.iter().position(|i| all[*i].open_for_trial(now))
+            && let Some(probed) = self.take_probe(now, all)
         {
-            return Some(self.trials.remove(at));
+            return Some(probed);
         }
-        let from = if chance.rand_float() < self.stays {
-            &self.near
-        } else {
-            &self.far
-        };
-        let from = if from.is_empty() || avoid.is_some() && from.len() < 2 {
-            self.other(from)
-        } else {
-            from
-        };
-        let usual = self.usual.unwrap_or(UNKNOWN);
-        let cost = |i: usize| {
-            let b = &all[i];
-            (b.in_hand.len() + 1) as f64 * b.own.rough_pace().unwrap_or(usual) / b.set.weight
-        };
-        from.better(avoid, || chance.rand_float(), cost)
-            .or_else(|| self.backends.first().copied())
+        let default_latency = self.typical_latency.unwrap_or(DEFAULT_LATENCY);
+        let cost = |id: BackendId| all[id.index()].cost(default_latency);
+        let picked = self.selector.pick(avoid, rng, cost);
+        picked.or_else(|| self.backends.first().copied())
     }
 
-    /// The other of the two that calls are drawn from, where it has anyone.
-    fn other<'a>(&'a self, from: &'a Drawn) -> &'a Drawn {
-        let other = if std::ptr::eq(from, &self.near) {
-            &self.far
-        } else {
-            &self.near
-        };
-        if other.is_empty() { from } else { other }
+    /// A backend that is due for a probe, wherever it stands. It gets a single call.
+    fn take_probe(&mut self, now: Timestamp, all: &[Backend]) -> Option<BackendId> {
+        let due = self
+            .probing
+            .iter()
+            .position(|id| all[id.index()].accepts_probe(now))?;
+        Some(self.probing.remove(due))
+    }
+}
+
+/// Ejects outliers, the most suspected first, up to the limit of backends out of selection.
+fn eject_outliers(
+    now: Timestamp,
+    all: &mut [Backend],
+    assessed: &mut GroupAssessment,
+    max_out_of_selection: usize,
+    rng: &mut Rand64,
+    events: &mut Vec<BackendEvent>,
+) {
+    let by_suspicion =
+        |a: &Assessment, b: &Assessment| b.evidence.suspicion().total_cmp(&a.evidence.suspicion());
+    assessed.selectable.sort_by(by_suspicion);
+    for Assessment { backend, evidence } in assessed
+        .selectable
+        .iter()
+        .filter(|assessment| assessment.evidence.is_outlier())
+    {
+        if assessed.out_of_selection >= max_out_of_selection {
+            break;
+        }
+        assessed.out_of_selection += 1;
+        let backend = &mut all[backend.index()];
+        backend.eject(now, rng.rand_float());
+        events.push(BackendEvent::Ejected {
+            name: backend.name(),
+            evidence: evidence.clone(),
+            ejection_time: backend.remaining_ejection(now),
+        });
+    }
+}
+
+/// The fraction of its weight that each backend keeps, by index: less where this server's own results speak against it.
+fn trust_by_backend(backends: usize, assessed: &[Assessment]) -> Vec<f64> {
+    let mut trust = vec![1.0; backends];
+    if assessed
+        .iter()
+        .any(|assessment| assessment.evidence.failures >= FAULTLESS_FAILURES)
+    {
+        for Assessment { backend, evidence } in assessed {
+            let suspicion = evidence.own_suspicion();
+            trust[backend.index()] = 1.0 - (1.0 - SUSPECTED_WEIGHT_FRACTION) * suspicion;
+        }
     }
+    trust
 }
 
-/// What is doubted by one's own evidence alone.
-fn own_doubt(g: &Grounds) -> f64 {
-    g.bad / (g.good + g.bad + 1.0)
+/// Whether a backend stands in this server's zone; all do where the server has none.
+fn is_local(backend: &Backend, settings: &Settings) -> bool {
+    settings.zone.is_empty() || backend.settings().zone == settings.zone
 }
--- /dev/null
+++ b/crates/upstream/src/events.rs
@@ -0,0 +1,114 @@
+//! Changes of backends that are worth a line in the log, and the bounded list that holds them until they are taken.
+
+use crate::backend_state::State;
+use crate::outlier::OutlierEvidence;
+use compact_str::CompactString;
+use madderbay::time::Duration;
+use std::fmt;
+
+/// Events that wait to be taken; more than these are counted and dropped.
+const MAX_PENDING_EVENTS: usize = 64;
+
+/// A change that is worth a line in the log. `Display` gives that line.
+#[derive(Clone, Debug, PartialEq)]
+pub enum BackendEvent {
+    /// A backend was ejected.
+    Ejected {
+        /// Name of the backend.
+        name: CompactString,
+        /// Why it was ejected.
+        evidence: OutlierEvidence,
+        /// How long it stays ejected, unless others see it recover sooner.
+        ejection_time: Duration,
+    },
+    /// A backend is in another state.
+    StateChanged {
+        /// Name of the backend.
+        name: CompactString,
+        /// The state before.
+        from: State,
+        /// The state now.
+        to: State,
+    },
+    /// More than half of a group looks faulty, or no longer does. Nobody is ejected in panic mode.
+    PanicModeChanged {
+        /// Name of the first backend of the group.
+        name: CompactString,
+        /// Whether panic mode begins.
+        active: bool,
+        /// How many backends of the group look faulty.
+        outliers: usize,
+        /// How many backends the group has.
+        backends: usize,
+    },
+    /// The operator added or removed a backend.
+    ConfigurationChanged {
+        /// Name of the backend.
+        name: CompactString,
+        /// Whether it is configured now.
+        present: bool,
+    },
+}
+
+impl fmt::Display for BackendEvent {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            BackendEvent::Ejected {
+                name,
+                evidence,
+                ejection_time,
+            } => {
+                let seconds = ejection_time.as_secs_f64();
+                write!(f, "{name}: ejected for {seconds:.1} s: {evidence}")
+            }
+            BackendEvent::StateChanged { name, from, to } => write!(f, "{name}: {from} to {to}"),
+            BackendEvent::PanicModeChanged {
+                name,
+                active,
+                outliers,
+                backends,
+            } => {
+                let consequence = if *active {
+                    "nobody is left out"
+                } else {
+                    "the worst are left out again"
+                };
+                write!(
+                    f,
+                    "group of {name}: {outliers} of {backends} look bad; {consequence}"
+                )
+            }
+            BackendEvent::ConfigurationChanged { name, present } => {
+                let what = if *present { "set" } else { "no longer set" };
+                write!(f, "{name}: {what}")
+            }
+        }
+    }
+}
+
+/// Events that nobody has taken yet.
+#[derive(Default)]
+pub(crate) struct EventQueue {
+    pending: Vec<BackendEvent>,
+}
+
+impl EventQueue {
+    /// Adds an event. False where it was dropped, because too many wait already.
+    pub(crate) fn push(&mut self, event: BackendEvent) -> bool {
+        let fits = self.pending.len() < MAX_PENDING_EVENTS;
+        if fits {
+            self.pending.push(event);
+        }
+        fits
+    }
+
+    /// Adds the events of a configuration, however many these are: the operator waits for each of them.
+    pub(crate) fn push_all(&mut self, events: Vec<BackendEvent>) {
+        self.pending.extend(events);
+    }
+
+    /// Takes all events, in their order.
+    pub(crate) fn take(&mut self) -> Vec<BackendEvent> {
+        std::mem::take(&mut self.pending)
+    }
+}
--- a/crates/upstream/src/fleet_stack.rs
+++ b/crates/upstream/src/fleet_stack.rs
@@ -1,7 +1,11 @@
-//! The view and what rests on it, driven as one: datagrams, time and chance in; datagrams, due times and
-//! changes out. The program and the simulations drive the very same.
+//! The protocols between the servers of a fleet, driven as one: membership, and over it quotas and upstream backends.
+//! The server and the simulations drive the very same stack.
+//!
+//! [`FleetStack`] owns the order in which the parts act. It is given datagrams and time; it gives datagrams and the time
+//! of its next timeout. It never does I/O.
 
 use crate::manager::UpstreamManager;
+use compact_str::CompactString;
 use madderbay::time::Timestamp;
 use madderbay_membership::{MemberState, Membership, Subsystem};
 use madderbay_quota::{FleetQuotas, Peer};
@@ -9,14 +13,18 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+/// Membership and the parts that rest on it.
 pub struct FleetStack {
+    /// The view of the fleet.
     pub members: Membership,
+    /// Quotas and counters of the fleet, where the operator set any.
     pub shared: Option<FleetQuotas>,
-    /// The calls' side asks it too, at any moment.
+    /// The upstream backends, where the operator set any. The server's calls use it too, at any moment.
     pub routes: Option<Rc<RefCell<UpstreamManager>>>,
 }
 
 impl FleetStack {
+    /// A stack without upstream backends.
     pub fn new(members: Membership, shared: Option<FleetQuotas>) -> FleetStack {
         FleetStack {
             members,
@@ -25,94 +33,116 @@
         }
     }
 
+    /// A datagram arrived.
     pub fn handle_datagram(&mut self, now: Timestamp, from: SocketAddr, bytes: &[u8]) {
         self.members.received(now, from, bytes);
-        self.meet(now);
+        self.drive_subsystems(now);
     }
 
-    /// The time has come for what was due, of any part.
+    /// Does what is due in any part.
     pub fn handle_timeout(&mut self, now: Timestamp) {
         self.members.handle_timeout(now);
-        self.meet(now);
+        self.drive_subsystems(now);
     }
 
-    fn meet(&mut self, now: Timestamp) {
-        if let Some(shared) = &mut self.shared {
-            shared.set_incarnation(now, self.members.local_identity().incarnation);
+    /// When [`handle_timeout`](Self::handle_timeout) is due next.
+    pub fn next_timeout(&self) -> Timestamp {
+        let quota = self.shared.as_ref().map(FleetQuotas::next_timeout);
+        let upstream = self
+            .routes
+            .as_ref()
+            .map(|upstream| upstream.borrow().next_timeout());
+        let membership = self.members.next_timeout();
+        [quota, upstream]
+            .into_iter()
+            .flatten()
+            .fold(membership, Timestamp::min)
+    }
+
+    /// Takes the datagrams to send, each with its destination.
+    pub fn take_datagrams(&mut self) -> Vec<(SocketAddr, Vec<u8>)> {
+        self.members.take_outgoing()
+    }
+
+    /// Hands the news of the membership to the parts above it, and their payloads to the membership.
+    fn drive_subsystems(&mut self, now: Timestamp) {
+        if let Some(quota) = &mut self.shared {
+            quota.set_incarnation(now, self.members.local_identity().incarnation);
         }
-        // Only what has changed: in a storm of news the whole view would be read anew for each.
+        // Only the members that changed: reading the whole view for each of many changes would take too long.
         for name in self.members.take_changed_members() {
-            let found = self
-                .members
-                .member(&name)
-                .filter(|f| f.1 != MemberState::Left);
-            if let Some(routes) = &self.routes {
-                let mut routes = routes.borrow_mut();
-                match found {
-                    Some((id, state)) => routes.update_peer(
-                        &name,
-                        id.incarnation,
-                        &id.zone,
-                        state != MemberState::Down,
-                    ),
-                    None => routes.remove_peer(&name),
+            self.update_peer(now, name);
+        }
+        self.deliver_payloads(now);
+        self.drive_quota(now);
+        self.drive_upstream(now);
+    }
+
+    fn update_peer(&mut self, now: Timestamp, name: CompactString) {
+        let member = self.members.member(&name);
+        match member.filter(|(_, state)| *state != MemberState::Left) {
+            Some((identity, state)) => {
+                let (incarnation, active) = (identity.incarnation, state != MemberState::Down);
+                if let Some(upstream) = &self.routes {
+                    let zone = &identity.zone;
+                    upstream
+                        .borrow_mut()
+                        .update_peer(&name, incarnation, zone, active);
                 }
-            }
-            let Some(shared) = &mut self.shared else {
-                continue;
-            };
-            match found {
-                Some((id, state)) => {
-                    shared.update_peer(
+                if let Some(quota) = &mut self.shared {
+                    quota.update_peer(
                         now,
                         Peer {
                             name,
-                            incarnation: id.incarnation,
-                            active: state != MemberState::Down,
+                            incarnation,
+                            active,
                         },
                     );
                 }
-                None => shared.remove_peer(now, &name),
+            }
+            None => {
+                if let Some(upstream) = &self.routes {
+                    upstream.borrow_mut().remove_peer(&name);
+                }
+                if let Some(quota) = &mut self.shared {
+                    quota.remove_peer(now, &name);
+                }
             }
         }
-        for (from, part, words) in self.members.take_subsystem_messages() {
-            match (part, &mut self.shared, &self.routes) {
-                (Subsystem::Quota, Some(shared), _) => shared.handle_datagram(now, &from, &words),
-                (Subsystem::Upstream, _, Some(routes)) => {
-                    routes.borrow_mut().handle_datagram(now, &from, &words)
+    }
+
+    fn deliver_payloads(&mut self, now: Timestamp) {
+        for (from, subsystem, payload) in self.members.take_subsystem_messages() {
+            match (subsystem, &mut self.shared, &self.routes) {
+                (Subsystem::Quota, Some(quota), _) => quota.handle_datagram(now, &from, &payload),
+                (Subsystem::Upstream, _, Some(upstream)) => {
+                    upstream.borrow_mut().handle_datagram(now, &from, &payload);
                 }
+                // The operator of this server switched the part off.
                 _ => {}
             }
         }
-        if let Some(shared) = &mut self.shared {
-            shared.handle_timeout(now);
-            for (to, words) in shared.take_datagrams() {
+    }
+
+    fn drive_quota(&mut self, now: Timestamp) {
+        if let Some(quota) = &mut self.shared {
+            quota.handle_timeout(now);
+            for (to, payload) in quota.take_datagrams() {
                 self.members
-                    .send_subsystem_message(&to, Subsystem::Quota, &words);
+                    .send_subsystem_message(&to, Subsystem::Quota, &payload);
             }
         }
-        if let Some(routes) = &self.routes {
-            let mut routes = routes.borrow_mut();
-            routes.set_stalled(self.members.is_degraded());
-            routes.handle_timeout(now);
-            for (to, words) in routes.take_datagrams() {
+    }
+
+    fn drive_upstream(&mut self, now: Timestamp) {
+        if let Some(upstream) = &self.routes {
+            let mut upstream = upstream.borrow_mut();
+            upstream.set_stalled(self.members.is_degraded());
+            upstream.handle_timeout(now);
+            for (to, payload) in upstream.take_datagrams() {
                 self.members
-                    .send_subsystem_message(&to, Subsystem::Upstream, &words);
+                    .send_subsystem_message(&to, Subsystem::Upstream, &payload);
             }
         }
     }
-
-    /// When it has to be told the time next.
-    pub fn next_timeout(&self) -> Timestamp {
-        let shared = self.shared.as_ref().map(FleetQuotas::next_timeout);
-        let routes = self.routes.as_ref().map(|r| r.borrow().next_timeout());
-        [shared, routes]
-            .into_iter()
-            .flatten()
-            .fold(self.members.next_timeout(), Timestamp::min)
-    }
-
-    pub fn take_datagrams(&mut self) -> Vec<(SocketAddr, Vec<u8>)> {
-        self.members.take_outgoing()
-    }
 }
--- a/crates/upstream/src/gossip.rs
+++ b/crates/upstream/src/gossip.rs
@@ -1,4 +1,335 @@
-//! Gossip of judgements between the servers of a fleet.
+//! Gossip of judgements: what this server tells a few others of the backends it uses, and what it learns from them.
+//!
+//! [`Gossip`] owns the peers, their reports and the schedule. It is given payloads, time and random numbers, and what
+//! the registry observed; it gives payloads to send. It never passes on what others reported, and never judges a
+//! backend.
 
-pub mod codec;
-pub mod reports;
+pub(crate) mod codec;
+pub(crate) mod reports;
+
+use crate::backend_state::State;
+use crate::outlier::CallCounts;
+use crate::retry_budget::AttemptCounts;
+use codec::{BackendReport, GossipDecodeError, GossipMessage};
+use compact_str::CompactString;
+use madderbay::time::{Duration, Timestamp};
+use madderbay_membership::MAX_SUBSYSTEM_PAYLOAD_BYTES;
+use oorandom::Rand64;
+use reports::{Observation, ReceivedReports, Witness};
+use std::collections::{BTreeMap, HashSet};
+
+/// Mean time between two rounds; each is drawn from three to five quarters of it.
+const ROUND_INTERVAL: Duration = Duration::from_millis(250);
+/// Peers that get a payload in a round.
+const MAX_RECIPIENTS: usize = 8;
+/// A failed call brings the next round forward to this, but not closer to the last round than the minimum.
+const DELAY_AFTER_FAILURE: Duration = Duration::from_millis(20);
+const MIN_ROUND_INTERVAL: Duration = Duration::from_millis(100);
+/// Fewer successes or failures than this are not reported.
+const MIN_REPORTED_CALLS: f64 = 0.3;
+/// Reported failures from which this server's successes are worth a report.
+const MIN_DISPUTED_FAILURES: f64 = 0.1;
+/// Retries from which a payload without any report is sent.
+const MIN_REPORTED_RETRIES: f64 = 1.0;
+/// Reports in one payload, so that it fits into a datagram.
+const MAX_REPORTS: usize = 80;
+/// For how long a peer's numbers of attempts count.
+const MAX_ATTEMPTS_AGE: Duration = Duration::from_millis(5_000);
+/// A peer that finds more than this fraction of its backends faulty is not credible, from so many backends on.
+const MAX_CREDIBLE_FRACTION: f64 = 0.5;
+const MIN_BACKENDS_TO_DOUBT_PEER: u16 = 3;
+
+/// Why a payload was rejected.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum RejectedPayload {
+    #[error(transparent)]
+    Malformed(#[from] GossipDecodeError),
+    #[error("gossip of a server that is not in the view")]
+    UnknownPeer,
+}
+
+/// What this server saw of one backend.
+pub(crate) struct LocalObservation {
+    pub(crate) name_hash: u32,
+    pub(crate) state: State,
+    pub(crate) calls: CallCounts,
+    /// What the reports of others on it weigh, in failures.
+    pub(crate) reported_failures: f64,
+}
+
+impl LocalObservation {
+    /// Whether any recent call was seen.
+    fn is_seen(&self) -> bool {
+        self.state == State::Ejected
+            || self.calls.successes + self.calls.failures > MIN_REPORTED_CALLS
+    }
+
+    fn is_failing(&self) -> bool {
+        let CallCounts {
+            successes,
+            failures,
+        } = self.calls;
+        self.state == State::Ejected || failures > successes && failures > MIN_REPORTED_CALLS
+    }
+
+    /// Whether others should know: it failed here, or it succeeded here after failing here or elsewhere.
+    fn is_worth_reporting(&self) -> bool {
+        let succeeded = self.calls.successes > MIN_REPORTED_CALLS;
+        let is_disputed = self.reported_failures > MIN_DISPUTED_FAILURES;
+        let has_returned = self.state == State::SlowStart;
+        self.calls.failures > MIN_REPORTED_CALLS || succeeded && (is_disputed || has_returned)
+    }
+
+    fn report(&self) -> BackendReport {
+        BackendReport {
+            name_hash: self.name_hash,
+            successes: codec::to_eighths(self.calls.successes),
+            failures: codec::to_eighths(self.calls.failures),
+            age_ms: 0,
+        }
+    }
+}
+
+/// Another server of the fleet.
+struct Peer {
+    incarnation: u64,
+    zone: CompactString,
+    active: bool,
+    attempts: Option<PeerAttempts>,
+}
+
+/// Attempts that a peer reported.
+#[derive(Clone, Copy)]
+struct PeerAttempts {
+    counts: AttemptCounts,
+    received_at: Timestamp,
+}
+
+/// The gossip of one server.
+pub(crate) struct Gossip {
+    peers: BTreeMap<CompactString, Peer>,
+    /// Names of the peers that are active, in the order of the last draws.
+    active_peers: Vec<CompactString>,
+    reports: ReceivedReports,
+    next_round: Timestamp,
+    last_round: Timestamp,
+    /// Whether this process was stalled recently.
+    stalled: bool,
+    outgoing: Vec<(CompactString, Vec<u8>)>,
+}
+
+impl Gossip {
+    /// Gossip without peers; the first round is due at once.
+    pub(crate) fn new(now: Timestamp) -> Gossip {
+        Gossip {
+            peers: BTreeMap::new(),
+            active_peers: vec![],
+            reports: ReceivedReports::default(),
+            next_round: now,
+            last_round: Timestamp::default(),
+            stalled: false,
+            outgoing: vec![],
+        }
+    }
+
+    /// Whether this process was stalled recently, so that a missing reply may be its own fault.
+    pub(crate) fn set_stalled(&mut self, stalled: bool) {
+        self.stalled = stalled;
+    }
+
+    /// The reports of other servers.
+    pub(crate) fn reports(&self) -> &ReceivedReports {
+        &self.reports
+    }
+
+    /// How many peers are active.
+    pub(crate) fn active_peers(&self) -> usize {
+        self.active_peers.len()
+    }
+
+    /// Drops reports that are too old or on backends that are not known.
+    pub(crate) fn prune(&mut self, now: Timestamp, known_backends: &HashSet<u32>) {
+        self.reports
+            .prune(now, |name_hash| known_backends.contains(&name_hash));
+    }
+
+    /// A server is in the view, or is there with another incarnation, zone or activity.
+    pub(crate) fn update_peer(
+        &mut self,
+        name: &CompactString,
+        incarnation: u64,
+        zone: &CompactString,
+        active: bool,
+    ) {
+        self.reports.retain_incarnation(name, Some(incarnation));
+        let new_peer = || Peer {
+            incarnation,
+            zone: zone.clone(),
+            active: false,
+            attempts: None,
+        };
+        let peer = self.peers.entry(name.clone()).or_insert_with(new_peer);
+        let was_active = std::mem::replace(&mut peer.active, active);
+        if peer.incarnation != incarnation || !active {
+            peer.attempts = None;
+        }
+        peer.incarnation = incarnation;
+        peer.zone = zone.clone();
+        if active && !was_active {
+            self.active_peers.push(name.clone());
+        } else if was_active && !active {
+            self.active_peers.retain(|peer| peer != name);
+        }
+    }
+
+    /// A server is no longer in the view; its reports are dropped.
+    pub(crate) fn remove_peer(&mut self, name: &CompactString) {
+        self.reports.retain_incarnation(name, None);
+        self.peers.remove(name);
+        self.active_peers.retain(|peer| peer != name);
+    }
+
+    /// A payload of a peer. It is checked in any case, and considered only where gossip is `enabled`.
+    pub(crate) fn handle_payload(
+        &mut self,
+        now: Timestamp,
+        from: &CompactString,
+        payload: &[u8],
+        known_backends: &HashSet<u32>,
+        enabled: bool,
+    ) -> Result<(), RejectedPayload> {
+        let message = GossipMessage::decode(payload)?;
+        let peer = self
+            .peers
+            .get_mut(from)
+            .ok_or(RejectedPayload::UnknownPeer)?;
+        if !enabled {
+            return Ok(());
+        }
+        peer.attempts = Some(PeerAttempts {
+            counts: reported_attempts(&message),
+            received_at: now,
+        });
+        let witness = Witness {
+            name: from,
+            zone: &peer.zone,
+            incarnation: peer.incarnation,
+            credible: is_credible(&message),
+        };
+        for report in message.reports.iter().take(MAX_REPORTS) {
+            if known_backends.contains(&report.name_hash) {
+                self.reports.record(now, witness, observation(report));
+            }
+        }
+        Ok(())
+    }
+
+    /// Recent attempts of the peers together; nothing where no peer reports any.
+    pub(crate) fn peer_attempts(&self, now: Timestamp) -> Option<AttemptCounts> {
+        let current = self
+            .peers
+            .values()
+            .filter_map(|peer| peer.attempts)
+            .filter(|attempts| now - attempts.received_at < MAX_ATTEMPTS_AGE);
+        current
+            .map(|attempts| attempts.counts)
+            .fold(None, |sum, counts| {
+                Some(sum.unwrap_or_default().plus(counts))
+            })
+    }
+
+    /// When the next round is due.
+    pub(crate) fn next_round(&self) -> Timestamp {
+        self.next_round
+    }
+
+    /// Begins a round and schedules the next one, by a random number from 0 to 1.
+    pub(crate) fn begin_round(&mut self, now: Timestamp, random: f64) {
+        self.next_round = now + ROUND_INTERVAL.mul_f64(0.75 + 0.5 * random);
+        self.last_round = now;
+    }
+
+    /// Brings the next round forward, after a failed call.
+    pub(crate) fn hurry(&mut self, now: Timestamp) {
+        let soon = (now + DELAY_AFTER_FAILURE).max(self.last_round + MIN_ROUND_INTERVAL);
+        self.next_round = self.next_round.min(soon);
+    }
+
+    /// The payload of a round; nothing where there is nothing to report, or it would not fit.
+    pub(crate) fn payload(
+        &self,
+        observations: &[LocalObservation],
+        attempts: AttemptCounts,
+    ) -> Option<Vec<u8>> {
+        let reports = select_reports(observations);
+        if reports.is_empty() && attempts.retries < MIN_REPORTED_RETRIES {
+            return None;
+        }
+        let count = |is: fn(&LocalObservation) -> bool| {
+            observations.iter().map(|seen| u16::from(is(seen))).sum()
+        };
+        let message = GossipMessage {
+            stalled: self.stalled,
+            backends_seen: count(LocalObservation::is_seen),
+            backends_failing: count(LocalObservation::is_failing),
+            first_attempts: attempts.first_attempts as u32,
+            retries: attempts.retries as u32,
+            reports,
+        };
+        Some(message.encode()).filter(|payload| payload.len() <= MAX_SUBSYSTEM_PAYLOAD_BYTES)
+    }
+
+    /// Addresses a payload to a few active peers, drawn anew each time. Returns how many these are.
+    pub(crate) fn send(&mut self, payload: &[u8], rng: &mut Rand64) -> usize {
+        let recipients = MAX_RECIPIENTS.min(self.active_peers.len());
+        for next in 0..recipients {
+            let remaining = (self.active_peers.len() - next) as u64;
+            let drawn = next + rng.rand_range(0..remaining) as usize;
+            self.active_peers.swap(next, drawn);
+            self.outgoing
+                .push((self.active_peers[next].clone(), payload.to_vec()));
+        }
+        recipients
+    }
+
+    /// Takes the payloads to send, each with the name of its recipient.
+    pub(crate) fn take_outgoing(&mut self) -> Vec<(CompactString, Vec<u8>)> {
+        std::mem::take(&mut self.outgoing)
+    }
+}
+
+/// The reports of a payload: where there are too many, those with the most failures.
+fn select_reports(observations: &[LocalObservation]) -> Vec<BackendReport> {
+    let worth_reporting = observations.iter().filter(|seen| seen.is_worth_reporting());
+    let mut reports: Vec<BackendReport> = worth_reporting.map(LocalObservation::report).collect();
+    if reports.len() > MAX_REPORTS {
+        reports.sort_by_key(|report| std::cmp::Reverse(report.failures));
+        reports.truncate(MAX_REPORTS);
+    }
+    reports
+}
+
+/// A peer that was stalled, or that finds most backends faulty, sees its own fault.
+fn is_credible(message: &GossipMessage) -> bool {
+    let failing = f64::from(message.backends_failing);
+    let seen = f64::from(message.backends_seen);
+    let blames_majority = message.backends_seen >= MIN_BACKENDS_TO_DOUBT_PEER
+        && failing > MAX_CREDIBLE_FRACTION * seen;
+    !blames_majority && !message.stalled
+}
+
+fn reported_attempts(message: &GossipMessage) -> AttemptCounts {
+    AttemptCounts {
+        first_attempts: f64::from(message.first_attempts),
+        retries: f64::from(message.retries),
+    }
+}
+
+fn observation(report: &BackendReport) -> Observation {
+    Observation {
+        name_hash: report.name_hash,
+        successes: codec::from_eighths(report.successes),
+        failures: codec::from_eighths(report.failures),
+        age: Duration::from_millis(u64::from(report.age_ms)),
+    }
+}
--- a/crates/upstream/src/gossip/codec.rs
+++ b/crates/upstream/src/gossip/codec.rs
@@ -1,30 +1,37 @@
-//! What servers say to each other of backends, by postcard, in the members' datagrams, which are checked and
-//! bounded there. Counts are in eighths, ages in milliseconds.
+//! The payload of gossip, in postcard, inside a datagram of the membership protocol, which checks and bounds it. The
+//! order of fields is the format: postcard writes them as they are declared.
 
 use serde::{Deserialize, Serialize};
 
+/// Numbers of calls are sent in units of an eighth.
+const UNITS_PER_CALL: f64 = 8.0;
+
 /// Why a payload of gossip could not be read.
 #[derive(Debug, thiserror::Error)]
 #[error("malformed gossip payload: {0}")]
 pub struct GossipDecodeError(#[from] postcard::Error);
 
-/// One datagram: what its sender saw, of its own alone.
+/// One payload: what its sender saw itself. Nothing in it is passed on from others.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct GossipMessage {
-    /// It was held up of late: its silence may be its own.
+    /// The sender's process was stalled recently, so that a missing reply may be its own fault.
     pub stalled: bool,
-    /// Backends that it has seen any call of, and those of them that look bad to it.
+    /// Backends of which the sender saw any recent call.
     pub backends_seen: u16,
+    /// Those of them that look faulty to the sender.
     pub backends_failing: u16,
-    /// Its first tries and repeats of late, all groups together.
+    /// The sender's recent first attempts, of all groups.
     pub first_attempts: u32,
+    /// The sender's recent retries, of all groups.
     pub retries: u32,
+    /// Reports on single backends.
     pub reports: Vec<BackendReport>,
 }
 
 impl GossipMessage {
+    /// The bytes of the payload.
     pub fn encode(&self) -> Vec<u8> {
-        // Writing to memory fails for nothing that stands here.
+        // Writing these types to memory cannot fail.
         postcard::to_stdvec(self).unwrap_or_default()
     }
 
@@ -38,22 +45,32 @@
     }
 }
 
-/// Of one backend, by its name's hash.
+/// What the sender saw of one backend.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct BackendReport {
+    /// [`name_hash`] of the backend's name.
     pub name_hash: u32,
+    /// Recent successes, in eighths.
     pub successes: u16,
+    /// Recent failures, in eighths.
     pub failures: u16,
+    /// How long ago this was seen, in milliseconds.
     pub age_ms: u16,
 }
 
-pub const EIGHTH: f64 = 8.0;
+/// A number of calls in eighths, as in a report.
+pub(crate) fn to_eighths(calls: f64) -> u16 {
+    (calls * UNITS_PER_CALL)
+        .round()
+        .clamp(0.0, f64::from(u16::MAX)) as u16
+}
 
-pub fn count(n: f64) -> u16 {
-    (n * EIGHTH).round().clamp(0.0, f64::from(u16::MAX)) as u16
+/// The number of calls that a report gives in eighths.
+pub(crate) fn from_eighths(eighths: u16) -> f64 {
+    f64::from(eighths) / UNITS_PER_CALL
 }
 
-/// A backend's name as it goes over the wire.
+/// The hash that stands for a backend's name in gossip.
 pub fn name_hash(name: &str) -> u32 {
     xxhash_rust::xxh3::xxh3_64(name.as_bytes()) as u32
 }
--- a/crates/upstream/src/gossip/reports.rs
+++ b/crates/upstream/src/gossip/reports.rs
@@ -1,173 +1,239 @@
-//! What others say of a backend, weighed. Each tells what it saw itself, never what it heard, so that no rumour
-//! feeds itself; a witness that finds most of all backends bad speaks of itself; all those of one zone are
-//! little more than one, since they may stand behind one cut; and words fade.
+//! The reports of other servers on backends, and what they weigh together.
+//!
+//! A witness reports only what it saw itself, so that no rumour confirms itself. A witness that finds most backends
+//! faulty is not credible. The witnesses of one zone weigh little more than one of them, since they may share a broken
+//! link. Reports lose their weight with age. [`ReceivedReports`] owns the reports; it never judges a backend.
 
 use compact_str::CompactString;
 use madderbay::time::{Duration, Timestamp};
 use std::collections::{BTreeMap, HashMap};
 
-/// A word is worth nothing after this, and less and less before.
-pub const WORD_FOR: Duration = Duration::from_millis(5_000);
-/// Witnesses kept of one backend: the latest.
-const WITNESSES_MOST: usize = 64;
-/// A zone's word, in bad calls: that of one witness, and of any number of them.
-const ZONE_MOST: f64 = 2.0;
-/// All zones together.
-const UNITS_MOST: f64 = 4.0;
-/// A zone speaks against a backend where that part of its witnesses does, by so much.
-const ZONE_PART: f64 = 0.5;
-const ZONE_COUNTS: f64 = 0.9;
-/// What is taken for granted beside what a witness says that it saw.
-const GRANTED: f64 = 0.5;
-/// What may be heard against a backend that is said to do well.
-const WELL_UNITS: f64 = 0.4;
-/// One that speaks of good calls alone, and of so many at the least, has seen the backend do well.
-const WELL: f64 = 0.9;
-
-/// What one witness said.
+/// Age at which a report has lost all its weight; it falls linearly until then.
+const MAX_REPORT_AGE: Duration = Duration::from_millis(5_000);
+/// Witnesses stored for one backend: the latest.
+const MAX_WITNESSES: usize = 64;
+/// Upper bound on the weight of a zone's reports, in failures; a single witness weighs half of it.
+const MAX_ZONE_FAILURES: f64 = 2.0;
+/// Upper bound on the weight of all zones, in failures.
+const MAX_REPORTED_FAILURES: f64 = 4.0;
+/// A zone reports against a backend from this fraction of its witnesses, and from this weight in failures.
+const MIN_ZONE_FRACTION: f64 = 0.5;
+const MIN_ZONE_FAILURES: f64 = 0.9 * 0.5;
+/// Calls of unknown result that are assumed beside those that a witness reports.
+const ASSUMED_CALLS: f64 = 0.5;
+/// A witness saw a backend healthy where it reports so many successes, and fewer failures than this.
+const MIN_HEALTHY_SUCCESSES: f64 = 0.9;
+const MAX_HEALTHY_FAILURES: f64 = 0.3;
+/// A backend counts as seen healthy only while reports against it weigh less than this, in failures.
+const MAX_FAILURES_IF_HEALTHY: f64 = 0.4;
+
+/// Who reports.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Witness<'a> {
+    pub(crate) name: &'a CompactString,
+    pub(crate) zone: &'a CompactString,
+    pub(crate) incarnation: u64,
+    /// Whether its reports count; others are stored, so that they replace older ones.
+    pub(crate) credible: bool,
+}
+
+/// What a witness saw of one backend, in calls, and how long ago.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Observation {
+    pub(crate) name_hash: u32,
+    pub(crate) successes: f64,
+    pub(crate) failures: f64,
+    pub(crate) age: Duration,
+}
+
+/// A stored report.
 #[derive(Clone, Debug)]
-struct Word {
+struct Report {
     zone: CompactString,
-    life: u64,
-    good: f64,
-    bad: f64,
-    /// When it was so, as far as is known.
-    at: Timestamp,
+    incarnation: u64,
+    successes: f64,
+    failures: f64,
+    observed_at: Timestamp,
     credible: bool,
 }
 
-impl Word {
-    fn fresh(&self, now: Timestamp) -> f64 {
-        1.0 - ((now - self.at).as_secs_f64() / WORD_FOR.as_secs_f64()).min(1.0)
+impl Report {
+    /// The weight that is left at its age, 0 to 1.
+    fn weight(&self, now: Timestamp) -> f64 {
+        let age = (now - self.observed_at).as_secs_f64();
+        1.0 - (age / MAX_REPORT_AGE.as_secs_f64()).min(1.0)
+    }
+
+    fn is_current(&self, now: Timestamp) -> bool {
+        now - self.observed_at < MAX_REPORT_AGE
+    }
+
+    fn shows_healthy(&self) -> bool {
+        self.successes >= MIN_HEALTHY_SUCCESSES && self.failures < MAX_HEALTHY_FAILURES
+    }
+
+    /// Whether it was made before a report of this incarnation at this time.
+    fn is_later_than(&self, incarnation: u64, observed_at: Timestamp) -> bool {
+        self.incarnation > incarnation
+            || self.incarnation == incarnation && self.observed_at > observed_at
     }
 }
 
-/// All that is heard of one backend, in short.
+/// What the reports on one backend weigh together.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Summary {
-    /// As so many bad calls of one's own.
-    pub units: f64,
-    /// Zones that speak against it.
-    pub zones: usize,
-    pub witnesses: usize,
-    /// When somebody last saw it do well, and nothing else.
-    pub well: Option<Timestamp>,
+pub(crate) struct ReportSummary {
+    /// The weight of the reports against it, in failures of this server's own.
+    pub(crate) failures: f64,
+    /// Zones that report against it.
+    pub(crate) zones_against: usize,
+    /// Witnesses whose reports count.
+    pub(crate) witnesses: usize,
+    /// When a witness last saw it healthy, where hardly any report speaks against it.
+    pub(crate) seen_healthy_at: Option<Timestamp>,
 }
 
-impl Summary {
-    /// What it leaves of a backend's weight.
-    pub fn weight(&self) -> f64 {
-        1.0 / (1.0 + 2.0 * self.units * self.units)
+impl ReportSummary {
+    /// The fraction of a backend's weight that the reports leave, 0 to 1.
+    pub(crate) fn weight_fraction(&self) -> f64 {
+        1.0 / (1.0 + 2.0 * self.failures * self.failures)
     }
 }
 
-/// What the witnesses say, by backend.
+/// The weights of one zone's reports.
 #[derive(Default)]
-pub struct Heard {
-    words: HashMap<u32, BTreeMap<CompactString, Word>>,
+struct ZoneTally {
+    against: f64,
+    in_favour: f64,
 }
 
-/// One line of a witness: what it saw of a backend, and how long ago it was so.
-#[derive(Clone, Copy, Debug)]
-pub struct Said {
-    pub mark: u32,
-    pub good: f64,
-    pub bad: f64,
-    pub age: Duration,
+impl ZoneTally {
+    fn add(&mut self, report: &Report, weight: f64) {
+        let calls = report.successes + report.failures + ASSUMED_CALLS;
+        self.against += weight * (report.failures / calls);
+        self.in_favour += weight * (report.successes / calls);
+    }
+
+    /// The fraction of the reports that is against the backend.
+    fn fraction_against(&self) -> f64 {
+        self.against / (self.against + self.in_favour).max(1e-9)
+    }
+
+    /// What the zone's reports weigh, in failures.
+    fn failures(&self) -> f64 {
+        MAX_ZONE_FAILURES * (1.0 - 0.5f64.powf(self.against)) * self.fraction_against()
+    }
+
+    fn is_against(&self) -> bool {
+        self.fraction_against() >= MIN_ZONE_FRACTION && self.failures() >= MIN_ZONE_FAILURES
+    }
 }
 
-impl Heard {
-    pub fn hear(
-        &mut self,
-        now: Timestamp,
-        from: &CompactString,
-        zone: &CompactString,
-        life: u64,
-        credible: bool,
-        said: Said,
-    ) {
-        let words = self.words.entry(said.mark).or_default();
-        let at = now.saturating_sub(said.age);
-        if words.len() >= WITNESSES_MOST && !words.contains_key(from) {
-            let oldest = words
-                .iter()
-                .min_by_key(|w| w.1.at)
-                .map(|w| (w.0.clone(), w.1.at));
-            match oldest {
-                Some((name, old)) if old < at => words.remove(&name),
-                _ => return,
-            };
+/// The reports of other servers, by the hash of the backend's name and the witness.
+#[derive(Default)]
+pub(crate) struct ReceivedReports {
+    reports: HashMap<u32, BTreeMap<CompactString, Report>>,
+}
+
+impl ReceivedReports {
+    /// Stores a report in place of the older one of the same witness.
+    pub(crate) fn record(&mut self, now: Timestamp, witness: Witness, seen: Observation) {
+        let reports = self.reports.entry(seen.name_hash).or_default();
+        let observed_at = now.saturating_sub(seen.age);
+        if !evict_oldest_if_full(witness.name, observed_at, reports) {
+            return;
         }
-        let word = Word {
-            zone: zone.clone(),
-            life,
-            good: said.good,
-            bad: said.bad,
-            at,
-            credible,
-        };
-        // An older word that comes late says nothing more.
-        let known = words
-            .get(from)
-            .is_some_and(|w| w.life > life || w.life == life && w.at > at);
-        if !known {
-            words.insert(from.clone(), word);
+        let is_outdated = reports
+            .get(witness.name)
+            .is_some_and(|stored| stored.is_later_than(witness.incarnation, observed_at));
+        if !is_outdated {
+            let report = Report {
+                zone: witness.zone.clone(),
+                incarnation: witness.incarnation,
+                successes: seen.successes,
+                failures: seen.failures,
+                observed_at,
+                credible: witness.credible,
+            };
+            reports.insert(witness.name.clone(), report);
         }
     }
 
-    /// A life is over, and its word with it; `life` is the one that goes on, if any does.
-    pub fn gone(&mut self, from: &CompactString, life: Option<u64>) {
-        for words in self.words.values_mut() {
-            if words.get(from).is_some_and(|w| Some(w.life) != life) {
-                words.remove(from);
+    /// Drops the reports of a server, but for those of its present incarnation, if it has one.
+    pub(crate) fn retain_incarnation(&mut self, name: &CompactString, incarnation: Option<u64>) {
+        for reports in self.reports.values_mut() {
+            if reports
+                .get(name)
+                .is_some_and(|stored| Some(stored.incarnation) != incarnation)
+            {
+                reports.remove(name);
             }
         }
     }
 
-    /// Lets go of what is too old, and of backends that are not known.
-    pub fn tidy(&mut self, now: Timestamp, known: impl Fn(u32) -> bool) {
-        self.words.retain(|mark, words| {
-            words.retain(|_, w| now - w.at < WORD_FOR);
-            !words.is_empty() && known(*mark)
+    /// Drops the reports that are too old, and those on backends that are not known.
+    pub(crate) fn prune(&mut self, now: Timestamp, is_known: impl Fn(u32) -> bool) {
+        self.reports.retain(|name_hash, reports| {
+            reports.retain(|_, report| report.is_current(now));
+            !reports.is_empty() && is_known(*name_hash)
         });
     }
 
-    pub fn summary(&self, now: Timestamp, mark: u32) -> Summary {
-        let Some(words) = self.words.get(&mark) else {
-            return Summary::default();
+    /// What the reports on one backend weigh now.
+    pub(crate) fn summary(&self, now: Timestamp, name_hash: u32) -> ReportSummary {
+        let Some(reports) = self.reports.get(&name_hash) else {
+            return ReportSummary::default();
         };
-        let mut zones: BTreeMap<&CompactString, (f64, f64)> = BTreeMap::new();
-        let mut found = Summary::default();
-        for word in words
+        let mut zones: BTreeMap<&CompactString, ZoneTally> = BTreeMap::new();
+        let mut summary = ReportSummary::default();
+        for report in reports
             .values()
-            .filter(|w| w.credible && now - w.at < WORD_FOR)
+            .filter(|report| report.credible && report.is_current(now))
         {
-            let worth = word.fresh(now);
-            let against = word.bad / (word.good + word.bad + GRANTED);
-            let zone = zones.entry(&word.zone).or_default();
-            zone.0 += worth * against;
-            zone.1 += worth * (word.good / (word.good + word.bad + GRANTED));
-            found.witnesses += 1;
-            if word.good >= WELL && word.bad < 0.3 {
-                found.well = found.well.max(Some(word.at));
+            zones
+                .entry(&report.zone)
+                .or_default()
+                .add(report, report.weight(now));
+            summary.witnesses += 1;
+            if report.shows_healthy() {
+                summary.seen_healthy_at = summary.seen_healthy_at.max(Some(report.observed_at));
             }
         }
-        for (against, good) in zones.into_values() {
-            let part = against / (against + good).max(1e-9);
-            let units = ZONE_MOST * (1.0 - 0.5f64.powf(against)) * part;
-            found.units += units;
-            found.zones += usize::from(part >= ZONE_PART && units >= ZONE_COUNTS * 0.5);
+        for zone in zones.into_values() {
+            summary.failures += zone.failures();
+            summary.zones_against += usize::from(zone.is_against());
         }
-        found.units = found.units.min(UNITS_MOST);
-        // While others still speak against it one that saw it do well may be the lucky one.
-        found.well = found.well.filter(|_| found.units < WELL_UNITS);
-        found
+        summary.failures = summary.failures.min(MAX_REPORTED_FAILURES);
+        // While others still report against it, a witness that saw it healthy may have been lucky.
+        let is_undisputed = summary.failures < MAX_FAILURES_IF_HEALTHY;
+        summary.seen_healthy_at = summary.seen_healthy_at.filter(|_| is_undisputed);
+        summary
     }
 
-    /// Words kept, of all backends.
-    pub fn len(&self) -> usize {
-        self.words.values().map(BTreeMap::len).sum()
+    /// Reports stored, on all backends.
+    pub(crate) fn len(&self) -> usize {
+        self.reports.values().map(BTreeMap::len).sum()
+    }
+}
+
+/// Drops the oldest report where there are too many for one of a further witness. False where the new report itself is
+/// no later than that one.
+fn evict_oldest_if_full(
+    name: &CompactString,
+    observed_at: Timestamp,
+    reports: &mut BTreeMap<CompactString, Report>,
+) -> bool {
+    if reports.len() < MAX_WITNESSES || reports.contains_key(name) {
+        return true;
+    }
+    let oldest = reports.iter().min_by_key(|(_, report)| report.observed_at);
+    let Some((name, report)) = oldest.map(|(name, report)| (name.clone(), report)) else {
+        return false;
+    };
+    let replaces = report.observed_at < observed_at;
+    if replaces {
+        reports.remove(&name);
     }
+    replaces
 }
 
 #[cfg(test)]
--- a/crates/upstream/src/gossip/reports/tests.rs
+++ b/crates/upstream/src/gossip/reports/tests.rs
@@ -1,83 +1,119 @@
 use super::*;
 
+/// One report of a witness on the backend with the hash 1.
+struct Sent {
+    from: String,
+    zone: &'static str,
+    successes: f64,
+    failures: f64,
+}
+
+fn sent(from: &str, zone: &'static str, successes: f64, failures: f64) -> Sent {
+    Sent {
+        from: from.to_owned(),
+        zone,
+        successes,
+        failures,
+    }
+}
+
 fn at(ms: u64) -> Timestamp {
     Timestamp::from_micros(10_000_000 + ms * 1_000)
 }
 
-fn heard(words: &[(&str, &str, f64, f64)]) -> Heard {
-    let mut heard = Heard::default();
-    for (from, zone, good, bad) in words {
-        let said = Said {
-            mark: 1,
-            good: *good,
-            bad: *bad,
-            age: Duration::ZERO,
-        };
-        heard.hear(at(0), &(*from).into(), &(*zone).into(), 1, true, said);
+fn record(reports: &mut ReceivedReports, now: Timestamp, sent: &Sent) {
+    let (name, zone) = (sent.from.as_str().into(), sent.zone.into());
+    let witness = Witness {
+        name: &name,
+        zone: &zone,
+        incarnation: 1,
+        credible: true,
+    };
+    let seen = Observation {
+        name_hash: 1,
+        successes: sent.successes,
+        failures: sent.failures,
+        age: Duration::ZERO,
+    };
+    reports.record(now, witness, seen);
+}
+
+fn received(sent: &[Sent]) -> ReceivedReports {
+    let mut reports = ReceivedReports::default();
+    for sent in sent {
+        record(&mut reports, at(0), sent);
     }
-    heard
+    reports
 }
 
 #[test]
-fn a_crowd_behind_one_cut_is_little_more_than_one() {
-    let one = heard(&[("a", "north", 0.0, 5.0)]).summary(at(0), 1);
-    let many: Vec<String> = (0..30).map(|n| format!("n{n}")).collect();
-    let crowd: Vec<(&str, &str, f64, f64)> = many
-        .iter()
-        .map(|n| (n.as_str(), "north", 0.0, 5.0))
+fn many_witnesses_of_one_zone_weigh_little_more_than_one() {
+    let one = received(&[sent("a", "north", 0.0, 5.0)]).summary(at(0), 1);
+    let crowd: Vec<Sent> = (0..30)
+        .map(|n| sent(&format!("n{n}"), "north", 0.0, 5.0))
         .collect();
-    let crowd = heard(&crowd).summary(at(0), 1);
+    let crowd = received(&crowd).summary(at(0), 1);
+    assert!(one.failures < 1.0, "{one:?}");
     assert!(
-        one.units < 1.0 && crowd.units <= ZONE_MOST && crowd.zones == 1,
-        "{one:?} {crowd:?}"
+        crowd.failures <= MAX_ZONE_FAILURES && crowd.zones_against == 1,
+        "{crowd:?}"
     );
-    let two = heard(&[
-        ("a", "north", 0.0, 5.0),
-        ("b", "north", 0.0, 5.0),
-        ("c", "south", 0.0, 5.0),
-        ("d", "south", 0.0, 5.0),
+}
+
+#[test]
+fn a_second_zone_adds_weight() {
+    let one = received(&[sent("a", "north", 0.0, 5.0)]).summary(at(0), 1);
+    let two = received(&[
+        sent("a", "north", 0.0, 5.0),
+        sent("b", "north", 0.0, 5.0),
+        sent("c", "south", 0.0, 5.0),
+        sent("d", "south", 0.0, 5.0),
     ]);
     let two = two.summary(at(0), 1);
-    assert!(two.zones == 2 && two.units > one.units, "{two:?}");
-    // In a zone that sees both, the good speaks against the bad.
-    let split = heard(&[
-        ("a", "north", 0.0, 5.0),
-        ("b", "north", 5.0, 0.0),
-        ("c", "north", 9.0, 0.0),
+    assert!(
+        two.zones_against == 2 && two.failures > one.failures,
+        "{two:?}"
+    );
+}
+
+#[test]
+fn successes_in_a_zone_outweigh_its_failures() {
+    let split = received(&[
+        sent("a", "north", 0.0, 5.0),
+        sent("b", "north", 5.0, 0.0),
+        sent("c", "north", 9.0, 0.0),
     ]);
     let split = split.summary(at(0), 1);
     assert!(
-        split.units < 0.4 && split.zones == 0 && split.well == Some(at(0)),
+        split.failures < 0.4 && split.zones_against == 0,
         "{split:?}"
     );
+    assert_eq!(split.seen_healthy_at, Some(at(0)));
+}
+
+#[test]
+fn reports_lose_their_weight_with_age() {
+    let reports = received(&[sent("a", "north", 0.0, 5.0)]);
+    assert!(reports.summary(at(2_500), 1).failures < reports.summary(at(0), 1).failures);
+    assert_eq!(reports.summary(at(5_000), 1), ReportSummary::default());
+}
+
+#[test]
+fn reports_of_former_incarnations_are_dropped() {
+    let mut reports = received(&[sent("a", "north", 0.0, 5.0)]);
+    reports.retain_incarnation(&"a".into(), Some(1));
+    assert_eq!(reports.len(), 1, "the incarnation goes on");
+    reports.retain_incarnation(&"a".into(), Some(2));
+    assert_eq!(reports.len(), 0);
 }
 
 #[test]
-fn words_fade_end_with_their_lives_and_stay_bounded() {
-    let mut heard = heard(&[("a", "north", 0.0, 5.0)]);
-    assert!(heard.summary(at(2_500), 1).units < heard.summary(at(0), 1).units);
-    assert_eq!(heard.summary(at(5_000), 1), Summary::default());
-    heard.gone(&"a".into(), Some(1));
-    assert_eq!(heard.len(), 1, "it goes on");
-    heard.gone(&"a".into(), Some(2));
-    assert_eq!(heard.len(), 0);
+fn stored_reports_are_bounded_and_expire() {
+    let mut reports = ReceivedReports::default();
     for n in 0..500 {
-        let said = Said {
-            mark: 1,
-            good: 0.0,
-            bad: 1.0,
-            age: Duration::ZERO,
-        };
-        heard.hear(
-            at(n),
-            &format!("n{n}").as_str().into(),
-            &"z".into(),
-            1,
-            true,
-            said,
-        );
+        record(&mut reports, at(n), &sent(&format!("n{n}"), "z", 0.0, 1.0));
     }
-    assert_eq!(heard.len(), WITNESSES_MOST);
-    heard.tidy(at(10_000), |_| true);
-    assert_eq!(heard.len(), 0);
+    assert_eq!(reports.len(), MAX_WITNESSES);
+    reports.prune(at(10_000), |_| true);
+    assert_eq!(reports.len(), 0);
 }
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -1,6 +1,16 @@
-//! Many backends below: which of them a call goes to, which are left out for a while, and which calls are made
-//! again elsewhere. Each server judges by its own outcomes; what others of the fleet say of theirs can have it
-//! look sooner, and no more. No I/O: time, chance and datagrams are passed in.
+//! Upstream backends: which backend a call goes to, which backends are ejected for a time, and which calls get a retry
+//! or a hedge.
+//!
+//! Each server judges backends by the outcomes of its own calls. What other servers report can bring a judgement
+//! forward; only where two zones agree does it decide alone. [`UpstreamManager`] owns all of this and is given time,
+//! random numbers and datagrams: there is no I/O here. [`FleetStack`] drives it together with membership and quotas.
+//!
+//! | part | files |
+//! | --- | --- |
+//! | selection | `selection`, `backend_group` |
+//! | outlier detection, ejection, slow start | `outlier`, `backend`, `slow_start` |
+//! | retries and hedges | `retry_budget`, `hedging` |
+//! | gossip of judgements | `gossip` |
 //!
 //! ```
 //! use madderbay::time::{Duration, Timestamp};
@@ -28,20 +38,32 @@
 //! assert_eq!(states, [State::Active, State::Active, State::Ejected, State::Active]);
 //! ```
 
+mod attempt;
 mod backend;
 mod backend_group;
+mod backend_id;
+mod backend_state;
+mod events;
 mod fleet_stack;
 mod gossip;
+mod hedging;
 mod manager;
 mod outlier;
-pub mod retry_budget;
+mod registry;
+mod retry_budget;
+/// Selection of one of several backends.
 pub mod selection;
+mod settings;
+mod slow_start;
+mod status;
 
-pub use backend::{Grounds, State};
+pub use attempt::{AttemptOutcome, RetryKind, UpstreamAttempt};
+pub use backend_id::BackendId;
+pub use backend_state::State;
+pub use events::BackendEvent;
 pub use fleet_stack::FleetStack;
 pub use gossip::codec::{BackendReport, GossipDecodeError, GossipMessage, name_hash};
-pub use manager::{
-    BackendEvent, BackendSettings, BackendStatus, RetryKind, Settings, Totals, UpstreamAttempt,
-    UpstreamManager,
-};
-pub use outlier::call_history::AttemptOutcome;
+pub use manager::UpstreamManager;
+pub use outlier::OutlierEvidence;
+pub use settings::{BackendSettings, Settings};
+pub use status::{BackendStatus, Totals};
--- a/crates/upstream/src/outlier/call_history.rs
+++ b/crates/upstream/src/outlier/call_history.rs
@@ -1,136 +1,144 @@
-//! What one server has seen of one backend, by how far each attempt came; it fades.
+//! Recent results of one backend's calls, as this server saw them. Old results count less and less.
 
+use super::CallCounts;
+use crate::attempt::AttemptOutcome;
 use madderbay::time::{Duration, Timestamp};
 
-/// Bad calls are worth a third of themselves after this: long enough that one a second adds up, short enough that
-/// what was mended is forgiven. Good ones fade sooner: what was well a while ago says little of now.
-const BAD_FADES: Duration = Duration::from_millis(5_000);
-const GOOD_FADES: Duration = Duration::from_millis(2_000);
-/// What each bad call in a row leaves of the good ones before it; no more of them count.
-const RUN_KEEPS: f64 = 0.6;
-const RUN_MOST: i32 = 6;
-/// A good call that took far longer than the others' do is no good one, and so much of a bad one; as is one that
-/// a second attempt outran.
-const LATE: f64 = 0.5;
-/// Weight of the newest call in the pace of a backend: the last five or so.
-const PACE_ALPHA: f64 = 0.3;
-/// A pace rests on that many calls at the least, and on none older than this.
-const PACE_SEEN: f64 = 2.5;
-const PACE_FOR: Duration = Duration::from_millis(10_000);
-/// What an attempt of that kind counts against a backend. One that was never heard may be the way's fault as
-/// well as the backend's, and one that its own caller gave up on is no proof.
-const REFUSED: f64 = 1.0;
-const FAILED: f64 = 1.0;
-const BROKEN: f64 = 1.0;
-const SILENT: f64 = 1.0;
-
-/// How an attempt ended, by how far it came.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum AttemptOutcome {
-    Success,
-    /// Turned away for want of room: it never ran, and tells of load, not of harm.
-    Rejected,
-    /// No connection, or nothing was sent: it never ran.
-    NotConnected,
-    /// It ran, or may have, and failed.
-    Failed,
-    /// The connection ended before the reply.
-    Disconnected,
-    /// Nothing came in the time that there was.
-    TimedOut,
-    /// A second attempt that began later came back first.
-    LostToHedge,
-    /// Given up by this side for reasons of its own: tells nothing.
-    Cancelled,
+/// Time constants of the decay. Failures count long enough that one a second adds up, and short enough that a repaired
+/// backend is trusted again. Successes count shorter: they show little of the present.
+const FAILURE_DECAY: Duration = Duration::from_millis(5_000);
+const SUCCESS_DECAY: Duration = Duration::from_millis(2_000);
+/// Fraction of the successes that still counts after each consecutive failure, and how many failures are considered.
+const SUCCESSES_AFTER_FAILURE: f64 = 0.6;
+const MAX_CONSECUTIVE_FAILURES: i32 = 6;
+/// What a failed attempt counts.
+const FAILURE_WEIGHT: f64 = 1.0;
+/// What an attempt counts as a failure that was slow, or that a later hedge overtook.
+const SLOW_CALL_WEIGHT: f64 = 0.5;
+/// Weight of the newest call in the mean latency, which so covers the last five or so.
+const LATENCY_SMOOTHING: f64 = 0.3;
+/// The mean latency needs more successful calls than this, the last of them no longer ago than the age.
+const MIN_LATENCY_SAMPLES: f64 = 2.5;
+const MAX_LATENCY_AGE: Duration = Duration::from_millis(10_000);
+
+/// The recent results of one backend.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct CallHistory {
+    successes: f64,
+    failures: f64,
+    consecutive_failures: i32,
+    decayed_at: Timestamp,
+    latency: MeanLatency,
 }
 
-impl AttemptOutcome {
-    /// Whether it is proven that nothing ran.
-    pub fn never_executed(self) -> bool {
-        matches!(
-            self,
-            AttemptOutcome::Rejected | AttemptOutcome::NotConnected
-        )
+impl CallHistory {
+    /// Lets the results age until `now`.
+    pub(crate) fn decay(&mut self, now: Timestamp) {
+        let elapsed = (now - self.decayed_at).as_secs_f64();
+        self.successes *= (-elapsed / SUCCESS_DECAY.as_secs_f64()).exp();
+        self.failures *= (-elapsed / FAILURE_DECAY.as_secs_f64()).exp();
+        self.decayed_at = self.decayed_at.max(now);
     }
 
-    fn harm(self) -> f64 {
-        match self {
-            AttemptOutcome::NotConnected => REFUSED,
-            AttemptOutcome::Failed => FAILED,
-            AttemptOutcome::Disconnected => BROKEN,
-            AttemptOutcome::TimedOut => SILENT,
-            AttemptOutcome::LostToHedge => LATE,
-            AttemptOutcome::Success | AttemptOutcome::Rejected | AttemptOutcome::Cancelled => 0.0,
+    /// Counts the outcome of an attempt; `slow` where it took far longer than is typical.
+    pub(crate) fn record(
+        &mut self,
+        now: Timestamp,
+        outcome: AttemptOutcome,
+        latency: Duration,
+        slow: bool,
+    ) {
+        self.decay(now);
+        let weight = failure_weight(outcome);
+        self.failures += weight;
+        self.consecutive_failures += i32::from(weight > 0.0);
+        if outcome != AttemptOutcome::Success {
+            return;
+        }
+        if slow {
+            self.failures += SLOW_CALL_WEIGHT;
+        } else {
+            self.successes += 1.0;
+            self.consecutive_failures = 0;
         }
+        self.latency.record(now, latency);
     }
-}
 
-#[derive(Clone, Debug, Default)]
-pub struct Evidence {
-    good: f64,
-    pub bad: f64,
-    /// Bad calls since the last good one.
-    run: i32,
-    at: Timestamp,
-    /// Mean time of the last good calls, in seconds, on how many it rests, and when the last came.
-    pace: f64,
-    paced: f64,
-    pace_at: Timestamp,
-}
+    /// Successes and failures that still count.
+    pub(crate) fn counts(&self) -> CallCounts {
+        let failures_in_row = self.consecutive_failures.clamp(0, MAX_CONSECUTIVE_FAILURES);
+        let successes = self.successes * SUCCESSES_AFTER_FAILURE.powi(failures_in_row);
+        CallCounts {
+            successes,
+            failures: self.failures,
+        }
+    }
 
-impl Evidence {
-    pub fn fade(&mut self, now: Timestamp) {
-        let passed = (now - self.at).as_secs_f64();
-        self.good *= (-passed / GOOD_FADES.as_secs_f64()).exp();
-        self.bad *= (-passed / BAD_FADES.as_secs_f64()).exp();
-        self.at = self.at.max(now);
+    /// Whether the last call that shows anything failed.
+    pub(crate) fn last_call_failed(&self) -> bool {
+        self.consecutive_failures > 0
     }
 
-    /// Good calls that still speak for it.
-    pub fn good(&self) -> f64 {
-        self.good * RUN_KEEPS.powi(self.run.clamp(0, RUN_MOST))
+    /// Recent mean latency of successful calls, in seconds, where there were enough of them.
+    pub(crate) fn latency(&self, now: Timestamp) -> Option<f64> {
+        self.latency.reliable(now)
     }
 
-    /// Whether the last call that tells anything went wrong.
-    pub fn failing(&self) -> bool {
-        self.run > 0
+    /// The same, however few calls it rests on.
+    pub(crate) fn latency_estimate(&self) -> Option<f64> {
+        self.latency.estimate()
     }
 
-    /// `late`: it went well, and took far longer than others do.
-    pub fn add(&mut self, now: Timestamp, end: AttemptOutcome, took: Duration, late: bool) {
-        self.fade(now);
-        self.bad += end.harm();
-        self.run += i32::from(end.harm() > 0.0);
-        if end != AttemptOutcome::Success {
-            return;
+    /// Forgets the results: the backend begins anew.
+    pub(crate) fn clear(&mut self) {
+        (self.successes, self.failures, self.consecutive_failures) = (0.0, 0.0, 0);
+        self.latency.samples = 0.0;
+    }
+}
+
+/// Exponentially smoothed mean of the latencies of successful calls.
+#[derive(Clone, Debug, Default)]
+struct MeanLatency {
+    seconds: f64,
+    /// How many calls the mean rests on.
+    samples: f64,
+    updated_at: Timestamp,
+}
+
+impl MeanLatency {
+    fn record(&mut self, now: Timestamp, latency: Duration) {
+        if now - self.updated_at > MAX_LATENCY_AGE {
+            self.samples = 0.0;
         }
-        if late {
-            self.bad += LATE;
+        let weight = if self.samples == 0.0 {
+            1.0
         } else {
-            self.good += 1.0;
-            self.run = 0;
-        }
-        if now - self.pace_at > PACE_FOR {
-            self.paced = 0.0;
-        }
-        let alpha = if self.paced == 0.0 { 1.0 } else { PACE_ALPHA };
-        self.pace += alpha * (took.as_secs_f64() - self.pace);
-        (self.paced, self.pace_at) = (self.paced + 1.0, now);
+            LATENCY_SMOOTHING
+        };
+        self.seconds += weight * (latency.as_secs_f64() - self.seconds);
+        self.samples += 1.0;
+        self.updated_at = now;
     }
 
-    /// The time that a good call takes of late, in seconds, where enough came.
-    pub fn pace(&self, now: Timestamp) -> Option<f64> {
-        (self.paced > PACE_SEEN && now - self.pace_at <= PACE_FOR).then_some(self.pace)
+    fn reliable(&self, now: Timestamp) -> Option<f64> {
+        let recent = now - self.updated_at <= MAX_LATENCY_AGE;
+        (self.samples > MIN_LATENCY_SAMPLES && recent).then_some(self.seconds)
     }
 
-    /// The same, however little it rests on.
-    pub fn rough_pace(&self) -> Option<f64> {
-        (self.paced > 0.0).then_some(self.pace)
+    fn estimate(&self) -> Option<f64> {
+        (self.samples > 0.0).then_some(self.seconds)
     }
+}
 
-    /// It begins anew: what was seen is another matter's.
-    pub fn forget(&mut self) {
-        (self.good, self.bad, self.paced, self.run) = (0.0, 0.0, 0.0, 0);
+/// What an outcome counts as a failure of the backend. A failed connection may be the network's fault as well, and a
+/// cancelled attempt proves nothing.
+fn failure_weight(outcome: AttemptOutcome) -> f64 {
+    if outcome.is_failure() {
+        FAILURE_WEIGHT
+    } else if outcome == AttemptOutcome::LostToHedge {
+        SLOW_CALL_WEIGHT
+    } else {
+        0.0
     }
 }
 
--- /dev/null
+++ b/crates/upstream/src/registry.rs
@@ -0,0 +1,320 @@
+//! The table of backends, their groups, and which handlers these serve.
+//!
+//! [`BackendRegistry`] owns all backends and groups. It is given the operator's list, attempts and their outcomes; it
+//! knows neither the fleet nor the schedule.
+
+use crate::attempt::{AttemptOutcome, UpstreamAttempt};
+use crate::backend::{Backend, Recorded};
+use crate::backend_group::{BackendGroup, EvaluationContext};
+use crate::backend_id::BackendId;
+use crate::backend_state::State;
+use crate::events::BackendEvent;
+use crate::gossip::LocalObservation;
+use crate::outlier;
+use crate::retry_budget::AttemptCounts;
+use crate::settings::BackendSettings;
+use crate::status::BackendStatus;
+use madderbay::time::Timestamp;
+use oorandom::Rand64;
+use std::collections::{HashMap, HashSet};
+
+/// The backends with one list of handlers, while a configuration is read.
+struct GroupMembers {
+    handlers: Vec<usize>,
+    backends: Vec<BackendId>,
+}
+
+/// What follows from the end of an attempt.
+pub(crate) enum Finished {
+    /// Nothing.
+    Nothing,
+    /// A probe ended, perhaps with a change of state: an evaluation should follow soon.
+    Probe(Option<BackendEvent>),
+    /// The attempt failed: an evaluation and a round of gossip should follow soon.
+    Failure,
+}
+
+/// All backends of one server.
+#[derive(Default)]
+pub(crate) struct BackendRegistry {
+    backends: Vec<Backend>,
+    groups: Vec<BackendGroup>,
+    group_by_handler: HashMap<usize, usize>,
+    /// Hashes of the names of the configured backends.
+    name_hashes: HashSet<u32>,
+}
+
+impl BackendRegistry {
+    // --- configuration
+
+    /// Takes the operator's list. Backends and groups that there were before go on as they stand, also their attempts
+    /// in flight. Returns what has changed.
+    pub(crate) fn configure(
+        &mut self,
+        now: Timestamp,
+        backends: Vec<BackendSettings>,
+        retry_ratio: f64,
+    ) -> Vec<BackendEvent> {
+        let mut events = self.remove_unlisted(&backends);
+        let mut groups: Vec<GroupMembers> = vec![];
+        for settings in backends {
+            let handlers = settings.handlers.clone();
+            let id = self.add_or_update(now, settings, &mut events);
+            match groups.iter_mut().find(|group| group.handlers == handlers) {
+                Some(group) => group.backends.push(id),
+                None => groups.push(GroupMembers {
+                    handlers,
+                    backends: vec![id],
+                }),
+            }
+        }
+        self.regroup(now, groups, retry_ratio);
+        self.rebuild_indices();
+        events
+    }
+
+    fn remove_unlisted(&mut self, listed: &[BackendSettings]) -> Vec<BackendEvent> {
+        let mut events = vec![];
+        for backend in self
+            .backends
+            .iter_mut()
+            .filter(|backend| !backend.is_removed())
+        {
+            if !listed
+                .iter()
+                .any(|settings| settings.is_same_backend(backend.settings()))
+            {
+                backend.remove();
+                let name = backend.name();
+                events.push(BackendEvent::ConfigurationChanged {
+                    name,
+                    present: false,
+                });
+            }
+        }
+        events
+    }
+
+    fn add_or_update(
+        &mut self,
+        now: Timestamp,
+        settings: BackendSettings,
+        events: &mut Vec<BackendEvent>,
+    ) -> BackendId {
+        let is_same = |backend: &Backend| {
+            !backend.is_removed() && backend.settings().is_same_backend(&settings)
+        };
+        if let Some(index) = self.backends.iter().position(is_same) {
+            self.backends[index].set_settings(settings);
+            return BackendId::new(index);
+        }
+        let name = settings.name.clone();
+        events.push(BackendEvent::ConfigurationChanged {
+            name,
+            present: true,
+        });
+        // Beside others its caches may be cold, and all servers begin to use it at the same time.
+        let state = if self.groups.is_empty() {
+            State::Active
+        } else {
+            State::SlowStart
+        };
+        self.insert(Backend::new(now, settings, state))
+    }
+
+    /// Puts a backend into a free slot, or into a new one.
+    fn insert(&mut self, backend: Backend) -> BackendId {
+        let index = match self.backends.iter().position(Backend::is_replaceable) {
+            Some(free) => {
+                self.backends[free] = backend;
+                free
+            }
+            None => {
+                self.backends.push(backend);
+                self.backends.len() - 1
+            }
+        };
+        BackendId::new(index)
+    }
+
+    /// Sets the groups in the order of the list. A group with the same handlers as before is that group.
+    fn regroup(&mut self, now: Timestamp, groups: Vec<GroupMembers>, retry_ratio: f64) {
+        let mut former = std::mem::take(&mut self.groups);
+        for GroupMembers { handlers, backends } in groups {
+            let same = former.iter().position(|group| group.handlers() == handlers);
+            let mut group = match same {
+                Some(index) => former.swap_remove(index),
+                None => BackendGroup::new(now, handlers, retry_ratio),
+            };
+            group.set_backends(backends);
+            self.groups.push(group);
+        }
+    }
+
+    fn rebuild_indices(&mut self) {
+        self.group_by_handler.clear();
+        for (index, group) in self.groups.iter().enumerate() {
+            self.group_by_handler
+                .extend(group.handlers().iter().map(|handler| (*handler, index)));
+        }
+        let configured = self.backends.iter().filter(|backend| !backend.is_removed());
+        self.name_hashes = configured.map(Backend::name_hash).collect();
+    }
+
+    /// Sets the retry ratio of all groups.
+    pub(crate) fn set_retry_ratio(&mut self, ratio: f64) {
+        for group in &mut self.groups {
+            group.retry_budget_mut().set_ratio(ratio);
+        }
+    }
+
+    // --- queries
+
+    /// Hashes of the names of the configured backends.
+    pub(crate) fn name_hashes(&self) -> &HashSet<u32> {
+        &self.name_hashes
+    }
+
+    /// The index of the group that serves a handler.
+    pub(crate) fn group_index(&self, handler: usize) -> Option<usize> {
+        self.group_by_handler.get(&handler).copied()
+    }
+
+    /// The group that serves a handler.
+    pub(crate) fn group(&self, handler: usize) -> Option<&BackendGroup> {
+        self.group_index(handler).map(|index| &self.groups[index])
+    }
+
+    /// The group that serves a handler, to be changed.
+    pub(crate) fn group_mut(&mut self, handler: usize) -> Option<&mut BackendGroup> {
+        self.group_index(handler)
+            .map(|index| &mut self.groups[index])
+    }
+
+    /// All groups.
+    pub(crate) fn groups(&self) -> &[BackendGroup] {
+        &self.groups
+    }
+
+    /// The state of each configured backend, group by group.
+    pub(crate) fn states(&self) -> impl Iterator<Item = State> {
+        self.configured().map(Backend::state)
+    }
+
+    /// Each configured backend as it stands, group by group.
+    pub(crate) fn statuses(&self, now: Timestamp) -> Vec<BackendStatus> {
+        self.configured()
+            .map(|backend| backend.status(now))
+            .collect()
+    }
+
+    fn configured(&self) -> impl Iterator<Item = &Backend> {
+        self.groups
+            .iter()
+            .flat_map(BackendGroup::backends)
+            .map(|id| &self.backends[id.index()])
+    }
+
+    /// What this server sees of each configured backend, in the order of the table.
+    pub(crate) fn observations(&mut self, now: Timestamp) -> Vec<LocalObservation> {
+        let configured = self
+            .backends
+            .iter_mut()
+            .filter(|backend| !backend.is_removed());
+        configured.map(|backend| backend.observation(now)).collect()
+    }
+
+    /// Recent attempts of all groups.
+    pub(crate) fn recent_attempts(&mut self, now: Timestamp) -> AttemptCounts {
+        self.groups
+            .iter_mut()
+            .map(|group| group.retry_budget_mut().recent_attempts(now))
+            .fold(AttemptCounts::default(), AttemptCounts::plus)
+    }
+
+    // --- attempts and judgement
+
+    /// The backend for an attempt at a handler. The one to `avoid`, if any, is chosen only where there is no other.
+    pub(crate) fn pick(
+        &mut self,
+        now: Timestamp,
+        handler: usize,
+        avoid: Option<BackendId>,
+        rng: &mut Rand64,
+    ) -> Option<BackendId> {
+        let group = self
+            .group_by_handler
+            .get(&handler)
+            .map(|index| &mut self.groups[*index])?;
+        group.pick(now, &self.backends, avoid, rng)
+    }
+
+    /// Makes an attempt at a backend.
+    pub(crate) fn begin_attempt(
+        &mut self,
+        now: Timestamp,
+        handler: usize,
+        backend: BackendId,
+        id: u64,
+    ) -> UpstreamAttempt {
+        let index = backend.index();
+        let backend = &mut self.backends[index];
+        backend.begin_attempt(now, id);
+        let address = backend.address();
+        UpstreamAttempt {
+            backend: index,
+            address,
+            started_at: now,
+            handler,
+            id,
+        }
+    }
+
+    /// Ends an attempt. One that is not in flight, or whose handler is no longer served, changes nothing else.
+    pub(crate) fn finish_attempt(
+        &mut self,
+        now: Timestamp,
+        attempt: &UpstreamAttempt,
+        outcome: AttemptOutcome,
+        rng: &mut Rand64,
+    ) -> Finished {
+        let Some(backend) = self.backends.get_mut(attempt.backend) else {
+            return Finished::Nothing;
+        };
+        if !backend.end_attempt(attempt.id) {
+            return Finished::Nothing;
+        }
+        let Some(index) = self.group_by_handler.get(&attempt.handler) else {
+            return Finished::Nothing;
+        };
+        let group = &mut self.groups[*index];
+        let typical_latency = group.typical_latency();
+        let latency = now - attempt.started_at;
+        let outcome = outlier::outcome_after_wait(outcome, latency, typical_latency);
+        if outcome == AttemptOutcome::Success {
+            group.hedge_timer_mut().record(latency);
+        }
+        let slow = outlier::is_slow_call(latency, typical_latency);
+        match backend.record(now, attempt.started_at, outcome, slow, || rng.rand_float()) {
+            Recorded::Probed(event) => Finished::Probe(event),
+            Recorded::Counted if outcome.is_failure() => Finished::Failure,
+            Recorded::Counted | Recorded::Ignored => Finished::Nothing,
+        }
+    }
+
+    /// Judges all backends anew, with the recent attempts of the fleet. Returns what has changed.
+    pub(crate) fn evaluate(
+        &mut self,
+        now: Timestamp,
+        fleet: Option<AttemptCounts>,
+        context: &EvaluationContext,
+        rng: &mut Rand64,
+    ) -> Vec<BackendEvent> {
+        let mut events = vec![];
+        for group in &mut self.groups {
+            group.retry_budget_mut().set_fleet(fleet);
+            group.evaluate(now, &mut self.backends, context, rng, &mut events);
+        }
+        events
+    }
+}
--- a/crates/upstream/src/retry_budget.rs
+++ b/crates/upstream/src/retry_budget.rs
@@ -1,117 +1,112 @@
-//! How many calls may be made again: a part of the first tries, saved up to a few, so that what is down below is
-//! not buried under repeats; and after what time a second try beside the first is worth one of them.
+//! The retry budget of a group of backends: retries are a fraction of first attempts, with a few saved up, so that an
+//! overloaded upstream is not buried under retries.
+//!
+//! [`RetryBudget`] owns the credit and the recent numbers of attempts. It is given the attempts of this server and the
+//! sums of the fleet; it never decides which backend is called.
 
-use hdrhistogram::Histogram;
 use madderbay::time::{Duration, Timestamp};
 
-/// Repeats that can be saved up: a crash of one backend among many meets a few calls in hand.
-const SAVED_MOST: f64 = 10.0;
-/// First tries and repeats are counted over about this long.
-const COUNTED: Duration = Duration::from_millis(10_000);
-/// The fleet's part of repeats, in parts of what a server may make, from which on each makes half as many.
-const FLEET_PART: f64 = 0.7;
-/// Times of calls are looked at over this long, twice; the part of them that a second try waits for, how many
-/// have to have come, and the least that is waited.
-const TIMES_FOR: Duration = Duration::from_millis(10_000);
-const HEDGE_AT: f64 = 95.0;
-const HEDGE_SEEN: u64 = 30;
-const HEDGE_LEAST: Duration = Duration::from_millis(5);
-/// The longest time that is told apart.
-const TIME_MOST_MS: u64 = 60_000;
+/// Retries that can be saved up: when one backend of many crashes, a few calls in flight there want one each.
+const MAX_SAVED_RETRIES: f64 = 10.0;
+/// Attempts count as recent for about this long: the time constant of their decay.
+const RECENT_ATTEMPTS_DECAY: Duration = Duration::from_millis(10_000);
+/// Fraction of its allowed retries at which the fleet is crowded. Each server then earns half as many.
+const CROWDED_FLEET_FRACTION: f64 = 0.7;
+/// What a first attempt earns in a crowded fleet, as a fraction of what it earns otherwise.
+const CROWDED_FLEET_FACTOR: f64 = 0.5;
 
-pub struct Repeats {
-    /// Of the first tries.
-    part: f64,
+/// Recent first attempts and retries; older ones count less.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct AttemptCounts {
+    pub(crate) first_attempts: f64,
+    pub(crate) retries: f64,
+}
+
+impl AttemptCounts {
+    /// The sums of both.
+    pub(crate) fn plus(self, other: AttemptCounts) -> AttemptCounts {
+        AttemptCounts {
+            first_attempts: self.first_attempts + other.first_attempts,
+            retries: self.retries + other.retries,
+        }
+    }
+}
+
+/// The retry budget of one group.
+pub(crate) struct RetryBudget {
+    /// Retries allowed for each first attempt.
+    ratio: f64,
+    /// Retries that may be made now.
     saved: f64,
-    firsts: f64,
-    again: f64,
-    counted: Timestamp,
-    /// The fleet's first tries and repeats of late, the own among them; nothing where nobody is heard.
-    fleet: Option<(f64, f64)>,
-    times: [Histogram<u64>; 2],
-    turned: Timestamp,
-    hedge: Option<Duration>,
+    recent: AttemptCounts,
+    recent_at: Timestamp,
+    /// Recent attempts of the fleet, this server's included; nothing where no peer reports any.
+    fleet: Option<AttemptCounts>,
 }
 
-impl Repeats {
-    pub fn new(now: Timestamp, part: f64) -> Repeats {
-        let times =
-            || Histogram::new_with_bounds(1, TIME_MOST_MS * 10, 2).expect("bounds that fit");
-        Repeats {
-            part,
+impl RetryBudget {
+    /// A budget without savings; `ratio` is the number of retries for each first attempt.
+    pub(crate) fn new(now: Timestamp, ratio: f64) -> RetryBudget {
+        RetryBudget {
+            ratio,
             saved: 0.0,
-            firsts: 0.0,
-            again: 0.0,
-            counted: now,
+            recent: AttemptCounts::default(),
+            recent_at: now,
             fleet: None,
-            times: [times(), times()],
-            turned: now,
-            hedge: None,
         }
     }
 
-    pub fn set_part(&mut self, part: f64) {
-        self.part = part;
+    /// Sets another ratio; savings stay.
+    pub(crate) fn set_ratio(&mut self, ratio: f64) {
+        self.ratio = ratio;
     }
 
-    fn count(&mut self, now: Timestamp) {
-        let keeps = (-(now - self.counted).as_secs_f64() / COUNTED.as_secs_f64()).exp();
-        (self.firsts, self.again) = (self.firsts * keeps, self.again * keeps);
-        self.counted = self.counted.max(now);
+    /// Sets the recent attempts of the fleet, where any peer reports them.
+    pub(crate) fn set_fleet(&mut self, fleet: Option<AttemptCounts>) {
+        self.fleet = fleet;
     }
 
-    pub fn first(&mut self, now: Timestamp) {
-        self.count(now);
-        self.firsts += 1.0;
-        let crowded = self
-            .fleet
-            .is_some_and(|(firsts, again)| again > FLEET_PART * self.part * firsts);
-        let part = if crowded { self.part * 0.5 } else { self.part };
-        self.saved = (self.saved + part).min(SAVED_MOST);
+    /// Counts a first attempt, which earns a fraction of a retry.
+    pub(crate) fn record_first_attempt(&mut self, now: Timestamp) {
+        self.decay(now);
+        self.recent.first_attempts += 1.0;
+        let earned = if self.fleet_is_crowded() {
+            self.ratio * CROWDED_FLEET_FACTOR
+        } else {
+            self.ratio
+        };
+        self.saved = (self.saved + earned).min(MAX_SAVED_RETRIES);
     }
 
-    /// Whether one more may be made; if so it counts.
-    pub fn take(&mut self, now: Timestamp) -> bool {
+    /// Spends one retry. False where the budget does not allow it.
+    pub(crate) fn try_spend(&mut self, now: Timestamp) -> bool {
         if self.saved < 1.0 {
             return false;
         }
-        self.count(now);
+        self.decay(now);
         self.saved -= 1.0;
-        self.again += 1.0;
+        self.recent.retries += 1.0;
         true
     }
 
-    /// First tries and repeats of late, for others.
-    pub fn told(&mut self, now: Timestamp) -> (f64, f64) {
-        self.count(now);
-        (self.firsts, self.again)
+    /// This server's recent attempts.
+    pub(crate) fn recent_attempts(&mut self, now: Timestamp) -> AttemptCounts {
+        self.decay(now);
+        self.recent
     }
 
-    /// The whole fleet's.
-    pub fn heard(&mut self, fleet: Option<(f64, f64)>) {
-        self.fleet = fleet;
-    }
-
-    pub fn took(&mut self, took: Duration) {
-        let _ = self.times[0].record((took.as_micros() / 100).clamp(1, TIME_MOST_MS * 10));
-    }
-
-    /// When a call that is still out is worth a second try, since its start.
-    pub fn hedge_after(&mut self, now: Timestamp) -> Option<Duration> {
-        if now - self.turned >= TIMES_FOR {
-            self.turned = now;
-            self.times.swap(0, 1);
-            self.times[0].reset();
-        }
-        self.hedge
+    fn fleet_is_crowded(&self) -> bool {
+        self.fleet.is_some_and(|fleet| {
+            fleet.retries > CROWDED_FLEET_FRACTION * self.ratio * fleet.first_attempts
+        })
     }
 
-    /// Looks at the times anew.
-    pub fn look(&mut self) {
-        let mut all = self.times[0].clone();
-        let _ = all.add(&self.times[1]);
-        let long = Duration::from_micros(all.value_at_percentile(HEDGE_AT) * 100).max(HEDGE_LEAST);
-        self.hedge = (all.len() >= HEDGE_SEEN).then_some(long);
+    fn decay(&mut self, now: Timestamp) {
+        let elapsed = now - self.recent_at;
+        let keeps = (-elapsed.as_secs_f64() / RECENT_ATTEMPTS_DECAY.as_secs_f64()).exp();
+        self.recent.first_attempts *= keeps;
+        self.recent.retries *= keeps;
+        self.recent_at = self.recent_at.max(now);
     }
 }
 
--- a/crates/upstream/src/retry_budget/tests.rs
+++ b/crates/upstream/src/retry_budget/tests.rs
@@ -4,44 +4,35 @@
     Timestamp::from_micros(1_000_000 + ms * 1_000)
 }
 
-/// All calls fail for a minute: no more than a tenth are made again, from the first moment on.
+/// All calls fail for a minute: no more than a tenth get a retry, from the first moment on.
 #[test]
-fn a_full_outage_meets_a_tenth_more_at_the_most() {
-    let mut repeats = Repeats::new(at(0), 0.1);
-    let (mut firsts, mut again) = (0.0, 0.0);
+fn retries_stay_within_the_ratio_during_an_outage() {
+    let mut budget = RetryBudget::new(at(0), 0.1);
+    let (mut first_attempts, mut retries) = (0.0, 0.0);
     for ms in (0..60_000).step_by(10) {
-        repeats.first(at(ms));
-        firsts += 1.0;
-        again += f64::from(u8::from(repeats.take(at(ms))));
-        assert!(again <= firsts * 0.1 + 1e-6, "{again} of {firsts}");
+        budget.record_first_attempt(at(ms));
+        first_attempts += 1.0;
+        retries += f64::from(u8::from(budget.try_spend(at(ms))));
+        assert!(
+            retries <= first_attempts * 0.1 + 1e-6,
+            "{retries} of {first_attempts}"
+        );
     }
-    assert!(again > firsts * 0.09);
-    assert!(!Repeats::new(at(0), 0.0).take(at(0)));
+    assert!(retries > first_attempts * 0.09);
+    assert!(!RetryBudget::new(at(0), 0.0).try_spend(at(0)));
 }
 
 #[test]
-fn a_fleet_that_repeats_much_repeats_less() {
-    let mut repeats = Repeats::new(at(0), 0.1);
-    repeats.heard(Some((1_000.0, 90.0)));
-    let again = (0..1_000u64).filter(|ms| {
-        repeats.first(at(*ms));
-        repeats.take(at(*ms))
+fn crowded_fleet_halves_the_ratio() {
+    let mut budget = RetryBudget::new(at(0), 0.1);
+    budget.set_fleet(Some(AttemptCounts {
+        first_attempts: 1_000.0,
+        retries: 90.0,
+    }));
+    let retries = (0..1_000u64).filter(|ms| {
+        budget.record_first_attempt(at(*ms));
+        budget.try_spend(at(*ms))
     });
-    let again = again.count();
-    assert!((45..=55).contains(&again), "{again}");
-}
-
-#[test]
-fn a_second_try_waits_for_nearly_all_calls() {
-    let mut repeats = Repeats::new(at(0), 0.1);
-    (0..29).for_each(|_| repeats.took(Duration::from_millis(20)));
-    repeats.look();
-    assert_eq!(repeats.hedge_after(at(1)), None);
-    (0..2).for_each(|_| repeats.took(Duration::from_millis(300)));
-    repeats.look();
-    let after = repeats.hedge_after(at(1)).expect("enough came");
-    assert!(
-        (Duration::from_millis(200)..Duration::from_millis(310)).contains(&after),
-        "{after:?}"
-    );
+    let retries = retries.count();
+    assert!((45..=55).contains(&retries), "{retries}");
 }
--- a/crates/upstream/src/selection.rs
+++ b/crates/upstream/src/selection.rs
@@ -1,3 +1,10 @@
-//! Selection of a backend.
+//! Selection of a backend: two are drawn by weight, and the call goes to the one with less work (power of two choices).
+//! Samplers are built anew now and then, so that a choice costs about the same among ten backends and a thousand.
 
-pub mod weighted;
+mod bounded_load;
+mod weighted;
+mod zone_aware;
+
+pub use bounded_load::backend_for_key;
+pub use weighted::WeightedSampler;
+pub(crate) use zone_aware::{Candidate, ZoneAwareSelector};
--- a/crates/upstream/src/selection/weighted.rs
+++ b/crates/upstream/src/selection/weighted.rs
@@ -1,83 +1,99 @@
-//! Whom a call goes to among those that are in: two are drawn by weight, and the one with less to wait for has
-//! it. What is drawn from is made anew now and then, so that a choice costs the same among ten and a thousand.
+//! Drawing backends by weight.
 
-/// Weights added up, to draw from.
+use crate::backend_id::BackendId;
+
+/// Draws backends with a probability in proportion to their weights.
 #[derive(Clone, Debug, Default)]
-pub struct Drawn {
-    /// Sums up to and with each, and who it is.
-    sums: Vec<(f64, usize)>,
+pub struct WeightedSampler {
+    entries: Vec<Entry>,
+}
+
+/// A backend, and the sum of the weights up to and including its own.
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    cumulative_weight: f64,
+    backend: BackendId,
 }
 
-impl Drawn {
-    pub fn of(weights: impl IntoIterator<Item = (usize, f64)>) -> Drawn {
-        let mut sum = 0.0;
-        let open = weights.into_iter().filter(|w| w.1 > 0.0);
-        let sums = open.map(|(who, weight)| {
-            sum += weight;
-            (sum, who)
+impl WeightedSampler {
+    /// A sampler of these backends. Those without a weight are never drawn.
+    pub fn new(weights: impl IntoIterator<Item = (BackendId, f64)>) -> WeightedSampler {
+        let mut cumulative_weight = 0.0;
+        let with_weight = weights.into_iter().filter(|(_, weight)| *weight > 0.0);
+        let entries = with_weight.map(|(backend, weight)| {
+            cumulative_weight += weight;
+            Entry {
+                cumulative_weight,
+                backend,
+            }
         });
-        Drawn {
-            sums: sums.collect(),
+        WeightedSampler {
+            entries: entries.collect(),
         }
     }
 
-    pub fn sum(&self) -> f64 {
-        self.sums.last().map_or(0.0, |s| s.0)
+    /// The sum of all weights.
+    pub fn total_weight(&self) -> f64 {
+        self.entries
+            .last()
+            .map_or(0.0, |entry| entry.cumulative_weight)
     }
 
+    /// How many backends can be drawn.
     pub fn len(&self) -> usize {
-        self.sums.len()
+        self.entries.len()
     }
 
+    /// Whether none can be drawn.
     pub fn is_empty(&self) -> bool {
-        self.sums.is_empty()
+        self.entries.is_empty()
     }
 
-    /// The one at a place from 0 to 1 of all weights.
-    pub fn at(&self, place: f64) -> Option<usize> {
-        let want = place * self.sum();
+    /// The backend at a fraction of the total weight, 0 to 1.
+    pub fn at(&self, fraction: f64) -> Option<BackendId> {
+        let wanted = fraction * self.total_weight();
+        let last = self.entries.len().checked_sub(1)?;
         let found = self
-            .sums
-            .partition_point(|s| s.0 <= want)
-            .min(self.sums.len().checked_sub(1)?);
-        Some(self.sums[found].1)
+            .entries
+            .partition_point(|entry| entry.cumulative_weight <= wanted);
+        Some(self.entries[found.min(last)].backend)
     }
 
-    /// Two drawn by weight, the better of them; `avoid` only where there is nobody else. `cost` tells what a
-    /// call would wait for there.
-    pub fn better(
+    /// Draws two backends and returns the one with the lower cost. The backend to `avoid` is drawn only where there is
+    /// no other. `random` gives numbers from 0 to 1; `cost` is what a call would wait for at a backend.
+    pub fn cheaper_of_two(
         &self,
-        avoid: Option<usize>,
-        mut draw: impl FnMut() -> f64,
-        cost: impl Fn(usize) -> f64,
-    ) -> Option<usize> {
-        let mut one = || {
-            let first = self.at(draw())?;
-            if Some(first) != avoid || self.len() < 2 {
-                return Some(first);
-            }
-            // Drawn among the others: the place behind it.
-            let at = self.sums.iter().position(|s| s.1 == first)?;
-            let step = 1 + (draw() * (self.len() - 1) as f64) as usize;
-            Some(self.sums[(at + step.min(self.len() - 1)) % self.len()].1)
-        };
-        let (a, b) = (one()?, one()?);
-        Some(if cost(b) < cost(a) { b } else { a })
+        avoid: Option<BackendId>,
+        mut random: impl FnMut() -> f64,
+        cost: impl Fn(BackendId) -> f64,
+    ) -> Option<BackendId> {
+        let first = self.draw(avoid, &mut random)?;
+        let second = self.draw(avoid, &mut random)?;
+        Some(if cost(second) < cost(first) {
+            second
+        } else {
+            first
+        })
     }
-}
 
-/// The place of a subject among `n`, with bounded load: the first on its way round that has no more than a
-/// quarter over the mean in hand. Weighed in `docs/notes/routes.md`.
-pub fn by_subject(subject: u64, n: usize, in_hand: impl Fn(usize) -> usize) -> Option<usize> {
-    let mean = (0..n).map(&in_hand).sum::<usize>() as f64 / n.max(1) as f64;
-    let most = (1.25 * (mean + 1.0)).ceil() as usize;
-    let score = |i: usize| xxhash_rust::xxh3::xxh3_64_with_seed(&subject.to_le_bytes(), i as u64);
-    let mut way: Vec<usize> = (0..n).collect();
-    way.sort_by_key(|i| std::cmp::Reverse(score(*i)));
-    way.iter()
-        .copied()
-        .find(|i| in_hand(*i) < most)
-        .or(way.first().copied())
+    fn draw(
+        &self,
+        avoid: Option<BackendId>,
+        random: &mut impl FnMut() -> f64,
+    ) -> Option<BackendId> {
+        let drawn = self.at(random())?;
+        if Some(drawn) != avoid || self.len() < 2 {
+            return Some(drawn);
+        }
+        // One of the others instead, all with the same probability.
+        let position = self
+            .entries
+            .iter()
+            .position(|entry| entry.backend == drawn)?;
+        let others = self.len() - 1;
+        let step = 1 + (random() * others as f64) as usize;
+        Some(self.entries[(position + step.min(others)) % self.len()].backend)
+    }
 }
 
 #[cfg(test)]
--- a/crates/upstream/src/selection/weighted/tests.rs
+++ b/crates/upstream/src/selection/weighted/tests.rs
@@ -1,38 +1,52 @@
 use super::*;
 
+const FOUR: BackendId = BackendId::new(4);
+const FIVE: BackendId = BackendId::new(5);
+const SIX: BackendId = BackendId::new(6);
+
+fn sampler() -> WeightedSampler {
+    WeightedSampler::new([(FOUR, 1.0), (FIVE, 0.0), (SIX, 3.0)])
+}
+
 #[test]
-fn two_are_drawn_by_weight_and_the_better_has_it() {
-    let drawn = Drawn::of([(4, 1.0), (5, 0.0), (6, 3.0)]);
+fn draws_by_weight() {
+    let sampler = sampler();
+    let drawn = [0.0, 0.24, 0.26, 1.0].map(|fraction| sampler.at(fraction));
+    assert_eq!(drawn, [Some(FOUR), Some(FOUR), Some(SIX), Some(SIX)]);
     assert_eq!(
-        (drawn.at(0.0), drawn.at(0.24), drawn.at(0.26), drawn.at(1.0)),
-        (Some(4), Some(4), Some(6), Some(6))
+        sampler.len(),
+        2,
+        "a backend without a weight is never drawn"
     );
-    assert_eq!(drawn.len(), 2, "without weight none is drawn");
-    let mut places = [0.1, 0.9].into_iter().cycle();
+}
+
+#[test]
+fn cheaper_of_two_is_selected() {
+    let mut fractions = [0.1, 0.9].into_iter().cycle();
     let costs = [0.0, 0.0, 0.0, 0.0, 2.0, 0.0, 1.0];
+    let random = || fractions.next().expect("endless");
     assert_eq!(
-        drawn.better(None, || places.next().expect("endless"), |i| costs[i]),
-        Some(6)
-    );
-    for place in [0.0, 0.1, 0.5, 0.99] {
-        assert_eq!(drawn.better(Some(6), || place, |_| 0.0), Some(4));
-    }
-    let one = Drawn::of([(3, 1.0)]);
-    assert_eq!(
-        one.better(Some(3), || 0.5, |_| 0.0),
-        Some(3),
-        "there is nobody else"
+        sampler().cheaper_of_two(None, random, |id| costs[id.index()]),
+        Some(SIX)
     );
-    assert_eq!(Drawn::default().better(None, || 0.5, |_| 0.0), None);
 }
 
 #[test]
-fn a_subject_keeps_its_place_until_that_is_full() {
-    let home = by_subject(7, 10, |_| 0).expect("ten");
-    assert_eq!(by_subject(7, 10, |_| 0), Some(home));
-    let load = |i: usize| if i == home { 50 } else { 1 };
-    assert_ne!(by_subject(7, 10, load), Some(home));
-    let homes: std::collections::HashSet<_> =
-        (0..100).filter_map(|s| by_subject(s, 10, |_| 0)).collect();
-    assert_eq!(homes.len(), 10);
+fn avoided_backend_is_drawn_only_if_alone() {
+    for fraction in [0.0, 0.1, 0.5, 0.99] {
+        assert_eq!(
+            sampler().cheaper_of_two(Some(SIX), || fraction, |_| 0.0),
+            Some(FOUR)
+        );
+    }
+    let three = BackendId::new(3);
+    let single = WeightedSampler::new([(three, 1.0)]);
+    assert_eq!(
+        single.cheaper_of_two(Some(three), || 0.5, |_| 0.0),
+        Some(three)
+    );
+    assert_eq!(
+        WeightedSampler::default().cheaper_of_two(None, || 0.5, |_| 0.0),
+        None
+    );
 }
