--- a/crates/upstream/src/events.rs
+++ b/crates/upstream/src/events.rs
@@ -112,3 +112,6 @@
         std::mem::take(&mut self.pending)
     }
 }
+
+#[cfg(test)]
+mod tests;
