--- a/crates/upstream/src/backend.rs
+++ b/crates/upstream/src/backend.rs
@@ -4,11 +4,12 @@
 
 use crate::attempt::AttemptOutcome;
 use crate::backend_state::State;
+use crate::call_counts::CallCounts;
 use crate::events::BackendEvent;
 use crate::gossip::LocalObservation;
 use crate::gossip::codec::name_hash;
 use crate::gossip::reports::ReportSummary;
-use crate::outlier::{self, CallCounts, CallHistory, OutlierEvidence};
+use crate::outlier::{self, CallHistory, OutlierEvidence};
 use crate::settings::BackendSettings;
 use crate::slow_start;
 use crate::status::BackendStatus;
--- a/crates/upstream/src/events/tests.rs
+++ b/crates/upstream/src/events/tests.rs
@@ -26,8 +26,11 @@
         evidence: evidence(),
         ejection_time: Duration::from_millis(2_140),
     };
-    let line = "b1: ejected for 2.1 s: own 3.0 bad, 0.0 good (2 silent) \
-                (10 times as slow as the others); heard 1.2 from 4 of 2 zones";
+    let line = [
+        "b1: ejected for 2.1 s: own 3.0 bad, 0.0 good (2 silent)",
+        " (10 times as slow as the others); heard 1.2 from 4 of 2 zones",
+    ]
+    .concat();
     assert_eq!(ejected.to_string(), line);
     let alone = OutlierEvidence {
         overdue: 0,
--- a/crates/upstream/src/gossip.rs
+++ b/crates/upstream/src/gossip.rs
@@ -8,7 +8,7 @@
 pub(crate) mod reports;
 
 use crate::backend_state::State;
-use crate::outlier::CallCounts;
+use crate::call_counts::CallCounts;
 use crate::retry_budget::AttemptCounts;
 use codec::{BackendReport, GossipDecodeError, GossipMessage};
 use compact_str::CompactString;
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -43,6 +43,7 @@
 mod backend_group;
 mod backend_id;
 mod backend_state;
+mod call_counts;
 mod events;
 mod fleet_stack;
 mod gossip;
--- a/crates/upstream/src/outlier.rs
+++ b/crates/upstream/src/outlier.rs
@@ -9,6 +9,7 @@
 pub(crate) use call_history::CallHistory;
 
 use crate::attempt::AttemptOutcome;
+use crate::call_counts::CallCounts;
 use crate::gossip::reports::ReportSummary;
 use madderbay::time::Duration;
 use std::fmt;
@@ -42,13 +43,6 @@
 /// Fraction of the successes that is reported to others when the last call failed: they show little of the present.
 const OUTDATED_SUCCESS_FRACTION: f64 = 0.3;
 
-/// Recent successes and failures at one backend; older ones count less.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub(crate) struct CallCounts {
-    pub(crate) successes: f64,
-    pub(crate) failures: f64,
-}
-
 /// What a judgement of a backend rests on. `Display` gives it in the words of the log.
 #[derive(Clone, Debug, PartialEq)]
 pub struct OutlierEvidence {
--- a/crates/upstream/src/outlier/call_history.rs
+++ b/crates/upstream/src/outlier/call_history.rs
@@ -1,7 +1,7 @@
 //! Recent results of one backend's calls, as this server saw them. Old results count less and less.
 
-use super::CallCounts;
 use crate::attempt::AttemptOutcome;
+use crate::call_counts::CallCounts;
 use madderbay::time::{Duration, Timestamp};
 
 /// Time constants of the decay. Failures count long enough that one a second adds up, and short enough that a repaired
