--- /dev/null
+++ b/crates/upstream/src/fleet_stack.rs
@@ -0,0 +1,148 @@
+//! The protocols between the servers of a fleet, driven as one: membership, and over it quotas and upstream backends.
+//! The server and the simulations drive the very same stack.
+//!
+//! [`FleetStack`] owns the order in which the parts act. It is given datagrams and time; it gives datagrams and the time
+//! of its next timeout. It never does I/O.
+
+use crate::manager::UpstreamManager;
+use compact_str::CompactString;
+use madderbay::time::Timestamp;
+use madderbay_membership::{MemberState, Membership, Subsystem};
+use madderbay_quota::{FleetQuotas, Peer};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Membership and the parts that rest on it.
+pub struct FleetStack {
+    /// The view of the fleet.
+    pub members: Membership,
+    /// Quotas and counters of the fleet, where the operator set any.
+    pub shared: Option<FleetQuotas>,
+    /// The upstream backends, where the operator set any. The server's calls use it too, at any moment.
+    pub routes: Option<Rc<RefCell<UpstreamManager>>>,
+}
+
+impl FleetStack {
+    /// A stack without upstream backends.
+    pub fn new(members: Membership, shared: Option<FleetQuotas>) -> FleetStack {
+        FleetStack {
+            members,
+            shared,
+            routes: None,
+        }
+    }
+
+    /// A datagram arrived.
+    pub fn handle_datagram(&mut self, now: Timestamp, from: SocketAddr, bytes: &[u8]) {
+        self.members.received(now, from, bytes);
+        self.drive_subsystems(now);
+    }
+
+    /// Does what is due in any part.
+    pub fn handle_timeout(&mut self, now: Timestamp) {
+        self.members.handle_timeout(now);
+        self.drive_subsystems(now);
+    }
+
+    /// When [`handle_timeout`](Self::handle_timeout) is due next.
+    pub fn next_timeout(&self) -> Timestamp {
+        let quota = self.shared.as_ref().map(FleetQuotas::next_timeout);
+        let upstream = self
+            .routes
+            .as_ref()
+            .map(|upstream| upstream.borrow().next_timeout());
+        let membership = self.members.next_timeout();
+        [quota, upstream]
+            .into_iter()
+            .flatten()
+            .fold(membership, Timestamp::min)
+    }
+
+    /// Takes the datagrams to send, each with its destination.
+    pub fn take_datagrams(&mut self) -> Vec<(SocketAddr, Vec<u8>)> {
+        self.members.take_outgoing()
+    }
+
+    /// Hands the news of the membership to the parts above it, and their payloads to the membership.
+    fn drive_subsystems(&mut self, now: Timestamp) {
+        if let Some(quota) = &mut self.shared {
+            quota.set_incarnation(now, self.members.local_identity().incarnation);
+        }
+        // Only the members that changed: reading the whole view for each of many changes would take too long.
+        for name in self.members.take_changed_members() {
+            self.update_peer(now, name);
+        }
+        self.deliver_payloads(now);
+        self.drive_quota(now);
+        self.drive_upstream(now);
+    }
+
+    fn update_peer(&mut self, now: Timestamp, name: CompactString) {
+        let member = self.members.member(&name);
+        match member.filter(|(_, state)| *state != MemberState::Left) {
+            Some((identity, state)) => {
+                let (incarnation, active) = (identity.incarnation, state != MemberState::Down);
+                if let Some(upstream) = &self.routes {
+                    let zone = &identity.zone;
+                    upstream
+                        .borrow_mut()
+                        .update_peer(&name, incarnation, zone, active);
+                }
+                if let Some(quota) = &mut self.shared {
+                    quota.update_peer(
+                        now,
+                        Peer {
+                            name,
+                            incarnation,
+                            active,
+                        },
+                    );
+                }
+            }
+            None => {
+                if let Some(upstream) = &self.routes {
+                    upstream.borrow_mut().remove_peer(&name);
+                }
+                if let Some(quota) = &mut self.shared {
+                    quota.remove_peer(now, &name);
+                }
+            }
+        }
+    }
+
+    fn deliver_payloads(&mut self, now: Timestamp) {
+        for (from, subsystem, payload) in self.members.take_subsystem_messages() {
+            match (subsystem, &mut self.shared, &self.routes) {
+                (Subsystem::Quota, Some(quota), _) => quota.handle_datagram(now, &from, &payload),
+                (Subsystem::Upstream, _, Some(upstream)) => {
+                    upstream.borrow_mut().handle_datagram(now, &from, &payload);
+                }
+                // The operator of this server switched the part off.
+                _ => {}
+            }
+        }
+    }
+
+    fn drive_quota(&mut self, now: Timestamp) {
+        if let Some(quota) = &mut self.shared {
+            quota.handle_timeout(now);
+            for (to, payload) in quota.take_datagrams() {
+                self.members
+                    .send_subsystem_message(&to, Subsystem::Quota, &payload);
+            }
+        }
+    }
+
+    fn drive_upstream(&mut self, now: Timestamp) {
+        if let Some(upstream) = &self.routes {
+            let mut upstream = upstream.borrow_mut();
+            upstream.set_stalled(self.members.is_degraded());
+            upstream.handle_timeout(now);
+            for (to, payload) in upstream.take_datagrams() {
+                self.members
+                    .send_subsystem_message(&to, Subsystem::Upstream, &payload);
+            }
+        }
+    }
+}
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -1,10 +1,20 @@
-//! Many backends below: which of them a call goes to, which are left out for a while, and which calls are made
-//! again elsewhere. Each server judges by its own outcomes; what others of the fleet say of theirs can have it
-//! look sooner, and no more. No I/O: time, chance and datagrams are passed in.
+//! Upstream backends: which backend a call goes to, which backends are ejected for a time, and which calls get a retry
+//! or a hedge.
+//!
+//! Each server judges backends by the outcomes of its own calls. What other servers report can bring a judgement
+//! forward; only where two zones agree does it decide alone. [`UpstreamManager`] owns all of this and is given time,
+//! random numbers and datagrams: there is no I/O here. [`FleetStack`] drives it together with membership and quotas.
+//!
+//! | part | files |
+//! | --- | --- |
+//! | selection | `selection`, `backend_group` |
+//! | outlier detection, ejection, slow start | `outlier`, `backend`, `slow_start` |
+//! | retries and hedges | `retry_budget`, `hedging` |
+//! | gossip of judgements | `gossip` |
 //!
 //! ```
 //! use madderbay::time::{Duration, Timestamp};
-//! use madderbay_upstream::{BackendSettings, End, Routes, Settings, State};
+//! use madderbay_upstream::{AttemptOutcome, BackendSettings, Settings, State, UpstreamManager};
 //! let backend = |n: u16| BackendSettings {
 //!     name: format!("book-{n}").as_str().into(),
 //!     address: ([127, 0, 0, 1], 7_700 + n).into(),
@@ -14,34 +24,47 @@
 //! };
 //! let set = Settings { zone: "north".into(), ..Settings::default() };
 //! let at = |ms: u64| Timestamp::from_micros(1_000_000 + ms * 1_000);
-//! let mut routes = Routes::new(at(0), 7, set, (1..=4).map(backend).collect());
+//! let mut upstream = UpstreamManager::new(at(0), 7, set, (1..=4).map(backend).collect());
 //! // One of four fails whatever it is asked: it is left out, and the others have its calls.
 //! for step in 0..200 {
 //!     let now = at(step * 10);
-//!     routes.turn(now);
-//!     let ticket = routes.pick(now, 0).unwrap();
-//!     let end = if ticket.backend == 2 { End::Failed } else { End::Good };
-//!     routes.over(now + Duration::from_millis(5), &ticket, end);
+//!     upstream.handle_timeout(now);
+//!     let attempt = upstream.pick(now, 0).unwrap();
+//!     let failed = attempt.backend == 2;
+//!     let outcome = if failed { AttemptOutcome::Failed } else { AttemptOutcome::Success };
+//!     upstream.finish(now + Duration::from_millis(5), &attempt, outcome);
 //! }
-//! let states: Vec<State> = routes.views(at(2_000)).iter().map(|v| v.state).collect();
-//! assert_eq!(states, [State::In, State::In, State::Ejected, State::In]);
+//! let states: Vec<State> = upstream.backend_statuses(at(2_000)).iter().map(|v| v.state).collect();
+//! assert_eq!(states, [State::Active, State::Active, State::Ejected, State::Active]);
 //! ```
 
+mod attempt;
 mod backend;
-pub mod choice;
-mod evidence;
-mod group;
-mod heard;
-pub mod repeats;
-mod routes;
-mod together;
-mod wire;
+mod backend_group;
+mod backend_id;
+mod backend_state;
+mod call_counts;
+mod events;
+mod fleet_stack;
+mod gossip;
+mod hedging;
+mod manager;
+mod outlier;
+mod registry;
+mod retry_budget;
+/// Selection of one of several backends.
+pub mod selection;
+mod settings;
+mod slow_start;
+mod status;
 
-pub use backend::{Grounds, State};
-pub use evidence::AttemptOutcome;
-pub use routes::{
-    BackendEvent, BackendSettings, BackendStatus, RetryKind, Settings, Totals, UpstreamAttempt,
-    UpstreamManager,
-};
-pub use together::FleetStack;
-pub use wire::{BackendReport, GossipMessage, name_hash};
+pub use attempt::{AttemptOutcome, RetryKind, UpstreamAttempt};
+pub use backend_id::BackendId;
+pub use backend_state::State;
+pub use events::BackendEvent;
+pub use fleet_stack::FleetStack;
+pub use gossip::codec::{BackendReport, GossipDecodeError, GossipMessage, name_hash};
+pub use manager::UpstreamManager;
+pub use outlier::OutlierEvidence;
+pub use settings::{BackendSettings, Settings};
+pub use status::{BackendStatus, Totals};
--- /dev/null
+++ b/crates/upstream/src/manager.rs
@@ -0,0 +1,331 @@
+//! The manager of all upstream backends: which backend an attempt goes to, whether there is a retry or a hedge, and
+//! what follows from the outcomes.
+//!
+//! [`UpstreamManager`] owns the parts and the schedule. It is given calls and their outcomes, the view of the fleet,
+//! datagrams, time and a seed; it gives attempts, datagrams, events and the time of its next timeout. It never does
+//! I/O, and never reads a clock.
+
+use crate::attempt::{AttemptOutcome, RetryKind, UpstreamAttempt};
+use crate::backend_group::{BackendGroup, EvaluationContext};
+use crate::backend_id::BackendId;
+use crate::backend_state::State;
+use crate::events::{BackendEvent, EventQueue};
+use crate::gossip::Gossip;
+use crate::registry::{BackendRegistry, Finished};
+use crate::settings::{BackendSettings, Settings};
+use crate::status::{BackendStatus, Totals};
+use compact_str::CompactString;
+use madderbay::time::{Duration, Timestamp};
+use oorandom::Rand64;
+
+/// Time between two evaluations of all backends.
+const EVALUATION_INTERVAL: Duration = Duration::from_millis(100);
+/// The next evaluation follows a failure or a probe within this time.
+const EVALUATION_DELAY_AFTER_FAILURE: Duration = Duration::from_millis(10);
+
+/// Selects backends, judges them, and allows retries and hedges.
+pub struct UpstreamManager {
+    settings: Settings,
+    rng: Rand64,
+    registry: BackendRegistry,
+    gossip: Gossip,
+    events: EventQueue,
+    last_attempt_id: u64,
+    next_evaluation: Timestamp,
+    /// Counters since the start.
+    pub totals: Totals,
+}
+
+impl UpstreamManager {
+    /// A manager of these backends, all of them active. All its random draws follow from the seed.
+    pub fn new(
+        now: Timestamp,
+        seed: u64,
+        settings: Settings,
+        backends: Vec<BackendSettings>,
+    ) -> UpstreamManager {
+        let mut manager = UpstreamManager {
+            settings,
+            rng: Rand64::new(u128::from(seed)),
+            registry: BackendRegistry::default(),
+            gossip: Gossip::new(now),
+            events: EventQueue::default(),
+            last_attempt_id: 0,
+            next_evaluation: now,
+            totals: Totals::default(),
+        };
+        manager.configure(now, backends);
+        manager.events.take();
+        manager
+    }
+
+    /// Takes other settings and another list of backends. Attempts in flight go on; backends that there were before
+    /// keep their state, and new ones begin in slow start.
+    pub fn reload(&mut self, now: Timestamp, settings: Settings, backends: Vec<BackendSettings>) {
+        self.settings = settings;
+        self.registry.set_retry_ratio(self.settings.retry_ratio);
+        self.configure(now, backends);
+    }
+
+    fn configure(&mut self, now: Timestamp, backends: Vec<BackendSettings>) {
+        let events = self
+            .registry
+            .configure(now, backends, self.settings.retry_ratio);
+        self.events.push_all(events);
+        self.evaluate(now);
+    }
+
+    // --- attempts
+
+    /// The first attempt of a call of a handler; nothing where the handler has no backends.
+    pub fn pick(&mut self, now: Timestamp, handler: usize) -> Option<UpstreamAttempt> {
+        self.registry.group_index(handler)?;
+        // An evaluation that is due comes before the choice, whoever drives this manager.
+        if now >= self.next_evaluation {
+            self.evaluate(now);
+        }
+        let backend = self.registry.pick(now, handler, None, &mut self.rng)?;
+        self.registry
+            .group_mut(handler)?
+            .retry_budget_mut()
+            .record_first_attempt(now);
+        self.totals.first_attempts += 1;
+        Some(self.begin_attempt(now, handler, backend))
+    }
+
+    /// One more attempt of a call, after or beside a former one; nothing where there is no other backend for it, or the
+    /// retry budget does not allow it.
+    pub fn retry(
+        &mut self,
+        now: Timestamp,
+        former: &UpstreamAttempt,
+        kind: RetryKind,
+    ) -> Option<UpstreamAttempt> {
+        let needs_other_backend = kind != RetryKind::AfterBackoff;
+        let group = self.registry.group(former.handler)?;
+        if needs_other_backend && !group.has_alternatives()
+            || kind == RetryKind::Hedge && !self.settings.hedging
+        {
+            return None;
+        }
+        let avoid = BackendId::new(former.backend);
+        let backend = self
+            .registry
+            .pick(now, former.handler, Some(avoid), &mut self.rng)?;
+        // All others may be out of selection.
+        if needs_other_backend && backend == avoid {
+            return None;
+        }
+        if !self
+            .registry
+            .group_mut(former.handler)?
+            .retry_budget_mut()
+            .try_spend(now)
+        {
+            self.totals.retries_over_budget += 1;
+            return None;
+        }
+        self.totals.retries += 1;
+        self.totals.hedges += u64::from(kind == RetryKind::Hedge);
+        Some(self.begin_attempt(now, former.handler, backend))
+    }
+
+    fn begin_attempt(
+        &mut self,
+        now: Timestamp,
+        handler: usize,
+        backend: BackendId,
+    ) -> UpstreamAttempt {
+        self.last_attempt_id += 1;
+        self.registry
+            .begin_attempt(now, handler, backend, self.last_attempt_id)
+    }
+
+    /// How long after its start an idempotent call is worth a hedge; nothing where it gets none.
+    pub fn hedge_delay(&mut self, now: Timestamp, attempt: &UpstreamAttempt) -> Option<Duration> {
+        if !self.settings.hedging {
+            return None;
+        }
+        let group = self.registry.group_mut(attempt.handler)?;
+        if group.has_alternatives() {
+            group.hedge_timer_mut().delay(now)
+        } else {
+            None
+        }
+    }
+
+    /// How long a call of the attempt's group typically takes; zero where that is not known. A retry with less time than
+    /// this is not worth making.
+    pub fn typical_latency(&self, attempt: &UpstreamAttempt) -> Duration {
+        let group = self.registry.group(attempt.handler);
+        let seconds = group.and_then(BackendGroup::typical_latency);
+        seconds.map_or(Duration::ZERO, Duration::from_secs_f64)
+    }
+
+    /// An attempt ended. Its outcome counts for or against the backend.
+    pub fn finish(&mut self, now: Timestamp, attempt: &UpstreamAttempt, outcome: AttemptOutcome) {
+        match self
+            .registry
+            .finish_attempt(now, attempt, outcome, &mut self.rng)
+        {
+            Finished::Nothing => {}
+            Finished::Probe(event) => {
+                self.record_events(event);
+                self.hurry_evaluation(now);
+            }
+            Finished::Failure => {
+                self.hurry_evaluation(now);
+                self.gossip.hurry(now);
+            }
+        }
+    }
+
+    fn hurry_evaluation(&mut self, now: Timestamp) {
+        self.next_evaluation = self
+            .next_evaluation
+            .min(now + EVALUATION_DELAY_AFTER_FAILURE);
+    }
+
+    fn record_events(&mut self, events: impl IntoIterator<Item = BackendEvent>) {
+        for event in events {
+            if !self.events.push(event) {
+                self.totals.events_dropped += 1;
+            }
+        }
+    }
+
+    // --- timeouts
+
+    /// When [`handle_timeout`](Self::handle_timeout) is due next.
+    pub fn next_timeout(&self) -> Timestamp {
+        if self.gossips() {
+            self.next_evaluation.min(self.gossip.next_round())
+        } else {
+            self.next_evaluation
+        }
+    }
+
+    /// Does what is due: an evaluation, a round of gossip, or both.
+    pub fn handle_timeout(&mut self, now: Timestamp) {
+        if now >= self.next_evaluation {
+            self.evaluate(now);
+        }
+        if now >= self.gossip.next_round() {
+            self.gossip.begin_round(now, self.rng.rand_float());
+            if self.gossips() {
+                self.send_gossip(now);
+            }
+        }
+    }
+
+    /// Whether there is anybody to gossip with.
+    fn gossips(&self) -> bool {
+        self.settings.gossip && self.gossip.active_peers() > 0
+    }
+
+    fn evaluate(&mut self, now: Timestamp) {
+        self.next_evaluation = now + EVALUATION_INTERVAL;
+        self.gossip.prune(now, self.registry.name_hashes());
+        let own_attempts = self.registry.recent_attempts(now);
+        let fleet = self
+            .gossip
+            .peer_attempts(now)
+            .map(|peers| peers.plus(own_attempts));
+        let context = EvaluationContext {
+            settings: &self.settings,
+            reports: self.gossip.reports(),
+            active_peers: self.gossip.active_peers(),
+        };
+        let events = self.registry.evaluate(now, fleet, &context, &mut self.rng);
+        let is_ejection = |event: &&BackendEvent| matches!(event, BackendEvent::Ejected { .. });
+        self.totals.ejections += events.iter().filter(is_ejection).count() as u64;
+        self.record_events(events);
+    }
+
+    fn send_gossip(&mut self, now: Timestamp) {
+        let observations = self.registry.observations(now);
+        let attempts = self.registry.recent_attempts(now);
+        if let Some(payload) = self.gossip.payload(&observations, attempts) {
+            let recipients = self.gossip.send(&payload, &mut self.rng);
+            self.totals.datagrams_sent += recipients as u64;
+            self.totals.bytes_sent += (recipients * payload.len()) as u64;
+        }
+    }
+
+    // --- the fleet
+
+    /// Whether this process was stalled recently, so that missing replies may be its own fault.
+    pub fn set_stalled(&mut self, stalled: bool) {
+        self.gossip.set_stalled(stalled);
+    }
+
+    /// A server is in the view of the fleet, or is there with another incarnation, zone or activity. Reports of its
+    /// former incarnations are dropped.
+    pub fn update_peer(
+        &mut self,
+        name: &CompactString,
+        incarnation: u64,
+        zone: &CompactString,
+        active: bool,
+    ) {
+        self.gossip.update_peer(name, incarnation, zone, active);
+    }
+
+    /// A server is no longer in the view of the fleet. Its reports are dropped.
+    pub fn remove_peer(&mut self, name: &CompactString) {
+        self.gossip.remove_peer(name);
+    }
+
+    /// A payload of another server. One that is malformed or of an unknown server is counted and rejected.
+    pub fn handle_datagram(&mut self, now: Timestamp, from: &CompactString, payload: &[u8]) {
+        self.totals.datagrams_received += 1;
+        let known_backends = self.registry.name_hashes();
+        let enabled = self.settings.gossip;
+        let handled = self
+            .gossip
+            .handle_payload(now, from, payload, known_backends, enabled);
+        if handled.is_err() {
+            self.totals.datagrams_rejected += 1;
+        }
+    }
+
+    /// Takes the payloads to send, each with the name of the server that it is for.
+    pub fn take_datagrams(&mut self) -> Vec<(CompactString, Vec<u8>)> {
+        self.gossip.take_outgoing()
+    }
+
+    // --- what others see
+
+    /// Takes the events since the last call, in their order.
+    pub fn take_events(&mut self) -> Vec<BackendEvent> {
+        self.events.take()
+    }
+
+    /// How many reports of other servers are stored.
+    pub fn gossip_entries(&self) -> usize {
+        self.gossip.reports().len()
+    }
+
+    /// The index of the group that serves a handler; nothing where the handler has no backends.
+    pub fn group_of(&self, handler: usize) -> Option<usize> {
+        self.registry.group_index(handler)
+    }
+
+    /// The handlers of each group, and how many backends it has.
+    pub fn groups(&self) -> impl Iterator<Item = (&[usize], usize)> {
+        self.registry
+            .groups()
+            .iter()
+            .map(|group| (group.handlers(), group.backends().len()))
+    }
+
+    /// The state of each backend, in the order of [`backend_statuses`](Self::backend_statuses).
+    pub fn backend_states(&self) -> impl Iterator<Item = State> {
+        self.registry.states()
+    }
+
+    /// Each backend as it stands, group by group.
+    pub fn backend_statuses(&self, now: Timestamp) -> Vec<BackendStatus> {
+        self.registry.statuses(now)
+    }
+}
--- /dev/null
+++ b/crates/upstream/tests/slow_start.rs
@@ -0,0 +1,82 @@
+//! A backend that is added may have cold caches: what all servers together send to it has to be little at first.
+
+use madderbay::time::{Duration, Timestamp};
+use madderbay_upstream::{AttemptOutcome, BackendSettings, Settings, State, UpstreamManager};
+
+/// Calls that each server makes in one burst.
+const CALLS_PER_BURST: usize = 50;
+/// How long a burst takes.
+const BURST: Duration = Duration::from_millis(100);
+
+fn backend(n: usize) -> BackendSettings {
+    BackendSettings {
+        name: format!("b{n}").as_str().into(),
+        address: ([127, 0, 0, 1], 7_000 + n as u16).into(),
+        zone: "north".into(),
+        weight: 1.0,
+        handlers: vec![0],
+    }
+}
+
+/// Servers that have used four backends, and now get a fifth.
+fn servers_with_added_backend(count: u64, now: Timestamp) -> Vec<UpstreamManager> {
+    let settings = Settings {
+        zone: "north".into(),
+        ..Settings::default()
+    };
+    let four: Vec<BackendSettings> = (0..4).map(backend).collect();
+    let server = |seed| {
+        let mut upstream = UpstreamManager::new(now, seed, settings.clone(), four.clone());
+        upstream.reload(now, settings.clone(), (0..5).map(backend).collect());
+        upstream
+    };
+    (0..count).map(server).collect()
+}
+
+/// How many calls of a burst of all servers go to the backend at a port.
+fn calls_of_burst(port: u16, servers: &mut [UpstreamManager], now: Timestamp) -> usize {
+    let mut calls = 0;
+    for n in 0..CALLS_PER_BURST {
+        let now = now + BURST.mul_f64(n as f64 / CALLS_PER_BURST as f64);
+        for upstream in servers.iter_mut() {
+            let attempt = upstream.pick(now, 0).expect("a backend");
+            calls += usize::from(attempt.address.port() == port);
+            // Latencies differ, as real ones do: of two equal ones the same backend would always be cheaper.
+            let latency = Duration::from_millis(3 + (n as u64 * 7 + calls as u64) % 5);
+            upstream.finish(now + latency, &attempt, AttemptOutcome::Success);
+        }
+    }
+    calls
+}
+
+/// Twenty and thirty servers, four backends and a fifth: at first no more than a quarter of an equal share, beyond what
+/// chance adds; after ten seconds an equal share.
+#[test]
+fn added_backend_gets_few_calls_at_first_and_its_share_later() {
+    for count in [20, 30] {
+        let start = Timestamp::from_micros(5_000_000);
+        let mut servers = servers_with_added_backend(count, start);
+        let equal_share = count as f64 * CALLS_PER_BURST as f64 / 5.0;
+        let budget = equal_share / 4.0;
+        let limit = budget + 2.0 * budget.sqrt() + 2.0;
+        let first = calls_of_burst(7_004, &mut servers, start) as f64;
+        assert!(
+            first <= limit,
+            "{first} calls of {count} servers, limit {limit}"
+        );
+        let late = start + Duration::from_millis(11_000);
+        for upstream in &mut servers {
+            for tenth in 1..110 {
+                upstream.handle_timeout(start + Duration::from_millis(100 * tenth));
+            }
+            upstream.handle_timeout(late);
+            let statuses = upstream.backend_statuses(late);
+            assert!(statuses.iter().all(|status| status.state == State::Active));
+        }
+        let calls = calls_of_burst(7_004, &mut servers, late) as f64;
+        assert!(
+            (calls - equal_share).abs() < 4.0 * equal_share.sqrt(),
+            "{calls} of {equal_share}"
+        );
+    }
+}
