--- a/crates/membership/src/membership/receive.rs
+++ b/crates/membership/src/membership/receive.rs
@@ -32,12 +32,6 @@
         self.update_connectivity(now);
     }
 
-    /// Former name of [`Membership::handle_datagram`], until its last caller uses the new one.
-    #[doc(hidden)]
-    pub fn received(&mut self, now: Timestamp, from: SocketAddr, bytes: &[u8]) {
-        self.handle_datagram(now, from, bytes);
-    }
-
     fn receive(
         &mut self,
         now: Timestamp,
--- a/crates/upstream/src/fleet_stack.rs
+++ b/crates/upstream/src/fleet_stack.rs
@@ -35,7 +35,7 @@
 
     /// A datagram arrived.
     pub fn handle_datagram(&mut self, now: Timestamp, from: SocketAddr, bytes: &[u8]) {
-        self.members.received(now, from, bytes);
+        self.members.handle_datagram(now, from, bytes);
         self.drive_subsystems(now);
     }
 
