Quota: fair shares become water filling, with standard names

The module's names were its own (wish, has, step). The crate's doc test, which did not compile since the public renames, is written anew with their names.

--- a/crates/quota/src/budget.rs
+++ b/crates/quota/src/budget.rs
@@ -1,8 +1,8 @@
 //! One budget as a server plays it: how much work there is for it, of whom to borrow, whom to lend to, what to
-//! give back. Wishes only: what may be used is the [`Ledger`]'s.
+//! give back. Decisions only: what may be used is the [`Ledger`]'s.
 
-use crate::fair::{Wish, step};
 use crate::ledger::{LeaseTerms, Ledger, Who};
+use crate::water_filling::{Claim, next_grants};
 use crate::wire::Word;
 use compact_str::CompactString;
 use madderbay::time::{Duration, Timestamp};
@@ -67,7 +67,7 @@
 
 /// One who asks, as it said last.
 struct Asker {
-    wish: Wish,
+    claim: Claim,
     at: Timestamp,
     recalled: Option<Timestamp>,
     offered: Option<Timestamp>,
@@ -171,7 +171,7 @@
         let wanted = self
             .askers
             .values()
-            .any(|a| a.wish.base + a.wish.has < a.wish.wants);
+            .any(|a| a.claim.other_units + a.claim.granted < a.claim.demand);
         self.hurries |= owes || wanted && self.lendable(now) > self.ledger.lent(now);
     }
 
@@ -353,7 +353,7 @@
                 continue;
             };
             let lately = |at: Option<Timestamp>, least| at.is_some_and(|at| now - at < least);
-            if due < asker.wish.has && !lately(asker.recalled, RECALLS) {
+            if due < asker.claim.granted && !lately(asker.recalled, RECALLS) {
                 asker.recalled = Some(now);
                 say.push((
                     who,
@@ -362,9 +362,9 @@
                         keep: due,
                     },
                 ));
-            } else if due > asker.wish.has && idle > 0 && !lately(asker.offered, OFFERS) {
+            } else if due > asker.claim.granted && idle > 0 && !lately(asker.offered, OFFERS) {
                 asker.offered = Some(now);
-                let units = idle.min(due - asker.wish.has);
+                let units = idle.min(due - asker.claim.granted);
                 idle -= units;
                 say.push((
                     who,
@@ -389,18 +389,19 @@
         let ledger = &self.ledger;
         self.askers
             .iter_mut()
-            .for_each(|(who, a)| a.wish.has = ledger.lent_to(now, *who));
-        let silent = self.ledger.lent(now) - self.askers.values().map(|a| a.wish.has).sum::<u32>();
-        let wishes: Vec<Wish> = self.askers.values().map(|a| a.wish).collect();
+            .for_each(|(who, a)| a.claim.granted = ledger.lent_to(now, *who));
+        let silent =
+            self.ledger.lent(now) - self.askers.values().map(|a| a.claim.granted).sum::<u32>();
+        let claims: Vec<Claim> = self.askers.values().map(|a| a.claim).collect();
         let spare = self.lendable(now).saturating_sub(silent);
-        let lent: u32 = wishes.iter().map(|w| w.has).sum();
-        let kept = step(
+        let lent: u32 = claims.iter().map(|c| c.granted).sum();
+        let kept = next_grants(
             if self.short(now) {
                 spare
             } else {
                 spare.max(lent)
             },
-            &wishes,
+            &claims,
         );
         self.askers.keys().copied().zip(kept).collect()
     }
@@ -426,11 +427,11 @@
                 };
                 let most = self.set.capacity;
                 let (base, wants) = (base.min(most), wants.min(most));
-                let wish = Wish {
-                    base,
-                    wants,
+                let claim = Claim {
+                    other_units: base,
+                    demand: wants,
                     weight,
-                    has: 0,
+                    granted: 0,
                 };
                 let (recalled, offered) = self
                     .askers
@@ -439,7 +440,7 @@
                 self.askers.insert(
                     from,
                     Asker {
-                        wish,
+                        claim,
                         at: now,
                         recalled,
                         offered,
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -1,46 +1,51 @@
-//! What the servers of a fleet share: budgets of calls in hand below, which the whole fleet never passes, and
-//! counts, each answer with its bound. No I/O: time, chance, the view of [`madderbay_membership`] and datagrams
-//! are passed in.
+//! Quotas of a fleet of servers: budgets of calls in flight upstream, which the fleet as a whole
+//! never exceeds, and replicated counters, whose estimates have an error bound.
 //!
-//! A budget is divided into birthrights, one for each of the most servers there may be; what lies idle is lent
-//! by leases to whom has work. Whatever is lost, late or doubled, whoever crashes or is paused, no more calls
-//! than the whole are in hand: see [`ledger`].
+//! A budget's capacity is divided into base quotas, one for each of the servers that the fleet
+//! may have. A server leases its idle units to servers with demand. Whatever datagrams are lost,
+//! delayed or doubled, and whichever servers crash or pause, no more calls than the capacity are
+//! in flight: see [`ledger`].
+//!
+//! [`FleetQuotas`] is the state machine of one server. It owns the budgets and the counters; it
+//! is given the time, a random seed, the view of `madderbay_membership` and datagrams, and
+//! returns datagrams to send. It never does I/O.
 //!
 //! ```
 //! use madderbay::time::{Duration, Timestamp};
-//! use madderbay_quota::{BudgetSettings, Peer, Settings, Shared, Terms};
+//! use madderbay_quota::{BudgetSettings, FleetQuotas, LeaseTerms, Peer, Settings};
 //! let ms = Duration::from_millis;
-//! let terms = Terms { lease: ms(1_000), longest: ms(500), guard: ms(50) };
-//! let set = |name: &str, life| Settings {
+//! let terms = LeaseTerms { lease: ms(1_000), max_call: ms(500), guard: ms(50) };
+//! let settings = |name: &str, incarnation| Settings {
 //!     name: name.into(),
-//!     life,
+//!     incarnation,
 //!     budgets: vec![BudgetSettings {
 //!         name: "trip-book".into(),
-//!         whole: 8,
-//!         servers: 2,
-//!         seat: Some(life as u32),
+//!         capacity: 8,
+//!         max_servers: 2,
+//!         slot: Some(incarnation as u32),
 //!         weight: 1.0,
 //!         terms,
 //!     }],
-//!     counts: vec![],
+//!     counters: vec![],
 //! };
 //! let at = |ms: u64| Timestamp::from_micros(ms * 1_000);
-//! let (mut a, mut b) = (Shared::new(at(0), 1, set("a", 1)), Shared::new(at(0), 2, set("b", 2)));
-//! let peer = |name: &str| vec![Peer { name: name.into(), life: 1, active: true }];
+//! let mut a = FleetQuotas::new(at(0), 1, settings("a", 1));
+//! let mut b = FleetQuotas::new(at(0), 2, settings("b", 2));
+//! let peer = |name: &str| vec![Peer { name: name.into(), incarnation: 1, active: true }];
 //! a.view(at(0), 1, peer("b"));
 //! b.view(at(0), 1, peer("a"));
-//! // A new life waits until all that a former one may have lent is over; then each has its birthright.
+//! // A new incarnation waits until all grants of a former one are over, then uses its base quota.
 //! assert_eq!(a.budgets[0].ledger.usable(at(0)), 0);
 //! let begun = at(0) + terms.held();
 //! assert_eq!(a.budgets[0].ledger.usable(begun), 4);
-//! // Only a has work: b lends it all that it has.
-//! a.budgets[0].wait(begun, 8);
+//! // Only a has demand: b leases it all units that it has.
+//! a.budgets[0].set_waiting(begun, 8);
 //! for step in 0..5 {
 //!     let now = begun + ms(step * 100);
-//!     a.turn(now);
-//!     a.outgoing().iter().for_each(|d| b.received(now, &"a".into(), &d.1));
-//!     b.turn(now);
-//!     b.outgoing().iter().for_each(|d| a.received(now, &"b".into(), &d.1));
+//!     a.handle_timeout(now);
+//!     a.take_datagrams().iter().for_each(|d| b.handle_datagram(now, &"a".into(), &d.1));
+//!     b.handle_timeout(now);
+//!     b.take_datagrams().iter().for_each(|d| a.handle_datagram(now, &"b".into(), &d.1));
 //! }
 //! assert_eq!(a.budgets[0].ledger.usable(begun + ms(500)), 8);
 //! assert_eq!(b.budgets[0].ledger.usable(begun + ms(500)), 0);
@@ -48,9 +53,9 @@
 
 pub mod budget;
 pub mod counter;
-mod fair;
 pub mod ledger;
 mod shared;
+mod water_filling;
 mod wire;
 
 pub use budget::{Cause, Settings as BudgetSettings};
