Quota: the ledger split into grants, leases and terms; its model in a test file

ledger.rs held both roles of a server in one set of records under its own words. Grants to a lessee and the lease of a lessor are now types with private state in files of their own; an incarnation's small number is a newtype; a rejected grant is a thiserror enum instead of a bool.

--- a/crates/quota/src/budget.rs
+++ b/crates/quota/src/budget.rs
@@ -1,7 +1,7 @@
 //! One budget as a server plays it: how much work there is for it, of whom to borrow, whom to lend to, what to
 //! give back. Decisions only: what may be used is the [`Ledger`]'s.
 
-use crate::ledger::{LeaseTerms, Ledger, Who};
+use crate::ledger::{IncarnationId, LeaseTerms, Ledger};
 use crate::water_filling::{Claim, next_grants};
 use crate::wire::Word;
 use compact_str::CompactString;
@@ -33,7 +33,7 @@
 const RENEWS: f64 = 0.45;
 /// Recalls are said again no sooner: the borrower may be waiting for calls to end.
 const RECALLS: Duration = Duration::from_millis(50);
-/// Who asked and had too few is told of idle units no oftener: several that come free together go together.
+/// IncarnationId asked and had too few is told of idle units no oftener: several that come free together go together.
 const OFFERS: Duration = Duration::from_millis(30);
 /// Beside what it needs now a server wants what it needed in the mean of late, over about so long. Peaks beyond
 /// call back what is lent, which takes a word and a call's end: room kept for them would lie idle.
@@ -121,8 +121,8 @@
     busy: Option<Timestamp>,
     /// Since when more may be used than there is work for.
     idle: Option<Timestamp>,
-    askers: BTreeMap<Who, Asker>,
-    lenders: BTreeMap<Who, Lender>,
+    askers: BTreeMap<IncarnationId, Asker>,
+    lenders: BTreeMap<IncarnationId, Lender>,
     /// How many are asked at a time.
     asks: f64,
     /// Where to go on among those who could be asked.
@@ -158,21 +158,21 @@
     }
 
     pub fn call_started(&mut self, now: Timestamp) {
-        self.ledger.started();
+        self.ledger.call_started();
         self.follow(now);
     }
 
     pub fn call_ended(&mut self, now: Timestamp) {
-        self.ledger.ended();
+        self.ledger.call_ended();
         self.follow(now);
         // Whoever called something back waits for this.
-        let owes = self.ledger.owes(now);
+        let owes = self.ledger.has_returns(now);
         // Others have asked for more than they had.
         let wanted = self
             .askers
             .values()
             .any(|a| a.claim.other_units + a.claim.granted < a.claim.demand);
-        self.hurries |= owes || wanted && self.lendable(now) > self.ledger.lent(now);
+        self.hurries |= owes || wanted && self.lendable(now) > self.ledger.granted(now);
     }
 
     /// Calls that stand in wait of a place, or surely will.
@@ -180,11 +180,11 @@
         let more = calls > self.waiting;
         self.waiting = calls;
         self.follow(now);
-        self.hurries |= more && self.short(now) && self.ledger.lent(now) > 0;
+        self.hurries |= more && self.short(now) && self.ledger.granted(now) > 0;
     }
 
     pub fn set_own(&mut self, own: u32, from: Option<Timestamp>) {
-        self.ledger.set_own(own, from);
+        self.ledger.set_base_quota(own, from);
         self.cause = Cause::Set;
     }
 
@@ -209,16 +209,21 @@
     fn lendable(&self, now: Timestamp) -> u32 {
         let busy = u32::from(self.busy.is_some_and(|at| now - at < BUSY_FOR));
         let works = (self.ledger.in_use() + self.waiting).max(self.mean.round() as u32);
-        self.ledger.own(now).saturating_sub(works.max(busy))
+        self.ledger.base_quota(now).saturating_sub(works.max(busy))
     }
 
     /// All that is in hand, and what it says to others. `peers` are those who are in.
-    pub fn step(&mut self, now: Timestamp, peers: &[Who], say: &mut Vec<(Who, Word)>) {
+    pub fn step(
+        &mut self,
+        now: Timestamp,
+        peers: &[IncarnationId],
+        say: &mut Vec<(IncarnationId, Word)>,
+    ) {
         self.hurry(now, say);
         let lease = self.set.terms.lease;
         self.askers.retain(|_, a| now - a.at < lease);
         let (wants, has) = (self.wants(), self.ledger.usable(now));
-        if has > wants.max(self.ledger.in_use()) && self.ledger.borrowed(now) > 0 {
+        if has > wants.max(self.ledger.in_use()) && self.ledger.leased(now) > 0 {
             let since = *self.idle.get_or_insert(now);
             if now - since >= IDLE {
                 self.spare(now, has - wants.max(self.ledger.in_use()));
@@ -233,38 +238,48 @@
     }
 
     /// What another waits for: units called back, and such as were called back here.
-    pub fn hurry(&mut self, now: Timestamp, say: &mut Vec<(Who, Word)>) {
+    pub fn hurry(&mut self, now: Timestamp, say: &mut Vec<(IncarnationId, Word)>) {
         self.hurries = false;
         self.follow(now);
         self.recall(now, say);
-        for back in self.ledger.backs(now) {
+        for back in self.ledger.take_returns(now) {
             let word = Word::Back {
                 budget: self.mark,
-                number: back.number,
-                keep: back.keep,
+                number: back.request_id,
+                keep: back.kept_units,
             };
-            say.push((back.lender, word));
+            say.push((back.lessor, word));
         }
     }
 
     /// Gives so many back, the smallest loans first: fewer lenders then have to be asked.
     fn spare(&mut self, now: Timestamp, mut units: u32) {
-        let mut loans: Vec<(u32, Who)> = self.ledger.loans(now).map(|l| (l.1, l.0)).collect();
+        let mut loans: Vec<(u32, IncarnationId)> = self
+            .ledger
+            .open_leases(now)
+            .map(|l| (l.units, l.lessor))
+            .collect();
         loans.sort_unstable();
         for (has, who) in loans {
             let back = has.min(units);
             if back == 0 {
                 break;
             }
-            self.ledger.give_back(who, has - back);
+            self.ledger.release(who, has - back);
             units -= back;
             self.cause = Cause::GivenBack;
         }
     }
 
-    fn ask(&mut self, now: Timestamp, who: Who, units: u32, say: &mut Vec<(Who, Word)>) {
-        let number = self.ledger.ask(now, who);
-        let base = self.ledger.usable(now) - self.ledger.borrowed_of(now, who);
+    fn ask(
+        &mut self,
+        now: Timestamp,
+        who: IncarnationId,
+        units: u32,
+        say: &mut Vec<(IncarnationId, Word)>,
+    ) {
+        let number = self.ledger.new_request(now, who);
+        let base = self.ledger.usable(now) - self.ledger.leased_from(now, who);
         let (wants, weight) = (self.wants(), self.set.weight as f32);
         say.push((
             who,
@@ -279,18 +294,20 @@
         ));
     }
 
-    fn open(&self, now: Timestamp, who: Who) -> bool {
-        self.ledger.asked(who).is_some_and(|at| now - at < ANSWER)
+    fn open(&self, now: Timestamp, who: IncarnationId) -> bool {
+        self.ledger
+            .pending_request_at(who)
+            .is_some_and(|at| now - at < ANSWER)
     }
 
-    fn renew(&mut self, now: Timestamp, say: &mut Vec<(Who, Word)>) {
+    fn renew(&mut self, now: Timestamp, say: &mut Vec<(IncarnationId, Word)>) {
         let lease = self.set.terms.lease;
         let due = |left: Duration| left < lease.mul_f64(1.0 - RENEWS);
-        let old: Vec<(Who, u32)> = self
+        let old: Vec<(IncarnationId, u32)> = self
             .ledger
-            .loans(now)
-            .filter(|l| due(l.2))
-            .map(|l| (l.0, l.1))
+            .open_leases(now)
+            .filter(|l| due(l.remaining))
+            .map(|l| (l.lessor, l.units))
             .collect();
         for (who, units) in old {
             if !self.open(now, who) {
@@ -300,11 +317,17 @@
     }
 
     /// Asks some for what is missing: first those who said that they could lend, then others in turn.
-    fn borrow(&mut self, now: Timestamp, missing: u32, peers: &[Who], say: &mut Vec<(Who, Word)>) {
+    fn borrow(
+        &mut self,
+        now: Timestamp,
+        missing: u32,
+        peers: &[IncarnationId],
+        say: &mut Vec<(IncarnationId, Word)>,
+    ) {
         let most = self.asks.ceil() as usize;
         let mut left = missing;
         let mut asked = 0;
-        let mut known: Vec<(u32, Who)> = self
+        let mut known: Vec<(u32, IncarnationId)> = self
             .lenders
             .iter()
             .filter(|l| l.1.spare > 0 && l.1.next <= now)
@@ -317,7 +340,7 @@
             }
             if !self.open(now, who) {
                 let more = spare.min(left);
-                let units = self.ledger.borrowed_of(now, who) + more;
+                let units = self.ledger.leased_from(now, who) + more;
                 self.ask(now, who, units, say);
                 (left, asked) = (left - more, asked + 1);
             }
@@ -336,7 +359,7 @@
                 .get(&who)
                 .is_none_or(|l| l.next <= now && l.spare == 0);
             if ready && !self.open(now, who) {
-                let units = self.ledger.borrowed_of(now, who) + each;
+                let units = self.ledger.leased_from(now, who) + each;
                 self.ask(now, who, units, say);
                 asked += 1;
                 self.turn = (self.turn + step + 1) % peers.len();
@@ -346,8 +369,8 @@
 
     /// What is lent goes where it is due: whoever has too much of it is told so, and whoever has too little and
     /// has asked.
-    fn recall(&mut self, now: Timestamp, say: &mut Vec<(Who, Word)>) {
-        let mut idle = self.lendable(now).saturating_sub(self.ledger.lent(now));
+    fn recall(&mut self, now: Timestamp, say: &mut Vec<(IncarnationId, Word)>) {
+        let mut idle = self.lendable(now).saturating_sub(self.ledger.granted(now));
         for (who, due) in self.targets(now) {
             let Some(asker) = self.askers.get_mut(&who) else {
                 continue;
@@ -384,14 +407,14 @@
     }
 
     /// What each who asks is to have of this server.
-    fn targets(&mut self, now: Timestamp) -> Vec<(Who, u32)> {
+    fn targets(&mut self, now: Timestamp) -> Vec<(IncarnationId, u32)> {
         // Recorded here and used by those who do not ask any more until it is over.
         let ledger = &self.ledger;
         self.askers
             .iter_mut()
-            .for_each(|(who, a)| a.claim.granted = ledger.lent_to(now, *who));
+            .for_each(|(who, a)| a.claim.granted = ledger.granted_to(now, *who));
         let silent =
-            self.ledger.lent(now) - self.askers.values().map(|a| a.claim.granted).sum::<u32>();
+            self.ledger.granted(now) - self.askers.values().map(|a| a.claim.granted).sum::<u32>();
         let claims: Vec<Claim> = self.askers.values().map(|a| a.claim).collect();
         let spare = self.lendable(now).saturating_sub(silent);
         let lent: u32 = claims.iter().map(|c| c.granted).sum();
@@ -407,7 +430,13 @@
     }
 
     /// A word from one who is in.
-    pub fn hear(&mut self, now: Timestamp, from: Who, word: &Word, say: &mut Vec<(Who, Word)>) {
+    pub fn hear(
+        &mut self,
+        now: Timestamp,
+        from: IncarnationId,
+        word: &Word,
+        say: &mut Vec<(IncarnationId, Word)>,
+    ) {
         self.follow(now);
         self.heard = Some(now);
         match *word {
@@ -448,10 +477,12 @@
                 );
                 let targets = self.targets(now);
                 let due = targets.iter().find(|t| t.0 == from).map_or(0, |t| t.1);
-                if let Some(granted) = self.ledger.grant(now, from, number, units.min(due)) {
-                    let left = self.lendable(now).saturating_sub(self.ledger.lent(now));
-                    let spare =
-                        left.min(self.ledger.could_grant(now, from).saturating_sub(granted));
+                if let Some(granted) = self
+                    .ledger
+                    .answer_request(now, from, number, units.min(due))
+                {
+                    let left = self.lendable(now).saturating_sub(self.ledger.granted(now));
+                    let spare = left.min(self.ledger.max_grant(now, from).saturating_sub(granted));
                     say.push((
                         from,
                         Word::Grant {
@@ -473,8 +504,8 @@
                 ..
             } => {
                 let units = units.min(self.set.capacity);
-                let had = self.ledger.borrowed_of(now, from);
-                if !self.ledger.granted(now, from, number, units) {
+                let had = self.ledger.leased_from(now, from);
+                if self.ledger.accept_grant(now, from, number, units).is_err() {
                     return;
                 }
                 if units > had {
@@ -502,15 +533,15 @@
                 );
             }
             Word::Back { number, keep, .. } => {
-                let lent = self.ledger.lent(now);
-                self.ledger.returned(from, number, keep);
-                if self.ledger.lent(now) < lent {
+                let lent = self.ledger.granted(now);
+                self.ledger.handle_return(from, number, keep);
+                if self.ledger.granted(now) < lent {
                     self.cause = Cause::GivenBack;
                 }
             }
             Word::Recall { keep, .. } => {
-                self.ledger.give_back(from, keep);
-                self.hurries |= self.ledger.owes(now);
+                self.ledger.release(from, keep);
+                self.hurries |= self.ledger.has_returns(now);
                 // It wants them itself: others are asked.
                 self.lenders.insert(
                     from,
@@ -533,7 +564,7 @@
                     },
                 );
                 if missing > 0 && spare > 0 && !self.open(now, from) {
-                    let units = self.ledger.borrowed_of(now, from) + spare.min(missing);
+                    let units = self.ledger.leased_from(now, from) + spare.min(missing);
                     self.ask(now, from, units, say);
                 }
             }
@@ -542,10 +573,10 @@
     }
 
     /// Lets go of those who are gone.
-    pub fn tidy(&mut self, now: Timestamp, gone: impl Fn(Who) -> bool) {
+    pub fn tidy(&mut self, now: Timestamp, gone: impl Fn(IncarnationId) -> bool) {
         self.askers.retain(|who, _| !gone(*who));
         self.lenders.retain(|who, _| !gone(*who));
-        self.ledger.tidy(now, gone);
+        self.ledger.forget(now, gone);
     }
 
     /// What may be used has changed since it was told last: from, to, and why.
--- a/crates/quota/src/counter.rs
+++ b/crates/quota/src/counter.rs
@@ -7,6 +7,7 @@
 //! long ago one was over is known within bounds, by own clocks alone, since every answer brings the stamp of
 //! its question back.
 
+use crate::clock_drift::MAX_CLOCK_DRIFT;
 use crate::wire::{Cell, name_hash};
 use compact_str::CompactString;
 use madderbay::time::{Duration, Timestamp};
@@ -25,8 +26,6 @@
 const PLACES: usize = 64;
 /// Lives of others kept at the most.
 const LIVES_MOST: usize = 4_096;
-/// Clocks of two servers gain on each other by no more than this part.
-const DRIFT: f64 = 0.02;
 /// How long ago an unheard server's last word counts half, in windows.
 const FADES: f64 = 1.0;
 
@@ -106,8 +105,8 @@
     fn age(&self, now: Timestamp) -> (Duration, Duration) {
         let passed = now - self.at;
         (
-            self.over.0 + passed.mul_f64(1.0 - DRIFT),
-            self.over.1 + passed.mul_f64(1.0 + DRIFT),
+            self.over.0 + passed.mul_f64(1.0 - MAX_CLOCK_DRIFT),
+            self.over.1 + passed.mul_f64(1.0 + MAX_CLOCK_DRIFT),
         )
     }
 }
@@ -353,8 +352,8 @@
             return;
         }
         let over = (
-            Duration::from_millis(u64::from(cell.least_ms)).mul_f64(1.0 - DRIFT),
-            Duration::from_millis(u64::from(cell.most_ms)) + asked.mul_f64(1.0 + DRIFT),
+            Duration::from_millis(u64::from(cell.least_ms)).mul_f64(1.0 - MAX_CLOCK_DRIFT),
+            Duration::from_millis(u64::from(cell.most_ms)) + asked.mul_f64(1.0 + MAX_CLOCK_DRIFT),
         );
         let fresh = Heard {
             cell,
@@ -444,7 +443,9 @@
             }
             // Slots since that may lie in the window, and were not told of.
             let end = heard.closed.map_or(Duration::ZERO, |at| {
-                (now - at).mul_f64(1.0 - DRIFT).saturating_sub(self.slot)
+                (now - at)
+                    .mul_f64(1.0 - MAX_CLOCK_DRIFT)
+                    .saturating_sub(self.slot)
             });
             let slots = |s: Duration| s.as_micros() / self.slot.as_micros();
             // Those that are over for longer than the window reaches back are none of it.
--- a/crates/quota/src/ledger.rs
+++ b/crates/quota/src/ledger.rs
@@ -1,329 +1,254 @@
-//! The strict part of a budget: which of its units this server may use, and why no two servers ever use one.
-//! It knows no names, no chance and no wishes: how much is asked, granted and given back is decided in
-//! [`crate::budget`], and whatever is decided there, the sum of calls in hand over the fleet stays within the
-//! sum of all birthrights. `docs/notes/shared.md` has the invariant and its proof.
-
-use madderbay::time::{Duration, Timestamp};
+//! The strict part of a budget: the units that this server may use, granted and leased ones
+//! included, such that no two servers ever use the same unit.
+//!
+//! The ledger owns all open grants (as a lessor) and leases (as a lessee) of one budget, and the
+//! count of calls in flight. It is given the time and the decisions of [`crate::budget`]: how
+//! much is requested, granted and returned. Whatever is decided there, the sum of calls in flight
+//! over the fleet never exceeds the sum of all base quotas. It never sees names, randomness or
+//! demand. `docs/notes/shared.md` states the invariant and its proof.
+
+mod grants;
+mod leases;
+mod terms;
+
+use grants::GrantHistory;
+use leases::LeaseRecord;
+pub use leases::{LeaseReturn, OpenLease, RejectedGrant};
+use madderbay::time::Timestamp;
 use std::collections::BTreeMap;
+pub use terms::LeaseTerms;
 
-/// Clocks of two servers gain on each other by no more than this part.
-const DRIFT: f64 = 0.02;
-/// Grants to one borrower that are not over yet, each smaller than the one before; beyond, the oldest are one.
-const LAYERS_MOST: usize = 16;
-
-/// Another server in one life of it, as a small number.
-pub type Who = u32;
-
-/// What binds a loan.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct LeaseTerms {
-    /// How long a borrower may start calls on a grant, counted from when it asked for it.
-    pub lease: Duration,
-    /// The longest that a call, and whatever it leaves behind, is in hand below.
-    pub max_call: Duration,
-    /// So long before a lease ends no call is started on it any more: a start takes time to get below.
-    pub guard: Duration,
-}
-
-impl LeaseTerms {
-    /// How long a lender holds back what it has granted, unless it is given back before.
-    pub fn held(&self) -> Duration {
-        (self.lease + self.max_call).mul_f64(1.0 + DRIFT)
-    }
-}
-
-/// One grant that its borrower may still use, or have calls on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct Layer {
-    number: u32,
-    units: u32,
-    until: Timestamp,
-}
-
-/// What was granted to one borrower. A later grant stands in place of an earlier one, of which calls may still
-/// be in hand: so the largest that is not over counts.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-struct Given {
-    layers: Vec<Layer>,
-    answered: u32,
-    answer: u32,
-}
-
-impl Given {
-    fn units(&self, now: Timestamp) -> u32 {
-        self.layers
-            .iter()
-            .filter(|l| now < l.until)
-            .map(|l| l.units)
-            .max()
-            .unwrap_or(0)
-    }
-}
-
-/// What was taken of one lender: the grant accepted last.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-struct Taken {
-    number: u32,
-    units: u32,
-    end: Timestamp,
-    /// The question that is out, and when it was asked.
-    asked: Option<(u32, Timestamp)>,
-    /// Times that the lender is still to be told that some is given back.
-    owed: u8,
-}
-
-/// A grant given back down to `keep` units.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Back {
-    pub lender: Who,
-    pub number: u32,
-    pub keep: u32,
-}
-
-/// Words of a return that are sent: one may be lost.
-const BACK_TOLD: u8 = 2;
+/// One incarnation of another server, as a small number that is valid in this process only.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct IncarnationId(pub u32);
 
+/// Grants, leases and calls in flight of one budget on one server.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Ledger {
     terms: LeaseTerms,
-    own: u32,
-    /// From when on the birthright may be used: what a former life of this server lent is over by then.
-    from: Timestamp,
+    base_quota: u32,
+    /// Until then a former incarnation of this server may still have grants or calls open.
+    usable_from: Timestamp,
     in_use: u32,
-    /// Questions asked in this life: a number is never used again, also not after a lender was let go of.
-    numbered: u32,
-    given: BTreeMap<Who, Given>,
-    taken: BTreeMap<Who, Taken>,
+    /// Identifier of the latest request. Never reset, not even once a lessor is forgotten.
+    last_request_id: u32,
+    grants: BTreeMap<IncarnationId, GrantHistory>,
+    leases: BTreeMap<IncarnationId, LeaseRecord>,
 }
 
 impl Ledger {
-    /// `own` is this server's birthright, which it may use, and lend, from `from` on.
-    pub fn new(terms: LeaseTerms, own: u32, from: Timestamp) -> Ledger {
-        let (given, taken) = (BTreeMap::new(), BTreeMap::new());
+    /// Creates a ledger whose base quota of `base_quota` units may be used and granted from
+    /// `usable_from` on.
+    pub fn new(terms: LeaseTerms, base_quota: u32, usable_from: Timestamp) -> Ledger {
         Ledger {
             terms,
-            own,
-            from,
+            base_quota,
+            usable_from,
             in_use: 0,
-            numbered: 0,
-            given,
-            taken,
+            last_request_id: 0,
+            grants: BTreeMap::new(),
+            leases: BTreeMap::new(),
         }
     }
 
-    pub fn terms(&self) -> LeaseTerms {
-        self.terms
+    /// Base quota in units as of `now`: 0 until it is usable.
+    pub fn base_quota(&self, now: Timestamp) -> u32 {
+        if now >= self.usable_from {
+            self.base_quota
+        } else {
+            0
+        }
     }
 
-    /// The birthright as of now.
-    pub fn own(&self, now: Timestamp) -> u32 {
-        if now >= self.from { self.own } else { 0 }
+    /// Base quota in units, also where it is not usable yet.
+    pub fn eventual_base_quota(&self) -> u32 {
+        self.base_quota
     }
 
-    /// Another birthright from here on; with `from` one that waits until then.
-    pub fn set_own(&mut self, own: u32, from: Option<Timestamp>) {
-        self.own = own;
-        self.from = from.unwrap_or(self.from);
+    /// Replaces the base quota; `usable_from` also replaces the time at which it is usable.
+    pub fn set_base_quota(&mut self, units: u32, usable_from: Option<Timestamp>) {
+        self.base_quota = units;
+        self.usable_from = usable_from.unwrap_or(self.usable_from);
     }
 
-    /// When the birthright may be used.
+    /// Time from which the base quota may be used.
     pub fn usable_from(&self) -> Timestamp {
-        self.from
-    }
-
-    /// Units granted to others that may still be in use there.
-    pub fn lent(&self, now: Timestamp) -> u32 {
-        self.given.values().map(|g| g.units(now)).sum()
-    }
-
-    pub fn lent_to(&self, now: Timestamp, who: Who) -> u32 {
-        self.given.get(&who).map_or(0, |g| g.units(now))
-    }
-
-    /// Units of others that calls may be started on.
-    pub fn borrowed(&self, now: Timestamp) -> u32 {
-        self.taken
-            .values()
-            .filter(|t| now < t.end)
-            .map(|t| t.units)
-            .sum()
-    }
-
-    pub fn borrowed_of(&self, now: Timestamp, who: Who) -> u32 {
-        self.taken
-            .get(&who)
-            .filter(|t| now < t.end)
-            .map_or(0, |t| t.units)
-    }
-
-    /// Those of whom something is borrowed, how much, and how long it may still be used.
-    pub fn loans(&self, now: Timestamp) -> impl Iterator<Item = (Who, u32, Duration)> {
-        let open = self
-            .taken
-            .iter()
-            .filter(move |t| now < t.1.end && t.1.units > 0);
-        open.map(move |(who, t)| (*who, t.units, t.end - now))
+        self.usable_from
     }
 
-    /// Calls that may be in hand as far as starts go.
+    /// Calls that may be in flight, as far as starts are concerned.
     pub fn usable(&self, now: Timestamp) -> u32 {
-        self.own(now).saturating_sub(self.lent(now)) + self.borrowed(now)
+        self.base_quota(now).saturating_sub(self.granted(now)) + self.leased(now)
     }
 
-    /// Calls in hand, those that outlast their lease among them.
+    /// Calls in flight, including those that outlast the lease that they were started on.
     pub fn in_use(&self) -> u32 {
         self.in_use
     }
 
+    /// Whether one more call may be started.
     pub fn may_start(&self, now: Timestamp) -> bool {
         self.in_use < self.usable(now)
     }
 
-    /// A call was started; whoever starts one that may not be started is counted all the same.
-    pub fn started(&mut self) {
+    /// Counts a started call, also one that [`Ledger::may_start`] did not allow.
+    pub fn call_started(&mut self) {
         self.in_use += 1;
     }
 
-    pub fn ended(&mut self) {
+    /// Counts the end of a call.
+    pub fn call_ended(&mut self) {
         self.in_use = self.in_use.saturating_sub(1);
     }
 
-    // --- as a lender
-
-    /// The most that one who asks may be granted in all, what it has among it.
-    pub fn could_grant(&self, now: Timestamp, to: Who) -> u32 {
-        let (own, lent, has) = (self.own(now), self.lent(now), self.lent_to(now, to));
-        match own.checked_sub(lent) {
-            // What is to be lent anew must lie idle.
-            Some(kept) => has + kept.saturating_sub(self.in_use),
-            None => has.saturating_sub(lent - own),
-        }
+    /// Forgets the servers for which `is_gone` holds and with which nothing is open any more.
+    pub fn forget(&mut self, now: Timestamp, is_gone: impl Fn(IncarnationId) -> bool) {
+        self.grants
+            .retain(|id, grants| !is_gone(*id) || grants.units(now) > 0);
+        self.leases
+            .retain(|id, lease| !is_gone(*id) || lease.is_open(now));
     }
 
-    /// Answers question `number` of a borrower with that many units in all, or fewer; nothing where a later
-    /// one was answered before, and the same again where this one was.
-    pub fn grant(&mut self, now: Timestamp, to: Who, number: u32, units: u32) -> Option<u32> {
-        let most = self.could_grant(now, to);
-        let until = now + self.terms.held();
-        let given = self.given.entry(to).or_default();
-        if number <= given.answered {
-            return (number == given.answered).then_some(given.answer);
-        }
-        let units = units.min(most);
-        // One that is over sooner and no larger than this one binds nothing more.
-        given.layers.retain(|l| now < l.until && l.units > units);
-        if given.layers.len() >= LAYERS_MOST {
-            // The two oldest are held back as one: as many as the larger, as long as the later.
-            let first = given.layers.remove(0);
-            given.layers[0].units = given.layers[0].units.max(first.units);
-        }
-        (given.answered, given.answer) = (number, units);
-        if units > 0 {
-            given.layers.push(Layer {
-                number,
-                units,
-                until,
-            });
-        }
-        Some(units)
+    /// Whether anything is remembered of a server.
+    pub fn remembers(&self, id: IncarnationId) -> bool {
+        self.grants.contains_key(&id) || self.leases.contains_key(&id)
     }
 
-    /// A borrower gives its grant `number`, and with it all earlier ones, back down to `keep` units.
-    pub fn returned(&mut self, from: Who, number: u32, keep: u32) {
-        let Some(given) = self.given.get_mut(&from) else {
-            return;
-        };
-        given
-            .layers
-            .iter_mut()
-            .filter(|l| l.number <= number)
-            .for_each(|l| l.units = l.units.min(keep));
-        given.layers.retain(|l| l.units > 0);
+    /// Whether nothing is remembered of any server.
+    pub fn is_empty(&self) -> bool {
+        self.grants.is_empty() && self.leases.is_empty()
     }
+}
 
-    // --- as a borrower
+/// The role of lessor.
+impl Ledger {
+    /// Units granted to other servers that may still be in use there.
+    pub fn granted(&self, now: Timestamp) -> u32 {
+        self.grants.values().map(|grants| grants.units(now)).sum()
+    }
+
+    /// Units granted to one lessee that may still be in use there.
+    pub fn granted_to(&self, now: Timestamp, lessee: IncarnationId) -> u32 {
+        self.grants
+            .get(&lessee)
+            .map_or(0, |grants| grants.units(now))
+    }
+
+    /// Upper bound on a grant to a lessee in total units, including what it has already.
+    pub fn max_grant(&self, now: Timestamp, lessee: IncarnationId) -> u32 {
+        let (base, granted) = (self.base_quota(now), self.granted(now));
+        let has = self.granted_to(now, lessee);
+        match base.checked_sub(granted) {
+            // Only idle units may be granted beyond what the lessee has.
+            Some(own) => has + own.saturating_sub(self.in_use),
+            None => has.saturating_sub(granted - base),
+        }
+    }
 
-    /// A question to a lender: its number.
-    pub fn ask(&mut self, now: Timestamp, lender: Who) -> u32 {
-        self.numbered += 1;
-        self.taken.entry(lender).or_default().asked = Some((self.numbered, now));
-        self.numbered
+    /// Answers a lessee's request with at most `units` in total and returns the units granted.
+    ///
+    /// A repeated request gets the same answer again. Returns `None` for a request that is older
+    /// than the one answered last; it needs no answer.
+    pub fn answer_request(
+        &mut self,
+        now: Timestamp,
+        lessee: IncarnationId,
+        request_id: u32,
+        units: u32,
+    ) -> Option<u32> {
+        let max_units = self.max_grant(now, lessee);
+        let held_until = now + self.terms.lessor_hold();
+        let grants = self.grants.entry(lessee).or_default();
+        grants.answer(now, request_id, units.min(max_units), held_until)
+    }
+
+    /// A lessee returns the grant that answered `request_id`, and all before it, down to
+    /// `kept_units`.
+    pub fn handle_return(&mut self, lessee: IncarnationId, request_id: u32, kept_units: u32) {
+        if let Some(grants) = self.grants.get_mut(&lessee) {
+            grants.reduce(request_id, kept_units);
+        }
     }
+}
 
-    /// Whether a question is out and when it was asked.
-    pub fn asked(&self, lender: Who) -> Option<Timestamp> {
-        self.taken.get(&lender)?.asked.map(|a| a.1)
+/// The role of lessee.
+impl Ledger {
+    /// Units of other servers on which calls may be started.
+    pub fn leased(&self, now: Timestamp) -> u32 {
+        self.leases.values().map(|lease| lease.units(now)).sum()
     }
 
-    /// The answer to a question. One that nobody waits for, or that comes when its lease is over, is nothing.
-    pub fn granted(&mut self, now: Timestamp, lender: Who, number: u32, units: u32) -> bool {
-        let Some(taken) = self.taken.get_mut(&lender) else {
-            return false;
-        };
-        let Some((_, at)) = taken.asked.take_if(|a| a.0 == number) else {
-            return false;
-        };
-        let end = at + self.terms.lease.saturating_sub(self.terms.guard);
-        if now >= end {
-            return false;
-        }
-        (taken.number, taken.units, taken.end, taken.owed) = (number, units, end, 0);
-        true
+    /// Units of one lessor on which calls may be started.
+    pub fn leased_from(&self, now: Timestamp, lessor: IncarnationId) -> u32 {
+        self.leases.get(&lessor).map_or(0, |lease| lease.units(now))
     }
 
-    /// No call is started any more on what is borrowed of a lender beyond `keep` units; what is over is given
-    /// back once no call needs it.
-    pub fn give_back(&mut self, lender: Who, keep: u32) {
-        if let Some(taken) = self.taken.get_mut(&lender).filter(|t| t.units > keep) {
-            (taken.units, taken.owed) = (keep, BACK_TOLD);
+    /// Leases on which calls may be started, in the order of the lessors' identifiers.
+    pub fn open_leases(&self, now: Timestamp) -> impl Iterator<Item = OpenLease> {
+        self.leases
+            .iter()
+            .filter_map(move |(lessor, lease)| lease.as_open(now, *lessor))
+    }
+
+    /// Records a request to a lessor and returns its identifier.
+    pub fn new_request(&mut self, now: Timestamp, lessor: IncarnationId) -> u32 {
+        self.last_request_id += 1;
+        self.leases
+            .entry(lessor)
+            .or_default()
+            .set_request(self.last_request_id, now);
+        self.last_request_id
+    }
+
+    /// When the request to a lessor was made that is not answered yet.
+    pub fn pending_request_at(&self, lessor: IncarnationId) -> Option<Timestamp> {
+        self.leases.get(&lessor)?.requested_at()
+    }
+
+    /// Accepts a lessor's answer to a request; the grant replaces the earlier ones of that lessor.
+    ///
+    /// # Errors
+    ///
+    /// The answer is rejected, and nothing changes but that the request is no longer pending, if
+    /// no such request is pending or if the lease is already over.
+    pub fn accept_grant(
+        &mut self,
+        now: Timestamp,
+        lessor: IncarnationId,
+        request_id: u32,
+        units: u32,
+    ) -> Result<(), RejectedGrant> {
+        let lease = self
+            .leases
+            .get_mut(&lessor)
+            .ok_or(RejectedGrant::UnknownRequest)?;
+        lease.accept(now, self.terms.lessee_use(), request_id, units)
+    }
+
+    /// From now on no call is started on more than `kept_units` of a lessor's units. The units
+    /// are returned once no call in flight needs them.
+    pub fn release(&mut self, lessor: IncarnationId, kept_units: u32) {
+        if let Some(lease) = self.leases.get_mut(&lessor) {
+            lease.release(kept_units);
         }
     }
 
-    /// Whether a lender is still to be told that some is given back, and no call in hand needs it any more.
-    pub fn owes(&self, now: Timestamp) -> bool {
-        self.in_use <= self.usable(now) && self.taken.values().any(|t| t.owed > 0)
+    /// Whether a return is still to be sent and no call in flight needs the units any more.
+    pub fn has_returns(&self, now: Timestamp) -> bool {
+        self.in_use <= self.usable(now) && self.leases.values().any(LeaseRecord::has_return)
     }
 
-    /// What is to be said to lenders: grants that no call in hand needs as they were.
-    pub fn backs(&mut self, now: Timestamp) -> Vec<Back> {
+    /// Takes the returns to be sent: of units that no call in flight needs.
+    pub fn take_returns(&mut self, now: Timestamp) -> Vec<LeaseReturn> {
         if self.in_use > self.usable(now) {
             return vec![];
         }
-        let owed = self.taken.iter_mut().filter(|t| t.1.owed > 0);
-        owed.map(|(lender, t)| {
-            t.owed -= 1;
-            Back {
-                lender: *lender,
-                number: t.number,
-                keep: if now < t.end { t.units } else { 0 },
-            }
-        })
-        .collect()
-    }
-
-    /// Lets go of those with whom nothing is open any more.
-    pub fn tidy(&mut self, now: Timestamp, gone: impl Fn(Who) -> bool) {
-        self.given.retain(|who, g| !gone(*who) || g.units(now) > 0);
-        self.taken.retain(|who, t| !gone(*who) || now < t.end);
-    }
-
-    /// Whether anything is remembered of one.
-    pub fn knows(&self, who: Who) -> bool {
-        self.given.contains_key(&who) || self.taken.contains_key(&who)
-    }
-
-    /// Servers with which something is open.
-    pub fn len(&self) -> usize {
-        self.given.len() + self.taken.len()
-    }
-
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
+        let leases = self.leases.iter_mut();
+        leases
+            .filter_map(|(lessor, lease)| lease.take_return(now, *lessor))
+            .collect()
     }
 }
 
-#[cfg(test)]
-mod model;
-
 #[cfg(test)]
 mod tests;
--- a/crates/quota/src/ledger/tests.rs
+++ b/crates/quota/src/ledger/tests.rs
@@ -1,141 +1,134 @@
 use super::*;
+use madderbay::time::Duration;
+
+mod lease_model;
 
 const TERMS: LeaseTerms = LeaseTerms {
     lease: Duration::from_millis(1_000),
     max_call: Duration::from_millis(2_000),
     guard: Duration::from_millis(50),
 };
+const LESSOR: IncarnationId = IncarnationId(1);
+const LESSEE: IncarnationId = IncarnationId(2);
+const OTHER_LESSEE: IncarnationId = IncarnationId(3);
 
 fn at(ms: u64) -> Timestamp {
     Timestamp::from_micros(ms * 1_000)
 }
 
-fn ledger(own: u32) -> Ledger {
-    Ledger::new(TERMS, own, at(0))
+fn ledger(base_quota: u32) -> Ledger {
+    Ledger::new(TERMS, base_quota, at(0))
 }
 
 #[test]
-fn a_lease_counts_from_the_question_and_its_units_come_back_after_the_longest_call() {
+fn lease_counts_from_the_request_and_units_are_held_until_the_longest_call_ended() {
     let (mut a, mut b) = (ledger(4), ledger(2));
-    let number = b.ask(at(0), 1);
-    // The answer is made late and comes late.
-    assert_eq!(a.grant(at(400), 2, number, 3), Some(3));
-    assert_eq!((a.usable(at(400)), a.lent(at(400))), (1, 3));
-    assert!(b.granted(at(700), 1, number, 3));
-    assert!(!b.granted(at(701), 1, number, 3), "once");
-    assert_eq!((b.usable(at(949)), b.usable(at(950))), (5, 2));
-    let over = at(400) + TERMS.held();
+    let request = b.new_request(at(0), LESSOR);
+    // The answer is made late and arrives late.
+    assert_eq!(a.answer_request(at(400), LESSEE, request, 3), Some(3));
+    assert_eq!((a.usable(at(400)), a.granted(at(400))), (1, 3));
+    assert_eq!(b.accept_grant(at(700), LESSOR, request, 3), Ok(()));
+    let again = b.accept_grant(at(701), LESSOR, request, 3);
     assert_eq!(
-        (
-            a.usable(over.saturating_sub(Duration::from_micros(1))),
-            a.usable(over)
-        ),
-        (1, 4)
+        again,
+        Err(RejectedGrant::UnknownRequest),
+        "a grant is accepted once"
     );
+    assert_eq!((b.usable(at(949)), b.usable(at(950))), (5, 2));
+    let over = at(400) + TERMS.lessor_hold();
+    let before = over.saturating_sub(Duration::from_micros(1));
+    assert_eq!((a.usable(before), a.usable(over)), (1, 4));
     assert!(at(949) + TERMS.max_call < over);
 }
 
 #[test]
-fn doubled_and_old_questions_lend_nothing_more() {
+fn repeated_and_superseded_requests_are_granted_nothing_more() {
     let mut a = ledger(4);
-    assert_eq!(a.grant(at(0), 2, 1, 3), Some(3));
-    assert_eq!(a.grant(at(10), 2, 1, 3), Some(3));
-    assert_eq!(a.lent(at(10)), 3);
-    assert_eq!(a.grant(at(20), 2, 2, 2), Some(2));
+    assert_eq!(a.answer_request(at(0), LESSEE, 1, 3), Some(3));
+    assert_eq!(a.answer_request(at(10), LESSEE, 1, 3), Some(3));
+    assert_eq!(a.granted(at(10)), 3);
+    assert_eq!(a.answer_request(at(20), LESSEE, 2, 2), Some(2));
     assert_eq!(
-        a.lent(at(20)),
+        a.granted(at(20)),
         3,
-        "calls on the former grant may be in hand"
+        "calls on the former grant may be in flight"
     );
-    assert_eq!(a.grant(at(30), 2, 1, 3), None);
-    assert_eq!(a.grant(at(40), 3, 1, 4), Some(1), "no more than there is");
+    assert_eq!(a.answer_request(at(30), LESSEE, 1, 3), None);
+    let other = a.answer_request(at(40), OTHER_LESSEE, 1, 4);
+    assert_eq!(other, Some(1), "no more than there is");
 }
 
-/// However often one asks, within a lease, for more or for less: it is answered, and what may still be in use
-/// stays held back.
+/// However often a lessee requests more or less within a lease, it is answered, and units that
+/// may still be in use stay held back.
 #[test]
-fn many_questions_within_a_lease_are_answered() {
+fn many_requests_within_a_lease_are_answered() {
     let mut a = ledger(40);
     for n in 1..=40u32 {
-        assert_eq!(
-            a.grant(at(u64::from(n)), 2, n, n),
-            Some(n),
-            "more each time"
-        );
+        let granted = a.answer_request(at(u64::from(n)), LESSEE, n, n);
+        assert_eq!(granted, Some(n), "more each time");
     }
     for n in 1..=40u32 {
-        assert_eq!(
-            a.grant(at(40 + u64::from(n)), 2, 40 + n, 40 - n),
-            Some(40 - n),
-            "less each time"
-        );
-        assert_eq!(
-            a.lent(at(40 + u64::from(n))),
-            40,
-            "calls on the largest may be in hand"
-        );
+        let now = at(40 + u64::from(n));
+        let granted = a.answer_request(now, LESSEE, 40 + n, 40 - n);
+        assert_eq!(granted, Some(40 - n), "less each time");
+        assert_eq!(a.granted(now), 40, "calls on the largest may be in flight");
     }
-    assert_eq!(a.lent(at(80) + TERMS.held()), 0);
-    a.returned(2, 40, 0);
-    assert!(a.lent(at(81)) >= 39, "those after it are not given back");
-    a.returned(2, 80, 0);
-    assert_eq!(a.lent(at(81)), 0);
+    assert_eq!(a.granted(at(80) + TERMS.lessor_hold()), 0);
+    a.handle_return(LESSEE, 40, 0);
+    assert!(a.granted(at(81)) >= 39, "later grants are not returned");
+    a.handle_return(LESSEE, 80, 0);
+    assert_eq!(a.granted(at(81)), 0);
 }
 
 #[test]
-fn what_is_in_hand_is_not_lent() {
+fn units_in_use_are_not_granted() {
     let mut a = ledger(4);
-    (0..3).for_each(|_| a.started());
-    assert_eq!(a.could_grant(at(0), 2), 1);
-    a.ended();
-    assert_eq!(a.grant(at(0), 2, 1, 9), Some(2));
+    (0..3).for_each(|_| a.call_started());
+    assert_eq!(a.max_grant(at(0), LESSEE), 1);
+    a.call_ended();
+    assert_eq!(a.answer_request(at(0), LESSEE, 1, 9), Some(2));
     assert!(!a.may_start(at(0)));
-    // A smaller birthright calls in what is lent beyond it, at the next question.
-    a.set_own(1, None);
-    assert_eq!(a.could_grant(at(1), 2), 1);
+    // A smaller base quota reduces the grants beyond it at the next request.
+    a.set_base_quota(1, None);
+    assert_eq!(a.max_grant(at(1), LESSEE), 1);
     assert_eq!(a.usable(at(1)), 0);
 }
 
 #[test]
-fn a_return_waits_for_the_calls_and_may_come_twice_or_late() {
+fn return_waits_for_calls_in_flight_and_may_arrive_twice_or_late() {
     let (mut a, mut b) = (ledger(4), ledger(0));
-    let first = b.ask(at(0), 1);
-    let units = a.grant(at(0), 2, first, 4).expect("answered");
-    assert!(b.granted(at(1), 1, first, units));
-    (0..3).for_each(|_| b.started());
-    b.give_back(1, 1);
-    assert_eq!(
-        (b.usable(at(2)), b.backs(at(2))),
-        (1, vec![]),
-        "two calls too many are in hand"
-    );
-    (0..2).for_each(|_| b.ended());
-    let back = b.backs(at(3));
-    assert_eq!(
-        back,
-        vec![Back {
-            lender: 1,
-            number: first,
-            keep: 1
-        }]
-    );
-    a.returned(2, first, 1);
+    let first = b.new_request(at(0), LESSOR);
+    let units = a.answer_request(at(0), LESSEE, first, 4).expect("answered");
+    assert_eq!(b.accept_grant(at(1), LESSOR, first, units), Ok(()));
+    (0..3).for_each(|_| b.call_started());
+    b.release(LESSOR, 1);
+    let state = (b.usable(at(2)), b.take_returns(at(2)));
+    assert_eq!(state, (1, vec![]), "two calls too many are in flight");
+    (0..2).for_each(|_| b.call_ended());
+    let returns = b.take_returns(at(3));
+    let expected = LeaseReturn {
+        lessor: LESSOR,
+        request_id: first,
+        kept_units: 1,
+    };
+    assert_eq!(returns, vec![expected]);
+    a.handle_return(LESSEE, first, 1);
     assert_eq!(a.usable(at(4)), 3);
-    // A later grant is larger; the return of the former, which comes again, takes nothing of it.
-    let second = b.ask(at(5), 1);
-    assert_eq!(a.grant(at(5), 2, second, 4), Some(4));
-    a.returned(2, first, 1);
-    assert_eq!(a.lent(at(6)), 4);
-    assert!(b.granted(at(6), 1, second, 4));
-    assert_eq!(b.backs(at(7)), vec![]);
+    // A later grant is larger; the former grant's return arrives again and takes nothing of it.
+    let second = b.new_request(at(5), LESSOR);
+    assert_eq!(a.answer_request(at(5), LESSEE, second, 4), Some(4));
+    a.handle_return(LESSEE, first, 1);
+    assert_eq!(a.granted(at(6)), 4);
+    assert_eq!(b.accept_grant(at(6), LESSOR, second, 4), Ok(()));
+    assert_eq!(b.take_returns(at(7)), vec![]);
 }
 
 #[test]
-fn a_birthright_waits_until_what_a_former_life_lent_is_over() {
-    let mut a = Ledger::new(TERMS, 4, at(0) + TERMS.held());
+fn base_quota_is_unusable_until_grants_of_a_former_incarnation_are_over() {
+    let mut a = Ledger::new(TERMS, 4, at(0) + TERMS.lessor_hold());
     assert_eq!((a.usable(at(3_059)), a.usable(at(3_060))), (0, 4));
-    assert_eq!(a.grant(at(100), 2, 1, 4), Some(0));
-    // Nothing is kept of those who are gone, once nothing is open with them.
-    a.tidy(at(100), |_| true);
+    assert_eq!(a.answer_request(at(100), LESSEE, 1, 4), Some(0));
+    // A server that is gone is forgotten once nothing is open with it.
+    a.forget(at(100), |_| true);
     assert!(a.is_empty());
 }
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -36,7 +36,7 @@
 //! b.view(at(0), 1, peer("a"));
 //! // A new incarnation waits until all grants of a former one are over, then uses its base quota.
 //! assert_eq!(a.budgets[0].ledger.usable(at(0)), 0);
-//! let begun = at(0) + terms.held();
+//! let begun = at(0) + terms.lessor_hold();
 //! assert_eq!(a.budgets[0].ledger.usable(begun), 4);
 //! // Only a has demand: b leases it all units that it has.
 //! a.budgets[0].set_waiting(begun, 8);
@@ -52,6 +52,7 @@
 //! ```
 
 pub mod budget;
+mod clock_drift;
 pub mod counter;
 pub mod ledger;
 mod shared;
--- a/crates/quota/src/shared.rs
+++ b/crates/quota/src/shared.rs
@@ -2,7 +2,7 @@
 
 use crate::budget::{self, Budget, Cause};
 use crate::counter::{self, CountEstimate, ReplicatedCounter};
-use crate::ledger::Who;
+use crate::ledger::IncarnationId;
 use crate::wire::{self, Word, Words};
 use compact_str::CompactString;
 use madderbay::time::{Duration, Timestamp};
@@ -49,7 +49,7 @@
 
 /// What is known of another beside the view.
 struct Known {
-    who: Who,
+    who: IncarnationId,
     life: u64,
     seat: u32,
 }
@@ -122,8 +122,8 @@
     known: HashMap<CompactString, Known>,
     names: Vec<CompactString>,
     /// Numbers of lives that are over, and of those with which nothing is open any more.
-    retired: Vec<Who>,
-    free: Vec<Who>,
+    retired: Vec<IncarnationId>,
+    free: Vec<IncarnationId>,
     pub budgets: Vec<Budget>,
     pub counters: Vec<ReplicatedCounter>,
     surplus: bool,
@@ -147,7 +147,7 @@
             } else {
                 SETTLES
             };
-            Budget::new(now, now + b.terms.held() + settles, b.clone())
+            Budget::new(now, now + b.terms.lessor_hold() + settles, b.clone())
         });
         let counts = set
             .counters
@@ -242,7 +242,7 @@
         let longest = self
             .budgets
             .iter()
-            .map(|b| b.set.terms.held())
+            .map(|b| b.set.terms.lessor_hold())
             .max()
             .unwrap_or_default()
             + SETTLES;
@@ -279,10 +279,10 @@
         self.surplus = self.budgets.iter().any(over);
         for b in &mut self.budgets {
             let own = if over(b) { 0 } else { b.set.birthright() };
-            let has = b.ledger.own(Timestamp::from_micros(u64::MAX));
+            let has = b.ledger.eventual_base_quota();
             if own > has && has == 0 {
                 // Whoever had it may still have lent it, or have calls on it.
-                let from = (now + b.set.terms.held()).max(b.ledger.usable_from());
+                let from = (now + b.set.terms.lessor_hold()).max(b.ledger.usable_from());
                 b.set_own(own, Some(from));
             } else if own != has {
                 b.set_own(own, None);
@@ -312,7 +312,7 @@
     }
 
     /// The small number of a life. One that was asked before it was heard (life 0) is known by its answer.
-    fn who(&mut self, name: &CompactString, life: u64, seat: u32) -> Option<Who> {
+    fn who(&mut self, name: &CompactString, life: u64, seat: u32) -> Option<IncarnationId> {
         if let Some(known) = self
             .known
             .get_mut(name)
@@ -325,11 +325,11 @@
             Some(who) => who,
             None if self.names.len() < LIVES_MOST => {
                 self.names.push(CompactString::default());
-                self.names.len() as Who - 1
+                IncarnationId(self.names.len() as u32 - 1)
             }
             None => return None,
         };
-        self.names[who as usize] = name.clone();
+        self.names[who.0 as usize] = name.clone();
         self.retired.extend(
             self.known
                 .insert(name.clone(), Known { who, life, seat })
@@ -405,9 +405,9 @@
             .push(Word::Cells { stamp, cells: fit });
     }
 
-    fn put(&mut self, say: Vec<(Who, Word)>) {
+    fn put(&mut self, say: Vec<(IncarnationId, Word)>) {
         for (who, word) in say {
-            if let Some(name) = self.names.get(who as usize) {
+            if let Some(name) = self.names.get(who.0 as usize) {
                 // A life that is over is not spoken to.
                 if self.known.get(name).is_some_and(|k| k.who == who) {
                     self.say.entry(name.clone()).or_default().push(word);
@@ -486,7 +486,7 @@
         self.let_go(now);
         for b in &mut self.budgets {
             if let Some((from, to, cause)) = b.changed(now) {
-                let (lent, borrowed) = (b.ledger.lent(now), b.ledger.borrowed(now));
+                let (lent, borrowed) = (b.ledger.granted(now), b.ledger.leased(now));
                 let budget = b.set.name.clone();
                 let change = Change {
                     budget,
@@ -522,12 +522,13 @@
         if self.retired.is_empty() {
             return;
         }
-        let retired: BTreeSet<Who> = self.retired.iter().copied().collect();
+        let retired: BTreeSet<IncarnationId> = self.retired.iter().copied().collect();
         self.budgets
             .iter_mut()
             .for_each(|b| b.tidy(now, |who| retired.contains(&who)));
-        let open = |who: &Who| self.budgets.iter().any(|b| b.ledger.knows(*who));
-        let (kept, free): (Vec<Who>, Vec<Who>) = self.retired.iter().partition(|who| open(who));
+        let open = |who: &IncarnationId| self.budgets.iter().any(|b| b.ledger.remembers(*who));
+        let (kept, free): (Vec<IncarnationId>, Vec<IncarnationId>) =
+            self.retired.iter().partition(|who| open(who));
         self.retired = kept;
         self.free.extend(free);
     }
@@ -564,9 +565,9 @@
             .map(|b| BudgetView {
                 name: b.set.name.clone(),
                 capacity: b.set.capacity,
-                base_quota: b.ledger.own(now),
-                granted: b.ledger.lent(now),
-                leased: b.ledger.borrowed(now),
+                base_quota: b.ledger.base_quota(now),
+                granted: b.ledger.granted(now),
+                leased: b.ledger.leased(now),
                 usable: b.ledger.usable(now),
                 in_use: b.ledger.in_use(),
                 demand: b.wants(),
