Quota: messages, budgets, counters and the state machine split by concern

Messages are structs with named fields behind an enum whose order is the wire format, and decoding errors are a thiserror enum. The state machine is split into peers, incarnations, slots, polls, messaging and reports. Constants say what they bound. All public items are documented and the crate takes the workspace lints.

Recorded datagrams decode and encode to the same bytes, recorded histories are the same.

--- /dev/null
+++ b/crates/quota/src/fleet_quotas/counter_polls.rs
@@ -0,0 +1,81 @@
+//! Polls of random peers for counter snapshots.
+
+use crate::message::CounterPoll;
+use compact_str::CompactString;
+use madderbay::time::{Duration, Timestamp};
+
+/// Mean interval of the polls of a small fleet, and its lower bound in a large one.
+const POLL_INTERVAL: Duration = Duration::from_millis(250);
+const MIN_POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Number of servers beyond which the interval falls with the size of the fleet.
+const SMALL_FLEET_SERVERS: usize = 24;
+/// Bounds of an interval, as fractions of the mean one.
+const MIN_INTERVAL_FRACTION: f64 = 0.75;
+const INTERVAL_FRACTION_RANGE: f64 = 0.5;
+/// A reply that takes longer is ignored.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// A poll that is not answered yet.
+struct OpenPoll {
+    id: u32,
+    sent_at: Timestamp,
+}
+
+/// The open polls and the time of the next one.
+pub(super) struct CounterPolls {
+    next_poll: Timestamp,
+    open: Vec<OpenPoll>,
+    last_id: u32,
+}
+
+impl CounterPolls {
+    pub(super) fn new(now: Timestamp) -> CounterPolls {
+        CounterPolls {
+            next_poll: now,
+            open: vec![],
+            last_id: 0,
+        }
+    }
+
+    pub(super) fn next_poll(&self) -> Timestamp {
+        self.next_poll
+    }
+
+    /// When an open poll was sent.
+    pub(super) fn sent_at(&self, id: u32) -> Option<Timestamp> {
+        self.open
+            .iter()
+            .find(|poll| poll.id == id)
+            .map(|poll| poll.sent_at)
+    }
+
+    /// Schedules the next poll and starts one to a random peer, if there is any.
+    pub(super) fn start(
+        &mut self,
+        now: Timestamp,
+        peers: &[CompactString],
+        random: &mut oorandom::Rand64,
+    ) -> Option<(CompactString, CounterPoll)> {
+        let servers = peers.len() + 1;
+        let by_size = (SMALL_FLEET_SERVERS as f64 / servers as f64).min(1.0);
+        let interval = POLL_INTERVAL.mul_f64(by_size).max(MIN_POLL_INTERVAL);
+        let fraction = MIN_INTERVAL_FRACTION + INTERVAL_FRACTION_RANGE * random.rand_float();
+        self.next_poll = now + interval.mul_f64(fraction);
+        self.open.retain(|poll| now - poll.sent_at < REPLY_TIMEOUT);
+        if peers.is_empty() {
+            return None;
+        }
+        let peer = random.rand_range(0..peers.len() as u64) as usize;
+        self.last_id = self.last_id.wrapping_add(1);
+        self.open.push(OpenPoll {
+            id: self.last_id,
+            sent_at: now,
+        });
+        Some((
+            peers[peer].clone(),
+            CounterPoll {
+                poll_id: self.last_id,
+            },
+        ))
+    }
+}
--- /dev/null
+++ b/crates/quota/src/fleet_quotas/peers.rs
@@ -0,0 +1,111 @@
+//! The other servers of the fleet, as the view holds them.
+
+use compact_str::CompactString;
+use madderbay::time::{Duration, Timestamp};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// One other server, as the view holds it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Peer {
+    /// Name of the server.
+    pub name: CompactString,
+    /// Its incarnation, as the view numbers it.
+    pub incarnation: u64,
+    /// Whether it is a member to which datagrams are sent; otherwise it is down and still
+    /// remembered.
+    pub active: bool,
+}
+
+/// A server that the view no longer holds.
+struct LostPeer {
+    incarnation: u64,
+    lost_at: Timestamp,
+}
+
+/// All peers of this server.
+#[derive(Default)]
+pub(super) struct PeerTable {
+    peers: BTreeMap<CompactString, Peer>,
+    /// Names of the active peers, in a random order, so that not all servers ask the same peer.
+    active: Vec<CompactString>,
+    lost: BTreeMap<CompactString, LostPeer>,
+}
+
+impl PeerTable {
+    /// Names of the known peers that are not among `peers`.
+    pub(super) fn names_except(&self, peers: &[Peer]) -> Vec<CompactString> {
+        let present: BTreeSet<&CompactString> = peers.iter().map(|peer| &peer.name).collect();
+        self.peers
+            .keys()
+            .filter(|name| !present.contains(name))
+            .cloned()
+            .collect()
+    }
+
+    /// Adds or replaces a peer. Draws one random number for each that becomes active.
+    pub(super) fn update(&mut self, peer: Peer, random: &mut oorandom::Rand64) {
+        let (name, is_active) = (peer.name.clone(), peer.active);
+        let before = self.peers.insert(name.clone(), peer);
+        let was_active = before.is_some_and(|before| before.active);
+        if is_active && !was_active {
+            let position = random.rand_range(0..self.active.len() as u64 + 1) as usize;
+            self.active.push(name);
+            let last = self.active.len() - 1;
+            self.active.swap(position, last);
+        } else if was_active && !is_active {
+            self.active.retain(|active| *active != name);
+        }
+    }
+
+    /// Removes a peer and says whether it was known.
+    pub(super) fn remove(&mut self, now: Timestamp, name: &CompactString) -> bool {
+        let Some(peer) = self.peers.remove(name) else {
+            return false;
+        };
+        self.active.retain(|active| active != name);
+        let lost = LostPeer {
+            incarnation: peer.incarnation,
+            lost_at: now,
+        };
+        self.lost.insert(name.clone(), lost);
+        true
+    }
+
+    pub(super) fn contains(&self, name: &CompactString) -> bool {
+        self.peers.contains_key(name)
+    }
+
+    /// Names of the active peers.
+    pub(super) fn active(&self) -> &[CompactString] {
+        &self.active
+    }
+
+    /// Whether any lost peer is remembered.
+    pub(super) fn has_lost(&self) -> bool {
+        !self.lost.is_empty()
+    }
+
+    /// Forgets peers that were lost `max_age` ago or earlier.
+    pub(super) fn forget_lost(&mut self, now: Timestamp, max_age: Duration) {
+        self.lost.retain(|_, lost| now - lost.lost_at < max_age);
+    }
+
+    /// Peers of the view.
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values()
+    }
+
+    /// Names and incarnations of the servers that the view holds, or that are lost and still
+    /// remembered.
+    pub(super) fn known_servers(&self) -> impl Iterator<Item = (&CompactString, u64)> {
+        let present = self
+            .peers
+            .values()
+            .map(|peer| (&peer.name, peer.incarnation));
+        let lost = self
+            .lost
+            .iter()
+            .filter(|(name, _)| !self.peers.contains_key(*name));
+        present.chain(lost.map(|(name, lost)| (name, lost.incarnation)))
+    }
+}
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -32,14 +32,14 @@
 //! let mut a = FleetQuotas::new(at(0), 1, settings("a", 1));
 //! let mut b = FleetQuotas::new(at(0), 2, settings("b", 2));
 //! let peer = |name: &str| vec![Peer { name: name.into(), incarnation: 1, active: true }];
-//! a.view(at(0), 1, peer("b"));
-//! b.view(at(0), 1, peer("a"));
+//! a.set_view(at(0), 1, peer("b"));
+//! b.set_view(at(0), 1, peer("a"));
 //! // A new incarnation waits until all grants of a former one are over, then uses its base quota.
-//! assert_eq!(a.budgets[0].ledger.usable(at(0)), 0);
+//! assert_eq!(a.budgets()[0].usable(at(0)), 0);
 //! let begun = at(0) + terms.lessor_hold();
-//! assert_eq!(a.budgets[0].ledger.usable(begun), 4);
+//! assert_eq!(a.budgets()[0].usable(begun), 4);
 //! // Only a has demand: b leases it all units that it has.
-//! a.budgets[0].set_waiting(begun, 8);
+//! a.budgets_mut()[0].set_waiting(begun, 8);
 //! for step in 0..5 {
 //!     let now = begun + ms(step * 100);
 //!     a.handle_timeout(now);
@@ -47,20 +47,23 @@
 //!     b.handle_timeout(now);
 //!     b.take_datagrams().iter().for_each(|d| a.handle_datagram(now, &"b".into(), &d.1));
 //! }
-//! assert_eq!(a.budgets[0].ledger.usable(begun + ms(500)), 8);
-//! assert_eq!(b.budgets[0].ledger.usable(begun + ms(500)), 0);
+//! assert_eq!(a.budgets()[0].usable(begun + ms(500)), 8);
+//! assert_eq!(b.budgets()[0].usable(begun + ms(500)), 0);
 //! ```
 
+/// Budgets: decisions on requests, grants and returns.
 pub mod budget;
 mod clock_drift;
+/// Replicated counters.
 pub mod counter;
+mod fleet_quotas;
+/// Ledgers: the invariant behind the budgets.
 pub mod ledger;
-mod shared;
+mod message;
 mod water_filling;
-mod wire;
 
-pub use budget::{Cause, Settings as BudgetSettings};
+pub use budget::{BudgetSettings, ChangeCause};
 pub use counter::{CountEstimate, CounterSettings};
+pub use fleet_quotas::{BudgetEvent, BudgetView, FleetQuotas, Peer, Settings, Totals};
 pub use ledger::LeaseTerms;
-pub use shared::{BudgetView, Change, FleetQuotas, Peer, Settings, Totals};
-pub use wire::{Cell, name_hash};
+pub use message::{CounterSnapshot, KeyCounts, name_hash};
