--- a/crates/server/src/fleet/lender.rs
+++ b/crates/server/src/fleet/lender.rs
@@ -97,16 +97,20 @@
         let usable = together
             .shared
             .as_ref()
-            .map_or(0, |s| s.budgets[budget].ledger.usable((self.ticks)()));
+            .map_or(0, |s| s.budgets()[budget].usable((self.ticks)()));
         usable as usize
     }
 
     fn start(&self, budget: usize) -> bool {
         let (now, mut together) = ((self.ticks)(), self.together.borrow_mut());
-        let Some(budget) = together.shared.as_mut().map(|s| &mut s.budgets[budget]) else {
+        let Some(budget) = together
+            .shared
+            .as_mut()
+            .map(|s| &mut s.budgets_mut()[budget])
+        else {
             return false;
         };
-        let may = budget.ledger.may_start(now);
+        let may = budget.may_start(now);
         if may {
             budget.call_started(now);
         }
@@ -116,7 +120,7 @@
     fn ended(&self, budget: usize) {
         let now = (self.ticks)();
         if let Some(shared) = &mut self.together.borrow_mut().shared {
-            shared.budgets[budget].call_ended(now);
+            shared.budgets_mut()[budget].call_ended(now);
             self.hurries(shared);
         }
     }
@@ -124,7 +128,7 @@
     fn waits(&self, budget: usize, calls: usize) {
         let now = (self.ticks)();
         if let Some(shared) = &mut self.together.borrow_mut().shared {
-            shared.budgets[budget].set_waiting(now, calls.min(u32::MAX as usize) as u32);
+            shared.budgets_mut()[budget].set_waiting(now, calls.min(u32::MAX as usize) as u32);
             self.hurries(shared);
         }
     }
@@ -132,7 +136,7 @@
     fn until_room(&self, budget: usize) -> Duration {
         let together = self.together.borrow();
         together.shared.as_ref().map_or(Duration::ZERO, |s| {
-            s.budgets[budget].until_capacity((self.ticks)())
+            s.budgets()[budget].until_capacity((self.ticks)())
         })
     }
 
@@ -141,7 +145,7 @@
         let Some(shared) = &mut self.together.borrow_mut().shared else {
             return;
         };
-        for (count, by_tenant) in shared.counters.iter_mut().zip(&c.by_tenant) {
+        for (count, by_tenant) in shared.counters_mut().iter_mut().zip(&c.by_tenant) {
             let mark = if *by_tenant {
                 c.tenant_marks.get(tenant)
             } else {
@@ -160,7 +164,7 @@
         let Some(count) = c.by_tenant.iter().position(|t| *t) else {
             return vec![];
         };
-        let active = shared.counters[count].heaviest_keys(TENANTS_MOST);
+        let active = shared.counters()[count].heaviest_keys(TENANTS_MOST);
         let part =
             |at: usize, mark: u32| shared.allowance(now, count, mark, c.per_second[at], c.servers);
         c.keys(count)
