Server: control socket's files named control_socket and control_client

The names ask and control did not say which side of the socket a file holds. Only the files, the module lines and the paths that name them change. The crate and its tests compile.

--- a/crates/server/src/fleet/ask.rs
+++ b/crates/server/src/fleet/control_client.rs
@@ -1,6 +1,6 @@
 //! The asking side of the control socket, for the command line.
 
-use super::control::{END, LINE, MemberLine, MembersHead, RouteLine, SharedLine};
+use super::control_socket::{END, LINE, MemberLine, MembersHead, RouteLine, SharedLine};
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::os::unix::net::UnixStream;
--- a/crates/server/src/fleet/mod.rs
+++ b/crates/server/src/fleet/mod.rs
@@ -1,8 +1,8 @@
 //! The fleet: what this server hears of the others, and the questions about it. It meets the core nowhere.
 
-pub mod ask;
 pub mod backends;
-pub mod control;
+pub mod control_client;
+pub mod control_socket;
 pub mod lender;
 pub mod sharing;
 pub mod talk;
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -12,7 +12,7 @@
 use madderbay_server::downstream::{listener, registration};
 use madderbay_server::fleet::backends::{self, Backends, Routing};
 use madderbay_server::fleet::sharing::{self, Sharing};
-use madderbay_server::fleet::{ask, control, lender, talk};
+use madderbay_server::fleet::{control_client, control_socket, lender, talk};
 use madderbay_server::support::clock::{Clock, Ticks};
 use madderbay_server::support::{clock, config, logging};
 use madderbay_server::upstream::{calls, engine};
@@ -295,7 +295,7 @@
         if writeln!(out, "{}", ask(&of.socket, of.json)?).is_err() || !of.watch {
             return Ok(());
         }
-        std::thread::sleep(ask::WATCH);
+        std::thread::sleep(control_client::WATCH);
     }
 }
 
@@ -330,9 +330,9 @@
         None | Some(Order::Run) => run(args.operator.as_deref(), args.unix_ahead_ms),
         Some(Order::Check { file }) => check(&file),
         Some(Order::Kept { what }) => kept(&what),
-        Some(Order::Members(of)) => asked(ask::members, &of),
-        Some(Order::Shared(of)) => asked(ask::shared, &of),
-        Some(Order::Routes(of)) => asked(ask::routes, &of),
+        Some(Order::Members(of)) => asked(control_client::members, &of),
+        Some(Order::Shared(of)) => asked(control_client::shared, &of),
+        Some(Order::Routes(of)) => asked(control_client::routes, &of),
     };
     logging::flush();
     let (lines, status) = match done {
@@ -515,13 +515,13 @@
     }
     let _ends = match beside.control {
         Some(set) => {
-            let listener = control::listen(&set.socket)?;
-            let told = control::Told {
+            let listener = control_socket::listen(&set.socket)?;
+            let told = control_socket::Told {
                 fleet: fleet.as_ref().map(|f| f.0.clone()),
                 backends: backends.clone(),
             };
-            spawn_local(control::run(listener, told));
-            Some(control::Ends(set.socket))
+            spawn_local(control_socket::run(listener, told));
+            Some(control_socket::Ends(set.socket))
         }
         None => None,
     };
