Server: typed errors of the configuration, which reads its own file

Cause: a configuration's errors were texts, and main knew which of them mean an incomplete file. Change: ConfigError says so itself; its Display is the line that an operator saw before.

--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -53,36 +53,6 @@
         .unwrap_or(usize::MAX)
 }
 
-/// Why there is no configuration.
-enum Unset {
-    /// It is not there, or breaks off.
-    Unfinished(String),
-    Wrong(String),
-}
-
-impl From<Unset> for String {
-    fn from(why: Unset) -> String {
-        match why {
-            Unset::Unfinished(what) | Unset::Wrong(what) => what,
-        }
-    }
-}
-
-fn set_up() -> Result<config::Config, Unset> {
-    let path = std::env::var("RELAY_CONFIG")
-        .map_err(|_| Unset::Wrong("RELAY_CONFIG names no configuration".to_string()))?;
-    let json = std::fs::read(&path)
-        .map_err(|e| Unset::Unfinished(format!("configuration {path}: {e}")))?;
-    let found = config::read(&json, |name| std::env::var(name).ok());
-    found.map_err(|what| {
-        if config::breaks_off(&json) {
-            Unset::Unfinished(what)
-        } else {
-            Unset::Wrong(what)
-        }
-    })
-}
-
 /// One server before the engine that it shares a machine with, between balancers and what lies below.
 #[derive(Parser)]
 #[command(name = "madderbay", version)]
@@ -220,12 +190,12 @@
 fn set_up_late() -> Result<config::Config, Wrong> {
     let began = Instant::now();
     loop {
-        match set_up() {
-            Err(Unset::Unfinished(why)) if began.elapsed() < LATE_FILE => {
-                log::debug!("{why}; waited for");
+        match config::load() {
+            Err(error) if error.is_incomplete_file() && began.elapsed() < LATE_FILE => {
+                log::debug!("{error}; waited for");
                 std::thread::sleep(LOOK_FILE);
             }
-            found => return found.map_err(|why| Wrong::Set(vec![why.into()])),
+            found => return found.map_err(|error| Wrong::Set(vec![error.to_string()])),
         }
     }
 }
@@ -302,7 +272,10 @@
 fn check(path: &Path) -> Result<(), Wrong> {
     let operator = operator(Some(path))?;
     if std::env::var_os("RELAY_CONFIG").is_some() {
-        planned(&operator, &set_up().map_err(String::from)?)?;
+        planned(
+            &operator,
+            &config::load().map_err(|error| error.to_string())?,
+        )?;
     }
     println!("{}: good", path.display());
     Ok(())
@@ -359,11 +332,11 @@
 
 /// Reads the configuration again and moves to its addresses; one that can't be read changes nothing.
 fn reload(config: &config::Config, to: &Moves) {
-    let fresh = match set_up() {
+    let fresh = match config::load() {
         Ok(fresh) => fresh,
-        Err(what) => return log::warn!("reload: {}; nothing is changed", String::from(what)),
+        Err(error) => return log::warn!("reload: {error}; nothing is changed"),
     };
-    for what in config.fixed_unlike(&fresh) {
+    for what in config.restart_only_differences(&fresh) {
         log::warn!("reload: {what} has changed, which only a restart can take");
     }
     to.stop_ms.set(fresh.stop_ms);
@@ -469,9 +442,9 @@
         hear(SignalKind::interrupt())?,
         hear(SignalKind::user_defined1())?,
     );
-    let descriptors = config.descriptors.min(allowed_descriptors());
+    let descriptors = config.max_descriptors.min(allowed_descriptors());
     let room = listener::room(descriptors).ok_or_else(|| {
-        let asked = config.descriptors;
+        let asked = config.max_descriptors;
         format!("limits.sockets {asked}: {descriptors} descriptors are too few to serve")
     })?;
     let listen = |e| format!("listen {}: {e}", config.listen);
@@ -498,7 +471,7 @@
         serve.borrow_mut().pool(clock.now(), plan);
     }
     let groups = beside.sharing.as_ref().map(|s| s.groups.clone());
-    let ticks = clock::ticks(Instant::now());
+    let ticks = clock::monotonic_since(Instant::now());
     let backends = beside
         .routing
         .map(|set| Rc::new(Backends::new(config.seed, ticks.clone(), set)));
--- a/crates/server/src/support/config.rs
+++ b/crates/server/src/support/config.rs
@@ -1,4 +1,7 @@
-//! What a server is told at its start: RELAY_CONFIG, and the two variables that stand beside it.
+//! The configuration of one server: the file that `RELAY_CONFIG` names, and the variables that override it.
+//!
+//! This module owns the form of that file. It is given bytes and environment variables, and never waits: whether
+//! an incomplete file is read again is decided by the caller, by [`ConfigError::is_incomplete_file`].
 
 use madderbay_settings::{self as settings, Settings};
 use serde::Deserialize;
@@ -6,12 +9,12 @@
 use std::net::SocketAddr;
 
 #[derive(Deserialize)]
-struct Raw {
+struct RawConfig {
     name: String,
     listen: String,
     engine: String,
     registry: String,
-    /// Absent where nothing lies below.
+    /// Absent where this server has no upstream.
     catalog: Option<String>,
     #[serde(default)]
     seed: String,
@@ -26,84 +29,179 @@
     sockets: usize,
 }
 
-/// Everything that one server is told.
+/// Why there is no valid configuration.
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    /// The environment names no file.
+    #[error("RELAY_CONFIG names no configuration")]
+    NoPath,
+    /// The file can't be read; it may not have been created yet.
+    #[error("configuration {path}: {source}")]
+    Unreadable {
+        /// The path as `RELAY_CONFIG` has it.
+        path: String,
+        /// What the system reported.
+        source: std::io::Error,
+    },
+    /// The file ends inside its JSON value; it may still be being written.
+    #[error("{0}")]
+    Truncated(#[source] ConfigContentError),
+    /// The file is complete, and wrong.
+    #[error("{0}")]
+    Invalid(#[source] ConfigContentError),
+}
+
+impl ConfigError {
+    /// Whether the same file may be valid a moment later, because it is not there yet or not complete.
+    pub fn is_incomplete_file(&self) -> bool {
+        matches!(
+            self,
+            ConfigError::Unreadable { .. } | ConfigError::Truncated(_)
+        )
+    }
+}
+
+/// What is wrong with the content of a configuration.
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigContentError {
+    /// The text is no JSON, or a member is missing or of another type.
+    #[error("configuration: {0}")]
+    Json(#[source] serde_json::Error),
+    /// The server's name is empty, or has a character that the registry's paths can't carry.
+    #[error("configuration: name '{0}' can't stand in a path")]
+    Name(String),
+    /// A member that has to be an IP address and a port is not.
+    #[error("configuration: {member}: '{text}' is no address and port")]
+    Address {
+        /// The member of the file.
+        member: &'static str,
+        /// Its value.
+        text: String,
+    },
+    /// The seed is not a hexadecimal number of 64 bits.
+    #[error("configuration: seed '{0}' is not hexadecimal")]
+    Seed(String),
+    /// The platform's settings are wrong.
+    #[error("{0}")]
+    Settings(String),
+}
+
+/// A valid configuration.
 pub struct Config {
+    /// The server's name, unique in its fleet.
     pub name: String,
+    /// Where load balancers connect.
     pub listen: SocketAddr,
+    /// Where the engine is.
     pub engine: SocketAddr,
+    /// Where the registry is.
     pub registry: SocketAddr,
+    /// Where the upstream catalogue is, if there is one.
     pub catalogue: Option<SocketAddr>,
+    /// Seed of all random draws.
     pub seed: u64,
+    /// Time between the signal to stop and the kill, in milliseconds.
     pub stop_ms: u64,
+    /// Memory that the process may use, in MiB.
     pub memory_mb: usize,
-    pub descriptors: usize,
+    /// File descriptors that the process may use.
+    pub max_descriptors: usize,
+    /// The platform's settings.
     pub settings: Settings,
-    /// The settings as they stood in the file, to tell whether another file's are the same.
-    text: Box<str>,
+    /// The settings as they stand in the file, to compare them with another file's.
+    settings_text: Box<str>,
 }
 
 impl Config {
-    /// What another configuration has otherwise that only a restart can take.
-    pub fn fixed_unlike(&self, other: &Config) -> Vec<&'static str> {
-        let value = |c: &Config| serde_json::from_str::<serde_json::Value>(&c.text).ok();
-        let unlike = [
+    /// The members that differ in `other` and that only a restart can apply.
+    pub fn restart_only_differences(&self, other: &Config) -> Vec<&'static str> {
+        let limits = |c: &Config| (c.memory_mb, c.max_descriptors);
+        let differences = [
             ("name", self.name != other.name),
             ("listen", self.listen != other.listen),
-            (
-                "limits",
-                (self.memory_mb, self.descriptors) != (other.memory_mb, other.descriptors),
-            ),
-            (
-                "settings",
-                self.text != other.text && value(self) != value(other),
-            ),
+            ("limits", limits(self) != limits(other)),
+            ("settings", !self.has_settings_of(other)),
         ];
-        unlike.into_iter().filter(|u| u.1).map(|u| u.0).collect()
+        let differing = differences.into_iter().filter(|(_, differs)| *differs);
+        differing.map(|(member, _)| member).collect()
     }
-}
 
-fn address(text: &str, what: &str) -> Result<SocketAddr, String> {
-    text.parse()
-        .map_err(|_| format!("{what}: '{text}' is no address and port"))
+    /// Compares values where the texts differ: spaces and the order of members don't count.
+    fn has_settings_of(&self, other: &Config) -> bool {
+        let value = |c: &Config| serde_json::from_str::<serde_json::Value>(&c.settings_text).ok();
+        self.settings_text == other.settings_text || value(self) == value(other)
+    }
 }
 
-/// Whether the text ends before what it begins does.
-pub fn breaks_off(json: &[u8]) -> bool {
-    serde_json::from_slice::<serde::de::IgnoredAny>(json).is_err_and(|e| e.is_eof())
+/// Reads the file that `RELAY_CONFIG` names, and the variables of the environment that override it.
+///
+/// # Errors
+/// Without the variable, without a readable file, and where the content is wrong.
+pub fn load() -> Result<Config, ConfigError> {
+    let path = std::env::var("RELAY_CONFIG").map_err(|_| ConfigError::NoPath)?;
+    let json = match std::fs::read(&path) {
+        Ok(json) => json,
+        Err(source) => return Err(ConfigError::Unreadable { path, source }),
+    };
+    parse(&json, |name| std::env::var(name).ok()).map_err(|error| {
+        if is_truncated(&json) {
+            ConfigError::Truncated(error)
+        } else {
+            ConfigError::Invalid(error)
+        }
+    })
 }
 
-/// Reads the configuration; says in one line what is missing or can't be. `RELAY_NAME` and `RELAY_LISTEN`,
-/// where they are set, stand above the file.
-pub fn read(json: &[u8], variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
-    let raw: Raw = serde_json::from_slice(json).map_err(|e| format!("configuration: {e}"))?;
-    let seed = u64::from_str_radix(raw.seed.trim_start_matches("0x"), 16);
-    let name = variable("RELAY_NAME").unwrap_or(raw.name);
-    if name.is_empty()
-        || !name
-            .bytes()
-            .all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b))
-    {
-        return Err(format!(
-            "configuration: name '{name}' can't stand in a path"
-        ));
-    }
+/// Reads the content of a configuration. `RELAY_NAME` and `RELAY_LISTEN`, looked up by `variable`, override the
+/// file's members.
+///
+/// # Errors
+/// The first member that is missing or invalid.
+pub fn parse(
+    json: &[u8],
+    variable: impl Fn(&str) -> Option<String>,
+) -> Result<Config, ConfigContentError> {
+    let raw: RawConfig = serde_json::from_slice(json).map_err(ConfigContentError::Json)?;
+    let listen = variable("RELAY_LISTEN").unwrap_or(raw.listen);
+    let catalogue = raw.catalog.map(|text| address(text, "catalog"));
     Ok(Config {
-        name,
-        listen: address(
-            &variable("RELAY_LISTEN").unwrap_or(raw.listen),
-            "configuration: listen",
-        )?,
-        engine: address(&raw.engine, "configuration: engine")?,
-        registry: address(&raw.registry, "configuration: registry")?,
-        catalogue: raw
-            .catalog
-            .map(|c| address(&c, "configuration: catalog"))
-            .transpose()?,
-        seed: seed.map_err(|_| format!("configuration: seed '{}' is not hexadecimal", raw.seed))?,
+        name: name(variable("RELAY_NAME").unwrap_or(raw.name))?,
+        listen: address(listen, "listen")?,
+        engine: address(raw.engine, "engine")?,
+        registry: address(raw.registry, "registry")?,
+        catalogue: catalogue.transpose()?,
+        seed: seed(raw.seed)?,
         stop_ms: raw.stop_ms,
         memory_mb: raw.limits.memory_mb,
-        descriptors: raw.limits.sockets,
-        settings: settings::read(raw.settings.get().as_bytes())?,
-        text: raw.settings.get().into(),
+        max_descriptors: raw.limits.sockets,
+        settings: settings::read(raw.settings.get().as_bytes())
+            .map_err(ConfigContentError::Settings)?,
+        settings_text: raw.settings.get().into(),
     })
 }
+
+/// Whether the text ends before the JSON value that it begins.
+fn is_truncated(json: &[u8]) -> bool {
+    serde_json::from_slice::<serde::de::IgnoredAny>(json).is_err_and(|e| e.is_eof())
+}
+
+/// A name is a part of the path of a report to the registry.
+fn name(text: String) -> Result<String, ConfigContentError> {
+    let is_allowed = |b: u8| b.is_ascii_alphanumeric() || b"-_.".contains(&b);
+    if text.is_empty() || !text.bytes().all(is_allowed) {
+        return Err(ConfigContentError::Name(text));
+    }
+    Ok(text)
+}
+
+fn address(text: String, member: &'static str) -> Result<SocketAddr, ConfigContentError> {
+    match text.parse() {
+        Ok(address) => Ok(address),
+        Err(_) => Err(ConfigContentError::Address { member, text }),
+    }
+}
+
+fn seed(text: String) -> Result<u64, ConfigContentError> {
+    u64::from_str_radix(text.trim_start_matches("0x"), 16)
+        .map_err(|_| ConfigContentError::Seed(text))
+}
