Server: control socket as protocol, server and client, with typed errors

Cause: the wire's records stood in the server's file, under names of their own, and each side's errors were texts. Change: control_protocol holds the lines and their fixed JSON names (serde rename where a field is renamed), ControlSocketError and QueryError hold the lines that an operator saw before, and functions fit a screen.

--- a/crates/server/src/fleet/control_client.rs
+++ b/crates/server/src/fleet/control_client.rs
@@ -1,174 +1,234 @@
-//! The asking side of the control socket, for the command line.
+//! The client's side of the control socket, for the command line: sends one query and renders its answer, as one line
+//! of JSON or as text. It keeps no connection and no state between queries.
 
-use super::control_socket::{END, LINE, MemberLine, MembersHead, RouteLine, SharedLine};
+use super::control_protocol::{
+    BackendRecord, CountRecord, END, ErrorLine, MAX_ANSWER_LINE_BYTES, MemberRecord,
+    MembershipHead, Query, QuotaRecord, SharedRecord,
+};
+use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::os::unix::net::UnixStream;
-use std::path::Path;
-use std::time::Duration;
-
-/// A server that answers nothing for so long hangs.
-const PATIENCE: Duration = Duration::from_secs(5);
-/// Between two looks with `--watch`.
-pub const WATCH: Duration = Duration::from_millis(1_000);
-
-fn lines(path: &Path, word: &str) -> Result<Vec<String>, String> {
-    let told = |what: &dyn std::fmt::Display| format!("{}: {what}", path.display());
-    let ask = || -> std::io::Result<Vec<String>> {
-        let mut stream = UnixStream::connect(path)?;
-        stream.set_read_timeout(Some(PATIENCE))?;
-        stream.write_all(format!("{}\n", json!({ "ask": word })).as_bytes())?;
-        let mut reader = BufReader::new(stream);
-        let mut lines = vec![];
-        loop {
-            let mut line = String::new();
-            reader.by_ref().take(LINE as u64).read_line(&mut line)?;
-            match line.trim_end() {
-                "" => return Err(std::io::ErrorKind::UnexpectedEof.into()),
-                END => return Ok(lines),
-                line => lines.push(line.to_string()),
-            }
-        }
+use std::path::{Path, PathBuf};
+use std::time::Duration as StdDuration;
+
+pub use super::control_protocol::Subject;
+
+/// A server that sends nothing for this long counts as hung.
+const READ_TIMEOUT: StdDuration = StdDuration::from_secs(5);
+
+/// The form of a rendered answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Format {
+    /// One line, a JSON object.
+    Json,
+    /// Lines for a reader.
+    Text,
+}
+
+/// Why a query has no answer. Each names the socket's path.
+#[derive(Debug, thiserror::Error)]
+pub enum QueryError {
+    /// The socket can't be connected to, or the connection failed or timed out.
+    #[error("{}: {source}", path.display())]
+    Io {
+        /// The socket's path.
+        path: PathBuf,
+        /// What the system reported.
+        source: std::io::Error,
+    },
+    /// The server rejected the query.
+    #[error("{}: {reason}", path.display())]
+    Rejected {
+        /// The socket's path.
+        path: PathBuf,
+        /// The server's words.
+        reason: String,
+    },
+    /// A line of the answer is not what the protocol has there.
+    #[error("{}: an answer that can't be read: {source}", path.display())]
+    Malformed {
+        /// The socket's path.
+        path: PathBuf,
+        /// What was found.
+        source: serde_json::Error,
+    },
+}
+
+/// Asks the server that listens on `path`.
+///
+/// # Errors
+/// Without a connection, without a complete answer in time, and where the server rejects the query.
+pub fn query(path: &Path, subject: Subject, format: Format) -> Result<String, QueryError> {
+    let lines = exchange(path, subject).map_err(|source| QueryError::Io {
+        path: path.into(),
+        source,
+    })?;
+    if let Some(reason) = rejection(&lines) {
+        let path = path.into();
+        return Err(QueryError::Rejected { path, reason });
+    }
+    let rendered = match subject {
+        Subject::Members => render_members(&lines, format),
+        Subject::Quotas => render_quotas(&lines, format),
+        Subject::Backends => render_backends(&lines, format),
     };
-    let lines = ask().map_err(|e| told(&e))?;
-    let first: Value = lines
-        .first()
-        .and_then(|l| serde_json::from_str(l).ok())
-        .unwrap_or_default();
-    match first["wrong"].as_str() {
-        Some(what) => Err(told(&what)),
-        None => Ok(lines),
+    rendered.map_err(|source| QueryError::Malformed {
+        path: path.into(),
+        source,
+    })
+}
+
+/// Sends the query and reads the answer's lines, without the end line.
+fn exchange(path: &Path, subject: Subject) -> std::io::Result<Vec<String>> {
+    let word = subject.word().to_string();
+    let mut stream = UnixStream::connect(path)?;
+    stream.set_read_timeout(Some(READ_TIMEOUT))?;
+    stream.write_all(format!("{}\n", json!(Query { word })).as_bytes())?;
+    let mut reader = BufReader::new(stream);
+    let mut lines = vec![];
+    loop {
+        let mut line = String::new();
+        let mut bounded = reader.by_ref().take(MAX_ANSWER_LINE_BYTES);
+        bounded.read_line(&mut line)?;
+        match line.trim_end() {
+            "" => return Err(ErrorKind::UnexpectedEof.into()),
+            END => return Ok(lines),
+            line => lines.push(line.to_string()),
+        }
     }
 }
 
-/// What a server holds of its fleet: as one line of JSON, or for reading.
-pub fn members(path: &Path, json: bool) -> Result<String, String> {
-    let lines = lines(path, "members")?;
-    let unread = |e| format!("{}: an answer that can't be read: {e}", path.display());
-    if json {
-        let mut whole: Value = serde_json::from_str(&lines[0]).map_err(unread)?;
-        let members: Result<Vec<Value>, _> =
-            lines[1..].iter().map(|l| serde_json::from_str(l)).collect();
-        whole["members"] = Value::Array(members.map_err(unread)?);
-        return Ok(whole.to_string());
+fn rejection(lines: &[String]) -> Option<String> {
+    let line: ErrorLine = serde_json::from_str(lines.first()?).ok()?;
+    Some(line.reason)
+}
+
+fn parse_all<T: DeserializeOwned>(lines: &[String]) -> serde_json::Result<Vec<T>> {
+    lines.iter().map(|l| serde_json::from_str(l)).collect()
+}
+
+/// Seconds of an age in milliseconds, or what stands for none.
+fn age(ms: Option<u64>, none: &str) -> String {
+    ms.map_or(none.into(), |ms| format!("{:.1} s ago", ms as f64 / 1e3))
+}
+
+fn render_members(lines: &[String], format: Format) -> serde_json::Result<String> {
+    let (head, records) = (&lines[0], &lines[1..]);
+    if format == Format::Json {
+        let mut answer: Value = serde_json::from_str(head)?;
+        answer["members"] = Value::Array(parse_all(records)?);
+        return Ok(answer.to_string());
     }
-    let head: MembersHead = serde_json::from_str(&lines[0]).map_err(unread)?;
+    let head: MembershipHead = serde_json::from_str(head)?;
     let mut text = format!(
         "{} hears {} since {:.1} s: {} others in, {} missing; view {}\n",
         head.name,
-        head.hears,
+        head.coverage,
         head.since_ms as f64 / 1e3,
         head.active,
         head.missing,
         head.digest
     );
-    for line in &lines[1..] {
-        let m: MemberLine = serde_json::from_str(line).map_err(unread)?;
-        let heard = m
-            .heard_ms
-            .map_or("-".into(), |ms| format!("{:.1} s ago", ms as f64 / 1e3));
-        let held_up = if m.held_up > 0 { ", held up" } else { "" };
-        text += &format!(
-            "{:<20} {:<9} {:<10} {:<22} {heard}{held_up}\n",
-            m.name, m.state, m.zone, m.address
-        );
+    for record in parse_all(records)? {
+        text += &member_line(&record);
     }
-    text.truncate(text.trim_end().len());
-    Ok(text)
+    Ok(text.trim_end().into())
 }
 
-/// How a server holds its backends: as one line of JSON, or for reading.
-pub fn routes(path: &Path, json: bool) -> Result<String, String> {
-    let lines = lines(path, "routes")?;
-    let unread = |e| format!("{}: an answer that can't be read: {e}", path.display());
-    if json {
-        let backends: Result<Vec<Value>, _> =
-            lines[1..].iter().map(|l| serde_json::from_str(l)).collect();
-        return Ok(json!({ "backends": backends.map_err(unread)? }).to_string());
+fn member_line(m: &MemberRecord) -> String {
+    let received = age(m.last_received_ms, "-");
+    let paused = if m.health_score > 0 { ", held up" } else { "" };
+    format!(
+        "{:<20} {:<9} {:<10} {:<22} {received}{paused}\n",
+        m.name, m.state, m.zone, m.address
+    )
+}
+
+fn render_backends(lines: &[String], format: Format) -> serde_json::Result<String> {
+    let records = &lines[1..];
+    if format == Format::Json {
+        return Ok(json!({ "backends": parse_all::<Value>(records)? }).to_string());
     }
     let mut text = String::new();
-    for line in &lines[1..] {
-        let b: RouteLine = serde_json::from_str(line).map_err(unread)?;
-        let pace = b.pace_ms.map_or("-".into(), |ms| format!("{ms:.0} ms"));
-        text += &format!(
-            "{:<20} {:<8} weight {:.2} {:<10} {:<22} {pace:>7}, {} in hand, {} seen, {} bad; heard {:.1} from {}\n",
-            b.name,
-            b.state,
-            b.weight,
-            b.zone,
-            b.address,
-            b.in_hand,
-            b.seen,
-            b.bad,
-            b.heard,
-            b.heard_from
-        );
+    for record in parse_all(records)? {
+        text += &backend_line(&record);
     }
-    text.truncate(text.trim_end().len());
-    Ok(text)
+    Ok(text.trim_end().into())
 }
 
-/// What a server shares with its fleet: as one line of JSON, or for reading.
-pub fn shared(path: &Path, json: bool) -> Result<String, String> {
-    let lines = lines(path, "shared")?;
-    let unread = |e| format!("{}: an answer that can't be read: {e}", path.display());
-    let mut whole = json!({ "budgets": [], "counts": [] });
-    let mut text = String::new();
+fn backend_line(b: &BackendRecord) -> String {
+    let latency = b
+        .typical_latency_ms
+        .map_or("-".into(), |ms| format!("{ms:.0} ms"));
+    format!(
+        "{:<20} {:<8} weight {:.2} {:<10} {:<22} {latency:>7}, {} in hand, {} seen, {} bad; \
+         heard {:.1} from {}\n",
+        b.name,
+        b.state,
+        b.weight,
+        b.zone,
+        b.address,
+        b.in_flight,
+        b.observed,
+        b.failures,
+        b.gossip_failures,
+        b.witnesses
+    )
+}
+
+fn render_quotas(lines: &[String], format: Format) -> serde_json::Result<String> {
+    let (mut budgets, mut counts, mut text) = (vec![], vec![], String::new());
     for line in &lines[1..] {
-        let value: Value = serde_json::from_str(line).map_err(unread)?;
+        let value: Value = serde_json::from_str(line)?;
+        match serde_json::from_str(line)? {
+            SharedRecord::Quota(record) => text += &quota_line(&record),
+            SharedRecord::Count(record) => text += &count_line(&record),
+        }
+        // Only a count has a key that it is of.
         let list = if value["of"].is_null() {
-            "budgets"
+            &mut budgets
         } else {
-            "counts"
+            &mut counts
         };
-        if let Some(list) = whole[list].as_array_mut() {
-            list.push(value);
-        }
-        match serde_json::from_str(line).map_err(unread)? {
-            SharedLine::Budget {
-                name,
-                whole,
-                own,
-                lent,
-                borrowed,
-                usable,
-                in_use,
-                wants,
-                heard_ms,
-                waits_ms,
-            } => {
-                let heard =
-                    heard_ms.map_or("never".into(), |ms| format!("{:.1} s ago", ms as f64 / 1e3));
-                text += &format!(
-                    "budget {name}: {in_use} of {usable} calls in hand ({whole} in all; {own} own, {lent} lent, \
-                     {borrowed} borrowed), work for {wants}; heard {heard}"
-                );
-                if waits_ms > 0 {
-                    text += &format!("; its own in {:.1} s", waits_ms as f64 / 1e3);
-                }
-            }
-            SharedLine::Count {
-                name,
-                of,
-                value,
-                bound,
-                unheard,
-            } => {
-                text += &format!("count {name}: {of} {value:.0}, at most {bound:.0} off");
-                if unheard > 0 {
-                    text += &format!(", {unheard} not heard");
-                }
-            }
-        }
-        text.push('\n');
-    }
-    if json {
-        return Ok(whole.to_string());
+        list.push(value);
     }
-    text.truncate(text.trim_end().len());
-    Ok(if text.is_empty() {
-        "nothing is shared".into()
-    } else {
-        text
+    Ok(match format {
+        Format::Json => json!({ "budgets": budgets, "counts": counts }).to_string(),
+        Format::Text if text.is_empty() => "nothing is shared".into(),
+        Format::Text => text.trim_end().into(),
     })
 }
+
+fn quota_line(q: &QuotaRecord) -> String {
+    let until_usable = if q.until_usable_ms > 0 {
+        format!("; its own in {:.1} s", q.until_usable_ms as f64 / 1e3)
+    } else {
+        String::new()
+    };
+    format!(
+        "budget {}: {} of {} calls in hand ({} in all; {} own, {} lent, {} borrowed), work for {}; \
+         heard {}{until_usable}\n",
+        q.name,
+        q.in_flight,
+        q.usable,
+        q.capacity,
+        q.base_quota,
+        q.granted,
+        q.leased,
+        q.demand,
+        age(q.since_contact_ms, "never")
+    )
+}
+
+fn count_line(c: &CountRecord) -> String {
+    let stale = if c.stale_servers > 0 {
+        format!(", {} not heard", c.stale_servers)
+    } else {
+        String::new()
+    };
+    format!(
+        "count {}: {} {:.0}, at most {:.0} off{stale}\n",
+        c.name, c.key, c.estimate, c.max_error
+    )
+}
--- a/crates/server/src/fleet/control_socket.rs
+++ b/crates/server/src/fleet/control_socket.rs
@@ -1,9 +1,15 @@
-//! The control socket: questions to a running server, read-only. A question is a line of JSON, `{"ask":WORD}`;
-//! its answer is lines of JSON of bounded length, the last of them `{"end":true}`.
+//! The server's side of the control socket: answers queries about what this server knows, and changes nothing.
+//!
+//! It owns the listening socket, the socket's file and a bounded number of connections. It is given the fleet and the
+//! backends, and borrows them only while it forms one answer, never across an await.
 
 use super::backends::Backends;
+use super::control_protocol::{
+    BackendRecord, CountRecord, END, ErrorLine, MAX_QUERY_BYTES, MemberRecord, MembershipHead,
+    Query, QuotaRecord, SharedRecord, Subject,
+};
 use super::talk::Fleet;
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 use std::io::ErrorKind;
 use std::os::unix::fs::{FileTypeExt, PermissionsExt};
 use std::path::{Path, PathBuf};
@@ -16,306 +22,281 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
-/// Who asks has this long for a question, and as long to read its answer.
-const PATIENCE: StdDuration = StdDuration::from_secs(5);
-/// Longest question, bytes; longest line of an answer, of which all names are far shorter.
-const QUESTION: u64 = 256;
-pub const LINE: usize = 4 << 10;
-/// Those who ask at a time; others wait to be taken.
-const ASKERS: usize = 4;
+/// A client has this long to send a query, and again to read the answer.
+const CLIENT_TIMEOUT: StdDuration = StdDuration::from_secs(5);
+/// Pause after an accept that failed.
+const ACCEPT_BACKOFF: StdDuration = StdDuration::from_secs(5);
+/// Connections served at a time; further ones wait in the listener's backlog.
+const MAX_CLIENTS: usize = 4;
+/// Keys reported of one counter: those most counted on this server.
+const MAX_REPORTED_KEYS: usize = 50;
 
-#[derive(Deserialize)]
-struct Question {
-    ask: String,
-}
-
-/// One server in an answer.
-#[derive(Debug, Serialize, Deserialize)]
-pub struct MemberLine {
-    pub name: String,
-    pub state: String,
-    pub zone: String,
-    pub address: String,
-    pub life: u64,
-    pub turn: u32,
-    pub heard_ms: Option<u64>,
-    pub held_up: u8,
-}
-
-/// The first line of an answer about members.
-#[derive(Debug, Serialize, Deserialize)]
-pub struct MembersHead {
-    pub name: String,
-    pub hears: String,
-    pub since_ms: u64,
-    pub active: usize,
-    pub missing: usize,
-    pub last_ms: Option<u64>,
-    pub digest: String,
-}
-
-/// A budget, or what was counted of one key, in an answer about what is shared.
-#[derive(Debug, Serialize, Deserialize)]
-#[serde(untagged)]
-pub enum SharedLine {
-    Budget {
-        name: String,
-        whole: u32,
-        own: u32,
-        lent: u32,
-        borrowed: u32,
-        usable: u32,
-        in_use: u32,
-        wants: u32,
-        heard_ms: Option<u64>,
-        waits_ms: u64,
+/// Why the control socket can't be opened.
+#[derive(Debug, thiserror::Error)]
+pub enum ControlSocketError {
+    /// The path is taken by something that is not a socket.
+    #[error("control socket {}: is there, and is no socket", path.display())]
+    NotASocket {
+        /// The socket's path.
+        path: PathBuf,
     },
-    Count {
-        name: String,
-        of: String,
-        value: f64,
-        bound: f64,
-        unheard: usize,
+    /// A running process listens on the path.
+    #[error("control socket {}: another process listens there", path.display())]
+    InUse {
+        /// The socket's path.
+        path: PathBuf,
+    },
+    /// The system refused to look at, make or move the socket's file.
+    #[error("control socket {}: {source}", path.display())]
+    Io {
+        /// The socket's path.
+        path: PathBuf,
+        /// What the system reported.
+        source: std::io::Error,
     },
 }
 
-/// A backend in an answer about routes.
-#[derive(Debug, Serialize, Deserialize)]
-pub struct RouteLine {
-    pub name: String,
-    pub state: String,
-    pub weight: f64,
-    pub seen: u64,
-    pub bad: u64,
-    pub heard_from: usize,
-    pub heard: f64,
-    pub zone: String,
-    pub address: String,
-    pub in_hand: usize,
-    pub pace_ms: Option<f64>,
-}
-
-/// What can be asked about.
+/// What queries are answered from; an absent part is off in the operator file.
 #[derive(Clone, Default)]
-pub struct Told {
+pub struct Sources {
+    /// The view of the fleet, and the quotas on top of it.
     pub fleet: Option<Rc<Fleet>>,
+    /// The backends.
     pub backends: Option<Rc<Backends>>,
 }
 
-/// Keys of one count that are told, those that came here most.
-const KEYS_TOLD: usize = 50;
+/// The socket's file, removed on drop.
+pub struct SocketFile(PathBuf);
 
-pub const END: &str = "{\"end\":true}";
+impl SocketFile {
+    /// Takes over the file that [`listen`] made at `path`.
+    pub fn new(path: PathBuf) -> SocketFile {
+        SocketFile(path)
+    }
+}
 
-/// A listener at that path. A file that a killed server left is replaced, one that is listened at is not, nor
-/// is anything that is no socket.
-pub fn listen(path: &Path) -> Result<UnixListener, String> {
-    let told = |what: &dyn std::fmt::Display| format!("control socket {}: {what}", path.display());
+impl Drop for SocketFile {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+/// Listens on `path`, for the file's owner alone. The file of a former incarnation is replaced.
+///
+/// # Errors
+/// Where another process listens on `path`, where its file is not a socket, and where the system refuses.
+pub fn listen(path: &Path) -> Result<UnixListener, ControlSocketError> {
+    check_replaceable(path)?;
+    // Made beside the path and moved there, so that the socket is never open to others.
+    let fresh = path.with_extension(format!("{}", std::process::id()));
+    let _ = std::fs::remove_file(&fresh);
+    bind_private(&fresh, path).map_err(|source| {
+        let _ = std::fs::remove_file(&fresh);
+        io_error(path, source)
+    })
+}
+
+fn check_replaceable(path: &Path) -> Result<(), ControlSocketError> {
     match std::fs::symlink_metadata(path) {
         Ok(file) if !file.file_type().is_socket() => {
-            return Err(told(&"is there, and is no socket"));
+            Err(ControlSocketError::NotASocket { path: path.into() })
         }
         Ok(_) if std::os::unix::net::UnixStream::connect(path).is_ok() => {
-            return Err(told(&"another process listens there"));
+            Err(ControlSocketError::InUse { path: path.into() })
         }
-        Ok(_) => {}
-        Err(e) if e.kind() == ErrorKind::NotFound => {}
-        Err(e) => return Err(told(&e)),
+        Ok(_) => Ok(()),
+        Err(e) if e.kind() == ErrorKind::NotFound => Ok(()),
+        Err(source) => Err(io_error(path, source)),
     }
-    // Made beside it and moved there, so that it never stands open to others.
-    let fresh = path.with_extension(format!("{}", std::process::id()));
-    let _ = std::fs::remove_file(&fresh);
-    let make = || -> std::io::Result<UnixListener> {
-        let listener = UnixListener::bind(&fresh)?;
-        std::fs::set_permissions(&fresh, std::fs::Permissions::from_mode(0o600))?;
-        std::fs::rename(&fresh, path)?;
-        Ok(listener)
-    };
-    make().map_err(|e| {
-        let _ = std::fs::remove_file(&fresh);
-        told(&e)
-    })
 }
 
-/// Removes its file at the end.
-pub struct Ends(pub PathBuf);
+fn bind_private(fresh: &Path, path: &Path) -> std::io::Result<UnixListener> {
+    let listener = UnixListener::bind(fresh)?;
+    std::fs::set_permissions(fresh, std::fs::Permissions::from_mode(0o600))?;
+    std::fs::rename(fresh, path)?;
+    Ok(listener)
+}
 
-impl Drop for Ends {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_file(&self.0);
-    }
+fn io_error(path: &Path, source: std::io::Error) -> ControlSocketError {
+    let path = path.into();
+    ControlSocketError::Io { path, source }
 }
 
-/// Answers questions until the process ends.
-pub async fn run(listener: UnixListener, told: Told) {
-    let askers = Arc::new(Semaphore::new(ASKERS));
+/// Accepts connections until the process ends, and serves each in a task of its own.
+pub async fn run(listener: UnixListener, sources: Sources) {
+    let clients = Arc::new(Semaphore::new(MAX_CLIENTS));
     loop {
-        let Ok(place) = askers.clone().acquire_owned().await else {
+        let Ok(permit) = clients.clone().acquire_owned().await else {
             return;
         };
         match listener.accept().await {
             Ok((stream, _)) => {
-                let told = told.clone();
+                let sources = sources.clone();
                 spawn_local(async move {
-                    if let Err(e) = serve(stream, &told).await {
+                    if let Err(e) = serve(stream, &sources).await {
                         log::debug!("control socket: {e}");
                     }
-                    drop(place);
+                    drop(permit);
                 });
             }
             Err(e) => {
                 log::warn!("control socket: {e}");
-                tokio::time::sleep(PATIENCE).await;
+                tokio::time::sleep(ACCEPT_BACKOFF).await;
             }
         }
     }
 }
 
-async fn serve(stream: UnixStream, told: &Told) -> std::io::Result<()> {
+/// Answers the queries of one client until it closes, waits too long or sends a line that is too long.
+async fn serve(stream: UnixStream, sources: &Sources) -> std::io::Result<()> {
     let (reader, mut writer) = stream.into_split();
     let mut reader = BufReader::new(reader);
     loop {
         let mut line = vec![];
-        let mut bounded = (&mut reader).take(QUESTION);
-        let read = timeout(PATIENCE, bounded.read_until(b'\n', &mut line)).await;
+        let mut bounded = (&mut reader).take(MAX_QUERY_BYTES);
+        let read = timeout(CLIENT_TIMEOUT, bounded.read_until(b'\n', &mut line)).await;
         let length = read.unwrap_or(Err(ErrorKind::TimedOut.into()))?;
         if length == 0 {
             return Ok(());
         }
-        let whole = line.ends_with(b"\n");
-        let text = if whole {
-            answer(&line, told)
+        let is_complete = line.ends_with(b"\n");
+        let text = if is_complete {
+            answer(&line, sources)
         } else {
-            wrong("a question is a line of 255 bytes at most")
+            error_answer("a question is a line of 255 bytes at most")
         };
-        let written = timeout(PATIENCE, writer.write_all(text.as_bytes())).await;
+        let written = timeout(CLIENT_TIMEOUT, writer.write_all(text.as_bytes())).await;
         written.unwrap_or(Err(ErrorKind::TimedOut.into()))?;
-        if !whole {
+        if !is_complete {
             return Ok(());
         }
     }
 }
 
-fn wrong(what: &str) -> String {
-    format!("{}\n{END}\n", serde_json::json!({ "wrong": what }))
+/// All lines of the answer to one query.
+fn answer(line: &[u8], sources: &Sources) -> String {
+    let Ok(query) = serde_json::from_slice::<Query>(line) else {
+        return error_answer("a question is a line as {\"ask\":\"members\"}");
+    };
+    let Some(subject) = Subject::from_word(&query.word) else {
+        return error_answer("members, shared and routes can be asked for");
+    };
+    let (fleet, backends) = (sources.fleet.as_deref(), sources.backends.as_deref());
+    let (found, section) = match subject {
+        Subject::Members => (fleet.map(members_answer), "[members]"),
+        Subject::Quotas => (fleet.and_then(quotas_answer), "[shared]"),
+        Subject::Backends => (backends.map(backends_answer), "[routes]"),
+    };
+    found.unwrap_or_else(|| error_answer(&format!("no {section} in the operator file")))
 }
 
-/// The lines of the answer to one question.
-fn answer(line: &[u8], told: &Told) -> String {
-    let Ok(question) = serde_json::from_slice::<Question>(line) else {
-        return wrong("a question is a line as {\"ask\":\"members\"}");
-    };
-    match (question.ask.as_str(), told.fleet.as_deref()) {
-        ("routes", _) => {
-            let routes = told.backends.as_deref().map(routes);
-            routes.unwrap_or_else(|| wrong("no [routes] in the operator file"))
-        }
-        ("members", Some(fleet)) => members(fleet),
-        ("members", None) => wrong("no [members] in the operator file"),
-        ("shared", Some(fleet)) => {
-            shared(fleet).unwrap_or_else(|| wrong("no [shared] in the operator file"))
-        }
-        ("shared", None) => wrong("no [shared] in the operator file"),
-        _ => wrong("members, shared and routes can be asked for"),
-    }
+fn error_answer(reason: &str) -> String {
+    let reason = reason.to_string();
+    let mut text = String::new();
+    push_line(&mut text, &ErrorLine { reason });
+    text + END + "\n"
+}
+
+fn push_line(text: &mut String, record: &impl Serialize) {
+    *text += &serde_json::to_string(record).unwrap_or_default();
+    text.push('\n');
 }
 
-fn members(fleet: &Fleet) -> String {
+fn members_answer(fleet: &Fleet) -> String {
     let view = fleet.together.borrow().members.view();
-    let head = MembersHead {
+    let head = MembershipHead {
         name: view.name.to_string(),
-        hears: view.connectivity.level.to_string(),
+        coverage: view.connectivity.level.to_string(),
         since_ms: view.since_ms,
         active: view.connectivity.evidence.active,
         missing: view.connectivity.evidence.missing,
-        last_ms: view.last_received_ms,
+        last_received_ms: view.last_received_ms,
         digest: format!("{:016x}", view.digest),
     };
-    let mut text = serde_json::to_string(&head).unwrap_or_default() + "\n";
-    for m in view.members {
-        let line = MemberLine {
-            name: m.name.to_string(),
-            state: m.state.to_string(),
-            zone: m.zone.to_string(),
-            address: m.address.to_string(),
-            life: m.incarnation,
-            turn: m.revision,
-            heard_ms: m.last_received_ms,
-            held_up: m.health_score,
+    let mut text = String::new();
+    push_line(&mut text, &head);
+    for member in view.members {
+        let record = MemberRecord {
+            name: member.name.to_string(),
+            state: member.state.to_string(),
+            zone: member.zone.to_string(),
+            address: member.address.to_string(),
+            incarnation: member.incarnation,
+            revision: member.revision,
+            last_received_ms: member.last_received_ms,
+            health_score: member.health_score,
         };
-        text += &serde_json::to_string(&line).unwrap_or_default();
-        text.push('\n');
+        push_line(&mut text, &record);
     }
     text + END + "\n"
 }
 
-fn routes(backends: &Backends) -> String {
-    let mut text = format!("{}\n", serde_json::json!({ "backends": true }));
-    let hundredths = |n: f64| (n * 100.0).round() / 100.0;
-    for b in backends.routes.borrow().backend_statuses(backends.now()) {
-        let line = RouteLine {
-            name: b.name.to_string(),
-            state: b.state.to_string(),
-            weight: hundredths(b.weight),
-            seen: b.observed.round() as u64,
-            bad: b.failures.round() as u64,
-            heard_from: b.witnesses,
-            heard: hundredths(b.gossip_failures),
-            zone: b.zone.to_string(),
-            address: b.address.to_string(),
-            in_hand: b.in_flight,
-            pace_ms: b.typical_latency.map(|p| hundredths(p.as_secs_f64() * 1e3)),
+fn backends_answer(backends: &Backends) -> String {
+    let mut text = String::from("{\"backends\":true}\n");
+    let to_hundredths = |n: f64| (n * 100.0).round() / 100.0;
+    for status in backends.routes.borrow().backend_statuses(backends.now()) {
+        let latency = status.typical_latency;
+        let record = BackendRecord {
+            name: status.name.to_string(),
+            state: status.state.to_string(),
+            weight: to_hundredths(status.weight),
+            observed: status.observed.round() as u64,
+            failures: status.failures.round() as u64,
+            witnesses: status.witnesses,
+            gossip_failures: to_hundredths(status.gossip_failures),
+            zone: status.zone.to_string(),
+            address: status.address.to_string(),
+            in_flight: status.in_flight,
+            typical_latency_ms: latency.map(|l| to_hundredths(l.as_secs_f64() * 1e3)),
         };
-        text += &serde_json::to_string(&line).unwrap_or_default();
-        text.push('\n');
+        push_line(&mut text, &record);
     }
     text + END + "\n"
 }
 
-fn shared(fleet: &Fleet) -> Option<String> {
-    let (now, together) = (fleet.now(), fleet.together.borrow());
-    let shared = together.shared.as_ref()?;
-    let ms = |s: madderbay::time::Duration| s.as_micros() / 1_000;
-    let mut lines = vec![];
-    for b in shared.budget_views(now) {
-        lines.push(SharedLine::Budget {
-            name: b.name.to_string(),
-            whole: b.capacity,
-            own: b.base_quota,
-            lent: b.granted,
-            borrowed: b.leased,
-            usable: b.usable,
-            in_use: b.in_use,
-            wants: b.demand,
-            heard_ms: b.since_contact.map(ms),
-            waits_ms: ms(b.until_usable),
-        });
-    }
-    for (at, count) in shared.counters.iter().enumerate() {
-        let active = count.heaviest_keys(KEYS_TOLD);
-        for (_, of, mark, fair) in fleet
-            .lender
-            .counted
-            .keys(at)
-            .filter(|k| active.contains(&k.2))
-        {
-            let told = count.estimate(now, mark, fair);
-            let (name, of) = (count.settings.name.to_string(), of.to_string());
-            let (value, bound) = (told.value, told.bound());
-            lines.push(SharedLine::Count {
-                name,
-                of,
-                value,
-                bound,
-                unheard: told.stale_servers,
-            });
-        }
-    }
-    let name = together.members.local_identity().name.to_string();
+/// Nothing where the fleet shares no quotas.
+fn quotas_answer(fleet: &Fleet) -> Option<String> {
+    let stack = fleet.together.borrow();
+    let name = stack.members.local_identity().name.to_string();
     let mut text = format!("{}\n", serde_json::json!({ "name": name }));
-    for line in &lines {
-        text += &serde_json::to_string(line).unwrap_or_default();
-        text.push('\n');
+    for record in shared_records(fleet)? {
+        push_line(&mut text, &record);
     }
     Some(text + END + "\n")
 }
+
+fn shared_records(fleet: &Fleet) -> Option<Vec<SharedRecord>> {
+    let (now, stack) = (fleet.now(), fleet.together.borrow());
+    let quotas = stack.shared.as_ref()?;
+    let in_ms = |duration: madderbay::time::Duration| duration.as_micros() / 1_000;
+    let mut records = vec![];
+    for budget in quotas.budget_views(now) {
+        records.push(SharedRecord::Quota(QuotaRecord {
+            name: budget.name.to_string(),
+            capacity: budget.capacity,
+            base_quota: budget.base_quota,
+            granted: budget.granted,
+            leased: budget.leased,
+            usable: budget.usable,
+            in_flight: budget.in_use,
+            demand: budget.demand,
+            since_contact_ms: budget.since_contact.map(in_ms),
+            until_usable_ms: in_ms(budget.until_usable),
+        }));
+    }
+    for (index, counter) in quotas.counters.iter().enumerate() {
+        let heaviest = counter.heaviest_keys(MAX_REPORTED_KEYS);
+        let keys = fleet.lender.counted.keys(index);
+        for (_, key, hash, fair_rate) in keys.filter(|k| heaviest.contains(&k.2)) {
+            let estimate = counter.estimate(now, hash, fair_rate);
+            records.push(SharedRecord::Count(CountRecord {
+                name: counter.settings.name.to_string(),
+                key: key.to_string(),
+                estimate: estimate.value,
+                max_error: estimate.bound(),
+                stale_servers: estimate.stale_servers,
+            }));
+        }
+    }
+    Some(records)
+}
--- a/crates/server/src/fleet/mod.rs
+++ b/crates/server/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod backends;
 pub mod control_client;
+mod control_protocol;
 pub mod control_socket;
 pub mod lender;
 pub mod sharing;
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -11,6 +11,7 @@
 use madderbay_server::core::{keep, pooled};
 use madderbay_server::downstream::{listener, registration};
 use madderbay_server::fleet::backends::{self, Backends, Routing};
+use madderbay_server::fleet::control_client::{Format, Subject};
 use madderbay_server::fleet::sharing::{self, Sharing};
 use madderbay_server::fleet::{control_client, control_socket, lender, talk};
 use madderbay_server::support::clock::{Clock, Ticks};
@@ -31,6 +32,8 @@
 
 /// The process ends this long before it would be killed.
 const BEFORE_KILL: StdDuration = StdDuration::from_millis(100);
+/// Pause between two queries with `--watch`.
+const WATCH_INTERVAL: StdDuration = StdDuration::from_millis(1_000);
 /// The part of the memory that the results of keyed reqs may take.
 const RESULTS_PART: usize = 4;
 /// How often a drain is looked at, and how long it must have been at rest once its grace is over.
@@ -258,14 +261,17 @@
 }
 
 /// Asks a running server and tells its answer, once or again and again.
-fn asked(ask: fn(&Path, bool) -> Result<String, String>, of: &Asking) -> Result<(), Wrong> {
+fn asked(subject: Subject, of: &Asking) -> Result<(), Wrong> {
+    let format = if of.json { Format::Json } else { Format::Text };
     let mut out = std::io::stdout();
     loop {
+        let answer = control_client::query(&of.socket, subject, format);
+        let answer = answer.map_err(|error| error.to_string())?;
         // A reader that has gone away wants no more.
-        if writeln!(out, "{}", ask(&of.socket, of.json)?).is_err() || !of.watch {
+        if writeln!(out, "{answer}").is_err() || !of.watch {
             return Ok(());
         }
-        std::thread::sleep(control_client::WATCH);
+        std::thread::sleep(WATCH_INTERVAL);
     }
 }
 
@@ -303,9 +309,9 @@
         None | Some(Order::Run) => run(args.operator.as_deref(), args.unix_ahead_ms),
         Some(Order::Check { file }) => check(&file),
         Some(Order::Kept { what }) => kept(&what),
-        Some(Order::Members(of)) => asked(control_client::members, &of),
-        Some(Order::Shared(of)) => asked(control_client::shared, &of),
-        Some(Order::Routes(of)) => asked(control_client::routes, &of),
+        Some(Order::Members(of)) => asked(Subject::Members, &of),
+        Some(Order::Shared(of)) => asked(Subject::Quotas, &of),
+        Some(Order::Routes(of)) => asked(Subject::Backends, &of),
     };
     logging::flush();
     let (lines, status) = match done {
@@ -488,13 +494,14 @@
     }
     let _ends = match beside.control {
         Some(set) => {
-            let listener = control_socket::listen(&set.socket)?;
-            let told = control_socket::Told {
+            let listener =
+                control_socket::listen(&set.socket).map_err(|error| error.to_string())?;
+            let told = control_socket::Sources {
                 fleet: fleet.as_ref().map(|f| f.0.clone()),
                 backends: backends.clone(),
             };
             spawn_local(control_socket::run(listener, told));
-            Some(control_socket::Ends(set.socket))
+            Some(control_socket::SocketFile::new(set.socket))
         }
         None => None,
     };
