Server: command line, start-up, reload and shutdown in files with short functions

Change: main is a page; cli, commands, operator_plan, startup, server, fleet_endpoint, tasks, signals, reload and shutdown hold one job each. StartError, OperatorError and CommandError carry the same lines and exit statuses. tasks lists every task and what ends it.

--- /dev/null
+++ b/crates/server/src/fleet_endpoint.rs
@@ -0,0 +1,87 @@
+//! This server's place in its fleet: the socket of `[members]`, and the fleet's state that the gossip task drives.
+//!
+//! It owns the socket together with that task. Without `[members]` there is no endpoint.
+
+use crate::startup::StartError;
+use crate::tasks;
+use madderbay_membership::is_valid_name;
+use madderbay_operator_config::members::Members;
+use madderbay_server::fleet::backends::Backends;
+use madderbay_server::fleet::lender::Counted;
+use madderbay_server::fleet::sharing::Sharing;
+use madderbay_server::fleet::talk::{self, Fleet};
+use madderbay_server::support::clock::{self, Ticks};
+use madderbay_server::support::config::Config;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::UdpSocket;
+
+/// The fleet's state, and the socket on which its datagrams travel.
+pub(crate) struct FleetEndpoint {
+    fleet: Rc<Fleet>,
+    socket: Rc<UdpSocket>,
+}
+
+/// What a server joins its fleet with.
+pub(crate) struct FleetSetup<'a> {
+    pub(crate) config: &'a Config,
+    pub(crate) members: &'a Members,
+    /// Quotas and counters, where `[shared]` is on.
+    pub(crate) sharing: Option<Sharing>,
+    /// The backends whose state the fleet exchanges, where `[routes]` is on.
+    pub(crate) backends: Option<Rc<Backends>>,
+    pub(crate) ticks: Ticks,
+    /// Added to the clock that tells incarnations apart, in milliseconds.
+    pub(crate) unix_ahead_ms: i64,
+}
+
+impl FleetEndpoint {
+    /// Binds the socket and starts the gossip task.
+    pub(crate) async fn join(setup: FleetSetup<'_>) -> Result<FleetEndpoint, StartError> {
+        let address = setup.members.listen;
+        let failed = |source| StartError::MembersSocket { address, source };
+        let socket = Rc::new(UdpSocket::bind(address).await.map_err(failed)?);
+        let advertised = setup.members.advertise;
+        let fleet = Rc::new(build_fleet(setup)?);
+        tasks::spawn_gossip(&socket, &fleet);
+        let bound: SocketAddr = socket.local_addr().map_err(failed)?;
+        log::info!("members: heard at {bound}, told as {advertised}");
+        Ok(FleetEndpoint { fleet, socket })
+    }
+
+    /// The fleet's state.
+    pub(crate) fn fleet(&self) -> &Rc<Fleet> {
+        &self.fleet
+    }
+
+    /// Tells the fleet that this server is gone; the last datagrams are sent at once.
+    pub(crate) fn leave(&self) {
+        self.fleet.leave(&self.socket);
+    }
+}
+
+fn build_fleet(setup: FleetSetup<'_>) -> Result<Fleet, StartError> {
+    let config = setup.config;
+    if !is_valid_name(&config.name) {
+        let name = config.name.clone();
+        return Err(StartError::MemberName { name });
+    }
+    let (quotas, counted) = match setup.sharing {
+        Some(sharing) => (Some(sharing.settings), sharing.counted),
+        None => (None, Counted::default()),
+    };
+    Ok(Fleet::new(
+        setup.ticks,
+        config.seed,
+        incarnation(setup.unix_ahead_ms),
+        talk::settings(setup.members, &config.name),
+        quotas,
+        counted,
+        setup.backends,
+    ))
+}
+
+/// The Unix time of this start, in milliseconds: a later start of the same server has a greater one.
+fn incarnation(unix_ahead_ms: i64) -> u64 {
+    (clock::unix_micros() / 1_000).saturating_add_signed(unix_ahead_ms)
+}
--- /dev/null
+++ b/crates/server/src/reload.rs
@@ -0,0 +1,110 @@
+//! Reload on SIGHUP: reads the configuration and the operator file again, and applies what can change in a running
+//! server. A file that is wrong changes nothing, and what only a restart can apply is logged.
+
+use crate::operator_plan::{self, OperatorPlan};
+use crate::server::Server;
+use madderbay_server::support::config::{self, Config};
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::time::Duration as StdDuration;
+use tokio::sync::watch;
+
+/// The values of the configuration that a reload can change, with the channels on which the drivers watch them.
+pub(crate) struct ReloadableValues {
+    stop_ms: Cell<u64>,
+    engine: watch::Sender<SocketAddr>,
+    registry: watch::Sender<SocketAddr>,
+    catalogue: watch::Sender<Option<SocketAddr>>,
+}
+
+impl ReloadableValues {
+    /// The values as they are at the start.
+    pub(crate) fn new(config: &Config) -> ReloadableValues {
+        ReloadableValues {
+            stop_ms: Cell::new(config.stop_ms),
+            engine: watch::Sender::new(config.engine),
+            registry: watch::Sender::new(config.registry),
+            catalogue: watch::Sender::new(config.catalogue),
+        }
+    }
+
+    /// Time between the signal to stop and the kill.
+    pub(crate) fn stop_timeout(&self) -> StdDuration {
+        StdDuration::from_millis(self.stop_ms.get())
+    }
+
+    /// Where the engine is.
+    pub(crate) fn engine(&self) -> watch::Receiver<SocketAddr> {
+        self.engine.subscribe()
+    }
+
+    /// Where the registry is.
+    pub(crate) fn registry(&self) -> watch::Receiver<SocketAddr> {
+        self.registry.subscribe()
+    }
+
+    /// Where the upstream catalogue is, if there is one.
+    pub(crate) fn catalogue(&self) -> watch::Receiver<Option<SocketAddr>> {
+        self.catalogue.subscribe()
+    }
+
+    fn update(&self, config: &Config) {
+        self.stop_ms.set(config.stop_ms);
+        send_if_changed(&self.engine, config.engine);
+        send_if_changed(&self.registry, config.registry);
+        send_if_changed(&self.catalogue, config.catalogue);
+    }
+}
+
+fn send_if_changed<T: PartialEq>(sender: &watch::Sender<T>, value: T) {
+    sender.send_if_modified(|current| std::mem::replace(current, value) != *current);
+}
+
+/// Reloads the configuration and then, where the fleet or the backends are on, the operator file.
+pub(crate) fn reload(server: &Server) {
+    reload_config(server);
+    if server.fleet().is_some() || server.backends().is_some() {
+        reload_operator_file(server);
+    }
+}
+
+/// Moves to the addresses of the configuration, and takes its time for a shutdown.
+fn reload_config(server: &Server) {
+    let fresh = match config::load() {
+        Ok(fresh) => fresh,
+        Err(error) => return log::warn!("reload: {error}; nothing is changed"),
+    };
+    for member in server.config().restart_only_differences(&fresh) {
+        log::warn!("reload: {member} has changed, which only a restart can take");
+    }
+    server.reloadable().update(&fresh);
+    log::info!(
+        "reload: engine {}, registry {}, catalogue {:?}",
+        fresh.engine,
+        fresh.registry,
+        fresh.catalogue
+    );
+}
+
+/// Applies the sizes and weights of quotas, and the backends, of the operator file.
+fn reload_operator_file(server: &Server) {
+    let plan = operator_plan::read(server.operator_file())
+        .and_then(|operator| OperatorPlan::new(&operator, server.config()));
+    let plan = match plan {
+        Ok(plan) => plan,
+        Err(error) => {
+            return error
+                .lines()
+                .iter()
+                .for_each(|l| log::warn!("reload: {l}; budgets and backends stay as they are"));
+        }
+    };
+    if let (Some(fleet), Some(sharing)) = (server.fleet(), plan.sharing) {
+        fleet.reload(&sharing.settings.budgets);
+    }
+    match (server.backends(), plan.routing) {
+        (Some(backends), Some(routing)) => backends.reload(routing),
+        (None, None) => {}
+        _ => log::warn!("reload: [routes] goes on or off at a restart only"),
+    }
+}
--- /dev/null
+++ b/crates/server/src/server.rs
@@ -0,0 +1,264 @@
+//! One running server. [`Server::start`] opens the sockets and starts the tasks, in the order of its lines; what it
+//! returns is what signals act on.
+//!
+//! It owns the control socket's file, the values that a reload can change and the order to stop listening. The core,
+//! the backends and the fleet are shared with the tasks on this thread; they are never borrowed across an await.
+
+use crate::fleet_endpoint::{FleetEndpoint, FleetSetup};
+use crate::reload::ReloadableValues;
+use crate::startup::{Setup, StartError};
+use crate::tasks;
+use madderbay_operator_config::kept::KeptResults;
+use madderbay_operator_config::members::Control;
+use madderbay_server::core::keep;
+use madderbay_server::core::serve::{Serve, Shared};
+use madderbay_server::downstream::listener;
+use madderbay_server::fleet::backends::{Backends, Routing};
+use madderbay_server::fleet::control_socket::{self, SocketFile, Sources};
+use madderbay_server::fleet::talk::Fleet;
+use madderbay_server::support::clock::{self, Clock, Ticks};
+use madderbay_server::support::config::Config;
+use madderbay_server::support::logging;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Instant;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+
+/// The cached results of requests with an idempotency key may take this part of the memory: one in four.
+const RESULTS_MEMORY_DIVISOR: usize = 4;
+
+/// A running server. The tasks hold their own references to what they work with.
+///
+/// The fields are dropped in this order: the control socket's file goes before what it gives access to.
+pub(crate) struct Server {
+    stop_listening: Rc<Notify>,
+    reloadable: ReloadableValues,
+    _control_socket: Option<SocketFile>,
+    fleet: Option<FleetEndpoint>,
+    backends: Option<Rc<Backends>>,
+    core: Shared,
+    clock: Rc<Clock>,
+    config: Config,
+    operator_file: Option<PathBuf>,
+}
+
+impl Server {
+    /// Opens all sockets and starts all tasks. The first failure ends the start.
+    pub(crate) async fn start(setup: Setup) -> Result<Server, StartError> {
+        let (config, operator, plan) = (setup.config, setup.operator, setup.plan);
+        let limits = DescriptorLimits::new(&config)?;
+        let (listener, address) = listen(config.listen).await?;
+        let clock = Rc::new(Clock::default());
+        let core = build_core(&config, &clock, &limits);
+        if let (Some(store), Some(settings)) = (setup.store, &operator.kept) {
+            start_store(store, settings, &clock, &core)?;
+        }
+        if let Some(concurrency) = plan.concurrency {
+            core.borrow_mut().pool(clock.now(), concurrency);
+        }
+        let ticks = clock::monotonic_since(Instant::now());
+        let backends = build_backends(plan.routing, &config, &ticks, &core);
+        let fleet_setup = operator.members.as_ref().map(|members| FleetSetup {
+            config: &config,
+            members,
+            sharing: plan.sharing,
+            backends: backends.clone(),
+            ticks,
+            unix_ahead_ms: setup.unix_ahead_ms,
+        });
+        let fleet = join_fleet(fleet_setup, &backends, &core).await?;
+        let control_socket = open_control_socket(operator.control, fleet.as_ref(), &backends)?;
+        log::info!("{} listens on {address}", config.name);
+        let reloadable = ReloadableValues::new(&config);
+        tasks::spawn_drivers(&config.name, &reloadable, &clock, &core);
+        let stop_listening = Rc::new(Notify::new());
+        tasks::spawn_listener(
+            listener,
+            limits.max_connections,
+            &clock,
+            &core,
+            &stop_listening,
+        );
+        Ok(Server {
+            stop_listening,
+            reloadable,
+            _control_socket: control_socket,
+            fleet,
+            backends,
+            core,
+            clock,
+            config,
+            operator_file: setup.operator_file,
+        })
+    }
+
+    /// The clock of requests.
+    pub(crate) fn clock(&self) -> &Clock {
+        &self.clock
+    }
+
+    /// The core, which owns the decisions.
+    pub(crate) fn core(&self) -> &Shared {
+        &self.core
+    }
+
+    /// The configuration as it was at the start.
+    pub(crate) fn config(&self) -> &Config {
+        &self.config
+    }
+
+    /// Where the operator file is, if there is one.
+    pub(crate) fn operator_file(&self) -> Option<&Path> {
+        self.operator_file.as_deref()
+    }
+
+    /// The values that a reload can change.
+    pub(crate) fn reloadable(&self) -> &ReloadableValues {
+        &self.reloadable
+    }
+
+    /// The fleet, where `[members]` is on.
+    pub(crate) fn fleet(&self) -> Option<&Fleet> {
+        self.fleet.as_ref().map(|endpoint| &**endpoint.fleet())
+    }
+
+    /// The backends, where `[routes]` is on.
+    pub(crate) fn backends(&self) -> Option<&Backends> {
+        self.backends.as_deref()
+    }
+
+    /// Ends the listener once it has taken what the system has accepted.
+    pub(crate) fn stop_listening(&self) {
+        self.stop_listening.notify_one();
+    }
+
+    /// Tells the fleet that this server is gone; the last datagrams are sent at once.
+    pub(crate) fn leave_fleet(&self) {
+        if let Some(endpoint) = &self.fleet {
+            endpoint.leave();
+        }
+    }
+
+    /// Writes all counters to the log.
+    pub(crate) fn log_counters(&self) {
+        let of_fleet = self.fleet().map(Fleet::counters).unwrap_or_default();
+        logging::plain(self.core.borrow().counters() + &of_fleet);
+    }
+}
+
+/// How many file descriptors there are, and for what.
+struct DescriptorLimits {
+    /// All that the configuration and the system allow.
+    total: usize,
+    /// Connections from downstream at a time.
+    max_connections: usize,
+}
+
+impl DescriptorLimits {
+    fn new(config: &Config) -> Result<DescriptorLimits, StartError> {
+        let configured = config.max_descriptors;
+        let total = configured.min(system_descriptor_limit());
+        match listener::room(total) {
+            Some(max_connections) => Ok(DescriptorLimits {
+                total,
+                max_connections,
+            }),
+            None => Err(StartError::TooFewDescriptors {
+                configured,
+                available: total,
+            }),
+        }
+    }
+}
+
+/// The process's own limit, where the system reports one.
+fn system_descriptor_limit() -> usize {
+    let limits = std::fs::read_to_string("/proc/self/limits").unwrap_or_default();
+    let line = limits
+        .lines()
+        .find_map(|l| l.strip_prefix("Max open files"));
+    line.and_then(|l| l.split_whitespace().next()?.parse().ok())
+        .unwrap_or(usize::MAX)
+}
+
+/// Binds the socket for load balancers; returns its address, too, since the configured port may be 0.
+async fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), StartError> {
+    let failed = |source| StartError::Listen { address, source };
+    let listener = TcpListener::bind(address).await.map_err(failed)?;
+    let bound = listener.local_addr().map_err(failed)?;
+    Ok((listener, bound))
+}
+
+fn build_core(config: &Config, clock: &Clock, limits: &DescriptorLimits) -> Shared {
+    let results_bytes = (config.memory_mb << 20) / RESULTS_MEMORY_DIVISOR;
+    let settings = config.settings.clone();
+    let mut core = Serve::new(clock.now(), config.seed, settings, results_bytes);
+    core.limit(listener::others(limits.total));
+    Rc::new(RefCell::new(core))
+}
+
+/// Starts the thread that writes durable results, and the task that brings its reports to the core.
+fn start_store(
+    store: keep::Opened,
+    settings: &KeptResults,
+    clock: &Rc<Clock>,
+    core: &Shared,
+) -> Result<(), StartError> {
+    let (store, events) = keep::start(store, settings).map_err(StartError::StoreThread)?;
+    core.borrow_mut().hands.keep = Some(store);
+    tasks::spawn_store_events(events, clock, core);
+    Ok(())
+}
+
+/// The backends, from which the core takes the address of each call.
+fn build_backends(
+    routing: Option<Routing>,
+    config: &Config,
+    ticks: &Ticks,
+    core: &Shared,
+) -> Option<Rc<Backends>> {
+    let backends = Rc::new(Backends::new(config.seed, ticks.clone(), routing?));
+    core.borrow_mut().lead(backends.clone());
+    Some(backends)
+}
+
+/// Joins the fleet, and has the core ask for its shared quotas there. Without a fleet, the backends have a task of
+/// their own in place of the gossip task.
+async fn join_fleet(
+    setup: Option<FleetSetup<'_>>,
+    backends: &Option<Rc<Backends>>,
+    core: &Shared,
+) -> Result<Option<FleetEndpoint>, StartError> {
+    let Some(setup) = setup else {
+        backends.iter().for_each(tasks::spawn_backends);
+        return Ok(None);
+    };
+    let quota_groups = setup.sharing.as_ref().map(|s| s.groups.clone());
+    let endpoint = FleetEndpoint::join(setup).await?;
+    if let Some(groups) = quota_groups {
+        let lender = endpoint.fleet().lender.clone();
+        core.borrow_mut().share(lender, groups);
+    }
+    Ok(Some(endpoint))
+}
+
+/// The control socket, where `[control]` is on; its file is removed with what is returned.
+fn open_control_socket(
+    control: Option<Control>,
+    fleet: Option<&FleetEndpoint>,
+    backends: &Option<Rc<Backends>>,
+) -> Result<Option<SocketFile>, StartError> {
+    let Some(control) = control else {
+        return Ok(None);
+    };
+    let listener = control_socket::listen(&control.socket)?;
+    let sources = Sources {
+        fleet: fleet.map(|endpoint| endpoint.fleet().clone()),
+        backends: backends.clone(),
+    };
+    tasks::spawn_control_socket(listener, sources);
+    Ok(Some(SocketFile::new(control.socket)))
+}
--- /dev/null
+++ b/crates/server/src/signals.rs
@@ -0,0 +1,73 @@
+//! The signals that the process reacts to. SIGTERM and SIGINT stop it, once; SIGUSR1 and SIGHUP are served while it
+//! runs and also while it drains.
+
+use crate::reload;
+use crate::server::Server;
+use crate::startup::StartError;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+/// Every signal's stream, installed before anything else is started.
+pub(crate) struct Signals {
+    pub(crate) operator: OperatorSignals,
+    pub(crate) stop: StopSignals,
+}
+
+/// SIGHUP and SIGUSR1.
+pub(crate) struct OperatorSignals {
+    hangup: Signal,
+    user_defined1: Signal,
+}
+
+/// SIGTERM and SIGINT.
+pub(crate) struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    /// Takes the signals over from the system's defaults.
+    pub(crate) fn install() -> Result<Signals, StartError> {
+        let install = |kind| signal(kind).map_err(StartError::Signals);
+        let (hangup, terminate) = (
+            install(SignalKind::hangup())?,
+            install(SignalKind::terminate())?,
+        );
+        let (interrupt, user_defined1) = (
+            install(SignalKind::interrupt())?,
+            install(SignalKind::user_defined1())?,
+        );
+        Ok(Signals {
+            operator: OperatorSignals {
+                hangup,
+                user_defined1,
+            },
+            stop: StopSignals {
+                terminate,
+                interrupt,
+            },
+        })
+    }
+}
+
+impl OperatorSignals {
+    /// Logs the counters on SIGUSR1 and reloads on SIGHUP. It never returns: whoever awaits it also awaits the end.
+    pub(crate) async fn serve(&mut self, server: &Server) {
+        loop {
+            tokio::select! {
+                _ = self.user_defined1.recv() => server.log_counters(),
+                _ = self.hangup.recv() => reload::reload(server),
+            }
+        }
+    }
+}
+
+impl StopSignals {
+    /// Waits for the first signal to stop, and serves the operator's signals meanwhile.
+    pub(crate) async fn wait(&mut self, operator: &mut OperatorSignals, server: &Server) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+            () = operator.serve(server) => {}
+        }
+    }
+}
