--- a/crates/server/src/cli.rs
+++ b/crates/server/src/cli.rs
@@ -20,8 +20,8 @@
         global = true
     )]
     pub(crate) operator_file: Option<PathBuf>,
-    /// For tests with incarnations on differing clocks: milliseconds added to the Unix clock where incarnations are
-    /// told apart
+    /// For tests with incarnations on differing clocks: milliseconds added to the Unix clock that distinguishes
+    /// incarnations
     #[arg(
         long,
         hide = true,
--- a/crates/server/src/fleet_endpoint.rs
+++ b/crates/server/src/fleet_endpoint.rs
@@ -31,7 +31,7 @@
     /// The backends whose state the fleet exchanges, where `[routes]` is on.
     pub(crate) backends: Option<Rc<Backends>>,
     pub(crate) ticks: Ticks,
-    /// Added to the clock that tells incarnations apart, in milliseconds.
+    /// Added to the clock that distinguishes incarnations, in milliseconds.
     pub(crate) unix_ahead_ms: i64,
 }
 
@@ -54,7 +54,7 @@
         &self.fleet
     }
 
-    /// Tells the fleet that this server is gone; the last datagrams are sent at once.
+    /// Notifies the fleet that this server leaves; the last datagrams are sent at once.
     pub(crate) fn leave(&self) {
         self.fleet.leave(&self.socket);
     }
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -32,7 +32,7 @@
 
 /// A running server. The tasks hold their own references to what they work with.
 ///
-/// The fields are dropped in this order: the control socket's file goes before what it gives access to.
+/// The fields are dropped in this order: the control socket's file is removed before the state that queries read.
 pub(crate) struct Server {
     stop_listening: Rc<Notify>,
     reloadable: ReloadableValues,
@@ -135,7 +135,7 @@
         self.stop_listening.notify_one();
     }
 
-    /// Tells the fleet that this server is gone; the last datagrams are sent at once.
+    /// Notifies the fleet that this server leaves; the last datagrams are sent at once.
     pub(crate) fn leave_fleet(&self) {
         if let Some(endpoint) = &self.fleet {
             endpoint.leave();
--- a/crates/server/src/startup.rs
+++ b/crates/server/src/startup.rs
@@ -1,6 +1,6 @@
 //! The start of a server: [`run`] reads and checks everything, then [`serve`] is the server's life from its first
 //! socket to its last line in the log. Nothing is listened on before the configuration, the operator file and the
-//! directory of durable results are good.
+//! directory of durable results are valid.
 //!
 //! It owns the errors of a start. The order in which sockets are opened and tasks are started is in
 //! [`Server::start`].
@@ -68,7 +68,7 @@
         }
     }
 
-    /// Whether the cause is what the operator has written or named, not what the system refused.
+    /// Whether the cause is the operator's input and not a resource that the system refused.
     pub(crate) fn is_invalid_input(&self) -> bool {
         matches!(
             self,
@@ -77,8 +77,8 @@
     }
 }
 
-/// Starts a server and serves until a signal stops it. `unix_ahead_ms` is added to the clock that tells incarnations
-/// apart.
+/// Starts a server and serves until a signal stops it. `unix_ahead_ms` is added to the clock that distinguishes
+/// incarnations.
 pub(crate) fn run(operator_file: Option<&Path>, unix_ahead_ms: i64) -> Result<(), StartError> {
     let operator = operator_plan::read(operator_file)?;
     let config = wait_for_config()?;
@@ -145,6 +145,6 @@
     pub(crate) plan: OperatorPlan,
     /// The store of durable results, where `[kept-results]` is on.
     pub(crate) store: Option<keep::Opened>,
-    /// Added to the clock that tells incarnations apart, in milliseconds.
+    /// Added to the clock that distinguishes incarnations, in milliseconds.
     pub(crate) unix_ahead_ms: i64,
 }
