Decision module: loads are compared with their ceilings in the policy files

Cause: the table of ceilings beside the module answered whether a run or call may start, which is a decision.

--- a/src/ceilings.rs
+++ b/src/ceilings.rs
@@ -1,8 +1,7 @@
-//! External ceilings on the runs and calls of groups of handlers. Owns the ceilings and compares loads with them;
-//! what follows is decided elsewhere. Without ceilings nothing is bound.
+//! External ceilings on the runs and calls of groups of handlers. Owns the ceilings and the counts under
+//! them. Whether a load is within them, and what follows, is decided elsewhere.
 
 use crate::interface::Ceiling;
-use crate::request::RequestTable;
 
 /// How long the start intervals over a handler delay its next request.
 #[derive(Debug, Default)]
@@ -29,7 +28,12 @@
         self.0.is_empty()
     }
 
-    fn over(&self, handler: usize) -> impl Iterator<Item = (usize, &Ceiling)> {
+    /// The ceilings over a handler.
+    pub(crate) fn over(&self, handler: usize) -> impl Iterator<Item = &Ceiling> {
+        self.indexed(handler).map(|(_, ceiling)| ceiling)
+    }
+
+    fn indexed(&self, handler: usize) -> impl Iterator<Item = (usize, &Ceiling)> {
         self.0.iter().enumerate().filter(move |(_, c)| c.handlers.contains(&handler))
     }
 
@@ -38,16 +42,6 @@
         self.0[ceiling].handlers.contains(&handler)
     }
 
-    /// Whether one more run of the handler is within all its ceilings.
-    pub(crate) fn allow_run(&self, handler: usize, requests: &RequestTable) -> bool {
-        self.over(handler).all(|(_, c)| requests.load(&c.handlers).runs < c.runs)
-    }
-
-    /// Whether one more call of the handler is within all its ceilings.
-    pub(crate) fn allow_call(&self, handler: usize, requests: &RequestTable) -> bool {
-        self.over(handler).all(|(_, c)| requests.load(&c.handlers).calls < c.calls)
-    }
-
     /// Counts queued requests, given by their handlers, under each ceiling.
     pub(crate) fn count(&self, handlers: impl Iterator<Item = usize>) -> QueuedCounts {
         let mut counts = QueuedCounts(vec![0.0; self.0.len()]);
@@ -57,18 +51,18 @@
 
     /// Counts one more queued request.
     pub(crate) fn add(&self, counts: &mut QueuedCounts, handler: usize) {
-        self.over(handler).for_each(|(i, _)| counts.0[i] += 1.0);
+        self.indexed(handler).for_each(|(i, _)| counts.0[i] += 1.0);
     }
 
     /// Counts one queued request less.
     pub(crate) fn take_off(&self, counts: &mut QueuedCounts, handler: usize) {
-        self.over(handler).for_each(|(i, _)| counts.0[i] -= 1.0);
+        self.indexed(handler).for_each(|(i, _)| counts.0[i] -= 1.0);
     }
 
     /// The longest delay that the ceilings over a handler make, at its end of the queued requests.
     pub(crate) fn start_delay(&self, handler: usize, queued: &QueuedCounts) -> StartDelay {
         let mut longest = StartDelay::default();
-        for (i, ceiling) in self.over(handler) {
+        for (i, ceiling) in self.indexed(handler) {
             let seconds = queued.0[i] * ceiling.start_interval.as_secs_f64();
             if seconds > longest.seconds {
                 longest = StartDelay { seconds, ceiling: Some(i) };
--- a/src/decide/concurrency_limit.rs
+++ b/src/decide/concurrency_limit.rs
@@ -76,7 +76,8 @@
     fn may_start(&self, r: RequestSlot) -> bool {
         let handler = &self.handlers[self.requests[r].handler];
         let requires_call = handler.makes_calls && handler.partial_weight == 0.0;
-        let calls_wait = !self.calls.waiting.is_empty() && self.ceilings.is_empty();
-        !(calls_wait && requires_call) && self.ceilings.allow_run(self.requests[r].handler, &self.requests)
+        let blocked = requires_call && !self.calls.waiting.is_empty() && self.ceilings.is_empty();
+        let within = |ceiling: &Ceiling| self.requests.load(&ceiling.handlers).runs < ceiling.runs;
+        !blocked && self.ceilings.over(self.requests[r].handler).all(within)
     }
 }
--- a/src/decide/rejection.rs
+++ b/src/decide/rejection.rs
@@ -47,8 +47,7 @@
     /// reject too. Unmarked, those at a server slow by itself prove nothing. One that fails or drains: never.
     fn retry_is_useless(&mut self, now: Timestamp, r: RequestSlot) -> bool {
         let crowding = (self.concurrency.run_queue / self.budget.cores).max(1.0);
-        let usual = SLOW_ALONE * crowding * self.budget.best_run;
-        let slow = self.stalls.slowdown * self.budget.mean_run > usual;
+        let slow = self.stalls.slowdown * self.budget.mean_run > SLOW_ALONE * crowding * self.budget.best_run;
         let alone = self.concurrency.is_warming_up(now) || slow;
         let likely = self.rng.rand_float() < FINAL_GAIN * (self.rejections.retry_fraction - FINAL_FROM);
         let sends_on = self.admission.is_failing() || self.drain.is_some();
--- a/src/decide/tenant_quota.rs
+++ b/src/decide/tenant_quota.rs
@@ -19,8 +19,8 @@
     pub(super) fn new(now: Timestamp, tenants: &[Tenant], position: &FleetPosition) -> TenantQuotas {
         let quota = |t: &Tenant| t.requests_per_second / f64::from(position.servers.max(1));
         let rate = |t: &Tenant| TenantRate { quota: quota(t), measured: EventRate::new(now) };
-        let over_quota_weight = position.over_quota_weight;
-        TenantQuotas { tenants: tenants.iter().map(rate).collect(), over_quota_weight }
+        let tenants = tenants.iter().map(rate).collect();
+        TenantQuotas { tenants, over_quota_weight: position.over_quota_weight }
     }
 }
 
--- a/src/decide/upstream_calls.rs
+++ b/src/decide/upstream_calls.rs
@@ -108,7 +108,8 @@
     pub(super) fn attempt_call(&mut self, now: Timestamp, r: RequestSlot, out: &mut dyn Actions) {
         let (request, handler) = (&self.requests[r], &self.handlers[self.requests[r].handler]);
         let rank = self.admission.recent_weights.rank(request.weight, 1.0);
-        let in_ceilings = self.ceilings.allow_call(request.handler, &self.requests);
+        let within = |ceiling: &Ceiling| self.requests.load(&ceiling.handlers).calls < ceiling.calls;
+        let in_ceilings = self.ceilings.over(request.handler).all(within);
         // Under ceilings, required calls go first where capacity is scarce.
         let yields = !self.ceilings.is_empty() && !self.calls.waiting.is_empty();
         let optional = handler.partial_weight > 0.0;
