--- a/crates/quota/src/budget.rs
+++ b/crates/quota/src/budget.rs
@@ -74,8 +74,7 @@
 pub struct Budget {
     settings: BudgetSettings,
     name_hash: u32,
-    /// What may be used.
-    pub ledger: Ledger,
+    ledger: Ledger,
     demand: DemandTracker,
     /// A peer waits for a message, which is to be sent sooner than at the next tick.
     is_urgent: bool,
--- a/crates/quota/src/counter.rs
+++ b/crates/quota/src/counter.rs
@@ -73,14 +73,12 @@
 
 /// Counts by key over the whole fleet.
 pub struct ReplicatedCounter {
-    /// The settings of the counter.
-    pub settings: CounterSettings,
+    settings: CounterSettings,
     name_hash: u32,
     resolution: Resolution,
     local: LocalCounts,
     remote: RemoteCounts,
-    /// Snapshots that were rejected: malformed ones, and those of too many incarnations.
-    pub rejected: u64,
+    rejected: u64,
 }
 
 impl ReplicatedCounter {
--- a/crates/quota/src/fleet_quotas.rs
+++ b/crates/quota/src/fleet_quotas.rs
@@ -57,10 +57,8 @@
     own: OwnRank,
     peers: PeerTable,
     incarnations: Incarnations,
-    /// The budgets, in the order of the settings.
-    pub budgets: Vec<Budget>,
-    /// The counters, in the order of the settings.
-    pub counters: Vec<ReplicatedCounter>,
+    budgets: Vec<Budget>,
+    counters: Vec<ReplicatedCounter>,
     is_surplus: bool,
     /// The view has changed since the base quotas were assigned.
     view_changed: bool,
@@ -69,8 +67,7 @@
     polls: CounterPolls,
     queued: BTreeMap<CompactString, Vec<Message>>,
     events: Vec<BudgetEvent>,
-    /// Totals of the datagrams and events since the start.
-    pub totals: Totals,
+    totals: Totals,
 }
 
 impl FleetQuotas {
@@ -300,7 +297,7 @@
         servers: u32,
     ) -> f64 {
         let counter = &self.counters[counter];
-        let window = counter.settings.window.as_secs_f64();
+        let window = counter.settings().window.as_secs_f64();
         let fair_rate = per_second / f64::from(servers.max(1));
         let own = counter.local_estimate(now, key).value / window;
         let all = counter.estimate(now, key, fair_rate).value / window;
--- a/crates/quota/src/fleet_quotas/slot_assignment.rs
+++ b/crates/quota/src/fleet_quotas/slot_assignment.rs
@@ -87,11 +87,11 @@
 }
 
 fn assign_base_quota(budget: &mut Budget, now: Timestamp, units: u32) {
-    let before = budget.ledger.eventual_base_quota();
+    let before = budget.ledger().eventual_base_quota();
     if units > before && before == 0 {
         // The server that had it may still have granted it, or have calls in flight on it.
         let hold = now + budget.settings().terms.lessor_hold();
-        let usable_from = hold.max(budget.ledger.usable_from());
+        let usable_from = hold.max(budget.ledger().usable_from());
         budget.set_base_quota(units, Some(usable_from));
     } else if units != before {
         budget.set_base_quota(units, None);
--- a/crates/quota/src/fleet_quotas/status.rs
+++ b/crates/quota/src/fleet_quotas/status.rs
@@ -28,8 +28,8 @@
             usable_before: change.before,
             usable_after: change.after,
             cause: change.cause,
-            granted: budget.ledger.granted(now),
-            leased: budget.ledger.leased(now),
+            granted: budget.ledger().granted(now),
+            leased: budget.ledger().leased(now),
         }
     }
 }
@@ -80,7 +80,7 @@
 
 impl BudgetView {
     pub(super) fn new(now: Timestamp, budget: &Budget) -> BudgetView {
-        let (settings, ledger) = (budget.settings(), &budget.ledger);
+        let (settings, ledger) = (budget.settings(), budget.ledger());
         BudgetView {
             name: settings.name.clone(),
             capacity: settings.capacity,
--- a/crates/server/src/fleet/control_socket.rs
+++ b/crates/server/src/fleet/control_socket.rs
@@ -284,13 +284,13 @@
             until_usable_ms: in_ms(budget.until_usable),
         }));
     }
-    for (index, counter) in quotas.counters.iter().enumerate() {
+    for (index, counter) in quotas.counters().iter().enumerate() {
         let heaviest = counter.heaviest_keys(MAX_REPORTED_KEYS);
         let keys = fleet.lender.counted.keys(index);
         for (_, key, hash, fair_rate) in keys.filter(|k| heaviest.contains(&k.2)) {
             let estimate = counter.estimate(now, hash, fair_rate);
             records.push(SharedRecord::Count(CountRecord {
-                name: counter.settings.name.to_string(),
+                name: counter.settings().name.to_string(),
                 key: key.to_string(),
                 estimate: estimate.value,
                 max_error: estimate.bound(),
--- a/crates/server/src/fleet/talk.rs
+++ b/crates/server/src/fleet/talk.rs
@@ -214,19 +214,19 @@
             .iter()
             .for_each(|(what, value)| line(&format!("{}.{what}", b.name), u64::from(*value)));
     }
-    for c in &s.counters {
+    for c in s.counters() {
         line(
-            &format!("{}.lives", c.settings.name),
+            &format!("{}.lives", c.settings().name),
             c.tracked_incarnations() as u64,
         );
-        line(&format!("{}.refused", c.settings.name), c.rejected);
+        line(&format!("{}.refused", c.settings().name), c.rejected());
     }
     line("surplus", u64::from(s.is_surplus()));
-    line("heard", s.totals.datagrams_received);
-    line("unread", s.totals.datagrams_rejected);
-    line("misdirected", s.totals.misdirected);
-    line("sent", s.totals.datagrams_sent);
-    line("bytes_out", s.totals.bytes_sent);
+    line("heard", s.totals().datagrams_received);
+    line("unread", s.totals().datagrams_rejected);
+    line("misdirected", s.totals().misdirected);
+    line("sent", s.totals().datagrams_sent);
+    line("bytes_out", s.totals().bytes_sent);
     lines.text
 }
 
--- a/crates/testkit/examples/shared.rs
+++ b/crates/testkit/examples/shared.rs
@@ -194,7 +194,7 @@
     sim.run(Duration::from_millis(2_000));
     let bytes = |s: &Sim| {
         (0..n)
-            .filter_map(|i| Some(s.shared(i)?.totals.bytes_sent))
+            .filter_map(|i| Some(s.shared(i)?.totals().bytes_sent))
             .sum::<u64>()
     };
     let (before, sent) = (sim.used(), bytes(sim));
@@ -608,7 +608,7 @@
         sim.run(Duration::from_millis(20_000));
         let bytes = |s: &Sim| {
             (0..n)
-                .filter_map(|i| Some(s.shared(i)?.totals.bytes_sent))
+                .filter_map(|i| Some(s.shared(i)?.totals().bytes_sent))
                 .sum::<u64>()
         };
         let before = bytes(&sim);
--- a/crates/testkit/src/fleet/sim.rs
+++ b/crates/testkit/src/fleet/sim.rs
@@ -201,7 +201,7 @@
             .shares(who, named)
             .map(|set| FleetQuotas::new(now, seed, set));
         let node = &mut self.nodes[who];
-        if shared.as_ref().is_some_and(|s| !s.counters.is_empty()) {
+        if shared.as_ref().is_some_and(|s| !s.counters().is_empty()) {
             self.truths.push(Truth {
                 who,
                 began: now,
@@ -264,8 +264,8 @@
             else {
                 return;
             };
-            let budget = &mut shared.budgets[0];
-            let (in_use, open) = (budget.ledger.in_use(), budget.ledger.may_start(now));
+            let budget = &mut shared.budgets_mut()[0];
+            let (in_use, open) = (budget.in_use(), budget.may_start(now));
             if in_use >= demand || !open {
                 return budget.set_waiting(now, demand.saturating_sub(in_use));
             }
@@ -296,7 +296,7 @@
         }
         let now = node.clock(self.now);
         if let Some(shared) = node.life.as_mut().and_then(|t| t.shared.as_mut()) {
-            shared.budgets[0].call_ended(now);
+            shared.budgets_mut()[0].call_ended(now);
         }
         self.work(who);
     }
@@ -321,7 +321,7 @@
             let Some(count) = together
                 .shared
                 .as_mut()
-                .and_then(|s| s.counters.first_mut())
+                .and_then(|s| s.counters_mut().first_mut())
             else {
                 continue;
             };
@@ -331,7 +331,7 @@
                 .rev()
                 .find(|t| t.who == who)
                 .expect("begun");
-            let slot = count.settings.window.mul_f64(0.1);
+            let slot = count.settings().window.mul_f64(0.1);
             let number = (now - truth.began).as_micros() / slot.as_micros();
             for (key, rate, due) in &mut node.work.rates {
                 *due += *rate * REQS.as_secs_f64() * 2.0 * self.chance.rand_float();
@@ -591,7 +591,7 @@
                 let (unheard, now) = (std::mem::take(&mut self.nodes[*s].work.unheard), self.now);
                 let now = self.nodes[*s].clock(now);
                 let shared = self.nodes[*s].life.as_mut().and_then(|t| t.shared.as_mut());
-                if let Some(budget) = shared.and_then(|s| s.budgets.first_mut()) {
+                if let Some(budget) = shared.and_then(|s| s.budgets_mut().first_mut()) {
                     (0..unheard).for_each(|_| budget.call_ended(now));
                 }
                 if self.chance.rand_float() < 0.5 {
@@ -666,13 +666,15 @@
             }),
             Condition::Has { who, least, most } => who.iter().find_map(|w| {
                 let now = self.nodes[*w].clock(self.now);
-                let usable = self.shared(*w)?.budgets.first()?.ledger.usable(now);
+                let usable = self.shared(*w)?.budgets().first()?.usable(now);
                 let wrong = usable < *least || usable > *most;
                 wrong.then(|| format!("{} may use {usable}, of at least {least}", name(*w)))
             }),
             Condition::Uses { who, least } => {
-                let budgets = who.iter().filter_map(|w| self.shared(*w)?.budgets.first());
-                let used: u32 = budgets.map(|b| b.ledger.in_use()).sum();
+                let budgets = who
+                    .iter()
+                    .filter_map(|w| self.shared(*w)?.budgets().first());
+                let used: u32 = budgets.map(|b| b.in_use()).sum();
                 (used < *least).then(|| format!("{used} calls are in hand, not {least}"))
             }
         }
