--- a/crates/server/src/core/arrivals.rs
+++ b/crates/server/src/core/arrivals.rs
@@ -2,7 +2,9 @@
 
 use super::hands::{Due, InHand};
 use super::serve::{KEEP_AWAY, Serve};
-use crate::downstream::request_validation::Read;
+use crate::downstream::connections::OpenRequestError;
+use crate::downstream::idempotency_table::FingerprintMismatch;
+use crate::downstream::request_validation::{InvalidRequest, ValidatedRequest};
 use crate::downstream::response;
 use crate::support::io::Outbox;
 use crate::support::name::Name;
@@ -18,8 +20,11 @@
     pub fn opened(&mut self, now: Timestamp, out: Outbox) -> u64 {
         let hands = &mut self.hands;
         hands.counters.connections += 1;
-        let (no, first) = hands.conns.open(now, out);
-        hands.due.insert((first, Due::First(no)));
+        let opened = hands.conns.open(now, out);
+        let no = opened.id;
+        hands
+            .due
+            .insert((opened.first_request_deadline, Due::First(no)));
         if let Some(limit) = hands.conns.idle_limit() {
             hands.due.insert((now + limit, Due::Idle(no)));
         }
@@ -30,14 +35,16 @@
     pub fn opened_beyond(&mut self, now: Timestamp, out: Outbox) -> u64 {
         let hands = &mut self.hands;
         hands.counters.connections_refused += 1;
-        let (no, first) = hands.conns.open_beyond(now, out);
-        hands.due.insert((first, Due::First(no)));
-        no
+        let opened = hands.conns.open_over_limit(now, out);
+        hands
+            .due
+            .insert((opened.first_request_deadline, Due::First(opened.id)));
+        opened.id
     }
 
     /// How many connections are open that there is no room for.
     pub fn beyond(&self) -> usize {
-        self.hands.conns.beyond()
+        self.hands.conns.over_limit_count()
     }
 
     pub fn connections(&self) -> usize {
@@ -46,7 +53,7 @@
 
     /// Ends a connection that carries nothing, to make room for another; false where all carry something.
     pub fn make_room(&mut self, now: Timestamp) -> bool {
-        let made = self.hands.conns.make_room(now);
+        let made = self.hands.conns.evict(now);
         self.hands.counters.connections_cut += u64::from(made);
         made
     }
@@ -54,7 +61,7 @@
     /// The peer breaks the protocol, and nothing it asked can be told from what it did not: all that it has
     /// open is errored, and the connection ends.
     pub fn turn_off(&mut self, now: Timestamp, no: u64) {
-        let Some(open) = self.hands.conns.open_on(no) else {
+        let Some(open) = self.hands.conns.open_requests(no) else {
             return;
         };
         self.hands.now = now;
@@ -67,12 +74,12 @@
 
     /// The peer sends no more, or nothing that can be read: what is open is still answered.
     pub fn no_more(&mut self, no: u64) {
-        self.hands.conns.no_more(no);
+        self.hands.conns.input_ended(no);
     }
 
     /// The connection is gone, and with it everyone who waits on it.
     pub fn closed(&mut self, now: Timestamp, no: u64) {
-        let Some(open) = self.hands.conns.close(no) else {
+        let Some(open) = self.hands.conns.remove(no) else {
             return;
         };
         self.hands.counters.cut += open.len() as u64;
@@ -80,12 +87,12 @@
     }
 
     pub fn out(&self, no: u64) -> Option<&Outbox> {
-        self.hands.conns.out(no)
+        self.hands.conns.outbox(no)
     }
 
     /// Whether another req by this id may be opened on a connection; else why not.
-    pub fn may_open(&self, no: u64, rpc: u64) -> Result<(), &'static str> {
-        self.hands.conns.may_open(no, rpc)
+    pub fn may_open(&self, no: u64, rpc: u64) -> Result<(), OpenRequestError> {
+        self.hands.conns.check_open(no, rpc)
     }
 
     /// A req has been read.
@@ -94,24 +101,27 @@
         now: Timestamp,
         no: u64,
         rpc: u64,
-        read: Read,
-    ) -> Result<(), &'static str> {
-        let Read {
+        request: ValidatedRequest,
+    ) -> Result<(), InvalidRequest> {
+        let ValidatedRequest {
             arrival,
             name,
             key,
-            print,
+            fingerprint: print,
             body,
-        } = read;
+        } = request;
         if self.hands.names.contains_key(&name) {
-            return Err("ref is in use");
+            return Err(InvalidRequest::AttemptNameInUse);
         }
         if let Some(key) = key
-            && self.former_life(now, (no, rpc), arrival.handler, key, print)?
+            // Its one error is that the key came with another body.
+            && self
+                .former_life(now, (no, rpc), arrival.handler, key, print)
+                .map_err(|_| FingerprintMismatch)?
         {
             return Ok(());
         }
-        if !self.hands.conns.opened_req(now, no, rpc, arrival.id) {
+        if !self.hands.conns.request_opened(now, no, rpc, arrival.id) {
             return Ok(());
         }
         self.hands.counters.read[arrival.handler] += 1;
@@ -157,7 +167,7 @@
         if self.decider.is_none() {
             // Nothing can run before the engine is up.
             self.hands.reject(arrival.id, Duration::ZERO, false);
-        } else if self.hands.conns.is_beyond(no) && arrival.retry_of == 0 {
+        } else if self.hands.conns.is_over_limit(no) && arrival.retry_of == 0 {
             // There is no room for its connection. A further try of a keyed req shares what became of the first.
             self.hands.reject(
                 arrival.id,
@@ -172,7 +182,7 @@
 
     /// The balancer has stopped waiting for a req.
     pub fn forget(&mut self, now: Timestamp, no: u64, rpc: Option<u64>, name: Option<Name>) {
-        let by_rpc = rpc.and_then(|rpc| self.hands.conns.req(no, rpc));
+        let by_rpc = rpc.and_then(|rpc| self.hands.conns.request_id(no, rpc));
         // One caller can't withdraw another's req.
         let own = |id: &u64| self.hands.reqs.get(id).is_some_and(|r| r.conn == no);
         if let Some(id) = by_rpc.or_else(|| self.hands.names.get(&name?).copied().filter(own)) {
--- a/crates/server/src/core/hands.rs
+++ b/crates/server/src/core/hands.rs
@@ -5,8 +5,11 @@
 use crate::core::keep::Keep;
 use crate::core::lead::{Leads, Try};
 use crate::core::lent::Lent;
-use crate::downstream::connections::Conns;
-use crate::downstream::request_validation::{Door, Joined, Key};
+use crate::downstream::connections::Connections;
+use crate::downstream::idempotency_table::{
+    IdempotencyKey, IdempotencyTable, JoinedAttempt, KeyWindow,
+};
+use crate::downstream::request_validation::RequestValidator;
 use crate::downstream::response;
 use crate::support::metrics::Counters;
 use crate::support::name::Name;
@@ -30,7 +33,7 @@
     pub conn: u64,
     pub rpc: u64,
     pub handler: usize,
-    pub key: Option<Key>,
+    pub key: Option<IdempotencyKey>,
     pub print: u64,
     /// As it came, until the run has it.
     pub body: Box<str>,
@@ -75,8 +78,9 @@
     pub now: Timestamp,
     pub reqs: HashMap<u64, InHand>,
     pub names: HashMap<Name, u64>,
-    pub conns: Conns,
-    pub door: Door,
+    pub conns: Connections,
+    pub validator: RequestValidator,
+    pub door: IdempotencyTable,
     pub engine: Link,
     pub calls: Desk,
     /// Ceilings by pool, where the operator set any.
@@ -116,8 +120,9 @@
             now,
             reqs: HashMap::new(),
             names: HashMap::new(),
-            conns: Conns::default(),
-            door: Door::new(settings, results),
+            conns: Connections::default(),
+            validator: RequestValidator::new(settings),
+            door: IdempotencyTable::new(settings, results),
             engine: Link::default(),
             calls: Desk::default(),
             pools: None,
@@ -166,7 +171,7 @@
         let report = self.load_report;
         self.conns
             .answer(self.now, req.conn, |out| write(out, req.rpc, report));
-        self.conns.settled(req.conn, req.rpc);
+        self.conns.request_settled(req.conn, req.rpc);
         true
     }
 
@@ -193,7 +198,7 @@
             self.take_back(key);
             return false;
         }
-        let until = self.door.window(key).map_or(self.now, |w| w.1);
+        let until = self.door.window(key).map_or(self.now, |w| w.end);
         keep.settle(id, key, result, until);
         self.due.insert((req.latest, Due::Settle(id)));
         self.counters.run_over(how);
@@ -211,16 +216,16 @@
         let (key, latest) = (req.key, req.latest);
         self.due.remove(&(latest, Due::Settle(id)));
         self.answer_run(id, result);
-        for waiting in key.map_or(vec![], |k| self.door.ran(k, result)) {
+        for waiting in key.map_or(vec![], |k| self.door.run_ended(k, result)) {
             self.joined(waiting, result);
         }
         self.remove(id);
     }
 
     /// What the engine declined, or was never sent, takes its promise back.
-    fn take_back(&mut self, key: Key) {
+    fn take_back(&mut self, key: IdempotencyKey) {
         if let Some(keep) = &mut self.keep {
-            keep.never(key, self.door.window(key).map_or(self.now, |w| w.1));
+            keep.never(key, self.door.window(key).map_or(self.now, |w| w.end));
         }
     }
 
@@ -240,7 +245,7 @@
         };
         let key = req.key;
         self.counters.run_over(Outcome::AlreadyEnded);
-        let joined = key.map_or(vec![], |k| self.door.ran(k, None));
+        let joined = key.map_or(vec![], |k| self.door.run_ended(k, None));
         for id in std::iter::once(id).chain(joined) {
             self.answer_shed(id, come_back, false);
             self.remove(id);
@@ -248,7 +253,7 @@
         }
         if let Some(key) = key {
             self.take_back(key);
-            self.door.drop(id);
+            self.door.remove_held_by(id);
         }
     }
 
@@ -300,7 +305,7 @@
             return;
         };
         req.answered = true;
-        self.conns.settled(req.conn, req.rpc);
+        self.conns.request_settled(req.conn, req.rpc);
         if req.started {
             self.give_up_call(id);
             self.followed(id, |f, now, _| f.request_answered(now, id));
@@ -397,10 +402,13 @@
         let body = std::mem::take(&mut req.body);
         let (key, handler, name) = (req.key, req.handler, req.name);
         if let Some(key) = key {
-            self.door.started(key);
+            self.door.run_started(key);
         }
         if let (Some(keep), Some(key)) = (&mut self.keep, key) {
-            let window = self.door.window(key).unwrap_or((0, self.now));
+            let window = self
+                .door
+                .window(key)
+                .map_or((0, self.now), |w| (w.fingerprint, w.end));
             if keep.promise(id, key, window, name).is_err() {
                 self.unrun.push_back(id);
                 return;
@@ -410,7 +418,7 @@
         self.followed(id, |f, now, handler| {
             f.set_stage(now, id, handler, RequestStage::Running)
         });
-        let service = self.door.quoted(handler);
+        let service = self.validator.quoted_name(handler);
         self.command(
             id,
             "RUN",
@@ -478,12 +486,16 @@
             .get(&id)
             .and_then(|r| Some((r.key?, r.print, r.handler)))
         {
-            self.door.keep(id, key, print, handler, self.now + term);
+            let window = KeyWindow {
+                fingerprint: print,
+                end: self.now + term,
+            };
+            self.door.insert(id, key, handler, window);
         }
     }
 
     fn remove_key(&mut self, id: u64) {
-        self.door.drop(id);
+        self.door.remove_held_by(id);
     }
 
     fn join_attempt(&mut self, id: u64) {
@@ -493,9 +505,9 @@
             return;
         };
         match self.door.join(id, req.key) {
-            Joined::Waits => {}
-            Joined::Done(result) => self.joined(id, Some(&result)),
-            Joined::Errored => self.joined(id, None),
+            JoinedAttempt::Waits => {}
+            JoinedAttempt::Completed(result) => self.joined(id, Some(&result)),
+            JoinedAttempt::Failed => self.joined(id, None),
         }
     }
 
@@ -514,7 +526,7 @@
         self.due.retain(|d| !matches!(d.1, Due::Idle(_)));
         self.due.extend(
             self.conns
-                .limit_idling(limit)
+                .set_idle_limit(limit)
                 .map(|(at, no)| (at, Due::Idle(no))),
         );
     }
--- a/crates/server/src/core/outcomes.rs
+++ b/crates/server/src/core/outcomes.rs
@@ -30,7 +30,7 @@
         };
         let (key, handler) = (req.key, req.handler);
         self.hands.counters.run_over(how);
-        for waiting in key.map_or(vec![], |k| self.hands.door.ran(k, result)) {
+        for waiting in key.map_or(vec![], |k| self.hands.door.run_ended(k, result)) {
             self.hands.joined(waiting, result);
         }
         self.hands.counters.ran[handler] += 1;
@@ -216,7 +216,7 @@
         self.hands.reject(id, Duration::ZERO, false);
         self.hands.keep_result(id, Outcome::AlreadyEnded, None);
         self.run_out(now, id, Outcome::AlreadyEnded, Duration::ZERO, None);
-        self.hands.door.drop(id);
+        self.hands.door.remove_held_by(id);
     }
 }
 
--- a/crates/server/src/core/serve.rs
+++ b/crates/server/src/core/serve.rs
@@ -120,11 +120,11 @@
                 Due::Call(id) => self.patience_over(now, id),
                 Due::Hedge(id) => self.hands.hedge(now, id),
                 Due::Idle(no) => {
-                    let again = self.hands.conns.idle_over(now, no);
+                    let again = self.hands.conns.idle_deadline_reached(now, no);
                     self.hands.due.extend(again.map(|at| (at, Due::Idle(no))));
                 }
                 Due::First(no) => {
-                    let again = self.hands.conns.first_over(now, no);
+                    let again = self.hands.conns.first_request_deadline_reached(now, no);
                     self.hands.due.extend(again.map(|at| (at, Due::First(no))));
                 }
                 // The disk is too slow for the caller: its answer can't be a result that may not last.
@@ -134,8 +134,8 @@
                         keep.book.expire(now);
                     }
                     self.hands.calls.tidy(now);
-                    self.hands.door.lapse(now);
-                    self.hands.conns.cut_stuck(now);
+                    self.hands.door.expire(now);
+                    self.hands.conns.cut_stalled(now);
                     self.hands.due.insert((now + TIDY, Due::Tidy));
                 }
             }
@@ -202,18 +202,18 @@
     pub fn leave(&mut self, now: Timestamp, left: Duration) {
         self.hands.leaving = true;
         self.hands.report.notify_one();
-        self.hands.conns.leave();
+        self.hands.conns.drain();
         self.decide(now, |d, _| d.drain(now, left));
     }
 
     /// All connections end that owe nothing.
     pub fn end(&mut self) {
-        self.hands.conns.end();
+        self.hands.conns.close_all();
     }
 
     /// Nothing is owed and nothing waits to be written.
     pub fn at_rest(&self) -> bool {
-        self.hands.conns.at_rest()
+        self.hands.conns.is_quiescent()
     }
 
     pub fn unconnected(&self) -> bool {
@@ -233,7 +233,7 @@
             h.reqs.len(),
             h.conns.len(),
             h.calls.out(),
-            h.door.entries(),
+            h.door.len(),
         );
         let pools = h
             .pools
--- a/crates/server/src/downstream/connections.rs
+++ b/crates/server/src/downstream/connections.rs
@@ -1,319 +1,233 @@
-//! The balancers' connections: which are open, what each is owed, when one has to end. What is asked on them
-//! and what is answered is known elsewhere; due times are given back, for the one ordered structure of them.
-
-use crate::downstream::response;
+//! The downstream connections and what each of them is owed.
+//!
+//! Owns: the table of open connections, their numbers, and the limit on idling. Is given: the time, the outboxes
+//! of new connections, and notice of what was read, opened, answered and settled. Gives back the instants at
+//! which a connection is to be checked again; the caller keeps them in the one ordered structure of timers.
+//! Never reads a socket, decides a request or knows what an answer says.
+
+use crate::downstream::connection::Connection;
 use crate::support::io::Outbox;
 use madderbay::time::{Duration, Timestamp};
 use std::collections::HashMap;
 
-/// Open reqs that one connection may carry.
-pub const OPEN_MOST: usize = 32;
-/// A balancer told that a connection is to end has this long to close it.
-const LEAVING: Duration = Duration::from_millis(1_000);
-/// A new connection that has asked nothing that could be answered ends after this, half a line or none sent:
-/// balancers open one to ask at once, and a bad client is to have its close within 3 s.
-const FIRST: Duration = Duration::from_millis(1_500);
-/// A new connection is left that long for its first req, whoever else wants its room: the req may have been
-/// written to it already.
-const YOUNG: Duration = Duration::from_millis(250);
-/// A line that was begun has that long to be ended before its connection may go: some callers write slowly.
-const PART: Duration = Duration::from_millis(1_000);
-/// A peer that takes nothing of what waits for it for that long is gone: all pauses are shorter, and what all
-/// peers together leave unread is bounded by it.
-const STUCK: Duration = Duration::from_millis(10_000);
-/// Time between two looks at a connection whose reqs are open past its limit on idling.
-const AGAIN: Duration = Duration::from_millis(100);
-
-struct Conn {
-    out: Outbox,
-    open: HashMap<u64, u64>,
-    used: Timestamp,
-    /// What its peer had taken when that was last seen to grow, or nothing waited.
-    taken: (u64, Timestamp),
-    /// Something that it asked was answered.
-    heard: bool,
-    /// Since when a line is half read.
-    part: Option<Timestamp>,
-    /// The peer sends no more, or this side was about to end it when one more req came: it ends once nothing
-    /// is open.
-    ended: bool,
-    leaving: bool,
-    /// There was no room for it: it is told so and ends.
-    beyond: bool,
+/// Requests that may be open on one connection.
+pub const MAX_OPEN_REQUESTS: usize = 32;
+
+/// Why no further request may be opened on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum OpenRequestError {
+    /// A request with the same JSON-RPC id is open on this connection.
+    #[error("id is in use")]
+    IdInUse,
+    /// [`MAX_OPEN_REQUESTS`] are open on this connection.
+    #[error("too many open requests")]
+    TooManyOpen,
 }
 
-impl Conn {
-    /// One req less is open; a peer that sends no more has no other use for the connection.
-    fn settled(&mut self, rpc: u64) {
-        self.open.remove(&rpc);
-        self.end_if_over();
-    }
-
-    fn end_if_over(&self) {
-        if !self.open.is_empty() {
-        } else if self.beyond {
-            self.out.give_way();
-        } else if self.ended {
-            self.out.close();
-        }
-    }
-
-    /// A line was begun less than so long ago and is not ended.
-    fn amid(&self, now: Timestamp, most: Duration) -> bool {
-        self.part.is_some_and(|since| now - since < most)
-    }
-
-    /// Nothing is owed and nothing waits to be written.
-    fn rests(&self) -> bool {
-        self.open.is_empty() && self.out.is_empty()
-    }
-
-    /// The reqs that are open, in the order in which they came.
-    pub fn in_order(&self) -> Vec<u64> {
-        let mut open: Vec<u64> = self.open.values().copied().collect();
-        open.sort_unstable();
-        open
-    }
+/// A connection that was entered into the table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OpenedConnection {
+    /// Its number, unique within this incarnation.
+    pub id: u64,
+    /// When it must have carried its first request.
+    pub first_request_deadline: Timestamp,
+}
 
-    fn cut_if_stuck(&mut self, now: Timestamp) {
-        if self.out.is_empty() || self.out.written() != self.taken.0 {
-            self.taken = (self.out.written(), now);
-        } else if now - self.taken.1 > STUCK {
-            self.out.cut();
-        }
-    }
+/// What a read changed in the lines of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LineProgress {
+    /// An incomplete line is buffered.
+    pub partial: bool,
+    /// At least one line was completed.
+    pub completed: bool,
 }
 
-/// All connections that are open, under their numbers.
+/// All open connections by their numbers.
 #[derive(Default)]
-pub struct Conns {
-    table: HashMap<u64, Conn>,
-    numbers: u64,
-    idle: Option<Duration>,
-    leaving: bool,
+pub struct Connections {
+    table: HashMap<u64, Connection>,
+    last_id: u64,
+    idle_limit: Option<Duration>,
+    draining: bool,
 }
 
-impl Conns {
-    /// A connection was accepted: its number, and when it must have carried its first req.
-    pub fn open(&mut self, now: Timestamp, out: Outbox) -> (u64, Timestamp) {
-        if self.leaving {
-            out.put(response::leaving);
-        }
-        (self.enter(now, out, false), now + FIRST)
-    }
-
-    /// The same for one that there is no room for: it has as long as any new one is sure of.
-    pub fn open_beyond(&mut self, now: Timestamp, out: Outbox) -> (u64, Timestamp) {
-        (self.enter(now, out, true), now + YOUNG)
-    }
-
-    fn enter(&mut self, now: Timestamp, out: Outbox, beyond: bool) -> u64 {
-        self.numbers += 1;
-        let conn = Conn {
-            out,
-            open: HashMap::new(),
-            used: now,
-            taken: (0, now),
-            heard: false,
-            part: None,
-            ended: false,
-            leaving: self.leaving,
-            beyond,
-        };
-        self.table.insert(self.numbers, conn);
-        self.numbers
-    }
-
-    /// Whether a connection is one that there was no room for.
-    pub fn is_beyond(&self, no: u64) -> bool {
-        self.table.get(&no).is_some_and(|c| c.beyond)
-    }
-
-    /// How many there are that there was no room for.
-    pub fn beyond(&self) -> usize {
-        self.table.values().filter(|c| c.beyond).count()
-    }
-
-    /// A connection was read: whether a line is half read now, and whether any was ended.
-    pub fn was_read(&mut self, now: Timestamp, no: u64, part: bool, ended: bool) {
-        if let Some(conn) = self.table.get_mut(&no) {
-            let since = if ended { None } else { conn.part };
-            conn.part = part.then(|| since.unwrap_or(now));
+impl Connections {
+    /// Enters an accepted connection. While draining, it is notified at once that it is to end.
+    pub fn open(&mut self, now: Timestamp, outbox: Outbox) -> OpenedConnection {
+        let (connection, deadline) = Connection::accepted(now, outbox, self.draining);
+        self.insert(connection, deadline)
+    }
+
+    /// Enters a connection that exceeds the limit on connections. Its requests are rejected, then it ends.
+    pub fn open_over_limit(&mut self, now: Timestamp, outbox: Outbox) -> OpenedConnection {
+        let (connection, deadline) = Connection::accepted_over_limit(now, outbox, self.draining);
+        self.insert(connection, deadline)
+    }
+
+    fn insert(
+        &mut self,
+        connection: Connection,
+        first_request_deadline: Timestamp,
+    ) -> OpenedConnection {
+        self.last_id += 1;
+        self.table.insert(self.last_id, connection);
+        OpenedConnection {
+            id: self.last_id,
+            first_request_deadline,
         }
     }
 
+    /// The number of open connections.
     pub fn len(&self) -> usize {
         self.table.len()
     }
 
+    /// Whether no connection is open.
     pub fn is_empty(&self) -> bool {
         self.table.is_empty()
     }
 
-    pub fn out(&self, no: u64) -> Option<&Outbox> {
-        self.table.get(&no).map(|c| &c.out)
+    /// Whether a connection was accepted beyond the limit.
+    pub fn is_over_limit(&self, id: u64) -> bool {
+        self.table.get(&id).is_some_and(Connection::is_over_limit)
     }
 
-    /// The limit on idling, once one was set.
+    /// The number of open connections that were accepted beyond the limit.
+    pub fn over_limit_count(&self) -> usize {
+        self.table.values().filter(|c| c.is_over_limit()).count()
+    }
+
+    /// The outbox of a connection, while that is open.
+    pub fn outbox(&self, id: u64) -> Option<&Outbox> {
+        self.table.get(&id).map(Connection::outbox)
+    }
+
+    /// The limit on idling, if one was set.
     pub fn idle_limit(&self) -> Option<Duration> {
-        self.idle
+        self.idle_limit
     }
 
-    /// Sets the limit on idling; gives when each connection is to be looked at.
-    pub fn limit_idling(&mut self, limit: Duration) -> impl Iterator<Item = (Timestamp, u64)> {
-        self.idle = Some(limit);
-        self.table.iter().map(move |(no, c)| (c.used + limit, *no))
+    /// Sets the limit on idling. Gives the instant at which each connection reaches it, with its number.
+    pub fn set_idle_limit(&mut self, limit: Duration) -> impl Iterator<Item = (Timestamp, u64)> {
+        self.idle_limit = Some(limit);
+        self.table
+            .iter()
+            .map(move |(id, connection)| (connection.idle_deadline(limit), *id))
     }
 
-    /// Ends a connection that carries nothing, to make room for another: those that end already first, then
-    /// those never answered, those in half a line last, then those unused the longest. None may go that has a
-    /// req open, or whose first or next may be on its way.
-    pub fn make_room(&mut self, now: Timestamp) -> bool {
-        let young = |c: &Conn| {
-            if c.heard {
-                c.amid(now, PART)
-            } else {
-                now - c.used <= YOUNG
-            }
-        };
-        let may = |c: &Conn| c.rests() && !c.out.gives_way() && (c.out.is_closing() || !young(c));
-        let idle = self.table.iter().filter(|(_, c)| may(c));
-        let order = |c: &Conn| (!c.out.is_closing(), c.heard, c.amid(now, PART), c.used);
-        let Some((_, conn)) = idle.min_by_key(|(no, c)| (order(c), **no)) else {
+    /// Evicts a connection without open requests in favour of a new one; false if there is none. None is evicted
+    /// whose first or next request may be on its way.
+    pub fn evict(&mut self, now: Timestamp) -> bool {
+        let candidates = self.table.iter().filter(|(_, c)| c.is_evictable(now));
+        let Some((_, connection)) = candidates.min_by_key(|(id, c)| (c.eviction_order(now), **id))
+        else {
             return false;
         };
-        conn.out.give_way();
+        connection.outbox().give_way();
         true
     }
 
-    /// The peer sends no more, or nothing that can be read: what is open is still answered.
-    pub fn no_more(&mut self, no: u64) {
-        let Some(conn) = self.table.get_mut(&no) else {
-            return;
-        };
-        conn.ended = true;
-        conn.end_if_over();
+    /// A connection was read.
+    pub fn line_read(&mut self, now: Timestamp, id: u64, progress: LineProgress) {
+        if let Some(connection) = self.table.get_mut(&id) {
+            connection.line_read(now, progress);
+        }
+    }
+
+    /// The peer sends no more, or nothing that can be read: its open requests are still answered.
+    pub fn input_ended(&mut self, id: u64) {
+        if let Some(connection) = self.table.get_mut(&id) {
+            connection.end_when_settled();
+        }
     }
 
-    /// The reqs that are open on a connection, in the order in which they came.
-    pub fn open_on(&self, no: u64) -> Option<Vec<u64>> {
-        self.table.get(&no).map(Conn::in_order)
+    /// Removes a connection that is gone; gives the ids of its open requests in the order of their arrival.
+    pub fn remove(&mut self, id: u64) -> Option<Vec<u64>> {
+        self.table.remove(&id).map(|c| c.requests_in_order())
     }
 
-    /// A connection is gone; gives what was open on it.
-    pub fn close(&mut self, no: u64) -> Option<Vec<u64>> {
-        self.table.remove(&no).map(|c| c.in_order())
+    /// The ids of the requests open on a connection, in the order of their arrival.
+    pub fn open_requests(&self, id: u64) -> Option<Vec<u64>> {
+        self.table.get(&id).map(Connection::requests_in_order)
     }
 
-    /// Whether another req by this id may be opened on a connection; else why not.
-    pub fn may_open(&self, no: u64, rpc: u64) -> Result<(), &'static str> {
-        match self.table.get(&no) {
-            Some(c) if c.open.contains_key(&rpc) => Err("id is in use"),
-            Some(c) if c.open.len() >= OPEN_MOST => Err("too many open requests"),
-            _ => Ok(()),
-        }
+    /// Checks that a request with this JSON-RPC id may be opened on a connection. A connection that is gone
+    /// passes.
+    ///
+    /// # Errors
+    /// The id is in use, or the connection has [`MAX_OPEN_REQUESTS`] open.
+    pub fn check_open(&self, id: u64, rpc_id: u64) -> Result<(), OpenRequestError> {
+        self.table.get(&id).map_or(Ok(()), |c| c.check_open(rpc_id))
     }
 
-    /// A req was read on a connection; false if that is gone. One that was about to end goes on for it.
-    pub fn opened_req(&mut self, now: Timestamp, no: u64, rpc: u64, id: u64) -> bool {
-        let Some(conn) = self.table.get_mut(&no) else {
+    /// A request was read on a connection; false if that is gone. A connection that was closing goes on until
+    /// the request is answered.
+    pub fn request_opened(
+        &mut self,
+        now: Timestamp,
+        id: u64,
+        rpc_id: u64,
+        request_id: u64,
+    ) -> bool {
+        let Some(connection) = self.table.get_mut(&id) else {
             return false;
         };
-        if conn.out.is_closing() {
-            conn.out.go_on();
-            conn.ended = true;
-        }
-        conn.open.insert(rpc, id);
-        conn.used = now;
+        connection.request_opened(now, rpc_id, request_id);
         true
     }
 
-    /// The req that is open on a connection by an id of its own.
-    pub fn req(&self, no: u64, rpc: u64) -> Option<u64> {
-        self.table.get(&no)?.open.get(&rpc).copied()
+    /// The id of the request that is open on a connection under a JSON-RPC id.
+    pub fn request_id(&self, id: u64, rpc_id: u64) -> Option<u64> {
+        self.table.get(&id)?.request_id(rpc_id)
     }
 
-    /// Writes an answer, if the connection is still there.
-    pub fn answer(&mut self, now: Timestamp, no: u64, write: impl FnOnce(&mut Vec<u8>)) {
-        let Some(conn) = self.table.get_mut(&no) else {
-            return;
-        };
-        conn.out.put(write);
-        (conn.used, conn.heard) = (now, true);
-        if conn.beyond {
-            conn.end_if_over();
+    /// Writes an answer, if the connection is still open.
+    pub fn answer(&mut self, now: Timestamp, id: u64, write: impl FnOnce(&mut Vec<u8>)) {
+        if let Some(connection) = self.table.get_mut(&id) {
+            connection.answer(now, write);
         }
     }
 
-    /// A req is answered, or nobody waits for it: one less is open.
-    pub fn settled(&mut self, no: u64, rpc: u64) {
-        if let Some(conn) = self.table.get_mut(&no) {
-            conn.settled(rpc);
+    /// A request was answered or withdrawn, and is open no more.
+    pub fn request_settled(&mut self, id: u64, rpc_id: u64) {
+        if let Some(connection) = self.table.get_mut(&id) {
+            connection.request_settled(rpc_id);
         }
     }
 
-    /// All are told that this server leaves.
-    pub fn leave(&mut self) {
-        self.leaving = true;
-        for conn in self.table.values_mut() {
-            if !std::mem::replace(&mut conn.leaving, true) {
-                conn.out.put(response::leaving);
-            }
-        }
+    /// Begins draining: every connection is notified that it is to end.
+    pub fn drain(&mut self) {
+        self.draining = true;
+        self.table.values_mut().for_each(Connection::notify_of_end);
     }
 
-    /// All end that owe nothing, each once what had come on it is read.
-    pub fn end(&mut self) {
-        for conn in self.table.values_mut() {
-            conn.ended = true;
-            conn.end_if_over();
-        }
+    /// Ends every connection once its open requests are answered and what has come on it is read.
+    pub fn close_all(&mut self) {
+        self.table
+            .values_mut()
+            .for_each(Connection::end_when_settled);
     }
 
-    pub fn cut_stuck(&mut self, now: Timestamp) {
-        self.table.values_mut().for_each(|c| c.cut_if_stuck(now));
+    /// Cuts the connections whose peers have not read for too long.
+    pub fn cut_stalled(&mut self, now: Timestamp) {
+        self.table.values_mut().for_each(|c| c.cut_if_stalled(now));
     }
 
-    /// Nothing is owed and nothing waits to be written.
-    pub fn at_rest(&self) -> bool {
-        self.table.values().all(Conn::rests)
+    /// Whether no request is open and nothing waits to be written on any connection.
+    pub fn is_quiescent(&self) -> bool {
+        self.table.values().all(Connection::is_quiescent)
     }
 
-    /// A connection without open reqs is asked to end, and ended where that is not heeded. Gives when to look
-    /// at it again.
-    pub fn idle_over(&mut self, now: Timestamp, no: u64) -> Option<Timestamp> {
-        let limit = self.idle?;
-        let conn = self.table.get_mut(&no)?;
-        let rests = conn.heard && conn.open.is_empty() && now - conn.used >= limit;
-        let idle = rests && !conn.amid(now, STUCK);
-        match (idle, conn.leaving) {
-            (true, true) => {
-                conn.out.close();
-                None
-            }
-            (true, false) => {
-                conn.leaving = true;
-                conn.out.put(response::leaving);
-                Some(now + LEAVING)
-            }
-            (false, _) => Some((conn.used + limit).max(now + AGAIN)),
-        }
+    /// A connection reached its limit on idling: if it is idle it is notified, and closed if the notice was not
+    /// heeded. Gives the instant of the next check.
+    pub fn idle_deadline_reached(&mut self, now: Timestamp, id: u64) -> Option<Timestamp> {
+        let limit = self.idle_limit?;
+        self.table.get_mut(&id)?.idle_deadline_reached(now, limit)
     }
 
-    /// A new connection had its time for a first req. Gives when to look at it again.
-    pub fn first_over(&mut self, now: Timestamp, no: u64) -> Option<Timestamp> {
-        let conn = self.table.get(&no).filter(|c| !c.heard)?;
-        if !conn.open.is_empty() {
-            return Some(now + FIRST);
-        }
-        if let Some(since) = conn.part.filter(|_| conn.amid(now, PART) && !conn.beyond) {
-            return Some(since + PART);
-        }
-        if conn.beyond {
-            conn.out.give_way()
-        } else {
-            conn.out.close()
-        }
-        None
+    /// The deadline of a new connection's first request passed: it ends unless something was answered, a request
+    /// is open or a line is begun. Gives the instant of the next check.
+    pub fn first_request_deadline_reached(&mut self, now: Timestamp, id: u64) -> Option<Timestamp> {
+        self.table.get_mut(&id)?.first_request_deadline_reached(now)
     }
 }
--- a/crates/server/src/downstream/json_rpc.rs
+++ b/crates/server/src/downstream/json_rpc.rs
@@ -1,149 +1,238 @@
-//! JSON-RPC 2.0 from one balancer connection: lines in, calls on the core. Its answers are in `answer`.
+//! JSON-RPC 2.0 from one downstream connection: lines in, calls on the core.
+//!
+//! Owns: the incomplete line of one connection, and whether that is read on. Is given: the bytes that were read
+//! and the core for the time of a call. Answers the lines that it can't serve; every other answer is the core's.
+//! Never reads a socket and never decides a request.
 
 use crate::core::serve::Serve;
-use crate::downstream::response::{self, BAD_PARAMS, NO_CALL, NO_JSON, NO_METHOD};
+use crate::downstream::connections::{LineProgress, OpenRequestError};
+use crate::downstream::request_validation::InvalidRequest;
+use crate::downstream::response;
+use crate::downstream::wire_names::{VERSION, envelope, error_code, method, param};
 use crate::support::io::Lines;
 use crate::support::json::{Members, is_value};
 use crate::support::name::name;
 use madderbay::time::Timestamp;
 
 /// Longer than any legal line: a body of 2 KiB in base64, each of its characters escaped, and its fields.
-const LINE_MOST: usize = 20 << 10;
+const MAX_LINE_BYTES: usize = 20 << 10;
 
-pub struct Front {
-    no: u64,
-    lines: Lines,
-    /// Nothing more is read: the peer broke the protocol.
-    over: bool,
+/// Why a line can't be served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+enum LineError {
+    #[error("line too long")]
+    TooLong,
+    #[error("not UTF-8")]
+    NotUtf8,
+    #[error("not JSON")]
+    NotJson,
+    #[error("not an object")]
+    NotAnObject,
+    #[error("{} is not {}", envelope::VERSION, VERSION)]
+    WrongVersion,
+    #[error("no {}", envelope::METHOD)]
+    NoMethod,
+    #[error("{} is not a whole number", envelope::ID)]
+    MalformedId,
+    #[error("no {}", envelope::ID)]
+    NoId,
+    #[error("no such {}", envelope::METHOD)]
+    UnknownMethod,
+    #[error("{} is not an object", envelope::PARAMS)]
+    ParamsNotAnObject,
+    #[error(transparent)]
+    Open(#[from] OpenRequestError),
+    #[error(transparent)]
+    Request(#[from] InvalidRequest),
+}
+
+impl LineError {
+    fn code(self) -> i32 {
+        match self {
+            LineError::TooLong | LineError::NotUtf8 | LineError::NotJson => error_code::PARSE_ERROR,
+            LineError::NotAnObject
+            | LineError::WrongVersion
+            | LineError::NoMethod
+            | LineError::MalformedId
+            | LineError::NoId
+            | LineError::Open(_) => error_code::INVALID_REQUEST,
+            LineError::UnknownMethod => error_code::METHOD_NOT_FOUND,
+            LineError::ParamsNotAnObject | LineError::Request(_) => error_code::INVALID_PARAMS,
+        }
+    }
+
+    /// Whether nothing else on the connection can be trusted. Of two requests with one id, no answer could be
+    /// told from the other's.
+    fn is_protocol_violation(self) -> bool {
+        matches!(self, LineError::TooLong | LineError::Open(_))
+    }
 }
 
-/// What is wrong with a line: its id as far as known, code and message; and whether it breaks the protocol so
-/// that nothing else on the connection can be trusted.
-struct Wrong {
+/// A line that can't be served, with its id as far as that could be read.
+struct InvalidLine {
     id: Option<u64>,
-    code: i32,
-    message: &'static str,
-    breach: bool,
+    error: LineError,
 }
 
-impl Front {
-    pub fn new(no: u64) -> Front {
-        Front {
-            no,
-            lines: Lines::up_to(LINE_MOST),
-            over: false,
+impl From<LineError> for InvalidLine {
+    fn from(error: LineError) -> InvalidLine {
+        InvalidLine { id: None, error }
+    }
+}
+
+/// A call whose envelope is sound.
+struct Call<'a> {
+    id: Option<u64>,
+    method: std::borrow::Cow<'a, str>,
+    /// The raw text of the params.
+    params: Option<&'a str>,
+}
+
+/// What one downstream connection sends.
+pub struct JsonRpcSession {
+    connection: u64,
+    lines: Lines,
+    /// The peer violated the protocol: nothing more is read.
+    ended: bool,
+}
+
+impl JsonRpcSession {
+    /// The session of the connection with this number.
+    pub fn new(connection: u64) -> JsonRpcSession {
+        JsonRpcSession {
+            connection,
+            lines: Lines::up_to(MAX_LINE_BYTES),
+            ended: false,
         }
     }
 
-    /// Takes in what was read; an empty feed is the end. False when nothing more is read.
-    pub fn fed(&mut self, now: Timestamp, bytes: &[u8], serve: &mut Serve) -> bool {
-        let (no, over) = (self.no, &mut self.over);
-        let mut ended = false;
-        let whole = self.lines.feed(bytes, |line| {
-            ended = true;
-            if *over {
+    /// Serves the lines that were completed by what was read; no bytes are the end of the input. False when
+    /// nothing more is read.
+    pub fn feed(&mut self, now: Timestamp, bytes: &[u8], serve: &mut Serve) -> bool {
+        let (connection, ended) = (self.connection, &mut self.ended);
+        let mut completed = false;
+        let in_bounds = self.lines.feed(bytes, |line| {
+            completed = true;
+            if *ended {
                 return;
             }
-            if let Err(wrong) = read(now, no, line, serve) {
-                *over = wrong.breach;
-                wrong.tell(now, no, serve);
+            if let Err(invalid) = serve_line(now, connection, line, serve) {
+                *ended = invalid.error.is_protocol_violation();
+                invalid.answer(now, connection, serve);
             }
         });
-        if !whole && !*over {
-            *over = true;
-            Wrong {
-                id: None,
-                code: NO_JSON,
-                message: "line too long",
-                breach: true,
-            }
-            .tell(now, no, serve);
+        if !in_bounds && !self.ended {
+            self.ended = true;
+            InvalidLine::from(LineError::TooLong).answer(now, connection, serve);
         }
-        serve
-            .hands
-            .conns
-            .was_read(now, no, self.lines.amid(), ended);
+        let progress = LineProgress {
+            partial: self.lines.amid(),
+            completed,
+        };
+        serve.hands.conns.line_read(now, connection, progress);
         if bytes.is_empty() {
-            serve.no_more(no);
+            serve.no_more(connection);
         }
-        !*over
+        !self.ended
     }
 }
 
-impl Wrong {
-    fn tell(&self, now: Timestamp, no: u64, serve: &mut Serve) {
+impl InvalidLine {
+    fn answer(&self, now: Timestamp, connection: u64, serve: &mut Serve) {
+        let error = self.error;
         serve.hands.counters.bad_lines += 1;
-        log::debug!("connection {no}: a line can't be served: {}", self.message);
-        if let Some(out) = serve.out(no) {
-            out.put(|b| response::wrong(b, self.id, self.code, self.message));
+        log::debug!("connection {connection}: a line can't be served: {error}");
+        if let Some(outbox) = serve.out(connection) {
+            outbox.put(|out| response::invalid(out, self.id, error.code(), error));
         }
-        if self.breach {
-            serve.turn_off(now, no);
+        if error.is_protocol_violation() {
+            serve.turn_off(now, connection);
         }
     }
 }
 
-fn read(now: Timestamp, no: u64, line: &[u8], serve: &mut Serve) -> Result<(), Wrong> {
-    let unread = |code, message| Wrong {
-        id: None,
-        code,
-        message,
-        breach: false,
-    };
-    let text = std::str::from_utf8(line).map_err(|_| unread(NO_JSON, "not UTF-8"))?;
-    let Some(call) = Members::read(text) else {
-        return Err(if is_value(text) {
-            unread(NO_CALL, "not an object")
-        } else {
-            unread(NO_JSON, "not JSON")
-        });
-    };
-    let id = call.whole("id");
-    let wrong = |code, message| Wrong {
-        id,
-        code,
-        message,
-        breach: false,
-    };
-    if call.text("jsonrpc").as_deref() != Some("2.0") {
-        return Err(wrong(NO_CALL, "jsonrpc is not 2.0"));
+impl<'a> Call<'a> {
+    fn read(line: &'a [u8]) -> Result<Call<'a>, InvalidLine> {
+        let text = std::str::from_utf8(line).map_err(|_| LineError::NotUtf8)?;
+        let Some(members) = Members::read(text) else {
+            return Err(if is_value(text) {
+                LineError::NotAnObject.into()
+            } else {
+                LineError::NotJson.into()
+            });
+        };
+        let id = members.whole(envelope::ID);
+        let invalid = |error| InvalidLine { id, error };
+        if members.text(envelope::VERSION).as_deref() != Some(VERSION) {
+            return Err(invalid(LineError::WrongVersion));
+        }
+        let method = members
+            .text(envelope::METHOD)
+            .ok_or_else(|| invalid(LineError::NoMethod))?;
+        if members.raw(envelope::ID).is_some() && id.is_none() {
+            return Err(LineError::MalformedId.into());
+        }
+        Ok(Call {
+            id,
+            method,
+            params: members.raw(envelope::PARAMS),
+        })
     }
-    let method = call.text("method").ok_or(wrong(NO_CALL, "no method"))?;
-    if call.raw("id").is_some() && id.is_none() {
-        return Err(unread(NO_CALL, "id is not a whole number"));
+
+    fn params(&self) -> Option<Members<'a>> {
+        self.params.and_then(Members::read)
     }
-    let params = call.raw("params").map(Members::read);
-    if method == "forget" {
-        if let Some(Some(params)) = &params {
-            let name = params.text("ref").as_deref().and_then(name);
-            serve.forget(now, no, params.whole("id"), name);
-        }
+}
+
+fn serve_line(
+    now: Timestamp,
+    connection: u64,
+    line: &[u8],
+    serve: &mut Serve,
+) -> Result<(), InvalidLine> {
+    let call = Call::read(line)?;
+    if call.method == method::FORGET {
+        forget(now, connection, &call, serve);
         return Ok(());
     }
-    let id = id.ok_or(unread(NO_CALL, "no id"))?;
-    if method == "isWell" {
-        serve.health(now, no, id);
+    let id = call.id.ok_or(LineError::NoId)?;
+    if call.method == method::IS_WELL {
+        serve.health(now, connection, id);
         return Ok(());
     }
-    let handler = serve
-        .hands
-        .door
-        .handler(&method)
-        .ok_or(wrong(NO_METHOD, "no such method"))?;
-    // Of two reqs under one number no answer could be told from the other's.
-    serve.may_open(no, id).map_err(|why| Wrong {
-        breach: true,
-        ..wrong(NO_CALL, why)
-    })?;
-    let params = params
-        .flatten()
-        .ok_or(wrong(BAD_PARAMS, "params is not an object"))?;
-    let req = serve
-        .hands
-        .door
-        .read(now, handler, &params)
-        .map_err(|why| wrong(BAD_PARAMS, why))?;
-    serve
-        .arrived(now, no, id, req)
-        .map_err(|why| wrong(BAD_PARAMS, why))
+    serve_request(now, connection, id, &call, serve).map_err(|error| InvalidLine {
+        id: Some(id),
+        error,
+    })
+}
+
+/// Withdraws a request by its id or by the name of the attempt; without either, nothing is done.
+fn forget(now: Timestamp, connection: u64, call: &Call, serve: &mut Serve) {
+    if let Some(params) = call.params() {
+        let attempt = params.text(param::ATTEMPT_NAME);
+        let attempt = attempt.as_deref().and_then(name);
+        serve.forget(now, connection, params.whole(param::WITHDRAWN_ID), attempt);
+    }
+}
+
+fn serve_request(
+    now: Timestamp,
+    connection: u64,
+    id: u64,
+    call: &Call,
+    serve: &mut Serve,
+) -> Result<(), LineError> {
+    let hands = &serve.hands;
+    let handler = hands
+        .validator
+        .handler(&call.method)
+        .ok_or(LineError::UnknownMethod)?;
+    serve.may_open(connection, id)?;
+    let params = call.params().ok_or(LineError::ParamsNotAnObject)?;
+    let hands = &mut serve.hands;
+    let request = hands
+        .validator
+        .validate(now, handler, &params, &hands.door)?;
+    serve.arrived(now, connection, id, request)?;
+    Ok(())
 }
--- a/crates/server/src/downstream/listener.rs
+++ b/crates/server/src/downstream/listener.rs
@@ -1,8 +1,12 @@
-//! Takes the balancers' connections, as many as the limit on descriptors leaves, and serves each in a task of
-//! its own: a bad peer or a panic ends there.
+//! Accepts downstream connections and serves each in a task of its own.
+//!
+//! Owns: the listening socket and the split of the descriptors that a process may have. Is given: the limit on
+//! connections, the core, and the notice to stop. A connection's task ends with its connection, its guard
+//! reports that to the core however it ended, and so a bad peer or a panic ends there. Never closes a connection
+//! unread, and never reads a line itself.
 
 use crate::core::serve::Shared;
-use crate::downstream::json_rpc::Front;
+use crate::downstream::json_rpc::JsonRpcSession;
 use crate::support::clock::Clock;
 use crate::support::io::{Outbox, drive_peer};
 use std::rc::Rc;
@@ -10,60 +14,65 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
-/// Descriptors kept for the program's own: standard streams, runtime, listener, links; and the part of all
-/// that calls to the catalogue may need.
-const OWN: usize = 16;
-const CALLS_PART: usize = 8;
-/// Connections beyond the room that are served at once, to be told so; further ones wait with the machine.
-const BEYOND: usize = 4;
-/// Wait for one of them to be over.
-const LOOK: Duration = Duration::from_millis(5);
-/// Wait after an accept that failed, most often for want of descriptors.
-const PAUSE: Duration = Duration::from_millis(20);
+/// Descriptors of the program itself: standard streams, runtime, listener, links.
+const OWN_DESCRIPTORS: usize = 16;
+/// One in this many descriptors is set aside for calls to the catalogue.
+const CALL_DESCRIPTORS_DIVISOR: usize = 8;
+/// Connections over the limit that are served at the same time, each to be rejected with an answer; further ones
+/// wait in the backlog.
+const MAX_OVER_LIMIT: usize = 4;
+/// Interval between two checks whether one of them has ended.
+const OVER_LIMIT_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Pause after an accept that failed, most often for want of descriptors.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
 /// The descriptors that are not the program's own.
 pub fn others(descriptors: usize) -> usize {
-    descriptors.saturating_sub(OWN)
+    descriptors.saturating_sub(OWN_DESCRIPTORS)
 }
 
-/// How many connections a limit on descriptors leaves room for; none where it is too small to serve.
+/// How many connections a limit on descriptors leaves; none where it is too small to serve.
 pub fn room(descriptors: usize) -> Option<usize> {
     descriptors
-        .checked_sub(OWN + descriptors / CALLS_PART)
-        .filter(|n| *n > 0)
+        .checked_sub(OWN_DESCRIPTORS + descriptors / CALL_DESCRIPTORS_DIVISOR)
+        .filter(|connections| *connections > 0)
 }
 
-/// Tells the core that a connection is over, however it ended; where the core is at work, once it is free.
-struct Ends {
-    no: u64,
+/// Reports the end of a connection to the core, however it ended.
+struct ConnectionGuard {
+    connection: u64,
     clock: Rc<Clock>,
     serve: Shared,
 }
 
-impl Drop for Ends {
+impl Drop for ConnectionGuard {
     fn drop(&mut self) {
+        // The core may be in use where a panic unwinds through it: the report follows once it is free.
         match self.serve.try_borrow_mut() {
-            Ok(mut serve) => serve.closed(self.clock.now(), self.no),
+            Ok(mut serve) => serve.closed(self.clock.now(), self.connection),
             Err(_) => {
-                let (no, clock, serve) = (self.no, self.clock.clone(), self.serve.clone());
-                tokio::task::spawn_local(async move {
-                    while serve
-                        .try_borrow_mut()
-                        .map(|mut s| s.closed(clock.now(), no))
-                        .is_err()
-                    {
-                        tokio::task::yield_now().await;
-                    }
-                });
+                let (clock, serve) = (self.clock.clone(), self.serve.clone());
+                tokio::task::spawn_local(report_closed(self.connection, clock, serve));
             }
         }
     }
 }
 
-/// Takes connections until it is told to stop.
+/// Reports the end of a connection as soon as the core is free.
+async fn report_closed(connection: u64, clock: Rc<Clock>, serve: Shared) {
+    while serve
+        .try_borrow_mut()
+        .map(|mut core| core.closed(clock.now(), connection))
+        .is_err()
+    {
+        tokio::task::yield_now().await;
+    }
+}
+
+/// Accepts connections until it is notified to stop, then those that are in the backlog, and closes the listener.
 pub async fn run(
     listener: TcpListener,
-    room: usize,
+    max_connections: usize,
     clock: Rc<Clock>,
     serve: Shared,
     stop: Rc<Notify>,
@@ -75,77 +84,81 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                let found = find_room(room, &clock, &serve).await;
-                take(stream, found, &clock, &serve);
+                let within_limit = make_way(max_connections, &clock, &serve).await;
+                start(stream, within_limit, &clock, &serve);
             }
             Err(e) => {
                 log::warn!("accept failed: {e}");
-                tokio::time::sleep(PAUSE).await;
+                tokio::time::sleep(ACCEPT_BACKOFF).await;
             }
         }
     }
-    // What the machine has accepted may carry a req already, and closing would lose it.
+    // A connection in the backlog may carry a request already, and closing would lose it.
     let Ok(listener) = listener.into_std() else {
         return;
     };
-    for stream in waiting(&listener) {
-        let found = serve.borrow().connections() < room;
+    for stream in backlog(&listener) {
+        let within_limit = serve.borrow().connections() < max_connections;
         if let Ok(stream) = TcpStream::from_std(stream) {
-            take(stream, found, &clock, &serve);
+            start(stream, within_limit, &clock, &serve);
         }
     }
     log::info!("listening no more");
 }
 
-/// The connections that the machine has accepted and nobody took; none is waited for.
-pub fn waiting(listener: &std::net::TcpListener) -> impl Iterator<Item = std::net::TcpStream> {
+/// The connections that wait to be accepted; ends instead of waiting for another.
+fn backlog(listener: &std::net::TcpListener) -> impl Iterator<Item = std::net::TcpStream> {
     let next = || {
         listener
             .accept()
             .ok()
-            .filter(|(s, _)| s.set_nonblocking(true).is_ok())
-            .map(|(s, _)| s)
+            .filter(|(stream, _)| stream.set_nonblocking(true).is_ok())
+            .map(|(stream, _)| stream)
     };
     std::iter::from_fn(next)
 }
 
-fn take(stream: TcpStream, room: bool, clock: &Rc<Clock>, serve: &Shared) {
-    // It counts from here on, not from its task's first turn: many may be accepted before that.
-    let (out, now) = (Outbox::default(), clock.now());
+/// Enters a connection into the core and starts its task. It counts from here on, not from its task's first
+/// poll, because many may be accepted before that.
+fn start(stream: TcpStream, within_limit: bool, clock: &Rc<Clock>, serve: &Shared) {
+    let (outbox, now) = (Outbox::default(), clock.now());
     let mut core = serve.borrow_mut();
-    // Never closed unread: the machine has accepted it, and what is written to it is owed an answer.
-    let no = if room {
-        core.opened(now, out.clone())
+    // One over the limit is served too: what was written to it is owed an answer.
+    let connection = if within_limit {
+        core.opened(now, outbox.clone())
     } else {
-        core.opened_beyond(now, out.clone())
+        core.opened_beyond(now, outbox.clone())
     };
-    let ends = Ends {
-        no,
+    let guard = ConnectionGuard {
+        connection,
         clock: clock.clone(),
         serve: serve.clone(),
     };
-    tokio::task::spawn_local(connection(stream, out, ends));
+    tokio::task::spawn_local(serve_connection(stream, outbox, guard));
 }
 
-/// Has connections end that carry nothing, until there is room for one more. False where all carry something:
-/// the next is told so, once few enough others are being told.
-async fn find_room(room: usize, clock: &Clock, serve: &Shared) -> bool {
-    while serve.borrow().connections() >= room {
+/// Evicts idle connections until one more is within the limit. False where none can be evicted: the next is
+/// rejected, once few enough others are being rejected.
+async fn make_way(max_connections: usize, clock: &Clock, serve: &Shared) -> bool {
+    while serve.borrow().connections() >= max_connections {
         if !serve.borrow_mut().make_room(clock.now()) {
-            if serve.borrow().beyond() < BEYOND {
+            if serve.borrow().beyond() < MAX_OVER_LIMIT {
                 return false;
             }
-            tokio::time::sleep(LOOK).await;
+            tokio::time::sleep(OVER_LIMIT_POLL_INTERVAL).await;
         }
         tokio::task::yield_now().await;
     }
     true
 }
 
-async fn connection(stream: TcpStream, out: Outbox, ends: Ends) {
-    let mut front = Front::new(ends.no);
-    let fed = |bytes: &[u8]| front.fed(ends.clock.now(), bytes, &mut ends.serve.borrow_mut());
-    if let Err(e) = drive_peer(&stream, &out, fed).await {
-        log::debug!("connection {} broke: {e}", ends.no);
+async fn serve_connection(stream: TcpStream, outbox: Outbox, guard: ConnectionGuard) {
+    let mut session = JsonRpcSession::new(guard.connection);
+    let feed = |bytes: &[u8]| {
+        let now = guard.clock.now();
+        session.feed(now, bytes, &mut guard.serve.borrow_mut())
+    };
+    if let Err(e) = drive_peer(&stream, &outbox, feed).await {
+        log::debug!("connection {} broke: {e}", guard.connection);
     }
 }
--- a/crates/server/src/downstream/registration.rs
+++ b/crates/server/src/downstream/registration.rs
@@ -1,4 +1,8 @@
-//! Reports to the registry over one kept HTTP/1.1 connection.
+//! Reports to the registry over one persistent HTTP/1.1 connection.
+//!
+//! Owns: that connection and the interval of the reports. Is given: the registry's address, which may change, the
+//! server's name, and from the core whether this server takes work. Sends one report at a time. Never decides
+//! whether the server is ready, and never ends the program: a report that fails is made again.
 
 use crate::core::serve::Shared;
 use crate::support::io::{Outbox, drive_link};
@@ -11,21 +15,45 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::timeout;
 
-/// Time between two reports: an entry lapses 3 s after the last, so two may get lost.
-const EVERY: Duration = Duration::from_millis(800);
-/// A report not answered by then is made again on a new connection.
-const PATIENCE: Duration = Duration::from_millis(700);
-/// Wait after a report that failed.
-const AGAIN: Duration = Duration::from_millis(200);
-/// Longer than any head that a registry sends.
-const HEAD_MOST: usize = 16 << 10;
+/// Interval between two reports: an entry lapses 3 s after the last, so two reports may get lost.
+const REPORT_INTERVAL: Duration = Duration::from_millis(800);
+/// A connection or an answer that takes longer has failed, and the report is made again on a new connection.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Pause after a report that failed.
+const RETRY_BACKOFF: Duration = Duration::from_millis(200);
+/// Longer than the head or the body of any answer of a registry.
+const MAX_HEAD_BYTES: usize = 16 << 10;
+/// What ends the head of an answer.
+const HEAD_END: &[u8] = b"\r\n\r\n";
+/// The status of an answer that accepts a report.
+const NO_CONTENT: u16 = 204;
+/// The status of an answer without a body, beside [`NO_CONTENT`].
+const NOT_MODIFIED: u16 = 304;
+/// Statuses from here on are final; those before are of interim answers.
+const FIRST_FINAL_STATUS: u16 = 200;
+/// The states of a server in the registry.
+const STATE_READY: &str = "ready";
+const STATE_DRAINING: &str = "draining";
 
-/// One report, as the registry reads it.
+/// Why a connection to the registry can't be used any longer.
+#[derive(Debug, thiserror::Error)]
+enum ReportError {
+    #[error("can't be reached: {0}")]
+    Unreachable(std::io::Error),
+    #[error("no connection in time")]
+    ConnectTimeout,
+    #[error("connection over: {0:?}")]
+    ConnectionEnded(std::io::Result<()>),
+    #[error("a report was not answered in time")]
+    AnswerTimeout,
+    #[error("a report was answered {0}")]
+    Refused(u16),
+}
+
+/// Encodes one report, an HTTP request.
 pub fn report(host: &str, name: &str, ready: bool) -> Vec<u8> {
-    let body = format!(
-        "{{\"state\":\"{}\"}}",
-        if ready { "ready" } else { "draining" }
-    );
+    let state = if ready { STATE_READY } else { STATE_DRAINING };
+    let body = format!("{{\"state\":\"{state}\"}}");
     let len = body.len();
     format!(
         "PUT /v1/instances/{name} HTTP/1.1\r\nHost: {host}\r\nContent-Length: {len}\r\n\r\n{body}"
@@ -33,123 +61,150 @@
     .into_bytes()
 }
 
-/// Reads the answers of one connection.
+/// Reads the HTTP answers of one connection.
 #[derive(Default)]
 pub struct Answers {
-    part: Vec<u8>,
+    buffer: Vec<u8>,
+}
+
+/// What the head of an answer says.
+struct Head {
+    status: u16,
+    body_len: usize,
 }
 
 impl Answers {
-    /// The status of each whole answer goes to `each`; false when the stream can't be read on.
+    /// Passes the status of each final answer that was completed to `each`; false when the stream can't be read
+    /// on.
     pub fn feed(&mut self, bytes: &[u8], mut each: impl FnMut(u16)) -> bool {
-        self.part.extend_from_slice(bytes);
+        self.buffer.extend_from_slice(bytes);
         loop {
-            let Some(end) = self.part.windows(4).position(|w| w == b"\r\n\r\n") else {
-                return self.part.len() < HEAD_MOST;
+            let mut windows = self.buffer.windows(HEAD_END.len());
+            let Some(head_len) = windows.position(|window| window == HEAD_END) else {
+                return self.buffer.len() < MAX_HEAD_BYTES;
             };
-            let Some((status, len)) = std::str::from_utf8(&self.part[..end]).ok().and_then(head)
-            else {
+            let text = std::str::from_utf8(&self.buffer[..head_len]).ok();
+            let Some(head) = text.and_then(Head::parse) else {
                 return false;
             };
-            let whole = end + 4 + len;
-            if len > HEAD_MOST {
+            if head.body_len > MAX_HEAD_BYTES {
                 return false;
             }
-            if self.part.len() < whole {
+            let answer_len = head_len + HEAD_END.len() + head.body_len;
+            if self.buffer.len() < answer_len {
                 return true;
             }
-            self.part.drain(..whole);
-            // An interim answer stands before the one that counts.
-            if status >= 200 {
-                each(status);
+            self.buffer.drain(..answer_len);
+            if head.status >= FIRST_FINAL_STATUS {
+                each(head.status);
             }
         }
     }
 }
 
-/// Status and length of the body; nothing if the head can't be read or tells no length.
-fn head(text: &str) -> Option<(u16, usize)> {
-    let mut lines = text.split("\r\n");
-    let mut first = lines.next()?.split(' ');
-    first.next().filter(|v| v.starts_with("HTTP/1."))?;
-    let status: u16 = first.next()?.parse().ok()?;
-    let mut len = None;
-    for line in lines {
-        let (name, value) = line.split_once(':')?;
-        if name.eq_ignore_ascii_case("content-length") {
-            len = Some(value.trim().parse().ok()?);
-        } else if name.eq_ignore_ascii_case("transfer-encoding") {
-            return None;
+impl Head {
+    /// Nothing if the head can't be read or does not say the length of the body.
+    fn parse(text: &str) -> Option<Head> {
+        let mut lines = text.split("\r\n");
+        let mut status_line = lines.next()?.split(' ');
+        status_line
+            .next()
+            .filter(|version| version.starts_with("HTTP/1."))?;
+        let status = status_line.next()?.parse().ok()?;
+        let mut content_length = None;
+        for line in lines {
+            let (name, value) = line.split_once(':')?;
+            if name.eq_ignore_ascii_case("content-length") {
+                content_length = Some(value.trim().parse().ok()?);
+            } else if name.eq_ignore_ascii_case("transfer-encoding") {
+                return None;
+            }
         }
-    }
-    let bare = status < 200 || status == 204 || status == 304;
-    if bare {
-        Some((status, 0))
-    } else {
-        Some((status, len?))
+        let has_no_body =
+            status < FIRST_FINAL_STATUS || status == NO_CONTENT || status == NOT_MODIFIED;
+        let body_len = if has_no_body { 0 } else { content_length? };
+        Some(Head { status, body_len })
     }
 }
 
-/// The driver: reports now and then, and at once when what is reported, or to whom, changes.
+/// Reports at an interval, and at once when what is reported, or to whom, changes. Runs until it is dropped.
 pub async fn run(mut address: watch::Receiver<SocketAddr>, name: String, serve: Shared) {
     loop {
-        let at = *address.borrow_and_update();
-        let why = tokio::select! {
+        let registry = *address.borrow_and_update();
+        let error = tokio::select! {
             Ok(()) = address.changed() => continue,
-            why = connection(at, &name, &serve) => why,
+            error = report_on_one_connection(registry, &name, &serve) => error,
         };
-        log::warn!("registry: {why}");
-        count(&serve, |c| c.reports_lost += 1);
-        let _ = timeout(AGAIN, address.changed()).await;
+        log::warn!("registry: {error}");
+        count(&serve, |counters| counters.reports_lost += 1);
+        let _ = timeout(RETRY_BACKOFF, address.changed()).await;
     }
 }
 
-/// Reports on one connection; why that can't go on.
-async fn connection(address: SocketAddr, name: &str, serve: &Shared) -> String {
-    let stream = match timeout(PATIENCE, TcpStream::connect(address)).await {
+/// Reports on one connection until that fails.
+async fn report_on_one_connection(registry: SocketAddr, name: &str, serve: &Shared) -> ReportError {
+    let stream = match timeout(REPORT_TIMEOUT, TcpStream::connect(registry)).await {
         Ok(Ok(stream)) => stream,
-        Ok(Err(e)) => return format!("can't be reached: {e}"),
-        Err(_) => return "no connection in time".into(),
+        Ok(Err(e)) => return ReportError::Unreachable(e),
+        Err(_) => return ReportError::ConnectTimeout,
+    };
+    let reporter = Reporter {
+        host: registry.to_string(),
+        name,
+        outbox: Outbox::default(),
+        answered: Notify::new(),
+        status: Cell::new(0),
+        state_changed: serve.borrow().hands.report.clone(),
+        serve,
     };
-    let (changed, host) = (serve.borrow().hands.report.clone(), address.to_string());
-    let out = Outbox::default();
-    let (answered, status) = (Notify::new(), Cell::new(0));
     let mut answers = Answers::default();
-    let link = drive_link(&stream, &out, |bytes| {
-        answers.feed(bytes, |s| {
-            status.set(s);
-            answered.notify_one();
+    let link = drive_link(&stream, &reporter.outbox, |bytes| {
+        answers.feed(bytes, |status| {
+            reporter.status.set(status);
+            reporter.answered.notify_one();
         })
     });
     tokio::select! {
-        end = link => format!("connection over: {end:?}"),
-        why = reports(&host, name, &out, &answered, &status, &changed, serve) => why,
+        end = link => ReportError::ConnectionEnded(end),
+        error = reporter.run() => error,
     }
 }
 
-fn count(serve: &Shared, what: impl FnOnce(&mut Counters)) {
-    what(&mut serve.borrow_mut().hands.counters);
+fn count(serve: &Shared, change: impl FnOnce(&mut Counters)) {
+    change(&mut serve.borrow_mut().hands.counters);
 }
 
-async fn reports(
-    host: &str,
-    name: &str,
-    out: &Outbox,
-    answered: &Notify,
-    status: &Cell<u16>,
-    changed: &Rc<Notify>,
-    serve: &Shared,
-) -> String {
-    loop {
-        let ready = serve.borrow().ready();
-        out.put(|b| b.extend_from_slice(&report(host, name, ready)));
-        if timeout(PATIENCE, answered.notified()).await.is_err() {
-            return "a report was not answered in time".into();
-        }
-        if status.get() != 204 {
-            return format!("a report was answered {}", status.get());
+/// The reports on one connection.
+struct Reporter<'a> {
+    host: String,
+    name: &'a str,
+    outbox: Outbox,
+    /// Notified for each answer; its status is in `status`.
+    answered: Notify,
+    status: Cell<u16>,
+    /// Notified when another state is to be reported.
+    state_changed: Rc<Notify>,
+    serve: &'a Shared,
+}
+
+impl Reporter<'_> {
+    /// Sends a report and awaits its answer, again and again, until one fails.
+    async fn run(&self) -> ReportError {
+        loop {
+            let ready = self.serve.borrow().ready();
+            let bytes = report(&self.host, self.name, ready);
+            self.outbox.put(|out| out.extend_from_slice(&bytes));
+            if timeout(REPORT_TIMEOUT, self.answered.notified())
+                .await
+                .is_err()
+            {
+                return ReportError::AnswerTimeout;
+            }
+            if self.status.get() != NO_CONTENT {
+                return ReportError::Refused(self.status.get());
+            }
+            count(self.serve, |counters| counters.reports += 1);
+            let _ = timeout(REPORT_INTERVAL, self.state_changed.notified()).await;
         }
-        count(serve, |c| c.reports += 1);
-        let _ = timeout(EVERY, changed.notified()).await;
     }
 }
--- a/crates/server/src/downstream/request_validation.rs
+++ b/crates/server/src/downstream/request_validation.rs
@@ -1,349 +1,353 @@
-//! The door: what an arriving req says of itself, under small numbers, and the table of keyed reqs.
+//! Validates what an arriving request says of itself and puts names into small numbers.
+//!
+//! Owns: the names of handlers and tenants, the bounds on a request's own figures, and the numbering of
+//! requests. Is given: the members of a request's params, the time of reading and the idempotency table. Rejects
+//! whatever is out of range before the decision module counts it. Never enters a request anywhere and never
+//! answers one.
 
+use crate::downstream::idempotency_table::{FingerprintMismatch, IdempotencyKey, IdempotencyTable};
+use crate::downstream::wire_names::param;
 use crate::support::json::{Members, number, text, whole};
 use crate::support::name::{Name, name, spelt};
 use madderbay::interface::{Arrival, RetrySafety};
 use madderbay::time::{Duration, Timestamp};
 use madderbay_settings::Settings;
 use siphasher::sip::SipHasher24;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::hash::Hasher;
 use std::rc::Rc;
 
-/// A req's own figures are refused past these: a start further ahead than clocks differ, or longer ago than
-/// any pause; spans of so many client timeouts; memory that no req takes; a body over 2 KiB in base64.
-const AHEAD_MOST: Duration = Duration::from_millis(1_000);
-const AGO_MOST: Duration = Duration::from_millis(600_000);
-const TIMEOUTS_MOST: f64 = 10.0;
-const ROOM_KB: f64 = 2_000.0;
-const BODY_MOST: usize = 2_732;
+/// A request may claim to have been sent this far ahead of this server's clock: no two clocks differ by more.
+const MAX_CLOCK_LEAD: Duration = Duration::from_millis(1_000);
+/// A request may claim to have been sent this long ago: no process pauses for longer.
+const MAX_READ_DELAY: Duration = Duration::from_millis(600_000);
+/// A request may wait or work for this many times its handler's timeout.
+const MAX_DURATION_IN_TIMEOUTS: f64 = 10.0;
+/// Memory that no run takes, in KB.
+const MEMORY_LIMIT_KB: f64 = 2_000.0;
+/// Length of a body of 2 KiB in base64.
+const MAX_BODY_BYTES: usize = 2_732;
+/// Digits of an idempotency key.
+const IDEMPOTENCY_KEY_DIGITS: usize = 32;
 
-/// The 32 hex digits that name a keyed req.
-pub type Key = u128;
+/// What is wrong with a request's own account of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum InvalidRequest {
+    /// The name of the attempt is missing or malformed.
+    #[error("{} is not 16 hex digits", param::ATTEMPT_NAME)]
+    AttemptName,
+    /// An attempt with the same name is in flight.
+    #[error("{} is in use", param::ATTEMPT_NAME)]
+    AttemptNameInUse,
+    /// The sending time is missing or no number of milliseconds.
+    #[error("{} is not a time in milliseconds", param::SENT_AT)]
+    SentAt,
+    /// The sending time is further from now than clocks differ or processes pause.
+    #[error("{} is out of range", param::SENT_AT)]
+    SentAtRange,
+    /// The body is missing, too long or not base64.
+    #[error("{} is not a body in base64", param::BODY)]
+    Body,
+    /// The memory is missing or out of range.
+    #[error("{} is not a size in KB", param::MEMORY_KB)]
+    Memory,
+    /// The timeout is out of range, or missing where the settings demand one.
+    #[error("{} is not a time in milliseconds", param::TIMEOUT_MS)]
+    Timeout,
+    /// The expected work is out of range.
+    #[error("{} is not a work in milliseconds", param::WORK_MS)]
+    Work,
+    /// The tenant is missing or unknown.
+    #[error("{} is not among the settings' tenants", param::TENANT)]
+    Tenant,
+    /// The idempotency key is missing or malformed.
+    #[error("{} is not 32 hex digits", param::IDEMPOTENCY_KEY)]
+    IdempotencyKey,
+    /// The idempotency key came again with another handler or body.
+    #[error(transparent)]
+    Fingerprint(#[from] FingerprintMismatch),
+    /// The client's number is malformed.
+    #[error("{} is not a number", param::CLIENT)]
+    Client,
+    /// The rank is out of range.
+    #[error("{} is not from 0 to under 1", param::RANK)]
+    Rank,
+    /// The key of the upstream call is malformed.
+    #[error("{} is not 16 hex digits", param::SUBJECT)]
+    Subject,
+}
 
-/// What is known of the one run of a keyed req.
-enum Run {
-    NotYet,
-    Going,
-    Done(Box<str>),
-    Errored,
+/// A request as its line has it: what decisions need, and its body as it came.
+pub struct ValidatedRequest<'a> {
+    /// What the decision module is given.
+    pub arrival: Arrival,
+    /// The name of this attempt on all wires.
+    pub name: Name,
+    /// The idempotency key, where the handler has one.
+    pub key: Option<IdempotencyKey>,
+    /// Hash of handler and body, the same for all attempts with the key; 0 without a key.
+    pub fingerprint: u64,
+    /// The body, a JSON string with its quotes.
+    pub body: &'a str,
 }
 
-struct Entry {
-    holder: u64,
-    print: u64,
-    until: Timestamp,
-    /// It is known for as long past its term as a try may wait unread: one that reached the machine within the
-    /// term may be read as late as that, while this process waits for its core.
-    late: Duration,
-    run: Run,
-    waiting: Vec<u64>,
+/// Reads the params of one request member by member. Each failure is the error given with the member.
+struct ParamReader<'p, 'a> {
+    params: &'p Members<'a>,
 }
 
-/// What a try that joins another hears at once.
-pub enum Joined {
-    Waits,
-    Done(Box<str>),
-    Errored,
+impl<'a> ParamReader<'_, 'a> {
+    /// The value of a member that may be missing.
+    fn optional<T>(
+        &self,
+        member: &str,
+        parse: impl FnOnce(&'a str) -> Option<T>,
+        error: InvalidRequest,
+    ) -> Result<Option<T>, InvalidRequest> {
+        self.params
+            .raw(member)
+            .map(|raw| parse(raw).ok_or(error))
+            .transpose()
+    }
+
+    /// The value of a member that must be there.
+    fn required<T>(
+        &self,
+        member: &str,
+        parse: impl FnOnce(&'a str) -> Option<T>,
+        error: InvalidRequest,
+    ) -> Result<T, InvalidRequest> {
+        self.optional(member, parse, error)?.ok_or(error)
+    }
+
+    fn attempt_name(&self) -> Result<Name, InvalidRequest> {
+        let error = InvalidRequest::AttemptName;
+        self.required(param::ATTEMPT_NAME, attempt_name, error)
+    }
+
+    /// The instant at which the request was sent, which is not far from now.
+    fn sent_at(&self, now: Timestamp) -> Result<Timestamp, InvalidRequest> {
+        let millis = self.required(param::SENT_AT, whole, InvalidRequest::SentAt)?;
+        let sent_at = Timestamp::from_micros(millis.saturating_mul(1000));
+        if sent_at > now + MAX_CLOCK_LEAD || sent_at + MAX_READ_DELAY < now {
+            return Err(InvalidRequest::SentAtRange);
+        }
+        Ok(sent_at)
+    }
+
+    /// An optional positive number of milliseconds up to `max_ms`.
+    fn millis(
+        &self,
+        member: &str,
+        max_ms: f64,
+        error: InvalidRequest,
+    ) -> Result<Option<Duration>, InvalidRequest> {
+        let in_range = |raw| number(raw).filter(|ms| *ms > 0.0 && *ms <= max_ms);
+        let millis = self.optional(member, in_range, error)?;
+        Ok(millis.map(|ms| Duration::from_secs_f64(ms / 1e3)))
+    }
+
+    fn memory_kb(&self) -> Result<f64, InvalidRequest> {
+        let in_range = |raw| number(raw).filter(|kb| *kb > 0.0 && *kb < MEMORY_LIMIT_KB);
+        self.required(param::MEMORY_KB, in_range, InvalidRequest::Memory)
+    }
+
+    fn rank(&self) -> Result<f64, InvalidRequest> {
+        let in_range = |raw| number(raw).filter(|r| (0.0..1.0).contains(r));
+        let rank = self.optional(param::RANK, in_range, InvalidRequest::Rank)?;
+        Ok(rank.unwrap_or(0.0))
+    }
+
+    fn is_retry(&self) -> bool {
+        self.params
+            .raw(param::IS_RETRY)
+            .is_some_and(|raw| raw == "true" || raw == "1")
+    }
 }
 
-/// A req as it stands in its line: what decisions need, and its body as it came.
-pub struct Read<'a> {
-    pub arrival: Arrival,
-    pub name: Name,
-    pub key: Option<Key>,
-    /// Hash of handler and body where there is a key, which all its tries share.
-    pub print: u64,
-    pub body: &'a str,
+/// The bounds and the retry safety of one handler.
+struct HandlerRules {
+    retry_safety: RetrySafety,
+    /// The longest that a request may say it waits or works, in milliseconds.
+    max_duration_ms: f64,
+    /// The handler's name as a JSON string with its quotes.
+    quoted_name: Rc<str>,
 }
 
-pub struct Door {
+/// Validates requests by the settings.
+pub struct RequestValidator {
     handlers: HashMap<String, usize>,
-    repeats: Vec<RetrySafety>,
-    /// The longest that a req of each handler may say it waits or works.
-    longest_ms: Vec<f64>,
-    /// How long a caller waits altogether, by handler: what is read later than that is started no more.
-    late: Vec<Duration>,
+    rules: Vec<HandlerRules>,
     tenants: HashMap<String, usize>,
-    /// The handlers' names as JSON strings.
-    quoted: Vec<Rc<str>>,
-    says_wait: bool,
-    ids: u64,
-    table: HashMap<Key, Entry>,
-    holders: HashMap<u64, Key>,
-    lapses: BTreeSet<(Timestamp, Key)>,
-    /// Bytes of results that are kept, and that may be.
-    kept: usize,
-    kept_most: usize,
+    requests_carry_timeout: bool,
+    last_request_id: u64,
 }
 
-fn numbered(names: &[String]) -> HashMap<String, usize> {
+fn indices_by_name(names: &[String]) -> HashMap<String, usize> {
     names
         .iter()
         .cloned()
         .enumerate()
-        .map(|(i, n)| (n, i))
+        .map(|(index, name)| (name, index))
         .collect()
 }
 
-/// Whether a raw value is a string of base64, no longer than a body: the engine takes nothing else.
-fn base64(raw: &str) -> bool {
-    let Some(text) = text(raw) else { return false };
+fn attempt_name(raw: &str) -> Option<Name> {
+    name(&text(raw)?)
+}
+
+fn idempotency_key(raw: &str) -> Option<IdempotencyKey> {
+    let digits = text(raw)?;
+    let is_key =
+        digits.len() == IDEMPOTENCY_KEY_DIGITS && digits.bytes().all(|b| b.is_ascii_hexdigit());
+    if !is_key {
+        return None;
+    }
+    IdempotencyKey::from_str_radix(&digits, 16).ok()
+}
+
+fn subject(raw: &str) -> Option<u64> {
+    u64::from_str_radix(spelt(&attempt_name(raw)?), 16).ok()
+}
+
+/// A raw value that is a string of base64, no longer than a body: the engine takes nothing else.
+fn base64_body(raw: &str) -> Option<&str> {
+    let text = text(raw)?;
     let digits = text.trim_end_matches('=');
-    let digit = |b: u8| b.is_ascii_alphanumeric() || b == b'+' || b == b'/';
-    text.len() <= BODY_MOST
+    let is_digit = |b: u8| b.is_ascii_alphanumeric() || b == b'+' || b == b'/';
+    let is_body = text.len() <= MAX_BODY_BYTES
         && text.len().is_multiple_of(4)
         && text.len() - digits.len() <= 2
-        && digits.bytes().all(digit)
-}
-
-/// The hash of handler and body that a key's tries share: the same in every life.
-fn print(handler: &str, body: &str) -> u64 {
-    let mut hasher = SipHasher24::new();
-    hasher.write(handler.as_bytes());
-    hasher.write(body.as_bytes());
-    hasher.finish()
+        && digits.bytes().all(is_digit);
+    is_body.then_some(raw)
 }
 
-impl Door {
-    pub fn new(s: &Settings, kept_most: usize) -> Door {
-        Door {
-            handlers: numbered(&s.handler_names),
-            repeats: s.handlers.iter().map(|h| h.retry_safety).collect(),
-            longest_ms: s
-                .handlers
-                .iter()
-                .map(|h| h.timeout.as_secs_f64() * 1e3 * TIMEOUTS_MOST)
-                .collect(),
-            late: s.handlers.iter().map(|h| h.timeout).collect(),
-            tenants: numbered(&s.tenant_names),
-            quoted: s
-                .handler_names
-                .iter()
-                .map(|n| serde_json::Value::from(n.as_str()).to_string().into())
+impl RequestValidator {
+    /// A validator by the settings' handlers, tenants and rules.
+    pub fn new(settings: &Settings) -> RequestValidator {
+        let rules = settings.handlers.iter().zip(&settings.handler_names);
+        RequestValidator {
+            handlers: indices_by_name(&settings.handler_names),
+            rules: rules
+                .map(|(handler, name)| HandlerRules {
+                    retry_safety: handler.retry_safety,
+                    max_duration_ms: handler.timeout.as_secs_f64() * 1e3 * MAX_DURATION_IN_TIMEOUTS,
+                    quoted_name: serde_json::Value::from(name.as_str()).to_string().into(),
+                })
                 .collect(),
-            says_wait: s.rules.requests_carry_timeout,
-            ids: 0,
-            table: HashMap::new(),
-            holders: HashMap::new(),
-            lapses: BTreeSet::new(),
-            kept: 0,
-            kept_most,
+            tenants: indices_by_name(&settings.tenant_names),
+            requests_carry_timeout: settings.rules.requests_carry_timeout,
+            last_request_id: 0,
         }
     }
 
+    /// The handler of a JSON-RPC method.
     pub fn handler(&self, method: &str) -> Option<usize> {
         self.handlers.get(method).copied()
     }
 
-    pub fn quoted(&self, handler: usize) -> Rc<str> {
-        self.quoted[handler].clone()
-    }
-
-    /// Whether a keyed req is known from this life.
-    pub fn knows(&self, key: Key) -> bool {
-        self.table.contains_key(&key)
-    }
-
-    /// The print of a keyed req in the table and the end of its window.
-    pub fn window(&self, key: Key) -> Option<(u64, Timestamp)> {
-        self.table.get(&key).map(|e| (e.print, e.until))
+    /// The name of a handler as a JSON string with its quotes.
+    pub fn quoted_name(&self, handler: usize) -> Rc<str> {
+        self.rules[handler].quoted_name.clone()
     }
 
-    pub fn entries(&self) -> usize {
-        self.table.len()
-    }
-
-    /// Reads a req's own account of itself; says what is wrong with it. Whatever is out of range is refused
-    /// here, before the module counts it.
-    pub fn read<'a>(
+    /// Validates a request that was read at `now`, and numbers it.
+    ///
+    /// # Errors
+    /// The first member, in a fixed order, that is missing, malformed or out of range; last, an idempotency key
+    /// that is known with another body.
+    pub fn validate<'a>(
         &mut self,
         now: Timestamp,
         handler: usize,
         params: &Members<'a>,
-    ) -> Result<Read<'a>, &'static str> {
-        let longest = self.longest_ms[handler];
-        let own = params
-            .text("ref")
-            .as_deref()
-            .and_then(name)
-            .ok_or("ref is not 16 hex digits")?;
-        let since = params
-            .whole("since")
-            .ok_or("since is not a time in milliseconds")?;
-        let since = Timestamp::from_micros(since.saturating_mul(1000));
-        if since > now + AHEAD_MOST || since + AGO_MOST < now {
-            return Err("since is out of range");
-        }
-        let reached = since.min(now);
-        let body = params
-            .raw("bytes")
-            .filter(|b| base64(b))
-            .ok_or("bytes is not a body in base64")?;
-        let held_kb = params
-            .number("room")
-            .filter(|kb| *kb > 0.0 && *kb < ROOM_KB);
-        let held_kb = held_kb.ok_or("room is not a size in KB")?;
-        let span = |name: &str, what| match params.raw(name) {
-            Some(raw) => number(raw)
-                .filter(|ms| *ms > 0.0 && *ms <= longest)
-                .map(Some)
-                .ok_or(what),
-            None => Ok(None),
-        };
-        let allow = span("allow", "allow is not a time in milliseconds")?;
-        let hint = span("effort", "effort is not a work in milliseconds")?;
-        let wait = match allow {
-            Some(ms) if self.says_wait => reached + Duration::from_secs_f64(ms / 1e3) - now,
-            None if self.says_wait => return Err("allow is not a time in milliseconds"),
-            _ => Duration::ZERO,
-        };
-        let tenant = if self.tenants.is_empty() {
-            0
-        } else {
-            let known = params
-                .text("project")
-                .and_then(|p| self.tenants.get(&*p).copied());
-            known.ok_or("project is not among the settings' tenants")?
-        };
-        let key = if self.repeats[handler] == RetrySafety::Keyed {
-            let text = params
-                .text("replay")
-                .filter(|k| k.len() == 32 && k.bytes().all(|b| b.is_ascii_hexdigit()));
-            Some(
-                text.and_then(|k| Key::from_str_radix(&k, 16).ok())
-                    .ok_or("replay is not 32 hex digits")?,
-            )
-        } else {
-            None
-        };
-        let from = params
-            .raw("sender")
-            .map_or(Some(0), whole)
-            .ok_or("sender is not a number")?;
-        let rank = params
-            .raw("class_rank")
-            .map_or(Some(0.0), number)
-            .filter(|r| (0.0..1.0).contains(r));
-        let rank = rank.ok_or("class_rank is not from 0 to under 1")?;
-        let subject = params.raw("lookup").map_or(Some(0), |raw| {
-            u64::from_str_radix(spelt(&name(&text(raw)?)?), 16).ok()
-        });
-        let subject = subject.ok_or("lookup is not 16 hex digits")?;
-        let print = key.map_or(0, |_| print(&self.quoted[handler], body));
-        let entry = key.and_then(|k| self.table.get(&k));
-        if entry.is_some_and(|e| e.print != print) {
-            return Err("replay came with another body");
-        }
-        let repeats = entry.map_or(0, |e| e.holder);
-        self.ids += 1;
+        keys: &IdempotencyTable,
+    ) -> Result<ValidatedRequest<'a>, InvalidRequest> {
+        let reader = ParamReader { params };
+        let max_ms = self.rules[handler].max_duration_ms;
+        let name = reader.attempt_name()?;
+        let arrived = reader.sent_at(now)?.min(now);
+        let body = reader.required(param::BODY, base64_body, InvalidRequest::Body)?;
+        let memory_kb = reader.memory_kb()?;
+        let timeout = reader.millis(param::TIMEOUT_MS, max_ms, InvalidRequest::Timeout)?;
+        let work_hint = reader.millis(param::WORK_MS, max_ms, InvalidRequest::Work)?;
+        let timeout = self.remaining_timeout(now, arrived, timeout)?;
+        let tenant = self.tenant(&reader)?;
+        let key = self.key(handler, &reader)?;
+        let client = reader.optional(param::CLIENT, whole, InvalidRequest::Client)?;
+        let rank = reader.rank()?;
+        let subject = reader.optional(param::SUBJECT, subject, InvalidRequest::Subject)?;
+        let fingerprint = key.map_or(0, |_| self.fingerprint(handler, body));
+        let retry_of = key.map_or(Ok(None), |key| keys.holder(key, fingerprint))?;
+        self.last_request_id += 1;
         let arrival = Arrival {
-            id: self.ids,
-            // Numbers that are alike in 16 bits count as one caller.
-            client: from as u16,
+            id: self.last_request_id,
+            // Numbers that are alike in 16 bits count as one client.
+            client: client.unwrap_or(0) as u16,
             handler,
             tenant,
-            subject,
-            timeout: wait,
-            work_hint: hint.map(|ms| Duration::from_secs_f64(ms / 1e3)),
-            memory_kb: held_kb,
+            subject: subject.unwrap_or(0),
+            timeout,
+            work_hint,
+            memory_kb,
             rank,
-            is_retry: params.raw("dup").is_some_and(|d| d == "true" || d == "1"),
-            read_delay: now - reached,
-            retry_of: repeats,
+            is_retry: reader.is_retry(),
+            read_delay: now - arrived,
+            retry_of: retry_of.unwrap_or(0),
         };
-        Ok(Read {
+        Ok(ValidatedRequest {
             arrival,
-            name: own,
+            name,
             key,
-            print,
+            fingerprint,
             body,
         })
     }
 
-    /// Enters a try, or renews its entry; a newer try takes the entry over.
-    pub fn keep(&mut self, id: u64, key: Key, print: u64, handler: usize, until: Timestamp) {
-        let late = self.late[handler];
-        let fresh = Entry {
-            holder: id,
-            print,
-            until,
-            late,
-            run: Run::NotYet,
-            waiting: vec![],
-        };
-        let entry = self.table.entry(key).or_insert(fresh);
-        self.lapses.remove(&(entry.until + entry.late, key));
-        self.holders.remove(&entry.holder);
-        (entry.holder, entry.until) = (id, until);
-        self.holders.insert(id, key);
-        self.lapses.insert((until + entry.late, key));
-    }
-
-    pub fn drop(&mut self, id: u64) {
-        if let Some(key) = self.holders.get(&id).copied()
-            && let Some(lapses) = self.remove(key)
-        {
-            self.lapses.remove(&(lapses, key));
-        }
-    }
-
-    /// Takes an entry out; tells until when it would have been known.
-    fn remove(&mut self, key: Key) -> Option<Timestamp> {
-        let entry = self.table.remove(&key)?;
-        self.holders.remove(&entry.holder);
-        if let Run::Done(result) = &entry.run {
-            self.kept -= result.len();
-        }
-        Some(entry.until + entry.late)
+    /// The hash of handler and body that the attempts of a key share. It is stored, so it is the same in every
+    /// incarnation.
+    fn fingerprint(&self, handler: usize, body: &str) -> u64 {
+        let mut hasher = SipHasher24::new();
+        hasher.write(self.rules[handler].quoted_name.as_bytes());
+        hasher.write(body.as_bytes());
+        hasher.finish()
     }
 
-    pub fn started(&mut self, key: Key) {
-        if let Some(entry) = self.table.get_mut(&key) {
-            entry.run = Run::Going;
+    /// What is left of a request's timeout, where the settings have requests carry one; else zero.
+    fn remaining_timeout(
+        &self,
+        now: Timestamp,
+        arrived: Timestamp,
+        timeout: Option<Duration>,
+    ) -> Result<Duration, InvalidRequest> {
+        if !self.requests_carry_timeout {
+            return Ok(Duration::ZERO);
         }
+        let timeout = timeout.ok_or(InvalidRequest::Timeout)?;
+        Ok(arrived + timeout - now)
     }
 
-    /// The one run is over, with its result if it went well; gives those that wait for it. A result past the
-    /// memory for all is not kept: its later tries are errored, and none is run again.
-    pub fn ran(&mut self, key: Key, result: Option<&str>) -> Vec<u64> {
-        let Some(entry) = self.table.get_mut(&key) else {
-            return vec![];
-        };
-        let kept = result.filter(|r| self.kept + r.len() <= self.kept_most);
-        self.kept += kept.map_or(0, str::len);
-        entry.run = kept.map_or(Run::Errored, |r| Run::Done(r.into()));
-        std::mem::take(&mut entry.waiting)
-    }
-
-    /// A try takes the result of the run of its key, now or when that is over.
-    pub fn join(&mut self, id: u64, key: Option<Key>) -> Joined {
-        let Some(entry) = key.and_then(|k| self.table.get_mut(&k)) else {
-            return Joined::Errored;
-        };
-        match &entry.run {
-            Run::Done(result) => Joined::Done(result.clone()),
-            Run::Errored => Joined::Errored,
-            Run::NotYet | Run::Going => {
-                entry.waiting.push(id);
-                Joined::Waits
-            }
+    /// The tenant of a request; 0 where the settings have none.
+    fn tenant(&self, reader: &ParamReader) -> Result<usize, InvalidRequest> {
+        if self.tenants.is_empty() {
+            return Ok(0);
         }
+        let known = |raw| self.tenants.get(&*text(raw)?).copied();
+        reader.required(param::TENANT, known, InvalidRequest::Tenant)
     }
 
-    /// Takes entries off whose term is over, except while their run goes on.
-    pub fn lapse(&mut self, now: Timestamp) {
-        while let Some(&(at, key)) = self.lapses.first().filter(|l| l.0 <= now) {
-            self.lapses.remove(&(at, key));
-            let Some(entry) = self.table.get_mut(&key) else {
-                continue;
-            };
-            if matches!(entry.run, Run::Going) {
-                entry.until = now;
-                self.lapses.insert((now + entry.late, key));
-            } else {
-                self.remove(key);
-            }
+    /// The idempotency key of a request, where the handler demands one.
+    fn key(
+        &self,
+        handler: usize,
+        reader: &ParamReader,
+    ) -> Result<Option<IdempotencyKey>, InvalidRequest> {
+        if self.rules[handler].retry_safety != RetrySafety::Keyed {
+            return Ok(None);
         }
+        let error = InvalidRequest::IdempotencyKey;
+        reader
+            .required(param::IDEMPOTENCY_KEY, idempotency_key, error)
+            .map(Some)
     }
 }
--- a/crates/server/src/downstream/response.rs
+++ b/crates/server/src/downstream/response.rs
@@ -1,86 +1,109 @@
-//! What goes back to a balancer: JSON-RPC answers, notices and errors, one a line.
+//! Encodes what goes to a client: JSON-RPC answers, errors and notices, one a line.
+//!
+//! Owns nothing. Is given: the buffer of a connection and the values of one message. Never decides what is
+//! answered, and never fails: writing to a vector can't.
 
+use crate::downstream::wire_names::{VERSION, answer, envelope, error_code, error_message, method};
 use madderbay::time::Duration;
+use std::fmt::Display;
 use std::io::Write;
 
-/// Codes of answers that tell of a req; the standard's own tell of messages that can't be understood.
-const SHED: i32 = -32002;
-const ERRORED: i32 = -32001;
-pub const NO_JSON: i32 = -32700;
-pub const NO_CALL: i32 = -32600;
-pub const NO_METHOD: i32 = -32601;
-pub const BAD_PARAMS: i32 = -32602;
-
-/// Writing to a vector can't fail.
+/// Formats into a vector, which can't fail.
 macro_rules! put {
     ($out:expr, $($arg:tt)*) => { let _ = write!($out, $($arg)*); };
 }
 
 fn load_report(out: &mut Vec<u8>, value: Option<f64>, comma: &str) {
     if let Some(value) = value {
-        put!(out, "{comma}\"pressure\":{value}");
+        put!(out, "{comma}\"{}\":{value}", answer::LOAD_REPORT);
     }
 }
 
-/// The engine's result as it came, a JSON string with its quotes.
-pub fn done(out: &mut Vec<u8>, id: u64, blob: &str, value: Option<f64>) {
+/// The envelope up to the value of the result or the error, whichever `outcome` names.
+fn begin(out: &mut Vec<u8>, id: impl Display, outcome: &str) {
     put!(
         out,
-        "{{\"jsonrpc\":\"2.0\",\"id\":{id},\"result\":{{\"bytes\":{blob}"
+        "{{\"{}\":\"{VERSION}\",\"{}\":{id},\"{outcome}\":{{",
+        envelope::VERSION,
+        envelope::ID
     );
-    load_report(out, value, ",");
-    out.extend_from_slice(b"}}\n");
 }
 
-/// An error up to the members of its data.
-fn error(out: &mut Vec<u8>, id: u64, code: i32, message: &str) {
+/// Code and message of an error.
+fn error_head(out: &mut Vec<u8>, code: i32, message: impl Display) {
     put!(
         out,
-        "{{\"jsonrpc\":\"2.0\",\"id\":{id},\"error\":{{\"code\":{code},"
+        "\"{}\":{code},\"{}\":\"{message}\"",
+        envelope::CODE,
+        envelope::MESSAGE
     );
-    put!(out, "\"message\":\"{message}\",\"data\":{{");
 }
 
-pub fn shed(out: &mut Vec<u8>, id: u64, come_back: Duration, last: bool, value: Option<f64>) {
-    error(out, id, SHED, "shed");
+/// An error up to the members of its data.
+fn begin_error_data(out: &mut Vec<u8>, id: u64, code: i32, message: &str) {
+    begin(out, id, envelope::ERROR);
+    error_head(out, code, message);
+    put!(out, ",\"{}\":{{", envelope::DATA);
+}
+
+/// A completed request, with the engine's result as it came: a JSON string with its quotes.
+pub fn done(out: &mut Vec<u8>, id: u64, result: &str, report: Option<f64>) {
+    begin(out, id, envelope::RESULT);
+    put!(out, "\"{}\":{result}", answer::BODY);
+    load_report(out, report, ",");
+    out.extend_from_slice(b"}}\n");
+}
+
+/// A request that was rejected and never ran. A `retry_after` under a millisecond is left out; `last` says that
+/// no other server would admit it either.
+pub fn shed(out: &mut Vec<u8>, id: u64, retry_after: Duration, last: bool, report: Option<f64>) {
+    begin_error_data(out, id, error_code::REJECTED, error_message::REJECTED);
     let mut comma = "";
-    let millis = come_back.as_micros() / 1000;
+    let millis = retry_after.as_micros() / 1000;
     if millis > 0 {
-        put!(out, "\"cooldown\":{millis}");
+        put!(out, "\"{}\":{millis}", answer::RETRY_AFTER_MS);
         comma = ",";
     }
     if last {
-        put!(out, "{comma}\"nowhere\":1");
+        put!(out, "{comma}\"{}\":1", answer::NO_SERVER_ADMITS);
         comma = ",";
     }
-    load_report(out, value, comma);
+    load_report(out, report, comma);
     out.extend_from_slice(b"}}}\n");
 }
 
-pub fn errored(out: &mut Vec<u8>, id: u64, value: Option<f64>) {
-    error(out, id, ERRORED, "errored");
-    load_report(out, value, "");
+/// A request that failed after a possible effect.
+pub fn errored(out: &mut Vec<u8>, id: u64, report: Option<f64>) {
+    begin_error_data(out, id, error_code::FAILED, error_message::FAILED);
+    load_report(out, report, "");
     out.extend_from_slice(b"}}}\n");
 }
 
-pub fn health(out: &mut Vec<u8>, id: u64, good: bool, value: Option<f64>) {
-    put!(
-        out,
-        "{{\"jsonrpc\":\"2.0\",\"id\":{id},\"result\":{{\"fit\":{good}"
-    );
-    load_report(out, value, ",");
+/// The answer of a health check.
+pub fn health(out: &mut Vec<u8>, id: u64, healthy: bool, report: Option<f64>) {
+    begin(out, id, envelope::RESULT);
+    put!(out, "\"{}\":{healthy}", answer::HEALTHY);
+    load_report(out, report, ",");
     out.extend_from_slice(b"}}\n");
 }
 
-/// A message that can't be understood; `id` as far as it could be read.
-pub fn wrong(out: &mut Vec<u8>, id: Option<u64>, code: i32, message: &str) {
-    let id = id.map_or("null".to_string(), |id| id.to_string());
-    put!(
-        out,
-        "{{\"jsonrpc\":\"2.0\",\"id\":{id},\"error\":{{\"code\":{code},\"message\":\"{message}\"}}}}\n"
-    );
+/// A line that can't be served, with its id as far as that could be read.
+pub fn invalid(out: &mut Vec<u8>, id: Option<u64>, code: i32, message: impl Display) {
+    match id {
+        Some(id) => begin(out, id, envelope::ERROR),
+        None => begin(out, "null", envelope::ERROR),
+    }
+    error_head(out, code, message);
+    out.extend_from_slice(b"}}\n");
 }
 
+/// The notice that a connection is to end.
 pub fn leaving(out: &mut Vec<u8>) {
-    out.extend_from_slice(b"{\"jsonrpc\":\"2.0\",\"method\":\"leaving\"}\n");
+    put!(
+        out,
+        "{{\"{}\":\"{VERSION}\",\"{}\":\"{}\"}}\n",
+        envelope::VERSION,
+        envelope::METHOD,
+        method::LEAVING
+    );
 }
--- a/crates/server/tests/crossings.rs
+++ b/crates/server/tests/crossings.rs
@@ -235,18 +235,23 @@
             let _ = serve
                 .hands
                 .conns
-                .limit_idling(Duration::from_millis(200))
+                .set_idle_limit(Duration::from_millis(200))
                 .count();
             serve
                 .hands
                 .conns
-                .idle_over(now + Duration::from_millis(300), 1)
+                .idle_deadline_reached(now + Duration::from_millis(300), 1)
                 .expect("told first")
         };
         assert!(peer.line().await.contains("leaving"));
         peer.say_at_once(&req(2, "quote", 1));
         assert_eq!(
-            place.serve.borrow_mut().hands.conns.idle_over(again, 1),
+            place
+                .serve
+                .borrow_mut()
+                .hands
+                .conns
+                .idle_deadline_reached(again, 1),
             None,
             "it ends now"
         );
@@ -331,10 +336,11 @@
             let _ = serve
                 .hands
                 .conns
-                .limit_idling(Duration::from_millis(200))
+                .set_idle_limit(Duration::from_millis(200))
                 .count();
             let late = place.clock.now() + Duration::from_millis(300);
-            serve.hands.conns.idle_over(late, 1) != Some(late + Duration::from_millis(1_000))
+            serve.hands.conns.idle_deadline_reached(late, 1)
+                != Some(late + Duration::from_millis(1_000))
         })
         .await;
         assert!(amid(place.clock.now()));
--- a/crates/server/tests/scenarios.rs
+++ b/crates/server/tests/scenarios.rs
@@ -32,7 +32,7 @@
 use madderbay_idempotency_store::{DurableResults, SequenceNumber};
 use madderbay_server::core::keep::{Keep, Told};
 use madderbay_server::core::serve::Serve;
-use madderbay_server::downstream::json_rpc::Front;
+use madderbay_server::downstream::json_rpc::JsonRpcSession;
 use madderbay_server::support::io::Outbox;
 use madderbay_server::upstream::calls::{Hears as _, Replies};
 use madderbay_server::upstream::engine::Notices;
@@ -46,7 +46,7 @@
 struct Balancer {
     no: u64,
     out: Outbox,
-    front: Front,
+    front: JsonRpcSession,
     reads: bool,
 }
 
@@ -122,7 +122,7 @@
             let fresh = Balancer {
                 no,
                 out,
-                front: Front::new(no),
+                front: JsonRpcSession::new(no),
                 reads: true,
             };
             self.balancers.insert(who.to_string(), fresh);
@@ -151,7 +151,7 @@
             } else {
                 self.balancer(who);
                 let b = self.balancers.get_mut(who).expect("known");
-                b.reads = b.reads && b.front.fed(now, piece, &mut self.serve);
+                b.reads = b.reads && b.front.feed(now, piece, &mut self.serve);
             }
         }
     }
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -9,7 +9,7 @@
 use madderbay_quota::{BudgetSettings, FleetQuotas, LeaseTerms};
 use madderbay_server::core::lent::Group;
 use madderbay_server::core::serve::Serve;
-use madderbay_server::downstream::json_rpc::Front;
+use madderbay_server::downstream::json_rpc::JsonRpcSession;
 use madderbay_server::fleet::backends::Backends;
 use madderbay_server::fleet::lender::{Counted, Lender};
 use madderbay_server::support::clock::Ticks;
@@ -85,7 +85,7 @@
     stopped: bool,
     lives: u32,
     serve: Serve,
-    front: Front,
+    front: JsonRpcSession,
     conn: u64,
     out: Outbox,
     notices: Notices,
@@ -248,7 +248,7 @@
                 stopped: false,
                 lives: 0,
                 serve: Serve::new(now, 0, settings.clone(), 1 << 20),
-                front: Front::new(0),
+                front: JsonRpcSession::new(0),
                 conn: 0,
                 out: Outbox::default(),
                 notices: Notices::default(),
@@ -470,7 +470,7 @@
             .attach(node.link.clone(), node.notices.serial());
         node.out = Outbox::default();
         node.conn = node.serve.opened(self.now, node.out.clone());
-        node.front = Front::new(node.conn);
+        node.front = JsonRpcSession::new(node.conn);
         node.wires.clear();
         node.open.clear();
         node.answered.clear();
@@ -712,7 +712,7 @@
         self.row.asked[handler] += 1;
         let now = self.now;
         let node = &mut self.nodes[s];
-        node.front.fed(now, line.as_bytes(), &mut node.serve);
+        node.front.feed(now, line.as_bytes(), &mut node.serve);
         self.push(now + ALLOW + SLACK, Event::Due(s, life, rpc));
         self.moment(s);
     }
