Received messages, limit changes and upstream groups are structs with named fields

Cause: three public messages between packages were tuples. Change: ReceivedMessage, LimitChanges and UpstreamGroup, at every use; arithmetic and order as they were.

--- a/crates/concurrency/src/config.rs
+++ b/crates/concurrency/src/config.rs
@@ -78,10 +78,18 @@
     pub abandoned_call_lifetime: Duration,
     /// Number of cores that execute runs.
     pub cores: usize,
-    /// Where there are several upstreams: the handlers that call each, and the fraction of the
-    /// quota at which its limit starts. Handlers in none of them share one more limit, with the
-    /// full quota.
-    pub upstream_groups: Vec<(Vec<usize>, f64)>,
+    /// Where there are several upstreams: a group for each. Handlers in none of them share one more
+    /// limit, with the full quota.
+    pub upstream_groups: Vec<UpstreamGroup>,
+}
+
+/// The handlers that call one of several upstreams.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UpstreamGroup {
+    /// Indices of the handlers.
+    pub handlers: Vec<usize>,
+    /// Fraction of the call quota at which the upstream's limit starts, 0 to 1.
+    pub quota_fraction: f64,
 }
 
 impl Default for ConcurrencyConfig {
--- a/crates/concurrency/src/lib.rs
+++ b/crates/concurrency/src/lib.rs
@@ -43,8 +43,10 @@
 mod upstream;
 mod usage;
 
-pub use config::{CallRequirement, ConcurrencyConfig, HandlerProfile, PoolConfig, Reserve};
-pub use limit::{AdjustmentCause, Completion, LimitChange};
+pub use config::{
+    CallRequirement, ConcurrencyConfig, HandlerProfile, PoolConfig, Reserve, UpstreamGroup,
+};
+pub use limit::{AdjustmentCause, Completion, LimitChange, LimitChanges};
 pub use limiter::ConcurrencyLimiter;
 pub use requests::RequestStage;
 pub use usage::{CallUsage, PoolUsage, UpstreamUsage};
--- a/crates/concurrency/src/limit.rs
+++ b/crates/concurrency/src/limit.rs
@@ -20,7 +20,7 @@
 mod probe;
 mod window;
 
-pub use change::{AdjustmentCause, Completion, LimitChange};
+pub use change::{AdjustmentCause, Completion, LimitChange, LimitChanges};
 pub use in_flight::Permit;
 
 use circuit_breaker::{CircuitBreaker, CircuitState};
--- a/crates/concurrency/src/limit/change.rs
+++ b/crates/concurrency/src/limit/change.rs
@@ -60,3 +60,12 @@
     /// Why it changed.
     pub cause: AdjustmentCause,
 }
+
+/// Changes of limits since they were taken last.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct LimitChanges {
+    /// The changes that were stored, in the order in which they happened.
+    pub changes: Vec<LimitChange>,
+    /// Number of further changes that were not stored, because too many waited.
+    pub dropped: u64,
+}
--- a/crates/concurrency/src/limiter.rs
+++ b/crates/concurrency/src/limiter.rs
@@ -4,7 +4,7 @@
 use crate::config::{ConcurrencyConfig, HandlerProfile};
 use crate::handlers::HandlerLoad;
 use crate::ids::handler_indices;
-use crate::limit::{Completion, LimitChange};
+use crate::limit::{Completion, LimitChanges};
 use crate::pool::{Pool, complete_pools};
 use crate::requests::{RequestStage, RequestTable};
 use crate::reserve::ReserveState;
@@ -187,9 +187,8 @@
         self.upstreams.change_count()
     }
 
-    /// Takes the changes of limits since the last time, and the number of further changes that were
-    /// not kept.
-    pub fn take_limit_changes(&mut self) -> (Vec<LimitChange>, u64) {
+    /// Takes the changes of limits since the last time.
+    pub fn take_limit_changes(&mut self) -> LimitChanges {
         self.upstreams.take_changes()
     }
 
--- a/crates/concurrency/src/upstream.rs
+++ b/crates/concurrency/src/upstream.rs
@@ -3,9 +3,9 @@
 //! Owns the limits, which handlers each applies to, and the log of their changes. Given this
 //! server's quota and the time of process stalls; never divides a limit among pools.
 
-use crate::config::{CallRequirement, ConcurrencyConfig, HandlerProfile};
+use crate::config::{CallRequirement, ConcurrencyConfig, HandlerProfile, UpstreamGroup};
 use crate::ids::{HandlerId, handler_ids};
-use crate::limit::{AdaptiveLimit, Completion, LimitChange, Permit};
+use crate::limit::{AdaptiveLimit, Completion, LimitChange, LimitChanges, Permit};
 use madderbay::time::Timestamp;
 
 /// Lower bound on a limit, in calls, whatever the quota. Short calls may then overlap; the decision
@@ -53,13 +53,13 @@
         config: &ConcurrencyConfig,
         profiles: &[HandlerProfile],
     ) -> UpstreamLimits {
-        let limit_at = |(index, (handlers, fraction)): (usize, (Vec<usize>, f64))| {
+        let limit_at = |(index, group): (usize, UpstreamGroup)| {
             let quota = config.call_quota.unwrap_or(0.0);
-            let max = (quota * fraction).max(MIN_CALL_LIMIT);
+            let max = (quota * group.quota_fraction).max(MIN_CALL_LIMIT);
             let seed = seed + index as u64;
             UpstreamLimit {
-                handlers: handler_ids(&handlers),
-                quota_fraction: fraction,
+                handlers: handler_ids(&group.handlers),
+                quota_fraction: group.quota_fraction,
                 limit: AdaptiveLimit::new(now, seed, max, config.abandoned_call_lifetime),
             }
         };
@@ -143,25 +143,27 @@
         self.change_count
     }
 
-    /// Takes the changes since the last time, and the number of those not kept.
-    pub(crate) fn take_changes(&mut self) -> (Vec<LimitChange>, u64) {
-        let changes = std::mem::take(&mut self.pending_changes);
-        (changes, std::mem::take(&mut self.dropped_changes))
+    /// Takes the changes since the last time.
+    pub(crate) fn take_changes(&mut self) -> LimitChanges {
+        LimitChanges {
+            changes: std::mem::take(&mut self.pending_changes),
+            dropped: std::mem::take(&mut self.dropped_changes),
+        }
     }
 }
 
 /// The configured groups and, where a handler in none of them makes calls, one more with the full
 /// quota.
-fn complete_groups(
-    config: &ConcurrencyConfig,
-    profiles: &[HandlerProfile],
-) -> Vec<(Vec<usize>, f64)> {
+fn complete_groups(config: &ConcurrencyConfig, profiles: &[HandlerProfile]) -> Vec<UpstreamGroup> {
     let mut groups = config.upstream_groups.clone();
-    let is_grouped = |handler: &usize| groups.iter().any(|g| g.0.contains(handler));
+    let is_grouped = |handler: &usize| groups.iter().any(|g| g.handlers.contains(handler));
     let others: Vec<usize> = (0..profiles.len()).filter(|h| !is_grouped(h)).collect();
     let makes_calls = |handler: &usize| profiles[*handler].calls != CallRequirement::Never;
     if groups.is_empty() || others.iter().any(makes_calls) {
-        groups.push((others, 1.0));
+        groups.push(UpstreamGroup {
+            handlers: others,
+            quota_fraction: 1.0,
+        });
     }
     groups
 }
--- a/crates/concurrency/tests/concurrency/reference_run/configs.rs
+++ b/crates/concurrency/tests/concurrency/reference_run/configs.rs
@@ -2,7 +2,7 @@
 
 use crate::support::reserve;
 use madderbay::time::Duration;
-use madderbay_concurrency::{ConcurrencyConfig, PoolConfig};
+use madderbay_concurrency::{ConcurrencyConfig, PoolConfig, UpstreamGroup};
 
 fn pool(name: &str, handlers: &[usize], weight: f64, call_weight: f64) -> PoolConfig {
     let handlers = handlers.to_vec();
@@ -58,11 +58,11 @@
         c.reserve = reserve(&[0, 1], 0.1);
     });
     let groups = changed(|c| {
-        c.upstream_groups = vec![(vec![0], 0.4), (vec![2], 0.6)];
+        c.upstream_groups = vec![upstream_group(0, 0.4), upstream_group(2, 0.6)];
         c.call_quota = Some(20.0);
     });
     let group_and_others = changed(|c| {
-        c.upstream_groups = vec![(vec![2], 1.0)];
+        c.upstream_groups = vec![upstream_group(2, 1.0)];
         c.reserve = reserve(&[2], 0.2);
     });
     vec![
@@ -75,3 +75,10 @@
         ("group-and-others", group_and_others),
     ]
 }
+
+fn upstream_group(handler: usize, quota_fraction: f64) -> UpstreamGroup {
+    UpstreamGroup {
+        handlers: vec![handler],
+        quota_fraction,
+    }
+}
--- a/crates/concurrency/tests/concurrency/reference_run/random_requests.rs
+++ b/crates/concurrency/tests/concurrency/reference_run/random_requests.rs
@@ -208,13 +208,13 @@
                     writeln!(text, "{step} {ceilings}").expect(WRITES_TO_STRING);
                 }
             }
-            let (changes, dropped) = requests.limiter.take_limit_changes();
-            for change in changes {
+            let taken = requests.limiter.take_limit_changes();
+            for change in taken.changes {
                 let cause = recorded_name(change.cause);
                 writeln!(text, "{step} {:?} {:?} {cause}", change.from, change.to)
                     .expect(WRITES_TO_STRING);
             }
-            digest.add(dropped);
+            digest.add(taken.dropped);
             requests.add_state(&mut digest);
         }
         let (changes, open) = (requests.limiter.change_count(), requests.limiter.len());
--- a/crates/concurrency/tests/concurrency/upstreams.rs
+++ b/crates/concurrency/tests/concurrency/upstreams.rs
@@ -4,7 +4,15 @@
     BOOK, SEARCH, at, limiter, limiter_of_equal_pools, pool_ceiling, profiles, queue, three_pools,
 };
 use madderbay_concurrency::limit::Completion;
-use madderbay_concurrency::{ConcurrencyConfig, ConcurrencyLimiter, RequestStage};
+use madderbay_concurrency::{ConcurrencyConfig, ConcurrencyLimiter, RequestStage, UpstreamGroup};
+
+/// The handler's own upstream, with half of the quota.
+fn half_quota_group(handler: usize) -> UpstreamGroup {
+    UpstreamGroup {
+        handlers: vec![handler],
+        quota_fraction: 0.5,
+    }
+}
 
 /// Quota below one call: short calls may overlap, and the decision module keeps their mean within
 /// the quota.
@@ -46,7 +54,7 @@
 fn isolates_upstreams_from_each_other() {
     let mut limiter = limiter(ConcurrencyConfig {
         pools: three_pools([1.0; 3]),
-        upstream_groups: vec![(vec![SEARCH], 0.5), (vec![BOOK], 0.5)],
+        upstream_groups: [SEARCH, BOOK].map(half_quota_group).to_vec(),
         ..ConcurrencyConfig::default()
     });
     let initial: Vec<_> = limiter
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -69,7 +69,7 @@
 pub use error::DatagramError;
 pub use event::{ChangeReason, MembershipEvent};
 pub use identity::{IdentityVersion, MAX_NAME_BYTES, MemberIdentity, Phase, is_valid_name};
-pub use membership::{MAX_SUBSYSTEM_PAYLOAD_BYTES, Membership};
+pub use membership::{MAX_SUBSYSTEM_PAYLOAD_BYTES, Membership, ReceivedMessage};
 pub use networks::AllowedNetworks;
 pub use settings::Settings;
 pub use view::{MemberState, MemberView, View};
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -39,11 +39,15 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-/// A message of a subsystem that waits to be taken.
-struct ReceivedMessage {
-    from: CompactString,
-    subsystem: Subsystem,
-    payload: Vec<u8>,
+/// A message between the same subsystems of two servers, as it was received.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReceivedMessage {
+    /// Name of the active member that sent it.
+    pub from: CompactString,
+    /// The subsystem that the message is for.
+    pub subsystem: Subsystem,
+    /// The message's bytes, opaque to the membership.
+    pub payload: Vec<u8>,
 }
 
 /// One server's part in the fleet's membership. See the crate's documentation for an example.
--- a/crates/membership/src/membership/send.rs
+++ b/crates/membership/src/membership/send.rs
@@ -1,9 +1,8 @@
 //! What leaves this server: datagrams, subsystem messages and events.
 
-use super::Membership;
+use super::{Membership, ReceivedMessage};
 use crate::datagram::{self, DatagramKind, Header, Subsystem, SubsystemMessage, encode_body};
 use crate::event::MembershipEvent;
-use compact_str::CompactString;
 use std::net::SocketAddr;
 
 /// Longest payload of a subsystem message, in bytes: it and its sender's identity fit a datagram.
@@ -32,14 +31,9 @@
         }
     }
 
-    /// Takes the subsystem messages of active members: the sender's name, the subsystem and the
-    /// payload.
-    pub fn take_subsystem_messages(&mut self) -> Vec<(CompactString, Subsystem, Vec<u8>)> {
-        let messages = std::mem::take(&mut self.received_messages);
-        messages
-            .into_iter()
-            .map(|m| (m.from, m.subsystem, m.payload))
-            .collect()
+    /// Takes the subsystem messages received from active members, in the order of their arrival.
+    pub fn take_subsystem_messages(&mut self) -> Vec<ReceivedMessage> {
+        std::mem::take(&mut self.received_messages)
     }
 
     /// Queues a datagram. One to this server itself, or outside the allowed networks, is dropped.
--- a/crates/membership/tests/recorded_datagrams.rs
+++ b/crates/membership/tests/recorded_datagrams.rs
@@ -115,7 +115,7 @@
     let messages = second.take_subsystem_messages();
     assert_eq!(messages.len(), 1);
     assert_eq!(
-        (messages[0].0.as_str(), messages[0].2.as_slice()),
+        (messages[0].from.as_str(), messages[0].payload.as_slice()),
         ("n1", b"quota".as_slice())
     );
 }
--- a/crates/server/src/core/serve.rs
+++ b/crates/server/src/core/serve.rs
@@ -185,8 +185,8 @@
         all.extend(lent.iter().flat_map(Lent::ceilings));
         decider.set_ceilings(&all);
         let Some(pools) = pools else { return };
-        let (told, untold) = pools.take_limit_changes();
-        for change in told {
+        let limit_changes = pools.take_limit_changes();
+        for change in limit_changes.changes {
             log::info!(
                 "pools: calls {:.1} to {:.1}: {}",
                 change.from,
@@ -194,8 +194,9 @@
                 change.cause
             );
         }
-        if untold > 0 {
-            log::info!("pools: {untold} changes more");
+        let dropped = limit_changes.dropped;
+        if dropped > 0 {
+            log::info!("pools: {dropped} changes more");
         }
     }
 
--- a/crates/server/src/fleet/backends.rs
+++ b/crates/server/src/fleet/backends.rs
@@ -5,6 +5,7 @@
 use crate::support::clock::Ticks;
 use crate::support::metrics::Lines;
 use madderbay::time::{Duration, Timestamp};
+use madderbay_concurrency::UpstreamGroup;
 use madderbay_operator_config::routes as operator;
 use madderbay_settings::Settings as Site;
 use madderbay_upstream::{
@@ -58,18 +59,23 @@
 }
 
 impl Routing {
-    /// Handlers by group, each with its part of all backends' weight.
-    pub fn groups(&self) -> Vec<(Vec<usize>, f64)> {
-        let mut found: Vec<(Vec<usize>, f64)> = vec![];
-        for b in &self.backends {
-            match found.iter_mut().find(|g| g.0 == b.handlers) {
-                Some(group) => group.1 += b.weight,
-                None => found.push((b.handlers.clone(), b.weight)),
+    /// Groups of handlers with the same backends, each with its fraction of all backends' weight.
+    pub fn groups(&self) -> Vec<UpstreamGroup> {
+        let mut groups: Vec<UpstreamGroup> = vec![];
+        for backend in &self.backends {
+            match groups.iter_mut().find(|g| g.handlers == backend.handlers) {
+                Some(group) => group.quota_fraction += backend.weight,
+                None => groups.push(UpstreamGroup {
+                    handlers: backend.handlers.clone(),
+                    quota_fraction: backend.weight,
+                }),
             }
         }
-        let all: f64 = found.iter().map(|g| g.1).sum();
-        found.iter_mut().for_each(|g| g.1 /= all.max(1e-9));
-        found
+        let total_weight: f64 = groups.iter().map(|g| g.quota_fraction).sum();
+        for group in &mut groups {
+            group.quota_fraction /= total_weight.max(1e-9);
+        }
+        groups
     }
 }
 
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -4,7 +4,7 @@
 use crate::below::{Backend, Call, Came, Engine, Fares};
 use crate::history::{Deed, History, Ill, Plant};
 use madderbay::time::{Duration, Timestamp};
-use madderbay_concurrency::{ConcurrencyConfig, PoolConfig, Reserve};
+use madderbay_concurrency::{ConcurrencyConfig, PoolConfig, Reserve, UpstreamGroup};
 use madderbay_membership::{AllowedNetworks, MemberState, Membership};
 use madderbay_quota::{BudgetSettings, FleetQuotas, LeaseTerms};
 use madderbay_server::core::lent::Group;
@@ -341,7 +341,10 @@
                 ..PoolConfig::default()
             };
             let groups = if parts.routes {
-                vec![(vec![0, 2], 1.0)]
+                vec![UpstreamGroup {
+                    handlers: vec![0, 2],
+                    quota_fraction: 1.0,
+                }]
             } else {
                 vec![]
             };
--- a/crates/upstream/src/fleet_stack.rs
+++ b/crates/upstream/src/fleet_stack.rs
@@ -112,11 +112,12 @@
     }
 
     fn deliver_payloads(&mut self, now: Timestamp) {
-        for (from, subsystem, payload) in self.members.take_subsystem_messages() {
-            match (subsystem, &mut self.shared, &self.routes) {
-                (Subsystem::Quota, Some(quota), _) => quota.handle_datagram(now, &from, &payload),
+        for message in self.members.take_subsystem_messages() {
+            let (from, payload) = (&message.from, &message.payload);
+            match (message.subsystem, &mut self.shared, &self.routes) {
+                (Subsystem::Quota, Some(quota), _) => quota.handle_datagram(now, from, payload),
                 (Subsystem::Upstream, _, Some(upstream)) => {
-                    upstream.borrow_mut().handle_datagram(now, &from, &payload);
+                    upstream.borrow_mut().handle_datagram(now, from, payload);
                 }
                 // The operator of this server switched the part off.
                 _ => {}
