--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 lint:
 	cargo fmt --all --check
 	cargo clippy --workspace --all-targets -- -D warnings
+	RUSTDOCFLAGS="-D warnings" cargo doc --workspace --no-deps --quiet
 
 # One server, as RELAY_CONFIG tells it.
 run: build
