--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -77,8 +77,7 @@
     outgoing: Vec<(SocketAddr, Vec<u8>)>,
     received_messages: Vec<ReceivedMessage>,
     events: Vec<MembershipEvent>,
-    /// Counters since the start.
-    pub counters: Counters,
+    counters: Counters,
 }
 
 impl Membership {
@@ -136,6 +135,11 @@
         self.members.digest().total()
     }
 
+    /// Counters since the start.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
     /// Number of other members that are not down.
     pub fn active_count(&self) -> usize {
         self.members.active_count()
--- a/crates/membership/tests/recorded_datagrams.rs
+++ b/crates/membership/tests/recorded_datagrams.rs
@@ -32,7 +32,7 @@
     let mut receiver = settled_server(usize::from(to));
     receiver.handle_datagram(at(5_000), address(from), &recorded(name));
     let rejected: u64 = receiver
-        .counters
+        .counters()
         .rejected
         .iter()
         .map(|(_, count)| count)
@@ -105,7 +105,7 @@
     let before = third.local_identity().revision;
     third.handle_datagram(at(5_000), address(2), &recorded("notice-down"));
     assert_eq!(third.local_identity().revision, before + 1);
-    assert_eq!(third.counters.identity_renewals, 1);
+    assert_eq!(third.counters().identity_renewals, 1);
 }
 
 #[test]
--- a/crates/membership/tests/robustness.rs
+++ b/crates/membership/tests/robustness.rs
@@ -8,7 +8,7 @@
 use support::{MAX_MEMBERS, Sent, address, at, run, server, server_of};
 
 fn rejected(server: &Membership, reason: DatagramError) -> u64 {
-    server.counters.rejected.get(reason)
+    server.counters().rejected.get(reason)
 }
 
 /// Makes a changed datagram pass the check of its checksum.
--- a/crates/server/src/fleet/backends.rs
+++ b/crates/server/src/fleet/backends.rs
@@ -150,7 +150,7 @@
 
     fn counters(&self) -> String {
         let routes = self.routes.borrow();
-        let t = &routes.totals;
+        let t = routes.totals();
         let mut lines = Lines::of("routes");
         let figures = [
             ("firsts", t.first_attempts),
--- a/crates/server/src/fleet/talk.rs
+++ b/crates/server/src/fleet/talk.rs
@@ -167,7 +167,7 @@
     pub fn counters(&self) -> String {
         let together = self.together.borrow();
         let members = &together.members;
-        let counts = &members.counters;
+        let counts = members.counters();
         let mut lines = Lines::of("members");
         let mut line = |name: &str, value: u64| lines.add(name, value);
         line("active", members.active_count() as u64 + 1);
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -494,7 +494,7 @@
     /// First tries and repeats of a life are added up.
     fn count(&mut self, s: usize) {
         if let Some(b) = &self.nodes[s].backends {
-            let totals = b.routes.borrow().totals;
+            let totals = *b.routes.borrow().totals();
             (self.firsts, self.again) = (
                 self.firsts + totals.first_attempts,
                 self.again + totals.retries,
--- a/crates/testkit/examples/members.rs
+++ b/crates/testkit/examples/members.rs
@@ -156,8 +156,9 @@
                     );
                     sim.act(&net(loss)).expect("set");
                     play(&mut sim, n, &mut row, |sim, row| {
-                        let sent =
-                            |sim: &Sim| sim.running().map(|m| m.1.counters.bytes_out).sum::<u64>();
+                        let sent = |sim: &Sim| {
+                            sim.running().map(|m| m.1.counters().bytes_out).sum::<u64>()
+                        };
                         let (before, began) = (sent(sim), Instant::now());
                         sim.run(CALM);
                         let each = CALM.as_secs_f64() * (n - 1) as f64;
@@ -341,8 +342,8 @@
             sim.run(Duration::from_millis(58_000));
         }
         for (_, m) in sim.running() {
-            downs += m.counters.down_declarations;
-            suspicions += m.counters.suspicions;
+            downs += m.counters().down_declarations;
+            suspicions += m.counters().suspicions;
         }
         println!(
             "{way}: {downs} downs held of the living, {suspicions} suspicions, {n} members, {minutes} minutes"
--- a/crates/upstream/src/manager.rs
+++ b/crates/upstream/src/manager.rs
@@ -32,8 +32,7 @@
     events: EventQueue,
     last_attempt_id: u64,
     next_evaluation: Timestamp,
-    /// Counters since the start.
-    pub totals: Totals,
+    totals: Totals,
 }
 
 impl UpstreamManager {
@@ -324,6 +323,11 @@
         self.registry.states()
     }
 
+    /// Counters since the start.
+    pub fn totals(&self) -> &Totals {
+        &self.totals
+    }
+
     /// Each backend as it stands, group by group.
     pub fn backend_statuses(&self, now: Timestamp) -> Vec<BackendStatus> {
         self.registry.statuses(now)
--- a/crates/upstream/tests/gossip_compatibility.rs
+++ b/crates/upstream/tests/gossip_compatibility.rs
@@ -155,7 +155,7 @@
     let failures_after = |payload: &[u8]| {
         let mut upstream = manager(4);
         upstream.handle_datagram(at(1), &"n2".into(), payload);
-        assert_eq!(upstream.totals.datagrams_rejected, 0);
+        assert_eq!(upstream.totals().datagrams_rejected, 0);
         upstream.handle_timeout(at(100));
         upstream.backend_statuses(at(100))[2].gossip_failures
     };
