--- a/crates/membership/tests/fleet.rs
+++ b/crates/membership/tests/fleet.rs
@@ -57,7 +57,7 @@
     let sums = |sim: &Sim| {
         let all = sim
             .running()
-            .map(|m| (m.1.counters.bytes_out, m.1.counters.suspicions));
+            .map(|m| (m.1.counters().bytes_out, m.1.counters().suspicions));
         all.fold((0, 0), |sum, m| (sum.0 + m.0, sum.1 + m.1))
     };
     let before = sums(&sim);
