--- a/crates/membership/tests/robustness.rs
+++ b/crates/membership/tests/robustness.rs
@@ -86,12 +86,12 @@
     for ms in (5_000..25_000).step_by(10) {
         run(&mut servers[1..], ms, ms + 10);
     }
-    let before = servers[0].counters.suspicions;
+    let before = servers[0].counters().suspicions;
     for ms in (25_000..25_900).step_by(10) {
         servers[0].handle_timeout(at(ms));
         servers[0].take_outgoing();
     }
-    assert_eq!(servers[0].counters.suspicions, before);
+    assert_eq!(servers[0].counters().suspicions, before);
     assert!(servers[0].is_degraded());
     run(&mut servers, 25_900, 40_000);
     for s in &servers {
