Crossings' tests share the steps of the last answer on a connection

Cause: two tests ended with the same three steps. Change: one method of their place; the assertions stay.

--- a/crates/server/tests/crossings.rs
+++ b/crates/server/tests/crossings.rs
@@ -98,6 +98,13 @@
         self.done(1);
     }
 
+    /// Runs the request 2, whose answer is the last line on its connection.
+    async fn serves_the_last_request(&self, peer: &mut Peer) {
+        self.serves_one().await;
+        assert!(peer.line().await.contains("\"id\":2,\"result\""));
+        assert_eq!(peer.line().await, "");
+    }
+
     async fn peer(&self) -> Peer {
         Peer(BufReader::new(
             TcpStream::connect(self.address)
@@ -255,9 +262,7 @@
             None,
             "it ends now"
         );
-        place.serves_one().await;
-        assert!(peer.line().await.contains("\"id\":2,\"result\""));
-        assert_eq!(peer.line().await, "");
+        place.serves_the_last_request(&mut peer).await;
     });
 }
 
@@ -275,9 +280,7 @@
         assert!(place.serve.borrow().at_rest());
         peer.say_at_once(&req(2, "quote", 1));
         place.serve.borrow_mut().end();
-        place.serves_one().await;
-        assert!(peer.line().await.contains("\"id\":2,\"result\""));
-        assert_eq!(peer.line().await, "");
+        place.serves_the_last_request(&mut peer).await;
     });
 }
 
