Server: files of the core and of the fleet under the field's names

Change: moved to event_loop, in_flight, durability, stored_results, dispatch, quota_gate, concurrency_limits, request_observer, upstream_events, gossip, quota_leases and quota_plan; only paths change.

--- a/crates/server/src/commands.rs
+++ b/crates/server/src/commands.rs
@@ -3,7 +3,7 @@
 use crate::cli::{Arguments, Command, INVALID_INPUT, QueryArguments, StoreCommand};
 use crate::operator_plan::{self, OperatorError, OperatorPlan};
 use crate::startup::{self, StartError};
-use madderbay_server::core::keep;
+use madderbay_server::core::durability;
 use madderbay_server::fleet::control_client::{self, Format, QueryError, Subject};
 use madderbay_server::support::config::{self, ConfigError};
 use std::io::Write;
@@ -102,9 +102,9 @@
 /// Prints what a directory of durable results holds.
 fn inspect_store(command: &StoreCommand) -> Result<(), CommandError> {
     let lines = match command {
-        StoreCommand::List { directory } => keep::list(directory),
-        StoreCommand::Export { directory } => keep::export(directory),
-        StoreCommand::Verify { directory } => keep::verify(directory),
+        StoreCommand::List { directory } => durability::list(directory),
+        StoreCommand::Export { directory } => durability::export(directory),
+        StoreCommand::Verify { directory } => durability::verify(directory),
     };
     let lines = lines.map_err(CommandError::Store)?;
     lines.iter().for_each(|line| println!("{line}"));
--- a/crates/server/src/core/arrivals.rs
+++ b/crates/server/src/core/arrivals.rs
@@ -1,7 +1,7 @@
 //! What balancers say, told to the decisions: connections, reqs, reqs withdrawn, questions of health.
 
-use super::hands::{Due, InHand};
-use super::serve::{KEEP_AWAY, Serve};
+use super::in_flight::{Due, InHand};
+use super::event_loop::{KEEP_AWAY, Serve};
 use crate::downstream::connections::OpenRequestError;
 use crate::downstream::idempotency_table::FingerprintMismatch;
 use crate::downstream::request_validation::{InvalidRequest, ValidatedRequest};
--- a/crates/server/src/core/lead.rs
+++ b/crates/server/src/core/dispatch.rs
@@ -1,7 +1,7 @@
 //! Where calls go when what lies below is many backends: each attempt, what came of it, and whether there is
 //! another. Who is chosen, and what may be made again, is asked of whoever [`Leads`].
 
-use super::hands::{Due, Hands};
+use super::in_flight::{Due, Hands};
 use madderbay::interface::Outcome;
 use madderbay::time::{Duration, Timestamp};
 use madderbay_upstream::{AttemptOutcome, RetryKind, UpstreamAttempt};
--- a/crates/server/src/core/serve.rs
+++ b/crates/server/src/core/event_loop.rs
@@ -1,8 +1,8 @@
 //! The core: owns the decisions, tells them what came and settles each moment. It knows no socket and no
 //! clock: what came is told by calls with the time, what goes out is put into outboxes.
 
-use crate::core::hands::{Due, Hands};
-use crate::core::lent::{Group, Lends, Lent};
+use crate::core::in_flight::{Due, Hands};
+use crate::core::quota_gate::{Group, Lends, Lent};
 use madderbay::decide::Decider;
 use madderbay::interface::{Gauges, Outcome};
 use madderbay::time::{Duration, Timestamp};
@@ -58,18 +58,18 @@
             now,
             self.seed,
             plan,
-            &crate::core::pooled::kinds(&self.settings),
+            &crate::core::concurrency_limits::kinds(&self.settings),
         ));
     }
 
     /// Sets budgets of the fleet up: what may be used of them is asked of `to`.
     pub fn share(&mut self, to: Rc<dyn Lends>, groups: Vec<Group>) {
-        let kinds = crate::core::pooled::kinds(&self.settings);
+        let kinds = crate::core::concurrency_limits::kinds(&self.settings);
         self.hands.lent = Some(Lent::new(to, groups, &kinds, &self.settings.below));
     }
 
     /// Sets backends up: calls of their handlers go where `to` says.
-    pub fn lead(&mut self, to: Rc<dyn crate::core::lead::Leads>) {
+    pub fn lead(&mut self, to: Rc<dyn crate::core::dispatch::Leads>) {
         self.hands.leads = Some(to);
     }
 
@@ -239,12 +239,12 @@
         let pools = h
             .pools
             .as_ref()
-            .map_or(String::new(), crate::core::pooled::counters);
+            .map_or(String::new(), crate::core::concurrency_limits::counters);
         let routes = h.leads.as_ref().map_or(String::new(), |l| l.counters());
         own + &pools
             + &routes
             + &h.keep
                 .as_ref()
-                .map_or(String::new(), crate::core::keep::Keep::counters)
+                .map_or(String::new(), crate::core::durability::Keep::counters)
     }
 }
--- a/crates/server/src/core/hands.rs
+++ b/crates/server/src/core/in_flight.rs
@@ -1,10 +1,10 @@
 //! The reqs in hand: what each still needs for its run, its call and its answer. Carries out what the module
 //! decides; decides nothing.
 
-use crate::core::follow::Follows;
-use crate::core::keep::Keep;
-use crate::core::lead::{Leads, Try};
-use crate::core::lent::Lent;
+use crate::core::request_observer::Follows;
+use crate::core::durability::Keep;
+use crate::core::dispatch::{Leads, Try};
+use crate::core::quota_gate::Lent;
 use crate::downstream::connections::Connections;
 use crate::downstream::idempotency_table::{
     IdempotencyKey, IdempotencyTable, JoinedAttempt, KeyWindow,
--- a/crates/server/src/core/lent.rs
+++ b/crates/server/src/core/quota_gate.rs
@@ -1,7 +1,7 @@
 //! Budgets of the fleet as the core meets them: which reqs have calls in hand under which budget, which will
 //! want one, and the ceilings that come of it. What may be used is asked of whoever [`Lends`].
 
-use crate::core::follow::Follows;
+use crate::core::request_observer::Follows;
 use madderbay::interface::{Ceiling, Upstream};
 use madderbay::time::{Duration, Timestamp};
 use madderbay_concurrency::limit::Completion;
--- a/crates/server/src/core/lasting.rs
+++ b/crates/server/src/core/stored_results.rs
@@ -1,8 +1,8 @@
 //! Results that outlast a life: what a former life promised answers its tries, and what the writing thread
 //! tells lets runs and answers go.
 
-use super::keep::{Told, Waits};
-use super::serve::{KEEP_AWAY, Serve};
+use super::durability::{Told, Waits};
+use super::event_loop::{KEEP_AWAY, Serve};
 use crate::downstream::response;
 use madderbay::time::Timestamp;
 use madderbay_idempotency_store::Lookup;
--- a/crates/server/src/core/outcomes.rs
+++ b/crates/server/src/core/upstream_events.rs
@@ -1,7 +1,7 @@
 //! What the engine and the catalogue say, told to the decisions: runs and calls, and how they ended.
 
-use super::hands::Due;
-use super::serve::Serve;
+use super::in_flight::Due;
+use super::event_loop::Serve;
 use crate::support::name::Name;
 use crate::upstream::calls::{self, Desk};
 use crate::upstream::engine::{self, Link};
@@ -50,7 +50,7 @@
             if late {
                 f.process_stalled(now);
             }
-            f.call_finished(now, id, crate::core::pooled::end(how));
+            f.call_finished(now, id, crate::core::concurrency_limits::end(how));
         });
         self.decide(now, |d, hands| {
             d.on_call_finished(now, id, how, spent, hands)
--- a/crates/server/src/downstream/json_rpc.rs
+++ b/crates/server/src/downstream/json_rpc.rs
@@ -4,7 +4,7 @@
 //! and the core for the time of a call. Answers the lines that it can't serve; every other answer is the core's.
 //! Never reads a socket and never decides a request.
 
-use crate::core::serve::Serve;
+use crate::core::event_loop::Serve;
 use crate::downstream::connections::{LineProgress, OpenRequestError};
 use crate::downstream::request_validation::InvalidRequest;
 use crate::downstream::response;
--- a/crates/server/src/downstream/listener.rs
+++ b/crates/server/src/downstream/listener.rs
@@ -5,7 +5,7 @@
 //! reports that to the core however it ended, and so a bad peer or a panic ends there. Never closes a connection
 //! unread, and never reads a line itself.
 
-use crate::core::serve::Shared;
+use crate::core::event_loop::Shared;
 use crate::downstream::json_rpc::JsonRpcSession;
 use crate::support::clock::Clock;
 use crate::support::io::{Outbox, drive_peer};
--- a/crates/server/src/downstream/registration.rs
+++ b/crates/server/src/downstream/registration.rs
@@ -4,7 +4,7 @@
 //! server's name, and from the core whether this server takes work. Sends one report at a time. Never decides
 //! whether the server is ready, and never ends the program: a report that fails is made again.
 
-use crate::core::serve::Shared;
+use crate::core::event_loop::Shared;
 use crate::support::io::{Outbox, drive_link};
 use crate::support::metrics::Counters;
 use std::cell::Cell;
--- a/crates/server/src/fleet/control_socket.rs
+++ b/crates/server/src/fleet/control_socket.rs
@@ -8,7 +8,7 @@
     BackendRecord, CountRecord, END, ErrorLine, MAX_QUERY_BYTES, MemberRecord, MembershipHead,
     Query, QuotaRecord, SharedRecord, Subject,
 };
-use super::talk::Fleet;
+use super::gossip::Fleet;
 use serde::Serialize;
 use std::io::ErrorKind;
 use std::os::unix::fs::{FileTypeExt, PermissionsExt};
--- a/crates/server/src/fleet/talk.rs
+++ b/crates/server/src/fleet/gossip.rs
@@ -2,7 +2,7 @@
 //! turn, nothing waited for.
 
 use super::backends::Backends;
-use super::lender::{Counted, Lender};
+use super::quota_leases::{Counted, Lender};
 use crate::support::clock::Ticks;
 use crate::support::metrics::Lines;
 use madderbay::time::{Duration, Timestamp};
--- a/crates/server/src/fleet/lender.rs
+++ b/crates/server/src/fleet/quota_leases.rs
@@ -1,7 +1,7 @@
 //! What the core asks of what the fleet shares: budgets, counts and allowances. On any clock, so that a simulation
 //! has the very same.
 
-use crate::core::lent::Lends;
+use crate::core::quota_gate::Lends;
 use crate::support::clock::Ticks;
 use madderbay::time::Duration;
 use madderbay_quota::FleetQuotas;
--- a/crates/server/src/fleet/sharing.rs
+++ b/crates/server/src/fleet/quota_plan.rs
@@ -1,7 +1,7 @@
 //! What the operator file says of budgets and counts, over the settings' handlers and tenants.
 
-use crate::core::lent::Group;
-use crate::fleet::lender::Counted;
+use crate::core::quota_gate::Group;
+use crate::fleet::quota_leases::Counted;
 use crate::support::clock::unix_micros;
 use crate::support::config::Config;
 use madderbay::time::Duration;
--- a/crates/server/src/fleet_endpoint.rs
+++ b/crates/server/src/fleet_endpoint.rs
@@ -7,9 +7,9 @@
 use madderbay_membership::is_valid_name;
 use madderbay_operator_config::members::Members;
 use madderbay_server::fleet::backends::Backends;
-use madderbay_server::fleet::lender::Counted;
-use madderbay_server::fleet::sharing::Sharing;
-use madderbay_server::fleet::talk::{self, Fleet};
+use madderbay_server::fleet::quota_leases::Counted;
+use madderbay_server::fleet::quota_plan::Sharing;
+use madderbay_server::fleet::gossip::{self, Fleet};
 use madderbay_server::support::clock::{self, Ticks};
 use madderbay_server::support::config::Config;
 use std::net::SocketAddr;
@@ -74,7 +74,7 @@
         setup.ticks,
         config.seed,
         incarnation(setup.unix_ahead_ms),
-        talk::settings(setup.members, &config.name),
+        gossip::settings(setup.members, &config.name),
         quotas,
         counted,
         setup.backends,
--- a/crates/server/src/operator_plan.rs
+++ b/crates/server/src/operator_plan.rs
@@ -4,9 +4,9 @@
 
 use madderbay_concurrency::ConcurrencyConfig;
 use madderbay_operator_config::Operator;
-use madderbay_server::core::pooled;
+use madderbay_server::core::concurrency_limits;
 use madderbay_server::fleet::backends::{self, Routing};
-use madderbay_server::fleet::sharing::{self, Sharing};
+use madderbay_server::fleet::quota_plan::{self, Sharing};
 use madderbay_server::support::config::Config;
 use std::path::Path;
 
@@ -62,8 +62,8 @@
     pub(crate) fn new(operator: &Operator, config: &Config) -> Result<OperatorPlan, OperatorError> {
         let settings = &config.settings;
         let routing = operator.routes.as_ref().map(|r| backends::of(r, settings));
-        let concurrency = operator.pools.as_ref().map(|p| pooled::plan(p, settings));
-        let sharing = operator.shared.as_ref().map(|s| sharing::of(s, config));
+        let concurrency = operator.pools.as_ref().map(|p| concurrency_limits::plan(p, settings));
+        let sharing = operator.shared.as_ref().map(|s| quota_plan::of(s, config));
         match (
             concurrency.transpose(),
             sharing.transpose(),
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -10,12 +10,12 @@
 use crate::tasks;
 use madderbay_operator_config::kept::KeptResults;
 use madderbay_operator_config::members::Control;
-use madderbay_server::core::keep;
-use madderbay_server::core::serve::{Serve, Shared};
+use madderbay_server::core::durability;
+use madderbay_server::core::event_loop::{Serve, Shared};
 use madderbay_server::downstream::listener;
 use madderbay_server::fleet::backends::{Backends, Routing};
 use madderbay_server::fleet::control_socket::{self, SocketFile, Sources};
-use madderbay_server::fleet::talk::Fleet;
+use madderbay_server::fleet::gossip::Fleet;
 use madderbay_server::support::clock::{self, Clock, Ticks};
 use madderbay_server::support::config::Config;
 use madderbay_server::support::logging;
@@ -202,12 +202,12 @@
 
 /// Starts the thread that writes durable results, and the task that brings its reports to the core.
 fn start_store(
-    store: keep::Opened,
+    store: durability::Opened,
     settings: &KeptResults,
     clock: &Rc<Clock>,
     core: &Shared,
 ) -> Result<(), StartError> {
-    let (store, events) = keep::start(store, settings).map_err(StartError::StoreThread)?;
+    let (store, events) = durability::start(store, settings).map_err(StartError::StoreThread)?;
     core.borrow_mut().hands.keep = Some(store);
     tasks::spawn_store_events(events, clock, core);
     Ok(())
--- a/crates/server/src/startup.rs
+++ b/crates/server/src/startup.rs
@@ -12,7 +12,7 @@
 use madderbay_membership::MAX_NAME_BYTES;
 use madderbay_operator_config::Operator;
 use madderbay_operator_config::kept::KeptResults;
-use madderbay_server::core::keep;
+use madderbay_server::core::durability;
 use madderbay_server::fleet::control_socket::ControlSocketError;
 use madderbay_server::support::config::{self, Config, ConfigError};
 use std::net::SocketAddr;
@@ -128,11 +128,11 @@
 fn open_store(
     settings: Option<&KeptResults>,
     config: &Config,
-) -> Result<Option<keep::Opened>, StartError> {
+) -> Result<Option<durability::Opened>, StartError> {
     let handlers = config.settings.handlers.iter();
     let longest_window = handlers.map(|h| h.idempotency_window).max();
     let window_micros = longest_window.unwrap_or_default().as_micros();
-    let store = settings.map(|settings| keep::open(settings, window_micros));
+    let store = settings.map(|settings| durability::open(settings, window_micros));
     store.transpose().map_err(StartError::Store)
 }
 
@@ -144,7 +144,7 @@
     pub(crate) operator: Operator,
     pub(crate) plan: OperatorPlan,
     /// The store of durable results, where `[kept-results]` is on.
-    pub(crate) store: Option<keep::Opened>,
+    pub(crate) store: Option<durability::Opened>,
     /// Added to the clock that distinguishes incarnations, in milliseconds.
     pub(crate) unix_ahead_ms: i64,
 }
--- a/crates/server/src/tasks.rs
+++ b/crates/server/src/tasks.rs
@@ -24,12 +24,12 @@
 //! process; nobody joins it, since a result counts as durable only once the thread has reported it.
 
 use crate::reload::ReloadableValues;
-use madderbay_server::core::keep::Told;
-use madderbay_server::core::serve::Shared;
+use madderbay_server::core::durability::Told;
+use madderbay_server::core::event_loop::Shared;
 use madderbay_server::downstream::{listener, registration};
 use madderbay_server::fleet::backends::Backends;
 use madderbay_server::fleet::control_socket::{self, Sources};
-use madderbay_server::fleet::talk::{self, Fleet};
+use madderbay_server::fleet::gossip::{self, Fleet};
 use madderbay_server::support::clock::Clock;
 use madderbay_server::upstream::{calls, engine};
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -59,7 +59,7 @@
 
 /// Starts the gossip task.
 pub(crate) fn spawn_gossip(socket: &Rc<UdpSocket>, fleet: &Rc<Fleet>) {
-    spawn_local(talk::run(socket.clone(), fleet.clone()));
+    spawn_local(gossip::run(socket.clone(), fleet.clone()));
 }
 
 /// Starts the task that drives the backends of a server without a fleet.
--- a/crates/server/tests/crossings.rs
+++ b/crates/server/tests/crossings.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use madderbay::time::{Duration, Timestamp};
-use madderbay_server::core::serve::{Serve, Shared};
+use madderbay_server::core::event_loop::{Serve, Shared};
 use madderbay_server::downstream::listener;
 use madderbay_server::support::clock::Clock;
 use madderbay_server::support::io::{Outbox, drive, drive_peer};
--- a/crates/server/tests/listen.rs
+++ b/crates/server/tests/listen.rs
@@ -1,6 +1,6 @@
 //! The end of listening.
 
-use madderbay_server::core::serve::Serve;
+use madderbay_server::core::event_loop::Serve;
 use madderbay_server::downstream::listener;
 use madderbay_server::support::clock::Clock;
 use std::cell::RefCell;
