--- a/crates/server/src/core/arrivals.rs
+++ b/crates/server/src/core/arrivals.rs
@@ -1,7 +1,7 @@
 //! What balancers say, told to the decisions: connections, reqs, reqs withdrawn, questions of health.
 
-use super::in_flight::{Due, InHand};
-use super::event_loop::{KEEP_AWAY, Serve};
+use super::event_loop::{EventLoop, KEEP_AWAY};
+use super::in_flight::{Deadline, InFlightRequest};
 use crate::downstream::connections::OpenRequestError;
 use crate::downstream::idempotency_table::FingerprintMismatch;
 use crate::downstream::request_validation::{InvalidRequest, ValidatedRequest};
@@ -16,87 +16,87 @@
 const MARGIN: Duration = Duration::from_millis(30);
 const WAITS: Duration = Duration::from_millis(2_000);
 
-impl Serve {
-    pub fn opened(&mut self, now: Timestamp, out: Outbox) -> u64 {
-        let hands = &mut self.hands;
-        hands.counters.connections += 1;
-        let opened = hands.conns.open(now, out);
+impl EventLoop {
+    pub fn connection_opened(&mut self, now: Timestamp, out: Outbox) -> u64 {
+        let in_flight = &mut self.in_flight;
+        in_flight.counters.connections += 1;
+        let opened = in_flight.connections.open(now, out);
         let no = opened.id;
-        hands
+        in_flight
             .due
-            .insert((opened.first_request_deadline, Due::First(no)));
-        if let Some(limit) = hands.conns.idle_limit() {
-            hands.due.insert((now + limit, Due::Idle(no)));
+            .insert((opened.first_request_deadline, Deadline::First(no)));
+        if let Some(limit) = in_flight.connections.idle_limit() {
+            in_flight.due.insert((now + limit, Deadline::Idle(no)));
         }
         no
     }
 
     /// A connection was accepted that there is no room for.
-    pub fn opened_beyond(&mut self, now: Timestamp, out: Outbox) -> u64 {
-        let hands = &mut self.hands;
-        hands.counters.connections_refused += 1;
-        let opened = hands.conns.open_over_limit(now, out);
-        hands
+    pub fn connection_opened_over_limit(&mut self, now: Timestamp, out: Outbox) -> u64 {
+        let in_flight = &mut self.in_flight;
+        in_flight.counters.connections_refused += 1;
+        let opened = in_flight.connections.open_over_limit(now, out);
+        in_flight
             .due
-            .insert((opened.first_request_deadline, Due::First(opened.id)));
+            .insert((opened.first_request_deadline, Deadline::First(opened.id)));
         opened.id
     }
 
     /// How many connections are open that there is no room for.
-    pub fn beyond(&self) -> usize {
-        self.hands.conns.over_limit_count()
+    pub fn connections_over_limit(&self) -> usize {
+        self.in_flight.connections.over_limit_count()
     }
 
-    pub fn connections(&self) -> usize {
-        self.hands.conns.len()
+    pub fn connection_count(&self) -> usize {
+        self.in_flight.connections.len()
     }
 
     /// Ends a connection that carries nothing, to make room for another; false where all carry something.
-    pub fn make_room(&mut self, now: Timestamp) -> bool {
-        let made = self.hands.conns.evict(now);
-        self.hands.counters.connections_cut += u64::from(made);
+    pub fn evict_connection(&mut self, now: Timestamp) -> bool {
+        let made = self.in_flight.connections.evict(now);
+        self.in_flight.counters.connections_cut += u64::from(made);
         made
     }
 
     /// The peer breaks the protocol, and nothing it asked can be told from what it did not: all that it has
     /// open is errored, and the connection ends.
-    pub fn turn_off(&mut self, now: Timestamp, no: u64) {
-        let Some(open) = self.hands.conns.open_requests(no) else {
+    pub fn reject_connection(&mut self, now: Timestamp, no: u64) {
+        let Some(open) = self.in_flight.connections.open_requests(no) else {
             return;
         };
-        self.hands.now = now;
+        self.in_flight.now = now;
         for id in open {
-            self.hands.fail(id);
-            self.decide(now, |d, hands| d.on_client_gone(now, id, hands));
+            self.in_flight.fail(id);
+            self.decide(now, |d, in_flight| d.on_client_gone(now, id, in_flight));
         }
-        self.no_more(no);
+        self.input_ended(no);
     }
 
     /// The peer sends no more, or nothing that can be read: what is open is still answered.
-    pub fn no_more(&mut self, no: u64) {
-        self.hands.conns.input_ended(no);
+    pub fn input_ended(&mut self, no: u64) {
+        self.in_flight.connections.input_ended(no);
     }
 
     /// The connection is gone, and with it everyone who waits on it.
-    pub fn closed(&mut self, now: Timestamp, no: u64) {
-        let Some(open) = self.hands.conns.remove(no) else {
+    pub fn connection_closed(&mut self, now: Timestamp, no: u64) {
+        let Some(open) = self.in_flight.connections.remove(no) else {
             return;
         };
-        self.hands.counters.cut += open.len() as u64;
+        self.in_flight.counters.cut += open.len() as u64;
         open.into_iter().for_each(|id| self.gone(now, id));
     }
 
-    pub fn out(&self, no: u64) -> Option<&Outbox> {
-        self.hands.conns.outbox(no)
+    pub fn outbox(&self, no: u64) -> Option<&Outbox> {
+        self.in_flight.connections.outbox(no)
     }
 
     /// Whether another req by this id may be opened on a connection; else why not.
-    pub fn may_open(&self, no: u64, rpc: u64) -> Result<(), OpenRequestError> {
-        self.hands.conns.check_open(no, rpc)
+    pub fn check_open(&self, no: u64, rpc: u64) -> Result<(), OpenRequestError> {
+        self.in_flight.connections.check_open(no, rpc)
     }
 
     /// A req has been read.
-    pub fn arrived(
+    pub fn request_arrived(
         &mut self,
         now: Timestamp,
         no: u64,
@@ -110,7 +110,7 @@
             fingerprint: print,
             body,
         } = request;
-        if self.hands.names.contains_key(&name) {
+        if self.in_flight.names.contains_key(&name) {
             return Err(InvalidRequest::AttemptNameInUse);
         }
         if let Some(key) = key
@@ -121,12 +121,16 @@
         {
             return Ok(());
         }
-        if !self.hands.conns.request_opened(now, no, rpc, arrival.id) {
+        if !self
+            .in_flight
+            .connections
+            .request_opened(now, no, rpc, arrival.id)
+        {
             return Ok(());
         }
-        self.hands.counters.read[arrival.handler] += 1;
-        self.hands.counters.read_late(arrival.read_delay);
-        let req = InHand {
+        self.in_flight.counters.read[arrival.handler] += 1;
+        self.in_flight.counters.read_late(arrival.read_delay);
+        let req = InFlightRequest {
             name,
             conn: no,
             rpc,
@@ -155,56 +159,67 @@
             proof: 0,
             fed: None,
         };
-        self.hands.names.insert(name, arrival.id);
-        self.hands.reqs.insert(arrival.id, req);
-        self.hands.now = now;
-        self.hands.followed(arrival.id, |f, now, handler| {
+        self.in_flight.names.insert(name, arrival.id);
+        self.in_flight.requests.insert(arrival.id, req);
+        self.in_flight.now = now;
+        self.in_flight.followed(arrival.id, |f, now, handler| {
             f.set_stage(now, arrival.id, handler, RequestStage::Queued)
         });
-        if let Some(lent) = &self.hands.lent {
+        if let Some(lent) = &self.in_flight.quota_gate {
             lent.counted(arrival.handler, arrival.tenant);
         }
         if self.decider.is_none() {
             // Nothing can run before the engine is up.
-            self.hands.reject(arrival.id, Duration::ZERO, false);
-        } else if self.hands.conns.is_over_limit(no) && arrival.retry_of == 0 {
+            self.in_flight.reject(arrival.id, Duration::ZERO, false);
+        } else if self.in_flight.connections.is_over_limit(no) && arrival.retry_of == 0 {
             // There is no room for its connection. A further try of a keyed req shares what became of the first.
-            self.hands.reject(
+            self.in_flight.reject(
                 arrival.id,
                 KEEP_AWAY.min(self.settings.callers.max_retry_after),
                 false,
             );
             return Ok(());
         }
-        self.decide(now, |d, hands| d.on_arrival(now, &arrival, hands));
+        self.decide(now, |d, in_flight| d.on_arrival(now, &arrival, in_flight));
         Ok(())
     }
 
     /// The balancer has stopped waiting for a req.
-    pub fn forget(&mut self, now: Timestamp, no: u64, rpc: Option<u64>, name: Option<Name>) {
-        let by_rpc = rpc.and_then(|rpc| self.hands.conns.request_id(no, rpc));
+    pub fn attempt_withdrawn(
+        &mut self,
+        now: Timestamp,
+        no: u64,
+        rpc: Option<u64>,
+        name: Option<Name>,
+    ) {
+        let by_rpc = rpc.and_then(|rpc| self.in_flight.connections.request_id(no, rpc));
         // One caller can't withdraw another's req.
-        let own = |id: &u64| self.hands.reqs.get(id).is_some_and(|r| r.conn == no);
-        if let Some(id) = by_rpc.or_else(|| self.hands.names.get(&name?).copied().filter(own)) {
+        let own = |id: &u64| {
+            self.in_flight
+                .requests
+                .get(id)
+                .is_some_and(|r| r.conn == no)
+        };
+        if let Some(id) = by_rpc.or_else(|| self.in_flight.names.get(&name?).copied().filter(own)) {
             self.gone(now, id);
         }
     }
 
     pub(super) fn gone(&mut self, now: Timestamp, id: u64) {
-        let Some(req) = self.hands.reqs.get(&id).filter(|r| !r.answered) else {
+        let Some(req) = self.in_flight.requests.get(&id).filter(|r| !r.answered) else {
             return;
         };
         log::debug!("req {id} is gone, started {}", req.started);
-        self.hands.counters.gone += 1;
-        self.decide(now, |d, hands| d.on_client_gone(now, id, hands));
-        self.hands.nobody_waits(id);
+        self.in_flight.counters.gone += 1;
+        self.decide(now, |d, in_flight| d.on_client_gone(now, id, in_flight));
+        self.in_flight.nobody_waits(id);
     }
 
-    pub fn health(&mut self, now: Timestamp, no: u64, rpc: u64) {
-        let hands = &mut self.hands;
-        let (good, report) = (hands.good && !hands.leaving, hands.load_report);
-        hands
-            .conns
+    pub fn health_checked(&mut self, now: Timestamp, no: u64, rpc: u64) {
+        let in_flight = &mut self.in_flight;
+        let (good, report) = (in_flight.good && !in_flight.leaving, in_flight.load_report);
+        in_flight
+            .connections
             .answer(now, no, |out| response::health(out, rpc, good, report));
     }
 }
--- a/crates/server/src/core/dispatch.rs
+++ b/crates/server/src/core/dispatch.rs
@@ -1,13 +1,13 @@
 //! Where calls go when what lies below is many backends: each attempt, what came of it, and whether there is
-//! another. Who is chosen, and what may be made again, is asked of whoever [`Leads`].
+//! another. Who is chosen, and what may be made again, is asked of the [`BackendSelector`].
 
-use super::in_flight::{Due, Hands};
+use super::in_flight::{Deadline, InFlightRequests};
 use madderbay::interface::Outcome;
 use madderbay::time::{Duration, Timestamp};
 use madderbay_upstream::{AttemptOutcome, RetryKind, UpstreamAttempt};
 
 /// Whoever knows the backends and how they fare. Times are its own.
-pub trait Leads {
+pub trait BackendSelector {
     /// Where the call of a handler goes; nothing where it goes to the catalogue.
     fn pick(&self, handler: usize) -> Option<UpstreamAttempt>;
     /// One more attempt, within the budget of repeats.
@@ -21,7 +21,7 @@
 }
 
 /// One attempt of a call that is out: on which connection, and at which backend.
-pub struct Try {
+pub struct BackendAttempt {
     pub wire: u64,
     pub ticket: UpstreamAttempt,
     pub since: Timestamp,
@@ -42,11 +42,11 @@
     }
 }
 
-impl Hands {
+impl InFlightRequests {
     /// Where the next call of a req goes: to a backend where its handler has any, else, with nothing, to the
     /// catalogue. An error where it was made before, and the budget of repeats has no room for one more.
     pub(super) fn lead(&self, id: u64) -> Result<Option<UpstreamAttempt>, ()> {
-        let (Some(leads), Some(req)) = (&self.leads, self.reqs.get(&id)) else {
+        let (Some(leads), Some(req)) = (&self.backend_selector, self.requests.get(&id)) else {
             return Ok(None);
         };
         match &req.called {
@@ -60,7 +60,7 @@
 
     /// Sends the call of a req off.
     pub(super) fn send_call(&mut self, id: u64, patience: Duration, to: Option<UpstreamAttempt>) {
-        let Some(req) = self.reqs.get(&id) else {
+        let Some(req) = self.requests.get(&id) else {
             return;
         };
         match to {
@@ -70,24 +70,24 @@
             }
             Some(ticket) => {
                 let hedge = self
-                    .leads
+                    .backend_selector
                     .as_ref()
-                    .filter(|_| self.lent.is_none() && self.replayable[req.handler]);
+                    .filter(|_| self.quota_gate.is_none() && self.replayable[req.handler]);
                 let hedge = hedge
                     .and_then(|l| l.hedge_after(&ticket))
                     .filter(|after| *after < patience);
                 self.attempt(id, ticket, patience);
-                if let (Some(after), Some(req)) = (hedge, self.reqs.get_mut(&id)) {
+                if let (Some(after), Some(req)) = (hedge, self.requests.get_mut(&id)) {
                     let at = self.now + after;
                     req.hedge = Some(at);
-                    self.due.insert((at, Due::Hedge(id)));
+                    self.due.insert((at, Deadline::Hedge(id)));
                 }
             }
         }
     }
 
     fn attempt(&mut self, id: u64, ticket: UpstreamAttempt, patience: Duration) {
-        let Some(req) = self.reqs.get_mut(&id) else {
+        let Some(req) = self.requests.get_mut(&id) else {
             return;
         };
         req.called = Some((req.need, ticket.clone()));
@@ -99,7 +99,7 @@
             &req.wants,
             Some(ticket.address),
         );
-        req.tries.push(Try {
+        req.tries.push(BackendAttempt {
             wire,
             ticket,
             since: self.now,
@@ -117,7 +117,7 @@
         replied: bool,
     ) -> bool {
         self.now = now;
-        let Some(req) = self.reqs.get_mut(&id) else {
+        let Some(req) = self.requests.get_mut(&id) else {
             return false;
         };
         let Some(at) = req.tries.iter().position(|t| t.wire == wire) else {
@@ -125,15 +125,15 @@
         };
         let done = req.tries.swap_remove(at);
         let (handler, until) = (req.handler, req.until);
-        let Some(leads) = self.leads.clone() else {
+        let Some(leads) = self.backend_selector.clone() else {
             return false;
         };
         let end = end(how, replied);
         leads.over(&done.ticket, end);
         if how == Outcome::Completed {
             // Those that were out for longer were outrun.
-            if let Some(req) = self.reqs.get_mut(&id) {
-                let later = |t: &Try| t.since >= done.since;
+            if let Some(req) = self.requests.get_mut(&id) {
+                let later = |t: &BackendAttempt| t.since >= done.since;
                 if req.tries.iter().all(later) {
                     self.drop_tries(id, AttemptOutcome::Cancelled);
                 } else {
@@ -142,7 +142,7 @@
             }
             return false;
         }
-        if self.reqs.get(&id).is_some_and(|r| !r.tries.is_empty()) {
+        if self.requests.get(&id).is_some_and(|r| !r.tries.is_empty()) {
             return true;
         }
         let left = until.map_or(Duration::ZERO, |at| at - now);
@@ -162,11 +162,12 @@
     /// A call that is out for longer than nearly all others has a second attempt beside it.
     pub(super) fn hedge(&mut self, now: Timestamp, id: u64) {
         self.now = now;
-        let Some(req) = self.reqs.get_mut(&id) else {
+        let Some(req) = self.requests.get_mut(&id) else {
             return;
         };
         req.hedge = None;
-        let (Some(leads), [only], Some(until)) = (self.leads.clone(), &req.tries[..], req.until)
+        let (Some(leads), [only], Some(until)) =
+            (self.backend_selector.clone(), &req.tries[..], req.until)
         else {
             return;
         };
@@ -180,16 +181,16 @@
 
     /// All attempts of a call that are out end here.
     pub(super) fn drop_tries(&mut self, id: u64, end: AttemptOutcome) {
-        let Some(req) = self.reqs.get_mut(&id) else {
+        let Some(req) = self.requests.get_mut(&id) else {
             return;
         };
         if let Some(at) = req.hedge.take() {
-            self.due.remove(&(at, Due::Hedge(id)));
+            self.due.remove(&(at, Deadline::Hedge(id)));
         }
         let tries = std::mem::take(&mut req.tries);
         for each in tries {
             self.calls.quit_wire(self.now, each.wire);
-            if let Some(leads) = &self.leads {
+            if let Some(leads) = &self.backend_selector {
                 leads.over(&each.ticket, end);
             }
         }
--- a/crates/server/src/core/durability.rs
+++ b/crates/server/src/core/durability.rs
@@ -22,7 +22,7 @@
 const TIDY: Duration = Duration::from_millis(500);
 
 /// What a write is waited for by.
-pub enum Waits {
+pub enum PendingWork {
     /// The command to run a req.
     Run(u64),
     /// The answer of a req whose run is over, with its result.
@@ -31,29 +31,29 @@
 }
 
 /// What the writing thread tells.
-pub enum Told {
+pub enum StorageEvent {
     Written { seq: SequenceNumber, disk: u64 },
     Failed { seq: SequenceNumber, why: String },
     Works { disk: u64 },
 }
 
-pub struct Keep {
+pub struct DurabilityQueue {
     pub book: DurableResults,
     to: Sender<(SequenceNumber, Vec<LogEntry>)>,
-    waiting: VecDeque<(SequenceNumber, Waits)>,
+    waiting: VecDeque<(SequenceNumber, PendingWork)>,
     /// Batches that were written, each with one sync where they are grouped.
     pub writes: u64,
 }
 
 /// What stands ready once a folder was opened and read, before anything is listened on.
-pub struct Opened {
+pub struct OpenedStore {
     log: WriteAheadLog<DirectoryStorage>,
     recovery: Recovery,
     took: Duration,
 }
 
 /// Opens the folder and reads what a former life left; says in one line why that can't be.
-pub fn open(set: &KeptResults, window: u64) -> Result<Opened, String> {
+pub fn open(set: &KeptResults, window: u64) -> Result<OpenedStore, String> {
     let told = |e: StoreError| format!("kept-results: {e}");
     let began = Instant::now();
     let storage = DirectoryStorage::open(&set.directory).map_err(told)?;
@@ -62,7 +62,7 @@
         retention_micros: window,
     };
     let (log, recovery) = WriteAheadLog::open(storage, unix_micros(), limits).map_err(told)?;
-    Ok(Opened {
+    Ok(OpenedStore {
         log,
         recovery,
         took: began.elapsed(),
@@ -71,10 +71,10 @@
 
 /// Takes over what was found and starts the writing thread.
 pub fn start(
-    opened: Opened,
+    opened: OpenedStore,
     set: &KeptResults,
-) -> std::io::Result<(Keep, UnboundedReceiver<Told>)> {
-    let Opened {
+) -> std::io::Result<(DurabilityQueue, UnboundedReceiver<StorageEvent>)> {
+    let OpenedStore {
         mut log,
         recovery,
         took,
@@ -96,13 +96,13 @@
         .name("kept".into())
         .stack_size(256 << 10)
         .spawn(move || write(&mut log, &orders, &tell, grouped))?;
-    Ok((Keep::new(book, to), told))
+    Ok((DurabilityQueue::new(book, to), told))
 }
 
 fn write(
     log: &mut WriteAheadLog<DirectoryStorage>,
     orders: &Receiver<(SequenceNumber, Vec<LogEntry>)>,
-    tell: &UnboundedSender<Told>,
+    tell: &UnboundedSender<StorageEvent>,
     grouped: bool,
 ) {
     let (mut broken, mut tidied) = (false, Instant::now());
@@ -121,11 +121,11 @@
                     .try_for_each(|part| log.commit(unix_micros(), part));
                 broken = done.is_err();
                 Some(match done {
-                    Ok(()) => Told::Written {
+                    Ok(()) => StorageEvent::Written {
                         seq,
                         disk: log.size_bytes(),
                     },
-                    Err(e) => Told::Failed {
+                    Err(e) => StorageEvent::Failed {
                         seq,
                         why: e.to_string(),
                     },
@@ -134,7 +134,7 @@
             Err(RecvTimeoutError::Timeout) if broken => {
                 log.commit(unix_micros(), &[]).ok().map(|()| {
                     broken = false;
-                    Told::Works {
+                    StorageEvent::Works {
                         disk: log.size_bytes(),
                     }
                 })
@@ -152,10 +152,13 @@
     }
 }
 
-impl Keep {
+impl DurabilityQueue {
     /// `to`: where batches of records go to be written.
-    pub fn new(book: DurableResults, to: Sender<(SequenceNumber, Vec<LogEntry>)>) -> Keep {
-        Keep {
+    pub fn new(
+        book: DurableResults,
+        to: Sender<(SequenceNumber, Vec<LogEntry>)>,
+    ) -> DurabilityQueue {
+        DurabilityQueue {
             book,
             to,
             waiting: VecDeque::new(),
@@ -174,7 +177,7 @@
         self.book.admit_intent()?;
         let (print, until) = window;
         let seq = self.book.record_intent(key, print, name, until);
-        self.waiting.push_back((seq, Waits::Run(id)));
+        self.waiting.push_back((seq, PendingWork::Run(id)));
         Ok(())
     }
 
@@ -184,12 +187,12 @@
             .book
             .record_result(key, result.map(str::as_bytes), until);
         self.waiting
-            .push_back((seq, Waits::Answer(id, result.map(Into::into))));
+            .push_back((seq, PendingWork::Answer(id, result.map(Into::into))));
     }
 
     pub fn never(&mut self, key: u128, until: Timestamp) {
         let seq = self.book.record_not_run(key, until);
-        self.waiting.push_back((seq, Waits::Nobody));
+        self.waiting.push_back((seq, PendingWork::Nobody));
     }
 
     /// Hands over all that is to be written.
@@ -200,7 +203,7 @@
     }
 
     /// Those that waited for no more than that.
-    pub fn upto(&mut self, seq: SequenceNumber) -> Vec<Waits> {
+    pub fn upto(&mut self, seq: SequenceNumber) -> Vec<PendingWork> {
         let n = self.waiting.partition_point(|w| w.0 <= seq);
         self.waiting.drain(..n).map(|w| w.1).collect()
     }
--- a/crates/server/src/core/in_flight.rs
+++ b/crates/server/src/core/in_flight.rs
@@ -1,10 +1,10 @@
 //! The reqs in hand: what each still needs for its run, its call and its answer. Carries out what the module
 //! decides; decides nothing.
 
-use crate::core::request_observer::Follows;
-use crate::core::durability::Keep;
-use crate::core::dispatch::{Leads, Try};
-use crate::core::quota_gate::Lent;
+use crate::core::dispatch::{BackendAttempt, BackendSelector};
+use crate::core::durability::DurabilityQueue;
+use crate::core::quota_gate::QuotaGate;
+use crate::core::request_observer::RequestObserver;
 use crate::downstream::connections::Connections;
 use crate::downstream::idempotency_table::{
     IdempotencyKey, IdempotencyTable, JoinedAttempt, KeyWindow,
@@ -13,8 +13,8 @@
 use crate::downstream::response;
 use crate::support::metrics::Counters;
 use crate::support::name::Name;
-use crate::upstream::calls::Desk;
-use crate::upstream::engine::{Link, command};
+use crate::upstream::calls::CallDispatcher;
+use crate::upstream::engine::{EngineLink, command};
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD as BASE64;
 use madderbay::interface::{Actions, Outcome, RetrySafety};
@@ -28,7 +28,7 @@
 use tokio::sync::Notify;
 
 /// A req that was read: what its answer and its run need.
-pub struct InHand {
+pub struct InFlightRequest {
     pub name: Name,
     pub conn: u64,
     pub rpc: u64,
@@ -45,7 +45,7 @@
     pub wants: Vec<u8>,
     pub until: Option<Timestamp>,
     /// Attempts of its call at backends, and when one that is out has another beside it.
-    pub tries: Vec<Try>,
+    pub tries: Vec<BackendAttempt>,
     pub hedge: Option<Timestamp>,
     /// The notice for which a backend was called last, and that attempt.
     pub called: Option<(u64, UpstreamAttempt)>,
@@ -62,7 +62,7 @@
 
 /// What a due time is for.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Due {
+pub enum Deadline {
     Call(u64),
     /// A call that is still out may have a second attempt.
     Hedge(u64),
@@ -74,29 +74,29 @@
 }
 
 /// All that is in hand, and the ways out.
-pub struct Hands {
+pub struct InFlightRequests {
     pub now: Timestamp,
-    pub reqs: HashMap<u64, InHand>,
+    pub requests: HashMap<u64, InFlightRequest>,
     pub names: HashMap<Name, u64>,
-    pub conns: Connections,
+    pub connections: Connections,
     pub validator: RequestValidator,
-    pub door: IdempotencyTable,
-    pub engine: Link,
-    pub calls: Desk,
+    pub idempotency: IdempotencyTable,
+    pub engine_link: EngineLink,
+    pub calls: CallDispatcher,
     /// Ceilings by pool, where the operator set any.
-    pub pools: Option<ConcurrencyLimiter>,
+    pub concurrency: Option<ConcurrencyLimiter>,
     /// Budgets of the whole fleet, where the operator set any.
-    pub lent: Option<Lent>,
+    pub quota_gate: Option<QuotaGate>,
     /// Backends below, where the operator set any, and the handlers whose calls may be made twice.
-    pub leads: Option<Rc<dyn Leads>>,
+    pub backend_selector: Option<Rc<dyn BackendSelector>>,
     pub replayable: Vec<bool>,
     /// Results that outlast this life, where the operator wants them.
-    pub keep: Option<Keep>,
+    pub durability: Option<DurabilityQueue>,
     /// Reqs that the module has started and whose run was never sent: nothing could be promised.
     pub unrun: VecDeque<u64>,
     /// Calls that the module has made and whose budget had no room any more: they never leave.
     pub unmade: VecDeque<u64>,
-    pub due: BTreeSet<(Timestamp, Due)>,
+    pub due: BTreeSet<(Timestamp, Deadline)>,
     pub wake: Option<Timestamp>,
     /// When the timer that is ringing was due: the next is counted from there, so that each ring's lateness
     /// does not add up to fewer rings.
@@ -113,30 +113,30 @@
     pub report: Rc<Notify>,
 }
 
-impl Hands {
+impl InFlightRequests {
     /// `results`: the bytes that kept results may take.
-    pub fn new(now: Timestamp, settings: &Settings, results: usize) -> Hands {
-        Hands {
+    pub fn new(now: Timestamp, settings: &Settings, results: usize) -> InFlightRequests {
+        InFlightRequests {
             now,
-            reqs: HashMap::new(),
+            requests: HashMap::new(),
             names: HashMap::new(),
-            conns: Connections::default(),
+            connections: Connections::default(),
             validator: RequestValidator::new(settings),
-            door: IdempotencyTable::new(settings, results),
-            engine: Link::default(),
-            calls: Desk::default(),
-            pools: None,
-            lent: None,
-            leads: None,
+            idempotency: IdempotencyTable::new(settings, results),
+            engine_link: EngineLink::default(),
+            calls: CallDispatcher::default(),
+            concurrency: None,
+            quota_gate: None,
+            backend_selector: None,
             replayable: settings
                 .handlers
                 .iter()
                 .map(|h| h.retry_safety == RetrySafety::Idempotent)
                 .collect(),
-            keep: None,
+            durability: None,
             unrun: VecDeque::new(),
             unmade: VecDeque::new(),
-            due: BTreeSet::from([(now, Due::Tidy)]),
+            due: BTreeSet::from([(now, Deadline::Tidy)]),
             wake: None,
             rang: now,
             load_report: None,
@@ -150,34 +150,34 @@
     }
 
     /// Tells pools and budgets, where there are any, of a req that is in hand.
-    pub fn followed(&mut self, id: u64, tell: impl Fn(&mut dyn Follows, Timestamp, usize)) {
-        let Some(req) = self.reqs.get(&id) else {
+    pub fn followed(&mut self, id: u64, tell: impl Fn(&mut dyn RequestObserver, Timestamp, usize)) {
+        let Some(req) = self.requests.get(&id) else {
             return;
         };
-        if let Some(pools) = &mut self.pools {
+        if let Some(pools) = &mut self.concurrency {
             tell(pools, self.now, req.handler);
         }
-        if let Some(lent) = &mut self.lent {
+        if let Some(lent) = &mut self.quota_gate {
             tell(lent, self.now, req.handler);
         }
     }
 
     /// The final answer of a req, once.
     fn answer(&mut self, id: u64, write: impl FnOnce(&mut Vec<u8>, u64, Option<f64>)) -> bool {
-        let Some(req) = self.reqs.get_mut(&id).filter(|r| !r.answered) else {
+        let Some(req) = self.requests.get_mut(&id).filter(|r| !r.answered) else {
             return false;
         };
         req.answered = true;
         let report = self.load_report;
-        self.conns
+        self.connections
             .answer(self.now, req.conn, |out| write(out, req.rpc, report));
-        self.conns.request_settled(req.conn, req.rpc);
+        self.connections.request_settled(req.conn, req.rpc);
         true
     }
 
     /// Answers with what a run made; nothing stands for a run that made none.
     pub fn answer_run(&mut self, id: u64, result: Option<&str>) {
-        let partial = self.reqs.get(&id).is_some_and(|r| r.partial);
+        let partial = self.requests.get(&id).is_some_and(|r| r.partial);
         let answered = self.answer(id, |out, rpc, report| match result {
             Some(blob) => response::done(out, rpc, blob, report),
             None => response::errored(out, rpc, report),
@@ -190,7 +190,7 @@
     /// The run of a keyed req is over. Where results are kept its answer waits until this one lasts, and
     /// the req stays in hand for it; else, or where nothing ran, false.
     pub fn keep_result(&mut self, id: u64, how: Outcome, result: Option<&str>) -> bool {
-        let (Some(keep), Some(req)) = (&mut self.keep, self.reqs.get(&id)) else {
+        let (Some(keep), Some(req)) = (&mut self.durability, self.requests.get(&id)) else {
             return false;
         };
         let Some(key) = req.key else { return false };
@@ -198,9 +198,9 @@
             self.take_back(key);
             return false;
         }
-        let until = self.door.window(key).map_or(self.now, |w| w.end);
+        let until = self.idempotency.window(key).map_or(self.now, |w| w.end);
         keep.settle(id, key, result, until);
-        self.due.insert((req.latest, Due::Settle(id)));
+        self.due.insert((req.latest, Deadline::Settle(id)));
         self.counters.run_over(how);
         self.counters.ran[req.handler] += 1;
         self.give_up_call(id);
@@ -210,13 +210,13 @@
 
     /// The result of a req lasts, or can't be made to: it is answered, and so are those that joined it.
     pub fn settled(&mut self, id: u64, result: Option<&str>) {
-        let Some(req) = self.reqs.get(&id) else {
+        let Some(req) = self.requests.get(&id) else {
             return;
         };
         let (key, latest) = (req.key, req.latest);
-        self.due.remove(&(latest, Due::Settle(id)));
+        self.due.remove(&(latest, Deadline::Settle(id)));
         self.answer_run(id, result);
-        for waiting in key.map_or(vec![], |k| self.door.run_ended(k, result)) {
+        for waiting in key.map_or(vec![], |k| self.idempotency.run_ended(k, result)) {
             self.joined(waiting, result);
         }
         self.remove(id);
@@ -224,8 +224,11 @@
 
     /// What the engine declined, or was never sent, takes its promise back.
     fn take_back(&mut self, key: IdempotencyKey) {
-        if let Some(keep) = &mut self.keep {
-            keep.never(key, self.door.window(key).map_or(self.now, |w| w.end));
+        if let Some(keep) = &mut self.durability {
+            keep.never(
+                key,
+                self.idempotency.window(key).map_or(self.now, |w| w.end),
+            );
         }
     }
 
@@ -240,12 +243,12 @@
     /// A run that the module started was never sent: it is shed, and so are those that joined it; the module
     /// hears that nothing ran, and a further try is a new one.
     pub fn never_ran(&mut self, id: u64, come_back: Duration) {
-        let Some(req) = self.reqs.get(&id) else {
+        let Some(req) = self.requests.get(&id) else {
             return;
         };
         let key = req.key;
         self.counters.run_over(Outcome::AlreadyEnded);
-        let joined = key.map_or(vec![], |k| self.door.run_ended(k, None));
+        let joined = key.map_or(vec![], |k| self.idempotency.run_ended(k, None));
         for id in std::iter::once(id).chain(joined) {
             self.answer_shed(id, come_back, false);
             self.remove(id);
@@ -253,12 +256,12 @@
         }
         if let Some(key) = key {
             self.take_back(key);
-            self.door.remove_held_by(id);
+            self.idempotency.remove_held_by(id);
         }
     }
 
     pub fn joined(&mut self, id: u64, result: Option<&str>) {
-        if self.reqs.contains_key(&id) {
+        if self.requests.contains_key(&id) {
             self.answer_run(id, result);
             self.counters.joined += 1;
             self.remove(id);
@@ -276,7 +279,7 @@
     pub fn remove(&mut self, id: u64) {
         self.give_up_call(id);
         self.followed(id, |f, now, _| f.request_finished(now, id));
-        let Some(req) = self.reqs.remove(&id) else {
+        let Some(req) = self.requests.remove(&id) else {
             return;
         };
         self.names.remove(&req.name);
@@ -284,11 +287,11 @@
     }
 
     fn give_up_call(&mut self, id: u64) {
-        let Some(req) = self.reqs.get_mut(&id) else {
+        let Some(req) = self.requests.get_mut(&id) else {
             return;
         };
         if let Some(until) = req.until.take() {
-            self.due.remove(&(until, Due::Call(id)));
+            self.due.remove(&(until, Deadline::Call(id)));
             if req.tries.is_empty() {
                 self.calls.quit(self.now, &req.name);
             }
@@ -301,11 +304,11 @@
 
     /// The req is answered or its caller gone: a call for it is given up, and unless it runs it is over.
     pub fn nobody_waits(&mut self, id: u64) {
-        let Some(req) = self.reqs.get_mut(&id) else {
+        let Some(req) = self.requests.get_mut(&id) else {
             return;
         };
         req.answered = true;
-        self.conns.request_settled(req.conn, req.rpc);
+        self.connections.request_settled(req.conn, req.rpc);
         if req.started {
             self.give_up_call(id);
             self.followed(id, |f, now, _| f.request_answered(now, id));
@@ -315,7 +318,7 @@
     }
 
     pub fn command(&mut self, id: u64, msg: &str, rest: std::fmt::Arguments) {
-        let Some(req) = self.reqs.get_mut(&id) else {
+        let Some(req) = self.requests.get_mut(&id) else {
             return;
         };
         let line = command(msg, &req.name, rest);
@@ -327,53 +330,53 @@
 
     /// The promise of its run lasts: the engine may have it.
     pub fn release(&mut self, id: u64) {
-        let unsent = self.reqs.get_mut(&id).and_then(|r| r.unsent.take());
+        let unsent = self.requests.get_mut(&id).and_then(|r| r.unsent.take());
         for line in unsent.into_iter().flatten() {
             self.send(id, &line);
         }
     }
 
     fn send(&mut self, id: u64, line: &[u8]) {
-        let Some(req) = self.reqs.get_mut(&id) else {
+        let Some(req) = self.requests.get_mut(&id) else {
             return;
         };
-        if self.engine.heard() >= req.proof {
+        if self.engine_link.heard() >= req.proof {
             req.unproven.clear();
             req.fed = None;
         }
         req.unproven.extend_from_slice(line);
-        req.proof = self.engine.proof();
-        self.engine.send(line);
+        req.proof = self.engine_link.proof();
+        self.engine_link.send(line);
     }
 
     /// The reply to the call that a run stands at.
     pub fn feed(&mut self, id: u64, body: &[u8]) {
         let blob = BASE64.encode(body);
-        let begins = self.engine.out.queued();
+        let begins = self.engine_link.out.queued();
         self.command(id, "FEED", format_args!(",\"blob\":\"{blob}\""));
-        if let Some(req) = self.reqs.get_mut(&id).filter(|_| self.engine.up) {
+        if let Some(req) = self.requests.get_mut(&id).filter(|_| self.engine_link.up) {
             req.fed = Some(begins);
         }
     }
 
     /// The link is lost: a reply of which nothing left is known not to have been read.
     pub fn unlinked(&mut self) {
-        let written = self.engine.out.written();
-        let unsent = |r: &&mut InHand| r.fed.is_some_and(|begins| begins >= written);
-        self.reqs
+        let written = self.engine_link.out.written();
+        let unsent = |r: &&mut InFlightRequest| r.fed.is_some_and(|begins| begins >= written);
+        self.requests
             .values_mut()
             .filter(unsent)
             .for_each(|r| r.fed = None);
-        self.engine.lost();
+        self.engine_link.lost();
     }
 
     /// Sends again what may not have reached the engine; gives the reqs whose run may have read the reply to its
     /// call, or may still wait for it. A reply says not which call it is for: one that is sent again could meet
     /// the run's next.
     pub fn resend(&mut self) -> Vec<u64> {
-        let proven = self.engine.proven_before();
+        let proven = self.engine_link.proven_before();
         let mut unproven: Vec<_> = self
-            .reqs
+            .requests
             .iter_mut()
             .filter(|(_, r)| r.proof > proven && !r.unproven.is_empty())
             .collect();
@@ -385,16 +388,16 @@
                 doubtful.push(*id);
                 continue;
             }
-            req.proof = self.engine.proof();
-            self.engine.send(&req.unproven);
+            req.proof = self.engine_link.proof();
+            self.engine_link.send(&req.unproven);
         }
         doubtful
     }
 }
 
-impl Actions for Hands {
+impl Actions for InFlightRequests {
     fn start(&mut self, id: u64) {
-        let Some(req) = self.reqs.get_mut(&id) else {
+        let Some(req) = self.requests.get_mut(&id) else {
             return;
         };
         req.started = true;
@@ -402,11 +405,11 @@
         let body = std::mem::take(&mut req.body);
         let (key, handler, name) = (req.key, req.handler, req.name);
         if let Some(key) = key {
-            self.door.run_started(key);
+            self.idempotency.run_started(key);
         }
-        if let (Some(keep), Some(key)) = (&mut self.keep, key) {
+        if let (Some(keep), Some(key)) = (&mut self.durability, key) {
             let window = self
-                .door
+                .idempotency
                 .window(key)
                 .map_or((0, self.now), |w| (w.fingerprint, w.end));
             if keep.promise(id, key, window, name).is_err() {
@@ -445,13 +448,13 @@
             self.unmade.push_back(id);
             return;
         };
-        let Some(req) = self.reqs.get_mut(&id) else {
+        let Some(req) = self.requests.get_mut(&id) else {
             return;
         };
         let mut patience = patience;
-        if let Some(lent) = &mut self.lent {
+        if let Some(lent) = &mut self.quota_gate {
             if !lent.may_call(req.handler) {
-                if let (Some(ticket), Some(leads)) = (&to, &self.leads) {
+                if let (Some(ticket), Some(leads)) = (&to, &self.backend_selector) {
                     leads.over(ticket, Tried::Cancelled);
                 }
                 self.unmade.push_back(id);
@@ -461,7 +464,7 @@
         }
         let until = self.now + patience;
         req.until = Some(until);
-        self.due.insert((until, Due::Call(id)));
+        self.due.insert((until, Deadline::Call(id)));
         self.counters.calls += 1;
         self.send_call(id, patience, to);
         self.followed(id, |f, now, handler| {
@@ -470,7 +473,7 @@
     }
 
     fn skip_call(&mut self, id: u64) {
-        let Some(req) = self.reqs.get_mut(&id) else {
+        let Some(req) = self.requests.get_mut(&id) else {
             return;
         };
         req.partial = true;
@@ -482,7 +485,7 @@
 
     fn store_key(&mut self, id: u64, term: Duration) {
         if let Some((key, print, handler)) = self
-            .reqs
+            .requests
             .get(&id)
             .and_then(|r| Some((r.key?, r.print, r.handler)))
         {
@@ -490,21 +493,21 @@
                 fingerprint: print,
                 end: self.now + term,
             };
-            self.door.insert(id, key, handler, window);
+            self.idempotency.insert(id, key, handler, window);
         }
     }
 
     fn remove_key(&mut self, id: u64) {
-        self.door.remove_held_by(id);
+        self.idempotency.remove_held_by(id);
     }
 
     fn join_attempt(&mut self, id: u64) {
         // It waits for another's run and wants none of its own.
         self.followed(id, |f, now, _| f.request_finished(now, id));
-        let Some(req) = self.reqs.get(&id) else {
+        let Some(req) = self.requests.get(&id) else {
             return;
         };
-        match self.door.join(id, req.key) {
+        match self.idempotency.join(id, req.key) {
             JoinedAttempt::Waits => {}
             JoinedAttempt::Completed(result) => self.joined(id, Some(&result)),
             JoinedAttempt::Failed => self.joined(id, None),
@@ -523,11 +526,11 @@
     }
 
     fn set_idle_limit(&mut self, limit: Duration) {
-        self.due.retain(|d| !matches!(d.1, Due::Idle(_)));
+        self.due.retain(|d| !matches!(d.1, Deadline::Idle(_)));
         self.due.extend(
-            self.conns
+            self.connections
                 .set_idle_limit(limit)
-                .map(|(at, no)| (at, Due::Idle(no))),
+                .map(|(at, no)| (at, Deadline::Idle(no))),
         );
     }
 
--- a/crates/server/src/core/quota_gate.rs
+++ b/crates/server/src/core/quota_gate.rs
@@ -1,7 +1,7 @@
 //! Budgets of the fleet as the core meets them: which reqs have calls in hand under which budget, which will
-//! want one, and the ceilings that come of it. What may be used is asked of whoever [`Lends`].
+//! want one, and the ceilings that come of it. What may be used is asked of the [`QuotaSource`].
 
-use crate::core::request_observer::Follows;
+use crate::core::request_observer::RequestObserver;
 use madderbay::interface::{Ceiling, Upstream};
 use madderbay::time::{Duration, Timestamp};
 use madderbay_concurrency::limit::Completion;
@@ -21,7 +21,7 @@
 const ALLOWANCES: Duration = Duration::from_millis(1_000);
 
 /// Whoever knows what this server may use of what the fleet shares. Times are its own.
-pub trait Lends {
+pub trait QuotaSource {
     /// Calls that may be in hand now, by budget.
     fn usable(&self, budget: usize) -> usize;
     /// One more call, if it may be.
@@ -39,7 +39,7 @@
 
 /// One budget as it is set here.
 #[derive(Clone, Debug)]
-pub struct Group {
+pub struct QuotaGroup {
     pub handlers: Vec<usize>,
     /// No call under it is waited for any longer.
     pub longest: Duration,
@@ -58,9 +58,9 @@
     told: usize,
 }
 
-pub struct Lent {
-    to: Rc<dyn Lends>,
-    groups: Vec<Group>,
+pub struct QuotaGate {
+    to: Rc<dyn QuotaSource>,
+    groups: Vec<QuotaGroup>,
     /// By handler: its budget, and whether its runs must call.
     of: Vec<Option<usize>>,
     must: Vec<bool>,
@@ -75,13 +75,13 @@
     rest: f64,
 }
 
-impl Lent {
+impl QuotaGate {
     pub fn new(
-        to: Rc<dyn Lends>,
-        groups: Vec<Group>,
+        to: Rc<dyn QuotaSource>,
+        groups: Vec<QuotaGroup>,
         kinds: &[HandlerProfile],
         below: &Upstream,
-    ) -> Lent {
+    ) -> QuotaGate {
         let of: Vec<Option<usize>> = (0..kinds.len())
             .map(|h| groups.iter().position(|g| g.handlers.contains(&h)))
             .collect();
@@ -90,7 +90,7 @@
             .zip(&of)
             .all(|(k, of)| k.calls == CallRequirement::Never || of.is_some());
         let rest = if covers { 0.0 } else { below.quota };
-        Lent {
+        QuotaGate {
             to,
             of,
             must: kinds
@@ -205,7 +205,7 @@
     }
 }
 
-impl Follows for Lent {
+impl RequestObserver for QuotaGate {
     fn set_stage(&mut self, now: Timestamp, id: u64, handler: usize, stage: RequestStage) {
         let Some(budget) = self.of.get(handler).copied().flatten() else {
             return;
--- a/crates/server/src/core/request_observer.rs
+++ b/crates/server/src/core/request_observer.rs
@@ -5,7 +5,7 @@
 use madderbay_concurrency::limit::Completion;
 use madderbay_concurrency::{ConcurrencyLimiter, RequestStage};
 
-pub trait Follows {
+pub trait RequestObserver {
     /// A req stands at another stage, or is new.
     fn set_stage(&mut self, now: Timestamp, id: u64, handler: usize, stage: RequestStage);
     /// This process was held up until now.
@@ -20,7 +20,7 @@
     fn request_finished(&mut self, now: Timestamp, id: u64);
 }
 
-impl Follows for ConcurrencyLimiter {
+impl RequestObserver for ConcurrencyLimiter {
     fn set_stage(&mut self, now: Timestamp, id: u64, handler: usize, stage: RequestStage) {
         ConcurrencyLimiter::set_stage(self, now, id, handler, stage);
     }
--- a/crates/server/src/downstream/json_rpc.rs
+++ b/crates/server/src/downstream/json_rpc.rs
@@ -4,7 +4,7 @@
 //! and the core for the time of a call. Answers the lines that it can't serve; every other answer is the core's.
 //! Never reads a socket and never decides a request.
 
-use crate::core::event_loop::Serve;
+use crate::core::event_loop::EventLoop;
 use crate::downstream::connections::{LineProgress, OpenRequestError};
 use crate::downstream::request_validation::InvalidRequest;
 use crate::downstream::response;
@@ -108,7 +108,7 @@
 
     /// Serves the lines that were completed by what was read; no bytes are the end of the input. False when
     /// nothing more is read.
-    pub fn feed(&mut self, now: Timestamp, bytes: &[u8], serve: &mut Serve) -> bool {
+    pub fn feed(&mut self, now: Timestamp, bytes: &[u8], serve: &mut EventLoop) -> bool {
         let (connection, ended) = (self.connection, &mut self.ended);
         let mut completed = false;
         let in_bounds = self.lines.feed(bytes, |line| {
@@ -129,24 +129,24 @@
             partial: self.lines.amid(),
             completed,
         };
-        serve.hands.conns.line_read(now, connection, progress);
+        serve.connections_mut().line_read(now, connection, progress);
         if bytes.is_empty() {
-            serve.no_more(connection);
+            serve.input_ended(connection);
         }
         !self.ended
     }
 }
 
 impl InvalidLine {
-    fn answer(&self, now: Timestamp, connection: u64, serve: &mut Serve) {
+    fn answer(&self, now: Timestamp, connection: u64, serve: &mut EventLoop) {
         let error = self.error;
-        serve.hands.counters.bad_lines += 1;
+        serve.counters_mut().bad_lines += 1;
         log::debug!("connection {connection}: a line can't be served: {error}");
-        if let Some(outbox) = serve.out(connection) {
+        if let Some(outbox) = serve.outbox(connection) {
             outbox.put(|out| response::invalid(out, self.id, error.code(), error));
         }
         if error.is_protocol_violation() {
-            serve.turn_off(now, connection);
+            serve.reject_connection(now, connection);
         }
     }
 }
@@ -188,7 +188,7 @@
     now: Timestamp,
     connection: u64,
     line: &[u8],
-    serve: &mut Serve,
+    serve: &mut EventLoop,
 ) -> Result<(), InvalidLine> {
     let call = Call::read(line)?;
     if call.method == method::FORGET {
@@ -197,7 +197,7 @@
     }
     let id = call.id.ok_or(LineError::NoId)?;
     if call.method == method::IS_WELL {
-        serve.health(now, connection, id);
+        serve.health_checked(now, connection, id);
         return Ok(());
     }
     serve_request(now, connection, id, &call, serve).map_err(|error| InvalidLine {
@@ -207,11 +207,11 @@
 }
 
 /// Withdraws a request by its id or by the name of the attempt; without either, nothing is done.
-fn forget(now: Timestamp, connection: u64, call: &Call, serve: &mut Serve) {
+fn forget(now: Timestamp, connection: u64, call: &Call, serve: &mut EventLoop) {
     if let Some(params) = call.params() {
         let attempt = params.text(param::ATTEMPT_NAME);
         let attempt = attempt.as_deref().and_then(name);
-        serve.forget(now, connection, params.whole(param::WITHDRAWN_ID), attempt);
+        serve.attempt_withdrawn(now, connection, params.whole(param::WITHDRAWN_ID), attempt);
     }
 }
 
@@ -220,19 +220,14 @@
     connection: u64,
     id: u64,
     call: &Call,
-    serve: &mut Serve,
+    serve: &mut EventLoop,
 ) -> Result<(), LineError> {
-    let hands = &serve.hands;
-    let handler = hands
-        .validator
+    let handler = serve
         .handler(&call.method)
         .ok_or(LineError::UnknownMethod)?;
-    serve.may_open(connection, id)?;
+    serve.check_open(connection, id)?;
     let params = call.params().ok_or(LineError::ParamsNotAnObject)?;
-    let hands = &mut serve.hands;
-    let request = hands
-        .validator
-        .validate(now, handler, &params, &hands.door)?;
-    serve.arrived(now, connection, id, request)?;
+    let request = serve.validate(now, handler, &params)?;
+    serve.request_arrived(now, connection, id, request)?;
     Ok(())
 }
--- a/crates/server/src/downstream/listener.rs
+++ b/crates/server/src/downstream/listener.rs
@@ -5,7 +5,7 @@
 //! reports that to the core however it ended, and so a bad peer or a panic ends there. Never closes a connection
 //! unread, and never reads a line itself.
 
-use crate::core::event_loop::Shared;
+use crate::core::event_loop::SharedEventLoop;
 use crate::downstream::json_rpc::JsonRpcSession;
 use crate::support::clock::Clock;
 use crate::support::io::{Outbox, drive_peer};
@@ -42,14 +42,14 @@
 struct ConnectionGuard {
     connection: u64,
     clock: Rc<Clock>,
-    serve: Shared,
+    serve: SharedEventLoop,
 }
 
 impl Drop for ConnectionGuard {
     fn drop(&mut self) {
         // The core may be in use where a panic unwinds through it: the report follows once it is free.
         match self.serve.try_borrow_mut() {
-            Ok(mut serve) => serve.closed(self.clock.now(), self.connection),
+            Ok(mut serve) => serve.connection_closed(self.clock.now(), self.connection),
             Err(_) => {
                 let (clock, serve) = (self.clock.clone(), self.serve.clone());
                 tokio::task::spawn_local(report_closed(self.connection, clock, serve));
@@ -59,10 +59,10 @@
 }
 
 /// Reports the end of a connection as soon as the core is free.
-async fn report_closed(connection: u64, clock: Rc<Clock>, serve: Shared) {
+async fn report_closed(connection: u64, clock: Rc<Clock>, serve: SharedEventLoop) {
     while serve
         .try_borrow_mut()
-        .map(|mut core| core.closed(clock.now(), connection))
+        .map(|mut core| core.connection_closed(clock.now(), connection))
         .is_err()
     {
         tokio::task::yield_now().await;
@@ -74,7 +74,7 @@
     listener: TcpListener,
     max_connections: usize,
     clock: Rc<Clock>,
-    serve: Shared,
+    serve: SharedEventLoop,
     stop: Rc<Notify>,
 ) {
     loop {
@@ -98,7 +98,7 @@
         return;
     };
     for stream in backlog(&listener) {
-        let within_limit = serve.borrow().connections() < max_connections;
+        let within_limit = serve.borrow().connection_count() < max_connections;
         if let Ok(stream) = TcpStream::from_std(stream) {
             start(stream, within_limit, &clock, &serve);
         }
@@ -120,14 +120,14 @@
 
 /// Enters a connection into the core and starts its task. It counts from here on, not from its task's first
 /// poll, because many may be accepted before that.
-fn start(stream: TcpStream, within_limit: bool, clock: &Rc<Clock>, serve: &Shared) {
+fn start(stream: TcpStream, within_limit: bool, clock: &Rc<Clock>, serve: &SharedEventLoop) {
     let (outbox, now) = (Outbox::default(), clock.now());
     let mut core = serve.borrow_mut();
     // One over the limit is served too: what was written to it is owed an answer.
     let connection = if within_limit {
-        core.opened(now, outbox.clone())
+        core.connection_opened(now, outbox.clone())
     } else {
-        core.opened_beyond(now, outbox.clone())
+        core.connection_opened_over_limit(now, outbox.clone())
     };
     let guard = ConnectionGuard {
         connection,
@@ -139,10 +139,10 @@
 
 /// Evicts idle connections until one more is within the limit. False where none can be evicted: the next is
 /// rejected, once few enough others are being rejected.
-async fn make_way(max_connections: usize, clock: &Clock, serve: &Shared) -> bool {
-    while serve.borrow().connections() >= max_connections {
-        if !serve.borrow_mut().make_room(clock.now()) {
-            if serve.borrow().beyond() < MAX_OVER_LIMIT {
+async fn make_way(max_connections: usize, clock: &Clock, serve: &SharedEventLoop) -> bool {
+    while serve.borrow().connection_count() >= max_connections {
+        if !serve.borrow_mut().evict_connection(clock.now()) {
+            if serve.borrow().connections_over_limit() < MAX_OVER_LIMIT {
                 return false;
             }
             tokio::time::sleep(OVER_LIMIT_POLL_INTERVAL).await;
--- a/crates/server/src/downstream/registration.rs
+++ b/crates/server/src/downstream/registration.rs
@@ -4,7 +4,7 @@
 //! server's name, and from the core whether this server takes work. Sends one report at a time. Never decides
 //! whether the server is ready, and never ends the program: a report that fails is made again.
 
-use crate::core::event_loop::Shared;
+use crate::core::event_loop::SharedEventLoop;
 use crate::support::io::{Outbox, drive_link};
 use crate::support::metrics::Counters;
 use std::cell::Cell;
@@ -128,7 +128,7 @@
 }
 
 /// Reports at an interval, and at once when what is reported, or to whom, changes. Runs until it is dropped.
-pub async fn run(mut address: watch::Receiver<SocketAddr>, name: String, serve: Shared) {
+pub async fn run(mut address: watch::Receiver<SocketAddr>, name: String, serve: SharedEventLoop) {
     loop {
         let registry = *address.borrow_and_update();
         let error = tokio::select! {
@@ -142,7 +142,11 @@
 }
 
 /// Reports on one connection until that fails.
-async fn report_on_one_connection(registry: SocketAddr, name: &str, serve: &Shared) -> ReportError {
+async fn report_on_one_connection(
+    registry: SocketAddr,
+    name: &str,
+    serve: &SharedEventLoop,
+) -> ReportError {
     let stream = match timeout(REPORT_TIMEOUT, TcpStream::connect(registry)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(e)) => return ReportError::Unreachable(e),
@@ -154,7 +158,7 @@
         outbox: Outbox::default(),
         answered: Notify::new(),
         status: Cell::new(0),
-        state_changed: serve.borrow().hands.report.clone(),
+        state_changed: serve.borrow().report_changed(),
         serve,
     };
     let mut answers = Answers::default();
@@ -170,8 +174,8 @@
     }
 }
 
-fn count(serve: &Shared, change: impl FnOnce(&mut Counters)) {
-    change(&mut serve.borrow_mut().hands.counters);
+fn count(serve: &SharedEventLoop, change: impl FnOnce(&mut Counters)) {
+    change(serve.borrow_mut().counters_mut());
 }
 
 /// The reports on one connection.
@@ -184,14 +188,14 @@
     status: Cell<u16>,
     /// Notified when another state is to be reported.
     state_changed: Rc<Notify>,
-    serve: &'a Shared,
+    serve: &'a SharedEventLoop,
 }
 
 impl Reporter<'_> {
     /// Sends a report and awaits its answer, again and again, until one fails.
     async fn run(&self) -> ReportError {
         loop {
-            let ready = self.serve.borrow().ready();
+            let ready = self.serve.borrow().is_ready();
             let bytes = report(&self.host, self.name, ready);
             self.outbox.put(|out| out.extend_from_slice(&bytes));
             if timeout(REPORT_TIMEOUT, self.answered.notified())
--- a/crates/server/src/fleet/backends.rs
+++ b/crates/server/src/fleet/backends.rs
@@ -1,8 +1,8 @@
 //! The backends as the operator file sets them, over the settings' handlers; and the place where the core asks for
 //! them, alone or with what the fleet's driver hears.
 
-use crate::core::dispatch::Leads;
-use crate::support::clock::Ticks;
+use crate::core::dispatch::BackendSelector;
+use crate::support::clock::MonotonicClock;
 use crate::support::metrics::Lines;
 use madderbay::time::{Duration, Timestamp};
 use madderbay_concurrency::UpstreamGroup;
@@ -17,13 +17,13 @@
 
 /// All that follows from the file.
 #[derive(Clone)]
-pub struct Routing {
+pub struct RoutingPlan {
     pub settings: Settings,
     pub backends: Vec<BackendSettings>,
 }
 
 /// Names become numbers; each that is no handler is told in a line.
-pub fn of(set: &operator::Routes, site: &Site) -> Result<Routing, Vec<String>> {
+pub fn of(set: &operator::Routes, site: &Site) -> Result<RoutingPlan, Vec<String>> {
     let mut wrong = vec![];
     let mut backends = vec![];
     for b in &set.backends {
@@ -52,13 +52,13 @@
         gossip: set.shares,
     };
     if wrong.is_empty() {
-        Ok(Routing { settings, backends })
+        Ok(RoutingPlan { settings, backends })
     } else {
         Err(wrong)
     }
 }
 
-impl Routing {
+impl RoutingPlan {
     /// Groups of handlers with the same backends, each with its fraction of all backends' weight.
     pub fn groups(&self) -> Vec<UpstreamGroup> {
         let mut groups: Vec<UpstreamGroup> = vec![];
@@ -82,17 +82,17 @@
 /// The machine, on a clock that the fleet's driver shares.
 pub struct Backends {
     pub routes: Rc<RefCell<UpstreamManager>>,
-    ticks: Ticks,
+    ticks: MonotonicClock,
 }
 
 impl Backends {
-    pub fn new(seed: u64, ticks: Ticks, set: Routing) -> Backends {
+    pub fn new(seed: u64, ticks: MonotonicClock, set: RoutingPlan) -> Backends {
         let routes = UpstreamManager::new(ticks(), seed, set.settings, set.backends);
         Backends::on(Rc::new(RefCell::new(routes)), ticks)
     }
 
     /// The same over a machine that there is.
-    pub fn on(routes: Rc<RefCell<UpstreamManager>>, ticks: Ticks) -> Backends {
+    pub fn on(routes: Rc<RefCell<UpstreamManager>>, ticks: MonotonicClock) -> Backends {
         Backends { routes, ticks }
     }
 
@@ -101,7 +101,7 @@
     }
 
     /// The operator has set backends anew.
-    pub fn reload(&self, set: Routing) {
+    pub fn reload(&self, set: RoutingPlan) {
         self.routes
             .borrow_mut()
             .reload(self.now(), set.settings, set.backends);
@@ -127,7 +127,7 @@
     }
 }
 
-impl Leads for Backends {
+impl BackendSelector for Backends {
     fn pick(&self, handler: usize) -> Option<UpstreamAttempt> {
         self.routes.borrow_mut().pick(self.now(), handler)
     }
--- a/crates/server/src/fleet/gossip.rs
+++ b/crates/server/src/fleet/gossip.rs
@@ -2,8 +2,8 @@
 //! turn, nothing waited for.
 
 use super::backends::Backends;
-use super::quota_leases::{Counted, Lender};
-use crate::support::clock::Ticks;
+use super::quota_leases::{CounterNames, FleetQuotaSource};
+use crate::support::clock::MonotonicClock;
 use crate::support::metrics::Lines;
 use madderbay::time::{Duration, Timestamp};
 use madderbay_membership::{AllowedNetworks, Membership, Settings};
@@ -32,10 +32,10 @@
 pub struct Fleet {
     pub together: Rc<RefCell<FleetStack>>,
     /// What the core asks of what is shared.
-    pub lender: Rc<Lender>,
+    pub lender: Rc<FleetQuotaSource>,
     /// The backends below, where there are any, which this drives too.
     backends: Option<Rc<Backends>>,
-    ticks: Ticks,
+    ticks: MonotonicClock,
     /// Dropped because too many came, or could not be sent at once.
     over: Cell<u64>,
     unsent: Cell<u64>,
@@ -67,12 +67,12 @@
 
 impl Fleet {
     pub fn new(
-        ticks: Ticks,
+        ticks: MonotonicClock,
         seed: u64,
         unix_ms: u64,
         set: Settings,
         shared: Option<madderbay_quota::Settings>,
-        counted: Counted,
+        counted: CounterNames,
         backends: Option<Rc<Backends>>,
     ) -> Fleet {
         let members = Membership::new(Timestamp::default(), unix_ms, seed, set);
@@ -82,7 +82,7 @@
         let (together, changed) = (Rc::new(RefCell::new(together)), Rc::new(Notify::new()));
         let hurry = changed.clone();
         let hurry = Box::new(move || hurry.notify_one());
-        let lender = Lender {
+        let lender = FleetQuotaSource {
             together: together.clone(),
             counted,
             ticks: ticks.clone(),
--- a/crates/server/src/fleet/mod.rs
+++ b/crates/server/src/fleet/mod.rs
@@ -4,6 +4,6 @@
 pub mod control_client;
 mod control_protocol;
 pub mod control_socket;
+pub mod gossip;
 pub mod quota_leases;
 pub mod quota_plan;
-pub mod gossip;
--- a/crates/server/src/fleet/quota_leases.rs
+++ b/crates/server/src/fleet/quota_leases.rs
@@ -1,24 +1,24 @@
 //! What the core asks of what the fleet shares: budgets, counts and allowances. On any clock, so that a simulation
 //! has the very same.
 
-use crate::core::quota_gate::Lends;
-use crate::support::clock::Ticks;
+use crate::core::quota_gate::QuotaSource;
+use crate::support::clock::MonotonicClock;
 use madderbay::time::Duration;
 use madderbay_quota::FleetQuotas;
 use madderbay_upstream::FleetStack;
 use std::cell::RefCell;
 use std::rc::Rc;
 
-pub struct Lender {
+pub struct FleetQuotaSource {
     pub together: Rc<RefCell<FleetStack>>,
     /// How what is counted is named, and which of the counts go by tenants.
-    pub counted: Counted,
-    pub ticks: Ticks,
+    pub counted: CounterNames,
+    pub ticks: MonotonicClock,
     /// Called where something is to be said sooner than the driver was told.
     pub hurry: Box<dyn Fn()>,
 }
 
-impl Lender {
+impl FleetQuotaSource {
     fn hurries(&self, shared: &FleetQuotas) {
         if shared.is_urgent() {
             (self.hurry)();
@@ -28,7 +28,7 @@
 
 /// What the counts go by: the names of handlers and tenants, with the allowance of each tenant over the fleet.
 #[derive(Clone, Debug, Default)]
-pub struct Counted {
+pub struct CounterNames {
     pub handlers: Vec<String>,
     pub tenants: Vec<String>,
     pub per_second: Vec<f64>,
@@ -39,21 +39,21 @@
     tenant_marks: Vec<u32>,
 }
 
-impl Counted {
+impl CounterNames {
     pub fn new(
         handlers: &[String],
         tenants: &[String],
         per_second: Vec<f64>,
         servers: u32,
         by_tenant: Vec<bool>,
-    ) -> Counted {
+    ) -> CounterNames {
         let marks = |names: &[String]| {
             names
                 .iter()
                 .map(|n| madderbay_quota::name_hash(n))
                 .collect()
         };
-        Counted {
+        CounterNames {
             handler_marks: marks(handlers),
             tenant_marks: marks(tenants),
             handlers: handlers.to_vec(),
@@ -91,7 +91,7 @@
 /// Tenants whose allowances are looked at a second, those that came most.
 const TENANTS_MOST: usize = 256;
 
-impl Lends for Lender {
+impl QuotaSource for FleetQuotaSource {
     fn usable(&self, budget: usize) -> usize {
         let together = self.together.borrow();
         let usable = together
--- a/crates/server/src/fleet/quota_plan.rs
+++ b/crates/server/src/fleet/quota_plan.rs
@@ -1,7 +1,7 @@
 //! What the operator file says of budgets and counts, over the settings' handlers and tenants.
 
-use crate::core::quota_gate::Group;
-use crate::fleet::quota_leases::Counted;
+use crate::core::quota_gate::QuotaGroup;
+use crate::fleet::quota_leases::CounterNames;
 use crate::support::clock::unix_micros;
 use crate::support::config::Config;
 use madderbay::time::Duration;
@@ -14,10 +14,10 @@
 const GUARD: Duration = Duration::from_millis(50);
 
 /// All that follows from it: for the machine, for the core, and for telling what was counted.
-pub struct Sharing {
+pub struct QuotaPlan {
     pub settings: madderbay_quota::Settings,
-    pub groups: Vec<Group>,
-    pub counted: Counted,
+    pub groups: Vec<QuotaGroup>,
+    pub counted: CounterNames,
 }
 
 /// A number that no other life has: the system's chance at the start, and when that was.
@@ -26,7 +26,7 @@
 }
 
 /// Names become numbers; each that is no handler is told in a line.
-pub fn of(set: &operator::Shared, config: &Config) -> Result<Sharing, Vec<String>> {
+pub fn of(set: &operator::Shared, config: &Config) -> Result<QuotaPlan, Vec<String>> {
     let s = &config.settings;
     let (mut wrong, mut groups, mut budgets) = (vec![], vec![], vec![]);
     for b in &set.budgets {
@@ -38,7 +38,7 @@
                 vec![]
             });
         let longest = Duration::from_millis(b.longest_ms);
-        groups.push(Group { handlers, longest });
+        groups.push(QuotaGroup { handlers, longest });
         budgets.push(BudgetSettings {
             name: b.name.as_str().into(),
             capacity: b.calls,
@@ -64,7 +64,7 @@
         .map(|c| c.by == operator::By::Tenant)
         .collect();
     let per_second = s.tenants.iter().map(|t| t.requests_per_second).collect();
-    let counted = Counted::new(
+    let counted = CounterNames::new(
         &s.handler_names,
         &s.tenant_names,
         per_second,
@@ -79,7 +79,7 @@
         counters: counts.collect(),
     };
     if wrong.is_empty() {
-        Ok(Sharing {
+        Ok(QuotaPlan {
             settings,
             groups,
             counted,
--- a/crates/server/src/fleet_endpoint.rs
+++ b/crates/server/src/fleet_endpoint.rs
@@ -7,10 +7,10 @@
 use madderbay_membership::is_valid_name;
 use madderbay_operator_config::members::Members;
 use madderbay_server::fleet::backends::Backends;
-use madderbay_server::fleet::quota_leases::Counted;
-use madderbay_server::fleet::quota_plan::Sharing;
 use madderbay_server::fleet::gossip::{self, Fleet};
-use madderbay_server::support::clock::{self, Ticks};
+use madderbay_server::fleet::quota_leases::CounterNames;
+use madderbay_server::fleet::quota_plan::QuotaPlan;
+use madderbay_server::support::clock::{self, MonotonicClock};
 use madderbay_server::support::config::Config;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -27,10 +27,10 @@
     pub(crate) config: &'a Config,
     pub(crate) members: &'a Members,
     /// Quotas and counters, where `[shared]` is on.
-    pub(crate) sharing: Option<Sharing>,
+    pub(crate) sharing: Option<QuotaPlan>,
     /// The backends whose state the fleet exchanges, where `[routes]` is on.
     pub(crate) backends: Option<Rc<Backends>>,
-    pub(crate) ticks: Ticks,
+    pub(crate) ticks: MonotonicClock,
     /// Added to the clock that distinguishes incarnations, in milliseconds.
     pub(crate) unix_ahead_ms: i64,
 }
@@ -68,7 +68,7 @@
     }
     let (quotas, counted) = match setup.sharing {
         Some(sharing) => (Some(sharing.settings), sharing.counted),
-        None => (None, Counted::default()),
+        None => (None, CounterNames::default()),
     };
     Ok(Fleet::new(
         setup.ticks,
--- a/crates/server/src/operator_plan.rs
+++ b/crates/server/src/operator_plan.rs
@@ -5,8 +5,8 @@
 use madderbay_concurrency::ConcurrencyConfig;
 use madderbay_operator_config::Operator;
 use madderbay_server::core::concurrency_limits;
-use madderbay_server::fleet::backends::{self, Routing};
-use madderbay_server::fleet::quota_plan::{self, Sharing};
+use madderbay_server::fleet::backends::{self, RoutingPlan};
+use madderbay_server::fleet::quota_plan::{self, QuotaPlan};
 use madderbay_server::support::config::Config;
 use std::path::Path;
 
@@ -52,9 +52,9 @@
     /// `[pools]` and `[reserve]`: concurrency limits by pool.
     pub(crate) concurrency: Option<ConcurrencyConfig>,
     /// `[shared]`: quotas and counters of the fleet.
-    pub(crate) sharing: Option<Sharing>,
+    pub(crate) sharing: Option<QuotaPlan>,
     /// `[routes]`: the backends.
-    pub(crate) routing: Option<Routing>,
+    pub(crate) routing: Option<RoutingPlan>,
 }
 
 impl OperatorPlan {
@@ -62,7 +62,10 @@
     pub(crate) fn new(operator: &Operator, config: &Config) -> Result<OperatorPlan, OperatorError> {
         let settings = &config.settings;
         let routing = operator.routes.as_ref().map(|r| backends::of(r, settings));
-        let concurrency = operator.pools.as_ref().map(|p| concurrency_limits::plan(p, settings));
+        let concurrency = operator
+            .pools
+            .as_ref()
+            .map(|p| concurrency_limits::plan(p, settings));
         let sharing = operator.shared.as_ref().map(|s| quota_plan::of(s, config));
         match (
             concurrency.transpose(),
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -11,12 +11,12 @@
 use madderbay_operator_config::kept::KeptResults;
 use madderbay_operator_config::members::Control;
 use madderbay_server::core::durability;
-use madderbay_server::core::event_loop::{Serve, Shared};
+use madderbay_server::core::event_loop::{EventLoop, SharedEventLoop};
 use madderbay_server::downstream::listener;
-use madderbay_server::fleet::backends::{Backends, Routing};
+use madderbay_server::fleet::backends::{Backends, RoutingPlan};
 use madderbay_server::fleet::control_socket::{self, SocketFile, Sources};
 use madderbay_server::fleet::gossip::Fleet;
-use madderbay_server::support::clock::{self, Clock, Ticks};
+use madderbay_server::support::clock::{self, Clock, MonotonicClock};
 use madderbay_server::support::config::Config;
 use madderbay_server::support::logging;
 use std::cell::RefCell;
@@ -39,7 +39,7 @@
     _control_socket: Option<SocketFile>,
     fleet: Option<FleetEndpoint>,
     backends: Option<Rc<Backends>>,
-    core: Shared,
+    core: SharedEventLoop,
     clock: Rc<Clock>,
     config: Config,
     operator_file: Option<PathBuf>,
@@ -57,7 +57,8 @@
             start_store(store, settings, &clock, &core)?;
         }
         if let Some(concurrency) = plan.concurrency {
-            core.borrow_mut().pool(clock.now(), concurrency);
+            core.borrow_mut()
+                .set_concurrency_limits(clock.now(), concurrency);
         }
         let ticks = clock::monotonic_since(Instant::now());
         let backends = build_backends(plan.routing, &config, &ticks, &core);
@@ -101,7 +102,7 @@
     }
 
     /// The core, which owns the decisions.
-    pub(crate) fn core(&self) -> &Shared {
+    pub(crate) fn core(&self) -> &SharedEventLoop {
         &self.core
     }
 
@@ -145,7 +146,7 @@
     /// Writes all counters to the log.
     pub(crate) fn log_counters(&self) {
         let of_fleet = self.fleet().map(Fleet::counters).unwrap_or_default();
-        logging::plain(self.core.borrow().counters() + &of_fleet);
+        logging::plain(self.core.borrow().counter_lines() + &of_fleet);
     }
 }
 
@@ -192,36 +193,36 @@
     Ok((listener, bound))
 }
 
-fn build_core(config: &Config, clock: &Clock, limits: &DescriptorLimits) -> Shared {
+fn build_core(config: &Config, clock: &Clock, limits: &DescriptorLimits) -> SharedEventLoop {
     let results_bytes = (config.memory_mb << 20) / RESULTS_MEMORY_DIVISOR;
     let settings = config.settings.clone();
-    let mut core = Serve::new(clock.now(), config.seed, settings, results_bytes);
-    core.limit(listener::others(limits.total));
+    let mut core = EventLoop::new(clock.now(), config.seed, settings, results_bytes);
+    core.limit_descriptors(listener::others(limits.total));
     Rc::new(RefCell::new(core))
 }
 
 /// Starts the thread that writes durable results, and the task that brings its reports to the core.
 fn start_store(
-    store: durability::Opened,
+    store: durability::OpenedStore,
     settings: &KeptResults,
     clock: &Rc<Clock>,
-    core: &Shared,
+    core: &SharedEventLoop,
 ) -> Result<(), StartError> {
     let (store, events) = durability::start(store, settings).map_err(StartError::StoreThread)?;
-    core.borrow_mut().hands.keep = Some(store);
+    core.borrow_mut().set_durability(store);
     tasks::spawn_store_events(events, clock, core);
     Ok(())
 }
 
 /// The backends, from which the core takes the address of each call.
 fn build_backends(
-    routing: Option<Routing>,
+    routing: Option<RoutingPlan>,
     config: &Config,
-    ticks: &Ticks,
-    core: &Shared,
+    ticks: &MonotonicClock,
+    core: &SharedEventLoop,
 ) -> Option<Rc<Backends>> {
     let backends = Rc::new(Backends::new(config.seed, ticks.clone(), routing?));
-    core.borrow_mut().lead(backends.clone());
+    core.borrow_mut().set_backend_selector(backends.clone());
     Some(backends)
 }
 
@@ -230,7 +231,7 @@
 async fn join_fleet(
     setup: Option<FleetSetup<'_>>,
     backends: &Option<Rc<Backends>>,
-    core: &Shared,
+    core: &SharedEventLoop,
 ) -> Result<Option<FleetEndpoint>, StartError> {
     let Some(setup) = setup else {
         backends.iter().for_each(tasks::spawn_backends);
@@ -240,7 +241,7 @@
     let endpoint = FleetEndpoint::join(setup).await?;
     if let Some(groups) = quota_groups {
         let lender = endpoint.fleet().lender.clone();
-        core.borrow_mut().share(lender, groups);
+        core.borrow_mut().set_quota_source(lender, groups);
     }
     Ok(Some(endpoint))
 }
--- a/crates/server/src/shutdown.rs
+++ b/crates/server/src/shutdown.rs
@@ -58,7 +58,7 @@
         // The decision module's last answers leave before the stop that it is given; the process outlasts them.
         let last_answer = stop.saturating_sub(KILL_MARGIN);
         let last_answer = Duration::from_micros(last_answer.as_micros() as u64);
-        server.core().borrow_mut().leave(began, last_answer);
+        server.core().borrow_mut().drain(began, last_answer);
         let grace = server.config().settings.rules.drain_grace;
         let grace = StdDuration::from_micros(grace.as_micros());
         Drain {
@@ -90,7 +90,7 @@
         if is_grace_over {
             server.stop_listening();
         }
-        let is_at_rest = server.core().borrow().at_rest();
+        let is_at_rest = server.core().borrow().is_quiescent();
         if is_at_rest && is_grace_over {
             self.at_rest_for += POLL_INTERVAL;
         } else {
@@ -104,7 +104,7 @@
     fn end_connections_after_rest(&mut self, server: &Server) {
         if self.at_rest_for >= REST_BEFORE_END && !self.is_ending {
             self.is_ending = true;
-            server.core().borrow_mut().end();
+            server.core().borrow_mut().close_connections();
             self.at_rest_for = POLL_INTERVAL;
         }
     }
@@ -112,7 +112,7 @@
     /// At rest, and either without connections or with peers that do not close theirs.
     fn is_over(&self, server: &Server) -> bool {
         let is_at_rest = self.at_rest_for > StdDuration::ZERO;
-        let has_no_connection = server.core().borrow().unconnected();
+        let has_no_connection = server.core().borrow().has_no_connections();
         let has_waited_for_peers = self.is_ending && self.at_rest_for >= PEERS_SEE_END;
         is_at_rest && has_no_connection || has_waited_for_peers
     }
--- a/crates/server/src/startup.rs
+++ b/crates/server/src/startup.rs
@@ -128,7 +128,7 @@
 fn open_store(
     settings: Option<&KeptResults>,
     config: &Config,
-) -> Result<Option<durability::Opened>, StartError> {
+) -> Result<Option<durability::OpenedStore>, StartError> {
     let handlers = config.settings.handlers.iter();
     let longest_window = handlers.map(|h| h.idempotency_window).max();
     let window_micros = longest_window.unwrap_or_default().as_micros();
@@ -144,7 +144,7 @@
     pub(crate) operator: Operator,
     pub(crate) plan: OperatorPlan,
     /// The store of durable results, where `[kept-results]` is on.
-    pub(crate) store: Option<durability::Opened>,
+    pub(crate) store: Option<durability::OpenedStore>,
     /// Added to the clock that distinguishes incarnations, in milliseconds.
     pub(crate) unix_ahead_ms: i64,
 }
--- a/crates/server/src/support/clock.rs
+++ b/crates/server/src/support/clock.rs
@@ -32,9 +32,9 @@
 }
 
 /// A monotonic clock that is never stepped: the process's own, or a simulated one.
-pub type Ticks = Rc<dyn Fn() -> Timestamp>;
+pub type MonotonicClock = Rc<dyn Fn() -> Timestamp>;
 
 /// A monotonic clock that shows the time since `start`.
-pub fn monotonic_since(start: Instant) -> Ticks {
+pub fn monotonic_since(start: Instant) -> MonotonicClock {
     Rc::new(move || Timestamp::from_micros(start.elapsed().as_micros() as u64))
 }
--- a/crates/server/src/tasks.rs
+++ b/crates/server/src/tasks.rs
@@ -24,8 +24,8 @@
 //! process; nobody joins it, since a result counts as durable only once the thread has reported it.
 
 use crate::reload::ReloadableValues;
-use madderbay_server::core::durability::Told;
-use madderbay_server::core::event_loop::Shared;
+use madderbay_server::core::durability::StorageEvent;
+use madderbay_server::core::event_loop::SharedEventLoop;
 use madderbay_server::downstream::{listener, registration};
 use madderbay_server::fleet::backends::Backends;
 use madderbay_server::fleet::control_socket::{self, Sources};
@@ -45,14 +45,14 @@
 
 /// Starts the task that brings the writing thread's reports to the core.
 pub(crate) fn spawn_store_events(
-    mut events: UnboundedReceiver<Told>,
+    mut events: UnboundedReceiver<StorageEvent>,
     clock: &Rc<Clock>,
-    core: &Shared,
+    core: &SharedEventLoop,
 ) {
     let (clock, core) = (clock.clone(), core.clone());
     spawn_local(async move {
         while let Some(event) = events.recv().await {
-            core.borrow_mut().told(clock.now(), event);
+            core.borrow_mut().storage_event(clock.now(), event);
         }
     });
 }
@@ -77,7 +77,7 @@
     name: &str,
     reloadable: &ReloadableValues,
     clock: &Rc<Clock>,
-    core: &Shared,
+    core: &SharedEventLoop,
 ) {
     spawn_local(engine::run(
         reloadable.engine(),
@@ -102,7 +102,7 @@
     listener: TcpListener,
     max_connections: usize,
     clock: &Rc<Clock>,
-    core: &Shared,
+    core: &SharedEventLoop,
     stop: &Rc<Notify>,
 ) {
     spawn_local(listener::run(
@@ -116,8 +116,8 @@
 
 /// The one timer of the decisions. A turn is taken at the next deadline, and whenever something has changed; by then
 /// all input that was ready has been taken in, since the other tasks run first.
-async fn tick_loop(clock: Rc<Clock>, core: Shared) {
-    let changed = core.borrow().hands.changed.clone();
+async fn tick_loop(clock: Rc<Clock>, core: SharedEventLoop) {
+    let changed = core.borrow().work_pending();
     loop {
         let wait = time_to_next_turn(&clock, &core);
         tokio::select! {
@@ -126,15 +126,15 @@
             () = tokio::time::sleep(wait) => {}
         }
         tokio::task::yield_now().await;
-        let turn = || core.borrow_mut().turn(clock.now());
+        let turn = || core.borrow_mut().run_turn(clock.now());
         if catch_unwind(AssertUnwindSafe(turn)).is_err() {
             log::error!("a turn of the decisions failed");
         }
     }
 }
 
-fn time_to_next_turn(clock: &Clock, core: &Shared) -> StdDuration {
-    let deadline = core.borrow().next();
+fn time_to_next_turn(clock: &Clock, core: &SharedEventLoop) -> StdDuration {
+    let deadline = core.borrow().next_deadline();
     let now = clock.now();
     deadline.map_or(MAX_IDLE, |deadline| {
         StdDuration::from_micros((deadline - now).as_micros())
--- a/crates/server/src/upstream/calls.rs
+++ b/crates/server/src/upstream/calls.rs
@@ -53,7 +53,7 @@
 
 /// All calls in hand and the connections that they are on; no more than the runs in hand.
 #[derive(Default)]
-pub struct Desk {
+pub struct CallDispatcher {
     wires: Vec<Wire>,
     numbers: u64,
     /// Connections wanted, for the driver to open, and what tells it.
@@ -62,8 +62,8 @@
 }
 
 /// Who hears how calls come out.
-pub trait Hears {
-    fn desk(&mut self) -> &mut Desk;
+pub trait CallObserver {
+    fn desk(&mut self) -> &mut CallDispatcher;
     /// Whether one more connection may be opened beside so many.
     fn may_dial(&self, open: usize) -> bool;
     /// A reply on the connection `wire`.
@@ -75,9 +75,9 @@
 }
 
 /// Whose call is over, how and after what time.
-pub type Over = (u64, Outcome, Duration);
+pub type EndedCall = (u64, Outcome, Duration);
 
-impl Desk {
+impl CallDispatcher {
     /// Sends a call to the catalogue, or to a backend; gives the number of the connection that it is on.
     pub fn fetch(
         &mut self,
@@ -133,14 +133,14 @@
     }
 
     /// Gives a call up, and its connection with it: what was not sent never will be.
-    pub fn quit(&mut self, now: Timestamp, name: &Name) -> Option<Over> {
+    pub fn quit(&mut self, now: Timestamp, name: &Name) -> Option<EndedCall> {
         self.end(now, Outcome::TimedOut, |w| {
             w.call.as_ref().is_some_and(|c| c.name == *name)
         })
     }
 
     /// The same for the call on one connection.
-    pub fn quit_wire(&mut self, now: Timestamp, no: u64) -> Option<Over> {
+    pub fn quit_wire(&mut self, now: Timestamp, no: u64) -> Option<EndedCall> {
         self.end(now, Outcome::TimedOut, |w| w.no == no && w.call.is_some())
     }
 
@@ -156,7 +156,7 @@
     }
 
     /// A connection is over, and with it the call on it.
-    pub fn ended(&mut self, now: Timestamp, no: u64) -> Option<Over> {
+    pub fn ended(&mut self, now: Timestamp, no: u64) -> Option<EndedCall> {
         self.end(now, Outcome::Disconnected, |w| w.no == no)
     }
 
@@ -166,7 +166,7 @@
         now: Timestamp,
         sent: Outcome,
         which: impl FnMut(&Wire) -> bool,
-    ) -> Option<Over> {
+    ) -> Option<EndedCall> {
         let at = self.wires.iter().position(which)?;
         let wire = self.wires.swap_remove(at);
         wire.out.cut();
@@ -213,14 +213,14 @@
 
 /// Reads the replies of one connection.
 #[derive(Default)]
-pub struct Replies {
+pub struct ReplyReader {
     part: Vec<u8>,
 }
 
 /// One reply: whose call, how it came out, and the body if it went well.
 pub type Reply<'a> = (Name, Outcome, &'a [u8]);
 
-impl Replies {
+impl ReplyReader {
     /// Calls `each` for every whole reply; false when the stream can't be read on.
     pub fn feed(&mut self, bytes: &[u8], mut each: impl FnMut(Reply)) -> bool {
         self.part.extend_from_slice(bytes);
@@ -282,7 +282,7 @@
 
 /// The driver: opens the connections that the desk wants and serves each until it is over. Without an address
 /// none can be made, and no call runs.
-pub async fn run<C: Hears + 'static>(
+pub async fn run<C: CallObserver + 'static>(
     mut address: watch::Receiver<Option<SocketAddr>>,
     clock: Rc<Clock>,
     core: Rc<RefCell<C>>,
@@ -317,7 +317,7 @@
     }
 }
 
-async fn connection<C: Hears>(
+async fn connection<C: CallObserver>(
     address: Option<SocketAddr>,
     no: u64,
     out: &Outbox,
@@ -326,7 +326,7 @@
 ) -> std::io::Result<()> {
     let address = address.ok_or(ErrorKind::AddrNotAvailable)?;
     let stream = connect(address, CONNECT).await?;
-    let mut replies = Replies::default();
+    let mut replies = ReplyReader::default();
     let fed = |bytes: &[u8]| {
         let (now, mut core) = (clock.now(), core.borrow_mut());
         let whole = replies.feed(bytes, |(name, how, body)| {
--- a/crates/server/src/upstream/engine.rs
+++ b/crates/server/src/upstream/engine.rs
@@ -29,8 +29,8 @@
 const SILENT: u32 = 200;
 
 /// Who hears what the engine says.
-pub trait Hears {
-    fn link(&mut self) -> &mut Link;
+pub trait EngineObserver {
+    fn link(&mut self) -> &mut EngineLink;
     /// The engine is up since `age`; `how` is `new` where it came up with this server.
     fn hello(&mut self, now: Timestamp, how: &str, age: Duration);
     /// The gauges; `gap` where notices before them were lost for good.
@@ -59,7 +59,7 @@
 /// The sending side: it knows which commands the engine has surely read, since gauges asked for later on the
 /// same link have come back.
 #[derive(Default)]
-pub struct Link {
+pub struct EngineLink {
     pub out: Outbox,
     /// Linked, and all notices that were missed have been read.
     pub up: bool,
@@ -71,7 +71,7 @@
     rings: u32,
 }
 
-impl Link {
+impl EngineLink {
     /// A fresh connection: the engine is told what was read last.
     pub fn attach(&mut self, out: Outbox, serial: u64) {
         out.put(|b| {
@@ -139,7 +139,7 @@
 }
 
 /// The reading side. It outlives its links: the last serial read says where the next one takes up.
-pub struct Notices {
+pub struct NoticeReader {
     lines: Lines,
     last: Last,
 }
@@ -152,22 +152,22 @@
     gap: bool,
 }
 
-impl Default for Notices {
-    fn default() -> Notices {
-        Notices {
+impl Default for NoticeReader {
+    fn default() -> NoticeReader {
+        NoticeReader {
             lines: Lines::up_to(LINE_MOST),
             last: Last::default(),
         }
     }
 }
 
-impl Notices {
+impl NoticeReader {
     pub fn relinked(&mut self) {
         self.lines = Lines::up_to(LINE_MOST);
     }
 
     /// False when the link can't be read on.
-    pub fn fed(&mut self, now: Timestamp, bytes: &[u8], core: &mut impl Hears) -> bool {
+    pub fn fed(&mut self, now: Timestamp, bytes: &[u8], core: &mut impl EngineObserver) -> bool {
         let last = &mut self.last;
         self.lines.feed(bytes, |line| {
             if last.line(now, line, core).is_none() {
@@ -184,7 +184,7 @@
 }
 
 impl Last {
-    fn line(&mut self, now: Timestamp, line: &[u8], core: &mut impl Hears) -> Option<()> {
+    fn line(&mut self, now: Timestamp, line: &[u8], core: &mut impl EngineObserver) -> Option<()> {
         let notice = Members::read(std::str::from_utf8(line).ok()?)?;
         let msg = notice.text("msg")?;
         if let Some(serial) = notice.whole("serial") {
@@ -253,12 +253,12 @@
 }
 
 /// The driver: keeps a link to the engine and takes it up again where it was lost, or at another address.
-pub async fn run<C: Hears>(
+pub async fn run<C: EngineObserver>(
     mut address: watch::Receiver<SocketAddr>,
     clock: Rc<Clock>,
     core: Rc<RefCell<C>>,
 ) {
-    let mut notices = Notices::default();
+    let mut notices = NoticeReader::default();
     let mut next = None;
     loop {
         // An address that came while the last one was being connected to is left for `moved` to see.
--- a/crates/server/tests/crossings.rs
+++ b/crates/server/tests/crossings.rs
@@ -4,12 +4,12 @@
 mod common;
 
 use madderbay::time::{Duration, Timestamp};
-use madderbay_server::core::event_loop::{Serve, Shared};
+use madderbay_server::core::event_loop::{EventLoop, SharedEventLoop};
 use madderbay_server::downstream::listener;
 use madderbay_server::support::clock::Clock;
 use madderbay_server::support::io::{Outbox, drive, drive_peer};
 use madderbay_server::upstream::calls;
-use madderbay_server::upstream::engine::Hears as _;
+use madderbay_server::upstream::engine::EngineObserver as _;
 use madderbay_testkit::{PATIENCE, unix_ms};
 use std::cell::RefCell;
 use std::io::{ErrorKind, Write};
@@ -35,7 +35,7 @@
 
 /// A server's core behind a listener, with an engine that is up and runs nothing to its end.
 struct Place {
-    serve: Shared,
+    serve: SharedEventLoop,
     clock: Rc<Clock>,
     address: SocketAddr,
     engine: Outbox,
@@ -48,7 +48,7 @@
         let address = listener.local_addr().expect("an address");
         let settings = madderbay_settings::read(common::SETTINGS.as_bytes()).expect("settings");
         let clock = Rc::new(Clock::default());
-        let mut serve = Serve::new(clock.now(), 7, settings, 1_000);
+        let mut serve = EventLoop::new(clock.now(), 7, settings, 1_000);
         let engine = Outbox::default();
         serve.link().attach(engine.clone(), 0);
         serve.hello(clock.now(), "old", Duration::from_millis(3_600_000));
@@ -72,7 +72,7 @@
     }
 
     fn turn(&self) {
-        self.serve.borrow_mut().turn(self.clock.now());
+        self.serve.borrow_mut().run_turn(self.clock.now());
     }
 
     /// All that was started is done.
@@ -93,7 +93,7 @@
 
     /// The req that is to come is read, started and done.
     async fn serves_one(&self) {
-        until(|| self.serve.borrow().hands.reqs.len() == 1).await;
+        until(|| self.serve.borrow().in_flight_count() == 1).await;
         self.turn();
         self.done(1);
     }
@@ -200,7 +200,7 @@
         let place = Place::new(8).await;
         let mut peer = place.heard().await;
         peer.say(&"x".repeat(30_000)).await;
-        let open = || place.serve.borrow().connections() > 0;
+        let open = || place.serve.borrow().connection_count() > 0;
         let mut sent = 0;
         while open() {
             // Refused at last.
@@ -223,7 +223,7 @@
         let place = Place::new(8).await;
         let mut peer = place.heard().await;
         peer.say_at_once(&req(2, "quote", 1));
-        assert!(place.serve.borrow_mut().make_room(place.clock.now()));
+        assert!(place.serve.borrow_mut().evict_connection(place.clock.now()));
         place.serves_one().await;
         assert!(peer.line().await.contains("\"id\":2,\"result\""));
         assert_eq!(peer.line().await, "", "and then it ends");
@@ -240,13 +240,11 @@
         let again = {
             let mut serve = place.serve.borrow_mut();
             let _ = serve
-                .hands
-                .conns
+                .connections_mut()
                 .set_idle_limit(Duration::from_millis(200))
                 .count();
             serve
-                .hands
-                .conns
+                .connections_mut()
                 .idle_deadline_reached(now + Duration::from_millis(300), 1)
                 .expect("told first")
         };
@@ -256,8 +254,7 @@
             place
                 .serve
                 .borrow_mut()
-                .hands
-                .conns
+                .connections_mut()
                 .idle_deadline_reached(again, 1),
             None,
             "it ends now"
@@ -275,11 +272,11 @@
         place
             .serve
             .borrow_mut()
-            .leave(place.clock.now(), Duration::from_millis(3_000));
+            .drain(place.clock.now(), Duration::from_millis(3_000));
         assert!(peer.line().await.contains("leaving"));
-        assert!(place.serve.borrow().at_rest());
+        assert!(place.serve.borrow().is_quiescent());
         peer.say_at_once(&req(2, "quote", 1));
-        place.serve.borrow_mut().end();
+        place.serve.borrow_mut().close_connections();
         place.serves_the_last_request(&mut peer).await;
     });
 }
@@ -298,7 +295,7 @@
         place
             .serve
             .borrow_mut()
-            .leave(place.clock.now(), Duration::from_millis(3_000));
+            .drain(place.clock.now(), Duration::from_millis(3_000));
         peer.say_at_once(rest);
         place.serves_one().await;
         assert!(peer.line().await.contains("leaving"));
@@ -312,13 +309,13 @@
     played(async {
         let place = Place::new(8).await;
         let mut peer = place.heard().await;
-        place.serve.borrow_mut().end();
+        place.serve.borrow_mut().close_connections();
         assert_eq!(peer.line().await, "");
         peer.say(&req(2, "quote", 1)).await;
         let mut half = peer.0.into_inner();
         half.shutdown().await.expect("shut");
-        until(|| place.serve.borrow().connections() == 0).await;
-        assert!(place.serve.borrow().hands.reqs.is_empty());
+        until(|| place.serve.borrow().connection_count() == 0).await;
+        assert_eq!(place.serve.borrow().in_flight_count(), 0);
         assert_eq!(half.read(&mut [0]).await.expect("no reset"), 0);
     });
 }
@@ -332,17 +329,16 @@
         let line = req(2, "quote", 1);
         let (half, rest) = line.split_at(40);
         peer.say(half).await;
-        let amid = |now: Timestamp| !place.serve.borrow_mut().make_room(now);
+        let amid = |now: Timestamp| !place.serve.borrow_mut().evict_connection(now);
         // Read once it may not go; until then it was not asked to.
         until(|| {
             let mut serve = place.serve.borrow_mut();
             let _ = serve
-                .hands
-                .conns
+                .connections_mut()
                 .set_idle_limit(Duration::from_millis(200))
                 .count();
             let late = place.clock.now() + Duration::from_millis(300);
-            serve.hands.conns.idle_deadline_reached(late, 1)
+            serve.connections_mut().idle_deadline_reached(late, 1)
                 != Some(late + Duration::from_millis(1_000))
         })
         .await;
@@ -370,7 +366,7 @@
         let place = Place::new(1).await;
         let mut busy = place.heard().await;
         busy.say(&req(2, "quote", 1)).await;
-        until(|| place.serve.borrow().hands.reqs.len() == 1).await;
+        until(|| place.serve.borrow().in_flight_count() == 1).await;
         place.turn();
         let mut peers = vec![];
         for own in 2..20 {
@@ -386,19 +382,19 @@
             );
             assert_eq!(peer.line().await, "");
         }
-        until(|| place.serve.borrow().connections() == 1).await;
+        until(|| place.serve.borrow().connection_count() == 1).await;
         // One that asks nothing is let go soon, with nothing said.
         let mut silent = place.peer().await;
         until(|| {
             place.turn();
-            place.serve.borrow().connections() == 1
-                && place.serve.borrow().hands.counters.connections_refused == 19
+            place.serve.borrow().connection_count() == 1
+                && place.serve.borrow().counters().connections_refused == 19
         })
         .await;
         assert_eq!(silent.rest().await.expect("no reset"), "");
         place.done(1);
         assert!(busy.line().await.contains("\"id\":2,\"result\""));
-        assert_eq!(place.serve.borrow().hands.counters.runs, 1);
+        assert_eq!(place.serve.borrow().counters().runs, 1);
     });
 }
 
@@ -416,11 +412,11 @@
         };
         let mut busy = place.heard().await;
         busy.say(&keyed(2, 1)).await;
-        until(|| place.serve.borrow().hands.reqs.len() == 1).await;
+        until(|| place.serve.borrow().in_flight_count() == 1).await;
         place.turn();
         let mut peer = place.peer().await;
         peer.say(&keyed(1, 2)).await;
-        until(|| place.serve.borrow().hands.reqs.len() == 2).await;
+        until(|| place.serve.borrow().in_flight_count() == 2).await;
         place.turn();
         place.done(1);
         for (peer, id) in [(&mut busy, 2), (&mut peer, 1)] {
@@ -430,7 +426,7 @@
                     .contains(&format!("\"id\":{id},\"result\":{{\"bytes\":\"WFla\""))
             );
         }
-        assert_eq!(place.serve.borrow().hands.counters.runs, 1);
+        assert_eq!(place.serve.borrow().counters().runs, 1);
     });
 }
 
@@ -453,8 +449,8 @@
             tokio::time::sleep(std::time::Duration::from_millis(1)).await;
         }
         drop(at_work);
-        until(|| place.serve.borrow().connections() == 0).await;
-        assert!(place.serve.borrow().at_rest());
+        until(|| place.serve.borrow().connection_count() == 0).await;
+        assert!(place.serve.borrow().is_quiescent());
     });
 }
 
@@ -466,7 +462,7 @@
         let mut peer = place.heard().await;
         let bytes = format!("\"{}\"", "\\u0041".repeat(2_732));
         peer.say(&body(2, "quote", 1, &bytes)).await;
-        until(|| place.serve.borrow().hands.reqs.len() == 1).await;
+        until(|| place.serve.borrow().in_flight_count() == 1).await;
         place.turn();
         let sent = String::from_utf8(place.engine.take()).expect("text");
         assert!(
@@ -485,13 +481,13 @@
         let place = Place::new(8).await;
         let catalogue = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let at = watch::channel(Some(catalogue.local_addr().expect("an address")));
-        place.serve.borrow_mut().limit(2);
+        place.serve.borrow_mut().limit_descriptors(2);
         spawn_local(calls::run(at.1, place.clock.clone(), place.serve.clone()));
         let mut peer = place.heard().await;
         for own in [1, 2] {
             peer.say(&req(own, "search", own)).await;
         }
-        until(|| place.serve.borrow().hands.reqs.len() == 2).await;
+        until(|| place.serve.borrow().in_flight_count() == 2).await;
         place.turn();
         let now = place.clock.now();
         let names: [[u8; 16]; 2] = [1, 2].map(|own| {
@@ -516,11 +512,11 @@
             place
                 .serve
                 .borrow()
-                .counters()
+                .counter_lines()
                 .contains("counter calls.unreached 1\n")
         })
         .await;
-        assert_eq!(place.serve.borrow().hands.calls.out(), 1);
+        assert_eq!(place.serve.borrow().calls().out(), 1);
     });
 }
 
@@ -566,7 +562,7 @@
         let place = Place::new(1).await;
         let mut busy = place.heard().await;
         busy.say(&req(2, "quote", 1)).await;
-        until(|| place.serve.borrow().hands.reqs.len() == 1).await;
+        until(|| place.serve.borrow().in_flight_count() == 1).await;
         place.turn();
         let mut peers = vec![];
         for own in 2..12 {
--- a/crates/server/tests/listen.rs
+++ b/crates/server/tests/listen.rs
@@ -1,6 +1,6 @@
 //! The end of listening.
 
-use madderbay_server::core::event_loop::Serve;
+use madderbay_server::core::event_loop::EventLoop;
 use madderbay_server::downstream::listener;
 use madderbay_server::support::clock::Clock;
 use std::cell::RefCell;
@@ -24,7 +24,12 @@
         let address = listener.local_addr().expect("an address");
         let settings = madderbay_settings::read(common::SETTINGS.as_bytes()).expect("settings");
         let clock = Rc::new(Clock::default());
-        let serve = Rc::new(RefCell::new(Serve::new(clock.now(), 7, settings, 1_000)));
+        let serve = Rc::new(RefCell::new(EventLoop::new(
+            clock.now(),
+            7,
+            settings,
+            1_000,
+        )));
         // All are accepted by the machine, and asked on, before the listening task has its first turn; it is
         // told to stop then, and may see that first.
         let peers: Vec<_> = (0..20)
@@ -38,7 +43,7 @@
         let stop = Rc::new(Notify::new());
         stop.notify_one();
         listener::run(listener, 100, clock, serve.clone(), stop).await;
-        assert_eq!(serve.borrow().connections(), peers.len());
+        assert_eq!(serve.borrow().connection_count(), peers.len());
         assert!(
             std::net::TcpStream::connect(address).is_err(),
             "closed after"
--- a/crates/server/tests/scenarios.rs
+++ b/crates/server/tests/scenarios.rs
@@ -30,12 +30,12 @@
 use madderbay::time::{Duration, Timestamp};
 use madderbay_idempotency_store::write_ahead_log::LogEntry;
 use madderbay_idempotency_store::{DurableResults, SequenceNumber};
-use madderbay_server::core::durability::{Keep, Told};
-use madderbay_server::core::event_loop::Serve;
+use madderbay_server::core::durability::{DurabilityQueue, StorageEvent};
+use madderbay_server::core::event_loop::EventLoop;
 use madderbay_server::downstream::json_rpc::JsonRpcSession;
 use madderbay_server::support::io::Outbox;
-use madderbay_server::upstream::calls::{Hears as _, Replies};
-use madderbay_server::upstream::engine::Notices;
+use madderbay_server::upstream::calls::{CallObserver as _, ReplyReader};
+use madderbay_server::upstream::engine::NoticeReader;
 use std::collections::{HashMap, VecDeque};
 use std::sync::mpsc::{Receiver, channel};
 
@@ -51,11 +51,11 @@
 }
 
 struct Play {
-    serve: Serve,
+    serve: EventLoop,
     now: Timestamp,
     cut: usize,
     balancers: HashMap<String, Balancer>,
-    notices: Notices,
+    notices: NoticeReader,
     engine: Option<Outbox>,
     mute: bool,
     /// What goes to the disk, and whether that is quick.
@@ -65,7 +65,7 @@
     deaf: Option<String>,
     /// How late due times are seen to.
     late: Duration,
-    wires: Vec<(u64, Outbox, Replies)>,
+    wires: Vec<(u64, Outbox, ReplyReader)>,
     /// What has gone out to each peer and was not looked at yet.
     sent: HashMap<String, VecDeque<String>>,
 }
@@ -86,11 +86,11 @@
     fn new(cut: usize) -> Play {
         let settings = madderbay_settings::read(common::SETTINGS.as_bytes()).expect("settings");
         let mut play = Play {
-            serve: Serve::new(at(0), 7, settings, RESULTS),
+            serve: EventLoop::new(at(0), 7, settings, RESULTS),
             now: at(0),
             cut,
             balancers: HashMap::new(),
-            notices: Notices::default(),
+            notices: NoticeReader::default(),
             engine: None,
             mute: false,
             disk: None,
@@ -109,8 +109,7 @@
         let out = Outbox::default();
         self.notices.relinked();
         self.serve
-            .hands
-            .engine
+            .engine_link_mut()
             .attach(out.clone(), self.notices.serial());
         self.engine = Some(out);
     }
@@ -118,7 +117,7 @@
     fn balancer(&mut self, who: &str) -> &mut Balancer {
         if !self.balancers.contains_key(who) {
             let out = Outbox::default();
-            let no = self.serve.opened(self.now, out.clone());
+            let no = self.serve.connection_opened(self.now, out.clone());
             let fresh = Balancer {
                 no,
                 out,
@@ -157,11 +156,11 @@
     }
 
     fn want(&mut self) {
-        let wanted = std::mem::take(&mut self.serve.hands.calls.wanted);
+        let wanted = std::mem::take(&mut self.serve.calls_mut().wanted);
         self.wires.extend(
             wanted
                 .into_iter()
-                .map(|(no, out, _)| (no, out, Replies::default())),
+                .map(|(no, out, _)| (no, out, ReplyReader::default())),
         );
     }
 
@@ -173,19 +172,19 @@
         };
         let why = "told to fail".to_string();
         let told = if lasts {
-            Told::Written { seq, disk: 100 }
+            StorageEvent::Written { seq, disk: 100 }
         } else {
-            Told::Failed { seq, why }
+            StorageEvent::Failed { seq, why }
         };
-        self.serve.told(self.now, told);
+        self.serve.storage_event(self.now, told);
         true
     }
 
     /// The moment is over: what came settles, what went out is put by, the engine tells its gauges.
     fn moment(&mut self) {
-        self.serve.turn(self.now);
+        self.serve.run_turn(self.now);
         while self.quick && self.disk(true) {
-            self.serve.turn(self.now);
+            self.serve.run_turn(self.now);
         }
         self.want();
         let mut outs: Vec<(String, Outbox)> = self
@@ -226,7 +225,11 @@
     }
 
     fn run_to(&mut self, until: Timestamp) {
-        while let Some(next) = self.serve.next().filter(|n| *n + self.late < until) {
+        while let Some(next) = self
+            .serve
+            .next_deadline()
+            .filter(|n| *n + self.late < until)
+        {
             self.now = self.now.max(next + self.late);
             self.moment();
         }
@@ -262,7 +265,7 @@
 
     fn lost(&mut self, who: &str) {
         if who == "e" {
-            self.serve.hands.engine.lost();
+            self.serve.engine_link_mut().lost();
             self.engine = None;
         } else if let Some(n) = who.strip_prefix('c').and_then(|n| n.parse::<usize>().ok()) {
             self.want();
@@ -270,7 +273,7 @@
             self.serve.call_lost(self.now, no);
         } else {
             let no = self.balancer(who).no;
-            self.serve.closed(self.now, no);
+            self.serve.connection_closed(self.now, no);
         }
     }
 
@@ -341,7 +344,7 @@
                 };
             }
             ("", "=") => {
-                let counters = self.serve.counters();
+                let counters = self.serve.counter_lines();
                 let want = format!("counter {} {}", words[0], words[1]);
                 let found = counters
                     .lines()
@@ -355,7 +358,10 @@
             _ if first == "kept" => {
                 let (to, from) = channel();
                 self.disk = Some(from);
-                self.serve.hands.keep = Some(Keep::new(DurableResults::new(1_000, 100_000), to));
+                self.serve.set_durability(DurabilityQueue::new(
+                    DurableResults::new(1_000, 100_000),
+                    to,
+                ));
             }
             _ if first == "disk" => {
                 self.quick = false;
@@ -365,26 +371,26 @@
             }
             _ if first == "late" => self.late = Duration::from_millis(millis(words[0])),
             _ if first == "crowd" => {
-                self.serve.make_room(self.now);
+                self.serve.evict_connection(self.now);
             }
             _ if first == "leave" => self
                 .serve
-                .leave(self.now, Duration::from_millis(millis(words[0]))),
+                .drain(self.now, Duration::from_millis(millis(words[0]))),
             _ => match words[0] {
                 "req" => self.req(first, &words[1..]),
                 "lost" => self.lost(first),
                 "end" => {
                     let no = self.balancer(first).no;
-                    self.serve.no_more(no);
+                    self.serve.input_ended(no);
                 }
                 "endless" => self.feed(first, &[b'x'; 40_000]),
                 "deaf" => self.deaf = Some(first.to_string()),
                 "link" => self.link(),
-                "moved" => self.serve.hands.calls.moved(self.now),
+                "moved" => self.serve.calls_mut().moved(self.now),
                 "mute" => self.mute = true,
                 "speak" => {
                     self.mute = false;
-                    let heard = self.serve.hands.engine.proof() - 1;
+                    let heard = self.serve.engine_link_mut().proof() - 1;
                     self.feed("e", stats(&heard.to_string()).as_bytes());
                 }
                 _ => return Err("says nothing that can be played".into()),
@@ -426,7 +432,7 @@
                 }
             }
             // Whatever happened: reqs read are the answers, the gone and those still open.
-            let counters = play.serve.counters();
+            let counters = play.serve.counter_lines();
             let sum = |names: &[&str]| -> u64 {
                 let of = |l: &str| names.iter().any(|n| l.starts_with(&format!("counter {n}")));
                 counters
--- a/crates/server/tests/wires.rs
+++ b/crates/server/tests/wires.rs
@@ -3,7 +3,7 @@
 use madderbay::interface::Outcome;
 use madderbay_server::downstream::registration::{Answers, report};
 use madderbay_server::support::json::{Members, is_value, number, text, whole};
-use madderbay_server::upstream::calls::Replies;
+use madderbay_server::upstream::calls::ReplyReader;
 
 /// Feeds bytes in pieces of a size; what came of them, and whether the stream may be read on.
 fn answers(bytes: &[u8], piece: usize) -> (Vec<u16>, bool) {
@@ -15,7 +15,7 @@
 }
 
 fn replies(bytes: &[u8], piece: usize) -> (Vec<(String, Outcome, Vec<u8>)>, bool) {
-    let (mut machine, mut found) = (Replies::default(), vec![]);
+    let (mut machine, mut found) = (ReplyReader::default(), vec![]);
     let good = bytes.chunks(piece).all(|p| {
         machine.feed(p, |(name, how, body)| {
             found.push((
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -7,15 +7,15 @@
 use madderbay_concurrency::{ConcurrencyConfig, PoolConfig, Reserve, UpstreamGroup};
 use madderbay_membership::{AllowedNetworks, MemberState, Membership};
 use madderbay_quota::{BudgetSettings, FleetQuotas, LeaseTerms};
-use madderbay_server::core::quota_gate::Group;
-use madderbay_server::core::event_loop::Serve;
+use madderbay_server::core::event_loop::EventLoop;
+use madderbay_server::core::quota_gate::QuotaGroup;
 use madderbay_server::downstream::json_rpc::JsonRpcSession;
 use madderbay_server::fleet::backends::Backends;
-use madderbay_server::fleet::quota_leases::{Counted, Lender};
-use madderbay_server::support::clock::Ticks;
+use madderbay_server::fleet::quota_leases::{CounterNames, FleetQuotaSource};
+use madderbay_server::support::clock::MonotonicClock;
 use madderbay_server::support::io::Outbox;
-use madderbay_server::upstream::calls::{Hears as _, Replies};
-use madderbay_server::upstream::engine::Notices;
+use madderbay_server::upstream::calls::{CallObserver as _, ReplyReader};
+use madderbay_server::upstream::engine::NoticeReader;
 use madderbay_settings::Settings;
 use madderbay_testkit::fleet::net::Net;
 use madderbay_testkit::fleet::script::Act;
@@ -77,23 +77,23 @@
 struct Wire {
     out: Outbox,
     to: Option<SocketAddr>,
-    replies: Replies,
+    replies: ReplyReader,
 }
 
 struct Node {
     up: bool,
     stopped: bool,
     lives: u32,
-    serve: Serve,
+    serve: EventLoop,
     front: JsonRpcSession,
     conn: u64,
     out: Outbox,
-    notices: Notices,
+    notices: NoticeReader,
     link: Outbox,
     engine: Engine,
     wires: BTreeMap<u64, Wire>,
     together: Option<Rc<RefCell<FleetStack>>>,
-    lender: Option<Rc<Lender>>,
+    lender: Option<Rc<FleetQuotaSource>>,
     backends: Option<Rc<Backends>>,
     /// What its monotonic clock shows now, how far that is ahead, and how fast it runs.
     mono: Rc<Cell<Timestamp>>,
@@ -247,11 +247,11 @@
                 up: false,
                 stopped: false,
                 lives: 0,
-                serve: Serve::new(now, 0, settings.clone(), 1 << 20),
+                serve: EventLoop::new(now, 0, settings.clone(), 1 << 20),
                 front: JsonRpcSession::new(0),
                 conn: 0,
                 out: Outbox::default(),
-                notices: Notices::default(),
+                notices: NoticeReader::default(),
                 link: Outbox::default(),
                 engine: Engine::new(now, CORES),
                 wires: BTreeMap::new(),
@@ -330,9 +330,9 @@
         let mono = self.tick(s);
         let parts = self.of.parts;
         let (servers, zones, whole) = (self.of.servers, self.of.zones, self.of.whole);
-        let mut serve = Serve::new(self.now, seed, self.settings.clone(), 1 << 20);
+        let mut serve = EventLoop::new(self.now, seed, self.settings.clone(), 1 << 20);
         let clock = self.nodes[s].mono.clone();
-        let ticks: Ticks = Rc::new(move || clock.get());
+        let ticks: MonotonicClock = Rc::new(move || clock.get());
         if parts.pools {
             let pool = |name: &str, handler, calls_weight| PoolConfig {
                 name: name.into(),
@@ -360,7 +360,7 @@
                 upstream_groups: groups,
                 ..ConcurrencyConfig::default()
             };
-            serve.pool(self.now, plan);
+            serve.set_concurrency_limits(self.now, plan);
         }
         let routes = parts.routes.then(|| {
             let backend = |b: usize| BackendSettings {
@@ -386,7 +386,7 @@
             Rc::new(Backends::on(Rc::new(RefCell::new(routes)), ticks.clone()))
         });
         if let Some(backends) = &routes {
-            serve.lead(backends.clone());
+            serve.set_backend_selector(backends.clone());
         }
         let node = &mut self.nodes[s];
         node.lives += 1;
@@ -446,8 +446,8 @@
             Rc::new(RefCell::new(together))
         });
         let lender = together.as_ref().filter(|_| parts.shared).map(|together| {
-            let counted = Counted::default();
-            let lender = Lender {
+            let counted = CounterNames::default();
+            let lender = FleetQuotaSource {
                 together: together.clone(),
                 counted,
                 ticks,
@@ -456,23 +456,22 @@
             Rc::new(lender)
         });
         if let Some(lender) = &lender {
-            let groups = vec![Group {
+            let groups = vec![QuotaGroup {
                 handlers: vec![0, 2],
                 longest: LONGEST,
             }];
-            serve.share(lender.clone(), groups);
+            serve.set_quota_source(lender.clone(), groups);
         }
         node.serve = serve;
-        node.notices = Notices::default();
+        node.notices = NoticeReader::default();
         node.notices.relinked();
         node.engine = Engine::new(self.now, CORES);
         node.link = Outbox::default();
         node.serve
-            .hands
-            .engine
+            .engine_link_mut()
             .attach(node.link.clone(), node.notices.serial());
         node.out = Outbox::default();
-        node.conn = node.serve.opened(self.now, node.out.clone());
+        node.conn = node.serve.connection_opened(self.now, node.out.clone());
         node.front = JsonRpcSession::new(node.conn);
         node.wires.clear();
         node.open.clear();
@@ -790,7 +789,7 @@
         {
             t.borrow_mut().handle_timeout(mono);
         }
-        node.serve.turn(now);
+        node.serve.run_turn(now);
         for line in notices {
             self.push(now + NEAR, Event::Notice(s, life, line));
         }
@@ -811,7 +810,7 @@
             .together
             .as_ref()
             .map(|t| outside(t.borrow().next_timeout()));
-        let next = [node.serve.next(), node.engine.next(), together];
+        let next = [node.serve.next_deadline(), node.engine.next(), together];
         let next = next
             .into_iter()
             .flatten()
@@ -828,14 +827,14 @@
     /// Carries what a server has to say.
     fn carry(&mut self, s: usize) {
         let now = self.now;
-        let wanted = std::mem::take(&mut self.nodes[s].serve.hands.calls.wanted);
+        let wanted = std::mem::take(&mut self.nodes[s].serve.calls_mut().wanted);
         for (no, out, to) in wanted {
             self.nodes[s].wires.insert(
                 no,
                 Wire {
                     out,
                     to,
-                    replies: Replies::default(),
+                    replies: ReplyReader::default(),
                 },
             );
         }
