--- a/crates/membership/tests/fleet.rs
+++ b/crates/membership/tests/fleet.rs
@@ -2,8 +2,8 @@
 //! `crates/server/tests/fleet.rs` runs the same scripts on real processes.
 
 use madderbay::time::Duration;
-use madderbay_testkit::fleet::script::{Act, Condition, Fleet, Setup};
-use madderbay_testkit::fleet::sim::{Sim, play_all};
+use madderbay_testkit::fleet::script::{Action, Condition, Fleet, FleetSetup};
+use madderbay_testkit::fleet::simulated::{SimulatedFleet, run_all_scripts};
 use std::path::Path;
 
 const SEEDS: u64 = 20;
@@ -11,7 +11,7 @@
 #[test]
 fn all_fault_scripts_pass_over_many_seeds() {
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../tests/fleet");
-    let (scripts, failed) = play_all(&folder, SEEDS);
+    let (scripts, failed) = run_all_scripts(&folder, SEEDS);
     assert!(
         scripts >= 10 || std::env::var("FLEET_SCRIPT").is_ok(),
         "found {scripts} scripts"
@@ -29,8 +29,8 @@
 #[test]
 fn large_fleet_on_lossy_links_agrees_and_stays_quiet() {
     let (n, span) = (150, Duration::from_millis(20_000));
-    let mut sim = Sim::new(Setup::of(n), 7);
-    let net = Act::Net {
+    let mut sim = SimulatedFleet::new(FleetSetup::of(n), 7);
+    let net = Action::Network {
         loss: Some(0.3),
         double: None,
         spoil: None,
@@ -38,7 +38,7 @@
     };
     sim.act(&net).expect("set");
     for who in 0..n {
-        sim.act(&Act::Start {
+        sim.act(&Action::Start {
             who,
             name: who,
             clock: Duration::ZERO,
@@ -47,14 +47,14 @@
         .expect("started");
     }
     let began = sim.at();
-    while let Some(amiss) = sim.amiss(&Condition::Settled) {
+    while let Some(amiss) = sim.unmet(&Condition::Settled) {
         assert!(
             sim.at().saturating_sub(began) < Duration::from_millis(25_000),
             "{amiss}"
         );
         sim.pass();
     }
-    let sums = |sim: &Sim| {
+    let sums = |sim: &SimulatedFleet| {
         let all = sim
             .running()
             .map(|m| (m.1.counters().bytes_out, m.1.counters().suspicions));
--- a/crates/quota/tests/fleet.rs
+++ b/crates/quota/tests/fleet.rs
@@ -5,9 +5,9 @@
 mod support;
 
 use madderbay::time::Duration;
-use madderbay_testkit::fleet::draw::Draw;
-use madderbay_testkit::fleet::script::{Act, Budgeted, Condition, Fleet, Setup};
-use madderbay_testkit::fleet::sim::{Sim, play_all};
+use madderbay_testkit::fleet::script::{Action, Condition, Fleet, FleetSetup, QuotaSetup};
+use madderbay_testkit::fleet::script_generator::ScriptGenerator;
+use madderbay_testkit::fleet::simulated::{SimulatedFleet, run_all_scripts};
 use std::path::Path;
 use support::{act, start};
 
@@ -16,7 +16,7 @@
 #[test]
 fn every_script_passes_over_many_seeds() {
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../tests/shared");
-    let (scripts, failed) = play_all(&folder, SEEDS);
+    let (scripts, failed) = run_all_scripts(&folder, SEEDS);
     assert!(
         scripts >= 10 || std::env::var("FLEET_SCRIPT").is_ok(),
         "scripts are found"
@@ -30,9 +30,9 @@
 }
 
 /// A fleet of `servers` with one budget of `capacity` calls in flight.
-fn fleet_with_budget(servers: usize, capacity: u32, call_ms: u64) -> Setup {
+fn fleet_with_budget(servers: usize, capacity: u32, call_ms: u64) -> FleetSetup {
     let ms = Duration::from_millis;
-    let budget = Budgeted {
+    let budget = QuotaSetup {
         whole: capacity,
         servers: servers as u32,
         seats: false,
@@ -41,9 +41,9 @@
         call: ms(call_ms),
         handlers: "book",
     };
-    Setup {
+    FleetSetup {
         budget: Some(budget),
-        ..Setup::of(servers)
+        ..FleetSetup::of(servers)
     }
 }
 
@@ -51,10 +51,10 @@
 #[test]
 fn joining_servers_use_the_capacity_and_never_exceed_it() {
     let (servers, capacity) = (300, 600);
-    let mut sim = Sim::new(fleet_with_budget(servers, capacity, 100), 3);
+    let mut sim = SimulatedFleet::new(fleet_with_budget(servers, capacity, 100), 3);
     for server in 0..servers {
         act(&mut sim, start(server));
-        act(&mut sim, Act::Demand(server, 10));
+        act(&mut sim, Action::Demand(server, 10));
         // All join within 7 s.
         if server % 15 == 14 {
             sim.run(Duration::from_millis(330));
@@ -64,7 +64,7 @@
         who: (0..servers).collect(),
         least: capacity * 9 / 10,
     };
-    while let Some(amiss) = sim.amiss(&used) {
+    while let Some(amiss) = sim.unmet(&used) {
         assert!(sim.at() < Duration::from_millis(30_000), "{amiss}");
         sim.pass();
     }
@@ -79,10 +79,10 @@
 fn random_histories_never_exceed_the_capacity() {
     for seed in 0..150u64 {
         let (servers, capacity) = (4, 20);
-        let mut sim = Sim::new(fleet_with_budget(servers, capacity, 200), seed);
+        let mut sim = SimulatedFleet::new(fleet_with_budget(servers, capacity, 200), seed);
         (0..servers).for_each(|server| act(&mut sim, start(server)));
         sim.run(Duration::from_millis(4_000));
-        let mut draw = Draw::new(seed + 500, servers, capacity * 3 / 2);
+        let mut draw = ScriptGenerator::new(seed + 500, servers, capacity * 3 / 2);
         for _ in 0..25 {
             act(&mut sim, draw.act());
             sim.run(Duration::from_secs_f64(draw.secs(0.8)));
--- a/crates/quota/tests/replicated_counter.rs
+++ b/crates/quota/tests/replicated_counter.rs
@@ -6,8 +6,8 @@
 use madderbay::time::{Duration, Timestamp};
 use madderbay_quota::counter::{CounterSettings, ReplicatedCounter, SnapshotSource};
 use madderbay_quota::{CountEstimate, CounterSnapshot, name_hash};
-use madderbay_testkit::fleet::script::{Act, Condition, Fleet, Setup};
-use madderbay_testkit::fleet::sim::Sim;
+use madderbay_testkit::fleet::script::{Action, Condition, Fleet, FleetSetup};
+use madderbay_testkit::fleet::simulated::SimulatedFleet;
 use support::{act, start};
 
 const WINDOW: Duration = Duration::from_millis(5_000);
@@ -15,17 +15,17 @@
 const CHECK_INTERVAL_MS: u64 = 250;
 
 /// A fleet of `servers` with one counter, all started and in one view.
-fn settled_fleet(servers: usize, seed: u64) -> Sim {
+fn settled_fleet(servers: usize, seed: u64) -> SimulatedFleet {
     let memory = Duration::from_millis(30_000);
-    let setup = Setup {
+    let setup = FleetSetup {
         window: Some(WINDOW),
         memory,
-        ..Setup::of(servers)
+        ..FleetSetup::of(servers)
     };
-    let mut sim = Sim::new(setup, seed);
+    let mut sim = SimulatedFleet::new(setup, seed);
     sim.log = Some(vec![]);
     (0..servers).for_each(|server| act(&mut sim, start(server)));
-    while let Some(amiss) = sim.amiss(&Condition::Settled) {
+    while let Some(amiss) = sim.unmet(&Condition::Settled) {
         assert!(sim.at() < Duration::from_millis(40_000), "{amiss}");
         sim.pass();
     }
@@ -33,21 +33,26 @@
 }
 
 /// A server's estimate of a key. The simulation compares it with the true count.
-fn estimate(sim: &mut Sim, server: usize, key: u32, fair_rate: f64) -> CountEstimate {
+fn estimate(sim: &mut SimulatedFleet, server: usize, key: u32, fair_rate: f64) -> CountEstimate {
     try_estimate(sim, server, key, fair_rate).expect("a running server")
 }
 
-fn try_estimate(sim: &mut Sim, server: usize, key: u32, fair_rate: f64) -> Option<CountEstimate> {
+fn try_estimate(
+    sim: &mut SimulatedFleet,
+    server: usize,
+    key: u32,
+    fair_rate: f64,
+) -> Option<CountEstimate> {
     sim.told(server, key, fair_rate)
 }
 
 /// Requests of a key arrive at a server from now on.
-fn set_rate(sim: &mut Sim, server: usize, key: u32, per_second: f64) {
+fn set_rate(sim: &mut SimulatedFleet, server: usize, key: u32, per_second: f64) {
     sim.reqs(server, key, per_second);
 }
 
 /// Lets time pass while all running servers' estimates stay within their bounds.
-fn check_for(sim: &mut Sim, keys: &[u32], ms: u64) {
+fn check_for(sim: &mut SimulatedFleet, keys: &[u32], ms: u64) {
     for _ in 0..ms / CHECK_INTERVAL_MS {
         sim.run(Duration::from_millis(CHECK_INTERVAL_MS));
         let running: Vec<usize> = sim.running().map(|server| server.0).collect();
@@ -86,7 +91,7 @@
         let (loss, double, spoil) = (Some(0.2), Some(0.1), Some(0.05));
         act(
             &mut sim,
-            Act::Net {
+            Action::Network {
                 loss,
                 double,
                 spoil,
@@ -94,17 +99,17 @@
             },
         );
         check_for(&mut sim, &keys, 6_000);
-        act(&mut sim, Act::Cut(vec![vec![0, 1, 2], vec![3, 4, 5, 6]]));
+        act(&mut sim, Action::Cut(vec![vec![0, 1, 2], vec![3, 4, 5, 6]]));
         set_rate(&mut sim, 5, acme, 110.0);
         check_for(&mut sim, &keys, 10_000);
-        act(&mut sim, Act::Kill(1));
+        act(&mut sim, Action::Kill(1));
         check_for(&mut sim, &keys, 2_000);
-        act(&mut sim, Act::Heal);
+        act(&mut sim, Action::Heal);
         act(&mut sim, start(1));
-        act(&mut sim, Act::Stop(3));
+        act(&mut sim, Action::Stop(3));
         check_for(&mut sim, &keys, 6_000);
-        act(&mut sim, Act::Continue(3));
-        act(&mut sim, Act::Drain(4));
+        act(&mut sim, Action::Continue(3));
+        act(&mut sim, Action::Drain(4));
         check_for(&mut sim, &keys, 8_000);
     }
 }
@@ -119,9 +124,9 @@
     (0..servers).for_each(|server| set_rate(&mut sim, server, acme, 50.0));
     check_for(&mut sim, &[acme], 12_000);
     let fair_rate = 10.0;
-    let value = |sim: &mut Sim| estimate(sim, 0, acme, fair_rate).value;
+    let value = |sim: &mut SimulatedFleet| estimate(sim, 0, acme, fair_rate).value;
     assert!((900.0..1_100.0).contains(&value(&mut sim)));
-    act(&mut sim, Act::Cut(vec![vec![0], vec![1, 2, 3]]));
+    act(&mut sim, Action::Cut(vec![vec![0], vec![1, 2, 3]]));
     sim.run(Duration::from_millis(8_000));
     let soon = value(&mut sim);
     sim.run(Duration::from_millis(17_000));
--- a/crates/server/tests/crossings.rs
+++ b/crates/server/tests/crossings.rs
@@ -10,7 +10,7 @@
 use madderbay_server::support::io::{Outbox, drive, drive_peer};
 use madderbay_server::upstream::calls;
 use madderbay_server::upstream::engine::EngineObserver as _;
-use madderbay_testkit::{PATIENCE, unix_ms};
+use madderbay_testkit::{WAIT_TIMEOUT, unix_ms};
 use std::cell::RefCell;
 use std::io::{ErrorKind, Write};
 use std::net::SocketAddr;
@@ -29,7 +29,7 @@
         .build()
         .expect("a runtime");
     LocalSet::new().block_on(&runtime, async {
-        timeout(PATIENCE, test).await.expect("over in time")
+        timeout(WAIT_TIMEOUT, test).await.expect("over in time")
     });
 }
 
--- a/crates/server/tests/deploy.rs
+++ b/crates/server/tests/deploy.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use madderbay_testkit::engine::Engine;
-use madderbay_testkit::server::{Others, command, configuration, written};
-use madderbay_testkit::{PATIENCE, registry};
+use madderbay_testkit::server::{Dependencies, command, configuration, write_config};
+use madderbay_testkit::{WAIT_TIMEOUT, registry};
 use object::{Object, ObjectSymbol};
 use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
@@ -87,12 +87,12 @@
     // Started by a shell as the platform does it, what runs is the shell's own process.
     let engine = Engine::start(1.0, vec![], 1);
     let (registry, _reports) = registry::start();
-    let others = Others {
+    let others = Dependencies {
         engine: engine.address,
         registry,
         catalogue: engine.address,
     };
-    let path = written(&configuration(
+    let path = write_config(&configuration(
         "127.0.0.1:0",
         others,
         128,
@@ -109,7 +109,7 @@
     let proc = PathBuf::from(format!("/proc/{}", child.id()));
     while std::fs::read_link(proc.join("exe")).ok().as_deref() != Some(program) {
         assert!(
-            began.elapsed() < PATIENCE,
+            began.elapsed() < WAIT_TIMEOUT,
             "the shell does not become the program"
         );
         std::thread::yield_now();
--- a/crates/server/tests/fleet.rs
+++ b/crates/server/tests/fleet.rs
@@ -2,17 +2,17 @@
 
 mod common;
 
-use madderbay_testkit::engine::Work;
-use madderbay_testkit::fleet::script::{Act, Script, Step, play, scripts};
-use madderbay_testkit::fleet::stand::Stand;
+use madderbay_testkit::engine::HandlerWork;
+use madderbay_testkit::fleet::processes::ProcessFleet;
+use madderbay_testkit::fleet::script::{Action, Script, Step, load_scripts, run_script};
 use std::path::Path;
 
 fn program() -> &'static Path {
     Path::new(env!("CARGO_BIN_EXE_madderbay"))
 }
 
-fn works() -> Vec<Work> {
-    let of = |handler: &str, calls| Work {
+fn works() -> Vec<HandlerWork> {
+    let of = |handler: &str, calls| HandlerWork {
         handler: handler.into(),
         ms: (2.0, 6.0),
         calls,
@@ -24,11 +24,14 @@
 fn real_scripts() -> Vec<(String, Script)> {
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../tests/fleet");
     let real = |s: &Script| {
-        s.steps
-            .iter()
-            .all(|s| !matches!(s.1, Step::Act(Act::For(_)) | Step::Act(Act::Downs(_))))
+        s.steps.iter().all(|s| {
+            !matches!(
+                s.1,
+                Step::Action(Action::For(_)) | Step::Action(Action::Downs(_))
+            )
+        })
     };
-    scripts(&folder)
+    load_scripts(&folder)
         .into_iter()
         .filter(|s| real(&s.1))
         .collect()
@@ -48,14 +51,14 @@
                     let Some((name, script)) = scripts.get(at) else {
                         return;
                     };
-                    let mut stand = Stand::new(
+                    let mut stand = ProcessFleet::new(
                         script.setup.clone(),
                         program(),
                         common::SETTINGS,
                         &works(),
                         at as u64,
                     );
-                    if let Err(what) = play(script, &mut stand) {
+                    if let Err(what) = run_script(script, &mut stand) {
                         failed
                             .lock()
                             .expect("a list")
--- a/crates/server/tests/kept.rs
+++ b/crates/server/tests/kept.rs
@@ -2,9 +2,9 @@
 
 mod common;
 
-use madderbay_testkit::peer::{Peer, local};
-use madderbay_testkit::server::{Others, Server, configuration, written};
-use madderbay_testkit::{PATIENCE, registry, unix_ms};
+use madderbay_testkit::peer::{Peer, loopback_listener};
+use madderbay_testkit::server::{Dependencies, Server, configuration, write_config};
+use madderbay_testkit::{WAIT_TIMEOUT, registry, unix_ms};
 use std::net::{TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::Command;
@@ -25,13 +25,13 @@
 
 impl Place {
     fn new(window_us: u64, more: &str) -> Place {
-        let folder = written("");
+        let folder = write_config("");
         std::fs::remove_file(&folder).expect("removed");
         std::fs::create_dir(&folder).expect("made");
-        let engine = local();
+        let engine = loopback_listener();
         let (registry, reports) = registry::start();
-        let catalogue = local().local_addr().unwrap();
-        let others = Others {
+        let catalogue = loopback_listener().local_addr().unwrap();
+        let others = Dependencies {
             engine: engine.local_addr().unwrap(),
             registry,
             catalogue,
@@ -186,7 +186,7 @@
             break;
         }
         assert!(
-            answer.contains("-32001") && began.elapsed() < PATIENCE,
+            answer.contains("-32001") && began.elapsed() < WAIT_TIMEOUT,
             "{id}: {answer}"
         );
     }
@@ -270,8 +270,8 @@
 }
 
 fn refused(place: &Place) -> String {
-    let config = written(&place.config);
-    let operator = written(&place.operator);
+    let config = write_config(&place.config);
+    let operator = write_config(&place.operator);
     let found = Command::new(program())
         .env("RELAY_CONFIG", &config)
         .env_remove("MADDERBAY_OPERATOR")
@@ -390,7 +390,7 @@
     engine.say(&done(1, 1, "WFla"));
     assert!(a.line().contains("WFla"));
     killed(server, engine);
-    let (config, operator) = (written(&place.config), written(&place.operator));
+    let (config, operator) = (write_config(&place.config), write_config(&place.operator));
     for n in 0..12u64 {
         let mut life = madderbay_testkit::server::command(program(), Some(&config))
             .arg("--operator")
@@ -420,11 +420,11 @@
 /// result, sync and answer. The engine is one that goes on by itself, and counts.
 #[test]
 fn killed_at_any_moment() {
-    use madderbay_testkit::engine::{Engine, Work};
+    use madderbay_testkit::engine::{Engine, HandlerWork};
     let mut chance = oorandom::Rand64::new(11);
     for history in 0..20u32 {
         let mut place = Place::new(30_000_000, "");
-        let works = vec![Work {
+        let works = vec![HandlerWork {
             handler: "book".into(),
             ms: (1.0, 8.0),
             calls: false,
@@ -470,7 +470,7 @@
                 done[n as usize - 1] |= now;
             }
         }
-        let ran = engine.ran().bodies;
+        let ran = engine.stats().bodies;
         assert!(ran.values().all(|n| *n == 1), "history {history}: {ran:?}");
     }
 }
--- a/crates/server/tests/members.rs
+++ b/crates/server/tests/members.rs
@@ -3,10 +3,10 @@
 
 mod common;
 
-use madderbay_testkit::balancer::{Ask, Load, breaches};
-use madderbay_testkit::engine::{Engine, Work};
-use madderbay_testkit::fleet::script::{Act, Condition, Fleet, Script, Setup, play};
-use madderbay_testkit::fleet::stand::Stand;
+use madderbay_testkit::engine::{Engine, HandlerWork};
+use madderbay_testkit::fleet::processes::ProcessFleet;
+use madderbay_testkit::fleet::script::{Action, Condition, Fleet, FleetSetup, Script, run_script};
+use madderbay_testkit::load_balancer::{Load, RequestKind, rule_violations};
 use madderbay_testkit::server::{self, command};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, UdpSocket};
@@ -21,8 +21,8 @@
     Path::new(env!("CARGO_BIN_EXE_madderbay"))
 }
 
-fn works() -> Vec<Work> {
-    let of = |handler: &str, calls| Work {
+fn works() -> Vec<HandlerWork> {
+    let of = |handler: &str, calls| HandlerWork {
         handler: handler.into(),
         ms: (2.0, 6.0),
         calls,
@@ -30,9 +30,9 @@
     vec![of("search", true), of("quote", false), of("book", true)]
 }
 
-fn stand(script: &str) -> (Script, Stand) {
+fn stand(script: &str) -> (Script, ProcessFleet) {
     let script = Script::read("test", script).expect("a script");
-    let stand = Stand::new(
+    let stand = ProcessFleet::new(
         script.setup.clone(),
         program(),
         common::SETTINGS,
@@ -42,7 +42,7 @@
     (script, stand)
 }
 
-fn ask(socket: &Path, flags: &[&str]) -> Output {
+fn query_cli(socket: &Path, flags: &[&str]) -> Output {
     command(program(), None)
         .args(["members", "--socket"])
         .arg(socket)
@@ -55,8 +55,8 @@
 #[test]
 fn what_a_server_holds_is_told_by_the_command_line() {
     let (script, mut stand) = stand("servers 3\nstart all\nsettle 20s");
-    play(&script, &mut stand).expect("settled");
-    let told = ask(stand.socket(1), &["--json"]);
+    run_script(&script, &mut stand).expect("settled");
+    let told = query_cli(stand.socket(1), &["--json"]);
     assert!(told.status.success());
     let text = String::from_utf8(told.stdout).expect("text");
     assert_eq!(text.lines().count(), 1);
@@ -77,13 +77,13 @@
             .all(|m| m["state"] == "alive" && m["zone"] == "north"),
         "{text}"
     );
-    let text = String::from_utf8(ask(stand.socket(1), &[]).stdout).expect("text");
+    let text = String::from_utf8(query_cli(stand.socket(1), &[]).stdout).expect("text");
     assert!(
         text.starts_with("n2 hears whole since ") && text.lines().count() == 4,
         "{text}"
     );
     // Nobody there.
-    let missing = ask(Path::new("/nonexistent.sock"), &[]);
+    let missing = query_cli(Path::new("/nonexistent.sock"), &[]);
     assert_eq!(missing.status.code(), Some(1));
     let why = String::from_utf8(missing.stderr).expect("text");
     assert!(
@@ -102,7 +102,7 @@
 fn with_socket(path: &Path) -> server::Server {
     let (registry, reports) = madderbay_testkit::registry::start();
     std::mem::forget(reports);
-    let others = server::Others {
+    let others = server::Dependencies {
         engine: registry,
         registry,
         catalogue: registry,
@@ -128,13 +128,13 @@
         .permissions()
         .mode();
     assert_eq!(mode & 0o777, 0o600);
-    let wrong = ask(&path, &[]);
+    let wrong = query_cli(&path, &[]);
     let why = String::from_utf8(wrong.stderr).expect("text");
     assert!(why.contains("no [members] in the operator file"), "{why}");
     // A second server leaves the first one's socket alone, and says so.
     let config = std::fs::read_to_string(&first.path).expect("its configuration");
-    let config = server::written(&config);
-    let operator = server::written(&format!("[control]\nsocket = {}\n", path.display()));
+    let config = server::write_config(&config);
+    let operator = server::write_config(&format!("[control]\nsocket = {}\n", path.display()));
     let second = command(program(), Some(&config))
         .arg("--operator")
         .arg(&operator)
@@ -202,7 +202,7 @@
     // Each of them is let go in its term.
     let mut rest = vec![];
     hung[0]
-        .set_read_timeout(Some(madderbay_testkit::PATIENCE))
+        .set_read_timeout(Some(madderbay_testkit::WAIT_TIMEOUT))
         .expect("a time-out");
     hung[0].read_to_end(&mut rest).expect("closed");
     assert!(rest.is_empty());
@@ -224,8 +224,8 @@
     sent
 }
 
-fn asks() -> Vec<Ask> {
-    let ask = |handler: &str, part, keyed| Ask {
+fn kinds() -> Vec<RequestKind> {
+    let kind = |handler: &str, part, keyed| RequestKind {
         handler: handler.into(),
         part,
         target: StdDuration::from_secs(2),
@@ -233,32 +233,32 @@
         project: "acme",
     };
     vec![
-        ask("search", 0.4, false),
-        ask("quote", 0.4, false),
-        ask("book", 0.2, true),
+        kind("search", 0.4, false),
+        kind("quote", 0.4, false),
+        kind("book", 0.2, true),
     ]
 }
 
 /// Load on one server while something goes on: how many reqs, and what was broken of the rules.
 fn loaded(server: SocketAddr, engine: &Engine, secs: u64, seed: u64) -> (usize, Vec<String>) {
     let load = Load {
-        asks: asks(),
+        kinds: kinds(),
         rates: vec![(StdDuration::ZERO, 60.0)],
         length: StdDuration::from_secs(secs),
         seed,
         allow_ms: 5_000,
     };
-    let fates = load.run(server, |name| engine.answered(name), |_| ());
+    let records = load.run(server, |name| engine.answered(name), |_| ());
     (
-        fates.len(),
-        breaches(&fates, &load.asks, &engine.ran().bodies),
+        records.len(),
+        rule_violations(&records, &load.kinds, &engine.stats().bodies),
     )
 }
 
 #[test]
 fn a_flood_of_strangers_costs_no_req_its_answer_and_no_server_its_place() {
     let (script, mut stand) = stand("servers 3\nstart all\nsettle 20s");
-    play(&script, &mut stand).expect("settled");
+    run_script(&script, &mut stand).expect("settled");
     let on = AtomicBool::new(true);
     let heard_at = stand.heard_at(0).expect("it hears");
     let (sent, (reqs, broken)) = std::thread::scope(|scope| {
@@ -273,9 +273,9 @@
         "{sent} datagrams beside {reqs} reqs"
     );
     assert!(broken.is_empty(), "{broken:?}");
-    play(
+    run_script(
         &Script {
-            setup: Setup::of(3),
+            setup: FleetSetup::of(3),
             steps: vec![(0, settle(10))],
         },
         &mut stand,
@@ -294,7 +294,7 @@
 fn rules_are_kept_while_views_are_wrong() {
     let (script, mut stand) =
         stand("servers 4\nset memory=2s\nloss 0.1\nspoil 0.05\ndouble 0.1\nstart all\nsettle 30s");
-    play(&script, &mut stand).expect("settled");
+    run_script(&script, &mut stand).expect("settled");
     let faults = Script::read(
         "faults",
         "servers 4\ncut n1 n2 | n3 n4\nsees n1 n3 down 20s\nkill n4\nreplay n1\nheal\nstop n2\n\
@@ -314,7 +314,7 @@
             }
             rounds
         });
-        let played = play(&faults, &mut stand);
+        let played = run_script(&faults, &mut stand);
         over.store(true, Ordering::Relaxed);
         (played, loading.join().expect("loaded"))
     });
@@ -328,7 +328,7 @@
 #[test]
 fn off_means_no_socket() {
     let (registry, _reports) = madderbay_testkit::registry::start();
-    let others = server::Others {
+    let others = server::Dependencies {
         engine: registry,
         registry,
         catalogue: registry,
@@ -371,8 +371,8 @@
 fn leaving_is_told() {
     let (script, mut stand) =
         stand("servers 3\nstart all\nsettle 20s\ndrain n3\nsees all n3 left 10s\nsettle 10s");
-    play(&script, &mut stand).expect("told");
-    stand.act(&Act::Kill(1)).expect("killed");
+    run_script(&script, &mut stand).expect("told");
+    stand.act(&Action::Kill(1)).expect("killed");
     let script = Script::read("end", "servers 3\nsees n1 n2 down 20s").expect("a script");
-    play(&script, &mut stand).expect("told");
+    run_script(&script, &mut stand).expect("told");
 }
--- a/crates/server/tests/process/connections.rs
+++ b/crates/server/tests/process/connections.rs
@@ -4,9 +4,9 @@
     ATTACH_FROM_START, GAUGES, HEALTH_CHECK, HELLO_RUNNING, TestServer, assert_counters, completed,
     connect_to, move_to, others, request, start_program, unreachable_address,
 };
-use madderbay_testkit::peer::{Peer, local};
-use madderbay_testkit::server::{Others, Server as Program};
-use madderbay_testkit::{PATIENCE, registry};
+use madderbay_testkit::peer::{Peer, loopback_listener};
+use madderbay_testkit::server::{Dependencies, Server as Program};
+use madderbay_testkit::{WAIT_TIMEOUT, registry};
 use std::io::{BufRead, ErrorKind, Read, Write};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
@@ -78,7 +78,7 @@
 fn connect_until_admitted(program: &Program, engine: &mut Peer) -> (Peer, u32) {
     let began = Instant::now();
     for attempt in 2.. {
-        assert!(began.elapsed() < PATIENCE, "a load balancer gets in");
+        assert!(began.elapsed() < WAIT_TIMEOUT, "a load balancer gets in");
         let mut peer = connect_to(program);
         peer.say(&request(1, "quote", attempt, ""));
         match rejection(&mut peer, attempt, engine) {
@@ -115,7 +115,7 @@
 /// reports resume once the registry is back.
 #[test]
 fn idle_clients_do_not_exclude_a_load_balancer() {
-    let (engine, catalogue) = (local(), local());
+    let (engine, catalogue) = (loopback_listener(), loopback_listener());
     let others = others(&engine, unreachable_address(), &catalogue);
     let program = start_program(others, 30);
     let mut link = Peer::accept(&engine);
@@ -139,12 +139,12 @@
     assert!(descriptors <= 30, "{descriptors} descriptors");
     // The registry is back at another address.
     let (registry, reports) = registry::start();
-    let moved = Others { registry, ..others };
+    let moved = Dependencies { registry, ..others };
     move_to(&program, moved, 30);
     program.signal("-HUP");
     assert!(
         reports
-            .recv_timeout(PATIENCE)
+            .recv_timeout(WAIT_TIMEOUT)
             .expect("a report")
             .contains("ready")
     );
--- a/crates/server/tests/process/operator_file.rs
+++ b/crates/server/tests/process/operator_file.rs
@@ -2,12 +2,12 @@
 
 use crate::common::SETTINGS;
 use crate::support::{STOP_MS, all_at, program};
-use madderbay_testkit::peer::local;
-use madderbay_testkit::server::{command, configuration, written};
+use madderbay_testkit::peer::loopback_listener;
+use madderbay_testkit::server::{command, configuration, write_config};
 
 /// Exit status of the program with these arguments, and the lines of its standard error.
 fn run_command(args: &[&str], config: Option<&str>) -> (i32, Vec<String>) {
-    let path = config.map(written);
+    let path = config.map(write_config);
     let found = command(program(), path.as_deref())
         .args(args)
         .output()
@@ -25,10 +25,10 @@
 /// handlers are looked up too.
 #[test]
 fn operator_file_is_checked_before_start() {
-    let address = local().local_addr().unwrap();
+    let address = loopback_listener().local_addr().unwrap();
     let others = all_at(address);
     let config = configuration("127.0.0.1:0", others, 128, STOP_MS, SETTINGS);
-    let file = written(
+    let file = write_config(
         "[pools]\nenabled = on\n[pool a]\nhandlers = quote, bock\n[reserve]\nhandlers = seek\n",
     );
     let name = file.to_str().expect("a name");
--- a/crates/server/tests/process/reload.rs
+++ b/crates/server/tests/process/reload.rs
@@ -4,8 +4,8 @@
     ATTACH_FROM_START, HELLO_RUNNING, LEAVING, TestServer, call_needed, completed, move_to, others,
     request,
 };
-use madderbay_testkit::peer::{Peer, local};
-use madderbay_testkit::{PATIENCE, registry};
+use madderbay_testkit::peer::{Peer, loopback_listener};
+use madderbay_testkit::{WAIT_TIMEOUT, registry};
 
 /// On SIGHUP the program takes the addresses in the file: runs go on over the link to the new engine, calls and
 /// reports go to the new addresses. A file that cannot be read changes nothing. Neither ends the process.
@@ -23,7 +23,8 @@
     std::fs::write(&server.path, "{\"name\":\"n1\",").unwrap();
     server.signal("-HUP");
     server.log_at("nothing is changed");
-    let (new_engine, new_catalogue, (registry, reports)) = (local(), local(), registry::start());
+    let (new_engine, new_catalogue, (registry, reports)) =
+        (loopback_listener(), loopback_listener(), registry::start());
     let others = others(&new_engine, registry, &new_catalogue);
     move_to(&server, others, 64);
     server.signal("-HUP");
@@ -41,7 +42,12 @@
     assert!(catalogue.line().starts_with("FETCH"));
     engine.say(&completed(3, 1, "WFla"));
     assert!(a.line().contains("\"result\""));
-    assert!(reports.recv_timeout(PATIENCE).unwrap().contains("ready"));
+    assert!(
+        reports
+            .recv_timeout(WAIT_TIMEOUT)
+            .unwrap()
+            .contains("ready")
+    );
 }
 
 /// A reload and then a drain, and a drain and then a reload: the open run is answered over the new link.
@@ -55,7 +61,7 @@
         a.say(&request(1, "quote", 1, ""));
         assert!(engine.command().contains("\"RUN\""));
         let (new_engine, new_catalogue, (registry, _reports)) =
-            (local(), local(), registry::start());
+            (loopback_listener(), loopback_listener(), registry::start());
         let others = others(&new_engine, registry, &new_catalogue);
         move_to(&server, others, 128);
         if drain_first {
--- a/crates/server/tests/process/shutdown.rs
+++ b/crates/server/tests/process/shutdown.rs
@@ -4,7 +4,7 @@
     ATTACH_FROM_START, HEALTH_CHECK, HELLO_STARTED, LEAVING, TestServer, connect_to, others,
     request, start_program, unreachable_others,
 };
-use madderbay_testkit::peer::{Peer, local};
+use madderbay_testkit::peer::{Peer, loopback_listener};
 
 /// A run that does not end is answered before the process ends, and the process ends before it would be killed.
 #[test]
@@ -24,7 +24,11 @@
 /// SIGTERM arrives twice while the engine has not come up and the registry has answered in part.
 #[test]
 fn drain_ends_while_the_engine_is_not_up() {
-    let (engine, catalogue, registry) = (local(), local(), local());
+    let (engine, catalogue, registry) = (
+        loopback_listener(),
+        loopback_listener(),
+        loopback_listener(),
+    );
     let others = others(&engine, registry.local_addr().unwrap(), &catalogue);
     let program = start_program(others, 128);
     let mut link = Peer::accept(&engine);
--- a/crates/server/tests/process/startup.rs
+++ b/crates/server/tests/process/startup.rs
@@ -6,9 +6,9 @@
     all_at, completed, connect_to, move_to, others, program, request, start_program,
     unreachable_address, unreachable_others,
 };
-use madderbay_testkit::peer::{Peer, local};
+use madderbay_testkit::peer::{Peer, loopback_listener};
 use madderbay_testkit::registry;
-use madderbay_testkit::server::{Server as Program, command, configuration, written};
+use madderbay_testkit::server::{Server as Program, command, configuration, write_config};
 use std::io::{BufRead, BufReader};
 use std::process::Output;
 use std::time::{Duration, Instant};
@@ -27,7 +27,7 @@
         a.line().contains("-32002"),
         "rejected while there is no engine"
     );
-    let (engine, catalogue) = (local(), local());
+    let (engine, catalogue) = (loopback_listener(), loopback_listener());
     let moved = others(&engine, unreachable_address(), &catalogue);
     move_to(&program, moved, 128);
     program.signal("-HUP");
@@ -48,7 +48,7 @@
 
 /// The one line that a failed start prints. Its exit status is 2 where the configuration is wrong, else 1.
 fn failed_start(config: Option<&str>, listen: Option<&str>) -> String {
-    let path = config.map(written);
+    let path = config.map(write_config);
     let mut command = command(program(), path.as_deref());
     if let Some(listen) = listen {
         command.env("RELAY_LISTEN", listen);
@@ -68,7 +68,7 @@
 /// The line names what is wrong.
 #[test]
 fn failed_start_prints_one_line() {
-    let taken = local();
+    let taken = loopback_listener();
     let address = taken.local_addr().unwrap();
     let others = all_at(address);
     let good = configuration(&address.to_string(), others, 128, STOP_MS, SETTINGS);
@@ -108,11 +108,11 @@
 /// The program waits for a configuration that is not there, and then cut short; it is up soon after it is complete.
 #[test]
 fn waits_for_a_late_configuration() {
-    let (engine, catalogue) = (local(), local());
+    let (engine, catalogue) = (loopback_listener(), loopback_listener());
     let (registry, _reports) = registry::start();
     let others = others(&engine, registry, &catalogue);
     let complete = configuration("127.0.0.1:0", others, 128, STOP_MS, SETTINGS);
-    let path = written("");
+    let path = write_config("");
     std::fs::remove_file(&path).expect("removed");
     let mut command = command(program(), Some(&path));
     let mut child = command
@@ -143,7 +143,11 @@
 /// refuses before it takes a report. The program is ready soon all the same.
 #[test]
 fn ready_soon_while_peers_break_off() {
-    let (engine, catalogue, registry) = (local(), local(), local());
+    let (engine, catalogue, registry) = (
+        loopback_listener(),
+        loopback_listener(),
+        loopback_listener(),
+    );
     let others = others(&engine, registry.local_addr().unwrap(), &catalogue);
     let program = start_program(others, 128);
     let began = Instant::now();
@@ -187,7 +191,7 @@
 /// incarnation listens at the same address at once, starts with no state, and serves.
 #[test]
 fn restarts_after_kills_right_after_an_accept() {
-    let (engine, catalogue) = (local(), local());
+    let (engine, catalogue) = (loopback_listener(), loopback_listener());
     let (registry, _reports) = registry::start();
     let others = others(&engine, registry, &catalogue);
     // An address of its own: no other test takes its port between two incarnations.
--- a/crates/server/tests/process/support.rs
+++ b/crates/server/tests/process/support.rs
@@ -1,8 +1,8 @@
 //! What the tests of the program share: the program between hand-played peers, and the lines that they exchange.
 
 use crate::common::SETTINGS;
-use madderbay_testkit::peer::{Peer, local};
-use madderbay_testkit::server::{Others, Server as Program, configuration};
+use madderbay_testkit::peer::{Peer, loopback_listener};
+use madderbay_testkit::server::{Dependencies, Server as Program, configuration};
 use madderbay_testkit::{registry, unix_ms};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::ops::{Deref, DerefMut};
@@ -57,7 +57,7 @@
     }
 
     fn start_program(descriptors: usize, operator: Option<&str>) -> TestServer {
-        let (engine, catalogue) = (local(), local());
+        let (engine, catalogue) = (loopback_listener(), loopback_listener());
         let (registry, reports) = registry::start();
         let settings = SETTINGS.replace("\"drain_grace_us\": 2000000", "\"drain_grace_us\": 50000");
         let others = others(&engine, registry, &catalogue);
@@ -100,9 +100,9 @@
 }
 
 /// The addresses of the program's peers.
-pub fn others(engine: &TcpListener, registry: SocketAddr, catalogue: &TcpListener) -> Others {
+pub fn others(engine: &TcpListener, registry: SocketAddr, catalogue: &TcpListener) -> Dependencies {
     let address = |l: &TcpListener| l.local_addr().expect("an address");
-    Others {
+    Dependencies {
         engine: address(engine),
         registry,
         catalogue: address(catalogue),
@@ -115,13 +115,13 @@
 }
 
 /// Peers none of which can be reached.
-pub fn unreachable_others() -> Others {
+pub fn unreachable_others() -> Dependencies {
     all_at(unreachable_address())
 }
 
 /// All peers at one address.
-pub fn all_at(address: SocketAddr) -> Others {
-    Others {
+pub fn all_at(address: SocketAddr) -> Dependencies {
+    Dependencies {
         engine: address,
         registry: address,
         catalogue: address,
@@ -129,13 +129,13 @@
 }
 
 /// Starts the program between these peers, with this limit on descriptors.
-pub fn start_program(others: Others, descriptors: usize) -> Program {
+pub fn start_program(others: Dependencies, descriptors: usize) -> Program {
     let text = configuration("127.0.0.1:0", others, descriptors, STOP_MS, SETTINGS);
     Program::start(program(), &text, None)
 }
 
 /// Writes a configuration with other peers over the one that the program was started with.
-pub fn move_to(program: &Program, others: Others, descriptors: usize) {
+pub fn move_to(program: &Program, others: Dependencies, descriptors: usize) {
     let text = configuration("127.0.0.1:0", others, descriptors, STOP_MS, SETTINGS);
     std::fs::write(&program.path, text).expect("written");
 }
--- a/crates/server/tests/routes.rs
+++ b/crates/server/tests/routes.rs
@@ -4,12 +4,12 @@
 mod common;
 
 use madderbay::time::Duration;
-use madderbay_testkit::balancer::{Ask, Fate, Load, breaches};
-use madderbay_testkit::catalogue::{Catalogue, Mood};
-use madderbay_testkit::engine::Work;
-use madderbay_testkit::fleet::script::{Act, Condition, Fleet, Setup};
-use madderbay_testkit::fleet::stand::Stand;
+use madderbay_testkit::catalogue::{Behavior, Catalogue};
+use madderbay_testkit::engine::HandlerWork;
+use madderbay_testkit::fleet::processes::ProcessFleet;
+use madderbay_testkit::fleet::script::{Action, Condition, Fleet, FleetSetup};
 use madderbay_testkit::gate::Gate;
+use madderbay_testkit::load_balancer::{Load, RequestKind, RequestRecord, rule_violations};
 use std::path::Path;
 use std::process::Command;
 use std::sync::Arc;
@@ -36,25 +36,25 @@
         .replace("\"dep_share\": 8.0", "\"dep_share\": 60.0")
 }
 
-fn asks() -> Vec<Ask> {
+fn kinds() -> Vec<RequestKind> {
     let target = StdDuration::from_secs(2);
-    let ask = |handler: &str, part, keyed| Ask {
+    let kind = |handler: &str, part, keyed| RequestKind {
         handler: handler.into(),
         part,
         target,
         keyed,
         project: "acme",
     };
-    vec![ask("search", 3.0, false), ask("book", 1.0, true)]
+    vec![kind("search", 3.0, false), kind("book", 1.0, true)]
 }
 
 /// Servers over backends, with load on all of them; the first server's ways to the backends can be cut.
 struct Play {
-    stand: Stand,
+    stand: ProcessFleet,
     backends: Vec<Catalogue>,
     gates: Vec<Gate>,
     on: Arc<AtomicBool>,
-    loads: Vec<JoinHandle<(Vec<Fate>, Vec<String>)>>,
+    loads: Vec<JoinHandle<(Vec<RequestRecord>, Vec<String>)>>,
 }
 
 fn section(n: usize, address: std::net::SocketAddr) -> String {
@@ -66,14 +66,23 @@
         let backends: Vec<Catalogue> = (0..BACKENDS)
             .map(|_| Catalogue::start(100, StdDuration::from_millis(20)))
             .collect();
-        let gates: Vec<Gate> = backends.iter().map(|b| Gate::to(b.address)).collect();
-        let work = |handler: &str| Work {
+        let gates: Vec<Gate> = backends
+            .iter()
+            .map(|b| Gate::in_front_of(b.address))
+            .collect();
+        let work = |handler: &str| HandlerWork {
             handler: handler.into(),
             ms: (1.0, 2.0),
             calls: true,
         };
         let works = [work("search"), work("book")];
-        let mut stand = Stand::new(Setup::of(SERVERS), program(), &settings(), &works, seed);
+        let mut stand = ProcessFleet::new(
+            FleetSetup::of(SERVERS),
+            program(),
+            &settings(),
+            &works,
+            seed,
+        );
         for s in 0..SERVERS {
             let address = |n: usize| {
                 if s == 0 {
@@ -87,7 +96,7 @@
         }
         for who in 0..SERVERS {
             stand
-                .act(&Act::Start {
+                .act(&Action::Start {
                     who,
                     name: who,
                     clock: Duration::ZERO,
@@ -102,10 +111,10 @@
             on: Arc::new(AtomicBool::new(true)),
             loads: vec![],
         };
-        play.waits("a view", |p| p.stand.amiss(&Condition::Settled));
+        play.waits("a view", |p| p.stand.unmet(&Condition::Settled));
         (0..SERVERS).for_each(|s| play.load(s));
         play.waits("all to be used", |p| {
-            let idle = p.backends.iter().filter(|b| b.seen().done < 30).count();
+            let idle = p.backends.iter().filter(|b| b.stats().done < 30).count();
             (idle > 0).then(|| format!("{idle} had few calls"))
         });
         play
@@ -117,7 +126,7 @@
         let on = self.on.clone();
         let rates = vec![(StdDuration::ZERO, RATE)];
         let load = Load {
-            asks: asks(),
+            kinds: kinds(),
             rates,
             length: LOAD,
             seed: server as u64,
@@ -125,9 +134,9 @@
         };
         self.loads.push(std::thread::spawn(move || {
             let on = || on.load(Ordering::Relaxed);
-            let fates = load.run_while(address, |name| engine.answered(name), |_| (), on);
-            let broken = breaches(&fates, &load.asks, &engine.ran().bodies);
-            (fates, broken)
+            let records = load.run_while(address, |name| engine.answered(name), |_| (), on);
+            let broken = rule_violations(&records, &load.kinds, &engine.stats().bodies);
+            (records, broken)
         }));
     }
 
@@ -163,14 +172,14 @@
         self.on.store(false, Ordering::Relaxed);
         let mut all = vec![];
         for load in self.loads {
-            let (fates, broken) = load.join().expect("loaded");
+            let (records, broken) = load.join().expect("loaded");
             assert!(broken.is_empty(), "{broken:?}");
-            all.extend(fates);
+            all.extend(records);
         }
         // No keyed req has had its call done at two places, or twice at one.
         let mut calls: std::collections::HashMap<String, u32> = Default::default();
         for backend in &self.backends {
-            for (name, n) in backend.seen().names {
+            for (name, n) in backend.stats().names {
                 *calls.entry(name).or_default() += n;
             }
         }
@@ -181,7 +190,7 @@
             .collect();
         assert!(twice.is_empty(), "called twice: {twice:?}");
         let part = |handler| {
-            let of: Vec<&Fate> = all.iter().filter(|f| f.handler == handler).collect();
+            let of: Vec<&RequestRecord> = all.iter().filter(|f| f.handler == handler).collect();
             of.iter()
                 .filter(|f| f.kept(StdDuration::from_secs(2)))
                 .count() as f64
@@ -192,11 +201,11 @@
 }
 
 /// One that fails, is silent, resets or is slow is left out by all, and let in again once it is well.
-fn ill_and_well(mood: Mood, seed: u64) {
+fn ill_and_well(mood: Behavior, seed: u64) {
     let mut play = Play::new(seed);
-    play.backends[2].mood(mood);
+    play.backends[2].set_behavior(mood);
     play.is(2, true, &[]);
-    play.backends[2].mood(Mood::Slow(1.0));
+    play.backends[2].set_behavior(Behavior::Slow(1.0));
     play.is(2, false, &[]);
     let (kept, reqs) = play.over();
     // What may run twice hardly suffers; a booking that may have run is errored, and not made again.
@@ -208,30 +217,32 @@
 
 #[test]
 fn one_that_fails() {
-    ill_and_well(Mood::Fails, 1);
+    ill_and_well(Behavior::Fails, 1);
 }
 
 #[test]
 fn one_that_never_answers() {
-    ill_and_well(Mood::Silent, 2);
+    ill_and_well(Behavior::Silent, 2);
 }
 
 #[test]
 fn one_that_resets() {
-    ill_and_well(Mood::Resets, 3);
+    ill_and_well(Behavior::Resets, 3);
 }
 
 #[test]
 fn one_that_is_slow() {
-    ill_and_well(Mood::Slow(15.0), 4);
+    ill_and_well(Behavior::Slow(15.0), 4);
 }
 
 /// All fail: nobody is left out for good, repeats stay within a tenth, and the end of it is found at once.
 #[test]
 fn all_fail() {
     let mut play = Play::new(5);
-    let came = |p: &Play| p.backends.iter().map(|b| b.seen().came).sum::<u32>();
-    play.backends.iter().for_each(|b| b.mood(Mood::Fails));
+    let came = |p: &Play| p.backends.iter().map(|b| b.stats().came).sum::<u32>();
+    play.backends
+        .iter()
+        .for_each(|b| b.set_behavior(Behavior::Fails));
     let before = came(&play);
     let began = Instant::now();
     play.waits("four hundred calls", |p| {
@@ -240,8 +251,10 @@
     let calls = f64::from(came(&play) - before);
     let most = RATE * SERVERS as f64 * (began.elapsed().as_secs_f64() + 0.3) * 1.1 * 1.25;
     assert!(calls <= most, "{calls} calls, {most:.0} at the most");
-    play.backends.iter().for_each(|b| b.mood(Mood::Slow(1.0)));
-    let done = |p: &Play| p.backends.iter().map(|b| b.seen().done).sum::<u32>();
+    play.backends
+        .iter()
+        .for_each(|b| b.set_behavior(Behavior::Slow(1.0)));
+    let done = |p: &Play| p.backends.iter().map(|b| b.stats().done).sum::<u32>();
     let before = done(&play);
     play.waits("calls to go well again", |p| {
         (done(p) - before < 100).then(|| "few went well".into())
@@ -259,7 +272,7 @@
         // Most look bad to it, so that it leaves nobody out.
         (routes.values().filter(|b| b.2 > 0).count() < 3).then(|| format!("{routes:?}"))
     });
-    let done = |p: &Play| p.backends.iter().map(|b| b.seen().done).sum::<u32>();
+    let done = |p: &Play| p.backends.iter().map(|b| b.stats().done).sum::<u32>();
     let before = done(&play);
     play.waits("the others to go on", |p| {
         for s in 1..SERVERS {
@@ -304,15 +317,15 @@
     };
     (0..SERVERS).for_each(|s| play.stand.rewrite(s, without));
     play.waits("the new one to be used", |_| {
-        (fresh.seen().done < 30).then(|| "few calls".into())
+        (fresh.stats().done < 30).then(|| "few calls".into())
     });
-    let before = play.backends[1].seen().came;
-    let others = play.backends[0].seen().came;
+    let before = play.backends[1].stats().came;
+    let others = play.backends[0].stats().came;
     play.waits("calls to the others", |p| {
-        (p.backends[0].seen().came < others + 30).then(|| "few".into())
+        (p.backends[0].stats().came < others + 30).then(|| "few".into())
     });
     assert_eq!(
-        play.backends[1].seen().came,
+        play.backends[1].stats().came,
         before,
         "one that is gone has no calls"
     );
@@ -325,14 +338,14 @@
 #[test]
 fn a_return_over_a_cut_and_a_new_life() {
     let mut play = Play::new(8);
-    play.backends[3].mood(Mood::Fails);
+    play.backends[3].set_behavior(Behavior::Fails);
     play.is(3, true, &[]);
     play.stand
-        .act(&Act::Cut(vec![vec![0], vec![1, 2]]))
+        .act(&Action::Cut(vec![vec![0], vec![1, 2]]))
         .expect("cut");
-    play.backends[3].mood(Mood::Slow(1.0));
+    play.backends[3].set_behavior(Behavior::Slow(1.0));
     play.is(3, false, &[]);
-    play.stand.act(&Act::Heal).expect("healed");
+    play.stand.act(&Action::Heal).expect("healed");
     let told = Command::new(program())
         .args(["routes", "--json", "--socket"])
         .arg(play.stand.socket(1))
@@ -363,13 +376,13 @@
     let mut play = Play::new(9);
     play.gates[2].cut(true);
     play.is(2, true, &[1, 2]);
-    let before = play.backends[2].seen().done;
+    let before = play.backends[2].stats().done;
     play.waits("the others to use it", |p| {
         for s in 1..SERVERS {
             let routes = p.stand.routes(s).unwrap_or_default();
             assert!(routes["b2"].0 == "in", "n{}: {routes:?}", s + 1);
         }
-        (p.backends[2].seen().done < before + 40).then(|| "few calls".into())
+        (p.backends[2].stats().done < before + 40).then(|| "few calls".into())
     });
     play.gates[2].cut(false);
     play.is(2, false, &[]);
@@ -382,22 +395,22 @@
 fn one_that_flaps_and_all_in_turn() {
     let mut play = Play::new(10);
     let calls = |p: &mut Play, n: u32| {
-        let sum = |p: &Play| p.backends.iter().map(|b| b.seen().came).sum::<u32>();
+        let sum = |p: &Play| p.backends.iter().map(|b| b.stats().came).sum::<u32>();
         let before = sum(p);
         p.waits("some calls", |p| {
             (sum(p) < before + n).then(|| "too few".into())
         });
     };
     for _ in 0..5 {
-        play.backends[1].mood(Mood::Fails);
+        play.backends[1].set_behavior(Behavior::Fails);
         calls(&mut play, 50);
-        play.backends[1].mood(Mood::Slow(1.0));
+        play.backends[1].set_behavior(Behavior::Slow(1.0));
         calls(&mut play, 50);
     }
     for b in 0..BACKENDS {
-        play.backends[b].mood(Mood::Resets);
+        play.backends[b].set_behavior(Behavior::Resets);
         calls(&mut play, 90);
-        play.backends[b].mood(Mood::Slow(1.0));
+        play.backends[b].set_behavior(Behavior::Slow(1.0));
         calls(&mut play, 30);
     }
     let (kept, reqs) = play.over();
--- a/crates/server/tests/shared.rs
+++ b/crates/server/tests/shared.rs
@@ -4,10 +4,12 @@
 mod common;
 
 use madderbay::time::Duration;
-use madderbay_testkit::balancer::{Answer, Ask, Fate, Load, breaches};
-use madderbay_testkit::engine::{Engine, Work};
-use madderbay_testkit::fleet::script::{Act, Budgeted, Condition, Fleet, Setup, play, scripts};
-use madderbay_testkit::fleet::stand::Stand;
+use madderbay_testkit::engine::{Engine, HandlerWork};
+use madderbay_testkit::fleet::processes::ProcessFleet;
+use madderbay_testkit::fleet::script::{
+    Action, Condition, Fleet, FleetSetup, QuotaSetup, load_scripts, run_script,
+};
+use madderbay_testkit::load_balancer::{Answer, Load, RequestKind, RequestRecord, rule_violations};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Mutex;
@@ -27,8 +29,8 @@
 #[test]
 fn every_script_on_real_processes() {
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../tests/shared");
-    let scripts = scripts(&folder);
-    let works = vec![Work {
+    let scripts = load_scripts(&folder);
+    let works = vec![HandlerWork {
         handler: "book".into(),
         ms: (1.0, 3.0),
         calls: true,
@@ -38,15 +40,15 @@
         for _ in 0..2 {
             scope.spawn(|| {
                 while let Some((name, script)) = scripts.get(next.fetch_add(1, Ordering::Relaxed)) {
-                    let mut stand = Stand::new(
+                    let mut stand = ProcessFleet::new(
                         script.setup.clone(),
                         program(),
                         &settings(),
                         &works,
                         name.len() as u64,
                     );
-                    let played = play(script, &mut stand).err();
-                    let (reqs, broken) = stand.judged();
+                    let played = run_script(script, &mut stand).err();
+                    let (reqs, broken) = stand.finish_loads();
                     let mut failed = failed.lock().expect("a list");
                     failed.extend(
                         played
@@ -70,10 +72,10 @@
     );
 }
 
-fn start(stand: &mut Stand, n: usize) {
+fn start(stand: &mut ProcessFleet, n: usize) {
     (0..n).for_each(|s| {
         stand
-            .act(&Act::Start {
+            .act(&Action::Start {
                 who: s,
                 name: s,
                 clock: Duration::ZERO,
@@ -84,9 +86,9 @@
     waits(stand, &Condition::Settled);
 }
 
-fn waits(stand: &mut Stand, what: &Condition) {
+fn waits(stand: &mut ProcessFleet, what: &Condition) {
     let began = stand.at();
-    while let Some(amiss) = stand.amiss(what) {
+    while let Some(amiss) = stand.unmet(what) {
         assert!(
             stand.at().saturating_sub(began) < Duration::from_millis(20_000),
             "{amiss}"
@@ -95,8 +97,8 @@
     }
 }
 
-fn ask(handler: &str, part: f64, keyed: bool, project: &'static str) -> Ask {
-    Ask {
+fn kind(handler: &str, part: f64, keyed: bool, project: &'static str) -> RequestKind {
+    RequestKind {
         handler: handler.into(),
         part,
         target: StdDuration::from_secs(3),
@@ -106,7 +108,7 @@
 }
 
 /// A server's own engine, and where it listens.
-fn ends(stand: &Stand, server: usize) -> (Engine, SocketAddr) {
+fn ends(stand: &ProcessFleet, server: usize) -> (Engine, SocketAddr) {
     (
         stand.engine(server).clone(),
         stand.server(server).expect("runs").address,
@@ -114,23 +116,29 @@
 }
 
 /// Sends a server reqs; what became of them, and that no rule was broken.
-fn send(to: (Engine, SocketAddr), asks: &[Ask], rate: f64, secs: u64, allow_ms: u64) -> Vec<Fate> {
+fn send(
+    to: (Engine, SocketAddr),
+    kinds: &[RequestKind],
+    rate: f64,
+    secs: u64,
+    allow_ms: u64,
+) -> Vec<RequestRecord> {
     let (engine, address) = to;
     let (rates, length) = (
         vec![(StdDuration::ZERO, rate)],
         StdDuration::from_secs(secs),
     );
     let load = Load {
-        asks: asks.to_vec(),
+        kinds: kinds.to_vec(),
         rates,
         length,
         seed: rate as u64,
         allow_ms,
     };
-    let fates = load.run(address, |name| engine.answered(name), |_| ());
-    let broken = breaches(&fates, asks, &engine.ran().bodies);
+    let records = load.run(address, |name| engine.answered(name), |_| ());
+    let broken = rule_violations(&records, kinds, &engine.stats().bodies);
     assert!(broken.is_empty(), "{broken:?}");
-    fates
+    records
 }
 
 /// A budget of one call and work for ten: what finds no room in time is shed before its caller gives up, with a
@@ -138,7 +146,7 @@
 #[test]
 fn a_req_shed_for_want_of_a_budget_is_told_when_to_come_back() {
     let ms = Duration::from_millis;
-    let budget = Budgeted {
+    let budget = QuotaSetup {
         whole: 1,
         servers: 1,
         seats: true,
@@ -147,15 +155,15 @@
         call: ms(300),
         handlers: "book",
     };
-    let works = vec![Work {
+    let works = vec![HandlerWork {
         handler: "book".into(),
         ms: (1.0, 3.0),
         calls: true,
     }];
-    let mut stand = Stand::new(
-        Setup {
+    let mut stand = ProcessFleet::new(
+        FleetSetup {
             budget: Some(budget),
-            ..Setup::of(1)
+            ..FleetSetup::of(1)
         },
         program(),
         &settings(),
@@ -172,27 +180,27 @@
         },
     );
     stand.catalogue(0).peak();
-    let fates = send(
+    let records = send(
         ends(&stand, 0),
-        &[ask("book", 1.0, true, "acme")],
+        &[kind("book", 1.0, true, "acme")],
         30.0,
         4,
         4_000,
     );
-    let done = fates
+    let done = records
         .iter()
-        .filter(|f| matches!(f.answers[..], [(Answer::Done, _)]))
+        .filter(|f| matches!(f.answers[..], [(Answer::Completed, _)]))
         .count();
-    let shed = |f: &&Fate| matches!(f.answers[..], [(Answer::Shed(_), _)]);
-    let told = |f: &&Fate| matches!(f.answers[..], [(Answer::Shed(ms), _)] if ms > 0);
+    let shed = |f: &&RequestRecord| matches!(f.answers[..], [(Answer::Rejected(_), _)]);
+    let told = |f: &&RequestRecord| matches!(f.answers[..], [(Answer::Rejected(ms), _)] if ms > 0);
     let (shed, told) = (
-        fates.iter().filter(shed).count(),
-        fates.iter().filter(told).count(),
+        records.iter().filter(shed).count(),
+        records.iter().filter(told).count(),
     );
     assert!(
         done >= 8 && shed > 40,
         "{done} done, {shed} shed of {}",
-        fates.len()
+        records.len()
     );
     assert!(
         told * 10 >= shed * 9,
@@ -204,21 +212,21 @@
 /// What came to three servers is told by each of them, exactly; and where one is cut off the bound says so.
 #[test]
 fn counts_of_real_processes_are_told_with_their_bounds() {
-    let works = vec![Work {
+    let works = vec![HandlerWork {
         handler: "quote".into(),
         ms: (1.0, 1.0),
         calls: false,
     }];
-    let mut stand = Stand::new(Setup::of(3), program(), &settings(), &works, 7);
+    let mut stand = ProcessFleet::new(FleetSetup::of(3), program(), &settings(), &works, 7);
     stand.operator =
         "[shared]\nenabled = on\n[count tenants]\nby = tenant\nwindow_s = 15\nmost = 100\n".into();
     start(&mut stand, 3);
-    let acme = ask("quote", 1.0, false, "acme");
+    let acme = kind("quote", 1.0, false, "acme");
     let sent: usize = (0..3)
         .map(|s| send(ends(&stand, s), std::slice::from_ref(&acme), 40.0, 1, 2_000).len())
         .sum();
     assert!(sent > 60, "{sent}");
-    let told = |stand: &Stand| {
+    let told = |stand: &ProcessFleet| {
         (0..3)
             .map(|s| stand.counted(s, "acme").unwrap_or((0.0, 0.0)))
             .collect::<Vec<_>>()
@@ -242,7 +250,7 @@
         stand.pass();
     }
     stand
-        .act(&Act::Cut(vec![vec![0, 1], vec![2]]))
+        .act(&Action::Cut(vec![vec![0, 1], vec![2]]))
         .expect("cut");
     let began = stand.at();
     while told(&stand).iter().any(|t| t.1 == 0.0) {
@@ -273,35 +281,36 @@
                 "\"zenith\", \"allowance_per_s\": 50.0",
                 "\"zenith\", \"allowance_per_s\": 600.0",
             );
-        let works = vec![Work {
+        let works = vec![HandlerWork {
             handler: "quote".into(),
             ms: (20.0, 20.0),
             calls: false,
         }];
-        let mut stand = Stand::new(Setup::of(2), program(), &settings, &works, 6);
+        let mut stand = ProcessFleet::new(FleetSetup::of(2), program(), &settings, &works, 6);
         if counts {
             stand.operator =
                 "[shared]\nenabled = on\n[count tenants]\nby = tenant\nwindow_s = 2\nmost = 400\n"
                     .into();
         }
         start(&mut stand, 2);
-        let acme = ask("quote", 1.0, false, "acme");
+        let acme = kind("quote", 1.0, false, "acme");
         let crowd = [
-            ask("quote", 8.0, false, "acme"),
-            ask("quote", 132.0, false, "zenith"),
+            kind("quote", 8.0, false, "acme"),
+            kind("quote", 132.0, false, "zenith"),
         ];
-        let fates = std::thread::scope(|scope| {
+        let records = std::thread::scope(|scope| {
             let other = ends(&stand, 1);
             scope.spawn(|| send(other, std::slice::from_ref(&acme), 40.0, 12, 3_000));
             send(ends(&stand, 0), &crowd, 140.0, 12, 3_000)
         });
         // From the fourth second on: a window has passed by then, and all is told.
         let of = |handler: usize| {
-            let late = |f: &&Fate| f.handler == handler && f.sent > StdDuration::from_secs(4);
-            let all: Vec<&Fate> = fates.iter().filter(late).collect();
+            let late =
+                |f: &&RequestRecord| f.handler == handler && f.sent > StdDuration::from_secs(4);
+            let all: Vec<&RequestRecord> = records.iter().filter(late).collect();
             let done = all
                 .iter()
-                .filter(|f| matches!(f.answers[..], [(Answer::Done, _)]))
+                .filter(|f| matches!(f.answers[..], [(Answer::Completed, _)]))
                 .count();
             (all.len(), done as f64 / all.len() as f64)
         };
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -17,8 +17,8 @@
 use madderbay_server::upstream::calls::{CallObserver as _, ReplyReader};
 use madderbay_server::upstream::engine::NoticeReader;
 use madderbay_settings::Settings;
-use madderbay_testkit::fleet::net::Net;
-use madderbay_testkit::fleet::script::Act;
+use madderbay_testkit::fleet::network::SimulatedNetwork;
+use madderbay_testkit::fleet::script::Action;
 use madderbay_upstream::{
     BackendEvent, BackendSettings, FleetStack, Settings as RoutesSet, State as Backed,
     UpstreamManager,
@@ -179,7 +179,7 @@
     numbered: u64,
     queue: BinaryHeap<Reverse<(Timestamp, u64)>>,
     events: HashMap<u64, Event>,
-    net: Net,
+    net: SimulatedNetwork,
     settings: Settings,
     in_hand: u32,
     rows: Vec<Row>,
@@ -270,7 +270,7 @@
             });
         }
         let mut world = World {
-            net: Net::new(of.servers, seed + 2, CALM),
+            net: SimulatedNetwork::new(of.servers, seed + 2, CALM),
             below: (0..of.backends)
                 .map(|_| Backend::new(SLOTS, CALL))
                 .collect(),
@@ -1085,17 +1085,17 @@
             }
             Deed::Halves => {
                 let (a, b) = (0..self.of.servers).partition(|s| s % 2 == 0);
-                self.net.act(&Act::Cut(vec![a, b]));
+                self.net.act(&Action::Cut(vec![a, b]));
             }
             Deed::Alone(s) => {
                 let others = (0..self.of.servers).filter(|o| *o != s).collect();
-                self.net.act(&Act::Cut(vec![vec![s], others]));
+                self.net.act(&Action::Cut(vec![vec![s], others]));
             }
             Deed::OneWay(s) => {
                 let others = (0..self.of.servers).filter(|o| *o != s).collect();
-                self.net.act(&Act::OneWay(s, others));
+                self.net.act(&Action::OneWay(s, others));
             }
-            Deed::Heal => self.net.act(&Act::Heal),
+            Deed::Heal => self.net.act(&Action::Heal),
             Deed::Net {
                 loss,
                 double,
@@ -1106,7 +1106,7 @@
                     Duration::from_millis(1),
                     Duration::from_millis(delay_ms + 2),
                 ));
-                let act = Act::Net {
+                let act = Action::Network {
                     loss: Some(loss),
                     double: Some(double),
                     spoil: Some(spoil),
@@ -1114,7 +1114,7 @@
                 };
                 self.net.act(&act);
             }
-            Deed::Calm => self.net.act(&Act::Net {
+            Deed::Calm => self.net.act(&Action::Network {
                 loss: None,
                 double: None,
                 spoil: None,
--- a/crates/testkit/examples/kept.rs
+++ b/crates/testkit/examples/kept.rs
@@ -9,11 +9,11 @@
 use madderbay_idempotency_store::record::Record;
 use madderbay_idempotency_store::storage::DirectoryStorage;
 use madderbay_idempotency_store::write_ahead_log::{LogEntry, LogLimits, WriteAheadLog};
-use madderbay_testkit::balancer::{Answer, Ask, Load, breaches, times};
 use madderbay_testkit::catalogue::Catalogue;
-use madderbay_testkit::engine::{Engine, Work};
+use madderbay_testkit::engine::{Engine, HandlerWork};
+use madderbay_testkit::load_balancer::{Answer, Load, RequestKind, latencies, rule_violations};
 use madderbay_testkit::peer::Peer;
-use madderbay_testkit::server::{Others, Server, configuration, written};
+use madderbay_testkit::server::{Dependencies, Server, configuration, write_config};
 use madderbay_testkit::{registry, unix_ms};
 use std::net::TcpStream;
 use std::path::{Path, PathBuf};
@@ -44,12 +44,12 @@
 
 impl Place {
     fn new(binary: &Path, sync: Option<&str>, work_ms: (f64, f64), seed: u64) -> Place {
-        let folder = written("");
+        let folder = write_config("");
         std::fs::remove_file(&folder).expect("removed");
         std::fs::create_dir(&folder).expect("made");
         let engine = Engine::start(
             4.0,
-            vec![Work {
+            vec![HandlerWork {
                 handler: "book".into(),
                 ms: work_ms,
                 calls: true,
@@ -59,7 +59,7 @@
         let catalogue = Catalogue::start(64, Duration::from_millis(5));
         let (registry, reports) = registry::start();
         std::thread::spawn(move || reports.iter().for_each(drop));
-        let others = Others {
+        let others = Dependencies {
             engine: engine.address,
             registry,
             catalogue: catalogue.address,
@@ -155,13 +155,13 @@
     }
 
     /// Plays two incarnations that are killed, and one that is not.
-    fn play(mut self) -> Tally {
+    fn run_script(mut self) -> Tally {
         for incarnation in 0..3 {
             self.play_incarnation(incarnation);
         }
         let keys = self.keys.len() as u32;
         self.tally.first_unanswered = keys - self.tally.first_answered.min(keys);
-        for (body, runs) in self.place.engine.ran().bodies {
+        for (body, runs) in self.place.engine.stats().bodies {
             if runs > 1 {
                 let violation = format!("seed {}: {body} was booked {runs} times", self.seed);
                 self.tally.violations.push(violation);
@@ -221,7 +221,7 @@
     let place = Place::new(binary, sync, (0.5, 1.0), 1);
     let mut server = place.live();
     let log = server.follow();
-    let ask = Ask {
+    let kind = RequestKind {
         handler: "book".into(),
         part: 1.0,
         target: Duration::from_secs(3),
@@ -230,24 +230,24 @@
     };
     let length = Duration::from_secs(4);
     let load = Load {
-        asks: vec![ask],
+        kinds: vec![kind],
         rates: vec![(Duration::ZERO, rate)],
         length,
         seed: 7,
         allow_ms: 8_000,
     };
     let (cpu, began) = (server.cpu(), Instant::now());
-    let fates = load.run(server.address, |name| place.engine.answered(name), |_| ());
+    let records = load.run(server.address, |name| place.engine.answered(name), |_| ());
     let (cpu, took) = (
-        (server.cpu() - cpu) * 1e3 / fates.len() as f64,
+        (server.cpu() - cpu) * 1e3 / records.len() as f64,
         began.elapsed().as_secs_f64(),
     );
-    let found = times(&fates, 0);
-    let done = fates
+    let found = latencies(&records, 0);
+    let done = records
         .iter()
-        .filter(|f| matches!(f.answers[..], [(Answer::Done, _)]))
+        .filter(|f| matches!(f.answers[..], [(Answer::Completed, _)]))
         .count();
-    let broken = breaches(&fates, &load.asks, &place.engine.ran().bodies);
+    let broken = rule_violations(&records, &load.kinds, &place.engine.stats().bodies);
     server.signal("-TERM");
     let mut writes = 0.0;
     while let Ok((_, text)) = log.recv_timeout(Duration::from_secs(5)) {
@@ -259,7 +259,7 @@
         "{:8} {rate:5} a second: {done} of {} done; 50, 95, 99% within {}, {}, {} ms; {:.0} writes a second; \
          CPU a req {cpu:.2} ms; rules broken {}",
         sync.unwrap_or("off"),
-        fates.len(),
+        records.len(),
         found.value_at_quantile(0.5),
         found.value_at_quantile(0.95),
         found.value_at_quantile(0.99),
@@ -358,7 +358,7 @@
 fn play_histories(binary: &Path, seeds: &[u64]) -> Tally {
     let mut tally = Tally::default();
     for seed in seeds {
-        tally.add(History::new(binary, *seed).play());
+        tally.add(History::new(binary, *seed).run_script());
     }
     tally
 }
--- a/crates/testkit/examples/members.rs
+++ b/crates/testkit/examples/members.rs
@@ -6,13 +6,13 @@
 //!     ... members histories [COUNT]      ... members flood      ... members cost
 
 use madderbay::time::Duration;
-use madderbay_testkit::balancer::{Ask, Load, breaches, times};
-use madderbay_testkit::engine::{Engine, Work};
-use madderbay_testkit::fleet::script::{Act, Condition, Fleet, Setup};
-use madderbay_testkit::fleet::sim::Sim;
-use madderbay_testkit::fleet::stand::Stand;
+use madderbay_testkit::engine::{Engine, HandlerWork};
+use madderbay_testkit::fleet::processes::ProcessFleet;
+use madderbay_testkit::fleet::script::{Action, Condition, Fleet, FleetSetup};
+use madderbay_testkit::fleet::simulated::SimulatedFleet;
+use madderbay_testkit::load_balancer::{Load, RequestKind, latencies, rule_violations};
 use madderbay_testkit::registry;
-use madderbay_testkit::server::{Others, Server, configuration};
+use madderbay_testkit::server::{Dependencies, Server, configuration};
 use oorandom::Rand64;
 use std::net::UdpSocket;
 use std::path::Path;
@@ -85,7 +85,7 @@
 
 fn settle(fleet: &mut impl Fleet) -> f64 {
     let began = fleet.at();
-    while fleet.amiss(&Condition::Settled).is_some() {
+    while fleet.unmet(&Condition::Settled).is_some() {
         if fleet.at().saturating_sub(began) > TERM {
             return f64::INFINITY;
         }
@@ -94,8 +94,8 @@
     fleet.at().saturating_sub(began).as_secs_f64()
 }
 
-fn start(who: usize) -> Act {
-    Act::Start {
+fn start(who: usize) -> Action {
+    Action::Start {
         who,
         name: who,
         clock: Duration::ZERO,
@@ -105,8 +105,13 @@
 
 /// All but the last settle; it joins, one crashes, a third is cut off, the cut heals. `calm` counts what a
 /// settled fleet costs.
-fn play<F: Fleet>(fleet: &mut F, n: usize, row: &mut Row, calm: impl FnOnce(&mut F, &mut Row)) {
-    let act = |fleet: &mut F, act: Act| fleet.act(&act).expect("done");
+fn run_script<F: Fleet>(
+    fleet: &mut F,
+    n: usize,
+    row: &mut Row,
+    calm: impl FnOnce(&mut F, &mut Row),
+) {
+    let act = |fleet: &mut F, act: Action| fleet.act(&act).expect("done");
     (0..n - 1).for_each(|s| act(fleet, start(s)));
     if settle(fleet).is_infinite() {
         return row.join.push(f64::INFINITY);
@@ -114,20 +119,20 @@
     calm(fleet, row);
     act(fleet, start(n - 1));
     row.join.push(settle(fleet));
-    act(fleet, Act::Kill(n / 2));
+    act(fleet, Action::Kill(n / 2));
     row.crash.push(settle(fleet));
     act(
         fleet,
-        Act::Cut(vec![(0..n / 3).collect(), (n / 3..n).collect()]),
+        Action::Cut(vec![(0..n / 3).collect(), (n / 3..n).collect()]),
     );
     row.cut.push(settle(fleet));
-    act(fleet, Act::Heal);
+    act(fleet, Action::Heal);
     row.heal.push(settle(fleet));
 }
 
-fn net(loss: f64) -> Act {
+fn net(loss: f64) -> Action {
     let delay = Some((Duration::from_micros(200), Duration::from_millis(5)));
-    Act::Net {
+    Action::Network {
         loss: Some(loss),
         double: None,
         spoil: None,
@@ -147,16 +152,16 @@
                         return;
                     }
                     let mut row = Row::default();
-                    let mut sim = Sim::new(
-                        Setup {
+                    let mut sim = SimulatedFleet::new(
+                        FleetSetup {
                             minds_itself,
-                            ..Setup::of(n)
+                            ..FleetSetup::of(n)
                         },
                         seed,
                     );
                     sim.act(&net(loss)).expect("set");
-                    play(&mut sim, n, &mut row, |sim, row| {
-                        let sent = |sim: &Sim| {
+                    run_script(&mut sim, n, &mut row, |sim, row| {
+                        let sent = |sim: &SimulatedFleet| {
                             sim.running().map(|m| m.1.counters().bytes_out).sum::<u64>()
                         };
                         let (before, began) = (sent(sim), Instant::now());
@@ -318,10 +323,10 @@
 fn hour() {
     let (n, loss, minutes) = (100, 0.1, 60);
     for (way, minds_itself) in [("ours", true), ("no own health", false)] {
-        let mut sim = Sim::new(
-            Setup {
+        let mut sim = SimulatedFleet::new(
+            FleetSetup {
                 minds_itself,
-                ..Setup::of(n)
+                ..FleetSetup::of(n)
             },
             1,
         );
@@ -334,11 +339,11 @@
             let paused: Vec<usize> = (0..n).filter(|_| chance.rand_float() < 0.05).collect();
             paused
                 .iter()
-                .for_each(|s| sim.act(&Act::Stop(*s)).expect("stopped"));
+                .for_each(|s| sim.act(&Action::Stop(*s)).expect("stopped"));
             sim.run(Duration::from_millis(2_000));
             paused
                 .iter()
-                .for_each(|s| sim.act(&Act::Continue(*s)).expect("continued"));
+                .for_each(|s| sim.act(&Action::Continue(*s)).expect("continued"));
             sim.run(Duration::from_millis(58_000));
         }
         for (_, m) in sim.running() {
@@ -373,8 +378,8 @@
 
 const SETTINGS: &str = include_str!("settings.json");
 
-fn works() -> Vec<Work> {
-    let of = |handler: &str, calls| Work {
+fn works() -> Vec<HandlerWork> {
+    let of = |handler: &str, calls| HandlerWork {
         handler: handler.into(),
         ms: (2.0, 6.0),
         calls,
@@ -383,9 +388,9 @@
 }
 
 fn load(seed: u64, secs: u64, rate: f64) -> Load {
-    let ask = |handler: &str, part, keyed| {
+    let kind = |handler: &str, part, keyed| {
         let target = StdDuration::from_secs(2);
-        Ask {
+        RequestKind {
             handler: handler.into(),
             part,
             target,
@@ -394,10 +399,10 @@
         }
     };
     Load {
-        asks: vec![
-            ask("search", 0.4, false),
-            ask("quote", 0.4, false),
-            ask("book", 0.2, true),
+        kinds: vec![
+            kind("search", 0.4, false),
+            kind("quote", 0.4, false),
+            kind("book", 0.2, true),
         ],
         rates: vec![(StdDuration::ZERO, rate)],
         length: StdDuration::from_secs(secs),
@@ -420,11 +425,11 @@
                         return;
                     }
                     let mut chance = Rand64::new(u128::from(seed) + 77);
-                    let setup = Setup {
+                    let setup = FleetSetup {
                         memory: Duration::from_millis(2_000),
-                        ..Setup::of(5)
+                        ..FleetSetup::of(5)
                     };
-                    let mut stand = Stand::new(setup, binary(), SETTINGS, &works(), seed);
+                    let mut stand = ProcessFleet::new(setup, binary(), SETTINGS, &works(), seed);
                     (0..5).for_each(|s| stand.act(&start(s)).expect("started"));
                     let began = settle(&mut stand);
                     let (engine, server) = (
@@ -432,7 +437,7 @@
                         stand.server(0).expect("runs").address,
                     );
                     let load = load(seed, 3, 60.0);
-                    let (fates, healed) = std::thread::scope(|scope| {
+                    let (records, healed) = std::thread::scope(|scope| {
                         let loading =
                             scope.spawn(|| load.run(server, |name| engine.answered(name), |_| ()));
                         let mut up = [true; 5];
@@ -440,18 +445,18 @@
                             let who = 1 + (chance.rand_float() * 4.0) as usize;
                             let part = chance.rand_float() * 0.3;
                             let act = match (chance.rand_float() * 8.0) as usize {
-                                0 if up[who] => Act::Kill(who),
-                                1 if up[who] => Act::Drain(who),
-                                2 => Act::Cut(vec![
+                                0 if up[who] => Action::Kill(who),
+                                1 if up[who] => Action::Drain(who),
+                                2 => Action::Cut(vec![
                                     vec![0, who],
                                     (1..5).filter(|s| *s != who).collect(),
                                 ]),
-                                3 => Act::OneWay(who, vec![0, 1, 2]),
-                                4 => Act::Heal,
+                                3 => Action::OneWay(who, vec![0, 1, 2]),
+                                4 => Action::Heal,
                                 5 => net(part),
-                                6 => Act::Replay(0),
+                                6 => Action::Replay(0),
                                 _ if !up[who] => start(who),
-                                _ => Act::Net {
+                                _ => Action::Network {
                                     loss: None,
                                     double: Some(part),
                                     spoil: Some(part),
@@ -459,8 +464,8 @@
                                 },
                             };
                             up[who] = match act {
-                                Act::Kill(_) | Act::Drain(_) => false,
-                                Act::Start { .. } => true,
+                                Action::Kill(_) | Action::Drain(_) => false,
+                                Action::Start { .. } => true,
                                 _ => up[who],
                             };
                             stand.act(&act).expect("done");
@@ -468,9 +473,9 @@
                             let pause = StdDuration::from_secs_f64(chance.rand_float() * 0.5);
                             std::thread::sleep(pause);
                         }
-                        stand.act(&Act::Heal).expect("healed");
+                        stand.act(&Action::Heal).expect("healed");
                         stand
-                            .act(&Act::Net {
+                            .act(&Action::Network {
                                 loss: None,
                                 double: None,
                                 spoil: None,
@@ -480,12 +485,12 @@
                         let healed = settle(&mut stand);
                         (loading.join().expect("loaded"), healed)
                     });
-                    reqs.fetch_add(fates.len() as u64, Ordering::Relaxed);
-                    let mut wrong = breaches(&fates, &load.asks, &engine.ran().bodies);
+                    reqs.fetch_add(records.len() as u64, Ordering::Relaxed);
+                    let mut wrong = rule_violations(&records, &load.kinds, &engine.stats().bodies);
                     if began.is_infinite() || healed.is_infinite() {
                         wrong.push(format!(
                             "not settled: {:?}",
-                            stand.amiss(&Condition::Settled)
+                            stand.unmet(&Condition::Settled)
                         ));
                     }
                     let mut most = slowest.lock().expect("a figure");
@@ -514,13 +519,13 @@
     println!("| strays a second | 50, 99% of reqs within, ms | CPU a req, ms | CPU, % of a core |");
     println!("| --- | --- | --- | --- |");
     for strays in [0, 10_000] {
-        let mut stand = Stand::new(Setup::of(3), binary(), SETTINGS, &works(), 1);
+        let mut stand = ProcessFleet::new(FleetSetup::of(3), binary(), SETTINGS, &works(), 1);
         (0..3).for_each(|s| stand.act(&start(s)).expect("started"));
         settle(&mut stand);
         let (engine, server) = (stand.engine(0).clone(), stand.server(0).expect("runs"));
         let (on, heard) = (AtomicBool::new(true), stand.heard_at(0).expect("it hears"));
         let (before, load) = (server.cpu(), load(3, 10, 200.0));
-        let fates = std::thread::scope(|scope| {
+        let records = std::thread::scope(|scope| {
             scope.spawn(|| {
                 let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
                 let (began, mut sent) = (Instant::now(), 0u64);
@@ -532,15 +537,15 @@
                     std::thread::sleep(StdDuration::from_millis(1));
                 }
             });
-            let fates = load.run(server.address, |name| engine.answered(name), |_| ());
+            let records = load.run(server.address, |name| engine.answered(name), |_| ());
             on.store(false, Ordering::Relaxed);
-            fates
+            records
         });
         let cpu = server.cpu() - before;
-        let mut all = times(&fates, 0);
-        (1..3).for_each(|h| all.add(times(&fates, h)).expect("added"));
+        let mut all = latencies(&records, 0);
+        (1..3).for_each(|h| all.add(latencies(&records, h)).expect("added"));
         let (half, most) = (all.value_at_quantile(0.5), all.value_at_quantile(0.99));
-        let each = cpu * 1e3 / fates.len() as f64;
+        let each = cpu * 1e3 / records.len() as f64;
         println!(
             "| {strays} | {half}, {most} | {each:.2} | {:.1} |",
             cpu * 10.0
@@ -557,7 +562,7 @@
         (cpu() - before) / began.elapsed().as_secs_f64() / servers.len() as f64 * 100.0
     };
     for n in [5, 12] {
-        let mut stand = Stand::new(Setup::of(n), binary(), SETTINGS, &works(), 1);
+        let mut stand = ProcessFleet::new(FleetSetup::of(n), binary(), SETTINGS, &works(), 1);
         (0..n).for_each(|s| stand.act(&start(s)).expect("started"));
         settle(&mut stand);
         let with = used(&(0..n).filter_map(|s| stand.server(s)).collect::<Vec<_>>());
@@ -566,7 +571,7 @@
             .map(|s| {
                 let engine = Engine::start(2.0, works(), s as u64).address;
                 let (registry, reports) = registry::start();
-                let others = Others {
+                let others = Dependencies {
                     engine,
                     registry,
                     catalogue: engine,
@@ -599,16 +604,16 @@
         for loss in [0.0, 0.1, 0.3] {
             let mut row = Row::default();
             for seed in 0..seeds {
-                let mut stand = Stand::new(Setup::of(n), binary(), SETTINGS, &[], seed);
-                let quiet = Act::Net {
+                let mut stand = ProcessFleet::new(FleetSetup::of(n), binary(), SETTINGS, &[], seed);
+                let quiet = Action::Network {
                     loss: Some(loss),
                     double: None,
                     spoil: None,
                     delay: None,
                 };
                 stand.act(&quiet).expect("set");
-                play(&mut stand, n, &mut row, |stand, row| {
-                    let cpu = |s: &Stand| {
+                run_script(&mut stand, n, &mut row, |stand, row| {
+                    let cpu = |s: &ProcessFleet| {
                         (0..n - 1)
                             .filter_map(|i| Some(s.server(i)?.cpu()))
                             .sum::<f64>()
--- a/crates/testkit/examples/pools.rs
+++ b/crates/testkit/examples/pools.rs
@@ -6,11 +6,13 @@
 //! 5th to the 13th second the trip book is 20 times slower; for the first 5 of these 1.6 times as many reqs
 //! come.
 
-use madderbay_testkit::balancer::{Answer, Ask, Fate, Load, Rates, breaches, kept, times};
-use madderbay_testkit::catalogue::{Catalogue, Mood};
-use madderbay_testkit::engine::{Engine, Work};
+use madderbay_testkit::catalogue::{Behavior, Catalogue};
+use madderbay_testkit::engine::{Engine, HandlerWork};
+use madderbay_testkit::load_balancer::{
+    Answer, Load, Rates, RequestKind, RequestRecord, kept, latencies, rule_violations,
+};
 use madderbay_testkit::registry;
-use madderbay_testkit::server::{Others, Server, configuration};
+use madderbay_testkit::server::{Dependencies, Server, configuration};
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
@@ -53,8 +55,8 @@
 part = 0.2
 ";
 
-fn asks() -> Vec<Ask> {
-    let ask = |handler: &str, part, ms, keyed| Ask {
+fn kinds() -> Vec<RequestKind> {
+    let kind = |handler: &str, part, ms, keyed| RequestKind {
         handler: handler.into(),
         part,
         target: Duration::from_millis(ms),
@@ -62,14 +64,14 @@
         project: "acme",
     };
     vec![
-        ask("trip-search", 0.41, 1500, false),
-        ask("fare-quote", 0.37, 1500, false),
-        ask("seat-book", 0.22, 3000, true),
+        kind("trip-search", 0.41, 1500, false),
+        kind("fare-quote", 0.37, 1500, false),
+        kind("seat-book", 0.22, 3000, true),
     ]
 }
 
 struct Found {
-    fates: Vec<Fate>,
+    records: Vec<RequestRecord>,
     /// Calls in hand at the trip book, by 10 ms of the run.
     in_hand: Vec<usize>,
     /// Changes of the limit: when, and to what.
@@ -78,8 +80,8 @@
     cpu_ms: f64,
 }
 
-fn play(binary: &Path, operator: Option<&str>, trouble: bool, seed: u64) -> Found {
-    let work = |handler: &str, calls| Work {
+fn run_script(binary: &Path, operator: Option<&str>, trouble: bool, seed: u64) -> Found {
+    let work = |handler: &str, calls| HandlerWork {
         handler: handler.into(),
         ms: (20.0, 40.0),
         calls,
@@ -92,7 +94,7 @@
     let engine = Engine::start(4.0, works, seed);
     let catalogue = Catalogue::start(SLOTS, Duration::from_millis(25));
     let (registry, reports) = registry::start();
-    let others = Others {
+    let others = Dependencies {
         engine: engine.address,
         registry,
         catalogue: catalogue.address,
@@ -111,16 +113,16 @@
         vec![(Duration::ZERO, 90.0)]
     };
     let load = Load {
-        asks: asks(),
+        kinds: kinds(),
         rates,
         length: LENGTH,
         seed,
         allow_ms: 8_000,
     };
-    let (began, from) = (Instant::now(), catalogue.seen().in_hand.len());
+    let (began, from) = (Instant::now(), catalogue.stats().in_hand.len());
     let cpu = server.cpu();
     let mut mood = 1.0;
-    let fates = load.run(
+    let records = load.run(
         server.address,
         |name| engine.answered(name),
         |now| {
@@ -130,12 +132,12 @@
                 1.0
             };
             if std::mem::replace(&mut mood, wanted) != wanted {
-                catalogue.mood(Mood::Slow(wanted));
+                catalogue.set_behavior(Behavior::Slow(wanted));
             }
         },
     );
-    let cpu_ms = (server.cpu() - cpu) * 1e3 / fates.len() as f64;
-    let broken = breaches(&fates, &asks(), &engine.ran().bodies);
+    let cpu_ms = (server.cpu() - cpu) * 1e3 / records.len() as f64;
+    let broken = rule_violations(&records, &kinds(), &engine.stats().bodies);
     server.signal("-TERM");
     let mut levels = vec![];
     while let Ok((at, line)) = log.recv_timeout(Duration::from_secs(10)) {
@@ -147,9 +149,9 @@
             levels.push((at.saturating_duration_since(began), to.unwrap_or(0.0)));
         }
     }
-    let in_hand = catalogue.seen().in_hand.split_off(from);
+    let in_hand = catalogue.stats().in_hand.split_off(from);
     Found {
-        fates,
+        records,
         in_hand,
         levels,
         broken,
@@ -207,7 +209,7 @@
         ("fixed", Some(fixed.as_str())),
         ("adaptive", Some(POOLS)),
     ];
-    let asks = asks();
+    let kinds = kinds();
     println!("{seeds} seeds; median (least to most)");
     let mut broken = vec![];
     for (way, operator) in ways
@@ -218,7 +220,7 @@
             let run = |seed| {
                 scope.spawn({
                     let binary = &binary;
-                    move || play(binary, operator, true, seed)
+                    move || run_script(binary, operator, true, seed)
                 })
             };
             // Two at a time: each wants a core or two for its stand-ins.
@@ -235,11 +237,11 @@
         });
         let each = |what: &dyn Fn(&Found) -> f64| range(found.iter().map(what).collect());
         println!("== pools {way}");
-        for (h, ask) in asks.iter().enumerate() {
-            let part = |f: &Found, from, to| kept(&f.fates, &asks, h, from, to).1;
+        for (h, kind) in kinds.iter().enumerate() {
+            let part = |f: &Found, from, to| kept(&f.records, &kinds, h, from, to).1;
             println!(
                 "{:12} kept in calm {}, in the trouble {}, in its first second {}, after {}",
-                ask.handler,
+                kind.handler,
                 each(&|f| part(f, Duration::ZERO, CALM)),
                 each(&|f| part(f, CALM, OVER)),
                 each(&|f| part(f, CALM, CALM + Duration::from_secs(1))),
@@ -247,7 +249,7 @@
             );
             let ends = |f: &Found, is: &dyn Fn(&Answer) -> bool| {
                 let of = f
-                    .fates
+                    .records
                     .iter()
                     .filter(|x| x.handler == h && x.sent >= CALM && x.sent < OVER);
                 of.filter(|x| x.answers.first().is_some_and(|a| is(&a.0)))
@@ -256,14 +258,14 @@
             println!(
                 "{:12} in the trouble done {}, shed {}, errored {}",
                 "",
-                each(&|f| ends(f, &|a| *a == Answer::Done)),
-                each(&|f| ends(f, &|a| matches!(a, Answer::Shed(_)))),
-                each(&|f| ends(f, &|a| *a == Answer::Errored)),
+                each(&|f| ends(f, &|a| *a == Answer::Completed)),
+                each(&|f| ends(f, &|a| matches!(a, Answer::Rejected(_)))),
+                each(&|f| ends(f, &|a| *a == Answer::Failed)),
             );
             println!(
                 "{:12} 99% of those done within {} ms",
                 "",
-                each(&|f| { times(&f.fates, h).value_at_quantile(0.99) as f64 })
+                each(&|f| { latencies(&f.records, h).value_at_quantile(0.99) as f64 })
             );
         }
         println!(
@@ -280,15 +282,15 @@
         println!("CPU a req in all {} ms", each(&|f| f.cpu_ms));
         broken.extend(found.into_iter().flat_map(|f| f.broken));
         let calm: Vec<Found> = (1..=2)
-            .map(|seed| play(&binary, operator, false, seed))
+            .map(|seed| run_script(&binary, operator, false, seed))
             .collect();
         let value = |f: &Found| {
             let kept = f
-                .fates
+                .records
                 .iter()
-                .filter(|x| x.kept(asks[x.handler].target))
+                .filter(|x| x.kept(kinds[x.handler].target))
                 .count();
-            kept as f64 / f.fates.len() as f64
+            kept as f64 / f.records.len() as f64
         };
         println!(
             "calm only: kept {}, CPU a req {} ms",
--- a/crates/testkit/examples/routes.rs
+++ b/crates/testkit/examples/routes.rs
@@ -5,20 +5,22 @@
 //!     ... routes look MODE [SEED]       one case, second by second, with what was left out and why
 
 use madderbay::time::Duration;
-use madderbay_testkit::balancer::{Ask, Fate, Load, breaches};
-use madderbay_testkit::catalogue::{Catalogue, Mood};
-use madderbay_testkit::engine::Work;
-use madderbay_testkit::fleet::script::{Act, Condition, Fleet, Setup as Servers};
-use madderbay_testkit::fleet::stand::Stand;
-use madderbay_testkit::routes::{Mode, Setup, Way, World};
+use madderbay_testkit::backend_simulation::{
+    BackendFault, BackendFleetSetup, BackendSimulation, RoutingPolicy,
+};
+use madderbay_testkit::catalogue::{Behavior, Catalogue};
+use madderbay_testkit::engine::HandlerWork;
+use madderbay_testkit::fleet::processes::ProcessFleet;
+use madderbay_testkit::fleet::script::{Action, Condition, Fleet, FleetSetup};
+use madderbay_testkit::load_balancer::{Load, RequestKind, RequestRecord, rule_violations};
 use std::path::Path;
 use std::time::{Duration as StdDuration, Instant};
 
-const WAYS: [(Way, &str); 4] = [
-    (Way::Shared, "shared"),
-    (Way::Alone, "own alone"),
-    (Way::LeastInHand, "least in hand, repeats"),
-    (Way::RoundRobin, "round robin"),
+const WAYS: [(RoutingPolicy, &str); 4] = [
+    (RoutingPolicy::Shared, "shared"),
+    (RoutingPolicy::Alone, "own alone"),
+    (RoutingPolicy::LeastInHand, "least in hand, repeats"),
+    (RoutingPolicy::RoundRobin, "round robin"),
 ];
 const SEEDS: u64 = 3;
 /// Calm before the trouble, the trouble, and what follows, in milliseconds.
@@ -31,21 +33,27 @@
 }
 
 /// What is done to a world at the beginning of the trouble, and at its end.
-type Deed = fn(&mut World, bool);
+type Deed = fn(&mut BackendSimulation, bool);
 
-fn one(mode: Mode) -> impl Fn(&mut World, bool) {
-    move |w: &mut World, on: bool| w.mode(1, if on { mode } else { Mode::Slow(1.0) })
+fn one(mode: BackendFault) -> impl Fn(&mut BackendSimulation, bool) {
+    move |w: &mut BackendSimulation, on: bool| {
+        w.mode(1, if on { mode } else { BackendFault::Slow(1.0) })
+    }
 }
 
-fn all(w: &mut World, mode: Mode) {
+fn all(w: &mut BackendSimulation, mode: BackendFault) {
     (0..w.setup.backends).for_each(|b| w.mode(b, mode));
 }
 
 const CASES: [(&str, Deed); 10] = [
-    ("one 10 times slower", |w, on| one(Mode::Slow(10.0))(w, on)),
-    ("one fails at once", |w, on| one(Mode::Fails)(w, on)),
-    ("one never answers", |w, on| one(Mode::Silent)(w, on)),
-    ("one refuses", |w, on| one(Mode::Down)(w, on)),
+    ("one 10 times slower", |w, on| {
+        one(BackendFault::Slow(10.0))(w, on)
+    }),
+    ("one fails at once", |w, on| one(BackendFault::Fails)(w, on)),
+    ("one never answers", |w, on| {
+        one(BackendFault::Silent)(w, on)
+    }),
+    ("one refuses", |w, on| one(BackendFault::Down)(w, on)),
     ("cut between a zone and one", |w, on| {
         w.cuts = if on { vec![(1, 1)] } else { vec![] }
     }),
@@ -54,13 +62,27 @@
         w.lies(0, if on { vec![1, 4, 7] } else { vec![] })
     }),
     ("all 10 times slower", |w, on| {
-        all(w, Mode::Slow(if on { 10.0 } else { 1.0 }))
+        all(w, BackendFault::Slow(if on { 10.0 } else { 1.0 }))
     }),
     ("all fail", |w, on| {
-        all(w, if on { Mode::Fails } else { Mode::Slow(1.0) })
+        all(
+            w,
+            if on {
+                BackendFault::Fails
+            } else {
+                BackendFault::Slow(1.0)
+            },
+        )
     }),
     ("all never answer", |w, on| {
-        all(w, if on { Mode::Silent } else { Mode::Slow(1.0) })
+        all(
+            w,
+            if on {
+                BackendFault::Silent
+            } else {
+                BackendFault::Slow(1.0)
+            },
+        )
     }),
 ];
 
@@ -134,14 +156,14 @@
     }
 }
 
-fn row(servers: usize, backends: usize, way: Way, deed: Deed, seed: u64) -> [f64; 7] {
+fn row(servers: usize, backends: usize, way: RoutingPolicy, deed: Deed, seed: u64) -> [f64; 7] {
     let zones = if servers >= 3 { 3 } else { 1 };
-    let mut world = World::new(
-        Setup {
+    let mut world = BackendSimulation::new(
+        BackendFleetSetup {
             way,
             zones,
             rate: rate(servers, backends),
-            ..Setup::of(servers, backends)
+            ..BackendFleetSetup::of(servers, backends)
         },
         seed,
     );
@@ -181,7 +203,7 @@
         .into_iter()
         .find(|c| c.0.contains(case))
         .unwrap_or(CASES[0]);
-    let mut world = World::new(Setup::of(12, 10), seed);
+    let mut world = BackendSimulation::new(BackendFleetSetup::of(12, 10), seed);
     world.run(ms(CALM));
     deed(&mut world, true);
     world.run(ms(OVER - CALM));
@@ -212,9 +234,9 @@
     println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
     for n in [5, 12] {
         for (trouble, mood) in [
-            ("10 times slower", Mood::Slow(10.0)),
-            ("fails at once", Mood::Fails),
-            ("never answers", Mood::Silent),
+            ("10 times slower", Behavior::Slow(10.0)),
+            ("fails at once", Behavior::Fails),
+            ("never answers", Behavior::Silent),
         ] {
             for (way, keys) in [
                 ("shared", ""),
@@ -231,7 +253,7 @@
     }
 }
 
-fn real_row(n: usize, mood: Mood, keys: &str) -> String {
+fn real_row(n: usize, mood: Behavior, keys: &str) -> String {
     let binary = Path::new("target/release/madderbay");
     assert!(binary.exists(), "build the release first");
     let settings = include_str!("settings.json")
@@ -239,15 +261,15 @@
         .replace("\"memory_kb\": 4000.0", "\"memory_kb\": 400000.0")
         .replace("\"dep_share\": 8.0", "\"dep_share\": 60.0");
     let target = StdDuration::from_secs(2);
-    let ask = |handler: &str, part, keyed| Ask {
+    let kind = |handler: &str, part, keyed| RequestKind {
         handler: handler.into(),
         part,
         target,
         keyed,
         project: "acme",
     };
-    let asks = [ask("search", 3.0, false), ask("book", 1.0, true)];
-    let work = |handler: &str| Work {
+    let kinds = [kind("search", 3.0, false), kind("book", 1.0, true)];
+    let work = |handler: &str| HandlerWork {
         handler: handler.into(),
         ms: (1.0, 2.0),
         calls: true,
@@ -255,8 +277,8 @@
     let backends: Vec<Catalogue> = (0..10)
         .map(|_| Catalogue::start(100, StdDuration::from_millis(20)))
         .collect();
-    let mut stand = Stand::new(
-        Servers::of(n),
+    let mut stand = ProcessFleet::new(
+        FleetSetup::of(n),
         binary,
         &settings,
         &[work("search"), work("book")],
@@ -272,7 +294,7 @@
     stand.operator = format!("[routes]\nenabled = on\n{keys}{sections}");
     for who in 0..n {
         stand
-            .act(&Act::Start {
+            .act(&Action::Start {
                 who,
                 name: who,
                 clock: Duration::ZERO,
@@ -280,7 +302,7 @@
             })
             .expect("started");
     }
-    while stand.amiss(&Condition::Settled).is_some() {
+    while stand.unmet(&Condition::Settled).is_some() {
         stand.pass();
     }
     // Calls that came to the second backend, by tenth of a second.
@@ -294,31 +316,31 @@
             )
         })
         .collect();
-    let cpu = |stand: &Stand| {
+    let cpu = |stand: &ProcessFleet| {
         (0..n)
             .filter_map(|s| Some(stand.server(s)?.cpu()))
             .sum::<f64>()
     };
     let before = cpu(&stand);
-    let (fates, broken, came) = std::thread::scope(|scope| {
+    let (records, broken, came) = std::thread::scope(|scope| {
         let loads: Vec<_> = ends
             .into_iter()
             .enumerate()
             .map(|(s, (engine, address))| {
-                let asks = &asks;
+                let kinds = &kinds;
                 scope.spawn(move || {
                     let rates = vec![(StdDuration::ZERO, rate)];
                     let length = StdDuration::from_millis(end);
                     let load = Load {
-                        asks: asks.to_vec(),
+                        kinds: kinds.to_vec(),
                         rates,
                         length,
                         seed: s as u64,
                         allow_ms: 3_000,
                     };
-                    let fates = load.run(address, |name| engine.answered(name), |_| ());
-                    let broken = breaches(&fates, asks, &engine.ran().bodies).len();
-                    (fates, broken)
+                    let records = load.run(address, |name| engine.answered(name), |_| ());
+                    let broken = rule_violations(&records, kinds, &engine.stats().bodies).len();
+                    (records, broken)
                 })
             })
             .collect();
@@ -328,42 +350,44 @@
             let now = began.elapsed().as_millis() as u64;
             if (calm..over).contains(&now) != ill {
                 ill = !ill;
-                backends[1].mood(if ill { mood } else { Mood::Slow(1.0) });
+                backends[1].set_behavior(if ill { mood } else { Behavior::Slow(1.0) });
             }
-            came.push(backends[1].seen().came);
+            came.push(backends[1].stats().came);
             std::thread::sleep(
                 StdDuration::from_millis(100).saturating_sub(StdDuration::from_millis(now % 100)),
             );
         }
-        let all: Vec<(Vec<Fate>, usize)> = loads
+        let all: Vec<(Vec<RequestRecord>, usize)> = loads
             .into_iter()
             .map(|l| l.join().expect("loaded"))
             .collect();
         let broken: usize = all.iter().map(|a| a.1).sum();
         (
-            all.into_iter().flat_map(|a| a.0).collect::<Vec<Fate>>(),
+            all.into_iter()
+                .flat_map(|a| a.0)
+                .collect::<Vec<RequestRecord>>(),
             broken,
             came,
         )
     });
-    let during = |f: &&Fate| {
+    let during = |f: &&RequestRecord| {
         f.sent >= StdDuration::from_millis(calm) && f.sent < StdDuration::from_millis(over)
     };
     let kept = |handler: usize| {
-        let of: Vec<&Fate> = fates
+        let of: Vec<&RequestRecord> = records
             .iter()
             .filter(during)
             .filter(|f| f.handler == handler)
             .collect();
         of.iter().filter(|f| f.kept(target)).count() as f64 / of.len().max(1) as f64
     };
-    let searches: Vec<Fate> = fates
+    let searches: Vec<RequestRecord> = records
         .iter()
         .filter(during)
         .filter(|f| f.handler == 0)
         .cloned()
         .collect();
-    let slowest = madderbay_testkit::balancer::times(&searches, 0).value_at_quantile(0.99);
+    let slowest = madderbay_testkit::load_balancer::latencies(&searches, 0).value_at_quantile(0.99);
     let fair = f64::from(came[calm as usize / 100 - 1] - came[10]) / (calm as f64 / 1e3 - 1.0);
     let at = |ms: u64| {
         came.get(ms as usize / 100)
@@ -383,7 +407,7 @@
             format!("{:.1}", (t - from) as f64 / 1e3)
         })
     };
-    let each = (cpu(&stand) - before) * 1e3 / fates.len() as f64;
+    let each = (cpu(&stand) - before) * 1e3 / records.len() as f64;
     format!(
         "{:.3}, {:.3} | {slowest} | {} | {} | {each:.2} | {broken}",
         kept(0),
--- a/crates/testkit/examples/shared.rs
+++ b/crates/testkit/examples/shared.rs
@@ -9,13 +9,13 @@
 use madderbay::time::Duration;
 use madderbay_membership::MemberState;
 use madderbay_quota::counter::{CounterSettings, ReplicatedCounter};
-use madderbay_testkit::balancer::{Ask, Fate, Load, breaches, kept};
-use madderbay_testkit::catalogue::{Catalogue, Mood};
-use madderbay_testkit::engine::Work;
-use madderbay_testkit::fleet::draw::Draw;
-use madderbay_testkit::fleet::script::{Act, Budgeted, Condition, Fleet, Setup, name};
-use madderbay_testkit::fleet::sim::Sim;
-use madderbay_testkit::fleet::stand::Stand;
+use madderbay_testkit::catalogue::{Behavior, Catalogue};
+use madderbay_testkit::engine::HandlerWork;
+use madderbay_testkit::fleet::processes::ProcessFleet;
+use madderbay_testkit::fleet::script::{Action, Condition, Fleet, FleetSetup, QuotaSetup, name};
+use madderbay_testkit::fleet::script_generator::ScriptGenerator;
+use madderbay_testkit::fleet::simulated::SimulatedFleet;
+use madderbay_testkit::load_balancer::{Load, RequestKind, RequestRecord, kept, rule_violations};
 use oorandom::Rand64;
 use std::path::Path;
 use std::sync::Mutex;
@@ -26,9 +26,9 @@
 const EACH: u32 = 6;
 const SIDE_BY_SIDE: usize = 6;
 
-fn setup(n: usize, whole: u32, call_ms: u64) -> Setup {
+fn setup(n: usize, whole: u32, call_ms: u64) -> FleetSetup {
     let ms = Duration::from_millis;
-    let budget = Budgeted {
+    let budget = QuotaSetup {
         whole,
         servers: n as u32,
         seats: false,
@@ -37,14 +37,14 @@
         call: ms(call_ms),
         handlers: "book",
     };
-    Setup {
+    FleetSetup {
         budget: Some(budget),
-        ..Setup::of(n)
+        ..FleetSetup::of(n)
     }
 }
 
-fn start(who: usize) -> Act {
-    Act::Start {
+fn start(who: usize) -> Action {
+    Action::Start {
         who,
         name: who,
         clock: Duration::ZERO,
@@ -52,13 +52,13 @@
     }
 }
 
-fn act(fleet: &mut impl Fleet, act: Act) {
+fn act(fleet: &mut impl Fleet, act: Action) {
     fleet.act(&act).expect("done");
 }
 
 fn wait(fleet: &mut impl Fleet, what: &Condition, secs: f64) -> f64 {
     let began = fleet.at();
-    while fleet.amiss(what).is_some() {
+    while fleet.unmet(what).is_some() {
         if fleet.at().saturating_sub(began) > Duration::from_secs_f64(secs) {
             return f64::INFINITY;
         }
@@ -128,7 +128,7 @@
         }
     }
 
-    fn step(&mut self, sim: &Sim, want: &[u32], apart: impl Fn(usize, usize) -> bool) {
+    fn step(&mut self, sim: &SimulatedFleet, want: &[u32], apart: impl Fn(usize, usize) -> bool) {
         self.now += GIVER_STEP;
         let mut used = 0;
         for who in 0..want.len() {
@@ -175,13 +175,13 @@
 }
 
 /// Five seconds of a demand, once it has settled; how long it took, and the peak of all.
-fn played(sim: &mut Sim, n: usize, whole: u32, want: &[u32]) -> Row {
-    (0..n).for_each(|s| act(sim, Act::Demand(s, 0)));
+fn played(sim: &mut SimulatedFleet, n: usize, whole: u32, want: &[u32]) -> Row {
+    (0..n).for_each(|s| act(sim, Action::Demand(s, 0)));
     sim.run(Duration::from_millis(3_000));
     sim.peak = 0;
     want.iter()
         .enumerate()
-        .for_each(|(s, d)| act(sim, Act::Demand(s, *d)));
+        .for_each(|(s, d)| act(sim, Action::Demand(s, *d)));
     let least = whole.min(want.iter().sum()) * 8 / 10;
     let follow = wait(
         sim,
@@ -192,7 +192,7 @@
         20.0,
     );
     sim.run(Duration::from_millis(2_000));
-    let bytes = |s: &Sim| {
+    let bytes = |s: &SimulatedFleet| {
         (0..n)
             .filter_map(|i| Some(s.shared(i)?.totals().bytes_sent))
             .sum::<u64>()
@@ -208,7 +208,14 @@
     }
 }
 
-fn given(sim: &mut Sim, n: usize, whole: u32, want: &[u32], cut: bool, secs: f64) -> (f64, u32) {
+fn given(
+    sim: &mut SimulatedFleet,
+    n: usize,
+    whole: u32,
+    want: &[u32],
+    cut: bool,
+    secs: f64,
+) -> (f64, u32) {
     let mut giver = Giver::new(n, whole);
     let apart = |a: usize, b: usize| cut && (a < n / 2) != (b < n / 2);
     let steps = (secs / GIVER_STEP) as usize;
@@ -229,7 +236,7 @@
         .filter(|n| only.is_none_or(|o| o == *n))
     {
         let whole = n as u32 * EACH;
-        let mut sim = Sim::new(setup(n, whole, 50), 1);
+        let mut sim = SimulatedFleet::new(setup(n, whole, 50), 1);
         begun(&mut sim, n);
         for case in ["even", "skewed", "single"] {
             let want = demand(case, n, whole);
@@ -256,7 +263,7 @@
             // Everyone wants all while the fleet is cut into halves, then deaf.
             let want = vec![whole; n];
             let halves = vec![(0..n / 2).collect(), (n / 2..n).collect()];
-            act(&mut sim, Act::Cut(halves));
+            act(&mut sim, Action::Cut(halves));
             let row = played(&mut sim, n, whole, &want);
             let peak = f64::from(row.peak) / f64::from(whole);
             println!(
@@ -268,10 +275,10 @@
                 "| | one giver | {used:.2} | - | {:.2} | - |",
                 f64::from(peak) / f64::from(whole)
             );
-            act(&mut sim, Act::Heal);
+            act(&mut sim, Action::Heal);
             act(
                 &mut sim,
-                Act::Net {
+                Action::Network {
                     loss: Some(1.0),
                     double: None,
                     spoil: None,
@@ -301,10 +308,10 @@
                     }
                     let n = 3 + (seed % 4) as usize;
                     let whole = n as u32 * EACH;
-                    let mut sim = Sim::new(setup(n, whole, 200), seed);
+                    let mut sim = SimulatedFleet::new(setup(n, whole, 200), seed);
                     (0..n).for_each(|s| act(&mut sim, start(s)));
                     sim.run(Duration::from_millis(4_500));
-                    let mut draw = Draw::new(seed + 31, n, whole * 13 / 10);
+                    let mut draw = ScriptGenerator::new(seed + 31, n, whole * 13 / 10);
                     for _ in 0..25 {
                         act(&mut sim, draw.act());
                         sim.run(Duration::from_secs_f64(draw.secs(0.8)));
@@ -339,11 +346,16 @@
                     }
                     let n = 4;
                     let whole = n as u32 * EACH;
-                    let mut stand =
-                        Stand::new(setup(n, whole, 300), binary(), &settings(), &works(), seed);
+                    let mut stand = ProcessFleet::new(
+                        setup(n, whole, 300),
+                        binary(),
+                        &settings(),
+                        &works(),
+                        seed,
+                    );
                     begun(&mut stand, n);
-                    (0..n).for_each(|s| act(&mut stand, Act::Demand(s, 2 * EACH)));
-                    let mut draw = Draw::new(seed + 77, n, whole * 2 / 3);
+                    (0..n).for_each(|s| act(&mut stand, Action::Demand(s, 2 * EACH)));
+                    let mut draw = ScriptGenerator::new(seed + 77, n, whole * 2 / 3);
                     for _ in 0..10 {
                         act(&mut stand, draw.act());
                         std::thread::sleep(StdDuration::from_secs_f64(draw.secs(0.6)));
@@ -351,8 +363,8 @@
                     let peak = stand.catalogue(0).peak();
                     draw.stopped()
                         .into_iter()
-                        .for_each(|s| act(&mut stand, Act::Continue(s)));
-                    let (reqs, broken) = stand.judged();
+                        .for_each(|s| act(&mut stand, Action::Continue(s)));
+                    let (reqs, broken) = stand.finish_loads();
                     let mut found = found.lock().expect("figures");
                     found.0 = found.0.max(peak);
                     found.1 += reqs;
@@ -388,9 +400,9 @@
 /// The trouble of `docs/measured/pools.md` over five servers and one trip book, three in five reqs at one of
 /// them: pools on, with a fixed part each and with a budget of the same whole.
 fn trouble() {
-    let ask = |handler: &str, part, ms, keyed| {
+    let kind = |handler: &str, part, ms, keyed| {
         let target = StdDuration::from_millis(ms);
-        Ask {
+        RequestKind {
             handler: handler.into(),
             part,
             target,
@@ -398,12 +410,12 @@
             project: "acme",
         }
     };
-    let asks = [
-        ask("trip-search", 30.0, 2_000, false),
-        ask("fare-quote", 40.0, 1_500, false),
-        ask("seat-book", 20.0, 3_000, true),
+    let kinds = [
+        kind("trip-search", 30.0, 2_000, false),
+        kind("fare-quote", 40.0, 1_500, false),
+        kind("seat-book", 20.0, 3_000, true),
     ];
-    let work = |handler: &str, ms: f64, calls| Work {
+    let work = |handler: &str, ms: f64, calls| HandlerWork {
         handler: handler.into(),
         ms: (ms, ms),
         calls,
@@ -433,7 +445,8 @@
             .replace("\"dep_share\": 12.0", &each)
             .replace("\"servers\": 1", "\"servers\": 5");
         let below = Catalogue::start(SLOTS, StdDuration::from_millis(25));
-        let mut stand = Stand::over(Some(below.clone()), setup, binary(), &settings, &works, 1);
+        let mut stand =
+            ProcessFleet::over(Some(below.clone()), setup, binary(), &settings, &works, 1);
         stand.operator = pools.into();
         (0..n).for_each(|s| act(&mut stand, start(s)));
         wait(&mut stand, &Condition::Settled, 30.0);
@@ -447,10 +460,10 @@
         }
         below.peak();
         let parts = [0.6, 0.1, 0.1, 0.1, 0.1];
-        let cpu = |s: &Stand| (0..n).filter_map(|i| Some(s.server(i)?.cpu())).sum::<f64>();
+        let cpu = |s: &ProcessFleet| (0..n).filter_map(|i| Some(s.server(i)?.cpu())).sum::<f64>();
         let before = cpu(&stand);
-        let all: Vec<(Vec<Fate>, usize)> = std::thread::scope(|scope| {
-            let (asks, below) = (&asks, &below);
+        let all: Vec<(Vec<RequestRecord>, usize)> = std::thread::scope(|scope| {
+            let (kinds, below) = (&kinds, &below);
             let of = |s| {
                 (
                     stand.engine(s).clone(),
@@ -471,25 +484,25 @@
                         let rates = rates.map(|r| (r.0, r.1 * parts[s])).to_vec();
                         let length = StdDuration::from_secs(20);
                         let load = Load {
-                            asks: asks.to_vec(),
+                            kinds: kinds.to_vec(),
                             rates,
                             length,
                             seed: s as u64 + 1,
                             allow_ms: 8_000,
                         };
                         let mut mood = 1.0;
-                        let fates = load.run(
+                        let records = load.run(
                             server,
                             |name| engine.answered(name),
                             |now| {
                                 let wanted = if now >= CALM && now < OVER { 20.0 } else { 1.0 };
                                 if s == 0 && std::mem::replace(&mut mood, wanted) != wanted {
-                                    below.mood(Mood::Slow(wanted));
+                                    below.set_behavior(Behavior::Slow(wanted));
                                 }
                             },
                         );
-                        let broken = breaches(&fates, asks, &engine.ran().bodies).len();
-                        (fates, broken)
+                        let broken = rule_violations(&records, kinds, &engine.stats().bodies).len();
+                        (records, broken)
                     })
                 })
                 .collect();
@@ -499,13 +512,13 @@
                 .collect()
         });
         let broken: usize = all.iter().map(|a| a.1).sum();
-        let fates: Vec<Fate> = all.into_iter().flat_map(|a| a.0).collect();
-        let part = |h, from, to| format!("{:.2}", kept(&fates, &asks, h, from, to).1);
+        let records: Vec<RequestRecord> = all.into_iter().flat_map(|a| a.0).collect();
+        let part = |h, from, to| format!("{:.2}", kept(&records, &kinds, h, from, to).1);
         let during = [0, 1, 2].map(|h| part(h, CALM, OVER)).join(", ");
         let after = [0, 1, 2]
             .map(|h| part(h, OVER, StdDuration::from_secs(20)))
             .join(", ");
-        let each = (cpu(&stand) - before) * 1e3 / fates.len() as f64;
+        let each = (cpu(&stand) - before) * 1e3 / records.len() as f64;
         println!(
             "| {way} | {during} | {after} | {} | {broken} | {each:.2} |",
             below.peak()
@@ -519,8 +532,8 @@
     text.replace("\"memory_kb\": 4000.0", "\"memory_kb\": 400000.0")
 }
 
-fn works() -> Vec<Work> {
-    vec![Work {
+fn works() -> Vec<HandlerWork> {
+    vec![HandlerWork {
         handler: "book".into(),
         ms: (1.0, 3.0),
         calls: true,
@@ -534,16 +547,16 @@
     println!("| --- | --- | --- | --- | --- |");
     for n in [5, 12] {
         let whole = n as u32 * EACH;
-        let mut stand = Stand::new(setup(n, whole, 300), binary(), &settings(), &works(), 1);
+        let mut stand = ProcessFleet::new(setup(n, whole, 300), binary(), &settings(), &works(), 1);
         begun(&mut stand, n);
         for case in ["even", "skewed", "single"] {
             let want = demand(case, n, whole);
             stand.catalogue(0).peak();
-            (0..n).for_each(|s| act(&mut stand, Act::Demand(s, 0)));
+            (0..n).for_each(|s| act(&mut stand, Action::Demand(s, 0)));
             std::thread::sleep(StdDuration::from_secs(3));
             want.iter()
                 .enumerate()
-                .for_each(|(s, d)| act(&mut stand, Act::Demand(s, *d)));
+                .for_each(|(s, d)| act(&mut stand, Action::Demand(s, *d)));
             let least = whole.min(want.iter().sum()) * 8 / 10;
             let follow = wait(
                 &mut stand,
@@ -554,9 +567,10 @@
                 20.0,
             );
             std::thread::sleep(StdDuration::from_secs(2));
-            let cpu = |s: &Stand| (0..n).filter_map(|i| Some(s.server(i)?.cpu())).sum::<f64>();
+            let cpu =
+                |s: &ProcessFleet| (0..n).filter_map(|i| Some(s.server(i)?.cpu())).sum::<f64>();
             let (done, before, began) =
-                (stand.catalogue(0).seen().done, cpu(&stand), Instant::now());
+                (stand.catalogue(0).stats().done, cpu(&stand), Instant::now());
             let (mut sum, mut looks) = (0.0, 0.0);
             while began.elapsed() < StdDuration::from_secs(5) {
                 let all = (0..n)
@@ -565,7 +579,7 @@
                 (sum, looks) = (sum + f64::from(all), looks + 1.0);
                 std::thread::sleep(StdDuration::from_millis(50));
             }
-            let reqs = f64::from(stand.catalogue(0).seen().done - done).max(1.0);
+            let reqs = f64::from(stand.catalogue(0).stats().done - done).max(1.0);
             let peak = stand.catalogue(0).peak() as f64 / f64::from(whole);
             println!(
                 "| {n}, {case} | {:.2} | {follow:.1} | {peak:.2} | {:.2} |",
@@ -573,7 +587,7 @@
                 (cpu(&stand) - before) * 1e3 / reqs
             );
         }
-        let (reqs, broken) = stand.judged();
+        let (reqs, broken) = stand.finish_loads();
         println!("| {n} | {reqs} reqs, {} rules broken | | | |", broken.len());
     }
 }
@@ -585,10 +599,10 @@
     );
     println!("| --- | --- | --- | --- | --- |");
     for (n, loss) in [(5, 0.0), (5, 0.1), (12, 0.0), (12, 0.1), (100, 0.0)] {
-        let mut sim = Sim::new(
-            Setup {
+        let mut sim = SimulatedFleet::new(
+            FleetSetup {
                 window: Some(Duration::from_millis(10_000)),
-                ..Setup::of(n)
+                ..FleetSetup::of(n)
             },
             1,
         );
@@ -596,7 +610,7 @@
         wait(&mut sim, &Condition::Settled, 60.0);
         act(
             &mut sim,
-            Act::Net {
+            Action::Network {
                 loss: Some(loss),
                 double: None,
                 spoil: None,
@@ -606,7 +620,7 @@
         let key = madderbay_quota::name_hash("acme");
         (0..n).for_each(|s| sim.reqs(s, key, 4.0 + s as f64 % 5.0));
         sim.run(Duration::from_millis(20_000));
-        let bytes = |s: &Sim| {
+        let bytes = |s: &SimulatedFleet| {
             (0..n)
                 .filter_map(|i| Some(s.shared(i)?.totals().bytes_sent))
                 .sum::<u64>()
--- a/crates/testkit/examples/shares.rs
+++ b/crates/testkit/examples/shares.rs
@@ -6,11 +6,11 @@
 //! seat-books a second. From the 5th to the 13th second the trip book is 20 times slower; for the first 5 of
 //! these 1.6 times as many reqs come.
 
-use madderbay_testkit::balancer::{Ask, Load, breaches, kept};
-use madderbay_testkit::catalogue::{Catalogue, Mood};
-use madderbay_testkit::engine::{Engine, Work};
+use madderbay_testkit::catalogue::{Behavior, Catalogue};
+use madderbay_testkit::engine::{Engine, HandlerWork};
+use madderbay_testkit::load_balancer::{Load, RequestKind, kept, rule_violations};
 use madderbay_testkit::registry;
-use madderbay_testkit::server::{Others, Server, configuration};
+use madderbay_testkit::server::{Dependencies, Server, configuration};
 use std::path::Path;
 use std::time::{Duration, Instant};
 
@@ -25,10 +25,10 @@
                      [pool searches]\nhandlers = trip-search\ncalls_weight = 0\n\
                      [reserve]\nhandlers = fare-quote\npart = 0.1\n";
 
-fn asks() -> Vec<Ask> {
-    let ask = |handler: &str, part, ms, keyed| {
+fn kinds() -> Vec<RequestKind> {
+    let kind = |handler: &str, part, ms, keyed| {
         let target = Duration::from_millis(ms);
-        Ask {
+        RequestKind {
             handler: handler.into(),
             part,
             target,
@@ -37,9 +37,9 @@
         }
     };
     vec![
-        ask("trip-search", 30.0, 2_000, false),
-        ask("fare-quote", 40.0, 1_500, false),
-        ask("seat-book", 20.0, 3_000, true),
+        kind("trip-search", 30.0, 2_000, false),
+        kind("fare-quote", 40.0, 1_500, false),
+        kind("seat-book", 20.0, 3_000, true),
     ]
 }
 
@@ -51,8 +51,8 @@
     broken: usize,
 }
 
-fn play(operator: Option<&str>, share: f64, seed: u64) -> Found {
-    let work = |handler: &str, ms: f64, calls| Work {
+fn run_script(operator: Option<&str>, share: f64, seed: u64) -> Found {
+    let work = |handler: &str, ms: f64, calls| HandlerWork {
         handler: handler.into(),
         ms: (ms, ms),
         calls,
@@ -65,7 +65,7 @@
     let engine = Engine::start(4.0, works, seed);
     let catalogue = Catalogue::start(SLOTS, Duration::from_millis(25));
     let (registry, reports) = registry::start();
-    let others = Others {
+    let others = Dependencies {
         engine: engine.address,
         registry,
         catalogue: catalogue.address,
@@ -84,26 +84,26 @@
         (CALM + Duration::from_secs(5), 90.0),
     ];
     let load = Load {
-        asks: asks(),
+        kinds: kinds(),
         rates,
         length: LENGTH,
         seed,
         allow_ms: 8_000,
     };
-    let (began, from) = (Instant::now(), catalogue.seen().in_hand.len());
+    let (began, from) = (Instant::now(), catalogue.stats().in_hand.len());
     let mut mood = 1.0;
-    let fates = load.run(
+    let records = load.run(
         server.address,
         |name| engine.answered(name),
         |now| {
             let wanted = if now >= CALM && now < OVER { 20.0 } else { 1.0 };
             if std::mem::replace(&mut mood, wanted) != wanted {
-                catalogue.mood(Mood::Slow(wanted));
+                catalogue.set_behavior(Behavior::Slow(wanted));
             }
         },
     );
-    let asks = asks();
-    let broken = breaches(&fates, &asks, &engine.ran().bodies).len();
+    let kinds = kinds();
+    let broken = rule_violations(&records, &kinds, &engine.stats().bodies).len();
     server.signal("-TERM");
     let mut levels = vec![];
     while let Ok((at, line)) = log.recv_timeout(Duration::from_secs(10)) {
@@ -111,8 +111,8 @@
             levels.push((at.saturating_duration_since(began).as_secs_f64(), line));
         }
     }
-    let part = |from, to| [0, 1, 2].map(|h| kept(&fates, &asks, h, from, to).1);
-    let seen = catalogue.seen().in_hand.split_off(from);
+    let part = |from, to| [0, 1, 2].map(|h| kept(&records, &kinds, h, from, to).1);
+    let seen = catalogue.stats().in_hand.split_off(from);
     let row = |at: Duration| (at.as_millis() as usize / 10).min(seen.len());
     let most = seen[row(CALM)..row(OVER)]
         .iter()
@@ -139,7 +139,7 @@
         for (way, operator) in [("off", None), ("adaptive", Some(POOLS))] {
             let found: Vec<Found> = std::thread::scope(|scope| {
                 let runs: Vec<_> = (1..=seeds)
-                    .map(|seed| scope.spawn(move || play(operator, share, seed)))
+                    .map(|seed| scope.spawn(move || run_script(operator, share, seed)))
                     .collect();
                 runs.into_iter()
                     .map(|r| r.join().expect("played"))
--- a/crates/testkit/src/routes.rs
+++ b/crates/testkit/src/backend_simulation.rs
@@ -19,7 +19,7 @@
 
 /// How a backend fares.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Mode {
+pub enum BackendFault {
     /// Its calls take so many times the usual.
     Slow(f64),
     /// Answers at once that it failed.
@@ -32,7 +32,7 @@
 
 /// How servers choose and try again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Way {
+pub enum RoutingPolicy {
     /// The machine of the program, with words of others and without.
     Shared,
     Alone,
@@ -43,7 +43,7 @@
 }
 
 #[derive(Clone, Debug)]
-pub struct Setup {
+pub struct BackendFleetSetup {
     pub servers: usize,
     pub backends: usize,
     pub zones: usize,
@@ -55,13 +55,13 @@
     pub patience: Duration,
     /// Whether a call may run twice.
     pub replayable: bool,
-    pub way: Way,
+    pub way: RoutingPolicy,
     pub settings: Settings,
 }
 
-impl Setup {
-    pub fn of(servers: usize, backends: usize) -> Setup {
-        Setup {
+impl BackendFleetSetup {
+    pub fn of(servers: usize, backends: usize) -> BackendFleetSetup {
+        BackendFleetSetup {
             servers,
             backends,
             zones: 1,
@@ -70,7 +70,7 @@
             slots: 1_000,
             patience: Duration::from_millis(1_000),
             replayable: true,
-            way: Way::Shared,
+            way: RoutingPolicy::Shared,
             settings: Settings::default(),
         }
     }
@@ -84,7 +84,7 @@
         };
         Settings {
             zone,
-            gossip: self.way == Way::Shared,
+            gossip: self.way == RoutingPolicy::Shared,
             ..self.settings.clone()
         }
     }
@@ -108,7 +108,7 @@
 }
 
 struct Backend {
-    mode: Mode,
+    mode: BackendFault,
     queue: VecDeque<u64>,
     busy: usize,
 }
@@ -151,8 +151,8 @@
     pub out: Vec<u32>,
 }
 
-pub struct World {
-    pub setup: Setup,
+pub struct BackendSimulation {
+    pub setup: BackendFleetSetup,
     now: Timestamp,
     chance: Rand64,
     nodes: Vec<Node>,
@@ -200,8 +200,8 @@
     }
 }
 
-impl World {
-    pub fn new(setup: Setup, seed: u64) -> World {
+impl BackendSimulation {
+    pub fn new(setup: BackendFleetSetup, seed: u64) -> BackendSimulation {
         let now = Timestamp::from_micros(10_000_000);
         let mut chance = Rand64::new(u128::from(seed) + 1);
         let nodes = (0..setup.servers).map(|s| {
@@ -218,11 +218,11 @@
         });
         let nodes: Vec<Node> = nodes.collect();
         let modes = (0..setup.backends).map(|_| Backend {
-            mode: Mode::Slow(1.0),
+            mode: BackendFault::Slow(1.0),
             queue: VecDeque::new(),
             busy: 0,
         });
-        let mut world = World {
+        let mut world = BackendSimulation {
             now,
             nodes,
             backends: modes.collect(),
@@ -271,9 +271,9 @@
         self.numbered
     }
 
-    pub fn mode(&mut self, backend: usize, mode: Mode) {
+    pub fn mode(&mut self, backend: usize, mode: BackendFault) {
         self.backends[backend].mode = mode;
-        if matches!(mode, Mode::Down | Mode::Fails) {
+        if matches!(mode, BackendFault::Down | BackendFault::Fails) {
             // What is in hand there is lost.
             let lost: Vec<u64> = self
                 .attempts
@@ -473,7 +473,7 @@
         self.last_row().firsts += 1;
         self.push(now + self.setup.patience, Event::Patience(id));
         match self.setup.way {
-            Way::Shared | Way::Alone => {
+            RoutingPolicy::Shared | RoutingPolicy::Alone => {
                 let node = &mut self.nodes[s];
                 let ticket = node.routes.pick(now, 0).expect("there are backends");
                 let hedge = node
@@ -496,7 +496,7 @@
     fn plain(&mut self, s: usize, avoid: Option<usize>) -> usize {
         let n = self.setup.backends;
         let node = &mut self.nodes[s];
-        if self.setup.way == Way::RoundRobin {
+        if self.setup.way == RoutingPolicy::RoundRobin {
             node.turn = (node.turn + 1) % n;
             return node.turn;
         }
@@ -535,18 +535,18 @@
         self.last_row().at[backend] += 1;
         let b = &mut self.backends[backend];
         match b.mode {
-            Mode::Silent => {}
-            Mode::Down => {
+            BackendFault::Silent => {}
+            BackendFault::Down => {
                 self.push(
                     self.now + WAY,
                     Event::Replied(id, AttemptOutcome::NotConnected),
                 );
             }
-            Mode::Fails => {
+            BackendFault::Fails => {
                 self.push(self.now + WAY, Event::Replied(id, AttemptOutcome::Failed));
             }
-            Mode::Slow(_) if b.busy >= self.setup.slots => b.queue.push_back(id),
-            Mode::Slow(times) => {
+            BackendFault::Slow(_) if b.busy >= self.setup.slots => b.queue.push_back(id),
+            BackendFault::Slow(times) => {
                 b.busy += 1;
                 self.work(id, times);
             }
@@ -565,7 +565,7 @@
     }
 
     fn worked(&mut self, id: u64, backend: usize) {
-        let Mode::Slow(times) = self.backends[backend].mode else {
+        let BackendFault::Slow(times) = self.backends[backend].mode else {
             return;
         };
         if self.attempts.contains_key(&id) {
@@ -628,7 +628,7 @@
             return self.done(a.call);
         }
         let next = match (self.setup.way, &a.ticket) {
-            (Way::Shared | Way::Alone, Some(ticket)) => {
+            (RoutingPolicy::Shared | RoutingPolicy::Alone, Some(ticket)) => {
                 let routes = &mut self.nodes[a.server].routes;
                 let ticket = if left > routes.typical_latency(ticket) {
                     routes.retry(self.now, ticket, RetryKind::OtherBackend)
@@ -637,7 +637,7 @@
                 };
                 ticket.map(|t| (t.backend, Some(t)))
             }
-            (Way::LeastInHand, _) if again < 2 => {
+            (RoutingPolicy::LeastInHand, _) if again < 2 => {
                 Some((self.plain(a.server, Some(a.backend)), None))
             }
             _ => None,
--- a/crates/testkit/src/catalogue.rs
+++ b/crates/testkit/src/catalogue.rs
@@ -11,7 +11,7 @@
 
 /// How calls fare.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Mood {
+pub enum Behavior {
     /// They take so many times as long as usual.
     Slow(f64),
     /// Answered `FAULT` at once.
@@ -28,7 +28,7 @@
 
 /// What it saw, a row each 10 ms of its life: calls in hand.
 #[derive(Clone, Debug, Default)]
-pub struct Seen {
+pub struct CatalogueStats {
     pub in_hand: Vec<usize>,
     /// The most in hand at any moment since that was last asked for.
     pub peak: usize,
@@ -43,8 +43,8 @@
     Call { conn: u64, name: String },
     Quit { conn: u64 },
     Opened(u64, TcpStream),
-    Mood(Mood),
-    Ask(Sender<Seen>),
+    Behavior(Behavior),
+    RequestKind(Sender<CatalogueStats>),
     Peak(Sender<usize>),
 }
 
@@ -78,21 +78,21 @@
         Catalogue { address, to }
     }
 
-    pub fn mood(&self, mood: Mood) {
-        let _ = self.to.send(Event::Mood(mood));
+    pub fn set_behavior(&self, mood: Behavior) {
+        let _ = self.to.send(Event::Behavior(mood));
     }
 
     /// The most calls that were in hand at any moment since this was last asked.
     pub fn peak(&self) -> usize {
         let (to, from) = channel();
         let _ = self.to.send(Event::Peak(to));
-        from.recv_timeout(crate::PATIENCE).unwrap_or(usize::MAX)
+        from.recv_timeout(crate::WAIT_TIMEOUT).unwrap_or(usize::MAX)
     }
 
-    pub fn seen(&self) -> Seen {
+    pub fn stats(&self) -> CatalogueStats {
         let (to, from) = channel();
-        let _ = self.to.send(Event::Ask(to));
-        from.recv_timeout(crate::PATIENCE).unwrap_or_default()
+        let _ = self.to.send(Event::RequestKind(to));
+        from.recv_timeout(crate::WAIT_TIMEOUT).unwrap_or_default()
     }
 }
 
@@ -129,10 +129,10 @@
 struct Slots {
     slots: usize,
     call: Duration,
-    mood: Mood,
+    mood: Behavior,
     calls: VecDeque<Call>,
     conns: HashMap<u64, TcpStream>,
-    seen: Seen,
+    seen: CatalogueStats,
 }
 
 impl Slots {
@@ -141,10 +141,10 @@
         Slots {
             slots,
             call,
-            mood: Mood::Slow(1.0),
+            mood: Behavior::Slow(1.0),
             calls,
             conns,
-            seen: Seen::default(),
+            seen: CatalogueStats::default(),
         }
     }
 
@@ -170,18 +170,18 @@
 
     fn work(&mut self, secs: f64) {
         let times = match self.mood {
-            Mood::Slow(times) => times,
-            Mood::Dribbles => 1.0,
-            Mood::Silent => return,
-            Mood::Fails | Mood::TurnsAway | Mood::Resets => {
+            Behavior::Slow(times) => times,
+            Behavior::Dribbles => 1.0,
+            Behavior::Silent => return,
+            Behavior::Fails | Behavior::TurnsAway | Behavior::Resets => {
                 for call in std::mem::take(&mut self.calls) {
                     match self.mood {
-                        Mood::Resets => {
+                        Behavior::Resets => {
                             if let Some(conn) = self.conns.remove(&call.conn) {
                                 let _ = conn.shutdown(Shutdown::Both);
                             }
                         }
-                        Mood::Fails => self.say(call.conn, &format!("{} FAULT\r\n", call.name)),
+                        Behavior::Fails => self.say(call.conn, &format!("{} FAULT\r\n", call.name)),
                         _ => self.say(call.conn, &format!("{} LATER\r\n", call.name)),
                     }
                 }
@@ -208,7 +208,7 @@
         let Some(stream) = self.conns.get_mut(&conn) else {
             return;
         };
-        let piece = if self.mood == Mood::Dribbles {
+        let piece = if self.mood == Behavior::Dribbles {
             1
         } else {
             text.len()
@@ -236,11 +236,11 @@
             Event::Opened(conn, stream) => {
                 self.conns.insert(conn, stream);
             }
-            Event::Mood(mood) => self.mood = mood,
+            Event::Behavior(mood) => self.mood = mood,
             Event::Peak(to) => {
                 let _ = to.send(std::mem::replace(&mut self.seen.peak, self.calls.len()));
             }
-            Event::Ask(to) => {
+            Event::RequestKind(to) => {
                 let _ = to.send(self.seen.clone());
             }
         }
--- a/crates/testkit/src/engine.rs
+++ b/crates/testkit/src/engine.rs
@@ -17,7 +17,7 @@
 
 /// What the runs of one handler do.
 #[derive(Clone, Debug)]
-pub struct Work {
+pub struct HandlerWork {
     pub handler: String,
     /// Work on one core, least and most.
     pub ms: (f64, f64),
@@ -26,7 +26,7 @@
 
 /// What was asked of the engine since it began.
 #[derive(Clone, Debug, Default)]
-pub struct Ran {
+pub struct EngineStats {
     /// Runs by the body that they came with.
     pub bodies: HashMap<String, u32>,
     pub most_at_once: usize,
@@ -37,7 +37,7 @@
     Line(u64, String),
     /// A req is answered: a run of it that stands at a call ends.
     Answered(String),
-    Ask(Sender<Ran>),
+    RequestKind(Sender<EngineStats>),
     /// The link is broken by this side.
     Break,
 }
@@ -50,7 +50,7 @@
 }
 
 impl Engine {
-    pub fn start(cores: f64, works: Vec<Work>, seed: u64) -> Engine {
+    pub fn start(cores: f64, works: Vec<HandlerWork>, seed: u64) -> Engine {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
         let (to, from) = channel();
@@ -75,10 +75,10 @@
         let _ = self.to.send(Event::Break);
     }
 
-    pub fn ran(&self) -> Ran {
+    pub fn stats(&self) -> EngineStats {
         let (to, from) = channel();
-        let _ = self.to.send(Event::Ask(to));
-        from.recv_timeout(crate::PATIENCE).unwrap_or_default()
+        let _ = self.to.send(Event::RequestKind(to));
+        from.recv_timeout(crate::WAIT_TIMEOUT).unwrap_or_default()
     }
 }
 
@@ -98,18 +98,18 @@
 
 struct Cores {
     cores: f64,
-    works: Vec<Work>,
+    works: Vec<HandlerWork>,
     chance: oorandom::Rand64,
     runs: BTreeMap<String, Run>,
     link: Option<TcpStream>,
     links: u64,
     serial: u64,
     notices: VecDeque<(u64, String)>,
-    ran: Ran,
+    ran: EngineStats,
 }
 
 impl Cores {
-    fn new(cores: f64, works: Vec<Work>, seed: u64) -> Cores {
+    fn new(cores: f64, works: Vec<HandlerWork>, seed: u64) -> Cores {
         Cores {
             cores,
             works,
@@ -119,7 +119,7 @@
             links: 0,
             serial: 0,
             notices: VecDeque::new(),
-            ran: Ran::default(),
+            ran: EngineStats::default(),
         }
     }
 
@@ -235,7 +235,7 @@
                     self.end(&name, "cut");
                 }
             }
-            Event::Ask(to) => {
+            Event::RequestKind(to) => {
                 let _ = to.send(self.ran.clone());
             }
             Event::Break => {
--- a/crates/testkit/src/fleet/net.rs
+++ b/crates/testkit/src/fleet/network.rs
@@ -1,6 +1,6 @@
 //! What the network between the servers of a fleet does to their datagrams, the same simulated and on relays.
 
-use super::script::Act;
+use super::script::Action;
 use madderbay::time::Duration;
 use oorandom::Rand64;
 use std::collections::HashSet;
@@ -8,7 +8,7 @@
 /// Datagrams to each server that may be sent again.
 const KEPT: usize = 200;
 
-pub struct Net {
+pub struct SimulatedNetwork {
     chance: Rand64,
     pub group: Vec<usize>,
     pub one_way: HashSet<(usize, usize)>,
@@ -21,9 +21,9 @@
     kept: Vec<Vec<(usize, Vec<u8>)>>,
 }
 
-impl Net {
-    pub fn new(servers: usize, seed: u64, calm: (Duration, Duration)) -> Net {
-        Net {
+impl SimulatedNetwork {
+    pub fn new(servers: usize, seed: u64, calm: (Duration, Duration)) -> SimulatedNetwork {
+        SimulatedNetwork {
             chance: Rand64::new(u128::from(seed)),
             group: vec![0; servers],
             one_way: HashSet::new(),
@@ -37,19 +37,19 @@
     }
 
     /// Takes in what concerns the network; all else is the fleet's.
-    pub fn act(&mut self, act: &Act) {
+    pub fn act(&mut self, act: &Action) {
         match act {
-            Act::Cut(groups) => {
+            Action::Cut(groups) => {
                 for (no, group) in (1..).zip(groups) {
                     group.iter().for_each(|s| self.group[*s] = no);
                 }
             }
-            Act::OneWay(from, to) => self.one_way.extend(to.iter().map(|t| (*from, *t))),
-            Act::Heal => {
+            Action::OneWay(from, to) => self.one_way.extend(to.iter().map(|t| (*from, *t))),
+            Action::Heal => {
                 self.group.fill(0);
                 self.one_way.clear();
             }
-            Act::Net {
+            Action::Network {
                 loss: None,
                 double: None,
                 spoil: None,
@@ -57,7 +57,7 @@
             } => {
                 (self.loss, self.double, self.spoil, self.delay) = (0.0, 0.0, 0.0, self.calm);
             }
-            Act::Net {
+            Action::Network {
                 loss,
                 double,
                 spoil,
--- a/crates/testkit/src/fleet/stand.rs
+++ b/crates/testkit/src/fleet/processes.rs
@@ -1,13 +1,13 @@
 //! Many real servers, each between its own engine, catalogue and registry, on a relay each; faults between them
 //! and to them; what each holds, asked at its control socket.
 
-use super::relay::Relays;
-use super::script::{Act, Condition, Fleet, Setup, name};
-use crate::balancer::{Ask, Fate, Load, breaches};
+use super::relay::DatagramRelays;
+use super::script::{Action, Condition, Fleet, FleetSetup, name};
 use crate::catalogue::Catalogue;
-use crate::engine::{Engine, Work};
+use crate::engine::{Engine, HandlerWork};
+use crate::load_balancer::{Load, RequestKind, RequestRecord, rule_violations};
 use crate::registry;
-use crate::server::{Others, Server, configuration};
+use crate::server::{Dependencies, Server, configuration};
 use madderbay::time::Duration;
 use serde_json::Value;
 use std::collections::HashMap;
@@ -31,7 +31,7 @@
 /// Reqs that come to a server, of which each makes a call.
 struct Loading {
     on: Arc<AtomicBool>,
-    fates: JoinHandle<Vec<Fate>>,
+    records: JoinHandle<Vec<RequestRecord>>,
     /// The server was killed or stopped meanwhile: nobody can answer for it.
     disturbed: bool,
 }
@@ -57,14 +57,14 @@
     socket: PathBuf,
 }
 
-pub struct Stand {
-    pub setup: Setup,
+pub struct ProcessFleet {
+    pub setup: FleetSetup,
     binary: PathBuf,
     settings: String,
     /// More sections of every operator file, and of each server's own.
     pub operator: String,
     pub each: Vec<String>,
-    relays: Relays,
+    relays: DatagramRelays,
     nodes: Vec<Node>,
     group: Vec<usize>,
     began: Instant,
@@ -73,7 +73,7 @@
 
 /// What one server says of its fleet.
 #[derive(Clone, Debug)]
-pub struct Told {
+pub struct MembershipReport {
     pub hears: String,
     pub digest: String,
     pub active: usize,
@@ -83,34 +83,40 @@
 
 /// What one server says of its budget.
 #[derive(Clone, Copy, Debug)]
-pub struct Lent {
+pub struct QuotaReport {
     pub usable: u32,
     pub in_use: u32,
     pub own: u32,
     pub wants: u32,
 }
 
-impl Stand {
+impl ProcessFleet {
     /// `works` is what the engines know to run; `settings` the servers' own.
-    pub fn new(setup: Setup, binary: &Path, settings: &str, works: &[Work], seed: u64) -> Stand {
+    pub fn new(
+        setup: FleetSetup,
+        binary: &Path,
+        settings: &str,
+        works: &[HandlerWork],
+        seed: u64,
+    ) -> ProcessFleet {
         // Under a budget what lies below is one for all.
         let took = setup
             .budget
             .as_ref()
             .map(|b| StdDuration::from_micros(b.call.as_micros()).max(CALL_LEAST));
         let below = took.map(|took| Catalogue::start(NO_QUEUE, took));
-        Stand::over(below, setup, binary, settings, works, seed)
+        ProcessFleet::over(below, setup, binary, settings, works, seed)
     }
 
     /// The same over one catalogue, if there is one, in place of one for each.
     pub fn over(
         below: Option<Catalogue>,
-        setup: Setup,
+        setup: FleetSetup,
         binary: &Path,
         settings: &str,
-        works: &[Work],
+        works: &[HandlerWork],
         seed: u64,
-    ) -> Stand {
+    ) -> ProcessFleet {
         use std::sync::atomic::{AtomicU32, Ordering};
         static COUNT: AtomicU32 = AtomicU32::new(0);
         let n = COUNT.fetch_add(1, Ordering::Relaxed);
@@ -136,12 +142,12 @@
                 socket: folder.join(format!("{s}.sock")),
             }
         });
-        Stand {
+        ProcessFleet {
             binary: binary.into(),
             settings: settings.into(),
             operator: String::new(),
             each: vec![String::new(); setup.servers],
-            relays: Relays::start(setup.servers, seed),
+            relays: DatagramRelays::start(setup.servers, seed),
             nodes: nodes.collect(),
             group: vec![0; setup.servers],
             began: Instant::now(),
@@ -174,7 +180,7 @@
 
     fn start(&mut self, who: usize, named: usize, clock: Duration, back: bool) {
         let node = &mut self.nodes[who];
-        let others = Others {
+        let others = Dependencies {
             engine: node.engine.address,
             registry: node.registry,
             catalogue: node.catalogue.address,
@@ -238,7 +244,7 @@
         let rates = vec![(StdDuration::ZERO, f64::from(node.demand) / took)];
         let seed = self.began.elapsed().as_nanos() as u64;
         let load = Load {
-            asks: asks(),
+            kinds: kinds(),
             rates,
             length: StdDuration::from_secs(600),
             seed,
@@ -247,13 +253,13 @@
         let (address, engine) = (server.address, node.engine.clone());
         let on = Arc::new(AtomicBool::new(true));
         let flag = on.clone();
-        let fates = std::thread::spawn(move || {
+        let records = std::thread::spawn(move || {
             let on = || flag.load(Ordering::Relaxed);
             load.run_while(address, |name| engine.answered(name), |_| (), on)
         });
         node.loads.push(Loading {
             on,
-            fates,
+            records,
             disturbed: false,
         });
     }
@@ -267,7 +273,7 @@
     }
 
     /// Ends all loads; what broke a rule, and how many reqs there were.
-    pub fn judged(&mut self) -> (usize, Vec<String>) {
+    pub fn finish_loads(&mut self) -> (usize, Vec<String>) {
         let (mut reqs, mut broken) = (0, vec![]);
         for s in 0..self.nodes.len() {
             self.nodes[s]
@@ -277,9 +283,9 @@
         }
         for node in &mut self.nodes {
             for load in std::mem::take(&mut node.loads) {
-                let fates = load.fates.join().expect("loaded");
-                reqs += fates.len();
-                let found = breaches(&fates, &asks(), &node.engine.ran().bodies);
+                let records = load.records.join().expect("loaded");
+                reqs += records.len();
+                let found = rule_violations(&records, &kinds(), &node.engine.stats().bodies);
                 let answers = |w: &String| load.disturbed && w.contains(" answers");
                 broken.extend(
                     found
@@ -293,11 +299,11 @@
     }
 
     /// What a server says of its budget.
-    pub fn lent(&self, server: usize) -> Option<Lent> {
+    pub fn lent(&self, server: usize) -> Option<QuotaReport> {
         let lines = self.asked(server, "shared")?;
         let budget = lines.iter().find(|l| l["whole"].is_u64())?;
         let of = |key: &str| budget[key].as_u64().map(|n| n as u32);
-        Some(Lent {
+        Some(QuotaReport {
             usable: of("usable")?,
             in_use: of("in_use")?,
             own: of("own")?,
@@ -365,7 +371,7 @@
     }
 
     /// What a server holds; nothing where it does not answer.
-    pub fn told(&self, server: usize) -> Option<Told> {
+    pub fn told(&self, server: usize) -> Option<MembershipReport> {
         let lines = self.asked(server, "members")?;
         let head = lines.first()?;
         let text = |v: &Value| v.as_str().unwrap_or_default().to_string();
@@ -374,7 +380,7 @@
             .map(|m| (text(&m["name"]), text(&m["state"])))
             .collect();
         let active = head["active"].as_u64()? as usize;
-        Some(Told {
+        Some(MembershipReport {
             hears: text(&head["hears"]),
             digest: text(&head["digest"]),
             active,
@@ -383,7 +389,7 @@
     }
 
     fn unsettled(&self) -> Option<String> {
-        let mut views: Vec<(usize, Told)> = vec![];
+        let mut views: Vec<(usize, MembershipReport)> = vec![];
         for (s, node) in self.nodes.iter().enumerate() {
             if node.server.is_none() || node.stopped {
                 continue;
@@ -444,7 +450,7 @@
 const NO_QUEUE: usize = 100_000;
 
 /// What the operator file says of a budget, if there is one.
-fn budget(setup: &Setup, named: usize, whole: u32) -> String {
+fn budget(setup: &FleetSetup, named: usize, whole: u32) -> String {
     let Some(b) = &setup.budget else {
         return String::new();
     };
@@ -464,9 +470,9 @@
     )
 }
 
-fn asks() -> Vec<Ask> {
+fn kinds() -> Vec<RequestKind> {
     let target = StdDuration::from_secs(2);
-    vec![Ask {
+    vec![RequestKind {
         handler: "book".into(),
         part: 1.0,
         target,
@@ -475,31 +481,31 @@
     }]
 }
 
-impl Drop for Stand {
+impl Drop for ProcessFleet {
     fn drop(&mut self) {
         self.nodes.iter_mut().for_each(|n| n.server = None);
         let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
 
-impl Fleet for Stand {
-    fn act(&mut self, act: &Act) -> Result<(), String> {
+impl Fleet for ProcessFleet {
+    fn act(&mut self, act: &Action) -> Result<(), String> {
         match act {
-            Act::Start {
+            Action::Start {
                 who,
                 name,
                 clock,
                 back,
             } => self.start(*who, *name, *clock, *back),
-            Act::Kill(s) => {
+            Action::Kill(s) => {
                 self.disturb(*s);
                 self.nodes[*s].server = None;
             }
-            Act::Demand(s, n) => {
+            Action::Demand(s, n) => {
                 self.nodes[*s].demand = *n;
                 self.load(*s);
             }
-            Act::Budget(s, whole) => {
+            Action::Budget(s, whole) => {
                 let node = &mut self.nodes[*s];
                 node.whole = *whole;
                 let server = node.server.as_ref().ok_or("it does not run")?;
@@ -510,14 +516,14 @@
                 std::fs::write(path, fresh).map_err(|e| e.to_string())?;
                 server.signal("-HUP");
             }
-            Act::Peak(most) => {
+            Action::Peak(most) => {
                 let peak = self.nodes[0].catalogue.peak();
                 if peak > *most as usize {
                     return Err(format!("{peak} calls were in hand, more than {most}"));
                 }
             }
-            Act::Stop(s) | Act::Continue(s) => {
-                let stop = matches!(act, Act::Stop(_));
+            Action::Stop(s) | Action::Continue(s) => {
+                let stop = matches!(act, Action::Stop(_));
                 self.disturb(*s);
                 let node = &mut self.nodes[*s];
                 node.server
@@ -529,30 +535,30 @@
                     self.load(*s);
                 }
             }
-            Act::Drain(s) => {
+            Action::Drain(s) => {
                 self.disturb(*s);
                 let server = self.nodes[*s].server.take().ok_or("it does not run")?;
                 server.signal("-TERM");
                 server.over();
             }
-            Act::Cut(groups) => {
+            Action::Cut(groups) => {
                 for (no, group) in (1..).zip(groups) {
                     group.iter().for_each(|s| self.group[*s] = no);
                 }
                 self.relays.act(act);
             }
-            Act::Heal => {
+            Action::Heal => {
                 self.group.fill(0);
                 self.relays.act(act);
             }
-            Act::For(_) | Act::Downs(_) => return Err("is for simulated fleets".into()),
+            Action::For(_) | Action::Downs(_) => return Err("is for simulated fleets".into()),
             _ => self.relays.act(act),
         }
         Ok(())
     }
 
-    fn amiss(&mut self, what: &Condition) -> Option<String> {
-        let each = |who: &[usize], wrong: &dyn Fn(usize, &Told) -> Option<String>| {
+    fn unmet(&mut self, what: &Condition) -> Option<String> {
+        let each = |who: &[usize], wrong: &dyn Fn(usize, &MembershipReport) -> Option<String>| {
             who.iter()
                 .filter(|w| !self.nodes[**w].stopped && self.nodes[**w].server.is_some())
                 .find_map(|w| match self.told(*w) {
--- a/crates/testkit/src/fleet/relay.rs
+++ b/crates/testkit/src/fleet/relay.rs
@@ -2,8 +2,8 @@
 //! A datagram that reaches the relay of one server goes on to it from the relay of the sender, so that every
 //! directed pair can be meddled with and no server can tell.
 
-use super::net::Net;
-use super::script::Act;
+use super::network::SimulatedNetwork;
+use super::script::Action;
 use madderbay::time::Duration;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
@@ -22,18 +22,18 @@
     },
     /// A server hears at that address and sends from it.
     Hears(usize, SocketAddr),
-    Act(Act),
+    Action(Action),
 }
 
 /// The relays of all servers, and the thread that carries between them.
-pub struct Relays {
+pub struct DatagramRelays {
     to: Sender<Event>,
     /// What each server is told as.
     pub addresses: Vec<SocketAddr>,
 }
 
-impl Relays {
-    pub fn start(servers: usize, seed: u64) -> Relays {
+impl DatagramRelays {
+    pub fn start(servers: usize, seed: u64) -> DatagramRelays {
         let (to, from) = channel();
         let mut sockets = vec![];
         for at in 0..servers {
@@ -65,7 +65,7 @@
             .map(|s| s.local_addr().expect("an address"))
             .collect();
         std::thread::spawn(move || Carrier::new(sockets, seed).run(&from));
-        Relays { to, addresses }
+        DatagramRelays { to, addresses }
     }
 
     /// A server, started anew, hears at this address.
@@ -74,8 +74,8 @@
     }
 
     /// Meddles from here on with what is carried.
-    pub fn act(&self, act: &Act) {
-        let _ = self.to.send(Event::Act(act.clone()));
+    pub fn act(&self, act: &Action) {
+        let _ = self.to.send(Event::Action(act.clone()));
     }
 }
 
@@ -83,7 +83,7 @@
     sockets: Vec<UdpSocket>,
     servers: Vec<Option<SocketAddr>>,
     by_address: HashMap<SocketAddr, usize>,
-    net: Net,
+    net: SimulatedNetwork,
     late: BinaryHeap<Reverse<(Instant, u64)>>,
     waiting: HashMap<u64, (usize, usize, Vec<u8>)>,
     numbered: u64,
@@ -94,7 +94,7 @@
         Carrier {
             servers: vec![None; sockets.len()],
             by_address: HashMap::new(),
-            net: Net::new(sockets.len(), seed, (Duration::ZERO, Duration::ZERO)),
+            net: SimulatedNetwork::new(sockets.len(), seed, (Duration::ZERO, Duration::ZERO)),
             late: BinaryHeap::new(),
             waiting: HashMap::new(),
             numbered: 0,
@@ -115,7 +115,7 @@
                     self.by_address.insert(at, server);
                     self.servers[server] = Some(at);
                 }
-                Ok(Event::Act(act)) => self.act(&act),
+                Ok(Event::Action(act)) => self.act(&act),
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
@@ -155,8 +155,8 @@
         }
     }
 
-    fn act(&mut self, act: &Act) {
-        if let Act::Replay(to) = act {
+    fn act(&mut self, act: &Action) {
+        if let Action::Replay(to) = act {
             self.net
                 .kept(*to)
                 .iter()
--- a/crates/testkit/src/fleet/script.rs
+++ b/crates/testkit/src/fleet/script.rs
@@ -35,7 +35,7 @@
 
 /// What is done to a fleet; servers are numbers from 0.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Act {
+pub enum Action {
     Start {
         who: usize,
         name: usize,
@@ -49,7 +49,7 @@
     Cut(Vec<Vec<usize>>),
     OneWay(usize, Vec<usize>),
     Heal,
-    Net {
+    Network {
         loss: Option<f64>,
         double: Option<f64>,
         spoil: Option<f64>,
@@ -91,13 +91,13 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Step {
-    Act(Act),
+    Action(Action),
     Within(Condition, Duration),
 }
 
 /// A budget over the whole fleet, and the calls made under it.
 #[derive(Clone, Debug)]
-pub struct Budgeted {
+pub struct QuotaSetup {
     pub whole: u32,
     pub servers: u32,
     /// Each server has a seat of its own.
@@ -111,7 +111,7 @@
 
 /// How a fleet is set.
 #[derive(Clone, Debug)]
-pub struct Setup {
+pub struct FleetSetup {
     pub servers: usize,
     /// By server.
     pub zones: Vec<String>,
@@ -122,14 +122,14 @@
     pub join: Vec<usize>,
     /// Without, as plain SWIM: simulated only.
     pub minds_itself: bool,
-    pub budget: Option<Budgeted>,
+    pub budget: Option<QuotaSetup>,
     /// Reqs are counted over windows of this length.
     pub window: Option<Duration>,
 }
 
-impl Setup {
-    pub fn of(servers: usize) -> Setup {
-        Setup {
+impl FleetSetup {
+    pub fn of(servers: usize) -> FleetSetup {
+        FleetSetup {
             servers,
             zones: vec!["north".into(); servers],
             memory: Duration::from_millis(60_000),
@@ -146,7 +146,7 @@
 
 /// A script, with the line of each step.
 pub struct Script {
-    pub setup: Setup,
+    pub setup: FleetSetup,
     pub steps: Vec<(usize, Step)>,
 }
 
@@ -190,7 +190,7 @@
     Connectivity::Isolated,
 ];
 
-impl Setup {
+impl FleetSetup {
     fn one(&self, word: &str) -> Result<usize, String> {
         let n = word.strip_prefix('n').and_then(|n| n.parse::<usize>().ok());
         let n = n.filter(|n| (1..=self.servers).contains(n));
@@ -229,7 +229,7 @@
             "window" => self.window = Some(span(value)?),
             "budget" => {
                 let whole = value.parse().map_err(|_| "budget= is a number")?;
-                self.budget = Some(Budgeted {
+                self.budget = Some(QuotaSetup {
                     whole,
                     servers: self.servers as u32,
                     seats: false,
@@ -260,15 +260,15 @@
     }
 
     fn steps(&self, words: &[&str]) -> Result<Vec<Step>, String> {
-        let each = |make: fn(usize) -> Act| -> Result<Vec<Step>, String> {
+        let each = |make: fn(usize) -> Action| -> Result<Vec<Step>, String> {
             Ok(self
                 .some(&words[1..])?
                 .into_iter()
-                .map(|s| Step::Act(make(s)))
+                .map(|s| Step::Action(make(s)))
                 .collect())
         };
-        let act = |act| Ok(vec![Step::Act(act)]);
-        let net = |loss, double, spoil, delay| Act::Net {
+        let act = |act| Ok(vec![Step::Action(act)]);
+        let net = |loss, double, spoil, delay| Action::Network {
             loss,
             double,
             spoil,
@@ -283,7 +283,7 @@
                 Ok(who
                     .into_iter()
                     .map(|who| {
-                        Step::Act(Act::Start {
+                        Step::Action(Action::Start {
                             who,
                             name: who,
                             clock,
@@ -292,7 +292,7 @@
                     })
                     .collect())
             }
-            ["start", ..] => each(|who| Act::Start {
+            ["start", ..] => each(|who| Action::Start {
                 who,
                 name: who,
                 clock: Duration::ZERO,
@@ -300,32 +300,32 @@
             }),
             ["namesake", who, of] => {
                 let (who, name) = (self.one(who)?, self.one(of)?);
-                act(Act::Start {
+                act(Action::Start {
                     who,
                     name,
                     clock: Duration::ZERO,
                     back: false,
                 })
             }
-            ["kill", ..] => each(Act::Kill),
-            ["stop", ..] => each(Act::Stop),
-            ["continue", ..] => each(Act::Continue),
-            ["drain", ..] => each(Act::Drain),
+            ["kill", ..] => each(Action::Kill),
+            ["stop", ..] => each(Action::Stop),
+            ["continue", ..] => each(Action::Continue),
+            ["drain", ..] => each(Action::Drain),
             ["cut", groups @ ..] => {
                 let groups = groups
                     .split(|w| *w == "|")
                     .map(|g| self.some(g))
                     .collect::<Result<_, _>>()?;
-                act(Act::Cut(groups))
+                act(Action::Cut(groups))
             }
-            ["oneway", from, ">", to @ ..] => act(Act::OneWay(self.one(from)?, self.some(to)?)),
-            ["heal"] => act(Act::Heal),
+            ["oneway", from, ">", to @ ..] => act(Action::OneWay(self.one(from)?, self.some(to)?)),
+            ["heal"] => act(Action::Heal),
             ["loss", ..] => act(net(Some(part(words.get(1))?), None, None, None)),
             ["double", ..] => act(net(None, Some(part(words.get(1))?), None, None)),
             ["spoil", ..] => act(net(None, None, Some(part(words.get(1))?), None)),
             ["delay", least, most] => act(net(None, None, None, Some((span(least)?, span(most)?)))),
             ["calm"] => act(net(None, None, None, None)),
-            ["replay", who] => act(Act::Replay(self.one(who)?)),
+            ["replay", who] => act(Action::Replay(self.one(who)?)),
             ["settle", term] => Ok(vec![Step::Within(Condition::Settled, span(term)?)]),
             ["sees", who, of, state, term] => {
                 let state = match *state {
@@ -359,7 +359,7 @@
                 Ok(self
                     .some(names)?
                     .into_iter()
-                    .map(|s| Step::Act(Act::Demand(s, n)))
+                    .map(|s| Step::Action(Action::Demand(s, n)))
                     .collect())
             }
             ["budget", names @ .., n] => {
@@ -367,10 +367,10 @@
                 Ok(self
                     .some(names)?
                     .into_iter()
-                    .map(|s| Step::Act(Act::Budget(s, n)))
+                    .map(|s| Step::Action(Action::Budget(s, n)))
                     .collect())
             }
-            ["peak", n] => act(Act::Peak(number(n)?)),
+            ["peak", n] => act(Action::Peak(number(n)?)),
             [word @ ("has" | "spares"), who, n, term] => {
                 let (who, n) = (self.some(&[who])?, number(n)?);
                 let (least, most) = if *word == "has" {
@@ -390,8 +390,8 @@
                     span(term)?,
                 )])
             }
-            ["for", time] => act(Act::For(span(time)?)),
-            ["downs", n] => act(Act::Downs(n.parse().map_err(|_| "a number is wanted")?)),
+            ["for", time] => act(Action::For(span(time)?)),
+            ["downs", n] => act(Action::Downs(n.parse().map_err(|_| "a number is wanted")?)),
             _ => Err("no such step".into()),
         }
     }
@@ -400,7 +400,7 @@
 impl Script {
     /// What is wrong is told in one line with its place.
     pub fn read(file: &str, text: &str) -> Result<Script, String> {
-        let mut setup = Setup::of(1);
+        let mut setup = FleetSetup::of(1);
         let mut steps = vec![];
         for (no, line) in (1..).zip(text.lines()) {
             let line = line.split('#').next().unwrap_or_default();
@@ -412,7 +412,7 @@
                     let n = n
                         .parse()
                         .map_err(|_| wrong("a number of servers is wanted".into()))?;
-                    setup = Setup {
+                    setup = FleetSetup {
                         servers: n,
                         zones: vec!["north".into(); n],
                         ..setup
@@ -441,7 +441,7 @@
 
 /// The scripts of a folder by name, those whose name holds what FLEET_SCRIPT says, if it says anything. One that
 /// can't be read is a fault of the test.
-pub fn scripts(folder: &Path) -> Vec<(String, Script)> {
+pub fn load_scripts(folder: &Path) -> Vec<(String, Script)> {
     let only = std::env::var("FLEET_SCRIPT").unwrap_or_default();
     let mut found = vec![];
     for entry in std::fs::read_dir(folder)
@@ -460,9 +460,9 @@
 
 /// A fleet that a script can be played on.
 pub trait Fleet {
-    fn act(&mut self, act: &Act) -> Result<(), String>;
+    fn act(&mut self, act: &Action) -> Result<(), String>;
     /// What is still amiss, if anything.
-    fn amiss(&mut self, what: &Condition) -> Option<String>;
+    fn unmet(&mut self, what: &Condition) -> Option<String>;
     /// Lets a little time pass.
     fn pass(&mut self);
     /// Time since the fleet was made.
@@ -470,16 +470,19 @@
 }
 
 /// Plays a script; gives how long each condition took, by line, or the first that did not come in its term.
-pub fn play(script: &Script, fleet: &mut impl Fleet) -> Result<Vec<(usize, Duration)>, String> {
+pub fn run_script(
+    script: &Script,
+    fleet: &mut impl Fleet,
+) -> Result<Vec<(usize, Duration)>, String> {
     let mut took = vec![];
     for (line, step) in &script.steps {
         match step {
-            Step::Act(act) => fleet
+            Step::Action(act) => fleet
                 .act(act)
                 .map_err(|what| format!("line {line}: {what}"))?,
             Step::Within(condition, term) => {
                 let began = fleet.at();
-                while let Some(amiss) = fleet.amiss(condition) {
+                while let Some(amiss) = fleet.unmet(condition) {
                     if fleet.at().saturating_sub(began) > *term {
                         return Err(format!(
                             "line {line}: not within {} s: {amiss}",
--- a/crates/testkit/src/fleet/draw.rs
+++ b/crates/testkit/src/fleet/script_generator.rs
@@ -1,10 +1,10 @@
 //! Faults and shifts of work, drawn one after the other from a seed: each one that the fleet can take as it is.
 
-use super::script::Act;
+use super::script::Action;
 use madderbay::time::Duration;
 use oorandom::Rand64;
 
-pub struct Draw {
+pub struct ScriptGenerator {
     chance: Rand64,
     up: Vec<bool>,
     stopped: Vec<bool>,
@@ -12,10 +12,10 @@
     demand: f64,
 }
 
-impl Draw {
+impl ScriptGenerator {
     /// All servers run.
-    pub fn new(seed: u64, servers: usize, demand: u32) -> Draw {
-        Draw {
+    pub fn new(seed: u64, servers: usize, demand: u32) -> ScriptGenerator {
+        ScriptGenerator {
             chance: Rand64::new(u128::from(seed)),
             up: vec![true; servers],
             stopped: vec![false; servers],
@@ -37,7 +37,7 @@
 
     /// The next: crashes, pauses, cuts of both kinds, loss, doubling, spoiling, delays of up to a second, old
     /// datagrams, other work.
-    pub fn act(&mut self) -> Act {
+    pub fn act(&mut self) -> Action {
         let n = self.up.len();
         let who = (self.chance.rand_float() * n as f64) as usize;
         let part = self.chance.rand_float() * 0.4;
@@ -48,35 +48,35 @@
         match (self.chance.rand_float() * 12.0) as usize {
             0 if self.up[who] && !self.stopped[who] => {
                 self.up[who] = false;
-                Act::Kill(who)
+                Action::Kill(who)
             }
             1 if self.up[who] && !self.stopped[who] => {
                 self.stopped[who] = true;
-                Act::Stop(who)
+                Action::Stop(who)
             }
             2 => {
                 let (a, b) = (0..n).partition(|s| s % 2 == who % 2);
-                Act::Cut(vec![a, b])
+                Action::Cut(vec![a, b])
             }
-            3 => Act::Cut(vec![vec![who], (0..n).filter(|s| *s != who).collect()]),
-            4 => Act::OneWay(who, (0..n).filter(|s| *s != who).collect()),
-            5 => Act::Heal,
-            6 => Act::Net {
+            3 => Action::Cut(vec![vec![who], (0..n).filter(|s| *s != who).collect()]),
+            4 => Action::OneWay(who, (0..n).filter(|s| *s != who).collect()),
+            5 => Action::Heal,
+            6 => Action::Network {
                 loss: Some(part),
                 double: Some(part),
                 spoil: Some(part * 0.3),
                 delay,
             },
-            7 => Act::Net {
+            7 => Action::Network {
                 loss: None,
                 double: None,
                 spoil: None,
                 delay: None,
             },
-            8 => Act::Replay(who),
+            8 => Action::Replay(who),
             _ if !self.up[who] => {
                 self.up[who] = true;
-                Act::Start {
+                Action::Start {
                     who,
                     name: who,
                     clock: Duration::ZERO,
@@ -85,9 +85,9 @@
             }
             _ if self.stopped[who] => {
                 self.stopped[who] = false;
-                Act::Continue(who)
+                Action::Continue(who)
             }
-            _ => Act::Demand(who, (self.chance.rand_float() * self.demand) as u32),
+            _ => Action::Demand(who, (self.chance.rand_float() * self.demand) as u32),
         }
     }
 }
--- a/crates/testkit/src/fleet/sim.rs
+++ b/crates/testkit/src/fleet/simulated.rs
@@ -1,8 +1,8 @@
 //! Many servers' views in simulated time: the machines of the program over a simulated network, every fault
 //! from one seed.
 
-use super::net::Net;
-use super::script::{Act, Condition, Fleet, Setup, name, play, scripts};
+use super::network::SimulatedNetwork;
+use super::script::{Action, Condition, Fleet, FleetSetup, load_scripts, name, run_script};
 use madderbay::time::{Duration, Timestamp};
 use madderbay_membership::{AllowedNetworks, MemberState, Membership, MembershipEvent, Settings};
 use madderbay_quota::{BudgetSettings, CountEstimate, CounterSettings, FleetQuotas, LeaseTerms};
@@ -22,7 +22,7 @@
 
 /// Calls that a server makes: so many it has work for, so many are in hand.
 #[derive(Default)]
-struct Work {
+struct HandlerWork {
     demand: u32,
     /// What the operator set last, where it is not as in the beginning.
     whole: Option<u32>,
@@ -49,7 +49,7 @@
     rate: f64,
     wakes: Option<Timestamp>,
     lives: u32,
-    work: Work,
+    work: HandlerWork,
 }
 
 impl Node {
@@ -73,8 +73,8 @@
     Reqs,
 }
 
-pub struct Sim {
-    setup: Setup,
+pub struct SimulatedFleet {
+    setup: FleetSetup,
     now: Timestamp,
     chance: Rand64,
     nodes: Vec<Node>,
@@ -82,7 +82,7 @@
     queue: BinaryHeap<Reverse<(Timestamp, u64)>>,
     events: HashMap<u64, Event>,
     numbered: u64,
-    net: Net,
+    net: SimulatedNetwork,
     /// Servers that were declared down by one that could hear them, while they ran.
     pub wrongly_down: usize,
     pub log: Option<Vec<String>>,
@@ -114,8 +114,8 @@
     ([127, 1, a as u8, b as u8 + 1], 7_946).into()
 }
 
-impl Sim {
-    pub fn new(setup: Setup, seed: u64) -> Sim {
+impl SimulatedFleet {
+    pub fn new(setup: FleetSetup, seed: u64) -> SimulatedFleet {
         let mut chance = Rand64::new(u128::from(seed) + 1);
         let nodes = (0..setup.servers).map(|s| Node {
             life: None,
@@ -126,13 +126,13 @@
             rate: 1.0 + DRIFT * (2.0 * chance.rand_float() - 1.0),
             wakes: None,
             lives: 0,
-            work: Work::default(),
+            work: HandlerWork::default(),
         });
         let nodes: Vec<Node> = nodes.collect();
-        Sim {
+        SimulatedFleet {
             now: Timestamp::from_micros(1_000_000),
             by_address: (0..setup.servers).map(|s| (address(s), s)).collect(),
-            net: Net::new(setup.servers, seed + 2, CALM),
+            net: SimulatedNetwork::new(setup.servers, seed + 2, CALM),
             excused: vec![Timestamp::default(); setup.servers],
             setup,
             chance,
@@ -555,14 +555,14 @@
 
 /// Plays every script of a folder over so many seeds; what failed, and the first failing play's log where one
 /// script was asked for.
-pub fn play_all(folder: &Path, seeds: u64) -> (usize, Vec<String>) {
-    let scripts = scripts(folder);
+pub fn run_all_scripts(folder: &Path, seeds: u64) -> (usize, Vec<String>) {
+    let scripts = load_scripts(folder);
     let mut failed = vec![];
     for (name, script) in &scripts {
         for seed in 0..seeds {
-            let mut sim = Sim::new(script.setup.clone(), seed);
+            let mut sim = SimulatedFleet::new(script.setup.clone(), seed);
             sim.log = Some(vec![]);
-            if let Err(what) = play(script, &mut sim) {
+            if let Err(what) = run_script(script, &mut sim) {
                 if failed.is_empty() && scripts.len() == 1 {
                     sim.log.iter().flatten().for_each(|l| println!("{l}"));
                 }
@@ -573,18 +573,18 @@
     (scripts.len(), failed)
 }
 
-impl Fleet for Sim {
-    fn act(&mut self, act: &Act) -> Result<(), String> {
+impl Fleet for SimulatedFleet {
+    fn act(&mut self, act: &Action) -> Result<(), String> {
         match act {
-            Act::Start {
+            Action::Start {
                 who,
                 name,
                 clock,
                 back,
             } => self.start(*who, *name, *clock, *back),
-            Act::Kill(s) => self.nodes[*s].life = None,
-            Act::Stop(s) => self.nodes[*s].stopped = true,
-            Act::Continue(s) => {
+            Action::Kill(s) => self.nodes[*s].life = None,
+            Action::Stop(s) => self.nodes[*s].stopped = true,
+            Action::Continue(s) => {
                 self.nodes[*s].stopped = false;
                 self.excused[*s] = self.now;
                 // Its timer and its socket are ready at once; which it sees first is chance.
@@ -602,11 +602,11 @@
                 }
                 self.drive(*s, |t, now| t.handle_timeout(now));
             }
-            Act::Demand(s, n) => {
+            Action::Demand(s, n) => {
                 self.nodes[*s].work.demand = *n;
                 self.work(*s);
             }
-            Act::Budget(s, whole) => {
+            Action::Budget(s, whole) => {
                 self.nodes[*s].work.whole = Some(*whole);
                 let named = self.nodes[*s].name;
                 let set = self.shares(*s, named).map_or(vec![], |s| s.budgets);
@@ -614,41 +614,41 @@
                     t.shared.iter_mut().for_each(|s| s.reload(now, &set))
                 });
             }
-            Act::Peak(most) => {
+            Action::Peak(most) => {
                 let peak = std::mem::replace(&mut self.peak, self.in_hand);
                 if peak > *most {
                     return Err(format!("{peak} calls were in hand, more than {most}"));
                 }
             }
-            Act::Drain(s) => {
+            Action::Drain(s) => {
                 self.drive(*s, |t, now| t.members.drain(now));
                 self.run(Duration::from_millis(1_000));
                 self.drive(*s, |t, now| t.members.leave(now));
                 self.nodes[*s].life = None;
             }
-            Act::Cut(_) | Act::Heal => {
+            Action::Cut(_) | Action::Heal => {
                 self.net.act(act);
                 self.excused = vec![self.now; self.setup.servers];
             }
-            Act::OneWay(..) | Act::Net { .. } => self.net.act(act),
-            Act::Replay(s) => {
+            Action::OneWay(..) | Action::Network { .. } => self.net.act(act),
+            Action::Replay(s) => {
                 for (from, bytes) in self.net.kept(*s) {
                     self.push(self.now, Event::Datagram(*s, address(from), bytes));
                 }
             }
-            Act::For(time) => self.run(*time),
-            Act::Downs(most) if self.wrongly_down > *most => {
+            Action::For(time) => self.run(*time),
+            Action::Downs(most) if self.wrongly_down > *most => {
                 return Err(format!(
                     "{} were declared down while they lived",
                     self.wrongly_down
                 ));
             }
-            Act::Downs(_) => {}
+            Action::Downs(_) => {}
         }
         Ok(())
     }
 
-    fn amiss(&mut self, what: &Condition) -> Option<String> {
+    fn unmet(&mut self, what: &Condition) -> Option<String> {
         match what {
             Condition::Settled => self.unsettled(),
             Condition::Sees { who, of, state } => who
--- a/crates/testkit/src/gate.rs
+++ b/crates/testkit/src/gate.rs
@@ -17,7 +17,7 @@
 
 impl Gate {
     /// Leads to an address.
-    pub fn to(address: SocketAddr) -> Gate {
+    pub fn in_front_of(address: SocketAddr) -> Gate {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let gate = Gate {
             address: listener.local_addr().expect("an address"),
--- a/crates/testkit/src/balancer.rs
+++ b/crates/testkit/src/load_balancer.rs
@@ -19,7 +19,7 @@
 
 /// What is asked of one handler.
 #[derive(Clone, Debug)]
-pub struct Ask {
+pub struct RequestKind {
     pub handler: String,
     /// Its part of all reqs.
     pub part: f64,
@@ -33,15 +33,15 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Answer {
-    Done,
+    Completed,
     /// Shed, with the milliseconds to stay away that came with it.
-    Shed(u64),
-    Errored,
+    Rejected(u64),
+    Failed,
 }
 
 /// One req and what became of it.
 #[derive(Clone, Debug)]
-pub struct Fate {
+pub struct RequestRecord {
     pub handler: usize,
     pub name: String,
     /// What the run is told by, base64.
@@ -50,10 +50,10 @@
     pub answers: Vec<(Answer, Duration)>,
 }
 
-impl Fate {
+impl RequestRecord {
     /// Done within the target.
     pub fn kept(&self, target: Duration) -> bool {
-        matches!(self.answers[..], [(Answer::Done, at)] if at.saturating_sub(self.sent) <= target)
+        matches!(self.answers[..], [(Answer::Completed, at)] if at.saturating_sub(self.sent) <= target)
     }
 }
 
@@ -71,7 +71,7 @@
 
 /// The load of one run against one server.
 pub struct Load {
-    pub asks: Vec<Ask>,
+    pub kinds: Vec<RequestKind>,
     pub rates: Rates,
     pub length: Duration,
     pub seed: u64,
@@ -86,7 +86,7 @@
         server: SocketAddr,
         answered: impl FnMut(&str),
         at: impl FnMut(Duration),
-    ) -> Vec<Fate> {
+    ) -> Vec<RequestRecord> {
         self.run_while(server, answered, at, || true)
     }
 
@@ -97,11 +97,11 @@
         mut answered: impl FnMut(&str),
         mut at: impl FnMut(Duration),
         on: impl Fn() -> bool,
-    ) -> Vec<Fate> {
+    ) -> Vec<RequestRecord> {
         let mut chance = oorandom::Rand64::new(u128::from(self.seed));
         let (to, from) = channel();
         let mut conns: Vec<Conn> = vec![];
-        let mut fates: Vec<Fate> = vec![];
+        let mut records: Vec<RequestRecord> = vec![];
         let mut open: HashMap<(usize, u64), usize> = HashMap::new();
         let began = Instant::now();
         let mut next = Duration::ZERO;
@@ -125,18 +125,18 @@
                     next = now + RETRY;
                     break;
                 };
-                let mut pick = chance.rand_float() * self.asks.iter().map(|a| a.part).sum::<f64>();
-                let handler = self.asks.iter().position(|a| {
+                let mut pick = chance.rand_float() * self.kinds.iter().map(|a| a.part).sum::<f64>();
+                let handler = self.kinds.iter().position(|a| {
                     pick -= a.part;
                     pick < 0.0
                 });
-                let handler = handler.unwrap_or(self.asks.len() - 1);
+                let handler = handler.unwrap_or(self.kinds.len() - 1);
                 let name = format!("{:016x}", chance.rand_u64());
                 let body = BASE64.encode(&name);
                 let line = self.line(id, handler, &name, &body);
                 let _ = conns[conn].stream.write_all(line.as_bytes());
-                open.insert((conn, id), fates.len());
-                fates.push(Fate {
+                open.insert((conn, id), records.len());
+                records.push(RequestRecord {
                     handler,
                     name,
                     body,
@@ -146,27 +146,28 @@
                 next += Duration::from_secs_f64(-(1.0 - chance.rand_float()).ln() / rate);
             }
             hear(&from, &mut conns, |conn, id, answer, heard| {
-                let Some(fate) = open.get(&(conn, id)).map(|f| &mut fates[*f]) else {
+                let Some(record) = open.get(&(conn, id)).map(|f| &mut records[*f]) else {
                     return false;
                 };
-                let first = fate.answers.is_empty();
+                let first = record.answers.is_empty();
                 if first {
-                    answered(&fate.name);
+                    answered(&record.name);
                 }
-                fate.answers
+                record
+                    .answers
                     .push((answer, heard.saturating_duration_since(began)));
                 first
             });
-            let owed = fates.iter().rev().any(|f| f.answers.is_empty());
+            let owed = records.iter().rev().any(|f| f.answers.is_empty());
             if (now >= length && !owed) || now > end {
-                return fates;
+                return records;
             }
         }
     }
 
     fn line(&self, id: u64, handler: usize, name: &str, body: &str) -> String {
-        let ask = &self.asks[handler];
-        let key = if ask.keyed {
+        let kind = &self.kinds[handler];
+        let key = if kind.keyed {
             format!("\"replay\":\"{name}{name}\",")
         } else {
             String::new()
@@ -175,9 +176,9 @@
             "{{\"jsonrpc\":\"2.0\",\"id\":{id},\"method\":\"{}\",\"params\":{{\"ref\":\"{name}\",\
              \"since\":{},\"sender\":4,\"project\":\"{}\",\"allow\":{},{key}\"room\":2.5,\
              \"bytes\":\"{body}\"}}}}\n",
-            ask.handler,
+            kind.handler,
             unix_ms(),
-            ask.project,
+            kind.project,
             self.allow_ms,
         )
     }
@@ -239,9 +240,11 @@
             continue;
         };
         let answer = match said["error"]["code"].as_i64() {
-            None => Answer::Done,
-            Some(-32002) => Answer::Shed(said["error"]["data"]["cooldown"].as_u64().unwrap_or(0)),
-            Some(_) => Answer::Errored,
+            None => Answer::Completed,
+            Some(-32002) => {
+                Answer::Rejected(said["error"]["data"]["cooldown"].as_u64().unwrap_or(0))
+            }
+            Some(_) => Answer::Failed,
         };
         if each(conn, id, answer, at) {
             conns[conn].open -= 1;
@@ -251,26 +254,26 @@
 
 /// Of the reqs of a handler sent from one time to another: how many, and the part that was kept.
 pub fn kept(
-    fates: &[Fate],
-    asks: &[Ask],
+    records: &[RequestRecord],
+    kinds: &[RequestKind],
     handler: usize,
     from: Duration,
     to: Duration,
 ) -> (usize, f64) {
-    let of: Vec<&Fate> = fates
+    let of: Vec<&RequestRecord> = records
         .iter()
         .filter(|f| f.handler == handler && f.sent >= from && f.sent < to)
         .collect();
-    let kept = of.iter().filter(|f| f.kept(asks[handler].target)).count();
+    let kept = of.iter().filter(|f| f.kept(kinds[handler].target)).count();
     (of.len(), kept as f64 / of.len().max(1) as f64)
 }
 
 /// The times, in milliseconds, after which reqs of a handler were done.
-pub fn times(fates: &[Fate], handler: usize) -> Histogram<u64> {
+pub fn latencies(records: &[RequestRecord], handler: usize) -> Histogram<u64> {
     let mut found = Histogram::new(3).expect("three digits");
-    for fate in fates.iter().filter(|f| f.handler == handler) {
-        if let [(Answer::Done, at)] = fate.answers[..] {
-            let _ = found.record(at.saturating_sub(fate.sent).as_millis() as u64);
+    for record in records.iter().filter(|f| f.handler == handler) {
+        if let [(Answer::Completed, at)] = record.answers[..] {
+            let _ = found.record(at.saturating_sub(record.sent).as_millis() as u64);
         }
     }
     found
@@ -278,20 +281,24 @@
 
 /// The rules, as far as callers and engine can tell: exactly one answer each, nothing keyed run twice,
 /// nothing shed that was run. One line for each breach.
-pub fn breaches(fates: &[Fate], asks: &[Ask], bodies: &HashMap<String, u32>) -> Vec<String> {
+pub fn rule_violations(
+    records: &[RequestRecord],
+    kinds: &[RequestKind],
+    bodies: &HashMap<String, u32>,
+) -> Vec<String> {
     let mut found = vec![];
-    for fate in fates {
-        let name = &fate.name;
-        if fate.answers.len() != 1 {
-            found.push(format!("{name} got {} answers", fate.answers.len()));
+    for record in records {
+        let name = &record.name;
+        if record.answers.len() != 1 {
+            found.push(format!("{name} got {} answers", record.answers.len()));
         }
-        let runs = bodies.get(&fate.body).copied().unwrap_or(0);
-        if runs > 1 && asks[fate.handler].keyed {
+        let runs = bodies.get(&record.body).copied().unwrap_or(0);
+        if runs > 1 && kinds[record.handler].keyed {
             found.push(format!("{name} ran {runs} times"));
         }
         if runs > 0
-            && asks[fate.handler].keyed
-            && matches!(fate.answers[..], [(Answer::Shed(_), _)])
+            && kinds[record.handler].keyed
+            && matches!(record.answers[..], [(Answer::Rejected(_), _)])
         {
             found.push(format!("{name} was shed although it ran"));
         }
--- a/crates/testkit/src/peer.rs
+++ b/crates/testkit/src/peer.rs
@@ -1,11 +1,11 @@
 //! One end of a connection, line by line, played by hand.
 
-use crate::PATIENCE;
+use crate::WAIT_TIMEOUT;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::time::Instant;
 
-pub fn local() -> TcpListener {
+pub fn loopback_listener() -> TcpListener {
     TcpListener::bind("127.0.0.1:0").expect("a free port")
 }
 
@@ -13,7 +13,9 @@
 
 impl Peer {
     pub fn new(stream: TcpStream) -> Peer {
-        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        stream
+            .set_read_timeout(Some(WAIT_TIMEOUT))
+            .expect("a time-out");
         Peer(BufReader::new(stream))
     }
 
@@ -79,7 +81,7 @@
         let began = Instant::now();
         loop {
             let line = self.line();
-            assert!(began.elapsed() < PATIENCE, "no command in time");
+            assert!(began.elapsed() < WAIT_TIMEOUT, "no command in time");
             if !self.gauged(&line) {
                 return line;
             }
--- a/crates/testkit/src/registry.rs
+++ b/crates/testkit/src/registry.rs
@@ -1,12 +1,12 @@
 //! The registry: answers every report and passes it on.
 
-use crate::peer::{Peer, local};
+use crate::peer::{Peer, loopback_listener};
 use std::io::{BufRead, Read, Write};
 use std::net::SocketAddr;
 use std::sync::mpsc::{Receiver, channel};
 
 pub fn start() -> (SocketAddr, Receiver<String>) {
-    let listener = local();
+    let listener = loopback_listener();
     let address = listener.local_addr().expect("an address");
     let (to, from) = channel();
     std::thread::spawn(move || {
--- a/crates/testkit/src/server.rs
+++ b/crates/testkit/src/server.rs
@@ -10,14 +10,14 @@
 
 /// Where a server finds the others.
 #[derive(Clone, Copy)]
-pub struct Others {
+pub struct Dependencies {
     pub engine: SocketAddr,
     pub registry: SocketAddr,
     pub catalogue: SocketAddr,
 }
 
 /// A file of this text, under a name of its own.
-pub fn written(text: &str) -> PathBuf {
+pub fn write_config(text: &str) -> PathBuf {
     static COUNT: AtomicU32 = AtomicU32::new(0);
     let n = COUNT.fetch_add(1, Ordering::Relaxed);
     let path = std::env::temp_dir().join(format!("madderbay-{}-{n}", std::process::id()));
@@ -27,12 +27,12 @@
 
 pub fn configuration(
     listen: &str,
-    others: Others,
+    others: Dependencies,
     sockets: usize,
     stop_ms: u64,
     settings: &str,
 ) -> String {
-    let Others {
+    let Dependencies {
         engine,
         registry,
         catalogue,
@@ -93,10 +93,10 @@
         operator: Option<&str>,
         ahead_ms: &str,
     ) -> Server {
-        let path = written(configuration);
+        let path = write_config(configuration);
         let mut files = vec![path.clone()];
         let mut command = command(binary, Some(&path));
-        let operator = operator.map(written);
+        let operator = operator.map(write_config);
         if let Some(file) = &operator {
             command.arg("--operator").arg(file);
             files.push(file.clone());
--- a/crates/upstream/tests/simulated_fleet.rs
+++ b/crates/upstream/tests/simulated_fleet.rs
@@ -2,25 +2,27 @@
 //! soon, and which are not. `crates/server/tests/routes.rs` has cases with real processes.
 
 use madderbay::time::Duration;
-use madderbay_testkit::routes::{Mode, Setup, Way, World};
+use madderbay_testkit::backend_simulation::{
+    BackendFault, BackendFleetSetup, BackendSimulation, RoutingPolicy,
+};
 use madderbay_upstream::Settings;
 use std::ops::Range;
 
 const SEEDS: Range<u64> = 0..4;
-const HEALTHY: Mode = Mode::Slow(1.0);
-const TEN_TIMES_SLOWER: Mode = Mode::Slow(10.0);
+const HEALTHY: BackendFault = BackendFault::Slow(1.0);
+const TEN_TIMES_SLOWER: BackendFault = BackendFault::Slow(10.0);
 /// The backend with a fault, where one of them has it.
 const FAULTY: usize = 3;
 
 /// A simulated fleet. Times are in milliseconds since the start.
 struct Fleet {
-    world: World,
+    world: BackendSimulation,
 }
 
 impl Fleet {
     /// A fleet that has run for five seconds without failures and ejections.
-    fn stable(setup: Setup, seed: u64) -> Fleet {
-        let world = World::new(setup, seed);
+    fn stable(setup: BackendFleetSetup, seed: u64) -> Fleet {
+        let world = BackendSimulation::new(setup, seed);
         let mut fleet = Fleet { world };
         fleet.run(5_000);
         let success = fleet.success_rate(1_000..5_000);
@@ -31,20 +33,20 @@
 
     /// Twelve servers and ten backends.
     fn standard(seed: u64) -> Fleet {
-        Fleet::stable(Setup::of(12, 10), seed)
+        Fleet::stable(BackendFleetSetup::of(12, 10), seed)
     }
 
     fn run(&mut self, millis: u64) {
         self.world.run(Duration::from_millis(millis));
     }
 
-    fn set_mode(&mut self, backends: Range<usize>, mode: Mode) {
+    fn set_mode(&mut self, backends: Range<usize>, mode: BackendFault) {
         for backend in backends {
             self.world.mode(backend, mode);
         }
     }
 
-    fn set_faulty(&mut self, mode: Mode) {
+    fn set_faulty(&mut self, mode: BackendFault) {
         self.world.mode(FAULTY, mode);
     }
 
@@ -88,16 +90,21 @@
 /// One of ten backends is faulty: traffic leaves it within seconds, few calls fail, and it returns once repaired.
 #[test]
 fn traffic_leaves_a_faulty_backend_and_returns_after_repair() {
-    for mode in [TEN_TIMES_SLOWER, Mode::Fails, Mode::Silent, Mode::Down] {
+    for mode in [
+        TEN_TIMES_SLOWER,
+        BackendFault::Fails,
+        BackendFault::Silent,
+        BackendFault::Down,
+    ] {
         for seed in SEEDS {
             let mut fleet = Fleet::standard(seed);
             fleet.set_faulty(mode);
             fleet.run(10_000);
             // Only probes are left. Slowness shows only in a comparison of several calls.
             let limit = match mode {
-                Mode::Slow(_) => 3_000,
-                Mode::Silent => 1_500,
-                Mode::Fails | Mode::Down => 1_000,
+                BackendFault::Slow(_) => 3_000,
+                BackendFault::Silent => 1_500,
+                BackendFault::Fails | BackendFault::Down => 1_000,
             };
             let left = fleet.time_until_under(FAULTY, 5_000, 0.04);
             assert!(
@@ -122,19 +129,19 @@
 fn gossip_finds_a_fault_with_few_calls() {
     for seed in SEEDS {
         let result = |way| {
-            let setup = Setup {
+            let setup = BackendFleetSetup {
                 rate: 5.0,
                 way,
-                ..Setup::of(60, 10)
+                ..BackendFleetSetup::of(60, 10)
             };
             let mut fleet = Fleet::stable(setup, seed);
-            fleet.set_faulty(Mode::Fails);
+            fleet.set_faulty(BackendFault::Fails);
             fleet.run(5_000);
             let left = fleet.time_until_under(FAULTY, 5_000, 0.03);
             (left, fleet.traffic(FAULTY, 6_000..10_000))
         };
-        let (left_with_gossip, traffic_with_gossip) = result(Way::Shared);
-        let (left_alone, traffic_alone) = result(Way::Alone);
+        let (left_with_gossip, traffic_with_gossip) = result(RoutingPolicy::Shared);
+        let (left_alone, traffic_alone) = result(RoutingPolicy::Alone);
         assert!(
             left_with_gossip.is_some_and(|millis| millis <= 2_000),
             "seed {seed}: {left_with_gossip:?}"
@@ -156,10 +163,10 @@
             max_ejected_fraction: 0.5,
             ..Settings::default()
         };
-        let setup = Setup {
+        let setup = BackendFleetSetup {
             zones: 3,
             settings,
-            ..Setup::of(18, 6)
+            ..BackendFleetSetup::of(18, 6)
         };
         let mut fleet = Fleet::stable(setup, seed);
         // The zone reaches none of its own backends, so that its calls go to the other zones.
@@ -224,7 +231,11 @@
 /// In a complete outage retries add a tenth of the load at most, and all backends return after it.
 #[test]
 fn retries_stay_within_budget_in_an_outage() {
-    for mode in [Mode::Fails, Mode::Down, Mode::Silent] {
+    for mode in [
+        BackendFault::Fails,
+        BackendFault::Down,
+        BackendFault::Silent,
+    ] {
         for seed in SEEDS {
             let mut fleet = Fleet::standard(seed);
             fleet.set_mode(0..10, mode);
@@ -247,10 +258,10 @@
 fn retry_storm_ends_with_the_overload() {
     for seed in SEEDS {
         // Ten backends with four slots and 20 ms a call serve 2,000 calls a second.
-        let setup = Setup {
+        let setup = BackendFleetSetup {
             slots: 4,
             rate: 75.0,
-            ..Setup::of(12, 10)
+            ..BackendFleetSetup::of(12, 10)
         };
         let mut fleet = Fleet::stable(setup, seed);
         fleet.world.rate(500.0);
@@ -270,7 +281,7 @@
     for seed in SEEDS {
         let mut fleet = Fleet::standard(seed);
         for _ in 0..15 {
-            fleet.set_faulty(Mode::Down);
+            fleet.set_faulty(BackendFault::Down);
             fleet.run(1_000);
             fleet.set_faulty(HEALTHY);
             fleet.run(1_000);
@@ -288,7 +299,7 @@
     for seed in SEEDS {
         let mut fleet = Fleet::standard(seed);
         for n in 0..10 {
-            fleet.world.mode(n, Mode::Down);
+            fleet.world.mode(n, BackendFault::Down);
             fleet.world.restart(n);
             fleet.run(1_500);
             fleet.world.mode(n, HEALTHY);
@@ -305,7 +316,7 @@
     for isolated in [false, true] {
         for seed in SEEDS {
             let mut fleet = Fleet::standard(seed);
-            fleet.set_faulty(Mode::Fails);
+            fleet.set_faulty(BackendFault::Fails);
             fleet.run(5_000);
             (fleet.world.split, fleet.world.deaf) = (!isolated, isolated);
             fleet.run(1_000);
@@ -323,12 +334,12 @@
 /// Three hundred servers see one backend recover: its load grows slowly enough.
 #[test]
 fn many_servers_return_to_a_backend_gradually() {
-    let setup = Setup {
+    let setup = BackendFleetSetup {
         rate: 10.0,
-        ..Setup::of(300, 10)
+        ..BackendFleetSetup::of(300, 10)
     };
     let mut fleet = Fleet::stable(setup, 7);
-    fleet.set_faulty(Mode::Fails);
+    fleet.set_faulty(BackendFault::Fails);
     fleet.run(8_000);
     fleet.set_faulty(HEALTHY);
     fleet.run(30_000);
@@ -348,7 +359,7 @@
 #[test]
 fn reload_under_load_loses_no_calls() {
     for seed in SEEDS {
-        let mut fleet = Fleet::stable(Setup::of(6, 12), seed);
+        let mut fleet = Fleet::stable(BackendFleetSetup::of(6, 12), seed);
         fleet.world.reload(&[0, 1, 2, 3, 4, 5, 6, 7, 8, 9]);
         fleet.run(2_000);
         fleet.world.reload(&[4, 5, 6, 7, 8, 9, 10, 11]);
@@ -368,13 +379,13 @@
 #[test]
 fn calls_that_are_not_idempotent_are_retried_only_if_never_executed() {
     for (mode, is_retried) in [
-        (Mode::Fails, false),
-        (Mode::Silent, false),
-        (Mode::Down, true),
+        (BackendFault::Fails, false),
+        (BackendFault::Silent, false),
+        (BackendFault::Down, true),
     ] {
-        let setup = Setup {
+        let setup = BackendFleetSetup {
             replayable: false,
-            ..Setup::of(12, 10)
+            ..BackendFleetSetup::of(12, 10)
         };
         let mut fleet = Fleet::stable(setup, 5);
         fleet.set_mode(0..5, mode);
