Simulator adapter: typed records and errors; codec, host and stdio loop apart

Cause: codes, tuples and texts made the wire hard to follow in the adapter, and its public items were not documented.

Change: events and actions of the wire are enums and structs with named fields; AdapterError is the one error and gives the same line and exit status as before; the codec performs no I/O, the loop on stdin and stdout is stdio::serve. Test steps follow the new names; their assertions stay.

--- /dev/null
+++ b/crates/simulator-adapter/src/codec/action.rs
@@ -0,0 +1,171 @@
+//! The records of actions. The name that the wire's description gives to each stands beside it.
+
+use madderbay::time::Duration;
+
+/// Longest text of a [`Action::Fault`], in bytes.
+const MAX_FAULT_MESSAGE_BYTES: usize = 500;
+/// Health checks are answered from the stored state and do no work.
+const HEALTH_FROM_STORE: u8 = 1;
+/// An instance has one timer, so its token need not tell timers apart.
+const TIMER_TOKEN: u64 = 0;
+
+/// One action of an instance. What each does to a request is told at
+/// [`Actions`](madderbay::interface::Actions). Durations are sent as microseconds, at most `u32::MAX`.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action<'a> {
+    /// `TAKE`
+    Start {
+        /// The request.
+        request_id: u64,
+    },
+    /// `PUSH_BACK`
+    Reject {
+        /// The request.
+        request_id: u64,
+        /// Time for which the client is advised to stay away.
+        retry_after: Duration,
+        /// Whether the client is asked not to retry elsewhere.
+        is_final: bool,
+    },
+    /// `SURRENDER`
+    Fail {
+        /// The request.
+        request_id: u64,
+    },
+    /// `PREEMPT`
+    Cancel {
+        /// The request.
+        request_id: u64,
+    },
+    /// `GO_CALL`
+    Call {
+        /// The request.
+        request_id: u64,
+        /// Time after which the call is abandoned.
+        timeout: Duration,
+    },
+    /// `DEGRADE`
+    SkipCall {
+        /// The request.
+        request_id: u64,
+    },
+    /// `PIN`
+    StoreKey {
+        /// The request.
+        request_id: u64,
+        /// Time for which the key is stored.
+        lifetime: Duration,
+    },
+    /// `RELEASE_KEY`
+    RemoveKey {
+        /// The request.
+        request_id: u64,
+    },
+    /// `SHARE`
+    JoinAttempt {
+        /// The request.
+        request_id: u64,
+    },
+    /// `MARK_HEALTH`
+    SetHealth {
+        /// What health checks are answered.
+        healthy: bool,
+    },
+    /// `ADVERTISE`
+    SetLoadReport {
+        /// The load report; sent with 32 bits.
+        value: f64,
+    },
+    /// `IDLE_LIMIT`
+    SetIdleLimit {
+        /// Idle time after which connections are closed.
+        limit: Duration,
+    },
+    /// `SET_TIMER`
+    SetTimer {
+        /// Time until the timer fires.
+        after: Duration,
+    },
+    /// `FAULT`: the decision module panicked; the simulated day ends.
+    Fault {
+        /// Why; sent up to 500 bytes.
+        message: &'a str,
+    },
+}
+
+impl Action<'_> {
+    /// The code of the action's record.
+    pub(super) fn code(&self) -> u8 {
+        match self {
+            Action::Start { .. } => 1,
+            Action::Reject { .. } => 2,
+            Action::Fail { .. } => 3,
+            Action::Cancel { .. } => 4,
+            Action::Call { .. } => 5,
+            Action::SkipCall { .. } => 6,
+            Action::StoreKey { .. } => 7,
+            Action::RemoveKey { .. } => 8,
+            Action::JoinAttempt { .. } => 9,
+            Action::SetHealth { .. } => 10,
+            Action::SetLoadReport { .. } => 11,
+            Action::SetIdleLimit { .. } => 12,
+            Action::SetTimer { .. } => 13,
+            Action::Fault { .. } => 15,
+        }
+    }
+
+    /// Appends the fields that follow the record's code and instance.
+    pub(super) fn encode_fields(&self, out: &mut Vec<u8>) {
+        match *self {
+            Action::Start { request_id }
+            | Action::Fail { request_id }
+            | Action::Cancel { request_id }
+            | Action::SkipCall { request_id }
+            | Action::RemoveKey { request_id }
+            | Action::JoinAttempt { request_id } => put_u64(out, request_id),
+            Action::Reject {
+                request_id,
+                retry_after,
+                is_final,
+            } => {
+                put_u64(out, request_id);
+                put_duration(out, retry_after);
+                out.push(u8::from(is_final));
+            }
+            Action::Call {
+                request_id,
+                timeout: duration,
+            }
+            | Action::StoreKey {
+                request_id,
+                lifetime: duration,
+            } => {
+                put_u64(out, request_id);
+                put_duration(out, duration);
+            }
+            Action::SetHealth { healthy } => out.extend([u8::from(healthy), HEALTH_FROM_STORE]),
+            Action::SetLoadReport { value } => out.extend((value as f32).to_le_bytes()),
+            Action::SetIdleLimit { limit } => put_duration(out, limit),
+            Action::SetTimer { after } => {
+                put_duration(out, after);
+                put_u64(out, TIMER_TOKEN);
+            }
+            Action::Fault { message } => put_fault_message(out, message),
+        }
+    }
+}
+
+fn put_u64(out: &mut Vec<u8>, value: u64) {
+    out.extend(value.to_le_bytes());
+}
+
+fn put_duration(out: &mut Vec<u8>, duration: Duration) {
+    let micros = u32::try_from(duration.as_micros()).unwrap_or(u32::MAX);
+    out.extend(micros.to_le_bytes());
+}
+
+fn put_fault_message(out: &mut Vec<u8>, message: &str) {
+    let length = message.len().min(MAX_FAULT_MESSAGE_BYTES);
+    out.extend((length as u16).to_le_bytes());
+    out.extend_from_slice(&message.as_bytes()[..length]);
+}
--- /dev/null
+++ b/crates/simulator-adapter/src/codec/event.rs
@@ -0,0 +1,262 @@
+//! The records of events. The name that the wire's description gives to each stands beside it.
+
+use super::InstanceId;
+use super::field_reader::FieldReader;
+use crate::error::AdapterError;
+use madderbay::interface::Outcome;
+use madderbay::time::Duration;
+
+/// Bit of a request's flags: the estimate of its work is valid.
+const FLAG_WORK_HINT: u8 = 1;
+/// Bit of a request's flags: the client marked it as a retry or hedge.
+const FLAG_RETRY: u8 = 2;
+
+/// The kind of an event, as its record's first byte tells it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EventCode {
+    /// `BEGIN`
+    Start = 1,
+    /// `QUERY`
+    Arrival = 2,
+    /// `ENDED`
+    RunEnded = 3,
+    /// `AWAITING`
+    CallNeeded = 4,
+    /// `DEP_REPLY`
+    CallFinished = 5,
+    /// `WIND_DOWN`
+    Drain = 6,
+    /// `ABANDONED`
+    ClientGone = 7,
+    /// `BELL`
+    Tick = 8,
+    /// `KILL`
+    Kill = 9,
+}
+
+impl TryFrom<u8> for EventCode {
+    type Error = AdapterError;
+
+    fn try_from(code: u8) -> Result<EventCode, AdapterError> {
+        Ok(match code {
+            1 => EventCode::Start,
+            2 => EventCode::Arrival,
+            3 => EventCode::RunEnded,
+            4 => EventCode::CallNeeded,
+            5 => EventCode::CallFinished,
+            6 => EventCode::Drain,
+            7 => EventCode::ClientGone,
+            8 => EventCode::Tick,
+            9 => EventCode::Kill,
+            _ => return Err(AdapterError::UnknownEventCode { code }),
+        })
+    }
+}
+
+/// What each record begins with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RecordHeader {
+    /// The kind of the event.
+    pub code: EventCode,
+    /// The instance that the event concerns.
+    pub instance: InstanceId,
+}
+
+impl RecordHeader {
+    /// Decodes the header of a record.
+    ///
+    /// # Errors
+    ///
+    /// [`AdapterError::TruncatedRecord`] or [`AdapterError::UnknownEventCode`].
+    pub fn decode(fields: &mut FieldReader) -> Result<RecordHeader, AdapterError> {
+        let code = fields.read_u8()?;
+        let instance = InstanceId(fields.read_u16()?);
+        Ok(RecordHeader {
+            code: EventCode::try_from(code)?,
+            instance,
+        })
+    }
+}
+
+/// One event of an instance.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event<'a> {
+    /// The instance starts; a former one of its number is replaced.
+    Start {
+        /// Seed of the instance's random numbers.
+        seed: u64,
+        /// The instance's settings, as JSON.
+        settings: &'a [u8],
+    },
+    /// A request was read.
+    Arrival(RequestRecord),
+    /// A run ended.
+    RunEnded(ResultRecord),
+    /// A run waits until it is told what to do about its upstream call.
+    CallNeeded {
+        /// The request that runs.
+        request_id: u64,
+    },
+    /// An upstream call ended.
+    CallFinished(ResultRecord),
+    /// A graceful shutdown begins.
+    Drain {
+        /// Time until the process is stopped.
+        remaining: Duration,
+    },
+    /// No client waits for the request any longer.
+    ClientGone {
+        /// The request.
+        request_id: u64,
+    },
+    /// The instance's timer fired.
+    Tick {
+        /// The instance's gauges, in the order of the settings.
+        gauges: Vec<f64>,
+    },
+    /// The instance's process died.
+    Kill,
+}
+
+impl<'a> Event<'a> {
+    /// Decodes the fields that follow a record's header.
+    ///
+    /// # Errors
+    ///
+    /// [`AdapterError::TruncatedRecord`], [`AdapterError::NumberNotFinite`] or
+    /// [`AdapterError::UnknownOutcome`].
+    pub fn decode(
+        code: EventCode,
+        fields: &mut FieldReader<'a>,
+    ) -> Result<Event<'a>, AdapterError> {
+        Ok(match code {
+            EventCode::Start => Event::decode_start(fields)?,
+            EventCode::Arrival => Event::Arrival(RequestRecord::decode(fields)?),
+            EventCode::RunEnded => Event::RunEnded(ResultRecord::decode(fields)?),
+            EventCode::CallNeeded => Event::CallNeeded {
+                request_id: fields.read_u64()?,
+            },
+            EventCode::CallFinished => Event::CallFinished(ResultRecord::decode(fields)?),
+            EventCode::Drain => Event::Drain {
+                remaining: fields.read_duration()?,
+            },
+            EventCode::ClientGone => Event::ClientGone {
+                request_id: fields.read_u64()?,
+            },
+            EventCode::Tick => Event::decode_tick(fields)?,
+            EventCode::Kill => Event::Kill,
+        })
+    }
+
+    fn decode_start(fields: &mut FieldReader<'a>) -> Result<Event<'a>, AdapterError> {
+        let seed = fields.read_u64()?;
+        let length = fields.read_u32()? as usize;
+        let settings = fields.read_bytes(length)?;
+        Ok(Event::Start { seed, settings })
+    }
+
+    fn decode_tick(fields: &mut FieldReader<'a>) -> Result<Event<'a>, AdapterError> {
+        // An instance has one timer, so the token that the wire carries for it tells nothing.
+        let _token = fields.read_u64()?;
+        let gauge_count = fields.read_u8()?;
+        let gauges = (0..gauge_count)
+            .map(|_| fields.read_f32())
+            .collect::<Result<_, _>>()?;
+        Ok(Event::Tick { gauges })
+    }
+}
+
+/// A request as it was read. Whether handler and tenant exist is not checked yet.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RequestRecord {
+    /// Identifier of the request.
+    pub request_id: u64,
+    /// Index of the handler.
+    pub handler: usize,
+    /// Index of the tenant.
+    pub tenant: usize,
+    /// What the request is about; 0 for nothing.
+    pub subject: u64,
+    /// Time that the client still waits.
+    pub timeout: Duration,
+    /// Estimate of the work, where there is one.
+    pub work_hint: Option<Duration>,
+    /// Memory while queued, in kB.
+    pub memory_kb: f64,
+    /// Rank among all requests, 0 to 1.
+    pub rank: f64,
+    /// Whether the client marked it as a retry or hedge.
+    pub is_retry: bool,
+    /// Number of the client.
+    pub client: u16,
+    /// Time from the arrival at the machine until the request was read.
+    pub read_delay: Duration,
+    /// Identifier of the attempt that it retries; 0 for none.
+    pub retry_of: u64,
+}
+
+impl RequestRecord {
+    fn decode(fields: &mut FieldReader) -> Result<RequestRecord, AdapterError> {
+        let request_id = fields.read_u64()?;
+        let handler = fields.read_u16()? as usize;
+        let tenant = fields.read_u32()? as usize;
+        let subject = fields.read_u64()?;
+        let timeout = fields.read_duration()?;
+        let work_hint = fields.read_duration()?;
+        let memory_kb = fields.read_f32()?;
+        let rank = fields.read_f32()?;
+        let flags = fields.read_u8()?;
+        let client = fields.read_u16()?;
+        let read_delay = fields.read_duration()?;
+        let retry_of = fields.read_u64()?;
+        Ok(RequestRecord {
+            request_id,
+            handler,
+            tenant,
+            subject,
+            timeout,
+            work_hint: (flags & FLAG_WORK_HINT != 0).then_some(work_hint),
+            memory_kb,
+            rank,
+            is_retry: flags & FLAG_RETRY != 0,
+            client,
+            read_delay,
+            retry_of,
+        })
+    }
+}
+
+/// How a run or an upstream call ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ResultRecord {
+    /// The request that ran or called.
+    pub request_id: u64,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Time since the action that started the run or the call.
+    pub elapsed: Duration,
+}
+
+impl ResultRecord {
+    fn decode(fields: &mut FieldReader) -> Result<ResultRecord, AdapterError> {
+        Ok(ResultRecord {
+            request_id: fields.read_u64()?,
+            outcome: decode_outcome(fields.read_u8()?)?,
+            elapsed: fields.read_duration()?,
+        })
+    }
+}
+
+fn decode_outcome(code: u8) -> Result<Outcome, AdapterError> {
+    Ok(match code {
+        1 => Outcome::Completed,
+        2 => Outcome::Failed,
+        3 => Outcome::Rejected,
+        4 => Outcome::TimedOut,
+        5 => Outcome::Unreachable,
+        6 => Outcome::Disconnected,
+        7 => Outcome::Cancelled,
+        8 => Outcome::AlreadyEnded,
+        _ => return Err(AdapterError::UnknownOutcome { code }),
+    })
+}
--- /dev/null
+++ b/crates/simulator-adapter/src/codec/field_reader.rs
@@ -0,0 +1,107 @@
+//! Reads the fields of records one after the other.
+
+use crate::error::AdapterError;
+use madderbay::time::Duration;
+
+/// A cursor over the records of one batch.
+pub struct FieldReader<'a> {
+    bytes: &'a [u8],
+    position: usize,
+}
+
+impl<'a> FieldReader<'a> {
+    /// A cursor at the first byte.
+    pub fn new(bytes: &'a [u8]) -> FieldReader<'a> {
+        FieldReader { bytes, position: 0 }
+    }
+
+    /// Bytes that have not been read.
+    pub fn remaining(&self) -> usize {
+        self.bytes.len() - self.position
+    }
+
+    /// Reads a field of `length` bytes.
+    ///
+    /// # Errors
+    ///
+    /// [`AdapterError::TruncatedRecord`] where fewer bytes are left.
+    pub fn read_bytes(&mut self, length: usize) -> Result<&'a [u8], AdapterError> {
+        if length > self.remaining() {
+            return Err(AdapterError::TruncatedRecord {
+                position: self.position,
+                wanted: length,
+                available: self.remaining(),
+            });
+        }
+        let end = self.position + length;
+        let field = &self.bytes[self.position..end];
+        self.position = end;
+        Ok(field)
+    }
+
+    /// Reads an 8-bit number.
+    ///
+    /// # Errors
+    ///
+    /// [`AdapterError::TruncatedRecord`] where no byte is left.
+    pub fn read_u8(&mut self) -> Result<u8, AdapterError> {
+        Ok(u8::from_le_bytes(self.read_array()?))
+    }
+
+    /// Reads a 16-bit number.
+    ///
+    /// # Errors
+    ///
+    /// [`AdapterError::TruncatedRecord`] where fewer bytes are left.
+    pub fn read_u16(&mut self) -> Result<u16, AdapterError> {
+        Ok(u16::from_le_bytes(self.read_array()?))
+    }
+
+    /// Reads a 32-bit number.
+    ///
+    /// # Errors
+    ///
+    /// [`AdapterError::TruncatedRecord`] where fewer bytes are left.
+    pub fn read_u32(&mut self) -> Result<u32, AdapterError> {
+        Ok(u32::from_le_bytes(self.read_array()?))
+    }
+
+    /// Reads a 64-bit number.
+    ///
+    /// # Errors
+    ///
+    /// [`AdapterError::TruncatedRecord`] where fewer bytes are left.
+    pub fn read_u64(&mut self) -> Result<u64, AdapterError> {
+        Ok(u64::from_le_bytes(self.read_array()?))
+    }
+
+    /// Reads a 32-bit floating-point number.
+    ///
+    /// # Errors
+    ///
+    /// [`AdapterError::TruncatedRecord`] where fewer bytes are left, and
+    /// [`AdapterError::NumberNotFinite`] for an infinity or a value that is not a number.
+    pub fn read_f32(&mut self) -> Result<f64, AdapterError> {
+        let value = f32::from_le_bytes(self.read_array()?);
+        if !value.is_finite() {
+            return Err(AdapterError::NumberNotFinite {
+                position: self.position,
+            });
+        }
+        Ok(f64::from(value))
+    }
+
+    /// Reads a duration, which is sent as 32 bits of microseconds.
+    ///
+    /// # Errors
+    ///
+    /// [`AdapterError::TruncatedRecord`] where fewer bytes are left.
+    pub fn read_duration(&mut self) -> Result<Duration, AdapterError> {
+        Ok(Duration::from_micros(u64::from(self.read_u32()?)))
+    }
+
+    fn read_array<const N: usize>(&mut self) -> Result<[u8; N], AdapterError> {
+        let field = self.read_bytes(N)?;
+        Ok(field.try_into().expect("read_bytes gives N bytes"))
+    }
+}
--- /dev/null
+++ b/crates/simulator-adapter/src/error.rs
@@ -0,0 +1,138 @@
+//! Errors of this crate.
+
+use crate::codec::InstanceId;
+use std::error::Error;
+use std::io;
+use thiserror::Error;
+
+/// Why the adapter stops. The text is the one line that an operator sees.
+#[derive(Debug, Error)]
+pub enum AdapterError {
+    /// The input could not be read.
+    #[error("input: {0}")]
+    Input(#[source] io::Error),
+    /// The output could not be written.
+    #[error("output: {0}")]
+    Output(#[source] io::Error),
+    /// The input ends within a batch header.
+    #[error("frame: input ends {received} bytes into a header of {expected}")]
+    TruncatedHeader {
+        /// Bytes of the header that were read.
+        received: usize,
+        /// Length of a batch header, in bytes.
+        expected: usize,
+    },
+    /// The length in a batch header does not cover the header's own last field.
+    #[error("frame: length {length} has no room for the count of records")]
+    LengthTooShort {
+        /// The length as it was sent, in bytes.
+        length: u32,
+    },
+    /// The input ends within the records of a batch.
+    #[error("frame: input ends {received} bytes into records of {expected}")]
+    TruncatedBody {
+        /// Bytes of the records that were read.
+        received: u64,
+        /// Length of the records according to the header, in bytes.
+        expected: u64,
+    },
+    /// A batch is longer than its records.
+    #[error("frame: {bytes} bytes left after {records} records")]
+    TrailingBytes {
+        /// Bytes after the last record.
+        bytes: usize,
+        /// Number of records according to the header.
+        records: u32,
+    },
+    /// One record of a batch is invalid.
+    #[error("record {number} of {count}: {cause}")]
+    Record {
+        /// Position of the record in its batch; the first is 1.
+        number: u32,
+        /// Number of records in the batch.
+        count: u32,
+        /// What is invalid.
+        #[source]
+        cause: Box<AdapterError>,
+    },
+    /// A record ends within a field.
+    #[error("record cut short at byte {position}: {wanted} wanted, {available} left")]
+    TruncatedRecord {
+        /// Where the field begins, in bytes from the first record of the batch.
+        position: usize,
+        /// Length of the field, in bytes.
+        wanted: usize,
+        /// Bytes left in the batch.
+        available: usize,
+    },
+    /// A floating-point field is infinite or not a number.
+    #[error("number before byte {position} is not finite")]
+    NumberNotFinite {
+        /// Where the field ends, in bytes from the first record of the batch.
+        position: usize,
+    },
+    /// The code of a record is that of no event.
+    #[error("event code {code} is unknown")]
+    UnknownEventCode {
+        /// The code as it was sent.
+        code: u8,
+    },
+    /// The outcome of a run or call is none of those defined.
+    #[error("outcome {code} is unknown")]
+    UnknownOutcome {
+        /// The outcome as it was sent.
+        code: u8,
+    },
+    /// An event names an instance that is not running.
+    #[error("instance {instance} was never begun")]
+    UnknownInstance {
+        /// The instance that the event names.
+        instance: InstanceId,
+    },
+    /// A request names a handler that the settings do not define.
+    #[error("request {request_id}: class {handler} of {handlers} classes")]
+    UnknownHandler {
+        /// The request.
+        request_id: u64,
+        /// Index of the handler as it was sent.
+        handler: usize,
+        /// Number of handlers in the settings.
+        handlers: usize,
+    },
+    /// A request names a tenant that the settings do not define.
+    #[error("request {request_id}: tenant {tenant} of {tenants} tenants")]
+    UnknownTenant {
+        /// The request.
+        request_id: u64,
+        /// Index of the tenant as it was sent.
+        tenant: usize,
+        /// Number of tenants in the settings.
+        tenants: usize,
+    },
+    /// A request claims a negative amount of memory.
+    #[error("request {request_id}: held_kb is under 0")]
+    NegativeMemory {
+        /// The request.
+        request_id: u64,
+    },
+    /// A request arrives under the identifier of one that has not ended.
+    #[error("request {request_id}: read a second time")]
+    DuplicateRequest {
+        /// The request.
+        request_id: u64,
+    },
+    /// The settings of an instance are unknown or contradict themselves.
+    #[error(transparent)]
+    Settings(Box<dyn Error + Send + Sync>),
+}
+
+impl AdapterError {
+    /// Whether the cause lies in an instance's settings and not on the wire.
+    pub fn is_settings_error(&self) -> bool {
+        match self {
+            AdapterError::Settings(_) => true,
+            AdapterError::Record { cause, .. } => cause.is_settings_error(),
+            _ => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/simulator-adapter/src/host/instance.rs
@@ -0,0 +1,89 @@
+//! One simulated server: its decision module, and what of its settings the adapter needs.
+
+use crate::codec::RequestRecord;
+use crate::error::AdapterError;
+use madderbay::decide::Decider;
+use madderbay::interface::{Arrival, Gauges};
+use madderbay::time::{Duration, Timestamp};
+use madderbay_settings::Settings;
+
+/// Name, in the settings, of the gauge that the decision module reads.
+const RUN_QUEUE_GAUGE: &str = "on_cores";
+
+/// One incarnation of a simulated server.
+pub(super) struct Instance {
+    pub(super) decider: Decider,
+    handlers: usize,
+    tenants: usize,
+    requests_carry_timeout: bool,
+    run_queue_gauge: Option<usize>,
+}
+
+impl Instance {
+    pub(super) fn new(now: Timestamp, seed: u64, settings: &Settings) -> Instance {
+        Instance {
+            decider: settings.decider(now, seed),
+            handlers: settings.handlers.len(),
+            tenants: settings.tenants.len(),
+            requests_carry_timeout: settings.rules.requests_carry_timeout,
+            run_queue_gauge: settings.meter(RUN_QUEUE_GAUGE),
+        }
+    }
+
+    /// The request as the decision module takes it.
+    pub(super) fn validate(&self, record: &RequestRecord) -> Result<Arrival, AdapterError> {
+        self.check_indices(record)?;
+        let request_id = record.request_id;
+        if record.memory_kb < 0.0 {
+            return Err(AdapterError::NegativeMemory { request_id });
+        }
+        if self.decider.contains(request_id) {
+            return Err(AdapterError::DuplicateRequest { request_id });
+        }
+        Ok(Arrival {
+            id: request_id,
+            client: record.client,
+            handler: record.handler,
+            tenant: record.tenant,
+            subject: record.subject,
+            timeout: if self.requests_carry_timeout {
+                record.timeout
+            } else {
+                Duration::ZERO
+            },
+            work_hint: record.work_hint,
+            memory_kb: record.memory_kb,
+            rank: record.rank,
+            is_retry: record.is_retry,
+            read_delay: record.read_delay,
+            retry_of: record.retry_of,
+        })
+    }
+
+    fn check_indices(&self, record: &RequestRecord) -> Result<(), AdapterError> {
+        if record.handler >= self.handlers {
+            return Err(AdapterError::UnknownHandler {
+                request_id: record.request_id,
+                handler: record.handler,
+                handlers: self.handlers,
+            });
+        }
+        // Where the settings define no tenants, all requests carry tenant 0.
+        if record.tenant >= self.tenants.max(1) {
+            return Err(AdapterError::UnknownTenant {
+                request_id: record.request_id,
+                tenant: record.tenant,
+                tenants: self.tenants,
+            });
+        }
+        Ok(())
+    }
+
+    /// The gauges that the decision module reads, out of all that were sent.
+    pub(super) fn gauges(&self, values: &[f64]) -> Gauges {
+        let run_queue = self.run_queue_gauge.and_then(|index| values.get(index));
+        Gauges {
+            run_queue: run_queue.copied(),
+        }
+    }
+}
--- a/crates/simulator-adapter/src/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -1,35 +1,34 @@
-use madderbay_simulator_adapter::host::{Host, Wrong};
-use madderbay_simulator_adapter::wire;
-use std::io::{BufReader, Write, stdin, stdout};
+//! The program that plays madderbay's decisions on the simulator's wire: batches of events on
+//! standard input, one reply a batch on standard output.
+//!
+//! It ends with its input. An error is one line on standard error.
+
+use madderbay_simulator_adapter::{AdapterError, stdio};
+use std::io::{BufReader, stdin, stdout};
 use std::process::ExitCode;
 
-/// Exit status where settings are unknown or contradict themselves.
-const WRONGLY_SET: u8 = 2;
+/// Exit status where an instance's settings are unknown or contradict themselves. Every other
+/// error ends the program with status 1.
+const EXIT_INVALID_SETTINGS: u8 = 2;
+/// Size of the buffer before standard input, in bytes.
+const INPUT_BUFFER_BYTES: usize = 64 * 1024;
 
-fn run() -> Result<(), Wrong> {
-    let mut input = BufReader::with_capacity(1 << 16, stdin().lock());
+fn main() -> ExitCode {
+    let mut input = BufReader::with_capacity(INPUT_BUFFER_BYTES, stdin().lock());
     let mut output = stdout().lock();
-    let mut host = Host::default();
-    while let Some(batch) = wire::next_batch(&mut input)? {
-        let frame = host.play(&batch)?;
-        output
-            .write_all(&frame)
-            .and_then(|()| output.flush())
-            .map_err(|e| format!("output: {e}"))?;
+    match stdio::serve(&mut input, &mut output) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{}: {error}", env!("CARGO_BIN_NAME"));
+            exit_status(&error)
+        }
     }
-    Ok(())
 }
 
-fn main() -> ExitCode {
-    match run() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(Wrong::Wire(what)) => {
-            eprintln!("madderbay-drill: {what}");
-            ExitCode::FAILURE
-        }
-        Err(Wrong::Set(what)) => {
-            eprintln!("madderbay-drill: {what}");
-            ExitCode::from(WRONGLY_SET)
-        }
+fn exit_status(error: &AdapterError) -> ExitCode {
+    if error.is_settings_error() {
+        ExitCode::from(EXIT_INVALID_SETTINGS)
+    } else {
+        ExitCode::FAILURE
     }
 }
--- a/crates/simulator-adapter/tests/wire.rs
+++ b/crates/simulator-adapter/tests/wire.rs
@@ -3,7 +3,10 @@
 use madderbay::interface::Actions;
 use madderbay::time::Duration;
 use madderbay_settings as settings;
-use madderbay_simulator_adapter::{host::Host, wire};
+use madderbay_simulator_adapter::AdapterError;
+use madderbay_simulator_adapter::codec::{Action, InstanceId, Reply};
+use madderbay_simulator_adapter::host::Host;
+use madderbay_simulator_adapter::stdio::read_batch;
 
 const SETTINGS: &str = r#"{"classes": [{"aim_us": 2700000, "effect": "read_like", "hard_limit_us": 11000000,
  "importance": 1.0, "name": "trip-search", "unheard_of": 3}],
@@ -47,11 +50,11 @@
 }
 
 /// Plays frames one after the other; the replies, or the message of what was wrong.
-fn play(frames: &[Vec<u8>]) -> Result<Vec<Vec<u8>>, String> {
+fn play(frames: &[Vec<u8>]) -> Result<Vec<Vec<u8>>, AdapterError> {
     let (input, mut host, mut replies) = (frames.concat(), Host::default(), vec![]);
     let mut input = input.as_slice();
-    while let Some(batch) = wire::next_batch(&mut input)? {
-        replies.push(host.play(&batch)?);
+    while let Some(batch) = read_batch(&mut input)? {
+        replies.push(host.play_batch(&batch)?);
     }
     Ok(replies)
 }
@@ -60,21 +63,22 @@
 fn results_take_the_bytes_of_the_published_examples() {
     let id = u64::from_le_bytes(bytes("c4913a5de3f90d00").try_into().unwrap());
     let other = u64::from_le_bytes(bytes("192b6f0e8e790400").try_into().unwrap());
-    let mut reply = wire::Reply::default();
-    reply.who = 3;
-    reply.start(id);
-    reply.reject(other, Duration::from_millis(250), true);
-    reply.fail(other);
-    reply.cancel(id);
-    reply.call(id, Duration::from_millis(80));
-    reply.skip_call(id);
-    reply.store_key(id, Duration::from_millis(8000));
-    reply.remove_key(other);
-    reply.join_attempt(other);
-    reply.set_health(false);
-    reply.set_load_report(0.25);
-    reply.set_idle_limit(Duration::from_millis(2000));
-    reply.fault("index out of range");
+    let mut reply = Reply::default();
+    let mut actions = reply.actions_of(InstanceId(3));
+    actions.start(id);
+    actions.reject(other, Duration::from_millis(250), true);
+    actions.fail(other);
+    actions.cancel(id);
+    actions.call(id, Duration::from_millis(80));
+    actions.skip_call(id);
+    actions.store_key(id, Duration::from_millis(8000));
+    actions.remove_key(other);
+    actions.join_attempt(other);
+    actions.set_health(false);
+    actions.set_load_report(0.25);
+    actions.set_idle_limit(Duration::from_millis(2000));
+    let message = "index out of range";
+    reply.push(InstanceId(3), &Action::Fault { message });
     let body = bytes(
         "01 0300 c4913a5de3f90d00  02 0300 192b6f0e8e790400 90d00300 01  03 0300 192b6f0e8e790400
          04 0300 c4913a5de3f90d00  05 0300 c4913a5de3f90d00 80380100  06 0300 c4913a5de3f90d00
@@ -83,7 +87,7 @@
          0f 0300 1200 696e646578206f7574206f662072616e6765",
     );
     let head = [(body.len() as u32 + 4).to_le_bytes(), 13u32.to_le_bytes()].concat();
-    assert_eq!(reply.frame(), [head, body].concat());
+    assert_eq!(reply.take_frame(), [head, body].concat());
 }
 
 #[test]
@@ -178,7 +182,7 @@
         ),
     ];
     for (frames, expected) in cases {
-        let message = play(&frames).expect_err(expected);
+        let message = play(&frames).expect_err(expected).to_string();
         assert!(
             message.contains(expected) && !message.contains('\n'),
             "{message} for {expected}"
