--- a/crates/simulator-adapter/src/codec/action.rs
+++ b/crates/simulator-adapter/src/codec/action.rs
@@ -6,11 +6,11 @@
 const MAX_FAULT_MESSAGE_BYTES: usize = 500;
 /// Health checks are answered from the stored state and do no work.
 const HEALTH_FROM_STORE: u8 = 1;
-/// An instance has one timer, so its token need not tell timers apart.
+/// Token of an instance's timer. An instance has one timer, so the token distinguishes nothing.
 const TIMER_TOKEN: u64 = 0;
 
-/// One action of an instance. What each does to a request is told at
-/// [`Actions`](madderbay::interface::Actions). Durations are sent as microseconds, at most `u32::MAX`.
+/// One action of an instance. [`Actions`](madderbay::interface::Actions) describes what each
+/// does. Durations are sent as 32 bits of microseconds; a longer one is cut to the maximum.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action<'a> {
     /// `TAKE`
--- a/crates/simulator-adapter/src/codec/event.rs
+++ b/crates/simulator-adapter/src/codec/event.rs
@@ -11,7 +11,7 @@
 /// Bit of a request's flags: the client marked it as a retry or hedge.
 const FLAG_RETRY: u8 = 2;
 
-/// The kind of an event, as its record's first byte tells it.
+/// The kind of an event; the first byte of its record.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EventCode {
     /// `BEGIN`
@@ -92,7 +92,7 @@
     Arrival(RequestRecord),
     /// A run ended.
     RunEnded(ResultRecord),
-    /// A run waits until it is told what to do about its upstream call.
+    /// A run waits for a decision on its upstream call.
     CallNeeded {
         /// The request that runs.
         request_id: u64,
@@ -156,7 +156,7 @@
     }
 
     fn decode_tick(fields: &mut FieldReader<'a>) -> Result<Event<'a>, AdapterError> {
-        // An instance has one timer, so the token that the wire carries for it tells nothing.
+        // An instance has one timer, so the timer's token is not needed.
         let _token = fields.read_u64()?;
         let gauge_count = fields.read_u8()?;
         let gauges = (0..gauge_count)
--- a/crates/simulator-adapter/src/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -3,7 +3,7 @@
 //!
 //! It ends with its input. An error is one line on standard error.
 
-use madderbay_simulator_adapter::{AdapterError, stdio};
+use madderbay_simulator_adapter::{AdapterError, serve};
 use std::io::{BufReader, stdin, stdout};
 use std::process::ExitCode;
 
@@ -16,7 +16,7 @@
 fn main() -> ExitCode {
     let mut input = BufReader::with_capacity(INPUT_BUFFER_BYTES, stdin().lock());
     let mut output = stdout().lock();
-    match stdio::serve(&mut input, &mut output) {
+    match serve(&mut input, &mut output) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{}: {error}", env!("CARGO_BIN_NAME"));
--- a/crates/simulator-adapter/tests/wire.rs
+++ b/crates/simulator-adapter/tests/wire.rs
@@ -1,12 +1,11 @@
-//! The adapter against the wire's own byte examples, and against what is malformed.
+//! The adapter against the byte examples in the wire's description, and against malformed input.
 
 use madderbay::interface::Actions;
 use madderbay::time::Duration;
 use madderbay_settings as settings;
-use madderbay_simulator_adapter::AdapterError;
-use madderbay_simulator_adapter::codec::{Action, InstanceId, Reply};
-use madderbay_simulator_adapter::host::Host;
-use madderbay_simulator_adapter::stdio::read_batch;
+use madderbay_simulator_adapter::{Action, AdapterError, Host, InstanceId, Reply, read_batch};
+use std::io::Write;
+use std::process::{Command, Stdio};
 
 const SETTINGS: &str = r#"{"classes": [{"aim_us": 2700000, "effect": "read_like", "hard_limit_us": 11000000,
  "importance": 1.0, "name": "trip-search", "unheard_of": 3}],
@@ -14,6 +13,7 @@
  "passes_deadline": true, "meters": ["core_use", "on_cores"]},
  "permissions": {}, "rules": {"tip_multiple": 5.0}, "servers": 12}"#;
 
+/// The bytes that hexadecimal digits stand for; other characters are skipped.
 fn bytes(hex: &str) -> Vec<u8> {
     let digits: Vec<u8> = hex.bytes().filter(u8::is_ascii_hexdigit).collect();
     digits
@@ -22,6 +22,7 @@
         .collect()
 }
 
+/// A batch of events at a fixed time.
 fn batch(count: u32, body: &[u8]) -> Vec<u8> {
     let len = body.len() as u32 + 4;
     [
@@ -33,7 +34,8 @@
     .concat()
 }
 
-fn begin(settings: &str) -> Vec<u8> {
+/// The event that starts instance 3.
+fn start_event(settings: &str) -> Vec<u8> {
     [
         &bytes("01 0300 6400000000000000")[..],
         &(settings.len() as u32).to_le_bytes(),
@@ -42,14 +44,22 @@
     .concat()
 }
 
-fn query() -> Vec<u8> {
+/// The arrival of a request at instance 3, as in the wire's description.
+fn arrival_event() -> Vec<u8> {
     bytes(
         "02 0300 c4913a5de3f90d00 0000 00000000 640ad2557c3bf091 80a90300 e02e0000 0000c441 0000203f 01 1100
          3a070000 0000000000000000",
     )
 }
 
-/// Plays frames one after the other; the replies, or the message of what was wrong.
+/// The arrival event with some bytes replaced, from the one at `position` of its record on.
+fn arrival_with(replacement: &str, position: usize) -> Vec<u8> {
+    let (mut event, replacement) = (arrival_event(), bytes(replacement));
+    event[position..position + replacement.len()].copy_from_slice(&replacement);
+    event
+}
+
+/// Plays frames one after the other and gives the replies, or the first error.
 fn play(frames: &[Vec<u8>]) -> Result<Vec<Vec<u8>>, AdapterError> {
     let (input, mut host, mut replies) = (frames.concat(), Host::default(), vec![]);
     let mut input = input.as_slice();
@@ -60,7 +70,7 @@
 }
 
 #[test]
-fn results_take_the_bytes_of_the_published_examples() {
+fn encodes_actions_as_in_the_published_examples() {
     let id = u64::from_le_bytes(bytes("c4913a5de3f90d00").try_into().unwrap());
     let other = u64::from_le_bytes(bytes("192b6f0e8e790400").try_into().unwrap());
     let mut reply = Reply::default();
@@ -91,19 +101,19 @@
 }
 
 #[test]
-fn an_empty_batch_has_an_empty_reply() {
+fn answers_empty_batch_with_empty_reply() {
     let frame = bytes("5a5c800000000000 04000000 00000000");
     assert_eq!(play(&[frame]).unwrap(), [bytes("04000000 00000000")]);
 }
 
 #[test]
-fn a_query_in_the_published_bytes_is_started_and_its_outcome_taken() {
+fn starts_request_of_published_bytes_and_ignores_late_outcome() {
     let ended = bytes("03 0300 c4913a5de3f90d00 01 44480000");
-    let bell = bytes("08 0300 0000000000000000 02 52b81e3f 00004040");
+    let tick = bytes("08 0300 0000000000000000 02 52b81e3f 00004040");
     let frames = [
-        batch(1, &begin(SETTINGS)),
-        batch(1, &query()),
-        batch(2, &[ended.clone(), bell].concat()),
+        batch(1, &start_event(SETTINGS)),
+        batch(1, &arrival_event()),
+        batch(2, &[ended.clone(), tick].concat()),
         batch(1, &ended),
     ];
     let replies = play(&frames).unwrap();
@@ -114,118 +124,211 @@
     assert_eq!(
         replies[3],
         bytes("04000000 00000000"),
-        "a late outcome is passed over"
+        "a late outcome is ignored"
     );
 }
 
 #[test]
-fn an_instance_may_die_and_begin_again_in_one_batch() {
-    let again = [bytes("09 0300"), begin(SETTINGS), query()].concat();
+fn restarts_instance_within_one_batch() {
+    let restart = [bytes("09 0300"), start_event(SETTINGS), arrival_event()].concat();
     let replies = play(&[
-        batch(1, &begin(SETTINGS)),
-        batch(1, &query()),
-        batch(3, &again),
+        batch(1, &start_event(SETTINGS)),
+        batch(1, &arrival_event()),
+        batch(3, &restart),
     ])
     .unwrap();
     assert!(replies[2].ends_with(&bytes("01 0300 c4913a5de3f90d00")));
 }
 
+/// Checks that an input ends with exactly that line, and that the cause is not in the settings.
+fn assert_reported(frames: &[Vec<u8>], expected: &str) {
+    let error = play(frames).expect_err(expected);
+    assert_eq!(error.to_string(), expected);
+    assert!(!error.is_settings_error(), "{error}");
+}
+
 #[test]
-fn malformed_input_is_told_in_one_line() {
-    let good = batch(1, &begin(SETTINGS));
-    let cases: Vec<(Vec<Vec<u8>>, &str)> = vec![
-        (vec![bytes("5a5c8000")], "into a header"),
-        (vec![good[..good.len() - 5].to_vec()], "into records"),
+fn reports_malformed_frames_in_one_line() {
+    let start = start_event(SETTINGS);
+    let complete_frame = batch(1, &start);
+    let cut_frame = complete_frame[..complete_frame.len() - 5].to_vec();
+    let short_length = bytes("5a5c800000000000 03000000 00000000");
+    let cases = [
         (
-            vec![bytes("5a5c800000000000 03000000 00000000")],
-            "no room for the count",
+            bytes("5a5c8000"),
+            "frame: input ends 4 bytes into a header of 16",
         ),
+        (cut_frame, "frame: input ends 376 bytes into records of 381"),
         (
-            vec![batch(2, &begin(SETTINGS))],
-            "record 2 of 2: record cut short",
+            short_length,
+            "frame: length 3 has no room for the count of records",
         ),
         (
-            vec![batch(0, &begin(SETTINGS))],
-            "bytes left after 0 records",
+            batch(2, &start),
+            "record 2 of 2: record cut short at byte 381: 1 wanted, 0 left",
         ),
+        (batch(0, &start), "frame: 381 bytes left after 0 records"),
+    ];
+    for (frame, expected) in cases {
+        assert_reported(&[frame], expected);
+    }
+}
+
+#[test]
+fn reports_malformed_records_in_one_line() {
+    let outcome_9 = bytes("03 0300 c4913a5de3f90d00 09 00000000");
+    let cases = [
+        (bytes("63 0300"), "record 1 of 1: event code 99 is unknown"),
         (
-            vec![batch(1, &bytes("63 0300"))],
-            "event code 99 is unknown",
+            arrival_event()[..20].to_vec(),
+            "record 1 of 1: record cut short at byte 17: 8 wanted, 3 left",
         ),
-        (vec![batch(1, &begin("no json"))], "settings: "),
         (
-            vec![batch(1, &begin(&SETTINGS.replace("\"n_cores\": 6,", "")))],
-            "n_cores",
+            arrival_with("0100", 11),
+            "record 1 of 1: request 3933929614250436: class 1 of 1 classes",
         ),
         (
-            vec![batch(
-                1,
-                &begin(&SETTINGS.replace("\"n_cores\": 6", "\"n_cores\": 0")),
-            )],
-            "n_cores is 0",
+            arrival_with("01000000", 13),
+            "record 1 of 1: request 3933929614250436: tenant 1 of 0 tenants",
         ),
         (
-            vec![batch(1, &begin(&SETTINGS.replace("read_like", "odd")))],
-            "'odd'",
+            arrival_with("000080bf", 33),
+            "record 1 of 1: request 3933929614250436: held_kb is under 0",
         ),
-        (vec![batch(1, &query())], "instance 3 was never begun"),
         (
-            vec![good.clone(), batch(2, &[query(), query()].concat())],
-            "read a second time",
+            arrival_with("0000807f", 33),
+            "record 1 of 1: number before byte 37 is not finite",
         ),
+        (outcome_9, "record 1 of 1: outcome 9 is unknown"),
+    ];
+    for (record, expected) in cases {
+        assert_reported(
+            &[batch(1, &start_event(SETTINGS)), batch(1, &record)],
+            expected,
+        );
+    }
+}
+
+#[test]
+fn reports_request_that_arrives_twice() {
+    let two_arrivals = batch(2, &arrival_event().repeat(2));
+    let expected = "record 2 of 2: request 3933929614250436: read a second time";
+    assert_reported(&[batch(1, &start_event(SETTINGS)), two_arrivals], expected);
+}
+
+/// The instance is named even where the rest of the record is cut short.
+#[test]
+fn reports_events_of_unknown_instance() {
+    let cut_arrival = arrival_event()[..20].to_vec();
+    for event in [arrival_event(), cut_arrival, bytes("09 0300")] {
+        assert_reported(
+            &[batch(1, &event)],
+            "record 1 of 1: instance 3 was never begun",
+        );
+    }
+}
+
+#[test]
+fn reports_invalid_settings_in_one_line_that_names_the_key() {
+    let cases = [
+        ("no json".to_string(), "settings: "),
+        (SETTINGS.replace("\"n_cores\": 6,", ""), "n_cores"),
         (
-            vec![
-                good.clone(),
-                batch(1, &bytes("03 0300 c4913a5de3f90d00 09 00000000")),
-            ],
-            "outcome 9",
+            SETTINGS.replace("\"n_cores\": 6", "\"n_cores\": 0"),
+            "n_cores is 0",
         ),
+        (SETTINGS.replace("read_like", "odd"), "'odd'"),
     ];
-    for (frames, expected) in cases {
-        let message = play(&frames).expect_err(expected).to_string();
+    for (settings, expected) in cases {
+        let error = play(&[batch(1, &start_event(&settings))]).expect_err(expected);
+        let message = error.to_string();
+        assert!(
+            message.starts_with("record 1 of 1: settings: "),
+            "{message}"
+        );
         assert!(
             message.contains(expected) && !message.contains('\n'),
-            "{message} for {expected}"
+            "{message}"
         );
+        assert!(error.is_settings_error(), "{message}");
     }
 }
 
 #[test]
-fn settings_of_unlike_sites_are_taken() {
+fn limits_what_is_sent_to_its_fields() {
+    let message = "x".repeat(501);
+    let mut reply = Reply::default();
+    reply
+        .actions_of(InstanceId(3))
+        .set_idle_limit(Duration::from_millis(u64::from(u32::MAX)));
+    reply.push(InstanceId(3), &Action::Fault { message: &message });
+    let idle_limit = bytes("0c 0300 ffffffff");
+    let fault = [&bytes("0f 0300 f401")[..], &message.as_bytes()[..500]].concat();
+    let frame = [bytes("04020000 02000000"), idle_limit, fault].concat();
+    assert_eq!(reply.take_frame(), frame);
+    assert_eq!(
+        reply.take_frame(),
+        bytes("04000000 00000000"),
+        "the reply begins anew"
+    );
+}
+
+#[test]
+fn accepts_settings_with_required_keys_only() {
     let bare = r#"{"classes": [{"aim_us": 1, "hard_limit_us": 1, "importance": 0,
         "effect": "non_idempotent"}],
         "family_info": {"n_cores": 1, "memory_kb": 1, "blowup": 1}, "permissions": {},
         "rules": {"tip_multiple": 1}, "servers": 0}"#;
     assert!(settings::read(bare.as_bytes()).is_ok());
-    let replies = play(&[batch(1, &begin(bare)), batch(1, &query())]).unwrap();
-    assert!(replies[1].len() > 8, "a req of no time is answered");
+    let replies = play(&[batch(1, &start_event(bare)), batch(1, &arrival_event())]).unwrap();
+    assert!(
+        replies[1].len() > 8,
+        "a request without time left is answered"
+    );
+}
+
+/// Runs the program on an input and gives its exit status and standard error.
+fn run_program(input: &[u8]) -> (Option<i32>, String) {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_madderbay-drill"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the program starts");
+    let mut stdin = child.stdin.take().expect("standard input is piped");
+    // The program may end before it has read all.
+    let _ = stdin.write_all(input);
+    drop(stdin);
+    let output = child.wait_with_output().expect("the program ends");
+    let stderr = String::from_utf8(output.stderr).expect("standard error is text");
+    (output.status.code(), stderr)
 }
 
-/// Settings that are unknown or contradict themselves end the program with 2 and one line that names the key; what is
-/// wrong on the wire ends it with 1.
 #[test]
-fn wrong_settings_end_the_program_with_2() {
-    use std::io::Write;
-    use std::process::{Command, Stdio};
-    let melts = SETTINGS.replace("\"preemption\": \"freeze\"", "\"preemption\": \"melt\"");
+fn exits_with_2_on_invalid_settings_and_with_1_on_malformed_input() {
+    let unknown_word = SETTINGS.replace("\"preemption\": \"freeze\"", "\"preemption\": \"melt\"");
     let cases = [
-        (melts, 2, "family_info.preemption is 'melt'"),
-        (SETTINGS.to_string(), 1, "frame: input ends 3 bytes"),
+        (
+            unknown_word.as_str(),
+            2,
+            "madderbay-drill: record 1 of 1: settings: ",
+            "family_info.preemption is 'melt'",
+        ),
+        (
+            SETTINGS,
+            1,
+            "madderbay-drill: frame: input ends 3 bytes",
+            "into a header of 16",
+        ),
     ];
-    for (settings, status, told) in cases {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_madderbay-drill"))
-            .stdin(Stdio::piped())
-            .stdout(Stdio::null())
-            .stderr(Stdio::piped())
-            .spawn()
-            .expect("it starts");
-        let mut input = child.stdin.take().expect("its input");
-        // It may have ended before all is written.
-        let _ = input.write_all(&[batch(1, &begin(&settings)), bytes("5a5c80")].concat());
-        drop(input);
-        let found = child.wait_with_output().expect("an end");
-        let text = String::from_utf8(found.stderr).expect("text");
-        assert_eq!(found.status.code(), Some(status), "{text}");
-        assert!(text.contains(told) && text.lines().count() == 1, "{text}");
+    for (settings, expected_status, start, expected) in cases {
+        let input = [batch(1, &start_event(settings)), bytes("5a5c80")].concat();
+        let (status, stderr) = run_program(&input);
+        assert_eq!(status, Some(expected_status), "{stderr}");
+        assert!(
+            stderr.starts_with(start) && stderr.contains(expected),
+            "{stderr}"
+        );
+        assert_eq!(stderr.lines().count(), 1, "{stderr}");
     }
 }
