Settings: typed errors, and reading by section

Change: the JSON's form (`raw`), the checks of a value by section, key and range (`section`), the records (`records`) and the errors (`error`) are modules of their own. `SettingsError` names the key and an `InvalidValue`; each line is the same as before. The server's `ConfigContentError::Settings` holds the error, and the simulator adapter makes its text from it.

--- a/crates/server/src/support/config.rs
+++ b/crates/server/src/support/config.rs
@@ -3,7 +3,7 @@
 //! This module owns the form of that file. It is given bytes and environment variables, and never waits: whether
 //! an incomplete file is read again is decided by the caller, by [`ConfigError::is_incomplete_file`].
 
-use madderbay_settings::{self as settings, Settings};
+use madderbay_settings::{self as settings, Settings, SettingsError};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::net::SocketAddr;
@@ -83,7 +83,7 @@
     Seed(String),
     /// The platform's settings are wrong.
     #[error("{0}")]
-    Settings(String),
+    Settings(#[source] SettingsError),
 }
 
 /// A valid configuration.
--- /dev/null
+++ b/crates/settings/src/error.rs
@@ -0,0 +1,87 @@
+//! Errors of reading the settings. Each displays as one line for the operator.
+
+use std::fmt;
+
+/// Why settings can't be read.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// The text is not JSON, or a key is missing or has a value of another type.
+    #[error("settings: {0}")]
+    Json(#[source] serde_json::Error),
+    /// The value of a key can't be.
+    #[error("settings: {key} {reason}")]
+    Invalid {
+        /// Path of the key in the JSON, as in `classes[0].aim_us`.
+        key: String,
+        /// What is wrong with its value.
+        reason: InvalidValue,
+    },
+}
+
+/// What is wrong with the value of a key.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub enum InvalidValue {
+    /// A list that needs an entry has none.
+    #[error("is empty")]
+    Empty,
+    /// A whole number has to be positive.
+    #[error("is 0")]
+    Zero,
+    /// A number is outside of its range.
+    #[error("is {0}")]
+    OutOfRange(NumberRange),
+    /// A list by class is neither absent nor as long as the list of classes.
+    #[error("has {found} places for {classes} classes")]
+    ListLength {
+        /// Entries in the list.
+        found: usize,
+        /// Entries in `classes`.
+        classes: usize,
+    },
+    /// An earlier entry of the list has the same name.
+    #[error("'{0}' is that of another")]
+    DuplicateName(String),
+    /// A text is none of the words that the key may have.
+    #[error("is '{0}', which is none of those known")]
+    UnknownWord(String),
+    /// A class makes calls, but there is no upstream.
+    #[error("is true, but family_info.below is none")]
+    CallsWithoutUpstream,
+    /// Requests of a class have idempotency keys, but no time for which these are stored.
+    #[error("is 0, but its effect is idempotency_key")]
+    NoIdempotencyWindow,
+    /// Retry-After may be advertised, but not for any time.
+    #[error("is 0, but retry_after is true")]
+    NoMaxRetryAfter,
+}
+
+/// The numbers that a key may have. Displays as what a number outside of it is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum NumberRange {
+    /// Greater than the bound.
+    Above(f64),
+    /// The bound or greater.
+    AtLeast(f64),
+    /// From 0 to 1, both included.
+    Fraction,
+}
+
+impl NumberRange {
+    pub(crate) fn contains(self, number: f64) -> bool {
+        match self {
+            NumberRange::Above(bound) => number > bound,
+            NumberRange::AtLeast(min) => number >= min,
+            NumberRange::Fraction => (0.0..=1.0).contains(&number),
+        }
+    }
+}
+
+impl fmt::Display for NumberRange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            NumberRange::Above(bound) => write!(f, "not above {bound}"),
+            NumberRange::AtLeast(min) => write!(f, "under {min}"),
+            NumberRange::Fraction => f.write_str("not within 0 to 1"),
+        }
+    }
+}
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -1,7 +1,7 @@
 //! Settings that are unlike, and what is told of those that can't be.
 
 use madderbay::interface::{Cancellation, LoadReport, RetrySafety, UpstreamKind};
-use madderbay_settings::{Settings, read};
+use madderbay_settings::{Settings, SettingsError, read};
 
 /// Two handlers, one of them keyed, before something that all share.
 const GOOD: &str = r#"{"classes": [
@@ -14,7 +14,7 @@
  "permissions": {"retry_after": true, "max_retry_after_us": 1000000},
  "rules": {"tip_multiple": 7.0}, "servers": 3}"#;
 
-fn with(changes: &[(&str, &str)]) -> Result<Settings, String> {
+fn with(changes: &[(&str, &str)]) -> Result<Settings, SettingsError> {
     let mut text = GOOD.to_string();
     for (from, to) in changes {
         assert!(text.contains(from), "{from}");
@@ -141,6 +141,7 @@
         ),
     ];
     for (from, to, told) in wrong {
-        assert_eq!(with(&[(from, to)]).err().as_deref(), Some(told));
+        let error = with(&[(from, to)]).err().map(|e| e.to_string());
+        assert_eq!(error.as_deref(), Some(told));
     }
 }
--- a/crates/simulator-adapter/src/host.rs
+++ b/crates/simulator-adapter/src/host.rs
@@ -124,7 +124,7 @@
             wire::BEGIN => {
                 let seed = f.u64()?;
                 let len = f.u32()? as usize;
-                let s = settings::read(f.bytes(len)?).map_err(Wrong::Set)?;
+                let s = settings::read(f.bytes(len)?).map_err(|e| Wrong::Set(e.to_string()))?;
                 self.instances.insert(who, Instance::new(now, seed, &s));
                 self.guarded(who, |i, out| i.decider.on_start(out))
             }
