--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -1,9 +1,9 @@
-//! Settings that are unlike, and what is told of those that can't be.
+//! Settings that may be read, and the errors of those that may not.
 
 use madderbay::interface::{Cancellation, LoadReport, RetrySafety, UpstreamKind};
-use madderbay_settings::{Settings, SettingsError, read};
+use madderbay_settings::{InvalidValue, Settings, SettingsError, read};
 
-/// Two handlers, one of them keyed, before something that all share.
+/// Two handlers, one of them with idempotency keys, and an upstream that all servers share.
 const GOOD: &str = r#"{"classes": [
  {"name": "look", "aim_us": 900000, "hard_limit_us": 2500000, "importance": 1.0, "effect": "read_like"},
  {"name": "sell", "aim_us": 1500000, "hard_limit_us": 3500000, "importance": 2.0, "effect": "idempotency_key",
@@ -24,61 +24,78 @@
 }
 
 fn good(changes: &[(&str, &str)]) -> Settings {
-    with(changes).unwrap_or_else(|what| panic!("{what}"))
+    with(changes).unwrap_or_else(|error| panic!("{error}"))
+}
+
+/// Each case: a text of the good settings, its replacement, and the line of the error.
+fn assert_errors(cases: &[(&str, &str, &str)]) {
+    for (from, to, expected) in cases {
+        let error = with(&[(from, to)]).err().map(|e| e.to_string());
+        assert_eq!(error.as_deref(), Some(*expected), "{from} -> {to}");
+    }
 }
 
 #[test]
-fn what_stops_do_and_what_callers_are_told_is_as_the_settings_say() {
-    let stops = [
+fn reads_each_word_for_a_cancellation() {
+    let words = [
         ("none", Cancellation::Unsupported),
         ("discard", Cancellation::Discards),
         ("freeze", Cancellation::Pauses),
     ];
-    for (word, stop) in stops {
-        assert_eq!(
-            good(&[("freeze", word)]).machine.cancellation,
-            stop,
-            "{word}"
-        );
+    for (word, cancellation) in words {
+        let settings = good(&[("freeze", word)]);
+        assert_eq!(settings.machine.cancellation, cancellation, "{word}");
     }
-    let says = [
+}
+
+#[test]
+fn reads_each_word_for_the_load_report() {
+    let words = [
         ("none", LoadReport::Unused),
         ("floor", LoadReport::Floor),
         ("allowance", LoadReport::Allowance),
         ("weight", LoadReport::Weight),
     ];
-    for (word, free) in says {
-        assert_eq!(
-            good(&[("\"allowance\"", &format!("\"{word}\""))])
-                .callers
-                .load_report,
-            free,
-            "{word}"
-        );
+    for (word, load_report) in words {
+        let settings = good(&[("\"allowance\"", &format!("\"{word}\""))]);
+        assert_eq!(settings.callers.load_report, load_report, "{word}");
     }
+}
+
+#[test]
+fn reads_a_handler_that_must_not_be_retried() {
+    let settings = good(&[("idempotency_key", "non_idempotent")]);
     assert_eq!(
-        good(&[("idempotency_key", "non_idempotent")]).handlers[1].retry_safety,
+        settings.handlers[1].retry_safety,
         RetrySafety::NonIdempotent
     );
-    let bare = good(&[("one_for_all", "none"), ("[true, true]", "[false, false]")]);
-    assert_eq!(bare.below.kind, UpstreamKind::None);
 }
 
 #[test]
-fn a_site_may_have_no_tenants_and_no_word_of_callers_that_went() {
+fn reads_a_server_without_upstream() {
+    let settings = good(&[("one_for_all", "none"), ("[true, true]", "[false, false]")]);
+    assert_eq!(settings.below.kind, UpstreamKind::None);
+}
+
+#[test]
+fn reads_a_site_without_tenants() {
     let tenants =
         r#"[{"name": "a", "allowance_per_s": 5.0}, {"name": "b", "allowance_per_s": 5.0}]"#;
     assert!(good(&[(tenants, "[]")]).tenants.is_empty());
-    let s = good(&[(
+}
+
+#[test]
+fn ignores_unknown_keys_and_takes_defaults_for_absent_ones() {
+    let settings = good(&[(
         "\"upstreams\": 3",
         "\"upstreams\": 3, \"tells_gone\": false, \"new_key\": [1, {}]",
     )]);
-    assert!(!s.rules.requests_carry_timeout);
+    assert!(!settings.rules.requests_carry_timeout);
 }
 
 #[test]
-fn what_is_unknown_or_contradicts_itself_is_told_by_its_key() {
-    let wrong = [
+fn rejects_words_that_are_unknown() {
+    assert_errors(&[
         (
             "\"freeze\"",
             "\"melt\"",
@@ -99,6 +116,12 @@
             "odd",
             "settings: classes[0].effect is 'odd', which is none of those known",
         ),
+    ]);
+}
+
+#[test]
+fn rejects_lists_by_class_of_another_length_or_range() {
+    assert_errors(&[
         (
             "[true, true]",
             "[true]",
@@ -114,6 +137,12 @@
             "[1.3, 0]",
             "settings: family_info.class_skip_worth[0] is not within 0 to 1",
         ),
+    ]);
+}
+
+#[test]
+fn rejects_names_that_occur_twice() {
+    assert_errors(&[
         (
             "\"sell\"",
             "\"look\"",
@@ -124,6 +153,12 @@
             "\"a\"",
             "settings: tenants[1].name 'a' is that of another",
         ),
+    ]);
+}
+
+#[test]
+fn rejects_keys_that_contradict_each_other() {
+    assert_errors(&[
         (
             "one_for_all",
             "none",
@@ -139,9 +174,78 @@
             "\"max_retry_after_us\": 0",
             "settings: permissions.max_retry_after_us is 0, but retry_after is true",
         ),
+    ]);
+}
+
+#[test]
+fn rejects_numbers_outside_of_their_range() {
+    let cases = [
+        (
+            "\"n_cores\": 2",
+            "\"n_cores\": 0",
+            "family_info.n_cores is 0",
+        ),
+        (
+            "\"memory_kb\": 4000.0",
+            "\"memory_kb\": 0",
+            "family_info.memory_kb is not above 0",
+        ),
+        (
+            "\"blowup\": 9.0",
+            "\"blowup\": 0.5",
+            "family_info.blowup is under 1",
+        ),
+        (
+            "\"dep_share\": 0.5",
+            "\"dep_share\": -0.5",
+            "family_info.dep_share is under 0",
+        ),
+        (
+            "\"tip_multiple\": 7.0",
+            "\"tip_multiple\": 7.0, \"cold_from\": 1.5",
+            "rules.cold_from is not within 0 to 1",
+        ),
+        (
+            "\"aim_us\": 1500000",
+            "\"aim_us\": 0",
+            "classes[1].aim_us is 0",
+        ),
+        (
+            "\"importance\": 2.0",
+            "\"importance\": -2.0",
+            "classes[1].importance is under 0",
+        ),
     ];
-    for (from, to, told) in wrong {
-        let error = with(&[(from, to)]).err().map(|e| e.to_string());
-        assert_eq!(error.as_deref(), Some(told));
+    for (from, to, expected) in cases {
+        assert_errors(&[(from, to, &format!("settings: {expected}"))]);
     }
 }
+
+#[test]
+fn reports_the_first_error_in_the_order_of_the_checks() {
+    let error = with(&[
+        ("\"freeze\"", "\"melt\""),
+        ("\"importance\": 2.0", "\"importance\": -2.0"),
+        ("\"blowup\": 9.0", "\"blowup\": 0.5"),
+    ]);
+    let key = match error.err().expect("three errors") {
+        SettingsError::Invalid { key, reason } => {
+            assert!(matches!(reason, InvalidValue::OutOfRange(_)), "{reason:?}");
+            key
+        }
+        other => panic!("{other}"),
+    };
+    assert_eq!(key, "family_info.blowup");
+}
+
+#[test]
+fn reports_missing_keys_and_text_that_is_no_json() {
+    let error = with(&[("\"servers\": 3", "\"tier\": 0")]).err();
+    let line = error.expect("a key is missing").to_string();
+    assert!(
+        line.starts_with("settings: missing field `servers`"),
+        "{line}"
+    );
+    let error = read(b"no json").err().expect("no JSON");
+    assert!(matches!(error, SettingsError::Json(_)), "{error}");
+}
