Operator config: modules under the glossary's names

Cause: the modules were called kept, members, pools, routes and shared after their sections, where the glossary and the packages that they configure say otherwise.

Change: they are idempotency_store, membership, concurrency, upstream and quota; `[control]` has the module control. Types, sections and keys keep their names.

--- a/crates/operator-config/src/lib.rs
+++ b/crates/operator-config/src/lib.rs
@@ -8,12 +8,13 @@
 //! assert_eq!(wrong, [format!("op.ini:5: [pool seats] weigth: no such key; known are {known}")]);
 //! ```
 
+pub mod concurrency;
+pub mod control;
 mod file;
-pub mod kept;
-pub mod members;
-pub mod pools;
-pub mod routes;
-pub mod shared;
+pub mod idempotency_store;
+pub mod membership;
+pub mod quota;
+pub mod upstream;
 
 use file::File;
 pub use file::Names;
@@ -21,23 +22,23 @@
 /// All parts; what is off is nothing.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Operator {
-    pub pools: Option<pools::Pools>,
-    pub kept: Option<kept::KeptResults>,
-    pub members: Option<members::Members>,
-    pub control: Option<members::Control>,
-    pub shared: Option<shared::Shared>,
-    pub routes: Option<routes::Routes>,
+    pub pools: Option<concurrency::Pools>,
+    pub kept: Option<idempotency_store::KeptResults>,
+    pub members: Option<membership::Members>,
+    pub control: Option<control::Control>,
+    pub shared: Option<quota::Shared>,
+    pub routes: Option<upstream::Routes>,
 }
 
 /// Reads a file's text; `name` is what the lines say it is called. Every line that is wrong is told.
 pub fn read(name: &str, text: &str) -> Result<Operator, Vec<String>> {
     let mut file = File::read(name, text)?;
-    let pools = pools::read(&mut file);
-    let kept = kept::read(&mut file);
-    let members = members::read(&mut file);
-    let control = members::control(&mut file);
-    let shared = shared::read(&mut file, members.is_some());
-    let routes = routes::read(&mut file, members.as_ref().map(|m| m.zone.as_str()));
+    let pools = concurrency::read(&mut file);
+    let kept = idempotency_store::read(&mut file);
+    let members = membership::read(&mut file);
+    let control = control::read(&mut file);
+    let shared = quota::read(&mut file, members.is_some());
+    let routes = upstream::read(&mut file, members.as_ref().map(|m| m.zone.as_str()));
     file.done(Operator {
         pools,
         kept,
--- a/crates/operator-config/src/members.rs
+++ b/crates/operator-config/src/membership.rs
@@ -1,9 +1,8 @@
-//! The view of the fleet, and the socket for questions: `[members]`, `[control]`.
+//! The view of the fleet: `[members]`.
 
 use crate::file::{File, Section, is_name};
 use ipnet::IpNet;
 use std::net::{IpAddr, SocketAddr};
-use std::path::PathBuf;
 
 const MEMBERS: [&str; 11] = [
     "advertise",
@@ -18,7 +17,6 @@
     "suspicion_ms",
     "zone",
 ];
-const CONTROL: [&str; 1] = ["socket"];
 const FLEET: &str = "madderbay";
 /// What is never routed between sites.
 const NETWORKS: [&str; 5] = [
@@ -29,8 +27,6 @@
     "fd00::/8",
 ];
 const MEMBERS_MOST: usize = 10_000;
-/// The longest path that a socket of this kind takes.
-const PATH_MOST: usize = 100;
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct Members {
@@ -150,20 +146,3 @@
     }
     enabled.then_some(members)
 }
-
-/// Where questions are taken.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Control {
-    pub socket: PathBuf,
-}
-
-pub(crate) fn control(file: &mut File) -> Option<Control> {
-    let s = file.take_one("control", &CONTROL)?;
-    let socket = s.get("socket").unwrap_or("").to_string();
-    if socket.is_empty() || socket.len() > PATH_MOST {
-        file.wrong(&s, "socket", "has to name a path of 1 to 100 bytes");
-    }
-    Some(Control {
-        socket: socket.into(),
-    })
-}
--- a/crates/operator-config/src/routes.rs
+++ b/crates/operator-config/src/upstream.rs
@@ -1,7 +1,7 @@
 //! Many backends below: `[routes]`, `[backend NAME]`.
 
 use crate::file::{File, Names, Section};
-use crate::members::word;
+use crate::membership::word;
 use std::net::SocketAddr;
 
 const ROUTES: [&str; 7] = [
--- a/crates/operator-config/tests/file.rs
+++ b/crates/operator-config/tests/file.rs
@@ -1,6 +1,6 @@
 //! What the operator file may say, and how what it may not say is told.
 
-use madderbay_operator_config::shared::By;
+use madderbay_operator_config::quota::By;
 use madderbay_operator_config::{Operator, read};
 
 fn wrong(text: &str) -> Vec<String> {
--- a/crates/server/src/fleet/backends.rs
+++ b/crates/server/src/fleet/backends.rs
@@ -6,7 +6,7 @@
 use crate::support::metrics::Lines;
 use madderbay::time::{Duration, Timestamp};
 use madderbay_concurrency::UpstreamGroup;
-use madderbay_operator_config::routes as operator;
+use madderbay_operator_config::upstream as operator;
 use madderbay_settings::Settings as Site;
 use madderbay_upstream::{
     AttemptOutcome, BackendSettings, RetryKind, Settings, UpstreamAttempt, UpstreamManager,
--- a/crates/server/src/fleet/quota_plan.rs
+++ b/crates/server/src/fleet/quota_plan.rs
@@ -5,7 +5,7 @@
 use crate::support::clock::unix_micros;
 use crate::support::config::Config;
 use madderbay::time::Duration;
-use madderbay_operator_config::shared as operator;
+use madderbay_operator_config::quota as operator;
 use madderbay_quota::{BudgetSettings, CounterSettings, LeaseTerms};
 use std::hash::{BuildHasher, RandomState};
 
