--- a/crates/operator-config/src/concurrency.rs
+++ b/crates/operator-config/src/concurrency.rs
@@ -1,102 +1,122 @@
-//! Pools of handlers and the reserve: `[pools]`, `[pool NAME]`, `[reserve]`.
+//! Concurrency limits: pools of handlers and the reserve (`[pools]`, `[pool NAME]`, `[reserve]`).
 
-use crate::file::{File, Names};
+use crate::error::Problem;
+use crate::file::File;
+use crate::handler_groups::{self, HANDLERS};
+use crate::keys::{ENABLED, NumberKey, WordKey};
+use crate::names::Names;
+use crate::section::Section;
 
-const POOLS: [&str; 2] = ["enabled", "limits"];
-const POOL: [&str; 5] = ["calls", "calls_weight", "handlers", "runs", "weight"];
-const RESERVE: [&str; 2] = ["handlers", "part"];
-/// More than any server has.
-const PLACES_MOST: usize = 100_000;
-const WEIGHT_MOST: f64 = 1_000_000.0;
-/// A reserve of more would be the rule and not the exception.
-const PART_MOST: f64 = 0.5;
-/// A tenth of the places: one of the first ten.
-const PART: f64 = 0.1;
+const LIMITS: WordKey<bool> = WordKey {
+    name: "limits",
+    words: &[("adaptive", true), ("fixed", false)],
+    default: true,
+};
+const POOLS_KEYS: &[&str] = &[ENABLED.name, LIMITS.name];
 
+const CALLS: NumberKey<usize> = NumberKey {
+    name: "calls",
+    range: 1..=MAX_IN_FLIGHT,
+    default: MAX_IN_FLIGHT,
+};
+/// Its default is the pool's weight.
+const CALLS_WEIGHT: NumberKey<f64> = NumberKey {
+    name: "calls_weight",
+    range: 0.0..=MAX_WEIGHT,
+    default: 1.0,
+};
+const RUNS: NumberKey<usize> = NumberKey {
+    name: "runs",
+    range: 1..=MAX_IN_FLIGHT,
+    default: MAX_IN_FLIGHT,
+};
+const WEIGHT: NumberKey<f64> = NumberKey {
+    name: "weight",
+    range: 0.0..=MAX_WEIGHT,
+    default: 1.0,
+};
+const POOL_KEYS: &[&str] = &[
+    CALLS.name,
+    CALLS_WEIGHT.name,
+    HANDLERS,
+    RUNS.name,
+    WEIGHT.name,
+];
+
+/// By default a tenth of the capacity: one of the first ten units.
+const PART: NumberKey<f64> = NumberKey {
+    name: "part",
+    range: 0.0..=MAX_RESERVE_FRACTION,
+    default: 0.1,
+};
+const RESERVE_KEYS: &[&str] = &[HANDLERS, PART.name];
+
+/// Upper bound on a pool's runs or calls in flight: more than any server has.
+const MAX_IN_FLIGHT: usize = 100_000;
+/// Upper bound on weights.
+const MAX_WEIGHT: f64 = 1_000_000.0;
+/// Upper bound on the reserve: with more, it would be the rule and not the exception.
+const MAX_RESERVE_FRACTION: f64 = 0.5;
+/// Name of the pool of all handlers that are in no other.
+const REST: &str = "rest";
+
+/// Concurrency limits by pool of handlers.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Pools {
-    /// Whether the limit on calls follows what lies below, or stays at this server's share.
+    /// Whether the limit on calls adapts to the upstream; otherwise it stays at this server's quota.
     pub adapts: bool,
+    /// The pools in the order of the file.
     pub pools: Vec<Pool>,
+    /// The reserve, where there is one.
     pub reserve: Option<Reserve>,
 }
 
+/// A pool: handlers with a concurrency limit of their own.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Pool {
+    /// Name of the pool, unique in the file.
     pub name: String,
+    /// Its handlers, which are in no other pool.
     pub handlers: Names,
+    /// Weight of the pool among those that want runs, 0 to 1,000,000.
     pub weight: f64,
-    /// Its weight among those that want calls.
+    /// Weight of the pool among those that want calls, 0 to 1,000,000.
     pub calls_weight: f64,
+    /// Upper bound on its runs in flight.
     pub runs: Option<usize>,
+    /// Upper bound on its calls in flight.
     pub calls: Option<usize>,
 }
 
+/// Capacity that is set aside for some handlers.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Reserve {
+    /// The handlers; without any, the server chooses the one with the shortest runs.
     pub handlers: Names,
+    /// Fraction of all runs, and of all calls where the handlers make any, 0 to 0.5.
     pub part: f64,
 }
 
+/// Reads `[pools]`, all `[pool NAME]` and `[reserve]`.
 pub(crate) fn read(file: &mut File) -> Option<Pools> {
-    let head = file.take_one("pools", &POOLS);
-    let sections = file.take("pool", &POOL);
-    let reserve = file.take_one("reserve", &RESERVE);
+    let head = file.take_one("pools", POOLS_KEYS);
+    let sections = file.take("pool", POOL_KEYS);
+    let reserve = file.take_one("reserve", RESERVE_KEYS);
     let (enabled, adapts) = match &head {
-        Some(s) => {
-            let limits = [("adaptive", true), ("fixed", false)];
-            (
-                file.switch(s, "enabled", false),
-                file.word(s, "limits", &limits, true),
-            )
-        }
-        None => (false, true),
+        Some(head) => (file.word(head, &ENABLED), file.word(head, &LIMITS)),
+        None => (ENABLED.default, LIMITS.default),
     };
     if head.is_none() {
-        for s in sections.iter().chain(&reserve) {
-            file.wrong(s, "", "goes with a section [pools]");
-        }
+        file.require_section(sections.iter().chain(&reserve), "pools");
     }
     let mut pools: Vec<Pool> = vec![];
-    for s in &sections {
-        let handlers = file.names(s, "handlers");
-        if s.name.is_empty() {
-            file.wrong(s, "", "a pool has a name: [pool NAME]");
-        } else if s.name == "rest" {
-            file.wrong(s, "", "'rest' is the pool of what is in no other");
-        }
-        if handlers.names.is_empty() {
-            file.wrong(s, "handlers", "a pool has at least one handler");
-        }
-        let twice = handlers.names.iter().find_map(|h| {
-            let other = pools
-                .iter()
-                .find(|p: &&Pool| p.handlers.names.contains(h))?;
-            Some(format!("'{h}' is in pool {} already", other.name))
-        });
-        if let Some(what) = twice {
-            file.wrong(s, "handlers", what);
-        }
-        let places = |file: &mut File, key| {
-            s.get(key)
-                .is_some()
-                .then(|| file.number(s, key, 1..=PLACES_MOST, PLACES_MOST))
-        };
-        let (runs, calls) = (places(file, "runs"), places(file, "calls"));
-        let weight = file.number(s, "weight", 0.0..=WEIGHT_MOST, 1.0);
-        let calls_weight = file.number(s, "calls_weight", 0.0..=WEIGHT_MOST, weight);
-        pools.push(Pool {
-            name: s.name.clone(),
-            handlers,
-            weight,
-            calls_weight,
-            runs,
-            calls,
-        });
+    for section in &sections {
+        let pool = read_pool(file, section, &pools);
+        pools.push(pool);
     }
-    let reserve = reserve.map(|s| Reserve {
-        handlers: file.names(&s, "handlers"),
-        part: file.number(&s, "part", 0.0..=PART_MOST, PART),
+    let reserve = reserve.map(|section| Reserve {
+        handlers: file.names(&section, HANDLERS),
+        part: file.number(&section, PART),
     });
     enabled.then_some(Pools {
         adapts,
@@ -104,3 +124,23 @@
         reserve,
     })
 }
+
+fn read_pool(file: &mut File, section: &Section, earlier: &[Pool]) -> Pool {
+    if section.name.is_empty() {
+        file.section_error(section, Problem::UnnamedPool);
+    } else if section.name == REST {
+        file.section_error(section, Problem::ReservedPoolName);
+    }
+    let handlers = handler_groups::read(file, section, "pool");
+    let earlier = earlier.iter().map(|pool| (&pool.name, &pool.handlers));
+    handler_groups::check_disjoint(file, section, "pool", &handlers, earlier);
+    let weight = file.number(section, WEIGHT);
+    Pool {
+        name: section.name.clone(),
+        handlers,
+        weight,
+        calls_weight: file.number(section, CALLS_WEIGHT.or(weight)),
+        runs: file.optional_number(section, RUNS),
+        calls: file.optional_number(section, CALLS),
+    }
+}
--- a/crates/operator-config/src/control.rs
+++ b/crates/operator-config/src/control.rs
@@ -1,23 +1,29 @@
-//! The control socket: `[control]`.
+//! The control socket, on which a running server answers queries (`[control]`).
 
+use crate::error::Problem;
 use crate::file::File;
 use std::path::PathBuf;
 
-const CONTROL: [&str; 1] = ["socket"];
-/// The longest path that a socket of this kind takes.
-const PATH_MOST: usize = 100;
+const SOCKET: &str = "socket";
+const KEYS: &[&str] = &[SOCKET];
 
-/// Where questions are taken.
+/// Bytes of the longest path that a Unix socket may have, with some to spare.
+const MAX_PATH_BYTES: usize = 100;
+
+/// The control socket.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Control {
+    /// Path of the Unix socket.
     pub socket: PathBuf,
 }
 
+/// Reads `[control]`. The section has no switch: it is on where it stands.
 pub(crate) fn read(file: &mut File) -> Option<Control> {
-    let s = file.take_one("control", &CONTROL)?;
-    let socket = s.get("socket").unwrap_or("").to_string();
-    if socket.is_empty() || socket.len() > PATH_MOST {
-        file.wrong(&s, "socket", "has to name a path of 1 to 100 bytes");
+    let section = file.take_one("control", KEYS)?;
+    let socket = section.get(SOCKET).unwrap_or("");
+    if socket.is_empty() || socket.len() > MAX_PATH_BYTES {
+        let max_bytes = MAX_PATH_BYTES;
+        file.key_error(&section, SOCKET, Problem::InvalidSocketPath { max_bytes });
     }
     Some(Control {
         socket: socket.into(),
--- a/crates/operator-config/src/idempotency_store.rs
+++ b/crates/operator-config/src/idempotency_store.rs
@@ -1,33 +1,64 @@
-//! Results of keyed reqs that outlast a restart: `[kept-results]`.
+//! The idempotency store: results of requests with an idempotency key that survive a restart
+//! (`[kept-results]`).
 
+use crate::error::Problem;
 use crate::file::File;
+use crate::keys::{ENABLED, NumberKey, WordKey};
 use std::path::PathBuf;
 
-const KEYS: [&str; 5] = ["directory", "disk_mb", "enabled", "memory_mb", "sync"];
-const MB_MOST: usize = 1 << 20;
+const DIRECTORY: &str = "directory";
+const DISK_MB: NumberKey<usize> = NumberKey {
+    name: "disk_mb",
+    range: 1..=MAX_MB,
+    default: 64,
+};
+const MEMORY_MB: NumberKey<usize> = NumberKey {
+    name: "memory_mb",
+    range: 1..=MAX_MB,
+    default: 16,
+};
+const SYNC: WordKey<bool> = WordKey {
+    name: "sync",
+    words: &[("grouped", true), ("each", false)],
+    default: true,
+};
+const KEYS: &[&str] = &[
+    DIRECTORY,
+    DISK_MB.name,
+    ENABLED.name,
+    MEMORY_MB.name,
+    SYNC.name,
+];
 
+/// 1 TiB in MiB: more than any server gives the store.
+const MAX_MB: usize = 1 << 20;
+
+/// The idempotency store on disk.
 #[derive(Clone, Debug, PartialEq)]
 pub struct KeptResults {
-    /// A folder that is there and is this server's own.
+    /// A directory that exists and that no other process uses.
     pub directory: PathBuf,
+    /// Memory for results of earlier incarnations, in MiB.
     pub memory_mb: usize,
+    /// Size of all files together, in MiB.
     pub disk_mb: usize,
-    /// Whether all that wait share a sync, or each has its own.
+    /// Whether all records that wait share one sync of the disk; otherwise each has its own.
     pub grouped: bool,
 }
 
+/// Reads `[kept-results]`.
 pub(crate) fn read(file: &mut File) -> Option<KeptResults> {
-    let s = file.take_one("kept-results", &KEYS)?;
-    let enabled = file.switch(&s, "enabled", false);
-    let directory = s.get("directory").unwrap_or("").to_string();
+    let section = file.take_one("kept-results", KEYS)?;
+    let enabled = file.word(&section, &ENABLED);
+    let directory = section.get(DIRECTORY).unwrap_or("");
     if enabled && directory.is_empty() {
-        file.wrong(&s, "directory", "has to name a folder");
+        file.key_error(&section, DIRECTORY, Problem::NoDirectory);
     }
-    let kept = KeptResults {
+    let store = KeptResults {
         directory: directory.into(),
-        memory_mb: file.number(&s, "memory_mb", 1..=MB_MOST, 16),
-        disk_mb: file.number(&s, "disk_mb", 1..=MB_MOST, 64),
-        grouped: file.word(&s, "sync", &[("grouped", true), ("each", false)], true),
+        memory_mb: file.number(&section, MEMORY_MB),
+        disk_mb: file.number(&section, DISK_MB),
+        grouped: file.word(&section, &SYNC),
     };
-    enabled.then_some(kept)
+    enabled.then_some(store)
 }
--- /dev/null
+++ b/crates/operator-config/src/keys.rs
@@ -0,0 +1,179 @@
+//! The one way in which a key is read: a constant of its type holds its name, what it may be and its
+//! default, and [`File`] reads it from a section.
+//!
+//! A value that is wrong is reported, and the default stands in for it, so that the rest of the file
+//! is checked too.
+
+use crate::error::Problem;
+use crate::file::File;
+use crate::names::{Names, is_name};
+use crate::section::Section;
+use std::fmt::Display;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::str::FromStr;
+
+/// A key with a number.
+pub(crate) struct NumberKey<T> {
+    pub(crate) name: &'static str,
+    /// The numbers that it may have.
+    pub(crate) range: RangeInclusive<T>,
+    pub(crate) default: T,
+}
+
+impl<T> NumberKey<T> {
+    /// The same key with a default that depends on the rest of the file.
+    pub(crate) fn or(self, default: T) -> NumberKey<T> {
+        NumberKey { default, ..self }
+    }
+}
+
+/// A key with one of a few words.
+pub(crate) struct WordKey<T: 'static> {
+    pub(crate) name: &'static str,
+    /// The words that it may have, each with its meaning.
+    pub(crate) words: &'static [(&'static str, T)],
+    pub(crate) default: T,
+}
+
+/// A key that is `on` or `off`.
+pub(crate) const fn switch(name: &'static str, default: bool) -> WordKey<bool> {
+    WordKey {
+        name,
+        words: &[("on", true), ("off", false)],
+        default,
+    }
+}
+
+/// Whether a part is on. Each part has this key; none is on without it.
+pub(crate) const ENABLED: WordKey<bool> = switch("enabled", false);
+
+/// A key with an IP address and a port.
+pub(crate) struct AddressKey {
+    pub(crate) name: &'static str,
+    pub(crate) default: SocketAddr,
+}
+
+impl AddressKey {
+    /// The same key with a default that depends on the rest of the file.
+    pub(crate) fn or(self, default: SocketAddr) -> AddressKey {
+        AddressKey { default, ..self }
+    }
+}
+
+/// A key with a name.
+pub(crate) struct NameKey<'a> {
+    pub(crate) name: &'static str,
+    pub(crate) default: &'a str,
+}
+
+impl NameKey<'_> {
+    /// The same key with a default that depends on the rest of the file.
+    pub(crate) fn or<'a>(&self, default: &'a str) -> NameKey<'a> {
+        let name = self.name;
+        NameKey { name, default }
+    }
+}
+
+impl File {
+    /// Reads a number.
+    pub(crate) fn number<T>(&mut self, section: &Section, key: NumberKey<T>) -> T
+    where
+        T: FromStr + PartialOrd + Display,
+    {
+        let Some(text) = section.get(key.name) else {
+            return key.default;
+        };
+        if let Ok(number) = text.parse::<T>()
+            && key.range.contains(&number)
+        {
+            return number;
+        }
+        let problem = Problem::NumberOutOfRange {
+            text: text.into(),
+            min: key.range.start().to_string(),
+            max: key.range.end().to_string(),
+        };
+        self.key_error(section, key.name, problem);
+        key.default
+    }
+
+    /// Reads a number that may be absent.
+    pub(crate) fn optional_number<T>(&mut self, section: &Section, key: NumberKey<T>) -> Option<T>
+    where
+        T: FromStr + PartialOrd + Display,
+    {
+        section.get(key.name)?;
+        Some(self.number(section, key))
+    }
+
+    /// Reads one of a few words.
+    pub(crate) fn word<T: Copy>(&mut self, section: &Section, key: &WordKey<T>) -> T {
+        let Some(text) = section.get(key.name) else {
+            return key.default;
+        };
+        if let Some((_, meaning)) = key.words.iter().find(|(word, _)| *word == text) {
+            return *meaning;
+        }
+        let problem = Problem::UnknownWord {
+            text: text.into(),
+            words: key.words.iter().map(|(word, _)| *word).collect(),
+        };
+        self.key_error(section, key.name, problem);
+        key.default
+    }
+
+    /// Reads an IP address and a port.
+    pub(crate) fn address(&mut self, section: &Section, key: &AddressKey) -> SocketAddr {
+        let Some(text) = section.get(key.name) else {
+            return key.default;
+        };
+        text.parse().unwrap_or_else(|_| {
+            self.key_error(section, key.name, Problem::InvalidAddress(text.into()));
+            key.default
+        })
+    }
+
+    /// Reads a name. One that is wrong is reported and returned.
+    pub(crate) fn name(&mut self, section: &Section, key: &NameKey<'_>) -> String {
+        let text = section.get(key.name).unwrap_or(key.default).to_string();
+        if !is_name(&text) {
+            self.key_error(section, key.name, Problem::InvalidName(text.clone()));
+        }
+        text
+    }
+
+    /// Reads names with commas between them. A name that stands twice is reported.
+    pub(crate) fn names(&mut self, section: &Section, key: &str) -> Names {
+        let names: Vec<String> = list(section.get(key).unwrap_or(""))
+            .map(Into::into)
+            .collect();
+        let repeated = (0..names.len()).find(|index| names[..*index].contains(&names[*index]));
+        if let Some(index) = repeated {
+            let problem = Problem::RepeatedName(names[index].clone());
+            self.key_error(section, key, problem);
+        }
+        Names::new(names, self.place(section, key))
+    }
+
+    /// Reports a key without default that is absent.
+    pub(crate) fn require_key(&mut self, section: &Section, key: &str) {
+        if section.get(key).is_none() {
+            self.key_error(section, key, Problem::NotSet);
+        }
+    }
+
+    /// Reports a section whose own name is none. It stands in log lines and JSON without quoting.
+    pub(crate) fn require_section_name(&mut self, section: &Section) {
+        if section.name.is_empty() || !is_name(&section.name) {
+            self.section_error(section, Problem::InvalidSectionName);
+        }
+    }
+}
+
+/// What stands between the commas of a value, without spaces and without empty parts.
+pub(crate) fn list(text: &str) -> impl Iterator<Item = &str> {
+    text.split(',')
+        .map(str::trim)
+        .filter(|part| !part.is_empty())
+}
--- a/crates/operator-config/src/lib.rs
+++ b/crates/operator-config/src/lib.rs
@@ -1,45 +1,66 @@
-//! The operator file: what a server does beyond its platform, as INI. It is read and checked whole before
-//! anything starts; everything that is wrong is told, each in one line with file, line and key.
+//! The operator file: what a server does beyond its platform, as INI.
+//!
+//! [`read`] is given the text and returns checked records, or every error with its line. It does
+//! no I/O, and it knows no handlers: whether a name is one is decided later, by [`Names::among`].
+//! A part whose section is absent or says `enabled = off` is `None`.
 //!
 //! ```
 //! let text = "[pools]\nenabled = on\n[pool seats]\nhandlers = book\nweigth = 2\n";
-//! let wrong = madderbay_operator_config::read("op.ini", text).unwrap_err();
+//! let errors = madderbay_operator_config::read("op.ini", text).unwrap_err();
 //! let known = "calls, calls_weight, handlers, runs, weight";
-//! assert_eq!(wrong, [format!("op.ini:5: [pool seats] weigth: no such key; known are {known}")]);
+//! let expected = format!("op.ini:5: [pool seats] weigth: no such key; known are {known}");
+//! assert_eq!(errors.lines(), [expected]);
 //! ```
 
 pub mod concurrency;
 pub mod control;
+mod error;
 mod file;
+mod handler_groups;
 pub mod idempotency_store;
+mod keys;
 pub mod membership;
+mod names;
 pub mod quota;
+mod section;
 pub mod upstream;
 
+pub use error::{OperatorFileError, OperatorFileErrors, Place, Problem};
+pub use names::Names;
+
 use file::File;
-pub use file::Names;
 
-/// All parts; what is off is nothing.
+/// Everything that an operator file says; what is off is `None`.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Operator {
+    /// Concurrency limits by pool of handlers, and the reserve.
     pub pools: Option<concurrency::Pools>,
+    /// The idempotency store on disk.
     pub kept: Option<idempotency_store::KeptResults>,
+    /// The view of the fleet.
     pub members: Option<membership::Members>,
+    /// The control socket.
     pub control: Option<control::Control>,
+    /// Quotas and counters of the whole fleet.
     pub shared: Option<quota::Shared>,
+    /// The backends upstream.
     pub routes: Option<upstream::Routes>,
 }
 
-/// Reads a file's text; `name` is what the lines say it is called. Every line that is wrong is told.
-pub fn read(name: &str, text: &str) -> Result<Operator, Vec<String>> {
-    let mut file = File::read(name, text)?;
+/// Reads the text of an operator file. `name` is the file's name in the errors.
+///
+/// # Errors
+/// Everything that is wrong, in the order of the lines. Where the text is not INI, that alone.
+pub fn read(name: &str, text: &str) -> Result<Operator, OperatorFileErrors> {
+    let mut file = File::parse(name, text)?;
     let pools = concurrency::read(&mut file);
     let kept = idempotency_store::read(&mut file);
     let members = membership::read(&mut file);
     let control = control::read(&mut file);
     let shared = quota::read(&mut file, members.is_some());
     let routes = upstream::read(&mut file, members.as_ref().map(|m| m.zone.as_str()));
-    file.done(Operator {
+    file.finish()?;
+    Ok(Operator {
         pools,
         kept,
         members,
--- a/crates/operator-config/src/membership.rs
+++ b/crates/operator-config/src/membership.rs
@@ -1,148 +1,192 @@
-//! The view of the fleet: `[members]`.
+//! The view of the fleet (`[members]`).
 
-use crate::file::{File, Section, is_name};
+use crate::error::Problem;
+use crate::file::File;
+use crate::keys::{AddressKey, ENABLED, NameKey, NumberKey, list};
+use crate::section::Section;
 use ipnet::IpNet;
-use std::net::{IpAddr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, SocketAddrV4};
 
-const MEMBERS: [&str; 11] = [
-    "advertise",
-    "enabled",
-    "fleet",
-    "join",
-    "listen",
-    "members",
-    "memory_s",
-    "networks",
-    "probe_ms",
-    "suspicion_ms",
-    "zone",
+/// Its default is the address listened on.
+const ADVERTISE: AddressKey = AddressKey {
+    name: "advertise",
+    default: UNSET_ADDRESS,
+};
+const FLEET: NameKey<'static> = NameKey {
+    name: "fleet",
+    default: "madderbay",
+};
+const JOIN: &str = "join";
+/// Has to be set; the default only stands in where it is not.
+const LISTEN: AddressKey = AddressKey {
+    name: "listen",
+    default: UNSET_ADDRESS,
+};
+const MAX_MEMBERS: NumberKey<usize> = NumberKey {
+    name: "members",
+    range: 1..=10_000,
+    default: 2_000,
+};
+const MEMORY_S: NumberKey<u64> = NumberKey {
+    name: "memory_s",
+    range: 1..=86_400,
+    default: 60,
+};
+const NETWORKS: &str = "networks";
+const PROBE_MS: NumberKey<u64> = NumberKey {
+    name: "probe_ms",
+    range: 50..=10_000,
+    default: 500,
+};
+const SUSPICION_MS: NumberKey<u64> = NumberKey {
+    name: "suspicion_ms",
+    range: 200..=60_000,
+    default: 3_000,
+};
+const ZONE: NameKey<'static> = NameKey {
+    name: "zone",
+    default: "",
+};
+const KEYS: &[&str] = &[
+    ADVERTISE.name,
+    ENABLED.name,
+    FLEET.name,
+    JOIN,
+    LISTEN.name,
+    MAX_MEMBERS.name,
+    MEMORY_S.name,
+    NETWORKS,
+    PROBE_MS.name,
+    SUSPICION_MS.name,
+    ZONE.name,
 ];
-const FLEET: &str = "madderbay";
-/// What is never routed between sites.
-const NETWORKS: [&str; 5] = [
+
+/// Stands for an address that is not set: port 0 is no port.
+const UNSET_ADDRESS: SocketAddr = SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0));
+/// Networks of a fleet that names none: those that are not routed between sites.
+const DEFAULT_NETWORKS: [&str; 5] = [
     "127.0.0.0/8",
     "10.0.0.0/8",
     "172.16.0.0/12",
     "192.168.0.0/16",
     "fd00::/8",
 ];
-const MEMBERS_MOST: usize = 10_000;
+/// Probes that a suspicion has to outlast.
+const MIN_PROBES_IN_SUSPICION: u64 = 2;
 
+/// The view of the fleet.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Members {
+    /// Address on which this server receives datagrams.
     pub listen: SocketAddr,
-    /// What others are told.
+    /// Address to which other servers send.
     pub advertise: SocketAddr,
+    /// Addresses that are contacted at the start.
     pub join: Vec<SocketAddr>,
+    /// Name of the fleet.
     pub fleet: String,
+    /// Networks to which every address of the fleet belongs.
     pub networks: Vec<IpNet>,
+    /// Availability zone of this server; may be empty.
     pub zone: String,
-    /// Others in the view at the most.
+    /// Upper bound on the number of other members in the view.
     pub most: usize,
+    /// Interval between two probes of members, in milliseconds.
     pub probe_ms: u64,
+    /// Time that a suspected member has to refute the suspicion, in milliseconds.
     pub suspicion_ms: u64,
+    /// Time for which members that are down are remembered, in seconds.
     pub memory_s: u64,
 }
 
-pub(crate) fn word(file: &mut File, s: &Section, key: &str, otherwise: &str) -> String {
-    let text = s.get(key).unwrap_or(otherwise).to_string();
-    if !is_name(&text) {
-        file.wrong(
-            s,
-            key,
-            format!("'{text}' is no name of letters, digits, '-', '_' and '.', 63 at most"),
-        );
+/// Reads `[members]`.
+pub(crate) fn read(file: &mut File) -> Option<Members> {
+    let section = file.take_one("members", KEYS)?;
+    let enabled = file.word(&section, &ENABLED);
+    let listen = file.address(&section, &LISTEN);
+    let advertise = file.address(&section, &ADVERTISE.or(listen));
+    let members = Members {
+        listen,
+        advertise,
+        join: read_join(file, &section),
+        networks: read_networks(file, &section),
+        fleet: file.name(&section, &FLEET),
+        zone: file.name(&section, &ZONE),
+        most: file.number(&section, MAX_MEMBERS),
+        probe_ms: file.number(&section, PROBE_MS),
+        suspicion_ms: file.number(&section, SUSPICION_MS),
+        memory_s: file.number(&section, MEMORY_S),
+    };
+    if enabled {
+        check_reachable(file, &section, advertise);
     }
-    text
+    check_networks(file, &section, &members);
+    if members.suspicion_ms < MIN_PROBES_IN_SUSPICION * members.probe_ms {
+        file.key_error(&section, SUSPICION_MS.name, Problem::SuspicionTooShort);
+    }
+    enabled.then_some(members)
 }
 
-fn network(text: &str) -> Option<IpNet> {
-    text.parse::<IpNet>()
-        .ok()
-        .or_else(|| text.parse::<IpAddr>().ok().map(IpNet::from))
+fn read_join(file: &mut File, section: &Section) -> Vec<SocketAddr> {
+    let mut addresses = vec![];
+    for text in list(section.get(JOIN).unwrap_or("")) {
+        match text.parse() {
+            Ok(address) => addresses.push(address),
+            Err(_) => file.key_error(section, JOIN, Problem::InvalidAddress(text.into())),
+        }
+    }
+    addresses
 }
 
-pub(crate) fn read(file: &mut File) -> Option<Members> {
-    let s = file.take_one("members", &MEMBERS)?;
-    let enabled = file.switch(&s, "enabled", false);
-    let unset = SocketAddr::from(([0, 0, 0, 0], 0));
-    if enabled && s.get("listen").is_none() {
-        file.wrong(&s, "listen", "has to name an address and port");
-    }
-    let listen = file.address(&s, "listen", unset);
-    let advertise = file.address(&s, "advertise", listen);
-    if enabled
-        && s.get("listen").is_some()
-        && (advertise.ip().is_unspecified() || advertise.port() == 0)
-    {
-        let what = format!("'{advertise}' is nowhere that others can send to");
-        file.wrong(
-            &s,
-            if s.get("advertise").is_some() {
-                "advertise"
-            } else {
-                "listen"
-            },
-            what,
-        );
-    }
+/// Reads the networks. An empty part of the list is an error, where [`list`] would leave it out.
+fn read_networks(file: &mut File, section: &Section) -> Vec<IpNet> {
+    let texts: Vec<&str> = match section.get(NETWORKS) {
+        Some(text) => text.split(',').map(str::trim).collect(),
+        None => DEFAULT_NETWORKS.to_vec(),
+    };
     let mut networks = vec![];
-    for text in s
-        .get("networks")
-        .map_or(NETWORKS.to_vec(), |t| t.split(',').map(str::trim).collect())
-    {
-        match network(text) {
-            Some(net) => networks.push(net),
-            None => file.wrong(
-                &s,
-                "networks",
-                format!("'{text}' is no network, as in 10.0.0.0/8"),
-            ),
+    for text in texts {
+        match parse_network(text) {
+            Some(network) => networks.push(network),
+            None => file.key_error(section, NETWORKS, Problem::InvalidNetwork(text.into())),
         }
     }
-    let mut join = vec![];
-    for text in s
-        .get("join")
-        .unwrap_or("")
-        .split(',')
-        .map(str::trim)
-        .filter(|t| !t.is_empty())
-    {
-        match text.parse::<SocketAddr>() {
-            Ok(address) => join.push(address),
-            Err(_) => file.wrong(&s, "join", format!("'{text}' is no address and port")),
+    networks
+}
+
+/// A network, or a single address as a network of its own.
+fn parse_network(text: &str) -> Option<IpNet> {
+    let network = text.parse::<IpNet>().ok();
+    network.or_else(|| text.parse::<IpAddr>().ok().map(IpNet::from))
+}
+
+/// Reports that other servers can't send to this one.
+fn check_reachable(file: &mut File, section: &Section, advertise: SocketAddr) {
+    if section.get(LISTEN.name).is_none() {
+        file.key_error(section, LISTEN.name, Problem::NoListenAddress);
+    } else if advertise.ip().is_unspecified() || advertise.port() == 0 {
+        let problem = Problem::UnusableAdvertisedAddress(advertise);
+        file.key_error(section, advertising_key(section), problem);
+    }
+}
+
+/// Reports addresses, this server's own among them, that belong to none of the networks.
+fn check_networks(file: &mut File, section: &Section, members: &Members) {
+    let own = Some(&members.advertise).filter(|address| address.port() != 0);
+    let own = own.map(|address| (advertising_key(section), address));
+    let join = members.join.iter().map(|address| (JOIN, address));
+    for (key, address) in join.chain(own) {
+        if !members.networks.iter().any(|n| n.contains(&address.ip())) {
+            file.key_error(section, key, Problem::OutsideOfNetworks(*address));
         }
     }
-    let outside = |a: &&SocketAddr| !networks.iter().any(|n| n.contains(&a.ip()));
-    let strays: Vec<(&str, SocketAddr)> =
-        join.iter().filter(outside).map(|a| ("join", *a)).collect();
-    let own = if s.get("advertise").is_some() {
-        "advertise"
+}
+
+/// The key that says what address others send to.
+fn advertising_key(section: &Section) -> &'static str {
+    if section.get(ADVERTISE.name).is_some() {
+        ADVERTISE.name
     } else {
-        "listen"
-    };
-    let own = Some(&advertise)
-        .filter(|a| a.port() != 0)
-        .filter(outside)
-        .map(|a| (own, *a));
-    for (key, address) in strays.into_iter().chain(own) {
-        file.wrong(&s, key, format!("'{address}' lies in none of the networks"));
+        LISTEN.name
     }
-    let members = Members {
-        listen,
-        advertise,
-        join,
-        networks,
-        fleet: word(file, &s, "fleet", FLEET),
-        zone: word(file, &s, "zone", ""),
-        most: file.number(&s, "members", 1..=MEMBERS_MOST, 2_000),
-        probe_ms: file.number(&s, "probe_ms", 50..=10_000, 500),
-        suspicion_ms: file.number(&s, "suspicion_ms", 200..=60_000, 3_000),
-        memory_s: file.number(&s, "memory_s", 1..=86_400, 60),
-    };
-    if members.suspicion_ms < 2 * members.probe_ms {
-        let what = "a suspicion outlasts two probes, or one lost datagram takes a server down";
-        file.wrong(&s, "suspicion_ms", what);
-    }
-    enabled.then_some(members)
 }
--- a/crates/operator-config/src/quota.rs
+++ b/crates/operator-config/src/quota.rs
@@ -1,134 +1,206 @@
-//! What the servers of a fleet share: `[shared]`, `[budget NAME]`, `[count NAME]`.
+//! Quotas and counters of the whole fleet (`[shared]`, `[budget NAME]`, `[count NAME]`).
 
-use crate::file::{File, Names};
+use crate::error::Problem;
+use crate::file::File;
+use crate::handler_groups::{self, HANDLERS};
+use crate::keys::{ENABLED, NumberKey, WordKey};
+use crate::names::Names;
+use crate::section::Section;
 
-const SHARED: [&str; 3] = ["enabled", "seat", "weight"];
-const BUDGET: [&str; 5] = ["calls", "handlers", "lease_ms", "longest_ms", "servers"];
-const COUNT: [&str; 3] = ["by", "most", "window_s"];
-/// More than any fleet has, or may have in hand below.
-const SERVERS_MOST: u32 = 10_000;
-const CALLS_MOST: u32 = 1_000_000;
+const SLOT: NumberKey<u32> = NumberKey {
+    name: "seat",
+    range: 1..=MAX_SERVERS,
+    default: 1,
+};
 /// A server of more weight would leave the others nothing.
-const WEIGHTS: std::ops::RangeInclusive<f64> = 0.01..=100.0;
+const WEIGHT: NumberKey<f64> = NumberKey {
+    name: "weight",
+    range: 0.01..=100.0,
+    default: 1.0,
+};
+const SHARED_KEYS: &[&str] = &[ENABLED.name, SLOT.name, WEIGHT.name];
 
+/// Has to be set; the default only stands in where it is not.
+const CALLS: NumberKey<u32> = NumberKey {
+    name: "calls",
+    range: 1..=MAX_CALLS,
+    default: 1,
+};
+/// Has to be set; the default only stands in where it is not.
+const SERVERS: NumberKey<u32> = NumberKey {
+    name: "servers",
+    range: 1..=MAX_SERVERS,
+    default: 1,
+};
+const LEASE_MS: NumberKey<u64> = NumberKey {
+    name: "lease_ms",
+    range: 200..=60_000,
+    default: 1_000,
+};
+const LONGEST_MS: NumberKey<u64> = NumberKey {
+    name: "longest_ms",
+    range: 50..=600_000,
+    default: 2_000,
+};
+const BUDGET_KEYS: &[&str] = &[
+    CALLS.name,
+    HANDLERS,
+    LEASE_MS.name,
+    LONGEST_MS.name,
+    SERVERS.name,
+];
+
+/// Has to be set; the default only stands in where it is not.
+const BY: WordKey<By> = WordKey {
+    name: "by",
+    words: &[("tenant", By::Tenant), ("handler", By::Handler)],
+    default: By::Tenant,
+};
+const MAX_PER_SECOND: NumberKey<f64> = NumberKey {
+    name: "most",
+    range: 1.0..=1_000_000.0,
+    default: 1_000.0,
+};
+const WINDOW_S: NumberKey<u64> = NumberKey {
+    name: "window_s",
+    range: 1..=3_600,
+    default: 10,
+};
+const COUNT_KEYS: &[&str] = &[BY.name, MAX_PER_SECOND.name, WINDOW_S.name];
+
+/// Upper bound on the servers of a fleet.
+const MAX_SERVERS: u32 = 10_000;
+/// Upper bound on the calls in flight of a fleet.
+const MAX_CALLS: u32 = 1_000_000;
+
+/// Quotas and counters of the whole fleet.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Shared {
-    /// The server's place among those there may be, where it has one of its own.
+    /// Slot of this server, from 1, where it has one that no other server has.
     pub seat: Option<u32>,
+    /// Weight of this server among those that want more than there is, 0.01 to 100.
     pub weight: f64,
+    /// The budgets in the order of the file.
     pub budgets: Vec<Budget>,
+    /// The replicated counters in the order of the file.
     pub counts: Vec<Count>,
 }
 
+/// A budget: a quota of the whole fleet for calls in flight.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Budget {
+    /// Name of the budget, the same on all servers.
     pub name: String,
+    /// Handlers whose calls it bounds; they are in no other budget.
     pub handlers: Names,
-    /// Calls in hand of the whole fleet, and the most servers there may be.
+    /// Calls in flight that the whole fleet may have.
     pub calls: u32,
+    /// Upper bound on the number of servers in the fleet.
     pub servers: u32,
+    /// Time in which a lessee may start calls on a lease, in milliseconds.
     pub lease_ms: u64,
+    /// Longest time that a call is waited for, in milliseconds.
     pub longest_ms: u64,
 }
 
+/// What a counter has one count for each of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum By {
+    /// Each tenant.
     Tenant,
+    /// Each handler.
     Handler,
 }
 
+/// A replicated counter of requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Count {
+    /// Name of the counter, the same on all servers.
     pub name: String,
+    /// What it counts by.
     pub by: By,
+    /// Time that it counts over, in seconds.
     pub window_s: u64,
-    /// Reqs of one key that a server reads a second at the most.
+    /// Upper bound on the requests of one tenant or handler that a server reads, in requests per
+    /// second. The error bound of the counter depends on it.
     pub most: f64,
 }
 
-pub(crate) fn read(file: &mut File, members: bool) -> Option<Shared> {
-    let head = file.take_one("shared", &SHARED);
-    let (budgets, counts) = (file.take("budget", &BUDGET), file.take("count", &COUNT));
+/// Reads `[shared]`, all `[budget NAME]` and all `[count NAME]`. `has_members`: `[members]` is on.
+pub(crate) fn read(file: &mut File, has_members: bool) -> Option<Shared> {
+    let head = file.take_one("shared", SHARED_KEYS);
+    let budget_sections = file.take("budget", BUDGET_KEYS);
+    let count_sections = file.take("count", COUNT_KEYS);
     let Some(head) = head else {
-        for s in budgets.iter().chain(&counts) {
-            file.wrong(s, "", "goes with a section [shared]");
-        }
+        file.require_section(budget_sections.iter().chain(&count_sections), "shared");
         return None;
     };
-    let enabled = file.switch(&head, "enabled", false);
-    if enabled && !members {
-        file.wrong(
-            &head,
-            "enabled",
-            "goes with [members], by which servers hear each other",
-        );
+    let enabled = file.word(&head, &ENABLED);
+    if enabled && !has_members {
+        file.key_error(&head, ENABLED.name, Problem::QuotasWithoutMembership);
     }
-    let seat = head
-        .get("seat")
-        .is_some()
-        .then(|| file.number(&head, "seat", 1..=SERVERS_MOST, 1));
-    let weight = file.number(&head, "weight", WEIGHTS, 1.0);
-    let mut found: Vec<Budget> = vec![];
-    for s in &budgets {
-        file.named(s);
-        for key in ["calls", "servers"] {
-            if s.get(key).is_none() {
-                file.wrong(s, key, "has to be set");
-            }
-        }
-        let handlers = file.names(s, "handlers");
-        if handlers.names.is_empty() {
-            file.wrong(s, "handlers", "a budget has at least one handler");
-        }
-        let twice = handlers.names.iter().find_map(|h| {
-            let other = found.iter().find(|b| b.handlers.names.contains(h))?;
-            Some(format!("'{h}' is in budget {} already", other.name))
-        });
-        if let Some(what) = twice {
-            file.wrong(s, "handlers", what);
-        }
-        let budget = Budget {
-            name: s.name.clone(),
-            handlers,
-            calls: file.number(s, "calls", 1..=CALLS_MOST, 1),
-            servers: file.number(s, "servers", 1..=SERVERS_MOST, 1),
-            lease_ms: file.number(s, "lease_ms", 200..=60_000, 1_000),
-            longest_ms: file.number(s, "longest_ms", 50..=600_000, 2_000),
-        };
-        if budget.calls < budget.servers && seat.is_none() {
-            let what = format!(
-                "{} calls give none of {} servers any of its own: set each server's seat in [shared]",
-                budget.calls, budget.servers
-            );
-            file.wrong(s, "calls", what);
-        }
-        found.push(budget);
+    let seat = file.optional_number(&head, SLOT);
+    let mut budgets: Vec<Budget> = vec![];
+    for section in &budget_sections {
+        let budget = read_budget(file, section, &budgets);
+        check_base_quota(file, section, &budget, seat);
+        budgets.push(budget);
     }
-    let counts = counts.iter().map(|s| {
-        file.named(s);
-        let by = [("tenant", By::Tenant), ("handler", By::Handler)];
-        if s.get("by").is_none() {
-            file.wrong(s, "by", "has to be tenant or handler");
-        }
-        Count {
-            name: s.name.clone(),
-            by: file.word(s, "by", &by, By::Tenant),
-            window_s: file.number(s, "window_s", 1..=3_600, 10),
-            most: file.number(s, "most", 1.0..=1_000_000.0, 1_000.0),
-        }
-    });
+    let counts = count_sections
+        .iter()
+        .map(|section| read_count(file, section));
     let counts: Vec<Count> = counts.collect();
-    if counts.iter().filter(|c| c.by == By::Tenant).count() > 1 {
-        file.wrong(
-            &head,
-            "",
-            "one count by tenant is enough: it is what allowances go by",
-        );
+    if counts.iter().filter(|count| count.by == By::Tenant).count() > 1 {
+        file.section_error(&head, Problem::SeveralTenantCounters);
     }
-    enabled.then_some(Shared {
+    let shared = Shared {
         seat,
-        weight,
-        budgets: found,
+        weight: file.number(&head, WEIGHT),
+        budgets,
         counts,
-    })
+    };
+    enabled.then_some(shared)
+}
+
+fn read_budget(file: &mut File, section: &Section, earlier: &[Budget]) -> Budget {
+    file.require_section_name(section);
+    file.require_key(section, CALLS.name);
+    file.require_key(section, SERVERS.name);
+    let handlers = handler_groups::read(file, section, "budget");
+    let earlier = earlier
+        .iter()
+        .map(|budget| (&budget.name, &budget.handlers));
+    handler_groups::check_disjoint(file, section, "budget", &handlers, earlier);
+    Budget {
+        name: section.name.clone(),
+        handlers,
+        calls: file.number(section, CALLS),
+        servers: file.number(section, SERVERS),
+        lease_ms: file.number(section, LEASE_MS),
+        longest_ms: file.number(section, LONGEST_MS),
+    }
+}
+
+/// With fewer calls than servers only slots tell which servers have a base quota.
+fn check_base_quota(file: &mut File, section: &Section, budget: &Budget, slot: Option<u32>) {
+    if budget.calls < budget.servers && slot.is_none() {
+        let problem = Problem::NoBaseQuota {
+            calls: budget.calls,
+            servers: budget.servers,
+        };
+        file.key_error(section, CALLS.name, problem);
+    }
+}
+
+fn read_count(file: &mut File, section: &Section) -> Count {
+    file.require_section_name(section);
+    if section.get(BY.name).is_none() {
+        file.key_error(section, BY.name, Problem::NoCounterKind);
+    }
+    Count {
+        name: section.name.clone(),
+        by: file.word(section, &BY),
+        window_s: file.number(section, WINDOW_S),
+        most: file.number(section, MAX_PER_SECOND),
+    }
 }
--- a/crates/operator-config/src/upstream.rs
+++ b/crates/operator-config/src/upstream.rs
@@ -1,123 +1,173 @@
-//! Many backends below: `[routes]`, `[backend NAME]`.
+//! The backends upstream and how calls are divided among them (`[routes]`, `[backend NAME]`).
 
-use crate::file::{File, Names, Section};
-use crate::membership::word;
-use std::net::SocketAddr;
+use crate::error::Problem;
+use crate::file::File;
+use crate::handler_groups::{self, HANDLERS};
+use crate::keys::{AddressKey, ENABLED, NameKey, NumberKey, WordKey, switch};
+use crate::names::Names;
+use crate::section::Section;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 
-const ROUTES: [&str; 7] = [
-    "enabled",
-    "hedges",
-    "near_least",
-    "out_most",
-    "repeats",
-    "shares",
-    "zone",
+const HEDGING: WordKey<bool> = switch("hedges", true);
+const MIN_LOCAL_FRACTION: NumberKey<f64> = NumberKey {
+    name: "near_least",
+    range: 0.01..=1.0,
+    default: 0.7,
+};
+const MAX_EJECTED_FRACTION: NumberKey<f64> = NumberKey {
+    name: "out_most",
+    range: 0.0..=0.9,
+    default: 0.3,
+};
+const RETRY_RATIO: NumberKey<f64> = NumberKey {
+    name: "repeats",
+    range: 0.0..=1.0,
+    default: 0.1,
+};
+const GOSSIP: WordKey<bool> = switch("shares", true);
+/// Its default in `[routes]` is the zone of `[members]`.
+const ZONE: NameKey<'static> = NameKey {
+    name: "zone",
+    default: "",
+};
+const ROUTES_KEYS: &[&str] = &[
+    ENABLED.name,
+    HEDGING.name,
+    MIN_LOCAL_FRACTION.name,
+    MAX_EJECTED_FRACTION.name,
+    RETRY_RATIO.name,
+    GOSSIP.name,
+    ZONE.name,
 ];
-const BACKEND: [&str; 4] = ["address", "handlers", "weight", "zone"];
-/// One of more weight would leave the others nothing.
-const WEIGHTS: std::ops::RangeInclusive<f64> = 0.01..=100.0;
-/// More than any group has.
-const BACKENDS_MOST: usize = 5_000;
 
+/// Has to be set; the default only stands in where it is not.
+const ADDRESS: AddressKey = AddressKey {
+    name: "address",
+    default: SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1)),
+};
+/// A backend of more weight would leave the others nothing.
+const WEIGHT: NumberKey<f64> = NumberKey {
+    name: "weight",
+    range: 0.01..=100.0,
+    default: 1.0,
+};
+const BACKEND_KEYS: &[&str] = &[ADDRESS.name, HANDLERS, WEIGHT.name, ZONE.name];
+
+/// Upper bound on the number of backends.
+const MAX_BACKENDS: usize = 5_000;
+
+/// How calls are divided among backends.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Routes {
-    /// This server's own zone: that of `[members]` where none is named here.
+    /// Availability zone of this server; may be empty.
     pub zone: String,
+    /// Fraction of a group of backends that may be ejected at a time, 0 to 0.9.
     pub out_most: f64,
+    /// Fraction of the local zone's weight that has to be available for all calls to stay local, 0.01
+    /// to 1.
     pub near_least: f64,
+    /// Retry budget: retries allowed for each first attempt, hedges among them, 0 to 1.
     pub repeats: f64,
+    /// Whether hedged requests are sent.
     pub hedges: bool,
+    /// Whether this server's judgements are sent to other servers, and theirs are considered.
     pub shares: bool,
+    /// The backends in the order of the file.
     pub backends: Vec<Backend>,
 }
 
+/// One upstream server.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Backend {
+    /// Name of the backend, unique in the file.
     pub name: String,
+    /// Address of the backend, which no other backend has.
     pub address: SocketAddr,
+    /// Availability zone; may be empty.
     pub zone: String,
+    /// Weight among the backends of the same handlers, 0.01 to 100.
     pub weight: f64,
+    /// Handlers whose calls it takes. Two backends have the same handlers, or none in common.
     pub handlers: Names,
 }
 
-fn backend(file: &mut File, s: &Section) -> Backend {
-    file.named(s);
-    if s.get("address").is_none() {
-        file.wrong(s, "address", "has to be set");
-    }
-    let handlers = file.names(s, "handlers");
-    if handlers.names.is_empty() {
-        file.wrong(s, "handlers", "a backend has at least one handler");
-    }
-    let unset = SocketAddr::from(([127, 0, 0, 1], 1));
-    let address = file.address(s, "address", unset);
-    if address.ip().is_unspecified() || address.port() == 0 {
-        file.wrong(
-            s,
-            "address",
-            format!("'{address}' is nowhere that calls can go to"),
-        );
-    }
-    Backend {
-        name: s.name.clone(),
-        address,
-        zone: word(file, s, "zone", ""),
-        weight: file.number(s, "weight", WEIGHTS, 1.0),
-        handlers,
-    }
-}
-
-pub(crate) fn read(file: &mut File, zone: Option<&str>) -> Option<Routes> {
-    let head = file.take_one("routes", &ROUTES);
-    let sections = file.take("backend", &BACKEND);
+/// Reads `[routes]` and all `[backend NAME]`. `member_zone`: the zone of `[members]`, if that is on.
+pub(crate) fn read(file: &mut File, member_zone: Option<&str>) -> Option<Routes> {
+    let head = file.take_one("routes", ROUTES_KEYS);
+    let sections = file.take("backend", BACKEND_KEYS);
     let Some(head) = head else {
-        for s in &sections {
-            file.wrong(s, "", "goes with a section [routes]");
-        }
+        file.require_section(&sections, "routes");
         return None;
     };
-    let enabled = file.switch(&head, "enabled", false);
+    let enabled = file.word(&head, &ENABLED);
     let mut backends: Vec<Backend> = vec![];
-    for s in &sections {
-        let fresh = backend(file, s);
-        let sorted = |b: &Backend| {
-            let mut names = b.handlers.names.clone();
-            names.sort();
-            names
-        };
-        let overlaps = |b: &&Backend| {
-            sorted(b) != sorted(&fresh)
-                && b.handlers
-                    .names
-                    .iter()
-                    .any(|h| fresh.handlers.names.contains(h))
-        };
-        if let Some(other) = backends.iter().find(overlaps) {
-            let what = format!(
-                "shares some handlers with backend {}, and not all",
-                other.name
-            );
-            file.wrong(s, "handlers", what);
-        }
-        if let Some(other) = backends.iter().find(|b| b.address == fresh.address) {
-            file.wrong(s, "address", format!("is backend {}'s already", other.name));
-        }
-        backends.push(fresh);
+    for section in &sections {
+        let backend = read_backend(file, section);
+        check_against_earlier(file, section, &backend, &backends);
+        backends.push(backend);
     }
     if enabled && backends.is_empty() {
-        file.wrong(&head, "enabled", "goes with sections [backend NAME]");
+        file.key_error(&head, ENABLED.name, Problem::NoBackends);
     }
-    if backends.len() > BACKENDS_MOST {
-        file.wrong(&head, "", format!("has more than {BACKENDS_MOST} backends"));
+    if backends.len() > MAX_BACKENDS {
+        file.section_error(&head, Problem::TooManyBackends { max: MAX_BACKENDS });
     }
     let routes = Routes {
-        zone: word(file, &head, "zone", zone.unwrap_or("")),
-        out_most: file.number(&head, "out_most", 0.0..=0.9, 0.3),
-        near_least: file.number(&head, "near_least", 0.01..=1.0, 0.7),
-        repeats: file.number(&head, "repeats", 0.0..=1.0, 0.1),
-        hedges: file.switch(&head, "hedges", true),
-        shares: file.switch(&head, "shares", true),
+        zone: file.name(&head, &ZONE.or(member_zone.unwrap_or(ZONE.default))),
+        out_most: file.number(&head, MAX_EJECTED_FRACTION),
+        near_least: file.number(&head, MIN_LOCAL_FRACTION),
+        repeats: file.number(&head, RETRY_RATIO),
+        hedges: file.word(&head, &HEDGING),
+        shares: file.word(&head, &GOSSIP),
         backends,
     };
     enabled.then_some(routes)
 }
+
+fn read_backend(file: &mut File, section: &Section) -> Backend {
+    file.require_section_name(section);
+    file.require_key(section, ADDRESS.name);
+    let address = file.address(section, &ADDRESS);
+    if address.ip().is_unspecified() || address.port() == 0 {
+        let problem = Problem::UnusableBackendAddress(address);
+        file.key_error(section, ADDRESS.name, problem);
+    }
+    Backend {
+        name: section.name.clone(),
+        address,
+        zone: file.name(section, &ZONE),
+        weight: file.number(section, WEIGHT),
+        handlers: handler_groups::read(file, section, "backend"),
+    }
+}
+
+/// Reports a backend that has some of the handlers of an earlier one, or its address.
+fn check_against_earlier(
+    file: &mut File,
+    section: &Section,
+    backend: &Backend,
+    earlier: &[Backend],
+) {
+    if let Some(other) = earlier.iter().find(|other| overlaps_partly(other, backend)) {
+        let problem = Problem::PartlySharedHandlers(other.name.clone());
+        file.key_error(section, HANDLERS, problem);
+    }
+    if let Some(other) = earlier
+        .iter()
+        .find(|other| other.address == backend.address)
+    {
+        let problem = Problem::BackendAddressTaken(other.name.clone());
+        file.key_error(section, ADDRESS.name, problem);
+    }
+}
+
+/// Whether two backends have handlers in common, but not the same ones.
+fn overlaps_partly(a: &Backend, b: &Backend) -> bool {
+    let sorted = |backend: &Backend| {
+        let mut names = backend.handlers.names.clone();
+        names.sort();
+        names
+    };
+    let mut handlers = a.handlers.names.iter();
+    sorted(a) != sorted(b) && handlers.any(|handler| b.handlers.names.contains(handler))
+}
--- a/crates/operator-config/tests/file.rs
+++ b/crates/operator-config/tests/file.rs
@@ -4,7 +4,7 @@
 use madderbay_operator_config::{Operator, read};
 
 fn wrong(text: &str) -> Vec<String> {
-    read("o.ini", text).expect_err("told as wrong")
+    read("o.ini", text).expect_err("told as wrong").lines()
 }
 
 #[test]
@@ -43,8 +43,8 @@
     ];
     assert_eq!(pool.handlers.among(&known, "handler"), Ok(vec![2, 1]));
     assert_eq!(
-        reserve.handlers.among(&known[1..], "handler"),
-        Err("o.ini:12: [reserve] handlers: 'fare-quote' is no handler; known are seat-hold, seat-book".into())
+        reserve.handlers.among(&known[1..], "handler").map_err(|e| e.to_string()),
+        Err("o.ini:12: [reserve] handlers: 'fare-quote' is no handler; known are seat-hold, seat-book".to_string())
     );
 }
 
@@ -105,8 +105,9 @@
     let text = text.expect("the full file");
     for cut in 0..text.len() {
         if text.is_char_boundary(cut)
-            && let Err(lines) = read("o.ini", &text[..cut])
+            && let Err(errors) = read("o.ini", &text[..cut])
         {
+            let lines = errors.lines();
             assert!(
                 lines
                     .iter()
--- a/crates/server/src/core/concurrency_limits.rs
+++ b/crates/server/src/core/concurrency_limits.rs
@@ -16,7 +16,7 @@
         names
             .among(&s.handler_names, "handler")
             .unwrap_or_else(|what| {
-                wrong.push(what);
+                wrong.push(what.to_string());
                 vec![]
             })
     };
--- a/crates/server/src/fleet/backends.rs
+++ b/crates/server/src/fleet/backends.rs
@@ -31,7 +31,7 @@
             .handlers
             .among(&site.handler_names, "handler")
             .unwrap_or_else(|what| {
-                wrong.push(what);
+                wrong.push(what.to_string());
                 vec![]
             });
         handlers.sort_unstable();
--- a/crates/server/src/fleet/quota_plan.rs
+++ b/crates/server/src/fleet/quota_plan.rs
@@ -34,7 +34,7 @@
             .handlers
             .among(&s.handler_names, "handler")
             .unwrap_or_else(|what| {
-                wrong.push(what);
+                wrong.push(what.to_string());
                 vec![]
             });
         let longest = Duration::from_millis(b.longest_ms);
--- a/crates/server/src/operator_plan.rs
+++ b/crates/server/src/operator_plan.rs
@@ -44,7 +44,9 @@
         Ok(text) => text,
         Err(source) => return Err(OperatorError::Unreadable { file, source }),
     };
-    madderbay_operator_config::read(&file, &text).map_err(|lines| OperatorError::Invalid { lines })
+    madderbay_operator_config::read(&file, &text).map_err(|errors| OperatorError::Invalid {
+        lines: errors.lines(),
+    })
 }
 
 /// The parts of the operator file that depend on the platform's settings; what is off is `None`.
