Operator config: tests by part and behaviour; the crate is on the workspace's lints

Cause: eleven tests in one file read valid files and wrong ones of several parts at once, two of them longer than the lints allow, and the crate had an exception from the lints.

Change: 32 tests, a module for each part of the file. The public modules have a line in the crate's documentation.

--- a/crates/operator-config/src/lib.rs
+++ b/crates/operator-config/src/lib.rs
@@ -12,17 +12,23 @@
 //! assert_eq!(errors.lines(), [expected]);
 //! ```
 
+/// Concurrency limits by pool of handlers.
 pub mod concurrency;
+/// The control socket.
 pub mod control;
 mod error;
 mod file;
 mod handler_groups;
+/// The idempotency store on disk.
 pub mod idempotency_store;
 mod keys;
+/// The view of the fleet.
 pub mod membership;
 mod names;
+/// Quotas and counters of the whole fleet.
 pub mod quota;
 mod section;
+/// The backends upstream.
 pub mod upstream;
 
 pub use error::{OperatorFileError, OperatorFileErrors, Place, Problem};
--- /dev/null
+++ b/crates/operator-config/tests/operator_file/deployed_files.rs
@@ -0,0 +1,33 @@
+//! The file under `deploy/` that shows every key.
+
+use crate::support::{full_file, read_valid};
+
+/// With all comments taken for keys it reads the same as with none of its keys.
+#[test]
+fn full_file_shows_each_key_with_its_default() {
+    let text = full_file();
+    let full = read_valid(&text).pools.expect("on");
+    let bare = "[pools]\nenabled = on\n[pool seats]\nhandlers = seat-book\n[reserve]\n";
+    let bare = read_valid(bare).pools.expect("on");
+    assert_eq!(
+        (full.adapts, full.pools[0].weight),
+        (bare.adapts, bare.pools[0].weight)
+    );
+    assert_eq!(full.reserve.map(|r| r.part), bare.reserve.map(|r| r.part));
+    for key in [
+        "enabled",
+        "limits",
+        "handlers",
+        "weight",
+        "calls_weight",
+        "runs",
+        "calls",
+        "part",
+    ] {
+        assert!(
+            text.lines()
+                .any(|l| l.trim_start_matches("; ").starts_with(&format!("{key} ="))),
+            "{key}"
+        );
+    }
+}
--- /dev/null
+++ b/crates/operator-config/tests/operator_file/quota.rs
@@ -0,0 +1,78 @@
+//! `[shared]`, `[budget NAME]` and `[count NAME]`.
+
+use crate::support::{MEMBERS, error_lines, read_valid};
+use madderbay_operator_config::quota::By;
+
+/// A budget with fewer calls than servers, one with several errors, and a counter.
+const INVALID: &str = "[shared]\nenabled = on\n[budget a]\nhandlers = x\ncalls = 3\nservers = 5\n\
+                       [budget b c]\nhandlers = x\nservers = 0\n[count d]\nby = hour\n";
+
+#[test]
+fn reads_budgets_and_counters_with_defaults_for_absent_keys() {
+    let text = "[shared]\nenabled = on\n[budget trip-book]\nhandlers = seat-book\ncalls = 64\nservers = 12\n\
+                [count tenants]\nby = tenant\n";
+    let shared = read_valid(&format!("{MEMBERS}{text}")).shared.expect("on");
+    let budget = &shared.budgets[0];
+    assert_eq!(
+        (budget.name.as_str(), budget.calls, budget.servers),
+        ("trip-book", 64, 12)
+    );
+    assert_eq!(
+        (
+            budget.lease_ms,
+            budget.longest_ms,
+            shared.seat,
+            shared.weight
+        ),
+        (1_000, 2_000, None, 1.0)
+    );
+    let counter = &shared.counts[0];
+    assert_eq!(
+        (counter.by, counter.window_s, counter.most),
+        (By::Tenant, 10, 1_000.0)
+    );
+}
+
+#[test]
+fn quotas_that_are_off_are_none() {
+    assert_eq!(read_valid("[shared]\nenabled = off\n").shared, None);
+}
+
+#[test]
+fn quotas_need_members() {
+    assert_eq!(
+        error_lines("[shared]\nenabled = on\n"),
+        ["o.ini:2: [shared] enabled: goes with [members], by which servers hear each other"]
+    );
+}
+
+#[test]
+fn reports_budgets_and_counters_that_can_not_be() {
+    assert_eq!(
+        error_lines(&format!("{MEMBERS}{INVALID}")),
+        [
+            "o.ini:8: [budget a] calls: 3 calls give none of 5 servers any of its own: set each server's seat in \
+             [shared]",
+            "o.ini:10: [budget b c] calls: has to be set",
+            "o.ini:10: [budget b c]: has a name of letters, digits, '-', '_' and '.', 63 at most",
+            "o.ini:11: [budget b c] handlers: 'x' is in budget a already",
+            "o.ini:12: [budget b c] servers: '0' is no number from 1 to 10000",
+            "o.ini:14: [count d] by: 'hour' is none of tenant, handler",
+        ]
+    );
+}
+
+#[test]
+fn a_budget_may_have_fewer_calls_than_servers_where_slots_are_set() {
+    let with_slot = INVALID.replace("enabled = on", "enabled = on\nseat = 2");
+    let lines = error_lines(&format!("{MEMBERS}{with_slot}"));
+    assert!(!lines.iter().any(|l| l.contains("calls give none")));
+}
+
+#[test]
+fn a_budget_needs_the_section_that_all_share() {
+    assert_eq!(
+        error_lines("[budget a]\ncalls = 1\n"),
+        ["o.ini:1: [budget a]: goes with a section [shared]"]
+    );
+}
