Operator config: former module paths stay until the server's imports follow

Change: the former paths are re-exports that the documentation hides, and the server's imports are as they were. `Names::indices` gives the typed error; `Names::among` gives its text, as the server's three callers expect.

--- a/crates/operator-config/src/lib.rs
+++ b/crates/operator-config/src/lib.rs
@@ -1,7 +1,7 @@
 //! The operator file: what a server does beyond its platform, as INI.
 //!
 //! [`read`] is given the text and returns checked records, or every error with its line. It does
-//! no I/O, and it knows no handlers: whether a name is one is decided later, by [`Names::among`].
+//! no I/O, and it knows no handlers: whether a name is one is decided later, by [`Names::indices`].
 //! A part whose section is absent or says `enabled = off` is `None`.
 //!
 //! ```
@@ -36,6 +36,17 @@
 
 use file::File;
 
+// Former paths, until the server's imports follow.
+#[doc(hidden)]
+pub use {concurrency as pools, idempotency_store as kept, quota as shared, upstream as routes};
+
+/// Former path of the membership and the control socket.
+#[doc(hidden)]
+pub mod members {
+    pub use crate::control::Control;
+    pub use crate::membership::Members;
+}
+
 /// Everything that an operator file says; what is off is `None`.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Operator {
--- a/crates/operator-config/src/names.rs
+++ b/crates/operator-config/src/names.rs
@@ -29,7 +29,7 @@
     ///
     /// # Errors
     /// The first name that is not known, with its place.
-    pub fn among(
+    pub fn indices(
         &self,
         known: &[String],
         kind: &'static str,
@@ -41,6 +41,16 @@
         self.names.iter().map(index).collect()
     }
 
+    /// [`Names::indices`] with the text of the error, until the server takes the typed one.
+    ///
+    /// # Errors
+    /// The line of the first name that is not known.
+    #[doc(hidden)]
+    pub fn among(&self, known: &[String], kind: &'static str) -> Result<Vec<usize>, String> {
+        let indices = self.indices(known, kind);
+        indices.map_err(|error| error.to_string())
+    }
+
     fn unknown(&self, name: &str, known: &[String], kind: &'static str) -> OperatorFileError {
         let problem = Problem::UnknownName {
             name: name.into(),
--- a/crates/operator-config/tests/operator_file/concurrency.rs
+++ b/crates/operator-config/tests/operator_file/concurrency.rs
@@ -35,8 +35,8 @@
         "seat-book".into(),
     ];
     let handlers = &pools.pools[0].handlers;
-    assert_eq!(handlers.among(&known, "handler"), Ok(vec![2, 1]));
-    let error = reserve.handlers.among(&known[1..], "handler");
+    assert_eq!(handlers.indices(&known, "handler"), Ok(vec![2, 1]));
+    let error = reserve.handlers.indices(&known[1..], "handler");
     assert_eq!(
         error.expect_err("one is not known").to_string(),
         "o.ini:12: [reserve] handlers: 'fare-quote' is no handler; known are seat-hold, seat-book"
--- a/crates/server/src/core/concurrency_limits.rs
+++ b/crates/server/src/core/concurrency_limits.rs
@@ -6,7 +6,7 @@
 use madderbay_concurrency::{
     CallRequirement, ConcurrencyConfig, ConcurrencyLimiter, HandlerProfile, PoolConfig, Reserve,
 };
-use madderbay_operator_config::concurrency as operator;
+use madderbay_operator_config::pools as operator;
 use madderbay_settings::Settings;
 
 /// Names become numbers; each that is no handler is told in a line.
@@ -16,7 +16,7 @@
         names
             .among(&s.handler_names, "handler")
             .unwrap_or_else(|what| {
-                wrong.push(what.to_string());
+                wrong.push(what);
                 vec![]
             })
     };
--- a/crates/server/src/core/durability.rs
+++ b/crates/server/src/core/durability.rs
@@ -11,7 +11,7 @@
 use madderbay_idempotency_store::{
     DurableResults, IntentError, SequenceNumber, StoreError, verify,
 };
-use madderbay_operator_config::idempotency_store::KeptResults;
+use madderbay_operator_config::kept::KeptResults;
 use std::collections::VecDeque;
 use std::path::Path;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
--- a/crates/server/src/fleet/backends.rs
+++ b/crates/server/src/fleet/backends.rs
@@ -6,7 +6,7 @@
 use crate::support::metrics::Lines;
 use madderbay::time::{Duration, Timestamp};
 use madderbay_concurrency::UpstreamGroup;
-use madderbay_operator_config::upstream as operator;
+use madderbay_operator_config::routes as operator;
 use madderbay_settings::Settings as Site;
 use madderbay_upstream::{
     AttemptOutcome, BackendSettings, RetryKind, Settings, UpstreamAttempt, UpstreamManager,
@@ -31,7 +31,7 @@
             .handlers
             .among(&site.handler_names, "handler")
             .unwrap_or_else(|what| {
-                wrong.push(what.to_string());
+                wrong.push(what);
                 vec![]
             });
         handlers.sort_unstable();
--- a/crates/server/src/fleet/gossip.rs
+++ b/crates/server/src/fleet/gossip.rs
@@ -7,7 +7,7 @@
 use crate::support::metrics::Lines;
 use madderbay::time::{Duration, Timestamp};
 use madderbay_membership::{AllowedNetworks, Membership, Settings};
-use madderbay_operator_config::membership as operator;
+use madderbay_operator_config::members as operator;
 use madderbay_quota::FleetQuotas;
 use madderbay_upstream::FleetStack;
 use std::cell::{Cell, RefCell};
--- a/crates/server/src/fleet/quota_plan.rs
+++ b/crates/server/src/fleet/quota_plan.rs
@@ -5,7 +5,7 @@
 use crate::support::clock::unix_micros;
 use crate::support::config::Config;
 use madderbay::time::Duration;
-use madderbay_operator_config::quota as operator;
+use madderbay_operator_config::shared as operator;
 use madderbay_quota::{BudgetSettings, CounterSettings, LeaseTerms};
 use std::hash::{BuildHasher, RandomState};
 
@@ -34,7 +34,7 @@
             .handlers
             .among(&s.handler_names, "handler")
             .unwrap_or_else(|what| {
-                wrong.push(what.to_string());
+                wrong.push(what);
                 vec![]
             });
         let longest = Duration::from_millis(b.longest_ms);
--- a/crates/server/src/fleet_endpoint.rs
+++ b/crates/server/src/fleet_endpoint.rs
@@ -5,7 +5,7 @@
 use crate::startup::StartError;
 use crate::tasks;
 use madderbay_membership::is_valid_name;
-use madderbay_operator_config::membership::Members;
+use madderbay_operator_config::members::Members;
 use madderbay_server::fleet::backends::Backends;
 use madderbay_server::fleet::gossip::{self, Fleet};
 use madderbay_server::fleet::quota_leases::CounterNames;
--- a/crates/server/src/startup.rs
+++ b/crates/server/src/startup.rs
@@ -11,7 +11,7 @@
 use crate::signals::Signals;
 use madderbay_membership::MAX_NAME_BYTES;
 use madderbay_operator_config::Operator;
-use madderbay_operator_config::idempotency_store::KeptResults;
+use madderbay_operator_config::kept::KeptResults;
 use madderbay_server::core::durability;
 use madderbay_server::fleet::control_socket::ControlSocketError;
 use madderbay_server::support::config::{self, Config, ConfigError};
