--- a/crates/settings/src/records.rs
+++ b/crates/settings/src/records.rs
@@ -13,6 +13,13 @@
 };
 use madderbay::time::Duration;
 
+/// Key of the list of handlers.
+const CLASSES: &str = "classes";
+/// Key of the list of tenants.
+const TENANTS: &str = "tenants";
+/// Key of the object on the machine, its upstream and its clients.
+const FAMILY_INFO: &str = "family_info";
+
 /// `effect` of a class.
 const EFFECTS: &Words<RetrySafety> = &[
     ("read_like", RetrySafety::Idempotent),
@@ -45,25 +52,29 @@
     ("weight", LoadReport::Weight),
 ];
 
-/// Checks the settings and makes the records.
+/// Checks the settings and makes the records. The order of the steps is the order of the errors.
 pub(crate) fn settings(raw: &Raw) -> Result<Settings, SettingsError> {
     check_classes_exist(raw)?;
     check_ranges(&raw.family_info, &raw.rules)?;
     check_lists_by_class(raw)?;
-    distinct_names("classes", raw.classes.iter().map(|c| c.name.as_str()))?;
-    distinct_names("tenants", raw.tenants.iter().map(|t| t.name.as_str()))?;
+    distinct_names(CLASSES, raw.classes.iter().map(|c| c.name.as_str()))?;
+    distinct_names(TENANTS, raw.tenants.iter().map(|t| t.name.as_str()))?;
     check_calls_have_upstream(&raw.family_info)?;
     let handlers = (0..raw.classes.len()).map(|index| handler(raw, index));
     let handlers = handlers.collect::<Result<_, _>>()?;
     let max_retry_after = max_retry_after(&raw.permissions)?;
     let tenants = raw.tenants.iter().enumerate();
     let tenants = tenants.map(|(index, raw)| tenant(raw, index));
+    let tenants = tenants.collect::<Result<_, _>>()?;
+    let machine = machine(&raw.family_info, &raw.rules)?;
+    let upstream = upstream(&raw.family_info)?;
+    let downstream = downstream(raw, max_retry_after)?;
     Ok(Settings {
+        machine,
         handlers,
-        tenants: tenants.collect::<Result<_, _>>()?,
-        machine: machine(&raw.family_info, &raw.rules)?,
-        below: upstream(&raw.family_info)?,
-        callers: downstream(raw, max_retry_after)?,
+        tenants,
+        below: upstream,
+        callers: downstream,
         place: fleet_position(raw),
         rules: rules(raw),
         meters: raw.family_info.meters.clone(),
@@ -76,7 +87,7 @@
 fn check_classes_exist(raw: &Raw) -> Result<(), SettingsError> {
     if raw.classes.is_empty() {
         return Err(SettingsError::Invalid {
-            key: "classes".into(),
+            key: CLASSES.into(),
             reason: InvalidValue::Empty,
         });
     }
@@ -84,7 +95,7 @@
 }
 
 fn check_ranges(info: &RawInfo, rules: &RawRules) -> Result<(), SettingsError> {
-    let section = Section::of("family_info");
+    let section = Section::of(FAMILY_INFO);
     section.positive("n_cores", info.n_cores)?;
     section.number("memory_kb", info.memory_kb, NumberRange::Above(0.0))?;
     section.number("blowup", info.blowup, NumberRange::AtLeast(1.0))?;
@@ -101,7 +112,7 @@
 }
 
 fn check_lists_by_class(raw: &Raw) -> Result<(), SettingsError> {
-    let section = Section::of("family_info");
+    let section = Section::of(FAMILY_INFO);
     let info = &raw.family_info;
     let classes = raw.classes.len();
     section.list_by_class("class_calls", &info.class_calls, classes)?;
@@ -116,7 +127,7 @@
     match info.class_calls.iter().position(|makes_calls| *makes_calls) {
         None => Ok(()),
         Some(index) => {
-            let section = Section::of("family_info");
+            let section = Section::of(FAMILY_INFO);
             let key = format!("class_calls[{index}]");
             Err(section.invalid(&key, InvalidValue::CallsWithoutUpstream))
         }
@@ -126,7 +137,7 @@
 /// The handler that one class describes.
 fn handler(raw: &Raw, index: usize) -> Result<Handler, SettingsError> {
     let class = &raw.classes[index];
-    let section = Section::entry("classes", index);
+    let section = Section::entry(CLASSES, index);
     let at_least_zero = NumberRange::AtLeast(0.0);
     section.positive("aim_us", class.aim_us)?;
     section.positive("hard_limit_us", class.hard_limit_us)?;
@@ -154,7 +165,7 @@
 fn partial_weight(info: &RawInfo, index: usize) -> Result<f64, SettingsError> {
     let weight = info.class_skip_worth.get(index).copied().unwrap_or(0.0);
     let key = format!("class_skip_worth[{index}]");
-    Section::of("family_info").number(&key, weight, NumberRange::Fraction)
+    Section::of(FAMILY_INFO).number(&key, weight, NumberRange::Fraction)
 }
 
 /// Longest Retry-After that may be advertised; zero where none may.
@@ -170,7 +181,7 @@
 }
 
 fn tenant(raw: &RawTenant, index: usize) -> Result<Tenant, SettingsError> {
-    let section = Section::entry("tenants", index);
+    let section = Section::entry(TENANTS, index);
     let at_least_zero = NumberRange::AtLeast(0.0);
     let rate = section.number("allowance_per_s", raw.allowance_per_s, at_least_zero)?;
     Ok(Tenant {
@@ -179,7 +190,7 @@
 }
 
 fn machine(info: &RawInfo, rules: &RawRules) -> Result<Machine, SettingsError> {
-    let section = Section::of("family_info");
+    let section = Section::of(FAMILY_INFO);
     Ok(Machine {
         cores: info.n_cores,
         memory_kb: info.memory_kb,
@@ -194,7 +205,7 @@
 }
 
 fn upstream(info: &RawInfo) -> Result<Upstream, SettingsError> {
-    let section = Section::of("family_info");
+    let section = Section::of(FAMILY_INFO);
     Ok(Upstream {
         kind: section.word("below", &info.upstream_kind, UPSTREAM_KINDS)?,
         quota: info.dep_share,
@@ -205,7 +216,7 @@
 
 fn downstream(raw: &Raw, max_retry_after: Duration) -> Result<Downstream, SettingsError> {
     let info = &raw.family_info;
-    let section = Section::of("family_info");
+    let section = Section::of(FAMILY_INFO);
     Ok(Downstream {
         clients: info.upstreams,
         load_report: section.word("say", &info.say, LOAD_REPORTS)?,
