--- a/crates/simulator-adapter/src/error.rs
+++ b/crates/simulator-adapter/src/error.rs
@@ -1,7 +1,6 @@
 //! Errors of this crate.
 
 use crate::codec::InstanceId;
-use std::error::Error;
 use std::io;
 use thiserror::Error;
 
@@ -123,7 +122,7 @@
     },
     /// The settings of an instance are unknown or contradict themselves.
     #[error(transparent)]
-    Settings(Box<dyn Error + Send + Sync>),
+    Settings(#[from] madderbay_settings::SettingsError),
 }
 
 impl AdapterError {
--- a/crates/simulator-adapter/src/host.rs
+++ b/crates/simulator-adapter/src/host.rs
@@ -124,8 +124,7 @@
         seed: u64,
         settings: &[u8],
     ) -> Result<(), AdapterError> {
-        let settings = madderbay_settings::read(settings)
-            .map_err(|error| AdapterError::Settings(error.into()))?;
+        let settings = madderbay_settings::read(settings)?;
         let started = Instance::new(now, seed, &settings);
         self.instances.insert(instance, started);
         self.decide(instance, |state, actions| state.decider.on_start(actions))
