Server: the writer's thread and the store's inspection in files of their own, errors typed

Cause: one file held the queue of the core, the writing thread and the command line's view of a folder; its errors were texts, and batches travelled as tuples.

Change: `core/durability` is the queue, `core/durability/writer` the thread, `store_inspection` in the program what `madderbay kept` prints. Opening, listing, exporting and verifying return typed errors with the same line and exit status; batches travel as the store's `Batch`; events have named fields. `former_life` is `answer_from_store` and returns `FingerprintMismatch`. The scenarios' test names the new fields, its checks are the same.

--- a/crates/server/src/commands.rs
+++ b/crates/server/src/commands.rs
@@ -3,7 +3,7 @@
 use crate::cli::{Arguments, Command, INVALID_INPUT, QueryArguments, StoreCommand};
 use crate::operator_plan::{self, OperatorError, OperatorPlan};
 use crate::startup::{self, StartError};
-use madderbay_server::core::durability;
+use crate::store_inspection::{self, InspectionError};
 use madderbay_server::fleet::control_client::{self, Format, QueryError, Subject};
 use madderbay_server::support::config::{self, ConfigError};
 use std::io::Write;
@@ -30,8 +30,8 @@
     #[error(transparent)]
     Query(#[from] QueryError),
     /// A directory of durable results can't be read.
-    #[error("{0}")]
-    Store(String),
+    #[error(transparent)]
+    Store(#[from] InspectionError),
     /// A directory of durable results is damaged; what is wrong was printed as the command's output.
     #[error("the store is damaged")]
     DamagedStore,
@@ -102,11 +102,10 @@
 /// Prints what a directory of durable results holds.
 fn inspect_store(command: &StoreCommand) -> Result<(), CommandError> {
     let lines = match command {
-        StoreCommand::List { directory } => durability::list(directory),
-        StoreCommand::Export { directory } => durability::export(directory),
-        StoreCommand::Verify { directory } => durability::verify(directory),
-    };
-    let lines = lines.map_err(CommandError::Store)?;
+        StoreCommand::List { directory } => store_inspection::list(directory),
+        StoreCommand::Export { directory } => store_inspection::export(directory),
+        StoreCommand::Verify { directory } => store_inspection::verify(directory),
+    }?;
     lines.iter().for_each(|line| println!("{line}"));
     let is_verify = matches!(command, StoreCommand::Verify { .. });
     if is_verify && !lines.is_empty() {
--- a/crates/server/src/core/arrivals.rs
+++ b/crates/server/src/core/arrivals.rs
@@ -3,7 +3,6 @@
 use super::event_loop::{EventLoop, KEEP_AWAY};
 use super::in_flight::{Deadline, InFlightRequest};
 use crate::downstream::connections::OpenRequestError;
-use crate::downstream::idempotency_table::FingerprintMismatch;
 use crate::downstream::request_validation::{InvalidRequest, ValidatedRequest};
 use crate::downstream::response;
 use crate::support::io::Outbox;
@@ -114,10 +113,7 @@
             return Err(InvalidRequest::AttemptNameInUse);
         }
         if let Some(key) = key
-            // Its one error is that the key came with another body.
-            && self
-                .former_life(now, (no, rpc), arrival.handler, key, print)
-                .map_err(|_| FingerprintMismatch)?
+            && self.answer_from_store(now, (no, rpc), arrival.handler, key, print)?
         {
             return Ok(());
         }
--- a/crates/server/src/core/durability.rs
+++ b/crates/server/src/core/durability.rs
@@ -1,83 +1,100 @@
-//! Kept results on the running server: what waits for the disk, and the thread that writes. The core never
-//! waits for a sync: it hands records over and is told, by messages, how far they last.
+//! Durable results on the running server: the table of them, and the work that waits for the disk.
+//!
+//! [`DurabilityQueue`] owns the table and the list of pending work. It is driven by the core and never waits for
+//! the disk: it hands batches to the writer's thread, which reports by [`StorageEvent`]s how far they are durable.
+//! [`open`] and [`start`] are what a start of the server takes to get there.
+
+mod writer;
 
 use crate::support::clock::unix_micros;
 use crate::support::metrics::Lines;
 use crate::support::name::Name;
 use madderbay::time::Timestamp;
-use madderbay_idempotency_store::recovery::{RecoveredRun, Recovery, RunState, recover};
+use madderbay_idempotency_store::recovery::Recovery;
 use madderbay_idempotency_store::storage::DirectoryStorage;
-use madderbay_idempotency_store::write_ahead_log::{LogEntry, LogLimits, WriteAheadLog};
-use madderbay_idempotency_store::{
-    DurableResults, IntentError, SequenceNumber, StoreError, verify,
-};
+use madderbay_idempotency_store::write_ahead_log::{LogLimits, WriteAheadLog};
+use madderbay_idempotency_store::{Batch, DurableResults, IntentError, SequenceNumber, StoreError};
 use madderbay_operator_config::kept::KeptResults;
 use std::collections::VecDeque;
-use std::path::Path;
-use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
-use std::time::{Duration, Instant};
-use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use std::sync::mpsc::{Sender, channel};
+use std::time::{Duration as StdDuration, Instant};
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 
-/// Between two looks for segments that have aged out, and two tries to write again.
-const TIDY: Duration = Duration::from_millis(500);
+pub use writer::StorageEvent;
 
-/// What a write is waited for by.
+/// What is done once its record is durable, or once the record can't be made durable.
 pub enum PendingWork {
-    /// The command to run a req.
-    Run(u64),
-    /// The answer of a req whose run is over, with its result.
-    Answer(u64, Option<Box<str>>),
-    Nobody,
+    /// The command to run a request is sent.
+    Run {
+        /// The request.
+        request: u64,
+    },
+    /// A request whose run is over is answered.
+    Response {
+        /// The request.
+        request: u64,
+        /// The result of its run; `None` for a run without a result.
+        result: Option<Box<str>>,
+    },
+    /// Nothing waits for the record.
+    Nothing,
 }
 
-/// What the writing thread tells.
-pub enum StorageEvent {
-    Written { seq: SequenceNumber, disk: u64 },
-    Failed { seq: SequenceNumber, why: String },
-    Works { disk: u64 },
+/// Pending work, and the record that it waits for.
+struct Waiting {
+    sequence: SequenceNumber,
+    work: PendingWork,
 }
 
+/// The durable results of this server, the batches on their way to the disk and the work that waits for them.
 pub struct DurabilityQueue {
+    /// The table of durable results.
     pub book: DurableResults,
-    to: Sender<(SequenceNumber, Vec<LogEntry>)>,
-    waiting: VecDeque<(SequenceNumber, PendingWork)>,
-    /// Batches that were written, each with one sync where they are grouped.
-    pub writes: u64,
+    batches: Sender<Batch>,
+    /// In the order of sequence numbers.
+    waiting: VecDeque<Waiting>,
+    commits: u64,
 }
 
-/// What stands ready once a folder was opened and read, before anything is listened on.
+/// A store that is open and read, before anything is listened on.
 pub struct OpenedStore {
     log: WriteAheadLog<DirectoryStorage>,
     recovery: Recovery,
-    took: Duration,
+    recovery_time: StdDuration,
 }
 
-/// Opens the folder and reads what a former life left; says in one line why that can't be.
-pub fn open(set: &KeptResults, window: u64) -> Result<OpenedStore, String> {
-    let told = |e: StoreError| format!("kept-results: {e}");
+/// Opens the directory and reads what earlier incarnations left. `window_micros` is the longest time in which a
+/// key may be repeated.
+///
+/// # Errors
+/// Where the directory can't be opened, locked or read, or holds what this program doesn't know.
+pub fn open(settings: &KeptResults, window_micros: u64) -> Result<OpenedStore, StoreError> {
     let began = Instant::now();
-    let storage = DirectoryStorage::open(&set.directory).map_err(told)?;
+    let storage = DirectoryStorage::open(&settings.directory)?;
     let limits = LogLimits {
-        disk_bytes: (set.disk_mb as u64) << 20,
-        retention_micros: window,
+        disk_bytes: disk_limit_bytes(settings),
+        retention_micros: window_micros,
     };
-    let (log, recovery) = WriteAheadLog::open(storage, unix_micros(), limits).map_err(told)?;
+    let (log, recovery) = WriteAheadLog::open(storage, unix_micros(), limits)?;
     Ok(OpenedStore {
         log,
         recovery,
-        took: began.elapsed(),
+        recovery_time: began.elapsed(),
     })
 }
 
-/// Takes over what was found and starts the writing thread.
+/// Takes over what was recovered and starts the writer's thread.
+///
+/// # Errors
+/// Where the system refuses the thread.
 pub fn start(
     opened: OpenedStore,
-    set: &KeptResults,
+    settings: &KeptResults,
 ) -> std::io::Result<(DurabilityQueue, UnboundedReceiver<StorageEvent>)> {
     let OpenedStore {
-        mut log,
+        log,
         recovery,
-        took,
+        recovery_time,
     } = opened;
     ::log::info!(
         "kept: {} keyed reqs known from {} records, {} segments, {} of them torn, read in {} ms",
@@ -85,129 +102,99 @@
         recovery.records,
         recovery.segments,
         recovery.torn_segments,
-        took.as_millis()
+        recovery_time.as_millis()
     );
-    let mut book = DurableResults::new(set.memory_mb << 20, (set.disk_mb as u64) << 20);
-    book.load_recovery(recovery);
-    let (to, orders) = channel();
-    let (tell, told) = unbounded_channel();
-    let grouped = set.grouped;
-    std::thread::Builder::new()
-        .name("kept".into())
-        .stack_size(256 << 10)
-        .spawn(move || write(&mut log, &orders, &tell, grouped))?;
-    Ok((DurabilityQueue::new(book, to), told))
+    let mut results = DurableResults::new(settings.memory_mb << 20, disk_limit_bytes(settings));
+    results.load_recovery(recovery);
+    let (batch_sender, batches) = channel();
+    let (events, event_receiver) = unbounded_channel();
+    writer::spawn(log, batches, events, settings.grouped)?;
+    Ok((DurabilityQueue::new(results, batch_sender), event_receiver))
 }
 
-fn write(
-    log: &mut WriteAheadLog<DirectoryStorage>,
-    orders: &Receiver<(SequenceNumber, Vec<LogEntry>)>,
-    tell: &UnboundedSender<StorageEvent>,
-    grouped: bool,
-) {
-    let (mut broken, mut tidied) = (false, Instant::now());
-    loop {
-        let order = orders.recv_timeout(TIDY);
-        let said = match order {
-            Ok((mut seq, mut records)) => {
-                // All that has come meanwhile shares the sync.
-                while grouped && let Ok((last, more)) = orders.try_recv() {
-                    seq = last;
-                    records.extend(more);
-                }
-                let batches = if grouped { records.len().max(1) } else { 1 };
-                let done = records
-                    .chunks(batches)
-                    .try_for_each(|part| log.commit(unix_micros(), part));
-                broken = done.is_err();
-                Some(match done {
-                    Ok(()) => StorageEvent::Written {
-                        seq,
-                        disk: log.size_bytes(),
-                    },
-                    Err(e) => StorageEvent::Failed {
-                        seq,
-                        why: e.to_string(),
-                    },
-                })
-            }
-            Err(RecvTimeoutError::Timeout) if broken => {
-                log.commit(unix_micros(), &[]).ok().map(|()| {
-                    broken = false;
-                    StorageEvent::Works {
-                        disk: log.size_bytes(),
-                    }
-                })
-            }
-            Err(RecvTimeoutError::Timeout) => None,
-            Err(RecvTimeoutError::Disconnected) => return,
-        };
-        if tidied.elapsed() >= TIDY {
-            log.remove_expired_segments(unix_micros());
-            tidied = Instant::now();
-        }
-        if said.is_some_and(|s| tell.send(s).is_err()) {
-            return;
-        }
-    }
+fn disk_limit_bytes(settings: &KeptResults) -> u64 {
+    (settings.disk_mb as u64) << 20
 }
 
 impl DurabilityQueue {
-    /// `to`: where batches of records go to be written.
-    pub fn new(
-        book: DurableResults,
-        to: Sender<(SequenceNumber, Vec<LogEntry>)>,
-    ) -> DurabilityQueue {
+    /// Creates a queue without pending work. Batches are written by the receiver of `batches`.
+    pub fn new(results: DurableResults, batches: Sender<Batch>) -> DurabilityQueue {
         DurabilityQueue {
-            book,
-            to,
+            book: results,
+            batches,
             waiting: VecDeque::new(),
-            writes: 0,
+            commits: 0,
         }
     }
 
-    /// The run of a req waits from now on for its promise; or why nothing can be promised.
+    /// Records the intent to run a request; its command waits until the intent is durable. `window` is the hash of
+    /// the request and the end of the time in which its key may be repeated.
+    ///
+    /// # Errors
+    /// Where no intent can be recorded now.
     pub fn promise(
         &mut self,
-        id: u64,
+        request: u64,
         key: u128,
         window: (u64, Timestamp),
-        name: Name,
+        attempt_id: Name,
     ) -> Result<(), IntentError> {
         self.book.admit_intent()?;
-        let (print, until) = window;
-        let seq = self.book.record_intent(key, print, name, until);
-        self.waiting.push_back((seq, PendingWork::Run(id)));
+        let (request_hash, expires_at) = window;
+        let sequence = self
+            .book
+            .record_intent(key, request_hash, attempt_id, expires_at);
+        self.push(sequence, PendingWork::Run { request });
         Ok(())
     }
 
-    /// The answer of a req waits from now on for its result.
-    pub fn settle(&mut self, id: u64, key: u128, result: Option<&str>, until: Timestamp) {
-        let seq = self
+    /// Records the end of a request's run; its answer waits until that is durable. A run without a result has
+    /// `None`.
+    pub fn settle(&mut self, request: u64, key: u128, result: Option<&str>, expires_at: Timestamp) {
+        let sequence = self
             .book
-            .record_result(key, result.map(str::as_bytes), until);
-        self.waiting
-            .push_back((seq, PendingWork::Answer(id, result.map(Into::into))));
+            .record_result(key, result.map(str::as_bytes), expires_at);
+        let result = result.map(Into::into);
+        self.push(sequence, PendingWork::Response { request, result });
     }
 
-    pub fn never(&mut self, key: u128, until: Timestamp) {
-        let seq = self.book.record_not_run(key, until);
-        self.waiting.push_back((seq, PendingWork::Nobody));
+    /// Records that the run of an intent was never sent or never started; nothing waits for that.
+    pub fn never(&mut self, key: u128, expires_at: Timestamp) {
+        let sequence = self.book.record_not_run(key, expires_at);
+        self.push(sequence, PendingWork::Nothing);
     }
 
-    /// Hands over all that is to be written.
+    fn push(&mut self, sequence: SequenceNumber, work: PendingWork) {
+        self.waiting.push_back(Waiting { sequence, work });
+    }
+
+    /// Hands all records that are not yet on their way to the writer's thread.
     pub fn flush(&mut self) {
         if let Some(batch) = self.book.take_batch() {
-            let _ = self.to.send((batch.last, batch.entries));
+            let _ = self.batches.send(batch);
         }
     }
 
-    /// Those that waited for no more than that.
-    pub fn upto(&mut self, seq: SequenceNumber) -> Vec<PendingWork> {
-        let n = self.waiting.partition_point(|w| w.0 <= seq);
-        self.waiting.drain(..n).map(|w| w.1).collect()
+    /// The records up to `sequence` are durable, and the store has `disk_bytes` now. Returns the work that waited
+    /// for them.
+    pub fn on_committed(&mut self, sequence: SequenceNumber, disk_bytes: u64) -> Vec<PendingWork> {
+        self.commits += 1;
+        self.book.on_committed(sequence, disk_bytes);
+        self.take_work(sequence)
+    }
+
+    /// The records up to `sequence` can't be made durable. Returns the work that waited for them.
+    pub fn on_commit_failed(&mut self, sequence: SequenceNumber) -> Vec<PendingWork> {
+        self.book.on_commit_failed(sequence);
+        self.take_work(sequence)
     }
 
+    fn take_work(&mut self, up_to: SequenceNumber) -> Vec<PendingWork> {
+        let count = self.waiting.partition_point(|w| w.sequence <= up_to);
+        self.waiting.drain(..count).map(|w| w.work).collect()
+    }
+
+    /// The counters, one line each.
     pub fn counters(&self) -> String {
         let mut lines = Lines::of("kept");
         let (usage, counters) = (self.book.usage(), self.book.counters());
@@ -215,7 +202,7 @@
             ("known", usage.recovered_runs as u64),
             ("disk_bytes", usage.disk_bytes),
             ("waiting", self.waiting.len() as u64),
-            ("writes", self.writes),
+            ("writes", self.commits),
             ("promised", counters.intents_recorded),
             ("refused", counters.intents_rejected),
             ("answered", counters.results_returned),
@@ -227,78 +214,3 @@
         lines.text
     }
 }
-
-/// What a folder holds: a line for each keyed req in the order of keys, and what was read in all.
-fn looked_at(
-    folder: &Path,
-    line: impl Fn(&u128, &RecoveredRun) -> String,
-) -> Result<(Vec<String>, Recovery), String> {
-    let read = recover(&DirectoryStorage::open_read_only(folder))
-        .map_err(|e| format!("{}: {e}", folder.display()))?;
-    let mut found: Vec<_> = read.runs.iter().collect();
-    found.sort_by_key(|f| f.0);
-    Ok((
-        found.into_iter().map(|(key, f)| line(key, f)).collect(),
-        read,
-    ))
-}
-
-fn state(found: &RecoveredRun) -> &'static str {
-    match found.state {
-        RunState::MayHaveRun => "may-have-run",
-        RunState::Completed(_) => "done",
-        RunState::NoResult => "errored",
-    }
-}
-
-/// A line for each keyed req in a folder, and one for all.
-pub fn list(folder: &Path) -> Result<Vec<String>, String> {
-    let line = |key: &u128, f: &RecoveredRun| {
-        let size = if let RunState::Completed(result) = &f.state {
-            result.len()
-        } else {
-            0
-        };
-        format!(
-            "{key:032x} {} until {} ms, {size} bytes",
-            state(f),
-            f.expires_at_micros / 1000
-        )
-    };
-    let (mut lines, all) = looked_at(folder, line)?;
-    lines.push(format!(
-        "{} keyed reqs in {} records, {} segments, {} torn bytes",
-        all.runs.len(),
-        all.records,
-        all.segments,
-        all.torn_bytes
-    ));
-    Ok(lines)
-}
-
-pub fn export(folder: &Path) -> Result<Vec<String>, String> {
-    let line = |key: &u128, f: &RecoveredRun| {
-        let result = if let RunState::Completed(result) = &f.state {
-            Some(String::from_utf8_lossy(result))
-        } else {
-            None
-        };
-        let print = format!("{:016x}", f.request_hash);
-        let (key, name) = (
-            format!("{key:032x}"),
-            String::from_utf8_lossy(&f.attempt_id),
-        );
-        let until = f.expires_at_micros / 1000;
-        serde_json::json!({
-            "key": key, "state": state(f), "until_ms": until, "print": print, "ref": name, "result": result,
-        })
-        .to_string()
-    };
-    Ok(looked_at(folder, line)?.0)
-}
-
-pub fn verify(folder: &Path) -> Result<Vec<String>, String> {
-    let defects = verify::verify(&DirectoryStorage::open_read_only(folder))
-        .map_err(|e| format!("{}: {e}", folder.display()))?;
-    Ok(defects.iter().map(ToString::to_string).collect())
-}
--- a/crates/server/src/core/stored_results.rs
+++ b/crates/server/src/core/stored_results.rs
@@ -1,93 +1,114 @@
-//! Results that outlast a life: what a former life promised answers its tries, and what the writing thread
-//! tells lets runs and answers go.
+//! Durable results in the core: attempts of requests that an earlier incarnation ran are answered from its store,
+//! and reports of the writer's thread release the runs and answers that wait for them.
+//!
+//! It owns no state; the table and the pending work are in the [`DurabilityQueue`](super::durability).
 
 use super::durability::{PendingWork, StorageEvent};
 use super::event_loop::{EventLoop, KEEP_AWAY};
+use crate::downstream::idempotency_table::FingerprintMismatch;
 use crate::downstream::response;
 use madderbay::time::Timestamp;
 use madderbay_idempotency_store::Lookup;
 
 impl EventLoop {
-    /// A try of a keyed req that a former life has promised is answered from what is known of it, and never
-    /// run. True where that, or a promise that can't be made, was its answer.
-    pub(super) fn former_life(
+    /// Answers an attempt of a request whose intent an earlier incarnation recorded; it never runs again. An attempt
+    /// of a new request is rejected here where no intent can be recorded. Returns whether the attempt was answered.
+    ///
+    /// `connection` and `rpc_id` say where the answer goes.
+    ///
+    /// # Errors
+    /// Where the key was used with another handler or body.
+    pub(super) fn answer_from_store(
         &mut self,
         now: Timestamp,
-        (no, rpc): (u64, u64),
+        (connection, rpc_id): (u64, u64),
         handler: usize,
         key: u128,
-        print: u64,
-    ) -> Result<bool, &'static str> {
+        request_hash: u64,
+    ) -> Result<bool, FingerprintMismatch> {
         let in_flight = &mut self.in_flight;
-        let Some(keep) = in_flight
+        let Some(durability) = in_flight
             .durability
             .as_mut()
             .filter(|_| !in_flight.idempotency.knows(key))
         else {
             return Ok(false);
         };
-        let verdict = keep.book.lookup(key, print);
-        let away = KEEP_AWAY.min(self.settings.callers.max_retry_after);
+        let retry_after = KEEP_AWAY.min(self.settings.callers.max_retry_after);
         let report = in_flight.load_report;
-        match verdict {
-            Lookup::Mismatch => return Err("replay came with another body"),
-            Lookup::NotFound if keep.book.admit_intent().is_ok() => return Ok(false),
+        let (connections, counters) = (&mut in_flight.connections, &mut in_flight.counters);
+        match durability.book.lookup(key, request_hash) {
+            Lookup::Mismatch => return Err(FingerprintMismatch),
+            Lookup::NotFound if durability.book.admit_intent().is_ok() => return Ok(false),
             Lookup::NotFound => {
-                in_flight
-                    .connections
-                    .answer(now, no, |out| response::shed(out, rpc, away, false, report));
-                in_flight.counters.shed += 1;
+                connections.answer(now, connection, |out| {
+                    response::shed(out, rpc_id, retry_after, false, report)
+                });
+                counters.shed += 1;
             }
             Lookup::Completed(result) => {
-                let blob = String::from_utf8_lossy(&result);
-                in_flight
-                    .connections
-                    .answer(now, no, |out| response::done(out, rpc, &blob, report));
-                in_flight.counters.answered(true, false);
+                let result = String::from_utf8_lossy(&result);
+                connections.answer(now, connection, |out| {
+                    response::done(out, rpc_id, &result, report)
+                });
+                counters.answered(true, false);
             }
             Lookup::NoResult => {
-                in_flight
-                    .connections
-                    .answer(now, no, |out| response::errored(out, rpc, report));
-                in_flight.counters.answered(false, false);
+                connections.answer(now, connection, |out| {
+                    response::errored(out, rpc_id, report)
+                });
+                counters.answered(false, false);
             }
         }
-        in_flight.counters.read[handler] += 1;
+        counters.read[handler] += 1;
         Ok(true)
     }
 
-    /// The writing thread tells how far things last.
-    pub fn storage_event(&mut self, now: Timestamp, told: StorageEvent) {
+    /// The writer's thread has reported how far records are durable.
+    pub fn storage_event(&mut self, now: Timestamp, event: StorageEvent) {
         self.in_flight.now = now;
-        let Some(keep) = &mut self.in_flight.durability else {
+        let Some(durability) = &mut self.in_flight.durability else {
             return;
         };
-        let (waits, lasts) = match told {
-            StorageEvent::Works { disk } => {
+        match event {
+            StorageEvent::Recovered { disk_bytes } => {
                 log::info!("kept: writing works again");
-                return keep.book.on_storage_recovered(disk);
+                durability.book.on_storage_recovered(disk_bytes);
+                return;
             }
-            StorageEvent::Written { seq, disk } => {
-                keep.writes += 1;
-                keep.book.on_committed(seq, disk);
-                (keep.upto(seq), true)
+            StorageEvent::Written {
+                sequence,
+                disk_bytes,
+            } => {
+                let released = durability.on_committed(sequence, disk_bytes);
+                released.into_iter().for_each(|work| self.carry_out(work));
             }
-            StorageEvent::Failed { seq, why } => {
-                log::error!("kept: can't be written, no new keyed req is run: {why}");
-                keep.book.on_commit_failed(seq);
-                (keep.upto(seq), false)
-            }
-        };
-        for wait in waits {
-            match wait {
-                PendingWork::Run(id) if lasts => self.in_flight.release(id),
-                PendingWork::Run(id) => self.in_flight.unrun.push_back(id),
-                PendingWork::Answer(id, result) => self
-                    .in_flight
-                    .settled(id, result.as_deref().filter(|_| lasts)),
-                PendingWork::Nobody => {}
+            StorageEvent::Failed { sequence, error } => {
+                log::error!("kept: can't be written, no new keyed req is run: {error}");
+                let released = durability.on_commit_failed(sequence);
+                released.into_iter().for_each(|work| self.give_up(work));
             }
         }
         self.decide(now, |_, _| ());
     }
+
+    /// The record of some work is durable.
+    fn carry_out(&mut self, work: PendingWork) {
+        match work {
+            PendingWork::Run { request } => self.in_flight.release(request),
+            PendingWork::Response { request, result } => {
+                self.in_flight.settled(request, result.as_deref());
+            }
+            PendingWork::Nothing => {}
+        }
+    }
+
+    /// The record of some work can't be made durable: nothing runs, and no result is an answer.
+    fn give_up(&mut self, work: PendingWork) {
+        match work {
+            PendingWork::Run { request } => self.in_flight.unrun.push_back(request),
+            PendingWork::Response { request, .. } => self.in_flight.settled(request, None),
+            PendingWork::Nothing => {}
+        }
+    }
 }
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -1,6 +1,7 @@
 //! The program `madderbay`: one server, and the commands around it.
 //!
-//! - [`cli`] parses the command line, [`commands`] runs what it names and says with which status the program exits.
+//! - [`cli`] parses the command line, [`commands`] runs what it names and says with which status the program exits;
+//!   [`store_inspection`] forms what `kept` prints.
 //! - [`operator_plan`] reads the operator file and plans its parts over the platform's settings.
 //! - [`startup`] reads and checks all input and holds the server's life; [`server`] opens its sockets in a fixed order,
 //!   [`fleet_endpoint`] the one between servers, and [`tasks`] lists and starts the tasks that it consists of.
@@ -15,6 +16,7 @@
 mod shutdown;
 mod signals;
 mod startup;
+mod store_inspection;
 mod tasks;
 
 use madderbay_server::support::logging;
--- a/crates/server/src/startup.rs
+++ b/crates/server/src/startup.rs
@@ -9,6 +9,7 @@
 use crate::server::Server;
 use crate::shutdown;
 use crate::signals::Signals;
+use madderbay_idempotency_store::StoreError;
 use madderbay_membership::MAX_NAME_BYTES;
 use madderbay_operator_config::Operator;
 use madderbay_operator_config::kept::KeptResults;
@@ -33,8 +34,8 @@
     #[error(transparent)]
     Config(#[from] ConfigError),
     /// The directory of durable results can't be opened or read.
-    #[error("{0}")]
-    Store(String),
+    #[error("kept-results: {0}")]
+    Store(#[source] StoreError),
     #[error("kept-results: {0}")]
     StoreThread(#[source] std::io::Error),
     #[error("runtime: {0}")]
--- a/crates/server/tests/scenarios.rs
+++ b/crates/server/tests/scenarios.rs
@@ -28,8 +28,7 @@
 mod common;
 
 use madderbay::time::{Duration, Timestamp};
-use madderbay_idempotency_store::write_ahead_log::LogEntry;
-use madderbay_idempotency_store::{DurableResults, SequenceNumber};
+use madderbay_idempotency_store::{Batch, DurableResults};
 use madderbay_server::core::durability::{DurabilityQueue, StorageEvent};
 use madderbay_server::core::event_loop::EventLoop;
 use madderbay_server::downstream::json_rpc::JsonRpcSession;
@@ -59,7 +58,7 @@
     engine: Option<Outbox>,
     mute: bool,
     /// What goes to the disk, and whether that is quick.
-    disk: Option<Receiver<(SequenceNumber, Vec<LogEntry>)>>,
+    disk: Option<Receiver<Batch>>,
     quick: bool,
     /// Takes nothing that is sent to it.
     deaf: Option<String>,
@@ -167,14 +166,17 @@
     /// All that waits for the disk lasts, or none of it.
     fn disk(&mut self, lasts: bool) -> bool {
         let batches: Vec<_> = self.disk.iter().flat_map(Receiver::try_iter).collect();
-        let Some(seq) = batches.last().map(|b| b.0) else {
+        let Some(sequence) = batches.last().map(|b| b.last) else {
             return false;
         };
-        let why = "told to fail".to_string();
+        let error = std::io::Error::other("told to fail");
         let told = if lasts {
-            StorageEvent::Written { seq, disk: 100 }
+            StorageEvent::Written {
+                sequence,
+                disk_bytes: 100,
+            }
         } else {
-            StorageEvent::Failed { seq, why }
+            StorageEvent::Failed { sequence, error }
         };
         self.serve.storage_event(self.now, told);
         true
