--- a/crates/server/src/core/durability.rs
+++ b/crates/server/src/core/durability.rs
@@ -97,7 +97,7 @@
         recovery_time,
     } = opened;
     ::log::info!(
-        "kept: {} keyed reqs known from {} records, {} segments, {} of them torn, read in {} ms",
+        "idempotency-store: recovered, requests={}, records={}, segments={}, torn_segments={}, ms={}",
         recovery.runs.len(),
         recovery.records,
         recovery.segments,
--- a/crates/server/src/core/stored_results.rs
+++ b/crates/server/src/core/stored_results.rs
@@ -72,7 +72,7 @@
         };
         match event {
             StorageEvent::Recovered { disk_bytes } => {
-                log::info!("kept: writing works again");
+                log::info!("idempotency-store: write recovered");
                 durability.book.on_storage_recovered(disk_bytes);
                 return;
             }
@@ -84,7 +84,7 @@
                 released.into_iter().for_each(|work| self.carry_out(work));
             }
             StorageEvent::Failed { sequence, error } => {
-                log::error!("kept: can't be written, no new keyed req is run: {error}");
+                log::error!("idempotency-store: write failed, error={error}");
                 let released = durability.on_commit_failed(sequence);
                 released.into_iter().for_each(|work| self.give_up(work));
             }
--- a/crates/server/tests/kept.rs
+++ b/crates/server/tests/kept.rs
@@ -134,7 +134,7 @@
     booked(&mut a, &mut engine);
     killed(server, engine);
     let (server, mut engine) = place.live();
-    let known = "kept: 1 keyed reqs known from 2 records, 1 segments, 0 of them torn";
+    let known = "idempotency-store: recovered, requests=1, records=2, segments=1, torn_segments=0,";
     assert!(server.before[0].contains(known), "{:?}", server.before);
     let (mut a, mut b) = (balancer(&server), balancer(&server));
     a.say(&book(1, 2, "5", "QUJD"));
@@ -261,7 +261,7 @@
         }
     }
     let (server, _engine) = place.live();
-    let known = "kept: 100000 keyed reqs known from 200000 records";
+    let known = "idempotency-store: recovered, requests=100000, records=200000,";
     assert!(server.before[0].contains(known), "{:?}", server.before);
     let mut a = balancer(&server);
     // Known, though under another print than this body's: refused, not run.
