Server: the operator file's plans return typed errors; backends' plan in a file of its own

Change: `core/handler_names` resolves handlers and returns `UnknownHandlers`; `OperatorError` tells a malformed file from unknown handlers, with the same lines in the same order and the same status. `quota_plan::plan` and `routing_plan::plan` go by section. Names and comments are in the field's words.

--- a/crates/server/src/core/concurrency_limits.rs
+++ b/crates/server/src/core/concurrency_limits.rs
@@ -1,76 +1,74 @@
-//! Pools as the operator file sets them, over the settings' handlers; and what is told of them.
+//! Concurrency limits by pool: the plan of them, from the operator file and the platform's settings, and their
+//! counters.
+//!
+//! It owns no state; the limits are in a [`ConcurrencyLimiter`], which the core owns.
 
+use crate::core::handler_names::{HandlerResolver, UnknownHandlers};
 use crate::support::metrics::Lines;
-use madderbay::interface::{Outcome, UpstreamKind};
+use madderbay::interface::{Handler, Outcome, UpstreamKind};
 use madderbay_concurrency::limit::Completion;
 use madderbay_concurrency::{
-    CallRequirement, ConcurrencyConfig, ConcurrencyLimiter, HandlerProfile, PoolConfig, Reserve,
+    CallRequirement, ConcurrencyConfig, ConcurrencyLimiter, HandlerProfile, PoolConfig, PoolUsage,
+    Reserve,
 };
 use madderbay_operator_config::pools as operator;
 use madderbay_settings::Settings;
 
-/// Names become numbers; each that is no handler is told in a line.
-pub fn plan(set: &operator::Pools, s: &Settings) -> Result<ConcurrencyConfig, Vec<String>> {
-    let mut wrong = vec![];
-    let mut among = |names: &madderbay_operator_config::Names| {
-        names
-            .among(&s.handler_names, "handler")
-            .unwrap_or_else(|what| {
-                wrong.push(what);
-                vec![]
-            })
-    };
-    let pools: Vec<PoolConfig> = set
-        .pools
-        .iter()
-        .map(|p| PoolConfig {
-            name: p.name.clone(),
-            handlers: among(&p.handlers),
-            weight: p.weight,
-            call_weight: p.calls_weight,
-            max_runs: p.runs,
-            max_calls: p.calls,
-        })
-        .collect();
-    let reserve = set.reserve.as_ref().map(|r| Reserve {
-        handlers: among(&r.handlers),
-        fraction: r.part,
+/// Plans the pools and the reserve of the operator file. The groups of upstream servers are left empty; they follow
+/// from the backends.
+///
+/// # Errors
+/// Where a pool or the reserve names an unknown handler.
+pub fn plan(
+    section: &operator::Pools,
+    settings: &Settings,
+) -> Result<ConcurrencyConfig, UnknownHandlers> {
+    let mut handlers = HandlerResolver::new(&settings.handler_names);
+    let pools = section.pools.iter().map(|pool| PoolConfig {
+        name: pool.name.clone(),
+        handlers: handlers.resolve(&pool.handlers),
+        weight: pool.weight,
+        call_weight: pool.calls_weight,
+        max_runs: pool.runs,
+        max_calls: pool.calls,
+    });
+    let pools = pools.collect();
+    let reserve = section.reserve.as_ref().map(|reserve| Reserve {
+        handlers: handlers.resolve(&reserve.handlers),
+        fraction: reserve.part,
     });
-    let share = (s.below.kind == UpstreamKind::Shared).then_some(s.below.quota);
-    let cores = s.machine.cores as usize;
-    let groups = vec![];
+    let upstream = &settings.below;
     let plan = ConcurrencyConfig {
         pools,
         reserve,
-        adaptive: set.adapts,
-        call_quota: share,
-        abandoned_call_lifetime: s.below.abandoned_call_lifetime,
-        cores,
-        upstream_groups: groups,
+        adaptive: section.adapts,
+        call_quota: (upstream.kind == UpstreamKind::Shared).then_some(upstream.quota),
+        abandoned_call_lifetime: upstream.abandoned_call_lifetime,
+        cores: settings.machine.cores as usize,
+        upstream_groups: vec![],
     };
-    if wrong.is_empty() {
-        Ok(plan)
-    } else {
-        Err(wrong)
-    }
+    handlers.finish(plan)
+}
+
+/// Whether each handler's runs make calls, in the order of handlers.
+pub fn kinds(settings: &Settings) -> Vec<HandlerProfile> {
+    let profile = |handler| HandlerProfile {
+        calls: call_requirement(handler),
+    };
+    settings.handlers.iter().map(profile).collect()
 }
 
-/// What each handler's runs do about calls.
-pub fn kinds(s: &Settings) -> Vec<HandlerProfile> {
-    let calls = |h: &madderbay::interface::Handler| match (h.makes_calls, h.partial_weight > 0.0) {
+fn call_requirement(handler: &Handler) -> CallRequirement {
+    match (handler.makes_calls, handler.partial_weight > 0.0) {
         (false, _) => CallRequirement::Never,
         (true, true) => CallRequirement::Optional,
         (true, false) => CallRequirement::Required,
-    };
-    s.handlers
-        .iter()
-        .map(|h| HandlerProfile { calls: calls(h) })
-        .collect()
+    }
 }
 
-/// What the end of a call tells of what lies below.
-pub fn end(how: Outcome) -> Completion {
-    match how {
+/// What the outcome of a call says about the upstream servers.
+pub fn end(outcome: Outcome) -> Completion {
+    match outcome {
         Outcome::Completed => Completion::Success,
         Outcome::TimedOut => Completion::TimedOut,
         Outcome::Rejected | Outcome::Failed | Outcome::Unreachable | Outcome::Disconnected => {
@@ -80,30 +78,37 @@
     }
 }
 
-/// What each pool has and may have, a line a figure.
-pub fn counters(pools: &ConcurrencyLimiter) -> String {
+/// The counters, one line each. A limit that is unbounded is reported as 0.
+pub fn counters(limiter: &ConcurrencyLimiter) -> String {
     let mut lines = Lines::of("pools");
-    // No ceiling at all is told as 0.
-    let mut line = |name: &str, value: usize| {
-        lines.add(name, if value == usize::MAX { 0 } else { value as u64 });
-    };
-    for pool in pools.pool_usage() {
-        let counters = [
-            ("held", pool.queued),
-            ("runs", pool.runs),
-            ("calls", pool.calls),
-            ("runs_most", pool.max_runs),
-            ("calls_most", pool.max_calls),
-        ];
-        for (name, value) in counters {
-            line(&format!("{}.{name}", pool.name), value);
-        }
+    for pool in limiter.pool_usage() {
+        add_pool(&mut lines, &pool);
     }
-    if let Some(calls) = pools.call_usage() {
-        line("calls.limit", calls.limit as usize);
-        line("calls.out", calls.in_flight);
+    if let Some(calls) = limiter.call_usage() {
+        lines.add("calls.limit", bounded(calls.limit as usize));
+        lines.add("calls.out", bounded(calls.in_flight));
     }
-    line("calls.limit_changes", pools.change_count() as usize);
-    line("hung", pools.hung());
+    lines.add(
+        "calls.limit_changes",
+        bounded(limiter.change_count() as usize),
+    );
+    lines.add("hung", bounded(limiter.hung()));
     lines.text
 }
+
+fn add_pool(lines: &mut Lines, pool: &PoolUsage) {
+    for (name, value) in [
+        ("held", pool.queued),
+        ("runs", pool.runs),
+        ("calls", pool.calls),
+        ("runs_most", pool.max_runs),
+        ("calls_most", pool.max_calls),
+    ] {
+        lines.add(&format!("{}.{name}", pool.name), bounded(value));
+    }
+}
+
+/// `usize::MAX` stands for no limit.
+fn bounded(value: usize) -> u64 {
+    if value == usize::MAX { 0 } else { value as u64 }
+}
--- /dev/null
+++ b/crates/server/src/core/handler_names.rs
@@ -0,0 +1,64 @@
+//! Names of handlers in the operator file, resolved to indices into the platform's settings.
+//!
+//! [`HandlerResolver`] owns what was not found while one section is planned, so that all of it is reported together.
+
+use madderbay_operator_config::Names;
+
+/// A name in the operator file that is no handler of the platform's settings. It displays as one line with the file,
+/// the line and the key.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{line}")]
+pub struct UnknownHandler {
+    line: String,
+}
+
+/// The unknown handlers of one section, in the order of the file; there is at least one.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{}", self.lines().join("\n"))]
+pub struct UnknownHandlers(Vec<UnknownHandler>);
+
+impl UnknownHandlers {
+    /// One line for each of them.
+    pub fn lines(&self) -> Vec<String> {
+        self.0.iter().map(ToString::to_string).collect()
+    }
+}
+
+/// Resolves the names of one section.
+pub struct HandlerResolver<'a> {
+    known: &'a [String],
+    unknown: Vec<UnknownHandler>,
+}
+
+impl<'a> HandlerResolver<'a> {
+    /// Resolves against the handlers' names in the order of their indices.
+    pub fn new(known: &'a [String]) -> HandlerResolver<'a> {
+        HandlerResolver {
+            known,
+            unknown: vec![],
+        }
+    }
+
+    /// The indices of the handlers; none of them where one is unknown, which [`finish`](Self::finish) then reports.
+    pub fn resolve(&mut self, names: &Names) -> Vec<usize> {
+        match names.among(self.known, "handler") {
+            Ok(handlers) => handlers,
+            Err(line) => {
+                self.unknown.push(UnknownHandler { line });
+                vec![]
+            }
+        }
+    }
+
+    /// Returns the section's plan where all names were known.
+    ///
+    /// # Errors
+    /// All unknown names.
+    pub fn finish<T>(self, plan: T) -> Result<T, UnknownHandlers> {
+        if self.unknown.is_empty() {
+            Ok(plan)
+        } else {
+            Err(UnknownHandlers(self.unknown))
+        }
+    }
+}
--- a/crates/server/src/core/mod.rs
+++ b/crates/server/src/core/mod.rs
@@ -5,6 +5,7 @@
 pub mod dispatch;
 pub mod durability;
 pub mod event_loop;
+pub mod handler_names;
 pub mod in_flight;
 pub mod quota_gate;
 pub mod request_observer;
--- a/crates/server/src/fleet/gossip.rs
+++ b/crates/server/src/fleet/gossip.rs
@@ -145,7 +145,7 @@
             .map_or(vec![], FleetQuotas::take_events);
         changes.extend(shared.iter().map(|c| format!("shared: {c}")));
         drop(together);
-        self.backends.iter().for_each(|b| b.tell());
+        self.backends.iter().for_each(|b| b.log_events());
         let (since, lines) = self.lines.get();
         let fresh = since.elapsed() >= LINES_IN;
         let room = LINES - if fresh { 0 } else { lines };
--- a/crates/server/src/fleet/mod.rs
+++ b/crates/server/src/fleet/mod.rs
@@ -7,3 +7,4 @@
 pub mod gossip;
 pub mod quota_leases;
 pub mod quota_plan;
+pub mod routing_plan;
--- a/crates/server/src/fleet/quota_plan.rs
+++ b/crates/server/src/fleet/quota_plan.rs
@@ -1,5 +1,9 @@
-//! What the operator file says of budgets and counts, over the settings' handlers and tenants.
+//! Quotas and counters of the fleet, planned from the operator file over the platform's handlers and tenants.
+//!
+//! It owns no state. It is given the file's section and the configuration, and reads the clock once, for the
+//! incarnation's number.
 
+use crate::core::handler_names::{HandlerResolver, UnknownHandlers};
 use crate::core::quota_gate::QuotaGroup;
 use crate::fleet::quota_leases::CounterNames;
 use crate::support::clock::unix_micros;
@@ -7,84 +11,88 @@
 use madderbay::time::Duration;
 use madderbay_operator_config::shared as operator;
 use madderbay_quota::{BudgetSettings, CounterSettings, LeaseTerms};
+use madderbay_settings::Settings;
 use std::hash::{BuildHasher, RandomState};
 
-/// Ceilings are handed over now and then, and a start takes its time: so long before a lease ends no call is
-/// started on it any more.
-const GUARD: Duration = Duration::from_millis(50);
+/// No call is started on a lease that ends within this time. Ceilings are handed over now and then, and a start
+/// takes its time.
+const LEASE_GUARD: Duration = Duration::from_millis(50);
 
-/// All that follows from it: for the machine, for the core, and for telling what was counted.
+/// What follows from the section.
 pub struct QuotaPlan {
+    /// For the state machine of quotas and counters.
     pub settings: madderbay_quota::Settings,
+    /// For the core: one group for each budget, in the same order.
     pub groups: Vec<QuotaGroup>,
+    /// The names of what is counted.
     pub counted: CounterNames,
 }
 
-/// A number that no other life has: the system's chance at the start, and when that was.
-fn life() -> u64 {
-    RandomState::new().hash_one((unix_micros(), std::process::id()))
+/// Plans the section.
+///
+/// # Errors
+/// Where a budget names an unknown handler.
+pub fn plan(section: &operator::Shared, config: &Config) -> Result<QuotaPlan, UnknownHandlers> {
+    let settings = &config.settings;
+    let mut handlers = HandlerResolver::new(&settings.handler_names);
+    let groups = section.budgets.iter().map(|budget| QuotaGroup {
+        handlers: handlers.resolve(&budget.handlers),
+        longest: Duration::from_millis(budget.longest_ms),
+    });
+    let groups = groups.collect();
+    let plan = QuotaPlan {
+        settings: madderbay_quota::Settings {
+            name: config.name.as_str().into(),
+            incarnation: random_incarnation(),
+            budgets: budgets(section, settings),
+            counters: counters(section),
+        },
+        groups,
+        counted: counter_names(section, settings),
+    };
+    handlers.finish(plan)
 }
 
-/// Names become numbers; each that is no handler is told in a line.
-pub fn of(set: &operator::Shared, config: &Config) -> Result<QuotaPlan, Vec<String>> {
-    let s = &config.settings;
-    let (mut wrong, mut groups, mut budgets) = (vec![], vec![], vec![]);
-    for b in &set.budgets {
-        let handlers = b
-            .handlers
-            .among(&s.handler_names, "handler")
-            .unwrap_or_else(|what| {
-                wrong.push(what);
-                vec![]
-            });
-        let longest = Duration::from_millis(b.longest_ms);
-        groups.push(QuotaGroup { handlers, longest });
-        budgets.push(BudgetSettings {
-            name: b.name.as_str().into(),
-            capacity: b.calls,
-            max_servers: b.servers,
-            slot: set.seat,
-            weight: set.weight,
-            // What is given up on goes on below for a while.
-            terms: LeaseTerms {
-                lease: Duration::from_millis(b.lease_ms),
-                max_call: longest + s.below.abandoned_call_lifetime,
-                guard: GUARD,
-            },
-        });
-    }
-    let counts = set.counts.iter().map(|c| CounterSettings {
-        name: c.name.as_str().into(),
-        window: Duration::from_millis(c.window_s * 1_000),
-        max_per_second: c.most,
-    });
-    let by_tenant = set
-        .counts
-        .iter()
-        .map(|c| c.by == operator::By::Tenant)
-        .collect();
-    let per_second = s.tenants.iter().map(|t| t.requests_per_second).collect();
-    let counted = CounterNames::new(
-        &s.handler_names,
-        &s.tenant_names,
-        per_second,
-        s.place.servers,
-        by_tenant,
-    );
-    let name = config.name.as_str().into();
-    let settings = madderbay_quota::Settings {
-        name,
-        incarnation: life(),
-        budgets,
-        counters: counts.collect(),
+fn budgets(section: &operator::Shared, settings: &Settings) -> Vec<BudgetSettings> {
+    let abandoned_call_lifetime = settings.below.abandoned_call_lifetime;
+    let plan = |budget: &operator::Budget| BudgetSettings {
+        name: budget.name.as_str().into(),
+        capacity: budget.calls,
+        max_servers: budget.servers,
+        slot: section.seat,
+        weight: section.weight,
+        terms: LeaseTerms {
+            lease: Duration::from_millis(budget.lease_ms),
+            // A call that is given up may go on upstream.
+            max_call: Duration::from_millis(budget.longest_ms) + abandoned_call_lifetime,
+            guard: LEASE_GUARD,
+        },
+    };
+    section.budgets.iter().map(plan).collect()
+}
+
+fn counters(section: &operator::Shared) -> Vec<CounterSettings> {
+    let plan = |count: &operator::Count| CounterSettings {
+        name: count.name.as_str().into(),
+        window: Duration::from_millis(count.window_s * 1_000),
+        max_per_second: count.most,
     };
-    if wrong.is_empty() {
-        Ok(QuotaPlan {
-            settings,
-            groups,
-            counted,
-        })
-    } else {
-        Err(wrong)
-    }
+    section.counts.iter().map(plan).collect()
+}
+
+fn counter_names(section: &operator::Shared, settings: &Settings) -> CounterNames {
+    let is_by_tenant = |count: &operator::Count| count.by == operator::By::Tenant;
+    let tenants = settings.tenants.iter();
+    CounterNames::new(
+        &settings.handler_names,
+        &settings.tenant_names,
+        tenants.map(|tenant| tenant.requests_per_second).collect(),
+        settings.place.servers,
+        section.counts.iter().map(is_by_tenant).collect(),
+    )
+}
+
+/// A number that no other incarnation has: it is drawn from the system's randomness, the time and the process.
+fn random_incarnation() -> u64 {
+    RandomState::new().hash_one((unix_micros(), std::process::id()))
 }
--- /dev/null
+++ b/crates/server/src/fleet/routing_plan.rs
@@ -0,0 +1,75 @@
+//! Upstream backends, planned from the operator file over the platform's handlers. It owns no state.
+
+use crate::core::handler_names::{HandlerResolver, UnknownHandlers};
+use madderbay_concurrency::UpstreamGroup;
+use madderbay_operator_config::routes as operator;
+use madderbay_settings::Settings as PlatformSettings;
+use madderbay_upstream::{BackendSettings, Settings};
+
+/// Keeps a division by the total weight defined where all weights are 0.
+const MIN_TOTAL_WEIGHT: f64 = 1e-9;
+
+/// What follows from the section.
+#[derive(Clone)]
+pub struct RoutingPlan {
+    /// Settings of selection, ejection, retries and hedging.
+    pub settings: Settings,
+    /// The backends in the order of the file.
+    pub backends: Vec<BackendSettings>,
+}
+
+/// Plans the section.
+///
+/// # Errors
+/// Where a backend names an unknown handler.
+pub fn plan(
+    section: &operator::Routes,
+    platform: &PlatformSettings,
+) -> Result<RoutingPlan, UnknownHandlers> {
+    let mut handlers = HandlerResolver::new(&platform.handler_names);
+    let backends = section.backends.iter().map(|backend| BackendSettings {
+        name: backend.name.as_str().into(),
+        address: backend.address,
+        zone: backend.zone.as_str().into(),
+        weight: backend.weight,
+        handlers: sorted(handlers.resolve(&backend.handlers)),
+    });
+    let plan = RoutingPlan {
+        backends: backends.collect(),
+        settings: Settings {
+            zone: section.zone.as_str().into(),
+            max_ejected_fraction: section.out_most,
+            min_local_fraction: section.near_least,
+            retry_ratio: section.repeats,
+            hedging: section.hedges,
+            gossip: section.shares,
+        },
+    };
+    handlers.finish(plan)
+}
+
+fn sorted(mut handlers: Vec<usize>) -> Vec<usize> {
+    handlers.sort_unstable();
+    handlers
+}
+
+impl RoutingPlan {
+    /// The groups of handlers with the same backends, each with its fraction of all backends' weight.
+    pub fn groups(&self) -> Vec<UpstreamGroup> {
+        let mut groups: Vec<UpstreamGroup> = vec![];
+        for backend in &self.backends {
+            match groups.iter_mut().find(|g| g.handlers == backend.handlers) {
+                Some(group) => group.quota_fraction += backend.weight,
+                None => groups.push(UpstreamGroup {
+                    handlers: backend.handlers.clone(),
+                    quota_fraction: backend.weight,
+                }),
+            }
+        }
+        let total_weight: f64 = groups.iter().map(|g| g.quota_fraction).sum();
+        for group in &mut groups {
+            group.quota_fraction /= total_weight.max(MIN_TOTAL_WEIGHT);
+        }
+        groups
+    }
+}
--- a/crates/server/src/operator_plan.rs
+++ b/crates/server/src/operator_plan.rs
@@ -5,8 +5,9 @@
 use madderbay_concurrency::ConcurrencyConfig;
 use madderbay_operator_config::Operator;
 use madderbay_server::core::concurrency_limits;
-use madderbay_server::fleet::backends::{self, RoutingPlan};
+use madderbay_server::core::handler_names::UnknownHandlers;
 use madderbay_server::fleet::quota_plan::{self, QuotaPlan};
+use madderbay_server::fleet::routing_plan::{self, RoutingPlan};
 use madderbay_server::support::config::Config;
 use std::path::Path;
 
@@ -19,9 +20,13 @@
         file: String,
         source: std::io::Error,
     },
-    /// The file is wrong: everything found, one line each with file, line and key.
+    /// The file's form is wrong: everything found, as `madderbay-operator-config` reports it, one line each with file,
+    /// line and key.
     #[error("{}", lines.join("\n"))]
-    Invalid { lines: Vec<String> },
+    Malformed { lines: Vec<String> },
+    /// Sections name handlers that the platform's settings don't have.
+    #[error("{}", handler_lines(.0).join("\n"))]
+    UnknownHandlers(Vec<UnknownHandlers>),
 }
 
 impl OperatorError {
@@ -29,11 +34,16 @@
     pub(crate) fn lines(&self) -> Vec<String> {
         match self {
             OperatorError::Unreadable { .. } => vec![self.to_string()],
-            OperatorError::Invalid { lines } => lines.clone(),
+            OperatorError::Malformed { lines } => lines.clone(),
+            OperatorError::UnknownHandlers(sections) => handler_lines(sections),
         }
     }
 }
 
+fn handler_lines(sections: &[UnknownHandlers]) -> Vec<String> {
+    sections.iter().flat_map(UnknownHandlers::lines).collect()
+}
+
 /// Reads the operator file; without one, everything is off.
 pub(crate) fn read(file: Option<&Path>) -> Result<Operator, OperatorError> {
     let Some(path) = file else {
@@ -44,7 +54,8 @@
         Ok(text) => text,
         Err(source) => return Err(OperatorError::Unreadable { file, source }),
     };
-    madderbay_operator_config::read(&file, &text).map_err(|lines| OperatorError::Invalid { lines })
+    madderbay_operator_config::read(&file, &text)
+        .map_err(|lines| OperatorError::Malformed { lines })
 }
 
 /// The parts of the operator file that depend on the platform's settings; what is off is `None`.
@@ -61,32 +72,39 @@
     /// Plans all parts; what is wrong in any of them is reported together.
     pub(crate) fn new(operator: &Operator, config: &Config) -> Result<OperatorPlan, OperatorError> {
         let settings = &config.settings;
-        let routing = operator.routes.as_ref().map(|r| backends::of(r, settings));
-        let concurrency = operator
-            .pools
+        let (pools, shared, routes) = (&operator.pools, &operator.shared, &operator.routes);
+        let concurrency = pools
             .as_ref()
             .map(|p| concurrency_limits::plan(p, settings));
-        let sharing = operator.shared.as_ref().map(|s| quota_plan::of(s, config));
+        let sharing = shared.as_ref().map(|s| quota_plan::plan(s, config));
+        let routing = routes.as_ref().map(|r| routing_plan::plan(r, settings));
         match (
             concurrency.transpose(),
             sharing.transpose(),
             routing.transpose(),
         ) {
-            (Ok(mut concurrency), Ok(sharing), Ok(routing)) => {
-                if let (Some(concurrency), Some(routing)) = (&mut concurrency, &routing) {
-                    concurrency.upstream_groups = routing.groups();
-                }
-                Ok(OperatorPlan {
-                    concurrency,
-                    sharing,
-                    routing,
-                })
-            }
+            (Ok(concurrency), Ok(sharing), Ok(routing)) => Ok(OperatorPlan {
+                concurrency: with_upstream_groups(concurrency, routing.as_ref()),
+                sharing,
+                routing,
+            }),
             (concurrency, sharing, routing) => {
-                let wrong = [concurrency.err(), sharing.err(), routing.err()];
-                let lines = wrong.into_iter().flatten().flatten().collect();
-                Err(OperatorError::Invalid { lines })
+                let unknown = [concurrency.err(), sharing.err(), routing.err()];
+                let sections = unknown.into_iter().flatten().collect();
+                Err(OperatorError::UnknownHandlers(sections))
             }
         }
     }
 }
+
+/// With both, the concurrency limits know which handlers share backends.
+fn with_upstream_groups(
+    concurrency: Option<ConcurrencyConfig>,
+    routing: Option<&RoutingPlan>,
+) -> Option<ConcurrencyConfig> {
+    let mut concurrency = concurrency?;
+    if let Some(routing) = routing {
+        concurrency.upstream_groups = routing.groups();
+    }
+    Some(concurrency)
+}
