Server: the quota gate and the fleet's quota source by small records with private fields

Cause: the gate kept parallel vectors by handler and a tuple of three for each request; the source's fields, names and counter keys were tuples under words of our own.

Change: `quota_gate/demand` counts one budget's demand; requests, abandoned calls and tenant rates are structs. `QuotaSource` has the field's words.

--- a/crates/server/src/core/quota_gate.rs
+++ b/crates/server/src/core/quota_gate.rs
@@ -1,7 +1,14 @@
-//! Budgets of the fleet as the core meets them: which reqs have calls in hand under which budget, which will
-//! want one, and the ceilings that come of it. What may be used is asked of the [`QuotaSource`].
+//! Quotas of the fleet as the core meets them: which requests stand under which budget, the demand for calls that
+//! they add up to, and the ceilings for the decisions.
+//!
+//! [`QuotaGate`] owns the requests by stage and the calls that were abandoned and may go on upstream. It is given
+//! every change of a request as a [`RequestObserver`]. What this server may use, it asks of a [`QuotaSource`]; it
+//! never knows of leases or of other servers.
+
+mod demand;
 
 use crate::core::request_observer::RequestObserver;
+use demand::Demand;
 use madderbay::interface::{Ceiling, Upstream};
 use madderbay::time::{Duration, Timestamp};
 use madderbay_concurrency::limit::Completion;
@@ -9,271 +16,299 @@
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 
-/// Weight of the newest call in the mean time of one.
-const CALL_ALPHA: f64 = 0.1;
-/// Calls left out for want of room are wanted for about so long.
-const SKIPS_FADE: Duration = Duration::from_millis(500);
-/// Runs beyond the calls there are, where all must call: those that are on their way to a call.
-const RUNS_MORE: usize = 2;
-/// A turn is never told longer than this: what is short now may be had by then.
-const TURN_MOST: Duration = Duration::from_millis(5_000);
-/// Between two looks at the parts of tenants' allowances.
-const ALLOWANCES: Duration = Duration::from_millis(1_000);
+/// Runs above the usable calls, where all runs call: those that are on their way to a call.
+const EXTRA_RUNS: usize = 2;
+/// Upper bound on an advertised Retry-After, because capacity may be granted sooner.
+const MAX_START_INTERVAL: Duration = Duration::from_millis(5_000);
+/// How often the rates of tenants are taken from the source.
+const TENANT_RATES_INTERVAL: Duration = Duration::from_millis(1_000);
 
-/// Whoever knows what this server may use of what the fleet shares. Times are its own.
+/// Knows what this server may use of the fleet's quotas, and takes its demand. It has a clock of its own.
 pub trait QuotaSource {
-    /// Calls that may be in hand now, by budget.
-    fn usable(&self, budget: usize) -> usize;
-    /// One more call, if it may be.
-    fn start(&self, budget: usize) -> bool;
-    fn ended(&self, budget: usize);
-    /// Calls that wait for a place, or surely will.
-    fn waits(&self, budget: usize, calls: usize);
-    /// How long there may be no room yet, where there is none.
-    fn until_room(&self, budget: usize) -> Duration;
-    /// A req of a tenant has been read.
-    fn counted(&self, handler: usize, tenant: usize);
-    /// The reqs a second that this server may take of tenants' allowances, as far as they are counted.
-    fn allowances(&self) -> Vec<(usize, f64)>;
+    /// The calls under a budget that may be in flight now.
+    fn usable_calls(&self, budget: usize) -> usize;
+    /// Starts one more call under a budget; returns whether it may be made.
+    fn try_start_call(&self, budget: usize) -> bool;
+    /// A call under a budget has ended.
+    fn call_ended(&self, budget: usize);
+    /// The calls under a budget that wait for capacity or will need it.
+    fn set_waiting_calls(&self, budget: usize, calls: usize);
+    /// How long a budget that has no capacity may be without it.
+    fn time_until_capacity(&self, budget: usize) -> Duration;
+    /// A request of a tenant has been read.
+    fn count_request(&self, handler: usize, tenant: usize);
+    /// The rates that this server may take of its tenants' allowances, of those that are counted.
+    fn tenant_rates(&self) -> Vec<TenantRate>;
+}
+
+/// Requests a second that this server may take of one tenant.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TenantRate {
+    /// The tenant's index in the settings.
+    pub tenant: usize,
+    /// Requests a second.
+    pub per_second: f64,
 }
 
-/// One budget as it is set here.
+/// One budget, as it applies to this server's handlers.
 #[derive(Clone, Debug)]
 pub struct QuotaGroup {
+    /// The handlers whose calls are under it.
     pub handlers: Vec<usize>,
-    /// No call under it is waited for any longer.
+    /// The longest that a call under it is waited for.
     pub longest: Duration,
 }
 
-#[derive(Default)]
-struct Load {
-    held: usize,
-    running: usize,
-    at_call: usize,
-    calling: usize,
-    /// Calls left out of late, fading.
-    skips: f64,
-    skipped: Timestamp,
-    call: f64,
-    told: usize,
+/// How one handler stands to the budgets.
+#[derive(Clone, Copy)]
+struct HandlerQuota {
+    /// The budget that its calls are under, if any.
+    budget: Option<usize>,
+    /// Whether each of its runs makes a call.
+    always_calls: bool,
+}
+
+/// A request whose handler is under a budget.
+#[derive(Clone, Copy)]
+struct TrackedRequest {
+    budget: usize,
+    always_calls: bool,
+    stage: RequestStage,
+    /// When it came to this stage.
+    since: Timestamp,
 }
 
+/// A call that nobody waits for and that may still be running upstream.
+struct AbandonedCall {
+    ends_at: Timestamp,
+    budget: usize,
+}
+
+/// Keeps the calls of requests within the quotas of the fleet.
 pub struct QuotaGate {
-    to: Rc<dyn QuotaSource>,
+    source: Rc<dyn QuotaSource>,
     groups: Vec<QuotaGroup>,
-    /// By handler: its budget, and whether its runs must call.
-    of: Vec<Option<usize>>,
-    must: Vec<bool>,
-    loads: Vec<Load>,
-    reqs: HashMap<u64, (usize, RequestStage, Timestamp)>,
-    /// Calls given up on may go on below for that long.
-    linger: Duration,
-    lingering: VecDeque<(Timestamp, usize)>,
+    handlers: Vec<HandlerQuota>,
+    demands: Vec<Demand>,
+    requests: HashMap<u64, TrackedRequest>,
+    /// How long an abandoned call may go on upstream.
+    abandoned_call_lifetime: Duration,
+    /// In the order of their ends.
+    abandoned_calls: VecDeque<AbandonedCall>,
+    /// The usable calls of each budget, as of the last update.
     usable: Vec<usize>,
-    looked: Timestamp,
-    /// The share of calls that are under no budget: what the settings give this server, if there are any.
-    rest: f64,
+    rates_taken_at: Timestamp,
+    /// The quota of calls that are under no budget: what the settings give this server, if there are such calls.
+    other_quota: f64,
 }
 
 impl QuotaGate {
+    /// Creates a gate without requests. `profiles` has one entry for each handler.
     pub fn new(
-        to: Rc<dyn QuotaSource>,
+        source: Rc<dyn QuotaSource>,
         groups: Vec<QuotaGroup>,
-        kinds: &[HandlerProfile],
-        below: &Upstream,
+        profiles: &[HandlerProfile],
+        upstream: &Upstream,
     ) -> QuotaGate {
-        let of: Vec<Option<usize>> = (0..kinds.len())
-            .map(|h| groups.iter().position(|g| g.handlers.contains(&h)))
-            .collect();
-        let covers = kinds
-            .iter()
-            .zip(&of)
-            .all(|(k, of)| k.calls == CallRequirement::Never || of.is_some());
-        let rest = if covers { 0.0 } else { below.quota };
+        let quota = |(handler, profile): (usize, &HandlerProfile)| HandlerQuota {
+            budget: groups.iter().position(|g| g.handlers.contains(&handler)),
+            always_calls: profile.calls == CallRequirement::Required,
+        };
+        let handlers: Vec<_> = profiles.iter().enumerate().map(quota).collect();
+        let all_calls_covered = profiles.iter().zip(&handlers).all(|(profile, handler)| {
+            profile.calls == CallRequirement::Never || handler.budget.is_some()
+        });
         QuotaGate {
-            to,
-            of,
-            must: kinds
-                .iter()
-                .map(|k| k.calls == CallRequirement::Required)
-                .collect(),
-            loads: groups.iter().map(|_| Load::default()).collect(),
+            source,
+            handlers,
+            demands: groups.iter().map(|_| Demand::default()).collect(),
             usable: vec![usize::MAX; groups.len()],
             groups,
-            reqs: HashMap::new(),
-            linger: below.abandoned_call_lifetime,
-            lingering: VecDeque::new(),
-            looked: Timestamp::default(),
-            rest,
+            requests: HashMap::new(),
+            abandoned_call_lifetime: upstream.abandoned_call_lifetime,
+            abandoned_calls: VecDeque::new(),
+            rates_taken_at: Timestamp::default(),
+            other_quota: if all_calls_covered {
+                0.0
+            } else {
+                upstream.quota
+            },
         }
     }
 
-    /// The longest that a call of a handler may be waited for.
+    /// The longest that a call of a handler may be waited for, at most `patience`.
     pub fn patience(&self, handler: usize, patience: Duration) -> Duration {
-        self.of[handler].map_or(patience, |b| patience.min(self.groups[b].longest))
+        let budget = self.handlers[handler].budget;
+        budget.map_or(patience, |b| patience.min(self.groups[b].longest))
     }
 
-    /// One more call of a req, if its budget has room; whoever is told no makes none.
+    /// Starts one more call of a handler, where its budget has capacity. The call must not be made on `false`.
     pub fn may_call(&mut self, handler: usize) -> bool {
-        self.of[handler].is_none_or(|b| self.to.start(b))
+        let budget = self.handlers[handler].budget;
+        budget.is_none_or(|b| self.source.try_start_call(b))
     }
 
+    /// A request of a tenant has been read.
     pub fn counted(&self, handler: usize, tenant: usize) {
-        self.to.counted(handler, tenant);
+        self.source.count_request(handler, tenant);
     }
 
-    /// Time passes: what lingered is over, what waits is told. Whether the ceilings are other ones now.
+    /// Ends abandoned calls whose time is over, reports changed demand to the source and takes the usable calls from
+    /// it. Returns whether they changed, and with them the ceilings.
     pub fn look(&mut self, now: Timestamp) -> bool {
-        while let Some((_, budget)) = self.lingering.pop_front_if(|l| l.0 <= now) {
-            self.to.ended(budget);
-        }
-        let mut changed = false;
-        for (b, load) in self.loads.iter_mut().enumerate() {
-            load.skips *= (-(now - load.skipped).as_secs_f64() / SKIPS_FADE.as_secs_f64()).exp();
-            load.skipped = now;
-            let left_out = load.skips / SKIPS_FADE.as_secs_f64() * load.call;
-            let waits = load.held + load.running + load.at_call + left_out.round() as usize;
-            if load.told != waits {
-                load.told = waits;
-                self.to.waits(b, waits);
+        self.end_abandoned_calls(now);
+        let mut has_changed = false;
+        for (budget, demand) in self.demands.iter_mut().enumerate() {
+            if let Some(waiting_calls) = demand.update(now) {
+                self.source.set_waiting_calls(budget, waiting_calls);
             }
-            let usable = self.to.usable(b);
-            changed |= std::mem::replace(&mut self.usable[b], usable) != usable;
+            let usable = self.source.usable_calls(budget);
+            has_changed |= std::mem::replace(&mut self.usable[budget], usable) != usable;
         }
-        changed
+        has_changed
     }
 
-    /// What this server may have in hand below altogether.
+    fn end_abandoned_calls(&mut self, now: Timestamp) {
+        while let Some(call) = self.abandoned_calls.pop_front_if(|c| c.ends_at <= now) {
+            self.source.call_ended(call.budget);
+        }
+    }
+
+    /// All calls that this server may have in flight.
     pub fn share(&self) -> f64 {
-        self.usable.iter().sum::<usize>() as f64 + self.rest
+        self.usable.iter().sum::<usize>() as f64 + self.other_quota
     }
 
+    /// One ceiling for each budget.
     pub fn ceilings(&self) -> impl Iterator<Item = Ceiling> {
-        self.groups.iter().enumerate().map(|(b, group)| {
-            let (usable, load) = (self.usable[b], &self.loads[b]);
-            let must = group.handlers.iter().all(|h| self.must[*h]);
-            let runs = if must {
-                usable.saturating_add(RUNS_MORE)
-            } else {
-                usize::MAX
-            };
-            let short = load.held > 0 && load.running + load.at_call + load.calling >= runs;
-            let turn = match usable {
-                0 => self.to.until_room(b),
-                _ if short => Duration::from_secs_f64(load.call / usable as f64),
-                _ => Duration::ZERO,
-            };
-            Ceiling {
-                handlers: group.handlers.clone(),
-                runs,
-                calls: usable,
-                start_interval: turn.min(TURN_MOST),
-            }
-        })
+        (0..self.groups.len()).map(|budget| self.ceiling(budget))
+    }
+
+    fn ceiling(&self, budget: usize) -> Ceiling {
+        let handlers = &self.groups[budget].handlers;
+        let (usable, demand) = (self.usable[budget], &self.demands[budget]);
+        let all_runs_call = handlers.iter().all(|h| self.handlers[*h].always_calls);
+        let runs = if all_runs_call {
+            usable.saturating_add(EXTRA_RUNS)
+        } else {
+            usize::MAX
+        };
+        let start_interval = if usable == 0 {
+            self.source.time_until_capacity(budget)
+        } else if demand.fills(runs) {
+            Duration::from_secs_f64(demand.mean_call_secs() / usable as f64)
+        } else {
+            Duration::ZERO
+        };
+        Ceiling {
+            handlers: handlers.clone(),
+            runs,
+            calls: usable,
+            start_interval: start_interval.min(MAX_START_INTERVAL),
+        }
     }
 
-    /// Parts of tenants' allowances, now and then.
+    /// The rates of tenants, each by its index, in requests a second; nothing where they were taken a short time ago.
     pub fn allowances(&mut self, now: Timestamp) -> Vec<(usize, f64)> {
-        if now - self.looked < ALLOWANCES && now >= self.looked {
+        let is_fresh = now - self.rates_taken_at < TENANT_RATES_INTERVAL;
+        if is_fresh && now >= self.rates_taken_at {
             return vec![];
         }
-        self.looked = now;
-        self.to.allowances()
+        self.rates_taken_at = now;
+        let rates = self.source.tenant_rates().into_iter();
+        rates.map(|rate| (rate.tenant, rate.per_second)).collect()
     }
 
-    fn shift(&mut self, budget: usize, handler: usize, stage: RequestStage, by: isize) {
-        let must = self.must[handler];
-        let load = &mut self.loads[budget];
-        let slot = match stage {
-            // Runs that may go without a call are no demand before they stand at one.
-            RequestStage::Queued if must => &mut load.held,
-            RequestStage::Running if must => &mut load.running,
-            RequestStage::Queued | RequestStage::Running => return,
-            RequestStage::AwaitingCall => &mut load.at_call,
-            RequestStage::Calling => &mut load.calling,
-        };
-        *slot = slot.saturating_add_signed(by);
+    /// A request is at another stage. A call that it leaves without an end is abandoned.
+    fn track(&mut self, now: Timestamp, id: u64, request: TrackedRequest) {
+        let TrackedRequest {
+            budget,
+            always_calls,
+            ..
+        } = request;
+        if let Some(former) = self.requests.insert(id, request) {
+            self.demands[budget].leave(former.stage, always_calls);
+            if former.stage == RequestStage::Calling {
+                self.end_call(now, budget, true);
+            }
+        }
+        self.demands[budget].enter(request.stage, always_calls);
     }
 
-    /// A call is no longer waited for; whether it may go on below.
-    fn call_ends(&mut self, now: Timestamp, budget: usize, lingers: bool) {
-        if lingers && self.linger > Duration::ZERO {
-            self.lingering.push_back((now + self.linger, budget));
+    /// The end of a call is reported to the source: now, or, where it may go on upstream, when that is over.
+    fn end_call(&mut self, now: Timestamp, budget: usize, may_go_on: bool) {
+        if may_go_on && self.abandoned_call_lifetime > Duration::ZERO {
+            self.abandoned_calls.push_back(AbandonedCall {
+                ends_at: now + self.abandoned_call_lifetime,
+                budget,
+            });
         } else {
-            self.to.ended(budget);
+            self.source.call_ended(budget);
         }
     }
 }
 
 impl RequestObserver for QuotaGate {
     fn set_stage(&mut self, now: Timestamp, id: u64, handler: usize, stage: RequestStage) {
-        let Some(budget) = self.of.get(handler).copied().flatten() else {
+        let Some(HandlerQuota {
+            budget: Some(budget),
+            always_calls,
+        }) = self.handlers.get(handler).copied()
+        else {
             return;
         };
-        if let Some((_, before, _)) = self.reqs.insert(id, (handler, stage, now)) {
-            self.shift(budget, handler, before, -1);
-            if before == RequestStage::Calling {
-                self.call_ends(now, budget, true);
-            }
-        }
-        self.shift(budget, handler, stage, 1);
+        let request = TrackedRequest {
+            budget,
+            always_calls,
+            stage,
+            since: now,
+        };
+        self.track(now, id, request);
     }
 
     fn call_finished(&mut self, now: Timestamp, id: u64, end: Completion) {
-        let Some((handler, stage, since)) = self
-            .reqs
-            .get_mut(&id)
-            .filter(|r| r.1 == RequestStage::Calling)
-        else {
+        let is_calling = |r: &&mut TrackedRequest| r.stage == RequestStage::Calling;
+        let Some(request) = self.requests.get_mut(&id).filter(is_calling) else {
             return;
         };
-        let (handler, took) = (*handler, (now - *since).as_secs_f64());
-        *stage = if end == Completion::Success {
+        request.stage = if end == Completion::Success {
             RequestStage::Running
         } else {
             RequestStage::AwaitingCall
         };
-        let (stage, Some(budget)) = (*stage, self.of[handler]) else {
-            return;
-        };
-        self.shift(budget, handler, RequestStage::Calling, -1);
-        self.shift(budget, handler, stage, 1);
-        let load = &mut self.loads[budget];
+        let request = *request;
+        let demand = &mut self.demands[request.budget];
+        demand.leave(RequestStage::Calling, request.always_calls);
+        demand.enter(request.stage, request.always_calls);
         if end == Completion::Success {
-            load.call += if load.call == 0.0 {
-                took
-            } else {
-                CALL_ALPHA * (took - load.call)
-            };
+            demand.record_call((now - request.since).as_secs_f64());
         }
-        self.call_ends(
-            now,
-            budget,
-            matches!(end, Completion::TimedOut | Completion::Cancelled),
-        );
+        let may_go_on = matches!(end, Completion::TimedOut | Completion::Cancelled);
+        self.end_call(now, request.budget, may_go_on);
     }
 
     fn call_skipped(&mut self, now: Timestamp, id: u64) {
-        let Some((handler, ..)) = self.reqs.get(&id).copied() else {
+        let Some(request) = self.requests.get(&id).copied() else {
             return;
         };
-        if let Some(budget) = self.of[handler] {
-            self.loads[budget].skips += 1.0;
-        }
-        self.set_stage(now, id, handler, RequestStage::Running);
+        self.demands[request.budget].record_skip();
+        let running = TrackedRequest {
+            stage: RequestStage::Running,
+            since: now,
+            ..request
+        };
+        self.track(now, id, running);
     }
 
     fn request_answered(&mut self, now: Timestamp, id: u64) {
-        // It wants no call any more.
+        // It makes no further call.
         self.request_finished(now, id);
     }
 
     fn request_finished(&mut self, now: Timestamp, id: u64) {
         self.call_finished(now, id, Completion::Cancelled);
-        if let Some((handler, stage, _)) = self.reqs.remove(&id)
-            && let Some(budget) = self.of[handler]
-        {
-            self.shift(budget, handler, stage, -1);
+        if let Some(request) = self.requests.remove(&id) {
+            self.demands[request.budget].leave(request.stage, request.always_calls);
         }
     }
 }
--- a/crates/server/src/fleet/control_socket.rs
+++ b/crates/server/src/fleet/control_socket.rs
@@ -286,12 +286,12 @@
     }
     for (index, counter) in quotas.counters().iter().enumerate() {
         let heaviest = counter.heaviest_keys(MAX_REPORTED_KEYS);
-        let keys = fleet.lender.counted.keys(index);
-        for (_, key, hash, fair_rate) in keys.filter(|k| heaviest.contains(&k.2)) {
-            let estimate = counter.estimate(now, hash, fair_rate);
+        let keys = fleet.lender.counter_names().keys(index);
+        for key in keys.filter(|k| heaviest.contains(&k.hash)) {
+            let estimate = counter.estimate(now, key.hash, key.fair_rate);
             records.push(SharedRecord::Count(CountRecord {
                 name: counter.settings().name.to_string(),
-                key: key.to_string(),
+                key: key.name.to_string(),
                 estimate: estimate.value,
                 max_error: estimate.bound(),
                 stale_servers: estimate.stale_servers,
--- /dev/null
+++ b/crates/server/src/fleet/counter_names.rs
@@ -0,0 +1,124 @@
+//! The names of what the fleet's counters count. A counter goes by handlers or by tenants; on the wire, a key is the
+//! hash of its name.
+
+use madderbay_quota::name_hash;
+
+/// The names of handlers and tenants, and which counters go by which.
+#[derive(Clone, Debug, Default)]
+pub struct CounterNames {
+    handlers: Vec<KeyName>,
+    tenants: Vec<KeyName>,
+    /// The allowance of each tenant over the fleet, in requests a second.
+    tenant_allowances: Vec<f64>,
+    /// Servers of the fleet.
+    servers: u32,
+    /// For each counter, whether its keys are tenants.
+    by_tenant: Vec<bool>,
+}
+
+#[derive(Clone, Debug)]
+struct KeyName {
+    name: String,
+    hash: u32,
+}
+
+/// One key of a counter.
+#[derive(Clone, Copy, Debug)]
+pub struct CounterKey<'a> {
+    /// The handler's or tenant's index in the settings.
+    pub index: usize,
+    /// Its name.
+    pub name: &'a str,
+    /// The hash of its name.
+    pub hash: u32,
+    /// What one server counts of it in the long run, in requests a second: its fair part of the allowance.
+    pub fair_rate: f64,
+}
+
+impl CounterNames {
+    /// Creates the names of a fleet of `servers` servers. `tenant_allowances`, in requests a second over the fleet, go
+    /// with `tenants`; `by_tenant` has an entry for each counter.
+    pub fn new(
+        handlers: &[String],
+        tenants: &[String],
+        tenant_allowances: Vec<f64>,
+        servers: u32,
+        by_tenant: Vec<bool>,
+    ) -> CounterNames {
+        CounterNames {
+            handlers: handlers.iter().map(|n| KeyName::new(n)).collect(),
+            tenants: tenants.iter().map(|n| KeyName::new(n)).collect(),
+            tenant_allowances,
+            servers,
+            by_tenant,
+        }
+    }
+
+    /// All keys of a counter, in the order of their indices.
+    pub fn keys(&self, counter: usize) -> impl Iterator<Item = CounterKey<'_>> {
+        let by_tenant = self.by_tenant[counter];
+        let names = if by_tenant {
+            &self.tenants
+        } else {
+            &self.handlers
+        };
+        names
+            .iter()
+            .enumerate()
+            .map(move |(index, key)| CounterKey {
+                index,
+                name: &key.name,
+                hash: key.hash,
+                fair_rate: if by_tenant {
+                    self.fair_rate(index)
+                } else {
+                    0.0
+                },
+            })
+    }
+
+    /// For each counter, the hash of the key under which it counts a request.
+    pub(super) fn hashes_of_request(
+        &self,
+        handler: usize,
+        tenant: usize,
+    ) -> impl Iterator<Item = Option<u32>> {
+        self.by_tenant.iter().map(move |by_tenant| {
+            let key = if *by_tenant {
+                self.tenants.get(tenant)
+            } else {
+                self.handlers.get(handler)
+            };
+            key.map(|key| key.hash)
+        })
+    }
+
+    /// The first counter whose keys are tenants.
+    pub(super) fn tenant_counter(&self) -> Option<usize> {
+        self.by_tenant.iter().position(|by_tenant| *by_tenant)
+    }
+
+    /// The allowance of a tenant over the fleet, in requests a second.
+    pub(super) fn tenant_allowance(&self, tenant: usize) -> f64 {
+        self.tenant_allowances[tenant]
+    }
+
+    /// Servers of the fleet.
+    pub(super) fn servers(&self) -> u32 {
+        self.servers
+    }
+
+    fn fair_rate(&self, tenant: usize) -> f64 {
+        let allowance = self.tenant_allowances.get(tenant).copied();
+        allowance.unwrap_or(0.0) / f64::from(self.servers.max(1))
+    }
+}
+
+impl KeyName {
+    fn new(name: &str) -> KeyName {
+        KeyName {
+            name: name.into(),
+            hash: name_hash(name),
+        }
+    }
+}
--- a/crates/server/src/fleet/mod.rs
+++ b/crates/server/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 pub mod control_client;
 mod control_protocol;
 pub mod control_socket;
+mod counter_names;
 pub mod gossip;
 pub mod quota_leases;
 pub mod quota_plan;
--- a/crates/server/src/fleet/quota_leases.rs
+++ b/crates/server/src/fleet/quota_leases.rs
@@ -1,175 +1,140 @@
-//! What the core asks of what the fleet shares: budgets, counts and allowances. On any clock, so that a simulation
-//! has the very same.
+//! The fleet's quotas and counters as the core's [`QuotaSource`].
+//!
+//! [`FleetQuotaSource`] shares the fleet's state machines with their driver and borrows them for one call at a time.
+//! It does no I/O and takes any clock, so that a simulation runs the same code.
 
-use crate::core::quota_gate::QuotaSource;
+use crate::core::quota_gate::{QuotaSource, TenantRate};
 use crate::support::clock::MonotonicClock;
 use madderbay::time::Duration;
 use madderbay_quota::FleetQuotas;
 use madderbay_upstream::FleetStack;
-use std::cell::RefCell;
+use std::cell::{Ref, RefCell, RefMut};
 use std::rc::Rc;
 
+pub use super::counter_names::{CounterKey, CounterNames};
+
+/// Upper bound on the tenants whose rates are reported at a time: those with the most requests.
+const MAX_RATED_TENANTS: usize = 256;
+
+/// Answers the core from the fleet's quotas. Where the fleet shares none, nothing is usable.
 pub struct FleetQuotaSource {
+    /// The fleet's state machines.
     pub together: Rc<RefCell<FleetStack>>,
-    /// How what is counted is named, and which of the counts go by tenants.
+    /// The names of what is counted.
     pub counted: CounterNames,
+    /// The clock that the state machines are given.
     pub ticks: MonotonicClock,
-    /// Called where something is to be said sooner than the driver was told.
+    /// Called where something has to be sent before the driver's next timer.
     pub hurry: Box<dyn Fn()>,
 }
 
 impl FleetQuotaSource {
-    fn hurries(&self, shared: &FleetQuotas) {
-        if shared.is_urgent() {
-            (self.hurry)();
+    /// Creates a source over the fleet's state machines. `notify_urgent` is called where something has to be sent
+    /// before the driver's next timer; it must not borrow `stack`.
+    pub fn new(
+        stack: Rc<RefCell<FleetStack>>,
+        counter_names: CounterNames,
+        clock: MonotonicClock,
+        notify_urgent: Box<dyn Fn()>,
+    ) -> FleetQuotaSource {
+        FleetQuotaSource {
+            together: stack,
+            counted: counter_names,
+            ticks: clock,
+            hurry: notify_urgent,
         }
     }
-}
 
-/// What the counts go by: the names of handlers and tenants, with the allowance of each tenant over the fleet.
-#[derive(Clone, Debug, Default)]
-pub struct CounterNames {
-    pub handlers: Vec<String>,
-    pub tenants: Vec<String>,
-    pub per_second: Vec<f64>,
-    /// Servers there are, for a fair part of an allowance.
-    pub servers: u32,
-    pub by_tenant: Vec<bool>,
-    handler_marks: Vec<u32>,
-    tenant_marks: Vec<u32>,
-}
+    /// The names of what is counted.
+    pub fn counter_names(&self) -> &CounterNames {
+        &self.counted
+    }
 
-impl CounterNames {
-    pub fn new(
-        handlers: &[String],
-        tenants: &[String],
-        per_second: Vec<f64>,
-        servers: u32,
-        by_tenant: Vec<bool>,
-    ) -> CounterNames {
-        let marks = |names: &[String]| {
-            names
-                .iter()
-                .map(|n| madderbay_quota::name_hash(n))
-                .collect()
-        };
-        CounterNames {
-            handler_marks: marks(handlers),
-            tenant_marks: marks(tenants),
-            handlers: handlers.to_vec(),
-            tenants: tenants.to_vec(),
-            per_second,
-            servers,
-            by_tenant,
-        }
+    fn quotas(&self) -> Option<Ref<'_, FleetQuotas>> {
+        Ref::filter_map(self.together.borrow(), |stack| stack.shared.as_ref()).ok()
     }
 
-    /// The names that a count is by, with their marks and what a server is taken to count in the long run.
-    pub fn keys(&self, count: usize) -> impl Iterator<Item = (usize, &str, u32, f64)> {
-        let tenants = self.by_tenant[count];
-        let (names, marks) = if tenants {
-            (&self.tenants, &self.tenant_marks)
-        } else {
-            (&self.handlers, &self.handler_marks)
-        };
-        let fair = move |at: usize| {
-            let all = if tenants {
-                self.per_second.get(at).copied().unwrap_or(0.0)
-            } else {
-                0.0
-            };
-            all / f64::from(self.servers.max(1))
-        };
-        names
-            .iter()
-            .zip(marks)
-            .enumerate()
-            .map(move |(at, (n, m))| (at, n.as_str(), *m, fair(at)))
+    fn quotas_mut(&self) -> Option<RefMut<'_, FleetQuotas>> {
+        RefMut::filter_map(self.together.borrow_mut(), |stack| stack.shared.as_mut()).ok()
     }
-}
 
-/// Tenants whose allowances are looked at a second, those that came most.
-const TENANTS_MOST: usize = 256;
+    fn notify_if_urgent(&self, quotas: &FleetQuotas) {
+        if quotas.is_urgent() {
+            (self.hurry)();
+        }
+    }
+}
 
 impl QuotaSource for FleetQuotaSource {
-    fn usable(&self, budget: usize) -> usize {
-        let together = self.together.borrow();
-        let usable = together
-            .shared
-            .as_ref()
-            .map_or(0, |s| s.budgets()[budget].usable((self.ticks)()));
-        usable as usize
+    fn usable_calls(&self, budget: usize) -> usize {
+        let now = (self.ticks)();
+        let quotas = self.quotas();
+        quotas.map_or(0, |q| q.budgets()[budget].usable(now) as usize)
     }
 
-    fn start(&self, budget: usize) -> bool {
-        let (now, mut together) = ((self.ticks)(), self.together.borrow_mut());
-        let Some(budget) = together
-            .shared
-            .as_mut()
-            .map(|s| &mut s.budgets_mut()[budget])
-        else {
+    fn try_start_call(&self, budget: usize) -> bool {
+        let now = (self.ticks)();
+        let Some(mut quotas) = self.quotas_mut() else {
             return false;
         };
-        let may = budget.may_start(now);
-        if may {
+        let budget = &mut quotas.budgets_mut()[budget];
+        let may_start = budget.may_start(now);
+        if may_start {
             budget.call_started(now);
         }
-        may
+        may_start
     }
 
-    fn ended(&self, budget: usize) {
+    fn call_ended(&self, budget: usize) {
         let now = (self.ticks)();
-        if let Some(shared) = &mut self.together.borrow_mut().shared {
-            shared.budgets_mut()[budget].call_ended(now);
-            self.hurries(shared);
+        if let Some(mut quotas) = self.quotas_mut() {
+            quotas.budgets_mut()[budget].call_ended(now);
+            self.notify_if_urgent(&quotas);
         }
     }
 
-    fn waits(&self, budget: usize, calls: usize) {
+    fn set_waiting_calls(&self, budget: usize, calls: usize) {
         let now = (self.ticks)();
-        if let Some(shared) = &mut self.together.borrow_mut().shared {
-            shared.budgets_mut()[budget].set_waiting(now, calls.min(u32::MAX as usize) as u32);
-            self.hurries(shared);
+        let calls = u32::try_from(calls).unwrap_or(u32::MAX);
+        if let Some(mut quotas) = self.quotas_mut() {
+            quotas.budgets_mut()[budget].set_waiting(now, calls);
+            self.notify_if_urgent(&quotas);
         }
     }
 
-    fn until_room(&self, budget: usize) -> Duration {
-        let together = self.together.borrow();
-        together.shared.as_ref().map_or(Duration::ZERO, |s| {
-            s.budgets()[budget].until_capacity((self.ticks)())
-        })
+    fn time_until_capacity(&self, budget: usize) -> Duration {
+        let now = (self.ticks)();
+        let quotas = self.quotas();
+        quotas.map_or(Duration::ZERO, |q| q.budgets()[budget].until_capacity(now))
     }
 
-    fn counted(&self, handler: usize, tenant: usize) {
-        let (now, c) = ((self.ticks)(), &self.counted);
-        let Some(shared) = &mut self.together.borrow_mut().shared else {
+    fn count_request(&self, handler: usize, tenant: usize) {
+        let now = (self.ticks)();
+        let Some(mut quotas) = self.quotas_mut() else {
             return;
         };
-        for (count, by_tenant) in shared.counters_mut().iter_mut().zip(&c.by_tenant) {
-            let mark = if *by_tenant {
-                c.tenant_marks.get(tenant)
-            } else {
-                c.handler_marks.get(handler)
-            };
-            mark.into_iter().for_each(|m| count.add(now, *m, 1));
+        let hashes = self.counted.hashes_of_request(handler, tenant);
+        for (counter, hash) in quotas.counters_mut().iter_mut().zip(hashes) {
+            if let Some(hash) = hash {
+                counter.add(now, hash, 1);
+            }
         }
     }
 
-    fn allowances(&self) -> Vec<(usize, f64)> {
-        let (now, c) = ((self.ticks)(), &self.counted);
-        let together = self.together.borrow();
-        let Some(shared) = &together.shared else {
+    fn tenant_rates(&self) -> Vec<TenantRate> {
+        let (now, names) = ((self.ticks)(), &self.counted);
+        let (Some(quotas), Some(counter)) = (self.quotas(), names.tenant_counter()) else {
             return vec![];
         };
-        let Some(count) = c.by_tenant.iter().position(|t| *t) else {
-            return vec![];
+        let active = quotas.counters()[counter].heaviest_keys(MAX_RATED_TENANTS);
+        let keys = names.keys(counter).filter(|k| active.contains(&k.hash));
+        let rate = |key: CounterKey<'_>| {
+            let allowance = names.tenant_allowance(key.index);
+            TenantRate {
+                tenant: key.index,
+                per_second: quotas.allowance(now, counter, key.hash, allowance, names.servers()),
+            }
         };
-        let active = shared.counters()[count].heaviest_keys(TENANTS_MOST);
-        let part =
-            |at: usize, mark: u32| shared.allowance(now, count, mark, c.per_second[at], c.servers);
-        c.keys(count)
-            .filter(|k| active.contains(&k.2))
-            .map(|k| (k.0, part(k.0, k.2)))
-            .collect()
+        keys.map(rate).collect()
     }
 }
