Server: gossip's driver apart from its counters, its event log and its datagram limit

Cause: one file held the settings, the state, the driver, the counters' lines and the bounded log lines of the fleet, with public fields.

Change: `gossip` is the state and the driver; `gossip/counters`, `gossip/event_log` and `gossip/datagram_limit` are apart, settings are in `membership_settings`. A fleet is created from a `FleetConfig`; its fields are private. The order of counters and of log lines is the same.

--- a/crates/server/src/fleet/control_socket.rs
+++ b/crates/server/src/fleet/control_socket.rs
@@ -203,7 +203,7 @@
 }
 
 fn members_answer(fleet: &Fleet) -> String {
-    let view = fleet.together.borrow().members.view();
+    let view = fleet.stack().borrow().members.view();
     let head = MembershipHead {
         name: view.name.to_string(),
         coverage: view.connectivity.level.to_string(),
@@ -256,7 +256,7 @@
 
 /// Nothing where the fleet shares no quotas.
 fn quotas_answer(fleet: &Fleet) -> Option<String> {
-    let stack = fleet.together.borrow();
+    let stack = fleet.stack().borrow();
     let name = stack.members.local_identity().name.to_string();
     let mut text = format!("{}\n", serde_json::json!({ "name": name }));
     for record in shared_records(fleet)? {
@@ -266,7 +266,7 @@
 }
 
 fn shared_records(fleet: &Fleet) -> Option<Vec<SharedRecord>> {
-    let (now, stack) = (fleet.now(), fleet.together.borrow());
+    let (now, stack) = (fleet.now(), fleet.stack().borrow());
     let quotas = stack.shared.as_ref()?;
     let in_ms = |duration: madderbay::time::Duration| duration.as_micros() / 1_000;
     let mut records = vec![];
@@ -286,7 +286,7 @@
     }
     for (index, counter) in quotas.counters().iter().enumerate() {
         let heaviest = counter.heaviest_keys(MAX_REPORTED_KEYS);
-        let keys = fleet.lender.counter_names().keys(index);
+        let keys = fleet.quota_source().counter_names().keys(index);
         for key in keys.filter(|k| heaviest.contains(&k.hash)) {
             let estimate = counter.estimate(now, key.hash, key.fair_rate);
             records.push(SharedRecord::Count(CountRecord {
--- a/crates/server/src/fleet/gossip.rs
+++ b/crates/server/src/fleet/gossip.rs
@@ -1,284 +1,214 @@
-//! Drives the view of the fleet, and what rests on it, over one UDP socket, beside the reqs: bounded work a
-//! turn, nothing waited for.
+//! The gossip driver: carries the datagrams of the fleet's state machines over one UDP socket, beside the requests.
+//!
+//! [`Fleet`] owns the state machines together with the core's [`FleetQuotaSource`], and what the driver counts and
+//! logs. [`run`] owns the socket's turns: each takes a bounded number of datagrams. State machines are borrowed for
+//! one step at a time, never across an await.
+
+mod counters;
+mod datagram_limit;
+mod event_log;
 
 use super::backends::Backends;
 use super::quota_leases::{CounterNames, FleetQuotaSource};
 use crate::support::clock::MonotonicClock;
-use crate::support::metrics::Lines;
-use madderbay::time::{Duration, Timestamp};
-use madderbay_membership::{AllowedNetworks, Membership, Settings};
-use madderbay_operator_config::members as operator;
-use madderbay_quota::FleetQuotas;
+use datagram_limit::DatagramLimit;
+use event_log::EventLog;
+use madderbay::time::Timestamp;
+use madderbay_membership::Membership;
+use madderbay_quota::{BudgetSettings, FleetQuotas};
 use madderbay_upstream::FleetStack;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::{Duration as StdDuration, Instant};
+use std::time::Duration as StdDuration;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
-/// Datagrams taken at a time, before reqs have their turn.
-const TURN: usize = 32;
-/// Datagrams a second that are looked at, and at once: a fleet of a thousand that settles again sends a tenth
-/// of it to each. What comes beyond is taken from the socket and dropped.
-const HEARD_A_SECOND: f64 = 5_000.0;
-const HEARD_AT_ONCE: f64 = 1_000.0;
-/// Lines about changes in ten seconds; what is more is counted.
-const LINES: usize = 200;
-const LINES_IN: StdDuration = StdDuration::from_secs(10);
-/// Longer than any datagram that is heard, so that a longer one shows.
-const BUFFER: usize = madderbay_membership::MAX_DATAGRAM_BYTES + 1;
+/// Datagrams taken at a time, before other tasks have their turn.
+const MAX_DATAGRAMS_PER_TURN: usize = 32;
+/// One byte more than any valid datagram, so that a longer one is seen to be longer.
+const RECEIVE_BUFFER_BYTES: usize = madderbay_membership::MAX_DATAGRAM_BYTES + 1;
+
+/// What a fleet's state machines are created from.
+pub struct FleetConfig {
+    /// Seed of all random draws.
+    pub seed: u64,
+    /// Distinguishes the incarnations of this server; a later one has a greater number.
+    pub incarnation: u64,
+    /// Settings of the membership.
+    pub membership: madderbay_membership::Settings,
+    /// Settings of the quotas and counters, where they are on.
+    pub quotas: Option<madderbay_quota::Settings>,
+    /// The names of what is counted.
+    pub counter_names: CounterNames,
+    /// The backends, where they are on; the driver drives them too.
+    pub backends: Option<Rc<Backends>>,
+}
 
-/// The view, and what its driver counts.
+/// This server's view of its fleet, and what rests on it.
 pub struct Fleet {
-    pub together: Rc<RefCell<FleetStack>>,
-    /// What the core asks of what is shared.
-    pub lender: Rc<FleetQuotaSource>,
-    /// The backends below, where there are any, which this drives too.
+    stack: Rc<RefCell<FleetStack>>,
+    quota_source: Rc<FleetQuotaSource>,
     backends: Option<Rc<Backends>>,
-    ticks: MonotonicClock,
-    /// Dropped because too many came, or could not be sent at once.
-    over: Cell<u64>,
-    unsent: Cell<u64>,
-    lines: Cell<(Instant, usize)>,
-    untold: Cell<usize>,
-    /// Something has to be sent.
-    changed: Rc<Notify>,
-}
-
-pub fn settings(set: &operator::Members, name: &str) -> Settings {
-    Settings {
-        name: name.into(),
-        advertise: set.advertise,
-        zone: set.zone.as_str().into(),
-        fleet: set.fleet.clone(),
-        join: set.join.clone(),
-        allowed_networks: AllowedNetworks::new(set.networks.iter().copied()),
-        max_members: set.most,
-        probe_interval: Duration::from_millis(set.probe_ms),
-        probe_timeout: Duration::from_millis(set.probe_ms).mul_f64(ANSWER_PART),
-        suspicion_timeout: Duration::from_millis(set.suspicion_ms),
-        down_retention: Duration::from_millis(set.memory_s * 1_000),
-        local_health_aware: true,
-    }
+    clock: MonotonicClock,
+    event_log: RefCell<EventLog>,
+    /// Received datagrams that were dropped over the limit.
+    dropped_datagrams: Cell<u64>,
+    /// Datagrams that the system did not take at once.
+    unsent_datagrams: Cell<u64>,
+    /// Notified where something has to be sent before the next timer.
+    send_pending: Rc<Notify>,
 }
 
-/// The part of the time between two tries after which others are asked to try: they need the rest.
-const ANSWER_PART: f64 = 0.4;
-
 impl Fleet {
-    pub fn new(
-        ticks: MonotonicClock,
-        seed: u64,
-        unix_ms: u64,
-        set: Settings,
-        shared: Option<madderbay_quota::Settings>,
-        counted: CounterNames,
-        backends: Option<Rc<Backends>>,
-    ) -> Fleet {
-        let members = Membership::new(Timestamp::default(), unix_ms, seed, set);
-        let shared = shared.map(|set| FleetQuotas::new(Timestamp::default(), seed, set));
-        let mut together = FleetStack::new(members, shared);
-        together.routes = backends.as_ref().map(|b| b.routes.clone());
-        let (together, changed) = (Rc::new(RefCell::new(together)), Rc::new(Notify::new()));
-        let hurry = changed.clone();
-        let hurry = Box::new(move || hurry.notify_one());
-        let lender = FleetQuotaSource {
-            together: together.clone(),
-            counted,
-            ticks: ticks.clone(),
-            hurry,
-        };
+    /// Creates the state machines. `clock` starts at 0 and never steps.
+    pub fn new(config: FleetConfig, clock: MonotonicClock) -> Fleet {
+        let (start, seed, backends) = (Timestamp::default(), config.seed, config.backends);
+        let membership = Membership::new(start, config.incarnation, seed, config.membership);
+        let quotas = config.quotas.map(|q| FleetQuotas::new(start, seed, q));
+        let mut stack = FleetStack::new(membership, quotas);
+        stack.routes = backends.as_ref().map(|b| b.routes.clone());
+        let stack = Rc::new(RefCell::new(stack));
+        let send_pending = Rc::new(Notify::new());
+        let notify = send_pending.clone();
+        let quota_source = FleetQuotaSource::new(
+            stack.clone(),
+            config.counter_names,
+            clock.clone(),
+            Box::new(move || notify.notify_one()),
+        );
         Fleet {
-            together,
-            lender: Rc::new(lender),
+            stack,
+            quota_source: Rc::new(quota_source),
             backends,
-            ticks,
-            over: Cell::new(0),
-            unsent: Cell::new(0),
-            lines: Cell::new((Instant::now(), 0)),
-            untold: Cell::new(0),
-            changed,
+            clock,
+            event_log: RefCell::new(EventLog::new()),
+            dropped_datagrams: Cell::new(0),
+            unsent_datagrams: Cell::new(0),
+            send_pending,
         }
     }
 
-    /// Its own clock, which never steps.
+    /// The time on the clock that the state machines are given.
     pub fn now(&self) -> Timestamp {
-        (self.ticks)()
+        (self.clock)()
+    }
+
+    /// What the core asks for its quotas.
+    pub fn quota_source(&self) -> &Rc<FleetQuotaSource> {
+        &self.quota_source
     }
 
-    /// The operator has set sizes and weights anew.
-    pub fn reload(&self, budgets: &[madderbay_quota::BudgetSettings]) {
+    /// The state machines.
+    pub(super) fn stack(&self) -> &RefCell<FleetStack> {
+        &self.stack
+    }
+
+    /// Takes over the sizes and weights of a reloaded operator file.
+    pub fn reload(&self, budgets: &[BudgetSettings]) {
         let now = self.now();
-        if let Some(shared) = &mut self.together.borrow_mut().shared {
-            shared.reload(now, budgets);
+        if let Some(quotas) = &mut self.stack.borrow_mut().shared {
+            quotas.reload(now, budgets);
         }
-        self.changed.notify_one();
+        self.send_pending.notify_one();
     }
 
+    /// Notifies the fleet that this server drains.
     pub fn drain(&self) {
-        self.together.borrow_mut().members.drain(self.now());
-        self.changed.notify_one();
+        self.stack.borrow_mut().members.drain(self.now());
+        self.send_pending.notify_one();
     }
 
-    /// Says that it goes; the last datagrams leave at once.
+    /// Notifies the fleet that this server leaves; the last datagrams are sent at once.
     pub fn leave(&self, socket: &UdpSocket) {
-        self.together.borrow_mut().members.leave(self.now());
+        self.stack.borrow_mut().members.leave(self.now());
         self.carry_out(socket);
     }
 
+    /// Sends what the state machines have to send, and logs their events.
     fn carry_out(&self, socket: &UdpSocket) {
-        let mut together = self.together.borrow_mut();
-        for (to, bytes) in together.take_datagrams() {
-            if socket.try_send_to(&bytes, to).is_err() {
-                self.unsent.set(self.unsent.get() + 1);
-            }
+        self.send_datagrams(socket);
+        let lines = self.take_event_lines();
+        if let Some(backends) = &self.backends {
+            backends.log_events();
         }
-        let mut changes: Vec<String> = together
-            .members
-            .take_events()
-            .iter()
-            .map(|c| format!("members: {c}"))
-            .collect();
-        let shared = together
-            .shared
-            .as_mut()
-            .map_or(vec![], FleetQuotas::take_events);
-        changes.extend(shared.iter().map(|c| format!("shared: {c}")));
-        drop(together);
-        self.backends.iter().for_each(|b| b.log_events());
-        let (since, lines) = self.lines.get();
-        let fresh = since.elapsed() >= LINES_IN;
-        let room = LINES - if fresh { 0 } else { lines };
-        if fresh && self.untold.get() > 0 {
-            log::info!("members: {} changes more", self.untold.take());
-        }
-        let told = changes.len().min(room);
-        for change in &changes[..told] {
-            crate::support::logging::plain(format!("INFO {change}\n"));
-        }
-        self.untold.set(self.untold.get() + changes.len() - told);
-        self.lines.set(if fresh {
-            (Instant::now(), told)
-        } else {
-            (since, lines + told)
-        });
+        self.event_log.borrow_mut().write(&lines);
     }
 
-    pub fn counters(&self) -> String {
-        let together = self.together.borrow();
-        let members = &together.members;
-        let counts = members.counters();
-        let mut lines = Lines::of("members");
-        let mut line = |name: &str, value: u64| lines.add(name, value);
-        line("active", members.active_count() as u64 + 1);
-        line("heard", counts.received);
-        line("sent", counts.sent);
-        line("bytes_in", counts.bytes_in);
-        line("bytes_out", counts.bytes_out);
-        for (reason, n) in counts.rejected.iter() {
-            line(&format!("strangers.{}", reason.counter_key()), n);
+    fn send_datagrams(&self, socket: &UdpSocket) {
+        for (to, bytes) in self.stack.borrow_mut().take_datagrams() {
+            if socket.try_send_to(&bytes, to).is_err() {
+                increment(&self.unsent_datagrams);
+            }
         }
-        line("over", self.over.get());
-        line("unsent", self.unsent.get());
-        line("suspicions", counts.suspicions);
-        line("refuted", counts.refutations);
-        line("downs", counts.down_declarations);
-        line("renewed", counts.identity_renewals);
-        line("notices", counts.notices);
-        line("rosters", counts.roster_requests);
-        line("held_up", members.pause_count());
-        line("untold", counts.dropped_events + self.untold.get() as u64);
-        lines.text
-            + &together
-                .shared
-                .as_ref()
-                .map_or(String::new(), |s| shared(s, self.now()))
     }
-}
 
-/// What is shared, a line a figure.
-fn shared(s: &FleetQuotas, now: Timestamp) -> String {
-    let mut lines = Lines::of("shared");
-    let mut line = |name: &str, value: u64| lines.add(name, value);
-    for b in s.budget_views(now) {
-        let figures = [
-            ("whole", b.capacity),
-            ("own", b.base_quota),
-            ("lent", b.granted),
-            ("borrowed", b.leased),
-            ("usable", b.usable),
-            ("in_use", b.in_use),
-            ("wants", b.demand),
-        ];
-        figures
+    fn take_event_lines(&self) -> Vec<String> {
+        let mut stack = self.stack.borrow_mut();
+        let membership_events = stack.members.take_events();
+        let quota_events = stack.shared.as_mut().map(FleetQuotas::take_events);
+        let membership_lines = membership_events.iter().map(|e| format!("members: {e}"));
+        let quota_lines = quota_events
             .iter()
-            .for_each(|(what, value)| line(&format!("{}.{what}", b.name), u64::from(*value)));
+            .flatten()
+            .map(|e| format!("shared: {e}"));
+        membership_lines.chain(quota_lines).collect()
     }
-    for c in s.counters() {
-        line(
-            &format!("{}.lives", c.settings().name),
-            c.tracked_incarnations() as u64,
-        );
-        line(&format!("{}.refused", c.settings().name), c.rejected());
+
+    fn handle_datagrams(&self, socket: &UdpSocket, limit: &mut DatagramLimit, buffer: &mut [u8]) {
+        for _ in 0..MAX_DATAGRAMS_PER_TURN {
+            // An error here is a peer's answer to a datagram that was sent: there is nothing to do.
+            let Ok((length, from)) = socket.try_recv_from(buffer) else {
+                return;
+            };
+            if limit.try_take() {
+                let mut stack = self.stack.borrow_mut();
+                stack.handle_datagram(self.now(), from, &buffer[..length]);
+            } else {
+                increment(&self.dropped_datagrams);
+            }
+        }
     }
-    line("surplus", u64::from(s.is_surplus()));
-    line("heard", s.totals().datagrams_received);
-    line("unread", s.totals().datagrams_rejected);
-    line("misdirected", s.totals().misdirected);
-    line("sent", s.totals().datagrams_sent);
-    line("bytes_out", s.totals().bytes_sent);
-    lines.text
-}
 
-/// Datagrams that may still be looked at.
-struct Allowance {
-    left: f64,
-    at: Instant,
-}
+    fn time_to_next_timeout(&self) -> StdDuration {
+        let wait = self.stack.borrow().next_timeout() - self.now();
+        StdDuration::from_micros(wait.as_micros())
+    }
 
-impl Allowance {
-    fn take(&mut self) -> bool {
-        if self.left < 1.0 {
-            let passed = std::mem::replace(&mut self.at, Instant::now());
-            self.left =
-                (self.left + passed.elapsed().as_secs_f64() * HEARD_A_SECOND).min(HEARD_AT_ONCE);
+    /// All counters, one line each.
+    pub fn counters(&self) -> String {
+        let stack = self.stack.borrow();
+        let driver = counters::DriverCounters {
+            dropped_datagrams: self.dropped_datagrams.get(),
+            unsent_datagrams: self.unsent_datagrams.get(),
+            unwritten_events: self.event_log.borrow().unwritten(),
+        };
+        let mut lines = counters::of_membership(&stack.members, &driver);
+        if let Some(quotas) = &stack.shared {
+            lines += &counters::of_quotas(quotas, self.now());
         }
-        self.left -= f64::from(u8::from(self.left >= 1.0));
-        self.left >= 1.0
+        lines
     }
 }
 
-/// Hears and speaks until the process ends.
+fn increment(counter: &Cell<u64>) {
+    counter.set(counter.get() + 1);
+}
+
+/// Receives, drives the timers and sends, until the process ends.
 pub async fn run(socket: Rc<UdpSocket>, fleet: Rc<Fleet>) {
-    let mut allowance = Allowance {
-        left: HEARD_AT_ONCE,
-        at: Instant::now(),
-    };
-    let mut buffer = [0; BUFFER];
+    let mut limit = DatagramLimit::new();
+    let mut buffer = [0; RECEIVE_BUFFER_BYTES];
     loop {
-        let due = fleet.together.borrow().next_timeout() - fleet.now();
+        let wait = fleet.time_to_next_timeout();
         tokio::select! {
             _ = socket.readable() => {}
-            () = tokio::time::sleep(StdDuration::from_micros(due.as_micros())) => {}
-            () = fleet.changed.notified() => {}
-        }
-        for _ in 0..TURN {
-            // An error here is another's, told back for something that was sent: there is nothing to do.
-            let Ok((length, from)) = socket.try_recv_from(&mut buffer) else {
-                break;
-            };
-            if allowance.take() {
-                fleet
-                    .together
-                    .borrow_mut()
-                    .handle_datagram(fleet.now(), from, &buffer[..length]);
-            } else {
-                fleet.over.set(fleet.over.get() + 1);
-            }
+            () = tokio::time::sleep(wait) => {}
+            () = fleet.send_pending.notified() => {}
         }
-        fleet.together.borrow_mut().handle_timeout(fleet.now());
+        fleet.handle_datagrams(&socket, &mut limit, &mut buffer);
+        fleet.stack.borrow_mut().handle_timeout(fleet.now());
         fleet.carry_out(&socket);
-        // Reqs that are ready go first.
+        // Tasks with requests that are ready go first.
         tokio::task::yield_now().await;
     }
 }
--- a/crates/server/src/fleet_endpoint.rs
+++ b/crates/server/src/fleet_endpoint.rs
@@ -7,7 +7,8 @@
 use madderbay_membership::is_valid_name;
 use madderbay_operator_config::members::Members;
 use madderbay_server::fleet::backends::Backends;
-use madderbay_server::fleet::gossip::{self, Fleet};
+use madderbay_server::fleet::gossip::{Fleet, FleetConfig};
+use madderbay_server::fleet::membership_settings::membership_settings;
 use madderbay_server::fleet::quota_leases::CounterNames;
 use madderbay_server::fleet::quota_plan::QuotaPlan;
 use madderbay_server::support::clock::{self, MonotonicClock};
@@ -30,7 +31,8 @@
     pub(crate) sharing: Option<QuotaPlan>,
     /// The backends whose state the fleet exchanges, where `[routes]` is on.
     pub(crate) backends: Option<Rc<Backends>>,
-    pub(crate) ticks: MonotonicClock,
+    /// The clock of the fleet's state machines.
+    pub(crate) clock: MonotonicClock,
     /// Added to the clock that distinguishes incarnations, in milliseconds.
     pub(crate) unix_ahead_ms: i64,
 }
@@ -66,19 +68,19 @@
         let name = config.name.clone();
         return Err(StartError::MemberName { name });
     }
-    let (quotas, counted) = match setup.sharing {
+    let (quotas, counter_names) = match setup.sharing {
         Some(sharing) => (Some(sharing.settings), sharing.counted),
         None => (None, CounterNames::default()),
     };
-    Ok(Fleet::new(
-        setup.ticks,
-        config.seed,
-        incarnation(setup.unix_ahead_ms),
-        gossip::settings(setup.members, &config.name),
+    let fleet_config = FleetConfig {
+        seed: config.seed,
+        incarnation: incarnation(setup.unix_ahead_ms),
+        membership: membership_settings(setup.members, &config.name),
         quotas,
-        counted,
-        setup.backends,
-    ))
+        counter_names,
+        backends: setup.backends,
+    };
+    Ok(Fleet::new(fleet_config, setup.clock))
 }
 
 /// The Unix time of this start, in milliseconds: a later start of the same server has a greater one.
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -61,14 +61,14 @@
             core.borrow_mut()
                 .set_concurrency_limits(clock.now(), concurrency);
         }
-        let ticks = clock::monotonic_since(Instant::now());
-        let backends = build_backends(plan.routing, &config, &ticks, &core);
+        let fleet_clock = clock::monotonic_since(Instant::now());
+        let backends = build_backends(plan.routing, &config, &fleet_clock, &core);
         let fleet_setup = operator.members.as_ref().map(|members| FleetSetup {
             config: &config,
             members,
             sharing: plan.sharing,
             backends: backends.clone(),
-            ticks,
+            clock: fleet_clock,
             unix_ahead_ms: setup.unix_ahead_ms,
         });
         let fleet = join_fleet(fleet_setup, &backends, &core).await?;
@@ -219,10 +219,10 @@
 fn build_backends(
     routing: Option<RoutingPlan>,
     config: &Config,
-    ticks: &MonotonicClock,
+    clock: &MonotonicClock,
     core: &SharedEventLoop,
 ) -> Option<Rc<Backends>> {
-    let backends = Rc::new(Backends::new(config.seed, ticks.clone(), routing?));
+    let backends = Rc::new(Backends::new(config.seed, clock.clone(), routing?));
     core.borrow_mut().set_backend_selector(backends.clone());
     Some(backends)
 }
@@ -241,8 +241,8 @@
     let quota_groups = setup.sharing.as_ref().map(|s| s.groups.clone());
     let endpoint = FleetEndpoint::join(setup).await?;
     if let Some(groups) = quota_groups {
-        let lender = endpoint.fleet().lender.clone();
-        core.borrow_mut().set_quota_source(lender, groups);
+        let source = endpoint.fleet().quota_source().clone();
+        core.borrow_mut().set_quota_source(source, groups);
     }
     Ok(Some(endpoint))
 }
