Server: log lines of start, reload, shutdown, fleet and control socket as `component: event, key=value`

Cause: these lines were sentences, some without the component that wrote them.

Change: the components are server, reload, membership and control-socket; levels and causes are the same. Tests and the test kit look for the new texts of the same lines: the address a server listens on and the one it is heard at are read from `address=`.

--- a/crates/server/src/fleet/control_socket.rs
+++ b/crates/server/src/fleet/control_socket.rs
@@ -134,13 +134,13 @@
                 let sources = sources.clone();
                 spawn_local(async move {
                     if let Err(e) = serve(stream, &sources).await {
-                        log::debug!("control socket: {e}");
+                        log::debug!("control-socket: client failed, error={e}");
                     }
                     drop(permit);
                 });
             }
             Err(e) => {
-                log::warn!("control socket: {e}");
+                log::warn!("control-socket: accept failed, error={e}");
                 tokio::time::sleep(ACCEPT_BACKOFF).await;
             }
         }
--- a/crates/server/src/fleet/gossip/event_log.rs
+++ b/crates/server/src/fleet/gossip/event_log.rs
@@ -45,7 +45,7 @@
 
     fn begin_span(&mut self) {
         if self.unwritten > 0 {
-            log::info!("members: {} changes more", self.unwritten);
+            log::info!("membership: events omitted, count={}", self.unwritten);
         }
         *self = EventLog::new();
     }
--- a/crates/server/src/fleet_endpoint.rs
+++ b/crates/server/src/fleet_endpoint.rs
@@ -47,7 +47,7 @@
         let fleet = Rc::new(build_fleet(setup)?);
         tasks::spawn_gossip(&socket, &fleet);
         let bound: SocketAddr = socket.local_addr().map_err(failed)?;
-        log::info!("members: heard at {bound}, told as {advertised}");
+        log::info!("membership: listening, address={bound}, advertised={advertised}");
         Ok(FleetEndpoint { fleet, socket })
     }
 
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -30,7 +30,9 @@
     logging::start(std::env::var("MADDERBAY_LOG").ok().as_deref());
     // A panic ends one connection or one turn of the decisions. The logger reports it, so that it never waits for
     // standard error.
-    std::panic::set_hook(Box::new(|panic| log::error!("panic: {panic}")));
+    std::panic::set_hook(Box::new(|panic| {
+        log::error!("server: panic, error={panic}")
+    }));
     let result = commands::execute(arguments);
     logging::flush();
     match result {
--- a/crates/server/src/reload.rs
+++ b/crates/server/src/reload.rs
@@ -72,17 +72,18 @@
 fn reload_config(server: &Server) {
     let fresh = match config::load() {
         Ok(fresh) => fresh,
-        Err(error) => return log::warn!("reload: {error}; nothing is changed"),
+        Err(error) => return log::warn!("reload: refused, error={error}"),
     };
     for member in server.config().restart_only_differences(&fresh) {
-        log::warn!("reload: {member} has changed, which only a restart can take");
+        log::warn!("reload: restart required, changed={member}");
     }
     server.reloadable().update(&fresh);
+    let catalogue = fresh.catalogue.map(|address| address.to_string());
     log::info!(
-        "reload: engine {}, registry {}, catalogue {:?}",
+        "reload: applied, engine={}, registry={}, catalogue={}",
         fresh.engine,
         fresh.registry,
-        fresh.catalogue
+        catalogue.as_deref().unwrap_or("none")
     );
 }
 
@@ -96,7 +97,7 @@
             return error
                 .lines()
                 .iter()
-                .for_each(|l| log::warn!("reload: {l}; budgets and backends stay as they are"));
+                .for_each(|l| log::warn!("reload: operator file refused, error={l}"));
         }
     };
     if let (Some(fleet), Some(sharing)) = (server.fleet(), plan.sharing) {
@@ -105,6 +106,6 @@
     match (server.backends(), plan.routing) {
         (Some(backends), Some(routing)) => backends.reload(routing),
         (None, None) => {}
-        _ => log::warn!("reload: [routes] goes on or off at a restart only"),
+        _ => log::warn!("reload: restart required, changed=[routes]"),
     }
 }
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -73,7 +73,7 @@
         });
         let fleet = join_fleet(fleet_setup, &backends, &core).await?;
         let control_socket = open_control_socket(operator.control, fleet.as_ref(), &backends)?;
-        log::info!("{} listens on {address}", config.name);
+        log::info!("server: listening, name={}, address={address}", config.name);
         let reloadable = ReloadableValues::new(&config);
         tasks::spawn_drivers(&config.name, &reloadable, &clock, &core);
         let stop_listening = Rc::new(Notify::new());
--- a/crates/server/src/shutdown.rs
+++ b/crates/server/src/shutdown.rs
@@ -30,7 +30,7 @@
     }
     server.leave_fleet();
     server.log_counters();
-    log::info!("stopped");
+    log::info!("server: stopped");
 }
 
 /// The progress of a drain.
@@ -51,7 +51,7 @@
     fn begin(server: &Server) -> Drain {
         let began = server.clock().now();
         let stop = server.reloadable().stop_timeout();
-        log::info!("draining, {} ms left", stop.as_millis());
+        log::info!("server: draining, remaining_ms={}", stop.as_millis());
         if let Some(fleet) = server.fleet() {
             fleet.drain();
         }
--- a/crates/server/src/startup.rs
+++ b/crates/server/src/startup.rs
@@ -117,7 +117,7 @@
     loop {
         match config::load() {
             Err(error) if error.is_incomplete_file() && start.elapsed() < CONFIG_WAIT => {
-                log::debug!("{error}; waited for");
+                log::debug!("server: waiting for the configuration, error={error}");
                 std::thread::sleep(CONFIG_POLL_INTERVAL);
             }
             result => return result,
--- a/crates/server/src/tasks.rs
+++ b/crates/server/src/tasks.rs
@@ -128,7 +128,7 @@
         tokio::task::yield_now().await;
         let turn = || core.borrow_mut().run_turn(clock.now());
         if catch_unwind(AssertUnwindSafe(turn)).is_err() {
-            log::error!("a turn of the decisions failed");
+            log::error!("server: turn failed");
         }
     }
 }
--- a/crates/testkit/src/fleet/processes.rs
+++ b/crates/testkit/src/fleet/processes.rs
@@ -214,7 +214,7 @@
         let heard = server
             .before
             .iter()
-            .find_map(|l| l.split("members: heard at ").nth(1));
+            .find_map(|l| l.split("membership: listening, address=").nth(1));
         let heard = heard
             .and_then(|l| l.split(',').next()?.parse().ok())
             .expect("where it hears");
