Server: events of membership, quota and upstream stand under the component's word in the log

Cause: the drivers wrote them under `members`, `shared` and `routes`, the words of the operator file.

Change: the prefixes are `membership`, `quota` and `upstream`; what follows is the event's own text, as before.

--- a/crates/server/src/fleet/backends.rs
+++ b/crates/server/src/fleet/backends.rs
@@ -52,7 +52,7 @@
     /// Writes the manager's events to the log.
     pub fn log_events(&self) {
         for event in self.routes.borrow_mut().take_events() {
-            logging::plain(format!("INFO routes: {event}\n"));
+            logging::plain(format!("INFO upstream: {event}\n"));
         }
     }
 
--- a/crates/server/src/fleet/gossip.rs
+++ b/crates/server/src/fleet/gossip.rs
@@ -146,11 +146,8 @@
         let mut stack = self.stack.borrow_mut();
         let membership_events = stack.members.take_events();
         let quota_events = stack.shared.as_mut().map(FleetQuotas::take_events);
-        let membership_lines = membership_events.iter().map(|e| format!("members: {e}"));
-        let quota_lines = quota_events
-            .iter()
-            .flatten()
-            .map(|e| format!("shared: {e}"));
+        let membership_lines = membership_events.iter().map(|e| format!("membership: {e}"));
+        let quota_lines = quota_events.iter().flatten().map(|e| format!("quota: {e}"));
         membership_lines.chain(quota_lines).collect()
     }
 
