Server: the table of durable results is private to its queue

Cause: the core reached into the queue's public table at five places.

Change: the queue has `lookup`, `admit_intent`, `complete_recovered_run`, `expire` and `on_storage_recovered`; the call sites name them.

--- a/crates/server/src/core/durability.rs
+++ b/crates/server/src/core/durability.rs
@@ -13,7 +13,9 @@
 use madderbay_idempotency_store::recovery::Recovery;
 use madderbay_idempotency_store::storage::DirectoryStorage;
 use madderbay_idempotency_store::write_ahead_log::{LogLimits, WriteAheadLog};
-use madderbay_idempotency_store::{Batch, DurableResults, IntentError, SequenceNumber, StoreError};
+use madderbay_idempotency_store::{
+    Batch, DurableResults, IntentError, Lookup, SequenceNumber, StoreError,
+};
 use madderbay_operator_config::kept::KeptResults;
 use std::collections::VecDeque;
 use std::sync::mpsc::{Sender, channel};
@@ -48,8 +50,7 @@
 
 /// The durable results of this server, the batches on their way to the disk and the work that waits for them.
 pub struct DurabilityQueue {
-    /// The table of durable results.
-    pub book: DurableResults,
+    results: DurableResults,
     batches: Sender<Batch>,
     /// In the order of sequence numbers.
     waiting: VecDeque<Waiting>,
@@ -120,13 +121,37 @@
     /// Creates a queue without pending work. Batches are written by the receiver of `batches`.
     pub fn new(results: DurableResults, batches: Sender<Batch>) -> DurabilityQueue {
         DurabilityQueue {
-            book: results,
+            results,
             batches,
             waiting: VecDeque::new(),
             commits: 0,
         }
     }
 
+    /// Looks up what earlier incarnations recorded for a request.
+    pub fn lookup(&mut self, key: u128, request_hash: u64) -> Lookup {
+        self.results.lookup(key, request_hash)
+    }
+
+    /// Checks whether one more intent may be recorded, and counts a rejection.
+    ///
+    /// # Errors
+    /// Where no intent can be recorded now.
+    pub fn admit_intent(&mut self) -> Result<(), IntentError> {
+        self.results.admit_intent()
+    }
+
+    /// Takes the result of a run that an earlier incarnation started. Returns whether there is such a run without a
+    /// result so far.
+    pub fn complete_recovered_run(&mut self, attempt_id: &Name, result: Option<&[u8]>) -> bool {
+        self.results.complete_recovered_run(attempt_id, result)
+    }
+
+    /// Forgets what earlier incarnations recorded and what has expired.
+    pub fn expire(&mut self, now: Timestamp) {
+        self.results.expire(now);
+    }
+
     /// Records the intent to run a request; its command waits until the intent is durable. `window` is the hash of
     /// the request and the end of the time in which its key may be repeated.
     ///
@@ -139,10 +164,10 @@
         window: (u64, Timestamp),
         attempt_id: Name,
     ) -> Result<(), IntentError> {
-        self.book.admit_intent()?;
+        self.admit_intent()?;
         let (request_hash, expires_at) = window;
         let sequence = self
-            .book
+            .results
             .record_intent(key, request_hash, attempt_id, expires_at);
         self.push(sequence, PendingWork::Run { request });
         Ok(())
@@ -152,7 +177,7 @@
     /// `None`.
     pub fn settle(&mut self, request: u64, key: u128, result: Option<&str>, expires_at: Timestamp) {
         let sequence = self
-            .book
+            .results
             .record_result(key, result.map(str::as_bytes), expires_at);
         let result = result.map(Into::into);
         self.push(sequence, PendingWork::Response { request, result });
@@ -160,7 +185,7 @@
 
     /// Records that the run of an intent was never sent or never started; nothing waits for that.
     pub fn never(&mut self, key: u128, expires_at: Timestamp) {
-        let sequence = self.book.record_not_run(key, expires_at);
+        let sequence = self.results.record_not_run(key, expires_at);
         self.push(sequence, PendingWork::Nothing);
     }
 
@@ -170,7 +195,7 @@
 
     /// Hands all records that are not yet on their way to the writer's thread.
     pub fn flush(&mut self) {
-        if let Some(batch) = self.book.take_batch() {
+        if let Some(batch) = self.results.take_batch() {
             let _ = self.batches.send(batch);
         }
     }
@@ -179,16 +204,22 @@
     /// for them.
     pub fn on_committed(&mut self, sequence: SequenceNumber, disk_bytes: u64) -> Vec<PendingWork> {
         self.commits += 1;
-        self.book.on_committed(sequence, disk_bytes);
+        self.results.on_committed(sequence, disk_bytes);
         self.take_work(sequence)
     }
 
     /// The records up to `sequence` can't be made durable. Returns the work that waited for them.
     pub fn on_commit_failed(&mut self, sequence: SequenceNumber) -> Vec<PendingWork> {
-        self.book.on_commit_failed(sequence);
+        self.results.on_commit_failed(sequence);
         self.take_work(sequence)
     }
 
+    /// After a failure, the store can be written again, and has `disk_bytes` now.
+    pub fn on_storage_recovered(&mut self, disk_bytes: u64) {
+        self.results.on_storage_recovered(disk_bytes);
+    }
+
+    /// The work that waits for records up to a sequence number, in order.
     fn take_work(&mut self, up_to: SequenceNumber) -> Vec<PendingWork> {
         let count = self.waiting.partition_point(|w| w.sequence <= up_to);
         self.waiting.drain(..count).map(|w| w.work).collect()
@@ -197,7 +228,7 @@
     /// The counters, one line each.
     pub fn counters(&self) -> String {
         let mut lines = Lines::of("kept");
-        let (usage, counters) = (self.book.usage(), self.book.counters());
+        let (usage, counters) = (self.results.usage(), self.results.counters());
         for (name, value) in [
             ("known", usage.recovered_runs as u64),
             ("disk_bytes", usage.disk_bytes),
--- a/crates/server/src/core/event_loop.rs
+++ b/crates/server/src/core/event_loop.rs
@@ -225,7 +225,7 @@
                 Deadline::Settle(id) => self.in_flight.answer_run(id, None),
                 Deadline::Tidy => {
                     if let Some(keep) = &mut self.in_flight.durability {
-                        keep.book.expire(now);
+                        keep.expire(now);
                     }
                     self.in_flight.calls.tidy(now);
                     self.in_flight.idempotency.expire(now);
--- a/crates/server/src/core/stored_results.rs
+++ b/crates/server/src/core/stored_results.rs
@@ -37,9 +37,9 @@
         let retry_after = KEEP_AWAY.min(self.settings.callers.max_retry_after);
         let report = in_flight.load_report;
         let (connections, counters) = (&mut in_flight.connections, &mut in_flight.counters);
-        match durability.book.lookup(key, request_hash) {
+        match durability.lookup(key, request_hash) {
             Lookup::Mismatch => return Err(FingerprintMismatch),
-            Lookup::NotFound if durability.book.admit_intent().is_ok() => return Ok(false),
+            Lookup::NotFound if durability.admit_intent().is_ok() => return Ok(false),
             Lookup::NotFound => {
                 connections.answer(now, connection, |out| {
                     response::shed(out, rpc_id, retry_after, false, report)
@@ -73,7 +73,7 @@
         match event {
             StorageEvent::Recovered { disk_bytes } => {
                 log::info!("idempotency-store: write recovered");
-                durability.book.on_storage_recovered(disk_bytes);
+                durability.on_storage_recovered(disk_bytes);
                 return;
             }
             StorageEvent::Written {
--- a/crates/server/src/core/upstream_events.rs
+++ b/crates/server/src/core/upstream_events.rs
@@ -193,7 +193,7 @@
                 Outcome::Completed | Outcome::Failed | Outcome::Cancelled
             );
             let keep = self.in_flight.durability.as_mut().filter(|_| ran);
-            if keep.is_some_and(|k| k.book.complete_recovered_run(name, result)) {
+            if keep.is_some_and(|k| k.complete_recovered_run(name, result)) {
                 self.in_flight.changed.notify_one();
             } else {
                 self.in_flight.counters.strays += 1;
