Server: answers of the control socket are formed by one function, one record a function

Cause: three answers each repeated the loop over records and the end line.

Change: `compose` writes head, records and end; members, backends, quotas and counts have a function for their record. The lines are the same.

--- a/crates/server/src/fleet/control_socket.rs
+++ b/crates/server/src/fleet/control_socket.rs
@@ -9,7 +9,14 @@
     Query, QuotaRecord, SharedRecord, Subject,
 };
 use super::gossip::Fleet;
+use super::quota_leases::{CounterKey, CounterNames};
+use madderbay::time::{Duration, Timestamp};
+use madderbay_membership::MemberView;
+use madderbay_quota::BudgetView;
+use madderbay_quota::counter::ReplicatedCounter;
+use madderbay_upstream::BackendStatus;
 use serde::Serialize;
+use serde_json::json;
 use std::io::ErrorKind;
 use std::os::unix::fs::{FileTypeExt, PermissionsExt};
 use std::path::{Path, PathBuf};
@@ -190,113 +197,134 @@
     found.unwrap_or_else(|| error_answer(&format!("no {section} in the operator file")))
 }
 
+/// An answer without records, whose head says why the query is rejected.
 fn error_answer(reason: &str) -> String {
     let reason = reason.to_string();
+    compose(&ErrorLine { reason }, std::iter::empty::<ErrorLine>())
+}
+
+/// An answer of a head, records and the end line.
+fn compose(head: &impl Serialize, records: impl IntoIterator<Item = impl Serialize>) -> String {
     let mut text = String::new();
-    push_line(&mut text, &ErrorLine { reason });
+    push_line(&mut text, head);
+    for record in records {
+        push_line(&mut text, &record);
+    }
     text + END + "\n"
 }
 
+/// Adds one line of JSON.
 fn push_line(text: &mut String, record: &impl Serialize) {
     *text += &serde_json::to_string(record).unwrap_or_default();
     text.push('\n');
 }
 
+/// The view of the membership.
 fn members_answer(fleet: &Fleet) -> String {
     let view = fleet.stack().borrow().members.view();
+    let connectivity = &view.connectivity;
     let head = MembershipHead {
         name: view.name.to_string(),
-        coverage: view.connectivity.level.to_string(),
+        coverage: connectivity.level.to_string(),
         since_ms: view.since_ms,
-        active: view.connectivity.evidence.active,
-        missing: view.connectivity.evidence.missing,
+        active: connectivity.evidence.active,
+        missing: connectivity.evidence.missing,
         last_received_ms: view.last_received_ms,
         digest: format!("{:016x}", view.digest),
     };
-    let mut text = String::new();
-    push_line(&mut text, &head);
-    for member in view.members {
-        let record = MemberRecord {
-            name: member.name.to_string(),
-            state: member.state.to_string(),
-            zone: member.zone.to_string(),
-            address: member.address.to_string(),
-            incarnation: member.incarnation,
-            revision: member.revision,
-            last_received_ms: member.last_received_ms,
-            health_score: member.health_score,
-        };
-        push_line(&mut text, &record);
+    compose(&head, view.members.iter().map(member_record))
+}
+
+fn member_record(member: &MemberView) -> MemberRecord {
+    MemberRecord {
+        name: member.name.to_string(),
+        state: member.state.to_string(),
+        zone: member.zone.to_string(),
+        address: member.address.to_string(),
+        incarnation: member.incarnation,
+        revision: member.revision,
+        last_received_ms: member.last_received_ms,
+        health_score: member.health_score,
     }
-    text + END + "\n"
 }
 
+/// The backends, with what outlier detection knows of them.
 fn backends_answer(backends: &Backends) -> String {
-    let mut text = String::from("{\"backends\":true}\n");
-    let to_hundredths = |n: f64| (n * 100.0).round() / 100.0;
-    for status in backends.routes.borrow().backend_statuses(backends.now()) {
-        let latency = status.typical_latency;
-        let record = BackendRecord {
-            name: status.name.to_string(),
-            state: status.state.to_string(),
-            weight: to_hundredths(status.weight),
-            observed: status.observed.round() as u64,
-            failures: status.failures.round() as u64,
-            witnesses: status.witnesses,
-            gossip_failures: to_hundredths(status.gossip_failures),
-            zone: status.zone.to_string(),
-            address: status.address.to_string(),
-            in_flight: status.in_flight,
-            typical_latency_ms: latency.map(|l| to_hundredths(l.as_secs_f64() * 1e3)),
-        };
-        push_line(&mut text, &record);
-    }
-    text + END + "\n"
+    let manager = backends.routes.borrow();
+    let statuses = manager.backend_statuses(backends.now());
+    compose(
+        &json!({ "backends": true }),
+        statuses.into_iter().map(backend_record),
+    )
 }
 
-/// Nothing where the fleet shares no quotas.
-fn quotas_answer(fleet: &Fleet) -> Option<String> {
-    let stack = fleet.stack().borrow();
-    let name = stack.members.local_identity().name.to_string();
-    let mut text = format!("{}\n", serde_json::json!({ "name": name }));
-    for record in shared_records(fleet)? {
-        push_line(&mut text, &record);
+fn backend_record(status: BackendStatus) -> BackendRecord {
+    let to_hundredths = |n: f64| (n * 100.0).round() / 100.0;
+    let latency = status.typical_latency;
+    BackendRecord {
+        name: status.name.to_string(),
+        state: status.state.to_string(),
+        weight: to_hundredths(status.weight),
+        observed: status.observed.round() as u64,
+        failures: status.failures.round() as u64,
+        witnesses: status.witnesses,
+        gossip_failures: to_hundredths(status.gossip_failures),
+        zone: status.zone.to_string(),
+        address: status.address.to_string(),
+        in_flight: status.in_flight,
+        typical_latency_ms: latency.map(|l| to_hundredths(l.as_secs_f64() * 1e3)),
     }
-    Some(text + END + "\n")
 }
 
-fn shared_records(fleet: &Fleet) -> Option<Vec<SharedRecord>> {
+/// Quotas and counters; nothing where the fleet shares none.
+fn quotas_answer(fleet: &Fleet) -> Option<String> {
     let (now, stack) = (fleet.now(), fleet.stack().borrow());
     let quotas = stack.shared.as_ref()?;
-    let in_ms = |duration: madderbay::time::Duration| duration.as_micros() / 1_000;
-    let mut records = vec![];
-    for budget in quotas.budget_views(now) {
-        records.push(SharedRecord::Quota(QuotaRecord {
-            name: budget.name.to_string(),
-            capacity: budget.capacity,
-            base_quota: budget.base_quota,
-            granted: budget.granted,
-            leased: budget.leased,
-            usable: budget.usable,
-            in_flight: budget.in_use,
-            demand: budget.demand,
-            since_contact_ms: budget.since_contact.map(in_ms),
-            until_usable_ms: in_ms(budget.until_usable),
-        }));
-    }
-    for (index, counter) in quotas.counters().iter().enumerate() {
-        let heaviest = counter.heaviest_keys(MAX_REPORTED_KEYS);
-        let keys = fleet.quota_source().counter_names().keys(index);
-        for key in keys.filter(|k| heaviest.contains(&k.hash)) {
-            let estimate = counter.estimate(now, key.hash, key.fair_rate);
-            records.push(SharedRecord::Count(CountRecord {
-                name: counter.settings().name.to_string(),
-                key: key.name.to_string(),
-                estimate: estimate.value,
-                max_error: estimate.bound(),
-                stale_servers: estimate.stale_servers,
-            }));
-        }
-    }
-    Some(records)
+    let name = &stack.members.local_identity().name;
+    let budgets = quotas.budget_views(now).into_iter().map(quota_record);
+    let names = fleet.quota_source().counter_names();
+    let counts = quotas.counters().iter().enumerate();
+    let counts = counts.flat_map(|(index, counter)| count_records(now, counter, index, names));
+    Some(compose(
+        &json!({ "name": name.to_string() }),
+        budgets.chain(counts),
+    ))
+}
+
+fn quota_record(budget: BudgetView) -> SharedRecord {
+    let in_ms = |duration: Duration| duration.as_micros() / 1_000;
+    SharedRecord::Quota(QuotaRecord {
+        name: budget.name.to_string(),
+        capacity: budget.capacity,
+        base_quota: budget.base_quota,
+        granted: budget.granted,
+        leased: budget.leased,
+        usable: budget.usable,
+        in_flight: budget.in_use,
+        demand: budget.demand,
+        since_contact_ms: budget.since_contact.map(in_ms),
+        until_usable_ms: in_ms(budget.until_usable),
+    })
+}
+
+/// The keys of one counter that are most counted on this server.
+fn count_records(
+    now: Timestamp,
+    counter: &ReplicatedCounter,
+    index: usize,
+    names: &CounterNames,
+) -> Vec<SharedRecord> {
+    let heaviest = counter.heaviest_keys(MAX_REPORTED_KEYS);
+    let keys = names.keys(index).filter(|k| heaviest.contains(&k.hash));
+    let record = |key: CounterKey<'_>| {
+        let estimate = counter.estimate(now, key.hash, key.fair_rate);
+        SharedRecord::Count(CountRecord {
+            name: counter.settings().name.to_string(),
+            key: key.name.to_string(),
+            estimate: estimate.value,
+            max_error: estimate.bound(),
+            stale_servers: estimate.stale_servers,
+        })
+    };
+    keys.map(record).collect()
 }
