--- a/crates/server/src/cli.rs
+++ b/crates/server/src/cli.rs
@@ -35,6 +35,7 @@
     pub(crate) command: Option<Command>,
 }
 
+// A sub-command. No doc comment: clap would print it; those of the variants are the help.
 #[derive(Subcommand)]
 pub(crate) enum Command {
     /// Serve, as configured by the file that RELAY_CONFIG names; the default command
@@ -68,6 +69,7 @@
     pub(crate) watch: bool,
 }
 
+// A sub-command of `kept`. No doc comment, for the same reason.
 #[derive(Subcommand)]
 pub(crate) enum StoreCommand {
     /// One line for each request with an idempotency key: key, state, expiry, size of the result
--- a/crates/server/src/core/concurrency_limits.rs
+++ b/crates/server/src/core/concurrency_limits.rs
@@ -58,6 +58,7 @@
     settings.handlers.iter().map(profile).collect()
 }
 
+/// A handler that has a partial answer can do without its calls.
 fn call_requirement(handler: &Handler) -> CallRequirement {
     match (handler.makes_calls, handler.partial_weight > 0.0) {
         (false, _) => CallRequirement::Never,
@@ -96,6 +97,7 @@
     lines.text
 }
 
+/// What a pool uses, and its limits.
 fn add_pool(lines: &mut Lines, pool: &PoolUsage) {
     for (name, value) in [
         ("held", pool.queued),
--- a/crates/server/src/core/durability/writer.rs
+++ b/crates/server/src/core/durability/writer.rs
@@ -42,6 +42,7 @@
     },
 }
 
+/// The state of the thread.
 struct Writer {
     log: WriteAheadLog<DirectoryStorage>,
     batches: Receiver<Batch>,
@@ -90,6 +91,7 @@
         }
     }
 
+    /// Commits a batch, and with it those that wait where batches are grouped.
     fn write(&mut self, mut batch: Batch) -> StorageEvent {
         if self.grouped {
             self.append_waiting(&mut batch);
@@ -119,6 +121,7 @@
         }
     }
 
+    /// Commits with one sync, or with one for each record. The first failure ends it.
     fn commit(&mut self, batch: &Batch) -> io::Result<()> {
         let entries_per_sync = if self.grouped {
             batch.entries.len().max(1)
@@ -141,6 +144,7 @@
         Some(StorageEvent::Recovered { disk_bytes })
     }
 
+    /// Removes them once in [`MAINTENANCE_INTERVAL`].
     fn remove_expired_segments(&mut self) {
         if self.last_maintenance.elapsed() >= MAINTENANCE_INTERVAL {
             self.log.remove_expired_segments(unix_micros());
--- a/crates/server/src/core/quota_gate.rs
+++ b/crates/server/src/core/quota_gate.rs
@@ -168,6 +168,7 @@
         has_changed
     }
 
+    /// Reports the end of those that can't be running upstream any more.
     fn end_abandoned_calls(&mut self, now: Timestamp) {
         while let Some(call) = self.abandoned_calls.pop_front_if(|c| c.ends_at <= now) {
             self.source.call_ended(call.budget);
@@ -184,6 +185,7 @@
         (0..self.groups.len()).map(|budget| self.ceiling(budget))
     }
 
+    /// Runs, calls and the pace of starts under one budget.
     fn ceiling(&self, budget: usize) -> Ceiling {
         let handlers = &self.groups[budget].handlers;
         let (usable, demand) = (self.usable[budget], &self.demands[budget]);
--- a/crates/server/src/fleet/counter_names.rs
+++ b/crates/server/src/fleet/counter_names.rs
@@ -16,6 +16,7 @@
     by_tenant: Vec<bool>,
 }
 
+/// A name and its hash.
 #[derive(Clone, Debug)]
 struct KeyName {
     name: String,
@@ -108,6 +109,7 @@
         self.servers
     }
 
+    /// The allowance of a tenant, divided equally over the servers.
     fn fair_rate(&self, tenant: usize) -> f64 {
         let allowance = self.tenant_allowances.get(tenant).copied();
         allowance.unwrap_or(0.0) / f64::from(self.servers.max(1))
--- a/crates/server/src/fleet/gossip.rs
+++ b/crates/server/src/fleet/gossip.rs
@@ -134,6 +134,7 @@
         self.event_log.borrow_mut().write(&lines);
     }
 
+    /// Hands the socket what is to be sent. What it can't take at once is lost, as any datagram may be.
     fn send_datagrams(&self, socket: &UdpSocket) {
         for (to, bytes) in self.stack.borrow_mut().take_datagrams() {
             if socket.try_send_to(&bytes, to).is_err() {
@@ -142,6 +143,7 @@
         }
     }
 
+    /// The log lines of all events since the last time.
     fn take_event_lines(&self) -> Vec<String> {
         let mut stack = self.stack.borrow_mut();
         let membership_events = stack.members.take_events();
@@ -151,6 +153,7 @@
         membership_lines.chain(quota_lines).collect()
     }
 
+    /// Takes up to [`MAX_DATAGRAMS_PER_TURN`] received datagrams from the socket.
     fn handle_datagrams(&self, socket: &UdpSocket, limit: &mut DatagramLimit, buffer: &mut [u8]) {
         for _ in 0..MAX_DATAGRAMS_PER_TURN {
             // An error here is a peer's answer to a datagram that was sent: there is nothing to do.
@@ -166,6 +169,7 @@
         }
     }
 
+    /// How long the driver may sleep.
     fn time_to_next_timeout(&self) -> StdDuration {
         let wait = self.stack.borrow().next_timeout() - self.now();
         StdDuration::from_micros(wait.as_micros())
--- a/crates/server/src/fleet/gossip/counters.rs
+++ b/crates/server/src/fleet/gossip/counters.rs
@@ -69,6 +69,7 @@
     lines.text
 }
 
+/// Sizes and use of each budget.
 fn add_budgets(lines: &mut Lines, quotas: &FleetQuotas, now: Timestamp) {
     for budget in quotas.budget_views(now) {
         for (name, value) in [
--- a/crates/server/src/fleet/gossip/datagram_limit.rs
+++ b/crates/server/src/fleet/gossip/datagram_limit.rs
@@ -33,6 +33,7 @@
         self.available >= 1.0
     }
 
+    /// Adds the tokens of the time since the last refill.
     fn refill(&mut self) {
         let elapsed = std::mem::replace(&mut self.refilled_at, Instant::now()).elapsed();
         let refilled = self.available + elapsed.as_secs_f64() * DATAGRAMS_PER_SECOND;
--- a/crates/server/src/fleet/gossip/event_log.rs
+++ b/crates/server/src/fleet/gossip/event_log.rs
@@ -43,6 +43,7 @@
         self.unwritten += rest.len();
     }
 
+    /// Reports how many events were omitted, and begins to count anew.
     fn begin_span(&mut self) {
         if self.unwritten > 0 {
             log::info!("membership: events omitted, count={}", self.unwritten);
--- a/crates/server/src/fleet/quota_leases.rs
+++ b/crates/server/src/fleet/quota_leases.rs
@@ -50,14 +50,17 @@
         &self.counted
     }
 
+    /// The quotas, where the fleet shares any.
     fn quotas(&self) -> Option<Ref<'_, FleetQuotas>> {
         Ref::filter_map(self.together.borrow(), |stack| stack.shared.as_ref()).ok()
     }
 
+    /// The same, to change them.
     fn quotas_mut(&self) -> Option<RefMut<'_, FleetQuotas>> {
         RefMut::filter_map(self.together.borrow_mut(), |stack| stack.shared.as_mut()).ok()
     }
 
+    /// Wakes the driver where something has to be sent at once.
     fn notify_if_urgent(&self, quotas: &FleetQuotas) {
         if quotas.is_urgent() {
             (self.hurry)();
--- a/crates/server/src/fleet/quota_plan.rs
+++ b/crates/server/src/fleet/quota_plan.rs
@@ -53,6 +53,7 @@
     handlers.finish(plan)
 }
 
+/// Terms and sizes of all budgets.
 fn budgets(section: &operator::Shared, settings: &Settings) -> Vec<BudgetSettings> {
     let abandoned_call_lifetime = settings.below.abandoned_call_lifetime;
     let plan = |budget: &operator::Budget| BudgetSettings {
@@ -71,6 +72,7 @@
     section.budgets.iter().map(plan).collect()
 }
 
+/// Windows and rates of all counters.
 fn counters(section: &operator::Shared) -> Vec<CounterSettings> {
     let plan = |count: &operator::Count| CounterSettings {
         name: count.name.as_str().into(),
@@ -80,6 +82,7 @@
     section.counts.iter().map(plan).collect()
 }
 
+/// The names that the counters' keys are made from.
 fn counter_names(section: &operator::Shared, settings: &Settings) -> CounterNames {
     let is_by_tenant = |count: &operator::Count| count.by == operator::By::Tenant;
     let tenants = settings.tenants.iter();
--- a/crates/server/src/fleet/routing_plan.rs
+++ b/crates/server/src/fleet/routing_plan.rs
@@ -48,6 +48,7 @@
     handlers.finish(plan)
 }
 
+/// Groups of the same handlers compare equal in any order of the file.
 fn sorted(mut handlers: Vec<usize>) -> Vec<usize> {
     handlers.sort_unstable();
     handlers
--- a/crates/server/src/fleet_endpoint.rs
+++ b/crates/server/src/fleet_endpoint.rs
@@ -25,7 +25,9 @@
 
 /// What a server joins its fleet with.
 pub(crate) struct FleetSetup<'a> {
+    /// The server's configuration.
     pub(crate) config: &'a Config,
+    /// The section `[members]`.
     pub(crate) members: &'a Members,
     /// Quotas and counters, where `[shared]` is on.
     pub(crate) sharing: Option<QuotaPlan>,
@@ -62,6 +64,7 @@
     }
 }
 
+/// The fleet's state, from the server's name and the sections that are on.
 fn build_fleet(setup: FleetSetup<'_>) -> Result<Fleet, StartError> {
     let config = setup.config;
     if !is_valid_name(&config.name) {
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! Folders are by concern. [`downstream`] faces the load balancers: `listener` takes connections, `json_rpc`
 //! reads and `response` writes lines, `request_validation` checks requests, `connections` knows where a
-//! response goes, `registration` reports to the registry. In [`core`], `serve` owns the decisions and `hands`
-//! carries them out. In [`upstream`], `engine` runs requests and `calls` makes their calls. [`fleet`] talks
+//! response goes, `registration` reports to the registry. In [`core`], `event_loop` owns the
+//! decisions and `in_flight` carries them out. In [`upstream`], `engine` runs requests and `calls` makes their calls. [`fleet`] talks
 //! with other servers, where the operator file says so. Each protocol is a state machine fed with bytes; `io`
 //! in [`support`] moves them.
 
--- a/crates/server/src/operator_plan.rs
+++ b/crates/server/src/operator_plan.rs
@@ -40,6 +40,7 @@
     }
 }
 
+/// The lines of all sections, in their order.
 fn handler_lines(sections: &[UnknownHandlers]) -> Vec<String> {
     sections.iter().flat_map(UnknownHandlers::lines).collect()
 }
--- a/crates/server/src/reload.rs
+++ b/crates/server/src/reload.rs
@@ -48,6 +48,7 @@
         self.catalogue.subscribe()
     }
 
+    /// Takes over the values; the drivers are notified of those that changed.
     fn update(&self, config: &Config) {
         self.stop_ms.set(config.stop_ms);
         send_if_changed(&self.engine, config.engine);
@@ -56,6 +57,7 @@
     }
 }
 
+/// Notifies the receivers only where the value is another one.
 fn send_if_changed<T: PartialEq>(sender: &watch::Sender<T>, value: T) {
     sender.send_if_modified(|current| std::mem::replace(current, value) != *current);
 }
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -160,6 +160,7 @@
 }
 
 impl DescriptorLimits {
+    /// Divides what the configuration and the system allow; an error where that is too few to serve.
     fn new(config: &Config) -> Result<DescriptorLimits, StartError> {
         let configured = config.max_descriptors;
         let total = configured.min(system_descriptor_limit());
@@ -194,6 +195,7 @@
     Ok((listener, bound))
 }
 
+/// The core, without connections and before any of its optional parts.
 fn build_core(config: &Config, clock: &Clock, limits: &DescriptorLimits) -> SharedEventLoop {
     let results_bytes = (config.memory_mb << 20) / RESULTS_MEMORY_DIVISOR;
     let settings = config.settings.clone();
--- a/crates/server/src/signals.rs
+++ b/crates/server/src/signals.rs
@@ -8,7 +8,9 @@
 
 /// Every signal's stream, installed before anything else is started.
 pub(crate) struct Signals {
+    /// Served while the process runs.
     pub(crate) operator: OperatorSignals,
+    /// Waited for once.
     pub(crate) stop: StopSignals,
 }
 
--- a/crates/server/src/startup.rs
+++ b/crates/server/src/startup.rs
@@ -139,10 +139,13 @@
 
 /// Everything that a start is given, read and checked.
 pub(crate) struct Setup {
+    /// The configuration.
     pub(crate) config: Config,
     /// Where the operator file is, for a reload.
     pub(crate) operator_file: Option<PathBuf>,
+    /// The operator file as it was read.
     pub(crate) operator: Operator,
+    /// Its parts, planned over the settings.
     pub(crate) plan: OperatorPlan,
     /// The store of durable results, where `[kept-results]` is on.
     pub(crate) store: Option<durability::OpenedStore>,
--- a/crates/server/src/store_inspection.rs
+++ b/crates/server/src/store_inspection.rs
@@ -46,6 +46,7 @@
     Ok(defects.iter().map(ToString::to_string).collect())
 }
 
+/// Replays all segments of a directory.
 fn read(directory: &Path) -> Result<Recovery, InspectionError> {
     let storage = DirectoryStorage::open_read_only(directory);
     recover(&storage).map_err(|source| failed(directory, source))
@@ -56,12 +57,14 @@
     InspectionError { directory, source }
 }
 
+/// All runs in the order of their keys.
 fn sorted_runs(recovery: &Recovery) -> impl Iterator<Item = (u128, &RecoveredRun)> {
     let mut runs: Vec<_> = recovery.runs.iter().map(|(key, run)| (*key, run)).collect();
     runs.sort_by_key(|(key, _)| *key);
     runs.into_iter()
 }
 
+/// Key, state, expiry and size of the result.
 fn list_line(key: u128, run: &RecoveredRun) -> String {
     let size = result(run).map_or(0, <[u8]>::len);
     let expires_at_ms = run.expires_at_micros / 1000;
@@ -84,6 +87,7 @@
     .to_string()
 }
 
+/// The word for a state in lines and JSON.
 fn state_word(state: &RunState) -> &'static str {
     match state {
         RunState::MayHaveRun => "may-have-run",
@@ -92,6 +96,7 @@
     }
 }
 
+/// The result of a run that completed.
 fn result(run: &RecoveredRun) -> Option<&[u8]> {
     match &run.state {
         RunState::Completed(result) => Some(result),
--- a/crates/server/src/tasks.rs
+++ b/crates/server/src/tasks.rs
@@ -133,6 +133,7 @@
     }
 }
 
+/// The time to the next deadline, or [`MAX_IDLE`] without one.
 fn time_to_next_turn(clock: &Clock, core: &SharedEventLoop) -> StdDuration {
     let deadline = core.borrow().next_deadline();
     let now = clock.now();
