Server: the fleet's module pages have no links that rustdoc can't resolve

Cause: a module with a comment at its declaration resolves the links of its own page there.

Change: the names in these pages are plain code.

Result: `cargo doc` of the server, private items too, is without warnings.

--- a/crates/server/src/fleet/backends.rs
+++ b/crates/server/src/fleet/backends.rs
@@ -1,6 +1,6 @@
 //! The upstream backends as the core asks for them, alone or with what the fleet's gossip brings.
 //!
-//! [`Backends`] owns the [`UpstreamManager`] together with the gossip driver, and a clock that both share. It borrows
+//! `Backends` owns the `UpstreamManager` together with the gossip driver, and a clock that both share. It borrows
 //! the manager for one call at a time, never across an await.
 
 use super::routing_plan::RoutingPlan;
--- a/crates/server/src/fleet/gossip.rs
+++ b/crates/server/src/fleet/gossip.rs
@@ -1,7 +1,7 @@
 //! The gossip driver: carries the datagrams of the fleet's state machines over one UDP socket, beside the requests.
 //!
-//! [`Fleet`] owns the state machines together with the core's [`FleetQuotaSource`], and what the driver counts and
-//! logs. [`run`] owns the socket's turns: each takes a bounded number of datagrams. State machines are borrowed for
+//! `Fleet` owns the state machines together with the core's `FleetQuotaSource`, and what the driver counts and
+//! logs. `run` owns the socket's turns: each takes a bounded number of datagrams. State machines are borrowed for
 //! one step at a time, never across an await.
 
 mod counters;
--- a/crates/server/src/fleet/quota_leases.rs
+++ b/crates/server/src/fleet/quota_leases.rs
@@ -1,6 +1,6 @@
-//! The fleet's quotas and counters as the core's [`QuotaSource`].
+//! The fleet's quotas and counters as the core's `QuotaSource`.
 //!
-//! [`FleetQuotaSource`] shares the fleet's state machines with their driver and borrows them for one call at a time.
+//! `FleetQuotaSource` shares the fleet's state machines with their driver and borrows them for one call at a time.
 //! It does no I/O and takes any clock, so that a simulation runs the same code.
 
 use crate::core::quota_gate::{QuotaSource, TenantRate};
