--- a/crates/server/src/core/stored_results.rs
+++ b/crates/server/src/core/stored_results.rs
@@ -34,36 +34,50 @@
         else {
             return Ok(false);
         };
-        let retry_after = KEEP_AWAY.min(self.settings.callers.max_retry_after);
-        let report = in_flight.load_report;
-        let (connections, counters) = (&mut in_flight.connections, &mut in_flight.counters);
         match durability.lookup(key, request_hash) {
             Lookup::Mismatch => return Err(FingerprintMismatch),
             Lookup::NotFound if durability.admit_intent().is_ok() => return Ok(false),
-            Lookup::NotFound => {
-                connections.answer(now, connection, |out| {
-                    response::shed(out, rpc_id, retry_after, false, report)
-                });
-                counters.shed += 1;
-            }
+            Lookup::NotFound => self.reject_without_intent(now, connection, rpc_id),
             Lookup::Completed(result) => {
                 let result = String::from_utf8_lossy(&result);
-                connections.answer(now, connection, |out| {
-                    response::done(out, rpc_id, &result, report)
-                });
-                counters.answered(true, false);
-            }
-            Lookup::NoResult => {
-                connections.answer(now, connection, |out| {
-                    response::errored(out, rpc_id, report)
-                });
-                counters.answered(false, false);
+                self.answer_stored(now, connection, rpc_id, Some(&result));
             }
+            Lookup::NoResult => self.answer_stored(now, connection, rpc_id, None),
         }
-        counters.read[handler] += 1;
+        self.in_flight.counters.read[handler] += 1;
         Ok(true)
     }
 
+    /// No intent can be recorded now: the attempt is rejected with a Retry-After.
+    fn reject_without_intent(&mut self, now: Timestamp, connection: u64, rpc_id: u64) {
+        let retry_after = KEEP_AWAY.min(self.settings.callers.max_retry_after);
+        let in_flight = &mut self.in_flight;
+        let report = in_flight.load_report;
+        in_flight.connections.answer(now, connection, |out| {
+            response::shed(out, rpc_id, retry_after, false, report)
+        });
+        in_flight.counters.shed += 1;
+    }
+
+    /// Answers with the result of the earlier run; without one, the attempt fails.
+    fn answer_stored(
+        &mut self,
+        now: Timestamp,
+        connection: u64,
+        rpc_id: u64,
+        result: Option<&str>,
+    ) {
+        let in_flight = &mut self.in_flight;
+        let report = in_flight.load_report;
+        in_flight
+            .connections
+            .answer(now, connection, |out| match result {
+                Some(result) => response::done(out, rpc_id, result, report),
+                None => response::errored(out, rpc_id, report),
+            });
+        in_flight.counters.answered(result.is_some(), false);
+    }
+
     /// The writer's thread has reported how far records are durable.
     pub fn storage_event(&mut self, now: Timestamp, event: StorageEvent) {
         self.in_flight.now = now;
