--- a/crates/operator-config/src/lib.rs
+++ b/crates/operator-config/src/lib.rs
@@ -36,17 +36,6 @@
 
 use file::File;
 
-// Former paths, until the server's imports follow.
-#[doc(hidden)]
-pub use {concurrency as pools, idempotency_store as kept, quota as shared, upstream as routes};
-
-/// Former path of the membership and the control socket.
-#[doc(hidden)]
-pub mod members {
-    pub use crate::control::Control;
-    pub use crate::membership::Members;
-}
-
 /// Everything that an operator file says; what is off is `None`.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Operator {
--- a/crates/operator-config/src/names.rs
+++ b/crates/operator-config/src/names.rs
@@ -41,16 +41,6 @@
         self.names.iter().map(index).collect()
     }
 
-    /// [`Names::indices`] with the text of the error, until the server takes the typed one.
-    ///
-    /// # Errors
-    /// The line of the first name that is not known.
-    #[doc(hidden)]
-    pub fn among(&self, known: &[String], kind: &'static str) -> Result<Vec<usize>, String> {
-        let indices = self.indices(known, kind);
-        indices.map_err(|error| error.to_string())
-    }
-
     fn unknown(&self, name: &str, known: &[String], kind: &'static str) -> OperatorFileError {
         let problem = Problem::UnknownName {
             name: name.into(),
--- a/crates/server/src/fleet_endpoint.rs
+++ b/crates/server/src/fleet_endpoint.rs
@@ -5,9 +5,10 @@
 use crate::startup::StartError;
 use crate::tasks;
 use madderbay_membership::is_valid_name;
-use madderbay_operator_config::members::Members;
+use madderbay_operator_config::membership::Members;
 use madderbay_server::fleet::backends::Backends;
-use madderbay_server::fleet::gossip::{self, Fleet};
+use madderbay_server::fleet::gossip::{Fleet, FleetConfig};
+use madderbay_server::fleet::membership_settings::membership_settings;
 use madderbay_server::fleet::quota_leases::CounterNames;
 use madderbay_server::fleet::quota_plan::QuotaPlan;
 use madderbay_server::support::clock::{self, MonotonicClock};
@@ -24,13 +25,16 @@
 
 /// What a server joins its fleet with.
 pub(crate) struct FleetSetup<'a> {
+    /// The server's configuration.
     pub(crate) config: &'a Config,
+    /// The section `[members]`.
     pub(crate) members: &'a Members,
     /// Quotas and counters, where `[shared]` is on.
     pub(crate) sharing: Option<QuotaPlan>,
     /// The backends whose state the fleet exchanges, where `[routes]` is on.
     pub(crate) backends: Option<Rc<Backends>>,
-    pub(crate) ticks: MonotonicClock,
+    /// The clock of the fleet's state machines.
+    pub(crate) clock: MonotonicClock,
     /// Added to the clock that distinguishes incarnations, in milliseconds.
     pub(crate) unix_ahead_ms: i64,
 }
@@ -45,7 +49,7 @@
         let fleet = Rc::new(build_fleet(setup)?);
         tasks::spawn_gossip(&socket, &fleet);
         let bound: SocketAddr = socket.local_addr().map_err(failed)?;
-        log::info!("members: heard at {bound}, told as {advertised}");
+        log::info!("membership: listening, address={bound}, advertised={advertised}");
         Ok(FleetEndpoint { fleet, socket })
     }
 
@@ -60,25 +64,26 @@
     }
 }
 
+/// The fleet's state, from the server's name and the sections that are on.
 fn build_fleet(setup: FleetSetup<'_>) -> Result<Fleet, StartError> {
     let config = setup.config;
     if !is_valid_name(&config.name) {
         let name = config.name.clone();
         return Err(StartError::MemberName { name });
     }
-    let (quotas, counted) = match setup.sharing {
+    let (quotas, counter_names) = match setup.sharing {
         Some(sharing) => (Some(sharing.settings), sharing.counted),
         None => (None, CounterNames::default()),
     };
-    Ok(Fleet::new(
-        setup.ticks,
-        config.seed,
-        incarnation(setup.unix_ahead_ms),
-        gossip::settings(setup.members, &config.name),
+    let fleet_config = FleetConfig {
+        seed: config.seed,
+        incarnation: incarnation(setup.unix_ahead_ms),
+        membership: membership_settings(setup.members, &config.name),
         quotas,
-        counted,
-        setup.backends,
-    ))
+        counter_names,
+        backends: setup.backends,
+    };
+    Ok(Fleet::new(fleet_config, setup.clock))
 }
 
 /// The Unix time of this start, in milliseconds: a later start of the same server has a greater one.
--- a/crates/server/src/operator_plan.rs
+++ b/crates/server/src/operator_plan.rs
@@ -3,10 +3,11 @@
 //! It reads one file and starts nothing; a start, a reload and `check` share it.
 
 use madderbay_concurrency::ConcurrencyConfig;
-use madderbay_operator_config::Operator;
+use madderbay_operator_config::{Operator, OperatorFileErrors};
 use madderbay_server::core::concurrency_limits;
-use madderbay_server::fleet::backends::{self, RoutingPlan};
+use madderbay_server::core::handler_names::UnknownHandlers;
 use madderbay_server::fleet::quota_plan::{self, QuotaPlan};
+use madderbay_server::fleet::routing_plan::{self, RoutingPlan};
 use madderbay_server::support::config::Config;
 use std::path::Path;
 
@@ -19,9 +20,12 @@
         file: String,
         source: std::io::Error,
     },
-    /// The file is wrong: everything found, one line each with file, line and key.
-    #[error("{}", lines.join("\n"))]
-    Invalid { lines: Vec<String> },
+    /// The file's form is wrong: everything found, one line each with file, line and key.
+    #[error(transparent)]
+    Malformed(#[from] OperatorFileErrors),
+    /// Sections name handlers that the platform's settings don't have.
+    #[error("{}", handler_lines(.0).join("\n"))]
+    UnknownHandlers(Vec<UnknownHandlers>),
 }
 
 impl OperatorError {
@@ -29,11 +33,17 @@
     pub(crate) fn lines(&self) -> Vec<String> {
         match self {
             OperatorError::Unreadable { .. } => vec![self.to_string()],
-            OperatorError::Invalid { lines } => lines.clone(),
+            OperatorError::Malformed(errors) => errors.lines(),
+            OperatorError::UnknownHandlers(sections) => handler_lines(sections),
         }
     }
 }
 
+/// The lines of all sections, in their order.
+fn handler_lines(sections: &[UnknownHandlers]) -> Vec<String> {
+    sections.iter().flat_map(UnknownHandlers::lines).collect()
+}
+
 /// Reads the operator file; without one, everything is off.
 pub(crate) fn read(file: Option<&Path>) -> Result<Operator, OperatorError> {
     let Some(path) = file else {
@@ -44,9 +54,7 @@
         Ok(text) => text,
         Err(source) => return Err(OperatorError::Unreadable { file, source }),
     };
-    madderbay_operator_config::read(&file, &text).map_err(|errors| OperatorError::Invalid {
-        lines: errors.lines(),
-    })
+    Ok(madderbay_operator_config::read(&file, &text)?)
 }
 
 /// The parts of the operator file that depend on the platform's settings; what is off is `None`.
@@ -63,32 +71,39 @@
     /// Plans all parts; what is wrong in any of them is reported together.
     pub(crate) fn new(operator: &Operator, config: &Config) -> Result<OperatorPlan, OperatorError> {
         let settings = &config.settings;
-        let routing = operator.routes.as_ref().map(|r| backends::of(r, settings));
-        let concurrency = operator
-            .pools
+        let (pools, shared, routes) = (&operator.pools, &operator.shared, &operator.routes);
+        let concurrency = pools
             .as_ref()
             .map(|p| concurrency_limits::plan(p, settings));
-        let sharing = operator.shared.as_ref().map(|s| quota_plan::of(s, config));
+        let sharing = shared.as_ref().map(|s| quota_plan::plan(s, config));
+        let routing = routes.as_ref().map(|r| routing_plan::plan(r, settings));
         match (
             concurrency.transpose(),
             sharing.transpose(),
             routing.transpose(),
         ) {
-            (Ok(mut concurrency), Ok(sharing), Ok(routing)) => {
-                if let (Some(concurrency), Some(routing)) = (&mut concurrency, &routing) {
-                    concurrency.upstream_groups = routing.groups();
-                }
-                Ok(OperatorPlan {
-                    concurrency,
-                    sharing,
-                    routing,
-                })
-            }
+            (Ok(concurrency), Ok(sharing), Ok(routing)) => Ok(OperatorPlan {
+                concurrency: with_upstream_groups(concurrency, routing.as_ref()),
+                sharing,
+                routing,
+            }),
             (concurrency, sharing, routing) => {
-                let wrong = [concurrency.err(), sharing.err(), routing.err()];
-                let lines = wrong.into_iter().flatten().flatten().collect();
-                Err(OperatorError::Invalid { lines })
+                let unknown = [concurrency.err(), sharing.err(), routing.err()];
+                let sections = unknown.into_iter().flatten().collect();
+                Err(OperatorError::UnknownHandlers(sections))
             }
         }
     }
 }
+
+/// With both, the concurrency limits know which handlers share backends.
+fn with_upstream_groups(
+    concurrency: Option<ConcurrencyConfig>,
+    routing: Option<&RoutingPlan>,
+) -> Option<ConcurrencyConfig> {
+    let mut concurrency = concurrency?;
+    if let Some(routing) = routing {
+        concurrency.upstream_groups = routing.groups();
+    }
+    Some(concurrency)
+}
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -8,14 +8,15 @@
 use crate::reload::ReloadableValues;
 use crate::startup::{Setup, StartError};
 use crate::tasks;
-use madderbay_operator_config::kept::KeptResults;
-use madderbay_operator_config::members::Control;
+use madderbay_operator_config::control::Control;
+use madderbay_operator_config::idempotency_store::KeptResults;
 use madderbay_server::core::durability;
 use madderbay_server::core::event_loop::{EventLoop, SharedEventLoop};
 use madderbay_server::downstream::listener;
-use madderbay_server::fleet::backends::{Backends, RoutingPlan};
+use madderbay_server::fleet::backends::Backends;
 use madderbay_server::fleet::control_socket::{self, SocketFile, Sources};
 use madderbay_server::fleet::gossip::Fleet;
+use madderbay_server::fleet::routing_plan::RoutingPlan;
 use madderbay_server::support::clock::{self, Clock, MonotonicClock};
 use madderbay_server::support::config::Config;
 use madderbay_server::support::logging;
@@ -60,19 +61,19 @@
             core.borrow_mut()
                 .set_concurrency_limits(clock.now(), concurrency);
         }
-        let ticks = clock::monotonic_since(Instant::now());
-        let backends = build_backends(plan.routing, &config, &ticks, &core);
+        let fleet_clock = clock::monotonic_since(Instant::now());
+        let backends = build_backends(plan.routing, &config, &fleet_clock, &core);
         let fleet_setup = operator.members.as_ref().map(|members| FleetSetup {
             config: &config,
             members,
             sharing: plan.sharing,
             backends: backends.clone(),
-            ticks,
+            clock: fleet_clock,
             unix_ahead_ms: setup.unix_ahead_ms,
         });
         let fleet = join_fleet(fleet_setup, &backends, &core).await?;
         let control_socket = open_control_socket(operator.control, fleet.as_ref(), &backends)?;
-        log::info!("{} listens on {address}", config.name);
+        log::info!("server: listening, name={}, address={address}", config.name);
         let reloadable = ReloadableValues::new(&config);
         tasks::spawn_drivers(&config.name, &reloadable, &clock, &core);
         let stop_listening = Rc::new(Notify::new());
@@ -159,6 +160,7 @@
 }
 
 impl DescriptorLimits {
+    /// Divides what the configuration and the system allow; an error where that is too few to serve.
     fn new(config: &Config) -> Result<DescriptorLimits, StartError> {
         let configured = config.max_descriptors;
         let total = configured.min(system_descriptor_limit());
@@ -193,6 +195,7 @@
     Ok((listener, bound))
 }
 
+/// The core, without connections and before any of its optional parts.
 fn build_core(config: &Config, clock: &Clock, limits: &DescriptorLimits) -> SharedEventLoop {
     let results_bytes = (config.memory_mb << 20) / RESULTS_MEMORY_DIVISOR;
     let settings = config.settings.clone();
@@ -218,10 +221,10 @@
 fn build_backends(
     routing: Option<RoutingPlan>,
     config: &Config,
-    ticks: &MonotonicClock,
+    clock: &MonotonicClock,
     core: &SharedEventLoop,
 ) -> Option<Rc<Backends>> {
-    let backends = Rc::new(Backends::new(config.seed, ticks.clone(), routing?));
+    let backends = Rc::new(Backends::new(config.seed, clock.clone(), routing?));
     core.borrow_mut().set_backend_selector(backends.clone());
     Some(backends)
 }
@@ -240,8 +243,8 @@
     let quota_groups = setup.sharing.as_ref().map(|s| s.groups.clone());
     let endpoint = FleetEndpoint::join(setup).await?;
     if let Some(groups) = quota_groups {
-        let lender = endpoint.fleet().lender.clone();
-        core.borrow_mut().set_quota_source(lender, groups);
+        let source = endpoint.fleet().quota_source().clone();
+        core.borrow_mut().set_quota_source(source, groups);
     }
     Ok(Some(endpoint))
 }
--- a/crates/server/src/startup.rs
+++ b/crates/server/src/startup.rs
@@ -9,9 +9,10 @@
 use crate::server::Server;
 use crate::shutdown;
 use crate::signals::Signals;
+use madderbay_idempotency_store::StoreError;
 use madderbay_membership::MAX_NAME_BYTES;
 use madderbay_operator_config::Operator;
-use madderbay_operator_config::kept::KeptResults;
+use madderbay_operator_config::idempotency_store::KeptResults;
 use madderbay_server::core::durability;
 use madderbay_server::fleet::control_socket::ControlSocketError;
 use madderbay_server::support::config::{self, Config, ConfigError};
@@ -33,8 +34,8 @@
     #[error(transparent)]
     Config(#[from] ConfigError),
     /// The directory of durable results can't be opened or read.
-    #[error("{0}")]
-    Store(String),
+    #[error("kept-results: {0}")]
+    Store(#[source] StoreError),
     #[error("kept-results: {0}")]
     StoreThread(#[source] std::io::Error),
     #[error("runtime: {0}")]
@@ -116,7 +117,7 @@
     loop {
         match config::load() {
             Err(error) if error.is_incomplete_file() && start.elapsed() < CONFIG_WAIT => {
-                log::debug!("{error}; waited for");
+                log::debug!("server: waiting for the configuration, error={error}");
                 std::thread::sleep(CONFIG_POLL_INTERVAL);
             }
             result => return result,
@@ -138,10 +139,13 @@
 
 /// Everything that a start is given, read and checked.
 pub(crate) struct Setup {
+    /// The configuration.
     pub(crate) config: Config,
     /// Where the operator file is, for a reload.
     pub(crate) operator_file: Option<PathBuf>,
+    /// The operator file as it was read.
     pub(crate) operator: Operator,
+    /// Its parts, planned over the settings.
     pub(crate) plan: OperatorPlan,
     /// The store of durable results, where `[kept-results]` is on.
     pub(crate) store: Option<durability::OpenedStore>,
--- a/crates/server/src/tasks.rs
+++ b/crates/server/src/tasks.rs
@@ -128,11 +128,12 @@
         tokio::task::yield_now().await;
         let turn = || core.borrow_mut().run_turn(clock.now());
         if catch_unwind(AssertUnwindSafe(turn)).is_err() {
-            log::error!("a turn of the decisions failed");
+            log::error!("server: turn failed");
         }
     }
 }
 
+/// The time to the next deadline, or [`MAX_IDLE`] without one.
 fn time_to_next_turn(clock: &Clock, core: &SharedEventLoop) -> StdDuration {
     let deadline = core.borrow().next_deadline();
     let now = clock.now();
