Server core: deadlines, status, limits, backends and deferred events have owners

Cause: the record of in-flight requests owned every piece of state of the core, each open to every file: deadlines, the tick timer, health, the operator's limits, the backend selector and three queues for the decision module.

Change: each has a type of its own with private fields: Deadlines and TickTimer, ServerStatus, RequestLimits, BackendRouting, DeferredEvents. run_turn and the hand-over of ceilings are split into short steps. The trait BackendSelector has a file of its own.

--- a/crates/server/src/core/arrivals.rs
+++ b/crates/server/src/core/arrivals.rs
@@ -1,7 +1,8 @@
 //! What balancers say, told to the decisions: connections, reqs, reqs withdrawn, questions of health.
 
+use super::deadlines::Deadline;
 use super::event_loop::{EventLoop, KEEP_AWAY};
-use super::in_flight::{Deadline, InFlightRequest};
+use super::in_flight::InFlightRequest;
 use crate::downstream::connections::OpenRequestError;
 use crate::downstream::idempotency_table::FingerprintMismatch;
 use crate::downstream::request_validation::{InvalidRequest, ValidatedRequest};
@@ -23,10 +24,12 @@
         let opened = in_flight.connections.open(now, out);
         let no = opened.id;
         in_flight
-            .due
-            .insert((opened.first_request_deadline, Deadline::First(no)));
+            .deadlines
+            .insert(opened.first_request_deadline, Deadline::FirstRequest(no));
         if let Some(limit) = in_flight.connections.idle_limit() {
-            in_flight.due.insert((now + limit, Deadline::Idle(no)));
+            in_flight
+                .deadlines
+                .insert(now + limit, Deadline::ConnectionIdle(no));
         }
         no
     }
@@ -36,9 +39,10 @@
         let in_flight = &mut self.in_flight;
         in_flight.counters.connections_refused += 1;
         let opened = in_flight.connections.open_over_limit(now, out);
-        in_flight
-            .due
-            .insert((opened.first_request_deadline, Deadline::First(opened.id)));
+        in_flight.deadlines.insert(
+            opened.first_request_deadline,
+            Deadline::FirstRequest(opened.id),
+        );
         opened.id
     }
 
@@ -165,9 +169,9 @@
         self.in_flight.followed(arrival.id, |f, now, handler| {
             f.set_stage(now, arrival.id, handler, RequestStage::Queued)
         });
-        if let Some(lent) = &self.in_flight.quota_gate {
-            lent.counted(arrival.handler, arrival.tenant);
-        }
+        self.in_flight
+            .limits
+            .count_request(arrival.handler, arrival.tenant);
         if self.decider.is_none() {
             // Nothing can run before the engine is up.
             self.in_flight.reject(arrival.id, Duration::ZERO, false);
@@ -217,7 +221,11 @@
 
     pub fn health_checked(&mut self, now: Timestamp, no: u64, rpc: u64) {
         let in_flight = &mut self.in_flight;
-        let (good, report) = (in_flight.good && !in_flight.leaving, in_flight.load_report);
+        let status = &in_flight.status;
+        let (good, report) = (
+            status.is_healthy() && !status.is_draining(),
+            status.load_report(),
+        );
         in_flight
             .connections
             .answer(now, no, |out| response::health(out, rpc, good, report));
--- /dev/null
+++ b/crates/server/src/core/backend_selector.rs
@@ -0,0 +1,74 @@
+//! The choice among several backends, as the core asks for it.
+//!
+//! Owns: the selector that the operator's backends give, and which handlers are idempotent. Never chooses a
+//! backend itself and never sends a call.
+
+use madderbay::interface::RetrySafety;
+use madderbay::time::Duration;
+use madderbay_settings::Settings;
+use madderbay_upstream::{AttemptOutcome, RetryKind, UpstreamAttempt};
+use std::rc::Rc;
+
+/// Whoever knows the backends and their health. Times are its own.
+pub trait BackendSelector {
+    /// Selects a backend for the call of a handler; `None` if its calls go to the catalogue.
+    fn pick(&self, handler: usize) -> Option<UpstreamAttempt>;
+    /// Selects a backend for a further attempt; `None` if the retry budget or the backends allow none.
+    fn again(&self, before: &UpstreamAttempt, how: RetryKind) -> Option<UpstreamAttempt>;
+    /// An attempt ended.
+    fn over(&self, ticket: &UpstreamAttempt, end: AttemptOutcome);
+    /// The time after which a hedge beside this attempt is worth its price.
+    fn hedge_after(&self, ticket: &UpstreamAttempt) -> Option<Duration>;
+    /// The least time that a further attempt needs.
+    fn least(&self, ticket: &UpstreamAttempt) -> Duration;
+    /// The counters of the backends, a line each.
+    fn counters(&self) -> String;
+}
+
+/// The selector, if the operator set backends, and what it may do with the calls of each handler.
+pub(super) struct BackendRouting {
+    selector: Option<Rc<dyn BackendSelector>>,
+    /// By handler: its calls may be made twice.
+    idempotent: Vec<bool>,
+}
+
+impl BackendRouting {
+    /// Without a selector: all calls go to the catalogue.
+    pub(super) fn new(settings: &Settings) -> BackendRouting {
+        let is_idempotent =
+            |h: &madderbay::interface::Handler| h.retry_safety == RetrySafety::Idempotent;
+        BackendRouting {
+            selector: None,
+            idempotent: settings.handlers.iter().map(is_idempotent).collect(),
+        }
+    }
+
+    /// Sets the selector.
+    pub(super) fn set_selector(&mut self, selector: Rc<dyn BackendSelector>) {
+        self.selector = Some(selector);
+    }
+
+    /// The selector, if there is one.
+    pub(super) fn selector(&self) -> Option<&Rc<dyn BackendSelector>> {
+        self.selector.as_ref()
+    }
+
+    /// Whether the calls of a handler may be made twice.
+    pub(super) fn is_idempotent(&self, handler: usize) -> bool {
+        self.idempotent[handler]
+    }
+
+    /// An attempt ended.
+    pub(super) fn finish(&self, attempt: &UpstreamAttempt, outcome: AttemptOutcome) {
+        if let Some(selector) = &self.selector {
+            selector.over(attempt, outcome);
+        }
+    }
+
+    /// The counters of the backends, a line each.
+    pub(super) fn counters(&self) -> String {
+        self.selector
+            .as_ref()
+            .map_or(String::new(), |selector| selector.counters())
+    }
+}
--- /dev/null
+++ b/crates/server/src/core/deadlines.rs
@@ -0,0 +1,107 @@
+//! The deadlines of the core: one ordered structure for all of them, and the decision module's timer.
+//!
+//! Owns: what is due and when. Is given: instants, and the time. Never reads a clock and never acts on a
+//! deadline: the event loop does.
+
+use madderbay::time::{Duration, Timestamp};
+use std::collections::BTreeSet;
+
+/// What is due. Deadlines of one instant are reached in the order of the variants, then of the ids.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Deadline {
+    /// The upstream call of this request times out.
+    CallTimeout(u64),
+    /// The upstream call of this request may be hedged.
+    Hedge(u64),
+    /// This connection reaches the limit on idling.
+    ConnectionIdle(u64),
+    /// This connection must have carried its first request.
+    FirstRequest(u64),
+    /// The answer of this request leaves, although its result is not durable yet.
+    DurableAnswer(u64),
+    /// Expired entries and idle connections are removed.
+    Maintenance,
+}
+
+/// All deadlines that are set.
+#[derive(Debug, Default)]
+pub(super) struct Deadlines(BTreeSet<(Timestamp, Deadline)>);
+
+impl Deadlines {
+    /// Sets a deadline.
+    pub(super) fn insert(&mut self, at: Timestamp, deadline: Deadline) {
+        self.0.insert((at, deadline));
+    }
+
+    /// Removes a deadline that was set for this instant; nothing happens if there is none.
+    pub(super) fn remove(&mut self, at: Timestamp, deadline: Deadline) {
+        self.0.remove(&(at, deadline));
+    }
+
+    /// Removes and gives the first deadline that has been reached.
+    pub(super) fn pop_due(&mut self, now: Timestamp) -> Option<Deadline> {
+        let first = *self.0.first().filter(|(at, _)| *at <= now)?;
+        self.0.remove(&first);
+        Some(first.1)
+    }
+
+    /// The instant of the first deadline.
+    pub(super) fn next(&self) -> Option<Timestamp> {
+        self.0.first().map(|(at, _)| *at)
+    }
+
+    /// Sets the deadlines of idle connections anew, given as instants and numbers of connections.
+    pub(super) fn replace_idle(&mut self, idle: impl Iterator<Item = (Timestamp, u64)>) {
+        self.0
+            .retain(|(_, deadline)| !matches!(deadline, Deadline::ConnectionIdle(_)));
+        self.0
+            .extend(idle.map(|(at, connection)| (at, Deadline::ConnectionIdle(connection))));
+    }
+}
+
+/// The one timer of the decision module.
+#[derive(Debug)]
+pub(super) struct TickTimer {
+    deadline: Option<Timestamp>,
+    /// The deadline that was reached last. The next one is counted from there, so that the lateness of each
+    /// tick does not add up to fewer ticks.
+    last_deadline: Timestamp,
+}
+
+impl TickTimer {
+    /// A timer that is not set.
+    pub(super) fn new(now: Timestamp) -> TickTimer {
+        TickTimer {
+            deadline: None,
+            last_deadline: now,
+        }
+    }
+
+    /// Counts the next deadline from now on.
+    pub(super) fn restart(&mut self, now: Timestamp) {
+        self.last_deadline = now;
+    }
+
+    /// Sets the timer to `after` its last deadline, but no nearer than half of that.
+    pub(super) fn set(&mut self, now: Timestamp, after: Duration) {
+        self.deadline = Some((self.last_deadline + after).max(now + after.mul_f64(0.5)));
+    }
+
+    /// The deadline, if the timer is set.
+    pub(super) fn deadline(&self) -> Option<Timestamp> {
+        self.deadline
+    }
+
+    /// Takes the deadline if it has been reached; the timer is not set then.
+    pub(super) fn take_due(&mut self, now: Timestamp) -> Option<Timestamp> {
+        let due = self.deadline.take_if(|deadline| *deadline <= now)?;
+        self.last_deadline = due;
+        Some(due)
+    }
+
+    /// Whether the deadline passed more than `tolerance` ago.
+    pub(super) fn is_overdue(&self, now: Timestamp, tolerance: Duration) -> bool {
+        self.deadline
+            .is_some_and(|deadline| now - deadline > tolerance)
+    }
+}
--- a/crates/server/src/core/dispatch.rs
+++ b/crates/server/src/core/dispatch.rs
@@ -1,25 +1,12 @@
 //! Where calls go when what lies below is many backends: each attempt, what came of it, and whether there is
-//! another. Who is chosen, and what may be made again, is asked of the [`BackendSelector`].
+//! another. Who is chosen, and what may be made again, is asked of the backend selector.
 
-use super::in_flight::{Deadline, InFlightRequests};
+use super::deadlines::Deadline;
+use super::in_flight::InFlightRequests;
 use madderbay::interface::Outcome;
 use madderbay::time::{Duration, Timestamp};
 use madderbay_upstream::{AttemptOutcome, RetryKind, UpstreamAttempt};
 
-/// Whoever knows the backends and how they fare. Times are its own.
-pub trait BackendSelector {
-    /// Where the call of a handler goes; nothing where it goes to the catalogue.
-    fn pick(&self, handler: usize) -> Option<UpstreamAttempt>;
-    /// One more attempt, within the budget of repeats.
-    fn again(&self, before: &UpstreamAttempt, how: RetryKind) -> Option<UpstreamAttempt>;
-    fn over(&self, ticket: &UpstreamAttempt, end: AttemptOutcome);
-    /// After what time a second attempt beside this one is worth its price.
-    fn hedge_after(&self, ticket: &UpstreamAttempt) -> Option<Duration>;
-    /// The least time that an attempt needs.
-    fn least(&self, ticket: &UpstreamAttempt) -> Duration;
-    fn counters(&self) -> String;
-}
-
 /// One attempt of a call that is out: on which connection, and at which backend.
 pub struct BackendAttempt {
     pub wire: u64,
@@ -46,7 +33,7 @@
     /// Where the next call of a req goes: to a backend where its handler has any, else, with nothing, to the
     /// catalogue. An error where it was made before, and the budget of repeats has no room for one more.
     pub(super) fn lead(&self, id: u64) -> Result<Option<UpstreamAttempt>, ()> {
-        let (Some(leads), Some(req)) = (&self.backend_selector, self.requests.get(&id)) else {
+        let (Some(leads), Some(req)) = (self.backends.selector(), self.requests.get(&id)) else {
             return Ok(None);
         };
         match &req.called {
@@ -69,10 +56,9 @@
                 self.calls.fetch(self.now, id, &name, patience, wants, None);
             }
             Some(ticket) => {
-                let hedge = self
-                    .backend_selector
-                    .as_ref()
-                    .filter(|_| self.quota_gate.is_none() && self.replayable[req.handler]);
+                let hedge = self.backends.selector().filter(|_| {
+                    !self.limits.has_quotas() && self.backends.is_idempotent(req.handler)
+                });
                 let hedge = hedge
                     .and_then(|l| l.hedge_after(&ticket))
                     .filter(|after| *after < patience);
@@ -80,7 +66,7 @@
                 if let (Some(after), Some(req)) = (hedge, self.requests.get_mut(&id)) {
                     let at = self.now + after;
                     req.hedge = Some(at);
-                    self.due.insert((at, Deadline::Hedge(id)));
+                    self.deadlines.insert(at, Deadline::Hedge(id));
                 }
             }
         }
@@ -125,7 +111,7 @@
         };
         let done = req.tries.swap_remove(at);
         let (handler, until) = (req.handler, req.until);
-        let Some(leads) = self.backend_selector.clone() else {
+        let Some(leads) = self.backends.selector().cloned() else {
             return false;
         };
         let end = end(how, replied);
@@ -146,7 +132,7 @@
             return true;
         }
         let left = until.map_or(Duration::ZERO, |at| at - now);
-        let may = end.never_executed() || self.replayable[handler];
+        let may = end.never_executed() || self.backends.is_idempotent(handler);
         if !may || left <= leads.least(&done.ticket) || left == Duration::ZERO {
             return false;
         }
@@ -167,7 +153,7 @@
         };
         req.hedge = None;
         let (Some(leads), [only], Some(until)) =
-            (self.backend_selector.clone(), &req.tries[..], req.until)
+            (self.backends.selector().cloned(), &req.tries[..], req.until)
         else {
             return;
         };
@@ -185,14 +171,12 @@
             return;
         };
         if let Some(at) = req.hedge.take() {
-            self.due.remove(&(at, Deadline::Hedge(id)));
+            self.deadlines.remove(at, Deadline::Hedge(id));
         }
         let tries = std::mem::take(&mut req.tries);
         for each in tries {
             self.calls.quit_wire(self.now, each.wire);
-            if let Some(leads) = &self.backend_selector {
-                leads.over(&each.ticket, end);
-            }
+            self.backends.finish(&each.ticket, end);
         }
     }
 }
--- a/crates/server/src/core/event_loop.rs
+++ b/crates/server/src/core/event_loop.rs
@@ -1,8 +1,11 @@
 //! The core: owns the decisions, tells them what came and settles each moment. It knows no socket and no
 //! clock: what came is told by calls with the time, what goes out is put into outboxes.
 
+use crate::core::backend_selector::BackendSelector;
+use crate::core::deadlines::Deadline;
+use crate::core::deferred_events::DeferredEvent;
 use crate::core::durability::DurabilityQueue;
-use crate::core::in_flight::{Deadline, InFlightRequests};
+use crate::core::in_flight::InFlightRequests;
 use crate::core::quota_gate::{QuotaGate, QuotaGroup, QuotaSource};
 use crate::downstream::connections::Connections;
 use crate::downstream::request_validation::{InvalidRequest, ValidatedRequest};
@@ -23,7 +26,7 @@
 pub(super) const KEEP_AWAY: Duration = Duration::from_millis(1_000);
 /// Time between two looks for catalogue connections that stand idle and table entries whose term is over:
 /// much finer than either's span.
-const TIDY: Duration = Duration::from_millis(1_000);
+const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(1_000);
 
 pub type SharedEventLoop = Rc<RefCell<EventLoop>>;
 
@@ -62,23 +65,21 @@
 
     /// Sets pools up; without, nothing binds but the module's own limits.
     pub fn set_concurrency_limits(&mut self, now: Timestamp, plan: ConcurrencyConfig) {
-        self.in_flight.concurrency = Some(ConcurrencyLimiter::new(
-            now,
-            self.seed,
-            plan,
-            &crate::core::concurrency_limits::kinds(&self.settings),
-        ));
+        let profiles = crate::core::concurrency_limits::kinds(&self.settings);
+        let limiter = ConcurrencyLimiter::new(now, self.seed, plan, &profiles);
+        self.in_flight.limits.set_concurrency(limiter);
     }
 
     /// Sets budgets of the fleet up: what may be used of them is asked of `to`.
     pub fn set_quota_source(&mut self, to: Rc<dyn QuotaSource>, groups: Vec<QuotaGroup>) {
         let kinds = crate::core::concurrency_limits::kinds(&self.settings);
-        self.in_flight.quota_gate = Some(QuotaGate::new(to, groups, &kinds, &self.settings.below));
+        let gate = QuotaGate::new(to, groups, &kinds, &self.settings.below);
+        self.in_flight.limits.set_quota_gate(gate);
     }
 
     /// Sets backends up: calls of their handlers go where `to` says.
-    pub fn set_backend_selector(&mut self, to: Rc<dyn crate::core::dispatch::BackendSelector>) {
-        self.in_flight.backend_selector = Some(to);
+    pub fn set_backend_selector(&mut self, to: Rc<dyn BackendSelector>) {
+        self.in_flight.backends.set_selector(to);
     }
 
     /// Makes results of requests with an idempotency key durable through `queue`.
@@ -128,7 +129,7 @@
 
     /// Notified when what the registry is told has changed.
     pub fn report_changed(&self) -> Rc<Notify> {
-        self.in_flight.report.clone()
+        self.in_flight.status.changed()
     }
 
     /// The handler of a method, by its index.
@@ -172,134 +173,117 @@
         };
         self.in_flight.now = now;
         act(decider, &mut self.in_flight);
-        loop {
-            if let Some((id, how)) = self.in_flight.over.pop_front() {
-                decider.on_run_ended(now, id, how, Duration::ZERO);
-            } else if let Some(id) = self.in_flight.unmade.pop_front() {
-                decider.on_call_finished(
+        while let Some(event) = self.in_flight.deferred_events.pop() {
+            match event {
+                DeferredEvent::Ended { request, outcome } => {
+                    decider.on_run_ended(now, request, outcome, Duration::ZERO);
+                }
+                DeferredEvent::CallNotMade(request) => decider.on_call_finished(
                     now,
-                    id,
+                    request,
                     Outcome::Unreachable,
                     Duration::ZERO,
                     &mut self.in_flight,
-                );
-            } else if let Some(id) = self.in_flight.unrun.pop_front() {
-                self.in_flight
-                    .never_ran(id, KEEP_AWAY.min(self.settings.callers.max_retry_after));
-            } else {
-                return;
+                ),
+                DeferredEvent::RunNotSent(request) => {
+                    let retry_after = KEEP_AWAY.min(self.settings.callers.max_retry_after);
+                    self.in_flight.never_ran(request, retry_after);
+                }
             }
         }
     }
 
     /// When the next turn is due at the latest.
     pub fn next_deadline(&self) -> Option<Timestamp> {
-        let due = self.in_flight.due.first().map(|d| d.0);
-        [self.in_flight.wake, due].into_iter().flatten().min()
+        let in_flight = &self.in_flight;
+        [in_flight.tick_timer.deadline(), in_flight.deadlines.next()]
+            .into_iter()
+            .flatten()
+            .min()
     }
 
-    /// One moment: all that was ready has been taken in; due times, the module's timer, its settling.
+    /// One turn, after all that was ready has been taken in: the deadlines that have been reached, the decision
+    /// module's tick, and its decisions.
     pub fn run_turn(&mut self, now: Timestamp) {
         self.in_flight.now = now;
-        while let Some(&(at, what)) = self.in_flight.due.first().filter(|d| d.0 <= now) {
-            self.in_flight.due.remove(&(at, what));
-            match what {
-                Deadline::Call(id) => self.patience_over(now, id),
-                Deadline::Hedge(id) => self.in_flight.hedge(now, id),
-                Deadline::Idle(no) => {
-                    let again = self.in_flight.connections.idle_deadline_reached(now, no);
-                    self.in_flight
-                        .due
-                        .extend(again.map(|at| (at, Deadline::Idle(no))));
-                }
-                Deadline::First(no) => {
-                    let again = self
-                        .in_flight
-                        .connections
-                        .first_request_deadline_reached(now, no);
-                    self.in_flight
-                        .due
-                        .extend(again.map(|at| (at, Deadline::First(no))));
-                }
-                // The disk is too slow for the caller: its answer can't be a result that may not last.
-                Deadline::Settle(id) => self.in_flight.answer_run(id, None),
-                Deadline::Tidy => {
-                    if let Some(keep) = &mut self.in_flight.durability {
-                        keep.book.expire(now);
-                    }
-                    self.in_flight.calls.tidy(now);
-                    self.in_flight.idempotency.expire(now);
-                    self.in_flight.connections.cut_stalled(now);
-                    self.in_flight.due.insert((now + TIDY, Deadline::Tidy));
-                }
-            }
+        while let Some(deadline) = self.in_flight.deadlines.pop_due(now) {
+            self.deadline_reached(now, deadline);
         }
-        if let Some(wake) = self.in_flight.wake.filter(|w| *w <= now) {
-            self.in_flight.wake = None;
-            self.in_flight.rang = wake;
-            self.in_flight.counters.tick(now - wake);
-            let gauges = self.gauges;
-            self.consider(now, |d, in_flight| d.on_tick(now, &gauges, in_flight));
-            self.in_flight.engine_link.rang();
-        }
-        self.ceilings(now);
+        self.tick_if_due(now);
+        self.update_limits(now);
         self.consider(now, |d, in_flight| d.settle(now, in_flight));
-        if let Some(keep) = &mut self.in_flight.durability {
-            keep.flush();
+        if let Some(durability) = &mut self.in_flight.durability {
+            durability.flush();
         }
     }
 
-    /// What pools and budgets may have now is handed to the module before it settles.
-    pub(super) fn ceilings(&mut self, now: Timestamp) {
-        let Some(decider) = &mut self.decider else {
-            return;
-        };
-        let (pools, lent) = (
-            &mut self.in_flight.concurrency,
-            &mut self.in_flight.quota_gate,
-        );
-        let mut changed = false;
-        if let Some(lent) = lent {
-            changed = lent.look(now);
-            if changed {
-                decider.set_upstream_quota(now, lent.share());
-                pools
-                    .iter_mut()
-                    .for_each(|p| p.set_call_quota(lent.share()));
+    fn deadline_reached(&mut self, now: Timestamp, deadline: Deadline) {
+        match deadline {
+            Deadline::CallTimeout(id) => self.patience_over(now, id),
+            Deadline::Hedge(id) => self.in_flight.hedge(now, id),
+            Deadline::ConnectionIdle(connection) => self.idle_deadline_reached(now, connection),
+            Deadline::FirstRequest(connection) => {
+                self.first_request_deadline_reached(now, connection);
             }
-            let parts = lent.allowances(now);
-            parts
-                .into_iter()
-                .for_each(|(tenant, per_second)| decider.set_tenant_rate(tenant, per_second));
+            // The disk is slower than the client's timeout: a result that is not durable can't be its answer.
+            Deadline::DurableAnswer(id) => self.in_flight.answer_run(id, None),
+            Deadline::Maintenance => self.maintain(now),
         }
-        if !changed && !pools.as_ref().is_some_and(|p| p.is_stale(now)) {
-            return;
+    }
+
+    fn idle_deadline_reached(&mut self, now: Timestamp, connection: u64) {
+        let in_flight = &mut self.in_flight;
+        if let Some(at) = in_flight.connections.idle_deadline_reached(now, connection) {
+            let deadline = Deadline::ConnectionIdle(connection);
+            in_flight.deadlines.insert(at, deadline);
         }
-        let workers = decider.status().concurrency_limit;
-        let mut all = pools
-            .as_mut()
-            .map_or(vec![], |p| p.ceilings(now, workers).to_vec());
-        all.extend(lent.iter().flat_map(QuotaGate::ceilings));
-        decider.set_ceilings(&all);
-        let Some(pools) = pools else { return };
-        let limit_changes = pools.take_limit_changes();
-        for change in limit_changes.changes {
-            log::info!(
-                "pools: calls {:.1} to {:.1}: {}",
-                change.from,
-                change.to,
-                change.cause
-            );
+    }
+
+    fn first_request_deadline_reached(&mut self, now: Timestamp, connection: u64) {
+        let in_flight = &mut self.in_flight;
+        let next_check = in_flight
+            .connections
+            .first_request_deadline_reached(now, connection);
+        if let Some(at) = next_check {
+            let deadline = Deadline::FirstRequest(connection);
+            in_flight.deadlines.insert(at, deadline);
+        }
+    }
+
+    /// Removes what has expired and closes what is idle or stalled.
+    fn maintain(&mut self, now: Timestamp) {
+        let in_flight = &mut self.in_flight;
+        if let Some(durability) = &mut in_flight.durability {
+            durability.book.expire(now);
         }
-        let dropped = limit_changes.dropped;
-        if dropped > 0 {
-            log::info!("pools: {dropped} changes more");
+        in_flight.calls.tidy(now);
+        in_flight.idempotency.expire(now);
+        in_flight.connections.cut_stalled(now);
+        in_flight
+            .deadlines
+            .insert(now + MAINTENANCE_INTERVAL, Deadline::Maintenance);
+    }
+
+    /// The decision module's tick, if its timer has reached the deadline.
+    fn tick_if_due(&mut self, now: Timestamp) {
+        let Some(deadline) = self.in_flight.tick_timer.take_due(now) else {
+            return;
+        };
+        self.in_flight.counters.tick(now - deadline);
+        let gauges = self.gauges;
+        self.consider(now, |d, in_flight| d.on_tick(now, &gauges, in_flight));
+        self.in_flight.engine_link.rang();
+    }
+
+    /// Hands the operator's limits to the decision module before it settles.
+    fn update_limits(&mut self, now: Timestamp) {
+        if let Some(decider) = &mut self.decider {
+            self.in_flight.limits.update_decider(now, decider);
         }
     }
 
     pub fn drain(&mut self, now: Timestamp, left: Duration) {
-        self.in_flight.leaving = true;
-        self.in_flight.report.notify_one();
+        self.in_flight.status.begin_draining();
         self.in_flight.connections.drain();
         self.decide(now, |d, _| d.drain(now, left));
     }
@@ -320,7 +304,8 @@
 
     /// What the registry is told: whether this server takes work.
     pub fn is_ready(&self) -> bool {
-        !self.in_flight.leaving && (self.in_flight.good || !self.settings.lists_follow_health)
+        let status = &self.in_flight.status;
+        !status.is_draining() && (status.is_healthy() || !self.settings.lists_follow_health)
     }
 
     /// All counters, one line each.
@@ -334,16 +319,8 @@
             h.calls.out(),
             h.idempotency.len(),
         );
-        let pools = h
-            .concurrency
-            .as_ref()
-            .map_or(String::new(), crate::core::concurrency_limits::counters);
-        let routes = h
-            .backend_selector
-            .as_ref()
-            .map_or(String::new(), |l| l.counters());
-        own + &pools
-            + &routes
+        own + &h.limits.counters()
+            + &h.backends.counters()
             + &h.durability.as_ref().map_or(
                 String::new(),
                 crate::core::durability::DurabilityQueue::counters,
--- a/crates/server/src/core/in_flight.rs
+++ b/crates/server/src/core/in_flight.rs
@@ -1,10 +1,14 @@
 //! The reqs in hand: what each still needs for its run, its call and its answer. Carries out what the module
 //! decides; decides nothing.
 
-use crate::core::dispatch::{BackendAttempt, BackendSelector};
+use crate::core::backend_selector::BackendRouting;
+use crate::core::deadlines::{Deadline, Deadlines, TickTimer};
+use crate::core::deferred_events::DeferredEvents;
+use crate::core::dispatch::BackendAttempt;
 use crate::core::durability::DurabilityQueue;
-use crate::core::quota_gate::QuotaGate;
+use crate::core::request_limits::RequestLimits;
 use crate::core::request_observer::RequestObserver;
+use crate::core::server_status::ServerStatus;
 use crate::downstream::connections::Connections;
 use crate::downstream::idempotency_table::{
     IdempotencyKey, IdempotencyTable, JoinedAttempt, KeyWindow,
@@ -17,13 +21,13 @@
 use crate::upstream::engine::{EngineLink, command};
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD as BASE64;
-use madderbay::interface::{Actions, Outcome, RetrySafety};
+use madderbay::interface::{Actions, Outcome};
 use madderbay::time::{Duration, Timestamp};
+use madderbay_concurrency::RequestStage;
 use madderbay_concurrency::limit::Completion;
-use madderbay_concurrency::{ConcurrencyLimiter, RequestStage};
 use madderbay_settings::Settings;
 use madderbay_upstream::{AttemptOutcome as Tried, UpstreamAttempt};
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::HashMap;
 use std::rc::Rc;
 use tokio::sync::Notify;
 
@@ -60,19 +64,6 @@
     pub fed: Option<u64>,
 }
 
-/// What a due time is for.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Deadline {
-    Call(u64),
-    /// A call that is still out may have a second attempt.
-    Hedge(u64),
-    Idle(u64),
-    First(u64),
-    /// The answer of this req still waits for the disk.
-    Settle(u64),
-    Tidy,
-}
-
 /// All that is in hand, and the ways out.
 pub struct InFlightRequests {
     pub now: Timestamp,
@@ -83,39 +74,24 @@
     pub idempotency: IdempotencyTable,
     pub engine_link: EngineLink,
     pub calls: CallDispatcher,
-    /// Ceilings by pool, where the operator set any.
-    pub concurrency: Option<ConcurrencyLimiter>,
-    /// Budgets of the whole fleet, where the operator set any.
-    pub quota_gate: Option<QuotaGate>,
-    /// Backends below, where the operator set any, and the handlers whose calls may be made twice.
-    pub backend_selector: Option<Rc<dyn BackendSelector>>,
-    pub replayable: Vec<bool>,
+    pub(super) limits: RequestLimits,
+    pub(super) backends: BackendRouting,
     /// Results that outlast this life, where the operator wants them.
     pub durability: Option<DurabilityQueue>,
-    /// Reqs that the module has started and whose run was never sent: nothing could be promised.
-    pub unrun: VecDeque<u64>,
-    /// Calls that the module has made and whose budget had no room any more: they never leave.
-    pub unmade: VecDeque<u64>,
-    pub due: BTreeSet<(Timestamp, Deadline)>,
-    pub wake: Option<Timestamp>,
-    /// When the timer that is ringing was due: the next is counted from there, so that each ring's lateness
-    /// does not add up to fewer rings.
-    pub rang: Timestamp,
-    pub load_report: Option<f64>,
-    pub good: bool,
-    pub leaving: bool,
-    /// Joined reqs that were answered, for the module to hear of.
-    pub over: VecDeque<(u64, Outcome)>,
+    pub(super) deferred_events: DeferredEvents,
+    pub(super) deadlines: Deadlines,
+    pub(super) tick_timer: TickTimer,
+    pub(super) status: ServerStatus,
     pub counters: Counters,
     /// Something came: the decisions have to settle.
     pub changed: Rc<Notify>,
-    /// What the registry says has changed.
-    pub report: Rc<Notify>,
 }
 
 impl InFlightRequests {
     /// `results`: the bytes that kept results may take.
     pub fn new(now: Timestamp, settings: &Settings, results: usize) -> InFlightRequests {
+        let mut deadlines = Deadlines::default();
+        deadlines.insert(now, Deadline::Maintenance);
         InFlightRequests {
             now,
             requests: HashMap::new(),
@@ -125,27 +101,15 @@
             idempotency: IdempotencyTable::new(settings, results),
             engine_link: EngineLink::default(),
             calls: CallDispatcher::default(),
-            concurrency: None,
-            quota_gate: None,
-            backend_selector: None,
-            replayable: settings
-                .handlers
-                .iter()
-                .map(|h| h.retry_safety == RetrySafety::Idempotent)
-                .collect(),
+            limits: RequestLimits::default(),
+            backends: BackendRouting::new(settings),
             durability: None,
-            unrun: VecDeque::new(),
-            unmade: VecDeque::new(),
-            due: BTreeSet::from([(now, Deadline::Tidy)]),
-            wake: None,
-            rang: now,
-            load_report: None,
-            good: true,
-            leaving: false,
-            over: VecDeque::new(),
+            deferred_events: DeferredEvents::default(),
+            deadlines,
+            tick_timer: TickTimer::new(now),
+            status: ServerStatus::default(),
             counters: Counters::new(&settings.handler_names),
             changed: Rc::default(),
-            report: Rc::default(),
         }
     }
 
@@ -154,12 +118,8 @@
         let Some(req) = self.requests.get(&id) else {
             return;
         };
-        if let Some(pools) = &mut self.concurrency {
-            tell(pools, self.now, req.handler);
-        }
-        if let Some(lent) = &mut self.quota_gate {
-            tell(lent, self.now, req.handler);
-        }
+        let (now, handler) = (self.now, req.handler);
+        self.limits.observe(|observer| tell(observer, now, handler));
     }
 
     /// The final answer of a req, once.
@@ -168,7 +128,7 @@
             return false;
         };
         req.answered = true;
-        let report = self.load_report;
+        let report = self.status.load_report();
         self.connections
             .answer(self.now, req.conn, |out| write(out, req.rpc, report));
         self.connections.request_settled(req.conn, req.rpc);
@@ -200,7 +160,8 @@
         }
         let until = self.idempotency.window(key).map_or(self.now, |w| w.end);
         keep.settle(id, key, result, until);
-        self.due.insert((req.latest, Deadline::Settle(id)));
+        self.deadlines
+            .insert(req.latest, Deadline::DurableAnswer(id));
         self.counters.run_over(how);
         self.counters.ran[req.handler] += 1;
         self.give_up_call(id);
@@ -214,7 +175,7 @@
             return;
         };
         let (key, latest) = (req.key, req.latest);
-        self.due.remove(&(latest, Deadline::Settle(id)));
+        self.deadlines.remove(latest, Deadline::DurableAnswer(id));
         self.answer_run(id, result);
         for waiting in key.map_or(vec![], |k| self.idempotency.run_ended(k, result)) {
             self.joined(waiting, result);
@@ -252,7 +213,7 @@
         for id in std::iter::once(id).chain(joined) {
             self.answer_shed(id, come_back, false);
             self.remove(id);
-            self.over.push_back((id, Outcome::AlreadyEnded));
+            self.deferred_events.ended(id, Outcome::AlreadyEnded);
         }
         if let Some(key) = key {
             self.take_back(key);
@@ -265,14 +226,12 @@
             self.answer_run(id, result);
             self.counters.joined += 1;
             self.remove(id);
-            self.over.push_back((
-                id,
-                if result.is_some() {
-                    Outcome::Completed
-                } else {
-                    Outcome::Failed
-                },
-            ));
+            let outcome = if result.is_some() {
+                Outcome::Completed
+            } else {
+                Outcome::Failed
+            };
+            self.deferred_events.ended(id, outcome);
         }
     }
 
@@ -291,7 +250,7 @@
             return;
         };
         if let Some(until) = req.until.take() {
-            self.due.remove(&(until, Deadline::Call(id)));
+            self.deadlines.remove(until, Deadline::CallTimeout(id));
             if req.tries.is_empty() {
                 self.calls.quit(self.now, &req.name);
             }
@@ -413,7 +372,7 @@
                 .window(key)
                 .map_or((0, self.now), |w| (w.fingerprint, w.end));
             if keep.promise(id, key, window, name).is_err() {
-                self.unrun.push_back(id);
+                self.deferred_events.run_not_sent(id);
                 return;
             }
             req.unsent = Some(vec![]);
@@ -445,26 +404,23 @@
 
     fn call(&mut self, id: u64, patience: Duration) {
         let Ok(to) = self.lead(id) else {
-            self.unmade.push_back(id);
+            self.deferred_events.call_not_made(id);
             return;
         };
         let Some(req) = self.requests.get_mut(&id) else {
             return;
         };
-        let mut patience = patience;
-        if let Some(lent) = &mut self.quota_gate {
-            if !lent.may_call(req.handler) {
-                if let (Some(ticket), Some(leads)) = (&to, &self.backend_selector) {
-                    leads.over(ticket, Tried::Cancelled);
-                }
-                self.unmade.push_back(id);
-                return;
+        if !self.limits.acquire_call(req.handler) {
+            if let Some(ticket) = &to {
+                self.backends.finish(ticket, Tried::Cancelled);
             }
-            patience = lent.patience(req.handler, patience);
+            self.deferred_events.call_not_made(id);
+            return;
         }
+        let patience = self.limits.call_timeout(req.handler, patience);
         let until = self.now + patience;
         req.until = Some(until);
-        self.due.insert((until, Deadline::Call(id)));
+        self.deadlines.insert(until, Deadline::CallTimeout(id));
         self.counters.calls += 1;
         self.send_call(id, patience, to);
         self.followed(id, |f, now, handler| {
@@ -515,26 +471,19 @@
     }
 
     fn set_health(&mut self, good: bool) {
-        if std::mem::replace(&mut self.good, good) != good {
-            log::warn!("health: {}", if good { "good again" } else { "ill" });
-            self.report.notify_one();
-        }
+        self.status.set_health(good);
     }
 
     fn set_load_report(&mut self, value: f64) {
-        self.load_report = Some(value);
+        self.status.set_load_report(value);
     }
 
     fn set_idle_limit(&mut self, limit: Duration) {
-        self.due.retain(|d| !matches!(d.1, Deadline::Idle(_)));
-        self.due.extend(
-            self.connections
-                .set_idle_limit(limit)
-                .map(|(at, no)| (at, Deadline::Idle(no))),
-        );
+        self.deadlines
+            .replace_idle(self.connections.set_idle_limit(limit));
     }
 
     fn set_timer(&mut self, after: Duration) {
-        self.wake = Some((self.rang + after).max(self.now + after.mul_f64(0.5)));
+        self.tick_timer.set(self.now, after);
     }
 }
--- a/crates/server/src/core/mod.rs
+++ b/crates/server/src/core/mod.rs
@@ -1,12 +1,17 @@
 //! The core: owns the decisions and carries them out; knows no socket and no clock.
 
 mod arrivals;
+pub mod backend_selector;
 pub mod concurrency_limits;
-pub mod dispatch;
+mod deadlines;
+mod deferred_events;
+mod dispatch;
 pub mod durability;
 pub mod event_loop;
-pub mod in_flight;
+mod in_flight;
 pub mod quota_gate;
-pub mod request_observer;
+mod request_limits;
+mod request_observer;
+mod server_status;
 mod stored_results;
 mod upstream_events;
--- /dev/null
+++ b/crates/server/src/core/server_status.rs
@@ -0,0 +1,67 @@
+//! What this server tells others of itself: its health, its load, and whether it is draining.
+//!
+//! Owns: these three, and the notification for the registry's driver. Is given: what the decision module sets.
+//! Never judges health, and never sends anything.
+
+use std::rc::Rc;
+use tokio::sync::Notify;
+
+/// The status that health checks, answers and the registry's reports carry.
+pub(super) struct ServerStatus {
+    healthy: bool,
+    draining: bool,
+    load_report: Option<f64>,
+    changed: Rc<Notify>,
+}
+
+impl Default for ServerStatus {
+    fn default() -> ServerStatus {
+        ServerStatus {
+            healthy: true,
+            draining: false,
+            load_report: None,
+            changed: Rc::default(),
+        }
+    }
+}
+
+impl ServerStatus {
+    /// Whether the decision module finds the server healthy.
+    pub(super) fn is_healthy(&self) -> bool {
+        self.healthy
+    }
+
+    /// Whether the server is shutting down gracefully.
+    pub(super) fn is_draining(&self) -> bool {
+        self.draining
+    }
+
+    /// The load report for answers, once there is one.
+    pub(super) fn load_report(&self) -> Option<f64> {
+        self.load_report
+    }
+
+    /// Notified when health changes and when draining begins.
+    pub(super) fn changed(&self) -> Rc<Notify> {
+        self.changed.clone()
+    }
+
+    /// Sets the health.
+    pub(super) fn set_health(&mut self, healthy: bool) {
+        if std::mem::replace(&mut self.healthy, healthy) != healthy {
+            log::warn!("health: {}", if healthy { "good again" } else { "ill" });
+            self.changed.notify_one();
+        }
+    }
+
+    /// Sets the load report for answers.
+    pub(super) fn set_load_report(&mut self, value: f64) {
+        self.load_report = Some(value);
+    }
+
+    /// Begins draining.
+    pub(super) fn begin_draining(&mut self) {
+        self.draining = true;
+        self.changed.notify_one();
+    }
+}
--- a/crates/server/src/core/stored_results.rs
+++ b/crates/server/src/core/stored_results.rs
@@ -28,7 +28,7 @@
         };
         let verdict = keep.book.lookup(key, print);
         let away = KEEP_AWAY.min(self.settings.callers.max_retry_after);
-        let report = in_flight.load_report;
+        let report = in_flight.status.load_report();
         match verdict {
             Lookup::Mismatch => return Err("replay came with another body"),
             Lookup::NotFound if keep.book.admit_intent().is_ok() => return Ok(false),
@@ -81,7 +81,7 @@
         for wait in waits {
             match wait {
                 PendingWork::Run(id) if lasts => self.in_flight.release(id),
-                PendingWork::Run(id) => self.in_flight.unrun.push_back(id),
+                PendingWork::Run(id) => self.in_flight.deferred_events.run_not_sent(id),
                 PendingWork::Answer(id, result) => self
                     .in_flight
                     .settled(id, result.as_deref().filter(|_| lasts)),
--- a/crates/server/src/core/upstream_events.rs
+++ b/crates/server/src/core/upstream_events.rs
@@ -1,7 +1,7 @@
 //! What the engine and the catalogue say, told to the decisions: runs and calls, and how they ended.
 
+use super::deadlines::Deadline;
 use super::event_loop::EventLoop;
-use super::in_flight::Deadline;
 use crate::support::name::Name;
 use crate::upstream::calls::{self, CallDispatcher};
 use crate::upstream::engine::{self, EngineLink};
@@ -46,11 +46,13 @@
             .get_mut(&id)
             .and_then(|r| r.until.take())
         {
-            self.in_flight.due.remove(&(until, Deadline::Call(id)));
+            self.in_flight
+                .deadlines
+                .remove(until, Deadline::CallTimeout(id));
         }
         self.in_flight.now = now;
         self.in_flight.drop_tries(id, Tried::Cancelled);
-        let late = self.in_flight.wake.is_some_and(|due| now - due > HELD_UP);
+        let late = self.in_flight.tick_timer.is_overdue(now, HELD_UP);
         self.in_flight.followed(id, |f, now, _| {
             if late {
                 f.process_stalled(now);
@@ -118,13 +120,14 @@
     fn hello(&mut self, now: Timestamp, how: &str, age: Duration) {
         log::info!("engine: up, {how} {} ms ago", age.as_micros() / 1000);
         // One that is told to leave before its engine came up takes nothing on any more.
-        if self.decider.is_none() && !self.in_flight.leaving {
+        if self.decider.is_none() && !self.in_flight.status.is_draining() {
             self.settings.machine.starts_cold |= how == "new";
             // It begins now and not when the engine did, which may be an hour ago: its timer would count as
             // that late, and a stop asked for before the first tick would fall due for ever. A cold engine
             // that came up a while ago counts as colder than it is.
             let mut decider = self.settings.decider(now, self.seed);
-            (self.in_flight.now, self.in_flight.rang) = (now, now);
+            self.in_flight.now = now;
+            self.in_flight.tick_timer.restart(now);
             decider.on_start(&mut self.in_flight);
             self.decider = Some(decider);
         }
--- a/crates/server/src/fleet/backends.rs
+++ b/crates/server/src/fleet/backends.rs
@@ -1,7 +1,7 @@
 //! The backends as the operator file sets them, over the settings' handlers; and the place where the core asks for
 //! them, alone or with what the fleet's driver hears.
 
-use crate::core::dispatch::BackendSelector;
+use crate::core::backend_selector::BackendSelector;
 use crate::support::clock::MonotonicClock;
 use crate::support::metrics::Lines;
 use madderbay::time::{Duration, Timestamp};
