--- /dev/null
+++ b/crates/server/src/core/actions.rs
@@ -0,0 +1,141 @@
+//! The actions of the decision module: one short function an action.
+//!
+//! Is given: the id of a request and what is to be done about it. An action on a request that is not in flight
+//! any more has no effect. Decides nothing: what can't be done is reported back as a deferred event.
+
+use super::deadlines::Deadline;
+use super::executor::ActionExecutor;
+use crate::downstream::idempotency_table::{IdempotencyKey, JoinedAttempt, KeyWindow};
+use madderbay::interface::Actions;
+use madderbay::time::Duration;
+use madderbay_concurrency::RequestStage;
+use madderbay_idempotency_store::IntentError;
+
+impl ActionExecutor {
+    /// Where results are durable, holds the run of a request back until its write-ahead record is on disk.
+    fn record_intent(&mut self, id: u64, key: IdempotencyKey) -> Result<(), IntentError> {
+        let (Some(durability), Some(request)) = (&mut self.durability, self.requests.get_mut(id))
+        else {
+            return Ok(());
+        };
+        let window = self.idempotency.window(key);
+        let window = window.map_or((0, self.now), |w| (w.fingerprint, w.end));
+        durability.promise(id, key, window, request.name)?;
+        request.commands.hold();
+        Ok(())
+    }
+}
+
+impl Actions for ActionExecutor {
+    fn start(&mut self, id: u64) {
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        request.started = true;
+        self.counters.runs += 1;
+        let body = std::mem::take(&mut request.body);
+        let (key, handler) = (request.key, request.handler);
+        if let Some(key) = key {
+            self.idempotency.run_started(key);
+            if self.record_intent(id, key).is_err() {
+                return self.deferred_events.run_not_sent(id);
+            }
+        }
+        self.set_stage(id, RequestStage::Running);
+        let service = self.validator.quoted_name(handler);
+        let members = format_args!(",\"service\":{service},\"blob\":{body}");
+        self.send_command(id, "RUN", members);
+    }
+
+    fn cancel(&mut self, id: u64) {
+        self.send_command(id, "HALT", format_args!(""));
+    }
+
+    fn reject(&mut self, id: u64, retry_after: Duration, is_final: bool) {
+        self.answer_rejected(id, retry_after, is_final);
+        self.nobody_waits(id);
+    }
+
+    fn fail(&mut self, id: u64) {
+        self.answer_run(id, None);
+        self.nobody_waits(id);
+    }
+
+    fn call(&mut self, id: u64, timeout: Duration) {
+        let Ok(target) = self.select_target(id) else {
+            return self.deferred_events.call_not_made(id);
+        };
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        if !self.limits.acquire_call(request.handler) {
+            self.release_target(&target);
+            return self.deferred_events.call_not_made(id);
+        }
+        let timeout = self.limits.call_timeout(request.handler, timeout);
+        let deadline = self.now + timeout;
+        request.call.set_deadline(deadline);
+        self.deadlines.insert(deadline, Deadline::CallTimeout(id));
+        self.counters.calls += 1;
+        self.send_call(id, timeout, target);
+        self.set_stage(id, RequestStage::Calling);
+    }
+
+    fn skip_call(&mut self, id: u64) {
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        request.partial = true;
+        let serial = request.call.serial();
+        self.counters.skipped += 1;
+        self.observe(id, |o, now| o.call_skipped(now, id));
+        self.send_command(id, "SKIP", format_args!(",\"serial\":{serial}"));
+    }
+
+    fn store_key(&mut self, id: u64, lifetime: Duration) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        if let Some(key) = request.key {
+            let window = KeyWindow {
+                fingerprint: request.fingerprint,
+                end: self.now + lifetime,
+            };
+            self.idempotency.insert(id, key, request.handler, window);
+        }
+    }
+
+    fn remove_key(&mut self, id: u64) {
+        self.idempotency.remove_held_by(id);
+    }
+
+    fn join_attempt(&mut self, id: u64) {
+        // It waits for the run of another attempt and needs none of its own.
+        self.observe(id, |o, now| o.request_finished(now, id));
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        match self.idempotency.join(id, request.key) {
+            JoinedAttempt::Waits => {}
+            JoinedAttempt::Completed(result) => self.answer_joined(id, Some(&result)),
+            JoinedAttempt::Failed => self.answer_joined(id, None),
+        }
+    }
+
+    fn set_health(&mut self, healthy: bool) {
+        self.status.set_health(healthy);
+    }
+
+    fn set_load_report(&mut self, value: f64) {
+        self.status.set_load_report(value);
+    }
+
+    fn set_idle_limit(&mut self, limit: Duration) {
+        let idle_deadlines = self.connections.set_idle_limit(limit);
+        self.deadlines.replace_idle(idle_deadlines);
+    }
+
+    fn set_timer(&mut self, after: Duration) {
+        self.tick_timer.set(self.now, after);
+    }
+}
--- /dev/null
+++ b/crates/server/src/core/answers.rs
@@ -0,0 +1,148 @@
+//! The ways to the final answer of a request. Each request is answered once.
+//!
+//! Is given: how a run ended, or that there was none. Writes the answer to the connection's outbox, counts it,
+//! and answers the attempts that joined the same run. With durable results an answer waits until its result is
+//! on disk. Never decides which answer a request gets.
+
+use super::deadlines::Deadline;
+use super::executor::ActionExecutor;
+use crate::downstream::idempotency_table::IdempotencyKey;
+use crate::downstream::response;
+use madderbay::interface::Outcome;
+use madderbay::time::{Duration, Timestamp};
+
+impl ActionExecutor {
+    /// Writes the final answer of a request, with its JSON-RPC id and the load report; false if it has one.
+    fn answer(&mut self, id: u64, write: impl FnOnce(&mut Vec<u8>, u64, Option<f64>)) -> bool {
+        let Some(request) = self.requests.get_mut(id).filter(|r| !r.answered) else {
+            return false;
+        };
+        request.answered = true;
+        let (connection, rpc_id) = (request.connection, request.rpc_id);
+        let report = self.status.load_report();
+        self.connections
+            .answer(self.now, connection, |out| write(out, rpc_id, report));
+        self.connections.request_settled(connection, rpc_id);
+        true
+    }
+
+    /// Answers a request with the result of a run, or with an error without one.
+    pub(super) fn answer_run(&mut self, id: u64, result: Option<&str>) {
+        let partial = self.requests.get(id).is_some_and(|r| r.partial);
+        let answered = self.answer(id, |out, rpc_id, report| match result {
+            Some(result) => response::done(out, rpc_id, result, report),
+            None => response::errored(out, rpc_id, report),
+        });
+        if answered {
+            self.counters.answered(result.is_some(), partial);
+        }
+    }
+
+    /// Answers that a request was rejected and never ran.
+    pub(super) fn answer_rejected(&mut self, id: u64, retry_after: Duration, is_final: bool) {
+        let answered = self.answer(id, |out, rpc_id, report| {
+            response::shed(out, rpc_id, retry_after, is_final, report);
+        });
+        if answered {
+            self.counters.shed += 1;
+        }
+    }
+
+    /// Answers a request that joined a run with the result of that, and removes it.
+    pub(super) fn answer_joined(&mut self, id: u64, result: Option<&str>) {
+        if self.requests.get(id).is_none() {
+            return;
+        }
+        self.answer_run(id, result);
+        self.counters.joined += 1;
+        self.remove(id);
+        let outcome = match result {
+            Some(_) => Outcome::Completed,
+            None => Outcome::Failed,
+        };
+        self.deferred_events.ended(id, outcome);
+    }
+
+    /// The one run of a key ended: answers the attempts that joined it.
+    pub(super) fn answer_all_joined(&mut self, key: Option<IdempotencyKey>, result: Option<&str>) {
+        let joined = key.map_or(vec![], |key| self.idempotency.run_ended(key, result));
+        for id in joined {
+            self.answer_joined(id, result);
+        }
+    }
+
+    /// The run of a request with an idempotency key ended. Where results are durable, its answer waits until
+    /// this one is, and the request stays in flight. False where it does not wait, or where nothing ran.
+    pub(super) fn answer_once_durable(
+        &mut self,
+        id: u64,
+        outcome: Outcome,
+        result: Option<&str>,
+    ) -> bool {
+        let Some(key) = self.requests.get(id).and_then(|r| r.key) else {
+            return false;
+        };
+        if outcome == Outcome::AlreadyEnded {
+            self.record_not_run(key);
+            return false;
+        }
+        let expiry = self.key_expiry(key);
+        let (Some(durability), Some(request)) = (&mut self.durability, self.requests.get(id))
+        else {
+            return false;
+        };
+        durability.settle(id, key, result, expiry);
+        self.deadlines
+            .insert(request.answer_deadline, Deadline::DurableAnswer(id));
+        self.counters.run_over(outcome);
+        self.counters.ran[request.handler] += 1;
+        self.cancel_call(id);
+        self.observe(id, |o, now| o.request_finished(now, id));
+        true
+    }
+
+    /// The result of a request is durable, or can't be made so: answers it and those that joined it.
+    pub(super) fn durable_answer_ready(&mut self, id: u64, result: Option<&str>) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        let (key, answer_deadline) = (request.key, request.answer_deadline);
+        self.deadlines
+            .remove(answer_deadline, Deadline::DurableAnswer(id));
+        self.answer_run(id, result);
+        self.answer_all_joined(key, result);
+        self.remove(id);
+    }
+
+    /// A run that the decision module started was not sent: rejects its request and those that joined it. A
+    /// further attempt of the key is a new request.
+    pub(super) fn reject_run_not_sent(&mut self, id: u64, retry_after: Duration) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        let key = request.key;
+        self.counters.run_over(Outcome::AlreadyEnded);
+        let joined = key.map_or(vec![], |key| self.idempotency.run_ended(key, None));
+        for id in std::iter::once(id).chain(joined) {
+            self.answer_rejected(id, retry_after, false);
+            self.remove(id);
+            self.deferred_events.ended(id, Outcome::AlreadyEnded);
+        }
+        if let Some(key) = key {
+            self.record_not_run(key);
+            self.idempotency.remove_held_by(id);
+        }
+    }
+
+    /// Records that the run of a key, recorded as intended, never took place.
+    fn record_not_run(&mut self, key: IdempotencyKey) {
+        let expiry = self.key_expiry(key);
+        if let Some(durability) = &mut self.durability {
+            durability.never(key, expiry);
+        }
+    }
+
+    fn key_expiry(&self, key: IdempotencyKey) -> Timestamp {
+        self.idempotency.window(key).map_or(self.now, |w| w.end)
+    }
+}
--- a/crates/server/src/core/arrivals.rs
+++ b/crates/server/src/core/arrivals.rs
@@ -1,9 +1,14 @@
-//! What balancers say, told to the decisions: connections, reqs, reqs withdrawn, questions of health.
+//! What load balancers send, handed to the decision module: connections, requests, withdrawn attempts and
+//! health checks.
+//!
+//! Is given: connections that were opened or ended, and requests that were read and validated. Answers at once
+//! what a former incarnation has answered and what can't be admitted here; all else the decision module decides.
+//! Never parses a line.
 
 use super::deadlines::Deadline;
-use super::event_loop::{EventLoop, KEEP_AWAY};
+use super::event_loop::EventLoop;
 use super::in_flight::InFlightRequest;
-use crate::downstream::connections::OpenRequestError;
+use crate::downstream::connections::{OpenRequestError, OpenedConnection};
 use crate::downstream::idempotency_table::FingerprintMismatch;
 use crate::downstream::request_validation::{InvalidRequest, ValidatedRequest};
 use crate::downstream::response;
@@ -13,221 +18,228 @@
 use madderbay::time::{Duration, Timestamp};
 use madderbay_concurrency::RequestStage;
 
-/// Answers leave this long before their callers stop waiting; without a waiting time, after so long.
-const MARGIN: Duration = Duration::from_millis(30);
-const WAITS: Duration = Duration::from_millis(2_000);
-
+/// Connections.
 impl EventLoop {
-    pub fn connection_opened(&mut self, now: Timestamp, out: Outbox) -> u64 {
-        let in_flight = &mut self.in_flight;
-        in_flight.counters.connections += 1;
-        let opened = in_flight.connections.open(now, out);
-        let no = opened.id;
-        in_flight
-            .deadlines
-            .insert(opened.first_request_deadline, Deadline::FirstRequest(no));
-        if let Some(limit) = in_flight.connections.idle_limit() {
-            in_flight
-                .deadlines
-                .insert(now + limit, Deadline::ConnectionIdle(no));
+    /// A connection was accepted. Gives its number.
+    pub fn connection_opened(&mut self, now: Timestamp, outbox: Outbox) -> u64 {
+        let executor = &mut self.executor;
+        executor.counters.connections += 1;
+        let opened = executor.connections.open(now, outbox);
+        if let Some(limit) = executor.connections.idle_limit() {
+            let deadline = Deadline::ConnectionIdle(opened.id);
+            executor.deadlines.insert(now + limit, deadline);
         }
-        no
+        self.await_first_request(opened)
     }
 
-    /// A connection was accepted that there is no room for.
-    pub fn connection_opened_over_limit(&mut self, now: Timestamp, out: Outbox) -> u64 {
-        let in_flight = &mut self.in_flight;
-        in_flight.counters.connections_refused += 1;
-        let opened = in_flight.connections.open_over_limit(now, out);
-        in_flight.deadlines.insert(
-            opened.first_request_deadline,
-            Deadline::FirstRequest(opened.id),
-        );
+    /// A connection was accepted that exceeds the limit on connections. Gives its number.
+    pub fn connection_opened_over_limit(&mut self, now: Timestamp, outbox: Outbox) -> u64 {
+        let executor = &mut self.executor;
+        executor.counters.connections_refused += 1;
+        let opened = executor.connections.open_over_limit(now, outbox);
+        self.await_first_request(opened)
+    }
+
+    fn await_first_request(&mut self, opened: OpenedConnection) -> u64 {
+        let deadline = Deadline::FirstRequest(opened.id);
+        self.executor
+            .deadlines
+            .insert(opened.first_request_deadline, deadline);
         opened.id
     }
 
-    /// How many connections are open that there is no room for.
+    /// The number of open connections that exceed the limit on connections.
     pub fn connections_over_limit(&self) -> usize {
-        self.in_flight.connections.over_limit_count()
+        self.executor.connections.over_limit_count()
     }
 
+    /// The number of open connections.
     pub fn connection_count(&self) -> usize {
-        self.in_flight.connections.len()
+        self.executor.connections.len()
     }
 
-    /// Ends a connection that carries nothing, to make room for another; false where all carry something.
+    /// Evicts a connection without open requests in favour of a new one; false if there is none.
     pub fn evict_connection(&mut self, now: Timestamp) -> bool {
-        let made = self.in_flight.connections.evict(now);
-        self.in_flight.counters.connections_cut += u64::from(made);
-        made
+        let evicted = self.executor.connections.evict(now);
+        self.executor.counters.connections_cut += u64::from(evicted);
+        evicted
     }
 
-    /// The peer breaks the protocol, and nothing it asked can be told from what it did not: all that it has
-    /// open is errored, and the connection ends.
-    pub fn reject_connection(&mut self, now: Timestamp, no: u64) {
-        let Some(open) = self.in_flight.connections.open_requests(no) else {
+    /// The peer broke the protocol, and its requests can't be told from noise: all that are open on the
+    /// connection fail, and it ends.
+    pub fn reject_connection(&mut self, now: Timestamp, connection: u64) {
+        let Some(open_requests) = self.executor.connections.open_requests(connection) else {
             return;
         };
-        self.in_flight.now = now;
-        for id in open {
-            self.in_flight.fail(id);
-            self.decide(now, |d, in_flight| d.on_client_gone(now, id, in_flight));
+        self.executor.now = now;
+        for id in open_requests {
+            self.fail_request(now, id);
         }
-        self.input_ended(no);
+        self.input_ended(connection);
     }
 
-    /// The peer sends no more, or nothing that can be read: what is open is still answered.
-    pub fn input_ended(&mut self, no: u64) {
-        self.in_flight.connections.input_ended(no);
+    /// The peer sends no more, or nothing that can be read: its open requests are still answered.
+    pub fn input_ended(&mut self, connection: u64) {
+        self.executor.connections.input_ended(connection);
     }
 
-    /// The connection is gone, and with it everyone who waits on it.
-    pub fn connection_closed(&mut self, now: Timestamp, no: u64) {
-        let Some(open) = self.in_flight.connections.remove(no) else {
+    /// A connection is gone, and with it the clients of its open requests.
+    pub fn connection_closed(&mut self, now: Timestamp, connection: u64) {
+        let Some(open_requests) = self.executor.connections.remove(connection) else {
             return;
         };
-        self.in_flight.counters.cut += open.len() as u64;
-        open.into_iter().for_each(|id| self.gone(now, id));
+        self.executor.counters.cut += open_requests.len() as u64;
+        for id in open_requests {
+            self.client_gone(now, id);
+        }
     }
 
-    pub fn outbox(&self, no: u64) -> Option<&Outbox> {
-        self.in_flight.connections.outbox(no)
+    /// The outbox of a connection, while that is open.
+    pub fn outbox(&self, connection: u64) -> Option<&Outbox> {
+        self.executor.connections.outbox(connection)
     }
 
-    /// Whether another req by this id may be opened on a connection; else why not.
-    pub fn check_open(&self, no: u64, rpc: u64) -> Result<(), OpenRequestError> {
-        self.in_flight.connections.check_open(no, rpc)
+    /// Checks that a request with this JSON-RPC id may be opened on a connection.
+    ///
+    /// # Errors
+    /// As [`Connections::check_open`](crate::downstream::connections::Connections::check_open).
+    pub fn check_open(&self, connection: u64, rpc_id: u64) -> Result<(), OpenRequestError> {
+        self.executor.connections.check_open(connection, rpc_id)
     }
 
-    /// A req has been read.
+    /// Answers a health check.
+    pub fn health_checked(&mut self, now: Timestamp, connection: u64, rpc_id: u64) {
+        let executor = &mut self.executor;
+        let status = &executor.status;
+        let healthy = status.is_healthy() && !status.is_draining();
+        let report = status.load_report();
+        executor.connections.answer(now, connection, |out| {
+            response::health(out, rpc_id, healthy, report);
+        });
+    }
+}
+
+/// Requests.
+impl EventLoop {
+    /// A request was read and validated. It is answered from a former incarnation, rejected, or handed to the
+    /// decision module.
+    ///
+    /// # Errors
+    /// The name of the attempt is in use, or its idempotency key came with another body.
     pub fn request_arrived(
         &mut self,
         now: Timestamp,
-        no: u64,
-        rpc: u64,
+        connection: u64,
+        rpc_id: u64,
         request: ValidatedRequest,
     ) -> Result<(), InvalidRequest> {
-        let ValidatedRequest {
-            arrival,
-            name,
-            key,
-            fingerprint: print,
-            body,
-        } = request;
-        if self.in_flight.names.contains_key(&name) {
+        if self.executor.requests.id(&request.name).is_some() {
             return Err(InvalidRequest::AttemptNameInUse);
         }
-        if let Some(key) = key
-            // Its one error is that the key came with another body.
-            && self
-                .former_life(now, (no, rpc), arrival.handler, key, print)
-                .map_err(|_| FingerprintMismatch)?
-        {
+        if self.is_answered_from_store(now, connection, rpc_id, &request)? {
             return Ok(());
         }
-        if !self
-            .in_flight
-            .connections
-            .request_opened(now, no, rpc, arrival.id)
-        {
+        let arrival = &request.arrival;
+        let connections = &mut self.executor.connections;
+        if !connections.request_opened(now, connection, rpc_id, arrival.id) {
             return Ok(());
         }
-        self.in_flight.counters.read[arrival.handler] += 1;
-        self.in_flight.counters.read_late(arrival.read_delay);
-        let req = InFlightRequest {
-            name,
-            conn: no,
-            rpc,
-            handler: arrival.handler,
-            key,
-            print,
-            body: body.into(),
-            started: false,
-            answered: false,
-            partial: false,
-            need: 0,
-            wants: vec![],
-            until: None,
-            tries: vec![],
-            hedge: None,
-            called: None,
-            unsent: None,
-            latest: (now
-                + if arrival.timeout > Duration::ZERO {
-                    arrival.timeout
-                } else {
-                    WAITS
-                })
-            .saturating_sub(MARGIN),
-            unproven: vec![],
-            proof: 0,
-            fed: None,
-        };
-        self.in_flight.names.insert(name, arrival.id);
-        self.in_flight.requests.insert(arrival.id, req);
-        self.in_flight.now = now;
-        self.in_flight.followed(arrival.id, |f, now, handler| {
-            f.set_stage(now, arrival.id, handler, RequestStage::Queued)
-        });
-        self.in_flight
-            .limits
-            .count_request(arrival.handler, arrival.tenant);
+        self.enter_request(now, connection, rpc_id, &request);
         if self.decider.is_none() {
             // Nothing can run before the engine is up.
-            self.in_flight.reject(arrival.id, Duration::ZERO, false);
-        } else if self.in_flight.connections.is_over_limit(no) && arrival.retry_of == 0 {
-            // There is no room for its connection. A further try of a keyed req shares what became of the first.
-            self.in_flight.reject(
-                arrival.id,
-                KEEP_AWAY.min(self.settings.callers.max_retry_after),
-                false,
-            );
+            self.executor.reject(arrival.id, Duration::ZERO, false);
+        } else if self.executor.connections.is_over_limit(connection) && arrival.retry_of == 0 {
+            // A retry with an idempotency key is admitted: it shares the outcome of the first attempt.
+            let retry_after = self.unavailable_retry_after();
+            self.executor.reject(arrival.id, retry_after, false);
             return Ok(());
         }
-        self.decide(now, |d, in_flight| d.on_arrival(now, &arrival, in_flight));
+        self.decide(now, |d, executor| d.on_arrival(now, arrival, executor));
         Ok(())
     }
 
-    /// The balancer has stopped waiting for a req.
+    /// Answers an attempt whose key is known from a former incarnation, or of which no record can be made.
+    fn is_answered_from_store(
+        &mut self,
+        now: Timestamp,
+        connection: u64,
+        rpc_id: u64,
+        request: &ValidatedRequest,
+    ) -> Result<bool, InvalidRequest> {
+        let Some(key) = request.key else {
+            return Ok(false);
+        };
+        let (handler, fingerprint) = (request.arrival.handler, request.fingerprint);
+        // Its one error is that the key came with another body.
+        self.former_life(now, (connection, rpc_id), handler, key, fingerprint)
+            .map_err(|_| FingerprintMismatch.into())
+    }
+
+    /// Counts a request and enters it into the table.
+    fn enter_request(
+        &mut self,
+        now: Timestamp,
+        connection: u64,
+        rpc_id: u64,
+        request: &ValidatedRequest,
+    ) {
+        let arrival = &request.arrival;
+        let executor = &mut self.executor;
+        executor.counters.read[arrival.handler] += 1;
+        executor.counters.read_late(arrival.read_delay);
+        let in_flight = InFlightRequest::new(now, connection, rpc_id, request);
+        executor.requests.insert(arrival.id, in_flight);
+        executor.now = now;
+        executor.set_stage(arrival.id, RequestStage::Queued);
+        executor
+            .limits
+            .count_request(arrival.handler, arrival.tenant);
+    }
+
+    /// A client withdrew an attempt, named by its JSON-RPC id or by the name of the attempt.
     pub fn attempt_withdrawn(
         &mut self,
         now: Timestamp,
-        no: u64,
-        rpc: Option<u64>,
+        connection: u64,
+        rpc_id: Option<u64>,
         name: Option<Name>,
     ) {
-        let by_rpc = rpc.and_then(|rpc| self.in_flight.connections.request_id(no, rpc));
-        // One caller can't withdraw another's req.
-        let own = |id: &u64| {
-            self.in_flight
-                .requests
-                .get(id)
-                .is_some_and(|r| r.conn == no)
-        };
-        if let Some(id) = by_rpc.or_else(|| self.in_flight.names.get(&name?).copied().filter(own)) {
-            self.gone(now, id);
+        let by_rpc_id = rpc_id.and_then(|rpc_id| {
+            let connections = &self.executor.connections;
+            connections.request_id(connection, rpc_id)
+        });
+        let by_name = || self.request_of_connection(&name?, connection);
+        if let Some(id) = by_rpc_id.or_else(by_name) {
+            self.client_gone(now, id);
         }
     }
 
-    pub(super) fn gone(&mut self, now: Timestamp, id: u64) {
-        let Some(req) = self.in_flight.requests.get(&id).filter(|r| !r.answered) else {
+    /// The request by the name of its attempt, if it came on this connection: a client can't withdraw another's.
+    fn request_of_connection(&self, name: &Name, connection: u64) -> Option<u64> {
+        let requests = &self.executor.requests;
+        let id = requests.id(name)?;
+        let request = requests.get(id)?;
+        (request.connection == connection).then_some(id)
+    }
+
+    /// The client of a request no longer waits for its answer.
+    fn client_gone(&mut self, now: Timestamp, id: u64) {
+        let Some(request) = self.executor.requests.unanswered(id) else {
             return;
         };
-        log::debug!("req {id} is gone, started {}", req.started);
-        self.in_flight.counters.gone += 1;
-        self.decide(now, |d, in_flight| d.on_client_gone(now, id, in_flight));
-        self.in_flight.nobody_waits(id);
-    }
-
-    pub fn health_checked(&mut self, now: Timestamp, no: u64, rpc: u64) {
-        let in_flight = &mut self.in_flight;
-        let status = &in_flight.status;
-        let (good, report) = (
-            status.is_healthy() && !status.is_draining(),
-            status.load_report(),
+        log::debug!(
+            "request: client gone, request={id}, started={}",
+            request.started
         );
-        in_flight
-            .connections
-            .answer(now, no, |out| response::health(out, rpc, good, report));
+        self.executor.counters.gone += 1;
+        self.decide(now, |d, executor| d.on_client_gone(now, id, executor));
+        self.executor.nobody_waits(id);
+    }
+
+    /// Answers a request with an error and reports its client gone, so that the decision module gives it up.
+    pub(super) fn fail_request(&mut self, now: Timestamp, id: u64) {
+        self.executor.now = now;
+        self.executor.fail(id);
+        self.decide(now, |d, executor| d.on_client_gone(now, id, executor));
     }
 }
--- a/crates/server/src/core/dispatch.rs
+++ b/crates/server/src/core/dispatch.rs
@@ -1,182 +1,252 @@
-//! Where calls go when what lies below is many backends: each attempt, what came of it, and whether there is
-//! another. Who is chosen, and what may be made again, is asked of the backend selector.
+//! The upstream calls of runs: to the catalogue, or to backends with retries and hedges.
+//!
+//! Is given: a call to be made, and how each of its attempts ended. Asks the backend selector where an attempt
+//! goes, and whether there may be another. Never reads a reply and never judges a backend.
 
 use super::deadlines::Deadline;
-use super::in_flight::InFlightRequests;
+use super::executor::ActionExecutor;
+use super::upstream_call::BackendAttempt;
 use madderbay::interface::Outcome;
 use madderbay::time::{Duration, Timestamp};
 use madderbay_upstream::{AttemptOutcome, RetryKind, UpstreamAttempt};
 
-/// One attempt of a call that is out: on which connection, and at which backend.
-pub struct BackendAttempt {
-    pub wire: u64,
-    pub ticket: UpstreamAttempt,
-    pub since: Timestamp,
+/// Where a call goes.
+pub(super) enum CallTarget {
+    /// The one catalogue of the configuration.
+    Catalogue,
+    /// A backend, as its selector knows the attempt.
+    Backend(UpstreamAttempt),
 }
 
-/// What an outcome tells of a backend; `replied` where the backend said so itself.
-fn end(how: Outcome, replied: bool) -> AttemptOutcome {
-    match how {
-        Outcome::Completed => AttemptOutcome::Success,
-        Outcome::Rejected => AttemptOutcome::Rejected,
-        Outcome::Failed => AttemptOutcome::Failed,
-        Outcome::TimedOut => AttemptOutcome::TimedOut,
-        // No run waited for it, or it was not reached.
-        Outcome::Unreachable if replied => AttemptOutcome::Cancelled,
-        Outcome::Unreachable => AttemptOutcome::NotConnected,
-        Outcome::Disconnected => AttemptOutcome::Disconnected,
-        Outcome::Cancelled | Outcome::AlreadyEnded => AttemptOutcome::Cancelled,
+/// A call that was made before can't be made again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the retry budget or the backends allow no further attempt")]
+pub(super) struct RetryNotAllowed;
+
+/// How an attempt ended, on which upstream connection.
+#[derive(Clone, Copy)]
+pub(super) struct AttemptEnd {
+    /// The number of the connection that carried it.
+    pub(super) upstream_connection: u64,
+    /// How it ended.
+    pub(super) outcome: Outcome,
+    /// The upstream server said so itself.
+    pub(super) replied: bool,
+}
+
+impl AttemptEnd {
+    /// What this says about a backend.
+    fn attempt_outcome(&self) -> AttemptOutcome {
+        match self.outcome {
+            Outcome::Completed => AttemptOutcome::Success,
+            Outcome::Rejected => AttemptOutcome::Rejected,
+            Outcome::Failed => AttemptOutcome::Failed,
+            Outcome::TimedOut => AttemptOutcome::TimedOut,
+            // No run waited for it, or the backend was not reached.
+            Outcome::Unreachable if self.replied => AttemptOutcome::Cancelled,
+            Outcome::Unreachable => AttemptOutcome::NotConnected,
+            Outcome::Disconnected => AttemptOutcome::Disconnected,
+            Outcome::Cancelled | Outcome::AlreadyEnded => AttemptOutcome::Cancelled,
+        }
     }
 }
 
-impl InFlightRequests {
-    /// Where the next call of a req goes: to a backend where its handler has any, else, with nothing, to the
-    /// catalogue. An error where it was made before, and the budget of repeats has no room for one more.
-    pub(super) fn lead(&self, id: u64) -> Result<Option<UpstreamAttempt>, ()> {
-        let (Some(leads), Some(req)) = (self.backends.selector(), self.requests.get(&id)) else {
-            return Ok(None);
+/// Whether a call is over with one of its attempts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CallProgress {
+    /// Another attempt of it is out.
+    Continues,
+    /// It is over.
+    Ended,
+}
+
+impl ActionExecutor {
+    /// Selects where the next call of a request goes: to a backend if its handler has any, else to the
+    /// catalogue.
+    ///
+    /// # Errors
+    /// The same call was made before, and no retry is allowed.
+    pub(super) fn select_target(&self, id: u64) -> Result<CallTarget, RetryNotAllowed> {
+        let (Some(selector), Some(request)) = (self.backends.selector(), self.requests.get(id))
+        else {
+            return Ok(CallTarget::Catalogue);
         };
-        match &req.called {
-            Some((need, before)) if *need == req.need => leads
-                .again(before, RetryKind::AfterBackoff)
-                .map(Some)
-                .ok_or(()),
-            _ => Ok(leads.pick(req.handler)),
+        if let Some(former) = request.call.former_attempt() {
+            let retry = selector.again(former, RetryKind::AfterBackoff);
+            return retry.map(CallTarget::Backend).ok_or(RetryNotAllowed);
         }
+        let first = selector.pick(request.handler);
+        Ok(first.map_or(CallTarget::Catalogue, CallTarget::Backend))
     }
 
-    /// Sends the call of a req off.
-    pub(super) fn send_call(&mut self, id: u64, patience: Duration, to: Option<UpstreamAttempt>) {
-        let Some(req) = self.requests.get(&id) else {
-            return;
-        };
-        match to {
-            None => {
-                let (name, wants) = (req.name, &req.wants);
-                self.calls.fetch(self.now, id, &name, patience, wants, None);
-            }
-            Some(ticket) => {
-                let hedge = self.backends.selector().filter(|_| {
-                    !self.limits.has_quotas() && self.backends.is_idempotent(req.handler)
-                });
-                let hedge = hedge
-                    .and_then(|l| l.hedge_after(&ticket))
-                    .filter(|after| *after < patience);
-                self.attempt(id, ticket, patience);
-                if let (Some(after), Some(req)) = (hedge, self.requests.get_mut(&id)) {
-                    let at = self.now + after;
-                    req.hedge = Some(at);
-                    self.deadlines.insert(at, Deadline::Hedge(id));
+    /// Gives back a target that is not called after all.
+    pub(super) fn release_target(&self, target: &CallTarget) {
+        if let CallTarget::Backend(attempt) = target {
+            self.backends.finish(attempt, AttemptOutcome::Cancelled);
+        }
+    }
+
+    /// Sends the call that the run of a request waits at.
+    pub(super) fn send_call(&mut self, id: u64, timeout: Duration, target: CallTarget) {
+        match target {
+            CallTarget::Catalogue => self.send_to_catalogue(id, timeout),
+            CallTarget::Backend(attempt) => {
+                let hedge_delay = self.hedge_delay(id, &attempt, timeout);
+                self.send_attempt(id, attempt, timeout);
+                if let Some(delay) = hedge_delay {
+                    self.schedule_hedge(id, delay);
                 }
             }
         }
     }
 
-    fn attempt(&mut self, id: u64, ticket: UpstreamAttempt, patience: Duration) {
-        let Some(req) = self.requests.get_mut(&id) else {
+    fn send_to_catalogue(&mut self, id: u64, timeout: Duration) {
+        if let Some(request) = self.requests.get(id) {
+            let (name, body) = (&request.name, request.call.body());
+            self.calls.fetch(self.now, id, name, timeout, body, None);
+        }
+    }
+
+    /// The time after which an attempt may be hedged; `None` for a handler that is not idempotent, under a quota
+    /// of the fleet, and where it would come too late.
+    fn hedge_delay(
+        &self,
+        id: u64,
+        attempt: &UpstreamAttempt,
+        timeout: Duration,
+    ) -> Option<Duration> {
+        let handler = self.requests.get(id)?.handler;
+        if self.limits.has_quotas() || !self.backends.is_idempotent(handler) {
+            return None;
+        }
+        let delay = self.backends.selector()?.hedge_after(attempt);
+        delay.filter(|delay| *delay < timeout)
+    }
+
+    fn schedule_hedge(&mut self, id: u64, delay: Duration) {
+        if let Some(request) = self.requests.get_mut(id) {
+            let deadline = self.now + delay;
+            request.call.set_hedge_deadline(deadline);
+            self.deadlines.insert(deadline, Deadline::Hedge(id));
+        }
+    }
+
+    fn send_attempt(&mut self, id: u64, attempt: UpstreamAttempt, timeout: Duration) {
+        let Some(request) = self.requests.get_mut(id) else {
             return;
         };
-        req.called = Some((req.need, ticket.clone()));
-        let wire = self.calls.fetch(
-            self.now,
-            id,
-            &req.name,
-            patience,
-            &req.wants,
-            Some(ticket.address),
-        );
-        req.tries.push(BackendAttempt {
-            wire,
-            ticket,
+        request.call.set_last_attempt(attempt.clone());
+        let (name, body) = (&request.name, request.call.body());
+        let address = Some(attempt.address);
+        let upstream_connection = self.calls.fetch(self.now, id, name, timeout, body, address);
+        request.call.attempt_sent(BackendAttempt {
+            upstream_connection,
+            attempt,
             since: self.now,
         });
     }
 
-    /// An attempt of a call came to its end. True where the call goes on: another attempt of it is out, or is
-    /// made now. Made again is only what is proven not to have run, or may run twice; only where it finds time.
-    pub(super) fn goes_on(
+    /// An attempt of a call ended. Reports it to the selector, and makes another one if none is out.
+    pub(super) fn attempt_ended(
         &mut self,
         now: Timestamp,
         id: u64,
-        wire: u64,
-        how: Outcome,
-        replied: bool,
-    ) -> bool {
+        end: AttemptEnd,
+    ) -> CallProgress {
         self.now = now;
-        let Some(req) = self.requests.get_mut(&id) else {
-            return false;
+        let Some(request) = self.requests.get_mut(id) else {
+            return CallProgress::Ended;
         };
-        let Some(at) = req.tries.iter().position(|t| t.wire == wire) else {
-            return false;
+        let Some(ended) = request.call.take_attempt(end.upstream_connection) else {
+            return CallProgress::Ended;
         };
-        let done = req.tries.swap_remove(at);
-        let (handler, until) = (req.handler, req.until);
-        let Some(leads) = self.backends.selector().cloned() else {
-            return false;
-        };
-        let end = end(how, replied);
-        leads.over(&done.ticket, end);
-        if how == Outcome::Completed {
-            // Those that were out for longer were outrun.
-            if let Some(req) = self.requests.get_mut(&id) {
-                let later = |t: &BackendAttempt| t.since >= done.since;
-                if req.tries.iter().all(later) {
-                    self.drop_tries(id, AttemptOutcome::Cancelled);
-                } else {
-                    self.drop_tries(id, AttemptOutcome::LostToHedge);
-                }
-            }
-            return false;
-        }
-        if self.requests.get(&id).is_some_and(|r| !r.tries.is_empty()) {
-            return true;
+        let other_attempts = request.call.has_attempts();
+        let attempt_outcome = end.attempt_outcome();
+        self.backends.finish(&ended.attempt, attempt_outcome);
+        if end.outcome == Outcome::Completed {
+            self.end_overtaken_attempts(id, ended.since);
+            CallProgress::Ended
+        } else if other_attempts {
+            CallProgress::Continues
+        } else {
+            self.retry(id, &ended.attempt, attempt_outcome)
         }
-        let left = until.map_or(Duration::ZERO, |at| at - now);
-        let may = end.never_executed() || self.backends.is_idempotent(handler);
-        if !may || left <= leads.least(&done.ticket) || left == Duration::ZERO {
-            return false;
+    }
+
+    /// An attempt succeeded that was sent at `since`: ends the others. One that was sent before lost to a hedge.
+    fn end_overtaken_attempts(&mut self, id: u64, since: Timestamp) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        let all_later = request.call.attempts().iter().all(|a| a.since >= since);
+        let outcome = if all_later {
+            AttemptOutcome::Cancelled
+        } else {
+            AttemptOutcome::LostToHedge
+        };
+        self.end_attempts(id, outcome);
+    }
+
+    /// Makes another attempt of a call at once: only if the former one surely never ran or may run twice, and
+    /// only if there is time for it.
+    fn retry(
+        &mut self,
+        id: u64,
+        former: &UpstreamAttempt,
+        outcome: AttemptOutcome,
+    ) -> CallProgress {
+        let (Some(selector), Some(request)) = (self.backends.selector(), self.requests.get(id))
+        else {
+            return CallProgress::Ended;
+        };
+        let deadline = request.call.deadline();
+        let remaining = deadline.map_or(Duration::ZERO, |deadline| deadline - self.now);
+        let may_repeat = outcome.never_executed() || self.backends.is_idempotent(request.handler);
+        if !may_repeat || remaining <= selector.least(former) || remaining == Duration::ZERO {
+            return CallProgress::Ended;
         }
-        match leads.again(&done.ticket, RetryKind::OtherBackend) {
-            Some(ticket) => {
-                self.attempt(id, ticket, left);
-                true
+        match selector.again(former, RetryKind::OtherBackend) {
+            Some(attempt) => {
+                self.send_attempt(id, attempt, remaining);
+                CallProgress::Continues
             }
-            None => false,
+            None => CallProgress::Ended,
         }
     }
 
-    /// A call that is out for longer than nearly all others has a second attempt beside it.
-    pub(super) fn hedge(&mut self, now: Timestamp, id: u64) {
+    /// A call is out for longer than nearly all others: hedges its one attempt, if there is time for that.
+    pub(super) fn hedge_deadline_reached(&mut self, now: Timestamp, id: u64) {
         self.now = now;
-        let Some(req) = self.requests.get_mut(&id) else {
+        let Some(request) = self.requests.get_mut(id) else {
             return;
         };
-        req.hedge = None;
-        let (Some(leads), [only], Some(until)) =
-            (self.backends.selector().cloned(), &req.tries[..], req.until)
-        else {
+        request.call.take_hedge_deadline();
+        let (Some(selector), [only], Some(deadline)) = (
+            self.backends.selector(),
+            request.call.attempts(),
+            request.call.deadline(),
+        ) else {
             return;
         };
-        let left = until - now;
-        if left > leads.least(&only.ticket)
-            && let Some(ticket) = leads.again(&only.ticket, RetryKind::Hedge)
+        let remaining = deadline - now;
+        if remaining > selector.least(&only.attempt)
+            && let Some(hedge) = selector.again(&only.attempt, RetryKind::Hedge)
         {
-            self.attempt(id, ticket, left);
+            self.send_attempt(id, hedge, remaining);
         }
     }
 
-    /// All attempts of a call that are out end here.
-    pub(super) fn drop_tries(&mut self, id: u64, end: AttemptOutcome) {
-        let Some(req) = self.requests.get_mut(&id) else {
+    /// Ends all attempts of a call that are out, all with the same outcome.
+    pub(super) fn end_attempts(&mut self, id: u64, outcome: AttemptOutcome) {
+        let Some(request) = self.requests.get_mut(id) else {
             return;
         };
-        if let Some(at) = req.hedge.take() {
-            self.deadlines.remove(at, Deadline::Hedge(id));
+        if let Some(deadline) = request.call.take_hedge_deadline() {
+            self.deadlines.remove(deadline, Deadline::Hedge(id));
         }
-        let tries = std::mem::take(&mut req.tries);
-        for each in tries {
-            self.calls.quit_wire(self.now, each.wire);
-            self.backends.finish(&each.ticket, end);
+        for ended in request.call.take_attempts() {
+            self.calls.quit_wire(self.now, ended.upstream_connection);
+            self.backends.finish(&ended.attempt, outcome);
         }
     }
 }
--- a/crates/server/src/core/event_loop.rs
+++ b/crates/server/src/core/event_loop.rs
@@ -1,12 +1,16 @@
-//! The core: owns the decisions, tells them what came and settles each moment. It knows no socket and no
-//! clock: what came is told by calls with the time, what goes out is put into outboxes.
-
-use crate::core::backend_selector::BackendSelector;
-use crate::core::deadlines::Deadline;
-use crate::core::deferred_events::DeferredEvent;
-use crate::core::durability::DurabilityQueue;
-use crate::core::in_flight::InFlightRequests;
-use crate::core::quota_gate::{QuotaGate, QuotaGroup, QuotaSource};
+//! The core's event loop: owns the decision module, hands each event to it and settles each turn.
+//!
+//! Owns: the decision module, and the executor of its actions. Is given: each event by a method call with the
+//! time, here and in `arrivals`, `stored_results` and `upstream_events`. What it sends is put into outboxes.
+//! Knows no socket and no clock.
+
+use super::backend_selector::BackendSelector;
+use super::concurrency_limits;
+use super::deadlines::Deadline;
+use super::deferred_events::DeferredEvent;
+use super::durability::DurabilityQueue;
+use super::executor::ActionExecutor;
+use super::quota_gate::{QuotaGate, QuotaGroup, QuotaSource};
 use crate::downstream::connections::Connections;
 use crate::downstream::request_validation::{InvalidRequest, ValidatedRequest};
 use crate::support::json::Members;
@@ -22,119 +26,147 @@
 use std::rc::Rc;
 use tokio::sync::Notify;
 
-/// Where nothing can be promised, keyed reqs are told to come back after that.
-pub(super) const KEEP_AWAY: Duration = Duration::from_millis(1_000);
-/// Time between two looks for catalogue connections that stand idle and table entries whose term is over:
-/// much finer than either's span.
+/// Advertised Retry-After where connections or write-ahead records are short.
+const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(1_000);
+/// Interval between two removals of expired entries and idle connections: much finer than the life of either.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// The event loop as its drivers share it, all on one thread.
 pub type SharedEventLoop = Rc<RefCell<EventLoop>>;
 
+/// The core, sans I/O.
 pub struct EventLoop {
+    /// Created when the engine is up; nothing is decided before.
     pub(super) decider: Option<Decider>,
     pub(super) settings: Settings,
     pub(super) seed: u64,
-    pub(super) on_cores: Option<usize>,
+    /// The index of the gauge that gives the engine's run queue.
+    pub(super) run_queue_gauge: Option<usize>,
     pub(super) gauges: Gauges,
-    /// Descriptors that balancers' connections and calls may take together.
-    pub(super) descriptors: usize,
-    pub(super) in_flight: InFlightRequests,
+    /// Descriptors that downstream connections and upstream calls may take together.
+    pub(super) max_descriptors: usize,
+    pub(super) executor: ActionExecutor,
 }
 
+/// Set-up.
 impl EventLoop {
-    /// `results`: the bytes that kept results may take.
-    pub fn new(now: Timestamp, seed: u64, settings: Settings, results: usize) -> EventLoop {
-        let in_flight = InFlightRequests::new(now, &settings, results);
-        let on_cores = settings.meter("on_cores");
-        let gauges = Gauges::default();
+    /// An event loop without connections, before the engine is up. Results in memory take up to
+    /// `max_cached_bytes`.
+    pub fn new(
+        now: Timestamp,
+        seed: u64,
+        settings: Settings,
+        max_cached_bytes: usize,
+    ) -> EventLoop {
+        let executor = ActionExecutor::new(now, &settings, max_cached_bytes);
+        let run_queue_gauge = settings.meter("on_cores");
         EventLoop {
             decider: None,
             settings,
             seed,
-            on_cores,
-            gauges,
-            descriptors: usize::MAX,
-            in_flight,
+            run_queue_gauge,
+            gauges: Gauges::default(),
+            max_descriptors: usize::MAX,
+            executor,
         }
     }
 
-    /// No more descriptors than that are taken by balancers' connections and calls together.
+    /// Limits the descriptors that downstream connections and upstream calls take together.
     pub fn limit_descriptors(&mut self, descriptors: usize) {
-        self.descriptors = descriptors;
+        self.max_descriptors = descriptors;
     }
 
-    /// Sets pools up; without, nothing binds but the module's own limits.
+    /// Sets concurrency limits by pool. Without, nothing binds but the decision module's own limits.
     pub fn set_concurrency_limits(&mut self, now: Timestamp, plan: ConcurrencyConfig) {
-        let profiles = crate::core::concurrency_limits::kinds(&self.settings);
+        let profiles = concurrency_limits::kinds(&self.settings);
         let limiter = ConcurrencyLimiter::new(now, self.seed, plan, &profiles);
-        self.in_flight.limits.set_concurrency(limiter);
+        self.executor.limits.set_concurrency(limiter);
     }
 
-    /// Sets budgets of the fleet up: what may be used of them is asked of `to`.
-    pub fn set_quota_source(&mut self, to: Rc<dyn QuotaSource>, groups: Vec<QuotaGroup>) {
-        let kinds = crate::core::concurrency_limits::kinds(&self.settings);
-        let gate = QuotaGate::new(to, groups, &kinds, &self.settings.below);
-        self.in_flight.limits.set_quota_gate(gate);
+    /// Sets the fleet's quotas; what may be used of them is asked of `source`.
+    pub fn set_quota_source(&mut self, source: Rc<dyn QuotaSource>, groups: Vec<QuotaGroup>) {
+        let profiles = concurrency_limits::kinds(&self.settings);
+        let gate = QuotaGate::new(source, groups, &profiles, &self.settings.below);
+        self.executor.limits.set_quota_gate(gate);
     }
 
-    /// Sets backends up: calls of their handlers go where `to` says.
-    pub fn set_backend_selector(&mut self, to: Rc<dyn BackendSelector>) {
-        self.in_flight.backends.set_selector(to);
+    /// Sets backends: the calls of their handlers go where `selector` says.
+    pub fn set_backend_selector(&mut self, selector: Rc<dyn BackendSelector>) {
+        self.executor.backends.set_selector(selector);
     }
 
     /// Makes results of requests with an idempotency key durable through `queue`.
     pub fn set_durability(&mut self, queue: DurabilityQueue) {
-        self.in_flight.durability = Some(queue);
+        self.executor.durability = Some(queue);
     }
+}
 
+/// State, for drivers and operators.
+impl EventLoop {
     /// Requests whose answer or run is still open.
     pub fn in_flight_count(&self) -> usize {
-        self.in_flight.requests.len()
+        self.executor.requests.len()
     }
 
     /// What was counted since the start.
     pub fn counters(&self) -> &Counters {
-        &self.in_flight.counters
+        &self.executor.counters
     }
 
     /// The same, for what is counted outside the core.
     pub fn counters_mut(&mut self) -> &mut Counters {
-        &mut self.in_flight.counters
+        &mut self.executor.counters
     }
 
     /// The calls that are out.
     pub fn calls(&self) -> &CallDispatcher {
-        &self.in_flight.calls
+        &self.executor.calls
     }
 
     /// The calls that are out or wait to be sent, for the driver that makes them.
     pub fn calls_mut(&mut self) -> &mut CallDispatcher {
-        &mut self.in_flight.calls
+        &mut self.executor.calls
     }
 
     /// The link to the engine, for the driver that keeps it.
     pub fn engine_link_mut(&mut self) -> &mut EngineLink {
-        &mut self.in_flight.engine_link
+        &mut self.executor.engine_link
     }
 
     /// The load balancers' connections.
     pub fn connections_mut(&mut self) -> &mut Connections {
-        &mut self.in_flight.connections
+        &mut self.executor.connections
     }
 
     /// Notified when the core has work that a turn settles.
     pub fn work_pending(&self) -> Rc<Notify> {
-        self.in_flight.changed.clone()
+        self.executor.work_pending.clone()
     }
 
     /// Notified when what the registry is told has changed.
     pub fn report_changed(&self) -> Rc<Notify> {
-        self.in_flight.status.changed()
+        self.executor.status.changed()
+    }
+
+    /// Whether the registry is told that this server takes work.
+    pub fn is_ready(&self) -> bool {
+        let status = &self.executor.status;
+        !status.is_draining() && (status.is_healthy() || !self.settings.lists_follow_health)
+    }
+
+    /// Whether no request is open and nothing waits to be written on any connection.
+    pub fn is_quiescent(&self) -> bool {
+        self.executor.connections.is_quiescent()
+    }
+
+    /// Whether no connection is open.
+    pub fn has_no_connections(&self) -> bool {
+        self.executor.connections.is_empty()
     }
 
-    /// The handler of a method, by its index.
+    /// The index of the handler of a method.
     pub fn handler(&self, method: &str) -> Option<usize> {
-        self.in_flight.validator.handler(method)
+        self.executor.validator.handler(method)
     }
 
     /// Checks the parameters of a request to `handler`.
@@ -147,56 +179,81 @@
         handler: usize,
         params: &Members<'a>,
     ) -> Result<ValidatedRequest<'a>, InvalidRequest> {
-        let in_flight = &mut self.in_flight;
-        in_flight
+        let executor = &mut self.executor;
+        executor
             .validator
-            .validate(now, handler, params, &in_flight.idempotency)
+            .validate(now, handler, params, &executor.idempotency)
     }
 
-    /// Lets the module decide; what that ends at once is told to it as well.
+    /// All counters, one line each.
+    pub fn counter_lines(&self) -> String {
+        let executor = &self.executor;
+        let mut lines = executor.counters.lines(
+            executor.requests.unanswered_count(),
+            executor.requests.len(),
+            executor.connections.len(),
+            executor.calls.out(),
+            executor.idempotency.len(),
+        );
+        lines += &executor.limits.counters();
+        lines += &executor.backends.counters();
+        if let Some(durability) = &executor.durability {
+            lines += &durability.counters();
+        }
+        lines
+    }
+}
+
+/// Decisions.
+impl EventLoop {
+    /// Lets the decision module handle an event, and asks for a turn.
     pub(super) fn decide(
         &mut self,
         now: Timestamp,
-        act: impl FnOnce(&mut Decider, &mut InFlightRequests),
+        handle: impl FnOnce(&mut Decider, &mut ActionExecutor),
     ) {
-        self.consider(now, act);
-        self.in_flight.changed.notify_one();
+        self.consider(now, handle);
+        self.executor.work_pending.notify_one();
     }
 
-    pub(super) fn consider(
-        &mut self,
-        now: Timestamp,
-        act: impl FnOnce(&mut Decider, &mut InFlightRequests),
-    ) {
+    /// Lets the decision module handle an event, then those that its actions gave rise to. Nothing happens before
+    /// the engine is up.
+    fn consider(&mut self, now: Timestamp, handle: impl FnOnce(&mut Decider, &mut ActionExecutor)) {
+        let retry_after = self.unavailable_retry_after();
         let Some(decider) = &mut self.decider else {
             return;
         };
-        self.in_flight.now = now;
-        act(decider, &mut self.in_flight);
-        while let Some(event) = self.in_flight.deferred_events.pop() {
+        let executor = &mut self.executor;
+        executor.now = now;
+        handle(decider, executor);
+        while let Some(event) = executor.deferred_events.pop() {
             match event {
                 DeferredEvent::Ended { request, outcome } => {
                     decider.on_run_ended(now, request, outcome, Duration::ZERO);
                 }
-                DeferredEvent::CallNotMade(request) => decider.on_call_finished(
-                    now,
-                    request,
-                    Outcome::Unreachable,
-                    Duration::ZERO,
-                    &mut self.in_flight,
-                ),
+                DeferredEvent::CallNotMade(request) => {
+                    let outcome = Outcome::Unreachable;
+                    decider.on_call_finished(now, request, outcome, Duration::ZERO, executor);
+                }
                 DeferredEvent::RunNotSent(request) => {
-                    let retry_after = KEEP_AWAY.min(self.settings.callers.max_retry_after);
-                    self.in_flight.never_ran(request, retry_after);
+                    executor.reject_run_not_sent(request, retry_after);
                 }
             }
         }
     }
 
+    /// The Retry-After where connections or write-ahead records are short.
+    pub(super) fn unavailable_retry_after(&self) -> Duration {
+        UNAVAILABLE_RETRY_AFTER.min(self.settings.callers.max_retry_after)
+    }
+}
+
+/// Turns and draining.
+impl EventLoop {
     /// When the next turn is due at the latest.
     pub fn next_deadline(&self) -> Option<Timestamp> {
-        let in_flight = &self.in_flight;
-        [in_flight.tick_timer.deadline(), in_flight.deadlines.next()]
+        let executor = &self.executor;
+        [executor.tick_timer.deadline(), executor.deadlines.next()]
             .into_iter()
             .flatten()
             .min()
@@ -205,125 +262,93 @@
     /// One turn, after all that was ready has been taken in: the deadlines that have been reached, the decision
     /// module's tick, and its decisions.
     pub fn run_turn(&mut self, now: Timestamp) {
-        self.in_flight.now = now;
-        while let Some(deadline) = self.in_flight.deadlines.pop_due(now) {
+        self.executor.now = now;
+        while let Some(deadline) = self.executor.deadlines.pop_due(now) {
             self.deadline_reached(now, deadline);
         }
         self.tick_if_due(now);
         self.update_limits(now);
-        self.consider(now, |d, in_flight| d.settle(now, in_flight));
-        if let Some(durability) = &mut self.in_flight.durability {
+        self.consider(now, |d, executor| d.settle(now, executor));
+        if let Some(durability) = &mut self.executor.durability {
             durability.flush();
         }
     }
 
     fn deadline_reached(&mut self, now: Timestamp, deadline: Deadline) {
         match deadline {
-            Deadline::CallTimeout(id) => self.patience_over(now, id),
-            Deadline::Hedge(id) => self.in_flight.hedge(now, id),
+            Deadline::CallTimeout(id) => self.call_timed_out(now, id),
+            Deadline::Hedge(id) => self.executor.hedge_deadline_reached(now, id),
             Deadline::ConnectionIdle(connection) => self.idle_deadline_reached(now, connection),
             Deadline::FirstRequest(connection) => {
                 self.first_request_deadline_reached(now, connection);
             }
             // The disk is slower than the client's timeout: a result that is not durable can't be its answer.
-            Deadline::DurableAnswer(id) => self.in_flight.answer_run(id, None),
+            Deadline::DurableAnswer(id) => self.executor.answer_run(id, None),
             Deadline::Maintenance => self.maintain(now),
         }
     }
 
     fn idle_deadline_reached(&mut self, now: Timestamp, connection: u64) {
-        let in_flight = &mut self.in_flight;
-        if let Some(at) = in_flight.connections.idle_deadline_reached(now, connection) {
+        let executor = &mut self.executor;
+        if let Some(at) = executor.connections.idle_deadline_reached(now, connection) {
             let deadline = Deadline::ConnectionIdle(connection);
-            in_flight.deadlines.insert(at, deadline);
+            executor.deadlines.insert(at, deadline);
         }
     }
 
     fn first_request_deadline_reached(&mut self, now: Timestamp, connection: u64) {
-        let in_flight = &mut self.in_flight;
-        let next_check = in_flight
+        let executor = &mut self.executor;
+        let next_check = executor
             .connections
             .first_request_deadline_reached(now, connection);
         if let Some(at) = next_check {
             let deadline = Deadline::FirstRequest(connection);
-            in_flight.deadlines.insert(at, deadline);
+            executor.deadlines.insert(at, deadline);
         }
     }
 
     /// Removes what has expired and closes what is idle or stalled.
     fn maintain(&mut self, now: Timestamp) {
-        let in_flight = &mut self.in_flight;
-        if let Some(durability) = &mut in_flight.durability {
+        let executor = &mut self.executor;
+        if let Some(durability) = &mut executor.durability {
             durability.book.expire(now);
         }
-        in_flight.calls.tidy(now);
-        in_flight.idempotency.expire(now);
-        in_flight.connections.cut_stalled(now);
-        in_flight
+        executor.calls.tidy(now);
+        executor.idempotency.expire(now);
+        executor.connections.cut_stalled(now);
+        executor
             .deadlines
             .insert(now + MAINTENANCE_INTERVAL, Deadline::Maintenance);
     }
 
     /// The decision module's tick, if its timer has reached the deadline.
     fn tick_if_due(&mut self, now: Timestamp) {
-        let Some(deadline) = self.in_flight.tick_timer.take_due(now) else {
+        let Some(deadline) = self.executor.tick_timer.take_due(now) else {
             return;
         };
-        self.in_flight.counters.tick(now - deadline);
+        self.executor.counters.tick(now - deadline);
         let gauges = self.gauges;
-        self.consider(now, |d, in_flight| d.on_tick(now, &gauges, in_flight));
-        self.in_flight.engine_link.rang();
+        self.consider(now, |d, executor| d.on_tick(now, &gauges, executor));
+        self.executor.engine_link.rang();
     }
 
     /// Hands the operator's limits to the decision module before it settles.
     fn update_limits(&mut self, now: Timestamp) {
         if let Some(decider) = &mut self.decider {
-            self.in_flight.limits.update_decider(now, decider);
+            self.executor.limits.update_decider(now, decider);
         }
     }
 
-    pub fn drain(&mut self, now: Timestamp, left: Duration) {
-        self.in_flight.status.begin_draining();
-        self.in_flight.connections.drain();
-        self.decide(now, |d, _| d.drain(now, left));
+    /// Begins draining: health checks and the registry are told so, clients are notified that their connections
+    /// are to end, and the decision module ends its work within `remaining`.
+    pub fn drain(&mut self, now: Timestamp, remaining: Duration) {
+        self.executor.status.begin_draining();
+        self.executor.connections.drain();
+        self.decide(now, |d, _| d.drain(now, remaining));
     }
 
-    /// All connections end that owe nothing.
+    /// Ends every connection once its open requests are answered.
     pub fn close_connections(&mut self) {
-        self.in_flight.connections.close_all();
-    }
-
-    /// Nothing is owed and nothing waits to be written.
-    pub fn is_quiescent(&self) -> bool {
-        self.in_flight.connections.is_quiescent()
-    }
-
-    pub fn has_no_connections(&self) -> bool {
-        self.in_flight.connections.is_empty()
-    }
-
-    /// What the registry is told: whether this server takes work.
-    pub fn is_ready(&self) -> bool {
-        let status = &self.in_flight.status;
-        !status.is_draining() && (status.is_healthy() || !self.settings.lists_follow_health)
-    }
-
-    /// All counters, one line each.
-    pub fn counter_lines(&self) -> String {
-        let h = &self.in_flight;
-        let open = h.requests.values().filter(|r| !r.answered).count();
-        let own = h.counters.lines(
-            open,
-            h.requests.len(),
-            h.connections.len(),
-            h.calls.out(),
-            h.idempotency.len(),
-        );
-        own + &h.limits.counters()
-            + &h.backends.counters()
-            + &h.durability.as_ref().map_or(
-                String::new(),
-                crate::core::durability::DurabilityQueue::counters,
-            )
+        self.executor.connections.close_all();
     }
 }
--- a/crates/server/src/core/in_flight.rs
+++ b/crates/server/src/core/in_flight.rs
@@ -1,489 +1,154 @@
-//! The reqs in hand: what each still needs for its run, its call and its answer. Carries out what the module
-//! decides; decides nothing.
-
-use crate::core::backend_selector::BackendRouting;
-use crate::core::deadlines::{Deadline, Deadlines, TickTimer};
-use crate::core::deferred_events::DeferredEvents;
-use crate::core::dispatch::BackendAttempt;
-use crate::core::durability::DurabilityQueue;
-use crate::core::request_limits::RequestLimits;
-use crate::core::request_observer::RequestObserver;
-use crate::core::server_status::ServerStatus;
-use crate::downstream::connections::Connections;
-use crate::downstream::idempotency_table::{
-    IdempotencyKey, IdempotencyTable, JoinedAttempt, KeyWindow,
-};
-use crate::downstream::request_validation::RequestValidator;
-use crate::downstream::response;
-use crate::support::metrics::Counters;
+//! The requests in flight: what the run, the call and the answer of each still need.
+//!
+//! Owns: the table of these requests, by id and by the name of the attempt. Is given: requests that were read,
+//! until they are answered and their runs are over. Does no I/O and decides nothing.
+
+use super::run_commands::RunCommands;
+use super::upstream_call::UpstreamCall;
+use crate::downstream::idempotency_table::IdempotencyKey;
+use crate::downstream::request_validation::ValidatedRequest;
 use crate::support::name::Name;
-use crate::upstream::calls::CallDispatcher;
-use crate::upstream::engine::{EngineLink, command};
-use base64::Engine as _;
-use base64::engine::general_purpose::STANDARD as BASE64;
-use madderbay::interface::{Actions, Outcome};
 use madderbay::time::{Duration, Timestamp};
-use madderbay_concurrency::RequestStage;
-use madderbay_concurrency::limit::Completion;
-use madderbay_settings::Settings;
-use madderbay_upstream::{AttemptOutcome as Tried, UpstreamAttempt};
 use std::collections::HashMap;
-use std::rc::Rc;
-use tokio::sync::Notify;
 
-/// A req that was read: what its answer and its run need.
-pub struct InFlightRequest {
-    pub name: Name,
-    pub conn: u64,
-    pub rpc: u64,
-    pub handler: usize,
-    pub key: Option<IdempotencyKey>,
-    pub print: u64,
-    /// As it came, until the run has it.
-    pub body: Box<str>,
-    pub started: bool,
-    pub answered: bool,
-    pub partial: bool,
-    /// The notice of the call that the run stands at, and that call's body.
-    pub need: u64,
-    pub wants: Vec<u8>,
-    pub until: Option<Timestamp>,
-    /// Attempts of its call at backends, and when one that is out has another beside it.
-    pub tries: Vec<BackendAttempt>,
-    pub hedge: Option<Timestamp>,
-    /// The notice for which a backend was called last, and that attempt.
-    pub called: Option<(u64, UpstreamAttempt)>,
-    /// Commands that wait for the promise of its run to last.
-    pub unsent: Option<Vec<Vec<u8>>>,
+/// An answer leaves this long before its client's timeout.
+const ANSWER_MARGIN: Duration = Duration::from_millis(30);
+/// The timeout of a client that gave none.
+const DEFAULT_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// A request that was read.
+pub(super) struct InFlightRequest {
+    /// The name of the attempt, which the engine and the upstream servers know it by.
+    pub(super) name: Name,
+    /// The downstream connection that it came on.
+    pub(super) connection: u64,
+    /// Its JSON-RPC id on that connection.
+    pub(super) rpc_id: u64,
+    /// The index of its handler.
+    pub(super) handler: usize,
+    /// Its idempotency key, if it has one.
+    pub(super) key: Option<IdempotencyKey>,
+    /// Hash of handler and body, the same for all attempts of a key.
+    pub(super) fingerprint: u64,
+    /// The body as it was read, until the run has it.
+    pub(super) body: Box<str>,
+    /// The decision module has started its run.
+    pub(super) started: bool,
+    /// It was answered, or its client is gone.
+    pub(super) answered: bool,
+    /// Its run went on without an optional call.
+    pub(super) partial: bool,
     /// When its answer leaves at the latest.
-    pub latest: Timestamp,
-    /// Commands that the engine may not have read, and the gauges that will prove that it has.
-    pub unproven: Vec<u8>,
-    pub proof: u64,
-    /// Where a reply to its call among them begins in what the link sends.
-    pub fed: Option<u64>,
-}
-
-/// All that is in hand, and the ways out.
-pub struct InFlightRequests {
-    pub now: Timestamp,
-    pub requests: HashMap<u64, InFlightRequest>,
-    pub names: HashMap<Name, u64>,
-    pub connections: Connections,
-    pub validator: RequestValidator,
-    pub idempotency: IdempotencyTable,
-    pub engine_link: EngineLink,
-    pub calls: CallDispatcher,
-    pub(super) limits: RequestLimits,
-    pub(super) backends: BackendRouting,
-    /// Results that outlast this life, where the operator wants them.
-    pub durability: Option<DurabilityQueue>,
-    pub(super) deferred_events: DeferredEvents,
-    pub(super) deadlines: Deadlines,
-    pub(super) tick_timer: TickTimer,
-    pub(super) status: ServerStatus,
-    pub counters: Counters,
-    /// Something came: the decisions have to settle.
-    pub changed: Rc<Notify>,
+    pub(super) answer_deadline: Timestamp,
+    /// The call that its run waits at.
+    pub(super) call: UpstreamCall,
+    /// The engine commands of its run.
+    pub(super) commands: RunCommands,
 }
 
-impl InFlightRequests {
-    /// `results`: the bytes that kept results may take.
-    pub fn new(now: Timestamp, settings: &Settings, results: usize) -> InFlightRequests {
-        let mut deadlines = Deadlines::default();
-        deadlines.insert(now, Deadline::Maintenance);
-        InFlightRequests {
-            now,
-            requests: HashMap::new(),
-            names: HashMap::new(),
-            connections: Connections::default(),
-            validator: RequestValidator::new(settings),
-            idempotency: IdempotencyTable::new(settings, results),
-            engine_link: EngineLink::default(),
-            calls: CallDispatcher::default(),
-            limits: RequestLimits::default(),
-            backends: BackendRouting::new(settings),
-            durability: None,
-            deferred_events: DeferredEvents::default(),
-            deadlines,
-            tick_timer: TickTimer::new(now),
-            status: ServerStatus::default(),
-            counters: Counters::new(&settings.handler_names),
-            changed: Rc::default(),
-        }
-    }
-
-    /// Tells pools and budgets, where there are any, of a req that is in hand.
-    pub fn followed(&mut self, id: u64, tell: impl Fn(&mut dyn RequestObserver, Timestamp, usize)) {
-        let Some(req) = self.requests.get(&id) else {
-            return;
-        };
-        let (now, handler) = (self.now, req.handler);
-        self.limits.observe(|observer| tell(observer, now, handler));
-    }
-
-    /// The final answer of a req, once.
-    fn answer(&mut self, id: u64, write: impl FnOnce(&mut Vec<u8>, u64, Option<f64>)) -> bool {
-        let Some(req) = self.requests.get_mut(&id).filter(|r| !r.answered) else {
-            return false;
-        };
-        req.answered = true;
-        let report = self.status.load_report();
-        self.connections
-            .answer(self.now, req.conn, |out| write(out, req.rpc, report));
-        self.connections.request_settled(req.conn, req.rpc);
-        true
-    }
-
-    /// Answers with what a run made; nothing stands for a run that made none.
-    pub fn answer_run(&mut self, id: u64, result: Option<&str>) {
-        let partial = self.requests.get(&id).is_some_and(|r| r.partial);
-        let answered = self.answer(id, |out, rpc, report| match result {
-            Some(blob) => response::done(out, rpc, blob, report),
-            None => response::errored(out, rpc, report),
-        });
-        if answered {
-            self.counters.answered(result.is_some(), partial);
-        }
-    }
-
-    /// The run of a keyed req is over. Where results are kept its answer waits until this one lasts, and
-    /// the req stays in hand for it; else, or where nothing ran, false.
-    pub fn keep_result(&mut self, id: u64, how: Outcome, result: Option<&str>) -> bool {
-        let (Some(keep), Some(req)) = (&mut self.durability, self.requests.get(&id)) else {
-            return false;
-        };
-        let Some(key) = req.key else { return false };
-        if how == Outcome::AlreadyEnded {
-            self.take_back(key);
-            return false;
-        }
-        let until = self.idempotency.window(key).map_or(self.now, |w| w.end);
-        keep.settle(id, key, result, until);
-        self.deadlines
-            .insert(req.latest, Deadline::DurableAnswer(id));
-        self.counters.run_over(how);
-        self.counters.ran[req.handler] += 1;
-        self.give_up_call(id);
-        self.followed(id, |f, now, _| f.request_finished(now, id));
-        true
-    }
-
-    /// The result of a req lasts, or can't be made to: it is answered, and so are those that joined it.
-    pub fn settled(&mut self, id: u64, result: Option<&str>) {
-        let Some(req) = self.requests.get(&id) else {
-            return;
-        };
-        let (key, latest) = (req.key, req.latest);
-        self.deadlines.remove(latest, Deadline::DurableAnswer(id));
-        self.answer_run(id, result);
-        for waiting in key.map_or(vec![], |k| self.idempotency.run_ended(k, result)) {
-            self.joined(waiting, result);
-        }
-        self.remove(id);
-    }
-
-    /// What the engine declined, or was never sent, takes its promise back.
-    fn take_back(&mut self, key: IdempotencyKey) {
-        if let Some(keep) = &mut self.durability {
-            keep.never(
-                key,
-                self.idempotency.window(key).map_or(self.now, |w| w.end),
-            );
-        }
-    }
-
-    fn answer_shed(&mut self, id: u64, come_back: Duration, last: bool) {
-        if self.answer(id, |out, rpc, report| {
-            response::shed(out, rpc, come_back, last, report)
-        }) {
-            self.counters.shed += 1;
-        }
-    }
-
-    /// A run that the module started was never sent: it is shed, and so are those that joined it; the module
-    /// hears that nothing ran, and a further try is a new one.
-    pub fn never_ran(&mut self, id: u64, come_back: Duration) {
-        let Some(req) = self.requests.get(&id) else {
-            return;
-        };
-        let key = req.key;
-        self.counters.run_over(Outcome::AlreadyEnded);
-        let joined = key.map_or(vec![], |k| self.idempotency.run_ended(k, None));
-        for id in std::iter::once(id).chain(joined) {
-            self.answer_shed(id, come_back, false);
-            self.remove(id);
-            self.deferred_events.ended(id, Outcome::AlreadyEnded);
-        }
-        if let Some(key) = key {
-            self.take_back(key);
-            self.idempotency.remove_held_by(id);
-        }
-    }
-
-    pub fn joined(&mut self, id: u64, result: Option<&str>) {
-        if self.requests.contains_key(&id) {
-            self.answer_run(id, result);
-            self.counters.joined += 1;
-            self.remove(id);
-            let outcome = if result.is_some() {
-                Outcome::Completed
-            } else {
-                Outcome::Failed
-            };
-            self.deferred_events.ended(id, outcome);
-        }
-    }
-
-    pub fn remove(&mut self, id: u64) {
-        self.give_up_call(id);
-        self.followed(id, |f, now, _| f.request_finished(now, id));
-        let Some(req) = self.requests.remove(&id) else {
-            return;
-        };
-        self.names.remove(&req.name);
-        self.calls.forget(&req.name);
-    }
-
-    fn give_up_call(&mut self, id: u64) {
-        let Some(req) = self.requests.get_mut(&id) else {
-            return;
-        };
-        if let Some(until) = req.until.take() {
-            self.deadlines.remove(until, Deadline::CallTimeout(id));
-            if req.tries.is_empty() {
-                self.calls.quit(self.now, &req.name);
-            }
-            self.drop_tries(id, Tried::Cancelled);
-            self.followed(id, |f, now, _| {
-                f.call_finished(now, id, Completion::Cancelled)
-            });
-        }
-    }
-
-    /// The req is answered or its caller gone: a call for it is given up, and unless it runs it is over.
-    pub fn nobody_waits(&mut self, id: u64) {
-        let Some(req) = self.requests.get_mut(&id) else {
-            return;
-        };
-        req.answered = true;
-        self.connections.request_settled(req.conn, req.rpc);
-        if req.started {
-            self.give_up_call(id);
-            self.followed(id, |f, now, _| f.request_answered(now, id));
+impl InFlightRequest {
+    /// A request that has just been read on a connection and is not started.
+    pub(super) fn new(
+        now: Timestamp,
+        connection: u64,
+        rpc_id: u64,
+        request: &ValidatedRequest<'_>,
+    ) -> InFlightRequest {
+        let timeout = if request.arrival.timeout > Duration::ZERO {
+            request.arrival.timeout
         } else {
-            self.remove(id);
-        }
-    }
-
-    pub fn command(&mut self, id: u64, msg: &str, rest: std::fmt::Arguments) {
-        let Some(req) = self.requests.get_mut(&id) else {
-            return;
-        };
-        let line = command(msg, &req.name, rest);
-        match &mut req.unsent {
-            Some(unsent) => unsent.push(line),
-            None => self.send(id, &line),
-        }
-    }
-
-    /// The promise of its run lasts: the engine may have it.
-    pub fn release(&mut self, id: u64) {
-        let unsent = self.requests.get_mut(&id).and_then(|r| r.unsent.take());
-        for line in unsent.into_iter().flatten() {
-            self.send(id, &line);
-        }
-    }
-
-    fn send(&mut self, id: u64, line: &[u8]) {
-        let Some(req) = self.requests.get_mut(&id) else {
-            return;
+            DEFAULT_TIMEOUT
         };
-        if self.engine_link.heard() >= req.proof {
-            req.unproven.clear();
-            req.fed = None;
+        InFlightRequest {
+            name: request.name,
+            connection,
+            rpc_id,
+            handler: request.arrival.handler,
+            key: request.key,
+            fingerprint: request.fingerprint,
+            body: request.body.into(),
+            started: false,
+            answered: false,
+            partial: false,
+            answer_deadline: (now + timeout).saturating_sub(ANSWER_MARGIN),
+            call: UpstreamCall::default(),
+            commands: RunCommands::default(),
         }
-        req.unproven.extend_from_slice(line);
-        req.proof = self.engine_link.proof();
-        self.engine_link.send(line);
-    }
-
-    /// The reply to the call that a run stands at.
-    pub fn feed(&mut self, id: u64, body: &[u8]) {
-        let blob = BASE64.encode(body);
-        let begins = self.engine_link.out.queued();
-        self.command(id, "FEED", format_args!(",\"blob\":\"{blob}\""));
-        if let Some(req) = self.requests.get_mut(&id).filter(|_| self.engine_link.up) {
-            req.fed = Some(begins);
-        }
-    }
-
-    /// The link is lost: a reply of which nothing left is known not to have been read.
-    pub fn unlinked(&mut self) {
-        let written = self.engine_link.out.written();
-        let unsent = |r: &&mut InFlightRequest| r.fed.is_some_and(|begins| begins >= written);
-        self.requests
-            .values_mut()
-            .filter(unsent)
-            .for_each(|r| r.fed = None);
-        self.engine_link.lost();
-    }
-
-    /// Sends again what may not have reached the engine; gives the reqs whose run may have read the reply to its
-    /// call, or may still wait for it. A reply says not which call it is for: one that is sent again could meet
-    /// the run's next.
-    pub fn resend(&mut self) -> Vec<u64> {
-        let proven = self.engine_link.proven_before();
-        let mut unproven: Vec<_> = self
-            .requests
-            .iter_mut()
-            .filter(|(_, r)| r.proof > proven && !r.unproven.is_empty())
-            .collect();
-        unproven.sort_by_key(|(id, _)| **id);
-        let mut doubtful = vec![];
-        for (id, req) in unproven {
-            if req.fed.take().is_some() {
-                req.unproven.clear();
-                doubtful.push(*id);
-                continue;
-            }
-            req.proof = self.engine_link.proof();
-            self.engine_link.send(&req.unproven);
-        }
-        doubtful
     }
 }
 
-impl Actions for InFlightRequests {
-    fn start(&mut self, id: u64) {
-        let Some(req) = self.requests.get_mut(&id) else {
-            return;
-        };
-        req.started = true;
-        self.counters.runs += 1;
-        let body = std::mem::take(&mut req.body);
-        let (key, handler, name) = (req.key, req.handler, req.name);
-        if let Some(key) = key {
-            self.idempotency.run_started(key);
-        }
-        if let (Some(keep), Some(key)) = (&mut self.durability, key) {
-            let window = self
-                .idempotency
-                .window(key)
-                .map_or((0, self.now), |w| (w.fingerprint, w.end));
-            if keep.promise(id, key, window, name).is_err() {
-                self.deferred_events.run_not_sent(id);
-                return;
-            }
-            req.unsent = Some(vec![]);
-        }
-        self.followed(id, |f, now, handler| {
-            f.set_stage(now, id, handler, RequestStage::Running)
-        });
-        let service = self.validator.quoted_name(handler);
-        self.command(
-            id,
-            "RUN",
-            format_args!(",\"service\":{service},\"blob\":{body}"),
-        );
-    }
-
-    fn cancel(&mut self, id: u64) {
-        self.command(id, "HALT", format_args!(""));
-    }
+/// The table of requests whose answer or run is open.
+#[derive(Default)]
+pub(super) struct InFlightRequests {
+    by_id: HashMap<u64, InFlightRequest>,
+    ids_by_name: HashMap<Name, u64>,
+}
 
-    fn reject(&mut self, id: u64, come_back: Duration, last: bool) {
-        self.answer_shed(id, come_back, last);
-        self.nobody_waits(id);
+impl InFlightRequests {
+    /// Enters a request; neither its id nor its name is in the table yet.
+    pub(super) fn insert(&mut self, id: u64, request: InFlightRequest) {
+        self.ids_by_name.insert(request.name, id);
+        self.by_id.insert(id, request);
     }
 
-    fn fail(&mut self, id: u64) {
-        self.answer_run(id, None);
-        self.nobody_waits(id);
+    /// Removes a request, if it is in the table.
+    pub(super) fn remove(&mut self, id: u64) -> Option<InFlightRequest> {
+        let request = self.by_id.remove(&id)?;
+        self.ids_by_name.remove(&request.name);
+        Some(request)
     }
 
-    fn call(&mut self, id: u64, patience: Duration) {
-        let Ok(to) = self.lead(id) else {
-            self.deferred_events.call_not_made(id);
-            return;
-        };
-        let Some(req) = self.requests.get_mut(&id) else {
-            return;
-        };
-        if !self.limits.acquire_call(req.handler) {
-            if let Some(ticket) = &to {
-                self.backends.finish(ticket, Tried::Cancelled);
-            }
-            self.deferred_events.call_not_made(id);
-            return;
-        }
-        let patience = self.limits.call_timeout(req.handler, patience);
-        let until = self.now + patience;
-        req.until = Some(until);
-        self.deadlines.insert(until, Deadline::CallTimeout(id));
-        self.counters.calls += 1;
-        self.send_call(id, patience, to);
-        self.followed(id, |f, now, handler| {
-            f.set_stage(now, id, handler, RequestStage::Calling)
-        });
+    /// The request with this id.
+    pub(super) fn get(&self, id: u64) -> Option<&InFlightRequest> {
+        self.by_id.get(&id)
     }
 
-    fn skip_call(&mut self, id: u64) {
-        let Some(req) = self.requests.get_mut(&id) else {
-            return;
-        };
-        req.partial = true;
-        let need = req.need;
-        self.counters.skipped += 1;
-        self.followed(id, |f, now, _| f.call_skipped(now, id));
-        self.command(id, "SKIP", format_args!(",\"serial\":{need}"));
+    /// The request with this id.
+    pub(super) fn get_mut(&mut self, id: u64) -> Option<&mut InFlightRequest> {
+        self.by_id.get_mut(&id)
     }
 
-    fn store_key(&mut self, id: u64, term: Duration) {
-        if let Some((key, print, handler)) = self
-            .requests
-            .get(&id)
-            .and_then(|r| Some((r.key?, r.print, r.handler)))
-        {
-            let window = KeyWindow {
-                fingerprint: print,
-                end: self.now + term,
-            };
-            self.idempotency.insert(id, key, handler, window);
-        }
+    /// The request with this id, unless it was answered or its client is gone.
+    pub(super) fn unanswered(&self, id: u64) -> Option<&InFlightRequest> {
+        self.by_id.get(&id).filter(|request| !request.answered)
     }
 
-    fn remove_key(&mut self, id: u64) {
-        self.idempotency.remove_held_by(id);
+    /// The id of the request by the name of its attempt.
+    pub(super) fn id(&self, name: &Name) -> Option<u64> {
+        self.ids_by_name.get(name).copied()
     }
 
-    fn join_attempt(&mut self, id: u64) {
-        // It waits for another's run and wants none of its own.
-        self.followed(id, |f, now, _| f.request_finished(now, id));
-        let Some(req) = self.requests.get(&id) else {
-            return;
-        };
-        match self.idempotency.join(id, req.key) {
-            JoinedAttempt::Waits => {}
-            JoinedAttempt::Completed(result) => self.joined(id, Some(&result)),
-            JoinedAttempt::Failed => self.joined(id, None),
-        }
+    /// The number of requests.
+    pub(super) fn len(&self) -> usize {
+        self.by_id.len()
     }
 
-    fn set_health(&mut self, good: bool) {
-        self.status.set_health(good);
+    /// The number of requests that are owed an answer.
+    pub(super) fn unanswered_count(&self) -> usize {
+        self.by_id.values().filter(|r| !r.answered).count()
     }
 
-    fn set_load_report(&mut self, value: f64) {
-        self.status.set_load_report(value);
+    /// Ids and names of the requests whose runs were started, in the order of their ids.
+    pub(super) fn started(&self) -> Vec<(u64, Name)> {
+        let started = self.by_id.iter().filter(|(_, request)| request.started);
+        let mut started: Vec<_> = started.map(|(id, request)| (*id, request.name)).collect();
+        started.sort_unstable();
+        started
     }
 
-    fn set_idle_limit(&mut self, limit: Duration) {
-        self.deadlines
-            .replace_idle(self.connections.set_idle_limit(limit));
+    /// All requests, in no order.
+    pub(super) fn values_mut(&mut self) -> impl Iterator<Item = &mut InFlightRequest> {
+        self.by_id.values_mut()
     }
 
-    fn set_timer(&mut self, after: Duration) {
-        self.tick_timer.set(self.now, after);
+    /// The requests for which `is_wanted` holds, in the order of their ids.
+    pub(super) fn sorted_mut(
+        &mut self,
+        is_wanted: impl Fn(&InFlightRequest) -> bool,
+    ) -> Vec<(u64, &mut InFlightRequest)> {
+        let all = self.by_id.iter_mut().map(|(id, request)| (*id, request));
+        let mut wanted: Vec<_> = all.filter(|(_, request)| is_wanted(request)).collect();
+        wanted.sort_by_key(|(id, _)| *id);
+        wanted
     }
 }
--- a/crates/server/src/core/request_observer.rs
+++ b/crates/server/src/core/request_observer.rs
@@ -1,22 +1,25 @@
-//! Who follows each req in hand from its arrival to its end, beside the decisions: pools, and budgets of the
-//! fleet. They hand ceilings over; they end nothing.
+//! Who follows each request in flight from its arrival to its end: concurrency limits, and quotas of the fleet.
+//!
+//! An observer is given every stage of every request. It never ends a request; what it finds reaches the
+//! decision module as ceilings.
 
 use madderbay::time::Timestamp;
 use madderbay_concurrency::limit::Completion;
 use madderbay_concurrency::{ConcurrencyLimiter, RequestStage};
 
-pub trait RequestObserver {
-    /// A req stands at another stage, or is new.
+/// Follows requests in flight. Requests are named by their ids, handlers by their indices.
+pub(super) trait RequestObserver {
+    /// A request is new or has reached another stage.
     fn set_stage(&mut self, now: Timestamp, id: u64, handler: usize, stage: RequestStage);
-    /// This process was held up until now.
+    /// This process was stalled until now.
     fn process_stalled(&mut self, _now: Timestamp) {}
-    /// Its call ended.
+    /// The upstream call of a request ended.
     fn call_finished(&mut self, now: Timestamp, id: u64, end: Completion);
-    /// It goes on without its call.
+    /// The run of a request goes on without its call.
     fn call_skipped(&mut self, now: Timestamp, id: u64);
-    /// It is answered, and its run goes on.
+    /// A request is answered, and its run goes on.
     fn request_answered(&mut self, now: Timestamp, id: u64);
-    /// It is over.
+    /// A request is over, or needs no run of its own.
     fn request_finished(&mut self, now: Timestamp, id: u64);
 }
 
--- /dev/null
+++ b/crates/server/src/core/run_commands.rs
@@ -0,0 +1,93 @@
+//! The engine commands of one run: those that are held back, and those that the engine may not have read.
+//!
+//! Owns: these commands, until the engine has surely read them. Is given: the link to the engine. Never decides
+//! a command, and never opens or ends the link.
+
+use crate::upstream::engine::EngineLink;
+
+/// What a new link makes of a run's unproven commands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ResendOutcome {
+    /// There are none, or they were sent again.
+    Settled,
+    /// They end with the reply to a call, which can't be sent again: the run may have read it or still wait for
+    /// it. A reply does not say which call it is for, so a second copy could meet the run's next call.
+    ReplyInDoubt,
+}
+
+/// The commands of one run.
+#[derive(Default)]
+pub(super) struct RunCommands {
+    /// Set while the run waits for its write-ahead record.
+    held: Option<Vec<Vec<u8>>>,
+    /// Commands that the engine may not have read.
+    unproven: Vec<u8>,
+    /// The number of the gauges that prove, when they arrive, that the engine has read the commands.
+    proving_gauges: u64,
+    /// Where the reply to a call among them begins, in the bytes that the link sends.
+    reply_position: Option<u64>,
+}
+
+impl RunCommands {
+    /// Holds the commands of this run back until they are released.
+    pub(super) fn hold(&mut self) {
+        self.held = Some(vec![]);
+    }
+
+    /// Sends a command, or holds it back.
+    pub(super) fn submit(&mut self, line: Vec<u8>, link: &EngineLink) {
+        match &mut self.held {
+            Some(held) => held.push(line),
+            None => self.send(&line, link),
+        }
+    }
+
+    /// Sends what was held back; commands are held back no more.
+    pub(super) fn release(&mut self, link: &EngineLink) {
+        for line in self.held.take().into_iter().flatten() {
+            self.send(&line, link);
+        }
+    }
+
+    fn send(&mut self, line: &[u8], link: &EngineLink) {
+        if link.heard() >= self.proving_gauges {
+            self.all_read();
+        }
+        self.unproven.extend_from_slice(line);
+        self.proving_gauges = link.proof();
+        link.send(line);
+    }
+
+    /// The last command was the reply to a call, which begins at this position in the bytes of the link.
+    pub(super) fn reply_sent_at(&mut self, position: u64) {
+        self.reply_position = Some(position);
+    }
+
+    /// The engine has read all commands.
+    pub(super) fn all_read(&mut self) {
+        self.unproven.clear();
+        self.reply_position = None;
+    }
+
+    /// The link was lost after so many bytes: a reply that begins behind them was surely not read.
+    pub(super) fn link_lost(&mut self, written_bytes: u64) {
+        self.reply_position
+            .take_if(|position| *position >= written_bytes);
+    }
+
+    /// Whether some commands may not have been read, where the gauges up to `proven` arrived on the lost link.
+    pub(super) fn is_unproven(&self, proven: u64) -> bool {
+        self.proving_gauges > proven && !self.unproven.is_empty()
+    }
+
+    /// Sends the unproven commands again, except those that end with a reply.
+    pub(super) fn resend(&mut self, link: &EngineLink) -> ResendOutcome {
+        if self.reply_position.take().is_some() {
+            self.unproven.clear();
+            return ResendOutcome::ReplyInDoubt;
+        }
+        self.proving_gauges = link.proof();
+        link.send(&self.unproven);
+        ResendOutcome::Settled
+    }
+}
--- a/crates/server/src/core/stored_results.rs
+++ b/crates/server/src/core/stored_results.rs
@@ -2,7 +2,7 @@
 //! tells lets runs and answers go.
 
 use super::durability::{PendingWork, StorageEvent};
-use super::event_loop::{EventLoop, KEEP_AWAY};
+use super::event_loop::EventLoop;
 use crate::downstream::response;
 use madderbay::time::Timestamp;
 use madderbay_idempotency_store::Lookup;
@@ -18,48 +18,48 @@
         key: u128,
         print: u64,
     ) -> Result<bool, &'static str> {
-        let in_flight = &mut self.in_flight;
-        let Some(keep) = in_flight
+        let away = self.unavailable_retry_after();
+        let executor = &mut self.executor;
+        let Some(keep) = executor
             .durability
             .as_mut()
-            .filter(|_| !in_flight.idempotency.knows(key))
+            .filter(|_| !executor.idempotency.knows(key))
         else {
             return Ok(false);
         };
         let verdict = keep.book.lookup(key, print);
-        let away = KEEP_AWAY.min(self.settings.callers.max_retry_after);
-        let report = in_flight.status.load_report();
+        let report = executor.status.load_report();
         match verdict {
             Lookup::Mismatch => return Err("replay came with another body"),
             Lookup::NotFound if keep.book.admit_intent().is_ok() => return Ok(false),
             Lookup::NotFound => {
-                in_flight
+                executor
                     .connections
                     .answer(now, no, |out| response::shed(out, rpc, away, false, report));
-                in_flight.counters.shed += 1;
+                executor.counters.shed += 1;
             }
             Lookup::Completed(result) => {
                 let blob = String::from_utf8_lossy(&result);
-                in_flight
+                executor
                     .connections
                     .answer(now, no, |out| response::done(out, rpc, &blob, report));
-                in_flight.counters.answered(true, false);
+                executor.counters.answered(true, false);
             }
             Lookup::NoResult => {
-                in_flight
+                executor
                     .connections
                     .answer(now, no, |out| response::errored(out, rpc, report));
-                in_flight.counters.answered(false, false);
+                executor.counters.answered(false, false);
             }
         }
-        in_flight.counters.read[handler] += 1;
+        executor.counters.read[handler] += 1;
         Ok(true)
     }
 
     /// The writing thread tells how far things last.
     pub fn storage_event(&mut self, now: Timestamp, told: StorageEvent) {
-        self.in_flight.now = now;
-        let Some(keep) = &mut self.in_flight.durability else {
+        self.executor.now = now;
+        let Some(keep) = &mut self.executor.durability else {
             return;
         };
         let (waits, lasts) = match told {
@@ -80,11 +80,11 @@
         };
         for wait in waits {
             match wait {
-                PendingWork::Run(id) if lasts => self.in_flight.release(id),
-                PendingWork::Run(id) => self.in_flight.deferred_events.run_not_sent(id),
+                PendingWork::Run(id) if lasts => self.executor.release(id),
+                PendingWork::Run(id) => self.executor.deferred_events.run_not_sent(id),
                 PendingWork::Answer(id, result) => self
-                    .in_flight
-                    .settled(id, result.as_deref().filter(|_| lasts)),
+                    .executor
+                    .durable_answer_ready(id, result.as_deref().filter(|_| lasts)),
                 PendingWork::Nobody => {}
             }
         }
--- a/crates/server/src/core/upstream_events.rs
+++ b/crates/server/src/core/upstream_events.rs
@@ -1,275 +1,293 @@
-//! What the engine and the catalogue say, told to the decisions: runs and calls, and how they ended.
+//! What the engine and the upstream servers report, handed to the decision module: runs and calls, and how they
+//! ended.
+//!
+//! Is given: each notice of the engine and each reply of the catalogue or a backend. Answers the requests whose
+//! runs are over. Never reads a socket and never parses a line.
 
+use super::concurrency_limits;
 use super::deadlines::Deadline;
+use super::dispatch::{AttemptEnd, CallProgress};
 use super::event_loop::EventLoop;
 use crate::support::name::Name;
-use crate::upstream::calls::{self, CallDispatcher};
-use crate::upstream::engine::{self, EngineLink};
+use crate::upstream::calls::{CallDispatcher, CallObserver};
+use crate::upstream::engine::{EngineLink, EngineObserver};
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD as BASE64;
 use madderbay::interface::{Actions, Outcome};
 use madderbay::time::{Duration, Timestamp};
 use madderbay_concurrency::RequestStage;
-use madderbay_upstream::AttemptOutcome as Tried;
+use madderbay_upstream::AttemptOutcome;
 
-/// The timer this late tells that this process was held up, and so every reply that it reads now.
-const HELD_UP: Duration = Duration::from_millis(30);
+/// A tick that is overdue by more says that this process was stalled, and so that all replies are read late.
+const STALL_THRESHOLD: Duration = Duration::from_millis(30);
 
+/// Ends of runs and calls.
 impl EventLoop {
-    /// A run that was answered leaves the books.
-    pub(super) fn run_out(
+    /// The run of a request ended, and the request was answered or waits for nothing: removes it, answers those
+    /// that joined the run, and reports the end.
+    fn remove_ended_run(
         &mut self,
         now: Timestamp,
         id: u64,
-        how: Outcome,
-        spent: Duration,
+        outcome: Outcome,
+        run_time: Duration,
         result: Option<&str>,
     ) {
-        let Some(req) = self.in_flight.requests.get(&id) else {
+        let executor = &mut self.executor;
+        let Some(request) = executor.requests.get(id) else {
             return;
         };
-        let (key, handler) = (req.key, req.handler);
-        self.in_flight.counters.run_over(how);
-        for waiting in key.map_or(vec![], |k| self.in_flight.idempotency.run_ended(k, result)) {
-            self.in_flight.joined(waiting, result);
-        }
-        self.in_flight.counters.ran[handler] += 1;
-        self.in_flight.remove(id);
-        self.decide(now, |d, _| d.on_run_ended(now, id, how, spent));
+        let (key, handler) = (request.key, request.handler);
+        executor.counters.run_over(outcome);
+        executor.answer_all_joined(key, result);
+        executor.counters.ran[handler] += 1;
+        executor.remove(id);
+        self.decide(now, |d, _| d.on_run_ended(now, id, outcome, run_time));
     }
 
-    pub(super) fn call_ended(&mut self, now: Timestamp, id: u64, how: Outcome, spent: Duration) {
-        self.in_flight.counters.call_over(how);
-        if let Some(until) = self
-            .in_flight
-            .requests
-            .get_mut(&id)
-            .and_then(|r| r.until.take())
-        {
-            self.in_flight
+    /// A call is over with all its attempts.
+    fn call_ended(&mut self, now: Timestamp, id: u64, outcome: Outcome, elapsed: Duration) {
+        let executor = &mut self.executor;
+        executor.counters.call_over(outcome);
+        let request = executor.requests.get_mut(id);
+        if let Some(deadline) = request.and_then(|r| r.call.take_deadline()) {
+            executor
                 .deadlines
-                .remove(until, Deadline::CallTimeout(id));
+                .remove(deadline, Deadline::CallTimeout(id));
         }
-        self.in_flight.now = now;
-        self.in_flight.drop_tries(id, Tried::Cancelled);
-        let late = self.in_flight.tick_timer.is_overdue(now, HELD_UP);
-        self.in_flight.followed(id, |f, now, _| {
-            if late {
-                f.process_stalled(now);
+        executor.now = now;
+        executor.end_attempts(id, AttemptOutcome::Cancelled);
+        let stalled = executor.tick_timer.is_overdue(now, STALL_THRESHOLD);
+        executor.observe(id, |observer, now| {
+            if stalled {
+                observer.process_stalled(now);
             }
-            f.call_finished(now, id, crate::core::concurrency_limits::end(how));
+            observer.call_finished(now, id, concurrency_limits::end(outcome));
         });
-        self.decide(now, |d, in_flight| {
-            d.on_call_finished(now, id, how, spent, in_flight)
+        self.decide(now, |d, executor| {
+            d.on_call_finished(now, id, outcome, elapsed, executor);
         });
     }
 
-    pub(super) fn patience_over(&mut self, now: Timestamp, id: u64) {
-        let Some(req) = self.in_flight.requests.get_mut(&id) else {
+    /// A call is not over at its deadline.
+    pub(super) fn call_timed_out(&mut self, now: Timestamp, id: u64) {
+        let executor = &mut self.executor;
+        let Some(request) = executor.requests.get_mut(id) else {
             return;
         };
-        req.until = None;
-        let name = req.name;
-        if !req.tries.is_empty() {
-            self.in_flight.now = now;
-            let spent = req
-                .tries
-                .iter()
-                .map(|t| t.since)
-                .min()
-                .map_or(Duration::ZERO, |at| now - at);
-            self.in_flight.drop_tries(id, Tried::TimedOut);
-            self.call_ended(now, id, Outcome::TimedOut, spent);
-        } else if let Some((id, how, spent)) = self.in_flight.calls.quit(now, &name) {
-            self.call_ended(now, id, how, spent);
+        request.call.take_deadline();
+        if let Some(since) = request.call.oldest_attempt() {
+            executor.now = now;
+            executor.end_attempts(id, AttemptOutcome::TimedOut);
+            self.call_ended(now, id, Outcome::TimedOut, now - since);
+            return;
+        }
+        let name = request.name;
+        if let Some((id, outcome, elapsed)) = executor.calls.quit(now, &name) {
+            self.call_ended(now, id, outcome, elapsed);
         }
     }
 }
 
+/// The engine's start, its runs, and its link after a loss.
 impl EventLoop {
-    /// Nobody knows whether a run has read the reply to its call. One that may go on without is told so by the
-    /// number of that call, which does nothing where it has gone on; any other is errored and ends by itself.
-    fn doubtful(&mut self, now: Timestamp, id: u64) {
-        let Some(req) = self.in_flight.requests.get(&id) else {
+    /// Notices were lost for good: any run may have ended, so all that were started fail and none is sent again.
+    fn fail_started_runs(&mut self, now: Timestamp) {
+        let started = self.executor.requests.started();
+        log::warn!("engine: notices lost, runs_failed={}", started.len());
+        for (id, name) in started {
+            self.executor.cancel(id);
+            self.run_over(now, &name, Outcome::Failed, Duration::ZERO, "");
+        }
+    }
+
+    /// All notices that were missed have been read: sends again what may not have reached the engine. That starts
+    /// nothing twice, since all runs that ended meanwhile are known.
+    fn resend_commands(&mut self, now: Timestamp) {
+        self.executor.now = now;
+        for id in self.executor.resend_commands() {
+            self.reply_in_doubt(now, id);
+        }
+    }
+
+    /// It is unknown whether a run has read the reply to its call. If the call is optional the run is told to
+    /// skip it by its serial number, which has no effect on a run that went on. Any other request fails.
+    fn reply_in_doubt(&mut self, now: Timestamp, id: u64) {
+        let Some(request) = self.executor.requests.get(id) else {
             return;
         };
-        if self.settings.handlers[req.handler].partial_weight > 0.0 {
-            self.in_flight.skip_call(id);
+        if self.settings.handlers[request.handler].partial_weight > 0.0 {
+            self.executor.skip_call(id);
+        } else {
+            self.fail_request(now, id);
+        }
+    }
+
+    /// A run ended that is not in flight. It may be one of a former incarnation, which proves its outcome.
+    fn unknown_run_ended(&mut self, name: &Name, outcome: Outcome, blob: &str) {
+        let executor = &mut self.executor;
+        let result = (outcome == Outcome::Completed).then_some(blob.as_bytes());
+        let took_place = matches!(
+            outcome,
+            Outcome::Completed | Outcome::Failed | Outcome::Cancelled
+        );
+        let durability = executor.durability.as_mut().filter(|_| took_place);
+        if durability.is_some_and(|d| d.book.complete_recovered_run(name, result)) {
+            executor.work_pending.notify_one();
         } else {
-            self.in_flight.fail(id);
-            self.decide(now, |d, in_flight| d.on_client_gone(now, id, in_flight));
+            executor.counters.strays += 1;
         }
     }
+
+    /// Creates the decision module. `engine_is_new`: the engine came up with this server, with cold caches.
+    ///
+    /// The module begins now and not when the engine did, which may be an hour ago: its timer would count as that
+    /// late, and a stop requested before the first tick would never come due. An engine that came up cold a while
+    /// ago so counts as colder than it is.
+    fn begin_deciding(&mut self, now: Timestamp, engine_is_new: bool) {
+        self.settings.machine.starts_cold |= engine_is_new;
+        let mut decider = self.settings.decider(now, self.seed);
+        self.executor.now = now;
+        self.executor.tick_timer.restart(now);
+        decider.on_start(&mut self.executor);
+        self.decider = Some(decider);
+    }
 }
 
-impl engine::EngineObserver for EventLoop {
+impl EngineObserver for EventLoop {
     fn link(&mut self) -> &mut EngineLink {
-        &mut self.in_flight.engine_link
+        &mut self.executor.engine_link
     }
 
     fn unread(&mut self) {
-        self.in_flight.counters.bad_notices += 1;
+        self.executor.counters.bad_notices += 1;
     }
 
     fn unlinked(&mut self) {
-        self.in_flight.unlinked();
-        self.in_flight.counters.relinks += 1;
+        self.executor.engine_link_lost();
+        self.executor.counters.relinks += 1;
     }
 
-    /// The engine is up. The first time the module begins.
+    /// The engine is up. The first time, the decision module begins; not while draining, when no work is taken
+    /// on any more.
     fn hello(&mut self, now: Timestamp, how: &str, age: Duration) {
-        log::info!("engine: up, {how} {} ms ago", age.as_micros() / 1000);
-        // One that is told to leave before its engine came up takes nothing on any more.
-        if self.decider.is_none() && !self.in_flight.status.is_draining() {
-            self.settings.machine.starts_cold |= how == "new";
-            // It begins now and not when the engine did, which may be an hour ago: its timer would count as
-            // that late, and a stop asked for before the first tick would fall due for ever. A cold engine
-            // that came up a while ago counts as colder than it is.
-            let mut decider = self.settings.decider(now, self.seed);
-            self.in_flight.now = now;
-            self.in_flight.tick_timer.restart(now);
-            decider.on_start(&mut self.in_flight);
-            self.decider = Some(decider);
+        log::info!("engine: up, how={how}, age_ms={}", age.as_micros() / 1000);
+        if self.decider.is_none() && !self.executor.status.is_draining() {
+            self.begin_deciding(now, how == "new");
         }
-        self.in_flight.engine_link.ask(true);
-        self.in_flight.changed.notify_one();
+        self.executor.engine_link.ask(true);
+        self.executor.work_pending.notify_one();
     }
 
-    /// The gauges. After a lost link they come behind all notices that were missed: what may not have reached
-    /// the engine is sent again then, which starts nothing twice, since all that ended meanwhile is known. If
-    /// notices were lost for good any run may have ended, and none is sent again.
+    /// The gauges. After a lost link they arrive behind all notices that were missed.
     fn gauges(&mut self, now: Timestamp, values: &[f64], gap: bool) {
-        self.gauges.run_queue = self.on_cores.and_then(|at| values.get(at)).copied();
-        let taken_up = !std::mem::replace(&mut self.in_flight.engine_link.up, true);
+        self.gauges.run_queue = self.run_queue_gauge.and_then(|at| values.get(at)).copied();
+        let link_restored = !std::mem::replace(&mut self.executor.engine_link.up, true);
         if gap {
-            log::warn!("engine: notices were lost; all runs count as errored");
-            let mut lost: Vec<_> = self
-                .in_flight
-                .requests
-                .iter()
-                .filter(|(_, r)| r.started)
-                .map(|(id, r)| (*id, r.name))
-                .collect();
-            lost.sort_unstable();
-            for (id, name) in lost {
-                self.in_flight.cancel(id);
-                self.run_over(now, &name, Outcome::Failed, Duration::ZERO, "");
-            }
+            self.fail_started_runs(now);
         }
-        if taken_up {
-            self.in_flight.now = now;
-            for id in self.in_flight.resend() {
-                self.doubtful(now, id);
-            }
+        if link_restored {
+            self.resend_commands(now);
         }
     }
 
-    /// A run stands at a call.
+    /// A run waits at a call.
     fn at_call(&mut self, now: Timestamp, name: &Name, serial: u64, blob: &str) {
-        let Some(&id) = self.in_flight.names.get(name) else {
+        let executor = &mut self.executor;
+        let Some(id) = executor.requests.id(name) else {
             return;
         };
-        let Some(req) = self.in_flight.requests.get_mut(&id) else {
+        let Some(request) = executor.requests.get_mut(id) else {
             return;
         };
-        req.unproven.clear();
-        req.fed = None;
-        req.need = serial;
+        request.commands.all_read();
+        request.call.requested(serial);
         match BASE64.decode(blob) {
-            Ok(body) => req.wants = body,
-            Err(_) => log::warn!("engine: the body of a call is no base64"),
+            Ok(body) => request.call.set_body(body),
+            Err(_) => log::warn!("engine: call body is not base64, serial={serial}"),
         }
-        self.in_flight.now = now;
-        self.in_flight.followed(id, |f, now, handler| {
-            f.set_stage(now, id, handler, RequestStage::AwaitingCall)
-        });
-        self.decide(now, |d, in_flight| d.on_call_needed(now, id, in_flight));
+        executor.now = now;
+        executor.set_stage(id, RequestStage::AwaitingCall);
+        self.decide(now, |d, executor| d.on_call_needed(now, id, executor));
     }
 
-    /// A run is over. A req that still waits for it is answered with what came of it.
+    /// A run is over. A request that still waits for it is answered with its outcome.
     fn run_over(&mut self, now: Timestamp, name: &Name, how: Outcome, spent: Duration, blob: &str) {
-        let Some(&id) = self.in_flight.names.get(name) else {
-            // It may be a run of a former life, which proves what came of it.
-            let result = (how == Outcome::Completed).then_some(blob.as_bytes());
-            let ran = matches!(
-                how,
-                Outcome::Completed | Outcome::Failed | Outcome::Cancelled
-            );
-            let keep = self.in_flight.durability.as_mut().filter(|_| ran);
-            if keep.is_some_and(|k| k.book.complete_recovered_run(name, result)) {
-                self.in_flight.changed.notify_one();
-            } else {
-                self.in_flight.counters.strays += 1;
-            }
-            return;
+        let Some(id) = self.executor.requests.id(name) else {
+            return self.unknown_run_ended(name, how, blob);
         };
-        self.in_flight.now = now;
+        self.executor.now = now;
         let result = (how == Outcome::Completed).then_some(blob);
-        if self.in_flight.keep_result(id, how, result) {
+        if self.executor.answer_once_durable(id, how, result) {
             return self.decide(now, |d, _| d.on_run_ended(now, id, how, spent));
         }
-        self.in_flight.answer_run(id, result);
-        self.run_out(now, id, how, spent, result);
+        self.executor.answer_run(id, result);
+        self.remove_ended_run(now, id, how, spent, result);
     }
 
-    /// The engine did not carry a command out. Where that is a run it knows no such req: nothing ran or will,
-    /// and a further try by its key is a new one.
+    /// The engine did not carry a command out. If that is a run, the engine knows no such request: nothing ran or
+    /// will, and a further attempt of its key is a new one.
     fn declined(&mut self, now: Timestamp, what: &str, name: &Name) {
-        self.in_flight.counters.declined += 1;
-        log::debug!("engine: {what} was not carried out");
-        let Some(&id) = self.in_flight.names.get(name).filter(|_| what == "RUN") else {
+        self.executor.counters.declined += 1;
+        log::debug!("engine: command declined, command={what}");
+        let Some(id) = self.executor.requests.id(name).filter(|_| what == "RUN") else {
             return;
         };
-        self.in_flight.now = now;
-        self.in_flight.reject(id, Duration::ZERO, false);
-        self.in_flight.keep_result(id, Outcome::AlreadyEnded, None);
-        self.run_out(now, id, Outcome::AlreadyEnded, Duration::ZERO, None);
-        self.in_flight.idempotency.remove_held_by(id);
+        let outcome = Outcome::AlreadyEnded;
+        self.executor.now = now;
+        self.executor.reject(id, Duration::ZERO, false);
+        self.executor.answer_once_durable(id, outcome, None);
+        self.remove_ended_run(now, id, outcome, Duration::ZERO, None);
+        self.executor.idempotency.remove_held_by(id);
     }
 }
 
-impl calls::CallObserver for EventLoop {
+impl CallObserver for EventLoop {
     fn desk(&mut self) -> &mut CallDispatcher {
-        &mut self.in_flight.calls
+        &mut self.executor.calls
     }
 
     fn may_dial(&self, open: usize) -> bool {
-        open < self
-            .descriptors
-            .saturating_sub(self.in_flight.connections.len())
+        let downstream = self.executor.connections.len();
+        open < self.max_descriptors.saturating_sub(downstream)
     }
 
     fn unread(&mut self) {
-        self.in_flight.counters.bad_replies += 1;
+        self.executor.counters.bad_replies += 1;
     }
 
-    /// A call's reply came.
+    /// The reply to a call was read.
     fn call_over(&mut self, now: Timestamp, wire: u64, name: &Name, how: Outcome, body: &[u8]) {
-        let Some((id, spent)) = self.in_flight.calls.replied(now, wire, name) else {
-            self.in_flight.counters.strays += 1;
+        let Some((id, elapsed)) = self.executor.calls.replied(now, wire, name) else {
+            self.executor.counters.strays += 1;
             return;
         };
-        if how == Outcome::Completed
-            && self
-                .in_flight
-                .requests
-                .get(&id)
-                .is_some_and(|r| !r.answered)
-        {
-            self.in_flight.goes_on(now, id, wire, how, true);
-            self.in_flight.feed(id, body);
-        } else if self.in_flight.goes_on(now, id, wire, how, true) {
+        let end = AttemptEnd {
+            upstream_connection: wire,
+            outcome: how,
+            replied: true,
+        };
+        let progress = self.executor.attempt_ended(now, id, end);
+        if how == Outcome::Completed && self.executor.requests.unanswered(id).is_some() {
+            self.executor.send_reply(id, body);
+        } else if progress == CallProgress::Continues {
             return;
         }
-        self.call_ended(now, id, how, spent);
+        self.call_ended(now, id, how, elapsed);
     }
 
-    /// A connection to the catalogue is over.
+    /// An upstream connection is over, and with it the call on it.
     fn call_lost(&mut self, now: Timestamp, wire: u64) {
-        if let Some((id, how, spent)) = self.in_flight.calls.ended(now, wire)
-            && !self.in_flight.goes_on(now, id, wire, how, false)
-        {
-            self.call_ended(now, id, how, spent);
+        let Some((id, outcome, elapsed)) = self.executor.calls.ended(now, wire) else {
+            return;
+        };
+        let end = AttemptEnd {
+            upstream_connection: wire,
+            outcome,
+            replied: false,
+        };
+        if self.executor.attempt_ended(now, id, end) == CallProgress::Ended {
+            self.call_ended(now, id, outcome, elapsed);
         }
     }
 }
