Server: log lines of health and call limits as component, event and values

Cause: the lines "health: ill", "pools: calls A to B: WHY" and "pools: N changes more" were in words of their own and in no common shape.

Change: they are "health: unhealthy" and "health: healthy", "pools: call limit changed, from=A, to=B, cause=WHY", and "pools: further call limit changes, not_logged=N", at the same levels and for the same causes.

--- a/crates/server/src/core/request_limits.rs
+++ b/crates/server/src/core/request_limits.rs
@@ -113,7 +113,7 @@
         let limit_changes = limiter.take_limit_changes();
         for change in limit_changes.changes {
             log::info!(
-                "pools: calls {:.1} to {:.1}: {}",
+                "pools: call limit changed, from={:.1}, to={:.1}, cause={}",
                 change.from,
                 change.to,
                 change.cause
@@ -121,7 +121,7 @@
         }
         let dropped = limit_changes.dropped;
         if dropped > 0 {
-            log::info!("pools: {dropped} changes more");
+            log::info!("pools: further call limit changes, not_logged={dropped}");
         }
     }
 
--- a/crates/server/src/core/server_status.rs
+++ b/crates/server/src/core/server_status.rs
@@ -49,7 +49,8 @@
     /// Sets the health.
     pub(super) fn set_health(&mut self, healthy: bool) {
         if std::mem::replace(&mut self.healthy, healthy) != healthy {
-            log::warn!("health: {}", if healthy { "good again" } else { "ill" });
+            let state = if healthy { "healthy" } else { "unhealthy" };
+            log::warn!("health: {state}");
             self.changed.notify_one();
         }
     }
