Server core: turns in a file of their own, the end of a request and of a call where they belong

Cause: the executor's file called dispatch, which imports the executor, and the event loop's file called the files that import it.

Change: turns.rs holds run_turn with its deadlines and tick; the ways out of a request are in answers, giving up a call is in dispatch, so files import in one direction. The event loop owns the notification of pending work, which no action uses. nobody_waits is request_settled.

--- a/crates/server/src/core/actions.rs
+++ b/crates/server/src/core/actions.rs
@@ -53,12 +53,12 @@
 
     fn reject(&mut self, id: u64, retry_after: Duration, is_final: bool) {
         self.answer_rejected(id, retry_after, is_final);
-        self.nobody_waits(id);
+        self.request_settled(id);
     }
 
     fn fail(&mut self, id: u64) {
         self.answer_run(id, None);
-        self.nobody_waits(id);
+        self.request_settled(id);
     }
 
     fn call(&mut self, id: u64, timeout: Duration) {
--- a/crates/server/src/core/answers.rs
+++ b/crates/server/src/core/answers.rs
@@ -1,4 +1,4 @@
-//! The ways to the final answer of a request. Each request is answered once.
+//! The final answers of requests, each given once, and the removal of requests that are over.
 //!
 //! Is given: how a run ended, or that there was none. Writes the answer to the connection's outbox, counts it,
 //! and answers the attempts that joined the same run. With durable results an answer waits until its result is
@@ -145,4 +145,29 @@
     fn key_expiry(&self, key: IdempotencyKey) -> Timestamp {
         self.idempotency.window(key).map_or(self.now, |w| w.end)
     }
+
+    /// A request is answered or its client gone: a call for it is given up, and unless it runs it is over.
+    pub(super) fn request_settled(&mut self, id: u64) {
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        request.answered = true;
+        self.connections
+            .request_settled(request.connection, request.rpc_id);
+        if request.started {
+            self.cancel_call(id);
+            self.observe(id, |o, now| o.request_answered(now, id));
+        } else {
+            self.remove(id);
+        }
+    }
+
+    /// Removes a request that is over, with the call that is out for it.
+    pub(super) fn remove(&mut self, id: u64) {
+        self.cancel_call(id);
+        self.observe(id, |o, now| o.request_finished(now, id));
+        if let Some(request) = self.requests.remove(id) {
+            self.calls.forget(&request.name);
+        }
+    }
 }
--- a/crates/server/src/core/arrivals.rs
+++ b/crates/server/src/core/arrivals.rs
@@ -233,7 +233,7 @@
         );
         self.executor.counters.gone += 1;
         self.decide(now, |d, executor| d.on_client_gone(now, id, executor));
-        self.executor.nobody_waits(id);
+        self.executor.request_settled(id);
     }
 
     /// Answers a request with an error and reports its client gone, so that the decision module gives it up.
--- a/crates/server/src/core/backend_selector.rs
+++ b/crates/server/src/core/backend_selector.rs
@@ -14,13 +14,13 @@
     /// Selects a backend for the call of a handler; `None` if its calls go to the catalogue.
     fn pick(&self, handler: usize) -> Option<UpstreamAttempt>;
     /// Selects a backend for a further attempt; `None` if the retry budget or the backends allow none.
-    fn again(&self, before: &UpstreamAttempt, how: RetryKind) -> Option<UpstreamAttempt>;
+    fn again(&self, former: &UpstreamAttempt, kind: RetryKind) -> Option<UpstreamAttempt>;
     /// An attempt ended.
-    fn over(&self, ticket: &UpstreamAttempt, end: AttemptOutcome);
+    fn over(&self, attempt: &UpstreamAttempt, outcome: AttemptOutcome);
     /// The time after which a hedge beside this attempt is worth its price.
-    fn hedge_after(&self, ticket: &UpstreamAttempt) -> Option<Duration>;
+    fn hedge_after(&self, attempt: &UpstreamAttempt) -> Option<Duration>;
     /// The least time that a further attempt needs.
-    fn least(&self, ticket: &UpstreamAttempt) -> Duration;
+    fn least(&self, attempt: &UpstreamAttempt) -> Duration;
     /// The counters of the backends, a line each.
     fn counters(&self) -> String;
 }
--- a/crates/server/src/core/dispatch.rs
+++ b/crates/server/src/core/dispatch.rs
@@ -8,6 +8,7 @@
 use super::upstream_call::BackendAttempt;
 use madderbay::interface::Outcome;
 use madderbay::time::{Duration, Timestamp};
+use madderbay_concurrency::limit::Completion;
 use madderbay_upstream::{AttemptOutcome, RetryKind, UpstreamAttempt};
 
 /// Where a call goes.
@@ -249,4 +250,20 @@
             self.backends.finish(&ended.attempt, outcome);
         }
     }
+
+    /// Gives up the call that is out for a request, if there is one.
+    pub(super) fn cancel_call(&mut self, id: u64) {
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        let Some(deadline) = request.call.take_deadline() else {
+            return;
+        };
+        self.deadlines.remove(deadline, Deadline::CallTimeout(id));
+        if !request.call.has_attempts() {
+            self.calls.quit(self.now, &request.name);
+        }
+        self.end_attempts(id, AttemptOutcome::Cancelled);
+        self.observe(id, |o, now| o.call_finished(now, id, Completion::Cancelled));
+    }
 }
--- a/crates/server/src/core/event_loop.rs
+++ b/crates/server/src/core/event_loop.rs
@@ -1,12 +1,11 @@
 //! The core's event loop: owns the decision module, hands each event to it and settles each turn.
 //!
 //! Owns: the decision module, and the executor of its actions. Is given: each event by a method call with the
-//! time, here and in `arrivals`, `stored_results` and `upstream_events`. What it sends is put into outboxes.
-//! Knows no socket and no clock.
+//! time, in `arrivals`, `stored_results`, `upstream_events` and `turns`. What it sends is put into outboxes. Knows no
+//! socket and no clock.
 
 use super::backend_selector::BackendSelector;
 use super::concurrency_limits;
-use super::deadlines::Deadline;
 use super::deferred_events::DeferredEvent;
 use super::durability::DurabilityQueue;
 use super::executor::ActionExecutor;
@@ -28,8 +27,6 @@
 
 /// Advertised Retry-After where connections or write-ahead records are short.
 const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(1_000);
-/// Interval between two removals of expired entries and idle connections: much finer than the life of either.
-const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// The event loop as its drivers share it, all on one thread.
 pub type SharedEventLoop = Rc<RefCell<EventLoop>>;
@@ -46,6 +43,8 @@
     /// Descriptors that downstream connections and upstream calls may take together.
     pub(super) max_descriptors: usize,
     pub(super) executor: ActionExecutor,
+    /// Notified when an event has to be settled by a turn.
+    pub(super) work_pending: Rc<Notify>,
 }
 
 /// Set-up.
@@ -68,6 +67,7 @@
             gauges: Gauges::default(),
             max_descriptors: usize::MAX,
             executor,
+            work_pending: Rc::default(),
         }
     }
 
@@ -140,7 +140,7 @@
 
     /// Notified when the core has work that a turn settles.
     pub fn work_pending(&self) -> Rc<Notify> {
-        self.executor.work_pending.clone()
+        self.work_pending.clone()
     }
 
     /// Notified when what the registry is told has changed.
@@ -213,12 +213,16 @@
         handle: impl FnOnce(&mut Decider, &mut ActionExecutor),
     ) {
         self.consider(now, handle);
-        self.executor.work_pending.notify_one();
+        self.work_pending.notify_one();
     }
 
     /// Lets the decision module handle an event, then those that its actions gave rise to. Nothing happens before
     /// the engine is up.
-    fn consider(&mut self, now: Timestamp, handle: impl FnOnce(&mut Decider, &mut ActionExecutor)) {
+    pub(super) fn consider(
+        &mut self,
+        now: Timestamp,
+        handle: impl FnOnce(&mut Decider, &mut ActionExecutor),
+    ) {
         let retry_after = self.unavailable_retry_after();
         let Some(decider) = &mut self.decider else {
             return;
@@ -248,97 +252,8 @@
     }
 }
 
-/// Turns and draining.
+/// Draining.
 impl EventLoop {
-    /// When the next turn is due at the latest.
-    pub fn next_deadline(&self) -> Option<Timestamp> {
-        let executor = &self.executor;
-        [executor.tick_timer.deadline(), executor.deadlines.next()]
-            .into_iter()
-            .flatten()
-            .min()
-    }
-
-    /// One turn, after all that was ready has been taken in: the deadlines that have been reached, the decision
-    /// module's tick, and its decisions.
-    pub fn run_turn(&mut self, now: Timestamp) {
-        self.executor.now = now;
-        while let Some(deadline) = self.executor.deadlines.pop_due(now) {
-            self.deadline_reached(now, deadline);
-        }
-        self.tick_if_due(now);
-        self.update_limits(now);
-        self.consider(now, |d, executor| d.settle(now, executor));
-        if let Some(durability) = &mut self.executor.durability {
-            durability.flush();
-        }
-    }
-
-    fn deadline_reached(&mut self, now: Timestamp, deadline: Deadline) {
-        match deadline {
-            Deadline::CallTimeout(id) => self.call_timed_out(now, id),
-            Deadline::Hedge(id) => self.executor.hedge_deadline_reached(now, id),
-            Deadline::ConnectionIdle(connection) => self.idle_deadline_reached(now, connection),
-            Deadline::FirstRequest(connection) => {
-                self.first_request_deadline_reached(now, connection);
-            }
-            // The disk is slower than the client's timeout: a result that is not durable can't be its answer.
-            Deadline::DurableAnswer(id) => self.executor.answer_run(id, None),
-            Deadline::Maintenance => self.maintain(now),
-        }
-    }
-
-    fn idle_deadline_reached(&mut self, now: Timestamp, connection: u64) {
-        let executor = &mut self.executor;
-        if let Some(at) = executor.connections.idle_deadline_reached(now, connection) {
-            let deadline = Deadline::ConnectionIdle(connection);
-            executor.deadlines.insert(at, deadline);
-        }
-    }
-
-    fn first_request_deadline_reached(&mut self, now: Timestamp, connection: u64) {
-        let executor = &mut self.executor;
-        let next_check = executor
-            .connections
-            .first_request_deadline_reached(now, connection);
-        if let Some(at) = next_check {
-            let deadline = Deadline::FirstRequest(connection);
-            executor.deadlines.insert(at, deadline);
-        }
-    }
-
-    /// Removes what has expired and closes what is idle or stalled.
-    fn maintain(&mut self, now: Timestamp) {
-        let executor = &mut self.executor;
-        if let Some(durability) = &mut executor.durability {
-            durability.book.expire(now);
-        }
-        executor.calls.tidy(now);
-        executor.idempotency.expire(now);
-        executor.connections.cut_stalled(now);
-        executor
-            .deadlines
-            .insert(now + MAINTENANCE_INTERVAL, Deadline::Maintenance);
-    }
-
-    /// The decision module's tick, if its timer has reached the deadline.
-    fn tick_if_due(&mut self, now: Timestamp) {
-        let Some(deadline) = self.executor.tick_timer.take_due(now) else {
-            return;
-        };
-        self.executor.counters.tick(now - deadline);
-        let gauges = self.gauges;
-        self.consider(now, |d, executor| d.on_tick(now, &gauges, executor));
-        self.executor.engine_link.rang();
-    }
-
-    /// Hands the operator's limits to the decision module before it settles.
-    fn update_limits(&mut self, now: Timestamp) {
-        if let Some(decider) = &mut self.decider {
-            self.executor.limits.update_decider(now, decider);
-        }
-    }
-
     /// Begins draining: health checks and the registry are told so, clients are notified that their connections
     /// are to end, and the decision module ends its work within `remaining`.
     pub fn drain(&mut self, now: Timestamp, remaining: Duration) {
--- a/crates/server/src/core/executor.rs
+++ b/crates/server/src/core/executor.rs
@@ -22,11 +22,7 @@
 use crate::upstream::engine::EngineLink;
 use madderbay::time::Timestamp;
 use madderbay_concurrency::RequestStage;
-use madderbay_concurrency::limit::Completion;
 use madderbay_settings::Settings;
-use madderbay_upstream::AttemptOutcome;
-use std::rc::Rc;
-use tokio::sync::Notify;
 
 /// Carries out what the decision module decides.
 pub(super) struct ActionExecutor {
@@ -47,8 +43,6 @@
     pub(super) tick_timer: TickTimer,
     pub(super) status: ServerStatus,
     pub(super) counters: Counters,
-    /// Notified when an event has to be settled by a turn.
-    pub(super) work_pending: Rc<Notify>,
 }
 
 impl ActionExecutor {
@@ -76,7 +70,6 @@
             tick_timer: TickTimer::new(now),
             status: ServerStatus::default(),
             counters: Counters::new(&settings.handler_names),
-            work_pending: Rc::default(),
         }
     }
 
@@ -100,45 +93,4 @@
                 .observe(|observer| observer.set_stage(now, id, handler, stage));
         }
     }
-
-    /// Removes a request that is over, with the call that is out for it.
-    pub(super) fn remove(&mut self, id: u64) {
-        self.cancel_call(id);
-        self.observe(id, |o, now| o.request_finished(now, id));
-        if let Some(request) = self.requests.remove(id) {
-            self.calls.forget(&request.name);
-        }
-    }
-
-    /// Gives up the call that is out for a request, if there is one.
-    pub(super) fn cancel_call(&mut self, id: u64) {
-        let Some(request) = self.requests.get_mut(id) else {
-            return;
-        };
-        let Some(deadline) = request.call.take_deadline() else {
-            return;
-        };
-        self.deadlines.remove(deadline, Deadline::CallTimeout(id));
-        if !request.call.has_attempts() {
-            self.calls.quit(self.now, &request.name);
-        }
-        self.end_attempts(id, AttemptOutcome::Cancelled);
-        self.observe(id, |o, now| o.call_finished(now, id, Completion::Cancelled));
-    }
-
-    /// A request is answered or its client gone: a call for it is given up, and unless it runs it is over.
-    pub(super) fn nobody_waits(&mut self, id: u64) {
-        let Some(request) = self.requests.get_mut(id) else {
-            return;
-        };
-        request.answered = true;
-        self.connections
-            .request_settled(request.connection, request.rpc_id);
-        if request.started {
-            self.cancel_call(id);
-            self.observe(id, |o, now| o.request_answered(now, id));
-        } else {
-            self.remove(id);
-        }
-    }
 }
--- a/crates/server/src/core/mod.rs
+++ b/crates/server/src/core/mod.rs
@@ -19,5 +19,6 @@
 mod run_commands;
 mod server_status;
 mod stored_results;
+mod turns;
 mod upstream_call;
 mod upstream_events;
--- /dev/null
+++ b/crates/server/src/core/turns.rs
@@ -0,0 +1,102 @@
+//! The turns of the event loop: after all that was ready has been taken in, deadlines, tick and decisions.
+//!
+//! Is given: the time. A turn handles each deadline that has been reached in order, then the decision module's
+//! tick, and lets the module settle. Never waits: the driver sleeps until [`EventLoop::next_deadline`].
+
+use super::deadlines::Deadline;
+use super::event_loop::EventLoop;
+use madderbay::time::{Duration, Timestamp};
+
+/// Interval between two removals of expired entries and idle connections: much finer than the life of either.
+const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(1_000);
+
+impl EventLoop {
+    /// When the next turn is due at the latest.
+    pub fn next_deadline(&self) -> Option<Timestamp> {
+        let executor = &self.executor;
+        [executor.tick_timer.deadline(), executor.deadlines.next()]
+            .into_iter()
+            .flatten()
+            .min()
+    }
+
+    /// One turn, after all that was ready has been taken in: the deadlines that have been reached, the decision
+    /// module's tick, and its decisions.
+    pub fn run_turn(&mut self, now: Timestamp) {
+        self.executor.now = now;
+        while let Some(deadline) = self.executor.deadlines.pop_due(now) {
+            self.deadline_reached(now, deadline);
+        }
+        self.tick_if_due(now);
+        self.update_limits(now);
+        self.consider(now, |d, executor| d.settle(now, executor));
+        if let Some(durability) = &mut self.executor.durability {
+            durability.flush();
+        }
+    }
+
+    fn deadline_reached(&mut self, now: Timestamp, deadline: Deadline) {
+        match deadline {
+            Deadline::CallTimeout(id) => self.call_timed_out(now, id),
+            Deadline::Hedge(id) => self.executor.hedge_deadline_reached(now, id),
+            Deadline::ConnectionIdle(connection) => self.idle_deadline_reached(now, connection),
+            Deadline::FirstRequest(connection) => {
+                self.first_request_deadline_reached(now, connection);
+            }
+            // The disk is slower than the client's timeout: a result that is not durable can't be its answer.
+            Deadline::DurableAnswer(id) => self.executor.answer_run(id, None),
+            Deadline::Maintenance => self.maintain(now),
+        }
+    }
+
+    fn idle_deadline_reached(&mut self, now: Timestamp, connection: u64) {
+        let executor = &mut self.executor;
+        if let Some(at) = executor.connections.idle_deadline_reached(now, connection) {
+            let deadline = Deadline::ConnectionIdle(connection);
+            executor.deadlines.insert(at, deadline);
+        }
+    }
+
+    fn first_request_deadline_reached(&mut self, now: Timestamp, connection: u64) {
+        let executor = &mut self.executor;
+        let next_check = executor
+            .connections
+            .first_request_deadline_reached(now, connection);
+        if let Some(at) = next_check {
+            let deadline = Deadline::FirstRequest(connection);
+            executor.deadlines.insert(at, deadline);
+        }
+    }
+
+    /// Removes what has expired and closes what is idle or stalled.
+    fn maintain(&mut self, now: Timestamp) {
+        let executor = &mut self.executor;
+        if let Some(durability) = &mut executor.durability {
+            durability.book.expire(now);
+        }
+        executor.calls.tidy(now);
+        executor.idempotency.expire(now);
+        executor.connections.cut_stalled(now);
+        executor
+            .deadlines
+            .insert(now + MAINTENANCE_INTERVAL, Deadline::Maintenance);
+    }
+
+    /// The decision module's tick, if its timer has reached the deadline.
+    fn tick_if_due(&mut self, now: Timestamp) {
+        let Some(deadline) = self.executor.tick_timer.take_due(now) else {
+            return;
+        };
+        self.executor.counters.tick(now - deadline);
+        let gauges = self.gauges;
+        self.consider(now, |d, executor| d.on_tick(now, &gauges, executor));
+        self.executor.engine_link.rang();
+    }
+
+    /// Hands the operator's limits to the decision module before it settles.
+    fn update_limits(&mut self, now: Timestamp) {
+        if let Some(decider) = &mut self.decider {
+            self.executor.limits.update_decider(now, decider);
+        }
+    }
+}
--- a/crates/server/src/core/upstream_events.rs
+++ b/crates/server/src/core/upstream_events.rs
@@ -133,7 +133,7 @@
         );
         let durability = executor.durability.as_mut().filter(|_| took_place);
         if durability.is_some_and(|d| d.book.complete_recovered_run(name, result)) {
-            executor.work_pending.notify_one();
+            self.work_pending.notify_one();
         } else {
             executor.counters.strays += 1;
         }
@@ -176,7 +176,7 @@
             self.begin_deciding(now, how == "new");
         }
         self.executor.engine_link.ask(true);
-        self.executor.work_pending.notify_one();
+        self.work_pending.notify_one();
     }
 
     /// The gauges. After a lost link they arrive behind all notices that were missed.
@@ -212,25 +212,32 @@
     }
 
     /// A run is over. A request that still waits for it is answered with its outcome.
-    fn run_over(&mut self, now: Timestamp, name: &Name, how: Outcome, spent: Duration, blob: &str) {
+    fn run_over(
+        &mut self,
+        now: Timestamp,
+        name: &Name,
+        outcome: Outcome,
+        run_time: Duration,
+        blob: &str,
+    ) {
         let Some(id) = self.executor.requests.id(name) else {
-            return self.unknown_run_ended(name, how, blob);
+            return self.unknown_run_ended(name, outcome, blob);
         };
         self.executor.now = now;
-        let result = (how == Outcome::Completed).then_some(blob);
-        if self.executor.answer_once_durable(id, how, result) {
-            return self.decide(now, |d, _| d.on_run_ended(now, id, how, spent));
+        let result = (outcome == Outcome::Completed).then_some(blob);
+        if self.executor.answer_once_durable(id, outcome, result) {
+            return self.decide(now, |d, _| d.on_run_ended(now, id, outcome, run_time));
         }
         self.executor.answer_run(id, result);
-        self.remove_ended_run(now, id, how, spent, result);
+        self.remove_ended_run(now, id, outcome, run_time, result);
     }
 
     /// The engine did not carry a command out. If that is a run, the engine knows no such request: nothing ran or
     /// will, and a further attempt of its key is a new one.
-    fn declined(&mut self, now: Timestamp, what: &str, name: &Name) {
+    fn declined(&mut self, now: Timestamp, command: &str, name: &Name) {
         self.executor.counters.declined += 1;
-        log::debug!("engine: command declined, command={what}");
-        let Some(id) = self.executor.requests.id(name).filter(|_| what == "RUN") else {
+        log::debug!("engine: command declined, command={command}");
+        let Some(id) = self.executor.requests.id(name).filter(|_| command == "RUN") else {
             return;
         };
         let outcome = Outcome::AlreadyEnded;
@@ -257,32 +264,41 @@
     }
 
     /// The reply to a call was read.
-    fn call_over(&mut self, now: Timestamp, wire: u64, name: &Name, how: Outcome, body: &[u8]) {
-        let Some((id, elapsed)) = self.executor.calls.replied(now, wire, name) else {
+    fn call_over(
+        &mut self,
+        now: Timestamp,
+        upstream_connection: u64,
+        name: &Name,
+        outcome: Outcome,
+        body: &[u8],
+    ) {
+        let Some((id, elapsed)) = self.executor.calls.replied(now, upstream_connection, name)
+        else {
             self.executor.counters.strays += 1;
             return;
         };
         let end = AttemptEnd {
-            upstream_connection: wire,
-            outcome: how,
+            upstream_connection,
+            outcome,
             replied: true,
         };
         let progress = self.executor.attempt_ended(now, id, end);
-        if how == Outcome::Completed && self.executor.requests.unanswered(id).is_some() {
+        if outcome == Outcome::Completed && self.executor.requests.unanswered(id).is_some() {
             self.executor.send_reply(id, body);
         } else if progress == CallProgress::Continues {
             return;
         }
-        self.call_ended(now, id, how, elapsed);
+        self.call_ended(now, id, outcome, elapsed);
     }
 
     /// An upstream connection is over, and with it the call on it.
-    fn call_lost(&mut self, now: Timestamp, wire: u64) {
-        let Some((id, outcome, elapsed)) = self.executor.calls.ended(now, wire) else {
+    fn call_lost(&mut self, now: Timestamp, upstream_connection: u64) {
+        let Some((id, outcome, elapsed)) = self.executor.calls.ended(now, upstream_connection)
+        else {
             return;
         };
         let end = AttemptEnd {
-            upstream_connection: wire,
+            upstream_connection,
             outcome,
             replied: false,
         };
