--- a/crates/server/src/core/mod.rs
+++ b/crates/server/src/core/mod.rs
@@ -1,4 +1,16 @@
-//! The core: owns the decisions and carries them out; knows no socket and no clock.
+//! The core: owns the decision module, hands it what happens and carries out what it decides. Sans I/O: it knows
+//! no socket and no clock, is given the time with each event, and writes into outboxes.
+//!
+//! What happens arrives in `arrivals` (load balancers), `upstream_events` (engine, catalogue, backends),
+//! `stored_results` (the disk) and `turns` (time); each hands it to the decision module in [`event_loop`].
+//! The module's `actions` are carried out by the `executor`: `answers` to clients, `engine_commands` to the
+//! engine, and `dispatch` of calls to catalogue and backends.
+//!
+//! Each piece of state has one owner: `in_flight` the requests, with the `run_commands` and the `upstream_call`
+//! of each; `deadlines` what is due; `deferred_events` what the decision module is told after it has acted;
+//! `server_status` what this server tells of itself; `request_limits` the operator's limits, which follow each
+//! request as a `request_observer`; [`backend_selector`] the choice among backends; [`durability`] what waits for
+//! the disk.
 
 mod actions;
 mod answers;
