Server core: names for what a turn decides and for an answer from the store

Cause: "consider" differed from "decide" by the notification alone, and a method that answers an attempt had the name of a question.

Change: consider is decide_within_turn, is_answered_from_store is answer_from_store.

--- a/crates/server/src/core/arrivals.rs
+++ b/crates/server/src/core/arrivals.rs
@@ -136,7 +136,7 @@
         if self.executor.requests.id(&request.name).is_some() {
             return Err(InvalidRequest::AttemptNameInUse);
         }
-        if self.is_answered_from_store(now, connection, rpc_id, &request)? {
+        if self.answer_from_store(now, connection, rpc_id, &request)? {
             return Ok(());
         }
         let arrival = &request.arrival;
@@ -158,8 +158,9 @@
         Ok(())
     }
 
-    /// Answers an attempt whose key is known from a former incarnation, or of which no record can be made.
-    fn is_answered_from_store(
+    /// Answers an attempt whose key is known from a former incarnation, or of which no record can be made. Gives
+    /// whether it was answered.
+    fn answer_from_store(
         &mut self,
         now: Timestamp,
         connection: u64,
--- a/crates/server/src/core/event_loop.rs
+++ b/crates/server/src/core/event_loop.rs
@@ -212,13 +212,13 @@
         now: Timestamp,
         handle: impl FnOnce(&mut Decider, &mut ActionExecutor),
     ) {
-        self.consider(now, handle);
+        self.decide_within_turn(now, handle);
         self.work_pending.notify_one();
     }
 
     /// Lets the decision module handle an event, then those that its actions gave rise to. Nothing happens before
     /// the engine is up.
-    pub(super) fn consider(
+    pub(super) fn decide_within_turn(
         &mut self,
         now: Timestamp,
         handle: impl FnOnce(&mut Decider, &mut ActionExecutor),
--- a/crates/server/src/core/turns.rs
+++ b/crates/server/src/core/turns.rs
@@ -29,7 +29,7 @@
         }
         self.tick_if_due(now);
         self.update_limits(now);
-        self.consider(now, |d, executor| d.settle(now, executor));
+        self.decide_within_turn(now, |d, executor| d.settle(now, executor));
         if let Some(durability) = &mut self.executor.durability {
             durability.flush();
         }
@@ -89,7 +89,7 @@
         };
         self.executor.counters.tick(now - deadline);
         let gauges = self.gauges;
-        self.consider(now, |d, executor| d.on_tick(now, &gauges, executor));
+        self.decide_within_turn(now, |d, executor| d.on_tick(now, &gauges, executor));
         self.executor.engine_link.rang();
     }
 
