Server core: each field of the executor and each step of a turn documented

Cause: the executor's fields and some private steps had no comment of their own.

Change: doc comments alone.

--- a/crates/server/src/core/answers.rs
+++ b/crates/server/src/core/answers.rs
@@ -142,6 +142,7 @@
         }
     }
 
+    /// When the window of a key ends.
     fn key_expiry(&self, key: IdempotencyKey) -> Timestamp {
         self.idempotency.window(key).map_or(self.now, |w| w.end)
     }
--- a/crates/server/src/core/arrivals.rs
+++ b/crates/server/src/core/arrivals.rs
@@ -40,6 +40,7 @@
         self.await_first_request(opened)
     }
 
+    /// Sets the deadline of a connection's first request. Gives the connection's number.
     fn await_first_request(&mut self, opened: OpenedConnection) -> u64 {
         let deadline = Deadline::FirstRequest(opened.id);
         self.executor
--- a/crates/server/src/core/dispatch.rs
+++ b/crates/server/src/core/dispatch.rs
@@ -101,6 +101,7 @@
         }
     }
 
+    /// Sends a call to the catalogue.
     fn send_to_catalogue(&mut self, id: u64, timeout: Duration) {
         if let Some(request) = self.requests.get(id) {
             let (name, body) = (&request.name, request.call.body());
@@ -124,6 +125,7 @@
         delay.filter(|delay| *delay < timeout)
     }
 
+    /// Sets the deadline at which a call is hedged.
     fn schedule_hedge(&mut self, id: u64, delay: Duration) {
         if let Some(request) = self.requests.get_mut(id) {
             let deadline = self.now + delay;
@@ -132,6 +134,7 @@
         }
     }
 
+    /// Sends one attempt of a call to its backend.
     fn send_attempt(&mut self, id: u64, attempt: UpstreamAttempt, timeout: Duration) {
         let Some(request) = self.requests.get_mut(id) else {
             return;
--- a/crates/server/src/core/event_loop.rs
+++ b/crates/server/src/core/event_loop.rs
@@ -35,13 +35,17 @@
 pub struct EventLoop {
     /// Created when the engine is up; nothing is decided before.
     pub(super) decider: Option<Decider>,
+    /// The platform's settings.
     pub(super) settings: Settings,
+    /// Seeds the decision module and the concurrency limiter.
     pub(super) seed: u64,
     /// The index of the gauge that gives the engine's run queue.
     pub(super) run_queue_gauge: Option<usize>,
+    /// The engine's gauges, as they were read last.
     pub(super) gauges: Gauges,
     /// Descriptors that downstream connections and upstream calls may take together.
     pub(super) max_descriptors: usize,
+    /// Carries out what the decision module decides.
     pub(super) executor: ActionExecutor,
     /// Notified when an event has to be settled by a turn.
     pub(super) work_pending: Rc<Notify>,
--- a/crates/server/src/core/executor.rs
+++ b/crates/server/src/core/executor.rs
@@ -28,20 +28,33 @@
 pub(super) struct ActionExecutor {
     /// The time of the event that is being handled.
     pub(super) now: Timestamp,
+    /// The requests whose answer or run is open.
     pub(super) requests: InFlightRequests,
+    /// The downstream connections, with the outboxes that answers leave by.
     pub(super) connections: Connections,
+    /// Knows the handlers' names as the engine has them.
     pub(super) validator: RequestValidator,
+    /// The idempotency keys of this incarnation.
     pub(super) idempotency: IdempotencyTable,
+    /// The sending side of the link to the engine.
     pub(super) engine_link: EngineLink,
+    /// The upstream calls that are out.
     pub(super) calls: CallDispatcher,
+    /// The operator's limits, which follow each request.
     pub(super) limits: RequestLimits,
+    /// The choice among backends.
     pub(super) backends: BackendRouting,
     /// Results that outlast this incarnation, if the operator wants them.
     pub(super) durability: Option<DurabilityQueue>,
+    /// What the decision module is told after it has acted.
     pub(super) deferred_events: DeferredEvents,
+    /// What is due and when, except the tick.
     pub(super) deadlines: Deadlines,
+    /// The decision module's timer.
     pub(super) tick_timer: TickTimer,
+    /// Health, load report and draining.
     pub(super) status: ServerStatus,
+    /// What is counted since the start.
     pub(super) counters: Counters,
 }
 
--- a/crates/server/src/core/request_limits.rs
+++ b/crates/server/src/core/request_limits.rs
@@ -106,6 +106,7 @@
         self.log_limit_changes();
     }
 
+    /// Logs how the limit on calls has changed since the last time.
     fn log_limit_changes(&mut self) {
         let Some(limiter) = &mut self.concurrency else {
             return;
--- a/crates/server/src/core/run_commands.rs
+++ b/crates/server/src/core/run_commands.rs
@@ -49,6 +49,7 @@
         }
     }
 
+    /// Sends a command, and keeps it until the engine has surely read it.
     fn send(&mut self, line: &[u8], link: &EngineLink) {
         if link.heard() >= self.proving_gauges {
             self.all_read();
--- a/crates/server/src/core/turns.rs
+++ b/crates/server/src/core/turns.rs
@@ -35,6 +35,7 @@
         }
     }
 
+    /// Handles a deadline that has been reached.
     fn deadline_reached(&mut self, now: Timestamp, deadline: Deadline) {
         match deadline {
             Deadline::CallTimeout(id) => self.call_timed_out(now, id),
@@ -49,6 +50,7 @@
         }
     }
 
+    /// Checks a connection at its limit on idling, and sets the next check.
     fn idle_deadline_reached(&mut self, now: Timestamp, connection: u64) {
         let executor = &mut self.executor;
         if let Some(at) = executor.connections.idle_deadline_reached(now, connection) {
@@ -57,6 +59,7 @@
         }
     }
 
+    /// Checks a new connection that should have carried a request, and sets the next check.
     fn first_request_deadline_reached(&mut self, now: Timestamp, connection: u64) {
         let executor = &mut self.executor;
         let next_check = executor
