--- a/crates/server/src/core/actions.rs
+++ b/crates/server/src/core/actions.rs
@@ -21,7 +21,7 @@
         let window = self.idempotency.window(key);
         let window = window.map_or((0, self.now), |w| (w.fingerprint, w.end));
         durability.promise(id, key, window, request.name)?;
-        request.commands.hold();
+        request.commands.hold_back();
         Ok(())
     }
 }
--- a/crates/server/src/core/run_commands.rs
+++ b/crates/server/src/core/run_commands.rs
@@ -18,8 +18,8 @@
 /// The commands of one run.
 #[derive(Default)]
 pub(super) struct RunCommands {
-    /// Set while the run waits for its write-ahead record.
-    held: Option<Vec<Vec<u8>>>,
+    /// Commands that are held back; set while the run waits for its write-ahead record.
+    queued: Option<Vec<Vec<u8>>>,
     /// Commands that the engine may not have read.
     unproven: Vec<u8>,
     /// The number of the gauges that prove, when they arrive, that the engine has read the commands.
@@ -30,21 +30,21 @@
 
 impl RunCommands {
     /// Holds the commands of this run back until they are released.
-    pub(super) fn hold(&mut self) {
-        self.held = Some(vec![]);
+    pub(super) fn hold_back(&mut self) {
+        self.queued = Some(vec![]);
     }
 
     /// Sends a command, or holds it back.
     pub(super) fn submit(&mut self, line: Vec<u8>, link: &EngineLink) {
-        match &mut self.held {
-            Some(held) => held.push(line),
+        match &mut self.queued {
+            Some(queued) => queued.push(line),
             None => self.send(&line, link),
         }
     }
 
     /// Sends what was held back; commands are held back no more.
     pub(super) fn release(&mut self, link: &EngineLink) {
-        for line in self.held.take().into_iter().flatten() {
+        for line in self.queued.take().into_iter().flatten() {
             self.send(&line, link);
         }
     }
