--- /dev/null
+++ b/crates/server/src/core/executor.rs
@@ -0,0 +1,109 @@
+//! The executor of the decision module's actions.
+//!
+//! Owns: the table of requests in flight and all that their runs, calls and answers go through. Is given: the
+//! actions of the decision module, and what the event loop reports. Decides nothing; knows no socket and no
+//! clock. [`actions`](super::actions) has an action each, [`answers`](super::answers) the ways to an answer,
+//! [`engine_commands`](super::engine_commands) those to the engine, [`dispatch`](super::dispatch) those to
+//! backends and catalogue.
+
+use super::backend_selector::BackendRouting;
+use super::deadlines::{Deadline, Deadlines, TickTimer};
+use super::deferred_events::DeferredEvents;
+use super::durability::DurabilityQueue;
+use super::in_flight::InFlightRequests;
+use super::request_limits::RequestLimits;
+use super::request_observer::RequestObserver;
+use super::server_status::ServerStatus;
+use crate::downstream::connections::Connections;
+use crate::downstream::idempotency_table::IdempotencyTable;
+use crate::downstream::request_validation::RequestValidator;
+use crate::support::metrics::Counters;
+use crate::upstream::calls::CallDispatcher;
+use crate::upstream::engine::EngineLink;
+use madderbay::time::Timestamp;
+use madderbay_concurrency::RequestStage;
+use madderbay_settings::Settings;
+
+/// Carries out what the decision module decides.
+pub(super) struct ActionExecutor {
+    /// The time of the event that is being handled.
+    pub(super) now: Timestamp,
+    /// The requests whose answer or run is open.
+    pub(super) requests: InFlightRequests,
+    /// The downstream connections, with the outboxes that answers leave by.
+    pub(super) connections: Connections,
+    /// Knows the handlers' names as the engine has them.
+    pub(super) validator: RequestValidator,
+    /// The idempotency keys of this incarnation.
+    pub(super) idempotency: IdempotencyTable,
+    /// The sending side of the link to the engine.
+    pub(super) engine_link: EngineLink,
+    /// The upstream calls that are out.
+    pub(super) calls: CallDispatcher,
+    /// The operator's limits, which follow each request.
+    pub(super) limits: RequestLimits,
+    /// The choice among backends.
+    pub(super) backends: BackendRouting,
+    /// Results that outlast this incarnation, if the operator wants them.
+    pub(super) durability: Option<DurabilityQueue>,
+    /// What the decision module is told after it has acted.
+    pub(super) deferred_events: DeferredEvents,
+    /// What is due and when, except the tick.
+    pub(super) deadlines: Deadlines,
+    /// The decision module's timer.
+    pub(super) tick_timer: TickTimer,
+    /// Health, load report and draining.
+    pub(super) status: ServerStatus,
+    /// What is counted since the start.
+    pub(super) counters: Counters,
+}
+
+impl ActionExecutor {
+    /// An executor without requests. Results in memory take up to `max_cached_bytes`.
+    pub(super) fn new(
+        now: Timestamp,
+        settings: &Settings,
+        max_cached_bytes: usize,
+    ) -> ActionExecutor {
+        let mut deadlines = Deadlines::default();
+        deadlines.insert(now, Deadline::Maintenance);
+        ActionExecutor {
+            now,
+            requests: InFlightRequests::default(),
+            connections: Connections::default(),
+            validator: RequestValidator::new(settings),
+            idempotency: IdempotencyTable::new(settings, max_cached_bytes),
+            engine_link: EngineLink::default(),
+            calls: CallDispatcher::default(),
+            limits: RequestLimits::default(),
+            backends: BackendRouting::new(settings),
+            durability: None,
+            deferred_events: DeferredEvents::default(),
+            deadlines,
+            tick_timer: TickTimer::new(now),
+            status: ServerStatus::default(),
+            counters: Counters::new(&settings.handler_names),
+        }
+    }
+
+    /// Notifies the limits of an event of a request that is in flight.
+    pub(super) fn observe(
+        &mut self,
+        id: u64,
+        notify: impl Fn(&mut dyn RequestObserver, Timestamp),
+    ) {
+        if self.requests.get(id).is_some() {
+            let now = self.now;
+            self.limits.observe(|observer| notify(observer, now));
+        }
+    }
+
+    /// Notifies the limits that a request is new or has reached another stage.
+    pub(super) fn set_stage(&mut self, id: u64, stage: RequestStage) {
+        if let Some(request) = self.requests.get(id) {
+            let (now, handler) = (self.now, request.handler);
+            self.limits
+                .observe(|observer| observer.set_stage(now, id, handler, stage));
+        }
+    }
+}
--- a/crates/server/src/core/stored_results.rs
+++ b/crates/server/src/core/stored_results.rs
@@ -4,8 +4,9 @@
 //! It owns no state; the table and the pending work are in the [`DurabilityQueue`](super::durability).
 
 use super::durability::{PendingWork, StorageEvent};
-use super::event_loop::{EventLoop, KEEP_AWAY};
+use super::event_loop::EventLoop;
 use crate::downstream::idempotency_table::FingerprintMismatch;
+use crate::downstream::request_validation::ValidatedRequest;
 use crate::downstream::response;
 use madderbay::time::Timestamp;
 use madderbay_idempotency_store::Lookup;
@@ -21,20 +22,22 @@
     pub(super) fn answer_from_store(
         &mut self,
         now: Timestamp,
-        (connection, rpc_id): (u64, u64),
-        handler: usize,
-        key: u128,
-        request_hash: u64,
+        connection: u64,
+        rpc_id: u64,
+        request: &ValidatedRequest,
     ) -> Result<bool, FingerprintMismatch> {
-        let in_flight = &mut self.in_flight;
-        let Some(durability) = in_flight
+        let Some(key) = request.key else {
+            return Ok(false);
+        };
+        let executor = &mut self.executor;
+        let Some(durability) = executor
             .durability
             .as_mut()
-            .filter(|_| !in_flight.idempotency.knows(key))
+            .filter(|_| !executor.idempotency.knows(key))
         else {
             return Ok(false);
         };
-        match durability.lookup(key, request_hash) {
+        match durability.lookup(key, request.fingerprint) {
             Lookup::Mismatch => return Err(FingerprintMismatch),
             Lookup::NotFound if durability.admit_intent().is_ok() => return Ok(false),
             Lookup::NotFound => self.reject_without_intent(now, connection, rpc_id),
@@ -44,19 +47,19 @@
             }
             Lookup::NoResult => self.answer_stored(now, connection, rpc_id, None),
         }
-        self.in_flight.counters.read[handler] += 1;
+        self.executor.counters.read[request.arrival.handler] += 1;
         Ok(true)
     }
 
     /// No intent can be recorded now: the attempt is rejected with a Retry-After.
     fn reject_without_intent(&mut self, now: Timestamp, connection: u64, rpc_id: u64) {
-        let retry_after = KEEP_AWAY.min(self.settings.callers.max_retry_after);
-        let in_flight = &mut self.in_flight;
-        let report = in_flight.load_report;
-        in_flight.connections.answer(now, connection, |out| {
+        let retry_after = self.unavailable_retry_after();
+        let executor = &mut self.executor;
+        let report = executor.status.load_report();
+        executor.connections.answer(now, connection, |out| {
             response::shed(out, rpc_id, retry_after, false, report)
         });
-        in_flight.counters.shed += 1;
+        executor.counters.shed += 1;
     }
 
     /// Answers with the result of the earlier run; without one, the attempt fails.
@@ -67,21 +70,21 @@
         rpc_id: u64,
         result: Option<&str>,
     ) {
-        let in_flight = &mut self.in_flight;
-        let report = in_flight.load_report;
-        in_flight
+        let executor = &mut self.executor;
+        let report = executor.status.load_report();
+        executor
             .connections
             .answer(now, connection, |out| match result {
                 Some(result) => response::done(out, rpc_id, result, report),
                 None => response::errored(out, rpc_id, report),
             });
-        in_flight.counters.answered(result.is_some(), false);
+        executor.counters.answered(result.is_some(), false);
     }
 
     /// The writer's thread has reported how far records are durable.
     pub fn storage_event(&mut self, now: Timestamp, event: StorageEvent) {
-        self.in_flight.now = now;
-        let Some(durability) = &mut self.in_flight.durability else {
+        self.executor.now = now;
+        let Some(durability) = &mut self.executor.durability else {
             return;
         };
         match event {
@@ -109,9 +112,10 @@
     /// The record of some work is durable.
     fn carry_out(&mut self, work: PendingWork) {
         match work {
-            PendingWork::Run { request } => self.in_flight.release(request),
+            PendingWork::Run { request } => self.executor.release(request),
             PendingWork::Response { request, result } => {
-                self.in_flight.settled(request, result.as_deref());
+                self.executor
+                    .durable_answer_ready(request, result.as_deref());
             }
             PendingWork::Nothing => {}
         }
@@ -120,8 +124,10 @@
     /// The record of some work can't be made durable: nothing runs, and no result is an answer.
     fn give_up(&mut self, work: PendingWork) {
         match work {
-            PendingWork::Run { request } => self.in_flight.unrun.push_back(request),
-            PendingWork::Response { request, .. } => self.in_flight.settled(request, None),
+            PendingWork::Run { request } => self.executor.deferred_events.run_not_sent(request),
+            PendingWork::Response { request, .. } => {
+                self.executor.durable_answer_ready(request, None)
+            }
             PendingWork::Nothing => {}
         }
     }
--- a/crates/server/src/fleet/backends.rs
+++ b/crates/server/src/fleet/backends.rs
@@ -4,7 +4,7 @@
 //! the manager for one call at a time, never across an await.
 
 use super::routing_plan::RoutingPlan;
-use crate::core::dispatch::BackendSelector;
+use crate::core::backend_selector::BackendSelector;
 use crate::support::clock::MonotonicClock;
 use crate::support::logging;
 use crate::support::metrics::Lines;
