Server: methods of the quota gate, durable writes and backend selection in the field's words

Cause: look, share, promise, settle, never, again, over and least stayed for their callers in other files. Change: update, total_quota, record_intent, record_result, record_not_run, retry, finish, hedge_delay, typical_latency and so on; the window of an intent is the table's KeyWindow, tenants' rates are TenantRate.

--- a/crates/server/src/core/actions.rs
+++ b/crates/server/src/core/actions.rs
@@ -19,8 +19,11 @@
             return Ok(());
         };
         let window = self.idempotency.window(key);
-        let window = window.map_or((0, self.now), |w| (w.fingerprint, w.end));
-        durability.promise(id, key, window, request.name)?;
+        let window = window.unwrap_or(KeyWindow {
+            fingerprint: 0,
+            end: self.now,
+        });
+        durability.record_intent(id, key, window, request.name)?;
         request.commands.hold_back();
         Ok(())
     }
--- a/crates/server/src/core/answers.rs
+++ b/crates/server/src/core/answers.rs
@@ -91,7 +91,7 @@
         else {
             return false;
         };
-        durability.settle(id, key, result, expiry);
+        durability.record_result(id, key, result, expiry);
         self.deadlines
             .insert(request.answer_deadline, Deadline::DurableAnswer(id));
         self.counters.run_over(outcome);
@@ -138,7 +138,7 @@
     fn record_not_run(&mut self, key: IdempotencyKey) {
         let expiry = self.key_expiry(key);
         if let Some(durability) = &mut self.durability {
-            durability.never(key, expiry);
+            durability.record_not_run(key, expiry);
         }
     }
 
--- a/crates/server/src/core/backend_selector.rs
+++ b/crates/server/src/core/backend_selector.rs
@@ -14,13 +14,13 @@
     /// Selects a backend for the call of a handler; `None` if its calls go to the catalogue.
     fn pick(&self, handler: usize) -> Option<UpstreamAttempt>;
     /// Selects a backend for a further attempt; `None` if the retry budget or the backends allow none.
-    fn again(&self, former: &UpstreamAttempt, kind: RetryKind) -> Option<UpstreamAttempt>;
+    fn retry(&self, former: &UpstreamAttempt, kind: RetryKind) -> Option<UpstreamAttempt>;
     /// An attempt ended.
-    fn over(&self, attempt: &UpstreamAttempt, outcome: AttemptOutcome);
+    fn finish(&self, attempt: &UpstreamAttempt, outcome: AttemptOutcome);
     /// The time after which a hedge beside this attempt is worth its price.
-    fn hedge_after(&self, attempt: &UpstreamAttempt) -> Option<Duration>;
+    fn hedge_delay(&self, attempt: &UpstreamAttempt) -> Option<Duration>;
     /// The least time that a further attempt needs.
-    fn least(&self, attempt: &UpstreamAttempt) -> Duration;
+    fn typical_latency(&self, attempt: &UpstreamAttempt) -> Duration;
     /// The counters of the backends, a line each.
     fn counters(&self) -> String;
 }
@@ -61,7 +61,7 @@
     /// An attempt ended.
     pub(super) fn finish(&self, attempt: &UpstreamAttempt, outcome: AttemptOutcome) {
         if let Some(selector) = &self.selector {
-            selector.over(attempt, outcome);
+            selector.finish(attempt, outcome);
         }
     }
 
--- a/crates/server/src/core/concurrency_limits.rs
+++ b/crates/server/src/core/concurrency_limits.rs
@@ -51,7 +51,7 @@
 }
 
 /// Whether each handler's runs make calls, in the order of handlers.
-pub fn kinds(settings: &Settings) -> Vec<HandlerProfile> {
+pub fn handler_profiles(settings: &Settings) -> Vec<HandlerProfile> {
     let profile = |handler| HandlerProfile {
         calls: call_requirement(handler),
     };
@@ -68,7 +68,7 @@
 }
 
 /// What the outcome of a call says about the upstream servers.
-pub fn end(outcome: Outcome) -> Completion {
+pub fn completion(outcome: Outcome) -> Completion {
     match outcome {
         Outcome::Completed => Completion::Success,
         Outcome::TimedOut => Completion::TimedOut,
--- a/crates/server/src/core/dispatch.rs
+++ b/crates/server/src/core/dispatch.rs
@@ -73,7 +73,7 @@
             return Ok(CallTarget::Catalogue);
         };
         if let Some(former) = request.call.former_attempt() {
-            let retry = selector.again(former, RetryKind::AfterBackoff);
+            let retry = selector.retry(former, RetryKind::AfterBackoff);
             return retry.map(CallTarget::Backend).ok_or(RetryNotAllowed);
         }
         let first = selector.pick(request.handler);
@@ -121,7 +121,7 @@
         if self.limits.has_quotas() || !self.backends.is_idempotent(handler) {
             return None;
         }
-        let delay = self.backends.selector()?.hedge_after(attempt);
+        let delay = self.backends.selector()?.hedge_delay(attempt);
         delay.filter(|delay| *delay < timeout)
     }
 
@@ -206,10 +206,13 @@
         let deadline = request.call.deadline();
         let remaining = deadline.map_or(Duration::ZERO, |deadline| deadline - self.now);
         let may_repeat = outcome.never_executed() || self.backends.is_idempotent(request.handler);
-        if !may_repeat || remaining <= selector.least(former) || remaining == Duration::ZERO {
+        if !may_repeat
+            || remaining <= selector.typical_latency(former)
+            || remaining == Duration::ZERO
+        {
             return CallProgress::Ended;
         }
-        match selector.again(former, RetryKind::OtherBackend) {
+        match selector.retry(former, RetryKind::OtherBackend) {
             Some(attempt) => {
                 self.send_attempt(id, attempt, remaining);
                 CallProgress::Continues
@@ -233,8 +236,8 @@
             return;
         };
         let remaining = deadline - now;
-        if remaining > selector.least(&only.attempt)
-            && let Some(hedge) = selector.again(&only.attempt, RetryKind::Hedge)
+        if remaining > selector.typical_latency(&only.attempt)
+            && let Some(hedge) = selector.retry(&only.attempt, RetryKind::Hedge)
         {
             self.send_attempt(id, hedge, remaining);
         }
--- a/crates/server/src/core/durability.rs
+++ b/crates/server/src/core/durability.rs
@@ -6,6 +6,7 @@
 
 mod writer;
 
+use crate::downstream::idempotency_table::KeyWindow;
 use crate::support::clock::unix_micros;
 use crate::support::metrics::Lines;
 use crate::support::name::Name;
@@ -152,30 +153,35 @@
         self.results.expire(now);
     }
 
-    /// Records the intent to run a request; its command waits until the intent is durable. `window` is the hash of
-    /// the request and the end of the time in which its key may be repeated.
+    /// Records the intent to run a request; its command waits until the intent is durable. `window` is what is known
+    /// of its key.
     ///
     /// # Errors
     /// Where no intent can be recorded now.
-    pub fn promise(
+    pub fn record_intent(
         &mut self,
         request: u64,
         key: u128,
-        window: (u64, Timestamp),
+        window: KeyWindow,
         attempt_id: Name,
     ) -> Result<(), IntentError> {
         self.admit_intent()?;
-        let (request_hash, expires_at) = window;
         let sequence = self
             .results
-            .record_intent(key, request_hash, attempt_id, expires_at);
+            .record_intent(key, window.fingerprint, attempt_id, window.end);
         self.push(sequence, PendingWork::Run { request });
         Ok(())
     }
 
     /// Records the end of a request's run; its answer waits until that is durable. A run without a result has
     /// `None`.
-    pub fn settle(&mut self, request: u64, key: u128, result: Option<&str>, expires_at: Timestamp) {
+    pub fn record_result(
+        &mut self,
+        request: u64,
+        key: u128,
+        result: Option<&str>,
+        expires_at: Timestamp,
+    ) {
         let sequence = self
             .results
             .record_result(key, result.map(str::as_bytes), expires_at);
@@ -184,7 +190,7 @@
     }
 
     /// Records that the run of an intent was never sent or never started; nothing waits for that.
-    pub fn never(&mut self, key: u128, expires_at: Timestamp) {
+    pub fn record_not_run(&mut self, key: u128, expires_at: Timestamp) {
         let sequence = self.results.record_not_run(key, expires_at);
         self.push(sequence, PendingWork::Nothing);
     }
--- a/crates/server/src/core/event_loop.rs
+++ b/crates/server/src/core/event_loop.rs
@@ -82,14 +82,14 @@
 
     /// Sets concurrency limits by pool. Without, nothing binds but the decision module's own limits.
     pub fn set_concurrency_limits(&mut self, now: Timestamp, plan: ConcurrencyConfig) {
-        let profiles = concurrency_limits::kinds(&self.settings);
+        let profiles = concurrency_limits::handler_profiles(&self.settings);
         let limiter = ConcurrencyLimiter::new(now, self.seed, plan, &profiles);
         self.executor.limits.set_concurrency(limiter);
     }
 
     /// Sets the fleet's quotas; what may be used of them is asked of `source`.
     pub fn set_quota_source(&mut self, source: Rc<dyn QuotaSource>, groups: Vec<QuotaGroup>) {
-        let profiles = concurrency_limits::kinds(&self.settings);
+        let profiles = concurrency_limits::handler_profiles(&self.settings);
         let gate = QuotaGate::new(source, groups, &profiles, &self.settings.below);
         self.executor.limits.set_quota_gate(gate);
     }
--- a/crates/server/src/core/quota_gate.rs
+++ b/crates/server/src/core/quota_gate.rs
@@ -137,25 +137,25 @@
     }
 
     /// The longest that a call of a handler may be waited for, at most `patience`.
-    pub fn patience(&self, handler: usize, patience: Duration) -> Duration {
+    pub fn max_call_wait(&self, handler: usize, patience: Duration) -> Duration {
         let budget = self.handlers[handler].budget;
         budget.map_or(patience, |b| patience.min(self.groups[b].longest))
     }
 
     /// Starts one more call of a handler, where its budget has capacity. The call must not be made on `false`.
-    pub fn may_call(&mut self, handler: usize) -> bool {
+    pub fn try_start_call(&mut self, handler: usize) -> bool {
         let budget = self.handlers[handler].budget;
         budget.is_none_or(|b| self.source.try_start_call(b))
     }
 
     /// A request of a tenant has been read.
-    pub fn counted(&self, handler: usize, tenant: usize) {
+    pub fn count_request(&self, handler: usize, tenant: usize) {
         self.source.count_request(handler, tenant);
     }
 
     /// Ends abandoned calls whose time is over, reports changed demand to the source and takes the usable calls from
     /// it. Returns whether they changed, and with them the ceilings.
-    pub fn look(&mut self, now: Timestamp) -> bool {
+    pub fn update(&mut self, now: Timestamp) -> bool {
         self.end_abandoned_calls(now);
         let mut has_changed = false;
         for (budget, demand) in self.demands.iter_mut().enumerate() {
@@ -176,7 +176,7 @@
     }
 
     /// All calls that this server may have in flight.
-    pub fn share(&self) -> f64 {
+    pub fn total_quota(&self) -> f64 {
         self.usable.iter().sum::<usize>() as f64 + self.other_quota
     }
 
@@ -210,15 +210,14 @@
         }
     }
 
-    /// The rates of tenants, each by its index, in requests a second; nothing where they were taken a short time ago.
-    pub fn allowances(&mut self, now: Timestamp) -> Vec<(usize, f64)> {
+    /// The rates of tenants; nothing where they were taken a short time ago.
+    pub fn tenant_rates(&mut self, now: Timestamp) -> Vec<TenantRate> {
         let is_fresh = now - self.rates_taken_at < TENANT_RATES_INTERVAL;
         if is_fresh && now >= self.rates_taken_at {
             return vec![];
         }
         self.rates_taken_at = now;
-        let rates = self.source.tenant_rates().into_iter();
-        rates.map(|rate| (rate.tenant, rate.per_second)).collect()
+        self.source.tenant_rates()
     }
 
     /// A request is at another stage. A call that it leaves without an end is abandoned.
--- a/crates/server/src/core/request_limits.rs
+++ b/crates/server/src/core/request_limits.rs
@@ -47,14 +47,14 @@
     /// A request of a tenant was read.
     pub(super) fn count_request(&self, handler: usize, tenant: usize) {
         if let Some(gate) = &self.quota_gate {
-            gate.counted(handler, tenant);
+            gate.count_request(handler, tenant);
         }
     }
 
     /// Takes quota for one more call of a handler; false if none is available.
     pub(super) fn acquire_call(&mut self, handler: usize) -> bool {
         match &mut self.quota_gate {
-            Some(gate) => gate.may_call(handler),
+            Some(gate) => gate.try_start_call(handler),
             None => true,
         }
     }
@@ -62,7 +62,7 @@
     /// The timeout of a call, shortened to that of the handler's quota.
     pub(super) fn call_timeout(&self, handler: usize, timeout: Duration) -> Duration {
         match &self.quota_gate {
-            Some(gate) => gate.patience(handler, timeout),
+            Some(gate) => gate.max_call_wait(handler, timeout),
             None => timeout,
         }
     }
@@ -81,15 +81,15 @@
         let Some(gate) = &mut self.quota_gate else {
             return false;
         };
-        let changed = gate.look(now);
+        let changed = gate.update(now);
         if changed {
-            decider.set_upstream_quota(now, gate.share());
+            decider.set_upstream_quota(now, gate.total_quota());
             if let Some(limiter) = &mut self.concurrency {
-                limiter.set_call_quota(gate.share());
+                limiter.set_call_quota(gate.total_quota());
             }
         }
-        for (tenant, per_second) in gate.allowances(now) {
-            decider.set_tenant_rate(tenant, per_second);
+        for rate in gate.tenant_rates(now) {
+            decider.set_tenant_rate(rate.tenant, rate.per_second);
         }
         changed
     }
--- a/crates/server/src/core/upstream_events.rs
+++ b/crates/server/src/core/upstream_events.rs
@@ -62,7 +62,7 @@
             if stalled {
                 observer.process_stalled(now);
             }
-            observer.call_finished(now, id, concurrency_limits::end(outcome));
+            observer.call_finished(now, id, concurrency_limits::completion(outcome));
         });
         self.decide(now, |d, executor| {
             d.on_call_finished(now, id, outcome, elapsed, executor);
--- a/crates/server/src/fleet/backends.rs
+++ b/crates/server/src/fleet/backends.rs
@@ -73,21 +73,21 @@
         self.routes.borrow_mut().pick(self.now(), handler)
     }
 
-    fn again(&self, former: &UpstreamAttempt, kind: RetryKind) -> Option<UpstreamAttempt> {
+    fn retry(&self, former: &UpstreamAttempt, kind: RetryKind) -> Option<UpstreamAttempt> {
         self.routes.borrow_mut().retry(self.now(), former, kind)
     }
 
-    fn over(&self, attempt: &UpstreamAttempt, outcome: AttemptOutcome) {
+    fn finish(&self, attempt: &UpstreamAttempt, outcome: AttemptOutcome) {
         self.routes
             .borrow_mut()
             .finish(self.now(), attempt, outcome);
     }
 
-    fn hedge_after(&self, attempt: &UpstreamAttempt) -> Option<Duration> {
+    fn hedge_delay(&self, attempt: &UpstreamAttempt) -> Option<Duration> {
         self.routes.borrow_mut().hedge_delay(self.now(), attempt)
     }
 
-    fn least(&self, attempt: &UpstreamAttempt) -> Duration {
+    fn typical_latency(&self, attempt: &UpstreamAttempt) -> Duration {
         self.routes.borrow().typical_latency(attempt)
     }
 
