Operator file: types and fields in the glossary's words

Change: QuotaConfig, Counter, CounterKind, MembershipConfig, RoutingConfig, PoolsConfig, IdempotencyStoreConfig; max_members, retry_ratio, max_ejected_fraction and so on. Sections, keys and messages stay.

--- a/crates/operator-config/src/concurrency.rs
+++ b/crates/operator-config/src/concurrency.rs
@@ -62,9 +62,9 @@
 
 /// Concurrency limits by pool of handlers.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Pools {
+pub struct PoolsConfig {
     /// Whether the limit on calls adapts to the upstream; otherwise it stays at this server's quota.
-    pub adapts: bool,
+    pub adaptive: bool,
     /// The pools in the order of the file.
     pub pools: Vec<Pool>,
     /// The reserve, where there is one.
@@ -81,11 +81,11 @@
     /// Weight of the pool among those that want runs, 0 to 1,000,000.
     pub weight: f64,
     /// Weight of the pool among those that want calls, 0 to 1,000,000.
-    pub calls_weight: f64,
+    pub call_weight: f64,
     /// Upper bound on its runs in flight.
-    pub runs: Option<usize>,
+    pub max_runs: Option<usize>,
     /// Upper bound on its calls in flight.
-    pub calls: Option<usize>,
+    pub max_calls: Option<usize>,
 }
 
 /// Capacity that is set aside for some handlers.
@@ -94,15 +94,15 @@
     /// The handlers; without any, the server chooses the one with the shortest runs.
     pub handlers: Names,
     /// Fraction of all runs, and of all calls where the handlers make any, 0 to 0.5.
-    pub part: f64,
+    pub fraction: f64,
 }
 
 /// Reads `[pools]`, all `[pool NAME]` and `[reserve]`.
-pub(crate) fn read(file: &mut File) -> Option<Pools> {
+pub(crate) fn read(file: &mut File) -> Option<PoolsConfig> {
     let head = file.take_one("pools", POOLS_KEYS);
     let sections = file.take("pool", POOL_KEYS);
     let reserve = file.take_one("reserve", RESERVE_KEYS);
-    let (enabled, adapts) = match &head {
+    let (enabled, adaptive) = match &head {
         Some(head) => (file.word(head, &ENABLED), file.word(head, &LIMITS)),
         None => (ENABLED.default, LIMITS.default),
     };
@@ -116,10 +116,10 @@
     }
     let reserve = reserve.map(|section| Reserve {
         handlers: file.names(&section, HANDLERS),
-        part: file.number(&section, PART),
+        fraction: file.number(&section, PART),
     });
-    enabled.then_some(Pools {
-        adapts,
+    enabled.then_some(PoolsConfig {
+        adaptive,
         pools,
         reserve,
     })
@@ -139,8 +139,8 @@
         name: section.name.clone(),
         handlers,
         weight,
-        calls_weight: file.number(section, CALLS_WEIGHT.or(weight)),
-        runs: file.optional_number(section, RUNS),
-        calls: file.optional_number(section, CALLS),
+        call_weight: file.number(section, CALLS_WEIGHT.or(weight)),
+        max_runs: file.optional_number(section, RUNS),
+        max_calls: file.optional_number(section, CALLS),
     }
 }
--- a/crates/operator-config/src/control.rs
+++ b/crates/operator-config/src/control.rs
@@ -12,20 +12,20 @@
 
 /// The control socket.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Control {
+pub struct ControlSocket {
     /// Path of the Unix socket.
     pub socket: PathBuf,
 }
 
 /// Reads `[control]`. The section has no switch: it is on where it stands.
-pub(crate) fn read(file: &mut File) -> Option<Control> {
+pub(crate) fn read(file: &mut File) -> Option<ControlSocket> {
     let section = file.take_one("control", KEYS)?;
     let socket = section.get(SOCKET).unwrap_or("");
     if socket.is_empty() || socket.len() > MAX_PATH_BYTES {
         let max_bytes = MAX_PATH_BYTES;
         file.key_error(&section, SOCKET, Problem::InvalidSocketPath { max_bytes });
     }
-    Some(Control {
+    Some(ControlSocket {
         socket: socket.into(),
     })
 }
--- a/crates/operator-config/src/idempotency_store.rs
+++ b/crates/operator-config/src/idempotency_store.rs
@@ -35,7 +35,7 @@
 
 /// The idempotency store on disk.
 #[derive(Clone, Debug, PartialEq)]
-pub struct KeptResults {
+pub struct IdempotencyStoreConfig {
     /// A directory that exists and that no other process uses.
     pub directory: PathBuf,
     /// Memory for results of earlier incarnations, in MiB.
@@ -47,14 +47,14 @@
 }
 
 /// Reads `[kept-results]`.
-pub(crate) fn read(file: &mut File) -> Option<KeptResults> {
+pub(crate) fn read(file: &mut File) -> Option<IdempotencyStoreConfig> {
     let section = file.take_one("kept-results", KEYS)?;
     let enabled = file.word(&section, &ENABLED);
     let directory = section.get(DIRECTORY).unwrap_or("");
     if enabled && directory.is_empty() {
         file.key_error(&section, DIRECTORY, Problem::NoDirectory);
     }
-    let store = KeptResults {
+    let store = IdempotencyStoreConfig {
         directory: directory.into(),
         memory_mb: file.number(&section, MEMORY_MB),
         disk_mb: file.number(&section, DISK_MB),
--- a/crates/operator-config/src/lib.rs
+++ b/crates/operator-config/src/lib.rs
@@ -38,40 +38,40 @@
 
 /// Everything that an operator file says; what is off is `None`.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Operator {
+pub struct OperatorConfig {
     /// Concurrency limits by pool of handlers, and the reserve.
-    pub pools: Option<concurrency::Pools>,
+    pub concurrency: Option<concurrency::PoolsConfig>,
     /// The idempotency store on disk.
-    pub kept: Option<idempotency_store::KeptResults>,
+    pub idempotency_store: Option<idempotency_store::IdempotencyStoreConfig>,
     /// The view of the fleet.
-    pub members: Option<membership::Members>,
+    pub membership: Option<membership::MembershipConfig>,
     /// The control socket.
-    pub control: Option<control::Control>,
+    pub control_socket: Option<control::ControlSocket>,
     /// Quotas and counters of the whole fleet.
-    pub shared: Option<quota::Shared>,
+    pub quota: Option<quota::QuotaConfig>,
     /// The backends upstream.
-    pub routes: Option<upstream::Routes>,
+    pub upstream: Option<upstream::RoutingConfig>,
 }
 
 /// Reads the text of an operator file. `name` is the file's name in the errors.
 ///
 /// # Errors
 /// Everything that is wrong, in the order of the lines. Where the text is not INI, that alone.
-pub fn read(name: &str, text: &str) -> Result<Operator, OperatorFileErrors> {
+pub fn read(name: &str, text: &str) -> Result<OperatorConfig, OperatorFileErrors> {
     let mut file = File::parse(name, text)?;
-    let pools = concurrency::read(&mut file);
-    let kept = idempotency_store::read(&mut file);
-    let members = membership::read(&mut file);
-    let control = control::read(&mut file);
-    let shared = quota::read(&mut file, members.is_some());
-    let routes = upstream::read(&mut file, members.as_ref().map(|m| m.zone.as_str()));
+    let concurrency = concurrency::read(&mut file);
+    let idempotency_store = idempotency_store::read(&mut file);
+    let membership = membership::read(&mut file);
+    let control_socket = control::read(&mut file);
+    let quota = quota::read(&mut file, membership.is_some());
+    let upstream = upstream::read(&mut file, membership.as_ref().map(|m| m.zone.as_str()));
     file.finish()?;
-    Ok(Operator {
-        pools,
-        kept,
-        members,
-        control,
-        shared,
-        routes,
+    Ok(OperatorConfig {
+        concurrency,
+        idempotency_store,
+        membership,
+        control_socket,
+        quota,
+        upstream,
     })
 }
--- a/crates/operator-config/src/membership.rs
+++ b/crates/operator-config/src/membership.rs
@@ -76,7 +76,7 @@
 
 /// The view of the fleet.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Members {
+pub struct MembershipConfig {
     /// Address on which this server receives datagrams.
     pub listen: SocketAddr,
     /// Address to which other servers send.
@@ -90,32 +90,32 @@
     /// Availability zone of this server; may be empty.
     pub zone: String,
     /// Upper bound on the number of other members in the view.
-    pub most: usize,
+    pub max_members: usize,
     /// Interval between two probes of members, in milliseconds.
     pub probe_ms: u64,
     /// Time that a suspected member has to refute the suspicion, in milliseconds.
     pub suspicion_ms: u64,
     /// Time for which members that are down are remembered, in seconds.
-    pub memory_s: u64,
+    pub down_retention_s: u64,
 }
 
 /// Reads `[members]`.
-pub(crate) fn read(file: &mut File) -> Option<Members> {
+pub(crate) fn read(file: &mut File) -> Option<MembershipConfig> {
     let section = file.take_one("members", KEYS)?;
     let enabled = file.word(&section, &ENABLED);
     let listen = file.address(&section, &LISTEN);
     let advertise = file.address(&section, &ADVERTISE.or(listen));
-    let members = Members {
+    let members = MembershipConfig {
         listen,
         advertise,
         join: read_join(file, &section),
         networks: read_networks(file, &section),
         fleet: file.name(&section, &FLEET),
         zone: file.name(&section, &ZONE),
-        most: file.number(&section, MAX_MEMBERS),
+        max_members: file.number(&section, MAX_MEMBERS),
         probe_ms: file.number(&section, PROBE_MS),
         suspicion_ms: file.number(&section, SUSPICION_MS),
-        memory_s: file.number(&section, MEMORY_S),
+        down_retention_s: file.number(&section, MEMORY_S),
     };
     if enabled {
         check_reachable(file, &section, advertise);
@@ -171,7 +171,7 @@
 }
 
 /// Reports addresses, this server's own among them, that belong to none of the networks.
-fn check_networks(file: &mut File, section: &Section, members: &Members) {
+fn check_networks(file: &mut File, section: &Section, members: &MembershipConfig) {
     let own = Some(&members.advertise).filter(|address| address.port() != 0);
     let own = own.map(|address| (advertising_key(section), address));
     let join = members.join.iter().map(|address| (JOIN, address));
--- a/crates/operator-config/src/quota.rs
+++ b/crates/operator-config/src/quota.rs
@@ -51,10 +51,13 @@
 ];
 
 /// Has to be set; the default only stands in where it is not.
-const BY: WordKey<By> = WordKey {
+const BY: WordKey<CounterKind> = WordKey {
     name: "by",
-    words: &[("tenant", By::Tenant), ("handler", By::Handler)],
-    default: By::Tenant,
+    words: &[
+        ("tenant", CounterKind::Tenant),
+        ("handler", CounterKind::Handler),
+    ],
+    default: CounterKind::Tenant,
 };
 const MAX_PER_SECOND: NumberKey<f64> = NumberKey {
     name: "most",
@@ -75,15 +78,15 @@
 
 /// Quotas and counters of the whole fleet.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Shared {
+pub struct QuotaConfig {
     /// Slot of this server, from 1, where it has one that no other server has.
-    pub seat: Option<u32>,
+    pub slot: Option<u32>,
     /// Weight of this server among those that want more than there is, 0.01 to 100.
     pub weight: f64,
     /// The budgets in the order of the file.
     pub budgets: Vec<Budget>,
     /// The replicated counters in the order of the file.
-    pub counts: Vec<Count>,
+    pub counters: Vec<Counter>,
 }
 
 /// A budget: a quota of the whole fleet for calls in flight.
@@ -94,18 +97,18 @@
     /// Handlers whose calls it bounds; they are in no other budget.
     pub handlers: Names,
     /// Calls in flight that the whole fleet may have.
-    pub calls: u32,
+    pub capacity: u32,
     /// Upper bound on the number of servers in the fleet.
-    pub servers: u32,
+    pub max_servers: u32,
     /// Time in which a lessee may start calls on a lease, in milliseconds.
     pub lease_ms: u64,
     /// Longest time that a call is waited for, in milliseconds.
-    pub longest_ms: u64,
+    pub max_call_ms: u64,
 }
 
 /// What a counter has one count for each of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum By {
+pub enum CounterKind {
     /// Each tenant.
     Tenant,
     /// Each handler.
@@ -114,20 +117,20 @@
 
 /// A replicated counter of requests.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Count {
+pub struct Counter {
     /// Name of the counter, the same on all servers.
     pub name: String,
     /// What it counts by.
-    pub by: By,
+    pub by: CounterKind,
     /// Time that it counts over, in seconds.
     pub window_s: u64,
     /// Upper bound on the requests of one tenant or handler that a server reads, in requests per
     /// second. The error bound of the counter depends on it.
-    pub most: f64,
+    pub max_per_second: f64,
 }
 
 /// Reads `[shared]`, all `[budget NAME]` and all `[count NAME]`. `has_members`: `[members]` is on.
-pub(crate) fn read(file: &mut File, has_members: bool) -> Option<Shared> {
+pub(crate) fn read(file: &mut File, has_members: bool) -> Option<QuotaConfig> {
     let head = file.take_one("shared", SHARED_KEYS);
     let budget_sections = file.take("budget", BUDGET_KEYS);
     let count_sections = file.take("count", COUNT_KEYS);
@@ -139,25 +142,30 @@
     if enabled && !has_members {
         file.key_error(&head, ENABLED.name, Problem::QuotasWithoutMembership);
     }
-    let seat = file.optional_number(&head, SLOT);
+    let slot = file.optional_number(&head, SLOT);
     let mut budgets: Vec<Budget> = vec![];
     for section in &budget_sections {
         let budget = read_budget(file, section, &budgets);
-        check_base_quota(file, section, &budget, seat);
+        check_base_quota(file, section, &budget, slot);
         budgets.push(budget);
     }
-    let counts = count_sections
+    let counters = count_sections
         .iter()
         .map(|section| read_count(file, section));
-    let counts: Vec<Count> = counts.collect();
-    if counts.iter().filter(|count| count.by == By::Tenant).count() > 1 {
+    let counters: Vec<Counter> = counters.collect();
+    if counters
+        .iter()
+        .filter(|count| count.by == CounterKind::Tenant)
+        .count()
+        > 1
+    {
         file.section_error(&head, Problem::SeveralTenantCounters);
     }
-    let shared = Shared {
-        seat,
+    let shared = QuotaConfig {
+        slot,
         weight: file.number(&head, WEIGHT),
         budgets,
-        counts,
+        counters,
     };
     enabled.then_some(shared)
 }
@@ -174,33 +182,33 @@
     Budget {
         name: section.name.clone(),
         handlers,
-        calls: file.number(section, CALLS),
-        servers: file.number(section, SERVERS),
+        capacity: file.number(section, CALLS),
+        max_servers: file.number(section, SERVERS),
         lease_ms: file.number(section, LEASE_MS),
-        longest_ms: file.number(section, LONGEST_MS),
+        max_call_ms: file.number(section, LONGEST_MS),
     }
 }
 
 /// With fewer calls than servers only slots tell which servers have a base quota.
 fn check_base_quota(file: &mut File, section: &Section, budget: &Budget, slot: Option<u32>) {
-    if budget.calls < budget.servers && slot.is_none() {
+    if budget.capacity < budget.max_servers && slot.is_none() {
         let problem = Problem::NoBaseQuota {
-            calls: budget.calls,
-            servers: budget.servers,
+            calls: budget.capacity,
+            servers: budget.max_servers,
         };
         file.key_error(section, CALLS.name, problem);
     }
 }
 
-fn read_count(file: &mut File, section: &Section) -> Count {
+fn read_count(file: &mut File, section: &Section) -> Counter {
     file.require_section_name(section);
     if section.get(BY.name).is_none() {
         file.key_error(section, BY.name, Problem::NoCounterKind);
     }
-    Count {
+    Counter {
         name: section.name.clone(),
         by: file.word(section, &BY),
         window_s: file.number(section, WINDOW_S),
-        most: file.number(section, MAX_PER_SECOND),
+        max_per_second: file.number(section, MAX_PER_SECOND),
     }
 }
--- a/crates/operator-config/src/upstream.rs
+++ b/crates/operator-config/src/upstream.rs
@@ -58,20 +58,20 @@
 
 /// How calls are divided among backends.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Routes {
+pub struct RoutingConfig {
     /// Availability zone of this server; may be empty.
     pub zone: String,
     /// Fraction of a group of backends that may be ejected at a time, 0 to 0.9.
-    pub out_most: f64,
+    pub max_ejected_fraction: f64,
     /// Fraction of the local zone's weight that has to be available for all calls to stay local, 0.01
     /// to 1.
-    pub near_least: f64,
+    pub min_local_fraction: f64,
     /// Retry budget: retries allowed for each first attempt, hedges among them, 0 to 1.
-    pub repeats: f64,
+    pub retry_ratio: f64,
     /// Whether hedged requests are sent.
-    pub hedges: bool,
+    pub hedging: bool,
     /// Whether this server's judgements are sent to other servers, and theirs are considered.
-    pub shares: bool,
+    pub gossip: bool,
     /// The backends in the order of the file.
     pub backends: Vec<Backend>,
 }
@@ -92,7 +92,7 @@
 }
 
 /// Reads `[routes]` and all `[backend NAME]`. `member_zone`: the zone of `[members]`, if that is on.
-pub(crate) fn read(file: &mut File, member_zone: Option<&str>) -> Option<Routes> {
+pub(crate) fn read(file: &mut File, member_zone: Option<&str>) -> Option<RoutingConfig> {
     let head = file.take_one("routes", ROUTES_KEYS);
     let sections = file.take("backend", BACKEND_KEYS);
     let Some(head) = head else {
@@ -112,13 +112,13 @@
     if backends.len() > MAX_BACKENDS {
         file.section_error(&head, Problem::TooManyBackends { max: MAX_BACKENDS });
     }
-    let routes = Routes {
+    let routes = RoutingConfig {
         zone: file.name(&head, &ZONE.or(member_zone.unwrap_or(ZONE.default))),
-        out_most: file.number(&head, MAX_EJECTED_FRACTION),
-        near_least: file.number(&head, MIN_LOCAL_FRACTION),
-        repeats: file.number(&head, RETRY_RATIO),
-        hedges: file.word(&head, &HEDGING),
-        shares: file.word(&head, &GOSSIP),
+        max_ejected_fraction: file.number(&head, MAX_EJECTED_FRACTION),
+        min_local_fraction: file.number(&head, MIN_LOCAL_FRACTION),
+        retry_ratio: file.number(&head, RETRY_RATIO),
+        hedging: file.word(&head, &HEDGING),
+        gossip: file.word(&head, &GOSSIP),
         backends,
     };
     enabled.then_some(routes)
--- a/crates/operator-config/tests/operator_file/concurrency.rs
+++ b/crates/operator-config/tests/operator_file/concurrency.rs
@@ -9,25 +9,30 @@
 #[test]
 fn pools_that_are_off_are_none() {
     let operator = read_valid("[pools]\nenabled = off\n[pool a]\nhandlers = x\n");
-    assert_eq!(operator.pools, None);
+    assert_eq!(operator.concurrency, None);
 }
 
 #[test]
 fn reads_pools_and_the_reserve() {
-    let pools = read_valid(POOLS).pools.expect("on");
-    assert!(!pools.adapts);
+    let pools = read_valid(POOLS).concurrency.expect("on");
+    assert!(!pools.adaptive);
     let pool = &pools.pools[0];
-    assert_eq!(pool.calls_weight, 0.0);
+    assert_eq!(pool.call_weight, 0.0);
     assert_eq!(
-        (pool.name.as_str(), pool.weight, pool.runs, pool.calls),
+        (
+            pool.name.as_str(),
+            pool.weight,
+            pool.max_runs,
+            pool.max_calls
+        ),
         ("seat-book", 2.5, Some(8), Some(6))
     );
-    assert_eq!(pools.reserve.expect("a reserve").part, 0.2);
+    assert_eq!(pools.reserve.expect("a reserve").fraction, 0.2);
 }
 
 #[test]
 fn names_of_handlers_become_indices_or_an_error_with_their_place() {
-    let pools = read_valid(POOLS).pools.expect("on");
+    let pools = read_valid(POOLS).concurrency.expect("on");
     let reserve = pools.reserve.expect("a reserve");
     let known = [
         "fare-quote".to_string(),
--- a/crates/operator-config/tests/operator_file/deployed_files.rs
+++ b/crates/operator-config/tests/operator_file/deployed_files.rs
@@ -6,14 +6,17 @@
 #[test]
 fn full_file_shows_each_key_with_its_default() {
     let text = full_file();
-    let full = read_valid(&text).pools.expect("on");
+    let full = read_valid(&text).concurrency.expect("on");
     let bare = "[pools]\nenabled = on\n[pool seats]\nhandlers = seat-book\n[reserve]\n";
-    let bare = read_valid(bare).pools.expect("on");
+    let bare = read_valid(bare).concurrency.expect("on");
     assert_eq!(
-        (full.adapts, full.pools[0].weight),
-        (bare.adapts, bare.pools[0].weight)
+        (full.adaptive, full.pools[0].weight),
+        (bare.adaptive, bare.pools[0].weight)
+    );
+    assert_eq!(
+        full.reserve.map(|r| r.fraction),
+        bare.reserve.map(|r| r.fraction)
     );
-    assert_eq!(full.reserve.map(|r| r.part), bare.reserve.map(|r| r.part));
     for key in [
         "enabled",
         "limits",
--- a/crates/operator-config/tests/operator_file/form.rs
+++ b/crates/operator-config/tests/operator_file/form.rs
@@ -1,12 +1,15 @@
 //! The form of the file: sections, keys, and how errors are reported.
 
 use crate::support::{error_lines, full_file, read_valid};
-use madderbay_operator_config::{Operator, Problem, read};
+use madderbay_operator_config::{OperatorConfig, Problem, read};
 
 #[test]
 fn everything_is_off_without_sections() {
-    assert_eq!(read_valid(""), Operator::default());
-    assert_eq!(read_valid("; only\n# comments\n"), Operator::default());
+    assert_eq!(read_valid(""), OperatorConfig::default());
+    assert_eq!(
+        read_valid("; only\n# comments\n"),
+        OperatorConfig::default()
+    );
 }
 
 /// Every error is reported at once, each in one line that names its place.
--- a/crates/operator-config/tests/operator_file/idempotency_store.rs
+++ b/crates/operator-config/tests/operator_file/idempotency_store.rs
@@ -5,7 +5,7 @@
 #[test]
 fn reads_the_store_with_defaults_for_absent_keys() {
     let text = "[kept-results]\nenabled = on\ndirectory = var/kept\nsync = each\n";
-    let store = read_valid(text).kept.expect("on");
+    let store = read_valid(text).idempotency_store.expect("on");
     assert_eq!(
         (store.directory.to_str(), store.memory_mb, store.disk_mb),
         (Some("var/kept"), 16, 64)
@@ -16,7 +16,7 @@
 #[test]
 fn a_store_that_is_off_is_none() {
     let operator = read_valid("[kept-results]\ndirectory = x\n");
-    assert_eq!(operator.kept, None);
+    assert_eq!(operator.idempotency_store, None);
 }
 
 #[test]
--- a/crates/operator-config/tests/operator_file/membership.rs
+++ b/crates/operator-config/tests/operator_file/membership.rs
@@ -8,7 +8,7 @@
                 join = 127.0.0.5:7946, 127.0.0.6:7946\nfleet = bookings\nnetworks = 127.0.0.0/8, 10.1.2.3\n\
                 zone = north\n[control]\nsocket = run/control.sock\n";
     let operator = read_valid(text);
-    let members = operator.members.expect("on");
+    let members = operator.membership.expect("on");
     assert_eq!(members.advertise.to_string(), "127.0.0.9:7946");
     assert_eq!(
         (members.join.len(), members.networks[1].to_string().as_str()),
@@ -16,15 +16,15 @@
     );
     assert_eq!(
         (
-            members.most,
+            members.max_members,
             members.probe_ms,
             members.suspicion_ms,
-            members.memory_s
+            members.down_retention_s
         ),
         (2_000, 500, 3_000, 60)
     );
     assert_eq!(
-        operator.control.expect("set").socket.to_str(),
+        operator.control_socket.expect("set").socket.to_str(),
         Some("run/control.sock")
     );
 }
@@ -32,7 +32,7 @@
 #[test]
 fn advertises_the_address_listened_on_by_default() {
     let operator = read_valid("[members]\nenabled = on\nlisten = 10.0.0.1:7946\n");
-    let members = operator.members.expect("on");
+    let members = operator.membership.expect("on");
     assert_eq!(
         (members.advertise, members.fleet.as_str()),
         (members.listen, "madderbay")
@@ -41,7 +41,7 @@
 
 #[test]
 fn members_that_are_off_are_none() {
-    assert_eq!(read_valid("[members]\nenabled = off\n").members, None);
+    assert_eq!(read_valid("[members]\nenabled = off\n").membership, None);
 }
 
 #[test]
--- a/crates/operator-config/tests/operator_file/quota.rs
+++ b/crates/operator-config/tests/operator_file/quota.rs
@@ -1,7 +1,7 @@
 //! `[shared]`, `[budget NAME]` and `[count NAME]`.
 
 use crate::support::{MEMBERS, error_lines, read_valid};
-use madderbay_operator_config::quota::By;
+use madderbay_operator_config::quota::CounterKind;
 
 /// A budget with fewer calls than servers, one with several errors, and a counter.
 const INVALID: &str = "[shared]\nenabled = on\n[budget a]\nhandlers = x\ncalls = 3\nservers = 5\n\
@@ -11,31 +11,31 @@
 fn reads_budgets_and_counters_with_defaults_for_absent_keys() {
     let text = "[shared]\nenabled = on\n[budget trip-book]\nhandlers = seat-book\ncalls = 64\nservers = 12\n\
                 [count tenants]\nby = tenant\n";
-    let shared = read_valid(&format!("{MEMBERS}{text}")).shared.expect("on");
+    let shared = read_valid(&format!("{MEMBERS}{text}")).quota.expect("on");
     let budget = &shared.budgets[0];
     assert_eq!(
-        (budget.name.as_str(), budget.calls, budget.servers),
+        (budget.name.as_str(), budget.capacity, budget.max_servers),
         ("trip-book", 64, 12)
     );
     assert_eq!(
         (
             budget.lease_ms,
-            budget.longest_ms,
-            shared.seat,
+            budget.max_call_ms,
+            shared.slot,
             shared.weight
         ),
         (1_000, 2_000, None, 1.0)
     );
-    let counter = &shared.counts[0];
+    let counter = &shared.counters[0];
     assert_eq!(
-        (counter.by, counter.window_s, counter.most),
-        (By::Tenant, 10, 1_000.0)
+        (counter.by, counter.window_s, counter.max_per_second),
+        (CounterKind::Tenant, 10, 1_000.0)
     );
 }
 
 #[test]
 fn quotas_that_are_off_are_none() {
-    assert_eq!(read_valid("[shared]\nenabled = off\n").shared, None);
+    assert_eq!(read_valid("[shared]\nenabled = off\n").quota, None);
 }
 
 #[test]
--- a/crates/operator-config/tests/operator_file/support.rs
+++ b/crates/operator-config/tests/operator_file/support.rs
@@ -1,12 +1,12 @@
 //! Steps that the tests share.
 
-use madderbay_operator_config::{Operator, read};
+use madderbay_operator_config::{OperatorConfig, read};
 
 /// Sections that turn the membership on.
 pub(crate) const MEMBERS: &str = "[members]\nenabled = on\nlisten = 127.0.0.1:7946\n";
 
 /// Reads a text that has no errors.
-pub(crate) fn read_valid(text: &str) -> Operator {
+pub(crate) fn read_valid(text: &str) -> OperatorConfig {
     read("o.ini", text).unwrap_or_else(|errors| panic!("{errors}"))
 }
 
--- a/crates/operator-config/tests/operator_file/upstream.rs
+++ b/crates/operator-config/tests/operator_file/upstream.rs
@@ -8,7 +8,7 @@
 
 #[test]
 fn reads_backends_with_defaults_for_absent_keys() {
-    let routes = read_valid(BACKENDS).routes.expect("on");
+    let routes = read_valid(BACKENDS).upstream.expect("on");
     let backends: Vec<(&str, &str, f64)> = routes
         .backends
         .iter()
@@ -16,24 +16,28 @@
         .collect();
     assert_eq!(backends, [("a", "", 1.0), ("b", "south", 2.0)]);
     assert_eq!(
-        (routes.repeats, routes.out_most, routes.near_least),
+        (
+            routes.retry_ratio,
+            routes.max_ejected_fraction,
+            routes.min_local_fraction
+        ),
         (0.2, 0.3, 0.7)
     );
     assert_eq!(
-        (routes.hedges, routes.shares, routes.zone.as_str()),
+        (routes.hedging, routes.gossip, routes.zone.as_str()),
         (true, true, "")
     );
 }
 
 #[test]
 fn routes_that_are_off_are_none() {
-    assert_eq!(read_valid("[routes]\nenabled = off\n").routes, None);
+    assert_eq!(read_valid("[routes]\nenabled = off\n").upstream, None);
 }
 
 #[test]
 fn the_zone_is_that_of_the_members_by_default() {
     let operator = read_valid(&format!("{MEMBERS}zone = north\n{BACKENDS}"));
-    assert_eq!(operator.routes.expect("on").zone, "north");
+    assert_eq!(operator.upstream.expect("on").zone, "north");
 }
 
 #[test]
--- a/crates/server/src/core/concurrency_limits.rs
+++ b/crates/server/src/core/concurrency_limits.rs
@@ -20,7 +20,7 @@
 /// # Errors
 /// Where a pool or the reserve names an unknown handler.
 pub fn plan(
-    section: &operator::Pools,
+    section: &operator::PoolsConfig,
     settings: &Settings,
 ) -> Result<ConcurrencyConfig, UnknownHandlers> {
     let mut handlers = HandlerResolver::new(&settings.handler_names);
@@ -28,20 +28,20 @@
         name: pool.name.clone(),
         handlers: handlers.resolve(&pool.handlers),
         weight: pool.weight,
-        call_weight: pool.calls_weight,
-        max_runs: pool.runs,
-        max_calls: pool.calls,
+        call_weight: pool.call_weight,
+        max_runs: pool.max_runs,
+        max_calls: pool.max_calls,
     });
     let pools = pools.collect();
     let reserve = section.reserve.as_ref().map(|reserve| Reserve {
         handlers: handlers.resolve(&reserve.handlers),
-        fraction: reserve.part,
+        fraction: reserve.fraction,
     });
     let upstream = &settings.below;
     let plan = ConcurrencyConfig {
         pools,
         reserve,
-        adaptive: section.adapts,
+        adaptive: section.adaptive,
         call_quota: (upstream.kind == UpstreamKind::Shared).then_some(upstream.quota),
         abandoned_call_lifetime: upstream.abandoned_call_lifetime,
         cores: settings.machine.cores as usize,
--- a/crates/server/src/core/durability.rs
+++ b/crates/server/src/core/durability.rs
@@ -17,7 +17,7 @@
 use madderbay_idempotency_store::{
     Batch, DurableResults, IntentError, Lookup, SequenceNumber, StoreError,
 };
-use madderbay_operator_config::idempotency_store::KeptResults;
+use madderbay_operator_config::idempotency_store::IdempotencyStoreConfig;
 use std::collections::VecDeque;
 use std::sync::mpsc::{Sender, channel};
 use std::time::{Duration as StdDuration, Instant};
@@ -70,7 +70,10 @@
 ///
 /// # Errors
 /// Where the directory can't be opened, locked or read, or holds what this program doesn't know.
-pub fn open(settings: &KeptResults, window_micros: u64) -> Result<OpenedStore, StoreError> {
+pub fn open(
+    settings: &IdempotencyStoreConfig,
+    window_micros: u64,
+) -> Result<OpenedStore, StoreError> {
     let began = Instant::now();
     let storage = DirectoryStorage::open(&settings.directory)?;
     let limits = LogLimits {
@@ -91,7 +94,7 @@
 /// Where the system refuses the thread.
 pub fn start(
     opened: OpenedStore,
-    settings: &KeptResults,
+    settings: &IdempotencyStoreConfig,
 ) -> std::io::Result<(DurabilityQueue, UnboundedReceiver<StorageEvent>)> {
     let OpenedStore {
         log,
@@ -114,7 +117,7 @@
     Ok((DurabilityQueue::new(results, batch_sender), event_receiver))
 }
 
-fn disk_limit_bytes(settings: &KeptResults) -> u64 {
+fn disk_limit_bytes(settings: &IdempotencyStoreConfig) -> u64 {
     (settings.disk_mb as u64) << 20
 }
 
--- a/crates/server/src/fleet/membership_settings.rs
+++ b/crates/server/src/fleet/membership_settings.rs
@@ -2,13 +2,13 @@
 
 use madderbay::time::Duration;
 use madderbay_membership::{AllowedNetworks, Settings};
-use madderbay_operator_config::membership::Members;
+use madderbay_operator_config::membership::MembershipConfig;
 
 /// The part of the probe interval after which other members are asked to probe: they need the rest.
 const PROBE_TIMEOUT_FRACTION: f64 = 0.4;
 
 /// The settings of the server that the configuration calls `name`.
-pub fn membership_settings(section: &Members, name: &str) -> Settings {
+pub fn membership_settings(section: &MembershipConfig, name: &str) -> Settings {
     let probe_interval = Duration::from_millis(section.probe_ms);
     Settings {
         name: name.into(),
@@ -17,11 +17,11 @@
         fleet: section.fleet.clone(),
         join: section.join.clone(),
         allowed_networks: AllowedNetworks::new(section.networks.iter().copied()),
-        max_members: section.most,
+        max_members: section.max_members,
         probe_interval,
         probe_timeout: probe_interval.mul_f64(PROBE_TIMEOUT_FRACTION),
         suspicion_timeout: Duration::from_millis(section.suspicion_ms),
-        down_retention: Duration::from_millis(section.memory_s * 1_000),
+        down_retention: Duration::from_millis(section.down_retention_s * 1_000),
         local_health_aware: true,
     }
 }
--- a/crates/server/src/fleet/quota_plan.rs
+++ b/crates/server/src/fleet/quota_plan.rs
@@ -32,12 +32,15 @@
 ///
 /// # Errors
 /// Where a budget names an unknown handler.
-pub fn plan(section: &operator::Shared, config: &Config) -> Result<QuotaPlan, UnknownHandlers> {
+pub fn plan(
+    section: &operator::QuotaConfig,
+    config: &Config,
+) -> Result<QuotaPlan, UnknownHandlers> {
     let settings = &config.settings;
     let mut handlers = HandlerResolver::new(&settings.handler_names);
     let groups = section.budgets.iter().map(|budget| QuotaGroup {
         handlers: handlers.resolve(&budget.handlers),
-        longest: Duration::from_millis(budget.longest_ms),
+        longest: Duration::from_millis(budget.max_call_ms),
     });
     let groups = groups.collect();
     let plan = QuotaPlan {
@@ -54,18 +57,18 @@
 }
 
 /// Terms and sizes of all budgets.
-fn budgets(section: &operator::Shared, settings: &Settings) -> Vec<BudgetSettings> {
+fn budgets(section: &operator::QuotaConfig, settings: &Settings) -> Vec<BudgetSettings> {
     let abandoned_call_lifetime = settings.below.abandoned_call_lifetime;
     let plan = |budget: &operator::Budget| BudgetSettings {
         name: budget.name.as_str().into(),
-        capacity: budget.calls,
-        max_servers: budget.servers,
-        slot: section.seat,
+        capacity: budget.capacity,
+        max_servers: budget.max_servers,
+        slot: section.slot,
         weight: section.weight,
         terms: LeaseTerms {
             lease: Duration::from_millis(budget.lease_ms),
             // A call that is given up may go on upstream.
-            max_call: Duration::from_millis(budget.longest_ms) + abandoned_call_lifetime,
+            max_call: Duration::from_millis(budget.max_call_ms) + abandoned_call_lifetime,
             guard: LEASE_GUARD,
         },
     };
@@ -73,25 +76,25 @@
 }
 
 /// Windows and rates of all counters.
-fn counters(section: &operator::Shared) -> Vec<CounterSettings> {
-    let plan = |count: &operator::Count| CounterSettings {
+fn counters(section: &operator::QuotaConfig) -> Vec<CounterSettings> {
+    let plan = |count: &operator::Counter| CounterSettings {
         name: count.name.as_str().into(),
         window: Duration::from_millis(count.window_s * 1_000),
-        max_per_second: count.most,
+        max_per_second: count.max_per_second,
     };
-    section.counts.iter().map(plan).collect()
+    section.counters.iter().map(plan).collect()
 }
 
 /// The names that the counters' keys are made from.
-fn counter_names(section: &operator::Shared, settings: &Settings) -> CounterNames {
-    let is_by_tenant = |count: &operator::Count| count.by == operator::By::Tenant;
+fn counter_names(section: &operator::QuotaConfig, settings: &Settings) -> CounterNames {
+    let is_by_tenant = |count: &operator::Counter| count.by == operator::CounterKind::Tenant;
     let tenants = settings.tenants.iter();
     CounterNames::new(
         &settings.handler_names,
         &settings.tenant_names,
         tenants.map(|tenant| tenant.requests_per_second).collect(),
         settings.place.servers,
-        section.counts.iter().map(is_by_tenant).collect(),
+        section.counters.iter().map(is_by_tenant).collect(),
     )
 }
 
--- a/crates/server/src/fleet/routing_plan.rs
+++ b/crates/server/src/fleet/routing_plan.rs
@@ -23,7 +23,7 @@
 /// # Errors
 /// Where a backend names an unknown handler.
 pub fn plan(
-    section: &operator::Routes,
+    section: &operator::RoutingConfig,
     platform: &PlatformSettings,
 ) -> Result<RoutingPlan, UnknownHandlers> {
     let mut handlers = HandlerResolver::new(&platform.handler_names);
@@ -38,11 +38,11 @@
         backends: backends.collect(),
         settings: Settings {
             zone: section.zone.as_str().into(),
-            max_ejected_fraction: section.out_most,
-            min_local_fraction: section.near_least,
-            retry_ratio: section.repeats,
-            hedging: section.hedges,
-            gossip: section.shares,
+            max_ejected_fraction: section.max_ejected_fraction,
+            min_local_fraction: section.min_local_fraction,
+            retry_ratio: section.retry_ratio,
+            hedging: section.hedging,
+            gossip: section.gossip,
         },
     };
     handlers.finish(plan)
--- a/crates/server/src/fleet_endpoint.rs
+++ b/crates/server/src/fleet_endpoint.rs
@@ -5,7 +5,7 @@
 use crate::startup::StartError;
 use crate::tasks;
 use madderbay_membership::is_valid_name;
-use madderbay_operator_config::membership::Members;
+use madderbay_operator_config::membership::MembershipConfig;
 use madderbay_server::fleet::backends::Backends;
 use madderbay_server::fleet::gossip::{Fleet, FleetConfig};
 use madderbay_server::fleet::membership_settings::membership_settings;
@@ -28,7 +28,7 @@
     /// The server's configuration.
     pub(crate) config: &'a Config,
     /// The section `[members]`.
-    pub(crate) members: &'a Members,
+    pub(crate) members: &'a MembershipConfig,
     /// Quotas and counters, where `[shared]` is on.
     pub(crate) sharing: Option<QuotaPlan>,
     /// The backends whose state the fleet exchanges, where `[routes]` is on.
--- a/crates/server/src/operator_plan.rs
+++ b/crates/server/src/operator_plan.rs
@@ -3,7 +3,7 @@
 //! It reads one file and starts nothing; a start, a reload and `check` share it.
 
 use madderbay_concurrency::ConcurrencyConfig;
-use madderbay_operator_config::{Operator, OperatorFileErrors};
+use madderbay_operator_config::{OperatorConfig, OperatorFileErrors};
 use madderbay_server::core::concurrency_limits;
 use madderbay_server::core::handler_names::UnknownHandlers;
 use madderbay_server::fleet::quota_plan::{self, QuotaPlan};
@@ -45,9 +45,9 @@
 }
 
 /// Reads the operator file; without one, everything is off.
-pub(crate) fn read(file: Option<&Path>) -> Result<Operator, OperatorError> {
+pub(crate) fn read(file: Option<&Path>) -> Result<OperatorConfig, OperatorError> {
     let Some(path) = file else {
-        return Ok(Operator::default());
+        return Ok(OperatorConfig::default());
     };
     let file = path.display().to_string();
     let text = match std::fs::read_to_string(path) {
@@ -69,9 +69,12 @@
 
 impl OperatorPlan {
     /// Plans all parts; what is wrong in any of them is reported together.
-    pub(crate) fn new(operator: &Operator, config: &Config) -> Result<OperatorPlan, OperatorError> {
+    pub(crate) fn new(
+        operator: &OperatorConfig,
+        config: &Config,
+    ) -> Result<OperatorPlan, OperatorError> {
         let settings = &config.settings;
-        let (pools, shared, routes) = (&operator.pools, &operator.shared, &operator.routes);
+        let (pools, shared, routes) = (&operator.concurrency, &operator.quota, &operator.upstream);
         let concurrency = pools
             .as_ref()
             .map(|p| concurrency_limits::plan(p, settings));
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -8,8 +8,8 @@
 use crate::reload::ReloadableValues;
 use crate::startup::{Setup, StartError};
 use crate::tasks;
-use madderbay_operator_config::control::Control;
-use madderbay_operator_config::idempotency_store::KeptResults;
+use madderbay_operator_config::control::ControlSocket;
+use madderbay_operator_config::idempotency_store::IdempotencyStoreConfig;
 use madderbay_server::core::durability;
 use madderbay_server::core::event_loop::{EventLoop, SharedEventLoop};
 use madderbay_server::downstream::listener;
@@ -54,7 +54,7 @@
         let (listener, address) = listen(config.listen).await?;
         let clock = Rc::new(Clock::default());
         let core = build_core(&config, &clock, &limits);
-        if let (Some(store), Some(settings)) = (setup.store, &operator.kept) {
+        if let (Some(store), Some(settings)) = (setup.store, &operator.idempotency_store) {
             start_store(store, settings, &clock, &core)?;
         }
         if let Some(concurrency) = plan.concurrency {
@@ -63,7 +63,7 @@
         }
         let fleet_clock = clock::monotonic_since(Instant::now());
         let backends = build_backends(plan.routing, &config, &fleet_clock, &core);
-        let fleet_setup = operator.members.as_ref().map(|members| FleetSetup {
+        let fleet_setup = operator.membership.as_ref().map(|members| FleetSetup {
             config: &config,
             members,
             sharing: plan.sharing,
@@ -72,7 +72,8 @@
             unix_ahead_ms: setup.unix_ahead_ms,
         });
         let fleet = join_fleet(fleet_setup, &backends, &core).await?;
-        let control_socket = open_control_socket(operator.control, fleet.as_ref(), &backends)?;
+        let control_socket =
+            open_control_socket(operator.control_socket, fleet.as_ref(), &backends)?;
         log::info!("server: listening, name={}, address={address}", config.name);
         let reloadable = ReloadableValues::new(&config);
         tasks::spawn_drivers(&config.name, &reloadable, &clock, &core);
@@ -207,7 +208,7 @@
 /// Starts the thread that writes durable results, and the task that brings its reports to the core.
 fn start_store(
     store: durability::OpenedStore,
-    settings: &KeptResults,
+    settings: &IdempotencyStoreConfig,
     clock: &Rc<Clock>,
     core: &SharedEventLoop,
 ) -> Result<(), StartError> {
@@ -251,7 +252,7 @@
 
 /// The control socket, where `[control]` is on; its file is removed with what is returned.
 fn open_control_socket(
-    control: Option<Control>,
+    control: Option<ControlSocket>,
     fleet: Option<&FleetEndpoint>,
     backends: &Option<Rc<Backends>>,
 ) -> Result<Option<SocketFile>, StartError> {
--- a/crates/server/src/startup.rs
+++ b/crates/server/src/startup.rs
@@ -11,8 +11,8 @@
 use crate::signals::Signals;
 use madderbay_idempotency_store::StoreError;
 use madderbay_membership::MAX_NAME_BYTES;
-use madderbay_operator_config::Operator;
-use madderbay_operator_config::idempotency_store::KeptResults;
+use madderbay_operator_config::OperatorConfig;
+use madderbay_operator_config::idempotency_store::IdempotencyStoreConfig;
 use madderbay_server::core::durability;
 use madderbay_server::fleet::control_socket::ControlSocketError;
 use madderbay_server::support::config::{self, Config, ConfigError};
@@ -84,7 +84,7 @@
     let operator = operator_plan::read(operator_file)?;
     let config = wait_for_config()?;
     let plan = OperatorPlan::new(&operator, &config)?;
-    let store = open_store(operator.kept.as_ref(), &config)?;
+    let store = open_store(operator.idempotency_store.as_ref(), &config)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -127,7 +127,7 @@
 
 /// Opens the store of durable results and reads what earlier incarnations left in it.
 fn open_store(
-    settings: Option<&KeptResults>,
+    settings: Option<&IdempotencyStoreConfig>,
     config: &Config,
 ) -> Result<Option<durability::OpenedStore>, StartError> {
     let handlers = config.settings.handlers.iter();
@@ -144,7 +144,7 @@
     /// Where the operator file is, for a reload.
     pub(crate) operator_file: Option<PathBuf>,
     /// The operator file as it was read.
-    pub(crate) operator: Operator,
+    pub(crate) operator: OperatorConfig,
     /// Its parts, planned over the settings.
     pub(crate) plan: OperatorPlan,
     /// The store of durable results, where `[kept-results]` is on.
--- a/crates/server/tests/deploy.rs
+++ b/crates/server/tests/deploy.rs
@@ -136,14 +136,14 @@
         .map(str::trim);
     let named = named.expect("an operator file");
     let operator = madderbay_operator_config::read(named, &text(named)).expect("a good file");
-    let pools = operator.pools.expect("pools are on");
-    assert!(pools.adapts && pools.reserve.is_some());
+    let pools = operator.concurrency.expect("pools are on");
+    assert!(pools.adaptive && pools.reserve.is_some());
     assert_eq!(
         (
-            operator.members,
-            operator.control,
-            operator.kept,
-            operator.shared
+            operator.membership,
+            operator.control_socket,
+            operator.idempotency_store,
+            operator.quota
         ),
         (None, None, None, None)
     );
