Test kit: the load waits for its last answers in its own steps, not by the clock

Cause: run_while gave up on open requests at a clock time, 3 s after the last was sent. A stall of the process or of the machine in that time used the wait up, and the requests counted as never answered. Change: each step of the loop counts at most 10 ms towards the wait. The length of the wait stays.

--- a/crates/testkit/src/load_balancer.rs
+++ b/crates/testkit/src/load_balancer.rs
@@ -14,6 +14,9 @@
 
 /// Between two tries to reach a server that is gone.
 const RETRY: Duration = Duration::from_millis(50);
+/// What one step of the loop counts at the most towards the wait for answers, so that a stall of this process is no
+/// wait. A step without an event takes about a millisecond.
+const MAX_WAIT_PER_STEP: Duration = Duration::from_millis(10);
 /// Open reqs on one connection: the protocol's.
 const OPEN_MOST: usize = 32;
 
@@ -106,13 +109,19 @@
         let began = Instant::now();
         let mut next = Duration::ZERO;
         let mut length = self.length;
+        // How long all has been sent, in steps of this loop that were not held up.
+        let mut waited = Duration::ZERO;
+        let mut last_step = Duration::ZERO;
         loop {
             let now = began.elapsed();
             at(now);
             if !on() {
                 length = length.min(now);
             }
-            let end = length + Duration::from_millis(self.allow_ms);
+            if now >= length {
+                waited += (now - last_step.max(length)).min(MAX_WAIT_PER_STEP);
+            }
+            last_step = now;
             while next <= now && next < length {
                 let rate = self
                     .rates
@@ -159,7 +168,8 @@
                 first
             });
             let owed = records.iter().rev().any(|f| f.answers.is_empty());
-            if (now >= length && !owed) || now > end {
+            let gives_up = waited > Duration::from_millis(self.allow_ms);
+            if (now >= length && !owed) || gives_up {
                 return records;
             }
         }
