--- /dev/null
+++ b/crates/server/tests/crossings/connection_end.rs
@@ -0,0 +1,92 @@
+//! How connections end: what is delivered before, and what is read after.
+
+use super::support::{TestServer, request, run_test, wait_until};
+use std::io::ErrorKind;
+use std::time::Duration as StdDuration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::task::yield_now;
+
+/// A connection that violates the protocol is shut down, and its peer's input is read to the end. A reset would
+/// discard answers that the peer has not read yet.
+#[test]
+fn delivers_last_answers_before_unread_input() {
+    run_test(async {
+        let server = TestServer::new(8).await;
+        let mut peer = server.connect_checked().await;
+        let flood = "x".repeat(60_000);
+        peer.send_at_once(&(request(2, "quote", 1) + &flood));
+        let received = peer.read_to_end().await.expect("an end, no reset");
+        assert!(
+            received.contains("\"id\":2,\"error\":{\"code\":-32001"),
+            "{received}"
+        );
+        assert!(received.contains("line too long"), "{received}");
+    });
+}
+
+/// The input that is read after the shutdown of a connection is bounded.
+#[test]
+fn stops_reading_peer_that_never_ends() {
+    run_test(async {
+        let server = TestServer::new(8).await;
+        let mut peer = server.connect_checked().await;
+        peer.send(&"x".repeat(30_000)).await;
+        let is_open = || server.core.borrow().connection_count() > 0;
+        let mut sent = 0;
+        while is_open() {
+            // The socket takes no more in the end.
+            match peer.0.get_mut().try_write(&[b'x'; 1_000]) {
+                Ok(n) => sent += n,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Err(_) => break,
+            }
+            yield_now().await;
+        }
+        wait_until(|| !is_open()).await;
+        assert!(sent < 4 << 20, "{sent} bytes were taken");
+    });
+}
+
+/// A request that arrives after the shutdown is not run, and the connection is not reset.
+#[test]
+fn ignores_request_that_crosses_end_of_connection() {
+    run_test(async {
+        let server = TestServer::new(8).await;
+        let mut peer = server.connect_checked().await;
+        server.core.borrow_mut().close_connections();
+        assert_eq!(peer.next_line().await, "");
+        peer.send(&request(2, "quote", 1)).await;
+        let mut half = peer.0.into_inner();
+        half.shutdown().await.expect("shut");
+        wait_until(|| server.core.borrow().connection_count() == 0).await;
+        assert_eq!(server.core.borrow().in_flight_count(), 0);
+        assert_eq!(half.read(&mut [0]).await.expect("no reset"), 0);
+    });
+}
+
+/// A connection that ends while the core is borrowed is reported once the core is free.
+#[test]
+#[allow(
+    clippy::await_holding_refcell_ref,
+    reason = "the task has to end while the core is borrowed"
+)]
+fn reports_end_of_connection_once_core_is_free() {
+    run_test(async {
+        let server = TestServer::new(8).await;
+        let peer = server.connect_checked().await;
+        let borrowed_core = server.core.borrow_mut();
+        // After a reset the connection's task ends without a call on the core.
+        let stream = peer.0.into_inner().into_std().expect("a stream");
+        socket2::SockRef::from(&stream)
+            .set_linger(Some(StdDuration::ZERO))
+            .expect("set");
+        drop(stream);
+        // Nothing shows that the task has ended; each sleep gives it at least one turn of the runtime.
+        for _ in 0..20 {
+            tokio::time::sleep(StdDuration::from_millis(1)).await;
+        }
+        drop(borrowed_core);
+        wait_until(|| server.core.borrow().connection_count() == 0).await;
+        assert!(server.core.borrow().is_quiescent());
+    });
+}
--- /dev/null
+++ b/crates/server/tests/crossings/requests_before_end.rs
@@ -0,0 +1,133 @@
+//! Requests that were received before their connection was to end are answered on it.
+
+use super::support::{HEALTH_CHECK, TestServer, request, run_test, wait_until};
+use madderbay::time::{Duration, Timestamp};
+
+/// A request that had arrived when its connection was evicted is answered there.
+#[test]
+fn answers_request_received_before_eviction() {
+    run_test(async {
+        let server = TestServer::new(8).await;
+        let mut peer = server.connect_checked().await;
+        peer.send_at_once(&request(2, "quote", 1));
+        assert!(
+            server
+                .core
+                .borrow_mut()
+                .evict_connection(server.clock.now())
+        );
+        server.serve_one_request().await;
+        assert!(peer.next_line().await.contains("\"id\":2,\"result\""));
+        assert_eq!(peer.next_line().await, "", "and then it ends");
+    });
+}
+
+/// A request that had arrived when its idle connection was closed, one second after the notice, is answered there.
+#[test]
+fn answers_request_received_before_idle_close() {
+    run_test(async {
+        let server = TestServer::new(8).await;
+        let mut peer = server.connect_checked().await;
+        let now = server.clock.now();
+        let close_at = {
+            let mut core = server.core.borrow_mut();
+            let _ = core
+                .connections_mut()
+                .set_idle_limit(Duration::from_millis(200))
+                .count();
+            core.connections_mut()
+                .idle_deadline_reached(now + Duration::from_millis(300), 1)
+                .expect("notified first")
+        };
+        assert!(peer.next_line().await.contains("leaving"));
+        peer.send_at_once(&request(2, "quote", 1));
+        assert_eq!(
+            server
+                .core
+                .borrow_mut()
+                .connections_mut()
+                .idle_deadline_reached(close_at, 1),
+            None,
+            "it ends now"
+        );
+        server.serve_last_request(&mut peer).await;
+    });
+}
+
+/// A request that had arrived when all connections were closed at the end of a drain is answered there.
+#[test]
+fn answers_request_received_before_end_of_drain() {
+    run_test(async {
+        let server = TestServer::new(8).await;
+        let mut peer = server.connect_checked().await;
+        server
+            .core
+            .borrow_mut()
+            .drain(server.clock.now(), Duration::from_millis(3_000));
+        assert!(peer.next_line().await.contains("leaving"));
+        assert!(server.core.borrow().is_quiescent());
+        peer.send_at_once(&request(2, "quote", 1));
+        server.core.borrow_mut().close_connections();
+        server.serve_last_request(&mut peer).await;
+    });
+}
+
+/// A line begun before the drain and completed within its grace period is a request like any other of that time.
+#[test]
+fn reads_rest_of_line_begun_before_drain() {
+    run_test(async {
+        let server = TestServer::new(8).await;
+        let mut peer = server.connect_checked().await;
+        let line = request(2, "quote", 1);
+        let (half, rest) = line.split_at(40);
+        // It is sent behind a health check, whose answer shows that it was read.
+        peer.send_at_once(&format!("{HEALTH_CHECK}{half}"));
+        assert!(peer.next_line().await.contains("\"fit\":true"));
+        server
+            .core
+            .borrow_mut()
+            .drain(server.clock.now(), Duration::from_millis(3_000));
+        peer.send_at_once(rest);
+        server.serve_one_request().await;
+        assert!(peer.next_line().await.contains("leaving"));
+        assert!(peer.next_line().await.contains("\"id\":2,\"result\""));
+    });
+}
+
+/// An incomplete line protects its connection from eviction and from the limit on idling, for a bounded time.
+#[test]
+fn waits_for_rest_of_incomplete_line() {
+    run_test(async {
+        let server = TestServer::new(8).await;
+        let mut peer = server.connect_checked().await;
+        let line = request(2, "quote", 1);
+        let (half, rest) = line.split_at(40);
+        peer.send(half).await;
+        let is_protected = |now: Timestamp| !server.core.borrow_mut().evict_connection(now);
+        // Once the half line was read, the idle connection is no longer notified that it is to end.
+        wait_until(|| {
+            let mut core = server.core.borrow_mut();
+            let _ = core
+                .connections_mut()
+                .set_idle_limit(Duration::from_millis(200))
+                .count();
+            let idle_until = server.clock.now() + Duration::from_millis(300);
+            core.connections_mut().idle_deadline_reached(idle_until, 1)
+                != Some(idle_until + Duration::from_millis(1_000))
+        })
+        .await;
+        assert!(is_protected(server.clock.now()));
+        peer.send(rest).await;
+        server.serve_one_request().await;
+        loop {
+            let line = peer.next_line().await;
+            assert!(!line.is_empty());
+            if line.contains("\"id\":2,\"result\"") {
+                break;
+            }
+        }
+        // A line that is not continued protects its connection for a bounded time only.
+        peer.send(half).await;
+        wait_until(|| !is_protected(server.clock.now() + Duration::from_millis(60_000))).await;
+    });
+}
--- /dev/null
+++ b/crates/server/tests/crossings/support.rs
@@ -0,0 +1,192 @@
+//! What the tests of connections share: a core behind a listener, load balancers' connections, and request lines.
+
+use crate::common::SETTINGS;
+use madderbay::interface::Outcome;
+use madderbay::time::Duration;
+use madderbay_server::core::event_loop::{EventLoop, SharedEventLoop};
+use madderbay_server::downstream::listener;
+use madderbay_server::support::clock::Clock;
+use madderbay_server::support::io::Outbox;
+use madderbay_server::upstream::engine::EngineObserver as _;
+use madderbay_testkit::{WAIT_TIMEOUT, unix_ms};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration as StdDuration;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::timeout;
+
+/// A health check with the id 1.
+pub const HEALTH_CHECK: &str = "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"isWell\"}\n";
+
+/// Runs a test on a runtime of one thread, within [`WAIT_TIMEOUT`].
+pub fn run_test(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        timeout(WAIT_TIMEOUT, test)
+            .await
+            .expect("the test ends in time")
+    });
+}
+
+/// A server's core behind a listener, with an engine that is up and completes no run by itself.
+pub struct TestServer {
+    pub core: SharedEventLoop,
+    pub clock: Rc<Clock>,
+    pub address: SocketAddr,
+    /// What is sent to the engine.
+    pub engine: Outbox,
+    /// Notified, it ends the listening.
+    pub stop_listening: Rc<Notify>,
+}
+
+impl TestServer {
+    /// Starts a server that keeps this many connections.
+    pub async fn new(max_connections: usize) -> TestServer {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let settings = madderbay_settings::read(SETTINGS.as_bytes()).expect("settings");
+        let clock = Rc::new(Clock::default());
+        let mut core = EventLoop::new(clock.now(), 7, settings, 1_000);
+        let engine = Outbox::default();
+        core.link().attach(engine.clone(), 0);
+        core.hello(clock.now(), "old", Duration::from_millis(3_600_000));
+        core.gauges(clock.now(), &[0.1, 1.0, 0.1, 1.0], false);
+        let core = Rc::new(RefCell::new(core));
+        let stop_listening = Rc::new(Notify::new());
+        spawn_local(listener::run(
+            listener,
+            max_connections,
+            clock.clone(),
+            core.clone(),
+            stop_listening.clone(),
+        ));
+        TestServer {
+            core,
+            clock,
+            address,
+            engine,
+            stop_listening,
+        }
+    }
+
+    /// Lets the core settle what has come.
+    pub fn run_turn(&self) {
+        self.core.borrow_mut().run_turn(self.clock.now());
+    }
+
+    /// The engine reports that the run of an attempt has completed.
+    pub fn complete_run(&self, attempt: u64) {
+        self.core.borrow_mut().run_over(
+            self.clock.now(),
+            &attempt_name(attempt),
+            Outcome::Completed,
+            Duration::from_millis(9),
+            "\"WFla\"",
+        );
+    }
+
+    /// Waits for the attempt 1, starts and completes its run.
+    pub async fn serve_one_request(&self) {
+        wait_until(|| self.core.borrow().in_flight_count() == 1).await;
+        self.run_turn();
+        self.complete_run(1);
+    }
+
+    /// Serves the request 2, whose answer is the last line on its connection.
+    pub async fn serve_last_request(&self, peer: &mut Peer) {
+        self.serve_one_request().await;
+        assert!(peer.next_line().await.contains("\"id\":2,\"result\""));
+        assert_eq!(peer.next_line().await, "");
+    }
+
+    /// A new connection.
+    pub async fn connect(&self) -> Peer {
+        Peer(BufReader::new(
+            TcpStream::connect(self.address)
+                .await
+                .expect("a connection"),
+        ))
+    }
+
+    /// A new connection on which a health check was answered.
+    pub async fn connect_checked(&self) -> Peer {
+        let mut peer = self.connect().await;
+        peer.send(HEALTH_CHECK).await;
+        assert!(peer.next_line().await.contains("\"fit\":true"));
+        peer
+    }
+}
+
+/// A load balancer's side of a connection.
+pub struct Peer(pub BufReader<TcpStream>);
+
+impl Peer {
+    /// Sends text.
+    pub async fn send(&mut self, text: &str) {
+        self.0
+            .get_mut()
+            .write_all(text.as_bytes())
+            .await
+            .expect("written");
+    }
+
+    /// Sends text without a turn of the runtime: no task has run when the text has arrived.
+    pub fn send_at_once(&mut self, text: &str) {
+        assert_eq!(
+            self.0
+                .get_mut()
+                .try_write(text.as_bytes())
+                .expect("written"),
+            text.len()
+        );
+    }
+
+    /// The next line; empty at the end. Panics on a reset.
+    pub async fn next_line(&mut self) -> String {
+        let mut line = String::new();
+        self.0.read_line(&mut line).await.expect("no reset");
+        line.trim_end().to_string()
+    }
+
+    /// All that comes until the end.
+    pub async fn read_to_end(&mut self) -> std::io::Result<String> {
+        let mut text = String::new();
+        self.0.read_to_string(&mut text).await.map(|_| text)
+    }
+}
+
+/// The line of a request with a short body.
+pub fn request(id: u64, method: &str, attempt: u64) -> String {
+    request_with_body(id, method, attempt, "\"QUJD\"")
+}
+
+/// The line of a request with a body, a JSON string with its quotes.
+pub fn request_with_body(id: u64, method: &str, attempt: u64, bytes: &str) -> String {
+    let now = unix_ms();
+    format!(
+        "{{\"jsonrpc\":\"2.0\",\"id\":{id},\"method\":\"{method}\",\"params\":{{\"ref\":\"{attempt:016x}\",\
+         \"since\":{now},\"sender\":4,\"project\":\"acme\",\"allow\":8000,\"room\":2.5,\"bytes\":{bytes}}}}}\n"
+    )
+}
+
+/// Waits until a condition is met.
+pub async fn wait_until(mut is_met: impl FnMut() -> bool) {
+    while !is_met() {
+        tokio::time::sleep(StdDuration::from_millis(1)).await;
+    }
+}
+
+/// The name of an attempt on the wires.
+pub fn attempt_name(attempt: u64) -> [u8; 16] {
+    format!("{attempt:016x}")
+        .into_bytes()
+        .try_into()
+        .expect("16 digits")
+}
