Durable results' tests: kept.rs becomes durable_results/, one module a behaviour

Change: durable_results/ with restart, crash, directory and support; long tests call their steps by name; tests named for the behaviour.

--- /dev/null
+++ b/crates/server/tests/durable_results/crash.rs
@@ -0,0 +1,127 @@
+//! Kills at many points: during recovery, and between intent, run, result, sync and answer.
+
+use super::support::{
+    LONG_WINDOW_MICROS, TestSetup, assert_nothing_runs, book, completed, connect, kill, program,
+};
+use madderbay_testkit::engine::{Engine, HandlerWork};
+use madderbay_testkit::peer::Peer;
+use std::io::BufRead;
+use std::time::Duration;
+
+/// Bodies of the keys that are booked, one for each, since the engine counts runs by them.
+const BODIES: [&str; 4] = ["QUJD", "QUJE", "QUJF", "QUJG"];
+
+/// Killed again and again while it recovers, at whatever point that is, the program loses nothing.
+#[test]
+fn loses_nothing_when_killed_during_recovery() {
+    let setup = TestSetup::new(LONG_WINDOW_MICROS, "");
+    let (server, mut engine) = setup.start();
+    let mut client = connect(&server);
+    for (id, key) in [(1, "5"), (2, "6")] {
+        client.say(&book(id, id, key, "QUJD"));
+        assert!(engine.command().contains("\"RUN\""));
+    }
+    engine.say(&completed(1, 1, "WFla"));
+    assert!(client.line().contains("WFla"));
+    kill(server, engine);
+    kill_during_recoveries(&setup);
+    let (server, mut engine) = setup.start();
+    let mut client = connect(&server);
+    client.say(&book(1, 11, "5", "QUJD"));
+    assert!(client.line().contains("WFla"));
+    client.say(&book(2, 12, "6", "QUJD"));
+    assert!(client.line().contains("-32001"));
+    assert_nothing_runs(&mut engine, &mut client, 99);
+}
+
+/// Starts the program twelve times and kills it, each time a little later.
+fn kill_during_recoveries(setup: &TestSetup) {
+    let files = setup.write_files();
+    for n in 0..12u64 {
+        let mut process = madderbay_testkit::server::command(program(), Some(&files.config))
+            .arg("--operator")
+            .arg(&files.operator)
+            .spawn()
+            .expect("it starts");
+        std::thread::sleep(Duration::from_micros(n * 500));
+        process
+            .kill()
+            .and_then(|()| process.wait())
+            .expect("killed");
+    }
+    files.remove();
+    // Some came as far as the engine: those links are dead.
+    setup.engine.set_nonblocking(true).expect("set");
+    while setup.engine.accept().is_ok() {}
+    setup.engine.set_nonblocking(false).expect("set");
+}
+
+/// Killed at seeded moments while it books, then started again, with every key retried. The engine works by itself
+/// and counts runs.
+#[test]
+fn runs_each_key_once_when_killed_at_any_moment() {
+    let mut chance = oorandom::Rand64::new(11);
+    for history in 0..20u32 {
+        play_history(history, &mut chance);
+    }
+}
+
+/// Three incarnations over one engine, of which the first two are killed.
+fn play_history(history: u32, chance: &mut oorandom::Rand64) {
+    let mut setup = TestSetup::new(LONG_WINDOW_MICROS, "");
+    let works = vec![HandlerWork {
+        handler: "book".into(),
+        ms: (1.0, 8.0),
+        calls: false,
+    }];
+    let engine = Engine::start(4.0, works, u64::from(history));
+    let listener = setup.engine.local_addr().expect("an address").to_string();
+    setup.config = setup.config.replace(&listener, &engine.address.to_string());
+    let mut completed = [false; 4];
+    for incarnation in 0..3u32 {
+        let mut server = setup.start_program();
+        server.log_at("engine: up");
+        let mut client = connect(&server);
+        let first_attempt = history * 100 + incarnation * 10;
+        send_bookings(&mut client, first_attempt);
+        if incarnation < 2 {
+            std::thread::sleep(Duration::from_micros(chance.rand_range(0..20_000)));
+            server.signal("-KILL");
+        }
+        read_answers(&mut client, &mut completed, history);
+    }
+    let runs = engine.stats().bodies;
+    assert!(
+        runs.values().all(|n| *n == 1),
+        "history {history}: {runs:?}"
+    );
+}
+
+/// One attempt of each of the four keys.
+fn send_bookings(client: &mut Peer, first_attempt: u32) {
+    for (n, body) in (0..).zip(BODIES) {
+        let key = format!("{}", n + 1);
+        client.say(&book(n + 1, first_attempt + n, &key, body));
+    }
+}
+
+/// Reads up to four answers; a key that has completed before has its result again.
+fn read_answers(client: &mut Peer, completed: &mut [bool; 4], history: u32) {
+    for _ in 0..4 {
+        let mut line = String::new();
+        if client.0.read_line(&mut line).unwrap_or(0) == 0 {
+            return;
+        }
+        let answer: serde_json::Value = serde_json::from_str(&line).unwrap_or_default();
+        let Some(id) = answer["id"].as_u64() else {
+            continue;
+        };
+        let has_result = answer["result"].is_object();
+        let known = &mut completed[id as usize - 1];
+        assert!(
+            has_result || !*known,
+            "history {history}: a key that has completed has no result: {line}"
+        );
+        *known |= has_result;
+    }
+}
--- /dev/null
+++ b/crates/server/tests/durable_results/directory.rs
@@ -0,0 +1,104 @@
+//! The directory of results: which cannot be used, and what the command line reports of one.
+
+use super::support::{LONG_WINDOW_MICROS, TestSetup, book, complete_booking, connect, program};
+use std::process::Command;
+
+/// Starts the program, which has to refuse its directory; gives the line that says why.
+fn start_error(setup: &TestSetup) -> String {
+    let files = setup.write_files();
+    let output = Command::new(program())
+        .env("RELAY_CONFIG", &files.config)
+        .env_remove("MADDERBAY_OPERATOR")
+        .arg("--operator")
+        .arg(&files.operator)
+        .output()
+        .expect("it runs");
+    files.remove();
+    assert_eq!(output.status.code(), Some(2));
+    let text = String::from_utf8(output.stderr).expect("text");
+    assert_eq!(text.lines().count(), 1, "{text}");
+    text
+}
+
+/// A directory that is missing, another process's or of a newer version is reported in a line, and nothing starts.
+#[test]
+fn refuses_unusable_directory() {
+    let setup = TestSetup::new(LONG_WINDOW_MICROS, "");
+    let (server, engine) = setup.start();
+    assert!(start_error(&setup).contains("another process has it"));
+    drop((server, engine));
+    let mut newer = vec![];
+    madderbay_idempotency_store::segment::write_segment_header_of_version(9, &mut newer);
+    std::fs::write(setup.directory.join("kept-00000000000000ff"), &newer).expect("written");
+    assert!(
+        start_error(&setup)
+            .contains("kept-00000000000000ff: is of version 9; this program knows 1")
+    );
+    std::fs::remove_dir_all(&setup.directory).expect("removed");
+    assert!(start_error(&setup).contains("No such file"));
+}
+
+/// The exit status and the lines of `madderbay kept` with this order.
+fn query_directory(setup: &TestSetup, order: &str) -> (Option<i32>, Vec<String>) {
+    let output = Command::new(program())
+        .args(["kept", order])
+        .arg(&setup.directory)
+        .output()
+        .expect("it runs");
+    let text = String::from_utf8([output.stdout, output.stderr].concat()).expect("text");
+    (
+        output.status.code(),
+        text.lines().map(str::to_string).collect(),
+    )
+}
+
+/// `kept list`, `verify` and `export` report what a directory has, also while a server uses it.
+#[test]
+fn reports_contents_of_directory_in_use() {
+    let setup = TestSetup::new(LONG_WINDOW_MICROS, "");
+    let (server, mut engine) = setup.start();
+    let mut client = connect(&server);
+    complete_booking(&mut client, &mut engine);
+    client.say(&book(2, 2, "6", "QUJD"));
+    assert!(engine.command().contains("\"RUN\""));
+    assert_lists_done_and_open(&setup);
+    let (status, lines) = query_directory(&setup, "export");
+    assert_eq!(status, Some(0));
+    let first: serde_json::Value = serde_json::from_str(&lines[0]).expect("JSON");
+    assert_eq!(
+        (first["state"].as_str(), first["result"].as_str()),
+        (Some("done"), Some("\"WFla\""))
+    );
+    assert_eq!(query_directory(&setup, "verify"), (Some(0), vec![]));
+    assert_finds_torn_segment(&setup);
+}
+
+fn assert_lists_done_and_open(setup: &TestSetup) {
+    let (status, lines) = query_directory(setup, "list");
+    assert_eq!((status, lines.len()), (Some(0), 3), "{lines:?}");
+    assert!(
+        lines[0].starts_with(&format!("{:032x} done ", 5)),
+        "{lines:?}"
+    );
+    assert!(
+        lines[1].starts_with(&format!("{:032x} may-have-run ", 6)),
+        "{lines:?}"
+    );
+    assert_eq!(
+        lines[2],
+        "2 keyed reqs in 3 records, 1 segments, 0 torn bytes"
+    );
+}
+
+fn assert_finds_torn_segment(setup: &TestSetup) {
+    let mut torn = vec![];
+    madderbay_idempotency_store::segment::write_segment_header(&mut torn);
+    torn.extend_from_slice(b"garbage");
+    std::fs::write(setup.directory.join("kept-00000000000000ff"), &torn).expect("written");
+    let (status, lines) = query_directory(setup, "verify");
+    assert_eq!((status, lines.len()), (Some(1), 1), "{lines:?}");
+    assert!(
+        lines[0].contains("after 0 whole records 7 bytes from 12 on are none"),
+        "{lines:?}"
+    );
+}
--- /dev/null
+++ b/crates/server/tests/durable_results/main.rs
@@ -0,0 +1,9 @@
+//! Durable results of requests with an idempotency key on the real program, which is killed at chosen points, between
+//! an engine and load balancers that the tests play.
+
+#[path = "../common/mod.rs"]
+mod common;
+mod crash;
+mod directory;
+mod restart;
+mod support;
--- /dev/null
+++ b/crates/server/tests/durable_results/restart.rs
@@ -0,0 +1,187 @@
+//! Restarts: which results are known, what is never run again, and what may run.
+
+use super::support::{
+    LONG_WINDOW_MICROS, TestSetup, assert_nothing_runs, book, complete_booking, completed, connect,
+    kill,
+};
+use madderbay_idempotency_store::record::Record;
+use madderbay_idempotency_store::storage::DirectoryStorage;
+use madderbay_idempotency_store::write_ahead_log::{LogEntry, LogLimits, WriteAheadLog};
+use madderbay_testkit::WAIT_TIMEOUT;
+use madderbay_testkit::peer::Peer;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+/// After a kill, retries on two connections at once get the result; another body is rejected.
+#[test]
+fn result_survives_restart() {
+    let setup = TestSetup::new(LONG_WINDOW_MICROS, "");
+    let (server, mut engine) = setup.start();
+    let mut client = connect(&server);
+    complete_booking(&mut client, &mut engine);
+    kill(server, engine);
+    let (server, mut engine) = setup.start();
+    let known = "kept: 1 keyed reqs known from 2 records, 1 segments, 0 of them torn";
+    assert!(server.before[0].contains(known), "{:?}", server.before);
+    let (mut client, mut other) = (connect(&server), connect(&server));
+    client.say(&book(1, 2, "5", "QUJD"));
+    other.say(&book(7, 3, "5", "QUJD"));
+    assert_eq!(
+        client.line(),
+        "{\"jsonrpc\":\"2.0\",\"id\":1,\"result\":{\"bytes\":\"WFla\"}}"
+    );
+    assert!(
+        other
+            .line()
+            .contains("\"id\":7,\"result\":{\"bytes\":\"WFla\"")
+    );
+    other.say(&book(8, 4, "5", "QUJE"));
+    assert!(other.line().contains("replay came with another body"));
+    assert_nothing_runs(&mut engine, &mut other, 99);
+}
+
+/// After a kill during a run its retries fail and never run, in the next incarnation and the one after, until the
+/// engine proves that the run went on. Then they get its result, in that incarnation and the next.
+#[test]
+fn never_reruns_attempt_that_may_have_run() {
+    let setup = TestSetup::new(LONG_WINDOW_MICROS, "");
+    let (server, mut engine) = setup.start();
+    let mut client = connect(&server);
+    client.say(&book(1, 1, "5", "QUJD"));
+    client.say(&book(2, 2, "6", "QUJD"));
+    assert!(engine.command().contains("\"RUN\"") && engine.command().contains("\"RUN\""));
+    // A retry while the first attempt still runs waits for it.
+    client.say(&book(3, 3, "5", "QUJD"));
+    kill(server, engine);
+    for _ in 0..2 {
+        assert_retries_fail(&setup);
+    }
+    let (mut server, mut engine) = setup.start();
+    let mut client = connect(&server);
+    engine.say(&completed(1, 1, "WFla"));
+    retry_until_result(&mut client);
+    kill(server, engine);
+    (server, engine) = setup.start();
+    let mut client = connect(&server);
+    client.say(&book(1, 30, "5", "QUJD"));
+    assert!(client.line().contains("WFla"));
+    client.say(&book(2, 31, "6", "QUJD"));
+    assert!(client.line().contains("-32001"));
+    assert_nothing_runs(&mut engine, &mut client, 99);
+}
+
+/// One incarnation in which the retries of the keys 5 and 6 fail and nothing runs.
+fn assert_retries_fail(setup: &TestSetup) {
+    let (server, mut engine) = setup.start();
+    let mut client = connect(&server);
+    for (id, key) in [(1, "5"), (2, "6")] {
+        client.say(&book(id, 10 + id, key, "QUJD"));
+        assert!(client.line().contains("\"error\":{\"code\":-32001"));
+    }
+    assert_nothing_runs(&mut engine, &mut client, 99);
+    server.signal("-KILL");
+}
+
+/// Retries the key 5 until it has its result, which is written before it is sent.
+fn retry_until_result(client: &mut Peer) {
+    let (mut id, began) = (0, Instant::now());
+    loop {
+        id += 1;
+        client.say(&book(id, 20 + id, "5", "QUJD"));
+        let answer = client.line();
+        if answer.contains("\"result\"") {
+            assert!(answer.contains("WFla"));
+            break;
+        }
+        assert!(
+            answer.contains("-32001") && began.elapsed() < WAIT_TIMEOUT,
+            "{id}: {answer}"
+        );
+    }
+}
+
+/// A command that the engine declined never ran: a retry is a new attempt, after a restart, too.
+#[test]
+fn runs_retry_of_attempt_that_engine_declined() {
+    let setup = TestSetup::new(LONG_WINDOW_MICROS, "");
+    let (server, mut engine) = setup.start();
+    let mut client = connect(&server);
+    client.say(&book(1, 1, "5", "QUJD"));
+    assert!(engine.command().contains("\"RUN\""));
+    engine.say("{\"msg\":\"NO\",\"how\":\"RUN\",\"call\":\"0000000000000001\"}\n");
+    assert!(client.line().contains("-32002"));
+    // The next intent is durable only after what was written before it.
+    client.say(&book(2, 2, "6", "QUJD"));
+    assert!(engine.command().contains("\"RUN\""));
+    kill(server, engine);
+    let (server, mut engine) = setup.start();
+    let mut client = connect(&server);
+    client.say(&book(1, 3, "5", "QUJD"));
+    assert!(
+        engine
+            .command()
+            .contains("\"RUN\",\"call\":\"0000000000000003\"")
+    );
+}
+
+/// A hundred thousand keys in the directory at a start: each is known, and the server listens soon.
+#[test]
+fn recovers_hundred_thousand_keys() {
+    let setup = TestSetup::new(LONG_WINDOW_MICROS, "disk_mb = 64\n");
+    write_hundred_thousand_results(&setup.directory);
+    let (server, _engine) = setup.start();
+    let known = "kept: 100000 keyed reqs known from 200000 records";
+    assert!(server.before[0].contains(known), "{:?}", server.before);
+    let mut client = connect(&server);
+    // The key is known with another fingerprint than this body's: the request is rejected, not run.
+    client.say(&book(1, 1, "1869f", "QUJD"));
+    assert!(client.line().contains("replay came with another body"));
+}
+
+fn write_hundred_thousand_results(directory: &Path) {
+    let storage = DirectoryStorage::open(directory).expect("opened");
+    let limits = LogLimits {
+        disk_bytes: 64 << 20,
+        retention_micros: LONG_WINDOW_MICROS,
+    };
+    let (mut log, _) = WriteAheadLog::open(storage, 1, limits).expect("read");
+    for part in 0..100u128 {
+        let keys = (0..1_000u128).map(|k| part * 1_000 + k);
+        let entries: Vec<LogEntry> = keys.flat_map(log_entries).collect();
+        log.commit(1, &entries).expect("written");
+    }
+}
+
+/// The intent and the result of one key.
+fn log_entries(key: u128) -> [LogEntry; 2] {
+    let expires_at_micros = LONG_WINDOW_MICROS + 1;
+    let intent = Record::Intent {
+        key,
+        request_hash: 0,
+        expires_at_micros,
+        attempt_id: [b'0'; 16],
+    };
+    let result = b"\"WFla\""[..].into();
+    [intent, Record::Completed { key, result }].map(|record| LogEntry {
+        record,
+        expires_at_micros,
+    })
+}
+
+/// A window that ends while the server is down. The time of a former incarnation is not trusted, so the result is
+/// still known.
+#[test]
+fn result_survives_window_that_ends_during_restart() {
+    const WINDOW: Duration = Duration::from_millis(100);
+    let setup = TestSetup::new(WINDOW.as_micros() as u64, "");
+    let (server, mut engine) = setup.start();
+    let mut client = connect(&server);
+    complete_booking(&mut client, &mut engine);
+    kill(server, engine);
+    std::thread::sleep(WINDOW + WINDOW / 2);
+    let (server, mut engine) = setup.start();
+    let mut client = connect(&server);
+    client.say(&book(1, 2, "5", "QUJD"));
+    assert!(client.line().contains("WFla"));
+    assert_nothing_runs(&mut engine, &mut client, 99);
+}
--- /dev/null
+++ b/crates/server/tests/durable_results/support.rs
@@ -0,0 +1,163 @@
+//! What the tests of durable results share: the program over one directory of results, and the lines exchanged.
+
+use crate::common::SETTINGS;
+use madderbay_testkit::peer::{Peer, loopback_listener};
+use madderbay_testkit::server::{Dependencies, Server, configuration, write_config};
+use madderbay_testkit::{registry, unix_ms};
+use std::net::{TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::sync::mpsc::Receiver;
+
+/// Window of an idempotency key that no test outlasts, in microseconds.
+pub const LONG_WINDOW_MICROS: u64 = 30_000_000;
+
+/// A directory of results, an engine's listener, and the files to start the program with.
+pub struct TestSetup {
+    pub directory: PathBuf,
+    /// Text of the operator file.
+    pub operator: String,
+    /// Text of the configuration.
+    pub config: String,
+    pub engine: TcpListener,
+    _reports: Receiver<String>,
+}
+
+/// The program under test.
+pub fn program() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_madderbay"))
+}
+
+impl TestSetup {
+    /// An empty directory, with this window for idempotency keys and these further lines of its operator section.
+    pub fn new(window_micros: u64, operator_lines: &str) -> TestSetup {
+        let directory = write_config("");
+        std::fs::remove_file(&directory).expect("removed");
+        std::fs::create_dir(&directory).expect("made");
+        let engine = loopback_listener();
+        let (registry, reports) = registry::start();
+        let catalogue = loopback_listener().local_addr().expect("an address");
+        let others = Dependencies {
+            engine: engine.local_addr().expect("an address"),
+            registry,
+            catalogue,
+        };
+        let settings = SETTINGS.replace(
+            "\"repeat_window_us\": 10000000",
+            &format!("\"repeat_window_us\": {window_micros}"),
+        );
+        let operator = format!(
+            "[kept-results]\nenabled = on\ndirectory = {}\n{operator_lines}",
+            directory.display()
+        );
+        let config = configuration("127.0.0.1:0", others, 128, 800, &settings);
+        TestSetup {
+            directory,
+            operator,
+            config,
+            engine,
+            _reports: reports,
+        }
+    }
+
+    /// Starts the program, links the engine and answers the first question for its gauges.
+    pub fn start(&self) -> (Server, Peer) {
+        let server = self.start_program();
+        let mut engine = Peer::accept(&self.engine);
+        assert_eq!(engine.line(), "{\"msg\":\"ATTACH\",\"serial\":0}");
+        engine.say("{\"msg\":\"HELLO\",\"how\":\"old\",\"duration\":3600000}\n");
+        let stat = engine.line();
+        assert!(stat.contains("STAT"), "{stat}");
+        engine.say("{\"msg\":\"STATS\",\"cookie\":\"1\",\"stats\":[0.1,1,0.1,1]}\n");
+        (server, engine)
+    }
+
+    /// Starts the program alone.
+    pub fn start_program(&self) -> Server {
+        Server::start(program(), &self.config, Some(&self.operator))
+    }
+
+    /// Writes the configuration and the operator file.
+    pub fn write_files(&self) -> ConfigFiles {
+        ConfigFiles {
+            config: write_config(&self.config),
+            operator: write_config(&self.operator),
+        }
+    }
+}
+
+impl Drop for TestSetup {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.directory);
+    }
+}
+
+/// The files of a program that a test starts by itself.
+pub struct ConfigFiles {
+    pub config: PathBuf,
+    pub operator: PathBuf,
+}
+
+impl ConfigFiles {
+    /// Removes both files.
+    pub fn remove(self) {
+        for file in [self.config, self.operator] {
+            std::fs::remove_file(file).expect("removed");
+        }
+    }
+}
+
+/// A new connection of a load balancer.
+pub fn connect(server: &Server) -> Peer {
+    Peer::new(TcpStream::connect(server.address).expect("a connection"))
+}
+
+/// The line of a request with an idempotency key.
+pub fn book(id: u32, attempt: u32, key: &str, body: &str) -> String {
+    let now = unix_ms();
+    format!(
+        "{{\"jsonrpc\":\"2.0\",\"id\":{id},\"method\":\"book\",\"params\":{{\"ref\":\"{attempt:016x}\",\
+         \"since\":{now},\"sender\":4,\"project\":\"acme\",\"allow\":8000,\"replay\":\"{key:0>32}\",\
+         \"room\":24.5,\"bytes\":\"{body}\"}}}}\n"
+    )
+}
+
+/// The engine's notice that a run has completed.
+pub fn completed(serial: u32, attempt: u32, blob: &str) -> String {
+    format!(
+        "{{\"msg\":\"DONE\",\"serial\":{serial},\"call\":\"{attempt:016x}\",\"how\":\"good\",\"duration\":9,\
+         \"blob\":\"{blob}\"}}\n"
+    )
+}
+
+/// Runs and completes the first attempt of the key 5.
+pub fn complete_booking(client: &mut Peer, engine: &mut Peer) {
+    client.say(&book(1, 1, "5", "QUJD"));
+    assert!(
+        engine
+            .command()
+            .contains("\"RUN\",\"call\":\"0000000000000001\"")
+    );
+    engine.say(&completed(1, 1, "WFla"));
+    assert!(client.line().contains("WFla"));
+}
+
+/// Kills a program whose engine loses its link with it.
+pub fn kill(server: Server, engine: Peer) {
+    server.signal("-KILL");
+    drop((server, engine));
+}
+
+/// Asserts that nothing else is run: the next command, questions apart, is the run of a request sent now.
+pub fn assert_nothing_runs(engine: &mut Peer, client: &mut Peer, id: u32) {
+    client.say(&format!(
+        "{{\"jsonrpc\":\"2.0\",\"id\":{id},\"method\":\"quote\",\"params\":{{\"ref\":\
+                        \"{id:016x}\",\"since\":{},\"sender\":4,\"project\":\"acme\",\"allow\":8000,\
+                        \"room\":24.5,\"bytes\":\"QUJD\"}}}}\n",
+        unix_ms()
+    ));
+    let next = engine.command();
+    assert!(
+        next.contains("\"RUN\"") && next.contains(&format!("{id:016x}")),
+        "{next}"
+    );
+}
