Backends' tests: routes/ by behaviour, one support module, standard words

Change: routes/ with ejection, partition, retries and support; tests named for the behaviour; the load's outcome is a struct with names in place of a pair. Assertions are the same, one for one (15), with their bounds.

--- /dev/null
+++ b/crates/server/tests/routes/ejection.rs
@@ -0,0 +1,66 @@
+//! Outlier detection: backends that fail, are silent, reset or are slow are ejected by all servers, and readmitted.
+
+use crate::machine::{self, StallMonitor};
+use crate::support::{BACKENDS, BackendFleet, WELL};
+use madderbay_testkit::catalogue::Behavior;
+
+/// A backend with this behavior is ejected by all, and readmitted once it is well.
+fn ejects_and_readmits(behavior: Behavior, seed: u64) {
+    machine::play(|monitor| {
+        let mut fleet = BackendFleet::start(seed, monitor);
+        fleet.backends[2].set_behavior(behavior);
+        fleet.wait_until_ejected(2, &[]);
+        fleet.backends[2].set_behavior(WELL);
+        fleet.wait_until_readmitted(2);
+        let load = fleet.finish();
+        // What may run twice hardly suffers; a booking that may have run fails, and is not made again.
+        assert!(
+            load.searches > 0.97 && load.bookings > 0.85,
+            "{behavior:?}: {load}"
+        );
+    });
+}
+
+#[test]
+fn ejects_and_readmits_backend_that_fails() {
+    ejects_and_readmits(Behavior::Fails, 1);
+}
+
+#[test]
+fn ejects_and_readmits_backend_that_never_answers() {
+    ejects_and_readmits(Behavior::Silent, 2);
+}
+
+#[test]
+fn ejects_and_readmits_backend_that_resets() {
+    ejects_and_readmits(Behavior::Resets, 3);
+}
+
+#[test]
+fn ejects_and_readmits_backend_that_is_slow() {
+    ejects_and_readmits(Behavior::Slow(15.0), 4);
+}
+
+/// One backend that fails by turns, and then all, one after the other: what may run twice hardly suffers.
+#[test]
+fn answers_while_backends_fail_in_turn() {
+    machine::play(play_failures_in_turn);
+}
+
+fn play_failures_in_turn(monitor: &StallMonitor) {
+    let mut fleet = BackendFleet::start(10, monitor);
+    for _ in 0..5 {
+        fleet.backends[1].set_behavior(Behavior::Fails);
+        fleet.wait_for_calls(50);
+        fleet.backends[1].set_behavior(WELL);
+        fleet.wait_for_calls(50);
+    }
+    for backend in 0..BACKENDS {
+        fleet.backends[backend].set_behavior(Behavior::Resets);
+        fleet.wait_for_calls(90);
+        fleet.backends[backend].set_behavior(WELL);
+        fleet.wait_for_calls(30);
+    }
+    let load = fleet.finish();
+    assert!(load.searches > 0.95 && load.bookings > 0.8, "{load}");
+}
--- /dev/null
+++ b/crates/server/tests/routes/main.rs
@@ -0,0 +1,11 @@
+//! Real servers over many backends: which backend is ejected, that the fleet hears of it, that nothing runs twice,
+//! and the rules of each request meanwhile. `crates/upstream/tests/simulated_fleet.rs` plays many more cases simulated.
+
+#[path = "../common/mod.rs"]
+mod common;
+mod ejection;
+#[path = "../common/machine.rs"]
+mod machine;
+mod partition;
+mod retries;
+mod support;
--- /dev/null
+++ b/crates/server/tests/routes/support.rs
@@ -0,0 +1,297 @@
+//! What the tests of backends share: a fleet of servers over backends, with load on each server, and the rules that
+//! hold at the end of the load.
+
+use crate::common::SETTINGS;
+use crate::machine::StallMonitor;
+use madderbay::time::Duration;
+use madderbay_testkit::catalogue::{Behavior, Catalogue};
+use madderbay_testkit::engine::HandlerWork;
+use madderbay_testkit::fleet::processes::ProcessFleet;
+use madderbay_testkit::fleet::script::{Action, Condition, Fleet, FleetSetup};
+use madderbay_testkit::gate::Gate;
+use madderbay_testkit::load_balancer::{Load, RequestKind, RequestRecord, rule_violations};
+use std::collections::HashMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::{Duration as StdDuration, Instant};
+
+pub const SERVERS: usize = 3;
+pub const BACKENDS: usize = 5;
+/// Requests per second and server: three calls a second to each backend.
+pub const REQUESTS_PER_SECOND: f64 = 20.0;
+/// A backend that is well.
+pub const WELL: Behavior = Behavior::Slow(1.0);
+
+/// Longest wait for a condition: longer than any ejection.
+const CONDITION_TIMEOUT: StdDuration = StdDuration::from_secs(100);
+/// Length of the load, which ends earlier, once a test has seen all; longer than two waits.
+const MAX_LOAD: StdDuration = StdDuration::from_secs(240);
+/// Within this time an answer is in time.
+const ANSWER_TARGET: StdDuration = StdDuration::from_secs(2);
+/// How long the clients wait for an answer.
+const CLIENT_TIMEOUT_MS: u64 = 3_000;
+/// Index of the handler with an idempotency key, among [`request_kinds`].
+const BOOK: usize = 1;
+/// Index of the other handler.
+const SEARCH: usize = 0;
+
+/// How a server judges its backends, by name: the state, the fraction of its weight, and bad calls of late.
+pub type BackendStates = HashMap<String, (String, f64, u64)>;
+
+/// What one load sent and, one text for each, how a rule was broken.
+type LoadResult = (Vec<RequestRecord>, Vec<String>);
+
+/// The program under test.
+pub fn program() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_madderbay"))
+}
+
+/// Settings with capacity for all requests: the backends alone limit what is answered.
+fn settings() -> String {
+    SETTINGS
+        .replace("\"tip_multiple\": 5.0", "\"tip_multiple\": 40.0")
+        .replace("\"memory_kb\": 4000.0", "\"memory_kb\": 400000.0")
+        .replace("\"dep_share\": 8.0", "\"dep_share\": 60.0")
+}
+
+fn request_kinds() -> Vec<RequestKind> {
+    let kind = |handler: &str, part, keyed| RequestKind {
+        handler: handler.into(),
+        part,
+        target: ANSWER_TARGET,
+        keyed,
+        project: "acme",
+    };
+    vec![kind("search", 3.0, false), kind("book", 1.0, true)]
+}
+
+/// A backend that is well.
+pub fn start_backend() -> Catalogue {
+    Catalogue::start(100, StdDuration::from_millis(20))
+}
+
+/// The section of the operator file for the backend `b` with this number.
+pub fn backend_section(number: usize, address: SocketAddr) -> String {
+    format!("[backend b{number}]\naddress = {address}\nhandlers = search, book\n")
+}
+
+/// What the clients got, over all servers.
+pub struct LoadSummary {
+    /// Fraction of searches, which may run twice, that were answered in time.
+    pub searches: f64,
+    /// Fraction of bookings, which may not, that were answered in time.
+    pub bookings: f64,
+    pub requests: usize,
+}
+
+impl fmt::Display for LoadSummary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (searches, bookings) = (self.searches, self.bookings);
+        write!(f, "[{searches}, {bookings}] of {}", self.requests)
+    }
+}
+
+/// Servers over backends, with load on all of them. The first server reaches the backends through gates.
+pub struct BackendFleet {
+    pub servers: ProcessFleet,
+    pub backends: Vec<Catalogue>,
+    pub gates: Vec<Gate>,
+    is_loading: Arc<AtomicBool>,
+    loads: Vec<JoinHandle<LoadResult>>,
+}
+
+impl BackendFleet {
+    /// Starts all and waits until every backend is used.
+    pub fn start(seed: u64, monitor: &StallMonitor) -> BackendFleet {
+        let backends: Vec<Catalogue> = (0..BACKENDS).map(|_| start_backend()).collect();
+        let gates: Vec<Gate> = backends
+            .iter()
+            .map(|backend| Gate::in_front_of(backend.address))
+            .collect();
+        let servers = start_servers(&backends, &gates, seed, monitor);
+        let mut fleet = BackendFleet {
+            servers,
+            backends,
+            gates,
+            is_loading: Arc::new(AtomicBool::new(true)),
+            loads: vec![],
+        };
+        fleet.wait_while("a view", |f| f.servers.unmet(&Condition::Settled));
+        (0..SERVERS).for_each(|server| fleet.start_load(server));
+        fleet.wait_while("all to be used", |f| {
+            let idle = f.backends.iter().filter(|b| b.stats().done < 30).count();
+            (idle > 0).then(|| format!("{idle} had few calls"))
+        });
+        fleet
+    }
+
+    fn start_load(&mut self, server: usize) {
+        let engine = self.servers.engine(server).clone();
+        let address = self.servers.server(server).expect("runs").address;
+        let is_loading = self.is_loading.clone();
+        let load = Load {
+            kinds: request_kinds(),
+            rates: vec![(StdDuration::ZERO, REQUESTS_PER_SECOND)],
+            length: MAX_LOAD,
+            seed: server as u64,
+            allow_ms: CLIENT_TIMEOUT_MS,
+        };
+        self.loads.push(std::thread::spawn(move || {
+            let is_on = || is_loading.load(Ordering::Relaxed);
+            let records = load.run_while(address, |name| engine.answered(name), |_| (), is_on);
+            let violations = rule_violations(&records, &load.kinds, &engine.stats().bodies);
+            (records, violations)
+        }));
+    }
+
+    /// Waits while something is missing, which `missing` says.
+    pub fn wait_while(
+        &mut self,
+        what: &str,
+        missing: impl Fn(&mut BackendFleet) -> Option<String>,
+    ) {
+        let began = Instant::now();
+        while let Some(missing) = missing(self) {
+            assert!(
+                began.elapsed() < CONDITION_TIMEOUT,
+                "waits for {what}: {missing}"
+            );
+            self.servers.pass();
+        }
+    }
+
+    /// What is missing in a server's view of its backends; that it does not answer, where it does not.
+    pub fn missing_at(
+        &self,
+        server: usize,
+        missing: impl FnOnce(&BackendStates) -> Option<String>,
+    ) -> Option<String> {
+        match self.servers.routes(server) {
+            Some(states) => missing(&states),
+            None => Some(format!("n{} does not answer", server + 1)),
+        }
+    }
+
+    /// Waits until all servers but some have ejected a backend.
+    pub fn wait_until_ejected(&mut self, backend: usize, except: &[usize]) {
+        self.wait_for_state(backend, true, except);
+    }
+
+    /// Waits until all servers use a backend.
+    pub fn wait_until_readmitted(&mut self, backend: usize) {
+        self.wait_for_state(backend, false, &[]);
+    }
+
+    fn wait_for_state(&mut self, backend: usize, ejected: bool, except: &[usize]) {
+        let name = format!("b{backend}");
+        let what = format!("{name} to be {}", if ejected { "out" } else { "in" });
+        self.wait_while(&what, |fleet| {
+            let mut others = (0..SERVERS).filter(|s| !except.contains(s));
+            others.find_map(|server| {
+                fleet.missing_at(server, |states| {
+                    let (state, weight, _) = states.get(&name)?;
+                    let is_ejected =
+                        state == "ejected" || state == "trial" || *weight < 0.2 && state == "in";
+                    (is_ejected != ejected).then(|| format!("n{}: {states:?}", server + 1))
+                })
+            })
+        });
+    }
+
+    /// Calls that came to all backends.
+    pub fn calls_received(&self) -> u32 {
+        self.backends.iter().map(|b| b.stats().came).sum()
+    }
+
+    /// Calls that all backends completed.
+    pub fn calls_completed(&self) -> u32 {
+        self.backends.iter().map(|b| b.stats().done).sum()
+    }
+
+    /// Waits until so many more calls have come to the backends.
+    pub fn wait_for_calls(&mut self, calls: u32) {
+        let before = self.calls_received();
+        self.wait_while("some calls", |f| {
+            (f.calls_received() < before + calls).then(|| "too few".into())
+        });
+    }
+
+    /// Ends the load and asserts that no rule was broken.
+    pub fn finish(self) -> LoadSummary {
+        self.is_loading.store(false, Ordering::Relaxed);
+        let mut records = vec![];
+        for load in self.loads {
+            let (sent, violations) = load.join().expect("loaded");
+            assert!(violations.is_empty(), "{violations:?}");
+            records.extend(sent);
+        }
+        assert_called_once(&self.backends, &records);
+        LoadSummary {
+            searches: answered_in_time(&records, SEARCH),
+            bookings: answered_in_time(&records, BOOK),
+            requests: records.len(),
+        }
+    }
+}
+
+fn start_servers(
+    backends: &[Catalogue],
+    gates: &[Gate],
+    seed: u64,
+    monitor: &StallMonitor,
+) -> ProcessFleet {
+    let work = |handler: &str| HandlerWork {
+        handler: handler.into(),
+        ms: (1.0, 2.0),
+        calls: true,
+    };
+    let works = [work("search"), work("book")];
+    let setup = FleetSetup::of(SERVERS);
+    let mut servers = ProcessFleet::new(setup, program(), &settings(), &works, seed);
+    let direct: Vec<SocketAddr> = backends.iter().map(|b| b.address).collect();
+    let gated: Vec<SocketAddr> = gates.iter().map(|g| g.address).collect();
+    for (server, own) in servers.each.iter_mut().enumerate() {
+        let addresses = if server == 0 { &gated } else { &direct };
+        let sections = addresses.iter().enumerate();
+        let sections: String = sections.map(|(n, at)| backend_section(n, *at)).collect();
+        *own = format!("[routes]\nenabled = on\n{sections}");
+    }
+    for server in 0..SERVERS {
+        let start = Action::Start {
+            who: server,
+            name: server,
+            clock: Duration::ZERO,
+            back: false,
+        };
+        servers.act(&start).expect("started");
+        monitor.watch(servers.server(server).expect("runs").pid());
+    }
+    servers
+}
+
+/// No request with an idempotency key has had its call done at two backends, or twice at one.
+fn assert_called_once(backends: &[Catalogue], records: &[RequestRecord]) {
+    let mut calls: HashMap<String, u32> = HashMap::new();
+    for backend in backends {
+        for (name, n) in backend.stats().names {
+            *calls.entry(name).or_default() += n;
+        }
+    }
+    let bookings = records.iter().filter(|r| r.handler == BOOK);
+    let twice: Vec<&str> = bookings
+        .map(|r| r.name.as_str())
+        .filter(|name| calls.get(*name).copied().unwrap_or(0) > 1)
+        .collect();
+    assert!(twice.is_empty(), "called twice: {twice:?}");
+}
+
+/// The fraction of a handler's requests that were answered in time.
+fn answered_in_time(records: &[RequestRecord], handler: usize) -> f64 {
+    let of: Vec<&RequestRecord> = records.iter().filter(|r| r.handler == handler).collect();
+    let in_time = of.iter().filter(|r| r.kept(ANSWER_TARGET)).count();
+    in_time as f64 / of.len().max(1) as f64
+}
