Shared quotas' tests: shared/ by behaviour; a play on a stalled machine is played again

Change: shared/ with scripts, budget, counters and support; the cases and each script are played as those of the backends are, a script that failed on a stalled machine anew. The tests are named for the behaviour; assertions are the same, one for one (12).

--- /dev/null
+++ b/crates/server/tests/shared/main.rs
@@ -0,0 +1,11 @@
+//! Quotas and counters that the servers of a fleet share, on real processes over one catalogue: never more calls in
+//! flight upstream than the fleet's budget, and the rules of each request meanwhile.
+
+mod budget;
+#[path = "../common/mod.rs"]
+mod common;
+mod counters;
+#[path = "../common/machine.rs"]
+mod machine;
+mod scripts;
+mod support;
--- /dev/null
+++ b/crates/server/tests/shared/support.rs
@@ -0,0 +1,145 @@
+//! What the tests of shared quotas share: fleets of processes, requests to one server, and waiting for a condition.
+
+use crate::common::SETTINGS;
+use crate::machine::StallMonitor;
+use madderbay::time::Duration;
+use madderbay_testkit::engine::{Engine, HandlerWork};
+use madderbay_testkit::fleet::processes::ProcessFleet;
+use madderbay_testkit::fleet::script::{Action, Condition, Fleet};
+use madderbay_testkit::load_balancer::{Answer, Load, RequestKind, RequestRecord, rule_violations};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration as StdDuration;
+
+/// Longest wait for a condition.
+const CONDITION_TIMEOUT: Duration = Duration::from_millis(20_000);
+
+/// The program under test.
+pub fn program() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_madderbay"))
+}
+
+/// Settings with capacity for the runs of a server that may use all of a budget.
+pub fn settings() -> String {
+    SETTINGS
+        .replace("\"tip_multiple\": 5.0", "\"tip_multiple\": 40.0")
+        .replace("\"memory_kb\": 4000.0", "\"memory_kb\": 400000.0")
+}
+
+/// What the engine does for one handler: work of so many milliseconds, least and most, with a call or without.
+pub fn work(handler: &str, ms: (f64, f64), calls: bool) -> HandlerWork {
+    HandlerWork {
+        handler: handler.into(),
+        ms,
+        calls,
+    }
+}
+
+/// A fleet whose servers are watched for stalls of the machine as they are started.
+pub struct WatchedFleet<'a> {
+    pub fleet: ProcessFleet,
+    pub monitor: &'a StallMonitor,
+}
+
+impl Fleet for WatchedFleet<'_> {
+    fn act(&mut self, action: &Action) -> Result<(), String> {
+        self.fleet.act(action)?;
+        if let Action::Start { who, .. } = action {
+            self.monitor
+                .watch(self.fleet.server(*who).expect("runs").pid());
+        }
+        Ok(())
+    }
+
+    fn unmet(&mut self, condition: &Condition) -> Option<String> {
+        self.fleet.unmet(condition)
+    }
+
+    fn pass(&mut self) {
+        self.fleet.pass();
+    }
+
+    fn at(&self) -> Duration {
+        self.fleet.at()
+    }
+}
+
+impl WatchedFleet<'_> {
+    /// Starts this many servers and waits until they agree.
+    pub fn start(&mut self, servers: usize) {
+        for server in 0..servers {
+            let start = Action::Start {
+                who: server,
+                name: server,
+                clock: Duration::ZERO,
+                back: false,
+            };
+            self.act(&start).expect("started");
+        }
+        self.wait_for(&Condition::Settled);
+    }
+
+    /// Waits until a condition is met.
+    pub fn wait_for(&mut self, condition: &Condition) {
+        let began = self.at();
+        while let Some(missing) = self.unmet(condition) {
+            assert!(
+                self.at().saturating_sub(began) < CONDITION_TIMEOUT,
+                "{missing}"
+            );
+            self.pass();
+        }
+    }
+
+    /// Where requests to a server go.
+    pub fn target(&self, server: usize) -> LoadTarget {
+        LoadTarget {
+            engine: self.fleet.engine(server).clone(),
+            address: self.fleet.server(server).expect("runs").address,
+        }
+    }
+}
+
+/// A server's address and its own engine.
+pub struct LoadTarget {
+    engine: Engine,
+    address: SocketAddr,
+}
+
+/// Requests of one kind.
+pub fn kind(handler: &str, part: f64, keyed: bool, tenant: &'static str) -> RequestKind {
+    RequestKind {
+        handler: handler.into(),
+        part,
+        target: StdDuration::from_secs(3),
+        keyed,
+        project: tenant,
+    }
+}
+
+/// How many requests are sent, and how long the clients wait.
+pub struct LoadPlan {
+    pub per_second: f64,
+    pub seconds: u64,
+    pub client_timeout_ms: u64,
+}
+
+/// Sends requests to a server and asserts that no rule was broken; gives what became of them.
+pub fn send(to: LoadTarget, kinds: &[RequestKind], plan: &LoadPlan) -> Vec<RequestRecord> {
+    let load = Load {
+        kinds: kinds.to_vec(),
+        rates: vec![(StdDuration::ZERO, plan.per_second)],
+        length: StdDuration::from_secs(plan.seconds),
+        seed: plan.per_second as u64,
+        allow_ms: plan.client_timeout_ms,
+    };
+    let records = load.run(to.address, |name| to.engine.answered(name), |_| ());
+    let violations = rule_violations(&records, kinds, &to.engine.stats().bodies);
+    assert!(violations.is_empty(), "{violations:?}");
+    records
+}
+
+/// Whether a request was completed, with one answer.
+pub fn is_completed(record: &RequestRecord) -> bool {
+    matches!(record.answers[..], [(Answer::Completed, _)])
+}
