Members' tests: members/ by behaviour, standard words, played anew on a stalled machine

Change: members/ with command_line, control_socket, datagrams, shutdown, wrong_views and support; the tests with a fleet run under the limit on fleets and are played again where the machine stalled.

--- /dev/null
+++ b/crates/server/tests/members/support.rs
@@ -0,0 +1,131 @@
+//! What the tests of the fleet's view share: fleets by a script, a server without a fleet, and load on one server.
+
+use crate::common::SETTINGS;
+use crate::machine::StallMonitor;
+use madderbay_testkit::engine::{Engine, HandlerWork};
+use madderbay_testkit::fleet::processes::ProcessFleet;
+use madderbay_testkit::fleet::script::{Script, run_script};
+use madderbay_testkit::load_balancer::{Load, RequestKind, rule_violations};
+use madderbay_testkit::registry;
+use madderbay_testkit::server::{Dependencies, Server, command, configuration};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Output, Stdio};
+use std::sync::mpsc::Receiver;
+use std::time::Duration as StdDuration;
+
+/// Requests per second of a load.
+const REQUESTS_PER_SECOND: f64 = 60.0;
+
+/// The program under test.
+pub fn program() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_madderbay"))
+}
+
+/// A fleet on which a script was run, every condition of which was met.
+pub fn start_fleet(script: &str) -> ProcessFleet {
+    let work = |handler: &str, calls| HandlerWork {
+        handler: handler.into(),
+        ms: (2.0, 6.0),
+        calls,
+    };
+    let works = [
+        work("search", true),
+        work("quote", false),
+        work("book", true),
+    ];
+    let script = Script::read("test", script).expect("a script");
+    let mut fleet = ProcessFleet::new(script.setup.clone(), program(), SETTINGS, &works, 7);
+    run_script(&script, &mut fleet).expect("every condition is met");
+    fleet
+}
+
+/// Has a fleet's first servers watched for stalls of the machine.
+pub fn watch(fleet: &ProcessFleet, servers: usize, monitor: &StallMonitor) {
+    for server in 0..servers {
+        monitor.watch(fleet.server(server).expect("it runs").pid());
+    }
+}
+
+/// Runs `madderbay members` on a control socket.
+pub fn query_cli(socket: &Path, flags: &[&str]) -> Output {
+    command(program(), None)
+        .args(["members", "--socket"])
+        .arg(socket)
+        .args(flags)
+        .stdout(Stdio::piped())
+        .output()
+        .expect("it runs")
+}
+
+/// An empty directory of this test program.
+pub fn temporary_directory(name: &str) -> PathBuf {
+    let directory = std::env::temp_dir().join(format!("madderbay-{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&directory).expect("a directory");
+    directory
+}
+
+/// The configuration of a server without an engine or a fleet, and the reports that its registry gets.
+pub fn lone_configuration() -> (String, Receiver<String>) {
+    let (registry, reports) = registry::start();
+    let others = Dependencies {
+        engine: registry,
+        registry,
+        catalogue: registry,
+    };
+    (
+        configuration("127.0.0.1:0", others, 128, 300, SETTINGS),
+        reports,
+    )
+}
+
+/// The operator file of a server with only a control socket.
+pub fn control_section(socket: &Path) -> String {
+    format!("[control]\nsocket = {}\n", socket.display())
+}
+
+/// Starts a server that has only a control socket.
+pub fn start_with_control_socket(socket: &Path) -> Server {
+    let (text, reports) = lone_configuration();
+    // The registry's thread runs as long as somebody may read its reports.
+    std::mem::forget(reports);
+    Server::start(program(), &text, Some(&control_section(socket)))
+}
+
+fn request_kinds() -> Vec<RequestKind> {
+    let kind = |handler: &str, part, keyed| RequestKind {
+        handler: handler.into(),
+        part,
+        target: StdDuration::from_secs(2),
+        keyed,
+        project: "acme",
+    };
+    vec![
+        kind("search", 0.4, false),
+        kind("quote", 0.4, false),
+        kind("book", 0.2, true),
+    ]
+}
+
+/// What a load found.
+pub struct LoadResult {
+    pub requests: usize,
+    /// One text for each rule that was broken.
+    pub violations: Vec<String>,
+}
+
+/// Puts load on one server for some seconds.
+pub fn run_load(server: SocketAddr, engine: &Engine, seconds: u64, seed: u64) -> LoadResult {
+    let load = Load {
+        kinds: request_kinds(),
+        rates: vec![(StdDuration::ZERO, REQUESTS_PER_SECOND)],
+        length: StdDuration::from_secs(seconds),
+        seed,
+        allow_ms: 5_000,
+    };
+    let records = load.run(server, |name| engine.answered(name), |_| ());
+    LoadResult {
+        requests: records.len(),
+        violations: rule_violations(&records, &load.kinds, &engine.stats().bodies),
+    }
+}
--- /dev/null
+++ b/crates/server/tests/members/wrong_views.rs
@@ -0,0 +1,45 @@
+//! The rules of requests while the servers' views of the fleet are wrong.
+
+use crate::machine::{self, StallMonitor};
+use crate::support::{LoadResult, run_load, start_fleet, watch};
+use madderbay_testkit::fleet::script::{Script, run_script};
+use std::sync::atomic::{AtomicBool, Ordering};
+
+const LOSSY_START: &str =
+    "servers 4\nset memory=2s\nloss 0.1\nspoil 0.05\ndouble 0.1\nstart all\nsettle 30s";
+const FAULTS: &str = "servers 4\ncut n1 n2 | n3 n4\nsees n1 n3 down 20s\nkill n4\nreplay n1\nheal\nstop n2\n\
+    sees n1 n2 suspect 20s\ncontinue n2\nstart n4\noneway n1 > n2 n3 n4\nreplay n1\nheal\nsettle 40s";
+
+/// Each server keeps the rules alone, whatever it believes of the others, while they are cut off, paused and killed,
+/// and datagrams are lost, doubled and spoilt.
+#[test]
+fn keeps_rules_while_views_are_wrong() {
+    machine::play(play_faults);
+}
+
+fn play_faults(monitor: &StallMonitor) {
+    let mut fleet = start_fleet(LOSSY_START);
+    // The load goes to the first server, which every fault concerns and none ends.
+    watch(&fleet, 1, monitor);
+    let faults = Script::read("faults", FAULTS).expect("a script");
+    let address = fleet.server(0).expect("it runs").address;
+    let engine = fleet.engine(0).clone();
+    let is_over = AtomicBool::new(false);
+    let (played, rounds) = std::thread::scope(|scope| {
+        let loading = scope.spawn(|| {
+            let mut rounds: Vec<LoadResult> = vec![];
+            while rounds.is_empty() || !is_over.load(Ordering::Relaxed) {
+                let seed = rounds.len() as u64;
+                rounds.push(run_load(address, &engine, 2, seed));
+            }
+            rounds
+        });
+        let played = run_script(&faults, &mut fleet);
+        is_over.store(true, Ordering::Relaxed);
+        (played, loading.join().expect("loaded"))
+    });
+    played.expect("every condition is met");
+    let violations: Vec<&String> = rounds.iter().flat_map(|r| &r.violations).collect();
+    assert!(violations.is_empty(), "{violations:?}");
+    assert!(rounds.iter().map(|r| r.requests).sum::<usize>() > 100);
+}
