--- a/crates/server/tests/durable_results/crash.rs
+++ b/crates/server/tests/durable_results/crash.rs
@@ -1,7 +1,7 @@
 //! Kills at many points: during recovery, and between intent, run, result, sync and answer.
 
 use super::support::{
-    LONG_WINDOW_MICROS, TestSetup, assert_nothing_runs, book, completed, connect, kill, program,
+    LONG_WINDOW_MICROS, TestSetup, assert_nothing_runs, booking, completed, connect, kill, program,
 };
 use madderbay_testkit::engine::{Engine, HandlerWork};
 use madderbay_testkit::peer::Peer;
@@ -18,7 +18,7 @@
     let (server, mut engine) = setup.start();
     let mut client = connect(&server);
     for (id, key) in [(1, "5"), (2, "6")] {
-        client.say(&book(id, id, key, "QUJD"));
+        client.say(&booking(id, id, key, "QUJD"));
         assert!(engine.command().contains("\"RUN\""));
     }
     engine.say(&completed(1, 1, "WFla"));
@@ -27,9 +27,9 @@
     kill_during_recoveries(&setup);
     let (server, mut engine) = setup.start();
     let mut client = connect(&server);
-    client.say(&book(1, 11, "5", "QUJD"));
+    client.say(&booking(1, 11, "5", "QUJD"));
     assert!(client.line().contains("WFla"));
-    client.say(&book(2, 12, "6", "QUJD"));
+    client.say(&booking(2, 12, "6", "QUJD"));
     assert!(client.line().contains("-32001"));
     assert_nothing_runs(&mut engine, &mut client, 99);
 }
@@ -101,7 +101,7 @@
 fn send_bookings(client: &mut Peer, first_attempt: u32) {
     for (n, body) in (0..).zip(BODIES) {
         let key = format!("{}", n + 1);
-        client.say(&book(n + 1, first_attempt + n, &key, body));
+        client.say(&booking(n + 1, first_attempt + n, &key, body));
     }
 }
 
--- a/crates/server/tests/durable_results/directory.rs
+++ b/crates/server/tests/durable_results/directory.rs
@@ -1,6 +1,6 @@
 //! The directory of results: which cannot be used, and what the command line reports of one.
 
-use super::support::{LONG_WINDOW_MICROS, TestSetup, book, complete_booking, connect, program};
+use super::support::{LONG_WINDOW_MICROS, TestSetup, booking, complete_booking, connect, program};
 use std::process::Command;
 
 /// Starts the program, which has to refuse its directory; gives the line that says why.
@@ -59,7 +59,7 @@
     let (server, mut engine) = setup.start();
     let mut client = connect(&server);
     complete_booking(&mut client, &mut engine);
-    client.say(&book(2, 2, "6", "QUJD"));
+    client.say(&booking(2, 2, "6", "QUJD"));
     assert!(engine.command().contains("\"RUN\""));
     assert_lists_done_and_open(&setup);
     let (status, lines) = query_directory(&setup, "export");
--- a/crates/server/tests/durable_results/restart.rs
+++ b/crates/server/tests/durable_results/restart.rs
@@ -1,8 +1,8 @@
 //! Restarts: which results are known, what is never run again, and what may run.
 
 use super::support::{
-    LONG_WINDOW_MICROS, TestSetup, assert_nothing_runs, book, complete_booking, completed, connect,
-    kill,
+    LONG_WINDOW_MICROS, TestSetup, assert_nothing_runs, booking, complete_booking, completed,
+    connect, kill,
 };
 use madderbay_idempotency_store::record::Record;
 use madderbay_idempotency_store::storage::DirectoryStorage;
@@ -24,8 +24,8 @@
     let known = "kept: 1 keyed reqs known from 2 records, 1 segments, 0 of them torn";
     assert!(server.before[0].contains(known), "{:?}", server.before);
     let (mut client, mut other) = (connect(&server), connect(&server));
-    client.say(&book(1, 2, "5", "QUJD"));
-    other.say(&book(7, 3, "5", "QUJD"));
+    client.say(&booking(1, 2, "5", "QUJD"));
+    other.say(&booking(7, 3, "5", "QUJD"));
     assert_eq!(
         client.line(),
         "{\"jsonrpc\":\"2.0\",\"id\":1,\"result\":{\"bytes\":\"WFla\"}}"
@@ -35,7 +35,7 @@
             .line()
             .contains("\"id\":7,\"result\":{\"bytes\":\"WFla\"")
     );
-    other.say(&book(8, 4, "5", "QUJE"));
+    other.say(&booking(8, 4, "5", "QUJE"));
     assert!(other.line().contains("replay came with another body"));
     assert_nothing_runs(&mut engine, &mut other, 99);
 }
@@ -47,11 +47,11 @@
     let setup = TestSetup::new(LONG_WINDOW_MICROS, "");
     let (server, mut engine) = setup.start();
     let mut client = connect(&server);
-    client.say(&book(1, 1, "5", "QUJD"));
-    client.say(&book(2, 2, "6", "QUJD"));
+    client.say(&booking(1, 1, "5", "QUJD"));
+    client.say(&booking(2, 2, "6", "QUJD"));
     assert!(engine.command().contains("\"RUN\"") && engine.command().contains("\"RUN\""));
     // A retry while the first attempt still runs waits for it.
-    client.say(&book(3, 3, "5", "QUJD"));
+    client.say(&booking(3, 3, "5", "QUJD"));
     kill(server, engine);
     for _ in 0..2 {
         assert_retries_fail(&setup);
@@ -63,9 +63,9 @@
     kill(server, engine);
     (server, engine) = setup.start();
     let mut client = connect(&server);
-    client.say(&book(1, 30, "5", "QUJD"));
+    client.say(&booking(1, 30, "5", "QUJD"));
     assert!(client.line().contains("WFla"));
-    client.say(&book(2, 31, "6", "QUJD"));
+    client.say(&booking(2, 31, "6", "QUJD"));
     assert!(client.line().contains("-32001"));
     assert_nothing_runs(&mut engine, &mut client, 99);
 }
@@ -75,7 +75,7 @@
     let (server, mut engine) = setup.start();
     let mut client = connect(&server);
     for (id, key) in [(1, "5"), (2, "6")] {
-        client.say(&book(id, 10 + id, key, "QUJD"));
+        client.say(&booking(id, 10 + id, key, "QUJD"));
         assert!(client.line().contains("\"error\":{\"code\":-32001"));
     }
     assert_nothing_runs(&mut engine, &mut client, 99);
@@ -87,7 +87,7 @@
     let (mut id, began) = (0, Instant::now());
     loop {
         id += 1;
-        client.say(&book(id, 20 + id, "5", "QUJD"));
+        client.say(&booking(id, 20 + id, "5", "QUJD"));
         let answer = client.line();
         if answer.contains("\"result\"") {
             assert!(answer.contains("WFla"));
@@ -106,17 +106,17 @@
     let setup = TestSetup::new(LONG_WINDOW_MICROS, "");
     let (server, mut engine) = setup.start();
     let mut client = connect(&server);
-    client.say(&book(1, 1, "5", "QUJD"));
+    client.say(&booking(1, 1, "5", "QUJD"));
     assert!(engine.command().contains("\"RUN\""));
     engine.say("{\"msg\":\"NO\",\"how\":\"RUN\",\"call\":\"0000000000000001\"}\n");
     assert!(client.line().contains("-32002"));
     // The next intent is durable only after what was written before it.
-    client.say(&book(2, 2, "6", "QUJD"));
+    client.say(&booking(2, 2, "6", "QUJD"));
     assert!(engine.command().contains("\"RUN\""));
     kill(server, engine);
     let (server, mut engine) = setup.start();
     let mut client = connect(&server);
-    client.say(&book(1, 3, "5", "QUJD"));
+    client.say(&booking(1, 3, "5", "QUJD"));
     assert!(
         engine
             .command()
@@ -134,7 +134,7 @@
     assert!(server.before[0].contains(known), "{:?}", server.before);
     let mut client = connect(&server);
     // The key is known with another fingerprint than this body's: the request is rejected, not run.
-    client.say(&book(1, 1, "1869f", "QUJD"));
+    client.say(&booking(1, 1, "1869f", "QUJD"));
     assert!(client.line().contains("replay came with another body"));
 }
 
@@ -181,7 +181,7 @@
     std::thread::sleep(WINDOW + WINDOW / 2);
     let (server, mut engine) = setup.start();
     let mut client = connect(&server);
-    client.say(&book(1, 2, "5", "QUJD"));
+    client.say(&booking(1, 2, "5", "QUJD"));
     assert!(client.line().contains("WFla"));
     assert_nothing_runs(&mut engine, &mut client, 99);
 }
--- a/crates/server/tests/durable_results/support.rs
+++ b/crates/server/tests/durable_results/support.rs
@@ -112,7 +112,7 @@
 }
 
 /// The line of a request with an idempotency key.
-pub fn book(id: u32, attempt: u32, key: &str, body: &str) -> String {
+pub fn booking(id: u32, attempt: u32, key: &str, body: &str) -> String {
     let now = unix_ms();
     format!(
         "{{\"jsonrpc\":\"2.0\",\"id\":{id},\"method\":\"book\",\"params\":{{\"ref\":\"{attempt:016x}\",\
@@ -131,7 +131,7 @@
 
 /// Runs and completes the first attempt of the key 5.
 pub fn complete_booking(client: &mut Peer, engine: &mut Peer) {
-    client.say(&book(1, 1, "5", "QUJD"));
+    client.say(&booking(1, 1, "5", "QUJD"));
     assert!(
         engine
             .command()
