--- a/crates/server/tests/deploy.rs
+++ b/crates/server/tests/deploy.rs
@@ -84,7 +84,11 @@
         image.windows(loader.len()).any(|w| w == loader),
         "no loader is named in the program"
     );
-    // Started by a shell as the platform does it, what runs is the shell's own process.
+    assert_shell_becomes_program(program);
+}
+
+/// Started by a shell, as the platform does it, the program replaces the shell's process and starts no other.
+fn assert_shell_becomes_program(program: &Path) {
     let engine = Engine::start(1.0, vec![], 1);
     let (registry, _reports) = registry::start();
     let others = Dependencies {
