Fleet's, listener's and parsers' tests: standard words

Cause: fleet.rs, listen.rs and wires.rs used stand, want, machine and good, and test names that say no behaviour. Change: names and comments in the field's words; the script player of fleet.rs is a function. Assertions are the same, one for one.

--- a/crates/server/tests/common/mod.rs
+++ b/crates/server/tests/common/mod.rs
@@ -1,4 +1,4 @@
-//! What the server's tests share: the settings that they are played with.
+//! What the server's tests share: their settings.
 
 /// `search` may run again and skip its call, `quote` calls nothing, `book` runs once within its window.
 pub const SETTINGS: &str = r#"{"classes": [
--- a/crates/server/tests/fleet.rs
+++ b/crates/server/tests/fleet.rs
@@ -1,4 +1,4 @@
-//! The scripts of faults under `tests/fleet` on real processes, whose datagrams pass through relays.
+//! The scripts of faults under `tests/fleet` of the repository on real processes, whose datagrams pass through relays.
 
 mod common;
 
@@ -6,73 +6,75 @@
 use madderbay_testkit::fleet::processes::ProcessFleet;
 use madderbay_testkit::fleet::script::{Action, Script, Step, load_scripts, run_script};
 use std::path::Path;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+/// Scripts that are played at the same time: few enough that the machine's cores are never the fault that is tested.
+const PLAYERS: usize = 4;
 
 fn program() -> &'static Path {
     Path::new(env!("CARGO_BIN_EXE_madderbay"))
 }
 
 fn works() -> Vec<HandlerWork> {
-    let of = |handler: &str, calls| HandlerWork {
+    let work = |handler: &str, calls| HandlerWork {
         handler: handler.into(),
         ms: (2.0, 6.0),
         calls,
     };
-    vec![of("search", true), of("quote", false), of("book", true)]
+    vec![
+        work("search", true),
+        work("quote", false),
+        work("book", true),
+    ]
 }
 
-/// What counts in simulated time, or of all views together, is simulated only.
-fn real_scripts() -> Vec<(String, Script)> {
-    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../tests/fleet");
-    let real = |s: &Script| {
-        s.steps.iter().all(|s| {
-            !matches!(
-                s.1,
-                Step::Action(Action::For(_)) | Step::Action(Action::Downs(_))
-            )
-        })
+/// Whether a script has no step for simulated fleets alone, whose time and views are one.
+fn runs_on_processes(script: &Script) -> bool {
+    let is_simulated = |step: &Step| {
+        matches!(
+            step,
+            Step::Action(Action::For(_)) | Step::Action(Action::Downs(_))
+        )
     };
-    load_scripts(&folder)
-        .into_iter()
-        .filter(|s| real(&s.1))
-        .collect()
+    !script.steps.iter().any(|(_, step)| is_simulated(step))
+}
+
+/// Plays a script on a fleet of processes; gives the first condition that was not met.
+fn play(script: &Script, seed: u64) -> Option<String> {
+    let setup = script.setup.clone();
+    let mut fleet = ProcessFleet::new(setup, program(), common::SETTINGS, &works(), seed);
+    run_script(script, &mut fleet).err()
 }
 
-/// All at once, some at a time, so that the machine's cores are never the fault that is tested.
 #[test]
 fn every_script_on_real_processes() {
-    let scripts = real_scripts();
-    let next = std::sync::atomic::AtomicUsize::new(0);
-    let failed = std::sync::Mutex::new(vec![]);
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../tests/fleet");
+    let mut scripts = load_scripts(&folder);
+    scripts.retain(|(_, script)| runs_on_processes(script));
+    let (next, failures) = (AtomicUsize::new(0), Mutex::new(vec![]));
+    let play_next = || {
+        loop {
+            let index = next.fetch_add(1, Ordering::Relaxed);
+            let Some((name, script)) = scripts.get(index) else {
+                return;
+            };
+            if let Some(unmet) = play(script, index as u64) {
+                let failure = format!("{name}: {unmet}");
+                failures.lock().expect("a list").push(failure);
+            }
+        }
+    };
     std::thread::scope(|scope| {
-        for _ in 0..4 {
-            scope.spawn(|| {
-                loop {
-                    let at = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-                    let Some((name, script)) = scripts.get(at) else {
-                        return;
-                    };
-                    let mut stand = ProcessFleet::new(
-                        script.setup.clone(),
-                        program(),
-                        common::SETTINGS,
-                        &works(),
-                        at as u64,
-                    );
-                    if let Err(what) = run_script(script, &mut stand) {
-                        failed
-                            .lock()
-                            .expect("a list")
-                            .push(format!("{name}: {what}"));
-                    }
-                }
-            });
+        for _ in 0..PLAYERS {
+            scope.spawn(play_next);
         }
     });
-    let failed = failed.into_inner().expect("a list");
+    let failures = failures.into_inner().expect("a list");
     assert!(
-        failed.is_empty(),
+        failures.is_empty(),
         "{} scripts failed:\n{}",
-        failed.len(),
-        failed.join("\n")
+        failures.len(),
+        failures.join("\n")
     );
 }
--- a/crates/server/tests/listen.rs
+++ b/crates/server/tests/listen.rs
@@ -12,9 +12,9 @@
 
 mod common;
 
-/// Connections that the machine has accepted are taken before the listener closes: a req may be on them.
+/// Connections that the system has accepted are entered before the listener closes: a request may be on them.
 #[test]
-fn what_the_machine_accepted_is_taken_before_the_end() {
+fn enters_accepted_connections_before_listener_closes() {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -24,26 +24,26 @@
         let address = listener.local_addr().expect("an address");
         let settings = madderbay_settings::read(common::SETTINGS.as_bytes()).expect("settings");
         let clock = Rc::new(Clock::default());
-        let serve = Rc::new(RefCell::new(EventLoop::new(
+        let core = Rc::new(RefCell::new(EventLoop::new(
             clock.now(),
             7,
             settings,
             1_000,
         )));
-        // All are accepted by the machine, and asked on, before the listening task has its first turn; it is
-        // told to stop then, and may see that first.
-        let peers: Vec<_> = (0..20)
+        // The system accepts all, and a health check is sent on each, before the listening task runs for the first
+        // time. It is notified to stop by then, and may see that first.
+        let clients: Vec<_> = (0..20)
             .map(|_| {
-                let mut peer = std::net::TcpStream::connect(address).expect("a connection");
-                let ask = "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"isWell\"}\n";
-                peer.write_all(ask.as_bytes()).expect("written");
-                peer
+                let mut client = std::net::TcpStream::connect(address).expect("a connection");
+                let health_check = "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"isWell\"}\n";
+                client.write_all(health_check.as_bytes()).expect("written");
+                client
             })
             .collect();
         let stop = Rc::new(Notify::new());
         stop.notify_one();
-        listener::run(listener, 100, clock, serve.clone(), stop).await;
-        assert_eq!(serve.borrow().connection_count(), peers.len());
+        listener::run(listener, 100, clock, core.clone(), stop).await;
+        assert_eq!(core.borrow().connection_count(), clients.len());
         assert!(
             std::net::TcpStream::connect(address).is_err(),
             "closed after"
--- a/crates/server/tests/wires.rs
+++ b/crates/server/tests/wires.rs
@@ -1,46 +1,47 @@
-//! The parsers that no scenario feeds with all they may meet, whole and cut at every byte.
+//! Parsers that no scenario feeds with all that they may meet: complete input, and input cut at every byte.
 
 use madderbay::interface::Outcome;
 use madderbay_server::downstream::registration::{Answers, report};
 use madderbay_server::support::json::{Members, is_value, number, text, whole};
 use madderbay_server::upstream::calls::ReplyReader;
 
-/// Feeds bytes in pieces of a size; what came of them, and whether the stream may be read on.
+/// Feeds a registry's bytes in pieces of a size; gives the statuses found, and whether the stream may be read on.
 fn answers(bytes: &[u8], piece: usize) -> (Vec<u16>, bool) {
-    let (mut machine, mut found) = (Answers::default(), vec![]);
-    let good = bytes
+    let (mut parser, mut found) = (Answers::default(), vec![]);
+    let readable = bytes
         .chunks(piece)
-        .all(|p| machine.feed(p, |status| found.push(status)));
-    (found, good)
+        .all(|p| parser.feed(p, |status| found.push(status)));
+    (found, readable)
 }
 
+/// The same for an upstream's bytes; gives its replies.
 fn replies(bytes: &[u8], piece: usize) -> (Vec<(String, Outcome, Vec<u8>)>, bool) {
-    let (mut machine, mut found) = (ReplyReader::default(), vec![]);
-    let good = bytes.chunks(piece).all(|p| {
-        machine.feed(p, |(name, how, body)| {
+    let (mut parser, mut found) = (ReplyReader::default(), vec![]);
+    let readable = bytes.chunks(piece).all(|p| {
+        parser.feed(p, |(name, outcome, body)| {
             found.push((
                 String::from_utf8_lossy(&name).into_owned(),
-                how,
+                outcome,
                 body.to_vec(),
             ));
         })
     });
-    (found, good)
+    (found, readable)
 }
 
 #[test]
-fn a_report_is_as_the_page_has_it() {
+fn encodes_reports_to_registry() {
     let sent = String::from_utf8(report("127.0.0.1:2379", "n3", true)).unwrap();
-    let want = "PUT /v1/instances/n3 HTTP/1.1\r\nHost: 127.0.0.1:2379\r\nContent-Length: 17\r\n\r\n\
+    let expected = "PUT /v1/instances/n3 HTTP/1.1\r\nHost: 127.0.0.1:2379\r\nContent-Length: 17\r\n\r\n\
         {\"state\":\"ready\"}";
-    assert_eq!(sent, want);
+    assert_eq!(sent, expected);
     assert!(
         report("h", "n3", false).ends_with(b"Content-Length: 20\r\n\r\n{\"state\":\"draining\"}")
     );
 }
 
 #[test]
-fn registry_answers_are_read_however_they_are_cut() {
+fn reads_registry_answers_cut_anywhere() {
     let stream = b"HTTP/1.1 204 No Content\r\nServer: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n\
         HTTP/1.1 503 Busy\r\ncontent-length: 4\r\n\r\nbusyHTTP/1.1 204 No Content\r\n\r\n";
     for piece in [1, 7, stream.len()] {
@@ -58,23 +59,23 @@
 }
 
 #[test]
-fn catalogue_replies_are_read_however_they_are_cut() {
+fn reads_upstream_replies_cut_anywhere() {
     let stream = b"9b1f03aa5c7e2d41 DATA 6\r\na\r\n\0b\xff\r\n9b1f03aa5c7e2d42 LATER\r\n\
         9b1f03aa5c7e2d43 DATA 0\r\n\r\n9b1f03aa5c7e2d44 NOUSE\r\n9b1f03aa5c7e2d45 TOOSLOW\r\n";
     let body = b"a\r\n\0b\xff".to_vec();
-    let want = [
+    let expected = [
         ("9b1f03aa5c7e2d41", Outcome::Completed, body),
         ("9b1f03aa5c7e2d42", Outcome::Rejected, vec![]),
         ("9b1f03aa5c7e2d43", Outcome::Completed, vec![]),
         ("9b1f03aa5c7e2d44", Outcome::Unreachable, vec![]),
         ("9b1f03aa5c7e2d45", Outcome::TimedOut, vec![]),
     ];
-    let want: Vec<_> = want
+    let expected: Vec<_> = expected
         .into_iter()
-        .map(|(name, how, body)| (name.to_string(), how, body))
+        .map(|(name, outcome, body)| (name.to_string(), outcome, body))
         .collect();
     for piece in [1, 7, stream.len()] {
-        assert_eq!(replies(stream, piece), (want.clone(), true));
+        assert_eq!(replies(stream, piece), (expected.clone(), true));
     }
     // An unknown word, a short name, a length that can't be, a body that ends elsewhere, a line without end.
     for bad in [
@@ -90,7 +91,7 @@
 }
 
 #[test]
-fn json_is_read_as_it_allows() {
+fn reads_json_by_its_grammar() {
     let line =
         r#" {"a":1.250e1, "b" :"x\"\u00e9\ud83d\ude00\/", "c":[{},[null,true],-0.5], "a":7} "#;
     let members = Members::read(line).expect("an object");
