Simulation: faults, features and defects are named types; a history's errors are typed

Cause: Faults were `Deed`s with tuples of numbers, parts and planted faults had names of their own, and the reader of histories returned texts.

Change: `Fault` with named fields, `BackendFault`, `Defect`, `Features`, `ServerId` and `BackendId` take their place. The history is read, written and drawn in files of their own; `HistoryError` and `LineError` name line and word. The mixes of faults are one function each. The grammar and the texts of the errors stay.

--- a/crates/simulation/src/below.rs
+++ b/crates/simulation/src/below.rs
@@ -1,6 +1,6 @@
 //! What a simulated server stands before: its engine, whose cores its runs share, and the backends of all.
 
-use crate::history::Ill;
+use crate::fault::BackendFault as Ill;
 use madderbay::time::{Duration, Timestamp};
 use oorandom::Rand64;
 use std::collections::{BTreeMap, VecDeque};
@@ -154,7 +154,7 @@
     }
 
     fn time(&self, chance: &mut Rand64) -> Duration {
-        let times = if let Some(Ill::Slow(times)) = self.ill {
+        let times = if let Some(Ill::Slow { factor: times }) = self.ill {
             times
         } else {
             1.0
@@ -165,7 +165,7 @@
     pub fn came(&mut self, no: u64, call: Call, chance: &mut Rand64) -> Fares {
         self.came += 1;
         match self.ill {
-            Some(Ill::Fails) => return Fares::Fails,
+            Some(Ill::Failing) => return Fares::Fails,
             Some(Ill::Silent) => {
                 self.calls.insert(no, call);
                 return Fares::Waits;
--- /dev/null
+++ b/crates/simulation/src/history/parser.rs
@@ -0,0 +1,156 @@
+//! Reads a history. Whatever follows `#` in a line is a comment; words beyond those that a line needs are ignored.
+
+use super::{History, HistoryError, LineError};
+use crate::fault::{
+    BackendFault, BackendId, DatagramFaults, Defect, Fault, ScheduledFault, ServerId,
+};
+use crate::features::Features;
+use std::str::FromStr;
+
+impl History {
+    /// Reads the text of a history and sorts its faults by time. `source_name` names the text in errors.
+    ///
+    /// # Errors
+    ///
+    /// The first line that is not of the grammar, or a fault in a server or backend that the history does not have.
+    pub fn parse(source_name: &str, text: &str) -> Result<History, HistoryError> {
+        let mut history = History::default();
+        for (line, content) in (1..).zip(text.lines()) {
+            history
+                .parse_line(content)
+                .map_err(|error| HistoryError::Line {
+                    source_name: source_name.into(),
+                    line,
+                    error,
+                })?;
+        }
+        history.faults.sort_by_key(|scheduled| scheduled.at_ms);
+        history.check_ranges(source_name)?;
+        Ok(history)
+    }
+
+    fn check_ranges(&self, source_name: &str) -> Result<(), HistoryError> {
+        let out_of_range = |scheduled: &&ScheduledFault| !self.contains_target(scheduled.fault);
+        match self.faults.iter().find(out_of_range) {
+            None => Ok(()),
+            Some(scheduled) => Err(HistoryError::OutOfRange {
+                source_name: source_name.into(),
+                fault: scheduled.fault,
+            }),
+        }
+    }
+
+    /// Whether the server or backend of a fault is one of this history.
+    fn contains_target(&self, fault: Fault) -> bool {
+        match fault {
+            Fault::Kill(server)
+            | Fault::Start(server)
+            | Fault::Stop(server)
+            | Fault::Continue(server)
+            | Fault::Isolate(server)
+            | Fault::OneWay(server)
+            | Fault::SlowEngine { server, .. }
+            | Fault::Load { server, .. } => server.0 < self.servers,
+            Fault::Backend { backend, .. } => backend.0 < self.backends,
+            Fault::Halves | Fault::Heal | Fault::Datagrams(_) | Fault::Calm => true,
+        }
+    }
+
+    fn parse_line(&mut self, line: &str) -> Result<(), LineError> {
+        let content = line.split('#').next().unwrap_or_default();
+        let words: Vec<&str> = content.split_whitespace().collect();
+        match words.as_slice() {
+            [] => {}
+            ["servers", values @ ..] => self.servers = parse_number(values, 0)?,
+            ["backends", values @ ..] => self.backends = parse_number(values, 0)?,
+            ["zones", values @ ..] => self.zones = parse_number::<usize>(values, 0)?.max(1),
+            ["seconds", values @ ..] => self.seconds = parse_number(values, 0)?,
+            ["rate", values @ ..] => self.requests_per_second = parse_number(values, 0)?,
+            ["whole", values @ ..] => self.quota = parse_number(values, 0)?,
+            ["plant", name] => self.defect = Some(parse_defect(name)?),
+            ["parts", names @ ..] => {
+                self.features = Features::from_words(names)
+                    .map_err(|name| LineError::UnknownFeature(name.into()))?;
+            }
+            [time, fault @ ..] if time.starts_with('@') => {
+                let at_ms = parse_number(&[&time[1..]], 0)?;
+                self.inject(at_ms, parse_fault(fault)?);
+            }
+            [word, ..] => return Err(LineError::UnknownLine((*word).into())),
+        }
+        Ok(())
+    }
+}
+
+fn parse_number<T: FromStr>(words: &[&str], index: usize) -> Result<T, LineError> {
+    let word = words.get(index).ok_or(LineError::MissingNumber)?;
+    word.parse()
+        .map_err(|_| LineError::InvalidNumber((*word).into()))
+}
+
+fn parse_defect(name: &str) -> Result<Defect, LineError> {
+    Defect::from_name(name).ok_or_else(|| LineError::UnknownDefect(name.into()))
+}
+
+/// Reads the first word as the name of a server.
+fn parse_server(words: &[&str]) -> Result<ServerId, LineError> {
+    let name = words.first().ok_or(LineError::MissingServer)?;
+    let number = name
+        .strip_prefix('n')
+        .and_then(|digits| digits.parse::<usize>().ok());
+    match number {
+        Some(number @ 1..) => Ok(ServerId(number - 1)),
+        Some(0) | None => Err(LineError::InvalidServer((*name).into())),
+    }
+}
+
+fn parse_fault(words: &[&str]) -> Result<Fault, LineError> {
+    let (word, values) = words.split_first().unwrap_or((&"", &[]));
+    Ok(match *word {
+        "kill" => Fault::Kill(parse_server(values)?),
+        "start" => Fault::Start(parse_server(values)?),
+        "stop" => Fault::Stop(parse_server(values)?),
+        "continue" => Fault::Continue(parse_server(values)?),
+        "slow" => Fault::SlowEngine {
+            server: parse_server(values)?,
+            factor: parse_number(values, 1)?,
+        },
+        "halves" => Fault::Halves,
+        "alone" => Fault::Isolate(parse_server(values)?),
+        "oneway" => Fault::OneWay(parse_server(values)?),
+        "heal" => Fault::Heal,
+        "net" => Fault::Datagrams(parse_datagram_faults(values)?),
+        "calm" => Fault::Calm,
+        "backend" => parse_backend_fault(values)?,
+        "load" => Fault::Load {
+            server: parse_server(values)?,
+            factor: parse_number(values, 1)?,
+        },
+        unknown => return Err(LineError::UnknownFault(unknown.into())),
+    })
+}
+
+fn parse_datagram_faults(values: &[&str]) -> Result<DatagramFaults, LineError> {
+    Ok(DatagramFaults {
+        loss: parse_number(values, 0)?,
+        duplication: parse_number(values, 1)?,
+        corruption: parse_number(values, 2)?,
+        max_delay_ms: parse_number(values, 3)?,
+    })
+}
+
+/// Reads the number of a backend and its state. A wrong state is found before a wrong number.
+fn parse_backend_fault(values: &[&str]) -> Result<Fault, LineError> {
+    let fault = match values.get(1).copied().unwrap_or_default() {
+        "well" => None,
+        "silent" => Some(BackendFault::Silent),
+        "fails" => Some(BackendFault::Failing),
+        "down" => Some(BackendFault::Down),
+        "slow" => Some(BackendFault::Slow {
+            factor: parse_number(values, 2)?,
+        }),
+        unknown => return Err(LineError::UnknownBackendFault(unknown.into())),
+    };
+    let backend = BackendId(parse_number(values, 0)?);
+    Ok(Fault::Backend { backend, fault })
+}
--- a/crates/simulation/src/main.rs
+++ b/crates/simulation/src/main.rs
@@ -1,7 +1,7 @@
 //! `madderbay-simulation`: plays, searches, shrinks, compares and reports histories of a simulated fleet.
 
 use clap::{Args, Parser, Subcommand};
-use madderbay_simulation::history::{History, Parts};
+use madderbay_simulation::history::History;
 use madderbay_simulation::world::{Found, HANDLERS};
 use madderbay_simulation::{play, shrink};
 use std::path::{Path, PathBuf};
@@ -103,13 +103,15 @@
 }
 
 fn history(path: &Path) -> Result<History, String> {
-    History::read(&path.display().to_string(), &text(path)?)
+    History::parse(&path.display().to_string(), &text(path)?).map_err(|e| e.to_string())
 }
 
 impl Drawn {
     fn draw(&self, seed: u64) -> Result<History, String> {
         let line = format!("parts {}\n", self.parts.replace(',', " "));
-        let parts: Parts = History::read("--parts", &line)?.parts;
+        let features = History::parse("--parts", &line)
+            .map_err(|e| e.to_string())?
+            .features;
         if self.servers < 2 || self.backends == 0 {
             return Err("at least two servers and one backend are wanted".into());
         }
@@ -119,13 +121,13 @@
             backends: self.backends,
             zones: self.backends.min(3),
             seconds: self.seconds,
-            rate: self.rate,
-            whole,
-            parts,
-            plant: None,
-            deeds: vec![],
+            requests_per_second: self.rate,
+            quota: whole,
+            features,
+            defect: None,
+            faults: vec![],
         };
-        Ok(History::drawn(seed, of, self.faults))
+        Ok(of.with_drawn_faults(seed, self.faults))
     }
 }
 
@@ -275,7 +277,7 @@
             }
             println!(
                 "{}",
-                madderbay_simulation::mixes::table(servers, beside, &only)
+                madderbay_simulation::table::table(servers, beside, &only)
             );
             Ok(true)
         }
--- a/crates/simulation/src/mixes.rs
+++ b/crates/simulation/src/mixes.rs
@@ -1,236 +1,222 @@
-//! Named mixes of faults that come together, and a table of what a fleet keeps in each with which parts on.
-
-use crate::history::{Deed, History, Ill, Parts};
-use crate::play;
-use std::fmt::Write;
-use std::sync::Mutex;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Instant;
-
-/// Faults lie between these, in milliseconds; then all is well again for `SECONDS`.
-const FROM: u64 = 5_000;
-const TO: u64 = 17_000;
-const SECONDS: u64 = 34;
-
-type Deeds = Vec<(u64, Deed)>;
-
-fn each(step: usize, n: usize, deeds: impl Fn(usize, u64) -> Deeds) -> Deeds {
-    (0..n)
-        .step_by(step)
-        .enumerate()
-        .flat_map(|(i, s)| deeds(s, i as u64))
-        .collect()
+//! Named mixes of faults that come together, and the histories that are made of them.
+
+use crate::fault::{BackendFault, BackendId, DatagramFaults, Fault, ScheduledFault, ServerId};
+use crate::features::Features;
+use crate::history::History;
+
+/// When the first faults are injected.
+pub(crate) const FIRST_FAULT_MS: u64 = 5_000;
+/// When all faults have ended.
+pub(crate) const LAST_FAULT_MS: u64 = 17_000;
+/// The length of the histories.
+pub(crate) const SECONDS: u64 = 34;
+const REQUESTS_PER_SECOND: f64 = 20.0;
+/// Upstream calls in flight for each server, of which the quota of the fleet is made.
+const QUOTA_OF_SERVER: u32 = 4;
+const MAX_ZONES: usize = 3;
+/// One backend fails a little after the other faults of its mix.
+const BACKEND_FAULT_MS: u64 = FIRST_FAULT_MS + 500;
+const DUPLICATION: f64 = 0.05;
+const CORRUPTION: f64 = 0.02;
+
+/// Faults that come together.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FaultMix {
+    /// What it is called in tables.
+    pub name: &'static str,
+    /// What is injected; the end of the faults is not among it.
+    pub faults: Vec<ScheduledFault>,
 }
 
-/// Calm, and eight mixes.
-pub fn mixes(n: usize, backends: usize) -> Vec<(&'static str, Deeds)> {
-    let loss = |loss, delay_ms| Deed::Net {
-        loss,
-        double: 0.05,
-        spoil: 0.02,
-        delay_ms,
-    };
-    let flaps = (0..6).flat_map(|i| {
-        let at = FROM + i * 2_000;
-        [(at, Deed::Halves), (at + 1_000, Deed::Heal)]
-    });
-    let ill = |b: usize, ill| vec![(FROM + 500, Deed::Backend(b % backends, Some(ill)))];
-    let spread = |i: u64| FROM + i * (TO - FROM) / (n as u64 / 4 + 1);
-    vec![
-        ("calm", vec![]),
-        (
-            "a cut that flaps, a backend silent",
-            flaps.chain(ill(1, Ill::Silent)).collect(),
-        ),
-        (
-            "one-way loss, three tenths lost",
-            each(5, n, |s, _| vec![(FROM, Deed::OneWay(s))])
-                .into_iter()
-                .chain([(FROM, loss(0.3, 20))])
-                .collect(),
-        ),
-        (
-            "seconds of delay, work shifts",
-            each(2, n, |s, _| {
-                vec![
-                    (FROM, Deed::Load(s, 2.0)),
-                    (FROM, Deed::Load((s + 1) % n, 0.2)),
-                ]
-            })
-            .into_iter()
-            .chain([(FROM, loss(0.0, 2_000))])
-            .collect(),
-        ),
-        (
-            "pauses of processes, a backend slow",
-            each(4, n, |s, i| {
-                vec![
-                    (spread(i), Deed::Stop(s)),
-                    (spread(i) + 3_000, Deed::Continue(s)),
-                ]
-            })
-            .into_iter()
-            .chain(ill(0, Ill::Slow(10.0)))
-            .collect(),
-        ),
-        (
-            "slow engines, one backend fails",
-            each(4, n, |s, _| vec![(FROM, Deed::Slow(s, 5.0))])
-                .into_iter()
-                .chain(ill(2, Ill::Fails))
-                .collect(),
-        ),
-        (
-            "a storm of crashes, a tenth lost",
-            each(4, n, |s, i| {
-                vec![
-                    (spread(i), Deed::Kill(s)),
-                    (spread(i) + 2_000, Deed::Start(s)),
-                ]
-            })
-            .into_iter()
-            .chain([(FROM, loss(0.1, 20))])
-            .collect(),
-        ),
-        (
-            "a release over a cut",
-            each(2, n, |s, i| {
-                let at = FROM + i * 7_000 / (n as u64 / 2 + 1);
-                vec![(at, Deed::Kill(s)), (at + 500, Deed::Start(s))]
-            })
-            .into_iter()
-            .chain([(FROM + 1_000, Deed::Halves)])
-            .collect(),
-        ),
-        (
-            "a third of the backends fail in turn",
-            (0..backends.div_ceil(3))
-                .flat_map(|b| {
-                    let at = FROM + b as u64 * 3_000 % (TO - FROM);
-                    let kind = [Ill::Silent, Ill::Fails, Ill::Slow(20.0)][b % 3];
-                    [
-                        (at, Deed::Backend(b, Some(kind))),
-                        (at + 5_000, Deed::Backend(b, None)),
-                    ]
-                })
-                .collect(),
-        ),
-    ]
+/// The size of a fleet that mixes are made for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FleetSize {
+    /// The number of servers.
+    pub servers: usize,
+    /// The number of backends.
+    pub backends: usize,
 }
 
-pub const WAYS: [(&str, Parts); 6] = {
-    let off = Parts {
-        members: false,
-        shared: false,
-        routes: false,
-        pools: false,
-    };
-    [
-        ("off", off),
-        (
-            "members",
-            Parts {
-                members: true,
-                ..off
-            },
-        ),
-        (
-            "shared",
-            Parts {
-                members: true,
-                shared: true,
-                ..off
-            },
-        ),
-        (
-            "routes",
-            Parts {
-                members: true,
-                routes: true,
-                ..off
-            },
-        ),
-        ("pools", Parts { pools: true, ..off }),
-        ("all", Parts::ALL),
-    ]
-};
-
-/// One history of a mix: faults end at `TO`.
-pub fn history(n: usize, backends: usize, parts: Parts, mut deeds: Deeds) -> History {
-    deeds.extend([(TO, Deed::Heal), (TO, Deed::Calm)]);
-    deeds.extend((0..backends).map(|b| (TO, Deed::Backend(b, None))));
-    for s in 0..n {
-        deeds.extend([(TO, Deed::Slow(s, 1.0)), (TO, Deed::Load(s, 1.0))]);
+impl FleetSize {
+    /// Calm, and eight mixes.
+    pub fn mixes(self) -> Vec<FaultMix> {
+        let mix = |name, faults| FaultMix { name, faults };
+        vec![
+            mix("calm", vec![]),
+            mix("a cut that flaps, a backend silent", self.flapping_cut()),
+            mix("one-way loss, three tenths lost", self.one_way_loss()),
+            mix(
+                "seconds of delay, work shifts",
+                self.delay_and_uneven_load(),
+            ),
+            mix("pauses of processes, a backend slow", self.pauses()),
+            mix("slow engines, one backend fails", self.slow_engines()),
+            mix("a storm of crashes, a tenth lost", self.crashes()),
+            mix("a release over a cut", self.release_over_cut()),
+            mix(
+                "a third of the backends fail in turn",
+                self.failing_backends(),
+            ),
+        ]
     }
-    deeds.sort_by_key(|d| d.0);
-    let (zones, whole) = (backends.min(3), n as u32 * 4);
-    History {
-        servers: n,
-        backends,
-        zones,
-        seconds: SECONDS,
-        rate: 20.0,
-        whole,
-        parts,
-        plant: None,
-        deeds,
+
+    /// A history of a mix, after which all is healthy again.
+    pub fn history(self, features: Features, mix: &FaultMix) -> History {
+        let mut history = History {
+            servers: self.servers,
+            backends: self.backends,
+            zones: self.backends.min(MAX_ZONES),
+            seconds: SECONDS,
+            requests_per_second: REQUESTS_PER_SECOND,
+            quota: self.servers as u32 * QUOTA_OF_SERVER,
+            features,
+            defect: None,
+            faults: mix.faults.clone(),
+        };
+        self.end_faults(&mut history);
+        history.faults.sort_by_key(|scheduled| scheduled.at_ms);
+        history
     }
-}
 
-/// The table for fleets of one size, a row a mix and a way.
-pub fn table(n: usize, beside: usize, only: &str) -> String {
-    let backends = (n / 10).clamp(3, 30);
-    let mut jobs = vec![];
-    for (name, deeds) in mixes(n, backends)
-        .into_iter()
-        .filter(|m| m.0.contains(only))
-    {
-        for (way, parts) in WAYS {
-            jobs.push((name, way, history(n, backends, parts, deeds.clone())));
+    fn end_faults(self, history: &mut History) {
+        history.inject(LAST_FAULT_MS, Fault::Heal);
+        history.inject(LAST_FAULT_MS, Fault::Calm);
+        for backend in (0..self.backends).map(BackendId) {
+            let fault = None;
+            history.inject(LAST_FAULT_MS, Fault::Backend { backend, fault });
         }
+        for server in (0..self.servers).map(ServerId) {
+            let factor = 1.0;
+            history.inject(LAST_FAULT_MS, Fault::SlowEngine { server, factor });
+            history.inject(LAST_FAULT_MS, Fault::Load { server, factor });
+        }
+    }
+
+    /// Each of this many servers, beginning with the first, with its number among those.
+    fn every(self, step: usize) -> impl Iterator<Item = (u64, ServerId)> {
+        (0..).zip((0..self.servers).step_by(step).map(ServerId))
+    }
+
+    /// The time of the fault of every fourth server, such that all of them fit.
+    fn staggered_ms(self, number: u64) -> u64 {
+        FIRST_FAULT_MS + number * (LAST_FAULT_MS - FIRST_FAULT_MS) / (self.servers as u64 / 4 + 1)
     }
-    let (next, rows) = (
-        AtomicUsize::new(0),
-        Mutex::new(vec![String::new(); jobs.len()]),
-    );
-    std::thread::scope(|scope| {
-        for _ in 0..beside.max(1) {
-            scope.spawn(|| {
-                while let Some((i, (name, way, of))) =
-                    Some(next.fetch_add(1, Ordering::Relaxed)).and_then(|i| Some((i, jobs.get(i)?)))
-                {
-                    let began = Instant::now();
-                    let found = play(of, 1);
-                    let cost = began.elapsed().as_secs_f64() * 1e3 / (n as f64 * SECONDS as f64);
-                    let during = &found.rows[(FROM / 1_000) as usize..(TO / 1_000) as usize];
-                    let part = |h: usize| {
-                        let kept: u32 = during.iter().map(|r| r.kept[h]).sum();
-                        let asked: u32 = during.iter().map(|r| r.asked[h]).sum();
-                        (f64::from(kept) / f64::from(asked.max(1))).min(1.0)
-                    };
-                    let peak = found.rows.iter().map(|r| r.peak).max().unwrap_or(0);
-                    let bytes: u64 = found.rows.iter().map(|r| r.bytes).sum();
-                    let settles = found.settles.filter(|_| of.parts.members);
-                    let settles = settles.map_or("-".into(), |s| format!("{s:.0}"));
-                    let unison = found.unison.values().max().copied().unwrap_or(0);
-                    let mut row = String::new();
-                    let _ = write!(
-                        row,
-                        "| {n}, {name} | {way} | {:.3}, {:.3}, {:.3} | {:.2} | {settles} | {:.0} | {unison} | {} | {cost:.2} |",
-                        part(0),
-                        part(1),
-                        part(2),
-                        f64::from(peak) / f64::from(of.whole),
-                        bytes as f64 / (n as f64 * SECONDS as f64),
-                        found.breaches.len()
-                    );
-                    rows.lock().expect("rows")[i] = row;
-                }
-            });
+
+    fn one_backend(self, index: usize, fault: BackendFault) -> ScheduledFault {
+        let fault = Fault::Backend {
+            backend: BackendId(index % self.backends),
+            fault: Some(fault),
+        };
+        ScheduledFault::new(BACKEND_FAULT_MS, fault)
+    }
+
+    fn flapping_cut(self) -> Vec<ScheduledFault> {
+        let mut faults = vec![];
+        for flap in 0..6 {
+            let cut_ms = FIRST_FAULT_MS + flap * 2_000;
+            faults.push(ScheduledFault::new(cut_ms, Fault::Halves));
+            faults.push(ScheduledFault::new(cut_ms + 1_000, Fault::Heal));
+        }
+        faults.push(self.one_backend(1, BackendFault::Silent));
+        faults
+    }
+
+    fn one_way_loss(self) -> Vec<ScheduledFault> {
+        let one_way = |(_, server)| first(Fault::OneWay(server));
+        let mut faults: Vec<ScheduledFault> = self.every(5).map(one_way).collect();
+        faults.push(first(datagram_faults(0.3, 20)));
+        faults
+    }
+
+    fn delay_and_uneven_load(self) -> Vec<ScheduledFault> {
+        let mut faults = vec![];
+        for (_, server) in self.every(2) {
+            let neighbour = ServerId((server.0 + 1) % self.servers);
+            faults.push(first(load(server, 2.0)));
+            faults.push(first(load(neighbour, 0.2)));
         }
-    });
-    let heads = "| servers, mix | on | kept in the trouble: search, quote, book | most below, of the budget | settles, s | bytes a \
-                 second a server | unison | rules broken | ms of a core a server-second |";
-    let rows = rows.into_inner().expect("rows").join("\n");
-    format!("{heads}\n|{}\n{rows}", " --- |".repeat(9))
+        faults.push(first(datagram_faults(0.0, 2_000)));
+        faults
+    }
+
+    fn pauses(self) -> Vec<ScheduledFault> {
+        let mut faults = vec![];
+        for (number, server) in self.every(4) {
+            let at_ms = self.staggered_ms(number);
+            faults.push(ScheduledFault::new(at_ms, Fault::Stop(server)));
+            faults.push(ScheduledFault::new(at_ms + 3_000, Fault::Continue(server)));
+        }
+        faults.push(self.one_backend(0, BackendFault::Slow { factor: 10.0 }));
+        faults
+    }
+
+    fn slow_engines(self) -> Vec<ScheduledFault> {
+        let factor = 5.0;
+        let slow = |(_, server)| first(Fault::SlowEngine { server, factor });
+        let mut faults: Vec<ScheduledFault> = self.every(4).map(slow).collect();
+        faults.push(self.one_backend(2, BackendFault::Failing));
+        faults
+    }
+
+    fn crashes(self) -> Vec<ScheduledFault> {
+        let mut faults = vec![];
+        for (number, server) in self.every(4) {
+            let at_ms = self.staggered_ms(number);
+            faults.push(ScheduledFault::new(at_ms, Fault::Kill(server)));
+            faults.push(ScheduledFault::new(at_ms + 2_000, Fault::Start(server)));
+        }
+        faults.push(first(datagram_faults(0.1, 20)));
+        faults
+    }
+
+    fn release_over_cut(self) -> Vec<ScheduledFault> {
+        let mut faults = vec![];
+        for (number, server) in self.every(2) {
+            let at_ms = FIRST_FAULT_MS + number * 7_000 / (self.servers as u64 / 2 + 1);
+            faults.push(ScheduledFault::new(at_ms, Fault::Kill(server)));
+            faults.push(ScheduledFault::new(at_ms + 500, Fault::Start(server)));
+        }
+        faults.push(ScheduledFault::new(FIRST_FAULT_MS + 1_000, Fault::Halves));
+        faults
+    }
+
+    fn failing_backends(self) -> Vec<ScheduledFault> {
+        let kinds = [
+            BackendFault::Silent,
+            BackendFault::Failing,
+            BackendFault::Slow { factor: 20.0 },
+        ];
+        let mut faults = vec![];
+        for index in 0..self.backends.div_ceil(3) {
+            let backend = BackendId(index);
+            let at_ms = FIRST_FAULT_MS + index as u64 * 3_000 % (LAST_FAULT_MS - FIRST_FAULT_MS);
+            let fault = Some(kinds[index % kinds.len()]);
+            let begins = Fault::Backend { backend, fault };
+            let ends = Fault::Backend {
+                backend,
+                fault: None,
+            };
+            faults.push(ScheduledFault::new(at_ms, begins));
+            faults.push(ScheduledFault::new(at_ms + 5_000, ends));
+        }
+        faults
+    }
+}
+
+/// A fault that is among the first.
+fn first(fault: Fault) -> ScheduledFault {
+    ScheduledFault::new(FIRST_FAULT_MS, fault)
+}
+
+fn load(server: ServerId, factor: f64) -> Fault {
+    Fault::Load { server, factor }
+}
+
+fn datagram_faults(loss: f64, max_delay_ms: u64) -> Fault {
+    Fault::Datagrams(DatagramFaults {
+        loss,
+        duplication: DUPLICATION,
+        corruption: CORRUPTION,
+        max_delay_ms,
+    })
 }
--- a/crates/simulation/src/report.rs
+++ b/crates/simulation/src/report.rs
@@ -73,7 +73,7 @@
     };
     let mut text = format!(
         "{} servers, {} backends, {} s, seed {seed}; on: {}\n\n",
-        history.servers, history.backends, history.seconds, history.parts
+        history.servers, history.backends, history.seconds, history.features
     );
     for (handler, part) in HANDLERS.iter().zip(kept(found)) {
         let _ = writeln!(
@@ -86,7 +86,7 @@
     let _ = writeln!(
         text,
         "\nmost calls in hand below: {peak} of {}",
-        history.whole
+        history.quota
     );
     let settles = found
         .settles
@@ -141,7 +141,7 @@
     let whole = found
         .rows
         .iter()
-        .map(|r| (r.second as f64, f64::from(history.whole)))
+        .map(|r| (r.second as f64, f64::from(history.quota)))
         .collect();
     let below = [
         ("most in hand", curve(&|r| f64::from(r.peak))),
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -2,7 +2,8 @@
 //! simulated time. One seed gives all chance; the same seed gives the same rows to the byte.
 
 use crate::below::{Backend, Call, Came, Engine, Fares};
-use crate::history::{Deed, History, Ill, Plant};
+use crate::fault::{BackendFault as Ill, BackendId, Defect, Fault, ScheduledFault, ServerId};
+use crate::history::History;
 use madderbay::time::{Duration, Timestamp};
 use madderbay_concurrency::{ConcurrencyConfig, PoolConfig, Reserve, UpstreamGroup};
 use madderbay_membership::{AllowedNetworks, MemberState, Membership};
@@ -128,7 +129,7 @@
     Reply(usize, u32, u64, String),
     Broken(usize, u32, u64),
     Due(usize, u32, u64),
-    Deed(usize),
+    FaultDue(usize),
     Row,
 }
 
@@ -296,9 +297,9 @@
         for s in 0..world.of.servers {
             world.start(s);
         }
-        for i in 0..world.of.deeds.len() {
-            let when = at(world.of.deeds[i].0);
-            world.push(when, Event::Deed(i));
+        for i in 0..world.of.faults.len() {
+            let when = at(world.of.faults[i].at_ms);
+            world.push(when, Event::FaultDue(i));
         }
         world.push(at(1_000), Event::Row);
         world
@@ -328,19 +329,19 @@
     fn start(&mut self, s: usize) {
         let seed = self.chance.rand_u64();
         let mono = self.tick(s);
-        let parts = self.of.parts;
-        let (servers, zones, whole) = (self.of.servers, self.of.zones, self.of.whole);
+        let parts = self.of.features;
+        let (servers, zones, whole) = (self.of.servers, self.of.zones, self.of.quota);
         let mut serve = EventLoop::new(self.now, seed, self.settings.clone(), 1 << 20);
         let clock = self.nodes[s].mono.clone();
         let ticks: MonotonicClock = Rc::new(move || clock.get());
-        if parts.pools {
+        if parts.concurrency {
             let pool = |name: &str, handler, calls_weight| PoolConfig {
                 name: name.into(),
                 handlers: vec![handler],
                 call_weight: calls_weight,
                 ..PoolConfig::default()
             };
-            let groups = if parts.routes {
+            let groups = if parts.backends {
                 vec![UpstreamGroup {
                     handlers: vec![0, 2],
                     quota_fraction: 1.0,
@@ -362,7 +363,7 @@
             };
             serve.set_concurrency_limits(self.now, plan);
         }
-        let routes = parts.routes.then(|| {
+        let routes = parts.backends.then(|| {
             let backend = |b: usize| BackendSettings {
                 name: format!("b{b}").as_str().into(),
                 address: below(b),
@@ -374,7 +375,7 @@
                 zone: zone(s, zones).as_str().into(),
                 ..RoutesSet::default()
             };
-            if self.of.plant == Some(Plant::Repeats) {
+            if self.of.defect == Some(Defect::UnboundedRetries) {
                 set.retry_ratio = 1.0;
             }
             let routes = UpstreamManager::new(
@@ -391,8 +392,8 @@
         let node = &mut self.nodes[s];
         node.lives += 1;
         let lives = node.lives;
-        let shared = parts.shared.then(|| {
-            let longest = if self.of.plant == Some(Plant::Terms) {
+        let shared = parts.quota.then(|| {
+            let longest = if self.of.defect == Some(Defect::ShortLeaseTerms) {
                 Duration::from_millis(20)
             } else {
                 LONGEST
@@ -420,7 +421,7 @@
             FleetQuotas::new(mono, seed, set)
         });
         let unix = (self.now - Timestamp::default()).as_micros() / 1_000;
-        let together = parts.members.then(|| {
+        let together = parts.membership.then(|| {
             let set = madderbay_membership::Settings {
                 name: name(s).as_str().into(),
                 advertise: address(s),
@@ -432,7 +433,7 @@
                 probe_interval: Duration::from_millis(500),
                 probe_timeout: Duration::from_millis(200),
                 suspicion_timeout: Duration::from_millis(
-                    if self.of.plant == Some(Plant::Suspicion) {
+                    if self.of.defect == Some(Defect::EndlessSuspicion) {
                         3_000_000
                     } else {
                         3_000
@@ -445,7 +446,7 @@
             together.routes = routes.as_ref().map(|b| b.routes.clone());
             Rc::new(RefCell::new(together))
         });
-        let lender = together.as_ref().filter(|_| parts.shared).map(|together| {
+        let lender = together.as_ref().filter(|_| parts.quota).map(|together| {
             let counted = CounterNames::default();
             let lender = FleetQuotaSource {
                 together: together.clone(),
@@ -486,7 +487,7 @@
     }
 
     fn gap(&mut self, s: usize) -> Duration {
-        let rate = (self.of.rate * self.nodes[s].load).max(0.05);
+        let rate = (self.of.requests_per_second * self.nodes[s].load).max(0.05);
         Duration::from_secs_f64(-(1.0 - self.chance.rand_float()).ln() / rate)
     }
 
@@ -535,7 +536,7 @@
         let settles = self
             .settled
             .map(|when| (when - self.last_deed).as_secs_f64());
-        if settles.is_none() && self.of.parts.members {
+        if settles.is_none() && self.of.features.membership {
             let least = at(self.of.seconds * 1_000) - self.last_deed;
             if least > SETTLES {
                 self.breach(
@@ -666,9 +667,9 @@
                 }
             }
             Event::Due(s, life, rpc) => self.due(*s, *life, *rpc),
-            Event::Deed(i) => {
-                let deed = self.of.deeds[*i].1;
-                self.deed(deed);
+            Event::FaultDue(i) => {
+                let fault = self.of.faults[*i].fault;
+                self.inject(fault);
             }
             Event::Row => self.end_of_row(),
         }
@@ -743,16 +744,16 @@
 
     /// Whether a server was stopped at some time since.
     fn excused(&self, s: usize, since: Timestamp) -> bool {
-        let stops = |d: &(u64, Deed)| matches!(d.1, Deed::Stop(x) | Deed::Continue(x) if x == s);
+        let stops = |d: &&ScheduledFault| matches!(d.fault, Fault::Stop(x) | Fault::Continue(x) if x.0 == s);
         let before = self
             .of
-            .deeds
+            .faults
             .iter()
-            .filter(|d| stops(d) && at(d.0) <= self.now);
+            .filter(|d| stops(d) && at(d.at_ms) <= self.now);
         let mut stopped = false;
-        for (when, deed) in before {
-            stopped = matches!(deed, Deed::Stop(_));
-            if at(*when) >= since {
+        for scheduled in before {
+            stopped = matches!(scheduled.fault, Fault::Stop(_));
+            if at(scheduled.at_ms) >= since {
                 return true;
             }
         }
@@ -890,7 +891,7 @@
             let Some(rpc) = said["id"].as_u64() else {
                 continue;
             };
-            if self.of.plant == Some(Plant::Answers) && rpc % 200 == 0 {
+            if self.of.defect == Some(Defect::LostAnswers) && rpc % 200 == 0 {
                 continue;
             }
             let Some(asked) = self.nodes[s].open.remove(&rpc) else {
@@ -947,7 +948,9 @@
                     .unwrap_or(0);
                 let secs = WORK_MS[handler] / 1e3 * (0.5 + self.chance.rand_float());
                 let ran = self.ran.entry(call.clone()).or_default();
-                *ran += 1 + u32::from(self.of.plant == Some(Plant::Runs) && call.ends_with('7'));
+                *ran += 1 + u32::from(
+                    self.of.defect == Some(Defect::RepeatedRuns) && call.ends_with('7'),
+                );
                 if *ran > 1 && handler == 2 {
                     self.breach("no effect twice", format!("{}: {call} ran twice", name(s)));
                 }
@@ -1041,8 +1044,8 @@
         }
         self.in_hand += 1;
         self.row.peak = self.row.peak.max(self.in_hand);
-        if self.of.parts.shared && self.in_hand > self.of.whole {
-            let what = format!("{} calls in hand below, of {}", self.in_hand, self.of.whole);
+        if self.of.features.quota && self.in_hand > self.of.quota {
+            let what = format!("{} calls in hand below, of {}", self.in_hand, self.of.quota);
             self.breach("a budget is never passed", what);
         }
     }
@@ -1062,65 +1065,66 @@
         }
     }
 
-    fn deed(&mut self, deed: Deed) {
+    fn inject(&mut self, fault: Fault) {
         self.last_deed = self.now;
         self.settled = None;
-        match deed {
-            Deed::Kill(s) if self.nodes[s].up => self.kill(s),
-            Deed::Start(s) if !self.nodes[s].up => self.start(s),
-            Deed::Stop(s) => self.nodes[s].stopped = self.nodes[s].up,
-            Deed::Continue(s) if self.nodes[s].stopped => {
+        match fault {
+            Fault::Kill(ServerId(s)) if self.nodes[s].up => self.kill(s),
+            Fault::Start(ServerId(s)) if !self.nodes[s].up => self.start(s),
+            Fault::Stop(ServerId(s)) => self.nodes[s].stopped = self.nodes[s].up,
+            Fault::Continue(ServerId(s)) if self.nodes[s].stopped => {
                 self.nodes[s].stopped = false;
                 for event in std::mem::take(&mut self.nodes[s].waiting) {
                     self.event(event);
                 }
                 self.moment(s);
             }
-            Deed::Slow(s, times) => {
+            Fault::SlowEngine {
+                server: ServerId(s),
+                factor: times,
+            } => {
                 let now = self.now;
                 self.nodes[s].engine.slower = times.max(0.1);
                 if self.nodes[s].up && !self.nodes[s].stopped && now > at(0) {
                     self.moment(s);
                 }
             }
-            Deed::Halves => {
+            Fault::Halves => {
                 let (a, b) = (0..self.of.servers).partition(|s| s % 2 == 0);
                 self.net.act(&Action::Cut(vec![a, b]));
             }
-            Deed::Alone(s) => {
+            Fault::Isolate(ServerId(s)) => {
                 let others = (0..self.of.servers).filter(|o| *o != s).collect();
                 self.net.act(&Action::Cut(vec![vec![s], others]));
             }
-            Deed::OneWay(s) => {
+            Fault::OneWay(ServerId(s)) => {
                 let others = (0..self.of.servers).filter(|o| *o != s).collect();
                 self.net.act(&Action::OneWay(s, others));
             }
-            Deed::Heal => self.net.act(&Action::Heal),
-            Deed::Net {
-                loss,
-                double,
-                spoil,
-                delay_ms,
-            } => {
+            Fault::Heal => self.net.act(&Action::Heal),
+            Fault::Datagrams(faults) => {
                 let delay = Some((
                     Duration::from_millis(1),
-                    Duration::from_millis(delay_ms + 2),
+                    Duration::from_millis(faults.max_delay_ms + 2),
                 ));
                 let act = Action::Network {
-                    loss: Some(loss),
-                    double: Some(double),
-                    spoil: Some(spoil),
+                    loss: Some(faults.loss),
+                    double: Some(faults.duplication),
+                    spoil: Some(faults.corruption),
                     delay,
                 };
                 self.net.act(&act);
             }
-            Deed::Calm => self.net.act(&Action::Network {
+            Fault::Calm => self.net.act(&Action::Network {
                 loss: None,
                 double: None,
                 spoil: None,
                 delay: None,
             }),
-            Deed::Backend(b, ill) => {
+            Fault::Backend {
+                backend: BackendId(b),
+                fault: ill,
+            } => {
                 self.below[b].ill = ill;
                 if ill.is_none() || ill == Some(Ill::Down) {
                     // What hung there comes to its end, without an answer.
@@ -1131,7 +1135,10 @@
                     }
                 }
             }
-            Deed::Load(s, times) => self.nodes[s].load = times,
+            Fault::Load {
+                server: ServerId(s),
+                factor: times,
+            } => self.nodes[s].load = times,
             _ => {}
         }
     }
--- a/crates/simulation/tests/lab.rs
+++ b/crates/simulation/tests/lab.rs
@@ -1,7 +1,11 @@
 //! The laboratory itself: the same seed gives the same rows, drawn histories break nothing, and known faults, one in
 //! each part, are found and shrunk.
 
-use madderbay_simulation::history::{Deed, History, Ill, PLANTS, Parts, Plant};
+use madderbay_simulation::fault::{
+    BackendFault, BackendId, Defect, Fault, ScheduledFault, ServerId,
+};
+use madderbay_simulation::features::Features;
+use madderbay_simulation::history::History;
 use madderbay_simulation::{play, shrink};
 
 fn small() -> History {
@@ -10,15 +14,15 @@
         backends: 3,
         zones: 3,
         seconds: 36,
-        rate: 15.0,
-        whole: 36,
+        requests_per_second: 15.0,
+        quota: 36,
         ..History::default()
     }
 }
 
 #[test]
 fn one_seed_one_history() {
-    let drawn = History::drawn(3, small(), 12);
+    let drawn = small().with_drawn_faults(3, 12);
     assert_eq!(play(&drawn, 3), play(&drawn, 3));
     assert_ne!(play(&drawn, 3).rows, play(&drawn, 4).rows);
 }
@@ -26,7 +30,7 @@
 #[test]
 fn drawn_histories_break_nothing() {
     for seed in 100..116 {
-        let drawn = History::drawn(seed, small(), 16);
+        let drawn = small().with_drawn_faults(seed, 16);
         let found = play(&drawn, seed);
         assert!(
             found.breaches.is_empty(),
@@ -44,35 +48,42 @@
 
 #[test]
 fn each_part_plays_alone() {
-    let off = Parts::default();
-    let parts = [
+    let off = Features::default();
+    let feature_sets = [
         off,
-        Parts {
-            members: true,
+        Features {
+            membership: true,
             ..off
         },
-        Parts {
-            members: true,
-            shared: true,
+        Features {
+            membership: true,
+            quota: true,
             ..off
         },
-        Parts {
-            routes: true,
+        Features {
+            backends: true,
             ..off
         },
-        Parts { pools: true, ..off },
-        Parts::ALL,
+        Features {
+            concurrency: true,
+            ..off
+        },
+        Features::ALL,
     ];
-    for parts in parts {
+    for features in feature_sets {
         let found = play(
             &History {
-                parts,
+                features,
                 seconds: 15,
                 ..small()
             },
             9,
         );
-        assert!(found.breaches.is_empty(), "{parts}: {:?}", found.breaches);
+        assert!(
+            found.breaches.is_empty(),
+            "{features}: {:?}",
+            found.breaches
+        );
         let last = &found.rows[10..14];
         let (done, asked) = last.iter().fold((0, 0), |sum, r| {
             (
@@ -82,58 +93,82 @@
         });
         assert!(
             f64::from(done) > 0.97 * f64::from(asked),
-            "{parts}: {done} of {asked}"
+            "{features}: {done} of {asked}"
         );
     }
 }
 
-/// What breaks, and under which deeds it does.
-fn planted(plant: Plant) -> (&'static str, Vec<(u64, Deed)>) {
-    match plant {
-        Plant::Answers => ("one answer each", vec![]),
-        Plant::Runs => ("no effect twice", vec![]),
-        Plant::Terms => {
+fn backend_fault(index: usize, fault: BackendFault) -> Fault {
+    Fault::Backend {
+        backend: BackendId(index),
+        fault: Some(fault),
+    }
+}
+
+/// What breaks, and under which faults it does.
+fn planted(defect: Defect) -> (&'static str, Vec<ScheduledFault>) {
+    match defect {
+        Defect::LostAnswers => ("one answer each", vec![]),
+        Defect::RepeatedRuns => ("no effect twice", vec![]),
+        Defect::ShortLeaseTerms => {
             // Work at half of the servers, lent to by the others, whose own comes back in the middle of a cut.
             let load = |at, one: f64, other: f64| {
-                (0..6).map(move |s| (at, Deed::Load(s, if s % 2 == 0 { one } else { other })))
+                (0..6).map(move |s| {
+                    ScheduledFault::new(
+                        at,
+                        Fault::Load {
+                            server: ServerId(s),
+                            factor: if s % 2 == 0 { one } else { other },
+                        },
+                    )
+                })
             };
-            let mut deeds: Vec<(u64, Deed)> = (0..3)
-                .map(|b| (5_000, Deed::Backend(b, Some(Ill::Slow(30.0)))))
+            let mut faults: Vec<ScheduledFault> = (0..3)
+                .map(|b| {
+                    ScheduledFault::new(
+                        5_000,
+                        backend_fault(b, BackendFault::Slow { factor: 30.0 }),
+                    )
+                })
                 .collect();
-            deeds.extend(load(6_000, 5.0, 0.05));
-            deeds.push((12_000, Deed::Halves));
-            deeds.extend(load(12_000, 5.0, 5.0));
-            deeds.push((20_000, Deed::Heal));
-            ("a budget is never passed", deeds)
+            faults.extend(load(6_000, 5.0, 0.05));
+            faults.push(ScheduledFault::new(12_000, Fault::Halves));
+            faults.extend(load(12_000, 5.0, 5.0));
+            faults.push(ScheduledFault::new(20_000, Fault::Heal));
+            ("a budget is never passed", faults)
         }
-        Plant::Repeats => {
-            let deeds = (0..3)
-                .map(|b| (5_000, Deed::Backend(b, Some(Ill::Fails))))
+        Defect::UnboundedRetries => {
+            let faults = (0..3)
+                .map(|b| ScheduledFault::new(5_000, backend_fault(b, BackendFault::Failing)))
                 .collect();
-            ("repeats within a tenth", deeds)
+            ("repeats within a tenth", faults)
         }
-        Plant::Suspicion => ("settles", vec![(5_000, Deed::Kill(4))]),
+        Defect::EndlessSuspicion => (
+            "settles",
+            vec![ScheduledFault::new(5_000, Fault::Kill(ServerId(4)))],
+        ),
     }
 }
 
 #[test]
 fn known_faults_are_found_and_shrunk() {
-    for (name, plant) in PLANTS {
-        let (rule, deeds) = planted(plant);
-        let mut sound = History { deeds, ..small() };
-        if plant == Plant::Terms {
-            sound.whole = 12;
-            sound.parts = Parts {
-                members: true,
-                shared: true,
-                ..Parts::default()
+    for defect in Defect::ALL {
+        let name = defect.name();
+        let (rule, faults) = planted(defect);
+        let mut sound = History { faults, ..small() };
+        if defect == Defect::ShortLeaseTerms {
+            sound.quota = 12;
+            sound.features = Features {
+                membership: true,
+                quota: true,
+                ..Features::default()
             };
             sound.seconds = 21;
-        } else if plant == Plant::Repeats {
+        } else if defect == Defect::UnboundedRetries {
             // Limits that follow what lies below would let few calls go at all.
-            sound.parts = Parts {
-                routes: true,
-                ..Parts::default()
+            sound.features = Features {
+                backends: true,
+                ..Features::default()
             };
             sound.seconds = 20;
         }
@@ -144,7 +179,7 @@
             found.breaches
         );
         let ill = History {
-            plant: Some(plant),
+            defect: Some(defect),
             ..sound
         };
         let found = play(&ill, 1);
@@ -154,11 +189,11 @@
             found.breaches
         );
         let least = shrink(&ill, 1, rule);
-        assert!(least.deeds.len() <= ill.deeds.len());
+        assert!(least.faults.len() <= ill.faults.len());
         assert!(
             play(&least, 1).breaches.iter().any(|b| b.rule == rule),
             "{name} shrunk"
         );
-        assert_eq!(History::read("x", &least.to_string()), Ok(least));
+        assert_eq!(History::parse("x", &least.to_string()), Ok(least));
     }
 }
