--- /dev/null
+++ b/crates/simulation/src/clock.rs
@@ -0,0 +1,70 @@
+//! Simulated time: the fleet's true time, and the monotonic clock of each server, which is off and drifts.
+
+use madderbay::time::{Duration, Timestamp};
+use madderbay_server::support::clock::MonotonicClock;
+use oorandom::Rand64;
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// The wall-clock time at which every simulation starts, since the Unix epoch.
+const START_MS: u64 = 1_764_576_000_000;
+/// The greatest deviation of a server's clock rate from the true one.
+const MAX_DRIFT: f64 = 0.005;
+/// Servers' monotonic clocks start at up to this many seconds.
+const MAX_CLOCK_OFFSET_S: f64 = 1e4;
+/// Added when a server's time becomes true time, because timestamps are cut to whole microseconds.
+const ROUNDING_MARGIN: Duration = Duration::from_micros(2);
+
+/// The instant this many milliseconds after the start.
+pub(crate) fn instant_at_ms(ms: u64) -> Timestamp {
+    Timestamp::from_micros((START_MS + ms) * 1_000)
+}
+
+/// The start of every simulation.
+pub(crate) fn start() -> Timestamp {
+    instant_at_ms(0)
+}
+
+/// The wall-clock time in milliseconds since the Unix epoch.
+pub(crate) fn unix_ms(now: Timestamp) -> u64 {
+    (now - Timestamp::default()).as_micros() / 1_000
+}
+
+/// The monotonic clock of one machine. It runs on while the server on it is stopped or restarted.
+pub(crate) struct NodeClock {
+    reading: Rc<Cell<Timestamp>>,
+    offset: Duration,
+    rate: f64,
+}
+
+impl NodeClock {
+    /// Draws the offset and the rate of a clock.
+    pub(crate) fn draw(random: &mut Rand64) -> NodeClock {
+        let offset = Duration::from_secs_f64(random.rand_float() * MAX_CLOCK_OFFSET_S);
+        let rate = 1.0 + MAX_DRIFT * (2.0 * random.rand_float() - 1.0);
+        NodeClock {
+            reading: Rc::new(Cell::new(Timestamp::default())),
+            offset,
+            rate,
+        }
+    }
+
+    /// Sets the clock to what it shows at a true time, and returns that.
+    pub(crate) fn advance_to(&self, now: Timestamp) -> Timestamp {
+        let reading = Timestamp::default() + self.offset + (now - start()).mul_f64(self.rate);
+        self.reading.set(reading);
+        reading
+    }
+
+    /// The true time at which the clock surely shows `reading`.
+    pub(crate) fn true_time_of(&self, reading: Timestamp) -> Timestamp {
+        let elapsed = (reading - Timestamp::default()).saturating_sub(self.offset);
+        start() + elapsed.mul_f64(1.0 / self.rate) + ROUNDING_MARGIN
+    }
+
+    /// The clock as the program's own modules read it.
+    pub(crate) fn as_monotonic_clock(&self) -> MonotonicClock {
+        let reading = self.reading.clone();
+        Rc::new(move || reading.get())
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/event_queue.rs
@@ -0,0 +1,123 @@
+//! What happens when: the events of the whole fleet in one queue, in the order of their times. Events of one time
+//! happen in the order in which they were scheduled, so that the same seed gives the same simulation.
+
+use crate::fault::{BackendId, ServerId};
+use crate::upstream::UpstreamCall;
+use madderbay::time::Timestamp;
+use std::cmp::Ordering;
+use std::collections::BinaryHeap;
+use std::net::SocketAddr;
+
+/// One start of a server. Events for an earlier incarnation come to nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ServerIncarnation {
+    pub(crate) server: ServerId,
+    pub(crate) incarnation: u32,
+}
+
+/// Something that happens at one time.
+#[derive(Clone)]
+pub(crate) enum Event {
+    /// A client sends a request.
+    RequestDue(ServerIncarnation),
+    /// A timer of a server fires.
+    WakeUp(ServerIncarnation),
+    /// The engine tells its server something.
+    EngineNotice {
+        target: ServerIncarnation,
+        line: String,
+    },
+    /// A datagram arrives from another server.
+    Datagram {
+        server: ServerId,
+        sender: SocketAddr,
+        bytes: Vec<u8>,
+    },
+    /// A call arrives at a backend.
+    CallArrives {
+        backend: BackendId,
+        call: UpstreamCall,
+    },
+    /// The time that a backend works on a call is over.
+    CallCompletes { backend: BackendId, call_id: u64 },
+    /// The answer to a call arrives.
+    Reply {
+        target: ServerIncarnation,
+        connection: u64,
+        text: String,
+    },
+    /// A server learns that an upstream connection broke.
+    ConnectionLost {
+        target: ServerIncarnation,
+        connection: u64,
+    },
+    /// A client stops waiting for an answer.
+    AnswerDue {
+        target: ServerIncarnation,
+        request_id: u64,
+    },
+    /// The fault of this index in the history is injected.
+    FaultDue(usize),
+    /// A second is over.
+    SecondEnds,
+}
+
+struct ScheduledEvent {
+    due: Timestamp,
+    sequence: u64,
+    event: Event,
+}
+
+impl ScheduledEvent {
+    fn key(&self) -> (Timestamp, u64) {
+        (self.due, self.sequence)
+    }
+}
+
+/// The greatest is the one that is due first, as the heap wants it.
+impl Ord for ScheduledEvent {
+    fn cmp(&self, other: &ScheduledEvent) -> Ordering {
+        other.key().cmp(&self.key())
+    }
+}
+
+impl PartialOrd for ScheduledEvent {
+    fn partial_cmp(&self, other: &ScheduledEvent) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for ScheduledEvent {
+    fn eq(&self, other: &ScheduledEvent) -> bool {
+        self.key() == other.key()
+    }
+}
+
+impl Eq for ScheduledEvent {}
+
+/// Owns the events that are still to come.
+#[derive(Default)]
+pub(crate) struct EventQueue {
+    heap: BinaryHeap<ScheduledEvent>,
+    last_sequence: u64,
+}
+
+impl EventQueue {
+    /// Schedules an event. One that is due in the past happens next.
+    pub(crate) fn push(&mut self, due: Timestamp, event: Event) {
+        self.last_sequence += 1;
+        self.heap.push(ScheduledEvent {
+            due,
+            sequence: self.last_sequence,
+            event,
+        });
+    }
+
+    /// Takes out the next event and its time, unless it is due after `end`.
+    pub(crate) fn pop_until(&mut self, end: Timestamp) -> Option<(Timestamp, Event)> {
+        if self.heap.peek()?.due > end {
+            return None;
+        }
+        self.heap.pop().map(|next| (next.due, next.event))
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/invariants.rs
@@ -0,0 +1,214 @@
+//! What must hold in every simulation, whatever is injected, and the checks of it.
+
+use crate::clock;
+use crate::fault::ServerId;
+use crate::workload::Handler;
+use madderbay::time::{Duration, Timestamp};
+use serde::{Serialize, Serializer};
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// Violations beyond this number are not recorded.
+const MAX_VIOLATIONS: usize = 100;
+/// Within this time of the last fault all servers that run have to hold one view.
+const MAX_SETTLING: Duration = Duration::from_millis(14_000);
+/// Retries for each first attempt, together with those that are saved up at the start.
+const MAX_RETRY_RATIO: f64 = 0.12;
+/// With fewer first attempts than this the ratio of retries says nothing.
+const MIN_FIRST_ATTEMPTS: u64 = 500;
+/// Members that a view may hold beyond the servers that there are.
+const MAX_EXTRA_MEMBERS: usize = 1;
+
+/// A rule that no simulation may violate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Invariant {
+    /// Each request gets exactly one answer, in time, unless its server was stopped or killed.
+    OneAnswerEach,
+    /// A request with an idempotency key runs once, calls upstream once, and is not rejected after it began to run.
+    NoEffectTwice,
+    /// The fleet never has more upstream calls in flight than its quota.
+    QuotaNeverExceeded,
+    /// Retries stay within a tenth of first attempts.
+    BoundedRetries,
+    /// Some time after the last fault, all servers that run hold one view.
+    ViewsSettle,
+    /// A server never holds more members than there are servers, with one to spare.
+    BoundedMemberTables,
+}
+
+impl Invariant {
+    /// All of them.
+    pub const ALL: [Invariant; 6] = [
+        Invariant::OneAnswerEach,
+        Invariant::NoEffectTwice,
+        Invariant::QuotaNeverExceeded,
+        Invariant::BoundedRetries,
+        Invariant::ViewsSettle,
+        Invariant::BoundedMemberTables,
+    ];
+
+    /// The rule, as reports print it.
+    pub fn rule(self) -> &'static str {
+        match self {
+            Invariant::OneAnswerEach => "one answer each",
+            Invariant::NoEffectTwice => "no effect twice",
+            Invariant::QuotaNeverExceeded => "a budget is never passed",
+            Invariant::BoundedRetries => "repeats within a tenth",
+            Invariant::ViewsSettle => "settles",
+            Invariant::BoundedMemberTables => "tables are bounded",
+        }
+    }
+}
+
+impl fmt::Display for Invariant {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(self.rule())
+    }
+}
+
+impl Serialize for Invariant {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(self.rule())
+    }
+}
+
+/// An invariant that did not hold.
+#[derive(Clone, Debug, Serialize, PartialEq)]
+pub struct Violation {
+    /// Milliseconds since the start.
+    pub at_ms: u64,
+    /// What did not hold.
+    #[serde(rename = "rule")]
+    pub invariant: Invariant,
+    /// Where and how, in one line.
+    #[serde(rename = "what")]
+    pub detail: String,
+}
+
+/// Owns the violations that were found, and the counts over the whole fleet that the checks need.
+#[derive(Default)]
+pub(crate) struct InvariantChecker {
+    violations: Vec<Violation>,
+    engine_runs: BTreeMap<String, u32>,
+    first_attempts: u64,
+    retries: u64,
+}
+
+impl InvariantChecker {
+    fn record(&mut self, now: Timestamp, invariant: Invariant, detail: String) {
+        if self.violations.len() < MAX_VIOLATIONS {
+            self.violations.push(Violation {
+                at_ms: (now - clock::start()).as_micros() / 1_000,
+                invariant,
+                detail,
+            });
+        }
+    }
+
+    /// An answer arrived that no client waits for.
+    pub(crate) fn unexpected_answer(&mut self, now: Timestamp, server: ServerId, line: &str) {
+        let detail = format!("{server}: an answer to nothing, or a second one: {line}");
+        self.record(now, Invariant::OneAnswerEach, detail);
+    }
+
+    /// A client waited in vain.
+    pub(crate) fn missing_answer(
+        &mut self,
+        now: Timestamp,
+        server: ServerId,
+        handler: Handler,
+        reference: &str,
+    ) {
+        let handler = handler.name();
+        let detail = format!("{server}: {handler} {reference} got no answer");
+        self.record(now, Invariant::OneAnswerEach, detail);
+    }
+
+    /// A request with an idempotency key was rejected after it began to run.
+    pub(crate) fn rejected_after_start(
+        &mut self,
+        now: Timestamp,
+        server: ServerId,
+        reference: &str,
+    ) {
+        let detail = format!("{server}: {reference} was shed although it ran");
+        self.record(now, Invariant::NoEffectTwice, detail);
+    }
+
+    /// An engine starts so many runs of a request.
+    pub(crate) fn count_engine_runs(
+        &mut self,
+        now: Timestamp,
+        server: ServerId,
+        handler: Handler,
+        reference: &str,
+        runs: u32,
+    ) {
+        let total = self.engine_runs.entry(reference.into()).or_default();
+        *total += runs;
+        if *total > 1 && handler.has_idempotency_key() {
+            let detail = format!("{server}: {reference} ran twice");
+            self.record(now, Invariant::NoEffectTwice, detail);
+        }
+    }
+
+    /// The fleet has so many upstream calls in flight.
+    pub(crate) fn check_quota(&mut self, now: Timestamp, calls_in_flight: u32, quota: u32) {
+        if calls_in_flight > quota {
+            let detail = format!("{calls_in_flight} calls in hand below, of {quota}");
+            self.record(now, Invariant::QuotaNeverExceeded, detail);
+        }
+    }
+
+    /// A server's view holds so many members.
+    pub(crate) fn check_member_table(
+        &mut self,
+        now: Timestamp,
+        server: ServerId,
+        members: usize,
+        servers: usize,
+    ) {
+        if members > servers + MAX_EXTRA_MEMBERS {
+            let detail = format!("{server} holds {members} members");
+            self.record(now, Invariant::BoundedMemberTables, detail);
+        }
+    }
+
+    /// At the end the views still differ, this long after the last fault.
+    pub(crate) fn check_unsettled(&mut self, now: Timestamp, since_last_fault: Duration) {
+        if since_last_fault > MAX_SETTLING {
+            let seconds = since_last_fault.as_secs_f64();
+            let detail = format!("views differ {seconds:.1} s after the last deed");
+            self.record(now, Invariant::ViewsSettle, detail);
+        }
+    }
+
+    /// How often each request with an idempotency key was called, at all backends together.
+    pub(crate) fn check_keyed_calls(&mut self, now: Timestamp, calls: &BTreeMap<&str, u32>) {
+        for (reference, count) in calls.iter().filter(|(_, count)| **count > 1) {
+            let detail = format!("{reference} called {count} times");
+            self.record(now, Invariant::NoEffectTwice, detail);
+        }
+    }
+
+    /// Adds the attempts of one incarnation of a server.
+    pub(crate) fn count_attempts(&mut self, first_attempts: u64, retries: u64) {
+        self.first_attempts += first_attempts;
+        self.retries += retries;
+    }
+
+    /// Checks the retries of the whole simulation, and returns the calls for each first attempt.
+    pub(crate) fn check_retries(&mut self, now: Timestamp) -> f64 {
+        let ratio = 1.0 + self.retries as f64 / self.first_attempts.max(1) as f64;
+        if ratio > 1.0 + MAX_RETRY_RATIO && self.first_attempts > MIN_FIRST_ATTEMPTS {
+            let detail = format!("{ratio:.3} calls for each first try");
+            self.record(now, Invariant::BoundedRetries, detail);
+        }
+        ratio
+    }
+
+    /// Ends the checks.
+    pub(crate) fn into_violations(self) -> Vec<Violation> {
+        self.violations
+    }
+}
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -1,42 +1,54 @@
-//! The project's laboratory: a whole fleet, the program's own modules, in simulated time and under every mix of
-//! faults, all from one seed. Servers, engines, balancers, backends and networks are simulated.
+//! The simulation of a whole fleet: the program's own modules in simulated time and under every mix of faults, all from
+//! one seed. Clients, engines, backends and networks are simulated.
+//!
+//! A [`History`] says what is done to the fleet. [`simulate`] plays it and gives a [`SimulationReport`] with each
+//! [`Invariant`] that was violated. [`shrink()`] makes a history that violates one as short as it gets.
+//!
+//! | part | files |
+//! | --- | --- |
+//! | what is simulated | `history`, `fault`, `features`, `mixes` |
+//! | the fleet | `simulation`, `node`, `network`, `upstream`, `workload` |
+//! | time and order | `clock`, `event_queue` |
+//! | what is found | `invariants`, `report`, `shrink`, `table` |
+//!
+//! ```
+//! use madderbay_simulation::{History, simulate};
+//! let history = History::parse("history.txt", "servers 3\nseconds 2\nrate 5\n@500 stop n2\n@900 continue n2\n")?;
+//! let report = simulate(&history, 7);
+//! assert_eq!(report.violations, []);
+//! assert_eq!(report.rows.len(), 2);
+//! # Ok::<(), madderbay_simulation::HistoryError>(())
+//! ```
 
-pub mod below;
-pub mod fault;
-pub mod features;
-pub mod history;
-pub mod mixes;
-pub mod table;
-pub mod world;
+mod clock;
+mod event_queue;
+mod fault;
+mod features;
+mod history;
+mod invariants;
+mod mixes;
+mod network;
+mod node;
+mod report;
+mod shrink;
+mod simulation;
+mod table;
+mod upstream;
+mod workload;
 
-use history::History;
-use world::{Found, World};
+pub use fault::{BackendFault, BackendId, DatagramFaults, Defect, Fault, ScheduledFault, ServerId};
+pub use features::Features;
+pub use history::{History, HistoryError, LineError};
+pub use invariants::{Invariant, Violation};
+pub use mixes::{FaultMix, FleetSize};
+pub use report::{BackendTransition, SecondRow, SimulationReport};
+pub use shrink::shrink;
+pub use table::fault_mix_table;
+pub use workload::Handler;
 
-/// Plays a history to its end.
-pub fn play(history: &History, seed: u64) -> Found {
-    World::new(history.clone(), seed).play()
-}
+use simulation::Simulation;
 
-/// The fewest faults of a history under which a rule is still broken the same way: halves are left out, then
-/// quarters, down to single ones.
-pub fn shrink(history: &History, seed: u64, rule: &str) -> History {
-    let breaks = |h: &History| play(h, seed).breaches.iter().any(|b| b.rule == rule);
-    let mut small = history.clone();
-    let mut size = small.faults.len().div_ceil(2);
-    while size > 0 {
-        let mut from = 0;
-        while from < small.faults.len() {
-            let mut fewer = small.clone();
-            fewer
-                .faults
-                .drain(from..(from + size).min(small.faults.len()));
-            if breaks(&fewer) {
-                small = fewer;
-            } else {
-                from += size;
-            }
-        }
-        size = if size == 1 { 0 } else { size.div_ceil(2) };
-    }
-    small
+/// Plays a history to its end. The same history and seed give the same report.
+pub fn simulate(history: &History, seed: u64) -> SimulationReport {
+    Simulation::new(history.clone(), seed).run()
 }
--- a/crates/simulation/src/main.rs
+++ b/crates/simulation/src/main.rs
@@ -1,15 +1,13 @@
 //! `madderbay-simulation`: plays, searches, shrinks, compares and reports histories of a simulated fleet.
 
 use clap::{Args, Parser, Subcommand};
-use madderbay_simulation::history::History;
-use madderbay_simulation::world::{Found, HANDLERS};
-use madderbay_simulation::{play, shrink};
+use madderbay_simulation::{Handler, History, SimulationReport, fault_mix_table, shrink, simulate};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-mod report;
+mod report_folder;
 
 /// A whole fleet in simulated time, from one seed.
 #[derive(Parser)]
@@ -132,16 +130,16 @@
 }
 
 /// The figures of a play, a line each.
-fn told(found: &Found) -> Result<String, String> {
+fn told(found: &SimulationReport) -> Result<String, String> {
     let rows = found.rows.iter().map(serde_json::to_string);
     let lines: Result<Vec<String>, _> = rows
-        .chain(found.breaches.iter().map(serde_json::to_string))
+        .chain(found.violations.iter().map(serde_json::to_string))
         .collect();
     let mut lines = lines.map_err(|e| e.to_string())?;
     lines.push(
         serde_json::json!({
-            "settles": found.settles, "unison": found.unison, "load_below": found.load_below,
-            "broken": found.breaches.len(),
+            "settles": found.settling_s, "unison": found.simultaneous_transitions, "load_below": found.calls_per_first_attempt,
+            "broken": found.violations.len(),
         })
         .to_string(),
     );
@@ -162,15 +160,19 @@
                         return;
                     }
                     let Ok(history) = of.draw(seed) else { return };
-                    let found = play(&history, seed);
-                    let kept = report::kept(&found).iter().sum::<f64>();
+                    let found = simulate(&history, seed);
+                    let kept = found.fractions_in_time().iter().sum::<f64>();
                     let mut worst = worst.lock().expect("a figure");
                     if kept < worst.0 {
                         *worst = (kept, seed);
                     }
-                    if let Some(b) = found.breaches.first() {
-                        let what =
-                            format!("{}: {} ({} in all)", b.rule, b.what, found.breaches.len());
+                    if let Some(b) = found.violations.first() {
+                        let what = format!(
+                            "{}: {} ({} in all)",
+                            b.invariant,
+                            b.detail,
+                            found.violations.len()
+                        );
                         broken.lock().expect("a list").push((seed, what));
                     }
                 }
@@ -216,7 +218,7 @@
     };
     let (x, y) = (sums(&a), sums(&b));
     println!("{:<24} {:>12} {:>12}", "", one.display(), other.display());
-    for (h, handler) in HANDLERS.iter().enumerate() {
+    for (h, handler) in Handler::ALL.map(Handler::name).iter().enumerate() {
         let part = |s: &[f64; 8]| s[h] / s[3 + h].max(1.0);
         println!(
             "{:<24} {:>12.4} {:>12.4}",
@@ -241,9 +243,9 @@
 fn order(order: Order) -> Result<bool, String> {
     match order {
         Order::Run { file, seed } => {
-            let found = play(&history(&file)?, seed);
+            let found = simulate(&history(&file)?, seed);
             println!("{}", told(&found)?);
-            Ok(found.breaches.is_empty())
+            Ok(found.violations.is_empty())
         }
         Order::Draw { seed, of } => {
             print!("{}", of.draw(seed)?);
@@ -258,7 +260,11 @@
         } => search(count, seed, &to, beside, &of),
         Order::Shrink { file, seed } => {
             let history = history(&file)?;
-            let Some(rule) = play(&history, seed).breaches.first().map(|b| b.rule) else {
+            let Some(rule) = simulate(&history, seed)
+                .violations
+                .first()
+                .map(|b| b.invariant)
+            else {
                 return Err(format!(
                     "{}: breaks nothing under seed {seed}",
                     file.display()
@@ -275,17 +281,14 @@
             if servers < 4 {
                 return Err("at least four servers are wanted".into());
             }
-            println!(
-                "{}",
-                madderbay_simulation::table::table(servers, beside, &only)
-            );
+            println!("{}", fault_mix_table(servers, beside, &only));
             Ok(true)
         }
         Order::Compare { one, other } => compare(&one, &other),
         Order::Report { file, seed, to } => {
             let history = history(&file)?;
-            let found = play(&history, seed);
-            report::write(&to, &history, seed, &found, &told(&found)?)?;
+            let found = simulate(&history, seed);
+            report_folder::write(&to, &history, seed, &found, &told(&found)?)?;
             println!("{}", to.display());
             Ok(true)
         }
--- a/crates/simulation/src/report.rs
+++ b/crates/simulation/src/report.rs
@@ -1,166 +1,107 @@
-//! What a play did, for who never saw the code: a page of text, the rows, and plots over time.
+//! What a simulation found: figures by second, violated invariants, and figures of the whole.
+//!
+//! The JSON names of the fields are part of the program's output, and other than the names here.
 
-use madderbay_simulation::history::History;
-use madderbay_simulation::world::{Found, HANDLERS, Row};
-use plotters::prelude::*;
-use std::fmt::Write;
-use std::path::Path;
+use crate::invariants::Violation;
+use crate::workload::Handler;
+use serde::{Serialize, Serializer};
+use std::collections::BTreeMap;
 
-/// The part of each handler's reqs that was kept.
-pub fn kept(found: &Found) -> [f64; 3] {
-    std::array::from_fn(|h| {
-        let sum =
-            |of: fn(&Row) -> [u32; 3]| f64::from(found.rows.iter().map(|r| of(r)[h]).sum::<u32>());
-        sum(|r| r.kept) / sum(|r| r.asked).max(1.0)
-    })
+/// One second of a simulation. Counts by handler are in the order of [`Handler::ALL`].
+#[derive(Clone, Debug, Default, Serialize, PartialEq)]
+pub struct SecondRow {
+    /// The second, counted from 1.
+    pub second: u64,
+    /// Requests that were sent, by handler.
+    #[serde(rename = "asked")]
+    pub requests: [u32; Handler::COUNT],
+    /// Requests that were answered within their latency objective, by handler.
+    #[serde(rename = "kept")]
+    pub answered_in_time: [u32; Handler::COUNT],
+    /// Requests that were rejected.
+    #[serde(rename = "shed")]
+    pub rejected: u32,
+    /// Requests that failed.
+    #[serde(rename = "errored")]
+    pub failed: u32,
+    /// The most upstream calls of the fleet that were in flight at a time.
+    #[serde(rename = "peak")]
+    pub peak_calls_in_flight: u32,
+    /// Upstream calls that were sent.
+    #[serde(rename = "calls")]
+    pub upstream_calls: u32,
+    /// Servers that run at the end of the second.
+    #[serde(rename = "running")]
+    pub running_servers: u32,
+    /// Servers among them whose view of the fleet is not the most frequent one.
+    #[serde(rename = "apart")]
+    pub divergent_views: u32,
+    /// Backends that are ejected, summed over the servers.
+    #[serde(rename = "left_out")]
+    pub ejected_backends: u32,
+    /// Bytes of datagrams that the servers sent.
+    #[serde(rename = "bytes")]
+    pub datagram_bytes: u64,
 }
 
-type Curve<'a> = (&'a str, Vec<(f64, f64)>);
+/// A change of a server's judgement on a backend, of which many at one time may do harm.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum BackendTransition {
+    /// A backend gets no calls any more.
+    Ejected,
+    /// A backend gets calls again.
+    Readmitted,
+}
 
-fn plot(path: &Path, title: &str, seconds: f64, curves: &[Curve]) -> Result<(), String> {
-    let most = curves
-        .iter()
-        .flat_map(|c| &c.1)
-        .map(|p| p.1)
-        .fold(1.0, f64::max)
-        * 1.05;
-    let told = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
-    let area = SVGBackend::new(path, (800, 320)).into_drawing_area();
-    area.fill(&WHITE).map_err(|e| told(&e))?;
-    let mut chart = ChartBuilder::on(&area)
-        .caption(title, ("sans-serif", 16))
-        .margin(8)
-        .x_label_area_size(28)
-        .y_label_area_size(44)
-        .build_cartesian_2d(0.0..seconds, 0.0..most)
-        .map_err(|e| told(&e))?;
-    chart
-        .configure_mesh()
-        .x_desc("seconds")
-        .draw()
-        .map_err(|e| told(&e))?;
-    for (i, (name, points)) in curves.iter().enumerate() {
-        let colour = Palette99::pick(i).to_rgba();
-        chart
-            .draw_series(LineSeries::new(
-                points.iter().copied(),
-                colour.stroke_width(2),
-            ))
-            .map_err(|e| told(&e))?
-            .label(*name)
-            .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 16, y)], colour));
+impl BackendTransition {
+    /// What a server does then, as reports say it.
+    pub fn description(self) -> &'static str {
+        match self {
+            BackendTransition::Ejected => "leave a backend out",
+            BackendTransition::Readmitted => "let one in again",
+        }
     }
-    chart
-        .configure_series_labels()
-        .border_style(BLACK)
-        .draw()
-        .map_err(|e| told(&e))?;
-    area.present().map_err(|e| told(&e))
 }
 
-/// Writes the folder: `report.txt`, `history.txt`, `rows.jsonl` and four plots.
-pub fn write(
-    to: &Path,
-    history: &History,
-    seed: u64,
-    found: &Found,
-    rows: &str,
-) -> Result<(), String> {
-    std::fs::create_dir_all(to).map_err(|e| format!("{}: {e}", to.display()))?;
-    let put = |name: &str, text: &str| {
-        let path = to.join(name);
-        std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))
-    };
-    let mut text = format!(
-        "{} servers, {} backends, {} s, seed {seed}; on: {}\n\n",
-        history.servers, history.backends, history.seconds, history.features
-    );
-    for (handler, part) in HANDLERS.iter().zip(kept(found)) {
-        let _ = writeln!(
-            text,
-            "{handler:<8} {:.1} of 100 reqs done in time",
-            part * 100.0
-        );
+impl Serialize for BackendTransition {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(self.description())
     }
-    let peak = found.rows.iter().map(|r| r.peak).max().unwrap_or(0);
-    let _ = writeln!(
-        text,
-        "\nmost calls in hand below: {peak} of {}",
-        history.quota
-    );
-    let settles = found
-        .settles
-        .map_or("never".into(), |s| format!("{s:.1} s after the last deed"));
-    let _ = writeln!(
-        text,
-        "all that run hold one view, nobody is doubted: {settles}"
-    );
-    for (what, n) in &found.unison {
-        let _ = writeln!(
-            text,
-            "most servers that {what} within a tenth of a second: {n}"
-        );
+}
+
+/// All that a simulation found. The same history and seed give the same report.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SimulationReport {
+    /// What was violated, in the order of time; no more than a hundred.
+    pub violations: Vec<Violation>,
+    /// The seconds that were completed, in order.
+    pub rows: Vec<SecondRow>,
+    /// Seconds from the last fault until all servers that run hold one view and suspect nobody; none if they never do.
+    pub settling_s: Option<f64>,
+    /// The most transitions of one kind within a tenth of a second, over all servers.
+    pub simultaneous_transitions: BTreeMap<BackendTransition, u32>,
+    /// Upstream calls for each first attempt.
+    pub calls_per_first_attempt: f64,
+}
+
+impl SimulationReport {
+    /// The fraction of each handler's requests that were answered in time.
+    pub fn fractions_in_time(&self) -> [f64; Handler::COUNT] {
+        fractions_in_time(&self.rows)
     }
-    let _ = writeln!(text, "\nrules broken: {}", found.breaches.len());
-    for b in &found.breaches {
-        let _ = writeln!(
-            text,
-            "{:8.3} s {}: {}",
-            b.at_ms as f64 / 1e3,
-            b.rule,
-            b.what
-        );
+
+    /// The most upstream calls that were in flight at a time.
+    pub fn peak_calls_in_flight(&self) -> u32 {
+        let peaks = self.rows.iter().map(|row| row.peak_calls_in_flight);
+        peaks.max().unwrap_or(0)
     }
-    put("report.txt", &text)?;
-    put("history.txt", &history.to_string())?;
-    put("rows.jsonl", rows)?;
-    let curve = |of: &dyn Fn(&Row) -> f64| {
-        found
-            .rows
-            .iter()
-            .map(|r| (r.second as f64, of(r)))
-            .collect()
-    };
-    let seconds = history.seconds as f64;
-    let by: Vec<Curve> = HANDLERS
-        .iter()
-        .enumerate()
-        .map(|(h, name)| {
-            (
-                *name,
-                curve(&|r| f64::from(r.kept[h]) / f64::from(r.asked[h].max(1))),
-            )
-        })
-        .collect();
-    plot(
-        &to.join("kept.svg"),
-        "part of reqs done in time",
-        seconds,
-        &by,
-    )?;
-    let whole = found
-        .rows
-        .iter()
-        .map(|r| (r.second as f64, f64::from(history.quota)))
-        .collect();
-    let below = [
-        ("most in hand", curve(&|r| f64::from(r.peak))),
-        ("budget", whole),
-    ];
-    plot(
-        &to.join("below.svg"),
-        "calls in hand below",
-        seconds,
-        &below,
-    )?;
-    let views = [
-        ("running", curve(&|r| f64::from(r.running))),
-        ("with another view", curve(&|r| f64::from(r.apart))),
-    ];
-    plot(&to.join("views.svg"), "servers", seconds, &views)?;
-    let out = [(
-        "left out, over all servers",
-        curve(&|r| f64::from(r.left_out)),
-    )];
-    plot(&to.join("backends.svg"), "backends left out", seconds, &out)
+}
+
+/// The fraction of each handler's requests in these rows that were answered in time.
+pub(crate) fn fractions_in_time(rows: &[SecondRow]) -> [f64; Handler::COUNT] {
+    std::array::from_fn(|handler| {
+        let answered: u32 = rows.iter().map(|row| row.answered_in_time[handler]).sum();
+        let requests: u32 = rows.iter().map(|row| row.requests[handler]).sum();
+        f64::from(answered) / f64::from(requests).max(1.0)
+    })
 }
--- /dev/null
+++ b/crates/simulation/src/simulation/requests.rs
@@ -0,0 +1,168 @@
+//! The clients: they send requests at random times, and check that each gets its answer.
+
+use super::Simulation;
+use crate::clock;
+use crate::event_queue::{Event, ServerIncarnation};
+use crate::fault::{Defect, Fault, ScheduledFault, ServerId};
+use crate::node::{Answer, ExpectedAnswer, PendingRequest};
+use crate::workload::{CLIENT_TIMEOUT, ClientRequest, Handler};
+use madderbay::time::{Duration, Timestamp};
+
+/// An answer may come this much after its deadline before it counts as missing.
+const ANSWER_SLACK: Duration = Duration::from_millis(50);
+/// A request whose end is noticed later than this was held up with its server, and proves nothing.
+const DEADLINE_TOLERANCE: Duration = Duration::from_millis(5);
+/// The least rate at which clients send to a server.
+const MIN_REQUESTS_PER_SECOND: f64 = 0.05;
+/// The error code of a rejected request.
+const REJECTED: i64 = -32002;
+/// Each answer whose number is a multiple of this is lost under [`Defect::LostAnswers`].
+const LOST_ANSWER_INTERVAL: u64 = 200;
+
+impl Simulation {
+    /// Schedules the next request to a server.
+    pub(super) fn schedule_request(&mut self, server: ServerId) {
+        let load = self.node(server).load();
+        let rate = (self.history.requests_per_second * load).max(MIN_REQUESTS_PER_SECOND);
+        let interval_s = -(1.0 - self.random.rand_float()).ln() / rate;
+        let due = self.now + Duration::from_secs_f64(interval_s);
+        let target = self.node(server).incarnation();
+        self.queue.push(due, Event::RequestDue(target));
+    }
+
+    /// A client sends a request, unless the server is stopped, and the next one is scheduled.
+    pub(super) fn send_request(&mut self, target: ServerIncarnation) {
+        if !self.node(target.server).runs(target) {
+            return;
+        }
+        self.schedule_request(target.server);
+        if !self.node(target.server).is_stopped() {
+            self.send_drawn_request(target);
+        }
+    }
+
+    fn send_drawn_request(&mut self, target: ServerIncarnation) {
+        let now = self.now;
+        let handler = Handler::draw(&mut self.random);
+        let reference = format!("{:016x}", self.random.rand_u64());
+        let process = self.nodes[target.server.0].process_mut();
+        let id = process.requests_mut().next_id();
+        if process.requests().is_full() {
+            return;
+        }
+        let request = ClientRequest {
+            id,
+            handler,
+            reference: &reference,
+            sent_unix_ms: clock::unix_ms(now),
+        };
+        let line = request.to_line();
+        let pending = PendingRequest {
+            handler,
+            reference,
+            sent_at: now,
+            is_started: false,
+        };
+        process.requests_mut().insert(id, pending);
+        process.receive_request(now, &line);
+        self.row.requests[handler.index()] += 1;
+        self.queue.push(
+            now + CLIENT_TIMEOUT + ANSWER_SLACK,
+            Event::AnswerDue {
+                target,
+                request_id: id,
+            },
+        );
+        self.run_turn(target.server);
+    }
+
+    /// The time for an answer is over.
+    pub(super) fn answer_due(&mut self, target: ServerIncarnation, request_id: u64) {
+        let server = target.server;
+        if !self.node(server).runs(target) {
+            return;
+        }
+        let process = self.node_mut(server).process_mut();
+        let Some(request) = process.requests_mut().expire(request_id) else {
+            return;
+        };
+        // A server that was stopped meanwhile answers late, and its clients know why.
+        let is_noticed_in_time =
+            self.now - request.sent_at <= CLIENT_TIMEOUT + ANSWER_SLACK + DEADLINE_TOLERANCE;
+        let is_excused =
+            self.node(server).is_stopped() || self.was_stopped_since(server, request.sent_at);
+        if is_noticed_in_time && !is_excused {
+            let (handler, reference) = (request.handler, &request.reference);
+            self.checker
+                .missing_answer(self.now, server, handler, reference);
+        }
+    }
+
+    /// Whether a server was stopped at some time since.
+    fn was_stopped_since(&self, server: ServerId, since: Timestamp) -> bool {
+        let is_of_server = |scheduled: &&ScheduledFault| matches!(scheduled.fault, Fault::Stop(other) | Fault::Continue(other) if other == server);
+        let mut is_stopped = false;
+        for scheduled in self.history.faults.iter().filter(is_of_server) {
+            let injected_at = clock::instant_at_ms(scheduled.at_ms);
+            if injected_at > self.now {
+                continue;
+            }
+            is_stopped = matches!(scheduled.fault, Fault::Stop(_));
+            if injected_at >= since {
+                return true;
+            }
+        }
+        is_stopped
+    }
+
+    /// The clients read what a server answered.
+    pub(super) fn receive_answers(&mut self, server: ServerId) {
+        let answers = self.node_mut(server).process_mut().take_answers();
+        for line in answers.lines() {
+            let Some(answer) = Answer::parse(line) else {
+                continue;
+            };
+            let is_lost = self.history.defect == Some(Defect::LostAnswers)
+                && answer.id.is_multiple_of(LOST_ANSWER_INTERVAL);
+            if !is_lost {
+                self.receive_answer(server, &answer, line);
+            }
+        }
+    }
+
+    fn receive_answer(&mut self, server: ServerId, answer: &Answer, line: &str) {
+        let process = self.node_mut(server).process_mut();
+        match process.requests_mut().take_answered(answer.id) {
+            ExpectedAnswer::To(request) => self.count_answer(server, &request, answer.error_code),
+            ExpectedAnswer::Unexpected => {
+                self.checker.unexpected_answer(self.now, server, line);
+            }
+            ExpectedAnswer::Late => {}
+        }
+    }
+
+    fn count_answer(
+        &mut self,
+        server: ServerId,
+        request: &PendingRequest,
+        error_code: Option<i64>,
+    ) {
+        let handler = request.handler;
+        match error_code {
+            None => {
+                let objective = self.settings.handlers[handler.index()].latency_objective;
+                if self.now - request.sent_at <= objective {
+                    self.row.answered_in_time[handler.index()] += 1;
+                }
+            }
+            Some(REJECTED) => {
+                self.row.rejected += 1;
+                if request.is_started && handler.has_idempotency_key() {
+                    self.checker
+                        .rejected_after_start(self.now, server, &request.reference);
+                }
+            }
+            Some(_) => self.row.failed += 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/simulation/sampling.rs
@@ -0,0 +1,75 @@
+//! The end of each second: what the servers believe then is counted and checked.
+
+use super::{ROW_INTERVAL, Simulation};
+use crate::event_queue::Event;
+use crate::fault::ServerId;
+use crate::node::Process;
+use madderbay_membership::MemberState;
+use madderbay_upstream::State;
+use std::collections::BTreeMap;
+
+/// The views of the fleet that the servers hold.
+#[derive(Default)]
+struct ViewSample {
+    /// How many servers hold each view, by its digest.
+    servers_by_digest: BTreeMap<u64, u32>,
+    suspected_members: usize,
+}
+
+impl ViewSample {
+    /// Servers whose view is not the most frequent one.
+    fn divergent_views(&self) -> u32 {
+        let counts = self.servers_by_digest.values();
+        let most = counts.clone().max().copied().unwrap_or(0);
+        counts.sum::<u32>() - most
+    }
+
+    fn is_settled(&self) -> bool {
+        self.servers_by_digest.len() <= 1 && self.suspected_members == 0
+    }
+}
+
+impl Simulation {
+    /// A second is over: its row is complete, and the next begins.
+    pub(super) fn end_second(&mut self) {
+        let mut views = ViewSample::default();
+        for index in 0..self.nodes.len() {
+            if self.nodes[index].is_up() {
+                self.row.running_servers += 1;
+                self.sample_view(ServerId(index), &mut views);
+                self.row.ejected_backends += ejected_backends(self.nodes[index].process());
+            }
+        }
+        self.row.divergent_views = views.divergent_views();
+        self.settling.observe(self.now, views.is_settled());
+        self.row.second = self.rows.len() as u64 + 1;
+        let row = std::mem::take(&mut self.row);
+        self.rows.push(row);
+        self.queue.push(self.now + ROW_INTERVAL, Event::SecondEnds);
+    }
+
+    fn sample_view(&mut self, server: ServerId, views: &mut ViewSample) {
+        let Some(fleet) = self.nodes[server.0].process().fleet() else {
+            return;
+        };
+        let fleet = fleet.borrow();
+        let digest = fleet.members.digest();
+        *views.servers_by_digest.entry(digest).or_default() += 1;
+        let members = fleet.members.view().members;
+        views.suspected_members += members
+            .iter()
+            .filter(|member| matches!(member.state, MemberState::Suspect))
+            .count();
+        self.checker
+            .check_member_table(self.now, server, members.len(), self.history.servers);
+    }
+}
+
+fn ejected_backends(process: &Process) -> u32 {
+    let Some(backends) = process.backends() else {
+        return 0;
+    };
+    let manager = backends.routes.borrow();
+    let is_ejected = |state: &State| matches!(state, State::Ejected | State::Probing);
+    manager.backend_states().filter(is_ejected).count() as u32
+}
--- /dev/null
+++ b/crates/simulation/src/simulation/turn.rs
@@ -0,0 +1,103 @@
+//! One turn of a server: what arrived is handed to it, it settles that, and what it sends is carried on.
+
+use super::Simulation;
+use crate::event_queue::{Event, ServerIncarnation};
+use crate::fault::ServerId;
+use crate::network::{self, LOCAL_DELAY};
+use crate::report::BackendTransition;
+use madderbay_upstream::{BackendEvent, State};
+use std::net::SocketAddr;
+
+impl Simulation {
+    /// A timer of a server fires.
+    pub(super) fn wake_up(&mut self, target: ServerIncarnation) {
+        let now = self.now;
+        if self.node_mut(target.server).take_wake_up(target, now) {
+            self.run_turn(target.server);
+        }
+    }
+
+    /// A line of the engine reaches its server.
+    pub(super) fn receive_notice(&mut self, target: ServerIncarnation, line: &str) {
+        let now = self.now;
+        let process = self.node_mut(target.server).process_mut();
+        process.receive_notice(now, line);
+        self.run_turn(target.server);
+    }
+
+    /// A datagram reaches a server.
+    pub(super) fn receive_datagram(&mut self, server: ServerId, sender: SocketAddr, bytes: &[u8]) {
+        let now = self.now;
+        self.node_mut(server).receive_datagram(now, sender, bytes);
+        self.run_turn(server);
+    }
+
+    /// A server settles what came, what it sends is carried on, and its next wake-up is scheduled.
+    pub(super) fn run_turn(&mut self, server: ServerId) {
+        let now = self.now;
+        let target = self.node(server).incarnation();
+        for line in self.node_mut(server).run_turn(now) {
+            self.send_notice(target, line);
+        }
+        self.carry_output(server);
+        if let Some(due) = self.node_mut(server).schedule_wake_up(now) {
+            self.queue.push(due, Event::WakeUp(target));
+        }
+    }
+
+    /// Schedules a line of the engine for its server.
+    pub(super) fn send_notice(&mut self, target: ServerIncarnation, line: String) {
+        let due = self.now + LOCAL_DELAY;
+        self.queue.push(due, Event::EngineNotice { target, line });
+    }
+
+    fn carry_output(&mut self, server: ServerId) {
+        let process = self.node_mut(server).process_mut();
+        process.open_wanted_connections();
+        self.receive_answers(server);
+        self.execute_engine_commands(server);
+        for connection in self.node(server).process().connections() {
+            self.carry_calls(server, connection);
+        }
+        self.carry_datagrams(server);
+        self.record_transitions(server);
+    }
+
+    fn carry_datagrams(&mut self, server: ServerId) {
+        let sender = network::server_address(server);
+        let datagrams = self.node_mut(server).process_mut().take_datagrams();
+        for (address, datagram) in datagrams {
+            self.row.datagram_bytes += datagram.len() as u64;
+            let Some(receiver) = self.network.server_at(address) else {
+                continue;
+            };
+            for (delay, bytes) in self.network.carry(server, receiver, &datagram) {
+                let arrival = Event::Datagram {
+                    server: receiver,
+                    sender,
+                    bytes,
+                };
+                self.queue.push(self.now + delay, arrival);
+            }
+        }
+    }
+
+    fn record_transitions(&mut self, server: ServerId) {
+        let events = self.node_mut(server).process_mut().take_backend_events();
+        for transition in events.iter().filter_map(transition_of) {
+            let times = self.transitions.entry(transition).or_default();
+            times.push(self.now);
+        }
+    }
+}
+
+fn transition_of(event: &BackendEvent) -> Option<BackendTransition> {
+    match event {
+        BackendEvent::Ejected { .. } => Some(BackendTransition::Ejected),
+        BackendEvent::StateChanged {
+            to: State::SlowStart,
+            ..
+        } => Some(BackendTransition::Readmitted),
+        _ => None,
+    }
+}
--- a/crates/simulation/src/table.rs
+++ b/crates/simulation/src/table.rs
@@ -1,109 +1,145 @@
-//! A table of what a fleet keeps in each mix of faults, with which parts on.
+//! A table of what a fleet achieves in each mix of faults, by the parts that are on.
 
 use crate::features::Features;
-use crate::mixes::{FIRST_FAULT_MS as FROM, FleetSize, LAST_FAULT_MS as TO, SECONDS};
-use crate::play;
-use std::fmt::Write;
+use crate::history::History;
+use crate::mixes::{FIRST_FAULT_MS, FleetSize, LAST_FAULT_MS, SECONDS};
+use crate::report::{SimulationReport, fractions_in_time};
+use crate::simulate;
+use crate::workload::Handler;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-pub const WAYS: [(&str, Features); 6] = {
-    let off = Features::NONE;
-    [
-        ("off", off),
-        (
-            "members",
-            Features {
-                membership: true,
-                ..off
-            },
-        ),
-        (
-            "shared",
-            Features {
-                membership: true,
-                quota: true,
-                ..off
-            },
-        ),
-        (
-            "routes",
-            Features {
-                membership: true,
-                backends: true,
-                ..off
-            },
-        ),
-        (
-            "pools",
-            Features {
-                concurrency: true,
-                ..off
-            },
-        ),
-        ("all", Features::ALL),
-    ]
+const SEED: u64 = 1;
+const COLUMNS: usize = 9;
+const HEADER: &str = "| servers, mix | on | kept in the trouble: search, quote, book | most below, of the budget | settles, s | bytes a \
+                      second a server | unison | rules broken | ms of a core a server-second |";
+/// One backend for so many servers, between the bounds below.
+const SERVERS_PER_BACKEND: usize = 10;
+const MIN_BACKENDS: usize = 3;
+const MAX_BACKENDS: usize = 30;
+
+/// The sets of parts that are compared, with their names in the table.
+const FEATURE_SETS: [(&str, Features); 6] = [
+    ("off", Features::NONE),
+    ("members", MEMBERSHIP),
+    (
+        "shared",
+        Features {
+            quota: true,
+            ..MEMBERSHIP
+        },
+    ),
+    (
+        "routes",
+        Features {
+            backends: true,
+            ..MEMBERSHIP
+        },
+    ),
+    (
+        "pools",
+        Features {
+            concurrency: true,
+            ..Features::NONE
+        },
+    ),
+    ("all", Features::ALL),
+];
+
+const MEMBERSHIP: Features = Features {
+    membership: true,
+    ..Features::NONE
 };
 
-/// The table for fleets of one size, a row a mix and a way.
-pub fn table(n: usize, beside: usize, only: &str) -> String {
-    let backends = (n / 10).clamp(3, 30);
-    let mut jobs = vec![];
-    let size = FleetSize {
-        servers: n,
-        backends,
-    };
-    for mix in size.mixes() {
-        if !mix.name.contains(only) {
-            continue;
-        }
-        for (way, features) in WAYS {
-            jobs.push((mix.name, way, size.history(features, &mix)));
-        }
-    }
-    let (next, rows) = (
-        AtomicUsize::new(0),
-        Mutex::new(vec![String::new(); jobs.len()]),
-    );
+/// A row that is to be measured.
+struct Job {
+    mix: &'static str,
+    feature_set: &'static str,
+    history: History,
+}
+
+/// Measures all mixes whose names contain `mix_filter` on a fleet of this size, so many simulations at a time, and
+/// returns the table as Markdown. The last column is time that passed, and differs from run to run.
+pub fn fault_mix_table(servers: usize, simulations_at_a_time: usize, mix_filter: &str) -> String {
+    let jobs = jobs(servers, mix_filter);
+    let next_job = AtomicUsize::new(0);
+    let rows = Mutex::new(vec![String::new(); jobs.len()]);
     std::thread::scope(|scope| {
-        for _ in 0..beside.max(1) {
+        for _ in 0..simulations_at_a_time.max(1) {
             scope.spawn(|| {
-                while let Some((i, (name, way, of))) =
-                    Some(next.fetch_add(1, Ordering::Relaxed)).and_then(|i| Some((i, jobs.get(i)?)))
-                {
-                    let began = Instant::now();
-                    let found = play(of, 1);
-                    let cost = began.elapsed().as_secs_f64() * 1e3 / (n as f64 * SECONDS as f64);
-                    let during = &found.rows[(FROM / 1_000) as usize..(TO / 1_000) as usize];
-                    let part = |h: usize| {
-                        let kept: u32 = during.iter().map(|r| r.kept[h]).sum();
-                        let asked: u32 = during.iter().map(|r| r.asked[h]).sum();
-                        (f64::from(kept) / f64::from(asked.max(1))).min(1.0)
+                loop {
+                    let index = next_job.fetch_add(1, Ordering::Relaxed);
+                    let Some(job) = jobs.get(index) else {
+                        return;
                     };
-                    let peak = found.rows.iter().map(|r| r.peak).max().unwrap_or(0);
-                    let bytes: u64 = found.rows.iter().map(|r| r.bytes).sum();
-                    let settles = found.settles.filter(|_| of.features.membership);
-                    let settles = settles.map_or("-".into(), |s| format!("{s:.0}"));
-                    let unison = found.unison.values().max().copied().unwrap_or(0);
-                    let mut row = String::new();
-                    let _ = write!(
-                        row,
-                        "| {n}, {name} | {way} | {:.3}, {:.3}, {:.3} | {:.2} | {settles} | {:.0} | {unison} | {} | {cost:.2} |",
-                        part(0),
-                        part(1),
-                        part(2),
-                        f64::from(peak) / f64::from(of.quota),
-                        bytes as f64 / (n as f64 * SECONDS as f64),
-                        found.breaches.len()
-                    );
-                    rows.lock().expect("rows")[i] = row;
+                    let row = job.measure();
+                    rows.lock().expect("no measurement panics")[index] = row;
                 }
             });
         }
     });
-    let heads = "| servers, mix | on | kept in the trouble: search, quote, book | most below, of the budget | settles, s | bytes a \
-                 second a server | unison | rules broken | ms of a core a server-second |";
-    let rows = rows.into_inner().expect("rows").join("\n");
-    format!("{heads}\n|{}\n{rows}", " --- |".repeat(9))
+    let rows = rows.into_inner().expect("no measurement panics").join("\n");
+    format!("{HEADER}\n|{}\n{rows}", " --- |".repeat(COLUMNS))
+}
+
+fn jobs(servers: usize, mix_filter: &str) -> Vec<Job> {
+    let size = FleetSize {
+        servers,
+        backends: (servers / SERVERS_PER_BACKEND).clamp(MIN_BACKENDS, MAX_BACKENDS),
+    };
+    let mixes = size.mixes().into_iter();
+    let chosen = mixes.filter(|mix| mix.name.contains(mix_filter));
+    let jobs_of_mix = chosen.flat_map(|mix| {
+        FEATURE_SETS.map(|(feature_set, features)| Job {
+            mix: mix.name,
+            feature_set,
+            history: size.history(features, &mix),
+        })
+    });
+    jobs_of_mix.collect()
+}
+
+impl Job {
+    /// Runs the simulation. Returns its row of the table.
+    fn measure(&self) -> String {
+        let started_at = Instant::now();
+        let report = simulate(&self.history, SEED);
+        self.row(&report, started_at.elapsed())
+    }
+
+    fn row(&self, report: &SimulationReport, elapsed: Duration) -> String {
+        let servers = self.history.servers;
+        let server_seconds = servers as f64 * SECONDS as f64;
+        let [search, quote, book] = fractions_during_faults(report);
+        let peak_of_quota =
+            f64::from(report.peak_calls_in_flight()) / f64::from(self.history.quota);
+        let settling = self.settling(report);
+        let bytes: u64 = report.rows.iter().map(|row| row.datagram_bytes).sum();
+        let transitions = report.simultaneous_transitions.values();
+        format!(
+            "| {servers}, {} | {} | {search:.3}, {quote:.3}, {book:.3} | {peak_of_quota:.2} | {settling} | {:.0} | {} | {} | {:.2} |",
+            self.mix,
+            self.feature_set,
+            bytes as f64 / server_seconds,
+            transitions.max().copied().unwrap_or(0),
+            report.violations.len(),
+            elapsed.as_secs_f64() * 1e3 / server_seconds
+        )
+    }
+
+    /// Seconds until the views agreed, if there are any and they did.
+    fn settling(&self, report: &SimulationReport) -> String {
+        match report.settling_s {
+            Some(seconds) if self.history.features.membership => format!("{seconds:.0}"),
+            _ => "-".into(),
+        }
+    }
+}
+
+/// The fraction of each handler's requests that were answered in time while there were faults.
+fn fractions_during_faults(report: &SimulationReport) -> [f64; Handler::COUNT] {
+    let [first, last] = [FIRST_FAULT_MS, LAST_FAULT_MS].map(|ms| (ms / 1_000) as usize);
+    // An answer may come in a later second than its request.
+    fractions_in_time(&report.rows[first..last]).map(|fraction| fraction.min(1.0))
 }
--- a/crates/simulation/tests/lab.rs
+++ b/crates/simulation/tests/lab.rs
@@ -1,12 +1,10 @@
 //! The laboratory itself: the same seed gives the same rows, drawn histories break nothing, and known faults, one in
 //! each part, are found and shrunk.
 
-use madderbay_simulation::fault::{
-    BackendFault, BackendId, Defect, Fault, ScheduledFault, ServerId,
+use madderbay_simulation::{
+    BackendFault, BackendId, Defect, Fault, Features, History, Invariant, ScheduledFault, ServerId,
+    shrink, simulate,
 };
-use madderbay_simulation::features::Features;
-use madderbay_simulation::history::History;
-use madderbay_simulation::{play, shrink};
 
 fn small() -> History {
     History {
@@ -23,22 +21,22 @@
 #[test]
 fn one_seed_one_history() {
     let drawn = small().with_drawn_faults(3, 12);
-    assert_eq!(play(&drawn, 3), play(&drawn, 3));
-    assert_ne!(play(&drawn, 3).rows, play(&drawn, 4).rows);
+    assert_eq!(simulate(&drawn, 3), simulate(&drawn, 3));
+    assert_ne!(simulate(&drawn, 3).rows, simulate(&drawn, 4).rows);
 }
 
 #[test]
 fn drawn_histories_break_nothing() {
     for seed in 100..116 {
         let drawn = small().with_drawn_faults(seed, 16);
-        let found = play(&drawn, seed);
+        let found = simulate(&drawn, seed);
         assert!(
-            found.breaches.is_empty(),
+            found.violations.is_empty(),
             "seed {seed}: {:?}\n{drawn}",
-            found.breaches
+            found.violations
         );
-        let done: u32 = found.rows.iter().flat_map(|r| r.kept).sum();
-        let asked: u32 = found.rows.iter().flat_map(|r| r.asked).sum();
+        let done: u32 = found.rows.iter().flat_map(|r| r.answered_in_time).sum();
+        let asked: u32 = found.rows.iter().flat_map(|r| r.requests).sum();
         assert!(
             f64::from(done) > 0.5 * f64::from(asked),
             "seed {seed}: {done} of {asked}"
@@ -71,7 +69,7 @@
         Features::ALL,
     ];
     for features in feature_sets {
-        let found = play(
+        let found = simulate(
             &History {
                 features,
                 seconds: 15,
@@ -80,15 +78,15 @@
             9,
         );
         assert!(
-            found.breaches.is_empty(),
+            found.violations.is_empty(),
             "{features}: {:?}",
-            found.breaches
+            found.violations
         );
         let last = &found.rows[10..14];
         let (done, asked) = last.iter().fold((0, 0), |sum, r| {
             (
-                sum.0 + r.kept.iter().sum::<u32>(),
-                sum.1 + r.asked.iter().sum::<u32>(),
+                sum.0 + r.answered_in_time.iter().sum::<u32>(),
+                sum.1 + r.requests.iter().sum::<u32>(),
             )
         });
         assert!(
@@ -106,10 +104,10 @@
 }
 
 /// What breaks, and under which faults it does.
-fn planted(defect: Defect) -> (&'static str, Vec<ScheduledFault>) {
+fn planted(defect: Defect) -> (Invariant, Vec<ScheduledFault>) {
     match defect {
-        Defect::LostAnswers => ("one answer each", vec![]),
-        Defect::RepeatedRuns => ("no effect twice", vec![]),
+        Defect::LostAnswers => (Invariant::OneAnswerEach, vec![]),
+        Defect::RepeatedRuns => (Invariant::NoEffectTwice, vec![]),
         Defect::ShortLeaseTerms => {
             // Work at half of the servers, lent to by the others, whose own comes back in the middle of a cut.
             let load = |at, one: f64, other: f64| {
@@ -135,16 +133,16 @@
             faults.push(ScheduledFault::new(12_000, Fault::Halves));
             faults.extend(load(12_000, 5.0, 5.0));
             faults.push(ScheduledFault::new(20_000, Fault::Heal));
-            ("a budget is never passed", faults)
+            (Invariant::QuotaNeverExceeded, faults)
         }
         Defect::UnboundedRetries => {
             let faults = (0..3)
                 .map(|b| ScheduledFault::new(5_000, backend_fault(b, BackendFault::Failing)))
                 .collect();
-            ("repeats within a tenth", faults)
+            (Invariant::BoundedRetries, faults)
         }
         Defect::EndlessSuspicion => (
-            "settles",
+            Invariant::ViewsSettle,
             vec![ScheduledFault::new(5_000, Fault::Kill(ServerId(4)))],
         ),
     }
@@ -154,7 +152,7 @@
 fn known_faults_are_found_and_shrunk() {
     for defect in Defect::ALL {
         let name = defect.name();
-        let (rule, faults) = planted(defect);
+        let (invariant, faults) = planted(defect);
         let mut sound = History { faults, ..small() };
         if defect == Defect::ShortLeaseTerms {
             sound.quota = 12;
@@ -172,26 +170,29 @@
             };
             sound.seconds = 20;
         }
-        let found = play(&sound, 1);
+        let found = simulate(&sound, 1);
         assert!(
-            found.breaches.is_empty(),
+            found.violations.is_empty(),
             "{name} without the fault: {:?}",
-            found.breaches
+            found.violations
         );
         let ill = History {
             defect: Some(defect),
             ..sound
         };
-        let found = play(&ill, 1);
+        let found = simulate(&ill, 1);
         assert!(
-            found.breaches.iter().any(|b| b.rule == rule),
+            found.violations.iter().any(|b| b.invariant == invariant),
             "{name}: {:?}",
-            found.breaches
+            found.violations
         );
-        let least = shrink(&ill, 1, rule);
+        let least = shrink(&ill, 1, invariant);
         assert!(least.faults.len() <= ill.faults.len());
         assert!(
-            play(&least, 1).breaches.iter().any(|b| b.rule == rule),
+            simulate(&least, 1)
+                .violations
+                .iter()
+                .any(|b| b.invariant == invariant),
             "{name} shrunk"
         );
         assert_eq!(History::parse("x", &least.to_string()), Ok(least));
