Simulation: arguments, commands, files and plots of the program apart, with typed errors

Change: `main` only turns the outcome into an exit status. `cli` has a file each for the arguments, the commands, the search, the comparison, the JSON lines, the folder of a report and its plots. `CommandError` is the one error type. Help, flags, files and printed text stay.

--- /dev/null
+++ b/crates/simulation/src/cli.rs
@@ -0,0 +1,14 @@
+//! The command line: its arguments, the commands, and what they print and write.
+
+mod arguments;
+mod commands;
+mod compare;
+mod error;
+mod figures;
+mod files;
+mod plot;
+mod report_folder;
+mod search;
+
+pub(crate) use arguments::Arguments;
+pub(crate) use commands::{CommandOutcome, execute};
--- /dev/null
+++ b/crates/simulation/src/cli/commands.rs
@@ -0,0 +1,124 @@
+//! The commands.
+
+use super::arguments::{Command, DrawArguments};
+use super::error::CommandError;
+use super::{compare, figures, files, report_folder, search};
+use madderbay_simulation::{Features, History, fault_mix_table, shrink, simulate};
+use std::path::Path;
+
+/// Zones of a drawn history, if it has as many backends.
+const MAX_ZONES: usize = 3;
+/// Upstream calls in flight for each server, of which the quota of a drawn history is made.
+const QUOTA_OF_SERVER: usize = 6;
+/// Servers that the mixes of faults need.
+const MIN_SERVERS_OF_TABLE: usize = 4;
+
+/// How a command that ran to its end came out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CommandOutcome {
+    /// No invariant was violated, or the command looks for none.
+    Passed,
+    /// An invariant was violated.
+    Violated,
+}
+
+impl CommandOutcome {
+    /// The outcome of a command that found so many violations.
+    pub(crate) fn of_violations(violations: usize) -> CommandOutcome {
+        if violations == 0 {
+            CommandOutcome::Passed
+        } else {
+            CommandOutcome::Violated
+        }
+    }
+}
+
+/// Runs a command to its end.
+pub(crate) fn execute(command: Command) -> Result<CommandOutcome, CommandError> {
+    match command {
+        Command::Run { file, seed } => run(&file, seed),
+        Command::Draw { seed, draw } => {
+            print!("{}", draw.draw(seed)?);
+            Ok(CommandOutcome::Passed)
+        }
+        Command::Search(arguments) => search::search(&arguments),
+        Command::Shrink { file, seed } => shrink_history(&file, seed),
+        Command::Table {
+            servers,
+            simulations_at_a_time,
+            mix_filter,
+        } => print_table(servers, simulations_at_a_time, &mix_filter),
+        Command::Compare { first, second } => compare::compare(&first, &second),
+        Command::Report { file, seed, folder } => report(&file, seed, &folder),
+    }
+}
+
+fn run(file: &Path, seed: u64) -> Result<CommandOutcome, CommandError> {
+    let report = simulate(&files::read_history(file)?, seed);
+    println!("{}", figures::json_lines(&report)?);
+    Ok(CommandOutcome::of_violations(report.violations.len()))
+}
+
+fn shrink_history(file: &Path, seed: u64) -> Result<CommandOutcome, CommandError> {
+    let history = files::read_history(file)?;
+    let report = simulate(&history, seed);
+    let Some(violation) = report.violations.first() else {
+        return Err(CommandError::NothingViolated {
+            path: file.into(),
+            seed,
+        });
+    };
+    let shortest = shrink(&history, seed, violation.invariant);
+    print!("# seed {seed}: {}\n{shortest}", violation.invariant);
+    Ok(CommandOutcome::Passed)
+}
+
+fn print_table(
+    servers: usize,
+    simulations_at_a_time: usize,
+    mix_filter: &str,
+) -> Result<CommandOutcome, CommandError> {
+    if servers < MIN_SERVERS_OF_TABLE {
+        return Err(CommandError::FleetTooSmallForTable);
+    }
+    let table = fault_mix_table(servers, simulations_at_a_time, mix_filter);
+    println!("{table}");
+    Ok(CommandOutcome::Passed)
+}
+
+/// Violations are in the report, and not in the outcome.
+fn report(file: &Path, seed: u64, folder: &Path) -> Result<CommandOutcome, CommandError> {
+    let history = files::read_history(file)?;
+    let report = simulate(&history, seed);
+    report_folder::write(folder, &history, seed, &report)?;
+    println!("{}", folder.display());
+    Ok(CommandOutcome::Passed)
+}
+
+impl DrawArguments {
+    /// The history that a seed draws.
+    pub(crate) fn draw(&self, seed: u64) -> Result<History, CommandError> {
+        let features = self.parse_features()?;
+        if self.servers < 2 || self.backends == 0 {
+            return Err(CommandError::FleetTooSmall);
+        }
+        let history = History {
+            servers: self.servers,
+            backends: self.backends,
+            zones: self.backends.min(MAX_ZONES),
+            seconds: self.seconds,
+            requests_per_second: self.requests_per_second,
+            quota: (self.servers * QUOTA_OF_SERVER) as u32,
+            features,
+            defect: None,
+            faults: vec![],
+        };
+        Ok(history.with_drawn_faults(seed, self.faults))
+    }
+
+    /// Reads the parts as the line of a history.
+    fn parse_features(&self) -> Result<Features, CommandError> {
+        let line = format!("parts {}\n", self.features.replace(',', " "));
+        Ok(History::parse("--parts", &line)?.features)
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/cli/search.rs
@@ -0,0 +1,120 @@
+//! Looks for drawn histories that violate an invariant.
+
+use super::arguments::SearchArguments;
+use super::commands::CommandOutcome;
+use super::error::CommandError;
+use super::files;
+use madderbay_simulation::{SimulationReport, simulate};
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// A history that violates an invariant.
+struct Finding {
+    seed: u64,
+    summary: String,
+}
+
+/// The history in which the fewest requests were answered in time.
+struct Worst {
+    seed: u64,
+    /// The fractions of all handlers, added up.
+    answered_in_time: f64,
+}
+
+/// Owns what the simulations found so far.
+struct SearchState {
+    findings: Vec<Finding>,
+    worst: Worst,
+}
+
+impl SearchState {
+    fn new() -> SearchState {
+        SearchState {
+            findings: vec![],
+            worst: Worst {
+                seed: 0,
+                answered_in_time: f64::INFINITY,
+            },
+        }
+    }
+
+    fn add(&mut self, seed: u64, report: &SimulationReport) {
+        let answered_in_time = report.fractions_in_time().iter().sum();
+        if answered_in_time < self.worst.answered_in_time {
+            self.worst = Worst {
+                seed,
+                answered_in_time,
+            };
+        }
+        if let Some(summary) = summarize(report) {
+            self.findings.push(Finding { seed, summary });
+        }
+    }
+}
+
+/// The first violation and the number of all; none without any.
+fn summarize(report: &SimulationReport) -> Option<String> {
+    let first = report.violations.first()?;
+    let count = report.violations.len();
+    let (invariant, detail) = (first.invariant, &first.detail);
+    Some(format!("{invariant}: {detail} ({count} in all)"))
+}
+
+/// Plays the drawn histories, prints what was found, and writes each history that violates an invariant.
+pub(crate) fn search(arguments: &SearchArguments) -> Result<CommandOutcome, CommandError> {
+    // Wrong arguments are found here, before any simulation.
+    arguments.draw.draw(arguments.first_seed)?;
+    let mut state = play_all(arguments);
+    state.findings.sort_by_key(|finding| finding.seed);
+    println!(
+        "{} histories of {} servers, {} faults each: {} broken",
+        arguments.count,
+        arguments.draw.servers,
+        arguments.draw.faults,
+        state.findings.len()
+    );
+    println!("least kept: seed {}", state.worst.seed);
+    write_findings(arguments, &state.findings)?;
+    Ok(CommandOutcome::of_violations(state.findings.len()))
+}
+
+fn play_all(arguments: &SearchArguments) -> SearchState {
+    let next_seed = AtomicU64::new(arguments.first_seed);
+    let state = Mutex::new(SearchState::new());
+    std::thread::scope(|scope| {
+        for _ in 0..arguments.simulations_at_a_time.max(1) {
+            scope.spawn(|| play_remaining(arguments, &next_seed, &state));
+        }
+    });
+    state.into_inner().expect("no simulation panics")
+}
+
+/// Plays histories until there are no more seeds.
+fn play_remaining(arguments: &SearchArguments, next_seed: &AtomicU64, state: &Mutex<SearchState>) {
+    let end = arguments.first_seed + arguments.count;
+    loop {
+        let seed = next_seed.fetch_add(1, Ordering::Relaxed);
+        if seed >= end {
+            return;
+        }
+        let Ok(history) = arguments.draw.draw(seed) else {
+            return;
+        };
+        let report = simulate(&history, seed);
+        let mut state = state.lock().expect("no simulation panics");
+        state.add(seed, &report);
+    }
+}
+
+fn write_findings(arguments: &SearchArguments, findings: &[Finding]) -> Result<(), CommandError> {
+    if !findings.is_empty() {
+        files::create_folder(&arguments.folder)?;
+    }
+    for Finding { seed, summary } in findings {
+        println!("seed {seed}: {summary}");
+        let history = arguments.draw.draw(*seed)?;
+        let path = arguments.folder.join(format!("{seed}.txt"));
+        files::write_text(&path, &format!("# seed {seed}: {summary}\n{history}"))?;
+    }
+    Ok(())
+}
