Simulation: tests named by behaviour, one for each known defect

Cause: One test went through all known defects and its name said little; the queue, the engine and the settling had no tests of their own.

New are tests of the JSON names of a row, the order of events, the engine and the settling.

--- a/crates/simulation/src/event_queue.rs
+++ b/crates/simulation/src/event_queue.rs
@@ -121,3 +121,6 @@
         self.heap.pop().map(|next| (next.due, next.event))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/simulation/src/simulation/settling.rs
+++ b/crates/simulation/src/simulation/settling.rs
@@ -48,3 +48,6 @@
         now - self.last_fault
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/simulation/src/upstream/engine.rs
+++ b/crates/simulation/src/upstream/engine.rs
@@ -130,3 +130,6 @@
         self.runs.remove(request).map(|run| run.started_at)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/simulation/tests/known_defects.rs
@@ -0,0 +1,112 @@
+//! Each known defect violates the invariant that guards against it, without the defect nothing is violated, and the
+//! history with the defect can be shrunk.
+
+mod support;
+
+use madderbay_simulation::{
+    BackendFault, BackendId, Defect, Fault, Features, History, Invariant, ScheduledFault, ServerId,
+    shrink, simulate,
+};
+use support::small_fleet;
+
+const SEED: u64 = 1;
+
+fn violates(history: &History, invariant: Invariant) -> bool {
+    let report = simulate(history, SEED);
+    let mut violations = report.violations.iter();
+    violations.any(|violation| violation.invariant == invariant)
+}
+
+/// Checks that the invariant is violated with the defect and nothing without it, and that the history can be shrunk.
+fn assert_found(defect: Defect, invariant: Invariant, sound: &History) {
+    assert_eq!(simulate(sound, SEED).violations, [], "without the defect");
+    let defective = History {
+        defect: Some(defect),
+        ..sound.clone()
+    };
+    assert!(violates(&defective, invariant), "{defective}");
+    let shortest = shrink(&defective, SEED, invariant);
+    assert!(shortest.faults.len() <= defective.faults.len());
+    assert!(violates(&shortest, invariant), "shrunk: {shortest}");
+    assert_eq!(History::parse("x", &shortest.to_string()), Ok(shortest));
+}
+
+fn all_backends(fault: BackendFault) -> Vec<ScheduledFault> {
+    let of_backend = |backend| Fault::Backend {
+        backend,
+        fault: Some(fault),
+    };
+    (0..3)
+        .map(|index| ScheduledFault::new(5_000, of_backend(BackendId(index))))
+        .collect()
+}
+
+/// Changes the load of all servers, of every second one to another value.
+fn uneven_load(at_ms: u64, even: f64, odd: f64) -> impl Iterator<Item = ScheduledFault> {
+    (0..6).map(move |index| {
+        let server = ServerId(index);
+        let factor = if index % 2 == 0 { even } else { odd };
+        ScheduledFault::new(at_ms, Fault::Load { server, factor })
+    })
+}
+
+#[test]
+fn finds_lost_answers() {
+    let invariant = Invariant::OneAnswerEach;
+    assert_found(Defect::LostAnswers, invariant, &small_fleet());
+}
+
+#[test]
+fn finds_repeated_runs() {
+    let invariant = Invariant::NoEffectTwice;
+    assert_found(Defect::RepeatedRuns, invariant, &small_fleet());
+}
+
+#[test]
+fn finds_lease_terms_shorter_than_calls() {
+    // Half of the servers work, with quota leased from the others, which want their own back in the middle of a cut.
+    let mut faults = all_backends(BackendFault::Slow { factor: 30.0 });
+    faults.extend(uneven_load(6_000, 5.0, 0.05));
+    faults.push(ScheduledFault::new(12_000, Fault::Halves));
+    faults.extend(uneven_load(12_000, 5.0, 5.0));
+    faults.push(ScheduledFault::new(20_000, Fault::Heal));
+    let history = History {
+        quota: 12,
+        seconds: 21,
+        features: Features {
+            membership: true,
+            quota: true,
+            ..Features::NONE
+        },
+        faults,
+        ..small_fleet()
+    };
+    let invariant = Invariant::QuotaNeverExceeded;
+    assert_found(Defect::ShortLeaseTerms, invariant, &history);
+}
+
+#[test]
+fn finds_unbounded_retries() {
+    let history = History {
+        seconds: 20,
+        // Concurrency limits, which follow the backends, would let few calls go at all.
+        features: Features {
+            backends: true,
+            ..Features::NONE
+        },
+        faults: all_backends(BackendFault::Failing),
+        ..small_fleet()
+    };
+    let invariant = Invariant::BoundedRetries;
+    assert_found(Defect::UnboundedRetries, invariant, &history);
+}
+
+#[test]
+fn finds_endless_suspicion() {
+    let history = History {
+        faults: vec![ScheduledFault::new(5_000, Fault::Kill(ServerId(4)))],
+        ..small_fleet()
+    };
+    let invariant = Invariant::ViewsSettle;
+    assert_found(Defect::EndlessSuspicion, invariant, &history);
+}
