Fleet: fields of the quota source and the backends private

Cause: the simulation built the quota source field by field and reached into the backends. Change: constructor and accessors in place of public fields; longest is max_call_wait.

--- a/crates/server/src/core/quota_gate.rs
+++ b/crates/server/src/core/quota_gate.rs
@@ -56,7 +56,7 @@
     /// The handlers whose calls are under it.
     pub handlers: Vec<usize>,
     /// The longest that a call under it is waited for.
-    pub longest: Duration,
+    pub max_call_wait: Duration,
 }
 
 /// How one handler stands to the budgets.
@@ -139,7 +139,7 @@
     /// The longest that a call of a handler may be waited for, at most `patience`.
     pub fn max_call_wait(&self, handler: usize, patience: Duration) -> Duration {
         let budget = self.handlers[handler].budget;
-        budget.map_or(patience, |b| patience.min(self.groups[b].longest))
+        budget.map_or(patience, |b| patience.min(self.groups[b].max_call_wait))
     }
 
     /// Starts one more call of a handler, where its budget has capacity. The call must not be made on `false`.
--- a/crates/server/src/fleet/backends.rs
+++ b/crates/server/src/fleet/backends.rs
@@ -16,8 +16,7 @@
 
 /// The backends of this server.
 pub struct Backends {
-    /// Selects backends and observes their calls.
-    pub routes: Rc<RefCell<UpstreamManager>>,
+    manager: Rc<RefCell<UpstreamManager>>,
     clock: MonotonicClock,
 }
 
@@ -25,15 +24,17 @@
     /// Creates the backends of a plan. `seed` is that of all random draws.
     pub fn new(seed: u64, clock: MonotonicClock, plan: RoutingPlan) -> Backends {
         let manager = UpstreamManager::new(clock(), seed, plan.settings, plan.backends);
-        Backends::on(Rc::new(RefCell::new(manager)), clock)
+        Backends::over(Rc::new(RefCell::new(manager)), clock)
     }
 
     /// Creates the same over an existing manager.
-    pub fn on(manager: Rc<RefCell<UpstreamManager>>, clock: MonotonicClock) -> Backends {
-        Backends {
-            routes: manager,
-            clock,
-        }
+    pub fn over(manager: Rc<RefCell<UpstreamManager>>, clock: MonotonicClock) -> Backends {
+        Backends { manager, clock }
+    }
+
+    /// The manager, which selects backends and observes their calls.
+    pub fn manager(&self) -> &Rc<RefCell<UpstreamManager>> {
+        &self.manager
     }
 
     /// The time on the clock that the manager is given.
@@ -43,7 +44,7 @@
 
     /// Replaces settings and backends by those of a reloaded plan.
     pub fn reload(&self, plan: RoutingPlan) {
-        self.routes
+        self.manager
             .borrow_mut()
             .reload(self.now(), plan.settings, plan.backends);
         self.log_events();
@@ -51,7 +52,7 @@
 
     /// Writes the manager's events to the log.
     pub fn log_events(&self) {
-        for event in self.routes.borrow_mut().take_events() {
+        for event in self.manager.borrow_mut().take_events() {
             logging::plain(format!("INFO upstream: {event}\n"));
         }
     }
@@ -59,10 +60,10 @@
     /// Drives the manager's timers until the process ends, where no gossip driver does.
     pub async fn run(self: Rc<Self>) {
         loop {
-            let wait = self.routes.borrow().next_timeout() - self.now();
+            let wait = self.manager.borrow().next_timeout() - self.now();
             tokio::time::sleep(StdDuration::from_micros(wait.as_micros())).await;
             let now = self.now();
-            self.routes.borrow_mut().handle_timeout(now);
+            self.manager.borrow_mut().handle_timeout(now);
             self.log_events();
         }
     }
@@ -70,29 +71,29 @@
 
 impl BackendSelector for Backends {
     fn pick(&self, handler: usize) -> Option<UpstreamAttempt> {
-        self.routes.borrow_mut().pick(self.now(), handler)
+        self.manager.borrow_mut().pick(self.now(), handler)
     }
 
     fn retry(&self, former: &UpstreamAttempt, kind: RetryKind) -> Option<UpstreamAttempt> {
-        self.routes.borrow_mut().retry(self.now(), former, kind)
+        self.manager.borrow_mut().retry(self.now(), former, kind)
     }
 
     fn finish(&self, attempt: &UpstreamAttempt, outcome: AttemptOutcome) {
-        self.routes
+        self.manager
             .borrow_mut()
             .finish(self.now(), attempt, outcome);
     }
 
     fn hedge_delay(&self, attempt: &UpstreamAttempt) -> Option<Duration> {
-        self.routes.borrow_mut().hedge_delay(self.now(), attempt)
+        self.manager.borrow_mut().hedge_delay(self.now(), attempt)
     }
 
     fn typical_latency(&self, attempt: &UpstreamAttempt) -> Duration {
-        self.routes.borrow().typical_latency(attempt)
+        self.manager.borrow().typical_latency(attempt)
     }
 
     fn counters(&self) -> String {
-        let manager = self.routes.borrow();
+        let manager = self.manager.borrow();
         let totals = manager.totals();
         let mut lines = Lines::of("routes");
         for (name, value) in [
--- a/crates/server/src/fleet/control_socket.rs
+++ b/crates/server/src/fleet/control_socket.rs
@@ -250,7 +250,7 @@
 
 /// The backends, with what outlier detection knows of them.
 fn backends_answer(backends: &Backends) -> String {
-    let manager = backends.routes.borrow();
+    let manager = backends.manager().borrow();
     let statuses = manager.backend_statuses(backends.now());
     compose(
         &json!({ "backends": true }),
--- a/crates/server/src/fleet/gossip.rs
+++ b/crates/server/src/fleet/gossip.rs
@@ -66,7 +66,7 @@
         let membership = Membership::new(start, config.incarnation, seed, config.membership);
         let quotas = config.quotas.map(|q| FleetQuotas::new(start, seed, q));
         let mut stack = FleetStack::new(membership, quotas);
-        stack.routes = backends.as_ref().map(|b| b.routes.clone());
+        stack.routes = backends.as_ref().map(|b| b.manager().clone());
         let stack = Rc::new(RefCell::new(stack));
         let send_pending = Rc::new(Notify::new());
         let notify = send_pending.clone();
--- a/crates/server/src/fleet/quota_leases.rs
+++ b/crates/server/src/fleet/quota_leases.rs
@@ -18,14 +18,10 @@
 
 /// Answers the core from the fleet's quotas. Where the fleet shares none, nothing is usable.
 pub struct FleetQuotaSource {
-    /// The fleet's state machines.
-    pub together: Rc<RefCell<FleetStack>>,
-    /// The names of what is counted.
-    pub counted: CounterNames,
-    /// The clock that the state machines are given.
-    pub ticks: MonotonicClock,
-    /// Called where something has to be sent before the driver's next timer.
-    pub hurry: Box<dyn Fn()>,
+    stack: Rc<RefCell<FleetStack>>,
+    counter_names: CounterNames,
+    clock: MonotonicClock,
+    notify_urgent: Box<dyn Fn()>,
 }
 
 impl FleetQuotaSource {
@@ -38,45 +34,45 @@
         notify_urgent: Box<dyn Fn()>,
     ) -> FleetQuotaSource {
         FleetQuotaSource {
-            together: stack,
-            counted: counter_names,
-            ticks: clock,
-            hurry: notify_urgent,
+            stack,
+            counter_names,
+            clock,
+            notify_urgent,
         }
     }
 
     /// The names of what is counted.
     pub fn counter_names(&self) -> &CounterNames {
-        &self.counted
+        &self.counter_names
     }
 
     /// The quotas, where the fleet shares any.
     fn quotas(&self) -> Option<Ref<'_, FleetQuotas>> {
-        Ref::filter_map(self.together.borrow(), |stack| stack.shared.as_ref()).ok()
+        Ref::filter_map(self.stack.borrow(), |stack| stack.shared.as_ref()).ok()
     }
 
     /// The same, to change them.
     fn quotas_mut(&self) -> Option<RefMut<'_, FleetQuotas>> {
-        RefMut::filter_map(self.together.borrow_mut(), |stack| stack.shared.as_mut()).ok()
+        RefMut::filter_map(self.stack.borrow_mut(), |stack| stack.shared.as_mut()).ok()
     }
 
     /// Wakes the driver where something has to be sent at once.
     fn notify_if_urgent(&self, quotas: &FleetQuotas) {
         if quotas.is_urgent() {
-            (self.hurry)();
+            (self.notify_urgent)();
         }
     }
 }
 
 impl QuotaSource for FleetQuotaSource {
     fn usable_calls(&self, budget: usize) -> usize {
-        let now = (self.ticks)();
+        let now = (self.clock)();
         let quotas = self.quotas();
         quotas.map_or(0, |q| q.budgets()[budget].usable(now) as usize)
     }
 
     fn try_start_call(&self, budget: usize) -> bool {
-        let now = (self.ticks)();
+        let now = (self.clock)();
         let Some(mut quotas) = self.quotas_mut() else {
             return false;
         };
@@ -89,7 +85,7 @@
     }
 
     fn call_ended(&self, budget: usize) {
-        let now = (self.ticks)();
+        let now = (self.clock)();
         if let Some(mut quotas) = self.quotas_mut() {
             quotas.budgets_mut()[budget].call_ended(now);
             self.notify_if_urgent(&quotas);
@@ -97,7 +93,7 @@
     }
 
     fn set_waiting_calls(&self, budget: usize, calls: usize) {
-        let now = (self.ticks)();
+        let now = (self.clock)();
         let calls = u32::try_from(calls).unwrap_or(u32::MAX);
         if let Some(mut quotas) = self.quotas_mut() {
             quotas.budgets_mut()[budget].set_waiting(now, calls);
@@ -106,17 +102,17 @@
     }
 
     fn time_until_capacity(&self, budget: usize) -> Duration {
-        let now = (self.ticks)();
+        let now = (self.clock)();
         let quotas = self.quotas();
         quotas.map_or(Duration::ZERO, |q| q.budgets()[budget].until_capacity(now))
     }
 
     fn count_request(&self, handler: usize, tenant: usize) {
-        let now = (self.ticks)();
+        let now = (self.clock)();
         let Some(mut quotas) = self.quotas_mut() else {
             return;
         };
-        let hashes = self.counted.hashes_of_request(handler, tenant);
+        let hashes = self.counter_names.hashes_of_request(handler, tenant);
         for (counter, hash) in quotas.counters_mut().iter_mut().zip(hashes) {
             if let Some(hash) = hash {
                 counter.add(now, hash, 1);
@@ -125,7 +121,7 @@
     }
 
     fn tenant_rates(&self) -> Vec<TenantRate> {
-        let (now, names) = ((self.ticks)(), &self.counted);
+        let (now, names) = ((self.clock)(), &self.counter_names);
         let (Some(quotas), Some(counter)) = (self.quotas(), names.tenant_counter()) else {
             return vec![];
         };
--- a/crates/server/src/fleet/quota_plan.rs
+++ b/crates/server/src/fleet/quota_plan.rs
@@ -40,7 +40,7 @@
     let mut handlers = HandlerResolver::new(&settings.handler_names);
     let groups = section.budgets.iter().map(|budget| QuotaGroup {
         handlers: handlers.resolve(&budget.handlers),
-        longest: Duration::from_millis(budget.max_call_ms),
+        max_call_wait: Duration::from_millis(budget.max_call_ms),
     });
     let groups = groups.collect();
     let plan = QuotaPlan {
--- a/crates/simulation/src/node/assembly.rs
+++ b/crates/simulation/src/node/assembly.rs
@@ -149,7 +149,7 @@
         let backends = (0..self.history.backends).map(|index| self.backend_settings(index));
         let manager =
             UpstreamManager::new(self.monotonic_now, self.seed, settings, backends.collect());
-        Backends::on(Rc::new(RefCell::new(manager)), self.monotonic_clock.clone())
+        Backends::over(Rc::new(RefCell::new(manager)), self.monotonic_clock.clone())
     }
 
     fn backend_settings(&self, index: usize) -> BackendSettings {
@@ -194,7 +194,7 @@
         let unix_ms = clock::unix_ms(self.now);
         let membership = Membership::new(self.monotonic_now, unix_ms, self.seed, settings);
         let mut stack = FleetStack::new(membership, quotas);
-        stack.routes = backends.map(|backends| backends.routes.clone());
+        stack.routes = backends.map(|backends| backends.manager().clone());
         stack
     }
 
@@ -222,12 +222,12 @@
     }
 
     fn quota_source(&self, fleet: Rc<RefCell<FleetStack>>) -> FleetQuotaSource {
-        FleetQuotaSource {
-            together: fleet,
-            counted: CounterNames::default(),
-            ticks: self.monotonic_clock.clone(),
-            hurry: Box::new(|| {}),
-        }
+        FleetQuotaSource::new(
+            fleet,
+            CounterNames::default(),
+            self.monotonic_clock.clone(),
+            Box::new(|| {}),
+        )
     }
 
     fn connect_engine(&self, event_loop: &mut EventLoop) -> EngineConnection {
@@ -267,6 +267,6 @@
 fn quota_group() -> QuotaGroup {
     QuotaGroup {
         handlers: Handler::CALLING.to_vec(),
-        longest: MAX_CALL_TIME,
+        max_call_wait: MAX_CALL_TIME,
     }
 }
--- a/crates/simulation/src/node/process.rs
+++ b/crates/simulation/src/node/process.rs
@@ -110,7 +110,7 @@
 
     /// The attempts so far, if the selection of backends is on.
     pub(crate) fn attempt_totals(&self) -> Option<AttemptTotals> {
-        let backends = self.backends.as_ref()?.routes.borrow();
+        let backends = self.backends.as_ref()?.manager().borrow();
         let totals = backends.totals();
         Some(AttemptTotals {
             first_attempts: totals.first_attempts,
@@ -280,7 +280,7 @@
     /// What changed in the judgement of backends.
     pub(crate) fn take_backend_events(&mut self) -> Vec<BackendEvent> {
         match &self.backends {
-            Some(backends) => backends.routes.borrow_mut().take_events(),
+            Some(backends) => backends.manager().borrow_mut().take_events(),
             None => vec![],
         }
     }
--- a/crates/simulation/src/simulation/sampling.rs
+++ b/crates/simulation/src/simulation/sampling.rs
@@ -69,7 +69,7 @@
     let Some(backends) = process.backends() else {
         return 0;
     };
-    let manager = backends.routes.borrow();
+    let manager = backends.manager().borrow();
     let is_ejected = |state: &State| matches!(state, State::Ejected | State::Probing);
     manager.backend_states().filter(is_ejected).count() as u32
 }
