--- a/crates/server/src/core/concurrency_limits.rs
+++ b/crates/server/src/core/concurrency_limits.rs
@@ -37,7 +37,7 @@
         handlers: handlers.resolve(&reserve.handlers),
         fraction: reserve.fraction,
     });
-    let upstream = &settings.below;
+    let upstream = &settings.upstream;
     let plan = ConcurrencyConfig {
         pools,
         reserve,
--- a/crates/server/src/core/event_loop.rs
+++ b/crates/server/src/core/event_loop.rs
@@ -62,7 +62,7 @@
         max_cached_bytes: usize,
     ) -> EventLoop {
         let executor = ActionExecutor::new(now, &settings, max_cached_bytes);
-        let run_queue_gauge = settings.meter("on_cores");
+        let run_queue_gauge = settings.gauge_index("on_cores");
         EventLoop {
             decider: None,
             settings,
@@ -90,7 +90,7 @@
     /// Sets the fleet's quotas; what may be used of them is asked of `source`.
     pub fn set_quota_source(&mut self, source: Rc<dyn QuotaSource>, groups: Vec<QuotaGroup>) {
         let profiles = concurrency_limits::handler_profiles(&self.settings);
-        let gate = QuotaGate::new(source, groups, &profiles, &self.settings.below);
+        let gate = QuotaGate::new(source, groups, &profiles, &self.settings.upstream);
         self.executor.limits.set_quota_gate(gate);
     }
 
@@ -155,7 +155,8 @@
     /// Whether the registry is told that this server takes work.
     pub fn is_ready(&self) -> bool {
         let status = &self.executor.status;
-        !status.is_draining() && (status.is_healthy() || !self.settings.lists_follow_health)
+        !status.is_draining()
+            && (status.is_healthy() || !self.settings.endpoint_lists_follow_health)
     }
 
     /// Whether no request is open and nothing waits to be written on any connection.
@@ -252,7 +253,7 @@
 
     /// The Retry-After where connections or write-ahead records are short.
     pub(super) fn unavailable_retry_after(&self) -> Duration {
-        UNAVAILABLE_RETRY_AFTER.min(self.settings.callers.max_retry_after)
+        UNAVAILABLE_RETRY_AFTER.min(self.settings.downstream.max_retry_after)
     }
 }
 
--- a/crates/server/src/fleet/quota_plan.rs
+++ b/crates/server/src/fleet/quota_plan.rs
@@ -58,7 +58,7 @@
 
 /// Terms and sizes of all budgets.
 fn budgets(section: &operator::QuotaConfig, settings: &Settings) -> Vec<BudgetSettings> {
-    let abandoned_call_lifetime = settings.below.abandoned_call_lifetime;
+    let abandoned_call_lifetime = settings.upstream.abandoned_call_lifetime;
     let plan = |budget: &operator::Budget| BudgetSettings {
         name: budget.name.as_str().into(),
         capacity: budget.capacity,
@@ -93,7 +93,7 @@
         &settings.handler_names,
         &settings.tenant_names,
         tenants.map(|tenant| tenant.requests_per_second).collect(),
-        settings.place.servers,
+        settings.fleet_position.servers,
         section.counters.iter().map(is_by_tenant).collect(),
     )
 }
--- a/crates/settings/src/records.rs
+++ b/crates/settings/src/records.rs
@@ -73,14 +73,14 @@
         machine,
         handlers,
         tenants,
-        below: upstream,
-        callers: downstream,
-        place: fleet_position(raw),
+        upstream,
+        downstream,
+        fleet_position: fleet_position(raw),
         rules: rules(raw),
-        meters: raw.family_info.meters.clone(),
+        gauges: raw.family_info.meters.clone(),
         handler_names: raw.classes.iter().map(|c| c.name.clone()).collect(),
         tenant_names: raw.tenants.iter().map(|t| t.name.clone()).collect(),
-        lists_follow_health: raw.family_info.readiness,
+        endpoint_lists_follow_health: raw.family_info.readiness,
     })
 }
 
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -14,21 +14,21 @@
     /// The tenants; a tenant's index here is its index everywhere.
     pub tenants: Vec<Tenant>,
     /// What this server calls.
-    pub below: Upstream,
+    pub upstream: Upstream,
     /// The clients and what they understand.
-    pub callers: Downstream,
+    pub downstream: Downstream,
     /// This server's position in the fleet.
-    pub place: FleetPosition,
+    pub fleet_position: FleetPosition,
     /// The rules for answers and graceful shutdown.
     pub rules: Rules,
     /// Names of the gauges that the engine sends, in their order.
-    pub meters: Vec<String>,
+    pub gauges: Vec<String>,
     /// Names of the handlers by index; empty where a handler has none.
     pub handler_names: Vec<String>,
     /// Names of the tenants by index; empty where a tenant has none.
     pub tenant_names: Vec<String>,
     /// Whether the clients' endpoint lists leave out a server that reports itself unhealthy.
-    pub lists_follow_health: bool,
+    pub endpoint_lists_follow_health: bool,
 }
 
 impl Settings {
@@ -39,17 +39,17 @@
             seed,
             &self.machine,
             &self.handlers,
-            &self.place,
+            &self.fleet_position,
             &self.rules,
         )
-        .tenants(&self.tenants, &self.place)
-        .upstream(&self.below)
-        .downstream(&self.callers)
+        .tenants(&self.tenants, &self.fleet_position)
+        .upstream(&self.upstream)
+        .downstream(&self.downstream)
         .build()
     }
 
     /// Index of a gauge among those that the engine sends; `None` where it does not send it.
-    pub fn meter(&self, name: &str) -> Option<usize> {
-        self.meters.iter().position(|m| m == name)
+    pub fn gauge_index(&self, name: &str) -> Option<usize> {
+        self.gauges.iter().position(|gauge| gauge == name)
     }
 }
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -58,7 +58,7 @@
     ];
     for (word, load_report) in words {
         let settings = good(&[("\"allowance\"", &format!("\"{word}\""))]);
-        assert_eq!(settings.callers.load_report, load_report, "{word}");
+        assert_eq!(settings.downstream.load_report, load_report, "{word}");
     }
 }
 
@@ -74,7 +74,7 @@
 #[test]
 fn reads_a_server_without_upstream() {
     let settings = good(&[("one_for_all", "none"), ("[true, true]", "[false, false]")]);
-    assert_eq!(settings.below.kind, UpstreamKind::None);
+    assert_eq!(settings.upstream.kind, UpstreamKind::None);
 }
 
 #[test]
--- a/crates/simulation/src/node/assembly.rs
+++ b/crates/simulation/src/node/assembly.rs
@@ -130,8 +130,8 @@
                 handlers: vec![],
                 fraction: RESERVE_FRACTION,
             }),
-            call_quota: Some(settings.below.quota),
-            abandoned_call_lifetime: settings.below.abandoned_call_lifetime,
+            call_quota: Some(settings.upstream.quota),
+            abandoned_call_lifetime: settings.upstream.abandoned_call_lifetime,
             cores: ENGINE_CORES as usize,
             upstream_groups,
             ..ConcurrencyConfig::default()
--- a/crates/simulator-adapter/src/host/instance.rs
+++ b/crates/simulator-adapter/src/host/instance.rs
@@ -26,7 +26,7 @@
             handlers: settings.handlers.len(),
             tenants: settings.tenants.len(),
             requests_carry_timeout: settings.rules.requests_carry_timeout,
-            run_queue_gauge: settings.meter(RUN_QUEUE_GAUGE),
+            run_queue_gauge: settings.gauge_index(RUN_QUEUE_GAUGE),
         }
     }
 
