--- a/crates/quota/tests/fleet.rs
+++ b/crates/quota/tests/fleet.rs
@@ -1,5 +1,5 @@
 //! Budgets of simulated fleets: every script under `tests/shared`, over many seeds on clocks that
-//! drift apart, and random histories. `crates/server/tests/shared.rs` plays the same scripts on
+//! drift apart, and random histories. `crates/server/tests/shared` plays the same scripts on
 //! real processes.
 
 mod support;
--- a/crates/upstream/tests/simulated_fleet.rs
+++ b/crates/upstream/tests/simulated_fleet.rs
@@ -1,5 +1,5 @@
 //! Simulated fleets of servers before their backends, each case with several seeds: which backends are ejected, how
-//! soon, and which are not. `crates/server/tests/routes.rs` has cases with real processes.
+//! soon, and which are not. `crates/server/tests/routes` has cases with real processes.
 
 use madderbay::time::Duration;
 use madderbay_testkit::backend_simulation::{
