Server: logger split into facade, queue with writer thread, and limit by place

Cause: one file held the queue, the thread that writes and the limit of lines by place, with a tuple variant and an unexplained choice of crate.

Change: `support/logging.rs` keeps the facade and says why `tracing` would not replace it; `logging/writer.rs` owns the queue and the thread, `logging/place_limit.rs` the counts of a window. Bounds and lines are the same.

--- a/crates/server/src/support/logging.rs
+++ b/crates/server/src/support/logging.rs
@@ -1,41 +1,34 @@
-//! A small logger: one line an event on standard error. Lines are written by a thread of their own, so that
-//! slow or blocked standard error holds up nothing; what does not fit its queue is counted and left out.
+//! The program's logger: one line an event on standard error, `LEVEL component: event, key=value, key=value`.
+//!
+//! It owns the level, the queue of lines and the thread that writes them. It is given lines by the macros of the
+//! `log` crate, and text that is written as it is by [`plain`]. It never blocks whoever logs: a line that does not
+//! fit the queue is counted and dropped, and so is each further line of a place in the code that logs too often.
+//! Both counts are reported in lines of their own.
+//!
+//! `tracing` with `tracing-appender` would bring the queue and the thread. The limit of each place, the counts of
+//! what was not written, text in order with the lines, and a flush that ends within a bound at any time would still
+//! be code of this module, on a larger interface. The module therefore keeps the `log` crate.
 
-use log::{Level, LevelFilter, Log, Metadata, Record};
-use std::collections::HashMap;
-use std::io::Write;
-use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, sync_channel};
-use std::sync::{OnceLock, atomic::AtomicU64, atomic::Ordering};
-use std::time::{Duration, Instant};
+mod place_limit;
+mod writer;
 
-/// Lines that may wait for standard error.
-const WAITING: usize = 1024;
-/// Lines of one place in the code that are written a span; the rest are counted.
-const OFTEN: u64 = 5;
-const SPAN: Duration = Duration::from_secs(10);
+use log::{LevelFilter, Log, Metadata, Record};
+use place_limit::Place;
+use std::time::Duration;
+use writer::{Entry, LogQueue};
 
-enum Entry {
-    Line(Level, &'static str, u32, String),
-    Plain(String),
-    Flush(SyncSender<()>),
-}
-
-struct Logger {
-    to: OnceLock<SyncSender<Entry>>,
-    dropped: AtomicU64,
-}
+/// Upper bound on the time that [`flush`] waits.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
+/// The level without a configured one, and in place of one that is unknown.
+const DEFAULT_LEVEL: LevelFilter = LevelFilter::Info;
 
 static LOGGER: Logger = Logger {
-    to: OnceLock::new(),
-    dropped: AtomicU64::new(0),
+    queue: LogQueue::new(),
 };
 
-impl Logger {
-    fn send(&self, entry: Entry) {
-        if self.to.get().is_some_and(|to| to.try_send(entry).is_err()) {
-            self.dropped.fetch_add(1, Ordering::Relaxed);
-        }
-    }
+/// What the `log` crate hands its records to.
+struct Logger {
+    queue: LogQueue,
 }
 
 impl Log for Logger {
@@ -44,94 +37,44 @@
     }
 
     fn log(&self, record: &Record) {
-        if self.enabled(record.metadata()) {
-            let (file, line) = (
-                record.module_path_static().unwrap_or(""),
-                record.line().unwrap_or(0),
-            );
-            self.send(Entry::Line(
-                record.level(),
-                file,
-                line,
-                record.args().to_string(),
-            ));
+        if !self.enabled(record.metadata()) {
+            return;
         }
+        self.queue.send(Entry::Line {
+            level: record.level(),
+            place: Place {
+                module: record.module_path_static().unwrap_or(""),
+                line: record.line().unwrap_or(0),
+            },
+            message: record.args().to_string(),
+        });
     }
 
     fn flush(&self) {
-        let (done, wait) = sync_channel(1);
-        self.send(Entry::Flush(done));
-        let _ = wait.recv_timeout(Duration::from_millis(200));
+        self.queue.flush(FLUSH_TIMEOUT);
     }
 }
 
-/// Starts the logger; a level that is unknown is told, and the default taken.
+/// Starts the logger at the level that `level` names. Without one, and where it is unknown, `info` is used; an
+/// unknown level is logged. Later calls change the level only.
 pub fn start(level: Option<&str>) {
-    let (to, from) = sync_channel(WAITING);
-    let _ = LOGGER.to.set(to);
-    let _ = std::thread::Builder::new()
-        .name("log".into())
-        .stack_size(64 << 10)
-        .spawn(move || write(from));
+    LOGGER.queue.start_writer();
     let _ = log::set_logger(&LOGGER);
-    let known = level.map(|l| l.parse::<LevelFilter>());
-    log::set_max_level(
-        known
-            .as_ref()
-            .and_then(|k| k.as_ref().ok())
-            .copied()
-            .unwrap_or(LevelFilter::Info),
-    );
-    if let (Some(Err(_)), Some(level)) = (known, level) {
+    let configured = level.map(str::parse::<LevelFilter>);
+    let known = configured.as_ref().and_then(|level| level.as_ref().ok());
+    log::set_max_level(known.copied().unwrap_or(DEFAULT_LEVEL));
+    if let (Some(Err(_)), Some(level)) = (configured, level) {
         log::warn!("log level '{level}' is unknown; info is taken");
     }
 }
 
-/// Writes text as it is, after the lines before it.
+/// Writes text as it is, after the lines before it, whatever the level. Like a line it is counted and dropped where
+/// the queue is full.
 pub fn plain(text: String) {
-    LOGGER.send(Entry::Plain(text));
+    LOGGER.queue.send(Entry::Text(text));
 }
 
-/// Waits a little for what is queued.
+/// Waits until all that is queued was written, for 200 ms at most.
 pub fn flush() {
     LOGGER.flush();
 }
-
-fn write(from: Receiver<Entry>) {
-    let mut places: HashMap<(&'static str, u32), u64> = HashMap::new();
-    let mut since = Instant::now();
-    loop {
-        let entry = from.recv_timeout(SPAN);
-        let mut text = String::new();
-        if since.elapsed() >= SPAN {
-            let mut held: Vec<_> = places.drain().filter(|p| p.1 > OFTEN).collect();
-            held.sort_unstable();
-            for ((module, line), n) in held {
-                text += &format!("INFO {module}:{line} {} like lines held back\n", n - OFTEN);
-            }
-            let dropped = LOGGER.dropped.swap(0, Ordering::Relaxed);
-            if dropped > 0 {
-                text += &format!("INFO log {dropped} lines dropped\n");
-            }
-            since = Instant::now();
-        }
-        let mut flushed = None;
-        match entry {
-            Ok(Entry::Line(level, module, line, what)) => {
-                let seen = places.entry((module, line)).or_default();
-                *seen += 1;
-                if *seen <= OFTEN || level > Level::Info {
-                    text += &format!("{level} {what}\n");
-                }
-            }
-            Ok(Entry::Plain(what)) => text += &what,
-            Ok(Entry::Flush(done)) => flushed = Some(done),
-            Err(RecvTimeoutError::Timeout) => {}
-            Err(RecvTimeoutError::Disconnected) => return,
-        }
-        let _ = std::io::stderr().write_all(text.as_bytes());
-        if let Some(done) = flushed {
-            let _ = done.send(());
-        }
-    }
-}
--- /dev/null
+++ b/crates/server/src/support/logging/writer.rs
@@ -0,0 +1,150 @@
+//! The queue of lines and the thread that writes them to standard error.
+//!
+//! The queue owns the count of entries that did not fit it. The thread owns the limit of each place. Whoever sends
+//! never waits for standard error; only a flush waits, and for a bounded time.
+
+use super::place_limit::{Place, PlaceLimit};
+use log::Level;
+use std::fmt::Write as _;
+use std::io::Write as _;
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, sync_channel};
+use std::time::{Duration, Instant};
+
+/// Entries that may wait for standard error.
+const MAX_QUEUED_ENTRIES: usize = 1_024;
+/// The time over which the lines of one place are counted, and after which dropped entries are reported.
+const WINDOW: Duration = Duration::from_secs(10);
+/// Stack of the thread, in bytes.
+const STACK_BYTES: usize = 64 << 10;
+
+/// What is sent to the thread.
+pub(super) enum Entry {
+    /// A line of the log.
+    Line {
+        level: Level,
+        place: Place,
+        message: String,
+    },
+    /// Text that is written as it is.
+    Text(String),
+    /// A request to notify the sender once everything before it was written.
+    Flush { written: SyncSender<()> },
+}
+
+/// The sending side.
+pub(super) struct LogQueue {
+    sender: OnceLock<SyncSender<Entry>>,
+    /// Entries that did not fit since the last report.
+    dropped: AtomicU64,
+}
+
+impl LogQueue {
+    /// A queue without a thread: what is sent before [`start_writer`](LogQueue::start_writer) is discarded.
+    pub(super) const fn new() -> LogQueue {
+        LogQueue {
+            sender: OnceLock::new(),
+            dropped: AtomicU64::new(0),
+        }
+    }
+
+    /// Starts the thread that writes.
+    pub(super) fn start_writer(&'static self) {
+        let (sender, entries) = sync_channel(MAX_QUEUED_ENTRIES);
+        let _ = self.sender.set(sender);
+        let _ = std::thread::Builder::new()
+            .name("log".into())
+            .stack_size(STACK_BYTES)
+            .spawn(move || Writer::new(&self.dropped).run(&entries));
+    }
+
+    /// Queues an entry; one that does not fit is counted and dropped.
+    pub(super) fn send(&self, entry: Entry) {
+        let Some(sender) = self.sender.get() else {
+            return;
+        };
+        if sender.try_send(entry).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Waits until what was queued before is written, for `timeout` at most.
+    pub(super) fn flush(&self, timeout: Duration) {
+        let (written, wait) = sync_channel(1);
+        self.send(Entry::Flush { written });
+        let _ = wait.recv_timeout(timeout);
+    }
+}
+
+/// The writing side, on its own thread.
+struct Writer {
+    dropped: &'static AtomicU64,
+    limit: PlaceLimit,
+    window_start: Instant,
+}
+
+impl Writer {
+    fn new(dropped: &'static AtomicU64) -> Writer {
+        Writer {
+            dropped,
+            limit: PlaceLimit::default(),
+            window_start: Instant::now(),
+        }
+    }
+
+    /// Writes what is received until the queue is gone.
+    fn run(mut self, entries: &Receiver<Entry>) {
+        loop {
+            let entry = match entries.recv_timeout(WINDOW) {
+                Ok(entry) => Some(entry),
+                Err(RecvTimeoutError::Timeout) => None,
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            let mut text = self.report_of_ended_window();
+            let written = entry.and_then(|entry| self.append(entry, &mut text));
+            let _ = std::io::stderr().write_all(text.as_bytes());
+            if let Some(written) = written {
+                let _ = written.send(());
+            }
+        }
+    }
+
+    /// What was not written in a window that is over; nothing while it lasts.
+    fn report_of_ended_window(&mut self) -> String {
+        let mut text = String::new();
+        if self.window_start.elapsed() < WINDOW {
+            return text;
+        }
+        for suppressed in self.limit.end_window() {
+            let Place { module, line } = suppressed.place;
+            let count = suppressed.count;
+            let _ = writeln!(text, "INFO {module}:{line} {count} like lines held back");
+        }
+        let dropped = self.dropped.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            let _ = writeln!(text, "INFO log {dropped} lines dropped");
+        }
+        self.window_start = Instant::now();
+        text
+    }
+
+    /// Appends an entry to what is written next. Returns whom to notify after that, where the entry asks for it.
+    fn append(&mut self, entry: Entry, text: &mut String) -> Option<SyncSender<()>> {
+        match entry {
+            Entry::Line {
+                level,
+                place,
+                message,
+            } => {
+                // Lines below `info` were asked for, and are counted but not limited.
+                if self.limit.admit(place) || level > Level::Info {
+                    let _ = writeln!(text, "{level} {message}");
+                }
+            }
+            Entry::Text(plain) => text.push_str(&plain),
+            Entry::Flush { written } => return Some(written),
+        }
+        None
+    }
+}
