--- a/crates/concurrency/src/limit/change.rs
+++ b/crates/concurrency/src/limit/change.rs
@@ -15,7 +15,7 @@
     Cancelled,
 }
 
-/// Why a limit changed. `Display` gives the text of the log line.
+/// Why a limit changed. `Display` gives the word of the log line.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AdjustmentCause {
     /// Calls seem to queue at the upstream: a probe lowers the limit.
@@ -37,20 +37,18 @@
 impl fmt::Display for AdjustmentCause {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            AdjustmentCause::Queueing => "calls wait for each other below",
-            AdjustmentCause::ProbeReverted => {
-                "a cut did not make calls quicker: they take longer now"
-            }
-            AdjustmentCause::Demand => "wanted, and borne",
-            AdjustmentCause::Failures => "calls fail",
-            AdjustmentCause::Silence => "calls do not come back",
-            AdjustmentCause::CircuitOpened => "nothing goes well; rests",
-            AdjustmentCause::CircuitHalfOpen => "a call is tried after a rest",
+            AdjustmentCause::Queueing => "queueing",
+            AdjustmentCause::ProbeReverted => "probe-reverted",
+            AdjustmentCause::Demand => "demand",
+            AdjustmentCause::Failures => "failures",
+            AdjustmentCause::Silence => "silence",
+            AdjustmentCause::CircuitOpened => "circuit-opened",
+            AdjustmentCause::CircuitHalfOpen => "circuit-half-open",
         })
     }
 }
 
-/// One change of a limit, for the log.
+/// One change of a limit, for the log. `Display` gives the event of the log line with its values.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LimitChange {
     /// The limit before, in calls; 0 while the circuit breaker was open.
@@ -61,6 +59,17 @@
     pub cause: AdjustmentCause,
 }
 
+impl fmt::Display for LimitChange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let LimitChange { from, to, cause } = self;
+        let event = if to < from { "lowered" } else { "raised" };
+        write!(
+            f,
+            "limit {event}, from={from:.1}, to={to:.1}, cause={cause}"
+        )
+    }
+}
+
 /// Changes of limits since they were taken last.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct LimitChanges {
--- a/crates/membership/src/event.rs
+++ b/crates/membership/src/event.rs
@@ -1,6 +1,6 @@
 //! Changes of the view, for the log. The displayed lines are quoted by the operators' pages.
 
-use crate::connectivity::ConnectivityStatus;
+use crate::connectivity::{Connectivity, ConnectivityStatus};
 use crate::view::MemberState;
 use compact_str::CompactString;
 use madderbay::time::{Duration, Timestamp};
@@ -37,29 +37,36 @@
     },
 }
 
-fn write_since_received(f: &mut fmt::Formatter, since_received: Option<Duration>) -> fmt::Result {
+/// Writes the time since a member's last datagram, `never` if none arrived.
+fn write_last_received(f: &mut fmt::Formatter, since_received: Option<Duration>) -> fmt::Result {
     match since_received {
-        Some(duration) => write!(f, "heard itself {} ms ago", duration.as_micros() / 1_000),
-        None => f.write_str("never heard itself"),
+        Some(duration) => write!(f, ", last_received_ms={}", duration.as_micros() / 1_000),
+        None => f.write_str(", last_received_ms=never"),
     }
 }
 
+/// The reason with its evidence, as values of a log line.
 impl fmt::Display for ChangeReason {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         match self {
-            ChangeReason::Discovered => f.write_str("met"),
+            ChangeReason::Discovered => f.write_str("reason=discovered"),
             ChangeReason::ProbeFailed { since_received } => {
-                f.write_str("does not answer, ")?;
-                write_since_received(f, *since_received)
+                f.write_str("reason=probe-failed")?;
+                write_last_received(f, *since_received)
             }
             ChangeReason::SuspicionExpired { since_received } => {
-                f.write_str("did not refute it, ")?;
-                write_since_received(f, *since_received)
+                f.write_str("reason=suspicion-expired")?;
+                write_last_received(f, *since_received)
+            }
+            ChangeReason::Announced => f.write_str("reason=announced"),
+            ChangeReason::Refuted => f.write_str("reason=refuted"),
+            ChangeReason::Recovered => f.write_str("reason=recovered"),
+            ChangeReason::Restarted { from, to } => {
+                write!(
+                    f,
+                    "reason=restarted, from_incarnation={from}, incarnation={to}"
+                )
             }
-            ChangeReason::Announced => f.write_str("says so"),
-            ChangeReason::Refuted => f.write_str("refuted it"),
-            ChangeReason::Recovered => f.write_str("was held down and lives"),
-            ChangeReason::Restarted { from, to } => write!(f, "life {to} after {from}"),
         }
     }
 }
@@ -111,6 +118,7 @@
     NameRegained,
 }
 
+/// The event of the log line with its values, as the operators' page quotes it.
 impl fmt::Display for MembershipEvent {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         match self {
@@ -122,31 +130,34 @@
                 reason,
             } => {
                 let from = from.map_or("unknown".into(), |s| s.to_string());
-                write!(f, "{name} at {address}: {from} to {to}: {reason}")
+                write!(
+                    f,
+                    "member {to}, name={name}, address={address}, from={from}, {reason}"
+                )
             }
             MembershipEvent::ConnectivityChanged { status, at } => {
                 write_connectivity(f, status, *at)
             }
             MembershipEvent::Paused { duration } => {
                 let ms = duration.as_micros() / 1_000;
-                write!(f, "held up for {ms} ms; accuses nobody for a while")
+                write!(f, "process paused, duration_ms={ms}")
             }
             MembershipEvent::IncarnationSuperseded { incarnation } => {
                 write!(
                     f,
-                    "life {incarnation} stands under this name; this one begins past it"
+                    "former incarnation superseded, incarnation={incarnation}"
                 )
             }
             MembershipEvent::IdentityRenewed { revision } => {
-                write!(f, "held down by others; goes on as turn {revision}")
-            }
-            MembershipEvent::NameConflict { address } => {
                 write!(
                     f,
-                    "this name is taken by {address}; silent while that lives"
+                    "declared down by others and renewed, revision={revision}"
                 )
             }
-            MembershipEvent::NameRegained => f.write_str("this name is free again"),
+            MembershipEvent::NameConflict { address } => {
+                write!(f, "name owned by another server, address={address}")
+            }
+            MembershipEvent::NameRegained => f.write_str("name regained"),
         }
     }
 }
@@ -157,16 +168,17 @@
     at: Timestamp,
 ) -> fmt::Result {
     let evidence = &status.evidence;
+    let level = match status.level {
+        Connectivity::Complete => "complete",
+        Connectivity::Partial => "partial",
+        Connectivity::Isolated => "isolated",
+    };
     let (active, missing) = (evidence.active, evidence.missing);
     write!(
         f,
-        "hears {}: {active} in, {missing} missing, last word ",
-        status.level
+        "connectivity {level}, active={active}, missing={missing}"
     )?;
-    match evidence.last_received {
-        Some(last) => write!(f, "{} ms ago", (at - last).as_micros() / 1_000),
-        None => f.write_str("never"),
-    }
+    write_last_received(f, evidence.last_received.map(|last| at - last))
 }
 
 #[cfg(test)]
--- a/crates/membership/src/event/tests.rs
+++ b/crates/membership/src/event/tests.rs
@@ -21,7 +21,7 @@
     let (alive, suspect, down) = (MemberState::Alive, MemberState::Suspect, MemberState::Down);
     assert_eq!(
         state_changed(None, MemberState::Joining, ChangeReason::Discovered),
-        "n2 at 127.0.0.1:7946: unknown to joining: met"
+        "member joining, name=n2, address=127.0.0.1:7946, from=unknown, reason=discovered"
     );
     assert_eq!(
         state_changed(
@@ -29,14 +29,16 @@
             suspect,
             ChangeReason::ProbeFailed { since_received }
         ),
-        "n2 at 127.0.0.1:7946: alive to suspect: does not answer, heard itself 1500 ms ago"
+        "member suspect, name=n2, address=127.0.0.1:7946, from=alive, reason=probe-failed, \
+         last_received_ms=1500"
     );
     let expired = ChangeReason::SuspicionExpired {
         since_received: None,
     };
     assert_eq!(
         state_changed(Some(suspect), down, expired),
-        "n2 at 127.0.0.1:7946: suspect to down: did not refute it, never heard itself"
+        "member down, name=n2, address=127.0.0.1:7946, from=suspect, reason=suspicion-expired, \
+         last_received_ms=never"
     );
     assert_eq!(
         state_changed(
@@ -44,7 +46,8 @@
             alive,
             ChangeReason::Restarted { from: 5, to: 9 }
         ),
-        "n2 at 127.0.0.1:7946: alive to alive: life 9 after 5"
+        "member alive, name=n2, address=127.0.0.1:7946, from=alive, reason=restarted, \
+         from_incarnation=5, incarnation=9"
     );
 }
 
@@ -53,27 +56,21 @@
     let paused = MembershipEvent::Paused {
         duration: Duration::from_millis(250),
     };
-    assert_eq!(
-        paused.to_string(),
-        "held up for 250 ms; accuses nobody for a while"
-    );
+    assert_eq!(paused.to_string(), "process paused, duration_ms=250");
     let renewed = MembershipEvent::IdentityRenewed { revision: 3 };
     assert_eq!(
         renewed.to_string(),
-        "held down by others; goes on as turn 3"
+        "declared down by others and renewed, revision=3"
     );
     let superseded = MembershipEvent::IncarnationSuperseded { incarnation: 7 };
-    let line = "life 7 stands under this name; this one begins past it";
+    let line = "former incarnation superseded, incarnation=7";
     assert_eq!(superseded.to_string(), line);
     let conflict = MembershipEvent::NameConflict {
         address: ([127, 0, 0, 1], 7_946).into(),
     };
-    let line = "this name is taken by 127.0.0.1:7946; silent while that lives";
+    let line = "name owned by another server, address=127.0.0.1:7946";
     assert_eq!(conflict.to_string(), line);
-    assert_eq!(
-        MembershipEvent::NameRegained.to_string(),
-        "this name is free again"
-    );
+    assert_eq!(MembershipEvent::NameRegained.to_string(), "name regained");
 }
 
 #[test]
@@ -93,6 +90,6 @@
     let event = MembershipEvent::ConnectivityChanged { status, at };
     assert_eq!(
         event.to_string(),
-        "hears part: 2 in, 1 missing, last word 100 ms ago"
+        "connectivity partial, active=2, missing=1, last_received_ms=100"
     );
 }
--- a/crates/quota/src/budget.rs
+++ b/crates/quota/src/budget.rs
@@ -52,12 +52,12 @@
 impl std::fmt::Display for ChangeCause {
     fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
         f.write_str(match self {
-            ChangeCause::Leased => "borrowed",
-            ChangeCause::Granted => "lent",
-            ChangeCause::Returned => "given back",
-            ChangeCause::Expired => "a lease is over",
-            ChangeCause::StartupWaitOver => "all that a former life lent is over",
-            ChangeCause::Reconfigured => "set anew",
+            ChangeCause::Leased => "leased",
+            ChangeCause::Granted => "granted",
+            ChangeCause::Returned => "returned",
+            ChangeCause::Expired => "lease-expired",
+            ChangeCause::StartupWaitOver => "startup-wait-over",
+            ChangeCause::Reconfigured => "reconfigured",
         })
     }
 }
--- a/crates/quota/src/fleet_quotas/status.rs
+++ b/crates/quota/src/fleet_quotas/status.rs
@@ -34,7 +34,7 @@
     }
 }
 
-/// The line of the log. Its words are those of the operators' page.
+/// The event of the log line with its values, as the operators' page quotes it.
 impl std::fmt::Display for BudgetEvent {
     fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
         let BudgetEvent {
@@ -47,8 +47,8 @@
         } = self;
         write!(
             f,
-            "{budget}: {usable_before} to {usable_after} calls, {granted} lent, {leased} \
-             borrowed: {cause}"
+            "usable calls changed, budget={budget}, from={usable_before}, to={usable_after}, \
+             granted={granted}, leased={leased}, cause={cause}"
         )
     }
 }
--- a/crates/server/src/core/event_loop.rs
+++ b/crates/server/src/core/event_loop.rs
@@ -284,16 +284,11 @@
         let Some(pools) = pools else { return };
         let limit_changes = pools.take_limit_changes();
         for change in limit_changes.changes {
-            log::info!(
-                "pools: calls {:.1} to {:.1}: {}",
-                change.from,
-                change.to,
-                change.cause
-            );
+            log::info!("concurrency: {change}");
         }
         let dropped = limit_changes.dropped;
         if dropped > 0 {
-            log::info!("pools: {dropped} changes more");
+            log::info!("concurrency: changes not logged, count={dropped}");
         }
     }
 
--- a/crates/server/src/downstream/json_rpc.rs
+++ b/crates/server/src/downstream/json_rpc.rs
@@ -141,7 +141,7 @@
     fn answer(&self, now: Timestamp, connection: u64, serve: &mut EventLoop) {
         let error = self.error;
         serve.counters_mut().bad_lines += 1;
-        log::debug!("connection {connection}: a line can't be served: {error}");
+        log::debug!("connection: line rejected, id={connection}, error={error}");
         if let Some(outbox) = serve.outbox(connection) {
             outbox.put(|out| response::invalid(out, self.id, error.code(), error));
         }
--- a/crates/server/src/downstream/listener.rs
+++ b/crates/server/src/downstream/listener.rs
@@ -88,7 +88,7 @@
                 start(stream, within_limit, &clock, &serve);
             }
             Err(e) => {
-                log::warn!("accept failed: {e}");
+                log::warn!("listener: accept failed, error={e}");
                 tokio::time::sleep(ACCEPT_BACKOFF).await;
             }
         }
@@ -103,7 +103,7 @@
             start(stream, within_limit, &clock, &serve);
         }
     }
-    log::info!("listening no more");
+    log::info!("listener: closed");
 }
 
 /// The connections that wait to be accepted; ends instead of waiting for another.
@@ -159,6 +159,6 @@
         session.feed(now, bytes, &mut guard.serve.borrow_mut())
     };
     if let Err(e) = drive_peer(&stream, &outbox, feed).await {
-        log::debug!("connection {} broke: {e}", guard.connection);
+        log::debug!("connection: broken, id={}, error={e}", guard.connection);
     }
 }
--- a/crates/server/src/downstream/registration.rs
+++ b/crates/server/src/downstream/registration.rs
@@ -135,7 +135,7 @@
             Ok(()) = address.changed() => continue,
             error = report_on_one_connection(registry, &name, &serve) => error,
         };
-        log::warn!("registry: {error}");
+        log::warn!("registry: report failed, error={error}");
         count(&serve, |counters| counters.reports_lost += 1);
         let _ = timeout(RETRY_BACKOFF, address.changed()).await;
     }
--- a/crates/server/src/fleet/backends.rs
+++ b/crates/server/src/fleet/backends.rs
@@ -111,7 +111,7 @@
     /// Changes go to the log.
     pub fn tell(&self) {
         for change in self.routes.borrow_mut().take_events() {
-            crate::support::logging::plain(format!("INFO routes: {change}\n"));
+            crate::support::logging::plain(format!("INFO upstream: {change}\n"));
         }
     }
 
--- a/crates/server/src/fleet/gossip.rs
+++ b/crates/server/src/fleet/gossip.rs
@@ -137,20 +137,23 @@
             .members
             .take_events()
             .iter()
-            .map(|c| format!("members: {c}"))
+            .map(|c| format!("membership: {c}"))
             .collect();
         let shared = together
             .shared
             .as_mut()
             .map_or(vec![], FleetQuotas::take_events);
-        changes.extend(shared.iter().map(|c| format!("shared: {c}")));
+        changes.extend(shared.iter().map(|c| format!("quota: {c}")));
         drop(together);
         self.backends.iter().for_each(|b| b.tell());
         let (since, lines) = self.lines.get();
         let fresh = since.elapsed() >= LINES_IN;
         let room = LINES - if fresh { 0 } else { lines };
         if fresh && self.untold.get() > 0 {
-            log::info!("members: {} changes more", self.untold.take());
+            log::info!(
+                "membership: changes not logged, count={}",
+                self.untold.take()
+            );
         }
         let told = changes.len().min(room);
         for change in &changes[..told] {
--- a/crates/server/src/support/logging.rs
+++ b/crates/server/src/support/logging.rs
@@ -64,7 +64,7 @@
     let known = configured.as_ref().and_then(|level| level.as_ref().ok());
     log::set_max_level(known.copied().unwrap_or(DEFAULT_LEVEL));
     if let (Some(Err(_)), Some(level)) = (configured, level) {
-        log::warn!("log level '{level}' is unknown; info is taken");
+        log::warn!("log: unknown level replaced by info, level={level}");
     }
 }
 
--- a/crates/server/src/support/logging/writer.rs
+++ b/crates/server/src/support/logging/writer.rs
@@ -119,11 +119,14 @@
         for suppressed in self.limit.end_window() {
             let Place { module, line } = suppressed.place;
             let count = suppressed.count;
-            let _ = writeln!(text, "INFO {module}:{line} {count} like lines held back");
+            let _ = writeln!(
+                text,
+                "INFO log: lines suppressed, place={module}:{line}, count={count}"
+            );
         }
         let dropped = self.dropped.swap(0, Ordering::Relaxed);
         if dropped > 0 {
-            let _ = writeln!(text, "INFO log {dropped} lines dropped");
+            let _ = writeln!(text, "INFO log: lines dropped, count={dropped}");
         }
         self.window_start = Instant::now();
         text
--- a/crates/server/src/upstream/calls.rs
+++ b/crates/server/src/upstream/calls.rs
@@ -294,7 +294,7 @@
         let wanted = std::mem::take(&mut core.borrow_mut().desk().wanted);
         for (no, out, to) in wanted {
             if !core.borrow().may_dial(Rc::strong_count(&open) - 1) {
-                log::debug!("catalogue: no descriptor is left for a call");
+                log::debug!("catalogue: no descriptor available for call");
                 core.borrow_mut().call_lost(clock.now(), no);
                 continue;
             }
@@ -303,8 +303,10 @@
                 let _open = open;
                 if let Err(e) = connection(to.or(at), no, &out, &clock, &core).await {
                     match to {
-                        Some(backend) => log::info!("backend at {backend}: connection lost: {e}"),
-                        None => log::info!("catalogue: connection lost: {e}"),
+                        Some(backend) => {
+                            log::info!("backend: connection lost, address={backend}, error={e}");
+                        }
+                        None => log::info!("catalogue: connection lost, error={e}"),
                     }
                 }
                 core.borrow_mut().call_lost(clock.now(), no);
@@ -334,7 +336,7 @@
         });
         if !whole {
             core.unread();
-            log::debug!("catalogue: a reply that can't be read; connection closed");
+            log::debug!("catalogue: unreadable reply received and connection closed");
         }
         whole
     };
--- a/crates/server/src/upstream/engine.rs
+++ b/crates/server/src/upstream/engine.rs
@@ -172,7 +172,7 @@
         self.lines.feed(bytes, |line| {
             if last.line(now, line, core).is_none() {
                 core.unread();
-                log::warn!("engine: a notice that can't be read");
+                log::warn!("engine: unreadable notice skipped");
             }
         })
     }
@@ -246,7 +246,7 @@
         let at = *address.borrow_and_update();
         match connect(at, CONNECT).await {
             Ok(stream) => return stream,
-            Err(e) => log::warn!("engine: can't be reached at its new address: {e}"),
+            Err(e) => log::warn!("engine: new address unreachable, error={e}"),
         }
         tokio::time::sleep(UNREACHED).await;
     }
@@ -272,7 +272,7 @@
         let stream = match stream {
             Ok(stream) => stream,
             Err(e) => {
-                log::warn!("engine: can't be reached: {e}");
+                log::warn!("engine: unreachable, error={e}");
                 let _ = timeout(UNREACHED, address.changed()).await;
                 continue;
             }
@@ -292,10 +292,10 @@
         };
         core.borrow_mut().unlinked();
         match end {
-            None => log::info!("engine: moved after notice {}", notices.serial()),
+            None => log::info!("engine: address changed, last_notice={}", notices.serial()),
             Some(end) => {
                 log::warn!(
-                    "engine: link lost after notice {}: {end:?}",
+                    "engine: link lost, last_notice={}, result={end:?}",
                     notices.serial()
                 );
                 tokio::time::sleep(AGAIN).await;
--- a/crates/testkit/examples/shares.rs
+++ b/crates/testkit/examples/shares.rs
@@ -107,7 +107,7 @@
     server.signal("-TERM");
     let mut levels = vec![];
     while let Ok((at, line)) = log.recv_timeout(Duration::from_secs(10)) {
-        if line.contains("pools: calls ") {
+        if line.contains("concurrency: limit ") {
             levels.push((at.saturating_duration_since(began).as_secs_f64(), line));
         }
     }
--- a/crates/upstream/src/backend_state.rs
+++ b/crates/upstream/src/backend_state.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-/// The state of a backend. `Display` gives the words of the log and of `routes --json`.
+/// The state of a backend. `Display` gives the words of `routes --json`, [`log_name`](State::log_name) those of the log.
 ///
 /// ```text
 /// Active --ejection--> Ejected --ejection time is over--> Probing --probes succeed--> SlowStart --window--> Active
@@ -21,6 +21,16 @@
 }
 
 impl State {
+    /// The state in the words of the log.
+    pub fn log_name(self) -> &'static str {
+        match self {
+            State::Active => "active",
+            State::Ejected => "ejected",
+            State::Probing => "probing",
+            State::SlowStart => "slow-start",
+        }
+    }
+
     /// Whether the backend is out of regular selection.
     pub(crate) fn is_out_of_selection(self) -> bool {
         matches!(self, State::Ejected | State::Probing)
--- a/crates/upstream/src/events.rs
+++ b/crates/upstream/src/events.rs
@@ -9,7 +9,7 @@
 /// Events that wait to be taken; more than these are counted and dropped.
 const MAX_PENDING_EVENTS: usize = 64;
 
-/// A change that is worth a line in the log. `Display` gives that line.
+/// A change that is worth a line in the log. `Display` gives the event of that line with its values.
 #[derive(Clone, Debug, PartialEq)]
 pub enum BackendEvent {
     /// A backend was ejected.
@@ -59,28 +59,30 @@
                 ejection_time,
             } => {
                 let seconds = ejection_time.as_secs_f64();
-                write!(f, "{name}: ejected for {seconds:.1} s: {evidence}")
+                write!(
+                    f,
+                    "backend ejected, name={name}, seconds={seconds:.1}, {evidence}"
+                )
+            }
+            BackendEvent::StateChanged { name, from, to } => {
+                let (from, to) = (from.log_name(), to.log_name());
+                write!(f, "backend {to}, name={name}, from={from}")
             }
-            BackendEvent::StateChanged { name, from, to } => write!(f, "{name}: {from} to {to}"),
             BackendEvent::PanicModeChanged {
                 name,
                 active,
                 outliers,
                 backends,
             } => {
-                let consequence = if *active {
-                    "nobody is left out"
-                } else {
-                    "the worst are left out again"
-                };
+                let change = if *active { "started" } else { "ended" };
                 write!(
                     f,
-                    "group of {name}: {outliers} of {backends} look bad; {consequence}"
+                    "panic mode {change}, group_of={name}, outliers={outliers}, backends={backends}"
                 )
             }
             BackendEvent::ConfigurationChanged { name, present } => {
-                let what = if *present { "set" } else { "no longer set" };
-                write!(f, "{name}: {what}")
+                let change = if *present { "added" } else { "removed" };
+                write!(f, "backend {change}, name={name}")
             }
         }
     }
--- a/crates/upstream/src/outlier.rs
+++ b/crates/upstream/src/outlier.rs
@@ -137,24 +137,24 @@
     }
 }
 
+/// Values of a log line. What shows nothing is left out: overdue attempts and slowdown where there are none, and the
+/// reports of others without a witness.
 impl fmt::Display for OutlierEvidence {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        write!(
-            f,
-            "own {:.1} bad, {:.1} good",
-            self.failures, self.successes
-        )?;
+        let (failures, successes) = (self.failures, self.successes);
+        write!(f, "failures={failures:.1}, successes={successes:.1}")?;
         if self.overdue > 0 {
-            write!(f, " ({} silent)", self.overdue)?;
+            write!(f, ", overdue={}", self.overdue)?;
         }
         if let Some(factor) = self.slowdown {
-            write!(f, " ({factor:.0} times as slow as the others)")?;
+            write!(f, ", slowdown={factor:.0}")?;
         }
-        let (failures, zones) = (self.reported_failures, self.reporting_zones);
-        match self.witnesses {
-            0 => f.write_str("; nothing heard"),
-            n => write!(f, "; heard {failures:.1} from {n} of {zones} zones"),
+        write!(f, ", witnesses={}", self.witnesses)?;
+        if self.witnesses > 0 {
+            let (failures, zones) = (self.reported_failures, self.reporting_zones);
+            write!(f, ", reported_failures={failures:.1}, zones={zones}")?;
         }
+        Ok(())
     }
 }
 
