--- a/crates/server/src/core/event_loop.rs
+++ b/crates/server/src/core/event_loop.rs
@@ -7,7 +7,7 @@
 use crate::downstream::connections::Connections;
 use crate::downstream::request_validation::{InvalidRequest, ValidatedRequest};
 use crate::support::json::Members;
-use crate::support::metrics::Counters;
+use crate::support::metrics::{Counters, LoadGauges};
 use crate::upstream::calls::CallDispatcher;
 use crate::upstream::engine::EngineLink;
 use madderbay::decide::Decider;
@@ -322,13 +322,13 @@
     pub fn counter_lines(&self) -> String {
         let h = &self.in_flight;
         let open = h.requests.values().filter(|r| !r.answered).count();
-        let own = h.counters.lines(
-            open,
-            h.requests.len(),
-            h.connections.len(),
-            h.calls.out(),
-            h.idempotency.len(),
-        );
+        let own = h.counters.lines(&LoadGauges {
+            open_requests: open,
+            requests_in_flight: h.requests.len(),
+            connections: h.connections.len(),
+            calls_in_flight: h.calls.out(),
+            keys: h.idempotency.len(),
+        });
         let pools = h
             .concurrency
             .as_ref()
--- a/crates/server/tests/counters.rs
+++ b/crates/server/tests/counters.rs
@@ -2,7 +2,7 @@
 
 use madderbay::interface::Outcome;
 use madderbay::time::Duration;
-use madderbay_server::support::metrics::{Counters, Lines};
+use madderbay_server::support::metrics::{Counters, Lines, LoadGauges};
 
 const EXPECTED: &str = "\
 counter read.quote 1
@@ -104,7 +104,14 @@
 
 #[test]
 fn counters_have_their_names_order_and_form() {
-    assert_eq!(counted().lines(101, 102, 103, 104, 105), EXPECTED);
+    let gauges = LoadGauges {
+        open_requests: 101,
+        requests_in_flight: 102,
+        connections: 103,
+        calls_in_flight: 104,
+        keys: 105,
+    };
+    assert_eq!(counted().lines(&gauges), EXPECTED);
 }
 
 #[test]
