Server: calls split into dispatcher, reply reader and driver

Cause: one file held the state of calls, the wire's grammar and the sockets, with tuples for replies, ended calls and wanted connections, an error without a cause, and words of our own (`quit`, `tidy`, `desk`, `met`).

Change: `calls/dispatcher.rs`, `calls/reply_reader.rs` and `calls/driver.rs`; `Reply`, `EndedCall` and `WantedConnection` have named fields; `ReplyError` names each cause; `quit` is `abandon`, `tidy` is `close_idle`, `desk` is `dispatcher`. Call sites in the core, the simulation and the tests follow.

--- a/crates/server/src/core/dispatch.rs
+++ b/crates/server/src/core/dispatch.rs
@@ -189,7 +189,7 @@
         }
         let tries = std::mem::take(&mut req.tries);
         for each in tries {
-            self.calls.quit_wire(self.now, each.wire);
+            self.calls.abandon_on(self.now, each.wire);
             if let Some(leads) = &self.backend_selector {
                 leads.over(&each.ticket, end);
             }
--- a/crates/server/src/core/event_loop.rs
+++ b/crates/server/src/core/event_loop.rs
@@ -227,7 +227,7 @@
                     if let Some(keep) = &mut self.in_flight.durability {
                         keep.book.expire(now);
                     }
-                    self.in_flight.calls.tidy(now);
+                    self.in_flight.calls.close_idle(now);
                     self.in_flight.idempotency.expire(now);
                     self.in_flight.connections.cut_stalled(now);
                     self.in_flight.due.insert((now + TIDY, Deadline::Tidy));
@@ -326,7 +326,7 @@
             open_requests: open,
             requests_in_flight: h.requests.len(),
             connections: h.connections.len(),
-            calls_in_flight: h.calls.out(),
+            calls_in_flight: h.calls.calls_in_flight(),
             keys: h.idempotency.len(),
         });
         let pools = h
--- a/crates/server/src/core/in_flight.rs
+++ b/crates/server/src/core/in_flight.rs
@@ -293,7 +293,7 @@
         if let Some(until) = req.until.take() {
             self.due.remove(&(until, Deadline::Call(id)));
             if req.tries.is_empty() {
-                self.calls.quit(self.now, &req.name);
+                self.calls.abandon(self.now, &req.name);
             }
             self.drop_tries(id, Tried::Cancelled);
             self.followed(id, |f, now, _| {
--- a/crates/server/src/core/upstream_events.rs
+++ b/crates/server/src/core/upstream_events.rs
@@ -78,8 +78,8 @@
                 .map_or(Duration::ZERO, |at| now - at);
             self.in_flight.drop_tries(id, Tried::TimedOut);
             self.call_ended(now, id, Outcome::TimedOut, spent);
-        } else if let Some((id, how, spent)) = self.in_flight.calls.quit(now, &name) {
-            self.call_ended(now, id, how, spent);
+        } else if let Some(call) = self.in_flight.calls.abandon(now, &name) {
+            self.call_ended(now, call.request, call.outcome, call.elapsed);
         }
     }
 }
@@ -226,7 +226,7 @@
 }
 
 impl calls::CallObserver for EventLoop {
-    fn desk(&mut self) -> &mut CallDispatcher {
+    fn dispatcher(&mut self) -> &mut CallDispatcher {
         &mut self.in_flight.calls
     }
 
@@ -263,10 +263,12 @@
 
     /// A connection to the catalogue is over.
     fn call_lost(&mut self, now: Timestamp, wire: u64) {
-        if let Some((id, how, spent)) = self.in_flight.calls.ended(now, wire)
-            && !self.in_flight.goes_on(now, id, wire, how, false)
+        if let Some(call) = self.in_flight.calls.connection_ended(now, wire)
+            && !self
+                .in_flight
+                .goes_on(now, call.request, wire, call.outcome, false)
         {
-            self.call_ended(now, id, how, spent);
+            self.call_ended(now, call.request, call.outcome, call.elapsed);
         }
     }
 }
--- /dev/null
+++ b/crates/server/src/upstream/calls/dispatcher.rs
@@ -0,0 +1,274 @@
+//! Which call is on which connection.
+//!
+//! The dispatcher owns the calls in flight, the connections that they are on and the idle ones. It is given the time,
+//! calls to send, replies and ends of connections. It opens no connection itself: it lists those that it wants, and
+//! hands each one's bytes to an outbox.
+
+use crate::support::io::Outbox;
+use crate::support::name::{Name, spelt};
+use madderbay::interface::Outcome;
+use madderbay::time::{Duration, Timestamp};
+use std::collections::HashSet;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::sync::Notify;
+
+/// A connection idle for longer takes no more calls: the catalogue may have closed or forgotten it, and a call that
+/// meets its reset can't be told from one that ran.
+const MAX_IDLE_TIME: Duration = Duration::from_millis(1_000);
+
+/// A call in flight.
+struct CallInFlight {
+    request: u64,
+    name: Name,
+    sent_at: Timestamp,
+    /// Where its bytes begin in all that its connection sends.
+    first_byte: u64,
+}
+
+/// A connection to the catalogue or to a backend.
+struct CallConnection {
+    id: u64,
+    /// Nothing: to the catalogue, wherever that is.
+    backend: Option<SocketAddr>,
+    outbox: Outbox,
+    call: Option<CallInFlight>,
+    /// Requests in flight that have called here: a second copy of a reply may still come, so their next calls are
+    /// made elsewhere.
+    callers: HashSet<Name>,
+    last_used: Timestamp,
+    /// It leads to an address that the catalogue has left.
+    is_outdated: bool,
+}
+
+impl CallConnection {
+    /// Whether it may take one more call, once it carries none.
+    fn is_reusable(&self, now: Timestamp) -> bool {
+        !self.is_outdated && now - self.last_used < MAX_IDLE_TIME
+    }
+
+    /// Whether it may take a call of this attempt now.
+    fn accepts(&self, now: Timestamp, name: &Name, backend: Option<SocketAddr>) -> bool {
+        self.backend == backend
+            && self.call.is_none()
+            && self.is_reusable(now)
+            && !self.callers.contains(name)
+    }
+
+    /// Puts a call on the connection.
+    fn send(&mut self, call: CallInFlight, timeout: Duration, body: &[u8]) {
+        let name = call.name;
+        self.call = Some(call);
+        self.callers.insert(name);
+        self.outbox.put(|out| {
+            let millis = (timeout.as_micros() / 1000).max(1);
+            let _ = write!(out, "FETCH {} {millis} {}\r\n", spelt(&name), body.len());
+            out.extend_from_slice(body);
+            out.extend_from_slice(b"\r\n");
+        });
+    }
+}
+
+/// A connection that the driver is to open.
+pub struct WantedConnection {
+    /// Its number, under which replies and its end are reported.
+    pub id: u64,
+    /// What is to be sent on it.
+    pub outbox: Outbox,
+    /// The backend that it leads to; nothing: to the catalogue.
+    pub backend: Option<SocketAddr>,
+}
+
+/// A call that ended without a reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndedCall {
+    /// The request that called.
+    pub request: u64,
+    /// How it ended; `Unreachable` where nothing of it was sent.
+    pub outcome: Outcome,
+    /// The time since it was sent.
+    pub elapsed: Duration,
+}
+
+/// All calls in flight and the connections that they are on; no more than the runs in flight.
+#[derive(Default)]
+pub struct CallDispatcher {
+    connections: Vec<CallConnection>,
+    /// The number of the connection that was wanted last.
+    last_id: u64,
+    wanted: Vec<WantedConnection>,
+    /// Notifies the driver of wanted connections.
+    connection_wanted: Rc<Notify>,
+}
+
+impl CallDispatcher {
+    /// Sends a call to the catalogue, or to a backend, which may take `timeout`. Returns the number of the connection
+    /// that it is on.
+    pub fn fetch(
+        &mut self,
+        now: Timestamp,
+        request: u64,
+        name: &Name,
+        timeout: Duration,
+        body: &[u8],
+        backend: Option<SocketAddr>,
+    ) -> u64 {
+        let connection = self.connection_for(now, name, backend);
+        let call = CallInFlight {
+            request,
+            name: *name,
+            sent_at: now,
+            first_byte: connection.outbox.queued(),
+        };
+        connection.send(call, timeout, body);
+        connection.id
+    }
+
+    /// An idle connection that may take the call, else a new one.
+    fn connection_for(
+        &mut self,
+        now: Timestamp,
+        name: &Name,
+        backend: Option<SocketAddr>,
+    ) -> &mut CallConnection {
+        // The one used last is the least likely to have been forgotten.
+        let indices = 0..self.connections.len();
+        let reusable = indices
+            .filter(|index| self.connections[*index].accepts(now, name, backend))
+            .max_by_key(|index| self.connections[*index].last_used);
+        let index = reusable.unwrap_or_else(|| self.want_connection(now, backend));
+        &mut self.connections[index]
+    }
+
+    /// Adds a connection for the driver to open. Returns its index.
+    fn want_connection(&mut self, now: Timestamp, backend: Option<SocketAddr>) -> usize {
+        self.last_id += 1;
+        let outbox = Outbox::default();
+        self.wanted.push(WantedConnection {
+            id: self.last_id,
+            outbox: outbox.clone(),
+            backend,
+        });
+        self.connection_wanted.notify_one();
+        self.connections.push(CallConnection {
+            id: self.last_id,
+            backend,
+            outbox,
+            call: None,
+            callers: HashSet::new(),
+            last_used: now,
+            is_outdated: false,
+        });
+        self.connections.len() - 1
+    }
+
+    /// Takes the connections that are to be opened, in their order.
+    pub fn take_wanted(&mut self) -> Vec<WantedConnection> {
+        std::mem::take(&mut self.wanted)
+    }
+
+    /// What is notified of wanted connections.
+    pub(super) fn connection_wanted(&self) -> Rc<Notify> {
+        self.connection_wanted.clone()
+    }
+
+    /// Abandons the call of an attempt, and its connection with it: what was not sent never will be.
+    pub fn abandon(&mut self, now: Timestamp, name: &Name) -> Option<EndedCall> {
+        self.remove(now, Outcome::TimedOut, |connection| {
+            let call = connection.call.as_ref();
+            call.is_some_and(|call| call.name == *name)
+        })
+    }
+
+    /// Abandons the call on a connection, and the connection with it.
+    pub fn abandon_on(&mut self, now: Timestamp, connection_id: u64) -> Option<EndedCall> {
+        self.remove(now, Outcome::TimedOut, |connection| {
+            connection.id == connection_id && connection.call.is_some()
+        })
+    }
+
+    /// Takes a reply on a connection. Returns the request that called and the time since; nothing if the reply is not
+    /// that of the call in flight there.
+    pub fn replied(
+        &mut self,
+        now: Timestamp,
+        connection_id: u64,
+        name: &Name,
+    ) -> Option<(u64, Duration)> {
+        let connection = self
+            .connections
+            .iter_mut()
+            .find(|connection| connection.id == connection_id)?;
+        let call = connection.call.take_if(|call| call.name == *name)?;
+        connection.last_used = now;
+        if connection.is_outdated {
+            connection.outbox.cut();
+        }
+        Some((call.request, now - call.sent_at))
+    }
+
+    /// A connection is over, and with it the call on it, if there is one.
+    pub fn connection_ended(&mut self, now: Timestamp, connection_id: u64) -> Option<EndedCall> {
+        self.remove(now, Outcome::Disconnected, |connection| {
+            connection.id == connection_id
+        })
+    }
+
+    /// Removes a connection. The call on it has never run where nothing of it was sent, else it ended as
+    /// `outcome_if_sent`.
+    fn remove(
+        &mut self,
+        now: Timestamp,
+        outcome_if_sent: Outcome,
+        is_it: impl FnMut(&CallConnection) -> bool,
+    ) -> Option<EndedCall> {
+        let index = self.connections.iter().position(is_it)?;
+        let connection = self.connections.swap_remove(index);
+        connection.outbox.cut();
+        let call = connection.call?;
+        let was_sent = connection.outbox.written() > call.first_byte;
+        Some(EndedCall {
+            request: call.request,
+            outcome: if was_sent {
+                outcome_if_sent
+            } else {
+                Outcome::Unreachable
+            },
+            elapsed: now - call.sent_at,
+        })
+    }
+
+    /// The request of this attempt is over: it makes no more calls, so that no late reply can be mistaken.
+    pub fn forget(&mut self, name: &Name) {
+        for connection in &mut self.connections {
+            connection.callers.remove(name);
+        }
+    }
+
+    /// The catalogue has moved: calls in flight may still come back, new ones go to the new address.
+    pub fn catalogue_moved(&mut self, now: Timestamp) {
+        let to_catalogue = |connection: &&mut CallConnection| connection.backend.is_none();
+        for connection in self.connections.iter_mut().filter(to_catalogue) {
+            connection.is_outdated = true;
+        }
+        self.close_idle(now);
+    }
+
+    /// Closes the connections that carry no call and may take none any more.
+    pub fn close_idle(&mut self, now: Timestamp) {
+        self.connections.retain(|connection| {
+            let keep = connection.call.is_some() || connection.is_reusable(now);
+            if !keep {
+                connection.outbox.cut();
+            }
+            keep
+        });
+    }
+
+    /// The number of calls in flight.
+    pub fn calls_in_flight(&self) -> usize {
+        let carries_call = |connection: &&CallConnection| connection.call.is_some();
+        self.connections.iter().filter(carries_call).count()
+    }
+}
--- /dev/null
+++ b/crates/server/src/upstream/calls/driver.rs
@@ -0,0 +1,108 @@
+//! The driver of calls: it opens the connections that the dispatcher wants and carries bytes until each is over.
+
+use super::dispatcher::{CallDispatcher, WantedConnection};
+use super::reply_reader::ReplyReader;
+use crate::support::clock::Clock;
+use crate::support::io::{connect, drive_link};
+use crate::support::name::Name;
+use madderbay::interface::Outcome;
+use madderbay::time::Timestamp;
+use std::cell::RefCell;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration as StdDuration;
+use tokio::sync::watch;
+
+/// A connection that was not made by then proves as much as a refused one: on it no call ran.
+const CONNECT_TIMEOUT: StdDuration = StdDuration::from_millis(500);
+
+/// The owner of the calls, which is notified of how they end.
+pub trait CallObserver {
+    /// The calls that it owns.
+    fn dispatcher(&mut self) -> &mut CallDispatcher;
+    /// Whether one more connection may be opened beside so many.
+    fn may_dial(&self, open: usize) -> bool;
+    /// A reply came on the connection `wire`.
+    fn call_over(&mut self, now: Timestamp, wire: u64, name: &Name, how: Outcome, body: &[u8]);
+    /// The connection `wire` is over.
+    fn call_lost(&mut self, now: Timestamp, wire: u64);
+    /// A reply could not be read.
+    fn unread(&mut self);
+}
+
+/// Opens the connections that the dispatcher wants and serves each until it is over, without an end. While the
+/// catalogue has no address no connection to it can be made, and no call runs there.
+pub async fn run<C: CallObserver + 'static>(
+    mut catalogue: watch::Receiver<Option<SocketAddr>>,
+    clock: Rc<Clock>,
+    core: Rc<RefCell<C>>,
+) {
+    let connection_wanted = core.borrow_mut().dispatcher().connection_wanted();
+    // Each open connection holds a clone, so that their number is known.
+    let open = Rc::new(());
+    loop {
+        let address = *catalogue.borrow_and_update();
+        let wanted = core.borrow_mut().dispatcher().take_wanted();
+        for connection in wanted {
+            if !core.borrow().may_dial(Rc::strong_count(&open) - 1) {
+                log::debug!("catalogue: no descriptor available for call");
+                core.borrow_mut().call_lost(clock.now(), connection.id);
+                continue;
+            }
+            let (clock, core, open) = (clock.clone(), core.clone(), open.clone());
+            tokio::task::spawn_local(async move {
+                let _open = open;
+                serve_to_end(address, &connection, &clock, &core).await;
+            });
+        }
+        tokio::select! {
+            () = connection_wanted.notified() => {}
+            Ok(()) = catalogue.changed() => {
+                core.borrow_mut().dispatcher().catalogue_moved(clock.now());
+            }
+        }
+    }
+}
+
+/// Serves one connection, and reports its end.
+async fn serve_to_end<C: CallObserver>(
+    catalogue: Option<SocketAddr>,
+    connection: &WantedConnection,
+    clock: &Clock,
+    core: &RefCell<C>,
+) {
+    let address = connection.backend.or(catalogue);
+    if let Err(error) = serve(address, connection, clock, core).await {
+        match connection.backend {
+            Some(address) => {
+                log::info!("backend: connection lost, address={address}, error={error}");
+            }
+            None => log::info!("catalogue: connection lost, error={error}"),
+        }
+    }
+    core.borrow_mut().call_lost(clock.now(), connection.id);
+}
+
+async fn serve<C: CallObserver>(
+    address: Option<SocketAddr>,
+    connection: &WantedConnection,
+    clock: &Clock,
+    core: &RefCell<C>,
+) -> std::io::Result<()> {
+    let address = address.ok_or(ErrorKind::AddrNotAvailable)?;
+    let stream = connect(address, CONNECT_TIMEOUT).await?;
+    let mut replies = ReplyReader::default();
+    let feed = |bytes: &[u8]| {
+        let (now, mut core) = (clock.now(), core.borrow_mut());
+        let is_readable = replies.feed(bytes, |reply| {
+            core.call_over(now, connection.id, &reply.name, reply.outcome, reply.body);
+        });
+        if !is_readable {
+            core.unread();
+            log::debug!("catalogue: unreadable reply received and connection closed");
+        }
+        is_readable
+    };
+    drive_link(&stream, &connection.outbox, feed).await
+}
--- a/crates/server/tests/crossings.rs
+++ b/crates/server/tests/crossings.rs
@@ -516,7 +516,7 @@
                 .contains("counter calls.unreached 1\n")
         })
         .await;
-        assert_eq!(place.serve.borrow().calls().out(), 1);
+        assert_eq!(place.serve.borrow().calls().calls_in_flight(), 1);
     });
 }
 
--- a/crates/server/tests/scenarios.rs
+++ b/crates/server/tests/scenarios.rs
@@ -142,8 +142,8 @@
                 let serve = &mut self.serve;
                 let (no, out, replies) = &mut self.wires[n - 1];
                 let no = *no;
-                if !replies.feed(piece, |(name, how, body)| {
-                    serve.call_over(now, no, &name, how, body)
+                if !replies.feed(piece, |reply| {
+                    serve.call_over(now, no, &reply.name, reply.outcome, reply.body)
                 }) {
                     out.close();
                 }
@@ -156,11 +156,11 @@
     }
 
     fn want(&mut self) {
-        let wanted = std::mem::take(&mut self.serve.calls_mut().wanted);
+        let wanted = self.serve.calls_mut().take_wanted();
         self.wires.extend(
             wanted
                 .into_iter()
-                .map(|(no, out, _)| (no, out, ReplyReader::default())),
+                .map(|wire| (wire.id, wire.outbox, ReplyReader::default())),
         );
     }
 
@@ -386,7 +386,7 @@
                 "endless" => self.feed(first, &[b'x'; 40_000]),
                 "deaf" => self.deaf = Some(first.to_string()),
                 "link" => self.link(),
-                "moved" => self.serve.calls_mut().moved(self.now),
+                "moved" => self.serve.calls_mut().catalogue_moved(self.now),
                 "mute" => self.mute = true,
                 "speak" => {
                     self.mute = false;
--- a/crates/server/tests/wires.rs
+++ b/crates/server/tests/wires.rs
@@ -17,11 +17,11 @@
 fn replies(bytes: &[u8], piece: usize) -> (Vec<(String, Outcome, Vec<u8>)>, bool) {
     let (mut machine, mut found) = (ReplyReader::default(), vec![]);
     let good = bytes.chunks(piece).all(|p| {
-        machine.feed(p, |(name, how, body)| {
+        machine.feed(p, |reply| {
             found.push((
-                String::from_utf8_lossy(&name).into_owned(),
-                how,
-                body.to_vec(),
+                String::from_utf8_lossy(&reply.name).into_owned(),
+                reply.outcome,
+                reply.body.to_vec(),
             ));
         })
     });
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -645,8 +645,8 @@
                     let node = &mut self.nodes[s];
                     let Node { wires, serve, .. } = node;
                     if let Some(w) = wires.get_mut(&wire) {
-                        let whole = w.replies.feed(text.as_bytes(), |(name, how, body)| {
-                            serve.call_over(now, wire, &name, how, body);
+                        let whole = w.replies.feed(text.as_bytes(), |reply| {
+                            serve.call_over(now, wire, &reply.name, reply.outcome, reply.body);
                         });
                         if !whole {
                             w.out.close();
@@ -827,13 +827,13 @@
     /// Carries what a server has to say.
     fn carry(&mut self, s: usize) {
         let now = self.now;
-        let wanted = std::mem::take(&mut self.nodes[s].serve.calls_mut().wanted);
-        for (no, out, to) in wanted {
+        let wanted = self.nodes[s].serve.calls_mut().take_wanted();
+        for wire in wanted {
             self.nodes[s].wires.insert(
-                no,
+                wire.id,
                 Wire {
-                    out,
-                    to,
+                    out: wire.outbox,
+                    to: wire.backend,
                     replies: ReplyReader::default(),
                 },
             );
