--- a/crates/server/src/core/event_loop.rs
+++ b/crates/server/src/core/event_loop.rs
@@ -240,7 +240,7 @@
             self.in_flight.counters.tick(now - wake);
             let gauges = self.gauges;
             self.consider(now, |d, in_flight| d.on_tick(now, &gauges, in_flight));
-            self.in_flight.engine_link.rang();
+            self.in_flight.engine_link.on_tick();
         }
         self.ceilings(now);
         self.consider(now, |d, in_flight| d.settle(now, in_flight));
--- a/crates/server/src/core/in_flight.rs
+++ b/crates/server/src/core/in_flight.rs
@@ -340,7 +340,7 @@
         let Some(req) = self.requests.get_mut(&id) else {
             return;
         };
-        if self.engine_link.heard() >= req.proof {
+        if self.engine_link.last_answer() >= req.proof {
             req.unproven.clear();
             req.fed = None;
         }
--- a/crates/server/src/core/upstream_events.rs
+++ b/crates/server/src/core/upstream_events.rs
@@ -128,7 +128,7 @@
             decider.on_start(&mut self.in_flight);
             self.decider = Some(decider);
         }
-        self.in_flight.engine_link.ask(true);
+        self.in_flight.engine_link.query_gauges(true);
         self.in_flight.changed.notify_one();
     }
 
--- /dev/null
+++ b/crates/server/src/upstream/engine/link.rs
@@ -0,0 +1,114 @@
+//! The sending side of the link.
+//!
+//! Commands and queries for the gauges go out in order on one link. Gauges that come back prove that the engine has
+//! read all that was sent before their query on the same link. Commands that were not proven are the core's to send
+//! again.
+
+use crate::support::io::Outbox;
+use crate::support::name::{Name, spelt};
+use std::io::Write;
+
+/// Ticks of the timer without an answer to a query for the gauges, after which the link counts as silent and is made
+/// anew: two seconds. Counted, not timed, since a pause of this process is no silence.
+const MAX_SILENT_TICKS: u32 = 200;
+
+/// One command as a line. `rest` holds further members, each with a comma before it, as they stand on the wire.
+pub fn command(msg: &str, call: &Name, rest: std::fmt::Arguments) -> Vec<u8> {
+    let mut line = Vec::with_capacity(64);
+    let _ = writeln!(
+        line,
+        "{{\"msg\":\"{msg}\",\"call\":\"{}\"{rest}}}",
+        spelt(call)
+    );
+    line
+}
+
+/// The sending side: what was queried on the link, and what is proven by the answers.
+#[derive(Default)]
+pub struct EngineLink {
+    /// What is to be sent on the link of the moment.
+    pub out: Outbox,
+    /// Linked, and all notices that were missed have been read.
+    pub up: bool,
+    /// The number of the last query for the gauges.
+    last_query: u64,
+    /// The last query that was answered.
+    last_answer: u64,
+    /// The last query that had been answered when the link before this one was lost.
+    answered_before: u64,
+    /// Ticks since a query that is still open.
+    silent_ticks: u32,
+}
+
+impl EngineLink {
+    /// Begins a fresh connection: the engine is notified of the last notice that was read.
+    pub fn attach(&mut self, out: Outbox, serial: u64) {
+        out.put(|b| {
+            let _ = writeln!(b, "{{\"msg\":\"ATTACH\",\"serial\":{serial}}}");
+        });
+        self.out = out;
+        self.last_answer = self.last_query;
+        self.silent_ticks = 0;
+    }
+
+    /// The connection is gone: what is sent now waits for the next one. What was proven stays as it was when a link is
+    /// lost before it was up, however often: else commands lost with the first would count as read.
+    pub fn lost(&mut self) {
+        if std::mem::replace(&mut self.up, false) {
+            self.answered_before = self.last_answer;
+        }
+    }
+
+    /// Sends a line while the link is up, else nothing.
+    pub fn send(&self, line: &[u8]) {
+        if self.up {
+            self.out.put(|b| b.extend_from_slice(line));
+        }
+    }
+
+    /// At each tick of the timer the gauges are queried, and a link that answers none for long is ended.
+    pub fn on_tick(&mut self) {
+        self.silent_ticks = if self.last_answer < self.last_query {
+            self.silent_ticks + 1
+        } else {
+            0
+        };
+        if self.silent_ticks == MAX_SILENT_TICKS {
+            self.out.cut();
+        }
+        if self.up {
+            self.query_gauges(false);
+        }
+    }
+
+    /// Queries the gauges, unless a query is open; `even_if_open` sends another one then.
+    pub fn query_gauges(&mut self, even_if_open: bool) {
+        if self.last_answer == self.last_query || even_if_open {
+            self.last_query += 1;
+            let cookie = self.last_query;
+            self.out.put(|b| {
+                let _ = writeln!(b, "{{\"msg\":\"STAT\",\"cookie\":\"{cookie}\"}}");
+            });
+        }
+    }
+
+    /// The number of the query whose answer will prove that what is sent now was read.
+    pub fn proof(&self) -> u64 {
+        self.last_query + 1
+    }
+
+    /// The last query that had been answered when the link before this one was lost.
+    pub fn proven_before(&self) -> u64 {
+        self.answered_before
+    }
+
+    /// The last query that was answered.
+    pub fn last_answer(&self) -> u64 {
+        self.last_answer
+    }
+
+    /// The gauges came that this query asked for.
+    pub(super) fn answered(&mut self, cookie: u64) {
+        self.last_answer = self.last_answer.max(cookie.min(self.last_query));
+    }
+}
