--- a/crates/server/src/downstream/connection.rs
+++ b/crates/server/src/downstream/connection.rs
@@ -137,7 +137,7 @@
     /// A request was read. If the connection was closing, it goes on until the request is answered.
     pub(super) fn request_opened(&mut self, now: Timestamp, rpc_id: u64, request_id: u64) {
         if self.outbox.is_closing() {
-            self.outbox.go_on();
+            self.outbox.reopen();
             self.ends_when_settled = true;
         }
         self.open_requests.insert(rpc_id, request_id);
@@ -177,7 +177,7 @@
             return;
         }
         if self.over_limit {
-            self.outbox.give_way();
+            self.outbox.close_promptly();
         } else if self.ends_when_settled {
             self.outbox.close();
         }
@@ -208,7 +208,7 @@
     /// Whether it may end in favour of a new connection.
     pub(super) fn is_evictable(&self, now: Timestamp) -> bool {
         self.is_quiescent()
-            && !self.outbox.gives_way()
+            && !self.outbox.closes_promptly()
             && (self.outbox.is_closing() || !self.is_protected(now))
     }
 
--- a/crates/server/src/downstream/connections.rs
+++ b/crates/server/src/downstream/connections.rs
@@ -123,7 +123,7 @@
         else {
             return false;
         };
-        connection.outbox().give_way();
+        connection.outbox().close_promptly();
         true
     }
 
--- a/crates/server/src/downstream/json_rpc.rs
+++ b/crates/server/src/downstream/json_rpc.rs
@@ -9,7 +9,7 @@
 use crate::downstream::request_validation::InvalidRequest;
 use crate::downstream::response;
 use crate::downstream::wire_names::{VERSION, envelope, error_code, method, param};
-use crate::support::io::Lines;
+use crate::support::io::LineSplitter;
 use crate::support::json::{Members, is_value};
 use crate::support::name::name;
 use madderbay::time::Timestamp;
@@ -91,7 +91,7 @@
 /// What one downstream connection sends.
 pub struct JsonRpcSession {
     connection: u64,
-    lines: Lines,
+    lines: LineSplitter,
     /// The peer violated the protocol: nothing more is read.
     ended: bool,
 }
@@ -101,7 +101,7 @@
     pub fn new(connection: u64) -> JsonRpcSession {
         JsonRpcSession {
             connection,
-            lines: Lines::up_to(MAX_LINE_BYTES),
+            lines: LineSplitter::with_max_line_bytes(MAX_LINE_BYTES),
             ended: false,
         }
     }
@@ -126,7 +126,7 @@
             InvalidLine::from(LineError::TooLong).answer(now, connection, serve);
         }
         let progress = LineProgress {
-            partial: self.lines.amid(),
+            partial: self.lines.has_partial_line(),
             completed,
         };
         serve.connections_mut().line_read(now, connection, progress);
--- /dev/null
+++ b/crates/server/src/support/io/line_splitter.rs
@@ -0,0 +1,48 @@
+//! Cuts a stream of bytes into lines.
+//!
+//! It owns the bytes of the line that is not complete yet, and never keeps more than the longest legal line.
+
+/// Cuts a stream of bytes into lines of a bounded length.
+pub struct LineSplitter {
+    partial_line: Vec<u8>,
+    max_line_bytes: usize,
+}
+
+impl LineSplitter {
+    /// A splitter for lines of so many bytes at most, their ends not counted.
+    pub fn with_max_line_bytes(max_line_bytes: usize) -> LineSplitter {
+        LineSplitter {
+            partial_line: vec![],
+            max_line_bytes,
+        }
+    }
+
+    /// Whether a part of a line was read.
+    pub fn has_partial_line(&self) -> bool {
+        !self.partial_line.is_empty()
+    }
+
+    /// Calls `each` for every complete line, without its LF or CR LF. False once a line is longer than the bound.
+    pub fn feed(&mut self, mut bytes: &[u8], mut each: impl FnMut(&[u8])) -> bool {
+        while let Some(end) = bytes.iter().position(|b| *b == b'\n') {
+            let (line, rest) = bytes.split_at(end);
+            bytes = &rest[1..];
+            if self.partial_line.len() + line.len() > self.max_line_bytes {
+                return false;
+            }
+            if self.partial_line.is_empty() {
+                each(without_carriage_return(line));
+            } else {
+                self.partial_line.extend_from_slice(line);
+                let line = std::mem::take(&mut self.partial_line);
+                each(without_carriage_return(&line));
+            }
+        }
+        self.partial_line.extend_from_slice(bytes);
+        self.partial_line.len() <= self.max_line_bytes
+    }
+}
+
+fn without_carriage_return(line: &[u8]) -> &[u8] {
+    line.strip_suffix(b"\r").unwrap_or(line)
+}
--- a/crates/server/src/upstream/engine/notice_reader.rs
+++ b/crates/server/src/upstream/engine/notice_reader.rs
@@ -4,7 +4,7 @@
 //! and hands each notice to the observer; a notice that can't be read is counted there and skipped.
 
 use super::EngineObserver;
-use crate::support::io::Lines;
+use crate::support::io::LineSplitter;
 use crate::support::json::{Members, number, whole};
 use crate::support::name::Name;
 use madderbay::interface::Outcome;
@@ -28,7 +28,7 @@
 
 /// Reads notices, over all links to the engine.
 pub struct NoticeReader {
-    lines: Lines,
+    lines: LineSplitter,
     position: Position,
 }
 
@@ -43,7 +43,7 @@
 impl Default for NoticeReader {
     fn default() -> NoticeReader {
         NoticeReader {
-            lines: Lines::up_to(MAX_LINE_BYTES),
+            lines: LineSplitter::with_max_line_bytes(MAX_LINE_BYTES),
             position: Position::default(),
         }
     }
@@ -52,7 +52,7 @@
 impl NoticeReader {
     /// A fresh link begins: half a line of the last one is dropped.
     pub fn relinked(&mut self) {
-        self.lines = Lines::up_to(MAX_LINE_BYTES);
+        self.lines = LineSplitter::with_max_line_bytes(MAX_LINE_BYTES);
     }
 
     /// Reads what came on the link. False when the link can't be read on.
