--- a/crates/server/src/core/event_loop.rs
+++ b/crates/server/src/core/event_loop.rs
@@ -6,7 +6,7 @@
 use crate::core::quota_gate::{QuotaGate, QuotaGroup, QuotaSource};
 use crate::downstream::connections::Connections;
 use crate::downstream::request_validation::{InvalidRequest, ValidatedRequest};
-use crate::support::json::Members;
+use crate::support::json::JsonObject;
 use crate::support::metrics::{Counters, LoadGauges};
 use crate::upstream::calls::CallDispatcher;
 use crate::upstream::engine::EngineLink;
@@ -144,7 +144,7 @@
         &mut self,
         now: Timestamp,
         handler: usize,
-        params: &Members<'a>,
+        params: &JsonObject<'a>,
     ) -> Result<ValidatedRequest<'a>, InvalidRequest> {
         let in_flight = &mut self.in_flight;
         in_flight
--- a/crates/server/src/downstream/json_rpc.rs
+++ b/crates/server/src/downstream/json_rpc.rs
@@ -10,7 +10,7 @@
 use crate::downstream::response;
 use crate::downstream::wire_names::{VERSION, envelope, error_code, method, param};
 use crate::support::io::LineSplitter;
-use crate::support::json::{Members, is_value};
+use crate::support::json::{JsonObject, is_value};
 use crate::support::name::name;
 use madderbay::time::Timestamp;
 
@@ -154,14 +154,14 @@
 impl<'a> Call<'a> {
     fn read(line: &'a [u8]) -> Result<Call<'a>, InvalidLine> {
         let text = std::str::from_utf8(line).map_err(|_| LineError::NotUtf8)?;
-        let Some(members) = Members::read(text) else {
+        let Some(members) = JsonObject::read(text) else {
             return Err(if is_value(text) {
                 LineError::NotAnObject.into()
             } else {
                 LineError::NotJson.into()
             });
         };
-        let id = members.whole(envelope::ID);
+        let id = members.unsigned(envelope::ID);
         let invalid = |error| InvalidLine { id, error };
         if members.text(envelope::VERSION).as_deref() != Some(VERSION) {
             return Err(invalid(LineError::WrongVersion));
@@ -179,8 +179,8 @@
         })
     }
 
-    fn params(&self) -> Option<Members<'a>> {
-        self.params.and_then(Members::read)
+    fn params(&self) -> Option<JsonObject<'a>> {
+        self.params.and_then(JsonObject::read)
     }
 }
 
@@ -211,7 +211,12 @@
     if let Some(params) = call.params() {
         let attempt = params.text(param::ATTEMPT_NAME);
         let attempt = attempt.as_deref().and_then(name);
-        serve.attempt_withdrawn(now, connection, params.whole(param::WITHDRAWN_ID), attempt);
+        serve.attempt_withdrawn(
+            now,
+            connection,
+            params.unsigned(param::WITHDRAWN_ID),
+            attempt,
+        );
     }
 }
 
--- a/crates/server/src/downstream/request_validation.rs
+++ b/crates/server/src/downstream/request_validation.rs
@@ -7,7 +7,7 @@
 
 use crate::downstream::idempotency_table::{FingerprintMismatch, IdempotencyKey, IdempotencyTable};
 use crate::downstream::wire_names::param;
-use crate::support::json::{Members, number, text, whole};
+use crate::support::json::{JsonObject, number, text, unsigned};
 use crate::support::name::{Name, name, spelt};
 use madderbay::interface::{Arrival, RetrySafety};
 use madderbay::time::{Duration, Timestamp};
@@ -93,7 +93,7 @@
 
 /// Reads the params of one request member by member. Each failure is the error given with the member.
 struct ParamReader<'p, 'a> {
-    params: &'p Members<'a>,
+    params: &'p JsonObject<'a>,
 }
 
 impl<'a> ParamReader<'_, 'a> {
@@ -127,7 +127,7 @@
 
     /// The instant at which the request was sent, which is not far from now.
     fn sent_at(&self, now: Timestamp) -> Result<Timestamp, InvalidRequest> {
-        let millis = self.required(param::SENT_AT, whole, InvalidRequest::SentAt)?;
+        let millis = self.required(param::SENT_AT, unsigned, InvalidRequest::SentAt)?;
         let sent_at = Timestamp::from_micros(millis.saturating_mul(1000));
         if sent_at > now + MAX_CLOCK_LEAD || sent_at + MAX_READ_DELAY < now {
             return Err(InvalidRequest::SentAtRange);
@@ -260,7 +260,7 @@
         &mut self,
         now: Timestamp,
         handler: usize,
-        params: &Members<'a>,
+        params: &JsonObject<'a>,
         keys: &IdempotencyTable,
     ) -> Result<ValidatedRequest<'a>, InvalidRequest> {
         let reader = ParamReader { params };
@@ -274,7 +274,7 @@
         let timeout = self.remaining_timeout(now, arrived, timeout)?;
         let tenant = self.tenant(&reader)?;
         let key = self.key(handler, &reader)?;
-        let client = reader.optional(param::CLIENT, whole, InvalidRequest::Client)?;
+        let client = reader.optional(param::CLIENT, unsigned, InvalidRequest::Client)?;
         let rank = reader.rank()?;
         let subject = reader.optional(param::SUBJECT, subject, InvalidRequest::Subject)?;
         let fingerprint = key.map_or(0, |_| self.fingerprint(handler, body));
--- a/crates/server/src/support/mod.rs
+++ b/crates/server/src/support/mod.rs
@@ -1,5 +1,5 @@
-//! What all stages use: clock, configuration, counters, log, lines and members of JSON, bytes between sockets
-//! and state machines.
+//! What all stages use: clocks, configuration, counters, the log, JSON text, names of attempts, and bytes between
+//! sockets and state machines. Nothing here knows a stage or takes a decision.
 
 pub mod clock;
 pub mod config;
--- a/crates/server/src/upstream/engine/notice_reader.rs
+++ b/crates/server/src/upstream/engine/notice_reader.rs
@@ -5,7 +5,7 @@
 
 use super::EngineObserver;
 use crate::support::io::LineSplitter;
-use crate::support::json::{Members, number, whole};
+use crate::support::json::{JsonObject, number, unsigned};
 use crate::support::name::Name;
 use madderbay::interface::Outcome;
 use madderbay::time::{Duration, Timestamp};
@@ -82,7 +82,7 @@
     ) -> Result<(), NoticeError> {
         let text = std::str::from_utf8(line).map_err(|_| NoticeError::Json)?;
         let notice = Notice {
-            members: Members::read(text).ok_or(NoticeError::Json)?,
+            members: JsonObject::read(text).ok_or(NoticeError::Json)?,
         };
         let kind = notice.text("msg")?;
         if notice.serial().is_some_and(|serial| !self.advance(serial)) {
@@ -122,7 +122,7 @@
 
 /// The members of a notice.
 struct Notice<'a> {
-    members: Members<'a>,
+    members: JsonObject<'a>,
 }
 
 impl<'a> Notice<'a> {
@@ -131,7 +131,7 @@
     }
 
     fn serial(&self) -> Option<u64> {
-        self.members.whole("serial")
+        self.members.unsigned("serial")
     }
 
     /// The attempt that the notice is about.
@@ -173,7 +173,7 @@
 
     /// The number of the query that gauges answer.
     fn cookie(&self) -> Result<u64, NoticeError> {
-        whole(&self.text("cookie")?).ok_or(NoticeError::Member("cookie"))
+        unsigned(&self.text("cookie")?).ok_or(NoticeError::Member("cookie"))
     }
 }
 
--- a/crates/server/src/upstream/mod.rs
+++ b/crates/server/src/upstream/mod.rs
@@ -1,4 +1,5 @@
-//! What lies below: the engine that runs reqs, and the catalogue that answers their calls.
+//! What this server calls: the engine that runs requests, and the catalogue or backends that runs call. Each is a
+//! state machine without I/O and a driver over sockets. They notify the core through traits and decide nothing.
 
 pub mod calls;
 pub mod engine;
--- a/crates/server/tests/wires.rs
+++ b/crates/server/tests/wires.rs
@@ -2,7 +2,7 @@
 
 use madderbay::interface::Outcome;
 use madderbay_server::downstream::registration::{Answers, report};
-use madderbay_server::support::json::{Members, is_value, number, text, whole};
+use madderbay_server::support::json::{JsonObject, is_value, number, text, unsigned};
 use madderbay_server::upstream::calls::ReplyReader;
 
 /// Feeds bytes in pieces of a size; what came of them, and whether the stream may be read on.
@@ -93,25 +93,30 @@
 fn json_is_read_as_it_allows() {
     let line =
         r#" {"a":1.250e1, "b" :"x\"\u00e9\ud83d\ude00\/", "c":[{},[null,true],-0.5], "a":7} "#;
-    let members = Members::read(line).expect("an object");
+    let members = JsonObject::read(line).expect("an object");
     assert_eq!(
-        members.whole("a"),
+        members.unsigned("a"),
         Some(7),
         "of two by one name the last counts"
     );
     assert_eq!(members.text("b").as_deref(), Some("x\"\u{e9}\u{1f600}/"));
     assert_eq!(members.raw("c"), Some("[{},[null,true],-0.5]"));
     assert_eq!(
-        (number("-1.5E-1"), whole("3e2"), whole("3.0")),
+        (number("-1.5E-1"), unsigned("3e2"), unsigned("3.0")),
         (Some(-0.15), Some(300), Some(3))
     );
     assert_eq!(
-        (whole("-1"), whole("1.5"), number("1e999"), number("null")),
+        (
+            unsigned("-1"),
+            unsigned("1.5"),
+            number("1e999"),
+            number("null")
+        ),
         (None, None, None, None)
     );
     assert!(text(r#""\ud800""#).is_none() && text(r#""\ud800\u0041""#).is_none());
     for cut in 1..line.trim_end().len() {
-        assert!(Members::read(&line[..cut]).is_none(), "{}", &line[..cut]);
+        assert!(JsonObject::read(&line[..cut]).is_none(), "{}", &line[..cut]);
     }
     for bad in [
         "{\"a\":01}",
@@ -123,8 +128,8 @@
         "{} {}",
         "{\"a\":\"\t\"}",
     ] {
-        assert!(Members::read(bad).is_none() && !is_value(bad), "{bad}");
+        assert!(JsonObject::read(bad).is_none() && !is_value(bad), "{bad}");
     }
     assert!(!is_value(&"[".repeat(100_000)), "nesting is bounded");
-    assert!(is_value("[1,2]") && Members::read("[1,2]").is_none());
+    assert!(is_value("[1,2]") && JsonObject::read("[1,2]").is_none());
 }
