--- a/crates/server/src/support/json.rs
+++ b/crates/server/src/support/json.rs
@@ -1,7 +1,8 @@
 //! A scanner of JSON text: it finds the members of an object and leaves their values as the bytes that came.
 //!
 //! Nothing is copied or converted before it is asked for, so that values can be handed on as they were written. The
-//! scanner accepts what RFC 8259 allows, nested to a bound, and never panics on other text.
+//! scanner accepts what RFC 8259 allows, nested to a bound. The functions that convert a value are given one that the
+//! scanner found.
 
 mod scanner;
 mod string;
--- a/crates/server/src/support/json/string.rs
+++ b/crates/server/src/support/json/string.rs
@@ -11,6 +11,9 @@
 
 /// The text of a string value, its escapes resolved. Nothing if the value is no string; a lone half of a surrogate
 /// pair is no text.
+///
+/// # Panics
+/// May panic on a string that the scanner does not accept.
 pub fn text(raw: &str) -> Option<Cow<'_, str>> {
     let inner = raw.strip_prefix('"')?.strip_suffix('"')?;
     let Some(first_escape) = inner.find('\\') else {
