--- a/crates/server/src/support/logging/place_limit.rs
+++ b/crates/server/src/support/logging/place_limit.rs
@@ -55,3 +55,6 @@
         suppressed
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/server/src/support/logging/writer.rs
+++ b/crates/server/src/support/logging/writer.rs
@@ -151,3 +151,6 @@
         None
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/server/src/support/logging/writer/tests.rs
@@ -0,0 +1,74 @@
+//! The numbers here are those of the on-call page.
+
+use super::*;
+
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+fn line(level: Level, line: u32) -> Entry {
+    let module = "madderbay_server::upstream";
+    Entry::Line {
+        level,
+        place: Place { module, line },
+        message: "engine: unreachable".into(),
+    }
+}
+
+fn written(writer: &mut Writer, entries: impl IntoIterator<Item = Entry>) -> String {
+    let mut text = String::new();
+    for entry in entries {
+        assert!(writer.append(entry, &mut text).is_none());
+    }
+    text
+}
+
+#[test]
+fn lines_begin_with_their_level_and_text_stays_as_it_is() {
+    let mut writer = Writer::new(&DROPPED);
+    let entries = [line(Level::Warn, 1), Entry::Text("counter open 0\n".into())];
+    let text = written(&mut writer, entries);
+    assert_eq!(text, "WARN engine: unreachable\ncounter open 0\n");
+}
+
+#[test]
+fn lines_below_info_are_not_limited() {
+    let mut writer = Writer::new(&DROPPED);
+    for (level, count) in [(Level::Error, 5), (Level::Info, 5), (Level::Debug, 9)] {
+        let lines = (0..9).map(|_| line(level, level as u32));
+        assert_eq!(written(&mut writer, lines).lines().count(), count);
+    }
+}
+
+#[test]
+fn ended_window_reports_what_was_not_written() {
+    static DROPPED_HERE: AtomicU64 = AtomicU64::new(3);
+    let mut writer = Writer::new(&DROPPED_HERE);
+    written(&mut writer, (0..7).map(|_| line(Level::Warn, 12)));
+    assert_eq!(writer.report_of_ended_window(), "");
+    writer.window_start -= WINDOW;
+    let report = "INFO log: lines suppressed, place=madderbay_server::upstream:12, count=2\n\
+                  INFO log: lines dropped, count=3\n";
+    assert_eq!(writer.report_of_ended_window(), report);
+    assert_eq!(writer.report_of_ended_window(), "");
+}
+
+#[test]
+fn full_queue_counts_what_it_drops_and_blocks_nobody() {
+    let queue = LogQueue::new();
+    queue.send(Entry::Text("discarded before the start".into()));
+    let (sender, entries) = sync_channel(MAX_QUEUED_ENTRIES);
+    queue.sender.set(sender).expect("not set yet");
+    (0..1_030).for_each(|_| queue.send(Entry::Text("text".into())));
+    queue.flush(Duration::from_millis(1));
+    assert_eq!(queue.dropped.load(Ordering::Relaxed), 7);
+    assert_eq!(entries.try_iter().count(), 1_024);
+}
+
+#[test]
+fn flush_waits_for_a_bounded_time() {
+    let queue = LogQueue::new();
+    let (sender, _entries) = sync_channel(MAX_QUEUED_ENTRIES);
+    queue.sender.set(sender).expect("not set yet");
+    let start = Instant::now();
+    queue.flush(Duration::from_millis(20));
+    assert!(start.elapsed() >= Duration::from_millis(20));
+}
