Server: parameters of the upstream observers under whole names

Cause: `how`, `spent`, `blob` and `what` named outcomes, times, results and commands.

Change: names of parameters only.

--- a/crates/server/src/upstream/calls/driver.rs
+++ b/crates/server/src/upstream/calls/driver.rs
@@ -23,10 +23,17 @@
     fn dispatcher(&mut self) -> &mut CallDispatcher;
     /// Whether one more connection may be opened beside so many.
     fn may_dial(&self, open: usize) -> bool;
-    /// A reply came on the connection `wire`.
-    fn call_over(&mut self, now: Timestamp, wire: u64, name: &Name, how: Outcome, body: &[u8]);
-    /// The connection `wire` is over.
-    fn call_lost(&mut self, now: Timestamp, wire: u64);
+    /// A reply came on a connection.
+    fn call_over(
+        &mut self,
+        now: Timestamp,
+        connection_id: u64,
+        name: &Name,
+        outcome: Outcome,
+        body: &[u8],
+    );
+    /// A connection is over, and with it the call on it, if there is one.
+    fn call_lost(&mut self, now: Timestamp, connection_id: u64);
     /// A reply could not be read.
     fn unread(&mut self);
 }
--- a/crates/server/src/upstream/engine.rs
+++ b/crates/server/src/upstream/engine.rs
@@ -20,16 +20,23 @@
 pub trait EngineObserver {
     /// The link that it owns.
     fn link(&mut self) -> &mut EngineLink;
-    /// The engine is up since `age`; `how` is `new` where it came up with this server.
-    fn hello(&mut self, now: Timestamp, how: &str, age: Duration);
+    /// The engine is up since `age`; `origin` is `new` where it came up with this server, else `old`.
+    fn hello(&mut self, now: Timestamp, origin: &str, age: Duration);
     /// The gauges; `gap` where notices before them were lost for good.
     fn gauges(&mut self, now: Timestamp, values: &[f64], gap: bool);
-    /// A run waits for a call: the call's number, and its body in base64.
-    fn at_call(&mut self, now: Timestamp, name: &Name, serial: u64, blob: &str);
-    /// A run is over after `spent`; `blob` is its result as it was written.
-    fn run_over(&mut self, now: Timestamp, name: &Name, how: Outcome, spent: Duration, blob: &str);
-    /// The command by the name `what` was not carried out.
-    fn declined(&mut self, now: Timestamp, what: &str, name: &Name);
+    /// A run waits for a call: the notice's serial, which is the call's number, and the body in base64.
+    fn at_call(&mut self, now: Timestamp, name: &Name, serial: u64, body: &str);
+    /// A run is over after `elapsed`; `result` is the JSON value as it was written.
+    fn run_over(
+        &mut self,
+        now: Timestamp,
+        name: &Name,
+        outcome: Outcome,
+        elapsed: Duration,
+        result: &str,
+    );
+    /// A command, given by its name on the wire, was not carried out.
+    fn declined(&mut self, now: Timestamp, command: &str, name: &Name);
     /// A notice could not be read.
     fn unread(&mut self);
     /// The link is lost.
