--- a/crates/server/src/core/dispatch.rs
+++ b/crates/server/src/core/dispatch.rs
@@ -252,7 +252,7 @@
             self.deadlines.remove(deadline, Deadline::Hedge(id));
         }
         for ended in request.call.take_attempts() {
-            self.calls.quit_wire(self.now, ended.upstream_connection);
+            self.calls.abandon_on(self.now, ended.upstream_connection);
             self.backends.finish(&ended.attempt, outcome);
         }
     }
@@ -267,7 +267,7 @@
         };
         self.deadlines.remove(deadline, Deadline::CallTimeout(id));
         if !request.call.has_attempts() {
-            self.calls.quit(self.now, &request.name);
+            self.calls.abandon(self.now, &request.name);
         }
         self.end_attempts(id, AttemptOutcome::Cancelled);
         self.observe(id, |o, now| o.call_finished(now, id, Completion::Cancelled));
--- a/crates/server/src/core/event_loop.rs
+++ b/crates/server/src/core/event_loop.rs
@@ -12,8 +12,8 @@
 use super::quota_gate::{QuotaGate, QuotaGroup, QuotaSource};
 use crate::downstream::connections::Connections;
 use crate::downstream::request_validation::{InvalidRequest, ValidatedRequest};
-use crate::support::json::Members;
-use crate::support::metrics::Counters;
+use crate::support::json::JsonObject;
+use crate::support::metrics::{Counters, LoadGauges};
 use crate::upstream::calls::CallDispatcher;
 use crate::upstream::engine::EngineLink;
 use madderbay::decide::Decider;
@@ -182,7 +182,7 @@
         &mut self,
         now: Timestamp,
         handler: usize,
-        params: &Members<'a>,
+        params: &JsonObject<'a>,
     ) -> Result<ValidatedRequest<'a>, InvalidRequest> {
         let executor = &mut self.executor;
         executor
@@ -193,13 +193,13 @@
     /// All counters, one line each.
     pub fn counter_lines(&self) -> String {
         let executor = &self.executor;
-        let mut lines = executor.counters.lines(
-            executor.requests.unanswered_count(),
-            executor.requests.len(),
-            executor.connections.len(),
-            executor.calls.out(),
-            executor.idempotency.len(),
-        );
+        let mut lines = executor.counters.lines(&LoadGauges {
+            open_requests: executor.requests.unanswered_count(),
+            requests_in_flight: executor.requests.len(),
+            connections: executor.connections.len(),
+            calls_in_flight: executor.calls.calls_in_flight(),
+            keys: executor.idempotency.len(),
+        });
         lines += &executor.limits.counters();
         lines += &executor.backends.counters();
         if let Some(durability) = &executor.durability {
--- a/crates/server/src/core/request_limits.rs
+++ b/crates/server/src/core/request_limits.rs
@@ -113,16 +113,11 @@
         };
         let limit_changes = limiter.take_limit_changes();
         for change in limit_changes.changes {
-            log::info!(
-                "pools: call limit changed, from={:.1}, to={:.1}, cause={}",
-                change.from,
-                change.to,
-                change.cause
-            );
+            log::info!("concurrency: {change}");
         }
         let dropped = limit_changes.dropped;
         if dropped > 0 {
-            log::info!("pools: further call limit changes, not_logged={dropped}");
+            log::info!("concurrency: changes not logged, count={dropped}");
         }
     }
 
--- a/crates/server/src/core/run_commands.rs
+++ b/crates/server/src/core/run_commands.rs
@@ -51,7 +51,7 @@
 
     /// Sends a command, and keeps it until the engine has surely read it.
     fn send(&mut self, line: &[u8], link: &EngineLink) {
-        if link.heard() >= self.proving_gauges {
+        if link.last_answer() >= self.proving_gauges {
             self.all_read();
         }
         self.unproven.extend_from_slice(line);
--- a/crates/server/src/core/server_status.rs
+++ b/crates/server/src/core/server_status.rs
@@ -50,7 +50,7 @@
     pub(super) fn set_health(&mut self, healthy: bool) {
         if std::mem::replace(&mut self.healthy, healthy) != healthy {
             let state = if healthy { "healthy" } else { "unhealthy" };
-            log::warn!("health: {state}");
+            log::warn!("health: changed, state={state}");
             self.changed.notify_one();
         }
     }
--- a/crates/server/src/core/turns.rs
+++ b/crates/server/src/core/turns.rs
@@ -77,7 +77,7 @@
         if let Some(durability) = &mut executor.durability {
             durability.expire(now);
         }
-        executor.calls.tidy(now);
+        executor.calls.close_idle(now);
         executor.idempotency.expire(now);
         executor.connections.cut_stalled(now);
         executor
@@ -93,7 +93,7 @@
         self.executor.counters.tick(now - deadline);
         let gauges = self.gauges;
         self.decide_within_turn(now, |d, executor| d.on_tick(now, &gauges, executor));
-        self.executor.engine_link.rang();
+        self.executor.engine_link.on_tick();
     }
 
     /// Hands the operator's limits to the decision module before it settles.
--- a/crates/server/src/core/upstream_events.rs
+++ b/crates/server/src/core/upstream_events.rs
@@ -83,8 +83,8 @@
             return;
         }
         let name = request.name;
-        if let Some((id, outcome, elapsed)) = executor.calls.quit(now, &name) {
-            self.call_ended(now, id, outcome, elapsed);
+        if let Some(call) = executor.calls.abandon(now, &name) {
+            self.call_ended(now, call.request, call.outcome, call.elapsed);
         }
     }
 }
@@ -175,7 +175,7 @@
         if self.decider.is_none() && !self.executor.status.is_draining() {
             self.begin_deciding(now, how == "new");
         }
-        self.executor.engine_link.ask(true);
+        self.executor.engine_link.query_gauges(true);
         self.work_pending.notify_one();
     }
 
@@ -250,7 +250,7 @@
 }
 
 impl CallObserver for EventLoop {
-    fn desk(&mut self) -> &mut CallDispatcher {
+    fn dispatcher(&mut self) -> &mut CallDispatcher {
         &mut self.executor.calls
     }
 
@@ -293,17 +293,17 @@
 
     /// An upstream connection is over, and with it the call on it.
     fn call_lost(&mut self, now: Timestamp, upstream_connection: u64) {
-        let Some((id, outcome, elapsed)) = self.executor.calls.ended(now, upstream_connection)
-        else {
+        let calls = &mut self.executor.calls;
+        let Some(call) = calls.connection_ended(now, upstream_connection) else {
             return;
         };
         let end = AttemptEnd {
             upstream_connection,
-            outcome,
+            outcome: call.outcome,
             replied: false,
         };
-        if self.executor.attempt_ended(now, id, end) == CallProgress::Ended {
-            self.call_ended(now, id, outcome, elapsed);
+        if self.executor.attempt_ended(now, call.request, end) == CallProgress::Ended {
+            self.call_ended(now, call.request, call.outcome, call.elapsed);
         }
     }
 }
--- a/crates/server/src/downstream/json_rpc.rs
+++ b/crates/server/src/downstream/json_rpc.rs
@@ -9,8 +9,8 @@
 use crate::downstream::request_validation::InvalidRequest;
 use crate::downstream::response;
 use crate::downstream::wire_names::{VERSION, envelope, error_code, method, param};
-use crate::support::io::Lines;
-use crate::support::json::{Members, is_value};
+use crate::support::io::LineSplitter;
+use crate::support::json::{JsonObject, is_value};
 use crate::support::name::name;
 use madderbay::time::Timestamp;
 
@@ -91,7 +91,7 @@
 /// What one downstream connection sends.
 pub struct JsonRpcSession {
     connection: u64,
-    lines: Lines,
+    lines: LineSplitter,
     /// The peer violated the protocol: nothing more is read.
     ended: bool,
 }
@@ -101,7 +101,7 @@
     pub fn new(connection: u64) -> JsonRpcSession {
         JsonRpcSession {
             connection,
-            lines: Lines::up_to(MAX_LINE_BYTES),
+            lines: LineSplitter::with_max_line_bytes(MAX_LINE_BYTES),
             ended: false,
         }
     }
@@ -126,7 +126,7 @@
             InvalidLine::from(LineError::TooLong).answer(now, connection, serve);
         }
         let progress = LineProgress {
-            partial: self.lines.amid(),
+            partial: self.lines.has_partial_line(),
             completed,
         };
         serve.connections_mut().line_read(now, connection, progress);
@@ -141,7 +141,7 @@
     fn answer(&self, now: Timestamp, connection: u64, serve: &mut EventLoop) {
         let error = self.error;
         serve.counters_mut().bad_lines += 1;
-        log::debug!("connection {connection}: a line can't be served: {error}");
+        log::debug!("connection: line rejected, id={connection}, error={error}");
         if let Some(outbox) = serve.outbox(connection) {
             outbox.put(|out| response::invalid(out, self.id, error.code(), error));
         }
@@ -154,14 +154,14 @@
 impl<'a> Call<'a> {
     fn read(line: &'a [u8]) -> Result<Call<'a>, InvalidLine> {
         let text = std::str::from_utf8(line).map_err(|_| LineError::NotUtf8)?;
-        let Some(members) = Members::read(text) else {
+        let Some(members) = JsonObject::read(text) else {
             return Err(if is_value(text) {
                 LineError::NotAnObject.into()
             } else {
                 LineError::NotJson.into()
             });
         };
-        let id = members.whole(envelope::ID);
+        let id = members.unsigned(envelope::ID);
         let invalid = |error| InvalidLine { id, error };
         if members.text(envelope::VERSION).as_deref() != Some(VERSION) {
             return Err(invalid(LineError::WrongVersion));
@@ -179,8 +179,8 @@
         })
     }
 
-    fn params(&self) -> Option<Members<'a>> {
-        self.params.and_then(Members::read)
+    fn params(&self) -> Option<JsonObject<'a>> {
+        self.params.and_then(JsonObject::read)
     }
 }
 
@@ -211,7 +211,12 @@
     if let Some(params) = call.params() {
         let attempt = params.text(param::ATTEMPT_NAME);
         let attempt = attempt.as_deref().and_then(name);
-        serve.attempt_withdrawn(now, connection, params.whole(param::WITHDRAWN_ID), attempt);
+        serve.attempt_withdrawn(
+            now,
+            connection,
+            params.unsigned(param::WITHDRAWN_ID),
+            attempt,
+        );
     }
 }
 
--- a/crates/server/src/fleet/gossip/event_log.rs
+++ b/crates/server/src/fleet/gossip/event_log.rs
@@ -46,7 +46,7 @@
     /// Reports how many events were omitted, and begins to count anew.
     fn begin_span(&mut self) {
         if self.unwritten > 0 {
-            log::info!("membership: events omitted, count={}", self.unwritten);
+            log::info!("membership: changes not logged, count={}", self.unwritten);
         }
         *self = EventLog::new();
     }
--- a/crates/server/src/reload.rs
+++ b/crates/server/src/reload.rs
@@ -9,6 +9,9 @@
 use std::time::Duration as StdDuration;
 use tokio::sync::watch;
 
+/// The section of the operator file that goes on or off at a restart only.
+const ROUTES_SECTION: &str = "[routes]";
+
 /// The values of the configuration that a reload can change, with the channels on which the drivers watch them.
 pub(crate) struct ReloadableValues {
     stop_ms: Cell<u64>,
@@ -108,6 +111,6 @@
     match (server.backends(), plan.routing) {
         (Some(backends), Some(routing)) => backends.reload(routing),
         (None, None) => {}
-        _ => log::warn!("reload: restart required, changed=[routes]"),
+        _ => log::warn!("reload: restart required, changed={ROUTES_SECTION}"),
     }
 }
--- a/crates/server/tests/crossings/resources.rs
+++ b/crates/server/tests/crossings/resources.rs
@@ -70,7 +70,7 @@
                 .contains("counter calls.unreached 1\n")
         })
         .await;
-        assert_eq!(server.core.borrow().calls().out(), 1);
+        assert_eq!(server.core.borrow().calls().calls_in_flight(), 1);
     });
 }
 
--- a/crates/server/tests/scenarios/player.rs
+++ b/crates/server/tests/scenarios/player.rs
@@ -164,8 +164,8 @@
         let (now, core) = (self.now, &mut self.core);
         let call = &mut self.calls[index];
         let id = call.id;
-        let is_read = call.replies.feed(piece, |(name, outcome, body)| {
-            core.call_over(now, id, &name, outcome, body);
+        let is_read = call.replies.feed(piece, |reply| {
+            core.call_over(now, id, &reply.name, reply.outcome, reply.body);
         });
         if !is_read {
             call.outbox.close();
@@ -179,10 +179,10 @@
     }
 
     fn open_wanted_calls(&mut self) {
-        let wanted = std::mem::take(&mut self.core.calls_mut().wanted);
-        let connections = wanted.into_iter().map(|(id, outbox, _)| CallConnection {
-            id,
-            outbox,
+        let wanted = self.core.calls_mut().take_wanted();
+        let connections = wanted.into_iter().map(|wanted| CallConnection {
+            id: wanted.id,
+            outbox: wanted.outbox,
             replies: ReplyReader::default(),
         });
         self.calls.extend(connections);
--- a/crates/server/tests/scenarios/step.rs
+++ b/crates/server/tests/scenarios/step.rs
@@ -207,7 +207,7 @@
         (_, ["link", ..]) => player.link_engine(),
         (_, ["moved", ..]) => {
             let now = player.now();
-            player.core.calls_mut().moved(now);
+            player.core.calls_mut().catalogue_moved(now);
         }
         (_, ["mute", ..]) => player.mute_engine(),
         (_, ["speak", ..]) => player.unmute_engine(),
--- a/crates/simulation/src/node/process.rs
+++ b/crates/simulation/src/node/process.rs
@@ -150,11 +150,9 @@
             return;
         };
         let event_loop = &mut self.event_loop;
-        let is_readable = connection
-            .replies
-            .feed(text.as_bytes(), |(request, outcome, body)| {
-                event_loop.call_over(now, number, &request, outcome, body);
-            });
+        let is_readable = connection.replies.feed(text.as_bytes(), |reply| {
+            event_loop.call_over(now, number, &reply.name, reply.outcome, reply.body);
+        });
         if !is_readable {
             connection.output.close();
         }
@@ -223,14 +221,13 @@
 
     /// Opens the upstream connections that the core wants.
     pub(crate) fn open_wanted_connections(&mut self) {
-        let wanted = std::mem::take(&mut self.event_loop.calls_mut().wanted);
-        for (number, output, address) in wanted {
+        for wanted in self.event_loop.calls_mut().take_wanted() {
             let connection = UpstreamConnection {
-                output,
-                address,
+                output: wanted.outbox,
+                address: wanted.backend,
                 replies: ReplyReader::default(),
             };
-            self.connections.insert(number, connection);
+            self.connections.insert(wanted.id, connection);
         }
     }
 
