--- a/crates/server/src/core/quota_gate.rs
+++ b/crates/server/src/core/quota_gate.rs
@@ -2,7 +2,7 @@
 //! they add up to, and the ceilings for the decisions.
 //!
 //! [`QuotaGate`] owns the requests by stage and the calls that were abandoned and may go on upstream. It is given
-//! every change of a request as a [`RequestObserver`]. What this server may use, it asks of a [`QuotaSource`]; it
+//! every change of a request as a `RequestObserver`. What this server may use, it asks of a [`QuotaSource`]; it
 //! never knows of leases or of other servers.
 
 mod demand;
--- a/crates/server/src/core/stored_results.rs
+++ b/crates/server/src/core/stored_results.rs
@@ -57,7 +57,7 @@
         let executor = &mut self.executor;
         let report = executor.status.load_report();
         executor.connections.answer(now, connection, |out| {
-            response::shed(out, rpc_id, retry_after, false, report)
+            response::shed(out, rpc_id, retry_after, false, report);
         });
         executor.counters.shed += 1;
     }
@@ -126,7 +126,7 @@
         match work {
             PendingWork::Run { request } => self.executor.deferred_events.run_not_sent(request),
             PendingWork::Response { request, .. } => {
-                self.executor.durable_answer_ready(request, None)
+                self.executor.durable_answer_ready(request, None);
             }
             PendingWork::Nothing => {}
         }
--- a/crates/server/src/fleet/mod.rs
+++ b/crates/server/src/fleet/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! The decisions are in state machines of other crates; the files here plan their settings and drive them over
 //! sockets. Of the core they know its traits [`QuotaSource`](crate::core::quota_gate::QuotaSource) and
-//! [`BackendSelector`](crate::core::dispatch::BackendSelector); they never call into its event loop.
+//! [`BackendSelector`](crate::core::backend_selector::BackendSelector); they never call into its event loop.
 
 /// The upstream backends, for the core and the gossip driver.
 pub mod backends;
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -31,7 +31,7 @@
     // A panic ends one connection or one turn of the decisions. The logger reports it, so that it never waits for
     // standard error.
     std::panic::set_hook(Box::new(|panic| {
-        log::error!("server: panic, error={panic}")
+        log::error!("server: panic, error={panic}");
     }));
     let result = commands::execute(arguments);
     logging::flush();
