Server: AttemptName in place of Name, its functions parse and as_text

Cause: name::name and spelt say nothing of what they name. Change: module support::attempt_name; call sites.

--- a/crates/server/src/core/arrivals.rs
+++ b/crates/server/src/core/arrivals.rs
@@ -11,8 +11,8 @@
 use crate::downstream::connections::{OpenRequestError, OpenedConnection};
 use crate::downstream::request_validation::{InvalidRequest, ValidatedRequest};
 use crate::downstream::response;
+use crate::support::attempt_name::AttemptName;
 use crate::support::io::Outbox;
-use crate::support::name::Name;
 use madderbay::interface::Actions;
 use madderbay::time::{Duration, Timestamp};
 use madderbay_concurrency::RequestStage;
@@ -185,7 +185,7 @@
         now: Timestamp,
         connection: u64,
         rpc_id: Option<u64>,
-        name: Option<Name>,
+        name: Option<AttemptName>,
     ) {
         let by_rpc_id = rpc_id.and_then(|rpc_id| {
             let connections = &self.executor.connections;
@@ -198,7 +198,7 @@
     }
 
     /// The request by the name of its attempt, if it came on this connection: a client can't withdraw another's.
-    fn request_of_connection(&self, name: &Name, connection: u64) -> Option<u64> {
+    fn request_of_connection(&self, name: &AttemptName, connection: u64) -> Option<u64> {
         let requests = &self.executor.requests;
         let id = requests.id(name)?;
         let request = requests.get(id)?;
--- a/crates/server/src/core/durability.rs
+++ b/crates/server/src/core/durability.rs
@@ -7,9 +7,9 @@
 mod writer;
 
 use crate::downstream::idempotency_table::KeyWindow;
+use crate::support::attempt_name::AttemptName;
 use crate::support::clock::unix_micros;
 use crate::support::metrics::Lines;
-use crate::support::name::Name;
 use madderbay::time::Timestamp;
 use madderbay_idempotency_store::recovery::Recovery;
 use madderbay_idempotency_store::storage::DirectoryStorage;
@@ -147,7 +147,11 @@
 
     /// Takes the result of a run that an earlier incarnation started. Returns whether there is such a run without a
     /// result so far.
-    pub fn complete_recovered_run(&mut self, attempt_id: &Name, result: Option<&[u8]>) -> bool {
+    pub fn complete_recovered_run(
+        &mut self,
+        attempt_id: &AttemptName,
+        result: Option<&[u8]>,
+    ) -> bool {
         self.results.complete_recovered_run(attempt_id, result)
     }
 
@@ -166,7 +170,7 @@
         request: u64,
         key: u128,
         window: KeyWindow,
-        attempt_id: Name,
+        attempt_id: AttemptName,
     ) -> Result<(), IntentError> {
         self.admit_intent()?;
         let sequence = self
--- a/crates/server/src/core/in_flight.rs
+++ b/crates/server/src/core/in_flight.rs
@@ -7,7 +7,7 @@
 use super::upstream_call::UpstreamCall;
 use crate::downstream::idempotency_table::IdempotencyKey;
 use crate::downstream::request_validation::ValidatedRequest;
-use crate::support::name::Name;
+use crate::support::attempt_name::AttemptName;
 use madderbay::time::{Duration, Timestamp};
 use std::collections::HashMap;
 
@@ -19,7 +19,7 @@
 /// A request that was read.
 pub(super) struct InFlightRequest {
     /// The name of the attempt, which the engine and the upstream servers know it by.
-    pub(super) name: Name,
+    pub(super) name: AttemptName,
     /// The downstream connection that it came on.
     pub(super) connection: u64,
     /// Its JSON-RPC id on that connection.
@@ -81,7 +81,7 @@
 #[derive(Default)]
 pub(super) struct InFlightRequests {
     by_id: HashMap<u64, InFlightRequest>,
-    ids_by_name: HashMap<Name, u64>,
+    ids_by_name: HashMap<AttemptName, u64>,
 }
 
 impl InFlightRequests {
@@ -114,7 +114,7 @@
     }
 
     /// The id of the request by the name of its attempt.
-    pub(super) fn id(&self, name: &Name) -> Option<u64> {
+    pub(super) fn id(&self, name: &AttemptName) -> Option<u64> {
         self.ids_by_name.get(name).copied()
     }
 
@@ -129,7 +129,7 @@
     }
 
     /// Ids and names of the requests whose runs were started, in the order of their ids.
-    pub(super) fn started(&self) -> Vec<(u64, Name)> {
+    pub(super) fn started(&self) -> Vec<(u64, AttemptName)> {
         let started = self.by_id.iter().filter(|(_, request)| request.started);
         let mut started: Vec<_> = started.map(|(id, request)| (*id, request.name)).collect();
         started.sort_unstable();
--- a/crates/server/src/core/upstream_events.rs
+++ b/crates/server/src/core/upstream_events.rs
@@ -8,7 +8,7 @@
 use super::deadlines::Deadline;
 use super::dispatch::{AttemptEnd, CallProgress};
 use super::event_loop::EventLoop;
-use crate::support::name::Name;
+use crate::support::attempt_name::AttemptName;
 use crate::upstream::calls::{CallDispatcher, CallObserver};
 use crate::upstream::engine::{EngineLink, EngineObserver};
 use base64::Engine as _;
@@ -124,7 +124,7 @@
     }
 
     /// A run ended that is not in flight. It may be one of a former incarnation, which proves its outcome.
-    fn unknown_run_ended(&mut self, name: &Name, outcome: Outcome, blob: &str) {
+    fn unknown_run_ended(&mut self, name: &AttemptName, outcome: Outcome, blob: &str) {
         let executor = &mut self.executor;
         let result = (outcome == Outcome::Completed).then_some(blob.as_bytes());
         let took_place = matches!(
@@ -192,7 +192,7 @@
     }
 
     /// A run waits at a call.
-    fn at_call(&mut self, now: Timestamp, name: &Name, serial: u64, blob: &str) {
+    fn at_call(&mut self, now: Timestamp, name: &AttemptName, serial: u64, blob: &str) {
         let executor = &mut self.executor;
         let Some(id) = executor.requests.id(name) else {
             return;
@@ -215,7 +215,7 @@
     fn run_over(
         &mut self,
         now: Timestamp,
-        name: &Name,
+        name: &AttemptName,
         outcome: Outcome,
         run_time: Duration,
         blob: &str,
@@ -234,7 +234,7 @@
 
     /// The engine did not carry a command out. If that is a run, the engine knows no such request: nothing ran or
     /// will, and a further attempt of its key is a new one.
-    fn declined(&mut self, now: Timestamp, command: &str, name: &Name) {
+    fn declined(&mut self, now: Timestamp, command: &str, name: &AttemptName) {
         self.executor.counters.declined += 1;
         log::debug!("engine: command declined, command={command}");
         let Some(id) = self.executor.requests.id(name).filter(|_| command == "RUN") else {
@@ -268,7 +268,7 @@
         &mut self,
         now: Timestamp,
         upstream_connection: u64,
-        name: &Name,
+        name: &AttemptName,
         outcome: Outcome,
         body: &[u8],
     ) {
--- a/crates/server/src/downstream/json_rpc.rs
+++ b/crates/server/src/downstream/json_rpc.rs
@@ -9,9 +9,9 @@
 use crate::downstream::request_validation::InvalidRequest;
 use crate::downstream::response;
 use crate::downstream::wire_names::{VERSION, envelope, error_code, method, param};
+use crate::support::attempt_name;
 use crate::support::io::LineSplitter;
 use crate::support::json::{JsonObject, is_value};
-use crate::support::name::name;
 use madderbay::time::Timestamp;
 
 /// Longer than any legal line: a body of 2 KiB in base64, each of its characters escaped, and its fields.
@@ -210,7 +210,7 @@
 fn forget(now: Timestamp, connection: u64, call: &Call, serve: &mut EventLoop) {
     if let Some(params) = call.params() {
         let attempt = params.text(param::ATTEMPT_NAME);
-        let attempt = attempt.as_deref().and_then(name);
+        let attempt = attempt.as_deref().and_then(attempt_name::parse);
         serve.attempt_withdrawn(
             now,
             connection,
--- a/crates/server/src/downstream/request_validation.rs
+++ b/crates/server/src/downstream/request_validation.rs
@@ -7,8 +7,8 @@
 
 use crate::downstream::idempotency_table::{FingerprintMismatch, IdempotencyKey, IdempotencyTable};
 use crate::downstream::wire_names::param;
+use crate::support::attempt_name::{self, AttemptName};
 use crate::support::json::{JsonObject, number, text, unsigned};
-use crate::support::name::{Name, name, spelt};
 use madderbay::interface::{Arrival, RetrySafety};
 use madderbay::time::{Duration, Timestamp};
 use madderbay_settings::Settings;
@@ -82,7 +82,7 @@
     /// What the decision module is given.
     pub arrival: Arrival,
     /// The name of this attempt on all wires.
-    pub name: Name,
+    pub name: AttemptName,
     /// The idempotency key, where the handler has one.
     pub key: Option<IdempotencyKey>,
     /// Hash of handler and body, the same for all attempts with the key; 0 without a key.
@@ -120,7 +120,7 @@
         self.optional(member, parse, error)?.ok_or(error)
     }
 
-    fn attempt_name(&self) -> Result<Name, InvalidRequest> {
+    fn attempt_name(&self) -> Result<AttemptName, InvalidRequest> {
         let error = InvalidRequest::AttemptName;
         self.required(param::ATTEMPT_NAME, attempt_name, error)
     }
@@ -192,8 +192,8 @@
         .collect()
 }
 
-fn attempt_name(raw: &str) -> Option<Name> {
-    name(&text(raw)?)
+fn attempt_name(raw: &str) -> Option<AttemptName> {
+    attempt_name::parse(&text(raw)?)
 }
 
 fn idempotency_key(raw: &str) -> Option<IdempotencyKey> {
@@ -207,7 +207,7 @@
 }
 
 fn subject(raw: &str) -> Option<u64> {
-    u64::from_str_radix(spelt(&attempt_name(raw)?), 16).ok()
+    u64::from_str_radix(attempt_name::as_text(&attempt_name(raw)?), 16).ok()
 }
 
 /// A raw value that is a string of base64, no longer than a body: the engine takes nothing else.
--- a/crates/server/src/upstream/calls/dispatcher.rs
+++ b/crates/server/src/upstream/calls/dispatcher.rs
@@ -4,8 +4,8 @@
 //! calls to send, replies and ends of connections. It opens no connection itself: it lists those that it wants, and
 //! hands each one's bytes to an outbox.
 
+use crate::support::attempt_name::{self, AttemptName};
 use crate::support::io::Outbox;
-use crate::support::name::{Name, spelt};
 use madderbay::interface::Outcome;
 use madderbay::time::{Duration, Timestamp};
 use std::collections::HashSet;
@@ -21,7 +21,7 @@
 /// A call in flight.
 struct CallInFlight {
     request: u64,
-    name: Name,
+    name: AttemptName,
     sent_at: Timestamp,
     /// Where its bytes begin in all that its connection sends.
     first_byte: u64,
@@ -36,7 +36,7 @@
     call: Option<CallInFlight>,
     /// Requests in flight that have called here: a second copy of a reply may still come, so their next calls are
     /// made elsewhere.
-    callers: HashSet<Name>,
+    callers: HashSet<AttemptName>,
     last_used: Timestamp,
     /// It leads to an address that the catalogue has left.
     is_outdated: bool,
@@ -49,7 +49,7 @@
     }
 
     /// Whether it may take a call of this attempt now.
-    fn accepts(&self, now: Timestamp, name: &Name, backend: Option<SocketAddr>) -> bool {
+    fn accepts(&self, now: Timestamp, name: &AttemptName, backend: Option<SocketAddr>) -> bool {
         self.backend == backend
             && self.call.is_none()
             && self.is_reusable(now)
@@ -63,7 +63,12 @@
         self.callers.insert(name);
         self.outbox.put(|out| {
             let millis = (timeout.as_micros() / 1000).max(1);
-            let _ = write!(out, "FETCH {} {millis} {}\r\n", spelt(&name), body.len());
+            let _ = write!(
+                out,
+                "FETCH {} {millis} {}\r\n",
+                attempt_name::as_text(&name),
+                body.len()
+            );
             out.extend_from_slice(body);
             out.extend_from_slice(b"\r\n");
         });
@@ -109,7 +114,7 @@
         &mut self,
         now: Timestamp,
         request: u64,
-        name: &Name,
+        name: &AttemptName,
         timeout: Duration,
         body: &[u8],
         backend: Option<SocketAddr>,
@@ -129,7 +134,7 @@
     fn connection_for(
         &mut self,
         now: Timestamp,
-        name: &Name,
+        name: &AttemptName,
         backend: Option<SocketAddr>,
     ) -> &mut CallConnection {
         // The one used last is the least likely to have been forgotten.
@@ -174,7 +179,7 @@
     }
 
     /// Abandons the call of an attempt, and its connection with it: what was not sent never will be.
-    pub fn abandon(&mut self, now: Timestamp, name: &Name) -> Option<EndedCall> {
+    pub fn abandon(&mut self, now: Timestamp, name: &AttemptName) -> Option<EndedCall> {
         self.remove(now, Outcome::TimedOut, |connection| {
             let call = connection.call.as_ref();
             call.is_some_and(|call| call.name == *name)
@@ -194,7 +199,7 @@
         &mut self,
         now: Timestamp,
         connection_id: u64,
-        name: &Name,
+        name: &AttemptName,
     ) -> Option<(u64, Duration)> {
         let connection = self
             .connections
@@ -240,7 +245,7 @@
     }
 
     /// The request of this attempt is over: it makes no more calls, so that no late reply can be mistaken.
-    pub fn forget(&mut self, name: &Name) {
+    pub fn forget(&mut self, name: &AttemptName) {
         for connection in &mut self.connections {
             connection.callers.remove(name);
         }
--- a/crates/server/src/upstream/calls/driver.rs
+++ b/crates/server/src/upstream/calls/driver.rs
@@ -2,9 +2,9 @@
 
 use super::dispatcher::{CallDispatcher, WantedConnection};
 use super::reply_reader::ReplyReader;
+use crate::support::attempt_name::AttemptName;
 use crate::support::clock::Clock;
 use crate::support::io::{connect, drive_link};
-use crate::support::name::Name;
 use madderbay::interface::Outcome;
 use madderbay::time::Timestamp;
 use std::cell::RefCell;
@@ -28,7 +28,7 @@
         &mut self,
         now: Timestamp,
         connection_id: u64,
-        name: &Name,
+        name: &AttemptName,
         outcome: Outcome,
         body: &[u8],
     );
--- a/crates/server/src/upstream/calls/reply_reader.rs
+++ b/crates/server/src/upstream/calls/reply_reader.rs
@@ -3,7 +3,7 @@
 //! The reader owns the bytes of a reply that is not complete yet. It is given bytes as they come and never keeps more
 //! than one reply may have.
 
-use crate::support::name::Name;
+use crate::support::attempt_name::AttemptName;
 use madderbay::interface::Outcome;
 
 /// Longer than the first line of any legal reply, in bytes.
@@ -17,7 +17,7 @@
 #[derive(Debug)]
 pub struct Reply<'a> {
     /// The attempt that called.
-    pub name: Name,
+    pub name: AttemptName,
     /// How the call ended.
     pub outcome: Outcome,
     /// The body of a completed call, else empty.
@@ -89,7 +89,7 @@
     let mut words = line.ok_or(ReplyError::LineEnd)?.split(' ');
     let name = words.next().unwrap_or_default();
     let outcome = words.next().ok_or(ReplyError::Outcome)?;
-    let name: Name = name.as_bytes().try_into().map_err(|_| ReplyError::Name)?;
+    let name: AttemptName = name.as_bytes().try_into().map_err(|_| ReplyError::Name)?;
     let outcome = match outcome {
         "DATA" => return parse_body(bytes, line_end + 1, name, words.next()),
         "LATER" => Outcome::Rejected,
@@ -112,7 +112,7 @@
 fn parse_body<'a>(
     bytes: &'a [u8],
     start: usize,
-    name: Name,
+    name: AttemptName,
     length: Option<&str>,
 ) -> Result<Option<ParsedReply<'a>>, ReplyError> {
     let length: usize = length
--- a/crates/server/src/upstream/engine.rs
+++ b/crates/server/src/upstream/engine.rs
@@ -8,7 +8,7 @@
 mod link;
 mod notice_reader;
 
-use crate::support::name::Name;
+use crate::support::attempt_name::AttemptName;
 use madderbay::interface::Outcome;
 use madderbay::time::{Duration, Timestamp};
 
@@ -25,18 +25,18 @@
     /// The gauges; `gap` where notices before them were lost for good.
     fn gauges(&mut self, now: Timestamp, values: &[f64], gap: bool);
     /// A run waits for a call: the notice's serial, which is the call's number, and the body in base64.
-    fn at_call(&mut self, now: Timestamp, name: &Name, serial: u64, body: &str);
+    fn at_call(&mut self, now: Timestamp, name: &AttemptName, serial: u64, body: &str);
     /// A run is over after `elapsed`; `result` is the JSON value as it was written.
     fn run_over(
         &mut self,
         now: Timestamp,
-        name: &Name,
+        name: &AttemptName,
         outcome: Outcome,
         elapsed: Duration,
         result: &str,
     );
     /// A command, given by its name on the wire, was not carried out.
-    fn declined(&mut self, now: Timestamp, command: &str, name: &Name);
+    fn declined(&mut self, now: Timestamp, command: &str, name: &AttemptName);
     /// A notice could not be read.
     fn unread(&mut self);
     /// The link is lost.
--- a/crates/server/src/upstream/engine/link.rs
+++ b/crates/server/src/upstream/engine/link.rs
@@ -4,8 +4,8 @@
 //! read all that was sent before their query on the same link. Commands that were not proven are the core's to send
 //! again.
 
+use crate::support::attempt_name::{self, AttemptName};
 use crate::support::io::Outbox;
-use crate::support::name::{Name, spelt};
 use std::io::Write;
 
 /// Ticks of the timer without an answer to a query for the gauges, after which the link counts as silent and is made
@@ -13,12 +13,12 @@
 const MAX_SILENT_TICKS: u32 = 200;
 
 /// One command as a line. `rest` holds further members, each with a comma before it, as they stand on the wire.
-pub fn command(msg: &str, call: &Name, rest: std::fmt::Arguments) -> Vec<u8> {
+pub fn command(msg: &str, call: &AttemptName, rest: std::fmt::Arguments) -> Vec<u8> {
     let mut line = Vec::with_capacity(64);
     let _ = writeln!(
         line,
         "{{\"msg\":\"{msg}\",\"call\":\"{}\"{rest}}}",
-        spelt(call)
+        attempt_name::as_text(call)
     );
     line
 }
--- a/crates/server/src/upstream/engine/notice_reader.rs
+++ b/crates/server/src/upstream/engine/notice_reader.rs
@@ -4,9 +4,9 @@
 //! and hands each notice to the observer; a notice that can't be read is counted there and skipped.
 
 use super::EngineObserver;
+use crate::support::attempt_name::AttemptName;
 use crate::support::io::LineSplitter;
 use crate::support::json::{JsonObject, number, unsigned};
-use crate::support::name::Name;
 use madderbay::interface::Outcome;
 use madderbay::time::{Duration, Timestamp};
 
@@ -135,7 +135,7 @@
     }
 
     /// The attempt that the notice is about.
-    fn call(&self) -> Result<Name, NoticeError> {
+    fn call(&self) -> Result<AttemptName, NoticeError> {
         let name = self.text("call")?;
         name.as_bytes()
             .try_into()
