Server: the event loop is called event_loop by the drivers

Cause: serve, the old name of the type, stayed as the name of the value. Change: parameters and locals of json_rpc, listener and registration.

--- a/crates/server/src/downstream/json_rpc.rs
+++ b/crates/server/src/downstream/json_rpc.rs
@@ -108,7 +108,7 @@
 
     /// Serves the lines that were completed by what was read; no bytes are the end of the input. False when
     /// nothing more is read.
-    pub fn feed(&mut self, now: Timestamp, bytes: &[u8], serve: &mut EventLoop) -> bool {
+    pub fn feed(&mut self, now: Timestamp, bytes: &[u8], event_loop: &mut EventLoop) -> bool {
         let (connection, ended) = (self.connection, &mut self.ended);
         let mut completed = false;
         let in_bounds = self.lines.feed(bytes, |line| {
@@ -116,37 +116,39 @@
             if *ended {
                 return;
             }
-            if let Err(invalid) = serve_line(now, connection, line, serve) {
+            if let Err(invalid) = serve_line(now, connection, line, event_loop) {
                 *ended = invalid.error.is_protocol_violation();
-                invalid.answer(now, connection, serve);
+                invalid.answer(now, connection, event_loop);
             }
         });
         if !in_bounds && !self.ended {
             self.ended = true;
-            InvalidLine::from(LineError::TooLong).answer(now, connection, serve);
+            InvalidLine::from(LineError::TooLong).answer(now, connection, event_loop);
         }
         let progress = LineProgress {
             partial: self.lines.has_partial_line(),
             completed,
         };
-        serve.connections_mut().line_read(now, connection, progress);
+        event_loop
+            .connections_mut()
+            .line_read(now, connection, progress);
         if bytes.is_empty() {
-            serve.input_ended(connection);
+            event_loop.input_ended(connection);
         }
         !self.ended
     }
 }
 
 impl InvalidLine {
-    fn answer(&self, now: Timestamp, connection: u64, serve: &mut EventLoop) {
+    fn answer(&self, now: Timestamp, connection: u64, event_loop: &mut EventLoop) {
         let error = self.error;
-        serve.counters_mut().bad_lines += 1;
+        event_loop.counters_mut().bad_lines += 1;
         log::debug!("connection: line rejected, id={connection}, error={error}");
-        if let Some(outbox) = serve.outbox(connection) {
+        if let Some(outbox) = event_loop.outbox(connection) {
             outbox.put(|out| response::invalid(out, self.id, error.code(), error));
         }
         if error.is_protocol_violation() {
-            serve.reject_connection(now, connection);
+            event_loop.reject_connection(now, connection);
         }
     }
 }
@@ -188,30 +190,30 @@
     now: Timestamp,
     connection: u64,
     line: &[u8],
-    serve: &mut EventLoop,
+    event_loop: &mut EventLoop,
 ) -> Result<(), InvalidLine> {
     let call = Call::read(line)?;
     if call.method == method::FORGET {
-        forget(now, connection, &call, serve);
+        forget(now, connection, &call, event_loop);
         return Ok(());
     }
     let id = call.id.ok_or(LineError::NoId)?;
     if call.method == method::IS_WELL {
-        serve.health_checked(now, connection, id);
+        event_loop.health_checked(now, connection, id);
         return Ok(());
     }
-    serve_request(now, connection, id, &call, serve).map_err(|error| InvalidLine {
+    serve_request(now, connection, id, &call, event_loop).map_err(|error| InvalidLine {
         id: Some(id),
         error,
     })
 }
 
 /// Withdraws a request by its id or by the name of the attempt; without either, nothing is done.
-fn forget(now: Timestamp, connection: u64, call: &Call, serve: &mut EventLoop) {
+fn forget(now: Timestamp, connection: u64, call: &Call, event_loop: &mut EventLoop) {
     if let Some(params) = call.params() {
         let attempt = params.text(param::ATTEMPT_NAME);
         let attempt = attempt.as_deref().and_then(attempt_name::parse);
-        serve.attempt_withdrawn(
+        event_loop.attempt_withdrawn(
             now,
             connection,
             params.unsigned(param::WITHDRAWN_ID),
@@ -225,14 +227,14 @@
     connection: u64,
     id: u64,
     call: &Call,
-    serve: &mut EventLoop,
+    event_loop: &mut EventLoop,
 ) -> Result<(), LineError> {
-    let handler = serve
+    let handler = event_loop
         .handler(&call.method)
         .ok_or(LineError::UnknownMethod)?;
-    serve.check_open(connection, id)?;
+    event_loop.check_open(connection, id)?;
     let params = call.params().ok_or(LineError::ParamsNotAnObject)?;
-    let request = serve.validate(now, handler, &params)?;
-    serve.request_arrived(now, connection, id, request)?;
+    let request = event_loop.validate(now, handler, &params)?;
+    event_loop.request_arrived(now, connection, id, request)?;
     Ok(())
 }
--- a/crates/server/src/downstream/listener.rs
+++ b/crates/server/src/downstream/listener.rs
@@ -42,25 +42,25 @@
 struct ConnectionGuard {
     connection: u64,
     clock: Rc<Clock>,
-    serve: SharedEventLoop,
+    event_loop: SharedEventLoop,
 }
 
 impl Drop for ConnectionGuard {
     fn drop(&mut self) {
         // The core may be in use where a panic unwinds through it: the report follows once it is free.
-        match self.serve.try_borrow_mut() {
-            Ok(mut serve) => serve.connection_closed(self.clock.now(), self.connection),
+        match self.event_loop.try_borrow_mut() {
+            Ok(mut event_loop) => event_loop.connection_closed(self.clock.now(), self.connection),
             Err(_) => {
-                let (clock, serve) = (self.clock.clone(), self.serve.clone());
-                tokio::task::spawn_local(report_closed(self.connection, clock, serve));
+                let (clock, event_loop) = (self.clock.clone(), self.event_loop.clone());
+                tokio::task::spawn_local(report_closed(self.connection, clock, event_loop));
             }
         }
     }
 }
 
 /// Reports the end of a connection as soon as the core is free.
-async fn report_closed(connection: u64, clock: Rc<Clock>, serve: SharedEventLoop) {
-    while serve
+async fn report_closed(connection: u64, clock: Rc<Clock>, event_loop: SharedEventLoop) {
+    while event_loop
         .try_borrow_mut()
         .map(|mut core| core.connection_closed(clock.now(), connection))
         .is_err()
@@ -74,7 +74,7 @@
     listener: TcpListener,
     max_connections: usize,
     clock: Rc<Clock>,
-    serve: SharedEventLoop,
+    event_loop: SharedEventLoop,
     stop: Rc<Notify>,
 ) {
     loop {
@@ -84,8 +84,8 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                let within_limit = make_way(max_connections, &clock, &serve).await;
-                start(stream, within_limit, &clock, &serve);
+                let within_limit = make_way(max_connections, &clock, &event_loop).await;
+                start(stream, within_limit, &clock, &event_loop);
             }
             Err(e) => {
                 log::warn!("listener: accept failed, error={e}");
@@ -98,9 +98,9 @@
         return;
     };
     for stream in backlog(&listener) {
-        let within_limit = serve.borrow().connection_count() < max_connections;
+        let within_limit = event_loop.borrow().connection_count() < max_connections;
         if let Ok(stream) = TcpStream::from_std(stream) {
-            start(stream, within_limit, &clock, &serve);
+            start(stream, within_limit, &clock, &event_loop);
         }
     }
     log::info!("listener: closed");
@@ -120,9 +120,9 @@
 
 /// Enters a connection into the core and starts its task. It counts from here on, not from its task's first
 /// poll, because many may be accepted before that.
-fn start(stream: TcpStream, within_limit: bool, clock: &Rc<Clock>, serve: &SharedEventLoop) {
+fn start(stream: TcpStream, within_limit: bool, clock: &Rc<Clock>, event_loop: &SharedEventLoop) {
     let (outbox, now) = (Outbox::default(), clock.now());
-    let mut core = serve.borrow_mut();
+    let mut core = event_loop.borrow_mut();
     // One over the limit is served too: what was written to it is owed an answer.
     let connection = if within_limit {
         core.connection_opened(now, outbox.clone())
@@ -132,17 +132,17 @@
     let guard = ConnectionGuard {
         connection,
         clock: clock.clone(),
-        serve: serve.clone(),
+        event_loop: event_loop.clone(),
     };
     tokio::task::spawn_local(serve_connection(stream, outbox, guard));
 }
 
 /// Evicts idle connections until one more is within the limit. False where none can be evicted: the next is
 /// rejected, once few enough others are being rejected.
-async fn make_way(max_connections: usize, clock: &Clock, serve: &SharedEventLoop) -> bool {
-    while serve.borrow().connection_count() >= max_connections {
-        if !serve.borrow_mut().evict_connection(clock.now()) {
-            if serve.borrow().connections_over_limit() < MAX_OVER_LIMIT {
+async fn make_way(max_connections: usize, clock: &Clock, event_loop: &SharedEventLoop) -> bool {
+    while event_loop.borrow().connection_count() >= max_connections {
+        if !event_loop.borrow_mut().evict_connection(clock.now()) {
+            if event_loop.borrow().connections_over_limit() < MAX_OVER_LIMIT {
                 return false;
             }
             tokio::time::sleep(OVER_LIMIT_POLL_INTERVAL).await;
@@ -156,7 +156,7 @@
     let mut session = JsonRpcSession::new(guard.connection);
     let feed = |bytes: &[u8]| {
         let now = guard.clock.now();
-        session.feed(now, bytes, &mut guard.serve.borrow_mut())
+        session.feed(now, bytes, &mut guard.event_loop.borrow_mut())
     };
     if let Err(e) = drive_peer(&stream, &outbox, feed).await {
         log::debug!("connection: broken, id={}, error={e}", guard.connection);
--- a/crates/server/src/downstream/registration.rs
+++ b/crates/server/src/downstream/registration.rs
@@ -128,15 +128,19 @@
 }
 
 /// Reports at an interval, and at once when what is reported, or to whom, changes. Runs until it is dropped.
-pub async fn run(mut address: watch::Receiver<SocketAddr>, name: String, serve: SharedEventLoop) {
+pub async fn run(
+    mut address: watch::Receiver<SocketAddr>,
+    name: String,
+    event_loop: SharedEventLoop,
+) {
     loop {
         let registry = *address.borrow_and_update();
         let error = tokio::select! {
             Ok(()) = address.changed() => continue,
-            error = report_on_one_connection(registry, &name, &serve) => error,
+            error = report_on_one_connection(registry, &name, &event_loop) => error,
         };
         log::warn!("registry: report failed, error={error}");
-        count(&serve, |counters| counters.reports_lost += 1);
+        count(&event_loop, |counters| counters.reports_lost += 1);
         let _ = timeout(RETRY_BACKOFF, address.changed()).await;
     }
 }
@@ -145,7 +149,7 @@
 async fn report_on_one_connection(
     registry: SocketAddr,
     name: &str,
-    serve: &SharedEventLoop,
+    event_loop: &SharedEventLoop,
 ) -> ReportError {
     let stream = match timeout(REPORT_TIMEOUT, TcpStream::connect(registry)).await {
         Ok(Ok(stream)) => stream,
@@ -158,8 +162,8 @@
         outbox: Outbox::default(),
         answered: Notify::new(),
         status: Cell::new(0),
-        state_changed: serve.borrow().report_changed(),
-        serve,
+        state_changed: event_loop.borrow().report_changed(),
+        event_loop,
     };
     let mut answers = Answers::default();
     let link = drive_link(&stream, &reporter.outbox, |bytes| {
@@ -174,8 +178,8 @@
     }
 }
 
-fn count(serve: &SharedEventLoop, change: impl FnOnce(&mut Counters)) {
-    change(serve.borrow_mut().counters_mut());
+fn count(event_loop: &SharedEventLoop, change: impl FnOnce(&mut Counters)) {
+    change(event_loop.borrow_mut().counters_mut());
 }
 
 /// The reports on one connection.
@@ -188,14 +192,14 @@
     status: Cell<u16>,
     /// Notified when another state is to be reported.
     state_changed: Rc<Notify>,
-    serve: &'a SharedEventLoop,
+    event_loop: &'a SharedEventLoop,
 }
 
 impl Reporter<'_> {
     /// Sends a report and awaits its answer, again and again, until one fails.
     async fn run(&self) -> ReportError {
         loop {
-            let ready = self.serve.borrow().is_ready();
+            let ready = self.event_loop.borrow().is_ready();
             let bytes = report(&self.host, self.name, ready);
             self.outbox.put(|out| out.extend_from_slice(&bytes));
             if timeout(REPORT_TIMEOUT, self.answered.notified())
@@ -207,7 +211,7 @@
             if self.status.get() != NO_CONTENT {
                 return ReportError::Refused(self.status.get());
             }
-            count(self.serve, |counters| counters.reports += 1);
+            count(self.event_loop, |counters| counters.reports += 1);
             let _ = timeout(REPORT_INTERVAL, self.state_changed.notified()).await;
         }
     }
