--- a/crates/testkit/src/catalogue.rs
+++ b/crates/testkit/src/catalogue.rs
@@ -1,214 +1,263 @@
-//! The catalogue, or trip book: so many slots, calls waiting for one in the order in which they came. A
-//! script tells how it behaves from when on.
+//! A fake catalogue: calls take a slot each, in the order of their arrival.
+//!
+//! # What is simulated
+//!
+//! The catalogue accepts connections on loopback and reads `FETCH` commands. Of the calls in flight
+//! the first ones, one a slot, progress in real time; the others wait. A finished call is answered
+//! with `DATA`. A call whose connection closes is dropped.
+//!
+//! # Faults
+//!
+//! [`Catalogue::set_behavior`] sets one [`Behavior`] for all calls, those in flight included: slow,
+//! failing, rejecting, silent, resetting, or sending replies byte by byte.
 
+use crate::peer::loopback_listener;
 use std::collections::{HashMap, VecDeque};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::time::{Duration, Instant};
 
-const SLICE: Duration = Duration::from_millis(1);
+/// The shortest time for which work is accounted.
+const TIME_SLICE: Duration = Duration::from_millis(1);
+/// The time between two samples of the calls in flight, in milliseconds.
+const SAMPLE_MS: u128 = 10;
 
-/// How calls fare.
+/// How the catalogue treats its calls.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Behavior {
-    /// They take so many times as long as usual.
+    /// Calls take this many times as long as usual; 1 is healthy.
     Slow(f64),
-    /// Answered `FAULT` at once.
+    /// Calls are answered `FAULT` at once.
     Fails,
-    /// Answered `LATER` at once.
+    /// Calls are answered `LATER` at once.
     TurnsAway,
-    /// Never answered.
+    /// Calls are never answered.
     Silent,
-    /// The connection is reset in place of the reply.
+    /// The connection is closed in place of a reply.
     Resets,
-    /// Replies leave byte by byte.
+    /// Replies are written byte by byte.
     Dribbles,
 }
 
-/// What it saw, a row each 10 ms of its life: calls in hand.
+/// What the catalogue has seen since its start.
 #[derive(Clone, Debug, Default)]
 pub struct CatalogueStats {
+    /// The calls in flight, sampled every 10 ms.
     pub in_hand: Vec<usize>,
-    /// The most in hand at any moment since that was last asked for.
+    /// The most calls in flight at any time since [`Catalogue::peak`] was last called.
     pub peak: usize,
+    /// Calls that were finished.
     pub done: u32,
-    /// All calls that came, however they fared.
+    /// Calls that arrived, whatever their outcome.
     pub came: u32,
-    /// Calls done by the req that they were made for.
+    /// Finished calls by the request that they were made for.
     pub names: HashMap<String, u32>,
 }
 
 enum Event {
-    Call { conn: u64, name: String },
-    Quit { conn: u64 },
-    Opened(u64, TcpStream),
-    Behavior(Behavior),
-    RequestKind(Sender<CatalogueStats>),
+    Connected { connection: u64, stream: TcpStream },
+    Disconnected { connection: u64 },
+    Call { connection: u64, name: String },
+    SetBehavior(Behavior),
+    Stats(Sender<CatalogueStats>),
     Peak(Sender<usize>),
 }
 
+/// A handle on a fake catalogue. It may be cloned; the catalogue's thread ends with the last handle
+/// and connection.
 #[derive(Clone)]
 pub struct Catalogue {
+    /// Where the catalogue listens.
     pub address: SocketAddr,
-    to: Sender<Event>,
+    events: Sender<Event>,
 }
 
 impl Catalogue {
+    /// Starts a catalogue with a number of slots on a free loopback port. A call takes `call` in
+    /// its slot.
+    ///
+    /// # Panics
+    ///
+    /// If no port is free.
     pub fn start(slots: usize, call: Duration) -> Catalogue {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let listener = loopback_listener();
         let address = listener.local_addr().expect("an address");
-        let (to, from) = channel();
-        let accepting = to.clone();
-        std::thread::spawn(move || {
-            for (conn, stream) in (0u64..).zip(listener.incoming().map_while(Result::ok)) {
-                let _ = stream.set_nodelay(true);
-                let reader = stream.try_clone().expect("a second handle");
-                if accepting.send(Event::Opened(conn, stream)).is_err() {
-                    return;
-                }
-                let to = accepting.clone();
-                std::thread::spawn(move || {
-                    let _ = read(conn, reader, &to);
-                    let _ = to.send(Event::Quit { conn });
-                });
-            }
-        });
-        std::thread::spawn(move || Slots::new(slots, call).run(&from));
-        Catalogue { address, to }
+        let (events, received) = channel();
+        let accepted = events.clone();
+        std::thread::spawn(move || accept(&listener, &accepted));
+        std::thread::spawn(move || Slots::new(slots, call).run(&received));
+        Catalogue { address, events }
     }
 
-    pub fn set_behavior(&self, mood: Behavior) {
-        let _ = self.to.send(Event::Behavior(mood));
+    /// Fault: from here on all calls are treated like this.
+    pub fn set_behavior(&self, behavior: Behavior) {
+        let _ = self.events.send(Event::SetBehavior(behavior));
     }
 
-    /// The most calls that were in hand at any moment since this was last asked.
+    /// The most calls in flight at any time since the last call of this method; `usize::MAX` when
+    /// the catalogue doesn't answer in time.
     pub fn peak(&self) -> usize {
-        let (to, from) = channel();
-        let _ = self.to.send(Event::Peak(to));
-        from.recv_timeout(crate::WAIT_TIMEOUT).unwrap_or(usize::MAX)
+        let (reply, received) = channel();
+        let _ = self.events.send(Event::Peak(reply));
+        received
+            .recv_timeout(crate::WAIT_TIMEOUT)
+            .unwrap_or(usize::MAX)
     }
 
+    /// What the catalogue has seen since its start; empty when it doesn't answer in time.
     pub fn stats(&self) -> CatalogueStats {
-        let (to, from) = channel();
-        let _ = self.to.send(Event::RequestKind(to));
-        from.recv_timeout(crate::WAIT_TIMEOUT).unwrap_or_default()
+        let (reply, received) = channel();
+        let _ = self.events.send(Event::Stats(reply));
+        received
+            .recv_timeout(crate::WAIT_TIMEOUT)
+            .unwrap_or_default()
+    }
+}
+
+/// Passes on each connection, and starts a thread that reads it, until the catalogue is gone.
+fn accept(listener: &TcpListener, events: &Sender<Event>) {
+    for (connection, stream) in (0u64..).zip(listener.incoming().map_while(Result::ok)) {
+        let _ = stream.set_nodelay(true);
+        let reader = stream.try_clone().expect("a second handle");
+        if events
+            .send(Event::Connected { connection, stream })
+            .is_err()
+        {
+            return;
+        }
+        let events = events.clone();
+        std::thread::spawn(move || {
+            let _ = read_calls(connection, reader, &events);
+            let _ = events.send(Event::Disconnected { connection });
+        });
     }
 }
 
-fn read(conn: u64, stream: TcpStream, to: &Sender<Event>) -> std::io::Result<()> {
-    let mut from = BufReader::new(stream);
+/// Passes on each call of a connection until either end is gone.
+fn read_calls(connection: u64, stream: TcpStream, events: &Sender<Event>) -> std::io::Result<()> {
+    let mut reader = BufReader::new(stream);
     loop {
         let mut line = String::new();
-        if from.read_line(&mut line)? == 0 {
+        if reader.read_line(&mut line)? == 0 {
             return Ok(());
         }
         let words: Vec<&str> = line.split_whitespace().collect();
-        if let ["FETCH", name, _, len] = words[..] {
-            let mut body = vec![0; len.parse::<usize>().unwrap_or(0) + 2];
-            from.read_exact(&mut body)?;
-            if to
-                .send(Event::Call {
-                    conn,
-                    name: name.into(),
-                })
-                .is_err()
-            {
-                return Ok(());
-            }
+        let ["FETCH", name, _, length] = words[..] else {
+            continue;
+        };
+        // The body ends with CR and LF.
+        let mut body = vec![0; length.parse::<usize>().unwrap_or(0) + 2];
+        reader.read_exact(&mut body)?;
+        let name = name.into();
+        if events.send(Event::Call { connection, name }).is_err() {
+            return Ok(());
         }
     }
 }
 
 struct Call {
-    conn: u64,
+    connection: u64,
     name: String,
-    left: f64,
+    /// The part of its work that is not done, from 1 to 0.
+    remaining: f64,
 }
 
+/// The catalogue's state, owned by its thread.
 struct Slots {
     slots: usize,
-    call: Duration,
-    mood: Behavior,
+    call_duration: Duration,
+    behavior: Behavior,
+    /// Calls in flight in the order of their arrival; the first ones have a slot each.
     calls: VecDeque<Call>,
-    conns: HashMap<u64, TcpStream>,
-    seen: CatalogueStats,
+    connections: HashMap<u64, TcpStream>,
+    stats: CatalogueStats,
 }
 
 impl Slots {
-    fn new(slots: usize, call: Duration) -> Slots {
-        let (calls, conns) = (VecDeque::new(), HashMap::new());
+    fn new(slots: usize, call_duration: Duration) -> Slots {
         Slots {
             slots,
-            call,
-            mood: Behavior::Slow(1.0),
-            calls,
-            conns,
-            seen: CatalogueStats::default(),
+            call_duration,
+            behavior: Behavior::Slow(1.0),
+            calls: VecDeque::new(),
+            connections: HashMap::new(),
+            stats: CatalogueStats::default(),
         }
     }
 
-    fn run(mut self, from: &Receiver<Event>) {
-        let began = Instant::now();
-        let mut worked = began;
+    /// Handles events and works in between, until all handles and connections are gone.
+    fn run(mut self, received: &Receiver<Event>) {
+        let started = Instant::now();
+        let mut worked = started;
         loop {
-            match from.recv_timeout(SLICE) {
-                Ok(event) => self.event(event),
+            match received.recv_timeout(TIME_SLICE) {
+                Ok(event) => self.handle(event),
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
             let passed = worked.elapsed();
-            if passed >= SLICE {
+            if passed >= TIME_SLICE {
                 worked = Instant::now();
                 self.work(passed.as_secs_f64());
             }
-            while self.seen.in_hand.len() < (began.elapsed().as_millis() / 10) as usize {
-                self.seen.in_hand.push(self.calls.len());
+            let samples = (started.elapsed().as_millis() / SAMPLE_MS) as usize;
+            if self.stats.in_hand.len() < samples {
+                self.stats.in_hand.resize(samples, self.calls.len());
             }
         }
     }
 
     fn work(&mut self, secs: f64) {
-        let times = match self.mood {
-            Behavior::Slow(times) => times,
-            Behavior::Dribbles => 1.0,
-            Behavior::Silent => return,
-            Behavior::Fails | Behavior::TurnsAway | Behavior::Resets => {
-                for call in std::mem::take(&mut self.calls) {
-                    match self.mood {
-                        Behavior::Resets => {
-                            if let Some(conn) = self.conns.remove(&call.conn) {
-                                let _ = conn.shutdown(Shutdown::Both);
-                            }
-                        }
-                        Behavior::Fails => self.say(call.conn, &format!("{} FAULT\r\n", call.name)),
-                        _ => self.say(call.conn, &format!("{} LATER\r\n", call.name)),
-                    }
-                }
-                return;
-            }
-        };
-        let part = secs / (self.call.as_secs_f64() * times);
-        self.calls
-            .iter_mut()
-            .take(self.slots)
-            .for_each(|c| c.left -= part);
-        let (over, stay): (Vec<Call>, Vec<Call>) = std::mem::take(&mut self.calls)
+        match self.behavior {
+            Behavior::Slow(times) => self.progress(secs, times),
+            Behavior::Dribbles => self.progress(secs, 1.0),
+            Behavior::Silent => {}
+            Behavior::Fails => self.reject_all("FAULT"),
+            Behavior::TurnsAway => self.reject_all("LATER"),
+            Behavior::Resets => self.reset_all(),
+        }
+    }
+
+    /// The calls with a slot progress, and those that are finished are answered.
+    fn progress(&mut self, secs: f64, times: f64) {
+        let done = secs / (self.call_duration.as_secs_f64() * times);
+        for call in self.calls.iter_mut().take(self.slots) {
+            call.remaining -= done;
+        }
+        let (finished, waiting): (Vec<Call>, Vec<Call>) = std::mem::take(&mut self.calls)
             .into_iter()
-            .partition(|c| c.left <= 0.0);
-        self.calls = stay.into();
-        for call in over {
-            self.seen.done += 1;
-            *self.seen.names.entry(call.name.clone()).or_default() += 1;
-            self.say(call.conn, &format!("{} DATA 2\r\nok\r\n", call.name));
+            .partition(|call| call.remaining <= 0.0);
+        self.calls = waiting.into();
+        for call in finished {
+            self.stats.done += 1;
+            *self.stats.names.entry(call.name.clone()).or_default() += 1;
+            self.reply(call.connection, &format!("{} DATA 2\r\nok\r\n", call.name));
+        }
+    }
+
+    /// Answers all calls in flight with the protocol's word for a failure.
+    fn reject_all(&mut self, word: &str) {
+        for call in std::mem::take(&mut self.calls) {
+            self.reply(call.connection, &format!("{} {word}\r\n", call.name));
+        }
+    }
+
+    /// Closes the connections of all calls in flight.
+    fn reset_all(&mut self) {
+        for call in std::mem::take(&mut self.calls) {
+            if let Some(stream) = self.connections.remove(&call.connection) {
+                let _ = stream.shutdown(Shutdown::Both);
+            }
         }
     }
 
-    fn say(&mut self, conn: u64, text: &str) {
-        let Some(stream) = self.conns.get_mut(&conn) else {
+    /// Writes to a connection, if it is still open.
+    fn reply(&mut self, connection: u64, text: &str) {
+        let Some(stream) = self.connections.get_mut(&connection) else {
             return;
         };
-        let piece = if self.mood == Behavior::Dribbles {
+        let piece = if self.behavior == Behavior::Dribbles {
             1
         } else {
             text.len()
@@ -218,30 +267,30 @@
         }
     }
 
-    fn event(&mut self, event: Event) {
+    fn handle(&mut self, event: Event) {
         match event {
-            Event::Call { conn, name } => {
+            Event::Call { connection, name } => {
                 self.calls.push_back(Call {
-                    conn,
+                    connection,
                     name,
-                    left: 1.0,
+                    remaining: 1.0,
                 });
-                self.seen.came += 1;
-                self.seen.peak = self.seen.peak.max(self.calls.len());
+                self.stats.came += 1;
+                self.stats.peak = self.stats.peak.max(self.calls.len());
             }
-            Event::Quit { conn } => {
-                self.conns.remove(&conn);
-                self.calls.retain(|c| c.conn != conn);
+            Event::Disconnected { connection } => {
+                self.connections.remove(&connection);
+                self.calls.retain(|call| call.connection != connection);
             }
-            Event::Opened(conn, stream) => {
-                self.conns.insert(conn, stream);
+            Event::Connected { connection, stream } => {
+                self.connections.insert(connection, stream);
             }
-            Event::Behavior(mood) => self.mood = mood,
-            Event::Peak(to) => {
-                let _ = to.send(std::mem::replace(&mut self.seen.peak, self.calls.len()));
+            Event::SetBehavior(behavior) => self.behavior = behavior,
+            Event::Peak(reply) => {
+                let _ = reply.send(std::mem::replace(&mut self.stats.peak, self.calls.len()));
             }
-            Event::RequestKind(to) => {
-                let _ = to.send(self.seen.clone());
+            Event::Stats(reply) => {
+                let _ = reply.send(self.stats.clone());
             }
         }
     }
--- a/crates/testkit/src/engine.rs
+++ b/crates/testkit/src/engine.rs
@@ -1,313 +1,394 @@
-//! The engine: so many cores shared evenly by the runs that are on them, in real time. A run works, may stand
-//! at a call half way, and ends. It takes one link after the other and keeps its notices, as the real one
-//! does.
+//! A fake engine: cores shared evenly by the runs on them, in real time.
+//!
+//! # What is simulated
+//!
+//! The engine accepts connections on loopback and speaks the engine's line protocol. Only the
+//! newest connection is served; lines of former ones are ignored. A run works for a drawn time on
+//! one core. A run of a handler that makes calls asks for its call (`NEED`) at half of its work and
+//! waits until it gets `FEED` or `SKIP`. A run ends (`DONE`) as `good` when its work is done, and
+//! as `cut` when it is halted. Notices are numbered and retained, so that a server that attaches
+//! again receives those that it has missed.
+//!
+//! # Faults
+//!
+//! [`Engine::break_link`] closes the connection in use. A run whose handler the engine doesn't know
+//! is rejected with `NO`.
 
+use crate::peer::loopback_listener;
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD as BASE64;
 use serde_json::Value;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::time::{Duration, Instant};
 
-/// Time slices of the cores, and notices kept for the next link.
-const SLICE: Duration = Duration::from_millis(1);
-const KEPT: usize = 4_000;
+/// The shortest time for which work is accounted.
+const TIME_SLICE: Duration = Duration::from_millis(1);
+/// Notices that are retained for the next connection.
+const MAX_RETAINED_NOTICES: usize = 4_000;
+/// The part of a run's work after which it makes its call.
+const WORK_BEFORE_CALL: f64 = 0.5;
 
 /// What the runs of one handler do.
 #[derive(Clone, Debug)]
 pub struct HandlerWork {
+    /// The handler's name, as `RUN` has it.
     pub handler: String,
-    /// Work on one core, least and most.
+    /// The least and the most work of a run on one core, in milliseconds; drawn evenly between
+    /// them.
     pub ms: (f64, f64),
+    /// Whether a run makes a call.
     pub calls: bool,
 }
 
-/// What was asked of the engine since it began.
+/// What the engine has seen since its start.
 #[derive(Clone, Debug, Default)]
 pub struct EngineStats {
-    /// Runs by the body that they came with.
+    /// The number of runs by the body that they were started with, in base64.
     pub bodies: HashMap<String, u32>,
+    /// The most runs at any time.
     pub most_at_once: usize,
 }
 
 enum Event {
-    Linked(TcpStream),
-    Line(u64, String),
-    /// A req is answered: a run of it that stands at a call ends.
-    Answered(String),
-    RequestKind(Sender<EngineStats>),
-    /// The link is broken by this side.
-    Break,
+    Connected(TcpStream),
+    Line {
+        connection: u64,
+        line: String,
+    },
+    /// A request is answered: its run ends when it waits for a call.
+    RequestAnswered(String),
+    Stats(Sender<EngineStats>),
+    BreakLink,
 }
 
-/// The other threads' hold on an engine.
+/// A handle on a fake engine. It may be cloned; the engine's thread ends with the last handle and
+/// connection.
 #[derive(Clone)]
 pub struct Engine {
+    /// Where the engine listens.
     pub address: SocketAddr,
-    to: Sender<Event>,
+    events: Sender<Event>,
 }
 
 impl Engine {
+    /// Starts an engine with a number of cores on a free loopback port. The seed determines the
+    /// work of the runs.
+    ///
+    /// # Panics
+    ///
+    /// If no port is free.
     pub fn start(cores: f64, works: Vec<HandlerWork>, seed: u64) -> Engine {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let listener = loopback_listener();
         let address = listener.local_addr().expect("an address");
-        let (to, from) = channel();
-        let accepting = to.clone();
-        std::thread::spawn(move || {
-            for stream in listener.incoming().map_while(Result::ok) {
-                if accepting.send(Event::Linked(stream)).is_err() {
-                    return;
-                }
-            }
-        });
-        let lines = to.clone();
-        std::thread::spawn(move || Cores::new(cores, works, seed).run(&from, &lines));
-        Engine { address, to }
+        let (events, received) = channel();
+        let accepted = events.clone();
+        std::thread::spawn(move || accept(&listener, &accepted));
+        let lines = events.clone();
+        std::thread::spawn(move || CorePool::new(cores, works, seed).run(&received, &lines));
+        Engine { address, events }
     }
 
+    /// Reports that the request with this name is answered: its run ends when it waits for a call.
     pub fn answered(&self, name: &str) {
-        let _ = self.to.send(Event::Answered(name.into()));
+        let _ = self.events.send(Event::RequestAnswered(name.into()));
     }
 
+    /// Fault: closes the connection in use.
     pub fn break_link(&self) {
-        let _ = self.to.send(Event::Break);
+        let _ = self.events.send(Event::BreakLink);
     }
 
+    /// What the engine has seen since its start; empty when it doesn't answer in time.
     pub fn stats(&self) -> EngineStats {
-        let (to, from) = channel();
-        let _ = self.to.send(Event::RequestKind(to));
-        from.recv_timeout(crate::WAIT_TIMEOUT).unwrap_or_default()
+        let (reply, received) = channel();
+        let _ = self.events.send(Event::Stats(reply));
+        received
+            .recv_timeout(crate::WAIT_TIMEOUT)
+            .unwrap_or_default()
+    }
+}
+
+/// Passes on each connection until the engine is gone.
+fn accept(listener: &TcpListener, events: &Sender<Event>) {
+    for stream in listener.incoming().map_while(Result::ok) {
+        if events.send(Event::Connected(stream)).is_err() {
+            return;
+        }
+    }
+}
+
+/// Passes on each line of a connection until either end is gone.
+fn read_lines(connection: u64, stream: TcpStream, events: &Sender<Event>) {
+    for line in BufReader::new(stream).lines().map_while(Result::ok) {
+        if events.send(Event::Line { connection, line }).is_err() {
+            return;
+        }
     }
 }
 
-enum At {
-    Core,
-    Call,
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum RunState {
+    Working,
+    AwaitingCall,
 }
 
 struct Run {
-    left_ms: f64,
-    /// Work left at which it stands at its call.
-    call_at: Option<f64>,
-    at: At,
-    began: Instant,
+    remaining_ms: f64,
+    /// The remaining work at which the run makes its call.
+    call_at_remaining_ms: Option<f64>,
+    state: RunState,
+    started: Instant,
+    /// Its request is answered already.
     answered: bool,
 }
 
-struct Cores {
+/// A notice that a server may have missed.
+struct RetainedNotice {
+    serial: u64,
+    line: String,
+}
+
+/// The engine's state, owned by its thread.
+struct CorePool {
     cores: f64,
     works: Vec<HandlerWork>,
-    chance: oorandom::Rand64,
+    random: oorandom::Rand64,
     runs: BTreeMap<String, Run>,
-    link: Option<TcpStream>,
-    links: u64,
+    connection: Option<TcpStream>,
+    /// The number of the newest connection.
+    connections: u64,
+    /// The number of the newest notice.
     serial: u64,
-    notices: VecDeque<(u64, String)>,
-    ran: EngineStats,
+    retained: VecDeque<RetainedNotice>,
+    stats: EngineStats,
 }
 
-impl Cores {
-    fn new(cores: f64, works: Vec<HandlerWork>, seed: u64) -> Cores {
-        Cores {
+impl CorePool {
+    fn new(cores: f64, works: Vec<HandlerWork>, seed: u64) -> CorePool {
+        CorePool {
             cores,
             works,
-            chance: oorandom::Rand64::new(u128::from(seed)),
+            random: oorandom::Rand64::new(u128::from(seed)),
             runs: BTreeMap::new(),
-            link: None,
-            links: 0,
+            connection: None,
+            connections: 0,
             serial: 0,
-            notices: VecDeque::new(),
-            ran: EngineStats::default(),
+            retained: VecDeque::new(),
+            stats: EngineStats::default(),
         }
     }
 
-    fn run(mut self, from: &Receiver<Event>, lines: &Sender<Event>) {
+    /// Handles events and works in between, until all handles are gone.
+    fn run(mut self, received: &Receiver<Event>, lines: &Sender<Event>) {
         let mut worked = Instant::now();
         loop {
-            match from.recv_timeout(SLICE) {
-                Ok(event) => self.event(event, lines),
+            match received.recv_timeout(TIME_SLICE) {
+                Ok(event) => self.handle(event, lines),
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
             let passed = worked.elapsed();
-            if passed >= SLICE {
+            if passed >= TIME_SLICE {
                 worked = Instant::now();
                 self.work(passed.as_secs_f64() * 1e3);
             }
         }
     }
 
-    /// All that is on the cores gets its even part of them, at most one each.
-    fn work(&mut self, ms: f64) {
-        let on = self
-            .runs
+    fn working_runs(&self) -> usize {
+        self.runs
             .values()
-            .filter(|r| matches!(r.at, At::Core))
-            .count();
-        let each = ms * (self.cores / on.max(1) as f64).min(1.0);
-        let (mut over, mut calls) = (vec![], vec![]);
-        for (name, run) in self.runs.iter_mut().filter(|r| matches!(r.1.at, At::Core)) {
-            run.left_ms -= each;
-            if run.call_at.is_some_and(|at| run.left_ms <= at) {
-                run.call_at = None;
-                run.at = At::Call;
-                calls.push(name.clone());
-            } else if run.left_ms <= 0.0 {
-                over.push(name.clone());
+            .filter(|run| run.state == RunState::Working)
+            .count()
+    }
+
+    /// Gives each working run its even part of the cores, one core at most.
+    fn work(&mut self, ms: f64) {
+        let working = self.working_runs().max(1) as f64;
+        let each_ms = ms * (self.cores / working).min(1.0);
+        let (mut finished, mut calling) = (vec![], vec![]);
+        for (name, run) in &mut self.runs {
+            if run.state != RunState::Working {
+                continue;
+            }
+            run.remaining_ms -= each_ms;
+            if run
+                .call_at_remaining_ms
+                .is_some_and(|call_at| run.remaining_ms <= call_at)
+            {
+                run.call_at_remaining_ms = None;
+                run.state = RunState::AwaitingCall;
+                calling.push(name.clone());
+            } else if run.remaining_ms <= 0.0 {
+                finished.push(name.clone());
             }
         }
-        for name in over {
+        for name in finished {
             self.end(&name, "good");
         }
-        for name in calls {
-            if self.runs[&name].answered {
-                self.end(&name, "cut");
-            } else {
-                let blob = BASE64.encode(&name);
-                self.notice(|n| {
-                    format!(
-                        "\"msg\":\"NEED\",\"serial\":{n},\"call\":\"{name}\",\"blob\":\"{blob}\""
-                    )
-                });
-            }
+        for name in calling {
+            self.request_call(&name);
+        }
+    }
+
+    /// Asks for the call of a run, or ends the run when its request is answered already.
+    fn request_call(&mut self, name: &str) {
+        if self.runs[name].answered {
+            return self.end(name, "cut");
         }
+        let blob = BASE64.encode(name);
+        self.notify(|serial| {
+            format!("\"msg\":\"NEED\",\"serial\":{serial},\"call\":\"{name}\",\"blob\":\"{blob}\"")
+        });
     }
 
+    /// Ends a run; `how` is the protocol's word for its outcome.
     fn end(&mut self, name: &str, how: &str) {
         let Some(run) = self.runs.remove(name) else {
             return;
         };
-        let ms = run.began.elapsed().as_millis();
+        let ms = run.started.elapsed().as_millis();
         let blob = BASE64.encode(name);
-        self.notice(|n| {
-            let head =
-                format!("\"msg\":\"DONE\",\"serial\":{n},\"call\":\"{name}\",\"how\":\"{how}\"");
-            format!("{head},\"duration\":{ms},\"blob\":\"{blob}\"")
+        self.notify(|serial| {
+            format!(
+                "\"msg\":\"DONE\",\"serial\":{serial},\"call\":\"{name}\",\"how\":\"{how}\",\
+                 \"duration\":{ms},\"blob\":\"{blob}\""
+            )
         });
     }
 
-    fn notice(&mut self, members: impl FnOnce(u64) -> String) {
+    /// Sends a notice, made of its members, and retains it.
+    fn notify(&mut self, members: impl FnOnce(u64) -> String) {
         self.serial += 1;
-        let line = format!("{{{}}}\n", members(self.serial));
-        self.say(&line);
-        self.notices.push_back((self.serial, line));
-        if self.notices.len() > KEPT {
-            self.notices.pop_front();
+        let serial = self.serial;
+        let line = format!("{{{}}}\n", members(serial));
+        self.send(&line);
+        self.retained.push_back(RetainedNotice { serial, line });
+        if self.retained.len() > MAX_RETAINED_NOTICES {
+            self.retained.pop_front();
         }
     }
 
-    fn say(&mut self, line: &str) {
+    /// Writes to the connection in use, if there is one.
+    fn send(&mut self, line: &str) {
         if self
-            .link
+            .connection
             .as_mut()
-            .is_some_and(|l| l.write_all(line.as_bytes()).is_err())
+            .is_some_and(|stream| stream.write_all(line.as_bytes()).is_err())
         {
-            self.link = None;
+            self.connection = None;
         }
     }
 
-    fn event(&mut self, event: Event, lines: &Sender<Event>) {
+    fn handle(&mut self, event: Event, lines: &Sender<Event>) {
         match event {
-            Event::Linked(stream) => {
-                let _ = stream.set_nodelay(true);
-                self.links += 1;
-                let (link, to) = (self.links, lines.clone());
-                let reader = stream.try_clone().expect("a second handle");
-                std::thread::spawn(move || {
-                    for line in BufReader::new(reader).lines().map_while(Result::ok) {
-                        if to.send(Event::Line(link, line)).is_err() {
-                            return;
-                        }
-                    }
-                });
-                self.link = Some(stream);
+            Event::Connected(stream) => self.connected(stream, lines),
+            Event::Line { connection, line } if connection == self.connections => {
+                self.command(&line);
             }
-            Event::Line(link, line) if link == self.links => self.command(&line),
-            Event::Line(..) => {}
-            Event::Answered(name) => {
-                let Some(run) = self.runs.get_mut(&name) else {
-                    return;
-                };
-                run.answered = true;
-                if matches!(run.at, At::Call) {
-                    self.end(&name, "cut");
-                }
-            }
-            Event::RequestKind(to) => {
-                let _ = to.send(self.ran.clone());
+            Event::Line { .. } => {}
+            Event::RequestAnswered(name) => self.request_answered(&name),
+            Event::Stats(reply) => {
+                let _ = reply.send(self.stats.clone());
             }
-            Event::Break => {
-                if let Some(link) = self.link.take() {
-                    let _ = link.shutdown(std::net::Shutdown::Both);
+            Event::BreakLink => {
+                if let Some(stream) = self.connection.take() {
+                    let _ = stream.shutdown(Shutdown::Both);
                 }
             }
         }
     }
 
+    /// A new connection replaces the former one.
+    fn connected(&mut self, stream: TcpStream, lines: &Sender<Event>) {
+        let _ = stream.set_nodelay(true);
+        self.connections += 1;
+        let (connection, events) = (self.connections, lines.clone());
+        let reader = stream.try_clone().expect("a second handle");
+        std::thread::spawn(move || read_lines(connection, reader, &events));
+        self.connection = Some(stream);
+    }
+
+    fn request_answered(&mut self, name: &str) {
+        let Some(run) = self.runs.get_mut(name) else {
+            return;
+        };
+        run.answered = true;
+        if run.state == RunState::AwaitingCall {
+            self.end(name, "cut");
+        }
+    }
+
+    /// Handles one line of a server; lines that are no JSON are ignored.
     fn command(&mut self, line: &str) {
-        let Ok(said) = serde_json::from_str::<Value>(line) else {
+        let Ok(message) = serde_json::from_str::<Value>(line) else {
             return;
         };
-        let text = |key: &str| said[key].as_str().unwrap_or_default().to_string();
+        let text = |key: &str| message[key].as_str().unwrap_or_default();
         let name = text("call");
-        match text("msg").as_str() {
-            "ATTACH" => {
-                let read = said["serial"].as_u64().unwrap_or(0);
-                if read == 0 {
-                    // A server that has just begun: notices are numbered anew, runs go on.
-                    self.serial = 0;
-                    self.notices.clear();
-                }
-                let missed: String = self
-                    .notices
-                    .iter()
-                    .filter(|n| n.0 > read)
-                    .map(|n| n.1.as_str())
-                    .collect();
-                self.say("{\"msg\":\"HELLO\",\"how\":\"old\",\"duration\":3600000}\n");
-                self.say(&missed);
-            }
-            "STAT" => {
-                let on = self
-                    .runs
-                    .values()
-                    .filter(|r| matches!(r.at, At::Core))
-                    .count() as f64;
-                let used = (on / self.cores).min(1.0);
-                let cookie = text("cookie");
-                self.say(&format!(
-                    "{{\"msg\":\"STATS\",\"cookie\":\"{cookie}\",\"stats\":[{used},{on},0.1,1]}}\n"
-                ));
-            }
-            "RUN" if !self.runs.contains_key(&name) => {
-                let service = text("service");
-                let Some(work) = self.works.iter().find(|w| w.handler == service).cloned() else {
-                    return self.say(&format!(
-                        "{{\"msg\":\"NO\",\"how\":\"RUN\",\"call\":\"{name}\"}}\n"
-                    ));
-                };
-                *self.ran.bodies.entry(text("blob")).or_default() += 1;
-                let left_ms = work.ms.0 + (work.ms.1 - work.ms.0) * self.chance.rand_float();
-                let call_at = work.calls.then_some(left_ms * 0.5);
-                let run = Run {
-                    left_ms,
-                    call_at,
-                    at: At::Core,
-                    began: Instant::now(),
-                    answered: false,
-                };
-                self.runs.insert(name, run);
-                self.ran.most_at_once = self.ran.most_at_once.max(self.runs.len());
+        match text("msg") {
+            "ATTACH" => self.attach(message["serial"].as_u64().unwrap_or(0)),
+            "STAT" => self.send_load(text("cookie")),
+            "RUN" if !self.runs.contains_key(name) => {
+                self.start_run(name, text("service"), text("blob"));
             }
             "FEED" | "SKIP" => {
-                if let Some(run) = self.runs.get_mut(&name) {
-                    run.at = At::Core;
+                if let Some(run) = self.runs.get_mut(name) {
+                    run.state = RunState::Working;
                 }
             }
-            "HALT" => self.end(&name, "cut"),
+            "HALT" => self.end(name, "cut"),
             _ => {}
         }
     }
+
+    /// Sends the notices after the last one that the server has read.
+    fn attach(&mut self, last_read: u64) {
+        if last_read == 0 {
+            // The server has just started: notices are numbered anew, runs continue.
+            self.serial = 0;
+            self.retained.clear();
+        }
+        let missed: String = self
+            .retained
+            .iter()
+            .filter(|notice| notice.serial > last_read)
+            .map(|notice| notice.line.as_str())
+            .collect();
+        self.send("{\"msg\":\"HELLO\",\"how\":\"old\",\"duration\":3600000}\n");
+        self.send(&missed);
+    }
+
+    /// Answers a query for the load gauges.
+    fn send_load(&mut self, cookie: &str) {
+        let working = self.working_runs() as f64;
+        let used = (working / self.cores).min(1.0);
+        self.send(&format!(
+            "{{\"msg\":\"STATS\",\"cookie\":\"{cookie}\",\"stats\":[{used},{working},0.1,1]}}\n"
+        ));
+    }
+
+    /// Starts a run, or rejects it when its handler isn't known.
+    fn start_run(&mut self, name: &str, handler: &str, body: &str) {
+        let Some(work) = self.works.iter().find(|work| work.handler == handler) else {
+            return self.send(&format!(
+                "{{\"msg\":\"NO\",\"how\":\"RUN\",\"call\":\"{name}\"}}\n"
+            ));
+        };
+        let (least_ms, most_ms) = work.ms;
+        let total_ms = least_ms + (most_ms - least_ms) * self.random.rand_float();
+        let run = Run {
+            remaining_ms: total_ms,
+            call_at_remaining_ms: work.calls.then_some(total_ms * WORK_BEFORE_CALL),
+            state: RunState::Working,
+            started: Instant::now(),
+            answered: false,
+        };
+        *self.stats.bodies.entry(body.into()).or_default() += 1;
+        self.runs.insert(name.into(), run);
+        self.stats.most_at_once = self.stats.most_at_once.max(self.runs.len());
+    }
 }
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,8 +1,17 @@
-//! ProcessFleet-ins of all that a server talks with, on loopback: [`engine`], [`catalogue`], [`registry`] and
-//! [`balancer`], with faults that a script or a seed tells; [`server`] starts the real program between them.
-//! [`peer`] is one end of a connection, played by hand. [`fleet`] plays many servers that talk with each other,
-//! simulated or as real processes, under faults that a script tells. For tests, for measuring and for trying
-//! out.
+//! Fakes of everything that a server talks with, on loopback, with faults; and fleets of servers
+//! under faults.
+//!
+//! The fakes have one shape. `start` begins serving on a free port, `address` says where; what a
+//! fake simulates and which faults it has is on its module's page. [`engine::Engine`],
+//! [`catalogue::Catalogue`] and [`registry::Registry`] are what a server calls,
+//! [`load_balancer::Load`] is what calls a server. [`peer::Peer`] is one end of a connection that a
+//! test plays itself, [`gate::Gate`] a connection that can be cut.
+//!
+//! [`server::Server`] is the real program between fakes. [`fleet`] has many servers that talk with
+//! each other, as real processes or simulated, under faults that a script or a seed determines.
+//! [`backend_simulation`] has many simulated servers before many simulated backends.
+//!
+//! The crate is for tests and measurements. It sends nothing beyond loopback.
 
 pub mod backend_simulation;
 pub mod catalogue;
@@ -16,12 +25,13 @@
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-/// Far longer than anything here takes: a hang fails instead of lasting.
+/// Upper bound on any wait for a server or a fake, far longer than it takes: a hang fails instead
+/// of lasting.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Unix milliseconds, as reqs say when they came.
+/// Unix time in milliseconds, as requests have it.
 pub fn unix_ms() -> u64 {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
-        .map_or(0, |d| d.as_millis() as u64)
+        .map_or(0, |elapsed| elapsed.as_millis() as u64)
 }
--- a/crates/testkit/src/peer.rs
+++ b/crates/testkit/src/peer.rs
@@ -1,17 +1,37 @@
-//! One end of a connection, line by line, played by hand.
+//! One end of a connection, which a test plays line by line.
+//!
+//! What doesn't come within [`WAIT_TIMEOUT`], and each error of the connection, is a fault of the
+//! test: the methods panic.
 
 use crate::WAIT_TIMEOUT;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::time::Instant;
 
+/// What a query for the engine's load gauges begins with.
+const GAUGES_QUERY: &str = "{\"msg\":\"STAT\",\"cookie\":";
+
+/// Listens on a free loopback port.
+///
+/// # Panics
+///
+/// If no port is free.
 pub fn loopback_listener() -> TcpListener {
     TcpListener::bind("127.0.0.1:0").expect("a free port")
 }
 
-pub struct Peer(pub BufReader<TcpStream>);
+/// One end of a connection, with what was read ahead of it.
+pub struct Peer(
+    /// The connection.
+    pub BufReader<TcpStream>,
+);
 
 impl Peer {
+    /// Takes over a connection.
+    ///
+    /// # Panics
+    ///
+    /// If its timeout can't be set.
     pub fn new(stream: TcpStream) -> Peer {
         stream
             .set_read_timeout(Some(WAIT_TIMEOUT))
@@ -19,10 +39,20 @@
         Peer(BufReader::new(stream))
     }
 
+    /// Waits for the next connection.
+    ///
+    /// # Panics
+    ///
+    /// If the listener fails.
     pub fn accept(listener: &TcpListener) -> Peer {
         Peer::new(listener.accept().expect("a connection").0)
     }
 
+    /// Writes a text.
+    ///
+    /// # Panics
+    ///
+    /// If the connection fails.
     pub fn say(&mut self, text: &str) {
         self.0
             .get_mut()
@@ -30,35 +60,48 @@
             .expect("written");
     }
 
-    /// The next line, or nothing at the end.
+    /// The next line without its end; empty at the end of the connection.
+    ///
+    /// # Panics
+    ///
+    /// If no line comes in time.
     pub fn line(&mut self) -> String {
         let mut line = String::new();
         self.0.read_line(&mut line).expect("a line in time");
         line.trim_end().to_string()
     }
 
-    /// The commands to an engine that have come by now; questions for the gauges among them are answered.
+    /// The commands to an engine that have come so far, a line each. Queries for the load gauges
+    /// among them are answered and left out.
+    ///
+    /// # Panics
+    ///
+    /// If the connection fails.
     pub fn pending(&mut self) -> String {
         let mut found = String::new();
-        loop {
-            if self.0.buffer().is_empty() {
-                self.0.get_ref().set_nonblocking(true).expect("set");
-                let came = self.0.fill_buf().map(<[u8]>::len);
-                self.0.get_ref().set_nonblocking(false).expect("set");
-                if came.unwrap_or(0) == 0 {
-                    return found;
-                }
-            }
+        while self.has_pending() {
             let line = self.line();
-            if !self.gauged(&line) {
+            if !self.answer_gauges(&line) {
                 found += &(line + "\n");
             }
         }
+        found
+    }
+
+    /// Whether some bytes have come that are not read yet.
+    fn has_pending(&mut self) -> bool {
+        if !self.0.buffer().is_empty() {
+            return true;
+        }
+        self.0.get_ref().set_nonblocking(true).expect("set");
+        let received = self.0.fill_buf().map(<[u8]>::len);
+        self.0.get_ref().set_nonblocking(false).expect("set");
+        received.unwrap_or(0) > 0
     }
 
-    /// Answers a question for the gauges; false where the line is none.
-    fn gauged(&mut self, line: &str) -> bool {
-        let Some(rest) = line.strip_prefix("{\"msg\":\"STAT\",\"cookie\":") else {
+    /// Answers a query for the load gauges; false where the line is something else.
+    fn answer_gauges(&mut self, line: &str) -> bool {
+        let Some(rest) = line.strip_prefix(GAUGES_QUERY) else {
             return false;
         };
         let cookie = rest.trim_end_matches('}');
@@ -68,21 +111,28 @@
         true
     }
 
-    /// So many bytes.
+    /// The next bytes.
+    ///
+    /// # Panics
+    ///
+    /// If they don't come in time.
     pub fn bytes(&mut self, len: usize) -> Vec<u8> {
         let mut bytes = vec![0; len];
         self.0.read_exact(&mut bytes).expect("as many bytes");
         bytes
     }
 
-    /// The next command to an engine; questions for the gauges are answered on the way, as long as patience
-    /// lasts.
+    /// The next command to an engine. Queries for the load gauges before it are answered.
+    ///
+    /// # Panics
+    ///
+    /// If no command comes in time.
     pub fn command(&mut self) -> String {
         let began = Instant::now();
         loop {
             let line = self.line();
             assert!(began.elapsed() < WAIT_TIMEOUT, "no command in time");
-            if !self.gauged(&line) {
+            if !self.answer_gauges(&line) {
                 return line;
             }
         }
--- a/crates/testkit/src/registry.rs
+++ b/crates/testkit/src/registry.rs
@@ -1,35 +1,69 @@
-//! The registry: answers every report and passes it on.
+//! A fake registry: answers every load report and passes it on.
+//!
+//! # What is simulated
+//!
+//! The registry accepts one connection after the other on loopback, reads HTTP requests with a
+//! `Content-Length` and answers each with `204 No Content`. It keeps no list of servers.
+//!
+//! # Faults
+//!
+//! None. A test that needs a registry that fails plays it with a [`Peer`].
 
 use crate::peer::{Peer, loopback_listener};
 use std::io::{BufRead, Read, Write};
-use std::net::SocketAddr;
-use std::sync::mpsc::{Receiver, channel};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::mpsc::{Receiver, Sender, channel};
 
+/// A handle on a fake registry. Its thread ends with the first report after the handle is dropped.
+pub struct Registry {
+    /// Where the registry listens.
+    pub address: SocketAddr,
+    /// Each report as it arrives: the request line, a space and the body.
+    pub reports: Receiver<String>,
+}
+
+impl Registry {
+    /// Starts a registry on a free loopback port.
+    ///
+    /// # Panics
+    ///
+    /// If no port is free.
+    pub fn start() -> Registry {
+        let listener = loopback_listener();
+        let address = listener.local_addr().expect("an address");
+        let (sender, reports) = channel();
+        std::thread::spawn(move || serve(&listener, &sender));
+        Registry { address, reports }
+    }
+}
+
+/// Starts a [`Registry`] and gives its parts: where it listens, and the reports.
 pub fn start() -> (SocketAddr, Receiver<String>) {
-    let listener = loopback_listener();
-    let address = listener.local_addr().expect("an address");
-    let (to, from) = channel();
-    std::thread::spawn(move || {
-        for stream in listener.incoming().map_while(Result::ok) {
-            let mut peer = Peer::new(stream);
-            while let Some(report) = report(&mut peer) {
-                if to.send(report).is_err() {
-                    return;
-                }
-                let _ = peer
-                    .0
-                    .get_mut()
-                    .write_all(b"HTTP/1.1 204 No Content\r\n\r\n");
+    let Registry { address, reports } = Registry::start();
+    (address, reports)
+}
+
+/// Answers reports until nobody receives them.
+fn serve(listener: &TcpListener, reports: &Sender<String>) {
+    for stream in listener.incoming().map_while(Result::ok) {
+        let mut peer = Peer::new(stream);
+        while let Some(report) = read_report(&mut peer) {
+            if reports.send(report).is_err() {
+                return;
             }
+            let _ = peer
+                .0
+                .get_mut()
+                .write_all(b"HTTP/1.1 204 No Content\r\n\r\n");
         }
-    });
-    (address, from)
+    }
 }
 
-/// The next report on a connection: its first line and its body; nothing once it is over, however it ended.
-fn report(peer: &mut Peer) -> Option<String> {
+/// The next report on a connection: its request line and its body. `None` once the connection is
+/// over, however it ended.
+fn read_report(peer: &mut Peer) -> Option<String> {
     let mut head: Vec<String> = vec![];
-    while head.last().is_none_or(|l| !l.is_empty()) {
+    while head.last().is_none_or(|line| !line.is_empty()) {
         let mut line = String::new();
         if peer.0.read_line(&mut line).ok()? == 0 {
             return None;
@@ -38,7 +72,7 @@
     }
     let length = head
         .iter()
-        .find_map(|l| l.strip_prefix("Content-Length: "))?;
+        .find_map(|line| line.strip_prefix("Content-Length: "))?;
     let mut body = vec![0; length.parse().ok()?];
     peer.0.read_exact(&mut body).ok()?;
     Some(format!("{} {}", head[0], String::from_utf8_lossy(&body)))
--- a/crates/testkit/src/server.rs
+++ b/crates/testkit/src/server.rs
@@ -1,4 +1,7 @@
-//! The real program, started between stand-ins.
+//! The real program, started between fakes.
+//!
+//! [`Server`] owns the process and its configuration files. Whatever goes wrong on the way is a
+//! fault of the test: the functions panic.
 
 use std::io::{BufRead, BufReader, Read};
 use std::net::SocketAddr;
@@ -8,23 +11,44 @@
 use std::sync::mpsc::{Receiver, channel};
 use std::time::Instant;
 
-/// Where a server finds the others.
+/// The environment variables that the program reads.
+const ENVIRONMENT: [&str; 5] = [
+    "RELAY_CONFIG",
+    "RELAY_NAME",
+    "RELAY_LISTEN",
+    "MADDERBAY_LOG",
+    "MADDERBAY_OPERATOR",
+];
+/// The text of the log line that ends with the address on which the program listens.
+const LISTENS: &str = " listens on ";
+
+/// Where a server finds what it calls.
 #[derive(Clone, Copy)]
 pub struct Dependencies {
+    /// The engine.
     pub engine: SocketAddr,
+    /// The registry.
     pub registry: SocketAddr,
+    /// The catalogue.
     pub catalogue: SocketAddr,
 }
 
-/// A file of this text, under a name of its own.
+/// Writes a file with this text under a name of its own.
+///
+/// # Panics
+///
+/// If it can't be written.
 pub fn write_config(text: &str) -> PathBuf {
     static COUNT: AtomicU32 = AtomicU32::new(0);
-    let n = COUNT.fetch_add(1, Ordering::Relaxed);
-    let path = std::env::temp_dir().join(format!("madderbay-{}-{n}", std::process::id()));
+    let number = COUNT.fetch_add(1, Ordering::Relaxed);
+    let path = std::env::temp_dir().join(format!("madderbay-{}-{number}", std::process::id()));
     std::fs::write(&path, text).expect("a file");
     path
 }
 
+/// A configuration of the program, JSON: the address to listen on, its dependencies, the
+/// connections that it may have, the time that a shutdown may take in milliseconds, and the
+/// platform's settings.
 pub fn configuration(
     listen: &str,
     others: Dependencies,
@@ -44,16 +68,11 @@
     )
 }
 
-/// The program with nothing in its environment that is not told here.
+/// A command that runs the program with this configuration file and nothing else in its environment
+/// that it reads.
 pub fn command(binary: &Path, config: Option<&Path>) -> Command {
     let mut command = Command::new(binary);
-    for name in [
-        "RELAY_CONFIG",
-        "RELAY_NAME",
-        "RELAY_LISTEN",
-        "MADDERBAY_LOG",
-        "MADDERBAY_OPERATOR",
-    ] {
+    for name in ENVIRONMENT {
         command.env_remove(name);
     }
     command
@@ -66,14 +85,16 @@
     command
 }
 
+/// A running server. Dropping it kills the process and removes its files.
 pub struct Server {
     child: Child,
-    /// Nothing once it is followed.
+    /// The log, until it is followed.
     log: Option<BufReader<ChildStderr>>,
-    /// Lines of the log from before it listened.
+    /// The lines of the log from before the server listened.
     pub before: Vec<String>,
+    /// Where it listens.
     pub address: SocketAddr,
-    /// Its configuration.
+    /// Its configuration file.
     pub path: PathBuf,
     /// Its operator file, if it has one.
     pub operator: Option<PathBuf>,
@@ -81,12 +102,22 @@
 }
 
 impl Server {
-    /// Starts it with a configuration and, if there is one, an operator file.
+    /// Starts a server with a configuration and an operator file, if one is given, and waits until
+    /// it listens.
+    ///
+    /// # Panics
+    ///
+    /// If the program doesn't start, or ends before it listens.
     pub fn start(binary: &Path, configuration: &str, operator: Option<&str>) -> Server {
         Server::start_ahead(binary, configuration, operator, "0")
     }
 
-    /// The same on a Unix clock that is ahead by so many milliseconds.
+    /// The same on a Unix clock that is ahead by a number of milliseconds, given as on the command
+    /// line.
+    ///
+    /// # Panics
+    ///
+    /// If the program doesn't start, or ends before it listens.
     pub fn start_ahead(
         binary: &Path,
         configuration: &str,
@@ -94,64 +125,58 @@
         ahead_ms: &str,
     ) -> Server {
         let path = write_config(configuration);
-        let mut files = vec![path.clone()];
-        let mut command = command(binary, Some(&path));
         let operator = operator.map(write_config);
+        let mut command = command(binary, Some(&path));
         if let Some(file) = &operator {
             command.arg("--operator").arg(file);
-            files.push(file.clone());
         }
         if ahead_ms != "0" {
             command.arg(format!("--unix-ahead-ms={ahead_ms}"));
         }
         let mut child = command.spawn().expect("the binary starts");
         let mut log = BufReader::new(child.stderr.take().expect("its log"));
-        let mut line = String::new();
-        let mut before = vec![];
-        while !line.contains(" listens on ") {
-            before.extend((!line.is_empty()).then(|| std::mem::take(&mut line)));
-            assert!(
-                log.read_line(&mut line).expect("a line") > 0,
-                "it does not listen: {before:?}"
-            );
-        }
-        let address = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
-        let address = address.unwrap_or_else(|| panic!("no address in '{line}'"));
+        let (before, address) = wait_until_it_listens(&mut log);
         Server {
             child,
             log: Some(log),
             before,
             address,
+            files: std::iter::once(&path).chain(&operator).cloned().collect(),
             path,
             operator,
-            files,
         }
     }
 
+    /// The process's id.
     pub fn pid(&self) -> u32 {
         self.child.id()
     }
 
-    /// Processor time that it has used, in seconds; 0 where the system does not tell.
+    /// The processor time that it has used, in seconds; 0 where the system doesn't say.
     pub fn cpu(&self) -> f64 {
-        let text =
-            std::fs::read_to_string(format!("/proc/{}/schedstat", self.pid())).unwrap_or_default();
-        text.split_whitespace()
-            .next()
-            .and_then(|n| n.parse::<f64>().ok())
+        let path = format!("/proc/{}/schedstat", self.pid());
+        let text = std::fs::read_to_string(path).unwrap_or_default();
+        let nanos = text.split_whitespace().next();
+        nanos
+            .and_then(|nanos| nanos.parse::<f64>().ok())
             .unwrap_or(0.0)
             / 1e9
     }
 
-    /// Memory that it has resident, in KB; 0 where the system does not tell.
+    /// Its resident memory in KB; 0 where the system doesn't say.
     pub fn memory_kb(&self) -> u64 {
-        let text =
-            std::fs::read_to_string(format!("/proc/{}/status", self.pid())).unwrap_or_default();
-        let line = text.lines().find_map(|l| l.strip_prefix("VmRSS:"));
-        line.and_then(|l| l.split_whitespace().next()?.parse().ok())
+        let path = format!("/proc/{}/status", self.pid());
+        let text = std::fs::read_to_string(path).unwrap_or_default();
+        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        line.and_then(|line| line.split_whitespace().next()?.parse().ok())
             .unwrap_or(0)
     }
 
+    /// Sends it a signal, by its name with a hyphen before it, as in `-TERM`.
+    ///
+    /// # Panics
+    ///
+    /// If the signal can't be sent.
     pub fn signal(&self, name: &str) {
         let done = Command::new("kill")
             .args([name, &self.pid().to_string()])
@@ -159,7 +184,11 @@
         assert!(done.expect("kill runs").success());
     }
 
-    /// Waits for a line of the log that holds this, and gives it.
+    /// Waits for a line of the log that contains a text; gives the line.
+    ///
+    /// # Panics
+    ///
+    /// If the log ends before, or is followed.
     pub fn log_at(&mut self, part: &str) -> String {
         let mut line = String::new();
         while !line.contains(part) {
@@ -173,27 +202,40 @@
         line
     }
 
-    /// From here on each line of the log as it comes, with the time; the end of the log ends it.
+    /// From here on each line of the log as it is read, with the time. The channel ends with the
+    /// log.
+    ///
+    /// # Panics
+    ///
+    /// If the log is followed already.
     pub fn follow(&mut self) -> Receiver<(Instant, String)> {
         let log = self.log.take().expect("followed once");
-        let (to, from) = channel();
+        let (lines, received) = channel();
         std::thread::spawn(move || {
             for line in log.lines().map_while(Result::ok) {
-                if to.send((Instant::now(), line)).is_err() {
+                if lines.send((Instant::now(), line)).is_err() {
                     return;
                 }
             }
         });
-        from
+        received
     }
 
-    /// Waits for it to end by itself, whose log is followed or not wanted.
+    /// Waits until it ends by itself; the rest of a log that isn't followed is lost.
+    ///
+    /// # Panics
+    ///
+    /// If it ends with a failure.
     pub fn over(mut self) {
         self.log = None;
         assert!(self.child.wait().expect("an end").success());
     }
 
-    /// The rest of the log after the server has ended by itself.
+    /// Waits until it ends by itself; gives the rest of the log.
+    ///
+    /// # Panics
+    ///
+    /// If it ends with a failure, or if its log is followed.
     pub fn ended(mut self) -> String {
         let mut log = String::new();
         self.log
@@ -215,3 +257,19 @@
         }
     }
 }
+
+/// Reads the log until the server listens; gives the lines before, and the address.
+fn wait_until_it_listens(log: &mut impl BufRead) -> (Vec<String>, SocketAddr) {
+    let mut line = String::new();
+    let mut before = vec![];
+    while !line.contains(LISTENS) {
+        before.extend((!line.is_empty()).then(|| std::mem::take(&mut line)));
+        assert!(
+            log.read_line(&mut line).expect("a line") > 0,
+            "it does not listen: {before:?}"
+        );
+    }
+    let address = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
+    let address = address.unwrap_or_else(|| panic!("no address in '{line}'"));
+    (before, address)
+}
