Testkit: the fault script's grammar on one page, a parser of its own, typed errors

Cause: one file of 500 lines had the steps, the setup, a parser whose main function had 136 lines, and the player; errors were texts, most of them without the word that was wrong.

Change: fleet/script is a folder: action, setup, parser, runner and error, with the whole grammar on the module page. ScriptError has file, line, word and what was expected; ScriptFailure and ActionError say why a play or an action failed. Script::play has typed errors; run_script gives their text as before, because a test gathers it with other lines. Action::Budget has named fields. Tests of the parser are new.

--- a/crates/testkit/src/fleet/mod.rs
+++ b/crates/testkit/src/fleet/mod.rs
@@ -1,5 +1,9 @@
-//! Fleets under faults. A [`script`] is played by [`sim`], in simulated time and all from one seed, and by
-//! [`stand`], on real processes whose datagrams pass through [`relay`]s.
+//! Fleets of servers under faults.
+//!
+//! A [`script`] is played on any fleet that implements [`script::Fleet`]: on [`simulated`] ones, in
+//! simulated time and from one seed, and on [`processes`], whose datagrams pass through [`relay`]s.
+//! [`network`] decides for both what becomes of each datagram. [`script_generator`] draws actions
+//! in place of a script.
 
 pub mod network;
 pub mod processes;
--- a/crates/testkit/src/fleet/processes.rs
+++ b/crates/testkit/src/fleet/processes.rs
@@ -2,7 +2,7 @@
 //! and to them; what each holds, asked at its control socket.
 
 use super::relay::DatagramRelays;
-use super::script::{Action, Condition, Fleet, FleetSetup, name};
+use super::script::{Action, ActionError, Condition, Fleet, FleetSetup, name};
 use crate::catalogue::Catalogue;
 use crate::engine::{Engine, HandlerWork};
 use crate::load_balancer::{Load, RequestKind, RequestRecord, rule_violations};
@@ -489,7 +489,7 @@
 }
 
 impl Fleet for ProcessFleet {
-    fn act(&mut self, act: &Action) -> Result<(), String> {
+    fn act(&mut self, act: &Action) -> Result<(), ActionError> {
         match act {
             Action::Start {
                 who,
@@ -505,21 +505,30 @@
                 self.nodes[*s].demand = *n;
                 self.load(*s);
             }
-            Action::Budget(s, whole) => {
+            Action::Budget {
+                server: s,
+                capacity: whole,
+            } => {
                 let node = &mut self.nodes[*s];
                 node.whole = *whole;
-                let server = node.server.as_ref().ok_or("it does not run")?;
-                let path = server.operator.as_ref().ok_or("it has no operator file")?;
-                let text = std::fs::read_to_string(path).map_err(|e| e.to_string())?;
+                let server = node.server.as_ref().ok_or(ActionError::NotRunning)?;
+                let path = server
+                    .operator
+                    .as_ref()
+                    .ok_or(ActionError::NoOperatorFile)?;
+                let text = std::fs::read_to_string(path)?;
                 let kept = text.split("[shared]").next().unwrap_or_default();
                 let fresh = format!("{kept}{}", budget(&self.setup, node.name, *whole));
-                std::fs::write(path, fresh).map_err(|e| e.to_string())?;
+                std::fs::write(path, fresh)?;
                 server.signal("-HUP");
             }
             Action::Peak(most) => {
                 let peak = self.nodes[0].catalogue.peak();
                 if peak > *most as usize {
-                    return Err(format!("{peak} calls were in hand, more than {most}"));
+                    return Err(ActionError::TooManyCalls {
+                        peak: peak as u64,
+                        most: *most,
+                    });
                 }
             }
             Action::Stop(s) | Action::Continue(s) => {
@@ -528,7 +537,7 @@
                 let node = &mut self.nodes[*s];
                 node.server
                     .as_ref()
-                    .ok_or("it does not run")?
+                    .ok_or(ActionError::NotRunning)?
                     .signal(if stop { "-STOP" } else { "-CONT" });
                 node.stopped = stop;
                 if !stop {
@@ -537,7 +546,10 @@
             }
             Action::Drain(s) => {
                 self.disturb(*s);
-                let server = self.nodes[*s].server.take().ok_or("it does not run")?;
+                let server = self.nodes[*s]
+                    .server
+                    .take()
+                    .ok_or(ActionError::NotRunning)?;
                 server.signal("-TERM");
                 server.over();
             }
@@ -551,7 +563,7 @@
                 self.group.fill(0);
                 self.relays.act(act);
             }
-            Action::For(_) | Action::Downs(_) => return Err("is for simulated fleets".into()),
+            Action::For(_) | Action::Downs(_) => return Err(ActionError::SimulatedOnly),
             _ => self.relays.act(act),
         }
         Ok(())
--- /dev/null
+++ b/crates/testkit/src/fleet/script/action.rs
@@ -0,0 +1,112 @@
+//! The steps of a script. They own no state; [`Fleet`](super::Fleet) carries them out.
+
+use madderbay::time::Duration;
+use madderbay_membership::{Connectivity, MemberState};
+
+/// What is done to a fleet. Servers are indices from 0.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Starts a server.
+    Start {
+        /// Which server.
+        who: usize,
+        /// The index of the server whose name it takes; its own as a rule.
+        name: usize,
+        /// How far its Unix clock is off.
+        clock: Duration,
+        /// Whether its clock is late rather than early.
+        back: bool,
+    },
+    /// Kills a server.
+    Kill(usize),
+    /// Stops a server as SIGSTOP does.
+    Stop(usize),
+    /// Continues a stopped server.
+    Continue(usize),
+    /// Has a server drain, leave and end.
+    Drain(usize),
+    /// Partitions the network into groups; servers in none of them form one more.
+    Cut(Vec<Vec<usize>>),
+    /// Loses all datagrams from the first server to the others.
+    OneWay(usize, Vec<usize>),
+    /// Ends all cuts of both kinds.
+    Heal,
+    /// Sets faults of the network; those that are `None` stay as they are, and all `None` ends them
+    /// all.
+    Network {
+        /// The part of all datagrams that is lost.
+        loss: Option<f64>,
+        /// The part that arrives twice.
+        double: Option<f64>,
+        /// The part that has one bit changed.
+        spoil: Option<f64>,
+        /// The least and the most delay.
+        delay: Option<(Duration, Duration)>,
+    },
+    /// Sends again the datagrams that were sent to a server.
+    Replay(usize),
+    /// From here on a server has work for this many calls at a time.
+    Demand(usize, u32),
+    /// The operator changes the budget at one server, which reloads it.
+    Budget {
+        /// Which server.
+        server: usize,
+        /// Calls in flight in the whole fleet.
+        capacity: u32,
+    },
+    /// Fails if more calls than this were in flight since the last such check.
+    Peak(u32),
+    /// Lets simulated time pass.
+    For(Duration),
+    /// Fails if more servers than this were declared down that ran and were connected; simulated
+    /// only.
+    Downs(usize),
+}
+
+/// A condition on a fleet.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Condition {
+    /// All servers that run and are connected hold exactly each other alive, with one digest.
+    Settled,
+    /// Servers hold another one in a state.
+    Sees {
+        /// Those that hold it.
+        who: Vec<usize>,
+        /// The one whose state it is.
+        of: usize,
+        /// The state; `None` for a member that they don't know.
+        state: Option<MemberState>,
+    },
+    /// Servers judge their own connectivity like this.
+    Hears {
+        /// Which servers.
+        who: Vec<usize>,
+        /// Their judgement.
+        hears: Connectivity,
+    },
+    /// Each server may use at least and at most this many calls of the budget.
+    Has {
+        /// Which servers.
+        who: Vec<usize>,
+        /// Calls at least.
+        least: u32,
+        /// Calls at most.
+        most: u32,
+    },
+    /// Servers together have at least this many calls in flight.
+    Uses {
+        /// Which servers.
+        who: Vec<usize>,
+        /// Calls at least.
+        least: u32,
+    },
+}
+
+/// One step of a script.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// Something is done at once.
+    Action(Action),
+    /// A condition must hold within a time.
+    Within(Condition, Duration),
+}
--- /dev/null
+++ b/crates/testkit/src/fleet/script/setup.rs
@@ -0,0 +1,95 @@
+//! How a fleet is set up before a script plays: its servers, their timing, and a budget of calls.
+
+use madderbay::time::Duration;
+
+/// The zone of servers that no script puts elsewhere.
+const DEFAULT_ZONE: &str = "north";
+
+/// A budget of calls in flight over the whole fleet, and the calls that are made under it.
+#[derive(Clone, Debug)]
+pub struct QuotaSetup {
+    /// The capacity: calls in flight in the whole fleet.
+    pub whole: u32,
+    /// The number of servers that the budget is for.
+    pub servers: u32,
+    /// Whether each server has a configured slot.
+    pub seats: bool,
+    /// How long a lease lasts.
+    pub lease: Duration,
+    /// The longest time that a call takes.
+    pub longest: Duration,
+    /// The mean time that a call takes.
+    pub call: Duration,
+    /// The handlers whose calls are under the budget, as the operator file has them; of real
+    /// processes only.
+    pub handlers: &'static str,
+}
+
+impl QuotaSetup {
+    /// A budget with a capacity for a number of servers, and short leases and calls.
+    pub(super) fn of(capacity: u32, servers: usize) -> QuotaSetup {
+        QuotaSetup {
+            whole: capacity,
+            servers: servers as u32,
+            seats: false,
+            lease: Duration::from_millis(1_000),
+            longest: Duration::from_millis(500),
+            call: Duration::from_millis(20),
+            handlers: "book",
+        }
+    }
+}
+
+/// How a fleet is set up.
+#[derive(Clone, Debug)]
+pub struct FleetSetup {
+    /// The number of servers.
+    pub servers: usize,
+    /// The zone of each server.
+    pub zones: Vec<String>,
+    /// How long a member that is down is remembered.
+    pub memory: Duration,
+    /// How long a member is suspect before it is declared down.
+    pub suspicion: Duration,
+    /// The time between two probes of a server.
+    pub probe: Duration,
+    /// The most members that a server holds.
+    pub most: usize,
+    /// The servers that each one joins through.
+    pub join: Vec<usize>,
+    /// Whether servers take their own health into account; without it they are plain SWIM.
+    /// Simulated only.
+    pub minds_itself: bool,
+    /// The budget of calls, if there is one.
+    pub budget: Option<QuotaSetup>,
+    /// The window over which requests are counted, if they are.
+    pub window: Option<Duration>,
+}
+
+impl FleetSetup {
+    /// A number of servers in one zone that join through the first, without a budget.
+    pub fn of(servers: usize) -> FleetSetup {
+        FleetSetup {
+            servers,
+            zones: FleetSetup::default_zones(servers),
+            memory: Duration::from_millis(60_000),
+            suspicion: Duration::from_millis(3_000),
+            probe: Duration::from_millis(500),
+            most: 2_000,
+            join: vec![0],
+            minds_itself: true,
+            budget: None,
+            window: None,
+        }
+    }
+
+    /// Sets the number of servers, all in the default zone; the rest of the setup stays.
+    pub(super) fn set_servers(&mut self, servers: usize) {
+        self.servers = servers;
+        self.zones = FleetSetup::default_zones(servers);
+    }
+
+    fn default_zones(servers: usize) -> Vec<String> {
+        vec![DEFAULT_ZONE.into(); servers]
+    }
+}
--- a/crates/testkit/src/fleet/simulated.rs
+++ b/crates/testkit/src/fleet/simulated.rs
@@ -2,7 +2,9 @@
 //! from one seed.
 
 use super::network::SimulatedNetwork;
-use super::script::{Action, Condition, Fleet, FleetSetup, load_scripts, name, run_script};
+use super::script::{
+    Action, ActionError, Condition, Fleet, FleetSetup, load_scripts, name, run_script,
+};
 use madderbay::time::{Duration, Timestamp};
 use madderbay_membership::{AllowedNetworks, MemberState, Membership, MembershipEvent, Settings};
 use madderbay_quota::{BudgetSettings, CountEstimate, CounterSettings, FleetQuotas, LeaseTerms};
@@ -574,7 +576,7 @@
 }
 
 impl Fleet for SimulatedFleet {
-    fn act(&mut self, act: &Action) -> Result<(), String> {
+    fn act(&mut self, act: &Action) -> Result<(), ActionError> {
         match act {
             Action::Start {
                 who,
@@ -606,7 +608,10 @@
                 self.nodes[*s].work.demand = *n;
                 self.work(*s);
             }
-            Action::Budget(s, whole) => {
+            Action::Budget {
+                server: s,
+                capacity: whole,
+            } => {
                 self.nodes[*s].work.whole = Some(*whole);
                 let named = self.nodes[*s].name;
                 let set = self.shares(*s, named).map_or(vec![], |s| s.budgets);
@@ -617,7 +622,10 @@
             Action::Peak(most) => {
                 let peak = std::mem::replace(&mut self.peak, self.in_hand);
                 if peak > *most {
-                    return Err(format!("{peak} calls were in hand, more than {most}"));
+                    return Err(ActionError::TooManyCalls {
+                        peak: u64::from(peak),
+                        most: *most,
+                    });
                 }
             }
             Action::Drain(s) => {
@@ -638,10 +646,9 @@
             }
             Action::For(time) => self.run(*time),
             Action::Downs(most) if self.wrongly_down > *most => {
-                return Err(format!(
-                    "{} were declared down while they lived",
-                    self.wrongly_down
-                ));
+                return Err(ActionError::WronglyDown {
+                    count: self.wrongly_down,
+                });
             }
             Action::Downs(_) => {}
         }
--- /dev/null
+++ b/crates/testkit/tests/script.rs
@@ -0,0 +1,115 @@
+//! Parsing of fault scripts: what each line makes, and what is reported of a line that is wrong.
+
+use madderbay::time::Duration;
+use madderbay_testkit::fleet::script::{Action, Condition, Expected, Script, ScriptError, Step};
+
+/// The steps of a line for three servers, of which `n3` is in the zone `south`.
+fn steps(line: &str) -> Vec<Step> {
+    let text = format!("servers 3\nzone south n3\n{line}");
+    let script = Script::read("test", &text).expect("a script");
+    script.steps.into_iter().map(|(_, step)| step).collect()
+}
+
+fn error(text: &str) -> ScriptError {
+    Script::read("test", text).expect_err("no script")
+}
+
+#[test]
+fn an_action_on_several_servers_is_a_step_for_each() {
+    let kill = |server| Step::Action(Action::Kill(server));
+    assert_eq!(steps("kill n2 south"), [kill(1), kill(2)]);
+    assert_eq!(steps("kill all"), [kill(0), kill(1), kill(2)]);
+    let budget = |server| {
+        Step::Action(Action::Budget {
+            server,
+            capacity: 32,
+        })
+    };
+    assert_eq!(steps("budget n1 n3 32"), [budget(0), budget(2)]);
+}
+
+#[test]
+fn a_start_may_have_another_clock_and_another_name() {
+    let start = |who, name, secs, back| {
+        Step::Action(Action::Start {
+            who,
+            name,
+            clock: Duration::from_secs_f64(secs),
+            back,
+        })
+    };
+    assert_eq!(steps("start n1"), [start(0, 0, 0.0, false)]);
+    assert_eq!(steps("start n1 clock=-300s"), [start(0, 0, 300.0, true)]);
+    assert_eq!(steps("start n1 clock=5ms"), [start(0, 0, 0.005, false)]);
+    assert_eq!(steps("namesake n3 n1"), [start(2, 0, 0.0, false)]);
+}
+
+#[test]
+fn groups_of_a_cut_are_separated_by_bars() {
+    let cut = Action::Cut(vec![vec![0], vec![1, 2]]);
+    assert_eq!(steps("cut n1 | n2 south"), [Step::Action(cut)]);
+    let one_way = Action::OneWay(0, vec![1, 2]);
+    assert_eq!(steps("oneway n1 > n2 n3"), [Step::Action(one_way)]);
+}
+
+#[test]
+fn a_condition_has_a_term() {
+    let within = |condition, ms| [Step::Within(condition, Duration::from_millis(ms))];
+    assert_eq!(steps("settle 10s"), within(Condition::Settled, 10_000));
+    let unknown = Condition::Sees {
+        who: vec![0],
+        of: 2,
+        state: None,
+    };
+    assert_eq!(steps("sees n1 n3 unknown 40ms"), within(unknown, 40));
+    let spares = Condition::Has {
+        who: vec![0],
+        least: 0,
+        most: 10,
+    };
+    assert_eq!(steps("spares n1 10 3s # at most"), within(spares, 3_000));
+}
+
+#[test]
+fn the_setup_applies_to_the_lines_below_it() {
+    let text = "servers 2\nset budget=64 servers=12 lease=2s join=n2\nstart all";
+    let setup = Script::read("test", text).expect("a script").setup;
+    let budget = setup.budget.expect("a budget");
+    assert_eq!((budget.whole, budget.servers), (64, 12));
+    assert_eq!(budget.lease, Duration::from_millis(2_000));
+    assert_eq!((setup.servers, setup.join), (2, vec![1]));
+}
+
+#[test]
+fn an_error_has_the_place_the_word_and_what_was_expected() {
+    let text = "servers 3\n\nkill n4";
+    let expected = ScriptError {
+        file: "test".into(),
+        line: 3,
+        word: "n4".into(),
+        expected: Expected::Server,
+    };
+    assert_eq!(error(text), expected);
+    assert_eq!(
+        error(text).to_string(),
+        "test:3: 'n4': a server is expected, as in n1"
+    );
+}
+
+#[test]
+fn errors_tell_apart_what_is_wrong() {
+    for (line, word, expected) in [
+        ("jump n1", "jump", Expected::Keyword),
+        ("heal n1", "heal", Expected::Line("heal")),
+        ("settle 10", "10", Expected::Time),
+        ("loss 2", "2", Expected::Part),
+        ("peak many", "many", Expected::Number),
+        ("sees n1 n1 gone 1s", "gone", Expected::State),
+        ("hears n1 half 1s", "half", Expected::Connectivity),
+        ("set memory", "memory", Expected::Assignment),
+        ("set lease=1s", "lease", Expected::Key),
+    ] {
+        let error = error(line);
+        assert_eq!((error.word.as_str(), error.expected), (word, expected));
+    }
+}
