--- a/crates/testkit/src/fleet/network.rs
+++ b/crates/testkit/src/fleet/network.rs
@@ -1,52 +1,63 @@
-//! What the network between the servers of a fleet does to their datagrams, the same simulated and on relays.
+//! The network between the servers of a fleet, with its faults. Simulated fleets and the relays of
+//! real ones share it.
 
 use super::script::Action;
 use madderbay::time::Duration;
 use oorandom::Rand64;
 use std::collections::HashSet;
 
-/// Datagrams to each server that may be sent again.
-const KEPT: usize = 200;
+/// Datagrams to each server that are retained, so that they can be replayed.
+const MAX_RETAINED_DATAGRAMS: usize = 200;
+/// Fleets of more servers retain nothing.
+const MAX_SERVERS_TO_RETAIN: usize = 50;
 
+/// Decides what becomes of each datagram: lost, doubled, corrupted, delayed. It owns the cuts and
+/// the faults, and draws from one seed; it never sends anything itself.
 pub struct SimulatedNetwork {
-    chance: Rand64,
-    pub group: Vec<usize>,
-    pub one_way: HashSet<(usize, usize)>,
+    random: Rand64,
+    /// The side of the cut that each server is on; all are on one without a cut.
+    partition: Vec<usize>,
+    /// Pairs of servers where nothing gets from the first to the second.
+    one_way: HashSet<(usize, usize)>,
     loss: f64,
     double: f64,
     spoil: f64,
     delay: (Duration, Duration),
-    /// What a datagram takes where no script says otherwise.
-    calm: (Duration, Duration),
-    kept: Vec<Vec<(usize, Vec<u8>)>>,
+    /// The least and the most delay without faults.
+    calm_delay: (Duration, Duration),
+    /// By receiver the first datagrams, with their senders.
+    retained: Vec<Vec<(usize, Vec<u8>)>>,
 }
 
 impl SimulatedNetwork {
+    /// A network without faults; `calm` is the least and the most delay of its datagrams.
     pub fn new(servers: usize, seed: u64, calm: (Duration, Duration)) -> SimulatedNetwork {
         SimulatedNetwork {
-            chance: Rand64::new(u128::from(seed)),
-            group: vec![0; servers],
+            random: Rand64::new(u128::from(seed)),
+            partition: vec![0; servers],
             one_way: HashSet::new(),
             loss: 0.0,
             double: 0.0,
             spoil: 0.0,
             delay: calm,
-            calm,
-            kept: vec![vec![]; servers],
+            calm_delay: calm,
+            retained: vec![vec![]; servers],
         }
     }
 
-    /// Takes in what concerns the network; all else is the fleet's.
+    /// Carries out an action on the network; all other actions are ignored.
     pub fn act(&mut self, act: &Action) {
         match act {
             Action::Cut(groups) => {
-                for (no, group) in (1..).zip(groups) {
-                    group.iter().for_each(|s| self.group[*s] = no);
+                for (number, group) in (1..).zip(groups) {
+                    group
+                        .iter()
+                        .for_each(|server| self.partition[*server] = number);
                 }
             }
-            Action::OneWay(from, to) => self.one_way.extend(to.iter().map(|t| (*from, *t))),
+            Action::OneWay(from, to) => self.one_way.extend(to.iter().map(|to| (*from, *to))),
             Action::Heal => {
-                self.group.fill(0);
+                self.partition.fill(0);
                 self.one_way.clear();
             }
             Action::Network {
@@ -55,7 +66,8 @@
                 spoil: None,
                 delay: None,
             } => {
-                (self.loss, self.double, self.spoil, self.delay) = (0.0, 0.0, 0.0, self.calm);
+                (self.loss, self.double, self.spoil) = (0.0, 0.0, 0.0);
+                self.delay = self.calm_delay;
             }
             Action::Network {
                 loss,
@@ -72,42 +84,51 @@
         }
     }
 
-    fn draws(&mut self, part: f64) -> bool {
-        part > 0.0 && self.chance.rand_float() < part
+    /// The side of the cut that a server is on.
+    pub(super) fn partition(&self, server: usize) -> usize {
+        self.partition[server]
     }
 
-    /// What arrives of a datagram, and after what time.
+    /// Whether two servers are on one side and there is no cut of one way anywhere.
+    pub(super) fn connects_both_ways(&self, one: usize, other: usize) -> bool {
+        self.partition[one] == self.partition[other] && self.one_way.is_empty()
+    }
+
+    /// What arrives of a datagram, each copy with its delay.
     pub fn carry(&mut self, from: usize, to: usize, bytes: &[u8]) -> Vec<(Duration, Vec<u8>)> {
-        let cut = self.group[from] != self.group[to] || self.one_way.contains(&(from, to));
-        if cut || self.draws(self.loss) {
+        let cut = self.partition[from] != self.partition[to] || self.one_way.contains(&(from, to));
+        if cut || self.draw(self.loss) {
             return vec![];
         }
-        let copies = 1 + usize::from(self.draws(self.double));
-        let mut arrive = vec![];
-        for _ in 0..copies {
-            let mut bytes = bytes.to_vec();
-            if !bytes.is_empty() && self.draws(self.spoil) {
-                let at = (self.chance.rand_float() * bytes.len() as f64) as usize;
-                bytes[at] ^= 1 << (self.chance.rand_u64() % 8);
-            }
-            if self.kept[to].len() < KEPT && self.kept.len() <= SMALL {
-                self.kept[to].push((from, bytes.clone()));
-            }
-            let spread = self
-                .delay
-                .1
-                .saturating_sub(self.delay.0)
-                .mul_f64(self.chance.rand_float());
-            arrive.push((self.delay.0 + spread, bytes));
+        let copies = 1 + usize::from(self.draw(self.double));
+        (0..copies)
+            .map(|_| self.carry_copy(from, to, bytes))
+            .collect()
+    }
+
+    fn carry_copy(&mut self, from: usize, to: usize, bytes: &[u8]) -> (Duration, Vec<u8>) {
+        let mut bytes = bytes.to_vec();
+        if !bytes.is_empty() && self.draw(self.spoil) {
+            let position = (self.random.rand_float() * bytes.len() as f64) as usize;
+            bytes[position] ^= 1 << (self.random.rand_u64() % 8);
+        }
+        let small_fleet = self.retained.len() <= MAX_SERVERS_TO_RETAIN;
+        if small_fleet && self.retained[to].len() < MAX_RETAINED_DATAGRAMS {
+            self.retained[to].push((from, bytes.clone()));
         }
-        arrive
+        let (least, most) = self.delay;
+        let more = most.saturating_sub(least).mul_f64(self.random.rand_float());
+        (least + more, bytes)
     }
 
-    /// The first that were sent to a server, with who sent them.
-    pub fn kept(&self, to: usize) -> Vec<(usize, Vec<u8>)> {
-        self.kept[to].clone()
+    /// Whether a fault happens that hits this part of all datagrams. Nothing is drawn where the
+    /// part is 0.
+    fn draw(&mut self, part: f64) -> bool {
+        part > 0.0 && self.random.rand_float() < part
     }
-}
 
-/// Fleets of more servers keep nothing to be sent again.
-const SMALL: usize = 50;
+    /// The first datagrams that were sent to a server, with their senders.
+    pub(super) fn retained(&self, to: usize) -> Vec<(usize, Vec<u8>)> {
+        self.retained[to].clone()
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/fleet/processes/actions.rs
@@ -0,0 +1,117 @@
+//! Carries out the actions of a script on real processes.
+
+use super::operator_file::{self, BUDGET_SECTION, millis};
+use super::{Node, ProcessFleet};
+use crate::fleet::script::{Action, ActionError};
+use std::path::Path;
+
+impl ProcessFleet {
+    pub(super) fn carry_out(&mut self, action: &Action) -> Result<(), ActionError> {
+        match action {
+            Action::Start {
+                who,
+                name,
+                clock,
+                back,
+            } => {
+                let sign = if *back { "-" } else { "" };
+                self.start(*who, *name, &format!("{sign}{}", millis(*clock)));
+            }
+            Action::Kill(server) => {
+                self.disturb_load(*server);
+                self.nodes[*server].server = None;
+            }
+            Action::Stop(server) => self.stop(*server)?,
+            Action::Continue(server) => self.resume(*server)?,
+            Action::Drain(server) => self.drain(*server)?,
+            Action::Demand(server, demand) => {
+                self.nodes[*server].demand = *demand;
+                self.renew_load(*server);
+            }
+            Action::Budget { server, capacity } => self.set_budget(*server, *capacity)?,
+            Action::Peak(most) => self.check_peak(*most)?,
+            Action::Cut(groups) => {
+                for (number, group) in (1..).zip(groups) {
+                    group
+                        .iter()
+                        .for_each(|server| self.partition[*server] = number);
+                }
+                self.relays.act(action);
+            }
+            Action::Heal => {
+                self.partition.fill(0);
+                self.relays.act(action);
+            }
+            Action::OneWay(..) | Action::Network { .. } | Action::Replay(_) => {
+                self.relays.act(action);
+            }
+            Action::For(_) | Action::Downs(_) => return Err(ActionError::SimulatedOnly),
+        }
+        Ok(())
+    }
+
+    fn stop(&mut self, server: usize) -> Result<(), ActionError> {
+        self.disturb_load(server);
+        let node = &mut self.nodes[server];
+        node.running()?.signal("-STOP");
+        node.stopped = true;
+        Ok(())
+    }
+
+    fn resume(&mut self, server: usize) -> Result<(), ActionError> {
+        self.disturb_load(server);
+        let node = &mut self.nodes[server];
+        node.running()?.signal("-CONT");
+        node.stopped = false;
+        self.renew_load(server);
+        Ok(())
+    }
+
+    /// Has a server drain, and waits for its end.
+    fn drain(&mut self, server: usize) -> Result<(), ActionError> {
+        self.disturb_load(server);
+        let process = self.nodes[server].server.take();
+        let process = process.ok_or(ActionError::NotRunning)?;
+        process.signal("-TERM");
+        process.over();
+        Ok(())
+    }
+
+    fn set_budget(&mut self, server: usize, capacity: u32) -> Result<(), ActionError> {
+        let node = &mut self.nodes[server];
+        node.capacity = capacity;
+        let path = operator_path(node)?;
+        let text = std::fs::read_to_string(path)?;
+        let before = text.split(BUDGET_SECTION).next().unwrap_or_default();
+        let budget = operator_file::budget(&self.setup, node.name, capacity);
+        std::fs::write(path, format!("{before}{budget}"))?;
+        node.running()?.signal("-HUP");
+        Ok(())
+    }
+
+    fn check_peak(&self, most: u32) -> Result<(), ActionError> {
+        let peak = self.nodes[0].catalogue.peak() as u64;
+        if peak > u64::from(most) {
+            return Err(ActionError::TooManyCalls { peak, most });
+        }
+        Ok(())
+    }
+
+    /// Edits the operator file of a server and has it reload that.
+    ///
+    /// # Panics
+    ///
+    /// If the server does not run, or if its operator file can't be read or written.
+    pub fn rewrite(&self, server: usize, edit: impl Fn(&str) -> String) {
+        let server = self.server(server).expect("it runs");
+        let path = server.operator.as_ref().expect("it has an operator file");
+        let text = std::fs::read_to_string(path).expect("text");
+        std::fs::write(path, edit(&text)).expect("written");
+        server.signal("-HUP");
+    }
+}
+
+fn operator_path(node: &Node) -> Result<&Path, ActionError> {
+    let path = node.running()?.operator.as_deref();
+    path.ok_or(ActionError::NoOperatorFile)
+}
--- /dev/null
+++ b/crates/testkit/src/fleet/processes/client_load.rs
@@ -0,0 +1,117 @@
+//! The load that clients put on a server which has work for calls under a budget.
+
+use super::{Node, ProcessFleet, budget_call, name};
+use crate::load_balancer::{Load, RequestKind, RequestRecord, rule_violations};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration as StdDuration;
+
+/// What a client waits for its answer, in milliseconds.
+const REQUEST_TIMEOUT_MS: u64 = 4_000;
+/// Within this an answer is in time.
+const LATENCY_OBJECTIVE: StdDuration = StdDuration::from_secs(2);
+/// Longer than any script: a load ends when it is switched off.
+const MAX_LENGTH: StdDuration = StdDuration::from_secs(600);
+
+/// Requests that are sent to one server, each of which makes one call, by a thread of their own.
+pub(super) struct ClientLoad {
+    on: Arc<AtomicBool>,
+    records: JoinHandle<Vec<RequestRecord>>,
+    /// The server was killed or stopped meanwhile, so that requests may be without an answer.
+    disturbed: bool,
+}
+
+impl ClientLoad {
+    /// Sends nothing more; answers are still awaited.
+    fn switch_off(&self) {
+        self.on.store(false, Ordering::Relaxed);
+    }
+}
+
+impl ProcessFleet {
+    /// Ends a server's load and starts one for its present demand, if it runs and has any.
+    pub(super) fn renew_load(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        node.loads.iter().for_each(ClientLoad::switch_off);
+        let (Some(server), Some(budget)) = (&node.server, &self.setup.budget) else {
+            return;
+        };
+        if node.demand == 0 {
+            return;
+        }
+        let call_secs = budget_call(budget).as_secs_f64();
+        let load = Load {
+            kinds: request_kinds(),
+            rates: vec![(StdDuration::ZERO, f64::from(node.demand) / call_secs)],
+            length: MAX_LENGTH,
+            seed: self.began.elapsed().as_nanos() as u64,
+            allow_ms: REQUEST_TIMEOUT_MS,
+        };
+        let (address, engine) = (server.address, node.engine.clone());
+        let on = Arc::new(AtomicBool::new(true));
+        let flag = on.clone();
+        let records = std::thread::spawn(move || {
+            let on = || flag.load(Ordering::Relaxed);
+            load.run_while(address, |name| engine.answered(name), |_| (), on)
+        });
+        node.loads.push(ClientLoad {
+            on,
+            records,
+            disturbed: false,
+        });
+    }
+
+    /// Ends a server's load because the server is about to be killed or stopped.
+    pub(super) fn disturb_load(&mut self, index: usize) {
+        for load in &mut self.nodes[index].loads {
+            load.disturbed = true;
+            load.switch_off();
+        }
+    }
+
+    /// Ends the loads of all servers. Gives the number of their requests, and a line for each
+    /// violated rule.
+    ///
+    /// # Panics
+    ///
+    /// If a load's thread has panicked.
+    pub fn finish_loads(&mut self) -> (usize, Vec<String>) {
+        let (mut requests, mut violations) = (0, vec![]);
+        for node in &self.nodes {
+            node.loads.iter().for_each(ClientLoad::switch_off);
+        }
+        for node in &mut self.nodes {
+            for load in std::mem::take(&mut node.loads) {
+                requests += finish(load, node, &mut violations);
+            }
+        }
+        (requests, violations)
+    }
+}
+
+/// Waits for the end of a load; gives the number of its requests.
+fn finish(load: ClientLoad, node: &Node, violations: &mut Vec<String>) -> usize {
+    let records = load.records.join().expect("loaded");
+    let bodies = node.engine.stats().bodies;
+    let found = rule_violations(&records, &request_kinds(), &bodies);
+    // A server that was disturbed may owe answers.
+    let excused = |violation: &String| load.disturbed && violation.contains(" answers");
+    violations.extend(
+        found
+            .into_iter()
+            .filter(|violation| !excused(violation))
+            .map(|violation| format!("{}: {violation}", name(node.name))),
+    );
+    records.len()
+}
+
+fn request_kinds() -> Vec<RequestKind> {
+    vec![RequestKind {
+        handler: "book".into(),
+        part: 1.0,
+        target: LATENCY_OBJECTIVE,
+        keyed: true,
+        project: "acme",
+    }]
+}
--- /dev/null
+++ b/crates/testkit/src/fleet/processes/conditions.rs
@@ -0,0 +1,153 @@
+//! Checks conditions on the fleet by what its servers report.
+
+use super::{MembershipReport, ProcessFleet, name};
+use crate::fleet::script::Condition;
+use madderbay_membership::{Connectivity, MemberState};
+
+/// What a server answered, with its index.
+struct View {
+    server: usize,
+    report: MembershipReport,
+}
+
+impl ProcessFleet {
+    /// What a condition lacks, in one line; `None` while it holds.
+    pub(super) fn unmet_condition(&self, condition: &Condition) -> Option<String> {
+        match condition {
+            Condition::Settled => self.unsettled(),
+            Condition::Sees { who, of, state } => self.sees_otherwise(who, *of, *state),
+            Condition::Hears { who, hears } => self.hears_otherwise(who, *hears),
+            Condition::Has { who, least, most } => who
+                .iter()
+                .filter(|server| self.nodes[**server].answers())
+                .find_map(|server| self.quota_outside(*server, *least, *most)),
+            Condition::Uses { who, least } => {
+                let reports = who.iter().filter_map(|server| self.lent(*server));
+                let used: u32 = reports.map(|report| report.in_use).sum();
+                (used < *least).then(|| format!("{used} calls are in hand, not {least}"))
+            }
+        }
+    }
+
+    /// The first of these servers that should answer and whose report is wrong or missing.
+    fn find_wrong(
+        &self,
+        servers: &[usize],
+        wrong: impl Fn(usize, &MembershipReport) -> Option<String>,
+    ) -> Option<String> {
+        let mut answering = servers
+            .iter()
+            .copied()
+            .filter(|server| self.nodes[*server].answers());
+        answering.find_map(|server| match self.told(server) {
+            Some(report) => wrong(server, &report),
+            None => Some(no_answer(server)),
+        })
+    }
+
+    fn sees_otherwise(
+        &self,
+        servers: &[usize],
+        of: usize,
+        state: Option<MemberState>,
+    ) -> Option<String> {
+        let wanted = state.map(|state| state.to_string());
+        // Among several servers the one that is looked at is left out.
+        let observers: Vec<usize> = servers
+            .iter()
+            .copied()
+            .filter(|server| servers.len() == 1 || *server != of)
+            .collect();
+        self.find_wrong(&observers, |server, report| {
+            let seen = report.states.get(&name(of));
+            (seen != wanted.as_ref())
+                .then(|| format!("{} sees {} {seen:?}", name(server), name(of)))
+        })
+    }
+
+    fn hears_otherwise(&self, servers: &[usize], hears: Connectivity) -> Option<String> {
+        self.find_wrong(servers, |server, report| {
+            (report.hears != hears.to_string())
+                .then(|| format!("{} hears {}", name(server), report.hears))
+        })
+    }
+
+    fn quota_outside(&self, server: usize, least: u32, most: u32) -> Option<String> {
+        let Some(report) = self.lent(server) else {
+            return Some(no_answer(server));
+        };
+        let usable = report.usable;
+        (usable < least || usable > most)
+            .then(|| format!("{} may use {usable}; {}", name(server), self.all_quotas()))
+    }
+
+    /// What is missing until all servers that run and are connected hold exactly each other alive.
+    fn unsettled(&self) -> Option<String> {
+        let views = match self.views() {
+            Ok(views) => views,
+            Err(server) => return Some(no_answer(server)),
+        };
+        views.iter().find_map(|view| self.wrong_view(view, &views))
+    }
+
+    /// The views of all servers that run, but for those whose name another server has taken over.
+    /// The error is the index of a server that does not answer.
+    fn views(&self) -> Result<Vec<View>, usize> {
+        let mut views = vec![];
+        for (server, node) in self.nodes.iter().enumerate() {
+            if !node.answers() {
+                continue;
+            }
+            let report = self.told(server).ok_or(server)?;
+            let own_state = report.states.get(&name(node.name));
+            if own_state.is_none_or(|state| state != "down") {
+                views.push(View { server, report });
+            }
+        }
+        Ok(views)
+    }
+
+    /// What is wrong in one view, beside those of the servers that it is connected with.
+    fn wrong_view(&self, view: &View, all: &[View]) -> Option<String> {
+        let View { server, report } = view;
+        let connected = || {
+            all.iter()
+                .filter(|other| self.partition[other.server] == self.partition[*server])
+        };
+        let mut present: Vec<String> = connected()
+            .map(|other| name(self.nodes[other.server].name))
+            .collect();
+        present.sort();
+        let mut held: Vec<String> = report
+            .states
+            .iter()
+            .filter(|(_, state)| !["down", "left"].contains(&state.as_str()))
+            .map(|(member, _)| member.clone())
+            .collect();
+        held.sort();
+        if held != present {
+            return Some(format!(
+                "{} holds {held:?} in, not {present:?}",
+                name(*server)
+            ));
+        }
+        let unsettled = report
+            .states
+            .iter()
+            .find(|(_, state)| *state == "suspect" || *state == "joining");
+        if let Some((member, state)) = unsettled {
+            return Some(format!("{} holds {member} {state}", name(*server)));
+        }
+        let mut others = connected();
+        let different = others.find(|other| other.report.digest != report.digest)?;
+        Some(format!(
+            "{} and {} differ",
+            name(*server),
+            name(different.server)
+        ))
+    }
+}
+
+fn no_answer(server: usize) -> String {
+    format!("{} does not answer", name(server))
+}
--- /dev/null
+++ b/crates/testkit/src/fleet/processes/reports.rs
@@ -0,0 +1,134 @@
+//! What servers report at their control sockets.
+
+use super::{Node, ProcessFleet, name};
+use serde_json::Value;
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Write};
+use std::os::unix::net::UnixStream;
+use std::time::Duration as StdDuration;
+
+/// Upper bound on a query; a stopped server never answers.
+const QUERY_TIMEOUT: StdDuration = StdDuration::from_secs(5);
+
+/// A server's view of the fleet.
+#[derive(Clone, Debug)]
+pub struct MembershipReport {
+    /// What it receives of the fleet: `whole`, `part` or `alone`.
+    pub hears: String,
+    /// The digest of its view.
+    pub digest: String,
+    /// The number of other members that it holds active.
+    pub active: usize,
+    /// The state of each member by its name.
+    pub states: HashMap<String, String>,
+}
+
+/// A server's part of the budget, in calls.
+#[derive(Clone, Copy, Debug)]
+pub struct QuotaReport {
+    /// What it may use now.
+    pub usable: u32,
+    /// What it has in flight.
+    pub in_use: u32,
+    /// Its base quota.
+    pub own: u32,
+    /// What it has work for.
+    pub wants: u32,
+}
+
+impl ProcessFleet {
+    /// A server's view of the fleet; `None` where it does not answer.
+    pub fn told(&self, server: usize) -> Option<MembershipReport> {
+        let lines = self.query(server, "members")?;
+        let (head, members) = lines.split_first()?;
+        let text = |value: &Value| value.as_str().unwrap_or_default().to_string();
+        Some(MembershipReport {
+            hears: text(&head["hears"]),
+            digest: text(&head["digest"]),
+            active: head["active"].as_u64()? as usize,
+            states: members
+                .iter()
+                .map(|member| (text(&member["name"]), text(&member["state"])))
+                .collect(),
+        })
+    }
+
+    /// A server's part of the budget; `None` where it does not answer or has no budget.
+    pub fn lent(&self, server: usize) -> Option<QuotaReport> {
+        let lines = self.query(server, "shared")?;
+        let budget = lines.iter().find(|line| line["whole"].is_u64())?;
+        let units = |key: &str| budget[key].as_u64().map(|units| units as u32);
+        Some(QuotaReport {
+            usable: units("usable")?,
+            in_use: units("in_use")?,
+            own: units("own")?,
+            wants: units("wants")?,
+        })
+    }
+
+    /// A server's count for a key, by the key's name, and the bound on its error; `None` where it
+    /// does not answer or doesn't count the key.
+    pub fn counted(&self, server: usize, of: &str) -> Option<(f64, f64)> {
+        let lines = self.query(server, "shared")?;
+        let line = lines.iter().find(|line| line["of"] == of)?;
+        Some((line["value"].as_f64()?, line["bound"].as_f64()?))
+    }
+
+    /// A server's view of its backends by name: the state, the weight, and the recent failures.
+    /// `None` where it does not answer.
+    pub fn routes(&self, server: usize) -> Option<HashMap<String, (String, f64, u64)>> {
+        let lines = self.query(server, "routes")?;
+        let backend = |line: &Value| {
+            let name = line["name"].as_str()?.to_string();
+            let state = line["state"].as_str()?.to_string();
+            Some((
+                name,
+                (state, line["weight"].as_f64()?, line["bad"].as_u64()?),
+            ))
+        };
+        // The first line is about all of them.
+        lines.iter().skip(1).map(backend).collect()
+    }
+
+    /// The budget as all servers that answer report it, in one line.
+    pub(super) fn all_quotas(&self) -> String {
+        let reports = (0..self.nodes.len()).filter_map(|server| {
+            let QuotaReport {
+                usable,
+                in_use,
+                wants,
+                ..
+            } = self.lent(server)?;
+            let name = name(server);
+            Some(format!("{name} {in_use} of {usable}, work for {wants}"))
+        });
+        reports.collect::<Vec<String>>().join("; ")
+    }
+
+    fn query(&self, server: usize, what: &str) -> Option<Vec<Value>> {
+        self.nodes[server].query(what)
+    }
+}
+
+impl Node {
+    /// The lines of an answer at the control socket; `None` where the server does not answer
+    /// completely.
+    fn query(&self, what: &str) -> Option<Vec<Value>> {
+        if !self.answers() {
+            return None;
+        }
+        let mut stream = UnixStream::connect(&self.control_socket).ok()?;
+        stream.set_read_timeout(Some(QUERY_TIMEOUT)).ok()?;
+        let query = format!("{{\"ask\":\"{what}\"}}\n");
+        stream.write_all(query.as_bytes()).ok()?;
+        let mut found = vec![];
+        for line in BufReader::new(stream).lines().map_while(Result::ok) {
+            let line: Value = serde_json::from_str(&line).ok()?;
+            if line["end"] == true {
+                return Some(found);
+            }
+            found.push(line);
+        }
+        None
+    }
+}
--- a/crates/testkit/src/fleet/relay.rs
+++ b/crates/testkit/src/fleet/relay.rs
@@ -1,167 +1,180 @@
-//! All datagrams of a stand pass here: one relay socket a server, whose address is what that server is told as.
-//! A datagram that reaches the relay of one server goes on to it from the relay of the sender, so that every
-//! directed pair can be meddled with and no server can tell.
+//! Relays between real servers: one UDP socket for each server, whose address is the one that the
+//! server advertises.
+//!
+//! A datagram that reaches the relay of one server is sent on to it from the relay of the sender.
+//! Thus every directed pair of servers can have faults, and no server can tell that there are
+//! relays.
 
 use super::network::SimulatedNetwork;
 use super::script::Action;
+use crate::event_queue::EventQueue;
 use madderbay::time::Duration;
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::HashMap;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::time::{Duration as StdDuration, Instant};
 
-/// How often the carrier looks up where nothing comes.
-const IDLE: StdDuration = StdDuration::from_millis(200);
+/// The longest time that the relays wait for an event.
+const MAX_WAIT: StdDuration = StdDuration::from_millis(200);
+/// Larger datagrams are cut off.
+const MAX_DATAGRAM_BYTES: usize = 2_048;
 
 enum Event {
-    Came {
-        at: usize,
+    Datagram {
+        /// The server whose relay received it.
+        to: usize,
         from: SocketAddr,
         bytes: Vec<u8>,
     },
-    /// A server hears at that address and sends from it.
-    Hears(usize, SocketAddr),
+    /// A server receives at that address and sends from it.
+    ServerAddress {
+        server: usize,
+        address: SocketAddr,
+    },
     Action(Action),
 }
 
-/// The relays of all servers, and the thread that carries between them.
+/// The relays of all servers, served by threads that end with this handle.
 pub struct DatagramRelays {
-    to: Sender<Event>,
-    /// What each server is told as.
+    events: Sender<Event>,
+    /// The address that each server advertises.
     pub addresses: Vec<SocketAddr>,
 }
 
 impl DatagramRelays {
+    /// Starts relays on free loopback ports. The seed determines the faults.
+    ///
+    /// # Panics
+    ///
+    /// If no port is free.
     pub fn start(servers: usize, seed: u64) -> DatagramRelays {
-        let (to, from) = channel();
+        let (events, received) = channel();
         let mut sockets = vec![];
-        for at in 0..servers {
+        for server in 0..servers {
             let socket = UdpSocket::bind("127.0.0.1:0").expect("a free port");
-            let (hears, to) = (socket.try_clone().expect("a second handle"), to.clone());
-            std::thread::spawn(move || {
-                let mut buffer = [0; 2_048];
-                loop {
-                    // An error is told for something sent to one that is gone.
-                    let Ok((length, from)) = hears.recv_from(&mut buffer) else {
-                        continue;
-                    };
-                    if to
-                        .send(Event::Came {
-                            at,
-                            from,
-                            bytes: buffer[..length].to_vec(),
-                        })
-                        .is_err()
-                    {
-                        return;
-                    }
-                }
-            });
+            let reader = socket.try_clone().expect("a second handle");
+            let events = events.clone();
+            std::thread::spawn(move || read_datagrams(server, &reader, &events));
             sockets.push(socket);
         }
         let addresses = sockets
             .iter()
-            .map(|s| s.local_addr().expect("an address"))
+            .map(|socket| socket.local_addr().expect("an address"))
             .collect();
-        std::thread::spawn(move || Carrier::new(sockets, seed).run(&from));
-        DatagramRelays { to, addresses }
+        std::thread::spawn(move || Carrier::new(sockets, seed).run(&received));
+        DatagramRelays { events, addresses }
     }
 
-    /// A server, started anew, hears at this address.
+    /// A server was started and receives at this address.
     pub fn hears(&self, server: usize, at: SocketAddr) {
-        let _ = self.to.send(Event::Hears(server, at));
+        let address = at;
+        let _ = self.events.send(Event::ServerAddress { server, address });
     }
 
-    /// Meddles from here on with what is carried.
+    /// Carries out an action on the network from here on; all other actions are ignored.
     pub fn act(&self, act: &Action) {
-        let _ = self.to.send(Event::Action(act.clone()));
+        let _ = self.events.send(Event::Action(act.clone()));
+    }
+}
+
+/// Passes on what the relay of a server receives, until the carrier is gone.
+fn read_datagrams(to: usize, socket: &UdpSocket, events: &Sender<Event>) {
+    let mut buffer = [0; MAX_DATAGRAM_BYTES];
+    loop {
+        // An error is about a datagram that was sent to a server that is gone.
+        let Ok((length, from)) = socket.recv_from(&mut buffer) else {
+            continue;
+        };
+        let bytes = buffer[..length].to_vec();
+        if events.send(Event::Datagram { to, from, bytes }).is_err() {
+            return;
+        }
     }
 }
 
+/// A datagram that is delayed.
+struct DelayedDatagram {
+    from: usize,
+    to: usize,
+    bytes: Vec<u8>,
+}
+
+/// Carries datagrams between the relays, in a thread of its own.
 struct Carrier {
+    /// The relay of each server.
     sockets: Vec<UdpSocket>,
-    servers: Vec<Option<SocketAddr>>,
+    /// Where each server receives, once it was started.
+    addresses: Vec<Option<SocketAddr>>,
     by_address: HashMap<SocketAddr, usize>,
-    net: SimulatedNetwork,
-    late: BinaryHeap<Reverse<(Instant, u64)>>,
-    waiting: HashMap<u64, (usize, usize, Vec<u8>)>,
-    numbered: u64,
+    network: SimulatedNetwork,
+    delayed: EventQueue<Instant, DelayedDatagram>,
 }
 
 impl Carrier {
     fn new(sockets: Vec<UdpSocket>, seed: u64) -> Carrier {
+        let no_delay = (Duration::ZERO, Duration::ZERO);
         Carrier {
-            servers: vec![None; sockets.len()],
+            addresses: vec![None; sockets.len()],
             by_address: HashMap::new(),
-            net: SimulatedNetwork::new(sockets.len(), seed, (Duration::ZERO, Duration::ZERO)),
-            late: BinaryHeap::new(),
-            waiting: HashMap::new(),
-            numbered: 0,
+            network: SimulatedNetwork::new(sockets.len(), seed, no_delay),
+            delayed: EventQueue::new(),
             sockets,
         }
     }
 
-    fn run(mut self, from: &Receiver<Event>) {
+    /// Handles events and sends delayed datagrams in between, until all handles are gone.
+    fn run(mut self, received: &Receiver<Event>) {
         loop {
-            let due = self
-                .late
-                .peek()
-                .map_or(IDLE, |l| l.0.0.saturating_duration_since(Instant::now()));
-            match from.recv_timeout(due.min(IDLE)) {
-                Ok(Event::Came { at, from, bytes }) => self.came(at, from, &bytes),
-                Ok(Event::Hears(server, at)) => {
-                    self.by_address.retain(|_, s| *s != server);
-                    self.by_address.insert(at, server);
-                    self.servers[server] = Some(at);
-                }
-                Ok(Event::Action(act)) => self.act(&act),
+            let until_next = self
+                .delayed
+                .next_time()
+                .map_or(MAX_WAIT, |at| at.saturating_duration_since(Instant::now()));
+            match received.recv_timeout(until_next.min(MAX_WAIT)) {
+                Ok(event) => self.handle(event),
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
-            while let Some(Reverse((_, no))) = self
-                .late
-                .peek()
-                .copied()
-                .filter(|l| l.0.0 <= Instant::now())
-            {
-                self.late.pop();
-                if let Some((from, to, bytes)) = self.waiting.remove(&no) {
-                    self.pass_on(from, to, &bytes);
+            while let Some((_, datagram)) = self.delayed.pop_until(Instant::now()) {
+                self.send(datagram.from, datagram.to, &datagram.bytes);
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Datagram { to, from, bytes } => self.carry(to, from, &bytes),
+            Event::ServerAddress { server, address } => {
+                self.by_address.retain(|_, other| *other != server);
+                self.by_address.insert(address, server);
+                self.addresses[server] = Some(address);
+            }
+            Event::Action(Action::Replay(to)) => {
+                for (from, bytes) in self.network.retained(to) {
+                    self.send(from, to, &bytes);
                 }
             }
+            Event::Action(action) => self.network.act(&action),
         }
     }
 
-    fn came(&mut self, to: usize, from: SocketAddr, bytes: &[u8]) {
+    /// Sends on a datagram at once or later. One from an unknown address is dropped.
+    fn carry(&mut self, to: usize, from: SocketAddr, bytes: &[u8]) {
         let Some(from) = self.by_address.get(&from).copied() else {
             return;
         };
-        for (after, bytes) in self.net.carry(from, to, bytes) {
-            if after == Duration::ZERO {
-                self.pass_on(from, to, &bytes);
+        for (delay, bytes) in self.network.carry(from, to, bytes) {
+            if delay == Duration::ZERO {
+                self.send(from, to, &bytes);
             } else {
-                self.numbered += 1;
-                let at = Instant::now() + StdDuration::from_micros(after.as_micros());
-                self.late.push(Reverse((at, self.numbered)));
-                self.waiting.insert(self.numbered, (from, to, bytes));
+                let at = Instant::now() + StdDuration::from_micros(delay.as_micros());
+                self.delayed.push(at, DelayedDatagram { from, to, bytes });
             }
         }
     }
 
-    fn pass_on(&self, from: usize, to: usize, bytes: &[u8]) {
-        if let Some(address) = self.servers[to] {
+    fn send(&self, from: usize, to: usize, bytes: &[u8]) {
+        if let Some(address) = self.addresses[to] {
             let _ = self.sockets[from].send_to(bytes, address);
         }
     }
-
-    fn act(&mut self, act: &Action) {
-        if let Action::Replay(to) = act {
-            self.net
-                .kept(*to)
-                .iter()
-                .for_each(|(from, bytes)| self.pass_on(*from, *to, bytes));
-        }
-        self.net.act(act);
-    }
 }
--- a/crates/testkit/src/fleet/script_generator.rs
+++ b/crates/testkit/src/fleet/script_generator.rs
@@ -1,70 +1,81 @@
-//! Faults and shifts of work, drawn one after the other from a seed: each one that the fleet can take as it is.
+//! Draws actions for a fleet from a seed, one after the other, each of which the fleet can carry
+//! out as it is.
 
 use super::script::Action;
 use madderbay::time::Duration;
 use oorandom::Rand64;
 
+/// The most that a fault of the network hits, as a part of all datagrams.
+const MAX_FAULT_PART: f64 = 0.4;
+/// Datagrams are corrupted this many times as often as they are lost.
+const SPOIL_FOR_LOSS: f64 = 0.3;
+/// The kinds of actions that are drawn evenly; those beyond the named ones start, continue or shift
+/// work.
+const ACTION_KINDS: f64 = 12.0;
+
+/// A source of drawn actions. It owns what it has done to the fleet: which servers it has killed
+/// and stopped.
 pub struct ScriptGenerator {
-    chance: Rand64,
+    random: Rand64,
+    /// By server whether it runs, stopped or not.
     up: Vec<bool>,
     stopped: Vec<bool>,
-    /// The most work that a server is given, in calls.
-    demand: f64,
+    /// The most work that a server is given, in calls at a time.
+    max_demand: f64,
 }
 
 impl ScriptGenerator {
-    /// All servers run.
+    /// For a fleet of which all servers run. A server is given work for fewer than `demand` calls
+    /// at a time.
     pub fn new(seed: u64, servers: usize, demand: u32) -> ScriptGenerator {
         ScriptGenerator {
-            chance: Rand64::new(u128::from(seed)),
+            random: Rand64::new(u128::from(seed)),
             up: vec![true; servers],
             stopped: vec![false; servers],
-            demand: f64::from(demand),
+            max_demand: f64::from(demand),
         }
     }
 
-    /// Up to so many seconds.
+    /// Draws a number of seconds under a limit.
     pub fn secs(&mut self, most: f64) -> f64 {
-        self.chance.rand_float() * most
+        self.random.rand_float() * most
     }
 
-    /// Servers that are stopped now.
+    /// The servers that are stopped now.
     pub fn stopped(&self) -> Vec<usize> {
         (0..self.stopped.len())
-            .filter(|s| self.stopped[*s])
+            .filter(|server| self.stopped[*server])
             .collect()
     }
 
-    /// The next: crashes, pauses, cuts of both kinds, loss, doubling, spoiling, delays of up to a second, old
-    /// datagrams, other work.
+    /// Draws the next action: crashes, pauses, cuts of both kinds, loss, doubling, corruption,
+    /// delays of up to a second, replayed datagrams, shifted work.
     pub fn act(&mut self) -> Action {
-        let n = self.up.len();
-        let who = (self.chance.rand_float() * n as f64) as usize;
-        let part = self.chance.rand_float() * 0.4;
-        let delay = Some((
-            Duration::from_millis(1),
-            Duration::from_secs_f64(0.01 + self.chance.rand_float()),
-        ));
-        match (self.chance.rand_float() * 12.0) as usize {
-            0 if self.up[who] && !self.stopped[who] => {
+        let who = (self.random.rand_float() * self.up.len() as f64) as usize;
+        let part = self.random.rand_float() * MAX_FAULT_PART;
+        let longest = Duration::from_secs_f64(0.01 + self.random.rand_float());
+        let delay = Some((Duration::from_millis(1), longest));
+        let running = self.up[who] && !self.stopped[who];
+        match (self.random.rand_float() * ACTION_KINDS) as usize {
+            0 if running => {
                 self.up[who] = false;
                 Action::Kill(who)
             }
-            1 if self.up[who] && !self.stopped[who] => {
+            1 if running => {
                 self.stopped[who] = true;
                 Action::Stop(who)
             }
             2 => {
-                let (a, b) = (0..n).partition(|s| s % 2 == who % 2);
-                Action::Cut(vec![a, b])
+                let (even, odd) = (0..self.up.len()).partition(|other| other % 2 == who % 2);
+                Action::Cut(vec![even, odd])
             }
-            3 => Action::Cut(vec![vec![who], (0..n).filter(|s| *s != who).collect()]),
-            4 => Action::OneWay(who, (0..n).filter(|s| *s != who).collect()),
+            3 => Action::Cut(vec![vec![who], self.others(who)]),
+            4 => Action::OneWay(who, self.others(who)),
             5 => Action::Heal,
             6 => Action::Network {
                 loss: Some(part),
                 double: Some(part),
-                spoil: Some(part * 0.3),
+                spoil: Some(part * SPOIL_FOR_LOSS),
                 delay,
             },
             7 => Action::Network {
@@ -74,20 +85,29 @@
                 delay: None,
             },
             8 => Action::Replay(who),
-            _ if !self.up[who] => {
-                self.up[who] = true;
-                Action::Start {
-                    who,
-                    name: who,
-                    clock: Duration::ZERO,
-                    back: false,
-                }
-            }
-            _ if self.stopped[who] => {
-                self.stopped[who] = false;
-                Action::Continue(who)
-            }
-            _ => Action::Demand(who, (self.chance.rand_float() * self.demand) as u32),
+            _ => self.repair_or_shift_work(who),
         }
     }
+
+    /// Starts a server that is down, continues one that is stopped, or gives it other work.
+    fn repair_or_shift_work(&mut self, who: usize) -> Action {
+        if !self.up[who] {
+            self.up[who] = true;
+            return Action::Start {
+                who,
+                name: who,
+                clock: Duration::ZERO,
+                back: false,
+            };
+        }
+        if self.stopped[who] {
+            self.stopped[who] = false;
+            return Action::Continue(who);
+        }
+        Action::Demand(who, (self.random.rand_float() * self.max_demand) as u32)
+    }
+
+    fn others(&self, who: usize) -> Vec<usize> {
+        (0..self.up.len()).filter(|other| *other != who).collect()
+    }
 }
--- /dev/null
+++ b/crates/testkit/src/fleet/simulated/actions.rs
@@ -0,0 +1,108 @@
+//! Carries out the actions of a script on simulated servers.
+
+use super::{Event, SimulatedFleet, address};
+use crate::fleet::script::{Action, ActionError};
+use madderbay::time::Duration;
+
+/// The time from the beginning of a drain until the server leaves.
+const DRAIN_TIME: Duration = Duration::from_millis(1_000);
+
+impl SimulatedFleet {
+    pub(super) fn carry_out(&mut self, action: &Action) -> Result<(), ActionError> {
+        match action {
+            Action::Start {
+                who,
+                name,
+                clock,
+                back,
+            } => self.start(*who, *name, *clock, *back),
+            Action::Kill(server) => self.nodes[*server].stack = None,
+            Action::Stop(server) => self.nodes[*server].stopped = true,
+            Action::Continue(server) => self.resume(*server),
+            Action::Drain(server) => self.drain(*server),
+            Action::Demand(server, demand) => {
+                self.nodes[*server].work.demand = *demand;
+                self.start_calls(*server);
+            }
+            Action::Budget { server, capacity } => self.set_budget(*server, *capacity),
+            Action::Peak(most) => self.check_peak(*most)?,
+            Action::Cut(_) | Action::Heal => {
+                self.network.act(action);
+                self.excused = vec![self.now; self.setup.servers];
+            }
+            Action::OneWay(..) | Action::Network { .. } => self.network.act(action),
+            Action::Replay(server) => self.replay(*server),
+            Action::For(time) => self.run(*time),
+            Action::Downs(most) => self.check_downs(*most)?,
+        }
+        Ok(())
+    }
+
+    /// Continues a stopped server. Its timer and its socket are ready at once; which it handles
+    /// first is chance.
+    fn resume(&mut self, server: usize) {
+        self.excused[server] = self.now;
+        let node = &mut self.nodes[server];
+        node.stopped = false;
+        let ended = std::mem::take(&mut node.work.unnoticed_ends);
+        let now = node.clock(self.now);
+        let quotas = node.stack.as_mut().and_then(|stack| stack.shared.as_mut());
+        if let Some(budget) = quotas.and_then(|quotas| quotas.budgets_mut().first_mut()) {
+            (0..ended).for_each(|_| budget.call_ended(now));
+        }
+        if self.random.rand_float() < 0.5 {
+            self.drive(server, |stack, now| stack.handle_timeout(now));
+        }
+        for (from, bytes) in std::mem::take(&mut self.nodes[server].waiting) {
+            self.drive(server, |stack, now| {
+                stack.handle_datagram(now, from, &bytes);
+            });
+        }
+        self.drive(server, |stack, now| stack.handle_timeout(now));
+    }
+
+    fn drain(&mut self, server: usize) {
+        self.drive(server, |stack, now| stack.members.drain(now));
+        self.run(DRAIN_TIME);
+        self.drive(server, |stack, now| stack.members.leave(now));
+        self.nodes[server].stack = None;
+    }
+
+    fn set_budget(&mut self, server: usize, capacity: u32) {
+        self.nodes[server].work.capacity = Some(capacity);
+        let named = self.nodes[server].name;
+        let settings = self.quota_settings(server, named);
+        let budgets = settings.map_or(vec![], |settings| settings.budgets);
+        self.drive(server, |stack, now| {
+            if let Some(quotas) = &mut stack.shared {
+                quotas.reload(now, &budgets);
+            }
+        });
+    }
+
+    /// Checks the most calls in flight since the last check.
+    fn check_peak(&mut self, most: u32) -> Result<(), ActionError> {
+        let peak = std::mem::replace(&mut self.peak, self.calls.in_flight());
+        if peak > most {
+            let peak = u64::from(peak);
+            return Err(ActionError::TooManyCalls { peak, most });
+        }
+        Ok(())
+    }
+
+    fn check_downs(&self, most: usize) -> Result<(), ActionError> {
+        let count = self.wrongly_down;
+        if count > most {
+            return Err(ActionError::WronglyDown { count });
+        }
+        Ok(())
+    }
+
+    /// Delivers again at once what was sent to a server.
+    fn replay(&mut self, to: usize) {
+        for (from, bytes) in self.network.retained(to) {
+            let from = address(from);
+            self.push(self.now, Event::Datagram { to, from, bytes });
+        }
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/fleet/simulated/calls.rs
@@ -0,0 +1,104 @@
+//! Simulated calls under a budget: a server with work starts as many as it may.
+
+use super::{Event, SimulatedFleet};
+use madderbay::time::Timestamp;
+
+/// Calls in flight of all servers together.
+pub(super) struct CallMeter {
+    in_flight: u32,
+    /// Calls in flight, summed over the time until `updated`.
+    call_seconds: f64,
+    updated: Timestamp,
+}
+
+impl CallMeter {
+    pub(super) fn new(now: Timestamp) -> CallMeter {
+        CallMeter {
+            in_flight: 0,
+            call_seconds: 0.0,
+            updated: now,
+        }
+    }
+
+    pub(super) fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Calls in flight, summed over time until now.
+    fn call_seconds(&self, now: Timestamp) -> f64 {
+        self.call_seconds + f64::from(self.in_flight) * (now - self.updated).as_secs_f64()
+    }
+
+    /// Sums up to now, before the calls in flight change.
+    fn update(&mut self, now: Timestamp) {
+        self.call_seconds = self.call_seconds(now);
+        self.updated = now;
+    }
+
+    fn call_started(&mut self, now: Timestamp) {
+        self.update(now);
+        self.in_flight += 1;
+    }
+
+    fn call_ended(&mut self, now: Timestamp) {
+        self.update(now);
+        self.in_flight -= 1;
+    }
+}
+
+impl SimulatedFleet {
+    /// Calls in flight of all servers together, summed over time, in seconds.
+    pub fn used(&self) -> f64 {
+        self.calls.call_seconds(self.now)
+    }
+
+    /// Starts the calls that a server has work for, as far as it may.
+    pub(super) fn start_calls(&mut self, server: usize) {
+        let Some(setup) = &self.setup.budget else {
+            return;
+        };
+        let (mean, longest) = (setup.call, setup.longest);
+        loop {
+            let node = &mut self.nodes[server];
+            let now = node.clock(self.now);
+            let (demand, incarnation) = (node.work.demand, node.incarnation);
+            let quotas = node.active_stack().and_then(|stack| stack.shared.as_mut());
+            let Some(quotas) = quotas else {
+                return;
+            };
+            let budget = &mut quotas.budgets_mut()[0];
+            let (in_use, may_start) = (budget.in_use(), budget.may_start(now));
+            if in_use >= demand || !may_start {
+                return budget.set_waiting(now, demand.saturating_sub(in_use));
+            }
+            budget.call_started(now);
+            let took = mean.mul_f64(0.5 + self.random.rand_float()).min(longest);
+            let ended = Event::CallEnded {
+                server,
+                incarnation,
+            };
+            self.push(self.now + took, ended);
+            self.calls.call_started(self.now);
+            self.peak = self.peak.max(self.calls.in_flight());
+        }
+    }
+
+    /// A call ends, whether or not the incarnation that made it still runs.
+    pub(super) fn call_ended(&mut self, server: usize, incarnation: u32) {
+        self.calls.call_ended(self.now);
+        self.peak = self.peak.max(self.calls.in_flight());
+        let node = &mut self.nodes[server];
+        if node.incarnation != incarnation || node.stack.is_none() {
+            return;
+        }
+        if node.stopped {
+            node.work.unnoticed_ends += 1;
+            return;
+        }
+        let now = node.clock(self.now);
+        if let Some(quotas) = node.stack.as_mut().and_then(|s| s.shared.as_mut()) {
+            quotas.budgets_mut()[0].call_ended(now);
+        }
+        self.start_calls(server);
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/fleet/simulated/conditions.rs
@@ -0,0 +1,119 @@
+//! Checks conditions on the simulated fleet by looking into its servers.
+
+use super::{SimulatedFleet, name};
+use crate::fleet::script::Condition;
+use madderbay_membership::{Connectivity, MemberState, Membership, Phase};
+use std::collections::HashMap;
+
+impl SimulatedFleet {
+    /// What a condition lacks, in one line; `None` while it holds.
+    pub(super) fn unmet_condition(&self, condition: &Condition) -> Option<String> {
+        match condition {
+            Condition::Settled => self.unsettled(),
+            Condition::Sees { who, of, state } => self.sees_otherwise(who, *of, *state),
+            Condition::Hears { who, hears } => who
+                .iter()
+                .find_map(|server| self.hears_otherwise(*server, *hears)),
+            Condition::Has { who, least, most } => who
+                .iter()
+                .find_map(|server| self.quota_outside(*server, *least, *most)),
+            Condition::Uses { who, least } => {
+                let budgets = who
+                    .iter()
+                    .filter_map(|server| self.shared(*server)?.budgets().first());
+                let used: u32 = budgets.map(|budget| budget.in_use()).sum();
+                (used < *least).then(|| format!("{used} calls are in hand, not {least}"))
+            }
+        }
+    }
+
+    fn sees_otherwise(
+        &self,
+        servers: &[usize],
+        of: usize,
+        state: Option<MemberState>,
+    ) -> Option<String> {
+        // Among several servers the one that is looked at is left out.
+        let mut observers = servers
+            .iter()
+            .copied()
+            .filter(|server| servers.len() == 1 || *server != of);
+        observers.find_map(|server| {
+            let members = self.nodes[server].active_members()?;
+            let seen = members.member_state(&name(of));
+            (seen != state).then(|| format!("{} sees {} {seen:?}", name(server), name(of)))
+        })
+    }
+
+    fn hears_otherwise(&self, server: usize, hears: Connectivity) -> Option<String> {
+        let heard = self.nodes[server].active_members()?.connectivity();
+        (heard != hears).then(|| format!("{} hears {heard}", name(server)))
+    }
+
+    fn quota_outside(&self, server: usize, least: u32, most: u32) -> Option<String> {
+        let now = self.nodes[server].clock(self.now);
+        let usable = self.shared(server)?.budgets().first()?.usable(now);
+        (usable < least || usable > most)
+            .then(|| format!("{} may use {usable}, of at least {least}", name(server)))
+    }
+
+    /// Servers that run, but for those whose name another server has taken over.
+    fn present(&self) -> Vec<usize> {
+        let has_own_name = |members: &Membership| {
+            members.member_state(&members.local_identity().name) != Some(MemberState::Down)
+        };
+        (0..self.nodes.len())
+            .filter(|server| {
+                self.nodes[*server]
+                    .active_members()
+                    .is_some_and(has_own_name)
+            })
+            .collect()
+    }
+
+    /// What is missing until all servers that run and are connected hold exactly each other alive.
+    fn unsettled(&self) -> Option<String> {
+        let present = self.present();
+        let mut sizes: HashMap<usize, usize> = HashMap::new();
+        for server in &present {
+            *sizes.entry(self.network.partition(*server)).or_default() += 1;
+        }
+        // By partition one server, and the digest of its view.
+        let mut digests: HashMap<usize, (usize, u64)> = HashMap::new();
+        for server in present {
+            let members = self.members(server)?;
+            let partition = self.network.partition(server);
+            let (size, active) = (sizes[&partition], members.active_count());
+            if active + 1 != size {
+                let others = size - 1;
+                return Some(format!(
+                    "{} holds {active} others in, not {others}",
+                    name(server)
+                ));
+            }
+            let digest = members.digest();
+            let first = *digests.entry(partition).or_insert((server, digest));
+            if first.1 != digest {
+                return Some(format!("{} and {} differ", name(first.0), name(server)));
+            }
+            if members.local_identity().phase == Phase::Joining {
+                return Some(format!("{} is joining", name(server)));
+            }
+        }
+        // Equal digests over as many members as run mean equal views, so that one view of each is
+        // enough.
+        digests
+            .values()
+            .find_map(|(server, _)| self.suspect(*server))
+    }
+
+    /// That a server holds some member suspect.
+    fn suspect(&self, server: usize) -> Option<String> {
+        let view = self.members(server)?.view();
+        let suspect = view
+            .members
+            .iter()
+            .find(|member| member.state == MemberState::Suspect)?;
+        Some(format!("{} is suspect", suspect.name))
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/fleet/simulated/counts.rs
@@ -0,0 +1,147 @@
+//! Counted requests, and the check of the servers' estimates against the true counts.
+
+use super::node::KeyRate;
+use super::{Event, SimulatedFleet, name};
+use madderbay::time::{Duration, Timestamp};
+use madderbay_quota::CountEstimate;
+use std::collections::HashMap;
+
+/// The time between two arrivals of counted requests, at all servers at once.
+const ARRIVAL_INTERVAL: Duration = Duration::from_millis(20);
+/// The part of a counter's window that one slot has.
+const SLOT_PART: f64 = 0.1;
+/// The ages, in slots, of the first and of the last slot that an estimate is about.
+const SLOT_AGES: (f64, f64) = (3.0, 13.0);
+
+/// What one incarnation of a server has truly counted.
+pub(super) struct TrueCounts {
+    server: usize,
+    /// The server's clock when the incarnation began.
+    began: Timestamp,
+    /// Requests by key and slot.
+    counted: HashMap<(u32, u64), u32>,
+}
+
+impl TrueCounts {
+    pub(super) fn new(server: usize, began: Timestamp) -> TrueCounts {
+        TrueCounts {
+            server,
+            began,
+            counted: HashMap::new(),
+        }
+    }
+
+    /// Requests of a key in the slots that an estimate is about, by the server's clock.
+    fn in_window(&self, key: u32, now: Timestamp, slot: Duration) -> u32 {
+        let (least_age, most_age) = (slot.mul_f64(SLOT_AGES.0), slot.mul_f64(SLOT_AGES.1));
+        let mut sum = 0;
+        for ((_, number), count) in self.counted.iter().filter(|c| c.0.0 == key) {
+            let over = self.began + Duration::from_micros((number + 1) * slot.as_micros());
+            let age = now - over;
+            if now >= over && age >= least_age && age < most_age {
+                sum += count;
+            }
+        }
+        sum
+    }
+}
+
+impl SimulatedFleet {
+    /// From here on this many requests of a key arrive at a server each second, and are counted.
+    pub fn reqs(&mut self, who: usize, key: u32, per_second: f64) {
+        if self.nodes.iter().all(|node| node.work.rates.is_empty()) {
+            self.push(self.now + ARRIVAL_INTERVAL, Event::Requests);
+        }
+        let rates = &mut self.nodes[who].work.rates;
+        rates.retain(|rate| rate.key != key);
+        rates.push(KeyRate {
+            key,
+            per_second,
+            accumulated: 0.0,
+        });
+    }
+
+    /// Requests arrive at all servers that run.
+    pub(super) fn requests_arrive(&mut self) {
+        for server in 0..self.nodes.len() {
+            self.requests_arrive_at(server);
+        }
+        self.push(self.now + ARRIVAL_INTERVAL, Event::Requests);
+    }
+
+    fn requests_arrive_at(&mut self, server: usize) {
+        let node = &mut self.nodes[server];
+        let now = node.clock(self.now);
+        let stack = node.stack.as_mut().filter(|_| !node.stopped);
+        let quotas = stack.and_then(|stack| stack.shared.as_mut());
+        let Some(counter) = quotas.and_then(|quotas| quotas.counters_mut().first_mut()) else {
+            return;
+        };
+        let mut incarnations = self.true_counts.iter_mut().rev();
+        let truth = incarnations.find(|t| t.server == server).expect("began");
+        let slot = counter.settings().window.mul_f64(SLOT_PART);
+        let number = (now - truth.began).as_micros() / slot.as_micros();
+        for rate in &mut node.work.rates {
+            let mean = rate.per_second * ARRIVAL_INTERVAL.as_secs_f64();
+            rate.accumulated += mean * 2.0 * self.random.rand_float();
+            let count = rate.accumulated as u32;
+            if count > 0 {
+                rate.accumulated -= f64::from(count);
+                counter.add(now, rate.key, count);
+                *truth.counted.entry((rate.key, number)).or_default() += count;
+            }
+        }
+    }
+
+    /// The true count of a key in the window that estimates are about now.
+    pub fn truth(&self, key: u32) -> u32 {
+        self.truth_of(key, |_| true)
+    }
+
+    /// The same, of chosen incarnations.
+    fn truth_of(&self, key: u32, chosen: impl Fn(&TrueCounts) -> bool) -> u32 {
+        let Some(window) = self.setup.window else {
+            return 0;
+        };
+        let slot = window.mul_f64(SLOT_PART);
+        let chosen = self.true_counts.iter().filter(|truth| chosen(truth));
+        chosen
+            .map(|truth| {
+                let now = self.nodes[truth.server].clock(self.now);
+                truth.in_window(key, now, slot)
+            })
+            .sum()
+    }
+
+    /// A server's estimate for a key, which is checked against the true count; `fair` is the fair
+    /// rate that the estimate is asked with. `None` while the server does not run, or without a
+    /// counter.
+    pub fn told(&mut self, who: usize, key: u32, fair: f64) -> Option<CountEstimate> {
+        let now = self.nodes[who].clock(self.now);
+        let estimate = self.shared(who)?.estimate(now, 0, key, fair);
+        let truth = f64::from(self.truth(key));
+        let known_truth = f64::from(self.known_truth(who, key)?);
+        self.out_of_bounds.1 += 1;
+        if truth < estimate.low || known_truth > estimate.high {
+            self.out_of_bounds.0 += 1;
+            self.log_line(who, format_args!(" tells {estimate:?} of {truth}"));
+        }
+        Some(estimate)
+    }
+
+    /// The true count of the incarnations that an estimate's bound is about: the server's present
+    /// one and the others in its view. After a start on one side of a cut a server knows neither
+    /// the other side, nor what its former incarnation has counted and not sent.
+    fn known_truth(&self, who: usize, key: u32) -> Option<u32> {
+        let view = self.members(who)?;
+        let mut incarnations = self.true_counts.iter().rev();
+        let began = incarnations.find(|truth| truth.server == who)?.began;
+        Some(self.truth_of(key, |truth| {
+            if truth.server == who {
+                truth.began == began
+            } else {
+                view.member(&name(self.nodes[truth.server].name)).is_some()
+            }
+        }))
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/fleet/simulated/driver.rs
@@ -0,0 +1,139 @@
+//! Lets simulated time pass: hands events to the servers' state machines, and carries out what they
+//! ask for.
+
+use super::{Event, SimulatedFleet, address};
+use madderbay::time::{Duration, Timestamp};
+use madderbay_membership::{MemberState, MembershipEvent};
+use madderbay_quota::FleetQuotas;
+use madderbay_upstream::FleetStack;
+use std::net::SocketAddr;
+
+/// After a disturbance a server may be declared down for two suspicion times and this much longer.
+const EXCUSED_MARGIN: Duration = Duration::from_millis(2_000);
+
+impl SimulatedFleet {
+    /// Lets this much simulated time pass.
+    pub fn run(&mut self, time: Duration) {
+        let until = self.now + time;
+        while let Some((at, event)) = self.events.pop_until(until) {
+            self.now = at;
+            self.handle(event);
+        }
+        self.now = until;
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Timer {
+                server,
+                incarnation,
+            } => self.timer_fired(server, incarnation),
+            Event::CallEnded {
+                server,
+                incarnation,
+            } => self.call_ended(server, incarnation),
+            Event::Requests => self.requests_arrive(),
+            Event::Datagram { to, from, bytes } => {
+                let node = &mut self.nodes[to];
+                if node.stopped {
+                    node.buffer(from, bytes);
+                } else {
+                    self.drive(to, |stack, now| stack.handle_datagram(now, from, &bytes));
+                }
+            }
+        }
+    }
+
+    /// Timers of former incarnations, and those that were set anew, are ignored.
+    fn timer_fired(&mut self, server: usize, incarnation: u32) {
+        let node = &mut self.nodes[server];
+        let due = node.timer.is_some_and(|timer| timer <= self.now);
+        if node.incarnation == incarnation && due {
+            node.timer = None;
+            self.drive(server, |stack, now| stack.handle_timeout(now));
+        }
+    }
+
+    /// Lets a server that runs do something, and carries out what follows.
+    pub(super) fn drive(&mut self, server: usize, action: impl FnOnce(&mut FleetStack, Timestamp)) {
+        let node = &mut self.nodes[server];
+        let clock = node.clock(self.now);
+        let Some(stack) = node.active_stack() else {
+            return;
+        };
+        action(stack, clock);
+        let (datagrams, changes) = (stack.take_datagrams(), stack.members.take_events());
+        let timeout = stack.next_timeout().max(clock);
+        let quotas = stack.shared.as_mut();
+        let quota_events = quotas.map_or(vec![], FleetQuotas::take_events);
+        self.set_timer(server, timeout);
+        for event in quota_events {
+            self.log_line(server, format_args!(": {event}"));
+        }
+        self.start_calls(server);
+        for (to, bytes) in datagrams {
+            self.send(server, to, &bytes);
+        }
+        for change in changes {
+            self.membership_changed(server, &change);
+        }
+    }
+
+    /// Sets a server's timer by its clock, if it is earlier than the one that is set or that one is
+    /// past.
+    fn set_timer(&mut self, server: usize, timeout: Timestamp) {
+        let node = &mut self.nodes[server];
+        let at = node.simulated_time(timeout).max(self.now);
+        if node
+            .timer
+            .is_none_or(|timer| at < timer || timer < self.now)
+        {
+            node.timer = Some(at);
+            let incarnation = node.incarnation;
+            let timer = Event::Timer {
+                server,
+                incarnation,
+            };
+            self.push(at, timer);
+        }
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, bytes: &[u8]) {
+        let Some(to) = self.by_address.get(&to).copied() else {
+            return;
+        };
+        for (delay, bytes) in self.network.carry(from, to, bytes) {
+            let from = address(from);
+            self.push(self.now + delay, Event::Datagram { to, from, bytes });
+        }
+    }
+
+    /// Logs a change in a server's view, and checks that it did not wrongly declare another one
+    /// down.
+    fn membership_changed(&mut self, observer: usize, change: &MembershipEvent) {
+        self.log_line(observer, format_args!(": {change}"));
+        let MembershipEvent::StateChanged {
+            address,
+            to: MemberState::Down,
+            ..
+        } = change
+        else {
+            return;
+        };
+        let Some(of) = self.by_address.get(address).copied() else {
+            return;
+        };
+        let node = &self.nodes[of];
+        let runs = node.stack.is_some() && !node.stopped;
+        let excused = self.is_excused(of) || self.is_excused(observer);
+        if runs && !excused && self.network.connects_both_ways(observer, of) {
+            self.wrongly_down += 1;
+        }
+    }
+
+    /// Whether a recent disturbance may have had a server declared down.
+    fn is_excused(&self, server: usize) -> bool {
+        let span = self.setup.suspicion.mul_f64(2.0) + EXCUSED_MARGIN;
+        self.now - self.excused[server] < span
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/fleet/simulated/mod.rs
@@ -0,0 +1,170 @@
+//! A fleet in simulated time: the state machines of the program over a simulated network.
+//!
+//! [`SimulatedFleet`] owns the servers' state machines, their clocks and the events to come. It is
+//! given a setup and a seed, which together with the calls of its methods determine everything.
+//! Nothing is sent and nothing waits.
+//!
+//! # What is simulated
+//!
+//! Membership, and quotas and counters if the setup has them. Each server has a monotonic clock
+//! with an offset and a drift of its own. Under a budget, calls take a drawn time. Counted requests
+//! arrive at a given rate.
+
+mod actions;
+mod calls;
+mod conditions;
+mod counts;
+mod driver;
+mod node;
+mod scripts;
+mod start;
+
+pub use scripts::run_all_scripts;
+
+use self::calls::CallMeter;
+use self::counts::TrueCounts;
+use self::node::Node;
+use super::network::SimulatedNetwork;
+use super::script::{Action, ActionError, Condition, Fleet, FleetSetup, name};
+use crate::event_queue::EventQueue;
+use madderbay::time::{Duration, Timestamp};
+use madderbay_membership::Membership;
+use madderbay_quota::FleetQuotas;
+use oorandom::Rand64;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+/// Simulated time between two checks of a condition.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// The simulated time at which a fleet is made.
+const START: Timestamp = Timestamp::from_micros(1_000_000);
+/// The least and the most delay of a datagram without faults.
+const CALM_DELAY: (Duration, Duration) = (Duration::from_micros(200), Duration::from_micros(2_000));
+/// Servers for each third octet of the addresses.
+const SERVERS_PER_SUBNET: usize = 250;
+/// The port of every server.
+const PORT: u16 = 7_946;
+
+/// What happens at a point in simulated time.
+enum Event {
+    /// The timer of an incarnation fires.
+    Timer { server: usize, incarnation: u32 },
+    Datagram {
+        to: usize,
+        from: SocketAddr,
+        bytes: Vec<u8>,
+    },
+    /// A call of an incarnation ends.
+    CallEnded { server: usize, incarnation: u32 },
+    /// Counted requests arrive at all servers.
+    Requests,
+}
+
+/// A simulated fleet under faults.
+pub struct SimulatedFleet {
+    setup: FleetSetup,
+    now: Timestamp,
+    random: Rand64,
+    nodes: Vec<Node>,
+    by_address: HashMap<SocketAddr, usize>,
+    events: EventQueue<Timestamp, Event>,
+    network: SimulatedNetwork,
+    /// How often a server was declared down by one that it was connected with, while it ran.
+    pub wrongly_down: usize,
+    /// What the servers did, a line each; nothing is logged while it is `None`.
+    pub log: Option<Vec<String>>,
+    /// By server the last time of a cut, stop or start after which a declaration as down may be
+    /// right.
+    excused: Vec<Timestamp>,
+    /// The most calls in flight of all servers together since this was last set.
+    pub peak: u32,
+    calls: CallMeter,
+    true_counts: Vec<TrueCounts>,
+    /// Estimates that were outside of their bounds, and all that were checked.
+    pub out_of_bounds: (u64, u64),
+}
+
+impl SimulatedFleet {
+    /// A fleet of which no server is started yet.
+    pub fn new(setup: FleetSetup, seed: u64) -> SimulatedFleet {
+        let mut random = Rand64::new(u128::from(seed) + 1);
+        let nodes = (0..setup.servers).map(|index| Node::new(index, &mut random));
+        let nodes: Vec<Node> = nodes.collect();
+        SimulatedFleet {
+            now: START,
+            by_address: (0..setup.servers).map(|s| (address(s), s)).collect(),
+            network: SimulatedNetwork::new(setup.servers, seed + 2, CALM_DELAY),
+            excused: vec![Timestamp::default(); setup.servers],
+            setup,
+            random,
+            nodes,
+            events: EventQueue::new(),
+            wrongly_down: 0,
+            log: None,
+            peak: 0,
+            calls: CallMeter::new(START),
+            true_counts: vec![],
+            out_of_bounds: (0, 0),
+        }
+    }
+
+    /// The membership of a server; `None` while it does not run.
+    pub fn members(&self, server: usize) -> Option<&Membership> {
+        self.nodes[server].members()
+    }
+
+    /// The quotas and counters of a server; `None` while it does not run, or without any in the
+    /// setup.
+    pub fn shared(&self, server: usize) -> Option<&FleetQuotas> {
+        self.nodes[server].stack.as_ref()?.shared.as_ref()
+    }
+
+    /// All servers that run, stopped ones included, with their membership.
+    pub fn running(&self) -> impl Iterator<Item = (usize, &Membership)> {
+        self.nodes
+            .iter()
+            .enumerate()
+            .filter_map(|(server, node)| Some((server, node.members()?)))
+    }
+
+    fn push(&mut self, at: Timestamp, event: Event) {
+        self.events.push(at, event);
+    }
+
+    /// Logs a line with the time and the server, if there is a log.
+    fn log_line(&mut self, server: usize, text: std::fmt::Arguments) {
+        let secs = self.secs();
+        if let Some(log) = &mut self.log {
+            log.push(format!("{secs:9.3} {}{text}", name(server)));
+        }
+    }
+
+    fn secs(&self) -> f64 {
+        (self.now - Timestamp::default()).as_secs_f64()
+    }
+}
+
+impl Fleet for SimulatedFleet {
+    fn act(&mut self, act: &Action) -> Result<(), ActionError> {
+        self.carry_out(act)
+    }
+
+    fn unmet(&mut self, what: &Condition) -> Option<String> {
+        self.unmet_condition(what)
+    }
+
+    fn pass(&mut self) {
+        self.run(CHECK_INTERVAL);
+    }
+
+    fn at(&self) -> Duration {
+        self.now - Timestamp::default()
+    }
+}
+
+/// The simulated address of a server.
+fn address(server: usize) -> SocketAddr {
+    let subnet = (server / SERVERS_PER_SUBNET) as u8;
+    let host = (server % SERVERS_PER_SUBNET) as u8 + 1;
+    ([127, 1, subnet, host], PORT).into()
+}
--- /dev/null
+++ b/crates/testkit/src/fleet/simulated/scripts.rs
@@ -0,0 +1,32 @@
+//! Plays the scripts of a folder on simulated fleets.
+
+use super::SimulatedFleet;
+use crate::fleet::script::load_scripts;
+use std::path::Path;
+
+/// Plays each script of a folder with the seeds from 0. Gives the number of scripts, and a line for
+/// each play that failed. If the folder has only one script, or `FLEET_SCRIPT` chooses only one,
+/// the log of the first play that failed is printed.
+///
+/// # Panics
+///
+/// If the folder or a script can't be read, or if a script can't be parsed.
+pub fn run_all_scripts(folder: &Path, seeds: u64) -> (usize, Vec<String>) {
+    let scripts = load_scripts(folder);
+    let mut failed = vec![];
+    for (name, script) in &scripts {
+        for seed in 0..seeds {
+            let mut fleet = SimulatedFleet::new(script.setup.clone(), seed);
+            fleet.log = Some(vec![]);
+            let Err(failure) = script.play(&mut fleet) else {
+                continue;
+            };
+            if failed.is_empty() && scripts.len() == 1 {
+                let log = fleet.log.iter().flatten();
+                log.for_each(|line| println!("{line}"));
+            }
+            failed.push(format!("{name}, seed {seed}: {failure}"));
+        }
+    }
+    (scripts.len(), failed)
+}
--- /dev/null
+++ b/crates/testkit/src/fleet/simulated/start.rs
@@ -0,0 +1,106 @@
+//! Starts an incarnation of a simulated server.
+
+use super::counts::TrueCounts;
+use super::{SimulatedFleet, address, name};
+use madderbay::time::{Duration, Timestamp};
+use madderbay_membership::{AllowedNetworks, Membership, Settings};
+use madderbay_quota::{BudgetSettings, CounterSettings, FleetQuotas, LeaseTerms};
+use madderbay_upstream::FleetStack;
+
+/// Unix time at the beginning of the simulated time, in milliseconds.
+const UNIX_START_MS: u64 = 1_764_576_000_000;
+/// The name of the fleet.
+const FLEET_NAME: &str = "fleet";
+/// The name of the budget and of the counter.
+const QUOTA_NAME: &str = "below";
+/// The time by which a lessor outwaits a lease.
+const LEASE_GUARD: Duration = Duration::from_millis(20);
+/// The most requests of a key that a server is taken to read in a second.
+const MAX_COUNTED_PER_SECOND: f64 = 200.0;
+/// The part of the probe interval after which a probe has failed.
+const PROBE_TIMEOUT_PART: f64 = 0.4;
+
+impl SimulatedFleet {
+    /// Starts a server under the name of another or its own, with a Unix clock that is off by a
+    /// time.
+    pub(super) fn start(&mut self, index: usize, named: usize, clock: Duration, late: bool) {
+        let unix_ms = self.unix_ms(clock, late);
+        let seed = self.random.rand_u64();
+        let now = self.nodes[index].clock(self.now);
+        let members = Membership::new(now, unix_ms, seed, self.membership_settings(index, named));
+        let quotas = self
+            .quota_settings(index, named)
+            .map(|settings| FleetQuotas::new(now, seed, settings));
+        if quotas.as_ref().is_some_and(|q| !q.counters().is_empty()) {
+            self.true_counts.push(TrueCounts::new(index, now));
+        }
+        let node = &mut self.nodes[index];
+        node.stack = Some(FleetStack::new(members, quotas));
+        node.name = named;
+        node.stopped = false;
+        node.timer = None;
+        node.work.unnoticed_ends = 0;
+        node.incarnation += 1;
+        node.waiting.clear();
+        self.excused[index] = self.now;
+        self.drive(index, |stack, now| stack.handle_timeout(now));
+    }
+
+    /// What a server's Unix clock shows now, in milliseconds.
+    fn unix_ms(&self, offset: Duration, late: bool) -> u64 {
+        let right = UNIX_START_MS + (self.now - Timestamp::default()).as_micros() / 1_000;
+        let offset = offset.as_micros() / 1_000;
+        if late { right - offset } else { right + offset }
+    }
+
+    fn membership_settings(&self, index: usize, named: usize) -> Settings {
+        let setup = &self.setup;
+        Settings {
+            name: name(named).into(),
+            advertise: address(index),
+            zone: setup.zones[index].as_str().into(),
+            fleet: FLEET_NAME.into(),
+            join: setup.join.iter().map(|server| address(*server)).collect(),
+            allowed_networks: AllowedNetworks::new(["127.0.0.0/8".parse().expect("a network")]),
+            max_members: setup.most,
+            probe_interval: setup.probe,
+            probe_timeout: setup.probe.mul_f64(PROBE_TIMEOUT_PART),
+            suspicion_timeout: setup.suspicion,
+            down_retention: setup.memory,
+            local_health_aware: setup.minds_itself,
+        }
+    }
+
+    /// The quotas of a server's next incarnation, or of its present one if that reloads; `None` if
+    /// the setup has neither a budget nor a counter.
+    pub(super) fn quota_settings(
+        &self,
+        index: usize,
+        named: usize,
+    ) -> Option<madderbay_quota::Settings> {
+        let node = &self.nodes[index];
+        let budget = self.setup.budget.as_ref().map(|budget| BudgetSettings {
+            name: QUOTA_NAME.into(),
+            capacity: node.work.capacity.unwrap_or(budget.whole),
+            max_servers: budget.servers,
+            slot: budget.seats.then_some(named as u32 + 1),
+            weight: 1.0,
+            terms: LeaseTerms {
+                lease: budget.lease,
+                max_call: budget.longest,
+                guard: LEASE_GUARD,
+            },
+        });
+        let counter = self.setup.window.map(|window| CounterSettings {
+            name: QUOTA_NAME.into(),
+            window,
+            max_per_second: MAX_COUNTED_PER_SECOND,
+        });
+        (budget.is_some() || counter.is_some()).then(|| madderbay_quota::Settings {
+            name: name(named).into(),
+            incarnation: (index as u64 + 1) << 32 | u64::from(node.incarnation + 1),
+            budgets: budget.into_iter().collect(),
+            counters: counter.into_iter().collect(),
+        })
+    }
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -13,14 +13,24 @@
 //!
 //! The crate is for tests and measurements. It sends nothing beyond loopback.
 
+/// Many simulated servers before many simulated backends.
 pub mod backend_simulation;
+/// A fake catalogue.
 pub mod catalogue;
+/// A fake engine.
 pub mod engine;
+mod event_queue;
+/// Fleets of servers under faults.
 pub mod fleet;
+/// A way to a backend that can be cut.
 pub mod gate;
+/// Fake load balancers: a seeded open load.
 pub mod load_balancer;
+/// One end of a connection that a test plays.
 pub mod peer;
+/// A fake registry.
 pub mod registry;
+/// The real program between fakes.
 pub mod server;
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
