Testkit: the examples that measure share set-up, loads, medians and tables

Change: the module measurement has what they share: fleets (start, wait, seeds on threads), loads, report (median, table head, memory) and trips (the scenario of a slow catalogue). Figures of a run are structs with named fields. members, routes and shared are folders with a file a concern. Action::start, Action::loss, Action::CALM, HandlerWork::new and ProcessFleet::cpu are new for them.

The modes with real processes compile and were not run.

--- a/crates/testkit/examples/kept.rs
+++ b/crates/testkit/examples/kept.rs
@@ -11,10 +11,12 @@
 use madderbay_idempotency_store::write_ahead_log::{LogEntry, LogLimits, WriteAheadLog};
 use madderbay_testkit::catalogue::Catalogue;
 use madderbay_testkit::engine::{Engine, HandlerWork};
-use madderbay_testkit::load_balancer::{Answer, Load, RequestKind, latencies, rule_violations};
+use madderbay_testkit::load_balancer::{Answer, Load, latencies};
+use madderbay_testkit::measurement::loads::{LoadTarget, request_kind};
 use madderbay_testkit::peer::Peer;
+use madderbay_testkit::registry::Registry;
 use madderbay_testkit::server::{Dependencies, Server, configuration, write_config};
-use madderbay_testkit::{registry, unix_ms};
+use madderbay_testkit::unix_ms;
 use std::net::TcpStream;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
@@ -47,21 +49,13 @@
         let folder = write_config("");
         std::fs::remove_file(&folder).expect("removed");
         std::fs::create_dir(&folder).expect("made");
-        let engine = Engine::start(
-            4.0,
-            vec![HandlerWork {
-                handler: "book".into(),
-                ms: work_ms,
-                calls: true,
-            }],
-            seed,
-        );
+        let engine = Engine::start(4.0, vec![HandlerWork::new("book", work_ms, true)], seed);
         let catalogue = Catalogue::start(64, Duration::from_millis(5));
-        let (registry, reports) = registry::start();
+        let Registry { address, reports } = Registry::start();
         std::thread::spawn(move || reports.iter().for_each(drop));
         let others = Dependencies {
             engine: engine.address,
-            registry,
+            registry: address,
             catalogue: catalogue.address,
         };
         let operator = sync.map(|s| {
@@ -221,13 +215,7 @@
     let place = Place::new(binary, sync, (0.5, 1.0), 1);
     let mut server = place.live();
     let log = server.follow();
-    let kind = RequestKind {
-        handler: "book".into(),
-        part: 1.0,
-        target: Duration::from_secs(3),
-        keyed: true,
-        project: "acme",
-    };
+    let kind = request_kind("book", 1.0, Duration::from_secs(3), true);
     let length = Duration::from_secs(4);
     let load = Load {
         kinds: vec![kind],
@@ -237,7 +225,11 @@
         allow_ms: 8_000,
     };
     let (cpu, began) = (server.cpu(), Instant::now());
-    let records = load.run(server.address, |name| place.engine.answered(name), |_| ());
+    let target = LoadTarget {
+        server: server.address,
+        engine: place.engine.clone(),
+    };
+    let records = target.send(&load, |_| ());
     let (cpu, took) = (
         (server.cpu() - cpu) * 1e3 / records.len() as f64,
         began.elapsed().as_secs_f64(),
@@ -247,7 +239,7 @@
         .iter()
         .filter(|f| matches!(f.answers[..], [(Answer::Completed, _)]))
         .count();
-    let broken = rule_violations(&records, &load.kinds, &place.engine.stats().bodies);
+    let broken = target.violations(&load, &records);
     server.signal("-TERM");
     let mut writes = 0.0;
     while let Ok((_, text)) = log.recv_timeout(Duration::from_secs(5)) {
--- /dev/null
+++ b/crates/testkit/examples/members/hour.rs
@@ -0,0 +1,94 @@
+//! An hour in which one datagram in ten is lost and one server in twenty is paused for 2 s each
+//! minute: how many servers that run are declared down.
+
+use crate::heartbeats::Heartbeats;
+use crate::row::{lossy_network, settle};
+use madderbay::time::Duration;
+use madderbay_testkit::fleet::script::{Action, FleetSetup};
+use madderbay_testkit::fleet::simulated::SimulatedFleet;
+use madderbay_testkit::measurement::fleets::{act, start_all};
+use oorandom::Rand64;
+
+const MEMBERS: usize = 100;
+const LOSS: f64 = 0.1;
+const MINUTES: usize = 60;
+const PAUSED_PART: f64 = 0.05;
+const PAUSE_MS: u64 = 2_000;
+const MINUTE_MS: u64 = 60_000;
+const FLEET_SEED: u64 = 1;
+/// The seed of who is paused.
+const PAUSE_SEED: u128 = 5;
+
+pub(crate) fn measure() {
+    for (way, minds_itself) in [("ours", true), ("no own health", false)] {
+        let (downs, suspicions) = swim(minds_itself);
+        println!(
+            "{way}: {downs} downs held of the living, {suspicions} suspicions, {MEMBERS} members, {MINUTES} minutes"
+        );
+    }
+    let downs = heartbeats();
+    println!("heartbeats: {downs} downs held of the living, {MEMBERS} members, {MINUTES} minutes");
+}
+
+/// The servers that are paused in the next minute.
+fn draw_paused(random: &mut Rand64) -> Vec<usize> {
+    (0..MEMBERS)
+        .filter(|_| random.rand_float() < PAUSED_PART)
+        .collect()
+}
+
+/// Declarations as down, and suspicions.
+fn swim(minds_itself: bool) -> (u64, u64) {
+    let setup = FleetSetup {
+        minds_itself,
+        ..FleetSetup::of(MEMBERS)
+    };
+    let mut fleet = SimulatedFleet::new(setup, FLEET_SEED);
+    act(&mut fleet, lossy_network(LOSS));
+    start_all(&mut fleet, 0..MEMBERS);
+    settle(&mut fleet);
+    let mut random = Rand64::new(PAUSE_SEED);
+    for _ in 0..MINUTES {
+        let paused = draw_paused(&mut random);
+        for server in &paused {
+            act(&mut fleet, Action::Stop(*server));
+        }
+        fleet.run(Duration::from_millis(PAUSE_MS));
+        for server in &paused {
+            act(&mut fleet, Action::Continue(*server));
+        }
+        fleet.run(Duration::from_millis(MINUTE_MS - PAUSE_MS));
+    }
+    let counters = fleet.running().map(|(_, members)| members.counters());
+    counters.fold((0, 0), |(downs, suspicions), counters| {
+        (
+            downs + counters.down_declarations,
+            suspicions + counters.suspicions,
+        )
+    })
+}
+
+/// Changes of a server's view of another from up to down.
+fn heartbeats() -> u64 {
+    let mut fleet = Heartbeats::new(MEMBERS, LOSS, FLEET_SEED);
+    let mut random = Rand64::new(PAUSE_SEED);
+    let (mut downs, mut held_up) = (0, vec![true; MEMBERS * MEMBERS]);
+    fleet.settle();
+    for _ in 0..MINUTES {
+        let began = fleet.now();
+        for server in draw_paused(&mut random) {
+            fleet.pause(server, began + PAUSE_MS as f64 / 1e3);
+        }
+        while fleet.now() - began < MINUTE_MS as f64 / 1e3 {
+            fleet.step();
+            for server in (0..MEMBERS).filter(|server| !fleet.is_paused(*server)) {
+                for other in (0..MEMBERS).filter(|other| *other != server) {
+                    let up = fleet.holds_up(server, other);
+                    let before = std::mem::replace(&mut held_up[server * MEMBERS + other], up);
+                    downs += u64::from(before && !up);
+                }
+            }
+        }
+    }
+    downs
+}
--- /dev/null
+++ b/crates/testkit/examples/members/main.rs
@@ -0,0 +1,36 @@
+//! Measures the view of the fleet beside all-to-all heartbeats and beside SWIM without the
+//! accuser's own health.
+//!
+//!     cargo run --release -p madderbay-testkit --example members simulated [SEEDS [MEMBERS [LOSS]]]
+//!     cargo run --release -p madderbay-testkit --example members hour
+//!     cargo build --release && cargo run --release -p madderbay-testkit --example members real [SEEDS]
+//!     ... members histories [COUNT]      ... members flood      ... members cost
+
+mod heartbeats;
+mod histories;
+mod hour;
+mod processes;
+mod row;
+mod simulated;
+
+const DEFAULT_SEEDS: u64 = 5;
+
+fn main() {
+    let mut args = std::env::args().skip(1);
+    let what = args.next().unwrap_or_default();
+    let seeds = args.next().and_then(|seeds| seeds.parse().ok());
+    let seeds = seeds.unwrap_or(DEFAULT_SEEDS);
+    match what.as_str() {
+        "simulated" => {
+            let members = args.next().and_then(|members| members.parse().ok());
+            let loss = args.next().and_then(|loss| loss.parse().ok());
+            simulated::measure(seeds, members, loss);
+        }
+        "histories" => histories::measure(seeds),
+        "flood" => processes::measure_flood(),
+        "cost" => processes::measure_idle_cost(),
+        "hour" => hour::measure(),
+        "real" => processes::measure(seeds),
+        _ => eprintln!("simulated, hour, real, histories, flood or cost"),
+    }
+}
--- /dev/null
+++ b/crates/testkit/examples/members/simulated.rs
@@ -0,0 +1,90 @@
+//! Simulated fleets under the faults of a row.
+
+use crate::heartbeats;
+use crate::row::{Row, lossy_network, print_head};
+use madderbay::time::Duration;
+use madderbay_testkit::fleet::script::FleetSetup;
+use madderbay_testkit::fleet::simulated::SimulatedFleet;
+use madderbay_testkit::measurement::fleets::{act, for_each_seed};
+use madderbay_testkit::measurement::report::process_status_kb;
+use std::sync::Mutex;
+use std::time::Instant;
+
+/// The time over which bytes and processor time are measured.
+const CALM: Duration = Duration::from_millis(20_000);
+/// Runs at a time.
+const THREADS: usize = 5;
+/// From this many members on a fleet is large, and has at most this many seeds.
+const LARGE_FLEET: usize = 101;
+const MAX_SEEDS_OF_LARGE_FLEET: u64 = 5;
+
+const MEMBERS: [usize; 3] = [10, 100, 1_000];
+const LOSSES: [f64; 3] = [0.0, 0.1, 0.3];
+
+/// Prints the table, or its rows of one number of members and one loss.
+pub(crate) fn measure(seeds: u64, only_members: Option<usize>, only_loss: Option<f64>) {
+    print_head("way, members, loss");
+    let members = MEMBERS
+        .into_iter()
+        .filter(|members| only_members.is_none_or(|only| only == *members));
+    for members in members {
+        let losses = LOSSES
+            .into_iter()
+            .filter(|loss| only_loss.is_none_or(|only| only == *loss));
+        for loss in losses {
+            print_rows(members, loss, seeds);
+        }
+    }
+    let memory_mb = process_status_kb("VmHWM") / 1_024;
+    println!("memory of this process, MB: {memory_mb}");
+}
+
+fn print_rows(members: usize, loss: f64, seeds: u64) {
+    let large = members >= LARGE_FLEET;
+    let seeds = if large {
+        seeds.min(MAX_SEEDS_OF_LARGE_FLEET)
+    } else {
+        seeds
+    };
+    swim(members, loss, seeds, true).print(&format!("ours, {members}, {loss}"));
+    swim(members, loss, seeds, false).print(&format!("no own health, {members}, {loss}"));
+    let mut row = Row::default();
+    for seed in 0..if large { 1 } else { seeds } {
+        heartbeats::play(members, loss, seed, &mut row);
+    }
+    row.print(&format!("heartbeats, {members}, {loss}"));
+}
+
+/// The faults of a row over several seeds, with the observers' own health or without.
+fn swim(members: usize, loss: f64, seeds: u64, minds_itself: bool) -> Row {
+    let rows = Mutex::new(Row::default());
+    for_each_seed(seeds, THREADS, |seed| {
+        let setup = FleetSetup {
+            minds_itself,
+            ..FleetSetup::of(members)
+        };
+        let mut fleet = SimulatedFleet::new(setup, seed);
+        let mut row = Row::default();
+        act(&mut fleet, lossy_network(loss));
+        row.play(&mut fleet, members, |fleet, row| {
+            measure_calm(fleet, members - 1, row);
+        });
+        row.wrongly_down = fleet.wrongly_down;
+        rows.lock().expect("rows").add(row);
+    });
+    rows.into_inner().expect("rows")
+}
+
+/// What each of these servers sends and costs while nothing happens.
+fn measure_calm(fleet: &mut SimulatedFleet, servers: usize, row: &mut Row) {
+    let sent = |fleet: &SimulatedFleet| {
+        let each = fleet.running().map(|(_, m)| m.counters().bytes_out);
+        each.sum::<u64>()
+    };
+    let (before, began) = (sent(fleet), Instant::now());
+    fleet.run(CALM);
+    let server_secs = CALM.as_secs_f64() * servers as f64;
+    row.bytes.push((sent(fleet) - before) as f64 / server_secs);
+    row.cpu
+        .push(began.elapsed().as_secs_f64() / server_secs * 100.0);
+}
--- /dev/null
+++ b/crates/testkit/examples/routes/main.rs
@@ -0,0 +1,42 @@
+//! Measures routes beside round robin without ejection, least in hand with plain repeats, and own
+//! judgement alone.
+//!
+//!     cargo run --release -p madderbay-testkit --example routes simulated [SERVERS BACKENDS [CASE [SEEDS]]]
+//!     cargo build --release && cargo run --release -p madderbay-testkit --example routes real
+//!     ... routes look MODE [SEED]       one case, second by second, with what was left out and why
+
+mod cases;
+mod real;
+mod simulated;
+
+/// Seeds of each case, unless the command line says otherwise.
+const SEEDS: u64 = 3;
+/// Servers and backends of the fleets, unless the command line says otherwise.
+const FLEETS: [(usize, usize); 4] = [(5, 10), (12, 100), (300, 10), (300, 100)];
+
+fn main() {
+    let mut args = std::env::args().skip(1);
+    let what = args.next().unwrap_or_default();
+    let rest: Vec<String> = args.collect();
+    let number = |index: usize| rest.get(index).and_then(|n| n.parse::<usize>().ok());
+    match what.as_str() {
+        "simulated" => match (number(0), number(1)) {
+            (Some(servers), Some(backends)) => {
+                let only = rest.get(2).map_or("", String::as_str);
+                let seeds = number(3).map_or(SEEDS, |seeds| seeds as u64);
+                simulated::measure(servers, backends, only, seeds);
+            }
+            _ => {
+                for (servers, backends) in FLEETS {
+                    simulated::measure(servers, backends, "", SEEDS);
+                }
+            }
+        },
+        "look" => {
+            let case = rest.first().map_or("", String::as_str);
+            simulated::show(case, number(1).unwrap_or(0) as u64);
+        }
+        "real" => real::measure(),
+        _ => eprintln!("simulated, real or look"),
+    }
+}
--- /dev/null
+++ b/crates/testkit/examples/routes/simulated.rs
@@ -0,0 +1,187 @@
+//! Simulated fleets: each case under each policy, over several seeds.
+
+use crate::cases::{CASES, FAULTY, SetFault, is_about_one_backend};
+use madderbay::time::Duration;
+use madderbay_testkit::backend_simulation::{BackendFleetSetup, BackendSimulation, RoutingPolicy};
+use madderbay_testkit::measurement::report::{median, table_head};
+
+const POLICIES: [(RoutingPolicy, &str); 4] = [
+    (RoutingPolicy::Shared, "shared"),
+    (RoutingPolicy::Alone, "own alone"),
+    (RoutingPolicy::LeastInHand, "least in hand, repeats"),
+    (RoutingPolicy::RoundRobin, "round robin"),
+];
+/// When the fault begins, when it is over, and the end, in milliseconds.
+const CALM_MS: u64 = 5_000;
+const OVER_MS: u64 = 15_000;
+const END_MS: u64 = 40_000;
+/// The time over which a backend's traffic is averaged, in milliseconds.
+const SECOND_MS: u64 = 1_000;
+/// Of its traffic without the fault: with less a backend is avoided, with more it is back.
+const AVOIDED_PART: f64 = 0.25;
+const BACK_PART: f64 = 0.5;
+
+/// What one run has shown.
+struct RunResult {
+    /// The part of the calls that succeeded during the fault.
+    success: f64,
+    /// The time within which 99% of them did, in milliseconds.
+    slowest_ms: f64,
+    /// The seconds until the faulty backend was avoided, and until it was back.
+    off_secs: f64,
+    back_secs: f64,
+    /// Attempts for each first attempt.
+    attempts: f64,
+    /// Server-seconds for which other backends were ejected.
+    wrongly_ejected: f64,
+    /// The most traffic of the backend after its fault, of what it has without.
+    peak: f64,
+}
+
+/// Prints a table of all cases whose name contains a text.
+pub(crate) fn measure(servers: usize, backends: usize, only: &str, seeds: u64) {
+    let each = rate(servers, backends) / backends as f64;
+    println!(
+        "\n{servers} servers, {backends} backends, {each:.2} calls a second of each to each\n"
+    );
+    let heads = [
+        "case",
+        "way",
+        "kept",
+        "99% of calls within, ms",
+        "off after, s",
+        "back after, s",
+        "load for each first try",
+        "left out wrongly, server-seconds",
+        "most on the one that returns, of its part",
+    ];
+    println!("{}", table_head(&heads));
+    for (case, set_fault) in CASES.into_iter().filter(|case| case.0.contains(only)) {
+        for (policy, name) in POLICIES {
+            let results: Vec<RunResult> = std::thread::scope(|scope| {
+                let play = |seed| move || run(servers, backends, policy, set_fault, seed);
+                let runs: Vec<_> = (0..seeds).map(|seed| scope.spawn(play(seed))).collect();
+                runs.into_iter()
+                    .map(|run| run.join().expect("played"))
+                    .collect()
+            });
+            print_row(case, name, &results);
+        }
+    }
+}
+
+/// Prints the medians of several runs.
+fn print_row(case: &str, policy: &str, results: &[RunResult]) {
+    let mid = |of: fn(&RunResult) -> f64| {
+        let mut values: Vec<f64> = results.iter().map(of).collect();
+        median(&mut values)
+    };
+    let secs = |secs: f64| {
+        if secs.is_finite() {
+            format!("{secs:.1}")
+        } else {
+            "never".into()
+        }
+    };
+    let (off, back, peak) = if is_about_one_backend(case) {
+        (
+            secs(mid(|r| r.off_secs)),
+            secs(mid(|r| r.back_secs)),
+            format!("{:.1}", mid(|r| r.peak)),
+        )
+    } else {
+        ("-".into(), "-".into(), "-".into())
+    };
+    let slowest_ms = mid(|r| r.slowest_ms);
+    let slowest = if slowest_ms.is_nan() {
+        "-".into()
+    } else {
+        format!("{slowest_ms:.0}")
+    };
+    println!(
+        "| {case} | {policy} | {:.3} | {slowest} | {off} | {back} | {:.2} | {:.0} | {peak} |",
+        mid(|r| r.success),
+        mid(|r| r.attempts),
+        mid(|r| r.wrongly_ejected)
+    );
+}
+
+/// The calls a second that arrive at a server: under one to each backend in a large fleet, up to
+/// ten in a small one.
+fn rate(servers: usize, backends: usize) -> f64 {
+    match (servers, backends) {
+        (..=12, backends) => backends as f64,
+        (_, backends) => (backends as f64 * 0.3).min(20.0),
+    }
+}
+
+fn run(
+    servers: usize,
+    backends: usize,
+    policy: RoutingPolicy,
+    set_fault: SetFault,
+    seed: u64,
+) -> RunResult {
+    let setup = BackendFleetSetup {
+        way: policy,
+        zones: if servers >= 3 { 3 } else { 1 },
+        rate: rate(servers, backends),
+        ..BackendFleetSetup::of(servers, backends)
+    };
+    let mut simulation = BackendSimulation::new(setup, seed);
+    simulation.run(Duration::from_millis(CALM_MS));
+    simulation.times.clear();
+    set_fault(&mut simulation, true);
+    simulation.run(Duration::from_millis(OVER_MS - CALM_MS));
+    let slowest_ms = simulation.slowest();
+    set_fault(&mut simulation, false);
+    simulation.run(Duration::from_millis(END_MS - OVER_MS));
+    // The traffic without the fault is the measure; with few calls it is chance what a second has.
+    let fair = simulation.part(FAULTY, SECOND_MS, CALM_MS);
+    let secs = |ms: Option<u64>| ms.map_or(f64::INFINITY, |ms| ms as f64 / 1e3);
+    let off = simulation.until(FAULTY, CALM_MS, true, fair * AVOIDED_PART);
+    let back = simulation.until(FAULTY, OVER_MS, false, fair * BACK_PART);
+    let others = (0..backends).filter(|backend| *backend != FAULTY);
+    let peak = (OVER_MS..END_MS - SECOND_MS)
+        .step_by(100)
+        .map(|ms| simulation.part(FAULTY, ms, ms + SECOND_MS) / fair)
+        .fold(0.0, f64::max);
+    RunResult {
+        success: simulation.kept(CALM_MS, OVER_MS),
+        slowest_ms,
+        off_secs: secs(off),
+        back_secs: secs(back),
+        attempts: simulation.load(CALM_MS + SECOND_MS, OVER_MS),
+        wrongly_ejected: others
+            .map(|backend| simulation.out(backend, CALM_MS, OVER_MS))
+            .sum(),
+        peak,
+    }
+}
+
+/// Prints one case second by second, and what the servers have logged.
+pub(crate) fn show(case: &str, seed: u64) {
+    let mut cases = CASES.into_iter();
+    let (case, set_fault) = cases
+        .find(|(name, _)| name.contains(case))
+        .unwrap_or(CASES[0]);
+    let mut simulation = BackendSimulation::new(BackendFleetSetup::of(12, 10), seed);
+    simulation.run(Duration::from_millis(CALM_MS));
+    set_fault(&mut simulation, true);
+    simulation.run(Duration::from_millis(OVER_MS - CALM_MS));
+    set_fault(&mut simulation, false);
+    simulation.run(Duration::from_millis(END_MS - OVER_MS));
+    println!("{case}");
+    for from in (0..END_MS).step_by(SECOND_MS as usize) {
+        let to = from + SECOND_MS;
+        println!(
+            "{:3} s: kept {:.3}, part of it {:.3}, left out by {:.1}, load {:.2}",
+            from / SECOND_MS,
+            simulation.kept(from, to),
+            simulation.part(FAULTY, from, to),
+            simulation.out(FAULTY, from, to),
+            simulation.load(from, to)
+        );
+    }
+    simulation.log.iter().for_each(|line| println!("{line}"));
+}
--- a/crates/testkit/src/engine.rs
+++ b/crates/testkit/src/engine.rs
@@ -43,6 +43,17 @@
     pub calls: bool,
 }
 
+impl HandlerWork {
+    /// Runs of a handler with the least and the most work in milliseconds.
+    pub fn new(handler: &str, ms: (f64, f64), calls: bool) -> HandlerWork {
+        HandlerWork {
+            handler: handler.into(),
+            ms,
+            calls,
+        }
+    }
+}
+
 /// What the engine has seen since its start.
 #[derive(Clone, Debug, Default)]
 pub struct EngineStats {
--- a/crates/testkit/src/fleet/processes/mod.rs
+++ b/crates/testkit/src/fleet/processes/mod.rs
@@ -172,6 +172,12 @@
         self.nodes[server].server.as_ref()
     }
 
+    /// The processor time that all servers that run have used, in seconds.
+    pub fn cpu(&self) -> f64 {
+        let running = self.nodes.iter().filter_map(|node| node.server.as_ref());
+        running.map(Server::cpu).sum()
+    }
+
     /// The path of a server's control socket.
     pub fn socket(&self, server: usize) -> &Path {
         &self.nodes[server].control_socket
--- a/crates/testkit/src/fleet/script/action.rs
+++ b/crates/testkit/src/fleet/script/action.rs
@@ -63,6 +63,36 @@
     Downs(usize),
 }
 
+impl Action {
+    /// Ends loss, doubling, corruption and delay of datagrams.
+    pub const CALM: Action = Action::Network {
+        loss: None,
+        double: None,
+        spoil: None,
+        delay: None,
+    };
+
+    /// Starts a server under its own name, with the right time.
+    pub fn start(server: usize) -> Action {
+        Action::Start {
+            who: server,
+            name: server,
+            clock: Duration::ZERO,
+            back: false,
+        }
+    }
+
+    /// Loses this part of all datagrams.
+    pub fn loss(part: f64) -> Action {
+        Action::Network {
+            loss: Some(part),
+            double: None,
+            spoil: None,
+            delay: None,
+        }
+    }
+}
+
 /// A condition on a fleet.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Condition {
--- a/crates/testkit/src/fleet/script_generator.rs
+++ b/crates/testkit/src/fleet/script_generator.rs
@@ -78,12 +78,7 @@
                 spoil: Some(part * SPOIL_FOR_LOSS),
                 delay,
             },
-            7 => Action::Network {
-                loss: None,
-                double: None,
-                spoil: None,
-                delay: None,
-            },
+            7 => Action::CALM,
             8 => Action::Replay(who),
             _ => self.repair_or_shift_work(who),
         }
@@ -93,12 +88,7 @@
     fn repair_or_shift_work(&mut self, who: usize) -> Action {
         if !self.up[who] {
             self.up[who] = true;
-            return Action::Start {
-                who,
-                name: who,
-                clock: Duration::ZERO,
-                back: false,
-            };
+            return Action::start(who);
         }
         if self.stopped[who] {
             self.stopped[who] = false;
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -11,6 +11,8 @@
 //! each other, as real processes or simulated, under faults that a script or a seed determines.
 //! [`backend_simulation`] has many simulated servers before many simulated backends.
 //!
+//! [`measurement`] is what the examples that measure share.
+//!
 //! The crate is for tests and measurements. It sends nothing beyond loopback.
 
 /// Many simulated servers before many simulated backends.
@@ -26,6 +28,8 @@
 pub mod gate;
 /// Fake load balancers: a seeded open load.
 pub mod load_balancer;
+/// What the examples that measure share.
+pub mod measurement;
 /// One end of a connection that a test plays.
 pub mod peer;
 /// A fake registry.
