Testkit: the load generator's steps in functions of their own, documented

Cause: run_while drew, sent, received and matched answers in one function of 73 lines; public items had no documentation.

Change: a private Run has the state of a load that is being sent, with a function for each step. What is computed of the records is in load_balancer/outcomes, under the same public names. Private names and constants are in the field's words. When the generator stops waiting is unchanged.

Result: clippy of the package and cargo check of the workspace with all targets passed.

--- a/crates/testkit/src/load_balancer.rs
+++ b/crates/testkit/src/load_balancer.rs
@@ -1,10 +1,25 @@
-//! Balancers: a seeded open load of reqs over a few connections, and what became of each. Answers are checked
-//! as they come: each req is to have exactly one, by the id that it was sent under.
+//! Fake load balancers: a seeded open load of requests over a few connections, and what became of
+//! each request.
+//!
+//! # What is simulated
+//!
+//! Requests are sent at random times with a given mean rate, however fast they are answered. A
+//! connection is opened when all others have as many requests in flight as the protocol allows, or
+//! are announced to close. Answers are matched with requests by connection and id; each request has
+//! to get exactly one.
+//!
+//! # Faults
+//!
+//! None. A load may be ended early; a server that does not answer is waited for as long as the
+//! clients wait.
+
+mod outcomes;
+
+pub use outcomes::{kept, latencies, rule_violations};
 
 use crate::unix_ms;
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD as BASE64;
-use hdrhistogram::Histogram;
 use serde_json::Value;
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Write};
@@ -12,75 +27,104 @@
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::{Duration, Instant};
 
-/// Between two tries to reach a server that is gone.
-const RETRY: Duration = Duration::from_millis(50);
-/// Open reqs on one connection: the protocol's.
-const OPEN_MOST: usize = 32;
+/// The time between two attempts to connect with a server that is gone.
+const RECONNECT_INTERVAL: Duration = Duration::from_millis(50);
+/// Requests in flight on one connection, as the protocol limits them.
+const MAX_OPEN_REQUESTS: usize = 32;
+/// The error code of a request that was rejected and never ran.
+const REJECTED: i64 = -32002;
+/// The shortest time for which answers are awaited between two sendings.
+const MIN_RECEIVE_TIME: Duration = Duration::from_millis(1);
 
-/// What is asked of one handler.
+/// Requests of one handler.
 #[derive(Clone, Debug)]
 pub struct RequestKind {
+    /// The handler's name.
     pub handler: String,
-    /// Its part of all reqs.
+    /// The weight with which this kind is drawn.
     pub part: f64,
+    /// The latency objective.
     pub target: Duration,
+    /// Whether its requests have idempotency keys.
     pub keyed: bool,
+    /// The tenant.
     pub project: &'static str,
 }
 
-/// A rate of reqs a second from a time on.
+/// The requests a second from each time on.
 pub type Rates = Vec<(Duration, f64)>;
 
+/// What a request was answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Answer {
+    /// It has a result.
     Completed,
-    /// Shed, with the milliseconds to stay away that came with it.
+    /// It was rejected, with a Retry-After in milliseconds.
     Rejected(u64),
+    /// It has an error.
     Failed,
 }
 
-/// One req and what became of it.
+/// One request and what became of it.
 #[derive(Clone, Debug)]
 pub struct RequestRecord {
+    /// The index of its kind.
     pub handler: usize,
+    /// The name by which the engine learns of its answer.
     pub name: String,
-    /// What the run is told by, base64.
+    /// The body of its run, base64; no other request has the same.
     pub body: String,
+    /// When it was sent, since the beginning of the load.
     pub sent: Duration,
+    /// All answers to it, with their times since the beginning of the load.
     pub answers: Vec<(Answer, Duration)>,
 }
 
 impl RequestRecord {
-    /// Done within the target.
+    /// Whether it has exactly one answer, a result within the latency objective.
     pub fn kept(&self, target: Duration) -> bool {
         matches!(self.answers[..], [(Answer::Completed, at)] if at.saturating_sub(self.sent) <= target)
     }
 }
 
-struct Conn {
+struct Connection {
     stream: TcpStream,
+    /// Requests in flight.
     open: usize,
-    id: u64,
+    /// The id of the last request.
+    last_id: u64,
+    /// The server has announced that it closes it.
     leaving: bool,
 }
 
-enum Heard {
-    Line(usize, String, Instant),
-    Lost,
+/// What the thread of a connection has read.
+enum Received {
+    Line {
+        connection: usize,
+        line: String,
+        at: Instant,
+    },
+    ConnectionLost,
 }
 
-/// The load of one run against one server.
+/// A load on one server.
 pub struct Load {
+    /// What is sent.
     pub kinds: Vec<RequestKind>,
+    /// How much is sent from when on.
     pub rates: Rates,
+    /// For how long requests are sent.
     pub length: Duration,
+    /// Determines the times, the kinds and the names of the requests.
     pub seed: u64,
+    /// The timeout of each request in milliseconds, which it also carries.
     pub allow_ms: u64,
 }
 
 impl Load {
-    /// Sends it all and waits for the answers; `answered` hears the name of each req that got one. `at` hears
-    /// the time that has passed, a few hundred times a second.
+    /// Sends all requests and waits for the answers. `answered` is called with the name of each
+    /// request that gets its first answer, `at` with the time since the beginning, a few hundred
+    /// times a second.
     pub fn run(
         &self,
         server: SocketAddr,
@@ -90,7 +134,7 @@
         self.run_while(server, answered, at, || true)
     }
 
-    /// The same, and nothing more is sent once it is no longer on.
+    /// The same, but sends nothing more once `on` is false.
     pub fn run_while(
         &self,
         server: SocketAddr,
@@ -98,73 +142,41 @@
         mut at: impl FnMut(Duration),
         on: impl Fn() -> bool,
     ) -> Vec<RequestRecord> {
-        let mut chance = oorandom::Rand64::new(u128::from(self.seed));
-        let (to, from) = channel();
-        let mut conns: Vec<Conn> = vec![];
-        let mut records: Vec<RequestRecord> = vec![];
-        let mut open: HashMap<(usize, u64), usize> = HashMap::new();
-        let began = Instant::now();
-        let mut next = Duration::ZERO;
+        let mut run = Run::new(self, server);
         let mut length = self.length;
         loop {
-            let now = began.elapsed();
+            let now = run.began.elapsed();
             at(now);
             if !on() {
                 length = length.min(now);
             }
             let end = length + Duration::from_millis(self.allow_ms);
-            while next <= now && next < length {
-                let rate = self
-                    .rates
-                    .iter()
-                    .rev()
-                    .find(|r| r.0 <= next)
-                    .map_or(1.0, |r| r.1);
-                let Some((conn, id)) = send_on(&mut conns, server, &to) else {
-                    // The server is gone: what could not be sent is nobody's.
-                    next = now + RETRY;
-                    break;
-                };
-                let mut pick = chance.rand_float() * self.kinds.iter().map(|a| a.part).sum::<f64>();
-                let handler = self.kinds.iter().position(|a| {
-                    pick -= a.part;
-                    pick < 0.0
-                });
-                let handler = handler.unwrap_or(self.kinds.len() - 1);
-                let name = format!("{:016x}", chance.rand_u64());
-                let body = BASE64.encode(&name);
-                let line = self.line(id, handler, &name, &body);
-                let _ = conns[conn].stream.write_all(line.as_bytes());
-                open.insert((conn, id), records.len());
-                records.push(RequestRecord {
-                    handler,
-                    name,
-                    body,
-                    sent: began.elapsed(),
-                    answers: vec![],
-                });
-                next += Duration::from_secs_f64(-(1.0 - chance.rand_float()).ln() / rate);
-            }
-            hear(&from, &mut conns, |conn, id, answer, heard| {
-                let Some(record) = open.get(&(conn, id)).map(|f| &mut records[*f]) else {
-                    return false;
-                };
-                let first = record.answers.is_empty();
-                if first {
-                    answered(&record.name);
-                }
-                record
-                    .answers
-                    .push((answer, heard.saturating_duration_since(began)));
-                first
-            });
-            let owed = records.iter().rev().any(|f| f.answers.is_empty());
+            run.send_until(now, length);
+            run.receive(&mut answered);
+            let owed = run.records.iter().rev().any(|f| f.answers.is_empty());
             if (now >= length && !owed) || now > end {
-                return records;
+                return run.records;
             }
         }
     }
 
+    /// The rate at a time since the beginning.
+    fn rate_at(&self, at: Duration) -> f64 {
+        let mut rates = self.rates.iter().rev();
+        rates.find(|rate| rate.0 <= at).map_or(1.0, |rate| rate.1)
+    }
+
+    /// The index of the kind that a number from 0 to 1 draws.
+    fn draw_kind(&self, drawn: f64) -> usize {
+        let mut rest = drawn * self.kinds.iter().map(|kind| kind.part).sum::<f64>();
+        let kind = self.kinds.iter().position(|kind| {
+            rest -= kind.part;
+            rest < 0.0
+        });
+        kind.unwrap_or(self.kinds.len() - 1)
+    }
+
+    /// A request as it is sent.
     fn line(&self, id: u64, handler: usize, name: &str, body: &str) -> String {
         let kind = &self.kinds[handler];
         let key = if kind.keyed {
@@ -184,124 +196,165 @@
     }
 }
 
-/// A connection with room for one more req, and that req's id on it.
-fn send_on(conns: &mut Vec<Conn>, server: SocketAddr, to: &Sender<Heard>) -> Option<(usize, u64)> {
-    let fit = |c: &Conn| !c.leaving && c.open < OPEN_MOST;
-    let at = if let Some(at) = conns.iter().position(fit) {
-        at
-    } else {
-        let stream = TcpStream::connect(server).ok()?;
+/// A load that is being sent.
+struct Run<'a> {
+    load: &'a Load,
+    server: SocketAddr,
+    random: oorandom::Rand64,
+    connections: Vec<Connection>,
+    /// For the threads of the connections.
+    sender: Sender<Received>,
+    received: Receiver<Received>,
+    records: Vec<RequestRecord>,
+    /// The index of each record by its connection and id.
+    by_id: HashMap<(usize, u64), usize>,
+    began: Instant,
+    /// When the next request is to be sent.
+    next: Duration,
+}
+
+impl Run<'_> {
+    fn new(load: &Load, server: SocketAddr) -> Run<'_> {
+        let (sender, received) = channel();
+        Run {
+            load,
+            server,
+            random: oorandom::Rand64::new(u128::from(load.seed)),
+            connections: vec![],
+            sender,
+            received,
+            records: vec![],
+            by_id: HashMap::new(),
+            began: Instant::now(),
+            next: Duration::ZERO,
+        }
+    }
+
+    /// Sends the requests that are due by now, but for those after the end of the load.
+    fn send_until(&mut self, now: Duration, length: Duration) {
+        while self.next <= now && self.next < length {
+            let rate = self.load.rate_at(self.next);
+            let Some(connection) = self.free_connection() else {
+                // The server is gone: what can't be sent is not counted.
+                self.next = now + RECONNECT_INTERVAL;
+                return;
+            };
+            self.send_on(connection);
+            let gap = -(1.0 - self.random.rand_float()).ln() / rate;
+            self.next += Duration::from_secs_f64(gap);
+        }
+    }
+
+    /// A connection that may have one more request; `None` if no more can be opened.
+    fn free_connection(&mut self) -> Option<usize> {
+        let is_free =
+            |connection: &Connection| !connection.leaving && connection.open < MAX_OPEN_REQUESTS;
+        if let Some(index) = self.connections.iter().position(is_free) {
+            return Some(index);
+        }
+        let stream = TcpStream::connect(self.server).ok()?;
         let _ = stream.set_nodelay(true);
-        let (no, reader, to) = (
-            conns.len(),
-            stream.try_clone().expect("a second handle"),
-            to.clone(),
-        );
-        std::thread::spawn(move || {
-            for line in BufReader::new(reader).lines().map_while(Result::ok) {
-                if to.send(Heard::Line(no, line, Instant::now())).is_err() {
-                    return;
-                }
-            }
-            let _ = to.send(Heard::Lost);
-        });
-        conns.push(Conn {
+        let index = self.connections.len();
+        let reader = stream.try_clone().expect("a second handle");
+        let sender = self.sender.clone();
+        std::thread::spawn(move || read_lines(index, reader, &sender));
+        self.connections.push(Connection {
             stream,
             open: 0,
-            id: 0,
+            last_id: 0,
             leaving: false,
         });
-        no
-    };
-    conns[at].open += 1;
-    conns[at].id += 1;
-    Some((at, conns[at].id))
-}
+        Some(index)
+    }
 
-/// Takes in what the server said, for a millisecond at least.
-fn hear(
-    from: &Receiver<Heard>,
-    conns: &mut [Conn],
-    mut each: impl FnMut(usize, u64, Answer, Instant) -> bool,
-) {
-    let mut wait = Duration::from_millis(1);
-    while let Ok(heard) = from.recv_timeout(wait) {
-        wait = Duration::ZERO;
-        let Heard::Line(conn, line, at) = heard else {
-            continue;
-        };
-        let Ok(said) = serde_json::from_str::<Value>(&line) else {
-            continue;
-        };
-        if said["method"] == "leaving" {
-            conns[conn].leaving = true;
+    /// Draws a request and sends it.
+    fn send_on(&mut self, index: usize) {
+        let connection = &mut self.connections[index];
+        connection.open += 1;
+        connection.last_id += 1;
+        let id = connection.last_id;
+        let handler = self.load.draw_kind(self.random.rand_float());
+        let name = format!("{:016x}", self.random.rand_u64());
+        let body = BASE64.encode(&name);
+        let line = self.load.line(id, handler, &name, &body);
+        let _ = connection.stream.write_all(line.as_bytes());
+        self.by_id.insert((index, id), self.records.len());
+        self.records.push(RequestRecord {
+            handler,
+            name,
+            body,
+            sent: self.began.elapsed(),
+            answers: vec![],
+        });
+    }
+
+    /// Takes in what the server has sent; waits for it a short time.
+    fn receive(&mut self, answered: &mut impl FnMut(&str)) {
+        let mut wait = MIN_RECEIVE_TIME;
+        while let Ok(received) = self.received.recv_timeout(wait) {
+            wait = Duration::ZERO;
+            if let Received::Line {
+                connection,
+                line,
+                at,
+            } = received
+            {
+                self.take_in(connection, &line, at, answered);
+            }
         }
-        let Some(id) = said["id"].as_u64() else {
-            continue;
+    }
+
+    /// Takes in one line; lines that are no JSON are ignored.
+    fn take_in(
+        &mut self,
+        connection: usize,
+        line: &str,
+        at: Instant,
+        answered: &mut impl FnMut(&str),
+    ) {
+        let Ok(message) = serde_json::from_str::<Value>(line) else {
+            return;
         };
-        let answer = match said["error"]["code"].as_i64() {
-            None => Answer::Completed,
-            Some(-32002) => {
-                Answer::Rejected(said["error"]["data"]["cooldown"].as_u64().unwrap_or(0))
-            }
-            Some(_) => Answer::Failed,
+        if message["method"] == "leaving" {
+            self.connections[connection].leaving = true;
+        }
+        let record = message["id"]
+            .as_u64()
+            .and_then(|id| self.by_id.get(&(connection, id)));
+        let Some(record) = record.map(|index| &mut self.records[*index]) else {
+            return;
         };
-        if each(conn, id, answer, at) {
-            conns[conn].open -= 1;
+        if record.answers.is_empty() {
+            answered(&record.name);
+            self.connections[connection].open -= 1;
         }
+        let after = at.saturating_duration_since(self.began);
+        record.answers.push((answer_in(&message), after));
     }
 }
 
-/// Of the reqs of a handler sent from one time to another: how many, and the part that was kept.
-pub fn kept(
-    records: &[RequestRecord],
-    kinds: &[RequestKind],
-    handler: usize,
-    from: Duration,
-    to: Duration,
-) -> (usize, f64) {
-    let of: Vec<&RequestRecord> = records
-        .iter()
-        .filter(|f| f.handler == handler && f.sent >= from && f.sent < to)
-        .collect();
-    let kept = of.iter().filter(|f| f.kept(kinds[handler].target)).count();
-    (of.len(), kept as f64 / of.len().max(1) as f64)
-}
-
-/// The times, in milliseconds, after which reqs of a handler were done.
-pub fn latencies(records: &[RequestRecord], handler: usize) -> Histogram<u64> {
-    let mut found = Histogram::new(3).expect("three digits");
-    for record in records.iter().filter(|f| f.handler == handler) {
-        if let [(Answer::Completed, at)] = record.answers[..] {
-            let _ = found.record(at.saturating_sub(record.sent).as_millis() as u64);
+/// Passes on each line of a connection, and its end.
+fn read_lines(connection: usize, stream: TcpStream, sender: &Sender<Received>) {
+    for line in BufReader::new(stream).lines().map_while(Result::ok) {
+        let at = Instant::now();
+        let received = Received::Line {
+            connection,
+            line,
+            at,
+        };
+        if sender.send(received).is_err() {
+            return;
         }
     }
-    found
+    let _ = sender.send(Received::ConnectionLost);
 }
 
-/// The rules, as far as callers and engine can tell: exactly one answer each, nothing keyed run twice,
-/// nothing shed that was run. One line for each breach.
-pub fn rule_violations(
-    records: &[RequestRecord],
-    kinds: &[RequestKind],
-    bodies: &HashMap<String, u32>,
-) -> Vec<String> {
-    let mut found = vec![];
-    for record in records {
-        let name = &record.name;
-        if record.answers.len() != 1 {
-            found.push(format!("{name} got {} answers", record.answers.len()));
-        }
-        let runs = bodies.get(&record.body).copied().unwrap_or(0);
-        if runs > 1 && kinds[record.handler].keyed {
-            found.push(format!("{name} ran {runs} times"));
-        }
-        if runs > 0
-            && kinds[record.handler].keyed
-            && matches!(record.answers[..], [(Answer::Rejected(_), _)])
-        {
-            found.push(format!("{name} was shed although it ran"));
-        }
+/// What a message that has an id answers.
+fn answer_in(message: &Value) -> Answer {
+    let error = &message["error"];
+    match error["code"].as_i64() {
+        None => Answer::Completed,
+        Some(REJECTED) => Answer::Rejected(error["data"]["cooldown"].as_u64().unwrap_or(0)),
+        Some(_) => Answer::Failed,
     }
-    found
 }
