Testkit: the engine's state and the wait for a condition in places of their own

Change: engine/core_pool has the state that the engine's thread owns; engine.rs keeps the handle and its threads. The wait for a condition gives the typed ScriptFailure.

--- /dev/null
+++ b/crates/testkit/src/engine/core_pool.rs
@@ -0,0 +1,282 @@
+//! The state of the fake engine: runs on the cores, the connection in use and the retained notices.
+
+use super::{EngineStats, Event, HandlerWork, read_lines};
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD as BASE64;
+use serde_json::Value;
+use std::collections::{BTreeMap, VecDeque};
+use std::io::Write;
+use std::net::{Shutdown, TcpStream};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender};
+use std::time::{Duration, Instant};
+
+/// The shortest time for which work is accounted.
+const TIME_SLICE: Duration = Duration::from_millis(1);
+/// Notices that are retained for the next connection.
+const MAX_RETAINED_NOTICES: usize = 4_000;
+/// The part of a run's work after which it makes its call.
+const WORK_BEFORE_CALL: f64 = 0.5;
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum RunState {
+    Working,
+    AwaitingCall,
+}
+
+struct Run {
+    remaining_ms: f64,
+    /// The remaining work at which the run makes its call.
+    call_at_remaining_ms: Option<f64>,
+    state: RunState,
+    started: Instant,
+    /// Its request is answered already.
+    answered: bool,
+}
+
+/// A notice that a server may have missed.
+struct RetainedNotice {
+    serial: u64,
+    line: String,
+}
+
+/// The engine's state, owned by its thread.
+pub(super) struct CorePool {
+    cores: f64,
+    works: Vec<HandlerWork>,
+    random: oorandom::Rand64,
+    runs: BTreeMap<String, Run>,
+    connection: Option<TcpStream>,
+    /// The number of the newest connection.
+    connections: u64,
+    /// The number of the newest notice.
+    serial: u64,
+    retained: VecDeque<RetainedNotice>,
+    stats: EngineStats,
+}
+
+impl CorePool {
+    pub(super) fn new(cores: f64, works: Vec<HandlerWork>, seed: u64) -> CorePool {
+        CorePool {
+            cores,
+            works,
+            random: oorandom::Rand64::new(u128::from(seed)),
+            runs: BTreeMap::new(),
+            connection: None,
+            connections: 0,
+            serial: 0,
+            retained: VecDeque::new(),
+            stats: EngineStats::default(),
+        }
+    }
+
+    /// Handles events and works in between, until all handles are gone.
+    pub(super) fn run(mut self, received: &Receiver<Event>, lines: &Sender<Event>) {
+        let mut worked = Instant::now();
+        loop {
+            match received.recv_timeout(TIME_SLICE) {
+                Ok(event) => self.handle(event, lines),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            let passed = worked.elapsed();
+            if passed >= TIME_SLICE {
+                worked = Instant::now();
+                self.work(passed.as_secs_f64() * 1e3);
+            }
+        }
+    }
+
+    fn working_runs(&self) -> usize {
+        self.runs
+            .values()
+            .filter(|run| run.state == RunState::Working)
+            .count()
+    }
+
+    /// Gives each working run its even part of the cores, one core at most.
+    fn work(&mut self, ms: f64) {
+        let working = self.working_runs().max(1) as f64;
+        let each_ms = ms * (self.cores / working).min(1.0);
+        let (mut finished, mut calling) = (vec![], vec![]);
+        for (name, run) in &mut self.runs {
+            if run.state != RunState::Working {
+                continue;
+            }
+            run.remaining_ms -= each_ms;
+            if run
+                .call_at_remaining_ms
+                .is_some_and(|call_at| run.remaining_ms <= call_at)
+            {
+                run.call_at_remaining_ms = None;
+                run.state = RunState::AwaitingCall;
+                calling.push(name.clone());
+            } else if run.remaining_ms <= 0.0 {
+                finished.push(name.clone());
+            }
+        }
+        for name in finished {
+            self.end(&name, "good");
+        }
+        for name in calling {
+            self.request_call(&name);
+        }
+    }
+
+    /// Asks for the call of a run, or ends the run when its request is answered already.
+    fn request_call(&mut self, name: &str) {
+        if self.runs[name].answered {
+            return self.end(name, "cut");
+        }
+        let blob = BASE64.encode(name);
+        self.notify(|serial| {
+            format!("\"msg\":\"NEED\",\"serial\":{serial},\"call\":\"{name}\",\"blob\":\"{blob}\"")
+        });
+    }
+
+    /// Ends a run; `how` is the protocol's word for its outcome.
+    fn end(&mut self, name: &str, how: &str) {
+        let Some(run) = self.runs.remove(name) else {
+            return;
+        };
+        let ms = run.started.elapsed().as_millis();
+        let blob = BASE64.encode(name);
+        self.notify(|serial| {
+            format!(
+                "\"msg\":\"DONE\",\"serial\":{serial},\"call\":\"{name}\",\"how\":\"{how}\",\
+                 \"duration\":{ms},\"blob\":\"{blob}\""
+            )
+        });
+    }
+
+    /// Sends a notice, made of its members, and retains it.
+    fn notify(&mut self, members: impl FnOnce(u64) -> String) {
+        self.serial += 1;
+        let serial = self.serial;
+        let line = format!("{{{}}}\n", members(serial));
+        self.send(&line);
+        self.retained.push_back(RetainedNotice { serial, line });
+        if self.retained.len() > MAX_RETAINED_NOTICES {
+            self.retained.pop_front();
+        }
+    }
+
+    /// Writes to the connection in use, if there is one.
+    fn send(&mut self, line: &str) {
+        if self
+            .connection
+            .as_mut()
+            .is_some_and(|stream| stream.write_all(line.as_bytes()).is_err())
+        {
+            self.connection = None;
+        }
+    }
+
+    fn handle(&mut self, event: Event, lines: &Sender<Event>) {
+        match event {
+            Event::Connected(stream) => self.connected(stream, lines),
+            Event::Line { connection, line } if connection == self.connections => {
+                self.command(&line);
+            }
+            Event::Line { .. } => {}
+            Event::RequestAnswered(name) => self.request_answered(&name),
+            Event::Stats(reply) => {
+                let _ = reply.send(self.stats.clone());
+            }
+            Event::BreakLink => {
+                if let Some(stream) = self.connection.take() {
+                    let _ = stream.shutdown(Shutdown::Both);
+                }
+            }
+        }
+    }
+
+    /// A new connection replaces the former one.
+    fn connected(&mut self, stream: TcpStream, lines: &Sender<Event>) {
+        let _ = stream.set_nodelay(true);
+        self.connections += 1;
+        let (connection, events) = (self.connections, lines.clone());
+        let reader = stream.try_clone().expect("a second handle");
+        std::thread::spawn(move || read_lines(connection, reader, &events));
+        self.connection = Some(stream);
+    }
+
+    fn request_answered(&mut self, name: &str) {
+        let Some(run) = self.runs.get_mut(name) else {
+            return;
+        };
+        run.answered = true;
+        if run.state == RunState::AwaitingCall {
+            self.end(name, "cut");
+        }
+    }
+
+    /// Handles one line of a server; lines that are no JSON are ignored.
+    fn command(&mut self, line: &str) {
+        let Ok(message) = serde_json::from_str::<Value>(line) else {
+            return;
+        };
+        let text = |key: &str| message[key].as_str().unwrap_or_default();
+        let name = text("call");
+        match text("msg") {
+            "ATTACH" => self.attach(message["serial"].as_u64().unwrap_or(0)),
+            "STAT" => self.send_load(text("cookie")),
+            "RUN" if !self.runs.contains_key(name) => {
+                self.start_run(name, text("service"), text("blob"));
+            }
+            "FEED" | "SKIP" => {
+                if let Some(run) = self.runs.get_mut(name) {
+                    run.state = RunState::Working;
+                }
+            }
+            "HALT" => self.end(name, "cut"),
+            _ => {}
+        }
+    }
+
+    /// Sends the notices after the last one that the server has read.
+    fn attach(&mut self, last_read: u64) {
+        if last_read == 0 {
+            // The server has just started: notices are numbered anew, runs continue.
+            self.serial = 0;
+            self.retained.clear();
+        }
+        let missed: String = self
+            .retained
+            .iter()
+            .filter(|notice| notice.serial > last_read)
+            .map(|notice| notice.line.as_str())
+            .collect();
+        self.send("{\"msg\":\"HELLO\",\"how\":\"old\",\"duration\":3600000}\n");
+        self.send(&missed);
+    }
+
+    /// Answers a query for the load gauges.
+    fn send_load(&mut self, cookie: &str) {
+        let working = self.working_runs() as f64;
+        let used = (working / self.cores).min(1.0);
+        self.send(&format!(
+            "{{\"msg\":\"STATS\",\"cookie\":\"{cookie}\",\"stats\":[{used},{working},0.1,1]}}\n"
+        ));
+    }
+
+    /// Starts a run, or rejects it when its handler isn't known.
+    fn start_run(&mut self, name: &str, handler: &str, body: &str) {
+        let Some(work) = self.works.iter().find(|work| work.handler == handler) else {
+            return self.send(&format!(
+                "{{\"msg\":\"NO\",\"how\":\"RUN\",\"call\":\"{name}\"}}\n"
+            ));
+        };
+        let (least_ms, most_ms) = work.ms;
+        let total_ms = least_ms + (most_ms - least_ms) * self.random.rand_float();
+        let run = Run {
+            remaining_ms: total_ms,
+            call_at_remaining_ms: work.calls.then_some(total_ms * WORK_BEFORE_CALL),
+            state: RunState::Working,
+            started: Instant::now(),
+            answered: false,
+        };
+        *self.stats.bodies.entry(body.into()).or_default() += 1;
+        self.runs.insert(name.into(), run);
+        self.stats.most_at_once = self.stats.most_at_once.max(self.runs.len());
+    }
+}
--- a/crates/testkit/src/fleet/script/runner.rs
+++ b/crates/testkit/src/fleet/script/runner.rs
@@ -47,11 +47,7 @@
                     .act(action)
                     .map_err(|error| ScriptFailure::Action { line, error })?,
                 Step::Within(condition, term) => {
-                    let took = wait_for(fleet, condition, *term).map_err(|unmet| {
-                        let term = *term;
-                        ScriptFailure::Timeout { line, term, unmet }
-                    })?;
-                    times.push(ConditionTime { line, took });
+                    times.push(wait_for(fleet, condition, line, *term)?);
                 }
             }
         }
@@ -59,21 +55,22 @@
     }
 }
 
-/// Waits until a condition holds; gives the time that it took, or what it lacked when its term had
-/// passed.
+/// Waits until the condition of a line holds, within its term.
 fn wait_for(
     fleet: &mut impl Fleet,
     condition: &Condition,
+    line: usize,
     term: Duration,
-) -> Result<Duration, String> {
+) -> Result<ConditionTime, ScriptFailure> {
     let began = fleet.at();
     while let Some(unmet) = fleet.unmet(condition) {
         if fleet.at().saturating_sub(began) > term {
-            return Err(unmet);
+            return Err(ScriptFailure::Timeout { line, term, unmet });
         }
         fleet.pass();
     }
-    Ok(fleet.at().saturating_sub(began))
+    let took = fleet.at().saturating_sub(began);
+    Ok(ConditionTime { line, took })
 }
 
 /// Plays a script as [`Script::play`] does, for callers that gather failures as lines of text.
