Testkit: the crate is on the workspace's lints; its pages link to the items they name

Change: [lints] workspace = true, and the closures that the lints find are gone. Modules have a line where they are declared, and their pages name items by full paths.

--- a/crates/testkit/examples/kept.rs
+++ b/crates/testkit/examples/kept.rs
@@ -2,9 +2,9 @@
 //!
 //!     cargo build --release && cargo run --release -p madderbay-testkit --example kept [HISTORIES]
 //!
-//! First the cost: response times, commits and CPU at several rates, and the time of a recovery. Then
-//! histories: a server is killed at a random moment while it books, restarted, and sent each request
-//! again. A booking is a run in the engine, and no request may be booked twice.
+//! First the cost: response times, commits and CPU at several rates, and the time of a recovery.
+//! Then histories: a server is killed at a random moment while it books, restarted, and sent each
+//! request again. A booking is a run in the engine, and no request may be booked twice.
 
 use madderbay_idempotency_store::record::Record;
 use madderbay_idempotency_store::storage::DirectoryStorage;
--- a/crates/testkit/examples/pools.rs
+++ b/crates/testkit/examples/pools.rs
@@ -1,4 +1,4 @@
-//! Measures pools against the program without them and with fixed limits, between stand-ins on
+//! Measures pools against the program without them and with fixed limits, between fakes on
 //! loopback:
 //!
 //!     cargo build --release && cargo run --release -p madderbay-testkit --example pools [SEEDS]
--- a/crates/testkit/examples/shares.rs
+++ b/crates/testkit/examples/shares.rs
@@ -1,4 +1,4 @@
-//! Pools under shares from too small to ten times too large, between stand-ins on loopback:
+//! Pools under shares from too small to ten times too large, between fakes on loopback:
 //!
 //!     cargo build --release && cargo run --release -p madderbay-testkit --example shares [SEEDS [SHARE]]
 //!
--- a/crates/testkit/src/backend_simulation/mod.rs
+++ b/crates/testkit/src/backend_simulation/mod.rs
@@ -1,20 +1,21 @@
 //! Many servers before many backends in simulated time.
 //!
-//! [`BackendSimulation`] owns the servers' upstream managers, the backends, the calls and the
-//! events to come. It is given a setup and a seed, which together with the calls of its methods
-//! determine everything. Nothing is sent and nothing waits.
+//! [`BackendSimulation`](crate::backend_simulation::BackendSimulation) owns the servers' upstream
+//! managers, the backends, the calls and the events to come. It is given a setup and a seed, which
+//! together with the calls of its methods determine everything. Nothing is sent and nothing waits.
 //!
 //! # What is simulated
 //!
 //! Calls arrive at each server at random with a given rate. The server picks a backend by its
-//! [`RoutingPolicy`], and retries and hedges as that says. A backend works on a limited number of
-//! calls at a time. The servers gossip about the backends.
+//! [`RoutingPolicy`](crate::backend_simulation::RoutingPolicy), and retries and hedges as that
+//! says. A backend works on a limited number of calls at a time. The servers gossip about the
+//! backends.
 //!
 //! # Faults
 //!
-//! A backend has a [`BackendFault`]; a zone or a server may be cut off from backends; servers may
-//! be partitioned from each other; a server may send false reports, or restart without any
-//! knowledge.
+//! A backend has a [`BackendFault`](crate::backend_simulation::BackendFault); a zone or a server
+//! may be cut off from backends; servers may be partitioned from each other; a server may send
+//! false reports, or restart without any knowledge.
 
 mod backends;
 mod calls;
--- a/crates/testkit/src/catalogue.rs
+++ b/crates/testkit/src/catalogue.rs
@@ -8,8 +8,9 @@
 //!
 //! # Faults
 //!
-//! [`Catalogue::set_behavior`] sets one [`Behavior`] for all calls, those in flight included: slow,
-//! failing, rejecting, silent, resetting, or sending replies byte by byte.
+//! [`Catalogue::set_behavior`](crate::catalogue::Catalogue::set_behavior) sets one
+//! [`Behavior`](crate::catalogue::Behavior) for all calls, those in flight included: slow, failing,
+//! rejecting, silent, resetting, or sending replies byte by byte.
 
 use crate::peer::loopback_listener;
 use std::collections::{HashMap, VecDeque};
--- a/crates/testkit/src/fleet/processes/mod.rs
+++ b/crates/testkit/src/fleet/processes/mod.rs
@@ -1,9 +1,10 @@
 //! A fleet of real servers, each between its own fake engine, catalogue and registry.
 //!
-//! [`ProcessFleet`] owns the server processes, their files and their fakes. Datagrams between
-//! servers pass through [`DatagramRelays`], which carry out the faults of the network. Conditions
-//! are checked at the servers' control sockets. The fleet never touches anything but its own
-//! processes, loopback and a folder of its own.
+//! [`ProcessFleet`](crate::fleet::processes::ProcessFleet) owns the server processes, their files
+//! and their fakes. Datagrams between servers pass through
+//! [`DatagramRelays`](crate::fleet::relay::DatagramRelays), which carry out the faults of the
+//! network. Conditions are checked at the servers' control sockets. The fleet never touches
+//! anything but its own processes, loopback and a folder of its own.
 
 mod actions;
 mod client_load;
--- a/crates/testkit/src/fleet/script/mod.rs
+++ b/crates/testkit/src/fleet/script/mod.rs
@@ -1,9 +1,10 @@
 //! Fault scripts: what is done to a fleet, and the conditions that must hold within a time, a line
 //! each.
 //!
-//! [`Script::read`] parses a script; [`Script::play`] plays it on any [`Fleet`]. A script never
-//! sleeps for a fixed time on real processes: it waits for a condition, and each condition has a
-//! term.
+//! [`Script::read`](crate::fleet::script::Script::read) parses a script;
+//! [`Script::play`](crate::fleet::script::Script::play) plays it on any
+//! [`Fleet`](crate::fleet::script::Fleet). A script never sleeps for a fixed time on real
+//! processes: it waits for a condition, and each condition has a term.
 //!
 //! # Grammar
 //!
--- a/crates/testkit/src/fleet/simulated/actions.rs
+++ b/crates/testkit/src/fleet/simulated/actions.rs
@@ -3,6 +3,7 @@
 use super::{Event, SimulatedFleet, address};
 use crate::fleet::script::{Action, ActionError};
 use madderbay::time::Duration;
+use madderbay_upstream::FleetStack;
 
 /// The time from the beginning of a drain until the server leaves.
 const DRAIN_TIME: Duration = Duration::from_millis(1_000);
@@ -51,14 +52,14 @@
             (0..ended).for_each(|_| budget.call_ended(now));
         }
         if self.random.rand_float() < 0.5 {
-            self.drive(server, |stack, now| stack.handle_timeout(now));
+            self.drive(server, FleetStack::handle_timeout);
         }
         for (from, bytes) in std::mem::take(&mut self.nodes[server].waiting) {
             self.drive(server, |stack, now| {
                 stack.handle_datagram(now, from, &bytes);
             });
         }
-        self.drive(server, |stack, now| stack.handle_timeout(now));
+        self.drive(server, FleetStack::handle_timeout);
     }
 
     fn drain(&mut self, server: usize) {
--- a/crates/testkit/src/fleet/simulated/conditions.rs
+++ b/crates/testkit/src/fleet/simulated/conditions.rs
@@ -3,6 +3,7 @@
 use super::{SimulatedFleet, name};
 use crate::fleet::script::Condition;
 use madderbay_membership::{Connectivity, MemberState, Membership, Phase};
+use madderbay_quota::budget::Budget;
 use std::collections::HashMap;
 
 impl SimulatedFleet {
@@ -21,7 +22,7 @@
                 let budgets = who
                     .iter()
                     .filter_map(|server| self.shared(*server)?.budgets().first());
-                let used: u32 = budgets.map(|budget| budget.in_use()).sum();
+                let used: u32 = budgets.map(Budget::in_use).sum();
                 (used < *least).then(|| format!("{used} calls are in hand, not {least}"))
             }
         }
--- a/crates/testkit/src/fleet/simulated/driver.rs
+++ b/crates/testkit/src/fleet/simulated/driver.rs
@@ -50,7 +50,7 @@
         let due = node.timer.is_some_and(|timer| timer <= self.now);
         if node.incarnation == incarnation && due {
             node.timer = None;
-            self.drive(server, |stack, now| stack.handle_timeout(now));
+            self.drive(server, FleetStack::handle_timeout);
         }
     }
 
--- a/crates/testkit/src/fleet/simulated/mod.rs
+++ b/crates/testkit/src/fleet/simulated/mod.rs
@@ -1,8 +1,8 @@
 //! A fleet in simulated time: the state machines of the program over a simulated network.
 //!
-//! [`SimulatedFleet`] owns the servers' state machines, their clocks and the events to come. It is
-//! given a setup and a seed, which together with the calls of its methods determine everything.
-//! Nothing is sent and nothing waits.
+//! [`SimulatedFleet`](crate::fleet::simulated::SimulatedFleet) owns the servers' state machines,
+//! their clocks and the events to come. It is given a setup and a seed, which together with the
+//! calls of its methods determine everything. Nothing is sent and nothing waits.
 //!
 //! # What is simulated
 //!
--- a/crates/testkit/src/fleet/simulated/start.rs
+++ b/crates/testkit/src/fleet/simulated/start.rs
@@ -43,7 +43,7 @@
         node.incarnation += 1;
         node.waiting.clear();
         self.excused[index] = self.now;
-        self.drive(index, |stack, now| stack.handle_timeout(now));
+        self.drive(index, FleetStack::handle_timeout);
     }
 
     /// What a server's Unix clock shows now, in milliseconds.
--- a/crates/testkit/src/peer.rs
+++ b/crates/testkit/src/peer.rs
@@ -1,7 +1,7 @@
 //! One end of a connection, which a test plays line by line.
 //!
-//! What doesn't come within [`WAIT_TIMEOUT`], and each error of the connection, is a fault of the
-//! test: the methods panic.
+//! What doesn't come within [`WAIT_TIMEOUT`](crate::WAIT_TIMEOUT), and each error of the
+//! connection, is a fault of the test: the methods panic.
 
 use crate::WAIT_TIMEOUT;
 use std::io::{BufRead, BufReader, Read, Write};
--- a/crates/testkit/src/registry.rs
+++ b/crates/testkit/src/registry.rs
@@ -7,7 +7,7 @@
 //!
 //! # Faults
 //!
-//! None. A test that needs a registry that fails plays it with a [`Peer`].
+//! None. A test that needs a registry that fails plays it with a [`Peer`](crate::peer::Peer).
 
 use crate::peer::{Peer, loopback_listener};
 use std::io::{BufRead, Read, Write};
--- a/crates/testkit/src/server.rs
+++ b/crates/testkit/src/server.rs
@@ -1,7 +1,7 @@
 //! The real program, started between fakes.
 //!
-//! [`Server`] owns the process and its configuration files. Whatever goes wrong on the way is a
-//! fault of the test: the functions panic.
+//! [`Server`](crate::server::Server) owns the process and its configuration files. Whatever goes
+//! wrong on the way is a fault of the test: the functions panic.
 
 use std::io::{BufRead, BufReader, Read};
 use std::net::SocketAddr;
