--- a/crates/server/tests/shared/support.rs
+++ b/crates/server/tests/shared/support.rs
@@ -5,7 +5,7 @@
 use madderbay::time::Duration;
 use madderbay_testkit::engine::{Engine, HandlerWork};
 use madderbay_testkit::fleet::processes::ProcessFleet;
-use madderbay_testkit::fleet::script::{Action, Condition, Fleet};
+use madderbay_testkit::fleet::script::{Action, ActionError, Condition, Fleet};
 use madderbay_testkit::load_balancer::{Answer, Load, RequestKind, RequestRecord, rule_violations};
 use std::net::SocketAddr;
 use std::path::Path;
@@ -42,7 +42,7 @@
 }
 
 impl Fleet for WatchedFleet<'_> {
-    fn act(&mut self, action: &Action) -> Result<(), String> {
+    fn act(&mut self, action: &Action) -> Result<(), ActionError> {
         self.fleet.act(action)?;
         if let Action::Start { who, .. } = action {
             self.monitor
