Test kit: fakes with nothing to do wait for an event, not for the next millisecond

Cause: threads of fakes live as long as the test program and woke up a thousand times a second each, also after their case; that starved servers of processor time in tests with fleets. Change: while nothing runs or no call is in flight, engine and catalogue wait up to 100 ms for an event; time passed idle is no work, samples are taken as before.

--- a/crates/testkit/src/catalogue.rs
+++ b/crates/testkit/src/catalogue.rs
@@ -21,6 +21,8 @@
 
 /// The shortest time for which work is accounted.
 const TIME_SLICE: Duration = Duration::from_millis(1);
+/// The wait for an event while no call is in flight.
+const IDLE_WAIT: Duration = Duration::from_millis(100);
 /// The time between two samples of the calls in flight, in milliseconds.
 const SAMPLE_MS: u128 = 10;
 
@@ -192,7 +194,13 @@
         let started = Instant::now();
         let mut worked = started;
         loop {
-            match received.recv_timeout(TIME_SLICE) {
+            let idle = self.calls.is_empty();
+            let event = received.recv_timeout(if idle { IDLE_WAIT } else { TIME_SLICE });
+            if idle {
+                worked = Instant::now();
+                self.sample(started);
+            }
+            match event {
                 Ok(event) => self.handle(event),
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
@@ -202,10 +210,15 @@
                 worked = Instant::now();
                 self.work(passed.as_secs_f64());
             }
-            let samples = (started.elapsed().as_millis() / SAMPLE_MS) as usize;
-            if self.stats.in_hand.len() < samples {
-                self.stats.in_hand.resize(samples, self.calls.len());
-            }
+            self.sample(started);
+        }
+    }
+
+    /// Samples the calls in flight up to now.
+    fn sample(&mut self, started: Instant) {
+        let samples = (started.elapsed().as_millis() / SAMPLE_MS) as usize;
+        if self.stats.in_hand.len() < samples {
+            self.stats.in_hand.resize(samples, self.calls.len());
         }
     }
 
--- a/crates/testkit/src/engine/core_pool.rs
+++ b/crates/testkit/src/engine/core_pool.rs
@@ -12,6 +12,8 @@
 
 /// The shortest time for which work is accounted.
 const TIME_SLICE: Duration = Duration::from_millis(1);
+/// The wait for an event while nothing runs.
+const IDLE_WAIT: Duration = Duration::from_millis(100);
 /// Notices that are retained for the next connection.
 const MAX_RETAINED_NOTICES: usize = 4_000;
 /// The part of a run's work after which it makes its call.
@@ -73,7 +75,12 @@
     pub(super) fn run(mut self, received: &Receiver<Event>, lines: &Sender<Event>) {
         let mut worked = Instant::now();
         loop {
-            match received.recv_timeout(TIME_SLICE) {
+            let idle = self.runs.is_empty();
+            let event = received.recv_timeout(if idle { IDLE_WAIT } else { TIME_SLICE });
+            if idle {
+                worked = Instant::now();
+            }
+            match event {
                 Ok(event) => self.handle(event, lines),
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
