Fleet stack: membership, quotas and backends private, reached by methods

Cause: the stack's three fields were public under the words members, shared and routes. Change: membership, quotas, upstream with accessors; call sites.

--- a/crates/server/src/fleet/control_socket.rs
+++ b/crates/server/src/fleet/control_socket.rs
@@ -221,7 +221,7 @@
 
 /// The view of the membership.
 fn members_answer(fleet: &Fleet) -> String {
-    let view = fleet.stack().borrow().members.view();
+    let view = fleet.stack().borrow().membership().view();
     let connectivity = &view.connectivity;
     let head = MembershipHead {
         name: view.name.to_string(),
@@ -279,8 +279,8 @@
 /// Quotas and counters; nothing where the fleet shares none.
 fn quotas_answer(fleet: &Fleet) -> Option<String> {
     let (now, stack) = (fleet.now(), fleet.stack().borrow());
-    let quotas = stack.shared.as_ref()?;
-    let name = &stack.members.local_identity().name;
+    let quotas = stack.quotas()?;
+    let name = &stack.membership().local_identity().name;
     let budgets = quotas.budget_views(now).into_iter().map(quota_record);
     let names = fleet.quota_source().counter_names();
     let counts = quotas.counters().iter().enumerate();
--- a/crates/server/src/fleet/gossip.rs
+++ b/crates/server/src/fleet/gossip.rs
@@ -66,7 +66,7 @@
         let membership = Membership::new(start, config.incarnation, seed, config.membership);
         let quotas = config.quotas.map(|q| FleetQuotas::new(start, seed, q));
         let mut stack = FleetStack::new(membership, quotas);
-        stack.routes = backends.as_ref().map(|b| b.manager().clone());
+        stack.set_upstream(backends.as_ref().map(|b| b.manager().clone()));
         let stack = Rc::new(RefCell::new(stack));
         let send_pending = Rc::new(Notify::new());
         let notify = send_pending.clone();
@@ -106,7 +106,7 @@
     /// Takes over the sizes and weights of a reloaded operator file.
     pub fn reload(&self, budgets: &[BudgetSettings]) {
         let now = self.now();
-        if let Some(quotas) = &mut self.stack.borrow_mut().shared {
+        if let Some(quotas) = self.stack.borrow_mut().quotas_mut() {
             quotas.reload(now, budgets);
         }
         self.send_pending.notify_one();
@@ -114,13 +114,13 @@
 
     /// Notifies the fleet that this server drains.
     pub fn drain(&self) {
-        self.stack.borrow_mut().members.drain(self.now());
+        self.stack.borrow_mut().membership_mut().drain(self.now());
         self.send_pending.notify_one();
     }
 
     /// Notifies the fleet that this server leaves; the last datagrams are sent at once.
     pub fn leave(&self, socket: &UdpSocket) {
-        self.stack.borrow_mut().members.leave(self.now());
+        self.stack.borrow_mut().membership_mut().leave(self.now());
         self.carry_out(socket);
     }
 
@@ -146,8 +146,8 @@
     /// The log lines of all events since the last time.
     fn take_event_lines(&self) -> Vec<String> {
         let mut stack = self.stack.borrow_mut();
-        let membership_events = stack.members.take_events();
-        let quota_events = stack.shared.as_mut().map(FleetQuotas::take_events);
+        let membership_events = stack.membership_mut().take_events();
+        let quota_events = stack.quotas_mut().map(FleetQuotas::take_events);
         let membership_lines = membership_events.iter().map(|e| format!("membership: {e}"));
         let quota_lines = quota_events.iter().flatten().map(|e| format!("quota: {e}"));
         membership_lines.chain(quota_lines).collect()
@@ -183,8 +183,8 @@
             unsent_datagrams: self.unsent_datagrams.get(),
             unwritten_events: self.event_log.borrow().unwritten(),
         };
-        let mut lines = counters::of_membership(&stack.members, &driver);
-        if let Some(quotas) = &stack.shared {
+        let mut lines = counters::of_membership(stack.membership(), &driver);
+        if let Some(quotas) = stack.quotas() {
             lines += &counters::of_quotas(quotas, self.now());
         }
         lines
--- a/crates/server/src/fleet/quota_leases.rs
+++ b/crates/server/src/fleet/quota_leases.rs
@@ -48,12 +48,12 @@
 
     /// The quotas, where the fleet shares any.
     fn quotas(&self) -> Option<Ref<'_, FleetQuotas>> {
-        Ref::filter_map(self.stack.borrow(), |stack| stack.shared.as_ref()).ok()
+        Ref::filter_map(self.stack.borrow(), FleetStack::quotas).ok()
     }
 
     /// The same, to change them.
     fn quotas_mut(&self) -> Option<RefMut<'_, FleetQuotas>> {
-        RefMut::filter_map(self.stack.borrow_mut(), |stack| stack.shared.as_mut()).ok()
+        RefMut::filter_map(self.stack.borrow_mut(), FleetStack::quotas_mut).ok()
     }
 
     /// Wakes the driver where something has to be sent at once.
--- a/crates/simulation/src/node/assembly.rs
+++ b/crates/simulation/src/node/assembly.rs
@@ -194,7 +194,7 @@
         let unix_ms = clock::unix_ms(self.now);
         let membership = Membership::new(self.monotonic_now, unix_ms, self.seed, settings);
         let mut stack = FleetStack::new(membership, quotas);
-        stack.routes = backends.map(|backends| backends.manager().clone());
+        stack.set_upstream(backends.map(|backends| backends.manager().clone()));
         stack
     }
 
--- a/crates/simulation/src/node/process.rs
+++ b/crates/simulation/src/node/process.rs
@@ -269,8 +269,8 @@
         let mut fleet = fleet.borrow_mut();
         let datagrams = fleet.take_datagrams();
         // Nobody reads the log of a simulated server.
-        fleet.members.take_events();
-        fleet.shared.as_mut().map(FleetQuotas::take_events);
+        fleet.membership_mut().take_events();
+        fleet.quotas_mut().map(FleetQuotas::take_events);
         datagrams
     }
 
--- a/crates/simulation/src/simulation/sampling.rs
+++ b/crates/simulation/src/simulation/sampling.rs
@@ -53,9 +53,9 @@
             return;
         };
         let fleet = fleet.borrow();
-        let digest = fleet.members.digest();
+        let digest = fleet.membership().digest();
         *views.servers_by_digest.entry(digest).or_default() += 1;
-        let members = fleet.members.view().members;
+        let members = fleet.membership().view().members;
         views.suspected_members += members
             .iter()
             .filter(|member| matches!(member.state, MemberState::Suspect))
--- a/crates/testkit/src/fleet/simulated/actions.rs
+++ b/crates/testkit/src/fleet/simulated/actions.rs
@@ -47,7 +47,7 @@
         node.stopped = false;
         let ended = std::mem::take(&mut node.work.unnoticed_ends);
         let now = node.clock(self.now);
-        let quotas = node.stack.as_mut().and_then(|stack| stack.shared.as_mut());
+        let quotas = node.stack.as_mut().and_then(|stack| stack.quotas_mut());
         if let Some(budget) = quotas.and_then(|quotas| quotas.budgets_mut().first_mut()) {
             (0..ended).for_each(|_| budget.call_ended(now));
         }
@@ -63,9 +63,9 @@
     }
 
     fn drain(&mut self, server: usize) {
-        self.drive(server, |stack, now| stack.members.drain(now));
+        self.drive(server, |stack, now| stack.membership_mut().drain(now));
         self.run(DRAIN_TIME);
-        self.drive(server, |stack, now| stack.members.leave(now));
+        self.drive(server, |stack, now| stack.membership_mut().leave(now));
         self.nodes[server].stack = None;
     }
 
@@ -75,7 +75,7 @@
         let settings = self.quota_settings(server, named);
         let budgets = settings.map_or(vec![], |settings| settings.budgets);
         self.drive(server, |stack, now| {
-            if let Some(quotas) = &mut stack.shared {
+            if let Some(quotas) = stack.quotas_mut() {
                 quotas.reload(now, &budgets);
             }
         });
--- a/crates/testkit/src/fleet/simulated/calls.rs
+++ b/crates/testkit/src/fleet/simulated/calls.rs
@@ -62,7 +62,7 @@
             let node = &mut self.nodes[server];
             let now = node.clock(self.now);
             let (demand, incarnation) = (node.work.demand, node.incarnation);
-            let quotas = node.active_stack().and_then(|stack| stack.shared.as_mut());
+            let quotas = node.active_stack().and_then(|stack| stack.quotas_mut());
             let Some(quotas) = quotas else {
                 return;
             };
@@ -96,7 +96,7 @@
             return;
         }
         let now = node.clock(self.now);
-        if let Some(quotas) = node.stack.as_mut().and_then(|s| s.shared.as_mut()) {
+        if let Some(quotas) = node.stack.as_mut().and_then(|s| s.quotas_mut()) {
             quotas.budgets_mut()[0].call_ended(now);
         }
         self.start_calls(server);
--- a/crates/testkit/src/fleet/simulated/counts.rs
+++ b/crates/testkit/src/fleet/simulated/counts.rs
@@ -73,7 +73,7 @@
         let node = &mut self.nodes[server];
         let now = node.clock(self.now);
         let stack = node.stack.as_mut().filter(|_| !node.stopped);
-        let quotas = stack.and_then(|stack| stack.shared.as_mut());
+        let quotas = stack.and_then(|stack| stack.quotas_mut());
         let Some(counter) = quotas.and_then(|quotas| quotas.counters_mut().first_mut()) else {
             return;
         };
--- a/crates/testkit/src/fleet/simulated/driver.rs
+++ b/crates/testkit/src/fleet/simulated/driver.rs
@@ -62,9 +62,9 @@
             return;
         };
         action(stack, clock);
-        let (datagrams, changes) = (stack.take_datagrams(), stack.members.take_events());
+        let (datagrams, changes) = (stack.take_datagrams(), stack.membership_mut().take_events());
         let timeout = stack.next_timeout().max(clock);
-        let quotas = stack.shared.as_mut();
+        let quotas = stack.quotas_mut();
         let quota_events = quotas.map_or(vec![], FleetQuotas::take_events);
         self.set_timer(server, timeout);
         for event in quota_events {
--- a/crates/testkit/src/fleet/simulated/mod.rs
+++ b/crates/testkit/src/fleet/simulated/mod.rs
@@ -116,7 +116,7 @@
     /// The quotas and counters of a server; `None` while it does not run, or without any in the
     /// setup.
     pub fn shared(&self, server: usize) -> Option<&FleetQuotas> {
-        self.nodes[server].stack.as_ref()?.shared.as_ref()
+        self.nodes[server].stack.as_ref()?.quotas()
     }
 
     /// All servers that run, stopped ones included, with their membership.
--- a/crates/testkit/src/fleet/simulated/node.rs
+++ b/crates/testkit/src/fleet/simulated/node.rs
@@ -84,7 +84,7 @@
     }
 
     pub(super) fn members(&self) -> Option<&Membership> {
-        self.stack.as_ref().map(|stack| &stack.members)
+        self.stack.as_ref().map(FleetStack::membership)
     }
 
     /// The state machines while the server runs and is not stopped.
--- a/crates/upstream/src/fleet_stack.rs
+++ b/crates/upstream/src/fleet_stack.rs
@@ -15,44 +15,68 @@
 
 /// Membership and the parts that rest on it.
 pub struct FleetStack {
-    /// The view of the fleet.
-    pub members: Membership,
-    /// Quotas and counters of the fleet, where the operator set any.
-    pub shared: Option<FleetQuotas>,
-    /// The upstream backends, where the operator set any. The server's calls use it too, at any moment.
-    pub routes: Option<Rc<RefCell<UpstreamManager>>>,
+    membership: Membership,
+    /// Where the operator set any.
+    quotas: Option<FleetQuotas>,
+    /// Where the operator set any. The server's calls use it too, at any moment.
+    upstream: Option<Rc<RefCell<UpstreamManager>>>,
 }
 
 impl FleetStack {
     /// A stack without upstream backends.
-    pub fn new(members: Membership, shared: Option<FleetQuotas>) -> FleetStack {
+    pub fn new(membership: Membership, quotas: Option<FleetQuotas>) -> FleetStack {
         FleetStack {
-            members,
-            shared,
-            routes: None,
+            membership,
+            quotas,
+            upstream: None,
         }
     }
 
+    /// Exchanges what is observed of these upstream backends with the fleet; `None` exchanges nothing.
+    pub fn set_upstream(&mut self, upstream: Option<Rc<RefCell<UpstreamManager>>>) {
+        self.upstream = upstream;
+    }
+
+    /// The view of the fleet.
+    pub fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
+    /// The view of the fleet, to leave it or to take its events.
+    pub fn membership_mut(&mut self) -> &mut Membership {
+        &mut self.membership
+    }
+
+    /// Quotas and counters of the fleet, where the operator set any.
+    pub fn quotas(&self) -> Option<&FleetQuotas> {
+        self.quotas.as_ref()
+    }
+
+    /// The same, to change them.
+    pub fn quotas_mut(&mut self) -> Option<&mut FleetQuotas> {
+        self.quotas.as_mut()
+    }
+
     /// A datagram arrived.
     pub fn handle_datagram(&mut self, now: Timestamp, from: SocketAddr, bytes: &[u8]) {
-        self.members.handle_datagram(now, from, bytes);
+        self.membership.handle_datagram(now, from, bytes);
         self.drive_subsystems(now);
     }
 
     /// Does what is due in any part.
     pub fn handle_timeout(&mut self, now: Timestamp) {
-        self.members.handle_timeout(now);
+        self.membership.handle_timeout(now);
         self.drive_subsystems(now);
     }
 
     /// When [`handle_timeout`](Self::handle_timeout) is due next.
     pub fn next_timeout(&self) -> Timestamp {
-        let quota = self.shared.as_ref().map(FleetQuotas::next_timeout);
+        let quota = self.quotas.as_ref().map(FleetQuotas::next_timeout);
         let upstream = self
-            .routes
+            .upstream
             .as_ref()
             .map(|upstream| upstream.borrow().next_timeout());
-        let membership = self.members.next_timeout();
+        let membership = self.membership.next_timeout();
         [quota, upstream]
             .into_iter()
             .flatten()
@@ -61,16 +85,16 @@
 
     /// Takes the datagrams to send, each with its destination.
     pub fn take_datagrams(&mut self) -> Vec<(SocketAddr, Vec<u8>)> {
-        self.members.take_outgoing()
+        self.membership.take_outgoing()
     }
 
     /// Hands the news of the membership to the parts above it, and their payloads to the membership.
     fn drive_subsystems(&mut self, now: Timestamp) {
-        if let Some(quota) = &mut self.shared {
-            quota.set_incarnation(now, self.members.local_identity().incarnation);
+        if let Some(quota) = &mut self.quotas {
+            quota.set_incarnation(now, self.membership.local_identity().incarnation);
         }
         // Only the members that changed: reading the whole view for each of many changes would take too long.
-        for name in self.members.take_changed_members() {
+        for name in self.membership.take_changed_members() {
             self.update_peer(now, name);
         }
         self.deliver_payloads(now);
@@ -79,17 +103,17 @@
     }
 
     fn update_peer(&mut self, now: Timestamp, name: CompactString) {
-        let member = self.members.member(&name);
+        let member = self.membership.member(&name);
         match member.filter(|(_, state)| *state != MemberState::Left) {
             Some((identity, state)) => {
                 let (incarnation, active) = (identity.incarnation, state != MemberState::Down);
-                if let Some(upstream) = &self.routes {
+                if let Some(upstream) = &self.upstream {
                     let zone = &identity.zone;
                     upstream
                         .borrow_mut()
                         .update_peer(&name, incarnation, zone, active);
                 }
-                if let Some(quota) = &mut self.shared {
+                if let Some(quota) = &mut self.quotas {
                     quota.update_peer(
                         now,
                         Peer {
@@ -101,10 +125,10 @@
                 }
             }
             None => {
-                if let Some(upstream) = &self.routes {
+                if let Some(upstream) = &self.upstream {
                     upstream.borrow_mut().remove_peer(&name);
                 }
-                if let Some(quota) = &mut self.shared {
+                if let Some(quota) = &mut self.quotas {
                     quota.remove_peer(now, &name);
                 }
             }
@@ -112,9 +136,9 @@
     }
 
     fn deliver_payloads(&mut self, now: Timestamp) {
-        for message in self.members.take_subsystem_messages() {
+        for message in self.membership.take_subsystem_messages() {
             let (from, payload) = (&message.from, &message.payload);
-            match (message.subsystem, &mut self.shared, &self.routes) {
+            match (message.subsystem, &mut self.quotas, &self.upstream) {
                 (Subsystem::Quota, Some(quota), _) => quota.handle_datagram(now, from, payload),
                 (Subsystem::Upstream, _, Some(upstream)) => {
                     upstream.borrow_mut().handle_datagram(now, from, payload);
@@ -126,22 +150,22 @@
     }
 
     fn drive_quota(&mut self, now: Timestamp) {
-        if let Some(quota) = &mut self.shared {
+        if let Some(quota) = &mut self.quotas {
             quota.handle_timeout(now);
             for (to, payload) in quota.take_datagrams() {
-                self.members
+                self.membership
                     .send_subsystem_message(&to, Subsystem::Quota, &payload);
             }
         }
     }
 
     fn drive_upstream(&mut self, now: Timestamp) {
-        if let Some(upstream) = &self.routes {
+        if let Some(upstream) = &self.upstream {
             let mut upstream = upstream.borrow_mut();
-            upstream.set_stalled(self.members.is_degraded());
+            upstream.set_stalled(self.membership.is_degraded());
             upstream.handle_timeout(now);
             for (to, payload) in upstream.take_datagrams() {
-                self.members
+                self.membership
                     .send_subsystem_message(&to, Subsystem::Upstream, &payload);
             }
         }
