Server: the test of log lines as a folder, one module a source

Cause: the test had 495 lines in one file, with the readers of the sources and of the pages, the lines of the events and the comparison in one place.

Change: log_lines/main has the checks; source reads the program's sources, pages the operators' pages, events gives the lines of the fleet's events, shape compares. The functions moved unchanged; only visibility and two doc comments were added. docs/on-call.md still names the file under its old path.

--- /dev/null
+++ b/crates/server/tests/log_lines/pages.rs
@@ -0,0 +1,37 @@
+//! Reads what the operators' pages quote.
+
+use crate::QUOTED_LEVELS;
+use std::collections::BTreeSet;
+use std::path::{Path, PathBuf};
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+/// The texts between backticks on a page.
+fn quoted_texts(page: &Path) -> Vec<String> {
+    let text = std::fs::read_to_string(page).expect("a page");
+    let mut quoted = vec![];
+    for line in text.lines().filter(|line| !line.starts_with("    ")) {
+        quoted.extend(line.split('`').skip(1).step_by(2).map(str::to_string));
+    }
+    quoted
+}
+
+/// The lines on the on-call page, each with its level.
+pub fn lines_on_call() -> BTreeSet<String> {
+    let has_level = |text: &String| {
+        let level = text.split_once(' ').map_or("", |(level, _)| level);
+        QUOTED_LEVELS.contains(&level) || level == "DEBUG"
+    };
+    let page = root().join("docs/on-call.md");
+    quoted_texts(&page).into_iter().filter(has_level).collect()
+}
+
+/// All that the operators' pages quote.
+pub fn operators_texts() -> BTreeSet<String> {
+    let pages = std::fs::read_dir(root().join("docs/operators")).expect("the pages");
+    pages
+        .flat_map(|page| quoted_texts(&page.expect("a page").path()))
+        .collect()
+}
