Crossings: the test of an incomplete line waits until the half line was read

Cause: waits_for_rest_of_incomplete_line polled the limit on idling until the connection was no longer notified. If the half line was not read by the second poll, that poll closed the notified connection, which is correct of the server, and the test took the closed connection for a protected one. The test is at fault, not the server. Its last check could also pass before the second half line was read.

Change: the half line is sent in one write behind a health check, whose answer shows that both were read; the shared step serves the sibling test, too. The limit on idling is checked once, and the connection has to be neither notified nor closed. Stricter than before: no notice may come before the result, nothing but the half line protects the connection, and the second half line has to protect it before its protection ends.

--- a/crates/server/tests/crossings/requests_before_end.rs
+++ b/crates/server/tests/crossings/requests_before_end.rs
@@ -1,6 +1,6 @@
 //! Requests that were received before their connection was to end are answered on it.
 
-use super::support::{HEALTH_CHECK, TestServer, request, run_test, wait_until};
+use super::support::{TestServer, request, run_test, wait_until};
 use madderbay::time::{Duration, Timestamp};
 
 /// A request that had arrived when its connection was evicted is answered there.
@@ -80,9 +80,7 @@
         let mut peer = server.connect_checked().await;
         let line = request(2, "quote", 1);
         let (half, rest) = line.split_at(40);
-        // It is sent behind a health check, whose answer shows that it was read.
-        peer.send_at_once(&format!("{HEALTH_CHECK}{half}"));
-        assert!(peer.next_line().await.contains("\"fit\":true"));
+        peer.send_behind_health_check(half).await;
         server
             .core
             .borrow_mut()
@@ -102,32 +100,32 @@
         let mut peer = server.connect_checked().await;
         let line = request(2, "quote", 1);
         let (half, rest) = line.split_at(40);
-        peer.send(half).await;
-        let is_protected = |now: Timestamp| !server.core.borrow_mut().evict_connection(now);
-        // Once the half line was read, the idle connection is no longer notified that it is to end.
-        wait_until(|| {
+        peer.send_behind_health_check(half).await;
+        // It is checked once: a second check would close a connection that was notified by the first.
+        let check_at = server.clock.now() + Duration::from_millis(300);
+        let next_check = {
             let mut core = server.core.borrow_mut();
             let _ = core
                 .connections_mut()
                 .set_idle_limit(Duration::from_millis(200))
                 .count();
-            let idle_until = server.clock.now() + Duration::from_millis(300);
-            core.connections_mut().idle_deadline_reached(idle_until, 1)
-                != Some(idle_until + Duration::from_millis(1_000))
-        })
-        .await;
+            core.connections_mut().idle_deadline_reached(check_at, 1)
+        };
+        assert!(
+            next_check.is_some_and(|next| next != check_at + Duration::from_millis(1_000)),
+            "neither closed nor notified: {next_check:?}"
+        );
+        let is_protected = |now: Timestamp| !server.core.borrow_mut().evict_connection(now);
+        wait_until(|| server.core.borrow().is_quiescent()).await;
         assert!(is_protected(server.clock.now()));
         peer.send(rest).await;
         server.serve_one_request().await;
-        loop {
-            let line = peer.next_line().await;
-            assert!(!line.is_empty());
-            if line.contains("\"id\":2,\"result\"") {
-                break;
-            }
-        }
+        let answer = peer.next_line().await;
+        assert!(answer.contains("\"id\":2,\"result\""), "{answer}");
         // A line that is not continued protects its connection for a bounded time only.
-        peer.send(half).await;
+        peer.send_behind_health_check(half).await;
+        wait_until(|| server.core.borrow().is_quiescent()).await;
+        assert!(is_protected(server.clock.now()));
         wait_until(|| !is_protected(server.clock.now() + Duration::from_millis(60_000))).await;
     });
 }
--- a/crates/server/tests/crossings/support.rs
+++ b/crates/server/tests/crossings/support.rs
@@ -20,7 +20,7 @@
 use tokio::time::timeout;
 
 /// A health check with the id 1.
-pub const HEALTH_CHECK: &str = "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"isWell\"}\n";
+const HEALTH_CHECK: &str = "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"isWell\"}\n";
 
 /// Runs a test on a runtime of one thread, within [`WAIT_TIMEOUT`].
 pub fn run_test(test: impl Future<Output = ()>) {
@@ -148,6 +148,13 @@
         );
     }
 
+    /// Sends text that begins a line behind a health check, in one write. The answer to the check shows that both
+    /// were read.
+    pub async fn send_behind_health_check(&mut self, begun_line: &str) {
+        self.send_at_once(&format!("{HEALTH_CHECK}{begun_line}"));
+        assert!(self.next_line().await.contains("\"fit\":true"));
+    }
+
     /// The next line; empty at the end. Panics on a reset.
     pub async fn next_line(&mut self) -> String {
         let mut line = String::new();
