Process: the engine of the test of the descriptor limit answers throughout

Cause: connections_stay_within_the_descriptor_limit never answered the engine's questions for its gauges. About a second later the program takes such an engine for lost, rejects the requests that wait for it, and evicts a connection that is idle from then on where the test expects a new one to be refused. The program behaves as documented; the test held only where its steps took less than a second.

Change: the engine's link is read on a thread of its own, which answers each question until the counters were logged. The peers stay and SIGTERM is sent only after that. Both counters are now read from the lines that SIGUSR1 asks for, with their exact text; the count of refused connections is also checked at the end, as before.

--- a/crates/server/tests/process/connections.rs
+++ b/crates/server/tests/process/connections.rs
@@ -9,15 +9,52 @@
 use madderbay_testkit::{WAIT_TIMEOUT, registry};
 use std::io::{BufRead, ErrorKind, Read, Write};
 use std::net::TcpStream;
+use std::sync::mpsc::{RecvTimeoutError, Sender, channel};
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
+/// Interval at which the engine's link is read, far below the second after which a silent engine is lost.
+const ANSWER_INTERVAL: Duration = Duration::from_millis(10);
+
+/// An engine that answers each question for its gauges and completes no run, on a thread of its own.
+struct AnsweringEngine {
+    /// Dropped, it ends the thread.
+    stop: Sender<()>,
+    thread: JoinHandle<Peer>,
+}
+
+impl AnsweringEngine {
+    fn start(mut link: Peer) -> AnsweringEngine {
+        let (stop, stopped) = channel();
+        let answer = move || {
+            while stopped.recv_timeout(ANSWER_INTERVAL) == Err(RecvTimeoutError::Timeout) {
+                link.pending();
+            }
+            link
+        };
+        AnsweringEngine {
+            stop,
+            thread: std::thread::spawn(answer),
+        }
+    }
+
+    /// Ends the answers; gives the link, which is still open.
+    fn stop(self) -> Peer {
+        drop(self.stop);
+        self.thread.join().expect("it answered all")
+    }
+}
+
 /// Idle connections give way to new ones; where all carry a request, a new one is closed unread.
 #[test]
 fn connections_stay_within_the_descriptor_limit() {
-    let server = TestServer::start(30);
-    let mut engine = server.accept_engine_link(ATTACH_FROM_START);
+    let mut server = TestServer::start(30);
+    let mut link = server.accept_engine_link(ATTACH_FROM_START);
     // The question for the gauges shows that the greeting was read.
-    assert!(engine.line().contains("STAT"));
+    assert!(link.line().contains("STAT"));
+    link.say(GAUGES);
+    // Requests that wait for a lost engine are rejected, and their connections would be idle.
+    let engine = AnsweringEngine::start(link);
     let check_health = |peer: &mut Peer| {
         peer.say(HEALTH_CHECK);
         assert!(peer.line().contains("\"fit\":true"));
@@ -44,10 +81,17 @@
         "closed unread"
     );
     server.signal("-USR1");
+    // The peers stay until the counters were logged.
+    for counter in ["connections.open 11", "connections.refused 1"] {
+        let name = counter.split(' ').next().expect("a name");
+        assert_eq!(
+            server.log_at(&format!("counter {name} ")),
+            format!("counter {counter}\n")
+        );
+    }
     server.signal("-TERM");
-    drop((busy, engine));
-    let log = server.ended();
-    assert_counters(&log, &["connections.open 11", "connections.refused 1"]);
+    drop((busy, engine.stop()));
+    assert_counters(&server.ended(), &["connections.refused 1"]);
 }
 
 /// The program stops reading from a peer that does not read, and serves the others.
