Server tests: steps that stood twice stand once

Cause: five steps of the tests were written out twice: the players of a directory of scripts, the start of a server of a fleet, a server whose only connection has a running attempt, the drain with one client, and the three listeners of peers that are played by hand.

The assertions are the same. The one text that changed is the heading of fleet.rs's failures, now 'N failures' as in shared.

--- /dev/null
+++ b/crates/server/tests/common/script_players.rs
@@ -0,0 +1,40 @@
+//! Plays the scripts of a directory on real processes, several at the same time.
+
+use madderbay_testkit::fleet::script::Script;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+/// A script with its name.
+pub type NamedScript = (String, Script);
+
+/// Plays all scripts on `players` threads, and panics with every failure once all were played. `play` is given a
+/// script and its index, and gives what failed, one line each.
+pub fn play_all(
+    scripts: &[NamedScript],
+    players: usize,
+    play: impl Fn(usize, &NamedScript) -> Vec<String> + Sync,
+) {
+    let (next, failures) = (AtomicUsize::new(0), Mutex::new(vec![]));
+    let play_next = || {
+        loop {
+            let index = next.fetch_add(1, Ordering::Relaxed);
+            let Some(script) = scripts.get(index) else {
+                return;
+            };
+            let found = play(index, script);
+            failures.lock().expect("a list").extend(found);
+        }
+    };
+    std::thread::scope(|scope| {
+        for _ in 0..players {
+            scope.spawn(play_next);
+        }
+    });
+    let failures = failures.into_inner().expect("a list");
+    assert!(
+        failures.is_empty(),
+        "{} failures:\n{}",
+        failures.len(),
+        failures.join("\n")
+    );
+}
--- a/crates/server/tests/crossings/over_limit.rs
+++ b/crates/server/tests/crossings/over_limit.rs
@@ -5,15 +5,21 @@
 use tokio::io::BufReader;
 use tokio::net::TcpStream;
 
+/// A server whose only connection carries the running attempt 1, sent as this line.
+async fn start_at_limit(line: &str) -> (TestServer, Peer) {
+    let server = TestServer::new(1).await;
+    let mut busy = server.connect_checked().await;
+    busy.send(line).await;
+    wait_until(|| server.core.borrow().in_flight_count() == 1).await;
+    server.run_turn();
+    (server, busy)
+}
+
 /// Where no connection can be evicted, the requests on each further one are rejected, not closed unread.
 #[test]
 fn rejects_requests_on_connections_over_limit() {
     run_test(async {
-        let server = TestServer::new(1).await;
-        let mut busy = server.connect_checked().await;
-        busy.send(&request(2, "quote", 1)).await;
-        wait_until(|| server.core.borrow().in_flight_count() == 1).await;
-        server.run_turn();
+        let (server, mut busy) = start_at_limit(&request(2, "quote", 1)).await;
         let mut peers = vec![];
         for attempt in 2..20 {
             let mut peer = server.connect().await;
@@ -49,7 +55,6 @@
 #[test]
 fn answers_retry_over_limit_with_result_of_first_attempt() {
     run_test(async {
-        let server = TestServer::new(1).await;
         let keyed_request = |id, attempt| {
             let plain = request(id, "book", attempt);
             plain.replace(
@@ -57,10 +62,7 @@
                 "\"replay\":\"00000000000000000000000000000005\",\"room\"",
             )
         };
-        let mut busy = server.connect_checked().await;
-        busy.send(&keyed_request(2, 1)).await;
-        wait_until(|| server.core.borrow().in_flight_count() == 1).await;
-        server.run_turn();
+        let (server, mut busy) = start_at_limit(&keyed_request(2, 1)).await;
         let mut peer = server.connect().await;
         peer.send(&keyed_request(1, 2)).await;
         wait_until(|| server.core.borrow().in_flight_count() == 2).await;
@@ -81,11 +83,7 @@
 #[test]
 fn serves_backlog_over_limit_when_listening_ends() {
     run_test(async {
-        let server = TestServer::new(1).await;
-        let mut busy = server.connect_checked().await;
-        busy.send(&request(2, "quote", 1)).await;
-        wait_until(|| server.core.borrow().in_flight_count() == 1).await;
-        server.run_turn();
+        let (server, _busy) = start_at_limit(&request(2, "quote", 1)).await;
         let mut peers = vec![];
         for attempt in 2..12 {
             let mut stream = std::net::TcpStream::connect(server.address).expect("a connection");
--- a/crates/server/tests/fleet.rs
+++ b/crates/server/tests/fleet.rs
@@ -1,13 +1,13 @@
 //! The scripts of faults under `tests/fleet` of the repository on real processes, whose datagrams pass through relays.
 
 mod common;
+#[path = "common/script_players.rs"]
+mod script_players;
 
 use madderbay_testkit::engine::HandlerWork;
 use madderbay_testkit::fleet::processes::ProcessFleet;
 use madderbay_testkit::fleet::script::{Action, Script, Step, load_scripts, run_script};
 use std::path::Path;
-use std::sync::Mutex;
-use std::sync::atomic::{AtomicUsize, Ordering};
 
 /// Scripts that are played at the same time: few enough that the machine's cores are never the fault that is tested.
 const PLAYERS: usize = 4;
@@ -52,29 +52,11 @@
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../tests/fleet");
     let mut scripts = load_scripts(&folder);
     scripts.retain(|(_, script)| runs_on_processes(script));
-    let (next, failures) = (AtomicUsize::new(0), Mutex::new(vec![]));
-    let play_next = || {
-        loop {
-            let index = next.fetch_add(1, Ordering::Relaxed);
-            let Some((name, script)) = scripts.get(index) else {
-                return;
-            };
-            if let Some(unmet) = play(script, index as u64) {
-                let failure = format!("{name}: {unmet}");
-                failures.lock().expect("a list").push(failure);
-            }
-        }
-    };
-    std::thread::scope(|scope| {
-        for _ in 0..PLAYERS {
-            scope.spawn(play_next);
-        }
+    script_players::play_all(&scripts, PLAYERS, |index, (name, script)| {
+        let unmet = play(script, index as u64);
+        unmet
+            .map(|unmet| format!("{name}: {unmet}"))
+            .into_iter()
+            .collect()
     });
-    let failures = failures.into_inner().expect("a list");
-    assert!(
-        failures.is_empty(),
-        "{} scripts failed:\n{}",
-        failures.len(),
-        failures.join("\n")
-    );
 }
--- a/crates/server/tests/process/serving.rs
+++ b/crates/server/tests/process/serving.rs
@@ -16,6 +16,14 @@
     format!("\"FEED\",\"call\":\"{attempt:016x}\"")
 }
 
+/// Stops the program, which notifies its only client that it leaves; gives the rest of the log.
+fn drain(server: TestServer, mut client: Peer) -> String {
+    server.signal("-TERM");
+    assert!(client.line().contains("leaving"));
+    drop(client);
+    server.ended()
+}
+
 #[test]
 fn serves_across_a_lost_engine_link_and_drains() {
     let server = TestServer::start(128);
@@ -135,10 +143,7 @@
             .contains("\"id\":2,\"error\":{\"code\":-32001")
     );
     complete_without_call(&server, &mut engine, &mut client);
-    server.signal("-TERM");
-    assert!(client.line().contains("leaving"));
-    drop(client);
-    let log = server.ended();
+    let log = drain(server, client);
     assert_counters(
         &log,
         &[
@@ -200,10 +205,7 @@
     engine.say(&completed(3, 1, "AA=="));
     engine.say(&completed(4, 2, "AA=="));
     assert!(client.line().contains("\"result\"") && client.line().contains("\"result\""));
-    server.signal("-TERM");
-    assert!(client.line().contains("leaving"));
-    drop(client);
-    let log = server.ended();
+    let log = drain(server, client);
     assert_counters(
         &log,
         &[
--- a/crates/server/tests/process/shutdown.rs
+++ b/crates/server/tests/process/shutdown.rs
@@ -1,10 +1,10 @@
 //! SIGTERM: the program answers what is open and ends before it is killed.
 
 use crate::support::{
-    ATTACH_FROM_START, HEALTH_CHECK, HELLO_STARTED, LEAVING, TestServer, connect_to, others,
+    ATTACH_FROM_START, HEALTH_CHECK, HELLO_STARTED, LEAVING, PeerListeners, TestServer, connect_to,
     request, start_program, unreachable_others,
 };
-use madderbay_testkit::peer::{Peer, loopback_listener};
+use madderbay_testkit::peer::Peer;
 
 /// A run that does not end is answered before the process ends, and the process ends before it would be killed.
 #[test]
@@ -24,16 +24,11 @@
 /// SIGTERM arrives twice while the engine has not come up and the registry has answered in part.
 #[test]
 fn drain_ends_while_the_engine_is_not_up() {
-    let (engine, catalogue, registry) = (
-        loopback_listener(),
-        loopback_listener(),
-        loopback_listener(),
-    );
-    let others = others(&engine, registry.local_addr().unwrap(), &catalogue);
-    let program = start_program(others, 128);
-    let mut link = Peer::accept(&engine);
+    let peers = PeerListeners::bind();
+    let program = start_program(peers.addresses(), 128);
+    let mut link = Peer::accept(&peers.engine);
     assert_eq!(link.line(), ATTACH_FROM_START);
-    let mut peer = Peer::accept(&registry);
+    let mut peer = Peer::accept(&peers.registry);
     assert!(peer.line().starts_with("PUT "));
     peer.say("HTTP/1.1 2");
     let mut a = connect_to(&program);
--- a/crates/server/tests/process/startup.rs
+++ b/crates/server/tests/process/startup.rs
@@ -2,8 +2,8 @@
 
 use crate::common::SETTINGS;
 use crate::support::{
-    ATTACH_FROM_START, GAUGES, HEALTH_CHECK, HELLO_RUNNING, HELLO_STARTED, LEAVING, STOP_MS,
-    all_at, completed, connect_to, move_to, others, program, request, start_program,
+    ATTACH_FROM_START, GAUGES, HEALTH_CHECK, HELLO_RUNNING, HELLO_STARTED, LEAVING, PeerListeners,
+    STOP_MS, all_at, completed, connect_to, move_to, others, program, request, start_program,
     unreachable_address, unreachable_others,
 };
 use madderbay_testkit::peer::{Peer, loopback_listener};
@@ -143,16 +143,11 @@
 /// refuses before it takes a report. The program is ready soon all the same.
 #[test]
 fn ready_soon_while_peers_break_off() {
-    let (engine, catalogue, registry) = (
-        loopback_listener(),
-        loopback_listener(),
-        loopback_listener(),
-    );
-    let others = others(&engine, registry.local_addr().unwrap(), &catalogue);
-    let program = start_program(others, 128);
+    let peers = PeerListeners::bind();
+    let program = start_program(peers.addresses(), 128);
     let began = Instant::now();
     for broken in ["", "{\"msg\":\"HEL", "}\n"] {
-        let mut link = Peer::accept(&engine);
+        let mut link = Peer::accept(&peers.engine);
         assert_eq!(link.line(), ATTACH_FROM_START);
         link.say(broken);
     }
@@ -162,16 +157,16 @@
         "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n",
         "\u{1}\r\n\r\n",
     ] {
-        let mut peer = Peer::accept(&registry);
+        let mut peer = Peer::accept(&peers.registry);
         assert!(peer.line().starts_with("PUT /v1/instances/n1 "));
         peer.say(broken);
     }
-    let mut link = Peer::accept(&engine);
+    let mut link = Peer::accept(&peers.engine);
     assert_eq!(link.line(), ATTACH_FROM_START);
     link.say(HELLO_STARTED);
     assert!(link.line().contains("STAT"));
     link.say(GAUGES);
-    let mut peer = Peer::accept(&registry);
+    let mut peer = Peer::accept(&peers.registry);
     while peer.line() != "" {}
     assert!(
         peer.bytes(17).ends_with(b"\"ready\"}"),
--- a/crates/server/tests/process/support.rs
+++ b/crates/server/tests/process/support.rs
@@ -109,6 +109,30 @@
     }
 }
 
+/// Where an engine, a catalogue and a registry listen that are played by hand.
+pub struct PeerListeners {
+    pub engine: TcpListener,
+    pub registry: TcpListener,
+    catalogue: TcpListener,
+}
+
+impl PeerListeners {
+    /// Listeners at free ports.
+    pub fn bind() -> PeerListeners {
+        PeerListeners {
+            engine: loopback_listener(),
+            registry: loopback_listener(),
+            catalogue: loopback_listener(),
+        }
+    }
+
+    /// Their addresses.
+    pub fn addresses(&self) -> Dependencies {
+        let registry = self.registry.local_addr().expect("an address");
+        others(&self.engine, registry, &self.catalogue)
+    }
+}
+
 /// An address that nobody listens at: the tests' own ports are never so low.
 pub fn unreachable_address() -> SocketAddr {
     ([127, 77, 0, 1], 1).into()
--- a/crates/server/tests/routes/main.rs
+++ b/crates/server/tests/routes/main.rs
@@ -8,4 +8,6 @@
 mod machine;
 mod partition;
 mod retries;
+#[path = "../common/start.rs"]
+mod start;
 mod support;
--- a/crates/server/tests/routes/retries.rs
+++ b/crates/server/tests/routes/retries.rs
@@ -1,4 +1,4 @@
-//! Retries under a full outage, and calls while the list of backends changes.
+//! Retries under a full outage, and calls while the configured backends change.
 
 use crate::machine::{self, StallMonitor};
 use crate::support::{
--- a/crates/server/tests/routes/support.rs
+++ b/crates/server/tests/routes/support.rs
@@ -3,11 +3,11 @@
 
 use crate::common::SETTINGS;
 use crate::machine::StallMonitor;
-use madderbay::time::Duration;
+use crate::start::start_server;
 use madderbay_testkit::catalogue::{Behavior, Catalogue};
 use madderbay_testkit::engine::HandlerWork;
 use madderbay_testkit::fleet::processes::ProcessFleet;
-use madderbay_testkit::fleet::script::{Action, Condition, Fleet, FleetSetup};
+use madderbay_testkit::fleet::script::{Condition, Fleet, FleetSetup};
 use madderbay_testkit::gate::Gate;
 use madderbay_testkit::load_balancer::{Load, RequestKind, RequestRecord, rule_violations};
 use std::collections::HashMap;
@@ -261,13 +261,7 @@
         *own = format!("[routes]\nenabled = on\n{sections}");
     }
     for server in 0..SERVERS {
-        let start = Action::Start {
-            who: server,
-            name: server,
-            clock: Duration::ZERO,
-            back: false,
-        };
-        servers.act(&start).expect("started");
+        servers.act(&start_server(server)).expect("started");
         monitor.watch(servers.server(server).expect("runs").pid());
     }
     servers
--- a/crates/server/tests/shared/main.rs
+++ b/crates/server/tests/shared/main.rs
@@ -7,5 +7,9 @@
 mod counters;
 #[path = "../common/machine.rs"]
 mod machine;
+#[path = "../common/script_players.rs"]
+mod script_players;
 mod scripts;
+#[path = "../common/start.rs"]
+mod start;
 mod support;
--- a/crates/server/tests/shared/scripts.rs
+++ b/crates/server/tests/shared/scripts.rs
@@ -1,12 +1,11 @@
 //! The scripts of faults under `tests/shared` of the repository, whose datagrams pass through relays.
 
 use crate::machine::{self, StallMonitor};
+use crate::script_players::play_all;
 use crate::support::{WatchedFleet, program, settings, work};
 use madderbay_testkit::fleet::processes::ProcessFleet;
 use madderbay_testkit::fleet::script::{Script, load_scripts, run_script};
 use std::path::Path;
-use std::sync::Mutex;
-use std::sync::atomic::{AtomicUsize, Ordering};
 
 /// Scripts that are played at the same time.
 const PLAYERS: usize = 2;
@@ -40,25 +39,11 @@
 fn every_script_on_real_processes() {
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../tests/shared");
     let scripts = load_scripts(&folder);
-    let (next, failures) = (AtomicUsize::new(0), Mutex::new(vec![]));
-    let play_next = || {
-        while let Some((name, script)) = scripts.get(next.fetch_add(1, Ordering::Relaxed)) {
-            let case = |monitor: &StallMonitor| play(name, script, monitor);
-            if let Err(Failures(found)) = machine::replay_if_stalled(name, case) {
-                failures.lock().expect("a list").extend(found);
-            }
-        }
-    };
-    std::thread::scope(|scope| {
-        for _ in 0..PLAYERS {
-            scope.spawn(play_next);
+    play_all(&scripts, PLAYERS, |_, (name, script)| {
+        let case = |monitor: &StallMonitor| play(name, script, monitor);
+        match machine::replay_if_stalled(name, case) {
+            Ok(()) => vec![],
+            Err(Failures(found)) => found,
         }
     });
-    let failures = failures.into_inner().expect("a list");
-    assert!(
-        failures.is_empty(),
-        "{} failures:\n{}",
-        failures.len(),
-        failures.join("\n")
-    );
 }
--- a/crates/server/tests/shared/support.rs
+++ b/crates/server/tests/shared/support.rs
@@ -2,6 +2,7 @@
 
 use crate::common::SETTINGS;
 use crate::machine::StallMonitor;
+use crate::start::start_server;
 use madderbay::time::Duration;
 use madderbay_testkit::engine::{Engine, HandlerWork};
 use madderbay_testkit::fleet::processes::ProcessFleet;
@@ -68,13 +69,7 @@
     /// Starts this many servers and waits until they agree.
     pub fn start(&mut self, servers: usize) {
         for server in 0..servers {
-            let start = Action::Start {
-                who: server,
-                name: server,
-                clock: Duration::ZERO,
-                back: false,
-            };
-            self.act(&start).expect("started");
+            self.act(&start_server(server)).expect("started");
         }
         self.wait_for(&Condition::Settled);
     }
