Process: the test names the 200 ticks after which a silent engine is lost

Two comments and a local name in the same file used withdrawn words.

Change: the comment says 200 ticks, 2 s. 'told' and 'live' are gone.

--- a/crates/server/tests/process/connections.rs
+++ b/crates/server/tests/process/connections.rs
@@ -13,7 +13,7 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-/// Interval at which the engine's link is read, far below the second after which a silent engine is lost.
+/// Interval at which the engine's link is read, far below the 200 ticks, 2 s, after which a silent engine is lost.
 const ANSWER_INTERVAL: Duration = Duration::from_millis(10);
 
 /// An engine that answers each question for its gauges and completes no run, on a thread of its own.
@@ -136,7 +136,7 @@
     unreachable!("the loop ends by its time")
 }
 
-/// The line that answers an attempt, or nothing once the engine was told to run it.
+/// The line that answers an attempt, or nothing once the engine has the command to run it.
 fn rejection(peer: &mut Peer, attempt: u32, engine: &mut Peer) -> Option<String> {
     let name = format!("{attempt:016x}");
     peer.0.get_ref().set_nonblocking(true).expect("set");
@@ -168,14 +168,14 @@
     assert!(link.line().contains("STAT"));
     link.say(GAUGES);
     let connect = || TcpStream::connect(program.address).expect("a connection");
-    let mut live = Peer::new(connect());
-    live.say(&request(1, "quote", 1, ""));
+    let mut first = Peer::new(connect());
+    first.say(&request(1, "quote", 1, ""));
     assert!(link.command().contains("\"RUN\""));
     let idle: Vec<TcpStream> = (0..40).map(|_| connect()).collect();
     let (mut admitted, attempt) = connect_until_admitted(&program, &mut link);
     link.say(&completed(1, 1, "AA=="));
     link.say(&completed(2, attempt, "AA=="));
-    assert!(live.line().contains("\"id\":1,\"result\""));
+    assert!(first.line().contains("\"id\":1,\"result\""));
     assert!(admitted.line().contains("\"id\":1,\"result\""));
     let descriptors = std::fs::read_dir(format!("/proc/{}/fd", program.pid()))
         .expect("its descriptors")
