Server tests: comments and names in the glossary's words

Change: comments only, and a few local names: a stall of the machine is 'oversleep', a sub-command is no 'order'. The played and the compared lines of the scenarios are unchanged.

--- a/crates/server/tests/common/machine.rs
+++ b/crates/server/tests/common/machine.rs
@@ -1,7 +1,7 @@
 //! Tests with a fleet of processes on a machine that others use too.
 //!
 //! Owns: the limit on fleets that run at the same time within one test program, and the measurement of how long the
-//! machine held a fleet's servers up. Is given: the case and, by the case, the processes to watch. Never eases an
+//! machine stalled a fleet's servers. Is given: the case and, by the case, the processes to watch. Never eases an
 //! assertion: a case that fails on a machine that stalled is played again from the start.
 
 use std::collections::VecDeque;
@@ -16,7 +16,7 @@
 const MAX_FLEETS: usize = 3;
 /// How often a case is played where the machine stalled each time.
 const MAX_PLAYS: u32 = 3;
-/// Span over which stalls are added up: the time within which the cases want a request answered.
+/// Window over which stalls are added up: the time within which the cases want a request answered.
 const WINDOW: Duration = Duration::from_millis(2_000);
 /// Stalls within a window that the cases allow. A pause of all servers of 1 s was measured to cost no request its
 /// answer in time.
@@ -52,7 +52,7 @@
     }
 }
 
-/// Measures how long the machine held up the servers of one case, and this process.
+/// Measures how long the machine stalled the servers of one case, and this process.
 #[derive(Clone, Default)]
 pub struct StallMonitor {
     watched: Arc<Mutex<Vec<u32>>>,
@@ -68,13 +68,13 @@
     /// Samples until the case has ended; gives the longest stall of a server, or of this process, within any window.
     fn run(&self) -> Duration {
         let mut samples: VecDeque<Sample> = VecDeque::new();
-        let mut held_up = Duration::ZERO;
+        let mut oversleep = Duration::ZERO;
         let mut longest = Duration::ZERO;
         while !self.ended.load(Ordering::Relaxed) {
             let slept = Instant::now();
             std::thread::sleep(SAMPLE_INTERVAL);
-            held_up += slept.elapsed().saturating_sub(SAMPLE_INTERVAL);
-            let sample = Sample::take(held_up, &lock(&self.watched));
+            oversleep += slept.elapsed().saturating_sub(SAMPLE_INTERVAL);
+            let sample = Sample::take(oversleep, &lock(&self.watched));
             while samples.front().is_some_and(|s| sample.at - s.at > WINDOW) {
                 samples.pop_front();
             }
@@ -89,16 +89,16 @@
 struct Sample {
     at: Instant,
     /// By how much this process's sleeps were too long, since the start.
-    held_up: Duration,
+    oversleep: Duration,
     /// How long each watched server has waited for a processor since its start, in the order of watching.
     run_queue_waits: Vec<Duration>,
 }
 
 impl Sample {
-    fn take(held_up: Duration, watched: &[u32]) -> Sample {
+    fn take(oversleep: Duration, watched: &[u32]) -> Sample {
         Sample {
             at: Instant::now(),
-            held_up,
+            oversleep,
             run_queue_waits: watched.iter().copied().map(run_queue_wait).collect(),
         }
     }
@@ -106,7 +106,7 @@
     fn stall_since(&self, earlier: &Sample) -> Duration {
         let waits = self.run_queue_waits.iter().zip(&earlier.run_queue_waits);
         let of_servers = waits.map(|(now, before)| now.saturating_sub(*before)).max();
-        let of_this_process = self.held_up - earlier.held_up;
+        let of_this_process = self.oversleep - earlier.oversleep;
         of_servers.unwrap_or_default().max(of_this_process)
     }
 }
@@ -119,7 +119,7 @@
     Duration::from_nanos(nanos.unwrap_or(0))
 }
 
-/// Plays a case once there is room for one more fleet. Where it fails on a machine that stalled for longer than the
+/// Plays a case once one more fleet may run. Where it fails on a machine that stalled for longer than the
 /// cases allow, which says nothing of the servers, it is played again from the start with the same assertions.
 pub fn play(case: impl Fn(&StallMonitor)) {
     let thread = std::thread::current();
@@ -148,7 +148,7 @@
         // Not by a macro, whose text is only seen where the test fails in the end.
         let _ = writeln!(
             std::io::stderr(),
-            "{name:?} failed, play {plays} of {MAX_PLAYS}: the machine held it up for {stall:.2?} of {WINDOW:?}, \
+            "{name:?} failed, play {plays} of {MAX_PLAYS}: the machine stalled it for {stall:.2?} of {WINDOW:?}, \
              {MAX_STALL:?} are allowed",
         );
         if stall <= MAX_STALL || plays == MAX_PLAYS {
--- a/crates/server/tests/crossings/connection_end.rs
+++ b/crates/server/tests/crossings/connection_end.rs
@@ -81,7 +81,7 @@
             .set_linger(Some(StdDuration::ZERO))
             .expect("set");
         drop(stream);
-        // Nothing shows that the task has ended; each sleep gives it at least one turn of the runtime.
+        // Nothing shows that the task has ended; during each sleep the runtime polls it at least once.
         for _ in 0..20 {
             tokio::time::sleep(StdDuration::from_millis(1)).await;
         }
--- a/crates/server/tests/crossings/support.rs
+++ b/crates/server/tests/crossings/support.rs
@@ -137,7 +137,7 @@
             .expect("written");
     }
 
-    /// Sends text without a turn of the runtime: no task has run when the text has arrived.
+    /// Sends text without yielding to the runtime: no task has run when the text has arrived.
     pub fn send_at_once(&mut self, text: &str) {
         assert_eq!(
             self.0
--- a/crates/server/tests/deploy.rs
+++ b/crates/server/tests/deploy.rs
@@ -43,7 +43,7 @@
     }
 }
 
-/// `node` names the folder of every package that the program is built from, and `policy` those of the module.
+/// `node` names the directory of every package that the program is built from, and `policy` those of the module.
 #[test]
 fn node_names_every_folder_of_the_real_server() {
     let root = root().canonicalize().expect("the root");
@@ -128,7 +128,7 @@
     let _ = std::fs::remove_file(path);
 }
 
-/// The operator file that `run` names is whole, turns on pools and the reserve, without which a trip book that
+/// The operator file that `run` names is complete, turns on pools and the reserve, without which a trip book that
 /// slows down is taken for a crowded one, and holds nothing that needs a listener, a disk or others.
 #[test]
 fn run_names_an_operator_file_that_the_platform_allows() {
--- a/crates/server/tests/durable_results/directory.rs
+++ b/crates/server/tests/durable_results/directory.rs
@@ -38,10 +38,10 @@
     assert!(start_error(&setup).contains("No such file"));
 }
 
-/// The exit status and the lines of `madderbay kept` with this order.
-fn query_directory(setup: &TestSetup, order: &str) -> (Option<i32>, Vec<String>) {
+/// The exit status and the output lines of `madderbay kept` with this sub-command.
+fn query_directory(setup: &TestSetup, subcommand: &str) -> (Option<i32>, Vec<String>) {
     let output = Command::new(program())
-        .args(["kept", order])
+        .args(["kept", subcommand])
         .arg(&setup.directory)
         .output()
         .expect("it runs");
--- a/crates/server/tests/log_lines/source.rs
+++ b/crates/server/tests/log_lines/source.rs
@@ -13,7 +13,7 @@
     pub text: String,
 }
 
-/// The files of the program in a directory and those below it, without its tests.
+/// The files of the program in a directory and its subdirectories, without its tests.
 fn source_files(directory: &Path, files: &mut Vec<PathBuf>) {
     for entry in std::fs::read_dir(directory).expect("a directory of the sources") {
         let path = entry.expect("an entry").path();
--- a/crates/server/tests/process/operator_file.rs
+++ b/crates/server/tests/process/operator_file.rs
@@ -1,4 +1,4 @@
-//! The operator file is checked as a whole before anything starts.
+//! The complete operator file is checked before anything starts.
 
 use crate::common::SETTINGS;
 use crate::support::{STOP_MS, all_at, program};
--- a/crates/server/tests/routes/main.rs
+++ b/crates/server/tests/routes/main.rs
@@ -1,4 +1,4 @@
-//! Real servers over many backends: which backend is ejected, that the fleet hears of it, that nothing runs twice,
+//! Real servers over many backends: which backend is ejected, that the verdict spreads in the fleet, that nothing runs twice,
 //! and the rules of each request meanwhile. `crates/upstream/tests/simulated_fleet.rs` plays many more cases simulated.
 
 #[path = "../common/mod.rs"]
--- a/crates/server/tests/routes/support.rs
+++ b/crates/server/tests/routes/support.rs
@@ -267,7 +267,7 @@
     servers
 }
 
-/// No request with an idempotency key has had its call done at two backends, or twice at one.
+/// Asserts that no request with an idempotency key has had its call done at two backends, or twice at one.
 fn assert_called_once(backends: &[Catalogue], records: &[RequestRecord]) {
     let mut calls: HashMap<String, u32> = HashMap::new();
     for backend in backends {
--- a/crates/server/tests/scenarios/main.rs
+++ b/crates/server/tests/scenarios/main.rs
@@ -1,5 +1,5 @@
-//! Plays every `.txt` file of this folder twice: with each feed whole, then cut at every byte. [`step`] has the
-//! grammar of their lines.
+//! Plays every `.txt` file of this directory twice: with each feed in one piece, then cut at every byte. [`step`] has
+//! the grammar of their lines.
 
 #[path = "../common/mod.rs"]
 mod common;
@@ -10,8 +10,8 @@
 use std::path::{Path, PathBuf};
 
 fn scenario_files() -> Vec<PathBuf> {
-    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/scenarios");
-    let mut files: Vec<PathBuf> = std::fs::read_dir(folder)
+    let directory = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/scenarios");
+    let mut files: Vec<PathBuf> = std::fs::read_dir(directory)
         .expect("the scenarios")
         .map(|file| file.expect("a file").path())
         .filter(|path| path.extension().is_some_and(|e| e == "txt"))
