Scenarios of the server: the words request, unwritable and durable in their grammar

Cause: the lines of the scenarios still began with the withdrawn words req, deaf and kept.

Change: 'a req 7 book' is 'a request 7 book', 'c1 deaf' is 'c1 unwritable', 'kept' is 'durable'; the player's field and method follow. Counters and lines on the wire are as they were. A line with an old word fails as unknown.

--- a/crates/server/tests/scenarios/player.rs
+++ b/crates/server/tests/scenarios/player.rs
@@ -80,7 +80,7 @@
     /// What is written is durable at once.
     disk_is_quick: bool,
     /// The peer to which nothing can be written.
-    deaf_peer: Option<String>,
+    unwritable_peer: Option<String>,
     /// How late timers are seen to.
     pub timer_delay: Duration,
     calls: Vec<CallConnection>,
@@ -101,7 +101,7 @@
             engine_is_mute: false,
             disk: None,
             disk_is_quick: true,
-            deaf_peer: None,
+            unwritable_peer: None,
             timer_delay: Duration::ZERO,
             calls: vec![],
             sent: HashMap::new(),
@@ -242,7 +242,7 @@
     fn collect_sent(&mut self) -> Vec<String> {
         let mut cookies = vec![];
         for (peer, outbox) in self.outboxes() {
-            if self.deaf_peer.as_ref() == Some(&peer) {
+            if self.unwritable_peer.as_ref() == Some(&peer) {
                 continue;
             }
             let text = String::from_utf8(outbox.take()).expect("text");
@@ -320,8 +320,8 @@
     }
 
     /// From now on nothing can be written to a peer.
-    pub fn make_deaf(&mut self, peer: &str) {
-        self.deaf_peer = Some(peer.to_string());
+    pub fn make_unwritable(&mut self, peer: &str) {
+        self.unwritable_peer = Some(peer.to_string());
     }
 
     /// From now on the engine answers no question for its gauges.
--- a/crates/server/tests/scenarios/step.rs
+++ b/crates/server/tests/scenarios/step.rs
@@ -4,19 +4,19 @@
 //!
 //! ```text
 //! @250ms                       the clock is set to 250 ms after the start; timers run on the way
-//! a req 7 book ref=1 replay=2  a request as a line of JSON-RPC (`since=`, `allow=` in ms; `room=`, `project=`,
+//! a request 7 book ref=1 replay=2    a request as a line of JSON-RPC (`since=`, `allow=` in ms; `room=`, `project=`,
 //!                              `sender=`, `effort=`, `class_rank=`, `bytes=` as they stand on the wire)
 //! a> {...}   or   e> {...}     a line from a peer as it stands
 //! c1= 0000000000000001 DATA 3 abc    a reply with its body
 //! a endless                    40,000 bytes of a line without an end
 //! a lost                       the connection breaks, `c1 lost` alike; `a end`: the peer sends no more
 //! e lost   e link              the engine's link breaks; a new one is made
-//! c1 deaf                      nothing more can be written to it
+//! c1 unwritable                nothing more can be written to it
 //! c moved                      the catalogue has another address
 //! e mute   e speak             the engine answers no question for its gauges; it answers again
 //! crowd                        one more connection would exceed the limit: one is evicted, if any may be
 //! leave 3200ms                 notice to drain
-//! kept                         results are durable, on a quick disk: what is written is durable at once
+//! durable                      results are durable, on a quick disk: what is written is durable at once
 //! disk holds   disk lasts   disk fails    writes wait; all that wait succeed; all of them fail
 //! late 3ms                     timers fire that late from now on
 //! a< {...}                     the next line out to a peer, byte for byte; questions for gauges are left out
@@ -183,7 +183,7 @@
 /// Plays what happens to the server, or to the peer that is its subject.
 fn play_event(player: &mut ScenarioPlayer, subject: &str, words: &[&str]) -> Result<(), Mismatch> {
     match (subject, words) {
-        ("kept", _) => player.make_results_durable(),
+        ("durable", _) => player.make_results_durable(),
         ("disk", [how, ..]) => {
             player.hold_writes();
             if *how != "holds" {
@@ -199,11 +199,11 @@
             let now = player.now();
             player.core.drain(now, Duration::from_millis(millis(left)));
         }
-        (peer, ["req", request @ ..]) => feed_request(player, peer, request),
+        (peer, ["request", request @ ..]) => feed_request(player, peer, request),
         (peer, ["lost", ..]) => player.disconnect(peer),
         (peer, ["end", ..]) => player.end_input(peer),
         (peer, ["endless", ..]) => player.feed(peer, &[b'x'; ENDLESS_LINE_BYTES]),
-        (peer, ["deaf", ..]) => player.make_deaf(peer),
+        (peer, ["unwritable", ..]) => player.make_unwritable(peer),
         (_, ["link", ..]) => player.link_engine(),
         (_, ["moved", ..]) => {
             let now = player.now();
