--- a/crates/server/tests/routes/support.rs
+++ b/crates/server/tests/routes/support.rs
@@ -3,11 +3,11 @@
 
 use crate::common::SETTINGS;
 use crate::machine::StallMonitor;
-use madderbay::time::Duration;
+use crate::start::start_server;
 use madderbay_testkit::catalogue::{Behavior, Catalogue};
 use madderbay_testkit::engine::HandlerWork;
 use madderbay_testkit::fleet::processes::ProcessFleet;
-use madderbay_testkit::fleet::script::{Action, Condition, Fleet, FleetSetup};
+use madderbay_testkit::fleet::script::{Condition, Fleet, FleetSetup};
 use madderbay_testkit::gate::Gate;
 use madderbay_testkit::load_balancer::{Load, RequestKind, RequestRecord, rule_violations};
 use std::collections::HashMap;
@@ -261,19 +261,13 @@
         *own = format!("[routes]\nenabled = on\n{sections}");
     }
     for server in 0..SERVERS {
-        let start = Action::Start {
-            who: server,
-            name: server,
-            clock: Duration::ZERO,
-            back: false,
-        };
-        servers.act(&start).expect("started");
+        servers.act(&start_server(server)).expect("started");
         monitor.watch(servers.server(server).expect("runs").pid());
     }
     servers
 }
 
-/// No request with an idempotency key has had its call done at two backends, or twice at one.
+/// Asserts that no request with an idempotency key has had its call done at two backends, or twice at one.
 fn assert_called_once(backends: &[Catalogue], records: &[RequestRecord]) {
     let mut calls: HashMap<String, u32> = HashMap::new();
     for backend in backends {
