--- a/crates/server/tests/common/machine.rs
+++ b/crates/server/tests/common/machine.rs
@@ -54,14 +54,14 @@
 
 /// Measures how long the machine stalled the servers of one case, and this process.
 #[derive(Clone, Default)]
-pub struct StallMonitor {
+pub(crate) struct StallMonitor {
     watched: Arc<Mutex<Vec<u32>>>,
     ended: Arc<AtomicBool>,
 }
 
 impl StallMonitor {
     /// Watches one more server, by its process id.
-    pub fn watch(&self, pid: u32) {
+    pub(crate) fn watch(&self, pid: u32) {
         lock(&self.watched).push(pid);
     }
 
@@ -121,7 +121,7 @@
 
 /// Plays a case once one more fleet may run. Where it fails on a machine that stalled for longer than the
 /// cases allow, which says nothing of the servers, it is played again from the start with the same assertions.
-pub fn play(case: impl Fn(&StallMonitor)) {
+pub(crate) fn play(case: impl Fn(&StallMonitor)) {
     let thread = std::thread::current();
     let name = thread.name().unwrap_or_default();
     let case = |monitor: &StallMonitor| catch_unwind(AssertUnwindSafe(|| case(monitor)));
@@ -134,7 +134,7 @@
 ///
 /// # Errors
 /// The failure of the last play.
-pub fn replay_if_stalled<E>(
+pub(crate) fn replay_if_stalled<E>(
     name: &str,
     case: impl Fn(&StallMonitor) -> Result<(), E>,
 ) -> Result<(), E> {
--- a/crates/server/tests/common/mod.rs
+++ b/crates/server/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! What the server's tests share: their settings.
 
 /// `search` may run again and skip its call, `quote` calls nothing, `book` runs once within its window.
-pub const SETTINGS: &str = r#"{"classes": [
+pub(crate) const SETTINGS: &str = r#"{"classes": [
  {"name": "search", "aim_us": 4000000, "hard_limit_us": 8000000, "importance": 1.0, "effect": "read_like"},
  {"name": "quote", "aim_us": 2000000, "hard_limit_us": 8000000, "importance": 1.0, "effect": "read_like"},
  {"name": "book", "aim_us": 3000000, "hard_limit_us": 8000000, "importance": 3.0, "effect": "idempotency_key",
--- a/crates/server/tests/common/script_players.rs
+++ b/crates/server/tests/common/script_players.rs
@@ -5,11 +5,11 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 /// A script with its name.
-pub type NamedScript = (String, Script);
+pub(crate) type NamedScript = (String, Script);
 
 /// Plays all scripts on `players` threads, and panics with every failure once all were played. `play` is given a
 /// script and its index, and gives what failed, one line each.
-pub fn play_all(
+pub(crate) fn play_all(
     scripts: &[NamedScript],
     players: usize,
     play: impl Fn(usize, &NamedScript) -> Vec<String> + Sync,
--- a/crates/server/tests/common/start.rs
+++ b/crates/server/tests/common/start.rs
@@ -4,7 +4,7 @@
 use madderbay_testkit::fleet::script::Action;
 
 /// Starts a server for the first time, under its own name and on an exact clock.
-pub fn start_server(server: usize) -> Action {
+pub(crate) fn start_server(server: usize) -> Action {
     Action::Start {
         who: server,
         name: server,
--- a/crates/server/tests/crossings/support.rs
+++ b/crates/server/tests/crossings/support.rs
@@ -23,7 +23,7 @@
 const HEALTH_CHECK: &str = "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"isWell\"}\n";
 
 /// Runs a test on a runtime of one thread, within [`WAIT_TIMEOUT`].
-pub fn run_test(test: impl Future<Output = ()>) {
+pub(crate) fn run_test(test: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -31,12 +31,12 @@
     LocalSet::new().block_on(&runtime, async {
         timeout(WAIT_TIMEOUT, test)
             .await
-            .expect("the test ends in time")
+            .expect("the test ends in time");
     });
 }
 
 /// A server's core behind a listener, with an engine that is up and completes no run by itself.
-pub struct TestServer {
+pub(crate) struct TestServer {
     pub core: SharedEventLoop,
     pub clock: Rc<Clock>,
     pub address: SocketAddr,
@@ -48,7 +48,7 @@
 
 impl TestServer {
     /// Starts a server that keeps this many connections.
-    pub async fn new(max_connections: usize) -> TestServer {
+    pub(crate) async fn new(max_connections: usize) -> TestServer {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("an address");
         let settings = madderbay_settings::read(SETTINGS.as_bytes()).expect("settings");
@@ -77,12 +77,12 @@
     }
 
     /// Lets the core settle what has come.
-    pub fn run_turn(&self) {
+    pub(crate) fn run_turn(&self) {
         self.core.borrow_mut().run_turn(self.clock.now());
     }
 
     /// The engine reports that the run of an attempt has completed.
-    pub fn complete_run(&self, attempt: u64) {
+    pub(crate) fn complete_run(&self, attempt: u64) {
         self.core.borrow_mut().run_over(
             self.clock.now(),
             &attempt_name(attempt),
@@ -93,21 +93,21 @@
     }
 
     /// Waits for the attempt 1, starts and completes its run.
-    pub async fn serve_one_request(&self) {
+    pub(crate) async fn serve_one_request(&self) {
         wait_until(|| self.core.borrow().in_flight_count() == 1).await;
         self.run_turn();
         self.complete_run(1);
     }
 
     /// Serves the request 2, whose answer is the last line on its connection.
-    pub async fn serve_last_request(&self, peer: &mut Peer) {
+    pub(crate) async fn serve_last_request(&self, peer: &mut Peer) {
         self.serve_one_request().await;
         assert!(peer.next_line().await.contains("\"id\":2,\"result\""));
         assert_eq!(peer.next_line().await, "");
     }
 
     /// A new connection.
-    pub async fn connect(&self) -> Peer {
+    pub(crate) async fn connect(&self) -> Peer {
         Peer(BufReader::new(
             TcpStream::connect(self.address)
                 .await
@@ -116,7 +116,7 @@
     }
 
     /// A new connection on which a health check was answered.
-    pub async fn connect_checked(&self) -> Peer {
+    pub(crate) async fn connect_checked(&self) -> Peer {
         let mut peer = self.connect().await;
         peer.send(HEALTH_CHECK).await;
         assert!(peer.next_line().await.contains("\"fit\":true"));
@@ -125,11 +125,11 @@
 }
 
 /// A load balancer's side of a connection.
-pub struct Peer(pub BufReader<TcpStream>);
+pub(crate) struct Peer(pub BufReader<TcpStream>);
 
 impl Peer {
     /// Sends text.
-    pub async fn send(&mut self, text: &str) {
+    pub(crate) async fn send(&mut self, text: &str) {
         self.0
             .get_mut()
             .write_all(text.as_bytes())
@@ -138,7 +138,7 @@
     }
 
     /// Sends text without yielding to the runtime: no task has run when the text has arrived.
-    pub fn send_at_once(&mut self, text: &str) {
+    pub(crate) fn send_at_once(&mut self, text: &str) {
         assert_eq!(
             self.0
                 .get_mut()
@@ -150,32 +150,32 @@
 
     /// Sends text that begins a line behind a health check, in one write. The answer to the check shows that both
     /// were read.
-    pub async fn send_behind_health_check(&mut self, begun_line: &str) {
+    pub(crate) async fn send_behind_health_check(&mut self, begun_line: &str) {
         self.send_at_once(&format!("{HEALTH_CHECK}{begun_line}"));
         assert!(self.next_line().await.contains("\"fit\":true"));
     }
 
     /// The next line; empty at the end. Panics on a reset.
-    pub async fn next_line(&mut self) -> String {
+    pub(crate) async fn next_line(&mut self) -> String {
         let mut line = String::new();
         self.0.read_line(&mut line).await.expect("no reset");
         line.trim_end().to_string()
     }
 
     /// All that comes until the end.
-    pub async fn read_to_end(&mut self) -> std::io::Result<String> {
+    pub(crate) async fn read_to_end(&mut self) -> std::io::Result<String> {
         let mut text = String::new();
         self.0.read_to_string(&mut text).await.map(|_| text)
     }
 }
 
 /// The line of a request with a short body.
-pub fn request(id: u64, method: &str, attempt: u64) -> String {
+pub(crate) fn request(id: u64, method: &str, attempt: u64) -> String {
     request_with_body(id, method, attempt, "\"QUJD\"")
 }
 
 /// The line of a request with a body, a JSON string with its quotes.
-pub fn request_with_body(id: u64, method: &str, attempt: u64, bytes: &str) -> String {
+pub(crate) fn request_with_body(id: u64, method: &str, attempt: u64, bytes: &str) -> String {
     let now = unix_ms();
     format!(
         "{{\"jsonrpc\":\"2.0\",\"id\":{id},\"method\":\"{method}\",\"params\":{{\"ref\":\"{attempt:016x}\",\
@@ -184,14 +184,14 @@
 }
 
 /// Waits until a condition is met.
-pub async fn wait_until(mut is_met: impl FnMut() -> bool) {
+pub(crate) async fn wait_until(mut is_met: impl FnMut() -> bool) {
     while !is_met() {
         tokio::time::sleep(StdDuration::from_millis(1)).await;
     }
 }
 
 /// The name of an attempt on the wires.
-pub fn attempt_name(attempt: u64) -> [u8; 16] {
+pub(crate) fn attempt_name(attempt: u64) -> [u8; 16] {
     format!("{attempt:016x}")
         .into_bytes()
         .try_into()
--- a/crates/server/tests/durable_results/support.rs
+++ b/crates/server/tests/durable_results/support.rs
@@ -9,10 +9,10 @@
 use std::sync::mpsc::Receiver;
 
 /// Window of an idempotency key that no test outlasts, in microseconds.
-pub const LONG_WINDOW_MICROS: u64 = 30_000_000;
+pub(crate) const LONG_WINDOW_MICROS: u64 = 30_000_000;
 
 /// A directory of results, an engine's listener, and the files to start the program with.
-pub struct TestSetup {
+pub(crate) struct TestSetup {
     pub directory: PathBuf,
     /// Text of the operator file.
     pub operator: String,
@@ -23,13 +23,13 @@
 }
 
 /// The program under test.
-pub fn program() -> &'static Path {
+pub(crate) fn program() -> &'static Path {
     Path::new(env!("CARGO_BIN_EXE_madderbay"))
 }
 
 impl TestSetup {
     /// An empty directory, with this window for idempotency keys and these further lines of its operator section.
-    pub fn new(window_micros: u64, operator_lines: &str) -> TestSetup {
+    pub(crate) fn new(window_micros: u64, operator_lines: &str) -> TestSetup {
         let directory = write_config("");
         std::fs::remove_file(&directory).expect("removed");
         std::fs::create_dir(&directory).expect("made");
@@ -60,7 +60,7 @@
     }
 
     /// Starts the program, links the engine and answers the first question for its gauges.
-    pub fn start(&self) -> (Server, Peer) {
+    pub(crate) fn start(&self) -> (Server, Peer) {
         let server = self.start_program();
         let mut engine = Peer::accept(&self.engine);
         assert_eq!(engine.line(), "{\"msg\":\"ATTACH\",\"serial\":0}");
@@ -72,12 +72,12 @@
     }
 
     /// Starts the program alone.
-    pub fn start_program(&self) -> Server {
+    pub(crate) fn start_program(&self) -> Server {
         Server::start(program(), &self.config, Some(&self.operator))
     }
 
     /// Writes the configuration and the operator file.
-    pub fn write_files(&self) -> ConfigFiles {
+    pub(crate) fn write_files(&self) -> ConfigFiles {
         ConfigFiles {
             config: write_config(&self.config),
             operator: write_config(&self.operator),
@@ -92,14 +92,14 @@
 }
 
 /// The files of a program that a test starts by itself.
-pub struct ConfigFiles {
+pub(crate) struct ConfigFiles {
     pub config: PathBuf,
     pub operator: PathBuf,
 }
 
 impl ConfigFiles {
     /// Removes both files.
-    pub fn remove(self) {
+    pub(crate) fn remove(self) {
         for file in [self.config, self.operator] {
             std::fs::remove_file(file).expect("removed");
         }
@@ -107,12 +107,12 @@
 }
 
 /// A new connection of a load balancer.
-pub fn connect(server: &Server) -> Peer {
+pub(crate) fn connect(server: &Server) -> Peer {
     Peer::new(TcpStream::connect(server.address).expect("a connection"))
 }
 
 /// The line of a request with an idempotency key.
-pub fn booking(id: u32, attempt: u32, key: &str, body: &str) -> String {
+pub(crate) fn booking(id: u32, attempt: u32, key: &str, body: &str) -> String {
     let now = unix_ms();
     format!(
         "{{\"jsonrpc\":\"2.0\",\"id\":{id},\"method\":\"book\",\"params\":{{\"ref\":\"{attempt:016x}\",\
@@ -122,7 +122,7 @@
 }
 
 /// The engine's notice that a run has completed.
-pub fn completed(serial: u32, attempt: u32, blob: &str) -> String {
+pub(crate) fn completed(serial: u32, attempt: u32, blob: &str) -> String {
     format!(
         "{{\"msg\":\"DONE\",\"serial\":{serial},\"call\":\"{attempt:016x}\",\"how\":\"good\",\"duration\":9,\
          \"blob\":\"{blob}\"}}\n"
@@ -130,7 +130,7 @@
 }
 
 /// Runs and completes the first attempt of the key 5.
-pub fn complete_booking(client: &mut Peer, engine: &mut Peer) {
+pub(crate) fn complete_booking(client: &mut Peer, engine: &mut Peer) {
     client.say(&booking(1, 1, "5", "QUJD"));
     assert!(
         engine
@@ -142,13 +142,13 @@
 }
 
 /// Kills a program whose engine loses its link with it.
-pub fn kill(server: Server, engine: Peer) {
+pub(crate) fn kill(server: Server, engine: Peer) {
     server.signal("-KILL");
     drop((server, engine));
 }
 
 /// Asserts that nothing else is run: the next command, questions apart, is the run of a request sent now.
-pub fn assert_nothing_runs(engine: &mut Peer, client: &mut Peer, id: u32) {
+pub(crate) fn assert_nothing_runs(engine: &mut Peer, client: &mut Peer, id: u32) {
     client.say(&format!(
         "{{\"jsonrpc\":\"2.0\",\"id\":{id},\"method\":\"quote\",\"params\":{{\"ref\":\
                         \"{id:016x}\",\"since\":{},\"sender\":4,\"project\":\"acme\",\"allow\":8000,\
--- a/crates/server/tests/log_lines/events.rs
+++ b/crates/server/tests/log_lines/events.rs
@@ -145,7 +145,7 @@
 }
 
 /// One line for each event, without its level.
-pub fn events() -> Vec<String> {
+pub(crate) fn events() -> Vec<String> {
     [
         membership_events(),
         quota_events(),
--- a/crates/server/tests/log_lines/shape.rs
+++ b/crates/server/tests/log_lines/shape.rs
@@ -13,7 +13,7 @@
 }
 
 /// Whether the text is `component: event, key=value, key=value`, each value accepted by `is_value`.
-pub fn has_shape(text: &str, is_value: impl Fn(&str) -> bool) -> bool {
+pub(crate) fn has_shape(text: &str, is_value: impl Fn(&str) -> bool) -> bool {
     let Some((component, rest)) = text.split_once(": ") else {
         return false;
     };
@@ -27,7 +27,7 @@
 }
 
 /// The line with `...` in place of each value.
-pub fn normalised(line: &str) -> String {
+pub(crate) fn normalised(line: &str) -> String {
     let without_value = |part: &str| match part.split_once('=') {
         Some((key, _)) if is_key(key) => format!("{key}={ANY}"),
         _ => part.to_string(),
@@ -37,7 +37,7 @@
 }
 
 /// Whether a line of a page is this line: its values don't count, and `...` in its event stands for any word.
-pub fn quotes(quoted: &str, line: &str) -> bool {
+pub(crate) fn quotes(quoted: &str, line: &str) -> bool {
     let (quoted, line) = (normalised(quoted), normalised(line));
     let (quoted, line): (Vec<_>, Vec<_>) = (quoted.split(' ').collect(), line.split(' ').collect());
     let is_same = |(quoted, word): (&&str, &&str)| {
--- a/crates/server/tests/log_lines/source.rs
+++ b/crates/server/tests/log_lines/source.rs
@@ -6,7 +6,7 @@
 use std::path::{Path, PathBuf};
 
 /// A line with its level, as it stands in the source.
-pub struct SourceLine {
+pub(crate) struct SourceLine {
     /// File and line number.
     pub place: String,
     pub level: String,
@@ -93,7 +93,7 @@
 }
 
 /// The lines of all files of the program.
-pub fn source_lines() -> Vec<SourceLine> {
+pub(crate) fn source_lines() -> Vec<SourceLine> {
     let mut files = vec![];
     source_files(
         &Path::new(env!("CARGO_MANIFEST_DIR")).join("src"),
@@ -113,7 +113,7 @@
 }
 
 /// Whether a line only puts a component before an event of the fleet's crates.
-pub fn passes_event_on(text: &str) -> bool {
+pub(crate) fn passes_event_on(text: &str) -> bool {
     let line = text.split_once(": ");
     line.is_some_and(|(component, event)| {
         EVENT_COMPONENTS.contains(&component) && is_placeholder(event)
--- a/crates/server/tests/members/support.rs
+++ b/crates/server/tests/members/support.rs
@@ -18,12 +18,12 @@
 const REQUESTS_PER_SECOND: f64 = 60.0;
 
 /// The program under test.
-pub fn program() -> &'static Path {
+pub(crate) fn program() -> &'static Path {
     Path::new(env!("CARGO_BIN_EXE_madderbay"))
 }
 
 /// A fleet on which a script was run, every condition of which was met.
-pub fn start_fleet(script: &str) -> ProcessFleet {
+pub(crate) fn start_fleet(script: &str) -> ProcessFleet {
     let work = |handler: &str, calls| HandlerWork {
         handler: handler.into(),
         ms: (2.0, 6.0),
@@ -41,14 +41,14 @@
 }
 
 /// Has a fleet's first servers watched for stalls of the machine.
-pub fn watch(fleet: &ProcessFleet, servers: usize, monitor: &StallMonitor) {
+pub(crate) fn watch(fleet: &ProcessFleet, servers: usize, monitor: &StallMonitor) {
     for server in 0..servers {
         monitor.watch(fleet.server(server).expect("it runs").pid());
     }
 }
 
 /// Runs `madderbay members` on a control socket.
-pub fn query_cli(socket: &Path, flags: &[&str]) -> Output {
+pub(crate) fn query_cli(socket: &Path, flags: &[&str]) -> Output {
     command(program(), None)
         .args(["members", "--socket"])
         .arg(socket)
@@ -59,14 +59,14 @@
 }
 
 /// An empty directory of this test program.
-pub fn temporary_directory(name: &str) -> PathBuf {
+pub(crate) fn temporary_directory(name: &str) -> PathBuf {
     let directory = std::env::temp_dir().join(format!("madderbay-{name}-{}", std::process::id()));
     std::fs::create_dir_all(&directory).expect("a directory");
     directory
 }
 
 /// The configuration of a server without an engine or a fleet, and the reports that its registry gets.
-pub fn lone_configuration() -> (String, Receiver<String>) {
+pub(crate) fn lone_configuration() -> (String, Receiver<String>) {
     let (registry, reports) = registry::start();
     let others = Dependencies {
         engine: registry,
@@ -80,12 +80,12 @@
 }
 
 /// The operator file of a server with only a control socket.
-pub fn control_section(socket: &Path) -> String {
+pub(crate) fn control_section(socket: &Path) -> String {
     format!("[control]\nsocket = {}\n", socket.display())
 }
 
 /// Starts a server that has only a control socket.
-pub fn start_with_control_socket(socket: &Path) -> Server {
+pub(crate) fn start_with_control_socket(socket: &Path) -> Server {
     let (text, reports) = lone_configuration();
     // The registry's thread runs as long as somebody may read its reports.
     std::mem::forget(reports);
@@ -108,14 +108,14 @@
 }
 
 /// What a load found.
-pub struct LoadResult {
+pub(crate) struct LoadResult {
     pub requests: usize,
     /// One text for each rule that was broken.
     pub violations: Vec<String>,
 }
 
 /// Puts load on one server for some seconds.
-pub fn run_load(server: SocketAddr, engine: &Engine, seconds: u64, seed: u64) -> LoadResult {
+pub(crate) fn run_load(server: SocketAddr, engine: &Engine, seconds: u64, seed: u64) -> LoadResult {
     let load = Load {
         kinds: request_kinds(),
         rates: vec![(StdDuration::ZERO, REQUESTS_PER_SECOND)],
--- a/crates/server/tests/process/support.rs
+++ b/crates/server/tests/process/support.rs
@@ -10,22 +10,22 @@
 use std::sync::mpsc::Receiver;
 
 /// Milliseconds from SIGTERM to SIGKILL, as the configuration states them.
-pub const STOP_MS: u64 = 800;
+pub(crate) const STOP_MS: u64 = 800;
 /// First line on an engine link of a program that has read no notice yet.
-pub const ATTACH_FROM_START: &str = "{\"msg\":\"ATTACH\",\"serial\":0}";
+pub(crate) const ATTACH_FROM_START: &str = "{\"msg\":\"ATTACH\",\"serial\":0}";
 /// Greeting of an engine that has been up for an hour.
-pub const HELLO_RUNNING: &str = "{\"msg\":\"HELLO\",\"how\":\"old\",\"duration\":3600000}\n";
+pub(crate) const HELLO_RUNNING: &str = "{\"msg\":\"HELLO\",\"how\":\"old\",\"duration\":3600000}\n";
 /// Greeting of an engine that has just started.
-pub const HELLO_STARTED: &str = "{\"msg\":\"HELLO\",\"how\":\"new\",\"duration\":10}\n";
+pub(crate) const HELLO_STARTED: &str = "{\"msg\":\"HELLO\",\"how\":\"new\",\"duration\":10}\n";
 /// Answer to the first question for the gauges.
-pub const GAUGES: &str = "{\"msg\":\"STATS\",\"cookie\":\"1\",\"stats\":[0.1,1,0.1,1]}\n";
+pub(crate) const GAUGES: &str = "{\"msg\":\"STATS\",\"cookie\":\"1\",\"stats\":[0.1,1,0.1,1]}\n";
 /// A load balancer's health check.
-pub const HEALTH_CHECK: &str = "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"isWell\"}\n";
+pub(crate) const HEALTH_CHECK: &str = "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"isWell\"}\n";
 /// What every connection is sent when the program drains.
-pub const LEAVING: &str = "{\"jsonrpc\":\"2.0\",\"method\":\"leaving\"}";
+pub(crate) const LEAVING: &str = "{\"jsonrpc\":\"2.0\",\"method\":\"leaving\"}";
 
 /// The program between an engine and a catalogue that are played by hand.
-pub struct TestServer {
+pub(crate) struct TestServer {
     program: Program,
     engine: TcpListener,
     pub catalogue: TcpListener,
@@ -47,12 +47,12 @@
 
 impl TestServer {
     /// Starts the program with this limit on descriptors and no operator file.
-    pub fn start(descriptors: usize) -> TestServer {
+    pub(crate) fn start(descriptors: usize) -> TestServer {
         TestServer::start_program(descriptors, None)
     }
 
     /// Starts the program with an operator file of this text.
-    pub fn start_with_operator_file(descriptors: usize, operator: &str) -> TestServer {
+    pub(crate) fn start_with_operator_file(descriptors: usize, operator: &str) -> TestServer {
         TestServer::start_program(descriptors, Some(operator))
     }
 
@@ -71,7 +71,7 @@
     }
 
     /// Accepts the engine link, whose first line has to be `attach`, and greets it.
-    pub fn accept_engine_link(&self, attach: &str) -> Peer {
+    pub(crate) fn accept_engine_link(&self, attach: &str) -> Peer {
         let mut engine = Peer::accept(&self.engine);
         assert_eq!(engine.line(), attach);
         engine.say(HELLO_RUNNING);
@@ -79,28 +79,32 @@
     }
 
     /// A new connection of a load balancer.
-    pub fn connect(&self) -> Peer {
+    pub(crate) fn connect(&self) -> Peer {
         connect_to(&self.program)
     }
 
     /// The rest of the log after the program has ended by itself.
-    pub fn ended(self) -> String {
+    pub(crate) fn ended(self) -> String {
         self.program.ended()
     }
 }
 
 /// The program under test.
-pub fn program() -> &'static Path {
+pub(crate) fn program() -> &'static Path {
     Path::new(env!("CARGO_BIN_EXE_madderbay"))
 }
 
 /// A new connection of a load balancer to a program that was started by itself.
-pub fn connect_to(program: &Program) -> Peer {
+pub(crate) fn connect_to(program: &Program) -> Peer {
     Peer::new(TcpStream::connect(program.address).expect("a connection"))
 }
 
 /// The addresses of the program's peers.
-pub fn others(engine: &TcpListener, registry: SocketAddr, catalogue: &TcpListener) -> Dependencies {
+pub(crate) fn others(
+    engine: &TcpListener,
+    registry: SocketAddr,
+    catalogue: &TcpListener,
+) -> Dependencies {
     let address = |l: &TcpListener| l.local_addr().expect("an address");
     Dependencies {
         engine: address(engine),
@@ -110,7 +114,7 @@
 }
 
 /// Where an engine, a catalogue and a registry listen that are played by hand.
-pub struct PeerListeners {
+pub(crate) struct PeerListeners {
     pub engine: TcpListener,
     pub registry: TcpListener,
     catalogue: TcpListener,
@@ -118,7 +122,7 @@
 
 impl PeerListeners {
     /// Listeners at free ports.
-    pub fn bind() -> PeerListeners {
+    pub(crate) fn bind() -> PeerListeners {
         PeerListeners {
             engine: loopback_listener(),
             registry: loopback_listener(),
@@ -127,24 +131,24 @@
     }
 
     /// Their addresses.
-    pub fn addresses(&self) -> Dependencies {
+    pub(crate) fn addresses(&self) -> Dependencies {
         let registry = self.registry.local_addr().expect("an address");
         others(&self.engine, registry, &self.catalogue)
     }
 }
 
 /// An address that nobody listens at: the tests' own ports are never so low.
-pub fn unreachable_address() -> SocketAddr {
+pub(crate) fn unreachable_address() -> SocketAddr {
     ([127, 77, 0, 1], 1).into()
 }
 
 /// Peers none of which can be reached.
-pub fn unreachable_others() -> Dependencies {
+pub(crate) fn unreachable_others() -> Dependencies {
     all_at(unreachable_address())
 }
 
 /// All peers at one address.
-pub fn all_at(address: SocketAddr) -> Dependencies {
+pub(crate) fn all_at(address: SocketAddr) -> Dependencies {
     Dependencies {
         engine: address,
         registry: address,
@@ -153,19 +157,19 @@
 }
 
 /// Starts the program between these peers, with this limit on descriptors.
-pub fn start_program(others: Dependencies, descriptors: usize) -> Program {
+pub(crate) fn start_program(others: Dependencies, descriptors: usize) -> Program {
     let text = configuration("127.0.0.1:0", others, descriptors, STOP_MS, SETTINGS);
     Program::start(program(), &text, None)
 }
 
 /// Writes a configuration with other peers over the one that the program was started with.
-pub fn move_to(program: &Program, others: Dependencies, descriptors: usize) {
+pub(crate) fn move_to(program: &Program, others: Dependencies, descriptors: usize) {
     let text = configuration("127.0.0.1:0", others, descriptors, STOP_MS, SETTINGS);
     std::fs::write(&program.path, text).expect("written");
 }
 
 /// A request's line; `key` is its idempotency key, if it is not empty.
-pub fn request(id: u32, method: &str, attempt: u32, key: &str) -> String {
+pub(crate) fn request(id: u32, method: &str, attempt: u32, key: &str) -> String {
     let now = unix_ms();
     let key = if key.is_empty() {
         String::new()
@@ -180,20 +184,20 @@
 }
 
 /// The engine's notice that a run has completed with a result.
-pub fn completed(serial: u32, attempt: u32, blob: &str) -> String {
+pub(crate) fn completed(serial: u32, attempt: u32, blob: &str) -> String {
     let about = format!("\"serial\":{serial},\"call\":\"{attempt:016x}\",\"how\":\"good\"");
     format!("{{\"msg\":\"DONE\",{about},\"duration\":9,\"blob\":\"{blob}\"}}\n")
 }
 
 /// The engine's notice that a run waits for a call with the body `abc`.
-pub fn call_needed(serial: u32, attempt: u32) -> String {
+pub(crate) fn call_needed(serial: u32, attempt: u32) -> String {
     format!(
         "{{\"msg\":\"NEED\",\"serial\":{serial},\"call\":\"{attempt:016x}\",\"blob\":\"YWJj\"}}\n"
     )
 }
 
 /// Asserts that a log has each of these counters with its value.
-pub fn assert_counters(log: &str, counters: &[&str]) {
+pub(crate) fn assert_counters(log: &str, counters: &[&str]) {
     for counter in counters {
         assert!(
             log.contains(&format!("counter {counter}\n")),
--- a/crates/server/tests/routes/support.rs
+++ b/crates/server/tests/routes/support.rs
@@ -19,12 +19,12 @@
 use std::thread::JoinHandle;
 use std::time::{Duration as StdDuration, Instant};
 
-pub const SERVERS: usize = 3;
-pub const BACKENDS: usize = 5;
+pub(crate) const SERVERS: usize = 3;
+pub(crate) const BACKENDS: usize = 5;
 /// Requests per second and server: three calls a second to each backend.
-pub const REQUESTS_PER_SECOND: f64 = 20.0;
+pub(crate) const REQUESTS_PER_SECOND: f64 = 20.0;
 /// A backend that is well.
-pub const WELL: Behavior = Behavior::Slow(1.0);
+pub(crate) const WELL: Behavior = Behavior::Slow(1.0);
 
 /// Longest wait for a condition: longer than any ejection.
 const CONDITION_TIMEOUT: StdDuration = StdDuration::from_secs(100);
@@ -40,13 +40,13 @@
 const SEARCH: usize = 0;
 
 /// How a server judges its backends, by name: the state, the fraction of its weight, and bad calls of late.
-pub type BackendStates = HashMap<String, (String, f64, u64)>;
+pub(crate) type BackendStates = HashMap<String, (String, f64, u64)>;
 
 /// What one load sent and, one text for each, how a rule was broken.
 type LoadResult = (Vec<RequestRecord>, Vec<String>);
 
 /// The program under test.
-pub fn program() -> &'static Path {
+pub(crate) fn program() -> &'static Path {
     Path::new(env!("CARGO_BIN_EXE_madderbay"))
 }
 
@@ -70,17 +70,17 @@
 }
 
 /// A backend that is well.
-pub fn start_backend() -> Catalogue {
+pub(crate) fn start_backend() -> Catalogue {
     Catalogue::start(100, StdDuration::from_millis(20))
 }
 
 /// The section of the operator file for the backend `b` with this number.
-pub fn backend_section(number: usize, address: SocketAddr) -> String {
+pub(crate) fn backend_section(number: usize, address: SocketAddr) -> String {
     format!("[backend b{number}]\naddress = {address}\nhandlers = search, book\n")
 }
 
 /// What the clients got, over all servers.
-pub struct LoadSummary {
+pub(crate) struct LoadSummary {
     /// Fraction of searches, which may run twice, that were answered in time.
     pub searches: f64,
     /// Fraction of bookings, which may not, that were answered in time.
@@ -96,7 +96,7 @@
 }
 
 /// Servers over backends, with load on all of them. The first server reaches the backends through gates.
-pub struct BackendFleet {
+pub(crate) struct BackendFleet {
     pub servers: ProcessFleet,
     pub backends: Vec<Catalogue>,
     pub gates: Vec<Gate>,
@@ -106,7 +106,7 @@
 
 impl BackendFleet {
     /// Starts all and waits until every backend is used.
-    pub fn start(seed: u64, monitor: &StallMonitor) -> BackendFleet {
+    pub(crate) fn start(seed: u64, monitor: &StallMonitor) -> BackendFleet {
         let backends: Vec<Catalogue> = (0..BACKENDS).map(|_| start_backend()).collect();
         let gates: Vec<Gate> = backends
             .iter()
@@ -149,7 +149,7 @@
     }
 
     /// Waits while something is missing, which `missing` says.
-    pub fn wait_while(
+    pub(crate) fn wait_while(
         &mut self,
         what: &str,
         missing: impl Fn(&mut BackendFleet) -> Option<String>,
@@ -165,7 +165,7 @@
     }
 
     /// What is missing in a server's view of its backends; that it does not answer, where it does not.
-    pub fn missing_at(
+    pub(crate) fn missing_at(
         &self,
         server: usize,
         missing: impl FnOnce(&BackendStates) -> Option<String>,
@@ -177,12 +177,12 @@
     }
 
     /// Waits until all servers but some have ejected a backend.
-    pub fn wait_until_ejected(&mut self, backend: usize, except: &[usize]) {
+    pub(crate) fn wait_until_ejected(&mut self, backend: usize, except: &[usize]) {
         self.wait_for_state(backend, true, except);
     }
 
     /// Waits until all servers use a backend.
-    pub fn wait_until_readmitted(&mut self, backend: usize) {
+    pub(crate) fn wait_until_readmitted(&mut self, backend: usize) {
         self.wait_for_state(backend, false, &[]);
     }
 
@@ -203,17 +203,17 @@
     }
 
     /// Calls that came to all backends.
-    pub fn calls_received(&self) -> u32 {
+    pub(crate) fn calls_received(&self) -> u32 {
         self.backends.iter().map(|b| b.stats().came).sum()
     }
 
     /// Calls that all backends completed.
-    pub fn calls_completed(&self) -> u32 {
+    pub(crate) fn calls_completed(&self) -> u32 {
         self.backends.iter().map(|b| b.stats().done).sum()
     }
 
     /// Waits until so many more calls have come to the backends.
-    pub fn wait_for_calls(&mut self, calls: u32) {
+    pub(crate) fn wait_for_calls(&mut self, calls: u32) {
         let before = self.calls_received();
         self.wait_while("some calls", |f| {
             (f.calls_received() < before + calls).then(|| "too few".into())
@@ -221,7 +221,7 @@
     }
 
     /// Ends the load and asserts that no rule was broken.
-    pub fn finish(self) -> LoadSummary {
+    pub(crate) fn finish(self) -> LoadSummary {
         self.is_loading.store(false, Ordering::Relaxed);
         let mut records = vec![];
         for load in self.loads {
--- a/crates/server/tests/scenarios/player.rs
+++ b/crates/server/tests/scenarios/player.rs
@@ -18,12 +18,12 @@
 /// Bytes that cached results may take: two and a half of the longest played here.
 const RESULTS_BYTES: usize = 2_500;
 /// The Unix time at which a scenario starts, in milliseconds.
-pub const START_MS: u64 = 1_764_576_000_000;
+pub(crate) const START_MS: u64 = 1_764_576_000_000;
 /// The name of the engine's link as a peer.
-pub const ENGINE: &str = "e";
+pub(crate) const ENGINE: &str = "e";
 
 /// The instant so many milliseconds after the start.
-pub fn at(millis: u64) -> Timestamp {
+pub(crate) fn at(millis: u64) -> Timestamp {
     Timestamp::from_micros((START_MS + millis) * 1000)
 }
 
@@ -60,14 +60,14 @@
 }
 
 /// Requests as the counters have them.
-pub struct RequestCounts {
+pub(crate) struct RequestCounts {
     pub read: u64,
     /// Answered, withdrawn and still open.
     pub ended_or_open: u64,
 }
 
 /// Plays one scenario.
-pub struct ScenarioPlayer {
+pub(crate) struct ScenarioPlayer {
     pub core: EventLoop,
     now: Timestamp,
     /// The most bytes that are fed at once.
@@ -89,7 +89,7 @@
 
 impl ScenarioPlayer {
     /// A core at the start of a scenario, linked to its engine, that is fed at most `max_feed` bytes at once.
-    pub fn new(max_feed: usize) -> ScenarioPlayer {
+    pub(crate) fn new(max_feed: usize) -> ScenarioPlayer {
         let settings = madderbay_settings::read(SETTINGS.as_bytes()).expect("settings");
         let mut player = ScenarioPlayer {
             core: EventLoop::new(at(0), 7, settings, RESULTS_BYTES),
@@ -112,12 +112,12 @@
     }
 
     /// The time of the scenario.
-    pub fn now(&self) -> Timestamp {
+    pub(crate) fn now(&self) -> Timestamp {
         self.now
     }
 
     /// Makes a new link to the engine.
-    pub fn link_engine(&mut self) {
+    pub(crate) fn link_engine(&mut self) {
         let outbox = Outbox::default();
         self.notices.relinked();
         self.core
@@ -142,7 +142,7 @@
     }
 
     /// Feeds what a peer sends.
-    pub fn feed(&mut self, peer: &str, bytes: &[u8]) {
+    pub(crate) fn feed(&mut self, peer: &str, bytes: &[u8]) {
         for piece in bytes.chunks(self.max_feed) {
             match call_index(peer) {
                 _ if peer == ENGINE => self.feed_engine(piece),
@@ -189,7 +189,7 @@
     }
 
     /// Makes results durable, on a disk that is quick.
-    pub fn make_results_durable(&mut self) {
+    pub(crate) fn make_results_durable(&mut self) {
         let (sender, batches) = channel();
         self.disk = Some(Disk { batches });
         let results = DurableResults::new(1_000, 100_000);
@@ -198,12 +198,12 @@
     }
 
     /// From now on the disk writes only on [`finish_writes`](Self::finish_writes).
-    pub fn hold_writes(&mut self) {
+    pub(crate) fn hold_writes(&mut self) {
         self.disk_is_quick = false;
     }
 
     /// All that waits for the disk is written, or all of it fails. False where nothing waited.
-    pub fn finish_writes(&mut self, succeed: bool) -> bool {
+    pub(crate) fn finish_writes(&mut self, succeed: bool) -> bool {
         let batches = self.disk.iter().flat_map(|disk| disk.batches.try_iter());
         let Some(sequence) = batches.last().map(|batch| batch.last) else {
             return false;
@@ -222,7 +222,7 @@
     }
 
     /// Ends a moment: what came is settled, what was sent is put by, the engine answers questions for its gauges.
-    pub fn settle(&mut self) {
+    pub(crate) fn settle(&mut self) {
         self.core.run_turn(self.now);
         while self.disk_is_quick && self.finish_writes(true) {
             self.core.run_turn(self.now);
@@ -269,12 +269,12 @@
     }
 
     /// The next line that was sent to a peer.
-    pub fn next_sent(&mut self, peer: &str) -> Option<String> {
+    pub(crate) fn next_sent(&mut self, peer: &str) -> Option<String> {
         self.sent.get_mut(peer)?.pop_front()
     }
 
     /// Sets the clock to a later time; timers run on the way.
-    pub fn run_to(&mut self, until: Timestamp) {
+    pub(crate) fn run_to(&mut self, until: Timestamp) {
         let delay = self.timer_delay;
         let is_due = |deadline: &Timestamp| *deadline + delay < until;
         while let Some(deadline) = self.core.next_deadline().filter(is_due) {
@@ -286,7 +286,7 @@
     }
 
     /// The connection to a peer breaks.
-    pub fn disconnect(&mut self, peer: &str) {
+    pub(crate) fn disconnect(&mut self, peer: &str) {
         if peer == ENGINE {
             self.core.engine_link_mut().lost();
             self.engine = None;
@@ -301,13 +301,13 @@
     }
 
     /// A load balancer sends no more.
-    pub fn end_input(&mut self, peer: &str) {
+    pub(crate) fn end_input(&mut self, peer: &str) {
         let id = self.client(peer).id;
         self.core.input_ended(id);
     }
 
     /// Whether the connection to a peer is closing, or nothing more may be read of it.
-    pub fn is_closed(&mut self, peer: &str) -> bool {
+    pub(crate) fn is_closed(&mut self, peer: &str) -> bool {
         if peer == ENGINE {
             return self.engine.as_ref().is_some_and(|o| o.is_closing());
         }
@@ -320,24 +320,24 @@
     }
 
     /// From now on nothing can be written to a peer.
-    pub fn make_unwritable(&mut self, peer: &str) {
+    pub(crate) fn make_unwritable(&mut self, peer: &str) {
         self.unwritable_peer = Some(peer.to_string());
     }
 
     /// From now on the engine answers no question for its gauges.
-    pub fn mute_engine(&mut self) {
+    pub(crate) fn mute_engine(&mut self) {
         self.engine_is_mute = true;
     }
 
     /// The engine answers the last question for its gauges, and later ones.
-    pub fn unmute_engine(&mut self) {
+    pub(crate) fn unmute_engine(&mut self) {
         self.engine_is_mute = false;
         let cookie = self.core.engine_link_mut().proof() - 1;
         self.feed(ENGINE, gauges(&cookie.to_string()).as_bytes());
     }
 
     /// Whatever happens, requests read are those answered, withdrawn and still open.
-    pub fn request_counts(&self) -> RequestCounts {
+    pub(crate) fn request_counts(&self) -> RequestCounts {
         let counters = self.core.counter_lines();
         let sum = |names: &[&str]| -> u64 {
             let is_named = |l: &&str| names.iter().any(|n| l.starts_with(&format!("counter {n}")));
--- a/crates/server/tests/scenarios/step.rs
+++ b/crates/server/tests/scenarios/step.rs
@@ -33,7 +33,7 @@
 
 /// How a scenario's line differs from what happened.
 #[derive(Debug, thiserror::Error)]
-pub enum Mismatch {
+pub(crate) enum Mismatch {
     /// Another line was sent, or none; or a counter has another value.
     #[error("found {0:?}")]
     Found(Option<String>),
@@ -110,7 +110,7 @@
 ///
 /// # Errors
 /// What happened is not what the line expects, or the line is not of the grammar.
-pub fn play(player: &mut ScenarioPlayer, line: &str) -> Result<(), Mismatch> {
+pub(crate) fn play(player: &mut ScenarioPlayer, line: &str) -> Result<(), Mismatch> {
     match Step::read(line) {
         Step::RunTo(time) => {
             player.run_to(at(time));
--- a/crates/server/tests/shared/support.rs
+++ b/crates/server/tests/shared/support.rs
@@ -16,19 +16,19 @@
 const CONDITION_TIMEOUT: Duration = Duration::from_millis(20_000);
 
 /// The program under test.
-pub fn program() -> &'static Path {
+pub(crate) fn program() -> &'static Path {
     Path::new(env!("CARGO_BIN_EXE_madderbay"))
 }
 
 /// Settings with capacity for the runs of a server that may use all of a budget.
-pub fn settings() -> String {
+pub(crate) fn settings() -> String {
     SETTINGS
         .replace("\"tip_multiple\": 5.0", "\"tip_multiple\": 40.0")
         .replace("\"memory_kb\": 4000.0", "\"memory_kb\": 400000.0")
 }
 
 /// What the engine does for one handler: work of so many milliseconds, least and most, with a call or without.
-pub fn work(handler: &str, ms: (f64, f64), calls: bool) -> HandlerWork {
+pub(crate) fn work(handler: &str, ms: (f64, f64), calls: bool) -> HandlerWork {
     HandlerWork {
         handler: handler.into(),
         ms,
@@ -37,7 +37,7 @@
 }
 
 /// A fleet whose servers are watched for stalls of the machine as they are started.
-pub struct WatchedFleet<'a> {
+pub(crate) struct WatchedFleet<'a> {
     pub fleet: ProcessFleet,
     pub monitor: &'a StallMonitor,
 }
@@ -67,7 +67,7 @@
 
 impl WatchedFleet<'_> {
     /// Starts this many servers and waits until they agree.
-    pub fn start(&mut self, servers: usize) {
+    pub(crate) fn start(&mut self, servers: usize) {
         for server in 0..servers {
             self.act(&start_server(server)).expect("started");
         }
@@ -75,7 +75,7 @@
     }
 
     /// Waits until a condition is met.
-    pub fn wait_for(&mut self, condition: &Condition) {
+    pub(crate) fn wait_for(&mut self, condition: &Condition) {
         let began = self.at();
         while let Some(missing) = self.unmet(condition) {
             assert!(
@@ -87,7 +87,7 @@
     }
 
     /// Where requests to a server go.
-    pub fn target(&self, server: usize) -> LoadTarget {
+    pub(crate) fn target(&self, server: usize) -> LoadTarget {
         LoadTarget {
             engine: self.fleet.engine(server).clone(),
             address: self.fleet.server(server).expect("runs").address,
@@ -96,13 +96,13 @@
 }
 
 /// A server's address and its own engine.
-pub struct LoadTarget {
+pub(crate) struct LoadTarget {
     engine: Engine,
     address: SocketAddr,
 }
 
 /// Requests of one kind.
-pub fn kind(handler: &str, part: f64, keyed: bool, tenant: &'static str) -> RequestKind {
+pub(crate) fn kind(handler: &str, part: f64, keyed: bool, tenant: &'static str) -> RequestKind {
     RequestKind {
         handler: handler.into(),
         part,
@@ -113,14 +113,14 @@
 }
 
 /// How many requests are sent, and how long the clients wait.
-pub struct LoadPlan {
+pub(crate) struct LoadPlan {
     pub per_second: f64,
     pub seconds: u64,
     pub client_timeout_ms: u64,
 }
 
 /// Sends requests to a server and asserts that no rule was broken; gives what became of them.
-pub fn send(to: LoadTarget, kinds: &[RequestKind], plan: &LoadPlan) -> Vec<RequestRecord> {
+pub(crate) fn send(to: LoadTarget, kinds: &[RequestKind], plan: &LoadPlan) -> Vec<RequestRecord> {
     let load = Load {
         kinds: kinds.to_vec(),
         rates: vec![(StdDuration::ZERO, plan.per_second)],
@@ -135,6 +135,6 @@
 }
 
 /// Whether a request was completed, with one answer.
-pub fn is_completed(record: &RequestRecord) -> bool {
+pub(crate) fn is_completed(record: &RequestRecord) -> bool {
     matches!(record.answers[..], [(Answer::Completed, _)])
 }
