--- a/crates/server/tests/fleet.rs
+++ b/crates/server/tests/fleet.rs
@@ -6,7 +6,7 @@
 
 use madderbay_testkit::engine::HandlerWork;
 use madderbay_testkit::fleet::processes::ProcessFleet;
-use madderbay_testkit::fleet::script::{Action, Script, Step, load_scripts, run_script};
+use madderbay_testkit::fleet::script::{Action, Script, Step, load_scripts};
 use std::path::Path;
 
 /// Scripts that are played at the same time: few enough that the machine's cores are never the fault that is tested.
@@ -40,7 +40,10 @@
 fn play(script: &Script, seed: u64) -> Option<String> {
     let setup = script.setup.clone();
     let mut fleet = ProcessFleet::new(setup, program(), common::SETTINGS, &works(), seed);
-    run_script(script, &mut fleet).err()
+    script
+        .play(&mut fleet)
+        .err()
+        .map(|failure| failure.to_string())
 }
 
 #[test]
--- a/crates/server/tests/members/datagrams.rs
+++ b/crates/server/tests/members/datagrams.rs
@@ -3,7 +3,7 @@
 use crate::machine::{self, StallMonitor};
 use crate::support::{lone_configuration, program, run_load, start_fleet, watch};
 use madderbay::time::Duration;
-use madderbay_testkit::fleet::script::{Condition, FleetSetup, Script, Step, run_script};
+use madderbay_testkit::fleet::script::{Condition, FleetSetup, Script, Step};
 use madderbay_testkit::server::Server;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -37,7 +37,7 @@
     let mut fleet = start_fleet("servers 3\nstart all\nsettle 20s");
     watch(&fleet, 3, monitor);
     let is_on = AtomicBool::new(true);
-    let flooded = fleet.heard_at(0).expect("it listens");
+    let flooded = fleet.datagram_address(0).expect("it listens");
     let (sent, load) = std::thread::scope(|scope| {
         let flood = scope.spawn(|| flood(flooded, &is_on));
         let address = fleet.server(0).expect("it runs").address;
@@ -56,7 +56,7 @@
         setup: FleetSetup::of(3),
         steps: vec![(0, settle)],
     };
-    run_script(&script, &mut fleet).expect("settled");
+    script.play(&mut fleet).expect("settled");
 }
 
 /// Without the section nothing is opened and nothing is sent.
--- a/crates/server/tests/members/shutdown.rs
+++ b/crates/server/tests/members/shutdown.rs
@@ -2,7 +2,7 @@
 
 use crate::machine;
 use crate::support::start_fleet;
-use madderbay_testkit::fleet::script::{Action, Fleet, Script, run_script};
+use madderbay_testkit::fleet::script::{Action, Fleet, Script};
 
 /// A graceful shutdown is announced before the end of the process; a kill is detected.
 #[test]
@@ -13,6 +13,6 @@
         );
         fleet.act(&Action::Kill(1)).expect("killed");
         let script = Script::read("end", "servers 3\nsees n1 n2 down 20s").expect("a script");
-        run_script(&script, &mut fleet).expect("the kill is detected");
+        script.play(&mut fleet).expect("the kill is detected");
     });
 }
--- a/crates/server/tests/members/support.rs
+++ b/crates/server/tests/members/support.rs
@@ -4,7 +4,7 @@
 use crate::machine::StallMonitor;
 use madderbay_testkit::engine::{Engine, HandlerWork};
 use madderbay_testkit::fleet::processes::ProcessFleet;
-use madderbay_testkit::fleet::script::{Script, run_script};
+use madderbay_testkit::fleet::script::Script;
 use madderbay_testkit::load_balancer::{Load, RequestKind, rule_violations};
 use madderbay_testkit::registry;
 use madderbay_testkit::server::{Dependencies, Server, command, configuration};
@@ -36,7 +36,7 @@
     ];
     let script = Script::read("test", script).expect("a script");
     let mut fleet = ProcessFleet::new(script.setup.clone(), program(), SETTINGS, &works, 7);
-    run_script(&script, &mut fleet).expect("every condition is met");
+    script.play(&mut fleet).expect("every condition is met");
     fleet
 }
 
@@ -95,10 +95,10 @@
 fn request_kinds() -> Vec<RequestKind> {
     let kind = |handler: &str, part, keyed| RequestKind {
         handler: handler.into(),
-        part,
-        target: StdDuration::from_secs(2),
-        keyed,
-        project: "acme",
+        weight: part,
+        latency_objective: StdDuration::from_secs(2),
+        idempotency_key: keyed,
+        tenant: "acme",
     };
     vec![
         kind("search", 0.4, false),
@@ -121,7 +121,7 @@
         rates: vec![(StdDuration::ZERO, REQUESTS_PER_SECOND)],
         length: StdDuration::from_secs(seconds),
         seed,
-        allow_ms: 5_000,
+        timeout_ms: 5_000,
     };
     let records = load.run(server, |name| engine.answered(name), |_| ());
     LoadResult {
--- a/crates/server/tests/members/wrong_views.rs
+++ b/crates/server/tests/members/wrong_views.rs
@@ -2,7 +2,7 @@
 
 use crate::machine::{self, StallMonitor};
 use crate::support::{LoadResult, run_load, start_fleet, watch};
-use madderbay_testkit::fleet::script::{Script, run_script};
+use madderbay_testkit::fleet::script::Script;
 use std::sync::atomic::{AtomicBool, Ordering};
 
 const LOSSY_START: &str =
@@ -34,7 +34,7 @@
             }
             rounds
         });
-        let played = run_script(&faults, &mut fleet);
+        let played = faults.play(&mut fleet);
         is_over.store(true, Ordering::Relaxed);
         (played, loading.join().expect("loaded"))
     });
--- a/crates/server/tests/routes/partition.rs
+++ b/crates/server/tests/routes/partition.rs
@@ -18,7 +18,7 @@
     fleet.wait_while("the first to doubt one", |f| {
         // Most look bad to it, so that it ejects none.
         f.missing_at(0, |states| {
-            (states.values().filter(|b| b.2 > 0).count() < 3).then(|| format!("{states:?}"))
+            (states.values().filter(|b| b.failures > 0).count() < 3).then(|| format!("{states:?}"))
         })
     });
     let before = fleet.calls_completed();
@@ -26,7 +26,7 @@
         let silent = (1..SERVERS).find_map(|server| {
             f.missing_at(server, |states| {
                 assert!(
-                    states.values().all(|b| b.0 == "in"),
+                    states.values().all(|b| b.state == "in"),
                     "n{}: {states:?}",
                     server + 1
                 );
@@ -39,7 +39,7 @@
     fleet.wait_while("the first to have all in", |f| {
         f.missing_at(0, |states| {
             let is_out = |state: &str| state != "in" && state != "rising";
-            let any_out = states.values().any(|b| is_out(&b.0));
+            let any_out = states.values().any(|b| is_out(&b.state));
             any_out.then(|| format!("{states:?}"))
         })
     });
@@ -61,7 +61,7 @@
     fleet.wait_while("the others to use it", |f| {
         let silent = (1..SERVERS).find_map(|server| {
             f.missing_at(server, |states| {
-                assert!(states["b2"].0 == "in", "n{}: {states:?}", server + 1);
+                assert!(states["b2"].state == "in", "n{}: {states:?}", server + 1);
                 None
             })
         });
--- a/crates/server/tests/routes/retries.rs
+++ b/crates/server/tests/routes/retries.rs
@@ -54,13 +54,13 @@
     fleet.wait_while("the new one to be used", |_| {
         (added.stats().done < 30).then(|| "few calls".into())
     });
-    let before = fleet.backends[1].stats().came;
-    let others = fleet.backends[0].stats().came;
+    let before = fleet.backends[1].stats().received;
+    let others = fleet.backends[0].stats().received;
     fleet.wait_while("calls to the others", |f| {
-        (f.backends[0].stats().came < others + 30).then(|| "few".into())
+        (f.backends[0].stats().received < others + 30).then(|| "few".into())
     });
     assert_eq!(
-        fleet.backends[1].stats().came,
+        fleet.backends[1].stats().received,
         before,
         "one that is gone has no calls"
     );
--- a/crates/server/tests/routes/support.rs
+++ b/crates/server/tests/routes/support.rs
@@ -6,7 +6,7 @@
 use crate::start::start_server;
 use madderbay_testkit::catalogue::{Behavior, Catalogue};
 use madderbay_testkit::engine::HandlerWork;
-use madderbay_testkit::fleet::processes::ProcessFleet;
+use madderbay_testkit::fleet::processes::{BackendReport, ProcessFleet};
 use madderbay_testkit::fleet::script::{Condition, Fleet, FleetSetup};
 use madderbay_testkit::gate::Gate;
 use madderbay_testkit::load_balancer::{Load, RequestKind, RequestRecord, rule_violations};
@@ -40,7 +40,7 @@
 const SEARCH: usize = 0;
 
 /// How a server judges its backends, by name: the state, the fraction of its weight, and bad calls of late.
-pub(crate) type BackendStates = HashMap<String, (String, f64, u64)>;
+pub(crate) type BackendStates = HashMap<String, BackendReport>;
 
 /// What one load sent and, one text for each, how a rule was broken.
 type LoadResult = (Vec<RequestRecord>, Vec<String>);
@@ -61,10 +61,10 @@
 fn request_kinds() -> Vec<RequestKind> {
     let kind = |handler: &str, part, keyed| RequestKind {
         handler: handler.into(),
-        part,
-        target: ANSWER_TARGET,
-        keyed,
-        project: "acme",
+        weight: part,
+        latency_objective: ANSWER_TARGET,
+        idempotency_key: keyed,
+        tenant: "acme",
     };
     vec![kind("search", 3.0, false), kind("book", 1.0, true)]
 }
@@ -138,7 +138,7 @@
             rates: vec![(StdDuration::ZERO, REQUESTS_PER_SECOND)],
             length: MAX_LOAD,
             seed: server as u64,
-            allow_ms: CLIENT_TIMEOUT_MS,
+            timeout_ms: CLIENT_TIMEOUT_MS,
         };
         self.loads.push(std::thread::spawn(move || {
             let is_on = || is_loading.load(Ordering::Relaxed);
@@ -170,7 +170,7 @@
         server: usize,
         missing: impl FnOnce(&BackendStates) -> Option<String>,
     ) -> Option<String> {
-        match self.servers.routes(server) {
+        match self.servers.backends(server) {
             Some(states) => missing(&states),
             None => Some(format!("n{} does not answer", server + 1)),
         }
@@ -193,7 +193,7 @@
             let mut others = (0..SERVERS).filter(|s| !except.contains(s));
             others.find_map(|server| {
                 fleet.missing_at(server, |states| {
-                    let (state, weight, _) = states.get(&name)?;
+                    let BackendReport { state, weight, .. } = states.get(&name)?;
                     let is_ejected =
                         state == "ejected" || state == "trial" || *weight < 0.2 && state == "in";
                     (is_ejected != ejected).then(|| format!("n{}: {states:?}", server + 1))
@@ -204,7 +204,7 @@
 
     /// Calls that came to all backends.
     pub(crate) fn calls_received(&self) -> u32 {
-        self.backends.iter().map(|b| b.stats().came).sum()
+        self.backends.iter().map(|b| b.stats().received).sum()
     }
 
     /// Calls that all backends completed.
@@ -286,6 +286,6 @@
 /// The fraction of a handler's requests that were answered in time.
 fn answered_in_time(records: &[RequestRecord], handler: usize) -> f64 {
     let of: Vec<&RequestRecord> = records.iter().filter(|r| r.handler == handler).collect();
-    let in_time = of.iter().filter(|r| r.kept(ANSWER_TARGET)).count();
+    let in_time = of.iter().filter(|r| r.in_time(ANSWER_TARGET)).count();
     in_time as f64 / of.len().max(1) as f64
 }
--- a/crates/server/tests/shared/budget.rs
+++ b/crates/server/tests/shared/budget.rs
@@ -51,11 +51,11 @@
 fn fleet_with_budget_of_one(monitor: &StallMonitor) -> WatchedFleet<'_> {
     let ms = Duration::from_millis;
     let budget = QuotaSetup {
-        whole: 1,
+        capacity: 1,
         servers: 1,
-        seats: true,
+        slots: true,
         lease: ms(300),
-        longest: ms(400),
+        max_call: ms(400),
         call: ms(300),
         handlers: "book",
     };
--- a/crates/server/tests/shared/counters.rs
+++ b/crates/server/tests/shared/counters.rs
@@ -25,7 +25,7 @@
 
 /// The value and the error bound of the tenant's count at each server; zeros where one does not answer.
 fn counts(fleet: &WatchedFleet) -> Vec<(f64, f64)> {
-    let count = |server| fleet.fleet.counted(server, "acme").unwrap_or((0.0, 0.0));
+    let count = |server| fleet.fleet.counter(server, "acme").unwrap_or((0.0, 0.0));
     (0..SERVERS).map(count).collect()
 }
 
--- a/crates/server/tests/shared/scripts.rs
+++ b/crates/server/tests/shared/scripts.rs
@@ -4,7 +4,7 @@
 use crate::script_players::play_all;
 use crate::support::{WatchedFleet, program, settings, work};
 use madderbay_testkit::fleet::processes::ProcessFleet;
-use madderbay_testkit::fleet::script::{Script, load_scripts, run_script};
+use madderbay_testkit::fleet::script::{Script, load_scripts};
 use std::path::Path;
 
 /// Scripts that are played at the same time.
@@ -18,7 +18,10 @@
     let seed = name.len() as u64;
     let fleet = ProcessFleet::new(script.setup.clone(), program(), &settings(), &works, seed);
     let mut fleet = WatchedFleet { fleet, monitor };
-    let unmet = run_script(script, &mut fleet).err();
+    let unmet = script
+        .play(&mut fleet)
+        .err()
+        .map(|failure| failure.to_string());
     let (requests, violations) = fleet.fleet.finish_loads();
     let mut failures: Vec<String> = unmet
         .into_iter()
--- a/crates/server/tests/shared/support.rs
+++ b/crates/server/tests/shared/support.rs
@@ -105,10 +105,10 @@
 pub(crate) fn kind(handler: &str, part: f64, keyed: bool, tenant: &'static str) -> RequestKind {
     RequestKind {
         handler: handler.into(),
-        part,
-        target: StdDuration::from_secs(3),
-        keyed,
-        project: tenant,
+        weight: part,
+        latency_objective: StdDuration::from_secs(3),
+        idempotency_key: keyed,
+        tenant,
     }
 }
 
@@ -126,7 +126,7 @@
         rates: vec![(StdDuration::ZERO, plan.per_second)],
         length: StdDuration::from_secs(plan.seconds),
         seed: plan.per_second as u64,
-        allow_ms: plan.client_timeout_ms,
+        timeout_ms: plan.client_timeout_ms,
     };
     let records = load.run(to.address, |name| to.engine.answered(name), |_| ());
     let violations = rule_violations(&records, kinds, &to.engine.stats().bodies);
--- a/crates/testkit/examples/kept.rs
+++ b/crates/testkit/examples/kept.rs
@@ -222,7 +222,7 @@
         rates: vec![(Duration::ZERO, rate)],
         length,
         seed: 7,
-        allow_ms: 8_000,
+        timeout_ms: 8_000,
     };
     let (cpu, began) = (server.cpu(), Instant::now());
     let target = LoadTarget {
--- a/crates/testkit/examples/members/processes.rs
+++ b/crates/testkit/examples/members/processes.rs
@@ -44,7 +44,7 @@
         rates: vec![(Duration::ZERO, rate)],
         length: Duration::from_secs(secs),
         seed,
-        allow_ms: 5_000,
+        timeout_ms: 5_000,
     }
 }
 
@@ -108,7 +108,7 @@
 }
 
 fn load_under_flood(fleet: &ProcessFleet, datagrams_per_second: u32) -> Vec<RequestRecord> {
-    let address = fleet.heard_at(0).expect("it receives datagrams");
+    let address = fleet.datagram_address(0).expect("it receives datagrams");
     let target = LoadTarget::of(fleet, 0);
     let on = AtomicBool::new(true);
     std::thread::scope(|scope| {
--- a/crates/testkit/examples/pools.rs
+++ b/crates/testkit/examples/pools.rs
@@ -105,7 +105,7 @@
             rates: rates(fault),
             length: LENGTH,
             seed,
-            allow_ms: REQUEST_TIMEOUT_MS,
+            timeout_ms: REQUEST_TIMEOUT_MS,
         };
         let server = SingleServer::start(binary, SETTINGS, operator, works(), seed);
         let run = server.run(&load, fault);
@@ -134,7 +134,7 @@
         let (records, kinds) = (&self.run.records, kinds());
         let kept = records
             .iter()
-            .filter(|record| record.kept(kinds[record.handler].target));
+            .filter(|record| record.in_time(kinds[record.handler].latency_objective));
         kept.count() as f64 / records.len() as f64
     }
 
--- a/crates/testkit/examples/routes/real.rs
+++ b/crates/testkit/examples/routes/real.rs
@@ -171,7 +171,7 @@
         let all = self.during_fault(handler).count();
         let kept = self
             .during_fault(handler)
-            .filter(|record| record.kept(LATENCY_OBJECTIVE));
+            .filter(|record| record.in_time(LATENCY_OBJECTIVE));
         kept.count() as f64 / all.max(1) as f64
     }
 
@@ -205,7 +205,7 @@
         rates: vec![(Duration::ZERO, RATE)],
         length: Duration::from_millis(END_MS),
         seed: server as u64,
-        allow_ms: 3_000,
+        timeout_ms: 3_000,
     }
 }
 
@@ -220,7 +220,7 @@
             faulty = !faulty;
             backend.set_behavior(if faulty { fault } else { Behavior::Slow(1.0) });
         }
-        calls.push(backend.stats().came);
+        calls.push(backend.stats().received);
         std::thread::sleep(Duration::from_millis(SAMPLE_MS - now_ms % SAMPLE_MS));
     }
     calls
--- a/crates/testkit/examples/shared/budget.rs
+++ b/crates/testkit/examples/shared/budget.rs
@@ -17,11 +17,11 @@
 pub(crate) fn setup(servers: usize, capacity: u32, call_ms: u64) -> FleetSetup {
     let ms = Duration::from_millis;
     let budget = QuotaSetup {
-        whole: capacity,
+        capacity,
         servers: servers as u32,
-        seats: false,
+        slots: false,
         lease: ms(1_000),
-        longest: ms(500),
+        max_call: ms(500),
         call: ms(call_ms),
         handlers: "book",
     };
--- a/crates/testkit/examples/shared/pools.rs
+++ b/crates/testkit/examples/shared/pools.rs
@@ -72,7 +72,7 @@
     let mut setup = setup(SERVERS, CAPACITY, CALL.as_millis() as u64);
     if let Some(budget) = &mut setup.budget {
         budget.handlers = "trip-search, seat-book";
-        budget.longest = LONGEST_CALL;
+        budget.max_call = LONGEST_CALL;
     }
     if !shared {
         setup.budget = None;
@@ -122,6 +122,6 @@
         rates: rates.map(|(at, rate)| (at, rate * PARTS[server])).collect(),
         length: LENGTH,
         seed: server as u64 + 1,
-        allow_ms: REQUEST_TIMEOUT_MS,
+        timeout_ms: REQUEST_TIMEOUT_MS,
     }
 }
--- a/crates/testkit/examples/shared/processes.rs
+++ b/crates/testkit/examples/shared/processes.rs
@@ -75,7 +75,7 @@
 fn mean_in_flight(fleet: &ProcessFleet) -> f64 {
     let (began, mut sum, mut samples) = (Instant::now(), 0.0, 0.0);
     while began.elapsed() < MEASURED_TIME {
-        let reports = (0..fleet.setup.servers).filter_map(|server| fleet.lent(server));
+        let reports = (0..fleet.setup.servers).filter_map(|server| fleet.quota(server));
         sum += f64::from(reports.map(|report| report.in_use).sum::<u32>());
         samples += 1.0;
         std::thread::sleep(SAMPLE_INTERVAL);
--- a/crates/testkit/examples/shares.rs
+++ b/crates/testkit/examples/shares.rs
@@ -47,7 +47,7 @@
             rates: rates(true),
             length: LENGTH,
             seed,
-            allow_ms: REQUEST_TIMEOUT_MS,
+            timeout_ms: REQUEST_TIMEOUT_MS,
         };
         let server = SingleServer::start(release_binary(), &settings, operator, works(), seed);
         let run = server.run(&load, true);
--- a/crates/testkit/src/catalogue.rs
+++ b/crates/testkit/src/catalogue.rs
@@ -47,13 +47,13 @@
 #[derive(Clone, Debug, Default)]
 pub struct CatalogueStats {
     /// The calls in flight, sampled every 10 ms.
-    pub in_hand: Vec<usize>,
+    pub in_flight: Vec<usize>,
     /// The most calls in flight at any time since [`Catalogue::peak`] was last called.
     pub peak: usize,
     /// Calls that were finished.
     pub done: u32,
     /// Calls that arrived, whatever their outcome.
-    pub came: u32,
+    pub received: u32,
     /// Finished calls by the request that they were made for.
     pub names: HashMap<String, u32>,
 }
@@ -217,8 +217,8 @@
     /// Samples the calls in flight up to now.
     fn sample(&mut self, started: Instant) {
         let samples = (started.elapsed().as_millis() / SAMPLE_MS) as usize;
-        if self.stats.in_hand.len() < samples {
-            self.stats.in_hand.resize(samples, self.calls.len());
+        if self.stats.in_flight.len() < samples {
+            self.stats.in_flight.resize(samples, self.calls.len());
         }
     }
 
@@ -289,7 +289,7 @@
                     name,
                     remaining: 1.0,
                 });
-                self.stats.came += 1;
+                self.stats.received += 1;
                 self.stats.peak = self.stats.peak.max(self.calls.len());
             }
             Event::Disconnected { connection } => {
--- a/crates/testkit/src/fleet/processes/client_load.rs
+++ b/crates/testkit/src/fleet/processes/client_load.rs
@@ -46,7 +46,7 @@
             rates: vec![(StdDuration::ZERO, f64::from(node.demand) / call_secs)],
             length: MAX_LENGTH,
             seed: self.began.elapsed().as_nanos() as u64,
-            allow_ms: REQUEST_TIMEOUT_MS,
+            timeout_ms: REQUEST_TIMEOUT_MS,
         };
         let (address, engine) = (server.address, node.engine.clone());
         let on = Arc::new(AtomicBool::new(true));
@@ -109,9 +109,9 @@
 fn request_kinds() -> Vec<RequestKind> {
     vec![RequestKind {
         handler: "book".into(),
-        part: 1.0,
-        target: LATENCY_OBJECTIVE,
-        keyed: true,
-        project: "acme",
+        weight: 1.0,
+        latency_objective: LATENCY_OBJECTIVE,
+        idempotency_key: true,
+        tenant: "acme",
     }]
 }
--- a/crates/testkit/src/fleet/processes/conditions.rs
+++ b/crates/testkit/src/fleet/processes/conditions.rs
@@ -22,7 +22,7 @@
                 .filter(|server| self.nodes[**server].answers())
                 .find_map(|server| self.quota_outside(*server, *least, *most)),
             Condition::Uses { who, least } => {
-                let reports = who.iter().filter_map(|server| self.lent(*server));
+                let reports = who.iter().filter_map(|server| self.quota(*server));
                 let used: u32 = reports.map(|report| report.in_use).sum();
                 (used < *least).then(|| format!("{used} calls are in hand, not {least}"))
             }
@@ -39,7 +39,7 @@
             .iter()
             .copied()
             .filter(|server| self.nodes[*server].answers());
-        answering.find_map(|server| match self.told(server) {
+        answering.find_map(|server| match self.membership(server) {
             Some(report) => wrong(server, &report),
             None => Some(no_answer(server)),
         })
@@ -73,7 +73,7 @@
     }
 
     fn quota_outside(&self, server: usize, least: u32, most: u32) -> Option<String> {
-        let Some(report) = self.lent(server) else {
+        let Some(report) = self.quota(server) else {
             return Some(no_answer(server));
         };
         let usable = report.usable;
@@ -98,7 +98,7 @@
             if !node.answers() {
                 continue;
             }
-            let report = self.told(server).ok_or(server)?;
+            let report = self.membership(server).ok_or(server)?;
             let own_state = report.states.get(&name(node.name));
             if own_state.is_none_or(|state| state != "down") {
                 views.push(View { server, report });
--- a/crates/testkit/src/fleet/processes/mod.rs
+++ b/crates/testkit/src/fleet/processes/mod.rs
@@ -13,7 +13,7 @@
 mod reports;
 mod start;
 
-pub use reports::{MembershipReport, QuotaReport};
+pub use reports::{BackendReport, MembershipReport, QuotaReport};
 
 use self::client_load::ClientLoad;
 use super::relay::DatagramRelays;
@@ -128,7 +128,7 @@
         seed: u64,
     ) -> ProcessFleet {
         let folder = make_folder();
-        let capacity = setup.budget.as_ref().map_or(0, |budget| budget.whole);
+        let capacity = setup.budget.as_ref().map_or(0, |budget| budget.capacity);
         let nodes = (0..setup.servers).map(|index| Node {
             server: None,
             name: index,
@@ -185,7 +185,7 @@
     }
 
     /// Where a server receives datagrams itself, behind its relay; `None` before its first start.
-    pub fn heard_at(&self, server: usize) -> Option<SocketAddr> {
+    pub fn datagram_address(&self, server: usize) -> Option<SocketAddr> {
         self.nodes[server].datagram_address
     }
 }
--- a/crates/testkit/src/fleet/processes/operator_file.rs
+++ b/crates/testkit/src/fleet/processes/operator_file.rs
@@ -43,7 +43,7 @@
     let Some(budget) = &setup.budget else {
         return String::new();
     };
-    let slot = if budget.seats {
+    let slot = if budget.slots {
         format!("seat = {}\n", name + 1)
     } else {
         String::new()
@@ -54,6 +54,6 @@
         budget.handlers,
         budget.servers,
         millis(budget.lease),
-        millis(budget.longest)
+        millis(budget.max_call)
     )
 }
--- a/crates/testkit/src/fleet/processes/reports.rs
+++ b/crates/testkit/src/fleet/processes/reports.rs
@@ -36,9 +36,20 @@
     pub wants: u32,
 }
 
+/// What one server says of one of its backends.
+#[derive(Clone, Debug)]
+pub struct BackendReport {
+    /// `in`, `ejected`, `trial` or `rising`.
+    pub state: String,
+    /// Its weight in the selection.
+    pub weight: f64,
+    /// Recent failures of its calls.
+    pub failures: u64,
+}
+
 impl ProcessFleet {
     /// A server's view of the fleet; `None` where it does not answer.
-    pub fn told(&self, server: usize) -> Option<MembershipReport> {
+    pub fn membership(&self, server: usize) -> Option<MembershipReport> {
         let lines = self.query(server, "members")?;
         let (head, members) = lines.split_first()?;
         let text = |value: &Value| value.as_str().unwrap_or_default().to_string();
@@ -54,7 +65,7 @@
     }
 
     /// A server's part of the budget; `None` where it does not answer or has no budget.
-    pub fn lent(&self, server: usize) -> Option<QuotaReport> {
+    pub fn quota(&self, server: usize) -> Option<QuotaReport> {
         let lines = self.query(server, "shared")?;
         let budget = lines.iter().find(|line| line["whole"].is_u64())?;
         let units = |key: &str| budget[key].as_u64().map(|units| units as u32);
@@ -68,23 +79,23 @@
 
     /// A server's count for a key, by the key's name, and the bound on its error; `None` where it
     /// does not answer or doesn't count the key.
-    pub fn counted(&self, server: usize, of: &str) -> Option<(f64, f64)> {
+    pub fn counter(&self, server: usize, of: &str) -> Option<(f64, f64)> {
         let lines = self.query(server, "shared")?;
         let line = lines.iter().find(|line| line["of"] == of)?;
         Some((line["value"].as_f64()?, line["bound"].as_f64()?))
     }
 
-    /// A server's view of its backends by name: the state, the weight, and the recent failures.
-    /// `None` where it does not answer.
-    pub fn routes(&self, server: usize) -> Option<HashMap<String, (String, f64, u64)>> {
+    /// A server's view of its backends by name. `None` where it does not answer.
+    pub fn backends(&self, server: usize) -> Option<HashMap<String, BackendReport>> {
         let lines = self.query(server, "routes")?;
         let backend = |line: &Value| {
             let name = line["name"].as_str()?.to_string();
-            let state = line["state"].as_str()?.to_string();
-            Some((
-                name,
-                (state, line["weight"].as_f64()?, line["bad"].as_u64()?),
-            ))
+            let report = BackendReport {
+                state: line["state"].as_str()?.to_string(),
+                weight: line["weight"].as_f64()?,
+                failures: line["bad"].as_u64()?,
+            };
+            Some((name, report))
         };
         // The first line is about all of them.
         lines.iter().skip(1).map(backend).collect()
@@ -98,7 +109,7 @@
                 in_use,
                 wants,
                 ..
-            } = self.lent(server)?;
+            } = self.quota(server)?;
             let name = name(server);
             Some(format!("{name} {in_use} of {usable}, work for {wants}"))
         });
--- a/crates/testkit/src/fleet/script/mod.rs
+++ b/crates/testkit/src/fleet/script/mod.rs
@@ -77,7 +77,7 @@
 
 pub use action::{Action, Condition, Step};
 pub use error::{ActionError, Expected, ScriptError, ScriptFailure};
-pub use runner::{ConditionTime, Fleet, load_scripts, run_script};
+pub use runner::{ConditionTime, Fleet, load_scripts};
 pub use setup::{FleetSetup, QuotaSetup};
 
 /// A parsed script.
--- a/crates/testkit/src/fleet/script/parser.rs
+++ b/crates/testkit/src/fleet/script/parser.rs
@@ -111,9 +111,9 @@
 fn set_of_budget(budget: &mut QuotaSetup, key: &str, value: &str) -> Parsed<()> {
     match key {
         "servers" => budget.servers = number(value)?,
-        "seats" => budget.seats = value == "on",
+        "seats" => budget.slots = value == "on",
         "lease" => budget.lease = time(value)?,
-        "longest" => budget.longest = time(value)?,
+        "longest" => budget.max_call = time(value)?,
         "call" => budget.call = time(value)?,
         _ => return Err(unexpected(key, Expected::Key)),
     }
--- a/crates/testkit/src/fleet/script/runner.rs
+++ b/crates/testkit/src/fleet/script/runner.rs
@@ -73,15 +73,6 @@
     Ok(ConditionTime { line, took })
 }
 
-/// Plays a script as [`Script::play`] does, for callers that gather failures as lines of text.
-///
-/// # Errors
-///
-/// The text of the [`ScriptFailure`].
-pub fn run_script(script: &Script, fleet: &mut impl Fleet) -> Result<Vec<ConditionTime>, String> {
-    script.play(fleet).map_err(|failure| failure.to_string())
-}
-
 /// Reads the scripts of a folder, sorted by file name; only those whose name contains the value of
 /// the environment variable `FLEET_SCRIPT`, if it is set.
 ///
--- a/crates/testkit/src/fleet/script/setup.rs
+++ b/crates/testkit/src/fleet/script/setup.rs
@@ -9,15 +9,15 @@
 #[derive(Clone, Debug)]
 pub struct QuotaSetup {
     /// The capacity: calls in flight in the whole fleet.
-    pub whole: u32,
+    pub capacity: u32,
     /// The number of servers that the budget is for.
     pub servers: u32,
     /// Whether each server has a configured slot.
-    pub seats: bool,
+    pub slots: bool,
     /// How long a lease lasts.
     pub lease: Duration,
     /// The longest time that a call takes.
-    pub longest: Duration,
+    pub max_call: Duration,
     /// The mean time that a call takes.
     pub call: Duration,
     /// The handlers whose calls are under the budget, as the operator file has them; of real
@@ -29,11 +29,11 @@
     /// A budget with a capacity for a number of servers, and short leases and calls.
     pub(super) fn of(capacity: u32, servers: usize) -> QuotaSetup {
         QuotaSetup {
-            whole: capacity,
+            capacity,
             servers: servers as u32,
-            seats: false,
+            slots: false,
             lease: Duration::from_millis(1_000),
-            longest: Duration::from_millis(500),
+            max_call: Duration::from_millis(500),
             call: Duration::from_millis(20),
             handlers: "book",
         }
--- a/crates/testkit/src/fleet/simulated/calls.rs
+++ b/crates/testkit/src/fleet/simulated/calls.rs
@@ -57,7 +57,7 @@
         let Some(setup) = &self.setup.budget else {
             return;
         };
-        let (mean, longest) = (setup.call, setup.longest);
+        let (mean, longest) = (setup.call, setup.max_call);
         loop {
             let node = &mut self.nodes[server];
             let now = node.clock(self.now);
--- a/crates/testkit/src/fleet/simulated/start.rs
+++ b/crates/testkit/src/fleet/simulated/start.rs
@@ -81,13 +81,13 @@
         let node = &self.nodes[index];
         let budget = self.setup.budget.as_ref().map(|budget| BudgetSettings {
             name: QUOTA_NAME.into(),
-            capacity: node.work.capacity.unwrap_or(budget.whole),
+            capacity: node.work.capacity.unwrap_or(budget.capacity),
             max_servers: budget.servers,
-            slot: budget.seats.then_some(named as u32 + 1),
+            slot: budget.slots.then_some(named as u32 + 1),
             weight: 1.0,
             terms: LeaseTerms {
                 lease: budget.lease,
-                max_call: budget.longest,
+                max_call: budget.max_call,
                 guard: LEASE_GUARD,
             },
         });
--- a/crates/testkit/src/load_balancer.rs
+++ b/crates/testkit/src/load_balancer.rs
@@ -45,13 +45,13 @@
     /// The handler's name.
     pub handler: String,
     /// The weight with which this kind is drawn.
-    pub part: f64,
+    pub weight: f64,
     /// The latency objective.
-    pub target: Duration,
+    pub latency_objective: Duration,
     /// Whether its requests have idempotency keys.
-    pub keyed: bool,
+    pub idempotency_key: bool,
     /// The tenant.
-    pub project: &'static str,
+    pub tenant: &'static str,
 }
 
 /// The requests a second from each time on.
@@ -85,7 +85,7 @@
 
 impl RequestRecord {
     /// Whether it has exactly one answer, a result within the latency objective.
-    pub fn kept(&self, target: Duration) -> bool {
+    pub fn in_time(&self, target: Duration) -> bool {
         matches!(self.answers[..], [(Answer::Completed, at)] if at.saturating_sub(self.sent) <= target)
     }
 }
@@ -121,7 +121,7 @@
     /// Determines the times, the kinds and the names of the requests.
     pub seed: u64,
     /// The timeout of each request in milliseconds, which it also carries.
-    pub allow_ms: u64,
+    pub timeout_ms: u64,
 }
 
 impl Load {
@@ -158,7 +158,7 @@
             run.send_until(now, length);
             run.receive(&mut answered);
             let owed = run.records.iter().rev().any(|f| f.answers.is_empty());
-            if (now >= length && !owed) || wait.exceeds(self.allow_ms) {
+            if (now >= length && !owed) || wait.exceeds(self.timeout_ms) {
                 return run.records;
             }
         }
@@ -172,9 +172,9 @@
 
     /// The index of the kind that a number from 0 to 1 draws.
     fn draw_kind(&self, drawn: f64) -> usize {
-        let mut rest = drawn * self.kinds.iter().map(|kind| kind.part).sum::<f64>();
+        let mut rest = drawn * self.kinds.iter().map(|kind| kind.weight).sum::<f64>();
         let kind = self.kinds.iter().position(|kind| {
-            rest -= kind.part;
+            rest -= kind.weight;
             rest < 0.0
         });
         kind.unwrap_or(self.kinds.len() - 1)
@@ -183,7 +183,7 @@
     /// A request as it is sent.
     fn line(&self, id: u64, handler: usize, name: &str, body: &str) -> String {
         let kind = &self.kinds[handler];
-        let key = if kind.keyed {
+        let key = if kind.idempotency_key {
             format!("\"replay\":\"{name}{name}\",")
         } else {
             String::new()
@@ -194,8 +194,8 @@
              \"bytes\":\"{body}\"}}}}\n",
             kind.handler,
             unix_ms(),
-            kind.project,
-            self.allow_ms,
+            kind.tenant,
+            self.timeout_ms,
         )
     }
 }
--- a/crates/testkit/src/load_balancer/outcomes.rs
+++ b/crates/testkit/src/load_balancer/outcomes.rs
@@ -14,14 +14,14 @@
     from: Duration,
     to: Duration,
 ) -> (usize, f64) {
-    let target = kinds[handler].target;
+    let target = kinds[handler].latency_objective;
     let sent = || {
         records
             .iter()
             .filter(|record| record.handler == handler && (from..to).contains(&record.sent))
     };
     let count = sent().count();
-    let kept = sent().filter(|record| record.kept(target)).count();
+    let kept = sent().filter(|record| record.in_time(target)).count();
     (count, kept as f64 / count.max(1) as f64)
 }
 
@@ -50,7 +50,7 @@
         if record.answers.len() != 1 {
             found.push(format!("{name} got {} answers", record.answers.len()));
         }
-        if !kinds[record.handler].keyed {
+        if !kinds[record.handler].idempotency_key {
             continue;
         }
         let runs = bodies.get(&record.body).copied().unwrap_or(0);
--- a/crates/testkit/src/measurement/loads.rs
+++ b/crates/testkit/src/measurement/loads.rs
@@ -12,10 +12,10 @@
 pub fn request_kind(handler: &str, part: f64, target: Duration, keyed: bool) -> RequestKind {
     RequestKind {
         handler: handler.into(),
-        part,
-        target,
-        keyed,
-        project: "acme",
+        weight: part,
+        latency_objective: target,
+        idempotency_key: keyed,
+        tenant: "acme",
     }
 }
 
--- a/crates/testkit/src/measurement/trips.rs
+++ b/crates/testkit/src/measurement/trips.rs
@@ -176,7 +176,7 @@
             server: self.server.address,
             engine: self.engine.clone(),
         };
-        let (began, first_sample) = (Instant::now(), self.catalogue.stats().in_hand.len());
+        let (began, first_sample) = (Instant::now(), self.catalogue.stats().in_flight.len());
         let cpu_before = self.server.cpu();
         let mut slow_down = SlowDown::of(&self.catalogue);
         let records = target.send(load, |now| {
@@ -196,7 +196,7 @@
             violations,
             log,
             cpu_ms,
-            in_flight: self.catalogue.stats().in_hand.split_off(first_sample),
+            in_flight: self.catalogue.stats().in_flight.split_off(first_sample),
         }
     }
 }
--- a/crates/testkit/tests/script.rs
+++ b/crates/testkit/tests/script.rs
@@ -75,7 +75,7 @@
     let text = "servers 2\nset budget=64 servers=12 lease=2s join=n2\nstart all";
     let setup = Script::read("test", text).expect("a script").setup;
     let budget = setup.budget.expect("a budget");
-    assert_eq!((budget.whole, budget.servers), (64, 12));
+    assert_eq!((budget.capacity, budget.servers), (64, 12));
     assert_eq!(budget.lease, Duration::from_millis(2_000));
     assert_eq!((setup.servers, setup.join), (2, vec![1]));
 }
