Test kit: a fleet with one budget is made at one place

Cause: a test of the quotas and the example that measures them wrote the same set-up, whose values stand in QuotaSetup::of. Change: FleetSetup::with_budget, called by both; the values are the same.

--- a/crates/quota/tests/fleet.rs
+++ b/crates/quota/tests/fleet.rs
@@ -5,7 +5,7 @@
 mod support;
 
 use madderbay::time::Duration;
-use madderbay_testkit::fleet::script::{Action, Condition, Fleet, FleetSetup, QuotaSetup};
+use madderbay_testkit::fleet::script::{Action, Condition, Fleet, FleetSetup};
 use madderbay_testkit::fleet::script_generator::ScriptGenerator;
 use madderbay_testkit::fleet::simulated::{SimulatedFleet, run_all_scripts};
 use std::path::Path;
@@ -31,20 +31,7 @@
 
 /// A fleet of `servers` with one budget of `capacity` calls in flight.
 fn fleet_with_budget(servers: usize, capacity: u32, call_ms: u64) -> FleetSetup {
-    let ms = Duration::from_millis;
-    let budget = QuotaSetup {
-        capacity,
-        servers: servers as u32,
-        slots: false,
-        lease: ms(1_000),
-        max_call: ms(500),
-        call: ms(call_ms),
-        handlers: "book",
-    };
-    FleetSetup {
-        budget: Some(budget),
-        ..FleetSetup::of(servers)
-    }
+    FleetSetup::with_budget(servers, capacity, Duration::from_millis(call_ms))
 }
 
 /// Each of the servers has demand for more than its base quota.
--- a/crates/testkit/examples/shared/budget.rs
+++ b/crates/testkit/examples/shared/budget.rs
@@ -1,7 +1,7 @@
 //! A budget over a fleet, and work for it.
 
 use madderbay::time::Duration;
-use madderbay_testkit::fleet::script::{Action, Condition, Fleet, FleetSetup, QuotaSetup};
+use madderbay_testkit::fleet::script::{Action, Condition, Fleet, FleetSetup};
 use madderbay_testkit::measurement::fleets::{act, start_all, wait_until};
 
 /// The base quota of each server, in calls.
@@ -15,20 +15,7 @@
 
 /// A fleet with a budget of this capacity, whose calls take this long.
 pub(crate) fn setup(servers: usize, capacity: u32, call_ms: u64) -> FleetSetup {
-    let ms = Duration::from_millis;
-    let budget = QuotaSetup {
-        capacity,
-        servers: servers as u32,
-        slots: false,
-        lease: ms(1_000),
-        max_call: ms(500),
-        call: ms(call_ms),
-        handlers: "book",
-    };
-    FleetSetup {
-        budget: Some(budget),
-        ..FleetSetup::of(servers)
-    }
+    FleetSetup::with_budget(servers, capacity, Duration::from_millis(call_ms))
 }
 
 /// Starts all servers and waits until each has its base quota.
--- a/crates/testkit/src/fleet/script/setup.rs
+++ b/crates/testkit/src/fleet/script/setup.rs
@@ -67,6 +67,18 @@
 }
 
 impl FleetSetup {
+    /// A fleet with one budget of a capacity for all its servers, whose calls take that long.
+    pub fn with_budget(servers: usize, capacity: u32, call: Duration) -> FleetSetup {
+        let budget = QuotaSetup {
+            call,
+            ..QuotaSetup::of(capacity, servers)
+        };
+        FleetSetup {
+            budget: Some(budget),
+            ..FleetSetup::of(servers)
+        }
+    }
+
     /// A number of servers in one zone that join through the first, without a budget.
     pub fn of(servers: usize) -> FleetSetup {
         FleetSetup {
