--- a/crates/membership/tests/fleet.rs
+++ b/crates/membership/tests/fleet.rs
@@ -2,8 +2,8 @@
 //! the same on real processes.
 
 use madderbay::time::Span;
-use madderbay_standins::fleet::script::{Act, Condition, Fleet, Setup};
-use madderbay_standins::fleet::sim::{Sim, play_all};
+use madderbay_testkit::fleet::script::{Act, Condition, Fleet, Setup};
+use madderbay_testkit::fleet::sim::{Sim, play_all};
 use std::path::Path;
 
 const SEEDS: u64 = 20;
--- a/crates/quota/tests/counts.rs
+++ b/crates/quota/tests/counts.rs
@@ -4,8 +4,8 @@
 use madderbay::time::{At, Span};
 use madderbay_quota::counts::{Counts, Settings};
 use madderbay_quota::mark;
-use madderbay_standins::fleet::script::{Act, Condition, Fleet, Setup};
-use madderbay_standins::fleet::sim::Sim;
+use madderbay_testkit::fleet::script::{Act, Condition, Fleet, Setup};
+use madderbay_testkit::fleet::sim::Sim;
 
 const WINDOW: Span = Span::millis(5_000);
 
--- a/crates/quota/tests/fleet.rs
+++ b/crates/quota/tests/fleet.rs
@@ -2,9 +2,9 @@
 //! `crates/server/tests/shared.rs` plays the same scripts on real processes.
 
 use madderbay::time::Span;
-use madderbay_standins::fleet::draw::Draw;
-use madderbay_standins::fleet::script::{Act, Budgeted, Condition, Fleet, Setup};
-use madderbay_standins::fleet::sim::{Sim, play_all};
+use madderbay_testkit::fleet::draw::Draw;
+use madderbay_testkit::fleet::script::{Act, Budgeted, Condition, Fleet, Setup};
+use madderbay_testkit::fleet::sim::{Sim, play_all};
 use std::path::Path;
 
 const SEEDS: u64 = 20;
--- a/crates/server/tests/binary.rs
+++ b/crates/server/tests/binary.rs
@@ -2,9 +2,9 @@
 
 mod common;
 
-use madderbay_standins::peer::{Peer, local};
-use madderbay_standins::server::{self, Others, configuration, written};
-use madderbay_standins::{PATIENCE, registry, unix_ms};
+use madderbay_testkit::peer::{Peer, local};
+use madderbay_testkit::server::{self, Others, configuration, written};
+use madderbay_testkit::{PATIENCE, registry, unix_ms};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::ops::{Deref, DerefMut};
--- a/crates/server/tests/crossings.rs
+++ b/crates/server/tests/crossings.rs
@@ -10,7 +10,7 @@
 use madderbay_server::core::serve::{Serve, Shared};
 use madderbay_server::tools::clock::Clock;
 use madderbay_server::tools::drive::{Outbox, drive, drive_peer};
-use madderbay_standins::{PATIENCE, unix_ms};
+use madderbay_testkit::{PATIENCE, unix_ms};
 use std::cell::RefCell;
 use std::io::{ErrorKind, Write};
 use std::net::SocketAddr;
--- a/crates/server/tests/deploy.rs
+++ b/crates/server/tests/deploy.rs
@@ -2,9 +2,9 @@
 
 mod common;
 
-use madderbay_standins::engine::Engine;
-use madderbay_standins::server::{Others, command, configuration, written};
-use madderbay_standins::{PATIENCE, registry};
+use madderbay_testkit::engine::Engine;
+use madderbay_testkit::server::{Others, command, configuration, written};
+use madderbay_testkit::{PATIENCE, registry};
 use object::{Object, ObjectSymbol};
 use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
--- a/crates/server/tests/fleet.rs
+++ b/crates/server/tests/fleet.rs
@@ -2,9 +2,9 @@
 
 mod common;
 
-use madderbay_standins::engine::Work;
-use madderbay_standins::fleet::script::{Act, Script, Step, play, scripts};
-use madderbay_standins::fleet::stand::Stand;
+use madderbay_testkit::engine::Work;
+use madderbay_testkit::fleet::script::{Act, Script, Step, play, scripts};
+use madderbay_testkit::fleet::stand::Stand;
 use std::path::Path;
 
 fn program() -> &'static Path {
--- a/crates/server/tests/routes.rs
+++ b/crates/server/tests/routes.rs
@@ -4,12 +4,12 @@
 mod common;
 
 use madderbay::time::Span;
-use madderbay_standins::balancer::{Ask, Fate, Load, breaches};
-use madderbay_standins::catalogue::{Catalogue, Mood};
-use madderbay_standins::engine::Work;
-use madderbay_standins::fleet::script::{Act, Condition, Fleet, Setup};
-use madderbay_standins::fleet::stand::Stand;
-use madderbay_standins::gate::Gate;
+use madderbay_testkit::balancer::{Ask, Fate, Load, breaches};
+use madderbay_testkit::catalogue::{Catalogue, Mood};
+use madderbay_testkit::engine::Work;
+use madderbay_testkit::fleet::script::{Act, Condition, Fleet, Setup};
+use madderbay_testkit::fleet::stand::Stand;
+use madderbay_testkit::gate::Gate;
 use std::path::Path;
 use std::process::Command;
 use std::sync::Arc;
--- a/crates/server/tests/shared.rs
+++ b/crates/server/tests/shared.rs
@@ -4,10 +4,10 @@
 mod common;
 
 use madderbay::time::Span;
-use madderbay_standins::balancer::{Answer, Ask, Fate, Load, breaches};
-use madderbay_standins::engine::{Engine, Work};
-use madderbay_standins::fleet::script::{Act, Budgeted, Condition, Fleet, Setup, play, scripts};
-use madderbay_standins::fleet::stand::Stand;
+use madderbay_testkit::balancer::{Answer, Ask, Fate, Load, breaches};
+use madderbay_testkit::engine::{Engine, Work};
+use madderbay_testkit::fleet::script::{Act, Budgeted, Condition, Fleet, Setup, play, scripts};
+use madderbay_testkit::fleet::stand::Stand;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Mutex;
--- a/crates/standins/examples/kept.rs
+++ b/crates/testkit/examples/kept.rs
@@ -1,6 +1,6 @@
 //! Measures kept results on the real program, between stand-ins on loopback:
 //!
-//!     cargo build --release && cargo run --release -p madderbay-standins --example kept [HISTORIES]
+//!     cargo build --release && cargo run --release -p madderbay-testkit --example kept [HISTORIES]
 //!
 //! Histories: a server is killed at a random moment while it books, started again, and every try is repeated;
 //! a booking is a run in the engine. Then what it costs: times, syncs and CPU at several rates, and recovery.
@@ -8,12 +8,12 @@
 use madderbay_idempotency_store::log::Log;
 use madderbay_idempotency_store::record::Record;
 use madderbay_idempotency_store::storage::Files;
-use madderbay_standins::balancer::{Answer, Ask, Load, breaches, times};
-use madderbay_standins::catalogue::Catalogue;
-use madderbay_standins::engine::{Engine, Work};
-use madderbay_standins::peer::Peer;
-use madderbay_standins::server::{Others, Server, configuration, written};
-use madderbay_standins::{registry, unix_ms};
+use madderbay_testkit::balancer::{Answer, Ask, Load, breaches, times};
+use madderbay_testkit::catalogue::Catalogue;
+use madderbay_testkit::engine::{Engine, Work};
+use madderbay_testkit::peer::Peer;
+use madderbay_testkit::server::{Others, Server, configuration, written};
+use madderbay_testkit::{registry, unix_ms};
 use std::net::TcpStream;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
--- a/crates/standins/examples/members.rs
+++ b/crates/testkit/examples/members.rs
@@ -1,18 +1,18 @@
 //! Measures the view of the fleet beside all-to-all heartbeats and beside SWIM without the accuser's own health.
 //!
-//!     cargo run --release -p madderbay-standins --example members simulated [SEEDS [MEMBERS [LOSS]]]
-//!     cargo run --release -p madderbay-standins --example members hour
-//!     cargo build --release && cargo run --release -p madderbay-standins --example members real [SEEDS]
+//!     cargo run --release -p madderbay-testkit --example members simulated [SEEDS [MEMBERS [LOSS]]]
+//!     cargo run --release -p madderbay-testkit --example members hour
+//!     cargo build --release && cargo run --release -p madderbay-testkit --example members real [SEEDS]
 //!     ... members histories [COUNT]      ... members flood      ... members cost
 
 use madderbay::time::Span;
-use madderbay_standins::balancer::{Ask, Load, breaches, times};
-use madderbay_standins::engine::{Engine, Work};
-use madderbay_standins::fleet::script::{Act, Condition, Fleet, Setup};
-use madderbay_standins::fleet::sim::Sim;
-use madderbay_standins::fleet::stand::Stand;
-use madderbay_standins::registry;
-use madderbay_standins::server::{Others, Server, configuration};
+use madderbay_testkit::balancer::{Ask, Load, breaches, times};
+use madderbay_testkit::engine::{Engine, Work};
+use madderbay_testkit::fleet::script::{Act, Condition, Fleet, Setup};
+use madderbay_testkit::fleet::sim::Sim;
+use madderbay_testkit::fleet::stand::Stand;
+use madderbay_testkit::registry;
+use madderbay_testkit::server::{Others, Server, configuration};
 use oorandom::Rand64;
 use std::net::UdpSocket;
 use std::path::Path;
--- a/crates/standins/examples/pools.rs
+++ b/crates/testkit/examples/pools.rs
@@ -1,16 +1,16 @@
 //! Measures pools against the program without them and with fixed limits, between stand-ins on loopback:
 //!
-//!     cargo build --release && cargo run --release -p madderbay-standins --example pools [SEEDS]
+//!     cargo build --release && cargo run --release -p madderbay-testkit --example pools [SEEDS]
 //!
 //! An engine of 4 cores (work 20 to 40 ms), a trip book of 8 slots (25 ms a call), 90 reqs a second. From the
 //! 5th to the 13th second the trip book is 20 times slower; for the first 5 of these 1.6 times as many reqs
 //! come.
 
-use madderbay_standins::balancer::{Answer, Ask, Fate, Load, Rates, breaches, kept, times};
-use madderbay_standins::catalogue::{Catalogue, Mood};
-use madderbay_standins::engine::{Engine, Work};
-use madderbay_standins::registry;
-use madderbay_standins::server::{Others, Server, configuration};
+use madderbay_testkit::balancer::{Answer, Ask, Fate, Load, Rates, breaches, kept, times};
+use madderbay_testkit::catalogue::{Catalogue, Mood};
+use madderbay_testkit::engine::{Engine, Work};
+use madderbay_testkit::registry;
+use madderbay_testkit::server::{Others, Server, configuration};
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
--- a/crates/standins/examples/shared.rs
+++ b/crates/testkit/examples/shared.rs
@@ -1,21 +1,21 @@
 //! Measures budgets shared over a fleet beside fixed parts and beside one giver elected by the view, and counts
 //! against the truth.
 //!
-//!     cargo run --release -p madderbay-standins --example shared simulated [SERVERS]
+//!     cargo run --release -p madderbay-testkit --example shared simulated [SERVERS]
 //!     ... shared drawn [COUNT]      ... shared counts
-//!     cargo build --release && cargo run --release -p madderbay-standins --example shared real
+//!     cargo build --release && cargo run --release -p madderbay-testkit --example shared real
 //!     ... shared histories [COUNT]      ... shared trouble
 
 use madderbay::time::Span;
 use madderbay_membership::State;
 use madderbay_quota::counts::{Counts, Settings};
-use madderbay_standins::balancer::{Ask, Fate, Load, breaches, kept};
-use madderbay_standins::catalogue::{Catalogue, Mood};
-use madderbay_standins::engine::Work;
-use madderbay_standins::fleet::draw::Draw;
-use madderbay_standins::fleet::script::{Act, Budgeted, Condition, Fleet, Setup, name};
-use madderbay_standins::fleet::sim::Sim;
-use madderbay_standins::fleet::stand::Stand;
+use madderbay_testkit::balancer::{Ask, Fate, Load, breaches, kept};
+use madderbay_testkit::catalogue::{Catalogue, Mood};
+use madderbay_testkit::engine::Work;
+use madderbay_testkit::fleet::draw::Draw;
+use madderbay_testkit::fleet::script::{Act, Budgeted, Condition, Fleet, Setup, name};
+use madderbay_testkit::fleet::sim::Sim;
+use madderbay_testkit::fleet::stand::Stand;
 use oorandom::Rand64;
 use std::path::Path;
 use std::sync::Mutex;
--- a/crates/standins/examples/shares.rs
+++ b/crates/testkit/examples/shares.rs
@@ -1,16 +1,16 @@
 //! Pools under shares from too small to ten times too large, between stand-ins on loopback:
 //!
-//!     cargo build --release && cargo run --release -p madderbay-standins --example shares [SEEDS [SHARE]]
+//!     cargo build --release && cargo run --release -p madderbay-testkit --example shares [SEEDS [SHARE]]
 //!
 //! An engine of 4 cores, a trip book of 8 slots (25 ms a call), 30 trip-searches, 40 fare-quotes and 20
 //! seat-books a second. From the 5th to the 13th second the trip book is 20 times slower; for the first 5 of
 //! these 1.6 times as many reqs come.
 
-use madderbay_standins::balancer::{Ask, Load, breaches, kept};
-use madderbay_standins::catalogue::{Catalogue, Mood};
-use madderbay_standins::engine::{Engine, Work};
-use madderbay_standins::registry;
-use madderbay_standins::server::{Others, Server, configuration};
+use madderbay_testkit::balancer::{Ask, Load, breaches, kept};
+use madderbay_testkit::catalogue::{Catalogue, Mood};
+use madderbay_testkit::engine::{Engine, Work};
+use madderbay_testkit::registry;
+use madderbay_testkit::server::{Others, Server, configuration};
 use std::path::Path;
 use std::time::{Duration, Instant};
 
--- a/crates/upstream/tests/fleet.rs
+++ b/crates/upstream/tests/fleet.rs
@@ -2,7 +2,7 @@
 //! `crates/server/tests/routes.rs` plays cases on real processes.
 
 use madderbay::time::Span;
-use madderbay_standins::routes::{Mode, Setup, Way, World};
+use madderbay_testkit::routes::{Mode, Setup, Way, World};
 
 const SEEDS: std::ops::Range<u64> = 0..4;
 
