Fake engine: no notice before ATTACH, no run of a request that is over

Cause: a new connection took notices before the server had said on it which ones it has. A RUN that came after its request was over began a run, where the protocol answers 'gone'. Change: notices wait for ATTACH, which sends what was missed; RUN of a request that is over ends as 'gone'. New faults and records for tests: stop_reading leaves a connection unread, EngineStats.runs keeps what happened to each run.

--- a/crates/testkit/src/engine.rs
+++ b/crates/testkit/src/engine.rs
@@ -6,13 +6,15 @@
 //! newest connection is served; lines of former ones are ignored. A run works for a drawn time on
 //! one core. A run of a handler that makes calls asks for its call (`NEED`) at half of its work and
 //! waits until it gets `FEED` or `SKIP`. A run ends (`DONE`) as `good` when its work is done, and
-//! as `cut` when it is halted. Notices are numbered and retained, so that a server that attaches
+//! as `cut` when it is halted. A run that is to begin when its request is over already ends as `gone`. Notices are numbered and retained, so that a server that attaches
 //! again receives those that it has missed.
 //!
 //! # Faults
 //!
-//! [`Engine::break_link`](crate::engine::Engine::break_link) closes the connection in use. A run
-//! whose handler the engine doesn't know is rejected with `NO`.
+//! [`Engine::break_link`](crate::engine::Engine::break_link) closes the connection in use, and
+//! [`Engine::stop_reading`](crate::engine::Engine::stop_reading) leaves unread what comes on it from
+//! then on. A run whose handler the engine doesn't know is rejected with `NO`. A `HALT` of a run that
+//! it doesn't have is passed over in silence.
 
 mod core_pool;
 
@@ -22,6 +24,7 @@
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{Sender, channel};
+use std::time::Duration;
 
 /// What the runs of one handler do.
 #[derive(Clone, Debug)]
@@ -53,6 +56,17 @@
     pub bodies: HashMap<String, u32>,
     /// The most runs at any time.
     pub most_at_once: usize,
+    /// What happened to each run, by its name, in order.
+    pub runs: HashMap<String, Vec<RunEvent>>,
+}
+
+/// What happened to a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunEvent {
+    /// The time since the engine's start.
+    pub at: Duration,
+    /// The kind of the command that was read, or of the notice that was sent.
+    pub kind: String,
 }
 
 enum Event {
@@ -61,9 +75,10 @@
         connection: u64,
         line: String,
     },
-    /// A request is answered: its run ends when it waits for a call.
+    /// A request is answered: its run ends when it waits for a call, or is not begun.
     RequestAnswered(String),
     Stats(Sender<EngineStats>),
+    StopReading,
     BreakLink,
 }
 
@@ -94,7 +109,8 @@
         Engine { address, events }
     }
 
-    /// Reports that the request with this name is answered: its run ends when it waits for a call.
+    /// Reports that the request with this name is answered: its run ends when it waits for a call, and does not begin
+    /// if it has not begun yet.
     pub fn answered(&self, name: &str) {
         let _ = self.events.send(Event::RequestAnswered(name.into()));
     }
@@ -104,6 +120,11 @@
         let _ = self.events.send(Event::BreakLink);
     }
 
+    /// Fault: reads nothing more on the connection in use; its notices are still sent.
+    pub fn stop_reading(&self) {
+        let _ = self.events.send(Event::StopReading);
+    }
+
     /// What the engine has seen since its start; empty when it doesn't answer in time.
     pub fn stats(&self) -> EngineStats {
         let (reply, received) = channel();
--- a/crates/testkit/src/engine/core_pool.rs
+++ b/crates/testkit/src/engine/core_pool.rs
@@ -1,10 +1,10 @@
 //! The state of the fake engine: runs on the cores, the connection in use and the retained notices.
 
-use super::{EngineStats, Event, HandlerWork, read_lines};
+use super::{EngineStats, Event, HandlerWork, RunEvent, read_lines};
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD as BASE64;
 use serde_json::Value;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::io::Write;
 use std::net::{Shutdown, TcpStream};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender};
@@ -47,9 +47,16 @@
     works: Vec<HandlerWork>,
     random: oorandom::Rand64,
     runs: BTreeMap<String, Run>,
+    /// Requests that are over: no run of theirs begins any more.
+    over: HashSet<String>,
     connection: Option<TcpStream>,
     /// The number of the newest connection.
     connections: u64,
+    /// Whether that one is read.
+    is_reading: bool,
+    /// Whether the server has said on that one which notices it has. None is sent before.
+    is_attached: bool,
+    began: Instant,
     /// The number of the newest notice.
     serial: u64,
     retained: VecDeque<RetainedNotice>,
@@ -63,8 +70,12 @@
             works,
             random: oorandom::Rand64::new(u128::from(seed)),
             runs: BTreeMap::new(),
+            over: HashSet::new(),
             connection: None,
             connections: 0,
+            is_reading: true,
+            is_attached: false,
+            began: Instant::now(),
             serial: 0,
             retained: VecDeque::new(),
             stats: EngineStats::default(),
@@ -150,6 +161,7 @@
         if self.runs[name].answered {
             return self.end(name, "cut");
         }
+        self.record(name, "NEED");
         let blob = BASE64.encode(name);
         self.notify(|serial| {
             format!("\"msg\":\"NEED\",\"serial\":{serial},\"call\":\"{name}\",\"blob\":\"{blob}\"")
@@ -158,10 +170,15 @@
 
     /// Ends a run; `how` is the protocol's word for its outcome.
     fn end(&mut self, name: &str, how: &str) {
-        let Some(run) = self.runs.remove(name) else {
-            return;
-        };
-        let ms = run.started.elapsed().as_millis();
+        if let Some(run) = self.runs.remove(name) {
+            self.run_over(name, how, run.started.elapsed());
+        }
+    }
+
+    /// Sends the notice of a run that is over.
+    fn run_over(&mut self, name: &str, how: &str, elapsed: Duration) {
+        self.record(name, &format!("DONE {how}"));
+        let ms = elapsed.as_millis();
         let blob = BASE64.encode(name);
         self.notify(|serial| {
             format!(
@@ -171,12 +188,23 @@
         });
     }
 
+    /// Records what happened to a run.
+    fn record(&mut self, name: &str, kind: &str) {
+        let event = RunEvent {
+            at: self.began.elapsed(),
+            kind: kind.into(),
+        };
+        self.stats.runs.entry(name.into()).or_default().push(event);
+    }
+
     /// Sends a notice, made of its members, and retains it.
     fn notify(&mut self, members: impl FnOnce(u64) -> String) {
         self.serial += 1;
         let serial = self.serial;
         let line = format!("{{{}}}\n", members(serial));
-        self.send(&line);
+        if self.is_attached {
+            self.send(&line);
+        }
         self.retained.push_back(RetainedNotice { serial, line });
         if self.retained.len() > MAX_RETAINED_NOTICES {
             self.retained.pop_front();
@@ -197,7 +225,9 @@
     fn handle(&mut self, event: Event, lines: &Sender<Event>) {
         match event {
             Event::Connected(stream) => self.connected(stream, lines),
-            Event::Line { connection, line } if connection == self.connections => {
+            Event::Line { connection, line }
+                if connection == self.connections && self.is_reading =>
+            {
                 self.command(&line);
             }
             Event::Line { .. } => {}
@@ -205,6 +235,7 @@
             Event::Stats(reply) => {
                 let _ = reply.send(self.stats.clone());
             }
+            Event::StopReading => self.is_reading = false,
             Event::BreakLink => {
                 if let Some(stream) = self.connection.take() {
                     let _ = stream.shutdown(Shutdown::Both);
@@ -217,6 +248,8 @@
     fn connected(&mut self, stream: TcpStream, lines: &Sender<Event>) {
         let _ = stream.set_nodelay(true);
         self.connections += 1;
+        self.is_reading = true;
+        self.is_attached = false;
         let (connection, events) = (self.connections, lines.clone());
         let reader = stream.try_clone().expect("a second handle");
         std::thread::spawn(move || read_lines(connection, reader, &events));
@@ -224,6 +257,7 @@
     }
 
     fn request_answered(&mut self, name: &str) {
+        self.over.insert(name.into());
         let Some(run) = self.runs.get_mut(name) else {
             return;
         };
@@ -240,6 +274,9 @@
         };
         let text = |key: &str| message[key].as_str().unwrap_or_default();
         let name = text("call");
+        if !name.is_empty() {
+            self.record(name, text("msg"));
+        }
         match text("msg") {
             "ATTACH" => self.attach(message["serial"].as_u64().unwrap_or(0)),
             "STAT" => self.send_load(text("cookie")),
@@ -269,6 +306,7 @@
             .filter(|notice| notice.serial > last_read)
             .map(|notice| notice.line.as_str())
             .collect();
+        self.is_attached = true;
         self.send("{\"msg\":\"HELLO\",\"how\":\"old\",\"duration\":3600000}\n");
         self.send(&missed);
     }
@@ -290,6 +328,9 @@
             ));
         };
         let (least_ms, most_ms) = work.ms;
+        if self.over.contains(name) {
+            return self.run_over(name, "gone", Duration::ZERO);
+        }
         let total_ms = least_ms + (most_ms - least_ms) * self.random.rand_float();
         let run = Run {
             remaining_ms: total_ms,
