Engine link: a line and a counter for what is sent again and for runs that nobody awaits

Cause: when a server sends HALT for a run that the engine was never sent, neither log nor counters tell whether the run was forgotten, lost on the way or never begun. Change: INFO 'engine: link restored' with the runs whose commands may not have been read; at debug a line for each of them with its bytes; the counter in_hand.answered, of requests in flight that are answered or gone. The test of the counters' names and order gets the new line; no other line moved.

--- a/crates/server/src/core/engine_commands.rs
+++ b/crates/server/src/core/engine_commands.rs
@@ -6,6 +6,7 @@
 
 use super::in_flight::{InFlightRequest, InFlightRequests};
 use super::run_commands::ResendOutcome;
+use crate::support::attempt_name;
 use crate::upstream::engine::{EngineCommand, EngineLink};
 
 /// The commands of all runs, on their way to the engine.
@@ -54,12 +55,22 @@
     pub(super) fn resend(&self, requests: &mut InFlightRequests) -> Vec<u64> {
         let proven = self.link.proven_before();
         let unproven = requests.sorted_mut(|request| request.commands.is_unproven(proven));
+        let runs = unproven.len();
         let mut in_doubt = vec![];
         for (id, request) in unproven {
+            log::debug!(
+                "engine: commands sent again, attempt={}, bytes={}",
+                attempt_name::as_text(&request.name),
+                request.commands.unproven_bytes()
+            );
             if request.commands.resend(&self.link) == ResendOutcome::ReplyInDoubt {
                 in_doubt.push(id);
             }
         }
+        log::info!(
+            "engine: link restored, runs_unproven={runs}, replies_in_doubt={}",
+            in_doubt.len()
+        );
         in_doubt
     }
 }
--- a/crates/server/src/core/event_loop.rs
+++ b/crates/server/src/core/event_loop.rs
@@ -219,9 +219,12 @@
     /// All counters, one line each.
     pub fn counter_lines(&self) -> String {
         let executor = &self.executor;
+        let requests_in_flight = executor.requests.len();
+        let open_requests = executor.requests.unanswered_count();
         let mut lines = executor.counters.lines(&LoadGauges {
-            open_requests: executor.requests.unanswered_count(),
-            requests_in_flight: executor.requests.len(),
+            open_requests,
+            requests_in_flight,
+            requests_answered: requests_in_flight - open_requests,
             connections: executor.downstream.connections().len(),
             calls_in_flight: executor.calls.calls_in_flight(),
             keys: executor.idempotent_runs.table().len(),
--- a/crates/server/src/core/run_commands.rs
+++ b/crates/server/src/core/run_commands.rs
@@ -81,6 +81,11 @@
         self.proving_gauges > proven && !self.unproven.is_empty()
     }
 
+    /// Bytes of the commands that the engine may not have read.
+    pub(super) fn unproven_bytes(&self) -> usize {
+        self.unproven.len()
+    }
+
     /// Sends the unproven commands again, except those that end with a reply.
     pub(super) fn resend(&mut self, link: &EngineLink) -> ResendOutcome {
         if self.reply_position.take().is_some() {
--- a/crates/server/src/support/metrics.rs
+++ b/crates/server/src/support/metrics.rs
@@ -148,6 +148,8 @@
     pub open_requests: usize,
     /// Requests in flight, also those whose answer is out while their run still ends.
     pub requests_in_flight: usize,
+    /// Those in flight that are answered, or whose client is gone, while their run has not ended.
+    pub requests_answered: usize,
     /// Connections of load balancers.
     pub connections: usize,
     /// Calls in flight.
--- a/crates/server/src/support/metrics/table.rs
+++ b/crates/server/src/support/metrics/table.rs
@@ -32,7 +32,7 @@
 ];
 
 /// All other lines, in their order.
-const METRICS: [Metric; 41] = [
+const METRICS: [Metric; 42] = [
     metric("answered.done", |counters, _| counters.answers.completed),
     metric("answered.partial", |counters, _| counters.answers.partial),
     metric("answered.shed", |counters, _| counters.answers.rejected),
@@ -40,6 +40,9 @@
     metric("gone", |counters, _| counters.clients_gone),
     metric("open", |_, gauges| gauges.open_requests as u64),
     metric("in_hand", |_, gauges| gauges.requests_in_flight as u64),
+    metric("in_hand.answered", |_, gauges| {
+        gauges.requests_answered as u64
+    }),
     metric("joined", |counters, _| counters.requests_joined),
     metric("cut", |counters, _| counters.requests_disconnected),
     metric("runs.started", |counters, _| counters.runs_started),
--- a/crates/server/tests/counters.rs
+++ b/crates/server/tests/counters.rs
@@ -19,6 +19,7 @@
 counter gone 7
 counter open 101
 counter in_hand 102
+counter in_hand.answered 106
 counter joined 6
 counter cut 8
 counter runs.started 9
@@ -143,6 +144,7 @@
     let gauges = LoadGauges {
         open_requests: 101,
         requests_in_flight: 102,
+        requests_answered: 106,
         connections: 103,
         calls_in_flight: 104,
         keys: 105,
