Soak: a play keeps the server's debug lines of each request

Cause: a broken rule was shown without what the server said of the request. Change: plays run with the log at debug, and a violation has the lines that name its request.

--- a/crates/testkit/src/server.rs
+++ b/crates/testkit/src/server.rs
@@ -112,6 +112,23 @@
         Server::start_ahead(binary, configuration, operator, "0")
     }
 
+    /// The same with its log at the level `debug`.
+    ///
+    /// # Panics
+    ///
+    /// If the program doesn't start, or ends before it listens.
+    pub fn start_with_debug_log(
+        binary: &Path,
+        configuration: &str,
+        operator: Option<&str>,
+    ) -> Server {
+        let path = write_config(configuration);
+        let operator = operator.map(write_config);
+        let mut command = command(binary, Some(&path));
+        command.env("MADDERBAY_LOG", "debug");
+        Server::spawn(command, path, operator)
+    }
+
     /// The same on a Unix clock that is ahead by a number of milliseconds, given as on the command
     /// line.
     ///
@@ -127,12 +144,17 @@
         let path = write_config(configuration);
         let operator = operator.map(write_config);
         let mut command = command(binary, Some(&path));
-        if let Some(file) = &operator {
-            command.arg("--operator").arg(file);
-        }
         if ahead_ms != "0" {
             command.arg(format!("--unix-ahead-ms={ahead_ms}"));
         }
+        Server::spawn(command, path, operator)
+    }
+
+    /// Starts the process, and waits until it listens.
+    fn spawn(mut command: Command, path: PathBuf, operator: Option<PathBuf>) -> Server {
+        if let Some(file) = &operator {
+            command.arg("--operator").arg(file);
+        }
         let mut child = command.spawn().expect("the binary starts");
         let mut log = BufReader::new(child.stderr.take().expect("its log"));
         let (before, address) = wait_until_it_listens(&mut log);
--- a/crates/testkit/src/soak/player.rs
+++ b/crates/testkit/src/soak/player.rs
@@ -41,7 +41,7 @@
     pub engine: EngineStats,
     /// The server's counters at the end, when all was answered.
     pub counters: HashMap<String, u64>,
-    /// The lines of the server's log, but for the counters.
+    /// The lines of the server's log at the level `debug`, but for the counters.
     pub log: Vec<String>,
 }
 
@@ -60,7 +60,7 @@
         catalogue: catalogue.address,
     };
     let text = configuration("127.0.0.1:0", dependencies, MAX_SOCKETS, STOP_MS, SETTINGS);
-    let mut server = Server::start(program, &text, None);
+    let mut server = Server::start_with_debug_log(program, &text, None);
     server.log_at("engine: up");
     let log = server.follow();
     let mut run = Run::new(plan, &server, &engine);
--- a/crates/testkit/src/soak/violations.rs
+++ b/crates/testkit/src/soak/violations.rs
@@ -137,10 +137,17 @@
         format!(", withdrawn at {} ms", at.as_millis())
     });
     format!(
-        "request {} sent at {} ms{withdrawn}; answers [{}]; engine (its own clock) [{}]",
+        "request {} sent at {} ms{withdrawn}; answers [{}]; engine (its own clock) [{}]; log [{}]",
         request.name,
         request.sent.as_millis(),
         answers.join(", "),
-        events.join(", ")
+        events.join(", "),
+        log_lines(play, request).join("; "),
     )
 }
+
+/// The lines of the server's log that name a request's attempt.
+fn log_lines<'a>(play: &'a PlayRecord, request: &SentRequest) -> Vec<&'a str> {
+    let lines = play.log.iter().map(String::as_str);
+    lines.filter(|line| line.contains(&request.name)).collect()
+}
