Engine link: only an answer on the same link proves that a command was read

Callers saw: after breaks of the engine's link an idle server rejected every request and reported unhealthy for good. Cause: attaching a link counted the query left open on the lost one as answered. RunCommands took that for the proof that the engine had read the run's commands, and forgot the RUN when a HALT was sent between the links. Change: ReadProof names a query of one link; only a command sent on a link that is up gets one, and only LinkAnswers of that link satisfy it. What a lost link proved is settled when the next one is up. The invariant stands in run_commands.rs. The scenario player asks for the last query by its new name.

--- a/crates/server/src/core/engine_commands.rs
+++ b/crates/server/src/core/engine_commands.rs
@@ -53,11 +53,15 @@
     /// The link is up again: sends what may not have reached the engine. Gives the requests whose runs may have
     /// read the reply to their call, or may still wait for it.
     pub(super) fn resend(&self, requests: &mut InFlightRequests) -> Vec<u64> {
-        let proven = self.link.proven_before();
-        let unproven = requests.sorted_mut(|request| request.commands.is_unproven(proven));
-        let runs = unproven.len();
-        let mut in_doubt = vec![];
-        for (id, request) in unproven {
+        let answers = self.link.proven_before();
+        let (mut runs, mut in_doubt) = (0, vec![]);
+        for (id, request) in requests.sorted_mut(|request| request.commands.has_unproven()) {
+            // What the lost link proved is settled now: the link after this one knows nothing of its answers.
+            if !request.commands.is_unproven(answers) {
+                request.commands.all_read();
+                continue;
+            }
+            runs += 1;
             log::debug!(
                 "engine: commands sent again, attempt={}, bytes={}",
                 attempt_name::as_text(&request.name),
--- a/crates/server/src/core/run_commands.rs
+++ b/crates/server/src/core/run_commands.rs
@@ -2,8 +2,11 @@
 //!
 //! Owns: these commands, until the engine has surely read them. Is given: the link to the engine. Never decides
 //! a command, and never opens or ends the link.
+//!
+//! Invariant: a command leaves `unproven` once an answer to a query that was sent behind it on the same link has
+//! arrived, or a notice of the run that proves as much. Nothing else proves it: no new link, and no silence.
 
-use crate::upstream::engine::EngineLink;
+use crate::upstream::engine::{EngineLink, LinkAnswers, ReadProof};
 
 /// What a new link makes of a run's unproven commands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,8 +25,8 @@
     held_back: Option<Vec<Vec<u8>>>,
     /// Commands that the engine may not have read.
     unproven: Vec<u8>,
-    /// The number of the gauges that prove, when they arrive, that the engine has read the commands.
-    proving_gauges: u64,
+    /// What proves that the engine has read all of them; nothing where the last was not sent on a link yet.
+    proof: Option<ReadProof>,
     /// Where the reply to a call among them begins, in the bytes that the link sends.
     reply_position: Option<u64>,
 }
@@ -51,12 +54,11 @@
 
     /// Sends a command, and keeps it until the engine has surely read it.
     fn send(&mut self, line: &[u8], link: &EngineLink) {
-        if link.last_answer() >= self.proving_gauges {
+        if self.proof.is_some_and(|proof| link.is_proven(proof)) {
             self.all_read();
         }
         self.unproven.extend_from_slice(line);
-        self.proving_gauges = link.proof();
-        link.send(line);
+        self.proof = link.send(line);
     }
 
     /// The last command was the reply to a call, which begins at this position in the bytes of the link.
@@ -67,6 +69,7 @@
     /// The engine has read all commands.
     pub(super) fn all_read(&mut self) {
         self.unproven.clear();
+        self.proof = None;
         self.reply_position = None;
     }
 
@@ -76,9 +79,15 @@
             .take_if(|position| *position >= written_bytes);
     }
 
-    /// Whether some commands may not have been read, where the gauges up to `proven` arrived on the lost link.
-    pub(super) fn is_unproven(&self, proven: u64) -> bool {
-        self.proving_gauges > proven && !self.unproven.is_empty()
+    /// Whether some commands are not proven to be read yet.
+    pub(super) fn has_unproven(&self) -> bool {
+        !self.unproven.is_empty()
+    }
+
+    /// Whether some commands may not have been read, where `answers` arrived on the lost link.
+    pub(super) fn is_unproven(&self, answers: LinkAnswers) -> bool {
+        let is_proven = self.proof.is_some_and(|proof| answers.prove(proof));
+        self.has_unproven() && !is_proven
     }
 
     /// Bytes of the commands that the engine may not have read.
@@ -89,11 +98,10 @@
     /// Sends the unproven commands again, except those that end with a reply.
     pub(super) fn resend(&mut self, link: &EngineLink) -> ResendOutcome {
         if self.reply_position.take().is_some() {
-            self.unproven.clear();
+            self.all_read();
             return ResendOutcome::ReplyInDoubt;
         }
-        self.proving_gauges = link.proof();
-        link.send(&self.unproven);
+        self.proof = link.send(&self.unproven);
         ResendOutcome::Resent
     }
 }
--- a/crates/server/src/upstream/engine.rs
+++ b/crates/server/src/upstream/engine.rs
@@ -10,6 +10,7 @@
 mod link;
 mod notice;
 mod notice_reader;
+mod read_proof;
 mod wire_names;
 
 use crate::support::attempt_name::AttemptName;
@@ -21,6 +22,7 @@
 pub use link::EngineLink;
 pub use notice::{DeclinedCommand, EngineStart};
 pub use notice_reader::NoticeReader;
+pub use read_proof::{LinkAnswers, ReadProof};
 pub use wire_names::RUN_QUEUE_GAUGE;
 
 /// The owner of the link, which is notified of what the engine says.
--- a/crates/server/src/upstream/engine/link.rs
+++ b/crates/server/src/upstream/engine/link.rs
@@ -4,6 +4,7 @@
 //! read all that was sent before their query on the same link. Commands that were not proven are the core's to send
 //! again.
 
+use super::read_proof::{LinkAnswers, ReadProof};
 use super::wire_names::{command, member};
 use crate::support::io::Outbox;
 use std::io::Write;
@@ -19,12 +20,12 @@
     outbox: Outbox,
     /// Linked, and all notices that were missed have been read.
     is_up: bool,
-    /// The number of the last query for the gauges.
+    /// The number of the last query for the gauges, over all links.
     last_query: u64,
-    /// The last query that was answered.
-    last_answer: u64,
-    /// The last query that had been answered when the link before this one was lost.
-    answered_before: u64,
+    /// The queries of the link of the moment that were answered.
+    answers: LinkAnswers,
+    /// Those of the last link that was up, as they were when it was lost.
+    answers_before: LinkAnswers,
     /// Ticks since a query that is still open.
     silent_ticks: u32,
 }
@@ -43,7 +44,7 @@
             );
         });
         self.outbox = outbox;
-        self.last_answer = self.last_query;
+        self.answers = self.answers.of_next_link(self.last_query);
         self.silent_ticks = 0;
     }
 
@@ -51,7 +52,7 @@
     /// lost before it was up, however often: else commands lost with the first would count as read.
     pub fn lost(&mut self) {
         if std::mem::replace(&mut self.is_up, false) {
-            self.answered_before = self.last_answer;
+            self.answers_before = self.answers;
         }
     }
 
@@ -76,16 +77,24 @@
         self.outbox.written()
     }
 
-    /// Sends a line while the link is up, else nothing.
-    pub fn send(&self, line: &[u8]) {
-        if self.is_up {
-            self.outbox.put(|bytes| bytes.extend_from_slice(line));
+    /// Sends a line while the link is up, else nothing. Gives what will prove that the engine has read it; a line that
+    /// was not sent is never proven.
+    pub fn send(&self, line: &[u8]) -> Option<ReadProof> {
+        if !self.is_up {
+            return None;
         }
+        self.outbox.put(|bytes| bytes.extend_from_slice(line));
+        Some(self.answers.proof_by(self.last_query + 1))
+    }
+
+    /// Whether the engine has surely read what was sent with this proof.
+    pub fn is_proven(&self, proof: ReadProof) -> bool {
+        self.answers.prove(proof) || self.answers_before.prove(proof)
     }
 
     /// At each tick of the timer the gauges are queried, and a link that answers none for long is ended.
     pub fn on_tick(&mut self) {
-        self.silent_ticks = if self.last_answer < self.last_query {
+        self.silent_ticks = if self.is_query_open() {
             self.silent_ticks + 1
         } else {
             0
@@ -100,7 +109,7 @@
 
     /// Queries the gauges, unless a query is open; `even_if_open` sends another one then.
     pub fn query_gauges(&mut self, even_if_open: bool) {
-        if self.last_answer == self.last_query || even_if_open {
+        if !self.is_query_open() || even_if_open {
             self.last_query += 1;
             let query = self.last_query;
             self.outbox.put(|bytes| {
@@ -115,23 +124,23 @@
         }
     }
 
-    /// The number of the query whose answer will prove that what is sent now was read.
-    pub fn proof(&self) -> u64 {
-        self.last_query + 1
+    /// Whether a query that was sent on this link is not answered.
+    fn is_query_open(&self) -> bool {
+        self.answers.last() < self.last_query
     }
 
-    /// The last query that had been answered when the link before this one was lost.
-    pub fn proven_before(&self) -> u64 {
-        self.answered_before
+    /// The number of the last query, over all links.
+    pub fn last_query(&self) -> u64 {
+        self.last_query
     }
 
-    /// The last query that was answered.
-    pub fn last_answer(&self) -> u64 {
-        self.last_answer
+    /// The answers on the last link that was up, as they were when it was lost.
+    pub fn proven_before(&self) -> LinkAnswers {
+        self.answers_before
     }
 
     /// The gauges came that this query asked for.
     pub(super) fn gauges_answered(&mut self, query: u64) {
-        self.last_answer = self.last_answer.max(query.min(self.last_query));
+        self.answers.answered(query, self.last_query);
     }
 }
--- a/crates/server/tests/scenarios/player.rs
+++ b/crates/server/tests/scenarios/player.rs
@@ -332,7 +332,7 @@
     /// The engine answers the last question for its gauges, and later ones.
     pub(crate) fn unmute_engine(&mut self) {
         self.engine_is_mute = false;
-        let cookie = self.core.engine_link_mut().proof() - 1;
+        let cookie = self.core.engine_link_mut().last_query();
         self.feed(ENGINE, gauges(&cookie.to_string()).as_bytes());
     }
 
