Run commands: unproven commands are kept one by one, with what may be done with them

Cause: the commands that the engine may not have read were one run of bytes, in which a reply could not be told from what follows it. The scenario player told the link of its loss, but not the runs' commands, as the driver does. Change: UnprovenCommand with its kind; a reply has its progress beside it. The scenario player uses EventLoop::link_lost.

--- a/crates/server/src/core/run_commands.rs
+++ b/crates/server/src/core/run_commands.rs
@@ -18,17 +18,39 @@
     ReplyInDoubt,
 }
 
+/// How far the reply to a call has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReplyProgress {
+    /// No link has carried it, as far as is known.
+    Unsent,
+    /// It begins at this position in the bytes of the link of the moment.
+    SentAt(u64),
+}
+
+/// What a command may be done with that the engine may not have read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CommandKind {
+    /// It has no further effect where it is read twice.
+    Repeatable,
+    /// It is the reply to a call.
+    Reply(ReplyProgress),
+}
+
+/// A command that the engine may not have read.
+struct UnprovenCommand {
+    line: Vec<u8>,
+    kind: CommandKind,
+}
+
 /// The commands of one run.
 #[derive(Default)]
 pub(super) struct RunCommands {
     /// Commands that are held back; set while the run waits for its write-ahead record.
     held_back: Option<Vec<Vec<u8>>>,
-    /// Commands that the engine may not have read.
-    unproven: Vec<u8>,
+    /// Commands that the engine may not have read, in the order in which they were submitted.
+    unproven: Vec<UnprovenCommand>,
     /// What proves that the engine has read all of them; nothing where the last was not sent on a link yet.
     proof: Option<ReadProof>,
-    /// Where the reply to a call among them begins, in the bytes that the link sends.
-    reply_position: Option<u64>,
 }
 
 impl RunCommands {
@@ -41,42 +63,50 @@
     pub(super) fn submit(&mut self, line: Vec<u8>, link: &EngineLink) {
         match &mut self.held_back {
             Some(held_back) => held_back.push(line),
-            None => self.send(&line, link),
+            None => self.send(line, link),
         }
     }
 
     /// Sends what was held back; commands are held back no more.
     pub(super) fn release(&mut self, link: &EngineLink) {
         for line in self.held_back.take().into_iter().flatten() {
-            self.send(&line, link);
+            self.send(line, link);
         }
     }
 
     /// Sends a command, and keeps it until the engine has surely read it.
-    fn send(&mut self, line: &[u8], link: &EngineLink) {
+    fn send(&mut self, line: Vec<u8>, link: &EngineLink) {
         if self.proof.is_some_and(|proof| link.is_proven(proof)) {
             self.all_read();
         }
-        self.unproven.extend_from_slice(line);
-        self.proof = link.send(line);
+        self.proof = link.send(&line);
+        let kind = CommandKind::Repeatable;
+        self.unproven.push(UnprovenCommand { line, kind });
     }
 
     /// The last command was the reply to a call, which begins at this position in the bytes of the link.
     pub(super) fn reply_sent_at(&mut self, position: u64) {
-        self.reply_position = Some(position);
+        if let Some(reply) = self.unproven.last_mut() {
+            reply.kind = CommandKind::Reply(ReplyProgress::SentAt(position));
+        }
     }
 
     /// The engine has read all commands.
     pub(super) fn all_read(&mut self) {
         self.unproven.clear();
         self.proof = None;
-        self.reply_position = None;
     }
 
     /// The link was lost after so many bytes: a reply that begins behind them was surely not read.
     pub(super) fn link_lost(&mut self, written_bytes: u64) {
-        self.reply_position
-            .take_if(|position| *position >= written_bytes);
+        for command in &mut self.unproven {
+            let CommandKind::Reply(ReplyProgress::SentAt(position)) = command.kind else {
+                continue;
+            };
+            if position >= written_bytes {
+                command.kind = CommandKind::Reply(ReplyProgress::Unsent);
+            }
+        }
     }
 
     /// Whether some commands are not proven to be read yet.
@@ -92,16 +122,26 @@
 
     /// Bytes of the commands that the engine may not have read.
     pub(super) fn unproven_bytes(&self) -> usize {
-        self.unproven.len()
+        self.unproven.iter().map(|command| command.line.len()).sum()
+    }
+
+    /// Whether a reply among the commands may have been read.
+    fn has_reply_in_doubt(&self) -> bool {
+        let is_in_doubt = |command: &UnprovenCommand| {
+            matches!(command.kind, CommandKind::Reply(ReplyProgress::SentAt(_)))
+        };
+        self.unproven.iter().any(is_in_doubt)
     }
 
     /// Sends the unproven commands again, except those that end with a reply.
     pub(super) fn resend(&mut self, link: &EngineLink) -> ResendOutcome {
-        if self.reply_position.take().is_some() {
+        if self.has_reply_in_doubt() {
             self.all_read();
             return ResendOutcome::ReplyInDoubt;
         }
-        self.proof = link.send(&self.unproven);
+        for command in &self.unproven {
+            self.proof = link.send(&command.line);
+        }
         ResendOutcome::Resent
     }
 }
--- a/crates/server/tests/scenarios/player.rs
+++ b/crates/server/tests/scenarios/player.rs
@@ -11,7 +11,7 @@
 use madderbay_server::downstream::json_rpc::JsonRpcSession;
 use madderbay_server::support::io::Outbox;
 use madderbay_server::upstream::calls::{CallObserver as _, ReplyReader};
-use madderbay_server::upstream::engine::NoticeReader;
+use madderbay_server::upstream::engine::{EngineObserver as _, NoticeReader};
 use std::collections::{HashMap, VecDeque};
 use std::sync::mpsc::{Receiver, channel};
 
@@ -288,7 +288,7 @@
     /// The connection to a peer breaks.
     pub(crate) fn disconnect(&mut self, peer: &str) {
         if peer == ENGINE {
-            self.core.engine_link_mut().lost();
+            self.core.link_lost();
             self.engine = None;
         } else if let Some(index) = call_index(peer) {
             self.open_wanted_calls();
