Run commands: a call that the run came to does not prove a cancellation read

Callers saw: nothing; the decision module sends HALT again after 300 ms. A withdrawn run held its place that much longer. Cause: NEED was taken for the proof that the engine had read all commands of the run. It proves what led to the call. A HALT that crossed it on a link that was lost was forgotten. Evidence: drawn histories against an engine that remembers everything: run, cancel, link lost, new link, NEED of before: 'cancel' never arrives. Change: cancellations are kept as such; NEED drops all unproven commands but these. Result: resends_cancel_that_crossed_the_runs_call passes; with all_read in place of run_reached_call it fails like the history above. The server's unit tests pass.

--- a/crates/server/src/core/engine_commands.rs
+++ b/crates/server/src/core/engine_commands.rs
@@ -24,7 +24,10 @@
     /// Sends a command about the run of a request, or holds it back.
     pub(super) fn send(&self, request: &mut InFlightRequest, command: EngineCommand) {
         let line = command.line(&request.name);
-        request.commands.submit(line, &self.link);
+        match command {
+            EngineCommand::Cancel => request.commands.cancel(line, &self.link),
+            _ => request.commands.submit(line, &self.link),
+        }
     }
 
     /// The write-ahead record of a run is durable: the engine gets the commands that were held back.
--- a/crates/server/src/core/run_commands.rs
+++ b/crates/server/src/core/run_commands.rs
@@ -32,6 +32,8 @@
 enum CommandKind {
     /// It has no further effect where it is read twice.
     Repeatable,
+    /// The same; the run may go on to a call before it reads this.
+    Cancel,
     /// It is the reply to a call.
     Reply(ReplyProgress),
 }
@@ -46,7 +48,7 @@
 #[derive(Default)]
 pub(super) struct RunCommands {
     /// Commands that are held back; set while the run waits for its write-ahead record.
-    held_back: Option<Vec<Vec<u8>>>,
+    held_back: Option<Vec<UnprovenCommand>>,
     /// Commands that the engine may not have read, in the order in which they were submitted.
     unproven: Vec<UnprovenCommand>,
     /// What proves that the engine has read all of them; nothing where the last was not sent on a link yet.
@@ -61,27 +63,36 @@
 
     /// Sends a command, or holds it back.
     pub(super) fn submit(&mut self, line: Vec<u8>, link: &EngineLink) {
+        self.submit_kind(CommandKind::Repeatable, line, link);
+    }
+
+    /// Sends the command that cancels the run, or holds it back.
+    pub(super) fn cancel(&mut self, line: Vec<u8>, link: &EngineLink) {
+        self.submit_kind(CommandKind::Cancel, line, link);
+    }
+
+    fn submit_kind(&mut self, kind: CommandKind, line: Vec<u8>, link: &EngineLink) {
+        let command = UnprovenCommand { line, kind };
         match &mut self.held_back {
-            Some(held_back) => held_back.push(line),
-            None => self.send(line, link),
+            Some(held_back) => held_back.push(command),
+            None => self.send(command, link),
         }
     }
 
     /// Sends what was held back; commands are held back no more.
     pub(super) fn release(&mut self, link: &EngineLink) {
-        for line in self.held_back.take().into_iter().flatten() {
-            self.send(line, link);
+        for command in self.held_back.take().into_iter().flatten() {
+            self.send(command, link);
         }
     }
 
     /// Sends a command, and keeps it until the engine has surely read it.
-    fn send(&mut self, line: Vec<u8>, link: &EngineLink) {
+    fn send(&mut self, command: UnprovenCommand, link: &EngineLink) {
         if self.proof.is_some_and(|proof| link.is_proven(proof)) {
             self.all_read();
         }
-        self.proof = link.send(&line);
-        let kind = CommandKind::Repeatable;
-        self.unproven.push(UnprovenCommand { line, kind });
+        self.proof = link.send(&command.line);
+        self.unproven.push(command);
     }
 
     /// The last command was the reply to a call, which begins at this position in the bytes of the link.
@@ -91,6 +102,12 @@
         }
     }
 
+    /// The run has come to a call: the engine has read what led to it, but perhaps not a cancellation.
+    pub(super) fn run_reached_call(&mut self) {
+        self.unproven
+            .retain(|command| command.kind == CommandKind::Cancel);
+    }
+
     /// The engine has read all commands.
     pub(super) fn all_read(&mut self) {
         self.unproven.clear();
--- a/crates/server/src/core/run_commands/tests.rs
+++ b/crates/server/src/core/run_commands/tests.rs
@@ -112,3 +112,22 @@
     assert_eq!(commands.resend(&link), ResendOutcome::Resent);
     assert_eq!(outbox.take(), [RUN, CANCEL].concat());
 }
+
+/// The engine's word that the run waits at a call was on its way when the run was cancelled: it proves the run read, and
+/// not the cancellation.
+#[test]
+fn resends_cancel_that_crossed_the_runs_call() {
+    let (mut link, _) = link_up();
+    let mut commands = RunCommands::default();
+    commands.submit(RUN.into(), &link);
+    commands.cancel(CANCEL.into(), &link);
+    lose(&mut link, &mut commands);
+    let outbox = Outbox::default();
+    link.attach(outbox.clone(), 0);
+    commands.run_reached_call();
+    outbox.take();
+    assert!(link.restored());
+    assert!(commands.is_unproven(link.proven_before()));
+    assert_eq!(commands.resend(&link), ResendOutcome::Resent);
+    assert_eq!(outbox.take(), CANCEL);
+}
--- a/crates/server/src/core/upstream_events.rs
+++ b/crates/server/src/core/upstream_events.rs
@@ -188,7 +188,7 @@
         let Some(request) = executor.requests.get_mut(id) else {
             return;
         };
-        request.commands.all_read();
+        request.commands.run_reached_call();
         request.call.requested(serial);
         match BASE64.decode(body) {
             Ok(body) => request.call.set_body(body),
