Run commands: a reply in doubt stays so when the next link is lost too

Callers could see: a run that reads the reply to its former call as the reply to its next one, and answers with wrong data. Cause: a reply's position in the bytes of the link that carried it was compared with the bytes written on a later link that was lost before it was up. Of that only ATTACH is written, so the reply counted as never sent and went out again. Change: the loss of the link that carried a reply settles whether it is in doubt; later losses do not ask again.

--- a/crates/server/src/core/run_commands.rs
+++ b/crates/server/src/core/run_commands.rs
@@ -25,6 +25,8 @@
     Unsent,
     /// It begins at this position in the bytes of the link of the moment.
     SentAt(u64),
+    /// A link that was lost had carried it: the run may have read it.
+    InDoubt,
 }
 
 /// What a command may be done with that the engine may not have read.
@@ -120,9 +122,12 @@
             let CommandKind::Reply(ReplyProgress::SentAt(position)) = command.kind else {
                 continue;
             };
-            if position >= written_bytes {
-                command.kind = CommandKind::Reply(ReplyProgress::Unsent);
-            }
+            let progress = if position >= written_bytes {
+                ReplyProgress::Unsent
+            } else {
+                ReplyProgress::InDoubt
+            };
+            command.kind = CommandKind::Reply(progress);
         }
     }
 
@@ -144,9 +149,8 @@
 
     /// Whether a reply among the commands may have been read.
     fn has_reply_in_doubt(&self) -> bool {
-        let is_in_doubt = |command: &UnprovenCommand| {
-            matches!(command.kind, CommandKind::Reply(ReplyProgress::SentAt(_)))
-        };
+        let is_in_doubt =
+            |command: &UnprovenCommand| command.kind == CommandKind::Reply(ReplyProgress::InDoubt);
         self.unproven.iter().any(is_in_doubt)
     }
 
--- a/crates/server/src/core/run_commands/tests.rs
+++ b/crates/server/src/core/run_commands/tests.rs
@@ -131,3 +131,18 @@
     assert_eq!(commands.resend(&link), ResendOutcome::Resent);
     assert_eq!(outbox.take(), CANCEL);
 }
+
+/// The loss of a link that was never up says nothing about a reply that an earlier link had carried.
+#[test]
+fn never_resends_reply_in_doubt_after_a_second_loss() {
+    let (mut link, outbox) = link_up();
+    let mut commands = RunCommands::default();
+    send_reply(&mut commands, &link);
+    outbox.take();
+    lose(&mut link, &mut commands);
+    link.attach(Outbox::default(), 0);
+    lose(&mut link, &mut commands);
+    let outbox = restore(&mut link);
+    assert_eq!(commands.resend(&link), ResendOutcome::ReplyInDoubt);
+    assert_eq!(outbox.take(), b"");
+}
