Run commands: a reply that waited for a link is followed on the link that carries it

Callers could see: a run that reads the reply to its former call as the reply to its next one, and answers with wrong data. Cause: a reply that was submitted while there was no link, or that was sent again, had no position on the new link. When that was lost too, the reply counted as never sent and went out once more. Change: RunCommands::reply marks it as a reply whether the link is up or not; sending it again sets its position.

--- a/crates/server/src/core/engine_commands.rs
+++ b/crates/server/src/core/engine_commands.rs
@@ -26,7 +26,10 @@
         let line = command.line(&request.name);
         match command {
             EngineCommand::Cancel => request.commands.cancel(line, &self.link),
-            _ => request.commands.submit(line, &self.link),
+            EngineCommand::Reply { .. } => request.commands.reply(line, &self.link),
+            EngineCommand::Run { .. } | EngineCommand::SkipCall { .. } => {
+                request.commands.submit(line, &self.link);
+            }
         }
     }
 
@@ -37,11 +40,7 @@
 
     /// Sends the reply to the call that a run waits at.
     pub(super) fn send_reply(&self, request: &mut InFlightRequest, body: &[u8]) {
-        let position = self.link.queued_bytes();
         self.send(request, EngineCommand::Reply { body });
-        if self.link.is_up() {
-            request.commands.reply_sent_at(position);
-        }
     }
 
     /// The link is lost. A reply of which nothing was sent is known not to have been read.
--- a/crates/server/src/core/run_commands.rs
+++ b/crates/server/src/core/run_commands.rs
@@ -73,6 +73,15 @@
         self.submit_kind(CommandKind::Cancel, line, link);
     }
 
+    /// Sends the reply to the call that the run waits at, or holds it back.
+    pub(super) fn reply(&mut self, line: Vec<u8>, link: &EngineLink) {
+        let position = link.queued_bytes();
+        self.submit_kind(CommandKind::Reply(ReplyProgress::Unsent), line, link);
+        if link.is_up() {
+            self.reply_sent_at(position);
+        }
+    }
+
     fn submit_kind(&mut self, kind: CommandKind, line: Vec<u8>, link: &EngineLink) {
         let command = UnprovenCommand { line, kind };
         match &mut self.held_back {
@@ -160,7 +169,10 @@
             self.all_read();
             return ResendOutcome::ReplyInDoubt;
         }
-        for command in &self.unproven {
+        for command in &mut self.unproven {
+            if let CommandKind::Reply(progress) = &mut command.kind {
+                *progress = ReplyProgress::SentAt(link.queued_bytes());
+            }
             self.proof = link.send(&command.line);
         }
         ResendOutcome::Resent
--- a/crates/server/src/core/run_commands/tests.rs
+++ b/crates/server/src/core/run_commands/tests.rs
@@ -146,3 +146,19 @@
     assert_eq!(commands.resend(&link), ResendOutcome::ReplyInDoubt);
     assert_eq!(outbox.take(), b"");
 }
+
+/// A reply that waited for the next link is in doubt like any other once that link has carried it.
+#[test]
+fn never_resends_reply_twice_that_waited_for_a_link() {
+    let (mut link, _) = link_up();
+    let mut commands = RunCommands::default();
+    lose(&mut link, &mut commands);
+    commands.reply(REPLY.into(), &link);
+    let outbox = restore(&mut link);
+    assert_eq!(commands.resend(&link), ResendOutcome::Resent);
+    assert_eq!(outbox.take(), REPLY);
+    lose(&mut link, &mut commands);
+    let outbox = restore(&mut link);
+    assert_eq!(commands.resend(&link), ResendOutcome::ReplyInDoubt);
+    assert_eq!(outbox.take(), b"");
+}
--- /dev/null
+++ b/crates/server/src/core/run_commands/tests/histories.rs
@@ -0,0 +1,378 @@
+//! Drawn histories of one run's commands over links that break, against an engine that remembers everything.
+//!
+//! The engine reads what was written of a link, in order, as far as the history lets it. Its notices outlive the link;
+//! its answers to queries do not, but an answer to a former link may come on a later one.
+
+use super::super::*;
+use crate::support::attempt_name::AttemptName;
+use crate::support::io::Outbox;
+use crate::upstream::engine::{DeclinedCommand, EngineObserver, EngineStart, NoticeReader};
+use madderbay::interface::Outcome;
+use madderbay::time::{Duration, Timestamp};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::collections::VecDeque;
+
+const RUN: &str = "run";
+const CANCEL: &str = "cancel";
+const HELLO: &str = "{\"msg\":\"HELLO\",\"how\":\"old\",\"duration\":3600000}\n";
+
+/// One step of a history. A step that can't be taken is passed over.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// The server starts the run.
+    Start,
+    /// The server cancels the run.
+    Cancel,
+    /// The server answers the call that the run waits at.
+    Reply,
+    /// The run comes to a call.
+    ReachCall,
+    /// The server writes what it has sent to the link.
+    Write,
+    /// The engine reads the next line of the link.
+    Read,
+    /// The server reads the next line of the link.
+    Receive,
+    /// The server's timer ticks.
+    Tick,
+    /// The link breaks.
+    Lose,
+    /// A new link is made.
+    Attach,
+    /// The last answer to a query of a former link comes on this one.
+    LateAnswer,
+}
+
+fn any_step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        2 => Just(Step::Start),
+        2 => Just(Step::Cancel),
+        4 => Just(Step::Reply),
+        4 => Just(Step::ReachCall),
+        8 => Just(Step::Write),
+        12 => Just(Step::Read),
+        12 => Just(Step::Receive),
+        4 => Just(Step::Tick),
+        3 => Just(Step::Lose),
+        6 => Just(Step::Attach),
+        1 => Just(Step::LateAnswer),
+    ]
+}
+
+/// The server's side: the link, the commands of the run, and what it knows of the run.
+#[derive(Default)]
+struct Server {
+    link: EngineLink,
+    commands: RunCommands,
+    /// The call that the run waits at, as the server knows.
+    call: Option<u64>,
+    /// The reply that may have been read when its link was lost.
+    replies_in_doubt: Vec<u64>,
+    last_reply: u64,
+    submitted: Vec<String>,
+}
+
+impl Server {
+    fn submit(&mut self, command: &str) {
+        self.submitted.push(command.into());
+        let line = format!("{command}\n").into_bytes();
+        self.commands.submit(line, &self.link);
+    }
+
+    fn cancel(&mut self) {
+        self.submitted.push(CANCEL.into());
+        let line = format!("{CANCEL}\n").into_bytes();
+        self.commands.cancel(line, &self.link);
+    }
+
+    fn reply(&mut self, call: u64) {
+        self.last_reply = call;
+        self.call = None;
+        let position = self.link.queued_bytes();
+        self.submit(&format!("reply {call}"));
+        if self.link.is_up() {
+            self.commands.reply_sent_at(position);
+        }
+    }
+}
+
+impl EngineObserver for Server {
+    fn link(&mut self) -> &mut EngineLink {
+        &mut self.link
+    }
+
+    fn engine_up(&mut self, _: Timestamp, _: EngineStart) {
+        self.link.query_gauges(true);
+    }
+
+    fn gauges_read(&mut self, _: Timestamp, _: &[f64], _: bool) {
+        if !self.link.restored() {
+            return;
+        }
+        if !self.commands.is_unproven(self.link.proven_before()) {
+            self.commands.all_read();
+        } else if self.commands.resend(&self.link) == ResendOutcome::ReplyInDoubt {
+            let call = self.last_reply;
+            self.replies_in_doubt.push(call);
+            self.submit(&format!("skip {call}"));
+        }
+    }
+
+    fn call_needed(&mut self, _: Timestamp, _: &AttemptName, serial: u64, _: &str) {
+        self.commands.run_reached_call();
+        self.call = Some(serial);
+    }
+
+    fn run_ended(&mut self, _: Timestamp, _: &AttemptName, _: Outcome, _: Duration, _: &str) {}
+
+    fn command_declined(&mut self, _: Timestamp, _: DeclinedCommand, _: &AttemptName) {}
+
+    fn notice_unreadable(&mut self) {}
+
+    fn link_lost(&mut self) {
+        self.commands.link_lost(self.link.written_bytes());
+        self.link.lost();
+    }
+}
+
+/// The engine's side: what it has read and said, over all links.
+#[derive(Default)]
+struct Engine {
+    /// Lines of the link of the moment that were written and not read.
+    unread: VecDeque<String>,
+    /// Lines to the server on the link of the moment.
+    to_server: VecDeque<String>,
+    /// All commands that were read.
+    read: Vec<String>,
+    /// All notices, the serial of the first being 1.
+    notices: Vec<String>,
+    /// The call that the run waits at.
+    call: Option<u64>,
+    /// The last query that was answered on a former link.
+    late_answer: Option<String>,
+    last_answer: Option<String>,
+}
+
+impl Engine {
+    fn has_read(&self, command: &str) -> bool {
+        self.read.iter().any(|line| line == command)
+    }
+
+    fn read_line(&mut self, line: &str) {
+        if line.contains("\"ATTACH\"") {
+            let serial: usize = number_in(line, "\"serial\":");
+            self.to_server.push_back(HELLO.into());
+            self.to_server
+                .extend(self.notices[serial..].iter().cloned());
+        } else if line.contains("\"STAT\"") {
+            let query: u64 = number_in(line, "\"cookie\":\"");
+            let answer = format!("{{\"msg\":\"STATS\",\"cookie\":\"{query}\",\"stats\":[0.5]}}\n");
+            self.last_answer = Some(answer.clone());
+            self.to_server.push_back(answer);
+        } else {
+            self.read_command(line);
+        }
+    }
+
+    fn read_command(&mut self, line: &str) {
+        let is_for_call = |call: u64| line == format!("skip {call}") || line.starts_with("reply");
+        if self.call.is_some_and(is_for_call) {
+            self.call = None;
+        }
+        self.read.push(line.into());
+    }
+
+    fn reach_call(&mut self) {
+        if !self.has_read(RUN) || self.has_read(CANCEL) || self.call.is_some() {
+            return;
+        }
+        let serial = self.notices.len() as u64 + 1;
+        let notice = format!(
+            "{{\"msg\":\"NEED\",\"serial\":{serial},\"call\":\"0000000000000001\",\"blob\":\"\"}}\n"
+        );
+        self.call = Some(serial);
+        self.notices.push(notice.clone());
+        self.to_server.push_back(notice);
+    }
+
+    fn link_lost(&mut self) {
+        self.unread.clear();
+        self.to_server.clear();
+        self.late_answer = self.last_answer.take().or(self.late_answer.take());
+    }
+}
+
+/// The number behind `mark`.
+fn number_in<T: std::str::FromStr>(line: &str, mark: &str) -> T {
+    let (_, rest) = line.split_once(mark).expect("the member");
+    let digits = rest.split(|c: char| !c.is_ascii_digit()).next();
+    digits
+        .and_then(|digits| digits.parse().ok())
+        .expect("a number")
+}
+
+/// A history of a server and its engine.
+#[derive(Default)]
+struct History {
+    server: Server,
+    engine: Engine,
+    notices: NoticeReader,
+    outbox: Option<Outbox>,
+}
+
+impl History {
+    fn take(&mut self, step: Step) {
+        match step {
+            Step::Start if self.server.submitted.is_empty() => self.server.submit(RUN),
+            Step::Cancel if !self.server.submitted.is_empty() => self.server.cancel(),
+            Step::Reply => {
+                if let Some(call) = self.server.call {
+                    self.server.reply(call);
+                }
+            }
+            Step::ReachCall if self.outbox.is_some() => self.engine.reach_call(),
+            Step::Write => self.write(),
+            Step::Read => {
+                if let Some(line) = self.engine.unread.pop_front() {
+                    self.engine.read_line(&line);
+                }
+            }
+            Step::Receive => {
+                if let Some(line) = self.engine.to_server.pop_front() {
+                    self.receive(&line);
+                }
+            }
+            Step::Tick => self.server.link.on_tick(),
+            Step::Lose if self.outbox.is_some() => {
+                self.outbox = None;
+                self.server.link_lost();
+                self.engine.link_lost();
+            }
+            Step::Attach if self.outbox.is_none() => self.attach(),
+            Step::LateAnswer if self.outbox.is_some() => {
+                if let Some(answer) = self.engine.late_answer.take() {
+                    self.receive(&answer);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn write(&mut self) {
+        let written = self.outbox.as_ref().map(|outbox| outbox.take());
+        let text = String::from_utf8(written.unwrap_or_default()).expect("text");
+        self.engine.unread.extend(text.lines().map(str::to_string));
+    }
+
+    fn receive(&mut self, line: &str) {
+        let now = Timestamp::default();
+        let server = &mut self.server;
+        assert!(self.notices.feed(now, line.as_bytes(), server));
+    }
+
+    fn attach(&mut self) {
+        let outbox = Outbox::default();
+        self.notices.link_opened();
+        self.server
+            .link
+            .attach(outbox.clone(), self.notices.serial());
+        self.outbox = Some(outbox);
+    }
+
+    /// Lets all that is on its way arrive, over a link that stays.
+    fn settle(&mut self) {
+        self.take(Step::Attach);
+        for _ in 0..3 {
+            self.take(Step::Tick);
+            self.take(Step::Write);
+            while !self.engine.unread.is_empty() {
+                self.take(Step::Read);
+            }
+            while !self.engine.to_server.is_empty() {
+                self.take(Step::Receive);
+            }
+        }
+        self.take(Step::Write);
+        while !self.engine.unread.is_empty() {
+            self.take(Step::Read);
+        }
+    }
+
+    /// Whether a command was given up knowingly: a reply in doubt.
+    fn is_in_doubt(&self, command: &str) -> bool {
+        let calls = &self.server.replies_in_doubt;
+        calls.iter().any(|call| command == format!("reply {call}"))
+    }
+
+    /// What the engine has not read is kept, unless it is in doubt.
+    fn check_nothing_is_forgotten(&self) -> Result<(), TestCaseError> {
+        let unproven = &self.server.commands.unproven;
+        for command in &self.server.submitted {
+            let line = format!("{command}\n").into_bytes();
+            let is_kept = unproven.iter().any(|kept| kept.line == line);
+            let is_read = self.engine.has_read(command);
+            prop_assert!(
+                is_kept || is_read || self.is_in_doubt(command),
+                "'{command}' is forgotten"
+            );
+        }
+        Ok(())
+    }
+
+    /// No reply is read twice, and no cancellation before the run.
+    fn check_reads(&self) -> Result<(), TestCaseError> {
+        let read = &self.engine.read;
+        for line in read.iter().filter(|line| line.starts_with("reply")) {
+            let reads = read.iter().filter(|other| *other == line).count();
+            prop_assert!(reads == 1, "'{line}' is read {reads} times");
+        }
+        let first = |command: &str| read.iter().position(|line| line == command);
+        if let Some(cancelled) = first(CANCEL) {
+            let started = first(RUN);
+            prop_assert!(
+                started.is_some_and(|started| started < cancelled),
+                "cancelled first"
+            );
+        }
+        Ok(())
+    }
+
+    /// Once all has arrived, a cancellation is the engine's last word.
+    fn check_end(&self) -> Result<(), TestCaseError> {
+        for command in &self.server.submitted {
+            let arrived = self.engine.has_read(command) || self.is_in_doubt(command);
+            prop_assert!(arrived, "'{command}' never arrives");
+        }
+        let last = |command: &str| self.engine.read.iter().rposition(|line| line == command);
+        if let Some(cancelled) = last(CANCEL) {
+            prop_assert!(last(RUN) < Some(cancelled), "the run begins again");
+        }
+        Ok(())
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 4_000,
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn forgets_no_command_and_repeats_no_reply_whatever_the_order(
+        steps in proptest::collection::vec(any_step(), 1..120)
+    ) {
+        let mut history = History::default();
+        history.take(Step::Attach);
+        for step in &steps {
+            history.take(*step);
+            history.check_nothing_is_forgotten()?;
+            history.check_reads()?;
+        }
+        history.settle();
+        history.check_reads()?;
+        history.check_end()?;
+    }
+}
