Run commands: what follows a reply in doubt is sent again

Callers saw: nothing; the decision module repeats HALT after 300 ms. Cause: where a reply may have been read, all unproven commands of its run were dropped with it, so also the HALT behind it. Evidence: resends_cancel_behind_reply_in_doubt found nothing sent before. Change: only the reply is left out.

--- a/crates/server/src/core/run_commands.rs
+++ b/crates/server/src/core/run_commands.rs
@@ -13,8 +13,8 @@
 pub(super) enum ResendOutcome {
     /// There are none, or they were sent again.
     Resent,
-    /// They end with the reply to a call, which can't be sent again: the run may have read it or still wait for
-    /// it. A reply does not say which call it is for, so a second copy could meet the run's next call.
+    /// All were sent again but for the reply to a call: the run may have read it or still wait for it. A reply does not
+    /// say which call it is for, so a second copy could meet the run's next call.
     ReplyInDoubt,
 }
 
@@ -156,26 +156,24 @@
         self.unproven.iter().map(|command| command.line.len()).sum()
     }
 
-    /// Whether a reply among the commands may have been read.
-    fn has_reply_in_doubt(&self) -> bool {
-        let is_in_doubt =
-            |command: &UnprovenCommand| command.kind == CommandKind::Reply(ReplyProgress::InDoubt);
-        self.unproven.iter().any(is_in_doubt)
-    }
-
-    /// Sends the unproven commands again, except those that end with a reply.
+    /// Sends the unproven commands again, except a reply in doubt. What was submitted before and behind it is sent: it
+    /// may be read twice.
     pub(super) fn resend(&mut self, link: &EngineLink) -> ResendOutcome {
-        if self.has_reply_in_doubt() {
-            self.all_read();
-            return ResendOutcome::ReplyInDoubt;
-        }
+        let unproven = self.unproven.len();
+        self.unproven
+            .retain(|command| command.kind != CommandKind::Reply(ReplyProgress::InDoubt));
+        let has_reply_in_doubt = self.unproven.len() < unproven;
         for command in &mut self.unproven {
             if let CommandKind::Reply(progress) = &mut command.kind {
                 *progress = ReplyProgress::SentAt(link.queued_bytes());
             }
             self.proof = link.send(&command.line);
         }
-        ResendOutcome::Resent
+        if has_reply_in_doubt {
+            ResendOutcome::ReplyInDoubt
+        } else {
+            ResendOutcome::Resent
+        }
     }
 }
 
--- a/crates/server/src/core/run_commands/tests.rs
+++ b/crates/server/src/core/run_commands/tests.rs
@@ -162,3 +162,17 @@
     assert_eq!(commands.resend(&link), ResendOutcome::ReplyInDoubt);
     assert_eq!(outbox.take(), b"");
 }
+
+/// A run that was cancelled behind a reply in doubt is cancelled on the next link too.
+#[test]
+fn resends_cancel_behind_reply_in_doubt() {
+    let (mut link, outbox) = link_up();
+    let mut commands = RunCommands::default();
+    commands.reply(REPLY.into(), &link);
+    commands.cancel(CANCEL.into(), &link);
+    outbox.take();
+    lose(&mut link, &mut commands);
+    let outbox = restore(&mut link);
+    assert_eq!(commands.resend(&link), ResendOutcome::ReplyInDoubt);
+    assert_eq!(outbox.take(), CANCEL);
+}
