Run commands: a cancellation that is repeated while there is no link is kept once

Operators could see: memory that grows while the engine is away, by 41 bytes each 300 ms for each cancelled run (0.5 MB a run in an hour), and as many HALT lines at once when it is back. Cause: the decision module repeats HALT until the run ends; without a link each copy was kept as not proven read. Change: a cancellation that stands last already is not appended again; on a link that is up it is still sent each time.

--- a/crates/server/src/core/run_commands.rs
+++ b/crates/server/src/core/run_commands.rs
@@ -85,7 +85,7 @@
     fn submit_kind(&mut self, kind: CommandKind, line: Vec<u8>, link: &EngineLink) {
         let command = UnprovenCommand { line, kind };
         match &mut self.held_back {
-            Some(held_back) => held_back.push(command),
+            Some(held_back) => push_unless_repeated(held_back, command),
             None => self.send(command, link),
         }
     }
@@ -103,7 +103,7 @@
             self.all_read();
         }
         self.proof = link.send(&command.line);
-        self.unproven.push(command);
+        push_unless_repeated(&mut self.unproven, command);
     }
 
     /// The last command was the reply to a call, which begins at this position in the bytes of the link.
@@ -177,5 +177,14 @@
     }
 }
 
+/// Appends a command, unless it is the cancellation that stands last already. It is repeated for as long as the run does
+/// not end, which may be until the engine is back.
+fn push_unless_repeated(commands: &mut Vec<UnprovenCommand>, command: UnprovenCommand) {
+    let last = commands.last().map(|last| last.kind);
+    if command.kind != CommandKind::Cancel || last != Some(CommandKind::Cancel) {
+        commands.push(command);
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/server/src/core/run_commands/tests.rs
+++ b/crates/server/src/core/run_commands/tests.rs
@@ -176,3 +176,21 @@
     assert_eq!(commands.resend(&link), ResendOutcome::ReplyInDoubt);
     assert_eq!(outbox.take(), CANCEL);
 }
+
+/// While there is no link, a cancellation is repeated every 300 ms: it is kept once, or an hour takes 0.5 MB a run.
+#[test]
+fn keeps_repeated_cancel_once() {
+    let (mut link, _) = link_up();
+    let mut commands = RunCommands::default();
+    commands.submit(RUN.into(), &link);
+    lose(&mut link, &mut commands);
+    for _ in 0..1_000 {
+        commands.cancel(CANCEL.into(), &link);
+    }
+    assert_eq!(commands.unproven_bytes(), RUN.len() + CANCEL.len());
+    let outbox = restore(&mut link);
+    assert_eq!(commands.resend(&link), ResendOutcome::Resent);
+    assert_eq!(outbox.take(), [RUN, CANCEL].concat());
+    commands.cancel(CANCEL.into(), &link);
+    assert_eq!(outbox.take(), CANCEL);
+}
