Engine link: gauges that a former link was asked for do not bring the new one up

Callers could see: a request with an idempotency key that runs twice, where the engine answers a query of the lost link on the new one before the notices that were missed. Cause: any gauges on a new link counted as the sign that all missed notices had been read; RUN was then sent again for runs whose end was among them. Change: an answer counts only for a query that was sent on this link; other gauges are left out.

--- a/crates/server/src/upstream/engine/link.rs
+++ b/crates/server/src/upstream/engine/link.rs
@@ -139,8 +139,10 @@
         self.answers_before
     }
 
-    /// The gauges came that this query asked for.
-    pub(super) fn gauges_answered(&mut self, query: u64) {
-        self.answers.answered(query, self.last_query);
+    /// The gauges came that this query asked for. False where it was not sent on this link: an answer to a former link
+    /// proves nothing, and says nothing of the notices that were missed.
+    #[must_use]
+    pub(super) fn gauges_answered(&mut self, query: u64) -> bool {
+        self.answers.answered(query, self.last_query)
     }
 }
--- a/crates/server/src/upstream/engine/notice_reader.rs
+++ b/crates/server/src/upstream/engine/notice_reader.rs
@@ -88,7 +88,9 @@
             }
             notice::GAUGES => {
                 let list = notice.gauge_list()?;
-                core.link().gauges_answered(notice.query()?);
+                if !core.link().gauges_answered(notice.query()?) {
+                    return Ok(());
+                }
                 // The query counts as answered also where a gauge is no number.
                 let gauges = gauge_values(list)?;
                 core.gauges_read(now, &gauges, std::mem::take(&mut self.notices_lost));
--- a/crates/server/src/upstream/engine/read_proof.rs
+++ b/crates/server/src/upstream/engine/read_proof.rs
@@ -42,11 +42,13 @@
         ReadProof { link, query }
     }
 
-    /// A query was answered; no effect where it is none of this link, whose queries go up to `last_query`.
-    pub(super) fn answered(&mut self, query: u64, last_query: u64) {
-        if self.before < query && query <= last_query {
+    /// A query was answered. False where it is none of this link, whose queries go up to `last_query`.
+    pub(super) fn answered(&mut self, query: u64, last_query: u64) -> bool {
+        let is_of_link = self.before < query && query <= last_query;
+        if is_of_link {
             self.last = self.last.max(query);
         }
+        is_of_link
     }
 
     /// Whether these answers prove what was sent with `proof`.
