Decisions: a run that nobody waits for and that never ends no longer takes the server out

Callers saw: a healthy server that rejects all requests for good, after one cancelled run that the engine never ends. Cause: its age counted without end in the pace, the slowdown and the response that stands for a completion. All requests became infeasible, so nothing ended that would have shown that the engine works. Place and memory stayed taken. Change: unresponsive_runs. A run that should have ended three times with idle cores, or 20 times at all, stands for the load no more; where other runs ended in three of these times its request is over (Actions::abandon, runs.abandoned). It keeps its place until then; where only such runs are left one more request starts.

--- a/crates/server/src/core/actions.rs
+++ b/crates/server/src/core/actions.rs
@@ -65,6 +65,10 @@
         self.send_command(id, EngineCommand::Cancel);
     }
 
+    fn abandon(&mut self, id: u64) {
+        self.deferred_events.run_abandoned(id);
+    }
+
     fn reject(&mut self, id: u64, retry_after: Duration, is_final: bool) {
         self.answer_rejected(id, retry_after, is_final);
         self.request_settled(id);
--- a/crates/server/src/core/answers.rs
+++ b/crates/server/src/core/answers.rs
@@ -9,6 +9,7 @@
 use super::executor::ActionExecutor;
 use super::in_flight::InFlightRequest;
 use crate::downstream::idempotency_table::IdempotencyKey;
+use crate::support::attempt_name;
 use madderbay::interface::Outcome;
 use madderbay::time::Duration;
 
@@ -133,6 +134,26 @@
         }
     }
 
+    /// The run of a request that is answered, or whose client is gone, is given up: it counts as cancelled. Those that
+    /// joined it fail, since it may have had its effect.
+    pub(super) fn run_abandoned(&mut self, id: u64) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        let (key, handler) = (request.key, request.handler);
+        log::warn!(
+            "engine: run abandoned, attempt={}",
+            attempt_name::as_text(&request.name)
+        );
+        self.counters.run_abandoned();
+        if self.answer_once_durable(id, Outcome::Cancelled, None) {
+            return;
+        }
+        self.counters.run_ended(handler, Outcome::Cancelled);
+        self.answer_all_joined(key, None);
+        self.remove(id);
+    }
+
     /// A request is answered or its client gone: a call for it is given up, and unless it runs it is over.
     pub(super) fn request_settled(&mut self, id: u64) {
         let Some(request) = self.requests.get_mut(id) else {
--- a/crates/server/src/core/deferred_events.rs
+++ b/crates/server/src/core/deferred_events.rs
@@ -15,6 +15,8 @@
     CallNotMade { request: u64 },
     /// The run of a request was not sent: no write-ahead record can be made of it.
     RunNotSent { request: u64 },
+    /// The run of a request that nobody waits for is given up: the engine does not end it.
+    RunAbandoned { request: u64 },
 }
 
 /// The events that wait; of each kind in the order in which they arose.
@@ -23,6 +25,7 @@
     ended: VecDeque<DeferredEvent>,
     calls_not_made: VecDeque<DeferredEvent>,
     runs_not_sent: VecDeque<DeferredEvent>,
+    runs_abandoned: VecDeque<DeferredEvent>,
 }
 
 impl DeferredEvents {
@@ -44,12 +47,19 @@
             .push_back(DeferredEvent::RunNotSent { request });
     }
 
+    /// The run of a request is given up.
+    pub(super) fn run_abandoned(&mut self, request: u64) {
+        self.runs_abandoned
+            .push_back(DeferredEvent::RunAbandoned { request });
+    }
+
     /// The next event: ended requests first, then calls, then runs.
     pub(super) fn pop(&mut self) -> Option<DeferredEvent> {
         let ended = self.ended.pop_front();
         ended
             .or_else(|| self.calls_not_made.pop_front())
             .or_else(|| self.runs_not_sent.pop_front())
+            .or_else(|| self.runs_abandoned.pop_front())
     }
 }
 
--- a/crates/server/src/core/event_loop.rs
+++ b/crates/server/src/core/event_loop.rs
@@ -300,6 +300,7 @@
                 DeferredEvent::RunNotSent { request } => {
                     executor.reject_run_not_sent(request, retry_after);
                 }
+                DeferredEvent::RunAbandoned { request } => executor.run_abandoned(request),
             }
         }
     }
--- a/crates/server/src/support/metrics.rs
+++ b/crates/server/src/support/metrics.rs
@@ -127,6 +127,7 @@
     requests_disconnected: u64,
     runs_started: u64,
     run_outcomes: RunOutcomes,
+    runs_abandoned: u64,
     calls_sent: u64,
     call_outcomes: CallOutcomes,
     calls_skipped: u64,
--- a/crates/server/src/support/metrics/events.rs
+++ b/crates/server/src/support/metrics/events.rs
@@ -89,6 +89,11 @@
         self.commands_declined += 1;
     }
 
+    /// A run that nobody waits for was given up, since the engine does not end it.
+    pub fn run_abandoned(&mut self) {
+        self.runs_abandoned += 1;
+    }
+
     /// The link to the engine was lost.
     pub fn engine_link_lost(&mut self) {
         self.engine_links_lost += 1;
--- a/crates/server/src/support/metrics/table.rs
+++ b/crates/server/src/support/metrics/table.rs
@@ -32,7 +32,7 @@
 ];
 
 /// All other lines, in their order.
-const METRICS: [Metric; 42] = [
+const METRICS: [Metric; 43] = [
     metric("answered.done", |counters, _| counters.answers.completed),
     metric("answered.partial", |counters, _| counters.answers.partial),
     metric("answered.shed", |counters, _| counters.answers.rejected),
@@ -54,6 +54,7 @@
     metric("runs.moot", |counters, _| {
         counters.run_outcomes.already_ended
     }),
+    metric("runs.abandoned", |counters, _| counters.runs_abandoned),
     metric("calls.made", |counters, _| counters.calls_sent),
     metric("calls.done", |counters, _| counters.call_outcomes.completed),
     metric("calls.shed", |counters, _| counters.call_outcomes.rejected),
--- a/crates/server/tests/counters.rs
+++ b/crates/server/tests/counters.rs
@@ -27,6 +27,7 @@
 counter runs.errored 1
 counter runs.stopped 1
 counter runs.moot 3
+counter runs.abandoned 21
 counter calls.made 10
 counter calls.done 1
 counter calls.shed 1
@@ -106,6 +107,7 @@
         counters.run_ended(BOOK, outcome);
     }
     counters.run_not_sent();
+    repeat(21, || counters.run_abandoned());
     repeat(16, || counters.notice_unreadable());
     repeat(18, || counters.unmatched_end());
     repeat(19, || counters.command_declined());
--- a/crates/simulator-adapter/src/codec/reply.rs
+++ b/crates/simulator-adapter/src/codec/reply.rs
@@ -66,6 +66,9 @@
         self.push(&Action::Cancel { request_id });
     }
 
+    /// The wire has no word for it: whatever the simulator still reports of the request is passed over.
+    fn abandon(&mut self, _request_id: u64) {}
+
     fn reject(&mut self, request_id: u64, retry_after: Duration, is_final: bool) {
         self.push(&Action::Reject {
             request_id,
--- a/crates/testkit/src/engine.rs
+++ b/crates/testkit/src/engine.rs
@@ -13,7 +13,7 @@
 //!
 //! [`Engine::break_link`](crate::engine::Engine::break_link) closes the connection in use, and
 //! [`Engine::stop_reading`](crate::engine::Engine::stop_reading) leaves unread what comes on it from
-//! then on. A run whose handler the engine doesn't know is rejected with `NO`. A `HALT` of a run that
+//! then on. [`Engine::hang_runs`](crate::engine::Engine::hang_runs) makes the runs that go on hang for good. A run whose handler the engine doesn't know is rejected with `NO`. A `HALT` of a run that
 //! it doesn't have is passed over in silence.
 
 mod core_pool;
@@ -80,6 +80,7 @@
     Stats(Sender<EngineStats>),
     StopReading,
     BreakLink,
+    HangRuns,
 }
 
 /// A handle on a fake engine. It may be cloned; the engine's thread ends with the last handle and
@@ -120,6 +121,11 @@
         let _ = self.events.send(Event::BreakLink);
     }
 
+    /// Fault: the runs that go on never end, whatever is commanded, and leave the cores.
+    pub fn hang_runs(&self) {
+        let _ = self.events.send(Event::HangRuns);
+    }
+
     /// Fault: reads nothing more on the connection in use; its notices are still sent.
     pub fn stop_reading(&self) {
         let _ = self.events.send(Event::StopReading);
--- a/crates/testkit/src/engine/core_pool.rs
+++ b/crates/testkit/src/engine/core_pool.rs
@@ -23,6 +23,7 @@
 enum RunState {
     Working,
     AwaitingCall,
+    Hung,
 }
 
 struct Run {
@@ -236,6 +237,7 @@
                 let _ = reply.send(self.stats.clone());
             }
             Event::StopReading => self.is_reading = false,
+            Event::HangRuns => self.hang_runs(),
             Event::BreakLink => {
                 if let Some(stream) = self.connection.take() {
                     let _ = stream.shutdown(Shutdown::Both);
@@ -244,6 +246,22 @@
         }
     }
 
+    fn hang_runs(&mut self) {
+        let names: Vec<String> = self.runs.keys().cloned().collect();
+        for run in self.runs.values_mut() {
+            run.state = RunState::Hung;
+        }
+        for name in names {
+            self.record(&name, "hung");
+        }
+    }
+
+    /// Whether a run ends by no command.
+    fn is_hung(&self, name: &str) -> bool {
+        let run = self.runs.get(name);
+        run.is_some_and(|run| run.state == RunState::Hung)
+    }
+
     /// A new connection replaces the former one.
     fn connected(&mut self, stream: TcpStream, lines: &Sender<Event>) {
         let _ = stream.set_nodelay(true);
@@ -278,6 +296,7 @@
             self.record(name, text("msg"));
         }
         match text("msg") {
+            _ if self.is_hung(name) => {}
             "ATTACH" => self.attach(message["serial"].as_u64().unwrap_or(0)),
             "STAT" => self.send_load(text("cookie")),
             "RUN" if !self.runs.contains_key(name) => {
--- a/crates/testkit/src/soak/plan.rs
+++ b/crates/testkit/src/soak/plan.rs
@@ -26,6 +26,11 @@
 /// Time for which it reads nothing, at most.
 const MAX_UNREAD: Duration = Duration::from_millis(40);
 
+/// The part of the plays in which the runs of a moment never end.
+const PLAYS_WITH_HUNG_RUNS: f64 = 0.34;
+/// When these runs hang: so early that those whose clients wait are answered before the calm.
+const HANG: (f64, f64) = (0.5, 1.5);
+
 /// The handlers of the settings, in their order.
 pub(super) const HANDLERS: [&str; 3] = ["search", "quote", "book"];
 /// The handler whose requests have idempotency keys.
@@ -51,6 +56,8 @@
     StopReading,
     /// The engine ends the link.
     BreakLink,
+    /// The runs that go on never end.
+    HangRuns,
 }
 
 /// A step and its time since the beginning of the play.
@@ -79,6 +86,7 @@
         let mut random = Rand64::new(u128::from(seed));
         let mut steps = draw_load(&mut random);
         steps.extend(draw_link_breaks(&mut random));
+        steps.extend(draw_hung_runs(&mut random));
         let calm = TROUBLED + SETTLING;
         steps.extend(calm_requests(calm));
         steps.sort_by_key(|step| step.at);
@@ -139,6 +147,14 @@
     steps
 }
 
+/// The moment whose runs never end, if there is one.
+fn draw_hung_runs(random: &mut Rand64) -> Option<TimedStep> {
+    let is_drawn = random.rand_float() < PLAYS_WITH_HUNG_RUNS;
+    let at = Duration::from_secs_f64(between(random, HANG));
+    let step = Step::HangRuns;
+    is_drawn.then_some(TimedStep { at, step })
+}
+
 /// One request of each handler at a time from `calm` on.
 fn calm_requests(calm: Duration) -> Vec<TimedStep> {
     let mut steps = vec![];
--- a/crates/testkit/src/soak/player.rs
+++ b/crates/testkit/src/soak/player.rs
@@ -131,6 +131,7 @@
             }
             Step::StopReading => self.engine.stop_reading(),
             Step::BreakLink => self.engine.break_link(),
+            Step::HangRuns => self.engine.hang_runs(),
         }
     }
 
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -17,6 +17,7 @@
 //! | `call_policy`, `call_account`, `waiting_calls` | upstream calls and their retries |
 //! | `rejection` | the Retry-After, and whether a retry elsewhere is of use |
 //! | `stall_detection` | hung servers, and control loops without completions |
+//! | `unresponsive_runs` | runs that nobody waits for and that do not end |
 //! | `load_report`, `idle_connections` | what clients are told |
 //!
 //! The steps carry the decisions out: `arrivals`, `starts`, `calls`, `answers`, `expired_timers`, `control_loops` and
@@ -49,6 +50,7 @@
 mod starts;
 mod supported_runs;
 mod tenant_quota;
+mod unresponsive_runs;
 mod waiting_calls;
 
 pub use deadlines::ANSWER_MARGIN;
@@ -78,6 +80,7 @@
 use run_times::{RunTimes, first_guess_secs};
 use stall_detection::StallDetector;
 use tenant_quota::TenantQuotas;
+use unresponsive_runs::UnresponsiveRuns;
 use waiting_calls::WaitingCalls;
 
 /// Interval of the one timer: finer than the slack of any answer.
@@ -112,6 +115,7 @@
     calls: CallAccount,
     waiting_calls: WaitingCalls,
     stalls: StallDetector,
+    unresponsive_runs: UnresponsiveRuns,
     rejections: RejectionPolicy,
     load_report: LoadReporter,
     connections: IdleConnections,
@@ -188,6 +192,7 @@
             calls,
             waiting_calls: WaitingCalls::default(),
             stalls: StallDetector::new(now),
+            unresponsive_runs: UnresponsiveRuns::default(),
             rejections: RejectionPolicy::new(&downstream),
             load_report: LoadReporter::new(now, &downstream),
             connections: IdleConnections::new(downstream.max_idle),
@@ -268,6 +273,9 @@
         let Some(slot) = self.requests.find(id, may_end) else {
             return;
         };
+        if self.requests[slot].has_started() {
+            self.unresponsive_runs.on_run_ended();
+        }
         self.abandon_call(now, slot);
         self.record_run(now, slot, outcome, spent);
         self.end_request(now, slot);
@@ -344,7 +352,7 @@
 
     /// Run time still expected of the runs in flight, in seconds.
     fn remaining_run_secs(&self) -> f64 {
-        let running = self.requests.running() as f64;
+        let running = self.requests.running_on_time() as f64;
         running * self.run_times.mean_secs() * self.stalls.pace() * REMAINING_RUN_FRACTION
     }
 }
--- a/src/decide/answers.rs
+++ b/src/decide/answers.rs
@@ -125,6 +125,7 @@
     pub(super) fn cancel_settled(&mut self, slot: RequestSlot, out: &mut dyn Actions) {
         let request = &mut self.requests[slot];
         request.settled = true;
+        self.unresponsive_runs.expect_end(&mut request.end_watch);
         if !request.is_running() {
             let due = self.last_tick + CALL_END_TIMEOUT;
             self.timers.set(due, Timer::CheckEnded(slot));
@@ -135,6 +136,13 @@
         }
     }
 
+    /// Ends a request that nobody waits for and whose run does not end.
+    pub(super) fn abandon_run(&mut self, now: Timestamp, slot: RequestSlot, out: &mut dyn Actions) {
+        self.abandon_call(now, slot);
+        out.abandon(self.requests[slot].id);
+        self.end_request(now, slot);
+    }
+
     /// Removes a request whose run has ended. Its key is remembered while further attempts may arrive.
     pub(super) fn end_request(&mut self, now: Timestamp, slot: RequestSlot) {
         let handler = self.handler_of(slot);
--- a/src/decide/arrivals.rs
+++ b/src/decide/arrivals.rs
@@ -140,7 +140,7 @@
         let inputs = AdmissionInputs {
             weight: self.requests[slot].weight,
             is_idempotent: self.handler_of(slot).is_idempotent(),
-            is_server_idle: self.requests.running() == 0,
+            is_server_idle: self.requests.is_idle_but_for_overdue(),
         };
         self.admission.decide(inputs, &mut self.random)
     }
--- a/src/decide/control_loops.rs
+++ b/src/decide/control_loops.rs
@@ -58,6 +58,7 @@
         // Ceilings bind before the limit: where they hold a request up, the limit may be the cause.
         let at_limit = self.concurrency.is_reached(running) || !self.ceilings.is_empty();
         let holds_requests_up = at_limit && !self.queue.is_empty();
+        self.unresponsive_runs.on_tick(gauges.run_queue);
         let run_queue = gauges.run_queue.unwrap_or(running as f64);
         self.concurrency.on_tick(now, run_queue, holds_requests_up);
         self.calls.update(now);
--- a/src/decide/expired_timers.rs
+++ b/src/decide/expired_timers.rs
@@ -1,8 +1,9 @@
 //! The steps that follow a timer.
 
 use super::Decider;
+use super::unresponsive_runs::EndDecision;
 use crate::interface::Actions;
-use crate::request::Stage;
+use crate::request::Request;
 use crate::slots::RequestSlot;
 use crate::time::Timestamp;
 use crate::timers::Timer;
@@ -31,19 +32,27 @@
         }
     }
 
-    /// A run that nobody waits for should have ended: it is cancelled once more, or, where it hangs at a call, its place
-    /// is given to others, though the engine may keep it.
+    /// A run that nobody waits for should have ended: it is abandoned, or cancelled once more, or, where it hangs at a
+    /// call, its place is given to others, though the engine may keep it.
     fn check_ended(&mut self, now: Timestamp, slot: RequestSlot, out: &mut dyn Actions) {
-        let Some(request) = self.requests.get(slot).filter(|request| request.settled) else {
+        let is_unawaited = |request: &&Request| request.settled && request.has_started();
+        if self.requests.get(slot).filter(is_unawaited).is_none() {
             return;
-        };
-        match request.stage() {
-            Stage::Running => self.cancel_settled(slot, out),
-            Stage::AtCall | Stage::Calling => {
+        }
+        let watch = &mut self.requests[slot].end_watch;
+        match self.unresponsive_runs.decide(watch) {
+            EndDecision::Abandon => self.abandon_run(now, slot, out),
+            EndDecision::Wait { is_overdue } if self.requests[slot].is_running() => {
+                if is_overdue {
+                    self.requests.set_overdue(slot);
+                }
+                self.cancel_settled(slot, out);
+            }
+            EndDecision::Wait { .. } => {
                 self.abandon_call(now, slot);
                 self.requests.release_run(slot);
+                self.cancel_settled(slot, out);
             }
-            Stage::Queued | Stage::AwaitingOtherStart | Stage::Joined => {}
         }
     }
 }
--- a/src/decide/starts.rs
+++ b/src/decide/starts.rs
@@ -30,7 +30,7 @@
             now,
             remaining_run_secs: self.remaining_run_secs(),
             concurrency_limit: self.concurrency.limit(),
-            is_idle: self.requests.running() == 0,
+            is_idle: self.requests.is_idle_but_for_overdue(),
         };
         let queue = self.queue.in_order().into_iter();
         let planned = queue.map(|slot| self.planned(slot));
@@ -68,7 +68,9 @@
     /// not pass it for being smaller.
     fn next_start(&self, max_runs: f64) -> Option<RequestSlot> {
         let slot = self.queue.first(|slot| self.may_start(slot))?;
-        let fits_limit = (self.requests.running() + 1) as f64 <= max_runs;
+        // Where all runs are overdue, one more shows whether the engine still ends runs.
+        let fits_limit = (self.requests.running() + 1) as f64 <= max_runs
+            || self.requests.is_idle_but_for_overdue();
         let growth_kb = self.requests.growth_kb(slot);
         let fits_memory = self.memory.may_start(self.used_memory_kb(), growth_kb);
         (fits_limit && fits_memory).then_some(slot)
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -293,6 +293,8 @@
     fn start(&mut self, id: u64);
     /// Cancels a run.
     fn cancel(&mut self, id: u64);
+    /// Gives up a run that nobody waits for and that the engine does not end: the request is over.
+    fn abandon(&mut self, id: u64);
     /// Answers that the request was not run. `is_final`: a retry on another server is of no use.
     fn reject(&mut self, id: u64, retry_after: Duration, is_final: bool);
     /// Answers with an error.
--- a/src/request.rs
+++ b/src/request.rs
@@ -60,6 +60,19 @@
     }
 }
 
+/// How long the end of a run that nobody waits for has been expected.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct EndWatch {
+    /// Times that it should have ended.
+    pub(crate) checks: u32,
+    /// Of these, the times that other runs ended meanwhile.
+    pub(crate) missed_ends: u32,
+    /// Of these, the times that the engine had no run on its cores.
+    pub(crate) absences: u32,
+    /// Runs that had ended when the end was last expected.
+    pub(crate) ended_runs: u64,
+}
+
 /// One request. Its stage and memory change by the table's methods only.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Request {
@@ -90,10 +103,14 @@
     pub(crate) failed_calls: u32,
     /// Its idempotency key, if it has one.
     pub(crate) key: Option<KeySlot>,
+    /// How long the end of its run has been expected, once nobody waits for it.
+    pub(crate) end_watch: EndWatch,
     memory_kb: f64,
     stage: Stage,
     /// Its run should have ended long ago, and counts no more.
     place_released: bool,
+    /// Its run on the cores should have ended long ago, and does not stand for the load.
+    is_overdue: bool,
 }
 
 impl Request {
@@ -137,6 +154,11 @@
         self.stage == Stage::Calling
     }
 
+    /// Whether its run says something of the load: not one that should have ended long ago, or before others did.
+    fn stands_for_load(&self) -> bool {
+        self.has_started() && !self.is_overdue && !self.place_released
+    }
+
     /// Moves the request to a stage that may follow the present one.
     fn enter(&mut self, stage: Stage) {
         debug_assert!(
@@ -173,6 +195,8 @@
     /// Memory of a run as a multiple of the request's memory while queued.
     running_factor: f64,
     running: usize,
+    /// Of these, the runs that are overdue.
+    overdue: usize,
     handler_loads: Vec<Load>,
 }
 
@@ -214,11 +238,11 @@
         condition(&self.requests[slot]).then_some(slot)
     }
 
-    /// The runs on the cores, and the sum of their ages in seconds.
+    /// The runs on the cores that say something of the load, and the sum of their ages in seconds.
     pub(crate) fn ages_on_cores(&self, now: Timestamp) -> RunAges {
         let mut ages = RunAges::default();
         for request in self.requests.values() {
-            if request.stage == Stage::Running {
+            if request.is_running() && request.stands_for_load() {
                 ages.runs += 1.0;
                 ages.seconds += (now - request.started).as_secs_f64();
             }
@@ -226,9 +250,9 @@
         ages
     }
 
-    /// The started request that reached the machine first.
+    /// The started request that reached the machine first, of those that say something of the load.
     pub(crate) fn oldest_started(&self) -> Option<&Request> {
-        let started = self.requests.values().filter(|r| r.has_started());
+        let started = self.requests.values().filter(|r| r.stands_for_load());
         started.min_by_key(|r| r.reached)
     }
 
@@ -247,6 +271,23 @@
         self.running
     }
 
+    /// Whether no run is in flight, or only runs that are overdue.
+    pub(crate) fn is_idle_but_for_overdue(&self) -> bool {
+        self.running == self.overdue
+    }
+
+    /// Runs in flight that are not overdue.
+    pub(crate) fn running_on_time(&self) -> usize {
+        self.running - self.overdue
+    }
+
+    /// A run on the cores that nobody waits for is overdue.
+    pub(crate) fn set_overdue(&mut self, slot: RequestSlot) {
+        let request = &mut self.requests[slot];
+        debug_assert!(request.settled && request.is_running());
+        self.overdue += usize::from(!std::mem::replace(&mut request.is_overdue, true));
+    }
+
     /// Memory of all requests, in kB.
     pub(crate) fn memory_kb(&self) -> f64 {
         self.queued_kb + self.running_kb * self.running_factor
@@ -346,6 +387,7 @@
         }
         self.running_kb -= request.memory_kb;
         self.running -= usize::from(!request.place_released);
+        self.overdue -= usize::from(request.is_overdue);
         let load = &mut self.handler_loads[request.handler.index()];
         load.runs -= usize::from(!request.place_released);
         load.calls -= usize::from(request.stage == Stage::Calling);
--- a/tests/ramp.rs
+++ b/tests/ramp.rs
@@ -30,6 +30,7 @@
         self.load_report = Some(value);
     }
     fn cancel(&mut self, _id: u64) {}
+    fn abandon(&mut self, _id: u64) {}
     fn fail(&mut self, _id: u64) {}
     fn call(&mut self, _id: u64, _timeout: Duration) {}
     fn skip_call(&mut self, _id: u64) {}
--- a/tests/scenario_runner/actions.rs
+++ b/tests/scenario_runner/actions.rs
@@ -6,9 +6,10 @@
 use madderbay::time::Duration;
 
 /// The first words of all lines.
-pub(crate) const ACTION_WORDS: [&str; 12] = [
+pub(crate) const ACTION_WORDS: [&str; 13] = [
     "start",
     "cancel",
+    "abandon",
     "reject",
     "fail",
     "call",
@@ -62,6 +63,9 @@
     fn cancel(&mut self, id: u64) {
         self.add(format!("cancel {id}"));
     }
+    fn abandon(&mut self, id: u64) {
+        self.add(format!("abandon {id}"));
+    }
     fn reject(&mut self, id: u64, retry_after: Duration, is_final: bool) {
         let retry = if is_final { "final" } else { "retry_elsewhere" };
         let advice = if retry_after > Duration::ZERO {
