Decisions: a batch ends whatever the clock says

Cause: a run that should have ended was checked again a fixed time after the last tick. Where that had passed, settle fired the new timer in the same batch, and so on without an end. Evidence: the property test ends_each_batch_whatever_the_clock (times that leap, stand at their end, ticks left out) counts 10,000 cancellations in one batch before this change: 'the batch has no end'. Change: settle fires the timers that were set before it; the next check lies in the future, counted from now where the tick is too old. fail, join and cancel_settled are given the time.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -287,7 +287,7 @@
             return;
         };
         if self.requests[slot].has_started() {
-            self.cancel_settled(slot, out);
+            self.cancel_settled(now, slot, out);
         } else {
             self.withdraw(now, slot, out);
         }
@@ -315,9 +315,10 @@
         out.set_timer(TICK_INTERVAL);
     }
 
-    /// The batch of events is complete: fires timers, frees memory, gives up, makes calls, starts requests.
+    /// The batch of events is complete: fires timers, frees memory, gives up, makes calls, starts requests. A timer that is
+    /// set meanwhile fires with a later batch, whatever the clock says.
     pub fn settle(&mut self, now: Timestamp, out: &mut dyn Actions) {
-        while let Some(timer) = self.timers.pop_expired(now) {
+        for timer in self.timers.take_expired(now) {
             self.fire(now, timer, out);
         }
         self.free_memory(now, out);
--- a/src/decide/answers.rs
+++ b/src/decide/answers.rs
@@ -111,10 +111,10 @@
     }
 
     /// Answers a request with an error. Nobody waits for its run from here on.
-    pub(super) fn fail(&mut self, slot: RequestSlot, out: &mut dyn Actions) {
+    pub(super) fn fail(&mut self, now: Timestamp, slot: RequestSlot, out: &mut dyn Actions) {
         out.fail(self.requests[slot].id);
         if self.requests[slot].has_started() {
-            self.cancel_settled(slot, out);
+            self.cancel_settled(now, slot, out);
         } else {
             self.requests.remove(slot);
         }
@@ -122,20 +122,36 @@
 
     /// Cancels a run that nobody waits for any more, if runs can be cancelled. One that is at an upstream call is not
     /// cancelled: it ends by itself, or its place is given to others after a time.
-    pub(super) fn cancel_settled(&mut self, slot: RequestSlot, out: &mut dyn Actions) {
+    pub(super) fn cancel_settled(
+        &mut self,
+        now: Timestamp,
+        slot: RequestSlot,
+        out: &mut dyn Actions,
+    ) {
         let request = &mut self.requests[slot];
         request.settled = true;
-        self.unresponsive_runs.expect_end(&mut request.end_watch);
         if !request.is_running() {
-            let due = self.last_tick + CALL_END_TIMEOUT;
-            self.timers.set(due, Timer::CheckEnded(slot));
+            self.expect_end(now, CALL_END_TIMEOUT, slot);
         } else if self.cancellation != Cancellation::Unsupported {
             out.cancel(request.id);
-            let due = self.last_tick + CANCEL_REPEAT_INTERVAL;
-            self.timers.set(due, Timer::CheckEnded(slot));
+            self.expect_end(now, CANCEL_REPEAT_INTERVAL, slot);
         }
     }
 
+    /// A run should have ended after `wait`, counted from the last tick, or from now where that has passed since: the clock
+    /// may leap between two ticks.
+    fn expect_end(&mut self, now: Timestamp, wait: Duration, slot: RequestSlot) {
+        let watch = &mut self.requests[slot].end_watch;
+        self.unresponsive_runs.expect_end(watch);
+        let since_tick = self.last_tick + wait;
+        let due = if since_tick > now {
+            since_tick
+        } else {
+            now + wait
+        };
+        self.timers.set(due, Timer::CheckEnded(slot));
+    }
+
     /// Ends a request that nobody waits for and whose run does not end.
     pub(super) fn abandon_run(&mut self, now: Timestamp, slot: RequestSlot, out: &mut dyn Actions) {
         self.abandon_call(now, slot);
--- a/src/decide/arrivals.rs
+++ b/src/decide/arrivals.rs
@@ -52,7 +52,7 @@
         self.requests[slot].key = Some(key);
         let is_open = |other| self.requests.get(other).is_some();
         match self.keys.enter(key, slot, is_open) {
-            AttemptRole::Join => self.join(slot, out),
+            AttemptRole::Join => self.join(now, slot, out),
             AttemptRole::AwaitStart => self.requests.wait(slot, Stage::AwaitingOtherStart),
             AttemptRole::Run => self.process_keyed_run(now, key, slot, out),
         }
@@ -92,11 +92,11 @@
     }
 
     /// Lets an attempt share the answer of the run, to which the attempt that it names belongs.
-    pub(super) fn join(&mut self, slot: RequestSlot, out: &mut dyn Actions) {
+    pub(super) fn join(&mut self, now: Timestamp, slot: RequestSlot, out: &mut dyn Actions) {
         self.requests.wait(slot, Stage::Joined);
         let Request { id, retry_of, .. } = self.requests[slot];
         if retry_of == 0 {
-            self.fail(slot, out);
+            self.fail(now, slot, out);
         } else {
             out.join_attempt(id);
         }
--- a/src/decide/calls.rs
+++ b/src/decide/calls.rs
@@ -21,7 +21,7 @@
     fn attempt_call(&mut self, now: Timestamp, slot: RequestSlot, out: &mut dyn Actions) {
         let inputs = self.call_inputs(now, slot);
         match decide_call(now, &inputs, &mut self.calls) {
-            CallDecision::Fail => self.fail(slot, out),
+            CallDecision::Fail => self.fail(now, slot, out),
             CallDecision::Skip => self.requests.skip_call(slot, out),
             CallDecision::Wait => self.waiting_calls.push(slot),
             CallDecision::Send { timeout } => self.send_call(slot, timeout, out),
@@ -92,7 +92,7 @@
         let failed = self.failed_call(slot, outcome);
         match decide_retry(now, &failed, &self.calls) {
             RetryDecision::Skip => self.requests.skip_call(slot, out),
-            RetryDecision::Fail => self.fail(slot, out),
+            RetryDecision::Fail => self.fail(now, slot, out),
             RetryDecision::Retry { backoff } => {
                 self.timers.set(now + backoff, Timer::RetryCall(slot));
             }
--- a/src/decide/expired_timers.rs
+++ b/src/decide/expired_timers.rs
@@ -28,7 +28,7 @@
         if request.stage().awaits_start() {
             self.reject(now, slot, out);
         } else if !request.settled {
-            self.fail(slot, out);
+            self.fail(now, slot, out);
         }
     }
 
@@ -46,12 +46,12 @@
                 if is_overdue {
                     self.requests.set_overdue(slot);
                 }
-                self.cancel_settled(slot, out);
+                self.cancel_settled(now, slot, out);
             }
             EndDecision::Wait { .. } => {
                 self.abandon_call(now, slot);
                 self.requests.release_run(slot);
-                self.cancel_settled(slot, out);
+                self.cancel_settled(now, slot, out);
             }
         }
     }
--- a/src/decide/starts.rs
+++ b/src/decide/starts.rs
@@ -100,7 +100,7 @@
         out.start(self.requests[slot].id);
         if let Some(key) = self.requests[slot].key {
             for attempt in self.keys.start_run(key) {
-                self.join(attempt, out);
+                self.join(now, attempt, out);
             }
         }
     }
--- a/src/timers.rs
+++ b/src/timers.rs
@@ -28,10 +28,15 @@
         self.0.insert((deadline, timer));
     }
 
-    /// Removes and returns the first timer whose deadline has been reached.
-    pub(crate) fn pop_expired(&mut self, now: Timestamp) -> Option<Timer> {
-        let first = *self.0.first().filter(|(deadline, _)| *deadline <= now)?;
-        self.0.remove(&first);
-        Some(first.1)
+    /// Removes the timers whose deadlines have been reached, and returns them in order.
+    pub(crate) fn take_expired(&mut self, now: Timestamp) -> Vec<Timer> {
+        let mut expired = vec![];
+        while let Some((deadline, timer)) = self.0.first().copied()
+            && deadline <= now
+        {
+            self.0.pop_first();
+            expired.push(timer);
+        }
+        expired
     }
 }
