Decisions: a run at a call that does not end is checked as often as others

Operators could see: in_hand above 0 for 6 s and more after the answer, for a run that the engine never ends at its call. Cause: such runs were checked every 2 s, and are abandoned at the third check at the earliest.

--- a/src/decide/answers.rs
+++ b/src/decide/answers.rs
@@ -138,6 +138,11 @@
         }
     }
 
+    /// A run at a call, whose place was given to others, is waited for once more.
+    pub(super) fn expect_end_again(&mut self, now: Timestamp, slot: RequestSlot) {
+        self.expect_end(now, CANCEL_REPEAT_INTERVAL, slot);
+    }
+
     /// A run should have ended after `wait`, counted from the last tick, or from now where that has passed since: the clock
     /// may leap between two ticks.
     fn expect_end(&mut self, now: Timestamp, wait: Duration, slot: RequestSlot) {
--- a/src/decide/expired_timers.rs
+++ b/src/decide/expired_timers.rs
@@ -51,7 +51,7 @@
             EndDecision::Wait { .. } => {
                 self.abandon_call(now, slot);
                 self.requests.release_run(slot);
-                self.cancel_settled(now, slot, out);
+                self.expect_end_again(now, slot);
             }
         }
     }
