Idempotency store: a recovered run is answered only with what its record holds

Callers could see: a retry that is answered with a result, and after the next restart with an error. Cause: a result that fitted the memory and not the disk was left out of the record, and still answered from memory. Evidence: answers_no_recovered_run_whose_record_has_no_result found Completed for NoResult before. Change: a result has to fit both, or neither has it. Result: the test passes, with the store's others.

--- a/crates/idempotency-store/src/table.rs
+++ b/crates/idempotency-store/src/table.rs
@@ -266,7 +266,8 @@
         };
         entry.state = RunState::NoResult;
         let expires_at = entry.expires_at;
-        let result = result.filter(|result| self.memory.fits(result));
+        // What the record can't hold is no answer either: after the next restart it would be gone.
+        let result = result.filter(|r| self.memory.fits(r) && self.disk.fits_result(r));
         let sequence = self.record_result(key, result, expires_at);
         if let Some(result) = result {
             self.memory.add(result);
--- a/crates/idempotency-store/tests/store/durable_results.rs
+++ b/crates/idempotency-store/tests/store/durable_results.rs
@@ -169,3 +169,17 @@
     let batch = results.take_batch().expect("records to commit");
     assert_eq!((batch.last, batch.entries.len()), (3, 1));
 }
+
+/// A result that its record can't hold for want of disk is not answered from memory either.
+#[test]
+fn answers_no_recovered_run_whose_record_has_no_result() {
+    let storage = log_with(&[intent(1, RETENTION_MICROS)]).storage().clone();
+    let (_, recovery) = WriteAheadLog::open(storage, 3, LIMITS).expect("read");
+    let mut results = DurableResults::new(MEMORY_LIMIT_BYTES, 10);
+    results.load_recovery(recovery);
+    assert!(results.complete_recovered_run(ATTEMPT, Some(b"result")));
+    let batch = results.take_batch().expect("the end of the run");
+    assert_eq!(batch.entries[0].record, Record::NoResult { key: 1 });
+    results.on_committed(batch.last, 0);
+    assert_eq!(results.lookup(1, HASH_OF_KEY_1), Lookup::NoResult);
+}
