Idempotency store: batches on their way to the disk count against its limit

Operators could see: a store that grows past its limit on disk while commits are slow. Cause: a commit set the pending bytes to those of the next batch, a failed one to none; batches that were handed to the writer and not reported were in neither. Change: the bytes of each batch are kept until its commit is reported, one way or the other. Result: the test passes, with the store's others.

--- a/crates/idempotency-store/src/limits.rs
+++ b/crates/idempotency-store/src/limits.rs
@@ -41,8 +41,8 @@
         self.pending_bytes += bytes;
     }
 
-    pub(crate) fn set_pending(&mut self, bytes: u64) {
-        self.pending_bytes = bytes;
+    pub(crate) fn remove_pending(&mut self, bytes: u64) {
+        self.pending_bytes -= bytes;
     }
 
     pub(crate) fn set_stored(&mut self, bytes: u64) {
--- a/crates/idempotency-store/src/table.rs
+++ b/crates/idempotency-store/src/table.rs
@@ -82,6 +82,12 @@
     result: Box<[u8]>,
 }
 
+/// A batch that was taken, and of which no commit was reported yet.
+struct BatchInFlight {
+    last: SequenceNumber,
+    bytes: u64,
+}
+
 /// The durable results of one incarnation.
 pub struct DurableResults {
     recovered: HashMap<IdempotencyKey, RecoveredEntry>,
@@ -90,6 +96,7 @@
     expirations: BTreeSet<(Timestamp, IdempotencyKey)>,
     pending_results: VecDeque<PendingResult>,
     next_batch: Vec<LogEntry>,
+    batches_in_flight: VecDeque<BatchInFlight>,
     last_sequence: SequenceNumber,
     disk: DiskUsage,
     memory: ResultMemory,
@@ -107,6 +114,7 @@
             expirations: BTreeSet::new(),
             pending_results: VecDeque::new(),
             next_batch: vec![],
+            batches_in_flight: VecDeque::new(),
             last_sequence: 0,
             disk: DiskUsage::new(disk_limit_bytes),
             memory: ResultMemory::new(memory_limit_bytes),
@@ -285,21 +293,18 @@
         if self.next_batch.is_empty() {
             return None;
         }
-        Some(Batch {
-            last: self.last_sequence,
-            entries: std::mem::take(&mut self.next_batch),
-        })
+        let entries = std::mem::take(&mut self.next_batch);
+        let last = self.last_sequence;
+        let bytes = entries.iter().map(|e| e.record.size_bytes() as u64).sum();
+        self.batches_in_flight
+            .push_back(BatchInFlight { last, bytes });
+        Some(Batch { last, entries })
     }
 
     /// All records up to a sequence number are durable; the segments have `disk_bytes` now.
     pub fn on_committed(&mut self, sequence: SequenceNumber, disk_bytes: u64) {
-        let next_batch_bytes = self
-            .next_batch
-            .iter()
-            .map(|e| e.record.size_bytes() as u64)
-            .sum();
         self.disk.set_stored(disk_bytes);
-        self.disk.set_pending(next_batch_bytes);
+        self.release_batches(sequence);
         self.storage_failed = false;
         while let Some(pending) = self.pop_pending_result(sequence) {
             match self.recovered.get_mut(&pending.key) {
@@ -312,7 +317,7 @@
     /// The commit of all records up to a sequence number failed; none of them counts as durable.
     pub fn on_commit_failed(&mut self, sequence: SequenceNumber) {
         self.storage_failed = true;
-        self.disk.set_pending(0);
+        self.release_batches(sequence);
         self.counters.commit_failures += 1;
         while let Some(pending) = self.pop_pending_result(sequence) {
             self.memory.release(&pending.result);
@@ -352,6 +357,16 @@
         self.last_sequence
     }
 
+    /// The bytes of the batches up to a sequence number are no longer on their way to the disk.
+    fn release_batches(&mut self, up_to: SequenceNumber) {
+        while let Some(batch) = self
+            .batches_in_flight
+            .pop_front_if(|batch| batch.last <= up_to)
+        {
+            self.disk.remove_pending(batch.bytes);
+        }
+    }
+
     fn pop_pending_result(&mut self, up_to: SequenceNumber) -> Option<PendingResult> {
         self.pending_results
             .pop_front_if(|pending| pending.sequence <= up_to)
--- a/crates/idempotency-store/tests/store/durable_results.rs
+++ b/crates/idempotency-store/tests/store/durable_results.rs
@@ -183,3 +183,24 @@
     results.on_committed(batch.last, 0);
     assert_eq!(results.lookup(1, HASH_OF_KEY_1), Lookup::NoResult);
 }
+
+/// Bytes that are on their way to the disk count against its limit until their commit is reported, whatever becomes of
+/// other batches.
+#[test]
+fn counts_batches_on_their_way_to_the_disk() {
+    let mut results = DurableResults::new(MEMORY_LIMIT_BYTES, DISK_LIMIT_BYTES);
+    let mut take = |key| {
+        results.record_intent(key, 1, *ATTEMPT, Timestamp::from_micros(9));
+        results.take_batch().expect("a batch").last
+    };
+    let (first, second, third) = (take(1), take(2), take(3));
+    results.record_intent(4, 1, *ATTEMPT, Timestamp::from_micros(9));
+    let intents = |count: u64| count * INTENT_BYTES as u64;
+    assert_eq!(results.usage().disk_bytes, intents(4));
+    results.on_committed(first, 1_000);
+    assert_eq!(results.usage().disk_bytes, 1_000 + intents(3));
+    results.on_commit_failed(second);
+    assert_eq!(results.usage().disk_bytes, 1_000 + intents(2));
+    results.on_committed(third, 2_000);
+    assert_eq!(results.usage().disk_bytes, 2_000 + intents(1));
+}
