Idempotency store: a lock that fails is told from one that another process has

Operators saw: 'another process has it' where the file system has no locks, and looked for a process. Cause: every error of the lock was mapped to StoreError::Locked. Result: tells_a_lock_in_use_from_one_that_fails. No file system without locks was at hand to see it through the program.

--- a/crates/idempotency-store/src/error.rs
+++ b/crates/idempotency-store/src/error.rs
@@ -21,12 +21,20 @@
         /// The path to be opened.
         directory: PathBuf,
     },
-    /// The lock of the directory cannot be taken.
+    /// Another process has the lock of the directory.
     #[error("{}: another process has it", directory.display())]
     Locked {
         /// The directory to be opened.
         directory: PathBuf,
     },
+    /// The lock of the directory cannot be taken, though no other process has it.
+    #[error("{}: cannot be locked: {source}", directory.display())]
+    Lock {
+        /// The directory to be opened.
+        directory: PathBuf,
+        /// The cause.
+        source: io::Error,
+    },
     /// The files of the storage cannot be listed.
     #[error(transparent)]
     List(io::Error),
--- a/crates/idempotency-store/src/storage/directory.rs
+++ b/crates/idempotency-store/src/storage/directory.rs
@@ -3,7 +3,7 @@
 use super::Storage;
 use crate::error::StoreError;
 use std::collections::HashMap;
-use std::fs::{File, OpenOptions};
+use std::fs::{File, OpenOptions, TryLockError};
 use std::io::{self, ErrorKind, Write};
 use std::path::{Path, PathBuf};
 
@@ -27,7 +27,8 @@
     ///
     /// [`StoreError::OpenDirectory`] if the directory or its lock file cannot be opened,
     /// [`StoreError::NotADirectory`] if the path is another kind of file, and
-    /// [`StoreError::Locked`] if the lock cannot be taken.
+    /// [`StoreError::Locked`] if another process has the lock, [`StoreError::Lock`] if it cannot be
+    /// taken for another reason.
     pub fn open(directory: &Path) -> Result<DirectoryStorage, StoreError> {
         let open_error = |source| StoreError::OpenDirectory {
             directory: directory.into(),
@@ -44,9 +45,8 @@
             .write(true)
             .open(directory.join(LOCK_FILE_NAME))
             .map_err(open_error)?;
-        lock.try_lock().map_err(|_| StoreError::Locked {
-            directory: directory.into(),
-        })?;
+        lock.try_lock()
+            .map_err(|error| lock_error(directory, error))?;
         Ok(DirectoryStorage::with_lock(directory, Some(lock)))
     }
 
@@ -66,6 +66,15 @@
     }
 }
 
+/// Why the lock of a directory was not taken.
+fn lock_error(directory: &Path, error: TryLockError) -> StoreError {
+    let directory = directory.into();
+    match error {
+        TryLockError::WouldBlock => StoreError::Locked { directory },
+        TryLockError::Error(source) => StoreError::Lock { directory, source },
+    }
+}
+
 impl Storage for DirectoryStorage {
     fn list(&self) -> io::Result<Vec<String>> {
         let mut names = vec![];
@@ -120,3 +129,6 @@
         std::fs::remove_file(self.directory.join(name))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/idempotency-store/src/storage/directory/tests.rs
@@ -0,0 +1,15 @@
+//! What the operator is told where the lock is not taken.
+
+use super::*;
+
+/// A file system without locks must not send the operator looking for another process.
+#[test]
+fn tells_a_lock_in_use_from_one_that_fails() {
+    let directory = Path::new("/var/kept");
+    let in_use = lock_error(directory, TryLockError::WouldBlock);
+    assert_eq!(in_use.to_string(), "/var/kept: another process has it");
+    let unsupported = io::Error::other("locks are not supported");
+    let failed = lock_error(directory, TryLockError::Error(unsupported));
+    let expected = "/var/kept: cannot be locked: locks are not supported";
+    assert_eq!(failed.to_string(), expected);
+}
