Engine: a declined cancellation ends the run that nobody waits for

Callers could see: with a run that the engine does not have, a server that rejects requests until the run is abandoned. Cause: NO in answer to HALT was counted and passed over, though it says that no end of the run will come. Evidence: the scenario halt-declined.txt had in_hand 1 after the NO before this change. Change: where nobody waits for a run that has not ended, NO to its HALT ends it as cancelled. Its key stays: it may have run. Result: the scenario passes, with the server's unit tests and scenarios.

--- a/crates/server/src/core/event_loop.rs
+++ b/crates/server/src/core/event_loop.rs
@@ -243,6 +243,13 @@
         self.decider.is_some()
     }
 
+    /// Whether the decision module still counts a request: queued, or its run has not ended.
+    pub(super) fn has_not_ended(&self, id: u64) -> bool {
+        self.decider
+            .as_ref()
+            .is_some_and(|decider| decider.contains(id))
+    }
+
     /// Creates the decision module. `engine_is_new`: the engine came up with this server, with cold caches.
     ///
     /// The module begins now and not when the engine did, which may be an hour ago: its timer would count as that
--- a/crates/server/src/core/upstream_events.rs
+++ b/crates/server/src/core/upstream_events.rs
@@ -126,6 +126,23 @@
         }
     }
 
+    /// Whether the run of a request has not ended though nobody waits for its answer.
+    fn is_run_open_for_nobody(&self, id: u64) -> bool {
+        self.has_not_ended(id) && self.executor.requests.unanswered(id).is_none()
+    }
+
+    /// The engine declined to run a request: nothing ran or will, and a further attempt of its key is a new one.
+    fn run_declined(&mut self, now: Timestamp, id: u64) {
+        let outcome = Outcome::AlreadyEnded;
+        self.executor.now = now;
+        self.executor.reject(id, Duration::ZERO, false);
+        self.executor.answer_once_durable(id, outcome, None);
+        self.remove_ended_run(now, id, outcome, Duration::ZERO, None);
+        self.executor
+            .idempotent_runs
+            .remove_key_of_newest_attempt(id);
+    }
+
     /// A run ended that is not in flight. It may be one of a former incarnation, which proves its outcome.
     fn unknown_run_ended(&mut self, name: &AttemptName, outcome: Outcome, result: &str) {
         let executor = &mut self.executor;
@@ -224,22 +241,19 @@
         self.remove_ended_run(now, id, outcome, run_time, result);
     }
 
-    /// The engine did not carry a command out. If that is a run, the engine knows no such request: nothing ran or
-    /// will, and a further attempt of its key is a new one.
+    /// The engine did not carry a command out: it knows no such request.
     fn command_declined(&mut self, now: Timestamp, command: DeclinedCommand, name: &AttemptName) {
         self.executor.counters.command_declined();
         log::debug!("engine: command declined, command={command}");
-        let Some(id) = self.executor.requests.id(name).filter(|_| command.is_run()) else {
+        let Some(id) = self.executor.requests.id(name) else {
             return;
         };
-        let outcome = Outcome::AlreadyEnded;
-        self.executor.now = now;
-        self.executor.reject(id, Duration::ZERO, false);
-        self.executor.answer_once_durable(id, outcome, None);
-        self.remove_ended_run(now, id, outcome, Duration::ZERO, None);
-        self.executor
-            .idempotent_runs
-            .remove_key_of_newest_attempt(id);
+        if command.is_run() {
+            self.run_declined(now, id);
+        } else if command.is_cancel() && self.is_run_open_for_nobody(id) {
+            // Nobody waits for the run, and no end of it will come. It may have had its effect.
+            self.run_ended(now, name, Outcome::Cancelled, Duration::ZERO, "");
+        }
     }
 }
 
--- a/crates/server/src/upstream/engine/notice.rs
+++ b/crates/server/src/upstream/engine/notice.rs
@@ -68,6 +68,11 @@
     pub fn is_run(&self) -> bool {
         self.0 == command::RUN
     }
+
+    /// Whether it was the command to cancel a run.
+    pub fn is_cancel(&self) -> bool {
+        self.0 == command::CANCEL
+    }
 }
 
 impl Display for DeclinedCommand<'_> {
