Calls: a call whose body can't be read is not made with the body of the call before

Callers could see: a service below that is sent the wrong call, with an effect, and answers made of its reply. Cause: the body that could not be decoded was left out, and the run's former one stayed in its place. Evidence: the scenario calls-unreadable-body.txt had a second FETCH with the body abc of the first. Change: a request that may go without the call skips it, any other fails and its run is cancelled. bad.notices counts it. Result: the scenario passes, with the server's unit tests and scenarios.

--- a/crates/server/src/core/upstream_call.rs
+++ b/crates/server/src/core/upstream_call.rs
@@ -38,13 +38,9 @@
 }
 
 impl UpstreamCall {
-    /// The engine asked for a call with this serial number.
-    pub(super) fn requested(&mut self, serial: u64) {
+    /// The engine asked for a call with this serial number and body.
+    pub(super) fn requested(&mut self, serial: u64, body: Vec<u8>) {
         self.serial = serial;
-    }
-
-    /// The body of the call.
-    pub(super) fn set_body(&mut self, body: Vec<u8>) {
         self.body = body;
     }
 
--- a/crates/server/src/core/upstream_events.rs
+++ b/crates/server/src/core/upstream_events.rs
@@ -109,16 +109,18 @@
         executor.now = now;
         let in_doubt = executor.engine_commands.resend(&mut executor.requests);
         for id in in_doubt {
-            self.reply_in_doubt(now, id);
+            self.go_without_call(now, id);
         }
     }
 
-    /// It is unknown whether a run has read the reply to its call. If the call is optional the run is told to
-    /// skip it by its serial number, which has no effect on a run that went on. Any other request fails.
-    fn reply_in_doubt(&mut self, now: Timestamp, id: u64) {
-        let Some(request) = self.executor.requests.get(id) else {
+    /// A run can't have the reply to its call: none can be made, or it is unknown whether the run has read it. If the
+    /// call is optional the run is told to skip it by its serial number, which has no effect on a run that went on. Any
+    /// other request fails.
+    fn go_without_call(&mut self, now: Timestamp, id: u64) {
+        let Some(request) = self.executor.requests.unanswered(id) else {
             return;
         };
+        self.executor.now = now;
         if self.has_partial_answer(request.handler) {
             self.executor.skip_call(id);
         } else {
@@ -206,11 +208,13 @@
             return;
         };
         request.commands.run_reached_call();
-        request.call.requested(serial);
-        match BASE64.decode(body) {
-            Ok(body) => request.call.set_body(body),
-            Err(_) => log::warn!("engine: call body is not base64, serial={serial}"),
-        }
+        let Ok(body) = BASE64.decode(body) else {
+            request.call.requested(serial, vec![]);
+            log::warn!("engine: call body is not base64, serial={serial}");
+            executor.counters.notice_unreadable();
+            return self.go_without_call(now, id);
+        };
+        request.call.requested(serial, body);
         executor.now = now;
         executor.set_stage(id, RequestStage::AwaitingCall);
         self.decide(now, |decider, executor| {
