Durable results: a writer's thread that has ended is reported, and nothing waits for it

Callers could see: requests with an idempotency key that wait until their deadline, all of them, where the thread that writes has died; operators saw nothing. Cause: a flush into the closed channel was ignored, and the end of the thread's reports ended the task that reads them. Change: both are a failed write: 'write failed, error=the writer's thread has ended', waiting requests are rejected, and no new run with a key is admitted. Scenarios have 'disk gone'. The thread of the real program was not killed.

--- a/crates/server/src/core/durability.rs
+++ b/crates/server/src/core/durability.rs
@@ -208,11 +208,12 @@
         self.waiting.push_back(Waiting { sequence, work });
     }
 
-    /// Hands all records that are not yet on their way to the writer's thread.
-    pub fn flush(&mut self) {
-        if let Some(batch) = self.results.take_batch() {
-            let _ = self.batches.send(batch);
-        }
+    /// Hands all records that are not yet on their way to the writer's thread. Gives their failure where that has ended.
+    pub fn flush(&mut self) -> Option<StorageEvent> {
+        let batch = self.results.take_batch()?;
+        let sequence = batch.last;
+        let sent = self.batches.send(batch);
+        sent.err().map(|_| StorageEvent::writer_ended(sequence))
     }
 
     /// The records up to `sequence` are durable, and the store has `disk_bytes` now. Returns the work that waited
--- a/crates/server/src/core/durability/writer.rs
+++ b/crates/server/src/core/durability/writer.rs
@@ -42,6 +42,20 @@
     },
 }
 
+impl StorageEvent {
+    /// The writer's thread has ended, and with it all commits; no record up to `sequence` that is not yet reported is
+    /// durable.
+    pub(super) fn writer_ended(sequence: SequenceNumber) -> StorageEvent {
+        let error = io::Error::other("the writer's thread has ended");
+        StorageEvent::Failed { sequence, error }
+    }
+
+    /// The same for all records, those that are not made yet included.
+    pub fn writer_ended_for_good() -> StorageEvent {
+        StorageEvent::writer_ended(SequenceNumber::MAX)
+    }
+}
+
 /// The state of the thread.
 struct Writer {
     log: WriteAheadLog<DirectoryStorage>,
--- a/crates/server/src/core/idempotent_runs.rs
+++ b/crates/server/src/core/idempotent_runs.rs
@@ -217,11 +217,9 @@
 
 /// The disk.
 impl IdempotentRuns {
-    /// Hands all records that are not yet on their way to the writer's thread.
-    pub(super) fn flush(&mut self) {
-        if let Some(durability) = &mut self.durability {
-            durability.flush();
-        }
+    /// Hands all records that are not yet on their way to the writer's thread. Gives their failure where that has ended.
+    pub(super) fn flush(&mut self) -> Option<StorageEvent> {
+        self.durability.as_mut()?.flush()
     }
 
     /// The writer's thread has reported how far records are durable. Gives the work that waited for that.
--- a/crates/server/src/core/idempotent_runs/tests.rs
+++ b/crates/server/src/core/idempotent_runs/tests.rs
@@ -101,6 +101,20 @@
     ));
 }
 
+/// A writer's thread that has ended takes no batch: its records fail at once, and no new run waits for the disk.
+#[test]
+fn fails_records_where_the_writer_has_ended() {
+    let (mut runs, batches) = durable_runs();
+    start(&mut runs);
+    drop(batches);
+    let failed = runs.flush().expect("a failure");
+    let Some(ReleasedWork::NotDurable(work)) = runs.storage_event(failed) else {
+        panic!("the intent is not durable");
+    };
+    assert!(matches!(work[..], [PendingWork::Run { request: 1 }]));
+    assert!(runs.begin_run(now(), 2, KEY, ATTEMPT).is_err());
+}
+
 #[test]
 fn asks_the_store_only_for_keys_of_earlier_incarnations() {
     let (mut runs, _batches) = durable_runs();
--- a/crates/server/src/core/turns.rs
+++ b/crates/server/src/core/turns.rs
@@ -26,7 +26,9 @@
         self.tick_if_due(now);
         self.update_limits(now);
         self.decide_within_turn(now, |decider, executor| decider.settle(now, executor));
-        self.executor.idempotent_runs.flush();
+        if let Some(failed) = self.executor.idempotent_runs.flush() {
+            self.storage_event(now, failed);
+        }
     }
 
     /// Handles a deadline that has been reached.
--- a/crates/server/src/tasks.rs
+++ b/crates/server/src/tasks.rs
@@ -55,6 +55,8 @@
         while let Some(event) = events.recv().await {
             core.borrow_mut().storage_event(clock.now(), event);
         }
+        let ended = StorageEvent::writer_ended_for_good();
+        core.borrow_mut().storage_event(clock.now(), ended);
     });
 }
 
--- a/crates/server/tests/scenarios/player.rs
+++ b/crates/server/tests/scenarios/player.rs
@@ -197,6 +197,11 @@
             .set_durability(DurabilityQueue::new(results, sender));
     }
 
+    /// The thread that writes ends: nothing that was handed to it is reported, and it takes nothing more.
+    pub(crate) fn end_writer(&mut self) {
+        self.disk = None;
+    }
+
     /// From now on the disk writes only on [`finish_writes`](Self::finish_writes).
     pub(crate) fn hold_writes(&mut self) {
         self.disk_is_quick = false;
--- a/crates/server/tests/scenarios/step.rs
+++ b/crates/server/tests/scenarios/step.rs
@@ -18,6 +18,7 @@
 //! leave 3200ms                 notice to drain
 //! durable                      results are durable, on a quick disk: what is written is durable at once
 //! disk holds   disk lasts   disk fails    writes wait; all that wait succeed; all of them fail
+//! disk gone                    the thread that writes has ended
 //! late 3ms                     timers fire that late from now on
 //! a< {...}                     the next line out to a peer, byte for byte; questions for gauges are left out
 //! a~ shed | "id":7             the next line out holds all of this
@@ -184,6 +185,7 @@
 fn play_event(player: &mut ScenarioPlayer, subject: &str, words: &[&str]) -> Result<(), Mismatch> {
     match (subject, words) {
         ("durable", _) => player.make_results_durable(),
+        ("disk", ["gone", ..]) => player.end_writer(),
         ("disk", [how, ..]) => {
             player.hold_writes();
             if *how != "holds" {
