Gossip: under a flood of datagrams the permitted rate still passes

Operators could see: a flood of 6,000 datagrams a second silences a server's view of the fleet; members.* say few were read. Cause: a datagram that took the last permit was dropped with it. Under a steady flood each permit is the last one. Evidence: permitted_rate_passes_whatever_the_flood found 5,953 of 60,000 datagrams in 10 s before, for 50,000 permitted. Change: the limit answers as its rate limiter does. Result: of 6,000 to 1,000,000 a second 50,000 to 51,000 pass in 10 s, of 5,000 and fewer all. Not flooded over sockets.

--- a/crates/server/src/fleet/gossip/datagram_limit.rs
+++ b/crates/server/src/fleet/gossip/datagram_limit.rs
@@ -22,10 +22,11 @@
         }
     }
 
-    /// Takes a permit for one datagram; returns whether the datagram may be looked at. The one that takes the last
-    /// permit may not: between two refills one datagram fewer is looked at than there were permits.
+    /// Takes a permit for one datagram; returns whether the datagram may be looked at.
     pub(super) fn try_take(&mut self, now: Timestamp) -> bool {
-        self.limiter.try_take(now);
-        self.limiter.has_permit()
+        self.limiter.try_take(now)
     }
 }
+
+#[cfg(test)]
+mod tests;
