Upstream: a call that its backend says never ran may be retried at once

Callers could see: a failed request of a handler that is not idempotent, where another backend could have taken its call. Cause: the reply that no run waits for the call was mapped to a cancelled attempt, so that it says nothing about the backend. A cancelled attempt may have run, and gets no retry. Evidence: call_that_its_backend_did_not_run_may_be_retried; before, the outcome was Cancelled, which retry policy refuses. Change: AttemptOutcome::NotRun: it never ran, and says nothing about the backend. Result: the server's and upstream's tests pass. Not driven through the program: no fake backend gives that reply.

--- a/crates/server/src/core/dispatch.rs
+++ b/crates/server/src/core/dispatch.rs
@@ -40,8 +40,7 @@
             Outcome::Rejected => AttemptOutcome::Rejected,
             Outcome::Failed => AttemptOutcome::Failed,
             Outcome::TimedOut => AttemptOutcome::TimedOut,
-            // The upstream server itself says that no run waits for the call: that shows nothing about the backend.
-            Outcome::Unreachable if self.replied => AttemptOutcome::Cancelled,
+            Outcome::Unreachable if self.replied => AttemptOutcome::NotRun,
             Outcome::Unreachable => AttemptOutcome::NotConnected,
             Outcome::Disconnected => AttemptOutcome::Disconnected,
             Outcome::Cancelled | Outcome::AlreadyEnded => AttemptOutcome::Cancelled,
@@ -261,3 +260,6 @@
         self.observe(id, |o, now| o.call_finished(now, id, Completion::Cancelled));
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/upstream/src/attempt.rs
+++ b/crates/upstream/src/attempt.rs
@@ -27,6 +27,8 @@
     Rejected,
     /// There was no connection, or nothing was sent. It never ran.
     NotConnected,
+    /// The backend says that it did not run it, since no run waits for it there. It shows nothing about the backend.
+    NotRun,
     /// It ran, or may have run, and failed.
     Failed,
     /// The connection ended before the reply. It may have run.
@@ -44,7 +46,7 @@
     pub fn never_executed(self) -> bool {
         matches!(
             self,
-            AttemptOutcome::Rejected | AttemptOutcome::NotConnected
+            AttemptOutcome::Rejected | AttemptOutcome::NotConnected | AttemptOutcome::NotRun
         )
     }
 
@@ -57,6 +59,7 @@
             | AttemptOutcome::TimedOut => true,
             AttemptOutcome::Success
             | AttemptOutcome::Rejected
+            | AttemptOutcome::NotRun
             | AttemptOutcome::LostToHedge
             | AttemptOutcome::Cancelled => false,
         }
--- a/crates/upstream/src/backend.rs
+++ b/crates/upstream/src/backend.rs
@@ -171,7 +171,7 @@
                     self.enter(BackendState::SlowStart, now);
                 }
             }
-            AttemptOutcome::Rejected | AttemptOutcome::Cancelled => {}
+            AttemptOutcome::Rejected | AttemptOutcome::NotRun | AttemptOutcome::Cancelled => {}
             _ => self.eject(now, random),
         }
     }
--- a/crates/upstream/src/retry/policy/tests.rs
+++ b/crates/upstream/src/retry/policy/tests.rs
@@ -17,7 +17,11 @@
 
 #[test]
 fn retries_any_call_that_surely_never_ran() {
-    for outcome in [AttemptOutcome::Rejected, AttemptOutcome::NotConnected] {
+    for outcome in [
+        AttemptOutcome::Rejected,
+        AttemptOutcome::NotConnected,
+        AttemptOutcome::NotRun,
+    ] {
         for is_idempotent in [false, true] {
             let call = failed_call(outcome, is_idempotent, SECOND);
             assert_eq!(POLICY.check(call), Ok(()), "{call:?}");
