Durable answers: a timeout that has run out is none that is missing

Callers could see: an answer that waits for the disk until 2 s after its client is gone; where requests carry no timeout, one that is given up after 2 s though its handler allows 8. Cause: what is left of a carried timeout was zero both where it had run out and where none was carried; both had a default. Evidence: with the default in place, a request read 900 ms late with a timeout of 500 ms waited 2 s (read in the code, and client_whose_timeout_has_run_out_waits_no_more). A request that is late so far is rejected before it runs, so that only an answer whose timeout runs out to the millisecond meets it; no caller was seen to. Change: the validator says how long the client waits: what is left of its timeout, or of its handler's from the arrival.

--- a/crates/server/src/core/in_flight.rs
+++ b/crates/server/src/core/in_flight.rs
@@ -11,17 +11,9 @@
 use crate::support::attempt_name::AttemptName;
 use madderbay::decide::ANSWER_MARGIN;
 use madderbay::interface::HandlerId;
-use madderbay::time::{Duration, Timestamp};
+use madderbay::time::Timestamp;
 use std::collections::HashMap;
 
-/// How long a client that gave no timeout waits for its answer.
-///
-/// It binds only the answer that waits for its result to be durable, and so `answer_deadline`. The decision module does
-/// not know it: where requests carry no timeout, its deadline of a request is the handler's timeout after the request
-/// reached the machine. A handler with a shorter timeout than this so has a durable answer that may leave later than
-/// the module's deadline, one with a longer timeout an answer that is given up earlier.
-const DEFAULT_DURABLE_ANSWER_TIMEOUT: Duration = Duration::from_millis(2_000);
-
 /// A request that was read.
 pub(super) struct InFlightRequest {
     /// The name of the attempt, which the engine and the upstream servers know it by.
@@ -57,11 +49,6 @@
         recipient: Recipient,
         request: &ValidatedRequest<'_>,
     ) -> InFlightRequest {
-        let timeout = if request.arrival.timeout > Duration::ZERO {
-            request.arrival.timeout
-        } else {
-            DEFAULT_DURABLE_ANSWER_TIMEOUT
-        };
         InFlightRequest {
             name: request.name,
             recipient,
@@ -72,7 +59,7 @@
             is_started: false,
             is_settled: false,
             is_partial: false,
-            answer_deadline: (now + timeout).saturating_sub(ANSWER_MARGIN),
+            answer_deadline: (now + request.client_waits).saturating_sub(ANSWER_MARGIN),
             call: UpstreamCall::default(),
             commands: RunCommands::default(),
         }
--- a/crates/server/src/downstream/request_validation.rs
+++ b/crates/server/src/downstream/request_validation.rs
@@ -29,6 +29,8 @@
 pub struct ValidatedRequest<'a> {
     /// What the decision module is given.
     pub arrival: Arrival,
+    /// How long its client waits from now on: what is left of the timeout that it carries, or of its handler's.
+    pub client_waits: Duration,
     /// The name of this attempt on all wires.
     pub name: AttemptName,
     /// The idempotency key, where the handler has one.
@@ -42,6 +44,8 @@
 /// The bounds and the retry safety of one handler.
 struct HandlerRules {
     retry_safety: RetrySafety,
+    /// How long a client waits that says nothing of it.
+    timeout: Duration,
     /// The longest that a request may say it waits or works, in milliseconds.
     max_duration_ms: f64,
     /// The handler's name as a JSON string with its quotes.
@@ -76,6 +80,7 @@
             rules: rules
                 .map(|(handler, name)| HandlerRules {
                     retry_safety: handler.retry_safety,
+                    timeout: handler.timeout,
                     max_duration_ms: handler.timeout.as_secs_f64() * 1e3 * MAX_DURATION_IN_TIMEOUTS,
                     quoted_name: serde_json::Value::from(name.as_str()).to_string().into(),
                 })
@@ -124,6 +129,13 @@
         let subject = reader.subject()?;
         let fingerprint = key.map_or(0, |_| self.fingerprint(handler, body));
         let retry_of = key.map_or(Ok(None), |key| keys.holder(key, fingerprint))?;
+        let read_delay = now - arrived;
+        let client_waits = if self.requests_carry_timeout {
+            timeout
+        } else {
+            let handler_timeout = self.rules[handler.index()].timeout;
+            handler_timeout.saturating_sub(read_delay)
+        };
         self.last_request_id += 1;
         let arrival = Arrival {
             id: self.last_request_id,
@@ -137,11 +149,12 @@
             memory_kb,
             rank,
             is_retry: reader.is_retry(),
-            read_delay: now - arrived,
+            read_delay,
             retry_of: retry_of.unwrap_or(0),
         };
         Ok(ValidatedRequest {
             arrival,
+            client_waits,
             name,
             key,
             fingerprint,
@@ -192,3 +205,6 @@
         reader.idempotency_key().map(Some)
     }
 }
+
+#[cfg(test)]
+mod tests;
