--- a/crates/testkit/src/measurement/seeds.rs
+++ b/crates/testkit/src/measurement/seeds.rs
@@ -1,10 +1,11 @@
 //! Runs of one measurement with several seeds, some of them at a time.
 
+use std::collections::VecDeque;
 use std::ops::Range;
 use std::sync::Mutex;
 
-/// The results of a run with each of these seeds, in the order of the seeds. Up to `threads` of
-/// them run at a time.
+/// The results of a run with each seed of a range, in their order. Up to `threads` of them run at a
+/// time.
 ///
 /// # Panics
 ///
@@ -14,12 +15,28 @@
     threads: usize,
     run: impl Fn(u64) -> T + Sync,
 ) -> Vec<T> {
-    let next = Mutex::new(seeds);
+    let seeds: Vec<u64> = seeds.collect();
+    run_seed_list(&seeds, threads, run)
+}
+
+/// The results of a run with each of these seeds, in the order of the list. Up to `threads` of them
+/// run at a time.
+///
+/// # Panics
+///
+/// If a run panics.
+pub fn run_seed_list<T: Send>(
+    seeds: &[u64],
+    threads: usize,
+    run: impl Fn(u64) -> T + Sync,
+) -> Vec<T> {
+    let waiting: VecDeque<(usize, u64)> = seeds.iter().copied().enumerate().collect();
+    let waiting = Mutex::new(waiting);
     let results = Mutex::new(vec![]);
     let run_next = || {
-        let seed = next.lock().expect("seeds").next()?;
+        let (position, seed) = waiting.lock().expect("seeds").pop_front()?;
         let result = run(seed);
-        results.lock().expect("results").push((seed, result));
+        results.lock().expect("results").push((position, result));
         Some(())
     };
     std::thread::scope(|scope| {
@@ -28,6 +45,6 @@
         }
     });
     let mut results = results.into_inner().expect("results");
-    results.sort_by_key(|(seed, _)| *seed);
+    results.sort_by_key(|(position, _)| *position);
     results.into_iter().map(|(_, result)| result).collect()
 }
