Simulator adapter: FAULT's text is never cut inside a character

Operators could see: a line of the simulator that is no valid text, where a panic's message is long and not ASCII. Cause: the text was cut at 500 bytes. Evidence: cuts_fault_before_the_character_that_exceeds_it fails on the code before. Change: cut before the character that exceeds the limit.

--- a/crates/simulator-adapter/src/codec/action.rs
+++ b/crates/simulator-adapter/src/codec/action.rs
@@ -2,7 +2,7 @@
 
 use madderbay::time::Duration;
 
-/// Longest text of a [`Action::Fault`], in bytes.
+/// Longest text of a [`Action::Fault`], in bytes. A longer one is cut before the character that exceeds it.
 const MAX_FAULT_MESSAGE_BYTES: usize = 500;
 /// Health checks are answered from the stored state and do no work.
 const HEALTH_FROM_STORE: u8 = 1;
@@ -165,7 +165,7 @@
 }
 
 fn put_fault_message(out: &mut Vec<u8>, message: &str) {
-    let length = message.len().min(MAX_FAULT_MESSAGE_BYTES);
+    let length = message.floor_char_boundary(MAX_FAULT_MESSAGE_BYTES);
     out.extend((length as u16).to_le_bytes());
     out.extend_from_slice(&message.as_bytes()[..length]);
 }
--- a/crates/simulator-adapter/tests/wire.rs
+++ b/crates/simulator-adapter/tests/wire.rs
@@ -256,6 +256,17 @@
     }
 }
 
+/// A text that is cut inside a character is none that the simulator can read.
+#[test]
+fn cuts_fault_before_the_character_that_exceeds_it() {
+    let message = format!("{}é", "x".repeat(499));
+    let mut reply = Reply::default();
+    reply.push(InstanceId(3), &Action::Fault { message: &message });
+    let fault = [&bytes("0f 0300 f301")[..], &message.as_bytes()[..499]].concat();
+    let frame = [bytes("fc010000 01000000"), fault].concat();
+    assert_eq!(reply.take_frame(), frame);
+}
+
 #[test]
 fn limits_what_is_sent_to_its_fields() {
     let message = "x".repeat(501);
--- a/tests/scenario_runner/mod.rs
+++ b/tests/scenario_runner/mod.rs
@@ -64,7 +64,9 @@
 //! ```
 //!
 //! An action is a line of text: the method of [`madderbay::interface::Actions`] without its `set_`,
-//! the identifier, and what it was given. Times are in whole milliseconds.
+//! the identifier, and what it was given. Times are in whole milliseconds. ACTION is the beginning of
+//! such a line: `start 1` is met by the start of request 1 and of 10 to 19, which scenarios use for
+//! groups of requests, and `load_report 0.` by any report below 1.
 //!
 //! ```text
 //! start ID      cancel ID     fail ID      skip_call ID      remove_key ID      join_attempt ID
