--- a/crates/quota/src/counter/remote.rs
+++ b/crates/quota/src/counter/remote.rs
@@ -10,6 +10,7 @@
 use madderbay::time::{Duration, Timestamp};
 use madderbay_membership::MAX_NAME_BYTES;
 use std::collections::BTreeMap;
+use std::ops::Bound;
 
 /// Upper bound on the incarnations of other servers that are remembered.
 const MAX_INCARNATIONS: usize = 4_096;
@@ -96,16 +97,10 @@
 
     /// Inserts a snapshot. All but the latest incarnation of a server count no more.
     fn insert(&mut self, now: Timestamp, key: SourceKey, mut fresh: RemoteSnapshot) {
-        let SourceKey {
-            server,
-            incarnation,
-        } = key.clone();
+        let server = key.server.clone();
         self.unreported.remove(&server);
-        let later = SourceKey {
-            server: server.clone(),
-            incarnation: incarnation + 1,
-        };
-        let next = self.snapshots.range(later..).next();
+        let later = (Bound::Excluded(&key), Bound::Unbounded);
+        let next = self.snapshots.range(later).next();
         let is_superseded = next.is_some_and(|(key, _)| key.server == server);
         fresh.closed_at = is_superseded.then_some(now);
         self.snapshots.insert(key.clone(), fresh);
--- a/crates/quota/tests/replicated_counter.rs
+++ b/crates/quota/tests/replicated_counter.rs
@@ -249,3 +249,33 @@
         assert_eq!(merge(&mixed), merged);
     }
 }
+
+/// The largest possible incarnation supersedes the former ones like any later one. A peer may send it.
+#[test]
+fn largest_incarnation_supersedes_former_ones() {
+    let key = name_hash("acme");
+    let now = at(4_200);
+    let own = SnapshotSource {
+        server: &"own".into(),
+        incarnation: 1,
+    };
+    let estimate_with = |incarnations: [u64; 2]| {
+        let mut merged = ReplicatedCounter::new(at(0), settings());
+        for incarnation in incarnations {
+            let server = &"n1".into();
+            let source = SnapshotSource {
+                server,
+                incarnation,
+            };
+            let mut counter = ReplicatedCounter::new(at(0), settings());
+            (0..200).for_each(|n| counter.add(at(n * 20), key, 1));
+            for snapshot in counter.snapshots(at(4_000), source, 0.0, 0) {
+                merged.handle_snapshot(now, Duration::ZERO, snapshot, own);
+            }
+        }
+        merged.estimate(now, key, 0.0)
+    };
+    let expected = estimate_with([5, 6]);
+    assert_eq!(estimate_with([5, u64::MAX]), expected);
+    assert_eq!(estimate_with([u64::MAX, 5]), expected);
+}
