Quota: identifiers of servers that leave together are freed in one order

Cause: servers that left in one tick were retired in the order of a hash table. Evidence: frees_identifiers_of_servers_that_leave_together_in_one_order fails on the code before. Change: they are retired in the order of their names.

--- a/crates/quota/src/fleet_quotas/incarnations.rs
+++ b/crates/quota/src/fleet_quotas/incarnations.rs
@@ -109,7 +109,9 @@
     /// Retires the incarnations of the servers for which `is_gone` holds.
     pub(super) fn retire_servers(&mut self, is_gone: impl Fn(&CompactString) -> bool) {
         let names = self.current.keys().filter(|name| is_gone(name));
-        let gone: Vec<CompactString> = names.cloned().collect();
+        let mut gone: Vec<CompactString> = names.cloned().collect();
+        // In an order that a repeated run has too: identifiers are used again in the order in which they are freed.
+        gone.sort_unstable();
         let retired = gone.iter().filter_map(|name| self.current.remove(name));
         self.retired.extend(retired.map(|current| current.id));
     }
@@ -127,3 +129,6 @@
         self.free.extend(closed);
     }
 }
+
+#[cfg(test)]
+mod tests;
