Log: debug lines are not counted as suppressed

Operators saw: at debug, 'log: lines suppressed' with lines that were all written. Cause: a line below info took a permit of its place and was written without one. Evidence: lines_below_info_are_not_counted_as_suppressed fails on the code before. Change: only lines that are limited take a permit.

--- a/crates/server/src/support/logging/writer.rs
+++ b/crates/server/src/support/logging/writer.rs
@@ -150,8 +150,8 @@
                 place,
                 message,
             } => {
-                // Lines below `info` were asked for, and are counted but not limited.
-                if self.limit.admit(now, place) || level > Level::Info {
+                // Lines below `info` were asked for, and are not limited.
+                if level > Level::Info || self.limit.admit(now, place) {
                     let _ = writeln!(text, "{level} {message}");
                 }
             }
--- a/crates/server/src/support/logging/writer/tests.rs
+++ b/crates/server/src/support/logging/writer/tests.rs
@@ -79,3 +79,12 @@
     queue.flush(Duration::from_millis(20));
     assert!(start.elapsed() >= Duration::from_millis(20));
 }
+
+/// Debug lines are never left out: counting them as suppressed sent operators looking for lines that were there.
+#[test]
+fn lines_below_info_are_not_counted_as_suppressed() {
+    let mut writer = writer(&DROPPED);
+    written(&mut writer, (0..9).map(|_| line(Level::Debug, 12)));
+    let end = Timestamp::from_micros(10_000_000);
+    assert_eq!(writer.report_of_ended_interval(end), "");
+}
