Reload: changed sections of the operator file that need a restart are told

Operators saw: SIGHUP after a change of [pools], or with a new [routes], and not a word that it has no effect; a wrong operator file passed without a line where neither fleet nor backends were on. Cause: the operator file was read again only where the fleet or backends were on, and only [routes] was compared. Change: the file is read wherever there is one, and compared section by section with that of the start.

--- a/crates/server/src/operator_plan.rs
+++ b/crates/server/src/operator_plan.rs
@@ -57,6 +57,33 @@
     Ok(madderbay_operator_config::read(&file, &text)?)
 }
 
+/// The sections that differ between two operator files and that only a restart applies.
+pub(crate) fn restart_only_differences(
+    at_start: &OperatorConfig,
+    fresh: &OperatorConfig,
+) -> Vec<&'static str> {
+    let sections = [
+        ("[pools]", at_start.concurrency != fresh.concurrency),
+        (
+            "[kept-results]",
+            at_start.idempotency_store != fresh.idempotency_store,
+        ),
+        ("[members]", at_start.membership != fresh.membership),
+        ("[control]", at_start.control_socket != fresh.control_socket),
+        // Of these a reload applies what is in them, and not whether they are on.
+        (
+            "[shared]",
+            at_start.quota.is_some() != fresh.quota.is_some(),
+        ),
+        (
+            "[routes]",
+            at_start.upstream.is_some() != fresh.upstream.is_some(),
+        ),
+    ];
+    let differing = sections.into_iter().filter(|(_, differs)| *differs);
+    differing.map(|(section, _)| section).collect()
+}
+
 /// The parts of the operator file that depend on the platform's settings; what is off is `None`.
 pub(crate) struct OperatorPlan {
     /// `[pools]` and `[reserve]`: concurrency limits by pool.
--- a/crates/server/src/reload.rs
+++ b/crates/server/src/reload.rs
@@ -5,13 +5,10 @@
 use crate::server::Server;
 use madderbay_server::support::config;
 
-/// The section of the operator file that goes on or off at a restart only.
-const ROUTES_SECTION: &str = "[routes]";
-
-/// Reloads the configuration and then, where the fleet or the backends are on, the operator file.
+/// Reloads the configuration and then the operator file, if there is one.
 pub(crate) fn reload(server: &Server) {
     reload_config(server);
-    if server.fleet().is_some() || server.backends().is_some() {
+    if server.operator_file().is_some() {
         reload_operator_file(server);
     }
 }
@@ -37,10 +34,12 @@
 
 /// Applies the sizes and weights of quotas, and the backends, of the operator file.
 fn reload_operator_file(server: &Server) {
-    let plan = operator_plan::read(server.operator_file())
-        .and_then(|operator| OperatorPlan::new(&operator, server.config()));
-    let plan = match plan {
-        Ok(plan) => plan,
+    let read = operator_plan::read(server.operator_file()).and_then(|operator| {
+        let plan = OperatorPlan::new(&operator, server.config())?;
+        Ok((operator, plan))
+    });
+    let (operator, plan) = match read {
+        Ok(read) => read,
         Err(error) => {
             return error
                 .lines()
@@ -51,9 +50,10 @@
     if let (Some(fleet), Some(sharing)) = (server.fleet(), plan.sharing) {
         fleet.reload(&sharing.settings.budgets);
     }
-    match (server.backends(), plan.routing) {
-        (Some(backends), Some(routing)) => backends.reload(routing),
-        (None, None) => {}
-        _ => log::warn!("reload: restart required, changed={ROUTES_SECTION}"),
+    if let (Some(backends), Some(routing)) = (server.backends(), plan.routing) {
+        backends.reload(routing);
+    }
+    for section in operator_plan::restart_only_differences(server.operator(), &operator) {
+        log::warn!("reload: restart required, changed={section}");
     }
 }
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -45,6 +45,8 @@
     clock: Rc<Clock>,
     config: Config,
     operator_file: Option<PathBuf>,
+    /// The operator file as it was at the start.
+    operator: OperatorConfig,
 }
 
 impl Server {
@@ -74,7 +76,7 @@
         });
         let fleet = join_fleet(fleet_setup, &backends, &core).await?;
         let control_socket =
-            open_control_socket(operator.control_socket, fleet.as_ref(), &backends)?;
+            open_control_socket(operator.control_socket.clone(), fleet.as_ref(), &backends)?;
         log::info!("server: listening, name={}, address={address}", config.name);
         let reloadable = ReloadableValues::new(&config);
         tasks::spawn_drivers(&config.name, &reloadable, &clock, &core);
@@ -96,6 +98,7 @@
             clock,
             config,
             operator_file: setup.operator_file,
+            operator,
         })
     }
 
@@ -119,6 +122,11 @@
         self.operator_file.as_deref()
     }
 
+    /// The operator file as it was at the start.
+    pub(crate) fn operator(&self) -> &OperatorConfig {
+        &self.operator
+    }
+
     /// The values that a reload can change.
     pub(crate) fn reloadable(&self) -> &ReloadableValues {
         &self.reloadable
--- a/crates/server/tests/process/reload.rs
+++ b/crates/server/tests/process/reload.rs
@@ -86,3 +86,25 @@
         assert!(server.ended().contains("counter answered.done 1\n"));
     }
 }
+
+/// A section of the operator file that a restart alone applies is told, also where neither fleet nor backends are on;
+/// so is a file that is wrong.
+#[test]
+fn reload_tells_changed_sections_that_need_a_restart() {
+    let mut server = TestServer::start_with_operator_file(128, "[pools]\nenabled = on\n");
+    let _engine = server.accept_engine_link(ATTACH_FROM_START);
+    server.log_at("engine: up");
+    let operator = server.operator.clone().expect("an operator file");
+    let rewrite = |text: &str| std::fs::write(&operator, text).expect("written");
+    rewrite("[pools]\nenabled = on\n[pool a]\nhandlers = quote\n");
+    server.signal("-HUP");
+    server.log_at("reload: restart required, changed=[pools]");
+    rewrite(
+        "[pools]\nenabled = on\n[routes]\nenabled = on\n[backend b]\naddress = 127.0.0.1:7700\nhandlers = search\n",
+    );
+    server.signal("-HUP");
+    server.log_at("reload: restart required, changed=[routes]");
+    rewrite("[pools]\nenabled = maybe\n");
+    server.signal("-HUP");
+    server.log_at("reload: operator file refused");
+}
