Soak: documentation links resolve

Cause: the module's page is shown from its parent, where its links did not resolve; the lint of documentation stopped at it. Change: full paths. Result: make lint is clean.

--- a/crates/testkit/src/soak/mod.rs
+++ b/crates/testkit/src/soak/mod.rs
@@ -1,7 +1,7 @@
 //! Plays of one real server under troubles that a seed determines.
 //!
-//! [`Plan::draw`] draws everything that is done to the server, [`play`] does it and gives what became of each request,
-//! and [`violations`] says which rules were broken. The same seed draws the same plan; what the machine makes of the
+//! [`Plan::draw`](crate::soak::Plan::draw) draws everything that is done to the server, [`play`](crate::soak::play) does
+//! it and gives what became of each request, and [`violations`](crate::soak::violations()) says which rules were broken. The same seed draws the same plan; what the machine makes of the
 //! moments differs from play to play. `docs/notes/soak.md` says what is drawn, what is checked, and what a play can't
 //! see.
 
