--- a/crates/server/src/downstream/request_validation.rs
+++ b/crates/server/src/downstream/request_validation.rs
@@ -129,13 +129,6 @@
         let subject = reader.subject()?;
         let fingerprint = key.map_or(0, |_| self.fingerprint(handler, body));
         let retry_of = key.map_or(Ok(None), |key| keys.holder(key, fingerprint))?;
-        let read_delay = now - arrived;
-        let client_waits = if self.requests_carry_timeout {
-            timeout
-        } else {
-            let handler_timeout = self.rules[handler.index()].timeout;
-            handler_timeout.saturating_sub(read_delay)
-        };
         self.last_request_id += 1;
         let arrival = Arrival {
             id: self.last_request_id,
@@ -149,12 +142,12 @@
             memory_kb,
             rank,
             is_retry: reader.is_retry(),
-            read_delay,
+            read_delay: now - arrived,
             retry_of: retry_of.unwrap_or(0),
         };
         Ok(ValidatedRequest {
+            client_waits: self.client_waits(&arrival),
             arrival,
-            client_waits,
             name,
             key,
             fingerprint,
@@ -185,6 +178,15 @@
         Ok(arrived + timeout - now)
     }
 
+    /// How long the client of a request waits: what is left of the timeout that it carries, or of its handler's.
+    fn client_waits(&self, arrival: &Arrival) -> Duration {
+        if self.requests_carry_timeout {
+            return arrival.timeout;
+        }
+        let handler_timeout = self.rules[arrival.handler.index()].timeout;
+        handler_timeout.saturating_sub(arrival.read_delay)
+    }
+
     /// The tenant of a request; the first id where the settings have none.
     fn tenant(&self, reader: &ParamReader) -> Result<TenantId, InvalidRequest> {
         if self.tenants.is_empty() {
