Fault scripts: a step about no server is an error

Testers could see: a script whose kill or partition does nothing, and a check behind it that passes for the wrong reason. Cause: an action on several servers made a step for each, and so none for none. Evidence: 'kill' alone parsed to a script without steps before steps_about_no_server_are_errors. Change: such a line is an error that says the line's form.

--- a/crates/testkit/src/fleet/script/parser.rs
+++ b/crates/testkit/src/fleet/script/parser.rs
@@ -93,8 +93,16 @@
     Ok(())
 }
 
-/// Parses an action or a condition; an action on several servers makes a step for each.
+/// Parses an action or a condition; an action on several servers makes a step for each, and there is one at least.
 fn parse_step(setup: &FleetSetup, keyword: &str, arguments: &[&str]) -> Parsed<Vec<Step>> {
+    let steps = parse_steps(setup, keyword, arguments)?;
+    if steps.is_empty() {
+        return Err(malformed(keyword));
+    }
+    Ok(steps)
+}
+
+fn parse_steps(setup: &FleetSetup, keyword: &str, arguments: &[&str]) -> Parsed<Vec<Step>> {
     match keyword {
         "start" => parse_start(setup, arguments),
         "kill" => each(setup, arguments, Action::Kill),
@@ -165,9 +173,13 @@
         ("partition", groups) => {
             let groups = groups.split(|word| *word == "|");
             let groups = groups.map(|names| servers(setup, names));
-            Ok(Action::Cut(groups.collect::<Parsed<_>>()?))
+            let groups: Vec<_> = groups.collect::<Parsed<_>>()?;
+            if groups.iter().any(Vec::is_empty) {
+                return Err(malformed(keyword));
+            }
+            Ok(Action::Cut(groups))
         }
-        ("oneway", [from, ">", to @ ..]) => {
+        ("oneway", [from, ">", to @ ..]) if !to.is_empty() => {
             let from = server(setup, from)?;
             Ok(Action::OneWay(from, servers(setup, to)?))
         }
@@ -252,6 +264,12 @@
 fn malformed(keyword: &str) -> Unexpected {
     let form = match keyword {
         "servers" => "servers N",
+        "start" => "start SERVERS",
+        "kill" => "kill SERVERS",
+        "stop" => "stop SERVERS",
+        "continue" => "continue SERVERS",
+        "drain" => "drain SERVERS",
+        "partition" => "partition SERVERS | SERVERS ...",
         "zone" => "zone ZONE SERVERS",
         "demand" => "demand SERVERS N",
         "capacity" => "capacity SERVERS N",
--- a/crates/testkit/tests/script.rs
+++ b/crates/testkit/tests/script.rs
@@ -134,3 +134,21 @@
         assert_eq!((error.word.as_str(), error.expected), (word, expected));
     }
 }
+
+/// A step about no server would do nothing, and a check after it would pass for the wrong reason.
+#[test]
+fn steps_about_no_server_are_errors() {
+    for (line, form) in [
+        ("start", "start SERVERS"),
+        ("kill", "kill SERVERS"),
+        ("stop", "stop SERVERS"),
+        ("continue", "continue SERVERS"),
+        ("drain", "drain SERVERS"),
+        ("demand 5", "demand SERVERS N"),
+        ("partition", "partition SERVERS | SERVERS ..."),
+        ("partition n1 |", "partition SERVERS | SERVERS ..."),
+        ("oneway n1 >", "oneway SERVER > SERVERS"),
+    ] {
+        assert_eq!(error(line).expected, Expected::Line(form), "{line}");
+    }
+}
