--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -11,6 +11,8 @@
 //! each other, as real processes or simulated, under faults that a script or a seed determines.
 //! [`backend_simulation`] has many simulated servers before many simulated backends.
 //!
+//! [`soak`] plays one real server under troubles that a seed determines.
+//!
 //! [`measurement`] is what the examples that measure share.
 //!
 //! The crate is for tests and measurements. It sends nothing beyond loopback.
@@ -36,6 +38,8 @@
 pub mod registry;
 /// The real program between fakes.
 pub mod server;
+/// Plays of one real server under drawn troubles.
+pub mod soak;
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
--- /dev/null
+++ b/crates/testkit/src/soak/clients.rs
@@ -0,0 +1,264 @@
+//! The clients of a play: they send requests over a few connections, withdraw some, and keep every answer.
+
+use super::plan::{HANDLERS, KEYED_HANDLER, PlannedRequest};
+use crate::unix_ms;
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD as BASE64;
+use serde_json::Value;
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::{Duration, Instant};
+
+/// How long a client waits for each answer, in milliseconds, as the request carries it.
+pub(super) const TIMEOUT_MS: u64 = 3_000;
+/// Requests in flight on one connection, as the protocol limits them.
+const MAX_OPEN_REQUESTS: usize = 32;
+/// The error code of a request that was rejected and never ran.
+const REJECTED: i64 = -32002;
+
+/// What a client was answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ClientAnswer {
+    /// The result of a run, in base64.
+    Served(String),
+    /// The request was rejected and did not run.
+    Rejected,
+    /// The request failed.
+    Failed,
+}
+
+/// A request that was sent, and what came back.
+#[derive(Clone, Debug)]
+pub struct SentRequest {
+    /// What was planned.
+    pub planned: PlannedRequest,
+    /// The name of the attempt.
+    pub name: String,
+    /// The body in base64; no other request has the same.
+    pub body: String,
+    /// When it was sent, since the beginning of the play.
+    pub sent: Duration,
+    /// When its client stopped waiting.
+    pub withdrawn: Option<Duration>,
+    /// All answers, with their times since the beginning of the play.
+    pub answers: Vec<(ClientAnswer, Duration)>,
+}
+
+struct Connection {
+    stream: TcpStream,
+    /// Requests in flight.
+    open: usize,
+    /// The id of the last request.
+    last_id: u64,
+    /// The server has announced that it closes it.
+    is_leaving: bool,
+}
+
+/// A line that a connection has brought.
+struct ReceivedLine {
+    connection: usize,
+    line: String,
+    at: Instant,
+}
+
+/// Where a request was sent.
+#[derive(Clone, Copy)]
+struct Place {
+    connection: usize,
+    id: u64,
+}
+
+/// The clients of one server.
+pub(super) struct Clients {
+    server: SocketAddr,
+    seed: u64,
+    began: Instant,
+    connections: Vec<Connection>,
+    sender: Sender<ReceivedLine>,
+    received: Receiver<ReceivedLine>,
+    requests: Vec<SentRequest>,
+    places: Vec<Place>,
+    request_of: HashMap<(usize, u64), usize>,
+    /// The names of requests that are over since this was last asked.
+    over: Vec<String>,
+}
+
+impl Clients {
+    /// Clients without a connection yet.
+    pub(super) fn new(server: SocketAddr, seed: u64, began: Instant) -> Clients {
+        let (sender, received) = channel();
+        Clients {
+            server,
+            seed,
+            began,
+            connections: vec![],
+            sender,
+            received,
+            requests: vec![],
+            places: vec![],
+            request_of: HashMap::new(),
+            over: vec![],
+        }
+    }
+
+    /// Sends a request; gives its number. Nothing is sent where the server takes no connection.
+    pub(super) fn send(&mut self, planned: PlannedRequest) -> Option<usize> {
+        let connection = self.free_connection()?;
+        let number = self.requests.len();
+        let name = format!("{:08x}{number:08x}", self.seed as u32);
+        let body = BASE64.encode(&name);
+        let open = &mut self.connections[connection];
+        open.open += 1;
+        open.last_id += 1;
+        let id = open.last_id;
+        let line = request_line(id, planned.handler, &name, &body);
+        let _ = open.stream.write_all(line.as_bytes());
+        self.request_of.insert((connection, id), number);
+        self.places.push(Place { connection, id });
+        self.requests.push(SentRequest {
+            planned,
+            name,
+            body,
+            sent: self.began.elapsed(),
+            withdrawn: None,
+            answers: vec![],
+        });
+        Some(number)
+    }
+
+    /// The client of a request that is not answered yet stops waiting for it.
+    pub(super) fn withdraw(&mut self, number: usize) {
+        let request = &mut self.requests[number];
+        if !request.answers.is_empty() {
+            return;
+        }
+        request.withdrawn = Some(self.began.elapsed());
+        self.over.push(request.name.clone());
+        let Place { connection, id } = self.places[number];
+        let line =
+            format!("{{\"jsonrpc\":\"2.0\",\"method\":\"forget\",\"params\":{{\"id\":{id}}}}}\n");
+        let connection = &mut self.connections[connection];
+        connection.open -= 1;
+        let _ = connection.stream.write_all(line.as_bytes());
+    }
+
+    /// Takes in answers for so long.
+    pub(super) fn receive(&mut self, wait: Duration) {
+        let until = Instant::now() + wait;
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            let Ok(received) = self.received.recv_timeout(left) else {
+                return;
+            };
+            self.take_in(&received);
+        }
+    }
+
+    /// The names of the requests that were answered or withdrawn since this was last asked.
+    pub(super) fn take_over(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.over)
+    }
+
+    /// What was sent, and what came back.
+    pub(super) fn into_requests(self) -> Vec<SentRequest> {
+        self.requests
+    }
+
+    /// Whether a request is not answered whose client waits for it.
+    pub(super) fn awaits_answer(&self) -> bool {
+        let is_owed =
+            |request: &SentRequest| request.answers.is_empty() && request.withdrawn.is_none();
+        self.requests.iter().any(is_owed)
+    }
+
+    /// A connection that may have one more request.
+    fn free_connection(&mut self) -> Option<usize> {
+        let is_free =
+            |connection: &Connection| !connection.is_leaving && connection.open < MAX_OPEN_REQUESTS;
+        if let Some(index) = self.connections.iter().position(is_free) {
+            return Some(index);
+        }
+        let stream = TcpStream::connect(self.server).ok()?;
+        let _ = stream.set_nodelay(true);
+        let index = self.connections.len();
+        let reader = stream.try_clone().expect("a second handle");
+        let sender = self.sender.clone();
+        std::thread::spawn(move || read_lines(index, reader, &sender));
+        self.connections.push(Connection {
+            stream,
+            open: 0,
+            last_id: 0,
+            is_leaving: false,
+        });
+        Some(index)
+    }
+
+    /// Takes in one line; lines that are no JSON are ignored.
+    fn take_in(&mut self, received: &ReceivedLine) {
+        let connection = received.connection;
+        let Ok(message) = serde_json::from_str::<Value>(&received.line) else {
+            return;
+        };
+        if message["method"] == "leaving" {
+            self.connections[connection].is_leaving = true;
+        }
+        let id = message["id"].as_u64();
+        let Some(number) = id.and_then(|id| self.request_of.get(&(connection, id))) else {
+            return;
+        };
+        let request = &mut self.requests[*number];
+        if request.answers.is_empty() && request.withdrawn.is_none() {
+            self.connections[connection].open -= 1;
+            self.over.push(request.name.clone());
+        }
+        let at = received.at.saturating_duration_since(self.began);
+        request.answers.push((answer_in(&message), at));
+    }
+}
+
+/// A request as it is sent.
+fn request_line(id: u64, handler: usize, name: &str, body: &str) -> String {
+    let key = if handler == KEYED_HANDLER {
+        format!("\"replay\":\"{name}{name}\",")
+    } else {
+        String::new()
+    };
+    format!(
+        "{{\"jsonrpc\":\"2.0\",\"id\":{id},\"method\":\"{}\",\"params\":{{\"ref\":\"{name}\",\"since\":{},\
+         \"sender\":4,\"project\":\"acme\",\"allow\":{TIMEOUT_MS},{key}\"room\":2.5,\"bytes\":\"{body}\"}}}}\n",
+        HANDLERS[handler],
+        unix_ms(),
+    )
+}
+
+/// Passes on each line of a connection.
+fn read_lines(connection: usize, stream: TcpStream, sender: &Sender<ReceivedLine>) {
+    for line in BufReader::new(stream).lines().map_while(Result::ok) {
+        let at = Instant::now();
+        let received = ReceivedLine {
+            connection,
+            line,
+            at,
+        };
+        if sender.send(received).is_err() {
+            return;
+        }
+    }
+}
+
+/// What a message that has an id answers.
+fn answer_in(message: &Value) -> ClientAnswer {
+    let error = &message["error"];
+    match error["code"].as_i64() {
+        None => ClientAnswer::Served(
+            message["result"]["bytes"]
+                .as_str()
+                .unwrap_or_default()
+                .into(),
+        ),
+        Some(REJECTED) => ClientAnswer::Rejected,
+        Some(_) => ClientAnswer::Failed,
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/soak/plan.rs
@@ -0,0 +1,158 @@
+//! What is done to the server, drawn from a seed.
+
+use oorandom::Rand64;
+use std::time::Duration;
+
+/// For how long the troubles last.
+const TROUBLED: Duration = Duration::from_secs(5);
+/// Time after the troubles in which nothing is sent, for what was begun to end.
+const SETTLING: Duration = Duration::from_millis(1_500);
+/// For how long the server is asked afterwards whether it serves.
+const CALM: Duration = Duration::from_secs(4);
+/// Time between two requests of one handler while all is calm.
+const CALM_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between the first request and the first trouble.
+const WARM_UP: Duration = Duration::from_millis(300);
+/// Requests a second, at least and at most.
+const RATES: (f64, f64) = (120.0, 240.0);
+/// The part of the requests whose clients stop waiting, at most.
+const MAX_WITHDRAWN: f64 = 0.6;
+/// Time after which a client stops waiting, at most.
+const MAX_PATIENCE: Duration = Duration::from_millis(60);
+/// Mean number of breaks of the engine's link in a second.
+const LINK_BREAKS_PER_SECOND: f64 = 8.0;
+/// The part of these breaks before which the engine reads nothing for a time.
+const UNREAD_BREAKS: f64 = 0.6;
+/// Time for which it reads nothing, at most.
+const MAX_UNREAD: Duration = Duration::from_millis(40);
+
+/// The handlers of the settings, in their order.
+pub(super) const HANDLERS: [&str; 3] = ["search", "quote", "book"];
+/// The handler whose requests have idempotency keys.
+pub(super) const KEYED_HANDLER: usize = 2;
+
+/// A request that is to be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlannedRequest {
+    /// The index of its handler among those of the settings.
+    pub handler: usize,
+    /// When its client stops waiting, after it was sent; nothing where it waits for the answer.
+    pub patience: Option<Duration>,
+    /// Whether it is sent when all is calm, and so has to be served.
+    pub has_to_be_served: bool,
+}
+
+/// One thing that is done to the server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// A client sends a request.
+    Send(PlannedRequest),
+    /// The engine reads nothing more on the link of the moment.
+    StopReading,
+    /// The engine ends the link.
+    BreakLink,
+}
+
+/// A step and its time since the beginning of the play.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TimedStep {
+    /// The time since the beginning.
+    pub at: Duration,
+    /// What is done.
+    pub step: Step,
+}
+
+/// All that is done to a server in one play.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Plan {
+    /// The seed that it was drawn from.
+    pub seed: u64,
+    /// The steps in the order of their times.
+    pub steps: Vec<TimedStep>,
+    /// The end of the play.
+    pub end: Duration,
+}
+
+impl Plan {
+    /// Draws a plan.
+    pub fn draw(seed: u64) -> Plan {
+        let mut random = Rand64::new(u128::from(seed));
+        let mut steps = draw_load(&mut random);
+        steps.extend(draw_link_breaks(&mut random));
+        let calm = TROUBLED + SETTLING;
+        steps.extend(calm_requests(calm));
+        steps.sort_by_key(|step| step.at);
+        let end = calm + CALM;
+        Plan { seed, steps, end }
+    }
+}
+
+/// A number between two others.
+fn between(random: &mut Rand64, (least, most): (f64, f64)) -> f64 {
+    least + (most - least) * random.rand_float()
+}
+
+/// A part of a time.
+fn part_of(random: &mut Rand64, whole: Duration) -> Duration {
+    whole.mul_f64(random.rand_float())
+}
+
+/// Time to the next of events that come at random, so many a second.
+fn random_gap(random: &mut Rand64, per_second: f64) -> Duration {
+    Duration::from_secs_f64(-(1.0 - random.rand_float()).ln() / per_second)
+}
+
+/// The requests of the troubled time.
+fn draw_load(random: &mut Rand64) -> Vec<TimedStep> {
+    let rate = between(random, RATES);
+    let withdrawn = between(random, (0.0, MAX_WITHDRAWN));
+    let mut steps = vec![];
+    let mut at = random_gap(random, rate);
+    while at < TROUBLED {
+        let is_withdrawn = random.rand_float() < withdrawn;
+        let request = PlannedRequest {
+            handler: random.rand_range(0..HANDLERS.len() as u64) as usize,
+            patience: is_withdrawn.then(|| part_of(random, MAX_PATIENCE)),
+            has_to_be_served: false,
+        };
+        let step = Step::Send(request);
+        steps.push(TimedStep { at, step });
+        at += random_gap(random, rate);
+    }
+    steps
+}
+
+/// The breaks of the engine's link, some after a time in which the engine reads nothing.
+fn draw_link_breaks(random: &mut Rand64) -> Vec<TimedStep> {
+    let mut steps = vec![];
+    let mut at = WARM_UP;
+    while at < TROUBLED {
+        if random.rand_float() < UNREAD_BREAKS {
+            let step = Step::StopReading;
+            steps.push(TimedStep { at, step });
+            at += part_of(random, MAX_UNREAD);
+        }
+        let step = Step::BreakLink;
+        steps.push(TimedStep { at, step });
+        at += random_gap(random, LINK_BREAKS_PER_SECOND);
+    }
+    steps
+}
+
+/// One request of each handler at a time from `calm` on.
+fn calm_requests(calm: Duration) -> Vec<TimedStep> {
+    let mut steps = vec![];
+    let mut at = calm;
+    while at + CALM_INTERVAL <= calm + CALM {
+        steps.extend((0..HANDLERS.len()).map(|handler| TimedStep {
+            at,
+            step: Step::Send(PlannedRequest {
+                handler,
+                patience: None,
+                has_to_be_served: true,
+            }),
+        }));
+        at += CALM_INTERVAL;
+    }
+    steps
+}
--- /dev/null
+++ b/crates/testkit/src/soak/player.rs
@@ -0,0 +1,200 @@
+//! Plays one plan: the real program between fakes, and the clients.
+
+use super::SETTINGS;
+use super::clients::{Clients, SentRequest, TIMEOUT_MS};
+use super::plan::{HANDLERS, Plan, Step};
+use crate::catalogue::Catalogue;
+use crate::engine::{Engine, EngineStats, HandlerWork};
+use crate::registry::Registry;
+use crate::server::{Dependencies, Server, configuration};
+use std::collections::{BTreeSet, HashMap};
+use std::path::Path;
+use std::sync::mpsc::Receiver;
+use std::time::{Duration, Instant};
+
+/// Cores of the fake engine.
+const ENGINE_CORES: f64 = 4.0;
+/// Work of a run on one core, least and most, in milliseconds.
+const RUN_MS: (f64, f64) = (2.0, 20.0);
+/// Calls that the fake catalogue works on at a time.
+const CATALOGUE_SLOTS: usize = 16;
+/// Time of a call in its slot.
+const CALL: Duration = Duration::from_millis(10);
+/// Connections that the server may have.
+const MAX_SOCKETS: usize = 128;
+/// Time from SIGTERM to SIGKILL, in milliseconds.
+const STOP_MS: u64 = 1_500;
+/// Time for which answers are awaited at a time.
+const RECEIVE_STEP: Duration = Duration::from_millis(5);
+/// Time that printing the counters may take.
+const COUNTERS_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time in which the next counter comes: they are printed in one piece.
+const NEXT_COUNTER_TIMEOUT: Duration = Duration::from_millis(200);
+/// What a line of a counter begins with.
+const COUNTER_PREFIX: &str = "counter ";
+
+/// What became of a play.
+pub struct PlayRecord {
+    /// All requests, in the order in which they were sent.
+    pub requests: Vec<SentRequest>,
+    /// What the engine has seen.
+    pub engine: EngineStats,
+    /// The server's counters at the end, when all was answered.
+    pub counters: HashMap<String, u64>,
+    /// The lines of the server's log, but for the counters.
+    pub log: Vec<String>,
+}
+
+/// Plays a plan with this program.
+///
+/// # Panics
+///
+/// If the program or a fake does not start, or the program does not end by itself.
+pub fn play(program: &Path, plan: &Plan) -> PlayRecord {
+    let engine = Engine::start(ENGINE_CORES, works(), plan.seed);
+    let catalogue = Catalogue::start(CATALOGUE_SLOTS, CALL);
+    let registry = Registry::start();
+    let dependencies = Dependencies {
+        engine: engine.address,
+        registry: registry.address,
+        catalogue: catalogue.address,
+    };
+    let text = configuration("127.0.0.1:0", dependencies, MAX_SOCKETS, STOP_MS, SETTINGS);
+    let mut server = Server::start(program, &text, None);
+    server.log_at("engine: up");
+    let log = server.follow();
+    let mut run = Run::new(plan, &server, &engine);
+    run.play_steps();
+    run.await_answers();
+    let requests = run.clients.into_requests();
+    let mut lines = vec![];
+    let counters = read_counters(&server, &log, &mut lines);
+    server.signal("-TERM");
+    server.over();
+    lines.extend(log.iter().map(|(_, line)| line));
+    PlayRecord {
+        requests,
+        engine: engine.stats(),
+        counters,
+        log: lines,
+    }
+}
+
+/// What the engine does for the handlers.
+fn works() -> Vec<HandlerWork> {
+    let calls = [true, false, true];
+    let works = HANDLERS.iter().zip(calls);
+    works
+        .map(|(handler, calls)| HandlerWork::new(handler, RUN_MS, calls))
+        .collect()
+}
+
+/// A play that goes on.
+struct Run<'a> {
+    plan: &'a Plan,
+    engine: &'a Engine,
+    clients: Clients,
+    began: Instant,
+    /// When which clients stop waiting.
+    withdrawals: BTreeSet<(Duration, usize)>,
+}
+
+impl<'a> Run<'a> {
+    fn new(plan: &'a Plan, server: &Server, engine: &'a Engine) -> Run<'a> {
+        let began = Instant::now();
+        Run {
+            plan,
+            engine,
+            clients: Clients::new(server.address, plan.seed, began),
+            began,
+            withdrawals: BTreeSet::new(),
+        }
+    }
+
+    /// Plays all steps, each at its time.
+    fn play_steps(&mut self) {
+        for timed in &self.plan.steps {
+            self.wait_until(timed.at);
+            self.play_step(timed.step);
+        }
+        self.wait_until(self.plan.end);
+    }
+
+    fn play_step(&mut self, step: Step) {
+        match step {
+            Step::Send(request) => {
+                let number = self.clients.send(request);
+                if let (Some(number), Some(patience)) = (number, request.patience) {
+                    let at = self.began.elapsed() + patience;
+                    self.withdrawals.insert((at, number));
+                }
+            }
+            Step::StopReading => self.engine.stop_reading(),
+            Step::BreakLink => self.engine.break_link(),
+        }
+    }
+
+    /// Takes in answers, and withdraws requests, until a time since the beginning.
+    fn wait_until(&mut self, until: Duration) {
+        loop {
+            let now = self.began.elapsed();
+            while let Some((at, number)) = self.withdrawals.first().copied() {
+                if at > now {
+                    break;
+                }
+                self.withdrawals.remove(&(at, number));
+                self.clients.withdraw(number);
+            }
+            self.tell_engine();
+            if now >= until {
+                return;
+            }
+            let next = self.withdrawals.first().map_or(until, |(at, _)| *at);
+            let wait = next.min(until).saturating_sub(now);
+            self.clients.receive(wait.min(RECEIVE_STEP));
+        }
+    }
+
+    /// Waits for the answers that are owed, as long as the last client waits.
+    fn await_answers(&mut self) {
+        let until = self.began.elapsed() + Duration::from_millis(TIMEOUT_MS);
+        while self.clients.awaits_answer() && self.began.elapsed() < until {
+            self.clients.receive(RECEIVE_STEP);
+            self.tell_engine();
+        }
+    }
+
+    /// Tells the engine which requests are over, as the machine does that both run on.
+    fn tell_engine(&mut self) {
+        for name in self.clients.take_over() {
+            self.engine.answered(&name);
+        }
+    }
+}
+
+/// Has the server print its counters, and reads them; other lines of the log are put by.
+fn read_counters(
+    server: &Server,
+    log: &Receiver<(Instant, String)>,
+    lines: &mut Vec<String>,
+) -> HashMap<String, u64> {
+    server.signal("-USR1");
+    let mut counters = HashMap::new();
+    let mut wait = COUNTERS_TIMEOUT;
+    while let Ok((_, line)) = log.recv_timeout(wait) {
+        match line.strip_prefix(COUNTER_PREFIX).and_then(read_counter) {
+            Some((name, value)) => {
+                counters.insert(name, value);
+                wait = NEXT_COUNTER_TIMEOUT;
+            }
+            None => lines.push(line),
+        }
+    }
+    counters
+}
+
+/// A name and its value.
+fn read_counter(line: &str) -> Option<(String, u64)> {
+    let (name, value) = line.rsplit_once(' ')?;
+    Some((name.trim().to_string(), value.parse().ok()?))
+}
--- /dev/null
+++ b/crates/testkit/src/soak/violations.rs
@@ -0,0 +1,146 @@
+//! Which rules a play has broken.
+
+use super::clients::{ClientAnswer, SentRequest, TIMEOUT_MS};
+use super::plan::KEYED_HANDLER;
+use super::player::PlayRecord;
+use crate::engine::RunEvent;
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD as BASE64;
+use std::fmt::{Display, Formatter};
+use std::time::Duration;
+
+/// Time by which an answer may be later than its client waits: the protocol's slack, and what this process takes.
+const ANSWER_SLACK: Duration = Duration::from_millis(110);
+/// Counters that are zero once all is answered and every run has ended.
+const ZERO_AT_REST: [&str; 3] = ["open", "in_hand", "calls.out"];
+
+/// A rule that was broken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Violation {
+    /// The rule, the same for all its violations.
+    pub rule: &'static str,
+    /// What happened, with the request's events where it is about one.
+    pub what: String,
+}
+
+impl Display for Violation {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}: {}", self.rule, self.what)
+    }
+}
+
+/// All violations of a play.
+pub fn violations(play: &PlayRecord) -> Vec<Violation> {
+    let mut found = vec![];
+    for request in &play.requests {
+        let broken = broken_rules(play, request);
+        let what = || describe(play, request);
+        found.extend(
+            broken
+                .into_iter()
+                .map(|rule| Violation { rule, what: what() }),
+        );
+    }
+    for name in ZERO_AT_REST {
+        let value = play.counters.get(name);
+        if value != Some(&0) {
+            found.push(Violation {
+                rule: "nothing is in flight at rest",
+                what: format!("counter {name} is {value:?}"),
+            });
+        }
+    }
+    found
+}
+
+/// The rules that a request's treatment breaks.
+fn broken_rules(play: &PlayRecord, request: &SentRequest) -> Vec<&'static str> {
+    let events = events_of(play, request);
+    let mut broken = vec![];
+    let is_answered = !request.answers.is_empty();
+    if !is_answered && request.withdrawn.is_none() {
+        broken.push("each request gets an answer");
+    }
+    if request.answers.len() > 1 {
+        broken.push("no request gets two answers");
+    }
+    if request
+        .answers
+        .first()
+        .is_some_and(|(_, at)| is_late(request, *at))
+    {
+        broken.push("answers come in time");
+    }
+    if request
+        .answers
+        .iter()
+        .any(|(answer, _)| !is_of_run(request, answer, events))
+    {
+        broken.push("served is what a run made");
+    }
+    let runs = play.engine.bodies.get(&request.body).copied().unwrap_or(0);
+    if runs > 1 && request.planned.handler == KEYED_HANDLER {
+        broken.push("nothing runs twice within its window");
+    }
+    let was_rejected = matches!(request.answers.first(), Some((ClientAnswer::Rejected, _)));
+    if runs > 0 && was_rejected {
+        broken.push("what was rejected did not run");
+    }
+    if is_cancelled_unstarted(events) {
+        broken.push("the engine is sent RUN before HALT");
+    }
+    let was_served = matches!(request.answers.first(), Some((ClientAnswer::Served(_), _)));
+    if request.planned.has_to_be_served && !was_served {
+        broken.push("all is served when calm");
+    }
+    broken
+}
+
+fn is_late(request: &SentRequest, at: Duration) -> bool {
+    request.withdrawn.is_none()
+        && at > request.sent + Duration::from_millis(TIMEOUT_MS) + ANSWER_SLACK
+}
+
+/// Whether an answer is none of a run, or the result that the engine made for this request.
+fn is_of_run(request: &SentRequest, answer: &ClientAnswer, events: &[RunEvent]) -> bool {
+    let ClientAnswer::Served(result) = answer else {
+        return true;
+    };
+    let has_run = events.iter().any(|event| event.kind == "DONE good");
+    has_run && *result == BASE64.encode(&request.name)
+}
+
+fn is_cancelled_unstarted(events: &[RunEvent]) -> bool {
+    let was_sent = |kind: &str| events.iter().any(|event| event.kind == kind);
+    was_sent("HALT") && !was_sent("RUN")
+}
+
+fn events_of<'a>(play: &'a PlayRecord, request: &SentRequest) -> &'a [RunEvent] {
+    play.engine
+        .runs
+        .get(&request.name)
+        .map_or(&[], Vec::as_slice)
+}
+
+/// What happened to a request, in one line.
+fn describe(play: &PlayRecord, request: &SentRequest) -> String {
+    let events: Vec<String> = events_of(play, request)
+        .iter()
+        .map(|event| format!("{} at {} ms", event.kind, event.at.as_millis()))
+        .collect();
+    let answers: Vec<String> = request
+        .answers
+        .iter()
+        .map(|(answer, at)| format!("{answer:?} at {} ms", at.as_millis()))
+        .collect();
+    let withdrawn = request.withdrawn.map_or(String::new(), |at| {
+        format!(", withdrawn at {} ms", at.as_millis())
+    });
+    format!(
+        "request {} sent at {} ms{withdrawn}; answers [{}]; engine (its own clock) [{}]",
+        request.name,
+        request.sent.as_millis(),
+        answers.join(", "),
+        events.join(", ")
+    )
+}
