--- a/review/rig/src/explore.rs
+++ b/review/rig/src/explore.rs
@@ -69,12 +69,29 @@
     let mut number = 0u64;
     let started = record.ms();
     let mut notice = None;
+    let mut pause_at: Option<u64> = None;
     while record.ms() < started + 12_000 {
         if has("drainmix") && notice.is_none() && record.ms() > started + 4_000 + (seed % 7) * 100 {
             catalogue.set_call_ms(20 + draw.below(3_000));
             server.signal("TERM");
             notice = Some(record.ms());
         }
+        if has("drainpause")
+            && let Some(at) = notice
+            && pause_at.is_none()
+        {
+            let wait = (seed * 97) % 2_900;
+            if record.ms() >= at + wait {
+                let length = 50 + draw.below(550);
+                println!("pause of {length} ms, {} ms after the notice", record.ms() - at);
+                pause_at = Some(record.ms());
+                later.set_paused(true);
+                server.signal("STOP");
+                std::thread::sleep(Duration::from_millis(length));
+                server.signal("CONT");
+                later.set_paused(false);
+            }
+        }
         if notice.is_some_and(|at| record.ms() > at + 3_200) {
             break;
         }
