Make the review's first case lose more, and let the descriptor limit bind

Cause: the first case lost as few as 2 requests, too near to none, and the servers of the rig could open more descriptors than they were told. Change: four cores, 30 requests a second and a pause 50 ms earlier; `ulimit -n` before the server.

--- a/review/rig/src/cases.rs
+++ b/review/rig/src/cases.rs
@@ -130,7 +130,7 @@
   "classes": [
    {"name": "lot-lookup", "aim_us": 1800000, "hard_limit_us": 4500000, "importance": 1.0, "effect": "read_like"}],
   "tenants": [{"name": "acme", "allowance_per_s": 5000.0}],
-  "family_info": {"n_cores": 2, "memory_kb": 10000.0, "blowup": 4.0, "preemption": "none",
+  "family_info": {"n_cores": 4, "memory_kb": 10000.0, "blowup": 4.0, "preemption": "none",
    "below": "one_for_all", "dep_share": 8.0, "share_span_us": 5000000, "linger_us": 200000,
    "class_calls": [true], "class_skip_worth": [0.5], "passes_deadline": true, "readiness": false,
    "say": "weight", "upstreams": 3, "keepalive_max_us": 30000000,
@@ -140,7 +140,7 @@
 
 /// The length of the pause, and when it begins after the notice to drain, in milliseconds.
 const PAUSE_MS: u64 = 500;
-const PAUSE_AFTER_NOTICE_MS: u64 = 2_750;
+const PAUSE_AFTER_NOTICE_MS: u64 = 2_700;
 /// The time from the notice to the kill; the pause is not counted.
 const STOP_MS: u64 = 3_200;
 
@@ -152,7 +152,7 @@
             servers: 1,
             settings: STOCK_SETTINGS.into(),
             works: vec![Work { class: "lot-lookup", before_ms: 250, calls: 1, after_ms: 250 }],
-            call_ms: 150,
+            call_ms: 200,
             class: "lot-lookup",
             keyed: false,
             allow_ms: 4_500,
@@ -162,7 +162,7 @@
     if let Err(verdict) = world.start() {
         return verdict;
     }
-    world.load(0, 20);
+    world.load(0, 30);
     world.sleep(4_000);
     let notice = record.ms();
     world.nodes[0].server.signal("TERM");
--- a/review/rig/src/server.rs
+++ b/review/rig/src/server.rs
@@ -115,7 +115,12 @@
     pub fn start(&mut self) {
         let log = File::options().create(true).append(true).open(self.file("log.txt")).unwrap();
         let operator = self.file("operator.ini");
-        let command = format!("exec target/release/madderbay --operator {}", operator.display());
+        // The platform's limit on descriptors binds.
+        let command = format!(
+            "ulimit -n {}; exec target/release/madderbay --operator {}",
+            self.sockets,
+            operator.display()
+        );
         let child = Command::new("/bin/sh")
             .args(["-c", &command])
             .env("RELAY_CONFIG", self.file("config.json"))
