Decide the steps of a graceful shutdown in a state machine without I/O

Cause: the times at which a drain stops listening, closes connections and ends were computed between calls to the server, so that no test could give them a sequence of checks. Change: `drain_progress` is given the time and the server's status and answers what is due; `shutdown` carries it out.

--- /dev/null
+++ b/crates/server/src/drain_progress.rs
@@ -0,0 +1,135 @@
+//! The progress of a graceful shutdown, as a state machine without I/O.
+//!
+//! [`DrainProgress`] is given the time of each check and what the server reports at it, and answers what is to be done
+//! next. It reads no clock and closes nothing itself: [`shutdown`](crate::shutdown) does.
+
+use madderbay::time::{Duration, Timestamp};
+
+/// Interval between two checks of the drain's progress.
+pub(crate) const CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// The process ends this long before it would be killed.
+const KILL_MARGIN: Duration = Duration::from_millis(100);
+/// Time for which the server has to be quiescent, after the grace period, before the connections are closed.
+const QUIESCENCE_BEFORE_CLOSE: Duration = Duration::from_millis(60);
+/// Minimum time between the end of listening and the kill, in which connections that are still open receive their last
+/// answers.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(500);
+/// Time that peers have to close their connections after this server has closed its side and is quiescent.
+const PEER_CLOSE_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// What the server reports at a check.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct DrainStatus {
+    /// No request is open and no bytes wait to be written on any connection.
+    pub(crate) is_quiescent: bool,
+    /// No connection is open.
+    pub(crate) has_no_connections: bool,
+}
+
+/// Why a drain has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum DrainOutcome {
+    /// All requests are answered, and the peers have closed their connections or had time to.
+    Complete,
+    /// No time is left before the process would be killed.
+    TimedOut,
+}
+
+/// What is to be done after a check.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct DrainActions {
+    /// Stop listening.
+    pub(crate) stop_listening: bool,
+    /// Close each connection once its requests are answered.
+    pub(crate) close_connections: bool,
+    /// The drain has ended.
+    pub(crate) outcome: Option<DrainOutcome>,
+}
+
+/// The progress of a drain.
+pub(crate) struct DrainProgress {
+    started_at: Timestamp,
+    /// Time for which new connections are accepted.
+    accept_for: Duration,
+    /// Time after which the drain ends even if requests are open.
+    time_limit: Duration,
+    /// Time for which the server has been quiescent, in steps of [`CHECK_INTERVAL`].
+    quiescent_for: Duration,
+    /// Whether closing the connections has begun.
+    is_closing: bool,
+}
+
+impl DrainProgress {
+    /// Begins a drain now. The process would be killed after `stop_timeout`; `grace` is the time for which requests are
+    /// still accepted, if the kill comes late enough.
+    pub(crate) fn start(now: Timestamp, stop_timeout: Duration, grace: Duration) -> DrainProgress {
+        DrainProgress {
+            started_at: now,
+            accept_for: grace.min(stop_timeout.saturating_sub(LAST_ANSWERS_TIME)),
+            time_limit: stop_timeout.saturating_sub(KILL_MARGIN),
+            quiescent_for: Duration::ZERO,
+            is_closing: false,
+        }
+    }
+
+    /// Returns the time within which the last answers have to be sent, counted from the start.
+    pub(crate) fn time_limit(&self) -> Duration {
+        self.time_limit
+    }
+
+    /// Returns the time since the start.
+    pub(crate) fn elapsed(&self, now: Timestamp) -> Duration {
+        now - self.started_at
+    }
+
+    /// Checks the server's status. New connections are accepted during the grace period, in which requests may still
+    /// arrive. Then, once the server is quiescent, all connections are closed. A request that is sent while its
+    /// connection is being closed is retried by its load balancer.
+    pub(crate) fn check(&mut self, now: Timestamp, status: DrainStatus) -> DrainActions {
+        let elapsed = self.elapsed(now);
+        let is_grace_over = elapsed > self.accept_for;
+        if status.is_quiescent && is_grace_over {
+            self.quiescent_for = self.quiescent_for + CHECK_INTERVAL;
+        } else {
+            self.quiescent_for = Duration::ZERO;
+        }
+        DrainActions {
+            stop_listening: is_grace_over,
+            close_connections: self.begin_closing_once_quiescent(),
+            outcome: self.outcome(elapsed, status),
+        }
+    }
+
+    /// Reports whether closing the connections begins now: the server has been quiescent for long enough. The
+    /// measurement is then restarted.
+    fn begin_closing_once_quiescent(&mut self) -> bool {
+        if self.is_closing || self.quiescent_for < QUIESCENCE_BEFORE_CLOSE {
+            return false;
+        }
+        self.is_closing = true;
+        self.quiescent_for = CHECK_INTERVAL;
+        true
+    }
+
+    /// Returns the outcome if the drain has ended.
+    fn outcome(&self, elapsed: Duration, status: DrainStatus) -> Option<DrainOutcome> {
+        if self.is_complete(status) {
+            Some(DrainOutcome::Complete)
+        } else if elapsed > self.time_limit {
+            Some(DrainOutcome::TimedOut)
+        } else {
+            None
+        }
+    }
+
+    /// Reports whether the server is quiescent and either has no connections left, or has waited long enough for its
+    /// peers to close theirs.
+    fn is_complete(&self, status: DrainStatus) -> bool {
+        let is_quiescent = self.quiescent_for > Duration::ZERO;
+        let has_waited_for_peers = self.is_closing && self.quiescent_for >= PEER_CLOSE_TIMEOUT;
+        is_quiescent && status.has_no_connections || has_waited_for_peers
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -7,14 +7,15 @@
 //!   sockets in a fixed order, [`fleet_endpoint`] opens the socket between servers, and [`tasks`] starts the server's
 //!   tasks. The errors of all these steps are in [`start_error`].
 //! - [`signals`] handles signals: SIGUSR1 logs the counters, SIGHUP runs the [`reload`] of the [`reloadable_values`],
-//!   and SIGTERM and SIGINT start the [`shutdown`].
+//!   and SIGTERM and SIGINT start the [`shutdown`], which [`drain_progress`] tells when each of its steps is due.
 //!
 //! Each of these modules depends only on those after it in this order: `commands`, `startup`, `shutdown`, `signals`,
-//! `reload`, `server`, then `fleet_endpoint`, `setup` and `tasks`, then `operator_plan`, `reloadable_values` and
-//! `start_error`.
+//! `reload`, `server`, then `fleet_endpoint`, `setup` and `tasks`, then `operator_plan`, `reloadable_values`,
+//! `start_error` and `drain_progress`.
 
 mod cli;
 mod commands;
+mod drain_progress;
 mod fleet_endpoint;
 mod operator_plan;
 mod reload;
