Log how a graceful shutdown ended and what it left unanswered

Cause: the log of a drain that loses requests is that of one that answers all. Whether the process ended because it took itself for done, because no time was left, or with answers decided but not written could not be told apart.

--- a/crates/server/src/core/event_loop.rs
+++ b/crates/server/src/core/event_loop.rs
@@ -115,6 +115,11 @@
         self.executor.requests.len()
     }
 
+    /// Returns the number of requests that still need an answer.
+    pub fn unanswered_count(&self) -> usize {
+        self.executor.requests.unanswered_count()
+    }
+
     /// Returns the counters since the start.
     pub fn counters(&self) -> &Counters {
         &self.executor.counters
@@ -226,7 +231,7 @@
     pub fn counter_lines(&self) -> String {
         let executor = &self.executor;
         let requests_in_flight = executor.requests.len();
-        let open_requests = executor.requests.unanswered_count();
+        let open_requests = self.unanswered_count();
         let mut lines = executor.counters.lines(&LoadGauges {
             open_requests,
             requests_in_flight,
--- a/crates/server/src/drain_progress.rs
+++ b/crates/server/src/drain_progress.rs
@@ -29,9 +29,9 @@
 /// Why a drain has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum DrainOutcome {
-    /// All requests are answered, and the peers have closed their connections or had time to.
-    Complete,
-    /// No time is left before the process would be killed.
+    /// All requests are answered and the answers are written.
+    Answered,
+    /// No time is left before the process would be killed, and requests are open or answers not written.
     TimedOut,
 }
 
@@ -113,12 +113,12 @@
 
     /// Returns the outcome if the drain has ended.
     fn outcome(&self, elapsed: Duration, status: DrainStatus) -> Option<DrainOutcome> {
-        if self.is_complete(status) {
-            Some(DrainOutcome::Complete)
-        } else if elapsed > self.time_limit {
-            Some(DrainOutcome::TimedOut)
-        } else {
+        if !self.is_complete(status) && elapsed <= self.time_limit {
             None
+        } else if status.is_quiescent {
+            Some(DrainOutcome::Answered)
+        } else {
+            Some(DrainOutcome::TimedOut)
         }
     }
 
--- a/crates/server/src/drain_progress/tests.rs
+++ b/crates/server/src/drain_progress/tests.rs
@@ -81,7 +81,7 @@
     let closing_at = drain.check_until(ANSWERED, |actions| actions.close_connections);
     assert_eq!(closing_at, 2_560);
     assert_eq!(
-        drain.check_until(ANSWERED, ended(DrainOutcome::Complete)),
+        drain.check_until(ANSWERED, ended(DrainOutcome::Answered)),
         2_800
     );
 }
@@ -103,7 +103,7 @@
     let mut drain = Drain::start();
     drain.check_until(ANSWERED, |actions| actions.close_connections);
     let actions = drain.check_after(CHECK_INTERVAL, NO_CONNECTIONS);
-    assert_eq!(actions.outcome, Some(DrainOutcome::Complete));
+    assert_eq!(actions.outcome, Some(DrainOutcome::Answered));
 }
 
 #[test]
--- a/crates/server/src/shutdown.rs
+++ b/crates/server/src/shutdown.rs
@@ -3,7 +3,9 @@
 //!
 //! [`DrainProgress`] decides when each of these is done. The core decides about requests that arrive while draining.
 
-use crate::drain_progress::{CHECK_INTERVAL, DrainActions, DrainProgress, DrainStatus};
+use crate::drain_progress::{
+    CHECK_INTERVAL, DrainActions, DrainOutcome, DrainProgress, DrainStatus,
+};
 use crate::server::Server;
 use crate::signals::OperatorSignals;
 use madderbay::time::Duration;
@@ -48,8 +50,8 @@
         let now = server.clock().now();
         let actions = progress.check(now, status(server));
         carry_out(server, actions);
-        if actions.outcome.is_some() {
-            return;
+        if let Some(outcome) = actions.outcome {
+            return log_outcome(server, outcome, progress.elapsed(now));
         }
     }
 }
@@ -72,3 +74,15 @@
         server.core().borrow_mut().close_connections();
     }
 }
+
+/// Logs how the drain has ended.
+fn log_outcome(server: &Server, outcome: DrainOutcome, elapsed: Duration) {
+    let elapsed_ms = elapsed.as_micros() / 1_000;
+    let unanswered = server.core().borrow().unanswered_count();
+    match outcome {
+        DrainOutcome::Answered => log::info!("server: drained, elapsed_ms={elapsed_ms}"),
+        DrainOutcome::TimedOut => {
+            log::warn!("server: drain timed out, elapsed_ms={elapsed_ms}, unanswered={unanswered}");
+        }
+    }
+}
