Leave time in which the process is stopped out of a graceful shutdown's time limit

Callers saw: a machine that stands still for 500 ms near the end of a drain loses 4 to 10 of 196 requests. The process ends by itself, their connections with it, 480 ms before the kill. Cause: the drain ended 100 ms before the kill by the time on the clock. After a pause that covers this instant its check is the first code to run: the server ended before the decision module, whose last deadlines were over too, had a turn to answer what was open. The invariant that broke: a drain that ends with open requests has run until its limit. Evidence: `drain timed out, elapsed_ms=3202, unanswered=6` with a pause of 500 ms. Had the drain taken itself for done, the line would be `drained`; had answers been decided but not written, `unanswered` would be 0. Change: a gap between two checks, usually 10 ms, counts up to 20 ms towards the limit, on the monotonic clock, so that neither a pause nor a step of the Unix clock uses up the time. The module's deadlines stay on the Unix clock: its answers leave in time also where a kill does not wait for a pause. A server that is awake after its kill time gains nothing by an early end.

--- a/crates/server/src/drain_progress.rs
+++ b/crates/server/src/drain_progress.rs
@@ -7,6 +7,9 @@
 
 /// Interval between two checks of the drain's progress.
 pub(crate) const CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Longest gap between two checks that counts in full as time for which the process ran. After a longer one, the process
+/// was stopped or had no core, and neither read nor answered anything meanwhile.
+const MAX_RUNNING_GAP: Duration = Duration::from_millis(20);
 /// The process ends this long before it would be killed.
 const KILL_MARGIN: Duration = Duration::from_millis(100);
 /// Time for which the server has to be quiescent, after the grace period, before the connections are closed.
@@ -46,12 +49,51 @@
     pub(crate) outcome: Option<DrainOutcome>,
 }
 
+/// The time since a start, and the part of it for which the process ran.
+struct RunningTime {
+    started_at: Timestamp,
+    last_check: Timestamp,
+    /// Sum of the gaps between checks, each counted up to [`MAX_RUNNING_GAP`].
+    running: Duration,
+}
+
+impl RunningTime {
+    fn start(now: Timestamp) -> RunningTime {
+        RunningTime {
+            started_at: now,
+            last_check: now,
+            running: Duration::ZERO,
+        }
+    }
+
+    /// Counts the gap since the last check.
+    fn check(&mut self, now: Timestamp) {
+        let gap = now - self.last_check;
+        self.last_check = now;
+        self.running = self.running + gap.min(MAX_RUNNING_GAP);
+    }
+
+    /// Returns the time since the start, pauses included.
+    fn elapsed(&self) -> Duration {
+        self.last_check - self.started_at
+    }
+
+    /// Returns the time for which the process was stopped.
+    fn paused(&self) -> Duration {
+        self.elapsed().saturating_sub(self.running)
+    }
+}
+
 /// The progress of a drain.
+///
+/// Invariant: a drain that ends with open requests has run until its time limit. Until then every request can be
+/// answered: the decision module's last deadlines are earlier. A pause may be longer than the time that is left, so time
+/// on a clock is not time in which answers could be sent.
 pub(crate) struct DrainProgress {
-    started_at: Timestamp,
+    time: RunningTime,
     /// Time for which new connections are accepted.
     accept_for: Duration,
-    /// Time after which the drain ends even if requests are open.
+    /// Running time after which the drain ends even if requests are open.
     time_limit: Duration,
     /// Time for which the server has been quiescent, in steps of [`CHECK_INTERVAL`].
     quiescent_for: Duration,
@@ -60,11 +102,11 @@
 }
 
 impl DrainProgress {
-    /// Begins a drain now. The process would be killed after `stop_timeout`; `grace` is the time for which requests are
-    /// still accepted, if the kill comes late enough.
+    /// Begins a drain now, on a monotonic clock. The process would be killed once it has run for `stop_timeout`; `grace`
+    /// is the time for which requests are still accepted, if the kill comes late enough.
     pub(crate) fn start(now: Timestamp, stop_timeout: Duration, grace: Duration) -> DrainProgress {
         DrainProgress {
-            started_at: now,
+            time: RunningTime::start(now),
             accept_for: grace.min(stop_timeout.saturating_sub(LAST_ANSWERS_TIME)),
             time_limit: stop_timeout.saturating_sub(KILL_MARGIN),
             quiescent_for: Duration::ZERO,
@@ -77,17 +119,22 @@
         self.time_limit
     }
 
-    /// Returns the time since the start.
-    pub(crate) fn elapsed(&self, now: Timestamp) -> Duration {
-        now - self.started_at
+    /// Returns the time from the start to the last check.
+    pub(crate) fn elapsed(&self) -> Duration {
+        self.time.elapsed()
+    }
+
+    /// Returns the part of that time for which the process was stopped.
+    pub(crate) fn paused(&self) -> Duration {
+        self.time.paused()
     }
 
     /// Checks the server's status. New connections are accepted during the grace period, in which requests may still
     /// arrive. Then, once the server is quiescent, all connections are closed. A request that is sent while its
     /// connection is being closed is retried by its load balancer.
     pub(crate) fn check(&mut self, now: Timestamp, status: DrainStatus) -> DrainActions {
-        let elapsed = self.elapsed(now);
-        let is_grace_over = elapsed > self.accept_for;
+        self.time.check(now);
+        let is_grace_over = self.time.elapsed() > self.accept_for;
         if status.is_quiescent && is_grace_over {
             self.quiescent_for = self.quiescent_for + CHECK_INTERVAL;
         } else {
@@ -96,7 +143,7 @@
         DrainActions {
             stop_listening: is_grace_over,
             close_connections: self.begin_closing_once_quiescent(),
-            outcome: self.outcome(elapsed, status),
+            outcome: self.outcome(status),
         }
     }
 
@@ -112,8 +159,9 @@
     }
 
     /// Returns the outcome if the drain has ended.
-    fn outcome(&self, elapsed: Duration, status: DrainStatus) -> Option<DrainOutcome> {
-        if !self.is_complete(status) && elapsed <= self.time_limit {
+    fn outcome(&self, status: DrainStatus) -> Option<DrainOutcome> {
+        let is_time_over = self.time.running > self.time_limit;
+        if !self.is_complete(status) && !is_time_over {
             None
         } else if status.is_quiescent {
             Some(DrainOutcome::Answered)
--- a/crates/server/src/drain_progress/tests.rs
+++ b/crates/server/src/drain_progress/tests.rs
@@ -57,7 +57,7 @@
     }
 
     fn elapsed_ms(&self) -> u64 {
-        self.progress.elapsed(self.now).as_micros() / 1_000
+        self.progress.elapsed().as_micros() / 1_000
     }
 }
 
@@ -114,3 +114,46 @@
         3_110
     );
 }
+
+/// Guards against a drain that takes the time of a pause for time in which requests could be answered, and ends with
+/// open requests at the first check after the pause.
+#[test]
+fn pause_over_the_time_limit_leaves_time_to_answer() {
+    let mut drain = Drain::start();
+    drain.check_until(OPEN, |actions| actions.stop_listening);
+    let actions = drain.check_after(Duration::from_millis(800), OPEN);
+    assert_eq!(actions.outcome, None);
+    for _ in 0..10 {
+        assert_eq!(drain.check_after(CHECK_INTERVAL, OPEN).outcome, None);
+    }
+    drain.check_until(ANSWERED, ended(DrainOutcome::Answered));
+}
+
+/// Guards against a drain that ends for lack of time before the process has run for that time.
+#[test]
+fn time_limit_counts_only_the_time_between_pauses() {
+    let pause = Duration::from_millis(600);
+    let run_ms_between_pauses = 800;
+    let mut drain = Drain::start();
+    let mut run_ms = 0;
+    let mut outcome = None;
+    while outcome.is_none() {
+        let is_pause = run_ms % run_ms_between_pauses == 0;
+        let gap = if is_pause { pause } else { CHECK_INTERVAL };
+        outcome = drain.check_after(gap, OPEN).outcome;
+        run_ms += CHECK_INTERVAL.as_micros() / 1_000;
+    }
+    assert_eq!(outcome, Some(DrainOutcome::TimedOut));
+    // The decision module answers the last requests 160 ms before the kill.
+    assert!((3_040..3_200).contains(&run_ms), "ended after {run_ms} ms");
+}
+
+/// Guards against a drain that no check ends, because each of them is late.
+#[test]
+fn ends_although_every_check_is_late() {
+    let mut drain = Drain::start();
+    let late = Duration::from_millis(70);
+    while drain.check_after(late, OPEN).outcome.is_none() {
+        assert!(drain.elapsed_ms() < 60_000, "it never ends");
+    }
+}
--- a/crates/server/tests/process/shutdown.rs
+++ b/crates/server/tests/process/shutdown.rs
@@ -1,10 +1,11 @@
 //! SIGTERM: the program answers all open requests and ends before it is killed.
 
 use crate::support::{
-    HEALTH_CHECK, HELLO_OF_NEW_ENGINE, INITIAL_ATTACH, LEAVING_NOTICE, PeerListeners, TestServer,
-    connect_to, request, start_program, unreachable_dependencies,
+    HEALTH_CHECK, HELLO_OF_NEW_ENGINE, INITIAL_ATTACH, LEAVING_NOTICE, PeerListeners, STOP_MS,
+    TestServer, connect_to, request, start_program, unreachable_dependencies,
 };
 use madderbay_testkit::peer::Peer;
+use std::time::Duration;
 
 /// A request whose run does not end is answered before the process ends, and the process ends before it would be
 /// killed.
@@ -64,3 +65,33 @@
     a.say(&request(2, "quote", 1, ""));
     assert!(a.line().contains("\"id\":2,\"error\":{\"code\":-32002"));
 }
+
+/// Guards against a drain that ends with open requests because the process was stopped until no time seemed left.
+#[test]
+fn drain_answers_open_requests_after_a_pause_until_its_time_limit() {
+    let server = TestServer::start(128);
+    let mut engine = server.accept_engine_link(INITIAL_ATTACH);
+    let mut clients: Vec<Peer> = (1..=3).map(|_| server.connect()).collect();
+    for (attempt, client) in (1..).zip(&mut clients) {
+        client.say(&request(attempt, "search", attempt, ""));
+        assert!(engine.command().contains("\"RUN\""));
+    }
+    server.signal("-TERM");
+    for client in &mut clients {
+        assert_eq!(client.line(), LEAVING_NOTICE);
+    }
+    server.signal("-STOP");
+    std::thread::sleep(Duration::from_millis(STOP_MS));
+    server.signal("-CONT");
+    for (attempt, client) in (1..).zip(&mut clients) {
+        let answer = client.line();
+        assert!(
+            answer.contains(&format!("\"id\":{attempt},\"error\"")),
+            "{answer}"
+        );
+        assert_eq!(client.line(), "");
+    }
+    let log = server.ended();
+    assert!(log.contains("server: drained"), "{log}");
+    assert!(log.contains("counter open 0\n"), "{log}");
+}
