End a graceful shutdown only after the listener has taken its backlog

Callers saw: a server without open connections is stopped from before to after the end of its grace period; requests written to it meanwhile get no answer, their connections are reset. Without a pause the window is the time between the end of grace and the listener's turn, under a millisecond; there it was not seen. Cause: the check that ends the grace period also took the lack of connections for the end of the drain. After a pause it is the first code to run, before the listener is polled: what has arrived at the machine was not counted. Change: the drain counts as quiescent only once the listener's task has ended, which it does after it has accepted the backlog. The limit on time holds as before.

--- a/crates/server/src/drain_progress.rs
+++ b/crates/server/src/drain_progress.rs
@@ -12,7 +12,7 @@
 const MAX_RUNNING_GAP: Duration = Duration::from_millis(20);
 /// The process ends this long before it would be killed.
 const KILL_MARGIN: Duration = Duration::from_millis(100);
-/// Time for which the server has to be quiescent, after the grace period, before the connections are closed.
+/// Time for which the server has to be quiescent, after it has stopped listening, before the connections are closed.
 const QUIESCENCE_BEFORE_CLOSE: Duration = Duration::from_millis(60);
 /// Minimum time between the end of listening and the kill, in which connections that are still open receive their last
 /// answers.
@@ -23,6 +23,8 @@
 /// What the server reports at a check.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct DrainStatus {
+    /// Connections may still be accepted, from those that have arrived at the machine.
+    pub(crate) is_listening: bool,
     /// No request is open and no bytes wait to be written on any connection.
     pub(crate) is_quiescent: bool,
     /// No connection is open.
@@ -95,7 +97,7 @@
     accept_for: Duration,
     /// Running time after which the drain ends even if requests are open.
     time_limit: Duration,
-    /// Time for which the server has been quiescent, in steps of [`CHECK_INTERVAL`].
+    /// Time for which the server has been quiescent without listening, in steps of [`CHECK_INTERVAL`].
     quiescent_for: Duration,
     /// Whether closing the connections has begun.
     is_closing: bool,
@@ -130,12 +132,12 @@
     }
 
     /// Checks the server's status. New connections are accepted during the grace period, in which requests may still
-    /// arrive. Then, once the server is quiescent, all connections are closed. A request that is sent while its
+    /// arrive. Then, once those in the backlog are accepted and the server is quiescent, all connections are closed. A request that is sent while its
     /// connection is being closed is retried by its load balancer.
     pub(crate) fn check(&mut self, now: Timestamp, status: DrainStatus) -> DrainActions {
         self.time.check(now);
         let is_grace_over = self.time.elapsed() > self.accept_for;
-        if status.is_quiescent && is_grace_over {
+        if status.is_quiescent && is_grace_over && !status.is_listening {
             self.quiescent_for = self.quiescent_for + CHECK_INTERVAL;
         } else {
             self.quiescent_for = Duration::ZERO;
--- a/crates/server/src/drain_progress/tests.rs
+++ b/crates/server/src/drain_progress/tests.rs
@@ -9,16 +9,19 @@
 const GRACE: Duration = Duration::from_millis(2_500);
 /// A request is open.
 const OPEN: DrainStatus = DrainStatus {
+    is_listening: false,
     is_quiescent: false,
     has_no_connections: false,
 };
 /// All requests are answered, and connections are open.
 const ANSWERED: DrainStatus = DrainStatus {
+    is_listening: false,
     is_quiescent: true,
     has_no_connections: false,
 };
 /// No connection is left.
 const NO_CONNECTIONS: DrainStatus = DrainStatus {
+    is_listening: false,
     is_quiescent: true,
     has_no_connections: true,
 };
@@ -157,3 +160,23 @@
         assert!(drain.elapsed_ms() < 60_000, "it never ends");
     }
 }
+
+/// Guards against a drain that ends because no connection is open, although some wait in the backlog.
+#[test]
+fn without_connections_waits_until_the_backlog_is_accepted() {
+    let backlog_unread = DrainStatus {
+        is_listening: true,
+        ..NO_CONNECTIONS
+    };
+    let mut drain = Drain::start();
+    drain.check_until(backlog_unread, |actions| actions.stop_listening);
+    for _ in 0..5 {
+        assert_eq!(
+            drain.check_after(CHECK_INTERVAL, backlog_unread).outcome,
+            None
+        );
+    }
+    assert_eq!(drain.check_after(CHECK_INTERVAL, OPEN).outcome, None);
+    let actions = drain.check_after(CHECK_INTERVAL, NO_CONNECTIONS);
+    assert_eq!(actions.outcome, Some(DrainOutcome::Answered));
+}
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -1,14 +1,14 @@
 //! A running server. [`Server::start`] opens the sockets and starts the tasks, in the order of its statements; signals
 //! act on the [`Server`] that it returns.
 //!
-//! The server owns the control socket's file, the reloadable values and the notification to stop listening. The core,
+//! The server owns the control socket's file, the reloadable values and the handle of the listener. The core,
 //! the backends and the fleet are shared with the tasks on this thread; they are never borrowed across an await.
 
 use crate::fleet_endpoint::{FleetEndpoint, FleetSetup};
 use crate::reloadable_values::ReloadableValues;
 use crate::setup::Setup;
 use crate::start_error::StartError;
-use crate::tasks;
+use crate::tasks::{self, ListenerTask};
 use madderbay_operator_config::OperatorConfig;
 use madderbay_operator_config::control::ControlSocket;
 use madderbay_server::core::durability;
@@ -27,7 +27,6 @@
 use std::rc::Rc;
 use std::time::Instant;
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
 
 /// Cached results of requests with an idempotency key may take up to a quarter of the configured memory.
 const RESULTS_MEMORY_DIVISOR: usize = 4;
@@ -36,7 +35,7 @@
 ///
 /// The fields are dropped in this order: the control socket's file is removed before the state that queries read.
 pub(crate) struct Server {
-    stop_listening: Rc<Notify>,
+    listener: ListenerTask,
     reloadable: ReloadableValues,
     _control_socket: Option<SocketFile>,
     fleet: Option<FleetEndpoint>,
@@ -80,16 +79,9 @@
         log::info!("server: listening, name={}, address={address}", config.name);
         let reloadable = ReloadableValues::new(&config);
         tasks::spawn_drivers(&config.name, &reloadable, &clock, &core);
-        let stop_listening = Rc::new(Notify::new());
-        tasks::spawn_listener(
-            listener,
-            limits.max_connections,
-            &clock,
-            &core,
-            &stop_listening,
-        );
+        let listener = tasks::spawn_listener(listener, limits.max_connections, &clock, &core);
         Ok(Server {
-            stop_listening,
+            listener,
             reloadable,
             _control_socket: control_socket,
             fleet,
@@ -144,7 +136,12 @@
 
     /// Stops the listener. Connections that are already in the backlog are still accepted.
     pub(crate) fn stop_listening(&self) {
-        self.stop_listening.notify_one();
+        self.listener.stop();
+    }
+
+    /// Reports whether connections may still be accepted: the listener is open, or its backlog is not yet taken.
+    pub(crate) fn is_listening(&self) -> bool {
+        self.listener.is_running()
     }
 
     /// Notifies the fleet that this server is leaving, and sends the last datagrams at once.
--- a/crates/server/src/shutdown.rs
+++ b/crates/server/src/shutdown.rs
@@ -69,6 +69,7 @@
 fn status(server: &Server) -> DrainStatus {
     let core = server.core().borrow();
     DrainStatus {
+        is_listening: server.is_listening(),
         is_quiescent: core.is_quiescent(),
         has_no_connections: core.has_no_connections(),
     }
--- a/crates/server/src/tasks.rs
+++ b/crates/server/src/tasks.rs
@@ -1,7 +1,8 @@
 //! The tasks of a running server. The table lists what each task does and when it ends.
 //!
-//! All tasks run on the single thread of the server's `LocalSet`, and none is awaited. Tasks that still exist after the
-//! shutdown are dropped with the set, after [`Server`](crate::server::Server) and before the process ends.
+//! All tasks run on the single thread of the server's `LocalSet`, and none is awaited; a shutdown only checks whether the
+//! listener's has ended. Tasks that still exist after the shutdown are dropped with the set, after
+//! [`Server`](crate::server::Server) and before the process ends.
 //!
 //! | task | runs | ends |
 //! | --- | --- | --- |
@@ -38,7 +39,7 @@
 use tokio::net::{TcpListener, UdpSocket, UnixListener};
 use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::task::spawn_local;
+use tokio::task::{JoinHandle, spawn_local};
 
 /// Maximum sleep of the tick loop while no timer is set.
 const MAX_IDLE: StdDuration = StdDuration::from_secs(1);
@@ -100,21 +101,40 @@
     spawn_local(tick_loop(clock.clone(), core.clone()));
 }
 
-/// Starts the task that accepts downstream connections until `stop` is notified.
+/// The task that accepts downstream connections.
+pub(crate) struct ListenerTask {
+    stop: Rc<Notify>,
+    task: JoinHandle<()>,
+}
+
+impl ListenerTask {
+    /// Closes the listener once the connections in the backlog are accepted.
+    pub(crate) fn stop(&self) {
+        self.stop.notify_one();
+    }
+
+    /// Reports whether connections may still be accepted: the listener is open, or its backlog is not yet taken.
+    pub(crate) fn is_running(&self) -> bool {
+        !self.task.is_finished()
+    }
+}
+
+/// Starts the task that accepts downstream connections until it is stopped.
 pub(crate) fn spawn_listener(
     listener: TcpListener,
     max_connections: usize,
     clock: &Rc<Clock>,
     core: &SharedEventLoop,
-    stop: &Rc<Notify>,
-) {
-    spawn_local(listener::run(
+) -> ListenerTask {
+    let stop = Rc::new(Notify::new());
+    let task = spawn_local(listener::run(
         listener,
         max_connections,
         clock.clone(),
         core.clone(),
         stop.clone(),
     ));
+    ListenerTask { stop, task }
 }
 
 /// The only timer of the decision module: runs a turn at its next timer deadline, and whenever the core reports pending
--- a/crates/server/tests/process/shutdown.rs
+++ b/crates/server/tests/process/shutdown.rs
@@ -1,12 +1,18 @@
 //! SIGTERM: the program answers all open requests and ends before it is killed.
 
+use crate::common::SETTINGS;
+use crate::program::program;
 use crate::support::{
     HEALTH_CHECK, HELLO_OF_NEW_ENGINE, INITIAL_ATTACH, LEAVING_NOTICE, PeerListeners, STOP_MS,
     TestServer, connect_to, request, start_program, unreachable_dependencies,
 };
 use madderbay_testkit::peer::Peer;
+use madderbay_testkit::server::{Server, configuration};
 use std::time::Duration;
 
+/// Time after SIGTERM in which requests may be accepted, as stated in [`SETTINGS`].
+const GRACE: Duration = Duration::from_millis(2_000);
+
 /// A request whose run does not end is answered before the process ends, and the process ends before it would be
 /// killed.
 #[test]
@@ -95,3 +101,32 @@
     assert!(log.contains("server: drained"), "{log}");
     assert!(log.contains("counter open 0\n"), "{log}");
 }
+
+/// Guards against a drain that ends when no connection is open, before it has accepted those that arrived while the
+/// process was stopped at the end of the grace period.
+#[test]
+fn drain_answers_request_that_arrived_during_a_pause_at_the_end_of_grace() {
+    let stop_ms = 10_000;
+    let dependencies = unreachable_dependencies();
+    let text = configuration("127.0.0.1:0", dependencies, 128, stop_ms, SETTINGS);
+    let mut program = Server::start(program(), &text, None);
+    program.signal("-TERM");
+    program.log_at("server: draining");
+    program.signal("-STOP");
+    let mut clients: Vec<Peer> = (1..=3).map(|_| connect_to(&program)).collect();
+    for client in &mut clients {
+        client.say(&request(1, "quote", 1, ""));
+    }
+    std::thread::sleep(GRACE);
+    program.signal("-CONT");
+    for client in &mut clients {
+        assert_eq!(client.line(), LEAVING_NOTICE);
+        let answer = client.line();
+        assert!(
+            answer.contains("\"id\":1,\"error\":{\"code\":-32002"),
+            "{answer}"
+        );
+    }
+    drop(clients);
+    assert!(program.ended().contains("counter open 0\n"));
+}
