Draw the gaps between the checks of a graceful shutdown

Cause: the fixed cases of pauses in a drain name a few moments; and a drain whose limit was over with connections still in the backlog would have been logged as `drained`. Change: 500 seeded drains with drawn gaps (usual, busy machine, pause) and statuses: each ends with everything answered and the backlog taken, or after at least the running time that the last answers need, and before the kill. `DrainOutcome::Answered` needs the backlog to be taken.

--- a/crates/server/src/drain_progress.rs
+++ b/crates/server/src/drain_progress.rs
@@ -36,7 +36,8 @@
 pub(crate) enum DrainOutcome {
     /// All requests are answered and the answers are written.
     Answered,
-    /// No time is left before the process would be killed, and requests are open or answers not written.
+    /// No time is left before the process would be killed, and requests are open, answers not written or the backlog of
+    /// the listener not taken.
     TimedOut,
 }
 
@@ -165,7 +166,7 @@
         let is_time_over = self.time.running > self.time_limit;
         if !self.is_complete(status) && !is_time_over {
             None
-        } else if status.is_quiescent {
+        } else if status.is_quiescent && !status.is_listening {
             Some(DrainOutcome::Answered)
         } else {
             Some(DrainOutcome::TimedOut)
--- a/crates/server/src/drain_progress/tests.rs
+++ b/crates/server/src/drain_progress/tests.rs
@@ -2,6 +2,8 @@
 
 use super::{CHECK_INTERVAL, DrainActions, DrainOutcome, DrainProgress, DrainStatus};
 use madderbay::time::{Duration, Timestamp};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 /// Time between the notice to drain and the kill.
 const STOP_TIMEOUT: Duration = Duration::from_millis(3_200);
@@ -180,3 +182,50 @@
     let actions = drain.check_after(CHECK_INTERVAL, NO_CONNECTIONS);
     assert_eq!(actions.outcome, Some(DrainOutcome::Answered));
 }
+
+/// A gap between two checks: usual, delayed by a busy machine, or a pause.
+fn any_gap_ms() -> impl Strategy<Value = u64> {
+    prop_oneof![8 => 9..13_u64, 1 => 13..50_u64, 1 => 50..600_u64]
+}
+
+fn any_status() -> impl Strategy<Value = DrainStatus> {
+    let status = |(is_listening, is_quiescent, has_no_connections)| DrainStatus {
+        is_listening,
+        is_quiescent,
+        has_no_connections: has_no_connections && is_quiescent,
+    };
+    any::<(bool, bool, bool)>().prop_map(status)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 500,
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Whatever pauses there are, a drain ends with everything answered, or after it has run for its time. It does end.
+    #[test]
+    fn ends_with_everything_answered_or_after_its_running_time(
+        checks in prop::collection::vec((any_gap_ms(), any_status()), 1..40),
+    ) {
+        let mut drain = Drain::start();
+        let mut run_ms = 0;
+        // The status changes seldom, so that the drain comes to its later steps.
+        for (gap_ms, status) in checks.iter().cycle().flat_map(|check| [check; 12]) {
+            let outcome = drain.check_after(Duration::from_millis(*gap_ms), *status).outcome;
+            // A gap of up to 20 ms may be running time.
+            run_ms += gap_ms.min(&20);
+            prop_assert!(run_ms <= 3_200, "runs on until it would be killed");
+            match outcome {
+                None => continue,
+                Some(DrainOutcome::Answered) => {
+                    prop_assert!(status.is_quiescent && !status.is_listening);
+                }
+                Some(DrainOutcome::TimedOut) => prop_assert!(run_ms >= 3_040, "ran {run_ms} ms"),
+            }
+            return Ok(());
+        }
+    }
+}
