Graceful shutdown: one condition for what is answered, no conversion of the stop time

Change: `DrainStatus::is_everything_answered`; `ReloadableValues::stop_timeout` has the module's type; `start_program_stopped_after` in the tests' support, which `start_program` calls. A doc comment is wrapped. No assertion and no time changes.

--- a/crates/server/src/drain_progress.rs
+++ b/crates/server/src/drain_progress.rs
@@ -31,6 +31,13 @@
     pub(crate) has_no_connections: bool,
 }
 
+impl DrainStatus {
+    /// Reports whether everything that has arrived at the machine is answered.
+    fn is_everything_answered(self) -> bool {
+        self.is_quiescent && !self.is_listening
+    }
+}
+
 /// Why a drain has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum DrainOutcome {
@@ -133,12 +140,12 @@
     }
 
     /// Checks the server's status. New connections are accepted during the grace period, in which requests may still
-    /// arrive. Then, once those in the backlog are accepted and the server is quiescent, all connections are closed. A request that is sent while its
-    /// connection is being closed is retried by its load balancer.
+    /// arrive. Then, once those in the backlog are accepted and the server is quiescent, all connections are closed. A
+    /// request that is sent while its connection is being closed is retried by its load balancer.
     pub(crate) fn check(&mut self, now: Timestamp, status: DrainStatus) -> DrainActions {
         self.time.check(now);
         let is_grace_over = self.time.elapsed() > self.accept_for;
-        if status.is_quiescent && is_grace_over && !status.is_listening {
+        if is_grace_over && status.is_everything_answered() {
             self.quiescent_for = self.quiescent_for + CHECK_INTERVAL;
         } else {
             self.quiescent_for = Duration::ZERO;
@@ -166,7 +173,7 @@
         let is_time_over = self.time.running > self.time_limit;
         if !self.is_complete(status) && !is_time_over {
             None
-        } else if status.is_quiescent && !status.is_listening {
+        } else if status.is_everything_answered() {
             Some(DrainOutcome::Answered)
         } else {
             Some(DrainOutcome::TimedOut)
--- a/crates/server/src/reloadable_values.rs
+++ b/crates/server/src/reloadable_values.rs
@@ -1,10 +1,10 @@
 //! The values of the configuration that a reload can change in a running server, with the channels on which the drivers
 //! watch them. The files are read by [`reload`](crate::reload).
 
+use madderbay::time::Duration;
 use madderbay_server::support::config::Config;
 use std::cell::Cell;
 use std::net::SocketAddr;
-use std::time::Duration as StdDuration;
 use tokio::sync::watch;
 
 /// The values of the configuration that a reload can change, with the channels on which the drivers watch them.
@@ -27,8 +27,8 @@
     }
 
     /// Returns the time between the signal to stop and the kill.
-    pub(crate) fn stop_timeout(&self) -> StdDuration {
-        StdDuration::from_millis(self.stop_ms.get())
+    pub(crate) fn stop_timeout(&self) -> Duration {
+        Duration::from_millis(self.stop_ms.get())
     }
 
     /// Returns a receiver of the engine's address.
--- a/crates/server/src/shutdown.rs
+++ b/crates/server/src/shutdown.rs
@@ -13,7 +13,6 @@
 };
 use crate::server::Server;
 use crate::signals::OperatorSignals;
-use madderbay::time::Duration;
 use madderbay_server::support::clock::{self, MonotonicClock};
 use std::time::{Duration as StdDuration, Instant};
 
@@ -35,12 +34,11 @@
     let stop_timeout = server.reloadable().stop_timeout();
     log::info!(
         "server: draining, remaining_ms={}",
-        stop_timeout.as_millis()
+        stop_timeout.as_micros() / 1_000
     );
     if let Some(fleet) = server.fleet() {
         fleet.drain();
     }
-    let stop_timeout = Duration::from_micros(stop_timeout.as_micros() as u64);
     let grace = server.config().settings.rules.drain_grace;
     let progress = DrainProgress::start(clock(), stop_timeout, grace);
     // The decision module is given a shorter time, so that its last answers are sent before the process ends.
@@ -89,12 +87,12 @@
 fn log_outcome(server: &Server, outcome: DrainOutcome, progress: &DrainProgress) {
     let elapsed_ms = progress.elapsed().as_micros() / 1_000;
     let paused_ms = progress.paused().as_micros() / 1_000;
-    let unanswered = server.core().borrow().unanswered_count();
     match outcome {
         DrainOutcome::Answered => {
             log::info!("server: drained, elapsed_ms={elapsed_ms}, paused_ms={paused_ms}");
         }
         DrainOutcome::TimedOut => {
+            let unanswered = server.core().borrow().unanswered_count();
             log::warn!(
                 "server: drain timed out, elapsed_ms={elapsed_ms}, paused_ms={paused_ms}, unanswered={unanswered}"
             );
--- a/crates/server/tests/process/shutdown.rs
+++ b/crates/server/tests/process/shutdown.rs
@@ -1,16 +1,14 @@
 //! SIGTERM: the program answers all open requests and ends before it is killed.
 
-use crate::common::SETTINGS;
-use crate::program::program;
 use crate::support::{
     HEALTH_CHECK, HELLO_OF_NEW_ENGINE, INITIAL_ATTACH, LEAVING_NOTICE, PeerListeners, STOP_MS,
-    TestServer, connect_to, request, start_program, unreachable_dependencies,
+    TestServer, connect_to, request, start_program, start_program_stopped_after,
+    unreachable_dependencies,
 };
 use madderbay_testkit::peer::Peer;
-use madderbay_testkit::server::{Server, configuration};
 use std::time::Duration;
 
-/// Time after SIGTERM in which requests may be accepted, as stated in [`SETTINGS`].
+/// Time after SIGTERM in which requests may be accepted, as stated in the settings.
 const GRACE: Duration = Duration::from_millis(2_000);
 
 /// A request whose run does not end is answered before the process ends, and the process ends before it would be
@@ -107,9 +105,7 @@
 #[test]
 fn drain_answers_request_that_arrived_during_a_pause_at_the_end_of_grace() {
     let stop_ms = 10_000;
-    let dependencies = unreachable_dependencies();
-    let text = configuration("127.0.0.1:0", dependencies, 128, stop_ms, SETTINGS);
-    let mut program = Server::start(program(), &text, None);
+    let mut program = start_program_stopped_after(stop_ms, unreachable_dependencies(), 128);
     program.signal("-TERM");
     program.log_at("server: draining");
     program.signal("-STOP");
--- a/crates/server/tests/process/support.rs
+++ b/crates/server/tests/process/support.rs
@@ -156,7 +156,16 @@
 
 /// Starts the program with these peers and a limit on descriptors.
 pub(crate) fn start_program(dependencies: Dependencies, descriptors: usize) -> Program {
-    let text = configuration("127.0.0.1:0", dependencies, descriptors, STOP_MS, SETTINGS);
+    start_program_stopped_after(STOP_MS, dependencies, descriptors)
+}
+
+/// Starts the program with a time from SIGTERM to SIGKILL in milliseconds, these peers and a limit on descriptors.
+pub(crate) fn start_program_stopped_after(
+    stop_ms: u64,
+    dependencies: Dependencies,
+    descriptors: usize,
+) -> Program {
+    let text = configuration("127.0.0.1:0", dependencies, descriptors, stop_ms, SETTINGS);
     Program::start(program(), &text, None)
 }
 
