--- a/crates/membership/src/event.rs
+++ b/crates/membership/src/event.rs
@@ -42,7 +42,7 @@
 /// Writes the time since a member's last datagram, or `never` if no datagram has arrived.
 fn write_last_received(f: &mut fmt::Formatter, since_received: Option<Duration>) -> fmt::Result {
     match since_received {
-        Some(duration) => write!(f, ", last_received_ms={}", duration.as_micros() / 1_000),
+        Some(duration) => write!(f, ", last_received_ms={}", duration.as_millis()),
         None => f.write_str(", last_received_ms=never"),
     }
 }
@@ -143,7 +143,7 @@
                 write_connectivity(f, status, *at)
             }
             MembershipEvent::Paused { duration } => {
-                let ms = duration.as_micros() / 1_000;
+                let ms = duration.as_millis();
                 write!(f, "process paused, duration_ms={ms}")
             }
             MembershipEvent::IncarnationSuperseded { incarnation } => {
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -32,7 +32,7 @@
 use crate::view::{MemberState, MemberView, View};
 use compact_str::CompactString;
 use foca::Timer;
-use madderbay::time::Timestamp;
+use madderbay::time::{Duration, Timestamp};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
@@ -194,7 +194,7 @@
     /// Returns a snapshot of the view.
     pub fn view(&self) -> View {
         let now = self.health.now();
-        let ms_since = |time: Timestamp| (now - time).as_micros() / 1_000;
+        let ms_since = |time: Timestamp| (now - time).as_millis();
         let mut members: Vec<MemberView> =
             self.members.iter().map(|r| member_view(now, r)).collect();
         members.push(self.local_view());
@@ -258,7 +258,7 @@
         address: identity.address,
         incarnation: identity.incarnation,
         revision: identity.revision,
-        last_received_ms: record.since_received(now).map(|d| d.as_micros() / 1_000),
+        last_received_ms: record.since_received(now).map(Duration::as_millis),
         health_score: record.health_score(),
     }
 }
--- a/crates/quota/src/counter/remote_snapshot.rs
+++ b/crates/quota/src/counter/remote_snapshot.rs
@@ -79,7 +79,7 @@
     pub(super) fn as_of(&self, now: Timestamp) -> CounterSnapshot {
         let age = self.age(now);
         let max_ms = u64::from(u32::MAX) - 1;
-        let ms = |age: Duration| (age.as_micros() / 1_000).min(max_ms) as u32;
+        let ms = |age: Duration| age.as_millis().min(max_ms) as u32;
         CounterSnapshot {
             min_age_ms: ms(age.min),
             max_age_ms: ms(age.max) + 1,
--- a/crates/quota/src/counter/snapshot.rs
+++ b/crates/quota/src/counter/snapshot.rs
@@ -49,7 +49,7 @@
     fn age_ms(&self, now: Timestamp, slot_number: u64) -> u32 {
         let end_micros = (slot_number + 1) * self.slot_length.as_micros();
         let end = self.began_at + madderbay::time::Duration::from_micros(end_micros);
-        ((now - end).as_micros() / 1_000) as u32
+        (now - end).as_millis() as u32
     }
 
     fn build_snapshot(
--- a/crates/server/src/drain_progress/tests.rs
+++ b/crates/server/src/drain_progress/tests.rs
@@ -62,7 +62,7 @@
     }
 
     fn elapsed_ms(&self) -> u64 {
-        self.progress.elapsed().as_micros() / 1_000
+        self.progress.elapsed().as_millis()
     }
 }
 
@@ -146,7 +146,7 @@
         let is_pause = run_ms % run_ms_between_pauses == 0;
         let gap = if is_pause { pause } else { CHECK_INTERVAL };
         outcome = drain.check_after(gap, OPEN).outcome;
-        run_ms += CHECK_INTERVAL.as_micros() / 1_000;
+        run_ms += CHECK_INTERVAL.as_millis();
     }
     assert_eq!(outcome, Some(DrainOutcome::TimedOut));
     // The decision module answers the last requests 160 ms before the kill.
--- a/crates/server/src/fleet/control_socket.rs
+++ b/crates/server/src/fleet/control_socket.rs
@@ -298,7 +298,7 @@
 }
 
 fn quota_record(budget: BudgetView) -> QuotasRecord {
-    let in_ms = |duration: Duration| duration.as_micros() / 1_000;
+    let in_ms = |duration: Duration| duration.as_millis();
     QuotasRecord::Quota(QuotaRecord {
         name: budget.name.to_string(),
         capacity: budget.capacity,
--- a/crates/server/src/shutdown.rs
+++ b/crates/server/src/shutdown.rs
@@ -34,7 +34,7 @@
     let stop_timeout = server.reloadable().stop_timeout();
     log::info!(
         "server: draining, remaining_ms={}",
-        stop_timeout.as_micros() / 1_000
+        stop_timeout.as_millis()
     );
     if let Some(fleet) = server.fleet() {
         fleet.drain();
@@ -85,8 +85,8 @@
 
 /// Logs how the drain has ended.
 fn log_outcome(server: &Server, outcome: DrainOutcome, progress: &DrainProgress) {
-    let elapsed_ms = progress.elapsed().as_micros() / 1_000;
-    let paused_ms = progress.paused().as_micros() / 1_000;
+    let elapsed_ms = progress.elapsed().as_millis();
+    let paused_ms = progress.paused().as_millis();
     match outcome {
         DrainOutcome::Answered => {
             log::info!("server: drained, elapsed_ms={elapsed_ms}, paused_ms={paused_ms}");
--- a/crates/server/tests/common/watched_fleet.rs
+++ b/crates/server/tests/common/watched_fleet.rs
@@ -45,7 +45,7 @@
         let began = self.at();
         while let Some(missing) = missing(self) {
             let waited = self.at().saturating_sub(began);
-            let timeout_ms = timeout.as_micros() / 1_000;
+            let timeout_ms = timeout.as_millis();
             assert!(waited < timeout, "not within {timeout_ms} ms: {missing}");
             self.pass();
         }
--- a/crates/simulation/src/clock.rs
+++ b/crates/simulation/src/clock.rs
@@ -27,7 +27,7 @@
 
 /// Returns the wall-clock time in milliseconds since the Unix epoch.
 pub(crate) fn unix_ms(now: Timestamp) -> u64 {
-    (now - Timestamp::default()).as_micros() / 1_000
+    (now - Timestamp::default()).as_millis()
 }
 
 /// The monotonic clock of one machine. It keeps running while the server on the machine is stopped or restarted.
--- a/crates/simulation/src/invariants.rs
+++ b/crates/simulation/src/invariants.rs
@@ -98,7 +98,7 @@
     fn record(&mut self, now: Timestamp, invariant: Invariant, detail: String) {
         if self.violations.len() < MAX_VIOLATIONS {
             self.violations.push(Violation {
-                at_ms: (now - clock::start()).as_micros() / 1_000,
+                at_ms: (now - clock::start()).as_millis(),
                 invariant,
                 detail,
             });
--- a/crates/simulation/src/upstream/engine_notices.rs
+++ b/crates/simulation/src/upstream/engine_notices.rs
@@ -99,7 +99,7 @@
 }
 
 fn done_line(serial: u64, request: &str, how: &str, run_time: Duration, blob: &str) -> String {
-    let duration_ms = run_time.as_micros() / 1_000;
+    let duration_ms = run_time.as_millis();
     format!(
         "{{\"msg\":\"DONE\",\"serial\":{serial},\"call\":\"{request}\",\"how\":\"{how}\",\"duration\":{duration_ms},\"blob\":\"{blob}\"}}\n"
     )
--- a/crates/simulation/src/workload.rs
+++ b/crates/simulation/src/workload.rs
@@ -147,7 +147,7 @@
              \"sender\":4,\"project\":\"acme\",\"allow\":{},{key}\"room\":2.5,\"bytes\":\"QUJD\"}}}}\n",
             self.handler.name(),
             self.sent_unix_ms,
-            CLIENT_TIMEOUT.as_micros() / 1_000
+            CLIENT_TIMEOUT.as_millis()
         )
     }
 }
--- a/crates/testkit/src/backend_simulation/rows.rs
+++ b/crates/testkit/src/backend_simulation/rows.rs
@@ -9,7 +9,7 @@
 
 /// Length of time that a row covers.
 pub(super) const ROW_DURATION: Duration = Duration::from_millis(100);
-const ROW_MS: u64 = ROW_DURATION.as_micros() / 1_000;
+const ROW_MS: u64 = ROW_DURATION.as_millis();
 /// Window over which a backend's traffic is averaged, in milliseconds.
 const TRAFFIC_WINDOW_MS: u64 = 1_000;
 /// Fraction of the successful calls that ended within [`BackendSimulation::slowest_ms`].
--- a/crates/testkit/src/fleet/processes/operator_file.rs
+++ b/crates/testkit/src/fleet/processes/operator_file.rs
@@ -9,7 +9,7 @@
 pub(super) const QUOTA_SECTION: &str = "[shared]";
 
 pub(super) fn millis(duration: Duration) -> u64 {
-    duration.as_micros() / 1_000
+    duration.as_millis()
 }
 
 /// Returns the `[members]` and `[control]` sections of a server.
--- a/crates/testkit/src/fleet/simulated/start.rs
+++ b/crates/testkit/src/fleet/simulated/start.rs
@@ -63,8 +63,8 @@
 
     /// Returns the present time of a Unix clock with this offset, in milliseconds.
     fn unix_ms(&self, offset: Duration, is_behind: bool) -> u64 {
-        let true_ms = UNIX_START_MS + (self.now - Timestamp::default()).as_micros() / 1_000;
-        let offset = offset.as_micros() / 1_000;
+        let true_ms = UNIX_START_MS + (self.now - Timestamp::default()).as_millis();
+        let offset = offset.as_millis();
         if is_behind {
             true_ms - offset
         } else {
--- a/src/time.rs
+++ b/src/time.rs
@@ -6,6 +6,7 @@
 //! let read = Timestamp::from_micros(5_000);
 //! assert_eq!(read + Duration::from_millis(2) - read, Duration::from_micros(2_000));
 //! assert_eq!(read - Timestamp::from_micros(9_000), Duration::ZERO);
+//! assert_eq!(Duration::from_micros(2_999).as_millis(), 2);
 //! ```
 //!
 //! Two instants cannot be added:
@@ -66,6 +67,11 @@
         self.0
     }
 
+    /// Returns the duration in whole milliseconds, rounded down.
+    pub const fn as_millis(self) -> u64 {
+        self.0 / 1_000
+    }
+
     /// Returns the duration times `factor`, rounded down to whole microseconds; zero if `factor` is negative or NaN.
     pub fn mul_f64(self, factor: f64) -> Duration {
         Duration((self.0 as f64 * factor) as u64)
