--- a/review/rig-2/src/engine.rs
+++ b/review/rig-2/src/engine.rs
@@ -349,6 +349,13 @@
                 self.done(state, call, "gone", "");
                 return;
             }
+            // Another reading of the page, for comparison only: a request is over once its run has ended.
+            Some((true, false))
+                if std::env::var("ENDED").is_ok_and(|e| e == "gone") && self.has_run(call) =>
+            {
+                self.done(state, call, "gone", "");
+                return;
+            }
             Some((true, false)) => {}
         }
         self.world.note(format!("engine: run of {call} begins"));
@@ -370,6 +377,11 @@
         self.schedule(state, call);
     }
 
+    fn has_run(&self, call: &str) -> bool {
+        self.world
+            .with(|t| t.tries.get(call).is_some_and(|t| !t.runs.is_empty()))
+    }
+
     /// Lets a run go on to its next call or its end.
     fn schedule(&self, state: &mut State, call: &str) {
         let (low, high) = self.work.micros;
--- a/review/rig-2/src/explore.rs
+++ b/review/rig-2/src/explore.rs
@@ -156,7 +156,7 @@
     }
     let until = Instant::now() + Duration::from_millis(env("MS", 8000));
     if has("idle") {
-        for i in 0..60 {
+        for i in 0..env("IDLE", 60) {
             std::thread::spawn(move || {
                 use std::io::Read;
                 let mut r = Random::new(i);
--- a/review/rig-2/src/kept_break.rs
+++ b/review/rig-2/src/kept_break.rs
@@ -87,5 +87,6 @@
         }
     }
     let twice = world.with(|t| t.broken.len());
-    println!("{served} served, {twice} ran twice");
+    let all = world.with(|t| t.tries.len());
+    println!("{served} of {all} served, {twice} ran twice");
 }
--- a/review/rig-2/src/server.rs
+++ b/review/rig-2/src/server.rs
@@ -2,6 +2,7 @@
 
 use crate::world::World;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
@@ -9,8 +10,11 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn setrlimit(resource: i32, limits: *const u64) -> i32;
 }
 
+/// The same on x86-64 and on arm64.
+const RLIMIT_NOFILE: i32 = 7;
 pub const SIGHUP: i32 = 1;
 const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
@@ -83,7 +87,23 @@
             .append(true)
             .open(log)
             .expect("the log opens");
-        let child = Command::new(program)
+        let mut command = Command::new(program);
+        if let Ok(limit) = std::env::var("NOFILE").unwrap_or_default().parse::<u64>() {
+            // The limit on descriptors, as a platform sets it for the process.
+            let set = move || {
+                let limits = [limit, limit];
+                // SAFETY: it reads two numbers and changes only the limit of the child.
+                match unsafe { setrlimit(RLIMIT_NOFILE, limits.as_ptr()) } {
+                    0 => Ok(()),
+                    _ => Err(std::io::Error::last_os_error()),
+                }
+            };
+            // SAFETY: the closure calls nothing but one system call.
+            unsafe {
+                command.pre_exec(set);
+            }
+        }
+        let child = command
             .arg("--operator")
             .arg(operator)
             .env("RELAY_CONFIG", config)
