Send no command about a run whose end is known

Callers saw, with durable results on: a request with an idempotency key ran twice after the link to the engine broke in the middle of the notice that its run had ended. The client got one answer, the effect happened twice.

Cause: while the record of an end waits for the disk, its request stays in flight, and the commands of its run stayed unproven. The link was restored, the missed end was read, and resend_commands sent RUN again: it asked whether the command was proven to be read, not whether the run was over. Without durable results the request leaves the table at its end, so the fault needs the record to be in flight.

Change: InFlightRequest has the stage of its run, and RunCommands::run_ended drops what is kept or held back and sends nothing further. The invariant stands at the head of run_commands. The same holds for a run that is given up while its write-ahead record is not durable: its RUN was held back and was sent after the end.

--- a/crates/server/src/core/answers.rs
+++ b/crates/server/src/core/answers.rs
@@ -80,7 +80,7 @@
         outcome: Outcome,
         result: Option<&str>,
     ) -> bool {
-        let Some(request) = self.requests.get(id) else {
+        let Some(request) = self.requests.get_mut(id) else {
             return false;
         };
         let Some(key) = request.key else {
@@ -94,6 +94,7 @@
         if !runs.record_result(self.now, id, key, result) {
             return false;
         }
+        request.run_ended();
         self.deadlines
             .insert(request.answer_deadline, Deadline::DurableAnswer(id));
         self.counters.run_ended(request.handler, outcome);
--- a/crates/server/src/core/in_flight.rs
+++ b/crates/server/src/core/in_flight.rs
@@ -15,6 +15,17 @@
 use madderbay::time::Timestamp;
 use std::collections::HashMap;
 
+/// How far the run of a request has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RunStage {
+    /// The decision module has not started it.
+    NotStarted,
+    /// The decision module has started it, and no end of it is known.
+    Started,
+    /// It has ended. The request may still wait for its result to become durable.
+    Ended,
+}
+
 /// A request that was read.
 pub(super) struct InFlightRequest {
     /// The name of the attempt, by which the engine and the upstream servers identify it.
@@ -29,8 +40,8 @@
     pub(super) fingerprint: u64,
     /// The body as it was read; empty once the run has been started with it.
     body: Box<str>,
-    /// Whether the decision module has started its run.
-    is_started: bool,
+    /// How far its run has come.
+    run: RunStage,
     /// Whether it was answered or its client is gone.
     is_settled: bool,
     /// Whether its run continued without an optional call.
@@ -57,7 +68,7 @@
             key: request.key,
             fingerprint: request.fingerprint,
             body: request.body.into(),
-            is_started: false,
+            run: RunStage::NotStarted,
             is_settled: false,
             is_partial: false,
             answer_deadline: (now + request.client_waits).saturating_sub(ANSWER_MARGIN),
@@ -68,13 +79,19 @@
 
     /// Marks the run of the request as started, and returns the body for it.
     pub(super) fn start(&mut self) -> Box<str> {
-        self.is_started = true;
+        self.run = RunStage::Started;
         std::mem::take(&mut self.body)
     }
 
-    /// Reports whether the decision module has started its run.
+    /// Reports whether the decision module has started its run, which may have ended since.
     pub(super) fn is_started(&self) -> bool {
-        self.is_started
+        self.run != RunStage::NotStarted
+    }
+
+    /// Marks the run of the request as ended. No command about it is sent any more.
+    pub(super) fn run_ended(&mut self) {
+        self.run = RunStage::Ended;
+        self.commands.run_ended();
     }
 
     /// Marks the request as answered or its client as gone. Returns whether it was marked already.
@@ -93,7 +110,7 @@
     }
 }
 
-/// A run that was started.
+/// A run that was started and whose end is not known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct StartedRun {
     /// The id of its request.
@@ -158,7 +175,10 @@
 
     /// Returns the runs that were started, in the order of their request ids.
     pub(super) fn started(&self) -> Vec<StartedRun> {
-        let started = self.by_id.iter().filter(|(_, request)| request.is_started);
+        let started = self
+            .by_id
+            .iter()
+            .filter(|(_, request)| request.is_started());
         let mut runs: Vec<StartedRun> = started
             .map(|(id, request)| StartedRun {
                 request: *id,
--- a/crates/server/src/core/run_commands.rs
+++ b/crates/server/src/core/run_commands.rs
@@ -8,6 +8,9 @@
 //! Invariant: a command leaves `unproven` once it is proven that the engine has read it: by an
 //! answer to a query that was sent after it on the same link, or by a notice of the run that proves
 //! the same. Nothing else is proof, neither a new link nor silence.
+//!
+//! Invariant: no command is sent about a run whose end is known. The engine keeps no record of a run
+//! that has ended, so a second command to run it would begin it again.
 
 use crate::upstream::engine::{EngineLink, LinkAnswers, ReadProof};
 
@@ -61,6 +64,8 @@
     /// The answer that will prove that the engine has read all of them; `None` if the last one has
     /// not been sent on a link yet.
     proof: Option<ReadProof>,
+    /// Whether the end of the run is known.
+    has_ended: bool,
 }
 
 impl RunCommands {
@@ -89,6 +94,9 @@
     }
 
     fn submit_kind(&mut self, kind: CommandKind, line: Vec<u8>, link: &EngineLink) {
+        if self.has_ended {
+            return;
+        }
         let command = UnprovenCommand { line, kind };
         match &mut self.held_back {
             Some(held_back) => push_unless_repeated_cancel(held_back, command),
@@ -133,6 +141,14 @@
         self.proof = None;
     }
 
+    /// Handles the end of the run: drops its commands, also those that were held back, and sends no
+    /// further ones.
+    pub(super) fn run_ended(&mut self) {
+        self.has_ended = true;
+        self.held_back = None;
+        self.mark_all_read();
+    }
+
     /// Handles the loss of the link after `written_bytes` were written. A reply that begins at or
     /// after that position was certainly not read.
     pub(super) fn link_lost(&mut self, written_bytes: u64) {
--- a/crates/server/src/core/run_commands/tests.rs
+++ b/crates/server/src/core/run_commands/tests.rs
@@ -201,3 +201,35 @@
     commands.cancel(CANCEL.into(), &link);
     assert_eq!(outbox.take(), CANCEL);
 }
+
+/// The end of a run is known, but its request is still in flight: no command about it may reach the
+/// next link, or the engine would begin the run again.
+#[test]
+fn sends_nothing_after_the_run_has_ended() {
+    let (mut link, outbox) = link_up();
+    let mut commands = RunCommands::default();
+    commands.submit(RUN.into(), &link);
+    outbox.take();
+    lose_link(&mut link, &mut commands);
+    let outbox = Outbox::default();
+    link.attach(outbox.clone(), 0);
+    commands.run_ended();
+    commands.cancel(CANCEL.into(), &link);
+    outbox.take();
+    assert!(link.restored());
+    assert!(!commands.has_unproven());
+    assert_eq!(commands.resend(&link), ResendOutcome::Resent);
+    assert_eq!(outbox.take(), b"");
+}
+
+/// A run that was given up before it was sent is not sent once its write-ahead record is durable.
+#[test]
+fn sends_nothing_held_back_after_the_run_has_ended() {
+    let (link, outbox) = link_up();
+    let mut commands = RunCommands::default();
+    commands.hold_back();
+    commands.submit(RUN.into(), &link);
+    commands.run_ended();
+    commands.release(&link);
+    assert_eq!(outbox.take(), b"");
+}
