Keep a run that is sent again from crossing its own end

Cause: the server reads all missed notices, and then the answer that proves that there are no more. The run ends; the command to run it, sent again in the same moment, reaches the engine 0.3 ms later, and the engine, which keeps no record of it, begins it again. The protocol has no command that is refused for a run that has ended, so no order of reading can close the gap: a RUN that may have been read can't be sent at all while the run may be going on.

Change: for handlers that are not safe to repeat, a RUN that was written to a lost link puts the run in doubt. Its notices are awaited for 150 ms: most runs end or reach a call by then, and lose nothing. Then it is cancelled; an answer to a later query, with no end before it, proves that it never began, and it is sent again. A run that had begun ends as cancelled, and its request fails. A client that leaves cancels at once. What was not written to the lost link, and reads, are sent at once as before. The log line "engine: link restored" counts runs_in_doubt.

--- a/crates/server/src/core/actions.rs
+++ b/crates/server/src/core/actions.rs
@@ -38,6 +38,13 @@
             self.engine_commands.release(request);
         }
     }
+
+    /// Handles a run of which it is still unknown whether it has begun.
+    pub(super) fn run_doubt_expired(&mut self, id: u64) {
+        if let Some(request) = self.requests.get_mut(id) {
+            self.engine_commands.doubt_expired(request);
+        }
+    }
 }
 
 impl Actions for ActionExecutor {
@@ -48,6 +55,9 @@
         let body = request.start();
         self.counters.run_started();
         let handler = request.handler;
+        if !self.validator.is_idempotent(handler) {
+            request.commands.set_runs_once();
+        }
         if let Some(key) = request.key {
             let runs = &mut self.idempotent_runs;
             match runs.begin_run(self.now, id, key, request.name) {
--- a/crates/server/src/core/deadlines.rs
+++ b/crates/server/src/core/deadlines.rs
@@ -21,6 +21,8 @@
     FirstRequest(u64),
     /// This request is answered although its result is not durable yet.
     DurableAnswer(u64),
+    /// It is to be found out whether the run of this request has begun.
+    RunInDoubt(u64),
     /// Expired entries and idle connections are removed.
     Maintenance,
 }
--- a/crates/server/src/core/engine_commands.rs
+++ b/crates/server/src/core/engine_commands.rs
@@ -8,14 +8,37 @@
 use super::run_commands::ResendOutcome;
 use crate::support::attempt_name;
 use crate::upstream::engine::{EngineCommand, EngineLink};
+use madderbay::interface::Cancellation;
+use std::collections::BTreeSet;
 
 /// Sends the commands of all runs to the engine.
-#[derive(Default)]
 pub(super) struct EngineCommands {
     link: EngineLink,
+    /// Whether runs can be cancelled. The engine reports the end of each run that it cancels.
+    can_cancel: bool,
+    /// Requests of whose runs it is unknown whether they have begun, and some whose doubt is over.
+    in_doubt: BTreeSet<u64>,
+}
+
+/// The requests whose commands were not all sent again on a new link.
+#[derive(Debug, Default)]
+pub(super) struct RequestsInDoubt {
+    /// Their runs may have read the reply to their call or may still wait for it.
+    pub(super) replies: Vec<u64>,
+    /// Their runs may have begun, and must not begin twice.
+    pub(super) runs: Vec<u64>,
 }
 
 impl EngineCommands {
+    /// Creates the sending side for an engine whose cancellations do this.
+    pub(super) fn new(cancellation: Cancellation) -> EngineCommands {
+        EngineCommands {
+            link: EngineLink::default(),
+            can_cancel: cancellation != Cancellation::Unsupported,
+            in_doubt: BTreeSet::new(),
+        }
+    }
+
     /// Returns the link, for the driver that maintains it.
     pub(super) fn link_mut(&mut self) -> &mut EngineLink {
         &mut self.link
@@ -27,9 +50,8 @@
         match command {
             EngineCommand::Cancel => request.commands.cancel(line, &self.link),
             EngineCommand::Reply { .. } => request.commands.reply(line, &self.link),
-            EngineCommand::Run { .. } | EngineCommand::SkipCall { .. } => {
-                request.commands.submit(line, &self.link);
-            }
+            EngineCommand::Run { .. } => request.commands.run(line, &self.link),
+            EngineCommand::SkipCall { .. } => request.commands.submit(line, &self.link),
         }
     }
 
@@ -54,11 +76,11 @@
     }
 
     /// Sends the commands again that may not have reached the engine, when the link is up again.
-    /// Returns the requests whose runs may have read the reply to their call or may still wait for
-    /// it.
-    pub(super) fn resend(&self, requests: &mut InFlightRequests) -> Vec<u64> {
+    /// Returns the requests of which some command was not sent.
+    pub(super) fn resend(&mut self, requests: &mut InFlightRequests) -> RequestsInDoubt {
         let answers = self.link.proven_before();
-        let (mut runs, mut in_doubt) = (0, vec![]);
+        let mut runs = 0;
+        let mut in_doubt = RequestsInDoubt::default();
         for (id, request) in requests.sorted_mut(|request| request.commands.has_unproven()) {
             // Commands that the lost link proved to be read are dropped now, because the next link
             // knows nothing of the answers on the lost one.
@@ -67,19 +89,63 @@
                 continue;
             }
             runs += 1;
+            let outcome = request.commands.resend(&self.link);
             log::debug!(
-                "engine: commands sent again, attempt={}, bytes={}",
+                "engine: commands sent again, attempt={}, bytes={}, outcome={outcome:?}",
                 attempt_name::as_text(&request.name),
                 request.commands.unproven_bytes()
             );
-            if request.commands.resend(&self.link) == ResendOutcome::ReplyInDoubt {
-                in_doubt.push(id);
+            match outcome {
+                ResendOutcome::Resent => {}
+                ResendOutcome::ReplyInDoubt => in_doubt.replies.push(id),
+                ResendOutcome::RunInDoubt => in_doubt.runs.push(id),
             }
         }
+        self.in_doubt.extend(&in_doubt.runs);
         log::info!(
-            "engine: link restored, runs_unproven={runs}, replies_in_doubt={}",
-            in_doubt.len()
+            "engine: link restored, runs_unproven={runs}, runs_in_doubt={}, replies_in_doubt={}",
+            in_doubt.runs.len(),
+            in_doubt.replies.len()
         );
         in_doubt
     }
+
+    /// Handles a run in doubt of which no notice has arrived for long: cancels it, to learn whether it
+    /// has begun. Where runs can't be cancelled, nothing can tell, and the run is sent again: by now it
+    /// has most likely ended if it was read.
+    pub(super) fn doubt_expired(&mut self, request: &mut InFlightRequest) {
+        if !request.commands.is_in_doubt() {
+            return;
+        }
+        let attempt = attempt_name::as_text(&request.name);
+        if self.can_cancel {
+            log::debug!("engine: run in doubt cancelled, attempt={attempt}");
+            let line = EngineCommand::Cancel.line(&request.name);
+            request.commands.resolve_by_cancelling(&line, &self.link);
+        } else {
+            log::debug!("engine: run in doubt sent again, attempt={attempt}");
+            request.commands.resend_run_in_doubt(&self.link);
+        }
+    }
+
+    /// Sends the commands of a run again that has certainly not begun.
+    pub(super) fn resend_run(&mut self, request: &mut InFlightRequest) {
+        request.commands.resend_run_in_doubt(&self.link);
+    }
+
+    /// Removes and returns the requests whose runs were in doubt and have certainly not begun, in the
+    /// order of their ids. To be called after each answer to a query.
+    pub(super) fn take_never_began(&mut self, requests: &InFlightRequests) -> Vec<u64> {
+        let mut never_began = vec![];
+        let link = &self.link;
+        self.in_doubt.retain(|id| {
+            let commands = requests.get(*id).map(|request| &request.commands);
+            if commands.is_some_and(|commands| commands.never_began(link)) {
+                never_began.push(*id);
+                return false;
+            }
+            commands.is_some_and(|commands| commands.is_in_doubt())
+        });
+        never_began
+    }
 }
--- a/crates/server/src/core/executor.rs
+++ b/crates/server/src/core/executor.rs
@@ -67,7 +67,7 @@
             downstream: DownstreamAnswers::default(),
             validator: RequestValidator::new(settings),
             idempotent_runs: IdempotentRuns::new(settings, max_cached_bytes),
-            engine_commands: EngineCommands::default(),
+            engine_commands: EngineCommands::new(settings.machine.cancellation),
             calls: CallDispatcher::default(),
             limits: RequestLimits::default(),
             backends: BackendRouting::new(settings),
--- a/crates/server/src/core/run_commands.rs
+++ b/crates/server/src/core/run_commands.rs
@@ -11,6 +11,11 @@
 //!
 //! Invariant: no command is sent about a run whose end is known. The engine keeps no record of a run
 //! that has ended, so a second command to run it would begin it again.
+//!
+//! For the same reason the command to run a request that must not run twice is not sent again at
+//! once if it may have been read: the run may end while the command is on its way. Such a run is in
+//! doubt until a notice about it arrives. If none arrives, the run is cancelled, and the answer to a
+//! query after the cancellation proves that it has ended or never began.
 
 use crate::upstream::engine::{EngineLink, LinkAnswers, ReadProof};
 
@@ -23,16 +28,18 @@
     /// wait for. A reply does not say which call it is for, so the run could take a second copy as
     /// the reply to its next call.
     ReplyInDoubt,
+    /// Nothing was sent: the run may have begun, and must not begin twice.
+    RunInDoubt,
 }
 
-/// Whether the reply to a call has been sent and may have been read.
+/// Whether a command that must not be read twice has been sent and may have been read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ReplyProgress {
+enum Delivery {
     /// As far as is known, it was not written to any link.
     Unsent,
     /// It was sent on the current link, where it begins at this byte position.
     SentAt(u64),
-    /// It was written to a link that was then lost, so the run may have read it.
+    /// It was written to a link that was then lost, so it may have been read.
     InDoubt,
 }
 
@@ -44,8 +51,29 @@
     /// A cancellation. It has no further effect when it is read twice; the run may still reach a
     /// call before the engine reads it.
     Cancel,
+    /// The command to run a request that must not run twice.
+    Run(Delivery),
     /// The reply to a call.
-    Reply(ReplyProgress),
+    Reply(Delivery),
+}
+
+impl CommandKind {
+    /// Returns the delivery of a command that must not be read twice.
+    fn delivery_mut(&mut self) -> Option<&mut Delivery> {
+        match self {
+            CommandKind::Run(delivery) | CommandKind::Reply(delivery) => Some(delivery),
+            CommandKind::Repeatable | CommandKind::Cancel => None,
+        }
+    }
+}
+
+/// What has been done to find out whether a run has begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RunDoubt {
+    /// Nothing: its notices are awaited.
+    Open,
+    /// Its cancellation was sent. Once this is proven to be read, the run has ended or never began.
+    Cancelled(ReadProof),
 }
 
 /// A command that the engine may not have read.
@@ -66,6 +94,10 @@
     proof: Option<ReadProof>,
     /// Whether the end of the run is known.
     has_ended: bool,
+    /// Whether the run must not begin a second time.
+    runs_once: bool,
+    /// Set while it is unknown whether the run has begun. Nothing but its cancellation is sent.
+    doubt: Option<RunDoubt>,
 }
 
 impl RunCommands {
@@ -74,6 +106,21 @@
         self.held_back = Some(vec![]);
     }
 
+    /// Declares that the run must not begin a second time.
+    pub(super) fn set_runs_once(&mut self) {
+        self.runs_once = true;
+    }
+
+    /// Sends the command that begins the run, or holds it back.
+    pub(super) fn run(&mut self, line: Vec<u8>, link: &EngineLink) {
+        let kind = if self.runs_once {
+            CommandKind::Run(Delivery::Unsent)
+        } else {
+            CommandKind::Repeatable
+        };
+        self.submit_kind(kind, line, link);
+    }
+
     /// Sends a command, or holds it back.
     pub(super) fn submit(&mut self, line: Vec<u8>, link: &EngineLink) {
         self.submit_kind(CommandKind::Repeatable, line, link);
@@ -81,13 +128,14 @@
 
     /// Sends the command that cancels the run, or holds it back.
     pub(super) fn cancel(&mut self, line: Vec<u8>, link: &EngineLink) {
+        self.resolve_by_cancelling(&line, link);
         self.submit_kind(CommandKind::Cancel, line, link);
     }
 
     /// Sends the reply to the call that the run waits for, or holds it back.
     pub(super) fn reply(&mut self, line: Vec<u8>, link: &EngineLink) {
         let position = link.queued_bytes();
-        self.submit_kind(CommandKind::Reply(ReplyProgress::Unsent), line, link);
+        self.submit_kind(CommandKind::Reply(Delivery::Unsent), line, link);
         if link.is_up() {
             self.reply_sent_at(position);
         }
@@ -111,11 +159,20 @@
         }
     }
 
-    /// Sends a command, and keeps it until it is proven that the engine has read it.
-    fn send(&mut self, command: UnprovenCommand, link: &EngineLink) {
+    /// Sends a command, and keeps it until it is proven that the engine has read it. While the run is
+    /// in doubt, it is only kept, to be sent in its place behind the command that begins the run.
+    fn send(&mut self, mut command: UnprovenCommand, link: &EngineLink) {
+        if self.is_in_doubt() {
+            return push_unless_repeated_cancel(&mut self.unproven, command);
+        }
         if self.proof.is_some_and(|proof| link.is_proven(proof)) {
             self.mark_all_read();
         }
+        if let CommandKind::Run(delivery) = &mut command.kind
+            && link.is_up()
+        {
+            *delivery = Delivery::SentAt(link.queued_bytes());
+        }
         self.proof = link.send(&command.line);
         push_unless_repeated_cancel(&mut self.unproven, command);
     }
@@ -124,13 +181,14 @@
     /// link.
     pub(super) fn reply_sent_at(&mut self, position: u64) {
         if let Some(reply) = self.unproven.last_mut() {
-            reply.kind = CommandKind::Reply(ReplyProgress::SentAt(position));
+            reply.kind = CommandKind::Reply(Delivery::SentAt(position));
         }
     }
 
     /// Handles the notice that the run has reached a call: the engine has read all commands that
     /// led to it, but perhaps not a cancellation.
     pub(super) fn run_reached_call(&mut self) {
+        self.doubt = None;
         self.unproven
             .retain(|command| command.kind == CommandKind::Cancel);
     }
@@ -139,6 +197,7 @@
     pub(super) fn mark_all_read(&mut self) {
         self.unproven.clear();
         self.proof = None;
+        self.doubt = None;
     }
 
     /// Handles the end of the run: drops its commands, also those that were held back, and sends no
@@ -149,19 +208,21 @@
         self.mark_all_read();
     }
 
-    /// Handles the loss of the link after `written_bytes` were written. A reply that begins at or
+    /// Handles the loss of the link after `written_bytes` were written. A command that begins at or
     /// after that position was certainly not read.
     pub(super) fn link_lost(&mut self, written_bytes: u64) {
+        self.doubt = None;
         for command in &mut self.unproven {
-            let CommandKind::Reply(ReplyProgress::SentAt(position)) = command.kind else {
+            let Some(delivery) = command.kind.delivery_mut() else {
                 continue;
             };
-            let progress = if position >= written_bytes {
-                ReplyProgress::Unsent
-            } else {
-                ReplyProgress::InDoubt
-            };
-            command.kind = CommandKind::Reply(progress);
+            if let Delivery::SentAt(position) = *delivery {
+                *delivery = if position >= written_bytes {
+                    Delivery::Unsent
+                } else {
+                    Delivery::InDoubt
+                };
+            }
         }
     }
 
@@ -183,15 +244,25 @@
     }
 
     /// Sends the unproven commands again, except a reply in doubt. The commands before and after
-    /// such a reply are sent, because they may be read twice.
+    /// such a reply are sent, because they may be read twice. Nothing is sent if the run must not
+    /// begin twice and may have begun.
     pub(super) fn resend(&mut self, link: &EngineLink) -> ResendOutcome {
+        let run_in_doubt = CommandKind::Run(Delivery::InDoubt);
+        if self
+            .unproven
+            .iter()
+            .any(|command| command.kind == run_in_doubt)
+        {
+            self.doubt = Some(RunDoubt::Open);
+            return ResendOutcome::RunInDoubt;
+        }
         let unproven = self.unproven.len();
         self.unproven
-            .retain(|command| command.kind != CommandKind::Reply(ReplyProgress::InDoubt));
+            .retain(|command| command.kind != CommandKind::Reply(Delivery::InDoubt));
         let has_reply_in_doubt = self.unproven.len() < unproven;
         for command in &mut self.unproven {
-            if let CommandKind::Reply(progress) = &mut command.kind {
-                *progress = ReplyProgress::SentAt(link.queued_bytes());
+            if let Some(delivery) = command.kind.delivery_mut() {
+                *delivery = Delivery::SentAt(link.queued_bytes());
             }
             self.proof = link.send(&command.line);
         }
@@ -203,6 +274,43 @@
     }
 }
 
+/// Runs of which it is unknown whether they have begun.
+impl RunCommands {
+    /// Reports whether it is unknown whether the run has begun.
+    pub(super) fn is_in_doubt(&self) -> bool {
+        self.doubt.is_some()
+    }
+
+    /// Sends the cancellation of a run in doubt, if it was not sent on this link and the link is up.
+    pub(super) fn resolve_by_cancelling(&mut self, cancel_line: &[u8], link: &EngineLink) {
+        if self.doubt == Some(RunDoubt::Open)
+            && let Some(proof) = link.send(cancel_line)
+        {
+            self.doubt = Some(RunDoubt::Cancelled(proof));
+        }
+    }
+
+    /// Reports whether a run in doubt has certainly not begun: the engine has read its cancellation,
+    /// and no end was read before the proof of that.
+    pub(super) fn never_began(&self, link: &EngineLink) -> bool {
+        match self.doubt {
+            Some(RunDoubt::Cancelled(proof)) => link.is_proven(proof),
+            Some(RunDoubt::Open) | None => false,
+        }
+    }
+
+    /// Ends the doubt and sends the commands of the run again.
+    pub(super) fn resend_run_in_doubt(&mut self, link: &EngineLink) {
+        self.doubt = None;
+        for command in &mut self.unproven {
+            if let CommandKind::Run(delivery) = &mut command.kind {
+                *delivery = Delivery::Unsent;
+            }
+        }
+        self.resend(link);
+    }
+}
+
 /// Appends a command, unless it is a cancellation and the last command is one too. A cancellation
 /// is repeated until the run ends, which may not be before the engine is back.
 fn push_unless_repeated_cancel(commands: &mut Vec<UnprovenCommand>, command: UnprovenCommand) {
--- a/crates/server/src/core/turns.rs
+++ b/crates/server/src/core/turns.rs
@@ -46,6 +46,7 @@
             // The disk is slower than the client's timeout. A result that is not durable can't be
             // sent as the answer.
             Deadline::DurableAnswer(id) => self.executor.answer_run(id, None),
+            Deadline::RunInDoubt(id) => self.executor.run_doubt_expired(id),
             Deadline::Maintenance => self.maintain(now),
         }
     }
--- a/crates/server/src/core/upstream_events.rs
+++ b/crates/server/src/core/upstream_events.rs
@@ -21,6 +21,9 @@
 /// If a tick is overdue by more than this, the process was stalled, and so all replies are read
 /// late.
 const STALL_THRESHOLD: Duration = Duration::from_millis(30);
+/// Time for which the notices of a run in doubt are awaited. Cancelling it loses the work of a run
+/// that has begun; waiting delays a run that has not.
+const RUN_DOUBT_PERIOD: Duration = Duration::from_millis(150);
 
 /// Ends of runs and calls.
 impl EventLoop {
@@ -111,9 +114,28 @@
         let executor = &mut self.executor;
         executor.now = now;
         let in_doubt = executor.engine_commands.resend(&mut executor.requests);
-        for id in in_doubt {
+        for id in in_doubt.runs {
+            executor
+                .deadlines
+                .insert(now + RUN_DOUBT_PERIOD, Deadline::RunInDoubt(id));
+        }
+        for id in in_doubt.replies {
             self.skip_call_or_fail(now, id);
         }
+        self.request_turn();
+    }
+
+    /// Sends the runs again that were in doubt and have certainly not begun. Those that nobody waits
+    /// for any more end as not run.
+    fn resend_runs_that_never_began(&mut self, now: Timestamp) {
+        let executor = &mut self.executor;
+        for id in executor.engine_commands.take_never_began(&executor.requests) {
+            if self.executor.requests.unanswered(id).is_none() {
+                self.run_declined(now, id);
+            } else if let Some(request) = self.executor.requests.get_mut(id) {
+                self.executor.engine_commands.resend_run(request);
+            }
+        }
     }
 
     /// Handles a run that can't get the reply to its call: no call can be made, or it is unknown
@@ -202,6 +224,7 @@
         if link_restored {
             self.resend_commands(now);
         }
+        self.resend_runs_that_never_began(now);
     }
 
     /// Handles a run that waits for a call.
