Take the first end of a run as final while its result waits for the disk

In the scenario, a request whose run has completed is answered "errored", and the store's last word on its key is that it never ran, so that a later incarnation would run it again.

Cause: such a request stays in the table, and three events took it for one whose run goes on. A second notice of its end (the engine's `gone` for a command that crossed the end) was recorded over the result; a declined RUN rejected it as never run; lost notices failed it and sent HALT.

Change: a notice or a declined command looks up requests whose run has not ended. A second end counts as a stray, like that of a request that is gone, and only runs without an end fail when notices are lost.

--- a/crates/server/src/core/engine_commands.rs
+++ b/crates/server/src/core/engine_commands.rs
@@ -5,7 +5,7 @@
 //! are read elsewhere, and commands are decided elsewhere.
 
 use super::in_flight::{InFlightRequest, InFlightRequests};
-use super::run_commands::ResendOutcome;
+use super::run_commands::{ResendOutcome, RunCommands};
 use crate::support::attempt_name;
 use crate::upstream::engine::{EngineCommand, EngineLink};
 use madderbay::interface::Cancellation;
@@ -144,7 +144,7 @@
                 never_began.push(*id);
                 return false;
             }
-            commands.is_some_and(|commands| commands.is_in_doubt())
+            commands.is_some_and(RunCommands::is_in_doubt)
         });
         never_began
     }
--- a/crates/server/src/core/in_flight.rs
+++ b/crates/server/src/core/in_flight.rs
@@ -88,6 +88,11 @@
         self.run != RunStage::NotStarted
     }
 
+    /// Reports whether the run has ended; its request may still wait for the result to become durable.
+    pub(super) fn has_run_ended(&self) -> bool {
+        self.run == RunStage::Ended
+    }
+
     /// Marks the run of the request as ended. No command about it is sent any more.
     pub(super) fn run_ended(&mut self) {
         self.run = RunStage::Ended;
@@ -155,6 +160,13 @@
         self.by_id.get(&id).filter(|request| !request.is_settled)
     }
 
+    /// Returns the id of the request whose attempt has this name, unless its run has ended.
+    pub(super) fn id_before_end(&self, name: &AttemptName) -> Option<u64> {
+        let id = self.id(name)?;
+        let has_ended = self.get(id).is_some_and(InFlightRequest::has_run_ended);
+        (!has_ended).then_some(id)
+    }
+
     /// Returns the id of the request whose attempt has this name.
     pub(super) fn id(&self, name: &AttemptName) -> Option<u64> {
         self.ids_by_name.get(name).copied()
@@ -173,12 +185,12 @@
             .count()
     }
 
-    /// Returns the runs that were started, in the order of their request ids.
+    /// Returns the runs that were started and have not ended, in the order of their request ids.
     pub(super) fn started(&self) -> Vec<StartedRun> {
         let started = self
             .by_id
             .iter()
-            .filter(|(_, request)| request.is_started());
+            .filter(|(_, request)| request.run == RunStage::Started);
         let mut runs: Vec<StartedRun> = started
             .map(|(id, request)| StartedRun {
                 request: *id,
--- a/crates/server/src/core/upstream_events.rs
+++ b/crates/server/src/core/upstream_events.rs
@@ -129,7 +129,10 @@
     /// for any more end as not run.
     fn resend_runs_that_never_began(&mut self, now: Timestamp) {
         let executor = &mut self.executor;
-        for id in executor.engine_commands.take_never_began(&executor.requests) {
+        for id in executor
+            .engine_commands
+            .take_never_began(&executor.requests)
+        {
             if self.executor.requests.unanswered(id).is_none() {
                 self.run_declined(now, id);
             } else if let Some(request) = self.executor.requests.get_mut(id) {
@@ -172,8 +175,8 @@
             .remove_key_of_newest_attempt(id);
     }
 
-    /// Handles the end of a run that is not in flight. It may be a run of an earlier incarnation,
-    /// whose outcome is then recorded.
+    /// Handles the end of a run that is not in flight, or of one whose end was read before: the first
+    /// end is final. It may be a run of an earlier incarnation, whose outcome is then recorded.
     fn unknown_run_ended(&mut self, name: &AttemptName, outcome: Outcome, result: &str) {
         let executor = &mut self.executor;
         let result = (outcome == Outcome::Completed).then_some(result);
@@ -230,7 +233,7 @@
     /// Handles a run that waits for a call.
     fn call_needed(&mut self, now: Timestamp, name: &AttemptName, serial: u64, body: &str) {
         let executor = &mut self.executor;
-        let Some(id) = executor.requests.id(name) else {
+        let Some(id) = executor.requests.id_before_end(name) else {
             return;
         };
         let Some(request) = executor.requests.get_mut(id) else {
@@ -260,7 +263,7 @@
         run_time: Duration,
         result: &str,
     ) {
-        let Some(id) = self.executor.requests.id(name) else {
+        let Some(id) = self.executor.requests.id_before_end(name) else {
             return self.unknown_run_ended(name, outcome, result);
         };
         self.executor.now = now;
@@ -278,7 +281,7 @@
     fn command_declined(&mut self, now: Timestamp, command: DeclinedCommand, name: &AttemptName) {
         self.executor.counters.command_declined();
         log::debug!("engine: command declined, command={command}");
-        let Some(id) = self.executor.requests.id(name) else {
+        let Some(id) = self.executor.requests.id_before_end(name) else {
             return;
         };
         if command.is_run() {
