Serve the input of a connection in turns

Callers saw: while one client sent small or unsound lines at full speed on one connection and read its answers, others got theirs late or never, and new connections waited for seconds. Nothing was logged.

Cause: a connection's task read up to 64 KiB and served it, some 20,000 lines, and went on without a pause while its socket was ready, until the runtime's budget of 128 steps was used up. All connections, the engine's link and the decision module share its thread. The bound on unread answers was looked at between such steps.

Change: the driver passes input to an InputHandler, which serves at most 32 lines or 16 KiB, and asks to be resumed; the driver lets all other tasks run in between. The rest of a read waits in the line splitter, bounded by the read. A turn ends early when 16 KiB of answers are unread. A connection with ten thousand lines within a second is logged once and counted in connections.flooding. The test of the driver's memory passes its closure in BytesOnly; its bound is as before.

--- a/crates/server/src/downstream/json_rpc.rs
+++ b/crates/server/src/downstream/json_rpc.rs
@@ -1,22 +1,28 @@
 //! Reads JSON-RPC 2.0 from one downstream connection and calls the core.
 //!
-//! `JsonRpcSession` owns the incomplete line of one connection and whether reading continues. It is given the bytes
+//! `JsonRpcSession` owns the incomplete line of one connection, the lines left for its next turn, and whether reading
+//! continues. It is given the bytes
 //! that were read and, for each call, the event loop. It answers the lines that can't be served; all other answers
 //! come from the core. It reads no sockets and makes no decisions about requests.
 
 use crate::core::event_loop::EventLoop;
-use crate::downstream::open_requests::{LineProgress, OpenRequestError};
+use crate::downstream::flood_detector::FloodDetector;
+use crate::downstream::open_requests::{LineProgress, MAX_OPEN_REQUESTS, OpenRequestError};
 use crate::downstream::request_validation::InvalidRequest;
 use crate::downstream::response;
 use crate::downstream::wire_names::{VERSION, envelope, error_code, method, param};
 use crate::support::attempt_name;
-use crate::support::io::LineSplitter;
+use crate::support::io::{LineSplitter, NextInput, SplitOutcome};
 use crate::support::json::{JsonObject, is_value};
 use madderbay::time::Timestamp;
+use std::ops::ControlFlow;
 
 /// Maximum length of a line. Every legal line is shorter: a body of 2 KiB in base64 with each character escaped,
 /// and the other fields.
 const MAX_LINE_BYTES: usize = 20 << 10;
+/// Maximum number of lines of one connection that are served before other connections get their turn: as many as it
+/// may have requests open.
+const MAX_LINES_PER_TURN: usize = MAX_OPEN_REQUESTS;
 
 /// The reason why a line can't be served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -108,6 +114,7 @@
     lines: LineSplitter,
     /// The peer violated the protocol. Nothing more is read.
     ended: bool,
+    flood: FloodDetector,
 }
 
 impl JsonRpcSession {
@@ -117,40 +124,78 @@
             connection,
             lines: LineSplitter::with_max_line_bytes(MAX_LINE_BYTES),
             ended: false,
+            flood: FloodDetector::default(),
         }
     }
 
-    /// Serves the lines that `bytes` complete. Empty `bytes` mean the end of the input. Returns false when nothing
-    /// more is to be read.
-    pub fn feed(&mut self, now: Timestamp, bytes: &[u8], event_loop: &mut EventLoop) -> bool {
+    /// Serves the lines that `bytes` complete, up to [`MAX_LINES_PER_TURN`]. Empty `bytes` mean the end of the input.
+    #[must_use]
+    pub fn feed(&mut self, now: Timestamp, bytes: &[u8], event_loop: &mut EventLoop) -> NextInput {
+        let next = self.serve_turn(now, bytes, event_loop);
+        if bytes.is_empty() {
+            event_loop.input_ended(self.connection);
+            return NextInput::Stop;
+        }
+        next
+    }
+
+    /// Serves further lines of those that were fed.
+    #[must_use]
+    pub fn resume(&mut self, now: Timestamp, event_loop: &mut EventLoop) -> NextInput {
+        self.serve_turn(now, &[], event_loop)
+    }
+
+    /// Serves the lines of one turn: those left over from the last one, then those that `bytes` complete.
+    fn serve_turn(
+        &mut self,
+        now: Timestamp,
+        bytes: &[u8],
+        event_loop: &mut EventLoop,
+    ) -> NextInput {
         let connection = self.connection;
         let ended = &mut self.ended;
-        let mut completed = false;
-        let in_bounds = self.lines.feed(bytes, |line| {
-            completed = true;
+        let mut lines_served = 0;
+        let outcome = self.lines.feed_until(bytes, |line| {
             if *ended {
-                return;
+                return ControlFlow::Continue(());
             }
+            lines_served += 1;
             if let Err(invalid) = serve_line(now, connection, line, event_loop) {
                 *ended = invalid.error.is_protocol_violation();
                 invalid.answer(now, connection, event_loop);
             }
+            let has_backlog = event_loop
+                .outbox(connection)
+                .is_some_and(|outbox| outbox.has_backlog());
+            if lines_served >= MAX_LINES_PER_TURN || has_backlog {
+                ControlFlow::Break(())
+            } else {
+                ControlFlow::Continue(())
+            }
         });
-        if !in_bounds && !self.ended {
+        if outcome == SplitOutcome::TooLong && !self.ended {
             self.ended = true;
             InvalidLine::from(LineError::TooLong).answer(now, connection, event_loop);
         }
         let progress = LineProgress {
             partial: self.lines.has_partial_line(),
-            completed,
+            completed: lines_served > 0,
         };
         event_loop
             .connections_mut()
             .line_read(now, connection, progress);
-        if bytes.is_empty() {
-            event_loop.input_ended(connection);
+        if self.flood.turn_ended(now, lines_served) {
+            event_loop.counters_mut().connection_flooding();
+            log::warn!(
+                "connection: input exceeds its share, id={connection}, lines={}",
+                self.flood.lines()
+            );
+        }
+        match outcome {
+            _ if self.ended => NextInput::Stop,
+            SplitOutcome::Paused => NextInput::Resume,
+            SplitOutcome::Drained | SplitOutcome::TooLong => NextInput::Read,
         }
-        !self.ended
     }
 }
 
--- a/crates/server/src/downstream/listener.rs
+++ b/crates/server/src/downstream/listener.rs
@@ -9,7 +9,7 @@
 use crate::core::event_loop::SharedEventLoop;
 use crate::downstream::json_rpc::JsonRpcSession;
 use crate::support::clock::Clock;
-use crate::support::io::{Outbox, drive_peer};
+use crate::support::io::{InputHandler, NextInput, Outbox, drive_peer};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -176,14 +176,34 @@
     true
 }
 
+/// The session of one connection, with what it needs to serve input.
+struct ConnectionInput<'a> {
+    session: JsonRpcSession,
+    clock: &'a Clock,
+    event_loop: &'a SharedEventLoop,
+}
+
+impl InputHandler for ConnectionInput<'_> {
+    fn feed(&mut self, bytes: &[u8]) -> NextInput {
+        let now = self.clock.now();
+        self.session
+            .feed(now, bytes, &mut self.event_loop.borrow_mut())
+    }
+
+    fn resume(&mut self) -> NextInput {
+        let now = self.clock.now();
+        self.session.resume(now, &mut self.event_loop.borrow_mut())
+    }
+}
+
 /// Moves bytes between one connection and its session until either ends.
 async fn serve_connection(stream: TcpStream, outbox: Outbox, guard: ConnectionGuard) {
-    let mut session = JsonRpcSession::new(guard.connection);
-    let feed = |bytes: &[u8]| {
-        let now = guard.clock.now();
-        session.feed(now, bytes, &mut guard.event_loop.borrow_mut())
+    let input = ConnectionInput {
+        session: JsonRpcSession::new(guard.connection),
+        clock: &guard.clock,
+        event_loop: &guard.event_loop,
     };
-    if let Err(e) = drive_peer(&stream, &outbox, feed).await {
+    if let Err(e) = drive_peer(&stream, &outbox, input).await {
         log::debug!("connection: broken, id={}, error={e}", guard.connection);
     }
 }
--- a/crates/server/src/downstream/mod.rs
+++ b/crates/server/src/downstream/mod.rs
@@ -7,6 +7,7 @@
 mod connection;
 /// The table of open connections, through which answers are written.
 pub mod connections;
+mod flood_detector;
 /// The table that gives all attempts with one idempotency key the same run.
 pub mod idempotency_table;
 /// Parses the lines of a connection and calls the core.
--- a/crates/server/src/support/io.rs
+++ b/crates/server/src/support/io.rs
@@ -5,11 +5,13 @@
 //! decides when a connection is closed.
 
 mod driver;
+mod input;
 mod line_splitter;
 mod outbox;
 
 pub use driver::{drive, drive_link, drive_peer};
-pub use line_splitter::LineSplitter;
+pub use input::{BytesOnly, InputHandler, NextInput};
+pub use line_splitter::{LineSplitter, SplitOutcome};
 pub use outbox::{Outbox, OutboxState};
 
 use std::io::ErrorKind;
--- a/crates/server/src/support/io/driver.rs
+++ b/crates/server/src/support/io/driver.rs
@@ -1,89 +1,175 @@
 //! Drivers of connections: they feed what they read to a state machine and write its outbox, until either side
 //! closes the connection.
+//!
+//! All connections are served on one thread. A connection with much input is served in turns of a bounded size, and
+//! the other tasks run between them.
 
+use super::input::{BytesOnly, InputHandler, NextInput};
 use super::outbox::{OutboxState, READ_BUFFER_BYTES};
 use socket2::SockRef;
 use std::io::{ErrorKind, Read};
 use std::net::Shutdown;
 use std::time::Duration;
+use tokio::io::Interest;
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 use tokio::time::timeout;
 
-/// Number of unwritten bytes at which nothing more is read from a peer, because it does not read its answers.
-const MAX_UNWRITTEN_BYTES: usize = 16 << 10;
 /// Maximum number of consecutive reads before other connections get their turn.
 const MAX_READS_PER_TURN: usize = 4;
-/// Maximum number of reads of what arrived before a connection's end. A peer that sends more does not delay the
+/// Number of bytes read after which other connections get their turn.
+const MAX_BYTES_PER_TURN: usize = READ_BUFFER_BYTES;
+/// Maximum number of turns for what arrived before a connection's end. A peer that sends more does not delay the
 /// end.
-const MAX_FINAL_READS: usize = 16;
+const MAX_FINAL_TURNS: usize = 16;
 /// Time for which a connection is still read after its write side was shut down, so that its peer can read the last
 /// answers and close it too. Closing a connection with unread bytes resets it, and those answers are lost.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Maximum number of bytes that are read in that time.
 const MAX_LINGER_BYTES: usize = 64 << 10;
 
-/// Reads what is ready and passes it to `feed`. An empty slice tells that the peer will send no more. Returns
-/// whether to continue reading, which `feed` may refuse.
-fn read_ready(stream: &TcpStream, feed: &mut impl FnMut(&[u8]) -> bool) -> std::io::Result<bool> {
+/// The result of one turn of reading.
+struct ReadTurn {
+    next: NextInput,
+    /// The turn reached its size, so that there may be more to read at once.
+    is_full: bool,
+}
+
+/// Reads what is ready, up to the size of a turn, and passes it to `handler`. Reading ends with the peer's input,
+/// or when the handler refuses more.
+fn read_turn(stream: &TcpStream, handler: &mut impl InputHandler) -> std::io::Result<ReadTurn> {
     let mut buffer = [0; READ_BUFFER_BYTES];
+    let mut bytes = 0;
     for _ in 0..MAX_READS_PER_TURN {
-        match stream.try_read(&mut buffer) {
+        let next = match stream.try_read(&mut buffer) {
             Ok(0) => {
-                feed(&[]);
-                return Ok(false);
+                handler.feed(&[]);
+                NextInput::Stop
             }
             Ok(n) => {
-                if !feed(&buffer[..n]) {
-                    return Ok(false);
-                }
+                bytes += n;
+                handler.feed(&buffer[..n])
+            }
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                return Ok(ReadTurn {
+                    next: NextInput::Read,
+                    is_full: false,
+                });
             }
-            Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(true),
             Err(e) => return Err(e),
+        };
+        if next != NextInput::Read {
+            return Ok(ReadTurn {
+                next,
+                is_full: false,
+            });
+        }
+        if bytes >= MAX_BYTES_PER_TURN {
+            break;
         }
     }
-    Ok(true)
+    Ok(ReadTurn {
+        next: NextInput::Read,
+        is_full: true,
+    })
 }
 
-/// Reads directly from the socket, bypassing the runtime's readiness state. Returns the number of bytes, or `None`
-/// if nothing has arrived. The buffer is local to this call: one kept across an await would be part of the state of
+/// Reads directly from the socket, bypassing the runtime's readiness state. Returns the handler's wish, or `None` if
+/// nothing has arrived. The buffer is local to this call: one kept across an await would be part of the state of
 /// each connection.
 fn read_bypassing_runtime(
     stream: &TcpStream,
-    mut feed: impl FnMut(&[u8]),
-) -> std::io::Result<Option<usize>> {
+    handler: &mut impl InputHandler,
+) -> std::io::Result<Option<NextInput>> {
     let mut buffer = [0; READ_BUFFER_BYTES];
     match (&*SockRef::from(stream)).read(&mut buffer) {
-        Ok(n) => {
-            feed(&buffer[..n]);
-            Ok(Some(n))
+        Ok(0) => {
+            handler.feed(&[]);
+            Ok(Some(NextInput::Stop))
         }
+        Ok(n) => Ok(Some(handler.feed(&buffer[..n]))),
         Err(e) if e.kind() == ErrorKind::WouldBlock => Ok(None),
         Err(e) => Err(e),
     }
 }
 
-/// Serves one connection until it fails or `outbox` is closed and written. Once `feed` refuses to read on, only
-/// writing continues: the state machine closes `outbox` when it has nothing more to answer.
-async fn serve(
-    stream: &TcpStream,
-    outbox: &OutboxState,
-    is_reading: &mut bool,
-    feed: &mut impl FnMut(&[u8]) -> bool,
-) -> std::io::Result<()> {
-    loop {
-        outbox.flush(stream)?;
-        if outbox.is_closing() && outbox.is_empty() {
-            return Ok(());
-        }
-        tokio::select! {
-            ready = stream.readable(), if *is_reading && outbox.unwritten() < MAX_UNWRITTEN_BYTES => {
-                ready?;
-                *is_reading = read_ready(stream, feed)?;
+/// Returns an error if the connection was reset.
+async fn check_reset(stream: &TcpStream) -> std::io::Result<()> {
+    stream.ready(Interest::ERROR).await?;
+    Err(stream
+        .take_error()?
+        .unwrap_or_else(|| ErrorKind::ConnectionReset.into()))
+}
+
+/// Lets the other tasks run once. Returns an error if the connection was reset.
+async fn yield_turn(stream: &TcpStream) -> std::io::Result<()> {
+    tokio::select! {
+        biased;
+        reset = check_reset(stream) => reset,
+        () = yield_now() => Ok(()),
+    }
+}
+
+/// One connection and the state machine that it is served by.
+struct Driver<'a, H> {
+    stream: &'a TcpStream,
+    outbox: &'a OutboxState,
+    handler: H,
+    next: NextInput,
+}
+
+impl<H: InputHandler> Driver<'_, H> {
+    /// Serves the connection until it fails or the outbox is closed and written. Once the handler refuses to read
+    /// on, only writing continues: the state machine closes the outbox when it has nothing more to answer.
+    async fn serve(&mut self) -> std::io::Result<()> {
+        let (stream, outbox) = (self.stream, self.outbox);
+        loop {
+            outbox.flush(stream)?;
+            if outbox.is_closing() && outbox.is_empty() {
+                return Ok(());
+            }
+            let takes_input = !outbox.has_backlog();
+            if takes_input && self.next == NextInput::Resume {
+                self.next = self.handler.resume();
+                yield_turn(stream).await?;
+                continue;
+            }
+            tokio::select! {
+                ready = stream.ready(Interest::READABLE), if takes_input && self.next == NextInput::Read => {
+                    ready?;
+                    self.read_turn().await?;
+                }
+                ready = stream.writable(), if outbox.unwritten() > 0 => ready?,
+                () = outbox.changed() => {}
             }
-            ready = stream.writable(), if outbox.unwritten() > 0 => ready?,
-            () = outbox.changed() => {}
         }
     }
+
+    /// Reads one turn, and lets the other tasks run if there may be more to serve at once.
+    async fn read_turn(&mut self) -> std::io::Result<()> {
+        let turn = read_turn(self.stream, &mut self.handler)?;
+        self.next = turn.next;
+        if turn.is_full || turn.next == NextInput::Resume {
+            self.outbox.flush(self.stream)?;
+            yield_turn(self.stream).await?;
+        }
+        Ok(())
+    }
+
+    /// Serves what arrived before the end of the connection, one turn at a time, after the outbox was closed and
+    /// written. Returns whether the connection goes on, because there was something to answer or there may be more.
+    fn serve_final_turn(&mut self) -> std::io::Result<bool> {
+        match self.next {
+            NextInput::Resume => self.next = self.handler.resume(),
+            NextInput::Read => match read_bypassing_runtime(self.stream, &mut self.handler)? {
+                Some(next) => self.next = next,
+                None => return Ok(false),
+            },
+            NextInput::Stop => {}
+        }
+        let is_over = self.next == NextInput::Stop && self.outbox.is_empty();
+        Ok(!is_over || !self.outbox.is_closing())
+    }
 }
 
 /// Serves one connection until it fails or `outbox` is closed and written. What the peer sends after that is not
@@ -94,10 +180,16 @@
 pub async fn drive(
     stream: &TcpStream,
     outbox: &OutboxState,
-    mut feed: impl FnMut(&[u8]) -> bool,
+    feed: impl FnMut(&[u8]) -> bool,
 ) -> std::io::Result<()> {
     let _ = stream.set_nodelay(true);
-    serve(stream, outbox, &mut true, &mut feed).await
+    let mut driver = Driver {
+        stream,
+        outbox,
+        handler: BytesOnly(feed),
+        next: NextInput::Read,
+    };
+    driver.serve().await
 }
 
 /// Serves one connection like [`drive`], for a peer that may send until it has seen the end. What arrived before
@@ -109,28 +201,27 @@
 pub async fn drive_peer(
     stream: &TcpStream,
     outbox: &OutboxState,
-    mut feed: impl FnMut(&[u8]) -> bool,
+    handler: impl InputHandler,
 ) -> std::io::Result<()> {
     let _ = stream.set_nodelay(true);
-    let mut is_reading = true;
-    let mut reads_left = MAX_FINAL_READS;
+    let mut driver = Driver {
+        stream,
+        outbox,
+        handler,
+        next: NextInput::Read,
+    };
+    let mut turns_left = MAX_FINAL_TURNS;
     loop {
-        serve(stream, outbox, &mut is_reading, &mut feed).await?;
-        if outbox.is_cut() || reads_left == 0 {
+        driver.serve().await?;
+        if outbox.is_cut() || turns_left == 0 {
             break;
         }
-        reads_left -= 1;
-        if is_reading {
-            let mut wants_more = true;
-            match read_bypassing_runtime(stream, |bytes| wants_more = feed(bytes))? {
-                Some(n) => is_reading = wants_more && n > 0,
-                None => break,
-            }
+        turns_left -= 1;
+        if !driver.serve_final_turn()? {
+            break;
         }
         if !outbox.is_closing() {
-            reads_left = MAX_FINAL_READS;
-        } else if !is_reading && outbox.is_empty() {
-            break;
+            turns_left = MAX_FINAL_TURNS;
         }
     }
     if !outbox.closes_promptly() {
@@ -159,13 +250,13 @@
 async fn discard_to_end(stream: &TcpStream) {
     let mut bytes = 0;
     while bytes < MAX_LINGER_BYTES && stream.readable().await.is_ok() {
-        let read_result = read_ready(stream, &mut |read: &[u8]| {
+        let mut discard = BytesOnly(|read: &[u8]| {
             bytes += read.len();
             bytes < MAX_LINGER_BYTES
         });
-        match read_result {
-            Ok(true) => {}
-            Ok(false) | Err(_) => return,
+        match read_turn(stream, &mut discard) {
+            Ok(turn) if turn.next != NextInput::Stop => {}
+            Ok(_) | Err(_) => return,
         }
     }
 }
--- a/crates/server/src/support/io/outbox.rs
+++ b/crates/server/src/support/io/outbox.rs
@@ -13,6 +13,9 @@
 /// buffer.
 pub(super) const READ_BUFFER_BYTES: usize = 16 << 10;
 
+/// Number of unwritten bytes at which nothing more is served for a peer, because it does not read its answers.
+const MAX_UNWRITTEN_BYTES: usize = 16 << 10;
+
 /// How a connection is to be closed.
 #[derive(Clone, Copy, Default, PartialEq, Eq)]
 enum CloseMode {
@@ -125,6 +128,11 @@
         self.bytes.borrow().len()
     }
 
+    /// Reports whether so much waits to be written that nothing more is to be served for the peer.
+    pub fn has_backlog(&self) -> bool {
+        self.unwritten() >= MAX_UNWRITTEN_BYTES
+    }
+
     /// Waits for the next change. Returns at once if there was a change since the last wait.
     pub(super) async fn changed(&self) {
         self.changed.notified().await;
--- a/crates/server/src/support/metrics.rs
+++ b/crates/server/src/support/metrics.rs
@@ -89,12 +89,13 @@
     failed: u64,
 }
 
-/// Number of connections of load balancers that were accepted, evicted or over the limit.
+/// Number of connections of load balancers that were accepted, evicted, over the limit or flooding.
 #[derive(Default)]
 struct ConnectionCounts {
     accepted: u64,
     evicted: u64,
     over_limit: u64,
+    flooding: u64,
 }
 
 /// Number of messages of peers that could not be read, by kind.
--- a/crates/server/src/support/metrics/events.rs
+++ b/crates/server/src/support/metrics/events.rs
@@ -147,6 +147,11 @@
         self.connections.over_limit += 1;
     }
 
+    /// Counts a connection that was reported because its input does not let up.
+    pub fn connection_flooding(&mut self) {
+        self.connections.flooding += 1;
+    }
+
     /// Returns the number of connections that were accepted over the limit.
     pub fn connections_over_limit(&self) -> u64 {
         self.connections.over_limit
--- a/crates/server/src/support/metrics/table.rs
+++ b/crates/server/src/support/metrics/table.rs
@@ -32,7 +32,7 @@
 ];
 
 /// All other lines, in order.
-const METRICS: [Metric; 43] = [
+const METRICS: [Metric; 44] = [
     metric("answered.done", |counters, _| counters.answers.completed),
     metric("answered.partial", |counters, _| counters.answers.partial),
     metric("answered.shed", |counters, _| counters.answers.rejected),
@@ -80,6 +80,9 @@
     metric("connections.refused", |counters, _| {
         counters.connections.over_limit
     }),
+    metric("connections.flooding", |counters, _| {
+        counters.connections.flooding
+    }),
     metric("keys.kept", |_, gauges| gauges.keys as u64),
     metric("bad.lines", |counters, _| counters.unreadable.lines),
     metric("bad.notices", |counters, _| counters.unreadable.notices),
--- a/crates/server/tests/counters.rs
+++ b/crates/server/tests/counters.rs
@@ -41,6 +41,7 @@
 counter connections.open 103
 counter connections.cut 13
 counter connections.refused 14
+counter connections.flooding 22
 counter keys.kept 105
 counter bad.lines 15
 counter bad.notices 16
@@ -136,6 +137,7 @@
     repeat(12, || counters.connection_accepted());
     repeat(13, || counters.connection_evicted());
     repeat(14, || counters.connection_over_limit());
+    repeat(22, || counters.connection_flooding());
     repeat(15, || counters.line_unreadable());
     repeat(21, || counters.report_accepted());
     repeat(22, || counters.report_failed());
--- a/crates/server/tests/crossings/resources.rs
+++ b/crates/server/tests/crossings/resources.rs
@@ -3,7 +3,7 @@
 use super::support::{
     TestServer, attempt_name, request, request_with_body, run_test, run_test_with_peer, wait_until,
 };
-use madderbay_server::support::io::{Outbox, drive, drive_peer};
+use madderbay_server::support::io::{BytesOnly, Outbox, drive, drive_peer};
 use madderbay_server::upstream::calls;
 use madderbay_server::upstream::engine::EngineObserver as _;
 use tokio::io::{AsyncBufReadExt, BufReader};
@@ -85,7 +85,7 @@
             .await
             .expect("the connection succeeds");
         let out = Outbox::default();
-        let waiting = drive_peer(&stream, &out, |_| true);
+        let waiting = drive_peer(&stream, &out, BytesOnly(|_: &[u8]| true));
         let bytes = std::mem::size_of_val(&waiting);
         assert!(bytes < 2_000, "{bytes} bytes a connection");
     });
--- a/crates/server/tests/scenarios/player.rs
+++ b/crates/server/tests/scenarios/player.rs
@@ -9,7 +9,7 @@
 use madderbay_server::core::durability::{DurabilityQueue, StorageEvent};
 use madderbay_server::core::event_loop::EventLoop;
 use madderbay_server::downstream::json_rpc::JsonRpcSession;
-use madderbay_server::support::io::Outbox;
+use madderbay_server::support::io::{NextInput, Outbox};
 use madderbay_server::upstream::calls::{CallObserver as _, ReplyReader};
 use madderbay_server::upstream::engine::{EngineObserver as _, NoticeReader};
 use std::collections::{HashMap, VecDeque};
@@ -176,7 +176,14 @@
     fn feed_client(&mut self, peer: &str, piece: &[u8]) {
         self.client(peer);
         let client = self.clients.get_mut(peer).expect("a known client");
-        client.is_read = client.is_read && client.session.feed(self.now, piece, &mut self.core);
+        if !client.is_read {
+            return;
+        }
+        let mut next = client.session.feed(self.now, piece, &mut self.core);
+        while next == NextInput::Resume {
+            next = client.session.resume(self.now, &mut self.core);
+        }
+        client.is_read = next == NextInput::Read;
     }
 
     fn open_wanted_calls(&mut self) {
--- a/crates/simulation/src/node/process.rs
+++ b/crates/simulation/src/node/process.rs
@@ -7,7 +7,7 @@
 use madderbay_server::core::event_loop::EventLoop;
 use madderbay_server::downstream::json_rpc::JsonRpcSession;
 use madderbay_server::fleet::backends::Backends;
-use madderbay_server::support::io::Outbox;
+use madderbay_server::support::io::{NextInput, Outbox};
 use madderbay_server::upstream::calls::{CallObserver as _, ReplyReader};
 use madderbay_server::upstream::engine::NoticeReader;
 use madderbay_upstream::{BackendEvent, FleetStack};
@@ -123,7 +123,10 @@
     /// Delivers a line from a client.
     pub(crate) fn receive_request(&mut self, now: Timestamp, line: &str) {
         let session = &mut self.client.session;
-        session.feed(now, line.as_bytes(), &mut self.event_loop);
+        let mut next = session.feed(now, line.as_bytes(), &mut self.event_loop);
+        while next == NextInput::Resume {
+            next = session.resume(now, &mut self.event_loop);
+        }
     }
 
     /// Delivers a notice from the engine.
