Send a run that never began also when nobody waits for it any more

A client leaves while its run is in doubt: the engine reads the cancellation, and never a RUN.

Cause: once the cancellation had proven that the run never began, the request was ended as not run.

The engine answers `gone` or `cut`, and reports an end that the server does not have to infer.

--- a/crates/server/src/core/upstream_events.rs
+++ b/crates/server/src/core/upstream_events.rs
@@ -125,18 +125,16 @@
         self.request_turn();
     }
 
-    /// Sends the runs again that were in doubt and have certainly not begun. Those that nobody waits
-    /// for any more end as not run.
-    fn resend_runs_that_never_began(&mut self, now: Timestamp) {
+    /// Sends the runs again that were in doubt and have certainly not begun. The cancellation of one
+    /// that nobody waits for any more follows it.
+    fn resend_runs_that_never_began(&mut self) {
         let executor = &mut self.executor;
-        for id in executor
+        let never_began = executor
             .engine_commands
-            .take_never_began(&executor.requests)
-        {
-            if self.executor.requests.unanswered(id).is_none() {
-                self.run_declined(now, id);
-            } else if let Some(request) = self.executor.requests.get_mut(id) {
-                self.executor.engine_commands.resend_run(request);
+            .take_never_began(&executor.requests);
+        for id in never_began {
+            if let Some(request) = executor.requests.get_mut(id) {
+                executor.engine_commands.resend_run(request);
             }
         }
     }
@@ -227,7 +225,7 @@
         if link_restored {
             self.resend_commands(now);
         }
-        self.resend_runs_that_never_began(now);
+        self.resend_runs_that_never_began();
     }
 
     /// Handles a run that waits for a call.
