Run no unread request of a client that has closed its connection

An id that ran twice when it came again was reported, and not seen.

Cause: the end of a client's input means that it sends no more, and what it sent is answered, since some clients read on. One that has closed altogether looks the same until something is written to it, and the first thing written was an answer.

Change: where the peer's end is known while input is unread, the connection is sent `leaving` first, which a client that reads on may ignore. A closed one answers with a reset, which is awaited for 5 ms: then nothing is served, and what is queued is withdrawn. The same notice follows an end with open requests. A reset is noticed while nothing is written or read, and between two turns.

--- a/crates/server/src/downstream/connection.rs
+++ b/crates/server/src/downstream/connection.rs
@@ -57,6 +57,8 @@
     ends_when_settled: bool,
     /// The notice that it is about to end was sent.
     notified_of_end: bool,
+    /// The notice was sent, perhaps a second time, to learn whether the peer still reads.
+    was_probed: bool,
     /// It was accepted over the limit on connections: its requests are rejected, then it is closed.
     over_limit: bool,
 }
@@ -76,6 +78,7 @@
             partial_line_since: None,
             ends_when_settled: false,
             notified_of_end: false,
+            was_probed: false,
             over_limit: false,
         }
     }
@@ -207,6 +210,20 @@
         }
     }
 
+    /// Sends the notice that this connection is about to end to a peer that sends no more. If the peer has closed
+    /// the connection altogether, it answers with a reset.
+    pub(super) fn probe_peer(&mut self) {
+        if !std::mem::replace(&mut self.was_probed, true) {
+            self.notified_of_end = true;
+            self.outbox.put(response::connection_ending);
+        }
+    }
+
+    /// Reports whether a request is open.
+    pub(super) fn has_open_requests(&self) -> bool {
+        !self.open_requests.is_empty()
+    }
+
     /// Reports whether an incomplete line was begun less than `limit` ago.
     fn has_partial_line(&self, now: Timestamp, limit: Duration) -> bool {
         self.partial_line_since
--- a/crates/server/src/downstream/connections.rs
+++ b/crates/server/src/downstream/connections.rs
@@ -131,6 +131,21 @@
         }
     }
 
+    /// Handles a peer that has closed its sending side before its last input was served: it is sent something, to
+    /// learn whether it still reads.
+    pub fn probe_peer(&mut self, id: u64) {
+        if let Some(connection) = self.table.get_mut(&id) {
+            connection.probe_peer();
+        }
+    }
+
+    /// Reports whether a connection is open and has an open request.
+    pub fn has_open_requests(&self, id: u64) -> bool {
+        self.table
+            .get(&id)
+            .is_some_and(Connection::has_open_requests)
+    }
+
     /// Removes a connection that has ended. Returns the ids of its open requests in the order of their arrival.
     pub fn remove(&mut self, id: u64) -> Option<Vec<u64>> {
         let removed = self.table.remove(&id)?;
--- a/crates/server/src/downstream/json_rpc.rs
+++ b/crates/server/src/downstream/json_rpc.rs
@@ -134,6 +134,7 @@
         let next = self.serve_turn(now, bytes, event_loop);
         if bytes.is_empty() {
             event_loop.input_ended(self.connection);
+            self.probe_waiting_client(event_loop);
             return NextInput::Stop;
         }
         next
@@ -145,6 +146,19 @@
         self.serve_turn(now, &[], event_loop)
     }
 
+    /// Handles a client that has closed its sending side before its last input was fed.
+    pub fn client_closed(&mut self, event_loop: &mut EventLoop) {
+        event_loop.connections_mut().probe_peer(self.connection);
+    }
+
+    /// Learns whether a client that sends no more still waits for its open requests.
+    fn probe_waiting_client(&self, event_loop: &mut EventLoop) {
+        let connections = event_loop.connections_mut();
+        if connections.has_open_requests(self.connection) {
+            connections.probe_peer(self.connection);
+        }
+    }
+
     /// Serves the lines of one turn: those left over from the last one, then those that `bytes` complete.
     fn serve_turn(
         &mut self,
--- a/crates/server/src/downstream/listener.rs
+++ b/crates/server/src/downstream/listener.rs
@@ -194,6 +194,11 @@
         let now = self.clock.now();
         self.session.resume(now, &mut self.event_loop.borrow_mut())
     }
+
+    fn peer_closed(&mut self) {
+        self.session
+            .client_closed(&mut self.event_loop.borrow_mut());
+    }
 }
 
 /// Moves bytes between one connection and its session until either ends.
--- a/crates/server/src/support/io/driver.rs
+++ b/crates/server/src/support/io/driver.rs
@@ -8,6 +8,7 @@
 use super::outbox::{OutboxState, READ_BUFFER_BYTES};
 use socket2::SockRef;
 use std::io::{ErrorKind, Read};
+use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::time::Duration;
 use tokio::io::Interest;
@@ -22,12 +23,24 @@
 /// Maximum number of turns for what arrived before a connection's end. A peer that sends more does not delay the
 /// end.
 const MAX_FINAL_TURNS: usize = 16;
+/// Time in which a peer that has closed its connection answers with a reset. It is the delay of the last requests of
+/// a peer that only sends no more.
+const CLOSE_CHECK_TIMEOUT: Duration = Duration::from_millis(5);
 /// Time for which a connection is still read after its write side was shut down, so that its peer can read the last
 /// answers and close it too. Closing a connection with unread bytes resets it, and those answers are lost.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Maximum number of bytes that are read in that time.
 const MAX_LINGER_BYTES: usize = 64 << 10;
 
+/// What to do with unread input of a peer that has closed its sending side.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum ClosedPeerPolicy {
+    /// Serve it.
+    Serve,
+    /// Serve it only if the peer still reads: otherwise nobody is there to take the answers.
+    CheckFirst,
+}
+
 /// The result of one turn of reading.
 struct ReadTurn {
     next: NextInput,
@@ -93,6 +106,12 @@
     }
 }
 
+/// Reports whether bytes have arrived that were not read.
+fn has_unread_bytes(stream: &TcpStream) -> bool {
+    let mut byte = [MaybeUninit::uninit()];
+    SockRef::from(stream).peek(&mut byte).is_ok_and(|n| n > 0)
+}
+
 /// Returns an error if the connection was reset.
 async fn check_reset(stream: &TcpStream) -> std::io::Result<()> {
     stream.ready(Interest::ERROR).await?;
@@ -116,6 +135,7 @@
     outbox: &'a OutboxState,
     handler: H,
     next: NextInput,
+    policy: ClosedPeerPolicy,
 }
 
 impl<H: InputHandler> Driver<'_, H> {
@@ -136,10 +156,13 @@
             }
             tokio::select! {
                 ready = stream.ready(Interest::READABLE), if takes_input && self.next == NextInput::Read => {
-                    ready?;
+                    if ready?.is_read_closed() {
+                        self.check_closed_peer().await?;
+                    }
                     self.read_turn().await?;
                 }
                 ready = stream.writable(), if outbox.unwritten() > 0 => ready?,
+                reset = check_reset(stream), if self.next == NextInput::Stop => reset?,
                 () = outbox.changed() => {}
             }
         }
@@ -156,6 +179,21 @@
         Ok(())
     }
 
+    /// Handles a peer that has closed its sending side, while its last input is unread. A peer that has closed the
+    /// connection altogether answers the next bytes that it is sent with a reset; one that only sends no more takes
+    /// them. In the first case, the input is not served: its answers could not be delivered.
+    async fn check_closed_peer(&mut self) -> std::io::Result<()> {
+        if self.policy == ClosedPeerPolicy::Serve || !has_unread_bytes(self.stream) {
+            return Ok(());
+        }
+        self.policy = ClosedPeerPolicy::Serve;
+        self.handler.peer_closed();
+        self.outbox.flush(self.stream)?;
+        timeout(CLOSE_CHECK_TIMEOUT, check_reset(self.stream))
+            .await
+            .unwrap_or(Ok(()))
+    }
+
     /// Serves what arrived before the end of the connection, one turn at a time, after the outbox was closed and
     /// written. Returns whether the connection goes on, because there was something to answer or there may be more.
     fn serve_final_turn(&mut self) -> std::io::Result<bool> {
@@ -188,6 +226,7 @@
         outbox,
         handler: BytesOnly(feed),
         next: NextInput::Read,
+        policy: ClosedPeerPolicy::Serve,
     };
     driver.serve().await
 }
@@ -209,6 +248,7 @@
         outbox,
         handler,
         next: NextInput::Read,
+        policy: ClosedPeerPolicy::CheckFirst,
     };
     let mut turns_left = MAX_FINAL_TURNS;
     loop {
--- a/crates/server/src/support/io/input.rs
+++ b/crates/server/src/support/io/input.rs
@@ -20,6 +20,10 @@
     fn resume(&mut self) -> NextInput {
         NextInput::Read
     }
+
+    /// Handles a peer that has closed its sending side, before its last input is fed. Whatever is appended to the
+    /// outbox shows whether the peer still reads.
+    fn peer_closed(&mut self) {}
 }
 
 /// A handler that serves all bytes at once. The function is given the bytes and returns whether to read on.
--- a/crates/server/tests/bad_clients/main.rs
+++ b/crates/server/tests/bad_clients/main.rs
@@ -3,6 +3,7 @@
 
 #[path = "../common/mod.rs"]
 mod common;
+mod departure;
 mod flood;
 mod memory;
 #[path = "../common/program.rs"]
