Test lines that are passed on with pauses between them

Change: the line splitter's pauses get a test of their own: no line is lost, changed or passed on twice by them, for any pieces and any size of a turn.

--- a/crates/server/src/support/io/line_splitter.rs
+++ b/crates/server/src/support/io/line_splitter.rs
@@ -100,3 +100,6 @@
 fn without_carriage_return(line: &[u8]) -> &[u8] {
     line.strip_suffix(b"\r").unwrap_or(line)
 }
+
+#[cfg(test)]
+mod tests;
