Give reading and the end of a connection files of their own

Change: support/io/reading reads a turn from a socket, support/io/linger ends a connection after its last answer; support/io/driver keeps the order of the steps. The report of a flooding connection is a function of its own. Moved, not changed. Result: the tests of bad clients, crossings, scenarios, log lines and counters pass.

--- a/crates/server/src/downstream/json_rpc.rs
+++ b/crates/server/src/downstream/json_rpc.rs
@@ -159,6 +159,18 @@
         }
     }
 
+    /// Counts the lines of a turn, and reports a connection whose input does not let up.
+    fn count_lines(&mut self, now: Timestamp, lines: usize, event_loop: &mut EventLoop) {
+        if self.flood.turn_ended(now, lines) {
+            event_loop.counters_mut().connection_flooding();
+            log::warn!(
+                "connection: input exceeds its share, id={}, lines={}",
+                self.connection,
+                self.flood.lines()
+            );
+        }
+    }
+
     /// Serves the lines of one turn: those left over from the last one, then those that `bytes` complete.
     fn serve_turn(
         &mut self,
@@ -198,13 +210,7 @@
         event_loop
             .connections_mut()
             .line_read(now, connection, progress);
-        if self.flood.turn_ended(now, lines_served) {
-            event_loop.counters_mut().connection_flooding();
-            log::warn!(
-                "connection: input exceeds its share, id={connection}, lines={}",
-                self.flood.lines()
-            );
-        }
+        self.count_lines(now, lines_served, event_loop);
         match outcome {
             _ if self.ended => NextInput::Stop,
             SplitOutcome::Paused => NextInput::Resume,
--- a/crates/server/src/support/io.rs
+++ b/crates/server/src/support/io.rs
@@ -7,7 +7,9 @@
 mod driver;
 mod input;
 mod line_splitter;
+mod linger;
 mod outbox;
+mod reading;
 
 pub use driver::{drive, drive_link, drive_peer};
 pub use input::{BytesOnly, InputHandler, NextInput};
--- a/crates/server/src/support/io/driver.rs
+++ b/crates/server/src/support/io/driver.rs
@@ -5,32 +5,21 @@
 //! the other tasks run between them.
 
 use super::input::{BytesOnly, InputHandler, NextInput};
-use super::outbox::{OutboxState, READ_BUFFER_BYTES};
-use socket2::SockRef;
-use std::io::{ErrorKind, Read};
-use std::mem::MaybeUninit;
-use std::net::Shutdown;
+use super::linger::linger;
+use super::outbox::OutboxState;
+use super::reading::{check_reset, has_unread_bytes, read_bypassing_runtime, read_turn};
 use std::time::Duration;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::task::yield_now;
 use tokio::time::timeout;
 
-/// Maximum number of consecutive reads before other connections get their turn.
-const MAX_READS_PER_TURN: usize = 4;
-/// Number of bytes read after which other connections get their turn.
-const MAX_BYTES_PER_TURN: usize = READ_BUFFER_BYTES;
 /// Maximum number of turns for what arrived before a connection's end. A peer that sends more does not delay the
 /// end.
 const MAX_FINAL_TURNS: usize = 16;
 /// Time in which a peer that has closed its connection answers with a reset. It is the delay of the last requests of
 /// a peer that only sends no more.
 const CLOSE_CHECK_TIMEOUT: Duration = Duration::from_millis(5);
-/// Time for which a connection is still read after its write side was shut down, so that its peer can read the last
-/// answers and close it too. Closing a connection with unread bytes resets it, and those answers are lost.
-const LINGER_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Maximum number of bytes that are read in that time.
-const MAX_LINGER_BYTES: usize = 64 << 10;
 
 /// What to do with unread input of a peer that has closed its sending side.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -41,85 +30,6 @@
     CheckFirst,
 }
 
-/// The result of one turn of reading.
-struct ReadTurn {
-    next: NextInput,
-    /// The turn reached its size, so that there may be more to read at once.
-    is_full: bool,
-}
-
-/// Reads what is ready, up to the size of a turn, and passes it to `handler`. Reading ends with the peer's input,
-/// or when the handler refuses more.
-fn read_turn(stream: &TcpStream, handler: &mut impl InputHandler) -> std::io::Result<ReadTurn> {
-    let mut buffer = [0; READ_BUFFER_BYTES];
-    let mut bytes = 0;
-    for _ in 0..MAX_READS_PER_TURN {
-        let next = match stream.try_read(&mut buffer) {
-            Ok(0) => {
-                handler.feed(&[]);
-                NextInput::Stop
-            }
-            Ok(n) => {
-                bytes += n;
-                handler.feed(&buffer[..n])
-            }
-            Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                return Ok(ReadTurn {
-                    next: NextInput::Read,
-                    is_full: false,
-                });
-            }
-            Err(e) => return Err(e),
-        };
-        if next != NextInput::Read {
-            return Ok(ReadTurn {
-                next,
-                is_full: false,
-            });
-        }
-        if bytes >= MAX_BYTES_PER_TURN {
-            break;
-        }
-    }
-    Ok(ReadTurn {
-        next: NextInput::Read,
-        is_full: true,
-    })
-}
-
-/// Reads directly from the socket, bypassing the runtime's readiness state. Returns the handler's wish, or `None` if
-/// nothing has arrived. The buffer is local to this call: one kept across an await would be part of the state of
-/// each connection.
-fn read_bypassing_runtime(
-    stream: &TcpStream,
-    handler: &mut impl InputHandler,
-) -> std::io::Result<Option<NextInput>> {
-    let mut buffer = [0; READ_BUFFER_BYTES];
-    match (&*SockRef::from(stream)).read(&mut buffer) {
-        Ok(0) => {
-            handler.feed(&[]);
-            Ok(Some(NextInput::Stop))
-        }
-        Ok(n) => Ok(Some(handler.feed(&buffer[..n]))),
-        Err(e) if e.kind() == ErrorKind::WouldBlock => Ok(None),
-        Err(e) => Err(e),
-    }
-}
-
-/// Reports whether bytes have arrived that were not read.
-fn has_unread_bytes(stream: &TcpStream) -> bool {
-    let mut byte = [MaybeUninit::uninit()];
-    SockRef::from(stream).peek(&mut byte).is_ok_and(|n| n > 0)
-}
-
-/// Returns an error if the connection was reset.
-async fn check_reset(stream: &TcpStream) -> std::io::Result<()> {
-    stream.ready(Interest::ERROR).await?;
-    Err(stream
-        .take_error()?
-        .unwrap_or_else(|| ErrorKind::ConnectionReset.into()))
-}
-
 /// Lets the other tasks run once. Returns an error if the connection was reset.
 async fn yield_turn(stream: &TcpStream) -> std::io::Result<()> {
     tokio::select! {
@@ -270,44 +180,6 @@
     Ok(())
 }
 
-/// Shuts down the write side and reads until the peer closes the connection, within bounds, or until the connection
-/// is to be closed promptly. Requests that are read meanwhile were sent before the peer saw the end; their sender
-/// sends them again on another connection.
-async fn linger(stream: &TcpStream, outbox: &OutboxState) {
-    if SockRef::from(stream).shutdown(Shutdown::Write).is_err() {
-        return;
-    }
-    let _ = timeout(LINGER_TIMEOUT, async {
-        tokio::select! {
-            () = discard_to_end(stream) => {}
-            () = prompt_close_requested(outbox) => {}
-        }
-    })
-    .await;
-}
-
-/// Reads and discards bytes until the peer closes the connection or [`MAX_LINGER_BYTES`] are read.
-async fn discard_to_end(stream: &TcpStream) {
-    let mut bytes = 0;
-    while bytes < MAX_LINGER_BYTES && stream.readable().await.is_ok() {
-        let mut discard = BytesOnly(|read: &[u8]| {
-            bytes += read.len();
-            bytes < MAX_LINGER_BYTES
-        });
-        match read_turn(stream, &mut discard) {
-            Ok(turn) if turn.next != NextInput::Stop => {}
-            Ok(_) | Err(_) => return,
-        }
-    }
-}
-
-/// Waits until the connection is to be closed without waiting for its peer.
-async fn prompt_close_requested(outbox: &OutboxState) {
-    while !outbox.closes_promptly() {
-        outbox.changed().await;
-    }
-}
-
 /// Serves a connection that this server opened. It ends once the peer sends no more, or something that can't be
 /// read.
 ///
