Wait for the notices of a run in doubt no longer than its client can

Cause: a RUN that was lost with the link was sent again after 150 ms, when its client had given up or nearly so.

Change: the wait is at most a quarter of the time until the answer is due.

--- a/crates/server/src/core/upstream_events.rs
+++ b/crates/server/src/core/upstream_events.rs
@@ -21,9 +21,12 @@
 /// If a tick is overdue by more than this, the process was stalled, and so all replies are read
 /// late.
 const STALL_THRESHOLD: Duration = Duration::from_millis(30);
-/// Time for which the notices of a run in doubt are awaited. Cancelling it loses the work of a run
-/// that has begun; waiting delays a run that has not.
-const RUN_DOUBT_PERIOD: Duration = Duration::from_millis(150);
+/// Maximum time for which the notices of a run in doubt are awaited. Cancelling it loses the work of
+/// a run that has begun; waiting delays a run that has not.
+const MAX_RUN_DOUBT: Duration = Duration::from_millis(150);
+/// Maximum share of the time until the answer is due for which these notices are awaited, so that a
+/// run that has not begun can still end in time.
+const RUN_DOUBT_SHARE: f64 = 0.25;
 
 /// Ends of runs and calls.
 impl EventLoop {
@@ -115,9 +118,7 @@
         executor.now = now;
         let in_doubt = executor.engine_commands.resend(&mut executor.requests);
         for id in in_doubt.runs {
-            executor
-                .deadlines
-                .insert(now + RUN_DOUBT_PERIOD, Deadline::RunInDoubt(id));
+            executor.await_run_in_doubt(id, MAX_RUN_DOUBT, RUN_DOUBT_SHARE);
         }
         for id in in_doubt.replies {
             self.skip_call_or_fail(now, id);
