--- a/crates/server/src/downstream/json_rpc.rs
+++ b/crates/server/src/downstream/json_rpc.rs
@@ -128,7 +128,7 @@
         }
     }
 
-    /// Serves the lines that `bytes` complete, up to [`MAX_LINES_PER_TURN`]. Empty `bytes` mean the end of the input.
+    /// Serves the lines that `bytes` complete, as far as one turn goes. Empty `bytes` mean the end of the input.
     #[must_use]
     pub fn feed(&mut self, now: Timestamp, bytes: &[u8], event_loop: &mut EventLoop) -> NextInput {
         let next = self.serve_turn(now, bytes, event_loop);
