Record where a command begins on the link in one place

Cause: RUN and replies must not be read twice, and three places noted their position on the link: send for RUN, reply afterwards for the last command, and resend for both. Reply patched whatever command was last.

Change: a command is sent by UnprovenCommand::send, which notes the position of each kind that must not be read twice. reply_sent_at is gone; the unit tests send replies as the server does, their assertions are as before.

--- a/crates/server/src/core/run_commands.rs
+++ b/crates/server/src/core/run_commands.rs
@@ -82,6 +82,21 @@
     kind: CommandKind,
 }
 
+impl UnprovenCommand {
+    /// Sends the command if the link is up, and records where it begins if it must not be read twice.
+    /// Returns the proof that the engine has read it, or `None` if it was not sent.
+    fn send(&mut self, link: &EngineLink) -> Option<ReadProof> {
+        let position = link.queued_bytes();
+        let proof = link.send(&self.line);
+        if proof.is_some()
+            && let Some(delivery) = self.kind.delivery_mut()
+        {
+            *delivery = Delivery::SentAt(position);
+        }
+        proof
+    }
+}
+
 /// The commands of one run.
 #[derive(Default)]
 pub(super) struct RunCommands {
@@ -134,11 +149,7 @@
 
     /// Sends the reply to the call that the run waits for, or holds it back.
     pub(super) fn reply(&mut self, line: Vec<u8>, link: &EngineLink) {
-        let position = link.queued_bytes();
         self.submit_kind(CommandKind::Reply(Delivery::Unsent), line, link);
-        if link.is_up() {
-            self.reply_sent_at(position);
-        }
     }
 
     fn submit_kind(&mut self, kind: CommandKind, line: Vec<u8>, link: &EngineLink) {
@@ -168,23 +179,10 @@
         if self.proof.is_some_and(|proof| link.is_proven(proof)) {
             self.mark_all_read();
         }
-        if let CommandKind::Run(delivery) = &mut command.kind
-            && link.is_up()
-        {
-            *delivery = Delivery::SentAt(link.queued_bytes());
-        }
-        self.proof = link.send(&command.line);
+        self.proof = command.send(link);
         push_unless_repeated_cancel(&mut self.unproven, command);
     }
 
-    /// Marks the last command as the reply to a call, which begins at this byte position of the
-    /// link.
-    pub(super) fn reply_sent_at(&mut self, position: u64) {
-        if let Some(reply) = self.unproven.last_mut() {
-            reply.kind = CommandKind::Reply(Delivery::SentAt(position));
-        }
-    }
-
     /// Handles the notice that the run has reached a call: the engine has read all commands that
     /// led to it, but perhaps not a cancellation.
     pub(super) fn run_reached_call(&mut self) {
@@ -261,10 +259,7 @@
             .retain(|command| command.kind != CommandKind::Reply(Delivery::InDoubt));
         let has_reply_in_doubt = self.unproven.len() < unproven;
         for command in &mut self.unproven {
-            if let Some(delivery) = command.kind.delivery_mut() {
-                *delivery = Delivery::SentAt(link.queued_bytes());
-            }
-            self.proof = link.send(&command.line);
+            self.proof = command.send(link);
         }
         if has_reply_in_doubt {
             ResendOutcome::ReplyInDoubt
--- a/crates/server/src/core/run_commands/tests.rs
+++ b/crates/server/src/core/run_commands/tests.rs
@@ -33,13 +33,6 @@
     link.lost();
 }
 
-/// Sends a reply and records its position on the link.
-fn send_reply(commands: &mut RunCommands, link: &EngineLink) {
-    let position = link.queued_bytes();
-    commands.submit(REPLY.into(), link);
-    commands.reply_sent_at(position);
-}
-
 #[test]
 fn holds_commands_back_until_release() {
     let (link, outbox) = link_up();
@@ -80,7 +73,7 @@
 fn resends_reply_that_was_not_written() {
     let (mut link, _) = link_up();
     let mut commands = RunCommands::default();
-    send_reply(&mut commands, &link);
+    commands.reply(REPLY.into(), &link);
     lose_link(&mut link, &mut commands);
     let outbox = reconnect(&mut link);
     assert_eq!(commands.resend(&link), ResendOutcome::Resent);
@@ -91,7 +84,7 @@
 fn never_resends_reply_that_may_have_been_read() {
     let (mut link, outbox) = link_up();
     let mut commands = RunCommands::default();
-    send_reply(&mut commands, &link);
+    commands.reply(REPLY.into(), &link);
     outbox.take();
     lose_link(&mut link, &mut commands);
     let outbox = reconnect(&mut link);
@@ -143,7 +136,7 @@
 fn never_resends_reply_in_doubt_after_a_second_loss() {
     let (mut link, outbox) = link_up();
     let mut commands = RunCommands::default();
-    send_reply(&mut commands, &link);
+    commands.reply(REPLY.into(), &link);
     outbox.take();
     lose_link(&mut link, &mut commands);
     link.attach(Outbox::default(), 0);
