Keep the doubt about a run, and its end, in one place each

The end of a run was kept as a stage of the request and as a flag of its commands. RequestValidator::is_idempotent repeated BackendRouting::is_idempotent, made from the same settings.

Change: the request asks its commands whether the run has ended. actions calls BackendRouting. EngineCommands sends the runs that never began itself, and upstream_events has the wait with its constants.

--- a/crates/server/src/core/actions.rs
+++ b/crates/server/src/core/actions.rs
@@ -38,23 +38,6 @@
             self.engine_commands.release(request);
         }
     }
-
-    /// Awaits the notices of a run in doubt, for at most `max` and this share of the time until the
-    /// answer is due.
-    pub(super) fn await_run_in_doubt(&mut self, id: u64, max: Duration, share: f64) {
-        if let Some(request) = self.requests.get(id) {
-            let until_answer = request.answer_deadline - self.now;
-            let expires_at = self.now + until_answer.mul_f64(share).min(max);
-            self.deadlines.insert(expires_at, Deadline::RunInDoubt(id));
-        }
-    }
-
-    /// Handles a run of which it is still unknown whether it has begun.
-    pub(super) fn run_doubt_expired(&mut self, id: u64) {
-        if let Some(request) = self.requests.get_mut(id) {
-            self.engine_commands.doubt_expired(request);
-        }
-    }
 }
 
 impl Actions for ActionExecutor {
@@ -65,7 +48,7 @@
         let body = request.start();
         self.counters.run_started();
         let handler = request.handler;
-        if !self.validator.is_idempotent(handler) {
+        if !self.backends.is_idempotent(handler) {
             request.commands.set_runs_once();
         }
         if let Some(key) = request.key {
--- a/crates/server/src/core/answers.rs
+++ b/crates/server/src/core/answers.rs
@@ -94,7 +94,7 @@
         if !runs.record_result(self.now, id, key, result) {
             return false;
         }
-        request.run_ended();
+        request.commands.run_ended();
         self.deadlines
             .insert(request.answer_deadline, Deadline::DurableAnswer(id));
         self.counters.run_ended(request.handler, outcome);
--- a/crates/server/src/core/engine_commands.rs
+++ b/crates/server/src/core/engine_commands.rs
@@ -5,7 +5,7 @@
 //! are read elsewhere, and commands are decided elsewhere.
 
 use super::in_flight::{InFlightRequest, InFlightRequests};
-use super::run_commands::{ResendOutcome, RunCommands};
+use super::run_commands::ResendOutcome;
 use crate::support::attempt_name;
 use crate::upstream::engine::{EngineCommand, EngineLink};
 use madderbay::interface::Cancellation;
@@ -128,24 +128,18 @@
         }
     }
 
-    /// Sends the commands of a run again that has certainly not begun.
-    pub(super) fn resend_run(&mut self, request: &mut InFlightRequest) {
-        request.commands.resend_run_in_doubt(&self.link);
-    }
-
-    /// Removes and returns the requests whose runs were in doubt and have certainly not begun, in the
-    /// order of their ids. To be called after each answer to a query.
-    pub(super) fn take_never_began(&mut self, requests: &InFlightRequests) -> Vec<u64> {
-        let mut never_began = vec![];
+    /// Sends the runs again that were in doubt and have certainly not begun. The cancellation of one
+    /// that nobody waits for any more follows it. To be called after each answer to a query.
+    pub(super) fn resend_never_begun(&mut self, requests: &mut InFlightRequests) {
         let link = &self.link;
         self.in_doubt.retain(|id| {
-            let commands = requests.get(*id).map(|request| &request.commands);
-            if commands.is_some_and(|commands| commands.never_began(link)) {
-                never_began.push(*id);
+            let Some(request) = requests.get_mut(*id) else {
                 return false;
+            };
+            if request.commands.never_began(link) {
+                request.commands.resend_run_in_doubt(link);
             }
-            commands.is_some_and(RunCommands::is_in_doubt)
+            request.commands.is_in_doubt()
         });
-        never_began
     }
 }
--- a/crates/server/src/core/in_flight.rs
+++ b/crates/server/src/core/in_flight.rs
@@ -15,17 +15,6 @@
 use madderbay::time::Timestamp;
 use std::collections::HashMap;
 
-/// How far the run of a request has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum RunStage {
-    /// The decision module has not started it.
-    NotStarted,
-    /// The decision module has started it, and no end of it is known.
-    Started,
-    /// It has ended. The request may still wait for its result to become durable.
-    Ended,
-}
-
 /// A request that was read.
 pub(super) struct InFlightRequest {
     /// The name of the attempt, by which the engine and the upstream servers identify it.
@@ -40,8 +29,8 @@
     pub(super) fingerprint: u64,
     /// The body as it was read; empty once the run has been started with it.
     body: Box<str>,
-    /// How far its run has come.
-    run: RunStage,
+    /// Whether the decision module has started its run, which may have ended since.
+    is_started: bool,
     /// Whether it was answered or its client is gone.
     is_settled: bool,
     /// Whether its run continued without an optional call.
@@ -68,7 +57,7 @@
             key: request.key,
             fingerprint: request.fingerprint,
             body: request.body.into(),
-            run: RunStage::NotStarted,
+            is_started: false,
             is_settled: false,
             is_partial: false,
             answer_deadline: (now + request.client_waits).saturating_sub(ANSWER_MARGIN),
@@ -79,24 +68,13 @@
 
     /// Marks the run of the request as started, and returns the body for it.
     pub(super) fn start(&mut self) -> Box<str> {
-        self.run = RunStage::Started;
+        self.is_started = true;
         std::mem::take(&mut self.body)
     }
 
     /// Reports whether the decision module has started its run, which may have ended since.
     pub(super) fn is_started(&self) -> bool {
-        self.run != RunStage::NotStarted
-    }
-
-    /// Reports whether the run has ended; its request may still wait for the result to become durable.
-    pub(super) fn has_run_ended(&self) -> bool {
-        self.run == RunStage::Ended
-    }
-
-    /// Marks the run of the request as ended. No command about it is sent any more.
-    pub(super) fn run_ended(&mut self) {
-        self.run = RunStage::Ended;
-        self.commands.run_ended();
+        self.is_started
     }
 
     /// Marks the request as answered or its client as gone. Returns whether it was marked already.
@@ -163,8 +141,8 @@
     /// Returns the id of the request whose attempt has this name, unless its run has ended.
     pub(super) fn id_before_end(&self, name: &AttemptName) -> Option<u64> {
         let id = self.id(name)?;
-        let has_ended = self.get(id).is_some_and(InFlightRequest::has_run_ended);
-        (!has_ended).then_some(id)
+        let request = self.get(id)?;
+        (!request.commands.has_run_ended()).then_some(id)
     }
 
     /// Returns the id of the request whose attempt has this name.
@@ -190,7 +168,7 @@
         let started = self
             .by_id
             .iter()
-            .filter(|(_, request)| request.run == RunStage::Started);
+            .filter(|(_, request)| request.is_started && !request.commands.has_run_ended());
         let mut runs: Vec<StartedRun> = started
             .map(|(id, request)| StartedRun {
                 request: *id,
--- a/crates/server/src/core/run_commands.rs
+++ b/crates/server/src/core/run_commands.rs
@@ -206,6 +206,11 @@
         self.mark_all_read();
     }
 
+    /// Reports whether the run has ended. Its request may still wait for the result to become durable.
+    pub(super) fn has_run_ended(&self) -> bool {
+        self.has_ended
+    }
+
     /// Handles the loss of the link after `written_bytes` were written. A command that begins at or
     /// after that position was certainly not read.
     pub(super) fn link_lost(&mut self, written_bytes: u64) {
--- a/crates/server/src/core/upstream_events.rs
+++ b/crates/server/src/core/upstream_events.rs
@@ -8,6 +8,7 @@
 use super::deadlines::Deadline;
 use super::dispatch::{AttemptEnd, CallProgress};
 use super::event_loop::EventLoop;
+use super::executor::ActionExecutor;
 use crate::support::attempt_name::AttemptName;
 use crate::upstream::calls::{CallDispatcher, CallObserver, Reply};
 use crate::upstream::engine::{DeclinedCommand, EngineLink, EngineObserver, EngineStart};
@@ -97,6 +98,26 @@
     }
 }
 
+/// Runs in doubt: it is unknown whether they have begun.
+impl ActionExecutor {
+    /// Awaits the notices of a run in doubt.
+    fn await_run_in_doubt(&mut self, id: u64) {
+        if let Some(request) = self.requests.get(id) {
+            let until_answer = request.answer_deadline - self.now;
+            let wait = until_answer.mul_f64(RUN_DOUBT_SHARE).min(MAX_RUN_DOUBT);
+            self.deadlines
+                .insert(self.now + wait, Deadline::RunInDoubt(id));
+        }
+    }
+
+    /// Handles a run of which it is still unknown whether it has begun.
+    pub(super) fn run_doubt_expired(&mut self, id: u64) {
+        if let Some(request) = self.requests.get_mut(id) {
+            self.engine_commands.doubt_expired(request);
+        }
+    }
+}
+
 /// The start of the engine, its runs, and recovery after the link was lost.
 impl EventLoop {
     /// Handles the permanent loss of notices: any run may have ended, so all runs that were started
@@ -118,26 +139,11 @@
         executor.now = now;
         let in_doubt = executor.engine_commands.resend(&mut executor.requests);
         for id in in_doubt.runs {
-            executor.await_run_in_doubt(id, MAX_RUN_DOUBT, RUN_DOUBT_SHARE);
+            executor.await_run_in_doubt(id);
         }
         for id in in_doubt.replies {
             self.skip_call_or_fail(now, id);
         }
-        self.request_turn();
-    }
-
-    /// Sends the runs again that were in doubt and have certainly not begun. The cancellation of one
-    /// that nobody waits for any more follows it.
-    fn resend_runs_that_never_began(&mut self) {
-        let executor = &mut self.executor;
-        let never_began = executor
-            .engine_commands
-            .take_never_began(&executor.requests);
-        for id in never_began {
-            if let Some(request) = executor.requests.get_mut(id) {
-                executor.engine_commands.resend_run(request);
-            }
-        }
     }
 
     /// Handles a run that can't get the reply to its call: no call can be made, or it is unknown
@@ -226,7 +232,10 @@
         if link_restored {
             self.resend_commands(now);
         }
-        self.resend_runs_that_never_began();
+        let executor = &mut self.executor;
+        executor
+            .engine_commands
+            .resend_never_begun(&mut executor.requests);
     }
 
     /// Handles a run that waits for a call.
--- a/crates/server/src/downstream/request_validation.rs
+++ b/crates/server/src/downstream/request_validation.rs
@@ -101,11 +101,6 @@
         self.rules[handler.index()].quoted_name.clone()
     }
 
-    /// Reports whether requests to a handler may run twice.
-    pub fn is_idempotent(&self, handler: HandlerId) -> bool {
-        self.rules[handler.index()].retry_safety == RetrySafety::Idempotent
-    }
-
     /// Validates a request that was read at `now`, and assigns it an id.
     ///
     /// # Errors
