Serve a full turn of reading like one that the session has paused

Cause: the driver knew three ways of going on: a ReadTurn with a flag for a turn that reached its size, a session that asks to be resumed, and a policy that was set to "serve" once a closed peer had been checked, which repeated the connection's own "was probed". The two readers handled what they read by the same match.

Change: a turn that reached its size asks to be resumed, so that the driver yields at one place. The handler tells whether it sent a closed peer something; links never do, and a connection does once. pass_on serves both readers.

--- a/crates/server/src/downstream/connection.rs
+++ b/crates/server/src/downstream/connection.rs
@@ -211,12 +211,14 @@
     }
 
     /// Sends the notice that this connection is about to end to a peer that sends no more. If the peer has closed
-    /// the connection altogether, it answers with a reset.
-    pub(super) fn probe_peer(&mut self) {
-        if !std::mem::replace(&mut self.was_probed, true) {
-            self.notified_of_end = true;
-            self.outbox.put(response::connection_ending);
+    /// the connection altogether, it answers with a reset. Returns whether the notice was sent, which happens once.
+    pub(super) fn probe_peer(&mut self) -> bool {
+        if std::mem::replace(&mut self.was_probed, true) {
+            return false;
         }
+        self.notified_of_end = true;
+        self.outbox.put(response::connection_ending);
+        true
     }
 
     /// Reports whether a request is open.
--- a/crates/server/src/downstream/connections.rs
+++ b/crates/server/src/downstream/connections.rs
@@ -132,11 +132,9 @@
     }
 
     /// Handles a peer that has closed its sending side before its last input was served: it is sent something, to
-    /// learn whether it still reads.
-    pub fn probe_peer(&mut self, id: u64) {
-        if let Some(connection) = self.table.get_mut(&id) {
-            connection.probe_peer();
-        }
+    /// learn whether it still reads. Returns whether it was, which happens once.
+    pub fn probe_peer(&mut self, id: u64) -> bool {
+        self.table.get_mut(&id).is_some_and(Connection::probe_peer)
     }
 
     /// Reports whether a connection is open and has an open request.
--- a/crates/server/src/downstream/json_rpc.rs
+++ b/crates/server/src/downstream/json_rpc.rs
@@ -146,9 +146,10 @@
         self.serve_turn(now, &[], event_loop)
     }
 
-    /// Handles a client that has closed its sending side before its last input was fed.
-    pub fn client_closed(&mut self, event_loop: &mut EventLoop) {
-        event_loop.connections_mut().probe_peer(self.connection);
+    /// Handles a client that has closed its sending side before its last input was fed. Returns whether it was sent
+    /// something that shows whether it still reads.
+    pub fn client_closed(&mut self, event_loop: &mut EventLoop) -> bool {
+        event_loop.connections_mut().probe_peer(self.connection)
     }
 
     /// Learns whether a client that sends no more still waits for its open requests.
--- a/crates/server/src/downstream/listener.rs
+++ b/crates/server/src/downstream/listener.rs
@@ -195,9 +195,9 @@
         self.session.resume(now, &mut self.event_loop.borrow_mut())
     }
 
-    fn peer_closed(&mut self) {
+    fn peer_closed(&mut self) -> bool {
         self.session
-            .client_closed(&mut self.event_loop.borrow_mut());
+            .client_closed(&mut self.event_loop.borrow_mut())
     }
 }
 
--- a/crates/server/src/support/io/driver.rs
+++ b/crates/server/src/support/io/driver.rs
@@ -21,15 +21,6 @@
 /// a peer that only sends no more.
 const CLOSE_CHECK_TIMEOUT: Duration = Duration::from_millis(5);
 
-/// What to do with unread input of a peer that has closed its sending side.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum ClosedPeerPolicy {
-    /// Serve it.
-    Serve,
-    /// Serve it only if the peer still reads: otherwise nobody is there to take the answers.
-    CheckFirst,
-}
-
 /// Lets the other tasks run once. Returns an error if the connection was reset.
 async fn yield_turn(stream: &TcpStream) -> std::io::Result<()> {
     tokio::select! {
@@ -45,7 +36,6 @@
     outbox: &'a OutboxState,
     handler: H,
     next: NextInput,
-    policy: ClosedPeerPolicy,
 }
 
 impl<H: InputHandler> Driver<'_, H> {
@@ -60,8 +50,8 @@
             }
             let takes_input = !outbox.has_backlog();
             if takes_input && self.next == NextInput::Resume {
-                self.next = self.handler.resume();
                 yield_turn(stream).await?;
+                self.next = self.handler.resume();
                 continue;
             }
             tokio::select! {
@@ -69,7 +59,7 @@
                     if ready?.is_read_closed() {
                         self.check_closed_peer().await?;
                     }
-                    self.read_turn().await?;
+                    self.next = read_turn(stream, &mut self.handler)?;
                 }
                 ready = stream.writable(), if outbox.unwritten() > 0 => ready?,
                 reset = check_reset(stream), if self.next == NextInput::Stop => reset?,
@@ -78,26 +68,13 @@
         }
     }
 
-    /// Reads one turn, and lets the other tasks run if there may be more to serve at once.
-    async fn read_turn(&mut self) -> std::io::Result<()> {
-        let turn = read_turn(self.stream, &mut self.handler)?;
-        self.next = turn.next;
-        if turn.is_full || turn.next == NextInput::Resume {
-            self.outbox.flush(self.stream)?;
-            yield_turn(self.stream).await?;
-        }
-        Ok(())
-    }
-
     /// Handles a peer that has closed its sending side, while its last input is unread. A peer that has closed the
     /// connection altogether answers the next bytes that it is sent with a reset; one that only sends no more takes
     /// them. In the first case, the input is not served: its answers could not be delivered.
     async fn check_closed_peer(&mut self) -> std::io::Result<()> {
-        if self.policy == ClosedPeerPolicy::Serve || !has_unread_bytes(self.stream) {
+        if !has_unread_bytes(self.stream) || !self.handler.peer_closed() {
             return Ok(());
         }
-        self.policy = ClosedPeerPolicy::Serve;
-        self.handler.peer_closed();
         self.outbox.flush(self.stream)?;
         timeout(CLOSE_CHECK_TIMEOUT, check_reset(self.stream))
             .await
@@ -136,7 +113,6 @@
         outbox,
         handler: BytesOnly(feed),
         next: NextInput::Read,
-        policy: ClosedPeerPolicy::Serve,
     };
     driver.serve().await
 }
@@ -158,7 +134,6 @@
         outbox,
         handler,
         next: NextInput::Read,
-        policy: ClosedPeerPolicy::CheckFirst,
     };
     let mut turns_left = MAX_FINAL_TURNS;
     loop {
--- a/crates/server/src/support/io/input.rs
+++ b/crates/server/src/support/io/input.rs
@@ -5,7 +5,7 @@
 pub enum NextInput {
     /// More input.
     Read,
-    /// To go on with the input that it has, once other connections had their turn. Nothing is read before.
+    /// To be resumed once other connections had their turn, with the input that it has. Nothing is read before.
     Resume,
     /// Nothing more.
     Stop,
@@ -21,9 +21,11 @@
         NextInput::Read
     }
 
-    /// Handles a peer that has closed its sending side, before its last input is fed. Whatever is appended to the
-    /// outbox shows whether the peer still reads.
-    fn peer_closed(&mut self) {}
+    /// Handles a peer that has closed its sending side, before its last input is fed. Returns whether something was
+    /// appended to the outbox that shows whether the peer still reads; if not, the input is fed at once.
+    fn peer_closed(&mut self) -> bool {
+        false
+    }
 }
 
 /// A handler that serves all bytes at once. The function is given the bytes and returns whether to read on.
--- a/crates/server/src/support/io/linger.rs
+++ b/crates/server/src/support/io/linger.rs
@@ -40,8 +40,8 @@
             bytes < MAX_LINGER_BYTES
         });
         match read_turn(stream, &mut discard) {
-            Ok(turn) if turn.next != NextInput::Stop => {}
-            Ok(_) | Err(_) => return,
+            Ok(NextInput::Read | NextInput::Resume) => {}
+            Ok(NextInput::Stop) | Err(_) => return,
         }
     }
 }
--- a/crates/server/src/support/io/reading.rs
+++ b/crates/server/src/support/io/reading.rs
@@ -15,64 +15,47 @@
 /// Number of bytes read after which other connections get their turn.
 const MAX_BYTES_PER_TURN: usize = READ_BUFFER_BYTES;
 
-/// The result of one turn of reading.
-pub(super) struct ReadTurn {
-    pub(super) next: NextInput,
-    /// The turn reached its size, so that there may be more to read at once.
-    pub(super) is_full: bool,
-}
-
-/// Reads what is ready, up to the size of a turn, and passes it to `handler`. Reading ends with the peer's input,
-/// or when the handler refuses more.
+/// Reads what is ready, up to the size of a turn, and passes it to `handler`. Returns what the handler wants next:
+/// to resume if the turn has reached its size, since there may be more to read at once.
 pub(super) fn read_turn(
     stream: &TcpStream,
     handler: &mut impl InputHandler,
-) -> std::io::Result<ReadTurn> {
+) -> std::io::Result<NextInput> {
     let mut buffer = [0; READ_BUFFER_BYTES];
     let mut bytes = 0;
     for _ in 0..MAX_READS_PER_TURN {
-        let next = match stream.try_read(&mut buffer) {
-            Ok(0) => {
-                handler.feed(&[]);
-                NextInput::Stop
-            }
-            Ok(n) => {
-                bytes += n;
-                handler.feed(&buffer[..n])
-            }
-            Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                return Ok(ReadTurn {
-                    next: NextInput::Read,
-                    is_full: false,
-                });
-            }
-            Err(e) => return Err(e),
-        };
-        if next != NextInput::Read {
-            return Ok(ReadTurn {
-                next,
-                is_full: false,
-            });
-        }
-        if bytes >= MAX_BYTES_PER_TURN {
-            break;
+        let read = stream.try_read(&mut buffer);
+        bytes += read.as_ref().map_or(0, |n| *n);
+        match pass_on(read, &buffer, handler)? {
+            None => return Ok(NextInput::Read),
+            Some(NextInput::Read) if bytes < MAX_BYTES_PER_TURN => {}
+            Some(NextInput::Read) => break,
+            Some(next) => return Ok(next),
         }
     }
-    Ok(ReadTurn {
-        next: NextInput::Read,
-        is_full: true,
-    })
+    Ok(NextInput::Resume)
 }
 
-/// Reads directly from the socket, bypassing the runtime's readiness state. Returns the handler's wish, or `None` if
-/// nothing has arrived. The buffer is local to this call: one kept across an await would be part of the state of
-/// each connection.
+/// Reads directly from the socket, bypassing the runtime's readiness state. Returns what the handler wants next, or
+/// `None` if nothing has arrived. The buffer is local to this call: one kept across an await would be part of the
+/// state of each connection.
 pub(super) fn read_bypassing_runtime(
     stream: &TcpStream,
     handler: &mut impl InputHandler,
 ) -> std::io::Result<Option<NextInput>> {
     let mut buffer = [0; READ_BUFFER_BYTES];
-    match (&*SockRef::from(stream)).read(&mut buffer) {
+    let read = (&*SockRef::from(stream)).read(&mut buffer);
+    pass_on(read, &buffer, handler)
+}
+
+/// Passes the bytes of one read, or the end of the input, to `handler`. Returns what it wants next, or `None` if
+/// nothing has arrived.
+fn pass_on(
+    read: std::io::Result<usize>,
+    buffer: &[u8],
+    handler: &mut impl InputHandler,
+) -> std::io::Result<Option<NextInput>> {
+    match read {
         Ok(0) => {
             handler.feed(&[]);
             Ok(Some(NextInput::Stop))
