--- a/crates/server/src/downstream/json_rpc.rs
+++ b/crates/server/src/downstream/json_rpc.rs
@@ -165,9 +165,8 @@
         if self.flood.turn_ended(now, lines) {
             event_loop.counters_mut().connection_flooding();
             log::warn!(
-                "connection: input exceeds its share, id={}, lines={}",
-                self.connection,
-                self.flood.lines()
+                "connection: input exceeds its share, id={}",
+                self.connection
             );
         }
     }
@@ -180,6 +179,7 @@
         event_loop: &mut EventLoop,
     ) -> NextInput {
         let connection = self.connection;
+        let outbox = event_loop.outbox(connection).cloned();
         let ended = &mut self.ended;
         let mut lines_served = 0;
         let outcome = self.lines.feed_until(bytes, |line| {
@@ -191,9 +191,7 @@
                 *ended = invalid.error.is_protocol_violation();
                 invalid.answer(now, connection, event_loop);
             }
-            let has_backlog = event_loop
-                .outbox(connection)
-                .is_some_and(|outbox| outbox.has_backlog());
+            let has_backlog = outbox.as_ref().is_some_and(|outbox| outbox.has_backlog());
             if lines_served >= MAX_LINES_PER_TURN || has_backlog {
                 ControlFlow::Break(())
             } else {
