Share the model of the engine's link, and the bad clients' steps, among their tests

Cause: the two properties of run_commands each modelled the link, its queries and its notices. The tests of bad clients wrote a request's line and the start of a crowd twice.

Change: tests/link_model has the link for both properties, whose steps, checks, seeds and numbers of cases are as before. support has one request line and start_bad_clients. No assertion is changed.

--- a/crates/server/src/core/run_commands/tests.rs
+++ b/crates/server/src/core/run_commands/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of which commands are sent, which are sent again on the next link, and which are in doubt.
 
 mod histories;
+mod link_model;
 mod runs_once;
 
 use super::*;
--- a/crates/server/src/core/run_commands/tests/histories.rs
+++ b/crates/server/src/core/run_commands/tests/histories.rs
@@ -6,18 +6,16 @@
 //! link may arrive on a later one.
 
 use super::super::*;
+use super::link_model::LinkModel;
 use crate::support::attempt_name::AttemptName;
-use crate::support::io::Outbox;
-use crate::upstream::engine::{DeclinedCommand, EngineObserver, EngineStart, NoticeReader};
+use crate::upstream::engine::{DeclinedCommand, EngineObserver, EngineStart};
 use madderbay::interface::Outcome;
 use madderbay::time::{Duration, Timestamp};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use std::collections::VecDeque;
 
 const RUN: &str = "run";
 const CANCEL: &str = "cancel";
-const HELLO: &str = "{\"msg\":\"HELLO\",\"how\":\"old\",\"duration\":3600000}\n";
 
 /// One step of a history. A step that is not possible is skipped.
 #[derive(Clone, Copy, Debug)]
@@ -137,22 +135,13 @@
     }
 }
 
-/// The engine's side: what it has read and sent, over all links.
+/// The engine's side: what it has read of the run, over all links.
 #[derive(Default)]
 struct Engine {
-    /// Lines that were written to the current link and not read yet.
-    unread: VecDeque<String>,
-    /// Lines to the server on the current link.
-    to_server: VecDeque<String>,
     /// All commands that were read.
     read: Vec<String>,
-    /// All notices; the first one has the serial number 1.
-    notices: Vec<String>,
     /// The call that the run waits for.
     call: Option<u64>,
-    /// The last answer to a query on an earlier link.
-    late_answer: Option<String>,
-    last_answer: Option<String>,
 }
 
 impl Engine {
@@ -160,22 +149,6 @@
         self.read.iter().any(|line| line == command)
     }
 
-    fn read_line(&mut self, line: &str) {
-        if line.contains("\"ATTACH\"") {
-            let serial: usize = number_in(line, "\"serial\":");
-            self.to_server.push_back(HELLO.into());
-            self.to_server
-                .extend(self.notices[serial..].iter().cloned());
-        } else if line.contains("\"STAT\"") {
-            let query: u64 = number_in(line, "\"cookie\":\"");
-            let answer = format!("{{\"msg\":\"STATS\",\"cookie\":\"{query}\",\"stats\":[0.5]}}\n");
-            self.last_answer = Some(answer.clone());
-            self.to_server.push_back(answer);
-        } else {
-            self.read_command(line);
-        }
-    }
-
     fn read_command(&mut self, line: &str) {
         let is_for_call = |call: u64| line == format!("skip {call}") || line.starts_with("reply");
         if self.call.is_some_and(is_for_call) {
@@ -184,42 +157,25 @@
         self.read.push(line.into());
     }
 
-    fn reach_call(&mut self) {
+    fn reach_call(&mut self, link: &mut LinkModel) {
         if !self.has_read(RUN) || self.has_read(CANCEL) || self.call.is_some() {
             return;
         }
-        let serial = self.notices.len() as u64 + 1;
-        let notice = format!(
-            "{{\"msg\":\"NEED\",\"serial\":{serial},\"call\":\"0000000000000001\",\"blob\":\"\"}}\n"
-        );
+        let serial = link.notify(|serial| {
+            format!(
+                "{{\"msg\":\"NEED\",\"serial\":{serial},\"call\":\"0000000000000001\",\"blob\":\"\"}}\n"
+            )
+        });
         self.call = Some(serial);
-        self.notices.push(notice.clone());
-        self.to_server.push_back(notice);
     }
-
-    fn link_lost(&mut self) {
-        self.unread.clear();
-        self.to_server.clear();
-        self.late_answer = self.last_answer.take().or(self.late_answer.take());
-    }
-}
-
-/// Parses the number that follows `prefix`.
-fn number_in<T: std::str::FromStr>(line: &str, prefix: &str) -> T {
-    let (_, rest) = line.split_once(prefix).expect("the member");
-    let digits = rest.split(|c: char| !c.is_ascii_digit()).next();
-    digits
-        .and_then(|digits| digits.parse().ok())
-        .expect("a number")
 }
 
-/// The state of a history: a server and its engine.
+/// The state of a history: a server, its engine and the link between them.
 #[derive(Default)]
 struct History {
     server: Server,
     engine: Engine,
-    notices: NoticeReader,
-    outbox: Option<Outbox>,
+    link: LinkModel,
 }
 
 impl History {
@@ -232,70 +188,39 @@
                     self.server.reply(call);
                 }
             }
-            Step::ReachCall if self.outbox.is_some() => self.engine.reach_call(),
-            Step::Write => self.write(),
+            Step::ReachCall if self.link.is_open() => self.engine.reach_call(&mut self.link),
+            Step::Write => self.link.write(),
             Step::Read => {
-                if let Some(line) = self.engine.unread.pop_front() {
-                    self.engine.read_line(&line);
-                }
-            }
-            Step::Receive => {
-                if let Some(line) = self.engine.to_server.pop_front() {
-                    self.receive(&line);
+                if let Some(command) = self.link.read() {
+                    self.engine.read_command(&command);
                 }
             }
+            Step::Receive => self.link.receive(&mut self.server),
             Step::Tick => self.server.link.on_tick(),
-            Step::LoseLink if self.outbox.is_some() => {
-                self.outbox = None;
-                self.server.link_lost();
-                self.engine.link_lost();
-            }
-            Step::Attach if self.outbox.is_none() => self.attach(),
-            Step::LateAnswer if self.outbox.is_some() => {
-                if let Some(answer) = self.engine.late_answer.take() {
-                    self.receive(&answer);
-                }
+            Step::LoseLink if self.link.is_open() => self.link.lose(&mut self.server),
+            Step::Attach if !self.link.is_open() => self.link.attach(&mut self.server),
+            Step::LateAnswer if self.link.is_open() => {
+                self.link.receive_late_answer(&mut self.server);
             }
             _ => {}
         }
     }
 
-    fn write(&mut self) {
-        let written = self.outbox.as_ref().map(|outbox| outbox.take());
-        let text = String::from_utf8(written.unwrap_or_default()).expect("text");
-        self.engine.unread.extend(text.lines().map(str::to_string));
-    }
-
-    fn receive(&mut self, line: &str) {
-        let now = Timestamp::default();
-        let server = &mut self.server;
-        assert!(self.notices.feed(now, line.as_bytes(), server));
-    }
-
-    fn attach(&mut self) {
-        let outbox = Outbox::default();
-        self.notices.link_opened();
-        self.server
-            .link
-            .attach(outbox.clone(), self.notices.serial());
-        self.outbox = Some(outbox);
-    }
-
     /// Delivers all that is under way, over a link that is not lost.
     fn settle(&mut self) {
         self.apply(Step::Attach);
         for _ in 0..3 {
             self.apply(Step::Tick);
             self.apply(Step::Write);
-            while !self.engine.unread.is_empty() {
+            while self.link.has_unread() {
                 self.apply(Step::Read);
             }
-            while !self.engine.to_server.is_empty() {
+            while self.link.has_unreceived() {
                 self.apply(Step::Receive);
             }
         }
         self.apply(Step::Write);
-        while !self.engine.unread.is_empty() {
+        while self.link.has_unread() {
             self.apply(Step::Read);
         }
     }
--- a/crates/server/src/core/run_commands/tests/runs_once.rs
+++ b/crates/server/src/core/run_commands/tests/runs_once.rs
@@ -2,18 +2,16 @@
 //! the engine that keeps no record of a run that has ended.
 
 use super::super::*;
+use super::link_model::LinkModel;
 use crate::support::attempt_name::AttemptName;
-use crate::support::io::Outbox;
-use crate::upstream::engine::{DeclinedCommand, EngineObserver, EngineStart, NoticeReader};
+use crate::upstream::engine::{DeclinedCommand, EngineObserver, EngineStart};
 use madderbay::interface::Outcome;
 use madderbay::time::{Duration, Timestamp};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use std::collections::VecDeque;
 
 const RUN: &str = "run";
 const CANCEL: &str = "cancel";
-const HELLO: &str = "{\"msg\":\"HELLO\",\"how\":\"old\",\"duration\":3600000}\n";
 /// Rounds after which everything has been delivered over a link that is not lost.
 const SETTLING_ROUNDS: usize = 6;
 
@@ -93,17 +91,11 @@
     }
 }
 
-/// The state of a history: a server, its engine and the link between them.
+/// The state of a history: a server, the run on its engine, and the link between them.
 #[derive(Default)]
 struct History {
     server: Server,
-    reader: NoticeReader,
-    outbox: Option<Outbox>,
-    /// Lines to the engine that it has not read.
-    to_engine: VecDeque<String>,
-    /// Lines to the server that it has not read.
-    to_server: VecDeque<String>,
-    notices: Vec<String>,
+    link: LinkModel,
     is_running: bool,
     /// How often the run has begun.
     begun: u32,
@@ -119,17 +111,16 @@
                 self.server.commands.run(line, &self.server.link);
             }
             Step::EndRun if self.is_running => self.end_run("good"),
-            Step::Write => self.write(),
-            Step::Read => self.read(),
-            Step::Receive => self.receive(),
-            Step::Tick => self.server.link.on_tick(),
-            Step::LoseLink if self.outbox.is_some() => {
-                self.outbox = None;
-                self.to_engine.clear();
-                self.to_server.clear();
-                self.server.link_lost();
+            Step::Write => self.link.write(),
+            Step::Read => {
+                if let Some(command) = self.link.read() {
+                    self.read_command(&command);
+                }
             }
-            Step::Attach if self.outbox.is_none() => self.attach(),
+            Step::Receive => self.link.receive(&mut self.server),
+            Step::Tick => self.server.link.on_tick(),
+            Step::LoseLink if self.link.is_open() => self.link.lose(&mut self.server),
+            Step::Attach if !self.link.is_open() => self.link.attach(&mut self.server),
             Step::DoubtExpires => {
                 let line = format!("{CANCEL}\n").into_bytes();
                 self.server
@@ -140,36 +131,8 @@
         }
     }
 
-    fn attach(&mut self) {
-        let outbox = Outbox::default();
-        self.reader.link_opened();
-        self.server
-            .link
-            .attach(outbox.clone(), self.reader.serial());
-        self.outbox = Some(outbox);
-    }
-
-    fn write(&mut self) {
-        let written = self.outbox.as_ref().map(|outbox| outbox.take());
-        let text = String::from_utf8(written.unwrap_or_default()).expect("text");
-        self.to_engine.extend(text.lines().map(str::to_string));
-    }
-
-    fn read(&mut self) {
-        let Some(line) = self.to_engine.pop_front() else {
-            return;
-        };
-        if line.contains("\"ATTACH\"") {
-            let serial = digits_after(&line, "\"serial\":");
-            self.to_server.push_back(HELLO.into());
-            self.to_server
-                .extend(self.notices[serial..].iter().cloned());
-        } else if line.contains("\"STAT\"") {
-            let query = digits_after(&line, "\"cookie\":\"");
-            self.to_server.push_back(format!(
-                "{{\"msg\":\"STATS\",\"cookie\":\"{query}\",\"stats\":[0.5]}}\n"
-            ));
-        } else if line == RUN && !self.is_running {
+    fn read_command(&mut self, line: &str) {
+        if line == RUN && !self.is_running {
             self.is_running = true;
             self.begun += 1;
         } else if line == CANCEL && self.is_running {
@@ -179,22 +142,12 @@
 
     fn end_run(&mut self, how: &str) {
         self.is_running = false;
-        let serial = self.notices.len() + 1;
-        let notice = format!(
-            "{{\"msg\":\"DONE\",\"serial\":{serial},\"call\":\"0000000000000001\",\"how\":\"{how}\",\
-             \"duration\":1,\"blob\":\"\"}}\n"
-        );
-        self.notices.push(notice.clone());
-        if self.outbox.is_some() {
-            self.to_server.push_back(notice);
-        }
-    }
-
-    fn receive(&mut self) {
-        if let Some(line) = self.to_server.pop_front() {
-            let now = Timestamp::default();
-            assert!(self.reader.feed(now, line.as_bytes(), &mut self.server));
-        }
+        self.link.notify(|serial| {
+            format!(
+                "{{\"msg\":\"DONE\",\"serial\":{serial},\"call\":\"0000000000000001\",\"how\":\"{how}\",\
+                 \"duration\":1,\"blob\":\"\"}}\n"
+            )
+        });
     }
 
     /// Delivers all that is under way, over a link that is not lost.
@@ -203,28 +156,19 @@
         for _ in 0..SETTLING_ROUNDS {
             self.apply(Step::DoubtExpires);
             self.apply(Step::Tick);
-            self.write();
-            while !self.to_engine.is_empty() {
-                self.read();
+            self.apply(Step::Write);
+            while self.link.has_unread() {
+                self.apply(Step::Read);
             }
-            while !self.to_server.is_empty() {
-                self.receive();
+            while self.link.has_unreceived() {
+                self.apply(Step::Receive);
             }
         }
         self.apply(Step::EndRun);
-        self.receive();
+        self.apply(Step::Receive);
     }
 }
 
-/// Parses the number that follows `prefix`.
-fn digits_after(line: &str, prefix: &str) -> usize {
-    let (_, rest) = line.split_once(prefix).expect("the member");
-    let digits = rest.split(|c: char| !c.is_ascii_digit()).next();
-    digits
-        .and_then(|digits| digits.parse().ok())
-        .expect("a number")
-}
-
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 2_000,
--- a/crates/server/tests/bad_clients/departure.rs
+++ b/crates/server/tests/bad_clients/departure.rs
@@ -1,8 +1,7 @@
 //! Clients that close their connection with requests unread.
 
-use crate::support::TestServer;
+use crate::support::{TestServer, request};
 use madderbay_testkit::peer::Peer;
-use madderbay_testkit::unix_ms;
 use std::io::Write;
 use std::net::{Shutdown, TcpStream};
 use std::time::Duration;
@@ -15,18 +14,9 @@
 const SETTLE_TIME: Duration = Duration::from_millis(500);
 
 /// Returns the lines of the requests of one client.
-fn requests(handler: &str, first: u64) -> String {
-    let now = unix_ms();
-    (first..first + REQUESTS)
-        .map(|n| {
-            let id = n - first + 1;
-            format!(
-                "{{\"jsonrpc\":\"2.0\",\"id\":{id},\"method\":\"{handler}\",\"params\":{{\"ref\":\"{n:016x}\",\
-                 \"since\":{now},\"sender\":4,\"project\":\"acme\",\"allow\":8000,\"room\":2.5,\
-                 \"replay\":\"{n:032x}\",\"bytes\":\"QUJD\"}}}}\n"
-            )
-        })
-        .collect()
+fn requests() -> String {
+    let line = |number| request("quote", number, "\"QUJD\"");
+    (1..=REQUESTS).map(line).collect()
 }
 
 /// Lets a client send its requests while the process is stopped, and end its connection by `end`. Returns it.
@@ -54,14 +44,14 @@
 #[test]
 fn requests_of_departed_client_are_not_run() {
     let server = TestServer::start();
-    send_while_stopped(&server, &requests("quote", 1), |_| None);
+    send_while_stopped(&server, &requests(), |_| None);
     std::thread::sleep(SETTLE_TIME);
     let stats = server.engine.stats();
     assert!(stats.runs.is_empty(), "{} ran", stats.runs.len());
     // The same requests come again on another connection: each runs once.
     let stream = TcpStream::connect(server.program.address).expect("the connection succeeds");
     let mut peer = Peer::new(stream);
-    peer.say(&requests("quote", 1));
+    peer.say(&requests());
     for _ in 0..REQUESTS {
         assert!(peer.line().contains("\"result\""));
     }
@@ -78,7 +68,7 @@
 #[test]
 fn requests_of_client_that_sends_no_more_are_answered() {
     let server = TestServer::start();
-    let stream = send_while_stopped(&server, &requests("quote", 1), |stream| {
+    let stream = send_while_stopped(&server, &requests(), |stream| {
         stream.shutdown(Shutdown::Write).expect("the end is sent");
         Some(stream)
     });
--- a/crates/server/tests/bad_clients/flood.rs
+++ b/crates/server/tests/bad_clients/flood.rs
@@ -1,6 +1,8 @@
 //! Clients that send lines at full speed and read their answers.
 
-use crate::support::{BadClient, BadLines, LATENCY_OBJECTIVE, TestServer, assert_served};
+use crate::support::{
+    BadClient, BadLines, LATENCY_OBJECTIVE, TestServer, assert_served, start_bad_clients,
+};
 use madderbay_testkit::peer::Peer;
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
@@ -37,13 +39,7 @@
 #[test]
 fn sound_client_is_served_beside_many_flooding_clients() {
     let server = TestServer::start();
-    let start = |lines| BadClient::start(server.program.address, lines, true);
-    let bad: Vec<BadClient> = BadLines::WITHOUT_LOAD
-        .into_iter()
-        .cycle()
-        .take(18)
-        .map(start)
-        .collect();
+    let bad = start_bad_clients(&server, 18, true);
     let records = server.serve_sound_client(FLOOD_TIME * 2);
     assert_new_connection_is_answered(&server, "many");
     drop(bad);
--- a/crates/server/tests/bad_clients/memory.rs
+++ b/crates/server/tests/bad_clients/memory.rs
@@ -2,6 +2,7 @@
 
 use crate::support::{
     BadClient, BadLines, MEMORY_LIMIT_MB, TestServer, assert_answered, assert_served,
+    start_bad_clients,
 };
 use std::io::Write;
 use std::net::{Shutdown, TcpStream};
@@ -27,13 +28,7 @@
 #[test]
 fn memory_is_bounded_beside_flooding_clients_that_do_not_read() {
     let server = TestServer::start();
-    let start = |lines| BadClient::start(server.program.address, lines, false);
-    let bad: Vec<BadClient> = BadLines::WITHOUT_LOAD
-        .into_iter()
-        .cycle()
-        .take(60)
-        .map(start)
-        .collect();
+    let bad = start_bad_clients(&server, 60, false);
     let records = server.serve_sound_client(LOAD_TIME);
     assert_within_memory_limit(&server, "clients that do not read");
     drop(bad);
--- a/crates/server/tests/bad_clients/support.rs
+++ b/crates/server/tests/bad_clients/support.rs
@@ -149,18 +149,18 @@
             BadLines::Withdrawals => format!(
                 "{{\"jsonrpc\":\"2.0\",\"method\":\"forget\",\"params\":{{\"id\":{number}}}}}\n"
             ),
-            BadLines::UnsoundRequests => keyed_request(number, "7"),
-            BadLines::NewRequests => keyed_request(number, "\"QUJD\""),
+            BadLines::UnsoundRequests => request("book", number, "7"),
+            BadLines::NewRequests => request("book", number, "\"QUJD\""),
             BadLines::ManyMembers => format!("{{{}\"b\":2}}\n", "\"a\":1,".repeat(3_000)),
         }
     }
 }
 
-/// Returns the line of a request with an idempotency key, both of this number; `bytes` is its body as JSON.
-fn keyed_request(number: u64, bytes: &str) -> String {
+/// Returns the line of a request whose id, name, sender and key are this number; `bytes` is its body as JSON.
+pub(crate) fn request(handler: &str, number: u64, bytes: &str) -> String {
     let now = unix_ms();
     format!(
-        "{{\"jsonrpc\":\"2.0\",\"id\":{number},\"method\":\"book\",\"params\":{{\"ref\":\"b{number:015x}\",\
+        "{{\"jsonrpc\":\"2.0\",\"id\":{number},\"method\":\"{handler}\",\"params\":{{\"ref\":\"{number:016x}\",\
          \"since\":{now},\"sender\":{number},\"project\":\"acme\",\"allow\":8000,\"room\":2.5,\
          \"replay\":\"{number:032x}\",\"bytes\":{bytes}}}}}\n"
     )
@@ -201,6 +201,13 @@
     }
 }
 
+/// Starts clients of all kinds that put no load on the engine, one after the other until there are `count`.
+pub(crate) fn start_bad_clients(server: &TestServer, count: usize, read: bool) -> Vec<BadClient> {
+    let kinds = BadLines::WITHOUT_LOAD.into_iter().cycle().take(count);
+    let start = |lines| BadClient::start(server.program.address, lines, read);
+    kinds.map(start).collect()
+}
+
 /// Sends lines with numbers above `number` until the connection ends or the client is stopped. Returns the last number.
 fn send_at_full_speed(
     mut stream: TcpStream,
